--- /dev/null
+++ b/src/agent/engine/http.rs
@@ -0,0 +1,228 @@
+//! The endpoint over HTTP, with one thread for each piece of work.
+
+use std::io::{BufRead, BufReader};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use eyre::{WrapErr, eyre};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use ureq::Agent as HttpAgent;
+
+use super::{EngineEffect, EngineInput, Work};
+use crate::link::message::{Answer, Export};
+use crate::model::{Body, Ran, RequestId};
+use crate::role::{Adapter, DriverHandle};
+
+/// How long a connection to the endpoint may take to stand.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long the endpoint may take to answer a cancel.
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
+/// The most bytes of a plain service's answer.
+const MAX_ANSWER_BYTES: u64 = 2 << 20;
+/// The stack of a thread that waits for the endpoint.
+const STACK_BYTES: usize = 128 << 10;
+
+/// The endpoint's answer to a prefill.
+#[derive(Debug, Deserialize)]
+struct Exported {
+    export: Box<str>,
+    tokens: u32,
+}
+
+/// One event of a decode stream.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(untagged)]
+enum StreamEvent {
+    Tokens { offset: u32, tokens: Vec<Box<str>> },
+    End { offset: u32, finish: Box<str> },
+    Error { error: Box<str> },
+}
+
+/// Carries out the agent's effects at an endpoint that speaks HTTP.
+pub struct HttpEngine {
+    url: Arc<Mutex<Option<Box<str>>>>,
+    role: DriverHandle<EngineInput>,
+    http: HttpAgent,
+}
+
+impl HttpEngine {
+    /// Makes the shell; the URL becomes known when the endpoint announces itself.
+    pub fn new(url: Arc<Mutex<Option<Box<str>>>>, role: DriverHandle<EngineInput>) -> HttpEngine {
+        let config = HttpAgent::config_builder()
+            .timeout_connect(Some(CONNECT_TIMEOUT))
+            .http_status_as_error(false)
+            .max_idle_connections(0)
+            .build();
+        HttpEngine { url, role, http: config.new_agent() }
+    }
+
+    fn spawn(&self, work: impl FnOnce(Client) + Send + 'static) {
+        let url = self.url.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let client = Client {
+            url: url.unwrap_or_default(),
+            role: self.role.clone(),
+            http: self.http.clone(),
+        };
+        let builder = std::thread::Builder::new().name("engine".into()).stack_size(STACK_BYTES);
+        if let Err(error) = builder.spawn(move || work(client)) {
+            log::error!("step=engine-thread error={error}");
+        }
+    }
+}
+
+impl Adapter<EngineEffect> for HttpEngine {
+    fn carry(&mut self, effect: EngineEffect) {
+        match effect {
+            EngineEffect::Start { request, work } => self.spawn(move |c| c.start(request, work)),
+            EngineEffect::Cancel(request) => self.spawn(move |c| c.cancel(request)),
+            EngineEffect::Order { inbound, fence, order } => self.spawn(move |c| {
+                let text = format!("{order:?}");
+                let body = json!({ "fence": fence.0, "order": text });
+                let result = c.post("/v1/orders", &body).map(|_| ());
+                let result = result.map_err(|(_, e)| format!("{e:#}").into());
+                c.role.local(EngineInput::Ordered { inbound, fence, result });
+            }),
+        }
+    }
+}
+
+/// One thread's way to the endpoint.
+struct Client {
+    url: Box<str>,
+    role: DriverHandle<EngineInput>,
+    http: HttpAgent,
+}
+
+type Failure = (Ran, eyre::Report);
+
+impl Client {
+    fn start(self, request: RequestId, work: Work) {
+        let done = match work {
+            Work::Prefill { class, prompt, prefix } => {
+                let body = json!({
+                    "request": request.to_string(),
+                    "prompt": prompt,
+                    "prefix": prefix,
+                    "priority": class.as_str(),
+                });
+                self.prefill(request, &body)
+            }
+            Work::Decode { export, from, until } => {
+                let body = json!({
+                    "request": request.to_string(),
+                    "source": export.url,
+                    "export": export.name,
+                    "from": from,
+                    "until": until,
+                });
+                self.decode(request, &body)
+            }
+            Work::Call { repeatable: _, body } => self.call(request, body),
+        };
+        if let Err((ran, error)) = done {
+            let detail = format!("{error:#}").into();
+            self.role.local(EngineInput::Failed { request, ran, detail });
+        }
+    }
+
+    fn prefill(&self, request: RequestId, body: &serde_json::Value) -> Result<(), Failure> {
+        let response = self.post("/v1/prefill", body)?;
+        let exported: Exported = response
+            .into_body()
+            .read_json()
+            .wrap_err("read prefill answer")
+            .map_err(|e| (Ran::Maybe, e))?;
+        let export =
+            Export { url: self.url.clone(), name: exported.export, tokens: exported.tokens };
+        self.role.local(EngineInput::Exported { request, export });
+        Ok(())
+    }
+
+    fn decode(&self, request: RequestId, body: &serde_json::Value) -> Result<(), Failure> {
+        let response = self.post("/v1/decode", body)?;
+        let lines = BufReader::new(response.into_body().into_reader()).lines();
+        for line in lines {
+            let line = line.wrap_err("read decode stream").map_err(|e| (Ran::Maybe, e))?;
+            let Some(data) = line.strip_prefix("data: ") else { continue };
+            let event = serde_json::from_str(data)
+                .wrap_err("parse decode event")
+                .map_err(|e| (Ran::Maybe, e))?;
+            match event {
+                StreamEvent::Tokens { offset, tokens } => {
+                    self.role.local(EngineInput::Part { request, offset, tokens });
+                }
+                StreamEvent::End { offset, finish } => {
+                    self.role.local(EngineInput::End { request, offset, finish });
+                    return Ok(());
+                }
+                StreamEvent::Error { error } => return Err((Ran::Maybe, eyre!("{error}"))),
+            }
+        }
+        Err((Ran::Maybe, eyre!("decode stream ended without an end mark")))
+    }
+
+    fn call(&self, request: RequestId, body: Body) -> Result<(), Failure> {
+        let call = ureq::http::Request::builder()
+            .method(&*body.method)
+            .uri(format!("{}{}", self.url, body.path))
+            .header("content-type", &*body.media)
+            .header("x-request-id", request.to_string())
+            .body(body.content)
+            .wrap_err("build request")
+            .map_err(|e| (Ran::No, e))?;
+        let mut response = self.http.run(call).map_err(failure)?;
+        let media = response.headers().get("content-type").and_then(|v| v.to_str().ok());
+        let media = media.unwrap_or("application/octet-stream").into();
+        let content = response
+            .body_mut()
+            .with_config()
+            .limit(MAX_ANSWER_BYTES)
+            .read_to_vec()
+            .wrap_err("read answer")
+            .map_err(|e| (Ran::Maybe, e))?;
+        let answer = Answer { status: response.status().as_u16(), media, content };
+        self.role.local(EngineInput::Answered { request, answer });
+        Ok(())
+    }
+
+    fn cancel(self, request: RequestId) {
+        let body = json!({ "request": request.to_string() });
+        let sent = self
+            .http
+            .post(format!("{}/v1/cancel", self.url))
+            .config()
+            .timeout_global(Some(CANCEL_TIMEOUT))
+            .build()
+            .send_json(&body);
+        let confirmed = sent.is_ok_and(|r| r.status().is_success());
+        self.role.local(EngineInput::Cancelled { request, confirmed });
+    }
+
+    fn post(
+        &self,
+        path: &str,
+        body: &serde_json::Value,
+    ) -> Result<ureq::http::Response<ureq::Body>, Failure> {
+        let mut response =
+            self.http.post(format!("{}{path}", self.url)).send_json(body).map_err(failure)?;
+        if response.status().is_success() {
+            return Ok(response);
+        }
+        let status = response.status();
+        let text = response.body_mut().read_to_string().unwrap_or_default();
+        let ran = if status.as_u16() == 503 { Ran::No } else { Ran::Maybe };
+        Err((ran, eyre!("endpoint answered {status} to {path}: {text}")))
+    }
+}
+
+/// Says whether a request may have run: never before a connection stood.
+fn failure(error: ureq::Error) -> Failure {
+    let ran = match &error {
+        ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => Ran::No,
+        ureq::Error::Timeout(ureq::Timeout::Connect) => Ran::No,
+        ureq::Error::Io(e) if e.kind() == std::io::ErrorKind::ConnectionRefused => Ran::No,
+        _ => Ran::Maybe,
+    };
+    (ran, eyre::Report::new(error))
+}
--- /dev/null
+++ b/src/cli/daemon.rs
@@ -0,0 +1,141 @@
+//! Starts the roles of a process and stops them without cutting anything off.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use eyre::{WrapErr, eyre};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+use super::settings::{RoleName, Settings};
+use crate::agent::engine::{EngineInput, HttpEngine};
+use crate::agent::{Agent, AgentSettings};
+use crate::control::disk::{self, Disk};
+use crate::control::{Control, ControlSettings, DiskInput};
+use crate::entry::accept::Callers;
+use crate::entry::check::Tenants;
+use crate::entry::place::RoundRobin;
+use crate::entry::{CallerInput, Entry, EntrySettings};
+use crate::link::tls::Identity;
+use crate::link::{Link, Request, Route, Sink};
+use crate::model::{BootId, Timestamp};
+use crate::registry::FollowerSettings;
+use crate::report::pages::Pages;
+use crate::role::{Driver, Input};
+
+type Threads = Vec<std::thread::JoinHandle<()>>;
+
+/// The drivers of the roles that a process has.
+#[derive(Default)]
+struct Drivers {
+    entry: Option<Driver<CallerInput>>,
+    agent: Option<Driver<EngineInput>>,
+    control: Option<Driver<DiskInput>>,
+}
+
+/// Runs the roles until they have stopped.
+pub fn run(settings: Settings) -> eyre::Result<()> {
+    let boot = BootId(Timestamp::from_system().as_micros());
+    let identity = Identity::load(&settings.keys)?;
+    let link = Link::bind(settings.listen, identity)?;
+    let drivers = Drivers {
+        entry: settings.roles.contains(&RoleName::Entry).then(Driver::new),
+        agent: settings.roles.contains(&RoleName::Agent).then(Driver::new),
+        control: settings.roles.contains(&RoleName::Control).then(Driver::new),
+    };
+    let ready = Arc::new(AtomicBool::new(true));
+    on_signal(&drivers, ready.clone())?;
+    let url = Arc::new(Mutex::new(None));
+    if let Some(address) = settings.pages {
+        let pages = Pages { ready, announce: announcer(&drivers, url.clone()) };
+        pages.start(address)?;
+    }
+    let handle = link.handle();
+    let route = route(&drivers);
+    let mut threads = Threads::new();
+    if let Some(driver) = drivers.control {
+        let folder = settings.data.as_deref().ok_or_else(|| eyre!("--data is missing"))?;
+        let (records, file) = disk::open(folder)?;
+        let disk = Disk::start(file, driver.handle())?;
+        let who =
+            ControlSettings { name: settings.name.clone(), domain: settings.domain.clone(), boot };
+        threads.push(driver.start("control", Control::new(who, records), handle.clone(), disk)?);
+    }
+    if let Some(driver) = drivers.agent {
+        let engine = HttpEngine::new(url, driver.handle());
+        let follower = follower(&settings, boot, "agent");
+        let agent = Agent::new(AgentSettings { follower, address: settings.listen });
+        threads.push(driver.start("agent", agent, handle.clone(), engine)?);
+    }
+    if let Some(driver) = drivers.entry {
+        let path = settings.tenants.as_deref().ok_or_else(|| eyre!("--tenants is missing"))?;
+        let tenants = Tenants::load(path)?;
+        let listen = settings.callers.ok_or_else(|| eyre!("--callers is missing"))?;
+        let callers = Callers::start(listen, driver.handle())?;
+        let who = EntrySettings { follower: follower(&settings, boot, "entry") };
+        let entry = Entry::new(who, tenants, Box::new(RoundRobin::default()));
+        threads.push(driver.start("entry", entry, handle.clone(), callers)?);
+    }
+    link.start(route)?;
+    log::info!("step=start name={} domain={} boot={boot}", settings.name, settings.domain);
+    for thread in threads {
+        thread.join().map_err(|_| eyre!("a role's thread has panicked"))?;
+    }
+    log::info!("step=stop name={}", settings.name);
+    Ok(())
+}
+
+fn follower(settings: &Settings, boot: BootId, role: &str) -> FollowerSettings {
+    FollowerSettings {
+        name: settings.name.clone(),
+        role: role.into(),
+        domain: settings.domain.clone(),
+        boot,
+        members: settings.members.clone(),
+        endpoints: role == "entry",
+    }
+}
+
+fn route(drivers: &Drivers) -> Route {
+    let agent = drivers.agent.as_ref().map(|d| Arc::new(d.handle()) as Arc<dyn Sink>);
+    let control = drivers.control.as_ref().map(|d| Arc::new(d.handle()) as Arc<dyn Sink>);
+    Arc::new(move |request| match request {
+        Request::Agent(_) => agent.clone(),
+        Request::Control(_) | Request::Replica(_) => control.clone(),
+    })
+}
+
+fn announcer(
+    drivers: &Drivers,
+    url: Arc<Mutex<Option<Box<str>>>>,
+) -> Option<crate::report::pages::OnAnnounce> {
+    let agent = drivers.agent.as_ref()?.handle();
+    Some(Box::new(move |announcement| {
+        *url.lock().unwrap_or_else(PoisonError::into_inner) = Some(announcement.url.clone());
+        agent.local(EngineInput::Announced(announcement));
+    }))
+}
+
+fn on_signal(drivers: &Drivers, ready: Arc<AtomicBool>) -> eyre::Result<()> {
+    let entry = drivers.entry.as_ref().map(Driver::handle);
+    let agent = drivers.agent.as_ref().map(Driver::handle);
+    let control = drivers.control.as_ref().map(Driver::handle);
+    let mut signals = Signals::new([SIGTERM, SIGINT]).wrap_err("watch for signals")?;
+    let watch = move || {
+        for _ in signals.forever() {
+            log::info!("step=shutdown");
+            ready.store(false, Ordering::SeqCst);
+            if let Some(handle) = &entry {
+                handle.send(Input::Shutdown);
+            }
+            if let Some(handle) = &agent {
+                handle.send(Input::Shutdown);
+            }
+            if let Some(handle) = &control {
+                handle.send(Input::Shutdown);
+            }
+        }
+    };
+    std::thread::Builder::new().name("signals".into()).spawn(watch).wrap_err("start watcher")?;
+    Ok(())
+}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,5 @@
+//! The command lines of the daemon and the tool, and the settings that they come to.
+
+pub mod daemon;
+pub mod settings;
+pub mod tool;
--- /dev/null
+++ b/src/control/config/mod.rs
@@ -0,0 +1,190 @@
+//! The configuration: fleet defaults and exceptions with written reasons.
+
+mod setting;
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::str::FromStr;
+
+use eyre::{ensure, eyre};
+use serde::{Deserialize, Serialize};
+
+pub use setting::{Setting, check_value};
+
+use crate::model::{Class, Revision};
+
+/// A configuration's number and content hash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
+pub struct Revised {
+    /// The number.
+    pub revision: Revision,
+    /// The hash of the content.
+    pub hash: u64,
+}
+
+impl fmt::Display for Revised {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{:016x}", self.revision, self.hash)
+    }
+}
+
+/// What an exception applies to.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Scope {
+    /// One tenant.
+    Tenant(Box<str>),
+    /// One pool.
+    Pool(Box<str>),
+    /// One class.
+    Class(Class),
+}
+
+impl fmt::Display for Scope {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Scope::Tenant(name) => write!(f, "tenant:{name}"),
+            Scope::Pool(name) => write!(f, "pool:{name}"),
+            Scope::Class(class) => write!(f, "class:{class}"),
+        }
+    }
+}
+
+impl FromStr for Scope {
+    type Err = eyre::Report;
+
+    fn from_str(text: &str) -> eyre::Result<Scope> {
+        let (kind, name) =
+            text.split_once(':').ok_or_else(|| eyre!("scope {text:?} has no \"KIND:NAME\""))?;
+        ensure!(!name.is_empty(), "scope {text:?} names nothing");
+        match kind {
+            "tenant" => Ok(Scope::Tenant(name.into())),
+            "pool" => Ok(Scope::Pool(name.into())),
+            "class" => Ok(Scope::Class(name.parse()?)),
+            _ => Err(eyre!("scope {text:?} is unknown: tenant:, pool: or class:")),
+        }
+    }
+}
+
+/// One exception from the fleet's defaults.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Exception {
+    /// The value.
+    pub value: Box<str>,
+    /// Who made it.
+    pub author: Box<str>,
+    /// Why, in words.
+    pub reason: Box<str>,
+}
+
+/// What one change edits.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Edit {
+    /// Set a default for the whole fleet.
+    Set {
+        /// The setting.
+        name: Box<str>,
+        /// The value.
+        value: Box<str>,
+    },
+    /// Make or replace an exception.
+    Except {
+        /// What it applies to.
+        scope: Scope,
+        /// The setting.
+        name: Box<str>,
+        /// The value, the author and the reason.
+        exception: Exception,
+    },
+    /// Drop an exception.
+    Drop {
+        /// What it applied to.
+        scope: Scope,
+        /// The setting.
+        name: Box<str>,
+    },
+}
+
+/// A change that an operator asks for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Names the change, so that a resend is known as such.
+    pub id: Box<str>,
+    /// The revision that the operator saw.
+    pub base: Revision,
+    /// Who asks.
+    pub author: Box<str>,
+    /// What to edit.
+    pub edit: Edit,
+}
+
+/// A configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Config {
+    /// The number.
+    pub revision: Revision,
+    /// Defaults that differ from the built-in ones.
+    pub defaults: BTreeMap<Box<str>, Box<str>>,
+    /// Exceptions.
+    pub exceptions: BTreeMap<(Scope, Box<str>), Exception>,
+}
+
+impl Config {
+    /// Returns the number and the content hash.
+    pub fn revised(&self) -> Revised {
+        use sha2::{Digest, Sha256};
+        let bytes = postcard::to_stdvec(self).unwrap_or_default();
+        let digest = Sha256::digest(&bytes);
+        let head = digest.first_chunk::<8>().copied().unwrap_or_default();
+        Revised { revision: self.revision, hash: u64::from_le_bytes(head) }
+    }
+
+    /// Returns the configuration after an edit, or why the edit is refused.
+    ///
+    /// ```
+    /// use dotterelpin::control::config::{Config, Edit};
+    ///
+    /// let edit = Edit::Set { name: "call.deadline_ms".into(), value: "9000".into() };
+    /// let config = Config::default().edited(&edit).unwrap();
+    /// assert_eq!(config.revision.0, 1);
+    /// let wrong = Edit::Set { name: "call.deadline_ms".into(), value: "soon".into() };
+    /// assert!(config.edited(&wrong).is_err());
+    /// ```
+    pub fn edited(&self, edit: &Edit) -> eyre::Result<Config> {
+        let mut next = self.clone();
+        match edit {
+            Edit::Set { name, value } => {
+                check_value(name, value)?;
+                next.defaults.insert(name.clone(), value.clone());
+            }
+            Edit::Except { scope, name, exception } => {
+                check_value(name, &exception.value)?;
+                ensure!(!exception.reason.trim().is_empty(), "an exception needs a written reason");
+                ensure!(!exception.author.trim().is_empty(), "an exception needs an author");
+                next.exceptions.insert((scope.clone(), name.clone()), exception.clone());
+            }
+            Edit::Drop { scope, name } => {
+                let key = (scope.clone(), name.clone());
+                let found = next.exceptions.remove(&key);
+                ensure!(found.is_some(), "there is no exception of {name} for {scope}");
+            }
+        }
+        next.revision = Revision(self.revision.0 + 1);
+        Ok(next)
+    }
+
+    /// Returns the value of a setting for a call: an exception for the tenant goes first, then
+    /// one for the pool, then one for the class, then the fleet's default.
+    pub fn value(&self, setting: Setting, tenant: &str, pool: &str, class: Class) -> u64 {
+        let name: Box<str> = setting.as_str().into();
+        let scopes = [Scope::Tenant(tenant.into()), Scope::Pool(pool.into()), Scope::Class(class)];
+        let exception = scopes.into_iter().find_map(|s| self.exceptions.get(&(s, name.clone())));
+        let text = exception.map(|e| &e.value).or_else(|| self.defaults.get(&name));
+        text.and_then(|t| t.parse().ok()).unwrap_or(setting.built_in())
+    }
+
+    /// Returns the fleet's default of a setting.
+    pub fn default_value(&self, setting: Setting) -> u64 {
+        let text = self.defaults.get(setting.as_str());
+        text.and_then(|t| t.parse().ok()).unwrap_or(setting.built_in())
+    }
+}
--- /dev/null
+++ b/src/control/config/setting.rs
@@ -0,0 +1,88 @@
+//! The settings that a configuration may hold.
+
+use eyre::{ensure, eyre};
+
+/// A setting with a whole number as its value.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Setting {
+    /// How long a call may take when its caller names no deadline, in milliseconds.
+    CallDeadline,
+    /// The target for the time to the first token, in milliseconds.
+    FirstTokenTarget,
+    /// The target for the time between tokens, in milliseconds.
+    TokenTarget,
+    /// Attempts that a repeatable call may take.
+    Attempts,
+    /// Retries allowed for each hundred calls.
+    RetryPercent,
+    /// Calls of a tenant at once in one entry.
+    TenantCalls,
+    /// Whether an entry without confirmation serves on (1) or refuses (0).
+    ServeUnconfirmed,
+}
+
+/// A setting's name, built-in value and bounds.
+struct Row {
+    setting: Setting,
+    name: &'static str,
+    built_in: u64,
+    least: u64,
+    most: u64,
+}
+
+const ROWS: [Row; 7] = [
+    row(Setting::CallDeadline, "call.deadline_ms", 60_000, 1, 86_400_000),
+    row(Setting::FirstTokenTarget, "call.first_token_ms", 510, 1, 86_400_000),
+    row(Setting::TokenTarget, "call.token_ms", 26, 1, 60_000),
+    row(Setting::Attempts, "retry.attempts", 3, 1, 10),
+    row(Setting::RetryPercent, "retry.percent", 10, 0, 100),
+    row(Setting::TenantCalls, "limit.tenant_calls", 10_000, 1, 1_000_000),
+    row(Setting::ServeUnconfirmed, "config.serve_unconfirmed", 0, 0, 1),
+];
+
+const fn row(setting: Setting, name: &'static str, built_in: u64, least: u64, most: u64) -> Row {
+    Row { setting, name, built_in, least, most }
+}
+
+impl Setting {
+    /// Returns every setting.
+    pub fn all() -> impl Iterator<Item = Setting> {
+        ROWS.iter().map(|r| r.setting)
+    }
+
+    /// Returns the name that operators use.
+    pub fn as_str(self) -> &'static str {
+        self.row().name
+    }
+
+    /// Returns the value that holds when a configuration says nothing.
+    pub fn built_in(self) -> u64 {
+        self.row().built_in
+    }
+
+    fn row(self) -> &'static Row {
+        &ROWS[self as usize]
+    }
+}
+
+/// Checks a value for a setting by its name.
+///
+/// ```
+/// use dotterelpin::control::config::check_value;
+///
+/// assert!(check_value("retry.attempts", "2").is_ok());
+/// assert!(check_value("retry.attempts", "99").is_err());
+/// assert!(check_value("no.such", "1").is_err());
+/// ```
+pub fn check_value(name: &str, value: &str) -> eyre::Result<()> {
+    let Some(row) = ROWS.iter().find(|r| r.name == name) else {
+        let known: Vec<_> = ROWS.iter().map(|r| r.name).collect();
+        return Err(eyre!("setting {name:?} is unknown; known: {}", known.join(", ")));
+    };
+    let (least, most) = (row.least, row.most);
+    let number: u64 = value
+        .parse()
+        .map_err(|_| eyre!("{name}: {value:?} is no whole number from {least} to {most}"))?;
+    ensure!((least..=most).contains(&number), "{name}: {number} is outside {least} to {most}");
+    Ok(())
+}
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,191 @@
+//! The control role: the replicated log, what it adds up to, and the registry.
+
+pub mod claims;
+pub mod config;
+pub mod disk;
+pub mod replica;
+pub mod state;
+
+use std::collections::BTreeMap;
+
+use config::Revised;
+use replica::{LogIndex, Record, Replica, Step};
+use state::{Applied, Command, State};
+
+use crate::link::message::{
+    Beat, ControlReply, ControlRequest, Envelope, Heartbeat, ProcessState, Reply, Request, Status,
+};
+use crate::model::{BootId, InboundId, Timestamp};
+use crate::registry::Registry;
+use crate::role::{Input, Output, Role};
+
+/// What the disk tells the control role.
+#[derive(Debug)]
+pub enum DiskInput {
+    /// Records up to this one are synced.
+    Synced(LogIndex),
+    /// The disk failed.
+    Failed(Box<str>),
+}
+
+/// What the control role asks of its disk.
+#[derive(Debug)]
+pub enum DiskEffect {
+    /// Append records and sync them.
+    Append(Vec<Record>),
+}
+
+/// Who a control member is.
+#[derive(Debug, Clone)]
+pub struct ControlSettings {
+    /// The member's name.
+    pub name: Box<str>,
+    /// Its failure domain.
+    pub domain: Box<str>,
+    /// Its start.
+    pub boot: BootId,
+}
+
+/// The control role.
+pub struct Control {
+    settings: ControlSettings,
+    replica: Replica,
+    state: State,
+    registry: Registry,
+    waiting: BTreeMap<LogIndex, InboundId>,
+}
+
+type Outputs = Vec<Output<DiskEffect>>;
+
+impl Control {
+    /// Makes the role from the records that its disk kept.
+    pub fn new(settings: ControlSettings, records: Vec<Record>) -> Control {
+        let mut control = Control {
+            settings,
+            replica: Replica::new(),
+            state: State::default(),
+            registry: Registry::default(),
+            waiting: BTreeMap::new(),
+        };
+        for record in records {
+            control.state.apply(&record.command);
+            control.replica.restore(record);
+        }
+        control
+    }
+
+    fn revised(&self) -> Revised {
+        self.state.config.revised()
+    }
+
+    fn reply(&self, inbound: InboundId, reply: ControlReply) -> Output<DiskEffect> {
+        let envelope = Envelope { revised: self.revised(), body: Reply::Control(reply) };
+        Output::Reply { inbound, envelope, last: true }
+    }
+
+    fn request(&mut self, now: Timestamp, inbound: InboundId, request: ControlRequest) -> Outputs {
+        match request {
+            ControlRequest::Heartbeat(heartbeat) => {
+                let beat = self.heartbeat(now, heartbeat);
+                vec![self.reply(inbound, ControlReply::Beat(beat))]
+            }
+            ControlRequest::Propose(command) => self.propose(inbound, command),
+            ControlRequest::Status => {
+                let status = Box::new(self.status(now));
+                vec![self.reply(inbound, ControlReply::Status(status))]
+            }
+        }
+    }
+
+    fn heartbeat(&mut self, now: Timestamp, heartbeat: Heartbeat) -> Beat {
+        let newer = heartbeat.process.revised.revision < self.state.config.revision;
+        let wants = heartbeat.endpoints;
+        let seen = heartbeat.version;
+        self.registry.heartbeat(now, heartbeat.process, heartbeat.endpoint);
+        let changed = wants && seen != self.registry.version();
+        Beat {
+            member: self.settings.name.clone(),
+            highest: self.state.config.revision,
+            config: newer.then(|| self.state.config.clone()),
+            version: self.registry.version(),
+            endpoints: changed.then(|| self.registry.endpoints()),
+        }
+    }
+
+    fn propose(&mut self, inbound: InboundId, command: Command) -> Outputs {
+        let (index, record) = self.replica.propose(command);
+        self.waiting.insert(index, inbound);
+        vec![Output::Effect(DiskEffect::Append(vec![record]))]
+    }
+
+    fn synced(&mut self, index: LogIndex) -> Outputs {
+        let mut outputs = Vec::new();
+        for Step { index, command } in self.replica.synced(index) {
+            let applied = self.state.apply(&command);
+            log_change(&command, &applied);
+            if let Some(inbound) = self.waiting.remove(&index) {
+                outputs.push(self.reply(inbound, ControlReply::Applied(applied)));
+            }
+        }
+        outputs
+    }
+
+    fn status(&self, now: Timestamp) -> Status {
+        let own = ProcessState {
+            name: self.settings.name.clone(),
+            role: "control".into(),
+            domain: self.settings.domain.clone(),
+            boot: self.settings.boot,
+            revised: self.revised(),
+        };
+        let mut processes = self.registry.processes(now);
+        processes.push((own, std::time::Duration::ZERO));
+        Status {
+            member: self.settings.name.clone(),
+            leader: Some(self.settings.name.clone()),
+            config: self.state.config.clone(),
+            history: self.state.history.values().cloned().collect(),
+            processes,
+            endpoints: self.registry.endpoints(),
+        }
+    }
+}
+
+fn log_change(command: &Command, applied: &Applied) {
+    if let (Command::Change(change), Applied::Changed(reply)) = (command, applied) {
+        log::info!("step=change id={} author={} result={reply:?}", change.id, change.author);
+    }
+}
+
+impl Role for Control {
+    type Local = DiskInput;
+    type Effect = DiskEffect;
+
+    fn step(&mut self, now: Timestamp, input: Input<DiskInput>) -> Outputs {
+        match input {
+            Input::Request { inbound, envelope } => match envelope.body {
+                Request::Control(request) => self.request(now, inbound, request),
+                Request::Replica(_) | Request::Agent(_) => Vec::new(),
+            },
+            Input::Abandoned { inbound } => {
+                self.waiting.retain(|_, i| *i != inbound);
+                Vec::new()
+            }
+            Input::Local(DiskInput::Synced(index)) => self.synced(index),
+            Input::Local(DiskInput::Failed(error)) => {
+                log::error!("step=append error={error}");
+                vec![Output::Stopped]
+            }
+            Input::Wake => {
+                self.registry.expire(now);
+                Vec::new()
+            }
+            Input::Shutdown => vec![Output::Stopped],
+            Input::Reply { .. } | Input::Closed { .. } => Vec::new(),
+        }
+    }
+
+    fn next_wake(&self) -> Option<Timestamp> {
+        self.registry.next_expiry()
+    }
+}
--- /dev/null
+++ b/src/entry/check.rs
@@ -0,0 +1,214 @@
+//! The filter `check`: from a raw HTTP request to a checked call, or a clear refusal.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::time::Duration;
+
+use eyre::{WrapErr, ensure, eyre};
+use serde::Deserialize;
+use sha2::{Digest, Sha256};
+
+use crate::control::config::{Config, Setting};
+use crate::model::{Body, Call, CallKind, Class, Refusal, RefusalReason, Timestamp};
+
+/// The longest idempotency key in bytes.
+const MAX_KEY_BYTES: usize = 256;
+/// The most tokens that a call may ask for.
+const MAX_TOKENS: u32 = 16_384;
+/// Tokens generated when the caller names no limit.
+const DEFAULT_MAX_TOKENS: u32 = 256;
+
+/// An HTTP request of a caller, before anything is known of it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RawCall {
+    /// The HTTP method.
+    pub method: Box<str>,
+    /// The path with the query.
+    pub path: Box<str>,
+    /// Headers by their names in lower case.
+    pub headers: BTreeMap<Box<str>, Box<str>>,
+    /// The content.
+    pub content: Vec<u8>,
+}
+
+/// Tenants by the SHA-256 hashes of their credentials.
+#[derive(Debug, Clone, Default)]
+pub struct Tenants {
+    by_hash: BTreeMap<[u8; 32], Box<str>>,
+}
+
+impl Tenants {
+    /// Reads lines of the form `NAME SHA256HEX`.
+    pub fn load(path: &Path) -> eyre::Result<Tenants> {
+        let text = std::fs::read_to_string(path)
+            .wrap_err_with(|| format!("read tenants from {}", path.display()))?;
+        text.parse().wrap_err_with(|| format!("parse tenants in {}", path.display()))
+    }
+
+    /// Returns the tenant with a credential.
+    ///
+    /// ```
+    /// use dotterelpin::entry::check::{Tenants, credential_hash};
+    ///
+    /// let line = format!("tabulka {}", credential_hash("secret"));
+    /// let tenants: Tenants = line.parse().unwrap();
+    /// assert_eq!(tenants.find("secret"), Some("tabulka"));
+    /// assert_eq!(tenants.find("guess"), None);
+    /// ```
+    pub fn find(&self, credential: &str) -> Option<&str> {
+        let hash: [u8; 32] = Sha256::digest(credential).into();
+        self.by_hash.get(&hash).map(|t| &**t)
+    }
+}
+
+impl std::str::FromStr for Tenants {
+    type Err = eyre::Report;
+
+    fn from_str(text: &str) -> eyre::Result<Tenants> {
+        let mut by_hash = BTreeMap::new();
+        for (index, line) in text.lines().enumerate() {
+            let line = line.trim();
+            if line.is_empty() || line.starts_with('#') {
+                continue;
+            }
+            let (name, hex) = line
+                .split_once(' ')
+                .ok_or_else(|| eyre!("line {}: no \"NAME SHA256HEX\"", index + 1))?;
+            let hash = parse_hash(hex.trim()).wrap_err_with(|| format!("line {}", index + 1))?;
+            by_hash.insert(hash, name.into());
+        }
+        Ok(Tenants { by_hash })
+    }
+}
+
+fn parse_hash(hex: &str) -> eyre::Result<[u8; 32]> {
+    ensure!(hex.len() == 64 && hex.is_ascii(), "a hash has 64 hexadecimal digits");
+    let mut hash = [0; 32];
+    for (i, byte) in hash.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&hex[2 * i..2 * i + 2], 16).wrap_err("parse hash")?;
+    }
+    Ok(hash)
+}
+
+/// Returns the hash of a credential as the tenants' file holds it.
+pub fn credential_hash(credential: &str) -> String {
+    Sha256::digest(credential).iter().map(|b| format!("{b:02x}")).collect()
+}
+
+/// The body of `/v1/completions` and `/v1/chat/completions`.
+#[derive(Debug, Deserialize)]
+struct ModelBody {
+    model: Box<str>,
+    prompt: Option<Box<str>>,
+    messages: Option<Vec<Message>>,
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct Message {
+    role: Box<str>,
+    content: Box<str>,
+}
+
+/// Checks a raw call.
+pub fn check(
+    now: Timestamp,
+    raw: RawCall,
+    config: &Config,
+    tenants: &Tenants,
+) -> Result<Call, Refusal> {
+    let header = |name: &str| raw.headers.get(name).map(|v| &**v);
+    let credential = header("authorization").and_then(|v| v.strip_prefix("Bearer "));
+    let tenant = credential.and_then(|c| tenants.find(c)).ok_or_else(|| {
+        refuse(RefusalReason::Unauthorized, "the credential is missing or unknown")
+    })?;
+    let key = header("idempotency-key");
+    if key.is_some_and(|k| k.is_empty() || k.len() > MAX_KEY_BYTES) {
+        return Err(bad("idempotency-key has no text or over 256 bytes"));
+    }
+    let (pool, kind, repeatable) = if &*raw.method == "POST" && raw.path.starts_with("/v1/") {
+        let (pool, kind) = check_model(&raw)?;
+        (pool, kind, true)
+    } else {
+        let (pool, body) = check_service(&raw)?;
+        let repeatable = matches!(&*body.method, "GET" | "HEAD" | "OPTIONS");
+        (pool, CallKind::Service(body), repeatable)
+    };
+    let default_class = if repeatable && matches!(kind, CallKind::Model { .. }) {
+        Class::Batch
+    } else {
+        Class::Interactive
+    };
+    let class = match header("x-dotterelpin-class") {
+        Some(text) => text.parse().map_err(|e| bad(&format!("x-dotterelpin-class: {e}")))?,
+        None => default_class,
+    };
+    let span = match header("x-dotterelpin-deadline-ms") {
+        Some(text) => text
+            .parse()
+            .ok()
+            .filter(|ms| (1..=86_400_000).contains(ms))
+            .ok_or_else(|| bad("x-dotterelpin-deadline-ms is no number from 1 to 86400000"))?,
+        None => config.value(Setting::CallDeadline, tenant, &pool, class),
+    };
+    Ok(Call {
+        tenant: tenant.into(),
+        pool,
+        class,
+        deadline: now + Duration::from_millis(span),
+        key: key.map(Into::into),
+        repeatable,
+        kind,
+    })
+}
+
+fn check_model(raw: &RawCall) -> Result<(Box<str>, CallKind), Refusal> {
+    let body: ModelBody =
+        serde_json::from_slice(&raw.content).map_err(|e| bad(&format!("body: {e}")))?;
+    let prompt = match (&*raw.path, body.prompt, body.messages) {
+        ("/v1/completions", Some(prompt), _) => prompt,
+        ("/v1/chat/completions", _, Some(messages)) => join(&messages),
+        ("/v1/completions", None, _) => return Err(bad("body: \"prompt\" is missing")),
+        ("/v1/chat/completions", _, None) => return Err(bad("body: \"messages\" is missing")),
+        (path, ..) => return Err(bad(&format!("path {path} is unknown"))),
+    };
+    let max_tokens = body.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
+    if !(1..=MAX_TOKENS).contains(&max_tokens) {
+        return Err(bad(&format!("max_tokens: {max_tokens} is outside 1 to {MAX_TOKENS}")));
+    }
+    Ok((body.model, CallKind::Model { prompt, max_tokens, stream: body.stream }))
+}
+
+fn join(messages: &[Message]) -> Box<str> {
+    let lines: Vec<_> = messages.iter().map(|m| format!("{}: {}", m.role, m.content)).collect();
+    lines.join("\n").into()
+}
+
+fn check_service(raw: &RawCall) -> Result<(Box<str>, Body), Refusal> {
+    let rest = raw
+        .path
+        .strip_prefix("/services/")
+        .ok_or_else(|| bad(&format!("path {} is unknown", raw.path)))?;
+    let (pool, path) = rest.split_once('/').unwrap_or((rest, ""));
+    if pool.is_empty() {
+        return Err(bad("path names no pool"));
+    }
+    let media = raw.headers.get("content-type").cloned();
+    let body = Body {
+        method: raw.method.clone(),
+        path: format!("/{path}").into(),
+        media: media.unwrap_or_else(|| "application/octet-stream".into()),
+        content: raw.content.clone(),
+    };
+    Ok((pool.into(), body))
+}
+
+fn bad(detail: &str) -> Refusal {
+    refuse(RefusalReason::BadCall, detail)
+}
+
+fn refuse(reason: RefusalReason, detail: &str) -> Refusal {
+    Refusal::not_run(reason, Duration::ZERO, detail)
+}
--- /dev/null
+++ b/src/link/message.rs
@@ -0,0 +1,286 @@
+//! Messages between the system's own processes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::control::config::{Change, Config, Revised};
+use crate::control::replica::ReplicaMessage;
+use crate::control::state::{Applied, Command};
+use crate::model::{
+    Body, BootId, Class, EndpointState, Fence, Refusal, RequestId, Revision, Timestamp,
+};
+
+/// A message with the configuration that its sender has in force.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Envelope<T> {
+    /// The configuration in force at the sender.
+    pub revised: Revised,
+    /// The message.
+    pub body: T,
+}
+
+/// A request on an exchange.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Request {
+    /// To the agent of an endpoint.
+    Agent(AgentRequest),
+    /// To a control member.
+    Control(ControlRequest),
+    /// Between control members.
+    Replica(ReplicaMessage),
+}
+
+/// A reply on an exchange.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    /// From the agent of an endpoint.
+    Agent(AgentReply),
+    /// From a control member.
+    Control(ControlReply),
+    /// Between control members.
+    Replica(ReplicaMessage),
+}
+
+/// What an entry asks of an agent; each exchange serves one attempt.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum AgentRequest {
+    /// Reserve decode room, held as long as the exchange stands and the lease lasts.
+    Reserve {
+        /// The attempt.
+        request: RequestId,
+        /// The class of the call.
+        class: Class,
+        /// Tokens of the prompt and the longest answer.
+        tokens: u32,
+        /// How long the room is held without a [`AgentRequest::Decode`].
+        lease: Duration,
+    },
+    /// Turn a prompt into exported KV cache.
+    Prefill {
+        /// The attempt.
+        request: RequestId,
+        /// The class of the call.
+        class: Class,
+        /// The prompt.
+        prompt: Box<str>,
+        /// Tokens that the caller already has.
+        prefix: Vec<Box<str>>,
+    },
+    /// Import KV cache into the reserved room and generate.
+    Decode {
+        /// Where the KV cache is.
+        export: Export,
+        /// The offset of the first token to generate.
+        from: u32,
+        /// The offset after the last token to generate.
+        until: u32,
+    },
+    /// Run one exchange with a plain service.
+    Call {
+        /// The attempt.
+        request: RequestId,
+        /// The class of the call.
+        class: Class,
+        /// The start of the agent that the sender means.
+        boot: BootId,
+        /// Whether it may run more than once.
+        repeatable: bool,
+        /// When the answer is of no more use.
+        deadline: Timestamp,
+        /// The HTTP request.
+        body: Body,
+    },
+    /// Say what became of an attempt and never start it if it has not started.
+    Settle {
+        /// The attempt.
+        request: RequestId,
+        /// The start of the agent that the attempt went to.
+        boot: BootId,
+    },
+    /// Carry out an order at the endpoint.
+    Order {
+        /// The fencing number.
+        fence: Fence,
+        /// The order.
+        order: Order,
+    },
+}
+
+/// An order to an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Order {
+    /// Load a model, adapter or version.
+    Load {
+        /// What to load, such as `model:cs-summary@7`.
+        artifact: Box<str>,
+    },
+    /// Take the role of a prefill or a decode endpoint.
+    Role {
+        /// The new role.
+        kind: crate::model::EndpointKind,
+    },
+    /// Take no new work.
+    Drain,
+    /// Take work again.
+    Undrain,
+}
+
+/// KV cache that a prefill endpoint has exported.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Export {
+    /// The prefill endpoint's URL.
+    pub url: Box<str>,
+    /// The export's name at that endpoint.
+    pub name: Box<str>,
+    /// Tokens of the prompt and the prefix.
+    pub tokens: u32,
+}
+
+/// What an agent answers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum AgentReply {
+    /// The room is held.
+    Reserved,
+    /// The KV cache is exported.
+    Exported(Export),
+    /// Generated tokens in order.
+    Part {
+        /// The offset of the first token.
+        offset: u32,
+        /// The tokens.
+        tokens: Vec<Box<str>>,
+    },
+    /// The exchange stands, though there is nothing to say.
+    Alive,
+    /// The engine's own end mark.
+    End {
+        /// The offset after the last token.
+        offset: u32,
+        /// Why generation ended.
+        finish: Box<str>,
+    },
+    /// The answer of a plain service.
+    Answer(Answer),
+    /// The attempt was refused or failed.
+    Refused(Refusal),
+    /// What became of an attempt.
+    Settled(Settled),
+    /// The order was carried out.
+    Ordered {
+        /// The number of the last order carried out.
+        fence: Fence,
+    },
+}
+
+/// The answer of a plain service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The media type.
+    pub media: Box<str>,
+    /// The content.
+    pub content: Vec<u8>,
+}
+
+/// What became of an attempt, by the agent's memory.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Settled {
+    /// It ran to this answer.
+    Finished(Answer),
+    /// It runs now.
+    Running,
+    /// It has not started and never will.
+    NotStarted,
+    /// It may have run.
+    Unknown,
+}
+
+/// What a process asks of a control member.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum ControlRequest {
+    /// The sender is alive; it wants what is new.
+    Heartbeat(Heartbeat),
+    /// Put a command into the log.
+    Propose(Command),
+    /// Tell what the member knows, for operators.
+    Status,
+}
+
+/// What a process tells each control member at intervals.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The process.
+    pub process: ProcessState,
+    /// The endpoint, from an agent that has one.
+    pub endpoint: Option<EndpointState>,
+    /// Whether the sender wants to hear of endpoints.
+    pub endpoints: bool,
+    /// The registry version that the sender has from this member.
+    pub version: u64,
+}
+
+/// A process as operators see it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProcessState {
+    /// Its name.
+    pub name: Box<str>,
+    /// Its role.
+    pub role: Box<str>,
+    /// Its failure domain.
+    pub domain: Box<str>,
+    /// Its start.
+    pub boot: BootId,
+    /// Its configuration in force.
+    pub revised: Revised,
+}
+
+/// What a control member answers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum ControlReply {
+    /// To a heartbeat.
+    Beat(Beat),
+    /// The command was applied.
+    Applied(Applied),
+    /// The command was not put into the log here.
+    NotLeader {
+        /// Where to try next.
+        leader: Option<SocketAddr>,
+    },
+    /// What the member knows.
+    Status(Box<Status>),
+}
+
+/// What a control member tells a process.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Beat {
+    /// The member's name.
+    pub member: Box<str>,
+    /// The highest revision in the member's log, in force or not.
+    pub highest: Revision,
+    /// The configuration in force, if it is newer than the sender's.
+    pub config: Option<Config>,
+    /// The registry's version.
+    pub version: u64,
+    /// All endpoints, if the registry changed since the sender's version.
+    pub endpoints: Option<Vec<EndpointState>>,
+}
+
+/// What operators see.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// The member that answers.
+    pub member: Box<str>,
+    /// The member that leads, if it is known.
+    pub leader: Option<Box<str>>,
+    /// The configuration in force at the member.
+    pub config: Config,
+    /// The accepted changes, oldest first.
+    pub history: Vec<Change>,
+    /// Live processes with the age of their last heartbeat.
+    pub processes: Vec<(ProcessState, Duration)>,
+    /// Live endpoints.
+    pub endpoints: Vec<EndpointState>,
+}
--- /dev/null
+++ b/src/link/mod.rs
@@ -0,0 +1,98 @@
+//! Exchanges between the system's own processes over QUIC with mutual TLS.
+
+mod exchange;
+mod frame;
+pub mod message;
+mod shell;
+pub mod tls;
+
+use std::net::SocketAddr;
+
+use crate::model::{ExchangeId, InboundId};
+use crate::role::LinkFailure;
+
+pub use message::{Envelope, Reply, Request};
+pub use shell::{Link, LinkHandle, Route};
+
+/// What the link tells a role.
+#[derive(Debug)]
+pub enum LinkEvent {
+    /// A peer's request on an exchange that the peer opened.
+    Request {
+        /// The exchange.
+        inbound: InboundId,
+        /// The request.
+        envelope: Envelope<Request>,
+    },
+    /// The peer gave up the exchange, or its connection was lost.
+    Abandoned {
+        /// The exchange.
+        inbound: InboundId,
+    },
+    /// A reply on an exchange that the role opened.
+    Reply {
+        /// The exchange.
+        exchange: ExchangeId,
+        /// The reply.
+        envelope: Envelope<Reply>,
+    },
+    /// An exchange that the role opened has ended.
+    Closed {
+        /// The exchange.
+        exchange: ExchangeId,
+        /// Why it ended before the last reply.
+        failure: Option<LinkFailure>,
+    },
+}
+
+/// What a role asks of the link.
+#[derive(Debug)]
+pub enum LinkAction {
+    /// Open an exchange.
+    Open {
+        /// The role's number.
+        owner: u64,
+        /// The exchange.
+        exchange: ExchangeId,
+        /// The peer.
+        peer: SocketAddr,
+        /// The first request.
+        envelope: Envelope<Request>,
+    },
+    /// Send one more request.
+    Send {
+        /// The role's number.
+        owner: u64,
+        /// The exchange.
+        exchange: ExchangeId,
+        /// The request.
+        envelope: Envelope<Request>,
+    },
+    /// Cancel an exchange.
+    Reset {
+        /// The role's number.
+        owner: u64,
+        /// The exchange.
+        exchange: ExchangeId,
+    },
+    /// Use a fresh connection from now on.
+    Redial {
+        /// The peer.
+        peer: SocketAddr,
+    },
+    /// Reply to a peer.
+    Reply {
+        /// The exchange.
+        inbound: InboundId,
+        /// The reply.
+        envelope: Envelope<Reply>,
+        /// Whether it is the last one.
+        last: bool,
+    },
+}
+
+/// Takes what the link has for one role.
+pub trait Sink: Send + Sync {
+    /// Takes one event without blocking.
+    fn deliver(&self, event: LinkEvent);
+}
--- /dev/null
+++ b/src/model/mod.rs
@@ -0,0 +1,13 @@
+//! Types that every role shares: time, identifiers, calls, endpoints and outcomes.
+
+pub mod call;
+pub mod endpoint;
+pub mod id;
+pub mod outcome;
+pub mod time;
+
+pub use call::{Body, Call, CallKind, Class};
+pub use endpoint::{Announcement, Capacity, EndpointKind, EndpointState, Load};
+pub use id::{BootId, CallId, ExchangeId, Fence, InboundId, RequestId, Revision};
+pub use outcome::{Ran, Refusal, RefusalReason};
+pub use time::Timestamp;
--- /dev/null
+++ b/src/model/outcome.rs
@@ -0,0 +1,131 @@
+//! Terminal outcomes that a caller may be told.
+
+use std::fmt;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// What is known about whether a request ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Ran {
+    /// Every attempt ended in a definite refusal before its start.
+    No,
+    /// An attempt may have run.
+    Maybe,
+    /// The request ran.
+    Yes,
+}
+
+impl Ran {
+    /// Returns the text of the `x-dotterelpin-ran` header.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Ran::No => "no",
+            Ran::Maybe => "maybe",
+            Ran::Yes => "yes",
+        }
+    }
+}
+
+/// Why a request was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum RefusalReason {
+    /// The call itself is wrong.
+    BadCall,
+    /// No credential, or an unknown one.
+    Unauthorized,
+    /// No endpoint of the pool is known.
+    NoEndpoint,
+    /// Every endpoint is full.
+    Full,
+    /// The deadline can't be met.
+    Deadline,
+    /// The process is shutting down.
+    Draining,
+    /// The process has no confirmed configuration.
+    NoConfig,
+    /// Control can't be reached or has no quorum.
+    NoQuorum,
+    /// The same key is in progress.
+    InProgress,
+    /// The key was used with another body.
+    KeyReused,
+    /// The tenant's limit is reached.
+    Limit,
+    /// The request crashed endpoints before.
+    Quarantined,
+    /// The endpoint failed.
+    EndpointFailed,
+    /// The agent that would run it has restarted or no longer knows it.
+    Stale,
+}
+
+impl RefusalReason {
+    /// Returns the name that answers, logs and metrics use.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            RefusalReason::BadCall => "bad-call",
+            RefusalReason::Unauthorized => "unauthorized",
+            RefusalReason::NoEndpoint => "no-endpoint",
+            RefusalReason::Full => "full",
+            RefusalReason::Deadline => "deadline",
+            RefusalReason::Draining => "draining",
+            RefusalReason::NoConfig => "no-config",
+            RefusalReason::NoQuorum => "no-quorum",
+            RefusalReason::InProgress => "in-progress",
+            RefusalReason::KeyReused => "key-reused",
+            RefusalReason::Limit => "limit",
+            RefusalReason::Quarantined => "quarantined",
+            RefusalReason::EndpointFailed => "endpoint-failed",
+            RefusalReason::Stale => "stale",
+        }
+    }
+
+    /// Returns the HTTP status that goes with the reason.
+    pub fn status(self) -> u16 {
+        match self {
+            RefusalReason::BadCall => 400,
+            RefusalReason::Unauthorized => 401,
+            RefusalReason::InProgress => 409,
+            RefusalReason::KeyReused => 422,
+            RefusalReason::Limit => 429,
+            RefusalReason::EndpointFailed => 502,
+            _ => 503,
+        }
+    }
+}
+
+/// A truthful refusal, told to the caller at once.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// Why.
+    pub reason: RefusalReason,
+    /// Whether the request ran.
+    pub ran: Ran,
+    /// When the caller may come back.
+    pub retry: Duration,
+    /// More about it, for people.
+    pub detail: Box<str>,
+}
+
+impl Refusal {
+    /// Makes a refusal of a request that did not run.
+    pub fn not_run(reason: RefusalReason, retry: Duration, detail: impl Into<Box<str>>) -> Refusal {
+        Refusal { reason, ran: Ran::No, retry, detail: detail.into() }
+    }
+
+    /// Makes a refusal of a request that may have run.
+    pub fn may_have_run(
+        reason: RefusalReason,
+        retry: Duration,
+        detail: impl Into<Box<str>>,
+    ) -> Refusal {
+        Refusal { reason, ran: Ran::Maybe, retry, detail: detail.into() }
+    }
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} (ran: {}): {}", self.reason.as_str(), self.ran.as_str(), self.detail)
+    }
+}
--- /dev/null
+++ b/src/model/time.rs
@@ -0,0 +1,58 @@
+//! Points in time, as decisions see them.
+
+use std::ops::{Add, Sub};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use serde::{Deserialize, Serialize};
+
+/// A point in time in microseconds since the Unix epoch.
+///
+/// Decisions get the present time as an argument and never read a clock.
+///
+/// ```
+/// use std::time::Duration;
+/// use dotterelpin::model::Timestamp;
+///
+/// let now = Timestamp::from_micros(5);
+/// assert_eq!(now + Duration::from_micros(2), Timestamp::from_micros(7));
+/// assert_eq!(now - Timestamp::from_micros(9), Duration::ZERO);
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
+pub struct Timestamp(u64);
+
+impl Timestamp {
+    /// The latest point in time that can be written.
+    pub const MAX: Timestamp = Timestamp(u64::MAX);
+
+    /// Makes a point in time from microseconds since the Unix epoch.
+    pub const fn from_micros(micros: u64) -> Timestamp {
+        Timestamp(micros)
+    }
+
+    /// Returns the microseconds since the Unix epoch.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Reads the system clock; only shells call this.
+    pub fn from_system() -> Timestamp {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Timestamp(since.as_micros() as u64)
+    }
+}
+
+impl Add<Duration> for Timestamp {
+    type Output = Timestamp;
+
+    fn add(self, span: Duration) -> Timestamp {
+        Timestamp(self.0.saturating_add(span.as_micros() as u64))
+    }
+}
+
+impl Sub for Timestamp {
+    type Output = Duration;
+
+    fn sub(self, earlier: Timestamp) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
--- /dev/null
+++ b/src/registry/mod.rs
@@ -0,0 +1,75 @@
+//! Membership: live processes and endpoints by their heartbeats, and the follower of each process.
+
+mod follower;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+pub use follower::{Follower, FollowerSettings};
+
+use crate::link::message::ProcessState;
+use crate::model::{EndpointState, Load, Timestamp};
+
+/// How long a process is known after its last heartbeat.
+pub const HEARTBEAT_LEASE: Duration = Duration::from_millis(3_000);
+
+/// The soft state of a control member: who is alive.
+#[derive(Debug, Default)]
+pub struct Registry {
+    processes: BTreeMap<(Box<str>, Box<str>), (ProcessState, Timestamp)>,
+    endpoints: BTreeMap<Box<str>, (EndpointState, Timestamp)>,
+    version: u64,
+}
+
+impl Registry {
+    /// Takes a heartbeat.
+    pub fn heartbeat(
+        &mut self,
+        now: Timestamp,
+        process: ProcessState,
+        endpoint: Option<EndpointState>,
+    ) {
+        let key = (process.name.clone(), process.role.clone());
+        self.processes.insert(key, (process, now));
+        let Some(endpoint) = endpoint else { return };
+        let before = self.endpoints.get(&endpoint.name).map(|(e, _)| without_load(e));
+        if before != Some(without_load(&endpoint)) {
+            self.version += 1;
+        }
+        self.endpoints.insert(endpoint.name.clone(), (endpoint, now));
+    }
+
+    /// Forgets what has not been heard of for the length of the lease.
+    pub fn expire(&mut self, now: Timestamp) {
+        self.processes.retain(|_, (_, seen)| now - *seen < HEARTBEAT_LEASE);
+        let count = self.endpoints.len();
+        self.endpoints.retain(|_, (_, seen)| now - *seen < HEARTBEAT_LEASE);
+        if self.endpoints.len() != count {
+            self.version += 1;
+        }
+    }
+
+    /// Returns when the next entry lapses.
+    pub fn next_expiry(&self) -> Option<Timestamp> {
+        self.processes.values().map(|(_, seen)| *seen + HEARTBEAT_LEASE).min()
+    }
+
+    /// Returns a number that changes with every change of the endpoints.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the live endpoints.
+    pub fn endpoints(&self) -> Vec<EndpointState> {
+        self.endpoints.values().map(|(e, _)| e.clone()).collect()
+    }
+
+    /// Returns the live processes with the age of their last heartbeats.
+    pub fn processes(&self, now: Timestamp) -> Vec<(ProcessState, Duration)> {
+        self.processes.values().map(|(p, seen)| (p.clone(), now - *seen)).collect()
+    }
+}
+
+fn without_load(endpoint: &EndpointState) -> EndpointState {
+    EndpointState { load: Load::default(), ..endpoint.clone() }
+}
--- /dev/null
+++ b/src/report/pages.rs
@@ -0,0 +1,62 @@
+//! The pages of a process: health, readiness and the announcement of an endpoint.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use eyre::{WrapErr, eyre};
+use rouille::{Request, Response};
+
+use crate::model::Announcement;
+
+/// Takes the announcement of an endpoint.
+pub type OnAnnounce = Box<dyn Fn(Announcement) + Send + Sync>;
+
+/// What the pages show and take.
+pub struct Pages {
+    /// Whether the process takes new work.
+    pub ready: Arc<AtomicBool>,
+    /// Takes announcements, in a process with an agent.
+    pub announce: Option<OnAnnounce>,
+}
+
+impl Pages {
+    /// Binds the address and serves the pages on a thread.
+    pub fn start(self, listen: SocketAddr) -> eyre::Result<()> {
+        let server = rouille::Server::new(listen, move |request| self.answer(request))
+            .map_err(|e| eyre!("{e}"))
+            .wrap_err_with(|| format!("listen for pages on {listen}"))?;
+        std::thread::Builder::new()
+            .name("pages".into())
+            .spawn(move || server.run())
+            .wrap_err("start pages thread")?;
+        Ok(())
+    }
+
+    fn answer(&self, request: &Request) -> Response {
+        match (request.method(), &*request.url()) {
+            ("GET", "/health") => Response::text("ok\n"),
+            ("GET", "/ready") if self.ready.load(Ordering::SeqCst) => Response::text("ready\n"),
+            ("GET", "/ready") => Response::text("shutting down\n").with_status_code(503),
+            ("POST", "/announce") => self.announced(request),
+            _ => Response::text("no such page\n").with_status_code(404),
+        }
+    }
+
+    fn announced(&self, request: &Request) -> Response {
+        let Some(announce) = &self.announce else {
+            return Response::text("this process has no agent\n").with_status_code(404);
+        };
+        let body = request.data().map(serde_json::from_reader::<_, Announcement>);
+        match body {
+            Some(Ok(announcement)) => {
+                announce(announcement);
+                Response::text("ok\n")
+            }
+            Some(Err(error)) => {
+                Response::text(format!("announcement: {error}\n")).with_status_code(400)
+            }
+            None => Response::text("announcement has no body\n").with_status_code(400),
+        }
+    }
+}
--- /dev/null
+++ b/src/role/driver.rs
@@ -0,0 +1,145 @@
+//! The driver that feeds one role on one thread.
+
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use eyre::WrapErr;
+
+use super::{Input, Output, Role};
+use crate::link::{LinkAction, LinkEvent, LinkHandle, Sink};
+use crate::model::Timestamp;
+
+/// The longest time that a driver sleeps when its role asks for no wake.
+const IDLE_WAIT: Duration = Duration::from_secs(1);
+
+/// Carries out what a role asks of its own surroundings.
+pub trait Adapter<E>: Send {
+    /// Carries out one effect without blocking the control thread for long.
+    fn carry(&mut self, effect: E);
+}
+
+/// What reaches the thread of a driver.
+pub type Event<L> = Input<L>;
+
+/// Puts inputs into the queue of a driver.
+#[derive(Debug)]
+pub struct DriverHandle<L> {
+    queue: Sender<Event<L>>,
+}
+
+impl<L> Clone for DriverHandle<L> {
+    fn clone(&self) -> Self {
+        DriverHandle { queue: self.queue.clone() }
+    }
+}
+
+impl<L> DriverHandle<L> {
+    /// Queues an input; a role that has stopped ignores it.
+    pub fn send(&self, event: Event<L>) {
+        let _ = self.queue.send(event);
+    }
+
+    /// Queues something that happened in the role's own surroundings.
+    pub fn local(&self, local: L) {
+        self.send(Input::Local(local));
+    }
+}
+
+impl<L: Send> Sink for DriverHandle<L> {
+    fn deliver(&self, event: LinkEvent) {
+        self.send(match event {
+            LinkEvent::Request { inbound, envelope } => Input::Request { inbound, envelope },
+            LinkEvent::Abandoned { inbound } => Input::Abandoned { inbound },
+            LinkEvent::Reply { exchange, envelope } => Input::Reply { exchange, envelope },
+            LinkEvent::Closed { exchange, failure } => Input::Closed { exchange, failure },
+        });
+    }
+}
+
+/// Runs a role on a thread of its own until it says that it has stopped.
+pub struct Driver<L> {
+    queue: Receiver<Event<L>>,
+    handle: DriverHandle<L>,
+}
+
+impl<L: Send + 'static> Default for Driver<L> {
+    fn default() -> Self {
+        Driver::new()
+    }
+}
+
+impl<L: Send + 'static> Driver<L> {
+    /// Makes a driver whose handle can be given away before the role starts.
+    pub fn new() -> Driver<L> {
+        let (sender, queue) = channel();
+        Driver { queue, handle: DriverHandle { queue: sender } }
+    }
+
+    /// Returns a handle for whatever feeds the role.
+    pub fn handle(&self) -> DriverHandle<L> {
+        self.handle.clone()
+    }
+
+    /// Starts the thread.
+    pub fn start<R>(
+        self,
+        name: &str,
+        role: R,
+        link: LinkHandle,
+        adapter: impl Adapter<R::Effect> + 'static,
+    ) -> eyre::Result<JoinHandle<()>>
+    where
+        R: Role<Local = L> + Send + 'static,
+    {
+        let sink: Arc<dyn Sink> = Arc::new(self.handle.clone());
+        let owner = link.register(sink);
+        std::thread::Builder::new()
+            .name(name.to_string())
+            .spawn(move || run(self.queue, role, link, owner, adapter))
+            .wrap_err_with(|| format!("start thread {name}"))
+    }
+}
+
+fn run<R: Role>(
+    queue: Receiver<Event<R::Local>>,
+    mut role: R,
+    link: LinkHandle,
+    owner: u64,
+    mut adapter: impl Adapter<R::Effect>,
+) {
+    loop {
+        let event = match queue.recv_timeout(wait_for(&role)) {
+            Ok(event) => event,
+            Err(RecvTimeoutError::Timeout) => Input::Wake,
+            Err(RecvTimeoutError::Disconnected) => return,
+        };
+        for output in role.step(Timestamp::from_system(), event) {
+            let action = match output {
+                Output::Open { exchange, peer, envelope } => {
+                    LinkAction::Open { owner, exchange, peer, envelope }
+                }
+                Output::Send { exchange, envelope } => {
+                    LinkAction::Send { owner, exchange, envelope }
+                }
+                Output::Reset { exchange } => LinkAction::Reset { owner, exchange },
+                Output::Redial { peer } => LinkAction::Redial { peer },
+                Output::Reply { inbound, envelope, last } => {
+                    LinkAction::Reply { inbound, envelope, last }
+                }
+                Output::Effect(effect) => {
+                    adapter.carry(effect);
+                    continue;
+                }
+                Output::Stopped => return,
+            };
+            link.act(action);
+        }
+    }
+}
+
+fn wait_for<R: Role>(role: &R) -> Duration {
+    let now = Timestamp::from_system();
+    role.next_wake().map_or(IDLE_WAIT, |at| at - now).min(IDLE_WAIT)
+}
