--- a/src/entry/run.rs
+++ b/src/entry/run/mod.rs
@@ -1,19 +1,18 @@
 //! The filter `run`: one call's attempts, up to its one terminal outcome.
 
+mod model;
+mod service;
+
 use std::time::Duration;
 
-use super::claim::claim_for;
 use super::place::Need;
 use super::{CallerEffect, Outputs, Shared, Terminal};
-use crate::control::claims::{Claim, ClaimKey, ClaimReply, Outcome};
-use crate::control::state::{Applied, Command};
-use crate::link::message::{
-    AgentReply, AgentRequest, Answer, ControlReply, ControlRequest, Export, Reply, Request,
-};
+use crate::control::claims::{Claim, ClaimKey};
+use crate::link::message::{AgentReply, Reply};
 use crate::model::call::prompt_tokens;
 use crate::model::{
-    Body, Call, CallId, CallKind, EndpointKind, EndpointState, ExchangeId, Ran, Refusal,
-    RefusalReason, RequestId, Timestamp,
+    Call, CallId, CallKind, EndpointKind, EndpointState, ExchangeId, Ran, Refusal, RefusalReason,
+    RequestId, Timestamp,
 };
 use crate::role::{LinkFailure, Output};
 
@@ -126,113 +125,6 @@
         shared.placement.choose(need, &shared.endpoints).cloned()
     }
 
-    fn attempt_service(&mut self, shared: &mut Shared, now: Timestamp, body: Body) -> Outputs {
-        let Some(endpoint) = self.place(shared, EndpointKind::Service) else {
-            return self.refuse(shared, RefusalReason::NoEndpoint, "no endpoint serves this pool");
-        };
-        self.tried.push(endpoint.name.clone());
-        self.endpoint = Some(endpoint.clone());
-        let request = self.request_id(shared);
-        match claim_for(now, &self.call, &body, request, &endpoint) {
-            Some((key, claim)) => self.propose_claim(shared, now, key, claim),
-            None => self.dispatch(shared, body),
-        }
-    }
-
-    fn propose_claim(
-        &mut self,
-        shared: &mut Shared,
-        now: Timestamp,
-        key: ClaimKey,
-        claim: Claim,
-    ) -> Outputs {
-        let Some(peer) = shared.proposer.target() else {
-            return self.refuse(shared, RefusalReason::NoQuorum, "no control member is known");
-        };
-        let from = self.claimed.as_ref().map(|(_, request)| *request);
-        let command = match from {
-            Some(from) => Command::TakeOver { key: key.clone(), from, claim: claim.clone() },
-            None => Command::Claim { key: key.clone(), claim: claim.clone() },
-        };
-        let propose = Request::Control(ControlRequest::Propose(command));
-        let (exchange, open) = shared.open(self.id, peer, propose);
-        let since = match &self.stage {
-            Stage::Claiming { since, .. } => *since,
-            _ => now,
-        };
-        self.stage = Stage::Claiming { exchange, since, key, claim };
-        vec![open]
-    }
-
-    fn dispatch(&mut self, shared: &mut Shared, body: Body) -> Outputs {
-        let Some(endpoint) = self.endpoint.clone() else { return Vec::new() };
-        let start = AgentRequest::Call {
-            request: self.request_id(shared),
-            class: self.call.class,
-            boot: endpoint.boot,
-            repeatable: self.call.repeatable,
-            deadline: self.call.deadline,
-            body,
-        };
-        let (exchange, open) = shared.open(self.id, endpoint.address, Request::Agent(start));
-        self.stage = Stage::Serving { exchange };
-        vec![open]
-    }
-
-    fn reserve(&mut self, shared: &mut Shared, tokens: u32) -> Outputs {
-        let Some(endpoint) = self.place(shared, EndpointKind::Decode) else {
-            return self.refuse(shared, RefusalReason::NoEndpoint, "no decode endpoint is free");
-        };
-        self.tried.push(endpoint.name.clone());
-        let reserve = AgentRequest::Reserve {
-            request: self.request_id(shared),
-            class: self.call.class,
-            tokens,
-            lease: RESERVE_LEASE,
-        };
-        let (decode, open) = shared.open(self.id, endpoint.address, Request::Agent(reserve));
-        self.stage = Stage::Reserving { decode };
-        vec![open]
-    }
-
-    fn prefill(&mut self, shared: &mut Shared, decode: ExchangeId) -> Outputs {
-        let CallKind::Model { prompt, .. } = &self.call.kind else { return Vec::new() };
-        let prompt = prompt.clone();
-        let Some(endpoint) = self.place(shared, EndpointKind::Prefill) else {
-            let mut outputs = vec![shared.reset(decode)];
-            outputs.extend(self.refuse(
-                shared,
-                RefusalReason::NoEndpoint,
-                "no prefill endpoint is free",
-            ));
-            return outputs;
-        };
-        self.tried.push(endpoint.name.clone());
-        let prefill = AgentRequest::Prefill {
-            request: self.request_id(shared),
-            class: self.call.class,
-            prompt,
-            prefix: self.told.clone(),
-        };
-        let (prefill, open) = shared.open(self.id, endpoint.address, Request::Agent(prefill));
-        self.stage = Stage::Prefilling { decode, prefill };
-        let mut outputs = vec![open];
-        if !self.begun {
-            self.begun = true;
-            outputs.push(Output::Effect(CallerEffect::Begin { call: self.id }));
-        }
-        outputs
-    }
-
-    fn decode(&mut self, shared: &mut Shared, decode: ExchangeId, export: Export) -> Outputs {
-        let CallKind::Model { max_tokens, .. } = &self.call.kind else { return Vec::new() };
-        let from = self.told.len() as u32;
-        let request = AgentRequest::Decode { export, from, until: *max_tokens };
-        self.stage = Stage::Decoding { decode };
-        let envelope = shared.follower.envelope(Request::Agent(request));
-        vec![Output::Send { exchange: decode, envelope }]
-    }
-
     /// Takes a reply on one of the run's exchanges.
     pub(crate) fn reply(
         &mut self,
@@ -249,50 +141,6 @@
         }
     }
 
-    fn control_reply(
-        &mut self,
-        shared: &mut Shared,
-        now: Timestamp,
-        reply: ControlReply,
-    ) -> Outputs {
-        let Stage::Claiming { key, claim, .. } = &self.stage else { return Vec::new() };
-        let (key, claim) = (key.clone(), claim.clone());
-        match reply {
-            ControlReply::Applied(Applied::Claim(ClaimReply::Granted)) => {
-                self.claimed = Some((key, claim.request));
-                let CallKind::Service(body) = self.call.kind.clone() else { return Vec::new() };
-                self.dispatch(shared, body)
-            }
-            ControlReply::Applied(Applied::Claim(ClaimReply::Held(record))) => {
-                if record.claim.hash != claim.hash {
-                    let detail = "the key was used with another request";
-                    return self.refuse(shared, RefusalReason::KeyReused, detail);
-                }
-                match record.outcome {
-                    Some(Outcome::Finished(answer)) => {
-                        self.ran = Ran::Yes;
-                        self.finish(Terminal::Answered(answer))
-                    }
-                    Some(Outcome::Unknown) => {
-                        self.ran = Ran::Maybe;
-                        let detail = "an earlier attempt may have run";
-                        self.refuse(shared, RefusalReason::EndpointFailed, detail)
-                    }
-                    None => {
-                        self.ran = Ran::Maybe;
-                        let detail = "an earlier attempt is in progress";
-                        self.refuse(shared, RefusalReason::InProgress, detail)
-                    }
-                }
-            }
-            ControlReply::NotLeader { leader } => {
-                shared.proposer.miss(leader);
-                self.propose_claim(shared, now, key, claim)
-            }
-            _ => self.refuse(shared, RefusalReason::NoQuorum, "the claim was not granted"),
-        }
-    }
-
     fn agent_reply(
         &mut self,
         shared: &mut Shared,
@@ -332,46 +180,6 @@
         }
     }
 
-    /// Passes on tokens, each offset once and in order.
-    fn part(
-        &mut self,
-        shared: &mut Shared,
-        now: Timestamp,
-        offset: u32,
-        tokens: Vec<Box<str>>,
-    ) -> Outputs {
-        let told = self.told.len() as u32;
-        if offset > told {
-            return self.retry(shared, now, Ran::Maybe, "tokens are missing");
-        }
-        let known = (told - offset) as usize;
-        let fresh: Vec<_> = tokens.into_iter().skip(known).collect();
-        if fresh.is_empty() {
-            return Vec::new();
-        }
-        self.told.extend(fresh.iter().cloned());
-        vec![Output::Effect(CallerEffect::Tokens { call: self.id, tokens: fresh })]
-    }
-
-    fn answered(&mut self, shared: &mut Shared, answer: Answer) -> Outputs {
-        self.ran = Ran::Yes;
-        let mut outputs = self.record(shared, Outcome::Finished(answer.clone()));
-        outputs.extend(self.finish(Terminal::Answered(answer)));
-        outputs
-    }
-
-    /// Records the outcome of a claimed attempt.
-    fn record(&mut self, shared: &mut Shared, outcome: Outcome) -> Outputs {
-        let Some((key, request)) = self.claimed.take() else { return Vec::new() };
-        self.close_claim(shared, Command::Finish { key, request, outcome })
-    }
-
-    fn close_claim(&mut self, shared: &mut Shared, command: Command) -> Outputs {
-        let Some(peer) = shared.proposer.target() else { return Vec::new() };
-        let propose = Request::Control(ControlRequest::Propose(command));
-        vec![shared.open(self.id, peer, propose).1]
-    }
-
     /// Takes the end of one of the run's exchanges.
     pub(crate) fn closed(
         &mut self,
@@ -483,15 +291,6 @@
         outputs
     }
 
-    /// Frees the key of a call that did not run, or records that it may have run.
-    fn close_refused(&mut self, shared: &mut Shared) -> Outputs {
-        if self.ran != Ran::No {
-            return self.record(shared, Outcome::Unknown);
-        }
-        let Some((key, request)) = self.claimed.take() else { return Vec::new() };
-        self.close_claim(shared, Command::Release { key, request })
-    }
-
     fn finish(&mut self, outcome: Terminal) -> Outputs {
         self.stage = Stage::Done;
         vec![Output::Effect(CallerEffect::Finish { call: self.id, outcome })]
