Add commands and messages for orders, rollouts and quarantine

Cause: orders went straight to an agent under any number, nothing told an agent that restarts which number stands, and there was no record of crashes.

How they are used: - An operator proposes Command::Order { id, author, at, target, order } or Command::Rollout { id, author, at, pool, artifact, floor, parallel } by ControlRequest::Propose and gets ControlReply::Applied(Applied::Ordered( OrderReply::Accepted(number) | Refused(why))). A resend under the same id gets the first result. A rollback is a rollout of the former artifact. Load and Role for a whole pool are refused. - The fencing number is the log index; State::apply takes it now. - Beat.orders tells an agent the highest number in the member's log (committed or not) and what its endpoint shall be; Heartbeat.report says how far it is. An agent takes nothing lower than the highest number that a majority told it since its start, and takes no work before that. - Command::Crash { endpoint, at, in_flight, span } by agents; Command::Clear { fingerprint } by entries and operators; Beat.suspects spreads them. - Status has orders, rollouts and suspects for the tool. - Replica::tail gives the commands in the log that are not committed.

Ruled out: one number for each part of what an endpoint shall be; an agent that restarts would have to refuse the lower of two parts that it never carried out.

--- a/src/agent/engine/http.rs
+++ b/src/agent/engine/http.rs
@@ -10,14 +10,17 @@
 use ureq::Agent as HttpAgent;
 
 use super::{EngineEffect, EngineInput, Work};
+use crate::agent::orders::EngineOrder;
 use crate::link::message::{Answer, Export};
-use crate::model::{Body, Ran, RequestId};
+use crate::model::{Body, EndpointKind, Ran, RequestId};
 use crate::role::{Adapter, DriverHandle};
 
 /// How long a connection to the endpoint may take to stand.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long the endpoint may take to answer a cancel.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long the endpoint may take to carry out an order.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(600);
 /// The most bytes of a plain service's answer.
 const MAX_ANSWER_BYTES: u64 = 2 << 20;
 /// The stack of a thread that waits for the endpoint.
@@ -76,13 +79,7 @@
         match effect {
             EngineEffect::Start { request, work } => self.spawn(move |c| c.start(request, work)),
             EngineEffect::Cancel(request) => self.spawn(move |c| c.cancel(request)),
-            EngineEffect::Order { inbound, fence, order } => self.spawn(move |c| {
-                let text = format!("{order:?}");
-                let body = json!({ "fence": fence.0, "order": text });
-                let result = c.post("/v1/orders", &body).map(|_| ());
-                let result = result.map_err(|(_, e)| format!("{e:#}").into());
-                c.role.local(EngineInput::Ordered { inbound, fence, result });
-            }),
+            EngineEffect::Order(order) => self.spawn(move |c| c.order(order)),
         }
     }
 }
@@ -199,6 +196,30 @@
         self.role.local(EngineInput::Cancelled { request, confirmed });
     }
 
+    /// Gives an order; an engine that refuses an old number has it or a higher one already.
+    fn order(self, order: EngineOrder) {
+        let fence = order.fence;
+        let body = json!({
+            "fence": fence.0,
+            "artifact": order.artifact,
+            "kind": order.kind.map(EndpointKind::as_str),
+        });
+        let sent = self
+            .http
+            .post(format!("{}/v1/orders", self.url))
+            .config()
+            .timeout_global(Some(ORDER_TIMEOUT))
+            .build()
+            .send_json(&body);
+        let result = match sent {
+            Ok(response) if response.status().is_success() => Ok(()),
+            Ok(response) if response.status().as_u16() == 409 => Ok(()),
+            Ok(response) => Err(format!("endpoint answered {}", response.status()).into()),
+            Err(error) => Err(format!("{error}").into()),
+        };
+        self.role.local(EngineInput::Ordered { fence, result });
+    }
+
     fn post(
         &self,
         path: &str,
--- a/src/agent/engine/mod.rs
+++ b/src/agent/engine/mod.rs
@@ -4,8 +4,9 @@
 
 pub use http::HttpEngine;
 
-use crate::link::message::{Answer, Export, Order};
-use crate::model::{Announcement, Body, Class, Fence, InboundId, Ran, RequestId};
+use super::orders::EngineOrder;
+use crate::link::message::{Answer, Export};
+use crate::model::{Announcement, Body, Class, Fence, Ran, RequestId};
 
 /// What the endpoint tells its agent.
 #[derive(Debug)]
@@ -62,8 +63,6 @@
     },
     /// The answer to an order.
     Ordered {
-        /// The exchange of the order.
-        inbound: InboundId,
         /// The fencing number.
         fence: Fence,
         /// Whether it was carried out.
@@ -114,12 +113,5 @@
     /// Cancel work.
     Cancel(RequestId),
     /// Carry out an order.
-    Order {
-        /// The exchange of the order.
-        inbound: InboundId,
-        /// The fencing number.
-        fence: Fence,
-        /// The order.
-        order: Order,
-    },
+    Order(EngineOrder),
 }
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod engine;
 pub mod ledger;
+pub mod orders;
 pub mod settle;
 
 use std::net::SocketAddr;
@@ -9,12 +10,15 @@
 
 use engine::{EngineEffect, EngineInput, Work};
 use ledger::{Hold, Ledger, Phase};
+use orders::Orders;
 use settle::Settlements;
 
-use crate::link::message::{AgentReply, AgentRequest, Export, Order, Reply, Request, Settled};
+use crate::link::message::{
+    AgentReply, AgentRequest, ControlReply, Export, Reply, Request, Settled,
+};
 use crate::model::{
-    Announcement, Body, BootId, Class, EndpointKind, EndpointState, ExchangeId, Fence, InboundId,
-    Load, Ran, Refusal, RefusalReason, RequestId, Timestamp,
+    Announcement, Body, BootId, Class, EndpointKind, EndpointState, ExchangeId, InboundId, Load,
+    Ran, Refusal, RefusalReason, RequestId, Timestamp,
 };
 use crate::registry::{Follower, FollowerSettings};
 use crate::role::{Input, Output, Role};
@@ -40,9 +44,8 @@
     endpoint: Option<Announcement>,
     ledger: Ledger,
     settlements: Settlements,
-    draining: bool,
+    orders: Orders,
     stopping: bool,
-    fence: Fence,
     last_exchange: u64,
     next_alive: Timestamp,
 }
@@ -54,13 +57,12 @@
     pub fn new(settings: AgentSettings) -> Agent {
         Agent {
             follower: Follower::new(settings.follower.clone()),
+            orders: Orders::new(settings.follower.members.len()),
             settings,
             endpoint: None,
             ledger: Ledger::default(),
             settlements: Settlements::default(),
-            draining: false,
             stopping: false,
-            fence: Fence(0),
             last_exchange: 0,
             next_alive: Timestamp::default(),
         }
@@ -77,13 +79,13 @@
             address: self.settings.address,
             domain: self.settings.follower.domain.clone(),
             boot: self.boot(),
-            kind: endpoint.kind,
+            kind: self.orders.kind().unwrap_or(endpoint.kind),
             pool: endpoint.pool.clone(),
             url: endpoint.url.clone(),
             capacity: endpoint.capacity,
             load: self.load(),
-            draining: self.draining || self.stopping,
-            fence: self.fence,
+            draining: self.orders.is_draining() || self.stopping,
+            fence: self.orders.report().fence,
         })
     }
 
@@ -120,15 +122,18 @@
                 let settled = self.settle(request, boot);
                 vec![self.reply(inbound, AgentReply::Settled(settled), true)]
             }
-            AgentRequest::Order { fence, order } => self.order(inbound, fence, order),
         }
     }
 
     /// Returns why new work is refused, if it is.
     fn closed_to_work(&self) -> Option<(RefusalReason, &'static str)> {
-        if self.draining || self.stopping {
+        if self.orders.is_draining() || self.stopping {
             return Some((RefusalReason::Draining, "the endpoint is leaving"));
         }
+        if !self.orders.is_current() {
+            let detail = "the agent has started and no majority of control has told its orders";
+            return Some((RefusalReason::NoConfig, detail));
+        }
         if self.endpoint.is_none() {
             return Some((RefusalReason::NoEndpoint, "the endpoint has not announced itself"));
         }
@@ -233,27 +238,34 @@
         self.settlements.settle(request)
     }
 
-    fn order(&mut self, inbound: InboundId, fence: Fence, order: Order) -> Outputs {
-        if fence <= self.fence {
-            return self.refuse(inbound, RefusalReason::Stale, "the fencing number is old");
+    /// Gives the endpoint the order that is due.
+    fn next_order(&mut self, now: Timestamp) -> Outputs {
+        if self.endpoint.is_none() {
+            return Vec::new();
         }
-        self.fence = fence;
-        match order {
-            Order::Drain => self.draining = true,
-            Order::Undrain => self.draining = false,
-            Order::Load { .. } | Order::Role { .. } => {
-                return vec![Output::Effect(EngineEffect::Order { inbound, fence, order })];
-            }
+        let order = self.orders.next(now);
+        order.map(|o| Output::Effect(EngineEffect::Order(o))).into_iter().collect()
+    }
+
+    fn control_reply(&mut self, now: Timestamp, exchange: ExchangeId, reply: &Reply) -> Outputs {
+        if !self.follower.reply(now, exchange, reply) {
+            return Vec::new();
+        }
+        if let Reply::Control(ControlReply::Beat(beat)) = reply
+            && let Some(marked) = &beat.orders
+        {
+            self.orders.heard(&beat.member, marked);
         }
-        vec![self.reply(inbound, AgentReply::Ordered { fence }, true)]
+        self.next_order(now)
     }
 
     fn engine(&mut self, now: Timestamp, input: EngineInput) -> Outputs {
         match input {
             EngineInput::Announced(announcement) => {
                 log::info!("step=announce url={} pool={}", announcement.url, announcement.pool);
+                self.orders.announced(announcement.artifact.as_deref());
                 self.endpoint = Some(announcement);
-                Vec::new()
+                self.next_order(now)
             }
             EngineInput::Exported { request, export } => {
                 self.finish(request, AgentReply::Exported(export))
@@ -274,10 +286,10 @@
                 self.ledger.cancelled(now, request, confirmed);
                 Vec::new()
             }
-            EngineInput::Ordered { inbound, fence, result } => match result {
-                Ok(()) => vec![self.reply(inbound, AgentReply::Ordered { fence }, true)],
-                Err(detail) => self.refuse(inbound, RefusalReason::EndpointFailed, &detail),
-            },
+            EngineInput::Ordered { fence, result } => {
+                self.orders.finished(now, fence, result);
+                self.next_order(now)
+            }
         }
     }
 
@@ -298,6 +310,7 @@
 
     fn wake(&mut self, now: Timestamp) -> Outputs {
         let mut outputs = self.heartbeats(now);
+        outputs.extend(self.next_order(now));
         for (request, inbound) in self.ledger.lapse(now) {
             log::info!("step=lapse request={request}");
             outputs.extend(self.refuse(inbound, RefusalReason::Stale, "the reservation lapsed"));
@@ -314,8 +327,9 @@
 
     fn heartbeats(&mut self, now: Timestamp) -> Outputs {
         let state = self.state();
+        let report = self.orders.report();
         let last = &mut self.last_exchange;
-        self.follower.wake(now, state.as_ref(), &mut || {
+        self.follower.wake(now, state.as_ref(), Some(&report), &mut || {
             *last += 1;
             ExchangeId(*last)
         })
@@ -348,8 +362,7 @@
                 request.map(|r| Output::Effect(EngineEffect::Cancel(r))).into_iter().collect()
             }
             Input::Reply { exchange, envelope } => {
-                self.follower.reply(now, exchange, &envelope.body);
-                Vec::new()
+                self.control_reply(now, exchange, &envelope.body)
             }
             Input::Closed { exchange, .. } => {
                 self.follower.closed(exchange);
@@ -370,6 +383,10 @@
 
     fn next_wake(&self) -> Option<Timestamp> {
         let alive = (!self.ledger.is_empty()).then_some(self.next_alive);
-        [alive, self.follower.next_wake(), self.ledger.next_wake()].into_iter().flatten().min()
+        let order = self.endpoint.as_ref().and(self.orders.next_wake());
+        [alive, order, self.follower.next_wake(), self.ledger.next_wake()]
+            .into_iter()
+            .flatten()
+            .min()
     }
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -3,19 +3,23 @@
 pub mod claims;
 pub mod config;
 pub mod disk;
+pub mod orders;
+pub mod quarantine;
 pub mod replica;
 pub mod state;
 
 use std::collections::BTreeMap;
 
 use config::Revised;
+use orders::{Marked, OrderReport};
 use replica::{LogIndex, Record, Replica, Step};
 use state::{Applied, Command, State};
 
 use crate::link::message::{
-    Beat, ControlReply, ControlRequest, Envelope, Heartbeat, ProcessState, Reply, Request, Status,
+    Beat, ControlReply, ControlRequest, Endpoints, Envelope, Heartbeat, OrderStatus, ProcessState,
+    Reply, Request, Status, Suspects,
 };
-use crate::model::{BootId, InboundId, Timestamp};
+use crate::model::{BootId, EndpointState, Fence, InboundId, Timestamp};
 use crate::registry::Registry;
 use crate::role::{Input, Output, Role};
 
@@ -68,7 +72,7 @@
             waiting: BTreeMap::new(),
         };
         for record in records {
-            control.state.apply(&record.command);
+            control.state.apply(record.index, &record.command);
             control.replica.restore(record);
         }
         control
@@ -101,17 +105,37 @@
         let newer = heartbeat.process.revised.revision < self.state.config.revision;
         let wants = heartbeat.endpoints;
         let seen = heartbeat.version;
-        self.registry.heartbeat(now, heartbeat.process, heartbeat.endpoint);
+        let orders = heartbeat.endpoint.as_ref().map(|e| self.marked(e, heartbeat.report.as_ref()));
+        let suspects = self.suspects(heartbeat.suspects);
+        self.registry.heartbeat(now, heartbeat.process, heartbeat.endpoint, heartbeat.report);
         let changed = wants && seen != self.registry.version();
         Beat {
             member: self.settings.name.clone(),
             highest: self.state.config.revision,
             config: newer.then(|| self.state.config.clone()),
             version: self.registry.version(),
-            endpoints: changed.then(|| self.registry.endpoints()),
+            endpoints: changed.then(|| Endpoints::All(self.registry.endpoints())),
+            orders,
+            suspects,
         }
     }
 
+    /// Returns what an agent is told about the orders of its endpoint.
+    fn marked(&self, endpoint: &EndpointState, report: Option<&OrderReport>) -> Marked {
+        let desired = self.state.orders.desired(&endpoint.name, &endpoint.pool);
+        let tail = self.replica.tail().filter(|(_, c)| orders::concerns(c, endpoint));
+        let mark = tail.map(|(index, _)| Fence(index.0)).max().unwrap_or_default();
+        let known = report.is_some_and(|r| r.fence >= desired.fence);
+        Marked { mark: mark.max(desired.fence), desired: (!known).then_some(desired) }
+    }
+
+    fn suspects(&self, seen: u64) -> Option<Suspects> {
+        let quarantine = &self.state.quarantine;
+        let list = || quarantine.suspects().iter().map(|(f, s)| (*f, s.clone())).collect();
+        (seen != quarantine.version())
+            .then(|| Suspects { version: quarantine.version(), list: list() })
+    }
+
     fn propose(&mut self, inbound: InboundId, command: Command) -> Outputs {
         let (index, record) = self.replica.propose(command);
         self.waiting.insert(index, inbound);
@@ -121,7 +145,7 @@
     fn synced(&mut self, index: LogIndex) -> Outputs {
         let mut outputs = Vec::new();
         for Step { index, command } in self.replica.synced(index) {
-            let applied = self.state.apply(&command);
+            let applied = self.state.apply(index, &command);
             log_change(&command, &applied);
             if let Some(inbound) = self.waiting.remove(&index) {
                 outputs.push(self.reply(inbound, ControlReply::Applied(applied)));
@@ -147,6 +171,17 @@
             history: self.state.history.values().cloned().collect(),
             processes,
             endpoints: self.registry.endpoints(),
+            orders: self.registry.reports().map(|(e, r)| self.order_status(e, r)).collect(),
+            rollouts: self.state.orders.rollouts().flat_map(|(_, r)| r.to_vec()).collect(),
+            suspects: self.suspects(0).map_or_else(Vec::new, |s| s.list),
+        }
+    }
+
+    fn order_status(&self, endpoint: &EndpointState, report: &OrderReport) -> OrderStatus {
+        OrderStatus {
+            endpoint: endpoint.name.clone(),
+            desired: self.state.orders.desired(&endpoint.name, &endpoint.pool),
+            report: report.clone(),
         }
     }
 }
--- /dev/null
+++ b/src/control/orders/mod.rs
@@ -0,0 +1,276 @@
+//! Orders: what operators want of endpoints, by the numbers of the log.
+
+pub mod rollout;
+
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt;
+use std::str::FromStr;
+
+use eyre::{ensure, eyre};
+use serde::{Deserialize, Serialize};
+
+use super::state::Command;
+use crate::link::message::Order;
+use crate::model::{EndpointKind, EndpointState, Fence, Timestamp};
+use rollout::{Rollout, RolloutCommand, Rollouts, StepCommand};
+
+/// How many change ids are remembered for resends.
+const MOST_RESULTS: usize = 10_000;
+
+/// What an order applies to.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Target {
+    /// One endpoint.
+    Endpoint(Box<str>),
+    /// All endpoints of a pool, also those that join later.
+    Pool(Box<str>),
+}
+
+impl fmt::Display for Target {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Target::Endpoint(name) => write!(f, "endpoint:{name}"),
+            Target::Pool(name) => write!(f, "pool:{name}"),
+        }
+    }
+}
+
+impl FromStr for Target {
+    type Err = eyre::Report;
+
+    /// Parses `endpoint:NAME` or `pool:NAME`.
+    ///
+    /// ```
+    /// use dotterelpin::control::orders::Target;
+    ///
+    /// let target: Target = "pool:cs-summary".parse().unwrap();
+    /// assert_eq!(target, Target::Pool("cs-summary".into()));
+    /// assert!("cs-summary".parse::<Target>().is_err());
+    /// ```
+    fn from_str(text: &str) -> eyre::Result<Target> {
+        let (kind, name) =
+            text.split_once(':').ok_or_else(|| eyre!("target {text:?} has no \"KIND:NAME\""))?;
+        ensure!(!name.is_empty(), "target {text:?} names nothing");
+        match kind {
+            "endpoint" => Ok(Target::Endpoint(name.into())),
+            "pool" => Ok(Target::Pool(name.into())),
+            _ => Err(eyre!("target {text:?} is unknown: endpoint: or pool:")),
+        }
+    }
+}
+
+/// An order of an operator; its fencing number is its place in the log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderCommand {
+    /// Names the order, so that a resend is known as such.
+    pub id: Box<str>,
+    /// Who asks.
+    pub author: Box<str>,
+    /// When, by the operator's clock.
+    pub at: Timestamp,
+    /// What it applies to.
+    pub target: Target,
+    /// The order.
+    pub order: Order,
+}
+
+/// What an order or a rollout came to.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OrderReply {
+    /// It stands under this number, and is carried out until a higher one replaces it.
+    Accepted(Fence),
+    /// It is wrong.
+    Refused(Box<str>),
+}
+
+/// What an endpoint shall be, with the number of the last order for it.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Desired {
+    /// The highest number of an order that applies to the endpoint.
+    pub fence: Fence,
+    /// What it shall have loaded, if anybody has said.
+    pub artifact: Option<Box<str>>,
+    /// What it shall do, if anybody has said.
+    pub kind: Option<EndpointKind>,
+    /// Whether it shall take no new work.
+    pub draining: bool,
+}
+
+/// What a member tells an agent about orders.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Marked {
+    /// The highest number for the endpoint in the member's log, committed or not.
+    pub mark: Fence,
+    /// What the committed orders add up to, if the agent has not reported it yet.
+    pub desired: Option<Desired>,
+}
+
+/// What an agent reports about orders.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct OrderReport {
+    /// The number of the last order carried out.
+    pub fence: Fence,
+    /// What the endpoint has loaded, as far as the agent knows.
+    pub artifact: Option<Box<str>>,
+    /// The order that failed for good, and why.
+    pub failed: Option<(Fence, Box<str>)>,
+}
+
+/// One part of what a target shall be.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Part<T> {
+    fence: Fence,
+    value: T,
+}
+
+/// All that was ordered for one target.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+struct Parts {
+    fence: Fence,
+    artifact: Option<Part<Box<str>>>,
+    kind: Option<Part<EndpointKind>>,
+    draining: Option<Part<bool>>,
+}
+
+/// All orders, as the log adds them up.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Orders {
+    targets: BTreeMap<Target, Parts>,
+    rollouts: Rollouts,
+    results: BTreeMap<Box<str>, OrderReply>,
+    ids: VecDeque<Box<str>>,
+}
+
+impl Orders {
+    /// Takes an order under its number; a resend gets the first result.
+    pub fn order(&mut self, fence: Fence, command: &OrderCommand) -> OrderReply {
+        if let Some(reply) = self.results.get(&command.id) {
+            return reply.clone();
+        }
+        let reply = match check_order(command) {
+            Ok(()) => {
+                self.set(fence, &command.target, &command.order);
+                OrderReply::Accepted(fence)
+            }
+            Err(error) => OrderReply::Refused(format!("{error:#}").into()),
+        };
+        self.remember(&command.id, reply)
+    }
+
+    /// Declares what a pool shall have loaded; it replaces an earlier declaration.
+    pub fn rollout(&mut self, fence: Fence, command: &RolloutCommand) -> OrderReply {
+        if let Some(reply) = self.results.get(&command.id) {
+            return reply.clone();
+        }
+        let reply = match self.rollouts.declare(fence, command) {
+            Ok(()) => OrderReply::Accepted(fence),
+            Err(error) => OrderReply::Refused(format!("{error:#}").into()),
+        };
+        self.remember(&command.id, reply)
+    }
+
+    /// Takes one step of a rollout if nothing has happened since it was planned.
+    pub fn step(&mut self, fence: Fence, command: &StepCommand) -> bool {
+        let target = Target::Endpoint(command.endpoint.clone());
+        let at = self.targets.get(&target).map_or(Fence(0), |p| p.fence);
+        if at != command.after {
+            return false;
+        }
+        let Some(load) = self.rollouts.step(command) else { return false };
+        let parts = self.targets.entry(target).or_default();
+        parts.fence = fence;
+        if let Some(value) = load {
+            parts.artifact = Some(Part { fence, value });
+        }
+        true
+    }
+
+    /// Returns what an endpoint of a pool shall be.
+    pub fn desired(&self, endpoint: &str, pool: &str) -> Desired {
+        let own = self.targets.get(&Target::Endpoint(endpoint.into()));
+        let shared = self.targets.get(&Target::Pool(pool.into()));
+        let both = || [own, shared].into_iter().flatten();
+        let artifact = both().filter_map(|p| p.artifact.as_ref()).max_by_key(|p| p.fence);
+        let kind = both().filter_map(|p| p.kind.as_ref()).max_by_key(|p| p.fence);
+        let draining = both().filter_map(|p| p.draining.as_ref()).max_by_key(|p| p.fence);
+        Desired {
+            fence: both().map(|p| p.fence).max().unwrap_or_default(),
+            artifact: artifact.map(|p| p.value.clone()),
+            kind: kind.map(|p| p.value),
+            draining: draining.is_some_and(|p| p.value) || self.rollouts.holds(pool, endpoint),
+        }
+    }
+
+    /// Returns the last number of an order for one endpoint alone.
+    pub fn last(&self, endpoint: &str) -> Fence {
+        let target = Target::Endpoint(endpoint.into());
+        self.targets.get(&target).map_or(Fence(0), |p| p.fence)
+    }
+
+    /// Returns the number of the last order that loads something at one endpoint.
+    pub fn last_load(&self, endpoint: &str) -> Fence {
+        let parts = self.targets.get(&Target::Endpoint(endpoint.into()));
+        parts.and_then(|p| p.artifact.as_ref()).map_or(Fence(0), |p| p.fence)
+    }
+
+    /// Returns the pools with their declarations, oldest first.
+    pub fn rollouts(&self) -> impl Iterator<Item = (&Box<str>, &[Rollout])> {
+        self.rollouts.all()
+    }
+
+    /// Returns the rollouts' state.
+    pub fn rollout_state(&self) -> &Rollouts {
+        &self.rollouts
+    }
+
+    fn set(&mut self, fence: Fence, target: &Target, order: &Order) {
+        let parts = self.targets.entry(target.clone()).or_default();
+        parts.fence = fence;
+        match order {
+            Order::Load { artifact } => {
+                parts.artifact = Some(Part { fence, value: artifact.clone() });
+            }
+            Order::Role { kind } => parts.kind = Some(Part { fence, value: *kind }),
+            Order::Drain => parts.draining = Some(Part { fence, value: true }),
+            Order::Undrain => parts.draining = Some(Part { fence, value: false }),
+        }
+    }
+
+    fn remember(&mut self, id: &str, reply: OrderReply) -> OrderReply {
+        self.results.insert(id.into(), reply.clone());
+        self.ids.push_back(id.into());
+        if self.ids.len() > MOST_RESULTS
+            && let Some(oldest) = self.ids.pop_front()
+        {
+            self.results.remove(&oldest);
+        }
+        reply
+    }
+}
+
+/// Returns whether a command gives an endpoint a new number.
+pub fn concerns(command: &Command, endpoint: &EndpointState) -> bool {
+    match command {
+        Command::Order(order) => match &order.target {
+            Target::Endpoint(name) => *name == endpoint.name,
+            Target::Pool(pool) => *pool == endpoint.pool,
+        },
+        Command::Step(step) => step.endpoint == endpoint.name,
+        _ => false,
+    }
+}
+
+fn check_order(command: &OrderCommand) -> eyre::Result<()> {
+    ensure!(!command.id.trim().is_empty(), "an order needs a change id");
+    ensure!(!command.author.trim().is_empty(), "an order needs an author");
+    if let Order::Load { artifact } = &command.order {
+        ensure!(!artifact.trim().is_empty(), "the order names nothing to load");
+    }
+    let pool = matches!(command.target, Target::Pool(_));
+    let drains = matches!(command.order, Order::Drain | Order::Undrain);
+    ensure!(
+        !pool || drains,
+        "a whole pool is loaded by a rollout, and roles are changed one endpoint at a time"
+    );
+    Ok(())
+}
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -65,6 +65,11 @@
         (self.last, Record { index: self.last, term: 1, command })
     }
 
+    /// Returns the commands that are in the log and not committed.
+    pub fn tail(&self) -> impl Iterator<Item = (LogIndex, &Command)> {
+        self.unsynced.iter().map(|(index, command)| (*index, command))
+    }
+
     /// Commits what is synced.
     pub fn synced(&mut self, upto: LogIndex) -> Vec<Step> {
         let rest = self.unsynced.split_off(&LogIndex(upto.0 + 1));
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -6,7 +6,11 @@
 
 use super::claims::{Claim, ClaimKey, ClaimReply, Claims, Outcome};
 use super::config::{Change, Config};
-use crate::model::{RequestId, Revision};
+use super::orders::rollout::{RolloutCommand, StepCommand};
+use super::orders::{OrderCommand, OrderReply, Orders};
+use super::quarantine::{Crash, Fingerprint, Quarantine};
+use super::replica::LogIndex;
+use crate::model::{Fence, RequestId, Revision};
 
 /// A command in the log.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -47,6 +51,19 @@
         /// The attempt.
         request: RequestId,
     },
+    /// Order something of endpoints; [`Applied::Ordered`] answers an operator.
+    Order(OrderCommand),
+    /// Declare what a pool shall have loaded; [`Applied::Ordered`] answers an operator.
+    Rollout(RolloutCommand),
+    /// Take one step of a rollout; only the leader proposes it.
+    Step(StepCommand),
+    /// An endpoint crashed; its agent proposes it.
+    Crash(Crash),
+    /// A content under suspicion has finished, or an operator clears it.
+    Clear {
+        /// The content.
+        fingerprint: Fingerprint,
+    },
 }
 
 /// What a command came to.
@@ -58,6 +75,8 @@
     Changed(ChangeReply),
     /// To a command about a claim.
     Claim(ClaimReply),
+    /// To an order or a rollout of an operator.
+    Ordered(OrderReply),
 }
 
 /// What a change came to.
@@ -85,11 +104,17 @@
     pub history: BTreeMap<Revision, Change>,
     /// Claims.
     pub claims: Claims,
+    /// Orders to endpoints.
+    pub orders: Orders,
+    /// Contents under suspicion.
+    pub quarantine: Quarantine,
 }
 
 impl State {
-    /// Applies one command; the result depends on nothing else than the state and the command.
-    pub fn apply(&mut self, command: &Command) -> Applied {
+    /// Applies the command at a place of the log; the result depends on nothing else than the
+    /// state, the place and the command.
+    pub fn apply(&mut self, index: LogIndex, command: &Command) -> Applied {
+        let fence = Fence(index.0);
         match command {
             Command::Noop => Applied::Done,
             Command::Change(change) => Applied::Changed(self.change(change)),
@@ -101,6 +126,20 @@
                 Applied::Claim(self.claims.finish(key, *request, outcome))
             }
             Command::Release { key, request } => Applied::Claim(self.claims.release(key, *request)),
+            Command::Order(order) => Applied::Ordered(self.orders.order(fence, order)),
+            Command::Rollout(rollout) => Applied::Ordered(self.orders.rollout(fence, rollout)),
+            Command::Step(step) => {
+                self.orders.step(fence, step);
+                Applied::Done
+            }
+            Command::Crash(crash) => {
+                self.quarantine.crash(crash);
+                Applied::Done
+            }
+            Command::Clear { fingerprint } => {
+                self.quarantine.clear(*fingerprint);
+                Applied::Done
+            }
         }
     }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -214,7 +214,7 @@
 
     fn heartbeats(&mut self, now: Timestamp) -> Outputs {
         let last = &mut self.shared.last_exchange;
-        self.shared.follower.wake(now, None, &mut || {
+        self.shared.follower.wake(now, None, None, &mut || {
             *last += 1;
             ExchangeId(*last)
         })
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -6,11 +6,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::control::config::{Change, Config, Revised};
+use crate::control::orders::rollout::Rollout;
+use crate::control::orders::{Desired, Marked, OrderReport};
+use crate::control::quarantine::{Fingerprint, Suspect};
 use crate::control::replica::ReplicaMessage;
 use crate::control::state::{Applied, Command};
-use crate::model::{
-    Body, BootId, Class, EndpointState, Fence, Refusal, RequestId, Revision, Timestamp,
-};
+use crate::model::{Body, BootId, Class, EndpointState, Refusal, RequestId, Revision, Timestamp};
 
 /// A message with the configuration that its sender has in force.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -99,13 +100,6 @@
         /// The start of the agent that the attempt went to.
         boot: BootId,
     },
-    /// Carry out an order at the endpoint.
-    Order {
-        /// The fencing number.
-        fence: Fence,
-        /// The order.
-        order: Order,
-    },
 }
 
 /// An order to an endpoint.
@@ -167,11 +161,6 @@
     Refused(Refusal),
     /// What became of an attempt.
     Settled(Settled),
-    /// The order was carried out.
-    Ordered {
-        /// The number of the last order carried out.
-        fence: Fence,
-    },
 }
 
 /// The answer of a plain service.
@@ -220,6 +209,10 @@
     pub endpoints: bool,
     /// The registry version that the sender has from this member.
     pub version: u64,
+    /// How far the endpoint's orders are, from an agent.
+    pub report: Option<OrderReport>,
+    /// The version of the contents under suspicion that the sender has from this member.
+    pub suspects: u64,
 }
 
 /// A process as operators see it.
@@ -264,8 +257,35 @@
     pub config: Option<Config>,
     /// The registry's version.
     pub version: u64,
-    /// All endpoints, if the registry changed since the sender's version.
-    pub endpoints: Option<Vec<EndpointState>>,
+    /// What changed among the endpoints since the sender's version.
+    pub endpoints: Option<Endpoints>,
+    /// The orders of the sender's endpoint, if it named one.
+    pub orders: Option<Marked>,
+    /// The contents under suspicion, if they changed since the sender's version.
+    pub suspects: Option<Suspects>,
+}
+
+/// What a member tells of endpoints.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Endpoints {
+    /// All that concern the receiver.
+    All(Vec<EndpointState>),
+    /// Those that changed.
+    Changed {
+        /// New or changed ones.
+        set: Vec<EndpointState>,
+        /// The names of those that are gone.
+        gone: Vec<Box<str>>,
+    },
+}
+
+/// Contents under suspicion, with their version at one member.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspects {
+    /// The version.
+    pub version: u64,
+    /// The contents.
+    pub list: Vec<(Fingerprint, Suspect)>,
 }
 
 /// What operators see.
@@ -283,4 +303,21 @@
     pub processes: Vec<(ProcessState, Duration)>,
     /// Live endpoints.
     pub endpoints: Vec<EndpointState>,
+    /// What each live endpoint shall be by its orders, and what its agent reports.
+    pub orders: Vec<OrderStatus>,
+    /// The rollouts of each pool, oldest first; the last one stands.
+    pub rollouts: Vec<Rollout>,
+    /// Contents under suspicion; those with a time are refused until then.
+    pub suspects: Vec<(Fingerprint, Suspect)>,
+}
+
+/// How far the orders of one endpoint are.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderStatus {
+    /// The endpoint.
+    pub endpoint: Box<str>,
+    /// What it shall be.
+    pub desired: Desired,
+    /// What its agent reports.
+    pub report: OrderReport,
 }
--- a/src/model/endpoint.rs
+++ b/src/model/endpoint.rs
@@ -55,6 +55,9 @@
     /// Whether it refuses an order with an old fencing number.
     #[serde(default)]
     pub fenced: bool,
+    /// What it has loaded, from an endpoint that says so.
+    #[serde(default)]
+    pub artifact: Option<Box<str>>,
 }
 
 /// What is in use at an endpoint, by its agent's ledger.
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use crate::control::config::{Config, Revised};
+use crate::control::orders::OrderReport;
 use crate::link::message::{
-    Beat, ControlReply, ControlRequest, Envelope, Heartbeat, ProcessState, Reply, Request,
+    Beat, ControlReply, ControlRequest, Endpoints, Envelope, Heartbeat, ProcessState, Reply,
+    Request,
 };
 use crate::model::{BootId, EndpointState, ExchangeId, Timestamp};
 use crate::role::Output;
@@ -43,7 +45,26 @@
     due: Timestamp,
     version: u64,
     highest: Option<(crate::model::Revision, Timestamp)>,
-    endpoints: Vec<EndpointState>,
+    endpoints: BTreeMap<Box<str>, EndpointState>,
+    suspects: u64,
+}
+
+impl Member {
+    fn take_endpoints(&mut self, endpoints: &Endpoints) {
+        let (set, gone) = match endpoints {
+            Endpoints::All(all) => {
+                self.endpoints.clear();
+                (all, &[][..])
+            }
+            Endpoints::Changed { set, gone } => (set, &**gone),
+        };
+        for name in gone {
+            self.endpoints.remove(name);
+        }
+        for endpoint in set {
+            self.endpoints.insert(endpoint.name.clone(), endpoint.clone());
+        }
+    }
 }
 
 /// Follows control: heartbeats out, configuration and endpoints in.
@@ -64,7 +85,8 @@
             due: Timestamp::default(),
             version: 0,
             highest: None,
-            endpoints: Vec::new(),
+            endpoints: BTreeMap::new(),
+            suspects: 0,
         };
         let members = settings.members.iter().map(member).collect();
         let config = Config::default();
@@ -112,7 +134,7 @@
     /// Returns the live endpoints that any member knows, the newest start of each.
     pub fn endpoints(&self) -> BTreeMap<Box<str>, EndpointState> {
         let mut all: BTreeMap<Box<str>, EndpointState> = BTreeMap::new();
-        for endpoint in self.members.iter().flat_map(|m| &m.endpoints) {
+        for endpoint in self.members.iter().flat_map(|m| m.endpoints.values()) {
             let known = all.get(&endpoint.name);
             if known.is_none_or(|e| e.boot < endpoint.boot) {
                 all.insert(endpoint.name.clone(), endpoint.clone());
@@ -126,6 +148,7 @@
         &mut self,
         now: Timestamp,
         endpoint: Option<&EndpointState>,
+        report: Option<&OrderReport>,
         next: &mut dyn FnMut() -> ExchangeId,
     ) -> Vec<Output<E>> {
         let mut outputs = Vec::new();
@@ -147,6 +170,8 @@
                 endpoint: endpoint.cloned(),
                 endpoints: self.settings.endpoints,
                 version: member.version,
+                report: report.cloned(),
+                suspects: member.suspects,
             };
             let exchange = next();
             member.open = Some((exchange, now));
@@ -166,7 +191,7 @@
         member.version = beat.version;
         member.highest = Some((beat.highest, sent));
         if let Some(endpoints) = &beat.endpoints {
-            member.endpoints.clone_from(endpoints);
+            member.take_endpoints(endpoints);
         }
         self.take_config(now, beat);
         true
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -7,6 +7,7 @@
 
 pub use follower::{Follower, FollowerSettings};
 
+use crate::control::orders::OrderReport;
 use crate::link::message::ProcessState;
 use crate::model::{EndpointState, Load, Timestamp};
 
@@ -18,6 +19,7 @@
 pub struct Registry {
     processes: BTreeMap<(Box<str>, Box<str>), (ProcessState, Timestamp)>,
     endpoints: BTreeMap<Box<str>, (EndpointState, Timestamp)>,
+    reports: BTreeMap<Box<str>, OrderReport>,
     version: u64,
 }
 
@@ -28,10 +30,12 @@
         now: Timestamp,
         process: ProcessState,
         endpoint: Option<EndpointState>,
+        report: Option<OrderReport>,
     ) {
         let key = (process.name.clone(), process.role.clone());
         self.processes.insert(key, (process, now));
         let Some(endpoint) = endpoint else { return };
+        self.reports.insert(endpoint.name.clone(), report.unwrap_or_default());
         let before = self.endpoints.get(&endpoint.name).map(|(e, _)| without_load(e));
         if before != Some(without_load(&endpoint)) {
             self.version += 1;
@@ -44,6 +48,7 @@
         self.processes.retain(|_, (_, seen)| now - *seen < HEARTBEAT_LEASE);
         let count = self.endpoints.len();
         self.endpoints.retain(|_, (_, seen)| now - *seen < HEARTBEAT_LEASE);
+        self.reports.retain(|name, _| self.endpoints.contains_key(name));
         if self.endpoints.len() != count {
             self.version += 1;
         }
@@ -64,6 +69,11 @@
         self.endpoints.values().map(|(e, _)| e.clone()).collect()
     }
 
+    /// Returns the live endpoints with what their agents report about orders.
+    pub fn reports(&self) -> impl Iterator<Item = (&EndpointState, &OrderReport)> {
+        self.endpoints.values().filter_map(|(e, _)| Some((e, self.reports.get(&e.name)?)))
+    }
+
     /// Returns the live processes with the age of their last heartbeats.
     pub fn processes(&self, now: Timestamp) -> Vec<(ProcessState, Duration)> {
         self.processes.values().map(|(p, seen)| (p.clone(), now - *seen)).collect()
