Stop every role without cutting anything off

Cause: the daemon exited as soon as its roles had stopped. Threads that still wrote answers to callers, and replies still queued in the link, were cut off; a refusal of a leaving entry had no time to come back; an agent was gone before entries had heard of it, so a tap that went to it ended as "may have run".

Now: an entry refuses for at least 1 s and the daemon waits for its last answers; an agent heartbeats at once, refuses for at least 1.5 s and holds finish; the link waits until last replies are acknowledged and closes its connections with a code that says that unanswered exchanges were never started; a control member answers what it took and goes last in a process with other roles. A dial gives up after 700 ms, before the silence of an agent (1 s) counts as "may have run". SIGTERM twice changes nothing, SIGINT twice ends at once.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -25,6 +25,8 @@
 
 /// How often an exchange with nothing to say is shown to stand.
 const ALIVE_INTERVAL: Duration = Duration::from_millis(250);
+/// How long an agent that leaves refuses new work, so that entries hear of it before it is gone.
+const LEAVE_NOTICE: Duration = Duration::from_millis(1_500);
 /// When a refused entry may try this endpoint again.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -45,7 +47,7 @@
     ledger: Ledger,
     settlements: Settlements,
     orders: Orders,
-    stopping: bool,
+    stopping: Option<Timestamp>,
     last_exchange: u64,
     next_alive: Timestamp,
 }
@@ -62,7 +64,7 @@
             endpoint: None,
             ledger: Ledger::default(),
             settlements: Settlements::default(),
-            stopping: false,
+            stopping: None,
             last_exchange: 0,
             next_alive: Timestamp::default(),
         }
@@ -84,7 +86,7 @@
             url: endpoint.url.clone(),
             capacity: endpoint.capacity,
             load: self.load(),
-            draining: self.orders.is_draining() || self.stopping,
+            draining: self.is_leaving(),
             fence: self.orders.report().fence,
         })
     }
@@ -127,7 +129,7 @@
 
     /// Returns why new work is refused, if it is.
     fn closed_to_work(&self) -> Option<(RefusalReason, &'static str)> {
-        if self.orders.is_draining() || self.stopping {
+        if self.is_leaving() {
             return Some((RefusalReason::Draining, "the endpoint is leaving"));
         }
         if !self.orders.is_current() {
@@ -339,8 +341,19 @@
         self.endpoint.as_ref().is_some_and(|e| e.kind != EndpointKind::Service)
     }
 
-    fn stopped(&self) -> bool {
-        self.stopping && self.ledger.is_empty()
+    fn is_leaving(&self) -> bool {
+        self.orders.is_draining() || self.stopping.is_some()
+    }
+
+    fn stop(&mut self, now: Timestamp) -> Outputs {
+        self.stopping.get_or_insert(now);
+        self.follower.hurry(now);
+        self.heartbeats(now)
+    }
+
+    fn has_stopped(&self, now: Timestamp) -> bool {
+        let noticed = self.stopping.is_some_and(|since| now >= since + LEAVE_NOTICE);
+        noticed && self.ledger.is_empty()
     }
 }
 
@@ -370,21 +383,20 @@
             }
             Input::Local(input) => self.engine(now, input),
             Input::Wake => self.wake(now),
-            Input::Shutdown => {
-                self.stopping = true;
-                self.heartbeats(now)
-            }
+            Input::Shutdown => self.stop(now),
         };
-        if self.stopped() {
+        if self.has_stopped(now) {
             outputs.push(Output::Stopped);
         }
         outputs
     }
 
     fn next_wake(&self) -> Option<Timestamp> {
-        let alive = (!self.ledger.is_empty()).then_some(self.next_alive);
+        let empty = self.ledger.is_empty();
+        let alive = (!empty).then_some(self.next_alive);
         let order = self.endpoint.as_ref().and(self.orders.next_wake());
-        [alive, order, self.follower.next_wake(), self.ledger.next_wake()]
+        let leave = self.stopping.filter(|_| empty).map(|since| since + LEAVE_NOTICE);
+        [alive, order, leave, self.follower.next_wake(), self.ledger.next_wake()]
             .into_iter()
             .flatten()
             .min()
--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -23,7 +23,10 @@
 use crate::report::pages::Pages;
 use crate::role::{Driver, Input};
 
-type Threads = Vec<std::thread::JoinHandle<()>>;
+type Thread = std::thread::JoinHandle<()>;
+
+/// The exit code of a process that was told to end at once.
+const EXIT_AT_ONCE: i32 = 1;
 
 /// The drivers of the roles that a process has.
 #[derive(Default)]
@@ -45,6 +48,7 @@
     };
     let ready = Arc::new(AtomicBool::new(true));
     on_signal(&drivers, ready.clone())?;
+    let control = drivers.control.as_ref().map(Driver::handle);
     let url = Arc::new(Mutex::new(None));
     if let Some(address) = settings.pages {
         let pages = Pages { ready, announce: announcer(&drivers, url.clone()) };
@@ -52,39 +56,58 @@
     }
     let handle = link.handle();
     let route = route(&drivers);
-    let mut threads = Threads::new();
+    let mut traffic = Vec::new();
+    let mut keeper = None;
+    let mut last_answers = None;
     if let Some(driver) = drivers.control {
         let folder = settings.data.as_deref().ok_or_else(|| eyre!("--data is missing"))?;
         let (records, file) = disk::open(folder)?;
         let disk = Disk::start(file, driver.handle())?;
         let who =
             ControlSettings { name: settings.name.clone(), domain: settings.domain.clone(), boot };
-        threads.push(driver.start("control", Control::new(who, records), handle.clone(), disk)?);
+        keeper = Some(driver.start("control", Control::new(who, records), handle.clone(), disk)?);
     }
     if let Some(driver) = drivers.agent {
         let engine = HttpEngine::new(url, driver.handle());
         let follower = follower(&settings, boot, "agent");
         let agent = Agent::new(AgentSettings { follower, address: settings.listen });
-        threads.push(driver.start("agent", agent, handle.clone(), engine)?);
+        traffic.push(driver.start("agent", agent, handle.clone(), engine)?);
     }
     if let Some(driver) = drivers.entry {
         let path = settings.tenants.as_deref().ok_or_else(|| eyre!("--tenants is missing"))?;
         let tenants = Tenants::load(path)?;
         let listen = settings.callers.ok_or_else(|| eyre!("--callers is missing"))?;
-        let callers = Callers::start(listen, driver.handle())?;
+        let (callers, last) = Callers::start(listen, driver.handle())?;
+        last_answers = Some(last);
         let who = EntrySettings { follower: follower(&settings, boot, "entry") };
         let entry = Entry::new(who, tenants, Box::new(RoundRobin::default()));
-        threads.push(driver.start("entry", entry, handle.clone(), callers)?);
+        traffic.push(driver.start("entry", entry, handle.clone(), callers)?);
     }
     link.start(route)?;
     log::info!("step=start name={} domain={} boot={boot}", settings.name, settings.domain);
-    for thread in threads {
-        thread.join().map_err(|_| eyre!("a role's thread has panicked"))?;
+    let has_control = keeper.is_some();
+    let has_traffic = !traffic.is_empty();
+    for thread in traffic {
+        join(thread)?;
+    }
+    if let Some(last) = last_answers {
+        last.wait();
+    }
+    if let (Some(thread), Some(control)) = (keeper, control) {
+        if has_traffic {
+            control.send(Input::Shutdown);
+        }
+        join(thread)?;
     }
+    handle.leave(!has_control);
     log::info!("step=stop name={}", settings.name);
     Ok(())
 }
 
+fn join(thread: Thread) -> eyre::Result<()> {
+    thread.join().map_err(|_| eyre!("a role's thread has panicked"))
+}
+
 fn follower(settings: &Settings, boot: BootId, role: &str) -> FollowerSettings {
     FollowerSettings {
         name: settings.name.clone(),
@@ -119,12 +142,18 @@
 fn on_signal(drivers: &Drivers, ready: Arc<AtomicBool>) -> eyre::Result<()> {
     let entry = drivers.entry.as_ref().map(Driver::handle);
     let agent = drivers.agent.as_ref().map(Driver::handle);
-    let control = drivers.control.as_ref().map(Driver::handle);
+    // Control goes last: the other roles of this process need it until they have stopped.
+    let alone = entry.is_none() && agent.is_none();
+    let control = drivers.control.as_ref().map(Driver::handle).filter(|_| alone);
     let mut signals = Signals::new([SIGTERM, SIGINT]).wrap_err("watch for signals")?;
     let watch = move || {
-        for _ in signals.forever() {
-            log::info!("step=shutdown");
-            ready.store(false, Ordering::SeqCst);
+        for signal in signals.forever() {
+            let stopping = !ready.swap(false, Ordering::SeqCst);
+            if stopping && signal == SIGINT {
+                log::warn!("step=shutdown signal={signal}: ends at once");
+                std::process::exit(EXIT_AT_ONCE);
+            }
+            log::info!("step=shutdown signal={signal}");
             if let Some(handle) = &entry {
                 handle.send(Input::Shutdown);
             }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -9,6 +9,7 @@
 pub mod state;
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use config::Revised;
 use orders::{Marked, OrderReport};
@@ -23,6 +24,9 @@
 use crate::registry::Registry;
 use crate::role::{Input, Output, Role};
 
+/// How long a member that leaves waits for the commands that it has taken.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(2_000);
+
 /// What the disk tells the control role.
 #[derive(Debug)]
 pub enum DiskInput {
@@ -57,6 +61,7 @@
     state: State,
     registry: Registry,
     waiting: BTreeMap<LogIndex, InboundId>,
+    stopping: Option<Timestamp>,
 }
 
 type Outputs = Vec<Output<DiskEffect>>;
@@ -70,6 +75,7 @@
             state: State::default(),
             registry: Registry::default(),
             waiting: BTreeMap::new(),
+            stopping: None,
         };
         for record in records {
             control.state.apply(record.index, &record.command);
@@ -137,6 +143,9 @@
     }
 
     fn propose(&mut self, inbound: InboundId, command: Command) -> Outputs {
+        if self.stopping.is_some() {
+            return vec![self.reply(inbound, ControlReply::NotLeader { leader: None })];
+        }
         let (index, record) = self.replica.propose(command);
         self.waiting.insert(index, inbound);
         vec![Output::Effect(DiskEffect::Append(vec![record]))]
@@ -154,6 +163,12 @@
         outputs
     }
 
+    /// Returns whether everybody who waited has an answer.
+    fn has_stopped(&self, now: Timestamp) -> bool {
+        let Some(since) = self.stopping else { return false };
+        self.waiting.is_empty() || now >= since + LEAVE_TIMEOUT
+    }
+
     fn status(&self, now: Timestamp) -> Status {
         let own = ProcessState {
             name: self.settings.name.clone(),
@@ -163,7 +178,7 @@
             revised: self.revised(),
         };
         let mut processes = self.registry.processes(now);
-        processes.push((own, std::time::Duration::ZERO));
+        processes.push((own, Duration::ZERO));
         Status {
             member: self.settings.name.clone(),
             leader: Some(self.settings.name.clone()),
@@ -197,7 +212,7 @@
     type Effect = DiskEffect;
 
     fn step(&mut self, now: Timestamp, input: Input<DiskInput>) -> Outputs {
-        match input {
+        let mut outputs = match input {
             Input::Request { inbound, envelope } => match envelope.body {
                 Request::Control(request) => self.request(now, inbound, request),
                 Request::Replica(_) | Request::Agent(_) => Vec::new(),
@@ -215,12 +230,20 @@
                 self.registry.expire(now);
                 Vec::new()
             }
-            Input::Shutdown => vec![Output::Stopped],
+            Input::Shutdown => {
+                self.stopping.get_or_insert(now);
+                Vec::new()
+            }
             Input::Reply { .. } | Input::Closed { .. } => Vec::new(),
+        };
+        if self.has_stopped(now) {
+            outputs.push(Output::Stopped);
         }
+        outputs
     }
 
     fn next_wake(&self) -> Option<Timestamp> {
-        self.registry.next_expiry()
+        let leave = self.stopping.map(|since| since + LEAVE_TIMEOUT);
+        [leave, self.registry.next_expiry()].into_iter().flatten().min()
     }
 }
--- a/src/entry/accept.rs
+++ b/src/entry/accept.rs
@@ -5,21 +5,23 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use chunked_transfer::Encoder;
 use eyre::{WrapErr, eyre};
 use serde_json::json;
 
 use super::check::RawCall;
-use super::{CallerEffect, CallerInput, Terminal};
+use super::{CallerEffect, CallerInput, RETRY_AFTER, Terminal};
 use crate::link::message::Answer;
-use crate::model::{CallId, Ran, Refusal};
+use crate::model::{CallId, Ran, Refusal, RefusalReason};
 use crate::role::{Adapter, DriverHandle};
 
 /// Threads that take new requests.
 const ACCEPTORS: usize = 4;
+/// Holders of the count of requests that are being served when there are none.
+const SHARES_WHEN_IDLE: usize = ACCEPTORS + 1;
 /// The most bytes of a request's content.
 const MAX_CONTENT_BYTES: u64 = 2 << 20;
 /// The stack of a call's thread.
@@ -27,24 +29,97 @@
 /// The time between heartbeats to a caller, by which a lost one is noticed.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
 
-type Calls = Arc<Mutex<BTreeMap<CallId, Sender<CallerEffect>>>>;
+/// How long the last answers may take to be written once the role has stopped.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// How long no request may arrive before the last answers count as written.
+const DRAIN_QUIET: Duration = Duration::from_millis(50);
+/// The time between two looks at the calls that are left.
+const DRAIN_POLL: Duration = Duration::from_millis(5);
+
+/// The calls of an entry, and the way out for those that its role no longer takes.
+#[derive(Default)]
+struct Table {
+    senders: BTreeMap<CallId, Sender<CallerEffect>>,
+    closed: bool,
+}
+
+impl Table {
+    /// Adds a call; `false` if the role has stopped.
+    fn add(&mut self, call: CallId, sender: Sender<CallerEffect>) -> bool {
+        if !self.closed {
+            self.senders.insert(call, sender);
+        }
+        !self.closed
+    }
+
+    /// Refuses calls that the role never saw.
+    fn close(&mut self) {
+        self.closed = true;
+        for (call, sender) in std::mem::take(&mut self.senders) {
+            let _ = sender.send(CallerEffect::Finish { call, outcome: stopped() });
+        }
+    }
+}
+
+type Calls = Arc<Mutex<Table>>;
+
+fn lock(calls: &Calls) -> MutexGuard<'_, Table> {
+    calls.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Returns the outcome of a call that reaches an entry after its role has stopped.
+fn stopped() -> Terminal {
+    let detail = "this entry has shut down";
+    Terminal::Refused(Refusal::not_run(RefusalReason::Draining, RETRY_AFTER, detail))
+}
 
 /// Gives each call's effects to the call's thread.
 pub struct Callers {
     calls: Calls,
 }
 
+/// Waits for the last answers when the role has stopped.
+pub struct LastAnswers {
+    calls: Calls,
+    /// Each request that is being served holds a share.
+    serving: Arc<()>,
+    arrived: Arc<AtomicU64>,
+}
+
+impl LastAnswers {
+    /// Refuses what the role never saw, and waits until all answers are written.
+    ///
+    /// Process exit ends the threads that write answers, so nothing may exit before this returns.
+    pub fn wait(&self) {
+        lock(&self.calls).close();
+        let until = Instant::now() + DRAIN_TIMEOUT;
+        let mut arrived = self.arrived.load(Ordering::SeqCst);
+        let mut since = Instant::now();
+        while Instant::now() < until {
+            let count = self.arrived.load(Ordering::SeqCst);
+            if count != arrived || Arc::strong_count(&self.serving) > SHARES_WHEN_IDLE {
+                arrived = count;
+                since = Instant::now();
+            } else if since.elapsed() >= DRAIN_QUIET {
+                return;
+            }
+            std::thread::sleep(DRAIN_POLL);
+        }
+        log::warn!("step=drain error=\"callers keep coming, or don't read their answers\"");
+    }
+}
+
 impl Adapter<CallerEffect> for Callers {
     fn carry(&mut self, effect: CallerEffect) {
-        let mut calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut calls = lock(&self.calls);
         match &effect {
             CallerEffect::Finish { call, .. } => {
-                if let Some(sender) = calls.remove(call) {
+                if let Some(sender) = calls.senders.remove(call) {
                     let _ = sender.send(effect);
                 }
             }
             CallerEffect::Begin { call } | CallerEffect::Tokens { call, .. } => {
-                if let Some(sender) = calls.get(call) {
+                if let Some(sender) = calls.senders.get(call) {
                     let _ = sender.send(effect);
                 }
             }
@@ -54,18 +129,23 @@
 
 impl Callers {
     /// Binds the callers' address and starts to take requests.
-    pub fn start(listen: SocketAddr, role: DriverHandle<CallerInput>) -> eyre::Result<Callers> {
+    pub fn start(
+        listen: SocketAddr,
+        role: DriverHandle<CallerInput>,
+    ) -> eyre::Result<(Callers, LastAnswers)> {
         let server = tiny_http::Server::http(listen)
             .map_err(|e| eyre!("{e}"))
             .wrap_err_with(|| format!("listen for callers on {listen}"))?;
         let server = Arc::new(server);
         let calls = Calls::default();
         let ids = Arc::new(AtomicU64::new(1));
+        let serving = Arc::new(());
         for _ in 0..ACCEPTORS {
             let acceptor = Acceptor {
                 server: server.clone(),
                 calls: calls.clone(),
                 ids: ids.clone(),
+                serving: serving.clone(),
                 role: role.clone(),
             };
             std::thread::Builder::new()
@@ -73,7 +153,8 @@
                 .spawn(move || acceptor.run())
                 .wrap_err("start acceptor")?;
         }
-        Ok(Callers { calls })
+        let last = LastAnswers { calls: calls.clone(), serving, arrived: ids };
+        Ok((Callers { calls }, last))
     }
 }
 
@@ -81,6 +162,7 @@
     server: Arc<tiny_http::Server>,
     calls: Calls,
     ids: Arc<AtomicU64>,
+    serving: Arc<()>,
     role: DriverHandle<CallerInput>,
 }
 
@@ -89,7 +171,9 @@
         while let Ok(request) = self.server.recv() {
             let id = CallId(self.ids.fetch_add(1, Ordering::SeqCst));
             let (calls, role) = (self.calls.clone(), self.role.clone());
+            let share = self.serving.clone();
             let serve = move || {
+                let _share = share;
                 if let Err(error) = serve(request, id, calls, &role) {
                     log::debug!("step=caller call={id} error={error}");
                     role.local(CallerInput::Gone { call: id });
@@ -113,12 +197,17 @@
     let raw = read_call(&mut request)?;
     let streams = wants_stream(&raw);
     let (sender, effects) = channel();
-    calls.lock().unwrap_or_else(PoisonError::into_inner).insert(id, sender);
-    role.local(CallerInput::Arrived { call: id, raw });
+    let taken = lock(&calls).add(id, sender.clone());
+    if taken {
+        role.local(CallerInput::Arrived { call: id, raw });
+    } else {
+        let _ = sender.send(CallerEffect::Finish { call: id, outcome: stopped() });
+    }
+    drop(sender);
     let writer = request.into_writer();
     let answer = AnswerWriter { id, writer, streams, begun: false, told: String::new() };
     let result = answer.run(&effects);
-    calls.lock().unwrap_or_else(PoisonError::into_inner).remove(&id);
+    lock(&calls).senders.remove(&id);
     result
 }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -26,6 +26,12 @@
 /// When a caller that was refused for want of room may come back.
 const RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
+/// How long an entry that leaves refuses new calls, so that the balancer sees that it is not
+/// ready before it is gone.
+const LEAVE_NOTICE: Duration = Duration::from_millis(1_000);
+/// How long an entry that leaves waits for answers that no call needs.
+const TIDY_TIMEOUT: Duration = Duration::from_millis(5_000);
+
 /// What callers do.
 #[derive(Debug)]
 pub enum CallerInput {
@@ -139,7 +145,9 @@
     shared: Shared,
     tenants: Tenants,
     runs: BTreeMap<CallId, Run>,
-    stopping: bool,
+    stopping: Option<Timestamp>,
+    /// Since when an entry that leaves has no calls.
+    quiet: Option<Timestamp>,
 }
 
 impl Entry {
@@ -158,7 +166,7 @@
             last_exchange: 0,
             owners: BTreeMap::new(),
         };
-        Entry { shared, tenants, runs: BTreeMap::new(), stopping: false }
+        Entry { shared, tenants, runs: BTreeMap::new(), stopping: None, quiet: None }
     }
 
     fn arrived(&mut self, now: Timestamp, call: CallId, raw: RawCall) -> Outputs {
@@ -176,9 +184,9 @@
     }
 
     fn admit(&self, now: Timestamp, raw: RawCall) -> Result<crate::model::Call, Refusal> {
-        if self.stopping {
+        if self.stopping.is_some() {
             let detail = "this entry is shutting down";
-            return Err(Refusal::not_run(RefusalReason::Draining, Duration::ZERO, detail));
+            return Err(Refusal::not_run(RefusalReason::Draining, RETRY_AFTER, detail));
         }
         let config = self.shared.follower.config();
         let confirmed = self.shared.follower.is_confirmed(now);
@@ -220,6 +228,22 @@
         })
     }
 
+    /// Returns whether nothing is left to do for any caller, and the balancer had its notice.
+    fn has_stopped(&mut self, now: Timestamp) -> bool {
+        if self.stopping.is_some() && self.runs.is_empty() {
+            self.quiet.get_or_insert(now);
+        }
+        self.stop_time().is_some_and(|at| at <= now)
+    }
+
+    /// Returns when an entry that leaves and has no calls stops if nothing more comes.
+    fn stop_time(&self) -> Option<Timestamp> {
+        let noticed = self.stopping? + LEAVE_NOTICE;
+        let quiet = self.quiet?;
+        let tidy = if self.shared.owners.is_empty() { quiet } else { quiet + TIDY_TIMEOUT };
+        Some(noticed.max(tidy))
+    }
+
     fn wake(&mut self, now: Timestamp) -> Outputs {
         let mut outputs = self.heartbeats(now);
         let due: Vec<CallId> =
@@ -264,12 +288,12 @@
             }
             Input::Wake => self.wake(now),
             Input::Shutdown => {
-                self.stopping = true;
+                self.stopping.get_or_insert(now);
                 Vec::new()
             }
             Input::Request { .. } | Input::Abandoned { .. } => Vec::new(),
         };
-        if self.stopping && self.runs.is_empty() {
+        if self.has_stopped(now) {
             outputs.push(Output::Stopped);
         }
         outputs
@@ -277,6 +301,6 @@
 
     fn next_wake(&self) -> Option<Timestamp> {
         let runs = self.runs.values().map(Run::next_wake).min();
-        [runs, self.shared.follower.next_wake()].into_iter().flatten().min()
+        [runs, self.stop_time(), self.shared.follower.next_wake()].into_iter().flatten().min()
     }
 }
--- a/src/link/exchange.rs
+++ b/src/link/exchange.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use quinn::{Connection, RecvStream, SendStream, VarInt};
+use quinn::{Connection, ConnectionError, RecvStream, SendStream, VarInt};
 use tokio::sync::mpsc::UnboundedReceiver;
 
 use super::message::{Envelope, Reply, Request};
@@ -13,6 +13,8 @@
 
 /// The code on a stream that its opener cancelled.
 const CANCELLED: VarInt = VarInt::from_u32(1);
+/// The code on a connection whose peer never started the exchanges that it did not answer.
+pub const UNSTARTED: VarInt = VarInt::from_u32(2);
 
 /// What the opener of an exchange wants done with it.
 pub enum Outgoing {
@@ -28,6 +30,8 @@
     pub envelope: Envelope<Reply>,
     /// Whether it is the last one.
     pub last: bool,
+    /// Shows for as long as it lives that the reply may not have arrived.
+    pub pending: Arc<()>,
 }
 
 /// Carries an exchange that this process opened.
@@ -43,7 +47,7 @@
         return;
     };
     let writer = tokio::spawn(write_requests(send, orders));
-    let failure = read_replies(recv, exchange, &sink).await;
+    let failure = read_replies(&connection, recv, exchange, &sink).await;
     writer.abort();
     sink.deliver(LinkEvent::Closed { exchange, failure });
 }
@@ -65,19 +69,33 @@
 }
 
 async fn read_replies(
+    connection: &Connection,
     mut recv: RecvStream,
     exchange: ExchangeId,
     sink: &Arc<dyn Sink>,
 ) -> Option<LinkFailure> {
+    let mut answered = false;
     loop {
         match frame::read(&mut recv).await {
-            Ok(Some(envelope)) => sink.deliver(LinkEvent::Reply { exchange, envelope }),
+            Ok(Some(envelope)) => {
+                answered = true;
+                sink.deliver(LinkEvent::Reply { exchange, envelope });
+            }
             Ok(None) => return None,
+            Err(_) if !answered && is_unstarted(connection) => return Some(LinkFailure::NotSent),
             Err(_) => return Some(LinkFailure::Broken),
         }
     }
 }
 
+/// Returns whether the peer said at its end that it never started what it did not answer.
+fn is_unstarted(connection: &Connection) -> bool {
+    matches!(
+        connection.close_reason(),
+        Some(ConnectionError::ApplicationClosed(close)) if close.error_code == UNSTARTED
+    )
+}
+
 /// Reads the requests of an exchange that a peer opened.
 pub async fn read_requests(
     mut recv: RecvStream,
@@ -102,16 +120,17 @@
     mut answers: UnboundedReceiver<Answer>,
     done: Arc<AtomicBool>,
 ) {
-    while let Some(answer) = answers.recv().await {
-        if answer.last {
+    while let Some(Answer { envelope, last, pending }) = answers.recv().await {
+        if last {
             done.store(true, Ordering::SeqCst);
         }
-        if frame::write(&mut send, &answer.envelope).await.is_err() {
+        if frame::write(&mut send, &envelope).await.is_err() {
             return;
         }
-        if answer.last {
+        if last {
             let _ = send.finish();
             let _ = send.stopped().await;
+            drop(pending);
             return;
         }
     }
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -89,6 +89,13 @@
         /// Whether it is the last one.
         last: bool,
     },
+    /// Wait until the last replies have arrived, then close all connections.
+    Leave {
+        /// Whether exchanges without a reply were never started, which peers are told.
+        unstarted: bool,
+        /// Told when the connections are closed.
+        done: std::sync::mpsc::Sender<()>,
+    },
 }
 
 /// Takes what the link has for one role.
--- a/src/link/shell.rs
+++ b/src/link/shell.rs
@@ -18,11 +18,21 @@
 use crate::role::LinkFailure;
 
 /// How long a connection may take to stand.
-const DIAL_TIMEOUT: Duration = Duration::from_millis(1_000);
+const DIAL_TIMEOUT: Duration = Duration::from_millis(700);
+/// The round trip that is assumed before one was seen.
+const INITIAL_RTT: Duration = Duration::from_millis(50);
 /// How often a quiet connection is kept alive.
 const KEEP_ALIVE: Duration = Duration::from_millis(500);
 /// How long a connection may be silent before it is lost.
 const IDLE_TIMEOUT_MS: u32 = 2_000;
+/// How long a process that leaves waits until its last replies have arrived.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// How long a process that leaves waits until its peers know.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
+/// The time between two looks whether the last replies have arrived.
+const FLUSH_POLL: Duration = Duration::from_millis(5);
+/// Holders of the count of replies under way when there are none: the loop and the leaving task.
+const SHARES_WHEN_IDLE: usize = 2;
 /// Exchanges that a peer may have open on one connection.
 const MAX_EXCHANGES: u32 = 16_384;
 
@@ -49,6 +59,16 @@
         owner
     }
 
+    /// Waits until the last replies have arrived, then closes all connections.
+    ///
+    /// The roles must have stopped. `unstarted` says that what they did not answer was never
+    /// started.
+    pub fn leave(&self, unstarted: bool) {
+        let (done, closed) = std::sync::mpsc::channel();
+        self.act(LinkAction::Leave { unstarted, done });
+        let _ = closed.recv_timeout(FLUSH_TIMEOUT + CLOSE_TIMEOUT);
+    }
+
     /// Queues one action.
     pub fn act(&self, action: LinkAction) {
         let _ = self.queue.send(action);
@@ -107,6 +127,7 @@
 
 fn transport() -> Arc<TransportConfig> {
     let mut config = TransportConfig::default();
+    config.initial_rtt(INITIAL_RTT);
     config.keep_alive_interval(Some(KEEP_ALIVE));
     config.max_idle_timeout(Some(VarInt::from_u32(IDLE_TIMEOUT_MS).into()));
     config.max_concurrent_bidi_streams(VarInt::from_u32(MAX_EXCHANGES));
@@ -129,18 +150,29 @@
     let ids = Arc::new(AtomicU64::new(1));
     let dialer = Dialer { endpoint: endpoint.clone(), cached: Arc::default() };
     let mut opened = Opened::new();
+    let pending = Arc::new(());
     loop {
         tokio::select! {
             incoming = endpoint.accept() => {
-                let Some(incoming) = incoming else { return Ok(()) };
+                let Some(incoming) = incoming else { break };
                 tokio::spawn(accept(incoming, inbound.clone(), ids.clone(), route.clone()));
             }
             action = link.queue.recv() => {
-                let Some(action) = action else { return Ok(()) };
-                act(action, &dialer, &mut opened, &inbound, &link.handle.owners);
+                match action {
+                    None => break,
+                    Some(LinkAction::Leave { unstarted, done }) => {
+                        tokio::spawn(leave(endpoint.clone(), pending.clone(), unstarted, done));
+                    }
+                    Some(action) => {
+                        act(action, &dialer, &mut opened, &inbound, &link.handle.owners, &pending);
+                    }
+                }
             }
         }
     }
+    // The task that leaves must see the close through.
+    endpoint.wait_idle().await;
+    Ok(())
 }
 
 fn act(
@@ -149,6 +181,7 @@
     opened: &mut Opened,
     inbound: &Inbound,
     owners: &Owners,
+    pending: &Arc<()>,
 ) {
     match action {
         LinkAction::Open { owner, exchange, peer, envelope } => {
@@ -171,10 +204,11 @@
             }
         }
         LinkAction::Redial { peer } => dialer.forget(peer),
+        LinkAction::Leave { .. } => {}
         LinkAction::Reply { inbound: id, envelope, last } => {
             let mut map = inbound.lock().unwrap_or_else(PoisonError::into_inner);
             if let Some(sender) = map.get(&id) {
-                let _ = sender.send(Answer { envelope, last });
+                let _ = sender.send(Answer { envelope, last, pending: pending.clone() });
             }
             if last {
                 map.remove(&id);
@@ -183,6 +217,29 @@
     }
 }
 
+/// Closes the endpoint once no reply is under way; each reply holds a share of `pending`.
+async fn leave(
+    endpoint: Endpoint,
+    pending: Arc<()>,
+    unstarted: bool,
+    done: std::sync::mpsc::Sender<()>,
+) {
+    let flushed = tokio::time::timeout(FLUSH_TIMEOUT, async {
+        while Arc::strong_count(&pending) > SHARES_WHEN_IDLE {
+            tokio::time::sleep(FLUSH_POLL).await;
+        }
+    })
+    .await
+    .is_ok();
+    if !flushed {
+        log::warn!("step=leave error=\"some last replies were not acknowledged\"");
+    }
+    let code = if unstarted && flushed { exchange::UNSTARTED } else { VarInt::from_u32(0) };
+    endpoint.close(code, b"leaving");
+    let _ = tokio::time::timeout(CLOSE_TIMEOUT, endpoint.wait_idle()).await;
+    let _ = done.send(());
+}
+
 async fn open(
     dialer: Dialer,
     peer: SocketAddr,
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -125,9 +125,14 @@
     /// the next heartbeats due at once.
     pub fn observe(&mut self, now: Timestamp, revised: Revised) {
         if revised.revision > self.revised.revision {
-            for member in &mut self.members {
-                member.due = member.due.min(now);
-            }
+            self.hurry(now);
+        }
+    }
+
+    /// Makes the next heartbeats due at once, because there is something to tell or to hear.
+    pub fn hurry(&mut self, now: Timestamp) {
+        for member in &mut self.members {
+            member.due = member.due.min(now);
         }
     }
 
--- /dev/null
+++ b/tests/leaving.rs
@@ -0,0 +1,254 @@
+//! Leaving: a process that is told to stop cuts off nothing and takes nothing new.
+
+mod common;
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use common::{Answer, Fleet, Streamed, call, open_stream, wait_for};
+
+/// Tokens of a stream that takes about five seconds at [`SLOW`].
+const TOKENS: u32 = 100;
+const SLOW: &[&str] = &["--token-us", "50000", "--batch-us", "0"];
+const FAST: &[&str] = &["--token-us", "1000", "--batch-us", "0"];
+const TIMETABLE: &str = "/services/classroom/timetable";
+const TAP: &str = "/services/classroom/tap";
+const EXIT_WITHIN: Duration = Duration::from_secs(20);
+
+/// Streams that have their first token, each read on a thread.
+fn start_streams(url: &str, count: usize) -> Vec<JoinHandle<eyre::Result<Streamed>>> {
+    let open = |i: usize| {
+        let (sender, begun) = std::sync::mpsc::channel();
+        let url = url.to_string();
+        let read = std::thread::spawn(move || {
+            let mut stream = open_stream(&url, &format!("Lesson plan {i}"), TOKENS)?;
+            let first = stream.next_event()?.unwrap_or_default();
+            let _ = sender.send(());
+            let mut streamed = stream.read_all()?;
+            let event: serde_json::Value = serde_json::from_str(&first)?;
+            let text = event["choices"][0]["text"].as_str().unwrap_or_default().to_string();
+            streamed.text.insert_str(0, &text);
+            Ok(streamed)
+        });
+        begun.recv_timeout(Duration::from_secs(10)).expect("the stream has begun");
+        read
+    };
+    (0..count).map(open).collect()
+}
+
+fn expect_whole(streams: Vec<JoinHandle<eyre::Result<Streamed>>>) {
+    for stream in streams {
+        let streamed = stream.join().unwrap().unwrap();
+        assert!(streamed.done, "cut off: {streamed:?}");
+        assert_eq!(streamed.text.split_whitespace().count(), TOKENS as usize, "{streamed:?}");
+    }
+}
+
+/// Calls one after another until told to stop; a transport error is a cut.
+fn start_load(
+    url: &str,
+    method: &'static str,
+    path: &'static str,
+    name: &'static str,
+    until: impl Fn(&Answer) -> bool + Send + 'static,
+) -> JoinHandle<Vec<(String, eyre::Result<Answer>)>> {
+    let url = url.to_string();
+    std::thread::spawn(move || {
+        let mut answers = Vec::new();
+        for i in 0..100_000 {
+            let key = format!("{name}-{i}");
+            let headers = [("idempotency-key", key.as_str())];
+            let answer = call(&url, method, path, &headers, &key);
+            let stop = answer.as_ref().map_or(true, &until);
+            answers.push((key, answer));
+            if stop {
+                break;
+            }
+        }
+        answers
+    })
+}
+
+fn is_draining(answer: &Answer) -> bool {
+    answer.body.contains("draining")
+}
+
+#[test]
+fn entry_finishes_streams_and_refuses_new_calls() {
+    let mut fleet = Fleet::new(1).unwrap();
+    fleet.entry("brno-a").unwrap();
+    fleet.engine("prefill", "brno-a", &[]).unwrap();
+    fleet.engine("decode", "brno-a", SLOW).unwrap();
+    fleet.service("brno-a", &[]).unwrap();
+    fleet.wait_ready().unwrap();
+    let url = fleet.entries[0].url.clone();
+    let streams = start_streams(&url, 8);
+    let load: Vec<_> =
+        (0..3).map(|_| start_load(&url, "GET", TIMETABLE, "get", is_draining)).collect();
+    fleet.entries[0].process.signal("-TERM").unwrap();
+    let ready = format!("http://{}/ready", fleet.entries[0].pages);
+    wait_for(Duration::from_secs(5), || {
+        eyre::ensure!(ureq::get(&ready).call().is_err(), "still ready");
+        Ok(())
+    })
+    .unwrap();
+    for thread in load {
+        for (key, answer) in thread.join().unwrap() {
+            let answer = answer.unwrap_or_else(|e| panic!("{key} was cut off: {e:#}"));
+            if answer.status != 200 {
+                assert_eq!((answer.status, answer.ran.as_deref()), (503, Some("no")), "{answer:?}");
+                assert!(answer.retry_after.is_some(), "no time to come back: {answer:?}");
+            }
+        }
+    }
+    expect_whole(streams);
+    assert_eq!(fleet.entries[0].process.exit_within(EXIT_WITHIN), Some(0));
+}
+
+#[test]
+fn idle_entry_answers_refusals_before_it_exits() {
+    let mut fleet = Fleet::new(1).unwrap();
+    fleet.entry("brno-a").unwrap();
+    fleet.service("brno-a", &[]).unwrap();
+    fleet.wait_ready().unwrap();
+    for _ in 0..5 {
+        let url = fleet.entries[0].url.clone();
+        let load: Vec<_> =
+            (0..4).map(|_| start_load(&url, "GET", TIMETABLE, "get", is_draining)).collect();
+        std::thread::sleep(Duration::from_millis(100));
+        fleet.entries[0].process.signal("-TERM").unwrap();
+        for thread in load {
+            for (key, answer) in thread.join().unwrap() {
+                answer.unwrap_or_else(|e| panic!("{key} was cut off: {e:#}"));
+            }
+        }
+        assert_eq!(fleet.entries[0].process.exit_within(EXIT_WITHIN), Some(0));
+        fleet.entries[0].process.restart().unwrap();
+        fleet.wait_ready().unwrap();
+    }
+}
+
+#[test]
+fn agent_finishes_its_holds_and_gets_no_new_work_though_control_is_cut_off() {
+    let mut fleet = Fleet::new(1).unwrap();
+    fleet.entry("brno-a").unwrap();
+    fleet.engine("prefill", "brno-a", &[]).unwrap();
+    let leaving = fleet.engine("decode", "brno-a", SLOW).unwrap();
+    fleet.wait_ready().unwrap();
+    let set = ["config", "set", "config.serve_unconfirmed", "1", "--author", "test"];
+    fleet.tool_text(&set).unwrap();
+    let url = fleet.entries[0].url.clone();
+    let streams = start_streams(&url, 6);
+    let other = fleet.engine("decode", "brno-b", FAST).unwrap();
+    fleet.wait_ready().unwrap();
+    fleet.controls[0].signal("-STOP").unwrap();
+    fleet.endpoints[leaving].agent.signal("-TERM").unwrap();
+    let ready = format!("http://{}/ready", fleet.endpoints[leaving].pages);
+    wait_for(Duration::from_secs(3), || {
+        eyre::ensure!(ureq::get(&ready).call().is_err(), "still ready");
+        Ok(())
+    })
+    .unwrap();
+    for i in 0..20 {
+        let streamed = fleet.stream(0, &format!("New plan {i}"), 5).unwrap();
+        assert!(streamed.done, "{streamed:?}");
+    }
+    assert_eq!(fleet.endpoints[other].counts().unwrap()["tokens"], 100);
+    expect_whole(streams);
+    assert_eq!(fleet.endpoints[leaving].counts().unwrap()["tokens"], 6 * TOKENS);
+    assert_eq!(fleet.endpoints[0].counts().unwrap()["prefills"], 26, "a prefill was wasted");
+    assert_eq!(fleet.endpoints[leaving].agent.exit_within(EXIT_WITHIN), Some(0));
+    fleet.controls[0].signal("-CONT").unwrap();
+}
+
+#[test]
+fn agents_that_restart_under_taps_cut_off_none() {
+    let mut fleet = Fleet::new(1).unwrap();
+    fleet.entry("brno-a").unwrap();
+    let one = fleet.service("brno-a", &[]).unwrap();
+    let two = fleet.service("brno-b", &[]).unwrap();
+    fleet.wait_ready().unwrap();
+    let url = fleet.entries[0].url.clone();
+    static STOP: AtomicBool = AtomicBool::new(false);
+    let load: Vec<_> = ["a", "b"]
+        .map(|name| start_load(&url, "POST", TAP, name, |_| STOP.load(Ordering::SeqCst)))
+        .into();
+    for endpoint in [one, two, one, two] {
+        let agent = &mut fleet.endpoints[endpoint].agent;
+        agent.signal("-TERM").unwrap();
+        assert_eq!(agent.exit_within(EXIT_WITHIN), Some(0));
+        agent.restart().unwrap();
+        wait_for(Duration::from_secs(10), || {
+            let status: serde_json::Value =
+                serde_json::from_str(&fleet.tool_text(&["--json", "status"])?)?;
+            let endpoints = status["endpoints"].as_array().cloned().unwrap_or_default();
+            let here = endpoints.iter().filter(|e| e["draining"] == false).count();
+            eyre::ensure!(here == 2, "{here} endpoints take work");
+            Ok(())
+        })
+        .unwrap();
+        fleet.wait_ready().unwrap();
+    }
+    STOP.store(true, Ordering::SeqCst);
+    for thread in load {
+        for (key, answer) in thread.join().unwrap() {
+            let answer = answer.unwrap_or_else(|e| panic!("{key} was cut off: {e:#}"));
+            assert_eq!(answer.status, 200, "{key}: {answer:?}");
+        }
+    }
+}
+
+#[test]
+fn control_answers_what_waits_before_it_exits() {
+    let mut fleet = Fleet::new(1).unwrap();
+    fleet.entry("brno-a").unwrap();
+    let service = fleet.service("brno-a", &[]).unwrap();
+    fleet.wait_ready().unwrap();
+    let url = fleet.entries[0].url.clone();
+    let load: Vec<_> =
+        ["c", "d"].map(|name| start_load(&url, "POST", TAP, name, |a| a.status != 200)).into();
+    std::thread::sleep(Duration::from_millis(300));
+    fleet.controls[0].signal("-TERM").unwrap();
+    assert_eq!(fleet.controls[0].exit_within(EXIT_WITHIN), Some(0));
+    let mut ran = 0;
+    for thread in load {
+        for (key, answer) in thread.join().unwrap() {
+            let answer = answer.unwrap_or_else(|e| panic!("{key} was cut off: {e:#}"));
+            let truthful = answer.status == 200 || answer.ran.as_deref() == Some("no");
+            assert!(truthful, "{key}: {answer:?}");
+            ran += u64::from(answer.status == 200);
+        }
+    }
+    let counts = fleet.endpoints[service].counts().unwrap();
+    let total: u64 =
+        counts.as_object().unwrap().values().filter_map(serde_json::Value::as_u64).sum();
+    assert!(total >= ran, "{ran} answers, {counts}");
+}
+
+#[test]
+fn control_stops_only_once_its_disk_has_what_it_took() {
+    use assert_matches::assert_matches;
+    use dotterelpin::control::replica::LogIndex;
+    use dotterelpin::control::state::Command;
+    use dotterelpin::control::{Control, ControlSettings, DiskInput};
+    use dotterelpin::link::message::{ControlReply, ControlRequest, Envelope, Reply, Request};
+    use dotterelpin::model::{BootId, InboundId, Timestamp};
+    use dotterelpin::role::{Input, Output, Role};
+
+    let who = ControlSettings { name: "c".into(), domain: "brno-a".into(), boot: BootId(1) };
+    let mut control = Control::new(who, Vec::new());
+    let now = Timestamp::from_micros(1);
+    let propose = |inbound| {
+        let body = Request::Control(ControlRequest::Propose(Command::Noop));
+        let envelope = Envelope { revised: Default::default(), body };
+        Input::Request { inbound: InboundId(inbound), envelope }
+    };
+    control.step(now, propose(1));
+    assert!(control.step(now, Input::Shutdown).is_empty(), "it stopped with a command in flight");
+    let refused = control.step(now, propose(2));
+    assert_matches!(&refused[..], [Output::Reply { envelope, .. }]
+        if matches!(envelope.body, Reply::Control(ControlReply::NotLeader { .. })));
+    let last = control.step(now, Input::Local(DiskInput::Synced(LogIndex(1))));
+    assert_matches!(&last[..], [Output::Reply { .. }, Output::Stopped]);
+}
