--- a/examples/stand_in_engine.rs
+++ b/examples/stand_in_engine.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{self, Write};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use argh::FromArgs;
 use eyre::{WrapErr, eyre};
@@ -306,6 +306,12 @@
     let _ = request.respond(Response::from_string(body.to_string()).with_status_code(status));
 }
 
+/// Returns a number that no other start of this engine has.
+fn boot() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since.as_micros() as u64
+}
+
 fn announce(args: &Args) {
     let body = json!({
         "url": format!("http://{}", args.listen),
@@ -315,6 +321,7 @@
             "slots": args.slots, "pieces": args.pieces, "piece_tokens": args.piece_tokens,
         },
         "fenced": args.fenced,
+        "boot": boot(),
     });
     loop {
         let _ = ureq::post(format!("http://{}/announce", args.agent)).send_json(&body);
--- a/src/agent/engine/http.rs
+++ b/src/agent/engine/http.rs
@@ -11,13 +11,17 @@
 
 use super::{EngineEffect, EngineInput, Work};
 use crate::link::message::{Answer, Export};
-use crate::model::{Body, Ran, RequestId};
+use crate::model::{Body, Ran, RequestId, Timestamp};
 use crate::role::{Adapter, DriverHandle};
 
 /// How long a connection to the endpoint may take to stand.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// How long the endpoint may take to answer a cancel.
-const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long the endpoint may take to answer a cancel or to list its work.
+const CONTROL_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long work may take at all, so that no thread waits for a dead endpoint for good.
+const WORK_TIMEOUT: Duration = Duration::from_secs(600);
+/// How long an answer that nobody waits for any more is taken, so that a resend can get it.
+const ANSWER_GRACE: Duration = Duration::from_secs(60);
 /// The most bytes of a plain service's answer.
 const MAX_ANSWER_BYTES: u64 = 2 << 20;
 /// The stack of a thread that waits for the endpoint.
@@ -51,8 +55,12 @@
     pub fn new(url: Arc<Mutex<Option<Box<str>>>>, role: DriverHandle<EngineInput>) -> HttpEngine {
         let config = HttpAgent::config_builder()
             .timeout_connect(Some(CONNECT_TIMEOUT))
+            .timeout_global(Some(WORK_TIMEOUT))
             .http_status_as_error(false)
             .max_idle_connections(0)
+            // A redirect is the caller's to follow: following it here could run a call twice.
+            .max_redirects(0)
+            .max_redirects_will_error(false)
             .build();
         HttpEngine { url, role, http: config.new_agent() }
     }
@@ -76,6 +84,14 @@
         match effect {
             EngineEffect::Start { request, work } => self.spawn(move |c| c.start(request, work)),
             EngineEffect::Cancel(request) => self.spawn(move |c| c.cancel(request)),
+            EngineEffect::CancelStranger(name) => self.spawn(move |c| {
+                let _ = c.send_cancel(&name);
+            }),
+            EngineEffect::List => self.spawn(|c| {
+                if let Some(running) = c.list() {
+                    c.role.local(EngineInput::Listed { running });
+                }
+            }),
             EngineEffect::Order { inbound, fence, order } => self.spawn(move |c| {
                 let text = format!("{order:?}");
                 let body = json!({ "fence": fence.0, "order": text });
@@ -118,7 +134,7 @@
                 });
                 self.decode(request, &body)
             }
-            Work::Call { repeatable: _, body } => self.call(request, body),
+            Work::Call { deadline, body } => self.call(request, deadline, body),
         };
         if let Err((ran, error)) = done {
             let detail = format!("{error:#}").into();
@@ -162,7 +178,8 @@
         Err((Ran::Maybe, eyre!("decode stream ended without an end mark")))
     }
 
-    fn call(&self, request: RequestId, body: Body) -> Result<(), Failure> {
+    fn call(&self, request: RequestId, deadline: Timestamp, body: Body) -> Result<(), Failure> {
+        let limit = (deadline - Timestamp::from_system()) + ANSWER_GRACE;
         let call = ureq::http::Request::builder()
             .method(&*body.method)
             .uri(format!("{}{}", self.url, body.path))
@@ -171,6 +188,7 @@
             .body(body.content)
             .wrap_err("build request")
             .map_err(|e| (Ran::No, e))?;
+        let call = self.http.configure_request(call).timeout_global(Some(limit)).build();
         let mut response = self.http.run(call).map_err(failure)?;
         let media = response.headers().get("content-type").and_then(|v| v.to_str().ok());
         let media = media.unwrap_or("application/octet-stream").into();
@@ -186,17 +204,36 @@
         Ok(())
     }
 
+    /// Cancels work and looks whether it is gone; an engine says yes before that.
     fn cancel(self, request: RequestId) {
-        let body = json!({ "request": request.to_string() });
+        let name = request.to_string();
+        let sent = self.send_cancel(&name);
+        let gone = sent && self.list().is_some_and(|l| l.iter().all(|n| **n != *name));
+        self.role.local(EngineInput::Cancelled { request, gone });
+    }
+
+    fn send_cancel(&self, name: &str) -> bool {
         let sent = self
             .http
             .post(format!("{}/v1/cancel", self.url))
             .config()
-            .timeout_global(Some(CANCEL_TIMEOUT))
+            .timeout_global(Some(CONTROL_TIMEOUT))
+            .build()
+            .send_json(json!({ "request": name }));
+        sent.is_ok_and(|r| r.status().is_success())
+    }
+
+    fn list(&self) -> Option<Vec<Box<str>>> {
+        let mut response = self
+            .http
+            .get(format!("{}/v1/running", self.url))
+            .config()
+            .timeout_global(Some(CONTROL_TIMEOUT))
             .build()
-            .send_json(&body);
-        let confirmed = sent.is_ok_and(|r| r.status().is_success());
-        self.role.local(EngineInput::Cancelled { request, confirmed });
+            .call()
+            .ok()
+            .filter(|r| r.status().is_success())?;
+        response.body_mut().read_json().ok()
     }
 
     fn post(
--- a/src/agent/engine/mod.rs
+++ b/src/agent/engine/mod.rs
@@ -5,7 +5,7 @@
 pub use http::HttpEngine;
 
 use crate::link::message::{Answer, Export, Order};
-use crate::model::{Announcement, Body, Class, Fence, InboundId, Ran, RequestId};
+use crate::model::{Announcement, Body, Class, Fence, InboundId, Ran, RequestId, Timestamp};
 
 /// What the endpoint tells its agent.
 #[derive(Debug)]
@@ -58,7 +58,12 @@
         /// The attempt.
         request: RequestId,
         /// Whether the endpoint holds nothing for it any more.
-        confirmed: bool,
+        gone: bool,
+    },
+    /// What the engine runs, by its own list.
+    Listed {
+        /// The names of the attempts.
+        running: Vec<Box<str>>,
     },
     /// The answer to an order.
     Ordered {
@@ -94,8 +99,8 @@
     },
     /// Run one exchange with a plain service.
     Call {
-        /// Whether it may run more than once.
-        repeatable: bool,
+        /// When the answer is of no more use.
+        deadline: Timestamp,
         /// The HTTP request.
         body: Body,
     },
@@ -113,6 +118,10 @@
     },
     /// Cancel work.
     Cancel(RequestId),
+    /// Cancel work that is not in the ledger, by its name.
+    CancelStranger(Box<str>),
+    /// List the work that runs.
+    List,
     /// Carry out an order.
     Order {
         /// The exchange of the order.
--- /dev/null
+++ b/src/agent/events.rs
@@ -0,0 +1,111 @@
+//! What the endpoint tells its agent, and what follows for entries and the ledger.
+
+use super::engine::{EngineEffect, EngineInput};
+use super::{Agent, Outputs, RETRY_AFTER};
+use crate::link::message::{AgentReply, Answer, Settled};
+use crate::model::{Announcement, InboundId, Ran, Refusal, RefusalReason, RequestId, Timestamp};
+use crate::role::Output;
+
+impl Agent {
+    pub(super) fn engine(&mut self, now: Timestamp, input: EngineInput) -> Outputs {
+        match input {
+            EngineInput::Announced(announcement) => self.announced(now, announcement),
+            EngineInput::Exported { request, export } => {
+                self.progress(request, AgentReply::Exported(export), true)
+            }
+            EngineInput::Part { request, offset, tokens } => {
+                self.progress(request, AgentReply::Part { offset, tokens }, false)
+            }
+            EngineInput::End { request, offset, finish } => {
+                self.progress(request, AgentReply::End { offset, finish }, true)
+            }
+            EngineInput::Answered { request, answer } => self.answered(request, answer),
+            EngineInput::Failed { request, ran, detail } => self.failed(now, request, ran, detail),
+            EngineInput::Cancelled { request, gone } => {
+                self.ledger.cancelled(now, request, gone);
+                Vec::new()
+            }
+            EngineInput::Listed { running } => {
+                let strangers = self.ledger.strangers(running);
+                let cancel = |name: Box<str>| {
+                    log::info!("step=reconcile stranger={name}");
+                    Output::Effect(EngineEffect::CancelStranger(name))
+                };
+                strangers.into_iter().map(cancel).collect()
+            }
+            EngineInput::Ordered { inbound, fence, result } => match result {
+                Ok(()) => vec![self.reply(inbound, AgentReply::Ordered { fence }, true)],
+                Err(detail) => self.refuse(inbound, RefusalReason::EndpointFailed, &detail),
+            },
+        }
+    }
+
+    fn announced(&mut self, now: Timestamp, announcement: Announcement) -> Outputs {
+        let known = self.endpoint.as_ref().map(|e| e.boot);
+        let restarted = known.is_some_and(|boot| boot != announcement.boot);
+        if known != Some(announcement.boot) {
+            log::info!("step=announce url={} pool={}", announcement.url, announcement.pool);
+            self.next_list = now;
+        }
+        self.endpoint = Some(announcement);
+        if restarted && self.cancellable() {
+            return self.engine_restarted();
+        }
+        Vec::new()
+    }
+
+    /// Frees what a start of the engine held that is over.
+    fn engine_restarted(&mut self) -> Outputs {
+        let lost = self.ledger.restarted();
+        let detail = "the engine has restarted";
+        let refusal = Refusal::may_have_run(RefusalReason::EndpointFailed, RETRY_AFTER, detail);
+        let refuse = |inbound| self.reply(inbound, AgentReply::Refused(refusal.clone()), true);
+        lost.into_iter().filter_map(|(_, inbound)| inbound.map(refuse)).collect()
+    }
+
+    /// Passes on what the engine made; work that is not in the ledger is cancelled.
+    fn progress(&mut self, request: RequestId, reply: AgentReply, last: bool) -> Outputs {
+        if !self.ledger.holds(request) {
+            return if last {
+                Vec::new()
+            } else {
+                vec![Output::Effect(EngineEffect::Cancel(request))]
+            };
+        }
+        let inbound =
+            if last { self.ledger.release(request) } else { self.ledger.inbound(request) };
+        inbound.map(|inbound| self.reply(inbound, reply, last)).into_iter().collect()
+    }
+
+    fn answered(&mut self, request: RequestId, answer: Answer) -> Outputs {
+        if self.ledger.runs_once(request) {
+            self.settlements.close(request, Settled::finished(answer.clone()));
+        }
+        self.progress(request, AgentReply::Answer(answer), true)
+    }
+
+    fn failed(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        ran: Ran,
+        detail: Box<str>,
+    ) -> Outputs {
+        if self.ledger.runs_once(request) {
+            let settled = if ran == Ran::No { Settled::NotStarted } else { Settled::Unknown };
+            self.settlements.close(request, settled);
+        }
+        let goes_on = ran != Ran::No && self.cancellable() && self.ledger.holds(request);
+        let inbound =
+            if goes_on { self.ledger.broken(now, request) } else { self.ledger.release(request) };
+        let reason = RefusalReason::EndpointFailed;
+        let refusal = Refusal { reason, ran, retry: RETRY_AFTER, detail };
+        let refuse =
+            |inbound: InboundId| self.reply(inbound, AgentReply::Refused(refusal.clone()), true);
+        let mut outputs: Outputs = inbound.map(refuse).into_iter().collect();
+        if goes_on {
+            outputs.push(Output::Effect(EngineEffect::Cancel(request)));
+        }
+        outputs
+    }
+}
--- a/src/agent/ledger.rs
+++ b/src/agent/ledger.rs
@@ -1,12 +1,14 @@
 //! The ledger of engine memory: every hold belongs to an exchange of an entry.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::model::{Capacity, InboundId, RequestId, Timestamp};
 
 /// How long a cancel may go unconfirmed before it is sent again.
 const CANCEL_INTERVAL: Duration = Duration::from_millis(200);
+/// How many answers without a request prove that its work never reaches the engine.
+const MOST_ABSENCES: u32 = 2;
 
 /// What a hold is for at the moment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -20,10 +22,14 @@
     Running,
     /// Work that nobody waits for and that can't be cancelled.
     Detached,
-    /// Work that nobody waits for, until the endpoint confirms its end.
+    /// Work that nobody waits for, until the endpoint holds nothing for it.
     Cancelling {
         /// When the cancel is sent again.
         again: Timestamp,
+        /// Whether the exchange with the endpoint has ended, so that nothing can start late.
+        ended: bool,
+        /// How often the endpoint said that it does not hold it.
+        absences: u32,
     },
 }
 
@@ -45,6 +51,8 @@
     pub pieces: u32,
     /// What it is for.
     pub phase: Phase,
+    /// Whether the work may run only once, so that its end is remembered.
+    pub once: bool,
 }
 
 /// All holds at one endpoint.
@@ -88,6 +96,16 @@
         self.holds.contains_key(&request)
     }
 
+    /// Returns whether a request holds room for work that may run only once.
+    pub fn runs_once(&self, request: RequestId) -> bool {
+        self.holds.get(&request).is_some_and(|h| h.once)
+    }
+
+    /// Returns the requests that hold room, with what for.
+    pub fn phases(&self) -> impl Iterator<Item = (RequestId, Phase)> + '_ {
+        self.holds.values().map(|h| (h.request, h.phase))
+    }
+
     /// Frees the room of work that has ended; returns the exchange if somebody waits for it.
     pub fn release(&mut self, request: RequestId) -> Option<InboundId> {
         let inbound = self.inbound(request);
@@ -115,23 +133,45 @@
                 hold.phase = Phase::Detached;
                 None
             }
-            Phase::Detached => None,
-            Phase::Running | Phase::Cancelling { .. } => {
-                hold.phase = Phase::Cancelling { again: now + CANCEL_INTERVAL };
+            Phase::Detached | Phase::Cancelling { .. } => None,
+            Phase::Running => {
+                hold.phase = cancelling(now, false);
                 Some(request)
             }
         }
     }
 
-    /// Takes the endpoint's answer to a cancel.
-    pub fn cancelled(&mut self, now: Timestamp, request: RequestId, confirmed: bool) {
-        if confirmed {
+    /// Takes the end of an exchange with the engine, which may go on with the work.
+    ///
+    /// Returns the exchange of the entry that waits for the work, if one does.
+    pub fn broken(&mut self, now: Timestamp, request: RequestId) -> Option<InboundId> {
+        let inbound = self.inbound(request);
+        if let Some(hold) = self.holds.get_mut(&request) {
+            hold.phase = cancelling(now, true);
+        }
+        inbound
+    }
+
+    /// Takes the endpoint's answer to a cancel: whether it holds nothing for the request.
+    pub fn cancelled(&mut self, now: Timestamp, request: RequestId, gone: bool) {
+        let Some(hold) = self.holds.get_mut(&request) else { return };
+        let Phase::Cancelling { again, ended, absences } = &mut hold.phase else { return };
+        *again = now + CANCEL_INTERVAL;
+        *absences = if gone { *absences + 1 } else { 0 };
+        if gone && (*ended || *absences >= MOST_ABSENCES) {
             self.remove(request);
-        } else if let Some(hold) = self.holds.get_mut(&request) {
-            hold.phase = Phase::Cancelling { again: now + CANCEL_INTERVAL };
         }
     }
 
+    /// Frees everything that work held at an earlier start of the engine.
+    ///
+    /// Returns the work that was lost, with the exchange if somebody waits for it.
+    pub fn restarted(&mut self) -> Vec<(RequestId, Option<InboundId>)> {
+        let lost = |h: &&Hold| !matches!(h.phase, Phase::Reserved { .. });
+        let requests: Vec<_> = self.holds.values().filter(lost).map(|h| h.request).collect();
+        requests.into_iter().map(|r| (r, self.release(r))).collect()
+    }
+
     /// Frees reservations whose lease has lapsed.
     pub fn lapse(&mut self, now: Timestamp) -> Vec<(RequestId, InboundId)> {
         let lapsed: Vec<_> = self
@@ -150,7 +190,7 @@
     pub fn overdue_cancels(&mut self, now: Timestamp) -> Vec<RequestId> {
         let mut overdue = Vec::new();
         for hold in self.holds.values_mut() {
-            if let Phase::Cancelling { again } = &mut hold.phase
+            if let Phase::Cancelling { again, .. } = &mut hold.phase
                 && *again <= now
             {
                 *again = now + CANCEL_INTERVAL;
@@ -165,6 +205,14 @@
         self.holds.values().filter(|h| h.phase.is_awaited()).map(|h| h.inbound).collect()
     }
 
+    /// Returns what an engine runs beside the work in the ledger.
+    pub fn strangers(&self, listed: Vec<Box<str>>) -> Vec<Box<str>> {
+        let started = |h: &&Hold| !matches!(h.phase, Phase::Reserved { .. });
+        let own: BTreeSet<String> =
+            self.holds.values().filter(started).map(|h| h.request.to_string()).collect();
+        listed.into_iter().filter(|name| !own.contains(&**name)).collect()
+    }
+
     /// Returns slots and pieces in use.
     pub fn in_use(&self) -> (u32, u32) {
         (self.holds.len() as u32, self.pieces)
@@ -175,12 +223,17 @@
         self.holds.is_empty()
     }
 
+    /// Returns whether all that is left is work that nobody waits for at an engine.
+    pub fn only_cancelling(&self) -> bool {
+        self.holds.values().all(|h| matches!(h.phase, Phase::Cancelling { .. }))
+    }
+
     /// Returns when a reservation lapses or a cancel is due.
     pub fn next_wake(&self) -> Option<Timestamp> {
         let at = |h: &Hold| match h.phase {
             Phase::Reserved { until } => Some(until),
             Phase::Running | Phase::Detached => None,
-            Phase::Cancelling { again } => Some(again),
+            Phase::Cancelling { again, .. } => Some(again),
         };
         self.holds.values().filter_map(at).min()
     }
@@ -191,3 +244,7 @@
         }
     }
 }
+
+fn cancelling(now: Timestamp, ended: bool) -> Phase {
+    Phase::Cancelling { again: now + CANCEL_INTERVAL, ended, absences: 0 }
+}
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -1,26 +1,33 @@
 //! The agent role: the one way to an endpoint, and so the authority on what it holds.
 
 pub mod engine;
+mod events;
 pub mod ledger;
 pub mod settle;
+mod work;
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use engine::{EngineEffect, EngineInput, Work};
-use ledger::{Hold, Ledger, Phase};
+use engine::{EngineEffect, EngineInput};
+use ledger::Ledger;
 use settle::Settlements;
+use work::ServiceCall;
 
-use crate::link::message::{AgentReply, AgentRequest, Export, Order, Reply, Request, Settled};
+use crate::link::message::{AgentReply, AgentRequest, Order, Reply, Request};
 use crate::model::{
-    Announcement, Body, BootId, Class, EndpointKind, EndpointState, ExchangeId, Fence, InboundId,
-    Load, Ran, Refusal, RefusalReason, RequestId, Timestamp,
+    Announcement, BootId, EndpointKind, EndpointState, ExchangeId, Fence, InboundId, Load, Refusal,
+    RefusalReason, Timestamp,
 };
 use crate::registry::{Follower, FollowerSettings};
 use crate::role::{Input, Output, Role};
 
 /// How often an exchange with nothing to say is shown to stand.
 const ALIVE_INTERVAL: Duration = Duration::from_millis(250);
+/// How often the engine's own list is compared with the ledger.
+const LIST_INTERVAL: Duration = Duration::from_millis(1_000);
+/// How long a shutdown waits for the engine to confirm cancels.
+const CANCEL_LIMIT: Duration = Duration::from_millis(5_000);
 /// When a refused entry may try this endpoint again.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -45,6 +52,10 @@
     fence: Fence,
     last_exchange: u64,
     next_alive: Timestamp,
+    /// When the engine is asked next what it runs.
+    next_list: Timestamp,
+    /// When the shutdown stops to wait for cancels.
+    stop_limit: Timestamp,
 }
 
 type Outputs = Vec<Output<EngineEffect>>;
@@ -63,6 +74,8 @@
             fence: Fence(0),
             last_exchange: 0,
             next_alive: Timestamp::default(),
+            next_list: Timestamp::default(),
+            stop_limit: Timestamp::MAX,
         }
     }
 
@@ -108,13 +121,14 @@
                 self.reserve(now, inbound, request, tokens, lease)
             }
             AgentRequest::Prefill { request, class, prompt, prefix } => {
-                self.prefill(now, inbound, request, class, prompt, prefix)
+                self.prefill(inbound, request, class, prompt, prefix)
             }
             AgentRequest::Decode { export, from, until } => {
                 self.decode(inbound, export, from, until)
             }
-            AgentRequest::Call { request, boot, repeatable, body, .. } => {
-                self.call(now, inbound, request, boot, repeatable, body)
+            AgentRequest::Call { request, class: _, boot, repeatable, deadline, body } => {
+                let call = ServiceCall { request, boot, repeatable, deadline, body };
+                self.call(now, inbound, call)
             }
             AgentRequest::Settle { request, boot } => {
                 let settled = self.settle(request, boot);
@@ -124,115 +138,6 @@
         }
     }
 
-    /// Returns why new work is refused, if it is.
-    fn closed_to_work(&self) -> Option<(RefusalReason, &'static str)> {
-        if self.draining || self.stopping {
-            return Some((RefusalReason::Draining, "the endpoint is leaving"));
-        }
-        if self.endpoint.is_none() {
-            return Some((RefusalReason::NoEndpoint, "the endpoint has not announced itself"));
-        }
-        None
-    }
-
-    /// Holds room for an attempt, or says why not.
-    fn hold(
-        &mut self,
-        request: RequestId,
-        inbound: InboundId,
-        tokens: u32,
-        phase: Phase,
-    ) -> Result<(), (RefusalReason, &'static str)> {
-        if let Some(refusal) = self.closed_to_work() {
-            return Err(refusal);
-        }
-        let Some(endpoint) = &self.endpoint else {
-            return Err((RefusalReason::NoEndpoint, "the endpoint has not announced itself"));
-        };
-        let pieces = tokens.div_ceil(endpoint.capacity.piece_tokens.max(1)).max(1);
-        if !self.ledger.hold(endpoint.capacity, Hold { request, inbound, pieces, phase }) {
-            return Err((RefusalReason::Full, "the endpoint is full"));
-        }
-        Ok(())
-    }
-
-    fn reserve(
-        &mut self,
-        now: Timestamp,
-        inbound: InboundId,
-        request: RequestId,
-        tokens: u32,
-        lease: Duration,
-    ) -> Outputs {
-        match self.hold(request, inbound, tokens, Phase::Reserved { until: now + lease }) {
-            Ok(()) => vec![self.reply(inbound, AgentReply::Reserved, false)],
-            Err((reason, detail)) => self.refuse(inbound, reason, detail),
-        }
-    }
-
-    fn prefill(
-        &mut self,
-        _now: Timestamp,
-        inbound: InboundId,
-        request: RequestId,
-        class: Class,
-        prompt: Box<str>,
-        prefix: Vec<Box<str>>,
-    ) -> Outputs {
-        let tokens = crate::model::call::prompt_tokens(&prompt) + prefix.len() as u32;
-        match self.hold(request, inbound, tokens, Phase::Running) {
-            Ok(()) => {
-                let work = Work::Prefill { class, prompt, prefix };
-                vec![Output::Effect(EngineEffect::Start { request, work })]
-            }
-            Err((reason, detail)) => self.refuse(inbound, reason, detail),
-        }
-    }
-
-    fn decode(&mut self, inbound: InboundId, export: Export, from: u32, until: u32) -> Outputs {
-        match self.ledger.start(inbound) {
-            Some(request) => {
-                let work = Work::Decode { export, from, until };
-                vec![Output::Effect(EngineEffect::Start { request, work })]
-            }
-            None => self.refuse(inbound, RefusalReason::Stale, "the reservation has lapsed"),
-        }
-    }
-
-    fn call(
-        &mut self,
-        _now: Timestamp,
-        inbound: InboundId,
-        request: RequestId,
-        boot: BootId,
-        repeatable: bool,
-        body: Body,
-    ) -> Outputs {
-        if boot != self.boot() {
-            return self.refuse(inbound, RefusalReason::Stale, "the agent has restarted");
-        }
-        if self.settlements.is_closed(request) {
-            return self.refuse(inbound, RefusalReason::Stale, "the attempt was settled before");
-        }
-        match self.hold(request, inbound, 1, Phase::Running) {
-            Ok(()) => {
-                let work = Work::Call { repeatable, body };
-                vec![Output::Effect(EngineEffect::Start { request, work })]
-            }
-            Err((reason, detail)) => self.refuse(inbound, reason, detail),
-        }
-    }
-
-    fn settle(&mut self, request: RequestId, boot: BootId) -> Settled {
-        if boot != self.boot() {
-            return Settled::Unknown;
-        }
-        if self.ledger.holds(request) {
-            return Settled::Running;
-        }
-        self.settlements.settle(request)
-    }
-
     fn order(&mut self, inbound: InboundId, fence: Fence, order: Order) -> Outputs {
         if fence <= self.fence {
             return self.refuse(inbound, RefusalReason::Stale, "the fencing number is old");
@@ -248,54 +153,6 @@
         vec![self.reply(inbound, AgentReply::Ordered { fence }, true)]
     }
 
-    fn engine(&mut self, now: Timestamp, input: EngineInput) -> Outputs {
-        match input {
-            EngineInput::Announced(announcement) => {
-                log::info!("step=announce url={} pool={}", announcement.url, announcement.pool);
-                self.endpoint = Some(announcement);
-                Vec::new()
-            }
-            EngineInput::Exported { request, export } => {
-                self.finish(request, AgentReply::Exported(export))
-            }
-            EngineInput::Part { request, offset, tokens } => {
-                let Some(inbound) = self.ledger.inbound(request) else { return Vec::new() };
-                vec![self.reply(inbound, AgentReply::Part { offset, tokens }, false)]
-            }
-            EngineInput::End { request, offset, finish } => {
-                self.finish(request, AgentReply::End { offset, finish })
-            }
-            EngineInput::Answered { request, answer } => {
-                self.settlements.close(request, Settled::Finished(answer.clone()));
-                self.finish(request, AgentReply::Answer(answer))
-            }
-            EngineInput::Failed { request, ran, detail } => self.failed(request, ran, detail),
-            EngineInput::Cancelled { request, confirmed } => {
-                self.ledger.cancelled(now, request, confirmed);
-                Vec::new()
-            }
-            EngineInput::Ordered { inbound, fence, result } => match result {
-                Ok(()) => vec![self.reply(inbound, AgentReply::Ordered { fence }, true)],
-                Err(detail) => self.refuse(inbound, RefusalReason::EndpointFailed, &detail),
-            },
-        }
-    }
-
-    fn finish(&mut self, request: RequestId, reply: AgentReply) -> Outputs {
-        match self.ledger.release(request) {
-            Some(inbound) => vec![self.reply(inbound, reply, true)],
-            None => Vec::new(),
-        }
-    }
-
-    fn failed(&mut self, request: RequestId, ran: Ran, detail: Box<str>) -> Outputs {
-        let settled = if ran == Ran::No { Settled::NotStarted } else { Settled::Unknown };
-        self.settlements.close(request, settled);
-        let reason = RefusalReason::EndpointFailed;
-        let refusal = Refusal { reason, ran, retry: RETRY_AFTER, detail };
-        self.finish(request, AgentReply::Refused(refusal))
-    }
-
     fn wake(&mut self, now: Timestamp) -> Outputs {
         let mut outputs = self.heartbeats(now);
         for (request, inbound) in self.ledger.lapse(now) {
@@ -304,6 +161,10 @@
         }
         let overdue = self.ledger.overdue_cancels(now);
         outputs.extend(overdue.into_iter().map(|r| Output::Effect(EngineEffect::Cancel(r))));
+        if self.cancellable() && now >= self.next_list {
+            self.next_list = now + LIST_INTERVAL;
+            outputs.push(Output::Effect(EngineEffect::List));
+        }
         if now >= self.next_alive {
             self.next_alive = now + ALIVE_INTERVAL;
             let alive = self.ledger.running().into_iter();
@@ -325,8 +186,10 @@
         self.endpoint.as_ref().is_some_and(|e| e.kind != EndpointKind::Service)
     }
 
-    fn stopped(&self) -> bool {
-        self.stopping && self.ledger.is_empty()
+    /// Returns whether nothing is left that an entry waits for, or may ask for later.
+    fn stopped(&self, now: Timestamp) -> bool {
+        let given_up = now >= self.stop_limit && self.ledger.only_cancelling();
+        self.stopping && (self.ledger.is_empty() || given_up)
     }
 }
 
@@ -359,10 +222,11 @@
             Input::Wake => self.wake(now),
             Input::Shutdown => {
                 self.stopping = true;
+                self.stop_limit = self.stop_limit.min(now + CANCEL_LIMIT);
                 self.heartbeats(now)
             }
         };
-        if self.stopped() {
+        if self.stopped(now) {
             outputs.push(Output::Stopped);
         }
         outputs
@@ -370,6 +234,10 @@
 
     fn next_wake(&self) -> Option<Timestamp> {
         let alive = (!self.ledger.is_empty()).then_some(self.next_alive);
-        [alive, self.follower.next_wake(), self.ledger.next_wake()].into_iter().flatten().min()
+        let list = self.cancellable().then_some(self.next_list);
+        [alive, list, self.follower.next_wake(), self.ledger.next_wake()]
+            .into_iter()
+            .flatten()
+            .min()
     }
 }
--- a/src/control/config/setting.rs
+++ b/src/control/config/setting.rs
@@ -19,6 +19,8 @@
     TenantCalls,
     /// Whether an entry without confirmation serves on (1) or refuses (0).
     ServeUnconfirmed,
+    /// How long a key is kept after it was claimed, in milliseconds.
+    ClaimRetention,
 }
 
 /// A setting's name, built-in value and bounds.
@@ -30,7 +32,7 @@
     most: u64,
 }
 
-const ROWS: [Row; 7] = [
+const ROWS: [Row; 8] = [
     row(Setting::CallDeadline, "call.deadline_ms", 60_000, 1, 86_400_000),
     row(Setting::FirstTokenTarget, "call.first_token_ms", 510, 1, 86_400_000),
     row(Setting::TokenTarget, "call.token_ms", 26, 1, 60_000),
@@ -38,6 +40,7 @@
     row(Setting::RetryPercent, "retry.percent", 10, 0, 100),
     row(Setting::TenantCalls, "limit.tenant_calls", 10_000, 1, 1_000_000),
     row(Setting::ServeUnconfirmed, "config.serve_unconfirmed", 0, 0, 1),
+    row(Setting::ClaimRetention, "claim.retention_ms", 86_400_000, 60_000, 604_800_000),
 ];
 
 const fn row(setting: Setting, name: &'static str, built_in: u64, least: u64, most: u64) -> Row {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -89,7 +89,11 @@
                 let beat = self.heartbeat(now, heartbeat);
                 vec![self.reply(inbound, ControlReply::Beat(beat))]
             }
-            ControlRequest::Propose(command) => self.propose(inbound, command),
+            ControlRequest::Propose(command) => self.propose(inbound, command.stamped(now)),
+            ControlRequest::Owner(boot) => {
+                let alive = self.registry.is_alive(now, boot);
+                vec![self.reply(inbound, ControlReply::Owner { alive })]
+            }
             ControlRequest::Status => {
                 let status = Box::new(self.status(now));
                 vec![self.reply(inbound, ControlReply::Status(status))]
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,12 +1,13 @@
 //! The replicated state: what the commands of the log add up to.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use super::claims::{Claim, ClaimKey, ClaimReply, Claims, Outcome};
-use super::config::{Change, Config};
-use crate::model::{RequestId, Revision};
+use super::config::{Change, Config, Setting};
+use crate::model::{RequestId, Revision, Timestamp};
 
 /// A command in the log.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -49,6 +50,16 @@
     },
 }
 
+impl Command {
+    /// Returns the command with the time at which the leader takes it, for those that keep one.
+    pub fn stamped(mut self, now: Timestamp) -> Command {
+        if let Command::Claim { claim, .. } | Command::TakeOver { claim, .. } = &mut self {
+            claim.made = now;
+        }
+        self
+    }
+}
+
 /// What a command came to.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Applied {
@@ -93,8 +104,12 @@
         match command {
             Command::Noop => Applied::Done,
             Command::Change(change) => Applied::Changed(self.change(change)),
-            Command::Claim { key, claim } => Applied::Claim(self.claims.claim(key, claim)),
+            Command::Claim { key, claim } => {
+                self.claims.expire(claim.made, self.retention());
+                Applied::Claim(self.claims.claim(key, claim))
+            }
             Command::TakeOver { key, from, claim } => {
+                self.claims.expire(claim.made, self.retention());
                 Applied::Claim(self.claims.take_over(key, *from, claim))
             }
             Command::Finish { key, request, outcome } => {
@@ -104,6 +119,10 @@
         }
     }
 
+    fn retention(&self) -> Duration {
+        Duration::from_millis(self.config.default_value(Setting::ClaimRetention))
+    }
+
     fn change(&mut self, change: &Change) -> ChangeReply {
         if let Some((revision, _)) = self.history.iter().find(|(_, c)| c.id == change.id) {
             return ChangeReply::Accepted(*revision);
--- a/src/entry/claim.rs
+++ b/src/entry/claim.rs
@@ -1,11 +1,11 @@
-//! The filter `claim`: keyed calls that may not be repeated claim their key before they run.
+//! The filter `claim`: keyed calls claim their key before they run.
 
 use std::net::SocketAddr;
 
 use sha2::{Digest, Sha256};
 
-use crate::control::claims::{Claim, ClaimKey};
-use crate::model::{Body, Call, EndpointState, RequestId, Timestamp};
+use crate::control::claims::{Claim, ClaimKey, Target};
+use crate::model::{Call, CallKind, EndpointState, RequestId, Timestamp};
 
 /// Knows which control member to propose to.
 #[derive(Debug)]
@@ -26,39 +26,62 @@
         self.leader.or_else(|| self.members.get(self.turn).copied())
     }
 
-    /// Takes what a member that doesn't lead, or doesn't answer, says of the leader.
-    pub fn miss(&mut self, leader: Option<SocketAddr>) {
-        self.leader = leader;
-        if leader.is_none() && !self.members.is_empty() {
-            self.turn = (self.turn + 1) % self.members.len();
+    /// Takes what a member that doesn't lead says of the leader.
+    pub fn redirect(&mut self, from: SocketAddr, leader: Option<SocketAddr>) {
+        self.miss(from);
+        if leader.is_some() {
+            self.leader = leader;
         }
     }
+
+    /// Takes note that a member does not answer; a newer choice of member stands.
+    pub fn miss(&mut self, from: SocketAddr) {
+        if self.target() != Some(from) {
+            return;
+        }
+        self.leader = None;
+        self.turn = (self.turn + 1) % self.members.len().max(1);
+    }
+}
+
+/// Returns the key that a call must claim before it runs.
+///
+/// Calls to models claim their key, too, so that none is answered twice; a look-up at a plain
+/// service needs no claim.
+pub fn claim_key(call: &Call) -> Option<ClaimKey> {
+    let needed = !call.repeatable || matches!(call.kind, CallKind::Model { .. });
+    let key = call.key.clone().filter(|_| needed)?;
+    Some(ClaimKey { tenant: call.tenant.clone(), key })
 }
 
-/// Returns the claim that a call needs before it runs.
+/// Returns the claim of an attempt.
 pub fn claim_for(
     now: Timestamp,
     call: &Call,
-    body: &Body,
     request: RequestId,
-    endpoint: &EndpointState,
-) -> Option<(ClaimKey, Claim)> {
-    let key = call.key.clone().filter(|_| !call.repeatable)?;
-    let claim = Claim {
-        request,
-        hash: body_hash(&call.pool, body),
-        endpoint: endpoint.name.clone(),
-        boot: endpoint.boot,
-        made: now,
-    };
-    Some((ClaimKey { tenant: call.tenant.clone(), key }, claim))
+    endpoint: Option<&EndpointState>,
+) -> Claim {
+    let target = endpoint.map(|e| Target { endpoint: e.name.clone(), boot: e.boot });
+    Claim { request, hash: content_hash(call), target, until: call.deadline, made: now }
 }
 
-fn body_hash(pool: &str, body: &Body) -> u64 {
+fn content_hash(call: &Call) -> u64 {
     let mut hasher = Sha256::new();
-    for part in [pool.as_bytes(), body.method.as_bytes(), body.path.as_bytes(), &body.content] {
+    let mut add = |part: &[u8]| {
         hasher.update((part.len() as u64).to_le_bytes());
         hasher.update(part);
+    };
+    add(call.pool.as_bytes());
+    match &call.kind {
+        CallKind::Model { prompt, max_tokens, .. } => {
+            add(prompt.as_bytes());
+            add(&max_tokens.to_le_bytes());
+        }
+        CallKind::Service(body) => {
+            add(body.method.as_bytes());
+            add(body.path.as_bytes());
+            add(&body.content);
+        }
     }
     let digest = hasher.finalize();
     u64::from_le_bytes(digest.first_chunk::<8>().copied().unwrap_or_default())
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -9,7 +9,7 @@
 pub mod place;
 mod run;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use check::{RawCall, Tenants};
@@ -129,16 +129,29 @@
         Output::Reset { exchange }
     }
 
+    /// Drops an exchange that its peer has ended.
+    pub(crate) fn forget(&mut self, exchange: ExchangeId) {
+        self.owners.remove(&exchange);
+    }
+
     pub(crate) fn boot(&self) -> BootId {
         self.boot
     }
 }
 
+/// A run and when it wants to wake.
+struct Scheduled {
+    run: Run,
+    timer: Timestamp,
+}
+
 /// The entry role.
 pub struct Entry {
     shared: Shared,
     tenants: Tenants,
-    runs: BTreeMap<CallId, Run>,
+    runs: BTreeMap<CallId, Scheduled>,
+    /// When each run wants to wake.
+    timers: BTreeSet<(Timestamp, CallId)>,
     stopping: bool,
 }
 
@@ -158,14 +171,19 @@
             last_exchange: 0,
             owners: BTreeMap::new(),
         };
-        Entry { shared, tenants, runs: BTreeMap::new(), stopping: false }
+        Entry { shared, tenants, runs: BTreeMap::new(), timers: BTreeSet::new(), stopping: false }
     }
 
     fn arrived(&mut self, now: Timestamp, call: CallId, raw: RawCall) -> Outputs {
         match self.admit(now, raw) {
             Ok(checked) => {
                 let (run, outputs) = Run::start(&mut self.shared, now, call, checked);
-                self.keep(call, run, outputs)
+                if !run.is_done() {
+                    let timer = run.next_wake();
+                    self.timers.insert((timer, call));
+                    self.runs.insert(call, Scheduled { run, timer });
+                }
+                outputs
             }
             Err(refusal) => {
                 log::info!("step=refuse call={call} {refusal}");
@@ -187,29 +205,30 @@
             return Err(Refusal::not_run(RefusalReason::NoConfig, RETRY_AFTER, detail));
         }
         let call = check::check(now, raw, config, &self.tenants)?;
-        admit::admit(now, &call, config, self.runs.values().map(Run::call))?;
+        admit::admit(now, &call, config, self.runs.values().filter_map(|s| s.run.waiting_call()))?;
         Ok(call)
     }
 
-    /// Keeps a run that has not ended.
-    fn keep(&mut self, call: CallId, run: Run, mut outputs: Outputs) -> Outputs {
-        if run.is_done() {
-            outputs.extend(run.close(&mut self.shared));
-        } else {
-            self.runs.insert(call, run);
-        }
-        outputs
-    }
-
     /// Passes an event to the run that it belongs to.
     fn with_run(
         &mut self,
         call: CallId,
         event: impl FnOnce(&mut Run, &mut Shared) -> Outputs,
     ) -> Outputs {
-        let Some(mut run) = self.runs.remove(&call) else { return Vec::new() };
-        let outputs = event(&mut run, &mut self.shared);
-        self.keep(call, run, outputs)
+        let Some(scheduled) = self.runs.get_mut(&call) else { return Vec::new() };
+        let outputs = event(&mut scheduled.run, &mut self.shared);
+        let timer = scheduled.run.next_wake();
+        let done = scheduled.run.is_done();
+        if done || timer != scheduled.timer {
+            self.timers.remove(&(scheduled.timer, call));
+            scheduled.timer = timer;
+            self.timers.insert((timer, call));
+        }
+        if done {
+            self.timers.remove(&(timer, call));
+            self.runs.remove(&call);
+        }
+        outputs
     }
 
     fn heartbeats(&mut self, now: Timestamp) -> Outputs {
@@ -223,7 +242,7 @@
     fn wake(&mut self, now: Timestamp) -> Outputs {
         let mut outputs = self.heartbeats(now);
         let due: Vec<CallId> =
-            self.runs.iter().filter(|(_, r)| r.next_wake() <= now).map(|(call, _)| *call).collect();
+            self.timers.iter().take_while(|(at, _)| *at <= now).map(|(_, call)| *call).collect();
         for call in due {
             outputs.extend(self.with_run(call, |run, shared| run.wake(shared, now)));
         }
@@ -239,7 +258,7 @@
         let mut outputs = match input {
             Input::Local(CallerInput::Arrived { call, raw }) => self.arrived(now, call, raw),
             Input::Local(CallerInput::Gone { call }) => {
-                self.with_run(call, |run, shared| run.gone(shared))
+                self.with_run(call, |run, shared| run.gone(shared, now))
             }
             Input::Reply { exchange, envelope } => {
                 self.shared.follower.observe(now, envelope.revised);
@@ -276,7 +295,7 @@
     }
 
     fn next_wake(&self) -> Option<Timestamp> {
-        let runs = self.runs.values().map(Run::next_wake).min();
+        let runs = self.timers.first().map(|(at, _)| *at);
         [runs, self.shared.follower.next_wake()].into_iter().flatten().min()
     }
 }
--- /dev/null
+++ b/src/entry/run/attempts.rs
@@ -0,0 +1,93 @@
+//! The attempt ledger of one call: it alone decides which terminal outcome may be told.
+
+use std::time::Duration;
+
+use super::super::{CallerEffect, Terminal};
+use crate::link::message::Answer;
+use crate::model::{CallId, Ran, Refusal, RefusalReason};
+use crate::role::Output;
+
+/// What is known of the attempts of one call.
+#[derive(Debug)]
+pub(crate) struct Attempts {
+    last: u32,
+    in_flight: bool,
+    ran: Ran,
+}
+
+impl Attempts {
+    pub(crate) fn new() -> Attempts {
+        Attempts { last: 0, in_flight: false, ran: Ran::No }
+    }
+
+    /// Numbers a new attempt, of which nothing has been sent.
+    pub(crate) fn prepare(&mut self) -> u32 {
+        self.last += 1;
+        self.last
+    }
+
+    /// Returns the number of the latest attempt.
+    pub(crate) fn last(&self) -> u32 {
+        self.last
+    }
+
+    /// Notes that the attempt is sent, so that it may run from now on.
+    pub(crate) fn dispatched(&mut self) {
+        self.in_flight = true;
+    }
+
+    /// Notes the end of the attempt, which never starts after this.
+    pub(crate) fn ended(&mut self, ran: Ran) {
+        self.in_flight = false;
+        self.ran = self.ran.max(ran);
+    }
+
+    /// Notes what attempts of other calls with the same key came to.
+    pub(crate) fn others(&mut self, ran: Ran) {
+        self.ran = self.ran.max(ran);
+    }
+
+    /// Returns whether the request ran; an attempt in flight may run.
+    pub(crate) fn ran(&self) -> Ran {
+        if self.in_flight { self.ran.max(Ran::Maybe) } else { self.ran }
+    }
+}
+
+/// The right to tell one caller its one terminal outcome.
+#[derive(Debug)]
+pub(crate) struct Teller {
+    call: CallId,
+}
+
+impl Teller {
+    pub(crate) fn new(call: CallId) -> Teller {
+        Teller { call }
+    }
+
+    /// Tells a plain service's answer.
+    pub(crate) fn answered(self, answer: Answer) -> Output<CallerEffect> {
+        self.tell(Terminal::Answered(answer))
+    }
+
+    /// Tells that all tokens were passed on.
+    pub(crate) fn generated(self, tokens: u32, finish: Box<str>) -> Output<CallerEffect> {
+        self.tell(Terminal::Generated { tokens, finish })
+    }
+
+    /// Tells a refusal, with what the ledger knows about whether the request ran.
+    pub(crate) fn refused(
+        self,
+        attempts: &Attempts,
+        reason: RefusalReason,
+        retry: Duration,
+        detail: &str,
+    ) -> Output<CallerEffect> {
+        let refusal = Refusal { reason, ran: attempts.ran(), retry, detail: detail.into() };
+        log::info!("step=refuse call={} {refusal}", self.call);
+        self.tell(Terminal::Refused(refusal))
+    }
+
+    fn tell(self, outcome: Terminal) -> Output<CallerEffect> {
+        Output::Effect(CallerEffect::Finish { call: self.call, outcome })
+    }
+}
--- /dev/null
+++ b/src/entry/run/claiming.rs
@@ -0,0 +1,257 @@
+//! The claim of a call's key, and what to do if the key is held.
+
+use std::time::Duration;
+
+use super::super::claim::{claim_for, claim_key};
+use super::super::{CallerEffect, Outputs, Shared};
+use super::proposal::Proposal;
+use super::{Owned, Run, Stage};
+use crate::control::claims::{Claim, ClaimKey, ClaimRecord, ClaimReply, Outcome};
+use crate::control::state::{Applied, Command};
+use crate::link::message::{ControlReply, ControlRequest};
+use crate::model::{ExchangeId, Ran, RefusalReason, RequestId, Timestamp};
+use crate::role::Output;
+
+/// How long a claim may take before the call is refused.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// How long a claim is left to its owner before its agent is asked about it.
+const OWNER_GRACE: Duration = Duration::from_millis(1_000);
+
+/// A claim that is not committed yet.
+#[derive(Debug)]
+pub(super) struct Claiming {
+    proposal: Proposal,
+    since: Timestamp,
+    key: ClaimKey,
+    claim: Claim,
+    /// The attempt that the claim is taken from.
+    from: Option<RequestId>,
+}
+
+impl Claiming {
+    pub(super) fn next_wake(&self) -> Timestamp {
+        self.proposal.next_wake().min(self.since + CLAIM_TIMEOUT)
+    }
+
+    pub(super) fn closed(&mut self, shared: &mut Shared, now: Timestamp, exchange: ExchangeId) {
+        if self.proposal.is(exchange) {
+            self.proposal.closed(shared, now);
+        }
+    }
+
+    pub(super) fn cancel(&mut self, shared: &mut Shared) -> Outputs {
+        self.proposal.cancel(shared)
+    }
+}
+
+/// A question to control about the owner of a claim.
+#[derive(Debug)]
+pub(super) struct Asking {
+    proposal: Proposal,
+    record: ClaimRecord,
+}
+
+impl Asking {
+    pub(super) fn next_wake(&self) -> Timestamp {
+        self.proposal.next_wake().min(self.proposal.since + CLAIM_TIMEOUT)
+    }
+
+    pub(super) fn closed(&mut self, shared: &mut Shared, now: Timestamp, exchange: ExchangeId) {
+        if self.proposal.is(exchange) {
+            self.proposal.closed(shared, now);
+        }
+    }
+
+    pub(super) fn cancel(&mut self, shared: &mut Shared) -> Outputs {
+        self.proposal.cancel(shared)
+    }
+}
+
+impl Run {
+    /// Claims the key for the attempt, or takes it over from an attempt that never starts.
+    pub(super) fn propose_claim(
+        &mut self,
+        shared: &mut Shared,
+        now: Timestamp,
+        key: ClaimKey,
+        from: Option<RequestId>,
+    ) -> Outputs {
+        let request = self.request_id(shared);
+        let claim = claim_for(now, &self.call, request, self.endpoint.as_ref());
+        let command = match from {
+            Some(from) => Command::TakeOver { key: key.clone(), from, claim: claim.clone() },
+            None => Command::Claim { key: key.clone(), claim: claim.clone() },
+        };
+        let propose = ControlRequest::Propose(command);
+        let (proposal, outputs) = Proposal::start(shared, now, self.id, propose);
+        self.stage = Stage::Claiming(Claiming { proposal, since: now, key, claim, from });
+        outputs
+    }
+
+    pub(super) fn wake_claiming(&mut self, shared: &mut Shared, now: Timestamp) -> Outputs {
+        let Stage::Claiming(claiming) = &mut self.stage else { return Vec::new() };
+        if now < claiming.since + CLAIM_TIMEOUT {
+            return claiming.proposal.wake(shared, now);
+        }
+        let detail = "control did not commit the claim in time";
+        self.refuse(shared, now, RefusalReason::NoQuorum, detail)
+    }
+
+    pub(super) fn wake_asking(&mut self, shared: &mut Shared, now: Timestamp) -> Outputs {
+        let Stage::Asking(asking) = &mut self.stage else { return Vec::new() };
+        if now < asking.proposal.since + CLAIM_TIMEOUT {
+            return asking.proposal.wake(shared, now);
+        }
+        self.in_progress(shared, now)
+    }
+
+    /// Frees whatever the claim was committed as; its attempt is never sent.
+    pub(super) fn give_up_claim(&mut self, shared: &mut Shared, now: Timestamp) -> Outputs {
+        let mut outputs = self.reset_exchanges(shared);
+        let Stage::Claiming(claiming) = std::mem::replace(&mut self.stage, Stage::Done) else {
+            return outputs;
+        };
+        let attempts = claiming.from.into_iter().chain([claiming.claim.request]);
+        let release = |request| Command::Release { key: claiming.key.clone(), request };
+        outputs.extend(self.record(shared, now, attempts.map(release).collect()));
+        outputs
+    }
+
+    pub(super) fn control_reply(
+        &mut self,
+        shared: &mut Shared,
+        now: Timestamp,
+        exchange: ExchangeId,
+        reply: ControlReply,
+    ) -> Outputs {
+        match &mut self.stage {
+            Stage::Claiming(claiming) if claiming.proposal.is(exchange) => match reply {
+                ControlReply::NotLeader { leader } => {
+                    claiming.proposal.redirect(shared, now, leader);
+                    Vec::new()
+                }
+                ControlReply::Applied(Applied::Claim(reply)) => {
+                    self.claim_reply(shared, now, reply)
+                }
+                _ => {
+                    let detail = "control did not take the claim";
+                    self.refuse(shared, now, RefusalReason::NoQuorum, detail)
+                }
+            },
+            Stage::Asking(asking) if asking.proposal.is(exchange) => match reply {
+                ControlReply::NotLeader { leader } => {
+                    asking.proposal.redirect(shared, now, leader);
+                    Vec::new()
+                }
+                ControlReply::Owner { alive: false } => {
+                    let record = asking.record.clone();
+                    self.take_over(shared, now, &record)
+                }
+                _ => self.in_progress(shared, now),
+            },
+            Stage::Recording(_) => self.recorded(shared, now, exchange, reply),
+            _ => Vec::new(),
+        }
+    }
+
+    fn claim_reply(&mut self, shared: &mut Shared, now: Timestamp, reply: ClaimReply) -> Outputs {
+        let Stage::Claiming(claiming) = std::mem::replace(&mut self.stage, Stage::Done) else {
+            return Vec::new();
+        };
+        match reply {
+            ClaimReply::Granted => {
+                self.claim = Some(Owned { key: claiming.key, request: claiming.claim.request });
+                self.heard = now;
+                match claiming.claim.target {
+                    Some(_) => self.dispatch(shared, now),
+                    None => self.reserve(shared, now),
+                }
+            }
+            ClaimReply::Held(record) if record.claim.hash != claiming.claim.hash => {
+                let detail = "the key was used with another request";
+                self.refuse(shared, now, RefusalReason::KeyReused, detail)
+            }
+            ClaimReply::Held(record) => self.held(shared, now, record),
+            // The attempt that held the key has released it.
+            ClaimReply::Lost | ClaimReply::Closed => {
+                self.propose_claim(shared, now, claiming.key, None)
+            }
+        }
+    }
+
+    fn held(&mut self, shared: &mut Shared, now: Timestamp, record: ClaimRecord) -> Outputs {
+        match record.outcome {
+            Some(outcome) => self.repeat_outcome(shared, now, outcome),
+            None => self.open_claim(shared, now, record),
+        }
+    }
+
+    /// Tells what an earlier attempt came to.
+    fn repeat_outcome(&mut self, shared: &mut Shared, now: Timestamp, outcome: Outcome) -> Outputs {
+        self.attempts.others(if outcome == Outcome::Unknown { Ran::Maybe } else { Ran::Yes });
+        match outcome {
+            Outcome::Finished(answer) => {
+                self.teller.take().map(|t| t.answered(answer)).into_iter().collect()
+            }
+            Outcome::Generated { text: Some(text), tokens, finish } => {
+                let Some(teller) = self.teller.take() else { return Vec::new() };
+                let call = self.id;
+                vec![
+                    Output::Effect(CallerEffect::Begin { call }),
+                    Output::Effect(CallerEffect::Tokens { call, tokens: vec![text] }),
+                    teller.generated(tokens, finish),
+                ]
+            }
+            Outcome::FinishedLarge { .. } | Outcome::Generated { text: None, .. } => {
+                let detail = "the request was answered; the answer was too large to keep";
+                self.refuse(shared, now, RefusalReason::Answered, detail)
+            }
+            Outcome::Unknown => {
+                let detail = "an earlier attempt may have run";
+                self.refuse(shared, now, RefusalReason::EndpointFailed, detail)
+            }
+        }
+    }
+
+    /// Meets the claim of an attempt that has not ended.
+    fn open_claim(&mut self, shared: &mut Shared, now: Timestamp, record: ClaimRecord) -> Outputs {
+        let claim = &record.claim;
+        match claim.target.clone() {
+            _ if claim.made <= now && now - claim.made < OWNER_GRACE => {
+                self.in_progress(shared, now)
+            }
+            Some(target) => {
+                let request = claim.request;
+                self.settle(shared, now, request, target, Some(record))
+            }
+            None if now >= claim.until => self.take_over(shared, now, &record),
+            None => {
+                let ask = ControlRequest::Owner(claim.request.owner);
+                let (proposal, outputs) = Proposal::start(shared, now, self.id, ask);
+                self.stage = Stage::Asking(Asking { proposal, record });
+                outputs
+            }
+        }
+    }
+
+    pub(super) fn in_progress(&mut self, shared: &mut Shared, now: Timestamp) -> Outputs {
+        self.attempts.others(Ran::Maybe);
+        let detail = "an earlier attempt is in progress";
+        self.refuse(shared, now, RefusalReason::InProgress, detail)
+    }
+
+    /// Takes the key over from an attempt that never starts or has no owner any more.
+    pub(super) fn take_over(
+        &mut self,
+        shared: &mut Shared,
+        now: Timestamp,
+        record: &ClaimRecord,
+    ) -> Outputs {
+        let Some(key) = claim_key(&self.call) else { return Vec::new() };
+        let from = Some(record.claim.request);
+        if record.claim.target.is_none() {
+            return self.propose_claim(shared, now, key, from);
+        }
+        self.claim_service(shared, now, from)
+    }
+}
--- a/src/entry/run/mod.rs
+++ b/src/entry/run/mod.rs
@@ -1,27 +1,39 @@
 //! The filter `run`: one call's attempts, up to its one terminal outcome.
 
+mod attempts;
+mod claiming;
 mod model;
+mod proposal;
+mod recording;
 mod service;
+mod settling;
 
 use std::time::Duration;
 
+use attempts::{Attempts, Teller};
+use claiming::{Asking, Claiming};
+use recording::Recording;
+use settling::Settling;
+
+use super::claim::claim_key;
 use super::place::Need;
-use super::{CallerEffect, Outputs, Shared, Terminal};
-use crate::control::claims::{Claim, ClaimKey};
+use super::{Outputs, Shared};
+use crate::control::claims::ClaimKey;
 use crate::link::message::{AgentReply, Reply};
-use crate::model::call::prompt_tokens;
 use crate::model::{
-    Call, CallId, CallKind, EndpointKind, EndpointState, ExchangeId, Ran, Refusal, RefusalReason,
-    RequestId, Timestamp,
+    Call, CallId, CallKind, EndpointKind, EndpointState, ExchangeId, Ran, RefusalReason, RequestId,
+    Timestamp,
 };
 use crate::role::{LinkFailure, Output};
 
 /// How long decode room is held for a prefill.
 const RESERVE_LEASE: Duration = Duration::from_millis(5_000);
-/// How long a claim may take before the call is refused.
-const CLAIM_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// How long an exchange may be silent before it counts as lost.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How long a transfer may take before its first token; a fraction of what an export lives.
+const TRANSFER_TIMEOUT: Duration = Duration::from_millis(600);
+/// How long a stream may go without a token.
+const TOKEN_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// When a refused caller may come back.
 const RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
@@ -29,7 +41,11 @@
 #[derive(Debug)]
 enum Stage {
     /// Waits for its claim to be committed.
-    Claiming { exchange: ExchangeId, since: Timestamp, key: ClaimKey, claim: Claim },
+    Claiming(Claiming),
+    /// Asks control whether the owner of a claim is alive.
+    Asking(Asking),
+    /// Asks an agent what became of an attempt.
+    Settling(Settling),
     /// Waits for the answer of a plain service.
     Serving { exchange: ExchangeId },
     /// Waits for decode room.
@@ -38,26 +54,44 @@
     Prefilling { decode: ExchangeId, prefill: ExchangeId },
     /// Takes tokens.
     Decoding { decode: ExchangeId },
-    /// The terminal outcome was told.
+    /// Waits for the outcome of its claim to be committed.
+    Recording(Recording),
+    /// Nothing is left to do.
     Done,
 }
 
+/// A claim that belongs to this call.
+#[derive(Debug)]
+struct Owned {
+    key: ClaimKey,
+    request: RequestId,
+}
+
 /// One call from admission to its terminal outcome.
 #[derive(Debug)]
 pub(crate) struct Run {
     id: CallId,
     call: Call,
     stage: Stage,
-    attempt: u32,
-    tried: Vec<Box<str>>,
+    attempts: Attempts,
+    /// The right to tell the outcome, until it is told or the caller is gone.
+    teller: Option<Teller>,
+    /// Endpoints that failed this call.
+    failed: Vec<Box<str>>,
+    /// The service, or the decode endpoint.
     endpoint: Option<EndpointState>,
-    claimed: Option<(ClaimKey, RequestId)>,
-    /// What is known of all attempts together.
-    ran: Ran,
+    /// The prefill endpoint.
+    source: Option<EndpointState>,
+    claim: Option<Owned>,
     /// Tokens told so far.
     told: Vec<Box<str>>,
     begun: bool,
+    /// When the exchange that is waited for was heard of.
     heard: Timestamp,
+    /// When the work last went on.
+    progress: Timestamp,
+    /// Whether decoding waits for its first token.
+    transferring: bool,
 }
 
 impl Run {
@@ -72,56 +106,65 @@
             id,
             call,
             stage: Stage::Done,
-            attempt: 0,
-            tried: Vec::new(),
+            attempts: Attempts::new(),
+            teller: Some(Teller::new(id)),
+            failed: Vec::new(),
             endpoint: None,
-            claimed: None,
-            ran: Ran::No,
+            source: None,
+            claim: None,
             told: Vec::new(),
             begun: false,
             heard: now,
+            progress: now,
+            transferring: false,
         };
         let outputs = run.next_attempt(shared, now);
         (run, outputs)
     }
 
-    /// Returns the call.
-    pub(crate) fn call(&self) -> &Call {
-        &self.call
+    /// Returns the call while its caller waits.
+    pub(crate) fn waiting_call(&self) -> Option<&Call> {
+        self.teller.as_ref().map(|_| &self.call)
     }
 
-    /// Returns whether the terminal outcome was told.
+    /// Returns whether nothing is left to do.
     pub(crate) fn is_done(&self) -> bool {
         matches!(self.stage, Stage::Done)
     }
 
     /// Returns when the run must act if nothing is heard.
     pub(crate) fn next_wake(&self) -> Timestamp {
-        let silence = match &self.stage {
-            Stage::Claiming { since, .. } => *since + CLAIM_TIMEOUT,
-            Stage::Done => Timestamp::MAX,
-            _ => self.heard + SILENCE_TIMEOUT,
+        let silence = self.heard + SILENCE_TIMEOUT;
+        let due = match &self.stage {
+            Stage::Done => return Timestamp::MAX,
+            Stage::Recording(recording) => return recording.next_wake(),
+            Stage::Claiming(claiming) => claiming.next_wake(),
+            Stage::Asking(asking) => asking.next_wake(),
+            Stage::Settling(settling) => settling.next_wake(),
+            Stage::Decoding { .. } => silence.min(self.progress + self.progress_timeout()),
+            Stage::Serving { .. } | Stage::Reserving { .. } | Stage::Prefilling { .. } => silence,
         };
-        silence.min(self.call.deadline)
+        due.min(self.call.deadline)
     }
 
     fn request_id(&self, shared: &Shared) -> RequestId {
-        RequestId { owner: shared.boot(), call: self.id, attempt: self.attempt }
+        RequestId { owner: shared.boot(), call: self.id, attempt: self.attempts.last() }
     }
 
     fn next_attempt(&mut self, shared: &mut Shared, now: Timestamp) -> Outputs {
-        self.attempt += 1;
+        self.attempts.prepare();
         self.heard = now;
-        match self.call.kind.clone() {
-            CallKind::Service(body) => self.attempt_service(shared, now, body),
-            CallKind::Model { prompt, max_tokens, .. } => {
-                self.reserve(shared, prompt_tokens(&prompt) + max_tokens)
-            }
+        if matches!(self.call.kind, CallKind::Service(_)) {
+            return self.attempt_service(shared, now);
+        }
+        match claim_key(&self.call) {
+            Some(key) if self.claim.is_none() => self.propose_claim(shared, now, key, None),
+            _ => self.reserve(shared, now),
         }
     }
 
     fn place(&mut self, shared: &mut Shared, kind: EndpointKind) -> Option<EndpointState> {
-        let need = Need { kind, pool: &self.call.pool, tried: &self.tried };
+        let need = Need { kind, pool: &self.call.pool, tried: &self.failed };
         shared.placement.choose(need, &shared.endpoints).cloned()
     }
 
@@ -133,9 +176,8 @@
         exchange: ExchangeId,
         reply: Reply,
     ) -> Outputs {
-        self.heard = now;
         match reply {
-            Reply::Control(reply) => self.control_reply(shared, now, reply),
+            Reply::Control(reply) => self.control_reply(shared, now, exchange, reply),
             Reply::Agent(reply) => self.agent_reply(shared, now, exchange, reply),
             Reply::Replica(_) => Vec::new(),
         }
@@ -148,15 +190,18 @@
         exchange: ExchangeId,
         reply: AgentReply,
     ) -> Outputs {
+        if self.awaited() == Some(exchange) {
+            self.heard = now;
+        }
         match (&self.stage, reply) {
             (Stage::Reserving { decode }, AgentReply::Reserved) if *decode == exchange => {
-                self.prefill(shared, exchange)
+                self.prefill(shared, now, exchange)
             }
             (Stage::Prefilling { decode, prefill }, AgentReply::Exported(export))
                 if *prefill == exchange =>
             {
                 let decode = *decode;
-                self.decode(shared, decode, export)
+                self.decode(shared, now, decode, export)
             }
             (Stage::Decoding { decode }, AgentReply::Part { offset, tokens })
                 if *decode == exchange =>
@@ -166,20 +211,48 @@
             (Stage::Decoding { decode }, AgentReply::End { offset, finish })
                 if *decode == exchange =>
             {
-                if offset != self.told.len() as u32 {
-                    return self.retry(shared, now, Ran::Maybe, "tokens are missing at the end");
-                }
-                self.ran = Ran::Yes;
-                self.finish(Terminal::Generated { tokens: offset, finish })
+                self.end(shared, now, offset, finish)
+            }
+            (Stage::Serving { exchange: open }, AgentReply::Answer(answer))
+                if *open == exchange =>
+            {
+                self.answered(shared, now, answer)
+            }
+            (Stage::Settling(settling), reply) if settling.is(exchange) => {
+                self.settle_reply(shared, now, reply)
             }
-            (Stage::Serving { .. }, AgentReply::Answer(answer)) => self.answered(shared, answer),
             (_, AgentReply::Refused(refusal)) => {
-                self.retry(shared, now, refusal.ran, &refusal.detail)
+                self.blame(exchange);
+                self.setback(shared, now, refusal.ran, refusal.reason, &refusal.detail)
             }
             _ => Vec::new(),
         }
     }
 
+    /// Returns the exchange whose silence counts.
+    fn awaited(&self) -> Option<ExchangeId> {
+        match &self.stage {
+            Stage::Serving { exchange } => Some(*exchange),
+            Stage::Reserving { decode } | Stage::Decoding { decode } => Some(*decode),
+            Stage::Prefilling { prefill, .. } => Some(*prefill),
+            _ => None,
+        }
+    }
+
+    /// Returns the endpoint that an exchange of the attempt goes to.
+    fn endpoint_of(&self, exchange: ExchangeId) -> Option<&EndpointState> {
+        match &self.stage {
+            Stage::Prefilling { prefill, .. } if *prefill == exchange => self.source.as_ref(),
+            _ => self.endpoint.as_ref(),
+        }
+    }
+
+    /// Keeps later attempts away from the endpoint that an exchange goes to.
+    fn blame(&mut self, exchange: ExchangeId) {
+        let name = self.endpoint_of(exchange).map(|e| e.name.clone());
+        self.failed.extend(name);
+    }
+
     /// Takes the end of one of the run's exchanges.
     pub(crate) fn closed(
         &mut self,
@@ -189,115 +262,155 @@
         failure: Option<LinkFailure>,
     ) -> Outputs {
         let ran = if failure == Some(LinkFailure::NotSent) { Ran::No } else { Ran::Maybe };
-        match &self.stage {
-            Stage::Claiming { exchange: open, key, claim, .. } if *open == exchange => {
-                let (key, claim) = (key.clone(), claim.clone());
-                shared.proposer.miss(None);
-                self.propose_claim(shared, now, key, claim)
-            }
+        match &mut self.stage {
+            Stage::Claiming(claiming) => claiming.closed(shared, now, exchange),
+            Stage::Asking(asking) => asking.closed(shared, now, exchange),
+            Stage::Recording(recording) => recording.closed(shared, now, exchange),
+            Stage::Settling(settling) => settling.closed(now, exchange),
             Stage::Serving { exchange: open } if *open == exchange => {
-                self.retry(shared, now, ran, "the agent was lost")
+                return self.lost_service(shared, now, ran);
+            }
+            Stage::Reserving { decode } if *decode == exchange => {
+                return self.lost(shared, now, exchange, Ran::No);
             }
-            Stage::Reserving { decode } | Stage::Decoding { decode } if *decode == exchange => {
-                self.retry(shared, now, ran, "the decode endpoint's agent was lost")
+            Stage::Decoding { decode } if *decode == exchange => {
+                return self.lost(shared, now, exchange, Ran::Maybe);
             }
             Stage::Prefilling { decode, prefill } if [*decode, *prefill].contains(&exchange) => {
-                self.retry(shared, now, ran, "an agent was lost during prefill")
+                return self.lost(shared, now, exchange, Ran::Maybe);
             }
-            _ => Vec::new(),
+            _ => {}
         }
+        Vec::new()
+    }
+
+    fn lost(
+        &mut self,
+        shared: &mut Shared,
+        now: Timestamp,
+        exchange: ExchangeId,
+        ran: Ran,
+    ) -> Outputs {
+        self.blame(exchange);
+        self.setback(shared, now, ran, RefusalReason::EndpointFailed, "the agent was lost")
     }
 
     /// Takes the loss of the caller.
-    pub(crate) fn gone(&mut self, shared: &mut Shared) -> Outputs {
-        let outputs = self.reset_exchanges(shared);
-        if !matches!(self.stage, Stage::Done) {
-            log::info!("step=caller-gone call={}", self.id);
+    pub(crate) fn gone(&mut self, shared: &mut Shared, now: Timestamp) -> Outputs {
+        if self.teller.take().is_none() {
+            return Vec::new();
+        }
+        log::info!("step=caller-gone call={}", self.id);
+        match &self.stage {
+            Stage::Recording(_) | Stage::Done => Vec::new(),
+            Stage::Claiming(_) => self.give_up_claim(shared, now),
+            // What was started runs on, and its outcome is kept for a resend.
+            Stage::Serving { .. } | Stage::Settling(_) if self.claim.is_some() => Vec::new(),
+            _ => self.close(shared, now),
         }
-        self.stage = Stage::Done;
-        outputs
     }
 
     /// Acts on silence and the deadline.
     pub(crate) fn wake(&mut self, shared: &mut Shared, now: Timestamp) -> Outputs {
+        if let Stage::Recording(_) = self.stage {
+            return self.wake_recording(shared, now);
+        }
         if now >= self.call.deadline {
-            self.ran = self.ran.max(self.in_flight());
-            let mut outputs = self.reset_exchanges(shared);
-            outputs.extend(self.refuse(shared, RefusalReason::Deadline, "the deadline has passed"));
-            return outputs;
+            return self.refuse(shared, now, RefusalReason::Deadline, "the deadline has passed");
         }
         match &self.stage {
-            Stage::Claiming { since, exchange, .. } if now >= *since + CLAIM_TIMEOUT => {
-                let mut outputs = vec![shared.reset(*exchange)];
-                outputs.extend(self.refuse(
-                    shared,
-                    RefusalReason::NoQuorum,
-                    "control did not commit the claim in time",
-                ));
-                outputs
-            }
-            Stage::Claiming { .. } | Stage::Done => Vec::new(),
-            _ if now >= self.heard + SILENCE_TIMEOUT => {
-                let ran = self.in_flight();
-                self.retry(shared, now, ran, "the endpoint's agent is silent")
+            Stage::Claiming(_) => self.wake_claiming(shared, now),
+            Stage::Asking(_) => self.wake_asking(shared, now),
+            Stage::Settling(_) => self.wake_settling(shared, now),
+            Stage::Recording(_) | Stage::Done => Vec::new(),
+            _ if now >= self.heard + SILENCE_TIMEOUT => self.silent(shared, now),
+            Stage::Decoding { decode } if now >= self.progress + self.progress_timeout() => {
+                let decode = *decode;
+                self.blame(decode);
+                let detail = "the decode endpoint stalled";
+                self.setback(shared, now, Ran::Maybe, RefusalReason::EndpointFailed, detail)
             }
             _ => Vec::new(),
         }
     }
 
-    /// Returns whether what is in flight may have run.
-    fn in_flight(&self) -> Ran {
-        match self.stage {
-            Stage::Claiming { .. } | Stage::Reserving { .. } | Stage::Done => Ran::No,
-            _ => Ran::Maybe,
-        }
+    /// Returns how long decoding may stand still.
+    fn progress_timeout(&self) -> Duration {
+        if self.transferring { TRANSFER_TIMEOUT } else { TOKEN_TIMEOUT }
+    }
+
+    /// Takes the silence of the exchange that is waited for; its connection may be dead for good.
+    fn silent(&mut self, shared: &mut Shared, now: Timestamp) -> Outputs {
+        let Some(exchange) = self.awaited() else { return Vec::new() };
+        let peer = self.endpoint_of(exchange).map(|e| e.address);
+        let mut outputs: Outputs = peer.map(|peer| Output::Redial { peer }).into_iter().collect();
+        let ran = if matches!(self.stage, Stage::Reserving { .. }) { Ran::No } else { Ran::Maybe };
+        outputs.extend(match self.stage {
+            Stage::Serving { .. } => self.lost_service(shared, now, ran),
+            _ => self.lost(shared, now, exchange, ran),
+        });
+        outputs
     }
 
     /// Ends the attempt and makes another one if the call allows it.
-    fn retry(&mut self, shared: &mut Shared, now: Timestamp, ran: Ran, detail: &str) -> Outputs {
-        self.ran = self.ran.max(ran);
+    fn setback(
+        &mut self,
+        shared: &mut Shared,
+        now: Timestamp,
+        ran: Ran,
+        reason: RefusalReason,
+        detail: &str,
+    ) -> Outputs {
+        self.attempts.ended(ran);
         let mut outputs = self.reset_exchanges(shared);
-        let allowed = self.call.repeatable || self.ran == Ran::No;
-        let setting = crate::control::config::Setting::Attempts;
-        let call = &self.call;
-        let most =
-            shared.follower.config().value(setting, &call.tenant, &call.pool, call.class) as u32;
-        if allowed && self.attempt < most {
-            log::info!("step=retry call={} attempt={} detail={detail:?}", self.id, self.attempt);
+        let allowed = self.call.repeatable || self.attempts.ran() == Ran::No;
+        if self.teller.is_some() && allowed && self.attempts.last() < self.most_attempts(shared) {
+            log::info!("step=retry call={} detail={detail:?}", self.id);
             outputs.extend(self.next_attempt(shared, now));
         } else {
-            let detail = detail.to_string();
-            outputs.extend(self.refuse(shared, RefusalReason::EndpointFailed, &detail));
+            outputs.extend(self.refuse(shared, now, reason, detail));
         }
         outputs
     }
 
+    fn most_attempts(&self, shared: &Shared) -> u32 {
+        let setting = crate::control::config::Setting::Attempts;
+        let call = &self.call;
+        shared.follower.config().value(setting, &call.tenant, &call.pool, call.class) as u32
+    }
+
     fn reset_exchanges(&mut self, shared: &mut Shared) -> Outputs {
-        let open = match &self.stage {
-            Stage::Claiming { exchange, .. } | Stage::Serving { exchange } => vec![*exchange],
+        let open = match &mut self.stage {
+            Stage::Claiming(claiming) => return claiming.cancel(shared),
+            Stage::Asking(asking) => return asking.cancel(shared),
+            Stage::Settling(settling) => settling.take_exchange().into_iter().collect(),
+            Stage::Serving { exchange } => vec![*exchange],
             Stage::Reserving { decode } | Stage::Decoding { decode } => vec![*decode],
             Stage::Prefilling { decode, prefill } => vec![*decode, *prefill],
-            Stage::Done => Vec::new(),
+            Stage::Recording(_) | Stage::Done => Vec::new(),
         };
         open.into_iter().map(|e| shared.reset(e)).collect()
     }
 
-    /// Tells the caller a refusal at once.
-    fn refuse(&mut self, shared: &mut Shared, reason: RefusalReason, detail: &str) -> Outputs {
-        let refusal = Refusal { reason, ran: self.ran, retry: RETRY_AFTER, detail: detail.into() };
-        log::info!("step=refuse call={} tenant={} {refusal}", self.id, self.call.tenant);
-        let mut outputs = self.close_refused(shared);
-        outputs.extend(self.finish(Terminal::Refused(refusal)));
+    /// Tells the caller a refusal at once, then closes what is left.
+    fn refuse(
+        &mut self,
+        shared: &mut Shared,
+        now: Timestamp,
+        reason: RefusalReason,
+        detail: &str,
+    ) -> Outputs {
+        let mut outputs = self.tell_refusal(reason, detail);
+        outputs.extend(if matches!(self.stage, Stage::Claiming(_)) {
+            self.give_up_claim(shared, now)
+        } else {
+            self.close(shared, now)
+        });
         outputs
     }
 
-    fn finish(&mut self, outcome: Terminal) -> Outputs {
-        self.stage = Stage::Done;
-        vec![Output::Effect(CallerEffect::Finish { call: self.id, outcome })]
-    }
-
-    /// Closes what is left of a run that is done.
-    pub(crate) fn close(self, _shared: &mut Shared) -> Outputs {
-        Vec::new()
+    fn tell_refusal(&mut self, reason: RefusalReason, detail: &str) -> Outputs {
+        let Some(teller) = self.teller.take() else { return Vec::new() };
+        vec![teller.refused(&self.attempts, reason, RETRY_AFTER, detail)]
     }
 }
--- a/src/entry/run/model.rs
+++ b/src/entry/run/model.rs
@@ -3,15 +3,21 @@
 use super::super::{CallerEffect, Outputs, Shared};
 use super::{RESERVE_LEASE, Run, Stage};
 use crate::link::message::{AgentRequest, Export, Request};
+use crate::model::call::prompt_tokens;
 use crate::model::{CallKind, EndpointKind, ExchangeId, Ran, RefusalReason, Timestamp};
 use crate::role::Output;
 
+/// The end mark of a generation that reached its last offset.
+const FINISH_LENGTH: &str = "length";
+
 impl Run {
-    pub(super) fn reserve(&mut self, shared: &mut Shared, tokens: u32) -> Outputs {
+    pub(super) fn reserve(&mut self, shared: &mut Shared, now: Timestamp) -> Outputs {
+        let CallKind::Model { prompt, max_tokens, .. } = &self.call.kind else { return Vec::new() };
+        let tokens = prompt_tokens(prompt) + max_tokens;
         let Some(endpoint) = self.place(shared, EndpointKind::Decode) else {
-            return self.refuse(shared, RefusalReason::NoEndpoint, "no decode endpoint is free");
+            let detail = "no decode endpoint is free";
+            return self.refuse(shared, now, RefusalReason::NoEndpoint, detail);
         };
-        self.tried.push(endpoint.name.clone());
         let reserve = AgentRequest::Reserve {
             request: self.request_id(shared),
             class: self.call.class,
@@ -19,30 +25,32 @@
             lease: RESERVE_LEASE,
         };
         let (decode, open) = shared.open(self.id, endpoint.address, Request::Agent(reserve));
+        self.endpoint = Some(endpoint);
         self.stage = Stage::Reserving { decode };
         vec![open]
     }
 
-    pub(super) fn prefill(&mut self, shared: &mut Shared, decode: ExchangeId) -> Outputs {
+    pub(super) fn prefill(
+        &mut self,
+        shared: &mut Shared,
+        now: Timestamp,
+        decode: ExchangeId,
+    ) -> Outputs {
         let CallKind::Model { prompt, .. } = &self.call.kind else { return Vec::new() };
         let prompt = prompt.clone();
         let Some(endpoint) = self.place(shared, EndpointKind::Prefill) else {
-            let mut outputs = vec![shared.reset(decode)];
-            outputs.extend(self.refuse(
-                shared,
-                RefusalReason::NoEndpoint,
-                "no prefill endpoint is free",
-            ));
-            return outputs;
+            let detail = "no prefill endpoint is free";
+            return self.refuse(shared, now, RefusalReason::NoEndpoint, detail);
         };
-        self.tried.push(endpoint.name.clone());
         let prefill = AgentRequest::Prefill {
             request: self.request_id(shared),
             class: self.call.class,
             prompt,
             prefix: self.told.clone(),
         };
+        self.attempts.dispatched();
         let (prefill, open) = shared.open(self.id, endpoint.address, Request::Agent(prefill));
+        self.source = Some(endpoint);
         self.stage = Stage::Prefilling { decode, prefill };
         let mut outputs = vec![open];
         if !self.begun {
@@ -55,6 +63,7 @@
     pub(super) fn decode(
         &mut self,
         shared: &mut Shared,
+        now: Timestamp,
         decode: ExchangeId,
         export: Export,
     ) -> Outputs {
@@ -62,6 +71,8 @@
         let from = self.told.len() as u32;
         let request = AgentRequest::Decode { export, from, until: *max_tokens };
         self.stage = Stage::Decoding { decode };
+        self.progress = now;
+        self.transferring = true;
         let envelope = shared.follower.envelope(Request::Agent(request));
         vec![Output::Send { exchange: decode, envelope }]
     }
@@ -76,14 +87,43 @@
     ) -> Outputs {
         let told = self.told.len() as u32;
         if offset > told {
-            return self.retry(shared, now, Ran::Maybe, "tokens are missing");
+            let detail = "tokens are missing";
+            return self.setback(shared, now, Ran::Maybe, RefusalReason::EndpointFailed, detail);
         }
+        self.progress = now;
+        self.transferring = false;
         let known = (told - offset) as usize;
         let fresh: Vec<_> = tokens.into_iter().skip(known).collect();
         if fresh.is_empty() {
             return Vec::new();
         }
         self.told.extend(fresh.iter().cloned());
+        if self.teller.is_none() {
+            return Vec::new();
+        }
         vec![Output::Effect(CallerEffect::Tokens { call: self.id, tokens: fresh })]
     }
+
+    /// Takes the engine's end mark; only a whole answer ends the call.
+    pub(super) fn end(
+        &mut self,
+        shared: &mut Shared,
+        now: Timestamp,
+        offset: u32,
+        finish: Box<str>,
+    ) -> Outputs {
+        let CallKind::Model { max_tokens, .. } = self.call.kind else { return Vec::new() };
+        let short = &*finish == FINISH_LENGTH && offset != max_tokens;
+        if short || offset != self.told.len() as u32 {
+            let detail = "tokens are missing at the end";
+            return self.setback(shared, now, Ran::Maybe, RefusalReason::EndpointFailed, detail);
+        }
+        self.attempts.ended(Ran::Yes);
+        if let Some(owned) = &self.claim {
+            let request = owned.request;
+            return self.record_generated(shared, now, request, finish);
+        }
+        self.stage = Stage::Done;
+        self.teller.take().map(|t| t.generated(offset, finish)).into_iter().collect()
+    }
 }
--- /dev/null
+++ b/src/entry/run/recording.rs
@@ -0,0 +1,150 @@
+//! The commands that close a claim, sent until they are committed or given up.
+
+use std::time::Duration;
+
+use super::super::{Outputs, Shared};
+use super::proposal::Proposal;
+use super::{Owned, Run, Stage};
+use crate::control::claims::{ClaimReply, Outcome};
+use crate::control::state::{Applied, Command};
+use crate::link::message::{ControlReply, ControlRequest};
+use crate::model::{CallKind, ExchangeId, Ran, RefusalReason, RequestId, Timestamp};
+
+/// How long a command is sent again before a resend of the caller must settle the claim.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(3_000);
+
+/// Commands on their way to control.
+#[derive(Debug)]
+pub(super) struct Recording {
+    proposal: Proposal,
+    later: Vec<Command>,
+    /// Why generation ended, for an answer that is told once it is recorded.
+    finish: Option<Box<str>>,
+}
+
+impl Recording {
+    pub(super) fn next_wake(&self) -> Timestamp {
+        self.proposal.next_wake().min(self.proposal.since + RECORD_TIMEOUT)
+    }
+
+    pub(super) fn closed(&mut self, shared: &mut Shared, now: Timestamp, exchange: ExchangeId) {
+        if self.proposal.is(exchange) {
+            self.proposal.closed(shared, now);
+        }
+    }
+}
+
+impl Run {
+    /// Closes what is left of a call whose outcome is told, or whose caller is gone.
+    ///
+    /// The key of a call that surely did not run becomes free, and so does the key of a call
+    /// that may be repeated. Any other claim stays for a resend to settle.
+    pub(super) fn close(&mut self, shared: &mut Shared, now: Timestamp) -> Outputs {
+        let mut outputs = self.reset_exchanges(shared);
+        self.stage = Stage::Done;
+        let Some(Owned { key, request }) = self.claim.take() else { return outputs };
+        if self.call.repeatable || self.attempts.ran() == Ran::No {
+            let release = Command::Release { key, request };
+            outputs.extend(self.record(shared, now, vec![release]));
+        }
+        outputs
+    }
+
+    /// Commits commands one after the other.
+    pub(super) fn record(
+        &mut self,
+        shared: &mut Shared,
+        now: Timestamp,
+        mut commands: Vec<Command>,
+    ) -> Outputs {
+        self.stage = Stage::Done;
+        if commands.is_empty() {
+            return Vec::new();
+        }
+        let later = commands.split_off(1);
+        let propose = ControlRequest::Propose(commands.remove(0));
+        let (proposal, outputs) = Proposal::start(shared, now, self.id, propose);
+        self.stage = Stage::Recording(Recording { proposal, later, finish: None });
+        outputs
+    }
+
+    /// Records the outcome of a claimed attempt.
+    pub(super) fn record_outcome(
+        &mut self,
+        shared: &mut Shared,
+        now: Timestamp,
+        request: RequestId,
+        outcome: Outcome,
+    ) -> Outputs {
+        self.claim = None;
+        let Some(key) = super::claim_key(&self.call) else {
+            self.stage = Stage::Done;
+            return Vec::new();
+        };
+        self.record(shared, now, vec![Command::Finish { key, request, outcome }])
+    }
+
+    /// Records a model's answer; it is told once it is committed that no other call tells one.
+    pub(super) fn record_generated(
+        &mut self,
+        shared: &mut Shared,
+        now: Timestamp,
+        request: RequestId,
+        finish: Box<str>,
+    ) -> Outputs {
+        let outcome = Outcome::generated(&self.told, finish.clone());
+        let outputs = self.record_outcome(shared, now, request, outcome);
+        if let Stage::Recording(recording) = &mut self.stage {
+            recording.finish = Some(finish);
+        }
+        outputs
+    }
+
+    pub(super) fn wake_recording(&mut self, shared: &mut Shared, now: Timestamp) -> Outputs {
+        let Stage::Recording(recording) = &mut self.stage else { return Vec::new() };
+        if now < recording.proposal.since + RECORD_TIMEOUT {
+            return recording.proposal.wake(shared, now);
+        }
+        log::warn!("step=record call={} error=\"control did not commit in time\"", self.id);
+        let mut outputs = recording.proposal.cancel(shared);
+        self.stage = Stage::Done;
+        outputs.extend(
+            self.tell_refusal(RefusalReason::NoQuorum, "control did not commit the answer in time"),
+        );
+        outputs
+    }
+
+    pub(super) fn recorded(
+        &mut self,
+        shared: &mut Shared,
+        now: Timestamp,
+        exchange: ExchangeId,
+        reply: ControlReply,
+    ) -> Outputs {
+        let Stage::Recording(recording) = &mut self.stage else { return Vec::new() };
+        if !recording.proposal.is(exchange) {
+            return Vec::new();
+        }
+        if let ControlReply::NotLeader { leader } = reply {
+            recording.proposal.redirect(shared, now, leader);
+            return Vec::new();
+        }
+        let later = std::mem::take(&mut recording.later);
+        let finish = recording.finish.take();
+        let closed = ControlReply::Applied(Applied::Claim(ClaimReply::Closed));
+        let mut outputs = self.tell_recorded(finish, reply == closed);
+        outputs.extend(self.record(shared, now, later));
+        outputs
+    }
+
+    fn tell_recorded(&mut self, finish: Option<Box<str>>, closed: bool) -> Outputs {
+        let Some(finish) = finish else { return Vec::new() };
+        if !closed {
+            let detail = "another call with this key was answered";
+            return self.tell_refusal(RefusalReason::Stale, detail);
+        }
+        debug_assert!(matches!(self.call.kind, CallKind::Model { .. }));
+        let count = self.told.len() as u32;
+        self.teller.take().map(|t| t.generated(count, finish)).into_iter().collect()
+    }
+}
--- a/src/entry/run/service.rs
+++ b/src/entry/run/service.rs
@@ -1,59 +1,55 @@
 //! Calls to plain services, with a claim before those that may not be repeated.
 
-use super::super::claim::claim_for;
-use super::super::{Outputs, Shared, Terminal};
+use super::super::claim::claim_key;
+use super::super::{Outputs, Shared};
 use super::{Run, Stage};
-use crate::control::claims::{Claim, ClaimKey, ClaimReply, Outcome};
-use crate::control::state::{Applied, Command};
-use crate::link::message::{AgentRequest, Answer, ControlReply, ControlRequest, Request};
-use crate::model::{Body, CallKind, EndpointKind, Ran, RefusalReason, Timestamp};
+use crate::control::claims::{Outcome, Target};
+use crate::link::message::{AgentRequest, Answer, Request};
+use crate::model::{CallKind, EndpointKind, Ran, RefusalReason, RequestId, Timestamp};
 
 impl Run {
-    pub(super) fn attempt_service(
-        &mut self,
-        shared: &mut Shared,
-        now: Timestamp,
-        body: Body,
-    ) -> Outputs {
-        let Some(endpoint) = self.place(shared, EndpointKind::Service) else {
-            return self.refuse(shared, RefusalReason::NoEndpoint, "no endpoint serves this pool");
-        };
-        self.tried.push(endpoint.name.clone());
-        self.endpoint = Some(endpoint.clone());
-        let request = self.request_id(shared);
-        match claim_for(now, &self.call, &body, request, &endpoint) {
-            Some((key, claim)) => self.propose_claim(shared, now, key, claim),
-            None => self.dispatch(shared, body),
+    pub(super) fn attempt_service(&mut self, shared: &mut Shared, now: Timestamp) -> Outputs {
+        if claim_key(&self.call).is_some() {
+            let from = self.claim.take().map(|owned| owned.request);
+            return self.claim_service(shared, now, from);
+        }
+        if !self.place_service(shared) {
+            return self.no_service(shared, now);
         }
+        self.dispatch(shared, now)
     }
 
-    pub(super) fn propose_claim(
+    /// Chooses an endpoint and claims the key for an attempt there.
+    pub(super) fn claim_service(
         &mut self,
         shared: &mut Shared,
         now: Timestamp,
-        key: ClaimKey,
-        claim: Claim,
+        from: Option<RequestId>,
     ) -> Outputs {
-        let Some(peer) = shared.proposer.target() else {
-            return self.refuse(shared, RefusalReason::NoQuorum, "no control member is known");
-        };
-        let from = self.claimed.as_ref().map(|(_, request)| *request);
-        let command = match from {
-            Some(from) => Command::TakeOver { key: key.clone(), from, claim: claim.clone() },
-            None => Command::Claim { key: key.clone(), claim: claim.clone() },
-        };
-        let propose = Request::Control(ControlRequest::Propose(command));
-        let (exchange, open) = shared.open(self.id, peer, propose);
-        let since = match &self.stage {
-            Stage::Claiming { since, .. } => *since,
-            _ => now,
-        };
-        self.stage = Stage::Claiming { exchange, since, key, claim };
-        vec![open]
+        let Some(key) = claim_key(&self.call) else { return Vec::new() };
+        if self.place_service(shared) {
+            return self.propose_claim(shared, now, key, from);
+        }
+        // An attempt that never starts must not keep the key.
+        if let Some(request) = from {
+            self.claim = Some(super::Owned { key, request });
+        }
+        self.no_service(shared, now)
+    }
+
+    fn place_service(&mut self, shared: &mut Shared) -> bool {
+        let Some(endpoint) = self.place(shared, EndpointKind::Service) else { return false };
+        self.endpoint = Some(endpoint);
+        true
+    }
+
+    fn no_service(&mut self, shared: &mut Shared, now: Timestamp) -> Outputs {
+        self.refuse(shared, now, RefusalReason::NoEndpoint, "no endpoint serves this pool")
     }
 
-    pub(super) fn dispatch(&mut self, shared: &mut Shared, body: Body) -> Outputs {
+    pub(super) fn dispatch(&mut self, shared: &mut Shared, now: Timestamp) -> Outputs {
         let Some(endpoint) = self.endpoint.clone() else { return Vec::new() };
+        let CallKind::Service(body) = self.call.kind.clone() else { return Vec::new() };
         let start = AgentRequest::Call {
             request: self.request_id(shared),
             class: self.call.class,
@@ -62,80 +58,55 @@
             deadline: self.call.deadline,
             body,
         };
+        self.attempts.dispatched();
+        self.heard = now;
         let (exchange, open) = shared.open(self.id, endpoint.address, Request::Agent(start));
         self.stage = Stage::Serving { exchange };
         vec![open]
     }
 
-    pub(super) fn control_reply(
+    /// Takes the loss of the exchange with the agent that serves the call.
+    pub(super) fn lost_service(
         &mut self,
         shared: &mut Shared,
         now: Timestamp,
-        reply: ControlReply,
+        ran: Ran,
     ) -> Outputs {
-        let Stage::Claiming { key, claim, .. } = &self.stage else { return Vec::new() };
-        let (key, claim) = (key.clone(), claim.clone());
-        match reply {
-            ControlReply::Applied(Applied::Claim(ClaimReply::Granted)) => {
-                self.claimed = Some((key, claim.request));
-                let CallKind::Service(body) = self.call.kind.clone() else { return Vec::new() };
-                self.dispatch(shared, body)
-            }
-            ControlReply::Applied(Applied::Claim(ClaimReply::Held(record))) => {
-                if record.claim.hash != claim.hash {
-                    let detail = "the key was used with another request";
-                    return self.refuse(shared, RefusalReason::KeyReused, detail);
-                }
-                match record.outcome {
-                    Some(Outcome::Finished(answer)) => {
-                        self.ran = Ran::Yes;
-                        self.finish(Terminal::Answered(answer))
-                    }
-                    Some(Outcome::Unknown) => {
-                        self.ran = Ran::Maybe;
-                        let detail = "an earlier attempt may have run";
-                        self.refuse(shared, RefusalReason::EndpointFailed, detail)
-                    }
-                    None => {
-                        self.ran = Ran::Maybe;
-                        let detail = "an earlier attempt is in progress";
-                        self.refuse(shared, RefusalReason::InProgress, detail)
-                    }
-                }
-            }
-            ControlReply::NotLeader { leader } => {
-                shared.proposer.miss(leader);
-                self.propose_claim(shared, now, key, claim)
-            }
-            _ => self.refuse(shared, RefusalReason::NoQuorum, "the claim was not granted"),
+        let Stage::Serving { exchange } = self.stage else { return Vec::new() };
+        if self.call.repeatable || ran == Ran::No {
+            return self.lost(shared, now, exchange, ran);
         }
-    }
-
-    pub(super) fn answered(&mut self, shared: &mut Shared, answer: Answer) -> Outputs {
-        self.ran = Ran::Yes;
-        let mut outputs = self.record(shared, Outcome::Finished(answer.clone()));
-        outputs.extend(self.finish(Terminal::Answered(answer)));
+        let mut outputs = self.reset_exchanges(shared);
+        let request = self.request_id(shared);
+        let Some(endpoint) = &self.endpoint else { return outputs };
+        let target = Target { endpoint: endpoint.name.clone(), boot: endpoint.boot };
+        outputs.extend(self.settle(shared, now, request, target, None));
         outputs
     }
 
-    /// Records the outcome of a claimed attempt.
-    pub(super) fn record(&mut self, shared: &mut Shared, outcome: Outcome) -> Outputs {
-        let Some((key, request)) = self.claimed.take() else { return Vec::new() };
-        self.close_claim(shared, Command::Finish { key, request, outcome })
-    }
-
-    pub(super) fn close_claim(&mut self, shared: &mut Shared, command: Command) -> Outputs {
-        let Some(peer) = shared.proposer.target() else { return Vec::new() };
-        let propose = Request::Control(ControlRequest::Propose(command));
-        vec![shared.open(self.id, peer, propose).1]
+    pub(super) fn answered(
+        &mut self,
+        shared: &mut Shared,
+        now: Timestamp,
+        answer: Answer,
+    ) -> Outputs {
+        self.attempts.ended(Ran::Yes);
+        let request = self.request_id(shared);
+        self.tell_answer(shared, now, request, answer)
     }
 
-    /// Frees the key of a call that did not run, or records that it may have run.
-    pub(super) fn close_refused(&mut self, shared: &mut Shared) -> Outputs {
-        if self.ran != Ran::No {
-            return self.record(shared, Outcome::Unknown);
-        }
-        let Some((key, request)) = self.claimed.take() else { return Vec::new() };
-        self.close_claim(shared, Command::Release { key, request })
+    /// Tells an answer, then records it if the call has claimed a key.
+    pub(super) fn tell_answer(
+        &mut self,
+        shared: &mut Shared,
+        now: Timestamp,
+        request: RequestId,
+        answer: Answer,
+    ) -> Outputs {
+        let outcome = Outcome::finished(answer.clone());
+        let mut outputs: Outputs =
+            self.teller.take().map(|t| t.answered(answer)).into_iter().collect();
+        outputs.extend(self.record_outcome(shared, now, request, outcome));
+        outputs
     }
 }
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -190,6 +190,11 @@
 pub enum Settled {
     /// It ran to this answer.
     Finished(Answer),
+    /// It ran to an answer that was too large to keep.
+    FinishedLarge {
+        /// The answer's HTTP status.
+        status: u16,
+    },
     /// It runs now.
     Running,
     /// It has not started and never will.
@@ -205,6 +210,8 @@
     Heartbeat(Heartbeat),
     /// Put a command into the log.
     Propose(Command),
+    /// Say whether the entry process of this start is alive.
+    Owner(BootId),
     /// Tell what the member knows, for operators.
     Status,
 }
@@ -249,6 +256,11 @@
         /// Where to try next.
         leader: Option<SocketAddr>,
     },
+    /// To a question about an owner.
+    Owner {
+        /// Whether its heartbeats still come.
+        alive: bool,
+    },
     /// What the member knows.
     Status(Box<Status>),
 }
--- a/src/model/endpoint.rs
+++ b/src/model/endpoint.rs
@@ -55,6 +55,9 @@
     /// Whether it refuses an order with an old fencing number.
     #[serde(default)]
     pub fenced: bool,
+    /// A number that differs after each start of the endpoint.
+    #[serde(default)]
+    pub boot: BootId,
 }
 
 /// What is in use at an endpoint, by its agent's ledger.
--- a/src/model/outcome.rs
+++ b/src/model/outcome.rs
@@ -50,6 +50,8 @@
     InProgress,
     /// The key was used with another body.
     KeyReused,
+    /// The key's request was answered, and the answer is not kept.
+    Answered,
     /// The tenant's limit is reached.
     Limit,
     /// The request crashed endpoints before.
@@ -74,6 +76,7 @@
             RefusalReason::NoQuorum => "no-quorum",
             RefusalReason::InProgress => "in-progress",
             RefusalReason::KeyReused => "key-reused",
+            RefusalReason::Answered => "answered",
             RefusalReason::Limit => "limit",
             RefusalReason::Quarantined => "quarantined",
             RefusalReason::EndpointFailed => "endpoint-failed",
@@ -86,7 +89,7 @@
         match self {
             RefusalReason::BadCall => 400,
             RefusalReason::Unauthorized => 401,
-            RefusalReason::InProgress => 409,
+            RefusalReason::InProgress | RefusalReason::Answered => 409,
             RefusalReason::KeyReused => 422,
             RefusalReason::Limit => 429,
             RefusalReason::EndpointFailed => 502,
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -8,7 +8,7 @@
 pub use follower::{Follower, FollowerSettings};
 
 use crate::link::message::ProcessState;
-use crate::model::{EndpointState, Load, Timestamp};
+use crate::model::{BootId, EndpointState, Load, Timestamp};
 
 /// How long a process is known after its last heartbeat.
 pub const HEARTBEAT_LEASE: Duration = Duration::from_millis(3_000);
@@ -59,6 +59,12 @@
         self.version
     }
 
+    /// Returns whether a start of a process is alive.
+    pub fn is_alive(&self, now: Timestamp, boot: BootId) -> bool {
+        let fresh = |seen: Timestamp| now - seen < HEARTBEAT_LEASE;
+        self.processes.values().any(|(p, seen)| p.boot == boot && fresh(*seen))
+    }
+
     /// Returns the live endpoints.
     pub fn endpoints(&self) -> Vec<EndpointState> {
         self.endpoints.values().map(|(e, _)| e.clone()).collect()
