--- a/examples/stand_in_engine.rs
+++ b/examples/stand_in_engine.rs
@@ -51,6 +51,9 @@
     /// microseconds more for each further request
     #[argh(option, default = "300")]
     batch_us: u64,
+    /// tokens in each event of a stream
+    #[argh(option, default = "1")]
+    event_tokens: u64,
     /// milliseconds that an export lives
     #[argh(option, default = "800")]
     export_ms: u64,
@@ -207,15 +210,19 @@
         writer.write_all(
             b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n",
         )?;
-        for offset in from..until {
+        let mut offset = from;
+        while offset < until {
+            let next = until.min(offset + self.args.event_tokens.max(1));
             let others = self.lock().running.len() as u64;
             let span = Duration::from_micros(self.args.token_us + others * self.args.batch_us);
             if !self.work(id, span) {
                 writer.write_all(b"data: {\"error\":\"cancelled\"}\n\n")?;
                 return writer.flush();
             }
-            self.lock().tokens += 1;
-            let event = json!({ "offset": offset, "tokens": [token(seed, offset)] });
+            self.lock().tokens += next - offset;
+            let tokens: Vec<String> = (offset..next).map(|o| token(seed, o)).collect();
+            let event = json!({ "offset": offset, "tokens": tokens });
+            offset = next;
             write!(writer, "data: {event}\n\n")?;
             writer.flush()?;
         }
--- /dev/null
+++ b/tests/common/relay.rs
@@ -0,0 +1,110 @@
+//! A UDP relay between processes that can lose track of the flows that it has.
+
+#![allow(dead_code, missing_docs)]
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// How often a relay thread looks whether it has to end.
+const POLL: Duration = Duration::from_millis(100);
+
+/// One source port's flow; a silenced one forwards nothing any more, in neither direction.
+struct Flow {
+    upstream: UdpSocket,
+    silent: Arc<AtomicBool>,
+}
+
+/// Forwards datagrams to a target and back, by source port.
+pub struct Relay {
+    pub address: SocketAddr,
+    flows: Arc<Mutex<BTreeMap<SocketAddr, Flow>>>,
+    pub bytes: Arc<AtomicU64>,
+    ended: Arc<AtomicBool>,
+}
+
+impl Relay {
+    pub fn start(target: SocketAddr) -> eyre::Result<Relay> {
+        let socket = UdpSocket::bind("127.0.0.1:0")?;
+        socket.set_read_timeout(Some(POLL))?;
+        let relay = Relay {
+            address: socket.local_addr()?,
+            flows: Arc::default(),
+            bytes: Arc::default(),
+            ended: Arc::default(),
+        };
+        let (flows, bytes) = (relay.flows.clone(), relay.bytes.clone());
+        let ended = relay.ended.clone();
+        std::thread::spawn(move || {
+            let mut buffer = [0; 65_536];
+            while !ended.load(Ordering::SeqCst) {
+                let Ok((length, source)) = socket.recv_from(&mut buffer) else { continue };
+                bytes.fetch_add(length as u64, Ordering::SeqCst);
+                let mut flows = flows.lock().unwrap_or_else(PoisonError::into_inner);
+                if !flows.contains_key(&source) {
+                    let Ok(flow) = open_flow(&socket, source, target, &bytes, &ended) else {
+                        continue;
+                    };
+                    flows.insert(source, flow);
+                }
+                if let Some(flow) = flows.get(&source).filter(|f| !f.silent.load(Ordering::SeqCst))
+                {
+                    let _ = flow.upstream.send(&buffer[..length]);
+                }
+            }
+        });
+        Ok(relay)
+    }
+
+    /// Forgets all flows so far: their datagrams vanish, while new source ports pass.
+    pub fn silence(&self) -> usize {
+        let flows = self.flows.lock().unwrap_or_else(PoisonError::into_inner);
+        for flow in flows.values() {
+            flow.silent.store(true, Ordering::SeqCst);
+        }
+        flows.len()
+    }
+
+    /// Returns how many source ports were seen.
+    pub fn flows(&self) -> usize {
+        self.flows.lock().unwrap_or_else(PoisonError::into_inner).len()
+    }
+
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::SeqCst)
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.ended.store(true, Ordering::SeqCst);
+    }
+}
+
+fn open_flow(
+    socket: &UdpSocket,
+    source: SocketAddr,
+    target: SocketAddr,
+    bytes: &Arc<AtomicU64>,
+    ended: &Arc<AtomicBool>,
+) -> eyre::Result<Flow> {
+    let upstream = UdpSocket::bind("127.0.0.1:0")?;
+    upstream.connect(target)?;
+    upstream.set_read_timeout(Some(POLL))?;
+    let flow = Flow { upstream: upstream.try_clone()?, silent: Arc::default() };
+    let (socket, silent) = (socket.try_clone()?, flow.silent.clone());
+    let (bytes, ended) = (bytes.clone(), ended.clone());
+    std::thread::spawn(move || {
+        let mut buffer = [0; 65_536];
+        while !ended.load(Ordering::SeqCst) {
+            let Ok(length) = upstream.recv(&mut buffer) else { continue };
+            bytes.fetch_add(length as u64, Ordering::SeqCst);
+            if !silent.load(Ordering::SeqCst) {
+                let _ = socket.send_to(&buffer[..length], source);
+            }
+        }
+    });
+    Ok(flow)
+}
