--- a/src/model/endpoint.rs
+++ b/src/model/endpoint.rs
@@ -58,6 +58,9 @@
     /// What it has loaded, from an endpoint that says so.
     #[serde(default)]
     pub artifact: Option<Box<str>>,
+    /// A number that differs after each start of the endpoint.
+    #[serde(default)]
+    pub boot: BootId,
 }
 
 /// What is in use at an endpoint, by its agent's ledger.
