Send followers changes of the endpoints instead of all of them

Cause: a member sent all endpoints to each entry whenever one changed, scanned all processes for the next lease, and a restarted member's empty list made entries forget live endpoints.

Now: a bounded log of changes by version; digests of 64 buckets for a follower that is further behind or meets a restarted member; a member that has just started makes nobody forget any endpoint for the length of a lease; a follower trusts the members heard of lately if they are a majority, else all; leases in an ordered index; states of one endpoint ordered by boot and sequence, so that a late heartbeat changes nothing; an entry picks `registry.subset` endpoints of each pool and kind by rendezvous hashing, three quarters from its own failure domain. Follower::endpoint finds those outside the subset, too.

Ruled out: a full list after each restart of a member: 500 entries times 400 KB.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -53,6 +53,9 @@
     settlements: Settlements,
     orders: Orders,
     stopping: Option<Timestamp>,
+    /// What was told of the endpoint last, but for its load.
+    told: Option<EndpointState>,
+    sequence: u64,
     last_exchange: u64,
     next_alive: Timestamp,
     /// When the engine is asked next what it runs.
@@ -74,6 +77,8 @@
             ledger: Ledger::default(),
             settlements: Settlements::default(),
             stopping: None,
+            told: None,
+            sequence: 0,
             last_exchange: 0,
             next_alive: Timestamp::default(),
             next_list: Timestamp::default(),
@@ -92,6 +97,7 @@
             address: self.settings.address,
             domain: self.settings.follower.domain.clone(),
             boot: self.boot(),
+            sequence: self.sequence,
             kind: self.orders.kind().unwrap_or(endpoint.kind),
             pool: endpoint.pool.clone(),
             url: endpoint.url.clone(),
@@ -102,6 +108,17 @@
         })
     }
 
+    /// Returns the endpoint's state with a new number if anything but the load has changed.
+    fn numbered_state(&mut self) -> Option<EndpointState> {
+        let state = self.state()?;
+        let steady = EndpointState { load: Load::default(), ..state };
+        if self.told.as_ref() != Some(&steady) {
+            self.sequence += 1;
+            self.told = Some(EndpointState { sequence: self.sequence, ..steady });
+        }
+        self.state()
+    }
+
     fn load(&self) -> Load {
         let (slots, pieces) = self.ledger.in_use();
         Load { slots, pieces, prompt_tokens: 0 }
@@ -182,7 +199,7 @@
     }
 
     fn heartbeats(&mut self, now: Timestamp) -> Outputs {
-        let state = self.state();
+        let state = self.numbered_state();
         let last = &mut self.last_exchange;
         let report = self.orders.report();
         self.follower.wake(now, state.as_ref(), Some(&report), &mut || {
--- a/src/control/config/setting.rs
+++ b/src/control/config/setting.rs
@@ -21,6 +21,10 @@
     ServeUnconfirmed,
     /// How long a key is kept after it was claimed, in milliseconds.
     ClaimRetention,
+    /// Endpoints of each pool and kind that an entry uses.
+    Subset,
+    /// How long a content that crashed two endpoints is refused, in seconds.
+    QuarantineSpan,
 }
 
 /// A setting's name, built-in value and bounds.
@@ -32,7 +36,7 @@
     most: u64,
 }
 
-const ROWS: [Row; 8] = [
+const ROWS: [Row; 10] = [
     row(Setting::CallDeadline, "call.deadline_ms", 60_000, 1, 86_400_000),
     row(Setting::FirstTokenTarget, "call.first_token_ms", 510, 1, 86_400_000),
     row(Setting::TokenTarget, "call.token_ms", 26, 1, 60_000),
@@ -41,6 +45,8 @@
     row(Setting::TenantCalls, "limit.tenant_calls", 10_000, 1, 1_000_000),
     row(Setting::ServeUnconfirmed, "config.serve_unconfirmed", 0, 0, 1),
     row(Setting::ClaimRetention, "claim.retention_ms", 86_400_000, 60_000, 604_800_000),
+    row(Setting::Subset, "registry.subset", 32, 1, 10_000),
+    row(Setting::QuarantineSpan, "quarantine.seconds", 3_600, 1, 2_592_000),
 ];
 
 const fn row(setting: Setting, name: &'static str, built_in: u64, least: u64, most: u64) -> Row {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -17,8 +17,8 @@
 use state::{Applied, Command, State};
 
 use crate::link::message::{
-    Beat, ControlReply, ControlRequest, Endpoints, Envelope, Heartbeat, OrderStatus, ProcessState,
-    Reply, Request, Status, Suspects,
+    Beat, ControlReply, ControlRequest, Envelope, Heartbeat, OrderStatus, ProcessState, Reply,
+    Request, Status, Suspects,
 };
 use crate::model::{BootId, EndpointState, Fence, InboundId, Timestamp};
 use crate::registry::Registry;
@@ -70,10 +70,10 @@
     /// Makes the role from the records that its disk kept.
     pub fn new(settings: ControlSettings, records: Vec<Record>) -> Control {
         let mut control = Control {
+            registry: Registry::new(settings.boot),
             settings,
             replica: Replica::new(),
             state: State::default(),
-            registry: Registry::default(),
             waiting: BTreeMap::new(),
             stopping: None,
         };
@@ -96,7 +96,7 @@
     fn request(&mut self, now: Timestamp, inbound: InboundId, request: ControlRequest) -> Outputs {
         match request {
             ControlRequest::Heartbeat(heartbeat) => {
-                let beat = self.heartbeat(now, heartbeat);
+                let beat = self.heartbeat(now, *heartbeat);
                 vec![self.reply(inbound, ControlReply::Beat(beat))]
             }
             ControlRequest::Propose(command) => self.propose(inbound, command.stamped(now)),
@@ -111,20 +111,20 @@
         }
     }
 
-    fn heartbeat(&mut self, now: Timestamp, heartbeat: Heartbeat) -> Beat {
+    fn heartbeat(&mut self, now: Timestamp, mut heartbeat: Heartbeat) -> Beat {
         let newer = heartbeat.process.revised.revision < self.state.config.revision;
-        let wants = heartbeat.endpoints;
-        let seen = heartbeat.version;
+        let (seen, wants) = (heartbeat.seen, std::mem::take(&mut heartbeat.wants));
+        let follows = heartbeat.endpoints;
         let orders = heartbeat.endpoint.as_ref().map(|e| self.marked(e, heartbeat.report.as_ref()));
         let suspects = self.suspects(heartbeat.suspects);
-        self.registry.heartbeat(now, heartbeat.process, heartbeat.endpoint, heartbeat.report);
-        let changed = wants && seen != self.registry.version();
+        self.registry.heartbeat(now, heartbeat);
+        let news = if follows { self.registry.news(now, seen, &wants) } else { None };
         Beat {
             member: self.settings.name.clone(),
             highest: self.state.config.revision,
             config: newer.then(|| self.state.config.clone()),
-            version: self.registry.version(),
-            endpoints: changed.then(|| Endpoints::All(self.registry.endpoints())),
+            seen: self.registry.seen(),
+            endpoints: news,
             orders,
             suspects,
         }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -288,7 +288,9 @@
             Input::Reply { exchange, envelope } => {
                 self.shared.follower.observe(now, envelope.revised);
                 if self.shared.follower.reply(now, exchange, &envelope.body) {
-                    self.shared.endpoints = self.shared.follower.endpoints();
+                    if let Some(endpoints) = self.shared.follower.changed_endpoints(now) {
+                        self.shared.endpoints = endpoints;
+                    }
                     Vec::new()
                 } else if let Some(call) = self.shared.owners.get(&exchange).copied() {
                     let body = envelope.body;
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -196,7 +196,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ControlRequest {
     /// The sender is alive; it wants what is new.
-    Heartbeat(Heartbeat),
+    Heartbeat(Box<Heartbeat>),
     /// Put a command into the log.
     Propose(Command),
     /// Say whether the entry process of this start is alive.
@@ -214,8 +214,10 @@
     pub endpoint: Option<EndpointState>,
     /// Whether the sender wants to hear of endpoints.
     pub endpoints: bool,
-    /// The registry version that the sender has from this member.
-    pub version: u64,
+    /// What the sender has seen of this member's endpoints.
+    pub seen: Seen,
+    /// Buckets of endpoints that the sender wants whole.
+    pub wants: Vec<u8>,
     /// How far the endpoint's orders are, from an agent.
     pub report: Option<OrderReport>,
     /// The version of the contents under suspicion that the sender has from this member.
@@ -267,9 +269,9 @@
     pub highest: Revision,
     /// The configuration in force, if it is newer than the sender's.
     pub config: Option<Config>,
-    /// The registry's version.
-    pub version: u64,
-    /// What changed among the endpoints since the sender's version.
+    /// What the receiver has seen of this member's endpoints once it has taken this.
+    pub seen: Seen,
+    /// What changed among the endpoints since.
     pub endpoints: Option<Endpoints>,
     /// The orders of the sender's endpoint, if it named one.
     pub orders: Option<Marked>,
@@ -289,6 +291,26 @@
         /// The names of those that are gone.
         gone: Vec<Box<str>>,
     },
+    /// All of some buckets.
+    Part {
+        /// The buckets.
+        buckets: Vec<u8>,
+        /// Their endpoints.
+        set: Vec<EndpointState>,
+    },
+    /// Digests of the buckets, so that the receiver can ask for those that differ.
+    Digests(Vec<u64>),
+}
+
+/// How much of a member's endpoints a follower has seen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Seen {
+    /// The start of the member.
+    pub epoch: BootId,
+    /// The version at that start.
+    pub version: u64,
+    /// The digest of what the follower holds.
+    pub digest: u64,
 }
 
 /// Contents under suspicion, with their version at one member.
--- a/src/model/endpoint.rs
+++ b/src/model/endpoint.rs
@@ -85,6 +85,8 @@
     pub domain: Box<str>,
     /// The agent's start.
     pub boot: BootId,
+    /// How often the agent has changed anything but the load since its start.
+    pub sequence: u64,
     /// What the endpoint does.
     pub kind: EndpointKind,
     /// The model or the service that it serves.
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -4,11 +4,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::control::config::{Config, Revised};
+use super::subset;
+use super::view::{self, View};
+use crate::control::config::{Config, Revised, Setting};
 use crate::control::orders::OrderReport;
 use crate::link::message::{
-    Beat, ControlReply, ControlRequest, Endpoints, Envelope, Heartbeat, ProcessState, Reply,
-    Request,
+    Beat, ControlReply, ControlRequest, Envelope, Heartbeat, ProcessState, Reply, Request, Seen,
 };
 use crate::model::{BootId, EndpointState, ExchangeId, Timestamp};
 use crate::role::Output;
@@ -19,6 +20,8 @@
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long a majority's answers prove that the configuration is the newest.
 const CONFIRMATION_LEASE: Duration = Duration::from_millis(3_000);
+/// How long a member's list of endpoints counts after its last answer, if a majority answers.
+const TRUST_LEASE: Duration = Duration::from_millis(10_000);
 
 /// Who a process is, and which control members there are.
 #[derive(Debug, Clone)]
@@ -43,27 +46,28 @@
     address: SocketAddr,
     open: Option<(ExchangeId, Timestamp)>,
     due: Timestamp,
-    version: u64,
+    seen: Seen,
+    wants: Vec<u8>,
+    /// When the last heartbeat that was answered had been sent.
+    heard: Option<Timestamp>,
     highest: Option<(crate::model::Revision, Timestamp)>,
-    endpoints: BTreeMap<Box<str>, EndpointState>,
+    view: View,
     suspects: u64,
 }
 
 impl Member {
-    fn take_endpoints(&mut self, endpoints: &Endpoints) {
-        let (set, gone) = match endpoints {
-            Endpoints::All(all) => {
-                self.endpoints.clear();
-                (all, &[][..])
-            }
-            Endpoints::Changed { set, gone } => (set, &**gone),
+    /// Takes what the member tells of endpoints; returns whether anything changed.
+    fn take_endpoints(&mut self, beat: &Beat) -> bool {
+        let Some(endpoints) = &beat.endpoints else {
+            self.seen = Seen { digest: self.view.digest(), ..beat.seen };
+            return false;
         };
-        for name in gone {
-            self.endpoints.remove(name);
-        }
-        for endpoint in set {
-            self.endpoints.insert(endpoint.name.clone(), endpoint.clone());
+        let before = self.view.digest();
+        self.wants = self.view.apply(endpoints);
+        if self.wants.is_empty() {
+            self.seen = Seen { digest: self.view.digest(), ..beat.seen };
         }
+        self.view.digest() != before
     }
 }
 
@@ -74,6 +78,9 @@
     members: Vec<Member>,
     config: Config,
     revised: Revised,
+    /// Whether any list has changed since the endpoints were picked.
+    changed: bool,
+    trusted: Vec<bool>,
 }
 
 impl Follower {
@@ -83,15 +90,17 @@
             address: *address,
             open: None,
             due: Timestamp::default(),
-            version: 0,
+            seen: Seen::default(),
+            wants: Vec::new(),
+            heard: None,
             highest: None,
-            endpoints: BTreeMap::new(),
+            view: View::default(),
             suspects: 0,
         };
         let members = settings.members.iter().map(member).collect();
         let config = Config::default();
         let revised = config.revised();
-        Follower { settings, members, config, revised }
+        Follower { settings, members, config, revised, changed: false, trusted: Vec::new() }
     }
 
     /// Returns the configuration in force.
@@ -136,16 +145,39 @@
         }
     }
 
-    /// Returns the live endpoints that any member knows, the newest start of each.
-    pub fn endpoints(&self) -> BTreeMap<Box<str>, EndpointState> {
-        let mut all: BTreeMap<Box<str>, EndpointState> = BTreeMap::new();
-        for endpoint in self.members.iter().flat_map(|m| m.endpoints.values()) {
-            let known = all.get(&endpoint.name);
-            if known.is_none_or(|e| e.boot < endpoint.boot) {
-                all.insert(endpoint.name.clone(), endpoint.clone());
-            }
-        }
-        all
+    /// Returns the endpoints that this process uses, if they may have changed since the last call.
+    pub fn changed_endpoints(
+        &mut self,
+        now: Timestamp,
+    ) -> Option<BTreeMap<Box<str>, EndpointState>> {
+        let trusted = self.trusted(now);
+        let changed = std::mem::take(&mut self.changed) || trusted != self.trusted;
+        self.trusted = trusted;
+        changed.then(|| {
+            let size = self.config.default_value(Setting::Subset) as usize;
+            let all = view::merge(self.trusted_views()).into_values();
+            subset::pick(&self.settings.name, &self.settings.domain, size, all)
+        })
+    }
+
+    /// Returns an endpoint that a member knows, also one that this process doesn't use.
+    pub fn endpoint(&self, name: &str) -> Option<&EndpointState> {
+        let known = self.trusted_views().filter_map(|v| v.get(name));
+        known.max_by_key(|e| view::age(e))
+    }
+
+    /// Returns which members' lists count: those heard of lately if they are a majority, else
+    /// all, since a cut-off control must make nobody forget endpoints that still answer.
+    fn trusted(&self, now: Timestamp) -> Vec<bool> {
+        let fresh = |m: &Member| m.heard.is_some_and(|at| now - at < TRUST_LEASE);
+        let fresh: Vec<bool> = self.members.iter().map(fresh).collect();
+        let majority = fresh.iter().filter(|f| **f).count() * 2 > fresh.len();
+        if majority { fresh } else { vec![true; self.members.len()] }
+    }
+
+    fn trusted_views(&self) -> impl Iterator<Item = &View> {
+        let members = self.members.iter().zip(&self.trusted);
+        members.filter(|(_, trusted)| **trusted).map(|(m, _)| &m.view)
     }
 
     /// Sends the heartbeats that are due.
@@ -174,14 +206,15 @@
                 process: process.clone(),
                 endpoint: endpoint.cloned(),
                 endpoints: self.settings.endpoints,
-                version: member.version,
+                seen: member.seen,
+                wants: member.wants.clone(),
                 report: report.cloned(),
                 suspects: member.suspects,
             };
             let exchange = next();
             member.open = Some((exchange, now));
             member.due = now + HEARTBEAT_INTERVAL;
-            let body = Request::Control(ControlRequest::Heartbeat(heartbeat));
+            let body = Request::Control(ControlRequest::Heartbeat(Box::new(heartbeat)));
             let envelope = Envelope { revised: self.revised, body };
             outputs.push(Output::Open { exchange, peer: member.address, envelope });
         }
@@ -193,11 +226,9 @@
         let Some(member) = self.find(exchange) else { return false };
         let Some((_, sent)) = member.open.take() else { return false };
         let Reply::Control(ControlReply::Beat(beat)) = reply else { return true };
-        member.version = beat.version;
+        member.heard = Some(sent);
         member.highest = Some((beat.highest, sent));
-        if let Some(endpoints) = &beat.endpoints {
-            member.take_endpoints(endpoints);
-        }
+        self.changed |= member.take_endpoints(beat);
         self.take_config(now, beat);
         true
     }
@@ -223,9 +254,8 @@
         self.config = config.clone();
         self.revised = config.revised();
         log::info!("step=config revised={} member={}", self.revised, beat.member);
-        for member in &mut self.members {
-            member.due = now;
-        }
+        self.changed = true;
+        self.hurry(now);
     }
 
     fn find(&mut self, exchange: ExchangeId) -> Option<&mut Member> {
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -1,91 +1,195 @@
 //! Membership: live processes and endpoints by their heartbeats, and the follower of each process.
 
+mod changes;
 mod follower;
+pub mod subset;
+pub mod view;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use slotmap::{SlotMap, new_key_type};
+
+pub use changes::Changes;
 pub use follower::{Follower, FollowerSettings};
 
 use crate::control::orders::OrderReport;
-use crate::link::message::ProcessState;
-use crate::model::{BootId, EndpointState, Load, Timestamp};
+use crate::link::message::{Endpoints, Heartbeat, ProcessState, Seen};
+use crate::model::{BootId, EndpointState, Timestamp};
+use view::View;
 
 /// How long a process is known after its last heartbeat.
 pub const HEARTBEAT_LEASE: Duration = Duration::from_millis(3_000);
 
+new_key_type! {
+    /// A live process.
+    struct ProcessKey;
+}
+
+/// What is known of a live process.
+#[derive(Debug)]
+struct Record {
+    state: ProcessState,
+    seen: Timestamp,
+    report: OrderReport,
+}
+
 /// The soft state of a control member: who is alive.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Registry {
-    processes: BTreeMap<(Box<str>, Box<str>), (ProcessState, Timestamp)>,
-    endpoints: BTreeMap<Box<str>, (EndpointState, Timestamp)>,
-    reports: BTreeMap<Box<str>, OrderReport>,
-    version: u64,
+    epoch: BootId,
+    started: Option<Timestamp>,
+    records: SlotMap<ProcessKey, Record>,
+    names: BTreeMap<(Box<str>, Box<str>), ProcessKey>,
+    boots: BTreeSet<(BootId, ProcessKey)>,
+    /// Processes by the end of their leases.
+    leases: BTreeSet<(Timestamp, ProcessKey)>,
+    view: View,
+    agents: BTreeMap<Box<str>, ProcessKey>,
+    changes: Changes,
 }
 
 impl Registry {
-    /// Takes a heartbeat.
-    pub fn heartbeat(
-        &mut self,
-        now: Timestamp,
-        process: ProcessState,
-        endpoint: Option<EndpointState>,
-        report: Option<OrderReport>,
-    ) {
-        let key = (process.name.clone(), process.role.clone());
-        self.processes.insert(key, (process, now));
-        let Some(endpoint) = endpoint else { return };
-        self.reports.insert(endpoint.name.clone(), report.unwrap_or_default());
-        let before = self.endpoints.get(&endpoint.name).map(|(e, _)| without_load(e));
-        if before != Some(without_load(&endpoint)) {
-            self.version += 1;
+    /// Makes the registry of a control member that has just started.
+    pub fn new(epoch: BootId) -> Registry {
+        Registry {
+            epoch,
+            started: None,
+            records: SlotMap::with_key(),
+            names: BTreeMap::new(),
+            boots: BTreeSet::new(),
+            leases: BTreeSet::new(),
+            view: View::default(),
+            agents: BTreeMap::new(),
+            changes: Changes::default(),
+        }
+    }
+
+    /// Takes a heartbeat; one of an earlier start of the process, or an older one, comes too late.
+    pub fn heartbeat(&mut self, now: Timestamp, heartbeat: Heartbeat) {
+        self.started.get_or_insert(now);
+        let state = heartbeat.process;
+        let name = (state.name.clone(), state.role.clone());
+        let boot = state.boot;
+        let key = match self.names.get(&name) {
+            Some(key) if self.records.get(*key).is_some_and(|r| r.state.boot > boot) => return,
+            Some(key) => *key,
+            None => {
+                let record =
+                    Record { state: state.clone(), seen: now, report: OrderReport::default() };
+                let key = self.records.insert(record);
+                self.names.insert(name, key);
+                key
+            }
+        };
+        let Some(record) = self.records.get_mut(key) else { return };
+        self.leases.remove(&(record.seen + HEARTBEAT_LEASE, key));
+        self.leases.insert((now + HEARTBEAT_LEASE, key));
+        self.boots.remove(&(record.state.boot, key));
+        self.boots.insert((boot, key));
+        record.seen = now;
+        record.state = state;
+        let Some(endpoint) = heartbeat.endpoint else { return };
+        let known = self.view.get(&endpoint.name);
+        if known.is_some_and(|e| view::age(e) > view::age(&endpoint)) {
+            return;
+        }
+        record.report = heartbeat.report.unwrap_or_default();
+        self.agents.insert(endpoint.name.clone(), key);
+        if self.view.set(&endpoint) {
+            self.changes.note(&endpoint.name);
         }
-        self.endpoints.insert(endpoint.name.clone(), (endpoint, now));
     }
 
     /// Forgets what has not been heard of for the length of the lease.
     pub fn expire(&mut self, now: Timestamp) {
-        self.processes.retain(|_, (_, seen)| now - *seen < HEARTBEAT_LEASE);
-        let count = self.endpoints.len();
-        self.endpoints.retain(|_, (_, seen)| now - *seen < HEARTBEAT_LEASE);
-        self.reports.retain(|name, _| self.endpoints.contains_key(name));
-        if self.endpoints.len() != count {
-            self.version += 1;
+        while let Some((at, key)) = self.leases.first().copied()
+            && at <= now
+        {
+            self.leases.pop_first();
+            let Some(record) = self.records.remove(key) else { continue };
+            let ProcessState { name, role, boot, .. } = record.state;
+            self.boots.remove(&(boot, key));
+            self.names.remove(&(name.clone(), role));
+            if self.agents.get(&name) == Some(&key) {
+                self.agents.remove(&name);
+                if self.view.remove(&name) {
+                    self.changes.note(&name);
+                }
+            }
         }
     }
 
-    /// Returns when the next entry lapses.
+    /// Returns when the next lease lapses.
     pub fn next_expiry(&self) -> Option<Timestamp> {
-        self.processes.values().map(|(_, seen)| *seen + HEARTBEAT_LEASE).min()
-    }
-
-    /// Returns a number that changes with every change of the endpoints.
-    pub fn version(&self) -> u64 {
-        self.version
+        self.leases.first().map(|(at, _)| *at)
     }
 
     /// Returns whether a start of a process is alive.
     pub fn is_alive(&self, now: Timestamp, boot: BootId) -> bool {
-        let fresh = |seen: Timestamp| now - seen < HEARTBEAT_LEASE;
-        self.processes.values().any(|(p, seen)| p.boot == boot && fresh(*seen))
+        let from = (boot, ProcessKey::default());
+        let same = self.boots.range(from..).take_while(|(b, _)| *b == boot);
+        let alive =
+            |key: ProcessKey| self.records.get(key).is_some_and(|r| now - r.seen < HEARTBEAT_LEASE);
+        same.into_iter().any(|(_, key)| alive(*key))
+    }
+
+    /// Returns what a follower has seen once it has taken the answer to its heartbeat.
+    pub fn seen(&self) -> Seen {
+        Seen { epoch: self.epoch, version: self.changes.version(), digest: self.view.digest() }
+    }
+
+    /// Returns what a follower needs to hear of endpoints.
+    ///
+    /// A member that has just started has not heard of all endpoints yet. Until a lease is over
+    /// it makes nobody forget any.
+    pub fn news(&self, now: Timestamp, seen: Seen, wants: &[u8]) -> Option<Endpoints> {
+        if seen.digest == self.view.digest() {
+            return None;
+        }
+        let warm = self.started.is_some_and(|at| now >= at + HEARTBEAT_LEASE);
+        let fresh = seen == Seen::default();
+        let own = seen.epoch == self.epoch;
+        if !warm && !own && !fresh {
+            return None;
+        }
+        let behind = own && seen.version < self.changes.version();
+        if let Some(names) = self.changes.since(seen.version).filter(|_| behind) {
+            return Some(self.changed(&names, warm));
+        }
+        if !warm {
+            return Some(Endpoints::Changed { set: self.endpoints(), gone: Vec::new() });
+        }
+        if fresh {
+            return Some(Endpoints::All(self.endpoints()));
+        }
+        if wants.is_empty() {
+            return Some(Endpoints::Digests(self.view.digests().to_vec()));
+        }
+        Some(Endpoints::Part { buckets: wants.into(), set: self.view.part(wants) })
+    }
+
+    fn changed(&self, names: &BTreeSet<&str>, warm: bool) -> Endpoints {
+        let set = names.iter().filter_map(|n| self.view.get(n).cloned()).collect();
+        let gone = names.iter().filter(|n| warm && self.view.get(n).is_none());
+        Endpoints::Changed { set, gone: gone.map(|n| (*n).into()).collect() }
     }
 
     /// Returns the live endpoints.
     pub fn endpoints(&self) -> Vec<EndpointState> {
-        self.endpoints.values().map(|(e, _)| e.clone()).collect()
+        self.view.iter().cloned().collect()
     }
 
     /// Returns the live endpoints with what their agents report about orders.
     pub fn reports(&self) -> impl Iterator<Item = (&EndpointState, &OrderReport)> {
-        self.endpoints.values().filter_map(|(e, _)| Some((e, self.reports.get(&e.name)?)))
+        self.view.iter().filter_map(|e| {
+            let record = self.records.get(*self.agents.get(&e.name)?)?;
+            Some((e, &record.report))
+        })
     }
 
     /// Returns the live processes with the age of their last heartbeats.
     pub fn processes(&self, now: Timestamp) -> Vec<(ProcessState, Duration)> {
-        self.processes.values().map(|(p, seen)| (p.clone(), now - *seen)).collect()
+        self.records.values().map(|r| (r.state.clone(), now - r.seen)).collect()
     }
 }
-
-fn without_load(endpoint: &EndpointState) -> EndpointState {
-    EndpointState { load: Load::default(), ..endpoint.clone() }
-}
--- /dev/null
+++ b/src/registry/view.rs
@@ -0,0 +1,137 @@
+//! A set of endpoints with digests, which member and follower compare.
+
+use std::collections::BTreeMap;
+
+use sha2::{Digest, Sha256};
+
+use crate::link::message::Endpoints;
+use crate::model::{EndpointState, Load};
+
+/// How many buckets a set is compared by.
+pub const BUCKETS: usize = 64;
+
+/// Endpoints by name, with a digest of each bucket.
+#[derive(Debug, Clone)]
+pub struct View {
+    endpoints: BTreeMap<Box<str>, (EndpointState, u64)>,
+    digests: [u64; BUCKETS],
+}
+
+impl Default for View {
+    fn default() -> Self {
+        View { endpoints: BTreeMap::new(), digests: [0; BUCKETS] }
+    }
+}
+
+impl View {
+    /// Returns the endpoints by name.
+    pub fn iter(&self) -> impl Iterator<Item = &EndpointState> {
+        self.endpoints.values().map(|(e, _)| e)
+    }
+
+    /// Returns an endpoint.
+    pub fn get(&self, name: &str) -> Option<&EndpointState> {
+        self.endpoints.get(name).map(|(e, _)| e)
+    }
+
+    /// Returns a digest of the whole set, whatever the load of its endpoints.
+    pub fn digest(&self) -> u64 {
+        self.digests.iter().enumerate().fold(0, |all, (i, d)| all ^ d.rotate_left(i as u32))
+    }
+
+    /// Returns the digests of the buckets.
+    pub fn digests(&self) -> &[u64; BUCKETS] {
+        &self.digests
+    }
+
+    /// Puts an endpoint; returns whether more than its load has changed.
+    pub fn set(&mut self, endpoint: &EndpointState) -> bool {
+        let bucket = bucket(&endpoint.name);
+        let digest = digest(endpoint);
+        let before = self.endpoints.insert(endpoint.name.clone(), (endpoint.clone(), digest));
+        let before = before.map_or(0, |(_, d)| d);
+        self.digests[bucket] ^= before ^ digest;
+        before != digest
+    }
+
+    /// Removes an endpoint; returns whether it was there.
+    pub fn remove(&mut self, name: &str) -> bool {
+        let Some((_, digest)) = self.endpoints.remove(name) else { return false };
+        self.digests[bucket(name)] ^= digest;
+        true
+    }
+
+    /// Returns the endpoints of some buckets.
+    pub fn part(&self, buckets: &[u8]) -> Vec<EndpointState> {
+        let within = |e: &&EndpointState| buckets.contains(&(bucket(&e.name) as u8));
+        self.iter().filter(within).cloned().collect()
+    }
+
+    /// Returns the buckets whose digests differ from a member's.
+    pub fn differing(&self, digests: &[u64]) -> Vec<u8> {
+        let pairs = self.digests.iter().zip(digests).enumerate();
+        pairs.filter(|(_, (own, other))| own != other).map(|(i, _)| i as u8).collect()
+    }
+
+    /// Applies what a member tells; returns the buckets to ask for.
+    pub fn apply(&mut self, endpoints: &Endpoints) -> Vec<u8> {
+        match endpoints {
+            Endpoints::All(all) => {
+                *self = View::default();
+                self.set_all(all);
+            }
+            Endpoints::Changed { set, gone } => {
+                for name in gone {
+                    self.remove(name);
+                }
+                self.set_all(set);
+            }
+            Endpoints::Part { buckets, set } => {
+                for endpoint in self.part(buckets) {
+                    self.remove(&endpoint.name);
+                }
+                self.set_all(set);
+            }
+            Endpoints::Digests(digests) => return self.differing(digests),
+        }
+        Vec::new()
+    }
+
+    fn set_all(&mut self, endpoints: &[EndpointState]) {
+        for endpoint in endpoints {
+            self.set(endpoint);
+        }
+    }
+}
+
+/// Returns which endpoints any view holds, the newest state of each.
+pub fn merge<'a>(views: impl Iterator<Item = &'a View>) -> BTreeMap<&'a str, &'a EndpointState> {
+    let mut all: BTreeMap<&str, &EndpointState> = BTreeMap::new();
+    for endpoint in views.flat_map(View::iter) {
+        let known = all.get(&*endpoint.name);
+        if known.is_none_or(|e| age(e) < age(endpoint)) {
+            all.insert(&endpoint.name, endpoint);
+        }
+    }
+    all
+}
+
+/// Returns what orders two states of one endpoint by age.
+pub fn age(endpoint: &EndpointState) -> (crate::model::BootId, u64) {
+    (endpoint.boot, endpoint.sequence)
+}
+
+fn digest(endpoint: &EndpointState) -> u64 {
+    let steady = EndpointState { load: Load::default(), ..endpoint.clone() };
+    hash(&postcard::to_stdvec(&steady).unwrap_or_default())
+}
+
+fn bucket(name: &str) -> usize {
+    hash(name.as_bytes()) as usize % BUCKETS
+}
+
+/// Returns 64 well mixed bits that are the same in every process.
+pub(super) fn hash(bytes: &[u8]) -> u64 {
+    let digest = Sha256::digest(bytes);
+    u64::from_le_bytes(digest.first_chunk::<8>().copied().unwrap_or_default())
+}
