--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -30,6 +30,8 @@
 const LIST_INTERVAL: Duration = Duration::from_millis(1_000);
 /// How long a shutdown waits for the engine to confirm cancels.
 const CANCEL_LIMIT: Duration = Duration::from_millis(5_000);
+/// How long an agent that leaves refuses new work, so that entries hear of it before it is gone.
+const LEAVE_NOTICE: Duration = Duration::from_millis(1_500);
 /// When a refused entry may try this endpoint again.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -50,7 +52,7 @@
     ledger: Ledger,
     settlements: Settlements,
     orders: Orders,
-    stopping: bool,
+    stopping: Option<Timestamp>,
     last_exchange: u64,
     next_alive: Timestamp,
     /// When the engine is asked next what it runs.
@@ -71,7 +73,7 @@
             endpoint: None,
             ledger: Ledger::default(),
             settlements: Settlements::default(),
-            stopping: false,
+            stopping: None,
             last_exchange: 0,
             next_alive: Timestamp::default(),
             next_list: Timestamp::default(),
@@ -95,7 +97,7 @@
             url: endpoint.url.clone(),
             capacity: endpoint.capacity,
             load: self.load(),
-            draining: self.orders.is_draining() || self.stopping,
+            draining: self.is_leaving(),
             fence: self.orders.report().fence,
         })
     }
@@ -193,10 +195,22 @@
         self.endpoint.as_ref().is_some_and(|e| e.kind != EndpointKind::Service)
     }
 
+    fn is_leaving(&self) -> bool {
+        self.orders.is_draining() || self.stopping.is_some()
+    }
+
+    fn stop(&mut self, now: Timestamp) -> Outputs {
+        self.stopping.get_or_insert(now);
+        self.stop_limit = self.stop_limit.min(now + CANCEL_LIMIT);
+        self.follower.hurry(now);
+        self.heartbeats(now)
+    }
+
     /// Returns whether nothing is left that an entry waits for, or may ask for later.
-    fn stopped(&self, now: Timestamp) -> bool {
+    fn has_stopped(&self, now: Timestamp) -> bool {
+        let noticed = self.stopping.is_some_and(|since| now >= since + LEAVE_NOTICE);
         let given_up = now >= self.stop_limit && self.ledger.only_cancelling();
-        self.stopping && (self.ledger.is_empty() || given_up)
+        noticed && (self.ledger.is_empty() || given_up)
     }
 }
 
@@ -226,23 +240,21 @@
             }
             Input::Local(input) => self.engine(now, input),
             Input::Wake => self.wake(now),
-            Input::Shutdown => {
-                self.stopping = true;
-                self.stop_limit = self.stop_limit.min(now + CANCEL_LIMIT);
-                self.heartbeats(now)
-            }
+            Input::Shutdown => self.stop(now),
         };
-        if self.stopped(now) {
+        if self.has_stopped(now) {
             outputs.push(Output::Stopped);
         }
         outputs
     }
 
     fn next_wake(&self) -> Option<Timestamp> {
-        let alive = (!self.ledger.is_empty()).then_some(self.next_alive);
+        let empty = self.ledger.is_empty();
+        let alive = (!empty).then_some(self.next_alive);
         let list = self.cancellable().then_some(self.next_list);
         let order = self.endpoint.as_ref().and(self.orders.next_wake());
-        [alive, list, order, self.follower.next_wake(), self.ledger.next_wake()]
+        let leave = self.stopping.filter(|_| empty).map(|since| since + LEAVE_NOTICE);
+        [alive, list, order, leave, self.follower.next_wake(), self.ledger.next_wake()]
             .into_iter()
             .flatten()
             .min()
--- a/src/agent/work.rs
+++ b/src/agent/work.rs
@@ -28,7 +28,7 @@
 impl Agent {
     /// Returns why new work is refused, if it is.
     fn closed_to_work(&self) -> Option<Reason> {
-        if self.orders.is_draining() || self.stopping {
+        if self.is_leaving() {
             return Some((RefusalReason::Draining, "the endpoint is leaving"));
         }
         if !self.orders.is_current() {
