--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -11,6 +11,7 @@
 use crate::agent::engine::{EngineInput, HttpEngine};
 use crate::agent::{Agent, AgentSettings};
 use crate::control::disk::{self, Disk};
+use crate::control::replica::{MemberId, ReplicaSettings};
 use crate::control::{Control, ControlSettings, DiskInput};
 use crate::entry::accept::Callers;
 use crate::entry::check::Tenants;
@@ -55,11 +56,17 @@
     let mut threads = Threads::new();
     if let Some(driver) = drivers.control {
         let folder = settings.data.as_deref().ok_or_else(|| eyre!("--data is missing"))?;
-        let (records, file) = disk::open(folder)?;
-        let disk = Disk::start(file, driver.handle())?;
-        let who =
-            ControlSettings { name: settings.name.clone(), domain: settings.domain.clone(), boot };
-        threads.push(driver.start("control", Control::new(who, records), handle.clone(), disk)?);
+        let (stored, files) = disk::open(folder, MemberId(boot.0))?;
+        let disk = Disk::start(files, driver.handle())?;
+        let members = settings.members.clone();
+        let who = ControlSettings {
+            name: settings.name.clone(),
+            domain: settings.domain.clone(),
+            boot,
+            replica: ReplicaSettings::new(settings.listen, members, boot.0),
+        };
+        let control = Control::new(who, stored)?;
+        threads.push(driver.start("control", control, handle.clone(), disk)?);
     }
     if let Some(driver) = drivers.agent {
         let engine = HttpEngine::new(url, driver.handle());
--- a/src/cli/tool.rs
+++ b/src/cli/tool.rs
@@ -259,7 +259,7 @@
         for round in 0..ROUNDS * self.members.len() {
             let peer = next.take().unwrap_or(self.members[round % self.members.len()]);
             match self.ask_one(peer, request.clone()) {
-                Ok(ControlReply::NotLeader { leader }) => {
+                Ok(ControlReply::NotLeader { leader } | ControlReply::Interrupted { leader }) => {
                     problem = eyre!("step=ask peer={peer}: the member does not lead");
                     next = leader;
                     std::thread::sleep(WATCH_INTERVAL);
--- a/src/control/config/mod.rs
+++ b/src/control/config/mod.rs
@@ -1,5 +1,6 @@
 //! The configuration: fleet defaults and exceptions with written reasons.
 
+mod changes;
 mod setting;
 
 use std::collections::BTreeMap;
@@ -9,7 +10,8 @@
 use eyre::{ensure, eyre};
 use serde::{Deserialize, Serialize};
 
-pub use setting::{Setting, check_value};
+pub use changes::{Changes, highest};
+pub use setting::{SCHEMA, Setting, check_value, schema_of};
 
 use crate::model::{Class, Revision};
 
--- a/src/control/config/setting.rs
+++ b/src/control/config/setting.rs
@@ -2,6 +2,9 @@
 
 use eyre::{ensure, eyre};
 
+/// The newest set of settings that this build understands.
+pub const SCHEMA: u32 = 1;
+
 /// A setting with a whole number as its value.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Setting {
@@ -28,6 +31,8 @@
     built_in: u64,
     least: u64,
     most: u64,
+    /// The first schema that has it.
+    since: u32,
 }
 
 const ROWS: [Row; 7] = [
@@ -41,7 +46,7 @@
 ];
 
 const fn row(setting: Setting, name: &'static str, built_in: u64, least: u64, most: u64) -> Row {
-    Row { setting, name, built_in, least, most }
+    Row { setting, name, built_in, least, most, since: 1 }
 }
 
 impl Setting {
@@ -65,6 +70,18 @@
     }
 }
 
+/// Returns the first schema that has a setting; an unknown setting is of no schema yet.
+///
+/// ```
+/// use dotterelpin::control::config::{SCHEMA, schema_of};
+///
+/// assert!(schema_of("retry.attempts") <= SCHEMA);
+/// assert_eq!(schema_of("no.such"), u32::MAX);
+/// ```
+pub fn schema_of(name: &str) -> u32 {
+    ROWS.iter().find(|r| r.name == name).map_or(u32::MAX, |r| r.since)
+}
+
 /// Checks a value for a setting by its name.
 ///
 /// ```
--- a/src/control/disk.rs
+++ b/src/control/disk.rs
@@ -1,84 +1,223 @@
-//! The log file: checksummed records, synced before any acknowledgement.
+//! The journal and the snapshot: checksummed batches, synced before any acknowledgement.
+//!
+//! Each batch is written after the one before it was synced. So a batch that can't be read is a
+//! torn tail if nothing follows it, and damage if any whole batch does.
 
 use std::fs::{File, OpenOptions};
-use std::io::{Read, Write};
-use std::path::Path;
+use std::io::{Read, Seek, SeekFrom, Write};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::Duration;
 
 use eyre::{WrapErr, ensure, eyre};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
-use super::replica::{LogIndex, Record};
+use super::replica::{Entry, MemberId, Snapshot, Stored};
 use super::{DiskEffect, DiskInput};
 use crate::role::{Adapter, DriverHandle};
 
-const LOG_FILE: &str = "log";
-const HEADER_BYTES: usize = 8;
+const JOURNAL: &str = "journal";
+const SNAPSHOT: &str = "snapshot";
+/// The extension of a file that is not whole yet.
+const PARTIAL: &str = "partial";
+/// The first bytes of each batch.
+const MAGIC: [u8; 4] = *b"dtrp";
+/// Magic, sequence number, length, checksum of the content, checksum of the header.
+const HEADER_BYTES: usize = 4 + 8 + 4 + 4 + 4;
+/// The most writes that are synced at once.
+const MAX_BATCH: usize = 1_024;
+/// The time between two tries on a disk that takes no writes.
+const RETRY_INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// Reads the log, cuts a torn tail and opens the file for more.
-pub fn open(folder: &Path) -> eyre::Result<(Vec<Record>, File)> {
+/// Encodes one batch with its header.
+pub fn encode<T: Serialize>(sequence: u64, content: &T) -> eyre::Result<Vec<u8>> {
+    let body = postcard::to_stdvec(content).wrap_err("encode batch")?;
+    let length = u32::try_from(body.len()).wrap_err("encode batch length")?;
+    let mut bytes = MAGIC.to_vec();
+    bytes.extend_from_slice(&sequence.to_le_bytes());
+    bytes.extend_from_slice(&length.to_le_bytes());
+    bytes.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
+    let check = crc32fast::hash(&bytes);
+    bytes.extend_from_slice(&check.to_le_bytes());
+    bytes.extend_from_slice(&body);
+    Ok(bytes)
+}
+
+/// A batch as it lies in a file.
+struct Batch<'a> {
+    sequence: u64,
+    body: &'a [u8],
+    end: usize,
+}
+
+/// Reads the batch at a place, if a whole one is there.
+fn batch_at(bytes: &[u8], at: usize) -> Option<Batch<'_>> {
+    let header: &[u8; HEADER_BYTES] = bytes.get(at..)?.first_chunk()?;
+    let number =
+        |from: usize| header[from..].first_chunk::<4>().map_or(0, |b| u32::from_le_bytes(*b));
+    let checked = header.starts_with(&MAGIC) && number(20) == crc32fast::hash(&header[..20]);
+    if !checked {
+        return None;
+    }
+    let start = at + HEADER_BYTES;
+    let end = start.checked_add(number(12) as usize)?;
+    let body = bytes.get(start..end)?;
+    let sequence = u64::from_le_bytes(*header[4..].first_chunk()?);
+    (number(16) == crc32fast::hash(body)).then_some(Batch { sequence, body, end })
+}
+
+/// What a journal holds.
+#[derive(Debug)]
+pub struct Journal {
+    /// The entries of all whole batches.
+    pub entries: Vec<Entry>,
+    /// The number of the next batch.
+    pub sequence: u64,
+    /// The bytes of all whole batches; what follows is a torn tail.
+    pub length: usize,
+}
+
+/// Decodes a journal.
+pub fn decode(bytes: &[u8]) -> eyre::Result<Journal> {
+    let mut journal = Journal { entries: Vec::new(), sequence: 0, length: 0 };
+    while let Some(batch) = batch_at(bytes, journal.length) {
+        let at = journal.length;
+        let wanted = journal.sequence;
+        ensure!(batch.sequence == wanted, "byte {at}: batch {} is not {wanted}", batch.sequence);
+        let entries: Vec<Entry> = decode_body(batch.body).wrap_err_with(|| format!("byte {at}"))?;
+        journal.entries.extend(entries);
+        journal.sequence += 1;
+        journal.length = batch.end;
+    }
+    let follows = |at: &usize| batch_at(bytes, *at).is_some_and(|b| b.sequence > journal.sequence);
+    if let Some(at) = (journal.length..bytes.len()).find(follows) {
+        return Err(eyre!(
+            "byte {}: the batch is damaged, and a whole one follows at byte {at}",
+            journal.length
+        ));
+    }
+    Ok(journal)
+}
+
+fn decode_body<T: DeserializeOwned>(body: &[u8]) -> eyre::Result<T> {
+    postcard::from_bytes(body).map_err(|e| eyre!("the content can't be read: {e}"))
+}
+
+/// Decodes the file of a snapshot.
+pub fn decode_snapshot(bytes: &[u8]) -> eyre::Result<Snapshot> {
+    let batch = batch_at(bytes, 0).ok_or_else(|| eyre!("byte 0: wrong checksum"))?;
+    ensure!(batch.end == bytes.len(), "byte {}: bytes after the end", batch.end);
+    decode_body(batch.body)
+}
+
+/// The files of a data folder.
+pub struct Files {
+    folder: PathBuf,
+    journal: File,
+    sequence: u64,
+    length: u64,
+}
+
+/// Opens a data folder, which gets this number for its owner if it is a new one.
+pub fn open(folder: &Path, owner: MemberId) -> eyre::Result<(Stored, Files)> {
     std::fs::create_dir_all(folder).wrap_err_with(|| format!("make {}", folder.display()))?;
-    let path = folder.join(LOG_FILE);
-    let mut file = OpenOptions::new()
+    let path = folder.join(JOURNAL);
+    let snapshot = read_snapshot(&folder.join(SNAPSHOT))?;
+    let mut journal = OpenOptions::new()
         .create(true)
+        .truncate(false)
         .read(true)
-        .append(true)
+        .write(true)
         .open(&path)
         .wrap_err_with(|| format!("open {}", path.display()))?;
     let mut bytes = Vec::new();
-    file.read_to_end(&mut bytes).wrap_err_with(|| format!("read {}", path.display()))?;
-    let (records, length) =
-        decode(&bytes).wrap_err_with(|| format!("log {} is damaged", path.display()))?;
-    if length < bytes.len() {
-        log::warn!("step=open-log cut={} bytes of a torn record", bytes.len() - length);
-        file.set_len(length as u64).wrap_err("cut torn record")?;
+    journal.read_to_end(&mut bytes).wrap_err_with(|| format!("read {}", path.display()))?;
+    let damaged = || format!("{} is damaged", path.display());
+    let mut found = decode(&bytes).wrap_err_with(damaged)?;
+    if found.length < bytes.len() {
+        log::warn!("step=open-journal cut={} bytes of a torn batch", bytes.len() - found.length);
+    }
+    let folder = folder.to_path_buf();
+    let mut files =
+        Files { folder, journal, sequence: found.sequence, length: found.length as u64 };
+    files.cut()?;
+    if found.entries.is_empty() {
+        ensure!(snapshot.is_none(), "{} is empty beside a snapshot", path.display());
+        found.entries.push(Entry::Owner(owner));
+        files.append(&found.entries)?;
     }
-    file.sync_all().wrap_err("sync log")?;
-    File::open(folder).and_then(|f| f.sync_all()).wrap_err("sync data folder")?;
-    Ok((records, file))
+    files.sync_folder()?;
+    let stored = Stored::replay(snapshot, found.entries).wrap_err_with(damaged)?;
+    Ok((stored, files))
 }
 
-/// Encodes a record with its length and checksum.
-pub fn encode(record: &Record) -> eyre::Result<Vec<u8>> {
-    let body = postcard::to_stdvec(record).wrap_err("encode record")?;
-    let mut bytes = (body.len() as u32).to_le_bytes().to_vec();
-    bytes.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
-    bytes.extend_from_slice(&body);
-    Ok(bytes)
+fn read_snapshot(path: &Path) -> eyre::Result<Option<Arc<Snapshot>>> {
+    let bytes = match std::fs::read(path) {
+        Ok(bytes) => bytes,
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => return Ok(None),
+        Err(error) => return Err(error).wrap_err_with(|| format!("read {}", path.display())),
+    };
+    let snapshot = decode_snapshot(&bytes);
+    snapshot.map(|s| Some(Arc::new(s))).wrap_err_with(|| format!("{} is damaged", path.display()))
 }
 
-/// Decodes records and returns how many bytes they take; a torn tail is left out.
-pub fn decode(bytes: &[u8]) -> eyre::Result<(Vec<Record>, usize)> {
-    let mut records = Vec::new();
-    let mut at = 0;
-    while let Some(body) = next_body(&bytes[at..]) {
-        let stored = u32::from_le_bytes(bytes[at + 4..at + HEADER_BYTES].try_into()?);
-        let end = at + HEADER_BYTES + body.len();
-        if stored != crc32fast::hash(body) {
-            ensure!(end == bytes.len(), "wrong checksum at byte {at}, with records after it");
-            break;
-        }
-        records.push(postcard::from_bytes(body).map_err(|e| eyre!("record at byte {at}: {e}"))?);
-        at = end;
+impl Files {
+    /// Appends one batch and syncs it.
+    pub fn append(&mut self, entries: &[Entry]) -> eyre::Result<()> {
+        let bytes = encode(self.sequence, &entries)?;
+        self.journal.write_all(&bytes).wrap_err("append to journal")?;
+        self.journal.sync_data().wrap_err("sync journal")?;
+        self.sequence += 1;
+        self.length += bytes.len() as u64;
+        Ok(())
+    }
+
+    /// Writes a snapshot, then a new journal behind it.
+    pub fn replace(&mut self, snapshot: &Snapshot, entries: &[Entry]) -> eyre::Result<()> {
+        self.write_aside(SNAPSHOT, &encode(0, snapshot)?)?;
+        let bytes = encode(0, &entries)?;
+        self.journal = self.write_aside(JOURNAL, &bytes)?;
+        self.sequence = 1;
+        self.length = bytes.len() as u64;
+        Ok(())
     }
-    Ok((records, at))
-}
 
-fn next_body(bytes: &[u8]) -> Option<&[u8]> {
-    let length = u32::from_le_bytes(*bytes.first_chunk::<4>()?) as usize;
-    bytes.get(HEADER_BYTES..HEADER_BYTES.checked_add(length)?)
+    fn write_aside(&self, name: &str, bytes: &[u8]) -> eyre::Result<File> {
+        let partial = self.folder.join(name).with_extension(PARTIAL);
+        let step = |what: &str| format!("{what} {}", partial.display());
+        let mut file = File::create(&partial).wrap_err_with(|| step("make"))?;
+        file.write_all(bytes).wrap_err_with(|| step("write"))?;
+        file.sync_all().wrap_err_with(|| step("sync"))?;
+        std::fs::rename(&partial, self.folder.join(name)).wrap_err_with(|| step("rename"))?;
+        self.sync_folder()?;
+        Ok(file)
+    }
+
+    fn sync_folder(&self) -> eyre::Result<()> {
+        File::open(&self.folder).and_then(|f| f.sync_all()).wrap_err("sync data folder")
+    }
+
+    /// Cuts the journal behind the last whole batch.
+    fn cut(&mut self) -> eyre::Result<()> {
+        self.journal.set_len(self.length).wrap_err("cut torn batch")?;
+        self.journal.seek(SeekFrom::Start(self.length)).wrap_err("find the journal's end")?;
+        self.journal.sync_all().wrap_err("sync journal")
+    }
 }
 
 /// Gives what the control role asks to the disk's thread.
 pub struct Disk {
-    queue: Sender<Vec<Record>>,
+    queue: Sender<DiskEffect>,
 }
 
 impl Disk {
     /// Starts the disk's thread.
-    pub fn start(file: File, role: DriverHandle<DiskInput>) -> eyre::Result<Disk> {
-        let (queue, batches) = channel();
+    pub fn start(files: Files, role: DriverHandle<DiskInput>) -> eyre::Result<Disk> {
+        let (queue, effects) = channel();
         let run = move || {
-            if let Err(error) = append_all(file, &batches, &role) {
+            if let Err(error) = carry_all(files, &effects, &role) {
                 role.local(DiskInput::Failed(format!("{error:#}").into()));
             }
         };
@@ -89,27 +228,66 @@
 
 impl Adapter<DiskEffect> for Disk {
     fn carry(&mut self, effect: DiskEffect) {
-        let DiskEffect::Append(records) = effect;
-        let _ = self.queue.send(records);
+        let _ = self.queue.send(effect);
     }
 }
 
-fn append_all(
-    mut file: File,
-    batches: &Receiver<Vec<Record>>,
+/// Carries out effects, many appends with one sync.
+fn carry_all(
+    mut files: Files,
+    effects: &Receiver<DiskEffect>,
     role: &DriverHandle<DiskInput>,
 ) -> eyre::Result<()> {
-    while let Ok(mut records) = batches.recv() {
-        records.extend(batches.try_iter().flatten());
-        let mut bytes = Vec::new();
-        let mut last = LogIndex(0);
-        for record in &records {
-            bytes.extend(encode(record)?);
-            last = record.index;
-        }
-        file.write_all(&bytes).wrap_err("append to log")?;
-        file.sync_data().wrap_err("sync log")?;
+    let mut next = None;
+    while let Some(effect) = next.take().or_else(|| effects.recv().ok()) {
+        let last = match effect {
+            DiskEffect::Append { id, mut entries } => {
+                let mut last = id;
+                for more in effects.try_iter().take(MAX_BATCH) {
+                    match more {
+                        DiskEffect::Append { id, entries: rest } => {
+                            last = id;
+                            entries.extend(rest);
+                        }
+                        replace => {
+                            next = Some(replace);
+                            break;
+                        }
+                    }
+                }
+                until_written(&mut files, role, |f| f.append(&entries))?;
+                last
+            }
+            DiskEffect::Replace { id, snapshot, entries } => {
+                until_written(&mut files, role, |f| f.replace(&snapshot, &entries))?;
+                id
+            }
+        };
         role.local(DiskInput::Synced(last));
     }
     Ok(())
 }
+
+/// Tries a write until there is room for it; any other error is final.
+fn until_written(
+    files: &mut Files,
+    role: &DriverHandle<DiskInput>,
+    mut write: impl FnMut(&mut Files) -> eyre::Result<()>,
+) -> eyre::Result<()> {
+    loop {
+        match write(files) {
+            Err(error) if is_full(&error) => {
+                role.local(DiskInput::Stalled(format!("{error:#}").into()));
+                files.cut()?;
+                std::thread::sleep(RETRY_INTERVAL);
+            }
+            done => return done,
+        }
+    }
+}
+
+fn is_full(error: &eyre::Report) -> bool {
+    use std::io::ErrorKind::{QuotaExceeded, StorageFull};
+    let kind = error.root_cause().downcast_ref::<std::io::Error>().map(std::io::Error::kind);
+    matches!(kind, Some(StorageFull | QuotaExceeded))
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -3,36 +3,61 @@
 pub mod claims;
 pub mod config;
 pub mod disk;
+mod peers;
 pub mod replica;
 pub mod state;
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
-use config::Revised;
-use replica::{LogIndex, Record, Replica, Step};
-use state::{Applied, Command, State};
+use config::{Change, Revised, highest, schema_of};
+use peers::Peers;
+use replica::{
+    Action, Entry, LogIndex, Replica, ReplicaInput, ReplicaSettings, Snapshot, Stored, WriteId,
+};
+use state::{Applied, ChangeReply, Command, State};
 
 use crate::link::message::{
-    Beat, ControlReply, ControlRequest, Envelope, Heartbeat, ProcessState, Reply, Request, Status,
+    Beat, ControlReply, ControlRequest, Envelope, Heartbeat, ProcessState, Proof, Reply, Request,
+    Status,
 };
 use crate::model::{BootId, InboundId, Timestamp};
 use crate::registry::Registry;
 use crate::role::{Input, Output, Role};
 
+/// The most bytes of a command, so that each record fits into one message.
+const MAX_COMMAND_BYTES: usize = 1 << 20;
+
 /// What the disk tells the control role.
 #[derive(Debug)]
 pub enum DiskInput {
-    /// Records up to this one are synced.
-    Synced(LogIndex),
-    /// The disk failed.
+    /// All writes up to this one are synced.
+    Synced(WriteId),
+    /// The disk takes no writes for now, and why; the writes are tried again.
+    Stalled(Box<str>),
+    /// The disk failed for good.
     Failed(Box<str>),
 }
 
 /// What the control role asks of its disk.
 #[derive(Debug)]
 pub enum DiskEffect {
-    /// Append records and sync them.
-    Append(Vec<Record>),
+    /// Append entries to the journal and sync.
+    Append {
+        /// The write.
+        id: WriteId,
+        /// The entries.
+        entries: Vec<Entry>,
+    },
+    /// Write a snapshot, then begin a new journal with these entries.
+    Replace {
+        /// The write.
+        id: WriteId,
+        /// The snapshot.
+        snapshot: Arc<Snapshot>,
+        /// The entries.
+        entries: Vec<Entry>,
+    },
 }
 
 /// Who a control member is.
@@ -44,6 +69,15 @@
     pub domain: Box<str>,
     /// Its start.
     pub boot: BootId,
+    /// Its part in the group.
+    pub replica: ReplicaSettings,
+}
+
+/// A proposal whose record is not committed yet.
+#[derive(Debug, Clone, Copy)]
+struct Waiting {
+    inbound: InboundId,
+    term: u64,
 }
 
 /// The control role.
@@ -51,35 +85,50 @@
     settings: ControlSettings,
     replica: Replica,
     state: State,
+    revised: Revised,
     registry: Registry,
-    waiting: BTreeMap<LogIndex, InboundId>,
+    peers: Peers,
+    waiting: BTreeMap<LogIndex, Waiting>,
+    failed: bool,
 }
 
 type Outputs = Vec<Output<DiskEffect>>;
 
 impl Control {
-    /// Makes the role from the records that its disk kept.
-    pub fn new(settings: ControlSettings, records: Vec<Record>) -> Control {
-        let mut control = Control {
+    /// Makes the role from what its disk kept.
+    pub fn new(settings: ControlSettings, stored: Stored) -> eyre::Result<Control> {
+        let state = match &stored.snapshot {
+            Some(snapshot) => State::decode(&snapshot.state)?,
+            None => State::default(),
+        };
+        Ok(Control {
+            replica: Replica::new(settings.replica.clone(), stored),
             settings,
-            replica: Replica::new(),
-            state: State::default(),
+            revised: state.config.revised(),
+            state,
             registry: Registry::default(),
+            peers: Peers::default(),
             waiting: BTreeMap::new(),
-        };
-        for record in records {
-            control.state.apply(&record.command);
-            control.replica.restore(record);
-        }
-        control
+            failed: false,
+        })
     }
 
-    fn revised(&self) -> Revised {
-        self.state.config.revised()
+    /// Returns the replica.
+    pub fn replica(&self) -> &Replica {
+        &self.replica
+    }
+
+    /// Returns what the committed commands add up to.
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    fn envelope<T>(&self, body: T) -> Envelope<T> {
+        Envelope { revised: self.revised, body }
     }
 
     fn reply(&self, inbound: InboundId, reply: ControlReply) -> Output<DiskEffect> {
-        let envelope = Envelope { revised: self.revised(), body: Reply::Control(reply) };
+        let envelope = self.envelope(Reply::Control(reply));
         Output::Reply { inbound, envelope, last: true }
     }
 
@@ -89,7 +138,7 @@
                 let beat = self.heartbeat(now, heartbeat);
                 vec![self.reply(inbound, ControlReply::Beat(beat))]
             }
-            ControlRequest::Propose(command) => self.propose(inbound, command),
+            ControlRequest::Propose(command) => self.propose(now, inbound, command),
             ControlRequest::Status => {
                 let status = Box::new(self.status(now));
                 vec![self.reply(inbound, ControlReply::Status(status))]
@@ -101,50 +150,189 @@
         let newer = heartbeat.process.revised.revision < self.state.config.revision;
         let wants = heartbeat.endpoints;
         let seen = heartbeat.version;
+        self.registry.schema(&heartbeat.process, heartbeat.schema);
         self.registry.heartbeat(now, heartbeat.process, heartbeat.endpoint);
         let changed = wants && seen != self.registry.version();
         Beat {
             member: self.settings.name.clone(),
-            highest: self.state.config.revision,
+            proof: self.proof(),
             config: newer.then(|| self.state.config.clone()),
             version: self.registry.version(),
             endpoints: changed.then(|| self.registry.endpoints()),
         }
     }
 
-    fn propose(&mut self, inbound: InboundId, command: Command) -> Outputs {
-        let (index, record) = self.replica.propose(command);
-        self.waiting.insert(index, inbound);
-        vec![Output::Effect(DiskEffect::Append(vec![record]))]
+    /// Returns what the own log proves; a member that may lack committed records proves nothing.
+    fn proof(&self) -> Option<Proof> {
+        if self.failed || !self.replica.counts() {
+            return None;
+        }
+        let unapplied = self.replica.unapplied().map(|r| &r.command);
+        let members = self.replica.members();
+        Some(Proof {
+            highest: highest(self.state.config.revision, unapplied),
+            epoch: members.epoch,
+            voters: members.voters().map(|(_, address)| address).collect(),
+        })
+    }
+
+    fn propose(&mut self, now: Timestamp, inbound: InboundId, command: Command) -> Outputs {
+        if let Some(why) = self.refusal(&command) {
+            let applied = Applied::Changed(ChangeReply::Refused(why));
+            return vec![self.reply(inbound, ControlReply::Applied(applied))];
+        }
+        match self.replica.propose(now, command) {
+            Ok((position, actions)) => {
+                let waiting = Waiting { inbound, term: position.term };
+                self.waiting.insert(position.index, waiting);
+                self.carry(actions)
+            }
+            Err(leader) => vec![self.reply(inbound, ControlReply::NotLeader { leader })],
+        }
     }
 
-    fn synced(&mut self, index: LogIndex) -> Outputs {
+    /// Returns why a command doesn't go into the log.
+    fn refusal(&self, command: &Command) -> Option<Box<str>> {
+        let size = postcard::experimental::serialized_size(command).unwrap_or(usize::MAX);
+        if size > MAX_COMMAND_BYTES {
+            return Some(format!("the command has {size} bytes, over {MAX_COMMAND_BYTES}").into());
+        }
+        match command {
+            Command::Change(change) => self.not_understood(change),
+            Command::Members(_) => Some("members join by themselves".into()),
+            _ => None,
+        }
+    }
+
+    /// Returns which live processes don't know the setting of a new change.
+    fn not_understood(&self, change: &Change) -> Option<Box<str>> {
+        let schema = schema_of(change.edit.setting());
+        if schema == u32::MAX || self.state.changes.accepted(&change.id).is_some() {
+            return None;
+        }
+        let old = self.registry.older_than(schema);
+        if old.is_empty() {
+            return None;
+        }
+        let name = change.edit.setting();
+        Some(format!("setting {name} is not understood by {}", old.join(", ")).into())
+    }
+
+    /// Carries out what the replica wants.
+    fn carry(&mut self, actions: Vec<Action>) -> Outputs {
         let mut outputs = Vec::new();
-        for Step { index, command } in self.replica.synced(index) {
-            let applied = self.state.apply(&command);
-            log_change(&command, &applied);
-            if let Some(inbound) = self.waiting.remove(&index) {
-                outputs.push(self.reply(inbound, ControlReply::Applied(applied)));
+        for action in actions {
+            match action {
+                Action::Request { to, message } => {
+                    let envelope = self.envelope(Request::Replica(message));
+                    outputs.push(self.peers.send(to, envelope));
+                }
+                Action::Reply { via, message } => {
+                    let envelope = self.envelope(Reply::Replica(message));
+                    outputs.push(Output::Reply { inbound: via, envelope, last: false });
+                }
+                Action::Redial { peer } => outputs.extend(self.peers.redial(peer)),
+                Action::Write { id, entries } => {
+                    outputs.push(Output::Effect(DiskEffect::Append { id, entries }));
+                }
+                Action::Replace { id, snapshot, entries } => {
+                    outputs.push(Output::Effect(DiskEffect::Replace { id, snapshot, entries }));
+                }
+                Action::Apply(record) => {
+                    let applied = self.state.apply(&record.command);
+                    if self.state.config.revision != self.revised.revision {
+                        self.revised = self.state.config.revised();
+                    }
+                    log_change(&record.command, &applied);
+                    outputs.extend(self.applied(record.index, record.term, applied));
+                }
+                Action::Restore(snapshot) => outputs.extend(self.restore(&snapshot)),
+                Action::SteppedDown => outputs.extend(self.interrupt()),
+            }
+        }
+        if self.replica.wants_snapshot() {
+            match self.state.encode() {
+                Ok(state) => {
+                    let actions = self.replica.compact(state);
+                    outputs.extend(self.carry(actions));
+                }
+                Err(error) => log::error!("step=snapshot error={error:#}"),
             }
         }
         outputs
     }
 
+    fn applied(&mut self, index: LogIndex, term: u64, applied: Applied) -> Outputs {
+        let Some(waiting) = self.waiting.remove(&index) else { return Vec::new() };
+        let reply = if waiting.term == term {
+            ControlReply::Applied(applied)
+        } else {
+            ControlReply::Interrupted { leader: self.replica.leader() }
+        };
+        vec![self.reply(waiting.inbound, reply)]
+    }
+
+    fn restore(&mut self, snapshot: &Snapshot) -> Outputs {
+        match State::decode(&snapshot.state) {
+            Ok(state) => {
+                self.revised = state.config.revised();
+                self.state = state;
+                Vec::new()
+            }
+            Err(error) => {
+                log::error!("step=restore error={error:#}");
+                vec![Output::Stopped]
+            }
+        }
+    }
+
+    /// Tells all proposers that the outcome isn't known; they send again, which is idempotent.
+    fn interrupt(&mut self) -> Outputs {
+        let leader = self.replica.leader();
+        let waiting = std::mem::take(&mut self.waiting);
+        let reply = |w: Waiting| self.reply(w.inbound, ControlReply::Interrupted { leader });
+        waiting.into_values().map(reply).collect()
+    }
+
+    fn replica_step(&mut self, now: Timestamp, input: ReplicaInput) -> Outputs {
+        if self.failed {
+            return Vec::new();
+        }
+        let actions = self.replica.step(now, input);
+        self.carry(actions)
+    }
+
+    fn disk(&mut self, now: Timestamp, input: DiskInput) -> Outputs {
+        match input {
+            DiskInput::Synced(write) => self.replica_step(now, ReplicaInput::Synced(write)),
+            DiskInput::Stalled(error) => {
+                log::error!("step=append error={error}; this member acknowledges nothing");
+                self.replica_step(now, ReplicaInput::Stalled)
+            }
+            DiskInput::Failed(error) => {
+                log::error!("step=append error={error}; this member takes no more part");
+                let outputs = self.replica_step(now, ReplicaInput::Stalled);
+                self.failed = true;
+                outputs
+            }
+        }
+    }
+
     fn status(&self, now: Timestamp) -> Status {
         let own = ProcessState {
             name: self.settings.name.clone(),
             role: "control".into(),
             domain: self.settings.domain.clone(),
             boot: self.settings.boot,
-            revised: self.revised(),
+            revised: self.revised,
         };
         let mut processes = self.registry.processes(now);
         processes.push((own, std::time::Duration::ZERO));
         Status {
             member: self.settings.name.clone(),
-            leader: Some(self.settings.name.clone()),
+            leader: self.replica.leader().map(|a| a.to_string().into()),
             config: self.state.config.clone(),
-            history: self.state.history.values().cloned().collect(),
+            history: self.state.changes.recent().cloned().collect(),
             processes,
             endpoints: self.registry.endpoints(),
         }
@@ -165,27 +353,35 @@
         match input {
             Input::Request { inbound, envelope } => match envelope.body {
                 Request::Control(request) => self.request(now, inbound, request),
-                Request::Replica(_) | Request::Agent(_) => Vec::new(),
+                Request::Replica(message) => {
+                    self.replica_step(now, ReplicaInput::Request { via: inbound, message })
+                }
+                Request::Agent(_) => Vec::new(),
             },
             Input::Abandoned { inbound } => {
-                self.waiting.retain(|_, i| *i != inbound);
+                self.waiting.retain(|_, w| w.inbound != inbound);
                 Vec::new()
             }
-            Input::Local(DiskInput::Synced(index)) => self.synced(index),
-            Input::Local(DiskInput::Failed(error)) => {
-                log::error!("step=append error={error}");
-                vec![Output::Stopped]
+            Input::Reply { exchange, envelope } => {
+                let Some(peer) = self.peers.peer(exchange) else { return Vec::new() };
+                let Reply::Replica(message) = envelope.body else { return Vec::new() };
+                self.replica_step(now, ReplicaInput::Reply { peer, message })
             }
+            Input::Closed { exchange, .. } => match self.peers.closed(exchange) {
+                Some(peer) => self.replica_step(now, ReplicaInput::Lost { peer }),
+                None => Vec::new(),
+            },
+            Input::Local(input) => self.disk(now, input),
             Input::Wake => {
                 self.registry.expire(now);
-                Vec::new()
+                self.replica_step(now, ReplicaInput::Wake)
             }
             Input::Shutdown => vec![Output::Stopped],
-            Input::Reply { .. } | Input::Closed { .. } => Vec::new(),
         }
     }
 
     fn next_wake(&self) -> Option<Timestamp> {
-        self.registry.next_expiry()
+        let replica = (!self.failed).then(|| self.replica.next_wake());
+        [replica, self.registry.next_expiry()].into_iter().flatten().min()
     }
 }
--- /dev/null
+++ b/src/control/replica/election.rs
@@ -0,0 +1,217 @@
+//! Elections: pre-vote, votes, and a leader that steps down without a majority.
+
+use std::net::SocketAddr;
+
+use super::append::Progress;
+use super::members::{Candidates, MemberId};
+use super::message::ReplicaBody;
+use super::{Action, ELECTION_TIMEOUT, Entry, LEADER_LEASE, Position, Replica, Role};
+use crate::control::state::Command;
+use crate::model::{InboundId, Timestamp};
+
+impl Replica {
+    /// Does what is due.
+    pub(super) fn tick(&mut self, now: Timestamp) {
+        if self.is_leader() {
+            if self.lease_is_lost(now) {
+                ::log::warn!("step=step-down term={} reason=no majority answers", self.term);
+                self.follow(now, None);
+                return;
+            }
+            self.change_members(now);
+            self.advance_commit();
+            self.send_due(now);
+            return;
+        }
+        if self.deadline.is_none_or(|d| now < d) || self.stalled {
+            if self.stalled && self.deadline.is_some_and(|d| now >= d) {
+                self.reset_deadline(now);
+            }
+            return;
+        }
+        if self.wants_to_join() {
+            self.say_hello(now);
+        } else {
+            self.ask(now);
+        }
+    }
+
+    /// Follows a leader, or nobody yet.
+    pub(super) fn follow(&mut self, now: Timestamp, leader: Option<SocketAddr>) {
+        if self.is_leader() {
+            self.actions.push(Action::SteppedDown);
+        }
+        let heard = leader.map(|_| now);
+        self.role = Role::Follower { leader, heard };
+        self.reset_deadline(now);
+    }
+
+    /// Takes over a higher term.
+    pub(super) fn adopt(&mut self, now: Timestamp, term: u64) {
+        self.term = term;
+        self.vote = None;
+        self.write(vec![Entry::Vote { term, candidate: None }]);
+        self.follow(now, None);
+    }
+
+    /// Notes a message of the leader of this or a higher term.
+    pub(super) fn hear_leader(&mut self, now: Timestamp, term: u64, leader: SocketAddr) {
+        if term > self.term {
+            self.adopt(now, term);
+        }
+        if self.leader() != Some(leader) {
+            ::log::info!("step=follow leader={leader} term={term}");
+        }
+        self.follow(now, Some(leader));
+    }
+
+    /// Asks whether the others would vote for this replica.
+    fn ask(&mut self, now: Timestamp) {
+        self.redial_silent();
+        self.reset_deadline(now);
+        let own = [self.id].into();
+        self.role = Role::Asking(Candidates { granted: own, answered: [self.id].into() });
+        let body = ReplicaBody::PreVote { next: self.term + 1, last: self.log.last() };
+        self.ask_voters(&body);
+        self.stand_if_wanted(now);
+    }
+
+    /// Dials anew those who did not answer in the last round.
+    fn redial_silent(&mut self) {
+        let (Role::Asking(c) | Role::Candidate(c)) = &self.role else { return };
+        let silent = self.members.voters().filter(|(id, _)| !c.answered.contains(id));
+        let redials: Vec<_> = silent.map(|(_, peer)| Action::Redial { peer }).collect();
+        self.actions.extend(
+            redials
+                .into_iter()
+                .filter(|a| matches!(a, Action::Redial { peer } if *peer != self.settings.address)),
+        );
+    }
+
+    fn ask_voters(&mut self, body: &ReplicaBody) {
+        let voters: Vec<_> = self.members.voters().filter(|(id, _)| *id != self.id).collect();
+        for (id, to) in voters {
+            let message = self.message(id, body.clone());
+            self.after_sync(Action::Request { to, message });
+        }
+    }
+
+    /// Returns whether this replica would vote for a candidate: it hears of no leader, and its log
+    /// is not the more complete one.
+    pub(super) fn would_vote(&self, now: Timestamp, next: u64, last: Position) -> bool {
+        next > self.term && !self.hears_leader(now) && last >= self.log.last() && !self.stalled
+    }
+
+    fn hears_leader(&self, now: Timestamp) -> bool {
+        match &self.role {
+            Role::Leader { .. } => true,
+            Role::Follower { heard, .. } => heard.is_some_and(|at| now - at < ELECTION_TIMEOUT),
+            _ => false,
+        }
+    }
+
+    pub(super) fn count_pre_vote(
+        &mut self,
+        now: Timestamp,
+        from: MemberId,
+        next: u64,
+        granted: bool,
+    ) {
+        if next != self.term + 1 {
+            return;
+        }
+        let Role::Asking(candidates) = &mut self.role else { return };
+        candidates.answered.insert(from);
+        if granted {
+            candidates.granted.insert(from);
+        }
+        self.stand_if_wanted(now);
+    }
+
+    fn stand_if_wanted(&mut self, now: Timestamp) {
+        let Role::Asking(candidates) = &self.role else { return };
+        if self.is_majority(candidates) {
+            self.stand(now);
+        }
+    }
+
+    fn is_majority(&self, candidates: &Candidates) -> bool {
+        let granted = candidates.granted.iter().filter(|id| self.members.is_voter(**id));
+        granted.count() >= self.members.quorum()
+    }
+
+    /// Stands for election in the next term.
+    pub(super) fn stand(&mut self, now: Timestamp) {
+        self.term += 1;
+        self.vote = Some(self.id);
+        self.write(vec![Entry::Vote { term: self.term, candidate: self.vote }]);
+        self.reset_deadline(now);
+        self.role = Role::Candidate(Candidates::default());
+        let body = ReplicaBody::Vote { last: self.log.last() };
+        self.ask_voters(&body);
+    }
+
+    /// Counts the own vote once it is synced.
+    pub(super) fn count_own_vote(&mut self, now: Timestamp) {
+        if matches!(self.role, Role::Candidate(_)) && self.synced == self.written {
+            self.count_vote(now, self.id, true);
+        }
+    }
+
+    pub(super) fn vote_for(
+        &mut self,
+        now: Timestamp,
+        via: InboundId,
+        from: MemberId,
+        term: u64,
+        last: Position,
+    ) {
+        if self.hears_leader(now) || term < self.term || self.stalled {
+            self.answer_after_sync(via, from, ReplicaBody::Voted { granted: false });
+            return;
+        }
+        if term > self.term {
+            self.adopt(now, term);
+        }
+        let free = self.vote.is_none_or(|v| v == from);
+        let granted = free && last >= self.log.last();
+        if granted && self.vote.is_none() {
+            self.vote = Some(from);
+            self.write(vec![Entry::Vote { term, candidate: self.vote }]);
+            self.reset_deadline(now);
+        }
+        self.answer_after_sync(via, from, ReplicaBody::Voted { granted });
+    }
+
+    pub(super) fn count_vote(&mut self, now: Timestamp, from: MemberId, granted: bool) {
+        let Role::Candidate(candidates) = &mut self.role else { return };
+        candidates.answered.insert(from);
+        if granted {
+            candidates.granted.insert(from);
+        }
+        // Without the own vote, which counts once it is synced, there is no leader.
+        let own = matches!(&self.role, Role::Candidate(c) if c.granted.contains(&self.id));
+        if own && matches!(&self.role, Role::Candidate(c) if self.is_majority(c)) {
+            self.lead(now);
+        }
+    }
+
+    fn lead(&mut self, now: Timestamp) {
+        ::log::info!("step=lead term={} last={}", self.term, self.log.last().index.0);
+        self.role = Role::Leader { progress: Default::default(), since: now };
+        self.append_own(Command::Noop);
+        self.advance_commit();
+        self.send_all(now);
+    }
+
+    /// Returns whether a majority of voters has not answered for the length of the lease.
+    fn lease_is_lost(&self, now: Timestamp) -> bool {
+        let Role::Leader { progress, since } = &self.role else { return false };
+        let acked = |id| match progress.get(&id) {
+            _ if id == self.id => now,
+            state => state.map_or(*since, Progress::acked).max(*since),
+        };
+        let fresh = self.members.voters().filter(|(id, _)| now - acked(*id) < LEADER_LEASE);
+        fresh.count() < self.members.quorum()
+    }
+}
--- /dev/null
+++ b/src/control/replica/members.rs
@@ -0,0 +1,216 @@
+//! Who belongs to the group, and how a member joins or is replaced, one change at a time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::message::{ReplicaBody, ReplicaMessage};
+use super::{Action, Replica, Role};
+use crate::control::state::Command;
+use crate::model::{InboundId, Timestamp};
+
+/// How long a member that wants to join is remembered after it last said so.
+const JOIN_LEASE: Duration = Duration::from_millis(2_000);
+/// How long a joining member may be silent before another takes its place.
+const LEARNER_TIMEOUT: Duration = Duration::from_millis(5_000);
+
+/// The number of a member; a member whose disk was lost gets a new one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
+pub struct MemberId(pub u64);
+
+/// One member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Whether it votes; a new member doesn't until it has caught up.
+    pub voter: bool,
+}
+
+/// All members.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Members {
+    /// How often they have changed.
+    pub epoch: u64,
+    /// The members by their numbers.
+    pub all: BTreeMap<MemberId, Member>,
+}
+
+impl Members {
+    /// Returns whether a member votes.
+    pub fn is_voter(&self, id: MemberId) -> bool {
+        self.all.get(&id).is_some_and(|m| m.voter)
+    }
+
+    /// Returns the voters.
+    pub fn voters(&self) -> impl Iterator<Item = (MemberId, SocketAddr)> {
+        self.all.iter().filter(|(_, m)| m.voter).map(|(id, m)| (*id, m.address))
+    }
+
+    /// Returns how many voters make a majority.
+    pub fn quorum(&self) -> usize {
+        self.voters().count() / 2 + 1
+    }
+
+    fn at(&self, address: SocketAddr, voter: bool) -> Option<MemberId> {
+        let found = |(_, m): &(&MemberId, &Member)| m.address == address && m.voter == voter;
+        self.all.iter().find(found).map(|(id, _)| *id)
+    }
+
+    fn with(&self, id: MemberId, address: SocketAddr, voter: bool) -> Members {
+        let mut next = self.clone();
+        next.epoch += 1;
+        next.all.insert(id, Member { address, voter });
+        next
+    }
+
+    fn without(&self, id: MemberId) -> Members {
+        let mut next = self.clone();
+        next.epoch += 1;
+        next.all.remove(&id);
+        next
+    }
+}
+
+/// Who stands for election, and who is for it.
+#[derive(Debug, Default)]
+pub struct Candidates {
+    /// Who has said yes.
+    pub granted: BTreeSet<MemberId>,
+    /// Who has answered at all.
+    pub answered: BTreeSet<MemberId>,
+}
+
+/// Members that want to join.
+#[derive(Debug, Default)]
+pub struct Joining {
+    /// The leader's list: who said hello last at each address.
+    asked: BTreeMap<SocketAddr, (MemberId, Timestamp)>,
+    /// A blank member's list: who answered that it is blank, too.
+    blank: BTreeMap<SocketAddr, MemberId>,
+    /// Who did not answer the last hello yet.
+    silent: BTreeSet<SocketAddr>,
+}
+
+impl Replica {
+    /// Returns whether this replica has no vote and should ask for one.
+    pub(super) fn wants_to_join(&self) -> bool {
+        !self.members.is_voter(self.id)
+    }
+
+    /// Tells all others that this replica has no vote.
+    pub(super) fn say_hello(&mut self, now: Timestamp) {
+        self.reset_deadline(now);
+        // Each round of hellos asks everybody anew.
+        self.joining.blank.clear();
+        if self.try_found(now) {
+            return;
+        }
+        let own = self.settings.address;
+        let known = self.members.all.values().map(|m| m.address);
+        let addresses: BTreeSet<_> = self.settings.members.iter().copied().chain(known).collect();
+        let others: BTreeSet<_> = addresses.into_iter().filter(|a| *a != own).collect();
+        for peer in std::mem::replace(&mut self.joining.silent, others.clone()) {
+            self.actions.push(Action::Redial { peer });
+        }
+        for to in others {
+            let message = self.message(MemberId(0), ReplicaBody::Hello { joinable: true });
+            self.actions.push(Action::Request { to, message });
+        }
+    }
+
+    pub(super) fn hello(
+        &mut self,
+        now: Timestamp,
+        via: InboundId,
+        message: &ReplicaMessage,
+        joinable: bool,
+    ) {
+        if joinable && (message.cluster.is_none() || message.cluster == self.cluster) {
+            self.joining.asked.insert(message.address, (message.from, now));
+        }
+        let blank = self.cluster.is_none();
+        self.answer(via, message.from, ReplicaBody::Welcome { blank });
+    }
+
+    pub(super) fn welcome(&mut self, now: Timestamp, peer: SocketAddr, id: MemberId, blank: bool) {
+        self.joining.silent.remove(&peer);
+        if self.cluster.is_some() {
+            return;
+        }
+        if blank {
+            self.joining.blank.insert(peer, id);
+            self.try_found(now);
+        } else {
+            self.joining.blank.remove(&peer);
+        }
+    }
+
+    /// Founds the group, if this is the member with the lowest address and all others are blank.
+    fn try_found(&mut self, now: Timestamp) -> bool {
+        let addresses: BTreeSet<_> = self.settings.members.iter().copied().collect();
+        let own = self.settings.address;
+        let others = || addresses.iter().filter(|a| **a != own);
+        let complete = others().all(|a| self.joining.blank.contains_key(a));
+        if self.cluster.is_some() || addresses.first() != Some(&own) || !complete {
+            return false;
+        }
+        let mut members = Members::default().with(self.id, own, true);
+        for (address, id) in std::mem::take(&mut self.joining.blank) {
+            members = members.with(id, address, true);
+        }
+        ::log::info!("step=found members={members:?}");
+        self.cluster = Some(self.id.0);
+        self.write(vec![super::Entry::Cluster(self.id.0)]);
+        self.adopt(now, 1);
+        self.append_own(Command::Members(members));
+        self.stand(now);
+        true
+    }
+
+    /// Makes the next change of the members, if one is due and none is under way.
+    pub(super) fn change_members(&mut self, now: Timestamp) {
+        self.joining.asked.retain(|_, (_, at)| now - *at < JOIN_LEASE);
+        if self.joining.asked.is_empty() && self.members.all.values().all(|m| m.voter) {
+            return;
+        }
+        let settled = self.log.members_index() <= self.commit;
+        if !settled || self.log.term_at(self.commit) != Some(self.term) {
+            return;
+        }
+        if let Some(next) = self.next_members(now) {
+            ::log::info!("step=members members={next:?}");
+            self.append_own(Command::Members(next));
+            self.advance_commit();
+            self.send_all(now);
+        }
+    }
+
+    fn next_members(&self, now: Timestamp) -> Option<Members> {
+        let Role::Leader { progress, since } = &self.role else { return None };
+        for (id, member) in self.members.all.iter().filter(|(_, m)| !m.voter) {
+            let state = progress.get(id)?;
+            if state.acked() > *since && state.matched() >= self.commit {
+                // The old number at this address has lost its disk, so it goes first.
+                let old = self.members.at(member.address, true);
+                let next = old.map(|old| self.members.without(old));
+                return next.or_else(|| Some(self.members.with(*id, member.address, true)));
+            }
+            let silent = now - state.acked().max(*since) > LEARNER_TIMEOUT;
+            let asked = self.joining.asked.get(&member.address);
+            if silent && asked.is_some_and(|(other, _)| other != id) {
+                return Some(self.members.without(*id));
+            }
+        }
+        let learner = |address: &SocketAddr| self.members.at(*address, false).is_some();
+        let allowed = |address: &SocketAddr| {
+            self.settings.members.contains(address) || self.members.at(*address, true).is_some()
+        };
+        let new = self.joining.asked.iter().find(|(address, (id, _))| {
+            !self.members.all.contains_key(id) && !learner(address) && allowed(address)
+        });
+        new.map(|(address, (id, _))| self.members.with(*id, *address, false))
+    }
+}
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -1,15 +1,70 @@
-//! One replica of the log.
+//! One replica of the log: consensus among the control members as a plain state machine.
+//!
+//! A replica takes messages, disk syncs and the present time, and returns actions. It tells nobody
+//! of a record or a vote before the disk has said that it is synced.
 
-use std::collections::BTreeMap;
+mod append;
+mod election;
+mod log;
+mod members;
+mod message;
+mod snapshot;
+mod stored;
 
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
 
 use super::state::Command;
+use crate::model::{InboundId, Timestamp};
+
+use append::Progress;
+use log::Log;
+use members::{Candidates, Joining};
+pub use members::{Member, MemberId, Members};
+pub use message::{ReplicaBody, ReplicaMessage};
+use snapshot::Arriving;
+pub use snapshot::Snapshot;
+pub use stored::{Entry, Stored};
+
+/// The time between two messages of a leader to a member that has nothing to catch up on.
+pub const LEADER_HEARTBEAT: Duration = Duration::from_millis(100);
+/// The least time without a leader before a member stands for election.
+pub const ELECTION_TIMEOUT: Duration = Duration::from_millis(400);
+/// The most time that a member adds to the timeout, by its seed.
+pub const ELECTION_SPREAD: Duration = Duration::from_millis(300);
+/// How long a leader leads without answers from a majority.
+pub const LEADER_LEASE: Duration = Duration::from_millis(800);
+/// How long an answer may take before a fresh connection is dialled.
+pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// The place of a record in the log, from 1.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
 pub struct LogIndex(pub u64);
 
+impl LogIndex {
+    /// Returns the place after this one.
+    pub fn next(self) -> LogIndex {
+        LogIndex(self.0 + 1)
+    }
+}
+
+/// Where a log ends; the later one of two is the more complete log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
+pub struct Position {
+    /// The term of the last record.
+    pub term: u64,
+    /// Its place.
+    pub index: LogIndex,
+}
+
 /// A record of the log.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Record {
@@ -21,54 +76,447 @@
     pub command: Command,
 }
 
-/// What replicas tell each other.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum ReplicaMessage {
-    /// The sender leads in this term.
-    Heartbeat {
-        /// The term.
-        term: u64,
+impl Record {
+    /// Returns the record's term and place.
+    pub fn position(&self) -> Position {
+        Position { term: self.term, index: self.index }
+    }
+}
+
+/// One write to the disk; writes are synced in order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub struct WriteId(pub u64);
+
+/// Who a replica is.
+#[derive(Debug, Clone)]
+pub struct ReplicaSettings {
+    /// The member's own address.
+    pub address: SocketAddr,
+    /// The addresses of all members.
+    pub members: Vec<SocketAddr>,
+    /// The seed of its timeouts.
+    pub seed: u64,
+    /// Records after which the log is cut behind a snapshot.
+    pub compact_after: usize,
+    /// Records before a snapshot that are kept for members that are a little behind.
+    pub kept: usize,
+}
+
+impl ReplicaSettings {
+    /// Makes the settings of a member in production.
+    pub fn new(address: SocketAddr, members: Vec<SocketAddr>, seed: u64) -> ReplicaSettings {
+        ReplicaSettings { address, members, seed, compact_after: 8_192, kept: 2_048 }
+    }
+}
+
+/// What a replica is told.
+#[derive(Debug)]
+pub enum ReplicaInput {
+    /// A member sent a request.
+    Request {
+        /// The exchange to answer on.
+        via: InboundId,
+        /// The request.
+        message: ReplicaMessage,
+    },
+    /// A member answered.
+    Reply {
+        /// Its address.
+        peer: SocketAddr,
+        /// The answer.
+        message: ReplicaMessage,
+    },
+    /// Messages to a member that were not answered yet are lost.
+    Lost {
+        /// Its address.
+        peer: SocketAddr,
     },
+    /// All writes up to this one are synced.
+    Synced(WriteId),
+    /// The disk takes no writes for now.
+    Stalled,
+    /// The time that was asked for has come.
+    Wake,
 }
 
-/// A committed command.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Step {
-    /// Its place in the log.
-    pub index: LogIndex,
-    /// The command.
-    pub command: Command,
+/// What a replica wants done.
+#[derive(Debug)]
+pub enum Action {
+    /// Send a request to a member.
+    Request {
+        /// Its address.
+        to: SocketAddr,
+        /// The request.
+        message: ReplicaMessage,
+    },
+    /// Answer a member's request.
+    Reply {
+        /// The exchange.
+        via: InboundId,
+        /// The answer.
+        message: ReplicaMessage,
+    },
+    /// Use a fresh connection to a member that is overdue.
+    Redial {
+        /// Its address.
+        peer: SocketAddr,
+    },
+    /// Append to the journal and sync.
+    Write {
+        /// The write.
+        id: WriteId,
+        /// What to append.
+        entries: Vec<Entry>,
+    },
+    /// Write the snapshot and begin a new journal with these entries.
+    Replace {
+        /// The write.
+        id: WriteId,
+        /// The snapshot.
+        snapshot: Arc<Snapshot>,
+        /// The whole new journal.
+        entries: Vec<Entry>,
+    },
+    /// A record is committed.
+    Apply(Record),
+    /// The state is that of the snapshot now.
+    Restore(Arc<Snapshot>),
+    /// The replica leads no more; what becomes of its open proposals is not known.
+    SteppedDown,
 }
 
-/// A replica without peers: a record is committed once it is synced.
-#[derive(Debug, Default)]
+/// What a replica does in its term.
+#[derive(Debug)]
+enum Role {
+    Follower { leader: Option<SocketAddr>, heard: Option<Timestamp> },
+    Asking(Candidates),
+    Candidate(Candidates),
+    Leader { progress: BTreeMap<MemberId, Progress>, since: Timestamp },
+}
+
+/// Something to do once a write is synced, if the term is still the same.
+#[derive(Debug)]
+struct Deferred {
+    write: WriteId,
+    term: u64,
+    action: Action,
+}
+
+/// A replica.
+#[derive(Debug)]
 pub struct Replica {
-    last: LogIndex,
-    unsynced: BTreeMap<LogIndex, Command>,
+    settings: ReplicaSettings,
+    rng: Pcg64Mcg,
+    id: MemberId,
+    cluster: Option<u64>,
+    term: u64,
+    vote: Option<MemberId>,
+    log: Log,
+    members: Members,
+    role: Role,
+    commit: LogIndex,
+    applied: LogIndex,
+    written: WriteId,
+    synced: WriteId,
+    /// The end of the log at each write that is not synced yet.
+    ends: VecDeque<(WriteId, LogIndex)>,
+    durable: LogIndex,
+    deferred: VecDeque<Deferred>,
+    stalled: bool,
+    deadline: Option<Timestamp>,
+    joining: Joining,
+    arriving: Arriving,
+    /// The encoded snapshot that is being sent.
+    sending: Option<(Position, Arc<[u8]>)>,
+    actions: Vec<Action>,
 }
 
 impl Replica {
-    /// Makes a replica with an empty log.
-    pub fn new() -> Replica {
-        Replica::default()
+    /// Makes a replica from what its disk kept.
+    pub fn new(settings: ReplicaSettings, stored: Stored) -> Replica {
+        let log = Log::new(stored.snapshot, stored.base, stored.records);
+        let start = log.snapshot().map_or(LogIndex(0), |s| s.position.index);
+        let durable = log.last().index;
+        let members = log.members();
+        Replica {
+            rng: Pcg64Mcg::seed_from_u64(settings.seed),
+            settings,
+            id: stored.id,
+            cluster: stored.cluster,
+            term: stored.term,
+            vote: stored.vote,
+            log,
+            members,
+            role: Role::Follower { leader: None, heard: None },
+            commit: start,
+            applied: start,
+            written: WriteId(0),
+            synced: WriteId(0),
+            ends: VecDeque::new(),
+            durable,
+            deferred: VecDeque::new(),
+            stalled: false,
+            deadline: None,
+            joining: Joining::default(),
+            arriving: Arriving::default(),
+            sending: None,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes one input and returns what is to be done about it.
+    pub fn step(&mut self, now: Timestamp, input: ReplicaInput) -> Vec<Action> {
+        if self.deadline.is_none() {
+            self.begin(now);
+        }
+        match input {
+            ReplicaInput::Request { via, message } => self.request(now, via, message),
+            ReplicaInput::Reply { peer, message } => self.reply(now, peer, message),
+            ReplicaInput::Lost { peer } => self.lost(peer),
+            ReplicaInput::Synced(write) => self.on_synced(now, write),
+            ReplicaInput::Stalled => self.stall(now),
+            ReplicaInput::Wake => {}
+        }
+        self.tick(now);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Puts a command at the end of the log, or says who leads.
+    pub fn propose(
+        &mut self,
+        now: Timestamp,
+        command: Command,
+    ) -> Result<(Position, Vec<Action>), Option<SocketAddr>> {
+        if !self.is_leader() {
+            return Err(self.leader());
+        }
+        let position = self.append_own(command);
+        self.advance_commit();
+        self.send_all(now);
+        Ok((position, std::mem::take(&mut self.actions)))
+    }
+
+    /// Returns when the replica wants a [`ReplicaInput::Wake`].
+    pub fn next_wake(&self) -> Timestamp {
+        let Some(deadline) = self.deadline else { return Timestamp::default() };
+        match &self.role {
+            Role::Leader { progress, .. } => {
+                progress.values().map(Progress::next_wake).min().unwrap_or(Timestamp::MAX)
+            }
+            _ => deadline,
+        }
+    }
+
+    /// Returns whether this replica leads.
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, Role::Leader { .. })
+    }
+
+    /// Returns the address of the leader, if it is known.
+    pub fn leader(&self) -> Option<SocketAddr> {
+        match &self.role {
+            Role::Leader { .. } => Some(self.settings.address),
+            Role::Follower { leader, .. } => *leader,
+            _ => None,
+        }
+    }
+
+    /// Returns the present term.
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Returns the member's number.
+    pub fn id(&self) -> MemberId {
+        self.id
+    }
+
+    /// Returns the members by the newest record about them, committed or not.
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// Returns the members if the newest record about them is committed.
+    pub fn settled_members(&self) -> Option<&Members> {
+        (self.log.members_index() <= self.commit).then_some(&self.members)
+    }
+
+    /// Returns whether this replica has a vote and its disk takes writes, so that its log counts
+    /// towards a majority.
+    pub fn counts(&self) -> bool {
+        self.members.is_voter(self.id) && !self.stalled
+    }
+
+    /// Returns the end of the log.
+    pub fn last(&self) -> Position {
+        self.log.last()
+    }
+
+    /// Returns the last committed place that was handed out.
+    pub fn applied(&self) -> LogIndex {
+        self.applied
+    }
+
+    /// Returns the records after the last one that was handed out.
+    pub fn unapplied(&self) -> impl Iterator<Item = &Record> {
+        self.log.after(self.applied)
+    }
+
+    /// Returns a record that is still kept.
+    pub fn record(&self, index: LogIndex) -> Option<&Record> {
+        self.log.get(index)
+    }
+
+    /// Returns the snapshot that the log begins with.
+    pub fn snapshot(&self) -> Option<&Arc<Snapshot>> {
+        self.log.snapshot()
+    }
+
+    fn on_synced(&mut self, now: Timestamp, write: WriteId) {
+        self.synced = self.synced.max(write);
+        self.stalled = false;
+        while let Some((id, end)) = self.ends.front().copied() {
+            if id > self.synced {
+                break;
+            }
+            self.durable = end;
+            self.ends.pop_front();
+        }
+        while self.deferred.front().is_some_and(|d| d.write <= self.synced) {
+            let Some(deferred) = self.deferred.pop_front() else { break };
+            if deferred.term == self.term {
+                self.actions.push(deferred.action);
+            }
+        }
+        self.count_own_vote(now);
+        self.advance_commit();
+    }
+
+    fn stall(&mut self, now: Timestamp) {
+        self.stalled = true;
+        if !matches!(self.role, Role::Follower { .. }) {
+            self.follow(now, None);
+        }
+    }
+
+    /// Writes entries; what is told afterwards waits until they are synced.
+    fn write(&mut self, entries: Vec<Entry>) {
+        self.written = WriteId(self.written.0 + 1);
+        self.ends.push_back((self.written, self.log.last().index));
+        self.actions.push(Action::Write { id: self.written, entries });
+    }
+
+    /// Does something once all that was written is synced.
+    fn after_sync(&mut self, action: Action) {
+        if self.synced == self.written {
+            self.actions.push(action);
+        } else {
+            let deferred = Deferred { write: self.written, term: self.term, action };
+            self.deferred.push_back(deferred);
+        }
+    }
+
+    fn message(&self, to: MemberId, body: ReplicaBody) -> ReplicaMessage {
+        let cluster = self.cluster;
+        let address = self.settings.address;
+        ReplicaMessage { cluster, from: self.id, address, to, term: self.term, body }
+    }
+
+    fn answer(&mut self, via: InboundId, to: MemberId, body: ReplicaBody) {
+        let message = self.message(to, body);
+        self.actions.push(Action::Reply { via, message });
+    }
+
+    fn answer_after_sync(&mut self, via: InboundId, to: MemberId, body: ReplicaBody) {
+        let message = self.message(to, body);
+        self.after_sync(Action::Reply { via, message });
+    }
+
+    /// Sets the first deadline; who can't disturb anybody doesn't wait.
+    fn begin(&mut self, now: Timestamp) {
+        self.reset_deadline(now);
+        if self.wants_to_join() || self.members.voters().count() == 1 {
+            self.deadline = Some(now);
+        }
+    }
+
+    fn reset_deadline(&mut self, now: Timestamp) {
+        let spread = self.rng.next_u64() % (ELECTION_SPREAD.as_micros() as u64);
+        self.deadline = Some(now + ELECTION_TIMEOUT + Duration::from_micros(spread));
     }
 
-    /// Takes a record that the disk kept.
-    pub fn restore(&mut self, record: Record) {
-        self.last = record.index;
+    fn request(&mut self, now: Timestamp, via: InboundId, message: ReplicaMessage) {
+        if let ReplicaBody::Hello { joinable } = message.body {
+            self.hello(now, via, &message, joinable);
+            return;
+        }
+        if message.to != self.id || !self.same_cluster(&message) {
+            return;
+        }
+        let from = message.from;
+        match message.body {
+            ReplicaBody::PreVote { next, last } => {
+                let granted = self.would_vote(now, next, last);
+                self.answer(via, from, ReplicaBody::PreVoted { next, granted });
+            }
+            ReplicaBody::Vote { last } => self.vote_for(now, via, from, message.term, last),
+            ReplicaBody::Append { .. } | ReplicaBody::Chunk { .. } => {
+                if message.term < self.term {
+                    self.answer_after_sync(via, from, ReplicaBody::Outdated);
+                    return;
+                }
+                self.hear_leader(now, message.term, message.address);
+                self.take(via, from, message.body);
+            }
+            _ => {}
+        }
     }
 
-    /// Puts a command at the end of the log.
-    pub fn propose(&mut self, command: Command) -> (LogIndex, Record) {
-        self.last = LogIndex(self.last.0 + 1);
-        self.unsynced.insert(self.last, command.clone());
-        (self.last, Record { index: self.last, term: 1, command })
+    fn reply(&mut self, now: Timestamp, peer: SocketAddr, message: ReplicaMessage) {
+        if let ReplicaBody::Welcome { blank } = message.body {
+            self.welcome(now, peer, message.from, blank);
+            return;
+        }
+        if message.to != self.id || !self.same_cluster(&message) {
+            return;
+        }
+        if message.term > self.term {
+            self.adopt(now, message.term);
+            return;
+        }
+        match message.body {
+            ReplicaBody::PreVoted { next, granted } => {
+                self.count_pre_vote(now, message.from, next, granted);
+            }
+            ReplicaBody::Voted { granted } if message.term == self.term => {
+                self.count_vote(now, message.from, granted);
+            }
+            ReplicaBody::Appended { .. } | ReplicaBody::Received { .. }
+                if message.term == self.term =>
+            {
+                self.answered(now, message.from, message.body);
+            }
+            _ => {}
+        }
     }
 
-    /// Commits what is synced.
-    pub fn synced(&mut self, upto: LogIndex) -> Vec<Step> {
-        let rest = self.unsynced.split_off(&LogIndex(upto.0 + 1));
-        let done = std::mem::replace(&mut self.unsynced, rest);
-        done.into_iter().map(|(index, command)| Step { index, command }).collect()
+    /// Returns whether a message belongs to the own group; a blank member joins the group of the
+    /// first message that is addressed to its number.
+    fn same_cluster(&mut self, message: &ReplicaMessage) -> bool {
+        match (self.cluster, message.cluster) {
+            (Some(own), Some(other)) if own != other => {
+                ::log::error!(
+                    "step=message peer={} error=the member belongs to another group",
+                    message.address
+                );
+                false
+            }
+            (None, Some(other)) => {
+                self.cluster = Some(other);
+                self.write(vec![Entry::Cluster(other)]);
+                true
+            }
+            _ => true,
+        }
     }
 }
--- /dev/null
+++ b/src/control/replica/snapshot.rs
@@ -0,0 +1,181 @@
+//! Snapshots: the state at a position, made now and then and sent in pieces to who is far behind.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::members::{MemberId, Members};
+use super::message::ReplicaBody;
+use super::{Action, Entry, LogIndex, Position, Replica, WriteId};
+use crate::control::state::Command;
+use crate::model::Timestamp;
+
+/// The most bytes of a snapshot in one message.
+const CHUNK_BYTES: usize = 256 << 10;
+
+/// The state at a position.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The last record that it holds.
+    pub position: Position,
+    /// The members at that position.
+    pub members: Members,
+    /// The state, as its owner encodes it.
+    pub state: Vec<u8>,
+}
+
+/// A snapshot that arrives in pieces.
+#[derive(Debug, Default)]
+pub struct Arriving {
+    position: Position,
+    bytes: Vec<u8>,
+}
+
+impl Replica {
+    /// Returns whether the log has grown so long that a snapshot is due.
+    pub fn wants_snapshot(&self) -> bool {
+        let size = self.log.snapshot().map_or(0, |s| s.state.len());
+        let records = self.log.len().saturating_sub(self.settings.kept);
+        let made = self.log.snapshot().map_or(LogIndex(0), |s| s.position.index);
+        // A large state is written less often.
+        let due = self.settings.compact_after.max(size / 256);
+        records > due && self.applied > made && self.log.get(self.applied).is_some()
+    }
+
+    /// Cuts the log behind the state as of [`Replica::applied`].
+    pub fn compact(&mut self, state: Vec<u8>) -> Vec<Action> {
+        let Some(position) = self.log.get(self.applied).map(super::Record::position) else {
+            return Vec::new();
+        };
+        let members = self.members_at(position.index);
+        let snapshot = Arc::new(Snapshot { position, members, state });
+        self.log.compact(snapshot.clone(), self.settings.kept);
+        self.replace(snapshot);
+        std::mem::take(&mut self.actions)
+    }
+
+    fn members_at(&self, index: LogIndex) -> Members {
+        let before = self.log.after(self.log.base().index).take_while(|r| r.index <= index);
+        let named = before.filter_map(|r| match &r.command {
+            Command::Members(members) => Some(members.clone()),
+            _ => None,
+        });
+        let stored = || self.log.snapshot().map(|s| s.members.clone());
+        named.last().or_else(stored).unwrap_or_default()
+    }
+
+    /// Writes the snapshot and a new journal behind it.
+    fn replace(&mut self, snapshot: Arc<Snapshot>) {
+        let mut entries = vec![Entry::Owner(self.id)];
+        entries.extend(self.cluster.map(Entry::Cluster));
+        entries.push(Entry::Vote { term: self.term, candidate: self.vote });
+        entries.push(Entry::Base(self.log.base()));
+        entries.extend(self.log.after(self.log.base().index).cloned().map(Entry::Append));
+        self.written = WriteId(self.written.0 + 1);
+        self.ends.push_back((self.written, self.log.last().index));
+        self.actions.push(Action::Replace { id: self.written, snapshot, entries });
+    }
+
+    /// Sends the next piece of the snapshot.
+    pub(super) fn send_chunk(&mut self, now: Timestamp, id: MemberId, to: SocketAddr) {
+        let Some(snapshot) = self.log.snapshot().cloned() else { return };
+        let Ok(encoded) = self.encoded(&snapshot) else { return };
+        let Some(state) = self.progress_of(id) else { return };
+        let offset = match state.snapshot {
+            Some((position, offset)) if position == snapshot.position => offset,
+            _ => 0,
+        };
+        state.snapshot = Some((snapshot.position, offset));
+        let from = (offset as usize).min(encoded.len());
+        let until = (from + CHUNK_BYTES).min(encoded.len());
+        let body = ReplicaBody::Chunk {
+            position: snapshot.position,
+            offset,
+            total: encoded.len() as u64,
+            bytes: encoded[from..until].to_vec(),
+            sent: now,
+        };
+        let message = self.message(id, body);
+        self.actions.push(Action::Request { to, message });
+        self.sent_to(now, id);
+    }
+
+    /// Encodes a snapshot once for all pieces of it.
+    fn encoded(&mut self, snapshot: &Snapshot) -> Result<Arc<[u8]>, postcard::Error> {
+        let made = self.sending.as_ref().filter(|(position, _)| *position == snapshot.position);
+        if let Some((_, bytes)) = made {
+            return Ok(bytes.clone());
+        }
+        let bytes: Arc<[u8]> = postcard::to_stdvec(snapshot)?.into();
+        self.sending = Some((snapshot.position, bytes.clone()));
+        Ok(bytes)
+    }
+
+    /// Takes a member's answer to a piece.
+    pub(super) fn received(&mut self, from: MemberId, position: Position, offset: u64) {
+        let total = match &self.sending {
+            Some((p, bytes)) if *p == position => bytes.len() as u64,
+            _ => return,
+        };
+        let Some(state) = self.progress_of(from) else { return };
+        if state.snapshot.is_none_or(|(p, _)| p != position) {
+            return;
+        }
+        if offset >= total {
+            Replica::snapshot_done(state, position.index);
+        } else {
+            state.snapshot = Some((position, offset));
+        }
+    }
+
+    /// Takes a piece and returns how many bytes are there; the last one installs the snapshot.
+    pub(super) fn take_chunk(
+        &mut self,
+        position: Position,
+        offset: u64,
+        total: u64,
+        bytes: &[u8],
+    ) -> u64 {
+        if position.index <= self.commit {
+            return total;
+        }
+        if self.arriving.position != position {
+            self.arriving = Arriving { position, bytes: Vec::new() };
+        }
+        if offset == self.arriving.bytes.len() as u64 {
+            self.arriving.bytes.extend_from_slice(bytes);
+        }
+        let length = self.arriving.bytes.len() as u64;
+        if length < total {
+            return length;
+        }
+        let whole = std::mem::take(&mut self.arriving).bytes;
+        match postcard::from_bytes::<Snapshot>(&whole) {
+            Ok(snapshot) => {
+                self.install(Arc::new(snapshot));
+                total
+            }
+            Err(error) => {
+                ::log::error!("step=install-snapshot error={error}");
+                0
+            }
+        }
+    }
+
+    fn install(&mut self, snapshot: Arc<Snapshot>) {
+        ::log::info!("step=install-snapshot index={}", snapshot.position.index.0);
+        let index = snapshot.position.index;
+        self.log.install(snapshot.clone());
+        self.members = self.log.members();
+        self.commit = index;
+        self.applied = index;
+        let last = self.log.last().index;
+        self.durable = self.durable.min(last);
+        for (_, end) in &mut self.ends {
+            *end = (*end).min(last);
+        }
+        self.replace(snapshot.clone());
+        self.actions.push(Action::Restore(snapshot));
+    }
+}
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,11 +1,11 @@
 //! The replicated state: what the commands of the log add up to.
 
-use std::collections::BTreeMap;
-
+use eyre::WrapErr;
 use serde::{Deserialize, Serialize};
 
 use super::claims::{Claim, ClaimKey, ClaimReply, Claims, Outcome};
-use super::config::{Change, Config};
+use super::config::{Change, Changes, Config};
+use super::replica::Members;
 use crate::model::{RequestId, Revision};
 
 /// A command in the log.
@@ -13,6 +13,8 @@
 pub enum Command {
     /// Nothing; a new leader commits it first.
     Noop,
+    /// The members of the log's own group.
+    Members(Members),
     /// Change the configuration.
     Change(Change),
     /// Claim a key.
@@ -81,17 +83,27 @@
 pub struct State {
     /// The configuration in force.
     pub config: Config,
-    /// Accepted changes by their revision.
-    pub history: BTreeMap<Revision, Change>,
+    /// Accepted changes.
+    pub changes: Changes,
     /// Claims.
     pub claims: Claims,
 }
 
 impl State {
+    /// Encodes the state for a snapshot.
+    pub fn encode(&self) -> eyre::Result<Vec<u8>> {
+        postcard::to_stdvec(self).wrap_err("encode state")
+    }
+
+    /// Decodes the state of a snapshot.
+    pub fn decode(bytes: &[u8]) -> eyre::Result<State> {
+        postcard::from_bytes(bytes).wrap_err("decode state")
+    }
+
     /// Applies one command; the result depends on nothing else than the state and the command.
     pub fn apply(&mut self, command: &Command) -> Applied {
         match command {
-            Command::Noop => Applied::Done,
+            Command::Noop | Command::Members(_) => Applied::Done,
             Command::Change(change) => Applied::Changed(self.change(change)),
             Command::Claim { key, claim } => Applied::Claim(self.claims.claim(key, claim)),
             Command::TakeOver { key, from, claim } => {
@@ -105,20 +117,6 @@
     }
 
     fn change(&mut self, change: &Change) -> ChangeReply {
-        if let Some((revision, _)) = self.history.iter().find(|(_, c)| c.id == change.id) {
-            return ChangeReply::Accepted(*revision);
-        }
-        if change.base != self.config.revision {
-            let winner = self.history.get(&Revision(change.base.0 + 1)).cloned();
-            return ChangeReply::Conflict { current: self.config.revision, winner };
-        }
-        match self.config.edited(&change.edit) {
-            Ok(config) => {
-                self.config = config;
-                self.history.insert(self.config.revision, change.clone());
-                ChangeReply::Accepted(self.config.revision)
-            }
-            Err(error) => ChangeReply::Refused(format!("{error:#}").into()),
-        }
+        self.changes.apply(&mut self.config, change)
     }
 }
--- a/src/entry/run/service.rs
+++ b/src/entry/run/service.rs
@@ -103,7 +103,7 @@
                     }
                 }
             }
-            ControlReply::NotLeader { leader } => {
+            ControlReply::NotLeader { leader } | ControlReply::Interrupted { leader } => {
                 shared.proposer.miss(leader);
                 self.propose_claim(shared, now, key, claim)
             }
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -220,6 +220,8 @@
     pub endpoints: bool,
     /// The registry version that the sender has from this member.
     pub version: u64,
+    /// The newest set of settings that the sender understands.
+    pub schema: u32,
 }
 
 /// A process as operators see it.
@@ -249,6 +251,11 @@
         /// Where to try next.
         leader: Option<SocketAddr>,
     },
+    /// The member leads no more; whether the command is in the log is not known, so send it again.
+    Interrupted {
+        /// Where to try next.
+        leader: Option<SocketAddr>,
+    },
     /// What the member knows.
     Status(Box<Status>),
 }
@@ -258,8 +265,8 @@
 pub struct Beat {
     /// The member's name.
     pub member: Box<str>,
-    /// The highest revision in the member's log, in force or not.
-    pub highest: Revision,
+    /// What the member's log proves, if the member has a vote.
+    pub proof: Option<Proof>,
     /// The configuration in force, if it is newer than the sender's.
     pub config: Option<Config>,
     /// The registry's version.
@@ -268,6 +275,17 @@
     pub endpoints: Option<Vec<EndpointState>>,
 }
 
+/// What the log of a member with a vote proves about the configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Proof {
+    /// A revision that no change in its log exceeds, committed or not.
+    pub highest: Revision,
+    /// How often the members have changed, by its log.
+    pub epoch: u64,
+    /// The addresses of the members with a vote, by its log.
+    pub voters: Vec<SocketAddr>,
+}
+
 /// What operators see.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Status {
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::control::config::{Config, Revised};
+use crate::control::config::{Config, Revised, SCHEMA};
 use crate::link::message::{
-    Beat, ControlReply, ControlRequest, Envelope, Heartbeat, ProcessState, Reply, Request,
+    Beat, ControlReply, ControlRequest, Envelope, Heartbeat, ProcessState, Proof, Reply, Request,
 };
 use crate::model::{BootId, EndpointState, ExchangeId, Timestamp};
 use crate::role::Output;
@@ -42,7 +42,8 @@
     open: Option<(ExchangeId, Timestamp)>,
     due: Timestamp,
     version: u64,
-    highest: Option<(crate::model::Revision, Timestamp)>,
+    /// The last proof, and when it was asked for.
+    proof: Option<(Proof, Timestamp)>,
     endpoints: Vec<EndpointState>,
 }
 
@@ -63,7 +64,7 @@
             open: None,
             due: Timestamp::default(),
             version: 0,
-            highest: None,
+            proof: None,
             endpoints: Vec::new(),
         };
         let members = settings.members.iter().map(member).collect();
@@ -90,18 +91,28 @@
     /// Returns whether a majority of members has confirmed lately that the configuration in
     /// force is the newest.
     pub fn is_confirmed(&self, now: Timestamp) -> bool {
-        let fresh = |m: &&Member| {
-            m.highest.is_some_and(|(revision, at)| {
-                revision <= self.revised.revision && now - at < CONFIRMATION_LEASE
-            })
+        let fresh: Vec<(SocketAddr, &Proof)> = self
+            .members
+            .iter()
+            .filter_map(|m| m.proof.as_ref().map(|(proof, at)| (m.address, proof, *at)))
+            .filter(|(_, _, at)| now - *at < CONFIRMATION_LEASE)
+            .map(|(address, proof, _)| (address, proof))
+            .collect();
+        // Who has a vote is known best by the member that has seen the most changes of members.
+        let Some((_, newest)) = fresh.iter().max_by_key(|(_, p)| p.epoch) else { return false };
+        let agrees = |address: &&SocketAddr| {
+            let proof = fresh.iter().find(|(a, _)| a == *address).map(|(_, p)| p);
+            proof.is_some_and(|p| p.highest <= self.revised.revision)
         };
-        let count = self.members.iter().filter(fresh).count();
-        count * 2 > self.members.len()
+        newest.voters.iter().filter(agrees).count() * 2 > newest.voters.len()
     }
 
     /// Notes the configuration that a peer has in force; one that is newer than the own makes
     /// the next heartbeats due at once.
     pub fn observe(&mut self, now: Timestamp, revised: Revised) {
+        if revised.revision == self.revised.revision && revised.hash != self.revised.hash {
+            log::error!("step=observe own={} other={revised} error=hashes differ", self.revised);
+        }
         if revised.revision > self.revised.revision {
             for member in &mut self.members {
                 member.due = member.due.min(now);
@@ -147,6 +158,7 @@
                 endpoint: endpoint.cloned(),
                 endpoints: self.settings.endpoints,
                 version: member.version,
+                schema: SCHEMA,
             };
             let exchange = next();
             member.open = Some((exchange, now));
@@ -164,7 +176,7 @@
         let Some((_, sent)) = member.open.take() else { return false };
         let Reply::Control(ControlReply::Beat(beat)) = reply else { return true };
         member.version = beat.version;
-        member.highest = Some((beat.highest, sent));
+        member.proof = beat.proof.clone().map(|proof| (proof, sent));
         if let Some(endpoints) = &beat.endpoints {
             member.endpoints.clone_from(endpoints);
         }
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -17,6 +17,7 @@
 #[derive(Debug, Default)]
 pub struct Registry {
     processes: BTreeMap<(Box<str>, Box<str>), (ProcessState, Timestamp)>,
+    schemas: BTreeMap<(Box<str>, Box<str>), u32>,
     endpoints: BTreeMap<Box<str>, (EndpointState, Timestamp)>,
     version: u64,
 }
@@ -39,9 +40,21 @@
         self.endpoints.insert(endpoint.name.clone(), (endpoint, now));
     }
 
+    /// Notes the newest set of settings that a process understands.
+    pub fn schema(&mut self, process: &ProcessState, schema: u32) {
+        self.schemas.insert((process.name.clone(), process.role.clone()), schema);
+    }
+
+    /// Returns the names of live processes that don't understand a set of settings.
+    pub fn older_than(&self, schema: u32) -> Vec<String> {
+        let old = self.schemas.iter().filter(|(_, known)| **known < schema);
+        old.map(|((name, role), _)| format!("{name} ({role})")).collect()
+    }
+
     /// Forgets what has not been heard of for the length of the lease.
     pub fn expire(&mut self, now: Timestamp) {
         self.processes.retain(|_, (_, seen)| now - *seen < HEARTBEAT_LEASE);
+        self.schemas.retain(|key, _| self.processes.contains_key(key));
         let count = self.endpoints.len();
         self.endpoints.retain(|_, (_, seen)| now - *seen < HEARTBEAT_LEASE);
         if self.endpoints.len() != count {
--- /dev/null
+++ b/tests/replica/world.rs
@@ -0,0 +1,760 @@
+//! A few control members, followers and operators in one thread over a queue of due events.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dotterelpin::control::config::{Change, Edit};
+use dotterelpin::control::replica::{Entry, LogIndex, MemberId, ReplicaSettings, Stored};
+use dotterelpin::control::state::{Applied, ChangeReply, Command};
+use dotterelpin::control::{Control, ControlSettings, DiskEffect, DiskInput, disk};
+use dotterelpin::link::message::{ControlReply, ControlRequest, Envelope, Reply, Request};
+use dotterelpin::model::{BootId, ExchangeId, InboundId, Revision, Timestamp};
+use dotterelpin::registry::{Follower, FollowerSettings};
+use dotterelpin::role::{Input, LinkFailure, Output, Role};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const FOLLOWERS: usize = 2;
+const OPERATOR: usize = usize::MAX;
+/// What a confirmed follower may lack: changes accepted within this time.
+const CONFIRMATION: Duration = Duration::from_millis(3_000);
+const IN_FORCE: Duration = Duration::from_secs(8);
+
+#[derive(Debug, Clone)]
+pub enum Fault {
+    Change { any: bool, at: usize },
+    Race { at: usize },
+    Resend { old: u8, at: usize },
+    Burst { count: usize },
+    Kill(usize),
+    KillLeader,
+    Restart(usize),
+    LoseDisk(usize),
+    Full { at: usize, full: bool },
+    Cut { from: usize, to: usize },
+    Isolate(usize),
+    Heal,
+    Mute { from: usize, to: usize },
+    Pause { at: usize, millis: u64 },
+}
+
+#[derive(Debug, Clone)]
+pub struct Scenario {
+    pub nodes: usize,
+    pub seed: u64,
+    /// Messages of a hundred that are lost, and as many that come twice or late.
+    pub noise: u32,
+    /// Milliseconds before each fault.
+    pub steps: Vec<(u64, Fault)>,
+}
+
+/// A disk of which only synced bytes survive.
+#[derive(Default)]
+struct FakeDisk {
+    journal: Vec<u8>,
+    sequence: u64,
+    snapshot: Option<Vec<u8>>,
+    pending: VecDeque<DiskEffect>,
+    full: bool,
+}
+
+impl FakeDisk {
+    fn sync(&mut self, most: usize) -> Option<DiskInput> {
+        if self.full && !self.pending.is_empty() {
+            return Some(DiskInput::Stalled("no space".into()));
+        }
+        match self.pending.pop_front()? {
+            DiskEffect::Append { mut id, mut entries } => {
+                for _ in 1..most {
+                    let Some(DiskEffect::Append { .. }) = self.pending.front() else { break };
+                    let Some(DiskEffect::Append { id: next, entries: rest }) =
+                        self.pending.pop_front()
+                    else {
+                        break;
+                    };
+                    id = next;
+                    entries.extend(rest);
+                }
+                self.journal.extend(disk::encode(self.sequence, &entries).unwrap());
+                self.sequence += 1;
+                Some(DiskInput::Synced(id))
+            }
+            DiskEffect::Replace { id, snapshot, entries } => {
+                self.snapshot = Some(disk::encode(0, &*snapshot).unwrap());
+                self.journal = disk::encode(0, &entries).unwrap();
+                self.sequence = 1;
+                Some(DiskInput::Synced(id))
+            }
+        }
+    }
+
+    /// Loses what is not synced, or keeps a torn piece of it.
+    fn crash(&mut self, rng: &mut Pcg64Mcg) {
+        match self.pending.pop_front() {
+            Some(DiskEffect::Append { entries, .. }) => {
+                let mut torn = disk::encode(self.sequence, &entries).unwrap();
+                torn.truncate(below(rng, torn.len()));
+                if let Some(byte) = torn.last_mut().filter(|_| below(rng, 2) == 0) {
+                    *byte ^= 1;
+                }
+                self.journal.extend(torn);
+            }
+            Some(DiskEffect::Replace { snapshot, .. }) if below(rng, 2) == 0 => {
+                self.snapshot = Some(disk::encode(0, &*snapshot).unwrap());
+            }
+            _ => {}
+        }
+        self.pending.clear();
+    }
+
+    fn load(&mut self, fresh: MemberId) -> Result<Stored, String> {
+        let journal = disk::decode(&self.journal).map_err(|e| format!("{e:#}"))?;
+        self.journal.truncate(journal.length);
+        self.sequence = journal.sequence;
+        let mut entries = journal.entries;
+        if entries.is_empty() {
+            entries.push(Entry::Owner(fresh));
+            self.journal = disk::encode(0, &entries).unwrap();
+            self.sequence = 1;
+        }
+        let snapshot = self.snapshot.as_ref().map(|b| disk::decode_snapshot(b).unwrap().into());
+        Stored::replay(snapshot, entries).map_err(|e| format!("{e:#}"))
+    }
+}
+
+struct Node {
+    control: Option<Control>,
+    disk: FakeDisk,
+    life: u64,
+    /// The exchanges of this life with the numbers under which the role knows them.
+    inbound: BTreeMap<InboundId, Exchange>,
+    numbers: BTreeMap<Exchange, InboundId>,
+    paused: Timestamp,
+    /// A disk was lost, and the new member has no vote yet.
+    repairing: bool,
+    synced_at: Option<Timestamp>,
+    checked: LogIndex,
+}
+
+/// An exchange as the network knows it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Exchange {
+    from: usize,
+    life: u64,
+    number: ExchangeId,
+    to: usize,
+    to_life: u64,
+    connection: u64,
+}
+
+#[derive(Clone)]
+enum Packet {
+    Request(Exchange, Envelope<Request>),
+    Reply(Exchange, Envelope<Reply>),
+    Closed(Exchange, LinkFailure),
+}
+
+pub struct World {
+    now: Timestamp,
+    rng: Pcg64Mcg,
+    noise: u32,
+    nodes: Vec<Node>,
+    followers: Vec<(Follower, u64)>,
+    queue: BTreeMap<(Timestamp, u64), Packet>,
+    ticket: u64,
+    open: BTreeMap<(usize, u64, ExchangeId), Exchange>,
+    connections: BTreeMap<(usize, usize), u64>,
+    muted: BTreeSet<(usize, usize, u64)>,
+    cuts: BTreeSet<(usize, usize)>,
+    operator: BTreeMap<ExchangeId, Change>,
+    sent: Vec<Change>,
+    count: u64,
+    oracle: Oracle,
+    trace: Vec<String>,
+}
+
+/// What was promised.
+#[derive(Default)]
+struct Oracle {
+    accepted: BTreeMap<Revision, Box<str>>,
+    by_id: BTreeMap<Box<str>, Revision>,
+    leaders: BTreeMap<u64, MemberId>,
+    records: BTreeMap<LogIndex, (u64, Command)>,
+    contents: BTreeMap<Revision, (u64, Timestamp)>,
+    in_force: Vec<Revision>,
+}
+
+fn below(rng: &mut Pcg64Mcg, bound: usize) -> usize {
+    (rng.next_u64() % (bound.max(1) as u64)) as usize
+}
+
+fn address(node: usize) -> SocketAddr {
+    ([10, 0, 0, 1 + node as u8], 7000).into()
+}
+
+macro_rules! check {
+    ($world:expr, $holds:expr, $($text:tt)*) => {
+        if !$holds {
+            return Err($world.problem(format!($($text)*)));
+        }
+    };
+}
+
+impl World {
+    /// Runs a scenario and returns what went wrong.
+    pub fn run(scenario: &Scenario) -> Result<(), String> {
+        let mut world = World::new(scenario)?;
+        world.advance(Duration::from_millis(3_000))?;
+        for (gap, fault) in &scenario.steps {
+            world.advance(Duration::from_millis(*gap))?;
+            world.trace.push(format!("{:>9} {fault:?}", world.now.as_micros()));
+            world.inject(fault)?;
+        }
+        world.settle()
+    }
+
+    fn new(scenario: &Scenario) -> Result<World, String> {
+        let members: Vec<_> = (0..scenario.nodes).map(address).collect();
+        let follower = |index: usize| {
+            let settings = FollowerSettings {
+                name: format!("entry-{index}").into(),
+                role: "entry".into(),
+                domain: "brno-a".into(),
+                boot: BootId(index as u64),
+                members: members.clone(),
+                endpoints: false,
+            };
+            (Follower::new(settings), 0)
+        };
+        let mut world = World {
+            now: Timestamp::from_micros(1_000_000),
+            rng: Pcg64Mcg::seed_from_u64(scenario.seed),
+            noise: scenario.noise,
+            nodes: Vec::new(),
+            followers: (0..FOLLOWERS).map(follower).collect(),
+            queue: BTreeMap::new(),
+            ticket: 0,
+            open: BTreeMap::new(),
+            connections: BTreeMap::new(),
+            muted: BTreeSet::new(),
+            cuts: BTreeSet::new(),
+            operator: BTreeMap::new(),
+            sent: Vec::new(),
+            count: 0,
+            oracle: Oracle { in_force: vec![Revision(0); FOLLOWERS], ..Oracle::default() },
+            trace: Vec::new(),
+        };
+        for _ in 0..scenario.nodes {
+            world.nodes.push(Node {
+                control: None,
+                disk: FakeDisk::default(),
+                life: 0,
+                inbound: BTreeMap::new(),
+                numbers: BTreeMap::new(),
+                paused: Timestamp::default(),
+                repairing: false,
+                synced_at: None,
+                checked: LogIndex(0),
+            });
+        }
+        for node in 0..scenario.nodes {
+            world.start(node)?;
+        }
+        Ok(world)
+    }
+
+    fn problem(&self, text: String) -> String {
+        format!("{text}\nat {}\n{}", self.now.as_micros(), self.trace.join("\n"))
+    }
+
+    fn start(&mut self, at: usize) -> Result<(), String> {
+        if self.nodes[at].control.is_some() {
+            return Ok(());
+        }
+        self.count += 1;
+        let boot = self.count * 1_000 + at as u64;
+        let members = (0..self.nodes.len()).map(address).collect();
+        let mut replica = ReplicaSettings::new(address(at), members, self.rng.next_u64());
+        (replica.compact_after, replica.kept) = (20, 10);
+        let settings = ControlSettings {
+            name: format!("control-{at}").into(),
+            domain: "brno-a".into(),
+            boot: BootId(boot),
+            replica,
+        };
+        let stored = self.nodes[at].disk.load(MemberId(boot)).map_err(|e| self.problem(e))?;
+        let control = Control::new(settings, stored).map_err(|e| self.problem(e.to_string()))?;
+        let node = &mut self.nodes[at];
+        node.control = Some(control);
+        node.life += 1;
+        node.checked = LogIndex(0);
+        Ok(())
+    }
+
+    fn kill(&mut self, at: usize) {
+        let node = &mut self.nodes[at];
+        if node.control.take().is_some() {
+            node.disk.crash(&mut self.rng);
+            node.inbound.clear();
+            node.numbers.clear();
+            node.synced_at = None;
+        }
+    }
+
+    fn leader(&self) -> Option<usize> {
+        let leads = |n: &Node| n.control.as_ref().is_some_and(|c| c.replica().is_leader());
+        (0..self.nodes.len())
+            .filter(|at| leads(&self.nodes[*at]))
+            .max_by_key(|at| self.nodes[*at].control.as_ref().map(|c| c.replica().term()))
+    }
+
+    fn inject(&mut self, fault: &Fault) -> Result<(), String> {
+        match *fault {
+            Fault::Change { any, at } => {
+                let at = if any { at } else { self.leader().unwrap_or(at) };
+                self.change(at);
+            }
+            Fault::Race { at } => {
+                let base = self.newest();
+                let leader = self.leader().unwrap_or(at);
+                self.change_on(leader, base);
+                self.change_on(at, base);
+                self.change_on(leader, base);
+            }
+            Fault::Resend { old, at } => {
+                let at = self.leader().unwrap_or(at);
+                if let Some(change) = self.sent.get(old as usize % self.sent.len().max(1)) {
+                    self.propose(at, change.clone());
+                }
+            }
+            Fault::Burst { count } => {
+                let base = self.newest();
+                for offset in 0..count as u64 {
+                    if let Some(at) = self.leader() {
+                        self.change_on(at, Revision(base.0 + offset));
+                    }
+                }
+            }
+            Fault::Kill(at) => self.kill(at),
+            Fault::KillLeader => {
+                if let Some(at) = self.leader() {
+                    self.kill(at);
+                }
+            }
+            Fault::Restart(at) => self.start(at)?,
+            Fault::LoseDisk(at) => self.lose_disk(at)?,
+            Fault::Full { at, full } => self.nodes[at].disk.full = full,
+            Fault::Cut { from, to } => {
+                self.cuts.insert((from, to));
+            }
+            Fault::Isolate(at) => {
+                for other in 0..self.nodes.len() {
+                    self.cuts.extend([(at, other), (other, at)]);
+                }
+            }
+            Fault::Heal => self.cuts.clear(),
+            Fault::Mute { from, to } => {
+                let connection = self.connections.get(&(from, to)).copied().unwrap_or(0);
+                self.muted.insert((from, to, connection));
+            }
+            Fault::Pause { at, millis } => {
+                self.nodes[at].paused = self.now + Duration::from_millis(millis);
+            }
+        }
+        Ok(())
+    }
+
+    /// Loses a disk, if the others can still lose one: a lost disk is repaired first.
+    fn lose_disk(&mut self, at: usize) -> Result<(), String> {
+        self.note_repairs();
+        let repairing = self.nodes.iter().filter(|n| n.repairing).count();
+        if self.nodes[at].repairing || repairing >= (self.nodes.len() - 1) / 2 {
+            return Ok(());
+        }
+        self.kill(at);
+        self.nodes[at].disk = FakeDisk::default();
+        self.nodes[at].repairing = true;
+        self.start(at)
+    }
+
+    fn note_repairs(&mut self) {
+        for at in 0..self.nodes.len() {
+            let Some(control) = &self.nodes[at].control else { continue };
+            let id = control.replica().id();
+            let controls = self.nodes.iter().filter_map(|n| n.control.as_ref());
+            let settled =
+                |c: &Control| c.replica().settled_members().is_some_and(|m| m.is_voter(id));
+            if controls.into_iter().any(settled) {
+                self.nodes[at].repairing = false;
+            }
+        }
+    }
+
+    fn newest(&self) -> Revision {
+        self.oracle.accepted.keys().max().copied().unwrap_or_default()
+    }
+
+    fn change(&mut self, at: usize) {
+        let base = self.newest();
+        self.change_on(at, base);
+    }
+
+    fn change_on(&mut self, at: usize, base: Revision) {
+        self.count += 1;
+        let edit = Edit::Set {
+            name: "call.deadline_ms".into(),
+            value: (1_000 + self.count).to_string().into(),
+        };
+        let id = format!("change-{}", self.count);
+        let change = Change { id: id.into(), base, author: "op".into(), edit };
+        self.sent.push(change.clone());
+        self.propose(at, change);
+    }
+
+    fn propose(&mut self, at: usize, change: Change) {
+        self.count += 1;
+        let number = ExchangeId(self.count);
+        self.operator.insert(number, change.clone());
+        let envelope = Envelope {
+            revised: Default::default(),
+            body: Request::Control(ControlRequest::Propose(Command::Change(change))),
+        };
+        self.open(OPERATOR, 0, number, address(at), envelope);
+    }
+
+    fn open(
+        &mut self,
+        from: usize,
+        life: u64,
+        number: ExchangeId,
+        peer: SocketAddr,
+        envelope: Envelope<Request>,
+    ) {
+        let Some(to) = (0..self.nodes.len()).find(|n| address(*n) == peer) else { return };
+        let connection = self.connections.get(&(from, to)).copied().unwrap_or(0);
+        let to_life = self.nodes[to].life;
+        let exchange = Exchange { from, life, number, to, to_life, connection };
+        if self.nodes[to].control.is_none() {
+            self.send(Packet::Closed(exchange, LinkFailure::NotSent));
+            return;
+        }
+        self.open.insert((from, life, number), exchange);
+        self.send(Packet::Request(exchange, envelope));
+    }
+
+    fn send(&mut self, packet: Packet) {
+        let copies = match self.rng.next_u32() % 100 {
+            roll if roll < self.noise => 0,
+            roll if roll < self.noise * 3 / 2 => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            let late = self.rng.next_u32() % 100 < self.noise / 2;
+            let micros = if late { 400_000 } else { 3_000 };
+            let due = self.now + Duration::from_micros(300 + below(&mut self.rng, micros) as u64);
+            self.ticket += 1;
+            self.queue.insert((due, self.ticket), packet.clone());
+        }
+    }
+
+    fn passes(&self, exchange: &Exchange, back: bool) -> bool {
+        let Exchange { from, to, connection, .. } = *exchange;
+        let cut = if back { (to, from) } else { (from, to) };
+        !self.cuts.contains(&cut) && !self.muted.contains(&(from, to, connection))
+    }
+
+    /// Lets time pass.
+    fn advance(&mut self, span: Duration) -> Result<(), String> {
+        let until = self.now + span;
+        loop {
+            let packet = self.queue.keys().next().map(|(due, _)| *due);
+            let wakes = self.nodes.iter().filter_map(|n| {
+                let wake = n.control.as_ref()?.next_wake()?.max(n.paused);
+                Some(n.synced_at.map_or(wake, |s| s.max(n.paused).min(wake)))
+            });
+            let follower = self.followers.iter().filter_map(|(f, _)| f.next_wake());
+            let next = wakes.chain(follower).chain(packet).min().unwrap_or(until);
+            if next > until {
+                self.now = until;
+                return Ok(());
+            }
+            self.now = self.now.max(next);
+            self.due()?;
+        }
+    }
+
+    fn due(&mut self) -> Result<(), String> {
+        while let Some(entry) = self.queue.first_entry().filter(|e| e.key().0 <= self.now) {
+            let packet = entry.remove();
+            self.deliver(packet)?;
+        }
+        for at in 0..self.nodes.len() {
+            if self.nodes[at].paused > self.now {
+                continue;
+            }
+            if self.nodes[at].synced_at.is_some_and(|due| due <= self.now) {
+                let most = 1 + below(&mut self.rng, 4);
+                self.nodes[at].synced_at = None;
+                if let Some(input) = self.nodes[at].disk.sync(most) {
+                    self.step(at, Input::Local(input))?;
+                }
+                self.plan_sync(at);
+            }
+            let wake = self.nodes[at].control.as_ref().and_then(|c| c.next_wake());
+            if wake.is_some_and(|due| due <= self.now) {
+                self.step(at, Input::Wake)?;
+            }
+        }
+        for index in 0..self.followers.len() {
+            let (follower, count) = &mut self.followers[index];
+            if follower.next_wake().is_some_and(|due| due <= self.now) {
+                let outputs = follower.wake::<()>(self.now, None, &mut || {
+                    *count += 1;
+                    ExchangeId(*count)
+                });
+                for output in outputs {
+                    self.carry(self.nodes.len() + index, 0, output);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn plan_sync(&mut self, at: usize) {
+        let idle = self.nodes[at].synced_at.is_none();
+        if idle && !self.nodes[at].disk.pending.is_empty() {
+            let most = if self.nodes[at].disk.full { 1_000_000 } else { 8_000 };
+            let span = Duration::from_micros(100 + below(&mut self.rng, most) as u64);
+            self.nodes[at].synced_at = Some(self.now + span);
+        }
+    }
+
+    fn deliver(&mut self, packet: Packet) -> Result<(), String> {
+        let (exchange, back) = match &packet {
+            Packet::Request(e, _) => (*e, false),
+            Packet::Reply(e, _) | Packet::Closed(e, _) => (*e, true),
+        };
+        if !self.passes(&exchange, back) {
+            return Ok(());
+        }
+        let target = if back { exchange.from } else { exchange.to };
+        if self.nodes.get(target).is_some_and(|n| n.paused > self.now) {
+            self.ticket += 1;
+            self.queue.insert((self.nodes[target].paused, self.ticket), packet);
+            return Ok(());
+        }
+        match packet {
+            Packet::Request(e, envelope) => {
+                let node = &mut self.nodes[e.to];
+                if node.control.is_none() || node.life != e.to_life {
+                    return Ok(());
+                }
+                let fresh = InboundId(node.numbers.len() as u64 + 1);
+                let inbound = *node.numbers.entry(e).or_insert(fresh);
+                node.inbound.insert(inbound, e);
+                self.step(e.to, Input::Request { inbound, envelope })
+            }
+            Packet::Reply(e, envelope) => self.answer(e, envelope),
+            Packet::Closed(e, failure) => {
+                let failure = Some(failure);
+                if e.from < self.nodes.len() {
+                    if self.nodes[e.from].life != e.life {
+                        return Ok(());
+                    }
+                    return self.step(e.from, Input::Closed { exchange: e.number, failure });
+                }
+                if let Some((follower, _)) =
+                    self.followers.get_mut(e.from.wrapping_sub(self.nodes.len()))
+                {
+                    follower.closed(e.number);
+                }
+                Ok(())
+            }
+        }
+    }
+
+    fn answer(&mut self, e: Exchange, envelope: Envelope<Reply>) -> Result<(), String> {
+        if e.from == OPERATOR {
+            return self.told(e.number, envelope.body);
+        }
+        if e.from < self.nodes.len() {
+            let alive = self.nodes[e.from].control.is_some() && self.nodes[e.from].life == e.life;
+            if !alive || !self.open.contains_key(&(e.from, e.life, e.number)) {
+                return Ok(());
+            }
+            return self.step(e.from, Input::Reply { exchange: e.number, envelope });
+        }
+        let index = e.from - self.nodes.len();
+        let follower = &mut self.followers[index].0;
+        follower.observe(self.now, envelope.revised);
+        follower.reply(self.now, e.number, &envelope.body);
+        self.check_follower(index)
+    }
+
+    /// An operator is told what became of a change.
+    fn told(&mut self, number: ExchangeId, reply: Reply) -> Result<(), String> {
+        let Some(change) = self.operator.get(&number).cloned() else { return Ok(()) };
+        let Reply::Control(ControlReply::Applied(Applied::Changed(reply))) = reply else {
+            return Ok(());
+        };
+        match reply {
+            ChangeReply::Accepted(revision) => {
+                let first =
+                    self.oracle.accepted.entry(revision).or_insert(change.id.clone()).clone();
+                check!(
+                    self,
+                    first == change.id,
+                    "{revision} has two winners: {first} {}",
+                    change.id
+                );
+                let known = *self.oracle.by_id.entry(change.id.clone()).or_insert(revision);
+                check!(self, known == revision, "{} is {known} and {revision}", change.id);
+                check!(self, revision.0 == change.base.0 + 1, "{change:?} became {revision}");
+            }
+            ChangeReply::Conflict { .. } | ChangeReply::Refused(_) => {
+                let won = self.oracle.by_id.contains_key(&change.id);
+                check!(self, !won, "{} was accepted and is refused now", change.id);
+            }
+        }
+        Ok(())
+    }
+
+    fn step(&mut self, at: usize, input: Input<DiskInput>) -> Result<(), String> {
+        let life = self.nodes[at].life;
+        let Some(control) = &mut self.nodes[at].control else { return Ok(()) };
+        for output in control.step(self.now, input) {
+            match output {
+                Output::Effect(effect) => self.nodes[at].disk.pending.push_back(effect),
+                Output::Reply { inbound, envelope, .. } => {
+                    if let Some(exchange) = self.nodes[at].inbound.get(&inbound).copied() {
+                        self.send(Packet::Reply(exchange, envelope));
+                    }
+                }
+                Output::Stopped => return Err(self.problem(format!("control {at} stopped"))),
+                other => self.carry(at, life, other),
+            }
+        }
+        self.plan_sync(at);
+        self.check_node(at)
+    }
+
+    fn carry<E>(&mut self, from: usize, life: u64, output: Output<E>) {
+        match output {
+            Output::Open { exchange, peer, envelope } => {
+                self.open(from, life, exchange, peer, envelope);
+            }
+            Output::Send { exchange, envelope } => {
+                if let Some(exchange) = self.open.get(&(from, life, exchange)).copied() {
+                    self.send(Packet::Request(exchange, envelope));
+                }
+            }
+            Output::Reset { exchange } => {
+                self.open.remove(&(from, life, exchange));
+            }
+            Output::Redial { peer } => {
+                let to = (0..self.nodes.len()).find(|n| address(*n) == peer);
+                if let Some(to) = to {
+                    *self.connections.entry((from, to)).or_default() += 1;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn check_node(&mut self, at: usize) -> Result<(), String> {
+        let Some(control) = &self.nodes[at].control else { return Ok(()) };
+        let replica = control.replica();
+        if replica.is_leader() {
+            let first = *self.oracle.leaders.entry(replica.term()).or_insert(replica.id());
+            let term = replica.term();
+            check!(self, first == replica.id(), "term {term} has two leaders");
+        }
+        let revised = control.state().config.revised();
+        let seen = (revised.hash, self.now);
+        let first = self.oracle.contents.entry(revised.revision).or_insert(seen).0;
+        check!(self, first == revised.hash, "{} has two contents", revised.revision);
+        let applied = replica.applied();
+        for index in self.nodes[at].checked.0 + 1..=applied.0 {
+            let Some(record) = replica.record(LogIndex(index)) else { continue };
+            let known = self.oracle.records.entry(LogIndex(index));
+            let known = known.or_insert_with(|| (record.term, record.command.clone()));
+            let same = known.0 == record.term && known.1 == record.command;
+            check!(self, same, "record {index} differs at {at}");
+        }
+        self.nodes[at].checked = applied;
+        Ok(())
+    }
+
+    fn check_follower(&mut self, index: usize) -> Result<(), String> {
+        let follower = &self.followers[index].0;
+        let revised = follower.revised();
+        let before = std::mem::replace(&mut self.oracle.in_force[index], revised.revision);
+        check!(self, before <= revised.revision, "follower {index} went back to {revised}");
+        if let Some((hash, _)) = self.oracle.contents.get(&revised.revision) {
+            check!(self, *hash == revised.hash, "follower {index} has another {revised}");
+        }
+        let follower = &self.followers[index].0;
+        if follower.is_confirmed(self.now) {
+            let newer = self.oracle.contents.range(Revision(revised.revision.0 + 1)..).next();
+            if let Some((revision, (_, at))) = newer {
+                let fresh = self.now - *at <= CONFIRMATION;
+                check!(self, fresh, "follower {index} confirms {revised} after {revision}");
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends all faults; everything accepted must be in force everywhere soon.
+    fn settle(&mut self) -> Result<(), String> {
+        self.cuts.clear();
+        self.noise = 0;
+        for at in 0..self.nodes.len() {
+            self.nodes[at].disk.full = false;
+            self.nodes[at].paused = self.now;
+            self.start(at)?;
+        }
+        let until = self.now + IN_FORCE;
+        let mut last = None;
+        while self.now < until {
+            self.advance(Duration::from_millis(500))?;
+            if last.is_none_or(|id| !self.oracle.by_id.contains_key(&id)) {
+                // The newest revision may be one whose proposer's answer was lost.
+                let at = self.leader().unwrap_or(0);
+                let control = self.nodes[at].control.as_ref();
+                let base = control.map(|c| c.state().config.revision).unwrap_or_default();
+                self.change_on(at, base);
+                last = self.sent.last().map(|c| c.id.clone());
+            } else {
+                last = self.sent.last().map(|c| c.id.clone());
+            }
+        }
+        let newest = self.newest();
+        check!(
+            self,
+            last.is_some_and(|id| self.oracle.by_id.contains_key(&id)),
+            "no change passes"
+        );
+        for node in &self.nodes {
+            let Some(control) = &node.control else { continue };
+            let state = control.state();
+            let replica = control.replica();
+            let known = replica.members();
+            let (id, at) = (replica.id(), state.config.revision);
+            check!(self, at >= newest, "{id:?} stays at {at}, not {newest}: {known:?}");
+            for (revision, id) in &self.oracle.accepted {
+                let found = state.changes.accepted(id);
+                check!(self, found == Some(*revision), "{id} is {found:?}, not {revision}");
+            }
+            let replica = control.replica();
+            let voter = replica.members().is_voter(replica.id());
+            check!(self, voter, "a member has no vote: {:?}", replica.members());
+        }
+        for (follower, _) in &self.followers {
+            let revised = follower.revised();
+            check!(self, revised.revision >= newest, "{revised} in force, not {newest}");
+            check!(self, follower.is_confirmed(self.now), "a follower is not confirmed");
+        }
+        Ok(())
+    }
+}
