--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -4,10 +4,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::control::config::{Config, Revised};
+use crate::control::config::{Config, Revised, SCHEMA};
 use crate::control::orders::OrderReport;
 use crate::link::message::{
-    Beat, ControlReply, ControlRequest, Endpoints, Envelope, Heartbeat, ProcessState, Reply,
+    Beat, ControlReply, ControlRequest, Endpoints, Envelope, Heartbeat, ProcessState, Proof, Reply,
     Request,
 };
 use crate::model::{BootId, EndpointState, ExchangeId, Timestamp};
@@ -44,7 +44,8 @@
     open: Option<(ExchangeId, Timestamp)>,
     due: Timestamp,
     version: u64,
-    highest: Option<(crate::model::Revision, Timestamp)>,
+    /// The last proof, and when it was asked for.
+    proof: Option<(Proof, Timestamp)>,
     endpoints: BTreeMap<Box<str>, EndpointState>,
     suspects: u64,
 }
@@ -84,7 +85,7 @@
             open: None,
             due: Timestamp::default(),
             version: 0,
-            highest: None,
+            proof: None,
             endpoints: BTreeMap::new(),
             suspects: 0,
         };
@@ -112,18 +113,28 @@
     /// Returns whether a majority of members has confirmed lately that the configuration in
     /// force is the newest.
     pub fn is_confirmed(&self, now: Timestamp) -> bool {
-        let fresh = |m: &&Member| {
-            m.highest.is_some_and(|(revision, at)| {
-                revision <= self.revised.revision && now - at < CONFIRMATION_LEASE
-            })
+        let fresh: Vec<(SocketAddr, &Proof)> = self
+            .members
+            .iter()
+            .filter_map(|m| m.proof.as_ref().map(|(proof, at)| (m.address, proof, *at)))
+            .filter(|(_, _, at)| now - *at < CONFIRMATION_LEASE)
+            .map(|(address, proof, _)| (address, proof))
+            .collect();
+        // Who has a vote is known best by the member that has seen the most changes of members.
+        let Some((_, newest)) = fresh.iter().max_by_key(|(_, p)| p.epoch) else { return false };
+        let agrees = |address: &&SocketAddr| {
+            let proof = fresh.iter().find(|(a, _)| a == *address).map(|(_, p)| p);
+            proof.is_some_and(|p| p.highest <= self.revised.revision)
         };
-        let count = self.members.iter().filter(fresh).count();
-        count * 2 > self.members.len()
+        newest.voters.iter().filter(agrees).count() * 2 > newest.voters.len()
     }
 
     /// Notes the configuration that a peer has in force; one that is newer than the own makes
     /// the next heartbeats due at once.
     pub fn observe(&mut self, now: Timestamp, revised: Revised) {
+        if revised.revision == self.revised.revision && revised.hash != self.revised.hash {
+            log::error!("step=observe own={} other={revised} error=hashes differ", self.revised);
+        }
         if revised.revision > self.revised.revision {
             self.hurry(now);
         }
@@ -177,6 +188,7 @@
                 version: member.version,
                 report: report.cloned(),
                 suspects: member.suspects,
+                schema: SCHEMA,
             };
             let exchange = next();
             member.open = Some((exchange, now));
@@ -194,7 +206,7 @@
         let Some((_, sent)) = member.open.take() else { return false };
         let Reply::Control(ControlReply::Beat(beat)) = reply else { return true };
         member.version = beat.version;
-        member.highest = Some((beat.highest, sent));
+        member.proof = beat.proof.clone().map(|proof| (proof, sent));
         if let Some(endpoints) = &beat.endpoints {
             member.take_endpoints(endpoints);
         }
