--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,16 +1,16 @@
 //! The replicated state: what the commands of the log add up to.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
+use eyre::WrapErr;
 use serde::{Deserialize, Serialize};
 
 use super::claims::{Claim, ClaimKey, ClaimReply, Claims, Outcome};
-use super::config::{Change, Config, Setting};
+use super::config::{Change, Changes, Config, Setting};
 use super::orders::rollout::{RolloutCommand, StepCommand};
 use super::orders::{OrderCommand, OrderReply, Orders};
 use super::quarantine::{Crash, Fingerprint, Quarantine};
-use super::replica::LogIndex;
+use super::replica::{LogIndex, Members};
 use crate::model::{Fence, RequestId, Revision, Timestamp};
 
 /// A command in the log.
@@ -18,6 +18,8 @@
 pub enum Command {
     /// Nothing; a new leader commits it first.
     Noop,
+    /// The members of the log's own group.
+    Members(Members),
     /// Change the configuration.
     Change(Change),
     /// Claim a key.
@@ -111,8 +113,8 @@
 pub struct State {
     /// The configuration in force.
     pub config: Config,
-    /// Accepted changes by their revision.
-    pub history: BTreeMap<Revision, Change>,
+    /// Accepted changes.
+    pub changes: Changes,
     /// Claims.
     pub claims: Claims,
     /// Orders to endpoints.
@@ -122,12 +124,22 @@
 }
 
 impl State {
+    /// Encodes the state for a snapshot.
+    pub fn encode(&self) -> eyre::Result<Vec<u8>> {
+        postcard::to_stdvec(self).wrap_err("encode state")
+    }
+
+    /// Decodes the state of a snapshot.
+    pub fn decode(bytes: &[u8]) -> eyre::Result<State> {
+        postcard::from_bytes(bytes).wrap_err("decode state")
+    }
+
     /// Applies the command at a place of the log; the result depends on nothing else than the
     /// state, the place and the command.
     pub fn apply(&mut self, index: LogIndex, command: &Command) -> Applied {
         let fence = Fence(index.0);
         match command {
-            Command::Noop => Applied::Done,
+            Command::Noop | Command::Members(_) => Applied::Done,
             Command::Change(change) => Applied::Changed(self.change(change)),
             Command::Claim { key, claim } => {
                 self.claims.expire(claim.made, self.retention());
@@ -163,20 +175,6 @@
     }
 
     fn change(&mut self, change: &Change) -> ChangeReply {
-        if let Some((revision, _)) = self.history.iter().find(|(_, c)| c.id == change.id) {
-            return ChangeReply::Accepted(*revision);
-        }
-        if change.base != self.config.revision {
-            let winner = self.history.get(&Revision(change.base.0 + 1)).cloned();
-            return ChangeReply::Conflict { current: self.config.revision, winner };
-        }
-        match self.config.edited(&change.edit) {
-            Ok(config) => {
-                self.config = config;
-                self.history.insert(self.config.revision, change.clone());
-                ChangeReply::Accepted(self.config.revision)
-            }
-            Err(error) => ChangeReply::Refused(format!("{error:#}").into()),
-        }
+        self.changes.apply(&mut self.config, change)
     }
 }
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -6,10 +6,11 @@
 
 use super::subset;
 use super::view::{self, View};
-use crate::control::config::{Config, Revised, Setting};
+use crate::control::config::{Config, Revised, SCHEMA, Setting};
 use crate::control::orders::OrderReport;
 use crate::link::message::{
-    Beat, ControlReply, ControlRequest, Envelope, Heartbeat, ProcessState, Reply, Request, Seen,
+    Beat, ControlReply, ControlRequest, Envelope, Heartbeat, ProcessState, Proof, Reply, Request,
+    Seen,
 };
 use crate::model::{BootId, EndpointState, ExchangeId, Timestamp};
 use crate::role::Output;
@@ -50,7 +51,8 @@
     wants: Vec<u8>,
     /// When the last heartbeat that was answered had been sent.
     heard: Option<Timestamp>,
-    highest: Option<(crate::model::Revision, Timestamp)>,
+    /// The last proof, and when it was asked for.
+    proof: Option<(Proof, Timestamp)>,
     view: View,
     suspects: u64,
 }
@@ -93,7 +95,7 @@
             seen: Seen::default(),
             wants: Vec::new(),
             heard: None,
-            highest: None,
+            proof: None,
             view: View::default(),
             suspects: 0,
         };
@@ -121,18 +123,28 @@
     /// Returns whether a majority of members has confirmed lately that the configuration in
     /// force is the newest.
     pub fn is_confirmed(&self, now: Timestamp) -> bool {
-        let fresh = |m: &&Member| {
-            m.highest.is_some_and(|(revision, at)| {
-                revision <= self.revised.revision && now - at < CONFIRMATION_LEASE
-            })
+        let fresh: Vec<(SocketAddr, &Proof)> = self
+            .members
+            .iter()
+            .filter_map(|m| m.proof.as_ref().map(|(proof, at)| (m.address, proof, *at)))
+            .filter(|(_, _, at)| now - *at < CONFIRMATION_LEASE)
+            .map(|(address, proof, _)| (address, proof))
+            .collect();
+        // Who has a vote is known best by the member that has seen the most changes of members.
+        let Some((_, newest)) = fresh.iter().max_by_key(|(_, p)| p.epoch) else { return false };
+        let agrees = |address: &&SocketAddr| {
+            let proof = fresh.iter().find(|(a, _)| a == *address).map(|(_, p)| p);
+            proof.is_some_and(|p| p.highest <= self.revised.revision)
         };
-        let count = self.members.iter().filter(fresh).count();
-        count * 2 > self.members.len()
+        newest.voters.iter().filter(agrees).count() * 2 > newest.voters.len()
     }
 
     /// Notes the configuration that a peer has in force; one that is newer than the own makes
     /// the next heartbeats due at once.
     pub fn observe(&mut self, now: Timestamp, revised: Revised) {
+        if revised.revision == self.revised.revision && revised.hash != self.revised.hash {
+            log::error!("step=observe own={} other={revised} error=hashes differ", self.revised);
+        }
         if revised.revision > self.revised.revision {
             self.hurry(now);
         }
@@ -210,6 +222,7 @@
                 wants: member.wants.clone(),
                 report: report.cloned(),
                 suspects: member.suspects,
+                schema: SCHEMA,
             };
             let exchange = next();
             member.open = Some((exchange, now));
@@ -227,7 +240,7 @@
         let Some((_, sent)) = member.open.take() else { return false };
         let Reply::Control(ControlReply::Beat(beat)) = reply else { return true };
         member.heard = Some(sent);
-        member.highest = Some((beat.highest, sent));
+        member.proof = beat.proof.clone().map(|proof| (proof, sent));
         self.changed |= member.take_endpoints(beat);
         self.take_config(now, beat);
         true
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -32,6 +32,8 @@
     state: ProcessState,
     seen: Timestamp,
     report: OrderReport,
+    /// The newest set of settings that it understands.
+    schema: u32,
 }
 
 /// The soft state of a control member: who is alive.
@@ -75,8 +77,8 @@
             Some(key) if self.records.get(*key).is_some_and(|r| r.state.boot > boot) => return,
             Some(key) => *key,
             None => {
-                let record =
-                    Record { state: state.clone(), seen: now, report: OrderReport::default() };
+                let report = OrderReport::default();
+                let record = Record { state: state.clone(), seen: now, report, schema: 0 };
                 let key = self.records.insert(record);
                 self.names.insert(name, key);
                 key
@@ -88,6 +90,7 @@
         self.boots.remove(&(record.state.boot, key));
         self.boots.insert((boot, key));
         record.seen = now;
+        record.schema = heartbeat.schema;
         record.state = state;
         let Some(endpoint) = heartbeat.endpoint else { return };
         let known = self.view.get(&endpoint.name);
@@ -101,6 +104,12 @@
         }
     }
 
+    /// Returns the names of live processes that don't understand a set of settings.
+    pub fn older_than(&self, schema: u32) -> Vec<String> {
+        let old = self.records.values().filter(|r| r.schema < schema);
+        old.map(|r| format!("{} ({})", r.state.name, r.state.role)).collect()
+    }
+
     /// Forgets what has not been heard of for the length of the lease.
     pub fn expire(&mut self, now: Timestamp) {
         while let Some((at, key)) = self.leases.first().copied()
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -229,26 +229,49 @@
 #[test]
 fn control_stops_only_once_its_disk_has_what_it_took() {
     use assert_matches::assert_matches;
-    use dotterelpin::control::replica::LogIndex;
+    use dotterelpin::control::replica::{MemberId, ReplicaSettings, Stored};
     use dotterelpin::control::state::Command;
-    use dotterelpin::control::{Control, ControlSettings, DiskInput};
+    use dotterelpin::control::{Control, ControlSettings, DiskEffect, DiskInput};
     use dotterelpin::link::message::{ControlReply, ControlRequest, Envelope, Reply, Request};
     use dotterelpin::model::{BootId, InboundId, Timestamp};
     use dotterelpin::role::{Input, Output, Role};
 
-    let who = ControlSettings { name: "c".into(), domain: "brno-a".into(), boot: BootId(1) };
-    let mut control = Control::new(who, Vec::new());
-    let now = Timestamp::from_micros(1);
+    let address = "127.0.0.1:1".parse().unwrap();
+    let replica = ReplicaSettings::new(address, vec![address], 1);
+    let who =
+        ControlSettings { name: "c".into(), domain: "brno-a".into(), boot: BootId(1), replica };
+    let mut control = Control::new(who, Stored::new(MemberId(1))).unwrap();
+    let mut now = Timestamp::from_micros(1);
+    let writes = |outputs: &[Output<DiskEffect>]| {
+        let write = |output: &Output<DiskEffect>| match output {
+            Output::Effect(DiskEffect::Append { id, .. } | DiskEffect::Replace { id, .. }) => {
+                Some(Input::Local(DiskInput::Synced(*id)))
+            }
+            _ => None,
+        };
+        outputs.iter().filter_map(write).collect::<Vec<_>>()
+    };
+    while !control.replica().is_leader() {
+        now = now + Duration::from_millis(100);
+        let mut pending = writes(&control.step(now, Input::Wake));
+        while let Some(synced) = pending.pop() {
+            pending.extend(writes(&control.step(now, synced)));
+        }
+    }
     let propose = |inbound| {
         let body = Request::Control(ControlRequest::Propose(Command::Noop));
         let envelope = Envelope { revised: Default::default(), body };
         Input::Request { inbound: InboundId(inbound), envelope }
     };
-    control.step(now, propose(1));
-    assert!(control.step(now, Input::Shutdown).is_empty(), "it stopped with a command in flight");
+    let taken = control.step(now, propose(1));
+    let stopping = control.step(now, Input::Shutdown);
+    assert!(stopping.is_empty(), "it stopped with a command in flight: {stopping:?}");
     let refused = control.step(now, propose(2));
     assert_matches!(&refused[..], [Output::Reply { envelope, .. }]
         if matches!(envelope.body, Reply::Control(ControlReply::NotLeader { .. })));
-    let last = control.step(now, Input::Local(DiskInput::Synced(LogIndex(1))));
-    assert_matches!(&last[..], [Output::Reply { .. }, Output::Stopped]);
+    let mut last = Vec::new();
+    for synced in writes(&taken) {
+        last.extend(control.step(now, synced));
+    }
+    assert_matches!(&last[..], [.., Output::Reply { .. }, Output::Stopped]);
 }
