--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -49,8 +49,8 @@
     due: Timestamp,
     seen: Seen,
     wants: Vec<u8>,
-    /// When the last heartbeat that was answered had been sent.
-    heard: Option<Timestamp>,
+    /// When the last heartbeat was sent after whose answer the list was the member's own.
+    synced: Option<Timestamp>,
     /// The last proof, and when it was asked for.
     proof: Option<(Proof, Timestamp)>,
     view: View,
@@ -94,7 +94,7 @@
             due: Timestamp::default(),
             seen: Seen::default(),
             wants: Vec::new(),
-            heard: None,
+            synced: None,
             proof: None,
             view: View::default(),
             suspects: 0,
@@ -178,10 +178,10 @@
         known.max_by_key(|e| view::age(e))
     }
 
-    /// Returns which members' lists count: those heard of lately if they are a majority, else
-    /// all, since a cut-off control must make nobody forget endpoints that still answer.
+    /// Returns which members' lists count: those that were in step lately if they are a majority,
+    /// else all, since a cut-off control must make nobody forget endpoints that still answer.
     fn trusted(&self, now: Timestamp) -> Vec<bool> {
-        let fresh = |m: &Member| m.heard.is_some_and(|at| now - at < TRUST_LEASE);
+        let fresh = |m: &Member| m.synced.is_some_and(|at| now - at < TRUST_LEASE);
         let fresh: Vec<bool> = self.members.iter().map(fresh).collect();
         let majority = fresh.iter().filter(|f| **f).count() * 2 > fresh.len();
         if majority { fresh } else { vec![true; self.members.len()] }
@@ -239,9 +239,12 @@
         let Some(member) = self.find(exchange) else { return false };
         let Some((_, sent)) = member.open.take() else { return false };
         let Reply::Control(ControlReply::Beat(beat)) = reply else { return true };
-        member.heard = Some(sent);
         member.proof = beat.proof.clone().map(|proof| (proof, sent));
-        self.changed |= member.take_endpoints(beat);
+        let changed = member.take_endpoints(beat);
+        if member.view.digest() == beat.seen.digest {
+            member.synced = Some(sent);
+        }
+        self.changed |= changed;
         self.take_config(now, beat);
         true
     }
--- /dev/null
+++ b/tests/registry.rs
@@ -0,0 +1,497 @@
+//! Membership under lost messages, cut-off and restarted members, and restarted agents.
+//!
+//! DOTTERELPIN_FUZZ_CASES sets how many cases run.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dotterelpin::control::replica::{MemberId, ReplicaSettings, Stored};
+use dotterelpin::control::{Control, ControlSettings};
+use dotterelpin::link::message::{Envelope, Reply, Request};
+use dotterelpin::model::{
+    BootId, Capacity, EndpointKind, EndpointState, ExchangeId, Fence, InboundId, Load, Timestamp,
+};
+use dotterelpin::registry::{Follower, FollowerSettings, HEARTBEAT_LEASE, subset};
+use dotterelpin::role::{Input, Output, Role};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const SEED: [u8; 32] = *b"membership of control and agents";
+const CASES: u32 = 160;
+const MEMBERS: usize = 3;
+const AGENTS: usize = 5;
+const ENTRIES: usize = 2;
+/// How long an entry may lack an endpoint that a majority hears.
+const LACK_LIMIT: Duration = Duration::from_secs(8);
+/// How long an entry may keep an endpoint that is gone.
+const KEEP_LIMIT: Duration = Duration::from_secs(17);
+/// How long an agent that nothing was cut from counts as known to all members.
+const STEADY: Duration = Duration::from_secs(15);
+const ANSWER_LEASE: Duration = Duration::from_secs(2);
+const TICK_MS: u64 = 50;
+
+#[derive(Debug, Clone)]
+enum Step {
+    /// Time passes; messages are shuffled, and so many of a hundred are lost.
+    Run {
+        ticks: u8,
+        loss: u8,
+        seed: u64,
+    },
+    RestartMember(usize),
+    RestartAll,
+    /// An entry hears one member alone, and that member doesn't hear an agent.
+    Strand {
+        entry: usize,
+        member: usize,
+        agent: usize,
+    },
+    /// Nothing passes between a process and a member, or passes again.
+    Cut {
+        process: usize,
+        member: usize,
+        cut: bool,
+    },
+    KillAgent(usize),
+    StartAgent(usize),
+    Drain(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let processes = 0..AGENTS + ENTRIES;
+    prop_oneof![
+        6 => (1..240u8, 0..30u8, any::<u64>())
+            .prop_map(|(ticks, loss, seed)| Step::Run { ticks, loss, seed }),
+        2 => (0..MEMBERS).prop_map(Step::RestartMember),
+        1 => Just(Step::RestartAll),
+        1 => (AGENTS..AGENTS + ENTRIES, 0..MEMBERS, 0..AGENTS)
+            .prop_map(|(entry, member, agent)| Step::Strand { entry, member, agent }),
+        3 => (processes, 0..MEMBERS, any::<bool>())
+            .prop_map(|(process, member, cut)| Step::Cut { process, member, cut }),
+        1 => (0..AGENTS).prop_map(Step::KillAgent),
+        2 => (0..AGENTS).prop_map(Step::StartAgent),
+        1 => (0..AGENTS).prop_map(Step::Drain),
+    ]
+}
+
+struct Process {
+    follower: Follower,
+    /// The endpoint of an agent.
+    state: Option<EndpointState>,
+    /// What an entry uses.
+    endpoints: BTreeMap<Box<str>, EndpointState>,
+    alive: bool,
+    changed: Timestamp,
+    /// When each member answered last.
+    answered: [Timestamp; MEMBERS],
+    /// Since when a majority has answered without a pause.
+    good_since: Option<Timestamp>,
+    /// What an entry knew before, and must not forget now.
+    kept: BTreeSet<usize>,
+}
+
+struct Message {
+    process: usize,
+    boot: u64,
+    member: usize,
+    exchange: ExchangeId,
+    sent: Timestamp,
+    body: Body,
+}
+
+enum Body {
+    Request(Envelope<Request>),
+    Reply(Envelope<Reply>),
+}
+
+struct World {
+    now: Timestamp,
+    members: Vec<Control>,
+    processes: Vec<Process>,
+    boots: Vec<u64>,
+    pending: Vec<Message>,
+    cuts: BTreeSet<(usize, usize)>,
+    /// When each member heard each agent's present start last.
+    heard: [[Option<Timestamp>; AGENTS]; MEMBERS],
+    /// When something was cut from each agent last, or joined again.
+    cut_at: [Timestamp; AGENTS],
+    lacking: BTreeMap<(usize, usize), Timestamp>,
+    next: u64,
+}
+
+fn address(member: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 7000 + member as u16))
+}
+
+fn name(agent: usize) -> Box<str> {
+    format!("decode-{agent}").into()
+}
+
+fn endpoint(name: &str, domain: &str, boot: u64) -> EndpointState {
+    EndpointState {
+        name: name.into(),
+        address: SocketAddr::from(([10, 0, 1, 1], 7000)),
+        domain: domain.into(),
+        boot: BootId(boot),
+        sequence: 1,
+        kind: EndpointKind::Decode,
+        pool: "cs-summary".into(),
+        url: "http://10.0.1.1:8000".into(),
+        capacity: Capacity { slots: 20, pieces: 60, piece_tokens: 2000 },
+        load: Load::default(),
+        draining: false,
+        fence: Fence(0),
+    }
+}
+
+impl World {
+    fn new() -> World {
+        let mut world = World {
+            now: Timestamp::from_micros(1_000_000_000),
+            members: Vec::new(),
+            processes: Vec::new(),
+            boots: vec![0; AGENTS + ENTRIES],
+            pending: Vec::new(),
+            cuts: BTreeSet::new(),
+            heard: [[None; AGENTS]; MEMBERS],
+            cut_at: [Timestamp::default(); AGENTS],
+            lacking: BTreeMap::new(),
+            next: 1,
+        };
+        for member in 0..MEMBERS {
+            let control = world.member(member);
+            world.members.push(control);
+        }
+        for process in 0..AGENTS + ENTRIES {
+            let made = world.process(process);
+            world.processes.push(made);
+        }
+        world
+    }
+
+    fn number(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    fn member(&mut self, member: usize) -> Control {
+        let all = (0..MEMBERS).map(address).collect();
+        let settings = ControlSettings {
+            name: format!("control-{member}").into(),
+            domain: "brno-a".into(),
+            boot: BootId(self.number()),
+            replica: ReplicaSettings::new(address(member), all, member as u64),
+        };
+        Control::new(settings, Stored::new(MemberId(member as u64 + 1))).unwrap()
+    }
+
+    fn process(&mut self, process: usize) -> Process {
+        let boot = self.number();
+        self.boots[process] = boot;
+        let agent = process < AGENTS;
+        let settings = FollowerSettings {
+            name: if agent { name(process) } else { format!("entry-{process}").into() },
+            role: if agent { "agent".into() } else { "entry".into() },
+            domain: "brno-a".into(),
+            boot: BootId(boot),
+            members: (0..MEMBERS).map(address).collect(),
+            endpoints: !agent,
+        };
+        Process {
+            follower: Follower::new(settings),
+            state: agent.then(|| endpoint(&name(process), "brno-a", boot)),
+            endpoints: BTreeMap::new(),
+            alive: true,
+            changed: self.now,
+            answered: [Timestamp::default(); MEMBERS],
+            good_since: None,
+            kept: BTreeSet::new(),
+        }
+    }
+
+    fn apply(&mut self, step: &Step) -> Result<(), String> {
+        match step {
+            Step::Run { ticks, loss, seed } => {
+                let mut random = Pcg64Mcg::seed_from_u64(*seed);
+                (0..*ticks).try_for_each(|_| self.tick(&mut random, u32::from(*loss)))?;
+            }
+            Step::RestartMember(member) => self.restart(*member),
+            Step::RestartAll => (0..MEMBERS).for_each(|m| self.restart(m)),
+            Step::Strand { entry, member, agent } => {
+                self.cut(*agent, *member);
+                (0..MEMBERS).filter(|m| m != member).for_each(|m| self.cut(*entry, m));
+            }
+            Step::Cut { process, member, cut: true } => self.cut(*process, *member),
+            Step::Cut { process, member, cut: false } => {
+                self.cuts.remove(&(*process, *member));
+                if *process < AGENTS {
+                    self.cut_at[*process] = self.now;
+                }
+            }
+            Step::KillAgent(agent) => {
+                self.processes[*agent].alive = false;
+                self.processes[*agent].changed = self.now;
+            }
+            Step::StartAgent(agent) => {
+                self.processes[*agent] = self.process(*agent);
+                self.heard.iter_mut().for_each(|m| m[*agent] = None);
+            }
+            Step::Drain(agent) => {
+                if let Some(state) = &mut self.processes[*agent].state {
+                    state.draining = true;
+                    state.sequence += 1;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn restart(&mut self, member: usize) {
+        self.members[member] = self.member(member);
+        self.heard[member] = [None; AGENTS];
+    }
+
+    fn cut(&mut self, process: usize, member: usize) {
+        self.cuts.insert((process, member));
+        if process < AGENTS {
+            self.cut_at[process] = self.now;
+        }
+    }
+
+    fn tick(&mut self, random: &mut Pcg64Mcg, loss: u32) -> Result<(), String> {
+        self.now = self.now + Duration::from_millis(TICK_MS);
+        for member in &mut self.members {
+            member.step(self.now, Input::Wake);
+        }
+        for process in 0..self.processes.len() {
+            self.wake(process);
+        }
+        let now = self.now;
+        self.pending.retain(|m| now - m.sent < Duration::from_secs(1));
+        // Each message is lost, left for later or delivered, in any order.
+        for _ in 0..self.pending.len() * 2 {
+            if self.pending.is_empty() {
+                break;
+            }
+            let at = random.next_u32() as usize % self.pending.len();
+            let message = self.pending.swap_remove(at);
+            let cut = self.cuts.contains(&(message.process, message.member));
+            if cut || random.next_u32() % 100 < loss {
+                continue;
+            }
+            self.deliver(message);
+        }
+        self.check()
+    }
+
+    fn wake(&mut self, index: usize) {
+        let process = &mut self.processes[index];
+        if !process.alive {
+            return;
+        }
+        let next = &mut self.next;
+        let outputs: Vec<Output<()>> =
+            process.follower.wake(self.now, process.state.as_ref(), None, &mut || {
+                *next += 1;
+                ExchangeId(*next)
+            });
+        for output in outputs {
+            let Output::Open { exchange, peer, envelope } = output else { continue };
+            let member = usize::from(peer.port() - 7000);
+            let body = Body::Request(envelope);
+            let boot = self.boots[index];
+            let sent = self.now;
+            self.pending.push(Message { process: index, boot, member, exchange, sent, body });
+        }
+    }
+
+    fn deliver(&mut self, message: Message) {
+        let Message { process, boot, member, exchange, sent, body } = message;
+        match body {
+            Body::Request(envelope) => {
+                if process < AGENTS && boot == self.boots[process] {
+                    self.heard[member][process] = Some(self.now);
+                }
+                let inbound = InboundId(exchange.0);
+                let outputs =
+                    self.members[member].step(self.now, Input::Request { inbound, envelope });
+                for output in outputs {
+                    let Output::Reply { envelope, .. } = output else { continue };
+                    let body = Body::Reply(envelope);
+                    self.pending.push(Message { process, boot, member, exchange, sent, body });
+                }
+            }
+            Body::Reply(envelope) => {
+                let known = &mut self.processes[process];
+                if boot != self.boots[process] || !known.alive {
+                    return;
+                }
+                if known.follower.reply(self.now, exchange, &envelope.body) {
+                    known.answered[member] = self.now;
+                    if let Some(endpoints) = known.follower.changed_endpoints(self.now) {
+                        known.endpoints = endpoints;
+                    }
+                }
+            }
+        }
+    }
+
+    fn check(&mut self) -> Result<(), String> {
+        let now = self.now;
+        for entry in AGENTS..AGENTS + ENTRIES {
+            let fresh = |at: &&Timestamp| now - **at <= ANSWER_LEASE;
+            let good = self.processes[entry].answered.iter().filter(fresh).count() * 2 > MEMBERS;
+            let since = &mut self.processes[entry].good_since;
+            *since = if good { since.or(Some(now)) } else { None };
+            let good_for = since.map_or(Duration::ZERO, |at| now - at);
+            for agent in 0..AGENTS {
+                let knows = self.processes[entry].endpoints.contains_key(&name(agent));
+                let heard = |m: &&[Option<Timestamp>; AGENTS]| {
+                    m[agent].is_some_and(|at| now - at < HEARTBEAT_LEASE)
+                };
+                let heard = self.heard.iter().filter(heard).count() * 2 > MEMBERS;
+                let process = &self.processes[agent];
+                if process.alive && heard && good && !knows {
+                    let since = *self.lacking.entry((entry, agent)).or_insert(now);
+                    if now - since > LACK_LIMIT {
+                        return Err(format!("entry {entry} lacks live agent {agent}"));
+                    }
+                } else {
+                    self.lacking.remove(&(entry, agent));
+                }
+                let gone_for = if process.alive { Duration::ZERO } else { now - process.changed };
+                if knows && gone_for.min(good_for) > KEEP_LIMIT {
+                    return Err(format!("entry {entry} keeps agent {agent}, which is gone"));
+                }
+            }
+            self.check_kept(entry)?;
+        }
+        Ok(())
+    }
+
+    /// An agent that all members could hear for long is never forgotten, whatever members restart;
+    /// an entry that a majority doesn't answer any more forgets nothing that a majority can hear.
+    fn check_kept(&mut self, entry: usize) -> Result<(), String> {
+        let now = self.now;
+        let good = self.processes[entry].good_since.is_some_and(|at| now - at > ANSWER_LEASE);
+        for agent in 0..AGENTS {
+            let process = &self.processes[agent];
+            let cuts = (0..MEMBERS).filter(|m| self.cuts.contains(&(agent, *m))).count();
+            let quiet = now - self.cut_at[agent].max(process.changed) > STEADY;
+            let steady = process.alive && cuts == 0 && quiet;
+            let heard = process.alive && cuts * 2 < MEMBERS;
+            let known = self.processes[entry].endpoints.contains_key(&name(agent));
+            let kept = &mut self.processes[entry].kept;
+            if kept.contains(&agent) && !known && (steady || (heard && !good)) {
+                return Err(format!("entry {entry} forgot live agent {agent}"));
+            }
+            if known && steady && good {
+                kept.insert(agent);
+            } else if !known || !heard || (good && !steady) {
+                kept.remove(&agent);
+            }
+        }
+        Ok(())
+    }
+
+    /// All is well again: each entry ends with exactly the live endpoints, as they are now.
+    fn settle(&mut self) -> Result<(), String> {
+        self.cuts.clear();
+        let mut random = Pcg64Mcg::seed_from_u64(1);
+        for _ in 0..(KEEP_LIMIT.as_millis() as u64 / TICK_MS) {
+            self.tick(&mut random, 0)?;
+        }
+        let (agents, entries) = self.processes.split_at(AGENTS);
+        let live = agents.iter().filter(|a| a.alive).filter_map(|a| a.state.clone());
+        let live: BTreeMap<_, _> = live.map(|s| (s.name.clone(), s)).collect();
+        for entry in entries {
+            if entry.endpoints != live {
+                return Err(format!("in the end {:?}, not {live:?}", entry.endpoints));
+            }
+        }
+        Ok(())
+    }
+}
+
+#[test]
+fn entries_know_the_endpoints_that_are_alive() {
+    let cases = std::env::var("DOTTERELPIN_FUZZ_CASES").ok().and_then(|c| c.parse().ok());
+    let config = Config {
+        cases: cases.unwrap_or(CASES),
+        failure_persistence: None,
+        max_shrink_iters: 400,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
+    let steps = proptest::collection::vec(step(), 1..40);
+    let result = TestRunner::new_with_rng(config, rng).run(&steps, |steps| {
+        let mut world = World::new();
+        let run = steps.iter().try_for_each(|s| world.apply(s)).and_then(|()| world.settle());
+        run.map_err(TestCaseError::fail)
+    });
+    result.unwrap();
+}
+
+#[test]
+fn a_late_heartbeat_changes_nothing() {
+    use dotterelpin::link::message::{Heartbeat, ProcessState, Seen};
+    use dotterelpin::registry::Registry;
+
+    let beat = |boot, sequence| {
+        let mut state = endpoint("decode-1", "brno-a", boot);
+        state.sequence = sequence;
+        let process = ProcessState {
+            name: "decode-1".into(),
+            role: "agent".into(),
+            domain: "brno-a".into(),
+            boot: BootId(boot),
+            revised: Default::default(),
+        };
+        Heartbeat {
+            process,
+            endpoint: Some(state),
+            endpoints: false,
+            seen: Seen::default(),
+            wants: Vec::new(),
+            report: None,
+            suspects: 0,
+            schema: 1,
+        }
+    };
+    let now = Timestamp::from_micros(1);
+    let mut registry = Registry::new(BootId(1));
+    for (boot, sequence) in [(5, 2), (5, 1), (4, 9)] {
+        registry.heartbeat(now, beat(boot, sequence));
+        let ages: Vec<_> = registry.endpoints().iter().map(|e| (e.boot.0, e.sequence)).collect();
+        assert_eq!(ages, [(5, 2)]);
+    }
+}
+
+#[test]
+fn subsets_cover_all_endpoints_and_change_little() {
+    let domains = ["a", "b", "c", "d", "e", "f"];
+    let endpoints: Vec<_> =
+        (0..130).map(|i| endpoint(&format!("decode-{i}"), domains[i % domains.len()], 1)).collect();
+    let size = 32;
+    let mut entries = BTreeMap::new();
+    // No entry runs in the last failure domain.
+    for entry in 0..100 {
+        let own = domains[entry % (domains.len() - 1)];
+        let picked = subset::pick(&format!("entry-{entry}"), own, size, endpoints.iter());
+        assert_eq!(picked.len(), size);
+        let far = picked.values().filter(|e| *e.domain != *own).count();
+        assert!(far >= size / 4, "entry {entry} has {far} ways out of its failure domain");
+        for name in picked.into_keys() {
+            *entries.entry(name).or_insert(0) += 1;
+        }
+    }
+    let least = endpoints.iter().map(|e| entries.get(&e.name).copied().unwrap_or(0)).min();
+    assert!(least.unwrap_or(0) >= 3, "an endpoint has {least:?} entries");
+    let before = subset::pick("entry-1", "b", size, endpoints.iter());
+    let after = subset::pick("entry-1", "b", size, endpoints.iter().skip(1));
+    let moved = after.keys().filter(|n| !before.contains_key(*n)).count();
+    assert!(moved <= 1, "one endpoint left and {moved} were picked anew");
+}
