Serve callers with hyper, with bounds on all that they may send or hold

Cause: tiny_http can't bound a request's headers, has no timeout for a caller that never finishes its headers or content, and needs two threads for each call. Ruled out: rouille (delivers a stream in one piece), a proxy of our own before tiny_http (one more hop, and a parser). Also: 404, 405, 408 and 413 with reasons, a bound on open calls and connections, a call whose caller reads too slowly is dropped with a last event that says so (1,024 effects wait at most), and the last answers are written before an entry exits. The agent's HTTP buffers to its endpoint shrink from 256 KB to 16 KB for each connection.

--- a/src/agent/engine/http.rs
+++ b/src/agent/engine/http.rs
@@ -20,6 +20,8 @@
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
 /// The most bytes of a plain service's answer.
 const MAX_ANSWER_BYTES: u64 = 2 << 20;
+/// The buffer in each direction of a connection to the endpoint.
+const BUFFER_BYTES: usize = 8 << 10;
 /// The stack of a thread that waits for the endpoint.
 const STACK_BYTES: usize = 128 << 10;
 
@@ -53,6 +55,8 @@
             .timeout_connect(Some(CONNECT_TIMEOUT))
             .http_status_as_error(false)
             .max_idle_connections(0)
+            .input_buffer_size(BUFFER_BYTES)
+            .output_buffer_size(BUFFER_BYTES)
             .build();
         HttpEngine { url, role, http: config.new_agent() }
     }
--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -12,7 +12,7 @@
 use crate::agent::{Agent, AgentSettings};
 use crate::control::disk::{self, Disk};
 use crate::control::{Control, ControlSettings, DiskInput};
-use crate::entry::accept::Callers;
+use crate::entry::accept::{self, CallerBounds};
 use crate::entry::check::Tenants;
 use crate::entry::place::RoundRobin;
 use crate::entry::{CallerInput, Entry, EntrySettings};
@@ -23,6 +23,11 @@
 use crate::report::pages::Pages;
 use crate::role::{Driver, Input};
 
+/// Calls that may be open at an entry.
+const MAX_CALLS: usize = 8_192;
+/// Connections that callers may have open at an entry.
+const MAX_CONNECTIONS: usize = 16_384;
+
 type Threads = Vec<std::thread::JoinHandle<()>>;
 
 /// The drivers of the roles that a process has.
@@ -67,11 +72,14 @@
         let agent = Agent::new(AgentSettings { follower, address: settings.listen });
         threads.push(driver.start("agent", agent, handle.clone(), engine)?);
     }
+    let mut caller_server = None;
     if let Some(driver) = drivers.entry {
         let path = settings.tenants.as_deref().ok_or_else(|| eyre!("--tenants is missing"))?;
         let tenants = Tenants::load(path)?;
         let listen = settings.callers.ok_or_else(|| eyre!("--callers is missing"))?;
-        let callers = Callers::start(listen, driver.handle())?;
+        let bounds = CallerBounds { calls: MAX_CALLS, connections: MAX_CONNECTIONS };
+        let (callers, server) = accept::start(listen, bounds, driver.handle())?;
+        caller_server = Some(server);
         let who = EntrySettings { follower: follower(&settings, boot, "entry") };
         let entry = Entry::new(who, tenants, Box::new(RoundRobin::default()));
         threads.push(driver.start("entry", entry, handle.clone(), callers)?);
@@ -81,6 +89,9 @@
     for thread in threads {
         thread.join().map_err(|_| eyre!("a role's thread has panicked"))?;
     }
+    if let Some(server) = caller_server {
+        server.finish();
+    }
     log::info!("step=stop name={}", settings.name);
     Ok(())
 }
--- a/src/entry/accept.rs
+++ b/src/entry/accept.rs
@@ -1,289 +1,376 @@
-//! The filter `accept` and its twin `answer`: callers over HTTP.
+//! The filter `accept`: callers over HTTP, with bounds on all that they may send or hold.
 
 use std::collections::BTreeMap;
-use std::io::{self, Read, Write};
+use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use chunked_transfer::Encoder;
-use eyre::{WrapErr, eyre};
-use serde_json::json;
+use eyre::WrapErr;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::error::TrySendError;
+use tokio::sync::{mpsc, watch};
 
+use super::answer::{self, AnswerBody};
 use super::check::RawCall;
 use super::{CallerEffect, CallerInput, Terminal};
-use crate::link::message::Answer;
-use crate::model::{CallId, Ran, Refusal};
+use crate::model::{CallId, Refusal, RefusalReason};
 use crate::role::{Adapter, DriverHandle};
 
-/// Threads that take new requests.
-const ACCEPTORS: usize = 4;
+/// Threads that carry callers' traffic.
+const THREADS: usize = 4;
 /// The most bytes of a request's content.
-const MAX_CONTENT_BYTES: u64 = 2 << 20;
-/// The stack of a call's thread.
-const STACK_BYTES: usize = 128 << 10;
-/// The time between heartbeats to a caller, by which a lost one is noticed.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
+const MAX_CONTENT_BYTES: usize = 2 << 20;
+/// The most bytes of a request's line and headers.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+/// The most headers of a request.
+const MAX_HEADERS: usize = 64;
+/// How long a caller may take to send a request's line and headers, or to send none.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a caller may take to send a request's content.
+const CONTENT_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long the last answers may take to be written at shutdown.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long accepting rests after an error, such as no free file descriptor.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Effects that wait for a caller who reads slowly, before the call is dropped.
+const MAX_WAITING: usize = 1_024;
+/// When a caller may come back that met the bound on open calls.
+const RETRY_AFTER: Duration = Duration::from_millis(1_000);
+/// Headers that may stand once only, since their meaning would be in doubt.
+const SINGLE_HEADERS: [&str; 4] =
+    ["authorization", "idempotency-key", "x-dotterelpin-class", "x-dotterelpin-deadline-ms"];
 
-type Calls = Arc<Mutex<BTreeMap<CallId, Sender<CallerEffect>>>>;
+type Calls = Arc<Mutex<BTreeMap<CallId, mpsc::Sender<CallerEffect>>>>;
 
-/// Gives each call's effects to the call's thread.
+/// What callers may hold at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerBounds {
+    /// Open calls.
+    pub calls: usize,
+    /// Open connections.
+    pub connections: usize,
+}
+
+/// Gives each call's effects to the task that answers the call.
 pub struct Callers {
     calls: Calls,
+    role: DriverHandle<CallerInput>,
 }
 
 impl Adapter<CallerEffect> for Callers {
     fn carry(&mut self, effect: CallerEffect) {
+        let call = match &effect {
+            CallerEffect::Finish { call, .. }
+            | CallerEffect::Begin { call }
+            | CallerEffect::Tokens { call, .. } => *call,
+        };
+        let last = matches!(effect, CallerEffect::Finish { .. });
         let mut calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
-        match &effect {
-            CallerEffect::Finish { call, .. } => {
-                if let Some(sender) = calls.remove(call) {
-                    let _ = sender.send(effect);
-                }
-            }
-            CallerEffect::Begin { call } | CallerEffect::Tokens { call, .. } => {
-                if let Some(sender) = calls.get(call) {
-                    let _ = sender.send(effect);
-                }
+        let Some(sender) = calls.get(&call) else { return };
+        let lost = match sender.try_send(effect) {
+            Ok(()) => false,
+            Err(TrySendError::Full(_)) => {
+                log::warn!("step=slow-caller call={call} waiting={MAX_WAITING}");
+                true
             }
+            Err(TrySendError::Closed(_)) => true,
+        };
+        if lost || last {
+            calls.remove(&call);
+        }
+        if lost && !last {
+            self.role.local(CallerInput::Gone { call });
         }
     }
 }
 
-impl Callers {
-    /// Binds the callers' address and starts to take requests.
-    pub fn start(listen: SocketAddr, role: DriverHandle<CallerInput>) -> eyre::Result<Callers> {
-        let server = tiny_http::Server::http(listen)
-            .map_err(|e| eyre!("{e}"))
-            .wrap_err_with(|| format!("listen for callers on {listen}"))?;
-        let server = Arc::new(server);
-        let calls = Calls::default();
-        let ids = Arc::new(AtomicU64::new(1));
-        for _ in 0..ACCEPTORS {
-            let acceptor = Acceptor {
-                server: server.clone(),
-                calls: calls.clone(),
-                ids: ids.clone(),
-                role: role.clone(),
-            };
-            std::thread::Builder::new()
-                .name("accept".into())
-                .spawn(move || acceptor.run())
-                .wrap_err("start acceptor")?;
+/// The server for callers, which outlives the role until the last answer is written.
+pub struct CallerServer {
+    stop: watch::Sender<bool>,
+    thread: std::thread::JoinHandle<()>,
+}
+
+impl CallerServer {
+    /// Takes no more connections and waits until the last answers are written.
+    pub fn finish(self) {
+        let _ = self.stop.send(true);
+        if self.thread.join().is_err() {
+            log::error!("step=callers error=\"the thread has panicked\"");
         }
-        Ok(Callers { calls })
     }
 }
 
-struct Acceptor {
-    server: Arc<tiny_http::Server>,
+/// What every connection shares.
+#[derive(Clone)]
+struct Shared {
     calls: Calls,
     ids: Arc<AtomicU64>,
+    open: Arc<AtomicUsize>,
+    bounds: CallerBounds,
     role: DriverHandle<CallerInput>,
 }
 
-impl Acceptor {
-    fn run(self) {
-        while let Ok(request) = self.server.recv() {
-            let id = CallId(self.ids.fetch_add(1, Ordering::SeqCst));
-            let (calls, role) = (self.calls.clone(), self.role.clone());
-            let serve = move || {
-                if let Err(error) = serve(request, id, calls, &role) {
-                    log::debug!("step=caller call={id} error={error}");
-                    role.local(CallerInput::Gone { call: id });
-                }
-            };
-            let builder = std::thread::Builder::new().name("call".into()).stack_size(STACK_BYTES);
-            if let Err(error) = builder.spawn(serve) {
-                log::error!("step=call-thread error={error}");
+/// Binds the callers' address and starts to take requests.
+pub fn start(
+    listen: SocketAddr,
+    bounds: CallerBounds,
+    role: DriverHandle<CallerInput>,
+) -> eyre::Result<(Callers, CallerServer)> {
+    let listener = std::net::TcpListener::bind(listen)
+        .and_then(|l| l.set_nonblocking(true).map(|()| l))
+        .wrap_err_with(|| format!("step=listen --callers: TCP address {listen}"))?;
+    let calls = Calls::default();
+    let shared = Shared {
+        calls: calls.clone(),
+        ids: Arc::new(AtomicU64::new(1)),
+        open: Arc::default(),
+        bounds,
+        role: role.clone(),
+    };
+    let (stop, stopped) = watch::channel(false);
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(THREADS)
+        .thread_name("callers")
+        .enable_all()
+        .build()
+        .wrap_err("start callers' threads")?;
+    let run = move || {
+        if let Err(error) = runtime.block_on(accept(listener, shared, stopped)) {
+            log::error!("step=callers error=\"{error:#}\"");
+        }
+    };
+    let thread = std::thread::Builder::new().name("accept".into()).spawn(run);
+    let thread = thread.wrap_err("start acceptor")?;
+    Ok((Callers { calls, role }, CallerServer { stop, thread }))
+}
+
+async fn accept(
+    listener: std::net::TcpListener,
+    shared: Shared,
+    mut stopped: watch::Receiver<bool>,
+) -> eyre::Result<()> {
+    let listener = TcpListener::from_std(listener).wrap_err("use the listener")?;
+    // Each connection holds a clone of the sender; all are closed when the receiver ends.
+    let (running, mut all_closed) = mpsc::channel::<Infallible>(1);
+    let connections = Arc::new(AtomicUsize::new(0));
+    loop {
+        let taken = tokio::select! {
+            taken = listener.accept() => taken,
+            _ = stopped.changed() => break,
+        };
+        let (stream, peer) = match taken {
+            Ok(taken) => taken,
+            Err(error) => {
+                log::warn!("step=accept error=\"{error}\"");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
             }
+        };
+        if connections.load(Ordering::SeqCst) >= shared.bounds.connections {
+            log::warn!("step=accept peer={peer} error=\"too many connections\"");
+            continue;
         }
+        let counted = Counted::new(&connections);
+        let (shared, stopped, running) = (shared.clone(), stopped.clone(), running.clone());
+        tokio::spawn(async move {
+            if let Err(error) = converse(stream, shared, stopped).await {
+                log::debug!("step=converse peer={peer} error=\"{error}\"");
+            }
+            drop((counted, running));
+        });
+    }
+    drop((listener, running));
+    if tokio::time::timeout(FLUSH_TIMEOUT, all_closed.recv()).await.is_err() {
+        log::warn!("step=shutdown error=\"some callers did not read their last answer in time\"");
     }
+    Ok(())
 }
 
-/// Serves one request from its arrival to its terminal outcome.
-fn serve(
-    mut request: tiny_http::Request,
-    id: CallId,
-    calls: Calls,
-    role: &DriverHandle<CallerInput>,
-) -> io::Result<()> {
-    let raw = read_call(&mut request)?;
+/// Serves the requests of one connection in turn.
+async fn converse(
+    stream: TcpStream,
+    shared: Shared,
+    mut stopped: watch::Receiver<bool>,
+) -> eyre::Result<()> {
+    stream.set_nodelay(true).wrap_err("set no delay")?;
+    let service = service_fn(move |request| {
+        let shared = shared.clone();
+        async move { Ok::<_, Infallible>(serve(request, shared).await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .max_headers(MAX_HEADERS);
+    let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
+    tokio::select! {
+        done = connection.as_mut() => return done.wrap_err("serve"),
+        _ = stopped.changed() => connection.as_mut().graceful_shutdown(),
+    }
+    connection.await.wrap_err("serve")
+}
+
+/// Serves one request up to its answer, or up to the start of an answer that comes in parts.
+async fn serve(request: Request<Incoming>, shared: Shared) -> Response<AnswerBody> {
+    let Some(call) = shared.open() else {
+        let detail = format!("{} calls are open", shared.bounds.calls);
+        return answer::refused(&Refusal::not_run(
+            RefusalReason::TooManyCalls,
+            RETRY_AFTER,
+            detail,
+        ));
+    };
+    let raw = match read_call(request).await {
+        Ok(raw) => raw,
+        Err(refusal) => {
+            let id = call.id();
+            call.finish();
+            return answer::whole(Some(id), Terminal::Refused(refusal), false);
+        }
+    };
     let streams = wants_stream(&raw);
-    let (sender, effects) = channel();
-    calls.lock().unwrap_or_else(PoisonError::into_inner).insert(id, sender);
-    role.local(CallerInput::Arrived { call: id, raw });
-    let writer = request.into_writer();
-    let answer = AnswerWriter { id, writer, streams, begun: false, told: String::new() };
-    let result = answer.run(&effects);
-    calls.lock().unwrap_or_else(PoisonError::into_inner).remove(&id);
-    result
+    let (sender, mut effects) = mpsc::channel(MAX_WAITING);
+    let call = call.start(sender, raw);
+    match effects.recv().await {
+        Some(CallerEffect::Finish { outcome, .. }) => {
+            let id = call.id();
+            call.finish();
+            answer::whole(Some(id), outcome, streams)
+        }
+        Some(_) => answer::begin(call, effects, streams),
+        None => {
+            let detail = "the process has stopped";
+            let refusal = Refusal::may_have_run(RefusalReason::Draining, RETRY_AFTER, detail);
+            answer::refused(&refusal)
+        }
+    }
 }
 
-fn read_call(request: &mut tiny_http::Request) -> io::Result<RawCall> {
-    let mut content = Vec::new();
-    request.as_reader().take(MAX_CONTENT_BYTES + 1).read_to_end(&mut content)?;
-    let headers = request
-        .headers()
-        .iter()
-        .map(|h| (h.field.as_str().as_str().to_ascii_lowercase().into(), h.value.as_str().into()))
-        .collect();
-    Ok(RawCall {
-        method: request.method().to_string().into(),
-        path: request.url().into(),
-        headers,
-        content,
-    })
+impl Shared {
+    /// Opens a call, unless too many are open.
+    fn open(&self) -> Option<OpenCall> {
+        let counted = Counted::new(&self.open);
+        if self.open.load(Ordering::SeqCst) > self.bounds.calls {
+            return None;
+        }
+        let id = CallId(self.ids.fetch_add(1, Ordering::SeqCst));
+        Some(OpenCall { id, shared: self.clone(), started: false, _counted: counted })
+    }
 }
 
-/// Returns whether the caller reads tokens as they come; `check` judges the rest.
-fn wants_stream(raw: &RawCall) -> bool {
-    let body: Option<serde_json::Value> = serde_json::from_slice(&raw.content).ok();
-    body.is_some_and(|b| b.get("stream") == Some(&serde_json::Value::Bool(true)))
+/// Counts what is open, until it is dropped.
+struct Counted(Arc<AtomicUsize>);
+
+impl Counted {
+    fn new(count: &Arc<AtomicUsize>) -> Counted {
+        count.fetch_add(1, Ordering::SeqCst);
+        Counted(count.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
 }
 
-/// Writes one call's answer.
-struct AnswerWriter {
+/// A call that somebody waits for; when it is dropped unfinished, its caller is gone.
+pub struct OpenCall {
     id: CallId,
-    writer: Box<dyn Write + Send>,
-    streams: bool,
-    begun: bool,
-    told: String,
+    shared: Shared,
+    started: bool,
+    _counted: Counted,
 }
 
-impl AnswerWriter {
-    fn run(mut self, effects: &Receiver<CallerEffect>) -> io::Result<()> {
-        loop {
-            match effects.recv_timeout(HEARTBEAT_INTERVAL) {
-                Ok(CallerEffect::Begin { .. }) => self.begin()?,
-                Ok(CallerEffect::Tokens { tokens, .. }) => self.tokens(&tokens)?,
-                Ok(CallerEffect::Finish { outcome, .. }) => return self.finish(outcome),
-                Err(RecvTimeoutError::Timeout) if self.begun => self.heartbeat()?,
-                Err(RecvTimeoutError::Timeout) => {}
-                Err(RecvTimeoutError::Disconnected) => return Ok(()),
-            }
-        }
+impl OpenCall {
+    /// Returns the number of the call.
+    pub fn id(&self) -> CallId {
+        self.id
     }
 
-    fn begin(&mut self) -> io::Result<()> {
-        self.begun = true;
-        let media = if self.streams { "text/event-stream" } else { "application/json" };
-        write!(
-            self.writer,
-            "HTTP/1.1 200 OK\r\ncontent-type: {media}\r\nx-request-id: {}\r\n\
-             transfer-encoding: chunked\r\nconnection: close\r\n\r\n",
-            self.id
-        )?;
-        self.writer.flush()
+    /// Gives the call to the role.
+    fn start(mut self, effects: mpsc::Sender<CallerEffect>, raw: RawCall) -> OpenCall {
+        self.started = true;
+        self.lock().insert(self.id, effects);
+        self.shared.role.local(CallerInput::Arrived { call: self.id, raw });
+        self
     }
 
-    fn heartbeat(&mut self) -> io::Result<()> {
-        let text = if self.streams { ": alive\n\n" } else { " " };
-        self.chunk(text)
+    /// Ends the call after its terminal outcome was told.
+    pub fn finish(mut self) {
+        self.started = false;
     }
 
-    fn chunk(&mut self, text: &str) -> io::Result<()> {
-        write_chunk(&mut self.writer, text)
+    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<CallId, mpsc::Sender<CallerEffect>>> {
+        self.shared.calls.lock().unwrap_or_else(PoisonError::into_inner)
     }
+}
 
-    fn tokens(&mut self, tokens: &[Box<str>]) -> io::Result<()> {
-        let text = tokens.concat();
-        if !self.streams {
-            self.told.push_str(&text);
-            return Ok(());
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        self.lock().remove(&self.id);
+        if self.started {
+            self.shared.role.local(CallerInput::Gone { call: self.id });
         }
-        let event = json!({ "choices": [{ "index": 0, "text": text }] });
-        self.chunk(&format!("data: {event}\n\n"))
     }
+}
 
-    fn finish(mut self, outcome: Terminal) -> io::Result<()> {
-        if !self.begun {
-            return self.finish_whole(outcome);
+async fn read_call(request: Request<Incoming>) -> Result<RawCall, Refusal> {
+    let (head, body) = request.into_parts();
+    let mut headers = BTreeMap::new();
+    for (name, value) in &head.headers {
+        let text = std::str::from_utf8(value.as_bytes())
+            .map_err(|_| refuse(RefusalReason::BadCall, format!("header {name} is no UTF-8")))?;
+        let before: Option<Box<str>> = headers.insert(name.as_str().into(), text.into());
+        if before.is_some() && SINGLE_HEADERS.contains(&name.as_str()) {
+            return Err(refuse(RefusalReason::BadCall, format!("header {name} stands twice")));
         }
-        let text = match outcome {
-            Terminal::Generated { tokens, finish } if self.streams => {
-                let event = json!({
-                    "choices": [{ "index": 0, "text": "", "finish_reason": finish }],
-                    "usage": { "completion_tokens": tokens },
-                });
-                format!("data: {event}\n\ndata: [DONE]\n\n")
-            }
-            Terminal::Generated { tokens, finish } => json!({
-                "choices": [{ "index": 0, "text": self.told, "finish_reason": finish }],
-                "usage": { "completion_tokens": tokens },
-            })
-            .to_string(),
-            Terminal::Refused(refusal) if self.streams => {
-                format!("event: error\ndata: {}\n\n", refusal_json(&refusal))
-            }
-            Terminal::Refused(refusal) => refusal_json(&refusal).to_string(),
-            Terminal::Answered(answer) => String::from_utf8_lossy(&answer.content).into_owned(),
-        };
-        self.chunk(&text)?;
-        self.writer.write_all(b"0\r\n\r\n")?;
-        self.writer.flush()
     }
-
-    fn finish_whole(mut self, outcome: Terminal) -> io::Result<()> {
-        let (answer, extra) = match outcome {
-            Terminal::Refused(refusal) => refusal_answer(&refusal),
-            Terminal::Answered(answer) => (answer, header("x-dotterelpin-ran", Ran::Yes.as_str())),
-            Terminal::Generated { .. } => {
-                self.begin()?;
-                return self.finish(outcome);
-            }
-        };
-        write!(
-            self.writer,
-            "HTTP/1.1 {} {}\r\ncontent-type: {}\r\ncontent-length: {}\r\nx-request-id: {}\r\n\
-             {extra}connection: close\r\n\r\n",
-            answer.status,
-            tiny_http::StatusCode(answer.status).default_reason_phrase(),
-            answer.media,
-            answer.content.len(),
-            self.id
-        )?;
-        self.writer.write_all(&answer.content)?;
-        self.writer.flush()
-    }
-}
-
-fn write_chunk(writer: &mut dyn Write, text: &str) -> io::Result<()> {
-    let mut chunk = Vec::new();
-    Encoder::new(&mut chunk).write_all(text.as_bytes())?;
-    // The encoder ends the body when it is dropped; the end mark is written by `finish` alone.
-    chunk.truncate(chunk.len() - b"0\r\n\r\n".len());
-    writer.write_all(&chunk)?;
-    writer.flush()
+    let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
+    Ok(RawCall {
+        method: head.method.as_str().into(),
+        path: path.into(),
+        headers,
+        content: read_content(body).await?,
+    })
 }
 
-fn refusal_answer(refusal: &Refusal) -> (Answer, String) {
-    let mut extra = header("x-dotterelpin-ran", refusal.ran.as_str());
-    if !refusal.retry.is_zero() {
-        let seconds = refusal.retry.as_millis().div_ceil(1000);
-        extra.push_str(&header("retry-after", &seconds.to_string()));
+async fn read_content(body: Incoming) -> Result<Vec<u8>, Refusal> {
+    let reading = Limited::new(body, MAX_CONTENT_BYTES).collect();
+    let read = tokio::time::timeout(CONTENT_TIMEOUT, reading).await.map_err(|_| {
+        let detail = format!("the content did not come within {CONTENT_TIMEOUT:?}");
+        refuse(RefusalReason::SlowCaller, detail)
+    })?;
+    match read {
+        Ok(content) => Ok(content.to_bytes().into()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            let detail = format!("the content has over {MAX_CONTENT_BYTES} bytes");
+            Err(refuse(RefusalReason::TooLarge, detail))
+        }
+        Err(error) => Err(refuse(RefusalReason::BadCall, format!("content: {error}"))),
     }
-    let answer = Answer {
-        status: refusal.reason.status(),
-        media: "application/json".into(),
-        content: refusal_json(refusal).to_string().into_bytes(),
-    };
-    (answer, extra)
 }
 
-fn header(name: &str, value: &str) -> String {
-    format!("{name}: {value}\r\n")
+fn refuse(reason: RefusalReason, detail: impl Into<Box<str>>) -> Refusal {
+    Refusal::not_run(reason, Duration::ZERO, detail)
 }
 
-fn refusal_json(refusal: &Refusal) -> serde_json::Value {
-    json!({
-        "error": {
-            "reason": refusal.reason.as_str(),
-            "ran": refusal.ran.as_str(),
-            "retry_after_ms": refusal.retry.as_millis() as u64,
-            "message": refusal.detail,
-        }
-    })
+/// Returns whether the caller reads tokens as they come; `check` judges the rest.
+fn wants_stream(raw: &RawCall) -> bool {
+    #[derive(serde::Deserialize)]
+    struct Wish {
+        #[serde(default)]
+        stream: bool,
+    }
+    raw.path.starts_with("/v1/")
+        && serde_json::from_slice::<Wish>(&raw.content).is_ok_and(|w| w.stream)
 }
--- a/src/entry/check.rs
+++ b/src/entry/check.rs
@@ -7,6 +7,7 @@
 use eyre::{WrapErr, ensure, eyre};
 use serde::Deserialize;
 use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
 
 use crate::control::config::{Config, Setting};
 use crate::model::{Body, Call, CallKind, Class, Refusal, RefusalReason, Timestamp};
@@ -15,6 +16,12 @@
 const MAX_KEY_BYTES: usize = 256;
 /// The most tokens that a call may ask for.
 const MAX_TOKENS: u32 = 16_384;
+/// The path of the older shape of model calls.
+const COMPLETIONS: &str = "/v1/completions";
+/// Every path of model calls.
+const MODEL_PATHS: [&str; 2] = [COMPLETIONS, "/v1/chat/completions"];
+/// Every method that a plain service may be called with.
+const SERVICE_METHODS: [&str; 7] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"];
 /// Tokens generated when the caller names no limit.
 const DEFAULT_MAX_TOKENS: u32 = 256;
 
@@ -31,10 +38,13 @@
     pub content: Vec<u8>,
 }
 
+type Hash = [u8; 32];
+
 /// Tenants by the SHA-256 hashes of their credentials.
 #[derive(Debug, Clone, Default)]
 pub struct Tenants {
-    by_hash: BTreeMap<[u8; 32], Box<str>>,
+    /// By the first bytes of the hash; the rest is compared in constant time.
+    by_prefix: BTreeMap<[u8; 8], Vec<(Hash, Box<str>)>>,
 }
 
 impl Tenants {
@@ -56,8 +66,9 @@
     /// assert_eq!(tenants.find("guess"), None);
     /// ```
     pub fn find(&self, credential: &str) -> Option<&str> {
-        let hash: [u8; 32] = Sha256::digest(credential).into();
-        self.by_hash.get(&hash).map(|t| &**t)
+        let hash: Hash = Sha256::digest(credential).into();
+        let known = self.by_prefix.get(&prefix(&hash))?;
+        known.iter().find(|(h, _)| bool::from(h.ct_eq(&hash))).map(|(_, t)| &**t)
     }
 }
 
@@ -65,7 +76,7 @@
     type Err = eyre::Report;
 
     fn from_str(text: &str) -> eyre::Result<Tenants> {
-        let mut by_hash = BTreeMap::new();
+        let mut by_prefix: BTreeMap<_, Vec<_>> = BTreeMap::new();
         for (index, line) in text.lines().enumerate() {
             let line = line.trim();
             if line.is_empty() || line.starts_with('#') {
@@ -75,13 +86,17 @@
                 .split_once(' ')
                 .ok_or_else(|| eyre!("line {}: no \"NAME SHA256HEX\"", index + 1))?;
             let hash = parse_hash(hex.trim()).wrap_err_with(|| format!("line {}", index + 1))?;
-            by_hash.insert(hash, name.into());
+            by_prefix.entry(prefix(&hash)).or_default().push((hash, name.into()));
         }
-        Ok(Tenants { by_hash })
+        Ok(Tenants { by_prefix })
     }
 }
 
-fn parse_hash(hex: &str) -> eyre::Result<[u8; 32]> {
+fn prefix(hash: &Hash) -> [u8; 8] {
+    hash.first_chunk().copied().unwrap_or_default()
+}
+
+fn parse_hash(hex: &str) -> eyre::Result<Hash> {
     ensure!(hex.len() == 64 && hex.is_ascii(), "a hash has 64 hexadecimal digits");
     let mut hash = [0; 32];
     for (i, byte) in hash.iter_mut().enumerate() {
@@ -128,7 +143,7 @@
     if key.is_some_and(|k| k.is_empty() || k.len() > MAX_KEY_BYTES) {
         return Err(bad("idempotency-key has no text or over 256 bytes"));
     }
-    let (pool, kind, repeatable) = if &*raw.method == "POST" && raw.path.starts_with("/v1/") {
+    let (pool, kind, repeatable) = if raw.path.starts_with("/v1/") {
         let (pool, kind) = check_model(&raw)?;
         (pool, kind, true)
     } else {
@@ -165,15 +180,23 @@
 }
 
 fn check_model(raw: &RawCall) -> Result<(Box<str>, CallKind), Refusal> {
+    if !MODEL_PATHS.contains(&&*raw.path) {
+        return Err(unknown_path(raw));
+    }
+    if &*raw.method != "POST" {
+        return Err(bad_method(raw, &["POST"]));
+    }
     let body: ModelBody =
         serde_json::from_slice(&raw.content).map_err(|e| bad(&format!("body: {e}")))?;
     let prompt = match (&*raw.path, body.prompt, body.messages) {
-        ("/v1/completions", Some(prompt), _) => prompt,
-        ("/v1/chat/completions", _, Some(messages)) => join(&messages),
-        ("/v1/completions", None, _) => return Err(bad("body: \"prompt\" is missing")),
-        ("/v1/chat/completions", _, None) => return Err(bad("body: \"messages\" is missing")),
-        (path, ..) => return Err(bad(&format!("path {path} is unknown"))),
+        (COMPLETIONS, Some(prompt), _) => prompt,
+        (COMPLETIONS, None, _) => return Err(bad("body: \"prompt\" is missing")),
+        (_, _, Some(messages)) => join(&messages),
+        (_, _, None) => return Err(bad("body: \"messages\" is missing")),
     };
+    if body.model.is_empty() {
+        return Err(bad("body: \"model\" is empty"));
+    }
     let max_tokens = body.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
     if !(1..=MAX_TOKENS).contains(&max_tokens) {
         return Err(bad(&format!("max_tokens: {max_tokens} is outside 1 to {MAX_TOKENS}")));
@@ -187,10 +210,10 @@
 }
 
 fn check_service(raw: &RawCall) -> Result<(Box<str>, Body), Refusal> {
-    let rest = raw
-        .path
-        .strip_prefix("/services/")
-        .ok_or_else(|| bad(&format!("path {} is unknown", raw.path)))?;
+    let rest = raw.path.strip_prefix("/services/").ok_or_else(|| unknown_path(raw))?;
+    if !SERVICE_METHODS.contains(&&*raw.method) {
+        return Err(bad_method(raw, &SERVICE_METHODS));
+    }
     let (pool, path) = rest.split_once('/').unwrap_or((rest, ""));
     if pool.is_empty() {
         return Err(bad("path names no pool"));
@@ -205,6 +228,17 @@
     Ok((pool.into(), body))
 }
 
+fn unknown_path(raw: &RawCall) -> Refusal {
+    let known = "/v1/completions, /v1/chat/completions, /services/POOL/PATH";
+    let detail = format!("path {:?} is none of {known}", raw.path);
+    refuse(RefusalReason::UnknownPath, &detail)
+}
+
+fn bad_method(raw: &RawCall, allowed: &[&str]) -> Refusal {
+    let detail = format!("method {:?} is none of {}", raw.method, allowed.join(", "));
+    refuse(RefusalReason::BadMethod, &detail)
+}
+
 fn bad(detail: &str) -> Refusal {
     refuse(RefusalReason::BadCall, detail)
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod accept;
 pub mod admit;
+pub mod answer;
 pub mod check;
 pub mod claim;
 pub mod place;
--- a/src/model/outcome.rs
+++ b/src/model/outcome.rs
@@ -58,6 +58,16 @@
     EndpointFailed,
     /// The agent that would run it has restarted or no longer knows it.
     Stale,
+    /// Nothing is served at the path.
+    UnknownPath,
+    /// The path does not take the method.
+    BadMethod,
+    /// The content is too large.
+    TooLarge,
+    /// The caller sends or reads too slowly.
+    SlowCaller,
+    /// The process has as many calls open as it takes.
+    TooManyCalls,
 }
 
 impl RefusalReason {
@@ -78,6 +88,11 @@
             RefusalReason::Quarantined => "quarantined",
             RefusalReason::EndpointFailed => "endpoint-failed",
             RefusalReason::Stale => "stale",
+            RefusalReason::UnknownPath => "unknown-path",
+            RefusalReason::BadMethod => "bad-method",
+            RefusalReason::TooLarge => "too-large",
+            RefusalReason::SlowCaller => "slow-caller",
+            RefusalReason::TooManyCalls => "too-many-calls",
         }
     }
 
@@ -86,7 +101,11 @@
         match self {
             RefusalReason::BadCall => 400,
             RefusalReason::Unauthorized => 401,
+            RefusalReason::UnknownPath => 404,
+            RefusalReason::BadMethod => 405,
+            RefusalReason::SlowCaller => 408,
             RefusalReason::InProgress => 409,
+            RefusalReason::TooLarge => 413,
             RefusalReason::KeyReused => 422,
             RefusalReason::Limit => 429,
             RefusalReason::EndpointFailed => 502,
