Give test processes addresses that nothing else can take

Cause: two of four runs of tests/leaving failed because a port that was found free was taken by an outgoing connection before the process bound it ("Address already in use" in the logs of an agent and an entry). Ruled out: a fault of shutdown; the logs show that the process never started. Now each test process has a loopback IP number of its own and ports below the kernel's range for outgoing connections.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,9 +3,10 @@
 #![allow(dead_code, missing_docs)]
 
 use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use dotterelpin::entry::check::credential_hash;
@@ -14,6 +15,10 @@
 
 /// The credential of the tenant that every fleet has.
 pub const CREDENTIAL: &str = "tabulka-secret";
+/// The first port of a process's servers.
+const FIRST_PORT: u16 = 10_000;
+/// The end of the ports that the kernel gives to no outgoing connection.
+const LAST_FREE_PORT: u16 = 32_000;
 const POLL: Duration = Duration::from_millis(20);
 
 /// A process that ends with its owner.
@@ -410,12 +415,24 @@
     }
 }
 
+/// Returns a loopback address that nothing else uses.
+///
+/// The IP number is of this process alone and the ports are below those that the kernel gives to
+/// outgoing connections, so that no address is taken between its choice and its use.
+fn free_address() -> eyre::Result<SocketAddr> {
+    static LAST_PORT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    let port = LAST_PORT.fetch_add(1, Ordering::SeqCst);
+    eyre::ensure!(port < LAST_FREE_PORT, "all test ports are used");
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    Ok(SocketAddr::from(([127, high | 64, middle, low], port)))
+}
+
 pub fn free_udp() -> eyre::Result<SocketAddr> {
-    Ok(UdpSocket::bind("127.0.0.1:0")?.local_addr()?)
+    free_address()
 }
 
 pub fn free_tcp() -> eyre::Result<SocketAddr> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+    free_address()
 }
 
 /// Returns the folder that holds the programs of this build.
