--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -22,8 +22,8 @@
 use state::{Applied, ChangeReply, Command, State};
 
 use crate::link::message::{
-    Beat, ControlReply, ControlRequest, Endpoints, Envelope, Heartbeat, OrderStatus, ProcessState,
-    Proof, Reply, Request, Status, Suspects,
+    Beat, ControlReply, ControlRequest, Envelope, Heartbeat, OrderStatus, ProcessState, Proof,
+    Reply, Request, Status, Suspects,
 };
 use crate::model::{BootId, EndpointState, Fence, InboundId, Timestamp};
 use crate::registry::Registry;
@@ -111,10 +111,10 @@
         };
         Ok(Control {
             replica: Replica::new(settings.replica.clone(), stored),
+            registry: Registry::new(settings.boot),
             settings,
             revised: state.config.revised(),
             state,
-            registry: Registry::default(),
             peers: Peers::default(),
             waiting: BTreeMap::new(),
             failed: false,
@@ -144,7 +144,7 @@
     fn request(&mut self, now: Timestamp, inbound: InboundId, request: ControlRequest) -> Outputs {
         match request {
             ControlRequest::Heartbeat(heartbeat) => {
-                let beat = self.heartbeat(now, heartbeat);
+                let beat = self.heartbeat(now, *heartbeat);
                 vec![self.reply(inbound, ControlReply::Beat(beat))]
             }
             ControlRequest::Propose(command) => self.propose(now, inbound, command.stamped(now)),
@@ -159,24 +159,23 @@
         }
     }
 
-    fn heartbeat(&mut self, now: Timestamp, heartbeat: Heartbeat) -> Beat {
+    fn heartbeat(&mut self, now: Timestamp, mut heartbeat: Heartbeat) -> Beat {
         let newer = heartbeat.process.revised.revision < self.state.config.revision;
-        let wants = heartbeat.endpoints;
-        let seen = heartbeat.version;
+        let (seen, wants) = (heartbeat.seen, std::mem::take(&mut heartbeat.wants));
+        let follows = heartbeat.endpoints;
         let orders = match &heartbeat.endpoint {
             Some(endpoint) => self.marked(endpoint, heartbeat.report.as_ref()),
             None => None,
         };
         let suspects = self.suspects(heartbeat.suspects);
-        self.registry.schema(&heartbeat.process, heartbeat.schema);
-        self.registry.heartbeat(now, heartbeat.process, heartbeat.endpoint, heartbeat.report);
-        let changed = wants && seen != self.registry.version();
+        self.registry.heartbeat(now, heartbeat);
+        let news = if follows { self.registry.news(now, seen, &wants) } else { None };
         Beat {
             member: self.settings.name.clone(),
             proof: self.proof(),
             config: newer.then(|| self.state.config.clone()),
-            version: self.registry.version(),
-            endpoints: changed.then(|| Endpoints::All(self.registry.endpoints())),
+            seen: self.registry.seen(),
+            endpoints: news,
             orders,
             suspects,
         }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -180,14 +180,8 @@
             last_exchange: 0,
             owners: BTreeMap::new(),
         };
-        Entry {
-            shared,
-            tenants,
-            runs: BTreeMap::new(),
-            timers: BTreeSet::new(),
-            stopping: None,
-            quiet: None,
-        }
+        let (runs, timers) = (BTreeMap::new(), BTreeSet::new());
+        Entry { shared, tenants, runs, timers, stopping: None, quiet: None }
     }
 
     fn arrived(&mut self, now: Timestamp, call: CallId, raw: RawCall) -> Outputs {
@@ -295,7 +289,9 @@
             Input::Reply { exchange, envelope } => {
                 self.shared.follower.observe(now, envelope.revised);
                 if self.shared.follower.reply(now, exchange, &envelope.body) {
-                    self.shared.endpoints = self.shared.follower.endpoints();
+                    if let Some(endpoints) = self.shared.follower.changed_endpoints(now) {
+                        self.shared.endpoints = endpoints;
+                    }
                     Vec::new()
                 } else if let Some(call) = self.shared.owners.get(&exchange).copied() {
                     let body = envelope.body;
