Fuzz claims: at most one run, and "not run" is true

Cause: nothing showed that a claim, its agent and two entries agree when messages are late, lost or repeated and roles die.

Found by it: a refusal at the deadline, while another call's attempt was being asked about, said "not run"; it says "maybe" now.

--- a/src/entry/run/mod.rs
+++ b/src/entry/run/mod.rs
@@ -400,6 +400,9 @@
         reason: RefusalReason,
         detail: &str,
     ) -> Outputs {
+        if self.asks_about_other() {
+            self.attempts.others(Ran::Maybe);
+        }
         let mut outputs = self.tell_refusal(reason, detail);
         outputs.extend(if matches!(self.stage, Stage::Claiming(_)) {
             self.give_up_claim(shared, now)
@@ -409,6 +412,15 @@
         outputs
     }
 
+    /// Returns whether it is still open what another call's attempt with this key came to.
+    fn asks_about_other(&self) -> bool {
+        match &self.stage {
+            Stage::Asking(_) => true,
+            Stage::Settling(settling) => settling.is_about_other(),
+            _ => false,
+        }
+    }
+
     fn tell_refusal(&mut self, reason: RefusalReason, detail: &str) -> Outputs {
         let Some(teller) = self.teller.take() else { return Vec::new() };
         vec![teller.refused(&self.attempts, reason, RETRY_AFTER, detail)]
--- a/src/entry/run/settling.rs
+++ b/src/entry/run/settling.rs
@@ -39,6 +39,10 @@
         self.open.is_some_and(|(e, _)| e == exchange)
     }
 
+    pub(super) fn is_about_other(&self) -> bool {
+        self.other.is_some()
+    }
+
     pub(super) fn take_exchange(&mut self) -> Option<ExchangeId> {
         self.open.take().map(|(exchange, _)| exchange)
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, missing_docs)]
 
+pub mod world;
+
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
--- /dev/null
+++ b/tests/common/world.rs
@@ -0,0 +1,587 @@
+//! Real entries and agents in one thread, over queues from which a fuzz test picks.
+
+#![allow(dead_code, missing_docs)]
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dotterelpin::agent::engine::{EngineEffect, EngineInput};
+use dotterelpin::agent::{Agent, AgentSettings};
+use dotterelpin::control::state::{Command, State};
+use dotterelpin::entry::check::{RawCall, Tenants, credential_hash};
+use dotterelpin::entry::place::RoundRobin;
+use dotterelpin::entry::{CallerEffect, CallerInput, Entry, EntrySettings};
+use dotterelpin::link::message::{
+    Beat, ControlReply, ControlRequest, Envelope, Heartbeat, Reply, Request,
+};
+use dotterelpin::model::{
+    Announcement, BootId, CallId, EndpointState, ExchangeId, InboundId, Revision, Timestamp,
+};
+use dotterelpin::registry::{FollowerSettings, HEARTBEAT_LEASE};
+use dotterelpin::role::{Input, LinkFailure, Output, Role};
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+const CONTROL_PORT: u16 = 1;
+const AGENT_PORT: u16 = 1_000;
+/// More wakes at one point in time than any role needs.
+const MOST_WAKES: usize = 1_000;
+
+/// Makes a runner with a fixed seed; DOTTERELPIN_FUZZ_CASES asks for more cases.
+pub fn runner(seed: u8, cases: u32) -> TestRunner {
+    let more = std::env::var("DOTTERELPIN_FUZZ_CASES").ok().and_then(|c| c.parse().ok());
+    let config = Config {
+        cases: more.unwrap_or(cases),
+        failure_persistence: None,
+        max_shrink_iters: 20_000,
+        ..Config::default()
+    };
+    TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]))
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Node {
+    Entry(usize),
+    Agent(usize),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Target {
+    Control,
+    Agent(usize),
+}
+
+/// One exchange; each direction is in order, and nothing is repeated, as QUIC gives it.
+#[derive(Debug)]
+pub struct Stream {
+    opener: (Node, BootId),
+    exchange: ExchangeId,
+    target: Target,
+    inbound: InboundId,
+    /// The start of the agent that has taken the first request.
+    accepted: Option<BootId>,
+    requests: VecDeque<Envelope<Request>>,
+    reset: bool,
+    replies: VecDeque<(Envelope<Reply>, bool)>,
+    closed: Option<Option<LinkFailure>>,
+    opener_done: bool,
+    peer_done: bool,
+    silent: bool,
+}
+
+/// Something that can happen next.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    ToPeer(usize),
+    ToOpener(usize),
+    Commit(usize),
+}
+
+pub struct World {
+    pub now: Timestamp,
+    pub state: State,
+    pub quorum: bool,
+    entries: Vec<(BootId, Option<Entry>)>,
+    agents: Vec<(BootId, Option<Agent>)>,
+    announcements: Vec<Announcement>,
+    known: BTreeMap<Box<str>, (EndpointState, Timestamp)>,
+    owners: BTreeMap<BootId, Timestamp>,
+    streams: Vec<Stream>,
+    proposals: Vec<(InboundId, Command)>,
+    beats: VecDeque<(Node, ExchangeId, Heartbeat)>,
+    next: u64,
+    /// What agents asked of their endpoints, for the test to carry out.
+    pub effects: VecDeque<(usize, BootId, EngineEffect)>,
+    /// What callers were told, for the test to check.
+    pub told: Vec<(BootId, CallerEffect)>,
+    /// Every first request that an agent has got.
+    pub seen: Vec<(usize, Envelope<Request>)>,
+}
+
+impl World {
+    pub fn new(entries: usize, announcements: Vec<Announcement>) -> World {
+        let mut world = World {
+            now: Timestamp::from_micros(1_000_000_000),
+            state: State::default(),
+            quorum: true,
+            entries: (0..entries).map(|_| (BootId(0), None)).collect(),
+            agents: announcements.iter().map(|_| (BootId(0), None)).collect(),
+            announcements,
+            known: BTreeMap::new(),
+            owners: BTreeMap::new(),
+            streams: Vec::new(),
+            proposals: Vec::new(),
+            beats: VecDeque::new(),
+            next: 0,
+            effects: VecDeque::new(),
+            told: Vec::new(),
+            seen: Vec::new(),
+        };
+        world.restart_all();
+        world.advance(Duration::from_millis(1_200));
+        world
+    }
+
+    pub fn restart_all(&mut self) {
+        for agent in 0..self.agents.len() {
+            self.restart(Node::Agent(agent));
+        }
+        for entry in 0..self.entries.len() {
+            self.restart(Node::Entry(entry));
+        }
+    }
+
+    fn number(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    fn boot(&self, node: Node) -> BootId {
+        match node {
+            Node::Entry(i) => self.entries[i].0,
+            Node::Agent(i) => self.agents[i].0,
+        }
+    }
+
+    pub fn is_alive(&self, node: Node) -> bool {
+        match node {
+            Node::Entry(i) => self.entries[i].1.is_some(),
+            Node::Agent(i) => self.agents[i].1.is_some(),
+        }
+    }
+
+    pub fn agent(&self, agent: usize) -> Option<&Agent> {
+        self.agents[agent].1.as_ref()
+    }
+
+    pub fn kill(&mut self, node: Node) {
+        if !self.is_alive(node) {
+            return;
+        }
+        let boot = self.boot(node);
+        match node {
+            Node::Entry(i) => self.entries[i].1 = None,
+            Node::Agent(i) => self.agents[i].1 = None,
+        }
+        for stream in &mut self.streams {
+            if stream.opener == (node, boot) {
+                stream.opener_done = true;
+                stream.reset = true;
+            }
+            if node == Node::Agent(agent_of(stream.target)) && stream.accepted == Some(boot) {
+                stream.peer_done = true;
+                stream.closed.get_or_insert(Some(LinkFailure::Broken));
+            }
+        }
+    }
+
+    /// Starts a role that is not alive.
+    pub fn restart(&mut self, node: Node) {
+        if self.is_alive(node) {
+            return;
+        }
+        let boot = BootId(self.number());
+        let (name, role) = match node {
+            Node::Entry(i) => (format!("entry-{i}"), "entry"),
+            Node::Agent(i) => (format!("agent-{i}"), "agent"),
+        };
+        let follower = FollowerSettings {
+            name: name.into(),
+            role: role.into(),
+            domain: "brno-a".into(),
+            boot,
+            members: vec![address(CONTROL_PORT)],
+            endpoints: role == "entry",
+        };
+        match node {
+            Node::Entry(i) => {
+                let tenants: Tenants =
+                    format!("tabulka {}", credential_hash("secret")).parse().unwrap();
+                let entry = Entry::new(
+                    EntrySettings { follower },
+                    tenants,
+                    Box::new(RoundRobin::default()),
+                );
+                self.entries[i] = (boot, Some(entry));
+            }
+            Node::Agent(i) => {
+                let address = address(AGENT_PORT + i as u16);
+                self.agents[i] = (boot, Some(Agent::new(AgentSettings { follower, address })));
+                let announcement = self.announcements[i].clone();
+                self.engine(i, boot, EngineInput::Announced(announcement));
+            }
+        }
+        self.wake_due();
+    }
+
+    /// Announces another start of an endpoint.
+    pub fn announce(&mut self, agent: usize, boot: BootId) {
+        self.announcements[agent].boot = boot;
+        let announcement = self.announcements[agent].clone();
+        self.engine(agent, self.agents[agent].0, EngineInput::Announced(announcement));
+    }
+
+    /// Brings a caller's request to an entry that is alive.
+    pub fn call(&mut self, entry: usize, raw: RawCall) -> Option<(BootId, CallId)> {
+        if !self.is_alive(Node::Entry(entry)) {
+            return None;
+        }
+        let call = CallId(self.number());
+        let boot = self.entries[entry].0;
+        self.step_entry(entry, Input::Local(CallerInput::Arrived { call, raw }));
+        Some((boot, call))
+    }
+
+    pub fn gone(&mut self, owner: BootId, call: CallId) {
+        if let Some(entry) = self.entries.iter().position(|(b, e)| *b == owner && e.is_some()) {
+            self.step_entry(entry, Input::Local(CallerInput::Gone { call }));
+        }
+    }
+
+    /// Tells an agent something, if that start of it is alive.
+    pub fn engine(&mut self, agent: usize, boot: BootId, input: EngineInput) {
+        if self.agents[agent].0 == boot {
+            self.step_agent(agent, Input::Local(input));
+        }
+    }
+
+    pub fn is_owner_alive(&self, owner: BootId) -> bool {
+        self.entries.iter().any(|(b, e)| *b == owner && e.is_some())
+    }
+
+    /// Brings a request to an agent once more.
+    pub fn repeat(&mut self, agent: usize, envelope: Envelope<Request>) {
+        let inbound = InboundId(self.number());
+        self.step_agent(agent, Input::Request { inbound, envelope });
+    }
+
+    fn steps(&self) -> Vec<Step> {
+        let mut steps = Vec::new();
+        for (index, stream) in self.streams.iter().enumerate().filter(|(_, s)| !s.silent) {
+            let abandons = stream.reset && stream.accepted.is_some() && !stream.peer_done;
+            if !stream.requests.is_empty() || abandons {
+                steps.push(Step::ToPeer(index));
+            }
+            let hears = !stream.replies.is_empty() || stream.closed.is_some();
+            if hears && !stream.opener_done {
+                steps.push(Step::ToOpener(index));
+            }
+        }
+        if self.quorum {
+            steps.extend((0..self.proposals.len()).map(Step::Commit));
+        }
+        steps
+    }
+
+    /// Lets one of the things that can happen next happen; returns whether there was one.
+    pub fn deliver(&mut self, pick: usize) -> bool {
+        let steps = self.steps();
+        let Some(step) = steps.get(pick % steps.len().max(1)).copied() else { return false };
+        match step {
+            Step::ToPeer(index) => self.to_peer(index),
+            Step::ToOpener(index) => self.to_opener(index),
+            Step::Commit(index) => self.commit(index),
+        }
+        let done = |s: &Stream| {
+            let quiet = s.requests.is_empty() || s.closed.is_some();
+            s.opener_done && (s.peer_done || (s.accepted.is_none() && quiet))
+        };
+        self.streams.retain(|s| !done(s));
+        true
+    }
+
+    /// Breaks a stream after what was delivered on it so far.
+    pub fn break_stream(&mut self, pick: usize) {
+        let count = self.streams.len().max(1);
+        let Some(stream) = self.streams.get_mut(pick % count) else { return };
+        let unseen = stream.accepted.is_none() && stream.target != Target::Control;
+        stream.requests.clear();
+        stream.reset = true;
+        stream.replies.clear();
+        let failure = if unseen { LinkFailure::NotSent } else { LinkFailure::Broken };
+        stream.closed.get_or_insert(Some(failure));
+    }
+
+    /// Makes a stream silent for good, as a connection that something has lost track of.
+    pub fn silence(&mut self, pick: usize) {
+        let count = self.streams.len().max(1);
+        if let Some(stream) = self.streams.get_mut(pick % count) {
+            stream.silent = true;
+        }
+    }
+
+    /// Loses a proposal that was not committed.
+    pub fn drop_proposal(&mut self, pick: usize) {
+        if !self.proposals.is_empty() {
+            let (inbound, _) = self.proposals.remove(pick % self.proposals.len());
+            self.end_control(inbound, None);
+        }
+    }
+
+    /// Ends all faults: silent streams break, and every role is alive.
+    pub fn heal(&mut self) {
+        self.quorum = true;
+        for index in 0..self.streams.len() {
+            if self.streams[index].silent {
+                self.break_stream(index);
+                self.streams[index].silent = false;
+            }
+        }
+        self.restart_all();
+    }
+
+    fn to_peer(&mut self, index: usize) {
+        let stream = &mut self.streams[index];
+        let Some(envelope) = stream.requests.pop_front() else {
+            stream.peer_done = true;
+            let (inbound, accepted) = (stream.inbound, stream.accepted);
+            if let Target::Agent(agent) = stream.target
+                && accepted == Some(self.agents[agent].0)
+            {
+                self.step_agent(agent, Input::Abandoned { inbound });
+            }
+            return;
+        };
+        match stream.target {
+            Target::Control => {
+                stream.accepted = Some(BootId(0));
+                let inbound = stream.inbound;
+                self.control(inbound, envelope);
+            }
+            Target::Agent(agent) => {
+                let boot = self.agents[agent].0;
+                let inbound = stream.inbound;
+                if self.agents[agent].1.is_none() || stream.accepted.is_some_and(|b| b != boot) {
+                    let sent = stream.accepted.is_some();
+                    let failure = if sent { LinkFailure::Broken } else { LinkFailure::NotSent };
+                    stream.requests.clear();
+                    stream.peer_done = true;
+                    stream.closed.get_or_insert(Some(failure));
+                    return;
+                }
+                if stream.accepted.is_none() {
+                    self.seen.push((agent, envelope.clone()));
+                }
+                stream.accepted = Some(boot);
+                self.step_agent(agent, Input::Request { inbound, envelope });
+            }
+        }
+    }
+
+    fn to_opener(&mut self, index: usize) {
+        let stream = &mut self.streams[index];
+        let exchange = stream.exchange;
+        let (node, boot) = stream.opener;
+        let input = match stream.replies.pop_front() {
+            Some((envelope, last)) => {
+                if last {
+                    stream.closed = Some(None);
+                }
+                Input::Reply { exchange, envelope }
+            }
+            None => {
+                stream.opener_done = true;
+                stream.reset = true;
+                let failure = stream.closed.take().flatten();
+                stream.closed = Some(None);
+                Input::Closed { exchange, failure }
+            }
+        };
+        if let Node::Entry(entry) = node
+            && self.entries[entry].0 == boot
+        {
+            self.step_entry(entry, input);
+        }
+    }
+
+    fn control(&mut self, inbound: InboundId, envelope: Envelope<Request>) {
+        match envelope.body {
+            Request::Control(ControlRequest::Propose(command)) => {
+                self.proposals.push((inbound, command.stamped(self.now)));
+            }
+            Request::Control(ControlRequest::Owner(boot)) => {
+                let seen = self.owners.get(&boot);
+                let alive = seen.is_some_and(|at| self.now - *at < HEARTBEAT_LEASE);
+                self.end_control(inbound, Some(ControlReply::Owner { alive }));
+            }
+            _ => {}
+        }
+    }
+
+    fn commit(&mut self, index: usize) {
+        let (inbound, command) = self.proposals.remove(index);
+        let applied = self.state.apply(&command);
+        self.end_control(inbound, Some(ControlReply::Applied(applied)));
+    }
+
+    fn end_control(&mut self, inbound: InboundId, reply: Option<ControlReply>) {
+        let revised = self.state.config.revised();
+        let Some(stream) = self.streams.iter_mut().find(|s| s.inbound == inbound) else { return };
+        stream.peer_done = true;
+        match reply {
+            Some(reply) => {
+                let envelope = Envelope { revised, body: Reply::Control(reply) };
+                stream.replies.push_back((envelope, true));
+            }
+            None => stream.closed = Some(Some(LinkFailure::Broken)),
+        }
+    }
+
+    fn step_entry(&mut self, entry: usize, input: Input<CallerInput>) {
+        let (boot, role) = &mut self.entries[entry];
+        let Some(role) = role else { return };
+        let boot = *boot;
+        for output in role.step(self.now, input) {
+            if let Some(effect) = self.output((Node::Entry(entry), boot), output) {
+                self.told.push((boot, effect));
+            }
+        }
+        self.answer_beats();
+    }
+
+    fn step_agent(&mut self, agent: usize, input: Input<EngineInput>) {
+        let (boot, role) = &mut self.agents[agent];
+        let Some(role) = role else { return };
+        let boot = *boot;
+        for output in role.step(self.now, input) {
+            if let Some(effect) = self.output((Node::Agent(agent), boot), output) {
+                self.effects.push_back((agent, boot, effect));
+            }
+        }
+        self.answer_beats();
+    }
+
+    fn output<E>(&mut self, from: (Node, BootId), output: Output<E>) -> Option<E> {
+        match output {
+            Output::Effect(effect) => return Some(effect),
+            Output::Open { exchange, peer, envelope } => self.open(from, exchange, peer, envelope),
+            Output::Send { exchange, envelope } => {
+                if let Some(stream) = self.find(from, exchange).filter(|s| !s.reset) {
+                    stream.requests.push_back(envelope);
+                }
+            }
+            Output::Reset { exchange } => {
+                if let Some(stream) = self.find(from, exchange) {
+                    stream.opener_done = true;
+                    stream.reset = true;
+                }
+            }
+            Output::Reply { inbound, envelope, last } => {
+                let stream = self.streams.iter_mut().find(|s| s.inbound == inbound);
+                if let Some(stream) = stream.filter(|s| !s.peer_done) {
+                    stream.peer_done |= last;
+                    if stream.closed.is_none() {
+                        stream.replies.push_back((envelope, last));
+                    }
+                }
+            }
+            Output::Redial { .. } | Output::Stopped => {}
+        }
+        None
+    }
+
+    fn find(&mut self, from: (Node, BootId), exchange: ExchangeId) -> Option<&mut Stream> {
+        self.streams.iter_mut().find(|s| s.opener == from && s.exchange == exchange)
+    }
+
+    fn open(
+        &mut self,
+        opener: (Node, BootId),
+        exchange: ExchangeId,
+        peer: SocketAddr,
+        envelope: Envelope<Request>,
+    ) {
+        if let Request::Control(ControlRequest::Heartbeat(heartbeat)) = envelope.body {
+            self.beats.push_back((opener.0, exchange, heartbeat));
+            return;
+        }
+        let target = match peer.port() {
+            CONTROL_PORT => Target::Control,
+            port => Target::Agent(usize::from(port - AGENT_PORT)),
+        };
+        let inbound = InboundId(self.number());
+        self.streams.push(Stream {
+            opener,
+            exchange,
+            target,
+            inbound,
+            accepted: None,
+            requests: VecDeque::from([envelope]),
+            reset: false,
+            replies: VecDeque::new(),
+            closed: None,
+            opener_done: false,
+            peer_done: false,
+            silent: false,
+        });
+    }
+
+    /// Control answers heartbeats at once; they are no part of what is tested here.
+    fn answer_beats(&mut self) {
+        while let Some((node, exchange, heartbeat)) = self.beats.pop_front() {
+            self.owners.insert(heartbeat.process.boot, self.now);
+            if let Some(endpoint) = heartbeat.endpoint {
+                self.known.insert(endpoint.name.clone(), (endpoint, self.now));
+            }
+            let now = self.now;
+            self.known.retain(|_, (_, seen)| now - *seen < HEARTBEAT_LEASE);
+            let beat = Beat {
+                member: "control-0".into(),
+                highest: Revision(0),
+                config: None,
+                version: 0,
+                endpoints: Some(self.known.values().map(|(e, _)| e.clone()).collect()),
+            };
+            let body = Reply::Control(ControlReply::Beat(beat));
+            let envelope = Envelope { revised: self.state.config.revised(), body };
+            match node {
+                Node::Entry(i) => self.step_entry(i, Input::Reply { exchange, envelope }),
+                Node::Agent(i) => self.step_agent(i, Input::Reply { exchange, envelope }),
+            }
+        }
+    }
+
+    /// Lets time pass; roles wake when they want to.
+    pub fn advance(&mut self, span: Duration) {
+        let until = self.now + span;
+        loop {
+            self.wake_due();
+            let Some(next) = self.next_wake().filter(|at| *at <= until) else { break };
+            self.now = next;
+        }
+        self.now = until;
+    }
+
+    fn next_wake(&self) -> Option<Timestamp> {
+        let entries = self.entries.iter().filter_map(|(_, e)| e.as_ref()?.next_wake());
+        let agents = self.agents.iter().filter_map(|(_, a)| a.as_ref()?.next_wake());
+        entries.chain(agents).min()
+    }
+
+    fn wake_due(&mut self) {
+        for _ in 0..MOST_WAKES {
+            let due = |at: Option<Timestamp>| at.is_some_and(|at| at <= self.now);
+            let entry =
+                self.entries.iter().position(|(_, e)| due(e.as_ref().and_then(Role::next_wake)));
+            let agent =
+                self.agents.iter().position(|(_, a)| due(a.as_ref().and_then(Role::next_wake)));
+            match (entry, agent) {
+                (Some(entry), _) => self.step_entry(entry, Input::Wake),
+                (None, Some(agent)) => self.step_agent(agent, Input::Wake),
+                (None, None) => return,
+            }
+        }
+        panic!("a role wants to wake again and again at the same time");
+    }
+}
+
+fn agent_of(target: Target) -> usize {
+    match target {
+        Target::Control => usize::MAX,
+        Target::Agent(agent) => agent,
+    }
+}
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
