Keep the first result of each change, and share redials by address

Cause: two faults that the fuzz found with 1,500 cases. A change that came twice could be told 'conflict' first and be accepted later (three members, noise 14, Race then Burst). The old and the new number of a member whose disk was lost share an address, and the leader's redials for one cut off the answers of the other for good (five members, LoseDisk(0) LoseDisk(3) KillLeader). Ruled out: redialling only by the voter's own silence; the old number never answers.

--- a/src/control/config/changes.rs
+++ b/src/control/config/changes.rs
@@ -8,59 +8,86 @@
 use crate::control::state::{ChangeReply, Command};
 use crate::model::Revision;
 
-/// Accepted changes whose numbers are kept, so that a resend gets the first result.
-const KEPT_IDS: usize = 6_600;
+/// Changes whose results are kept, so that a resend gets the first one.
+const KEPT_RESULTS: usize = 6_600;
 /// Accepted changes that are kept whole, to show who won a base revision.
 const KEPT_CHANGES: usize = 256;
 
-/// The last accepted changes.
+/// What a change came to.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+enum Verdict {
+    Accepted(Revision),
+    Conflict { base: Revision },
+    Refused(Box<str>),
+}
+
+/// The last changes and their results.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Changes {
-    ids: BTreeMap<Box<str>, Revision>,
-    by_revision: BTreeMap<Revision, Box<str>>,
+    verdicts: BTreeMap<Box<str>, Verdict>,
+    /// The changes with a verdict, in their order.
+    order: BTreeMap<u64, Box<str>>,
     recent: BTreeMap<Revision, Change>,
 }
 
 impl Changes {
     /// Returns the revision that a change became, if it is among the last ones.
     pub fn accepted(&self, id: &str) -> Option<Revision> {
-        self.ids.get(id).copied()
+        match self.verdicts.get(id) {
+            Some(Verdict::Accepted(revision)) => Some(*revision),
+            _ => None,
+        }
     }
 
-    /// Returns the last changes, oldest first.
+    /// Returns the last accepted changes, oldest first.
     pub fn recent(&self) -> impl Iterator<Item = &Change> {
         self.recent.values()
     }
 
-    /// Applies a change to the configuration: the first one on a base revision wins.
+    /// Applies a change to the configuration: the first one on a base revision wins, and the
+    /// first result of a change stands.
     pub fn apply(&mut self, config: &mut Config, change: &Change) -> ChangeReply {
-        if let Some(revision) = self.accepted(&change.id) {
-            return ChangeReply::Accepted(revision);
+        if !self.verdicts.contains_key(&change.id) {
+            let verdict = self.decide(config, change);
+            self.keep(&change.id, verdict);
         }
+        match self.verdicts.get(&change.id) {
+            Some(Verdict::Accepted(revision)) => ChangeReply::Accepted(*revision),
+            Some(Verdict::Refused(why)) => ChangeReply::Refused(why.clone()),
+            Some(Verdict::Conflict { base }) => self.conflict(config, *base),
+            None => self.conflict(config, change.base),
+        }
+    }
+
+    fn decide(&mut self, config: &mut Config, change: &Change) -> Verdict {
         if change.base != config.revision {
-            let winner = self.recent.get(&Revision(change.base.0 + 1)).cloned();
-            return ChangeReply::Conflict { current: config.revision, winner };
+            return Verdict::Conflict { base: change.base };
         }
         match config.edited(&change.edit) {
             Ok(next) => {
                 *config = next;
-                self.keep(config.revision, change);
-                ChangeReply::Accepted(config.revision)
+                self.recent.insert(config.revision, change.clone());
+                if self.recent.len() > KEPT_CHANGES {
+                    self.recent.pop_first();
+                }
+                Verdict::Accepted(config.revision)
             }
-            Err(error) => ChangeReply::Refused(format!("{error:#}").into()),
+            Err(error) => Verdict::Refused(format!("{error:#}").into()),
         }
     }
 
-    fn keep(&mut self, revision: Revision, change: &Change) {
-        self.ids.insert(change.id.clone(), revision);
-        self.by_revision.insert(revision, change.id.clone());
-        self.recent.insert(revision, change.clone());
-        if self.recent.len() > KEPT_CHANGES {
-            self.recent.pop_first();
-        }
-        let oldest = (self.by_revision.len() > KEPT_IDS).then(|| self.by_revision.pop_first());
+    fn conflict(&self, config: &Config, base: Revision) -> ChangeReply {
+        let winner = self.recent.get(&Revision(base.0 + 1)).cloned();
+        ChangeReply::Conflict { current: config.revision, winner }
+    }
+
+    fn keep(&mut self, id: &str, verdict: Verdict) {
+        let next = self.order.last_key_value().map_or(0, |(last, _)| last + 1);
+        self.order.insert(next, id.into());
+        self.verdicts.insert(id.into(), verdict);
+        let oldest = (self.order.len() > KEPT_RESULTS).then(|| self.order.pop_first());
         if let Some((_, id)) = oldest.flatten() {
-            self.ids.remove(&id);
+            self.verdicts.remove(&id);
         }
     }
 }
--- a/src/control/replica/append.rs
+++ b/src/control/replica/append.rs
@@ -115,10 +115,12 @@
         for (id, address) in self.others() {
             let Role::Leader { progress, .. } = &mut self.role else { return };
             let Some(state) = progress.get_mut(&id) else { continue };
-            if state.pending.front().is_some_and(|at| now - *at >= ANSWER_TIMEOUT) {
+            let oldest = state.pending.front().copied();
+            if let Some(sent) = oldest.filter(|at| now - *at >= ANSWER_TIMEOUT) {
                 state.restart();
-                self.actions.push(Action::Redial { peer: address });
+                self.redial(now, address, sent);
             }
+            let Some(state) = self.progress_of(id) else { continue };
             let quiet = now - state.last_sent >= LEADER_HEARTBEAT;
             if quiet && state.is_open() {
                 self.send_next(now, id, address);
--- a/src/control/replica/election.rs
+++ b/src/control/replica/election.rs
@@ -67,7 +67,7 @@
 
     /// Asks whether the others would vote for this replica.
     fn ask(&mut self, now: Timestamp) {
-        self.redial_silent();
+        self.redial_silent(now);
         self.reset_deadline(now);
         let own = [self.id].into();
         self.role = Role::Asking(Candidates { granted: own, answered: [self.id].into() });
@@ -77,15 +77,14 @@
     }
 
     /// Dials anew those who did not answer in the last round.
-    fn redial_silent(&mut self) {
+    fn redial_silent(&mut self, now: Timestamp) {
         let (Role::Asking(c) | Role::Candidate(c)) = &self.role else { return };
+        let own = self.settings.address;
         let silent = self.members.voters().filter(|(id, _)| !c.answered.contains(id));
-        let redials: Vec<_> = silent.map(|(_, peer)| Action::Redial { peer }).collect();
-        self.actions.extend(
-            redials
-                .into_iter()
-                .filter(|a| matches!(a, Action::Redial { peer } if *peer != self.settings.address)),
-        );
+        let peers: Vec<_> = silent.map(|(_, peer)| peer).filter(|p| *p != own).collect();
+        for peer in peers {
+            self.redial(now, peer, now);
+        }
     }
 
     fn ask_voters(&mut self, body: &ReplicaBody) {
--- a/src/control/replica/members.rs
+++ b/src/control/replica/members.rs
@@ -113,7 +113,7 @@
         let addresses: BTreeSet<_> = self.settings.members.iter().copied().chain(known).collect();
         let others: BTreeSet<_> = addresses.into_iter().filter(|a| *a != own).collect();
         for peer in std::mem::replace(&mut self.joining.silent, others.clone()) {
-            self.actions.push(Action::Redial { peer });
+            self.redial(now, peer, now);
         }
         for to in others {
             let message = self.message(MemberId(0), ReplicaBody::Hello { joinable: true });
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -202,6 +202,13 @@
     action: Action,
 }
 
+/// When an address was heard of, and when it was dialled anew.
+#[derive(Debug, Default)]
+struct LinkTimes {
+    heard: Timestamp,
+    dialled: Timestamp,
+}
+
 /// A replica.
 #[derive(Debug)]
 pub struct Replica {
@@ -225,6 +232,8 @@
     stalled: bool,
     deadline: Option<Timestamp>,
     joining: Joining,
+    /// When each address was last heard of, and last dialled anew.
+    links: BTreeMap<SocketAddr, LinkTimes>,
     arriving: Arriving,
     /// The encoded snapshot that is being sent.
     sending: Option<(Position, Arc<[u8]>)>,
@@ -258,6 +267,7 @@
             stalled: false,
             deadline: None,
             joining: Joining::default(),
+            links: BTreeMap::new(),
             arriving: Arriving::default(),
             sending: None,
             actions: Vec::new(),
@@ -416,6 +426,18 @@
         }
     }
 
+    /// Asks for a fresh connection to an address that has been silent since then; two members that
+    /// share an address, the old and the new one, don't take turns at it.
+    fn redial(&mut self, now: Timestamp, peer: SocketAddr, since: Timestamp) {
+        let link = self.links.entry(peer).or_default();
+        if link.heard >= since || now - link.dialled < ANSWER_TIMEOUT {
+            return;
+        }
+        link.dialled = now;
+        self.lost(peer);
+        self.actions.push(Action::Redial { peer });
+    }
+
     fn message(&self, to: MemberId, body: ReplicaBody) -> ReplicaMessage {
         let cluster = self.cluster;
         let address = self.settings.address;
@@ -473,6 +495,7 @@
     }
 
     fn reply(&mut self, now: Timestamp, peer: SocketAddr, message: ReplicaMessage) {
+        self.links.entry(peer).or_default().heard = now;
         if let ReplicaBody::Welcome { blank } = message.body {
             self.welcome(now, peer, message.from, blank);
             return;
