Test the disk and the configuration's promises with real files and processes

Cause: torn tails, flipped bytes, kill -9 and SIGSTOP of the leader, lost disks and resends had no test outside the fuzz.

--- a/src/control/replica/append.rs
+++ b/src/control/replica/append.rs
@@ -257,6 +257,10 @@
         while self.applied < self.commit {
             let Some(record) = self.log.get(self.applied.next()) else { return };
             self.applied = record.index;
+            if let Command::Members(members) = &record.command {
+                let voter = members.is_voter(self.id);
+                ::log::info!("step=members-committed epoch={} voter={voter}", members.epoch);
+            }
             self.actions.push(Action::Apply(record.clone()));
         }
     }
--- /dev/null
+++ b/tests/config.rs
@@ -0,0 +1,203 @@
+//! An accepted change is in force everywhere and never reverts: the real processes under faults.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Fleet, wait_for};
+use eyre::{WrapErr, ensure, eyre};
+use serde_json::Value;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// An operator who sends a change until its answer comes.
+struct Operator<'a> {
+    fleet: &'a Fleet,
+    revision: u64,
+}
+
+impl Operator<'_> {
+    fn set(&mut self, value: u64) -> eyre::Result<()> {
+        let (id, base) = (format!("change-{value}"), self.revision.to_string());
+        let text = wait_for(PATIENCE, || {
+            self.fleet.tool_text(&[
+                "--json",
+                "config",
+                "set",
+                "call.deadline_ms",
+                &value.to_string(),
+                "--author",
+                "ops",
+                "--id",
+                &id,
+                "--base",
+                &base,
+            ])
+        })?;
+        let reply: Value = serde_json::from_str(&text)?;
+        ensure!(reply["revision"] == self.revision + 1, "{id} on {base}: {reply}");
+        self.revision += 1;
+        Ok(())
+    }
+
+    /// Checks that the last change is in force in every process, members included.
+    fn in_force(&self, processes: usize, value: u64) -> eyre::Result<()> {
+        wait_for(PATIENCE, || {
+            let status = status(self.fleet)?;
+            let revisions: Vec<u64> = status["processes"]
+                .as_array()
+                .into_iter()
+                .flatten()
+                .filter_map(|p| p["revision"].as_u64())
+                .collect();
+            ensure!(revisions.len() >= processes, "{status}");
+            ensure!(revisions.iter().all(|r| *r == self.revision), "{status}");
+            Ok(())
+        })?;
+        for member in &self.fleet.members {
+            wait_for(PATIENCE, || {
+                let address = member.to_string();
+                let text =
+                    self.fleet.tool_text(&["--members", &address, "--json", "config", "show"])?;
+                let config: Value = serde_json::from_str(&text)?;
+                ensure!(config["revision"] == self.revision, "{address}: {config}");
+                let found = &config["defaults"]["call.deadline_ms"];
+                ensure!(*found == value.to_string(), "{address}: {config}");
+                Ok(())
+            })?;
+        }
+        Ok(())
+    }
+}
+
+fn status(fleet: &Fleet) -> eyre::Result<Value> {
+    serde_json::from_str(&fleet.tool_text(&["--json", "status"])?).wrap_err("parse status")
+}
+
+fn leader(fleet: &Fleet) -> eyre::Result<usize> {
+    wait_for(PATIENCE, || {
+        let status = status(fleet)?;
+        let leader = status["leader"].as_str().ok_or_else(|| eyre!("no leader: {status}"))?;
+        let found = fleet.members.iter().position(|m| m.to_string() == leader);
+        found.ok_or_else(|| eyre!("{leader} is no member"))
+    })
+}
+
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::new(3).unwrap();
+    fleet.entry("brno-a").unwrap();
+    fleet.entry("brno-b").unwrap();
+    fleet.wait_ready().unwrap();
+    fleet
+}
+
+#[test]
+fn killed_leader_loses_no_accepted_change() {
+    let mut fleet = fleet();
+    let mut revision = 0;
+    for round in 0..3u64 {
+        let at = leader(&fleet).unwrap();
+        let mut operator = Operator { fleet: &fleet, revision };
+        for change in 0..4 {
+            operator.set(10_000 + round * 10 + change).unwrap();
+        }
+        revision = operator.revision;
+        fleet.controls[at].kill();
+        let mut operator = Operator { fleet: &fleet, revision };
+        operator.set(10_000 + round * 10 + 5).unwrap();
+        revision = operator.revision;
+        fleet.controls[at].restart().unwrap();
+    }
+    let operator = Operator { fleet: &fleet, revision };
+    operator.in_force(3, 10_025).unwrap();
+}
+
+#[test]
+fn stopped_leader_that_goes_on_reverts_nothing() {
+    let fleet = fleet();
+    let at = leader(&fleet).unwrap();
+    let mut operator = Operator { fleet: &fleet, revision: 0 };
+    operator.set(20_000).unwrap();
+    fleet.controls[at].signal("-STOP").unwrap();
+    let end = std::time::Instant::now() + Duration::from_secs(10);
+    let mut value = 20_000;
+    while std::time::Instant::now() < end {
+        value += 1;
+        operator.set(value).unwrap();
+    }
+    fleet.controls[at].signal("-CONT").unwrap();
+    value += 1;
+    operator.set(value).unwrap();
+    operator.in_force(3, value).unwrap();
+}
+
+#[test]
+fn all_members_restarted_at_once_keep_the_configuration() {
+    let mut fleet = fleet();
+    let mut operator = Operator { fleet: &fleet, revision: 0 };
+    operator.set(30_000).unwrap();
+    for control in &mut fleet.controls {
+        control.kill();
+    }
+    for control in &mut fleet.controls {
+        control.restart().unwrap();
+    }
+    let mut operator = Operator { fleet: &fleet, revision: 1 };
+    operator.set(30_001).unwrap();
+    operator.in_force(3, 30_001).unwrap();
+}
+
+#[test]
+fn lost_disk_is_repaired_and_a_second_one_may_follow() {
+    let mut fleet = fleet();
+    let mut revision = 0;
+    for round in 0..2usize {
+        let value = 40_000 + round as u64 * 10;
+        let mut operator = Operator { fleet: &fleet, revision };
+        operator.set(value).unwrap();
+        revision = operator.revision;
+        fleet.controls[round].kill();
+        std::fs::remove_dir_all(fleet.folder.join(format!("data-{round}"))).unwrap();
+        let before = fleet.controls[round].log().len();
+        fleet.controls[round].restart().unwrap();
+        let mut operator = Operator { fleet: &fleet, revision };
+        operator.set(value + 1).unwrap();
+        revision = operator.revision;
+        operator.in_force(3, value + 1).unwrap();
+        // Repaired means that the new member has a vote.
+        wait_for(PATIENCE, || {
+            let log = fleet.controls[round].log();
+            ensure!(log[before..].contains("voter=true"), "no vote yet: {}", &log[before..]);
+            Ok(())
+        })
+        .unwrap();
+    }
+}
+
+#[test]
+fn resend_gets_the_first_result_and_a_race_has_one_winner() {
+    let fleet = fleet();
+    let mut operator = Operator { fleet: &fleet, revision: 0 };
+    operator.set(50_000).unwrap();
+    operator.set(50_001).unwrap();
+    // The first change again, after the configuration has moved on.
+    operator.revision = 0;
+    operator.set(50_000).unwrap();
+    let late = fleet
+        .tool(&[
+            "config",
+            "set",
+            "retry.attempts",
+            "2",
+            "--author",
+            "ops2",
+            "--id",
+            "late",
+            "--base",
+            "0",
+        ])
+        .unwrap();
+    assert!(!late.status.success());
+    let text = String::from_utf8_lossy(&late.stderr);
+    assert!(text.contains("change-50000"), "the loser sees the winner: {text}");
+}
--- /dev/null
+++ b/tests/disk.rs
@@ -0,0 +1,161 @@
+//! Only synced bytes count: a torn tail is cut, and damage before the last batch is refused.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use dotterelpin::control::disk;
+use dotterelpin::control::replica::{
+    Entry, LogIndex, MemberId, Members, Position, Record, Snapshot, Stored,
+};
+use dotterelpin::control::state::Command;
+
+const OWNER: MemberId = MemberId(7);
+
+/// A folder that goes with its owner.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Folder {
+        let unique = format!("dotterelpin-disk-{}-{name}", std::process::id());
+        let path = std::env::temp_dir().join(unique);
+        let _ = std::fs::remove_dir_all(&path);
+        Folder(path)
+    }
+
+    fn journal(&self) -> PathBuf {
+        self.0.join("journal")
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn record(index: u64) -> Entry {
+    Entry::Append(Record { index: LogIndex(index), term: 1, command: Command::Noop })
+}
+
+fn open(folder: &Path) -> eyre::Result<(Stored, disk::Files)> {
+    disk::open(folder, OWNER)
+}
+
+/// Writes three batches and returns the journal's length after each.
+fn three_batches(folder: &Folder) -> Vec<usize> {
+    let (stored, mut files) = open(&folder.0).unwrap();
+    assert_eq!(stored.id, OWNER);
+    let length = || std::fs::metadata(folder.journal()).unwrap().len() as usize;
+    let mut ends = vec![length()];
+    files.append(&[Entry::Vote { term: 1, candidate: Some(OWNER) }, record(1)]).unwrap();
+    ends.push(length());
+    files.append(&[record(2), record(3)]).unwrap();
+    ends.push(length());
+    ends
+}
+
+#[test]
+fn torn_tail_is_cut_at_every_byte() {
+    let folder = Folder::new("torn");
+    let ends = three_batches(&folder);
+    let whole = std::fs::read(folder.journal()).unwrap();
+    for length in ends[0]..=whole.len() {
+        let mut torn = whole[..length].to_vec();
+        if !ends.contains(&length) {
+            // What was not synced may hold anything.
+            if let Some(byte) = torn.last_mut() {
+                *byte ^= 0x55;
+            }
+        }
+        std::fs::write(folder.journal(), &torn).unwrap();
+        let (stored, mut files) = open(&folder.0).unwrap();
+        let kept = if length < ends[1] {
+            0
+        } else if length < ends[2] {
+            1
+        } else {
+            3
+        };
+        assert_eq!(stored.records.len(), kept, "cut at {length}");
+        assert_eq!(stored.vote.is_some(), kept > 0, "cut at {length}");
+        files.append(&[record(kept as u64 + 1)]).unwrap();
+        drop(files);
+        assert_eq!(open(&folder.0).unwrap().0.records.len(), kept + 1, "cut at {length}");
+    }
+}
+
+#[test]
+fn flipped_byte_before_the_last_batch_is_refused_with_file_and_byte() {
+    let folder = Folder::new("flipped");
+    let ends = three_batches(&folder);
+    let whole = std::fs::read(folder.journal()).unwrap();
+    for at in 0..ends[1] {
+        let mut damaged = whole.clone();
+        damaged[at] ^= 0x10;
+        std::fs::write(folder.journal(), &damaged).unwrap();
+        let error = open(&folder.0).err().map(|e| format!("{e:#}")).unwrap_or_default();
+        let start = if at < ends[0] { 0 } else { ends[0] };
+        let named = error.contains("journal") && error.contains(&format!("byte {start}:"));
+        assert!(named, "byte {at}: {error:?}");
+        assert_eq!(std::fs::read(folder.journal()).unwrap(), damaged, "byte {at}: file touched");
+    }
+}
+
+fn snapshot(index: u64) -> Snapshot {
+    let position = Position { term: 1, index: LogIndex(index) };
+    Snapshot { position, members: Members::default(), state: vec![1, 2, 3] }
+}
+
+#[test]
+fn crash_between_snapshot_and_journal_loses_nothing() {
+    let folder = Folder::new("between");
+    three_batches(&folder);
+    let old = std::fs::read(folder.journal()).unwrap();
+    let (_, mut files) = open(&folder.0).unwrap();
+    let base = Entry::Base(Position { term: 1, index: LogIndex(2) });
+    let vote = Entry::Vote { term: 1, candidate: Some(OWNER) };
+    files.replace(&snapshot(2), &[Entry::Owner(OWNER), vote, base, record(3)]).unwrap();
+    files.append(&[record(4)]).unwrap();
+    let (stored, _) = open(&folder.0).unwrap();
+    assert_eq!(stored.records.iter().map(|r| r.index.0).collect::<Vec<_>>(), [3, 4]);
+    // The snapshot is in place, and the journal is still the one before it.
+    std::fs::write(folder.journal(), old).unwrap();
+    let (stored, _) = open(&folder.0).unwrap();
+    assert_eq!(stored.snapshot.map(|s| s.position.index.0), Some(2));
+    assert_eq!(stored.records.iter().map(|r| r.index.0).collect::<Vec<_>>(), [1, 2, 3]);
+}
+
+#[test]
+fn damaged_or_missing_snapshot_is_refused() {
+    let folder = Folder::new("snapshot");
+    three_batches(&folder);
+    let (_, mut files) = open(&folder.0).unwrap();
+    let base = Entry::Base(Position { term: 1, index: LogIndex(3) });
+    files.replace(&snapshot(3), &[Entry::Owner(OWNER), base]).unwrap();
+    let path = folder.0.join("snapshot");
+    let whole = std::fs::read(&path).unwrap();
+    for at in 0..whole.len() {
+        let mut damaged = whole.clone();
+        damaged[at] ^= 1;
+        std::fs::write(&path, damaged).unwrap();
+        let error = open(&folder.0).err().map(|e| format!("{e:#}")).unwrap_or_default();
+        assert!(error.contains("snapshot"), "byte {at}: {error:?}");
+    }
+    std::fs::remove_file(&path).unwrap();
+    assert!(open(&folder.0).is_err());
+}
+
+#[test]
+fn journal_behind_a_snapshot_of_another_history_gives_way() {
+    let stored = Stored::replay(
+        Some(Arc::new(Snapshot {
+            position: Position { term: 2, index: LogIndex(3) },
+            members: Members::default(),
+            state: Vec::new(),
+        })),
+        vec![Entry::Owner(OWNER), record(1), record(2), record(3), record(4)],
+    );
+    let stored = stored.unwrap();
+    assert!(stored.records.is_empty());
+    assert_eq!(stored.base, Position { term: 2, index: LogIndex(3) });
+}
