--- a/tests/config.rs
+++ b/tests/config.rs
@@ -62,7 +62,7 @@
                 let config: Value = serde_json::from_str(&text)?;
                 ensure!(config["revision"] == self.revision, "{address}: {config}");
                 let found = &config["defaults"]["call.deadline_ms"];
-                ensure!(*found == value.to_string(), "{address}: {config}");
+                ensure!(found.as_str() == Some(&*value.to_string()), "{address}: {config}");
                 Ok(())
             })?;
         }
