--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -3,14 +3,18 @@
 pub mod claims;
 pub mod config;
 pub mod disk;
+pub mod orders;
 mod peers;
+pub mod quarantine;
 pub mod replica;
 pub mod state;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use config::{Change, Revised, highest, schema_of};
+use orders::{Marked, OrderReport};
 use peers::Peers;
 use replica::{
     Action, Entry, LogIndex, Replica, ReplicaInput, ReplicaSettings, Snapshot, Stored, WriteId,
@@ -18,16 +22,19 @@
 use state::{Applied, ChangeReply, Command, State};
 
 use crate::link::message::{
-    Beat, ControlReply, ControlRequest, Envelope, Heartbeat, ProcessState, Proof, Reply, Request,
-    Status,
+    Beat, ControlReply, ControlRequest, Endpoints, Envelope, Heartbeat, OrderStatus, ProcessState,
+    Proof, Reply, Request, Status, Suspects,
 };
-use crate::model::{BootId, InboundId, Timestamp};
+use crate::model::{BootId, EndpointState, Fence, InboundId, Timestamp};
 use crate::registry::Registry;
 use crate::role::{Input, Output, Role};
 
 /// The most bytes of a command, so that each record fits into one message.
 const MAX_COMMAND_BYTES: usize = 1 << 20;
 
+/// How long a member that leaves waits for the commands that it has taken.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(2_000);
+
 /// What the disk tells the control role.
 #[derive(Debug)]
 pub enum DiskInput {
@@ -90,6 +97,7 @@
     peers: Peers,
     waiting: BTreeMap<LogIndex, Waiting>,
     failed: bool,
+    stopping: Option<Timestamp>,
 }
 
 type Outputs = Vec<Output<DiskEffect>>;
@@ -110,6 +118,7 @@
             peers: Peers::default(),
             waiting: BTreeMap::new(),
             failed: false,
+            stopping: None,
         })
     }
 
@@ -138,7 +147,11 @@
                 let beat = self.heartbeat(now, heartbeat);
                 vec![self.reply(inbound, ControlReply::Beat(beat))]
             }
-            ControlRequest::Propose(command) => self.propose(now, inbound, command),
+            ControlRequest::Propose(command) => self.propose(now, inbound, command.stamped(now)),
+            ControlRequest::Owner(boot) => {
+                let alive = self.registry.is_alive(now, boot);
+                vec![self.reply(inbound, ControlReply::Owner { alive })]
+            }
             ControlRequest::Status => {
                 let status = Box::new(self.status(now));
                 vec![self.reply(inbound, ControlReply::Status(status))]
@@ -150,18 +163,45 @@
         let newer = heartbeat.process.revised.revision < self.state.config.revision;
         let wants = heartbeat.endpoints;
         let seen = heartbeat.version;
+        let orders = match &heartbeat.endpoint {
+            Some(endpoint) => self.marked(endpoint, heartbeat.report.as_ref()),
+            None => None,
+        };
+        let suspects = self.suspects(heartbeat.suspects);
         self.registry.schema(&heartbeat.process, heartbeat.schema);
-        self.registry.heartbeat(now, heartbeat.process, heartbeat.endpoint);
+        self.registry.heartbeat(now, heartbeat.process, heartbeat.endpoint, heartbeat.report);
         let changed = wants && seen != self.registry.version();
         Beat {
             member: self.settings.name.clone(),
             proof: self.proof(),
             config: newer.then(|| self.state.config.clone()),
             version: self.registry.version(),
-            endpoints: changed.then(|| self.registry.endpoints()),
+            endpoints: changed.then(|| Endpoints::All(self.registry.endpoints())),
+            orders,
+            suspects,
         }
     }
 
+    /// Returns what an agent is told about the orders of its endpoint; a member that may lack
+    /// committed records tells nothing.
+    fn marked(&self, endpoint: &EndpointState, report: Option<&OrderReport>) -> Option<Marked> {
+        if self.failed || !self.replica.counts() {
+            return None;
+        }
+        let desired = self.state.orders.desired(&endpoint.name, &endpoint.pool);
+        let tail = self.replica.unapplied().filter(|r| orders::concerns(&r.command, endpoint));
+        let mark = tail.map(|r| Fence(r.index.0)).max().unwrap_or_default();
+        let known = report.is_some_and(|r| r.fence >= desired.fence);
+        Some(Marked { mark: mark.max(desired.fence), desired: (!known).then_some(desired) })
+    }
+
+    fn suspects(&self, seen: u64) -> Option<Suspects> {
+        let quarantine = &self.state.quarantine;
+        let list = || quarantine.suspects().iter().map(|(f, s)| (*f, s.clone())).collect();
+        (seen != quarantine.version())
+            .then(|| Suspects { version: quarantine.version(), list: list() })
+    }
+
     /// Returns what the own log proves; a member that may lack committed records proves nothing.
     fn proof(&self) -> Option<Proof> {
         if self.failed || !self.replica.counts() {
@@ -177,6 +217,9 @@
     }
 
     fn propose(&mut self, now: Timestamp, inbound: InboundId, command: Command) -> Outputs {
+        if self.stopping.is_some() {
+            return vec![self.reply(inbound, ControlReply::NotLeader { leader: None })];
+        }
         if let Some(why) = self.refusal(&command) {
             let applied = Applied::Changed(ChangeReply::Refused(why));
             return vec![self.reply(inbound, ControlReply::Applied(applied))];
@@ -239,7 +282,7 @@
                     outputs.push(Output::Effect(DiskEffect::Replace { id, snapshot, entries }));
                 }
                 Action::Apply(record) => {
-                    let applied = self.state.apply(&record.command);
+                    let applied = self.state.apply(record.index, &record.command);
                     if self.state.config.revision != self.revised.revision {
                         self.revised = self.state.config.revised();
                     }
@@ -318,6 +361,12 @@
         }
     }
 
+    /// Returns whether everybody who waited has an answer.
+    fn has_stopped(&self, now: Timestamp) -> bool {
+        let Some(since) = self.stopping else { return false };
+        self.waiting.is_empty() || now >= since + LEAVE_TIMEOUT
+    }
+
     fn status(&self, now: Timestamp) -> Status {
         let own = ProcessState {
             name: self.settings.name.clone(),
@@ -327,7 +376,7 @@
             revised: self.revised,
         };
         let mut processes = self.registry.processes(now);
-        processes.push((own, std::time::Duration::ZERO));
+        processes.push((own, Duration::ZERO));
         Status {
             member: self.settings.name.clone(),
             leader: self.replica.leader().map(|a| a.to_string().into()),
@@ -335,6 +384,17 @@
             history: self.state.changes.recent().cloned().collect(),
             processes,
             endpoints: self.registry.endpoints(),
+            orders: self.registry.reports().map(|(e, r)| self.order_status(e, r)).collect(),
+            rollouts: self.state.orders.rollouts().flat_map(|(_, r)| r.to_vec()).collect(),
+            suspects: self.suspects(0).map_or_else(Vec::new, |s| s.list),
+        }
+    }
+
+    fn order_status(&self, endpoint: &EndpointState, report: &OrderReport) -> OrderStatus {
+        OrderStatus {
+            endpoint: endpoint.name.clone(),
+            desired: self.state.orders.desired(&endpoint.name, &endpoint.pool),
+            report: report.clone(),
         }
     }
 }
@@ -350,7 +410,7 @@
     type Effect = DiskEffect;
 
     fn step(&mut self, now: Timestamp, input: Input<DiskInput>) -> Outputs {
-        match input {
+        let mut outputs = match input {
             Input::Request { inbound, envelope } => match envelope.body {
                 Request::Control(request) => self.request(now, inbound, request),
                 Request::Replica(message) => {
@@ -376,12 +436,20 @@
                 self.registry.expire(now);
                 self.replica_step(now, ReplicaInput::Wake)
             }
-            Input::Shutdown => vec![Output::Stopped],
+            Input::Shutdown => {
+                self.stopping.get_or_insert(now);
+                Vec::new()
+            }
+        };
+        if self.has_stopped(now) {
+            outputs.push(Output::Stopped);
         }
+        outputs
     }
 
     fn next_wake(&self) -> Option<Timestamp> {
         let replica = (!self.failed).then(|| self.replica.next_wake());
-        [replica, self.registry.next_expiry()].into_iter().flatten().min()
+        let leave = self.stopping.map(|since| since + LEAVE_TIMEOUT);
+        [leave, replica, self.registry.next_expiry()].into_iter().flatten().min()
     }
 }
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,12 +1,17 @@
 //! The replicated state: what the commands of the log add up to.
 
+use std::time::Duration;
+
 use eyre::WrapErr;
 use serde::{Deserialize, Serialize};
 
 use super::claims::{Claim, ClaimKey, ClaimReply, Claims, Outcome};
-use super::config::{Change, Changes, Config};
-use super::replica::Members;
-use crate::model::{RequestId, Revision};
+use super::config::{Change, Changes, Config, Setting};
+use super::orders::rollout::{RolloutCommand, StepCommand};
+use super::orders::{OrderCommand, OrderReply, Orders};
+use super::quarantine::{Crash, Fingerprint, Quarantine};
+use super::replica::{LogIndex, Members};
+use crate::model::{Fence, RequestId, Revision, Timestamp};
 
 /// A command in the log.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -49,6 +54,29 @@
         /// The attempt.
         request: RequestId,
     },
+    /// Order something of endpoints; [`Applied::Ordered`] answers an operator.
+    Order(OrderCommand),
+    /// Declare what a pool shall have loaded; [`Applied::Ordered`] answers an operator.
+    Rollout(RolloutCommand),
+    /// Take one step of a rollout; only the leader proposes it.
+    Step(StepCommand),
+    /// An endpoint crashed; its agent proposes it.
+    Crash(Crash),
+    /// A content under suspicion has finished, or an operator clears it.
+    Clear {
+        /// The content.
+        fingerprint: Fingerprint,
+    },
+}
+
+impl Command {
+    /// Returns the command with the time at which the leader takes it, for those that keep one.
+    pub fn stamped(mut self, now: Timestamp) -> Command {
+        if let Command::Claim { claim, .. } | Command::TakeOver { claim, .. } = &mut self {
+            claim.made = now;
+        }
+        self
+    }
 }
 
 /// What a command came to.
@@ -60,6 +88,8 @@
     Changed(ChangeReply),
     /// To a command about a claim.
     Claim(ClaimReply),
+    /// To an order or a rollout of an operator.
+    Ordered(OrderReply),
 }
 
 /// What a change came to.
@@ -87,6 +117,10 @@
     pub changes: Changes,
     /// Claims.
     pub claims: Claims,
+    /// Orders to endpoints.
+    pub orders: Orders,
+    /// Contents under suspicion.
+    pub quarantine: Quarantine,
 }
 
 impl State {
@@ -100,22 +134,46 @@
         postcard::from_bytes(bytes).wrap_err("decode state")
     }
 
-    /// Applies one command; the result depends on nothing else than the state and the command.
-    pub fn apply(&mut self, command: &Command) -> Applied {
+    /// Applies the command at a place of the log; the result depends on nothing else than the
+    /// state, the place and the command.
+    pub fn apply(&mut self, index: LogIndex, command: &Command) -> Applied {
+        let fence = Fence(index.0);
         match command {
             Command::Noop | Command::Members(_) => Applied::Done,
             Command::Change(change) => Applied::Changed(self.change(change)),
-            Command::Claim { key, claim } => Applied::Claim(self.claims.claim(key, claim)),
+            Command::Claim { key, claim } => {
+                self.claims.expire(claim.made, self.retention());
+                Applied::Claim(self.claims.claim(key, claim))
+            }
             Command::TakeOver { key, from, claim } => {
+                self.claims.expire(claim.made, self.retention());
                 Applied::Claim(self.claims.take_over(key, *from, claim))
             }
             Command::Finish { key, request, outcome } => {
                 Applied::Claim(self.claims.finish(key, *request, outcome))
             }
             Command::Release { key, request } => Applied::Claim(self.claims.release(key, *request)),
+            Command::Order(order) => Applied::Ordered(self.orders.order(fence, order)),
+            Command::Rollout(rollout) => Applied::Ordered(self.orders.rollout(fence, rollout)),
+            Command::Step(step) => {
+                self.orders.step(fence, step);
+                Applied::Done
+            }
+            Command::Crash(crash) => {
+                self.quarantine.crash(crash);
+                Applied::Done
+            }
+            Command::Clear { fingerprint } => {
+                self.quarantine.clear(*fingerprint);
+                Applied::Done
+            }
         }
     }
 
+    fn retention(&self) -> Duration {
+        Duration::from_millis(self.config.default_value(Setting::ClaimRetention))
+    }
+
     fn change(&mut self, change: &Change) -> ChangeReply {
         self.changes.apply(&mut self.config, change)
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,12 +4,13 @@
 
 pub mod accept;
 pub mod admit;
+pub mod answer;
 pub mod check;
 pub mod claim;
 pub mod place;
 mod run;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use check::{RawCall, Tenants};
@@ -26,6 +27,12 @@
 /// When a caller that was refused for want of room may come back.
 const RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
+/// How long an entry that leaves refuses new calls, so that the balancer sees that it is not
+/// ready before it is gone.
+const LEAVE_NOTICE: Duration = Duration::from_millis(1_000);
+/// How long an entry that leaves waits for answers that no call needs.
+const TIDY_TIMEOUT: Duration = Duration::from_millis(5_000);
+
 /// What callers do.
 #[derive(Debug)]
 pub enum CallerInput {
@@ -129,17 +136,32 @@
         Output::Reset { exchange }
     }
 
+    /// Drops an exchange that its peer has ended.
+    pub(crate) fn forget(&mut self, exchange: ExchangeId) {
+        self.owners.remove(&exchange);
+    }
+
     pub(crate) fn boot(&self) -> BootId {
         self.boot
     }
 }
 
+/// A run and when it wants to wake.
+struct Scheduled {
+    run: Run,
+    timer: Timestamp,
+}
+
 /// The entry role.
 pub struct Entry {
     shared: Shared,
     tenants: Tenants,
-    runs: BTreeMap<CallId, Run>,
-    stopping: bool,
+    runs: BTreeMap<CallId, Scheduled>,
+    /// When each run wants to wake.
+    timers: BTreeSet<(Timestamp, CallId)>,
+    stopping: Option<Timestamp>,
+    /// Since when an entry that leaves has no calls.
+    quiet: Option<Timestamp>,
 }
 
 impl Entry {
@@ -158,14 +180,26 @@
             last_exchange: 0,
             owners: BTreeMap::new(),
         };
-        Entry { shared, tenants, runs: BTreeMap::new(), stopping: false }
+        Entry {
+            shared,
+            tenants,
+            runs: BTreeMap::new(),
+            timers: BTreeSet::new(),
+            stopping: None,
+            quiet: None,
+        }
     }
 
     fn arrived(&mut self, now: Timestamp, call: CallId, raw: RawCall) -> Outputs {
         match self.admit(now, raw) {
             Ok(checked) => {
                 let (run, outputs) = Run::start(&mut self.shared, now, call, checked);
-                self.keep(call, run, outputs)
+                if !run.is_done() {
+                    let timer = run.next_wake();
+                    self.timers.insert((timer, call));
+                    self.runs.insert(call, Scheduled { run, timer });
+                }
+                outputs
             }
             Err(refusal) => {
                 log::info!("step=refuse call={call} {refusal}");
@@ -176,9 +210,9 @@
     }
 
     fn admit(&self, now: Timestamp, raw: RawCall) -> Result<crate::model::Call, Refusal> {
-        if self.stopping {
+        if self.stopping.is_some() {
             let detail = "this entry is shutting down";
-            return Err(Refusal::not_run(RefusalReason::Draining, Duration::ZERO, detail));
+            return Err(Refusal::not_run(RefusalReason::Draining, RETRY_AFTER, detail));
         }
         let config = self.shared.follower.config();
         let confirmed = self.shared.follower.is_confirmed(now);
@@ -187,43 +221,60 @@
             return Err(Refusal::not_run(RefusalReason::NoConfig, RETRY_AFTER, detail));
         }
         let call = check::check(now, raw, config, &self.tenants)?;
-        admit::admit(now, &call, config, self.runs.values().map(Run::call))?;
+        admit::admit(now, &call, config, self.runs.values().filter_map(|s| s.run.waiting_call()))?;
         Ok(call)
     }
 
-    /// Keeps a run that has not ended.
-    fn keep(&mut self, call: CallId, run: Run, mut outputs: Outputs) -> Outputs {
-        if run.is_done() {
-            outputs.extend(run.close(&mut self.shared));
-        } else {
-            self.runs.insert(call, run);
-        }
-        outputs
-    }
-
     /// Passes an event to the run that it belongs to.
     fn with_run(
         &mut self,
         call: CallId,
         event: impl FnOnce(&mut Run, &mut Shared) -> Outputs,
     ) -> Outputs {
-        let Some(mut run) = self.runs.remove(&call) else { return Vec::new() };
-        let outputs = event(&mut run, &mut self.shared);
-        self.keep(call, run, outputs)
+        let Some(scheduled) = self.runs.get_mut(&call) else { return Vec::new() };
+        let outputs = event(&mut scheduled.run, &mut self.shared);
+        let timer = scheduled.run.next_wake();
+        let done = scheduled.run.is_done();
+        if done || timer != scheduled.timer {
+            self.timers.remove(&(scheduled.timer, call));
+            scheduled.timer = timer;
+            self.timers.insert((timer, call));
+        }
+        if done {
+            self.timers.remove(&(timer, call));
+            self.runs.remove(&call);
+        }
+        outputs
     }
 
     fn heartbeats(&mut self, now: Timestamp) -> Outputs {
         let last = &mut self.shared.last_exchange;
-        self.shared.follower.wake(now, None, &mut || {
+        self.shared.follower.wake(now, None, None, &mut || {
             *last += 1;
             ExchangeId(*last)
         })
     }
 
+    /// Returns whether nothing is left to do for any caller, and the balancer had its notice.
+    fn has_stopped(&mut self, now: Timestamp) -> bool {
+        if self.stopping.is_some() && self.runs.is_empty() {
+            self.quiet.get_or_insert(now);
+        }
+        self.stop_time().is_some_and(|at| at <= now)
+    }
+
+    /// Returns when an entry that leaves and has no calls stops if nothing more comes.
+    fn stop_time(&self) -> Option<Timestamp> {
+        let noticed = self.stopping? + LEAVE_NOTICE;
+        let quiet = self.quiet?;
+        let tidy = if self.shared.owners.is_empty() { quiet } else { quiet + TIDY_TIMEOUT };
+        Some(noticed.max(tidy))
+    }
+
     fn wake(&mut self, now: Timestamp) -> Outputs {
         let mut outputs = self.heartbeats(now);
         let due: Vec<CallId> =
-            self.runs.iter().filter(|(_, r)| r.next_wake() <= now).map(|(call, _)| *call).collect();
+            self.timers.iter().take_while(|(at, _)| *at <= now).map(|(_, call)| *call).collect();
         for call in due {
             outputs.extend(self.with_run(call, |run, shared| run.wake(shared, now)));
         }
@@ -239,7 +290,7 @@
         let mut outputs = match input {
             Input::Local(CallerInput::Arrived { call, raw }) => self.arrived(now, call, raw),
             Input::Local(CallerInput::Gone { call }) => {
-                self.with_run(call, |run, shared| run.gone(shared))
+                self.with_run(call, |run, shared| run.gone(shared, now))
             }
             Input::Reply { exchange, envelope } => {
                 self.shared.follower.observe(now, envelope.revised);
@@ -264,19 +315,19 @@
             }
             Input::Wake => self.wake(now),
             Input::Shutdown => {
-                self.stopping = true;
+                self.stopping.get_or_insert(now);
                 Vec::new()
             }
             Input::Request { .. } | Input::Abandoned { .. } => Vec::new(),
         };
-        if self.stopping && self.runs.is_empty() {
+        if self.has_stopped(now) {
             outputs.push(Output::Stopped);
         }
         outputs
     }
 
     fn next_wake(&self) -> Option<Timestamp> {
-        let runs = self.runs.values().map(Run::next_wake).min();
-        [runs, self.shared.follower.next_wake()].into_iter().flatten().min()
+        let runs = self.timers.first().map(|(at, _)| *at);
+        [runs, self.stop_time(), self.shared.follower.next_wake()].into_iter().flatten().min()
     }
 }
--- a/src/model/outcome.rs
+++ b/src/model/outcome.rs
@@ -50,6 +50,8 @@
     InProgress,
     /// The key was used with another body.
     KeyReused,
+    /// The key's request was answered, and the answer is not kept.
+    Answered,
     /// The tenant's limit is reached.
     Limit,
     /// The request crashed endpoints before.
@@ -58,6 +60,16 @@
     EndpointFailed,
     /// The agent that would run it has restarted or no longer knows it.
     Stale,
+    /// Nothing is served at the path.
+    UnknownPath,
+    /// The path does not take the method.
+    BadMethod,
+    /// The content is too large.
+    TooLarge,
+    /// The caller sends or reads too slowly.
+    SlowCaller,
+    /// The process has as many calls open as it takes.
+    TooManyCalls,
 }
 
 impl RefusalReason {
@@ -74,10 +86,16 @@
             RefusalReason::NoQuorum => "no-quorum",
             RefusalReason::InProgress => "in-progress",
             RefusalReason::KeyReused => "key-reused",
+            RefusalReason::Answered => "answered",
             RefusalReason::Limit => "limit",
             RefusalReason::Quarantined => "quarantined",
             RefusalReason::EndpointFailed => "endpoint-failed",
             RefusalReason::Stale => "stale",
+            RefusalReason::UnknownPath => "unknown-path",
+            RefusalReason::BadMethod => "bad-method",
+            RefusalReason::TooLarge => "too-large",
+            RefusalReason::SlowCaller => "slow-caller",
+            RefusalReason::TooManyCalls => "too-many-calls",
         }
     }
 
@@ -86,7 +104,11 @@
         match self {
             RefusalReason::BadCall => 400,
             RefusalReason::Unauthorized => 401,
-            RefusalReason::InProgress => 409,
+            RefusalReason::UnknownPath => 404,
+            RefusalReason::BadMethod => 405,
+            RefusalReason::SlowCaller => 408,
+            RefusalReason::InProgress | RefusalReason::Answered => 409,
+            RefusalReason::TooLarge => 413,
             RefusalReason::KeyReused => 422,
             RefusalReason::Limit => 429,
             RefusalReason::EndpointFailed => 502,
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use crate::control::config::{Config, Revised, SCHEMA};
+use crate::control::orders::OrderReport;
 use crate::link::message::{
-    Beat, ControlReply, ControlRequest, Envelope, Heartbeat, ProcessState, Proof, Reply, Request,
+    Beat, ControlReply, ControlRequest, Endpoints, Envelope, Heartbeat, ProcessState, Proof, Reply,
+    Request,
 };
 use crate::model::{BootId, EndpointState, ExchangeId, Timestamp};
 use crate::role::Output;
@@ -44,7 +46,26 @@
     version: u64,
     /// The last proof, and when it was asked for.
     proof: Option<(Proof, Timestamp)>,
-    endpoints: Vec<EndpointState>,
+    endpoints: BTreeMap<Box<str>, EndpointState>,
+    suspects: u64,
+}
+
+impl Member {
+    fn take_endpoints(&mut self, endpoints: &Endpoints) {
+        let (set, gone) = match endpoints {
+            Endpoints::All(all) => {
+                self.endpoints.clear();
+                (all, &[][..])
+            }
+            Endpoints::Changed { set, gone } => (set, &**gone),
+        };
+        for name in gone {
+            self.endpoints.remove(name);
+        }
+        for endpoint in set {
+            self.endpoints.insert(endpoint.name.clone(), endpoint.clone());
+        }
+    }
 }
 
 /// Follows control: heartbeats out, configuration and endpoints in.
@@ -65,7 +86,8 @@
             due: Timestamp::default(),
             version: 0,
             proof: None,
-            endpoints: Vec::new(),
+            endpoints: BTreeMap::new(),
+            suspects: 0,
         };
         let members = settings.members.iter().map(member).collect();
         let config = Config::default();
@@ -114,16 +136,21 @@
             log::error!("step=observe own={} other={revised} error=hashes differ", self.revised);
         }
         if revised.revision > self.revised.revision {
-            for member in &mut self.members {
-                member.due = member.due.min(now);
-            }
+            self.hurry(now);
+        }
+    }
+
+    /// Makes the next heartbeats due at once, because there is something to tell or to hear.
+    pub fn hurry(&mut self, now: Timestamp) {
+        for member in &mut self.members {
+            member.due = member.due.min(now);
         }
     }
 
     /// Returns the live endpoints that any member knows, the newest start of each.
     pub fn endpoints(&self) -> BTreeMap<Box<str>, EndpointState> {
         let mut all: BTreeMap<Box<str>, EndpointState> = BTreeMap::new();
-        for endpoint in self.members.iter().flat_map(|m| &m.endpoints) {
+        for endpoint in self.members.iter().flat_map(|m| m.endpoints.values()) {
             let known = all.get(&endpoint.name);
             if known.is_none_or(|e| e.boot < endpoint.boot) {
                 all.insert(endpoint.name.clone(), endpoint.clone());
@@ -137,6 +164,7 @@
         &mut self,
         now: Timestamp,
         endpoint: Option<&EndpointState>,
+        report: Option<&OrderReport>,
         next: &mut dyn FnMut() -> ExchangeId,
     ) -> Vec<Output<E>> {
         let mut outputs = Vec::new();
@@ -158,6 +186,8 @@
                 endpoint: endpoint.cloned(),
                 endpoints: self.settings.endpoints,
                 version: member.version,
+                report: report.cloned(),
+                suspects: member.suspects,
                 schema: SCHEMA,
             };
             let exchange = next();
@@ -178,7 +208,7 @@
         member.version = beat.version;
         member.proof = beat.proof.clone().map(|proof| (proof, sent));
         if let Some(endpoints) = &beat.endpoints {
-            member.endpoints.clone_from(endpoints);
+            member.take_endpoints(endpoints);
         }
         self.take_config(now, beat);
         true
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -7,8 +7,9 @@
 
 pub use follower::{Follower, FollowerSettings};
 
+use crate::control::orders::OrderReport;
 use crate::link::message::ProcessState;
-use crate::model::{EndpointState, Load, Timestamp};
+use crate::model::{BootId, EndpointState, Load, Timestamp};
 
 /// How long a process is known after its last heartbeat.
 pub const HEARTBEAT_LEASE: Duration = Duration::from_millis(3_000);
@@ -19,6 +20,7 @@
     processes: BTreeMap<(Box<str>, Box<str>), (ProcessState, Timestamp)>,
     schemas: BTreeMap<(Box<str>, Box<str>), u32>,
     endpoints: BTreeMap<Box<str>, (EndpointState, Timestamp)>,
+    reports: BTreeMap<Box<str>, OrderReport>,
     version: u64,
 }
 
@@ -29,10 +31,12 @@
         now: Timestamp,
         process: ProcessState,
         endpoint: Option<EndpointState>,
+        report: Option<OrderReport>,
     ) {
         let key = (process.name.clone(), process.role.clone());
         self.processes.insert(key, (process, now));
         let Some(endpoint) = endpoint else { return };
+        self.reports.insert(endpoint.name.clone(), report.unwrap_or_default());
         let before = self.endpoints.get(&endpoint.name).map(|(e, _)| without_load(e));
         if before != Some(without_load(&endpoint)) {
             self.version += 1;
@@ -57,6 +61,7 @@
         self.schemas.retain(|key, _| self.processes.contains_key(key));
         let count = self.endpoints.len();
         self.endpoints.retain(|_, (_, seen)| now - *seen < HEARTBEAT_LEASE);
+        self.reports.retain(|name, _| self.endpoints.contains_key(name));
         if self.endpoints.len() != count {
             self.version += 1;
         }
@@ -72,11 +77,22 @@
         self.version
     }
 
+    /// Returns whether a start of a process is alive.
+    pub fn is_alive(&self, now: Timestamp, boot: BootId) -> bool {
+        let fresh = |seen: Timestamp| now - seen < HEARTBEAT_LEASE;
+        self.processes.values().any(|(p, seen)| p.boot == boot && fresh(*seen))
+    }
+
     /// Returns the live endpoints.
     pub fn endpoints(&self) -> Vec<EndpointState> {
         self.endpoints.values().map(|(e, _)| e.clone()).collect()
     }
 
+    /// Returns the live endpoints with what their agents report about orders.
+    pub fn reports(&self) -> impl Iterator<Item = (&EndpointState, &OrderReport)> {
+        self.endpoints.values().filter_map(|(e, _)| Some((e, self.reports.get(&e.name)?)))
+    }
+
     /// Returns the live processes with the age of their last heartbeats.
     pub fn processes(&self, now: Timestamp) -> Vec<(ProcessState, Duration)> {
         self.processes.values().map(|(p, seen)| (p.clone(), now - *seen)).collect()
--- a/tests/replica/world.rs
+++ b/tests/replica/world.rs
@@ -509,7 +509,7 @@
         for index in 0..self.followers.len() {
             let (follower, count) = &mut self.followers[index];
             if follower.next_wake().is_some_and(|due| due <= self.now) {
-                let outputs = follower.wake::<()>(self.now, None, &mut || {
+                let outputs = follower.wake::<()>(self.now, None, None, &mut || {
                     *count += 1;
                     ExchangeId(*count)
                 });
