--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -111,6 +111,7 @@
             pool: "classroom".into(),
             capacity: Capacity { slots: 4, pieces: 4, piece_tokens: 1 },
             fenced: false,
+            artifact: None,
             boot: BootId(0),
         };
         Test {
--- a/tests/common/world.rs
+++ b/tests/common/world.rs
@@ -8,15 +8,17 @@
 
 use dotterelpin::agent::engine::{EngineEffect, EngineInput};
 use dotterelpin::agent::{Agent, AgentSettings};
+use dotterelpin::control::orders::Marked;
+use dotterelpin::control::replica::LogIndex;
 use dotterelpin::control::state::{Command, State};
 use dotterelpin::entry::check::{RawCall, Tenants, credential_hash};
 use dotterelpin::entry::place::RoundRobin;
 use dotterelpin::entry::{CallerEffect, CallerInput, Entry, EntrySettings};
 use dotterelpin::link::message::{
-    Beat, ControlReply, ControlRequest, Envelope, Heartbeat, Reply, Request,
+    Beat, ControlReply, ControlRequest, Endpoints, Envelope, Heartbeat, Proof, Reply, Request, Seen,
 };
 use dotterelpin::model::{
-    Announcement, BootId, CallId, EndpointState, ExchangeId, InboundId, Revision, Timestamp,
+    Announcement, BootId, CallId, EndpointState, ExchangeId, Fence, InboundId, Revision, Timestamp,
 };
 use dotterelpin::registry::{FollowerSettings, HEARTBEAT_LEASE};
 use dotterelpin::role::{Input, LinkFailure, Output, Role};
@@ -90,6 +92,7 @@
     proposals: Vec<(InboundId, Command)>,
     beats: VecDeque<(Node, ExchangeId, Heartbeat)>,
     next: u64,
+    index: u64,
     /// What agents asked of their endpoints, for the test to carry out.
     pub effects: VecDeque<(usize, BootId, EngineEffect)>,
     /// What callers were told, for the test to check.
@@ -113,6 +116,7 @@
             proposals: Vec::new(),
             beats: VecDeque::new(),
             next: 0,
+            index: 0,
             effects: VecDeque::new(),
             told: Vec::new(),
             seen: Vec::new(),
@@ -278,8 +282,8 @@
         let steps = self.steps();
         let Some(step) = steps.get(pick % steps.len().max(1)).copied() else { return false };
         match step {
-            Step::ToPeer(index) => self.to_peer(index),
-            Step::ToOpener(index) => self.to_opener(index),
+            Step::ToPeer(index) => self.pass_to_peer(index),
+            Step::ToOpener(index) => self.pass_to_opener(index),
             Step::Commit(index) => self.commit(index),
         }
         let done = |s: &Stream| {
@@ -330,7 +334,7 @@
         self.restart_all();
     }
 
-    fn to_peer(&mut self, index: usize) {
+    fn pass_to_peer(&mut self, index: usize) {
         let stream = &mut self.streams[index];
         let Some(envelope) = stream.requests.pop_front() else {
             stream.peer_done = true;
@@ -368,7 +372,7 @@
         }
     }
 
-    fn to_opener(&mut self, index: usize) {
+    fn pass_to_opener(&mut self, index: usize) {
         let stream = &mut self.streams[index];
         let exchange = stream.exchange;
         let (node, boot) = stream.opener;
@@ -410,7 +414,8 @@
 
     fn commit(&mut self, index: usize) {
         let (inbound, command) = self.proposals.remove(index);
-        let applied = self.state.apply(&command);
+        self.index += 1;
+        let applied = self.state.apply(LogIndex(self.index), &command);
         self.end_control(inbound, Some(ControlReply::Applied(applied)));
     }
 
@@ -492,7 +497,7 @@
         envelope: Envelope<Request>,
     ) {
         if let Request::Control(ControlRequest::Heartbeat(heartbeat)) = envelope.body {
-            self.beats.push_back((opener.0, exchange, heartbeat));
+            self.beats.push_back((opener.0, exchange, *heartbeat));
             return;
         }
         let target = match peer.port() {
@@ -527,10 +532,18 @@
             self.known.retain(|_, (_, seen)| now - *seen < HEARTBEAT_LEASE);
             let beat = Beat {
                 member: "control-0".into(),
-                highest: Revision(0),
+                proof: Some(Proof {
+                    highest: Revision(0),
+                    epoch: 0,
+                    voters: vec![address(CONTROL_PORT)],
+                }),
                 config: None,
-                version: 0,
-                endpoints: Some(self.known.values().map(|(e, _)| e.clone()).collect()),
+                seen: Seen::default(),
+                endpoints: Some(Endpoints::All(
+                    self.known.values().map(|(e, _)| e.clone()).collect(),
+                )),
+                orders: Some(Marked { mark: Fence(0), desired: None }),
+                suspects: None,
             };
             let body = Reply::Control(ControlReply::Beat(beat));
             let envelope = Envelope { revised: self.state.config.revised(), body };
