--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -1,26 +1,37 @@
 //! The agent role: the one way to an endpoint, and so the authority on what it holds.
 
 pub mod engine;
+mod events;
 pub mod ledger;
+pub mod orders;
 pub mod settle;
+mod work;
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use engine::{EngineEffect, EngineInput, Work};
-use ledger::{Hold, Ledger, Phase};
+use engine::{EngineEffect, EngineInput};
+use ledger::Ledger;
+use orders::Orders;
 use settle::Settlements;
+use work::ServiceCall;
 
-use crate::link::message::{AgentReply, AgentRequest, Export, Order, Reply, Request, Settled};
+use crate::link::message::{AgentReply, AgentRequest, ControlReply, Reply, Request};
 use crate::model::{
-    Announcement, Body, BootId, Class, EndpointKind, EndpointState, ExchangeId, Fence, InboundId,
-    Load, Ran, Refusal, RefusalReason, RequestId, Timestamp,
+    Announcement, BootId, EndpointKind, EndpointState, ExchangeId, InboundId, Load, Refusal,
+    RefusalReason, Timestamp,
 };
 use crate::registry::{Follower, FollowerSettings};
 use crate::role::{Input, Output, Role};
 
 /// How often an exchange with nothing to say is shown to stand.
 const ALIVE_INTERVAL: Duration = Duration::from_millis(250);
+/// How often the engine's own list is compared with the ledger.
+const LIST_INTERVAL: Duration = Duration::from_millis(1_000);
+/// How long a shutdown waits for the engine to confirm cancels.
+const CANCEL_LIMIT: Duration = Duration::from_millis(5_000);
+/// How long an agent that leaves refuses new work, so that entries hear of it before it is gone.
+const LEAVE_NOTICE: Duration = Duration::from_millis(1_500);
 /// When a refused entry may try this endpoint again.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -40,11 +51,14 @@
     endpoint: Option<Announcement>,
     ledger: Ledger,
     settlements: Settlements,
-    draining: bool,
-    stopping: bool,
-    fence: Fence,
+    orders: Orders,
+    stopping: Option<Timestamp>,
     last_exchange: u64,
     next_alive: Timestamp,
+    /// When the engine is asked next what it runs.
+    next_list: Timestamp,
+    /// When the shutdown stops to wait for cancels.
+    stop_limit: Timestamp,
 }
 
 type Outputs = Vec<Output<EngineEffect>>;
@@ -54,15 +68,16 @@
     pub fn new(settings: AgentSettings) -> Agent {
         Agent {
             follower: Follower::new(settings.follower.clone()),
+            orders: Orders::new(settings.follower.members.len()),
             settings,
             endpoint: None,
             ledger: Ledger::default(),
             settlements: Settlements::default(),
-            draining: false,
-            stopping: false,
-            fence: Fence(0),
+            stopping: None,
             last_exchange: 0,
             next_alive: Timestamp::default(),
+            next_list: Timestamp::default(),
+            stop_limit: Timestamp::MAX,
         }
     }
 
@@ -77,13 +92,13 @@
             address: self.settings.address,
             domain: self.settings.follower.domain.clone(),
             boot: self.boot(),
-            kind: endpoint.kind,
+            kind: self.orders.kind().unwrap_or(endpoint.kind),
             pool: endpoint.pool.clone(),
             url: endpoint.url.clone(),
             capacity: endpoint.capacity,
             load: self.load(),
-            draining: self.draining || self.stopping,
-            fence: self.fence,
+            draining: self.is_leaving(),
+            fence: self.orders.report().fence,
         })
     }
 
@@ -108,202 +123,56 @@
                 self.reserve(now, inbound, request, tokens, lease)
             }
             AgentRequest::Prefill { request, class, prompt, prefix } => {
-                self.prefill(now, inbound, request, class, prompt, prefix)
+                self.prefill(inbound, request, class, prompt, prefix)
             }
             AgentRequest::Decode { export, from, until } => {
                 self.decode(inbound, export, from, until)
             }
-            AgentRequest::Call { request, boot, repeatable, body, .. } => {
-                self.call(now, inbound, request, boot, repeatable, body)
+            AgentRequest::Call { request, class: _, boot, repeatable, deadline, body } => {
+                let call = ServiceCall { request, boot, repeatable, deadline, body };
+                self.call(now, inbound, call)
             }
             AgentRequest::Settle { request, boot } => {
                 let settled = self.settle(request, boot);
                 vec![self.reply(inbound, AgentReply::Settled(settled), true)]
             }
-            AgentRequest::Order { fence, order } => self.order(inbound, fence, order),
         }
     }
 
-    /// Returns why new work is refused, if it is.
-    fn closed_to_work(&self) -> Option<(RefusalReason, &'static str)> {
-        if self.draining || self.stopping {
-            return Some((RefusalReason::Draining, "the endpoint is leaving"));
-        }
+    /// Gives the endpoint the order that is due.
+    fn next_order(&mut self, now: Timestamp) -> Outputs {
         if self.endpoint.is_none() {
-            return Some((RefusalReason::NoEndpoint, "the endpoint has not announced itself"));
-        }
-        None
-    }
-
-    /// Holds room for an attempt, or says why not.
-    fn hold(
-        &mut self,
-        request: RequestId,
-        inbound: InboundId,
-        tokens: u32,
-        phase: Phase,
-    ) -> Result<(), (RefusalReason, &'static str)> {
-        if let Some(refusal) = self.closed_to_work() {
-            return Err(refusal);
-        }
-        let Some(endpoint) = &self.endpoint else {
-            return Err((RefusalReason::NoEndpoint, "the endpoint has not announced itself"));
-        };
-        let pieces = tokens.div_ceil(endpoint.capacity.piece_tokens.max(1)).max(1);
-        if !self.ledger.hold(endpoint.capacity, Hold { request, inbound, pieces, phase }) {
-            return Err((RefusalReason::Full, "the endpoint is full"));
-        }
-        Ok(())
-    }
-
-    fn reserve(
-        &mut self,
-        now: Timestamp,
-        inbound: InboundId,
-        request: RequestId,
-        tokens: u32,
-        lease: Duration,
-    ) -> Outputs {
-        match self.hold(request, inbound, tokens, Phase::Reserved { until: now + lease }) {
-            Ok(()) => vec![self.reply(inbound, AgentReply::Reserved, false)],
-            Err((reason, detail)) => self.refuse(inbound, reason, detail),
-        }
-    }
-
-    fn prefill(
-        &mut self,
-        _now: Timestamp,
-        inbound: InboundId,
-        request: RequestId,
-        class: Class,
-        prompt: Box<str>,
-        prefix: Vec<Box<str>>,
-    ) -> Outputs {
-        let tokens = crate::model::call::prompt_tokens(&prompt) + prefix.len() as u32;
-        match self.hold(request, inbound, tokens, Phase::Running) {
-            Ok(()) => {
-                let work = Work::Prefill { class, prompt, prefix };
-                vec![Output::Effect(EngineEffect::Start { request, work })]
-            }
-            Err((reason, detail)) => self.refuse(inbound, reason, detail),
+            return Vec::new();
         }
+        let order = self.orders.next(now);
+        order.map(|o| Output::Effect(EngineEffect::Order(o))).into_iter().collect()
     }
 
-    fn decode(&mut self, inbound: InboundId, export: Export, from: u32, until: u32) -> Outputs {
-        match self.ledger.start(inbound) {
-            Some(request) => {
-                let work = Work::Decode { export, from, until };
-                vec![Output::Effect(EngineEffect::Start { request, work })]
-            }
-            None => self.refuse(inbound, RefusalReason::Stale, "the reservation has lapsed"),
-        }
-    }
-
-    fn call(
-        &mut self,
-        _now: Timestamp,
-        inbound: InboundId,
-        request: RequestId,
-        boot: BootId,
-        repeatable: bool,
-        body: Body,
-    ) -> Outputs {
-        if boot != self.boot() {
-            return self.refuse(inbound, RefusalReason::Stale, "the agent has restarted");
+    fn control_reply(&mut self, now: Timestamp, exchange: ExchangeId, reply: &Reply) -> Outputs {
+        if !self.follower.reply(now, exchange, reply) {
+            return Vec::new();
         }
-        if self.settlements.is_closed(request) {
-            return self.refuse(inbound, RefusalReason::Stale, "the attempt was settled before");
-        }
-        match self.hold(request, inbound, 1, Phase::Running) {
-            Ok(()) => {
-                let work = Work::Call { repeatable, body };
-                vec![Output::Effect(EngineEffect::Start { request, work })]
-            }
-            Err((reason, detail)) => self.refuse(inbound, reason, detail),
+        if let Reply::Control(ControlReply::Beat(beat)) = reply
+            && let Some(marked) = &beat.orders
+        {
+            self.orders.heard(&beat.member, marked);
         }
-    }
-
-    fn settle(&mut self, request: RequestId, boot: BootId) -> Settled {
-        if boot != self.boot() {
-            return Settled::Unknown;
-        }
-        if self.ledger.holds(request) {
-            return Settled::Running;
-        }
-        self.settlements.settle(request)
-    }
-
-    fn order(&mut self, inbound: InboundId, fence: Fence, order: Order) -> Outputs {
-        if fence <= self.fence {
-            return self.refuse(inbound, RefusalReason::Stale, "the fencing number is old");
-        }
-        self.fence = fence;
-        match order {
-            Order::Drain => self.draining = true,
-            Order::Undrain => self.draining = false,
-            Order::Load { .. } | Order::Role { .. } => {
-                return vec![Output::Effect(EngineEffect::Order { inbound, fence, order })];
-            }
-        }
-        vec![self.reply(inbound, AgentReply::Ordered { fence }, true)]
-    }
-
-    fn engine(&mut self, now: Timestamp, input: EngineInput) -> Outputs {
-        match input {
-            EngineInput::Announced(announcement) => {
-                log::info!("step=announce url={} pool={}", announcement.url, announcement.pool);
-                self.endpoint = Some(announcement);
-                Vec::new()
-            }
-            EngineInput::Exported { request, export } => {
-                self.finish(request, AgentReply::Exported(export))
-            }
-            EngineInput::Part { request, offset, tokens } => {
-                let Some(inbound) = self.ledger.inbound(request) else { return Vec::new() };
-                vec![self.reply(inbound, AgentReply::Part { offset, tokens }, false)]
-            }
-            EngineInput::End { request, offset, finish } => {
-                self.finish(request, AgentReply::End { offset, finish })
-            }
-            EngineInput::Answered { request, answer } => {
-                self.settlements.close(request, Settled::Finished(answer.clone()));
-                self.finish(request, AgentReply::Answer(answer))
-            }
-            EngineInput::Failed { request, ran, detail } => self.failed(request, ran, detail),
-            EngineInput::Cancelled { request, confirmed } => {
-                self.ledger.cancelled(now, request, confirmed);
-                Vec::new()
-            }
-            EngineInput::Ordered { inbound, fence, result } => match result {
-                Ok(()) => vec![self.reply(inbound, AgentReply::Ordered { fence }, true)],
-                Err(detail) => self.refuse(inbound, RefusalReason::EndpointFailed, &detail),
-            },
-        }
-    }
-
-    fn finish(&mut self, request: RequestId, reply: AgentReply) -> Outputs {
-        match self.ledger.release(request) {
-            Some(inbound) => vec![self.reply(inbound, reply, true)],
-            None => Vec::new(),
-        }
-    }
-
-    fn failed(&mut self, request: RequestId, ran: Ran, detail: Box<str>) -> Outputs {
-        let settled = if ran == Ran::No { Settled::NotStarted } else { Settled::Unknown };
-        self.settlements.close(request, settled);
-        let reason = RefusalReason::EndpointFailed;
-        let refusal = Refusal { reason, ran, retry: RETRY_AFTER, detail };
-        self.finish(request, AgentReply::Refused(refusal))
+        self.next_order(now)
     }
 
     fn wake(&mut self, now: Timestamp) -> Outputs {
         let mut outputs = self.heartbeats(now);
+        outputs.extend(self.next_order(now));
         for (request, inbound) in self.ledger.lapse(now) {
             log::info!("step=lapse request={request}");
             outputs.extend(self.refuse(inbound, RefusalReason::Stale, "the reservation lapsed"));
         }
         let overdue = self.ledger.overdue_cancels(now);
         outputs.extend(overdue.into_iter().map(|r| Output::Effect(EngineEffect::Cancel(r))));
+        if self.cancellable() && now >= self.next_list {
+            self.next_list = now + LIST_INTERVAL;
+            outputs.push(Output::Effect(EngineEffect::List));
+        }
         if now >= self.next_alive {
             self.next_alive = now + ALIVE_INTERVAL;
             let alive = self.ledger.running().into_iter();
@@ -315,7 +184,8 @@
     fn heartbeats(&mut self, now: Timestamp) -> Outputs {
         let state = self.state();
         let last = &mut self.last_exchange;
-        self.follower.wake(now, state.as_ref(), &mut || {
+        let report = self.orders.report();
+        self.follower.wake(now, state.as_ref(), Some(&report), &mut || {
             *last += 1;
             ExchangeId(*last)
         })
@@ -325,8 +195,22 @@
         self.endpoint.as_ref().is_some_and(|e| e.kind != EndpointKind::Service)
     }
 
-    fn stopped(&self) -> bool {
-        self.stopping && self.ledger.is_empty()
+    fn is_leaving(&self) -> bool {
+        self.orders.is_draining() || self.stopping.is_some()
+    }
+
+    fn stop(&mut self, now: Timestamp) -> Outputs {
+        self.stopping.get_or_insert(now);
+        self.stop_limit = self.stop_limit.min(now + CANCEL_LIMIT);
+        self.follower.hurry(now);
+        self.heartbeats(now)
+    }
+
+    /// Returns whether nothing is left that an entry waits for, or may ask for later.
+    fn has_stopped(&self, now: Timestamp) -> bool {
+        let noticed = self.stopping.is_some_and(|since| now >= since + LEAVE_NOTICE);
+        let given_up = now >= self.stop_limit && self.ledger.only_cancelling();
+        noticed && (self.ledger.is_empty() || given_up)
     }
 }
 
@@ -348,8 +232,7 @@
                 request.map(|r| Output::Effect(EngineEffect::Cancel(r))).into_iter().collect()
             }
             Input::Reply { exchange, envelope } => {
-                self.follower.reply(now, exchange, &envelope.body);
-                Vec::new()
+                self.control_reply(now, exchange, &envelope.body)
             }
             Input::Closed { exchange, .. } => {
                 self.follower.closed(exchange);
@@ -357,19 +240,23 @@
             }
             Input::Local(input) => self.engine(now, input),
             Input::Wake => self.wake(now),
-            Input::Shutdown => {
-                self.stopping = true;
-                self.heartbeats(now)
-            }
+            Input::Shutdown => self.stop(now),
         };
-        if self.stopped() {
+        if self.has_stopped(now) {
             outputs.push(Output::Stopped);
         }
         outputs
     }
 
     fn next_wake(&self) -> Option<Timestamp> {
-        let alive = (!self.ledger.is_empty()).then_some(self.next_alive);
-        [alive, self.follower.next_wake(), self.ledger.next_wake()].into_iter().flatten().min()
+        let empty = self.ledger.is_empty();
+        let alive = (!empty).then_some(self.next_alive);
+        let list = self.cancellable().then_some(self.next_list);
+        let order = self.endpoint.as_ref().and(self.orders.next_wake());
+        let leave = self.stopping.filter(|_| empty).map(|since| since + LEAVE_NOTICE);
+        [alive, list, order, leave, self.follower.next_wake(), self.ledger.next_wake()]
+            .into_iter()
+            .flatten()
+            .min()
     }
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -3,22 +3,30 @@
 pub mod claims;
 pub mod config;
 pub mod disk;
+pub mod orders;
+pub mod quarantine;
 pub mod replica;
 pub mod state;
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use config::Revised;
+use orders::{Marked, OrderReport};
 use replica::{LogIndex, Record, Replica, Step};
 use state::{Applied, Command, State};
 
 use crate::link::message::{
-    Beat, ControlReply, ControlRequest, Envelope, Heartbeat, ProcessState, Reply, Request, Status,
+    Beat, ControlReply, ControlRequest, Endpoints, Envelope, Heartbeat, OrderStatus, ProcessState,
+    Reply, Request, Status, Suspects,
 };
-use crate::model::{BootId, InboundId, Timestamp};
+use crate::model::{BootId, EndpointState, Fence, InboundId, Timestamp};
 use crate::registry::Registry;
 use crate::role::{Input, Output, Role};
 
+/// How long a member that leaves waits for the commands that it has taken.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(2_000);
+
 /// What the disk tells the control role.
 #[derive(Debug)]
 pub enum DiskInput {
@@ -53,6 +61,7 @@
     state: State,
     registry: Registry,
     waiting: BTreeMap<LogIndex, InboundId>,
+    stopping: Option<Timestamp>,
 }
 
 type Outputs = Vec<Output<DiskEffect>>;
@@ -66,9 +75,10 @@
             state: State::default(),
             registry: Registry::default(),
             waiting: BTreeMap::new(),
+            stopping: None,
         };
         for record in records {
-            control.state.apply(&record.command);
+            control.state.apply(record.index, &record.command);
             control.replica.restore(record);
         }
         control
@@ -89,7 +99,11 @@
                 let beat = self.heartbeat(now, heartbeat);
                 vec![self.reply(inbound, ControlReply::Beat(beat))]
             }
-            ControlRequest::Propose(command) => self.propose(inbound, command),
+            ControlRequest::Propose(command) => self.propose(inbound, command.stamped(now)),
+            ControlRequest::Owner(boot) => {
+                let alive = self.registry.is_alive(now, boot);
+                vec![self.reply(inbound, ControlReply::Owner { alive })]
+            }
             ControlRequest::Status => {
                 let status = Box::new(self.status(now));
                 vec![self.reply(inbound, ControlReply::Status(status))]
@@ -101,18 +115,41 @@
         let newer = heartbeat.process.revised.revision < self.state.config.revision;
         let wants = heartbeat.endpoints;
         let seen = heartbeat.version;
-        self.registry.heartbeat(now, heartbeat.process, heartbeat.endpoint);
+        let orders = heartbeat.endpoint.as_ref().map(|e| self.marked(e, heartbeat.report.as_ref()));
+        let suspects = self.suspects(heartbeat.suspects);
+        self.registry.heartbeat(now, heartbeat.process, heartbeat.endpoint, heartbeat.report);
         let changed = wants && seen != self.registry.version();
         Beat {
             member: self.settings.name.clone(),
             highest: self.state.config.revision,
             config: newer.then(|| self.state.config.clone()),
             version: self.registry.version(),
-            endpoints: changed.then(|| self.registry.endpoints()),
+            endpoints: changed.then(|| Endpoints::All(self.registry.endpoints())),
+            orders,
+            suspects,
         }
     }
 
+    /// Returns what an agent is told about the orders of its endpoint.
+    fn marked(&self, endpoint: &EndpointState, report: Option<&OrderReport>) -> Marked {
+        let desired = self.state.orders.desired(&endpoint.name, &endpoint.pool);
+        let tail = self.replica.tail().filter(|(_, c)| orders::concerns(c, endpoint));
+        let mark = tail.map(|(index, _)| Fence(index.0)).max().unwrap_or_default();
+        let known = report.is_some_and(|r| r.fence >= desired.fence);
+        Marked { mark: mark.max(desired.fence), desired: (!known).then_some(desired) }
+    }
+
+    fn suspects(&self, seen: u64) -> Option<Suspects> {
+        let quarantine = &self.state.quarantine;
+        let list = || quarantine.suspects().iter().map(|(f, s)| (*f, s.clone())).collect();
+        (seen != quarantine.version())
+            .then(|| Suspects { version: quarantine.version(), list: list() })
+    }
+
     fn propose(&mut self, inbound: InboundId, command: Command) -> Outputs {
+        if self.stopping.is_some() {
+            return vec![self.reply(inbound, ControlReply::NotLeader { leader: None })];
+        }
         let (index, record) = self.replica.propose(command);
         self.waiting.insert(index, inbound);
         vec![Output::Effect(DiskEffect::Append(vec![record]))]
@@ -121,7 +158,7 @@
     fn synced(&mut self, index: LogIndex) -> Outputs {
         let mut outputs = Vec::new();
         for Step { index, command } in self.replica.synced(index) {
-            let applied = self.state.apply(&command);
+            let applied = self.state.apply(index, &command);
             log_change(&command, &applied);
             if let Some(inbound) = self.waiting.remove(&index) {
                 outputs.push(self.reply(inbound, ControlReply::Applied(applied)));
@@ -130,6 +167,12 @@
         outputs
     }
 
+    /// Returns whether everybody who waited has an answer.
+    fn has_stopped(&self, now: Timestamp) -> bool {
+        let Some(since) = self.stopping else { return false };
+        self.waiting.is_empty() || now >= since + LEAVE_TIMEOUT
+    }
+
     fn status(&self, now: Timestamp) -> Status {
         let own = ProcessState {
             name: self.settings.name.clone(),
@@ -139,7 +182,7 @@
             revised: self.revised(),
         };
         let mut processes = self.registry.processes(now);
-        processes.push((own, std::time::Duration::ZERO));
+        processes.push((own, Duration::ZERO));
         Status {
             member: self.settings.name.clone(),
             leader: Some(self.settings.name.clone()),
@@ -147,6 +190,17 @@
             history: self.state.history.values().cloned().collect(),
             processes,
             endpoints: self.registry.endpoints(),
+            orders: self.registry.reports().map(|(e, r)| self.order_status(e, r)).collect(),
+            rollouts: self.state.orders.rollouts().flat_map(|(_, r)| r.to_vec()).collect(),
+            suspects: self.suspects(0).map_or_else(Vec::new, |s| s.list),
+        }
+    }
+
+    fn order_status(&self, endpoint: &EndpointState, report: &OrderReport) -> OrderStatus {
+        OrderStatus {
+            endpoint: endpoint.name.clone(),
+            desired: self.state.orders.desired(&endpoint.name, &endpoint.pool),
+            report: report.clone(),
         }
     }
 }
@@ -162,7 +216,7 @@
     type Effect = DiskEffect;
 
     fn step(&mut self, now: Timestamp, input: Input<DiskInput>) -> Outputs {
-        match input {
+        let mut outputs = match input {
             Input::Request { inbound, envelope } => match envelope.body {
                 Request::Control(request) => self.request(now, inbound, request),
                 Request::Replica(_) | Request::Agent(_) => Vec::new(),
@@ -180,12 +234,20 @@
                 self.registry.expire(now);
                 Vec::new()
             }
-            Input::Shutdown => vec![Output::Stopped],
+            Input::Shutdown => {
+                self.stopping.get_or_insert(now);
+                Vec::new()
+            }
             Input::Reply { .. } | Input::Closed { .. } => Vec::new(),
+        };
+        if self.has_stopped(now) {
+            outputs.push(Output::Stopped);
         }
+        outputs
     }
 
     fn next_wake(&self) -> Option<Timestamp> {
-        self.registry.next_expiry()
+        let leave = self.stopping.map(|since| since + LEAVE_TIMEOUT);
+        [leave, self.registry.next_expiry()].into_iter().flatten().min()
     }
 }
--- a/src/model/outcome.rs
+++ b/src/model/outcome.rs
@@ -50,6 +50,8 @@
     InProgress,
     /// The key was used with another body.
     KeyReused,
+    /// The key's request was answered, and the answer is not kept.
+    Answered,
     /// The tenant's limit is reached.
     Limit,
     /// The request crashed endpoints before.
@@ -84,6 +86,7 @@
             RefusalReason::NoQuorum => "no-quorum",
             RefusalReason::InProgress => "in-progress",
             RefusalReason::KeyReused => "key-reused",
+            RefusalReason::Answered => "answered",
             RefusalReason::Limit => "limit",
             RefusalReason::Quarantined => "quarantined",
             RefusalReason::EndpointFailed => "endpoint-failed",
@@ -104,7 +107,7 @@
             RefusalReason::UnknownPath => 404,
             RefusalReason::BadMethod => 405,
             RefusalReason::SlowCaller => 408,
-            RefusalReason::InProgress => 409,
+            RefusalReason::InProgress | RefusalReason::Answered => 409,
             RefusalReason::TooLarge => 413,
             RefusalReason::KeyReused => 422,
             RefusalReason::Limit => 429,
