Dial past silent connections from fresh source ports, and tell operators from processes

Cause: a redial used the same UDP socket, so what had lost track of the old connection's source port dropped the new one, too; each exchange that found no connection dialled one for itself; each redial threw away the connection, also a fresh one; closed exchanges were swept at each open, which costs time in proportion to the open ones. Bounds: connections of peers, unread bytes, replies to a slow peer (1,024, then the exchange is dropped and the role hears of it), events that wait for a role. A link that was asked to leave waits up to 500 ms for its own open requests.

--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -74,7 +74,7 @@
     if let Some(driver) = drivers.agent {
         let engine = HttpEngine::new(url, driver.handle());
         let follower = follower(&settings, boot, "agent");
-        let agent = Agent::new(AgentSettings { follower, address: settings.listen });
+        let agent = Agent::new(AgentSettings { follower, address: settings.advertise });
         traffic.push(driver.start("agent", agent, handle.clone(), engine)?);
     }
     let mut caller_server = None;
--- a/src/cli/settings.rs
+++ b/src/cli/settings.rs
@@ -35,6 +35,9 @@
     /// UDP address for other processes, such as 10.0.0.1:7000
     #[argh(option)]
     pub listen: Option<String>,
+    /// address at which other processes reach this one; the listen address if not given
+    #[argh(option)]
+    pub advertise: Option<String>,
     /// addresses of all control members, with commas
     #[argh(option)]
     pub members: Option<String>,
@@ -74,6 +77,7 @@
             ("DOTTERELPIN_NAME", &mut self.name),
             ("DOTTERELPIN_DOMAIN", &mut self.domain),
             ("DOTTERELPIN_LISTEN", &mut self.listen),
+            ("DOTTERELPIN_ADVERTISE", &mut self.advertise),
             ("DOTTERELPIN_MEMBERS", &mut self.members),
             ("DOTTERELPIN_KEYS", &mut self.keys),
             ("DOTTERELPIN_DATA", &mut self.data),
@@ -102,6 +106,8 @@
     pub domain: Box<str>,
     /// The address for other processes.
     pub listen: SocketAddr,
+    /// The address at which other processes reach this one.
+    pub advertise: SocketAddr,
     /// The control members.
     pub members: Vec<SocketAddr>,
     /// The folder of the fleet key.
@@ -196,6 +202,7 @@
         let domain = check.text("domain", &args.domain);
         let listen_text = check.text("listen", &args.listen);
         let listen = check.address("listen", &listen_text);
+        let advertise = args.advertise.as_deref().and_then(|a| check.address("advertise", a));
         let members_text = check.text("members", &args.members);
         let members: Vec<SocketAddr> =
             members_text.split(',').filter_map(|m| check.address("members", m)).collect();
@@ -218,6 +225,7 @@
                 name,
                 domain,
                 listen,
+                advertise: advertise.unwrap_or(listen),
                 members,
                 keys,
                 data: args.data.map(PathBuf::from),
--- a/src/cli/tool.rs
+++ b/src/cli/tool.rs
@@ -242,7 +242,7 @@
             .map(|m| m.trim().parse().wrap_err_with(|| format!("--members: {m:?} is no IP:PORT")))
             .collect::<eyre::Result<Vec<SocketAddr>>>()?;
         let keys = value("keys", &args.keys, "DOTTERELPIN_KEYS")?;
-        let identity = Identity::load(keys.as_ref())?;
+        let identity = Identity::load_operator(keys.as_ref())?;
         let local = if members.iter().all(|m| m.is_ipv4()) { "0.0.0.0:0" } else { "[::]:0" };
         let link = Link::bind(local.parse()?, identity)?;
         let handle = link.handle();
--- a/src/link/exchange.rs
+++ b/src/link/exchange.rs
@@ -1,18 +1,21 @@
 //! Tasks that carry single exchanges.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 
-use quinn::{Connection, ConnectionError, RecvStream, SendStream, VarInt};
+use quinn::{
+    Connection, ConnectionError, ReadError, ReadExactError, RecvStream, SendStream, VarInt,
+};
 use tokio::sync::mpsc::UnboundedReceiver;
 
+use super::dialer::Dialled;
+use super::inbound::FORBIDDEN;
 use super::message::{Envelope, Reply, Request};
-use super::{LinkEvent, Sink, frame};
-use crate::model::{ExchangeId, InboundId};
+use super::{LinkEvent, Sink, frame, wait_for_room};
+use crate::model::ExchangeId;
 use crate::role::LinkFailure;
 
 /// The code on a stream that its opener cancelled.
-const CANCELLED: VarInt = VarInt::from_u32(1);
+pub const CANCELLED: VarInt = VarInt::from_u32(1);
 /// The code on a connection whose peer never started the exchanges that it did not answer.
 pub const UNSTARTED: VarInt = VarInt::from_u32(2);
 
@@ -36,18 +39,19 @@
 
 /// Carries an exchange that this process opened.
 pub async fn carry_opened(
-    connection: Connection,
+    dialled: Arc<Dialled>,
     exchange: ExchangeId,
     orders: UnboundedReceiver<Outgoing>,
     sink: Arc<dyn Sink>,
 ) {
+    let connection = &dialled.connection;
     let Ok((send, recv)) = connection.open_bi().await else {
         let failure = Some(LinkFailure::NotSent);
         sink.deliver(LinkEvent::Closed { exchange, failure });
         return;
     };
     let writer = tokio::spawn(write_requests(send, orders));
-    let failure = read_replies(&connection, recv, exchange, &sink).await;
+    let failure = read_replies(connection, recv, exchange, &sink).await;
     writer.abort();
     sink.deliver(LinkEvent::Closed { exchange, failure });
 }
@@ -79,15 +83,25 @@
         match frame::read(&mut recv).await {
             Ok(Some(envelope)) => {
                 answered = true;
+                wait_for_room(&**sink).await;
                 sink.deliver(LinkEvent::Reply { exchange, envelope });
             }
             Ok(None) => return None,
             Err(_) if !answered && is_unstarted(connection) => return Some(LinkFailure::NotSent),
+            Err(error) if is_forbidden(&error) => return Some(LinkFailure::Forbidden),
             Err(_) => return Some(LinkFailure::Broken),
         }
     }
 }
 
+/// Returns whether the peer refused the request because of this process's certificate.
+fn is_forbidden(error: &eyre::Report) -> bool {
+    matches!(
+        error.downcast_ref::<ReadExactError>(),
+        Some(ReadExactError::ReadError(ReadError::Reset(code))) if *code == FORBIDDEN
+    )
+}
+
 /// Returns whether the peer said at its end that it never started what it did not answer.
 fn is_unstarted(connection: &Connection) -> bool {
     matches!(
@@ -95,44 +109,3 @@
         Some(ConnectionError::ApplicationClosed(close)) if close.error_code == UNSTARTED
     )
 }
-
-/// Reads the requests of an exchange that a peer opened.
-pub async fn read_requests(
-    mut recv: RecvStream,
-    inbound: InboundId,
-    done: Arc<AtomicBool>,
-    route: impl Fn(&Request) -> Option<Arc<dyn Sink>>,
-) {
-    let mut owner = None;
-    while let Ok(Some(envelope)) = frame::read::<Envelope<Request>>(&mut recv).await {
-        let Some(sink) = route(&envelope.body) else { break };
-        sink.deliver(LinkEvent::Request { inbound, envelope });
-        owner = Some(sink);
-    }
-    if let Some(sink) = owner.filter(|_| !done.load(Ordering::SeqCst)) {
-        sink.deliver(LinkEvent::Abandoned { inbound });
-    }
-}
-
-/// Writes the replies of an exchange that a peer opened.
-pub async fn write_replies(
-    mut send: SendStream,
-    mut answers: UnboundedReceiver<Answer>,
-    done: Arc<AtomicBool>,
-) {
-    while let Some(Answer { envelope, last, pending }) = answers.recv().await {
-        if last {
-            done.store(true, Ordering::SeqCst);
-        }
-        if frame::write(&mut send, &envelope).await.is_err() {
-            return;
-        }
-        if last {
-            let _ = send.finish();
-            let _ = send.stopped().await;
-            drop(pending);
-            return;
-        }
-    }
-    let _ = send.reset(CANCELLED);
-}
--- /dev/null
+++ b/src/link/inbound.rs
@@ -0,0 +1,185 @@
+//! Connections and exchanges that peers open.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use quinn::{Connection, Incoming, RecvStream, SendStream, VarInt};
+use tokio::sync::mpsc::{Receiver, Sender, channel};
+use tokio::sync::oneshot;
+
+use super::exchange::{self, CANCELLED};
+use super::message::{Envelope, Request};
+use super::permit::{PeerKind, may_ask};
+use super::{LinkEvent, Route, Sink, frame, tls, wait_for_room};
+use crate::model::InboundId;
+
+/// Connections that peers may have open at once.
+const MAX_CONNECTIONS: usize = 8_192;
+/// Replies that wait for a peer which reads slowly, before the exchange is dropped.
+const MAX_WAITING: usize = 1_024;
+/// The code on a connection whose peer holds no certificate that has a place here.
+const STRANGER: VarInt = VarInt::from_u32(4);
+/// The code on an exchange whose request the peer's certificate does not allow.
+pub const FORBIDDEN: VarInt = VarInt::from_u32(5);
+
+/// What is written to an exchange that a peer opened.
+pub use exchange::Answer;
+
+/// An open exchange of a peer.
+struct Open {
+    answers: Sender<Answer>,
+    /// Tells the reader that the exchange is dropped.
+    drop: Option<oneshot::Sender<()>>,
+}
+
+/// The exchanges that peers have open.
+#[derive(Clone)]
+pub struct Inbound {
+    open: Arc<Mutex<BTreeMap<InboundId, Open>>>,
+    connections: Arc<AtomicUsize>,
+    last: Arc<AtomicU64>,
+    route: Route,
+}
+
+impl Inbound {
+    /// Makes an empty table whose requests go where the route says.
+    pub fn new(route: Route) -> Inbound {
+        Inbound { open: Arc::default(), connections: Arc::default(), last: Arc::default(), route }
+    }
+
+    /// Queues a reply; a peer that reads too slowly loses the exchange.
+    pub fn reply(&self, id: InboundId, answer: Answer) {
+        let mut open = self.lock();
+        let Some(exchange) = open.get_mut(&id) else { return };
+        let last = answer.last;
+        let full = exchange.answers.try_send(answer).is_err();
+        if full && let Some(drop) = exchange.drop.take() {
+            log::warn!("step=reply exchange={id:?} error=\"the peer reads too slowly\"");
+            let _ = drop.send(());
+        }
+        if last || full {
+            open.remove(&id);
+        }
+    }
+
+    /// Takes a connection and serves its exchanges until it ends.
+    pub async fn accept(self, incoming: Incoming) {
+        let peer = incoming.remote_address();
+        if self.connections.load(Ordering::SeqCst) >= MAX_CONNECTIONS {
+            log::warn!("step=accept peer={peer} error=\"too many connections\"");
+            incoming.refuse();
+            return;
+        }
+        self.connections.fetch_add(1, Ordering::SeqCst);
+        match incoming.await {
+            Ok(connection) => self.serve(peer, connection).await,
+            Err(error) => log::warn!("step=accept peer={peer} error=\"{error}\""),
+        }
+        self.connections.fetch_sub(1, Ordering::SeqCst);
+    }
+
+    async fn serve(&self, peer: SocketAddr, connection: Connection) {
+        let Some(kind) = tls::peer_kind(&connection) else {
+            log::warn!("step=accept peer={peer} error=\"the certificate names no known kind\"");
+            connection.close(STRANGER, b"unknown kind of certificate");
+            return;
+        };
+        while let Ok((send, recv)) = connection.accept_bi().await {
+            self.take(peer, kind, send, recv);
+        }
+    }
+
+    fn take(&self, peer: SocketAddr, kind: PeerKind, send: SendStream, recv: RecvStream) {
+        let id = InboundId(self.last.fetch_add(1, Ordering::SeqCst) + 1);
+        let (answers, waiting) = channel(MAX_WAITING);
+        let (drop, dropped) = oneshot::channel();
+        self.lock().insert(id, Open { answers, drop: Some(drop) });
+        let done = Arc::new(AtomicBool::new(false));
+        let forbidden = Arc::new(AtomicBool::new(false));
+        tokio::spawn(write_replies(send, waiting, done.clone(), forbidden.clone()));
+        let reader = Reader { id, peer, kind, route: self.route.clone(), forbidden };
+        let table = self.clone();
+        tokio::spawn(async move {
+            let owner = reader.read(recv, dropped).await;
+            table.lock().remove(&id);
+            if let Some(sink) = owner.filter(|_| !done.load(Ordering::SeqCst)) {
+                sink.deliver(LinkEvent::Abandoned { inbound: id });
+            }
+        });
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<InboundId, Open>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Reads the requests of one exchange.
+struct Reader {
+    id: InboundId,
+    peer: SocketAddr,
+    kind: PeerKind,
+    route: Route,
+    forbidden: Arc<AtomicBool>,
+}
+
+impl Reader {
+    /// Reads until the exchange ends, and returns the role that had its requests.
+    async fn read(
+        self,
+        mut recv: RecvStream,
+        mut dropped: oneshot::Receiver<()>,
+    ) -> Option<Arc<dyn Sink>> {
+        let mut owner = None;
+        loop {
+            let read = tokio::select! {
+                read = frame::read::<Envelope<Request>>(&mut recv) => read,
+                Ok(()) = &mut dropped => return owner,
+            };
+            let envelope = match read {
+                Ok(Some(envelope)) => envelope,
+                Ok(None) => return owner,
+                Err(error) => {
+                    log::debug!("step=read peer={} error=\"{error:#}\"", self.peer);
+                    return owner;
+                }
+            };
+            if !may_ask(self.kind, &envelope.body) {
+                let (peer, kind) = (self.peer, self.kind);
+                log::warn!("step=permit peer={peer} kind={kind:?} error=\"not allowed\"");
+                self.forbidden.store(true, Ordering::SeqCst);
+                return owner;
+            }
+            let sink = (self.route)(&envelope.body)?;
+            wait_for_room(&*sink).await;
+            sink.deliver(LinkEvent::Request { inbound: self.id, envelope });
+            owner = Some(sink);
+        }
+    }
+}
+
+/// Writes the replies of one exchange.
+async fn write_replies(
+    mut send: SendStream,
+    mut answers: Receiver<Answer>,
+    done: Arc<AtomicBool>,
+    forbidden: Arc<AtomicBool>,
+) {
+    while let Some(Answer { envelope, last, pending }) = answers.recv().await {
+        if last {
+            done.store(true, Ordering::SeqCst);
+        }
+        if frame::write(&mut send, &envelope).await.is_err() {
+            return;
+        }
+        if last {
+            let _ = send.finish();
+            let _ = send.stopped().await;
+            drop(pending);
+            return;
+        }
+    }
+    let code = if forbidden.load(Ordering::SeqCst) { FORBIDDEN } else { CANCELLED };
+    let _ = send.reset(code);
+}
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -1,12 +1,16 @@
 //! Exchanges between the system's own processes over QUIC with mutual TLS.
 
+mod dialer;
 mod exchange;
 mod frame;
+mod inbound;
 pub mod message;
+pub mod permit;
 mod shell;
 pub mod tls;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use crate::model::{ExchangeId, InboundId};
 use crate::role::LinkFailure;
@@ -14,6 +18,11 @@
 pub use message::{Envelope, Reply, Request};
 pub use shell::{Link, LinkHandle, Route};
 
+/// Events that may wait for a role before the link stops reading for it.
+const MAX_DEPTH: usize = 65_536;
+/// The time between two looks whether a role has caught up.
+const DEPTH_POLL: Duration = Duration::from_millis(1);
+
 /// What the link tells a role.
 #[derive(Debug)]
 pub enum LinkEvent {
@@ -102,4 +111,16 @@
 pub trait Sink: Send + Sync {
     /// Takes one event without blocking.
     fn deliver(&self, event: LinkEvent);
+
+    /// Returns how many events wait.
+    fn depth(&self) -> usize {
+        0
+    }
+}
+
+/// Holds back a stream, and so its peer, while a role is far behind.
+async fn wait_for_room(sink: &dyn Sink) {
+    while sink.depth() >= MAX_DEPTH {
+        tokio::time::sleep(DEPTH_POLL).await;
+    }
 }
--- /dev/null
+++ b/src/link/permit.rs
@@ -0,0 +1,41 @@
+//! Who may ask what: operators and processes hold different certificates of one fleet key.
+
+use super::message::{ControlRequest, Request};
+use crate::control::state::Command;
+
+/// What a peer is, by its certificate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerKind {
+    /// A process of the system.
+    Process,
+    /// An operator's tool.
+    Operator,
+}
+
+/// Returns whether a peer of a kind may ask for something.
+///
+/// ```
+/// use dotterelpin::link::message::{ControlRequest, Request};
+/// use dotterelpin::link::permit::{PeerKind, may_ask};
+///
+/// let status = Request::Control(ControlRequest::Status);
+/// assert!(may_ask(PeerKind::Operator, &status));
+/// assert!(!may_ask(PeerKind::Process, &status));
+/// ```
+pub fn may_ask(peer: PeerKind, request: &Request) -> bool {
+    match request {
+        Request::Agent(_) | Request::Replica(_) => peer == PeerKind::Process,
+        Request::Control(ControlRequest::Status) => peer == PeerKind::Operator,
+        Request::Control(ControlRequest::Propose(command)) => may_propose(peer, command),
+        Request::Control(_) => peer == PeerKind::Process,
+    }
+}
+
+fn may_propose(peer: PeerKind, command: &Command) -> bool {
+    match command {
+        Command::Change(_) | Command::Order(_) | Command::Rollout(_) => peer == PeerKind::Operator,
+        // An endpoint's agent clears a content that has finished, an operator any.
+        Command::Clear { .. } => true,
+        _ => peer == PeerKind::Process,
+    }
+}
--- a/src/link/shell.rs
+++ b/src/link/shell.rs
@@ -2,23 +2,23 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use eyre::WrapErr;
-use quinn::{Connection, Endpoint, Incoming, TransportConfig, VarInt};
+use quinn::{Endpoint, TransportConfig, VarInt};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
+use super::dialer::Dialer;
 use super::exchange::{self, Answer, Outgoing};
+use super::inbound::Inbound;
 use super::message::Request;
 use super::tls::Identity;
 use super::{LinkAction, LinkEvent, Sink};
-use crate::model::{ExchangeId, InboundId};
+use crate::model::ExchangeId;
 use crate::role::LinkFailure;
 
-/// How long a connection may take to stand.
-const DIAL_TIMEOUT: Duration = Duration::from_millis(700);
 /// The round trip that is assumed before one was seen.
 const INITIAL_RTT: Duration = Duration::from_millis(50);
 /// How often a quiet connection is kept alive.
@@ -27,12 +27,16 @@
 const IDLE_TIMEOUT_MS: u32 = 2_000;
 /// How long a process that leaves waits until its last replies have arrived.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// How long a process that leaves waits until its last requests are answered.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a process that leaves waits until its peers know.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// The time between two looks whether the last replies have arrived.
 const FLUSH_POLL: Duration = Duration::from_millis(5);
 /// Holders of the count of replies under way when there are none: the loop and the leaving task.
 const SHARES_WHEN_IDLE: usize = 2;
+/// Bytes that a peer may send on one connection before they are read.
+const RECEIVE_WINDOW_BYTES: u32 = 16 << 20;
 /// Exchanges that a peer may have open on one connection.
 const MAX_EXCHANGES: u32 = 16_384;
 
@@ -40,8 +44,32 @@
 pub type Route = Arc<dyn Fn(&Request) -> Option<Arc<dyn Sink>> + Send + Sync>;
 
 type Owners = Arc<Mutex<BTreeMap<u64, Arc<dyn Sink>>>>;
-type Opened = BTreeMap<(u64, ExchangeId), UnboundedSender<Outgoing>>;
-type Inbound = Arc<Mutex<BTreeMap<InboundId, UnboundedSender<Answer>>>>;
+
+/// The exchanges that this process has open.
+#[derive(Clone, Default)]
+struct Opened(Arc<Mutex<Orders>>);
+
+type Orders = BTreeMap<(u64, ExchangeId), UnboundedSender<Outgoing>>;
+
+impl Opened {
+    fn insert(&self, key: (u64, ExchangeId), sender: UnboundedSender<Outgoing>) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).insert(key, sender);
+    }
+
+    fn send(&self, key: (u64, ExchangeId), order: Outgoing) {
+        if let Some(sender) = self.0.lock().unwrap_or_else(PoisonError::into_inner).get(&key) {
+            let _ = sender.send(order);
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).is_empty()
+    }
+
+    fn remove(&self, key: (u64, ExchangeId)) -> Option<UnboundedSender<Outgoing>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).remove(&key)
+    }
+}
 
 /// Gives actions to the link's thread.
 #[derive(Clone)]
@@ -66,7 +94,7 @@
     pub fn leave(&self, unstarted: bool) {
         let (done, closed) = std::sync::mpsc::channel();
         self.act(LinkAction::Leave { unstarted, done });
-        let _ = closed.recv_timeout(FLUSH_TIMEOUT + CLOSE_TIMEOUT);
+        let _ = closed.recv_timeout(FLUSH_TIMEOUT + REQUEST_TIMEOUT + CLOSE_TIMEOUT);
     }
 
     /// Queues one action.
@@ -87,7 +115,7 @@
     /// Binds the address.
     pub fn bind(listen: SocketAddr, identity: Identity) -> eyre::Result<Link> {
         let endpoint = std::net::UdpSocket::bind(listen)
-            .wrap_err_with(|| format!("bind UDP address {listen}"))?;
+            .wrap_err_with(|| format!("step=listen --listen: UDP address {listen}"))?;
         let (sender, queue) = unbounded_channel();
         let handle = LinkHandle {
             queue: sender,
@@ -131,6 +159,7 @@
     config.keep_alive_interval(Some(KEEP_ALIVE));
     config.max_idle_timeout(Some(VarInt::from_u32(IDLE_TIMEOUT_MS).into()));
     config.max_concurrent_bidi_streams(VarInt::from_u32(MAX_EXCHANGES));
+    config.receive_window(VarInt::from_u32(RECEIVE_WINDOW_BYTES));
     config.max_concurrent_uni_streams(VarInt::from_u32(0));
     Arc::new(config)
 }
@@ -140,32 +169,31 @@
     server.transport_config(transport());
     let mut client = link.identity.client()?;
     client.transport_config(transport());
+    let local = link.local_addr()?.ip();
     let runtime = Arc::new(quinn::TokioRuntime);
-    let mut endpoint =
+    let endpoint =
         Endpoint::new(quinn::EndpointConfig::default(), Some(server), link.endpoint, runtime)
             .wrap_err("open QUIC endpoint")?;
-    endpoint.set_default_client_config(client);
-
-    let inbound = Inbound::default();
-    let ids = Arc::new(AtomicU64::new(1));
-    let dialer = Dialer { endpoint: endpoint.clone(), cached: Arc::default() };
-    let mut opened = Opened::new();
-    let pending = Arc::new(());
+    let shell = Shell {
+        inbound: Inbound::new(route),
+        dialer: Dialer::new(client, local),
+        opened: Opened::default(),
+        owners: link.handle.owners.clone(),
+        pending: Arc::new(()),
+    };
     loop {
         tokio::select! {
             incoming = endpoint.accept() => {
                 let Some(incoming) = incoming else { break };
-                tokio::spawn(accept(incoming, inbound.clone(), ids.clone(), route.clone()));
+                tokio::spawn(shell.inbound.clone().accept(incoming));
             }
             action = link.queue.recv() => {
                 match action {
                     None => break,
                     Some(LinkAction::Leave { unstarted, done }) => {
-                        tokio::spawn(leave(endpoint.clone(), pending.clone(), unstarted, done));
-                    }
-                    Some(action) => {
-                        act(action, &dialer, &mut opened, &inbound, &link.handle.owners, &pending);
+                        tokio::spawn(shell.clone().leave(endpoint.clone(), unstarted, done));
                     }
+                    Some(action) => shell.act(action),
                 }
             }
         }
@@ -175,69 +203,74 @@
     Ok(())
 }
 
-fn act(
-    action: LinkAction,
-    dialer: &Dialer,
-    opened: &mut Opened,
-    inbound: &Inbound,
-    owners: &Owners,
-    pending: &Arc<()>,
-) {
-    match action {
-        LinkAction::Open { owner, exchange, peer, envelope } => {
-            let sink = owners.lock().unwrap_or_else(PoisonError::into_inner).get(&owner).cloned();
-            let Some(sink) = sink else { return };
-            let (sender, orders) = unbounded_channel();
-            let _ = sender.send(Outgoing::Request(Box::new(envelope)));
-            opened.retain(|_, s| !s.is_closed());
-            opened.insert((owner, exchange), sender);
-            tokio::spawn(open(dialer.clone(), peer, exchange, orders, sink));
-        }
-        LinkAction::Send { owner, exchange, envelope } => {
-            if let Some(sender) = opened.get(&(owner, exchange)) {
+/// What the link's thread works with.
+#[derive(Clone)]
+struct Shell {
+    inbound: Inbound,
+    dialer: Dialer,
+    opened: Opened,
+    owners: Owners,
+    /// Each reply that has not arrived holds a share.
+    pending: Arc<()>,
+}
+
+impl Shell {
+    fn act(&self, action: LinkAction) {
+        match action {
+            LinkAction::Open { owner, exchange, peer, envelope } => {
+                let owners = self.owners.lock().unwrap_or_else(PoisonError::into_inner);
+                let Some(sink) = owners.get(&owner).cloned() else { return };
+                let (sender, orders) = unbounded_channel();
                 let _ = sender.send(Outgoing::Request(Box::new(envelope)));
+                let key = (owner, exchange);
+                self.opened.insert(key, sender);
+                let (dialer, opened) = (self.dialer.clone(), self.opened.clone());
+                tokio::spawn(async move {
+                    open(dialer, peer, exchange, orders, sink).await;
+                    opened.remove(key);
+                });
             }
-        }
-        LinkAction::Reset { owner, exchange } => {
-            if let Some(sender) = opened.remove(&(owner, exchange)) {
-                let _ = sender.send(Outgoing::Reset);
+            LinkAction::Send { owner, exchange, envelope } => {
+                let request = Outgoing::Request(Box::new(envelope));
+                self.opened.send((owner, exchange), request);
             }
-        }
-        LinkAction::Redial { peer } => dialer.forget(peer),
-        LinkAction::Leave { .. } => {}
-        LinkAction::Reply { inbound: id, envelope, last } => {
-            let mut map = inbound.lock().unwrap_or_else(PoisonError::into_inner);
-            if let Some(sender) = map.get(&id) {
-                let _ = sender.send(Answer { envelope, last, pending: pending.clone() });
+            LinkAction::Reset { owner, exchange } => {
+                if let Some(sender) = self.opened.remove((owner, exchange)) {
+                    let _ = sender.send(Outgoing::Reset);
+                }
             }
-            if last {
-                map.remove(&id);
+            LinkAction::Redial { peer } => self.dialer.redial(peer),
+            LinkAction::Leave { .. } => {}
+            LinkAction::Reply { inbound, envelope, last } => {
+                let answer = Answer { envelope, last, pending: self.pending.clone() };
+                self.inbound.reply(inbound, answer);
             }
         }
     }
-}
 
-/// Closes the endpoint once no reply is under way; each reply holds a share of `pending`.
-async fn leave(
-    endpoint: Endpoint,
-    pending: Arc<()>,
-    unstarted: bool,
-    done: std::sync::mpsc::Sender<()>,
-) {
-    let flushed = tokio::time::timeout(FLUSH_TIMEOUT, async {
-        while Arc::strong_count(&pending) > SHARES_WHEN_IDLE {
-            tokio::time::sleep(FLUSH_POLL).await;
+    /// Closes all connections once no reply is under way.
+    async fn leave(self, endpoint: Endpoint, unstarted: bool, done: std::sync::mpsc::Sender<()>) {
+        let replies = async {
+            while Arc::strong_count(&self.pending) > SHARES_WHEN_IDLE {
+                tokio::time::sleep(FLUSH_POLL).await;
+            }
+        };
+        let flushed = tokio::time::timeout(FLUSH_TIMEOUT, replies).await.is_ok();
+        if !flushed {
+            log::warn!("step=leave error=\"some last replies were not acknowledged\"");
         }
-    })
-    .await
-    .is_ok();
-    if !flushed {
-        log::warn!("step=leave error=\"some last replies were not acknowledged\"");
+        let requests = async {
+            while !self.opened.is_empty() {
+                tokio::time::sleep(FLUSH_POLL).await;
+            }
+        };
+        let _ = tokio::time::timeout(REQUEST_TIMEOUT, requests).await;
+        let code = if unstarted && flushed { exchange::UNSTARTED } else { VarInt::from_u32(0) };
+        endpoint.close(code, b"leaving");
+        self.dialer.close();
+        let _ = tokio::time::timeout(CLOSE_TIMEOUT, endpoint.wait_idle()).await;
+        let _ = done.send(());
     }
-    let code = if unstarted && flushed { exchange::UNSTARTED } else { VarInt::from_u32(0) };
-    endpoint.close(code, b"leaving");
-    let _ = tokio::time::timeout(CLOSE_TIMEOUT, endpoint.wait_idle()).await;
-    let _ = done.send(());
 }
 
 async fn open(
@@ -248,65 +281,11 @@
     sink: Arc<dyn Sink>,
 ) {
     match dialer.connection(peer).await {
-        Ok(connection) => exchange::carry_opened(connection, exchange, orders, sink).await,
+        Ok(dialled) => exchange::carry_opened(dialled, exchange, orders, sink).await,
         Err(error) => {
-            log::debug!("step=dial peer={peer} error={error:#}");
+            log::debug!("step=open peer={peer} error=\"{error:#}\"");
             let failure = Some(LinkFailure::NotSent);
             sink.deliver(LinkEvent::Closed { exchange, failure });
         }
     }
 }
-
-async fn accept(incoming: Incoming, inbound: Inbound, ids: Arc<AtomicU64>, route: Route) {
-    let peer = incoming.remote_address();
-    let connection = match incoming.await {
-        Ok(connection) => connection,
-        Err(error) => {
-            log::warn!("step=accept peer={peer} error={error}");
-            return;
-        }
-    };
-    while let Ok((send, recv)) = connection.accept_bi().await {
-        let id = InboundId(ids.fetch_add(1, Ordering::SeqCst));
-        let (sender, answers) = unbounded_channel();
-        inbound.lock().unwrap_or_else(PoisonError::into_inner).insert(id, sender);
-        let done = Arc::new(AtomicBool::new(false));
-        tokio::spawn(exchange::write_replies(send, answers, done.clone()));
-        let (inbound, route) = (inbound.clone(), route.clone());
-        tokio::spawn(async move {
-            exchange::read_requests(recv, id, done, |r| route(r)).await;
-            inbound.lock().unwrap_or_else(PoisonError::into_inner).remove(&id);
-        });
-    }
-}
-
-/// Keeps one connection for each peer.
-#[derive(Clone)]
-struct Dialer {
-    endpoint: Endpoint,
-    cached: Arc<Mutex<BTreeMap<SocketAddr, Connection>>>,
-}
-
-impl Dialer {
-    async fn connection(&self, peer: SocketAddr) -> eyre::Result<Connection> {
-        let cached = self.lock().get(&peer).cloned();
-        if let Some(connection) = cached.filter(|c| c.close_reason().is_none()) {
-            return Ok(connection);
-        }
-        let dialing = self.endpoint.connect(peer, super::tls::SERVER_NAME).wrap_err("dial")?;
-        let connection = tokio::time::timeout(DIAL_TIMEOUT, dialing)
-            .await
-            .wrap_err("dial timed out")?
-            .wrap_err("handshake")?;
-        self.lock().insert(peer, connection.clone());
-        Ok(connection)
-    }
-
-    fn forget(&self, peer: SocketAddr) {
-        self.lock().remove(&peer);
-    }
-
-    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<SocketAddr, Connection>> {
-        self.cached.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
--- a/src/link/tls.rs
+++ b/src/link/tls.rs
@@ -1,24 +1,36 @@
 //! The fleet key: one authority, one certificate for processes and one for operators.
 
+use std::fs::OpenOptions;
+use std::io::Write;
+use std::os::unix::fs::OpenOptionsExt;
 use std::path::Path;
 use std::sync::Arc;
 
-use eyre::{WrapErr, eyre};
+use eyre::{WrapErr, ensure, eyre};
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
 use rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, DnType, IsCa, KeyPair};
 use rustls::RootCertStore;
+use rustls::client::verify_server_name;
 use rustls::pki_types::pem::PemObject;
-use rustls::pki_types::{CertificateDer, PrivateKeyDer};
-use rustls::server::WebPkiClientVerifier;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
+use rustls::server::{ParsedCertificate, WebPkiClientVerifier};
+
+use super::permit::PeerKind;
 
 /// The name in the certificate of every process.
 pub const SERVER_NAME: &str = "dotterelpin";
+/// The name in the certificate of operators.
+const OPERATOR_NAME: &str = "operator.dotterelpin";
 /// The protocol with its version, which both sides of a handshake must share.
 const PROTOCOL: &[u8] = b"dotterelpin/1";
 
 const AUTHORITY_FILE: &str = "ca.pem";
-const CERTIFICATE_FILE: &str = "process.pem";
-const KEY_FILE: &str = "process.key";
+const PROCESS_FILES: [&str; 2] = ["process.pem", "process.key"];
+const OPERATOR_FILES: [&str; 2] = ["operator.pem", "operator.key"];
+/// Only the owner reads a private key.
+const KEY_MODE: u32 = 0o600;
+/// Everybody may read a certificate.
+const CERTIFICATE_MODE: u32 = 0o644;
 
 /// Makes a fleet key in a folder that has none yet.
 pub fn make_keys(folder: &Path) -> eyre::Result<()> {
@@ -30,19 +42,44 @@
     params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
     params.distinguished_name.push(DnType::CommonName, "dotterelpin fleet");
     let authority = CertifiedIssuer::self_signed(params, KeyPair::generate()?)?;
-    let key = KeyPair::generate()?;
-    let certificate =
-        CertificateParams::new(vec![SERVER_NAME.to_string()])?.signed_by(&key, &authority)?;
-    write(&folder.join(AUTHORITY_FILE), &authority.pem())?;
-    write(&folder.join(CERTIFICATE_FILE), &certificate.pem())?;
-    write(&folder.join(KEY_FILE), &key.serialize_pem())
+    write(&folder.join(AUTHORITY_FILE), &authority.pem(), CERTIFICATE_MODE)?;
+    for (name, [certificate_file, key_file]) in
+        [(SERVER_NAME, PROCESS_FILES), (OPERATOR_NAME, OPERATOR_FILES)]
+    {
+        let key = KeyPair::generate()?;
+        let certificate =
+            CertificateParams::new(vec![name.to_string()])?.signed_by(&key, &authority)?;
+        write(&folder.join(certificate_file), &certificate.pem(), CERTIFICATE_MODE)?;
+        write(&folder.join(key_file), &key.serialize_pem(), KEY_MODE)?;
+    }
+    Ok(())
 }
 
-fn write(path: &Path, text: &str) -> eyre::Result<()> {
-    std::fs::write(path, text).wrap_err_with(|| format!("write {}", path.display()))
+fn write(path: &Path, text: &str, mode: u32) -> eyre::Result<()> {
+    OpenOptions::new()
+        .write(true)
+        .create_new(true)
+        .mode(mode)
+        .open(path)
+        .and_then(|mut f| f.write_all(text.as_bytes()))
+        .wrap_err_with(|| format!("write {}", path.display()))
+}
+
+/// Returns what the peer of a connection is, by the name in its certificate.
+pub fn peer_kind(connection: &quinn::Connection) -> Option<PeerKind> {
+    let identity = connection.peer_identity()?;
+    let chain = identity.downcast_ref::<Vec<CertificateDer<'static>>>()?;
+    let certificate = ParsedCertificate::try_from(chain.first()?).ok()?;
+    let has_name = |name: &'static str| {
+        ServerName::try_from(name).is_ok_and(|n| verify_server_name(&certificate, &n).is_ok())
+    };
+    if has_name(SERVER_NAME) {
+        return Some(PeerKind::Process);
+    }
+    has_name(OPERATOR_NAME).then_some(PeerKind::Operator)
 }
 
-/// The certificate of this process and the authority that it trusts.
+/// The certificate of this process or operator, and the authorities that it trusts.
 pub struct Identity {
     roots: Arc<RootCertStore>,
     chain: Vec<CertificateDer<'static>>,
@@ -50,20 +87,36 @@
 }
 
 impl Identity {
-    /// Reads the fleet key from its folder.
+    /// Reads the certificate of processes from the folder of the fleet key.
     pub fn load(folder: &Path) -> eyre::Result<Identity> {
+        Identity::read(folder, PROCESS_FILES)
+    }
+
+    /// Reads the certificate of operators from the folder of the fleet key.
+    pub fn load_operator(folder: &Path) -> eyre::Result<Identity> {
+        Identity::read(folder, OPERATOR_FILES)
+    }
+
+    fn read(folder: &Path, [certificate_file, key_file]: [&str; 2]) -> eyre::Result<Identity> {
         let read = |name: &str| -> eyre::Result<Vec<u8>> {
             let path = folder.join(name);
             std::fs::read(&path).wrap_err_with(|| format!("read fleet key {}", path.display()))
         };
         let mut roots = RootCertStore::empty();
-        let authority = CertificateDer::from_pem_slice(&read(AUTHORITY_FILE)?)
-            .map_err(|e| eyre!("parse {AUTHORITY_FILE}: {e}"))?;
-        roots.add(authority).wrap_err("trust the authority")?;
-        let certificate = CertificateDer::from_pem_slice(&read(CERTIFICATE_FILE)?)
-            .map_err(|e| eyre!("parse {CERTIFICATE_FILE}: {e}"))?;
-        let key = PrivateKeyDer::from_pem_slice(&read(KEY_FILE)?)
-            .map_err(|e| eyre!("parse {KEY_FILE}: {e}"))?;
+        // More than one authority is trusted while a fleet key is replaced.
+        for authority in CertificateDer::pem_slice_iter(&read(AUTHORITY_FILE)?) {
+            let authority = authority.map_err(|e| eyre!("parse {AUTHORITY_FILE}: {e}"))?;
+            roots.add(authority).wrap_err("trust the authority")?;
+        }
+        ensure!(
+            !roots.is_empty(),
+            "{} holds no certificate",
+            folder.join(AUTHORITY_FILE).display()
+        );
+        let certificate = CertificateDer::from_pem_slice(&read(certificate_file)?)
+            .map_err(|e| eyre!("parse {certificate_file}: {e}"))?;
+        let key = PrivateKeyDer::from_pem_slice(&read(key_file)?)
+            .map_err(|e| eyre!("parse {key_file}: {e}"))?;
         Ok(Identity { roots: Arc::new(roots), chain: vec![certificate], key })
     }
 
--- a/src/role/driver.rs
+++ b/src/role/driver.rs
@@ -1,6 +1,7 @@
 //! The driver that feeds one role on one thread.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -27,18 +28,27 @@
 #[derive(Debug)]
 pub struct DriverHandle<L> {
     queue: Sender<Event<L>>,
+    depth: Arc<AtomicUsize>,
 }
 
 impl<L> Clone for DriverHandle<L> {
     fn clone(&self) -> Self {
-        DriverHandle { queue: self.queue.clone() }
+        DriverHandle { queue: self.queue.clone(), depth: self.depth.clone() }
     }
 }
 
 impl<L> DriverHandle<L> {
     /// Queues an input; a role that has stopped ignores it.
     pub fn send(&self, event: Event<L>) {
-        let _ = self.queue.send(event);
+        self.depth.fetch_add(1, Ordering::SeqCst);
+        if self.queue.send(event).is_err() {
+            self.depth.fetch_sub(1, Ordering::SeqCst);
+        }
+    }
+
+    /// Returns how many inputs wait.
+    pub fn depth(&self) -> usize {
+        self.depth.load(Ordering::SeqCst)
     }
 
     /// Queues something that happened in the role's own surroundings.
@@ -56,6 +66,10 @@
             LinkEvent::Closed { exchange, failure } => Input::Closed { exchange, failure },
         });
     }
+
+    fn depth(&self) -> usize {
+        DriverHandle::depth(self)
+    }
 }
 
 /// Runs a role on a thread of its own until it says that it has stopped.
@@ -74,7 +88,7 @@
     /// Makes a driver whose handle can be given away before the role starts.
     pub fn new() -> Driver<L> {
         let (sender, queue) = channel();
-        Driver { queue, handle: DriverHandle { queue: sender } }
+        Driver { queue, handle: DriverHandle { queue: sender, depth: Arc::default() } }
     }
 
     /// Returns a handle for whatever feeds the role.
@@ -97,13 +111,14 @@
         let owner = link.register(sink);
         std::thread::Builder::new()
             .name(name.to_string())
-            .spawn(move || run(self.queue, role, link, owner, adapter))
+            .spawn(move || run(self.queue, self.handle.depth, role, link, owner, adapter))
             .wrap_err_with(|| format!("start thread {name}"))
     }
 }
 
 fn run<R: Role>(
     queue: Receiver<Event<R::Local>>,
+    depth: Arc<AtomicUsize>,
     mut role: R,
     link: LinkHandle,
     owner: u64,
@@ -111,7 +126,10 @@
 ) {
     loop {
         let event = match queue.recv_timeout(wait_for(&role)) {
-            Ok(event) => event,
+            Ok(event) => {
+                depth.fetch_sub(1, Ordering::SeqCst);
+                event
+            }
             Err(RecvTimeoutError::Timeout) => Input::Wake,
             Err(RecvTimeoutError::Disconnected) => return,
         };
--- a/src/role/mod.rs
+++ b/src/role/mod.rs
@@ -28,6 +28,8 @@
 pub enum LinkFailure {
     /// No connection stood, so the peer can't have seen the request.
     NotSent,
+    /// The peer does not take such a request from this process's certificate.
+    Forbidden,
     /// The connection or the stream broke after the request may have been seen.
     Broken,
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, missing_docs)]
 
+pub mod relay;
+
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
@@ -120,6 +122,9 @@
     pub controls: Vec<Process>,
     pub entries: Vec<EntryProcess>,
     pub endpoints: Vec<Endpoint>,
+    /// Whether the next agents are reached through relays, one each.
+    pub relayed: bool,
+    pub relays: Vec<relay::Relay>,
     count: usize,
 }
 
@@ -150,6 +155,8 @@
             controls: Vec::new(),
             entries: Vec::new(),
             endpoints: Vec::new(),
+            relayed: false,
+            relays: Vec::new(),
             count: 0,
         };
         let made = fleet.tool(&["keys", &fleet.path("keys")])?;
@@ -222,7 +229,13 @@
         let (listen, pages) = (free_tcp()?, free_tcp()?);
         args.extend(["--listen".into(), listen.to_string()]);
         args.extend(["--agent".into(), pages.to_string()]);
-        let mut agent_args = self.common("agent", &name, domain, free_udp()?);
+        let address = free_udp()?;
+        let mut agent_args = self.common("agent", &name, domain, address);
+        if self.relayed {
+            let relay = relay::Relay::start(address)?;
+            agent_args.extend(["--advertise".into(), relay.address.to_string()]);
+            self.relays.push(relay);
+        }
         agent_args.extend(["--pages".into(), pages.to_string()]);
         let agent = Process::start(&program("dotterelpind"), &agent_args, &name, &self.folder)?;
         let stand_in_name = format!("{name}-stand-in");
--- a/tests/common/relay.rs
+++ b/tests/common/relay.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, missing_docs)]
 
 use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -43,14 +44,16 @@
                 let Ok((length, source)) = socket.recv_from(&mut buffer) else { continue };
                 bytes.fetch_add(length as u64, Ordering::SeqCst);
                 let mut flows = flows.lock().unwrap_or_else(PoisonError::into_inner);
-                if !flows.contains_key(&source) {
-                    let Ok(flow) = open_flow(&socket, source, target, &bytes, &ended) else {
-                        continue;
-                    };
-                    flows.insert(source, flow);
-                }
-                if let Some(flow) = flows.get(&source).filter(|f| !f.silent.load(Ordering::SeqCst))
-                {
+                let flow = match flows.entry(source) {
+                    Entry::Occupied(entry) => entry.into_mut(),
+                    Entry::Vacant(entry) => {
+                        match open_flow(&socket, source, target, &bytes, &ended) {
+                            Ok(flow) => entry.insert(flow),
+                            Err(_) => continue,
+                        }
+                    }
+                };
+                if !flow.silent.load(Ordering::SeqCst) {
                     let _ = flow.upstream.send(&buffer[..length]);
                 }
             }
