Test that a redial keeps a connection that is fresh itself

Cause: the mutation that lets a redial replace a connection of any age passed all tests, since in the storm test the redials come while the dial is under way.

--- a/tests/silent_link.rs
+++ b/tests/silent_link.rs
@@ -21,6 +21,8 @@
 const PATIENCE: Duration = Duration::from_secs(10);
 /// Longer than a connection must have stood before a fresh one may take its place.
 const OLD_ENOUGH: Duration = Duration::from_millis(400);
+/// Shorter than a connection must have stood before a fresh one may take its place.
+const FRESH: Duration = Duration::from_millis(250);
 
 struct Events(Sender<LinkEvent>);
 
@@ -123,6 +125,28 @@
     std::fs::remove_dir_all(folder).unwrap();
 }
 
+#[test]
+fn redial_keeps_a_connection_that_is_fresh_itself() {
+    let (mut near, far, folder) = two_ends();
+    // Whether the connection still is fresh depends on the machine, so slow rounds don't count.
+    let fast = (0..50).any(|_| {
+        let relay = Relay::start(far.address).unwrap();
+        let start = Instant::now();
+        near.open(relay.address);
+        far.answer(1);
+        near.expect_replies(1);
+        near.handle.act(LinkAction::Redial { peer: relay.address });
+        near.open(relay.address);
+        far.answer(1);
+        near.expect_replies(1);
+        let is_fast = start.elapsed() < FRESH;
+        assert!(!is_fast || relay.flows() == 1, "a fresh connection was replaced");
+        is_fast
+    });
+    assert!(fast, "no round was fast enough to count");
+    std::fs::remove_dir_all(folder).unwrap();
+}
+
 #[test]
 fn redial_leaves_a_silent_connection_behind_at_once() {
     let (mut near, far, folder) = two_ends();
