--- a/src/entry/accept.rs
+++ b/src/entry/accept.rs
@@ -4,8 +4,8 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use eyre::WrapErr;
 use http_body_util::{BodyExt, Limited};
@@ -38,6 +38,10 @@
 const CONTENT_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long the last answers may take to be written at shutdown.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long callers that come during the shutdown are still told so.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// How long no caller may come before the shutdown goes on.
+const DRAIN_QUIET: Duration = Duration::from_millis(50);
 /// How long accepting rests after an error, such as no free file descriptor.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Effects that wait for a caller who reads slowly, before the call is dropped.
@@ -48,7 +52,7 @@
 const SINGLE_HEADERS: [&str; 4] =
     ["authorization", "idempotency-key", "x-dotterelpin-class", "x-dotterelpin-deadline-ms"];
 
-/// The calls of an entry, and the way out for those that its role no longer takes.
+/// The calls of an entry, until its role has stopped.
 #[derive(Default)]
 struct Table {
     senders: BTreeMap<CallId, mpsc::Sender<CallerEffect>>,
@@ -56,34 +60,27 @@
 }
 
 impl Table {
-    /// Adds a call, or refuses it if the role has stopped; returns whether it was added.
-    fn add(&mut self, call: CallId, sender: mpsc::Sender<CallerEffect>) -> bool {
-        if self.closed {
-            let _ = sender.try_send(stopped(call));
-        } else {
-            self.senders.insert(call, sender);
-        }
-        !self.closed
-    }
-
-    /// Refuses calls that the role never saw.
+    /// Refuses the calls that a stopped role never saw.
     fn close(&mut self) {
         self.closed = true;
         for (call, sender) in std::mem::take(&mut self.senders) {
-            let _ = sender.try_send(stopped(call));
+            let _ = sender.try_send(CallerEffect::Finish { call, outcome: stopped() });
         }
     }
 }
 
 /// Returns the outcome of a call that reaches an entry after its role has stopped.
-fn stopped(call: CallId) -> CallerEffect {
+fn stopped() -> Terminal {
     let detail = "this entry has shut down";
-    let refusal = Refusal::not_run(RefusalReason::Draining, RETRY_AFTER, detail);
-    CallerEffect::Finish { call, outcome: Terminal::Refused(refusal) }
+    Terminal::Refused(Refusal::not_run(RefusalReason::Draining, RETRY_AFTER, detail))
 }
 
 type Calls = Arc<Mutex<Table>>;
 
+fn lock(calls: &Calls) -> MutexGuard<'_, Table> {
+    calls.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// What callers may hold at once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallerBounds {
@@ -107,8 +104,8 @@
             | CallerEffect::Tokens { call, .. } => *call,
         };
         let last = matches!(effect, CallerEffect::Finish { .. });
-        let calls = &mut self.calls.lock().unwrap_or_else(PoisonError::into_inner).senders;
-        let Some(sender) = calls.get(&call) else { return };
+        let mut calls = lock(&self.calls);
+        let Some(sender) = calls.senders.get(&call) else { return };
         let lost = match sender.try_send(effect) {
             Ok(()) => false,
             Err(TrySendError::Full(_)) => {
@@ -118,7 +115,7 @@
             Err(TrySendError::Closed(_)) => true,
         };
         if lost || last {
-            calls.remove(&call);
+            calls.senders.remove(&call);
         }
         if lost && !last {
             self.role.local(CallerInput::Gone { call });
@@ -134,10 +131,11 @@
 }
 
 impl CallerServer {
-    /// Refuses what the role never saw, takes no more connections, and waits until the last
-    /// answers are written.
+    /// Refuses what the role never saw, and waits until the last answers are written.
+    ///
+    /// Process exit ends the threads that write answers, so nothing may exit before this returns.
     pub fn finish(self) {
-        self.calls.lock().unwrap_or_else(PoisonError::into_inner).close();
+        lock(&self.calls).close();
         let _ = self.stop.send(true);
         if self.thread.join().is_err() {
             log::error!("step=callers error=\"the thread has panicked\"");
@@ -198,11 +196,19 @@
     // Each connection holds a clone of the sender; all are closed when the receiver ends.
     let (running, mut all_closed) = mpsc::channel::<Infallible>(1);
     let connections = Arc::new(AtomicUsize::new(0));
+    let mut last = None;
     loop {
         let taken = tokio::select! {
             taken = listener.accept() => taken,
-            _ = stopped.changed() => break,
+            _ = stopped.changed(), if last.is_none() => {
+                last = Some(Instant::now() + DRAIN_TIMEOUT);
+                continue;
+            }
+            () = tokio::time::sleep(DRAIN_QUIET), if last.is_some() => break,
         };
+        if last.is_some_and(|l| Instant::now() >= l) {
+            break;
+        }
         let (stream, peer) = match taken {
             Ok(taken) => taken,
             Err(error) => {
@@ -235,7 +241,7 @@
 async fn converse(
     stream: TcpStream,
     shared: Shared,
-    mut stopped: watch::Receiver<bool>,
+    stopped: watch::Receiver<bool>,
 ) -> eyre::Result<()> {
     stream.set_nodelay(true).wrap_err("set no delay")?;
     let service = service_fn(move |request| {
@@ -251,11 +257,17 @@
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
     tokio::select! {
         done = connection.as_mut() => return done.wrap_err("serve"),
-        _ = stopped.changed() => connection.as_mut().graceful_shutdown(),
+        () = quiet_after(stopped) => connection.as_mut().graceful_shutdown(),
     }
     connection.await.wrap_err("serve")
 }
 
+/// Ends a while after the stop, so that a request which has just come is still read.
+async fn quiet_after(mut stopped: watch::Receiver<bool>) {
+    let _ = stopped.wait_for(|s| *s).await;
+    tokio::time::sleep(DRAIN_QUIET).await;
+}
+
 /// Serves one request up to its answer, or up to the start of an answer that comes in parts.
 async fn serve(request: Request<Incoming>, shared: Shared) -> Response<AnswerBody> {
     let Some(call) = shared.open() else {
@@ -336,8 +348,14 @@
 
     /// Gives the call to the role.
     fn start(mut self, effects: mpsc::Sender<CallerEffect>, raw: RawCall) -> OpenCall {
-        let added = self.lock().add(self.id, effects);
-        self.started = added;
+        let mut calls = lock(&self.shared.calls);
+        if calls.closed {
+            let _ = effects.try_send(CallerEffect::Finish { call: self.id, outcome: stopped() });
+        } else {
+            calls.senders.insert(self.id, effects);
+            self.started = true;
+        }
+        drop(calls);
         if self.started {
             self.shared.role.local(CallerInput::Arrived { call: self.id, raw });
         }
@@ -348,15 +366,11 @@
     pub fn finish(mut self) {
         self.started = false;
     }
-
-    fn lock(&self) -> std::sync::MutexGuard<'_, Table> {
-        self.shared.calls.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
 
 impl Drop for OpenCall {
     fn drop(&mut self) {
-        self.lock().senders.remove(&self.id);
+        lock(&self.shared.calls).senders.remove(&self.id);
         if self.started {
             self.shared.role.local(CallerInput::Gone { call: self.id });
         }
