Keep each hold until its engine holds nothing for it

Cause: the new fuzz of engine memory showed that a restart of the engine freed holds of work that was still on its way and then ran at the new start without a hold.

A restart now refuses the work to its entry and cancels it; the hold ends once the engine's list lacks it twice. tests/memory.rs compares, after one lease of quiet, the engine's list with the ledger and with the calls that live, and at every step that no running work lacks its hold.

--- a/src/agent/events.rs
+++ b/src/agent/events.rs
@@ -49,18 +49,21 @@
         }
         self.endpoint = Some(announcement);
         if restarted && self.cancellable() {
-            return self.engine_restarted();
+            return self.engine_restarted(now);
         }
         Vec::new()
     }
 
-    /// Frees what a start of the engine held that is over.
-    fn engine_restarted(&mut self) -> Outputs {
-        let lost = self.ledger.restarted();
+    /// Refuses what an earlier start of the engine was doing.
+    fn engine_restarted(&mut self, now: Timestamp) -> Outputs {
         let detail = "the engine has restarted";
         let refusal = Refusal::may_have_run(RefusalReason::EndpointFailed, RETRY_AFTER, detail);
-        let refuse = |inbound| self.reply(inbound, AgentReply::Refused(refusal.clone()), true);
-        lost.into_iter().filter_map(|(_, inbound)| inbound.map(refuse)).collect()
+        let mut outputs = Vec::new();
+        for (request, inbound) in self.ledger.restarted(now) {
+            outputs.push(self.reply(inbound, AgentReply::Refused(refusal.clone()), true));
+            outputs.push(Output::Effect(EngineEffect::Cancel(request)));
+        }
+        outputs
     }
 
     /// Passes on what the engine made; work that is not in the ledger is cancelled.
--- a/src/agent/ledger.rs
+++ b/src/agent/ledger.rs
@@ -163,13 +163,17 @@
         }
     }
 
-    /// Frees everything that work held at an earlier start of the engine.
+    /// Takes the restart of the engine, which has lost its work; what was on its way may still
+    /// come to the new start, so that each hold stays until the engine says it holds nothing.
     ///
-    /// Returns the work that was lost, with the exchange if somebody waits for it.
-    pub fn restarted(&mut self) -> Vec<(RequestId, Option<InboundId>)> {
-        let lost = |h: &&Hold| !matches!(h.phase, Phase::Reserved { .. });
-        let requests: Vec<_> = self.holds.values().filter(lost).map(|h| h.request).collect();
-        requests.into_iter().map(|r| (r, self.release(r))).collect()
+    /// Returns the work that was awaited, with its exchange.
+    pub fn restarted(&mut self, now: Timestamp) -> Vec<(RequestId, InboundId)> {
+        let mut lost = Vec::new();
+        for hold in self.holds.values_mut().filter(|h| h.phase == Phase::Running) {
+            lost.push((hold.request, hold.inbound));
+            hold.phase = cancelling(now, false);
+        }
+        lost
     }
 
     /// Frees reservations whose lease has lapsed.
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -79,6 +79,11 @@
         }
     }
 
+    /// Returns what is held at the endpoint.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
     fn boot(&self) -> BootId {
         self.settings.follower.boot
     }
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -1,11 +1,10 @@
 //! A request that may not be repeated runs at most once, and "not run" is true.
 
-mod common;
+mod world;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use common::world::{Node, World, runner};
 use dotterelpin::agent::engine::{EngineEffect, EngineInput, Work};
 use dotterelpin::entry::check::RawCall;
 use dotterelpin::entry::{CallerEffect, Terminal};
@@ -15,6 +14,7 @@
 };
 use proptest::collection::vec;
 use proptest::prelude::{Just, Strategy, any, prop_oneof};
+use world::{Node, World, runner};
 
 const ENTRIES: usize = 2;
 const AGENTS: usize = 2;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,8 +2,6 @@
 
 #![allow(dead_code, missing_docs)]
 
-pub mod world;
-
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
--- /dev/null
+++ b/tests/memory.rs
@@ -0,0 +1,248 @@
+//! No engine memory stays held for a request that ended, was cancelled or lost its caller.
+
+mod world;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use dotterelpin::agent::ledger::Phase;
+use dotterelpin::entry::CallerEffect;
+use dotterelpin::entry::check::RawCall;
+use dotterelpin::model::{BootId, CallId, EndpointKind};
+use proptest::collection::vec;
+use proptest::prelude::{Just, Strategy, any, prop_oneof};
+use world::engine::{Engines, announcement};
+use world::{Node, World, runner};
+
+const ENTRIES: usize = 2;
+const ENDPOINTS: usize = 4;
+/// The time after which nothing may be held for a request that is over.
+const LEASE: Duration = Duration::from_millis(2_000);
+
+#[derive(Debug, Clone)]
+enum Op {
+    Call {
+        entry: usize,
+        tokens: u32,
+    },
+    Gone(usize),
+    /// Deliver so many of the oldest messages.
+    Flow(usize),
+    Deliver(usize),
+    Work(usize),
+    Order(usize),
+    Disconnect(usize),
+    Crash {
+        engine: usize,
+        announce: bool,
+    },
+    Break(usize),
+    Silence(usize),
+    Kill(Node),
+    Restart(Node),
+    Pass(u64),
+}
+
+fn node() -> impl Strategy<Value = Node> {
+    prop_oneof![(0..ENTRIES).prop_map(Node::Entry), (0..ENDPOINTS).prop_map(Node::Agent)]
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let pick = || 0..16_usize;
+    prop_oneof![
+        5 => (0..ENTRIES, 4..200_u32).prop_map(|(entry, tokens)| Op::Call { entry, tokens }),
+        2 => pick().prop_map(Op::Gone),
+        12 => (0..12_usize).prop_map(Op::Flow),
+        12 => pick().prop_map(Op::Deliver),
+        20 => pick().prop_map(Op::Work),
+        8 => pick().prop_map(Op::Order),
+        3 => pick().prop_map(Op::Disconnect),
+        1 => (0..ENDPOINTS, any::<bool>())
+            .prop_map(|(engine, announce)| Op::Crash { engine, announce }),
+        1 => pick().prop_map(Op::Break),
+        1 => pick().prop_map(Op::Silence),
+        1 => node().prop_map(Op::Kill),
+        2 => node().prop_map(Op::Restart),
+        5 => prop_oneof![4 => Just(30), 2 => Just(300), 1 => Just(1_100)].prop_map(Op::Pass),
+    ]
+}
+
+struct Test {
+    world: World,
+    engines: Engines,
+    live: BTreeSet<(BootId, CallId)>,
+    begun: u32,
+}
+
+impl Test {
+    fn new() -> Test {
+        let kinds = [
+            EndpointKind::Prefill,
+            EndpointKind::Prefill,
+            EndpointKind::Decode,
+            EndpointKind::Decode,
+        ];
+        let announcements = kinds.into_iter().map(announcement).collect();
+        Test {
+            world: World::new(ENTRIES, announcements),
+            engines: Engines::default(),
+            live: BTreeSet::new(),
+            begun: 0,
+        }
+    }
+
+    fn apply(&mut self, op: &Op) {
+        match *op {
+            Op::Call { entry, tokens } => {
+                let raw = summary("rivers", tokens);
+                self.live.extend(self.world.call(entry, raw));
+            }
+            Op::Gone(pick) => {
+                let open: Vec<_> = self.live.iter().copied().collect();
+                if let Some(name) = open.get(pick % open.len().max(1)) {
+                    self.live.remove(name);
+                    self.world.gone(name.0, name.1);
+                }
+            }
+            Op::Flow(count) => {
+                for _ in 0..count {
+                    self.world.deliver(0);
+                    self.collect();
+                }
+            }
+            Op::Deliver(pick) => {
+                self.world.deliver(pick);
+            }
+            Op::Work(pick) => self.engines.go_on(&mut self.world, pick),
+            Op::Order(pick) => self.engines.carry_order(&mut self.world, pick),
+            Op::Disconnect(pick) => self.engines.disconnect(&mut self.world, pick),
+            Op::Crash { engine, announce } => {
+                self.engines.crash(&mut self.world, engine, announce);
+            }
+            Op::Break(pick) => self.world.break_stream(pick),
+            Op::Silence(pick) => self.world.silence(pick),
+            Op::Kill(node) => {
+                self.world.kill(node);
+                if let Node::Agent(agent) = node {
+                    self.engines.agent_killed(agent);
+                }
+            }
+            Op::Restart(node) => self.world.restart(node),
+            Op::Pass(ms) => self.world.advance(Duration::from_millis(ms)),
+        }
+        self.collect();
+    }
+
+    fn collect(&mut self) {
+        self.engines.take(&mut self.world);
+        for (boot, effect) in std::mem::take(&mut self.world.told) {
+            match effect {
+                CallerEffect::Finish { call, .. } => {
+                    self.live.remove(&(boot, call));
+                }
+                CallerEffect::Begin { .. } => self.begun += 1,
+                CallerEffect::Tokens { .. } => {}
+            }
+        }
+        self.check_ledgers();
+    }
+
+    /// No agent forgets what its engine still runs.
+    fn check_ledgers(&self) {
+        for agent in 0..ENDPOINTS {
+            let Some(role) = self.world.agent(agent) else { continue };
+            for request in self.engines.expected(agent, self.world.agent_boot(agent)) {
+                assert!(role.ledger().holds(request), "{agent} runs {request} without a hold");
+            }
+        }
+    }
+
+    /// Everything that is asked for happens at once; streams go on by some tokens a second.
+    fn run_for(&mut self, span: Duration, work_interval: Duration) {
+        let until = self.world.now + span;
+        while self.world.now < until {
+            for job in 0..self.engines.jobs.len() {
+                self.engines.go_on(&mut self.world, job);
+                self.settle();
+            }
+            self.settle();
+            self.world.advance(work_interval);
+            self.settle();
+        }
+    }
+
+    fn settle(&mut self) {
+        self.collect();
+        while self.world.deliver(0) || self.engines.orders_left() > 0 {
+            self.engines.carry_order(&mut self.world, 0);
+            self.collect();
+        }
+    }
+
+    /// When all is quiet for one lease, engines hold exactly what live requests need.
+    fn check(&mut self) {
+        for agent in 0..ENDPOINTS {
+            let ledger = self.world.agent(agent).unwrap().ledger();
+            let held: BTreeSet<String> = ledger
+                .phases()
+                .filter(|(_, phase)| !matches!(phase, Phase::Reserved { .. }))
+                .map(|(request, _)| request.to_string())
+                .collect();
+            let runs: BTreeSet<String> = self.engines.running(agent).into_iter().collect();
+            assert_eq!(runs, held, "the engine's list and the ledger of {agent} differ");
+            for (request, _) in ledger.phases() {
+                let name = (request.owner, request.call);
+                assert!(self.live.contains(&name), "{agent} holds room for {request}, which ended");
+            }
+        }
+    }
+}
+
+fn summary(prompt: &str, tokens: u32) -> RawCall {
+    let body = serde_json::json!({ "model": "cs-summary", "prompt": prompt, "max_tokens": tokens });
+    RawCall {
+        method: "POST".into(),
+        path: "/v1/completions".into(),
+        headers: BTreeMap::from([("authorization".into(), "Bearer secret".into())]),
+        content: body.to_string().into_bytes(),
+    }
+}
+
+#[test]
+fn engines_hold_exactly_what_live_requests_need() {
+    runner(2, 300)
+        .run(&vec(op(), 0..200), |ops| {
+            let mut test = Test::new();
+            for op in &ops {
+                test.apply(op);
+            }
+            test.world.heal();
+            test.live.retain(|(owner, _)| test.world.is_owner_alive(*owner));
+            test.run_for(LEASE, Duration::from_millis(100));
+            test.check();
+            test.run_for(Duration::from_secs(10), Duration::from_millis(20));
+            assert!(test.live.is_empty(), "calls without an outcome: {:?}", test.live);
+            test.run_for(LEASE, Duration::from_millis(100));
+            test.check();
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn import_that_completes_after_its_cancel_is_cancelled_again() {
+    let mut test = Test::new();
+    let prefilled = [Op::Call { entry: 0, tokens: 200 }, Op::Flow(4), Op::Work(0), Op::Work(0)];
+    // The decode's connection breaks on its way, and the engine says that it holds nothing.
+    let lost = [Op::Flow(4), Op::Disconnect(0), Op::Order(0), Op::Order(0), Op::Work(0)];
+    for op in prefilled.iter().chain(&lost) {
+        test.apply(op);
+    }
+    let strays = (0..ENDPOINTS).filter(|e| !test.engines.running(*e).is_empty()).count();
+    assert_eq!(strays, 1, "the import came late");
+    let gone: Vec<_> = test.live.iter().copied().collect();
+    gone.into_iter().for_each(|name| test.world.gone(name.0, name.1));
+    test.live.clear();
+    test.run_for(LEASE, Duration::from_millis(100));
+    test.check();
+}
--- /dev/null
+++ b/tests/world/engine.rs
@@ -0,0 +1,293 @@
+//! A small fake of model engines: slots, exports, streams, cancels and a list.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use dotterelpin::agent::engine::{EngineEffect, EngineInput, Work};
+use dotterelpin::link::message::Export;
+use dotterelpin::model::{Announcement, BootId, Capacity, EndpointKind, Ran, RequestId, Timestamp};
+
+use super::World;
+
+const SLOTS: usize = 4;
+const EXPORT_LIFE: Duration = Duration::from_millis(800);
+/// Tokens after which the prompts that end in "stop" are at their end.
+pub const STOP_TOKENS: u32 = 5;
+
+pub fn announcement(kind: EndpointKind) -> Announcement {
+    Announcement {
+        url: "http://127.0.0.1:9".into(),
+        kind,
+        pool: "cs-summary".into(),
+        capacity: Capacity { slots: SLOTS as u32, pieces: 60, piece_tokens: 2_000 },
+        fenced: false,
+        boot: BootId(1),
+    }
+}
+
+/// The token of a prompt at an offset.
+pub fn token(prompt: &str, offset: u32) -> Box<str> {
+    format!("{prompt}.{offset} ").into()
+}
+
+/// What an agent's thread carries, or what runs at the engine.
+#[derive(Debug)]
+pub struct Job {
+    endpoint: usize,
+    agent: BootId,
+    request: RequestId,
+    work: Work,
+    /// Whether it takes a slot.
+    pub runs: bool,
+    cancelled: bool,
+    /// Whether it came to the engine after the engine said that it holds nothing for it.
+    late: bool,
+    /// Whether the agent still listens.
+    connected: bool,
+    /// The prompt, once the KV cache is imported.
+    prompt: Option<Box<str>>,
+    offset: u32,
+}
+
+/// The latest tokens of any job.
+#[derive(Debug, Clone)]
+struct Part {
+    endpoint: usize,
+    agent: BootId,
+    request: RequestId,
+    offset: u32,
+    tokens: Vec<Box<str>>,
+}
+
+#[derive(Debug)]
+enum Order {
+    Cancel(RequestId),
+    CancelStranger(Box<str>),
+    List,
+}
+
+/// All engines of a fuzz test.
+#[derive(Default)]
+pub struct Engines {
+    pub jobs: Vec<Job>,
+    orders: Vec<(usize, BootId, Order)>,
+    exports: BTreeMap<Box<str>, (Box<str>, u32, Timestamp)>,
+    /// Answers on their way to an agent.
+    answers: Vec<(usize, BootId, EngineInput)>,
+    last_part: Option<Part>,
+}
+
+impl Engines {
+    /// Takes what agents have asked for.
+    pub fn take(&mut self, world: &mut World) {
+        for (endpoint, agent, effect) in std::mem::take(&mut world.effects) {
+            let order = match effect {
+                EngineEffect::Start { request, work } => {
+                    self.jobs.push(Job {
+                        endpoint,
+                        agent,
+                        request,
+                        work,
+                        runs: false,
+                        cancelled: false,
+                        late: false,
+                        connected: true,
+                        prompt: None,
+                        offset: 0,
+                    });
+                    continue;
+                }
+                EngineEffect::Cancel(request) => Order::Cancel(request),
+                EngineEffect::CancelStranger(name) => Order::CancelStranger(name),
+                EngineEffect::List => Order::List,
+                EngineEffect::Order { .. } => continue,
+            };
+            self.orders.push((endpoint, agent, order));
+        }
+    }
+
+    /// Returns the names of what runs at an endpoint.
+    pub fn running(&self, endpoint: usize) -> Vec<String> {
+        let here = self.jobs.iter().filter(|j| j.endpoint == endpoint && j.runs);
+        here.map(|j| j.request.to_string()).collect()
+    }
+
+    /// Lets one job go on by one step.
+    pub fn go_on(&mut self, world: &mut World, pick: usize) {
+        let index = pick % self.jobs.len().max(1);
+        let Some(job) = self.jobs.get(index) else { return };
+        if !job.runs {
+            let full = self.running(job.endpoint).len() >= SLOTS;
+            // A dead agent's request may still arrive.
+            match full {
+                true => self.fail(world, index, Ran::No),
+                false => self.jobs[index].runs = true,
+            }
+        } else if job.cancelled {
+            self.fail(world, index, Ran::Maybe);
+        } else {
+            match job.work {
+                Work::Prefill { .. } => self.prefill(world, index),
+                Work::Decode { .. } => self.decode(world, index),
+                Work::Call { .. } => {}
+            }
+        }
+    }
+
+    fn prefill(&mut self, world: &mut World, index: usize) {
+        let job = self.jobs.remove(index);
+        let Work::Prefill { prompt, prefix, .. } = job.work else { return };
+        let name: Box<str> = format!("{}-{}", job.endpoint, job.request).into();
+        let length = prefix.len() as u32;
+        self.exports.insert(name.clone(), (prompt, length, world.now + EXPORT_LIFE));
+        let export = Export { url: "http://127.0.0.1:9".into(), name, tokens: length };
+        if job.connected {
+            let request = job.request;
+            world.engine(job.endpoint, job.agent, EngineInput::Exported { request, export });
+        }
+    }
+
+    fn decode(&mut self, world: &mut World, index: usize) {
+        let job = &mut self.jobs[index];
+        let Work::Decode { export, from, until } = &job.work else { return };
+        let (from, until) = (*from, *until);
+        let Some(prompt) = job.prompt.clone() else {
+            let found = self.exports.get(&export.name).filter(|e| e.2 > world.now);
+            // An engine generates from the end of the KV cache that it has got.
+            match found {
+                Some((prompt, length, _)) if *length == from => {
+                    job.prompt = Some(prompt.clone());
+                    job.offset = from;
+                }
+                _ => self.fail(world, index, Ran::Maybe),
+            }
+            return;
+        };
+        let (endpoint, agent, request) = (job.endpoint, job.agent, job.request);
+        let last = if prompt.ends_with("stop") { until.min(STOP_TOKENS) } else { until };
+        let offset = job.offset;
+        let input = if offset >= last {
+            let finish = if last < until { "stop" } else { "length" };
+            EngineInput::End { request, offset, finish: finish.into() }
+        } else {
+            let end = last.min(offset + 1 + offset % 2);
+            job.offset = end;
+            let tokens: Vec<_> = (offset..end).map(|o| token(&prompt, o)).collect();
+            self.last_part =
+                Some(Part { endpoint, agent, request, offset, tokens: tokens.clone() });
+            EngineInput::Part { request, offset, tokens }
+        };
+        let connected = job.connected;
+        if matches!(input, EngineInput::End { .. }) {
+            self.jobs.remove(index);
+        }
+        if connected {
+            world.engine(endpoint, agent, input);
+        }
+    }
+
+    /// Ends a job with a failure that its agent hears of.
+    fn fail(&mut self, world: &mut World, index: usize, ran: Ran) {
+        let job = self.jobs.remove(index);
+        if job.connected {
+            let (request, detail) = (job.request, "failed".into());
+            world.engine(job.endpoint, job.agent, EngineInput::Failed { request, ran, detail });
+        }
+    }
+
+    /// Carries out one cancel or list, or brings one answer to its agent.
+    pub fn carry_order(&mut self, world: &mut World, pick: usize) {
+        let count = self.orders.len() + self.answers.len();
+        let index = pick % count.max(1);
+        if index >= self.orders.len() {
+            if count > 0 {
+                let (endpoint, agent, input) = self.answers.remove(index - self.orders.len());
+                world.engine(endpoint, agent, input);
+            }
+            return;
+        }
+        let (endpoint, agent, order) = self.orders.remove(index);
+        let input = match order {
+            Order::Cancel(request) => {
+                self.cancel(endpoint, &request.to_string());
+                let gone = !self.running(endpoint).contains(&request.to_string());
+                let waits = |j: &&mut Job| j.request == request && j.endpoint == endpoint;
+                self.jobs.iter_mut().filter(waits).for_each(|j| j.late |= !j.runs);
+                EngineInput::Cancelled { request, gone }
+            }
+            Order::CancelStranger(name) => return self.cancel(endpoint, &name),
+            Order::List => {
+                let running = self.running(endpoint).into_iter().map(Into::into).collect();
+                EngineInput::Listed { running }
+            }
+        };
+        self.answers.push((endpoint, agent, input));
+    }
+
+    /// The engine takes the cancel; the work ends with its next step.
+    fn cancel(&mut self, endpoint: usize, name: &str) {
+        for job in &mut self.jobs {
+            job.cancelled |=
+                job.endpoint == endpoint && job.runs && job.request.to_string() == name;
+        }
+    }
+
+    /// Breaks the connection of a job; the engine goes on with it.
+    pub fn disconnect(&mut self, world: &mut World, pick: usize) {
+        let index = pick % self.jobs.len().max(1);
+        let Some(job) = self.jobs.get_mut(index).filter(|j| j.connected) else { return };
+        job.connected = false;
+        let (endpoint, agent, request) = (job.endpoint, job.agent, job.request);
+        let input = EngineInput::Failed { request, ran: Ran::Maybe, detail: "broken".into() };
+        world.engine(endpoint, agent, input);
+    }
+
+    /// Ends an engine and starts it anew; its agent hears of that by an announcement alone, or by
+    /// broken connections alone.
+    pub fn crash(&mut self, world: &mut World, endpoint: usize, announce: bool) {
+        let runs = |j: &Job| j.endpoint == endpoint && j.runs;
+        while let Some(index) = self.jobs.iter().position(runs) {
+            if announce {
+                self.jobs.remove(index);
+            } else {
+                self.fail(world, index, Ran::Maybe);
+            }
+        }
+        self.exports.retain(|name, _| !name.starts_with(&format!("{endpoint}-")));
+        if announce {
+            world.announce_next(endpoint);
+        }
+    }
+
+    /// Brings the latest part once more, or with a gap, or with an end mark that is early.
+    pub fn distort(&mut self, world: &mut World, how: u8) {
+        let Some(Part { endpoint, agent, request, offset, tokens }) = self.last_part.clone() else {
+            return;
+        };
+        let input = match how % 3 {
+            0 => EngineInput::Part { request, offset, tokens },
+            1 => EngineInput::Part { request, offset: offset + 7, tokens },
+            _ => EngineInput::End { request, offset, finish: "length".into() },
+        };
+        world.engine(endpoint, agent, input);
+    }
+
+    /// Notes the end of an agent: its connections to the engine are gone.
+    pub fn agent_killed(&mut self, endpoint: usize) {
+        for job in self.jobs.iter_mut().filter(|j| j.endpoint == endpoint) {
+            job.connected = false;
+        }
+        self.orders.retain(|(e, _, _)| *e != endpoint);
+    }
+
+    /// Returns what an engine runs and its agent must know of.
+    pub fn expected(&self, endpoint: usize, agent: BootId) -> Vec<RequestId> {
+        let known = |j: &&Job| j.endpoint == endpoint && j.agent == agent && j.runs && !j.late;
+        self.jobs.iter().filter(known).map(|j| j.request).collect()
+    }
+
+    /// Returns how much there is to do for engines.
+    pub fn orders_left(&self) -> usize {
+        self.orders.len() + self.answers.len()
+    }
+}
--- a/tests/common/world.rs
+++ b/tests/world/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, missing_docs)]
 
+pub mod engine;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -16,7 +18,8 @@
     Beat, ControlReply, ControlRequest, Envelope, Heartbeat, Reply, Request,
 };
 use dotterelpin::model::{
-    Announcement, BootId, CallId, EndpointState, ExchangeId, InboundId, Revision, Timestamp,
+    Announcement, BootId, CallId, EndpointKind, EndpointState, ExchangeId, InboundId, Revision,
+    Timestamp,
 };
 use dotterelpin::registry::{FollowerSettings, HEARTBEAT_LEASE};
 use dotterelpin::role::{Input, LinkFailure, Output, Role};
@@ -154,6 +157,14 @@
         self.agents[agent].1.as_ref()
     }
 
+    pub fn agent_boot(&self, agent: usize) -> BootId {
+        self.agents[agent].0
+    }
+
+    pub fn kind(&self, agent: usize) -> EndpointKind {
+        self.announcements[agent].kind
+    }
+
     pub fn kill(&mut self, node: Node) {
         if !self.is_alive(node) {
             return;
@@ -214,9 +225,9 @@
         self.wake_due();
     }
 
-    /// Announces another start of an endpoint.
-    pub fn announce(&mut self, agent: usize, boot: BootId) {
-        self.announcements[agent].boot = boot;
+    /// Starts an endpoint anew and announces it.
+    pub fn announce_next(&mut self, agent: usize) {
+        self.announcements[agent].boot = BootId(self.number());
         let announcement = self.announcements[agent].clone();
         self.engine(agent, self.agents[agent].0, EngineInput::Announced(announcement));
     }
@@ -278,8 +289,8 @@
         let steps = self.steps();
         let Some(step) = steps.get(pick % steps.len().max(1)).copied() else { return false };
         match step {
-            Step::ToPeer(index) => self.to_peer(index),
-            Step::ToOpener(index) => self.to_opener(index),
+            Step::ToPeer(index) => self.deliver_request(index),
+            Step::ToOpener(index) => self.deliver_reply(index),
             Step::Commit(index) => self.commit(index),
         }
         let done = |s: &Stream| {
@@ -330,7 +341,7 @@
         self.restart_all();
     }
 
-    fn to_peer(&mut self, index: usize) {
+    fn deliver_request(&mut self, index: usize) {
         let stream = &mut self.streams[index];
         let Some(envelope) = stream.requests.pop_front() else {
             stream.peer_done = true;
@@ -368,7 +379,7 @@
         }
     }
 
-    fn to_opener(&mut self, index: usize) {
+    fn deliver_reply(&mut self, index: usize) {
         let stream = &mut self.streams[index];
         let exchange = stream.exchange;
         let (node, boot) = stream.opener;
