--- /dev/null
+++ b/benches/policy/report.rs
@@ -0,0 +1,108 @@
+//! The table and the plot.
+
+use std::fmt::Write;
+
+use super::world::{Fault, Figures, percentile};
+
+/// The median figures of one cell with the spread of its goodput.
+pub struct Row {
+    pub user: &'static str,
+    pub load: u32,
+    pub fault: Fault,
+    pub variant: String,
+    pub best: f64,
+    pub median: Figures,
+    pub spread: (f64, f64),
+}
+
+/// Takes the median over seeds of each figure by itself.
+pub fn median(runs: &[Figures]) -> (Figures, (f64, f64)) {
+    let of = |field: fn(&Figures) -> f64| {
+        let mut all: Vec<f64> = runs.iter().map(field).collect();
+        percentile(&mut all, 0.5)
+    };
+    let figures = Figures {
+        goodput: of(|f| f.goodput),
+        rate: of(|f| f.rate),
+        wasted: of(|f| f.wasted),
+        refused: of(|f| f.refused),
+        ttft: of(|f| f.ttft),
+        token: of(|f| f.token),
+        service: of(|f| f.service),
+        cached: of(|f| f.cached),
+        late: of(|f| f.late),
+    };
+    let all = runs.iter().map(|f| f.goodput);
+    (figures, (all.clone().fold(f64::MAX, f64::min), all.fold(0.0, f64::max)))
+}
+
+/// Prints all rows.
+pub fn table(rows: &[Row]) -> String {
+    let mut text = String::from(
+        "| user | load % | fault | variant | goodput % (min..max) | good/s | best % | of best % \
+         | wasted/100 | refused % | late % | TTFT p95 ms | token p95 ms | cached % | services % |\n\
+         |---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n",
+    );
+    for row in rows {
+        let m = &row.median;
+        let _ = writeln!(
+            text,
+            "| {} | {} | {} | {} | {:.1} ({:.1}..{:.1}) | {:.1} | {:.1} | {:.0} | {:.1} | {:.1} \
+             | {:.1} | {:.0} | {:.1} | {:.0} | {:.1} |",
+            row.user,
+            row.load,
+            row.fault.as_str(),
+            row.variant,
+            m.goodput,
+            row.spread.0,
+            row.spread.1,
+            m.rate,
+            row.best,
+            100.0 * m.goodput / row.best,
+            m.wasted,
+            m.refused,
+            m.late,
+            m.ttft,
+            m.token,
+            m.cached,
+            m.service,
+        );
+    }
+    text
+}
+
+const BAR: usize = 14;
+const WIDTH: usize = 300;
+const LABEL: usize = 330;
+
+/// Draws goodput (left) and wasted prefill (right) as bars, one line for each row.
+pub fn svg(rows: &[Row]) -> String {
+    let height = 40 + rows.len() * BAR;
+    let width = LABEL + 2 * WIDTH + 120;
+    let mut text = format!(
+        "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{width}\" height=\"{height}\" \
+         font-family=\"sans-serif\" font-size=\"10\">\n\
+         <text x=\"{LABEL}\" y=\"14\">goodput % (mark: best)</text>\n\
+         <text x=\"{}\" y=\"14\">wasted prefill per 100</text>\n",
+        LABEL + WIDTH + 60
+    );
+    for (index, row) in rows.iter().enumerate() {
+        let y = 24 + index * BAR;
+        let scale = |share: f64| share.min(100.0) / 100.0 * WIDTH as f64;
+        let name = format!("{} {}% {} {}", row.user, row.load, row.fault.as_str(), row.variant);
+        let right = LABEL + WIDTH + 60;
+        let _ = writeln!(
+            text,
+            "<text x=\"4\" y=\"{}\">{name}</text>\
+             <rect x=\"{LABEL}\" y=\"{y}\" width=\"{:.1}\" height=\"10\" fill=\"#4477aa\"/>\
+             <rect x=\"{:.1}\" y=\"{y}\" width=\"1\" height=\"10\" fill=\"black\"/>\
+             <rect x=\"{right}\" y=\"{y}\" width=\"{:.1}\" height=\"10\" fill=\"#cc6677\"/>",
+            y + 9,
+            scale(row.median.goodput),
+            LABEL as f64 + scale(row.best),
+            scale(row.median.wasted),
+        );
+    }
+    text.push_str("</svg>\n");
+    text
+}
