--- a/benches/policy/main.rs
+++ b/benches/policy/main.rs
@@ -12,7 +12,7 @@
 use std::sync::{Mutex, PoisonError};
 
 use dotterelpin::entry::Entry;
-use dotterelpin::entry::place::RoundRobin;
+use dotterelpin::entry::place::Variant;
 use load::{USERS, User};
 use report::{Row, median, svg, table};
 use world::{Fault, World};
@@ -20,14 +20,13 @@
 const LOADS: [u32; 3] = [80, 100, 130];
 const SEEDS: [u64; 5] = [1, 2, 3, 4, 5];
 const THREADS: usize = 4;
-const VARIANTS: [&str; 1] = ["round-robin"];
 
 #[derive(Clone, Copy)]
 struct Cell {
     user: User,
     load: u32,
     fault: Fault,
-    variant: &'static str,
+    variant: Variant,
 }
 
 fn chosen(variable: &str, name: &str) -> bool {
@@ -40,7 +39,7 @@
     for user in USERS.into_iter().filter(|u| chosen("_USER", u.name)) {
         for load in LOADS.into_iter().filter(|l| chosen("_LOAD", &l.to_string())) {
             for fault in Fault::ALL.into_iter().filter(|f| chosen("_FAULT", f.as_str())) {
-                for variant in VARIANTS.into_iter().filter(|v| chosen("_VARIANT", v)) {
+                for variant in Variant::ALL.into_iter().filter(|v| chosen("_VARIANT", v.as_str())) {
                     cells.push(Cell { user, load, fault, variant });
                 }
             }
@@ -52,7 +51,7 @@
 fn measure(cell: &Cell, seeds: &[u64]) -> Row {
     let run = |seed: &u64| {
         World::new(cell.user, f64::from(cell.load) / 100.0, cell.fault, *seed, &|who, tenants| {
-            Entry::new(who, tenants, Box::new(RoundRobin::default()))
+            Entry::new(who, tenants, cell.variant.placement(*seed))
         })
         .run()
     };
--- a/benches/policy/world.rs
+++ b/benches/policy/world.rs
@@ -424,7 +424,7 @@
             },
             Output::Send { exchange, envelope } => {
                 let Some(&inbound) = self.exchanges.get(&(entry, exchange)) else { return };
-                let node = self.inbounds[&inbound].2;
+                let Some(&(_, _, node)) = self.inbounds.get(&inbound) else { return };
                 self.send(node, Input::Request { inbound, envelope });
             }
             Output::Reset { exchange } => {
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -2,16 +2,19 @@
 
 pub mod engine;
 pub mod ledger;
+pub mod queue;
 pub mod settle;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use engine::{EngineEffect, EngineInput, Work};
 use ledger::{Hold, Ledger, Phase};
+use queue::PrefillQueue;
 use settle::Settlements;
 
-use crate::link::message::{AgentReply, AgentRequest, Export, Order, Reply, Request, Settled};
+use crate::link::message::{AgentReply, AgentRequest, Order, Reply, Request, Settled};
 use crate::model::{
     Announcement, Body, BootId, Class, EndpointKind, EndpointState, ExchangeId, Fence, InboundId,
     Load, Ran, Refusal, RefusalReason, RequestId, Timestamp,
@@ -40,6 +43,9 @@
     endpoint: Option<Announcement>,
     ledger: Ledger,
     settlements: Settlements,
+    prefills: PrefillQueue,
+    /// When imports that have brought no token yet count as stalled.
+    imports: BTreeMap<RequestId, Timestamp>,
     draining: bool,
     stopping: bool,
     fence: Fence,
@@ -58,6 +64,8 @@
             endpoint: None,
             ledger: Ledger::default(),
             settlements: Settlements::default(),
+            prefills: PrefillQueue::default(),
+            imports: BTreeMap::new(),
             draining: false,
             stopping: false,
             fence: Fence(0),
@@ -89,7 +97,12 @@
 
     fn load(&self) -> Load {
         let (slots, pieces) = self.ledger.in_use();
-        Load { slots, pieces, prompt_tokens: 0 }
+        Load {
+            slots,
+            pieces,
+            prompt_tokens: self.prefills.tokens(),
+            prefill_rate: self.prefills.rate(),
+        }
     }
 
     fn reply(&self, inbound: InboundId, reply: AgentReply, last: bool) -> Output<EngineEffect> {
@@ -99,7 +112,12 @@
     fn refuse(&self, inbound: InboundId, reason: RefusalReason, detail: &str) -> Outputs {
         log::info!("step=refuse reason={} detail={detail:?}", reason.as_str());
         let refusal = Refusal::not_run(reason, RETRY_AFTER, detail);
-        vec![self.reply(inbound, AgentReply::Refused(refusal), true)]
+        vec![self.tell_load(inbound), self.reply(inbound, AgentReply::Refused(refusal), true)]
+    }
+
+    /// Tells an entry the load, from which it learns what others have here.
+    fn tell_load(&self, inbound: InboundId) -> Output<EngineEffect> {
+        self.reply(inbound, AgentReply::Load(self.load()), false)
     }
 
     fn request(&mut self, now: Timestamp, inbound: InboundId, request: AgentRequest) -> Outputs {
@@ -107,11 +125,13 @@
             AgentRequest::Reserve { request, class: _, tokens, lease } => {
                 self.reserve(now, inbound, request, tokens, lease)
             }
-            AgentRequest::Prefill { request, class, prompt, prefix } => {
-                self.prefill(now, inbound, request, class, prompt, prefix)
+            AgentRequest::Prefill { request, class, prompt, prefix, within } => {
+                let work = Work::Prefill { class, prompt, prefix };
+                self.prefill(now, inbound, request, class, work, within)
             }
-            AgentRequest::Decode { export, from, until } => {
-                self.decode(inbound, export, from, until)
+            AgentRequest::Decode { export, from, until, within } => {
+                let stalled = within.map(|span| now + span);
+                self.decode(inbound, Work::Decode { export, from, until }, stalled)
             }
             AgentRequest::Call { request, boot, repeatable, body, .. } => {
                 self.call(now, inbound, request, boot, repeatable, body)
@@ -165,40 +185,89 @@
         lease: Duration,
     ) -> Outputs {
         match self.hold(request, inbound, tokens, Phase::Reserved { until: now + lease }) {
-            Ok(()) => vec![self.reply(inbound, AgentReply::Reserved, false)],
+            Ok(()) => {
+                vec![self.tell_load(inbound), self.reply(inbound, AgentReply::Reserved, false)]
+            }
             Err((reason, detail)) => self.refuse(inbound, reason, detail),
         }
     }
 
     fn prefill(
         &mut self,
-        _now: Timestamp,
+        now: Timestamp,
         inbound: InboundId,
         request: RequestId,
         class: Class,
-        prompt: Box<str>,
-        prefix: Vec<Box<str>>,
+        work: Work,
+        within: Option<Duration>,
     ) -> Outputs {
-        let tokens = crate::model::call::prompt_tokens(&prompt) + prefix.len() as u32;
-        match self.hold(request, inbound, tokens, Phase::Running) {
-            Ok(()) => {
-                let work = Work::Prefill { class, prompt, prefix };
-                vec![Output::Effect(EngineEffect::Start { request, work })]
+        let tokens = match &work {
+            Work::Prefill { prompt, prefix, .. } => {
+                crate::model::call::prompt_tokens(prompt) + prefix.len() as u32
             }
-            Err((reason, detail)) => self.refuse(inbound, reason, detail),
+            Work::Decode { .. } | Work::Call { .. } => 0,
+        };
+        if let Err((reason, detail)) = self.hold(request, inbound, tokens, Phase::Running) {
+            return self.refuse(inbound, reason, detail);
+        }
+        let Some(span) = within else {
+            return vec![Output::Effect(EngineEffect::Start { request, work })];
+        };
+        if !self.prefills.push(now, request, now + span, class, tokens, work) {
+            self.ledger.release(request);
+            let detail = "the prefill can't be done in time";
+            return self.refuse(inbound, RefusalReason::Full, detail);
+        }
+        self.start_prefills(now)
+    }
+
+    /// Refuses what can't be in time any more and hands the next prefills to the engine.
+    fn start_prefills(&mut self, now: Timestamp) -> Outputs {
+        let mut outputs = Vec::new();
+        for request in self.prefills.expire(now) {
+            if let Some(inbound) = self.ledger.release(request) {
+                let detail = "the prefill can't be done in time any more";
+                outputs.extend(self.refuse(inbound, RefusalReason::Full, detail));
+            }
+        }
+        while let Some((request, work)) = self.prefills.pop(now) {
+            outputs.push(Output::Effect(EngineEffect::Start { request, work }));
         }
+        outputs
     }
 
-    fn decode(&mut self, inbound: InboundId, export: Export, from: u32, until: u32) -> Outputs {
+    fn decode(&mut self, inbound: InboundId, work: Work, stalled: Option<Timestamp>) -> Outputs {
         match self.ledger.start(inbound) {
             Some(request) => {
-                let work = Work::Decode { export, from, until };
+                if let Some(at) = stalled {
+                    self.imports.insert(request, at);
+                }
                 vec![Output::Effect(EngineEffect::Start { request, work })]
             }
             None => self.refuse(inbound, RefusalReason::Stale, "the reservation has lapsed"),
         }
     }
 
+    /// Gives up imports that have stalled, so that the entry can use the export elsewhere.
+    fn stop_stalled(&mut self, now: Timestamp) -> Outputs {
+        let stalled: Vec<_> =
+            self.imports.iter().filter(|(_, at)| **at <= now).map(|(r, _)| *r).collect();
+        let mut outputs = Vec::new();
+        for request in stalled {
+            self.imports.remove(&request);
+            let Some(inbound) = self.ledger.inbound(request) else { continue };
+            log::info!("step=stalled-import request={request}");
+            self.ledger.abandon(now, inbound, true);
+            outputs.push(Output::Effect(EngineEffect::Cancel(request)));
+            outputs.extend(self.refuse(
+                inbound,
+                RefusalReason::EndpointFailed,
+                "the import stalled",
+            ));
+        }
+        outputs
+    }
+
     fn call(
         &mut self,
         _now: Timestamp,
@@ -256,9 +325,13 @@
                 Vec::new()
             }
             EngineInput::Exported { request, export } => {
-                self.finish(request, AgentReply::Exported(export))
+                self.prefills.done(now, request);
+                let mut outputs = self.finish(request, AgentReply::Exported(export));
+                outputs.extend(self.start_prefills(now));
+                outputs
             }
             EngineInput::Part { request, offset, tokens } => {
+                self.imports.remove(&request);
                 let Some(inbound) = self.ledger.inbound(request) else { return Vec::new() };
                 vec![self.reply(inbound, AgentReply::Part { offset, tokens }, false)]
             }
@@ -269,10 +342,18 @@
                 self.settlements.close(request, Settled::Finished(answer.clone()));
                 self.finish(request, AgentReply::Answer(answer))
             }
-            EngineInput::Failed { request, ran, detail } => self.failed(request, ran, detail),
+            EngineInput::Failed { request, ran, detail } => {
+                self.prefills.remove(request);
+                let mut outputs = self.failed(request, ran, detail);
+                outputs.extend(self.start_prefills(now));
+                outputs
+            }
             EngineInput::Cancelled { request, confirmed } => {
                 self.ledger.cancelled(now, request, confirmed);
-                Vec::new()
+                if confirmed {
+                    self.prefills.remove(request);
+                }
+                self.start_prefills(now)
             }
             EngineInput::Ordered { inbound, fence, result } => match result {
                 Ok(()) => vec![self.reply(inbound, AgentReply::Ordered { fence }, true)],
@@ -282,8 +363,9 @@
     }
 
     fn finish(&mut self, request: RequestId, reply: AgentReply) -> Outputs {
+        self.imports.remove(&request);
         match self.ledger.release(request) {
-            Some(inbound) => vec![self.reply(inbound, reply, true)],
+            Some(inbound) => vec![self.tell_load(inbound), self.reply(inbound, reply, true)],
             None => Vec::new(),
         }
     }
@@ -302,6 +384,8 @@
             log::info!("step=lapse request={request}");
             outputs.extend(self.refuse(inbound, RefusalReason::Stale, "the reservation lapsed"));
         }
+        outputs.extend(self.start_prefills(now));
+        outputs.extend(self.stop_stalled(now));
         let overdue = self.ledger.overdue_cancels(now);
         outputs.extend(overdue.into_iter().map(|r| Output::Effect(EngineEffect::Cancel(r))));
         if now >= self.next_alive {
@@ -321,6 +405,16 @@
         })
     }
 
+    /// Cancels work at the endpoint, or frees its room if the endpoint never saw it.
+    fn cancel(&mut self, request: RequestId) -> Outputs {
+        self.imports.remove(&request);
+        if self.prefills.remove(request) {
+            self.ledger.release(request);
+            return Vec::new();
+        }
+        vec![Output::Effect(EngineEffect::Cancel(request))]
+    }
+
     fn cancellable(&self) -> bool {
         self.endpoint.as_ref().is_some_and(|e| e.kind != EndpointKind::Service)
     }
@@ -345,7 +439,7 @@
             }
             Input::Abandoned { inbound } => {
                 let request = self.ledger.abandon(now, inbound, self.cancellable());
-                request.map(|r| Output::Effect(EngineEffect::Cancel(r))).into_iter().collect()
+                request.map(|r| self.cancel(r)).unwrap_or_default()
             }
             Input::Reply { exchange, envelope } => {
                 self.follower.reply(now, exchange, &envelope.body);
@@ -370,6 +464,9 @@
 
     fn next_wake(&self) -> Option<Timestamp> {
         let alive = (!self.ledger.is_empty()).then_some(self.next_alive);
-        [alive, self.follower.next_wake(), self.ledger.next_wake()].into_iter().flatten().min()
+        let import = self.imports.values().min().copied();
+        let prefill = self.prefills.next_wake();
+        let wakes = [alive, import, prefill, self.follower.next_wake(), self.ledger.next_wake()];
+        wakes.into_iter().flatten().min()
     }
 }
--- /dev/null
+++ b/src/entry/admit/limits.rs
@@ -0,0 +1,39 @@
+//! Limits on the calls of one tenant.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::control::config::{Config, Setting};
+use crate::model::{Call, Refusal, RefusalReason};
+
+/// When a tenant at its limit may come back.
+const RETRY_AFTER: Duration = Duration::from_millis(1_000);
+
+/// Calls in the entry by tenant.
+#[derive(Debug, Default)]
+pub struct Limits {
+    calls: BTreeMap<Box<str>, u64>,
+}
+
+impl Limits {
+    /// Counts a call in, or refuses it at the tenant's limit.
+    pub fn enter(&mut self, call: &Call, config: &Config) -> Result<(), Refusal> {
+        let most = config.value(Setting::TenantCalls, &call.tenant, &call.pool, call.class);
+        let count = self.calls.get(&call.tenant).copied().unwrap_or(0);
+        if count >= most {
+            let detail = format!("tenant {} has {count} calls in flight", call.tenant);
+            return Err(Refusal::not_run(RefusalReason::Limit, RETRY_AFTER, detail));
+        }
+        self.calls.insert(call.tenant.clone(), count + 1);
+        Ok(())
+    }
+
+    /// Counts a call out.
+    pub fn leave(&mut self, tenant: &str) {
+        let Some(count) = self.calls.get_mut(tenant) else { return };
+        *count -= 1;
+        if *count == 0 {
+            self.calls.remove(tenant);
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/admit/mod.rs
@@ -0,0 +1,160 @@
+//! The filter `admit`: limits, and the queue of calls to models that wait for room.
+
+mod limits;
+mod queue;
+mod room;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+pub use limits::Limits;
+pub use queue::{MOST_WAITING, Queue, Ticket};
+pub use room::{Room, room};
+
+use super::place::Fleet;
+use crate::control::config::{Config, Setting};
+use crate::model::call::prompt_tokens;
+use crate::model::{Call, CallId, CallKind, Class, Refusal, RefusalReason, Timestamp};
+
+/// The time of messages between entry, agents and engines before the first token.
+const HOPS: Duration = Duration::from_millis(8);
+/// How long headroom is kept after an interactive call.
+const HEADROOM_SPAN: Duration = Duration::from_secs(5);
+/// The shortest and the longest time after which a refused caller is told to come back.
+const RETRY_BOUNDS: (Duration, Duration) =
+    (Duration::from_millis(250), Duration::from_millis(15_000));
+
+/// Calls that wait for room, by pool.
+#[derive(Debug, Default)]
+pub struct Admission {
+    queues: BTreeMap<Box<str>, Queue>,
+    interactive: BTreeMap<Box<str>, Timestamp>,
+    dues: BTreeMap<CallId, Timestamp>,
+}
+
+/// What the admission decides about a waiting call.
+#[derive(Debug)]
+pub enum Decision {
+    /// Start it.
+    Start(Box<Ticket>),
+    /// Tell its caller the refusal now.
+    Refuse(Box<Ticket>, Refusal),
+}
+
+impl Admission {
+    /// Puts a call into its pool's queue; returns what a full queue gives up.
+    pub fn offer(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        call: Call,
+        config: &Config,
+        fleet: &Fleet,
+    ) -> Option<Decision> {
+        let CallKind::Model { prompt, max_tokens, .. } = &call.kind else { return None };
+        let tokens = prompt_tokens(prompt);
+        let target = config.value(Setting::FirstTokenTarget, &call.tenant, &call.pool, call.class);
+        let generation = fleet.token_time(&call.pool) * *max_tokens;
+        let end = call.deadline.as_micros().saturating_sub(generation.as_micros() as u64);
+        let due = (now + Duration::from_millis(target)).min(Timestamp::from_micros(end));
+        let needed =
+            fleet.prefill_time(&call.pool, u64::from(tokens)) + self.overhead(&call, fleet);
+        let last =
+            Timestamp::from_micros(due.as_micros().saturating_sub(needed.as_micros() as u64));
+        if call.class == Class::Interactive {
+            self.interactive.insert(call.pool.clone(), now);
+        }
+        let cost = tokens + max_tokens;
+        let ticket = Ticket { id, call, due, last, tokens: cost };
+        if last <= now {
+            return Some(self.too_late(ticket, fleet));
+        }
+        self.dues.insert(id, due);
+        let pool = ticket.call.pool.clone();
+        let given_up = self.queues.entry(pool).or_default().push(ticket)?;
+        let retry = self.retry_after(&given_up, fleet);
+        let refusal = Refusal::not_run(RefusalReason::Full, retry, "the queue is full");
+        Some(self.refuse(given_up, refusal))
+    }
+
+    /// Returns the time from the end of prefill to the first token, and that of messages.
+    fn overhead(&self, call: &Call, fleet: &Fleet) -> Duration {
+        fleet.import_time(&call.pool) + HOPS
+    }
+
+    /// Decides about one waiting call, if there is something to decide.
+    pub fn next(&mut self, now: Timestamp, fleet: &Fleet) -> Option<Decision> {
+        let late = self.queues.values_mut().find_map(|q| q.expire_one(now));
+        if let Some(ticket) = late {
+            return Some(self.too_late(ticket, fleet));
+        }
+        let recent =
+            |pool: &str| self.interactive.get(pool).is_some_and(|at| now - *at < HEADROOM_SPAN);
+        let ready = |queue: &Queue| {
+            let ticket = queue.peek(now)?;
+            let pool = &ticket.call.pool;
+            let keeps = ticket.call.class == Class::Batch && recent(pool);
+            match room(now, ticket, fleet, keeps, self.overhead(&ticket.call, fleet)) {
+                Room::None => None,
+                room => Some((pool.clone(), ticket.id, room)),
+            }
+        };
+        let (pool, id, room) = self.queues.values().find_map(ready)?;
+        let queue = self.queues.get_mut(&pool)?;
+        match room {
+            Room::TooLate => {
+                let ticket = queue.remove(id)?;
+                Some(self.too_late(ticket, fleet))
+            }
+            _ => Some(Decision::Start(Box::new(queue.serve(id)?))),
+        }
+    }
+
+    fn too_late(&mut self, ticket: Ticket, fleet: &Fleet) -> Decision {
+        let retry = self.retry_after(&ticket, fleet);
+        let detail = "the call can't meet its target any more";
+        self.refuse(ticket, Refusal::not_run(RefusalReason::Deadline, retry, detail))
+    }
+
+    fn refuse(&mut self, ticket: Ticket, refusal: Refusal) -> Decision {
+        self.dues.remove(&ticket.id);
+        Decision::Refuse(Box::new(ticket), refusal)
+    }
+
+    /// Returns when the queue before a caller will have been served, spread so that refused
+    /// callers don't come back together.
+    fn retry_after(&self, ticket: &Ticket, fleet: &Fleet) -> Duration {
+        let waiting = self.queues.get(&ticket.call.pool).map_or(0, Queue::tokens);
+        let span = fleet.drain_time(&ticket.call.pool, waiting);
+        let spread = ticket.id.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 56;
+        let (least, most) = RETRY_BOUNDS;
+        let span = span.clamp(least, most);
+        span + span * spread as u32 / 256
+    }
+
+    /// Forgets a waiting call; returns it if it waited.
+    pub fn remove(&mut self, id: CallId) -> Option<Ticket> {
+        self.dues.remove(&id);
+        self.queues.values_mut().find_map(|q| q.remove(id))
+    }
+
+    /// Forgets a call that has ended.
+    pub fn finished(&mut self, id: CallId) {
+        self.dues.remove(&id);
+    }
+
+    /// Returns when the first token of a call is due; `None` if it didn't queue.
+    pub fn due(&self, id: CallId) -> Option<Timestamp> {
+        self.dues.get(&id).copied()
+    }
+
+    /// Returns when a waiting call can't be in time any more.
+    pub fn next_wake(&self) -> Option<Timestamp> {
+        self.queues.values().filter_map(Queue::next_wake).min()
+    }
+
+    /// Returns whether no call waits.
+    pub fn is_empty(&self) -> bool {
+        self.queues.values().all(Queue::is_empty)
+    }
+}
--- /dev/null
+++ b/src/entry/admit/queue.rs
@@ -0,0 +1,195 @@
+//! The queue of one pool: by class, fair among tenants, by deadline; bounded in length and time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::model::{Call, CallId, Class, Timestamp};
+
+/// Calls that wait in one pool.
+pub const MOST_WAITING: usize = 4_096;
+/// Tokens by which tenants may be ahead of each other before deadlines stop to matter.
+const QUANTUM: u64 = 32_768;
+/// How long before its last start a batch call is as urgent as an interactive one.
+const URGENT: Duration = Duration::from_millis(500);
+
+/// A call that waits.
+#[derive(Debug)]
+pub struct Ticket {
+    /// The call's number.
+    pub id: CallId,
+    /// The call.
+    pub call: Call,
+    /// When its first token is due.
+    pub due: Timestamp,
+    /// When it must start to make that.
+    pub last: Timestamp,
+    /// Tokens that it costs.
+    pub tokens: u32,
+}
+
+impl Ticket {
+    fn key(&self) -> (Timestamp, CallId) {
+        (self.last, self.id)
+    }
+}
+
+/// The calls of one tenant in one class.
+#[derive(Debug, Default)]
+struct Tenant {
+    calls: BTreeSet<(Timestamp, CallId)>,
+    /// Tokens that it was given, or as many as the others when it came back.
+    given: u64,
+}
+
+/// The calls of one class.
+#[derive(Debug, Default)]
+struct Lane {
+    tenants: BTreeMap<Box<str>, Tenant>,
+    order: BTreeSet<(u64, Timestamp, Box<str>)>,
+    /// What the tenant that was served last had been given.
+    given: u64,
+}
+
+impl Lane {
+    fn push(&mut self, ticket: &Ticket) {
+        let given = self.given;
+        let tenant = self.tenants.entry(ticket.call.tenant.clone()).or_default();
+        let before = place(&ticket.call.tenant, tenant);
+        if before.is_none() {
+            tenant.given = tenant.given.max(given);
+        }
+        tenant.calls.insert(ticket.key());
+        let after = place(&ticket.call.tenant, tenant);
+        self.reorder(before, after);
+    }
+
+    fn remove(&mut self, ticket: &Ticket, served: bool) {
+        let Some(tenant) = self.tenants.get_mut(&ticket.call.tenant) else { return };
+        let before = place(&ticket.call.tenant, tenant);
+        tenant.calls.remove(&ticket.key());
+        if served {
+            self.given = self.given.max(tenant.given);
+            tenant.given += u64::from(ticket.tokens);
+        }
+        let after = place(&ticket.call.tenant, tenant);
+        // A tenant that is not ahead of the others needs no memory.
+        if after.is_none() && tenant.given <= self.given {
+            self.tenants.remove(&ticket.call.tenant);
+        }
+        self.reorder(before, after);
+    }
+
+    fn reorder(
+        &mut self,
+        before: Option<(u64, Timestamp, Box<str>)>,
+        after: Option<(u64, Timestamp, Box<str>)>,
+    ) {
+        if let Some(before) = before {
+            self.order.remove(&before);
+        }
+        self.order.extend(after);
+    }
+
+    fn first(&self) -> Option<(Timestamp, CallId)> {
+        let (_, _, name) = self.order.first()?;
+        self.tenants.get(name)?.calls.first().copied()
+    }
+}
+
+/// Returns where a tenant with waiting calls stands among the others.
+fn place(name: &str, tenant: &Tenant) -> Option<(u64, Timestamp, Box<str>)> {
+    let (last, _) = tenant.calls.first()?;
+    Some((tenant.given / QUANTUM, *last, name.into()))
+}
+
+/// The queue of one pool.
+#[derive(Debug, Default)]
+pub struct Queue {
+    tickets: BTreeMap<CallId, Ticket>,
+    lanes: [Lane; 2],
+    lasts: BTreeSet<(Timestamp, CallId)>,
+    tokens: u64,
+}
+
+impl Queue {
+    /// Puts a call into the queue; returns the one that a full queue gives up for it.
+    pub fn push(&mut self, ticket: Ticket) -> Option<Ticket> {
+        let given_up = if self.tickets.len() >= MOST_WAITING {
+            let batch = self.lanes[Class::Batch as usize].order.last().cloned();
+            let loser = batch.and_then(|(_, _, name)| {
+                self.lanes[Class::Batch as usize].tenants.get(&name)?.calls.last().copied()
+            });
+            match loser {
+                Some((last, id)) if ticket.call.class != Class::Batch || last > ticket.last => {
+                    self.remove(id)
+                }
+                _ => return Some(ticket),
+            }
+        } else {
+            None
+        };
+        self.lanes[ticket.call.class as usize].push(&ticket);
+        self.lasts.insert(ticket.key());
+        self.tokens += u64::from(ticket.tokens);
+        self.tickets.insert(ticket.id, ticket);
+        given_up
+    }
+
+    /// Returns the call to start next.
+    pub fn peek(&self, now: Timestamp) -> Option<&Ticket> {
+        let [interactive, batch] = self.lanes.each_ref().map(Lane::first);
+        let urgent = |(last, _): &(Timestamp, CallId)| *last <= now + URGENT;
+        let (_, id) = match (interactive, batch) {
+            (Some(first), Some(second)) if urgent(&second) => first.min(second),
+            (first, second) => first.or(second)?,
+        };
+        self.tickets.get(&id)
+    }
+
+    /// Takes a call out to start it.
+    pub fn serve(&mut self, id: CallId) -> Option<Ticket> {
+        self.take(id, true)
+    }
+
+    /// Takes a call out that won't be started.
+    pub fn remove(&mut self, id: CallId) -> Option<Ticket> {
+        self.take(id, false)
+    }
+
+    fn take(&mut self, id: CallId, served: bool) -> Option<Ticket> {
+        let ticket = self.tickets.remove(&id)?;
+        self.lanes[ticket.call.class as usize].remove(&ticket, served);
+        self.lasts.remove(&ticket.key());
+        self.tokens -= u64::from(ticket.tokens);
+        Some(ticket)
+    }
+
+    /// Takes out a call that can't be in time any more.
+    pub fn expire_one(&mut self, now: Timestamp) -> Option<Ticket> {
+        let (last, id) = *self.lasts.first()?;
+        if last > now {
+            return None;
+        }
+        self.remove(id)
+    }
+
+    /// Returns when the next call can't be in time any more.
+    pub fn next_wake(&self) -> Option<Timestamp> {
+        self.lasts.first().map(|(last, _)| *last)
+    }
+
+    /// Returns the tokens of all waiting calls.
+    pub fn tokens(&self) -> u64 {
+        self.tokens
+    }
+
+    /// Returns how many calls wait.
+    pub fn len(&self) -> usize {
+        self.tickets.len()
+    }
+
+    /// Returns whether no call waits.
+    pub fn is_empty(&self) -> bool {
+        self.tickets.is_empty()
+    }
+}
--- /dev/null
+++ b/src/entry/admit/room.rs
@@ -0,0 +1,74 @@
+//! Whether a pool has room for one more call now.
+
+use std::time::Duration;
+
+use super::super::place::{Fleet, Tracked};
+use super::Ticket;
+use crate::model::call::prompt_tokens;
+use crate::model::{CallKind, EndpointKind, Timestamp};
+
+/// Prefills at one endpoint: one runs, and one keeps the engine busy after it.
+const PREFILL_DEPTH: u32 = 2;
+/// Decode slots in a hundred that batch calls leave free for interactive ones.
+const HEADROOM_PERCENT: u32 = 5;
+
+/// What a pool says to a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Room {
+    /// There is room.
+    Free,
+    /// There is none now.
+    None,
+    /// There is room, yet behind work that makes the call too late.
+    TooLate,
+}
+
+/// Looks for room for a call; `keeps` says whether headroom is left for others.
+pub fn room(
+    now: Timestamp,
+    ticket: &Ticket,
+    fleet: &Fleet,
+    keeps: bool,
+    overhead: Duration,
+) -> Room {
+    if !has_decode(now, ticket, fleet, keeps) {
+        return Room::None;
+    }
+    let CallKind::Model { prompt, .. } = &ticket.call.kind else { return Room::Free };
+    let pool = &ticket.call.pool;
+    let mut starting = fleet.starting(pool) as u32;
+    for key in fleet.keys(EndpointKind::Prefill, pool) {
+        let Some(endpoint) = fleet.get(*key).filter(|e| is_open(now, fleet, e)) else { continue };
+        let load = endpoint.load();
+        let free = PREFILL_DEPTH.saturating_sub(load.slots);
+        if free > starting {
+            let tokens = load.prompt_tokens + prompt_tokens(prompt);
+            let time = fleet.prefill_time(pool, u64::from(tokens)) + overhead;
+            return if now + time > ticket.due { Room::TooLate } else { Room::Free };
+        }
+        starting -= free;
+    }
+    Room::None
+}
+
+fn is_open(now: Timestamp, fleet: &Fleet, endpoint: &Tracked) -> bool {
+    !endpoint.state.draining && (!fleet.ejects() || endpoint.health.is_in(now))
+}
+
+fn has_decode(now: Timestamp, ticket: &Ticket, fleet: &Fleet, keeps: bool) -> bool {
+    let mut free = 0;
+    let mut slots = 0;
+    let mut fits = false;
+    for key in fleet.keys(EndpointKind::Decode, &ticket.call.pool) {
+        let Some(endpoint) = fleet.get(*key).filter(|e| is_open(now, fleet, e)) else { continue };
+        let (load, capacity) = (endpoint.load(), endpoint.state.capacity);
+        let pieces = ticket.tokens.div_ceil(capacity.piece_tokens.max(1)).max(1);
+        slots += capacity.slots;
+        free += capacity.slots.saturating_sub(load.slots);
+        fits |= load.slots < capacity.slots && load.pieces + pieces <= capacity.pieces;
+        if fits && !keeps {
+            return true;
+        }
+    }
+    fits && free * 100 > slots * HEADROOM_PERCENT
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,20 +6,26 @@
 pub mod admit;
 pub mod check;
 pub mod claim;
+pub mod health;
 pub mod place;
+pub mod retry;
 mod run;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use admit::{Admission, Decision, Limits};
 use check::{RawCall, Tenants};
 use claim::Proposer;
-use place::Placement;
+use place::{Fleet, Need, Placement, Policy};
+use retry::RetryBudgets;
 use run::Run;
 
 use crate::control::config::Setting;
-use crate::link::message::{Answer, Request};
-use crate::model::{BootId, CallId, EndpointState, ExchangeId, Refusal, RefusalReason, Timestamp};
+use crate::link::message::{AgentReply, Answer, Reply, Request};
+use crate::model::{
+    BootId, Call, CallId, CallKind, EndpointState, ExchangeId, Refusal, RefusalReason, Timestamp,
+};
 use crate::registry::{Follower, FollowerSettings};
 use crate::role::{Input, Output, Role};
 
@@ -94,7 +100,11 @@
 pub(crate) struct Shared {
     pub(crate) follower: Follower,
     pub(crate) endpoints: BTreeMap<Box<str>, EndpointState>,
+    pub(crate) fleet: Fleet,
     pub(crate) placement: Box<dyn Placement + Send>,
+    pub(crate) policy: Policy,
+    pub(crate) admission: Admission,
+    pub(crate) retries: RetryBudgets,
     pub(crate) proposer: Proposer,
     boot: BootId,
     last_exchange: u64,
@@ -129,6 +139,26 @@
         Output::Reset { exchange }
     }
 
+    /// Returns the endpoint that an attempt goes to.
+    pub(crate) fn place(&mut self, now: Timestamp, need: &Need<'_>) -> Option<EndpointState> {
+        let key = self.placement.choose(now, need, &self.fleet)?;
+        if let Some(prefix) = need.prefix {
+            self.placement.prefilled(now, prefix, key);
+        }
+        self.fleet.get(key).map(|e| e.state.clone())
+    }
+
+    /// Returns how long the prefill of a call may take; `None` if the call didn't queue.
+    pub(crate) fn prefill_within(
+        &self,
+        now: Timestamp,
+        call: CallId,
+        pool: &str,
+    ) -> Option<Duration> {
+        let due = self.admission.due(call)?;
+        Some((due - now).saturating_sub(self.fleet.import_time(pool)))
+    }
+
     pub(crate) fn boot(&self) -> BootId {
         self.boot
     }
@@ -139,6 +169,7 @@
     shared: Shared,
     tenants: Tenants,
     runs: BTreeMap<CallId, Run>,
+    limits: Limits,
     stopping: bool,
 }
 
@@ -149,7 +180,12 @@
         tenants: Tenants,
         placement: Box<dyn Placement + Send>,
     ) -> Entry {
+        let policy = placement.policy();
         let shared = Shared {
+            fleet: Fleet::new(policy.health),
+            policy,
+            admission: Admission::default(),
+            retries: RetryBudgets::new(settings.follower.boot.0),
             proposer: Proposer::new(settings.follower.members.clone()),
             boot: settings.follower.boot,
             follower: Follower::new(settings.follower),
@@ -158,24 +194,64 @@
             last_exchange: 0,
             owners: BTreeMap::new(),
         };
-        Entry { shared, tenants, runs: BTreeMap::new(), stopping: false }
+        Entry { shared, tenants, runs: BTreeMap::new(), limits: Limits::default(), stopping: false }
     }
 
     fn arrived(&mut self, now: Timestamp, call: CallId, raw: RawCall) -> Outputs {
         match self.admit(now, raw) {
-            Ok(checked) => {
-                let (run, outputs) = Run::start(&mut self.shared, now, call, checked);
-                self.keep(call, run, outputs)
+            Ok(checked) if self.queues(&checked) => {
+                let shared = &mut self.shared;
+                let config = shared.follower.config();
+                let decision = shared.admission.offer(now, call, checked, config, &shared.fleet);
+                decision.map(|d| self.decided(now, d)).unwrap_or_default()
             }
-            Err(refusal) => {
-                log::info!("step=refuse call={call} {refusal}");
-                let outcome = Terminal::Refused(refusal);
-                vec![Output::Effect(CallerEffect::Finish { call, outcome })]
+            Ok(checked) => self.start(now, call, checked),
+            Err(refusal) => refused(call, refusal),
+        }
+    }
+
+    /// Returns whether a call waits for room in this entry.
+    fn queues(&self, call: &Call) -> bool {
+        self.shared.policy.admission && matches!(call.kind, CallKind::Model { .. })
+    }
+
+    fn start(&mut self, now: Timestamp, call: CallId, checked: Call) -> Outputs {
+        let setting = Setting::RetryPercent;
+        let config = self.shared.follower.config();
+        let percent = config.value(setting, &checked.tenant, &checked.pool, checked.class);
+        self.shared.retries.earn(checked.class, percent);
+        let (run, outputs) = Run::start(&mut self.shared, now, call, checked);
+        self.keep(call, run, outputs)
+    }
+
+    fn decided(&mut self, now: Timestamp, decision: Decision) -> Outputs {
+        match decision {
+            Decision::Start(ticket) => self.start(now, ticket.id, ticket.call),
+            Decision::Refuse(ticket, refusal) => {
+                self.limits.leave(&ticket.call.tenant);
+                refused(ticket.id, refusal)
             }
         }
     }
 
-    fn admit(&self, now: Timestamp, raw: RawCall) -> Result<crate::model::Call, Refusal> {
+    /// Starts the calls that have room and refuses those that are too late.
+    fn pump(&mut self, now: Timestamp) -> Outputs {
+        let mut outputs = Vec::new();
+        while let Some(decision) = self.shared.admission.next(now, &self.shared.fleet) {
+            let decided = self.decided(now, decision);
+            self.sent(now, &decided);
+            outputs.extend(decided);
+        }
+        outputs
+    }
+
+    fn sent(&mut self, now: Timestamp, outputs: &Outputs) {
+        for output in outputs {
+            self.shared.fleet.sent(now, output);
+        }
+    }
+
+    fn admit(&mut self, now: Timestamp, raw: RawCall) -> Result<crate::model::Call, Refusal> {
         if self.stopping {
             let detail = "this entry is shutting down";
             return Err(Refusal::not_run(RefusalReason::Draining, Duration::ZERO, detail));
@@ -187,13 +263,16 @@
             return Err(Refusal::not_run(RefusalReason::NoConfig, RETRY_AFTER, detail));
         }
         let call = check::check(now, raw, config, &self.tenants)?;
-        admit::admit(now, &call, config, self.runs.values().map(Run::call))?;
+        self.limits.enter(&call, config)?;
         Ok(call)
     }
 
     /// Keeps a run that has not ended.
     fn keep(&mut self, call: CallId, run: Run, mut outputs: Outputs) -> Outputs {
         if run.is_done() {
+            self.limits.leave(&run.call().tenant);
+            self.shared.admission.finished(call);
+            self.shared.fleet.finished(call);
             outputs.extend(run.close(&mut self.shared));
         } else {
             self.runs.insert(call, run);
@@ -212,6 +291,13 @@
         self.keep(call, run, outputs)
     }
 
+    fn gone(&mut self, call: CallId) -> Outputs {
+        if let Some(ticket) = self.shared.admission.remove(call) {
+            self.limits.leave(&ticket.call.tenant);
+        }
+        self.with_run(call, |run, shared| run.gone(shared))
+    }
+
     fn heartbeats(&mut self, now: Timestamp) -> Outputs {
         let last = &mut self.shared.last_exchange;
         self.shared.follower.wake(now, None, &mut || {
@@ -236,15 +322,16 @@
     type Effect = CallerEffect;
 
     fn step(&mut self, now: Timestamp, input: Input<CallerInput>) -> Outputs {
+        let moves = may_free_room(&input);
         let mut outputs = match input {
             Input::Local(CallerInput::Arrived { call, raw }) => self.arrived(now, call, raw),
-            Input::Local(CallerInput::Gone { call }) => {
-                self.with_run(call, |run, shared| run.gone(shared))
-            }
+            Input::Local(CallerInput::Gone { call }) => self.gone(call),
             Input::Reply { exchange, envelope } => {
                 self.shared.follower.observe(now, envelope.revised);
+                self.shared.fleet.heard(now, exchange, &envelope.body);
                 if self.shared.follower.reply(now, exchange, &envelope.body) {
                     self.shared.endpoints = self.shared.follower.endpoints();
+                    self.shared.fleet.update(&self.shared.endpoints);
                     Vec::new()
                 } else if let Some(call) = self.shared.owners.get(&exchange).copied() {
                     let body = envelope.body;
@@ -254,6 +341,7 @@
                 }
             }
             Input::Closed { exchange, failure } => {
+                self.shared.fleet.closed(now, exchange, failure);
                 if self.shared.follower.closed(exchange) {
                     Vec::new()
                 } else if let Some(call) = self.shared.owners.remove(&exchange) {
@@ -269,7 +357,11 @@
             }
             Input::Request { .. } | Input::Abandoned { .. } => Vec::new(),
         };
-        if self.stopping && self.runs.is_empty() {
+        self.sent(now, &outputs);
+        if moves {
+            outputs.extend(self.pump(now));
+        }
+        if self.stopping && self.runs.is_empty() && self.shared.admission.is_empty() {
             outputs.push(Output::Stopped);
         }
         outputs
@@ -277,6 +369,19 @@
 
     fn next_wake(&self) -> Option<Timestamp> {
         let runs = self.runs.values().map(Run::next_wake).min();
-        [runs, self.shared.follower.next_wake()].into_iter().flatten().min()
+        let queue = self.shared.admission.next_wake();
+        [runs, queue, self.shared.follower.next_wake()].into_iter().flatten().min()
     }
 }
+
+/// Returns whether an input can change which waiting calls start; tokens never do.
+fn may_free_room(input: &Input<CallerInput>) -> bool {
+    let Input::Reply { envelope, .. } = input else { return true };
+    !matches!(envelope.body, Reply::Agent(AgentReply::Part { .. } | AgentReply::Alive))
+}
+
+fn refused(call: CallId, refusal: Refusal) -> Outputs {
+    log::info!("step=refuse call={call} {refusal}");
+    let outcome = Terminal::Refused(refusal);
+    vec![Output::Effect(CallerEffect::Finish { call, outcome })]
+}
--- /dev/null
+++ b/src/entry/place/fleet.rs
@@ -0,0 +1,399 @@
+//! The endpoints as an entry sees them: announced state, own work in flight, what agents say.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use slotmap::{SlotMap, new_key_type};
+
+use super::Need;
+use super::flight::{Flight, Stage};
+use crate::entry::health::{Health, Verdict};
+use crate::link::message::{AgentReply, AgentRequest, Reply, Request};
+use crate::model::{
+    CallId, EndpointKind, EndpointState, ExchangeId, Load, RefusalReason, Timestamp,
+};
+use crate::role::{LinkFailure, Output};
+
+/// How long an exchange is silent before its reset counts against the endpoint.
+const SILENCE: Duration = Duration::from_millis(900);
+/// The weight of a new measurement against those before, as one part in so many.
+const SMOOTHING: u64 = 8;
+
+new_key_type! {
+    /// One endpoint in the arena of an entry.
+    pub struct EndpointKey;
+}
+
+/// One endpoint.
+#[derive(Debug)]
+pub struct Tracked {
+    /// As it was announced.
+    pub state: EndpointState,
+    /// What this entry has in flight there.
+    pub own: Load,
+    /// What others have there, as of the agent's last word.
+    pub others: Load,
+    /// Transfers of this entry on its link.
+    pub transfers: u32,
+    /// The usual time from the end of prefill to the first token, in microseconds.
+    pub transfer: u64,
+    /// Whether it works.
+    pub health: Health,
+}
+
+impl Tracked {
+    fn new(state: EndpointState) -> Tracked {
+        Tracked {
+            others: state.load,
+            state,
+            own: Load::default(),
+            transfers: 0,
+            transfer: 0,
+            health: Health::default(),
+        }
+    }
+
+    /// Returns the load by own counts and the agent's last word.
+    pub fn load(&self) -> Load {
+        Load {
+            slots: self.own.slots + self.others.slots,
+            pieces: self.own.pieces + self.others.pieces,
+            prompt_tokens: self.own.prompt_tokens + self.others.prompt_tokens,
+            prefill_rate: self.others.prefill_rate,
+        }
+    }
+
+    /// Takes the load that the agent told, in which the own part is known better here.
+    fn learn(&mut self, told: Load) {
+        self.others = Load {
+            slots: told.slots.saturating_sub(self.own.slots),
+            pieces: told.pieces.saturating_sub(self.own.pieces),
+            prompt_tokens: told.prompt_tokens.saturating_sub(self.own.prompt_tokens),
+            prefill_rate: told.prefill_rate,
+        };
+    }
+
+    fn add(&mut self, load: Load) {
+        self.own.slots += load.slots;
+        self.own.pieces += load.pieces;
+        self.own.prompt_tokens += load.prompt_tokens;
+    }
+
+    fn remove(&mut self, load: Load) {
+        self.own.slots = self.own.slots.saturating_sub(load.slots);
+        self.own.pieces = self.own.pieces.saturating_sub(load.pieces);
+        self.own.prompt_tokens = self.own.prompt_tokens.saturating_sub(load.prompt_tokens);
+    }
+}
+
+/// The endpoints of one pool by what they do.
+#[derive(Debug, Default)]
+struct Pool {
+    prefill: Vec<EndpointKey>,
+    decode: Vec<EndpointKey>,
+    service: Vec<EndpointKey>,
+    /// Calls that have asked for decode room and whose prefill is not placed yet.
+    starting: BTreeSet<CallId>,
+    /// The usual time between tokens, in microseconds.
+    token: u64,
+    /// The usual prompt tokens that one prefill endpoint handles in a second.
+    rate: u64,
+    /// The usual time from the start of an import to the first token, in microseconds.
+    import: u64,
+}
+
+impl Pool {
+    fn keys(&self, kind: EndpointKind) -> &[EndpointKey] {
+        match kind {
+            EndpointKind::Prefill => &self.prefill,
+            EndpointKind::Decode => &self.decode,
+            EndpointKind::Service => &self.service,
+        }
+    }
+
+    fn keys_mut(&mut self, kind: EndpointKind) -> &mut Vec<EndpointKey> {
+        match kind {
+            EndpointKind::Prefill => &mut self.prefill,
+            EndpointKind::Decode => &mut self.decode,
+            EndpointKind::Service => &mut self.service,
+        }
+    }
+}
+
+/// All endpoints that an entry knows.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    endpoints: SlotMap<EndpointKey, Tracked>,
+    names: BTreeMap<Box<str>, EndpointKey>,
+    addresses: BTreeMap<SocketAddr, EndpointKey>,
+    pools: BTreeMap<Box<str>, Pool>,
+    flights: BTreeMap<ExchangeId, Flight>,
+    /// The failure domain in which an attempt of a call failed last.
+    failed: BTreeMap<CallId, Box<str>>,
+    ejects: bool,
+}
+
+fn smooth(old: u64, new: u64) -> u64 {
+    if old == 0 { new } else { (old * (SMOOTHING - 1) + new) / SMOOTHING }
+}
+
+impl Fleet {
+    /// Makes an empty fleet; `ejects` says whether failing endpoints are ejected.
+    pub fn new(ejects: bool) -> Fleet {
+        Fleet { ejects, ..Fleet::default() }
+    }
+
+    /// Returns an endpoint.
+    pub fn get(&self, key: EndpointKey) -> Option<&Tracked> {
+        self.endpoints.get(key)
+    }
+
+    /// Returns the endpoints of a pool that do one thing.
+    pub fn keys(&self, kind: EndpointKind, pool: &str) -> &[EndpointKey] {
+        self.pools.get(pool).map_or(&[], |p| p.keys(kind))
+    }
+
+    /// Returns whether an endpoint can take what is needed, whatever its load.
+    pub fn fits(&self, need: &Need<'_>, endpoint: &Tracked) -> bool {
+        !endpoint.state.draining && !need.tried.contains(&endpoint.state.name)
+    }
+
+    /// Returns the endpoints that can take what is needed, whatever their load.
+    pub fn fitting(&self, need: &Need<'_>) -> impl Iterator<Item = (EndpointKey, &Tracked)> {
+        let keys = self.keys(need.kind, need.pool).iter();
+        let all = keys.filter_map(|key| Some((*key, self.endpoints.get(*key)?)));
+        all.filter(|(_, e)| self.fits(need, e))
+    }
+
+    /// Returns how many calls of a pool have asked for decode room only.
+    pub fn starting(&self, pool: &str) -> usize {
+        self.pools.get(pool).map_or(0, |p| p.starting.len())
+    }
+
+    /// Returns the usual time between tokens of a pool; zero as long as it isn't known.
+    pub fn token_time(&self, pool: &str) -> Duration {
+        Duration::from_micros(self.pools.get(pool).map_or(0, |p| p.token))
+    }
+
+    /// Returns the time that a prefill of so many tokens usually takes; zero as long as it isn't
+    /// known.
+    pub fn prefill_time(&self, pool: &str, tokens: u64) -> Duration {
+        let rate = self.pools.get(pool).map_or(0, |p| p.rate);
+        Duration::from_micros((tokens * 1_000_000).checked_div(rate).unwrap_or(0))
+    }
+
+    /// Returns the usual time from the start of an import to the first token.
+    pub fn import_time(&self, pool: &str) -> Duration {
+        Duration::from_micros(self.pools.get(pool).map_or(0, |p| p.import))
+    }
+
+    /// Returns the time in which all prefill endpoints of a pool handle so many tokens.
+    pub fn drain_time(&self, pool: &str, tokens: u64) -> Duration {
+        let count = self.keys(EndpointKind::Prefill, pool).len().max(1);
+        self.prefill_time(pool, tokens / count as u64)
+    }
+
+    /// Returns whether failing endpoints are ejected.
+    pub fn ejects(&self) -> bool {
+        self.ejects
+    }
+
+    /// Returns the failure domain in which an attempt of a call failed last.
+    pub fn failed_domain(&self, call: CallId) -> Option<&str> {
+        self.failed.get(&call).map(|d| &**d)
+    }
+
+    /// Forgets a call that has ended.
+    pub fn finished(&mut self, call: CallId) {
+        self.failed.remove(&call);
+    }
+
+    /// Takes the announced endpoints.
+    pub fn update(&mut self, announced: &BTreeMap<Box<str>, EndpointState>) {
+        let gone: Vec<_> = self
+            .names
+            .iter()
+            .filter(|(n, _)| !announced.contains_key(*n))
+            .map(|(_, k)| *k)
+            .collect();
+        for key in gone {
+            self.forget(key);
+        }
+        for (name, state) in announced {
+            match self.names.get(name).and_then(|k| self.endpoints.get_mut(*k)) {
+                Some(e) if same_place(&e.state, state) => e.state = state.clone(),
+                Some(_) => {
+                    self.forget(self.names[name]);
+                    self.insert(state.clone());
+                }
+                None => self.insert(state.clone()),
+            }
+        }
+    }
+
+    fn insert(&mut self, state: EndpointState) {
+        let (name, pool) = (state.name.clone(), state.pool.clone());
+        let (kind, address) = (state.kind, state.address);
+        let key = self.endpoints.insert(Tracked::new(state));
+        self.names.insert(name, key);
+        self.addresses.insert(address, key);
+        self.pools.entry(pool).or_default().keys_mut(kind).push(key);
+    }
+
+    fn forget(&mut self, key: EndpointKey) {
+        let Some(endpoint) = self.endpoints.remove(key) else { return };
+        let state = endpoint.state;
+        self.names.remove(&state.name);
+        self.addresses.remove(&state.address);
+        if let Some(pool) = self.pools.get_mut(&state.pool) {
+            pool.keys_mut(state.kind).retain(|k| *k != key);
+        }
+    }
+
+    /// Takes note of what the entry does.
+    pub fn sent<E>(&mut self, now: Timestamp, output: &Output<E>) {
+        match output {
+            Output::Open { exchange, peer, envelope } => {
+                if let Request::Agent(request) = &envelope.body {
+                    self.opened(now, *exchange, *peer, request);
+                }
+            }
+            Output::Send { exchange, envelope } => {
+                if matches!(envelope.body, Request::Agent(AgentRequest::Decode { .. })) {
+                    self.import(now, *exchange);
+                }
+            }
+            Output::Reset { exchange } => {
+                let Some(flight) = self.land(*exchange) else { return };
+                if now - flight.heard >= SILENCE {
+                    self.judge(now, flight, Verdict::Silent);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes the end of an exchange.
+    pub fn closed(&mut self, now: Timestamp, exchange: ExchangeId, failure: Option<LinkFailure>) {
+        let Some(flight) = self.land(exchange) else { return };
+        if failure.is_some() {
+            self.judge(now, flight, Verdict::Failed);
+        }
+    }
+
+    /// Takes a reply.
+    pub fn heard(&mut self, now: Timestamp, exchange: ExchangeId, reply: &Reply) {
+        let Reply::Agent(reply) = reply else { return };
+        let Some(flight) = self.flights.get_mut(&exchange) else { return };
+        flight.heard = now;
+        let flight = *flight;
+        match reply {
+            AgentReply::Load(load) => self.learn(flight.endpoint, *load),
+            AgentReply::Part { tokens, .. } => self.part(now, exchange, tokens.len() as u32),
+            AgentReply::Exported(_) | AgentReply::End { .. } | AgentReply::Answer(_) => {
+                self.judge(now, flight, Verdict::Worked);
+                self.land(exchange);
+            }
+            AgentReply::Refused(refusal) => {
+                if refusal.reason == RefusalReason::EndpointFailed {
+                    self.judge(now, flight, Verdict::Failed);
+                }
+                self.land(exchange);
+            }
+            _ => {}
+        }
+    }
+
+    fn learn(&mut self, key: EndpointKey, load: Load) {
+        let Some(endpoint) = self.endpoints.get_mut(key) else { return };
+        endpoint.learn(load);
+        if load.prefill_rate > 0
+            && let Some(pool) = self.pools.get_mut(&endpoint.state.pool)
+        {
+            pool.rate = smooth(pool.rate, u64::from(load.prefill_rate));
+        }
+    }
+
+    fn opened(
+        &mut self,
+        now: Timestamp,
+        exchange: ExchangeId,
+        peer: SocketAddr,
+        request: &AgentRequest,
+    ) {
+        let Some(&key) = self.addresses.get(&peer) else { return };
+        let Some(endpoint) = self.endpoints.get_mut(key) else { return };
+        let capacity = endpoint.state.capacity;
+        let Some(flight) = Flight::new(now, key, capacity, request) else { return };
+        endpoint.add(flight.load);
+        endpoint.health.began(now);
+        if let Some(pool) = self.pools.get_mut(&endpoint.state.pool) {
+            match flight.stage {
+                Stage::Reserved => pool.starting.insert(flight.call),
+                _ => pool.starting.remove(&flight.call),
+            };
+        }
+        self.flights.insert(exchange, flight);
+    }
+
+    fn import(&mut self, now: Timestamp, exchange: ExchangeId) {
+        let Some(flight) = self.flights.get_mut(&exchange) else { return };
+        flight.stage = Stage::Importing;
+        flight.since = now;
+        let Some(endpoint) = self.endpoints.get_mut(flight.endpoint) else { return };
+        endpoint.transfers += 1;
+        // A fallback imports without a prefill of its own.
+        if let Some(pool) = self.pools.get_mut(&endpoint.state.pool) {
+            pool.starting.remove(&flight.call);
+        }
+    }
+
+    fn part(&mut self, now: Timestamp, exchange: ExchangeId, tokens: u32) {
+        let Some(flight) = self.flights.get_mut(&exchange) else { return };
+        let span = (now - flight.since).as_micros() as u64;
+        flight.since = now;
+        let Some(endpoint) = self.endpoints.get_mut(flight.endpoint) else { return };
+        if flight.stage == Stage::Importing {
+            flight.stage = Stage::Running;
+            endpoint.transfers = endpoint.transfers.saturating_sub(1);
+            endpoint.transfer = smooth(endpoint.transfer, span);
+            if let Some(pool) = self.pools.get_mut(&endpoint.state.pool) {
+                pool.import = smooth(pool.import, span);
+            }
+        } else if let Some(pool) = self.pools.get_mut(&endpoint.state.pool) {
+            pool.token = smooth(pool.token, span / u64::from(tokens.max(1)));
+        }
+    }
+
+    /// Forgets the work of an exchange.
+    fn land(&mut self, exchange: ExchangeId) -> Option<Flight> {
+        let flight = self.flights.remove(&exchange)?;
+        if let Some(endpoint) = self.endpoints.get_mut(flight.endpoint) {
+            endpoint.remove(flight.load);
+            if flight.stage == Stage::Importing {
+                endpoint.transfers = endpoint.transfers.saturating_sub(1);
+            }
+            if let Some(pool) = self.pools.get_mut(&endpoint.state.pool) {
+                pool.starting.remove(&flight.call);
+            }
+        }
+        Some(flight)
+    }
+
+    fn judge(&mut self, now: Timestamp, flight: Flight, verdict: Verdict) {
+        if !self.ejects {
+            return;
+        }
+        let Some(endpoint) = self.endpoints.get_mut(flight.endpoint) else { return };
+        endpoint.health.judge(now, verdict);
+        if verdict != Verdict::Worked {
+            self.failed.insert(flight.call, endpoint.state.domain.clone());
+        }
+    }
+}
+
+/// Returns whether two announcements are of one start at one place.
+fn same_place(a: &EndpointState, b: &EndpointState) -> bool {
+    (a.boot, a.address, a.kind, &a.pool) == (b.boot, b.address, b.kind, &b.pool)
+}
--- /dev/null
+++ b/src/entry/place/flight.rs
@@ -0,0 +1,54 @@
+//! What an entry has in flight at one endpoint, by exchange.
+
+use super::EndpointKey;
+use crate::link::message::AgentRequest;
+use crate::model::call::prompt_tokens;
+use crate::model::{CallId, Capacity, Load, Timestamp};
+
+/// Where the work of an exchange stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Stage {
+    /// Decode room is asked for or held.
+    Reserved,
+    /// KV cache is on its way to the decode endpoint.
+    Importing,
+    /// Tokens come, or a prefill or a service call runs.
+    Running,
+}
+
+/// The work of one exchange.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Flight {
+    pub(super) endpoint: EndpointKey,
+    pub(super) call: CallId,
+    pub(super) load: Load,
+    pub(super) stage: Stage,
+    /// When the current stage began.
+    pub(super) since: Timestamp,
+    pub(super) heard: Timestamp,
+}
+
+impl Flight {
+    /// Returns the work that a request starts; `None` if it holds nothing at the endpoint.
+    pub(super) fn new(
+        now: Timestamp,
+        endpoint: EndpointKey,
+        capacity: Capacity,
+        request: &AgentRequest,
+    ) -> Option<Flight> {
+        let (call, tokens, stage, prompt) = match request {
+            AgentRequest::Reserve { request, tokens, .. } => {
+                (request.call, *tokens, Stage::Reserved, 0)
+            }
+            AgentRequest::Prefill { request, prompt, prefix, .. } => {
+                let tokens = prompt_tokens(prompt) + prefix.len() as u32;
+                (request.call, tokens, Stage::Running, tokens)
+            }
+            AgentRequest::Call { request, .. } => (request.call, 1, Stage::Running, 0),
+            _ => return None,
+        };
+        let pieces = tokens.div_ceil(capacity.piece_tokens.max(1)).max(1);
+        let load = Load { slots: 1, pieces, prompt_tokens: prompt, ..Load::default() };
+        Some(Flight { endpoint, call, load, stage, since: now, heard: now })
+    }
+}
--- /dev/null
+++ b/src/entry/place/in_flight.rs
@@ -0,0 +1,138 @@
+//! The least load by own counts, which lag behind nothing, and by the last words of agents.
+
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::prefix::Prefixes;
+use super::{EndpointKey, Fleet, Need, Placement, Policy, Tracked, Variant};
+use crate::entry::health::MOST_EJECTED_PERCENT;
+use crate::model::{EndpointKind, Timestamp};
+
+/// The largest pool that is looked at as a whole.
+const SCAN_LIMIT: usize = 64;
+/// Endpoints looked at in a larger pool.
+const SAMPLE: usize = 16;
+/// Prompt tokens that a cached prefix is expected to save.
+const PREFIX_TOKENS: f64 = 600.0;
+/// Microseconds of transfer that weigh as much as one request in the batch.
+const TRANSFER_WEIGHT: f64 = 25_000.0;
+/// What a second attempt in the failure domain of the first one weighs.
+const SAME_DOMAIN: f64 = 1e6;
+
+/// Chooses the endpoint with the least estimated load.
+#[derive(Debug)]
+pub struct InFlight {
+    variant: Variant,
+    random: Pcg64Mcg,
+    prefixes: Prefixes,
+}
+
+impl InFlight {
+    /// Makes the placement; `variant` says which steps it takes.
+    pub fn new(variant: Variant, seed: u64) -> InFlight {
+        let random = Pcg64Mcg::seed_from_u64(seed);
+        InFlight { variant, random, prefixes: Prefixes::default() }
+    }
+
+    /// Returns what an endpoint would cost; `None` if it has no room.
+    fn cost(
+        &self,
+        now: Timestamp,
+        need: &Need<'_>,
+        key: EndpointKey,
+        endpoint: &Tracked,
+    ) -> Option<f64> {
+        let (load, capacity) = (endpoint.load(), endpoint.state.capacity);
+        let pieces = need.tokens.div_ceil(capacity.piece_tokens.max(1)).max(1);
+        if load.slots >= capacity.slots || load.pieces + pieces > capacity.pieces {
+            return None;
+        }
+        let cost = match need.kind {
+            EndpointKind::Prefill => self.prefill_cost(now, need, key, endpoint),
+            EndpointKind::Decode => {
+                let slots = f64::from(load.slots) / f64::from(capacity.slots);
+                let memory = f64::from(load.pieces) / f64::from(capacity.pieces);
+                20.0 * slots.max(memory) + self.transfer_cost(endpoint)
+            }
+            EndpointKind::Service => f64::from(load.slots),
+        };
+        Some(cost)
+    }
+
+    fn prefill_cost(
+        &self,
+        now: Timestamp,
+        need: &Need<'_>,
+        key: EndpointKey,
+        endpoint: &Tracked,
+    ) -> f64 {
+        let load = endpoint.load();
+        let backlog = f64::from(load.prompt_tokens) + f64::from(load.slots);
+        let likely = match need.prefix {
+            Some(prefix) if self.variant >= Variant::Prefix => {
+                self.prefixes.likelihood(now, prefix, key)
+            }
+            _ => 0.0,
+        };
+        backlog - likely * PREFIX_TOKENS
+    }
+
+    fn transfer_cost(&self, endpoint: &Tracked) -> f64 {
+        if self.variant < Variant::Link {
+            return 0.0;
+        }
+        let span = endpoint.transfer as f64 / TRANSFER_WEIGHT;
+        span * f64::from(1 + endpoint.transfers)
+    }
+
+    /// Returns the endpoints to look at: all of a small pool, a random part of a large one.
+    fn sample(&mut self, keys: &[EndpointKey]) -> Vec<EndpointKey> {
+        if keys.len() <= SCAN_LIMIT {
+            return keys.to_vec();
+        }
+        let pick = |_| keys[(self.random.next_u64() % keys.len() as u64) as usize];
+        (0..SAMPLE).map(pick).collect()
+    }
+
+    fn cheapest(
+        &self,
+        now: Timestamp,
+        need: &Need<'_>,
+        fleet: &Fleet,
+        keys: &[EndpointKey],
+    ) -> Option<EndpointKey> {
+        let known: Vec<_> = keys.iter().filter_map(|k| Some((*k, fleet.get(*k)?))).collect();
+        let ejects = self.policy().health;
+        let out = known.iter().filter(|(_, e)| !e.health.is_in(now)).count();
+        // Past the bound the ejected ones count again, so that the rest doesn't fall over.
+        let honours = ejects && out * 100 <= known.len() * MOST_EJECTED_PERCENT;
+        let cost = |(key, endpoint): &(EndpointKey, &Tracked)| {
+            if !fleet.fits(need, endpoint) || (honours && !endpoint.health.is_in(now)) {
+                return None;
+            }
+            let again = need.avoid == Some(&*endpoint.state.domain);
+            let extra = if again { SAME_DOMAIN } else { 0.0 };
+            Some((self.cost(now, need, *key, endpoint)? + extra, *key))
+        };
+        let costs = known.iter().filter_map(cost);
+        costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, key)| key)
+    }
+}
+
+impl Placement for InFlight {
+    fn choose(&mut self, now: Timestamp, need: &Need<'_>, fleet: &Fleet) -> Option<EndpointKey> {
+        let keys = fleet.keys(need.kind, need.pool);
+        let sample = self.sample(keys);
+        self.cheapest(now, need, fleet, &sample)
+    }
+
+    fn policy(&self) -> Policy {
+        self.variant.policy()
+    }
+
+    fn prefilled(&mut self, now: Timestamp, prefix: u64, endpoint: EndpointKey) {
+        if self.variant >= Variant::Prefix {
+            self.prefixes.note(now, prefix, endpoint);
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/place/prefix.rs
@@ -0,0 +1,46 @@
+//! Where a prompt's prefix is likely to be cached.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use super::EndpointKey;
+use crate::model::Timestamp;
+
+/// Prefixes that are remembered.
+const MOST_PREFIXES: usize = 4_096;
+/// Endpoints remembered for a prefix.
+const MOST_ENDPOINTS: usize = 4;
+/// The time in which the likelihood of a cached prefix halves.
+const HALF_LIFE: Duration = Duration::from_secs(5);
+
+/// Where prompts were prefilled lately.
+#[derive(Debug, Default)]
+pub(super) struct Prefixes {
+    places: BTreeMap<u64, Vec<(EndpointKey, Timestamp)>>,
+    order: VecDeque<u64>,
+}
+
+impl Prefixes {
+    /// Takes note of a prefill.
+    pub(super) fn note(&mut self, now: Timestamp, prefix: u64, endpoint: EndpointKey) {
+        if !self.places.contains_key(&prefix) {
+            self.order.push_back(prefix);
+            if self.order.len() > MOST_PREFIXES
+                && let Some(oldest) = self.order.pop_front()
+            {
+                self.places.remove(&oldest);
+            }
+        }
+        let places = self.places.entry(prefix).or_default();
+        places.retain(|(e, _)| *e != endpoint);
+        places.insert(0, (endpoint, now));
+        places.truncate(MOST_ENDPOINTS);
+    }
+
+    /// Returns how likely an endpoint has the prefix, from 0 to 1.
+    pub(super) fn likelihood(&self, now: Timestamp, prefix: u64, endpoint: EndpointKey) -> f64 {
+        let places = self.places.get(&prefix).into_iter().flatten();
+        let seen = places.filter(|(e, _)| *e == endpoint).map(|(_, at)| *at).max();
+        seen.map_or(0.0, |at| 0.5f64.powf((now - at).as_secs_f64() / HALF_LIFE.as_secs_f64()))
+    }
+}
--- a/src/entry/place/round_robin.rs
+++ b/src/entry/place/round_robin.rs
@@ -1,9 +1,7 @@
 //! Each endpoint in its turn.
 
-use std::collections::BTreeMap;
-
-use super::{Need, Placement, fits};
-use crate::model::EndpointState;
+use super::{EndpointKey, Fleet, Need, Placement};
+use crate::model::Timestamp;
 
 /// Takes the endpoints in turn, whatever their load.
 #[derive(Debug, Default)]
@@ -12,12 +10,8 @@
 }
 
 impl Placement for RoundRobin {
-    fn choose<'a>(
-        &mut self,
-        need: Need<'_>,
-        endpoints: &'a BTreeMap<Box<str>, EndpointState>,
-    ) -> Option<&'a EndpointState> {
-        let fitting: Vec<_> = endpoints.values().filter(|e| fits(&need, e)).collect();
+    fn choose(&mut self, _now: Timestamp, need: &Need<'_>, fleet: &Fleet) -> Option<EndpointKey> {
+        let fitting: Vec<_> = fleet.fitting(need).map(|(key, _)| key).collect();
         self.turn = self.turn.wrapping_add(1);
         fitting.get(self.turn.checked_rem(fitting.len())?).copied()
     }
--- a/src/entry/run/mod.rs
+++ b/src/entry/run/mod.rs
@@ -8,7 +8,7 @@
 use super::place::Need;
 use super::{CallerEffect, Outputs, Shared, Terminal};
 use crate::control::claims::{Claim, ClaimKey};
-use crate::link::message::{AgentReply, Reply};
+use crate::link::message::{AgentReply, Export, Reply};
 use crate::model::call::prompt_tokens;
 use crate::model::{
     Call, CallId, CallKind, EndpointKind, EndpointState, ExchangeId, Ran, Refusal, RefusalReason,
@@ -22,6 +22,8 @@
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// How long an exchange may be silent before it counts as lost.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Bytes of a prompt by which shared prefixes are known.
+const PREFIX_BYTES: usize = 256;
 /// When a refused caller may come back.
 const RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
@@ -34,6 +36,10 @@
     Serving { exchange: ExchangeId },
     /// Waits for decode room.
     Reserving { decode: ExchangeId },
+    /// Waits until the next attempt.
+    Waiting { until: Timestamp },
+    /// Waits for the KV cache, with no decode room held.
+    Exporting { prefill: ExchangeId },
     /// Waits for the KV cache, with decode room held.
     Prefilling { decode: ExchangeId, prefill: ExchangeId },
     /// Takes tokens.
@@ -42,6 +48,15 @@
     Done,
 }
 
+/// KV cache that a prefill of this call has exported.
+#[derive(Debug)]
+struct Exported {
+    export: Export,
+    at: Timestamp,
+    /// Tokens that the caller had when the prefill began.
+    told: usize,
+}
+
 /// One call from admission to its terminal outcome.
 #[derive(Debug)]
 pub(crate) struct Run {
@@ -58,6 +73,7 @@
     told: Vec<Box<str>>,
     begun: bool,
     heard: Timestamp,
+    export: Option<Exported>,
 }
 
 impl Run {
@@ -80,6 +96,7 @@
             told: Vec::new(),
             begun: false,
             heard: now,
+            export: None,
         };
         let outputs = run.next_attempt(shared, now);
         (run, outputs)
@@ -100,6 +117,7 @@
         let silence = match &self.stage {
             Stage::Claiming { since, .. } => *since + CLAIM_TIMEOUT,
             Stage::Done => Timestamp::MAX,
+            Stage::Waiting { until } => *until,
             _ => self.heard + SILENCE_TIMEOUT,
         };
         silence.min(self.call.deadline)
@@ -114,15 +132,36 @@
         self.heard = now;
         match self.call.kind.clone() {
             CallKind::Service(body) => self.attempt_service(shared, now, body),
-            CallKind::Model { prompt, max_tokens, .. } => {
-                self.reserve(shared, prompt_tokens(&prompt) + max_tokens)
-            }
+            CallKind::Model { .. } => self.attempt_model(shared, now),
         }
     }
 
-    fn place(&mut self, shared: &mut Shared, kind: EndpointKind) -> Option<EndpointState> {
-        let need = Need { kind, pool: &self.call.pool, tried: &self.tried };
-        shared.placement.choose(need, &shared.endpoints).cloned()
+    fn place(
+        &mut self,
+        shared: &mut Shared,
+        now: Timestamp,
+        kind: EndpointKind,
+    ) -> Option<EndpointState> {
+        let (tokens, prefix) = match (&self.call.kind, kind) {
+            (CallKind::Model { prompt, .. }, EndpointKind::Prefill) => {
+                (prompt_tokens(prompt) + self.told.len() as u32, Some(prefix_hash(prompt)))
+            }
+            (CallKind::Model { prompt, max_tokens, .. }, _) => {
+                (prompt_tokens(prompt) + max_tokens, None)
+            }
+            (CallKind::Service(_), _) => (1, None),
+        };
+        let avoid = shared.fleet.failed_domain(self.id).map(Box::<str>::from);
+        let need = Need {
+            kind,
+            pool: &self.call.pool,
+            tried: &self.tried,
+            tokens,
+            class: self.call.class,
+            avoid: avoid.as_deref(),
+            prefix,
+        };
+        shared.place(now, &need)
     }
 
     /// Takes a reply on one of the run's exchanges.
@@ -150,13 +189,20 @@
     ) -> Outputs {
         match (&self.stage, reply) {
             (Stage::Reserving { decode }, AgentReply::Reserved) if *decode == exchange => {
-                self.prefill(shared, exchange)
+                self.reserved(shared, now, exchange)
             }
             (Stage::Prefilling { decode, prefill }, AgentReply::Exported(export))
                 if *prefill == exchange =>
             {
                 let decode = *decode;
-                self.decode(shared, decode, export)
+                self.export = Some(Exported { export, at: now, told: self.told.len() });
+                self.decode(shared, now, decode)
+            }
+            (Stage::Exporting { prefill }, AgentReply::Exported(export))
+                if *prefill == exchange =>
+            {
+                self.export = Some(Exported { export, at: now, told: self.told.len() });
+                self.reserve(shared, now)
             }
             (Stage::Decoding { decode }, AgentReply::Part { offset, tokens })
                 if *decode == exchange =>
@@ -198,6 +244,9 @@
             Stage::Serving { exchange: open } if *open == exchange => {
                 self.retry(shared, now, ran, "the agent was lost")
             }
+            Stage::Exporting { prefill } if *prefill == exchange => {
+                self.retry(shared, now, ran, "an agent was lost during prefill")
+            }
             Stage::Reserving { decode } | Stage::Decoding { decode } if *decode == exchange => {
                 self.retry(shared, now, ran, "the decode endpoint's agent was lost")
             }
@@ -237,6 +286,8 @@
                 outputs
             }
             Stage::Claiming { .. } | Stage::Done => Vec::new(),
+            Stage::Waiting { until } if now >= *until => self.next_attempt(shared, now),
+            Stage::Waiting { .. } => Vec::new(),
             _ if now >= self.heard + SILENCE_TIMEOUT => {
                 let ran = self.in_flight();
                 self.retry(shared, now, ran, "the endpoint's agent is silent")
@@ -248,7 +299,10 @@
     /// Returns whether what is in flight may have run.
     fn in_flight(&self) -> Ran {
         match self.stage {
-            Stage::Claiming { .. } | Stage::Reserving { .. } | Stage::Done => Ran::No,
+            Stage::Claiming { .. }
+            | Stage::Waiting { .. }
+            | Stage::Reserving { .. }
+            | Stage::Done => Ran::No,
             _ => Ran::Maybe,
         }
     }
@@ -262,9 +316,14 @@
         let call = &self.call;
         let most =
             shared.follower.config().value(setting, &call.tenant, &call.pool, call.class) as u32;
-        if allowed && self.attempt < most {
+        let allowed = allowed && self.attempt < most;
+        if allowed && !shared.policy.budget {
             log::info!("step=retry call={} attempt={} detail={detail:?}", self.id, self.attempt);
             outputs.extend(self.next_attempt(shared, now));
+        } else if allowed && shared.retries.take(self.call.class) {
+            log::info!("step=retry call={} attempt={} detail={detail:?}", self.id, self.attempt);
+            let until = now + shared.retries.wait(self.attempt);
+            self.stage = Stage::Waiting { until };
         } else {
             let detail = detail.to_string();
             outputs.extend(self.refuse(shared, RefusalReason::EndpointFailed, &detail));
@@ -277,7 +336,8 @@
             Stage::Claiming { exchange, .. } | Stage::Serving { exchange } => vec![*exchange],
             Stage::Reserving { decode } | Stage::Decoding { decode } => vec![*decode],
             Stage::Prefilling { decode, prefill } => vec![*decode, *prefill],
-            Stage::Done => Vec::new(),
+            Stage::Exporting { prefill } => vec![*prefill],
+            Stage::Waiting { .. } | Stage::Done => Vec::new(),
         };
         open.into_iter().map(|e| shared.reset(e)).collect()
     }
@@ -301,3 +361,9 @@
         Vec::new()
     }
 }
+
+/// Returns the hash of the start of a prompt, by which shared prefixes are known.
+fn prefix_hash(prompt: &str) -> u64 {
+    let start = &prompt.as_bytes()[..prompt.len().min(PREFIX_BYTES)];
+    u64::from(crc32fast::hash(start))
+}
--- a/src/entry/run/model.rs
+++ b/src/entry/run/model.rs
@@ -1,14 +1,34 @@
 //! Calls to models: decode room, then prefill, then tokens.
 
+use std::time::Duration;
+
 use super::super::{CallerEffect, Outputs, Shared};
 use super::{RESERVE_LEASE, Run, Stage};
 use crate::link::message::{AgentRequest, Export, Request};
+use crate::model::call::prompt_tokens;
 use crate::model::{CallKind, EndpointKind, ExchangeId, Ran, RefusalReason, Timestamp};
 use crate::role::Output;
 
+/// How long after its prefill KV cache may go to another decode endpoint.
+const EXPORT_USE: Duration = Duration::from_millis(600);
+/// How long an import may take before it counts as stalled.
+const IMPORT_TIMEOUT: Duration = Duration::from_millis(300);
+
 impl Run {
-    pub(super) fn reserve(&mut self, shared: &mut Shared, tokens: u32) -> Outputs {
-        let Some(endpoint) = self.place(shared, EndpointKind::Decode) else {
+    /// Starts an attempt; KV cache that still lives spares it the prefill.
+    pub(super) fn attempt_model(&mut self, shared: &mut Shared, now: Timestamp) -> Outputs {
+        if shared.policy.reserve_first || self.usable_export(shared, now).is_some() {
+            return self.reserve(shared, now);
+        }
+        self.prefill(shared, now, None)
+    }
+
+    pub(super) fn reserve(&mut self, shared: &mut Shared, now: Timestamp) -> Outputs {
+        let CallKind::Model { prompt, max_tokens, .. } = &self.call.kind else {
+            return Vec::new();
+        };
+        let tokens = prompt_tokens(prompt) + max_tokens;
+        let Some(endpoint) = self.place(shared, now, EndpointKind::Decode) else {
             return self.refuse(shared, RefusalReason::NoEndpoint, "no decode endpoint is free");
         };
         self.tried.push(endpoint.name.clone());
@@ -23,11 +43,37 @@
         vec![open]
     }
 
-    pub(super) fn prefill(&mut self, shared: &mut Shared, decode: ExchangeId) -> Outputs {
+    /// Goes on once decode room is held.
+    pub(super) fn reserved(
+        &mut self,
+        shared: &mut Shared,
+        now: Timestamp,
+        decode: ExchangeId,
+    ) -> Outputs {
+        if self.usable_export(shared, now).is_some() {
+            return self.decode(shared, now, decode);
+        }
+        self.prefill(shared, now, Some(decode))
+    }
+
+    /// Returns KV cache that still lives and holds all that the caller has.
+    fn usable_export(&self, shared: &Shared, now: Timestamp) -> Option<&Export> {
+        let uses = shared.policy.fallback || !shared.policy.reserve_first;
+        let exported = self.export.as_ref().filter(|_| uses)?;
+        let lives = now - exported.at < EXPORT_USE && exported.told == self.told.len();
+        lives.then_some(&exported.export)
+    }
+
+    fn prefill(
+        &mut self,
+        shared: &mut Shared,
+        now: Timestamp,
+        decode: Option<ExchangeId>,
+    ) -> Outputs {
         let CallKind::Model { prompt, .. } = &self.call.kind else { return Vec::new() };
         let prompt = prompt.clone();
-        let Some(endpoint) = self.place(shared, EndpointKind::Prefill) else {
-            let mut outputs = vec![shared.reset(decode)];
+        let Some(endpoint) = self.place(shared, now, EndpointKind::Prefill) else {
+            let mut outputs: Outputs = decode.map(|d| shared.reset(d)).into_iter().collect();
             outputs.extend(self.refuse(
                 shared,
                 RefusalReason::NoEndpoint,
@@ -41,9 +87,13 @@
             class: self.call.class,
             prompt,
             prefix: self.told.clone(),
+            within: shared.prefill_within(now, self.id, &self.call.pool),
         };
         let (prefill, open) = shared.open(self.id, endpoint.address, Request::Agent(prefill));
-        self.stage = Stage::Prefilling { decode, prefill };
+        self.stage = match decode {
+            Some(decode) => Stage::Prefilling { decode, prefill },
+            None => Stage::Exporting { prefill },
+        };
         let mut outputs = vec![open];
         if !self.begun {
             self.begun = true;
@@ -55,12 +105,18 @@
     pub(super) fn decode(
         &mut self,
         shared: &mut Shared,
+        now: Timestamp,
         decode: ExchangeId,
-        export: Export,
     ) -> Outputs {
         let CallKind::Model { max_tokens, .. } = &self.call.kind else { return Vec::new() };
-        let from = self.told.len() as u32;
-        let request = AgentRequest::Decode { export, from, until: *max_tokens };
+        let Some(exported) = &self.export else { return Vec::new() };
+        let within = shared.policy.fallback.then_some(IMPORT_TIMEOUT);
+        let request = AgentRequest::Decode {
+            export: exported.export.clone(),
+            from: self.told.len() as u32,
+            until: *max_tokens,
+            within: within.filter(|_| now - exported.at < EXPORT_USE),
+        };
         self.stage = Stage::Decoding { decode };
         let envelope = shared.follower.envelope(Request::Agent(request));
         vec![Output::Send { exchange: decode, envelope }]
--- a/src/entry/run/service.rs
+++ b/src/entry/run/service.rs
@@ -15,7 +15,7 @@
         now: Timestamp,
         body: Body,
     ) -> Outputs {
-        let Some(endpoint) = self.place(shared, EndpointKind::Service) else {
+        let Some(endpoint) = self.place(shared, now, EndpointKind::Service) else {
             return self.refuse(shared, RefusalReason::NoEndpoint, "no endpoint serves this pool");
         };
         self.tried.push(endpoint.name.clone());
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -9,7 +9,7 @@
 use crate::control::replica::ReplicaMessage;
 use crate::control::state::{Applied, Command};
 use crate::model::{
-    Body, BootId, Class, EndpointState, Fence, Refusal, RequestId, Revision, Timestamp,
+    Body, BootId, Class, EndpointState, Fence, Load, Refusal, RequestId, Revision, Timestamp,
 };
 
 /// A message with the configuration that its sender has in force.
@@ -67,6 +67,9 @@
         prompt: Box<str>,
         /// Tokens that the caller already has.
         prefix: Vec<Box<str>>,
+        /// When the first token is due from now; the prefill queues by it and is refused once it
+        /// can't be in time. Without it the prefill starts at once.
+        within: Option<Duration>,
     },
     /// Import KV cache into the reserved room and generate.
     Decode {
@@ -76,6 +79,8 @@
         from: u32,
         /// The offset after the last token to generate.
         until: u32,
+        /// How long the import may take before it counts as stalled.
+        within: Option<Duration>,
     },
     /// Run one exchange with a plain service.
     Call {
@@ -143,6 +148,8 @@
 pub enum AgentReply {
     /// The room is held.
     Reserved,
+    /// What is in use at the endpoint now.
+    Load(Load),
     /// The KV cache is exported.
     Exported(Export),
     /// Generated tokens in order.
--- a/src/model/endpoint.rs
+++ b/src/model/endpoint.rs
@@ -66,6 +66,8 @@
     pub pieces: u32,
     /// Tokens of prompts that wait or run.
     pub prompt_tokens: u32,
+    /// Prompt tokens handled in a second of work; zero as long as it isn't known.
+    pub prefill_rate: u32,
 }
 
 /// What an agent tells the registry about its endpoint.
