--- a/benches/policy/engine.rs
+++ b/benches/policy/engine.rs
@@ -61,6 +61,7 @@
     next: u32,
     until: u32,
     running: bool,
+    told: bool,
     expires: u64,
 }
 
@@ -69,6 +70,8 @@
 pub struct Spent {
     pub started: u64,
     pub cached: u64,
+    /// Imports at a decode engine that brought a token.
+    pub used: u64,
 }
 
 /// One engine or service.
@@ -158,7 +161,7 @@
                 links[self.index].free = begin + span;
                 let expires = made + EXPORT_LIFE;
                 let until = until.min(length);
-                let sequence = Sequence { next: from, until, running: false, expires };
+                let sequence = Sequence { next: from, until, running: false, told: false, expires };
                 self.sequences.insert(request, sequence);
                 said.ticks.push(((begin + span).min(expires.max(now)), Tick::Imported(request)));
             }
@@ -223,6 +226,7 @@
     fn chunk(&mut self, now: u64, request: RequestId, said: &mut Said) {
         let running = self.sequences.values().filter(|s| s.running).count();
         let Some(sequence) = self.sequences.get_mut(&request) else { return };
+        self.spent.used += u64::from(!std::mem::replace(&mut sequence.told, true));
         let offset = sequence.next;
         let count = if offset == 0 { 1 } else { CHUNK }.min(sequence.until.saturating_sub(offset));
         sequence.next += count;
@@ -250,7 +254,7 @@
         if self.alive {
             self.next_prefill(now, &mut said);
         }
-        said.inputs.push(EngineInput::Cancelled { request, confirmed: true });
+        said.inputs.push(EngineInput::Cancelled { request, gone: true });
         said
     }
 
--- a/benches/policy/report.rs
+++ b/benches/policy/report.rs
@@ -25,6 +25,7 @@
         goodput: of(|f| f.goodput),
         rate: of(|f| f.rate),
         wasted: of(|f| f.wasted),
+        unused: of(|f| f.unused),
         refused: of(|f| f.refused),
         ttft: of(|f| f.ttft),
         token: of(|f| f.token),
@@ -40,14 +41,14 @@
 pub fn table(rows: &[Row]) -> String {
     let mut text = String::from(
         "| user | load % | fault | variant | goodput % (min..max) | good/s | best % | of best % \
-         | wasted/100 | refused % | late % | TTFT p95 ms | token p95 ms | cached % | services % |\n\
-         |---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n",
+         | wasted/100 | unused/100 | refused % | late % | TTFT p95 ms | token p95 ms | cached % | services % |\n\
+         |---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n",
     );
     for row in rows {
         let m = &row.median;
         let _ = writeln!(
             text,
-            "| {} | {} | {} | {} | {:.1} ({:.1}..{:.1}) | {:.1} | {:.1} | {:.0} | {:.1} | {:.1} \
+            "| {} | {} | {} | {} | {:.1} ({:.1}..{:.1}) | {:.1} | {:.1} | {:.0} | {:.1} | {:.1} | {:.1} \
              | {:.1} | {:.0} | {:.1} | {:.0} | {:.1} |",
             row.user,
             row.load,
@@ -60,6 +61,7 @@
             row.best,
             100.0 * m.goodput / row.best,
             m.wasted,
+            m.unused,
             m.refused,
             m.late,
             m.ttft,
--- a/benches/policy/world.rs
+++ b/benches/policy/world.rs
@@ -8,12 +8,15 @@
 use dotterelpin::agent::{Agent, AgentSettings};
 use dotterelpin::control::claims::ClaimReply;
 use dotterelpin::control::config::{Config, Exception, Scope};
+use dotterelpin::control::orders::Marked;
 use dotterelpin::control::state::{Applied, Command};
 use dotterelpin::entry::check::{RawCall, Tenants, credential_hash};
 use dotterelpin::entry::{CallerEffect, CallerInput, Entry, EntrySettings, Terminal};
-use dotterelpin::link::message::{Beat, ControlReply, ControlRequest, Envelope, Reply, Request};
+use dotterelpin::link::message::{
+    Beat, ControlReply, ControlRequest, Endpoints, Envelope, Proof, Reply, Request,
+};
 use dotterelpin::model::{
-    Announcement, BootId, CallId, Capacity, Class, EndpointKind, EndpointState, ExchangeId,
+    Announcement, BootId, CallId, Capacity, Class, EndpointKind, EndpointState, ExchangeId, Fence,
     InboundId, Revision, Timestamp,
 };
 use dotterelpin::registry::FollowerSettings;
@@ -130,6 +133,7 @@
     pub goodput: f64,
     pub rate: f64,
     pub wasted: f64,
+    pub unused: f64,
     pub refused: f64,
     pub ttft: f64,
     pub token: f64,
@@ -297,6 +301,8 @@
             pool: pool.into(),
             capacity: Capacity { slots, pieces, piece_tokens: PIECE_TOKENS },
             fenced: true,
+            artifact: None,
+            boot: BootId(u64::from(n.engine.epoch)),
         };
         self.step_agent(node, Input::Local(EngineInput::Announced(announcement)));
     }
@@ -371,7 +377,7 @@
                 raw.method = "POST".into();
                 raw.path = "/v1/completions".into();
                 let text = prompt(prefix, kind.prefixes.1, output, tokens);
-                let most = output + output / 4;
+                let most = (kind.output.1 * 1.25) as u32;
                 raw.content = format!(
                     r#"{{"model":"model","prompt":"{text}","max_tokens":{most},"stream":true}}"#
                 )
@@ -465,14 +471,21 @@
                     let (state, at) = n.seen.as_ref()?;
                     (self.now - at < 3_000_000).then(|| state.clone())
                 };
-                let endpoints =
-                    heartbeat.endpoints.then(|| self.nodes.iter().filter_map(live).collect());
+                let endpoints = heartbeat
+                    .endpoints
+                    .then(|| Endpoints::All(self.nodes.iter().filter_map(live).collect()));
                 let beat = Beat {
                     member: "control".into(),
-                    highest: self.config.revision,
+                    proof: Some(Proof {
+                        highest: self.config.revision,
+                        epoch: 0,
+                        voters: vec![address(1)],
+                    }),
                     config: config.then(|| self.config.clone()),
                     version: self.now,
                     endpoints,
+                    orders: Some(Marked { mark: Fence(0), desired: None }),
+                    suspects: None,
                 };
                 (ControlReply::Beat(beat), 0)
             }
@@ -485,7 +498,7 @@
                 };
                 (ControlReply::Applied(applied), COMMIT)
             }
-            ControlRequest::Status => unreachable!("nobody asks"),
+            _ => unreachable!("nobody asks"),
         }
     }
 
@@ -670,11 +683,13 @@
         for node in &self.nodes {
             spent.started += node.engine.spent.started;
             spent.cached += node.engine.spent.cached;
+            spent.used += node.engine.spent.used;
         }
         let share = |a: u64, b: u64| 100.0 * a as f64 / (b as f64).max(1.0);
         figures.goodput = share(good, offered);
         figures.rate = good as f64 / (SPAN as f64 / 1e6);
         figures.wasted = share(spent.started.saturating_sub(done), spent.started);
+        figures.unused = share(spent.started.saturating_sub(spent.used), spent.started);
         figures.refused = share(refused, offered);
         figures.late = share(late, offered);
         figures.cached = share(spent.cached, spent.started);
--- a/src/agent/queue.rs
+++ b/src/agent/queue.rs
@@ -26,8 +26,9 @@
     waiting: BTreeMap<(Class, Timestamp, RequestId), Waiting>,
     started: BTreeMap<RequestId, u32>,
     tokens: u32,
-    /// Prompt tokens that the engine handles in a second.
-    rate: u64,
+    /// Prompt tokens that the engine has handled, and the microseconds it took; both fade.
+    handled: u64,
+    busy: u64,
     /// When the engine's present work began.
     since: Timestamp,
 }
@@ -102,10 +103,8 @@
     pub fn done(&mut self, now: Timestamp, request: RequestId) {
         let Some(tokens) = self.started.remove(&request) else { return };
         self.tokens -= tokens;
-        let span = ((now - self.since).as_micros() as u64).max(1);
-        let rate = u64::from(tokens.max(1)) * 1_000_000 / span;
-        self.rate =
-            if self.rate == 0 { rate } else { (self.rate * (SMOOTHING - 1) + rate) / SMOOTHING };
+        self.handled += u64::from(tokens) - self.handled / SMOOTHING;
+        self.busy += (now - self.since).as_micros() as u64 - self.busy / SMOOTHING;
         self.since = now;
     }
 
@@ -116,11 +115,12 @@
 
     /// Returns the prompt tokens that the engine handles in a second; zero if it isn't known.
     pub fn rate(&self) -> u32 {
-        self.rate as u32
+        (self.handled * 1_000_000).checked_div(self.busy).unwrap_or(0) as u32
     }
 
     fn time(&self, tokens: u32) -> Duration {
-        let micros = (u64::from(tokens) * 1_000_000).checked_div(self.rate).unwrap_or(0);
+        let micros =
+            (u64::from(tokens) * 1_000_000).checked_div(u64::from(self.rate())).unwrap_or(0);
         Duration::from_micros(micros)
     }
 
--- a/src/control/config/setting.rs
+++ b/src/control/config/setting.rs
@@ -2,6 +2,9 @@
 
 use eyre::{ensure, eyre};
 
+/// The newest set of settings that this build understands.
+pub const SCHEMA: u32 = 1;
+
 /// A setting with a whole number as its value.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Setting {
@@ -19,6 +22,8 @@
     TenantCalls,
     /// Whether an entry without confirmation serves on (1) or refuses (0).
     ServeUnconfirmed,
+    /// How long a key is kept after it was claimed, in milliseconds.
+    ClaimRetention,
 }
 
 /// A setting's name, built-in value and bounds.
@@ -28,9 +33,11 @@
     built_in: u64,
     least: u64,
     most: u64,
+    /// The first schema that has it.
+    since: u32,
 }
 
-const ROWS: [Row; 7] = [
+const ROWS: [Row; 8] = [
     row(Setting::CallDeadline, "call.deadline_ms", 60_000, 1, 86_400_000),
     row(Setting::FirstTokenTarget, "call.first_token_ms", 510, 1, 86_400_000),
     row(Setting::TokenTarget, "call.token_ms", 26, 1, 60_000),
@@ -38,10 +45,11 @@
     row(Setting::RetryPercent, "retry.percent", 10, 0, 100),
     row(Setting::TenantCalls, "limit.tenant_calls", 10_000, 1, 1_000_000),
     row(Setting::ServeUnconfirmed, "config.serve_unconfirmed", 0, 0, 1),
+    row(Setting::ClaimRetention, "claim.retention_ms", 86_400_000, 60_000, 604_800_000),
 ];
 
 const fn row(setting: Setting, name: &'static str, built_in: u64, least: u64, most: u64) -> Row {
-    Row { setting, name, built_in, least, most }
+    Row { setting, name, built_in, least, most, since: 1 }
 }
 
 impl Setting {
@@ -65,6 +73,18 @@
     }
 }
 
+/// Returns the first schema that has a setting; an unknown setting is of no schema yet.
+///
+/// ```
+/// use dotterelpin::control::config::{SCHEMA, schema_of};
+///
+/// assert!(schema_of("retry.attempts") <= SCHEMA);
+/// assert_eq!(schema_of("no.such"), u32::MAX);
+/// ```
+pub fn schema_of(name: &str) -> u32 {
+    ROWS.iter().find(|r| r.name == name).map_or(u32::MAX, |r| r.since)
+}
+
 /// Checks a value for a setting by its name.
 ///
 /// ```
--- a/src/entry/admit/mod.rs
+++ b/src/entry/admit/mod.rs
@@ -54,11 +54,11 @@
         let CallKind::Model { prompt, max_tokens, .. } = &call.kind else { return None };
         let tokens = prompt_tokens(prompt);
         let target = config.value(Setting::FirstTokenTarget, &call.tenant, &call.pool, call.class);
-        let generation = fleet.token_time(&call.pool) * *max_tokens;
+        let generation = fleet.answer_time(now, &call.pool, *max_tokens);
         let end = call.deadline.as_micros().saturating_sub(generation.as_micros() as u64);
         let due = (now + Duration::from_millis(target)).min(Timestamp::from_micros(end));
-        let needed =
-            fleet.prefill_time(&call.pool, u64::from(tokens)) + self.overhead(&call, fleet);
+        let needed = fleet.prefill_time(now, &call.pool, u64::from(tokens))
+            + overhead(now, &call.pool, fleet);
         let last =
             Timestamp::from_micros(due.as_micros().saturating_sub(needed.as_micros() as u64));
         if call.class == Class::Interactive {
@@ -67,26 +67,21 @@
         let cost = tokens + max_tokens;
         let ticket = Ticket { id, call, due, last, tokens: cost };
         if last <= now {
-            return Some(self.too_late(ticket, fleet));
+            return Some(self.too_late(now, ticket, fleet));
         }
         self.dues.insert(id, due);
         let pool = ticket.call.pool.clone();
         let given_up = self.queues.entry(pool).or_default().push(ticket)?;
-        let retry = self.retry_after(&given_up, fleet);
+        let retry = self.retry_after(now, &given_up, fleet);
         let refusal = Refusal::not_run(RefusalReason::Full, retry, "the queue is full");
         Some(self.refuse(given_up, refusal))
     }
 
-    /// Returns the time from the end of prefill to the first token, and that of messages.
-    fn overhead(&self, call: &Call, fleet: &Fleet) -> Duration {
-        fleet.import_time(&call.pool) + HOPS
-    }
-
     /// Decides about one waiting call, if there is something to decide.
     pub fn next(&mut self, now: Timestamp, fleet: &Fleet) -> Option<Decision> {
         let late = self.queues.values_mut().find_map(|q| q.expire_one(now));
         if let Some(ticket) = late {
-            return Some(self.too_late(ticket, fleet));
+            return Some(self.too_late(now, ticket, fleet));
         }
         let recent =
             |pool: &str| self.interactive.get(pool).is_some_and(|at| now - *at < HEADROOM_SPAN);
@@ -94,7 +89,7 @@
             let ticket = queue.peek(now)?;
             let pool = &ticket.call.pool;
             let keeps = ticket.call.class == Class::Batch && recent(pool);
-            match room(now, ticket, fleet, keeps, self.overhead(&ticket.call, fleet)) {
+            match room(now, ticket, fleet, keeps, overhead(now, pool, fleet)) {
                 Room::None => None,
                 room => Some((pool.clone(), ticket.id, room)),
             }
@@ -104,14 +99,14 @@
         match room {
             Room::TooLate => {
                 let ticket = queue.remove(id)?;
-                Some(self.too_late(ticket, fleet))
+                Some(self.too_late(now, ticket, fleet))
             }
             _ => Some(Decision::Start(Box::new(queue.serve(id)?))),
         }
     }
 
-    fn too_late(&mut self, ticket: Ticket, fleet: &Fleet) -> Decision {
-        let retry = self.retry_after(&ticket, fleet);
+    fn too_late(&mut self, now: Timestamp, ticket: Ticket, fleet: &Fleet) -> Decision {
+        let retry = self.retry_after(now, &ticket, fleet);
         let detail = "the call can't meet its target any more";
         self.refuse(ticket, Refusal::not_run(RefusalReason::Deadline, retry, detail))
     }
@@ -123,9 +118,9 @@
 
     /// Returns when the queue before a caller will have been served, spread so that refused
     /// callers don't come back together.
-    fn retry_after(&self, ticket: &Ticket, fleet: &Fleet) -> Duration {
+    fn retry_after(&self, now: Timestamp, ticket: &Ticket, fleet: &Fleet) -> Duration {
         let waiting = self.queues.get(&ticket.call.pool).map_or(0, Queue::tokens);
-        let span = fleet.drain_time(&ticket.call.pool, waiting);
+        let span = fleet.drain_time(now, &ticket.call.pool, waiting);
         let spread = ticket.id.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 56;
         let (least, most) = RETRY_BOUNDS;
         let span = span.clamp(least, most);
@@ -158,3 +153,8 @@
         self.queues.values().all(Queue::is_empty)
     }
 }
+
+/// Returns the time from the end of prefill to the first token, and that of messages.
+fn overhead(now: Timestamp, pool: &str, fleet: &Fleet) -> Duration {
+    fleet.import_time(now, pool) + HOPS
+}
--- a/src/entry/admit/room.rs
+++ b/src/entry/admit/room.rs
@@ -43,7 +43,7 @@
         let free = PREFILL_DEPTH.saturating_sub(load.slots);
         if free > starting {
             let tokens = load.prompt_tokens + prompt_tokens(prompt);
-            let time = fleet.prefill_time(pool, u64::from(tokens)) + overhead;
+            let time = fleet.prefill_time(now, pool, u64::from(tokens)) + overhead;
             return if now + time > ticket.due { Room::TooLate } else { Room::Free };
         }
         starting -= free;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -11,7 +11,7 @@
 pub mod retry;
 mod run;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use admit::{Admission, Decision, Limits};
@@ -32,6 +32,12 @@
 /// When a caller that was refused for want of room may come back.
 const RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
+/// How long an entry that leaves refuses new calls, so that the balancer sees that it is not
+/// ready before it is gone.
+const LEAVE_NOTICE: Duration = Duration::from_millis(1_000);
+/// How long an entry that leaves waits for answers that no call needs.
+const TIDY_TIMEOUT: Duration = Duration::from_millis(5_000);
+
 /// What callers do.
 #[derive(Debug)]
 pub enum CallerInput {
@@ -139,6 +145,11 @@
         Output::Reset { exchange }
     }
 
+    /// Drops an exchange that its peer has ended.
+    pub(crate) fn forget(&mut self, exchange: ExchangeId) {
+        self.owners.remove(&exchange);
+    }
+
     /// Returns the endpoint that an attempt goes to.
     pub(crate) fn place(&mut self, now: Timestamp, need: &Need<'_>) -> Option<EndpointState> {
         let key = self.placement.choose(now, need, &self.fleet)?;
@@ -156,7 +167,7 @@
         pool: &str,
     ) -> Option<Duration> {
         let due = self.admission.due(call)?;
-        Some((due - now).saturating_sub(self.fleet.import_time(pool)))
+        Some((due - now).saturating_sub(self.fleet.import_time(now, pool)))
     }
 
     pub(crate) fn boot(&self) -> BootId {
@@ -164,13 +175,24 @@
     }
 }
 
+/// A run and when it wants to wake.
+struct Scheduled {
+    run: Run,
+    timer: Timestamp,
+    tenant: Box<str>,
+}
+
 /// The entry role.
 pub struct Entry {
     shared: Shared,
     tenants: Tenants,
-    runs: BTreeMap<CallId, Run>,
+    runs: BTreeMap<CallId, Scheduled>,
+    /// When each run wants to wake.
+    timers: BTreeSet<(Timestamp, CallId)>,
     limits: Limits,
-    stopping: bool,
+    stopping: Option<Timestamp>,
+    /// Since when an entry that leaves has no calls.
+    quiet: Option<Timestamp>,
 }
 
 impl Entry {
@@ -194,7 +216,15 @@
             last_exchange: 0,
             owners: BTreeMap::new(),
         };
-        Entry { shared, tenants, runs: BTreeMap::new(), limits: Limits::default(), stopping: false }
+        Entry {
+            shared,
+            tenants,
+            runs: BTreeMap::new(),
+            timers: BTreeSet::new(),
+            limits: Limits::default(),
+            stopping: None,
+            quiet: None,
+        }
     }
 
     fn arrived(&mut self, now: Timestamp, call: CallId, raw: RawCall) -> Outputs {
@@ -220,8 +250,22 @@
         let config = self.shared.follower.config();
         let percent = config.value(setting, &checked.tenant, &checked.pool, checked.class);
         self.shared.retries.earn(checked.class, percent);
+        let tenant = checked.tenant.clone();
         let (run, outputs) = Run::start(&mut self.shared, now, call, checked);
-        self.keep(call, run, outputs)
+        if run.is_done() {
+            self.ended(call, &tenant);
+        } else {
+            let timer = run.next_wake();
+            self.timers.insert((timer, call));
+            self.runs.insert(call, Scheduled { run, timer, tenant });
+        }
+        outputs
+    }
+
+    fn ended(&mut self, call: CallId, tenant: &str) {
+        self.limits.leave(tenant);
+        self.shared.admission.finished(call);
+        self.shared.fleet.finished(call);
     }
 
     fn decided(&mut self, now: Timestamp, decision: Decision) -> Outputs {
@@ -252,9 +296,9 @@
     }
 
     fn admit(&mut self, now: Timestamp, raw: RawCall) -> Result<crate::model::Call, Refusal> {
-        if self.stopping {
+        if self.stopping.is_some() {
             let detail = "this entry is shutting down";
-            return Err(Refusal::not_run(RefusalReason::Draining, Duration::ZERO, detail));
+            return Err(Refusal::not_run(RefusalReason::Draining, RETRY_AFTER, detail));
         }
         let config = self.shared.follower.config();
         let confirmed = self.shared.follower.is_confirmed(now);
@@ -267,49 +311,66 @@
         Ok(call)
     }
 
-    /// Keeps a run that has not ended.
-    fn keep(&mut self, call: CallId, run: Run, mut outputs: Outputs) -> Outputs {
-        if run.is_done() {
-            self.limits.leave(&run.call().tenant);
-            self.shared.admission.finished(call);
-            self.shared.fleet.finished(call);
-            outputs.extend(run.close(&mut self.shared));
-        } else {
-            self.runs.insert(call, run);
-        }
-        outputs
-    }
-
     /// Passes an event to the run that it belongs to.
     fn with_run(
         &mut self,
         call: CallId,
         event: impl FnOnce(&mut Run, &mut Shared) -> Outputs,
     ) -> Outputs {
-        let Some(mut run) = self.runs.remove(&call) else { return Vec::new() };
-        let outputs = event(&mut run, &mut self.shared);
-        self.keep(call, run, outputs)
+        let Some(scheduled) = self.runs.get_mut(&call) else { return Vec::new() };
+        let outputs = event(&mut scheduled.run, &mut self.shared);
+        let timer = scheduled.run.next_wake();
+        let done = scheduled.run.is_done();
+        if done || timer != scheduled.timer {
+            self.timers.remove(&(scheduled.timer, call));
+            scheduled.timer = timer;
+            self.timers.insert((timer, call));
+        }
+        if done {
+            self.timers.remove(&(timer, call));
+            if let Some(scheduled) = self.runs.remove(&call) {
+                self.ended(call, &scheduled.tenant);
+            }
+        }
+        outputs
     }
 
-    fn gone(&mut self, call: CallId) -> Outputs {
+    fn gone(&mut self, now: Timestamp, call: CallId) -> Outputs {
         if let Some(ticket) = self.shared.admission.remove(call) {
             self.limits.leave(&ticket.call.tenant);
         }
-        self.with_run(call, |run, shared| run.gone(shared))
+        self.with_run(call, |run, shared| run.gone(shared, now))
     }
 
     fn heartbeats(&mut self, now: Timestamp) -> Outputs {
         let last = &mut self.shared.last_exchange;
-        self.shared.follower.wake(now, None, &mut || {
+        self.shared.follower.wake(now, None, None, &mut || {
             *last += 1;
             ExchangeId(*last)
         })
     }
 
+    /// Returns whether nothing is left to do for any caller, and the balancer had its notice.
+    fn has_stopped(&mut self, now: Timestamp) -> bool {
+        let idle = self.runs.is_empty() && self.shared.admission.is_empty();
+        if self.stopping.is_some() && idle {
+            self.quiet.get_or_insert(now);
+        }
+        self.stop_time().is_some_and(|at| at <= now)
+    }
+
+    /// Returns when an entry that leaves and has no calls stops if nothing more comes.
+    fn stop_time(&self) -> Option<Timestamp> {
+        let noticed = self.stopping? + LEAVE_NOTICE;
+        let quiet = self.quiet?;
+        let tidy = if self.shared.owners.is_empty() { quiet } else { quiet + TIDY_TIMEOUT };
+        Some(noticed.max(tidy))
+    }
+
     fn wake(&mut self, now: Timestamp) -> Outputs {
         let mut outputs = self.heartbeats(now);
         let due: Vec<CallId> =
-            self.runs.iter().filter(|(_, r)| r.next_wake() <= now).map(|(call, _)| *call).collect();
+            self.timers.iter().take_while(|(at, _)| *at <= now).map(|(_, call)| *call).collect();
         for call in due {
             outputs.extend(self.with_run(call, |run, shared| run.wake(shared, now)));
         }
@@ -325,7 +386,7 @@
         let moves = may_free_room(&input);
         let mut outputs = match input {
             Input::Local(CallerInput::Arrived { call, raw }) => self.arrived(now, call, raw),
-            Input::Local(CallerInput::Gone { call }) => self.gone(call),
+            Input::Local(CallerInput::Gone { call }) => self.gone(now, call),
             Input::Reply { exchange, envelope } => {
                 self.shared.follower.observe(now, envelope.revised);
                 self.shared.fleet.heard(now, exchange, &envelope.body);
@@ -352,7 +413,7 @@
             }
             Input::Wake => self.wake(now),
             Input::Shutdown => {
-                self.stopping = true;
+                self.stopping.get_or_insert(now);
                 Vec::new()
             }
             Input::Request { .. } | Input::Abandoned { .. } => Vec::new(),
@@ -361,16 +422,17 @@
         if moves {
             outputs.extend(self.pump(now));
         }
-        if self.stopping && self.runs.is_empty() && self.shared.admission.is_empty() {
+        if self.has_stopped(now) {
             outputs.push(Output::Stopped);
         }
         outputs
     }
 
     fn next_wake(&self) -> Option<Timestamp> {
-        let runs = self.runs.values().map(Run::next_wake).min();
+        let runs = self.timers.first().map(|(at, _)| *at);
         let queue = self.shared.admission.next_wake();
-        [runs, queue, self.shared.follower.next_wake()].into_iter().flatten().min()
+        let rest = [self.stop_time(), self.shared.follower.next_wake()];
+        [runs, queue].into_iter().chain(rest).flatten().min()
     }
 }
 
--- a/src/entry/place/fleet.rs
+++ b/src/entry/place/fleet.rs
@@ -7,6 +7,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use super::Need;
+use super::estimate::Estimate;
 use super::flight::{Flight, Stage};
 use crate::entry::health::{Health, Verdict};
 use crate::link::message::{AgentReply, AgentRequest, Reply, Request};
@@ -17,9 +18,6 @@
 
 /// How long an exchange is silent before its reset counts against the endpoint.
 const SILENCE: Duration = Duration::from_millis(900);
-/// The weight of a new measurement against those before, as one part in so many.
-const SMOOTHING: u64 = 8;
-
 new_key_type! {
     /// One endpoint in the arena of an entry.
     pub struct EndpointKey;
@@ -37,7 +35,7 @@
     /// Transfers of this entry on its link.
     pub transfers: u32,
     /// The usual time from the end of prefill to the first token, in microseconds.
-    pub transfer: u64,
+    pub transfer: Estimate,
     /// Whether it works.
     pub health: Health,
 }
@@ -49,7 +47,7 @@
             state,
             own: Load::default(),
             transfers: 0,
-            transfer: 0,
+            transfer: Estimate::default(),
             health: Health::default(),
         }
     }
@@ -96,11 +94,14 @@
     /// Calls that have asked for decode room and whose prefill is not placed yet.
     starting: BTreeSet<CallId>,
     /// The usual time between tokens, in microseconds.
-    token: u64,
+    token: Estimate,
     /// The usual prompt tokens that one prefill endpoint handles in a second.
-    rate: u64,
+    rate: Estimate,
+    /// The usual length of answers in thousandths of the longest, and its usual deviation.
+    share: Estimate,
+    gap: Estimate,
     /// The usual time from the start of an import to the first token, in microseconds.
-    import: u64,
+    import: Estimate,
 }
 
 impl Pool {
@@ -134,10 +135,6 @@
     ejects: bool,
 }
 
-fn smooth(old: u64, new: u64) -> u64 {
-    if old == 0 { new } else { (old * (SMOOTHING - 1) + new) / SMOOTHING }
-}
-
 impl Fleet {
     /// Makes an empty fleet; `ejects` says whether failing endpoints are ejected.
     pub fn new(ejects: bool) -> Fleet {
@@ -171,27 +168,33 @@
         self.pools.get(pool).map_or(0, |p| p.starting.len())
     }
 
-    /// Returns the usual time between tokens of a pool; zero as long as it isn't known.
-    pub fn token_time(&self, pool: &str) -> Duration {
-        Duration::from_micros(self.pools.get(pool).map_or(0, |p| p.token))
-    }
-
     /// Returns the time that a prefill of so many tokens usually takes; zero as long as it isn't
     /// known.
-    pub fn prefill_time(&self, pool: &str, tokens: u64) -> Duration {
-        let rate = self.pools.get(pool).map_or(0, |p| p.rate);
+    pub fn prefill_time(&self, now: Timestamp, pool: &str, tokens: u64) -> Duration {
+        let rate = self.pools.get(pool).map_or(0, |p| p.rate.get(now));
         Duration::from_micros((tokens * 1_000_000).checked_div(rate).unwrap_or(0))
     }
 
+    /// Returns the time in which most answers of at most so many tokens end; zero as long as it
+    /// isn't known.
+    pub fn answer_time(&self, now: Timestamp, pool: &str, tokens: u32) -> Duration {
+        let Some(pool) = self.pools.get(pool) else { return Duration::ZERO };
+        let share = match pool.share.get(now) {
+            0 => 1_000,
+            share => (share + pool.gap.get(now)).min(1_000),
+        };
+        Duration::from_micros(pool.token.get(now) * u64::from(tokens) * share / 1_000)
+    }
+
     /// Returns the usual time from the start of an import to the first token.
-    pub fn import_time(&self, pool: &str) -> Duration {
-        Duration::from_micros(self.pools.get(pool).map_or(0, |p| p.import))
+    pub fn import_time(&self, now: Timestamp, pool: &str) -> Duration {
+        Duration::from_micros(self.pools.get(pool).map_or(0, |p| p.import.get(now)))
     }
 
     /// Returns the time in which all prefill endpoints of a pool handle so many tokens.
-    pub fn drain_time(&self, pool: &str, tokens: u64) -> Duration {
+    pub fn drain_time(&self, now: Timestamp, pool: &str, tokens: u64) -> Duration {
         let count = self.keys(EndpointKind::Prefill, pool).len().max(1);
-        self.prefill_time(pool, tokens / count as u64)
+        self.prefill_time(now, pool, tokens / count as u64)
     }
 
     /// Returns whether failing endpoints are ejected.
@@ -260,8 +263,8 @@
                 }
             }
             Output::Send { exchange, envelope } => {
-                if matches!(envelope.body, Request::Agent(AgentRequest::Decode { .. })) {
-                    self.import(now, *exchange);
+                if let Request::Agent(AgentRequest::Decode { until, .. }) = &envelope.body {
+                    self.import(now, *exchange, *until);
                 }
             }
             Output::Reset { exchange } => {
@@ -289,9 +292,14 @@
         flight.heard = now;
         let flight = *flight;
         match reply {
-            AgentReply::Load(load) => self.learn(flight.endpoint, *load),
+            AgentReply::Load(load) => self.learn(now, flight.endpoint, *load),
             AgentReply::Part { tokens, .. } => self.part(now, exchange, tokens.len() as u32),
-            AgentReply::Exported(_) | AgentReply::End { .. } | AgentReply::Answer(_) => {
+            AgentReply::End { offset, .. } => {
+                self.ended(now, flight, *offset);
+                self.judge(now, flight, Verdict::Worked);
+                self.land(exchange);
+            }
+            AgentReply::Exported(_) | AgentReply::Answer(_) => {
                 self.judge(now, flight, Verdict::Worked);
                 self.land(exchange);
             }
@@ -305,13 +313,25 @@
         }
     }
 
-    fn learn(&mut self, key: EndpointKey, load: Load) {
+    /// Learns how much of the longest answer callers usually get.
+    fn ended(&mut self, now: Timestamp, flight: Flight, tokens: u32) {
+        let Some(endpoint) = self.endpoints.get(flight.endpoint) else { return };
+        let Some(pool) = self.pools.get_mut(&endpoint.state.pool) else { return };
+        let share = u64::from(tokens) * 1_000 / u64::from(flight.until.max(1));
+        let gap = share.abs_diff(pool.share.get(now));
+        if pool.share.get(now) > 0 {
+            pool.gap.add(now, gap);
+        }
+        pool.share.add(now, share);
+    }
+
+    fn learn(&mut self, now: Timestamp, key: EndpointKey, load: Load) {
         let Some(endpoint) = self.endpoints.get_mut(key) else { return };
         endpoint.learn(load);
         if load.prefill_rate > 0
             && let Some(pool) = self.pools.get_mut(&endpoint.state.pool)
         {
-            pool.rate = smooth(pool.rate, u64::from(load.prefill_rate));
+            pool.rate.add(now, u64::from(load.prefill_rate));
         }
     }
 
@@ -337,9 +357,10 @@
         self.flights.insert(exchange, flight);
     }
 
-    fn import(&mut self, now: Timestamp, exchange: ExchangeId) {
+    fn import(&mut self, now: Timestamp, exchange: ExchangeId, until: u32) {
         let Some(flight) = self.flights.get_mut(&exchange) else { return };
         flight.stage = Stage::Importing;
+        flight.until = until;
         flight.since = now;
         let Some(endpoint) = self.endpoints.get_mut(flight.endpoint) else { return };
         endpoint.transfers += 1;
@@ -357,12 +378,12 @@
         if flight.stage == Stage::Importing {
             flight.stage = Stage::Running;
             endpoint.transfers = endpoint.transfers.saturating_sub(1);
-            endpoint.transfer = smooth(endpoint.transfer, span);
+            endpoint.transfer.add(now, span);
             if let Some(pool) = self.pools.get_mut(&endpoint.state.pool) {
-                pool.import = smooth(pool.import, span);
+                pool.import.add(now, span);
             }
         } else if let Some(pool) = self.pools.get_mut(&endpoint.state.pool) {
-            pool.token = smooth(pool.token, span / u64::from(tokens.max(1)));
+            pool.token.add(now, span / u64::from(tokens.max(1)));
         }
     }
 
--- a/src/entry/place/flight.rs
+++ b/src/entry/place/flight.rs
@@ -26,6 +26,8 @@
     /// When the current stage began.
     pub(super) since: Timestamp,
     pub(super) heard: Timestamp,
+    /// The longest answer in tokens.
+    pub(super) until: u32,
 }
 
 impl Flight {
@@ -49,6 +51,6 @@
         };
         let pieces = tokens.div_ceil(capacity.piece_tokens.max(1)).max(1);
         let load = Load { slots: 1, pieces, prompt_tokens: prompt, ..Load::default() };
-        Some(Flight { endpoint, call, load, stage, since: now, heard: now })
+        Some(Flight { endpoint, call, load, stage, since: now, heard: now, until: 0 })
     }
 }
--- a/src/entry/place/in_flight.rs
+++ b/src/entry/place/in_flight.rs
@@ -52,7 +52,7 @@
             EndpointKind::Decode => {
                 let slots = f64::from(load.slots) / f64::from(capacity.slots);
                 let memory = f64::from(load.pieces) / f64::from(capacity.pieces);
-                20.0 * slots.max(memory) + self.transfer_cost(endpoint)
+                20.0 * slots.max(memory) + self.transfer_cost(now, endpoint)
             }
             EndpointKind::Service => f64::from(load.slots),
         };
@@ -77,11 +77,11 @@
         backlog - likely * PREFIX_TOKENS
     }
 
-    fn transfer_cost(&self, endpoint: &Tracked) -> f64 {
+    fn transfer_cost(&self, now: Timestamp, endpoint: &Tracked) -> f64 {
         if self.variant < Variant::Link {
             return 0.0;
         }
-        let span = endpoint.transfer as f64 / TRANSFER_WEIGHT;
+        let span = endpoint.transfer.get(now) as f64 / TRANSFER_WEIGHT;
         span * f64::from(1 + endpoint.transfers)
     }
 
--- a/src/entry/place/mod.rs
+++ b/src/entry/place/mod.rs
@@ -1,5 +1,6 @@
 //! The filter `place`: which endpoint takes an attempt.
 
+mod estimate;
 mod fleet;
 mod flight;
 mod in_flight;
@@ -8,13 +9,14 @@
 mod round_robin;
 mod variant;
 
+pub use estimate::Estimate;
 pub use fleet::{EndpointKey, Fleet, Tracked};
 pub use in_flight::InFlight;
 pub use least_reported::LeastReported;
 pub use round_robin::RoundRobin;
 pub use variant::Variant;
 
-use crate::model::{Class, EndpointKind, Timestamp};
+use crate::model::{EndpointKind, Timestamp};
 
 /// What an attempt needs.
 #[derive(Debug, Clone, Copy)]
@@ -27,8 +29,6 @@
     pub tried: &'a [Box<str>],
     /// Tokens of the prompt, and of the longest answer at a decode endpoint.
     pub tokens: u32,
-    /// How the call is ordered against others.
-    pub class: Class,
     /// The failure domain in which an attempt of the call failed.
     pub avoid: Option<&'a str>,
     /// The hash of the start of the prompt.
--- a/src/entry/run/model.rs
+++ b/src/entry/run/model.rs
@@ -3,12 +3,15 @@
 use std::time::Duration;
 
 use super::super::{CallerEffect, Outputs, Shared};
-use super::{RESERVE_LEASE, Run, Stage};
-use crate::link::message::{AgentRequest, Export, Request};
+use super::{Exported, RESERVE_LEASE, Run, Stage};
+use crate::link::message::{AgentRequest, Request};
 use crate::model::call::prompt_tokens;
 use crate::model::{CallKind, EndpointKind, ExchangeId, Ran, RefusalReason, Timestamp};
 use crate::role::Output;
 
+/// The end mark of a generation that reached its last offset.
+const FINISH_LENGTH: &str = "length";
+
 /// How long after its prefill KV cache may go to another decode endpoint.
 const EXPORT_USE: Duration = Duration::from_millis(600);
 /// How long an import may take before it counts as stalled.
@@ -24,14 +27,12 @@
     }
 
     pub(super) fn reserve(&mut self, shared: &mut Shared, now: Timestamp) -> Outputs {
-        let CallKind::Model { prompt, max_tokens, .. } = &self.call.kind else {
-            return Vec::new();
-        };
+        let CallKind::Model { prompt, max_tokens, .. } = &self.call.kind else { return Vec::new() };
         let tokens = prompt_tokens(prompt) + max_tokens;
         let Some(endpoint) = self.place(shared, now, EndpointKind::Decode) else {
-            return self.refuse(shared, RefusalReason::NoEndpoint, "no decode endpoint is free");
+            let detail = "no decode endpoint is free";
+            return self.refuse(shared, now, RefusalReason::NoEndpoint, detail);
         };
-        self.tried.push(endpoint.name.clone());
         let reserve = AgentRequest::Reserve {
             request: self.request_id(shared),
             class: self.call.class,
@@ -39,6 +40,7 @@
             lease: RESERVE_LEASE,
         };
         let (decode, open) = shared.open(self.id, endpoint.address, Request::Agent(reserve));
+        self.endpoint = Some(endpoint);
         self.stage = Stage::Reserving { decode };
         vec![open]
     }
@@ -51,17 +53,18 @@
         decode: ExchangeId,
     ) -> Outputs {
         if self.usable_export(shared, now).is_some() {
+            self.attempts.dispatched();
             return self.decode(shared, now, decode);
         }
         self.prefill(shared, now, Some(decode))
     }
 
     /// Returns KV cache that still lives and holds all that the caller has.
-    fn usable_export(&self, shared: &Shared, now: Timestamp) -> Option<&Export> {
+    fn usable_export(&self, shared: &Shared, now: Timestamp) -> Option<&Exported> {
         let uses = shared.policy.fallback || !shared.policy.reserve_first;
         let exported = self.export.as_ref().filter(|_| uses)?;
         let lives = now - exported.at < EXPORT_USE && exported.told == self.told.len();
-        lives.then_some(&exported.export)
+        lives.then_some(exported)
     }
 
     fn prefill(
@@ -73,15 +76,9 @@
         let CallKind::Model { prompt, .. } = &self.call.kind else { return Vec::new() };
         let prompt = prompt.clone();
         let Some(endpoint) = self.place(shared, now, EndpointKind::Prefill) else {
-            let mut outputs: Outputs = decode.map(|d| shared.reset(d)).into_iter().collect();
-            outputs.extend(self.refuse(
-                shared,
-                RefusalReason::NoEndpoint,
-                "no prefill endpoint is free",
-            ));
-            return outputs;
+            let detail = "no prefill endpoint is free";
+            return self.refuse(shared, now, RefusalReason::NoEndpoint, detail);
         };
-        self.tried.push(endpoint.name.clone());
         let prefill = AgentRequest::Prefill {
             request: self.request_id(shared),
             class: self.call.class,
@@ -89,7 +86,9 @@
             prefix: self.told.clone(),
             within: shared.prefill_within(now, self.id, &self.call.pool),
         };
+        self.attempts.dispatched();
         let (prefill, open) = shared.open(self.id, endpoint.address, Request::Agent(prefill));
+        self.source = Some(endpoint);
         self.stage = match decode {
             Some(decode) => Stage::Prefilling { decode, prefill },
             None => Stage::Exporting { prefill },
@@ -110,14 +109,15 @@
     ) -> Outputs {
         let CallKind::Model { max_tokens, .. } = &self.call.kind else { return Vec::new() };
         let Some(exported) = &self.export else { return Vec::new() };
-        let within = shared.policy.fallback.then_some(IMPORT_TIMEOUT);
         let request = AgentRequest::Decode {
             export: exported.export.clone(),
             from: self.told.len() as u32,
             until: *max_tokens,
-            within: within.filter(|_| now - exported.at < EXPORT_USE),
+            within: shared.policy.fallback.then_some(IMPORT_TIMEOUT),
         };
         self.stage = Stage::Decoding { decode };
+        self.progress = now;
+        self.transferring = true;
         let envelope = shared.follower.envelope(Request::Agent(request));
         vec![Output::Send { exchange: decode, envelope }]
     }
@@ -132,14 +132,43 @@
     ) -> Outputs {
         let told = self.told.len() as u32;
         if offset > told {
-            return self.retry(shared, now, Ran::Maybe, "tokens are missing");
+            let detail = "tokens are missing";
+            return self.setback(shared, now, Ran::Maybe, RefusalReason::EndpointFailed, detail);
         }
+        self.progress = now;
+        self.transferring = false;
         let known = (told - offset) as usize;
         let fresh: Vec<_> = tokens.into_iter().skip(known).collect();
         if fresh.is_empty() {
             return Vec::new();
         }
         self.told.extend(fresh.iter().cloned());
+        if self.teller.is_none() {
+            return Vec::new();
+        }
         vec![Output::Effect(CallerEffect::Tokens { call: self.id, tokens: fresh })]
     }
+
+    /// Takes the engine's end mark; only a whole answer ends the call.
+    pub(super) fn end(
+        &mut self,
+        shared: &mut Shared,
+        now: Timestamp,
+        offset: u32,
+        finish: Box<str>,
+    ) -> Outputs {
+        let CallKind::Model { max_tokens, .. } = self.call.kind else { return Vec::new() };
+        let short = &*finish == FINISH_LENGTH && offset != max_tokens;
+        if short || offset != self.told.len() as u32 {
+            let detail = "tokens are missing at the end";
+            return self.setback(shared, now, Ran::Maybe, RefusalReason::EndpointFailed, detail);
+        }
+        self.attempts.ended(Ran::Yes);
+        if let Some(owned) = &self.claim {
+            let request = owned.request;
+            return self.record_generated(shared, now, request, finish);
+        }
+        self.stage = Stage::Done;
+        self.teller.take().map(|t| t.generated(offset, finish)).into_iter().collect()
+    }
 }
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -4,9 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::control::config::{Config, Revised};
+use crate::control::config::{Config, Revised, SCHEMA};
+use crate::control::orders::OrderReport;
 use crate::link::message::{
-    Beat, ControlReply, ControlRequest, Envelope, Heartbeat, ProcessState, Reply, Request,
+    Beat, ControlReply, ControlRequest, Endpoints, Envelope, Heartbeat, ProcessState, Proof, Reply,
+    Request,
 };
 use crate::model::{BootId, EndpointState, ExchangeId, Timestamp};
 use crate::role::Output;
@@ -42,8 +44,28 @@
     open: Option<(ExchangeId, Timestamp)>,
     due: Timestamp,
     version: u64,
-    highest: Option<(crate::model::Revision, Timestamp)>,
-    endpoints: Vec<EndpointState>,
+    /// The last proof, and when it was asked for.
+    proof: Option<(Proof, Timestamp)>,
+    endpoints: BTreeMap<Box<str>, EndpointState>,
+    suspects: u64,
+}
+
+impl Member {
+    fn take_endpoints(&mut self, endpoints: &Endpoints) {
+        let (set, gone) = match endpoints {
+            Endpoints::All(all) => {
+                self.endpoints.clear();
+                (all, &[][..])
+            }
+            Endpoints::Changed { set, gone } => (set, &**gone),
+        };
+        for name in gone {
+            self.endpoints.remove(name);
+        }
+        for endpoint in set {
+            self.endpoints.insert(endpoint.name.clone(), endpoint.clone());
+        }
+    }
 }
 
 /// Follows control: heartbeats out, configuration and endpoints in.
@@ -63,8 +85,9 @@
             open: None,
             due: Timestamp::default(),
             version: 0,
-            highest: None,
-            endpoints: Vec::new(),
+            proof: None,
+            endpoints: BTreeMap::new(),
+            suspects: 0,
         };
         let members = settings.members.iter().map(member).collect();
         let config = Config::default();
@@ -90,29 +113,44 @@
     /// Returns whether a majority of members has confirmed lately that the configuration in
     /// force is the newest.
     pub fn is_confirmed(&self, now: Timestamp) -> bool {
-        let fresh = |m: &&Member| {
-            m.highest.is_some_and(|(revision, at)| {
-                revision <= self.revised.revision && now - at < CONFIRMATION_LEASE
-            })
+        let fresh: Vec<(SocketAddr, &Proof)> = self
+            .members
+            .iter()
+            .filter_map(|m| m.proof.as_ref().map(|(proof, at)| (m.address, proof, *at)))
+            .filter(|(_, _, at)| now - *at < CONFIRMATION_LEASE)
+            .map(|(address, proof, _)| (address, proof))
+            .collect();
+        // Who has a vote is known best by the member that has seen the most changes of members.
+        let Some((_, newest)) = fresh.iter().max_by_key(|(_, p)| p.epoch) else { return false };
+        let agrees = |address: &&SocketAddr| {
+            let proof = fresh.iter().find(|(a, _)| a == *address).map(|(_, p)| p);
+            proof.is_some_and(|p| p.highest <= self.revised.revision)
         };
-        let count = self.members.iter().filter(fresh).count();
-        count * 2 > self.members.len()
+        newest.voters.iter().filter(agrees).count() * 2 > newest.voters.len()
     }
 
     /// Notes the configuration that a peer has in force; one that is newer than the own makes
     /// the next heartbeats due at once.
     pub fn observe(&mut self, now: Timestamp, revised: Revised) {
+        if revised.revision == self.revised.revision && revised.hash != self.revised.hash {
+            log::error!("step=observe own={} other={revised} error=hashes differ", self.revised);
+        }
         if revised.revision > self.revised.revision {
-            for member in &mut self.members {
-                member.due = member.due.min(now);
-            }
+            self.hurry(now);
+        }
+    }
+
+    /// Makes the next heartbeats due at once, because there is something to tell or to hear.
+    pub fn hurry(&mut self, now: Timestamp) {
+        for member in &mut self.members {
+            member.due = member.due.min(now);
         }
     }
 
     /// Returns the live endpoints that any member knows, the newest start of each.
     pub fn endpoints(&self) -> BTreeMap<Box<str>, EndpointState> {
         let mut all: BTreeMap<Box<str>, EndpointState> = BTreeMap::new();
-        for endpoint in self.members.iter().flat_map(|m| &m.endpoints) {
+        for endpoint in self.members.iter().flat_map(|m| m.endpoints.values()) {
             let known = all.get(&endpoint.name);
             if known.is_none_or(|e| e.boot < endpoint.boot) {
                 all.insert(endpoint.name.clone(), endpoint.clone());
@@ -126,6 +164,7 @@
         &mut self,
         now: Timestamp,
         endpoint: Option<&EndpointState>,
+        report: Option<&OrderReport>,
         next: &mut dyn FnMut() -> ExchangeId,
     ) -> Vec<Output<E>> {
         let mut outputs = Vec::new();
@@ -147,6 +186,9 @@
                 endpoint: endpoint.cloned(),
                 endpoints: self.settings.endpoints,
                 version: member.version,
+                report: report.cloned(),
+                suspects: member.suspects,
+                schema: SCHEMA,
             };
             let exchange = next();
             member.open = Some((exchange, now));
@@ -164,9 +206,9 @@
         let Some((_, sent)) = member.open.take() else { return false };
         let Reply::Control(ControlReply::Beat(beat)) = reply else { return true };
         member.version = beat.version;
-        member.highest = Some((beat.highest, sent));
+        member.proof = beat.proof.clone().map(|proof| (proof, sent));
         if let Some(endpoints) = &beat.endpoints {
-            member.endpoints.clone_from(endpoints);
+            member.take_endpoints(endpoints);
         }
         self.take_config(now, beat);
         true
