--- a/src/entry/run/service.rs
+++ b/src/entry/run/service.rs
@@ -13,7 +13,7 @@
             let from = self.claim.take().map(|owned| owned.request);
             return self.claim_service(shared, now, from);
         }
-        if !self.place_service(shared) {
+        if !self.place_service(shared, now) {
             return self.no_service(shared, now);
         }
         self.dispatch(shared, now)
@@ -27,7 +27,7 @@
         from: Option<RequestId>,
     ) -> Outputs {
         let Some(key) = claim_key(&self.call) else { return Vec::new() };
-        if self.place_service(shared) {
+        if self.place_service(shared, now) {
             return self.propose_claim(shared, now, key, from);
         }
         // An attempt that never starts must not keep the key.
@@ -37,8 +37,8 @@
         self.no_service(shared, now)
     }
 
-    fn place_service(&mut self, shared: &mut Shared) -> bool {
-        let Some(endpoint) = self.place(shared, EndpointKind::Service) else { return false };
+    fn place_service(&mut self, shared: &mut Shared, now: Timestamp) -> bool {
+        let Some(endpoint) = self.place(shared, now, EndpointKind::Service) else { return false };
         self.endpoint = Some(endpoint);
         true
     }
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -11,7 +11,9 @@
 use crate::control::quarantine::{Fingerprint, Suspect};
 use crate::control::replica::ReplicaMessage;
 use crate::control::state::{Applied, Command};
-use crate::model::{Body, BootId, Class, EndpointState, Refusal, RequestId, Revision, Timestamp};
+use crate::model::{
+    Body, BootId, Class, EndpointState, Load, Refusal, RequestId, Revision, Timestamp,
+};
 
 /// A message with the configuration that its sender has in force.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -68,6 +70,9 @@
         prompt: Box<str>,
         /// Tokens that the caller already has.
         prefix: Vec<Box<str>>,
+        /// When the first token is due from now; the prefill queues by it and is refused once it
+        /// can't be in time. Without it the prefill starts at once.
+        within: Option<Duration>,
     },
     /// Import KV cache into the reserved room and generate.
     Decode {
@@ -77,6 +82,8 @@
         from: u32,
         /// The offset after the last token to generate.
         until: u32,
+        /// How long the import may take before it counts as stalled.
+        within: Option<Duration>,
     },
     /// Run one exchange with a plain service.
     Call {
@@ -137,6 +144,8 @@
 pub enum AgentReply {
     /// The room is held.
     Reserved,
+    /// What is in use at the endpoint now.
+    Load(Load),
     /// The KV cache is exported.
     Exported(Export),
     /// Generated tokens in order.
