--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -210,6 +210,7 @@
         let unapplied = self.replica.unapplied().map(|r| &r.command);
         let members = self.replica.members();
         Some(Proof {
+            member: self.settings.replica.address,
             highest: highest(self.state.config.revision, unapplied),
             epoch: members.epoch,
             voters: members.voters().map(|(_, address)| address).collect(),
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -310,6 +310,8 @@
 /// What the log of a member with a vote proves about the configuration.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Proof {
+    /// The member, by the address that the others know it by.
+    pub member: SocketAddr,
     /// A revision that no change in its log exceeds, committed or not.
     pub highest: Revision,
     /// How often the members have changed, by its log.
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -113,17 +113,17 @@
     /// Returns whether a majority of members has confirmed lately that the configuration in
     /// force is the newest.
     pub fn is_confirmed(&self, now: Timestamp) -> bool {
-        let fresh: Vec<(SocketAddr, &Proof)> = self
+        let fresh: Vec<&Proof> = self
             .members
             .iter()
-            .filter_map(|m| m.proof.as_ref().map(|(proof, at)| (m.address, proof, *at)))
-            .filter(|(_, _, at)| now - *at < CONFIRMATION_LEASE)
-            .map(|(address, proof, _)| (address, proof))
+            .filter_map(|m| m.proof.as_ref())
+            .filter(|(_, at)| now - *at < CONFIRMATION_LEASE)
+            .map(|(proof, _)| proof)
             .collect();
         // Who has a vote is known best by the member that has seen the most changes of members.
-        let Some((_, newest)) = fresh.iter().max_by_key(|(_, p)| p.epoch) else { return false };
-        let agrees = |address: &&SocketAddr| {
-            let proof = fresh.iter().find(|(a, _)| a == *address).map(|(_, p)| p);
+        let Some(newest) = fresh.iter().max_by_key(|p| p.epoch) else { return false };
+        let agrees = |voter: &&SocketAddr| {
+            let proof = fresh.iter().find(|p| p.member == **voter);
             proof.is_some_and(|p| p.highest <= self.revised.revision)
         };
         newest.voters.iter().filter(agrees).count() * 2 > newest.voters.len()
