Name the member in its proof, so that a relay before it changes nothing

Cause: a follower compared the voters' addresses with those it dials; behind a relay they differ, and nothing was ever confirmed. Ruled out: member numbers in the proof; they change with a lost disk.

--- a/benches/replica.rs
+++ b/benches/replica.rs
@@ -6,14 +6,13 @@
 
 #[path = "../tests/common/mod.rs"]
 mod common;
-#[path = "../tests/common/relay.rs"]
-mod relay;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::{Duration, Instant};
 
+use common::relay::Relay;
 use common::{Fleet, wait_for};
 use dotterelpin::control::config::{Change, Edit, Revised};
 use dotterelpin::control::state::{Applied, ChangeReply, Command};
@@ -24,7 +23,6 @@
 use dotterelpin::registry::{Follower, FollowerSettings};
 use dotterelpin::role::{Adapter, Driver, Input, Output, Role};
 use eyre::{ensure, eyre};
-use relay::Relay;
 
 const MEMBERS: usize = 3;
 const PATIENCE: Duration = Duration::from_secs(20);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -544,6 +544,7 @@
             let beat = Beat {
                 member: "control-0".into(),
                 proof: Some(Proof {
+                    member: address(CONTROL_PORT),
                     highest: Revision(0),
                     epoch: 0,
                     voters: vec![address(CONTROL_PORT)],
