--- a/src/agent/engine/http.rs
+++ b/src/agent/engine/http.rs
@@ -10,12 +10,15 @@
 use ureq::Agent as HttpAgent;
 
 use super::{EngineEffect, EngineInput, Work};
+use crate::agent::orders::EngineOrder;
 use crate::link::message::{Answer, Export};
-use crate::model::{Body, Ran, RequestId, Timestamp};
+use crate::model::{Body, EndpointKind, Ran, RequestId, Timestamp};
 use crate::role::{Adapter, DriverHandle};
 
 /// How long a connection to the endpoint may take to stand.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long the endpoint may take to carry out an order.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(600);
 /// How long the endpoint may take to answer a cancel or to list its work.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long work may take at all, so that no thread waits for a dead endpoint for good.
@@ -24,6 +27,8 @@
 const ANSWER_GRACE: Duration = Duration::from_secs(60);
 /// The most bytes of a plain service's answer.
 const MAX_ANSWER_BYTES: u64 = 2 << 20;
+/// The buffer in each direction of a connection to the endpoint.
+const BUFFER_BYTES: usize = 8 << 10;
 /// The stack of a thread that waits for the endpoint.
 const STACK_BYTES: usize = 128 << 10;
 
@@ -61,6 +66,8 @@
             // A redirect is the caller's to follow: following it here could run a call twice.
             .max_redirects(0)
             .max_redirects_will_error(false)
+            .input_buffer_size(BUFFER_BYTES)
+            .output_buffer_size(BUFFER_BYTES)
             .build();
         HttpEngine { url, role, http: config.new_agent() }
     }
@@ -84,6 +91,7 @@
         match effect {
             EngineEffect::Start { request, work } => self.spawn(move |c| c.start(request, work)),
             EngineEffect::Cancel(request) => self.spawn(move |c| c.cancel(request)),
+            EngineEffect::Order(order) => self.spawn(move |c| c.order(order)),
             EngineEffect::CancelStranger(name) => self.spawn(move |c| {
                 let _ = c.send_cancel(&name);
             }),
@@ -92,13 +100,6 @@
                     c.role.local(EngineInput::Listed { running });
                 }
             }),
-            EngineEffect::Order { inbound, fence, order } => self.spawn(move |c| {
-                let text = format!("{order:?}");
-                let body = json!({ "fence": fence.0, "order": text });
-                let result = c.post("/v1/orders", &body).map(|_| ());
-                let result = result.map_err(|(_, e)| format!("{e:#}").into());
-                c.role.local(EngineInput::Ordered { inbound, fence, result });
-            }),
         }
     }
 }
@@ -236,6 +237,30 @@
         response.body_mut().read_json().ok()
     }
 
+    /// Gives an order; an engine that refuses an old number has it or a higher one already.
+    fn order(self, order: EngineOrder) {
+        let fence = order.fence;
+        let body = json!({
+            "fence": fence.0,
+            "artifact": order.artifact,
+            "kind": order.kind.map(EndpointKind::as_str),
+        });
+        let sent = self
+            .http
+            .post(format!("{}/v1/orders", self.url))
+            .config()
+            .timeout_global(Some(ORDER_TIMEOUT))
+            .build()
+            .send_json(&body);
+        let result = match sent {
+            Ok(response) if response.status().is_success() => Ok(()),
+            Ok(response) if response.status().as_u16() == 409 => Ok(()),
+            Ok(response) => Err(format!("endpoint answered {}", response.status()).into()),
+            Err(error) => Err(format!("{error}").into()),
+        };
+        self.role.local(EngineInput::Ordered { fence, result });
+    }
+
     fn post(
         &self,
         path: &str,
--- a/src/agent/events.rs
+++ b/src/agent/events.rs
@@ -33,10 +33,10 @@
                 };
                 strangers.into_iter().map(cancel).collect()
             }
-            EngineInput::Ordered { inbound, fence, result } => match result {
-                Ok(()) => vec![self.reply(inbound, AgentReply::Ordered { fence }, true)],
-                Err(detail) => self.refuse(inbound, RefusalReason::EndpointFailed, &detail),
-            },
+            EngineInput::Ordered { fence, result } => {
+                self.orders.finished(now, fence, result);
+                self.next_order(now)
+            }
         }
     }
 
@@ -47,11 +47,13 @@
             log::info!("step=announce url={} pool={}", announcement.url, announcement.pool);
             self.next_list = now;
         }
+        self.orders.announced(announcement.artifact.as_deref());
         self.endpoint = Some(announcement);
+        let mut outputs = self.next_order(now);
         if restarted && self.cancellable() {
-            return self.engine_restarted(now);
+            outputs.extend(self.engine_restarted(now));
         }
-        Vec::new()
+        outputs
     }
 
     /// Refuses what an earlier start of the engine was doing.
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -3,6 +3,7 @@
 pub mod engine;
 mod events;
 pub mod ledger;
+pub mod orders;
 pub mod settle;
 mod work;
 
@@ -11,12 +12,13 @@
 
 use engine::{EngineEffect, EngineInput};
 use ledger::Ledger;
+use orders::Orders;
 use settle::Settlements;
 use work::ServiceCall;
 
-use crate::link::message::{AgentReply, AgentRequest, Order, Reply, Request};
+use crate::link::message::{AgentReply, AgentRequest, ControlReply, Reply, Request};
 use crate::model::{
-    Announcement, BootId, EndpointKind, EndpointState, ExchangeId, Fence, InboundId, Load, Refusal,
+    Announcement, BootId, EndpointKind, EndpointState, ExchangeId, InboundId, Load, Refusal,
     RefusalReason, Timestamp,
 };
 use crate::registry::{Follower, FollowerSettings};
@@ -24,6 +26,8 @@
 
 /// How often an exchange with nothing to say is shown to stand.
 const ALIVE_INTERVAL: Duration = Duration::from_millis(250);
+/// How long an agent that leaves refuses new work, so that entries hear of it before it is gone.
+const LEAVE_NOTICE: Duration = Duration::from_millis(1_500);
 /// How often the engine's own list is compared with the ledger.
 const LIST_INTERVAL: Duration = Duration::from_millis(1_000);
 /// How long a shutdown waits for the engine to confirm cancels.
@@ -47,9 +51,11 @@
     endpoint: Option<Announcement>,
     ledger: Ledger,
     settlements: Settlements,
-    draining: bool,
-    stopping: bool,
-    fence: Fence,
+    orders: Orders,
+    stopping: Option<Timestamp>,
+    /// What was told of the endpoint last, but for its load.
+    told: Option<EndpointState>,
+    sequence: u64,
     last_exchange: u64,
     next_alive: Timestamp,
     /// When the engine is asked next what it runs.
@@ -65,13 +71,14 @@
     pub fn new(settings: AgentSettings) -> Agent {
         Agent {
             follower: Follower::new(settings.follower.clone()),
+            orders: Orders::new(settings.follower.members.len()),
             settings,
             endpoint: None,
             ledger: Ledger::default(),
             settlements: Settlements::default(),
-            draining: false,
-            stopping: false,
-            fence: Fence(0),
+            stopping: None,
+            told: None,
+            sequence: 0,
             last_exchange: 0,
             next_alive: Timestamp::default(),
             next_list: Timestamp::default(),
@@ -95,16 +102,28 @@
             address: self.settings.address,
             domain: self.settings.follower.domain.clone(),
             boot: self.boot(),
-            kind: endpoint.kind,
+            sequence: self.sequence,
+            kind: self.orders.kind().unwrap_or(endpoint.kind),
             pool: endpoint.pool.clone(),
             url: endpoint.url.clone(),
             capacity: endpoint.capacity,
             load: self.load(),
-            draining: self.draining || self.stopping,
-            fence: self.fence,
+            draining: self.is_leaving(),
+            fence: self.orders.report().fence,
         })
     }
 
+    /// Returns the endpoint's state with a new number if anything but the load has changed.
+    fn numbered_state(&mut self) -> Option<EndpointState> {
+        let state = self.state()?;
+        let steady = EndpointState { load: Load::default(), ..state };
+        if self.told.as_ref() != Some(&steady) {
+            self.sequence += 1;
+            self.told = Some(EndpointState { sequence: self.sequence, ..steady });
+        }
+        self.state()
+    }
+
     fn load(&self) -> Load {
         let (slots, pieces) = self.ledger.in_use();
         Load { slots, pieces, prompt_tokens: 0 }
@@ -139,27 +158,33 @@
                 let settled = self.settle(request, boot);
                 vec![self.reply(inbound, AgentReply::Settled(settled), true)]
             }
-            AgentRequest::Order { fence, order } => self.order(inbound, fence, order),
         }
     }
 
-    fn order(&mut self, inbound: InboundId, fence: Fence, order: Order) -> Outputs {
-        if fence <= self.fence {
-            return self.refuse(inbound, RefusalReason::Stale, "the fencing number is old");
+    /// Gives the endpoint the order that is due.
+    fn next_order(&mut self, now: Timestamp) -> Outputs {
+        if self.endpoint.is_none() {
+            return Vec::new();
         }
-        self.fence = fence;
-        match order {
-            Order::Drain => self.draining = true,
-            Order::Undrain => self.draining = false,
-            Order::Load { .. } | Order::Role { .. } => {
-                return vec![Output::Effect(EngineEffect::Order { inbound, fence, order })];
-            }
+        let order = self.orders.next(now);
+        order.map(|o| Output::Effect(EngineEffect::Order(o))).into_iter().collect()
+    }
+
+    fn control_reply(&mut self, now: Timestamp, exchange: ExchangeId, reply: &Reply) -> Outputs {
+        if !self.follower.reply(now, exchange, reply) {
+            return Vec::new();
+        }
+        if let Reply::Control(ControlReply::Beat(beat)) = reply
+            && let Some(marked) = &beat.orders
+        {
+            self.orders.heard(&beat.member, marked);
         }
-        vec![self.reply(inbound, AgentReply::Ordered { fence }, true)]
+        self.next_order(now)
     }
 
     fn wake(&mut self, now: Timestamp) -> Outputs {
         let mut outputs = self.heartbeats(now);
+        outputs.extend(self.next_order(now));
         for (request, inbound) in self.ledger.lapse(now) {
             log::info!("step=lapse request={request}");
             outputs.extend(self.refuse(inbound, RefusalReason::Stale, "the reservation lapsed"));
@@ -179,9 +204,10 @@
     }
 
     fn heartbeats(&mut self, now: Timestamp) -> Outputs {
-        let state = self.state();
+        let state = self.numbered_state();
         let last = &mut self.last_exchange;
-        self.follower.wake(now, state.as_ref(), &mut || {
+        let report = self.orders.report();
+        self.follower.wake(now, state.as_ref(), Some(&report), &mut || {
             *last += 1;
             ExchangeId(*last)
         })
@@ -191,10 +217,23 @@
         self.endpoint.as_ref().is_some_and(|e| e.kind != EndpointKind::Service)
     }
 
-    /// Returns whether nothing is left that an entry waits for, or may ask for later.
-    fn stopped(&self, now: Timestamp) -> bool {
+    fn is_leaving(&self) -> bool {
+        self.orders.is_draining() || self.stopping.is_some()
+    }
+
+    fn stop(&mut self, now: Timestamp) -> Outputs {
+        self.stopping.get_or_insert(now);
+        self.stop_limit = self.stop_limit.min(now + CANCEL_LIMIT);
+        self.follower.hurry(now);
+        self.heartbeats(now)
+    }
+
+    /// Returns whether nothing is left that an entry waits for, or may ask for later, and entries
+    /// had time to hear of it.
+    fn has_stopped(&self, now: Timestamp) -> bool {
+        let noticed = self.stopping.is_some_and(|since| now >= since + LEAVE_NOTICE);
         let given_up = now >= self.stop_limit && self.ledger.only_cancelling();
-        self.stopping && (self.ledger.is_empty() || given_up)
+        noticed && (self.ledger.is_empty() || given_up)
     }
 }
 
@@ -216,8 +255,7 @@
                 request.map(|r| Output::Effect(EngineEffect::Cancel(r))).into_iter().collect()
             }
             Input::Reply { exchange, envelope } => {
-                self.follower.reply(now, exchange, &envelope.body);
-                Vec::new()
+                self.control_reply(now, exchange, &envelope.body)
             }
             Input::Closed { exchange, .. } => {
                 self.follower.closed(exchange);
@@ -225,22 +263,21 @@
             }
             Input::Local(input) => self.engine(now, input),
             Input::Wake => self.wake(now),
-            Input::Shutdown => {
-                self.stopping = true;
-                self.stop_limit = self.stop_limit.min(now + CANCEL_LIMIT);
-                self.heartbeats(now)
-            }
+            Input::Shutdown => self.stop(now),
         };
-        if self.stopped(now) {
+        if self.has_stopped(now) {
             outputs.push(Output::Stopped);
         }
         outputs
     }
 
     fn next_wake(&self) -> Option<Timestamp> {
-        let alive = (!self.ledger.is_empty()).then_some(self.next_alive);
+        let empty = self.ledger.is_empty();
+        let alive = (!empty).then_some(self.next_alive);
         let list = self.cancellable().then_some(self.next_list);
-        [alive, list, self.follower.next_wake(), self.ledger.next_wake()]
+        let order = self.endpoint.as_ref().and(self.orders.next_wake());
+        let leave = self.stopping.filter(|_| empty).map(|since| since + LEAVE_NOTICE);
+        [alive, list, order, leave, self.follower.next_wake(), self.ledger.next_wake()]
             .into_iter()
             .flatten()
             .min()
--- a/src/agent/work.rs
+++ b/src/agent/work.rs
@@ -28,9 +28,13 @@
 impl Agent {
     /// Returns why new work is refused, if it is.
     fn closed_to_work(&self) -> Option<Reason> {
-        if self.draining || self.stopping {
+        if self.is_leaving() {
             return Some((RefusalReason::Draining, "the endpoint is leaving"));
         }
+        if !self.orders.is_current() {
+            let detail = "the agent has started and no majority of control has told its orders";
+            return Some((RefusalReason::NoConfig, detail));
+        }
         if self.endpoint.is_none() {
             return Some((RefusalReason::NoEndpoint, "the endpoint has not announced itself"));
         }
--- /dev/null
+++ b/src/control/config/changes.rs
@@ -0,0 +1,114 @@
+//! The changes that made the configuration, for resends and for operators.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Change, Config, Edit};
+use crate::control::state::{ChangeReply, Command};
+use crate::model::Revision;
+
+/// Changes whose results are kept, so that a resend gets the first one.
+const KEPT_RESULTS: usize = 6_600;
+/// Accepted changes that are kept whole, to show who won a base revision.
+const KEPT_CHANGES: usize = 256;
+
+/// What a change came to.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+enum Verdict {
+    Accepted(Revision),
+    Conflict { base: Revision },
+    Refused(Box<str>),
+}
+
+/// The last changes and their results.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Changes {
+    verdicts: BTreeMap<Box<str>, Verdict>,
+    /// The changes with a verdict, in their order.
+    order: BTreeMap<u64, Box<str>>,
+    recent: BTreeMap<Revision, Change>,
+}
+
+impl Changes {
+    /// Returns the revision that a change became, if it is among the last ones.
+    pub fn accepted(&self, id: &str) -> Option<Revision> {
+        match self.verdicts.get(id) {
+            Some(Verdict::Accepted(revision)) => Some(*revision),
+            _ => None,
+        }
+    }
+
+    /// Returns the last accepted changes, oldest first.
+    pub fn recent(&self) -> impl Iterator<Item = &Change> {
+        self.recent.values()
+    }
+
+    /// Applies a change to the configuration: the first one on a base revision wins, and the
+    /// first result of a change stands.
+    pub fn apply(&mut self, config: &mut Config, change: &Change) -> ChangeReply {
+        if !self.verdicts.contains_key(&change.id) {
+            let verdict = self.decide(config, change);
+            self.keep(&change.id, verdict);
+        }
+        match self.verdicts.get(&change.id) {
+            Some(Verdict::Accepted(revision)) => ChangeReply::Accepted(*revision),
+            Some(Verdict::Refused(why)) => ChangeReply::Refused(why.clone()),
+            Some(Verdict::Conflict { base }) => self.conflict(config, *base),
+            None => self.conflict(config, change.base),
+        }
+    }
+
+    fn decide(&mut self, config: &mut Config, change: &Change) -> Verdict {
+        if change.base != config.revision {
+            return Verdict::Conflict { base: change.base };
+        }
+        match config.edited(&change.edit) {
+            Ok(next) => {
+                *config = next;
+                self.recent.insert(config.revision, change.clone());
+                if self.recent.len() > KEPT_CHANGES {
+                    self.recent.pop_first();
+                }
+                Verdict::Accepted(config.revision)
+            }
+            Err(error) => Verdict::Refused(format!("{error:#}").into()),
+        }
+    }
+
+    fn conflict(&self, config: &Config, base: Revision) -> ChangeReply {
+        let winner = self.recent.get(&Revision(base.0 + 1)).cloned();
+        ChangeReply::Conflict { current: config.revision, winner }
+    }
+
+    fn keep(&mut self, id: &str, verdict: Verdict) {
+        let next = self.order.last_key_value().map_or(0, |(last, _)| last + 1);
+        self.order.insert(next, id.into());
+        self.verdicts.insert(id.into(), verdict);
+        let oldest = (self.order.len() > KEPT_RESULTS).then(|| self.order.pop_first());
+        if let Some((_, id)) = oldest.flatten() {
+            self.verdicts.remove(&id);
+        }
+    }
+}
+
+/// Returns a revision that the configuration can't exceed with these commands of the log,
+/// committed or not.
+///
+/// A refused change is counted like an accepted one, so the result may be too high, but a change
+/// counts only on the revision that it is based on, so it is never too low.
+pub fn highest<'a>(from: Revision, commands: impl Iterator<Item = &'a Command>) -> Revision {
+    commands.fold(from, |revision, command| match command {
+        Command::Change(change) if change.base == revision => Revision(revision.0 + 1),
+        _ => revision,
+    })
+}
+
+impl Edit {
+    /// Returns the name of the setting that it edits.
+    pub fn setting(&self) -> &str {
+        match self {
+            Edit::Set { name, .. } | Edit::Except { name, .. } | Edit::Drop { name, .. } => name,
+        }
+    }
+}
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,19 +1,25 @@
 //! The replicated state: what the commands of the log add up to.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
+use eyre::WrapErr;
 use serde::{Deserialize, Serialize};
 
 use super::claims::{Claim, ClaimKey, ClaimReply, Claims, Outcome};
-use super::config::{Change, Config, Setting};
-use crate::model::{RequestId, Revision, Timestamp};
+use super::config::{Change, Changes, Config, Setting};
+use super::orders::rollout::{RolloutCommand, StepCommand};
+use super::orders::{OrderCommand, OrderReply, Orders};
+use super::quarantine::{Crash, Fingerprint, Quarantine};
+use super::replica::{LogIndex, Members};
+use crate::model::{Fence, RequestId, Revision, Timestamp};
 
 /// A command in the log.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Command {
     /// Nothing; a new leader commits it first.
     Noop,
+    /// The members of the log's own group.
+    Members(Members),
     /// Change the configuration.
     Change(Change),
     /// Claim a key.
@@ -48,6 +54,19 @@
         /// The attempt.
         request: RequestId,
     },
+    /// Order something of endpoints; [`Applied::Ordered`] answers an operator.
+    Order(OrderCommand),
+    /// Declare what a pool shall have loaded; [`Applied::Ordered`] answers an operator.
+    Rollout(RolloutCommand),
+    /// Take one step of a rollout; only the leader proposes it.
+    Step(StepCommand),
+    /// An endpoint crashed; its agent proposes it.
+    Crash(Crash),
+    /// A content under suspicion has finished, or an operator clears it.
+    Clear {
+        /// The content.
+        fingerprint: Fingerprint,
+    },
 }
 
 impl Command {
@@ -69,6 +88,8 @@
     Changed(ChangeReply),
     /// To a command about a claim.
     Claim(ClaimReply),
+    /// To an order or a rollout of an operator.
+    Ordered(OrderReply),
 }
 
 /// What a change came to.
@@ -92,17 +113,33 @@
 pub struct State {
     /// The configuration in force.
     pub config: Config,
-    /// Accepted changes by their revision.
-    pub history: BTreeMap<Revision, Change>,
+    /// Accepted changes.
+    pub changes: Changes,
     /// Claims.
     pub claims: Claims,
+    /// Orders to endpoints.
+    pub orders: Orders,
+    /// Contents under suspicion.
+    pub quarantine: Quarantine,
 }
 
 impl State {
-    /// Applies one command; the result depends on nothing else than the state and the command.
-    pub fn apply(&mut self, command: &Command) -> Applied {
+    /// Encodes the state for a snapshot.
+    pub fn encode(&self) -> eyre::Result<Vec<u8>> {
+        postcard::to_stdvec(self).wrap_err("encode state")
+    }
+
+    /// Decodes the state of a snapshot.
+    pub fn decode(bytes: &[u8]) -> eyre::Result<State> {
+        postcard::from_bytes(bytes).wrap_err("decode state")
+    }
+
+    /// Applies the command at a place of the log; the result depends on nothing else than the
+    /// state, the place and the command.
+    pub fn apply(&mut self, index: LogIndex, command: &Command) -> Applied {
+        let fence = Fence(index.0);
         match command {
-            Command::Noop => Applied::Done,
+            Command::Noop | Command::Members(_) => Applied::Done,
             Command::Change(change) => Applied::Changed(self.change(change)),
             Command::Claim { key, claim } => {
                 self.claims.expire(claim.made, self.retention());
@@ -116,6 +153,20 @@
                 Applied::Claim(self.claims.finish(key, *request, outcome))
             }
             Command::Release { key, request } => Applied::Claim(self.claims.release(key, *request)),
+            Command::Order(order) => Applied::Ordered(self.orders.order(fence, order)),
+            Command::Rollout(rollout) => Applied::Ordered(self.orders.rollout(fence, rollout)),
+            Command::Step(step) => {
+                self.orders.step(fence, step);
+                Applied::Done
+            }
+            Command::Crash(crash) => {
+                self.quarantine.crash(crash);
+                Applied::Done
+            }
+            Command::Clear { fingerprint } => {
+                self.quarantine.clear(*fingerprint);
+                Applied::Done
+            }
         }
     }
 
@@ -124,20 +175,6 @@
     }
 
     fn change(&mut self, change: &Change) -> ChangeReply {
-        if let Some((revision, _)) = self.history.iter().find(|(_, c)| c.id == change.id) {
-            return ChangeReply::Accepted(*revision);
-        }
-        if change.base != self.config.revision {
-            let winner = self.history.get(&Revision(change.base.0 + 1)).cloned();
-            return ChangeReply::Conflict { current: self.config.revision, winner };
-        }
-        match self.config.edited(&change.edit) {
-            Ok(config) => {
-                self.config = config;
-                self.history.insert(self.config.revision, change.clone());
-                ChangeReply::Accepted(self.config.revision)
-            }
-            Err(error) => ChangeReply::Refused(format!("{error:#}").into()),
-        }
+        self.changes.apply(&mut self.config, change)
     }
 }
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -6,11 +6,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::control::config::{Change, Config, Revised};
+use crate::control::orders::rollout::Rollout;
+use crate::control::orders::{Desired, Marked, OrderReport};
+use crate::control::quarantine::{Fingerprint, Suspect};
 use crate::control::replica::ReplicaMessage;
 use crate::control::state::{Applied, Command};
-use crate::model::{
-    Body, BootId, Class, EndpointState, Fence, Refusal, RequestId, Revision, Timestamp,
-};
+use crate::model::{Body, BootId, Class, EndpointState, Refusal, RequestId, Revision, Timestamp};
 
 /// A message with the configuration that its sender has in force.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -99,13 +100,6 @@
         /// The start of the agent that the attempt went to.
         boot: BootId,
     },
-    /// Carry out an order at the endpoint.
-    Order {
-        /// The fencing number.
-        fence: Fence,
-        /// The order.
-        order: Order,
-    },
 }
 
 /// An order to an endpoint.
@@ -167,11 +161,6 @@
     Refused(Refusal),
     /// What became of an attempt.
     Settled(Settled),
-    /// The order was carried out.
-    Ordered {
-        /// The number of the last order carried out.
-        fence: Fence,
-    },
 }
 
 /// The answer of a plain service.
@@ -207,7 +196,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ControlRequest {
     /// The sender is alive; it wants what is new.
-    Heartbeat(Heartbeat),
+    Heartbeat(Box<Heartbeat>),
     /// Put a command into the log.
     Propose(Command),
     /// Say whether the entry process of this start is alive.
@@ -225,8 +214,16 @@
     pub endpoint: Option<EndpointState>,
     /// Whether the sender wants to hear of endpoints.
     pub endpoints: bool,
-    /// The registry version that the sender has from this member.
-    pub version: u64,
+    /// What the sender has seen of this member's endpoints.
+    pub seen: Seen,
+    /// Buckets of endpoints that the sender wants whole.
+    pub wants: Vec<u8>,
+    /// How far the endpoint's orders are, from an agent.
+    pub report: Option<OrderReport>,
+    /// The version of the contents under suspicion that the sender has from this member.
+    pub suspects: u64,
+    /// The newest set of settings that the sender understands.
+    pub schema: u32,
 }
 
 /// A process as operators see it.
@@ -261,6 +258,11 @@
         /// Whether its heartbeats still come.
         alive: bool,
     },
+    /// The member leads no more; whether the command is in the log is not known, so send it again.
+    Interrupted {
+        /// Where to try next.
+        leader: Option<SocketAddr>,
+    },
     /// What the member knows.
     Status(Box<Status>),
 }
@@ -270,14 +272,72 @@
 pub struct Beat {
     /// The member's name.
     pub member: Box<str>,
-    /// The highest revision in the member's log, in force or not.
-    pub highest: Revision,
+    /// What the member's log proves, if the member has a vote.
+    pub proof: Option<Proof>,
     /// The configuration in force, if it is newer than the sender's.
     pub config: Option<Config>,
-    /// The registry's version.
+    /// What the receiver has seen of this member's endpoints once it has taken this.
+    pub seen: Seen,
+    /// What changed among the endpoints since.
+    pub endpoints: Option<Endpoints>,
+    /// The orders of the sender's endpoint, if it named one.
+    pub orders: Option<Marked>,
+    /// The contents under suspicion, if they changed since the sender's version.
+    pub suspects: Option<Suspects>,
+}
+
+/// What a member tells of endpoints.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Endpoints {
+    /// All that concern the receiver.
+    All(Vec<EndpointState>),
+    /// Those that changed.
+    Changed {
+        /// New or changed ones.
+        set: Vec<EndpointState>,
+        /// The names of those that are gone.
+        gone: Vec<Box<str>>,
+    },
+    /// All of some buckets.
+    Part {
+        /// The buckets.
+        buckets: Vec<u8>,
+        /// Their endpoints.
+        set: Vec<EndpointState>,
+    },
+    /// Digests of the buckets, so that the receiver can ask for those that differ.
+    Digests(Vec<u64>),
+}
+
+/// How much of a member's endpoints a follower has seen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Seen {
+    /// The start of the member.
+    pub epoch: BootId,
+    /// The version at that start.
     pub version: u64,
-    /// All endpoints, if the registry changed since the sender's version.
-    pub endpoints: Option<Vec<EndpointState>>,
+    /// The digest of what the follower holds.
+    pub digest: u64,
+}
+
+/// Contents under suspicion, with their version at one member.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspects {
+    /// The version.
+    pub version: u64,
+    /// The contents.
+    pub list: Vec<(Fingerprint, Suspect)>,
+}
+
+/// What the log of a member with a vote proves about the configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Proof {
+    /// A revision that no change in its log exceeds, committed or not.
+    pub highest: Revision,
+    /// How often the members have changed, by its log.
+    pub epoch: u64,
+    /// The addresses of the members with a vote, by its log.
+    pub voters: Vec<SocketAddr>,
 }
 
 /// What operators see.
@@ -295,4 +355,21 @@
     pub processes: Vec<(ProcessState, Duration)>,
     /// Live endpoints.
     pub endpoints: Vec<EndpointState>,
+    /// What each live endpoint shall be by its orders, and what its agent reports.
+    pub orders: Vec<OrderStatus>,
+    /// The rollouts of each pool, oldest first; the last one stands.
+    pub rollouts: Vec<Rollout>,
+    /// Contents under suspicion; those with a time are refused until then.
+    pub suspects: Vec<(Fingerprint, Suspect)>,
+}
+
+/// How far the orders of one endpoint are.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderStatus {
+    /// The endpoint.
+    pub endpoint: Box<str>,
+    /// What it shall be.
+    pub desired: Desired,
+    /// What its agent reports.
+    pub report: OrderReport,
 }
--- a/src/model/endpoint.rs
+++ b/src/model/endpoint.rs
@@ -55,6 +55,9 @@
     /// Whether it refuses an order with an old fencing number.
     #[serde(default)]
     pub fenced: bool,
+    /// What it has loaded, from an endpoint that says so.
+    #[serde(default)]
+    pub artifact: Option<Box<str>>,
     /// A number that differs after each start of the endpoint.
     #[serde(default)]
     pub boot: BootId,
@@ -82,6 +85,8 @@
     pub domain: Box<str>,
     /// The agent's start.
     pub boot: BootId,
+    /// How often the agent has changed anything but the load since its start.
+    pub sequence: u64,
     /// What the endpoint does.
     pub kind: EndpointKind,
     /// The model or the service that it serves.
--- a/tests/world/engine.rs
+++ b/tests/world/engine.rs
@@ -22,6 +22,7 @@
         capacity: Capacity { slots: SLOTS as u32, pieces: 60, piece_tokens: 2_000 },
         fenced: false,
         boot: BootId(1),
+        artifact: None,
     }
 }
 
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -10,16 +10,18 @@
 
 use dotterelpin::agent::engine::{EngineEffect, EngineInput};
 use dotterelpin::agent::{Agent, AgentSettings};
+use dotterelpin::control::orders::Marked;
+use dotterelpin::control::replica::LogIndex;
 use dotterelpin::control::state::{Command, State};
 use dotterelpin::entry::check::{RawCall, Tenants, credential_hash};
 use dotterelpin::entry::place::RoundRobin;
 use dotterelpin::entry::{CallerEffect, CallerInput, Entry, EntrySettings};
 use dotterelpin::link::message::{
-    Beat, ControlReply, ControlRequest, Envelope, Heartbeat, Reply, Request,
+    Beat, ControlReply, ControlRequest, Endpoints, Envelope, Heartbeat, Proof, Reply, Request, Seen,
 };
 use dotterelpin::model::{
-    Announcement, BootId, CallId, EndpointKind, EndpointState, ExchangeId, InboundId, Revision,
-    Timestamp,
+    Announcement, BootId, CallId, EndpointKind, EndpointState, ExchangeId, Fence, InboundId,
+    Revision, Timestamp,
 };
 use dotterelpin::registry::{FollowerSettings, HEARTBEAT_LEASE};
 use dotterelpin::role::{Input, LinkFailure, Output, Role};
@@ -93,6 +95,7 @@
     proposals: Vec<(InboundId, Command)>,
     beats: VecDeque<(Node, ExchangeId, Heartbeat)>,
     next: u64,
+    index: u64,
     /// What agents asked of their endpoints, for the test to carry out.
     pub effects: VecDeque<(usize, BootId, EngineEffect)>,
     /// What callers were told, for the test to check.
@@ -116,6 +119,7 @@
             proposals: Vec::new(),
             beats: VecDeque::new(),
             next: 0,
+            index: 0,
             effects: VecDeque::new(),
             told: Vec::new(),
             seen: Vec::new(),
@@ -421,7 +425,8 @@
 
     fn commit(&mut self, index: usize) {
         let (inbound, command) = self.proposals.remove(index);
-        let applied = self.state.apply(&command);
+        self.index += 1;
+        let applied = self.state.apply(LogIndex(self.index), &command);
         self.end_control(inbound, Some(ControlReply::Applied(applied)));
     }
 
@@ -503,7 +508,7 @@
         envelope: Envelope<Request>,
     ) {
         if let Request::Control(ControlRequest::Heartbeat(heartbeat)) = envelope.body {
-            self.beats.push_back((opener.0, exchange, heartbeat));
+            self.beats.push_back((opener.0, exchange, *heartbeat));
             return;
         }
         let target = match peer.port() {
@@ -538,10 +543,18 @@
             self.known.retain(|_, (_, seen)| now - *seen < HEARTBEAT_LEASE);
             let beat = Beat {
                 member: "control-0".into(),
-                highest: Revision(0),
+                proof: Some(Proof {
+                    highest: Revision(0),
+                    epoch: 0,
+                    voters: vec![address(CONTROL_PORT)],
+                }),
                 config: None,
-                version: 0,
-                endpoints: Some(self.known.values().map(|(e, _)| e.clone()).collect()),
+                seen: Seen::default(),
+                endpoints: Some(Endpoints::All(
+                    self.known.values().map(|(e, _)| e.clone()).collect(),
+                )),
+                orders: Some(Marked { mark: Fence(0), desired: None }),
+                suspects: None,
             };
             let body = Reply::Control(ControlReply::Beat(beat));
             let envelope = Envelope { revised: self.state.config.revised(), body };
