Fuzz whole answers over prefill, transfer and decode

Cause: nothing showed that resumed streams, late parts and recorded answers give each offset once. tests/whole_answer.rs drives real entries and agents with fake engines that repeat, skip and end early; what came before a cancel may still reach the role.

--- /dev/null
+++ b/tests/whole_answer.rs
@@ -0,0 +1,269 @@
+//! Every caller gets the whole answer to its own request, or a truthful error.
+
+mod world;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use dotterelpin::entry::check::RawCall;
+use dotterelpin::entry::{CallerEffect, Terminal};
+use dotterelpin::model::{BootId, CallId, EndpointKind, Ran};
+use proptest::collection::vec;
+use proptest::prelude::{Just, Strategy, any, prop_oneof};
+use world::engine::{Engines, STOP_TOKENS, announcement, token};
+use world::{Node, World, runner};
+
+const ENTRIES: usize = 2;
+const ENDPOINTS: usize = 5;
+const PROMPTS: [&str; 4] = ["rivers", "castles", "birds stop", "coal"];
+
+#[derive(Debug, Clone)]
+enum Op {
+    Call {
+        entry: usize,
+        prompt: usize,
+        tokens: u32,
+        keyed: bool,
+    },
+    Gone(usize),
+    /// Deliver so many of the oldest messages.
+    Flow(usize),
+    Deliver(usize),
+    Work(usize),
+    Order(usize),
+    Disconnect(usize),
+    /// An engine's part comes again, or with a gap, or its end mark comes early.
+    Distort(u8),
+    Crash {
+        engine: usize,
+        announce: bool,
+    },
+    Break(usize),
+    Silence(usize),
+    Quorum(bool),
+    Kill(Node),
+    Restart(Node),
+    Pass(u64),
+}
+
+fn node() -> impl Strategy<Value = Node> {
+    prop_oneof![(0..ENTRIES).prop_map(Node::Entry), (0..ENDPOINTS).prop_map(Node::Agent)]
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let pick = || 0..16_usize;
+    prop_oneof![
+        4 => (0..ENTRIES, 0..PROMPTS.len(), 6..20_u32, any::<bool>()).prop_map(
+            |(entry, prompt, tokens, keyed)| Op::Call { entry, prompt, tokens, keyed }),
+        1 => pick().prop_map(Op::Gone),
+        20 => (0..12_usize).prop_map(Op::Flow),
+        12 => pick().prop_map(Op::Deliver),
+        40 => pick().prop_map(Op::Work),
+        4 => pick().prop_map(Op::Order),
+        1 => pick().prop_map(Op::Disconnect),
+        2 => any::<u8>().prop_map(Op::Distort),
+        1 => (0..ENDPOINTS, any::<bool>())
+            .prop_map(|(engine, announce)| Op::Crash { engine, announce }),
+        1 => pick().prop_map(Op::Break),
+        1 => pick().prop_map(Op::Silence),
+        1 => proptest::bool::weighted(0.7).prop_map(Op::Quorum),
+        1 => node().prop_map(Op::Kill),
+        2 => node().prop_map(Op::Restart),
+        4 => prop_oneof![4 => Just(30), 2 => Just(300), 1 => Just(1_100)].prop_map(Op::Pass),
+    ]
+}
+
+/// What a caller has got so far.
+#[derive(Debug)]
+struct Caller {
+    prompt: &'static str,
+    tokens: u32,
+    key: Option<String>,
+    text: String,
+    parts: u32,
+    outcome: Option<Terminal>,
+}
+
+impl Caller {
+    fn whole(&self) -> (u32, String) {
+        let stops = self.prompt.ends_with("stop");
+        let count = if stops { self.tokens.min(STOP_TOKENS) } else { self.tokens };
+        (count, (0..count).map(|o| token(self.prompt, o)).collect())
+    }
+
+    fn take_tokens(&mut self, tokens: Vec<Box<str>>) {
+        assert!(self.outcome.is_none(), "tokens after the outcome of {self:?}");
+        self.text.push_str(&tokens.concat());
+        self.parts += 1;
+        assert!(self.whole().1.starts_with(&self.text), "wrong tokens: {self:?}");
+    }
+
+    fn take_outcome(&mut self, outcome: Terminal) {
+        assert!(self.outcome.is_none(), "two outcomes: {self:?}");
+        match &outcome {
+            Terminal::Generated { tokens, .. } => {
+                let (count, text) = self.whole();
+                assert_eq!((*tokens, &self.text), (count, &text), "short, but looks whole");
+            }
+            Terminal::Refused(refusal) => {
+                let told_nothing = self.parts == 0;
+                assert!(told_nothing || refusal.ran != Ran::No, "\"not run\" after tokens");
+            }
+            Terminal::Answered(_) => panic!("no plain service is here"),
+        }
+        self.outcome = Some(outcome);
+    }
+}
+
+struct Test {
+    world: World,
+    engines: Engines,
+    callers: BTreeMap<(BootId, CallId), Caller>,
+    gone: Vec<(BootId, CallId)>,
+    /// How many calls with a key were answered by an engine, and not from the record.
+    generated: BTreeMap<String, u32>,
+}
+
+impl Test {
+    fn new() -> Test {
+        let decode = std::iter::repeat_n(EndpointKind::Decode, ENDPOINTS - 2);
+        let kinds = std::iter::repeat_n(EndpointKind::Prefill, 2).chain(decode);
+        Test {
+            world: World::new(ENTRIES, kinds.map(announcement).collect()),
+            engines: Engines::default(),
+            callers: BTreeMap::new(),
+            gone: Vec::new(),
+            generated: BTreeMap::new(),
+        }
+    }
+
+    fn call(&mut self, entry: usize, prompt: &'static str, tokens: u32, key: Option<String>) {
+        let body =
+            serde_json::json!({ "model": "cs-summary", "prompt": prompt, "max_tokens": tokens });
+        let mut headers = BTreeMap::from([("authorization".into(), "Bearer secret".into())]);
+        headers.extend(key.clone().map(|k| ("idempotency-key".into(), k.into())));
+        let raw = RawCall {
+            method: "POST".into(),
+            path: "/v1/completions".into(),
+            headers,
+            content: body.to_string().into_bytes(),
+        };
+        let text = String::new();
+        let caller = Caller { prompt, tokens, key, text, parts: 0, outcome: None };
+        if let Some(name) = self.world.call(entry, raw) {
+            self.callers.insert(name, caller);
+        }
+    }
+
+    fn apply(&mut self, op: &Op) {
+        match *op {
+            Op::Call { entry, prompt, tokens, keyed } => {
+                let key = keyed.then(|| format!("{prompt}-{}", tokens % 2));
+                self.call(entry, PROMPTS[prompt], 6 + tokens % 2 * 9, key);
+            }
+            Op::Gone(pick) => {
+                let open = self.callers.iter().filter(|(_, c)| c.outcome.is_none());
+                let open: Vec<_> = open.map(|(name, _)| *name).collect();
+                if let Some(name) = open.get(pick % open.len().max(1)) {
+                    self.gone.push(*name);
+                    self.world.gone(name.0, name.1);
+                }
+            }
+            Op::Flow(count) => {
+                for _ in 0..count {
+                    self.world.deliver(0);
+                    self.collect();
+                }
+            }
+            Op::Deliver(pick) => {
+                self.world.deliver(pick);
+            }
+            Op::Work(pick) => self.engines.go_on(&mut self.world, pick),
+            Op::Order(pick) => self.engines.carry_order(&mut self.world, pick),
+            Op::Disconnect(pick) => self.engines.disconnect(&mut self.world, pick),
+            Op::Distort(how) => self.engines.distort(&mut self.world, how),
+            Op::Crash { engine, announce } => {
+                self.engines.crash(&mut self.world, engine, announce);
+            }
+            Op::Break(pick) => self.world.break_stream(pick),
+            Op::Silence(pick) => self.world.silence(pick),
+            Op::Quorum(quorum) => self.world.quorum = quorum,
+            Op::Kill(node) => {
+                self.world.kill(node);
+                if let Node::Agent(agent) = node {
+                    self.engines.agent_killed(agent);
+                }
+            }
+            Op::Restart(node) => self.world.restart(node),
+            Op::Pass(ms) => self.world.advance(Duration::from_millis(ms)),
+        }
+        self.collect();
+    }
+
+    fn collect(&mut self) {
+        self.engines.take(&mut self.world);
+        for (boot, effect) in std::mem::take(&mut self.world.told) {
+            match effect {
+                CallerEffect::Begin { .. } => {}
+                CallerEffect::Tokens { call, tokens } => {
+                    self.callers.get_mut(&(boot, call)).unwrap().take_tokens(tokens);
+                }
+                CallerEffect::Finish { call, outcome } => {
+                    let caller = self.callers.get_mut(&(boot, call)).unwrap();
+                    let whole = matches!(outcome, Terminal::Generated { .. });
+                    caller.take_outcome(outcome);
+                    // A recorded answer comes in one part.
+                    if let Some(key) = caller.key.clone().filter(|_| whole && caller.parts > 1) {
+                        let count = self.generated.entry(key).or_default();
+                        *count += 1;
+                        assert_eq!(*count, 1, "a summary request is answered twice");
+                    }
+                }
+            }
+        }
+    }
+
+    fn run_for(&mut self, span: Duration) {
+        let until = self.world.now + span;
+        while self.world.now < until {
+            for job in 0..self.engines.jobs.len() {
+                self.engines.go_on(&mut self.world, job);
+                self.settle();
+            }
+            self.settle();
+            self.world.advance(Duration::from_millis(20));
+            self.settle();
+        }
+    }
+
+    fn settle(&mut self) {
+        self.collect();
+        while self.world.deliver(0) || self.engines.orders_left() > 0 {
+            self.engines.carry_order(&mut self.world, 0);
+            self.collect();
+        }
+    }
+
+    fn check_outcomes(&self) {
+        for (name, caller) in &self.callers {
+            let waits = self.world.is_owner_alive(name.0) && !self.gone.contains(name);
+            assert!(!waits || caller.outcome.is_some(), "no outcome: {caller:?}");
+        }
+    }
+}
+
+#[test]
+fn answers_are_whole_and_each_offset_comes_once() {
+    runner(3, 300)
+        .run(&vec(op(), 0..300), |ops| {
+            let mut test = Test::new();
+            for op in &ops {
+                test.apply(op);
+            }
+            test.world.heal();
+            test.run_for(Duration::from_secs(12));
+            test.check_outcomes();
+            Ok(())
+        })
+        .unwrap();
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -69,11 +69,22 @@
     reset: bool,
     replies: VecDeque<(Envelope<Reply>, bool)>,
     closed: Option<Option<LinkFailure>>,
+    /// Whether the opener has cancelled it; what had come before may still reach the role.
+    cancelled: bool,
     opener_done: bool,
     peer_done: bool,
     silent: bool,
 }
 
+impl Stream {
+    /// Ends it for an opener that has not cancelled it.
+    fn end(&mut self, failure: LinkFailure) {
+        if !self.cancelled {
+            self.closed.get_or_insert(Some(failure));
+        }
+    }
+}
+
 /// Something that can happen next.
 #[derive(Debug, Clone, Copy)]
 enum Step {
@@ -185,7 +196,7 @@
             }
             if node == Node::Agent(agent_of(stream.target)) && stream.accepted == Some(boot) {
                 stream.peer_done = true;
-                stream.closed.get_or_insert(Some(LinkFailure::Broken));
+                stream.end(LinkFailure::Broken);
             }
         }
     }
@@ -314,7 +325,7 @@
         stream.reset = true;
         stream.replies.clear();
         let failure = if unseen { LinkFailure::NotSent } else { LinkFailure::Broken };
-        stream.closed.get_or_insert(Some(failure));
+        stream.end(failure);
     }
 
     /// Makes a stream silent for good, as a connection that something has lost track of.
@@ -371,7 +382,7 @@
                     let failure = if sent { LinkFailure::Broken } else { LinkFailure::NotSent };
                     stream.requests.clear();
                     stream.peer_done = true;
-                    stream.closed.get_or_insert(Some(failure));
+                    stream.end(failure);
                     return;
                 }
                 if stream.accepted.is_none() {
@@ -392,6 +403,7 @@
                 if last {
                     stream.closed = Some(None);
                 }
+                stream.opener_done = stream.cancelled && stream.replies.is_empty() && !last;
                 Input::Reply { exchange, envelope }
             }
             None => {
@@ -439,7 +451,7 @@
                 let envelope = Envelope { revised, body: Reply::Control(reply) };
                 stream.replies.push_back((envelope, true));
             }
-            None => stream.closed = Some(Some(LinkFailure::Broken)),
+            None => stream.end(LinkFailure::Broken),
         }
     }
 
@@ -478,15 +490,16 @@
             }
             Output::Reset { exchange } => {
                 if let Some(stream) = self.find(from, exchange) {
-                    stream.opener_done = true;
                     stream.reset = true;
+                    stream.cancelled = true;
+                    stream.opener_done |= stream.replies.is_empty() && stream.closed.is_none();
                 }
             }
             Output::Reply { inbound, envelope, last } => {
                 let stream = self.streams.iter_mut().find(|s| s.inbound == inbound);
                 if let Some(stream) = stream.filter(|s| !s.peer_done) {
                     stream.peer_done |= last;
-                    if stream.closed.is_none() {
+                    if stream.closed.is_none() && !stream.cancelled {
                         stream.replies.push_back((envelope, last));
                     }
                 }
@@ -526,6 +539,7 @@
             reset: false,
             replies: VecDeque::new(),
             closed: None,
+            cancelled: false,
             opener_done: false,
             peer_done: false,
             silent: false,
