--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -71,7 +71,6 @@
     world: World,
     engines: Engines,
     live: BTreeSet<(BootId, CallId)>,
-    begun: u32,
 }
 
 impl Test {
@@ -83,12 +82,13 @@
             EndpointKind::Decode,
         ];
         let announcements = kinds.into_iter().map(announcement).collect();
-        Test {
+        let mut test = Test {
             world: World::new(ENTRIES, announcements),
             engines: Engines::default(),
             live: BTreeSet::new(),
-            begun: 0,
-        }
+        };
+        test.settle();
+        test
     }
 
     fn apply(&mut self, op: &Op) {
@@ -136,12 +136,8 @@
     fn collect(&mut self) {
         self.engines.take(&mut self.world);
         for (boot, effect) in std::mem::take(&mut self.world.told) {
-            match effect {
-                CallerEffect::Finish { call, .. } => {
-                    self.live.remove(&(boot, call));
-                }
-                CallerEffect::Begin { .. } => self.begun += 1,
-                CallerEffect::Tokens { .. } => {}
+            if let CallerEffect::Finish { call, .. } = effect {
+                self.live.remove(&(boot, call));
             }
         }
         self.check_ledgers();
--- a/tests/world/engine.rs
+++ b/tests/world/engine.rs
@@ -23,6 +23,7 @@
         fenced: false,
         artifact: None,
         boot: BootId(1),
+        artifact: None,
     }
 }
 
