--- a/src/agent/events.rs
+++ b/src/agent/events.rs
@@ -90,10 +90,10 @@
             };
         }
         self.imports.remove(&request);
+        let load = self.ledger.inbound(request).filter(|_| last).map(|i| self.tell_load(i));
         let inbound =
             if last { self.ledger.release(request) } else { self.ledger.inbound(request) };
         let Some(inbound) = inbound else { return Vec::new() };
-        let load = last.then(|| self.tell_load(inbound));
         load.into_iter().chain([self.reply(inbound, reply, last)]).collect()
     }
 
--- a/src/entry/admit/room.rs
+++ b/src/entry/admit/room.rs
@@ -39,7 +39,7 @@
     let mut starting = fleet.starting(pool) as u32;
     for key in fleet.keys(EndpointKind::Prefill, pool) {
         let Some(endpoint) = fleet.get(*key).filter(|e| is_open(now, fleet, e)) else { continue };
-        let load = endpoint.load();
+        let load = endpoint.load(now);
         let free = PREFILL_DEPTH.saturating_sub(load.slots);
         if free > starting {
             let tokens = load.prompt_tokens + prompt_tokens(prompt);
@@ -61,7 +61,7 @@
     let mut fits = false;
     for key in fleet.keys(EndpointKind::Decode, &ticket.call.pool) {
         let Some(endpoint) = fleet.get(*key).filter(|e| is_open(now, fleet, e)) else { continue };
-        let (load, capacity) = (endpoint.load(), endpoint.state.capacity);
+        let (load, capacity) = (endpoint.load(now), endpoint.state.capacity);
         let pieces = ticket.tokens.div_ceil(capacity.piece_tokens.max(1)).max(1);
         slots += capacity.slots;
         free += capacity.slots.saturating_sub(load.slots);
--- a/src/entry/place/fleet.rs
+++ b/src/entry/place/fleet.rs
@@ -18,6 +18,11 @@
 
 /// How long an exchange is silent before its reset counts against the endpoint.
 const SILENCE: Duration = Duration::from_millis(900);
+/// How long an agent's word on the load of others counts for work of some seconds.
+const DECODE_AGE: Duration = Duration::from_millis(2_000);
+/// How long it counts for work of a fraction of a second.
+const SHORT_AGE: Duration = Duration::from_millis(500);
+
 new_key_type! {
     /// One endpoint in the arena of an entry.
     pub struct EndpointKey;
@@ -32,6 +37,8 @@
     pub own: Load,
     /// What others have there, as of the agent's last word.
     pub others: Load,
+    /// When the agent said so.
+    pub told: Timestamp,
     /// Transfers of this entry on its link.
     pub transfers: u32,
     /// The usual time from the end of prefill to the first token, in microseconds.
@@ -46,24 +53,33 @@
             others: state.load,
             state,
             own: Load::default(),
+            told: Timestamp::default(),
             transfers: 0,
             transfer: Estimate::default(),
             health: Health::default(),
         }
     }
 
-    /// Returns the load by own counts and the agent's last word.
-    pub fn load(&self) -> Load {
+    /// Returns the load by own counts and the agent's last word, which fades: an endpoint that
+    /// seems full gets no work, and so would never say that it is free again.
+    pub fn load(&self, now: Timestamp) -> Load {
+        let age = match self.state.kind {
+            EndpointKind::Decode => DECODE_AGE,
+            EndpointKind::Prefill | EndpointKind::Service => SHORT_AGE,
+        };
+        let left = age.saturating_sub(now - self.told).as_micros() as u64;
+        let fade = |n: u32| (u64::from(n) * left).div_ceil(age.as_micros() as u64) as u32;
         Load {
-            slots: self.own.slots + self.others.slots,
-            pieces: self.own.pieces + self.others.pieces,
-            prompt_tokens: self.own.prompt_tokens + self.others.prompt_tokens,
+            slots: self.own.slots + fade(self.others.slots),
+            pieces: self.own.pieces + fade(self.others.pieces),
+            prompt_tokens: self.own.prompt_tokens + fade(self.others.prompt_tokens),
             prefill_rate: self.others.prefill_rate,
         }
     }
 
     /// Takes the load that the agent told, in which the own part is known better here.
-    fn learn(&mut self, told: Load) {
+    fn learn(&mut self, now: Timestamp, told: Load) {
+        self.told = now;
         self.others = Load {
             slots: told.slots.saturating_sub(self.own.slots),
             pieces: told.pieces.saturating_sub(self.own.pieces),
@@ -327,7 +343,7 @@
 
     fn learn(&mut self, now: Timestamp, key: EndpointKey, load: Load) {
         let Some(endpoint) = self.endpoints.get_mut(key) else { return };
-        endpoint.learn(load);
+        endpoint.learn(now, load);
         if load.prefill_rate > 0
             && let Some(pool) = self.pools.get_mut(&endpoint.state.pool)
         {
--- a/src/entry/place/in_flight.rs
+++ b/src/entry/place/in_flight.rs
@@ -42,7 +42,7 @@
         key: EndpointKey,
         endpoint: &Tracked,
     ) -> Option<f64> {
-        let (load, capacity) = (endpoint.load(), endpoint.state.capacity);
+        let (load, capacity) = (endpoint.load(now), endpoint.state.capacity);
         let pieces = need.tokens.div_ceil(capacity.piece_tokens.max(1)).max(1);
         if load.slots >= capacity.slots || load.pieces + pieces > capacity.pieces {
             return None;
@@ -66,7 +66,7 @@
         key: EndpointKey,
         endpoint: &Tracked,
     ) -> f64 {
-        let load = endpoint.load();
+        let load = endpoint.load(now);
         let backlog = f64::from(load.prompt_tokens) + f64::from(load.slots);
         let likely = match need.prefix {
             Some(prefix) if self.variant >= Variant::Prefix => {
