Check all settings at once, and give the tool orders, checks and exit codes

Cause: wrong settings were named without the value that is allowed, files and addresses only when they failed; the tool had no orders, history, endpoints or quarantine, one exit code for everything, and usage errors ended in 1.

--- /dev/null
+++ b/src/cli/checker.rs
@@ -0,0 +1,138 @@
+//! Checks of single flags, which collect all errors rather than stop at the first.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use super::settings::RoleName;
+
+/// The longest name in bytes.
+const MAX_NAME_BYTES: usize = 64;
+const ADDRESS: &str = "IP:PORT, such as 127.0.0.1:7000";
+
+/// Collects errors while flags are checked.
+#[derive(Debug, Default)]
+pub struct Checker {
+    /// One line for each error.
+    pub errors: Vec<String>,
+}
+
+impl Checker {
+    /// Notes an error that begins with the name of its flag.
+    pub fn error(&mut self, text: &str) {
+        self.errors.push(format!("--{text}"));
+    }
+
+    /// Notes a wrong value with what is allowed.
+    pub fn bad(&mut self, flag: &str, value: &str, allowed: &str) {
+        self.error(&format!("{flag}: {value:?} is not allowed: {allowed}"));
+    }
+
+    /// Returns a text that must be given.
+    pub fn text(&mut self, flag: &str, value: &Option<String>) -> String {
+        match value.as_deref().map(str::trim) {
+            Some(text) if !text.is_empty() => text.into(),
+            _ => {
+                let variable = flag.to_uppercase().replace('-', "_");
+                self.error(&format!("{flag}: missing, and DOTTERELPIN_{variable} is not set"));
+                String::new()
+            }
+        }
+    }
+
+    /// Returns a name that can stand in logs, metrics and commands as it is.
+    pub fn name(&mut self, flag: &str, value: &Option<String>) -> Box<str> {
+        let text = self.text(flag, value);
+        let fits = |c: char| c.is_ascii_alphanumeric() || "._-".contains(c);
+        if text.len() > MAX_NAME_BYTES || !text.chars().all(fits) {
+            self.bad(flag, &text, "1 to 64 letters, digits, dots, hyphens and underscores");
+        }
+        text.into()
+    }
+
+    /// Returns a path that must be given.
+    pub fn path(&mut self, flag: &str, value: &Option<String>) -> PathBuf {
+        self.text(flag, value).into()
+    }
+
+    /// Returns an address that must be given.
+    pub fn required_address(&mut self, flag: &str, value: &Option<String>) -> Option<SocketAddr> {
+        let text = self.text(flag, value);
+        if text.is_empty() { None } else { self.parse_address(flag, &text) }
+    }
+
+    /// Returns an address that may be given.
+    pub fn address(&mut self, flag: &str, value: &Option<String>) -> Option<SocketAddr> {
+        value.as_deref().and_then(|v| self.parse_address(flag, v))
+    }
+
+    /// Parses an address with a port that others can be told.
+    pub fn parse_address(&mut self, flag: &str, text: &str) -> Option<SocketAddr> {
+        let address: Option<SocketAddr> = text.trim().parse().ok();
+        let address = address.filter(|a| a.port() != 0);
+        if address.is_none() {
+            self.bad(flag, text, ADDRESS);
+        }
+        address
+    }
+
+    /// Returns a count that may be given.
+    pub fn count(
+        &mut self,
+        flag: &str,
+        value: &Option<String>,
+        default: usize,
+        most: usize,
+    ) -> usize {
+        let Some(text) = value else { return default };
+        let count = text.trim().parse().ok().filter(|c| (1..=most).contains(c));
+        if count.is_none() {
+            self.bad(flag, text, &format!("a number from 1 to {most}"));
+        }
+        count.unwrap_or(default)
+    }
+
+    /// Returns one of several words.
+    pub fn choice(
+        &mut self,
+        flag: &str,
+        value: &Option<String>,
+        default: &'static str,
+        words: &[&'static str],
+    ) -> &'static str {
+        let Some(text) = value else { return default };
+        let found = words.iter().find(|w| **w == text.trim());
+        if found.is_none() {
+            self.bad(flag, text, &words.join(", "));
+        }
+        found.copied().unwrap_or(default)
+    }
+
+    /// Checks that a flag is given exactly if a role needs it.
+    pub fn needs(
+        &mut self,
+        role: RoleName,
+        roles: &BTreeSet<RoleName>,
+        flag: &str,
+        value: &Option<String>,
+    ) {
+        let given = value.as_deref().is_some_and(|v| !v.trim().is_empty());
+        if roles.contains(&role) && !given {
+            self.error(&format!("{flag}: missing, and role {} needs it", role.as_str()));
+        }
+        self.unused(role, roles, flag, value);
+    }
+
+    /// Checks that a flag is not given without the one role that uses it.
+    pub fn unused(
+        &mut self,
+        role: RoleName,
+        roles: &BTreeSet<RoleName>,
+        flag: &str,
+        value: &Option<String>,
+    ) {
+        if !roles.contains(&role) && value.is_some() {
+            self.error(&format!("{flag}: given, but only role {} uses it", role.as_str()));
+        }
+    }
+}
--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -13,7 +13,7 @@
 use crate::control::disk::{self, Disk};
 use crate::control::replica::{MemberId, ReplicaSettings};
 use crate::control::{Control, ControlSettings, DiskInput};
-use crate::entry::accept::{self, CallerBounds};
+use crate::entry::accept;
 use crate::entry::check::Tenants;
 use crate::entry::place::RoundRobin;
 use crate::entry::{CallerInput, Entry, EntrySettings};
@@ -24,10 +24,6 @@
 use crate::report::pages::Pages;
 use crate::role::{Driver, Input};
 
-/// Calls that may be open at an entry.
-const MAX_CALLS: usize = 8_192;
-/// Connections that callers may have open at an entry.
-const MAX_CONNECTIONS: usize = 16_384;
 /// The exit code of a process that was told to end at once.
 const EXIT_AT_ONCE: i32 = 1;
 
@@ -72,7 +68,7 @@
             name: settings.name.clone(),
             domain: settings.domain.clone(),
             boot,
-            replica: ReplicaSettings::new(settings.listen, members, boot.0),
+            replica: ReplicaSettings::new(settings.advertise, members, boot.0),
         };
         let control = Control::new(who, stored)?;
         keeper = Some(driver.start("control", control, handle.clone(), disk)?);
@@ -88,8 +84,7 @@
         let path = settings.tenants.as_deref().ok_or_else(|| eyre!("--tenants is missing"))?;
         let tenants = Tenants::load(path)?;
         let listen = settings.callers.ok_or_else(|| eyre!("--callers is missing"))?;
-        let bounds = CallerBounds { calls: MAX_CALLS, connections: MAX_CONNECTIONS };
-        let (callers, server) = accept::start(listen, bounds, driver.handle())?;
+        let (callers, server) = accept::start(listen, settings.bounds, driver.handle())?;
         caller_server = Some(server);
         let who = EntrySettings { follower: follower(&settings, boot, "entry") };
         let entry = Entry::new(who, tenants, Box::new(RoundRobin::default()));
--- a/src/cli/settings.rs
+++ b/src/cli/settings.rs
@@ -3,10 +3,25 @@
 use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
+use std::str::FromStr;
 
 use argh::FromArgs;
 
+use super::checker::Checker;
+use crate::entry::accept::CallerBounds;
+use crate::report::LogFormat;
+
+/// Calls that may be open at an entry.
+const DEFAULT_CALLS: usize = 8_192;
+/// Connections that callers may have open at an entry.
+const DEFAULT_CONNECTIONS: usize = 16_384;
+/// The most calls or connections that a setting may allow.
+const MOST_OPEN: usize = 1_000_000;
+/// The most control members.
+const MOST_MEMBERS: usize = 7;
+const LOG_LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
+
 /// A role of a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum RoleName {
@@ -18,9 +33,32 @@
     Control,
 }
 
+impl RoleName {
+    /// Every role.
+    pub const ALL: [RoleName; 3] = [RoleName::Entry, RoleName::Agent, RoleName::Control];
+
+    /// Returns the name that settings use.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            RoleName::Entry => "entry",
+            RoleName::Agent => "agent",
+            RoleName::Control => "control",
+        }
+    }
+}
+
+impl FromStr for RoleName {
+    type Err = eyre::Report;
+
+    fn from_str(text: &str) -> eyre::Result<RoleName> {
+        let found = RoleName::ALL.into_iter().find(|r| r.as_str() == text);
+        found.ok_or_else(|| eyre::eyre!("role {text:?} is unknown"))
+    }
+}
+
 /// Routes requests to prefill and decode pools and plain services.
 ///
-/// Each flag has an environment variable: --callers is DOTTERELPIN_CALLERS.
+/// Each flag has an environment variable: --max-calls is DOTTERELPIN_MAX_CALLS.
 #[derive(Debug, Clone, Default, PartialEq, Eq, FromArgs)]
 pub struct DaemonArgs {
     /// roles of this process, such as entry,control
@@ -53,12 +91,21 @@
     /// file of tenants' credentials for an entry
     #[argh(option)]
     pub tenants: Option<String>,
-    /// TCP address for health, readiness and announcements
+    /// calls that may be open at an entry; 8192 if not given
+    #[argh(option)]
+    pub max_calls: Option<String>,
+    /// connections that callers may have open at an entry; 16384 if not given
+    #[argh(option)]
+    pub max_connections: Option<String>,
+    /// TCP address for health, readiness, metrics and announcements
     #[argh(option)]
     pub pages: Option<String>,
-    /// log level: error, warn, info, debug or trace
+    /// log level: error, warn, info, debug or trace; info if not given
     #[argh(option)]
     pub log: Option<String>,
+    /// log format: text or json; text if not given
+    #[argh(option)]
+    pub log_format: Option<String>,
 }
 
 impl DaemonArgs {
@@ -83,8 +130,11 @@
             ("DOTTERELPIN_DATA", &mut self.data),
             ("DOTTERELPIN_CALLERS", &mut self.callers),
             ("DOTTERELPIN_TENANTS", &mut self.tenants),
+            ("DOTTERELPIN_MAX_CALLS", &mut self.max_calls),
+            ("DOTTERELPIN_MAX_CONNECTIONS", &mut self.max_connections),
             ("DOTTERELPIN_PAGES", &mut self.pages),
             ("DOTTERELPIN_LOG", &mut self.log),
+            ("DOTTERELPIN_LOG_FORMAT", &mut self.log_format),
         ];
         for (name, field) in fields {
             if field.is_none() {
@@ -118,15 +168,19 @@
     pub callers: Option<SocketAddr>,
     /// The tenants' file, for an entry.
     pub tenants: Option<PathBuf>,
+    /// What callers may hold at once, for an entry.
+    pub bounds: CallerBounds,
     /// The address of the pages.
     pub pages: Option<SocketAddr>,
     /// The log level.
     pub log: Box<str>,
+    /// How log lines are written.
+    pub format: LogFormat,
 }
 
 /// All that is wrong with the flags, one line each.
 #[derive(Debug, PartialEq, Eq)]
-pub struct SettingsError(Vec<String>);
+pub struct SettingsError(pub Vec<String>);
 
 impl fmt::Display for SettingsError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -136,51 +190,22 @@
 
 impl std::error::Error for SettingsError {}
 
-/// Collects errors while fields are checked.
-#[derive(Default)]
-struct Checker {
-    errors: Vec<String>,
-}
-
-impl Checker {
-    fn text(&mut self, flag: &str, value: &Option<String>) -> Box<str> {
-        match value.as_deref().map(str::trim) {
-            Some(text) if !text.is_empty() => text.into(),
-            _ => {
-                self.errors.push(format!("--{flag}: missing"));
-                "".into()
-            }
+impl Settings {
+    /// Checks what the settings name in the file system, without writing anything.
+    pub fn check_files(&self) -> Result<(), SettingsError> {
+        let mut errors = Vec::new();
+        if let Err(error) = crate::link::tls::Identity::load(&self.keys) {
+            errors.push(format!("--keys: {error:#}"));
         }
-    }
-
-    fn address(&mut self, flag: &str, text: &str) -> Option<SocketAddr> {
-        let address = text.trim().parse().ok();
-        if address.is_none() {
-            self.errors.push(format!("--{flag}: {text:?} is no IP:PORT, such as 127.0.0.1:7000"));
+        if let Some(tenants) = &self.tenants
+            && let Err(error) = crate::entry::check::Tenants::load(tenants)
+        {
+            errors.push(format!("--tenants: {error:#}"));
         }
-        address
-    }
-
-    fn role(&mut self, text: &str) -> Option<RoleName> {
-        match text.trim() {
-            "entry" => Some(RoleName::Entry),
-            "agent" => Some(RoleName::Agent),
-            "control" => Some(RoleName::Control),
-            other => {
-                self.errors.push(format!("--roles: {other:?} is none of entry, agent, control"));
-                None
-            }
-        }
-    }
-
-    fn needs(&mut self, role: RoleName, roles: &BTreeSet<RoleName>, flag: &str, given: bool) {
-        let name = format!("{role:?}").to_lowercase();
-        if roles.contains(&role) && !given {
-            self.errors.push(format!("--{flag}: missing, and role {name} needs it"));
-        }
-        if !roles.contains(&role) && given {
-            self.errors.push(format!("--{flag}: given, but only role {name} uses it"));
+        if let Some(data) = self.data.as_deref().filter(|d| d.exists() && !d.is_dir()) {
+            errors.push(format!("--data: {} is no folder", data.display()));
         }
+        if errors.is_empty() { Ok(()) } else { Err(SettingsError(errors)) }
     }
 }
 
@@ -189,52 +214,99 @@
 
     fn try_from(args: DaemonArgs) -> Result<Settings, SettingsError> {
         let mut check = Checker::default();
-        let roles_text = check.text("roles", &args.roles);
-        let roles: BTreeSet<RoleName> = if roles_text.is_empty() {
-            BTreeSet::new()
-        } else {
-            roles_text.split(',').filter_map(|r| check.role(r)).collect()
-        };
-        if roles.contains(&RoleName::Agent) && roles.contains(&RoleName::Entry) {
-            check.errors.push("--roles: entry and agent do not go together".into());
-        }
-        let name = check.text("name", &args.name);
-        let domain = check.text("domain", &args.domain);
-        let listen_text = check.text("listen", &args.listen);
-        let listen = check.address("listen", &listen_text);
-        let advertise = args.advertise.as_deref().and_then(|a| check.address("advertise", a));
-        let members_text = check.text("members", &args.members);
-        let members: Vec<SocketAddr> =
-            members_text.split(',').filter_map(|m| check.address("members", m)).collect();
-        let keys = PathBuf::from(&*check.text("keys", &args.keys));
-        check.needs(RoleName::Control, &roles, "data", args.data.is_some());
-        check.needs(RoleName::Entry, &roles, "callers", args.callers.is_some());
-        check.needs(RoleName::Entry, &roles, "tenants", args.tenants.is_some());
-        let callers = args.callers.as_deref().and_then(|a| check.address("callers", a));
-        let pages = args.pages.as_deref().and_then(|a| check.address("pages", a));
+        let roles = check_roles(&mut check, &args);
+        let name = check.name("name", &args.name);
+        let domain = check.name("domain", &args.domain);
+        let listen = check.required_address("listen", &args.listen);
+        let advertise = check.address("advertise", &args.advertise);
+        check_reachable(&mut check, listen, advertise);
+        let members = check_members(&mut check, &args);
+        let keys = check.path("keys", &args.keys);
+        check.needs(RoleName::Control, &roles, "data", &args.data);
+        check.needs(RoleName::Entry, &roles, "callers", &args.callers);
+        check.needs(RoleName::Entry, &roles, "tenants", &args.tenants);
+        check.unused(RoleName::Entry, &roles, "max-calls", &args.max_calls);
+        check.unused(RoleName::Entry, &roles, "max-connections", &args.max_connections);
+        let callers = check.address("callers", &args.callers);
+        let pages = check.address("pages", &args.pages);
         if roles.contains(&RoleName::Agent) && args.pages.is_none() {
-            check.errors.push("--pages: missing, and role agent needs it".into());
+            check.error("pages: missing, and role agent needs it for announcements");
         }
-        let log: Box<str> = args.log.as_deref().unwrap_or("info").into();
-        if !["error", "warn", "info", "debug", "trace"].contains(&&*log) {
-            check.errors.push(format!("--log: {log:?} is none of error, warn, info, debug, trace"));
+        if callers.is_some() && callers == pages {
+            check.error("pages: the same address as --callers: give each its own");
         }
-        match listen {
-            Some(listen) if check.errors.is_empty() => Ok(Settings {
-                roles,
-                name,
-                domain,
-                listen,
-                advertise: advertise.unwrap_or(listen),
-                members,
-                keys,
-                data: args.data.map(PathBuf::from),
-                callers,
-                tenants: args.tenants.map(PathBuf::from),
-                pages,
-                log,
-            }),
-            _ => Err(SettingsError(check.errors)),
+        let bounds = CallerBounds {
+            calls: check.count("max-calls", &args.max_calls, DEFAULT_CALLS, MOST_OPEN),
+            connections: check.count(
+                "max-connections",
+                &args.max_connections,
+                DEFAULT_CONNECTIONS,
+                MOST_OPEN,
+            ),
+        };
+        let log = check.choice("log", &args.log, "info", &LOG_LEVELS);
+        let format = check.choice("log-format", &args.log_format, "text", &["text", "json"]);
+        let format = if format == "json" { LogFormat::Json } else { LogFormat::Text };
+        let (Some(listen), []) = (listen, &*check.errors) else {
+            return Err(SettingsError(check.errors));
+        };
+        Ok(Settings {
+            roles,
+            name,
+            domain,
+            listen,
+            advertise: advertise.unwrap_or(listen),
+            members,
+            keys,
+            data: args.data.map(PathBuf::from),
+            callers,
+            tenants: args.tenants.as_deref().map(Path::new).map(Into::into),
+            bounds,
+            pages,
+            log: log.into(),
+            format,
+        })
+    }
+}
+
+fn check_roles(check: &mut Checker, args: &DaemonArgs) -> BTreeSet<RoleName> {
+    let text = check.text("roles", &args.roles);
+    let mut roles = BTreeSet::new();
+    for part in text.split(',').map(str::trim).filter(|_| !text.is_empty()) {
+        match part.parse() {
+            Ok(role) => {
+                roles.insert(role);
+            }
+            Err(_) => check.bad("roles", part, "entry, agent, control, with commas"),
         }
     }
+    if roles.len() > 1 && roles.contains(&RoleName::Agent) {
+        check.error("roles: agent goes with no other role: it is the one way to one endpoint");
+    }
+    roles
+}
+
+/// Checks that other processes can reach this one.
+fn check_reachable(check: &mut Checker, listen: Option<SocketAddr>, advertise: Option<SocketAddr>) {
+    if let Some(address) = advertise.filter(|a| a.ip().is_unspecified()) {
+        check.bad("advertise", &address.to_string(), "an address that others can reach");
+    }
+    if listen.is_some_and(|l| l.ip().is_unspecified()) && advertise.is_none() {
+        check.error("advertise: missing, and --listen names no address that others can reach");
+    }
+}
+
+fn check_members(check: &mut Checker, args: &DaemonArgs) -> Vec<SocketAddr> {
+    let text = check.text("members", &args.members);
+    let parts = text.split(',').filter(|_| !text.is_empty());
+    let members: Vec<SocketAddr> =
+        parts.filter_map(|m| check.parse_address("members", m)).collect();
+    let distinct: BTreeSet<_> = members.iter().collect();
+    if distinct.len() < members.len() {
+        check.bad("members", &text, "each address once");
+    }
+    if members.len() > MOST_MEMBERS {
+        check.bad("members", &text, &format!("at most {MOST_MEMBERS} addresses"));
+    }
+    members
 }
--- /dev/null
+++ b/src/cli/tool/client.rs
@@ -0,0 +1,150 @@
+//! Questions to control members.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant};
+
+use eyre::{WrapErr, eyre};
+
+use super::super::checker::Checker;
+use super::{Failure, ToolArgs, ToolError};
+use crate::control::config::Revised;
+use crate::control::state::{Applied, Command};
+use crate::link::message::{ControlReply, ControlRequest, Envelope, Reply, Request, Status};
+use crate::link::tls::Identity;
+use crate::link::{Link, LinkAction, LinkEvent, LinkHandle, Sink};
+use crate::model::ExchangeId;
+use crate::role::LinkFailure;
+
+/// How long one control member may take to answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How often all members are tried.
+const ROUNDS: usize = 4;
+/// The time before a member is asked that may lead by then.
+const LEADER_PAUSE: Duration = Duration::from_millis(200);
+
+struct Events(Sender<LinkEvent>);
+
+impl Sink for Events {
+    fn deliver(&self, event: LinkEvent) {
+        let _ = self.0.send(event);
+    }
+}
+
+/// Asks control members.
+pub struct Client {
+    members: Vec<SocketAddr>,
+    link: LinkHandle,
+    owner: u64,
+    events: Receiver<LinkEvent>,
+    last: Cell<u64>,
+}
+
+impl Client {
+    /// Connects to nothing yet, but needs the operators' key.
+    pub fn new(args: &ToolArgs) -> Result<Client, ToolError> {
+        let mut check = Checker::default();
+        let given =
+            |flag: &Option<String>, name: &str| flag.clone().or_else(|| std::env::var(name).ok());
+        let text = check.text("members", &given(&args.members, "DOTTERELPIN_MEMBERS"));
+        let parts = text.split(',').filter(|_| !text.is_empty());
+        let members: Vec<SocketAddr> =
+            parts.filter_map(|m| check.parse_address("members", m)).collect();
+        let keys = check.path("keys", &given(&args.keys, "DOTTERELPIN_KEYS"));
+        if !check.errors.is_empty() {
+            return Err(ToolError::new(Failure::Usage, eyre!(check.errors.join("\n"))));
+        }
+        let identity = Identity::load_operator(&keys).map_err(|e| {
+            let error = ToolError::new(Failure::Usage, e.wrap_err("--keys"));
+            error.hint("give the folder that `dotterelpin keys FOLDER` made")
+        })?;
+        let local = if members.iter().all(SocketAddr::is_ipv4) { "0.0.0.0:0" } else { "[::]:0" };
+        let link = Link::bind(local.parse().wrap_err("parse local address")?, identity)?;
+        let handle = link.handle();
+        let (sender, events) = channel();
+        let owner = handle.register(Arc::new(Events(sender)));
+        link.start(Arc::new(|_| None))?;
+        Ok(Client { members, link: handle, owner, events, last: Cell::new(0) })
+    }
+
+    /// Returns what a member knows.
+    pub fn status(&self) -> Result<Status, ToolError> {
+        match self.ask(ControlRequest::Status)? {
+            ControlReply::Status(status) => Ok(*status),
+            other => Err(eyre!("control answered {other:?} to a status request").into()),
+        }
+    }
+
+    /// Puts a command into the log and returns what it came to.
+    pub fn propose(&self, command: Command) -> Result<Applied, ToolError> {
+        match self.ask(ControlRequest::Propose(command))? {
+            ControlReply::Applied(applied) => Ok(applied),
+            other => Err(eyre!("control answered {other:?} to a command").into()),
+        }
+    }
+
+    /// Asks members in turn until one answers; a request must be safe to send again.
+    fn ask(&self, request: ControlRequest) -> Result<ControlReply, ToolError> {
+        let mut problem = eyre!("no control member is named");
+        let mut next = None;
+        for round in 0..ROUNDS * self.members.len() {
+            let peer = next.take().unwrap_or(self.members[round % self.members.len()]);
+            match self.ask_one(peer, request.clone()) {
+                Ok(ControlReply::NotLeader { leader } | ControlReply::Interrupted { leader }) => {
+                    problem = eyre!("step=ask peer={peer}: the member does not lead");
+                    next = leader;
+                    std::thread::sleep(LEADER_PAUSE);
+                }
+                Ok(reply) => return Ok(reply),
+                Err(error) if error.failure == Failure::Refused => return Err(error),
+                Err(error) => problem = eyre!("{error}"),
+            }
+        }
+        let error = ToolError::new(Failure::Unreached, problem);
+        Err(error.hint("check --members, the network, and that most control members run"))
+    }
+
+    fn ask_one(
+        &self,
+        peer: SocketAddr,
+        request: ControlRequest,
+    ) -> Result<ControlReply, ToolError> {
+        let exchange = ExchangeId(self.last.get() + 1);
+        self.last.set(exchange.0);
+        let envelope = Envelope { revised: Revised::default(), body: Request::Control(request) };
+        self.link.act(LinkAction::Open { owner: self.owner, exchange, peer, envelope });
+        let until = Instant::now() + ANSWER_TIMEOUT;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            let event = self.events.recv_timeout(left).map_err(|_| {
+                self.link.act(LinkAction::Reset { owner: self.owner, exchange });
+                self.link.act(LinkAction::Redial { peer });
+                eyre!("step=ask peer={peer}: no answer in {ANSWER_TIMEOUT:?}")
+            })?;
+            match event {
+                LinkEvent::Reply { exchange: e, envelope } if e == exchange => {
+                    if let Reply::Control(reply) = envelope.body {
+                        return Ok(reply);
+                    }
+                }
+                LinkEvent::Closed { exchange: e, failure } if e == exchange => {
+                    return Err(closed(peer, failure));
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+fn closed(peer: SocketAddr, failure: Option<LinkFailure>) -> ToolError {
+    match failure {
+        Some(LinkFailure::Forbidden) => {
+            let error = eyre!("step=ask peer={peer}: the certificate does not allow this");
+            ToolError::new(Failure::Refused, error).hint("use the operators' key of this fleet")
+        }
+        Some(LinkFailure::NotSent) => eyre!("step=dial peer={peer}: no connection").into(),
+        _ => eyre!("step=ask peer={peer}: the connection broke").into(),
+    }
+}
--- a/src/link/tls.rs
+++ b/src/link/tls.rs
@@ -27,6 +27,8 @@
 const AUTHORITY_FILE: &str = "ca.pem";
 const PROCESS_FILES: [&str; 2] = ["process.pem", "process.key"];
 const OPERATOR_FILES: [&str; 2] = ["operator.pem", "operator.key"];
+/// Random bytes in a credential.
+const CREDENTIAL_BYTES: usize = 24;
 /// Only the owner reads a private key.
 const KEY_MODE: u32 = 0o600;
 /// Everybody may read a certificate.
@@ -65,6 +67,16 @@
         .wrap_err_with(|| format!("write {}", path.display()))
 }
 
+/// Returns a credential that nobody can guess.
+pub fn random_credential() -> eyre::Result<String> {
+    let mut bytes = [0; CREDENTIAL_BYTES];
+    rustls::crypto::ring::default_provider()
+        .secure_random
+        .fill(&mut bytes)
+        .map_err(|_| eyre!("the system gives no random bytes"))?;
+    Ok(bytes.iter().map(|b| format!("{b:02x}")).collect())
+}
+
 /// Returns what the peer of a connection is, by the name in its certificate.
 pub fn peer_kind(connection: &quinn::Connection) -> Option<PeerKind> {
     let identity = connection.peer_identity()?;
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -4,17 +4,32 @@
 
 use eyre::WrapErr;
 use flexi_logger::{DeferredNow, Logger, LoggerHandle};
+use serde_json::{Map, Value};
 
-/// Starts the log on standard error, with one line of `key=value` for each event.
-pub fn start_log(level: &str) -> eyre::Result<LoggerHandle> {
-    Logger::try_with_str(level)
+/// How log lines are written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogFormat {
+    /// `key=value` with quotes where needed.
+    Text,
+    /// One JSON object for each line.
+    Json,
+}
+
+/// Starts the log on standard error, with one line for each event.
+pub fn start_log(level: &str, format: LogFormat) -> eyre::Result<LoggerHandle> {
+    let line = match format {
+        LogFormat::Text => text_line,
+        LogFormat::Json => json_line,
+    };
+    // Libraries log what they meet on the way to an error that the system logs itself.
+    Logger::try_with_str(format!("warn, dotterelpin={level}, dotterelpind={level}, rouille=error"))
         .wrap_err("parse log level")?
         .format(line)
         .start()
         .wrap_err("start log")
 }
 
-fn line(
+fn text_line(
     writer: &mut dyn std::io::Write,
     now: &mut DeferredNow,
     record: &log::Record<'_>,
@@ -22,5 +37,50 @@
     let time = now.format_rfc3339();
     let level = record.level().as_str().to_ascii_lowercase();
     let module = record.module_path().unwrap_or("main");
-    write!(writer, "time={time} level={level} module={module} {}", record.args())
+    // A line break inside a message would look like a line of its own.
+    let text = record.args().to_string().replace('\n', "\\n");
+    write!(writer, "time={time} level={level} module={module} {text}")
+}
+
+fn json_line(
+    writer: &mut dyn std::io::Write,
+    now: &mut DeferredNow,
+    record: &log::Record<'_>,
+) -> std::io::Result<()> {
+    let mut line = Map::new();
+    line.insert("time".into(), now.format_rfc3339().to_string().into());
+    line.insert("level".into(), record.level().as_str().to_ascii_lowercase().into());
+    line.insert("module".into(), record.module_path().unwrap_or("main").into());
+    let rest = read_fields(&record.args().to_string(), &mut line);
+    if !rest.is_empty() {
+        line.insert("message".into(), rest.into());
+    }
+    write!(writer, "{}", Value::Object(line))
+}
+
+/// Takes the `key=value` fields out of a line and returns the words that are none.
+fn read_fields(text: &str, fields: &mut Map<String, Value>) -> String {
+    let mut words = Vec::new();
+    let mut rest = text.trim_start();
+    while !rest.is_empty() {
+        let end = rest.find([' ', '=']).unwrap_or(rest.len());
+        let is_field = end > 0 && rest[end..].starts_with('=');
+        if !is_field {
+            let end = rest.find(' ').unwrap_or(rest.len());
+            words.push(&rest[..end]);
+            rest = rest[end..].trim_start();
+            continue;
+        }
+        let (key, value) = (&rest[..end], &rest[end + 1..]);
+        let mut values = serde_json::Deserializer::from_str(value).into_iter::<String>();
+        let quoted = value.starts_with('"').then(|| values.next().and_then(Result::ok)).flatten();
+        let length = match &quoted {
+            Some(_) => values.byte_offset(),
+            None => value.find(' ').unwrap_or(value.len()),
+        };
+        let plain = quoted.unwrap_or_else(|| value[..length].to_string());
+        fields.insert(key.into(), plain.into());
+        rest = value[length..].trim_start();
+    }
+    words.join(" ")
 }
--- a/src/report/pages.rs
+++ b/src/report/pages.rs
@@ -25,7 +25,7 @@
     pub fn start(self, listen: SocketAddr) -> eyre::Result<()> {
         let server = rouille::Server::new(listen, move |request| self.answer(request))
             .map_err(|e| eyre!("{e}"))
-            .wrap_err_with(|| format!("listen for pages on {listen}"))?;
+            .wrap_err_with(|| format!("step=listen --pages: TCP address {listen}"))?;
         std::thread::Builder::new()
             .name("pages".into())
             .spawn(move || server.run())
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -455,7 +455,7 @@
     exe.ancestors().nth(2).map(Path::to_path_buf).unwrap_or_default()
 }
 
-fn program(name: &str) -> PathBuf {
+pub fn program(name: &str) -> PathBuf {
     build_folder().join(name)
 }
 
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,157 @@
+//! Settings: each wrong one is named with its flag, its value and what is allowed.
+
+mod common;
+
+use std::cell::RefCell;
+use std::process::Command;
+
+use common::{free_tcp, program};
+use dotterelpin::cli::settings::{DaemonArgs, Settings};
+
+const ENTRY: &[(&str, &str)] = &[
+    ("roles", "entry"),
+    ("name", "entry-1"),
+    ("domain", "brno-a"),
+    ("listen", "127.0.0.1:7000"),
+    ("members", "127.0.0.1:7001,127.0.0.1:7002"),
+    ("keys", "/nowhere/keys"),
+    ("callers", "127.0.0.1:8000"),
+    ("tenants", "/nowhere/tenants"),
+];
+
+type Changes<'a> = &'a [(&'a str, &'a str)];
+
+/// Returns the settings of an entry after some flags were replaced; an empty value drops a flag.
+fn with(changes: Changes) -> Result<Settings, String> {
+    let mut flags: Vec<(&str, &str)> =
+        ENTRY.iter().copied().filter(|(f, _)| changes.iter().all(|(c, _)| c != f)).collect();
+    flags.extend(changes.iter().copied().filter(|(_, value)| !value.is_empty()));
+    let words: Vec<String> =
+        flags.iter().flat_map(|(flag, value)| [format!("--{flag}"), value.to_string()]).collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let args = <DaemonArgs as argh::FromArgs>::from_args(&["dotterelpind"], &words).unwrap();
+    Settings::try_from(args).map_err(|e| e.to_string())
+}
+
+#[test]
+fn each_wrong_setting_is_named_with_what_is_allowed() {
+    assert!(with(&[]).is_ok());
+    let agent = [("callers", ""), ("tenants", "")];
+    let long = "n".repeat(65);
+    let table: &[(Changes, &[&str])] = &[
+        (&[("roles", "")], &["--roles: missing", "DOTTERELPIN_ROLES"]),
+        (&[("roles", "entry,waiter")], &["--roles: \"waiter\"", "entry, agent, control"]),
+        (
+            &[("roles", "entry,agent"), ("pages", "127.0.0.1:8001")],
+            &["--roles: agent goes with no"],
+        ),
+        (&[("roles", "agent,control"), ("data", "/d"), agent[0], agent[1]], &["--roles: agent"]),
+        (&[("roles", "agent"), agent[0], agent[1]], &["--pages: missing", "announcements"]),
+        (&[("roles", "control"), agent[0], agent[1]], &["--data: missing, and role control"]),
+        (&[("name", "")], &["--name: missing"]),
+        (&[("name", "two words")], &["--name: \"two words\"", "letters, digits"]),
+        (&[("name", &long)], &["--name: ", "1 to 64"]),
+        (&[("domain", "a=b")], &["--domain: \"a=b\""]),
+        (&[("listen", "localhost")], &["--listen: \"localhost\"", "IP:PORT"]),
+        (&[("listen", "127.0.0.1:0")], &["--listen: \"127.0.0.1:0\""]),
+        (&[("listen", "127.0.0.1:70000")], &["--listen: \"127.0.0.1:70000\""]),
+        (&[("listen", "0.0.0.0:7000")], &["--advertise: missing"]),
+        (&[("advertise", "0.0.0.0:7000")], &["--advertise: \"0.0.0.0:7000\""]),
+        (&[("members", "")], &["--members: missing"]),
+        (&[("members", "127.0.0.1:1,,")], &["--members: \"\""]),
+        (&[("members", "127.0.0.1:1,127.0.0.1:1")], &["--members: ", "each address once"]),
+        (&[("keys", "")], &["--keys: missing"]),
+        (&[("data", "/d")], &["--data: given, but only role control"]),
+        (&[("callers", "")], &["--callers: missing, and role entry"]),
+        (&[("callers", "8000")], &["--callers: \"8000\""]),
+        (&[("tenants", "")], &["--tenants: missing"]),
+        (&[("pages", "127.0.0.1:8000")], &["--pages: the same address as --callers"]),
+        (&[("max-calls", "0")], &["--max-calls: \"0\"", "1 to 1000000"]),
+        (&[("max-calls", "many")], &["--max-calls: \"many\""]),
+        (&[("max-connections", "-1")], &["--max-connections: \"-1\""]),
+        (&[("log", "loud")], &["--log: \"loud\"", "error, warn, info, debug, trace"]),
+        (&[("log-format", "xml")], &["--log-format: \"xml\"", "text, json"]),
+    ];
+    for (changes, wanted) in table {
+        let error = with(changes).expect_err(&format!("{changes:?}"));
+        for text in *wanted {
+            assert!(error.contains(text), "{changes:?}: {error:?} lacks {text:?}");
+        }
+    }
+}
+
+#[test]
+fn all_errors_are_named_at_once() {
+    let error = with(&[("name", ""), ("listen", "x"), ("log", "y"), ("max-calls", "z")]);
+    let error = error.expect_err("four errors");
+    assert_eq!(error.lines().count(), 4, "{error}");
+}
+
+#[test]
+fn every_flag_has_a_variable() {
+    let seen = RefCell::new(Vec::new());
+    let _ = DaemonArgs::default().with_environment(|name| {
+        seen.borrow_mut().push(name.to_string());
+        None
+    });
+    let help = Command::new(program("dotterelpind")).arg("--help").output().unwrap();
+    let help = String::from_utf8_lossy(&help.stdout).into_owned();
+    let flags = help.lines().filter_map(|l| l.trim().strip_prefix("--"));
+    let flags = flags.filter_map(|l| l.split([' ', ',']).next()).filter(|f| *f != "help");
+    let wanted: Vec<String> =
+        flags.map(|f| format!("DOTTERELPIN_{}", f.to_uppercase().replace('-', "_"))).collect();
+    assert!(wanted.len() >= 15, "{help}");
+    let seen = seen.into_inner();
+    for name in wanted {
+        assert!(seen.contains(&name), "{name} is read by nothing: {seen:?}");
+    }
+}
+
+/// Runs the daemon with settings that it must refuse.
+fn refused(flags: &[&str]) -> String {
+    let output = Command::new(program("dotterelpind")).args(flags).output().unwrap();
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(!output.status.success(), "{flags:?} was accepted");
+    text
+}
+
+#[test]
+fn daemon_names_missing_files_and_addresses_in_use() {
+    let folder = std::env::temp_dir().join(format!("dotterelpin-settings-{}", std::process::id()));
+    let keys = folder.join("keys");
+    dotterelpin::link::tls::make_keys(&keys).unwrap();
+    let tenants = folder.join("tenants");
+    let listen = common::free_udp().unwrap().to_string();
+    let callers = free_tcp().unwrap().to_string();
+    let flags = |keys: &str, callers: &str| -> Vec<String> {
+        let pairs = [
+            ("--roles", "entry"),
+            ("--name", "entry-1"),
+            ("--domain", "brno-a"),
+            ("--listen", &listen),
+            ("--members", "127.0.0.1:9"),
+            ("--keys", keys),
+            ("--callers", callers),
+            ("--tenants", tenants.to_str().unwrap()),
+        ];
+        pairs.iter().flat_map(|(f, v)| [f.to_string(), v.to_string()]).collect()
+    };
+    let run = |flags: Vec<String>| refused(&flags.iter().map(String::as_str).collect::<Vec<_>>());
+
+    let error = run(flags("/nowhere", &callers));
+    assert!(error.contains("--keys") && error.contains("/nowhere/ca.pem"), "{error}");
+    assert!(error.contains("--tenants") && error.contains("tenants"), "{error}");
+
+    std::fs::write(&tenants, "tabulka not-a-hash\n").unwrap();
+    let error = run(flags(keys.to_str().unwrap(), &callers));
+    assert!(error.contains("--tenants") && error.contains("line 1"), "{error}");
+
+    std::fs::write(&tenants, "").unwrap();
+    let _taken = std::net::TcpListener::bind(&callers).unwrap();
+    let error = run(flags(keys.to_str().unwrap(), &callers));
+    assert!(error.contains("--callers") && error.contains("in use"), "{error}");
+    let _udp = std::net::UdpSocket::bind(&listen).unwrap();
+    let error = run(flags(keys.to_str().unwrap(), &callers));
+    assert!(error.contains("--listen") && error.contains("in use"), "{error}");
+    std::fs::remove_dir_all(folder).unwrap();
+}
