--- a/src/model/endpoint.rs
+++ b/src/model/endpoint.rs
@@ -2,10 +2,20 @@
 
 use std::net::SocketAddr;
 
+use eyre::ensure;
 use serde::{Deserialize, Serialize};
 
 use super::{BootId, Fence};
 
+/// The longest name of a pool in bytes.
+const MAX_POOL_BYTES: usize = 128;
+/// The most requests that an endpoint may hold at once.
+const MOST_SLOTS: u32 = 100_000;
+/// The most pieces of memory that an endpoint may have.
+const MOST_PIECES: u32 = 10_000_000;
+/// The most tokens in a piece.
+const MOST_PIECE_TOKENS: u32 = 10_000_000;
+
 /// What an endpoint does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -63,6 +73,46 @@
     pub boot: BootId,
 }
 
+impl Announcement {
+    /// Checks what an endpoint says of itself.
+    ///
+    /// ```
+    /// use dotterelpin::model::Announcement;
+    ///
+    /// let text = r#"{"url": "http://127.0.0.1:8000", "kind": "decode", "pool": "cs-summary",
+    ///     "capacity": {"slots": 20, "pieces": 60, "piece_tokens": 2000}}"#;
+    /// let announcement: Announcement = serde_json::from_str(text).unwrap();
+    /// assert!(announcement.check().is_ok());
+    /// ```
+    pub fn check(&self) -> eyre::Result<()> {
+        let address = self.url.strip_prefix("http://").unwrap_or_default();
+        ensure!(
+            address.parse::<SocketAddr>().is_ok(),
+            "url: {:?} is not allowed: http://IP:PORT",
+            self.url
+        );
+        let fits = |c: char| c.is_ascii_alphanumeric() || "._-".contains(c);
+        ensure!(
+            !self.pool.is_empty()
+                && self.pool.len() <= MAX_POOL_BYTES
+                && self.pool.chars().all(fits),
+            "pool: {:?} is not allowed: 1 to {MAX_POOL_BYTES} letters, digits, dots, hyphens and \
+             underscores",
+            self.pool
+        );
+        let counts = [
+            ("slots", self.capacity.slots, MOST_SLOTS),
+            ("pieces", self.capacity.pieces, MOST_PIECES),
+            ("piece_tokens", self.capacity.piece_tokens, MOST_PIECE_TOKENS),
+        ];
+        for (name, count, most) in counts {
+            let range = 1..=most;
+            ensure!(range.contains(&count), "capacity.{name}: {count} is not allowed: 1 to {most}");
+        }
+        Ok(())
+    }
+}
+
 /// What is in use at an endpoint, by its agent's ledger.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Load {
--- a/src/report/pages.rs
+++ b/src/report/pages.rs
@@ -1,5 +1,6 @@
 //! The pages of a process: health, readiness and the announcement of an endpoint.
 
+use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -9,6 +10,9 @@
 
 use crate::model::Announcement;
 
+/// The most bytes of an announcement.
+const MAX_ANNOUNCEMENT_BYTES: u64 = 64 << 10;
+
 /// Takes the announcement of an endpoint.
 pub type OnAnnounce = Box<dyn Fn(Announcement) + Send + Sync>;
 
@@ -39,6 +43,9 @@
             ("GET", "/ready") if self.ready.load(Ordering::SeqCst) => Response::text("ready\n"),
             ("GET", "/ready") => Response::text("shutting down\n").with_status_code(503),
             ("POST", "/announce") => self.announced(request),
+            (_, "/health" | "/ready" | "/announce") => {
+                Response::text("wrong method\n").with_status_code(405)
+            }
             _ => Response::text("no such page\n").with_status_code(404),
         }
     }
@@ -47,16 +54,27 @@
         let Some(announce) = &self.announce else {
             return Response::text("this process has no agent\n").with_status_code(404);
         };
-        let body = request.data().map(serde_json::from_reader::<_, Announcement>);
-        match body {
-            Some(Ok(announcement)) => {
+        match read_announcement(request) {
+            Ok(announcement) => {
                 announce(announcement);
                 Response::text("ok\n")
             }
-            Some(Err(error)) => {
+            Err(error) => {
+                log::warn!("step=announce peer={} error={error:?}", request.remote_addr());
                 Response::text(format!("announcement: {error}\n")).with_status_code(400)
             }
-            None => Response::text("announcement has no body\n").with_status_code(400),
         }
     }
 }
+
+fn read_announcement(request: &Request) -> Result<Announcement, String> {
+    let body = request.data().ok_or("it has no body")?;
+    let mut text = Vec::new();
+    body.take(MAX_ANNOUNCEMENT_BYTES + 1).read_to_end(&mut text).map_err(|e| e.to_string())?;
+    if text.len() as u64 > MAX_ANNOUNCEMENT_BYTES {
+        return Err(format!("it has over {MAX_ANNOUNCEMENT_BYTES} bytes"));
+    }
+    let announcement: Announcement = serde_json::from_slice(&text).map_err(|e| e.to_string())?;
+    announcement.check().map_err(|e| format!("{e:#}"))?;
+    Ok(announcement)
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -196,12 +196,18 @@
 
     /// Starts an entry.
     pub fn entry(&mut self, domain: &str) -> eyre::Result<usize> {
+        self.entry_with(domain, &[])
+    }
+
+    /// Starts an entry with more flags.
+    pub fn entry_with(&mut self, domain: &str, extra: &[&str]) -> eyre::Result<usize> {
         let name = format!("entry-{}", self.entries.len());
         let (callers, pages) = (free_tcp()?, free_tcp()?);
         let mut args = self.common("entry", &name, domain, free_udp()?);
         args.extend(["--callers".into(), callers.to_string()]);
         args.extend(["--pages".into(), pages.to_string()]);
         args.extend(["--tenants".into(), self.path("tenants")]);
+        args.extend(extra.iter().map(|a| (*a).to_string()));
         let process = Process::start(&program("dotterelpind"), &args, &name, &self.folder)?;
         let url = format!("http://{callers}");
         self.entries.push(EntryProcess { process, url, pages });
