--- a/benches/registry.rs
+++ b/benches/registry.rs
@@ -86,7 +86,7 @@
         pool: format!("model-{}", index / 2 % POOLS).into(),
         url: "http://10.0.1.1:8000".into(),
         capacity: Capacity { slots: 20, pieces: 60, piece_tokens: 2_000 },
-        load: Load { slots: 17, pieces: 48, prompt_tokens: 9_000 },
+        load: Load { slots: 17, pieces: 48, prompt_tokens: 9_000, prefill_rate: 20_000 },
         draining: false,
         fence: Fence(123_456),
     });
--- a/src/agent/events.rs
+++ b/src/agent/events.rs
@@ -11,7 +11,10 @@
         match input {
             EngineInput::Announced(announcement) => self.announced(now, announcement),
             EngineInput::Exported { request, export } => {
-                self.progress(request, AgentReply::Exported(export), true)
+                self.prefills.done(now, request);
+                let mut outputs = self.progress(request, AgentReply::Exported(export), true);
+                outputs.extend(self.start_prefills(now));
+                outputs
             }
             EngineInput::Part { request, offset, tokens } => {
                 self.progress(request, AgentReply::Part { offset, tokens }, false)
@@ -20,10 +23,18 @@
                 self.progress(request, AgentReply::End { offset, finish }, true)
             }
             EngineInput::Answered { request, answer } => self.answered(request, answer),
-            EngineInput::Failed { request, ran, detail } => self.failed(now, request, ran, detail),
+            EngineInput::Failed { request, ran, detail } => {
+                self.prefills.remove(request);
+                let mut outputs = self.failed(now, request, ran, detail);
+                outputs.extend(self.start_prefills(now));
+                outputs
+            }
             EngineInput::Cancelled { request, gone } => {
                 self.ledger.cancelled(now, request, gone);
-                Vec::new()
+                if gone {
+                    self.prefills.remove(request);
+                }
+                self.start_prefills(now)
             }
             EngineInput::Listed { running } => {
                 let strangers = self.ledger.strangers(running);
@@ -51,18 +62,23 @@
         self.endpoint = Some(announcement);
         let mut outputs = self.next_order(now);
         if restarted && self.cancellable() {
-            outputs.extend(self.engine_restarted());
+            outputs.extend(self.engine_restarted(now));
         }
         outputs
     }
 
-    /// Frees what a start of the engine held that is over.
-    fn engine_restarted(&mut self) -> Outputs {
-        let lost = self.ledger.restarted();
+    /// Refuses what an earlier start of the engine was doing.
+    fn engine_restarted(&mut self, now: Timestamp) -> Outputs {
         let detail = "the engine has restarted";
         let refusal = Refusal::may_have_run(RefusalReason::EndpointFailed, RETRY_AFTER, detail);
-        let refuse = |inbound| self.reply(inbound, AgentReply::Refused(refusal.clone()), true);
-        lost.into_iter().filter_map(|(_, inbound)| inbound.map(refuse)).collect()
+        let mut outputs = Vec::new();
+        for (request, inbound) in self.ledger.restarted(now) {
+            self.imports.remove(&request);
+            self.prefills.remove(request);
+            outputs.push(self.reply(inbound, AgentReply::Refused(refusal.clone()), true));
+            outputs.push(Output::Effect(EngineEffect::Cancel(request)));
+        }
+        outputs
     }
 
     /// Passes on what the engine made; work that is not in the ledger is cancelled.
@@ -74,9 +90,12 @@
                 vec![Output::Effect(EngineEffect::Cancel(request))]
             };
         }
+        self.imports.remove(&request);
+        let load = self.ledger.inbound(request).filter(|_| last).map(|i| self.tell_load(i));
         let inbound =
             if last { self.ledger.release(request) } else { self.ledger.inbound(request) };
-        inbound.map(|inbound| self.reply(inbound, reply, last)).into_iter().collect()
+        let Some(inbound) = inbound else { return Vec::new() };
+        load.into_iter().chain([self.reply(inbound, reply, last)]).collect()
     }
 
     fn answered(&mut self, request: RequestId, answer: Answer) -> Outputs {
@@ -97,6 +116,7 @@
             let settled = if ran == Ran::No { Settled::NotStarted } else { Settled::Unknown };
             self.settlements.close(request, settled);
         }
+        self.imports.remove(&request);
         let goes_on = ran != Ran::No && self.cancellable() && self.ledger.holds(request);
         let inbound =
             if goes_on { self.ledger.broken(now, request) } else { self.ledger.release(request) };
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -4,22 +4,25 @@
 mod events;
 pub mod ledger;
 pub mod orders;
+pub mod queue;
 pub mod settle;
 mod work;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use engine::{EngineEffect, EngineInput};
+use engine::{EngineEffect, EngineInput, Work};
 use ledger::Ledger;
 use orders::Orders;
+use queue::PrefillQueue;
 use settle::Settlements;
-use work::ServiceCall;
+use work::{Prefill, ServiceCall};
 
 use crate::link::message::{AgentReply, AgentRequest, ControlReply, Reply, Request};
 use crate::model::{
     Announcement, BootId, EndpointKind, EndpointState, ExchangeId, InboundId, Load, Refusal,
-    RefusalReason, Timestamp,
+    RefusalReason, RequestId, Timestamp,
 };
 use crate::registry::{Follower, FollowerSettings};
 use crate::role::{Input, Output, Role};
@@ -51,6 +54,9 @@
     endpoint: Option<Announcement>,
     ledger: Ledger,
     settlements: Settlements,
+    prefills: PrefillQueue,
+    /// When imports that have brought no token yet count as stalled.
+    imports: BTreeMap<RequestId, Timestamp>,
     orders: Orders,
     stopping: Option<Timestamp>,
     /// What was told of the endpoint last, but for its load.
@@ -76,6 +82,8 @@
             endpoint: None,
             ledger: Ledger::default(),
             settlements: Settlements::default(),
+            prefills: PrefillQueue::default(),
+            imports: BTreeMap::new(),
             stopping: None,
             told: None,
             sequence: 0,
@@ -86,6 +94,11 @@
         }
     }
 
+    /// Returns what is held at the endpoint.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
     fn boot(&self) -> BootId {
         self.settings.follower.boot
     }
@@ -121,7 +134,12 @@
 
     fn load(&self) -> Load {
         let (slots, pieces) = self.ledger.in_use();
-        Load { slots, pieces, prompt_tokens: 0 }
+        Load {
+            slots,
+            pieces,
+            prompt_tokens: self.prefills.tokens(),
+            prefill_rate: self.prefills.rate(),
+        }
     }
 
     fn reply(&self, inbound: InboundId, reply: AgentReply, last: bool) -> Output<EngineEffect> {
@@ -131,7 +149,12 @@
     fn refuse(&self, inbound: InboundId, reason: RefusalReason, detail: &str) -> Outputs {
         log::info!("step=refuse reason={} detail={detail:?}", reason.as_str());
         let refusal = Refusal::not_run(reason, RETRY_AFTER, detail);
-        vec![self.reply(inbound, AgentReply::Refused(refusal), true)]
+        vec![self.tell_load(inbound), self.reply(inbound, AgentReply::Refused(refusal), true)]
+    }
+
+    /// Tells an entry the load, from which it learns what others have here.
+    fn tell_load(&self, inbound: InboundId) -> Output<EngineEffect> {
+        self.reply(inbound, AgentReply::Load(self.load()), false)
     }
 
     fn request(&mut self, now: Timestamp, inbound: InboundId, request: AgentRequest) -> Outputs {
@@ -139,11 +162,14 @@
             AgentRequest::Reserve { request, class: _, tokens, lease } => {
                 self.reserve(now, inbound, request, tokens, lease)
             }
-            AgentRequest::Prefill { request, class, prompt, prefix } => {
-                self.prefill(inbound, request, class, prompt, prefix)
+            AgentRequest::Prefill { request, class, prompt, prefix, within } => {
+                let work = Work::Prefill { class, prompt, prefix };
+                let due = within.map(|span| now + span);
+                self.prefill(now, inbound, Prefill { request, class, due, work })
             }
-            AgentRequest::Decode { export, from, until } => {
-                self.decode(inbound, export, from, until)
+            AgentRequest::Decode { export, from, until, within } => {
+                let stalled = within.map(|span| now + span);
+                self.decode(inbound, Work::Decode { export, from, until }, stalled)
             }
             AgentRequest::Call { request, class: _, boot, repeatable, deadline, body } => {
                 let call = ServiceCall { request, boot, repeatable, deadline, body };
@@ -184,6 +210,8 @@
             log::info!("step=lapse request={request}");
             outputs.extend(self.refuse(inbound, RefusalReason::Stale, "the reservation lapsed"));
         }
+        outputs.extend(self.start_prefills(now));
+        outputs.extend(self.stop_stalled(now));
         let overdue = self.ledger.overdue_cancels(now);
         outputs.extend(overdue.into_iter().map(|r| Output::Effect(EngineEffect::Cancel(r))));
         if self.cancellable() && now >= self.next_list {
@@ -247,7 +275,7 @@
             }
             Input::Abandoned { inbound } => {
                 let request = self.ledger.abandon(now, inbound, self.cancellable());
-                request.map(|r| Output::Effect(EngineEffect::Cancel(r))).into_iter().collect()
+                request.map(|r| self.cancel(r)).unwrap_or_default()
             }
             Input::Reply { exchange, envelope } => {
                 self.control_reply(now, exchange, &envelope.body)
@@ -272,9 +300,9 @@
         let list = self.cancellable().then_some(self.next_list);
         let order = self.endpoint.as_ref().and(self.orders.next_wake());
         let leave = self.stopping.filter(|_| empty).map(|since| since + LEAVE_NOTICE);
-        [alive, list, order, leave, self.follower.next_wake(), self.ledger.next_wake()]
-            .into_iter()
-            .flatten()
-            .min()
+        let import = self.imports.values().min().copied();
+        let work = [import, self.prefills.next_wake(), self.ledger.next_wake()];
+        let rest = [alive, list, order, leave, self.follower.next_wake()];
+        work.into_iter().chain(rest).flatten().min()
     }
 }
--- a/src/agent/work.rs
+++ b/src/agent/work.rs
@@ -5,7 +5,7 @@
 use super::engine::{EngineEffect, Work};
 use super::ledger::{Hold, Phase};
 use super::{Agent, Outputs, RETRY_AFTER};
-use crate::link::message::{AgentReply, Export, Settled};
+use crate::link::message::{AgentReply, Settled};
 use crate::model::call::prompt_tokens;
 use crate::model::{
     Body, BootId, Class, InboundId, Ran, Refusal, RefusalReason, RequestId, Timestamp,
@@ -22,6 +22,16 @@
     pub(super) body: Body,
 }
 
+/// A prefill, as an entry asks for it.
+#[derive(Debug)]
+pub(super) struct Prefill {
+    pub(super) request: RequestId,
+    pub(super) class: Class,
+    /// When it must be done; it starts at once without.
+    pub(super) due: Option<Timestamp>,
+    pub(super) work: Work,
+}
+
 /// Why work is refused.
 type Reason = (RefusalReason, &'static str);
 
@@ -72,46 +82,99 @@
         let pieces = self.pieces(tokens);
         let phase = Phase::Reserved { until: now + lease };
         match self.hold(Hold { request, inbound, pieces, phase, once: false }) {
-            Ok(()) => vec![self.reply(inbound, AgentReply::Reserved, false)],
+            Ok(()) => {
+                vec![self.tell_load(inbound), self.reply(inbound, AgentReply::Reserved, false)]
+            }
             Err((reason, detail)) => self.refuse(inbound, reason, detail),
         }
     }
 
     pub(super) fn prefill(
         &mut self,
+        now: Timestamp,
         inbound: InboundId,
-        request: RequestId,
-        class: Class,
-        prompt: Box<str>,
-        prefix: Vec<Box<str>>,
+        prefill: Prefill,
     ) -> Outputs {
-        let pieces = self.pieces(prompt_tokens(&prompt) + prefix.len() as u32);
+        let Prefill { request, class, due, work } = prefill;
+        let tokens = match &work {
+            Work::Prefill { prompt, prefix, .. } => prompt_tokens(prompt) + prefix.len() as u32,
+            Work::Decode { .. } | Work::Call { .. } => 0,
+        };
+        let pieces = self.pieces(tokens);
         let hold = Hold { request, inbound, pieces, phase: Phase::Running, once: false };
-        match self.hold(hold) {
-            Ok(()) => {
-                let work = Work::Prefill { class, prompt, prefix };
-                vec![Output::Effect(EngineEffect::Start { request, work })]
+        if let Err((reason, detail)) = self.hold(hold) {
+            return self.refuse(inbound, reason, detail);
+        }
+        let Some(due) = due else {
+            return vec![Output::Effect(EngineEffect::Start { request, work })];
+        };
+        if !self.prefills.push(now, request, due, class, tokens, work) {
+            self.ledger.release(request);
+            let detail = "the prefill can't be done in time";
+            return self.refuse(inbound, RefusalReason::Full, detail);
+        }
+        self.start_prefills(now)
+    }
+
+    /// Refuses what can't be in time any more and hands the next prefills to the engine.
+    pub(super) fn start_prefills(&mut self, now: Timestamp) -> Outputs {
+        let mut outputs = Vec::new();
+        for request in self.prefills.expire(now) {
+            if let Some(inbound) = self.ledger.release(request) {
+                let detail = "the prefill can't be done in time any more";
+                outputs.extend(self.refuse(inbound, RefusalReason::Full, detail));
             }
-            Err((reason, detail)) => self.refuse(inbound, reason, detail),
         }
+        while let Some((request, work)) = self.prefills.pop(now) {
+            outputs.push(Output::Effect(EngineEffect::Start { request, work }));
+        }
+        outputs
     }
 
     pub(super) fn decode(
         &mut self,
         inbound: InboundId,
-        export: Export,
-        from: u32,
-        until: u32,
+        work: Work,
+        stalled: Option<Timestamp>,
     ) -> Outputs {
         match self.ledger.start(inbound) {
             Some(request) => {
-                let work = Work::Decode { export, from, until };
+                if let Some(at) = stalled {
+                    self.imports.insert(request, at);
+                }
                 vec![Output::Effect(EngineEffect::Start { request, work })]
             }
             None => self.refuse(inbound, RefusalReason::Stale, "the reservation has lapsed"),
         }
     }
 
+    /// Gives up imports that have stalled, so that the entry can use the export elsewhere.
+    pub(super) fn stop_stalled(&mut self, now: Timestamp) -> Outputs {
+        let stalled: Vec<_> =
+            self.imports.iter().filter(|(_, at)| **at <= now).map(|(r, _)| *r).collect();
+        let mut outputs = Vec::new();
+        for request in stalled {
+            self.imports.remove(&request);
+            let Some(inbound) = self.ledger.inbound(request) else { continue };
+            log::info!("step=stalled-import request={request}");
+            self.ledger.abandon(now, inbound, true);
+            outputs.push(Output::Effect(EngineEffect::Cancel(request)));
+            let detail = "the import stalled";
+            outputs.extend(self.refuse(inbound, RefusalReason::EndpointFailed, detail));
+        }
+        outputs
+    }
+
+    /// Cancels work at the endpoint, or frees its room if the endpoint never saw it.
+    pub(super) fn cancel(&mut self, request: RequestId) -> Outputs {
+        self.imports.remove(&request);
+        if self.prefills.remove(request) {
+            self.ledger.release(request);
+            return Vec::new();
+        }
+        vec![Output::Effect(EngineEffect::Cancel(request))]
+    }
+
     pub(super) fn call(
         &mut self,
         now: Timestamp,
--- a/src/entry/run/mod.rs
+++ b/src/entry/run/mod.rs
@@ -19,7 +19,8 @@
 use super::place::Need;
 use super::{Outputs, Shared};
 use crate::control::claims::ClaimKey;
-use crate::link::message::{AgentReply, Reply};
+use crate::link::message::{AgentReply, Export, Reply};
+use crate::model::call::prompt_tokens;
 use crate::model::{
     Call, CallId, CallKind, EndpointKind, EndpointState, ExchangeId, Ran, RefusalReason, RequestId,
     Timestamp,
@@ -30,6 +31,8 @@
 const RESERVE_LEASE: Duration = Duration::from_millis(5_000);
 /// How long an exchange may be silent before it counts as lost.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Bytes of a prompt by which shared prefixes are known.
+const PREFIX_BYTES: usize = 256;
 /// How long a transfer may take before its first token; a fraction of what an export lives.
 const TRANSFER_TIMEOUT: Duration = Duration::from_millis(600);
 /// How long a stream may go without a token.
@@ -50,6 +53,10 @@
     Serving { exchange: ExchangeId },
     /// Waits for decode room.
     Reserving { decode: ExchangeId },
+    /// Waits until the next attempt.
+    Waiting { until: Timestamp },
+    /// Waits for the KV cache, with no decode room held.
+    Exporting { prefill: ExchangeId },
     /// Waits for the KV cache, with decode room held.
     Prefilling { decode: ExchangeId, prefill: ExchangeId },
     /// Takes tokens.
@@ -60,6 +67,15 @@
     Done,
 }
 
+/// KV cache that a prefill of this call has exported.
+#[derive(Debug)]
+struct Exported {
+    export: Export,
+    at: Timestamp,
+    /// Tokens that the caller had when the prefill began.
+    told: usize,
+}
+
 /// A claim that belongs to this call.
 #[derive(Debug)]
 struct Owned {
@@ -92,6 +108,8 @@
     progress: Timestamp,
     /// Whether decoding waits for its first token.
     transferring: bool,
+    /// KV cache of the latest prefill.
+    export: Option<Exported>,
 }
 
 impl Run {
@@ -102,11 +120,12 @@
         id: CallId,
         call: Call,
     ) -> (Run, Outputs) {
+        let has_key = claim_key(&call).is_some();
         let mut run = Run {
             id,
             call,
             stage: Stage::Done,
-            attempts: Attempts::new(),
+            attempts: Attempts::new(has_key),
             teller: Some(Teller::new(id)),
             failed: Vec::new(),
             endpoint: None,
@@ -117,16 +136,12 @@
             heard: now,
             progress: now,
             transferring: false,
+            export: None,
         };
         let outputs = run.next_attempt(shared, now);
         (run, outputs)
     }
 
-    /// Returns the call while its caller waits.
-    pub(crate) fn waiting_call(&self) -> Option<&Call> {
-        self.teller.as_ref().map(|_| &self.call)
-    }
-
     /// Returns whether nothing is left to do.
     pub(crate) fn is_done(&self) -> bool {
         matches!(self.stage, Stage::Done)
@@ -142,7 +157,11 @@
             Stage::Asking(asking) => asking.next_wake(),
             Stage::Settling(settling) => settling.next_wake(),
             Stage::Decoding { .. } => silence.min(self.progress + self.progress_timeout()),
-            Stage::Serving { .. } | Stage::Reserving { .. } | Stage::Prefilling { .. } => silence,
+            Stage::Waiting { until } => *until,
+            Stage::Serving { .. }
+            | Stage::Reserving { .. }
+            | Stage::Exporting { .. }
+            | Stage::Prefilling { .. } => silence,
         };
         due.min(self.call.deadline)
     }
@@ -159,13 +178,35 @@
         }
         match claim_key(&self.call) {
             Some(key) if self.claim.is_none() => self.propose_claim(shared, now, key, None),
-            _ => self.reserve(shared, now),
+            _ => self.attempt_model(shared, now),
         }
     }
 
-    fn place(&mut self, shared: &mut Shared, kind: EndpointKind) -> Option<EndpointState> {
-        let need = Need { kind, pool: &self.call.pool, tried: &self.failed };
-        shared.placement.choose(need, &shared.endpoints).cloned()
+    fn place(
+        &mut self,
+        shared: &mut Shared,
+        now: Timestamp,
+        kind: EndpointKind,
+    ) -> Option<EndpointState> {
+        let (tokens, prefix) = match (&self.call.kind, kind) {
+            (CallKind::Model { prompt, .. }, EndpointKind::Prefill) => {
+                (prompt_tokens(prompt) + self.told.len() as u32, Some(prefix_hash(prompt)))
+            }
+            (CallKind::Model { prompt, max_tokens, .. }, _) => {
+                (prompt_tokens(prompt) + max_tokens, None)
+            }
+            (CallKind::Service(_), _) => (1, None),
+        };
+        let avoid = shared.fleet.failed_domain(self.id).map(Box::<str>::from);
+        let need = Need {
+            kind,
+            pool: &self.call.pool,
+            tried: &self.failed,
+            tokens,
+            avoid: avoid.as_deref(),
+            prefix,
+        };
+        shared.place(now, &need)
     }
 
     /// Takes a reply on one of the run's exchanges.
@@ -195,13 +236,20 @@
         }
         match (&self.stage, reply) {
             (Stage::Reserving { decode }, AgentReply::Reserved) if *decode == exchange => {
-                self.prefill(shared, now, exchange)
+                self.reserved(shared, now, exchange)
             }
             (Stage::Prefilling { decode, prefill }, AgentReply::Exported(export))
                 if *prefill == exchange =>
             {
                 let decode = *decode;
-                self.decode(shared, now, decode, export)
+                self.export = Some(Exported { export, at: now, told: self.told.len() });
+                self.decode(shared, now, decode)
+            }
+            (Stage::Exporting { prefill }, AgentReply::Exported(export))
+                if *prefill == exchange =>
+            {
+                self.export = Some(Exported { export, at: now, told: self.told.len() });
+                self.reserve(shared, now)
             }
             (Stage::Decoding { decode }, AgentReply::Part { offset, tokens })
                 if *decode == exchange =>
@@ -234,7 +282,7 @@
         match &self.stage {
             Stage::Serving { exchange } => Some(*exchange),
             Stage::Reserving { decode } | Stage::Decoding { decode } => Some(*decode),
-            Stage::Prefilling { prefill, .. } => Some(*prefill),
+            Stage::Prefilling { prefill, .. } | Stage::Exporting { prefill } => Some(*prefill),
             _ => None,
         }
     }
@@ -242,7 +290,11 @@
     /// Returns the endpoint that an exchange of the attempt goes to.
     fn endpoint_of(&self, exchange: ExchangeId) -> Option<&EndpointState> {
         match &self.stage {
-            Stage::Prefilling { prefill, .. } if *prefill == exchange => self.source.as_ref(),
+            Stage::Prefilling { prefill, .. } | Stage::Exporting { prefill }
+                if *prefill == exchange =>
+            {
+                self.source.as_ref()
+            }
             _ => self.endpoint.as_ref(),
         }
     }
@@ -276,6 +328,9 @@
             Stage::Decoding { decode } if *decode == exchange => {
                 return self.lost(shared, now, exchange, Ran::Maybe);
             }
+            Stage::Exporting { prefill } if *prefill == exchange => {
+                return self.lost(shared, now, exchange, Ran::Maybe);
+            }
             Stage::Prefilling { decode, prefill } if [*decode, *prefill].contains(&exchange) => {
                 return self.lost(shared, now, exchange, Ran::Maybe);
             }
@@ -323,6 +378,8 @@
             Stage::Asking(_) => self.wake_asking(shared, now),
             Stage::Settling(_) => self.wake_settling(shared, now),
             Stage::Recording(_) | Stage::Done => Vec::new(),
+            Stage::Waiting { until } if now >= *until => self.next_attempt(shared, now),
+            Stage::Waiting { .. } => Vec::new(),
             _ if now >= self.heard + SILENCE_TIMEOUT => self.silent(shared, now),
             Stage::Decoding { decode } if now >= self.progress + self.progress_timeout() => {
                 let decode = *decode;
@@ -363,10 +420,16 @@
     ) -> Outputs {
         self.attempts.ended(ran);
         let mut outputs = self.reset_exchanges(shared);
-        let allowed = self.call.repeatable || self.attempts.ran() == Ran::No;
-        if self.teller.is_some() && allowed && self.attempts.last() < self.most_attempts(shared) {
+        let allowed = self.call.repeatable || self.attempts.own_ran() == Ran::No;
+        let tried = self.attempts.last();
+        let allowed = self.teller.is_some() && allowed && tried < self.most_attempts(shared);
+        if allowed && !shared.policy.budget {
             log::info!("step=retry call={} detail={detail:?}", self.id);
             outputs.extend(self.next_attempt(shared, now));
+        } else if allowed && shared.retries.take(self.call.class) {
+            log::info!("step=retry call={} detail={detail:?}", self.id);
+            let until = now + shared.retries.wait(tried);
+            self.stage = Stage::Waiting { until };
         } else {
             outputs.extend(self.refuse(shared, now, reason, detail));
         }
@@ -387,7 +450,8 @@
             Stage::Serving { exchange } => vec![*exchange],
             Stage::Reserving { decode } | Stage::Decoding { decode } => vec![*decode],
             Stage::Prefilling { decode, prefill } => vec![*decode, *prefill],
-            Stage::Recording(_) | Stage::Done => Vec::new(),
+            Stage::Exporting { prefill } => vec![*prefill],
+            Stage::Waiting { .. } | Stage::Recording(_) | Stage::Done => Vec::new(),
         };
         open.into_iter().map(|e| shared.reset(e)).collect()
     }
@@ -400,6 +464,9 @@
         reason: RefusalReason,
         detail: &str,
     ) -> Outputs {
+        if self.asks_about_other() {
+            self.attempts.others(Ran::Maybe);
+        }
         let mut outputs = self.tell_refusal(reason, detail);
         outputs.extend(if matches!(self.stage, Stage::Claiming(_)) {
             self.give_up_claim(shared, now)
@@ -409,8 +476,23 @@
         outputs
     }
 
+    /// Returns whether it is still open what another call's attempt with this key came to.
+    fn asks_about_other(&self) -> bool {
+        match &self.stage {
+            Stage::Asking(_) => true,
+            Stage::Settling(settling) => settling.is_about_other(),
+            _ => false,
+        }
+    }
+
     fn tell_refusal(&mut self, reason: RefusalReason, detail: &str) -> Outputs {
         let Some(teller) = self.teller.take() else { return Vec::new() };
         vec![teller.refused(&self.attempts, reason, RETRY_AFTER, detail)]
     }
 }
+
+/// Returns the hash of the start of a prompt, by which shared prefixes are known.
+fn prefix_hash(prompt: &str) -> u64 {
+    let start = &prompt.as_bytes()[..prompt.len().min(PREFIX_BYTES)];
+    u64::from(crc32fast::hash(start))
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,10 +2,13 @@
 
 #![allow(dead_code, missing_docs)]
 
+pub mod relay;
+
 use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use dotterelpin::entry::check::credential_hash;
@@ -14,6 +17,10 @@
 
 /// The credential of the tenant that every fleet has.
 pub const CREDENTIAL: &str = "tabulka-secret";
+/// The first port of a process's servers.
+const FIRST_PORT: u16 = 10_000;
+/// The end of the ports that the kernel gives to no outgoing connection.
+const LAST_FREE_PORT: u16 = 32_000;
 const POLL: Duration = Duration::from_millis(20);
 
 /// A process that ends with its owner.
@@ -120,6 +127,9 @@
     pub controls: Vec<Process>,
     pub entries: Vec<EntryProcess>,
     pub endpoints: Vec<Endpoint>,
+    /// Whether the next agents are reached through relays, one each.
+    pub relayed: bool,
+    pub relays: Vec<relay::Relay>,
     count: usize,
 }
 
@@ -150,6 +160,8 @@
             controls: Vec::new(),
             entries: Vec::new(),
             endpoints: Vec::new(),
+            relayed: false,
+            relays: Vec::new(),
             count: 0,
         };
         let made = fleet.tool(&["keys", &fleet.path("keys")])?;
@@ -183,12 +195,18 @@
 
     /// Starts an entry.
     pub fn entry(&mut self, domain: &str) -> eyre::Result<usize> {
+        self.entry_with(domain, &[])
+    }
+
+    /// Starts an entry with more flags.
+    pub fn entry_with(&mut self, domain: &str, extra: &[&str]) -> eyre::Result<usize> {
         let name = format!("entry-{}", self.entries.len());
         let (callers, pages) = (free_tcp()?, free_tcp()?);
         let mut args = self.common("entry", &name, domain, free_udp()?);
         args.extend(["--callers".into(), callers.to_string()]);
         args.extend(["--pages".into(), pages.to_string()]);
         args.extend(["--tenants".into(), self.path("tenants")]);
+        args.extend(extra.iter().map(|a| (*a).to_string()));
         let process = Process::start(&program("dotterelpind"), &args, &name, &self.folder)?;
         let url = format!("http://{callers}");
         self.entries.push(EntryProcess { process, url, pages });
@@ -222,7 +240,13 @@
         let (listen, pages) = (free_tcp()?, free_tcp()?);
         args.extend(["--listen".into(), listen.to_string()]);
         args.extend(["--agent".into(), pages.to_string()]);
-        let mut agent_args = self.common("agent", &name, domain, free_udp()?);
+        let address = free_udp()?;
+        let mut agent_args = self.common("agent", &name, domain, address);
+        if self.relayed {
+            let relay = relay::Relay::start(address)?;
+            agent_args.extend(["--advertise".into(), relay.address.to_string()]);
+            self.relays.push(relay);
+        }
         agent_args.extend(["--pages".into(), pages.to_string()]);
         let agent = Process::start(&program("dotterelpind"), &agent_args, &name, &self.folder)?;
         let stand_in_name = format!("{name}-stand-in");
@@ -410,12 +434,24 @@
     }
 }
 
+/// Returns a loopback address that nothing else uses.
+///
+/// The IP number is of this process alone and the ports are below those that the kernel gives to
+/// outgoing connections, so that no address is taken between its choice and its use.
+fn free_address() -> eyre::Result<SocketAddr> {
+    static LAST_PORT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    let port = LAST_PORT.fetch_add(1, Ordering::SeqCst);
+    eyre::ensure!(port < LAST_FREE_PORT, "all test ports are used");
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    Ok(SocketAddr::from(([127, high | 64, middle, low], port)))
+}
+
 pub fn free_udp() -> eyre::Result<SocketAddr> {
-    Ok(UdpSocket::bind("127.0.0.1:0")?.local_addr()?)
+    free_address()
 }
 
 pub fn free_tcp() -> eyre::Result<SocketAddr> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+    free_address()
 }
 
 /// Returns the folder that holds the programs of this build.
@@ -424,7 +460,7 @@
     exe.ancestors().nth(2).map(Path::to_path_buf).unwrap_or_default()
 }
 
-fn program(name: &str) -> PathBuf {
+pub fn program(name: &str) -> PathBuf {
     build_folder().join(name)
 }
 
