Plan rollouts in the leader and fuzz orders

Cause: nothing carried out a declared rollout, and nothing proved that numbers only go up. The planner is a pure function of the log's state, the registry and the time; the log checks each step again (nothing happened at the endpoint since; no more endpoints out of work than the rollout allows). An agent counts the members with a vote by the newest proof.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -77,7 +77,7 @@
     pub fn new(settings: AgentSettings) -> Agent {
         Agent {
             follower: Follower::new(settings.follower.clone()),
-            orders: Orders::new(settings.follower.members.len()),
+            orders: Orders::new(!settings.follower.members.is_empty()),
             settings,
             endpoint: None,
             ledger: Ledger::default(),
@@ -196,9 +196,9 @@
             return Vec::new();
         }
         if let Reply::Control(ControlReply::Beat(beat)) = reply
-            && let Some(marked) = &beat.orders
+            && let (Some(proof), Some(marked)) = (&beat.proof, &beat.orders)
         {
-            self.orders.heard(&beat.member, marked);
+            self.orders.heard(proof, marked);
         }
         self.next_order(now)
     }
--- a/src/agent/orders.rs
+++ b/src/agent/orders.rs
@@ -1,9 +1,11 @@
 //! Orders at the endpoint: the agent keeps the highest number and carries out nothing older.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::control::orders::{Desired, Marked, OrderReport};
+use crate::link::message::Proof;
 use crate::model::{EndpointKind, Fence, Timestamp};
 
 /// How often an order is tried before it counts as failed.
@@ -25,8 +27,12 @@
 /// The orders that one agent has taken.
 #[derive(Debug, Default)]
 pub struct Orders {
-    members: usize,
-    marks: BTreeMap<Box<str>, Fence>,
+    /// Whether there is any control member to ask.
+    governed: bool,
+    /// The highest number that each member told.
+    marks: BTreeMap<SocketAddr, Fence>,
+    /// The members with a vote, and how often the members had changed by then.
+    voters: (u64, Vec<SocketAddr>),
     offered: Option<Desired>,
     desired: Desired,
     done: Fence,
@@ -39,14 +45,17 @@
 }
 
 impl Orders {
-    /// Makes the orders of an agent that has just started, below so many control members.
-    pub fn new(members: usize) -> Orders {
-        Orders { members, ..Orders::default() }
+    /// Makes the orders of an agent that has just started; without control there is nobody to ask.
+    pub fn new(governed: bool) -> Orders {
+        Orders { governed, ..Orders::default() }
     }
 
     /// Takes what a member says; it must answer a heartbeat of this start of the agent.
-    pub fn heard(&mut self, member: &str, marked: &Marked) {
-        self.marks.insert(member.into(), marked.mark);
+    pub fn heard(&mut self, proof: &Proof, marked: &Marked) {
+        self.marks.insert(proof.member, marked.mark);
+        if self.voters.1.is_empty() || self.voters.0 < proof.epoch {
+            self.voters = (proof.epoch, proof.voters.clone());
+        }
         if let Some(desired) = &marked.desired
             && self.offered.as_ref().is_none_or(|o| o.fence < desired.fence)
         {
@@ -61,7 +70,7 @@
     /// committed order is on a majority, so the highest number of any majority is no lower than
     /// any number that was carried out before.
     pub fn is_current(&self) -> bool {
-        self.members == 0 || self.floor().is_some_and(|floor| floor <= self.desired.fence)
+        !self.governed || self.floor().is_some_and(|floor| floor <= self.desired.fence)
     }
 
     /// Returns whether the endpoint shall take no new work.
@@ -131,7 +140,9 @@
 
     /// Returns the highest number that a majority knows for the endpoint.
     fn floor(&self) -> Option<Fence> {
-        (self.marks.len() * 2 > self.members).then(|| self.marks.values().max().copied())?
+        let voters = &self.voters.1;
+        let marks: Vec<Fence> = voters.iter().filter_map(|v| self.marks.get(v).copied()).collect();
+        (marks.len() * 2 > voters.len()).then(|| marks.into_iter().max())?
     }
 
     fn take(&mut self) {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -34,6 +34,8 @@
 
 /// How long a member that leaves waits for the commands that it has taken.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// The time between two looks of a leader at the rollouts.
+const PLAN_INTERVAL: Duration = Duration::from_millis(200);
 
 /// What the disk tells the control role.
 #[derive(Debug)]
@@ -98,6 +100,7 @@
     waiting: BTreeMap<LogIndex, Waiting>,
     failed: bool,
     stopping: Option<Timestamp>,
+    next_plan: Timestamp,
 }
 
 type Outputs = Vec<Output<DiskEffect>>;
@@ -119,6 +122,7 @@
             waiting: BTreeMap::new(),
             failed: false,
             stopping: None,
+            next_plan: Timestamp::default(),
         })
     }
 
@@ -361,6 +365,26 @@
         }
     }
 
+    /// Proposes the next steps of the rollouts, once those before are in the state.
+    fn plan(&mut self, now: Timestamp) -> Outputs {
+        let idle = self.failed || !self.replica.is_leader() || now < self.next_plan;
+        if idle || self.stopping.is_some() {
+            return Vec::new();
+        }
+        self.next_plan = now + PLAN_INTERVAL;
+        if self.replica.unapplied().any(|r| matches!(r.command, Command::Step(_))) {
+            return Vec::new();
+        }
+        let mut outputs = Vec::new();
+        for step in orders::plan::plan(&self.state.orders, self.registry.reports(), now) {
+            log::info!("step=rollout endpoint={} next={:?}", step.endpoint, step.step);
+            if let Ok((_, actions)) = self.replica.propose(now, Command::Step(step)) {
+                outputs.extend(self.carry(actions));
+            }
+        }
+        outputs
+    }
+
     /// Returns whether everybody who waited has an answer.
     fn has_stopped(&self, now: Timestamp) -> bool {
         let Some(since) = self.stopping else { return false };
@@ -434,7 +458,9 @@
             Input::Local(input) => self.disk(now, input),
             Input::Wake => {
                 self.registry.expire(now);
-                self.replica_step(now, ReplicaInput::Wake)
+                let mut outputs = self.replica_step(now, ReplicaInput::Wake);
+                outputs.extend(self.plan(now));
+                outputs
             }
             Input::Shutdown => {
                 self.stopping.get_or_insert(now);
@@ -450,6 +476,8 @@
     fn next_wake(&self) -> Option<Timestamp> {
         let replica = (!self.failed).then(|| self.replica.next_wake());
         let leave = self.stopping.map(|since| since + LEAVE_TIMEOUT);
-        [leave, replica, self.registry.next_expiry()].into_iter().flatten().min()
+        let plans = self.replica.is_leader() && self.state.orders.rollouts().next().is_some();
+        let plan = plans.then_some(self.next_plan);
+        [leave, plan, replica, self.registry.next_expiry()].into_iter().flatten().min()
     }
 }
--- a/src/control/orders/mod.rs
+++ b/src/control/orders/mod.rs
@@ -1,5 +1,6 @@
 //! Orders: what operators want of endpoints, by the numbers of the log.
 
+pub mod plan;
 pub mod rollout;
 
 use std::collections::{BTreeMap, VecDeque};
--- /dev/null
+++ b/src/control/orders/plan.rs
@@ -0,0 +1,161 @@
+//! The next steps of the rollouts: a pure function of the log, the registry and the time.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::rollout::{Rollout, Step, StepCommand};
+use super::{OrderReport, Orders};
+use crate::model::{EndpointKind, EndpointState, Timestamp};
+
+/// After what time an endpoint that has left in the middle of a load has surely stopped loading.
+const LOAD_LIMIT: Duration = Duration::from_secs(660);
+
+/// What a control member knows of a live endpoint.
+type Live<'a> = (&'a EndpointState, &'a OrderReport);
+
+/// Returns the steps that the leader proposes now; at most one endpoint of each kind is drained.
+///
+/// The log checks each step again: it is taken only if nothing has happened at its endpoint since,
+/// and never drains more endpoints at once than the rollout allows.
+pub fn plan<'a>(
+    orders: &Orders,
+    live: impl Iterator<Item = Live<'a>>,
+    now: Timestamp,
+) -> Vec<StepCommand> {
+    let mut pools: BTreeMap<&str, Vec<Live<'a>>> = BTreeMap::new();
+    for endpoint in live {
+        pools.entry(&endpoint.0.pool).or_default().push(endpoint);
+    }
+    let mut steps = Vec::new();
+    for (pool, history) in orders.rollouts() {
+        let Some(rollout) = history.last() else { continue };
+        let members = pools.remove(&**pool).unwrap_or_default();
+        steps.extend(Plan { orders, rollout, members, now }.steps());
+    }
+    steps
+}
+
+/// The plan for one pool.
+struct Plan<'a> {
+    orders: &'a Orders,
+    rollout: &'a Rollout,
+    members: Vec<Live<'a>>,
+    now: Timestamp,
+}
+
+impl Plan<'_> {
+    fn steps(&self) -> Vec<StepCommand> {
+        if let Some(stop) = self.stop() {
+            return vec![stop];
+        }
+        let mut steps: Vec<_> = self.members.iter().filter_map(|m| self.next(m)).collect();
+        steps.extend(self.lost());
+        if self.rollout.stopped.is_none() {
+            steps.extend(self.drain(EndpointKind::Prefill));
+            steps.extend(self.drain(EndpointKind::Decode));
+            steps.extend(self.drain(EndpointKind::Service));
+        }
+        steps
+    }
+
+    fn command(&self, endpoint: &str, step: Step) -> StepCommand {
+        StepCommand {
+            rollout: self.rollout.number,
+            pool: self.rollout.command.pool.clone(),
+            endpoint: endpoint.into(),
+            after: self.orders.last(endpoint),
+            at: self.now,
+            step,
+        }
+    }
+
+    fn holds(&self, endpoint: &str) -> bool {
+        self.orders.rollout_state().holds(&self.rollout.command.pool, endpoint)
+    }
+
+    /// Returns whether the endpoint was told by this rollout to load.
+    fn is_told(&self, endpoint: &EndpointState) -> bool {
+        self.orders.last_load(&endpoint.name) > self.rollout.number
+    }
+
+    /// Returns whether the endpoint has what the rollout declares, as its agent says.
+    fn is_done(&self, (endpoint, report): &Live<'_>) -> bool {
+        let has = report.artifact.as_ref() == Some(&self.rollout.command.artifact);
+        has && report.fence >= self.orders.last_load(&endpoint.name)
+    }
+
+    /// Stops the rollout at the first load that has failed for good.
+    fn stop(&self) -> Option<StepCommand> {
+        if self.rollout.stopped.is_some() {
+            return None;
+        }
+        let failed = |(endpoint, report): &Live<'_>| {
+            let (fence, why) = report.failed.clone()?;
+            let own = self.holds(&endpoint.name) && fence > self.rollout.number;
+            own.then(|| format!("{}: order {fence} failed: {why}", endpoint.name).into())
+                .map(|why| self.command(&endpoint.name, Step::Stop { why }))
+        };
+        self.members.iter().find_map(failed)
+    }
+
+    /// Returns the next step at an endpoint that is out of work for the rollout.
+    fn next(&self, member: &Live<'_>) -> Option<StepCommand> {
+        let (endpoint, report) = member;
+        if !self.holds(&endpoint.name) {
+            return None;
+        }
+        let step = if self.is_done(member) || self.is_overridden(endpoint) {
+            Step::Undrain
+        } else if self.rollout.stopped.is_some() {
+            // One that was not told to load yet goes back to work; one that failed stays out.
+            (!self.is_told(endpoint)).then_some(Step::Undrain)?
+        } else if self.is_told(endpoint) {
+            return None;
+        } else {
+            // Its drain must be in force, and what it held must have ended.
+            let heard = report.fence >= self.orders.last(&endpoint.name);
+            let idle = heard && endpoint.draining && endpoint.load.slots == 0;
+            idle.then_some(Step::Load)?
+        };
+        Some(self.command(&endpoint.name, step))
+    }
+
+    /// Gives up the places of endpoints that left in the middle of the rollout.
+    fn lost(&self) -> Vec<StepCommand> {
+        let held = self.orders.rollout_state().held(&self.rollout.command.pool);
+        let gone = held.filter(|(name, at)| {
+            let lives = self.members.iter().any(|(e, _)| e.name == **name);
+            !lives && self.now - **at >= LOAD_LIMIT
+        });
+        gone.map(|(name, _)| self.command(name, Step::Undrain)).collect()
+    }
+
+    /// Takes one more endpoint of a kind out of work, if the floor and the bound allow it.
+    fn drain(&self, kind: EndpointKind) -> Option<StepCommand> {
+        let same = || self.members.iter().filter(|(e, _)| e.kind == kind);
+        let floor = self.rollout.command.floor as usize;
+        let spare = same().filter(|(e, _)| self.works(e)).count() > floor;
+        let due = same().find(|member| {
+            let (endpoint, _) = member;
+            let works = self.works(endpoint);
+            !self.holds(&endpoint.name)
+                && !self.is_done(member)
+                && !self.is_overridden(endpoint)
+                && (spare || !works)
+        });
+        due.map(|(endpoint, _)| self.command(&endpoint.name, Step::Drain))
+    }
+
+    /// Returns whether the endpoint takes work, now and by all orders.
+    fn works(&self, endpoint: &EndpointState) -> bool {
+        !endpoint.draining && !self.orders.desired(&endpoint.name, &endpoint.pool).draining
+    }
+
+    /// Returns whether an operator has ordered something else for this endpoint since.
+    fn is_overridden(&self, endpoint: &EndpointState) -> bool {
+        let loaded = self.orders.last_load(&endpoint.name);
+        loaded > self.rollout.number
+            && self.orders.desired(&endpoint.name, &endpoint.pool).artifact.as_ref()
+                != Some(&self.rollout.command.artifact)
+    }
+}
--- /dev/null
+++ b/tests/orders.rs
@@ -0,0 +1,410 @@
+//! Orders and rollouts: two operators, control members that lag, crash and change leaders, late
+//! and lost answers, agents that restart, engines that check numbers and engines that don't.
+//!
+//! DOTTERELPIN_FUZZ_CASES sets how many cases run.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dotterelpin::agent::orders::{EngineOrder, Orders};
+use dotterelpin::control::orders::plan::plan;
+use dotterelpin::control::orders::rollout::RolloutCommand;
+use dotterelpin::control::orders::{Marked, OrderCommand, OrderReport, Target, concerns};
+use dotterelpin::control::replica::LogIndex;
+use dotterelpin::control::state::{Command, State};
+use dotterelpin::link::message::{Order, Proof};
+use dotterelpin::model::{
+    BootId, Capacity, EndpointKind, EndpointState, Fence, Load, Revision, Timestamp,
+};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+const SEED: [u8; 32] = *b"orders, fences and the rollouts.";
+const CASES: u32 = 400;
+const MEMBERS: usize = 3;
+const ENDPOINTS: usize = 4;
+const FLOOR: usize = 2;
+
+#[derive(Debug, Clone)]
+enum Step {
+    /// An operator orders a load at one endpoint; the same change may be sent again.
+    Load {
+        id: u8,
+        endpoint: usize,
+        artifact: u8,
+    },
+    Rollout {
+        id: u8,
+        artifact: u8,
+    },
+    Replicate(usize),
+    Apply(usize),
+    CrashControl(usize),
+    Lead(usize),
+    Plan,
+    Heartbeat {
+        endpoint: usize,
+        member: usize,
+    },
+    /// One of the answers under way arrives, the oldest or a later one.
+    Answer(usize),
+    LoseAnswer(usize),
+    RestartAgent(usize),
+    /// The engine carries out the order that came first.
+    Engine {
+        endpoint: usize,
+        fails: bool,
+    },
+    Work {
+        endpoint: usize,
+        slots: u32,
+    },
+    Wait(u16),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let endpoint = || 0..ENDPOINTS;
+    prop_oneof![
+        1 => (any::<u8>(), endpoint(), 0..4u8)
+            .prop_map(|(id, endpoint, artifact)| Step::Load { id: id % 16, endpoint, artifact }),
+        2 => (any::<u8>(), 0..4u8)
+            .prop_map(|(id, artifact)| Step::Rollout { id: id % 16, artifact: artifact + 4 }),
+        6 => (0..MEMBERS).prop_map(Step::Replicate),
+        6 => (0..MEMBERS).prop_map(Step::Apply),
+        1 => (0..MEMBERS).prop_map(Step::CrashControl),
+        1 => (0..MEMBERS).prop_map(Step::Lead),
+        8 => Just(Step::Plan),
+        12 => (endpoint(), 0..MEMBERS)
+            .prop_map(|(endpoint, member)| Step::Heartbeat { endpoint, member }),
+        10 => (0..6usize).prop_map(Step::Answer),
+        2 => (0..6usize).prop_map(Step::LoseAnswer),
+        1 => endpoint().prop_map(Step::RestartAgent),
+        6 => (endpoint(), prop::bool::weighted(0.05))
+            .prop_map(|(endpoint, fails)| Step::Engine { endpoint, fails }),
+        2 => (endpoint(), 0..3u32).prop_map(|(endpoint, slots)| Step::Work { endpoint, slots }),
+        2 => (1..2_000u16).prop_map(Step::Wait),
+    ]
+}
+
+struct Engine {
+    fenced: bool,
+    fence: Fence,
+    artifact: Option<Box<str>>,
+    /// Orders under way, with the start of the agent that sent each.
+    inbox: VecDeque<(u64, EngineOrder)>,
+}
+
+struct Endpoint {
+    orders: Orders,
+    boot: u64,
+    slots: u32,
+    engine: Engine,
+}
+
+struct Member {
+    state: State,
+    /// How much of the log it has, and how much of that it has applied.
+    has: usize,
+    applied: usize,
+    heard: Vec<Option<(EndpointState, OrderReport)>>,
+}
+
+struct Answer {
+    endpoint: usize,
+    boot: u64,
+    proof: Proof,
+    marked: Marked,
+}
+
+struct World {
+    now: Timestamp,
+    log: Vec<Command>,
+    members: Vec<Member>,
+    leader: usize,
+    endpoints: Vec<Endpoint>,
+    answers: Vec<Answer>,
+    parallel: usize,
+    boots: u64,
+}
+
+fn name(endpoint: usize) -> Box<str> {
+    format!("decode-{endpoint}").into()
+}
+
+fn artifact(number: u8) -> Box<str> {
+    format!("model:cs-summary@{number}").into()
+}
+
+fn address(member: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 7000 + member as u16))
+}
+
+fn fresh_member() -> Member {
+    Member { state: State::default(), has: 0, applied: 0, heard: vec![None; ENDPOINTS] }
+}
+
+impl World {
+    fn new(fenced: [bool; ENDPOINTS], parallel: usize) -> World {
+        let endpoint = |fenced| Endpoint {
+            orders: Orders::new(true),
+            boot: 0,
+            slots: 0,
+            engine: Engine { fenced, fence: Fence(0), artifact: None, inbox: VecDeque::new() },
+        };
+        World {
+            now: Timestamp::from_micros(1_000_000),
+            log: Vec::new(),
+            members: (0..MEMBERS).map(|_| fresh_member()).collect(),
+            leader: 0,
+            endpoints: fenced.into_iter().map(endpoint).collect(),
+            answers: Vec::new(),
+            parallel,
+            boots: 0,
+        }
+    }
+
+    fn propose(&mut self, command: Command) {
+        // Only the leader appends, and its log is whole.
+        self.log.push(command);
+        self.members[self.leader].has = self.log.len();
+    }
+
+    fn committed(&self) -> usize {
+        let mut has: Vec<usize> = self.members.iter().map(|m| m.has).collect();
+        has.sort_unstable();
+        has[MEMBERS / 2]
+    }
+
+    fn apply(&mut self, member: usize) {
+        let upto = self.members[member].has.min(self.committed());
+        let member = &mut self.members[member];
+        while member.applied < upto {
+            member.applied += 1;
+            let index = LogIndex(member.applied as u64);
+            member.state.apply(index, &self.log[member.applied - 1]);
+        }
+    }
+
+    fn step(&mut self, step: &Step) -> Result<(), String> {
+        match *step {
+            Step::Load { id, endpoint, artifact: number } => {
+                self.propose(Command::Order(OrderCommand {
+                    id: format!("load-{id}").into(),
+                    author: "operator-1".into(),
+                    at: self.now,
+                    target: Target::Endpoint(name(endpoint)),
+                    order: Order::Load { artifact: artifact(number) },
+                }));
+            }
+            Step::Rollout { id, artifact: number } => self.rollout(&format!("r-{id}"), number),
+            Step::Replicate(member) => self.members[member].has = self.log.len(),
+            Step::Apply(member) => self.apply(member),
+            Step::CrashControl(member) => {
+                let has = self.members[member].has;
+                self.members[member] = Member { has, ..fresh_member() };
+            }
+            Step::Lead(member) if self.members[member].has == self.log.len() => {
+                self.leader = member;
+            }
+            Step::Lead(_) => {}
+            Step::Plan => self.plan(),
+            Step::Heartbeat { endpoint, member } => self.heartbeat(endpoint, member),
+            Step::Answer(at) => self.answer(at),
+            Step::LoseAnswer(at) => {
+                if at < self.answers.len() {
+                    self.answers.remove(at);
+                }
+            }
+            Step::RestartAgent(endpoint) => {
+                self.boots += 1;
+                let restarted = &mut self.endpoints[endpoint];
+                restarted.orders = Orders::new(true);
+                restarted.boot = self.boots;
+                restarted.slots = 0;
+            }
+            Step::Engine { endpoint, fails } => self.engine(endpoint, fails)?,
+            Step::Work { endpoint, slots } => {
+                let endpoint = &mut self.endpoints[endpoint];
+                let takes = endpoint.orders.is_current() && !endpoint.orders.is_draining();
+                if takes || slots < endpoint.slots {
+                    endpoint.slots = slots;
+                }
+            }
+            Step::Wait(span) => self.now = self.now + Duration::from_millis(u64::from(span)),
+        }
+        self.check()
+    }
+
+    fn rollout(&mut self, id: &str, number: u8) {
+        self.propose(Command::Rollout(RolloutCommand {
+            id: id.into(),
+            author: "operator-2".into(),
+            at: self.now,
+            pool: "cs-summary".into(),
+            artifact: artifact(number),
+            floor: FLOOR as u32,
+            parallel: self.parallel as u32,
+        }));
+    }
+
+    fn plan(&mut self) {
+        let leader = &self.members[self.leader];
+        let rest = &self.log[leader.applied..];
+        if leader.has < self.log.len() || rest.iter().any(|c| matches!(c, Command::Step(_))) {
+            return;
+        }
+        let live = leader.heard.iter().flatten().map(|(state, report)| (state, report));
+        for step in plan(&leader.state.orders, live, self.now) {
+            self.propose(Command::Step(step));
+        }
+    }
+
+    fn heartbeat(&mut self, at: usize, member: usize) {
+        let endpoint = &self.endpoints[at];
+        let report = endpoint.orders.report();
+        let state = EndpointState {
+            name: name(at),
+            address: address(9),
+            domain: "brno-a".into(),
+            boot: BootId(endpoint.boot),
+            sequence: 1,
+            kind: EndpointKind::Decode,
+            pool: "cs-summary".into(),
+            url: "http://10.0.1.1:8000".into(),
+            capacity: Capacity { slots: 20, pieces: 60, piece_tokens: 2000 },
+            load: Load { slots: endpoint.slots, ..Load::default() },
+            draining: endpoint.orders.is_draining(),
+            fence: report.fence,
+        };
+        let boot = endpoint.boot;
+        let told = &mut self.members[member];
+        let desired = told.state.orders.desired(&state.name, &state.pool);
+        // As a control member does: what is applied, and the rest of its log.
+        let rest = self.log[..told.has].iter().enumerate().skip(told.applied);
+        let rest = rest.filter(|(_, c)| concerns(c, &state)).map(|(i, _)| Fence(i as u64 + 1));
+        let mark = rest.max().max(Some(desired.fence));
+        let known = report.fence >= desired.fence;
+        let marked =
+            Marked { mark: mark.unwrap_or_default(), desired: (!known).then_some(desired) };
+        let voters = (0..MEMBERS).map(address).collect();
+        let proof = Proof { member: address(member), highest: Revision(0), epoch: 0, voters };
+        told.heard[at] = Some((state, report));
+        self.answers.push(Answer { endpoint: at, boot, proof, marked });
+    }
+
+    fn answer(&mut self, at: usize) {
+        if at >= self.answers.len() {
+            return;
+        }
+        let Answer { endpoint, boot, proof, marked } = self.answers.remove(at);
+        if self.endpoints[endpoint].boot == boot {
+            self.endpoints[endpoint].orders.heard(&proof, &marked);
+        }
+        self.send_orders();
+    }
+
+    fn send_orders(&mut self) {
+        for endpoint in &mut self.endpoints {
+            if let Some(order) = endpoint.orders.next(self.now) {
+                endpoint.engine.inbox.push_back((endpoint.boot, order));
+            }
+        }
+    }
+
+    fn engine(&mut self, at: usize, fails: bool) -> Result<(), String> {
+        let now = self.now;
+        let Endpoint { orders, boot, engine, .. } = &mut self.endpoints[at];
+        let Some((sender, order)) = engine.inbox.pop_front() else { return Ok(()) };
+        let refuses = engine.fenced && order.fence <= engine.fence;
+        if !fails && !refuses {
+            if order.fence < engine.fence {
+                return Err(format!("endpoint {at}: {} after {}", order.fence, engine.fence));
+            }
+            engine.fence = order.fence;
+            engine.artifact = order.artifact.clone().or(engine.artifact.take());
+        }
+        if sender == *boot {
+            let result = if fails { Err("no space".into()) } else { Ok(()) };
+            orders.finished(now, order.fence, result);
+        }
+        self.send_orders();
+        Ok(())
+    }
+
+    /// Checks the floor and the bound on parallel loads.
+    fn check(&mut self) -> Result<(), String> {
+        let out = self.endpoints.iter().filter(|e| e.orders.is_draining()).count();
+        if ENDPOINTS - out < FLOOR {
+            return Err(format!("{out} of {ENDPOINTS} endpoints are out of work"));
+        }
+        // Operators name other artifacts than rollouts do.
+        let loads = |e: &&Endpoint| {
+            let wanted = e.engine.inbox.iter().filter_map(|(_, o)| o.artifact.as_ref());
+            wanted.into_iter().any(|a| **a >= *artifact(4) && Some(a) != e.engine.artifact.as_ref())
+        };
+        let loading = self.endpoints.iter().filter(loads).count();
+        if loading > self.parallel {
+            return Err(format!("{loading} endpoints load at once"));
+        }
+        Ok(())
+    }
+
+    /// Without further faults all endpoints come to the declared artifact and take work.
+    fn settle(&mut self) -> Result<(), String> {
+        self.rollout("last", 9);
+        for _ in 0..60 {
+            self.now = self.now + Duration::from_millis(1_100);
+            for member in 0..MEMBERS {
+                self.step(&Step::Replicate(member))?;
+                self.step(&Step::Apply(member))?;
+            }
+            for endpoint in 0..ENDPOINTS {
+                self.step(&Step::Work { endpoint, slots: 0 })?;
+                for member in 0..MEMBERS {
+                    self.step(&Step::Heartbeat { endpoint, member })?;
+                }
+            }
+            while !self.answers.is_empty() {
+                self.step(&Step::Answer(0))?;
+            }
+            for endpoint in 0..ENDPOINTS {
+                while !self.endpoints[endpoint].engine.inbox.is_empty() {
+                    self.step(&Step::Engine { endpoint, fails: false })?;
+                }
+            }
+            self.step(&Step::Plan)?;
+        }
+        for (at, endpoint) in self.endpoints.iter().enumerate() {
+            let orders = &endpoint.orders;
+            if endpoint.engine.artifact.as_deref() != Some(&*artifact(9)) {
+                let has = &endpoint.engine.artifact;
+                return Err(format!("endpoint {at} ends with {has:?}: {:?}", orders.report()));
+            }
+            if orders.is_draining() || !orders.is_current() {
+                return Err(format!("endpoint {at} takes no work in the end"));
+            }
+        }
+        Ok(())
+    }
+}
+
+#[test]
+fn numbers_never_go_down_and_rollouts_keep_their_bounds() {
+    let cases = std::env::var("DOTTERELPIN_FUZZ_CASES").ok().and_then(|c| c.parse().ok());
+    let config = Config {
+        cases: cases.unwrap_or(CASES),
+        failure_persistence: None,
+        max_shrink_iters: 2_000,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
+    let steps = prop::collection::vec(step(), 1..500);
+    let input = (any::<[bool; ENDPOINTS]>(), 1..=2usize, steps);
+    let result = TestRunner::new_with_rng(config, rng).run(&input, |(fenced, parallel, steps)| {
+        let mut world = World::new(fenced, parallel);
+        let run = steps.iter().try_for_each(|s| world.step(s)).and_then(|()| world.settle());
+        run.map_err(TestCaseError::fail)
+    });
+    result.unwrap();
+}
