--- a/benches/policy/world.rs
+++ b/benches/policy/world.rs
@@ -477,6 +477,7 @@
                 let beat = Beat {
                     member: "control".into(),
                     proof: Some(Proof {
+                        member: address(1),
                         highest: self.config.revision,
                         epoch: 0,
                         voters: vec![address(1)],
