Tell processes the changes since their revision, not the whole configuration

Now: a heartbeat's answer holds the changes since the process's revision, with the number and hash that they come to; a process where they don't fit asks for the whole. A process whose revision no log of control reaches is not confirmed, and differing hashes are logged once, not with each message.

--- a/src/control/config/changes.rs
+++ b/src/control/config/changes.rs
@@ -44,6 +44,13 @@
         self.recent.values()
     }
 
+    /// Returns the changes after a revision, if all of them are still kept.
+    pub fn since(&self, revision: Revision) -> Option<Vec<Change>> {
+        let next = Revision(revision.0 + 1);
+        let known = self.recent.contains_key(&next);
+        known.then(|| self.recent.range(next..).map(|(_, c)| c.clone()).collect())
+    }
+
     /// Applies a change to the configuration: the first one on a base revision wins, and the
     /// first result of a change stands.
     pub fn apply(&mut self, config: &mut Config, change: &Change) -> ChangeReply {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -23,9 +23,9 @@
 
 use crate::link::message::{
     Beat, ControlReply, ControlRequest, Envelope, Heartbeat, OrderStatus, ProcessState, Proof,
-    Reply, Request, Status, Suspects,
+    Reply, Request, Status, Suspects, Update,
 };
-use crate::model::{BootId, EndpointState, Fence, InboundId, Timestamp};
+use crate::model::{BootId, EndpointState, Fence, InboundId, Revision, Timestamp};
 use crate::registry::Registry;
 use crate::role::{Input, Output, Role};
 
@@ -160,7 +160,7 @@
     }
 
     fn heartbeat(&mut self, now: Timestamp, mut heartbeat: Heartbeat) -> Beat {
-        let newer = heartbeat.process.revised.revision < self.state.config.revision;
+        let config = self.update(heartbeat.process.revised.revision, heartbeat.whole);
         let (seen, wants) = (heartbeat.seen, std::mem::take(&mut heartbeat.wants));
         let follows = heartbeat.endpoints;
         let orders = match &heartbeat.endpoint {
@@ -173,7 +173,7 @@
         Beat {
             member: self.settings.name.clone(),
             proof: self.proof(),
-            config: newer.then(|| self.state.config.clone()),
+            config,
             seen: self.registry.seen(),
             endpoints: news,
             orders,
@@ -181,6 +181,17 @@
         }
     }
 
+    /// Returns what a process with this revision needs; changes are a fraction of the whole.
+    fn update(&self, known: Revision, whole: bool) -> Option<Update> {
+        if known >= self.revised.revision {
+            return None;
+        }
+        let changes = if whole { None } else { self.state.changes.since(known) };
+        let whole = || Update::Whole(self.state.config.clone());
+        let revised = self.revised;
+        Some(changes.map_or_else(whole, |changes| Update::Changes { changes, revised }))
+    }
+
     /// Returns what an agent is told about the orders of its endpoint; a member that may lack
     /// committed records tells nothing.
     fn marked(&self, endpoint: &EndpointState, report: Option<&OrderReport>) -> Option<Marked> {
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -224,6 +224,8 @@
     pub suspects: u64,
     /// The newest set of settings that the sender understands.
     pub schema: u32,
+    /// Whether the sender wants the configuration whole, since changes did not fit.
+    pub whole: bool,
 }
 
 /// A process as operators see it.
@@ -274,8 +276,8 @@
     pub member: Box<str>,
     /// What the member's log proves, if the member has a vote.
     pub proof: Option<Proof>,
-    /// The configuration in force, if it is newer than the sender's.
-    pub config: Option<Config>,
+    /// What makes the sender's configuration the one in force, if that is newer.
+    pub config: Option<Update>,
     /// What the receiver has seen of this member's endpoints once it has taken this.
     pub seen: Seen,
     /// What changed among the endpoints since.
@@ -286,6 +288,20 @@
     pub suspects: Option<Suspects>,
 }
 
+/// What makes a configuration the one in force at a member.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Update {
+    /// The configuration itself.
+    Whole(Config),
+    /// The changes since the receiver's revision.
+    Changes {
+        /// The changes in their order.
+        changes: Vec<Change>,
+        /// What they come to.
+        revised: Revised,
+    },
+}
+
 /// What a member tells of endpoints.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Endpoints {
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -6,11 +6,11 @@
 
 use super::subset;
 use super::view::{self, View};
-use crate::control::config::{Config, Revised, SCHEMA, Setting};
+use crate::control::config::{Change, Config, Revised, SCHEMA, Setting};
 use crate::control::orders::OrderReport;
 use crate::link::message::{
     Beat, ControlReply, ControlRequest, Envelope, Heartbeat, ProcessState, Proof, Reply, Request,
-    Seen,
+    Seen, Update,
 };
 use crate::model::{BootId, EndpointState, ExchangeId, Timestamp};
 use crate::role::Output;
@@ -80,6 +80,10 @@
     members: Vec<Member>,
     config: Config,
     revised: Revised,
+    /// Whether changes did not fit, so that the whole configuration is needed.
+    whole: bool,
+    /// Another content of the own revision that was logged.
+    disputed: Option<Revised>,
     /// Whether any list has changed since the endpoints were picked.
     changed: bool,
     trusted: Vec<bool>,
@@ -102,7 +106,16 @@
         let members = settings.members.iter().map(member).collect();
         let config = Config::default();
         let revised = config.revised();
-        Follower { settings, members, config, revised, changed: false, trusted: Vec::new() }
+        Follower {
+            settings,
+            members,
+            config,
+            revised,
+            whole: false,
+            disputed: None,
+            changed: false,
+            trusted: Vec::new(),
+        }
     }
 
     /// Returns the configuration in force.
@@ -136,14 +149,18 @@
             let proof = fresh.iter().find(|p| p.member == **voter);
             proof.is_some_and(|p| p.highest <= self.revised.revision)
         };
-        newest.voters.iter().filter(agrees).count() * 2 > newest.voters.len()
+        // A revision that no log reaches was accepted by a group whose logs are lost.
+        let reached = fresh.iter().any(|p| p.highest >= self.revised.revision);
+        reached && newest.voters.iter().filter(agrees).count() * 2 > newest.voters.len()
     }
 
     /// Notes the configuration that a peer has in force; one that is newer than the own makes
     /// the next heartbeats due at once.
     pub fn observe(&mut self, now: Timestamp, revised: Revised) {
-        if revised.revision == self.revised.revision && revised.hash != self.revised.hash {
+        let differs = revised.revision == self.revised.revision && revised != self.revised;
+        if differs && self.disputed != Some(revised) {
             log::error!("step=observe own={} other={revised} error=hashes differ", self.revised);
+            self.disputed = Some(revised);
         }
         if revised.revision > self.revised.revision {
             self.hurry(now);
@@ -223,6 +240,7 @@
                 report: report.cloned(),
                 suspects: member.suspects,
                 schema: SCHEMA,
+                whole: self.whole,
             };
             let exchange = next();
             member.open = Some((exchange, now));
@@ -260,17 +278,39 @@
     }
 
     fn take_config(&mut self, now: Timestamp, beat: &Beat) {
-        let Some(config) = &beat.config else { return };
-        if config.revision <= self.revised.revision {
-            return;
-        }
-        self.config = config.clone();
+        let Some(config) = beat.config.as_ref().and_then(|u| self.updated(u)) else { return };
+        self.whole = false;
         self.revised = config.revised();
+        self.config = config;
         log::info!("step=config revised={} member={}", self.revised, beat.member);
         self.changed = true;
         self.hurry(now);
     }
 
+    /// Returns the configuration that an update leads to, if it is a newer one.
+    fn updated(&mut self, update: &Update) -> Option<Config> {
+        match update {
+            Update::Whole(config) => {
+                (config.revision > self.revised.revision).then(|| config.clone())
+            }
+            Update::Changes { changes, revised } => {
+                if revised.revision <= self.revised.revision {
+                    return None;
+                }
+                let new = changes.iter().filter(|c| c.base >= self.revised.revision);
+                let edit = |config: Config, change: &Change| config.edited(&change.edit);
+                let config = new.into_iter().try_fold(self.config.clone(), edit);
+                let fits = |config: &Config| config.revised() == *revised;
+                let config = config.ok().filter(fits);
+                if config.is_none() {
+                    log::error!("step=config own={} error=no way to {revised}", self.revised);
+                    self.whole = true;
+                }
+                config
+            }
+        }
+    }
+
     fn find(&mut self, exchange: ExchangeId) -> Option<&mut Member> {
         self.members.iter_mut().find(|m| m.open.is_some_and(|(e, _)| e == exchange))
     }
--- /dev/null
+++ b/tests/follower.rs
@@ -0,0 +1,280 @@
+//! A process goes to newer configurations only, and knows whether its own is the newest.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use dotterelpin::control::config::{Change, Config, Edit, Revised};
+use dotterelpin::control::replica::{LogIndex, MemberId, ReplicaSettings, Stored};
+use dotterelpin::control::state::{Applied, ChangeReply, Command, State};
+use dotterelpin::control::{Control, ControlSettings, DiskEffect, DiskInput};
+use dotterelpin::link::message::{
+    Beat, ControlReply, ControlRequest, Envelope, Heartbeat, Proof, Reply, Request, Seen, Update,
+};
+use dotterelpin::model::{BootId, ExchangeId, InboundId, Revision, Timestamp};
+use dotterelpin::registry::{Follower, FollowerSettings};
+use dotterelpin::role::{Input, Output, Role};
+
+const MEMBERS: u8 = 3;
+
+fn address(member: u8) -> SocketAddr {
+    ([10, 0, 0, member], 7000).into()
+}
+
+fn seconds(count: u64) -> Timestamp {
+    Timestamp::from_micros(count * 1_000_000)
+}
+
+fn change(base: u64) -> Change {
+    let value = (1_000 + base).to_string().into();
+    let edit = Edit::Set { name: "call.deadline_ms".into(), value };
+    let id = format!("change-{base}");
+    Change { id: id.into(), base: Revision(base), author: "op".into(), edit }
+}
+
+fn config_at(revision: u64) -> Config {
+    let edit = |config: Config, base| config.edited(&change(base).edit).unwrap();
+    (0..revision).fold(Config::default(), edit)
+}
+
+fn settings() -> FollowerSettings {
+    FollowerSettings {
+        name: "entry-0".into(),
+        role: "entry".into(),
+        domain: "brno-a".into(),
+        boot: BootId(1),
+        members: (0..MEMBERS).map(address).collect(),
+        endpoints: false,
+    }
+}
+
+/// A follower with the exchanges of its last heartbeats.
+struct Fixture {
+    follower: Follower,
+    open: Vec<(ExchangeId, SocketAddr, Heartbeat)>,
+    last: u64,
+}
+
+impl Fixture {
+    fn new() -> Fixture {
+        Fixture { follower: Follower::new(settings()), open: Vec::new(), last: 0 }
+    }
+
+    fn wake(&mut self, now: Timestamp) {
+        let last = &mut self.last;
+        let outputs = self.follower.wake::<()>(now, None, None, &mut || {
+            *last += 1;
+            ExchangeId(*last)
+        });
+        self.open.clear();
+        for output in outputs {
+            let Output::Open { exchange, peer, envelope } = output else { continue };
+            let Request::Control(ControlRequest::Heartbeat(heartbeat)) = envelope.body else {
+                continue;
+            };
+            self.open.push((exchange, peer, *heartbeat));
+        }
+    }
+
+    fn answer(&mut self, now: Timestamp, member: u8, proof: Option<Proof>, update: Option<Update>) {
+        let found = self.open.iter().find(|(_, peer, _)| *peer == address(member));
+        let (exchange, _, _) = found.expect("a heartbeat is open");
+        let beat = Beat {
+            member: format!("control-{member}").into(),
+            proof,
+            config: update,
+            seen: Seen::default(),
+            endpoints: None,
+            orders: None,
+            suspects: None,
+        };
+        self.follower.reply(now, *exchange, &Reply::Control(ControlReply::Beat(beat)));
+    }
+}
+
+fn proof(member: u8, highest: u64, epoch: u64, voters: &[u8]) -> Option<Proof> {
+    Some(Proof {
+        member: address(member),
+        highest: Revision(highest),
+        epoch,
+        voters: voters.iter().copied().map(address).collect(),
+    })
+}
+
+#[test]
+fn majority_of_those_with_a_vote_confirms_for_three_seconds() {
+    let mut f = Fixture::new();
+    f.wake(seconds(1));
+    f.answer(seconds(1), 0, proof(0, 0, 3, &[0, 1, 2]), None);
+    assert!(!f.follower.is_confirmed(seconds(1)));
+    f.answer(seconds(1), 1, proof(1, 0, 3, &[0, 1, 2]), None);
+    assert!(f.follower.is_confirmed(seconds(1)));
+    assert!(!f.follower.is_confirmed(seconds(4)));
+}
+
+#[test]
+fn member_without_a_vote_or_with_a_newer_change_does_not_confirm() {
+    let mut f = Fixture::new();
+    f.wake(seconds(1));
+    f.answer(seconds(1), 0, proof(0, 0, 3, &[0, 1, 2]), None);
+    f.answer(seconds(1), 1, None, None);
+    f.answer(seconds(1), 2, proof(2, 1, 3, &[0, 1, 2]), None);
+    assert!(!f.follower.is_confirmed(seconds(1)));
+}
+
+#[test]
+fn newest_list_of_voters_decides_what_a_majority_is() {
+    let mut f = Fixture::new();
+    f.wake(seconds(1));
+    f.answer(seconds(1), 0, proof(0, 0, 3, &[0, 1, 2]), None);
+    // Member 1 knows that 3 and 4 have a vote by now, which this process can't ask.
+    f.answer(seconds(1), 1, proof(1, 0, 5, &[0, 1, 2, 3, 4]), None);
+    assert!(!f.follower.is_confirmed(seconds(1)));
+}
+
+#[test]
+fn revision_that_no_log_reaches_is_not_confirmed() {
+    let mut f = Fixture::new();
+    f.wake(seconds(1));
+    f.answer(seconds(1), 0, None, Some(Update::Whole(config_at(5))));
+    f.wake(seconds(2));
+    for member in 0..MEMBERS {
+        f.answer(seconds(2), member, proof(member, 2, 3, &[0, 1, 2]), None);
+    }
+    assert!(!f.follower.is_confirmed(seconds(2)));
+}
+
+#[test]
+fn update_never_goes_back_and_one_that_does_not_fit_asks_for_the_whole() {
+    let mut f = Fixture::new();
+    f.wake(seconds(1));
+    let changes = |from: u64, to: u64| Update::Changes {
+        changes: (from..to).map(change).collect(),
+        revised: config_at(to).revised(),
+    };
+    f.answer(seconds(1), 0, None, Some(changes(0, 4)));
+    assert_eq!(f.follower.revised(), config_at(4).revised());
+    // The same changes and more from another member, then older ones.
+    f.answer(seconds(1), 1, None, Some(changes(0, 6)));
+    f.answer(seconds(1), 2, None, Some(Update::Whole(config_at(3))));
+    assert_eq!(f.follower.revised(), config_at(6).revised());
+    f.wake(seconds(2));
+    assert!(f.open.iter().all(|(_, _, heartbeat)| !heartbeat.whole));
+    f.answer(seconds(2), 0, None, Some(changes(8, 9)));
+    assert_eq!(f.follower.revised(), config_at(6).revised());
+    f.wake(seconds(3));
+    assert!(f.open.iter().any(|(_, _, heartbeat)| heartbeat.whole));
+    f.answer(seconds(3), 1, None, Some(Update::Whole(config_at(9))));
+    assert_eq!(f.follower.revised(), config_at(9).revised());
+    f.wake(seconds(4));
+    assert!(f.open.iter().all(|(_, _, heartbeat)| !heartbeat.whole));
+}
+
+#[test]
+fn state_stays_small_after_many_changes_and_knows_the_last_ones() {
+    let mut state = State::default();
+    for base in 0..20_000 {
+        let applied = state.apply(LogIndex(base + 1), &Command::Change(change(base)));
+        assert_eq!(applied, Applied::Changed(ChangeReply::Accepted(Revision(base + 1))));
+    }
+    let bytes = state.encode().unwrap();
+    assert!(bytes.len() < 512 << 10, "{} bytes", bytes.len());
+    let mut state = State::decode(&bytes).unwrap();
+    let resent = state.apply(LogIndex(20_001), &Command::Change(change(15_000)));
+    assert_eq!(resent, Applied::Changed(ChangeReply::Accepted(Revision(15_001))));
+    // One that is forgotten is still not applied twice.
+    let forgotten = state.apply(LogIndex(20_002), &Command::Change(change(10)));
+    assert_matches!(forgotten, Applied::Changed(ChangeReply::Conflict { .. }));
+    assert_eq!(state.config.revision, Revision(20_000));
+}
+
+/// A control member of its own, whose disk syncs at once.
+struct Lone {
+    control: Control,
+    now: Timestamp,
+}
+
+impl Lone {
+    fn new() -> Lone {
+        let settings = ControlSettings {
+            name: "control-0".into(),
+            domain: "brno-a".into(),
+            boot: BootId(1),
+            replica: ReplicaSettings::new(address(0), vec![address(0)], 1),
+        };
+        let control = Control::new(settings, Stored::new(MemberId(1))).unwrap();
+        let mut lone = Lone { control, now: seconds(1) };
+        lone.step(Input::Wake);
+        assert!(lone.control.replica().is_leader());
+        lone
+    }
+
+    /// Returns the replies, also to what the disk's syncs led to.
+    fn step(&mut self, input: Input<DiskInput>) -> Vec<ControlReply> {
+        let mut replies = Vec::new();
+        for output in self.control.step(self.now, input) {
+            match output {
+                Output::Effect(DiskEffect::Append { id, .. } | DiskEffect::Replace { id, .. }) => {
+                    replies.extend(self.step(Input::Local(DiskInput::Synced(id))))
+                }
+                Output::Reply { envelope, .. } => {
+                    if let Reply::Control(reply) = envelope.body {
+                        replies.push(reply);
+                    }
+                }
+                _ => {}
+            }
+        }
+        replies
+    }
+
+    fn ask(&mut self, request: ControlRequest) -> Vec<ControlReply> {
+        let envelope = Envelope { revised: Revised::default(), body: Request::Control(request) };
+        self.step(Input::Request { inbound: InboundId(1), envelope })
+    }
+
+    fn propose(&mut self, change: Change) -> ControlReply {
+        self.ask(ControlRequest::Propose(Command::Change(change))).remove(0)
+    }
+}
+
+#[test]
+fn setting_that_a_live_process_does_not_understand_is_refused_and_names_it() {
+    let mut lone = Lone::new();
+    let mut f = Fixture::new();
+    f.wake(lone.now);
+    let heartbeat = Heartbeat { schema: 0, ..f.open[0].2.clone() };
+    lone.ask(ControlRequest::Heartbeat(Box::new(heartbeat)));
+    let refused = lone.propose(change(0));
+    assert_matches!(
+        refused,
+        ControlReply::Applied(Applied::Changed(ChangeReply::Refused(why)))
+            if why.contains("entry-0 (entry)")
+    );
+    // Once it is gone, the same change passes.
+    lone.now = lone.now + Duration::from_secs(60);
+    lone.step(Input::Wake);
+    let accepted = lone.propose(change(0));
+    let first = ControlReply::Applied(Applied::Changed(ChangeReply::Accepted(Revision(1))));
+    assert_eq!(accepted, first);
+    assert_eq!(lone.propose(change(0)), first);
+}
+
+#[test]
+fn bad_changes_are_refused_with_what_is_allowed() {
+    let mut lone = Lone::new();
+    let edits = [
+        (Edit::Set { name: "no.such".into(), value: "1".into() }, "unknown"),
+        (Edit::Set { name: "retry.attempts".into(), value: "11".into() }, "1 to 10"),
+        (Edit::Drop { scope: "tenant:x".parse().unwrap(), name: "retry.attempts".into() }, "no"),
+    ];
+    for (at, (edit, part)) in edits.into_iter().enumerate() {
+        let bad = Change { id: format!("bad-{at}").into(), edit, ..change(0) };
+        assert_matches!(
+            lone.propose(bad),
+            ControlReply::Applied(Applied::Changed(ChangeReply::Refused(why)))
+                if why.contains(part)
+        );
+    }
+    assert_eq!(lone.control.state().config.revision, Revision(0));
+}
