--- a/src/entry/admit/queue.rs
+++ b/src/entry/admit/queue.rs
@@ -10,7 +10,7 @@
 /// Tokens by which tenants may be ahead of each other before deadlines stop to matter.
 const QUANTUM: u64 = 32_768;
 /// How long before its last start a batch call is as urgent as an interactive one.
-const URGENT: Duration = Duration::from_millis(500);
+const URGENT: Duration = Duration::from_millis(2_000);
 
 /// A call that waits.
 #[derive(Debug)]
--- a/src/entry/health.rs
+++ b/src/entry/health.rs
@@ -10,7 +10,7 @@
 /// The time of a first ejection.
 const EJECTION: Duration = Duration::from_millis(500);
 /// The longest time of an ejection.
-const LONGEST_EJECTION: Duration = Duration::from_millis(4_000);
+const LONGEST_EJECTION: Duration = Duration::from_millis(2_000);
 /// How long a probe may go without a result before another one is sent.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// The most endpoints of a pool that are out at once, in percent.
--- a/src/entry/place/fleet.rs
+++ b/src/entry/place/fleet.rs
@@ -1,6 +1,6 @@
 //! The endpoints as an entry sees them: announced state, own work in flight, what agents say.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -108,7 +108,7 @@
     decode: Vec<EndpointKey>,
     service: Vec<EndpointKey>,
     /// Calls that have asked for decode room and whose prefill is not placed yet.
-    starting: BTreeSet<CallId>,
+    starting: usize,
     /// The usual time between tokens, in microseconds.
     token: Estimate,
     /// The usual prompt tokens that one prefill endpoint handles in a second.
@@ -148,6 +148,8 @@
     flights: BTreeMap<ExchangeId, Flight>,
     /// The failure domain in which an attempt of a call failed last.
     failed: BTreeMap<CallId, Box<str>>,
+    /// The pools of calls that have asked for decode room only.
+    starting: BTreeMap<CallId, Box<str>>,
     ejects: bool,
 }
 
@@ -181,7 +183,7 @@
 
     /// Returns how many calls of a pool have asked for decode room only.
     pub fn starting(&self, pool: &str) -> usize {
-        self.pools.get(pool).map_or(0, |p| p.starting.len())
+        self.pools.get(pool).map_or(0, |p| p.starting)
     }
 
     /// Returns the time that a prefill of so many tokens usually takes; zero as long as it isn't
@@ -364,26 +366,29 @@
         let Some(flight) = Flight::new(now, key, capacity, request) else { return };
         endpoint.add(flight.load);
         endpoint.health.began(now);
-        if let Some(pool) = self.pools.get_mut(&endpoint.state.pool) {
-            match flight.stage {
-                Stage::Reserved => pool.starting.insert(flight.call),
-                _ => pool.starting.remove(&flight.call),
-            };
+        let pool = endpoint.state.pool.clone();
+        if flight.stage == Stage::Reserved {
+            self.start(flight.call, pool);
+        } else {
+            self.started(flight.call);
         }
         self.flights.insert(exchange, flight);
     }
 
     fn import(&mut self, now: Timestamp, exchange: ExchangeId, until: u32) {
         let Some(flight) = self.flights.get_mut(&exchange) else { return };
+        if flight.stage != Stage::Reserved {
+            return;
+        }
         flight.stage = Stage::Importing;
         flight.until = until;
         flight.since = now;
-        let Some(endpoint) = self.endpoints.get_mut(flight.endpoint) else { return };
-        endpoint.transfers += 1;
-        // A fallback imports without a prefill of its own.
-        if let Some(pool) = self.pools.get_mut(&endpoint.state.pool) {
-            pool.starting.remove(&flight.call);
+        let (key, call) = (flight.endpoint, flight.call);
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.transfers += 1;
         }
+        // A fallback imports without a prefill of its own.
+        self.started(call);
     }
 
     fn part(&mut self, now: Timestamp, exchange: ExchangeId, tokens: u32) {
@@ -411,13 +416,26 @@
             if flight.stage == Stage::Importing {
                 endpoint.transfers = endpoint.transfers.saturating_sub(1);
             }
-            if let Some(pool) = self.pools.get_mut(&endpoint.state.pool) {
-                pool.starting.remove(&flight.call);
-            }
         }
+        self.started(flight.call);
         Some(flight)
     }
 
+    /// Counts a call that has asked for decode room.
+    fn start(&mut self, call: CallId, pool: Box<str>) {
+        self.started(call);
+        self.pools.entry(pool.clone()).or_default().starting += 1;
+        self.starting.insert(call, pool);
+    }
+
+    /// Counts a call out whose prefill is placed, or that needs none; its endpoints may be gone.
+    fn started(&mut self, call: CallId) {
+        let Some(pool) = self.starting.remove(&call) else { return };
+        if let Some(pool) = self.pools.get_mut(&pool) {
+            pool.starting -= 1;
+        }
+    }
+
     fn judge(&mut self, now: Timestamp, flight: Flight, verdict: Verdict) {
         if !self.ejects {
             return;
--- a/src/entry/run/mod.rs
+++ b/src/entry/run/mod.rs
@@ -422,7 +422,9 @@
         let allowed = self.call.repeatable || self.attempts.ran() == Ran::No;
         let tried = self.attempts.last();
         let allowed = self.teller.is_some() && allowed && tried < self.most_attempts(shared);
-        if allowed && !shared.policy.budget {
+        // An endpoint that refused at once has cost nothing, so only failures use the budget.
+        let free = reason != RefusalReason::EndpointFailed;
+        if allowed && (free || !shared.policy.budget) {
             log::info!("step=retry call={} detail={detail:?}", self.id);
             outputs.extend(self.next_attempt(shared, now));
         } else if allowed && shared.retries.take(self.call.class) {
--- /dev/null
+++ b/tests/placement.rs
@@ -0,0 +1,263 @@
+//! Placement counts what is in flight, keeps the ejected few, and retries within a budget.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dotterelpin::control::config::Revised;
+use dotterelpin::entry::health::Verdict;
+use dotterelpin::entry::place::{Fleet, InFlight, Need, Placement, Variant};
+use dotterelpin::entry::retry::{FIRST_SAVED, MOST_SAVED, RetryBudgets};
+use dotterelpin::link::message::{AgentReply, AgentRequest, Envelope, Export, Reply, Request};
+use dotterelpin::model::{
+    BootId, CallId, Capacity, Class, EndpointKind, EndpointState, ExchangeId, Fence, Load, Ran,
+    Refusal, RefusalReason, RequestId, Timestamp,
+};
+use dotterelpin::role::{LinkFailure, Output};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+/// Endpoints of each kind.
+const EACH: usize = 6;
+const DOMAINS: [&str; 3] = ["brno-a", "brno-b", "zlin-c"];
+
+fn runner() -> TestRunner {
+    let cases = std::env::var("DOTTERELPIN_FUZZ_CASES").ok().and_then(|c| c.parse().ok());
+    let config =
+        Config { cases: cases.unwrap_or(400), failure_persistence: None, ..Config::default() };
+    TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]))
+}
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_micros(1_000_000 + millis * 1_000)
+}
+
+fn address(port: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port as u16))
+}
+
+fn endpoint(index: usize, boot: u64) -> EndpointState {
+    EndpointState {
+        name: format!("e{index}").into(),
+        address: address(index),
+        domain: DOMAINS[index % 3].into(),
+        boot: BootId(boot),
+        kind: if index < EACH { EndpointKind::Prefill } else { EndpointKind::Decode },
+        pool: "model".into(),
+        url: format!("http://e{index}").into(),
+        capacity: Capacity { slots: 20, pieces: 80, piece_tokens: 2_000 },
+        load: Load::default(),
+        draining: false,
+        fence: Fence(0),
+    }
+}
+
+fn announced(up: impl Fn(usize) -> bool, boot: u64) -> BTreeMap<Box<str>, EndpointState> {
+    let all = (0..2 * EACH).filter(|i| up(*i)).map(|i| endpoint(i, boot));
+    all.map(|e| (e.name.clone(), e)).collect()
+}
+
+fn need(kind: EndpointKind) -> Need<'static> {
+    Need { kind, pool: "model", tried: &[], tokens: 1_000, avoid: None, prefix: None }
+}
+
+fn envelope<T>(body: T) -> Envelope<T> {
+    Envelope { revised: Revised::default(), body }
+}
+
+fn open(exchange: u64, call: u64, target: usize) -> Output<()> {
+    let request = RequestId { owner: BootId(1), call: CallId(call), attempt: 1 };
+    let class = Class::Interactive;
+    let body = if target < EACH {
+        AgentRequest::Prefill { request, class, prompt: "p".into(), prefix: vec![], within: None }
+    } else {
+        AgentRequest::Reserve { request, class, tokens: 900, lease: Duration::from_secs(1) }
+    };
+    let (peer, exchange) = (address(target), ExchangeId(exchange));
+    Output::Open { exchange, peer, envelope: envelope(Request::Agent(body)) }
+}
+
+/// One thing that happens to an exchange, or to the endpoints.
+#[derive(Debug, Clone)]
+enum Event {
+    Open { call: u64, target: usize },
+    Import(usize),
+    Reset(usize),
+    Close(usize, bool),
+    Reply(usize, usize),
+    Lose(usize),
+    Return,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let pick = any::<usize>();
+    prop_oneof![
+        4 => (0..12u64, 0..2 * EACH).prop_map(|(call, target)| Event::Open { call, target }),
+        2 => pick.prop_map(Event::Import),
+        2 => pick.prop_map(Event::Reset),
+        2 => (pick, any::<bool>()).prop_map(|(e, failed)| Event::Close(e, failed)),
+        4 => (pick, 0..5usize).prop_map(|(e, kind)| Event::Reply(e, kind)),
+        1 => (0..3usize).prop_map(Event::Lose),
+        1 => Just(Event::Return),
+    ]
+}
+
+fn reply(kind: usize) -> Reply {
+    let export = Export { url: "u".into(), name: "n".into(), tokens: 1 };
+    let refusal = Refusal {
+        reason: RefusalReason::EndpointFailed,
+        ran: Ran::No,
+        retry: Duration::ZERO,
+        detail: "d".into(),
+    };
+    Reply::Agent(match kind {
+        0 => AgentReply::Exported(export),
+        1 => AgentReply::Refused(refusal),
+        2 => AgentReply::End { offset: 1, finish: "stop".into() },
+        3 => AgentReply::Load(Load { slots: 9, pieces: 9, prompt_tokens: 9, prefill_rate: 9 }),
+        _ => AgentReply::Part { offset: 0, tokens: vec!["t".into()] },
+    })
+}
+
+/// Whatever is lost, repeated or late, and whichever endpoints go and return: once every exchange
+/// is closed nothing is counted any more.
+#[test]
+fn counts_end_with_their_exchanges() {
+    let steps = prop::collection::vec(event(), 1..60);
+    let run = |events: Vec<Event>| {
+        let mut fleet = Fleet::new(true);
+        fleet.update(&announced(|_| true, 1));
+        let mut boot = 1;
+        let mut opened = 0;
+        let pick = |opened: u64, e: usize| ExchangeId(e as u64 % opened.max(1) + 1);
+        for (step, event) in events.into_iter().enumerate() {
+            let now = at(step as u64 * 10);
+            match event {
+                Event::Open { call, target } => {
+                    opened += 1;
+                    fleet.sent(now, &open(opened, call, target));
+                }
+                Event::Import(e) => {
+                    let export = Export { url: "u".into(), name: "n".into(), tokens: 1 };
+                    let body = AgentRequest::Decode { export, from: 0, until: 9, within: None };
+                    let envelope = envelope(Request::Agent(body));
+                    fleet.sent(now, &Output::<()>::Send { exchange: pick(opened, e), envelope });
+                }
+                Event::Reset(e) => {
+                    fleet.sent(now, &Output::<()>::Reset { exchange: pick(opened, e) });
+                }
+                Event::Close(e, failed) => {
+                    let failure = failed.then_some(LinkFailure::Broken);
+                    fleet.closed(now, pick(opened, e), failure);
+                }
+                Event::Reply(e, kind) => fleet.heard(now, pick(opened, e), &reply(kind)),
+                Event::Lose(domain) => fleet.update(&announced(|i| i % 3 != domain, boot)),
+                Event::Return => {
+                    boot += 1;
+                    fleet.update(&announced(|_| true, boot));
+                }
+            }
+        }
+        let end = at(100_000);
+        for exchange in 1..=opened {
+            fleet.closed(end, ExchangeId(exchange), None);
+        }
+        prop_assert_eq!(fleet.starting("model"), 0);
+        for kind in [EndpointKind::Prefill, EndpointKind::Decode] {
+            for key in fleet.keys(kind, "model") {
+                let endpoint = fleet.get(*key).unwrap();
+                prop_assert_eq!((endpoint.own, endpoint.transfers), (Load::default(), 0));
+                prop_assert_eq!(endpoint.load(end).slots, 0);
+            }
+        }
+        Ok(())
+    };
+    runner().run(&steps, run).unwrap();
+}
+
+/// An ejected endpoint gets no work as long as at most half are out; past that all count again.
+#[test]
+fn ejection_never_empties_a_pool() {
+    let bad = prop::collection::vec(any::<bool>(), EACH);
+    let run = |bad: Vec<bool>| {
+        let mut fleet = Fleet::new(true);
+        fleet.update(&announced(|_| true, 1));
+        for (index, _) in bad.iter().enumerate().filter(|(_, b)| **b) {
+            fleet.sent(at(0), &open(index as u64, 1, index));
+            // A reset after a second without a word is silence.
+            fleet.sent(at(1_000), &Output::<()>::Reset { exchange: ExchangeId(index as u64) });
+        }
+        let mut placement = InFlight::new(Variant::Health, 1);
+        let chosen = placement.choose(at(1_001), &need(EndpointKind::Prefill), &fleet);
+        prop_assert!(chosen.is_some());
+        let endpoint = fleet.get(chosen.unwrap()).unwrap();
+        let out = bad.iter().filter(|b| **b).count();
+        if out * 2 <= EACH {
+            prop_assert!(endpoint.health.is_in(at(1_001)), "{} was chosen", endpoint.state.name);
+        }
+        Ok(())
+    };
+    runner().run(&bad, run).unwrap();
+}
+
+/// Work after an ejection is one probe until its result is known.
+#[test]
+fn one_probe_at_a_time() {
+    let mut health = dotterelpin::entry::health::Health::default();
+    health.judge(at(0), Verdict::Silent);
+    assert!(!health.is_in(at(100)));
+    assert!(health.is_in(at(500)));
+    health.began(at(500));
+    assert!(!health.is_in(at(600)));
+    health.judge(at(700), Verdict::Failed);
+    assert!(!health.is_in(at(1_600)), "a failed probe ejects for longer");
+    assert!(health.is_in(at(1_700)));
+}
+
+/// A call that failed in one failure domain goes to another one first.
+#[test]
+fn another_domain_goes_first() {
+    let mut fleet = Fleet::new(true);
+    fleet.update(&announced(|_| true, 1));
+    fleet.sent(at(0), &open(1, 5, EACH));
+    fleet.closed(at(1), ExchangeId(1), Some(LinkFailure::Broken));
+    assert_eq!(fleet.failed_domain(CallId(5)), Some(DOMAINS[0]));
+    // The other domains are busier, yet they go first.
+    for (exchange, target) in (2..).zip((EACH..2 * EACH).filter(|i| i % 3 != 0)) {
+        fleet.sent(at(1), &open(exchange, exchange, target));
+    }
+    let need = Need { avoid: fleet.failed_domain(CallId(5)), ..need(EndpointKind::Decode) };
+    let chosen = InFlight::new(Variant::Health, 1).choose(at(2), &need, &fleet).unwrap();
+    assert_ne!(&*fleet.get(chosen).unwrap().state.domain, DOMAINS[0]);
+    fleet.finished(CallId(5));
+    assert_eq!(fleet.failed_domain(CallId(5)), None);
+}
+
+/// Retries stay within the share of traffic, whatever comes.
+#[test]
+fn retries_stay_within_their_budget() {
+    let steps = prop::collection::vec((any::<bool>(), 0..=100u64), 0..2_000);
+    let run = |steps: Vec<(bool, u64)>| {
+        let mut budgets = RetryBudgets::new(1);
+        let (mut earned, mut retries, mut row) = (0, 0, 0);
+        for (call, percent) in steps {
+            if call {
+                budgets.earn(Class::Batch, percent);
+                earned += percent;
+                row = 0;
+            } else {
+                let taken = u64::from(budgets.take(Class::Batch));
+                retries += taken;
+                row += taken;
+            }
+            prop_assert!(retries <= FIRST_SAVED + earned / 100);
+            prop_assert!(row <= MOST_SAVED.max(FIRST_SAVED));
+        }
+        for attempt in 1..20 {
+            let wait = budgets.wait(attempt);
+            prop_assert!(wait > Duration::ZERO && wait <= Duration::from_millis(750));
+        }
+        Ok(())
+    };
+    runner().run(&steps, run).unwrap();
+}
