Catch resumed streams that mix prefixes, and a key answered twice

Cause: mutations showed what the fuzz of whole answers could not see: the fake engine refused a wrong prefix instead of going on from it, its early end mark was told apart by the offset alone, and no two owners of one key generated at once.

Now it does all three.

--- a/tests/whole_answer.rs
+++ b/tests/whole_answer.rs
@@ -267,3 +267,26 @@
         })
         .unwrap();
 }
+
+/// Both owners of one key generate, since the first is cut off from control but alive.
+#[test]
+fn summary_with_one_key_is_answered_once() {
+    let mut test = Test::new();
+    test.settle();
+    let key = Some("night-1".to_string());
+    test.call(0, PROMPTS[0], 100, key.clone());
+    test.settle();
+    test.world.cut.insert(Node::Entry(0));
+    for _ in 0..40 {
+        test.engines.go_on(&mut test.world, 0);
+        test.settle();
+        test.world.advance(Duration::from_millis(100));
+    }
+    test.call(1, PROMPTS[0], 100, key);
+    test.run_for(Duration::from_secs(5));
+    let outcomes: Vec<_> = test.callers.values().map(|c| c.outcome.clone().unwrap()).collect();
+    let whole = outcomes.iter().filter(|o| matches!(o, Terminal::Generated { .. })).count();
+    assert_eq!(whole, 1, "{outcomes:?}");
+    assert_eq!(test.generated["night-1"], 1);
+    assert!(test.callers.values().all(|c| c.parts > 1), "both have generated");
+}
--- a/tests/world/engine.rs
+++ b/tests/world/engine.rs
@@ -48,6 +48,8 @@
     /// The prompt, once the KV cache is imported.
     prompt: Option<Box<str>>,
     offset: u32,
+    /// Tokens of the prefix in the KV cache.
+    length: u32,
 }
 
 /// The latest tokens of any job.
@@ -95,6 +97,7 @@
                         connected: true,
                         prompt: None,
                         offset: 0,
+                        length: 0,
                     });
                     continue;
                 }
@@ -154,13 +157,13 @@
         let (from, until) = (*from, *until);
         let Some(prompt) = job.prompt.clone() else {
             let found = self.exports.get(&export.name).filter(|e| e.2 > world.now);
-            // An engine generates from the end of the KV cache that it has got.
             match found {
-                Some((prompt, length, _)) if *length == from => {
+                Some((prompt, length, _)) => {
                     job.prompt = Some(prompt.clone());
                     job.offset = from;
+                    job.length = *length;
                 }
-                _ => self.fail(world, index, Ran::Maybe),
+                None => self.fail(world, index, Ran::Maybe),
             }
             return;
         };
@@ -173,7 +176,9 @@
         } else {
             let end = last.min(offset + 1 + offset % 2);
             job.offset = end;
-            let tokens: Vec<_> = (offset..end).map(|o| token(&prompt, o)).collect();
+            // An engine goes on from the end of the KV cache that it has got.
+            let text = |o: u32| token(&prompt, job.length + o - from);
+            let tokens: Vec<_> = (offset..end).map(text).collect();
             self.last_part =
                 Some(Part { endpoint, agent, request, offset, tokens: tokens.clone() });
             EngineInput::Part { request, offset, tokens }
@@ -268,7 +273,10 @@
         let input = match how % 3 {
             0 => EngineInput::Part { request, offset, tokens },
             1 => EngineInput::Part { request, offset: offset + 7, tokens },
-            _ => EngineInput::End { request, offset, finish: "length".into() },
+            _ => {
+                let offset = offset + tokens.len() as u32;
+                EngineInput::End { request, offset, finish: "length".into() }
+            }
         };
         world.engine(endpoint, agent, input);
     }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -4,7 +4,7 @@
 
 pub mod engine;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -97,6 +97,8 @@
     pub now: Timestamp,
     pub state: State,
     pub quorum: bool,
+    /// Roles whose heartbeats do not reach control.
+    pub cut: BTreeSet<Node>,
     entries: Vec<(BootId, Option<Entry>)>,
     agents: Vec<(BootId, Option<Agent>)>,
     announcements: Vec<Announcement>,
@@ -121,6 +123,7 @@
             now: Timestamp::from_micros(1_000_000_000),
             state: State::default(),
             quorum: true,
+            cut: BTreeSet::new(),
             entries: (0..entries).map(|_| (BootId(0), None)).collect(),
             agents: announcements.iter().map(|_| (BootId(0), None)).collect(),
             announcements,
@@ -549,6 +552,9 @@
     /// Control answers heartbeats at once; they are no part of what is tested here.
     fn answer_beats(&mut self) {
         while let Some((node, exchange, heartbeat)) = self.beats.pop_front() {
+            if self.cut.contains(&node) {
+                continue;
+            }
             self.owners.insert(heartbeat.process.boot, self.now);
             if let Some(endpoint) = heartbeat.endpoint {
                 self.known.insert(endpoint.name.clone(), (endpoint, self.now));
