--- a/src/agent/engine/http.rs
+++ b/src/agent/engine/http.rs
@@ -63,11 +63,11 @@
             .timeout_global(Some(WORK_TIMEOUT))
             .http_status_as_error(false)
             .max_idle_connections(0)
+            .input_buffer_size(BUFFER_BYTES)
+            .output_buffer_size(BUFFER_BYTES)
             // A redirect is the caller's to follow: following it here could run a call twice.
             .max_redirects(0)
             .max_redirects_will_error(false)
-            .input_buffer_size(BUFFER_BYTES)
-            .output_buffer_size(BUFFER_BYTES)
             .build();
         HttpEngine { url, role, http: config.new_agent() }
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -7,20 +7,27 @@
 pub mod answer;
 pub mod check;
 pub mod claim;
+pub mod health;
 pub mod place;
+pub mod retry;
 mod run;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use admit::{Admission, Decision, Limits};
 use check::{RawCall, Tenants};
 use claim::Proposer;
-use place::Placement;
+use place::{Fleet, Need, Placement, Policy};
+use retry::RetryBudgets;
 use run::Run;
 
 use crate::control::config::Setting;
-use crate::link::message::{Answer, Request};
-use crate::model::{BootId, CallId, EndpointState, ExchangeId, Refusal, RefusalReason, Timestamp};
+use crate::link::message::{AgentReply, Answer, Reply, Request};
+use crate::model::{
+    BootId, Call, CallId, CallKind, EndpointState, ExchangeId, Ran, Refusal, RefusalReason,
+    Timestamp,
+};
 use crate::registry::{Follower, FollowerSettings};
 use crate::role::{Input, Output, Role};
 
@@ -101,7 +108,11 @@
 pub(crate) struct Shared {
     pub(crate) follower: Follower,
     pub(crate) endpoints: BTreeMap<Box<str>, EndpointState>,
+    pub(crate) fleet: Fleet,
     pub(crate) placement: Box<dyn Placement + Send>,
+    pub(crate) policy: Policy,
+    pub(crate) admission: Admission,
+    pub(crate) retries: RetryBudgets,
     pub(crate) proposer: Proposer,
     boot: BootId,
     last_exchange: u64,
@@ -141,6 +152,26 @@
         self.owners.remove(&exchange);
     }
 
+    /// Returns the endpoint that an attempt goes to.
+    pub(crate) fn place(&mut self, now: Timestamp, need: &Need<'_>) -> Option<EndpointState> {
+        let key = self.placement.choose(now, need, &self.fleet)?;
+        if let Some(prefix) = need.prefix {
+            self.placement.prefilled(now, prefix, key);
+        }
+        self.fleet.get(key).map(|e| e.state.clone())
+    }
+
+    /// Returns how long the prefill of a call may take; `None` if the call didn't queue.
+    pub(crate) fn prefill_within(
+        &self,
+        now: Timestamp,
+        call: CallId,
+        pool: &str,
+    ) -> Option<Duration> {
+        let due = self.admission.due(call)?;
+        Some((due - now).saturating_sub(self.fleet.import_time(now, pool)))
+    }
+
     pub(crate) fn boot(&self) -> BootId {
         self.boot
     }
@@ -150,6 +181,7 @@
 struct Scheduled {
     run: Run,
     timer: Timestamp,
+    tenant: Box<str>,
 }
 
 /// The entry role.
@@ -159,6 +191,7 @@
     runs: BTreeMap<CallId, Scheduled>,
     /// When each run wants to wake.
     timers: BTreeSet<(Timestamp, CallId)>,
+    limits: Limits,
     stopping: Option<Timestamp>,
     /// Since when an entry that leaves has no calls.
     quiet: Option<Timestamp>,
@@ -171,7 +204,12 @@
         tenants: Tenants,
         placement: Box<dyn Placement + Send>,
     ) -> Entry {
+        let policy = placement.policy();
         let shared = Shared {
+            fleet: Fleet::new(policy.health),
+            policy,
+            admission: Admission::default(),
+            retries: RetryBudgets::new(settings.follower.boot.0),
             proposer: Proposer::new(settings.follower.members.clone()),
             boot: settings.follower.boot,
             follower: Follower::new(settings.follower),
@@ -180,30 +218,87 @@
             last_exchange: 0,
             owners: BTreeMap::new(),
         };
-        let (runs, timers) = (BTreeMap::new(), BTreeSet::new());
-        Entry { shared, tenants, runs, timers, stopping: None, quiet: None }
+        Entry {
+            shared,
+            tenants,
+            runs: BTreeMap::new(),
+            timers: BTreeSet::new(),
+            limits: Limits::default(),
+            stopping: None,
+            quiet: None,
+        }
     }
 
     fn arrived(&mut self, now: Timestamp, call: CallId, raw: RawCall) -> Outputs {
+        let key_open = raw.may_have_run_before();
         match self.admit(now, raw) {
-            Ok(checked) => {
-                let (run, outputs) = Run::start(&mut self.shared, now, call, checked);
-                if !run.is_done() {
-                    let timer = run.next_wake();
-                    self.timers.insert((timer, call));
-                    self.runs.insert(call, Scheduled { run, timer });
-                }
-                outputs
+            Ok(checked) if self.queues(&checked) => {
+                let shared = &mut self.shared;
+                let config = shared.follower.config();
+                let decision = shared.admission.offer(now, call, checked, config, &shared.fleet);
+                decision.map(|d| self.decided(now, d)).unwrap_or_default()
             }
-            Err(refusal) => {
-                log::info!("step=refuse call={call} {refusal}");
-                let outcome = Terminal::Refused(refusal);
-                vec![Output::Effect(CallerEffect::Finish { call, outcome })]
+            Ok(checked) => self.start(now, call, checked),
+            Err(refusal) => refused(call, refusal, key_open),
+        }
+    }
+
+    /// Returns whether a call waits for room in this entry.
+    fn queues(&self, call: &Call) -> bool {
+        self.shared.policy.admission && matches!(call.kind, CallKind::Model { .. })
+    }
+
+    fn start(&mut self, now: Timestamp, call: CallId, checked: Call) -> Outputs {
+        let setting = Setting::RetryPercent;
+        let config = self.shared.follower.config();
+        let percent = config.value(setting, &checked.tenant, &checked.pool, checked.class);
+        self.shared.retries.earn(checked.class, percent);
+        let tenant = checked.tenant.clone();
+        let (run, outputs) = Run::start(&mut self.shared, now, call, checked);
+        if run.is_done() {
+            self.ended(call, &tenant);
+        } else {
+            let timer = run.next_wake();
+            self.timers.insert((timer, call));
+            self.runs.insert(call, Scheduled { run, timer, tenant });
+        }
+        outputs
+    }
+
+    fn ended(&mut self, call: CallId, tenant: &str) {
+        self.limits.leave(tenant);
+        self.shared.admission.finished(call);
+        self.shared.fleet.finished(call);
+    }
+
+    fn decided(&mut self, now: Timestamp, decision: Decision) -> Outputs {
+        match decision {
+            Decision::Start(ticket) => self.start(now, ticket.id, ticket.call),
+            Decision::Refuse(ticket, refusal) => {
+                self.limits.leave(&ticket.call.tenant);
+                refused(ticket.id, refusal, claim::claim_key(&ticket.call).is_some())
             }
         }
     }
 
-    fn admit(&self, now: Timestamp, raw: RawCall) -> Result<crate::model::Call, Refusal> {
+    /// Starts the calls that have room and refuses those that are too late.
+    fn pump(&mut self, now: Timestamp) -> Outputs {
+        let mut outputs = Vec::new();
+        while let Some(decision) = self.shared.admission.next(now, &self.shared.fleet) {
+            let decided = self.decided(now, decision);
+            self.sent(now, &decided);
+            outputs.extend(decided);
+        }
+        outputs
+    }
+
+    fn sent(&mut self, now: Timestamp, outputs: &Outputs) {
+        for output in outputs {
+            self.shared.fleet.sent(now, output);
+        }
+    }
+
+    fn admit(&mut self, now: Timestamp, raw: RawCall) -> Result<crate::model::Call, Refusal> {
         if self.stopping.is_some() {
             let detail = "this entry is shutting down";
             return Err(Refusal::not_run(RefusalReason::Draining, RETRY_AFTER, detail));
@@ -215,7 +310,7 @@
             return Err(Refusal::not_run(RefusalReason::NoConfig, RETRY_AFTER, detail));
         }
         let call = check::check(now, raw, config, &self.tenants)?;
-        admit::admit(now, &call, config, self.runs.values().filter_map(|s| s.run.waiting_call()))?;
+        self.limits.enter(&call, config)?;
         Ok(call)
     }
 
@@ -236,11 +331,20 @@
         }
         if done {
             self.timers.remove(&(timer, call));
-            self.runs.remove(&call);
+            if let Some(scheduled) = self.runs.remove(&call) {
+                self.ended(call, &scheduled.tenant);
+            }
         }
         outputs
     }
 
+    fn gone(&mut self, now: Timestamp, call: CallId) -> Outputs {
+        if let Some(ticket) = self.shared.admission.remove(call) {
+            self.limits.leave(&ticket.call.tenant);
+        }
+        self.with_run(call, |run, shared| run.gone(shared, now))
+    }
+
     fn heartbeats(&mut self, now: Timestamp) -> Outputs {
         let last = &mut self.shared.last_exchange;
         self.shared.follower.wake(now, None, None, &mut || {
@@ -251,7 +355,8 @@
 
     /// Returns whether nothing is left to do for any caller, and the balancer had its notice.
     fn has_stopped(&mut self, now: Timestamp) -> bool {
-        if self.stopping.is_some() && self.runs.is_empty() {
+        let idle = self.runs.is_empty() && self.shared.admission.is_empty();
+        if self.stopping.is_some() && idle {
             self.quiet.get_or_insert(now);
         }
         self.stop_time().is_some_and(|at| at <= now)
@@ -281,16 +386,17 @@
     type Effect = CallerEffect;
 
     fn step(&mut self, now: Timestamp, input: Input<CallerInput>) -> Outputs {
+        let moves = may_free_room(&input);
         let mut outputs = match input {
             Input::Local(CallerInput::Arrived { call, raw }) => self.arrived(now, call, raw),
-            Input::Local(CallerInput::Gone { call }) => {
-                self.with_run(call, |run, shared| run.gone(shared, now))
-            }
+            Input::Local(CallerInput::Gone { call }) => self.gone(now, call),
             Input::Reply { exchange, envelope } => {
                 self.shared.follower.observe(now, envelope.revised);
+                self.shared.fleet.heard(now, exchange, &envelope.body);
                 if self.shared.follower.reply(now, exchange, &envelope.body) {
                     if let Some(endpoints) = self.shared.follower.changed_endpoints(now) {
                         self.shared.endpoints = endpoints;
+                        self.shared.fleet.update(&self.shared.endpoints);
                     }
                     Vec::new()
                 } else if let Some(call) = self.shared.owners.get(&exchange).copied() {
@@ -301,6 +407,7 @@
                 }
             }
             Input::Closed { exchange, failure } => {
+                self.shared.fleet.closed(now, exchange, failure);
                 if self.shared.follower.closed(exchange) {
                     Vec::new()
                 } else if let Some(call) = self.shared.owners.remove(&exchange) {
@@ -316,6 +423,10 @@
             }
             Input::Request { .. } | Input::Abandoned { .. } => Vec::new(),
         };
+        self.sent(now, &outputs);
+        if moves {
+            outputs.extend(self.pump(now));
+        }
         if self.has_stopped(now) {
             outputs.push(Output::Stopped);
         }
@@ -324,6 +435,24 @@
 
     fn next_wake(&self) -> Option<Timestamp> {
         let runs = self.timers.first().map(|(at, _)| *at);
-        [runs, self.stop_time(), self.shared.follower.next_wake()].into_iter().flatten().min()
+        let queue = self.shared.admission.next_wake();
+        let rest = [self.stop_time(), self.shared.follower.next_wake()];
+        [runs, queue].into_iter().chain(rest).flatten().min()
+    }
+}
+
+/// Returns whether an input can change which waiting calls start; tokens never do.
+fn may_free_room(input: &Input<CallerInput>) -> bool {
+    let Input::Reply { envelope, .. } = input else { return true };
+    !matches!(envelope.body, Reply::Agent(AgentReply::Part { .. } | AgentReply::Alive))
+}
+
+/// Refuses a call that was never started; an earlier call with its key may have run.
+fn refused(call: CallId, mut refusal: Refusal, key_open: bool) -> Outputs {
+    if key_open && !refusal.reason.is_about_content() {
+        refusal.ran = refusal.ran.max(Ran::Maybe);
     }
+    log::info!("step=refuse call={call} {refusal}");
+    let outcome = Terminal::Refused(refusal);
+    vec![Output::Effect(CallerEffect::Finish { call, outcome })]
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, missing_docs)]
 
+pub mod relay;
+
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -125,6 +127,9 @@
     pub controls: Vec<Process>,
     pub entries: Vec<EntryProcess>,
     pub endpoints: Vec<Endpoint>,
+    /// Whether the next agents are reached through relays, one each.
+    pub relayed: bool,
+    pub relays: Vec<relay::Relay>,
     count: usize,
 }
 
@@ -155,6 +160,8 @@
             controls: Vec::new(),
             entries: Vec::new(),
             endpoints: Vec::new(),
+            relayed: false,
+            relays: Vec::new(),
             count: 0,
         };
         let made = fleet.tool(&["keys", &fleet.path("keys")])?;
@@ -188,12 +195,18 @@
 
     /// Starts an entry.
     pub fn entry(&mut self, domain: &str) -> eyre::Result<usize> {
+        self.entry_with(domain, &[])
+    }
+
+    /// Starts an entry with more flags.
+    pub fn entry_with(&mut self, domain: &str, extra: &[&str]) -> eyre::Result<usize> {
         let name = format!("entry-{}", self.entries.len());
         let (callers, pages) = (free_tcp()?, free_tcp()?);
         let mut args = self.common("entry", &name, domain, free_udp()?);
         args.extend(["--callers".into(), callers.to_string()]);
         args.extend(["--pages".into(), pages.to_string()]);
         args.extend(["--tenants".into(), self.path("tenants")]);
+        args.extend(extra.iter().map(|a| (*a).to_string()));
         let process = Process::start(&program("dotterelpind"), &args, &name, &self.folder)?;
         let url = format!("http://{callers}");
         self.entries.push(EntryProcess { process, url, pages });
@@ -227,7 +240,13 @@
         let (listen, pages) = (free_tcp()?, free_tcp()?);
         args.extend(["--listen".into(), listen.to_string()]);
         args.extend(["--agent".into(), pages.to_string()]);
-        let mut agent_args = self.common("agent", &name, domain, free_udp()?);
+        let address = free_udp()?;
+        let mut agent_args = self.common("agent", &name, domain, address);
+        if self.relayed {
+            let relay = relay::Relay::start(address)?;
+            agent_args.extend(["--advertise".into(), relay.address.to_string()]);
+            self.relays.push(relay);
+        }
         agent_args.extend(["--pages".into(), pages.to_string()]);
         let agent = Process::start(&program("dotterelpind"), &agent_args, &name, &self.folder)?;
         let stand_in_name = format!("{name}-stand-in");
@@ -441,7 +460,7 @@
     exe.ancestors().nth(2).map(Path::to_path_buf).unwrap_or_default()
 }
 
-fn program(name: &str) -> PathBuf {
+pub fn program(name: &str) -> PathBuf {
     build_folder().join(name)
 }
 
--- a/tests/world/engine.rs
+++ b/tests/world/engine.rs
@@ -21,6 +21,7 @@
         pool: "cs-summary".into(),
         capacity: Capacity { slots: SLOTS as u32, pieces: 60, piece_tokens: 2_000 },
         fenced: false,
+        artifact: None,
         boot: BootId(1),
         artifact: None,
     }
