--- a/benches/policy/world.rs
+++ b/benches/policy/world.rs
@@ -13,7 +13,7 @@
 use dotterelpin::entry::check::{RawCall, Tenants, credential_hash};
 use dotterelpin::entry::{CallerEffect, CallerInput, Entry, EntrySettings, Terminal};
 use dotterelpin::link::message::{
-    Beat, ControlReply, ControlRequest, Endpoints, Envelope, Proof, Reply, Request, Seen,
+    Beat, ControlReply, ControlRequest, Endpoints, Envelope, Proof, Reply, Request, Seen, Update,
 };
 use dotterelpin::model::{
     Announcement, BootId, CallId, Capacity, Class, EndpointKind, EndpointState, ExchangeId, Fence,
@@ -482,7 +482,7 @@
                         epoch: 0,
                         voters: vec![address(1)],
                     }),
-                    config: config.then(|| self.config.clone()),
+                    config: config.then(|| Update::Whole(self.config.clone())),
                     seen: Seen::default(),
                     endpoints,
                     orders: Some(Marked { mark: Fence(0), desired: None }),
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -48,6 +48,7 @@
         capacity: Capacity { slots: 20, pieces: 80, piece_tokens: 2_000 },
         load: Load::default(),
         draining: false,
+        sequence: 0,
         fence: Fence(0),
     }
 }
