Show a rollout with processes, through restarts of control, agent and engine

The stand-in engine takes time for an order, keeps what it has loaded and says so when it announces itself; an agent whose engine has restarted forgets what it had loaded and orders it again.

The process test keeps a stream of calls going through two rollouts and a restart of the only control member, with two fenced and two unfenced engines: no call is refused or cut off, each engine's numbers only rise, a resend gets the first number, and a rollout leaves an operator's drain as it is.

--- a/examples/stand_in_engine.rs
+++ b/examples/stand_in_engine.rs
@@ -60,6 +60,9 @@
     /// milliseconds that a transfer of a thousand tokens takes
     #[argh(option, default = "2")]
     transfer_ms: u64,
+    /// milliseconds that an order takes
+    #[argh(option, default = "0")]
+    load_ms: u64,
     /// refuse orders with old fencing numbers
     #[argh(switch)]
     fenced: bool,
@@ -77,6 +80,7 @@
     running: BTreeMap<String, bool>,
     exports: BTreeMap<String, Export>,
     orders: Vec<(u64, String)>,
+    artifact: Option<String>,
     fence: u64,
     stall: Option<Instant>,
     crash_on: Option<String>,
@@ -237,7 +241,12 @@
             return (409, json!({ "error": "old fencing number" }));
         }
         state.fence = state.fence.max(fence);
-        state.orders.push((fence, text(body, "order")));
+        state.orders.push((fence, text(body, "artifact")));
+        drop(state);
+        std::thread::sleep(Duration::from_millis(self.args.load_ms));
+        if let Some(artifact) = body["artifact"].as_str() {
+            self.lock().artifact = Some(artifact.to_string());
+        }
         (200, json!({}))
     }
 
@@ -264,6 +273,7 @@
             "prefills": state.prefills,
             "tokens": state.tokens,
             "orders": state.orders,
+            "artifact": state.artifact,
         })
     }
 
@@ -319,8 +329,9 @@
     since.as_micros() as u64
 }
 
-fn announce(args: &Args) {
-    let body = json!({
+fn announce(engine: &Engine) {
+    let args = &engine.args;
+    let mut body = json!({
         "url": format!("http://{}", args.listen),
         "kind": args.kind,
         "pool": args.pool,
@@ -331,6 +342,7 @@
         "boot": boot(),
     });
     loop {
+        body["artifact"] = json!(engine.lock().artifact);
         let _ = ureq::post(format!("http://{}/announce", args.agent)).send_json(&body);
         std::thread::sleep(ANNOUNCE_INTERVAL);
     }
@@ -339,9 +351,9 @@
 fn main() -> eyre::Result<()> {
     let args: Args = argh::from_env();
     let server = Server::http(&args.listen).map_err(|e| eyre!("listen: {e}"))?;
-    let announcer = args.clone();
-    std::thread::spawn(move || announce(&announcer));
     let engine = Arc::new(Engine { args, state: Mutex::new(State::default()) });
+    let announcer = engine.clone();
+    std::thread::spawn(move || announce(&announcer));
     for request in server.incoming_requests() {
         let engine = engine.clone();
         std::thread::spawn(move || engine.serve(request));
--- a/src/agent/events.rs
+++ b/src/agent/events.rs
@@ -58,6 +58,9 @@
             log::info!("step=announce url={} pool={}", announcement.url, announcement.pool);
             self.next_list = now;
         }
+        if restarted {
+            self.orders.crashed();
+        }
         self.orders.announced(announcement.artifact.as_deref());
         self.endpoint = Some(announcement);
         let mut outputs = self.next_order(now);
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -3,10 +3,13 @@
 //!
 //! DOTTERELPIN_FUZZ_CASES sets how many cases run.
 
+mod common;
+
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use common::{Fleet, open_stream, wait_for};
 use dotterelpin::agent::orders::{EngineOrder, Orders};
 use dotterelpin::control::orders::plan::plan;
 use dotterelpin::control::orders::rollout::RolloutCommand;
@@ -408,3 +411,87 @@
     });
     result.unwrap();
 }
+
+/// Returns the numbers of the orders that an engine took, and what it has loaded.
+fn engine_orders(fleet: &Fleet, endpoint: usize) -> (Vec<u64>, Option<String>) {
+    let counts = fleet.endpoints[endpoint].counts().unwrap();
+    let orders = counts["orders"].as_array().cloned().unwrap_or_default();
+    let numbers = orders.iter().filter_map(|o| o[0].as_u64()).collect();
+    (numbers, counts["artifact"].as_str().map(Into::into))
+}
+
+fn wait_for_artifact(fleet: &Fleet, artifact: &str) {
+    wait_for(Duration::from_secs(60), || {
+        let status: serde_json::Value =
+            serde_json::from_str(&fleet.tool_text(&["--json", "status"])?)?;
+        let endpoints = status["endpoints"].as_array().cloned().unwrap_or_default();
+        eyre::ensure!(endpoints.len() == fleet.endpoints.len(), "endpoints: {status}");
+        for (at, endpoint) in endpoints.iter().enumerate() {
+            let (_, has) = engine_orders(fleet, at);
+            eyre::ensure!(has.as_deref() == Some(artifact), "endpoint {at} has {has:?}");
+            eyre::ensure!(endpoint["draining"] == false, "{endpoint} takes no work");
+        }
+        Ok(())
+    })
+    .unwrap();
+}
+
+#[test]
+fn rollout_goes_on_after_control_agent_and_engine_restart_and_refuses_nobody() {
+    let mut fleet = Fleet::new(1).unwrap();
+    fleet.entry("brno-a").unwrap();
+    for (kind, domain) in [("prefill", "brno-a"), ("prefill", "brno-b")] {
+        fleet.engine(kind, domain, &["--fenced", "--load-ms", "300"]).unwrap();
+    }
+    for (kind, domain) in [("decode", "brno-a"), ("decode", "brno-b")] {
+        fleet.engine(kind, domain, &["--load-ms", "300"]).unwrap();
+    }
+    fleet.wait_ready().unwrap();
+    let url = fleet.entries[0].url.clone();
+    let (stop, stopped) = std::sync::mpsc::channel::<()>();
+    let load = std::thread::spawn(move || {
+        let mut results = Vec::new();
+        while stopped.try_recv().is_err() {
+            results.push(open_stream(&url, "Lesson plan: clouds.", 20).and_then(|s| s.read_all()));
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        results
+    });
+    let rollout = |artifact: &str, id: &str| {
+        let args = ["rollout", "cs-summary", artifact, "--floor", "1", "--author", "t", "--id", id];
+        fleet.tool_text(&args).unwrap()
+    };
+    let first = rollout("model:cs-summary@1", "first");
+    assert_eq!(first, rollout("model:cs-summary@1", "first"), "a resend got another number");
+    wait_for_artifact(&fleet, "model:cs-summary@1");
+    rollout("model:cs-summary@2", "second");
+    std::thread::sleep(Duration::from_millis(700));
+    fleet.controls[0].restart().unwrap();
+    wait_for_artifact(&fleet, "model:cs-summary@2");
+    let _ = stop.send(());
+    for result in load.join().unwrap() {
+        let streamed = result.unwrap();
+        assert!(streamed.done && streamed.error.is_none(), "{streamed:?}");
+    }
+    for endpoint in 0..fleet.endpoints.len() {
+        let (numbers, _) = engine_orders(&fleet, endpoint);
+        assert!(numbers.is_sorted(), "endpoint {endpoint} took orders {numbers:?}");
+    }
+    fleet.endpoints[2].agent.restart().unwrap();
+    fleet.endpoints[3].stand_in.restart().unwrap();
+    wait_for_artifact(&fleet, "model:cs-summary@2");
+    fleet.tool_text(&["drain", "decode-3", "--author", "t"]).unwrap();
+    fleet.endpoints[2].agent.restart().unwrap();
+    fleet.tool_text(&["rollout", "cs-summary", "model:cs-summary@1", "--author", "t"]).unwrap();
+    wait_for(Duration::from_secs(30), || {
+        let (_, has) = engine_orders(&fleet, 2);
+        eyre::ensure!(has.as_deref() == Some("model:cs-summary@1"), "it has {has:?}");
+        Ok(())
+    })
+    .unwrap();
+    std::thread::sleep(Duration::from_secs(2));
+    let status = fleet.tool_text(&["--json", "status"]).unwrap();
+    let status: serde_json::Value = serde_json::from_str(&status).unwrap();
+    let drained = status["endpoints"].as_array().unwrap().iter().find(|e| e["name"] == "decode-3");
+    assert_eq!(drained.unwrap()["draining"], true, "a rollout undid an operator's drain");
+}
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -459,6 +459,7 @@
             report: None,
             suspects: 0,
             schema: 1,
+            whole: false,
         }
     };
     let now = Timestamp::from_micros(1);
