--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -278,3 +278,99 @@
     }
     assert_matches!(&last[..], [.., Output::Reply { .. }, Output::Stopped]);
 }
+
+#[test]
+fn agent_takes_no_work_before_it_knows_its_orders_nor_when_they_drain_it() {
+    use dotterelpin::agent::engine::EngineInput;
+    use dotterelpin::agent::{Agent, AgentSettings};
+    use dotterelpin::control::orders::{Desired, Marked};
+    use dotterelpin::link::message::{
+        AgentReply, AgentRequest, Beat, ControlReply, Envelope, Proof, Reply, Request, Seen,
+    };
+    use dotterelpin::model::{
+        Announcement, BootId, CallId, Capacity, Class, EndpointKind, Fence, InboundId, Ran,
+        RefusalReason, RequestId, Revision, Timestamp,
+    };
+    use dotterelpin::registry::FollowerSettings;
+    use dotterelpin::role::{Input, Output, Role};
+
+    let members: Vec<std::net::SocketAddr> = (1..4).map(|i| ([10, 0, 0, i], 7000).into()).collect();
+    let follower = FollowerSettings {
+        name: "decode-1".into(),
+        role: "agent".into(),
+        domain: "brno-a".into(),
+        boot: BootId(7),
+        members: members.clone(),
+        endpoints: false,
+    };
+    let mut agent = Agent::new(AgentSettings { follower, address: ([10, 0, 1, 1], 7000).into() });
+    let now = Timestamp::from_micros(1_000_000);
+    agent.step(
+        now,
+        Input::Local(EngineInput::Announced(Announcement {
+            url: "http://10.0.1.1:8000".into(),
+            kind: EndpointKind::Decode,
+            pool: "cs-summary".into(),
+            capacity: Capacity { slots: 20, pieces: 60, piece_tokens: 2000 },
+            fenced: false,
+            artifact: None,
+            boot: BootId(1),
+        })),
+    );
+    let beats: Vec<_> = agent
+        .step(now, Input::Wake)
+        .into_iter()
+        .filter_map(|o| match o {
+            Output::Open { exchange, peer, .. } => Some((exchange, peer)),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(beats.len(), 3);
+    let mut count = 0;
+    let mut reserve = |agent: &mut Agent| {
+        count += 1;
+        let request = RequestId { owner: BootId(2), call: CallId(count), attempt: 1 };
+        let lease = Duration::from_secs(1);
+        let body = Request::Agent(AgentRequest::Reserve {
+            request,
+            class: Class::Batch,
+            tokens: 100,
+            lease,
+        });
+        let envelope = Envelope { revised: Default::default(), body };
+        let outputs = agent.step(now, Input::Request { inbound: InboundId(count), envelope });
+        outputs.into_iter().find_map(|o| match o {
+            Output::Reply { envelope, .. } => match envelope.body {
+                Reply::Agent(AgentReply::Refused(r)) => Some((r.reason, r.ran)),
+                _ => None,
+            },
+            _ => None,
+        })
+    };
+    let hear = |agent: &mut Agent, at: usize, mark: u64, desired: Option<Desired>| {
+        let (exchange, member) = beats[at];
+        let proof = Proof { member, highest: Revision(0), epoch: 0, voters: members.clone() };
+        let beat = Beat {
+            member: "control".into(),
+            proof: Some(proof),
+            config: None,
+            seen: Seen::default(),
+            endpoints: None,
+            orders: Some(Marked { mark: Fence(mark), desired }),
+            suspects: None,
+        };
+        let body = Reply::Control(ControlReply::Beat(beat));
+        let envelope = Envelope { revised: Default::default(), body };
+        agent.step(now, Input::Reply { exchange, envelope });
+    };
+    let unknown = Some((RefusalReason::NoConfig, Ran::No));
+    assert_eq!(reserve(&mut agent), unknown, "no member has answered");
+    let old = Desired { fence: Fence(3), ..Desired::default() };
+    hear(&mut agent, 0, 3, Some(old));
+    assert_eq!(reserve(&mut agent), unknown, "one of three members has answered");
+    hear(&mut agent, 1, 5, None);
+    assert_eq!(reserve(&mut agent), unknown, "a higher number is known, its order isn't");
+    let drain = Desired { fence: Fence(5), draining: true, ..Desired::default() };
+    hear(&mut agent, 2, 5, Some(drain));
+    assert_eq!(reserve(&mut agent), Some((RefusalReason::Draining, Ran::No)));
+}
