Show metrics on the pages: calls by tenant and class, exchanges, steps and more

Cause: nothing was counted. Roles stay free of global state: a role pushes Output::Observe with a typed Observation, which its driver gives to the process's Metrics; what passes a driver anyway (exchanges by kind, time and age, steps, revisions) is counted there without the role. To add an observation: a variant in src/report/observation.rs, a push in a step, an arm in Metrics::observe. In an entry the meter watches what goes out, so the run knows nothing of it. Ruled out: a trait object passed into the steps (decision code would call out), counting in the callers' shell (it knows neither tenant nor class). Tenants past 200 are counted together. Not counted yet: the time of a disk sync by itself (it is inside exchange_seconds{kind=propose}).

--- a/benches/policy/world.rs
+++ b/benches/policy/world.rs
@@ -440,7 +440,8 @@
                 }
             }
             Output::Effect(effect) => self.caller(effect),
-            Output::Reply { .. } | Output::Redial { .. } | Output::Stopped => {}
+            Output::Reply { .. } | Output::Redial { .. } | Output::Observe(_) | Output::Stopped => {
+            }
         }
     }
 
@@ -477,6 +478,7 @@
                 let beat = Beat {
                     member: "control".into(),
                     proof: Some(Proof {
+                        member: address(1),
                         highest: self.config.revision,
                         epoch: 0,
                         voters: vec![address(1)],
--- a/benches/replica.rs
+++ b/benches/replica.rs
@@ -334,7 +334,8 @@
         let driver = Driver::new();
         let report = report.clone();
         let role = Subscriber { follower: Follower::new(settings), last: 0, report };
-        driver.start("subscriber", role, link.handle(), Nothing)?;
+        let metrics = std::sync::Arc::new(dotterelpin::report::metrics::Metrics::new()?);
+        driver.start("subscriber", role, link.handle(), Nothing, metrics)?;
         link.start(Arc::new(|_| None))?;
     }
     Ok(())
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -25,6 +25,7 @@
     RefusalReason, RequestId, Timestamp,
 };
 use crate::registry::{Follower, FollowerSettings};
+use crate::report::observation::Observation;
 use crate::role::{Input, Output, Role};
 
 /// How often an exchange with nothing to say is shown to stand.
@@ -208,6 +209,7 @@
         outputs.extend(self.next_order(now));
         for (request, inbound) in self.ledger.lapse(now) {
             log::info!("step=lapse request={request}");
+            outputs.push(Output::Observe(Observation::LeaseLapsed));
             outputs.extend(self.refuse(inbound, RefusalReason::Stale, "the reservation lapsed"));
         }
         outputs.extend(self.start_prefills(now));
--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -21,6 +21,7 @@
 use crate::link::{Link, Request, Route, Sink};
 use crate::model::{BootId, Timestamp};
 use crate::registry::FollowerSettings;
+use crate::report::metrics::Metrics;
 use crate::report::pages::Pages;
 use crate::role::{Driver, Input};
 
@@ -48,11 +49,13 @@
         control: settings.roles.contains(&RoleName::Control).then(Driver::new),
     };
     let ready = Arc::new(AtomicBool::new(true));
+    let metrics = Arc::new(Metrics::new()?);
     on_signal(&drivers, ready.clone())?;
     let control = drivers.control.as_ref().map(Driver::handle);
     let url = Arc::new(Mutex::new(None));
     if let Some(address) = settings.pages {
-        let pages = Pages { ready, announce: announcer(&drivers, url.clone()) };
+        let announce = announcer(&drivers, url.clone());
+        let pages = Pages { ready, announce, metrics: metrics.clone() };
         pages.start(address)?;
     }
     let handle = link.handle();
@@ -71,13 +74,13 @@
             replica: ReplicaSettings::new(settings.advertise, members, boot.0),
         };
         let control = Control::new(who, stored)?;
-        keeper = Some(driver.start("control", control, handle.clone(), disk)?);
+        keeper = Some(driver.start("control", control, handle.clone(), disk, metrics.clone())?);
     }
     if let Some(driver) = drivers.agent {
         let engine = HttpEngine::new(url, driver.handle());
         let follower = follower(&settings, boot, "agent");
         let agent = Agent::new(AgentSettings { follower, address: settings.advertise });
-        traffic.push(driver.start("agent", agent, handle.clone(), engine)?);
+        traffic.push(driver.start("agent", agent, handle.clone(), engine, metrics.clone())?);
     }
     let mut caller_server = None;
     if let Some(driver) = drivers.entry {
@@ -88,7 +91,7 @@
         caller_server = Some(server);
         let who = EntrySettings { follower: follower(&settings, boot, "entry") };
         let entry = Entry::new(who, tenants, Box::new(RoundRobin::default()));
-        traffic.push(driver.start("entry", entry, handle.clone(), callers)?);
+        traffic.push(driver.start("entry", entry, handle.clone(), callers, metrics.clone())?);
     }
     link.start(route)?;
     log::info!("step=start name={} domain={} boot={boot}", settings.name, settings.domain);
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -27,6 +27,7 @@
 };
 use crate::model::{BootId, EndpointState, Fence, InboundId, Timestamp};
 use crate::registry::Registry;
+use crate::report::observation::Observation;
 use crate::role::{Input, Output, Role};
 
 /// The most bytes of a command, so that each record fits into one message.
@@ -434,7 +435,10 @@
             Input::Local(input) => self.disk(now, input),
             Input::Wake => {
                 self.registry.expire(now);
-                self.replica_step(now, ReplicaInput::Wake)
+                let (processes, endpoints) = self.registry.counts();
+                let mut outputs = self.replica_step(now, ReplicaInput::Wake);
+                outputs.push(Output::Observe(Observation::Registry { processes, endpoints }));
+                outputs
             }
             Input::Shutdown => {
                 self.stopping.get_or_insert(now);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -8,6 +8,7 @@
 pub mod check;
 pub mod claim;
 pub mod health;
+mod meter;
 pub mod place;
 pub mod retry;
 mod run;
@@ -18,6 +19,7 @@
 use admit::{Admission, Decision, Limits};
 use check::{RawCall, Tenants};
 use claim::Proposer;
+use meter::Meter;
 use place::{Fleet, Need, Placement, Policy};
 use retry::RetryBudgets;
 use run::Run;
@@ -192,6 +194,7 @@
     /// When each run wants to wake.
     timers: BTreeSet<(Timestamp, CallId)>,
     limits: Limits,
+    meter: Meter,
     stopping: Option<Timestamp>,
     /// Since when an entry that leaves has no calls.
     quiet: Option<Timestamp>,
@@ -224,6 +227,7 @@
             runs: BTreeMap::new(),
             timers: BTreeSet::new(),
             limits: Limits::default(),
+            meter: Meter::default(),
             stopping: None,
             quiet: None,
         }
@@ -231,7 +235,11 @@
 
     fn arrived(&mut self, now: Timestamp, call: CallId, raw: RawCall) -> Outputs {
         let key_open = raw.may_have_run_before();
-        match self.admit(now, raw) {
+        let admitted = self.admit(now, raw);
+        if let Ok(checked) = &admitted {
+            self.meter.arrived(now, call, checked, self.shared.follower.config());
+        }
+        match admitted {
             Ok(checked) if self.queues(&checked) => {
                 let shared = &mut self.shared;
                 let config = shared.follower.config();
@@ -254,6 +262,7 @@
         let percent = config.value(setting, &checked.tenant, &checked.pool, checked.class);
         self.shared.retries.earn(checked.class, percent);
         let tenant = checked.tenant.clone();
+        self.meter.started(now, call);
         let (run, outputs) = Run::start(&mut self.shared, now, call, checked);
         if run.is_done() {
             self.ended(call, &tenant);
@@ -342,7 +351,9 @@
         if let Some(ticket) = self.shared.admission.remove(call) {
             self.limits.leave(&ticket.call.tenant);
         }
-        self.with_run(call, |run, shared| run.gone(shared, now))
+        let mut outputs = self.with_run(call, |run, shared| run.gone(shared, now));
+        outputs.extend(self.meter.gone(now, call));
+        outputs
     }
 
     fn heartbeats(&mut self, now: Timestamp) -> Outputs {
@@ -427,6 +438,7 @@
         if moves {
             outputs.extend(self.pump(now));
         }
+        self.meter.pass(now, &mut outputs, &self.shared.owners);
         if self.has_stopped(now) {
             outputs.push(Output::Stopped);
         }
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -52,6 +52,11 @@
 }
 
 impl Registry {
+    /// Returns how many processes and endpoints are known.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.names.len(), self.agents.len())
+    }
+
     /// Makes the registry of a control member that has just started.
     pub fn new(epoch: BootId) -> Registry {
         Registry {
--- /dev/null
+++ b/src/report/metrics.rs
@@ -0,0 +1,261 @@
+//! The metrics of a process, in the text form of Prometheus.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use eyre::WrapErr;
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
+};
+
+use super::observation::{CallEnd, CallSummary, Observation};
+use crate::link::message::{AgentRequest, ControlRequest, Request};
+use crate::model::{InboundId, Revision};
+
+/// Tenants with histograms of their own; all further ones are counted together.
+const MAX_TENANTS: usize = 200;
+/// The label of the tenants that are counted together.
+const OTHER_TENANTS: &str = "other";
+/// Upper bounds of seconds from a tenth of a millisecond to two minutes.
+const SECONDS: [f64; 16] = [
+    0.000_1, 0.000_5, 0.001, 0.002, 0.005, 0.01, 0.026, 0.05, 0.1, 0.25, 0.51, 1.0, 2.5, 10.0,
+    30.0, 120.0,
+];
+/// Ages by which open exchanges are counted.
+const AGES: [(&str, Duration); 3] = [
+    ("1s", Duration::from_secs(1)),
+    ("10s", Duration::from_secs(10)),
+    ("60s", Duration::from_secs(60)),
+];
+
+/// An exchange that a peer has open at a role of this process.
+#[derive(Debug)]
+struct OpenExchange {
+    kind: &'static str,
+    since: Instant,
+}
+
+/// All metrics of a process.
+pub struct Metrics {
+    registry: Registry,
+    tenants: Mutex<BTreeSet<Box<str>>>,
+    open: Mutex<BTreeMap<InboundId, OpenExchange>>,
+    calls: IntCounterVec,
+    good: IntCounterVec,
+    queued: HistogramVec,
+    first_token: HistogramVec,
+    token_time: HistogramVec,
+    total: HistogramVec,
+    refusals: IntCounterVec,
+    prefills: IntCounter,
+    wasted: IntCounter,
+    lapsed: IntCounter,
+    revision: IntGaugeVec,
+    processes: IntGauge,
+    endpoints: IntGauge,
+    exchanges: HistogramVec,
+    open_by_age: IntGaugeVec,
+    steps: HistogramVec,
+}
+
+impl Metrics {
+    /// Makes metrics that are all zero.
+    pub fn new() -> eyre::Result<Metrics> {
+        let registry = Registry::new();
+        let caller = ["tenant", "class"];
+        let make = Maker(&registry);
+        Ok(Metrics {
+            calls: make.counters(
+                "calls_total",
+                "Calls by how they ended",
+                &["tenant", "class", "end"],
+            )?,
+            good: make.counters(
+                "calls_in_time_total",
+                "Calls answered within their targets",
+                &caller,
+            )?,
+            queued: make.seconds("queue_seconds", "From arrival to the first attempt", &caller)?,
+            first_token: make.seconds(
+                "first_token_seconds",
+                "From arrival to the first token",
+                &caller,
+            )?,
+            token_time: make.seconds(
+                "token_seconds",
+                "Mean time between the tokens of a call",
+                &caller,
+            )?,
+            total: make.seconds("call_seconds", "From arrival to the end", &caller)?,
+            refusals: make.counters("refusals_total", "Refusals by reason", &["reason"])?,
+            prefills: make.counter("prefills_total", "Prefills begun")?,
+            wasted: make.counter("wasted_prefills_total", "Prefills that came to nothing")?,
+            lapsed: make.counter("leases_lapsed_total", "Holds that lapsed")?,
+            revision: make.gauges("config_revision", "Configuration in force", &["role"])?,
+            processes: make.gauge("processes", "Live processes that this control member hears")?,
+            endpoints: make.gauge("endpoints", "Live endpoints that this control member hears")?,
+            exchanges: make.seconds(
+                "exchange_seconds",
+                "From a peer's request to the last reply; kind propose is the time of a commit",
+                &["kind"],
+            )?,
+            open_by_age: make.gauges(
+                "open_exchanges",
+                "Exchanges that peers have open, by kind and age; each reserve is a hold",
+                &["kind", "age"],
+            )?,
+            steps: make.seconds("step_seconds", "Time of one step of a role", &["role"])?,
+            tenants: Mutex::default(),
+            open: Mutex::default(),
+            registry,
+        })
+    }
+
+    /// Counts what a role has observed.
+    pub fn observe(&self, observation: Observation) {
+        match observation {
+            Observation::Call(call) => self.call(&call),
+            Observation::Refused(reason) => {
+                self.refusals.with_label_values(&[reason.as_str()]).inc();
+            }
+            Observation::LeaseLapsed => self.lapsed.inc(),
+            Observation::Registry { processes, endpoints } => {
+                self.processes.set(processes as i64);
+                self.endpoints.set(endpoints as i64);
+            }
+        }
+    }
+
+    fn call(&self, call: &CallSummary) {
+        let tenant = self.tenant_label(&call.tenant);
+        let labels = [&*tenant, call.class.as_str()];
+        self.calls.with_label_values(&[labels[0], labels[1], call.end.as_str()]).inc();
+        if call.in_time {
+            self.good.with_label_values(&labels).inc();
+        }
+        let spans = [
+            (&self.queued, call.queued),
+            (&self.first_token, call.first_token),
+            (&self.token_time, call.token_time),
+            (&self.total, Some(call.total)),
+        ];
+        for (histogram, span) in spans {
+            if let Some(span) = span {
+                histogram.with_label_values(&labels).observe(span.as_secs_f64());
+            }
+        }
+        if let CallEnd::Refused(reason) = call.end {
+            self.refusals.with_label_values(&[reason.as_str()]).inc();
+        }
+        self.prefills.inc_by(call.prefills.into());
+        self.wasted.inc_by(call.wasted.into());
+    }
+
+    /// Returns the label of a tenant; those past the bound share one.
+    fn tenant_label(&self, tenant: &str) -> Box<str> {
+        let mut tenants = self.tenants.lock().unwrap_or_else(PoisonError::into_inner);
+        if !tenants.contains(tenant) {
+            if tenants.len() >= MAX_TENANTS {
+                return OTHER_TENANTS.into();
+            }
+            tenants.insert(tenant.into());
+        }
+        tenant.into()
+    }
+
+    /// Notes a peer's request, which begins an exchange or goes on with it.
+    pub fn requested(&self, inbound: InboundId, request: &Request) {
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        let begin = || OpenExchange { kind: kind(request), since: Instant::now() };
+        open.entry(inbound).or_insert_with(begin);
+    }
+
+    /// Notes the end of an exchange.
+    pub fn ended(&self, inbound: InboundId) {
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(exchange) = open.remove(&inbound) {
+            let span = exchange.since.elapsed().as_secs_f64();
+            self.exchanges.with_label_values(&[exchange.kind]).observe(span);
+        }
+    }
+
+    /// Notes the configuration that a role says is in force.
+    pub fn revised(&self, role: &str, revision: Revision) {
+        self.revision.with_label_values(&[role]).set(revision.0 as i64);
+    }
+
+    /// Returns the histogram of a role's steps.
+    pub fn steps(&self, role: &str) -> Histogram {
+        self.steps.with_label_values(&[role])
+    }
+
+    /// Writes all metrics.
+    pub fn text(&self) -> eyre::Result<String> {
+        self.count_open();
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text).wrap_err("encode metrics")?;
+        String::from_utf8(text).wrap_err("encode metrics")
+    }
+
+    fn count_open(&self) {
+        self.open_by_age.reset();
+        let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        for exchange in open.values() {
+            let age = exchange.since.elapsed();
+            let label = AGES.iter().find(|(_, most)| age <= *most).map_or("more", |(l, _)| l);
+            self.open_by_age.with_label_values(&[exchange.kind, label]).inc();
+        }
+    }
+}
+
+/// Returns the kind of an exchange by its first request.
+fn kind(request: &Request) -> &'static str {
+    match request {
+        Request::Agent(AgentRequest::Reserve { .. }) => "reserve",
+        Request::Agent(AgentRequest::Prefill { .. }) => "prefill",
+        Request::Agent(AgentRequest::Call { .. }) => "call",
+        Request::Agent(AgentRequest::Settle { .. }) => "settle",
+        Request::Agent(_) => "agent",
+        Request::Control(ControlRequest::Heartbeat(_)) => "heartbeat",
+        Request::Control(ControlRequest::Propose(_)) => "propose",
+        Request::Control(_) => "control",
+        Request::Replica(_) => "replica",
+    }
+}
+
+/// Makes and registers metrics under the system's prefix.
+struct Maker<'a>(&'a Registry);
+
+impl Maker<'_> {
+    fn opts(name: &str, help: &str) -> Opts {
+        Opts::new(format!("dotterelpin_{name}"), help)
+    }
+
+    fn keep<T: prometheus::core::Collector + Clone + 'static>(&self, metric: T) -> eyre::Result<T> {
+        self.0.register(Box::new(metric.clone())).wrap_err("register metric")?;
+        Ok(metric)
+    }
+
+    fn counter(&self, name: &str, help: &str) -> eyre::Result<IntCounter> {
+        self.keep(IntCounter::with_opts(Self::opts(name, help))?)
+    }
+
+    fn counters(&self, name: &str, help: &str, labels: &[&str]) -> eyre::Result<IntCounterVec> {
+        self.keep(IntCounterVec::new(Self::opts(name, help), labels)?)
+    }
+
+    fn gauge(&self, name: &str, help: &str) -> eyre::Result<IntGauge> {
+        self.keep(IntGauge::with_opts(Self::opts(name, help))?)
+    }
+
+    fn gauges(&self, name: &str, help: &str, labels: &[&str]) -> eyre::Result<IntGaugeVec> {
+        self.keep(IntGaugeVec::new(Self::opts(name, help), labels)?)
+    }
+
+    fn seconds(&self, name: &str, help: &str, labels: &[&str]) -> eyre::Result<HistogramVec> {
+        let opts = HistogramOpts::from(Self::opts(name, help)).buckets(SECONDS.to_vec());
+        self.keep(HistogramVec::new(opts, labels)?)
+    }
+}
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -1,5 +1,7 @@
 //! Logs and the small pages of a process.
 
+pub mod metrics;
+pub mod observation;
 pub mod pages;
 
 use eyre::WrapErr;
--- a/src/report/pages.rs
+++ b/src/report/pages.rs
@@ -8,6 +8,7 @@
 use eyre::{WrapErr, eyre};
 use rouille::{Request, Response};
 
+use super::metrics::Metrics;
 use crate::model::Announcement;
 
 /// The most bytes of an announcement.
@@ -22,6 +23,8 @@
     pub ready: Arc<AtomicBool>,
     /// Takes announcements, in a process with an agent.
     pub announce: Option<OnAnnounce>,
+    /// What is counted.
+    pub metrics: Arc<Metrics>,
 }
 
 impl Pages {
@@ -42,14 +45,22 @@
             ("GET", "/health") => Response::text("ok\n"),
             ("GET", "/ready") if self.ready.load(Ordering::SeqCst) => Response::text("ready\n"),
             ("GET", "/ready") => Response::text("shutting down\n").with_status_code(503),
+            ("GET", "/metrics") => self.metrics_text(),
             ("POST", "/announce") => self.announced(request),
-            (_, "/health" | "/ready" | "/announce") => {
+            (_, "/health" | "/ready" | "/metrics" | "/announce") => {
                 Response::text("wrong method\n").with_status_code(405)
             }
             _ => Response::text("no such page\n").with_status_code(404),
         }
     }
 
+    fn metrics_text(&self) -> Response {
+        match self.metrics.text() {
+            Ok(text) => Response::text(text),
+            Err(error) => Response::text(format!("{error:#}\n")).with_status_code(500),
+        }
+    }
+
     fn announced(&self, request: &Request) -> Response {
         let Some(announce) = &self.announce else {
             return Response::text("this process has no agent\n").with_status_code(404);
--- a/src/role/driver.rs
+++ b/src/role/driver.rs
@@ -7,10 +7,12 @@
 use std::time::Duration;
 
 use eyre::WrapErr;
+use prometheus::Histogram;
 
 use super::{Input, Output, Role};
 use crate::link::{LinkAction, LinkEvent, LinkHandle, Sink};
 use crate::model::Timestamp;
+use crate::report::metrics::Metrics;
 
 /// The longest time that a driver sleeps when its role asks for no wake.
 const IDLE_WAIT: Duration = Duration::from_secs(1);
@@ -103,15 +105,17 @@
         role: R,
         link: LinkHandle,
         adapter: impl Adapter<R::Effect> + 'static,
+        metrics: Arc<Metrics>,
     ) -> eyre::Result<JoinHandle<()>>
     where
         R: Role<Local = L> + Send + 'static,
     {
         let sink: Arc<dyn Sink> = Arc::new(self.handle.clone());
         let owner = link.register(sink);
+        let meter = DriverMeter { steps: metrics.steps(name), role: name.into(), metrics };
         std::thread::Builder::new()
             .name(name.to_string())
-            .spawn(move || run(self.queue, self.handle.depth, role, link, owner, adapter))
+            .spawn(move || run(self.queue, self.handle.depth, role, link, owner, adapter, meter))
             .wrap_err_with(|| format!("start thread {name}"))
     }
 }
@@ -123,6 +127,7 @@
     link: LinkHandle,
     owner: u64,
     mut adapter: impl Adapter<R::Effect>,
+    meter: DriverMeter,
 ) {
     loop {
         let event = match queue.recv_timeout(wait_for(&role)) {
@@ -133,7 +138,12 @@
             Err(RecvTimeoutError::Timeout) => Input::Wake,
             Err(RecvTimeoutError::Disconnected) => return,
         };
-        for output in role.step(Timestamp::from_system(), event) {
+        meter.before(&event);
+        let timer = meter.steps.start_timer();
+        let outputs = role.step(Timestamp::from_system(), event);
+        timer.observe_duration();
+        for output in outputs {
+            meter.after(&output);
             let action = match output {
                 Output::Open { exchange, peer, envelope } => {
                     LinkAction::Open { owner, exchange, peer, envelope }
@@ -146,6 +156,10 @@
                 Output::Reply { inbound, envelope, last } => {
                     LinkAction::Reply { inbound, envelope, last }
                 }
+                Output::Observe(observation) => {
+                    meter.metrics.observe(observation);
+                    continue;
+                }
                 Output::Effect(effect) => {
                     adapter.carry(effect);
                     continue;
@@ -157,6 +171,38 @@
     }
 }
 
+/// Counts what passes through a driver.
+struct DriverMeter {
+    role: Box<str>,
+    steps: Histogram,
+    metrics: Arc<Metrics>,
+}
+
+impl DriverMeter {
+    fn before<L>(&self, event: &Event<L>) {
+        match event {
+            Input::Request { inbound, envelope } => {
+                self.metrics.requested(*inbound, &envelope.body);
+            }
+            Input::Abandoned { inbound } => self.metrics.ended(*inbound),
+            _ => {}
+        }
+    }
+
+    fn after<E>(&self, output: &Output<E>) {
+        match output {
+            Output::Reply { inbound, last: true, envelope } => {
+                self.metrics.revised(&self.role, envelope.revised.revision);
+                self.metrics.ended(*inbound);
+            }
+            Output::Open { envelope, .. } => {
+                self.metrics.revised(&self.role, envelope.revised.revision);
+            }
+            _ => {}
+        }
+    }
+}
+
 fn wait_for<R: Role>(role: &R) -> Duration {
     let now = Timestamp::from_system();
     role.next_wake().map_or(IDLE_WAIT, |at| at - now).min(IDLE_WAIT)
--- a/src/role/mod.rs
+++ b/src/role/mod.rs
@@ -8,6 +8,7 @@
 
 use crate::link::message::{Envelope, Reply, Request};
 use crate::model::{ExchangeId, InboundId, Timestamp};
+use crate::report::observation::Observation;
 
 /// A whole role as a state machine without clock, socket, thread, file or random source.
 pub trait Role {
@@ -109,6 +110,8 @@
         /// Whether it is the last one, which closes the exchange.
         last: bool,
     },
+    /// Count something that the role has observed.
+    Observe(Observation),
     /// Do something in the role's own surroundings.
     Effect(E),
     /// The role has finished its shutdown.
--- /dev/null
+++ b/tests/metrics.rs
@@ -0,0 +1,31 @@
+//! Metrics: tenants past the bound are counted together.
+
+use std::time::Duration;
+
+use dotterelpin::model::Class;
+use dotterelpin::report::metrics::Metrics;
+use dotterelpin::report::observation::{CallEnd, CallSummary, Observation};
+
+#[test]
+fn tenants_past_the_bound_share_a_label() {
+    let metrics = Metrics::new().unwrap();
+    for index in 0..1_000 {
+        metrics.observe(Observation::Call(Box::new(CallSummary {
+            tenant: format!("tenant-{index}").into(),
+            class: Class::Batch,
+            end: CallEnd::Answered,
+            queued: None,
+            first_token: Some(Duration::from_millis(3)),
+            token_time: None,
+            total: Duration::from_millis(30),
+            in_time: true,
+            prefills: 1,
+            wasted: 0,
+        })));
+    }
+    let text = metrics.text().unwrap();
+    let lines = text.lines().filter(|l| l.starts_with("dotterelpin_call_seconds_count"));
+    assert_eq!(lines.count(), 201);
+    let other = "dotterelpin_calls_total{class=\"batch\",end=\"answered\",tenant=\"other\"} 800";
+    assert!(text.contains(other), "{text}");
+}
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -30,3 +30,37 @@
     }
     assert_eq!(fleet.endpoints[service].counts().unwrap()["pupil-7"], 1);
 }
+
+#[test]
+fn pages_count_calls_by_tenant_and_class() {
+    let mut fleet = Fleet::new(1).unwrap();
+    fleet.entry("brno-a").unwrap();
+    fleet.engine("prefill", "brno-a", &[]).unwrap();
+    let decode = fleet.engine("decode", "brno-b", &[]).unwrap();
+    fleet.wait_ready().unwrap();
+    assert!(fleet.stream(0, "Lesson plan: rivers.", 20).unwrap().done);
+    let missing = fleet.call(0, "GET", "/services/kitchen/x", &[], "").unwrap();
+    assert_eq!(missing.status, 503);
+    let page = |address| {
+        let url = format!("http://{address}/metrics");
+        ureq::get(url).call().unwrap().body_mut().read_to_string().unwrap()
+    };
+    let text = page(fleet.entries[0].pages);
+    let wanted = [
+        "dotterelpin_calls_total{class=\"batch\",end=\"answered\",tenant=\"tabulka\"} 1",
+        "dotterelpin_first_token_seconds_count{class=\"batch\",tenant=\"tabulka\"} 1",
+        "dotterelpin_token_seconds_count{class=\"batch\",tenant=\"tabulka\"} 1",
+        "dotterelpin_queue_seconds_count{class=\"batch\",tenant=\"tabulka\"} 1",
+        "dotterelpin_call_seconds_count{class=\"batch\",tenant=\"tabulka\"} 1",
+        "dotterelpin_prefills_total 1",
+        "dotterelpin_wasted_prefills_total 0",
+        "dotterelpin_refusals_total{reason=\"no-endpoint\"}",
+        "dotterelpin_config_revision{role=\"entry\"} 0",
+    ];
+    for line in wanted {
+        assert!(text.contains(line), "{line} is missing in\n{text}");
+    }
+    let text = page(fleet.endpoints[decode].pages);
+    assert!(text.contains("dotterelpin_exchange_seconds_count{kind=\"reserve\"} 1"), "{text}");
+    assert!(!fleet.entries[0].process.log().contains("rivers"), "no prompt in the log");
+}
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -155,3 +155,19 @@
     assert!(error.contains("--listen") && error.contains("in use"), "{error}");
     std::fs::remove_dir_all(folder).unwrap();
 }
+
+#[test]
+fn json_log_lines_are_json() {
+    let mut fleet = common::Fleet::new(1).unwrap();
+    fleet.entry_with("brno-a", &["--log-format", "json"]).unwrap();
+    fleet.wait_ready().unwrap();
+    let log = fleet.entries[0].process.log();
+    let lines: Vec<serde_json::Value> = log
+        .lines()
+        .map(|l| serde_json::from_str(l).unwrap_or_else(|e| panic!("{l}: {e}")))
+        .collect();
+    let start = lines.iter().find(|l| l["step"] == "start").expect("a line for the start");
+    assert_eq!(start["name"], "entry-0");
+    let refusal = lines.iter().find(|l| l["step"] == "refuse").expect("a line for the refusal");
+    assert!(refusal["call"].is_string() && refusal["message"].is_string(), "{refusal}");
+}
--- a/tests/world/engine.rs
+++ b/tests/world/engine.rs
@@ -23,7 +23,6 @@
         fenced: false,
         artifact: None,
         boot: BootId(1),
-        artifact: None,
     }
 }
 
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -504,7 +504,7 @@
                     }
                 }
             }
-            Output::Redial { .. } | Output::Stopped => {}
+            Output::Redial { .. } | Output::Observe(_) | Output::Stopped => {}
         }
         None
     }
