--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -7,6 +7,7 @@
 
 use common::{free_tcp, program};
 use dotterelpin::cli::settings::{DaemonArgs, Settings};
+use dotterelpin::control::config::Setting;
 
 const ENTRY: &[(&str, &str)] = &[
     ("roles", "entry"),
@@ -171,3 +172,27 @@
     let refusal = lines.iter().find(|l| l["step"] == "refuse").expect("a line for the refusal");
     assert!(refusal["call"].is_string() && refusal["message"].is_string(), "{refusal}");
 }
+
+#[test]
+fn operators_page_names_every_flag_setting_and_metric() {
+    let page = include_str!("../docs/OPERATIONS.md");
+    let _ = DaemonArgs::default().with_environment(|name| {
+        let flag = name.trim_start_matches("DOTTERELPIN_").to_lowercase().replace('_', "-");
+        assert!(page.contains(&format!("`--{flag}`")), "--{flag} is not on the page");
+        None
+    });
+    for setting in Setting::all() {
+        let row = format!("`{}` |", setting.as_str());
+        assert!(page.contains(&row), "{} is not on the page", setting.as_str());
+        let value = setting.built_in().to_string();
+        let line = page.lines().find(|l| l.contains(&row)).unwrap_or_default();
+        assert!(line.contains(&format!("| {value} |")), "{line} has not the default {value}");
+    }
+    let metrics = dotterelpin::report::metrics::Metrics::new().unwrap();
+    metrics.steps("entry");
+    for line in metrics.text().unwrap().lines().filter_map(|l| l.strip_prefix("# HELP ")) {
+        let name = line.split(' ').next().unwrap_or_default();
+        let name = name.trim_start_matches("dotterelpin_");
+        assert!(page.contains(&format!("`{name}`")), "{name} is not on the page");
+    }
+}
