Say "may have run" once a prefill has run; kill processes in tests

Cause: a refusal of the decode endpoint while a prefill ran, or after it, counted as a refusal before the start, so that the caller was told "not run". An import that stalled was refused as not run, too. A leader's "interrupted" ended the record of an outcome as if another call had won.

Seen failing first: call_whose_prefill_ran_is_not_told_that_it_did_not_run got ran=No from "the reservation lapsed".

With processes: the entry killed between dispatch and answer, the agent restarted in a call (the service's count stays 1); callers that leave, an entry and an agent that die (the engines' lists get empty); an engine or agent killed in mid stream, a stalled transfer, and a JSON answer that fails after it began.

--- a/src/agent/work.rs
+++ b/src/agent/work.rs
@@ -159,8 +159,9 @@
             log::info!("step=stalled-import request={request}");
             self.ledger.abandon(now, inbound, true);
             outputs.push(Output::Effect(EngineEffect::Cancel(request)));
-            let detail = "the import stalled";
-            outputs.extend(self.refuse(inbound, RefusalReason::EndpointFailed, detail));
+            let reason = RefusalReason::EndpointFailed;
+            let refusal = Refusal::may_have_run(reason, RETRY_AFTER, "the import stalled");
+            outputs.push(self.reply(inbound, AgentReply::Refused(refusal), true));
         }
         outputs
     }
--- a/src/entry/run/attempts.rs
+++ b/src/entry/run/attempts.rs
@@ -44,6 +44,11 @@
         self.in_flight = true;
     }
 
+    /// Notes that a part of the attempt has run.
+    pub(crate) fn started(&mut self) {
+        self.ran = self.ran.max(Ran::Maybe);
+    }
+
     /// Notes the end of the attempt, which never starts after this.
     pub(crate) fn ended(&mut self, ran: Ran) {
         self.in_flight = false;
--- a/src/entry/run/claiming.rs
+++ b/src/entry/run/claiming.rs
@@ -139,7 +139,7 @@
                 }
             },
             Stage::Asking(asking) if asking.proposal.is(exchange) => match reply {
-                ControlReply::NotLeader { leader } => {
+                ControlReply::NotLeader { leader } | ControlReply::Interrupted { leader } => {
                     asking.proposal.redirect(shared, now, leader);
                     Vec::new()
                 }
--- a/src/entry/run/mod.rs
+++ b/src/entry/run/mod.rs
@@ -242,13 +242,13 @@
                 if *prefill == exchange =>
             {
                 let decode = *decode;
-                self.export = Some(Exported { export, at: now, told: self.told.len() });
+                self.exported(now, export);
                 self.decode(shared, now, decode)
             }
             (Stage::Exporting { prefill }, AgentReply::Exported(export))
                 if *prefill == exchange =>
             {
-                self.export = Some(Exported { export, at: now, told: self.told.len() });
+                self.exported(now, export);
                 self.reserve(shared, now)
             }
             (Stage::Decoding { decode }, AgentReply::Part { offset, tokens })
@@ -271,12 +271,21 @@
             }
             (_, AgentReply::Refused(refusal)) => {
                 self.blame(exchange);
-                self.setback(shared, now, refusal.ran, refusal.reason, &refusal.detail)
+                let ran = refusal.ran.max(self.runs_beside(exchange));
+                self.setback(shared, now, ran, refusal.reason, &refusal.detail)
             }
             _ => Vec::new(),
         }
     }
 
+    /// Returns whether the attempt may run at another endpoint than the one of an exchange.
+    fn runs_beside(&self, exchange: ExchangeId) -> Ran {
+        match &self.stage {
+            Stage::Prefilling { prefill, .. } if *prefill != exchange => Ran::Maybe,
+            _ => Ran::No,
+        }
+    }
+
     /// Returns the exchange whose silence counts.
     fn awaited(&self) -> Option<ExchangeId> {
         match &self.stage {
--- a/src/entry/run/model.rs
+++ b/src/entry/run/model.rs
@@ -4,7 +4,7 @@
 
 use super::super::{CallerEffect, Outputs, Shared};
 use super::{Exported, RESERVE_LEASE, Run, Stage};
-use crate::link::message::{AgentRequest, Request};
+use crate::link::message::{AgentRequest, Export, Request};
 use crate::model::call::prompt_tokens;
 use crate::model::{CallKind, EndpointKind, ExchangeId, Ran, RefusalReason, Timestamp};
 use crate::role::Output;
@@ -59,6 +59,12 @@
         self.prefill(shared, now, Some(decode))
     }
 
+    /// Keeps what a prefill has exported; the request has begun to run by then.
+    pub(super) fn exported(&mut self, now: Timestamp, export: Export) {
+        self.attempts.started();
+        self.export = Some(Exported { export, at: now, told: self.told.len() });
+    }
+
     /// Returns KV cache that still lives and holds all that the caller has.
     fn usable_export(&self, shared: &Shared, now: Timestamp) -> Option<&Exported> {
         let uses = shared.policy.fallback || !shared.policy.reserve_first;
--- a/src/entry/run/recording.rs
+++ b/src/entry/run/recording.rs
@@ -125,7 +125,7 @@
         if !recording.proposal.is(exchange) {
             return Vec::new();
         }
-        if let ControlReply::NotLeader { leader } = reply {
+        if let ControlReply::NotLeader { leader } | ControlReply::Interrupted { leader } = reply {
             recording.proposal.redirect(shared, now, leader);
             return Vec::new();
         }
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -1,10 +1,12 @@
 //! A request that may not be repeated runs at most once, and "not run" is true.
 
+mod common;
 mod world;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use common::{Answer as HttpAnswer, Fleet, call, wait_for};
 use dotterelpin::agent::engine::{EngineEffect, EngineInput, Work};
 use dotterelpin::entry::check::RawCall;
 use dotterelpin::entry::{CallerEffect, Terminal};
@@ -328,3 +330,65 @@
         })
         .unwrap();
 }
+
+/// A fleet with a service that works long enough to be killed within a call.
+fn slow_service() -> (Fleet, usize) {
+    let mut fleet = Fleet::new(1).unwrap();
+    fleet.entry("brno-a").unwrap();
+    fleet.entry("brno-b").unwrap();
+    let service = fleet.service("brno-a", &["--work-ms", "1500"]).unwrap();
+    fleet.wait_ready().unwrap();
+    (fleet, service)
+}
+
+/// Taps at the first entry, and returns once the service has started to run it.
+fn tap_until_it_runs(fleet: &Fleet, service: usize) -> std::thread::JoinHandle<Option<HttpAnswer>> {
+    let url = fleet.entries[0].url.clone();
+    let caller = std::thread::spawn(move || tap(&url));
+    wait_for(Duration::from_secs(10), || {
+        let counts = fleet.endpoints[service].counts()?;
+        eyre::ensure!(counts["pupil-7"] == 1, "counts: {counts}");
+        Ok(())
+    })
+    .unwrap();
+    caller
+}
+
+fn tap(url: &str) -> Option<HttpAnswer> {
+    let key = [("idempotency-key", "tap-1")];
+    call(url, "POST", "/services/classroom/tap", &key, "pupil-7").ok()
+}
+
+/// Presses again at the second entry until the key is no more in progress.
+fn tap_again(fleet: &Fleet) -> HttpAnswer {
+    wait_for(Duration::from_secs(20), || {
+        let answer = tap(&fleet.entries[1].url).ok_or_else(|| eyre::eyre!("no answer"))?;
+        eyre::ensure!(answer.status != 409 && answer.status != 503, "{answer:?}");
+        Ok(answer)
+    })
+    .unwrap()
+}
+
+#[test]
+fn tap_survives_the_death_of_its_entry() {
+    let (mut fleet, service) = slow_service();
+    let caller = tap_until_it_runs(&fleet, service);
+    fleet.entries[0].process.kill();
+    assert!(caller.join().unwrap().is_none(), "the first caller has lost its answer");
+    let answer = tap_again(&fleet);
+    assert_eq!((answer.status, answer.ran.as_deref()), (200, Some("yes")), "{answer:?}");
+    assert!(answer.body.contains("\"run\":1"), "{answer:?}");
+    assert_eq!(fleet.endpoints[service].counts().unwrap()["pupil-7"], 1);
+}
+
+#[test]
+fn tap_whose_agent_died_is_not_run_again() {
+    let (mut fleet, service) = slow_service();
+    let caller = tap_until_it_runs(&fleet, service);
+    fleet.endpoints[service].agent.restart().unwrap();
+    let first = caller.join().unwrap().unwrap();
+    assert_eq!(first.ran.as_deref(), Some("maybe"), "{first:?}");
+    let again = tap_again(&fleet);
+    assert_eq!(again.ran.as_deref(), Some("maybe"), "{again:?}");
+    assert_eq!(fleet.endpoints[service].counts().unwrap()["pupil-7"], 1);
+}
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -1,10 +1,12 @@
 //! No engine memory stays held for a request that ended, was cancelled or lost its caller.
 
+mod common;
 mod world;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use common::{Fleet, open_stream, wait_for};
 use dotterelpin::agent::ledger::Phase;
 use dotterelpin::entry::CallerEffect;
 use dotterelpin::entry::check::RawCall;
@@ -242,3 +244,76 @@
     test.run_for(LEASE, Duration::from_millis(100));
     test.check();
 }
+
+fn model_fleet(token_us: &str) -> Fleet {
+    let mut fleet = Fleet::new(1).unwrap();
+    fleet.entry("brno-a").unwrap();
+    fleet.engine("prefill", "brno-a", &["--prefill-rate", "2000"]).unwrap();
+    fleet.engine("decode", "brno-b", &["--token-us", token_us]).unwrap();
+    fleet.wait_ready().unwrap();
+    fleet
+}
+
+/// Waits until no engine runs anything.
+fn wait_empty(fleet: &Fleet) {
+    let since = std::time::Instant::now();
+    wait_for(Duration::from_secs(20), || {
+        for endpoint in &fleet.endpoints {
+            let running = endpoint.counts()?["running"].clone();
+            eyre::ensure!(running.as_array().is_some_and(Vec::is_empty), "running: {running}");
+        }
+        Ok(())
+    })
+    .unwrap();
+    println!("engines are empty after {:?}", since.elapsed());
+}
+
+#[test]
+fn caller_that_leaves_frees_engines() {
+    let fleet = model_fleet("20000");
+    let url = &fleet.entries[0].url;
+    // The prefill of this prompt takes two seconds.
+    let queued = open_stream(url, &"river ".repeat(2_666), 1_000).unwrap();
+    wait_for(Duration::from_secs(5), || running(&fleet, 0)).unwrap();
+    drop(queued);
+    wait_empty(&fleet);
+    let mut streamed = open_stream(url, "rivers", 1_000).unwrap();
+    streamed.next_event().unwrap();
+    drop(streamed);
+    wait_empty(&fleet);
+}
+
+fn running(fleet: &Fleet, endpoint: usize) -> eyre::Result<()> {
+    let running = fleet.endpoints[endpoint].counts()?["running"].clone();
+    eyre::ensure!(running != serde_json::json!([]), "nothing runs at {endpoint}");
+    Ok(())
+}
+
+#[test]
+fn entry_that_dies_frees_engines() {
+    let mut fleet = model_fleet("20000");
+    let mut streamed = open_stream(&fleet.entries[0].url, "rivers", 1_000).unwrap();
+    streamed.next_event().unwrap();
+    fleet.entries[0].process.kill();
+    wait_empty(&fleet);
+}
+
+#[test]
+fn agent_that_dies_during_a_prefill_frees_its_engine() {
+    let mut fleet = model_fleet("20000");
+    // The prefill of this prompt takes ten seconds, and the engine can't see a lost connection.
+    let prompt = "river ".repeat(13_333);
+    let _stream = open_stream(&fleet.entries[0].url, &prompt, 10).unwrap();
+    wait_for(Duration::from_secs(5), || running(&fleet, 0)).unwrap();
+    fleet.endpoints[0].agent.restart().unwrap();
+    wait_empty(&fleet);
+}
+
+#[test]
+fn agent_that_dies_frees_its_engine() {
+    let mut fleet = model_fleet("20000");
+    let mut streamed = open_stream(&fleet.entries[0].url, "rivers", 1_000).unwrap();
+    streamed.next_event().unwrap();
+    fleet.endpoints[1].agent.restart().unwrap();
+    wait_empty(&fleet);
+}
--- a/tests/whole_answer.rs
+++ b/tests/whole_answer.rs
@@ -1,10 +1,12 @@
 //! Every caller gets the whole answer to its own request, or a truthful error.
 
+mod common;
 mod world;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use common::{Fleet, open_stream};
 use dotterelpin::entry::check::RawCall;
 use dotterelpin::entry::{CallerEffect, Terminal};
 use dotterelpin::model::{BootId, CallId, EndpointKind, Ran};
@@ -248,6 +250,10 @@
         for (name, caller) in &self.callers {
             let waits = self.world.is_owner_alive(name.0) && !self.gone.contains(name);
             assert!(!waits || caller.outcome.is_some(), "no outcome: {caller:?}");
+            let not_run = |o: &Terminal| matches!(o, Terminal::Refused(r) if r.ran == Ran::No);
+            if caller.outcome.as_ref().is_some_and(not_run) {
+                assert!(!self.engines.ran.contains(name), "\"not run\", but it ran: {caller:?}");
+            }
         }
     }
 }
@@ -290,3 +296,102 @@
     assert_eq!(test.generated["night-1"], 1);
     assert!(test.callers.values().all(|c| c.parts > 1), "both have generated");
 }
+
+const TOKENS: u32 = 100;
+
+fn model_fleet(decodes: usize) -> Fleet {
+    let mut fleet = Fleet::new(1).unwrap();
+    fleet.entry("brno-a").unwrap();
+    fleet.engine("prefill", "brno-a", &[]).unwrap();
+    for _ in 0..decodes {
+        fleet.engine("decode", "brno-b", &[]).unwrap();
+    }
+    fleet.wait_ready().unwrap();
+    fleet
+}
+
+/// Returns the decode endpoint that runs something.
+fn busy(fleet: &Fleet) -> usize {
+    let idle = serde_json::json!([]);
+    let busy = |e: &usize| fleet.endpoints[*e].counts().is_ok_and(|c| c["running"] != idle);
+    (1..fleet.endpoints.len()).find(busy).unwrap()
+}
+
+#[test]
+fn stream_goes_on_elsewhere_after_its_engine_or_agent_died() {
+    for agent in [false, true] {
+        let mut fleet = model_fleet(2);
+        let whole = fleet.stream(0, "rivers", TOKENS).unwrap();
+        let mut stream = open_stream(&fleet.entries[0].url, "rivers", TOKENS).unwrap();
+        let mut begin = String::new();
+        for _ in 0..10 {
+            begin.push_str(&text_of(&stream.next_event().unwrap().unwrap()));
+        }
+        let decode = busy(&fleet);
+        match agent {
+            true => fleet.endpoints[decode].agent.kill(),
+            false => fleet.endpoints[decode].stand_in.kill(),
+        }
+        let rest = stream.read_all().unwrap();
+        assert!(rest.done, "{rest:?}");
+        assert_eq!(begin + &rest.text, whole.text);
+    }
+}
+
+fn text_of(event: &str) -> String {
+    let event: serde_json::Value = serde_json::from_str(event).unwrap();
+    event["choices"][0]["text"].as_str().unwrap_or_default().to_string()
+}
+
+#[test]
+fn stream_goes_elsewhere_when_its_transfer_stalls() {
+    let fleet = model_fleet(2);
+    let whole = fleet.stream(0, "rivers", TOKENS).unwrap();
+    // The transfer would take longer than an export lives, and than this test waits for a retry.
+    fleet.endpoints[1].fault(serde_json::json!({ "transfer_stall_ms": 20_000 })).unwrap();
+    for _ in 0..2 {
+        let streamed = fleet.stream(0, "rivers", TOKENS).unwrap();
+        assert!(streamed.done, "{streamed:?}");
+        assert_eq!(streamed.text, whole.text);
+    }
+}
+
+#[test]
+fn json_answer_that_fails_after_it_began_says_so() {
+    let mut fleet = model_fleet(1);
+    let url = fleet.entries[0].url.clone();
+    let body = r#"{"model":"cs-summary","prompt":"rivers","max_tokens":2000}"#;
+    let path = "/v1/completions";
+    let caller = std::thread::spawn(move || common::call(&url, "POST", path, &[], body).unwrap());
+    let idle = serde_json::json!(0);
+    common::wait_for(Duration::from_secs(10), || {
+        let tokens = fleet.endpoints[1].counts()?["tokens"].clone();
+        eyre::ensure!(tokens != idle, "no token yet");
+        Ok(())
+    })
+    .unwrap();
+    fleet.endpoints[1].stand_in.kill();
+    let answer = caller.join().unwrap();
+    let json: serde_json::Value = serde_json::from_str(answer.body.trim()).unwrap();
+    assert_eq!(json["error"]["ran"], "maybe", "{answer:?}");
+    assert!(json.get("choices").is_none(), "{answer:?}");
+}
+
+/// Prefills start but take longer than decode room is held.
+#[test]
+fn call_whose_prefill_ran_is_not_told_that_it_did_not_run() {
+    let mut test = Test::new();
+    test.settle();
+    test.call(0, PROMPTS[0], 60, None);
+    for _ in 0..100 {
+        test.settle();
+        let waits = test.engines.jobs.iter().position(|j| !j.runs);
+        waits.into_iter().for_each(|job| test.engines.go_on(&mut test.world, job));
+        test.world.advance(Duration::from_millis(200));
+    }
+    test.settle();
+    assert!(!test.engines.ran.is_empty());
+    test.check_outcomes();
+    let outcome = test.callers.values().next().unwrap().outcome.clone();
+    assert!(matches!(outcome, Some(Terminal::Refused(_))), "{outcome:?}");
+}
--- a/tests/world/engine.rs
+++ b/tests/world/engine.rs
@@ -1,11 +1,13 @@
 //! A small fake of model engines: slots, exports, streams, cancels and a list.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use dotterelpin::agent::engine::{EngineEffect, EngineInput, Work};
 use dotterelpin::link::message::Export;
-use dotterelpin::model::{Announcement, BootId, Capacity, EndpointKind, Ran, RequestId, Timestamp};
+use dotterelpin::model::{
+    Announcement, BootId, CallId, Capacity, EndpointKind, Ran, RequestId, Timestamp,
+};
 
 use super::World;
 
@@ -23,7 +25,6 @@
         fenced: false,
         artifact: None,
         boot: BootId(1),
-        artifact: None,
     }
 }
 
@@ -79,6 +80,8 @@
     /// Answers on their way to an agent.
     answers: Vec<(usize, BootId, EngineInput)>,
     last_part: Option<Part>,
+    /// The calls of which anything has run.
+    pub ran: BTreeSet<(BootId, CallId)>,
 }
 
 impl Engines {
@@ -126,7 +129,11 @@
             // A dead agent's request may still arrive.
             match full {
                 true => self.fail(world, index, Ran::No),
-                false => self.jobs[index].runs = true,
+                false => {
+                    let job = &mut self.jobs[index];
+                    job.runs = true;
+                    self.ran.insert((job.request.owner, job.request.call));
+                }
             }
         } else if job.cancelled {
             self.fail(world, index, Ran::Maybe);
