--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -8,11 +8,13 @@
 
 use common::{Answer as HttpAnswer, Fleet, call, wait_for};
 use dotterelpin::agent::engine::{EngineEffect, EngineInput, Work};
+use dotterelpin::agent::settle::Settlements;
+use dotterelpin::control::claims::{Claim, ClaimKey, ClaimReply, Claims, MAX_KEPT_BYTES};
 use dotterelpin::entry::check::RawCall;
 use dotterelpin::entry::{CallerEffect, Terminal};
-use dotterelpin::link::message::{AgentRequest, Answer, Request};
+use dotterelpin::link::message::{AgentRequest, Answer, Request, Settled};
 use dotterelpin::model::{
-    Announcement, BootId, CallId, Capacity, EndpointKind, Ran, RefusalReason, RequestId,
+    Announcement, BootId, CallId, Capacity, EndpointKind, Ran, RefusalReason, RequestId, Timestamp,
 };
 use proptest::collection::vec;
 use proptest::prelude::{Just, Strategy, any, prop_oneof};
@@ -220,7 +222,10 @@
                 let count = self.runs.get(content).copied().unwrap_or(0);
                 assert_eq!(count, 0, "\"not run\", but its key ran: {refusal}");
             }
-            Terminal::Refused(_) => {}
+            Terminal::Refused(refusal) => {
+                let count = self.runs.get(content).copied().unwrap_or(0);
+                assert!(refusal.ran != Ran::Yes || count == 1, "it ran, it says: {refusal}");
+            }
         }
     }
 
@@ -313,8 +318,10 @@
 
 type CallName = (BootId, CallId);
 
+/// The answer to the second key is too large to keep.
 fn whole_answer(content: &str) -> String {
-    format!("{content}: done")
+    let size = if content.starts_with("key-1") { MAX_KEPT_BYTES } else { 0 };
+    format!("{content}: done{:size$}", "")
 }
 
 #[test]
@@ -331,6 +338,38 @@
         .unwrap();
 }
 
+#[test]
+fn claims_are_kept_for_their_retention_by_the_time_in_the_commands() {
+    let retention = Duration::from_secs(60);
+    let key = |name: &str| ClaimKey { tenant: "tabulka".into(), key: name.into() };
+    let claim = |call: u64, second: u64| Claim {
+        request: RequestId { owner: BootId(1), call: CallId(call), attempt: 1 },
+        hash: call,
+        target: None,
+        until: Timestamp::MAX,
+        made: Timestamp::from_micros(second * 1_000_000),
+    };
+    let mut claims = Claims::default();
+    assert_eq!(claims.claim(&key("tap-1"), &claim(1, 100)), ClaimReply::Granted);
+    claims.expire(Timestamp::from_micros(160_000_000), retention);
+    assert!(matches!(claims.claim(&key("tap-1"), &claim(2, 160)), ClaimReply::Held(_)));
+    claims.expire(Timestamp::from_micros(160_000_001), retention);
+    assert!(claims.is_empty());
+}
+
+#[test]
+fn end_that_is_too_old_to_be_remembered_is_unknown() {
+    let request = |call| RequestId { owner: BootId(1), call: CallId(call), attempt: 1 };
+    let mut settlements = Settlements::default();
+    for call in 1..=10_000 {
+        settlements.close(request(call), Settled::FinishedLarge { status: 200 });
+    }
+    assert_eq!(settlements.settle(request(1)), Settled::Unknown);
+    assert!(settlements.may_have_run(request(1)));
+    assert_eq!(settlements.settle(request(10_000)), Settled::FinishedLarge { status: 200 });
+    assert_eq!(settlements.settle(request(10_001)), Settled::NotStarted);
+}
+
 /// A fleet with a service that works long enough to be killed within a call.
 fn slow_service() -> (Fleet, usize) {
     let mut fleet = Fleet::new(1).unwrap();
