--- a/src/entry/admit/queue.rs
+++ b/src/entry/admit/queue.rs
@@ -3,6 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use slotmap::{SlotMap, new_key_type};
+
 use crate::model::{Call, CallId, Class, Timestamp};
 
 /// Calls that wait in one pool.
@@ -33,6 +35,14 @@
     }
 }
 
+new_key_type! {
+    /// One tenant in the arena of a lane.
+    struct TenantKey;
+}
+
+/// Where a tenant with waiting calls stands: its turn, then the last start of its first call.
+type Place = (u64, Timestamp, TenantKey);
+
 /// The calls of one tenant in one class.
 #[derive(Debug, Default)]
 struct Tenant {
@@ -41,49 +51,67 @@
     given: u64,
 }
 
+impl Tenant {
+    fn place(&self, key: TenantKey) -> Option<Place> {
+        let (last, _) = self.calls.first()?;
+        Some((self.given / QUANTUM, *last, key))
+    }
+}
+
 /// The calls of one class.
 #[derive(Debug, Default)]
 struct Lane {
-    tenants: BTreeMap<Box<str>, Tenant>,
-    order: BTreeSet<(u64, Timestamp, Box<str>)>,
+    names: BTreeMap<Box<str>, TenantKey>,
+    tenants: SlotMap<TenantKey, Tenant>,
+    order: BTreeSet<Place>,
     /// What the tenant that was served last had been given.
     given: u64,
 }
 
 impl Lane {
     fn push(&mut self, ticket: &Ticket) {
-        let given = self.given;
-        let tenant = self.tenants.entry(ticket.call.tenant.clone()).or_default();
-        let before = place(&ticket.call.tenant, tenant);
+        let key = self.key(&ticket.call.tenant);
+        let Some(tenant) = self.tenants.get_mut(key) else { return };
+        let before = tenant.place(key);
         if before.is_none() {
-            tenant.given = tenant.given.max(given);
+            tenant.given = tenant.given.max(self.given);
         }
         tenant.calls.insert(ticket.key());
-        let after = place(&ticket.call.tenant, tenant);
+        let after = tenant.place(key);
         self.reorder(before, after);
     }
 
     fn remove(&mut self, ticket: &Ticket, served: bool) {
-        let Some(tenant) = self.tenants.get_mut(&ticket.call.tenant) else { return };
-        let before = place(&ticket.call.tenant, tenant);
+        let Some(&key) = self.names.get(&ticket.call.tenant) else { return };
+        let Some(tenant) = self.tenants.get_mut(key) else { return };
+        let before = tenant.place(key);
         tenant.calls.remove(&ticket.key());
         if served {
             self.given = self.given.max(tenant.given);
             tenant.given += u64::from(ticket.tokens);
         }
-        let after = place(&ticket.call.tenant, tenant);
+        let after = tenant.place(key);
         // A tenant that is not ahead of the others needs no memory.
         if after.is_none() && tenant.given <= self.given {
-            self.tenants.remove(&ticket.call.tenant);
+            self.tenants.remove(key);
+            self.names.remove(&ticket.call.tenant);
         }
         self.reorder(before, after);
     }
 
-    fn reorder(
-        &mut self,
-        before: Option<(u64, Timestamp, Box<str>)>,
-        after: Option<(u64, Timestamp, Box<str>)>,
-    ) {
+    fn key(&mut self, name: &str) -> TenantKey {
+        if let Some(key) = self.names.get(name) {
+            return *key;
+        }
+        let key = self.tenants.insert(Tenant::default());
+        self.names.insert(name.into(), key);
+        key
+    }
+
+    fn reorder(&mut self, before: Option<Place>, after: Option<Place>) {
+        if before == after {
+            return;
+        }
         if let Some(before) = before {
             self.order.remove(&before);
         }
@@ -91,15 +119,15 @@
     }
 
     fn first(&self) -> Option<(Timestamp, CallId)> {
-        let (_, _, name) = self.order.first()?;
-        self.tenants.get(name)?.calls.first().copied()
+        let (_, _, key) = self.order.first()?;
+        self.tenants.get(*key)?.calls.first().copied()
     }
-}
 
-/// Returns where a tenant with waiting calls stands among the others.
-fn place(name: &str, tenant: &Tenant) -> Option<(u64, Timestamp, Box<str>)> {
-    let (last, _) = tenant.calls.first()?;
-    Some((tenant.given / QUANTUM, *last, name.into()))
+    /// Returns the last call of the tenant whose turn is last.
+    fn least(&self) -> Option<(Timestamp, CallId)> {
+        let (_, _, key) = self.order.last()?;
+        self.tenants.get(*key)?.calls.last().copied()
+    }
 }
 
 /// The queue of one pool.
@@ -115,10 +143,7 @@
     /// Puts a call into the queue; returns the one that a full queue gives up for it.
     pub fn push(&mut self, ticket: Ticket) -> Option<Ticket> {
         let given_up = if self.tickets.len() >= MOST_WAITING {
-            let batch = self.lanes[Class::Batch as usize].order.last().cloned();
-            let loser = batch.and_then(|(_, _, name)| {
-                self.lanes[Class::Batch as usize].tenants.get(&name)?.calls.last().copied()
-            });
+            let loser = self.lanes[Class::Batch as usize].least();
             match loser {
                 Some((last, id)) if ticket.call.class != Class::Batch || last > ticket.last => {
                     self.remove(id)
