--- a/benches/policy/world.rs
+++ b/benches/policy/world.rs
@@ -13,7 +13,7 @@
 use dotterelpin::entry::check::{RawCall, Tenants, credential_hash};
 use dotterelpin::entry::{CallerEffect, CallerInput, Entry, EntrySettings, Terminal};
 use dotterelpin::link::message::{
-    Beat, ControlReply, ControlRequest, Endpoints, Envelope, Proof, Reply, Request,
+    Beat, ControlReply, ControlRequest, Endpoints, Envelope, Proof, Reply, Request, Seen, Update,
 };
 use dotterelpin::model::{
     Announcement, BootId, CallId, Capacity, Class, EndpointKind, EndpointState, ExchangeId, Fence,
@@ -477,12 +477,13 @@
                 let beat = Beat {
                     member: "control".into(),
                     proof: Some(Proof {
+                        member: address(1),
                         highest: self.config.revision,
                         epoch: 0,
                         voters: vec![address(1)],
                     }),
-                    config: config.then(|| self.config.clone()),
-                    version: self.now,
+                    config: config.then(|| Update::Whole(self.config.clone())),
+                    seen: Seen::default(),
                     endpoints,
                     orders: Some(Marked { mark: Fence(0), desired: None }),
                     suspects: None,
--- a/src/agent/engine/http.rs
+++ b/src/agent/engine/http.rs
@@ -27,6 +27,8 @@
 const ANSWER_GRACE: Duration = Duration::from_secs(60);
 /// The most bytes of a plain service's answer.
 const MAX_ANSWER_BYTES: u64 = 2 << 20;
+/// The buffer in each direction of a connection to the endpoint.
+const BUFFER_BYTES: usize = 8 << 10;
 /// The stack of a thread that waits for the endpoint.
 const STACK_BYTES: usize = 128 << 10;
 
@@ -61,6 +63,8 @@
             .timeout_global(Some(WORK_TIMEOUT))
             .http_status_as_error(false)
             .max_idle_connections(0)
+            .input_buffer_size(BUFFER_BYTES)
+            .output_buffer_size(BUFFER_BYTES)
             // A redirect is the caller's to follow: following it here could run a call twice.
             .max_redirects(0)
             .max_redirects_will_error(false)
--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -13,7 +13,7 @@
 use crate::control::disk::{self, Disk};
 use crate::control::replica::{MemberId, ReplicaSettings};
 use crate::control::{Control, ControlSettings, DiskInput};
-use crate::entry::accept::Callers;
+use crate::entry::accept;
 use crate::entry::check::Tenants;
 use crate::entry::place::RoundRobin;
 use crate::entry::{CallerInput, Entry, EntrySettings};
@@ -24,11 +24,11 @@
 use crate::report::pages::Pages;
 use crate::role::{Driver, Input};
 
-type Thread = std::thread::JoinHandle<()>;
-
 /// The exit code of a process that was told to end at once.
 const EXIT_AT_ONCE: i32 = 1;
 
+type Thread = std::thread::JoinHandle<()>;
+
 /// The drivers of the roles that a process has.
 #[derive(Default)]
 struct Drivers {
@@ -59,7 +59,6 @@
     let route = route(&drivers);
     let mut traffic = Vec::new();
     let mut keeper = None;
-    let mut last_answers = None;
     if let Some(driver) = drivers.control {
         let folder = settings.data.as_deref().ok_or_else(|| eyre!("--data is missing"))?;
         let (stored, files) = disk::open(folder, MemberId(boot.0))?;
@@ -69,7 +68,7 @@
             name: settings.name.clone(),
             domain: settings.domain.clone(),
             boot,
-            replica: ReplicaSettings::new(settings.listen, members, boot.0),
+            replica: ReplicaSettings::new(settings.advertise, members, boot.0),
         };
         let control = Control::new(who, stored)?;
         keeper = Some(driver.start("control", control, handle.clone(), disk)?);
@@ -77,15 +76,16 @@
     if let Some(driver) = drivers.agent {
         let engine = HttpEngine::new(url, driver.handle());
         let follower = follower(&settings, boot, "agent");
-        let agent = Agent::new(AgentSettings { follower, address: settings.listen });
+        let agent = Agent::new(AgentSettings { follower, address: settings.advertise });
         traffic.push(driver.start("agent", agent, handle.clone(), engine)?);
     }
+    let mut caller_server = None;
     if let Some(driver) = drivers.entry {
         let path = settings.tenants.as_deref().ok_or_else(|| eyre!("--tenants is missing"))?;
         let tenants = Tenants::load(path)?;
         let listen = settings.callers.ok_or_else(|| eyre!("--callers is missing"))?;
-        let (callers, last) = Callers::start(listen, driver.handle())?;
-        last_answers = Some(last);
+        let (callers, server) = accept::start(listen, settings.bounds, driver.handle())?;
+        caller_server = Some(server);
         let who = EntrySettings { follower: follower(&settings, boot, "entry") };
         let entry = Entry::new(who, tenants, Box::new(RoundRobin::default()));
         traffic.push(driver.start("entry", entry, handle.clone(), callers)?);
@@ -97,8 +97,8 @@
     for thread in traffic {
         join(thread)?;
     }
-    if let Some(last) = last_answers {
-        last.wait();
+    if let Some(server) = caller_server {
+        server.finish();
     }
     if let (Some(thread), Some(control)) = (keeper, control) {
         if has_traffic {
--- a/src/entry/run/mod.rs
+++ b/src/entry/run/mod.rs
@@ -120,11 +120,12 @@
         id: CallId,
         call: Call,
     ) -> (Run, Outputs) {
+        let has_key = claim_key(&call).is_some();
         let mut run = Run {
             id,
             call,
             stage: Stage::Done,
-            attempts: Attempts::new(),
+            attempts: Attempts::new(has_key),
             teller: Some(Teller::new(id)),
             failed: Vec::new(),
             endpoint: None,
@@ -419,7 +420,7 @@
     ) -> Outputs {
         self.attempts.ended(ran);
         let mut outputs = self.reset_exchanges(shared);
-        let allowed = self.call.repeatable || self.attempts.ran() == Ran::No;
+        let allowed = self.call.repeatable || self.attempts.own_ran() == Ran::No;
         let tried = self.attempts.last();
         let allowed = self.teller.is_some() && allowed && tried < self.most_attempts(shared);
         // An endpoint that refused at once has cost nothing, so only failures use the budget.
@@ -465,6 +466,9 @@
         reason: RefusalReason,
         detail: &str,
     ) -> Outputs {
+        if self.asks_about_other() {
+            self.attempts.others(Ran::Maybe);
+        }
         let mut outputs = self.tell_refusal(reason, detail);
         outputs.extend(if matches!(self.stage, Stage::Claiming(_)) {
             self.give_up_claim(shared, now)
@@ -474,6 +478,15 @@
         outputs
     }
 
+    /// Returns whether it is still open what another call's attempt with this key came to.
+    fn asks_about_other(&self) -> bool {
+        match &self.stage {
+            Stage::Asking(_) => true,
+            Stage::Settling(settling) => settling.is_about_other(),
+            _ => false,
+        }
+    }
+
     fn tell_refusal(&mut self, reason: RefusalReason, detail: &str) -> Outputs {
         let Some(teller) = self.teller.take() else { return Vec::new() };
         vec![teller.refused(&self.attempts, reason, RETRY_AFTER, detail)]
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -205,7 +205,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ControlRequest {
     /// The sender is alive; it wants what is new.
-    Heartbeat(Heartbeat),
+    Heartbeat(Box<Heartbeat>),
     /// Put a command into the log.
     Propose(Command),
     /// Say whether the entry process of this start is alive.
@@ -223,14 +223,18 @@
     pub endpoint: Option<EndpointState>,
     /// Whether the sender wants to hear of endpoints.
     pub endpoints: bool,
-    /// The registry version that the sender has from this member.
-    pub version: u64,
+    /// What the sender has seen of this member's endpoints.
+    pub seen: Seen,
+    /// Buckets of endpoints that the sender wants whole.
+    pub wants: Vec<u8>,
     /// How far the endpoint's orders are, from an agent.
     pub report: Option<OrderReport>,
     /// The version of the contents under suspicion that the sender has from this member.
     pub suspects: u64,
     /// The newest set of settings that the sender understands.
     pub schema: u32,
+    /// Whether the sender wants the configuration whole, since changes did not fit.
+    pub whole: bool,
 }
 
 /// A process as operators see it.
@@ -281,11 +285,11 @@
     pub member: Box<str>,
     /// What the member's log proves, if the member has a vote.
     pub proof: Option<Proof>,
-    /// The configuration in force, if it is newer than the sender's.
-    pub config: Option<Config>,
-    /// The registry's version.
-    pub version: u64,
-    /// What changed among the endpoints since the sender's version.
+    /// What makes the sender's configuration the one in force, if that is newer.
+    pub config: Option<Update>,
+    /// What the receiver has seen of this member's endpoints once it has taken this.
+    pub seen: Seen,
+    /// What changed among the endpoints since.
     pub endpoints: Option<Endpoints>,
     /// The orders of the sender's endpoint, if it named one.
     pub orders: Option<Marked>,
@@ -293,6 +297,20 @@
     pub suspects: Option<Suspects>,
 }
 
+/// What makes a configuration the one in force at a member.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Update {
+    /// The configuration itself.
+    Whole(Config),
+    /// The changes since the receiver's revision.
+    Changes {
+        /// The changes in their order.
+        changes: Vec<Change>,
+        /// What they come to.
+        revised: Revised,
+    },
+}
+
 /// What a member tells of endpoints.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Endpoints {
@@ -305,6 +323,26 @@
         /// The names of those that are gone.
         gone: Vec<Box<str>>,
     },
+    /// All of some buckets.
+    Part {
+        /// The buckets.
+        buckets: Vec<u8>,
+        /// Their endpoints.
+        set: Vec<EndpointState>,
+    },
+    /// Digests of the buckets, so that the receiver can ask for those that differ.
+    Digests(Vec<u64>),
+}
+
+/// How much of a member's endpoints a follower has seen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Seen {
+    /// The start of the member.
+    pub epoch: BootId,
+    /// The version at that start.
+    pub version: u64,
+    /// The digest of what the follower holds.
+    pub digest: u64,
 }
 
 /// Contents under suspicion, with their version at one member.
@@ -319,6 +357,8 @@
 /// What the log of a member with a vote proves about the configuration.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Proof {
+    /// The member, by the address that the others know it by.
+    pub member: SocketAddr,
     /// A revision that no change in its log exceeds, committed or not.
     pub highest: Revision,
     /// How often the members have changed, by its log.
