--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -37,6 +37,7 @@
         capacity: Capacity { slots: 20, pieces: 80, piece_tokens: 2_000 },
         load: Load { slots: (index % 19) as u32, ..Load::default() },
         draining: false,
+        sequence: 0,
         fence: Fence(0),
     }
 }
