Let the bound on exchanges of a connection grow with their number

Cause: room for all 16,384 exchanges is held from the start of a connection. Now: 64 at first, doubled whenever half are in use, 16,384 at most.

--- a/src/link/inbound.rs
+++ b/src/link/inbound.rs
@@ -15,6 +15,11 @@
 use super::{LinkEvent, Route, Sink, frame, tls, wait_for_room};
 use crate::model::InboundId;
 
+/// Exchanges that a peer may have open on one connection at first; room for each is held from the
+/// start, so the bound grows with what is used.
+pub const FIRST_EXCHANGES: u32 = 64;
+/// Exchanges that a peer may have open on one connection at most.
+const MAX_EXCHANGES: u32 = 16_384;
 /// Connections that peers may have open at once.
 const MAX_CONNECTIONS: usize = 8_192;
 /// Replies that wait for a peer which reads slowly, before the exchange is dropped.
@@ -86,12 +91,26 @@
             connection.close(STRANGER, b"unknown kind of certificate");
             return;
         };
+        let open = Arc::new(());
+        let mut bound = FIRST_EXCHANGES;
         while let Ok((send, recv)) = connection.accept_bi().await {
-            self.take(peer, kind, send, recv);
+            self.take(peer, kind, open.clone(), send, recv);
+            if bound < MAX_EXCHANGES && Arc::strong_count(&open) as u32 > bound / 2 {
+                bound *= 2;
+                connection.set_max_concurrent_bi_streams(VarInt::from_u32(bound));
+            }
         }
     }
 
-    fn take(&self, peer: SocketAddr, kind: PeerKind, send: SendStream, recv: RecvStream) {
+    /// Takes an exchange, which keeps its share of `open` until its last request is read.
+    fn take(
+        &self,
+        peer: SocketAddr,
+        kind: PeerKind,
+        open: Arc<()>,
+        send: SendStream,
+        recv: RecvStream,
+    ) {
         let id = InboundId(self.last.fetch_add(1, Ordering::SeqCst) + 1);
         let (answers, waiting) = channel(MAX_WAITING);
         let (drop, dropped) = oneshot::channel();
@@ -103,6 +122,7 @@
         let table = self.clone();
         tokio::spawn(async move {
             let owner = reader.read(recv, dropped).await;
+            std::mem::drop(open);
             table.lock().remove(&id);
             if let Some(sink) = owner.filter(|_| !done.load(Ordering::SeqCst)) {
                 sink.deliver(LinkEvent::Abandoned { inbound: id });
--- a/src/link/shell.rs
+++ b/src/link/shell.rs
@@ -12,7 +12,7 @@
 
 use super::dialer::Dialer;
 use super::exchange::{self, Answer, Outgoing};
-use super::inbound::Inbound;
+use super::inbound::{FIRST_EXCHANGES, Inbound};
 use super::message::Request;
 use super::tls::Identity;
 use super::{LinkAction, LinkEvent, Sink};
@@ -37,9 +37,6 @@
 const SHARES_WHEN_IDLE: usize = 2;
 /// Bytes that a peer may send on one connection before they are read.
 const RECEIVE_WINDOW_BYTES: u32 = 16 << 20;
-/// Exchanges that a peer may have open on one connection.
-const MAX_EXCHANGES: u32 = 16_384;
-
 /// Says which role of this process takes a request.
 pub type Route = Arc<dyn Fn(&Request) -> Option<Arc<dyn Sink>> + Send + Sync>;
 
@@ -158,7 +155,7 @@
     config.initial_rtt(INITIAL_RTT);
     config.keep_alive_interval(Some(KEEP_ALIVE));
     config.max_idle_timeout(Some(VarInt::from_u32(IDLE_TIMEOUT_MS).into()));
-    config.max_concurrent_bidi_streams(VarInt::from_u32(MAX_EXCHANGES));
+    config.max_concurrent_bidi_streams(VarInt::from_u32(FIRST_EXCHANGES));
     config.receive_window(VarInt::from_u32(RECEIVE_WINDOW_BYTES));
     config.max_concurrent_uni_streams(VarInt::from_u32(0));
     Arc::new(config)
