Serve nothing before the first confirmation, whatever the setting says

Cause: with config.serve_unconfirmed at 1 an entry that had just started served after one member's answer, which may be a stale one. Now: Follower::may_serve; a process that was confirmed once may serve on. A test that 1,000 exchanges stand at once on one connection, for the growing bound. The old condition in the entry failed the new rule by reading; the test was not run against it.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -304,8 +304,7 @@
             return Err(Refusal::not_run(RefusalReason::Draining, RETRY_AFTER, detail));
         }
         let config = self.shared.follower.config();
-        let confirmed = self.shared.follower.is_confirmed(now);
-        if !confirmed && config.default_value(Setting::ServeUnconfirmed) == 0 {
+        if !self.shared.follower.may_serve(now) {
             let detail = "no majority of control confirms the configuration";
             return Err(Refusal::not_run(RefusalReason::NoConfig, RETRY_AFTER, detail));
         }
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -82,6 +82,8 @@
     revised: Revised,
     /// Whether changes did not fit, so that the whole configuration is needed.
     whole: bool,
+    /// Whether the configuration was confirmed since the start of the process.
+    was_confirmed: bool,
     /// Another content of the own revision that was logged.
     disputed: Option<Revised>,
     /// Whether any list has changed since the endpoints were picked.
@@ -112,6 +114,7 @@
             config,
             revised,
             whole: false,
+            was_confirmed: false,
             disputed: None,
             changed: false,
             trusted: Vec::new(),
@@ -154,6 +157,13 @@
         reached && newest.voters.iter().filter(agrees).count() * 2 > newest.voters.len()
     }
 
+    /// Returns whether new calls may run: the configuration is confirmed, or it was once and says
+    /// that a process without confirmation serves on.
+    pub fn may_serve(&self, now: Timestamp) -> bool {
+        let serve_on = self.config.default_value(Setting::ServeUnconfirmed) == 1;
+        self.is_confirmed(now) || self.was_confirmed && serve_on
+    }
+
     /// Notes the configuration that a peer has in force; one that is newer than the own makes
     /// the next heartbeats due at once.
     pub fn observe(&mut self, now: Timestamp, revised: Revised) {
@@ -261,6 +271,7 @@
         member.proof = beat.proof.clone().map(|proof| (proof, sent));
         self.changed |= member.take_endpoints(beat);
         self.take_config(now, beat);
+        self.was_confirmed |= self.is_confirmed(now);
         true
     }
 
--- a/tests/follower.rs
+++ b/tests/follower.rs
@@ -112,6 +112,28 @@
     assert!(!f.follower.is_confirmed(seconds(4)));
 }
 
+#[test]
+fn process_that_was_never_confirmed_serves_nothing_whatever_the_setting_says() {
+    let name = "config.serve_unconfirmed".into();
+    let edit = Edit::Set { name, value: "1".into() };
+    let serve_on = Config::default().edited(&edit).unwrap();
+    let mut f = Fixture::new();
+    f.wake(seconds(1));
+    f.answer(seconds(1), 0, proof(0, 1, 3, &[0, 1, 2]), Some(Update::Whole(serve_on)));
+    assert!(!f.follower.may_serve(seconds(1)));
+    f.answer(seconds(1), 1, proof(1, 1, 3, &[0, 1, 2]), None);
+    assert!(f.follower.may_serve(seconds(1)));
+    assert!(!f.follower.is_confirmed(seconds(60)));
+    assert!(f.follower.may_serve(seconds(60)));
+    // Without the setting it refuses as soon as the confirmation lapses.
+    let mut f = Fixture::new();
+    f.wake(seconds(1));
+    f.answer(seconds(1), 0, proof(0, 0, 3, &[0, 1, 2]), None);
+    f.answer(seconds(1), 1, proof(1, 0, 3, &[0, 1, 2]), None);
+    assert!(f.follower.may_serve(seconds(3)));
+    assert!(!f.follower.may_serve(seconds(60)));
+}
+
 #[test]
 fn member_without_a_vote_or_with_a_newer_change_does_not_confirm() {
     let mut f = Fixture::new();
--- a/tests/silent_link.rs
+++ b/tests/silent_link.rs
@@ -125,6 +125,27 @@
     std::fs::remove_dir_all(folder).unwrap();
 }
 
+#[test]
+fn hundreds_of_exchanges_stand_at_once_on_one_connection() {
+    let (mut near, far, folder) = two_ends();
+    for _ in 0..1_000 {
+        near.open(far.address);
+    }
+    let requests: Vec<_> = (0..1_000)
+        .map(|_| match far.events.recv_timeout(PATIENCE).expect("a request") {
+            LinkEvent::Request { inbound, .. } => inbound,
+            other => panic!("{other:?}"),
+        })
+        .collect();
+    for inbound in requests {
+        let body = Reply::Agent(AgentReply::Settled(Settled::Unknown));
+        let envelope = Envelope { revised: Revised::default(), body };
+        far.handle.act(LinkAction::Reply { inbound, envelope, last: true });
+    }
+    near.expect_replies(1_000);
+    std::fs::remove_dir_all(folder).unwrap();
+}
+
 #[test]
 fn redial_keeps_a_connection_that_is_fresh_itself() {
     let (mut near, far, folder) = two_ends();
