Tell apart starts at the same microsecond by the process's name

Cause: a request's id rests on its entry's boot id, which was the time of the start alone; two entries that start in one microsecond would give the same ids to different calls, and an agent would take one for the other.

Twelve bits of the name's hash follow the time; order by time stays. Ruled out: random numbers, which lose the order of starts.

--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -39,7 +39,7 @@
 
 /// Runs the roles until they have stopped.
 pub fn run(settings: Settings) -> eyre::Result<()> {
-    let boot = BootId(Timestamp::from_system().as_micros());
+    let boot = BootId::from_start(Timestamp::from_system(), &settings.name);
     let identity = Identity::load(&settings.keys)?;
     let link = Link::bind(settings.listen, identity)?;
     let drivers = Drivers {
--- a/src/model/id.rs
+++ b/src/model/id.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::Timestamp;
+
 macro_rules! number {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
@@ -45,6 +47,26 @@
     Fence
 );
 
+/// Bits of a start's number that come from the name of the process.
+const NAME_BITS: u32 = 12;
+
+impl BootId {
+    /// Numbers a start by its time, and by the name for processes that start at the same time.
+    ///
+    /// ```
+    /// use dotterelpin::model::{BootId, Timestamp};
+    ///
+    /// let at = |micros| Timestamp::from_micros(micros);
+    /// assert!(BootId::from_start(at(5), "entry-1") < BootId::from_start(at(6), "entry-0"));
+    /// assert_ne!(BootId::from_start(at(5), "entry-1"), BootId::from_start(at(5), "entry-2"));
+    /// ```
+    pub fn from_start(now: Timestamp, name: &str) -> BootId {
+        let hash = u64::from(crc32fast::hash(name.as_bytes()));
+        let low = hash & ((1 << NAME_BITS) - 1);
+        BootId(now.as_micros() << NAME_BITS | low)
+    }
+}
+
 /// One attempt of one call, unique over all entries and restarts.
 ///
 /// ```
