Fuzz the other placement variants; mend the rate of prefills

Cause: the fuzz tests ran the plainest placement alone. With the variants prefill-first and prefix, tests/memory.rs and tests/whole_answer.rs panicked at once in src/agent/queue.rs: the faded sum of measurements subtracted before it added, so that it went below zero (a release build would have wrapped to a rate of nonsense).

The sum fades first and then adds. Each case draws its variant now.

--- a/src/agent/queue.rs
+++ b/src/agent/queue.rs
@@ -103,8 +103,8 @@
     pub fn done(&mut self, now: Timestamp, request: RequestId) {
         let Some(tokens) = self.started.remove(&request) else { return };
         self.tokens -= tokens;
-        self.handled += u64::from(tokens) - self.handled / SMOOTHING;
-        self.busy += (now - self.since).as_micros() as u64 - self.busy / SMOOTHING;
+        self.handled = faded(self.handled) + u64::from(tokens);
+        self.busy = faded(self.busy) + (now - self.since).as_micros() as u64;
         self.since = now;
     }
 
@@ -130,3 +130,8 @@
         }
     }
 }
+
+/// Returns what is left of older measurements.
+fn faded(total: u64) -> u64 {
+    total - total / SMOOTHING
+}
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -11,6 +11,7 @@
 use dotterelpin::agent::settle::Settlements;
 use dotterelpin::control::claims::{Claim, ClaimKey, ClaimReply, Claims, MAX_KEPT_BYTES};
 use dotterelpin::entry::check::RawCall;
+use dotterelpin::entry::place::Variant;
 use dotterelpin::entry::{CallerEffect, Terminal};
 use dotterelpin::link::message::{AgentRequest, Answer, Request, Settled};
 use dotterelpin::model::{
@@ -18,7 +19,7 @@
 };
 use proptest::collection::vec;
 use proptest::prelude::{Just, Strategy, any, prop_oneof};
-use world::{Node, World, runner};
+use world::{Node, World, runner, variant};
 
 const ENTRIES: usize = 2;
 const AGENTS: usize = 2;
@@ -108,7 +109,7 @@
 }
 
 impl Test {
-    fn new() -> Test {
+    fn new(variant: Variant) -> Test {
         let announcement = Announcement {
             url: "http://127.0.0.1:9".into(),
             kind: EndpointKind::Service,
@@ -119,7 +120,7 @@
             boot: BootId(0),
         };
         Test {
-            world: World::new(ENTRIES, vec![announcement; AGENTS]),
+            world: World::new(variant, ENTRIES, vec![announcement; AGENTS]),
             work: Vec::new(),
             calls: BTreeMap::new(),
             ended: BTreeMap::new(),
@@ -327,8 +328,8 @@
 #[test]
 fn no_request_runs_twice_and_not_run_is_true() {
     runner(1, 400)
-        .run(&vec(op(), 0..240), |ops| {
-            let mut test = Test::new();
+        .run(&(variant(), vec(op(), 0..240)), |(variant, ops)| {
+            let mut test = Test::new(variant);
             for op in &ops {
                 test.apply(op);
             }
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -10,11 +10,12 @@
 use dotterelpin::agent::ledger::Phase;
 use dotterelpin::entry::CallerEffect;
 use dotterelpin::entry::check::RawCall;
+use dotterelpin::entry::place::Variant;
 use dotterelpin::model::{BootId, CallId, EndpointKind};
 use proptest::collection::vec;
 use proptest::prelude::{Just, Strategy, any, prop_oneof};
 use world::engine::{Engines, announcement};
-use world::{Node, World, runner};
+use world::{Node, World, runner, variant};
 
 const ENTRIES: usize = 2;
 const ENDPOINTS: usize = 4;
@@ -76,7 +77,7 @@
 }
 
 impl Test {
-    fn new() -> Test {
+    fn new(variant: Variant) -> Test {
         let kinds = [
             EndpointKind::Prefill,
             EndpointKind::Prefill,
@@ -85,7 +86,7 @@
         ];
         let announcements = kinds.into_iter().map(announcement).collect();
         let mut test = Test {
-            world: World::new(ENTRIES, announcements),
+            world: World::new(variant, ENTRIES, announcements),
             engines: Engines::default(),
             live: BTreeSet::new(),
         };
@@ -209,8 +210,8 @@
 #[test]
 fn engines_hold_exactly_what_live_requests_need() {
     runner(2, 300)
-        .run(&vec(op(), 0..200), |ops| {
-            let mut test = Test::new();
+        .run(&(variant(), vec(op(), 0..200)), |(variant, ops)| {
+            let mut test = Test::new(variant);
             for op in &ops {
                 test.apply(op);
             }
@@ -229,7 +230,7 @@
 
 #[test]
 fn import_that_completes_after_its_cancel_is_cancelled_again() {
-    let mut test = Test::new();
+    let mut test = Test::new(Variant::RoundRobin);
     let prefilled = [Op::Call { entry: 0, tokens: 200 }, Op::Flow(4), Op::Work(0), Op::Work(0)];
     // The decode's connection breaks on its way, and the engine says that it holds nothing.
     let lost = [Op::Flow(4), Op::Disconnect(0), Op::Order(0), Op::Order(0), Op::Work(0)];
--- a/tests/whole_answer.rs
+++ b/tests/whole_answer.rs
@@ -8,12 +8,13 @@
 
 use common::{Fleet, open_stream};
 use dotterelpin::entry::check::RawCall;
+use dotterelpin::entry::place::Variant;
 use dotterelpin::entry::{CallerEffect, Terminal};
 use dotterelpin::model::{BootId, CallId, EndpointKind, Ran};
 use proptest::collection::vec;
 use proptest::prelude::{Just, Strategy, any, prop_oneof};
 use world::engine::{Engines, STOP_TOKENS, announcement, token};
-use world::{Node, World, runner};
+use world::{Node, World, runner, variant};
 
 const ENTRIES: usize = 2;
 const ENDPOINTS: usize = 5;
@@ -127,11 +128,11 @@
 }
 
 impl Test {
-    fn new() -> Test {
+    fn new(variant: Variant) -> Test {
         let decode = std::iter::repeat_n(EndpointKind::Decode, ENDPOINTS - 2);
         let kinds = std::iter::repeat_n(EndpointKind::Prefill, 2).chain(decode);
         Test {
-            world: World::new(ENTRIES, kinds.map(announcement).collect()),
+            world: World::new(variant, ENTRIES, kinds.map(announcement).collect()),
             engines: Engines::default(),
             callers: BTreeMap::new(),
             gone: Vec::new(),
@@ -261,8 +262,8 @@
 #[test]
 fn answers_are_whole_and_each_offset_comes_once() {
     runner(3, 300)
-        .run(&vec(op(), 0..300), |ops| {
-            let mut test = Test::new();
+        .run(&(variant(), vec(op(), 0..300)), |(variant, ops)| {
+            let mut test = Test::new(variant);
             for op in &ops {
                 test.apply(op);
             }
@@ -277,7 +278,7 @@
 /// Both owners of one key generate, since the first is cut off from control but alive.
 #[test]
 fn summary_with_one_key_is_answered_once() {
-    let mut test = Test::new();
+    let mut test = Test::new(Variant::RoundRobin);
     test.settle();
     let key = Some("night-1".to_string());
     test.call(0, PROMPTS[0], 100, key.clone());
@@ -380,7 +381,7 @@
 /// Prefills start but take longer than decode room is held.
 #[test]
 fn call_whose_prefill_ran_is_not_told_that_it_did_not_run() {
-    let mut test = Test::new();
+    let mut test = Test::new(Variant::RoundRobin);
     test.settle();
     test.call(0, PROMPTS[0], 60, None);
     for _ in 0..100 {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -14,7 +14,7 @@
 use dotterelpin::control::replica::LogIndex;
 use dotterelpin::control::state::{Command, State};
 use dotterelpin::entry::check::{RawCall, Tenants, credential_hash};
-use dotterelpin::entry::place::RoundRobin;
+use dotterelpin::entry::place::Variant;
 use dotterelpin::entry::{CallerEffect, CallerInput, Entry, EntrySettings};
 use dotterelpin::link::message::{
     Beat, ControlReply, ControlRequest, Endpoints, Envelope, Heartbeat, Proof, Reply, Request, Seen,
@@ -25,6 +25,7 @@
 };
 use dotterelpin::registry::{FollowerSettings, HEARTBEAT_LEASE};
 use dotterelpin::role::{Input, LinkFailure, Output, Role};
+use proptest::prelude::{Just, Strategy, prop_oneof};
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
 const CONTROL_PORT: u16 = 1;
@@ -44,6 +45,11 @@
     TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]))
 }
 
+/// The plainest variant of placement, and those that decide most.
+pub fn variant() -> impl Strategy<Value = Variant> {
+    prop_oneof![Just(Variant::RoundRobin), Just(Variant::PrefillFirst), Just(Variant::Prefix)]
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Node {
     Entry(usize),
@@ -94,6 +100,7 @@
 }
 
 pub struct World {
+    variant: Variant,
     pub now: Timestamp,
     pub state: State,
     pub quorum: bool,
@@ -118,8 +125,9 @@
 }
 
 impl World {
-    pub fn new(entries: usize, announcements: Vec<Announcement>) -> World {
+    pub fn new(variant: Variant, entries: usize, announcements: Vec<Announcement>) -> World {
         let mut world = World {
+            variant,
             now: Timestamp::from_micros(1_000_000_000),
             state: State::default(),
             quorum: true,
@@ -226,11 +234,8 @@
             Node::Entry(i) => {
                 let tenants: Tenants =
                     format!("tabulka {}", credential_hash("secret")).parse().unwrap();
-                let entry = Entry::new(
-                    EntrySettings { follower },
-                    tenants,
-                    Box::new(RoundRobin::default()),
-                );
+                let entry =
+                    Entry::new(EntrySettings { follower }, tenants, self.variant.placement(boot.0));
                 self.entries[i] = (boot, Some(entry));
             }
             Node::Agent(i) => {
