--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -25,6 +25,7 @@
     RefusalReason, RequestId, Timestamp,
 };
 use crate::registry::{Follower, FollowerSettings};
+use crate::report::observation::Observation;
 use crate::role::{Input, Output, Role};
 
 /// How often an exchange with nothing to say is shown to stand.
@@ -77,7 +78,7 @@
     pub fn new(settings: AgentSettings) -> Agent {
         Agent {
             follower: Follower::new(settings.follower.clone()),
-            orders: Orders::new(settings.follower.members.len()),
+            orders: Orders::new(!settings.follower.members.is_empty()),
             settings,
             endpoint: None,
             ledger: Ledger::default(),
@@ -196,9 +197,9 @@
             return Vec::new();
         }
         if let Reply::Control(ControlReply::Beat(beat)) = reply
-            && let Some(marked) = &beat.orders
+            && let (Some(proof), Some(marked)) = (&beat.proof, &beat.orders)
         {
-            self.orders.heard(&beat.member, marked);
+            self.orders.heard(proof, marked);
         }
         self.next_order(now)
     }
@@ -208,6 +209,7 @@
         outputs.extend(self.next_order(now));
         for (request, inbound) in self.ledger.lapse(now) {
             log::info!("step=lapse request={request}");
+            outputs.push(Output::Observe(Observation::LeaseLapsed));
             outputs.extend(self.refuse(inbound, RefusalReason::Stale, "the reservation lapsed"));
         }
         outputs.extend(self.start_prefills(now));
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -512,7 +512,7 @@
                     }
                 }
             }
-            Output::Redial { .. } | Output::Stopped => {}
+            Output::Redial { .. } | Output::Observe(_) | Output::Stopped => {}
         }
         None
     }
