--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -374,3 +374,32 @@
     hear(&mut agent, 2, 5, Some(drain));
     assert_eq!(reserve(&mut agent), Some((RefusalReason::Draining, Ran::No)));
 }
+
+#[test]
+fn leading_control_member_leaves_under_taps_and_none_is_lost() {
+    let mut fleet = Fleet::new(3).unwrap();
+    fleet.entry("brno-a").unwrap();
+    let service = fleet.service("brno-a", &[]).unwrap();
+    fleet.wait_ready().unwrap();
+    let url = fleet.entries[0].url.clone();
+    static STOP: AtomicBool = AtomicBool::new(false);
+    let load: Vec<_> = ["e", "f"]
+        .map(|name| start_load(&url, "POST", TAP, name, |_| STOP.load(Ordering::SeqCst)))
+        .into();
+    for member in 0..3 {
+        std::thread::sleep(Duration::from_millis(500));
+        fleet.controls[member].signal("-TERM").unwrap();
+        assert_eq!(fleet.controls[member].exit_within(EXIT_WITHIN), Some(0));
+        fleet.controls[member].restart().unwrap();
+        std::thread::sleep(Duration::from_secs(2));
+    }
+    STOP.store(true, Ordering::SeqCst);
+    let counts = |fleet: &Fleet| fleet.endpoints[service].counts().unwrap();
+    for thread in load {
+        for (key, answer) in thread.join().unwrap() {
+            let answer = answer.unwrap_or_else(|e| panic!("{key} was cut off: {e:#}"));
+            assert_eq!(answer.status, 200, "{key}: {answer:?}");
+            assert_eq!(counts(&fleet)[&key], 1, "{key}");
+        }
+    }
+}
