--- a/benches/policy/world.rs
+++ b/benches/policy/world.rs
@@ -440,7 +440,8 @@
                 }
             }
             Output::Effect(effect) => self.caller(effect),
-            Output::Reply { .. } | Output::Redial { .. } | Output::Stopped => {}
+            Output::Reply { .. } | Output::Redial { .. } | Output::Observe(_) | Output::Stopped => {
+            }
         }
     }
 
