Make new work reach the leaving endpoint in its test

The round robin never came to the leaving endpoint, because each call placed an even number of attempts; a mutation that ignores the drain passed.

--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -135,6 +135,7 @@
     fleet.entry("brno-a").unwrap();
     fleet.engine("prefill", "brno-a", &[]).unwrap();
     let leaving = fleet.engine("decode", "brno-a", SLOW).unwrap();
+    fleet.service("brno-a", &[]).unwrap();
     fleet.wait_ready().unwrap();
     let set = ["config", "set", "config.serve_unconfirmed", "1", "--author", "test"];
     fleet.tool_text(&set).unwrap();
@@ -153,7 +154,13 @@
     for i in 0..20 {
         let streamed = fleet.stream(0, &format!("New plan {i}"), 5).unwrap();
         assert!(streamed.done, "{streamed:?}");
+        if i % 2 == 0 {
+            // One placement more, so that the turn comes to each decode endpoint.
+            assert_eq!(fleet.call(0, "GET", TIMETABLE, &[], "").unwrap().status, 200);
+        }
     }
+    let log = fleet.endpoints[leaving].agent.log();
+    assert!(log.contains("reason=draining"), "nothing came to the leaving endpoint");
     assert_eq!(fleet.endpoints[other].counts().unwrap()["tokens"], 100);
     expect_whole(streams);
     assert_eq!(fleet.endpoints[leaving].counts().unwrap()["tokens"], 6 * TOKENS);
