Let a cut-off member's uncommitted order keep no agent out of work

A restarted agent took the highest number of all members that answered. A cut-off member may hold an order that was never committed, for as long as it is cut off, and the agent would refuse work all that time. Now the number is that which some majority has none above: a committed order is in one of any majority's logs.

--- a/src/agent/orders.rs
+++ b/src/agent/orders.rs
@@ -138,11 +138,14 @@
         (idle && self.missing().is_some()).then_some(self.again)
     }
 
-    /// Returns the highest number that a majority knows for the endpoint.
+    /// Returns the number that some majority has none above; a committed order is in the log of
+    /// one member at least of that majority, and so is no higher.
     fn floor(&self) -> Option<Fence> {
         let voters = &self.voters.1;
-        let marks: Vec<Fence> = voters.iter().filter_map(|v| self.marks.get(v).copied()).collect();
-        (marks.len() * 2 > voters.len()).then(|| marks.into_iter().max())?
+        let mut marks: Vec<Fence> =
+            voters.iter().filter_map(|v| self.marks.get(v).copied()).collect();
+        marks.sort_unstable();
+        marks.get(voters.len() / 2).copied()
     }
 
     fn take(&mut self) {
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -310,20 +310,19 @@
         members: members.clone(),
         endpoints: false,
     };
-    let mut agent = Agent::new(AgentSettings { follower, address: ([10, 0, 1, 1], 7000).into() });
+    let settings = AgentSettings { follower, address: ([10, 0, 1, 1], 7000).into() };
+    let announcement = Announcement {
+        url: "http://10.0.1.1:8000".into(),
+        kind: EndpointKind::Decode,
+        pool: "cs-summary".into(),
+        capacity: Capacity { slots: 20, pieces: 60, piece_tokens: 2000 },
+        fenced: false,
+        artifact: None,
+        boot: BootId(1),
+    };
+    let mut agent = Agent::new(settings.clone());
     let now = Timestamp::from_micros(1_000_000);
-    agent.step(
-        now,
-        Input::Local(EngineInput::Announced(Announcement {
-            url: "http://10.0.1.1:8000".into(),
-            kind: EndpointKind::Decode,
-            pool: "cs-summary".into(),
-            capacity: Capacity { slots: 20, pieces: 60, piece_tokens: 2000 },
-            fenced: false,
-            artifact: None,
-            boot: BootId(1),
-        })),
-    );
+    agent.step(now, Input::Local(EngineInput::Announced(announcement.clone())));
     let beats: Vec<_> = agent
         .step(now, Input::Wake)
         .into_iter()
@@ -380,6 +379,17 @@
     let drain = Desired { fence: Fence(5), draining: true, ..Desired::default() };
     hear(&mut agent, 2, 5, Some(drain));
     assert_eq!(reserve(&mut agent), Some((RefusalReason::Draining, Ran::No)));
+
+    // A member that is cut off holds a number that was never committed.
+    let mut agent = Agent::new(settings);
+    agent.step(now, Input::Local(EngineInput::Announced(announcement)));
+    agent.step(now, Input::Wake);
+    let stands = Desired { fence: Fence(3), ..Desired::default() };
+    hear(&mut agent, 0, 9, Some(stands.clone()));
+    hear(&mut agent, 1, 3, Some(stands.clone()));
+    assert_eq!(reserve(&mut agent), unknown, "the higher number may be committed");
+    hear(&mut agent, 2, 3, Some(stands));
+    assert_eq!(reserve(&mut agent), None, "a majority knows that it isn't");
 }
 
 #[test]
