--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -495,3 +495,38 @@
     let drained = status["endpoints"].as_array().unwrap().iter().find(|e| e["name"] == "decode-3");
     assert_eq!(drained.unwrap()["draining"], true, "a rollout undid an operator's drain");
 }
+
+#[test]
+fn rollout_counts_no_endpoint_that_has_not_heard_of_its_return() {
+    use Step::{Apply, Heartbeat, Load, Plan, Replicate, Rollout};
+    let heartbeat = |endpoint, member| Heartbeat { endpoint, member };
+    let steps = [
+        Rollout { id: 0, artifact: 4 },
+        heartbeat(3, 0),
+        heartbeat(0, 0),
+        Replicate(1),
+        heartbeat(1, 0),
+        Apply(0),
+        Plan,
+        Replicate(1),
+        Apply(0),
+        heartbeat(2, 0),
+        Plan,
+        Load { id: 0, endpoint: 1, artifact: 0 },
+        Replicate(1),
+        Apply(1),
+        Plan,
+        heartbeat(1, 1),
+        Apply(0),
+        Plan,
+        Replicate(1),
+        Apply(0),
+        Plan,
+        Replicate(1),
+        Load { id: 1, endpoint: 0, artifact: 0 },
+        Apply(1),
+        heartbeat(2, 1),
+    ];
+    let mut world = World::new([false; ENDPOINTS], 2);
+    steps.iter().try_for_each(|s| world.step(s)).and_then(|()| world.settle()).unwrap();
+}
