--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -31,7 +31,6 @@
         address: SocketAddr::from(([10, 0, (index >> 8) as u8, index as u8], 7_000)),
         domain: format!("d{}", index % 6).into(),
         boot: BootId(1),
-        sequence: 1,
         kind: if index.is_multiple_of(3) { EndpointKind::Prefill } else { EndpointKind::Decode },
         pool: "model".into(),
         url: "http://e".into(),
