--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -39,7 +39,6 @@
         draining: false,
         sequence: 0,
         fence: Fence(0),
-        sequence: 0,
     }
 }
 
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -135,6 +135,7 @@
     fleet.entry("brno-a").unwrap();
     fleet.engine("prefill", "brno-a", &[]).unwrap();
     let leaving = fleet.engine("decode", "brno-a", SLOW).unwrap();
+    fleet.service("brno-a", &[]).unwrap();
     fleet.wait_ready().unwrap();
     let set = ["config", "set", "config.serve_unconfirmed", "1", "--author", "test"];
     fleet.tool_text(&set).unwrap();
@@ -153,7 +154,13 @@
     for i in 0..20 {
         let streamed = fleet.stream(0, &format!("New plan {i}"), 5).unwrap();
         assert!(streamed.done, "{streamed:?}");
+        if i % 2 == 0 {
+            // One placement more, so that the turn comes to each decode endpoint.
+            assert_eq!(fleet.call(0, "GET", TIMETABLE, &[], "").unwrap().status, 200);
+        }
     }
+    let log = fleet.endpoints[leaving].agent.log();
+    assert!(log.contains("reason=draining"), "nothing came to the leaving endpoint");
     assert_eq!(fleet.endpoints[other].counts().unwrap()["tokens"], 100);
     expect_whole(streams);
     assert_eq!(fleet.endpoints[leaving].counts().unwrap()["tokens"], 6 * TOKENS);
@@ -303,20 +310,19 @@
         members: members.clone(),
         endpoints: false,
     };
-    let mut agent = Agent::new(AgentSettings { follower, address: ([10, 0, 1, 1], 7000).into() });
+    let settings = AgentSettings { follower, address: ([10, 0, 1, 1], 7000).into() };
+    let announcement = Announcement {
+        url: "http://10.0.1.1:8000".into(),
+        kind: EndpointKind::Decode,
+        pool: "cs-summary".into(),
+        capacity: Capacity { slots: 20, pieces: 60, piece_tokens: 2000 },
+        fenced: false,
+        artifact: None,
+        boot: BootId(1),
+    };
+    let mut agent = Agent::new(settings.clone());
     let now = Timestamp::from_micros(1_000_000);
-    agent.step(
-        now,
-        Input::Local(EngineInput::Announced(Announcement {
-            url: "http://10.0.1.1:8000".into(),
-            kind: EndpointKind::Decode,
-            pool: "cs-summary".into(),
-            capacity: Capacity { slots: 20, pieces: 60, piece_tokens: 2000 },
-            fenced: false,
-            artifact: None,
-            boot: BootId(1),
-        })),
-    );
+    agent.step(now, Input::Local(EngineInput::Announced(announcement.clone())));
     let beats: Vec<_> = agent
         .step(now, Input::Wake)
         .into_iter()
@@ -373,4 +379,44 @@
     let drain = Desired { fence: Fence(5), draining: true, ..Desired::default() };
     hear(&mut agent, 2, 5, Some(drain));
     assert_eq!(reserve(&mut agent), Some((RefusalReason::Draining, Ran::No)));
+
+    // A member that is cut off holds a number that was never committed.
+    let mut agent = Agent::new(settings);
+    agent.step(now, Input::Local(EngineInput::Announced(announcement)));
+    agent.step(now, Input::Wake);
+    let stands = Desired { fence: Fence(3), ..Desired::default() };
+    hear(&mut agent, 0, 9, Some(stands.clone()));
+    hear(&mut agent, 1, 3, Some(stands.clone()));
+    assert_eq!(reserve(&mut agent), unknown, "the higher number may be committed");
+    hear(&mut agent, 2, 3, Some(stands));
+    assert_eq!(reserve(&mut agent), None, "a majority knows that it isn't");
+}
+
+#[test]
+fn leading_control_member_leaves_under_taps_and_none_is_lost() {
+    let mut fleet = Fleet::new(3).unwrap();
+    fleet.entry("brno-a").unwrap();
+    let service = fleet.service("brno-a", &[]).unwrap();
+    fleet.wait_ready().unwrap();
+    let url = fleet.entries[0].url.clone();
+    static STOP: AtomicBool = AtomicBool::new(false);
+    let load: Vec<_> = ["e", "f"]
+        .map(|name| start_load(&url, "POST", TAP, name, |_| STOP.load(Ordering::SeqCst)))
+        .into();
+    for member in 0..3 {
+        std::thread::sleep(Duration::from_millis(500));
+        fleet.controls[member].signal("-TERM").unwrap();
+        assert_eq!(fleet.controls[member].exit_within(EXIT_WITHIN), Some(0));
+        fleet.controls[member].restart().unwrap();
+        std::thread::sleep(Duration::from_secs(2));
+    }
+    STOP.store(true, Ordering::SeqCst);
+    let counts = |fleet: &Fleet| fleet.endpoints[service].counts().unwrap();
+    for thread in load {
+        for (key, answer) in thread.join().unwrap() {
+            let answer = answer.unwrap_or_else(|e| panic!("{key} was cut off: {e:#}"));
+            assert_eq!(answer.status, 200, "{key}: {answer:?}");
+            assert_eq!(counts(&fleet)[&key], 1, "{key}");
+        }
+    }
 }
