--- a/src/agent/engine/http.rs
+++ b/src/agent/engine/http.rs
@@ -29,6 +29,8 @@
 const MAX_ANSWER_BYTES: u64 = 2 << 20;
 /// The buffer in each direction of a connection to the endpoint.
 const BUFFER_BYTES: usize = 8 << 10;
+/// The buffer in each direction of a connection that carries a stream of tokens.
+const STREAM_BUFFER_BYTES: usize = 2 << 10;
 /// The stack of a thread that waits for the endpoint.
 const STACK_BYTES: usize = 128 << 10;
 
@@ -53,23 +55,29 @@
     url: Arc<Mutex<Option<Box<str>>>>,
     role: DriverHandle<EngineInput>,
     http: HttpAgent,
+    /// For streams, of which many stand for long, with smaller buffers.
+    streams: HttpAgent,
 }
 
 impl HttpEngine {
     /// Makes the shell; the URL becomes known when the endpoint announces itself.
     pub fn new(url: Arc<Mutex<Option<Box<str>>>>, role: DriverHandle<EngineInput>) -> HttpEngine {
-        let config = HttpAgent::config_builder()
-            .timeout_connect(Some(CONNECT_TIMEOUT))
-            .timeout_global(Some(WORK_TIMEOUT))
-            .http_status_as_error(false)
-            .max_idle_connections(0)
-            .input_buffer_size(BUFFER_BYTES)
-            .output_buffer_size(BUFFER_BYTES)
-            // A redirect is the caller's to follow: following it here could run a call twice.
-            .max_redirects(0)
-            .max_redirects_will_error(false)
-            .build();
-        HttpEngine { url, role, http: config.new_agent() }
+        let with_buffers = |bytes| {
+            HttpAgent::config_builder()
+                .timeout_connect(Some(CONNECT_TIMEOUT))
+                .timeout_global(Some(WORK_TIMEOUT))
+                .http_status_as_error(false)
+                .max_idle_connections(0)
+                .input_buffer_size(bytes)
+                .output_buffer_size(bytes)
+                // A redirect is the caller's to follow: following it here could run a call twice.
+                .max_redirects(0)
+                .max_redirects_will_error(false)
+                .build()
+                .new_agent()
+        };
+        let (http, streams) = (with_buffers(BUFFER_BYTES), with_buffers(STREAM_BUFFER_BYTES));
+        HttpEngine { url, role, http, streams }
     }
 
     fn spawn(&self, work: impl FnOnce(Client) + Send + 'static) {
@@ -78,6 +86,7 @@
             url: url.unwrap_or_default(),
             role: self.role.clone(),
             http: self.http.clone(),
+            streams: self.streams.clone(),
         };
         let builder = std::thread::Builder::new().name("engine".into()).stack_size(STACK_BYTES);
         if let Err(error) = builder.spawn(move || work(client)) {
@@ -109,6 +118,7 @@
     url: Box<str>,
     role: DriverHandle<EngineInput>,
     http: HttpAgent,
+    streams: HttpAgent,
 }
 
 type Failure = (Ran, eyre::Report);
@@ -157,8 +167,10 @@
     }
 
     fn decode(&self, request: RequestId, body: &serde_json::Value) -> Result<(), Failure> {
-        let response = self.post("/v1/decode", body)?;
-        let lines = BufReader::new(response.into_body().into_reader()).lines();
+        let response = self.post_by(&self.streams, "/v1/decode", body)?;
+        let lines =
+            BufReader::with_capacity(STREAM_BUFFER_BYTES, response.into_body().into_reader())
+                .lines();
         for line in lines {
             let line = line.wrap_err("read decode stream").map_err(|e| (Ran::Maybe, e))?;
             let Some(data) = line.strip_prefix("data: ") else { continue };
@@ -265,9 +277,18 @@
         &self,
         path: &str,
         body: &serde_json::Value,
+    ) -> Result<ureq::http::Response<ureq::Body>, Failure> {
+        self.post_by(&self.http, path, body)
+    }
+
+    fn post_by(
+        &self,
+        http: &HttpAgent,
+        path: &str,
+        body: &serde_json::Value,
     ) -> Result<ureq::http::Response<ureq::Body>, Failure> {
         let mut response =
-            self.http.post(format!("{}{path}", self.url)).send_json(body).map_err(failure)?;
+            http.post(format!("{}{path}", self.url)).send_json(body).map_err(failure)?;
         if response.status().is_success() {
             return Ok(response);
         }
--- a/src/link/exchange.rs
+++ b/src/link/exchange.rs
@@ -29,8 +29,8 @@
 
 /// What is written to an exchange that a peer opened.
 pub struct Answer {
-    /// The reply.
-    pub envelope: Envelope<Reply>,
+    /// The reply, behind a pointer, since queues keep room for many.
+    pub envelope: Box<Envelope<Reply>>,
     /// Whether it is the last one.
     pub last: bool,
     /// Shows for as long as it lives that the reply may not have arrived.
--- a/src/link/inbound.rs
+++ b/src/link/inbound.rs
@@ -170,7 +170,7 @@
         if last {
             done.store(true, Ordering::SeqCst);
         }
-        if frame::write(&mut send, &envelope).await.is_err() {
+        if frame::write(&mut send, &*envelope).await.is_err() {
             return;
         }
         if last {
--- a/src/link/shell.rs
+++ b/src/link/shell.rs
@@ -242,6 +242,7 @@
             LinkAction::Redial { peer } => self.dialer.redial(peer),
             LinkAction::Leave { .. } => {}
             LinkAction::Reply { inbound, envelope, last } => {
+                let envelope = Box::new(envelope);
                 let answer = Answer { envelope, last, pending: self.pending.clone() };
                 self.inbound.reply(inbound, answer);
             }
