--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -1,16 +1,20 @@
 //! A request that may not be repeated runs at most once, and "not run" is true.
 
+mod common;
 mod world;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use common::{Answer as HttpAnswer, Fleet, call, wait_for};
 use dotterelpin::agent::engine::{EngineEffect, EngineInput, Work};
+use dotterelpin::agent::settle::Settlements;
+use dotterelpin::control::claims::{Claim, ClaimKey, ClaimReply, Claims, MAX_KEPT_BYTES};
 use dotterelpin::entry::check::RawCall;
 use dotterelpin::entry::{CallerEffect, Terminal};
-use dotterelpin::link::message::{AgentRequest, Answer, Request};
+use dotterelpin::link::message::{AgentRequest, Answer, Request, Settled};
 use dotterelpin::model::{
-    Announcement, BootId, CallId, Capacity, EndpointKind, Ran, RefusalReason, RequestId,
+    Announcement, BootId, CallId, Capacity, EndpointKind, Ran, RefusalReason, RequestId, Timestamp,
 };
 use proptest::collection::vec;
 use proptest::prelude::{Just, Strategy, any, prop_oneof};
@@ -218,7 +222,10 @@
                 let count = self.runs.get(content).copied().unwrap_or(0);
                 assert_eq!(count, 0, "\"not run\", but its key ran: {refusal}");
             }
-            Terminal::Refused(_) => {}
+            Terminal::Refused(refusal) => {
+                let count = self.runs.get(content).copied().unwrap_or(0);
+                assert!(refusal.ran != Ran::Yes || count == 1, "it ran, it says: {refusal}");
+            }
         }
     }
 
@@ -311,8 +318,10 @@
 
 type CallName = (BootId, CallId);
 
+/// The answer to the second key is too large to keep.
 fn whole_answer(content: &str) -> String {
-    format!("{content}: done")
+    let size = if content.starts_with("key-1") { MAX_KEPT_BYTES } else { 0 };
+    format!("{content}: done{:size$}", "")
 }
 
 #[test]
@@ -328,3 +337,97 @@
         })
         .unwrap();
 }
+
+#[test]
+fn claims_are_kept_for_their_retention_by_the_time_in_the_commands() {
+    let retention = Duration::from_secs(60);
+    let key = |name: &str| ClaimKey { tenant: "tabulka".into(), key: name.into() };
+    let claim = |call: u64, second: u64| Claim {
+        request: RequestId { owner: BootId(1), call: CallId(call), attempt: 1 },
+        hash: call,
+        target: None,
+        until: Timestamp::MAX,
+        made: Timestamp::from_micros(second * 1_000_000),
+    };
+    let mut claims = Claims::default();
+    assert_eq!(claims.claim(&key("tap-1"), &claim(1, 100)), ClaimReply::Granted);
+    claims.expire(Timestamp::from_micros(160_000_000), retention);
+    assert!(matches!(claims.claim(&key("tap-1"), &claim(2, 160)), ClaimReply::Held(_)));
+    claims.expire(Timestamp::from_micros(160_000_001), retention);
+    assert!(claims.is_empty());
+}
+
+#[test]
+fn end_that_is_too_old_to_be_remembered_is_unknown() {
+    let request = |call| RequestId { owner: BootId(1), call: CallId(call), attempt: 1 };
+    let mut settlements = Settlements::default();
+    for call in 1..=10_000 {
+        settlements.close(request(call), Settled::FinishedLarge { status: 200 });
+    }
+    assert_eq!(settlements.settle(request(1)), Settled::Unknown);
+    assert!(settlements.may_have_run(request(1)));
+    assert_eq!(settlements.settle(request(10_000)), Settled::FinishedLarge { status: 200 });
+    assert_eq!(settlements.settle(request(10_001)), Settled::NotStarted);
+}
+
+/// A fleet with a service that works long enough to be killed within a call.
+fn slow_service() -> (Fleet, usize) {
+    let mut fleet = Fleet::new(1).unwrap();
+    fleet.entry("brno-a").unwrap();
+    fleet.entry("brno-b").unwrap();
+    let service = fleet.service("brno-a", &["--work-ms", "1500"]).unwrap();
+    fleet.wait_ready().unwrap();
+    (fleet, service)
+}
+
+/// Taps at the first entry, and returns once the service has started to run it.
+fn tap_until_it_runs(fleet: &Fleet, service: usize) -> std::thread::JoinHandle<Option<HttpAnswer>> {
+    let url = fleet.entries[0].url.clone();
+    let caller = std::thread::spawn(move || tap(&url));
+    wait_for(Duration::from_secs(10), || {
+        let counts = fleet.endpoints[service].counts()?;
+        eyre::ensure!(counts["pupil-7"] == 1, "counts: {counts}");
+        Ok(())
+    })
+    .unwrap();
+    caller
+}
+
+fn tap(url: &str) -> Option<HttpAnswer> {
+    let key = [("idempotency-key", "tap-1")];
+    call(url, "POST", "/services/classroom/tap", &key, "pupil-7").ok()
+}
+
+/// Presses again at the second entry until the key is no more in progress.
+fn tap_again(fleet: &Fleet) -> HttpAnswer {
+    wait_for(Duration::from_secs(20), || {
+        let answer = tap(&fleet.entries[1].url).ok_or_else(|| eyre::eyre!("no answer"))?;
+        eyre::ensure!(answer.status != 409 && answer.status != 503, "{answer:?}");
+        Ok(answer)
+    })
+    .unwrap()
+}
+
+#[test]
+fn tap_survives_the_death_of_its_entry() {
+    let (mut fleet, service) = slow_service();
+    let caller = tap_until_it_runs(&fleet, service);
+    fleet.entries[0].process.kill();
+    assert!(caller.join().unwrap().is_none(), "the first caller has lost its answer");
+    let answer = tap_again(&fleet);
+    assert_eq!((answer.status, answer.ran.as_deref()), (200, Some("yes")), "{answer:?}");
+    assert!(answer.body.contains("\"run\":1"), "{answer:?}");
+    assert_eq!(fleet.endpoints[service].counts().unwrap()["pupil-7"], 1);
+}
+
+#[test]
+fn tap_whose_agent_died_is_not_run_again() {
+    let (mut fleet, service) = slow_service();
+    let caller = tap_until_it_runs(&fleet, service);
+    fleet.endpoints[service].agent.restart().unwrap();
+    let first = caller.join().unwrap().unwrap();
+    assert_eq!(first.ran.as_deref(), Some("maybe"), "{first:?}");
+    let again = tap_again(&fleet);
+    assert_eq!(again.ran.as_deref(), Some("maybe"), "{again:?}");
+    assert_eq!(fleet.endpoints[service].counts().unwrap()["pupil-7"], 1);
+}
