--- a/benches/latency.rs
+++ b/benches/latency.rs
@@ -53,8 +53,8 @@
     let entry = fleet.entries[0].url.clone();
     let alone = fleet.endpoints[0].url.clone();
     println!(
-        "{:<28} {:>6} {:>8} {:>8} {:>8} {:>7}",
-        "call", "rate/s", "p50 ms", "p99 ms", "max ms", "failed"
+        "{:<28} {:>6} {:>8} {:>8} {:>8} {:>8} {:>7}",
+        "call", "rate/s", "min ms", "p50 ms", "p99 ms", "max ms", "failed"
     );
     for rate in RATES {
         let url = format!("{alone}/timetable");
@@ -77,7 +77,8 @@
 fn print_row(name: &str, rate: u64, sample: &Sample) {
     let at = |quantile: f64| sample.micros.value_at_quantile(quantile) as f64 / 1_000.0;
     println!(
-        "{name:<28} {rate:>6} {:>8.2} {:>8.2} {:>8.2} {:>7}",
+        "{name:<28} {rate:>6} {:>8.2} {:>8.2} {:>8.2} {:>8.2} {:>7}",
+        at(0.0),
         at(0.5),
         at(0.99),
         at(1.0),
