--- a/tests/silent_link.rs
+++ b/tests/silent_link.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::{Duration, Instant};
 
@@ -12,7 +13,9 @@
 use common::relay::Relay;
 use common::{Fleet, free_udp, open_stream, wait_for};
 use dotterelpin::control::config::Revised;
-use dotterelpin::link::message::{AgentReply, AgentRequest, Envelope, Reply, Request, Settled};
+use dotterelpin::link::message::{
+    AgentReply, AgentRequest, Answer, Envelope, Reply, Request, Settled,
+};
 use dotterelpin::link::tls::{Identity, make_keys};
 use dotterelpin::link::{Link, LinkAction, LinkEvent, LinkHandle, Sink};
 use dotterelpin::model::{BootId, CallId, ExchangeId, RequestId};
@@ -24,11 +27,19 @@
 /// Shorter than a connection must have stood before a fresh one may take its place.
 const FRESH: Duration = Duration::from_millis(250);
 
-struct Events(Sender<LinkEvent>);
+struct Events {
+    sender: Sender<LinkEvent>,
+    /// Whether the role is too far behind to take more.
+    behind: Arc<AtomicBool>,
+}
 
 impl Sink for Events {
     fn deliver(&self, event: LinkEvent) {
-        let _ = self.0.send(event);
+        let _ = self.sender.send(event);
+    }
+
+    fn depth(&self) -> usize {
+        if self.behind.load(Ordering::SeqCst) { usize::MAX } else { 0 }
     }
 }
 
@@ -38,6 +49,7 @@
     owner: u64,
     events: Receiver<LinkEvent>,
     address: SocketAddr,
+    behind: Arc<AtomicBool>,
     last: u64,
 }
 
@@ -46,10 +58,11 @@
         let link = Link::bind(free_udp().unwrap(), identity).unwrap();
         let (handle, address) = (link.handle(), link.local_addr().unwrap());
         let (sender, events) = channel();
-        let sink: Arc<dyn Sink> = Arc::new(Events(sender));
+        let behind = Arc::new(AtomicBool::new(false));
+        let sink: Arc<dyn Sink> = Arc::new(Events { sender, behind: behind.clone() });
         let owner = handle.register(sink.clone());
         link.start(Arc::new(move |_| Some(sink.clone()))).unwrap();
-        End { handle, owner, events, address, last: 0 }
+        End { handle, owner, events, address, behind, last: 0 }
     }
 
     fn open(&mut self, peer: SocketAddr) -> ExchangeId {
@@ -175,6 +188,25 @@
     std::fs::remove_dir_all(folder).unwrap();
 }
 
+#[test]
+fn peer_that_reads_nothing_loses_its_exchange() {
+    let (mut near, far, folder) = two_ends();
+    near.behind.store(true, Ordering::SeqCst);
+    near.open(far.address);
+    let request = far.events.recv_timeout(PATIENCE);
+    let Ok(LinkEvent::Request { inbound, .. }) = request else { panic!("{request:?}") };
+    for _ in 0..3_000 {
+        let content = vec![0; 4_096];
+        let answer = Answer { status: 200, media: "text/plain".into(), content };
+        let body = Reply::Agent(AgentReply::Answer(answer));
+        let envelope = Envelope { revised: Revised::default(), body };
+        far.handle.act(LinkAction::Reply { inbound, envelope, last: false });
+    }
+    let event = far.events.recv_timeout(PATIENCE);
+    assert_matches!(event, Ok(LinkEvent::Abandoned { inbound: i }) if i == inbound);
+    std::fs::remove_dir_all(folder).unwrap();
+}
+
 #[test]
 fn dial_of_a_dead_peer_fails_for_all_that_wait() {
     let (mut near, _, folder) = two_ends();
