--- a/benches/latency.rs
+++ b/benches/latency.rs
@@ -1,7 +1,7 @@
 //! What the system adds to a call, how many tokens it forwards, and what it costs when idle.
 //!
 //! `cargo build --release --bins --examples && cargo bench --bench latency [-- PART...]`, with the
-//! parts latency, tokens and idle; it drives release-built processes on loopback.
+//! parts latency, tokens, memory and idle; it drives release-built processes on loopback.
 
 #[path = "../tests/common/mod.rs"]
 mod common;
@@ -35,6 +35,9 @@
         tokens(1)?;
         tokens(8)?;
     }
+    if wanted("memory") {
+        memory()?;
+    }
     if wanted("idle") {
         idle()?;
     }
@@ -50,8 +53,8 @@
     let entry = fleet.entries[0].url.clone();
     let alone = fleet.endpoints[0].url.clone();
     println!(
-        "{:<28} {:>6} {:>8} {:>8} {:>8} {:>7}",
-        "call", "rate/s", "p50 ms", "p99 ms", "max ms", "failed"
+        "{:<28} {:>6} {:>8} {:>8} {:>8} {:>8} {:>7}",
+        "call", "rate/s", "min ms", "p50 ms", "p99 ms", "max ms", "failed"
     );
     for rate in RATES {
         let url = format!("{alone}/timetable");
@@ -74,7 +77,8 @@
 fn print_row(name: &str, rate: u64, sample: &Sample) {
     let at = |quantile: f64| sample.micros.value_at_quantile(quantile) as f64 / 1_000.0;
     println!(
-        "{name:<28} {rate:>6} {:>8.2} {:>8.2} {:>8.2} {:>7}",
+        "{name:<28} {rate:>6} {:>8.2} {:>8.2} {:>8.2} {:>8.2} {:>7}",
+        at(0.0),
         at(0.5),
         at(0.99),
         at(1.0),
@@ -203,6 +207,30 @@
     Ok(())
 }
 
+/// Measures the memory of streams that each get two tokens a second.
+fn memory() -> eyre::Result<()> {
+    println!("{:>8} {:>10} {:>10}", "streams", "entry MB", "agent MB");
+    for streams in [0, 100, 300, 1_000] {
+        let mut fleet = Fleet::new(1)?;
+        fleet.entry("brno-a")?;
+        let mut flags = vec!["--slots", "1100", "--pieces", "4000", "--batch-us", "0"];
+        flags.extend(["--prefill-rate", "2000000", "--export-ms", "20000"]);
+        fleet.engine("prefill", "brno-a", &flags)?;
+        flags.extend(["--token-us", "500000"]);
+        fleet.engine("decode", "brno-a", &flags)?;
+        fleet.wait_ready()?;
+        let url = &fleet.entries[0].url;
+        let mut open = Vec::new();
+        for index in 0..streams {
+            open.push(open_stream(url, &format!("plan {index}"), 200)?);
+        }
+        std::thread::sleep(Duration::from_secs(2));
+        let (entry, agent) = (&fleet.entries[0].process, &fleet.endpoints[1].agent);
+        println!("{streams:>8} {:>10.1} {:>10.1}", resident_mb(entry)?, resident_mb(agent)?);
+    }
+    Ok(())
+}
+
 /// Measures what processes cost while nothing is asked of them.
 fn idle() -> eyre::Result<()> {
     let mut fleet = Fleet::new(1)?;
