--- a/benches/replica.rs
+++ b/benches/replica.rs
@@ -348,7 +348,8 @@
         handles.push(driver.handle());
         let report = report.clone();
         let role = Subscriber { follower: Follower::new(settings), last: 0, report };
-        driver.start("subscriber", role, link.handle(), Nothing)?;
+        let metrics = std::sync::Arc::new(dotterelpin::report::metrics::Metrics::new()?);
+        driver.start("subscriber", role, link.handle(), Nothing, metrics)?;
         link.start(Arc::new(|_| None))?;
     }
     Ok(Subscribers(handles))
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -507,7 +507,7 @@
                     }
                 }
             }
-            Output::Redial { .. } | Output::Stopped => {}
+            Output::Redial { .. } | Output::Observe(_) | Output::Stopped => {}
         }
         None
     }
