--- a/benches/policy/world.rs
+++ b/benches/policy/world.rs
@@ -348,7 +348,11 @@
                 self.nodes[node].woken = u64::MAX;
                 self.step_agent(node, Input::Wake);
             }
-            Event::Report(node, state) => self.nodes[node].seen = Some((*state, self.now)),
+            Event::Report(node, mut state) => {
+                // Every report reaches the entries here, also one that changes nothing but load.
+                state.sequence = self.turn;
+                self.nodes[node].seen = Some((*state, self.now));
+            }
             Event::Fault(turn) => self.fault(turn),
             Event::Return(call) => self.arrive(call),
             Event::Restart(node) => {
