--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -135,6 +135,7 @@
     fleet.entry("brno-a").unwrap();
     fleet.engine("prefill", "brno-a", &[]).unwrap();
     let leaving = fleet.engine("decode", "brno-a", SLOW).unwrap();
+    fleet.service("brno-a", &[]).unwrap();
     fleet.wait_ready().unwrap();
     let set = ["config", "set", "config.serve_unconfirmed", "1", "--author", "test"];
     fleet.tool_text(&set).unwrap();
@@ -153,7 +154,13 @@
     for i in 0..20 {
         let streamed = fleet.stream(0, &format!("New plan {i}"), 5).unwrap();
         assert!(streamed.done, "{streamed:?}");
+        if i % 2 == 0 {
+            // One placement more, so that the turn comes to each decode endpoint.
+            assert_eq!(fleet.call(0, "GET", TIMETABLE, &[], "").unwrap().status, 200);
+        }
     }
+    let log = fleet.endpoints[leaving].agent.log();
+    assert!(log.contains("reason=draining"), "nothing came to the leaving endpoint");
     assert_eq!(fleet.endpoints[other].counts().unwrap()["tokens"], 100);
     expect_whole(streams);
     assert_eq!(fleet.endpoints[leaving].counts().unwrap()["tokens"], 6 * TOKENS);
@@ -278,3 +285,138 @@
     }
     assert_matches!(&last[..], [.., Output::Reply { .. }, Output::Stopped]);
 }
+
+#[test]
+fn agent_takes_no_work_before_it_knows_its_orders_nor_when_they_drain_it() {
+    use dotterelpin::agent::engine::EngineInput;
+    use dotterelpin::agent::{Agent, AgentSettings};
+    use dotterelpin::control::orders::{Desired, Marked};
+    use dotterelpin::link::message::{
+        AgentReply, AgentRequest, Beat, ControlReply, Envelope, Proof, Reply, Request, Seen,
+    };
+    use dotterelpin::model::{
+        Announcement, BootId, CallId, Capacity, Class, EndpointKind, Fence, InboundId, Ran,
+        RefusalReason, RequestId, Revision, Timestamp,
+    };
+    use dotterelpin::registry::FollowerSettings;
+    use dotterelpin::role::{Input, Output, Role};
+
+    let members: Vec<std::net::SocketAddr> = (1..4).map(|i| ([10, 0, 0, i], 7000).into()).collect();
+    let follower = FollowerSettings {
+        name: "decode-1".into(),
+        role: "agent".into(),
+        domain: "brno-a".into(),
+        boot: BootId(7),
+        members: members.clone(),
+        endpoints: false,
+    };
+    let settings = AgentSettings { follower, address: ([10, 0, 1, 1], 7000).into() };
+    let announcement = Announcement {
+        url: "http://10.0.1.1:8000".into(),
+        kind: EndpointKind::Decode,
+        pool: "cs-summary".into(),
+        capacity: Capacity { slots: 20, pieces: 60, piece_tokens: 2000 },
+        fenced: false,
+        artifact: None,
+        boot: BootId(1),
+    };
+    let mut agent = Agent::new(settings.clone());
+    let now = Timestamp::from_micros(1_000_000);
+    agent.step(now, Input::Local(EngineInput::Announced(announcement.clone())));
+    let beats: Vec<_> = agent
+        .step(now, Input::Wake)
+        .into_iter()
+        .filter_map(|o| match o {
+            Output::Open { exchange, peer, .. } => Some((exchange, peer)),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(beats.len(), 3);
+    let mut count = 0;
+    let mut reserve = |agent: &mut Agent| {
+        count += 1;
+        let request = RequestId { owner: BootId(2), call: CallId(count), attempt: 1 };
+        let lease = Duration::from_secs(1);
+        let body = Request::Agent(AgentRequest::Reserve {
+            request,
+            class: Class::Batch,
+            tokens: 100,
+            lease,
+        });
+        let envelope = Envelope { revised: Default::default(), body };
+        let outputs = agent.step(now, Input::Request { inbound: InboundId(count), envelope });
+        outputs.into_iter().find_map(|o| match o {
+            Output::Reply { envelope, .. } => match envelope.body {
+                Reply::Agent(AgentReply::Refused(r)) => Some((r.reason, r.ran)),
+                _ => None,
+            },
+            _ => None,
+        })
+    };
+    let hear = |agent: &mut Agent, at: usize, mark: u64, desired: Option<Desired>| {
+        let (exchange, member) = beats[at];
+        let proof = Proof { member, highest: Revision(0), epoch: 0, voters: members.clone() };
+        let beat = Beat {
+            member: "control".into(),
+            proof: Some(proof),
+            config: None,
+            seen: Seen::default(),
+            endpoints: None,
+            orders: Some(Marked { mark: Fence(mark), desired }),
+            suspects: None,
+        };
+        let body = Reply::Control(ControlReply::Beat(beat));
+        let envelope = Envelope { revised: Default::default(), body };
+        agent.step(now, Input::Reply { exchange, envelope });
+    };
+    let unknown = Some((RefusalReason::NoConfig, Ran::No));
+    assert_eq!(reserve(&mut agent), unknown, "no member has answered");
+    let old = Desired { fence: Fence(3), ..Desired::default() };
+    hear(&mut agent, 0, 3, Some(old));
+    assert_eq!(reserve(&mut agent), unknown, "one of three members has answered");
+    hear(&mut agent, 1, 5, None);
+    assert_eq!(reserve(&mut agent), unknown, "a higher number is known, its order isn't");
+    let drain = Desired { fence: Fence(5), draining: true, ..Desired::default() };
+    hear(&mut agent, 2, 5, Some(drain));
+    assert_eq!(reserve(&mut agent), Some((RefusalReason::Draining, Ran::No)));
+
+    // A member that is cut off holds a number that was never committed.
+    let mut agent = Agent::new(settings);
+    agent.step(now, Input::Local(EngineInput::Announced(announcement)));
+    agent.step(now, Input::Wake);
+    let stands = Desired { fence: Fence(3), ..Desired::default() };
+    hear(&mut agent, 0, 9, Some(stands.clone()));
+    hear(&mut agent, 1, 3, Some(stands.clone()));
+    assert_eq!(reserve(&mut agent), unknown, "the higher number may be committed");
+    hear(&mut agent, 2, 3, Some(stands));
+    assert_eq!(reserve(&mut agent), None, "a majority knows that it isn't");
+}
+
+#[test]
+fn leading_control_member_leaves_under_taps_and_none_is_lost() {
+    let mut fleet = Fleet::new(3).unwrap();
+    fleet.entry("brno-a").unwrap();
+    let service = fleet.service("brno-a", &[]).unwrap();
+    fleet.wait_ready().unwrap();
+    let url = fleet.entries[0].url.clone();
+    static STOP: AtomicBool = AtomicBool::new(false);
+    let load: Vec<_> = ["e", "f"]
+        .map(|name| start_load(&url, "POST", TAP, name, |_| STOP.load(Ordering::SeqCst)))
+        .into();
+    for member in 0..3 {
+        std::thread::sleep(Duration::from_millis(500));
+        fleet.controls[member].signal("-TERM").unwrap();
+        assert_eq!(fleet.controls[member].exit_within(EXIT_WITHIN), Some(0));
+        fleet.controls[member].restart().unwrap();
+        std::thread::sleep(Duration::from_secs(2));
+    }
+    STOP.store(true, Ordering::SeqCst);
+    let counts = |fleet: &Fleet| fleet.endpoints[service].counts().unwrap();
+    for thread in load {
+        for (key, answer) in thread.join().unwrap() {
+            let answer = answer.unwrap_or_else(|e| panic!("{key} was cut off: {e:#}"));
+            assert_eq!(answer.status, 200, "{key}: {answer:?}");
+            assert_eq!(counts(&fleet)[&key], 1, "{key}");
+        }
+    }
+}
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -7,6 +7,7 @@
 
 use common::{free_tcp, program};
 use dotterelpin::cli::settings::{DaemonArgs, Settings};
+use dotterelpin::control::config::Setting;
 
 const ENTRY: &[(&str, &str)] = &[
     ("roles", "entry"),
@@ -156,3 +157,43 @@
     assert!(error.contains("--listen") && error.contains("in use"), "{error}");
     std::fs::remove_dir_all(folder).unwrap();
 }
+
+#[test]
+fn json_log_lines_are_json() {
+    let mut fleet = common::Fleet::new(1).unwrap();
+    fleet.entry_with("brno-a", &["--log-format", "json"]).unwrap();
+    fleet.wait_ready().unwrap();
+    let log = fleet.entries[0].process.log();
+    let lines: Vec<serde_json::Value> = log
+        .lines()
+        .map(|l| serde_json::from_str(l).unwrap_or_else(|e| panic!("{l}: {e}")))
+        .collect();
+    let start = lines.iter().find(|l| l["step"] == "start").expect("a line for the start");
+    assert_eq!(start["name"], "entry-0");
+    let refusal = lines.iter().find(|l| l["step"] == "refuse").expect("a line for the refusal");
+    assert!(refusal["call"].is_string() && refusal["message"].is_string(), "{refusal}");
+}
+
+#[test]
+fn operators_page_names_every_flag_setting_and_metric() {
+    let page = include_str!("../docs/OPERATIONS.md");
+    let _ = DaemonArgs::default().with_environment(|name| {
+        let flag = name.trim_start_matches("DOTTERELPIN_").to_lowercase().replace('_', "-");
+        assert!(page.contains(&format!("`--{flag}`")), "--{flag} is not on the page");
+        None
+    });
+    for setting in Setting::all() {
+        let row = format!("`{}` |", setting.as_str());
+        assert!(page.contains(&row), "{} is not on the page", setting.as_str());
+        let value = setting.built_in().to_string();
+        let line = page.lines().find(|l| l.contains(&row)).unwrap_or_default();
+        assert!(line.contains(&format!("| {value} |")), "{line} has not the default {value}");
+    }
+    let metrics = dotterelpin::report::metrics::Metrics::new().unwrap();
+    metrics.steps("entry");
+    for line in metrics.text().unwrap().lines().filter_map(|l| l.strip_prefix("# HELP ")) {
+        let name = line.split(' ').next().unwrap_or_default();
+        let name = name.trim_start_matches("dotterelpin_");
+        assert!(page.contains(&format!("`{name}`")), "{name} is not on the page");
+    }
+}
