Place by health by default; resume past a lost export and a missed first token

Ruled out: a longer list of attempts. Also: the link's idle timeout is 1.5 s, so that engines are empty within 2 s of the death of an entry; an attempt that was settled as not started has a test of its own (it fails without the tombstone, which the fuzz alone missed).

--- a/src/cli/settings.rs
+++ b/src/cli/settings.rs
@@ -98,7 +98,7 @@
     /// connections that callers may have open at an entry; 16384 if not given
     #[argh(option)]
     pub max_connections: Option<String>,
-    /// variant of placement at an entry, from round-robin to prefix; round-robin if not given
+    /// variant of placement at an entry, from round-robin to prefix; health if not given
     #[argh(option)]
     pub placement: Option<String>,
     /// TCP address for health, readiness, metrics and announcements
--- a/src/entry/place/variant.rs
+++ b/src/entry/place/variant.rs
@@ -11,7 +11,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub enum Variant {
     /// Each endpoint in its turn.
-    #[default]
     RoundRobin,
     /// The least load that control reports.
     LeastReported,
@@ -24,6 +23,7 @@
     /// With a second decode endpoint while the export lives.
     Fallback,
     /// With ejection of failing endpoints and a retry budget.
+    #[default]
     Health,
     /// With the load and the speed of links.
     Link,
--- a/src/entry/run/mod.rs
+++ b/src/entry/run/mod.rs
@@ -74,6 +74,8 @@
     at: Timestamp,
     /// Tokens that the caller had when the prefill began.
     told: usize,
+    /// How often a decode endpoint was sent to fetch it.
+    uses: u32,
 }
 
 /// A claim that belongs to this call.
@@ -270,7 +272,9 @@
                 self.settle_reply(shared, now, reply)
             }
             (_, AgentReply::Refused(refusal)) => {
-                self.blame(exchange);
+                if !self.uses_export_again() {
+                    self.blame(exchange);
+                }
                 let ran = refusal.ran.max(self.runs_beside(exchange));
                 self.setback(shared, now, ran, refusal.reason, &refusal.detail)
             }
--- a/src/entry/run/model.rs
+++ b/src/entry/run/model.rs
@@ -14,6 +14,9 @@
 
 /// How long after its prefill KV cache may go to another decode endpoint.
 const EXPORT_USE: Duration = Duration::from_millis(650);
+/// Decode endpoints that may fetch the same KV cache; an engine may give it away only once, so a
+/// call whose second one fails needs another prefill.
+const MOST_EXPORT_USES: u32 = 2;
 /// How long an import may take before it counts as stalled.
 const IMPORT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -62,7 +65,7 @@
     /// Keeps what a prefill has exported; the request has begun to run by then.
     pub(super) fn exported(&mut self, now: Timestamp, export: Export) {
         self.attempts.started();
-        self.export = Some(Exported { export, at: now, told: self.told.len() });
+        self.export = Some(Exported { export, at: now, told: self.told.len(), uses: 0 });
     }
 
     /// Returns KV cache that still lives and holds all that the caller has.
@@ -70,7 +73,7 @@
         let uses = shared.policy.fallback || !shared.policy.reserve_first;
         let exported = self.export.as_ref().filter(|_| uses)?;
         let lives = now - exported.at < EXPORT_USE && exported.told == self.told.len();
-        lives.then_some(exported)
+        (lives && exported.uses < MOST_EXPORT_USES).then_some(exported)
     }
 
     fn prefill(
@@ -90,7 +93,7 @@
             class: self.call.class,
             prompt,
             prefix: self.told.clone(),
-            within: shared.prefill_within(now, self.id, &self.call.pool),
+            within: self.prefill_within(shared, now),
         };
         self.attempts.dispatched();
         let (prefill, open) = shared.open(self.id, endpoint.address, Request::Agent(prefill));
@@ -107,6 +110,21 @@
         outputs
     }
 
+    /// Returns whether the attempt waits for KV cache that another one may have taken away, so
+    /// that its failure says nothing about its endpoint.
+    pub(super) fn uses_export_again(&self) -> bool {
+        let again = self.export.as_ref().is_some_and(|e| e.uses > 1);
+        again && self.transferring && matches!(self.stage, Stage::Decoding { .. })
+    }
+
+    /// Returns how long a prefill may take: up to the target for the first token, or, once that is
+    /// met or an attempt has failed, up to the deadline.
+    fn prefill_within(&self, shared: &Shared, now: Timestamp) -> Option<Duration> {
+        let within = shared.prefill_within(now, self.id, &self.call.pool)?;
+        let first = self.told.is_empty() && self.attempts.last() == 1;
+        Some(if first { within } else { self.call.deadline - now })
+    }
+
     pub(super) fn decode(
         &mut self,
         shared: &mut Shared,
@@ -114,7 +132,8 @@
         decode: ExchangeId,
     ) -> Outputs {
         let CallKind::Model { max_tokens, .. } = &self.call.kind else { return Vec::new() };
-        let Some(exported) = &self.export else { return Vec::new() };
+        let Some(exported) = &mut self.export else { return Vec::new() };
+        exported.uses += 1;
         let request = AgentRequest::Decode {
             export: exported.export.clone(),
             from: self.told.len() as u32,
--- a/src/link/shell.rs
+++ b/src/link/shell.rs
@@ -24,7 +24,7 @@
 /// How often a quiet connection is kept alive.
 const KEEP_ALIVE: Duration = Duration::from_millis(500);
 /// How long a connection may be silent before it is lost.
-const IDLE_TIMEOUT_MS: u32 = 2_000;
+const IDLE_TIMEOUT_MS: u32 = 1_500;
 /// How long a process that leaves waits until its last replies have arrived.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// How long a process that leaves waits until its last requests are answered.
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -10,10 +10,11 @@
 use dotterelpin::agent::engine::{EngineEffect, EngineInput, Work};
 use dotterelpin::agent::settle::Settlements;
 use dotterelpin::control::claims::{Claim, ClaimKey, ClaimReply, Claims, MAX_KEPT_BYTES};
+use dotterelpin::control::config::Revised;
 use dotterelpin::entry::check::RawCall;
 use dotterelpin::entry::place::Variant;
 use dotterelpin::entry::{CallerEffect, Terminal};
-use dotterelpin::link::message::{AgentRequest, Answer, Request, Settled};
+use dotterelpin::link::message::{AgentRequest, Answer, Envelope, Request, Settled};
 use dotterelpin::model::{
     Announcement, BootId, CallId, Capacity, EndpointKind, Ran, RefusalReason, RequestId, Timestamp,
 };
@@ -371,6 +372,25 @@
     assert_eq!(settlements.settle(request(10_001)), Settled::NotStarted);
 }
 
+/// An entry settles an attempt whose call is still under way to the agent.
+#[test]
+fn attempt_that_was_settled_as_not_started_never_starts() {
+    let mut test = Test::new(Variant::RoundRobin);
+    let (owner, call) =
+        test.call(0, Some("key-0"), "key-0".into(), DEADLINE_MS).expect("the entry takes calls");
+    let request = RequestId { owner, call, attempt: 1 };
+    for agent in 0..AGENTS {
+        let boot = test.world.agent_boot(agent);
+        let body = Request::Agent(AgentRequest::Settle { request, boot });
+        test.world.repeat(agent, Envelope { revised: Revised::default(), body });
+    }
+    while test.world.deliver(0) {
+        test.collect();
+    }
+    assert!(test.work.iter().all(|w| w.request != request), "a settled attempt started");
+    test.finish();
+}
+
 /// A fleet with a service that works long enough to be killed within a call.
 fn slow_service() -> (Fleet, usize) {
     let mut fleet = Fleet::new(1).unwrap();
