Split the largest modules along their seams

Now the replica's records and actions, an entry's callers and shared parts, a run's setbacks, and a control member's answers and commits have files of their own.

--- /dev/null
+++ b/src/control/answers.rs
@@ -0,0 +1,120 @@
+//! What a member tells processes and operators.
+
+use std::time::Duration;
+
+use super::config::highest;
+use super::orders::{Marked, OrderReport};
+use super::{Control, orders};
+use crate::link::message::{
+    Beat, Heartbeat, OrderStatus, ProcessState, Proof, Status, Suspects, Update,
+};
+use crate::model::{EndpointState, Fence, Revision, Timestamp};
+
+impl Control {
+    pub(super) fn heartbeat(&mut self, now: Timestamp, mut heartbeat: Heartbeat) -> Beat {
+        let config = self.update(heartbeat.process.revised.revision, heartbeat.whole);
+        let (seen, wants) = (heartbeat.seen, std::mem::take(&mut heartbeat.wants));
+        let follows = heartbeat.endpoints;
+        let orders = match &heartbeat.endpoint {
+            Some(endpoint) => self.marked(endpoint, heartbeat.report.as_ref()),
+            None => None,
+        };
+        let suspects = self.suspects(heartbeat.suspects);
+        self.registry.heartbeat(now, heartbeat);
+        let news = if follows { self.registry.news(now, seen, &wants) } else { None };
+        Beat {
+            member: self.settings.name.clone(),
+            proof: self.proof(),
+            config,
+            seen: self.registry.seen(),
+            endpoints: news,
+            orders,
+            suspects,
+        }
+    }
+
+    /// Returns what a process with this revision needs; changes are a fraction of the whole.
+    pub(super) fn update(&self, known: Revision, whole: bool) -> Option<Update> {
+        if known >= self.revised.revision {
+            return None;
+        }
+        let changes = if whole { None } else { self.state.changes.since(known) };
+        let whole = || Update::Whole(self.state.config.clone());
+        let revised = self.revised;
+        Some(changes.map_or_else(whole, |changes| Update::Changes { changes, revised }))
+    }
+
+    /// Returns what an agent is told about the orders of its endpoint; a member that may lack
+    /// committed records tells nothing.
+    pub(super) fn marked(
+        &self,
+        endpoint: &EndpointState,
+        report: Option<&OrderReport>,
+    ) -> Option<Marked> {
+        if self.failed || !self.replica.counts() {
+            return None;
+        }
+        let desired = self.state.orders.desired(&endpoint.name, &endpoint.pool);
+        let tail = self.replica.unapplied().filter(|r| orders::concerns(&r.command, endpoint));
+        let mark = tail.map(|r| Fence(r.index.0)).max().unwrap_or_default();
+        let known = report.is_some_and(|r| r.fence >= desired.fence);
+        Some(Marked { mark: mark.max(desired.fence), desired: (!known).then_some(desired) })
+    }
+
+    pub(super) fn suspects(&self, seen: u64) -> Option<Suspects> {
+        let quarantine = &self.state.quarantine;
+        let list = || quarantine.suspects().iter().map(|(f, s)| (*f, s.clone())).collect();
+        (seen != quarantine.version())
+            .then(|| Suspects { version: quarantine.version(), list: list() })
+    }
+
+    /// Returns what the own log proves; a member that may lack committed records proves nothing.
+    pub(super) fn proof(&self) -> Option<Proof> {
+        if self.failed || !self.replica.counts() {
+            return None;
+        }
+        let unapplied = self.replica.unapplied().map(|r| &r.command);
+        let members = self.replica.members();
+        Some(Proof {
+            member: self.settings.replica.address,
+            highest: highest(self.state.config.revision, unapplied),
+            epoch: members.epoch,
+            voters: members.voters().map(|(_, address)| address).collect(),
+        })
+    }
+
+    pub(super) fn status(&self, now: Timestamp) -> Status {
+        let own = ProcessState {
+            name: self.settings.name.clone(),
+            role: "control".into(),
+            domain: self.settings.domain.clone(),
+            boot: self.settings.boot,
+            revised: self.revised,
+        };
+        let mut processes = self.registry.processes(now);
+        processes.push((own, Duration::ZERO));
+        Status {
+            member: self.settings.name.clone(),
+            leader: self.replica.leader().map(|a| a.to_string().into()),
+            config: self.state.config.clone(),
+            history: self.state.changes.recent().cloned().collect(),
+            processes,
+            endpoints: self.registry.endpoints(),
+            orders: self.registry.reports().map(|(e, r)| self.order_status(e, r)).collect(),
+            rollouts: self.state.orders.rollouts().flat_map(|(_, r)| r.to_vec()).collect(),
+            suspects: self.suspects(0).map_or_else(Vec::new, |s| s.list),
+        }
+    }
+
+    pub(super) fn order_status(
+        &self,
+        endpoint: &EndpointState,
+        report: &OrderReport,
+    ) -> OrderStatus {
+        OrderStatus {
+            endpoint: endpoint.name.clone(),
+            desired: self.state.orders.desired(&endpoint.name, &endpoint.pool),
+            report: report.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/src/control/commit.rs
@@ -0,0 +1,136 @@
+//! What follows from the replica's actions: commits, snapshots and the plans of a leader.
+
+use super::replica::{Action, LogIndex, ReplicaInput, Snapshot};
+use super::state::{Applied, Command, State};
+use super::{Control, DiskEffect, DiskInput, Outputs, PLAN_INTERVAL, Waiting, orders};
+use crate::link::message::{ControlReply, Reply, Request};
+use crate::model::Timestamp;
+use crate::role::Output;
+
+impl Control {
+    /// Carries out what the replica wants.
+    pub(super) fn carry(&mut self, actions: Vec<Action>) -> Outputs {
+        let mut outputs = Vec::new();
+        for action in actions {
+            match action {
+                Action::Request { to, message } => {
+                    let envelope = self.envelope(Request::Replica(message));
+                    outputs.push(self.peers.send(to, envelope));
+                }
+                Action::Reply { via, message } => {
+                    let envelope = self.envelope(Reply::Replica(message));
+                    outputs.push(Output::Reply { inbound: via, envelope, last: false });
+                }
+                Action::Redial { peer } => outputs.extend(self.peers.redial(peer)),
+                Action::Write { id, entries } => {
+                    outputs.push(Output::Effect(DiskEffect::Append { id, entries }));
+                }
+                Action::Replace { id, snapshot, entries } => {
+                    outputs.push(Output::Effect(DiskEffect::Replace { id, snapshot, entries }));
+                }
+                Action::Apply(record) => {
+                    let applied = self.state.apply(record.index, &record.command);
+                    if self.state.config.revision != self.revised.revision {
+                        self.revised = self.state.config.revised();
+                    }
+                    log_change(&record.command, &applied);
+                    outputs.extend(self.applied(record.index, record.term, applied));
+                }
+                Action::Restore(snapshot) => outputs.extend(self.restore(&snapshot)),
+                Action::SteppedDown => outputs.extend(self.interrupt()),
+            }
+        }
+        if self.replica.wants_snapshot() {
+            match self.state.encode() {
+                Ok(state) => {
+                    let actions = self.replica.compact(state);
+                    outputs.extend(self.carry(actions));
+                }
+                Err(error) => log::error!("step=snapshot error={error:#}"),
+            }
+        }
+        outputs
+    }
+
+    pub(super) fn applied(&mut self, index: LogIndex, term: u64, applied: Applied) -> Outputs {
+        let Some(waiting) = self.waiting.remove(&index) else { return Vec::new() };
+        let reply = if waiting.term == term {
+            ControlReply::Applied(applied)
+        } else {
+            ControlReply::Interrupted { leader: self.replica.leader() }
+        };
+        vec![self.reply(waiting.inbound, reply)]
+    }
+
+    pub(super) fn restore(&mut self, snapshot: &Snapshot) -> Outputs {
+        match State::decode(&snapshot.state) {
+            Ok(state) => {
+                self.revised = state.config.revised();
+                self.state = state;
+                Vec::new()
+            }
+            Err(error) => {
+                log::error!("step=restore error={error:#}");
+                vec![Output::Stopped]
+            }
+        }
+    }
+
+    /// Tells all proposers that the outcome isn't known; they send again, which is idempotent.
+    pub(super) fn interrupt(&mut self) -> Outputs {
+        let leader = self.replica.leader();
+        let waiting = std::mem::take(&mut self.waiting);
+        let reply = |w: Waiting| self.reply(w.inbound, ControlReply::Interrupted { leader });
+        waiting.into_values().map(reply).collect()
+    }
+
+    pub(super) fn replica_step(&mut self, now: Timestamp, input: ReplicaInput) -> Outputs {
+        if self.failed {
+            return Vec::new();
+        }
+        let actions = self.replica.step(now, input);
+        self.carry(actions)
+    }
+
+    pub(super) fn disk(&mut self, now: Timestamp, input: DiskInput) -> Outputs {
+        match input {
+            DiskInput::Synced(write) => self.replica_step(now, ReplicaInput::Synced(write)),
+            DiskInput::Stalled(error) => {
+                log::error!("step=append error={error}; this member acknowledges nothing");
+                self.replica_step(now, ReplicaInput::Stalled)
+            }
+            DiskInput::Failed(error) => {
+                log::error!("step=append error={error}; this member takes no more part");
+                let outputs = self.replica_step(now, ReplicaInput::Stalled);
+                self.failed = true;
+                outputs
+            }
+        }
+    }
+
+    /// Proposes the next steps of the rollouts, once those before are in the state.
+    pub(super) fn plan(&mut self, now: Timestamp) -> Outputs {
+        let idle = self.failed || !self.replica.is_leader() || now < self.next_plan;
+        if idle || self.stopping.is_some() {
+            return Vec::new();
+        }
+        self.next_plan = now + PLAN_INTERVAL;
+        if self.replica.unapplied().any(|r| matches!(r.command, Command::Step(_))) {
+            return Vec::new();
+        }
+        let mut outputs = Vec::new();
+        for step in orders::plan::plan(&self.state.orders, self.registry.reports(), now) {
+            log::info!("step=rollout endpoint={} next={:?}", step.endpoint, step.step);
+            if let Ok((_, actions)) = self.replica.propose(now, Command::Step(step)) {
+                outputs.extend(self.carry(actions));
+            }
+        }
+        outputs
+    }
+}
+
+fn log_change(command: &Command, applied: &Applied) {
+    if let (Command::Change(change), Applied::Changed(reply)) = (command, applied) {
+        log::info!("step=change id={} author={} result={reply:?}", change.id, change.author);
+    }
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,6 +1,8 @@
 //! The control role: the replicated log, what it adds up to, and the registry.
 
+mod answers;
 pub mod claims;
+mod commit;
 pub mod config;
 pub mod disk;
 pub mod orders;
@@ -13,19 +15,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use config::{Change, Revised, highest, schema_of};
-use orders::{Marked, OrderReport};
+use config::{Change, Revised, schema_of};
 use peers::Peers;
-use replica::{
-    Action, Entry, LogIndex, Replica, ReplicaInput, ReplicaSettings, Snapshot, Stored, WriteId,
-};
+use replica::{Entry, LogIndex, Replica, ReplicaInput, ReplicaSettings, Snapshot, Stored, WriteId};
 use state::{Applied, ChangeReply, Command, State};
 
-use crate::link::message::{
-    Beat, ControlReply, ControlRequest, Envelope, Heartbeat, OrderStatus, ProcessState, Proof,
-    Reply, Request, Status, Suspects, Update,
-};
-use crate::model::{BootId, EndpointState, Fence, InboundId, Revision, Timestamp};
+use crate::link::message::{ControlReply, ControlRequest, Envelope, Reply, Request};
+use crate::model::{BootId, InboundId, Timestamp};
 use crate::registry::Registry;
 use crate::report::observation::Observation;
 use crate::role::{Input, Output, Role};
@@ -164,74 +160,6 @@
         }
     }
 
-    fn heartbeat(&mut self, now: Timestamp, mut heartbeat: Heartbeat) -> Beat {
-        let config = self.update(heartbeat.process.revised.revision, heartbeat.whole);
-        let (seen, wants) = (heartbeat.seen, std::mem::take(&mut heartbeat.wants));
-        let follows = heartbeat.endpoints;
-        let orders = match &heartbeat.endpoint {
-            Some(endpoint) => self.marked(endpoint, heartbeat.report.as_ref()),
-            None => None,
-        };
-        let suspects = self.suspects(heartbeat.suspects);
-        self.registry.heartbeat(now, heartbeat);
-        let news = if follows { self.registry.news(now, seen, &wants) } else { None };
-        Beat {
-            member: self.settings.name.clone(),
-            proof: self.proof(),
-            config,
-            seen: self.registry.seen(),
-            endpoints: news,
-            orders,
-            suspects,
-        }
-    }
-
-    /// Returns what a process with this revision needs; changes are a fraction of the whole.
-    fn update(&self, known: Revision, whole: bool) -> Option<Update> {
-        if known >= self.revised.revision {
-            return None;
-        }
-        let changes = if whole { None } else { self.state.changes.since(known) };
-        let whole = || Update::Whole(self.state.config.clone());
-        let revised = self.revised;
-        Some(changes.map_or_else(whole, |changes| Update::Changes { changes, revised }))
-    }
-
-    /// Returns what an agent is told about the orders of its endpoint; a member that may lack
-    /// committed records tells nothing.
-    fn marked(&self, endpoint: &EndpointState, report: Option<&OrderReport>) -> Option<Marked> {
-        if self.failed || !self.replica.counts() {
-            return None;
-        }
-        let desired = self.state.orders.desired(&endpoint.name, &endpoint.pool);
-        let tail = self.replica.unapplied().filter(|r| orders::concerns(&r.command, endpoint));
-        let mark = tail.map(|r| Fence(r.index.0)).max().unwrap_or_default();
-        let known = report.is_some_and(|r| r.fence >= desired.fence);
-        Some(Marked { mark: mark.max(desired.fence), desired: (!known).then_some(desired) })
-    }
-
-    fn suspects(&self, seen: u64) -> Option<Suspects> {
-        let quarantine = &self.state.quarantine;
-        let list = || quarantine.suspects().iter().map(|(f, s)| (*f, s.clone())).collect();
-        (seen != quarantine.version())
-            .then(|| Suspects { version: quarantine.version(), list: list() })
-    }
-
-    /// Returns what the own log proves; a member that may lack committed records proves nothing.
-    fn proof(&self) -> Option<Proof> {
-        if self.failed || !self.replica.counts() {
-            return None;
-        }
-        let unapplied = self.replica.unapplied().map(|r| &r.command);
-        let members = self.replica.members();
-        Some(Proof {
-            member: self.settings.replica.address,
-            highest: highest(self.state.config.revision, unapplied),
-            epoch: members.epoch,
-            voters: members.voters().map(|(_, address)| address).collect(),
-        })
-    }
-
     fn propose(&mut self, now: Timestamp, inbound: InboundId, command: Command) -> Outputs {
         if self.stopping.is_some() {
             return vec![self.reply(inbound, ControlReply::NotLeader { leader: None })];
@@ -277,168 +205,11 @@
         Some(format!("setting {name} is not understood by {}", old.join(", ")).into())
     }
 
-    /// Carries out what the replica wants.
-    fn carry(&mut self, actions: Vec<Action>) -> Outputs {
-        let mut outputs = Vec::new();
-        for action in actions {
-            match action {
-                Action::Request { to, message } => {
-                    let envelope = self.envelope(Request::Replica(message));
-                    outputs.push(self.peers.send(to, envelope));
-                }
-                Action::Reply { via, message } => {
-                    let envelope = self.envelope(Reply::Replica(message));
-                    outputs.push(Output::Reply { inbound: via, envelope, last: false });
-                }
-                Action::Redial { peer } => outputs.extend(self.peers.redial(peer)),
-                Action::Write { id, entries } => {
-                    outputs.push(Output::Effect(DiskEffect::Append { id, entries }));
-                }
-                Action::Replace { id, snapshot, entries } => {
-                    outputs.push(Output::Effect(DiskEffect::Replace { id, snapshot, entries }));
-                }
-                Action::Apply(record) => {
-                    let applied = self.state.apply(record.index, &record.command);
-                    if self.state.config.revision != self.revised.revision {
-                        self.revised = self.state.config.revised();
-                    }
-                    log_change(&record.command, &applied);
-                    outputs.extend(self.applied(record.index, record.term, applied));
-                }
-                Action::Restore(snapshot) => outputs.extend(self.restore(&snapshot)),
-                Action::SteppedDown => outputs.extend(self.interrupt()),
-            }
-        }
-        if self.replica.wants_snapshot() {
-            match self.state.encode() {
-                Ok(state) => {
-                    let actions = self.replica.compact(state);
-                    outputs.extend(self.carry(actions));
-                }
-                Err(error) => log::error!("step=snapshot error={error:#}"),
-            }
-        }
-        outputs
-    }
-
-    fn applied(&mut self, index: LogIndex, term: u64, applied: Applied) -> Outputs {
-        let Some(waiting) = self.waiting.remove(&index) else { return Vec::new() };
-        let reply = if waiting.term == term {
-            ControlReply::Applied(applied)
-        } else {
-            ControlReply::Interrupted { leader: self.replica.leader() }
-        };
-        vec![self.reply(waiting.inbound, reply)]
-    }
-
-    fn restore(&mut self, snapshot: &Snapshot) -> Outputs {
-        match State::decode(&snapshot.state) {
-            Ok(state) => {
-                self.revised = state.config.revised();
-                self.state = state;
-                Vec::new()
-            }
-            Err(error) => {
-                log::error!("step=restore error={error:#}");
-                vec![Output::Stopped]
-            }
-        }
-    }
-
-    /// Tells all proposers that the outcome isn't known; they send again, which is idempotent.
-    fn interrupt(&mut self) -> Outputs {
-        let leader = self.replica.leader();
-        let waiting = std::mem::take(&mut self.waiting);
-        let reply = |w: Waiting| self.reply(w.inbound, ControlReply::Interrupted { leader });
-        waiting.into_values().map(reply).collect()
-    }
-
-    fn replica_step(&mut self, now: Timestamp, input: ReplicaInput) -> Outputs {
-        if self.failed {
-            return Vec::new();
-        }
-        let actions = self.replica.step(now, input);
-        self.carry(actions)
-    }
-
-    fn disk(&mut self, now: Timestamp, input: DiskInput) -> Outputs {
-        match input {
-            DiskInput::Synced(write) => self.replica_step(now, ReplicaInput::Synced(write)),
-            DiskInput::Stalled(error) => {
-                log::error!("step=append error={error}; this member acknowledges nothing");
-                self.replica_step(now, ReplicaInput::Stalled)
-            }
-            DiskInput::Failed(error) => {
-                log::error!("step=append error={error}; this member takes no more part");
-                let outputs = self.replica_step(now, ReplicaInput::Stalled);
-                self.failed = true;
-                outputs
-            }
-        }
-    }
-
-    /// Proposes the next steps of the rollouts, once those before are in the state.
-    fn plan(&mut self, now: Timestamp) -> Outputs {
-        let idle = self.failed || !self.replica.is_leader() || now < self.next_plan;
-        if idle || self.stopping.is_some() {
-            return Vec::new();
-        }
-        self.next_plan = now + PLAN_INTERVAL;
-        if self.replica.unapplied().any(|r| matches!(r.command, Command::Step(_))) {
-            return Vec::new();
-        }
-        let mut outputs = Vec::new();
-        for step in orders::plan::plan(&self.state.orders, self.registry.reports(), now) {
-            log::info!("step=rollout endpoint={} next={:?}", step.endpoint, step.step);
-            if let Ok((_, actions)) = self.replica.propose(now, Command::Step(step)) {
-                outputs.extend(self.carry(actions));
-            }
-        }
-        outputs
-    }
-
     /// Returns whether everybody who waited has an answer.
     fn has_stopped(&self, now: Timestamp) -> bool {
         let Some(since) = self.stopping else { return false };
         self.waiting.is_empty() || now >= since + LEAVE_TIMEOUT
     }
-
-    fn status(&self, now: Timestamp) -> Status {
-        let own = ProcessState {
-            name: self.settings.name.clone(),
-            role: "control".into(),
-            domain: self.settings.domain.clone(),
-            boot: self.settings.boot,
-            revised: self.revised,
-        };
-        let mut processes = self.registry.processes(now);
-        processes.push((own, Duration::ZERO));
-        Status {
-            member: self.settings.name.clone(),
-            leader: self.replica.leader().map(|a| a.to_string().into()),
-            config: self.state.config.clone(),
-            history: self.state.changes.recent().cloned().collect(),
-            processes,
-            endpoints: self.registry.endpoints(),
-            orders: self.registry.reports().map(|(e, r)| self.order_status(e, r)).collect(),
-            rollouts: self.state.orders.rollouts().flat_map(|(_, r)| r.to_vec()).collect(),
-            suspects: self.suspects(0).map_or_else(Vec::new, |s| s.list),
-        }
-    }
-
-    fn order_status(&self, endpoint: &EndpointState, report: &OrderReport) -> OrderStatus {
-        OrderStatus {
-            endpoint: endpoint.name.clone(),
-            desired: self.state.orders.desired(&endpoint.name, &endpoint.pool),
-            report: report.clone(),
-        }
-    }
-}
-
-fn log_change(command: &Command, applied: &Applied) {
-    if let (Command::Change(change), Applied::Changed(reply)) = (command, applied) {
-        log::info!("step=change id={} author={} result={reply:?}", change.id, change.author);
-    }
 }
 
 impl Role for Control {
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -3,11 +3,13 @@
 //! A replica takes messages, disk syncs and the present time, and returns actions. It tells nobody
 //! of a record or a vote before the disk has said that it is synced.
 
+mod action;
 mod append;
 mod election;
 mod log;
 mod members;
 mod message;
+mod record;
 mod snapshot;
 mod stored;
 
@@ -18,16 +20,17 @@
 
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use serde::{Deserialize, Serialize};
 
 use super::state::Command;
 use crate::model::{InboundId, Timestamp};
 
+pub use action::{Action, ReplicaInput, ReplicaSettings};
 use append::Progress;
 use log::Log;
 use members::{Candidates, Joining};
 pub use members::{Member, MemberId, Members};
 pub use message::{ReplicaBody, ReplicaMessage};
+pub use record::{LogIndex, Position, Record, WriteId};
 use snapshot::Arriving;
 pub use snapshot::Snapshot;
 pub use stored::{Entry, Stored};
@@ -43,148 +46,6 @@
 /// How long an answer may take before a fresh connection is dialled.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// The place of a record in the log, from 1.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
-)]
-pub struct LogIndex(pub u64);
-
-impl LogIndex {
-    /// Returns the place after this one.
-    pub fn next(self) -> LogIndex {
-        LogIndex(self.0 + 1)
-    }
-}
-
-/// Where a log ends; the later one of two is the more complete log.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
-pub struct Position {
-    /// The term of the last record.
-    pub term: u64,
-    /// Its place.
-    pub index: LogIndex,
-}
-
-/// A record of the log.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Record {
-    /// Its place.
-    pub index: LogIndex,
-    /// The term of the leader that made it.
-    pub term: u64,
-    /// The command.
-    pub command: Command,
-}
-
-impl Record {
-    /// Returns the record's term and place.
-    pub fn position(&self) -> Position {
-        Position { term: self.term, index: self.index }
-    }
-}
-
-/// One write to the disk; writes are synced in order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
-pub struct WriteId(pub u64);
-
-/// Who a replica is.
-#[derive(Debug, Clone)]
-pub struct ReplicaSettings {
-    /// The member's own address.
-    pub address: SocketAddr,
-    /// The addresses of all members.
-    pub members: Vec<SocketAddr>,
-    /// The seed of its timeouts.
-    pub seed: u64,
-    /// Records after which the log is cut behind a snapshot.
-    pub compact_after: usize,
-    /// Records before a snapshot that are kept for members that are a little behind.
-    pub kept: usize,
-}
-
-impl ReplicaSettings {
-    /// Makes the settings of a member in production.
-    pub fn new(address: SocketAddr, members: Vec<SocketAddr>, seed: u64) -> ReplicaSettings {
-        ReplicaSettings { address, members, seed, compact_after: 8_192, kept: 2_048 }
-    }
-}
-
-/// What a replica is told.
-#[derive(Debug)]
-pub enum ReplicaInput {
-    /// A member sent a request.
-    Request {
-        /// The exchange to answer on.
-        via: InboundId,
-        /// The request.
-        message: ReplicaMessage,
-    },
-    /// A member answered.
-    Reply {
-        /// Its address.
-        peer: SocketAddr,
-        /// The answer.
-        message: ReplicaMessage,
-    },
-    /// Messages to a member that were not answered yet are lost.
-    Lost {
-        /// Its address.
-        peer: SocketAddr,
-    },
-    /// All writes up to this one are synced.
-    Synced(WriteId),
-    /// The disk takes no writes for now.
-    Stalled,
-    /// The time that was asked for has come.
-    Wake,
-}
-
-/// What a replica wants done.
-#[derive(Debug)]
-pub enum Action {
-    /// Send a request to a member.
-    Request {
-        /// Its address.
-        to: SocketAddr,
-        /// The request.
-        message: ReplicaMessage,
-    },
-    /// Answer a member's request.
-    Reply {
-        /// The exchange.
-        via: InboundId,
-        /// The answer.
-        message: ReplicaMessage,
-    },
-    /// Use a fresh connection to a member that is overdue.
-    Redial {
-        /// Its address.
-        peer: SocketAddr,
-    },
-    /// Append to the journal and sync.
-    Write {
-        /// The write.
-        id: WriteId,
-        /// What to append.
-        entries: Vec<Entry>,
-    },
-    /// Write the snapshot and begin a new journal with these entries.
-    Replace {
-        /// The write.
-        id: WriteId,
-        /// The snapshot.
-        snapshot: Arc<Snapshot>,
-        /// The whole new journal.
-        entries: Vec<Entry>,
-    },
-    /// A record is committed.
-    Apply(Record),
-    /// The state is that of the snapshot now.
-    Restore(Arc<Snapshot>),
-    /// The replica leads no more; what becomes of its open proposals is not known.
-    SteppedDown,
-}
-
 /// What a replica does in its term.
 #[derive(Debug)]
 enum Role {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,6 +5,7 @@
 pub mod accept;
 pub mod admit;
 pub mod answer;
+mod caller;
 pub mod check;
 pub mod claim;
 pub mod health;
@@ -12,25 +13,24 @@
 pub mod place;
 pub mod retry;
 mod run;
+mod shared;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use admit::{Admission, Decision, Limits};
+pub use caller::{CallerEffect, CallerInput, Terminal};
+
+use admit::{Decision, Limits};
 use check::{RawCall, Tenants};
-use claim::Proposer;
 use meter::Meter;
-use place::{Fleet, Need, Placement, Policy};
-use retry::RetryBudgets;
+use place::Placement;
 use run::Run;
+use shared::Shared;
 
 use crate::control::config::Setting;
-use crate::link::message::{AgentReply, Answer, Reply, Request};
-use crate::model::{
-    BootId, Call, CallId, CallKind, EndpointState, ExchangeId, Ran, Refusal, RefusalReason,
-    Timestamp,
-};
-use crate::registry::{Follower, FollowerSettings};
+use crate::link::message::{AgentReply, Reply};
+use crate::model::{Call, CallId, CallKind, ExchangeId, Ran, Refusal, RefusalReason, Timestamp};
+use crate::registry::FollowerSettings;
 use crate::role::{Input, Output, Role};
 
 /// When a caller that was refused for want of room may come back.
@@ -42,63 +42,6 @@
 /// How long an entry that leaves waits for answers that no call needs.
 const TIDY_TIMEOUT: Duration = Duration::from_millis(5_000);
 
-/// What callers do.
-#[derive(Debug)]
-pub enum CallerInput {
-    /// A request has arrived.
-    Arrived {
-        /// The number that the shell gave it.
-        call: CallId,
-        /// What it says.
-        raw: RawCall,
-    },
-    /// The caller is gone.
-    Gone {
-        /// The call.
-        call: CallId,
-    },
-}
-
-/// What callers are told.
-#[derive(Debug)]
-pub enum CallerEffect {
-    /// Engine memory is held, so heartbeats are needed to notice a lost caller.
-    Begin {
-        /// The call.
-        call: CallId,
-    },
-    /// The next tokens.
-    Tokens {
-        /// The call.
-        call: CallId,
-        /// The tokens, which follow those before without a gap.
-        tokens: Vec<Box<str>>,
-    },
-    /// The terminal outcome.
-    Finish {
-        /// The call.
-        call: CallId,
-        /// The outcome.
-        outcome: Terminal,
-    },
-}
-
-/// The one terminal outcome of a call.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Terminal {
-    /// All tokens were told.
-    Generated {
-        /// Tokens generated.
-        tokens: u32,
-        /// Why generation ended.
-        finish: Box<str>,
-    },
-    /// A plain service's answer.
-    Answered(Answer),
-    /// A refusal or failure.
-    Refused(Refusal),
-}
-
 /// Who an entry is.
 #[derive(Debug, Clone)]
 pub struct EntrySettings {
@@ -106,79 +49,8 @@
     pub follower: FollowerSettings,
 }
 
-/// What runs share: membership, placement, claims and the numbers of exchanges.
-pub(crate) struct Shared {
-    pub(crate) follower: Follower,
-    pub(crate) endpoints: BTreeMap<Box<str>, EndpointState>,
-    pub(crate) fleet: Fleet,
-    pub(crate) placement: Box<dyn Placement + Send>,
-    pub(crate) policy: Policy,
-    pub(crate) admission: Admission,
-    pub(crate) retries: RetryBudgets,
-    pub(crate) proposer: Proposer,
-    boot: BootId,
-    last_exchange: u64,
-    /// Which call an exchange serves.
-    owners: BTreeMap<ExchangeId, CallId>,
-}
-
 type Outputs = Vec<Output<CallerEffect>>;
 
-impl Shared {
-    fn next_exchange(&mut self) -> ExchangeId {
-        self.last_exchange += 1;
-        ExchangeId(self.last_exchange)
-    }
-
-    /// Opens an exchange that serves a call.
-    pub(crate) fn open(
-        &mut self,
-        call: CallId,
-        peer: std::net::SocketAddr,
-        request: Request,
-    ) -> (ExchangeId, Output<CallerEffect>) {
-        let exchange = self.next_exchange();
-        self.owners.insert(exchange, call);
-        let envelope = self.follower.envelope(request);
-        (exchange, Output::Open { exchange, peer, envelope })
-    }
-
-    /// Cancels an exchange.
-    pub(crate) fn reset(&mut self, exchange: ExchangeId) -> Output<CallerEffect> {
-        self.owners.remove(&exchange);
-        Output::Reset { exchange }
-    }
-
-    /// Drops an exchange that its peer has ended.
-    pub(crate) fn forget(&mut self, exchange: ExchangeId) {
-        self.owners.remove(&exchange);
-    }
-
-    /// Returns the endpoint that an attempt goes to.
-    pub(crate) fn place(&mut self, now: Timestamp, need: &Need<'_>) -> Option<EndpointState> {
-        let key = self.placement.choose(now, need, &self.fleet)?;
-        if let Some(prefix) = need.prefix {
-            self.placement.prefilled(now, prefix, key);
-        }
-        self.fleet.get(key).map(|e| e.state.clone())
-    }
-
-    /// Returns how long the prefill of a call may take; `None` if the call didn't queue.
-    pub(crate) fn prefill_within(
-        &self,
-        now: Timestamp,
-        call: CallId,
-        pool: &str,
-    ) -> Option<Duration> {
-        let due = self.admission.due(call)?;
-        Some((due - now).saturating_sub(self.fleet.import_time(now, pool)))
-    }
-
-    pub(crate) fn boot(&self) -> BootId {
-        self.boot
-    }
-}
-
 /// A run and when it wants to wake.
 struct Scheduled {
     run: Run,
@@ -207,20 +79,7 @@
         tenants: Tenants,
         placement: Box<dyn Placement + Send>,
     ) -> Entry {
-        let policy = placement.policy();
-        let shared = Shared {
-            fleet: Fleet::new(policy.health),
-            policy,
-            admission: Admission::default(),
-            retries: RetryBudgets::new(settings.follower.boot.0),
-            proposer: Proposer::new(settings.follower.members.clone()),
-            boot: settings.follower.boot,
-            follower: Follower::new(settings.follower),
-            endpoints: BTreeMap::new(),
-            placement,
-            last_exchange: 0,
-            owners: BTreeMap::new(),
-        };
+        let shared = Shared::new(settings, placement);
         Entry {
             shared,
             tenants,
--- /dev/null
+++ b/src/entry/run/setback.rs
@@ -0,0 +1,191 @@
+//! What goes wrong with an attempt, and whether another one follows.
+
+use super::super::{Outputs, Shared};
+use super::{RETRY_AFTER, Run, Stage};
+use crate::control::config::Setting;
+use crate::model::{EndpointState, ExchangeId, Ran, RefusalReason, Timestamp};
+use crate::role::{LinkFailure, Output};
+
+impl Run {
+    /// Returns whether the attempt may run at another endpoint than the one of an exchange.
+    pub(super) fn runs_beside(&self, exchange: ExchangeId) -> Ran {
+        match &self.stage {
+            Stage::Prefilling { prefill, .. } if *prefill != exchange => Ran::Maybe,
+            _ => Ran::No,
+        }
+    }
+
+    /// Returns the endpoint that an exchange of the attempt goes to.
+    pub(super) fn endpoint_of(&self, exchange: ExchangeId) -> Option<&EndpointState> {
+        match &self.stage {
+            Stage::Prefilling { prefill, .. } | Stage::Exporting { prefill }
+                if *prefill == exchange =>
+            {
+                self.source.as_ref()
+            }
+            _ => self.endpoint.as_ref(),
+        }
+    }
+
+    /// Keeps later attempts away from the endpoint that an exchange goes to.
+    pub(super) fn blame(&mut self, exchange: ExchangeId) {
+        let name = self.endpoint_of(exchange).map(|e| e.name.clone());
+        self.failed.extend(name);
+    }
+
+    /// Takes the end of one of the run's exchanges.
+    pub(crate) fn closed(
+        &mut self,
+        shared: &mut Shared,
+        now: Timestamp,
+        exchange: ExchangeId,
+        failure: Option<LinkFailure>,
+    ) -> Outputs {
+        let ran = if failure == Some(LinkFailure::NotSent) { Ran::No } else { Ran::Maybe };
+        match &mut self.stage {
+            Stage::Claiming(claiming) => claiming.closed(shared, now, exchange),
+            Stage::Asking(asking) => asking.closed(shared, now, exchange),
+            Stage::Recording(recording) => recording.closed(shared, now, exchange),
+            Stage::Settling(settling) => settling.closed(now, exchange),
+            Stage::Serving { exchange: open } if *open == exchange => {
+                return self.lost_service(shared, now, ran);
+            }
+            Stage::Reserving { decode } if *decode == exchange => {
+                return self.lost(shared, now, exchange, Ran::No);
+            }
+            Stage::Decoding { decode } if *decode == exchange => {
+                return self.lost(shared, now, exchange, Ran::Maybe);
+            }
+            Stage::Exporting { prefill } if *prefill == exchange => {
+                return self.lost(shared, now, exchange, Ran::Maybe);
+            }
+            Stage::Prefilling { decode, prefill } if [*decode, *prefill].contains(&exchange) => {
+                return self.lost(shared, now, exchange, Ran::Maybe);
+            }
+            _ => {}
+        }
+        Vec::new()
+    }
+
+    pub(super) fn lost(
+        &mut self,
+        shared: &mut Shared,
+        now: Timestamp,
+        exchange: ExchangeId,
+        ran: Ran,
+    ) -> Outputs {
+        self.blame(exchange);
+        self.setback(shared, now, ran, RefusalReason::EndpointFailed, "the agent was lost")
+    }
+
+    /// Takes the loss of the caller.
+    pub(crate) fn gone(&mut self, shared: &mut Shared, now: Timestamp) -> Outputs {
+        if self.teller.take().is_none() {
+            return Vec::new();
+        }
+        log::info!("step=caller-gone call={}", self.id);
+        match &self.stage {
+            Stage::Recording(_) | Stage::Done => Vec::new(),
+            Stage::Claiming(_) => self.give_up_claim(shared, now),
+            // What was started runs on, and its outcome is kept for a resend.
+            Stage::Serving { .. } | Stage::Settling(_) if self.claim.is_some() => Vec::new(),
+            _ => self.close(shared, now),
+        }
+    }
+
+    /// Takes the silence of the exchange that is waited for; its connection may be dead for good.
+    pub(super) fn silent(&mut self, shared: &mut Shared, now: Timestamp) -> Outputs {
+        let Some(exchange) = self.awaited() else { return Vec::new() };
+        let peer = self.endpoint_of(exchange).map(|e| e.address);
+        let mut outputs: Outputs = peer.map(|peer| Output::Redial { peer }).into_iter().collect();
+        let ran = if matches!(self.stage, Stage::Reserving { .. }) { Ran::No } else { Ran::Maybe };
+        outputs.extend(match self.stage {
+            Stage::Serving { .. } => self.lost_service(shared, now, ran),
+            _ => self.lost(shared, now, exchange, ran),
+        });
+        outputs
+    }
+
+    /// Ends the attempt and makes another one if the call allows it.
+    pub(super) fn setback(
+        &mut self,
+        shared: &mut Shared,
+        now: Timestamp,
+        ran: Ran,
+        reason: RefusalReason,
+        detail: &str,
+    ) -> Outputs {
+        self.attempts.ended(ran);
+        let mut outputs = self.reset_exchanges(shared);
+        let allowed = self.call.repeatable || self.attempts.own_ran() == Ran::No;
+        let tried = self.attempts.last();
+        let allowed = self.teller.is_some() && allowed && tried < self.most_attempts(shared);
+        // An endpoint that refused at once has cost nothing, so only failures use the budget.
+        let free = reason != RefusalReason::EndpointFailed;
+        if allowed && (free || !shared.policy.budget) {
+            log::info!("step=retry call={} detail={detail:?}", self.id);
+            outputs.extend(self.next_attempt(shared, now));
+        } else if allowed && shared.retries.take(self.call.class) {
+            log::info!("step=retry call={} detail={detail:?}", self.id);
+            let until = now + shared.retries.wait(tried);
+            self.stage = Stage::Waiting { until };
+        } else {
+            outputs.extend(self.refuse(shared, now, reason, detail));
+        }
+        outputs
+    }
+
+    pub(super) fn most_attempts(&self, shared: &Shared) -> u32 {
+        let setting = Setting::Attempts;
+        let call = &self.call;
+        shared.follower.config().value(setting, &call.tenant, &call.pool, call.class) as u32
+    }
+
+    pub(super) fn reset_exchanges(&mut self, shared: &mut Shared) -> Outputs {
+        let open = match &mut self.stage {
+            Stage::Claiming(claiming) => return claiming.cancel(shared),
+            Stage::Asking(asking) => return asking.cancel(shared),
+            Stage::Settling(settling) => settling.take_exchange().into_iter().collect(),
+            Stage::Serving { exchange } => vec![*exchange],
+            Stage::Reserving { decode } | Stage::Decoding { decode } => vec![*decode],
+            Stage::Prefilling { decode, prefill } => vec![*decode, *prefill],
+            Stage::Exporting { prefill } => vec![*prefill],
+            Stage::Waiting { .. } | Stage::Recording(_) | Stage::Done => Vec::new(),
+        };
+        open.into_iter().map(|e| shared.reset(e)).collect()
+    }
+
+    /// Tells the caller a refusal at once, then closes what is left.
+    pub(super) fn refuse(
+        &mut self,
+        shared: &mut Shared,
+        now: Timestamp,
+        reason: RefusalReason,
+        detail: &str,
+    ) -> Outputs {
+        if self.asks_about_other() {
+            self.attempts.others(Ran::Maybe);
+        }
+        let mut outputs = self.tell_refusal(reason, detail);
+        outputs.extend(if matches!(self.stage, Stage::Claiming(_)) {
+            self.give_up_claim(shared, now)
+        } else {
+            self.close(shared, now)
+        });
+        outputs
+    }
+
+    /// Returns whether it is still open what another call's attempt with this key came to.
+    pub(super) fn asks_about_other(&self) -> bool {
+        match &self.stage {
+            Stage::Asking(_) => true,
+            Stage::Settling(settling) => settling.is_about_other(),
+            _ => false,
+        }
+    }
+
+    pub(super) fn tell_refusal(&mut self, reason: RefusalReason, detail: &str) -> Outputs {
+        let Some(teller) = self.teller.take() else { return Vec::new() };
+        vec![teller.refused(&self.attempts, reason, RETRY_AFTER, detail)]
+    }
+}
--- /dev/null
+++ b/src/entry/shared.rs
@@ -0,0 +1,104 @@
+//! What the runs of an entry share.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::admit::Admission;
+use super::claim::Proposer;
+use super::place::{Fleet, Need, Placement, Policy};
+use super::retry::RetryBudgets;
+use super::{CallerEffect, EntrySettings};
+use crate::link::message::Request;
+use crate::model::{BootId, CallId, EndpointState, ExchangeId, Timestamp};
+use crate::registry::Follower;
+use crate::role::Output;
+
+/// What runs share: membership, placement, claims and the numbers of exchanges.
+pub(crate) struct Shared {
+    pub(crate) follower: Follower,
+    pub(crate) endpoints: BTreeMap<Box<str>, EndpointState>,
+    pub(crate) fleet: Fleet,
+    pub(crate) placement: Box<dyn Placement + Send>,
+    pub(crate) policy: Policy,
+    pub(crate) admission: Admission,
+    pub(crate) retries: RetryBudgets,
+    pub(crate) proposer: Proposer,
+    boot: BootId,
+    pub(super) last_exchange: u64,
+    /// Which call an exchange serves.
+    pub(super) owners: BTreeMap<ExchangeId, CallId>,
+}
+
+impl Shared {
+    /// Makes what runs share, before anything is known of the fleet.
+    pub(crate) fn new(settings: EntrySettings, placement: Box<dyn Placement + Send>) -> Shared {
+        let policy = placement.policy();
+        Shared {
+            fleet: Fleet::new(policy.health),
+            policy,
+            admission: Admission::default(),
+            retries: RetryBudgets::new(settings.follower.boot.0),
+            proposer: Proposer::new(settings.follower.members.clone()),
+            boot: settings.follower.boot,
+            follower: Follower::new(settings.follower),
+            endpoints: BTreeMap::new(),
+            placement,
+            last_exchange: 0,
+            owners: BTreeMap::new(),
+        }
+    }
+
+    fn next_exchange(&mut self) -> ExchangeId {
+        self.last_exchange += 1;
+        ExchangeId(self.last_exchange)
+    }
+
+    /// Opens an exchange that serves a call.
+    pub(crate) fn open(
+        &mut self,
+        call: CallId,
+        peer: SocketAddr,
+        request: Request,
+    ) -> (ExchangeId, Output<CallerEffect>) {
+        let exchange = self.next_exchange();
+        self.owners.insert(exchange, call);
+        let envelope = self.follower.envelope(request);
+        (exchange, Output::Open { exchange, peer, envelope })
+    }
+
+    /// Cancels an exchange.
+    pub(crate) fn reset(&mut self, exchange: ExchangeId) -> Output<CallerEffect> {
+        self.owners.remove(&exchange);
+        Output::Reset { exchange }
+    }
+
+    /// Drops an exchange that its peer has ended.
+    pub(crate) fn forget(&mut self, exchange: ExchangeId) {
+        self.owners.remove(&exchange);
+    }
+
+    /// Returns the endpoint that an attempt goes to.
+    pub(crate) fn place(&mut self, now: Timestamp, need: &Need<'_>) -> Option<EndpointState> {
+        let key = self.placement.choose(now, need, &self.fleet)?;
+        if let Some(prefix) = need.prefix {
+            self.placement.prefilled(now, prefix, key);
+        }
+        self.fleet.get(key).map(|e| e.state.clone())
+    }
+
+    /// Returns how long the prefill of a call may take; `None` if the call didn't queue.
+    pub(crate) fn prefill_within(
+        &self,
+        now: Timestamp,
+        call: CallId,
+        pool: &str,
+    ) -> Option<Duration> {
+        let due = self.admission.due(call)?;
+        Some((due - now).saturating_sub(self.fleet.import_time(now, pool)))
+    }
+
+    pub(crate) fn boot(&self) -> BootId {
+        self.boot
+    }
+}
