--- a/src/entry/accept.rs
+++ b/src/entry/accept/mod.rs
@@ -1,41 +1,43 @@
 //! The filter `accept`: callers over HTTP, with bounds on all that they may send or hold.
 
-use std::collections::BTreeMap;
+mod open_call;
+mod read;
+mod table;
+
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use eyre::WrapErr;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{mpsc, watch};
 
+use open_call::Counted;
+pub use open_call::OpenCall;
+use read::{read_call, wants_stream};
+pub use table::Callers;
+use table::{Calls, lock};
+
 use super::answer::{self, AnswerBody};
-use super::check::RawCall;
 use super::{CallerEffect, CallerInput, Terminal};
 use crate::model::{CallId, Ran, Refusal, RefusalReason};
-use crate::role::{Adapter, DriverHandle};
+use crate::role::DriverHandle;
 
 /// Threads that carry callers' traffic.
 const THREADS: usize = 4;
-/// The most bytes of a request's content.
-const MAX_CONTENT_BYTES: usize = 2 << 20;
 /// The most bytes of a request's line and headers.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 /// The most headers of a request.
 const MAX_HEADERS: usize = 64;
 /// How long a caller may take to send a request's line and headers, or to send none.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-/// How long a caller may take to send a request's content.
-const CONTENT_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long the last answers may take to be written at shutdown.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long callers that come during the shutdown are still told so.
@@ -48,38 +50,6 @@
 const MAX_WAITING: usize = 1_024;
 /// When a caller may come back that met the bound on open calls.
 const RETRY_AFTER: Duration = Duration::from_millis(1_000);
-/// Headers that may stand once only, since their meaning would be in doubt.
-const SINGLE_HEADERS: [&str; 4] =
-    ["authorization", "idempotency-key", "x-dotterelpin-class", "x-dotterelpin-deadline-ms"];
-
-/// The calls of an entry, until its role has stopped.
-#[derive(Default)]
-struct Table {
-    senders: BTreeMap<CallId, mpsc::Sender<CallerEffect>>,
-    closed: bool,
-}
-
-impl Table {
-    /// Refuses the calls that a stopped role never saw.
-    fn close(&mut self) {
-        self.closed = true;
-        for (call, sender) in std::mem::take(&mut self.senders) {
-            let _ = sender.try_send(CallerEffect::Finish { call, outcome: stopped() });
-        }
-    }
-}
-
-/// Returns the outcome of a call that reaches an entry after its role has stopped.
-fn stopped() -> Terminal {
-    let detail = "this entry has shut down";
-    Terminal::Refused(Refusal::not_run(RefusalReason::Draining, RETRY_AFTER, detail))
-}
-
-type Calls = Arc<Mutex<Table>>;
-
-fn lock(calls: &Calls) -> MutexGuard<'_, Table> {
-    calls.lock().unwrap_or_else(PoisonError::into_inner)
-}
 
 /// What callers may hold at once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -90,39 +60,6 @@
     pub connections: usize,
 }
 
-/// Gives each call's effects to the task that answers the call.
-pub struct Callers {
-    calls: Calls,
-    role: DriverHandle<CallerInput>,
-}
-
-impl Adapter<CallerEffect> for Callers {
-    fn carry(&mut self, effect: CallerEffect) {
-        let call = match &effect {
-            CallerEffect::Finish { call, .. }
-            | CallerEffect::Begin { call }
-            | CallerEffect::Tokens { call, .. } => *call,
-        };
-        let last = matches!(effect, CallerEffect::Finish { .. });
-        let mut calls = lock(&self.calls);
-        let Some(sender) = calls.senders.get(&call) else { return };
-        let lost = match sender.try_send(effect) {
-            Ok(()) => false,
-            Err(TrySendError::Full(_)) => {
-                log::warn!("step=slow-caller call={call} waiting={MAX_WAITING}");
-                true
-            }
-            Err(TrySendError::Closed(_)) => true,
-        };
-        if lost || last {
-            calls.senders.remove(&call);
-        }
-        if lost && !last {
-            self.role.local(CallerInput::Gone { call });
-        }
-    }
-}
-
 /// The server for callers, which outlives the role until the last answer is written.
 pub struct CallerServer {
     calls: Calls,
@@ -331,115 +268,3 @@
         Some(OpenCall { id, shared: self.clone(), started: false, _counted: counted })
     }
 }
-
-/// Counts what is open, until it is dropped.
-struct Counted(Arc<AtomicUsize>);
-
-impl Counted {
-    fn new(count: &Arc<AtomicUsize>) -> Counted {
-        count.fetch_add(1, Ordering::SeqCst);
-        Counted(count.clone())
-    }
-}
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::SeqCst);
-    }
-}
-
-/// A call that somebody waits for; when it is dropped unfinished, its caller is gone.
-pub struct OpenCall {
-    id: CallId,
-    shared: Shared,
-    started: bool,
-    _counted: Counted,
-}
-
-impl OpenCall {
-    /// Returns the number of the call.
-    pub fn id(&self) -> CallId {
-        self.id
-    }
-
-    /// Gives the call to the role.
-    fn start(mut self, effects: mpsc::Sender<CallerEffect>, raw: RawCall) -> OpenCall {
-        let mut calls = lock(&self.shared.calls);
-        if calls.closed {
-            let _ = effects.try_send(CallerEffect::Finish { call: self.id, outcome: stopped() });
-        } else {
-            calls.senders.insert(self.id, effects);
-            self.started = true;
-        }
-        drop(calls);
-        if self.started {
-            self.shared.role.local(CallerInput::Arrived { call: self.id, raw });
-        }
-        self
-    }
-
-    /// Ends the call after its terminal outcome was told.
-    pub fn finish(mut self) {
-        self.started = false;
-    }
-}
-
-impl Drop for OpenCall {
-    fn drop(&mut self) {
-        lock(&self.shared.calls).senders.remove(&self.id);
-        if self.started {
-            self.shared.role.local(CallerInput::Gone { call: self.id });
-        }
-    }
-}
-
-async fn read_call(request: Request<Incoming>) -> Result<RawCall, Refusal> {
-    let (head, body) = request.into_parts();
-    let mut headers = BTreeMap::new();
-    for (name, value) in &head.headers {
-        let text = std::str::from_utf8(value.as_bytes())
-            .map_err(|_| refuse(RefusalReason::BadCall, format!("header {name} is no UTF-8")))?;
-        let before: Option<Box<str>> = headers.insert(name.as_str().into(), text.into());
-        if before.is_some() && SINGLE_HEADERS.contains(&name.as_str()) {
-            return Err(refuse(RefusalReason::BadCall, format!("header {name} stands twice")));
-        }
-    }
-    let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
-    Ok(RawCall {
-        method: head.method.as_str().into(),
-        path: path.into(),
-        headers,
-        content: read_content(body).await?,
-    })
-}
-
-async fn read_content(body: Incoming) -> Result<Vec<u8>, Refusal> {
-    let reading = Limited::new(body, MAX_CONTENT_BYTES).collect();
-    let read = tokio::time::timeout(CONTENT_TIMEOUT, reading).await.map_err(|_| {
-        let detail = format!("the content did not come within {CONTENT_TIMEOUT:?}");
-        refuse(RefusalReason::SlowCaller, detail)
-    })?;
-    match read {
-        Ok(content) => Ok(content.to_bytes().into()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            let detail = format!("the content has over {MAX_CONTENT_BYTES} bytes");
-            Err(refuse(RefusalReason::TooLarge, detail))
-        }
-        Err(error) => Err(refuse(RefusalReason::BadCall, format!("content: {error}"))),
-    }
-}
-
-fn refuse(reason: RefusalReason, detail: impl Into<Box<str>>) -> Refusal {
-    Refusal::not_run(reason, Duration::ZERO, detail)
-}
-
-/// Returns whether the caller reads tokens as they come; `check` judges the rest.
-fn wants_stream(raw: &RawCall) -> bool {
-    #[derive(serde::Deserialize)]
-    struct Wish {
-        #[serde(default)]
-        stream: bool,
-    }
-    raw.path.starts_with("/v1/")
-        && serde_json::from_slice::<Wish>(&raw.content).is_ok_and(|w| w.stream)
-}
--- /dev/null
+++ b/src/entry/accept/read.rs
@@ -0,0 +1,70 @@
+//! Reads a request within bounds of size and time.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Limited};
+use hyper::Request;
+use hyper::body::Incoming;
+
+use super::super::check::RawCall;
+use crate::model::{Refusal, RefusalReason};
+
+/// The most bytes of a request's content.
+const MAX_CONTENT_BYTES: usize = 2 << 20;
+/// How long a caller may take to send a request's content.
+const CONTENT_TIMEOUT: Duration = Duration::from_secs(10);
+/// Headers that may stand once only, since their meaning would be in doubt.
+const SINGLE_HEADERS: [&str; 4] =
+    ["authorization", "idempotency-key", "x-dotterelpin-class", "x-dotterelpin-deadline-ms"];
+
+pub(super) async fn read_call(request: Request<Incoming>) -> Result<RawCall, Refusal> {
+    let (head, body) = request.into_parts();
+    let mut headers = BTreeMap::new();
+    for (name, value) in &head.headers {
+        let text = std::str::from_utf8(value.as_bytes())
+            .map_err(|_| refuse(RefusalReason::BadCall, format!("header {name} is no UTF-8")))?;
+        let before: Option<Box<str>> = headers.insert(name.as_str().into(), text.into());
+        if before.is_some() && SINGLE_HEADERS.contains(&name.as_str()) {
+            return Err(refuse(RefusalReason::BadCall, format!("header {name} stands twice")));
+        }
+    }
+    let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
+    Ok(RawCall {
+        method: head.method.as_str().into(),
+        path: path.into(),
+        headers,
+        content: read_content(body).await?,
+    })
+}
+
+pub(super) async fn read_content(body: Incoming) -> Result<Vec<u8>, Refusal> {
+    let reading = Limited::new(body, MAX_CONTENT_BYTES).collect();
+    let read = tokio::time::timeout(CONTENT_TIMEOUT, reading).await.map_err(|_| {
+        let detail = format!("the content did not come within {CONTENT_TIMEOUT:?}");
+        refuse(RefusalReason::SlowCaller, detail)
+    })?;
+    match read {
+        Ok(content) => Ok(content.to_bytes().into()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            let detail = format!("the content has over {MAX_CONTENT_BYTES} bytes");
+            Err(refuse(RefusalReason::TooLarge, detail))
+        }
+        Err(error) => Err(refuse(RefusalReason::BadCall, format!("content: {error}"))),
+    }
+}
+
+pub(super) fn refuse(reason: RefusalReason, detail: impl Into<Box<str>>) -> Refusal {
+    Refusal::not_run(reason, Duration::ZERO, detail)
+}
+
+/// Returns whether the caller reads tokens as they come; `check` judges the rest.
+pub(super) fn wants_stream(raw: &RawCall) -> bool {
+    #[derive(serde::Deserialize)]
+    pub(super) struct Wish {
+        #[serde(default)]
+        stream: bool,
+    }
+    raw.path.starts_with("/v1/")
+        && serde_json::from_slice::<Wish>(&raw.content).is_ok_and(|w| w.stream)
+}
