--- a/benches/latency.rs
+++ b/benches/latency.rs
@@ -6,11 +6,12 @@
 #[path = "../tests/common/mod.rs"]
 mod common;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use common::{CREDENTIAL, Fleet, Process, open_stream};
+use common::{CREDENTIAL, Fleet, Process, Streamed, open_stream};
 use eyre::{WrapErr, ensure, eyre};
 use hdrhistogram::Histogram;
 
@@ -177,10 +178,10 @@
     let readers: Vec<_> = (0..streams)
         .map(|index| {
             let url = url.clone();
-            let read = move || -> eyre::Result<bool> {
+            let read = move || -> eyre::Result<Streamed> {
                 std::thread::sleep(Duration::from_millis(u64::from(index % 100) * 5));
                 let stream = open_stream(&url, &format!("plan {index}"), 1_000 * event_tokens)?;
-                Ok(stream.read_all()?.done)
+                stream.read_all()
             };
             std::thread::Builder::new().stack_size(256 << 10).spawn(read)
         })
@@ -198,17 +199,41 @@
     let agent_cores = (cores(agent)? - agent_first) / span;
     let (entry_mb, agent_mb) = (resident_mb(&entry.process)?, resident_mb(agent)?);
     let mut whole = 0;
+    let mut early = BTreeMap::<String, u32>::new();
     for reader in readers {
-        let done = reader?.join().map_err(|_| eyre!("a reader has panicked"))?;
-        whole += u32::from(done.unwrap_or(false));
+        let streamed = reader?.join().map_err(|_| eyre!("a reader has panicked"))?;
+        match how_it_ended(streamed, 1_000 * event_tokens)? {
+            None => whole += 1,
+            Some(reason) => *early.entry(reason).or_default() += 1,
+        }
     }
     println!(
         "{streams:>8} {rate:>10.0} {entry_cores:>12.2} {:>14.0} {agent_cores:>12.2} {entry_mb:>14.1} {agent_mb:>10.1} {whole:>6}",
         rate / entry_cores.max(0.01)
     );
+    for (reason, count) in early {
+        println!("         {count} ended early: {reason}");
+    }
     Ok(())
 }
 
+/// Returns why an answer is not whole; one that only looks whole is a fault.
+fn how_it_ended(streamed: eyre::Result<Streamed>, tokens: u32) -> eyre::Result<Option<String>> {
+    let streamed = match streamed {
+        Ok(streamed) => streamed,
+        Err(error) => return Ok(Some(format!("{error}"))),
+    };
+    if let Some(error) = streamed.error {
+        return Ok(Some(error["error"]["message"].to_string()));
+    }
+    if !streamed.done {
+        return Ok(Some("the connection broke".into()));
+    }
+    let told = streamed.text.split_whitespace().count();
+    ensure!(told == tokens as usize, "{told} tokens look like a whole answer of {tokens}");
+    Ok(None)
+}
+
 /// Measures the memory of streams that each get two tokens a second.
 fn memory() -> eyre::Result<()> {
     println!("{:>8} {:>10} {:>10}", "streams", "entry MB", "agent MB");
