Retry a call that somebody waits for only while its first token can be in time

Ruled out: going by the target always; a batch call whose transfer stalled was refused although nobody waits.

--- a/src/entry/run/model.rs
+++ b/src/entry/run/model.rs
@@ -6,7 +6,7 @@
 use super::{Exported, RESERVE_LEASE, Run, Stage};
 use crate::link::message::{AgentRequest, Export, Request};
 use crate::model::call::prompt_tokens;
-use crate::model::{CallKind, EndpointKind, ExchangeId, Ran, RefusalReason, Timestamp};
+use crate::model::{CallKind, Class, EndpointKind, ExchangeId, Ran, RefusalReason, Timestamp};
 use crate::role::Output;
 
 /// The end mark of a generation that reached its last offset.
@@ -118,11 +118,12 @@
     }
 
     /// Returns how long a prefill may take: up to the target for the first token, or, once that is
-    /// met or an attempt has failed, up to the deadline.
+    /// met, or if nobody waits and an attempt has failed, up to the deadline.
     fn prefill_within(&self, shared: &Shared, now: Timestamp) -> Option<Duration> {
         let within = shared.prefill_within(now, self.id, &self.call.pool)?;
-        let first = self.told.is_empty() && self.attempts.last() == 1;
-        Some(if first { within } else { self.call.deadline - now })
+        let waited_for = self.call.class == Class::Interactive || self.attempts.last() == 1;
+        let due_first = self.told.is_empty() && waited_for;
+        Some(if due_first { within } else { self.call.deadline - now })
     }
 
     pub(super) fn decode(
