Say in one place when a key leaves open whether a request ran

Cause: the rule stood twice (the role's refusals and those of the callers' server), and the idempotent methods three times. Now Refusal::with_open_key and check::is_idempotent serve all. One difference: TRACE with a key, which is refused as a method, counts as not idempotent in the server's own refusals, too, as it did in the role. at_most_once, bad_input, leaving, path and the demo pass.

--- a/src/entry/accept/mod.rs
+++ b/src/entry/accept/mod.rs
@@ -26,8 +26,9 @@
 use table::{Calls, lock};
 
 use super::answer::{self, AnswerBody};
+use super::check::is_idempotent;
 use super::{CallerEffect, CallerInput, Terminal};
-use crate::model::{CallId, Ran, Refusal, RefusalReason};
+use crate::model::{CallId, Refusal, RefusalReason};
 use crate::role::DriverHandle;
 
 /// Threads that carry callers' traffic.
@@ -207,11 +208,12 @@
 
 /// Serves one request up to its answer, or up to the start of an answer that comes in parts.
 async fn serve(request: Request<Incoming>, shared: Shared) -> Response<AnswerBody> {
-    let has_key = request.headers().contains_key("idempotency-key") && !request.method().is_safe();
+    let idempotent = is_idempotent(request.method().as_str());
+    let key_open = !idempotent && request.headers().contains_key("idempotency-key");
     let Some(call) = shared.open() else {
         let detail = format!("{} calls are open", shared.bounds.calls);
         let refusal = Refusal::not_run(RefusalReason::TooManyCalls, RETRY_AFTER, detail);
-        return answer::refused(&truthful(refusal, has_key));
+        return answer::refused(&refusal.with_open_key(key_open));
     };
     let raw = match read_call(request).await {
         Ok(raw) => raw,
@@ -228,7 +230,7 @@
         Some(CallerEffect::Finish { outcome, .. }) => {
             let id = call.id();
             call.finish();
-            answer::whole(Some(id), truthful_outcome(outcome, has_key), streams)
+            answer::whole(Some(id), truthful_outcome(outcome, key_open), streams)
         }
         Some(_) => answer::begin(call, effects, streams),
         None => {
@@ -239,19 +241,11 @@
     }
 }
 
-/// An earlier call with the same key may have run, whatever became of this one.
-fn truthful(mut refusal: Refusal, has_key: bool) -> Refusal {
-    if has_key {
-        refusal.ran = refusal.ran.max(Ran::Maybe);
-    }
-    refusal
-}
-
 /// Corrects the refusal of a call that a stopped role never saw.
-fn truthful_outcome(outcome: Terminal, has_key: bool) -> Terminal {
+fn truthful_outcome(outcome: Terminal, key_open: bool) -> Terminal {
     match outcome {
         Terminal::Refused(refusal) if refusal.reason == RefusalReason::Draining => {
-            Terminal::Refused(truthful(refusal, has_key))
+            Terminal::Refused(refusal.with_open_key(key_open))
         }
         other => other,
     }
--- a/src/entry/check.rs
+++ b/src/entry/check.rs
@@ -43,11 +43,15 @@
 impl RawCall {
     /// Returns whether an earlier call with the same idempotency key may have run.
     pub fn may_have_run_before(&self) -> bool {
-        let idempotent = matches!(&*self.method, "GET" | "HEAD" | "OPTIONS");
-        !idempotent && self.headers.contains_key("idempotency-key")
+        !is_idempotent(&self.method) && self.headers.contains_key("idempotency-key")
     }
 }
 
+/// Returns whether a call with an HTTP method may run more than once.
+pub fn is_idempotent(method: &str) -> bool {
+    matches!(method, "GET" | "HEAD" | "OPTIONS")
+}
+
 /// Tenants by the SHA-256 hashes of their credentials.
 #[derive(Debug, Clone, Default)]
 pub struct Tenants {
@@ -156,7 +160,7 @@
         (pool, kind, true)
     } else {
         let (pool, body) = check_service(&raw)?;
-        let repeatable = matches!(&*body.method, "GET" | "HEAD" | "OPTIONS");
+        let repeatable = is_idempotent(&body.method);
         (pool, CallKind::Service(body), repeatable)
     };
     let default_class = if repeatable && matches!(kind, CallKind::Model { .. }) {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -29,7 +29,7 @@
 
 use crate::control::config::Setting;
 use crate::link::message::{AgentReply, Reply};
-use crate::model::{Call, CallId, CallKind, ExchangeId, Ran, Refusal, RefusalReason, Timestamp};
+use crate::model::{Call, CallId, CallKind, ExchangeId, Refusal, RefusalReason, Timestamp};
 use crate::registry::FollowerSettings;
 use crate::role::{Input, Output, Role};
 
@@ -318,10 +318,8 @@
 }
 
 /// Refuses a call that was never started; an earlier call with its key may have run.
-fn refused(call: CallId, mut refusal: Refusal, key_open: bool) -> Outputs {
-    if key_open && !refusal.reason.is_about_content() {
-        refusal.ran = refusal.ran.max(Ran::Maybe);
-    }
+fn refused(call: CallId, refusal: Refusal, key_open: bool) -> Outputs {
+    let refusal = refusal.with_open_key(key_open);
     log::info!("step=refuse call={call} {refusal}");
     let outcome = Terminal::Refused(refusal);
     vec![Output::Effect(CallerEffect::Finish { call, outcome })]
--- a/src/model/outcome.rs
+++ b/src/model/outcome.rs
@@ -148,6 +148,15 @@
         Refusal { reason, ran: Ran::No, retry, detail: detail.into() }
     }
 
+    /// Says that the request may have run if an earlier call with its idempotency key may have;
+    /// a call that is wrong itself has never run.
+    pub fn with_open_key(mut self, key_open: bool) -> Refusal {
+        if key_open && !self.reason.is_about_content() {
+            self.ran = self.ran.max(Ran::Maybe);
+        }
+        self
+    }
+
     /// Makes a refusal of a request that may have run.
     pub fn may_have_run(
         reason: RefusalReason,
