--- /dev/null
+++ b/src/routes/check.rs
@@ -0,0 +1,244 @@
+//! From a table as operators write it to a checked one.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use super::{CallerLimits, EngineShape, Repeat, Route, RouteKey, RouteTable, Service};
+
+/// A route that is not checked yet.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RawRoute {
+    /// Its name.
+    pub name: String,
+    /// The host that it serves.
+    pub host: String,
+    /// The prefix of its paths, from slash to slash.
+    pub prefix: String,
+    /// What may be repeated.
+    pub repeat: Repeat,
+    /// The longest time that a call is kept waiting, in milliseconds.
+    pub timeout_ms: f64,
+    /// The target for the answer or its first event, in milliseconds.
+    pub target_ms: f64,
+    /// The target for the pause between events, in milliseconds.
+    pub gap_ms: f64,
+    /// The rank of its calls.
+    pub priority: u64,
+    /// The services with their weights.
+    pub split: Vec<(String, f64)>,
+    /// The most endpoints for a call.
+    pub attempts: u64,
+}
+
+impl RawRoute {
+    /// Returns a route for examples and tests.
+    pub fn example() -> RawRoute {
+        RawRoute {
+            name: "status".into(),
+            host: "portal.example".into(),
+            prefix: "/status/".into(),
+            repeat: Repeat::Idempotent,
+            timeout_ms: 600.0,
+            target_ms: 100.0,
+            gap_ms: 0.0,
+            priority: 1,
+            split: vec![("portal".into(), 1.0)],
+            attempts: 2,
+        }
+    }
+}
+
+/// A service that is not checked yet.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RawService {
+    /// Its name.
+    pub name: String,
+    /// The path of its health page.
+    pub health: String,
+    /// Connections to one endpoint.
+    pub connections: u64,
+    /// Its engines.
+    pub engine: Option<EngineShape>,
+}
+
+impl RawService {
+    /// Returns a service for examples and tests.
+    pub fn example() -> RawService {
+        RawService {
+            name: "portal".into(),
+            health: "/healthz".into(),
+            connections: 100,
+            engine: None,
+        }
+    }
+}
+
+/// A table that is not checked yet.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RawTable {
+    /// The version.
+    pub version: u64,
+    /// The routes.
+    pub routes: Vec<RawRoute>,
+    /// The services.
+    pub services: Vec<RawService>,
+    /// The limits for callers.
+    pub limits: CallerLimits,
+}
+
+impl RawTable {
+    /// Returns a table for examples and tests.
+    pub fn example() -> RawTable {
+        RawTable {
+            version: 1,
+            routes: vec![RawRoute::example()],
+            services: vec![RawService::example()],
+            limits: CallerLimits::default(),
+        }
+    }
+}
+
+/// Why a table is not accepted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TableError {
+    /// It can't be read; holds where and why.
+    Unreadable(Box<str>),
+    /// A route names a service that the table doesn't have.
+    UnknownService {
+        /// The route.
+        route: Box<str>,
+        /// The service.
+        service: Box<str>,
+    },
+    /// A prefix doesn't go from slash to slash.
+    BadPrefix {
+        /// The route.
+        route: Box<str>,
+    },
+    /// Two routes have the same host and prefix.
+    SamePlace {
+        /// The second route.
+        route: Box<str>,
+    },
+    /// The weights of a route add up to nothing, or are no numbers.
+    NoWeight {
+        /// The route.
+        route: Box<str>,
+    },
+    /// A route has no time.
+    NoTimeout {
+        /// The route.
+        route: Box<str>,
+    },
+    /// Two services have the same name.
+    SameService {
+        /// The name.
+        service: Box<str>,
+    },
+}
+
+impl fmt::Display for TableError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            TableError::Unreadable(why) => write!(f, "the table can't be read: {why}"),
+            TableError::UnknownService { route, service } => {
+                write!(f, "route {route}: service {service} is not in the table")
+            }
+            TableError::BadPrefix { route } => {
+                write!(f, "route {route}: the prefix must begin and end with a slash")
+            }
+            TableError::SamePlace { route } => {
+                write!(f, "route {route}: another route has the same host and prefix")
+            }
+            TableError::NoWeight { route } => {
+                write!(f, "route {route}: the weights must add up to more than 0")
+            }
+            TableError::NoTimeout { route } => {
+                write!(f, "route {route}: the timeout must be more than 0 ms")
+            }
+            TableError::SameService { service } => {
+                write!(f, "service {service}: it stands twice")
+            }
+        }
+    }
+}
+
+impl std::error::Error for TableError {}
+
+impl TryFrom<RawTable> for RouteTable {
+    type Error = TableError;
+
+    fn try_from(raw: RawTable) -> Result<RouteTable, TableError> {
+        let mut services = BTreeMap::new();
+        for service in raw.services {
+            let name: Box<str> = service.name.into();
+            let checked = Service {
+                health: service.health.into(),
+                connections: u32::try_from(service.connections).unwrap_or(u32::MAX),
+                engine: service.engine,
+            };
+            if services.insert(name.clone(), checked).is_some() {
+                return Err(TableError::SameService { service: name });
+            }
+        }
+        let mut hosts: BTreeMap<Box<str>, BTreeMap<Box<str>, RouteKey>> = BTreeMap::new();
+        let mut routes = Vec::with_capacity(raw.routes.len());
+        for route in raw.routes {
+            let key = RouteKey(routes.len() as u32);
+            let host = route.host.to_ascii_lowercase().into();
+            let prefix: Box<str> = route.prefix.as_str().into();
+            let name: Box<str> = route.name.as_str().into();
+            routes.push(checked_route(route, &services)?);
+            if hosts.entry(host).or_default().insert(prefix, key).is_some() {
+                return Err(TableError::SamePlace { route: name });
+            }
+        }
+        Ok(RouteTable { version: raw.version, routes, services, limits: raw.limits, hosts })
+    }
+}
+
+fn checked_route(
+    raw: RawRoute,
+    services: &BTreeMap<Box<str>, Service>,
+) -> Result<Route, TableError> {
+    let name: Box<str> = raw.name.into();
+    if !(raw.prefix.starts_with('/') && raw.prefix.ends_with('/')) {
+        return Err(TableError::BadPrefix { route: name });
+    }
+    if let Some((service, _)) = raw.split.iter().find(|(s, _)| !services.contains_key(s.as_str())) {
+        let service = service.as_str().into();
+        return Err(TableError::UnknownService { route: name, service });
+    }
+    let split: Option<Vec<(Box<str>, u32)>> =
+        raw.split.into_iter().map(|(s, w)| Some((s.into(), checked_weight(w)?))).collect();
+    let split = split.filter(|s| s.iter().any(|(_, weight)| *weight > 0));
+    let Some(split) = split else {
+        return Err(TableError::NoWeight { route: name });
+    };
+    let Some(timeout) = millis(raw.timeout_ms).filter(|t| !t.is_zero()) else {
+        return Err(TableError::NoTimeout { route: name });
+    };
+    Ok(Route {
+        name,
+        repeat: raw.repeat,
+        timeout,
+        target: millis(raw.target_ms).unwrap_or(timeout),
+        gap: millis(raw.gap_ms).unwrap_or_default(),
+        priority: u8::try_from(raw.priority).unwrap_or(u8::MAX),
+        split,
+        attempts: u32::try_from(raw.attempts).unwrap_or(u32::MAX).max(1),
+    })
+}
+
+/// Weights are kept in thousandths.
+const WEIGHT_SCALE: f64 = 1_000.0;
+
+fn checked_weight(weight: f64) -> Option<u32> {
+    let scaled = weight * WEIGHT_SCALE;
+    (scaled.is_finite() && (0.0..=f64::from(u32::MAX)).contains(&scaled)).then_some(scaled as u32)
+}
+
+fn millis(value: f64) -> Option<Duration> {
+    Duration::try_from_secs_f64(value / 1_000.0).ok()
+}
--- a/tests/follower.rs
+++ b/tests/follower.rs
@@ -44,6 +44,7 @@
         domain: "brno-a".into(),
         boot: BootId(1),
         members: (0..MEMBERS).map(address).collect(),
+        routes: false,
         endpoints: false,
     }
 }
@@ -87,6 +88,7 @@
             endpoints: None,
             orders: None,
             suspects: None,
+            routing: None,
         };
         self.follower.reply(now, *exchange, &Reply::Control(ControlReply::Beat(beat)));
     }
@@ -96,6 +98,7 @@
     Some(Proof {
         member: address(member),
         highest: Revision(highest),
+        document: 0,
         epoch,
         voters: voters.iter().copied().map(address).collect(),
     })
--- a/tests/group/mod.rs
+++ b/tests/group/mod.rs
@@ -249,6 +249,7 @@
                 domain: "brno-a".into(),
                 boot: BootId(index as u64),
                 members: members.clone(),
+                routes: false,
                 endpoints: false,
             };
             (Follower::new(settings), 0)
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -309,6 +309,7 @@
         domain: "brno-a".into(),
         boot: BootId(7),
         members: members.clone(),
+        routes: false,
         endpoints: false,
     };
     let settings = AgentSettings { follower, address: ([10, 0, 1, 1], 7000).into() };
@@ -356,7 +357,8 @@
     };
     let hear = |agent: &mut Agent, at: usize, mark: u64, desired: Option<Desired>| {
         let (exchange, member) = beats[at];
-        let proof = Proof { member, highest: Revision(0), epoch: 0, voters: members.clone() };
+        let proof =
+            Proof { member, highest: Revision(0), document: 0, epoch: 0, voters: members.clone() };
         let beat = Beat {
             member: "control".into(),
             proof: Some(proof),
@@ -365,6 +367,7 @@
             endpoints: None,
             orders: Some(Marked { mark: Fence(mark), desired }),
             suspects: None,
+            routing: None,
         };
         let body = Reply::Control(ControlReply::Beat(beat));
         let envelope = Envelope { revised: Default::default(), body };
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -291,7 +291,8 @@
         let marked =
             Marked { mark: mark.unwrap_or_default(), desired: (!known).then_some(desired) };
         let voters = (0..MEMBERS).map(address).collect();
-        let proof = Proof { member: address(member), highest: Revision(0), epoch: 0, voters };
+        let proof =
+            Proof { member: address(member), highest: Revision(0), document: 0, epoch: 0, voters };
         told.heard[at] = Some((state, report));
         self.answers.push(Answer { endpoint: at, boot, proof, marked });
     }
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -198,6 +198,7 @@
             domain: "brno-a".into(),
             boot: BootId(boot),
             members: (0..MEMBERS).map(address).collect(),
+            routes: false,
             endpoints: !agent,
         };
         Process {
@@ -459,6 +460,7 @@
             report: None,
             suspects: 0,
             schema: 1,
+            routing: None,
             whole: false,
         }
     };
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -228,6 +228,7 @@
             domain: "brno-a".into(),
             boot,
             members: vec![address(CONTROL_PORT)],
+            routes: false,
             endpoints: role == "entry",
         };
         match node {
@@ -571,6 +572,7 @@
                 proof: Some(Proof {
                     member: address(CONTROL_PORT),
                     highest: Revision(0),
+                    document: 0,
                     epoch: 0,
                     voters: vec![address(CONTROL_PORT)],
                 }),
@@ -581,6 +583,7 @@
                 )),
                 orders: Some(Marked { mark: Fence(0), desired: None }),
                 suspects: None,
+                routing: None,
             };
             let body = Reply::Control(ControlReply::Beat(beat));
             let envelope = Envelope { revised: self.state.config.revised(), body };
