--- a/src/cli/settings.rs
+++ b/src/cli/settings.rs
@@ -33,6 +33,9 @@
 const DEFAULT_GRACE: Duration = Duration::from_secs(8);
 const LOG_LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
 
+/// The name of the settings file among the settings.
+const SETTINGS_FILE: &str = "settings";
+
 /// A role of a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum RoleName {
@@ -183,7 +186,8 @@
         let unreadable = |e: toml::de::Error| SettingsError(vec![format!("settings: {e}")]);
         let table: toml::Table = toml::from_str(text).map_err(unreadable)?;
         let mut errors = Vec::new();
-        let mut fields: BTreeMap<&str, &mut Option<String>> = self.fields().into_iter().collect();
+        let fields = self.fields().into_iter().filter(|(name, _)| *name != SETTINGS_FILE);
+        let mut fields: BTreeMap<&str, &mut Option<String>> = fields.collect();
         for (name, value) in &table {
             let Some(field) = fields.get_mut(name.as_str()) else {
                 errors.push(format!("settings: {name} is no setting"));
@@ -201,9 +205,10 @@
     }
 
     /// Returns the flags that have a variable and a place in the file, by name.
-    fn fields(&mut self) -> [(&'static str, &mut Option<String>); 22] {
+    fn fields(&mut self) -> [(&'static str, &mut Option<String>); 23] {
         [
             ("roles", &mut self.roles),
+            (SETTINGS_FILE, &mut self.settings),
             ("name", &mut self.name),
             ("domain", &mut self.domain),
             ("listen", &mut self.listen),
--- a/src/cli/start.rs
+++ b/src/cli/start.rs
@@ -47,9 +47,8 @@
 /// Fills in what the flags leave open and checks everything: flags go before the environment, and
 /// that before the file.
 fn checked(args: DaemonArgs) -> Result<Settings, SettingsError> {
-    let variable = |name: &str| std::env::var(name).ok();
-    let mut args = args.with_environment(variable);
-    if let Some(path) = args.settings.clone().or_else(|| variable("DOTTERELPIN_SETTINGS")) {
+    let mut args = args.with_environment(|name| std::env::var(name).ok());
+    if let Some(path) = args.settings.clone() {
         args = args.with_file(&read(Path::new(&path))?)?;
     }
     Settings::try_from(args).and_then(|s| s.check_files().map(|()| s))
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -167,7 +167,10 @@
         }
         let caller = match conn.job {
             Job::Call(caller) => caller,
-            Job::Report | Job::Free => return,
+            Job::Hold(_) | Job::Report | Job::Free => {
+                conn.status = head.status;
+                return;
+            }
             Job::Idle => {
                 log::warn!("step=answer peer={} error=\"nothing was asked\"", peer.0);
                 self.hang_up(peer);
@@ -263,7 +266,7 @@
             }
             return;
         }
-        let (job, endpoint) = (conn.job, conn.endpoint);
+        let (job, endpoint, status) = (conn.job, conn.endpoint, conn.status);
         let content = std::mem::take(&mut conn.content);
         let closes = self.closes(job);
         if closes || !reusable || !self.fleet.park(now, peer, None) {
@@ -273,6 +276,11 @@
         match job {
             Job::Idle => {}
             Job::Report | Job::Free => self.job_ended(now, job, endpoint, &content),
+            Job::Hold(caller) => {
+                let hold = (status == 200).then(|| self.protocol.read_hold(&content)).flatten();
+                self.hold_answered(now, caller, hold);
+                self.schedule(now, caller);
+            }
             Job::Call(caller) => {
                 self.call_answered(now, caller);
                 self.schedule(now, caller);
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -54,6 +54,13 @@
 pub enum Stage {
     /// It waits for room.
     Waiting,
+    /// A decode endpoint is asked to keep room for it.
+    Hold {
+        /// The connection.
+        peer: PeerId,
+        /// The room.
+        decode: Reserved,
+    },
     /// A prefill endpoint reads its prompt.
     Prefill {
         /// The send.
@@ -117,6 +124,8 @@
     pub prefills: u32,
     /// Endpoints that it was sent to without success.
     pub tried: Vec<EndpointKey>,
+    /// Room that a decode endpoint keeps for it, by its name there.
+    pub hold: Option<(EndpointKey, Box<str>)>,
     /// Whether any send may have run.
     pub may_have_run: bool,
     /// The last failure that an endpoint answered.
@@ -127,6 +136,8 @@
     pub passed: Passed,
     /// Events of the present run.
     pub cutter: EventCutter,
+    /// When the request for room is given up.
+    pub hold_due: Timestamp,
     /// When it looks at the time next.
     pub timer: Timestamp,
 }
@@ -155,7 +166,7 @@
     /// Returns the send that is under way.
     pub fn attempt(&mut self) -> Option<&mut Attempt> {
         match &mut self.stage {
-            Stage::Waiting => None,
+            Stage::Waiting | Stage::Hold { .. } => None,
             Stage::Prefill { attempt, .. } | Stage::Run { attempt, .. } => Some(attempt),
         }
     }
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -1,10 +1,12 @@
 //! Calls to models: they wait for room, have their prompt read, and run elsewhere from its KV cache.
 
+use std::time::Duration;
+
 use super::answer;
 use super::call::{Attempt, Handoff, Reserved, Stage};
-use super::fleet::{EndpointKey, Usage};
+use super::fleet::{EndpointKey, Job, Usage};
 use super::place::{place_decode, place_prefill};
-use super::protocol::{Export, SendKind};
+use super::protocol::{Export, SendKind, SideRequest};
 use super::queue::{Queue, Waiting};
 use super::{CallerId, Gateway};
 use crate::entry::health::Verdict;
@@ -13,6 +15,10 @@
 
 /// The most prompt tokens of one gateway that wait at a prefill endpoint.
 const MOST_BACKLOG_TOKENS: u32 = 12_000;
+/// How long an engine keeps room for a call, and protects it after its start.
+const HOLD_LIFE: Duration = Duration::from_millis(2_000);
+/// How long a request for room may take.
+const HOLD_TIMEOUT: Duration = Duration::from_millis(250);
 /// The part of its retention within which KV cache is handed to another endpoint, in percent.
 const HANDOVER_PERCENT: u32 = 60;
 
@@ -85,28 +91,102 @@
         }
     }
 
-    /// Finds room for a call and has its prompt read; returns whether there was room.
+    /// Finds room for a call and asks for it; returns whether there seems to be any.
     fn start_engine(&mut self, now: Timestamp, caller: CallerId) -> bool {
         let Some(shape) = self.shape(caller) else { return false };
         let Some(call) = self.calls.get(&caller) else { return false };
         let Some(work) = &call.info.work else { return false };
-        let (prompt, need) = (work.prompt, work.prompt.saturating_add(work.output));
+        let need = work.need();
         let loads = self.fleet.decode_loads(now, &call.service, &shape, &call.tried);
-        let Some(decode) = place_decode(loads, need) else { return false };
-        let Some(domain) = self.fleet.get(decode).map(|e| e.domain.clone()) else { return false };
-        let loads = self.fleet.prefill_loads(now, &call.service, &shape, &domain, &call.tried);
-        let prefill = place_prefill(loads, MOST_BACKLOG_TOKENS);
+        let Some(endpoint) = place_decode(loads, need) else { return false };
+        if self.pick_prefill(now, caller, &shape, endpoint).is_none()
+            && self.has_prefill(now, caller)
+        {
+            return false;
+        }
         let usage = Usage { slots: 1, tokens: need };
-        match prefill {
-            Some(prefill) => {
-                let reserved = Reserved { endpoint: decode, usage };
-                self.start_prefill(now, caller, prefill, prompt, reserved)
+        let request = SideRequest::Hold { tokens: need, life: HOLD_LIFE };
+        let Some(peer) = self.ask(now, endpoint, Job::Hold(caller), &request) else { return false };
+        if let Some(target) = self.fleet.get_mut(endpoint) {
+            target.began(now, usage);
+        }
+        let Some(call) = self.calls.get_mut(&caller) else { return false };
+        call.hold_due = now + HOLD_TIMEOUT;
+        call.stage = Stage::Hold { peer, decode: Reserved { endpoint, usage } };
+        true
+    }
+
+    /// Returns the prefill endpoint for a call that runs on a decode endpoint.
+    fn pick_prefill(
+        &self,
+        now: Timestamp,
+        caller: CallerId,
+        shape: &EngineShape,
+        decode: EndpointKey,
+    ) -> Option<EndpointKey> {
+        let call = self.calls.get(&caller)?;
+        let domain = &self.fleet.get(decode)?.domain;
+        let loads = self.fleet.prefill_loads(now, &call.service, shape, domain, &call.tried);
+        place_prefill(loads, MOST_BACKLOG_TOKENS)
+    }
+
+    /// Takes the answer to a request for room.
+    pub(super) fn hold_answered(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        hold: Option<Box<str>>,
+    ) {
+        let Some(call) = self.calls.get_mut(&caller) else { return };
+        let stage = std::mem::replace(&mut call.stage, Stage::Waiting);
+        let Stage::Hold { decode, .. } = stage else { return };
+        let Some(hold) = hold else {
+            self.release(now, decode.endpoint, decode.usage);
+            if let Some(endpoint) = self.fleet.get_mut(decode.endpoint) {
+                endpoint.refused(now);
+            }
+            self.wait_again(now, caller);
+            return;
+        };
+        call.hold = Some((decode.endpoint, hold));
+        let Some(shape) = self.shape(caller) else { return };
+        match self.pick_prefill(now, caller, &shape, decode.endpoint) {
+            Some(prefill) => self.start_prefill(now, caller, prefill, decode),
+            None => {
+                self.release(now, decode.endpoint, decode.usage);
+                self.run_on(now, caller, decode.endpoint, decode.usage, SendKind::Whole, None);
             }
-            None if self.has_prefill(now, caller) => false,
-            None => self.run_on(now, caller, decode, usage, SendKind::Whole, None),
         }
     }
 
+    /// Takes the loss of a request for room.
+    pub(super) fn hold_lost(&mut self, now: Timestamp, caller: CallerId, connected: bool) {
+        let Some(call) = self.calls.get_mut(&caller) else { return };
+        let Stage::Hold { decode, .. } = std::mem::replace(&mut call.stage, Stage::Waiting) else {
+            return;
+        };
+        self.release(now, decode.endpoint, decode.usage);
+        if let Some(endpoint) = self.fleet.get_mut(decode.endpoint) {
+            let verdict = if connected { Verdict::Failed } else { Verdict::Silent };
+            endpoint.health.judge(now, verdict);
+            endpoint.refused(now);
+        }
+        self.wait_again(now, caller);
+    }
+
+    /// Starts a call elsewhere, or puts it before those that came after it.
+    fn wait_again(&mut self, now: Timestamp, caller: CallerId) {
+        if self.start_engine(now, caller) {
+            return;
+        }
+        let Some(call) = self.calls.get(&caller) else { return };
+        let Some(route) = call.route() else { return };
+        let (rank, target) = (route.priority, route.target);
+        let until = Queue::<CallerId>::until(call.arrived, target).min(call.due);
+        let queue = self.queues.entry(call.service.clone()).or_default();
+        queue.push_front(rank, Waiting { key: caller, until });
+    }
+
     /// Returns whether any prefill endpoint works.
     fn has_prefill(&self, now: Timestamp, caller: CallerId) -> bool {
         let Some(call) = self.calls.get(&caller) else { return false };
@@ -119,20 +199,16 @@
         now: Timestamp,
         caller: CallerId,
         endpoint: EndpointKey,
-        prompt: u32,
         decode: Reserved,
-    ) -> bool {
+    ) {
+        let work = self.calls.get(&caller).and_then(|c| c.info.work.as_ref());
+        let prompt = work.map_or(0, |w| w.prompt);
         let usage = Usage { slots: 1, tokens: prompt };
-        let Some(attempt) = self.begin(now, caller, endpoint, usage, SendKind::Prefill) else {
-            return false;
-        };
-        if let Some(target) = self.fleet.get_mut(decode.endpoint) {
-            target.began(now, decode.usage);
-        }
-        let Some(call) = self.calls.get_mut(&caller) else { return false };
+        let attempt = self.begin(now, caller, endpoint, usage, SendKind::Prefill);
+        let Some(call) = self.calls.get_mut(&caller) else { return };
+        let Some(attempt) = attempt else { return };
         call.prefills += 1;
         call.stage = Stage::Prefill { attempt, decode };
-        true
     }
 
     /// Runs a call on a decode endpoint.
@@ -148,6 +224,8 @@
         let Some(attempt) = self.begin(now, caller, endpoint, usage, kind) else { return false };
         let Some(call) = self.calls.get_mut(&caller) else { return false };
         call.sends += 1;
+        // The hold is used up by this send, or lapses.
+        call.hold = None;
         call.stage = Stage::Run { attempt, handoff };
         true
     }
@@ -197,7 +275,7 @@
         let Some(shape) = self.shape(caller) else { return false };
         let Some(call) = self.calls.get(&caller) else { return false };
         let Some(work) = &call.info.work else { return false };
-        let need = work.prompt.saturating_add(work.output);
+        let need = work.need();
         let usage = Usage { slots: 1, tokens: need };
         let fresh = shape.retention * HANDOVER_PERCENT / 100;
         let alive = handoff.filter(|h| !call.may_have_run && now - h.made < fresh);
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -50,9 +50,11 @@
     Idle,
     /// It carries a call.
     Call(CallerId),
+    /// It asks for room for a call.
+    Hold(CallerId),
     /// It fetches a report.
     Report,
-    /// It frees KV cache.
+    /// It frees something.
     Free,
 }
 
@@ -71,6 +73,8 @@
     pub stray: bool,
     /// How long it may be idle, by the endpoint.
     pub idle_life: Duration,
+    /// The status of an answer that is not passed on.
+    pub status: u16,
     /// The content of an answer that is not passed on.
     pub content: Vec<u8>,
 }
@@ -408,6 +412,7 @@
             connected: false,
             stray: false,
             idle_life: IDLE_REUSE,
+            status: 0,
             content: Vec::new(),
         };
         self.conns.insert(peer, conn);
--- a/src/gateway/header_protocol.rs
+++ b/src/gateway/header_protocol.rs
@@ -6,7 +6,7 @@
 
 use super::protocol::{
     AnswerInfo, CallError, CallInfo, CallProtocol, EngineReport, Export, ModelWork, RefusalInfo,
-    SendInfo, SendKind, TableFormat,
+    SendInfo, SendKind, SideRequest, TableFormat,
 };
 use crate::h1::{AnswerHead, Request, RequestHead, write};
 
@@ -32,6 +32,8 @@
     pub source: &'static str,
     /// The endpoint that is meant.
     pub endpoint: &'static str,
+    /// The hold that gives a call room.
+    pub hold: &'static str,
     /// Says that an endpoint has not run the call.
     pub not_run: &'static str,
     /// The signature of the endpoint.
@@ -51,11 +53,11 @@
     /// Reads a report.
     fn read_report(&self, content: &[u8]) -> Option<EngineReport>;
 
-    /// Returns the path of reports.
-    fn report_path(&self) -> &'static str;
+    /// Reads the name of a hold.
+    fn read_hold(&self, content: &[u8]) -> Option<Box<str>>;
 
-    /// Returns the path at which KV cache is freed.
-    fn free_path(&self, handle: &str) -> String;
+    /// Returns method, path and content of a small request.
+    fn side(&self, request: &SideRequest) -> (&'static str, String, Vec<u8>);
 }
 
 /// The protocol.
@@ -74,18 +76,11 @@
     /// Returns whether a field is set by the gateway alone or anew.
     fn is_own(&self, name: &str) -> bool {
         let names = &self.names;
-        let own = [names.patience, names.stage, names.source, names.endpoint, names.after];
+        let own =
+            [names.patience, names.stage, names.source, names.endpoint, names.after, names.hold];
         let mut all = own.iter().chain(names.reserved);
         all.any(|n| n.eq_ignore_ascii_case(name))
     }
-
-    fn small_request(&self, method: &str, path: &str, host: SocketAddr) -> Vec<u8> {
-        let mut out = Vec::with_capacity(128);
-        write::request_line(&mut out, method, path);
-        write::field(&mut out, "Host", host.to_string().as_bytes());
-        write::end_head(&mut out);
-        out
-    }
 }
 
 impl CallProtocol for HeaderProtocol {
@@ -129,6 +124,9 @@
         if let Some(after) = send.after {
             write::number(&mut out, names.after, after);
         }
+        if let Some(hold) = send.hold {
+            write::field(&mut out, names.hold, hold.as_bytes());
+        }
         match &send.kind {
             SendKind::Whole => {}
             SendKind::Prefill => {
@@ -161,12 +159,22 @@
         self.engines.read_export(content)
     }
 
-    fn write_free(&self, host: SocketAddr, handle: &str) -> Vec<u8> {
-        self.small_request("DELETE", &self.engines.free_path(handle), host)
+    fn write_side(&self, host: SocketAddr, request: &SideRequest) -> Vec<u8> {
+        let (method, path, content) = self.engines.side(request);
+        let mut out = Vec::with_capacity(256);
+        write::request_line(&mut out, method, &path);
+        write::field(&mut out, "Host", host.to_string().as_bytes());
+        if !content.is_empty() {
+            write::field(&mut out, "Content-Type", b"application/json");
+            write::number(&mut out, "Content-Length", content.len() as u64);
+        }
+        write::end_head(&mut out);
+        out.extend_from_slice(&content);
+        out
     }
 
-    fn write_report(&self, host: SocketAddr) -> Vec<u8> {
-        self.small_request("GET", self.engines.report_path(), host)
+    fn read_hold(&self, content: &[u8]) -> Option<Box<str>> {
+        self.engines.read_hold(content)
     }
 
     fn read_report(&self, content: &[u8]) -> Option<EngineReport> {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -205,10 +205,12 @@
             sends: 0,
             prefills: 0,
             tried: Vec::new(),
+            hold: None,
             may_have_run: false,
             failed: None,
             stage: Stage::Waiting,
             cutter: events::EventCutter::default(),
+            hold_due: Timestamp::MAX,
             timer: Timestamp::MAX,
         };
         let terms = self.settings.budget;
@@ -237,10 +239,16 @@
         let target = self.fleet.get(endpoint)?;
         let address = target.address;
         let info = SendInfo {
-            kind,
             left: call.left(now),
             endpoint: &target.name,
             after: call.passed.event,
+            hold: match &call.hold {
+                Some((at, hold)) if *at == endpoint && kind != protocol::SendKind::Prefill => {
+                    Some(&**hold)
+                }
+                _ => None,
+            },
+            kind,
         };
         let bytes = self.protocol.write_call(&call.request, &info);
         let once = !call.is_repeatable();
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -62,6 +62,7 @@
 pub fn next_look(call: &Call, _now: Timestamp) -> Timestamp {
     let attempt = match &call.stage {
         Stage::Waiting => None,
+        Stage::Hold { .. } => Some(call.hold_due),
         Stage::Prefill { attempt, .. } => Some(attempt.since + limit(attempt, PREFILL_TIMEOUT)),
         Stage::Run { attempt, .. } => run_limit(call, attempt),
     };
@@ -100,6 +101,11 @@
         if next_look(call, now) > now {
             return;
         }
+        if let Stage::Hold { peer, .. } = call.stage {
+            self.hang_up(peer);
+            self.hold_lost(now, caller, false);
+            return;
+        }
         let Some(attempt) = call.attempt() else { return };
         let (peer, connected) = (attempt.peer, attempt.connected);
         self.hang_up(peer);
@@ -129,12 +135,17 @@
     pub(super) fn stop_work(&mut self, now: Timestamp, caller: CallerId) {
         let Some(call) = self.calls.get_mut(&caller) else { return };
         let service = call.service.clone();
+        let hold = call.hold.take();
         match std::mem::replace(&mut call.stage, Stage::Waiting) {
             Stage::Waiting => {
                 if let Some(queue) = self.queues.get_mut(&service) {
                     queue.remove(caller);
                 }
             }
+            Stage::Hold { peer, decode } => {
+                self.release(now, decode.endpoint, decode.usage);
+                self.hang_up(peer);
+            }
             Stage::Prefill { attempt, decode } => {
                 self.release(now, decode.endpoint, decode.usage);
                 self.release_attempt(now, &attempt);
@@ -148,6 +159,9 @@
                 }
             }
         }
+        if let Some((endpoint, hold)) = hold {
+            self.drop_hold(now, endpoint, hold);
+        }
     }
 
     pub(super) fn release_attempt(&mut self, now: Timestamp, attempt: &Attempt) {
@@ -185,6 +199,10 @@
         match conn.job {
             Job::Idle => {}
             Job::Report | Job::Free => self.job_failed(now, conn.endpoint, conn.connected),
+            Job::Hold(caller) => {
+                self.hold_lost(now, caller, conn.connected);
+                self.schedule(now, caller);
+            }
             Job::Call(caller) => {
                 log::debug!("step=lost peer={} sent={sent} error=\"{error}\"", peer.0);
                 let failure = if sent { Failure::Broken } else { Failure::NotStarted };
@@ -194,12 +212,20 @@
         }
     }
 
+    /// Gives up the room that an endpoint keeps for a call.
+    fn give_up_hold(&mut self, now: Timestamp, caller: CallerId) {
+        let hold = self.calls.get_mut(&caller).and_then(|c| c.hold.take());
+        if let Some((endpoint, hold)) = hold {
+            self.drop_hold(now, endpoint, hold);
+        }
+    }
+
     /// Takes the failure of the send that is under way; its connection is closed or parked.
     pub(super) fn attempt_failed(&mut self, now: Timestamp, caller: CallerId, failure: Failure) {
         let Some(call) = self.calls.get_mut(&caller) else { return };
         let stage = std::mem::replace(&mut call.stage, Stage::Waiting);
         let (attempt, prefill, handoff) = match stage {
-            Stage::Waiting => return,
+            Stage::Waiting | Stage::Hold { .. } => return,
             Stage::Prefill { attempt, decode } => (attempt, Some(decode), None),
             Stage::Run { attempt, handoff } => (attempt, None, handoff),
         };
@@ -231,6 +257,7 @@
             if in_prefill { "prefill" } else { "run" },
             (now - attempt.since).as_millis(),
         );
+        self.give_up_hold(now, caller);
         let free = matches!(failure, Failure::NotStarted);
         if let Failure::Answered(failed) = failure
             && let Some(call) = self.calls.get_mut(&caller)
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -35,6 +35,16 @@
     pub output: u32,
 }
 
+/// The part of its answer that a call is counted with, in percent: answers grow while others end.
+const GROWTH_PERCENT: u32 = 25;
+
+impl ModelWork {
+    /// Returns the tokens of KV cache that a call is counted with.
+    pub fn need(&self) -> u32 {
+        self.prompt.saturating_add(self.output / 100 * GROWTH_PERCENT)
+    }
+}
+
 /// Why a call can't be taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallError {
@@ -96,6 +106,32 @@
     pub endpoint: &'a str,
     /// Go on after this event of the stream.
     pub after: Option<u64>,
+    /// The hold that gives it room there.
+    pub hold: Option<&'a str>,
+}
+
+/// A small request to an engine beside a call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SideRequest {
+    /// Tell what is in use.
+    Report,
+    /// Free KV cache that nobody takes.
+    Free {
+        /// Its name.
+        handle: Box<str>,
+    },
+    /// Keep room for a call that comes within a time.
+    Hold {
+        /// Tokens of KV cache.
+        tokens: u32,
+        /// How long.
+        life: Duration,
+    },
+    /// Give up a hold.
+    Drop {
+        /// The hold.
+        hold: Box<str>,
+    },
 }
 
 /// What the head of an endpoint's answer says.
@@ -163,11 +199,11 @@
     /// Reads the answer to a [`SendKind::Prefill`].
     fn read_export(&self, content: &[u8]) -> Option<Export>;
 
-    /// Writes the request to free KV cache that nobody takes.
-    fn write_free(&self, host: SocketAddr, handle: &str) -> Vec<u8>;
+    /// Writes a small request to an engine.
+    fn write_side(&self, host: SocketAddr, request: &SideRequest) -> Vec<u8>;
 
-    /// Writes the request for an engine's report.
-    fn write_report(&self, host: SocketAddr) -> Vec<u8>;
+    /// Reads the name of a hold.
+    fn read_hold(&self, content: &[u8]) -> Option<Box<str>>;
 
     /// Reads an engine's report.
     fn read_report(&self, content: &[u8]) -> Option<EngineReport>;
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -82,6 +82,11 @@
         self.ranks.entry(rank).or_default().push_back(waiting);
     }
 
+    /// Puts a call that could not start before the others.
+    pub fn push_front(&mut self, rank: u8, waiting: Waiting<K>) {
+        self.ranks.entry(rank).or_default().push_front(waiting);
+    }
+
     /// Returns the call that starts next.
     pub fn first(&self) -> Option<K> {
         self.ranks.values().find_map(|q| q.front()).map(|w| w.key)
--- a/src/gateway/reports.rs
+++ b/src/gateway/reports.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use super::Gateway;
 use super::fleet::{EndpointKey, Job};
+use super::protocol::SideRequest;
+use super::{Gateway, PeerId};
 use crate::entry::health::Verdict;
 use crate::h1::HttpEffect;
 use crate::model::Timestamp;
@@ -24,21 +25,30 @@
         let asked = engines.filter(|(_, e)| e.takes_work && self.called.contains_key(&e.pool));
         let asked: Vec<EndpointKey> = asked.map(|(key, _)| key).collect();
         for endpoint in asked {
-            self.ask(now, endpoint, Job::Report, None);
+            self.ask(now, endpoint, Job::Report, &SideRequest::Report);
         }
     }
 
     /// Frees KV cache that nobody takes.
     pub(super) fn free(&mut self, now: Timestamp, endpoint: EndpointKey, handle: &str) {
-        self.ask(now, endpoint, Job::Free, Some(handle));
+        self.ask(now, endpoint, Job::Free, &SideRequest::Free { handle: handle.into() });
     }
 
-    fn ask(&mut self, now: Timestamp, endpoint: EndpointKey, job: Job, handle: Option<&str>) {
-        let Some(address) = self.fleet.get(endpoint).map(|e| e.address) else { return };
-        let bytes = match handle {
-            Some(handle) => self.protocol.write_free(address, handle),
-            None => self.protocol.write_report(address),
-        };
+    /// Gives up room that an engine keeps.
+    pub(super) fn drop_hold(&mut self, now: Timestamp, endpoint: EndpointKey, hold: Box<str>) {
+        self.ask(now, endpoint, Job::Free, &SideRequest::Drop { hold });
+    }
+
+    /// Sends a small request to an engine.
+    pub(super) fn ask(
+        &mut self,
+        now: Timestamp,
+        endpoint: EndpointKey,
+        job: Job,
+        request: &SideRequest,
+    ) -> Option<PeerId> {
+        let address = self.fleet.get(endpoint)?.address;
+        let bytes = self.protocol.write_side(address, request);
         let peer = match self.fleet.reuse(now, endpoint, job, false) {
             Some(peer) => peer,
             None => {
@@ -48,6 +58,7 @@
             }
         };
         self.effect(HttpEffect::Send { peer, bytes });
+        Some(peer)
     }
 
     /// Takes the answer to a request beside calls.
@@ -65,6 +76,17 @@
         let Some(target) = self.fleet.get_mut(endpoint) else { return };
         match report {
             Some(report) => {
+                log::debug!(
+                    "step=report endpoint={} kind={} running={} waiting={} used={} total={} own_slots={} own_tokens={}",
+                    target.name,
+                    target.kind.as_str(),
+                    report.running,
+                    report.waiting,
+                    report.used,
+                    report.total,
+                    target.usage.slots,
+                    target.usage.tokens,
+                );
                 target.reported(now, report);
                 self.freed = true;
             }
