--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -7,6 +7,7 @@
 use super::fleet::Job;
 use super::outcome::Failure;
 use super::protocol::RefusalInfo;
+use super::queue::Queue;
 use super::{CallerId, Gateway, PeerId};
 use crate::entry::health::Verdict;
 use crate::h1::{AnswerHead, HttpEffect, Request, write};
@@ -117,9 +118,10 @@
     pub(super) fn no_room(&mut self, now: Timestamp, caller: CallerId) -> RefusalInfo {
         let draw = self.draw();
         let Some(call) = self.calls.get(&caller) else { return no_endpoint() };
-        match self.queues.get_mut(&call.service) {
-            Some(queue) => busy(queue.return_after(now, draw)),
-            None => no_endpoint(),
+        if self.queues.contains_key(&call.service) {
+            busy(Queue::<CallerId>::return_after(call.leaves - now, draw))
+        } else {
+            no_endpoint()
         }
     }
 
@@ -135,11 +137,12 @@
         let route = call.route().map_or("", |r| &r.name);
         log::info!(
             "step=end id={} route={route} service={} outcome=\"{outcome}\" status={status} ms={} \
-             first_ms={} events={} sends={} prefills={} table={}",
+             first_ms={} gap_ms={} events={} sends={} prefills={} table={}",
             call.info.id,
             call.service,
             total.as_millis(),
             first.map_or(-1, |f| f.as_millis() as i64),
+            call.passed.gap.as_millis(),
             call.passed.events,
             call.sends,
             call.prefills,
@@ -254,6 +257,9 @@
             call.passed.event = event.id.or(known);
             call.passed.events += 1;
             write::chunk(&mut out, &event.bytes);
+            if let Some(last) = call.passed.last {
+                call.passed.gap = call.passed.gap.max(now - last);
+            }
             call.passed.first.get_or_insert(now);
             call.passed.last = Some(now);
             call.passed.head = true;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -86,6 +86,8 @@
     pub first: Option<Timestamp>,
     /// When the last event was written.
     pub last: Option<Timestamp>,
+    /// The longest pause between events so far.
+    pub gap: Duration,
     /// The number of the last event that was written.
     pub event: Option<u64>,
     /// Events that were written.
@@ -118,6 +120,8 @@
     pub arrived: Timestamp,
     /// When it is given up.
     pub due: Timestamp,
+    /// When the caller leaves.
+    pub leaves: Timestamp,
     /// Sends that count as attempts.
     pub sends: u32,
     /// Prefills that were sent.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -200,6 +200,7 @@
         let patience = info.patience.unwrap_or(route.timeout);
         let call = Call {
             due: now + patience.min(route.timeout),
+            leaves: now + patience,
             passed: Passed { event: info.after, ..Passed::default() },
             request,
             info,
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -13,13 +13,13 @@
 const RATE_SPAN: Duration = Duration::from_millis(2_000);
 /// The part of its target that a call may wait, in percent; the rest is for its prefill.
 const WAIT_PERCENT: u32 = 60;
-/// The shortest time after which a caller is asked to come back.
-const SHORTEST_RETURN: Duration = Duration::from_millis(500);
 /// The longest time after which a caller is asked to come back.
-const LONGEST_RETURN: Duration = Duration::from_millis(4_000);
-/// The time over which callers that were refused together come back, in thousandths of their
-/// wait.
-const RETURN_SPREAD: u64 = 500;
+const LONGEST_RETURN: Duration = Duration::from_millis(5_000);
+/// The part of its remaining time for which a caller is asked to stay away, in percent; callers
+/// heed at most a third.
+const RETURN_PERCENT: u32 = 32;
+/// The part of that time over which callers that were refused together come back, in percent.
+const RETURN_SPREAD_PERCENT: u32 = 30;
 /// The least number of starts from which a rate is estimated.
 const FEWEST_STARTS: usize = 4;
 
@@ -121,13 +121,16 @@
         self.ranks.values().flatten().map(|w| w.until).min()
     }
 
-    /// Returns when a caller that is refused should come back; `draw` spreads callers.
-    pub fn return_after(&mut self, now: Timestamp, draw: u64) -> Duration {
-        let wait = self.estimate(now, u8::MAX).unwrap_or(LONGEST_RETURN);
-        let wait = wait.clamp(SHORTEST_RETURN, LONGEST_RETURN);
-        let spread = wait.as_millis() as u64 * RETURN_SPREAD / 1_000;
-        let extra = draw.checked_rem(spread).unwrap_or_default();
-        (wait + Duration::from_millis(extra)).min(LONGEST_RETURN)
+    /// Returns when a caller that is refused should come back.
+    ///
+    /// A burst outlasts the queue: a caller that comes back as soon as the queue is expected to
+    /// move meets the same burst, and has no further try. So callers are asked to stay away as
+    /// long as they still can, spread by `draw` so that they don't come back as a burst.
+    pub fn return_after(left: Duration, draw: u64) -> Duration {
+        let most = (left * RETURN_PERCENT / 100).min(LONGEST_RETURN);
+        let spread = most * RETURN_SPREAD_PERCENT / 100;
+        let early = draw.checked_rem(spread.as_millis() as u64 + 1).unwrap_or_default();
+        most.saturating_sub(Duration::from_millis(early))
     }
 
     fn forget(&mut self, now: Timestamp) {
