Let a broken run go on where its prompt is cached

Cause: streams that broke off were run as a whole on another decode endpoint, which reads prompts between the tokens of its other calls: pauses of 290 to 390 ms for those, up to 3.3 s for the stream. Ruled out: a backup of each run's memory (it holds memory twice, and memory is what binds). A run that breaks off now asks its own endpoint to go on after the last event; if that has ended, the prompt is read anew elsewhere under a hold, and waits for room as long as the caller does.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -103,6 +103,19 @@
     pub content: Vec<u8>,
 }
 
+/// What the send was that came to nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FailedSend {
+    /// Where it went.
+    pub endpoint: EndpointKey,
+    /// Whether it had the prompt read.
+    pub in_prefill: bool,
+    /// Whether the endpoint vouched that it has not run the call.
+    pub refused: bool,
+    /// Whether the connection broke off while the endpoint ran the call, for the first time there.
+    pub broke_off: bool,
+}
+
 /// A call.
 #[derive(Debug)]
 pub struct Call {
@@ -130,6 +143,8 @@
     pub tried: Vec<EndpointKey>,
     /// Room that a decode endpoint keeps for it, by its name there.
     pub hold: Option<(EndpointKey, Box<str>)>,
+    /// Where a run broke off; that endpoint is asked to go on.
+    pub broke_at: Option<EndpointKey>,
     /// Whether any send may have run.
     pub may_have_run: bool,
     /// The last failure that an endpoint answered.
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use super::answer;
-use super::call::{Attempt, Handoff, Reserved, Stage};
+use super::call::{Attempt, FailedSend, Handoff, Reserved, Stage};
 use super::fleet::{EndpointKey, Job, Usage};
 use super::place::{place_decode, place_prefill};
 use super::protocol::{Export, SendKind, SideRequest};
 use super::queue::{Queue, Waiting};
-use super::{CallerId, Gateway};
+use super::{CallerId, Gateway, LOOK_INTERVAL};
 use crate::entry::health::Verdict;
 use crate::model::{EndpointKind, Timestamp};
 use crate::routes::EngineShape;
@@ -17,6 +17,8 @@
 const MOST_BACKLOG_TOKENS: u32 = 12_000;
 /// How long an engine keeps room for a call, and protects it after its start.
 const HOLD_LIFE: Duration = Duration::from_millis(2_000);
+/// How long a stream that broke off may wait for room; callers give up soon after.
+const RESUME_WAIT: Duration = Duration::from_millis(2_500);
 /// How long a request for room may take.
 const HOLD_TIMEOUT: Duration = Duration::from_millis(250);
 /// The part of its retention within which KV cache is handed to another endpoint, in percent.
@@ -75,6 +77,7 @@
     /// Starts waiting calls while there is room.
     pub(super) fn drain_queues(&mut self, now: Timestamp) {
         self.freed = false;
+        self.next_look = now + LOOK_INTERVAL;
         let services: Vec<Box<str>> =
             self.queues.iter().filter(|(_, q)| !q.is_empty()).map(|(s, _)| s.clone()).collect();
         for service in services {
@@ -181,8 +184,12 @@
         }
         let Some(call) = self.calls.get(&caller) else { return };
         let Some(route) = call.route() else { return };
-        let (rank, target) = (route.priority, route.target);
-        let until = Queue::<CallerId>::until(call.arrived, target).min(call.due);
+        let rank = route.priority;
+        let until = match call.passed.last {
+            Some(last) => last + RESUME_WAIT,
+            None => Queue::<CallerId>::until(call.arrived, route.target),
+        };
+        let until = until.min(call.due);
         let queue = self.queues.entry(call.service.clone()).or_default();
         queue.push_front(rank, Waiting { key: caller, until });
     }
@@ -263,38 +270,55 @@
         }
     }
 
-    /// Sends a call once more: its prompt is read anew where that is allowed, else it runs on a
-    /// decode endpoint, from its KV cache if that still stands.
+    /// Sends a call once more.
+    ///
+    /// A run that broke off goes on where it was: that endpoint has the prompt in its cache, so
+    /// nothing is read anew. Else the prompt is read anew where the attempts of the route allow
+    /// two more sends, or the call runs as a whole on a decode endpoint.
     pub(super) fn retry_engine(
         &mut self,
         now: Timestamp,
         caller: CallerId,
-        in_prefill: bool,
+        failed: &FailedSend,
         handoff: Option<Handoff>,
     ) -> bool {
         let Some(shape) = self.shape(caller) else { return false };
         let Some(call) = self.calls.get(&caller) else { return false };
         let Some(work) = &call.info.work else { return false };
-        let need = work.need();
-        let usage = Usage { slots: 1, tokens: need };
-        let fresh = shape.retention * HANDOVER_PERCENT / 100;
-        let alive = handoff.filter(|h| !call.may_have_run && now - h.made < fresh);
+        let usage = Usage { slots: 1, tokens: work.need() };
         let attempts = call.route().map_or(0, |r| r.attempts);
-        let resumes = call.passed.event.is_some();
-        let reads_anew = in_prefill || call.sends + 2 <= attempts && alive.is_none();
-        if reads_anew && !resumes {
-            return self.start_engine(now, caller);
+        let fresh = shape.retention * HANDOVER_PERCENT / 100;
+        let alive = handoff.filter(|h| failed.refused && now - h.made < fresh);
+        if let Some(handoff) = alive {
+            return self.hand_over(now, caller, usage, &shape, handoff);
+        }
+        if failed.broke_off {
+            return self.run_on(now, caller, failed.endpoint, usage, SendKind::Whole, None);
+        }
+        if failed.in_prefill || call.sends + 2 <= attempts {
+            self.wait_again(now, caller);
+            return true;
         }
         let loads = self.fleet.decode_loads(now, &call.service, &shape, &call.tried);
-        let Some(decode) = place_decode(loads, need) else { return false };
-        let source = alive.as_ref().and_then(|h| self.fleet.get(h.source));
-        let kind = match (&alive, source) {
-            (Some(handoff), Some(source)) => {
-                let handle = handoff.export.handle.clone();
-                SendKind::From { source: source.address, handle }
-            }
-            _ => SendKind::Whole,
-        };
-        self.run_on(now, caller, decode, usage, kind, alive)
+        let Some(decode) = place_decode(loads, usage.tokens) else { return false };
+        self.run_on(now, caller, decode, usage, SendKind::Whole, None)
+    }
+
+    /// Hands KV cache that still stands to another decode endpoint.
+    fn hand_over(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        usage: Usage,
+        shape: &EngineShape,
+        handoff: Handoff,
+    ) -> bool {
+        let Some(call) = self.calls.get(&caller) else { return false };
+        let loads = self.fleet.decode_loads(now, &call.service, shape, &call.tried);
+        let Some(decode) = place_decode(loads, usage.tokens) else { return false };
+        let Some(source) = self.fleet.get(handoff.source) else { return false };
+        let handle = handoff.export.handle.clone();
+        let kind = SendKind::From { source: source.address, handle };
+        self.run_on(now, caller, decode, usage, kind, Some(handoff))
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -40,6 +40,8 @@
 /// How long a gateway that leaves still takes calls: the balancer needs that time to see that it
 /// is not ready.
 const LEAVE_NOTICE: Duration = Duration::from_millis(2_600);
+/// The time between two looks at calls that wait: endpoints that were full may have room.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 /// The time between two rounds of tidying up.
 const TIDY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -73,6 +75,8 @@
     budgets: BTreeMap<Box<str>, Budget>,
     rng: Pcg64Mcg,
     next_tidy: Timestamp,
+    /// When waiting calls are looked at if no room is freed before.
+    next_look: Timestamp,
     next_report: Timestamp,
     /// When each service with engines was last called.
     called: BTreeMap<Box<str>, Timestamp>,
@@ -103,6 +107,7 @@
             budgets: BTreeMap::new(),
             rng,
             next_tidy: Timestamp::default(),
+            next_look: Timestamp::default(),
             next_report: Timestamp::default(),
             called: BTreeMap::new(),
             stopping: None,
@@ -212,6 +217,7 @@
             prefills: 0,
             tried: Vec::new(),
             hold: None,
+            broke_at: None,
             may_have_run: false,
             failed: None,
             stage: Stage::Waiting,
@@ -408,7 +414,9 @@
             let notice = since + LEAVE_NOTICE;
             if self.closed_idle { since + self.settings.grace } else { notice }
         });
+        let waiting = self.queues.values().any(|q| !q.is_empty());
+        let look = waiting.then_some(self.next_look);
         let tidy = Some(self.next_tidy.min(self.next_report));
-        [call, queue, leave, tidy, self.follower.next_wake()].into_iter().flatten().min()
+        [call, queue, look, leave, tidy, self.follower.next_wake()].into_iter().flatten().min()
     }
 }
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::answer;
-use super::call::{Attempt, Call, FailedAnswer, Handoff, Stage};
+use super::call::{Attempt, Call, FailedAnswer, FailedSend, Handoff, Stage};
 use super::fleet::{EndpointKey, Job};
 use super::{CallerId, Gateway, PeerId};
 use crate::entry::health::Verdict;
@@ -231,12 +231,31 @@
         };
         let in_prefill = prefill.is_some();
         match (&failure, in_prefill) {
-            (Failure::NotStarted, false) => call.sends = call.sends.saturating_sub(1),
+            (Failure::NotStarted, false) => {
+                // An endpoint that ended after a run of the call broke off there counts neither.
+                let ended = call.broke_at.take_if(|at| *at == attempt.endpoint).is_some();
+                call.sends = call.sends.saturating_sub(1 + u32::from(ended));
+            }
             (Failure::NotStarted, true) | (Failure::Refused, false) => {}
             (_, true) => call.sends += 1,
             (_, false) => call.may_have_run = true,
         }
-        call.tried.push(attempt.endpoint);
+        let broke_off = matches!(failure, Failure::Broken)
+            && call.info.work.is_some()
+            && !in_prefill
+            && attempt.connected
+            && call.broke_at.is_none();
+        if broke_off {
+            call.broke_at = Some(attempt.endpoint);
+        } else {
+            call.tried.push(attempt.endpoint);
+        }
+        let failed = FailedSend {
+            endpoint: attempt.endpoint,
+            in_prefill,
+            refused: matches!(failure, Failure::Refused),
+            broke_off,
+        };
         let (name, sends) = (failure.name(), call.sends);
         let id = call.info.id.clone();
         if let Some(decode) = prefill {
@@ -264,7 +283,7 @@
         {
             call.failed = Some(failed);
         }
-        if self.may_retry(now, caller, free) && self.retry(now, caller, in_prefill, handoff) {
+        if self.may_retry(now, caller, free) && self.retry(now, caller, &failed, handoff) {
             return;
         }
         let ran = self.calls.get(&caller).is_some_and(|c| c.may_have_run);
@@ -297,13 +316,13 @@
         &mut self,
         now: Timestamp,
         caller: CallerId,
-        in_prefill: bool,
+        failed: &FailedSend,
         handoff: Option<Handoff>,
     ) -> bool {
         let Some(call) = self.calls.get_mut(&caller) else { return false };
         call.cutter = super::events::EventCutter::default();
         if self.is_engine_call(caller) {
-            self.retry_engine(now, caller, in_prefill, handoff)
+            self.retry_engine(now, caller, failed, handoff)
         } else {
             self.send_plain(now, caller)
         }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -252,8 +252,9 @@
     f.data(&run, b"id: 1\ndata: a\n\nid: 2\nda");
     f.lose(&run, true);
     let second = f.take();
-    assert_ne!(run.address, second.address);
+    assert_eq!(run.address, second.address, "that endpoint has the prompt in its cache");
     assert_eq!(second.field("Last-Event-Id"), Some("1"));
+    assert_eq!((second.field("Stage"), second.field("Source")), (None, None));
     f.head(&second, 200, &[("X-Own", "second")]);
     f.data(&second, b"id: 2\ndata: b\n\n");
     f.end(&second);
@@ -263,6 +264,62 @@
     assert_eq!(got.fields.text("X-Own"), Some("first"));
 }
 
+#[test]
+fn stream_whose_endpoint_ended_goes_on_elsewhere_from_a_new_prefill() {
+    let mut f = Fixture::ready();
+    f.draft(1, "/remind/a", "3000,100");
+    let run = f.through_prefill();
+    f.head(&run, 200, &[]);
+    f.data(&run, b"id: 1\ndata: a\n\n");
+    f.lose(&run, true);
+    let same = f.take();
+    f.lose(&same, false);
+    let second = f.through_prefill();
+    assert_ne!(run.address, second.address);
+    assert_eq!(second.field("Last-Event-Id"), Some("1"));
+    f.head(&second, 200, &[]);
+    f.data(&second, b"id: 2\ndata: b\n\n");
+    f.end(&second);
+    assert!(f.got[&1].whole);
+    assert_eq!(f.got[&1].content, b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
+#[test]
+fn stream_that_broke_off_waits_for_room_as_long_as_its_caller_does() {
+    let mut f = Fixture::ready();
+    f.draft(1, "/remind/a", "3000,100");
+    let run = f.through_prefill();
+    f.head(&run, 200, &[]);
+    f.data(&run, b"id: 1\ndata: a\n\n");
+    f.lose(&run, true);
+    let same = f.take();
+    f.lose(&same, false);
+    let hold = f.take();
+    f.answer(&hold, 503, &[], "full");
+    assert!(!f.got[&1].aborted);
+    while !f.has_sent() {
+        f.pass(50);
+    }
+    f.through_prefill();
+    f.pass(14_000);
+    assert!(f.got[&1].aborted);
+}
+
+#[test]
+fn callers_refused_in_a_burst_stay_away_as_long_as_they_can() {
+    let mut f = Fixture::ready();
+    for caller in 0..20 {
+        f.draft(caller, "/draft/a", "9000,100");
+    }
+    f.pass(600);
+    let after = |g: &gateway_fixture::Got| g.fields.text("Retry-After")?.parse::<f64>().ok();
+    let times: Vec<f64> = f.got.values().filter(|g| g.status == 503).filter_map(after).collect();
+    // A third of the 14 s that they wait is heeded.
+    assert!(times.iter().all(|t| (2.5..=14.0 / 3.0).contains(t)), "{times:?}");
+    let spread = times.iter().fold(0.0, |m: f64, t| m.max((t - times[0]).abs()));
+    assert!(spread > 0.2, "{times:?}");
+}
+
 #[test]
 fn refused_hold_costs_no_send_and_another_endpoint_is_asked() {
     let mut f = Fixture::ready();
