Move engines between reading prompts and running answers by orders of the leader

Cause: in bursts the memory of 12 decode endpoints is full while 6 prefill endpoints are busy for a third of their time; a call needs 0.1 s of a prefill endpoint and a third of a decode endpoint's second. Ruled out: counting calls lower still (preemptions cost more than refusals), and a share for each gateway (memory left idle). The desk beside the leader orders stages under the leader's term as fencing number, after a pause in which no earlier leader's orders count any more.

--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -98,7 +98,12 @@
     }
     if let Some(driver) = drivers.desk {
         let protocol = desk.ok_or_else(|| eyre!("role desk has no protocol in this program"))?;
-        let who = DeskSettings { own: settings.advertise, members: settings.members.clone() };
+        let who = DeskSettings {
+            own: settings.advertise,
+            members: settings.members.clone(),
+            name: settings.name.clone(),
+            prefill_share: settings.prefill_share,
+        };
         let desk = Desk::new(who, protocol);
         traffic.push(driver.start("desk", desk, handle.clone(), metrics.clone())?);
     }
--- a/src/cli/settings.rs
+++ b/src/cli/settings.rs
@@ -31,6 +31,8 @@
 const DEFAULT_RETRY_WINDOW: Duration = Duration::from_secs(10);
 /// How long a gateway that shuts down has.
 const DEFAULT_GRACE: Duration = Duration::from_secs(8);
+/// The largest share of engines that read prompts, in percent.
+const MOST_PREFILL_SHARE: f64 = 90.0;
 const LOG_LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
 
 /// The name of the settings file among the settings.
@@ -142,6 +144,9 @@
     /// window of the retry budget in seconds; 10 if not given
     #[argh(option)]
     pub retry_window: Option<String>,
+    /// share of a pool's engines that read prompts, in percent; 0, the default, leaves them as they are
+    #[argh(option)]
+    pub prefill_share: Option<String>,
     /// seconds after which a gateway that shuts down has ended; 8 if not given
     #[argh(option)]
     pub grace: Option<String>,
@@ -205,7 +210,7 @@
     }
 
     /// Returns the flags that have a variable and a place in the file, by name.
-    fn fields(&mut self) -> [(&'static str, &mut Option<String>); 23] {
+    fn fields(&mut self) -> [(&'static str, &mut Option<String>); 24] {
         [
             ("roles", &mut self.roles),
             (SETTINGS_FILE, &mut self.settings),
@@ -226,6 +231,7 @@
             ("retry_ratio", &mut self.retry_ratio),
             ("retry_extra", &mut self.retry_extra),
             ("retry_window", &mut self.retry_window),
+            ("prefill_share", &mut self.prefill_share),
             ("grace", &mut self.grace),
             ("pages", &mut self.pages),
             ("log", &mut self.log),
@@ -279,6 +285,8 @@
     pub desk: Option<SocketAddr>,
     /// The retry budget of all gateways.
     pub budget: BudgetTerms,
+    /// The share of engines that read prompts in percent, for a desk.
+    pub prefill_share: u32,
     /// How long a gateway that shuts down has.
     pub grace: Duration,
     /// The address of the pages.
@@ -344,6 +352,10 @@
             extra: check.decimal("retry-extra", &args.retry_extra, DEFAULT_RETRY_EXTRA),
             window: check.seconds("retry-window", &args.retry_window, DEFAULT_RETRY_WINDOW),
         };
+        let prefill_share = check.decimal("prefill-share", &args.prefill_share, 0.0);
+        if prefill_share > MOST_PREFILL_SHARE {
+            check.error(&format!("prefill-share: at most {MOST_PREFILL_SHARE} percent"));
+        }
         let grace = check.seconds("grace", &args.grace, DEFAULT_GRACE);
         check.needs(RoleName::Entry, &roles, "tenants", &args.tenants);
         if roles.contains(&RoleName::Desk) && !roles.contains(&RoleName::Control) {
@@ -396,6 +408,7 @@
             placement: placement.parse().unwrap_or_default(),
             desk,
             budget,
+            prefill_share: prefill_share as u32,
             grace,
             pages,
             log: log.into(),
--- a/src/control/answers.rs
+++ b/src/control/answers.rs
@@ -8,7 +8,7 @@
 use super::{Control, orders};
 use crate::cli::settings::RoleName;
 use crate::link::message::{
-    Beat, Heartbeat, OrderStatus, ProcessState, Proof, Status, Suspects, Update,
+    Beat, Heartbeat, Leadership, OrderStatus, ProcessState, Proof, Status, Suspects, Update,
 };
 use crate::model::{EndpointState, Fence, Revision, Timestamp};
 
@@ -37,6 +37,15 @@
         }
     }
 
+    /// Returns what the leader decides by, if this member leads.
+    pub(super) fn leadership(&self, now: Timestamp) -> Option<Leadership> {
+        let (term, since) = self.replica.leads_since().filter(|_| !self.failed)?;
+        let departed = |e: &EndpointState| self.state.routing.has_departed(&e.name, e.boot);
+        let all = self.registry.endpoints().into_iter();
+        let endpoints = all.filter(|e| !e.draining && !departed(e)).collect();
+        Some(Leadership { term, age: now - since, endpoints })
+    }
+
     fn routing_news(&self, seen: RoutingSeen) -> RoutingNews {
         let state = &self.state.routing;
         let newer = state.document().filter(|d| d.version > seen.version);
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -154,6 +154,11 @@
                 self.registry.announce(now, *endpoint, self.revised);
                 vec![self.reply(inbound, ControlReply::Announced)]
             }
+            ControlRequest::Lead => {
+                let leader = self.replica.leader();
+                let leadership = self.leadership(now).map(Box::new);
+                vec![self.reply(inbound, ControlReply::Lead { leader, leadership })]
+            }
             ControlRequest::Owner(boot) => {
                 let alive = self.registry.is_alive(now, boot);
                 vec![self.reply(inbound, ControlReply::Owner { alive })]
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -183,6 +183,14 @@
         matches!(self.role, Role::Leader { .. })
     }
 
+    /// Returns the term in which this replica leads and since when, if it does.
+    pub fn leads_since(&self) -> Option<(u64, Timestamp)> {
+        match &self.role {
+            Role::Leader { since, .. } => Some((self.term, *since)),
+            _ => None,
+        }
+    }
+
     /// Returns the address of the leader, if it is known.
     pub fn leader(&self) -> Option<SocketAddr> {
         match &self.role {
--- a/src/control/routing/mod.rs
+++ b/src/control/routing/mod.rs
@@ -68,6 +68,12 @@
         }
     }
 
+    /// Returns whether this start of an endpoint has departed.
+    pub fn has_departed(&self, endpoint: &str, boot: BootId) -> bool {
+        let same = |d: &Departure| *d.endpoint == *endpoint && d.boot >= boot;
+        self.departures.values().any(same)
+    }
+
     /// Returns the departures after a place of the log.
     pub fn departures_after(
         &self,
--- a/src/desk/mod.rs
+++ b/src/desk/mod.rs
@@ -4,17 +4,21 @@
 //! endpoints go to the registry of the own process; that an endpoint leaves is committed first.
 
 pub mod protocol;
+pub mod stages;
+mod steward;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use protocol::{DeskCall, DeskProtocol, DeskReply};
+use stages::Stages;
+use steward::Order;
 
 use crate::control::config::Revised;
 use crate::control::routing::Departure;
 use crate::control::state::{Applied, Command};
-use crate::h1::{CallerId, HttpEffect, HttpInput, Request};
+use crate::h1::{CallerId, HttpEffect, HttpInput, PeerId, Request};
 use crate::link;
 use crate::link::message::{ControlReply, ControlRequest, Envelope, Reply};
 use crate::model::{BootId, EndpointState, ExchangeId, Timestamp};
@@ -40,6 +44,10 @@
     pub own: SocketAddr,
     /// The control members that the settings name.
     pub members: Vec<SocketAddr>,
+    /// The name under which the process gives orders.
+    pub name: Box<str>,
+    /// The share of a pool's engines that read prompts, in percent; 0 leaves engines as they are.
+    pub prefill_share: u32,
 }
 
 /// What a caller waits for.
@@ -76,6 +84,15 @@
     by_exchange: BTreeMap<ExchangeId, CallerId>,
     /// Starts of endpoints that are known to have departed, so that a repeated notice is cheap.
     departed: BTreeSet<(Box<str>, BootId)>,
+    stages: Stages,
+    /// Orders that wait for their answers.
+    orders: BTreeMap<PeerId, Order>,
+    last_peer: u64,
+    /// The exchange that asks who leads.
+    asking: Option<ExchangeId>,
+    next_lead: Timestamp,
+    /// The term in which an engine knew a newer holder of orders.
+    superseded: u64,
     stopping: Option<Timestamp>,
     outputs: Outputs,
 }
@@ -91,6 +108,12 @@
             pending: BTreeMap::new(),
             by_exchange: BTreeMap::new(),
             departed: BTreeSet::new(),
+            stages: Stages::default(),
+            orders: BTreeMap::new(),
+            last_peer: 0,
+            asking: None,
+            next_lead: Timestamp::default(),
+            superseded: 0,
             stopping: None,
             outputs: Vec::new(),
         }
@@ -137,7 +160,18 @@
         let (own, leader) = (self.settings.own, self.leader);
         let Some(pending) = self.pending.get_mut(&caller) else { return };
         let (peer, request) = match &pending.work {
-            Work::Announce(endpoint) => (own, ControlRequest::Announce(endpoint.clone())),
+            Work::Announce(endpoint) => {
+                let request = ControlRequest::Announce(endpoint.clone());
+                if let Some(peer) = leader.filter(|l| *l != own) {
+                    // The leader decides by the endpoints that it hears of.
+                    self.exchanges += 1;
+                    let exchange = ExchangeId(self.exchanges);
+                    let body = link::Request::Control(request.clone());
+                    let envelope = Envelope { revised: Revised::default(), body };
+                    self.outputs.push(Output::Open { exchange, peer, envelope });
+                }
+                (own, request)
+            }
             Work::Commit(command) => {
                 let members = &self.settings.members;
                 let turn = pending.tries.saturating_sub(1);
@@ -159,6 +193,12 @@
 
     /// Takes what a member says about a caller's command.
     fn replied(&mut self, now: Timestamp, exchange: ExchangeId, reply: ControlReply) {
+        if let ControlReply::Lead { leader, leadership } = reply {
+            self.asking = None;
+            self.leader = leader;
+            self.lead(now, leadership);
+            return;
+        }
         let Some(caller) = self.by_exchange.remove(&exchange) else { return };
         match reply {
             ControlReply::Announced => self.finish(caller, &DeskReply::Done),
@@ -167,7 +207,10 @@
                 self.leader = leader;
                 self.again(now, caller, leader.is_none());
             }
-            ControlReply::Beat(_) | ControlReply::Owner { .. } | ControlReply::Status(_) => {
+            ControlReply::Beat(_)
+            | ControlReply::Owner { .. }
+            | ControlReply::Lead { .. }
+            | ControlReply::Status(_) => {
                 log::error!("step=desk error=\"another reply than asked for\"");
                 self.again(now, caller, true);
             }
@@ -277,13 +320,17 @@
                     self.by_exchange.remove(&exchange);
                 }
             }
-            Input::Local(_) | Input::Request { .. } | Input::Abandoned { .. } => {}
+            Input::Local(input) => self.order_input(now, input),
+            Input::Request { .. } | Input::Abandoned { .. } => {}
             Input::Reply { exchange, envelope } => {
                 if let Reply::Control(reply) = envelope.body {
                     self.replied(now, exchange, reply);
                 }
             }
             Input::Closed { exchange, failure } => {
+                if self.asking == Some(exchange) {
+                    self.asking = None;
+                }
                 if failure.is_some()
                     && let Some(caller) = self.by_exchange.remove(&exchange)
                 {
@@ -301,6 +348,8 @@
                 for caller in due {
                     self.look(now, caller);
                 }
+                self.ask_who_leads(now);
+                self.expire_orders(now);
             }
             Input::Shutdown => {
                 self.stopping.get_or_insert(now);
@@ -315,6 +364,6 @@
     fn next_wake(&self) -> Option<Timestamp> {
         let pending = self.pending.values().map(Desk::due).min();
         let leave = self.stopping.map(|at| at + LEAVE_NOTICE);
-        pending.into_iter().chain(leave).min()
+        pending.into_iter().chain(leave).chain([self.next_lead]).min()
     }
 }
--- a/src/desk/protocol.rs
+++ b/src/desk/protocol.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::stages::StageOrder;
 use crate::control::routing::Document;
 use crate::h1::Request;
 use crate::model::{BootId, EndpointState};
@@ -46,6 +47,9 @@
     /// Reads a call, or says what it is answered at once.
     fn read(&self, request: &Request) -> Result<DeskCall, DeskReply>;
 
+    /// Writes an order to an engine under a holder's name and fencing number.
+    fn write_order(&self, order: &StageOrder, holder: &str, fence: u64) -> Vec<u8>;
+
     /// Writes an answer; the connection stays open if `keep` says so.
     fn write(&self, reply: &DeskReply, keep: bool) -> Vec<u8>;
 }
--- /dev/null
+++ b/src/desk/stages.rs
@@ -0,0 +1,135 @@
+//! How many engines of a pool read prompts and how many run answers.
+//!
+//! Answers a burst that fills the memory of the decode endpoints while prefill endpoints stand
+//! idle: engines are moved until the share of prefill endpoints is what the work needs.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::model::{BootId, EndpointKind, EndpointState, Timestamp};
+
+/// How long a leader has led before it gives orders: longer than an earlier one's orders count.
+pub const HOLDER_PAUSE: Duration = Duration::from_millis(3_500);
+/// How long an order without effect is waited for; it may be carried out late.
+const ORDER_LIFE: Duration = Duration::from_millis(15_000);
+/// Orders of one pool that are under way at once.
+const MOST_PENDING: usize = 2;
+
+/// An order to an engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StageOrder {
+    /// The endpoint.
+    pub endpoint: Box<str>,
+    /// Where it takes orders.
+    pub address: SocketAddr,
+    /// What it shall do.
+    pub kind: EndpointKind,
+}
+
+/// An order that was given and has not shown its effect.
+#[derive(Debug, Clone, Copy)]
+struct Pending {
+    kind: EndpointKind,
+    boot: BootId,
+    since: Timestamp,
+}
+
+/// The orders that are under way.
+#[derive(Debug, Default)]
+pub struct Stages {
+    pending: BTreeMap<Box<str>, Pending>,
+}
+
+impl Stages {
+    /// Returns the orders to give now, so that a share in percent of each pool's engines, one at
+    /// least, reads prompts.
+    ///
+    /// ```
+    /// use dotterelpin::desk::stages::Stages;
+    /// use dotterelpin::model::Timestamp;
+    ///
+    /// assert!(Stages::default().plan(Timestamp::from_micros(1), &[], 20).is_empty());
+    /// ```
+    pub fn plan(
+        &mut self,
+        now: Timestamp,
+        endpoints: &[EndpointState],
+        share: u32,
+    ) -> Vec<StageOrder> {
+        self.forget(now, endpoints);
+        let mut pools: BTreeMap<&str, Vec<&EndpointState>> = BTreeMap::new();
+        for endpoint in endpoints.iter().filter(|e| e.kind != EndpointKind::Service) {
+            pools.entry(&endpoint.pool).or_default().push(endpoint);
+        }
+        let orders: Vec<StageOrder> =
+            pools.values().flat_map(|pool| self.plan_pool(pool, share)).collect();
+        for order in &orders {
+            let boot = endpoints.iter().find(|e| e.name == order.endpoint).map(|e| e.boot);
+            let boot = boot.unwrap_or_default();
+            self.pending
+                .insert(order.endpoint.clone(), Pending { kind: order.kind, boot, since: now });
+        }
+        orders
+    }
+
+    /// Forgets an order that its endpoint has refused.
+    pub fn refused(&mut self, endpoint: &str) {
+        self.pending.remove(endpoint);
+    }
+
+    /// Forgets the orders that are carried out, or whose endpoints have started again.
+    fn forget(&mut self, now: Timestamp, endpoints: &[EndpointState]) {
+        self.pending.retain(|name, order| {
+            let state = endpoints.iter().find(|e| e.name == *name);
+            let open = state.is_none_or(|e| e.boot == order.boot && e.kind != order.kind);
+            open && now - order.since < ORDER_LIFE
+        });
+    }
+
+    fn kind(&self, endpoint: &EndpointState) -> EndpointKind {
+        self.pending.get(&endpoint.name).map_or(endpoint.kind, |order| order.kind)
+    }
+
+    fn plan_pool(&self, pool: &[&EndpointState], share: u32) -> Vec<StageOrder> {
+        let wanted = wanted(pool.len(), share);
+        let reads = |e: &&&EndpointState| self.kind(e) == EndpointKind::Prefill;
+        let readers = pool.iter().filter(reads).count();
+        let open = pool.iter().filter(|e| self.pending.contains_key(&e.name)).count();
+        let room = MOST_PENDING.saturating_sub(open);
+        // One reader too few costs less than an engine that is moved to and fro.
+        let (kind, count) = if readers > wanted {
+            (EndpointKind::Decode, readers - wanted)
+        } else if readers + 1 < wanted || readers == 0 && pool.len() > 1 {
+            (EndpointKind::Prefill, wanted - readers)
+        } else {
+            return Vec::new();
+        };
+        let mut movable: Vec<&EndpointState> = pool
+            .iter()
+            .copied()
+            .filter(|e| !self.pending.contains_key(&e.name) && e.kind != kind)
+            .collect();
+        // Engines of the failure domain that has most of their kind go first.
+        let mut domains: BTreeMap<&str, usize> = BTreeMap::new();
+        movable.iter().for_each(|e| *domains.entry(&e.domain).or_default() += 1);
+        let mut orders = Vec::new();
+        while orders.len() < count.min(room) {
+            let most = domains.iter().max_by_key(|(_, n)| **n).map(|(domain, _)| *domain);
+            let found = movable.iter().position(|e| Some(&*e.domain) == most);
+            let Some(endpoint) = found.map(|at| movable.remove(at)) else { break };
+            if let Some(left) = domains.get_mut(&*endpoint.domain) {
+                *left -= 1;
+            }
+            let (name, address) = (endpoint.name.clone(), endpoint.address);
+            orders.push(StageOrder { endpoint: name, address, kind });
+        }
+        orders
+    }
+}
+
+/// Returns how many engines of a pool shall read prompts.
+fn wanted(pool: usize, share: u32) -> usize {
+    let rounded = (pool * share as usize + 50) / 100;
+    rounded.clamp(1, pool.saturating_sub(1).max(1))
+}
--- /dev/null
+++ b/src/desk/steward.rs
@@ -0,0 +1,122 @@
+//! The part of a desk beside the leader: gives engines the orders that the plan of stages asks for.
+
+use std::time::Duration;
+
+use super::Desk;
+use super::stages::{HOLDER_PAUSE, StageOrder};
+use crate::control::config::Revised;
+use crate::h1::{HttpEffect, HttpInput, PeerId};
+use crate::link;
+use crate::link::message::{ControlRequest, Envelope, Leadership};
+use crate::model::{ExchangeId, Timestamp};
+use crate::role::Output;
+
+/// The time between two questions who leads.
+const LEAD_INTERVAL: Duration = Duration::from_millis(1_000);
+/// How long an engine may take to answer an order.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The status by which an engine says that it knows a newer holder.
+const SUPERSEDED: u16 = 412;
+
+/// An order that waits for its answer.
+#[derive(Debug)]
+pub(super) struct Order {
+    order: StageOrder,
+    term: u64,
+    since: Timestamp,
+    status: u16,
+}
+
+impl Desk {
+    /// Asks the own member who leads.
+    pub(super) fn ask_who_leads(&mut self, now: Timestamp) {
+        if now < self.next_lead {
+            return;
+        }
+        self.next_lead = now + LEAD_INTERVAL;
+        self.exchanges += 1;
+        let exchange = ExchangeId(self.exchanges);
+        self.asking = Some(exchange);
+        let body = link::Request::Control(ControlRequest::Lead);
+        let envelope = Envelope { revised: Revised::default(), body };
+        self.outputs.push(Output::Open { exchange, peer: self.settings.own, envelope });
+    }
+
+    /// Gives the orders that are due, if the own member leads and no earlier leader's orders can
+    /// still arrive.
+    pub(super) fn lead(&mut self, now: Timestamp, leadership: Option<Box<Leadership>>) {
+        let Some(lead) = leadership else { return };
+        let idle = self.settings.prefill_share == 0 || self.stopping.is_some();
+        if idle || lead.age < HOLDER_PAUSE || self.superseded >= lead.term {
+            return;
+        }
+        for order in self.stages.plan(now, &lead.endpoints, self.settings.prefill_share) {
+            self.give(now, lead.term, order);
+        }
+    }
+
+    fn give(&mut self, now: Timestamp, term: u64, order: StageOrder) {
+        log::info!(
+            "step=order endpoint={} stage={} fence={term} outcome=sent",
+            order.endpoint,
+            order.kind.as_str(),
+        );
+        self.last_peer += 1;
+        let peer = PeerId(self.last_peer);
+        let bytes = self.protocol.write_order(&order, &self.settings.name, term);
+        let dial = HttpEffect::Dial { peer, address: order.address };
+        self.outputs.push(Output::Effect(dial));
+        self.outputs.push(Output::Effect(HttpEffect::Send { peer, bytes }));
+        self.orders.insert(peer, Order { order, term, since: now, status: 0 });
+    }
+
+    /// Takes what an engine says of an order.
+    pub(super) fn order_input(&mut self, now: Timestamp, input: HttpInput) {
+        match input {
+            HttpInput::Answer { peer, head } => {
+                if let Some(order) = self.orders.get_mut(&peer) {
+                    order.status = head.status;
+                }
+            }
+            HttpInput::End { peer, .. } => {
+                self.outputs.push(Output::Effect(HttpEffect::HangUp { peer }));
+                self.order_ended(now, peer);
+            }
+            HttpInput::Lost { peer, .. } => self.order_ended(now, peer),
+            HttpInput::Request { .. }
+            | HttpInput::CallerGone { .. }
+            | HttpInput::Connected { .. }
+            | HttpInput::Data { .. } => {}
+            HttpInput::Reload => log::info!("step=reload"),
+        }
+    }
+
+    /// Takes the end of an order: one without an answer may still be carried out.
+    fn order_ended(&mut self, now: Timestamp, peer: PeerId) {
+        let Some(ended) = self.orders.remove(&peer) else { return };
+        log::info!(
+            "step=order endpoint={} stage={} fence={} status={} ms={}",
+            ended.order.endpoint,
+            ended.order.kind.as_str(),
+            ended.term,
+            ended.status,
+            (now - ended.since).as_millis(),
+        );
+        match ended.status {
+            0 | 200 | 202 => {}
+            SUPERSEDED => self.superseded = ended.term,
+            _ => self.stages.refused(&ended.order.endpoint),
+        }
+    }
+
+    /// Gives up waiting for answers to orders.
+    pub(super) fn expire_orders(&mut self, now: Timestamp) {
+        let late = |o: &Order| now - o.since > ORDER_TIMEOUT;
+        let peers: Vec<PeerId> =
+            self.orders.iter().filter(|(_, o)| late(o)).map(|(peer, _)| *peer).collect();
+        for peer in peers {
+            self.outputs.push(Output::Effect(HttpEffect::HangUp { peer }));
+            self.order_ended(now, peer);
+        }
+    }
+}
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -99,7 +99,7 @@
         let Some(shape) = self.shape(caller) else { return false };
         let Some(call) = self.calls.get(&caller) else { return false };
         let Some(work) = &call.info.work else { return false };
-        let need = work.need();
+        let (need, free) = (work.mean_tokens(), work.free_tokens().min(shape.tokens));
         let loads = self.fleet.decode_loads(now, &call.service, &shape, &call.tried);
         let Some(endpoint) = place_decode(loads, need) else { return false };
         if self.pick_prefill(now, caller, &shape, endpoint).is_none()
@@ -108,7 +108,7 @@
             return false;
         }
         let usage = Usage { slots: 1, tokens: need };
-        let request = SideRequest::Hold { tokens: need, life: HOLD_LIFE };
+        let request = SideRequest::Hold { tokens: free, life: HOLD_LIFE };
         let Some(peer) = self.ask(now, endpoint, Job::Hold(caller), &request) else { return false };
         if let Some(target) = self.fleet.get_mut(endpoint) {
             target.began(now, usage);
@@ -285,7 +285,7 @@
         let Some(shape) = self.shape(caller) else { return false };
         let Some(call) = self.calls.get(&caller) else { return false };
         let Some(work) = &call.info.work else { return false };
-        let usage = Usage { slots: 1, tokens: work.need() };
+        let usage = Usage { slots: 1, tokens: work.mean_tokens() };
         let attempts = call.route().map_or(0, |r| r.attempts);
         let fresh = shape.retention * HANDOVER_PERCENT / 100;
         let alive = handoff.filter(|h| failed.refused && now - h.made < fresh);
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -35,13 +35,21 @@
     pub output: u32,
 }
 
-/// The part of its answer that a call is counted with, in percent: answers grow while others end.
-const GROWTH_PERCENT: u32 = 25;
+/// The part of its answer that a call has in memory on average, in percent.
+const MEAN_PERCENT: u32 = 50;
+/// Tokens that must be free beside a prompt when a call starts: those that run already grow until
+/// the next one of them ends.
+const HEADROOM_TOKENS: u32 = 400;
 
 impl ModelWork {
     /// Returns the tokens of KV cache that a call is counted with.
-    pub fn need(&self) -> u32 {
-        self.prompt.saturating_add(self.output / 100 * GROWTH_PERCENT)
+    pub fn mean_tokens(&self) -> u32 {
+        self.prompt.saturating_add(self.output / 100 * MEAN_PERCENT)
+    }
+
+    /// Returns the tokens of KV cache that must be free when it starts.
+    pub fn free_tokens(&self) -> u32 {
+        self.prompt.saturating_add(HEADROOM_TOKENS)
     }
 }
 
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -209,6 +209,8 @@
     Heartbeat(Box<Heartbeat>),
     /// An endpoint without an agent has told this process of itself.
     Announce(Box<EndpointState>),
+    /// Say whether the member leads, and what the leader decides by.
+    Lead,
     /// Put a command into the log.
     Propose(Command),
     /// Say whether the entry process of this start is alive.
@@ -282,6 +284,13 @@
     Beat(Beat),
     /// The endpoint is in the registry.
     Announced,
+    /// Who leads.
+    Lead {
+        /// The leader, if it is known.
+        leader: Option<SocketAddr>,
+        /// What it decides by, from the leader itself.
+        leadership: Option<Box<Leadership>>,
+    },
     /// The command was applied.
     Applied(Applied),
     /// The command was not put into the log here.
@@ -303,6 +312,17 @@
     Status(Box<Status>),
 }
 
+/// What a leader of the log decides by.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Leadership {
+    /// Its term, which no other leader has.
+    pub term: u64,
+    /// How long it has led.
+    pub age: Duration,
+    /// The live endpoints that take work.
+    pub endpoints: Vec<EndpointState>,
+}
+
 /// What a control member tells a process.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Beat {
