Give stage orders only to pools that stay as they are

Cause: engines were moved to and fro: an order of a new leader repeated one that was under way, and crashed or replaced engines made a pool look short of prefill endpoints for seconds. Each move takes an engine away for 6 s. Now a pool must be steady for 1.6 s; a leader after another one waits 8 s, one that founded the log not at all; up to a quarter of a pool moves at once. Endpoints that refuse get pauses that double.

--- a/src/control/answers.rs
+++ b/src/control/answers.rs
@@ -43,7 +43,8 @@
         let departed = |e: &EndpointState| self.state.routing.has_departed(&e.name, e.boot);
         let all = self.registry.endpoints().into_iter();
         let endpoints = all.filter(|e| !e.draining && !departed(e)).collect();
-        Some(Leadership { term, age: now - since, endpoints })
+        let succeeds = !self.replica.leads_first();
+        Some(Leadership { term, age: now - since, succeeds, endpoints })
     }
 
     fn routing_news(&self, seen: RoutingSeen) -> RoutingNews {
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -191,6 +191,13 @@
         }
     }
 
+    /// Returns whether no other leader has written into this log.
+    pub fn leads_first(&self) -> bool {
+        // The first record is the founder's; the first leader writes the second one.
+        let second = self.log.get(LogIndex(2));
+        self.log.base().index == LogIndex(0) && second.is_none_or(|r| r.term == self.term)
+    }
+
     /// Returns the address of the leader, if it is known.
     pub fn leader(&self) -> Option<SocketAddr> {
         match &self.role {
--- a/src/desk/stages.rs
+++ b/src/desk/stages.rs
@@ -9,12 +9,15 @@
 
 use crate::model::{BootId, EndpointKind, EndpointState, Timestamp};
 
-/// How long a leader has led before it gives orders: longer than an earlier one's orders count.
-pub const HOLDER_PAUSE: Duration = Duration::from_millis(3_500);
+/// How long a leader after another one waits before it gives orders: until those of the earlier
+/// one count no more and have shown their effect.
+pub const HOLDER_PAUSE: Duration = Duration::from_millis(8_000);
+/// How long a pool must have stayed as it is: endpoints that restart or are replaced come and go.
+const STEADY_SPAN: Duration = Duration::from_millis(1_600);
 /// How long an order without effect is waited for; it may be carried out late.
 const ORDER_LIFE: Duration = Duration::from_millis(15_000);
-/// Orders of one pool that are under way at once.
-const MOST_PENDING: usize = 2;
+/// The part of a pool to which orders are under way at once, in percent.
+const MOST_PENDING_PERCENT: usize = 25;
 
 /// An order to an engine.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -39,6 +42,8 @@
 #[derive(Debug, Default)]
 pub struct Stages {
     pending: BTreeMap<Box<str>, Pending>,
+    /// How many engines each pool has, how many of them read prompts, and since when.
+    shapes: BTreeMap<Box<str>, (usize, usize, Timestamp)>,
 }
 
 impl Stages {
@@ -62,6 +67,7 @@
         for endpoint in endpoints.iter().filter(|e| e.kind != EndpointKind::Service) {
             pools.entry(&endpoint.pool).or_default().push(endpoint);
         }
+        pools.retain(|name, pool| self.is_steady(now, name, pool));
         let orders: Vec<StageOrder> =
             pools.values().flat_map(|pool| self.plan_pool(pool, share)).collect();
         for order in &orders {
@@ -87,6 +93,17 @@
         });
     }
 
+    /// Returns whether a pool has stayed as it is for a while.
+    fn is_steady(&mut self, now: Timestamp, name: &str, pool: &[&EndpointState]) -> bool {
+        let readers = pool.iter().filter(|e| e.kind == EndpointKind::Prefill).count();
+        let shape = (pool.len(), readers);
+        let known = self.shapes.entry(name.into()).or_insert((shape.0, shape.1, now));
+        if (known.0, known.1) != shape {
+            *known = (shape.0, shape.1, now);
+        }
+        now - known.2 >= STEADY_SPAN
+    }
+
     fn kind(&self, endpoint: &EndpointState) -> EndpointKind {
         self.pending.get(&endpoint.name).map_or(endpoint.kind, |order| order.kind)
     }
@@ -96,7 +113,8 @@
         let reads = |e: &&&EndpointState| self.kind(e) == EndpointKind::Prefill;
         let readers = pool.iter().filter(reads).count();
         let open = pool.iter().filter(|e| self.pending.contains_key(&e.name)).count();
-        let room = MOST_PENDING.saturating_sub(open);
+        let most = (pool.len() * MOST_PENDING_PERCENT / 100).max(1);
+        let room = most.saturating_sub(open);
         // One reader too few costs less than an engine that is moved to and fro.
         let (kind, count) = if readers > wanted {
             (EndpointKind::Decode, readers - wanted)
--- a/src/desk/steward.rs
+++ b/src/desk/steward.rs
@@ -12,7 +12,7 @@
 use crate::role::Output;
 
 /// The time between two questions who leads.
-const LEAD_INTERVAL: Duration = Duration::from_millis(1_000);
+const LEAD_INTERVAL: Duration = Duration::from_millis(500);
 /// How long an engine may take to answer an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The status by which an engine says that it knows a newer holder.
@@ -47,7 +47,7 @@
     pub(super) fn lead(&mut self, now: Timestamp, leadership: Option<Box<Leadership>>) {
         let Some(lead) = leadership else { return };
         let idle = self.settings.prefill_share == 0 || self.stopping.is_some();
-        if idle || lead.age < HOLDER_PAUSE || self.superseded >= lead.term {
+        if idle || lead.succeeds && lead.age < HOLDER_PAUSE || self.superseded >= lead.term {
             return;
         }
         for order in self.stages.plan(now, &lead.endpoints, self.settings.prefill_share) {
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -152,6 +152,9 @@
             return;
         };
         call.hold = Some((decode.endpoint, hold));
+        if let Some(endpoint) = self.fleet.get_mut(decode.endpoint) {
+            endpoint.accepted();
+        }
         let Some(shape) = self.shape(caller) else { return };
         match self.pick_prefill(now, caller, &shape, decode.endpoint) {
             Some(prefill) => self.start_prefill(now, caller, prefill, decode),
@@ -260,6 +263,7 @@
         self.release_attempt(now, &attempt);
         let Some(source) = self.fleet.get_mut(attempt.endpoint) else { return };
         source.health.judge(now, Verdict::Worked);
+        source.accepted();
         let address = source.address;
         // The room was reserved; it passes over to the send.
         self.release(now, decode.endpoint, decode.usage);
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -24,8 +24,11 @@
 const IDLE_REUSE: Duration = Duration::from_millis(3_000);
 /// The time before an endpoint's own idle timeout at which a connection is given up.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
-/// How long an endpoint that refused for want of room gets no work.
+/// How long an endpoint that refused for want of room gets no work; twice as long after each
+/// further refusal, until it takes a call.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
+/// The longest time that an endpoint gets no work after refusals.
+const LONGEST_FULL_PAUSE: Duration = Duration::from_millis(1_200);
 /// What a call in another failure domain costs, in calls that run.
 const FAR_CALLS: u32 = 1;
 
@@ -104,6 +107,8 @@
     pub usage: Usage,
     /// Until when it gets no work since it had no room.
     pub full_until: Timestamp,
+    /// Refusals for want of room since it last took a call.
+    refusals: u32,
     report: Option<(Timestamp, EngineReport)>,
     /// What this gateway had in use at recent times.
     history: VecDeque<(Timestamp, Usage)>,
@@ -124,6 +129,7 @@
             health: Health::default(),
             usage: Usage::default(),
             full_until: Timestamp::default(),
+            refusals: 0,
             report: None,
             history: VecDeque::new(),
             idle: Vec::new(),
@@ -137,7 +143,14 @@
 
     /// Notes that it had no room.
     pub fn refused(&mut self, now: Timestamp) {
-        self.full_until = now + FULL_PAUSE;
+        let pause = FULL_PAUSE * 2u32.pow(self.refusals.min(3));
+        self.full_until = now + pause.min(LONGEST_FULL_PAUSE);
+        self.refusals += 1;
+    }
+
+    /// Notes that it took a call.
+    pub fn accepted(&mut self) {
+        self.refusals = 0;
     }
 
     /// Takes a report.
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -319,6 +319,8 @@
     pub term: u64,
     /// How long it has led.
     pub age: Duration,
+    /// Whether another leader may have led before it.
+    pub succeeds: bool,
     /// The live endpoints that take work.
     pub endpoints: Vec<EndpointState>,
 }
