--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -1,11 +1,13 @@
 //! Logs and the small pages of a process.
 
+pub mod lines;
 pub mod metrics;
 pub mod observation;
 pub mod pages;
 
 use eyre::WrapErr;
 use flexi_logger::{DeferredNow, Logger, LoggerHandle};
+use lines::LineWriter;
 use serde_json::{Map, Value};
 
 /// How log lines are written.
@@ -17,16 +19,17 @@
     Json,
 }
 
-/// Starts the log on standard error, with one line for each event.
+/// Starts the log on standard output, with one line for each event.
 pub fn start_log(level: &str, format: LogFormat) -> eyre::Result<LoggerHandle> {
     let line = match format {
         LogFormat::Text => text_line,
         LogFormat::Json => json_line,
     };
     // Libraries log what they meet on the way to an error that the system logs itself.
+    let writer = LineWriter::start(line)?;
     Logger::try_with_str(format!("warn, dotterelpin={level}, dotterelpind={level}, rouille=error"))
         .wrap_err("parse log level")?
-        .format(line)
+        .log_to_writer(Box::new(writer))
         .start()
         .wrap_err("start log")
 }
--- /dev/null
+++ b/tests/desk.rs
@@ -0,0 +1,273 @@
+//! The desk: acknowledges only what is committed, by whatever way it reaches the leader.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dotterelpin::control::config::Revised;
+use dotterelpin::control::routing::Document;
+use dotterelpin::control::state::{Applied, Command};
+use dotterelpin::desk::protocol::{DeskCall, DeskProtocol, DeskReply};
+use dotterelpin::desk::stages::StageOrder;
+use dotterelpin::desk::{Desk, DeskSettings};
+use dotterelpin::h1::{
+    AnswerHead, CallerId, Fields, HttpEffect, HttpInput, PeerId, Purpose, Request, RequestHead,
+};
+use dotterelpin::link::Request as LinkRequest;
+use dotterelpin::link::message::{ControlReply, ControlRequest, Envelope, Leadership, Reply};
+use dotterelpin::model::{
+    BootId, Capacity, EndpointKind, EndpointState, ExchangeId, Fence, Load, Timestamp,
+};
+use dotterelpin::role::{Input, LinkFailure, Output, Role};
+
+/// Reads calls from their targets and writes replies as debug text.
+struct Plain;
+
+impl DeskProtocol for Plain {
+    fn read(&self, request: &Request) -> Result<DeskCall, DeskReply> {
+        let words: Vec<&str> = request.head.target.split('/').skip(1).collect();
+        match words.as_slice() {
+            ["publish", version] => {
+                let version = version.parse().unwrap();
+                Ok(DeskCall::Publish(Document { version, text: b"text"[..].into() }))
+            }
+            ["read"] => Ok(DeskCall::Read),
+            ["beat", state] => Ok(DeskCall::Announce(Box::new(endpoint(*state == "draining")))),
+            ["leave"] => Ok(DeskCall::Leave { endpoint: "e1".into(), boot: Some(BootId(5)) }),
+            _ => Err(DeskReply::Unknown),
+        }
+    }
+
+    fn write_order(&self, order: &StageOrder, holder: &str, fence: u64) -> Vec<u8> {
+        format!("{} {holder} {fence}", order.endpoint).into_bytes()
+    }
+
+    fn write(&self, reply: &DeskReply, _keep: bool) -> Vec<u8> {
+        format!("{reply:?}").into_bytes()
+    }
+}
+
+fn endpoint(draining: bool) -> EndpointState {
+    EndpointState {
+        name: "e1".into(),
+        address: "127.0.0.1:9001".parse().unwrap(),
+        domain: "a".into(),
+        boot: BootId(5),
+        sequence: 1,
+        kind: EndpointKind::Prefill,
+        pool: "drafts".into(),
+        url: "".into(),
+        capacity: Capacity { slots: 12, pieces: 0, piece_tokens: 0 },
+        load: Load::default(),
+        draining,
+        fence: Fence(0),
+    }
+}
+
+fn member(number: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7_000 + number))
+}
+
+struct Fixture {
+    now: Timestamp,
+    desk: Desk,
+    open: Vec<(ExchangeId, SocketAddr, ControlRequest)>,
+    replies: Vec<(u64, String)>,
+    orders: Vec<(PeerId, String)>,
+}
+
+impl Fixture {
+    fn new() -> Fixture {
+        let settings = DeskSettings {
+            own: member(0),
+            members: (0..3).map(member).collect(),
+            name: "control-0".into(),
+            prefill_share: 27,
+        };
+        Fixture {
+            now: Timestamp::from_micros(1_000_000_000),
+            desk: Desk::new(settings, Box::new(Plain)),
+            open: Vec::new(),
+            replies: Vec::new(),
+            orders: Vec::new(),
+        }
+    }
+
+    fn step(&mut self, input: Input<HttpInput>) {
+        for output in self.desk.step(self.now, input) {
+            match output {
+                Output::Open { exchange, peer, envelope } => {
+                    let LinkRequest::Control(request) = envelope.body else { panic!() };
+                    self.open.push((exchange, peer, request));
+                }
+                Output::Reset { exchange } => self.open.retain(|(e, ..)| *e != exchange),
+                Output::Effect(HttpEffect::Reply { caller, bytes }) => {
+                    self.replies.push((caller.0, String::from_utf8(bytes).unwrap()));
+                }
+                Output::Effect(HttpEffect::Send { peer, bytes }) => {
+                    self.orders.push((peer, String::from_utf8(bytes).unwrap()));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn call(&mut self, caller: u64, target: &str) {
+        let head = RequestHead {
+            method: "POST".into(),
+            target: target.into(),
+            old: false,
+            fields: Fields::default(),
+        };
+        let request = Request { head: Arc::new(head), body: b""[..].into() };
+        let (caller, purpose) = (CallerId(caller), Purpose::Calls);
+        self.step(Input::Local(HttpInput::Request { caller, purpose, request }));
+    }
+
+    fn pass(&mut self, millis: u64) {
+        let until = self.now + Duration::from_millis(millis);
+        while let Some(at) = self.desk.next_wake().filter(|at| *at <= until) {
+            self.now = self.now.max(at);
+            self.step(Input::Wake);
+            self.now = self.now + Duration::from_millis(1);
+        }
+        self.now = self.now.max(until);
+    }
+
+    /// Takes the oldest open exchange that asks for something else than who leads.
+    fn take(&mut self) -> (ExchangeId, SocketAddr, ControlRequest) {
+        let asks = |r: &ControlRequest| !matches!(r, ControlRequest::Lead);
+        let at = self.open.iter().position(|(_, _, r)| asks(r)).expect("nothing was asked");
+        self.open.remove(at)
+    }
+
+    fn reply(&mut self, exchange: ExchangeId, reply: ControlReply) {
+        let envelope = Envelope { revised: Revised::default(), body: Reply::Control(reply) };
+        self.step(Input::Reply { exchange, envelope });
+    }
+
+    /// Answers the question who leads.
+    fn lead(&mut self, age: u64, succeeds: bool, term: u64, endpoints: Vec<EndpointState>) {
+        let asks = |r: &ControlRequest| matches!(r, ControlRequest::Lead);
+        let Some(at) = self.open.iter().position(|(_, _, r)| asks(r)) else { return };
+        let (exchange, ..) = self.open.remove(at);
+        let age = Duration::from_millis(age);
+        let leadership = Some(Box::new(Leadership { term, age, succeeds, endpoints }));
+        self.reply(exchange, ControlReply::Lead { leader: Some(member(0)), leadership });
+    }
+}
+
+#[test]
+fn document_is_acknowledged_only_once_the_leader_has_committed_it() {
+    let mut f = Fixture::new();
+    f.call(1, "/publish/7");
+    let (exchange, peer, request) = f.take();
+    assert_eq!(peer, member(0));
+    assert!(matches!(request, ControlRequest::Propose(Command::Publish(d)) if d.version == 7));
+    f.reply(exchange, ControlReply::NotLeader { leader: Some(member(2)) });
+    let (exchange, peer, _) = f.take();
+    assert_eq!(peer, member(2));
+    assert!(f.replies.is_empty());
+    f.reply(exchange, ControlReply::Applied(Applied::Published(7)));
+    assert_eq!(f.replies, [(1, "Done".to_string())]);
+    f.call(2, "/publish/8");
+    assert_eq!(f.take().1, member(2), "the leader is known by now");
+}
+
+#[test]
+fn silent_leader_is_given_up_and_the_caller_told_in_time_to_go_elsewhere() {
+    let mut f = Fixture::new();
+    f.call(1, "/publish/7");
+    let (_, first, _) = f.take();
+    f.pass(360);
+    let (_, second, _) = f.take();
+    assert_eq!((first, second), (member(0), member(0)));
+    f.pass(360);
+    let (_, third, _) = f.take();
+    assert_ne!(third, second);
+    f.pass(250);
+    assert_eq!(f.replies.len(), 1);
+    assert!(f.replies[0].1.starts_with("Unavailable"), "{:?}", f.replies);
+}
+
+#[test]
+fn lost_exchange_is_tried_again() {
+    let mut f = Fixture::new();
+    f.call(1, "/read");
+    let (exchange, ..) = f.take();
+    f.step(Input::Closed { exchange, failure: Some(LinkFailure::Broken) });
+    f.pass(50);
+    let (exchange, ..) = f.take();
+    let document = Document { version: 3, text: b"three"[..].into() };
+    f.reply(exchange, ControlReply::Applied(Applied::Document(Some(document))));
+    assert!(f.replies[0].1.contains("version: 3"), "{:?}", f.replies);
+}
+
+#[test]
+fn endpoint_that_drains_is_acknowledged_after_its_departure_is_committed() {
+    let mut f = Fixture::new();
+    f.call(1, "/beat/draining");
+    let (exchange, _, request) = f.take();
+    assert!(matches!(request, ControlRequest::Propose(Command::Depart(d)) if d.boot == BootId(5)));
+    f.reply(exchange, ControlReply::Applied(Applied::Done));
+    assert!(f.replies.is_empty());
+    while f.replies.is_empty() {
+        let (exchange, _, request) = f.take();
+        assert!(matches!(request, ControlRequest::Announce(_)));
+        f.reply(exchange, ControlReply::Announced);
+    }
+    // A repeated heartbeat of the same start needs no commit.
+    f.open.clear();
+    f.call(2, "/beat/draining");
+    assert!(matches!(f.take().2, ControlRequest::Announce(_)));
+    f.open.clear();
+    f.call(3, "/leave");
+    assert!(matches!(f.take().2, ControlRequest::Propose(Command::Depart(_))));
+}
+
+#[test]
+fn leader_orders_stages_under_its_term_and_not_soon_after_another_one() {
+    let engines = |readers: usize| -> Vec<EndpointState> {
+        (0..6)
+            .map(|n| EndpointState {
+                name: format!("e{n}").into(),
+                kind: if n < readers { EndpointKind::Prefill } else { EndpointKind::Decode },
+                ..endpoint(false)
+            })
+            .collect()
+    };
+    let mut f = Fixture::new();
+    for age in (0..7_900).step_by(500) {
+        f.pass(500);
+        f.lead(age, true, 4, engines(4));
+    }
+    assert!(f.orders.is_empty(), "orders of the leader before may still count");
+    for age in (8_000..11_000).step_by(500) {
+        f.pass(500);
+        f.lead(age, true, 4, engines(4));
+    }
+    let (peer, order) = f.orders.remove(0);
+    assert!(order.ends_with("control-0 4"), "{order}");
+    // The engine knows a newer holder: no more orders in this term.
+    let head = AnswerHead { status: 412, fields: Fields::default() };
+    f.step(Input::Local(HttpInput::Answer { peer, head }));
+    f.step(Input::Local(HttpInput::End { peer, reusable: true }));
+    f.orders.clear();
+    for age in (8_500..40_000).step_by(500) {
+        f.pass(500);
+        f.lead(age, true, 4, engines(4));
+    }
+    assert!(f.orders.is_empty());
+}
+
+#[test]
+fn founding_leader_orders_stages_at_once() {
+    let engines: Vec<EndpointState> =
+        (0..6).map(|n| EndpointState { name: format!("e{n}").into(), ..endpoint(false) }).collect();
+    let mut f = Fixture::new();
+    for age in (0..3_000).step_by(500) {
+        f.pass(500);
+        f.lead(age, false, 2, engines.clone());
+    }
+    assert!(!f.orders.is_empty());
+}
--- /dev/null
+++ b/tests/h1_sockets.rs
@@ -0,0 +1,189 @@
+//! The server of callers over real sockets: what callers see when they misbehave, leave or hurry.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use dotterelpin::h1::{
+    CallerId, HttpDriver, HttpEffect, HttpHandle, HttpInput, Listener, Purpose, write,
+};
+use dotterelpin::link::tls::{Identity, make_keys};
+use dotterelpin::link::{Link, LinkHandle};
+use dotterelpin::model::Timestamp;
+use dotterelpin::report::metrics::Metrics;
+use dotterelpin::role::{Input, Output, Role};
+use dotterelpin::routes::CallerLimits;
+
+/// Answers each request with its target and the length of its content; `/hang` gets no answer.
+struct Echo {
+    heard: Sender<String>,
+}
+
+impl Role for Echo {
+    type Local = HttpInput;
+    type Effect = HttpEffect;
+
+    fn step(&mut self, _now: Timestamp, input: Input<HttpInput>) -> Vec<Output<HttpEffect>> {
+        match input {
+            Input::Local(HttpInput::Request { caller, request, .. }) => {
+                self.heard.send(request.head.target.to_string()).unwrap();
+                if &*request.head.target == "/hang" {
+                    return Vec::new();
+                }
+                let text = format!("{} {}", request.head.target, request.body.len());
+                let keep = !request.head.wants_close();
+                let bytes = write::answer(200, &[], "text/plain", text.as_bytes(), keep);
+                vec![
+                    Output::Effect(HttpEffect::Reply { caller, bytes }),
+                    Output::Effect(HttpEffect::Finish { caller, keep }),
+                ]
+            }
+            Input::Local(HttpInput::CallerGone { caller: CallerId(_) }) => {
+                self.heard.send("gone".into()).unwrap();
+                Vec::new()
+            }
+            Input::Shutdown => vec![Output::Stopped],
+            Input::Wake => vec![Output::Effect(HttpEffect::Limit(CallerLimits {
+                head_bytes: 2_000,
+                body_bytes: 100_000,
+                head_timeout: Duration::from_millis(300),
+                idle_timeout: Duration::from_millis(900),
+            }))],
+            _ => Vec::new(),
+        }
+    }
+
+    fn next_wake(&self) -> Option<Timestamp> {
+        None
+    }
+}
+
+struct Server {
+    address: SocketAddr,
+    heard: Receiver<String>,
+    handle: HttpHandle,
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.handle.send(Input::Shutdown);
+    }
+}
+
+/// One link serves all servers of this test program; no role here uses it.
+fn link() -> LinkHandle {
+    static LINK: Mutex<Option<Arc<Link>>> = Mutex::new(None);
+    let mut link = LINK.lock().unwrap();
+    let made = link.get_or_insert_with(|| {
+        let folder =
+            std::env::temp_dir().join(format!("dotterelpin-h1-sockets-{}", std::process::id()));
+        make_keys(&folder).unwrap();
+        let identity = Identity::load(&folder).unwrap();
+        std::fs::remove_dir_all(&folder).unwrap();
+        Arc::new(Link::bind("127.0.0.1:0".parse().unwrap(), identity).unwrap())
+    });
+    made.handle()
+}
+
+fn start() -> Server {
+    let (sender, heard) = channel();
+    let address = "127.0.0.1:0".parse().unwrap();
+    let driver = HttpDriver::bind(&[Listener { address, purpose: Purpose::Calls }]).unwrap();
+    let address = driver.local_addr(Purpose::Calls).unwrap();
+    let handle = driver.handle();
+    let metrics = Arc::new(Metrics::new().unwrap());
+    driver.start("echo", Echo { heard: sender }, link(), metrics).unwrap();
+    handle.send(Input::Wake);
+    std::thread::sleep(Duration::from_millis(50));
+    Server { address, heard, handle }
+}
+
+fn connect(server: &Server) -> TcpStream {
+    let stream = TcpStream::connect(server.address).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    stream
+}
+
+/// Sends bytes and reads until the server closes.
+fn talk(server: &Server, bytes: &[u8]) -> String {
+    let mut stream = connect(server);
+    stream.write_all(bytes).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    answer
+}
+
+#[test]
+fn requests_sent_together_are_answered_in_order() {
+    let server = start();
+    let text = "GET /a HTTP/1.1\r\n\r\nPOST /b HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi\
+                GET /c HTTP/1.1\r\nConnection: close\r\n\r\n";
+    let answer = talk(&server, text.as_bytes());
+    let places: Vec<_> = ["/a 0", "/b 2", "/c 0"].iter().map(|t| answer.find(t).unwrap()).collect();
+    assert!(places.is_sorted(), "{answer}");
+}
+
+#[test]
+fn smuggled_request_is_refused_and_never_reaches_the_role() {
+    let server = start();
+    let text = "POST /a HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n\
+                0\r\n\r\nGET /hidden HTTP/1.1\r\n\r\n";
+    let answer = talk(&server, text.as_bytes());
+    assert!(answer.starts_with("HTTP/1.1 400 "), "{answer}");
+    assert_eq!(answer.matches("HTTP/1.1").count(), 1, "{answer}");
+    assert!(server.heard.try_recv().is_err());
+}
+
+#[test]
+fn content_that_is_too_long_gets_its_answer_before_the_connection_closes() {
+    let server = start();
+    let length = 20 << 20;
+    let mut stream = connect(&server);
+    let head = format!("POST /a HTTP/1.1\r\nContent-Length: {length}\r\n\r\n");
+    stream.write_all(head.as_bytes()).unwrap();
+    let mut writer = stream.try_clone().unwrap();
+    let sender = std::thread::spawn(move || writer.write_all(&vec![b'x'; length]).is_ok());
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 413 "), "{answer}");
+    assert!(sender.join().unwrap(), "the caller could not send its content");
+}
+
+#[test]
+fn head_that_is_too_long_or_too_slow_gets_its_answer() {
+    let server = start();
+    let long = format!("GET /a HTTP/1.1\r\nX: {}\r\n\r\n", "x".repeat(3_000));
+    assert!(talk(&server, long.as_bytes()).starts_with("HTTP/1.1 431 "));
+    assert!(talk(&server, b"GET /a HTT").starts_with("HTTP/1.1 408 "));
+    assert_eq!(talk(&server, b""), "", "an idle connection is closed without a word");
+}
+
+#[test]
+fn caller_that_leaves_or_shuts_its_side_down_is_told_to_the_role() {
+    for shutdown in [Shutdown::Both, Shutdown::Write] {
+        let server = start();
+        let mut stream = connect(&server);
+        stream.write_all(b"GET /hang HTTP/1.1\r\n\r\n").unwrap();
+        assert_eq!(server.heard.recv_timeout(Duration::from_secs(5)).unwrap(), "/hang");
+        stream.shutdown(shutdown).unwrap();
+        assert_eq!(server.heard.recv_timeout(Duration::from_secs(5)).unwrap(), "gone");
+    }
+}
+
+#[test]
+fn content_is_awaited_with_a_word_to_callers_that_want_one() {
+    let server = start();
+    let mut stream = connect(&server);
+    let head = "POST /a HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n";
+    stream.write_all(head.as_bytes()).unwrap();
+    let mut buffer = [0; 25];
+    stream.read_exact(&mut buffer).unwrap();
+    assert_eq!(&buffer, b"HTTP/1.1 100 Continue\r\n\r\n");
+    stream.write_all(b"hi").unwrap();
+    stream.shutdown(Shutdown::Write).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    assert!(answer.contains("/a 2"), "{answer}");
+}
--- /dev/null
+++ b/tests/log_lines.rs
@@ -0,0 +1,105 @@
+//! The log never blocks who logs, stays bounded, and says what it left out.
+
+use std::io::Write;
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::Duration;
+
+use dotterelpin::report::lines::LineWriter;
+use flexi_logger::DeferredNow;
+use flexi_logger::writers::LogWriter;
+
+/// An output that takes nothing until it is opened.
+#[derive(Clone, Default)]
+struct Gate(Arc<(Mutex<Taken>, Condvar)>);
+
+/// Whether the output is open, and what it took.
+type Taken = (bool, Vec<u8>);
+
+impl Gate {
+    fn open(&self) {
+        self.0.0.lock().unwrap().0 = true;
+        self.0.1.notify_all();
+    }
+
+    fn text(&self) -> String {
+        String::from_utf8(self.0.0.lock().unwrap().1.clone()).unwrap()
+    }
+}
+
+impl Write for Gate {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let mut state = self.0.0.lock().unwrap();
+        while !state.0 {
+            state = self.0.1.wait(state).unwrap();
+        }
+        state.1.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+fn plain(
+    out: &mut dyn Write,
+    _now: &mut DeferredNow,
+    record: &log::Record<'_>,
+) -> std::io::Result<()> {
+    write!(out, "{}", record.args())
+}
+
+fn line(writer: &LineWriter, module: &str, number: usize) {
+    let args = format_args!("line {number}").to_string();
+    writer
+        .write(
+            &mut DeferredNow::new(),
+            &log::Record::builder().args(format_args!("{args}")).module_path(Some(module)).build(),
+        )
+        .unwrap();
+}
+
+#[test]
+fn lines_come_in_order_and_the_last_ones_before_the_end() {
+    let gate = Gate::default();
+    gate.open();
+    let writer = LineWriter::start_to(plain, gate.clone()).unwrap();
+    (0..100).for_each(|n| line(&writer, "a", n));
+    writer.shutdown();
+    let wanted: String = (0..100).map(|n| format!("line {n}\n")).collect();
+    assert_eq!(gate.text(), wanted);
+}
+
+#[test]
+fn output_that_is_not_read_blocks_nobody_and_the_loss_is_told() {
+    let gate = Gate::default();
+    let writer = LineWriter::start_to(plain, gate.clone()).unwrap();
+    for module in 0..10 {
+        (0..2_000).for_each(|n| line(&writer, &format!("m{module}"), n));
+    }
+    gate.open();
+    while !gate.text().contains("line 1999") {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    std::thread::sleep(Duration::from_millis(200));
+    line(&writer, "after", 1);
+    writer.shutdown();
+    let text = gate.text();
+    assert!(text.contains("why=\"standard output was not read\""), "no note of the loss");
+    assert!(text.lines().count() < 10_000);
+}
+
+#[test]
+fn module_that_logs_too_much_is_cut_and_counted() {
+    let gate = Gate::default();
+    gate.open();
+    let writer = LineWriter::start_to(plain, gate.clone()).unwrap();
+    (0..5_000).for_each(|n| line(&writer, "loud", n));
+    line(&writer, "calm", 7);
+    std::thread::sleep(Duration::from_millis(1_050));
+    line(&writer, "loud", 8);
+    writer.shutdown();
+    let text = gate.text();
+    assert_eq!(text.lines().filter(|l| l.starts_with("line")).count(), 2_002);
+    assert!(text.contains("left_out=3000 of=loud"), "{}", text.lines().last().unwrap());
+}
--- /dev/null
+++ b/tests/stages.rs
@@ -0,0 +1,92 @@
+//! The plan that moves engines between reading prompts and running answers.
+
+use std::time::Duration;
+
+use dotterelpin::desk::stages::{StageOrder, Stages};
+use dotterelpin::model::{BootId, Capacity, EndpointKind, EndpointState, Fence, Load, Timestamp};
+
+const SHARE: u32 = 27;
+
+fn engine(number: usize, kind: EndpointKind) -> EndpointState {
+    EndpointState {
+        name: format!("e{number:02}").into(),
+        address: format!("127.0.0.1:{}", 9_000 + number).parse().unwrap(),
+        domain: ["a", "b", "c"][number % 3].into(),
+        boot: BootId(1),
+        sequence: 1,
+        kind,
+        pool: "drafts".into(),
+        url: "".into(),
+        capacity: Capacity { slots: 12, pieces: 0, piece_tokens: 0 },
+        load: Load::default(),
+        draining: false,
+        fence: Fence(0),
+    }
+}
+
+fn pool(readers: usize, all: usize) -> Vec<EndpointState> {
+    let kind = |n| if n < readers { EndpointKind::Prefill } else { EndpointKind::Decode };
+    (0..all).map(|n| engine(n, kind(n))).collect()
+}
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_micros(1_000_000) + Duration::from_millis(millis)
+}
+
+/// Plans at intervals of half a second and returns all orders.
+fn run(stages: &mut Stages, from: u64, until: u64, pool: &[EndpointState]) -> Vec<StageOrder> {
+    (from..until).step_by(500).flat_map(|t| stages.plan(at(t), pool, SHARE)).collect()
+}
+
+#[test]
+fn engines_beyond_the_share_run_answers_from_each_domain_in_turn() {
+    let mut stages = Stages::default();
+    let pool = pool(7, 18);
+    let orders = run(&mut stages, 0, 10_000, &pool);
+    // 27 % of 18 engines are 5.
+    assert_eq!(orders.len(), 2, "{orders:?}");
+    assert!(orders.iter().all(|o| o.kind == EndpointKind::Decode));
+    let domain =
+        |o: &StageOrder| pool.iter().find(|e| e.name == o.endpoint).unwrap().domain.clone();
+    assert_ne!(domain(&orders[0]), domain(&orders[1]));
+}
+
+#[test]
+fn order_that_is_under_way_is_not_given_again_and_a_lost_one_is() {
+    let mut stages = Stages::default();
+    let pool = pool(6, 18);
+    assert_eq!(run(&mut stages, 0, 15_000, &pool).len(), 1);
+    assert_eq!(run(&mut stages, 15_000, 20_000, &pool).len(), 1);
+}
+
+#[test]
+fn engines_that_restart_for_seconds_move_nothing() {
+    let mut stages = Stages::default();
+    let whole = pool(5, 18);
+    assert!(run(&mut stages, 0, 5_000, &whole).is_empty());
+    // Three prefill endpoints are gone for one and a half seconds, then back.
+    assert!(run(&mut stages, 5_000, 6_500, &whole[3..]).is_empty());
+    assert!(run(&mut stages, 6_500, 12_000, &whole).is_empty());
+    // A replacement stands beside the old endpoint for a while.
+    let mut more = whole.clone();
+    more.push(engine(18, EndpointKind::Prefill));
+    assert!(run(&mut stages, 12_000, 13_500, &more).is_empty());
+}
+
+#[test]
+fn pool_without_prefill_endpoints_gets_some() {
+    let mut stages = Stages::default();
+    let orders = run(&mut stages, 0, 5_000, &pool(0, 18));
+    assert!(!orders.is_empty() && orders.iter().all(|o| o.kind == EndpointKind::Prefill));
+    let mut stages = Stages::default();
+    assert!(run(&mut stages, 0, 5_000, &pool(0, 1)).is_empty(), "the only engine stays");
+}
+
+#[test]
+fn refused_order_is_given_again() {
+    let mut stages = Stages::default();
+    let pool = pool(6, 18);
+    let orders = run(&mut stages, 0, 3_000, &pool);
+    stages.refused(&orders[0].endpoint);
+    assert_eq!(run(&mut stages, 3_000, 4_000, &pool).len(), 1);
+}
