Pause endpoints without room shortly each time, and let the first in a queue wait

Cause: pauses after refused holds doubled up to 1.2 s, so an endpoint whose memory is freed all the time was left out; and a gateway with few starts refused all but the first call at once. Longer pauses stay for endpoints that refuse calls themselves.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -146,7 +146,7 @@
         let Some(hold) = hold else {
             self.release(now, decode.endpoint, decode.usage);
             if let Some(endpoint) = self.fleet.get_mut(decode.endpoint) {
-                endpoint.refused(now);
+                endpoint.full(now);
             }
             self.wait_again(now, caller);
             return;
@@ -175,7 +175,7 @@
         if let Some(endpoint) = self.fleet.get_mut(decode.endpoint) {
             let verdict = if connected { Verdict::Failed } else { Verdict::Silent };
             endpoint.health.judge(now, verdict);
-            endpoint.refused(now);
+            endpoint.full(now);
         }
         self.wait_again(now, caller);
     }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -141,7 +141,13 @@
         self.takes_work && self.full_until <= now && self.health.is_in(now)
     }
 
-    /// Notes that it had no room.
+    /// Notes that it had no room for now.
+    pub fn full(&mut self, now: Timestamp) {
+        self.full_until = now + FULL_PAUSE;
+    }
+
+    /// Notes that it refused a call; one that goes on refusing, as while it changes what it does,
+    /// gets longer pauses.
     pub fn refused(&mut self, now: Timestamp) {
         let pause = FULL_PAUSE * 2u32.pow(self.refusals.min(3));
         self.full_until = now + pause.min(LONGEST_FULL_PAUSE);
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -71,7 +71,8 @@
             return Some(Duration::ZERO);
         }
         if self.starts.len() < FEWEST_STARTS {
-            return None;
+            // Too little is known; the first ones may try.
+            return (ahead < FEWEST_STARTS / 2).then_some(Duration::ZERO);
         }
         let pause = RATE_SPAN / self.starts.len() as u32;
         Some(pause * ahead as u32)
