--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -96,12 +96,13 @@
 
     /// Finds room for a call and asks for it; returns whether there seems to be any.
     fn start_engine(&mut self, now: Timestamp, caller: CallerId) -> bool {
+        let draw = self.draw();
         let Some(shape) = self.shape(caller) else { return false };
         let Some(call) = self.calls.get(&caller) else { return false };
         let Some(work) = &call.info.work else { return false };
         let (need, free) = (work.mean_tokens(), work.free_tokens().min(shape.tokens));
         let loads = self.fleet.decode_loads(now, &call.service, &shape, &call.tried);
-        let Some(endpoint) = place_decode(loads, need) else { return false };
+        let Some(endpoint) = place_decode(loads, need, draw) else { return false };
         if self.pick_prefill(now, caller, &shape, endpoint).is_none()
             && self.has_prefill(now, caller)
         {
@@ -286,6 +287,7 @@
         failed: &FailedSend,
         handoff: Option<Handoff>,
     ) -> bool {
+        let draw = self.draw();
         let Some(shape) = self.shape(caller) else { return false };
         let Some(call) = self.calls.get(&caller) else { return false };
         let Some(work) = &call.info.work else { return false };
@@ -304,7 +306,7 @@
             return true;
         }
         let loads = self.fleet.decode_loads(now, &call.service, &shape, &call.tried);
-        let Some(decode) = place_decode(loads, usage.tokens) else { return false };
+        let Some(decode) = place_decode(loads, usage.tokens, draw) else { return false };
         self.run_on(now, caller, decode, usage, SendKind::Whole, None)
     }
 
@@ -317,9 +319,10 @@
         shape: &EngineShape,
         handoff: Handoff,
     ) -> bool {
+        let draw = self.draw();
         let Some(call) = self.calls.get(&caller) else { return false };
         let loads = self.fleet.decode_loads(now, &call.service, shape, &call.tried);
-        let Some(decode) = place_decode(loads, usage.tokens) else { return false };
+        let Some(decode) = place_decode(loads, usage.tokens, draw) else { return false };
         let Some(source) = self.fleet.get(handoff.source) else { return false };
         let handle = handoff.export.handle.clone();
         let kind = SendKind::From { source: source.address, handle };
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -5,11 +5,13 @@
 //! its answer before its prompt is read, since KV cache that nobody takes is lost within a second.
 //! Endpoints of the same failure domain go together, since KV cache moves between them.
 
-use std::cmp::Ordering;
-
 /// The part of an engine's memory that placements fill, in percent; the rest covers answers that
 /// grow longer than estimated and the blocks in which memory is handed out.
 const FILL_PERCENT: u64 = 97;
+/// How many endpoints with room are compared.
+const PICKS: u32 = 4;
+/// Bits of a draw for each of them.
+const DRAW_BITS: u32 = 16;
 /// Tokens of backlog that a prefill endpoint in another failure domain must have less.
 const FAR_PENALTY_TOKENS: u64 = 4_000;
 /// Load, in thousandths, that a decode endpoint in another failure domain must have less.
@@ -64,7 +66,8 @@
     }
 }
 
-/// Returns the decode endpoint with the least load that has room.
+/// Returns a decode endpoint with room: the one with less load of a few that `draw` picks, so that
+/// gateways with the same reports don't all choose the same endpoint.
 ///
 /// ```
 /// use dotterelpin::gateway::place::{DecodeLoad, place_decode};
@@ -73,17 +76,21 @@
 ///     key, near: true, slots_used: 1, slots: 12, tokens_used, tokens: 30_000,
 /// };
 /// let loads = [load(1, 20_000), load(2, 9_000), load(3, 29_000)];
-/// assert_eq!(place_decode(loads.iter().copied(), 3_000), Some(2));
-/// assert_eq!(place_decode(loads.iter().copied(), 25_000), None);
+/// assert_eq!(place_decode(loads.iter().copied(), 3_000, 7), Some(2));
+/// assert_eq!(place_decode(loads.iter().copied(), 25_000, 7), None);
 /// ```
 pub fn place_decode<K: Copy + Ord>(
     loads: impl Iterator<Item = DecodeLoad<K>>,
     need: u32,
+    draw: u64,
 ) -> Option<K> {
-    let order = |a: &DecodeLoad<K>, b: &DecodeLoad<K>| -> Ordering {
-        (a.load(), a.key).cmp(&(b.load(), b.key))
-    };
-    loads.filter(|l| l.fits(need)).min_by(order).map(|l| l.key)
+    let fitting: Vec<DecodeLoad<K>> = loads.filter(|l| l.fits(need)).collect();
+    let count = fitting.len() as u64;
+    let picks = (0..PICKS).filter_map(|n| {
+        let number = draw.rotate_left(n * DRAW_BITS).checked_rem(count)?;
+        fitting.get(number as usize)
+    });
+    picks.min_by_key(|l| (l.load(), l.key)).map(|l| l.key)
 }
 
 /// Returns the prefill endpoint with the least backlog, if one can begin before `most` tokens.
