Go on elsewhere when a stream's endpoint falls silent; log each placement

An endpoint that is cut off does not count against the attempts of a route; a further prefill that is accepted does. Kept: callers whose stream stopped get the rest of it. One line for each hold, prefill, run and send says what it was decided by, with the age of reports.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -137,6 +137,8 @@
     pub leaves: Timestamp,
     /// Sends that count as attempts.
     pub sends: u32,
+    /// Whether an endpoint has read its prompt.
+    pub exported: bool,
     /// Prefills that were sent.
     pub prefills: u32,
     /// Endpoints that it was sent to without success.
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -144,6 +144,22 @@
         let Some(call) = self.calls.get_mut(&caller) else { return };
         let stage = std::mem::replace(&mut call.stage, Stage::Waiting);
         let Stage::Hold { decode, .. } = stage else { return };
+        let due = call.due;
+        let id = call.info.id.clone();
+        if let Some(endpoint) = self.fleet.get(decode.endpoint) {
+            let used = endpoint.all_usage(now);
+            log::info!(
+                "step=hold id={id} endpoint={} outcome={} tokens={} used_tokens={} used_slots={} \
+                 report_age_ms={} left_ms={}",
+                endpoint.name,
+                if hold.is_some() { "granted" } else { "refused" },
+                decode.usage.tokens,
+                used.tokens,
+                used.slots,
+                endpoint.report_age(now),
+                (due - now).as_millis(),
+            );
+        }
         let Some(hold) = hold else {
             self.release(now, decode.endpoint, decode.usage);
             if let Some(endpoint) = self.fleet.get_mut(decode.endpoint) {
@@ -249,6 +265,18 @@
         usage: Usage,
         kind: SendKind,
     ) -> Option<Attempt> {
+        if let (Some(call), Some(target)) = (self.calls.get(&caller), self.fleet.get(endpoint)) {
+            log::info!(
+                "step={} id={} endpoint={} own_tokens={} own_slots={} sends={} after={}",
+                kind.name(),
+                call.info.id,
+                target.name,
+                target.usage.tokens,
+                target.usage.slots,
+                call.sends + 1,
+                call.passed.event.map_or(-1, |e| e as i64),
+            );
+        }
         let peer = self.send(now, caller, endpoint, kind)?;
         let connected = self.fleet.conn(peer).is_some_and(|c| c.connected);
         self.fleet.get_mut(endpoint)?.began(now, usage);
@@ -261,6 +289,9 @@
         let Some(call) = self.calls.get_mut(&caller) else { return };
         let stage = std::mem::replace(&mut call.stage, Stage::Waiting);
         let Stage::Prefill { attempt, decode } = stage else { return };
+        // The first prefill that an endpoint accepts is no attempt; further ones are.
+        call.sends += u32::from(call.exported);
+        call.exported = true;
         self.release_attempt(now, &attempt);
         let Some(source) = self.fleet.get_mut(attempt.endpoint) else { return };
         source.health.judge(now, Verdict::Worked);
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -195,6 +195,11 @@
         before.last().map(|(_, usage)| *usage).unwrap_or_default()
     }
 
+    /// Returns how old the last report is in milliseconds, or -1 without one; for logs.
+    pub fn report_age(&self, now: Timestamp) -> i64 {
+        self.report.map_or(-1, |(at, _)| (now - at + REPORT_LAG).as_millis() as i64)
+    }
+
     /// Returns what is in use by all gateways: the own use, and of the last report what was not
     /// this gateway's when it was made.
     pub fn all_usage(&self, now: Timestamp) -> Usage {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -69,6 +69,8 @@
     /// Whether the table was confirmed as the newest since the start.
     confirmed: bool,
     fleet: Fleet,
+    /// How many endpoints were listed and open at the last change.
+    listed: (usize, usize),
     calls: BTreeMap<CallerId, Call>,
     timers: BTreeSet<(Timestamp, CallerId)>,
     queues: BTreeMap<Box<str>, Queue<CallerId>>,
@@ -101,6 +103,7 @@
             confirmed: false,
             fleet: Fleet::new(&settings.follower.domain),
             settings,
+            listed: (0, 0),
             calls: BTreeMap::new(),
             timers: BTreeSet::new(),
             queues: BTreeMap::new(),
@@ -214,6 +217,7 @@
             service: service.clone(),
             arrived: now,
             sends: 0,
+            exported: false,
             prefills: 0,
             tried: Vec::new(),
             hold: None,
@@ -333,7 +337,10 @@
     fn take_news(&mut self, now: Timestamp) {
         if let Some(listed) = self.follower.changed_endpoints(now) {
             let open = listed.values().filter(|e| !e.draining).count();
-            log::info!("step=endpoints listed={} open={open}", listed.len());
+            if (listed.len(), open) != self.listed {
+                self.listed = (listed.len(), open);
+                log::info!("step=endpoints listed={} open={open}", listed.len());
+            }
             for peer in self.fleet.update(&listed) {
                 self.effect(HttpEffect::HangUp { peer });
             }
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -238,6 +238,11 @@
             }
             (Failure::NotStarted, true) | (Failure::Refused, false) => {}
             (_, true) => call.sends += 1,
+            (Failure::Silent, false) if call.info.work.is_some() => {
+                // An engine that falls silent in the middle is cut off or ended, and counts not.
+                call.may_have_run = true;
+                call.sends = call.sends.saturating_sub(1);
+            }
             (_, false) => call.may_have_run = true,
         }
         let broke_off = matches!(failure, Failure::Broken)
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -24,6 +24,16 @@
         let Some(call) = self.calls.get(&caller) else { return false };
         let picked = self.fleet.pick_plain(now, &call.service, &call.tried, draw);
         let Some(endpoint) = picked else { return false };
+        if let Some(target) = self.fleet.get(endpoint) {
+            log::info!(
+                "step=send id={} endpoint={} running={} sends={} left_ms={}",
+                call.info.id,
+                target.name,
+                target.usage.slots,
+                call.sends + 1,
+                call.left(now).as_millis(),
+            );
+        }
         let Some(peer) = self.send(now, caller, endpoint, SendKind::Whole) else { return false };
         let connected = self.fleet.conn(peer).is_some_and(|c| c.connected);
         if let Some(target) = self.fleet.get_mut(endpoint) {
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -103,6 +103,17 @@
     },
 }
 
+impl SendKind {
+    /// Returns the name that logs use.
+    pub fn name(&self) -> &'static str {
+        match self {
+            SendKind::Whole => "run-whole",
+            SendKind::Prefill => "prefill",
+            SendKind::From { .. } => "run",
+        }
+    }
+}
+
 /// What goes beside a call to an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SendInfo<'a> {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -284,6 +284,24 @@
     assert_eq!(f.got[&1].content, b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 }
 
+#[test]
+fn stream_whose_endpoint_falls_silent_goes_on_elsewhere() {
+    let mut f = Fixture::ready();
+    f.draft(1, "/remind/a", "3000,100");
+    let run = f.through_prefill();
+    f.head(&run, 200, &[]);
+    f.data(&run, b"id: 1\ndata: a\n\n");
+    f.pass(1_300);
+    assert!(f.hung_up.contains(&run.peer));
+    let second = f.through_prefill();
+    assert_ne!(run.address, second.address);
+    assert_eq!(second.field("Last-Event-Id"), Some("1"));
+    f.head(&second, 200, &[]);
+    f.data(&second, b"id: 2\ndata: b\n\n");
+    f.lose(&second, true);
+    assert!(f.got[&1].aborted, "the attempts of the route are spent");
+}
+
 #[test]
 fn stream_that_broke_off_waits_for_room_as_long_as_its_caller_does() {
     let mut f = Fixture::ready();
