Spread prompts over prefill endpoints that look alike; draw endpoints independently

Ruled out: decode memory (holds were granted) and the processor (0.006 cores). The new test of spreading also showed that the four draws for decode endpoints were rotations of one number, which agree modulo 5; they are independent now.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -103,7 +103,7 @@
         let (need, free) = (work.mean_tokens(), work.free_tokens().min(shape.tokens));
         let loads = self.fleet.decode_loads(now, &call.service, &shape, &call.tried);
         let Some(endpoint) = place_decode(loads, need, draw) else { return false };
-        if self.pick_prefill(now, caller, &shape, endpoint).is_none()
+        if self.pick_prefill(now, caller, &shape, endpoint, draw).is_none()
             && self.has_prefill(now, caller)
         {
             return false;
@@ -127,11 +127,12 @@
         caller: CallerId,
         shape: &EngineShape,
         decode: EndpointKey,
+        draw: u64,
     ) -> Option<EndpointKey> {
         let call = self.calls.get(&caller)?;
         let domain = &self.fleet.get(decode)?.domain;
         let loads = self.fleet.prefill_loads(now, &call.service, shape, domain, &call.tried);
-        place_prefill(loads, MOST_BACKLOG_TOKENS)
+        place_prefill(loads, MOST_BACKLOG_TOKENS, draw)
     }
 
     /// Takes the answer to a request for room.
@@ -172,8 +173,9 @@
         if let Some(endpoint) = self.fleet.get_mut(decode.endpoint) {
             endpoint.accepted();
         }
+        let draw = self.draw();
         let Some(shape) = self.shape(caller) else { return };
-        match self.pick_prefill(now, caller, &shape, decode.endpoint) {
+        match self.pick_prefill(now, caller, &shape, decode.endpoint, draw) {
             Some(prefill) => self.start_prefill(now, caller, prefill, decode),
             None => {
                 self.release(now, decode.endpoint, decode.usage);
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -5,13 +5,14 @@
 //! its answer before its prompt is read, since KV cache that nobody takes is lost within a second.
 //! Endpoints of the same failure domain go together, since KV cache moves between them.
 
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
 /// The part of an engine's memory that placements fill, in percent; the rest covers answers that
 /// grow longer than estimated and the blocks in which memory is handed out.
 const FILL_PERCENT: u64 = 97;
 /// How many endpoints with room are compared.
 const PICKS: u32 = 4;
-/// Bits of a draw for each of them.
-const DRAW_BITS: u32 = 16;
 /// Tokens of backlog that a prefill endpoint in another failure domain must have less.
 const FAR_PENALTY_TOKENS: u64 = 4_000;
 /// Load, in thousandths, that a decode endpoint in another failure domain must have less.
@@ -86,22 +87,30 @@
 ) -> Option<K> {
     let fitting: Vec<DecodeLoad<K>> = loads.filter(|l| l.fits(need)).collect();
     let count = fitting.len() as u64;
-    let picks = (0..PICKS).filter_map(|n| {
-        let number = draw.rotate_left(n * DRAW_BITS).checked_rem(count)?;
+    let mut rng = Pcg64Mcg::seed_from_u64(draw);
+    let picks = (0..PICKS).filter_map(|_| {
+        let number = rng.next_u64().checked_rem(count)?;
         fitting.get(number as usize)
     });
     picks.min_by_key(|l| (l.load(), l.key)).map(|l| l.key)
 }
 
 /// Returns the prefill endpoint with the least backlog, if one can begin before `most` tokens.
+///
+/// A gateway knows its own prompts only, so most endpoints look idle: `draw` chooses among those
+/// alike, or all gateways would send their prompts to the same one.
 pub fn place_prefill<K: Copy + Ord>(
     loads: impl Iterator<Item = PrefillLoad<K>>,
     most: u32,
+    draw: u64,
 ) -> Option<K> {
     let fits = |l: &PrefillLoad<K>| l.slots_used < l.slots && l.backlog <= most;
     let cost = |l: &PrefillLoad<K>| {
         let far = if l.near { 0 } else { FAR_PENALTY_TOKENS };
-        (u64::from(l.backlog) + far, l.key)
+        u64::from(l.backlog) + far
     };
-    loads.filter(fits).min_by_key(cost).map(|l| l.key)
+    let fitting: Vec<PrefillLoad<K>> = loads.filter(fits).collect();
+    let least = fitting.iter().map(cost).min()?;
+    let alike: Vec<K> = fitting.iter().filter(|l| cost(l) == least).map(|l| l.key).collect();
+    alike.get(draw.checked_rem(alike.len() as u64)? as usize).copied()
 }
--- /dev/null
+++ b/tests/placement_spread.rs
@@ -0,0 +1,51 @@
+//! Gateways that know little spread their work; those that know more use it.
+
+use std::collections::BTreeMap;
+
+use dotterelpin::gateway::place::{DecodeLoad, PrefillLoad, place_decode, place_prefill};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+fn prefill(key: usize, near: bool, backlog: u32) -> PrefillLoad<usize> {
+    PrefillLoad { key, near, slots_used: 0, slots: 12, backlog }
+}
+
+fn decode(key: usize, tokens_used: u32) -> DecodeLoad<usize> {
+    DecodeLoad { key, near: true, slots_used: 1, slots: 12, tokens_used, tokens: 30_000 }
+}
+
+#[test]
+fn prompts_of_many_gateways_spread_over_endpoints_that_look_alike() {
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let mut counts: BTreeMap<usize, u32> = BTreeMap::new();
+    for _gateway in 0..1_000 {
+        let loads = (0..10).map(|key| prefill(key, key < 5, 0));
+        let key = place_prefill(loads, 12_000, rng.next_u64()).unwrap();
+        *counts.entry(key).or_default() += 1;
+    }
+    assert_eq!(counts.len(), 5, "those near the decode endpoint: {counts:?}");
+    assert!(counts.values().all(|n| (120..280).contains(n)), "{counts:?}");
+}
+
+#[test]
+fn prompts_go_where_the_least_waits_and_nowhere_if_too_much_does() {
+    let loads = [prefill(0, true, 9_000), prefill(1, true, 3_000), prefill(2, false, 0)];
+    assert_eq!(place_prefill(loads.iter().copied(), 12_000, 5), Some(1));
+    let loads = [prefill(0, true, 9_000), prefill(1, true, 8_000), prefill(2, false, 0)];
+    assert_eq!(place_prefill(loads.iter().copied(), 12_000, 5), Some(2));
+    let loads = [prefill(0, true, 13_000), prefill(1, true, 14_000)];
+    assert_eq!(place_prefill(loads.iter().copied(), 12_000, 5), None);
+}
+
+#[test]
+fn calls_of_many_gateways_with_the_same_report_spread_toward_room() {
+    let mut rng = Pcg64Mcg::seed_from_u64(2);
+    let mut counts = [0; 10];
+    for _gateway in 0..1_000 {
+        let loads = (0..10).map(|key| decode(key, key as u32 * 2_900));
+        counts[place_decode(loads, 3_000, rng.next_u64()).unwrap()] += 1;
+    }
+    assert!(counts[0] < 500, "one endpoint must not get most: {counts:?}");
+    assert!(counts[0] > counts[4] && counts[4] > counts[8], "{counts:?}");
+    assert_eq!(counts[9], 0, "it has no room: {counts:?}");
+}
