--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -12,7 +12,7 @@
 /// grow longer than estimated and the blocks in which memory is handed out.
 const FILL_PERCENT: u64 = 97;
 /// How many endpoints with room are compared.
-const PICKS: u32 = 4;
+const PICKS: u32 = 2;
 /// Tokens of backlog that a prefill endpoint in another failure domain must have less.
 const FAR_PENALTY_TOKENS: u64 = 4_000;
 /// Load, in thousandths, that a decode endpoint in another failure domain must have less.
