--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -102,7 +102,7 @@
             own: settings.advertise,
             members: settings.members.clone(),
             name: settings.name.clone(),
-            prefill_share: settings.prefill_share,
+            stages: settings.stages,
         };
         let desk = Desk::new(who, protocol);
         traffic.push(driver.start("desk", desk, handle.clone(), metrics.clone())?);
--- a/src/cli/settings.rs
+++ b/src/cli/settings.rs
@@ -10,6 +10,7 @@
 use argh::FromArgs;
 
 use super::checker::Checker;
+use crate::desk::stages::StageTerms;
 use crate::entry::accept::CallerBounds;
 use crate::entry::place::Variant;
 use crate::gateway::budget::BudgetTerms;
@@ -147,6 +148,9 @@
     /// share of a pool's engines that read prompts, in percent; 0, the default, leaves them as they are
     #[argh(option)]
     pub prefill_share: Option<String>,
+    /// engines of a pool beside that share that read prompts, to bear crashes; 0 if not given
+    #[argh(option)]
+    pub prefill_spare: Option<String>,
     /// seconds after which a gateway that shuts down has ended; 8 if not given
     #[argh(option)]
     pub grace: Option<String>,
@@ -210,7 +214,7 @@
     }
 
     /// Returns the flags that have a variable and a place in the file, by name.
-    fn fields(&mut self) -> [(&'static str, &mut Option<String>); 24] {
+    fn fields(&mut self) -> [(&'static str, &mut Option<String>); 25] {
         [
             ("roles", &mut self.roles),
             (SETTINGS_FILE, &mut self.settings),
@@ -232,6 +236,7 @@
             ("retry_extra", &mut self.retry_extra),
             ("retry_window", &mut self.retry_window),
             ("prefill_share", &mut self.prefill_share),
+            ("prefill_spare", &mut self.prefill_spare),
             ("grace", &mut self.grace),
             ("pages", &mut self.pages),
             ("log", &mut self.log),
@@ -285,8 +290,8 @@
     pub desk: Option<SocketAddr>,
     /// The retry budget of all gateways.
     pub budget: BudgetTerms,
-    /// The share of engines that read prompts in percent, for a desk.
-    pub prefill_share: u32,
+    /// How many engines of a pool read prompts, for a desk.
+    pub stages: StageTerms,
     /// How long a gateway that shuts down has.
     pub grace: Duration,
     /// The address of the pages.
@@ -356,6 +361,7 @@
         if prefill_share > MOST_PREFILL_SHARE {
             check.error(&format!("prefill-share: at most {MOST_PREFILL_SHARE} percent"));
         }
+        let prefill_spare = check.decimal("prefill-spare", &args.prefill_spare, 0.0);
         let grace = check.seconds("grace", &args.grace, DEFAULT_GRACE);
         check.needs(RoleName::Entry, &roles, "tenants", &args.tenants);
         if roles.contains(&RoleName::Desk) && !roles.contains(&RoleName::Control) {
@@ -408,7 +414,7 @@
             placement: placement.parse().unwrap_or_default(),
             desk,
             budget,
-            prefill_share: prefill_share as u32,
+            stages: StageTerms { share: prefill_share as u32, spare: prefill_spare as u32 },
             grace,
             pages,
             log: log.into(),
--- a/src/desk/mod.rs
+++ b/src/desk/mod.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use protocol::{DeskCall, DeskProtocol, DeskReply};
-use stages::Stages;
+use stages::{StageTerms, Stages};
 use steward::Order;
 
 use crate::control::config::Revised;
@@ -46,8 +46,8 @@
     pub members: Vec<SocketAddr>,
     /// The name under which the process gives orders.
     pub name: Box<str>,
-    /// The share of a pool's engines that read prompts, in percent; 0 leaves engines as they are.
-    pub prefill_share: u32,
+    /// How many engines of a pool read prompts.
+    pub stages: StageTerms,
 }
 
 /// What a caller waits for.
--- a/src/desk/stages.rs
+++ b/src/desk/stages.rs
@@ -16,6 +16,8 @@
 const STEADY_SPAN: Duration = Duration::from_millis(1_600);
 /// How long an order without effect is waited for; it may be carried out late.
 const ORDER_LIFE: Duration = Duration::from_millis(15_000);
+/// Engines of a pool for each spare one.
+const SPARE_POOL: usize = 9;
 /// The part of a pool to which orders are under way at once, in percent.
 const MOST_PENDING_PERCENT: usize = 25;
 
@@ -47,20 +49,21 @@
 }
 
 impl Stages {
-    /// Returns the orders to give now, so that a share in percent of each pool's engines, one at
-    /// least, reads prompts.
+    /// Returns the orders to give now, so that as many of each pool's engines as the terms say, one
+    /// at least, read prompts.
     ///
     /// ```
-    /// use dotterelpin::desk::stages::Stages;
+    /// use dotterelpin::desk::stages::{StageTerms, Stages};
     /// use dotterelpin::model::Timestamp;
     ///
-    /// assert!(Stages::default().plan(Timestamp::from_micros(1), &[], 20).is_empty());
+    /// let terms = StageTerms { share: 14, spare: 2 };
+    /// assert!(Stages::default().plan(Timestamp::from_micros(1), &[], terms).is_empty());
     /// ```
     pub fn plan(
         &mut self,
         now: Timestamp,
         endpoints: &[EndpointState],
-        share: u32,
+        terms: StageTerms,
     ) -> Vec<StageOrder> {
         self.forget(now, endpoints);
         let mut pools: BTreeMap<&str, Vec<&EndpointState>> = BTreeMap::new();
@@ -69,7 +72,7 @@
         }
         pools.retain(|name, pool| self.is_steady(now, name, pool));
         let orders: Vec<StageOrder> =
-            pools.values().flat_map(|pool| self.plan_pool(pool, share)).collect();
+            pools.values().flat_map(|pool| self.plan_pool(pool, terms)).collect();
         for order in &orders {
             let boot = endpoints.iter().find(|e| e.name == order.endpoint).map(|e| e.boot);
             let boot = boot.unwrap_or_default();
@@ -108,8 +111,8 @@
         self.pending.get(&endpoint.name).map_or(endpoint.kind, |order| order.kind)
     }
 
-    fn plan_pool(&self, pool: &[&EndpointState], share: u32) -> Vec<StageOrder> {
-        let wanted = wanted(pool.len(), share);
+    fn plan_pool(&self, pool: &[&EndpointState], terms: StageTerms) -> Vec<StageOrder> {
+        let wanted = terms.wanted(pool.len());
         let reads = |e: &&&EndpointState| self.kind(e) == EndpointKind::Prefill;
         let readers = pool.iter().filter(reads).count();
         let open = pool.iter().filter(|e| self.pending.contains_key(&e.name)).count();
@@ -146,8 +149,21 @@
     }
 }
 
-/// Returns how many engines of a pool shall read prompts.
-fn wanted(pool: usize, share: u32) -> usize {
-    let rounded = (pool * share as usize + 50) / 100;
-    rounded.clamp(1, pool.saturating_sub(1).max(1))
+/// How many engines of a pool shall read prompts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct StageTerms {
+    /// The share of a pool that the work needs, in percent; 0 leaves engines as they are.
+    pub share: u32,
+    /// Engines beside it, which bear that others crash.
+    pub spare: u32,
+}
+
+impl StageTerms {
+    /// Returns how many engines of a pool shall read prompts.
+    fn wanted(&self, pool: usize) -> usize {
+        let needed = (pool * self.share as usize + 50) / 100;
+        // A small pool has no engine to spare.
+        let spare = (self.spare as usize).min(pool / SPARE_POOL);
+        (needed + spare).clamp(1, pool.saturating_sub(1).max(1))
+    }
 }
--- a/src/desk/steward.rs
+++ b/src/desk/steward.rs
@@ -46,11 +46,11 @@
     /// still arrive.
     pub(super) fn lead(&mut self, now: Timestamp, leadership: Option<Box<Leadership>>) {
         let Some(lead) = leadership else { return };
-        let idle = self.settings.prefill_share == 0 || self.stopping.is_some();
+        let idle = self.settings.stages.share == 0 || self.stopping.is_some();
         if idle || lead.succeeds && lead.age < HOLDER_PAUSE || self.superseded >= lead.term {
             return;
         }
-        for order in self.stages.plan(now, &lead.endpoints, self.settings.prefill_share) {
+        for order in self.stages.plan(now, &lead.endpoints, self.settings.stages) {
             self.give(now, lead.term, order);
         }
     }
--- a/tests/desk.rs
+++ b/tests/desk.rs
@@ -8,7 +8,7 @@
 use dotterelpin::control::routing::Document;
 use dotterelpin::control::state::{Applied, Command};
 use dotterelpin::desk::protocol::{DeskCall, DeskProtocol, DeskReply};
-use dotterelpin::desk::stages::StageOrder;
+use dotterelpin::desk::stages::{StageOrder, StageTerms};
 use dotterelpin::desk::{Desk, DeskSettings};
 use dotterelpin::h1::{
     AnswerHead, CallerId, Fields, HttpEffect, HttpInput, PeerId, Purpose, Request, RequestHead,
@@ -82,7 +82,7 @@
             own: member(0),
             members: (0..3).map(member).collect(),
             name: "control-0".into(),
-            prefill_share: 27,
+            stages: StageTerms { share: 27, spare: 0 },
         };
         Fixture {
             now: Timestamp::from_micros(1_000_000_000),
--- a/tests/stages.rs
+++ b/tests/stages.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use dotterelpin::desk::stages::{StageOrder, Stages};
+use dotterelpin::desk::stages::{StageOrder, StageTerms, Stages};
 use dotterelpin::model::{BootId, Capacity, EndpointKind, EndpointState, Fence, Load, Timestamp};
 
-const SHARE: u32 = 27;
+const TERMS: StageTerms = StageTerms { share: 15, spare: 2 };
 
 fn engine(number: usize, kind: EndpointKind) -> EndpointState {
     EndpointState {
@@ -35,7 +35,7 @@
 
 /// Plans at intervals of half a second and returns all orders.
 fn run(stages: &mut Stages, from: u64, until: u64, pool: &[EndpointState]) -> Vec<StageOrder> {
-    (from..until).step_by(500).flat_map(|t| stages.plan(at(t), pool, SHARE)).collect()
+    (from..until).step_by(500).flat_map(|t| stages.plan(at(t), pool, TERMS)).collect()
 }
 
 #[test]
@@ -43,7 +43,7 @@
     let mut stages = Stages::default();
     let pool = pool(7, 18);
     let orders = run(&mut stages, 0, 10_000, &pool);
-    // 27 % of 18 engines are 5.
+    // 15 % of 18 engines are 3, and 2 are spare.
     assert_eq!(orders.len(), 2, "{orders:?}");
     assert!(orders.iter().all(|o| o.kind == EndpointKind::Decode));
     let domain =
@@ -82,6 +82,22 @@
     assert!(run(&mut stages, 0, 5_000, &pool(0, 1)).is_empty(), "the only engine stays");
 }
 
+#[test]
+fn large_pool_keeps_few_spare_engines_and_a_small_one_none() {
+    let readers = |all: usize| {
+        let mut stages = Stages::default();
+        let mut pool = pool(all / 2, all);
+        for step in 0..40 {
+            for order in stages.plan(at(step * 2_000), &pool, TERMS) {
+                let engine = pool.iter_mut().find(|e| e.name == order.endpoint).unwrap();
+                engine.kind = order.kind;
+            }
+        }
+        pool.iter().filter(|e| e.kind == EndpointKind::Prefill).count()
+    };
+    assert_eq!([2, 6, 10, 18, 50].map(readers), [1, 1, 3, 5, 10]);
+}
+
 #[test]
 fn refused_order_is_given_again() {
     let mut stages = Stages::default();
