Take plain calls during shutdown as long as they can end in time

Four gateways were told to stop two seconds apart; each stayed for up to 8 s while long streams ended, and refused every call after its notice of 2.6 s, though a look-up ends within 1.2 s. Ruled out: the routing table (in force within 60 ms on each), endpoints (none failed there).

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -35,11 +35,13 @@
 use crate::model::{ExchangeId, Timestamp};
 use crate::registry::{Follower, FollowerSettings};
 use crate::role::{Input, Output, Role};
-use crate::routes::RouteTable;
+use crate::routes::{Route, RouteTable};
 
-/// How long a gateway that leaves still takes calls: the balancer needs that time to see that it
-/// is not ready.
+/// How long a gateway that leaves still takes every call: the balancer needs that time to see that
+/// it is not ready.
 const LEAVE_NOTICE: Duration = Duration::from_millis(2_600);
+/// The time before the end of its grace at which a gateway has finished its calls.
+const GRACE_MARGIN: Duration = Duration::from_millis(500);
 /// The time between two looks at calls that wait: endpoints that were full may have room.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 /// The time between two rounds of tidying up.
@@ -192,10 +194,6 @@
             self.turn_away(caller, &request, Some(&info.id), refusal);
             return;
         }
-        if self.closed_idle {
-            self.turn_away(caller, &request, Some(&info.id), answer::leaving());
-            return;
-        }
         let host = request.head.fields.text("host").unwrap_or_default();
         let Some(key) = self.table.find(host, request.head.path()) else {
             self.turn_away(caller, &request, Some(&info.id), answer::no_route());
@@ -204,6 +202,10 @@
         let draw = self.draw();
         let table = self.table.clone();
         let Some(route) = table.get(key) else { return };
+        if self.closed_idle && !self.can_finish(now, route) {
+            self.turn_away(caller, &request, Some(&info.id), answer::leaving());
+            return;
+        }
         let service: Box<str> = route.service(draw).unwrap_or_default().into();
         let patience = info.patience.unwrap_or(route.timeout);
         let call = Call {
@@ -243,6 +245,14 @@
         self.schedule(now, caller);
     }
 
+    /// Returns whether a new call would end before a gateway that leaves is over.
+    fn can_finish(&self, now: Timestamp, route: &Route) -> bool {
+        let Some(since) = self.stopping else { return true };
+        // How long a stream takes is not known.
+        let latest = now + route.timeout + GRACE_MARGIN;
+        !route.repeat.is_stream() && latest <= since + self.settings.grace
+    }
+
     /// Sends a call to an endpoint on a connection that stands or a fresh one.
     fn send(
         &mut self,
