Send heartbeats to every member until a leader is known

The first leader heard of most endpoints only with their second heartbeat, so its orders came 4.3 s before the first call, and a change takes 6 s.

--- a/src/desk/mod.rs
+++ b/src/desk/mod.rs
@@ -162,8 +162,13 @@
         let (peer, request) = match &pending.work {
             Work::Announce(endpoint) => {
                 let request = ControlRequest::Announce(endpoint.clone());
-                if let Some(peer) = leader.filter(|l| *l != own) {
-                    // The leader decides by the endpoints that it hears of.
+                // The leader decides by the endpoints that it hears of; before one is known, any
+                // member may become it.
+                let others = match leader {
+                    Some(leader) => vec![leader],
+                    None => self.settings.members.clone(),
+                };
+                for peer in others.into_iter().filter(|peer| *peer != own) {
                     self.exchanges += 1;
                     let exchange = ExchangeId(self.exchanges);
                     let body = link::Request::Control(request.clone());
--- a/tests/desk.rs
+++ b/tests/desk.rs
@@ -1,5 +1,6 @@
 //! The desk: acknowledges only what is committed, by whatever way it reaches the leader.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -203,6 +204,23 @@
     assert!(f.replies[0].1.contains("version: 3"), "{:?}", f.replies);
 }
 
+#[test]
+fn heartbeat_goes_to_the_leader_too_and_to_all_while_none_is_known() {
+    let mut f = Fixture::new();
+    f.call(1, "/beat/ready");
+    let peers: Vec<SocketAddr> = f.open.iter().map(|(_, peer, _)| *peer).collect();
+    assert_eq!(peers.len(), 3, "{peers:?}");
+    f.open.clear();
+    f.pass(600);
+    let asks = f.open.iter().position(|(_, _, r)| matches!(r, ControlRequest::Lead)).unwrap();
+    let (exchange, ..) = f.open.remove(asks);
+    f.reply(exchange, ControlReply::Lead { leader: Some(member(2)), leadership: None });
+    f.open.clear();
+    f.call(2, "/beat/ready");
+    let peers: BTreeSet<SocketAddr> = f.open.iter().map(|(_, peer, _)| *peer).collect();
+    assert_eq!(peers, BTreeSet::from([member(0), member(2)]));
+}
+
 #[test]
 fn endpoint_that_drains_is_acknowledged_after_its_departure_is_committed() {
     let mut f = Fixture::new();
