Move engines only in pools that stayed as they are for 8 s; give caches on or free them

Each order takes an engine away for 6 s in a burst. A pool must stay as it is for 8 s once the fleet has started. KV cache that a refused or unreachable decode endpoint did not take goes to another one, or is freed; tests failed before. One translation of outputs serves both drivers.

--- a/src/desk/stages.rs
+++ b/src/desk/stages.rs
@@ -12,8 +12,12 @@
 /// How long a leader after another one waits before it gives orders: until those of the earlier
 /// one count no more and have shown their effect.
 pub const HOLDER_PAUSE: Duration = Duration::from_millis(8_000);
-/// How long a pool must have stayed as it is: endpoints that restart or are replaced come and go.
-const STEADY_SPAN: Duration = Duration::from_millis(1_600);
+/// How long a pool must have stayed as it is while the fleet starts: longer than endpoints take to
+/// register.
+pub const FIRST_SPAN: Duration = Duration::from_millis(1_600);
+/// How long a pool must have stayed as it is later: endpoints that crash are back within seconds,
+/// and an engine that is moved is away as long.
+pub const STEADY_SPAN: Duration = Duration::from_millis(8_000);
 /// How long an order without effect is waited for; it may be carried out late.
 const ORDER_LIFE: Duration = Duration::from_millis(15_000);
 /// Engines of a pool for each spare one.
@@ -53,24 +57,26 @@
     /// at least, read prompts.
     ///
     /// ```
-    /// use dotterelpin::desk::stages::{StageTerms, Stages};
+    /// use dotterelpin::desk::stages::{STEADY_SPAN, StageTerms, Stages};
     /// use dotterelpin::model::Timestamp;
     ///
     /// let terms = StageTerms { share: 14, spare: 2 };
-    /// assert!(Stages::default().plan(Timestamp::from_micros(1), &[], terms).is_empty());
+    /// let now = Timestamp::from_micros(1);
+    /// assert!(Stages::default().plan(now, &[], terms, STEADY_SPAN).is_empty());
     /// ```
     pub fn plan(
         &mut self,
         now: Timestamp,
         endpoints: &[EndpointState],
         terms: StageTerms,
+        span: Duration,
     ) -> Vec<StageOrder> {
         self.forget(now, endpoints);
         let mut pools: BTreeMap<&str, Vec<&EndpointState>> = BTreeMap::new();
         for endpoint in endpoints.iter().filter(|e| e.kind != EndpointKind::Service) {
             pools.entry(&endpoint.pool).or_default().push(endpoint);
         }
-        pools.retain(|name, pool| self.is_steady(now, name, pool));
+        pools.retain(|name, pool| self.is_steady(now, name, pool, span));
         let orders: Vec<StageOrder> =
             pools.values().flat_map(|pool| self.plan_pool(pool, terms)).collect();
         for order in &orders {
@@ -97,14 +103,20 @@
     }
 
     /// Returns whether a pool has stayed as it is for a while.
-    fn is_steady(&mut self, now: Timestamp, name: &str, pool: &[&EndpointState]) -> bool {
+    fn is_steady(
+        &mut self,
+        now: Timestamp,
+        name: &str,
+        pool: &[&EndpointState],
+        span: Duration,
+    ) -> bool {
         let readers = pool.iter().filter(|e| e.kind == EndpointKind::Prefill).count();
         let shape = (pool.len(), readers);
         let known = self.shapes.entry(name.into()).or_insert((shape.0, shape.1, now));
         if (known.0, known.1) != shape {
             *known = (shape.0, shape.1, now);
         }
-        now - known.2 >= STEADY_SPAN
+        now - known.2 >= span
     }
 
     fn kind(&self, endpoint: &EndpointState) -> EndpointKind {
--- a/src/desk/steward.rs
+++ b/src/desk/steward.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::Desk;
-use super::stages::{HOLDER_PAUSE, StageOrder};
+use super::stages::{FIRST_SPAN, HOLDER_PAUSE, STEADY_SPAN, StageOrder};
 use crate::control::config::Revised;
 use crate::h1::{HttpEffect, HttpInput, PeerId};
 use crate::link;
@@ -13,6 +13,8 @@
 
 /// The time between two questions who leads.
 const LEAD_INTERVAL: Duration = Duration::from_millis(500);
+/// How long after its founding a fleet counts as starting.
+const STARTING_SPAN: Duration = Duration::from_millis(8_000);
 /// How long an engine may take to answer an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The status by which an engine says that it knows a newer holder.
@@ -50,7 +52,9 @@
         if idle || lead.succeeds && lead.age < HOLDER_PAUSE || self.superseded >= lead.term {
             return;
         }
-        for order in self.stages.plan(now, &lead.endpoints, self.settings.stages) {
+        let starts = !lead.succeeds && lead.age < STARTING_SPAN;
+        let span = if starts { FIRST_SPAN } else { STEADY_SPAN };
+        for order in self.stages.plan(now, &lead.endpoints, self.settings.stages, span) {
             self.give(now, lead.term, order);
         }
     }
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -23,6 +23,8 @@
 const ROOM_RETURN: Duration = Duration::from_millis(500);
 /// The most bytes of an answer that is kept until it is whole.
 const MAX_CONTENT_BYTES: usize = 8 << 20;
+/// The most bytes of an answer to a small request beside calls.
+const MAX_SIDE_BYTES: usize = 1 << 20;
 /// Statuses that promise that a call has not run.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 
@@ -95,6 +97,9 @@
     /// Ends a call that gets no whole answer.
     pub(super) fn conclude(&mut self, now: Timestamp, caller: CallerId, info: RefusalInfo) {
         let Some(mut call) = self.remove(caller) else { return };
+        if let Some((endpoint, hold)) = call.hold.take() {
+            self.drop_hold(now, endpoint, hold);
+        }
         if call.passed.head {
             self.effect(HttpEffect::Abort { caller });
             self.log_end(now, &call, "broken-off", 0);
@@ -211,6 +216,10 @@
         }
         let Job::Call(caller) = conn.job else {
             conn.content.extend_from_slice(&bytes);
+            if conn.content.len() > MAX_SIDE_BYTES {
+                self.lost(now, peer, true, "the answer to a small request is too long");
+                self.effect(HttpEffect::HangUp { peer });
+            }
             return;
         };
         let Some(call) = self.calls.get_mut(&caller) else { return };
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -29,6 +29,19 @@
     pub content: Vec<u8>,
 }
 
+impl Attempt {
+    /// Makes a send that has no answer yet.
+    pub fn new(
+        peer: PeerId,
+        endpoint: EndpointKey,
+        usage: Usage,
+        since: Timestamp,
+        connected: bool,
+    ) -> Attempt {
+        Attempt { peer, endpoint, usage, since, connected, head: None, content: Vec::new() }
+    }
+}
+
 /// Room at a decode endpoint that is kept for a call while its prompt is read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Reserved {
@@ -110,8 +123,8 @@
     pub endpoint: EndpointKey,
     /// Whether it had the prompt read.
     pub in_prefill: bool,
-    /// Whether the endpoint vouched that it has not run the call.
-    pub refused: bool,
+    /// Whether the call has not run there and won't.
+    pub not_run: bool,
     /// Whether the connection broke off while the endpoint ran the call, for the first time there.
     pub broke_off: bool,
 }
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -175,12 +175,16 @@
         }
         let draw = self.draw();
         let Some(shape) = self.shape(caller) else { return };
-        match self.pick_prefill(now, caller, &shape, decode.endpoint, draw) {
-            Some(prefill) => self.start_prefill(now, caller, prefill, decode),
-            None => {
-                self.release(now, decode.endpoint, decode.usage);
-                self.run_on(now, caller, decode.endpoint, decode.usage, SendKind::Whole, None);
-            }
+        let prefill = self.pick_prefill(now, caller, &shape, decode.endpoint, draw);
+        if let Some(prefill) = prefill
+            && self.start_prefill(now, caller, prefill, decode)
+        {
+            return;
+        }
+        self.release(now, decode.endpoint, decode.usage);
+        let (endpoint, usage) = (decode.endpoint, decode.usage);
+        if !self.run_on(now, caller, endpoint, usage, SendKind::Whole, None) {
+            self.conclude(now, caller, answer::no_endpoint());
         }
     }
 
@@ -229,15 +233,16 @@
         caller: CallerId,
         endpoint: EndpointKey,
         decode: Reserved,
-    ) {
+    ) -> bool {
         let work = self.calls.get(&caller).and_then(|c| c.info.work.as_ref());
         let prompt = work.map_or(0, |w| w.prompt);
         let usage = Usage { slots: 1, tokens: prompt };
         let attempt = self.begin(now, caller, endpoint, usage, SendKind::Prefill);
-        let Some(call) = self.calls.get_mut(&caller) else { return };
-        let Some(attempt) = attempt else { return };
+        let Some(attempt) = attempt else { return false };
+        let Some(call) = self.calls.get_mut(&caller) else { return false };
         call.prefills += 1;
         call.stage = Stage::Prefill { attempt, decode };
+        true
     }
 
     /// Runs a call on a decode endpoint.
@@ -282,8 +287,7 @@
         let peer = self.send(now, caller, endpoint, kind)?;
         let connected = self.fleet.conn(peer).is_some_and(|c| c.connected);
         self.fleet.get_mut(endpoint)?.began(now, usage);
-        let (head, content) = (None, Vec::new());
-        Some(Attempt { peer, endpoint, usage, since: now, connected, head, content })
+        Some(Attempt::new(peer, endpoint, usage, now, connected))
     }
 
     /// Goes on with a call whose prompt was read.
@@ -327,7 +331,7 @@
         let usage = Usage { slots: 1, tokens: work.mean_tokens() };
         let attempts = call.route().map_or(0, |r| r.attempts);
         let fresh = shape.retention * HANDOVER_PERCENT / 100;
-        let alive = handoff.filter(|h| failed.refused && now - h.made < fresh);
+        let alive = handoff.filter(|h| failed.not_run && now - h.made < fresh);
         if let Some(handoff) = alive {
             return self.hand_over(now, caller, usage, &shape, handoff);
         }
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -258,7 +258,7 @@
         let failed = FailedSend {
             endpoint: attempt.endpoint,
             in_prefill,
-            refused: matches!(failure, Failure::Refused),
+            not_run: matches!(failure, Failure::Refused | Failure::NotStarted),
             broke_off,
         };
         let (name, sends) = (failure.name(), call.sends);
@@ -288,9 +288,13 @@
         {
             call.failed = Some(failed);
         }
+        let unused = handoff.clone().filter(|_| failed.not_run);
         if self.may_retry(now, caller, free) && self.retry(now, caller, &failed, handoff) {
             return;
         }
+        if let Some(unused) = unused {
+            self.free(now, unused.source, &unused.export.handle);
+        }
         let ran = self.calls.get(&caller).is_some_and(|c| c.may_have_run);
         let refusal = if ran { answer::failed() } else { self.no_room(now, caller) };
         self.conclude(now, caller, refusal);
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -41,15 +41,7 @@
         }
         let Some(call) = self.calls.get_mut(&caller) else { return false };
         call.sends += 1;
-        let attempt = Attempt {
-            peer,
-            endpoint,
-            usage: ONE_CALL,
-            since: now,
-            connected,
-            head: None,
-            content: Vec::new(),
-        };
+        let attempt = Attempt::new(peer, endpoint, ONE_CALL, now, connected);
         call.stage = Stage::Run { attempt, handoff: None };
         true
     }
--- a/src/h1/driver.rs
+++ b/src/h1/driver.rs
@@ -15,10 +15,10 @@
 use super::peer::Peer;
 use super::socket::Socket;
 use super::{CallerId, HttpEffect, HttpInput, PeerId, Purpose, write};
-use crate::link::{LinkAction, LinkEvent, LinkHandle, Sink};
+use crate::link::{LinkEvent, LinkHandle, Sink};
 use crate::model::Timestamp;
 use crate::report::metrics::Metrics;
-use crate::role::{Input, Output, Role};
+use crate::role::{Input, Own, Role};
 use crate::routes::CallerLimits;
 
 /// The longest time that the thread sleeps.
@@ -413,32 +413,12 @@
         let owner = self.owner;
         let mut going = true;
         for output in outputs {
-            let action = match output {
-                Output::Open { exchange, peer, envelope } => {
-                    LinkAction::Open { owner, exchange, peer, envelope }
-                }
-                Output::Send { exchange, envelope } => {
-                    LinkAction::Send { owner, exchange, envelope }
-                }
-                Output::Reset { exchange } => LinkAction::Reset { owner, exchange },
-                Output::Redial { peer } => LinkAction::Redial { peer },
-                Output::Reply { inbound, envelope, last } => {
-                    LinkAction::Reply { inbound, envelope, last }
-                }
-                Output::Observe(observation) => {
-                    self.metrics.observe(observation);
-                    continue;
-                }
-                Output::Effect(effect) => {
-                    self.carry(now, effect);
-                    continue;
-                }
-                Output::Stopped => {
-                    going = false;
-                    continue;
-                }
-            };
-            self.link.act(action);
+            match output.for_link(owner) {
+                Ok(action) => self.link.act(action),
+                Err(Own::Observe(observation)) => self.metrics.observe(observation),
+                Err(Own::Effect(effect)) => self.carry(now, effect),
+                Err(Own::Stopped) => going = false,
+            }
         }
         going
     }
--- a/src/role/driver.rs
+++ b/src/role/driver.rs
@@ -9,8 +9,8 @@
 use eyre::WrapErr;
 use prometheus::Histogram;
 
-use super::{Input, Output, Role};
-use crate::link::{LinkAction, LinkEvent, LinkHandle, Sink};
+use super::{Input, Output, Own, Role};
+use crate::link::{LinkEvent, LinkHandle, Sink};
 use crate::model::Timestamp;
 use crate::report::metrics::Metrics;
 
@@ -150,29 +150,12 @@
         timer.observe_duration();
         for output in outputs {
             meter.after(&output);
-            let action = match output {
-                Output::Open { exchange, peer, envelope } => {
-                    LinkAction::Open { owner, exchange, peer, envelope }
-                }
-                Output::Send { exchange, envelope } => {
-                    LinkAction::Send { owner, exchange, envelope }
-                }
-                Output::Reset { exchange } => LinkAction::Reset { owner, exchange },
-                Output::Redial { peer } => LinkAction::Redial { peer },
-                Output::Reply { inbound, envelope, last } => {
-                    LinkAction::Reply { inbound, envelope, last }
-                }
-                Output::Observe(observation) => {
-                    meter.metrics.observe(observation);
-                    continue;
-                }
-                Output::Effect(effect) => {
-                    adapter.carry(effect);
-                    continue;
-                }
-                Output::Stopped => return,
-            };
-            link.act(action);
+            match output.for_link(owner) {
+                Ok(action) => link.act(action),
+                Err(Own::Observe(observation)) => meter.metrics.observe(observation),
+                Err(Own::Effect(effect)) => adapter.carry(effect),
+                Err(Own::Stopped) => return,
+            }
         }
     }
 }
--- a/src/role/mod.rs
+++ b/src/role/mod.rs
@@ -6,6 +6,7 @@
 
 pub use driver::{Adapter, Driver, DriverHandle, Event};
 
+use crate::link::LinkAction;
 use crate::link::message::{Envelope, Reply, Request};
 use crate::model::{ExchangeId, InboundId, Timestamp};
 use crate::report::observation::Observation;
@@ -72,6 +73,39 @@
     Shutdown,
 }
 
+/// What of an output is not for the link.
+#[derive(Debug)]
+pub enum Own<E> {
+    /// Count something.
+    Observe(Observation),
+    /// Do something in the role's own surroundings.
+    Effect(E),
+    /// The role has finished its shutdown.
+    Stopped,
+}
+
+impl<E> Output<E> {
+    /// Returns what the link is to do for the role of a number, or what is not for the link.
+    pub fn for_link(self, owner: u64) -> Result<LinkAction, Own<E>> {
+        match self {
+            Output::Open { exchange, peer, envelope } => {
+                Ok(LinkAction::Open { owner, exchange, peer, envelope })
+            }
+            Output::Send { exchange, envelope } => {
+                Ok(LinkAction::Send { owner, exchange, envelope })
+            }
+            Output::Reset { exchange } => Ok(LinkAction::Reset { owner, exchange }),
+            Output::Redial { peer } => Ok(LinkAction::Redial { peer }),
+            Output::Reply { inbound, envelope, last } => {
+                Ok(LinkAction::Reply { inbound, envelope, last })
+            }
+            Output::Observe(observation) => Err(Own::Observe(observation)),
+            Output::Effect(effect) => Err(Own::Effect(effect)),
+            Output::Stopped => Err(Own::Stopped),
+        }
+    }
+}
+
 /// What a role wants done.
 #[derive(Debug)]
 pub enum Output<E> {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -349,6 +349,48 @@
     assert_ne!(hold.address, other.address);
 }
 
+#[test]
+fn refused_run_goes_to_another_endpoint_with_the_same_cache_or_frees_it() {
+    let mut f = Fixture::ready();
+    f.draft(1, "/remind/a", "3000,100");
+    let run = f.through_prefill();
+    f.answer(&run, 503, &[("Not-Run", "1")], "full");
+    let second = f.take();
+    assert_ne!(run.address, second.address);
+    assert_eq!(run.field("Source"), second.field("Source"));
+    f.answer(&second, 503, &[("Not-Run", "1")], "full");
+    assert_eq!(f.got[&1].status, 503);
+    assert_eq!(&*f.take().head.target, "/export/e1", "nobody takes it any more");
+}
+
+#[test]
+fn cache_goes_to_another_endpoint_if_the_first_can_not_be_reached() {
+    let mut f = Fixture::ready();
+    f.draft(1, "/draft/a", "3000,100");
+    let run = f.through_prefill();
+    f.lose(&run, false);
+    let second = f.take();
+    assert_ne!(run.address, second.address);
+    assert_eq!(run.field("Source"), second.field("Source"));
+}
+
+#[test]
+fn call_whose_endpoints_vanish_is_refused_and_keeps_no_room() {
+    let mut f = Fixture::ready();
+    f.draft(1, "/draft/a", "3000,100");
+    let hold = f.take();
+    for name in ["d1", "d2", "f1", "f2"] {
+        f.depart(name);
+    }
+    f.pass(200);
+    f.answer(&hold, 200, &[], "hold h1");
+    while !f.got.contains_key(&1) && f.has_sent() {
+        let sent = f.take();
+        f.answer(&sent, 503, &[("Not-Run", "1")], "leaving");
+    }
+    assert_eq!(f.got[&1].status, 503);
+}
+
 #[test]
 fn call_that_finds_no_room_in_time_is_refused_with_a_time_to_come_back() {
     let mut f = Fixture::ready();
