--- a/src/desk/steward.rs
+++ b/src/api/controller.rs
@@ -1,8 +1,8 @@
-//! The part of a desk beside the leader: gives engines the orders that the plan of stages asks for.
+//! The part of the API beside the leader: gives engines the orders that the plan of stages asks for.
 
 use std::time::Duration;
 
-use super::Desk;
+use super::Api;
 use super::stages::{FIRST_SPAN, HOLDER_PAUSE, STEADY_SPAN, StageOrder};
 use crate::control::config::Revised;
 use crate::h1::{HttpEffect, HttpInput, PeerId};
@@ -29,7 +29,7 @@
     status: u16,
 }
 
-impl Desk {
+impl Api {
     /// Asks the own member who leads.
     pub(super) fn ask_who_leads(&mut self, now: Timestamp) {
         if now < self.next_lead {
--- a/src/desk/mod.rs
+++ b/src/api/mod.rs
@@ -1,22 +1,22 @@
-//! The desk role: takes operators' and endpoints' HTTP calls in a control process.
+//! The API role: takes operators' and endpoints' HTTP calls in a control process.
 //!
 //! It proposes what must last to the leader and answers only once that is committed. Heartbeats of
 //! endpoints go to the registry of the own process; that an endpoint leaves is committed first.
 
+mod controller;
 pub mod protocol;
 pub mod stages;
-mod steward;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use protocol::{DeskCall, DeskProtocol, DeskReply};
+use controller::Order;
+use protocol::{ApiCall, ApiProtocol, ApiReply};
 use stages::{StageTerms, Stages};
-use steward::Order;
 
 use crate::control::config::Revised;
-use crate::control::routing::Departure;
+use crate::control::routing::Deregistration;
 use crate::control::state::{Applied, Command};
 use crate::h1::{CallerId, HttpEffect, HttpInput, PeerId, Request};
 use crate::link;
@@ -32,14 +32,14 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
 /// When a caller that found no leader may come back.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
-/// How long a desk that leaves still answers new calls.
+/// How long an API that leaves still answers new calls.
 const LEAVE_NOTICE: Duration = Duration::from_millis(500);
 
 type Outputs = Vec<Output<HttpEffect>>;
 
-/// Who a desk is.
+/// Who an API is.
 #[derive(Debug, Clone)]
-pub struct DeskSettings {
+pub struct ApiSettings {
     /// The address of the own control member.
     pub own: SocketAddr,
     /// The control members that the settings name.
@@ -74,16 +74,16 @@
     tries: usize,
 }
 
-/// The desk role.
-pub struct Desk {
-    settings: DeskSettings,
-    protocol: Box<dyn DeskProtocol>,
+/// The API role.
+pub struct Api {
+    settings: ApiSettings,
+    protocol: Box<dyn ApiProtocol>,
     leader: Option<SocketAddr>,
     exchanges: u64,
     pending: BTreeMap<CallerId, Pending>,
     by_exchange: BTreeMap<ExchangeId, CallerId>,
-    /// Starts of endpoints that are known to have departed, so that a repeated notice is cheap.
-    departed: BTreeSet<(Box<str>, BootId)>,
+    /// Starts of endpoints that are known to have deregistered, so that a repeated notice is cheap.
+    deregistered: BTreeSet<(Box<str>, BootId)>,
     stages: Stages,
     /// Orders that wait for their answers.
     orders: BTreeMap<PeerId, Order>,
@@ -97,17 +97,17 @@
     outputs: Outputs,
 }
 
-impl Desk {
+impl Api {
     /// Makes the role.
-    pub fn new(settings: DeskSettings, protocol: Box<dyn DeskProtocol>) -> Desk {
-        Desk {
+    pub fn new(settings: ApiSettings, protocol: Box<dyn ApiProtocol>) -> Api {
+        Api {
             settings,
             protocol,
             leader: None,
             exchanges: 0,
             pending: BTreeMap::new(),
             by_exchange: BTreeMap::new(),
-            departed: BTreeSet::new(),
+            deregistered: BTreeSet::new(),
             stages: Stages::default(),
             orders: BTreeMap::new(),
             last_peer: 0,
@@ -129,25 +129,25 @@
             }
         };
         let (work, then) = match call {
-            DeskCall::Publish(document) => {
+            ApiCall::Publish(document) => {
                 log::info!("step=offer version={} bytes={}", document.version, document.text.len());
                 (Work::Commit(Command::Publish(document)), None)
             }
-            DeskCall::Read => (Work::Commit(Command::ReadDocument), None),
-            DeskCall::Announce(endpoint) if endpoint.draining => {
+            ApiCall::Read => (Work::Commit(Command::ReadDocument), None),
+            ApiCall::Announce(endpoint) if endpoint.draining => {
                 let boot = endpoint.boot;
-                if self.departed.contains(&(endpoint.name.clone(), boot)) {
+                if self.deregistered.contains(&(endpoint.name.clone(), boot)) {
                     (Work::Announce(endpoint), None)
                 } else {
                     let name = endpoint.name.clone();
-                    let departure = Departure { endpoint: name, boot };
-                    (Work::Commit(Command::Depart(departure)), Some(endpoint))
+                    let deregistration = Deregistration { endpoint: name, boot };
+                    (Work::Commit(Command::Deregister(deregistration)), Some(endpoint))
                 }
             }
-            DeskCall::Announce(endpoint) => (Work::Announce(endpoint), None),
-            DeskCall::Leave { endpoint, boot } => {
+            ApiCall::Announce(endpoint) => (Work::Announce(endpoint), None),
+            ApiCall::Leave { endpoint, boot } => {
                 let boot = boot.unwrap_or_else(|| started_before(now));
-                (Work::Commit(Command::Depart(Departure { endpoint, boot })), None)
+                (Work::Commit(Command::Deregister(Deregistration { endpoint, boot })), None)
             }
         };
         let pending = Pending { work, then, close, since: now, open: None, next: now, tries: 0 };
@@ -206,7 +206,7 @@
         }
         let Some(caller) = self.by_exchange.remove(&exchange) else { return };
         match reply {
-            ControlReply::Announced => self.finish(caller, &DeskReply::Done),
+            ControlReply::Announced => self.finish(caller, &ApiReply::Done),
             ControlReply::Applied(applied) => self.applied(now, caller, applied),
             ControlReply::NotLeader { leader } | ControlReply::Interrupted { leader } => {
                 self.leader = leader;
@@ -216,7 +216,7 @@
             | ControlReply::Owner { .. }
             | ControlReply::Lead { .. }
             | ControlReply::Status(_) => {
-                log::error!("step=desk error=\"another reply than asked for\"");
+                log::error!("step=api error=\"another reply than asked for\"");
                 self.again(now, caller, true);
             }
         }
@@ -227,9 +227,9 @@
         if let Some((_, peer, _)) = pending.open.take() {
             self.leader = Some(peer);
         }
-        if let Work::Commit(Command::Depart(departure)) = &pending.work {
-            let key = (departure.endpoint.clone(), departure.boot);
-            self.departed.insert(key);
+        if let Work::Commit(Command::Deregister(deregistration)) = &pending.work {
+            let key = (deregistration.endpoint.clone(), deregistration.boot);
+            self.deregistered.insert(key);
         }
         if let Some(endpoint) = pending.then.take() {
             pending.work = Work::Announce(endpoint);
@@ -237,12 +237,12 @@
             return;
         }
         let reply = match applied {
-            Applied::Document(Some(document)) => DeskReply::Document(document),
-            Applied::Document(None) => DeskReply::NoDocument,
+            Applied::Document(Some(document)) => ApiReply::Document(document),
+            Applied::Document(None) => ApiReply::NoDocument,
             Applied::Changed(_) | Applied::Claim(_) | Applied::Ordered(_) => {
-                DeskReply::Unavailable(RETRY_AFTER)
+                ApiReply::Unavailable(RETRY_AFTER)
             }
-            Applied::Done | Applied::Published(_) => DeskReply::Done,
+            Applied::Done | Applied::Published(_) => ApiReply::Done,
         };
         self.finish(caller, &reply);
     }
@@ -259,8 +259,8 @@
     fn look(&mut self, now: Timestamp, caller: CallerId) {
         let Some(pending) = self.pending.get_mut(&caller) else { return };
         if now >= pending.since + CALL_TIMEOUT {
-            log::warn!("step=desk outcome=unavailable tries={}", pending.tries);
-            self.finish(caller, &DeskReply::Unavailable(RETRY_AFTER));
+            log::warn!("step=api outcome=unavailable tries={}", pending.tries);
+            self.finish(caller, &ApiReply::Unavailable(RETRY_AFTER));
             return;
         }
         match pending.open {
@@ -277,7 +277,7 @@
         }
     }
 
-    fn finish(&mut self, caller: CallerId, reply: &DeskReply) {
+    fn finish(&mut self, caller: CallerId, reply: &ApiReply) {
         let Some(pending) = self.pending.remove(&caller) else { return };
         if let Some((exchange, _, _)) = pending.open
             && self.by_exchange.remove(&exchange).is_some()
@@ -287,9 +287,9 @@
         self.reply(caller, reply, pending.close);
     }
 
-    fn reply(&mut self, caller: CallerId, reply: &DeskReply, close: bool) {
-        if let DeskReply::Invalid(why) = reply {
-            log::warn!("step=desk outcome=invalid why=\"{why}\"");
+    fn reply(&mut self, caller: CallerId, reply: &ApiReply, close: bool) {
+        if let ApiReply::Invalid(why) = reply {
+            log::warn!("step=api outcome=invalid why=\"{why}\"");
         }
         let keep = !close && self.stopping.is_none();
         let bytes = self.protocol.write(reply, keep);
@@ -308,7 +308,7 @@
     BootId(now.as_micros() / 1_000)
 }
 
-impl Role for Desk {
+impl Role for Api {
     type Local = HttpInput;
     type Effect = HttpEffect;
 
@@ -347,7 +347,7 @@
                 let due: Vec<CallerId> = self
                     .pending
                     .iter()
-                    .filter(|(_, p)| Desk::due(p) <= now)
+                    .filter(|(_, p)| Api::due(p) <= now)
                     .map(|(caller, _)| *caller)
                     .collect();
                 for caller in due {
@@ -367,7 +367,7 @@
     }
 
     fn next_wake(&self) -> Option<Timestamp> {
-        let pending = self.pending.values().map(Desk::due).min();
+        let pending = self.pending.values().map(Api::due).min();
         let leave = self.stopping.map(|at| at + LEAVE_NOTICE);
         pending.into_iter().chain(leave).chain([self.next_lead]).min()
     }
--- a/src/desk/protocol.rs
+++ b/src/api/protocol.rs
@@ -1,4 +1,4 @@
-//! What a desk must know of the protocol that operators and endpoints speak.
+//! What an API must know of the protocol that operators and endpoints speak.
 
 use std::time::Duration;
 
@@ -9,7 +9,7 @@
 
 /// What an operator or an endpoint asks.
 #[derive(Debug)]
-pub enum DeskCall {
+pub enum ApiCall {
     /// Put a routing document in force; it is checked already.
     Publish(Document),
     /// Read the routing document in force.
@@ -27,7 +27,7 @@
 
 /// What it is answered.
 #[derive(Debug)]
-pub enum DeskReply {
+pub enum ApiReply {
     /// It is done and lasts.
     Done,
     /// The routing document in force.
@@ -43,13 +43,13 @@
 }
 
 /// The protocol of operators and endpoints.
-pub trait DeskProtocol: Send {
+pub trait ApiProtocol: Send {
     /// Reads a call, or says what it is answered at once.
-    fn read(&self, request: &Request) -> Result<DeskCall, DeskReply>;
+    fn read(&self, request: &Request) -> Result<ApiCall, ApiReply>;
 
     /// Writes an order to an engine under a holder's name and fencing number.
     fn write_order(&self, order: &StageOrder, holder: &str, fence: u64) -> Vec<u8>;
 
     /// Writes an answer; the connection stays open if `keep` says so.
-    fn write(&self, reply: &DeskReply, keep: bool) -> Vec<u8>;
+    fn write(&self, reply: &ApiReply, keep: bool) -> Vec<u8>;
 }
--- a/src/desk/stages.rs
+++ b/src/api/stages.rs
@@ -57,7 +57,7 @@
     /// at least, read prompts.
     ///
     /// ```
-    /// use dotterelpin::desk::stages::{STEADY_SPAN, StageTerms, Stages};
+    /// use dotterelpin::api::stages::{STEADY_SPAN, StageTerms, Stages};
     /// use dotterelpin::model::Timestamp;
     ///
     /// let terms = StageTerms { share: 14, spare: 2 };
--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -10,11 +10,11 @@
 use super::settings::{RoleName, Settings};
 use crate::agent::engine::{EngineInput, HttpEngine};
 use crate::agent::{Agent, AgentSettings};
+use crate::api::protocol::ApiProtocol;
+use crate::api::{Api, ApiSettings};
 use crate::control::disk::{self, Disk};
 use crate::control::replica::{MemberId, ReplicaSettings};
 use crate::control::{Control, ControlSettings, DiskInput};
-use crate::desk::protocol::DeskProtocol;
-use crate::desk::{Desk, DeskSettings};
 use crate::entry::accept;
 use crate::entry::check::Tenants;
 use crate::entry::{CallerInput, Entry, EntrySettings};
@@ -41,15 +41,15 @@
     agent: Option<Driver<EngineInput>>,
     control: Option<Driver<DiskInput>>,
     gateway: Option<HttpDriver>,
-    desk: Option<HttpDriver>,
+    api: Option<HttpDriver>,
 }
 
 /// What callers, endpoints and operators speak, for the roles that leave that open.
 pub struct Protocols {
     /// Of gateways.
     pub calls: Box<dyn CallProtocol>,
-    /// Of desks.
-    pub desk: Box<dyn DeskProtocol>,
+    /// Of APIs.
+    pub api: Box<dyn ApiProtocol>,
 }
 
 /// Runs the roles until they have stopped.
@@ -62,10 +62,10 @@
         agent: settings.roles.contains(&RoleName::Agent).then(Driver::new),
         control: settings.roles.contains(&RoleName::Control).then(Driver::new),
         gateway: bind_gateway(&settings)?,
-        desk: bind_desk(&settings)?,
+        api: bind_api(&settings)?,
     };
-    let (calls, desk) = match protocols {
-        Some(protocols) => (Some(protocols.calls), Some(protocols.desk)),
+    let (calls, api) = match protocols {
+        Some(protocols) => (Some(protocols.calls), Some(protocols.api)),
         None => (None, None),
     };
     let ready = Arc::new(AtomicBool::new(true));
@@ -96,16 +96,16 @@
         let control = Control::new(who, stored)?;
         keeper = Some(driver.start("control", control, handle.clone(), disk, metrics.clone())?);
     }
-    if let Some(driver) = drivers.desk {
-        let protocol = desk.ok_or_else(|| eyre!("role desk has no protocol in this program"))?;
-        let who = DeskSettings {
+    if let Some(driver) = drivers.api {
+        let protocol = api.ok_or_else(|| eyre!("role api has no protocol in this program"))?;
+        let who = ApiSettings {
             own: settings.advertise,
             members: settings.members.clone(),
             name: settings.name.clone(),
             stages: settings.stages,
         };
-        let desk = Desk::new(who, protocol);
-        traffic.push(driver.start("desk", desk, handle.clone(), metrics.clone())?);
+        let api = Api::new(who, protocol);
+        traffic.push(driver.start("api", api, handle.clone(), metrics.clone())?);
     }
     if let Some(driver) = drivers.gateway {
         let protocol =
@@ -170,8 +170,8 @@
     HttpDriver::bind(&listeners).map(Some)
 }
 
-fn bind_desk(settings: &Settings) -> eyre::Result<Option<HttpDriver>> {
-    let Some(address) = settings.desk else { return Ok(None) };
+fn bind_api(settings: &Settings) -> eyre::Result<Option<HttpDriver>> {
+    let Some(address) = settings.api else { return Ok(None) };
     HttpDriver::bind(&[Listener { address, purpose: Purpose::Calls }]).map(Some)
 }
 
@@ -212,7 +212,7 @@
     let agent = drivers.agent.as_ref().map(Driver::handle);
     // Control goes last: the other roles of this process need it until they have stopped.
     let http: Vec<HttpHandle> =
-        drivers.gateway.iter().chain(&drivers.desk).map(HttpDriver::handle).collect();
+        drivers.gateway.iter().chain(&drivers.api).map(HttpDriver::handle).collect();
     let alone = entry.is_none() && agent.is_none() && http.is_empty();
     let control = drivers.control.as_ref().map(Driver::handle).filter(|_| alone);
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).wrap_err("watch for signals")?;
--- a/src/cli/settings.rs
+++ b/src/cli/settings.rs
@@ -10,7 +10,7 @@
 use argh::FromArgs;
 
 use super::checker::Checker;
-use crate::desk::stages::StageTerms;
+use crate::api::stages::StageTerms;
 use crate::entry::accept::CallerBounds;
 use crate::entry::place::Variant;
 use crate::gateway::budget::BudgetTerms;
@@ -51,13 +51,13 @@
     /// Passes calls on to endpoints without agents.
     Gateway,
     /// Takes operators' and endpoints' HTTP calls beside control.
-    Desk,
+    Api,
 }
 
 impl RoleName {
     /// Every role.
     pub const ALL: [RoleName; 5] =
-        [RoleName::Entry, RoleName::Agent, RoleName::Control, RoleName::Gateway, RoleName::Desk];
+        [RoleName::Entry, RoleName::Agent, RoleName::Control, RoleName::Gateway, RoleName::Api];
 
     /// Returns the name that settings use.
     pub fn as_str(self) -> &'static str {
@@ -66,7 +66,7 @@
             RoleName::Agent => "agent",
             RoleName::Control => "control",
             RoleName::Gateway => "gateway",
-            RoleName::Desk => "desk",
+            RoleName::Api => "api",
         }
     }
 }
@@ -133,9 +133,9 @@
     /// port of the control members, where their addresses in the list name another one
     #[argh(option)]
     pub members_port: Option<String>,
-    /// TCP address for operators and endpoints, of a control process with a desk
+    /// TCP address for operators and endpoints, of a control process with an API
     #[argh(option)]
-    pub desk: Option<String>,
+    pub api: Option<String>,
     /// retries for each call that the gateways may send together; 0.1 if not given
     #[argh(option)]
     pub retry_ratio: Option<String>,
@@ -227,7 +227,7 @@
             ("keys", &mut self.keys),
             ("data", &mut self.data),
             ("callers", &mut self.callers),
-            ("desk", &mut self.desk),
+            ("api", &mut self.api),
             ("tenants", &mut self.tenants),
             ("max_calls", &mut self.max_calls),
             ("max_connections", &mut self.max_connections),
@@ -286,11 +286,11 @@
     pub bounds: CallerBounds,
     /// How endpoints are chosen, for an entry.
     pub placement: Variant,
-    /// The operators' and endpoints' address, for a desk.
-    pub desk: Option<SocketAddr>,
+    /// The operators' and endpoints' address, for an API.
+    pub api: Option<SocketAddr>,
     /// The retry budget of all gateways.
     pub budget: BudgetTerms,
-    /// How many engines of a pool read prompts, for a desk.
+    /// How many engines of a pool read prompts, for an API.
     pub stages: StageTerms,
     /// How long a gateway that shuts down has.
     pub grace: Duration,
@@ -350,8 +350,8 @@
         let server =
             if roles.contains(&RoleName::Gateway) { RoleName::Gateway } else { RoleName::Entry };
         check.needs(server, &roles, "callers", &args.callers);
-        check.needs(RoleName::Desk, &roles, "desk", &args.desk);
-        let desk = check.address("desk", &args.desk);
+        check.needs(RoleName::Api, &roles, "api", &args.api);
+        let api = check.address("api", &args.api);
         let budget = BudgetTerms {
             ratio: check.decimal("retry-ratio", &args.retry_ratio, DEFAULT_RETRY_RATIO),
             extra: check.decimal("retry-extra", &args.retry_extra, DEFAULT_RETRY_EXTRA),
@@ -364,8 +364,8 @@
         let prefill_spare = check.decimal("prefill-spare", &args.prefill_spare, 0.0);
         let grace = check.seconds("grace", &args.grace, DEFAULT_GRACE);
         check.needs(RoleName::Entry, &roles, "tenants", &args.tenants);
-        if roles.contains(&RoleName::Desk) && !roles.contains(&RoleName::Control) {
-            check.error("roles: desk needs control in the same process");
+        if roles.contains(&RoleName::Api) && !roles.contains(&RoleName::Control) {
+            check.error("roles: api needs control in the same process");
         }
         if roles.contains(&RoleName::Gateway) && roles.contains(&RoleName::Entry) {
             check.error("roles: gateway and entry take the same --callers: start one of them");
@@ -412,7 +412,7 @@
             tenants: args.tenants.as_deref().map(Path::new).map(Into::into),
             bounds,
             placement: placement.parse().unwrap_or_default(),
-            desk,
+            api,
             budget,
             stages: StageTerms { share: prefill_share as u32, spare: prefill_spare as u32 },
             grace,
@@ -431,7 +431,7 @@
             Ok(role) => {
                 roles.insert(role);
             }
-            Err(_) => check.bad("roles", part, "entry, agent, control, gateway, desk, with commas"),
+            Err(_) => check.bad("roles", part, "entry, agent, control, gateway, api, with commas"),
         }
     }
     if roles.len() > 1 && roles.contains(&RoleName::Agent) {
--- a/src/control/answers.rs
+++ b/src/control/answers.rs
@@ -40,9 +40,9 @@
     /// Returns what the leader decides by, if this member leads.
     pub(super) fn leadership(&self, now: Timestamp) -> Option<Leadership> {
         let (term, since) = self.replica.leads_since().filter(|_| !self.failed)?;
-        let departed = |e: &EndpointState| self.state.routing.has_departed(&e.name, e.boot);
+        let deregistered = |e: &EndpointState| self.state.routing.is_deregistered(&e.name, e.boot);
         let all = self.registry.endpoints().into_iter();
-        let endpoints = all.filter(|e| !e.draining && !departed(e)).collect();
+        let endpoints = all.filter(|e| !e.draining && !deregistered(e)).collect();
         let succeeds = !self.replica.leads_first();
         Some(Leadership { term, age: now - since, succeeds, endpoints })
     }
@@ -50,10 +50,10 @@
     fn routing_news(&self, seen: RoutingSeen) -> RoutingNews {
         let state = &self.state.routing;
         let newer = state.document().filter(|d| d.version > seen.version);
-        let departures = state.departures_after(seen.departure);
+        let deregistered = state.deregistered_after(seen.deregistration);
         RoutingNews {
             document: newer.cloned(),
-            departures: departures.map(|(index, d)| (index, d.clone())).collect(),
+            deregistered: deregistered.map(|(index, d)| (index, d.clone())).collect(),
             gateways: self.registry.count_role(RoleName::Gateway.as_str()),
         }
     }
--- a/src/control/commit.rs
+++ b/src/control/commit.rs
@@ -134,8 +134,12 @@
         Command::Publish(document) => {
             log::info!("step=publish version={} result={applied:?}", document.version);
         }
-        Command::Depart(departure) => {
-            log::info!("step=depart endpoint={} boot={}", departure.endpoint, departure.boot);
+        Command::Deregister(deregistration) => {
+            log::info!(
+                "step=deregister endpoint={} boot={}",
+                deregistration.endpoint,
+                deregistration.boot
+            );
         }
         _ => {}
     }
--- a/src/control/routing/mod.rs
+++ b/src/control/routing/mod.rs
@@ -11,8 +11,8 @@
 use super::state::Command;
 use crate::model::BootId;
 
-/// Departures that are kept; those before them have long lapsed everywhere.
-const KEPT_DEPARTURES: usize = 4_096;
+/// Deregistration that are kept; those before them have long lapsed everywhere.
+const KEPT_DEREGISTRATIONS: usize = 4_096;
 
 /// A routing document.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,7 +25,7 @@
 
 /// An endpoint that leaves: it gets no new work any more.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Departure {
+pub struct Deregistration {
     /// The endpoint.
     pub endpoint: Box<str>,
     /// Its start; a later start under the same name is another endpoint.
@@ -36,7 +36,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Routing {
     document: Option<Document>,
-    departures: BTreeMap<LogIndex, Departure>,
+    deregistered: BTreeMap<LogIndex, Deregistration>,
 }
 
 impl Routing {
@@ -60,27 +60,27 @@
         true
     }
 
-    /// Takes a departure at a place of the log.
-    pub fn depart(&mut self, index: LogIndex, departure: &Departure) {
-        self.departures.insert(index, departure.clone());
-        if self.departures.len() > KEPT_DEPARTURES {
-            self.departures.pop_first();
+    /// Takes a deregistration at a place of the log.
+    pub fn deregister(&mut self, index: LogIndex, deregistration: &Deregistration) {
+        self.deregistered.insert(index, deregistration.clone());
+        if self.deregistered.len() > KEPT_DEREGISTRATIONS {
+            self.deregistered.pop_first();
         }
     }
 
-    /// Returns whether this start of an endpoint has departed.
-    pub fn has_departed(&self, endpoint: &str, boot: BootId) -> bool {
-        let same = |d: &Departure| *d.endpoint == *endpoint && d.boot >= boot;
-        self.departures.values().any(same)
+    /// Returns whether this start of an endpoint has deregistered.
+    pub fn is_deregistered(&self, endpoint: &str, boot: BootId) -> bool {
+        let same = |d: &Deregistration| *d.endpoint == *endpoint && d.boot >= boot;
+        self.deregistered.values().any(same)
     }
 
-    /// Returns the departures after a place of the log.
-    pub fn departures_after(
+    /// Returns the deregistered after a place of the log.
+    pub fn deregistered_after(
         &self,
         index: LogIndex,
-    ) -> impl Iterator<Item = (LogIndex, &Departure)> {
+    ) -> impl Iterator<Item = (LogIndex, &Deregistration)> {
         let next = LogIndex(index.0 + 1);
-        self.departures.range(next..).map(|(index, departure)| (*index, departure))
+        self.deregistered.range(next..).map(|(index, deregistration)| (*index, deregistration))
     }
 }
 
@@ -98,8 +98,8 @@
 pub struct RoutingSeen {
     /// The version of its document.
     pub version: u64,
-    /// The place in the log of the last departure that it heard of.
-    pub departure: LogIndex,
+    /// The place in the log of the last deregistration that it heard of.
+    pub deregistration: LogIndex,
 }
 
 /// What a gateway has not heard of routing.
@@ -107,8 +107,8 @@
 pub struct RoutingNews {
     /// The document, if it is newer.
     pub document: Option<Document>,
-    /// The departures since.
-    pub departures: Vec<(LogIndex, Departure)>,
+    /// The deregistered since.
+    pub deregistered: Vec<(LogIndex, Deregistration)>,
     /// How many gateways the member hears of.
     pub gateways: u32,
 }
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -11,7 +11,7 @@
 use super::orders::{OrderCommand, OrderReply, Orders};
 use super::quarantine::{Crash, Fingerprint, Quarantine};
 use super::replica::{LogIndex, Members};
-use super::routing::{Departure, Document, Routing};
+use super::routing::{Deregistration, Document, Routing};
 use crate::model::{Fence, RequestId, Revision, Timestamp};
 
 /// A command in the log.
@@ -66,7 +66,7 @@
     /// Read the routing document in force; [`Applied::Document`] answers.
     ReadDocument,
     /// An endpoint leaves.
-    Depart(Departure),
+    Deregister(Deregistration),
     /// An endpoint crashed; its agent proposes it.
     Crash(Crash),
     /// A content under suspicion has finished, or an operator clears it.
@@ -177,8 +177,8 @@
                 Applied::Published(self.routing.version())
             }
             Command::ReadDocument => Applied::Document(self.routing.document().cloned()),
-            Command::Depart(departure) => {
-                self.routing.depart(index, departure);
+            Command::Deregister(deregistration) => {
+                self.routing.deregister(index, deregistration);
                 Applied::Done
             }
             Command::Crash(crash) => {
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -8,7 +8,7 @@
 use super::place::{place_decode, place_prefill};
 use super::protocol::{Export, SendKind, SideRequest};
 use super::queue::{Queue, Waiting};
-use super::{CallerId, Gateway, LOOK_INTERVAL};
+use super::{CallerId, DRAIN_INTERVAL, Gateway};
 use crate::entry::health::Verdict;
 use crate::model::{EndpointKind, Timestamp};
 use crate::routes::EngineShape;
@@ -77,7 +77,7 @@
     /// Starts waiting calls while there is room.
     pub(super) fn drain_queues(&mut self, now: Timestamp) {
         self.freed = false;
-        self.next_look = now + LOOK_INTERVAL;
+        self.next_drain = now + DRAIN_INTERVAL;
         let services: Vec<Box<str>> =
             self.queues.iter().filter(|(_, q)| !q.is_empty()).map(|(s, _)| s.clone()).collect();
         for service in services {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -43,7 +43,7 @@
 /// The time before the end of its grace at which a gateway has finished its calls.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
 /// The time between two looks at calls that wait: endpoints that were full may have room.
-const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+const DRAIN_INTERVAL: Duration = Duration::from_millis(100);
 /// The time between two rounds of tidying up.
 const TIDY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -79,14 +79,14 @@
     budgets: BTreeMap<Box<str>, Budget>,
     rng: Pcg64Mcg,
     next_tidy: Timestamp,
-    /// When waiting calls are looked at if no room is freed before.
-    next_look: Timestamp,
+    /// When waiting calls are on_timer at if no room is freed before.
+    next_drain: Timestamp,
     next_report: Timestamp,
     /// When each service with engines was last called.
     called: BTreeMap<Box<str>, Timestamp>,
     stopping: Option<Timestamp>,
     closed_idle: bool,
-    /// Whether room was freed since waiting calls were looked at.
+    /// Whether room was freed since waiting calls were on_timer at.
     freed: bool,
     outputs: Outputs,
 }
@@ -112,7 +112,7 @@
             budgets: BTreeMap::new(),
             rng,
             next_tidy: Timestamp::default(),
-            next_look: Timestamp::default(),
+            next_drain: Timestamp::default(),
             next_report: Timestamp::default(),
             called: BTreeMap::new(),
             stopping: None,
@@ -293,7 +293,7 @@
     /// Sets when a call looks at the time next.
     fn schedule(&mut self, now: Timestamp, caller: CallerId) {
         let Some(call) = self.calls.get_mut(&caller) else { return };
-        let at = outcome::next_look(call, now);
+        let at = outcome::next_timer(call, now);
         if call.timer != at {
             self.timers.remove(&(call.timer, caller));
             call.timer = at;
@@ -310,7 +310,7 @@
             if let Some(call) = self.calls.get_mut(&caller) {
                 call.timer = Timestamp::MAX;
             }
-            self.looked(now, caller);
+            self.on_timer(now, caller);
             self.schedule(now, caller);
         }
         self.expire_queues(now);
@@ -432,8 +432,8 @@
             if self.closed_idle { since + self.settings.grace } else { notice }
         });
         let waiting = self.queues.values().any(|q| !q.is_empty());
-        let look = waiting.then_some(self.next_look);
+        let drain = waiting.then_some(self.next_drain);
         let tidy = Some(self.next_tidy.min(self.next_report));
-        [call, queue, look, leave, tidy, self.follower.next_wake()].into_iter().flatten().min()
+        [call, queue, drain, leave, tidy, self.follower.next_wake()].into_iter().flatten().min()
     }
 }
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -58,8 +58,8 @@
     }
 }
 
-/// Returns when a call has to be looked at if nothing happens before.
-pub fn next_look(call: &Call, _now: Timestamp) -> Timestamp {
+/// Returns when a call has to be on_timer at if nothing happens before.
+pub fn next_timer(call: &Call, _now: Timestamp) -> Timestamp {
     let attempt = match &call.stage {
         Stage::Waiting => None,
         Stage::Hold { .. } => Some(call.hold_due),
@@ -92,13 +92,13 @@
 
 impl Gateway {
     /// Looks at a call whose time has come.
-    pub(super) fn looked(&mut self, now: Timestamp, caller: CallerId) {
+    pub(super) fn on_timer(&mut self, now: Timestamp, caller: CallerId) {
         let Some(call) = self.calls.get_mut(&caller) else { return };
         if call.due <= now {
-            self.run_out(now, caller);
+            self.deadline_passed(now, caller);
             return;
         }
-        if next_look(call, now) > now {
+        if next_timer(call, now) > now {
             return;
         }
         if let Stage::Hold { peer, .. } = call.stage {
@@ -114,7 +114,7 @@
     }
 
     /// Ends a call whose time is over.
-    fn run_out(&mut self, now: Timestamp, caller: CallerId) {
+    fn deadline_passed(&mut self, now: Timestamp, caller: CallerId) {
         let Some(call) = self.calls.get_mut(&caller) else { return };
         let started = matches!(&call.stage, Stage::Run { .. });
         call.may_have_run |= started;
--- a/src/h1/driver.rs
+++ b/src/h1/driver.rs
@@ -18,7 +18,7 @@
 use crate::link::{LinkEvent, LinkHandle, Sink};
 use crate::model::Timestamp;
 use crate::report::metrics::Metrics;
-use crate::role::{Input, Own, Role};
+use crate::role::{Input, LocalOutput, Role};
 use crate::routes::CallerLimits;
 
 /// The longest time that the thread sleeps.
@@ -415,9 +415,9 @@
         for output in outputs {
             match output.for_link(owner) {
                 Ok(action) => self.link.act(action),
-                Err(Own::Observe(observation)) => self.metrics.observe(observation),
-                Err(Own::Effect(effect)) => self.carry(now, effect),
-                Err(Own::Stopped) => going = false,
+                Err(LocalOutput::Observe(observation)) => self.metrics.observe(observation),
+                Err(LocalOutput::Effect(effect)) => self.carry(now, effect),
+                Err(LocalOutput::Stopped) => going = false,
             }
         }
         going
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,9 +4,9 @@
 //! time and one input, and returns outputs for a shell of threads and sockets to carry out.
 
 pub mod agent;
+pub mod api;
 pub mod cli;
 pub mod control;
-pub mod desk;
 pub mod entry;
 pub mod gateway;
 pub mod h1;
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -208,7 +208,7 @@
         changed.then(|| {
             let size = self.config.default_value(Setting::Subset) as usize;
             let all = view::merge(self.trusted_views()).into_values();
-            let all = all.filter(|e| !self.routing.has_departed(e));
+            let all = all.filter(|e| !self.routing.is_deregistered(e));
             subset::pick(&self.settings.name, &self.settings.domain, size, all)
         })
     }
--- a/src/registry/routing_view.rs
+++ b/src/registry/routing_view.rs
@@ -13,13 +13,13 @@
 /// nothing takes a small part of what all share.
 const UNKNOWN_COUNT: u32 = 1_000;
 
-/// The routing document, departed endpoints and the count of gateways.
+/// The routing document, deregistered endpoints and the count of gateways.
 #[derive(Debug, Default)]
 pub struct RoutingView {
     seen: RoutingSeen,
     document: Option<Document>,
-    /// The last departed start of each endpoint.
-    departed: BTreeMap<Box<str>, BootId>,
+    /// The last deregistered start of each endpoint.
+    deregistered: BTreeMap<Box<str>, BootId>,
     /// Counts of gateways that members told, by their times.
     counts: BTreeMap<Timestamp, u32>,
 }
@@ -30,7 +30,7 @@
         self.seen
     }
 
-    /// Takes what a member tells; returns whether any endpoint has departed.
+    /// Takes what a member tells; returns whether any endpoint has deregistered.
     pub fn take(&mut self, now: Timestamp, news: &RoutingNews) -> bool {
         if let Some(document) = &news.document
             && document.version > self.seen.version
@@ -39,12 +39,12 @@
             self.document = Some(document.clone());
         }
         self.count(now, news.gateways);
-        for (index, departure) in &news.departures {
-            self.seen.departure = LogIndex(self.seen.departure.0.max(index.0));
-            let boot = self.departed.entry(departure.endpoint.clone()).or_default();
-            *boot = (*boot).max(departure.boot);
+        for (index, deregistration) in &news.deregistered {
+            self.seen.deregistration = LogIndex(self.seen.deregistration.0.max(index.0));
+            let boot = self.deregistered.entry(deregistration.endpoint.clone()).or_default();
+            *boot = (*boot).max(deregistration.boot);
         }
-        !news.departures.is_empty()
+        !news.deregistered.is_empty()
     }
 
     /// Returns the document if it is newer than at the last call.
@@ -52,9 +52,9 @@
         self.document.take()
     }
 
-    /// Returns whether this start of an endpoint has departed.
-    pub fn has_departed(&self, endpoint: &EndpointState) -> bool {
-        self.departed.get(&endpoint.name).is_some_and(|boot| endpoint.boot <= *boot)
+    /// Returns whether this start of an endpoint has deregistered.
+    pub fn is_deregistered(&self, endpoint: &EndpointState) -> bool {
+        self.deregistered.get(&endpoint.name).is_some_and(|boot| endpoint.boot <= *boot)
     }
 
     /// Returns the largest count of gateways of the last while.
--- a/src/role/driver.rs
+++ b/src/role/driver.rs
@@ -9,7 +9,7 @@
 use eyre::WrapErr;
 use prometheus::Histogram;
 
-use super::{Input, Output, Own, Role};
+use super::{Input, LocalOutput, Output, Role};
 use crate::link::{LinkEvent, LinkHandle, Sink};
 use crate::model::Timestamp;
 use crate::report::metrics::Metrics;
@@ -152,9 +152,9 @@
             meter.after(&output);
             match output.for_link(owner) {
                 Ok(action) => link.act(action),
-                Err(Own::Observe(observation)) => meter.metrics.observe(observation),
-                Err(Own::Effect(effect)) => adapter.carry(effect),
-                Err(Own::Stopped) => return,
+                Err(LocalOutput::Observe(observation)) => meter.metrics.observe(observation),
+                Err(LocalOutput::Effect(effect)) => adapter.carry(effect),
+                Err(LocalOutput::Stopped) => return,
             }
         }
     }
--- a/src/role/mod.rs
+++ b/src/role/mod.rs
@@ -75,7 +75,7 @@
 
 /// What of an output is not for the link.
 #[derive(Debug)]
-pub enum Own<E> {
+pub enum LocalOutput<E> {
     /// Count something.
     Observe(Observation),
     /// Do something in the role's own surroundings.
@@ -86,7 +86,7 @@
 
 impl<E> Output<E> {
     /// Returns what the link is to do for the role of a number, or what is not for the link.
-    pub fn for_link(self, owner: u64) -> Result<LinkAction, Own<E>> {
+    pub fn for_link(self, owner: u64) -> Result<LinkAction, LocalOutput<E>> {
         match self {
             Output::Open { exchange, peer, envelope } => {
                 Ok(LinkAction::Open { owner, exchange, peer, envelope })
@@ -99,9 +99,9 @@
             Output::Reply { inbound, envelope, last } => {
                 Ok(LinkAction::Reply { inbound, envelope, last })
             }
-            Output::Observe(observation) => Err(Own::Observe(observation)),
-            Output::Effect(effect) => Err(Own::Effect(effect)),
-            Output::Stopped => Err(Own::Stopped),
+            Output::Observe(observation) => Err(LocalOutput::Observe(observation)),
+            Output::Effect(effect) => Err(LocalOutput::Effect(effect)),
+            Output::Stopped => Err(LocalOutput::Stopped),
         }
     }
 }
--- a/tests/desk.rs
+++ b/tests/api.rs
@@ -1,16 +1,16 @@
-//! The desk: acknowledges only what is committed, by whatever way it reaches the leader.
+//! The api: acknowledges only what is committed, by whatever way it reaches the leader.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use dotterelpin::api::protocol::{ApiCall, ApiProtocol, ApiReply};
+use dotterelpin::api::stages::{StageOrder, StageTerms};
+use dotterelpin::api::{Api, ApiSettings};
 use dotterelpin::control::config::Revised;
 use dotterelpin::control::routing::Document;
 use dotterelpin::control::state::{Applied, Command};
-use dotterelpin::desk::protocol::{DeskCall, DeskProtocol, DeskReply};
-use dotterelpin::desk::stages::{StageOrder, StageTerms};
-use dotterelpin::desk::{Desk, DeskSettings};
 use dotterelpin::h1::{
     AnswerHead, CallerId, Fields, HttpEffect, HttpInput, PeerId, Purpose, Request, RequestHead,
 };
@@ -24,18 +24,18 @@
 /// Reads calls from their targets and writes replies as debug text.
 struct Plain;
 
-impl DeskProtocol for Plain {
-    fn read(&self, request: &Request) -> Result<DeskCall, DeskReply> {
+impl ApiProtocol for Plain {
+    fn read(&self, request: &Request) -> Result<ApiCall, ApiReply> {
         let words: Vec<&str> = request.head.target.split('/').skip(1).collect();
         match words.as_slice() {
             ["publish", version] => {
                 let version = version.parse().unwrap();
-                Ok(DeskCall::Publish(Document { version, text: b"text"[..].into() }))
+                Ok(ApiCall::Publish(Document { version, text: b"text"[..].into() }))
             }
-            ["read"] => Ok(DeskCall::Read),
-            ["beat", state] => Ok(DeskCall::Announce(Box::new(endpoint(*state == "draining")))),
-            ["leave"] => Ok(DeskCall::Leave { endpoint: "e1".into(), boot: Some(BootId(5)) }),
-            _ => Err(DeskReply::Unknown),
+            ["read"] => Ok(ApiCall::Read),
+            ["beat", state] => Ok(ApiCall::Announce(Box::new(endpoint(*state == "draining")))),
+            ["leave"] => Ok(ApiCall::Leave { endpoint: "e1".into(), boot: Some(BootId(5)) }),
+            _ => Err(ApiReply::Unknown),
         }
     }
 
@@ -43,7 +43,7 @@
         format!("{} {holder} {fence}", order.endpoint).into_bytes()
     }
 
-    fn write(&self, reply: &DeskReply, _keep: bool) -> Vec<u8> {
+    fn write(&self, reply: &ApiReply, _keep: bool) -> Vec<u8> {
         format!("{reply:?}").into_bytes()
     }
 }
@@ -71,7 +71,7 @@
 
 struct Fixture {
     now: Timestamp,
-    desk: Desk,
+    api: Api,
     open: Vec<(ExchangeId, SocketAddr, ControlRequest)>,
     replies: Vec<(u64, String)>,
     orders: Vec<(PeerId, String)>,
@@ -79,7 +79,7 @@
 
 impl Fixture {
     fn new() -> Fixture {
-        let settings = DeskSettings {
+        let settings = ApiSettings {
             own: member(0),
             members: (0..3).map(member).collect(),
             name: "control-0".into(),
@@ -87,7 +87,7 @@
         };
         Fixture {
             now: Timestamp::from_micros(1_000_000_000),
-            desk: Desk::new(settings, Box::new(Plain)),
+            api: Api::new(settings, Box::new(Plain)),
             open: Vec::new(),
             replies: Vec::new(),
             orders: Vec::new(),
@@ -95,7 +95,7 @@
     }
 
     fn step(&mut self, input: Input<HttpInput>) {
-        for output in self.desk.step(self.now, input) {
+        for output in self.api.step(self.now, input) {
             match output {
                 Output::Open { exchange, peer, envelope } => {
                     let LinkRequest::Control(request) = envelope.body else { panic!() };
@@ -127,7 +127,7 @@
 
     fn pass(&mut self, millis: u64) {
         let until = self.now + Duration::from_millis(millis);
-        while let Some(at) = self.desk.next_wake().filter(|at| *at <= until) {
+        while let Some(at) = self.api.next_wake().filter(|at| *at <= until) {
             self.now = self.now.max(at);
             self.step(Input::Wake);
             self.now = self.now + Duration::from_millis(1);
@@ -226,7 +226,9 @@
     let mut f = Fixture::new();
     f.call(1, "/beat/draining");
     let (exchange, _, request) = f.take();
-    assert!(matches!(request, ControlRequest::Propose(Command::Depart(d)) if d.boot == BootId(5)));
+    assert!(
+        matches!(request, ControlRequest::Propose(Command::Deregister(d)) if d.boot == BootId(5))
+    );
     f.reply(exchange, ControlReply::Applied(Applied::Done));
     assert!(f.replies.is_empty());
     while f.replies.is_empty() {
@@ -240,7 +242,7 @@
     assert!(matches!(f.take().2, ControlRequest::Announce(_)));
     f.open.clear();
     f.call(3, "/leave");
-    assert!(matches!(f.take().2, ControlRequest::Propose(Command::Depart(_))));
+    assert!(matches!(f.take().2, ControlRequest::Propose(Command::Deregister(_))));
 }
 
 #[test]
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -380,7 +380,7 @@
     f.draft(1, "/draft/a", "3000,100");
     let hold = f.take();
     for name in ["d1", "d2", "f1", "f2"] {
-        f.depart(name);
+        f.deregister(name);
     }
     f.pass(200);
     f.answer(&hold, 200, &[], "hold h1");
@@ -406,7 +406,7 @@
 #[test]
 fn endpoint_that_leaves_gets_no_new_calls() {
     let mut f = Fixture::ready();
-    f.depart("p1");
+    f.deregister("p1");
     f.pass(600);
     let gone = endpoint("p1", EndpointKind::Service, PLAIN).address;
     for caller in 0..10 {
--- a/tests/gateway_fixture/mod.rs
+++ b/tests/gateway_fixture/mod.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use dotterelpin::control::replica::LogIndex;
-use dotterelpin::control::routing::{Departure, Document, RoutingNews};
+use dotterelpin::control::routing::{Deregistration, Document, RoutingNews};
 use dotterelpin::gateway::budget::BudgetTerms;
 use dotterelpin::gateway::header_protocol::{EngineFormat, FieldNames, HeaderProtocol};
 use dotterelpin::gateway::protocol::{EngineReport, Export, SideRequest, TableFormat};
@@ -193,7 +193,7 @@
     dialled: BTreeMap<PeerId, SocketAddr>,
     endpoints: Vec<EndpointState>,
     documents: Vec<Document>,
-    departures: Vec<(LogIndex, Departure)>,
+    deregistered: Vec<(LogIndex, Deregistration)>,
     heartbeats: Vec<(ExchangeId, u64, LogIndex)>,
     gateways: u32,
 }
@@ -231,7 +231,7 @@
             dialled: BTreeMap::new(),
             endpoints: Vec::new(),
             documents: Vec::new(),
-            departures: Vec::new(),
+            deregistered: Vec::new(),
             heartbeats: Vec::new(),
             gateways: 2,
         }
@@ -269,10 +269,10 @@
     }
 
     /// Lets control commit that an endpoint leaves.
-    pub fn depart(&mut self, name: &str) {
+    pub fn deregister(&mut self, name: &str) {
         let boot = self.endpoints.iter().find(|e| &*e.name == name).unwrap().boot;
-        let index = LogIndex(self.departures.len() as u64 + 1);
-        self.departures.push((index, Departure { endpoint: name.into(), boot }));
+        let index = LogIndex(self.deregistered.len() as u64 + 1);
+        self.deregistered.push((index, Deregistration { endpoint: name.into(), boot }));
     }
 
     /// Lets time pass, with heartbeats answered.
@@ -290,10 +290,11 @@
     }
 
     fn answer_heartbeats(&mut self) {
-        for (exchange, version, departure) in std::mem::take(&mut self.heartbeats) {
+        for (exchange, version, deregistration) in std::mem::take(&mut self.heartbeats) {
             let newest = self.documents.iter().max_by_key(|d| d.version);
             let document = newest.filter(|d| d.version > version).cloned();
-            let departures = self.departures.iter().filter(|(i, _)| *i > departure).cloned();
+            let deregistered =
+                self.deregistered.iter().filter(|(i, _)| *i > deregistration).cloned();
             let beat = Beat {
                 member: "control-1".into(),
                 proof: Some(Proof {
@@ -310,7 +311,7 @@
                 suspects: None,
                 routing: Some(Box::new(RoutingNews {
                     document,
-                    departures: departures.collect(),
+                    deregistered: deregistered.collect(),
                     gateways: self.gateways,
                 })),
             };
@@ -335,7 +336,7 @@
     fn opened(&mut self, exchange: ExchangeId, request: LinkRequest) {
         if let LinkRequest::Control(ControlRequest::Heartbeat(heartbeat)) = request {
             let seen = heartbeat.routing.unwrap();
-            self.heartbeats.push((exchange, seen.version, seen.departure));
+            self.heartbeats.push((exchange, seen.version, seen.deregistration));
         }
     }
 
--- a/tests/stages.rs
+++ b/tests/stages.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dotterelpin::desk::stages::{FIRST_SPAN, STEADY_SPAN, StageOrder, StageTerms, Stages};
+use dotterelpin::api::stages::{FIRST_SPAN, STEADY_SPAN, StageOrder, StageTerms, Stages};
 use dotterelpin::model::{BootId, Capacity, EndpointKind, EndpointState, Fence, Load, Timestamp};
 
 const TERMS: StageTerms = StageTerms { share: 15, spare: 2 };
