--- a/src/report/lines.rs
+++ b/src/report/lines.rs
@@ -23,6 +23,11 @@
 /// How long lines are gathered before they are written together.
 const GATHER_TIME: Duration = Duration::from_millis(20);
 
+/// How often the end of the log is tried where the queue is full.
+const SHUTDOWN_TRIES: u32 = 100;
+/// The pause between two of these tries.
+const SHUTDOWN_PAUSE: Duration = Duration::from_millis(5);
+
 /// What goes to the thread that writes.
 enum Message {
     Line(Vec<u8>),
@@ -109,6 +114,19 @@
         }
     }
 
+    /// Tells how many lines found no room; returns whether nothing is left to tell.
+    fn tell_dropped(&self) -> bool {
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        let mut now = DeferredNow::new();
+        let told =
+            dropped == 0 || self.note(&mut now, "all", dropped, "standard output was not read");
+        if !told {
+            // It is told with the next line that finds room.
+            self.dropped.fetch_add(dropped, Ordering::Relaxed);
+        }
+        told
+    }
+
     /// Queues a line on what was left out; returns whether there was room.
     fn note(&self, now: &mut DeferredNow, module: &str, lost: u64, why: &str) -> bool {
         let time = now.format_rfc3339();
@@ -132,11 +150,7 @@
         if !admitted {
             return Ok(());
         }
-        let dropped = self.dropped.swap(0, Ordering::Relaxed);
-        if dropped > 0 && !self.note(now, "all", dropped, "standard output was not read") {
-            // It is told with the next line that finds room.
-            self.dropped.fetch_add(dropped, Ordering::Relaxed);
-        }
+        self.tell_dropped();
         let mut line = Vec::with_capacity(256);
         (self.format)(&mut line, now, record)?;
         line.push(b'\n');
@@ -152,8 +166,15 @@
 
     fn shutdown(&self) {
         let thread = self.thread.lock().unwrap_or_else(PoisonError::into_inner).take();
-        // A queue that is full has no room for the end; the lines in it are given up then.
-        if self.queue.try_send(Message::Stop).is_ok()
+        // An output that is not read does not hold up the end of the process.
+        let ended = (0..SHUTDOWN_TRIES).any(|_| {
+            let done = self.tell_dropped() && self.queue.try_send(Message::Stop).is_ok();
+            if !done {
+                std::thread::sleep(SHUTDOWN_PAUSE);
+            }
+            done
+        });
+        if ended
             && let Some(thread) = thread
             && thread.join().is_err()
         {
