--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -376,3 +376,26 @@
     single.appended(7, 5);
     assert_eq!(voters(&single), [1, 3, 7]);
 }
+
+/// Four voters of which one is gone bear no more losses than the three others alone do.
+#[test]
+fn silent_voter_of_an_even_group_gives_up_its_vote() {
+    let mut single = Single::leader();
+    single.appended(3, 3);
+    let body = ReplicaBody::Hello { joinable: true };
+    let message = ReplicaMessage { cluster: None, ..Single::message(7, address(7), 0, body) };
+    single.step(ReplicaInput::Request { via: InboundId(1), message });
+    single.sync();
+    single.appended(3, 4);
+    single.now = single.now + Duration::from_millis(50);
+    single.appended(7, 4);
+    single.sync();
+    for _ in 0..70 {
+        single.now = single.now + Duration::from_millis(100);
+        single.appended(3, 5);
+        single.appended(7, 5);
+        single.step(ReplicaInput::Wake);
+    }
+    let voters: Vec<u64> = single.replica.members().voters().map(|(id, _)| id.0).collect();
+    assert_eq!(voters, [1, 3, 7]);
+}
