--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -96,10 +96,8 @@
 
     /// Ends a call that gets no whole answer.
     pub(super) fn conclude(&mut self, now: Timestamp, caller: CallerId, info: RefusalInfo) {
+        self.give_up_hold(now, caller);
         let Some(mut call) = self.remove(caller) else { return };
-        if let Some((endpoint, hold)) = call.hold.take() {
-            self.drop_hold(now, endpoint, hold);
-        }
         if call.passed.head {
             self.effect(HttpEffect::Abort { caller });
             self.log_end(now, &call, "broken-off", 0);
@@ -130,7 +128,7 @@
         }
     }
 
-    fn remove(&mut self, caller: CallerId) -> Option<Call> {
+    pub(super) fn remove(&mut self, caller: CallerId) -> Option<Call> {
         let call = self.calls.remove(&caller)?;
         self.timers.remove(&(call.timer, caller));
         Some(call)
@@ -174,7 +172,7 @@
     }
 
     /// Takes the head of an answer.
-    pub(super) fn answered(&mut self, now: Timestamp, peer: PeerId, head: AnswerHead) {
+    pub(super) fn answered(&mut self, peer: PeerId, head: AnswerHead) {
         let Some(conn) = self.fleet.conn(peer) else { return };
         if let Some(life) = idle_life(&head) {
             conn.idle_life = life;
@@ -205,7 +203,7 @@
         if let Some(attempt) = call.attempt() {
             attempt.head = Some((head, info));
         }
-        self.schedule(now, caller);
+        self.schedule(caller);
     }
 
     /// Takes a part of an answer's content.
@@ -231,7 +229,7 @@
         if attempt.content.len() + bytes.len() > MAX_CONTENT_BYTES {
             self.hang_up(peer);
             self.attempt_failed(now, caller, Failure::Broken);
-            self.schedule(now, caller);
+            self.schedule(caller);
             return;
         }
         attempt.content.extend_from_slice(&bytes);
@@ -246,7 +244,7 @@
                 self.attempt_failed(now, caller, Failure::Broken);
             }
         }
-        self.schedule(now, caller);
+        self.schedule(caller);
     }
 
     /// Passes whole events on, each once and in order.
@@ -292,7 +290,6 @@
         let closes = self.closes(job);
         if closes || !reusable || !self.fleet.park(now, peer, None) {
             self.hang_up(peer);
-            self.effect(HttpEffect::HangUp { peer });
         }
         match job {
             Job::Idle => {}
@@ -300,11 +297,11 @@
             Job::Hold(caller) => {
                 let hold = (status == 200).then(|| self.protocol.read_hold(&content)).flatten();
                 self.hold_answered(now, caller, hold);
-                self.schedule(now, caller);
+                self.schedule(caller);
             }
             Job::Call(caller) => {
                 self.call_answered(now, caller);
-                self.schedule(now, caller);
+                self.schedule(caller);
             }
         }
     }
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -74,11 +74,6 @@
         true
     }
 
-    /// Counts a retry that is sent in any case, such as one that an endpoint refused.
-    pub fn force(&mut self, now: Timestamp, terms: &BudgetTerms) {
-        self.span(now, terms).retries += 1;
-    }
-
     /// Returns the span of the present time and forgets those outside the window.
     fn span(&mut self, now: Timestamp, terms: &BudgetTerms) -> &mut Span {
         let length = terms.window / SPANS;
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -89,7 +89,7 @@
                     queue.remove(caller);
                     queue.started(now);
                 }
-                self.schedule(now, caller);
+                self.schedule(caller);
             }
         }
     }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -447,10 +447,7 @@
     pub fn park(&mut self, now: Timestamp, peer: PeerId, life: Option<Duration>) -> bool {
         let Some(conn) = self.conns.get_mut(&peer) else { return false };
         let endpoint = self.endpoints.get_mut(conn.endpoint).filter(|e| e.takes_work);
-        let Some(endpoint) = endpoint else {
-            self.conns.remove(&peer);
-            return false;
-        };
+        let Some(endpoint) = endpoint else { return false };
         conn.job = Job::Idle;
         conn.since = now;
         conn.content = Vec::new();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -148,8 +148,8 @@
                 self.page(caller, &request);
             }
             HttpInput::CallerGone { caller } => self.caller_gone(now, caller),
-            HttpInput::Connected { peer } => self.connected(now, peer),
-            HttpInput::Answer { peer, head } => self.answered(now, peer, head),
+            HttpInput::Connected { peer } => self.connected(peer),
+            HttpInput::Answer { peer, head } => self.answered(peer, head),
             HttpInput::Data { peer, bytes } => self.data(now, peer, bytes),
             HttpInput::End { peer, reusable } => self.ended(now, peer, reusable),
             HttpInput::Lost { peer, sent, error } => self.lost(now, peer, sent, &error),
@@ -170,14 +170,14 @@
         self.effect(HttpEffect::Finish { caller, keep });
     }
 
-    fn connected(&mut self, now: Timestamp, peer: PeerId) {
+    fn connected(&mut self, peer: PeerId) {
         let Some(conn) = self.fleet.conn(peer) else { return };
         conn.connected = true;
         let Job::Call(caller) = conn.job else { return };
         if let Some(attempt) = self.calls.get_mut(&caller).and_then(Call::attempt) {
             attempt.connected = true;
         }
-        self.schedule(now, caller);
+        self.schedule(caller);
     }
 
     /// Takes a new call.
@@ -233,16 +233,14 @@
         };
         let terms = self.settings.budget;
         self.budgets.entry(service.clone()).or_default().called(now, &terms);
-        let is_engine =
-            call.info.work.is_some() && table.service(&service).is_some_and(|s| s.engine.is_some());
         self.calls.insert(caller, call);
-        if is_engine {
+        if self.is_engine_call(caller) {
             self.called.insert(service, now);
             self.offer(now, caller);
         } else {
             self.start_plain(now, caller);
         }
-        self.schedule(now, caller);
+        self.schedule(caller);
     }
 
     /// Returns whether a new call would end before a gateway that leaves is over.
@@ -291,9 +289,9 @@
     }
 
     /// Sets when a call looks at the time next.
-    fn schedule(&mut self, now: Timestamp, caller: CallerId) {
+    fn schedule(&mut self, caller: CallerId) {
         let Some(call) = self.calls.get_mut(&caller) else { return };
-        let at = outcome::next_timer(call, now);
+        let at = outcome::next_timer(call);
         if call.timer != at {
             self.timers.remove(&(call.timer, caller));
             call.timer = at;
@@ -311,7 +309,7 @@
                 call.timer = Timestamp::MAX;
             }
             self.on_timer(now, caller);
-            self.schedule(now, caller);
+            self.schedule(caller);
         }
         self.expire_queues(now);
         self.drain_queues(now);
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -59,7 +59,7 @@
 }
 
 /// Returns when a call has to be on_timer at if nothing happens before.
-pub fn next_timer(call: &Call, _now: Timestamp) -> Timestamp {
+pub fn next_timer(call: &Call) -> Timestamp {
     let attempt = match &call.stage {
         Stage::Waiting => None,
         Stage::Hold { .. } => Some(call.hold_due),
@@ -98,7 +98,7 @@
             self.deadline_passed(now, caller);
             return;
         }
-        if next_timer(call, now) > now {
+        if next_timer(call) > now {
             return;
         }
         if let Stage::Hold { peer, .. } = call.stage {
@@ -135,7 +135,6 @@
     pub(super) fn stop_work(&mut self, now: Timestamp, caller: CallerId) {
         let Some(call) = self.calls.get_mut(&caller) else { return };
         let service = call.service.clone();
-        let hold = call.hold.take();
         match std::mem::replace(&mut call.stage, Stage::Waiting) {
             Stage::Waiting => {
                 if let Some(queue) = self.queues.get_mut(&service) {
@@ -159,9 +158,7 @@
                 }
             }
         }
-        if let Some((endpoint, hold)) = hold {
-            self.drop_hold(now, endpoint, hold);
-        }
+        self.give_up_hold(now, caller);
     }
 
     pub(super) fn release_attempt(&mut self, now: Timestamp, attempt: &Attempt) {
@@ -182,8 +179,7 @@
 
     pub(super) fn caller_gone(&mut self, now: Timestamp, caller: CallerId) {
         self.stop_work(now, caller);
-        let Some(call) = self.calls.remove(&caller) else { return };
-        self.timers.remove(&(call.timer, caller));
+        let Some(call) = self.remove(caller) else { return };
         log::info!(
             "step=end id={} route={} outcome=caller-gone ms={} events={}",
             call.info.id,
@@ -201,19 +197,19 @@
             Job::Report | Job::Free => self.job_failed(now, conn.endpoint, conn.connected),
             Job::Hold(caller) => {
                 self.hold_lost(now, caller, conn.connected);
-                self.schedule(now, caller);
+                self.schedule(caller);
             }
             Job::Call(caller) => {
                 log::debug!("step=lost peer={} sent={sent} error=\"{error}\"", peer.0);
                 let failure = if sent { Failure::Broken } else { Failure::NotStarted };
                 self.attempt_failed(now, caller, failure);
-                self.schedule(now, caller);
+                self.schedule(caller);
             }
         }
     }
 
     /// Gives up the room that an endpoint keeps for a call.
-    fn give_up_hold(&mut self, now: Timestamp, caller: CallerId) {
+    pub(super) fn give_up_hold(&mut self, now: Timestamp, caller: CallerId) {
         let hold = self.calls.get_mut(&caller).and_then(|c| c.hold.take());
         if let Some((endpoint, hold)) = hold {
             self.drop_hold(now, endpoint, hold);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -2,8 +2,7 @@
 
 mod gateway_fixture;
 
-use dotterelpin::h1::CallerId;
-use dotterelpin::h1::HttpInput;
+use dotterelpin::h1::{CallerId, HttpInput};
 use dotterelpin::model::EndpointKind;
 use dotterelpin::role::Input;
 use gateway_fixture::{Fixture, PLAIN, endpoint, table};
