Let an even control group go on without a silent voter

An earlier try that only dropped the voter failed the fuzz of five members: the dropped member came back with its own old list, stood for election for ever, and nobody told it. Now a member whose committed list is without the asker answers its pre-vote with the epoch of that list, and the asker says hello like a new member, under its number: its disk, and so its vote, is intact. A voter counts as silent after 3 s in place of 6: the second loss may come 4 s after the first successor has started.

--- a/src/control/replica/members.rs
+++ b/src/control/replica/members.rs
@@ -16,8 +16,11 @@
 /// How long a joining member may be silent before another takes its place.
 const LEARNER_TIMEOUT: Duration = Duration::from_millis(5_000);
 
-/// How long a voter must be silent before a new machine takes its place.
-const REPLACED_TIMEOUT: Duration = Duration::from_millis(6_000);
+/// How long a voter must be silent before a new machine takes its place, or before a group that
+/// bears no more losses with it than without it goes on without it.
+const REPLACED_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// The least number of voters of a group that goes on without a silent one.
+const FEWEST_WITH_SPARE: usize = 4;
 /// The most members of a group, with those that have no vote yet.
 const MOST_MEMBERS: usize = 7;
 
@@ -102,7 +105,24 @@
 impl Replica {
     /// Returns whether this replica has no vote and should ask for one.
     pub(super) fn wants_to_join(&self) -> bool {
-        !self.members.is_voter(self.id)
+        let removed = self.removed.is_some_and(|epoch| epoch >= self.members.epoch);
+        removed || !self.members.is_voter(self.id)
+    }
+
+    /// Returns whether a committed list of members is without a member that asks for votes.
+    pub(super) fn has_removed(&self, id: MemberId) -> bool {
+        self.settled_members().is_some_and(|m| m.epoch > 0 && !m.all.contains_key(&id))
+    }
+
+    /// Takes note that the group went on without this member, which then asks to join again.
+    pub(super) fn learn_removal(&mut self, now: Timestamp, peer: SocketAddr, epoch: u64) {
+        let known = self.members.epoch.max(self.removed.map_or(0, |e| e + 1));
+        if epoch < known {
+            return;
+        }
+        ::log::warn!("step=removed peer={peer} epoch={epoch} own_epoch={}", self.members.epoch);
+        self.removed = Some(epoch);
+        self.follow(now, None);
     }
 
     /// Tells all others that this replica has no vote.
@@ -178,7 +198,8 @@
     /// Makes the next change of the members, if one is due and none is under way.
     pub(super) fn change_members(&mut self, now: Timestamp) {
         self.joining.asked.retain(|_, (_, at)| now - *at < JOIN_LEASE);
-        if self.joining.asked.is_empty() && self.members.all.values().all(|m| m.voter) {
+        let all_vote = self.members.all.values().all(|m| m.voter);
+        if self.joining.asked.is_empty() && all_vote && self.spare_voter(now).is_none() {
             return;
         }
         let settled = self.log.members_index() <= self.commit;
@@ -196,10 +217,22 @@
     /// Returns the voter whose place a new machine takes: one that has been silent for long. A
     /// member at an address that the settings name is none: it returns to its own place.
     fn replaced_by(&self, now: Timestamp, address: SocketAddr) -> Option<MemberId> {
-        let Role::Leader { progress, since } = &self.role else { return None };
         if self.settings.members.contains(&address) {
             return None;
         }
+        self.silent_voter(now)
+    }
+
+    /// Returns a silent voter of an even group: the others alone bear as many further losses.
+    fn spare_voter(&self, now: Timestamp) -> Option<MemberId> {
+        let count = self.members.voters().count();
+        let even = count >= FEWEST_WITH_SPARE && count.is_multiple_of(2);
+        if even { self.silent_voter(now) } else { None }
+    }
+
+    /// Returns a voter that has been silent for long.
+    fn silent_voter(&self, now: Timestamp) -> Option<MemberId> {
+        let Role::Leader { progress, since } = &self.role else { return None };
         let silent = |id: &MemberId| {
             let acked = progress.get(id).map_or(*since, |p| p.acked().max(*since));
             *id != self.id && now - acked > REPLACED_TIMEOUT
@@ -224,6 +257,9 @@
                 return Some(self.members.without(*id));
             }
         }
+        if let Some(spare) = self.spare_voter(now) {
+            return Some(self.members.without(spare));
+        }
         let learner = |address: &SocketAddr| self.members.at(*address, false).is_some();
         let allowed = |address: &SocketAddr| {
             self.settings.members.contains(address)
--- a/src/control/replica/message.rs
+++ b/src/control/replica/message.rs
@@ -106,4 +106,9 @@
     },
     /// Answer: the sender's term is an old one.
     Outdated,
+    /// Answer to a pre-vote: the sender belongs to the group no more.
+    Removed {
+        /// The epoch of a committed list of members without it.
+        epoch: u64,
+    },
 }
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -93,6 +93,8 @@
     stalled: bool,
     deadline: Option<Timestamp>,
     joining: Joining,
+    /// The epoch of a committed list of members that this replica was told is without it.
+    removed: Option<u64>,
     /// When each address was last heard of, and last dialled anew.
     links: BTreeMap<SocketAddr, LinkTimes>,
     arriving: Arriving,
@@ -128,6 +130,7 @@
             stalled: false,
             deadline: None,
             joining: Joining::default(),
+            removed: None,
             links: BTreeMap::new(),
             arriving: Arriving::default(),
             sending: None,
@@ -353,6 +356,10 @@
         }
         let from = message.from;
         match message.body {
+            ReplicaBody::PreVote { .. } if self.has_removed(from) => {
+                let epoch = self.members.epoch;
+                self.answer(via, from, ReplicaBody::Removed { epoch });
+            }
             ReplicaBody::PreVote { next, last } => {
                 let granted = self.would_vote(now, next, last);
                 self.answer(via, from, ReplicaBody::PreVoted { next, granted });
@@ -379,6 +386,10 @@
         if message.to != self.id || !self.same_cluster(&message) {
             return;
         }
+        if let ReplicaBody::Removed { epoch } = message.body {
+            self.learn_removal(now, peer, epoch);
+            return;
+        }
         if message.term > self.term {
             self.adopt(now, message.term);
             return;
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -399,3 +399,41 @@
     let voters: Vec<u64> = single.replica.members().voters().map(|(id, _)| id.0).collect();
     assert_eq!(voters, [1, 3, 7]);
 }
+
+/// A member that was away while the group went on without it asks to join again.
+#[test]
+fn member_that_was_removed_learns_it_and_says_hello() {
+    let last = Position { term: 2, index: LogIndex(2) };
+    let told = |s: &Single| {
+        s.actions.iter().any(|a| {
+            matches!(a, Action::Reply { message, .. }
+                if message.body == ReplicaBody::Removed { epoch: 3 })
+        })
+    };
+    let mut leader = Single::leader();
+    leader.ask(5, 2, ReplicaBody::PreVote { next: 3, last });
+    assert!(!told(&leader), "the list of members is not committed yet");
+    leader.appended(3, 3);
+    leader.ask(2, 2, ReplicaBody::PreVote { next: 3, last });
+    assert!(!told(&leader), "number 2 is a member");
+    leader.ask(5, 2, ReplicaBody::PreVote { next: 3, last });
+    assert!(told(&leader));
+
+    let says_hello = |s: &mut Single| {
+        s.now = s.now + Duration::from_secs(1);
+        s.step(ReplicaInput::Wake);
+        let hello = |m: &ReplicaMessage| matches!(m.body, ReplicaBody::Hello { .. });
+        s.actions.iter().any(|a| matches!(a, Action::Request { message, .. } if hello(message)))
+    };
+    let mut removed = Single::new();
+    removed.answer(2, 2, ReplicaBody::Removed { epoch: 2 });
+    assert!(!says_hello(&mut removed), "its own list is newer");
+    removed.answer(2, 2, ReplicaBody::Removed { epoch: 4 });
+    assert!(says_hello(&mut removed));
+    // It is a member again once a leader's list with it has come.
+    let again = Members { epoch: 5, ..members(1..=3) };
+    let records = vec![record(3, 6, Command::Members(again))];
+    let (commit, sent) = (LogIndex(2), removed.now);
+    removed.ask(2, 6, ReplicaBody::Append { previous: last, records, commit, sent });
+    assert!(!says_hello(&mut removed));
+}
