Let calls that are late already leave room for those in time

Cause: in bursts of the grown sites decode memory is full for 25 s.

A call whose caller has been waiting for more than its target and a fifth of the longest patience seen on its route counts as late. It waits behind calls in time, up to 2.5 s, and takes a decode endpoint only where 15 % stay free by the estimate. Ruled out: that prefill binds (0.9 of 10 engines' slots run, decode at 87 %).

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -6,6 +6,7 @@
 use super::events::EventCutter;
 use super::fleet::{EndpointKey, Usage};
 use super::protocol::{AnswerInfo, CallInfo, Export};
+use super::queue::Rank;
 use crate::h1::{AnswerHead, PeerId, Request};
 use crate::model::Timestamp;
 use crate::routes::{Route, RouteKey, RouteTable};
@@ -144,6 +145,8 @@
     pub service: Box<str>,
     /// When it came.
     pub arrived: Timestamp,
+    /// Whether its target had passed when it came: its caller was refused before.
+    pub late: bool,
     /// When it is given up.
     pub due: Timestamp,
     /// When the caller leaves.
@@ -192,6 +195,12 @@
         self.route().is_some_and(|r| r.repeat.is_stream())
     }
 
+    /// Returns its place among the calls that wait; one that goes on in the middle is in time.
+    pub fn rank(&self) -> Rank {
+        let priority = self.route().map_or(u8::MAX, |r| r.priority);
+        Rank { priority, late: self.late && self.passed.last.is_none() }
+    }
+
     /// Returns how long its caller still waits.
     pub fn left(&self, now: Timestamp) -> Duration {
         self.due - now
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -21,6 +21,9 @@
 const RESUME_WAIT: Duration = Duration::from_millis(2_500);
 /// How long a request for room may take.
 const HOLD_TIMEOUT: Duration = Duration::from_millis(250);
+/// The part of an engine's memory that calls leave free if they have missed their target, in
+/// percent: room for those that have not.
+const LATE_SPARE_PERCENT: u32 = 15;
 /// The part of its retention within which KV cache is handed to another endpoint, in percent.
 const HANDOVER_PERCENT: u32 = 60;
 
@@ -40,12 +43,12 @@
     pub(super) fn offer(&mut self, now: Timestamp, caller: CallerId) {
         let Some(call) = self.calls.get(&caller) else { return };
         let Some(route) = call.route() else { return };
-        let (rank, target) = (route.priority, route.target);
-        let until = Queue::<CallerId>::until(call.arrived, target).min(call.due);
+        let rank = call.rank();
+        let until = Queue::<CallerId>::until(now, rank, route.target, call.left(now)).min(call.due);
         let service = call.service.clone();
         let id = call.info.id.clone();
-        let empty = self.queues.entry(service.clone()).or_default().is_empty();
-        if empty && self.start_engine(now, caller) {
+        let first = self.queues.entry(service.clone()).or_default().ahead(rank) == 0;
+        if first && self.start_engine(now, caller) {
             self.queues.entry(service).or_default().started(now);
             return;
         }
@@ -54,7 +57,8 @@
         let length = queue.len();
         if estimate.is_none_or(|wait| now + wait > until) {
             log::info!(
-                "step=admit id={id} outcome=refused queue={length} wait_ms={}",
+                "step=admit id={id} outcome=refused late={} queue={length} wait_ms={}",
+                rank.late,
                 estimate.map_or(-1, |w| w.as_millis() as i64),
             );
             let refusal = self.no_room(now, caller);
@@ -100,9 +104,11 @@
         let Some(shape) = self.shape(caller) else { return false };
         let Some(call) = self.calls.get(&caller) else { return false };
         let Some(work) = &call.info.work else { return false };
-        let (need, free) = (work.mean_tokens(), work.free_tokens().min(shape.tokens));
+        let spare = if call.rank().late { shape.tokens * LATE_SPARE_PERCENT / 100 } else { 0 };
+        let need = work.mean_tokens();
+        let free = work.free_tokens().min(shape.tokens);
         let loads = self.fleet.decode_loads(now, &call.service, &shape, &call.tried);
-        let Some(endpoint) = place_decode(loads, need, draw) else { return false };
+        let Some(endpoint) = place_decode(loads, need + spare, draw) else { return false };
         if self.pick_prefill(now, caller, &shape, endpoint, draw).is_none()
             && self.has_prefill(now, caller)
         {
@@ -147,11 +153,12 @@
         let Stage::Hold { decode, .. } = stage else { return };
         let due = call.due;
         let id = call.info.id.clone();
+        let (late, output) = (call.late, call.info.work.as_ref().map_or(0, |w| w.output));
         if let Some(endpoint) = self.fleet.get(decode.endpoint) {
             let used = endpoint.all_usage(now);
             log::info!(
-                "step=hold id={id} endpoint={} outcome={} tokens={} used_tokens={} used_slots={} \
-                 report_age_ms={} left_ms={}",
+                "step=hold id={id} endpoint={} outcome={} late={late} tokens={} output={output} \
+                 used_tokens={} used_slots={} report_age_ms={} left_ms={}",
                 endpoint.name,
                 if hold.is_some() { "granted" } else { "refused" },
                 decode.usage.tokens,
@@ -210,10 +217,13 @@
         }
         let Some(call) = self.calls.get(&caller) else { return };
         let Some(route) = call.route() else { return };
-        let rank = route.priority;
+        let rank = call.rank();
         let until = match call.passed.last {
             Some(last) => last + RESUME_WAIT,
-            None => Queue::<CallerId>::until(call.arrived, route.target),
+            None => {
+                let left = call.due - call.arrived;
+                Queue::<CallerId>::until(call.arrived, rank, route.target, left)
+            }
         };
         let until = until.min(call.due);
         let queue = self.queues.entry(call.service.clone()).or_default();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub mod events;
 mod fleet;
 pub mod header_protocol;
+pub mod lateness;
 mod outcome;
 pub mod place;
 mod plain;
@@ -27,6 +28,7 @@
 use budget::{Budget, BudgetTerms};
 use call::{Call, Passed, Stage};
 use fleet::{EndpointKey, Fleet, Job};
+use lateness::Patience;
 use protocol::{CallProtocol, SendInfo, TableFormat};
 use queue::Queue;
 
@@ -77,6 +79,8 @@
     timers: BTreeSet<(Timestamp, CallerId)>,
     queues: BTreeMap<Box<str>, Queue<CallerId>>,
     budgets: BTreeMap<Box<str>, Budget>,
+    /// How long the callers of each route wait.
+    patience: BTreeMap<Box<str>, Patience>,
     rng: Pcg64Mcg,
     next_tidy: Timestamp,
     /// When waiting calls are on_timer at if no room is freed before.
@@ -110,6 +114,7 @@
             timers: BTreeSet::new(),
             queues: BTreeMap::new(),
             budgets: BTreeMap::new(),
+            patience: BTreeMap::new(),
             rng,
             next_tidy: Timestamp::default(),
             next_drain: Timestamp::default(),
@@ -208,6 +213,8 @@
         }
         let service: Box<str> = route.service(draw).unwrap_or_default().into();
         let patience = info.patience.unwrap_or(route.timeout);
+        let usual = self.patience.entry(route.name.clone()).or_default();
+        let late = usual.is_late(now, patience, route.target);
         let call = Call {
             due: now + patience.min(route.timeout),
             leaves: now + patience,
@@ -218,6 +225,7 @@
             route: key,
             service: service.clone(),
             arrived: now,
+            late,
             sends: 0,
             exported: false,
             prefills: 0,
@@ -373,6 +381,7 @@
         }
         log::info!("step=table version={} before={}", table.version(), self.table.version());
         self.effect(HttpEffect::Limit(*table.limits()));
+        self.patience.retain(|name, _| table.routes().any(|r| r.name == *name));
         self.table = Arc::new(table);
     }
 
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -3,6 +3,7 @@
 //! Answers a burst of twice the capacity for some seconds, with callers that come back once: calls
 //! wait only as long as they can still be answered in time. A call behind a queue that won't move
 //! in time is refused on arrival and told to come back when the queue is expected to be short.
+//! Calls that come back have missed their target; they get the room that others leave.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -13,6 +14,10 @@
 const RATE_SPAN: Duration = Duration::from_millis(2_000);
 /// The part of its target that a call may wait, in percent; the rest is for its prefill.
 const WAIT_PERCENT: u32 = 60;
+/// The longest time that a call waits that has missed its target already.
+const LATE_WAIT: Duration = Duration::from_millis(2_500);
+/// The part of its caller's patience that such a call may wait, in percent.
+const LATE_WAIT_PERCENT: u32 = 30;
 /// The longest time after which a caller is asked to come back.
 const LONGEST_RETURN: Duration = Duration::from_millis(5_000);
 /// The part of its remaining time for which a caller is asked to stay away, in percent; callers
@@ -23,6 +28,15 @@
 /// The least number of starts from which a rate is estimated.
 const FEWEST_STARTS: usize = 4;
 
+/// The place of a call among those that wait.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    /// The rank of its route; 0 is the most urgent.
+    pub priority: u8,
+    /// Whether it has missed its target.
+    pub late: bool,
+}
+
 /// A call that waits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Waiting<K> {
@@ -36,7 +50,7 @@
 #[derive(Debug)]
 pub struct Queue<K> {
     /// Waiting calls by rank, in the order of their arrival.
-    ranks: BTreeMap<u8, VecDeque<Waiting<K>>>,
+    ranks: BTreeMap<Rank, VecDeque<Waiting<K>>>,
     /// When calls were started lately.
     starts: VecDeque<Timestamp>,
 }
@@ -58,15 +72,24 @@
         self.len() == 0
     }
 
-    /// Returns until when a call may wait.
-    pub fn until(arrived: Timestamp, target: Duration) -> Timestamp {
-        arrived + target * WAIT_PERCENT / 100
+    /// Returns how many calls start before a new one of a rank.
+    pub fn ahead(&self, rank: Rank) -> usize {
+        self.ranks.range(..=rank).map(|(_, q)| q.len()).sum()
+    }
+
+    /// Returns until when a call may wait; one that is late waits for its caller's sake only.
+    pub fn until(arrived: Timestamp, rank: Rank, target: Duration, left: Duration) -> Timestamp {
+        let longest = match rank.late {
+            true => LATE_WAIT.min(left * LATE_WAIT_PERCENT / 100),
+            false => target * WAIT_PERCENT / 100,
+        };
+        arrived + longest
     }
 
     /// Returns how long a new call of a rank would wait, if starts go on as lately.
-    pub fn estimate(&mut self, now: Timestamp, rank: u8) -> Option<Duration> {
+    pub fn estimate(&mut self, now: Timestamp, rank: Rank) -> Option<Duration> {
         self.forget(now);
-        let ahead: usize = self.ranks.range(..=rank).map(|(_, q)| q.len()).sum();
+        let ahead = self.ahead(rank);
         if ahead == 0 {
             return Some(Duration::ZERO);
         }
@@ -79,12 +102,12 @@
     }
 
     /// Puts a call into the queue.
-    pub fn push(&mut self, rank: u8, waiting: Waiting<K>) {
+    pub fn push(&mut self, rank: Rank, waiting: Waiting<K>) {
         self.ranks.entry(rank).or_default().push_back(waiting);
     }
 
     /// Puts a call that could not start before the others.
-    pub fn push_front(&mut self, rank: u8, waiting: Waiting<K>) {
+    pub fn push_front(&mut self, rank: Rank, waiting: Waiting<K>) {
         self.ranks.entry(rank).or_default().push_front(waiting);
     }
 
--- a/src/routes/mod.rs
+++ b/src/routes/mod.rs
@@ -143,6 +143,11 @@
         &self.limits
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.routes.iter()
+    }
+
     /// Returns a route of this table.
     pub fn get(&self, key: RouteKey) -> Option<&Route> {
         self.routes.get(key.0 as usize)
--- /dev/null
+++ b/tests/late_calls.rs
@@ -0,0 +1,84 @@
+//! A burst whose refused callers come back: calls in time go before those that are late already.
+
+mod gateway_fixture;
+
+use std::time::Duration;
+
+use dotterelpin::gateway::lateness::Patience;
+use dotterelpin::gateway::queue::{Queue, Rank, Waiting};
+use dotterelpin::h1::{CallerId, HttpInput};
+use dotterelpin::model::Timestamp;
+use dotterelpin::role::Input;
+use gateway_fixture::Fixture;
+
+const PATIENCE: Duration = Duration::from_secs(14);
+const TARGET: Duration = Duration::from_millis(900);
+
+fn rank(late: bool) -> Rank {
+    Rank { priority: 1, late }
+}
+
+/// Lets a call get room, have its prompt read and begin to run.
+fn run(f: &mut Fixture, caller: u64, tokens: &str, patience: &str) {
+    f.call(caller, "/draft/a", &[("Model", "m"), ("Tokens", tokens), ("Patience-Ms", patience)]);
+    f.through_prefill();
+}
+
+#[test]
+fn callers_that_differ_a_little_are_in_time_and_returning_ones_are_late() {
+    let mut patience = Patience::default();
+    let now = Timestamp::from_micros(1_000_000);
+    assert!(!patience.is_late(now, PATIENCE, TARGET));
+    for millis in [13_900, 12_500, 11_300] {
+        assert!(!patience.is_late(now, Duration::from_millis(millis), TARGET), "{millis}");
+    }
+    for millis in [11_100, 9_000, 2_000] {
+        assert!(patience.is_late(now, Duration::from_millis(millis), TARGET), "{millis}");
+    }
+    // A route whose callers wait shorter than before has other usual callers after a while.
+    let later = now + Duration::from_secs(31);
+    assert!(patience.is_late(later, Duration::from_secs(9), TARGET));
+    let later = later + Duration::from_secs(31);
+    assert!(!patience.is_late(later, Duration::from_secs(9), TARGET));
+}
+
+#[test]
+fn queue_starts_calls_in_time_first_and_lets_late_ones_wait_longer() {
+    let now = Timestamp::from_micros(1_000_000);
+    let mut queue = Queue::default();
+    for (key, late) in [(1, true), (2, false), (3, true), (4, false)] {
+        let until = Queue::<u32>::until(now, rank(late), TARGET, Duration::from_secs(9));
+        queue.push(rank(late), Waiting { key, until });
+    }
+    assert_eq!(queue.ahead(rank(false)), 2);
+    assert_eq!(queue.ahead(rank(true)), 4);
+    let order: Vec<u32> = std::iter::from_fn(|| {
+        let key = queue.first()?;
+        queue.remove(key);
+        Some(key)
+    })
+    .collect();
+    assert_eq!(order, [2, 4, 1, 3]);
+    let until = |late, left| Queue::<u32>::until(now, rank(late), TARGET, left) - now;
+    assert_eq!(until(false, PATIENCE), TARGET * 60 / 100);
+    assert!(until(true, PATIENCE) > TARGET);
+    assert!(until(true, Duration::from_secs(3)) < Duration::from_secs(1), "a third of its time");
+}
+
+#[test]
+fn late_call_leaves_room_for_one_in_time_and_starts_when_there_is_more() {
+    let mut f = Fixture::ready();
+    for caller in 1..=8 {
+        run(&mut f, caller, "6000,200", "14000");
+    }
+    // Both decode endpoints have 4,700 tokens left to fill.
+    f.call(9, "/draft/a", &[("Model", "m"), ("Tokens", "3000,100"), ("Patience-Ms", "9000")]);
+    assert!(!f.has_sent(), "a late call must leave more");
+    run(&mut f, 10, "3000,100", "14000");
+    f.pass(200);
+    assert!(!f.has_sent());
+    f.step(Input::Local(HttpInput::CallerGone { caller: CallerId(1) }));
+    let targets = [f.take(), f.take()].map(|s| s.head.target);
+    assert_eq!(targets.each_ref().map(|t| &**t), ["/export/e1", "/hold"]);
+    assert!(!f.got.contains_key(&9), "it was neither refused nor answered before");
+}
