Bound the calls that are open at endpoints of plain services; let the rest wait

Cause: bursts beyond what the plain service can answer.

Each gateway keeps a window of open calls for each endpoint, which shrinks with answers that take more than 60 % of the target and with refusals, and grows with quick ones. Calls beyond it wait, first in, first out, until they have missed their target, then behind those that have not.

--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -358,8 +358,11 @@
             return;
         };
         self.release_attempt(now, &attempt);
+        let target = call.route().map(|r| r.target).unwrap_or_default();
         if let Some(endpoint) = self.fleet.get_mut(attempt.endpoint) {
             endpoint.health.judge(now, Verdict::Worked);
+            endpoint.accepted();
+            endpoint.window.answered(now - attempt.since, target);
         }
     }
 
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -7,7 +7,7 @@
 use super::fleet::{EndpointKey, Job, Usage};
 use super::place::{place_decode, place_prefill};
 use super::protocol::{Export, SendKind, SideRequest};
-use super::queue::{Queue, Waiting};
+use super::queue::{Queue, Rank, Waiting};
 use super::{CallerId, DRAIN_INTERVAL, Gateway};
 use crate::entry::health::Verdict;
 use crate::model::{EndpointKind, Timestamp};
@@ -45,27 +45,34 @@
         let Some(route) = call.route() else { return };
         let rank = call.rank();
         let until = Queue::<CallerId>::until(now, rank, route.target, call.left(now)).min(call.due);
+        self.admit(now, rank, Waiting { key: caller, in_time: until, until });
+    }
+
+    /// Starts a new call if none waits before it and there is room, or lets it wait if it is
+    /// expected to start; refuses it at once otherwise.
+    pub(super) fn admit(&mut self, now: Timestamp, rank: Rank, waiting: Waiting<CallerId>) {
+        let caller = waiting.key;
+        let Some(call) = self.calls.get(&caller) else { return };
         let service = call.service.clone();
         let id = call.info.id.clone();
         let first = self.queues.entry(service.clone()).or_default().ahead(rank) == 0;
-        if first && self.start_engine(now, caller) {
+        if first && self.start(now, caller) {
             self.queues.entry(service).or_default().started(now);
             return;
         }
         let queue = self.queues.entry(service).or_default();
-        let estimate = queue.estimate(now, rank);
-        let length = queue.len();
-        if estimate.is_none_or(|wait| now + wait > until) {
-            log::info!(
-                "step=admit id={id} outcome=refused late={} queue={length} wait_ms={}",
-                rank.late,
-                estimate.map_or(-1, |w| w.as_millis() as i64),
-            );
-            let refusal = self.no_room(now, caller);
-            self.conclude(now, caller, refusal);
+        if queue.is_worthwhile(now, rank, &waiting) {
+            queue.push(rank, waiting);
             return;
         }
-        queue.push(rank, Waiting { key: caller, until });
+        log::info!(
+            "step=admit id={id} outcome=refused late={} queue={} wait_ms={}",
+            rank.late,
+            queue.len(),
+            queue.estimate(now, rank).map_or(-1, |w| w.as_millis() as i64),
+        );
+        let refusal = self.no_room(now, caller);
+        self.conclude(now, caller, refusal);
     }
 
     /// Refuses the calls that have waited too long.
@@ -85,8 +92,11 @@
         let services: Vec<Box<str>> =
             self.queues.iter().filter(|(_, q)| !q.is_empty()).map(|(s, _)| s.clone()).collect();
         for service in services {
+            if let Some(queue) = self.queues.get_mut(&service) {
+                queue.demote(now);
+            }
             while let Some(caller) = self.queues.get(&service).and_then(Queue::first) {
-                if !self.start_engine(now, caller) {
+                if !self.start(now, caller) {
                     break;
                 }
                 if let Some(queue) = self.queues.get_mut(&service) {
@@ -98,6 +108,15 @@
         }
     }
 
+    /// Starts a call if there seems to be room for it; returns whether.
+    fn start(&mut self, now: Timestamp, caller: CallerId) -> bool {
+        if self.is_engine_call(caller) {
+            self.start_engine(now, caller)
+        } else {
+            self.send_plain(now, caller)
+        }
+    }
+
     /// Finds room for a call and asks for it; returns whether there seems to be any.
     fn start_engine(&mut self, now: Timestamp, caller: CallerId) -> bool {
         let draw = self.draw();
@@ -227,7 +246,7 @@
         };
         let until = until.min(call.due);
         let queue = self.queues.entry(call.service.clone()).or_default();
-        queue.push_front(rank, Waiting { key: caller, until });
+        queue.push_front(rank, Waiting { key: caller, in_time: until, until });
     }
 
     /// Returns whether any prefill endpoint works.
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -8,6 +8,7 @@
 
 use super::place::{DecodeLoad, PrefillLoad};
 use super::protocol::EngineReport;
+use super::window::Window;
 use crate::entry::health::Health;
 use crate::h1::{CallerId, PeerId};
 use crate::model::{EndpointKind, EndpointState, Timestamp};
@@ -105,6 +106,8 @@
     pub health: Health,
     /// What this gateway has in use.
     pub usage: Usage,
+    /// How many calls this gateway may have open there, if it is of a plain service.
+    pub window: Window,
     /// Until when it gets no work since it had no room.
     pub full_until: Timestamp,
     /// Refusals for want of room since it last took a call.
@@ -128,6 +131,7 @@
             takes_work: !state.draining,
             health: Health::default(),
             usage: Usage::default(),
+            window: Window::new(state.capacity.slots),
             full_until: Timestamp::default(),
             refusals: 0,
             report: None,
@@ -152,6 +156,7 @@
         let pause = FULL_PAUSE * 2u32.pow(self.refusals.min(3));
         self.full_until = now + pause.min(LONGEST_FULL_PAUSE);
         self.refusals += 1;
+        self.window.refused();
     }
 
     /// Notes that it took a call.
@@ -335,6 +340,8 @@
     }
 
     /// Returns an endpoint of a plain service with few calls; `draw` chooses among equals.
+    ///
+    /// There is none while all that work have as many calls as they may; the call waits then.
     pub fn pick_plain(
         &self,
         now: Timestamp,
@@ -345,8 +352,9 @@
         let open: Vec<(EndpointKey, &Endpoint)> =
             self.pool(service).filter(|(k, e)| !tried.contains(k) && e.takes_work).collect();
         // Where all are out, one that may be down is better than none.
-        let any_in = open.iter().any(|(_, e)| e.is_open(now));
-        let usable = open.iter().filter(|(_, e)| !any_in || e.is_open(now));
+        let any_in = open.iter().any(|(_, e)| e.health.is_in(now));
+        let has_room = |e: &Endpoint| e.is_open(now) && e.window.has_room(e.usage.slots);
+        let usable = open.iter().filter(|(_, e)| !any_in || has_room(e));
         let count = open.len().max(1) as u64;
         let cost = |at: usize, e: &Endpoint| {
             let far = if e.near { 0 } else { FAR_CALLS };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod protocol;
 pub mod queue;
 mod reports;
+pub mod window;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -246,7 +247,7 @@
             self.called.insert(service, now);
             self.offer(now, caller);
         } else {
-            self.start_plain(now, caller);
+            self.offer_plain(now, caller);
         }
         self.schedule(caller);
     }
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -329,7 +329,7 @@
         if self.is_engine_call(caller) {
             self.retry_engine(now, caller, failed, handoff)
         } else {
-            self.send_plain(now, caller)
+            self.retry_plain(now, caller)
         }
     }
 }
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -1,21 +1,49 @@
 //! Calls to plain services.
 
 use super::answer;
-use super::call::{Attempt, Stage};
+use super::call::{Attempt, Call, Stage};
 use super::fleet::Usage;
 use super::protocol::SendKind;
+use super::queue::Waiting;
 use super::{CallerId, Gateway};
 use crate::model::Timestamp;
 
+/// The part of its time that a call may wait for an endpoint with room, in percent.
+const PLAIN_WAIT_PERCENT: u32 = 50;
+/// The part of its target that a call may wait to be answered in time, in percent; endpoints take
+/// the rest.
+const IN_TIME_PERCENT: u32 = 35;
 /// What one call holds at the endpoint of a plain service.
 const ONE_CALL: Usage = Usage { slots: 1, tokens: 0 };
 
 impl Gateway {
-    /// Starts a call that waits for no room, or refuses it at once.
-    pub(super) fn start_plain(&mut self, now: Timestamp, caller: CallerId) {
-        if !self.send_plain(now, caller) {
+    /// Starts a new call, lets it wait, or refuses it at once if it would wait in vain.
+    pub(super) fn offer_plain(&mut self, now: Timestamp, caller: CallerId) {
+        let Some(call) = self.calls.get(&caller) else { return };
+        let rank = call.rank();
+        let service = call.service.clone();
+        if self.fleet.pool(&service).all(|(_, e)| !e.takes_work) {
             self.conclude(now, caller, answer::no_endpoint());
+            return;
         }
+        let waiting = waiting(now, caller, call);
+        self.admit(now, rank, waiting);
+    }
+
+    /// Lets a call that failed wait until it can be sent to another endpoint.
+    pub(super) fn retry_plain(&mut self, now: Timestamp, caller: CallerId) -> bool {
+        if self.send_plain(now, caller) {
+            return true;
+        }
+        let Some(call) = self.calls.get(&caller) else { return false };
+        let mut others = self.fleet.pool(&call.service).filter(|(k, _)| !call.tried.contains(k));
+        if !others.any(|(_, e)| e.takes_work) {
+            return false;
+        }
+        let waiting = waiting(now, caller, call);
+        let (rank, service) = (call.rank(), call.service.clone());
+        self.queues.entry(service).or_default().push_front(rank, waiting);
+        true
     }
 
     /// Sends a call to an endpoint that it was not sent to yet; returns whether there is one.
@@ -46,3 +74,11 @@
         true
     }
 }
+
+/// Returns how long a call may wait from now on.
+fn waiting(now: Timestamp, key: CallerId, call: &Call) -> Waiting<CallerId> {
+    let target = call.route().map(|r| r.target).unwrap_or_default();
+    let until = now + call.left(now) * PLAIN_WAIT_PERCENT / 100;
+    let in_time = call.arrived + target * IN_TIME_PERCENT / 100;
+    Waiting { key, in_time: in_time.min(until), until }
+}
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -3,7 +3,8 @@
 //! Answers a burst of twice the capacity for some seconds, with callers that come back once: calls
 //! wait only as long as they can still be answered in time. A call behind a queue that won't move
 //! in time is refused on arrival and told to come back when the queue is expected to be short.
-//! Calls that come back have missed their target; they get the room that others leave.
+//! Calls that come back, or that wait for long, have missed their target; they get the room that
+//! others leave. If all waited in the order of their arrival, a burst would make all of them late.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -42,6 +43,8 @@
 pub struct Waiting<K> {
     /// The call.
     pub key: K,
+    /// When it must have started to be answered in time; it waits behind calls in time then.
+    pub in_time: Timestamp,
     /// When it must have started.
     pub until: Timestamp,
 }
@@ -86,6 +89,14 @@
         arrived + longest
     }
 
+    /// Returns whether a new call is expected to start before it is late, or before it has waited
+    /// too long behind all others.
+    pub fn is_worthwhile(&mut self, now: Timestamp, rank: Rank, new: &Waiting<K>) -> bool {
+        let within = |wait: Option<Duration>, limit| wait.is_some_and(|w| now + w <= limit);
+        within(self.estimate(now, rank), new.in_time)
+            || within(self.estimate(now, Rank { late: true, ..rank }), new.until)
+    }
+
     /// Returns how long a new call of a rank would wait, if starts go on as lately.
     pub fn estimate(&mut self, now: Timestamp, rank: Rank) -> Option<Duration> {
         self.forget(now);
@@ -130,6 +141,19 @@
         self.ranks.retain(|_, q| !q.is_empty());
     }
 
+    /// Puts the calls that have missed their target behind those that have not.
+    pub fn demote(&mut self, now: Timestamp) {
+        let in_time: Vec<Rank> = self.ranks.keys().filter(|r| !r.late).copied().collect();
+        for rank in in_time {
+            let Some(queue) = self.ranks.get_mut(&rank) else { continue };
+            let missed = |w: &Waiting<K>| w.in_time <= now && now < w.until;
+            let late: Vec<Waiting<K>> = queue.iter().filter(|w| missed(w)).copied().collect();
+            queue.retain(|w| !missed(w));
+            self.ranks.entry(Rank { late: true, ..rank }).or_default().extend(late);
+        }
+        self.ranks.retain(|_, q| !q.is_empty());
+    }
+
     /// Takes out the calls that have waited too long.
     pub fn expired(&mut self, now: Timestamp) -> Vec<K> {
         let all = self.ranks.values().flatten();
--- /dev/null
+++ b/tests/plain_burst.rs
@@ -0,0 +1,106 @@
+//! A burst beyond what a plain service can answer: calls wait at the gateway, and those that can
+//! still be answered in time go first.
+
+mod gateway_fixture;
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use dotterelpin::gateway::queue::{Queue, Rank, Waiting};
+use dotterelpin::gateway::window::Window;
+use dotterelpin::model::Timestamp;
+use gateway_fixture::{Fixture, Sent};
+
+const TARGET: Duration = Duration::from_millis(150);
+
+#[test]
+fn window_shrinks_at_a_slow_endpoint_and_grows_at_a_quick_one() {
+    let mut window = Window::new(6);
+    let size = |w: &Window| (0..100).find(|open| !w.has_room(*open)).unwrap();
+    assert_eq!(size(&window), 6);
+    for _ in 0..30 {
+        window.answered(Duration::from_millis(120), TARGET);
+    }
+    assert_eq!(size(&window), 1, "one call is always open, or nothing would be learned");
+    for _ in 0..30 {
+        window.answered(Duration::from_millis(40), TARGET);
+    }
+    assert!(size(&window) >= 4, "{}", size(&window));
+    for _ in 0..10_000 {
+        window.answered(Duration::from_millis(40), TARGET);
+    }
+    assert_eq!(size(&window), 24);
+    window.refused();
+    assert_eq!(size(&window), 14);
+}
+
+#[test]
+fn call_that_has_missed_its_target_waits_behind_one_that_has_not() {
+    let now = Timestamp::from_micros(1_000_000);
+    let at = |millis| now + Duration::from_millis(millis);
+    let rank = Rank { priority: 2, late: false };
+    let mut queue = Queue::default();
+    queue.push(rank, Waiting { key: 1, in_time: at(50), until: at(600) });
+    queue.push(rank, Waiting { key: 2, in_time: at(90), until: at(600) });
+    queue.demote(at(60));
+    assert_eq!(queue.first(), Some(2));
+    queue.demote(at(100));
+    assert_eq!(queue.first(), Some(1), "both are late: the one that came first");
+    assert_eq!(queue.len(), 2);
+    assert_eq!(queue.expired(at(600)), [1, 2]);
+}
+
+/// Plays callers that come each `pause` for a second against two endpoints that take 30 ms for
+/// each of six calls at once; returns the times that answers took and how many were refused.
+fn burst(pause: u64) -> (Vec<Duration>, usize) {
+    let mut f = Fixture::ready();
+    let mut busy: Vec<(Timestamp, Sent)> = Vec::new();
+    let mut waiting: VecDeque<Sent> = VecDeque::new();
+    let mut came = Vec::new();
+    let mut took = Vec::new();
+    for millis in 0..2_000u64 {
+        if millis < 1_000 && millis % pause == 0 {
+            let caller = came.len() as u64;
+            came.push(f.now);
+            f.call(caller, "/pay/a", &[("Patience-Ms", "600")]);
+        }
+        f.pass(1);
+        while f.has_sent() {
+            waiting.push_back(f.take());
+        }
+        let (done, rest) = busy.into_iter().partition(|(until, _)| *until <= f.now);
+        busy = rest;
+        for (_, sent) in done {
+            f.answer(&sent, 200, &[], "paid");
+            let caller: usize = sent.field("Call-Id").unwrap()[5..].parse().unwrap();
+            took.push(f.now - came[caller]);
+        }
+        waiting.retain(|sent| {
+            let free = busy.iter().filter(|(_, s)| s.address == sent.address).count() < 6;
+            if free {
+                busy.push((f.now + Duration::from_millis(30), sent.clone()));
+            }
+            !free
+        });
+    }
+    let refused = f.got.values().filter(|g| g.status == 503).count();
+    assert!(f.got.values().all(|g| matches!(g.status, 200 | 503)));
+    (took, refused)
+}
+
+#[test]
+fn calls_within_capacity_are_answered_in_time() {
+    let (took, refused) = burst(4);
+    assert_eq!((took.len(), refused), (250, 0));
+    assert!(took.iter().all(|t| *t <= Duration::from_millis(100)));
+}
+
+#[test]
+fn calls_beyond_capacity_do_not_make_all_others_late() {
+    // 1,000 calls in a second; the endpoints answer 400.
+    let (took, refused) = burst(1);
+    assert_eq!(took.len() + refused, 1_000);
+    let in_time = took.iter().filter(|t| **t <= Duration::from_millis(100)).count();
+    assert!(in_time >= 250, "{in_time} of {} in time", took.len());
+    assert!(took.len() >= 400, "{}", took.len());
+}
