Let the leader of control spread prompts over the prefill endpoints

The leader counts the tokens that are being read anywhere and names the endpoint with the fewest; ends are told; a count whose end is not told lapses after 2 s. Soft state: a new leader begins without. A gateway asks once room is granted, waits 25 ms, then chooses by itself and leaves the leader alone for 0.4 s.

--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -215,6 +215,7 @@
             ControlReply::Beat(_)
             | ControlReply::Owner { .. }
             | ControlReply::Lead { .. }
+            | ControlReply::PromptAssigned { .. }
             | ControlReply::Status(_) => {
                 log::error!("step=api error=\"another reply than asked for\"");
                 self.again(now, caller, true);
--- a/src/control/answers.rs
+++ b/src/control/answers.rs
@@ -55,6 +55,7 @@
             document: newer.cloned(),
             deregistered: deregistered.map(|(index, d)| (index, d.clone())).collect(),
             gateways: self.registry.count_role(RoleName::Gateway.as_str()),
+            leader: self.replica.leader(),
         }
     }
 
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -7,6 +7,7 @@
 pub mod disk;
 pub mod orders;
 mod peers;
+pub mod prompts;
 pub mod quarantine;
 pub mod replica;
 pub mod routing;
@@ -18,6 +19,7 @@
 
 use config::{Change, Revised, schema_of};
 use peers::Peers;
+use prompts::Prompts;
 use replica::{Entry, LogIndex, Replica, ReplicaInput, ReplicaSettings, Snapshot, Stored, WriteId};
 use state::{Applied, ChangeReply, Command, State};
 
@@ -95,6 +97,7 @@
     revised: Revised,
     registry: Registry,
     peers: Peers,
+    prompts: Prompts,
     waiting: BTreeMap<LogIndex, Waiting>,
     failed: bool,
     stopping: Option<Timestamp>,
@@ -117,6 +120,7 @@
             revised: state.config.revised(),
             state,
             peers: Peers::default(),
+            prompts: Prompts::default(),
             waiting: BTreeMap::new(),
             failed: false,
             stopping: None,
@@ -159,6 +163,19 @@
                 let leadership = self.leadership(now).map(Box::new);
                 vec![self.reply(inbound, ControlReply::Lead { leader, leadership })]
             }
+            ControlRequest::AssignPrompt(ticket) => {
+                let reply = if self.replica.is_leader() {
+                    let endpoint = self.prompts.assign(now, &ticket);
+                    ControlReply::PromptAssigned { endpoint }
+                } else {
+                    ControlReply::NotLeader { leader: self.replica.leader() }
+                };
+                vec![self.reply(inbound, reply)]
+            }
+            ControlRequest::PromptEnded { endpoint, tokens } => {
+                self.prompts.ended(&endpoint, tokens);
+                vec![self.reply(inbound, ControlReply::Announced)]
+            }
             ControlRequest::Owner(boot) => {
                 let alive = self.registry.is_alive(now, boot);
                 vec![self.reply(inbound, ControlReply::Owner { alive })]
--- /dev/null
+++ b/src/control/prompts.rs
@@ -0,0 +1,105 @@
+//! Which prefill endpoint reads the next prompt, for all gateways together.
+//!
+//! Answers a load under which prefill endpoints are busy for most of the time. Each gateway knows
+//! its own prompts only; if each chooses by itself, prompts share some endpoints while others
+//! stand idle, and the room that is held for them at decode endpoints waits with them. The member
+//! that leads counts the tokens that are being read anywhere and gives each prompt to the endpoint
+//! that has the fewest. The count is soft state: a new leader begins without one.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::model::Timestamp;
+
+/// How long a prompt counts whose end is not told.
+const PROMPT_LIFE: Duration = Duration::from_millis(2_000);
+/// Tokens that an endpoint in another failure domain must have less.
+const FAR_PENALTY_TOKENS: u64 = 2_000;
+
+/// An endpoint that may read a prompt.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PromptCandidate {
+    /// Its name.
+    pub endpoint: Box<str>,
+    /// Whether it is in the failure domain of the endpoint that runs the call afterwards.
+    pub near: bool,
+}
+
+/// A question which endpoint shall read a prompt.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PromptTicket {
+    /// Tokens of the prompt.
+    pub tokens: u32,
+    /// The endpoints that may.
+    pub candidates: Vec<PromptCandidate>,
+}
+
+/// A prompt that an endpoint reads.
+#[derive(Debug, Clone, Copy)]
+struct Reading {
+    tokens: u32,
+    since: Timestamp,
+}
+
+/// The prompts that are being read.
+///
+/// ```
+/// use dotterelpin::control::prompts::{PromptCandidate, PromptTicket, Prompts};
+/// use dotterelpin::model::Timestamp;
+///
+/// let now = Timestamp::from_micros(1);
+/// let candidate = |name: &str| PromptCandidate { endpoint: name.into(), near: true };
+/// let ticket = PromptTicket { tokens: 3_000, candidates: vec![candidate("a"), candidate("b")] };
+/// let mut prompts = Prompts::default();
+/// assert_eq!(prompts.assign(now, &ticket).as_deref(), Some("a"));
+/// assert_eq!(prompts.assign(now, &ticket).as_deref(), Some("b"));
+/// prompts.ended("b", 3_000);
+/// assert_eq!(prompts.assign(now, &ticket).as_deref(), Some("b"));
+/// ```
+#[derive(Debug, Default)]
+pub struct Prompts {
+    reading: BTreeMap<Box<str>, Vec<Reading>>,
+    /// When each endpoint last got a prompt; among endpoints alike the one that rested longest
+    /// gets the next.
+    last: BTreeMap<Box<str>, Timestamp>,
+}
+
+impl Prompts {
+    /// Returns the endpoint that shall read a prompt, and counts it there.
+    pub fn assign(&mut self, now: Timestamp, ticket: &PromptTicket) -> Option<Box<str>> {
+        self.forget(now);
+        let cost = |c: &&PromptCandidate| {
+            let far = if c.near { 0 } else { FAR_PENALTY_TOKENS };
+            let last = self.last.get(&c.endpoint).copied().unwrap_or_default();
+            (self.backlog(&c.endpoint) + far, last)
+        };
+        let chosen = ticket.candidates.iter().min_by_key(cost)?.endpoint.clone();
+        let reading = Reading { tokens: ticket.tokens, since: now };
+        self.reading.entry(chosen.clone()).or_default().push(reading);
+        self.last.insert(chosen.clone(), now);
+        Some(chosen)
+    }
+
+    /// Takes note that an endpoint reads a prompt no more.
+    pub fn ended(&mut self, endpoint: &str, tokens: u32) {
+        let Some(reading) = self.reading.get_mut(endpoint) else { return };
+        if let Some(at) = reading.iter().position(|r| r.tokens == tokens) {
+            reading.remove(at);
+        }
+    }
+
+    fn backlog(&self, endpoint: &str) -> u64 {
+        let reading = self.reading.get(endpoint).map_or(&[][..], Vec::as_slice);
+        reading.iter().map(|r| u64::from(r.tokens)).sum()
+    }
+
+    fn forget(&mut self, now: Timestamp) {
+        for reading in self.reading.values_mut() {
+            reading.retain(|r| now - r.since < PROMPT_LIFE);
+        }
+        self.reading.retain(|_, reading| !reading.is_empty());
+        self.last.retain(|_, at| now - *at < PROMPT_LIFE);
+    }
+}
--- a/src/control/routing/mod.rs
+++ b/src/control/routing/mod.rs
@@ -4,6 +4,7 @@
 //! gives back what was sent; processes that route by it read it once.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
@@ -111,4 +112,6 @@
     pub deregistered: Vec<(LogIndex, Deregistration)>,
     /// How many gateways the member hears of.
     pub gateways: u32,
+    /// The leader that the member follows, or itself.
+    pub leader: Option<SocketAddr>,
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::assign::Assigned;
 use super::events::EventCutter;
 use super::fleet::{EndpointKey, Usage};
 use super::protocol::{AnswerInfo, CallInfo, Export};
 use super::queue::Rank;
 use crate::h1::{AnswerHead, PeerId, Request};
-use crate::model::Timestamp;
+use crate::model::{ExchangeId, Timestamp};
 use crate::routes::{Route, RouteKey, RouteTable};
 
 /// One send of a call to an endpoint.
@@ -75,6 +76,13 @@
         /// The room.
         decode: Reserved,
     },
+    /// Control's leader is asked which endpoint reads its prompt.
+    Assign {
+        /// The question.
+        exchange: ExchangeId,
+        /// Where it runs next.
+        decode: Reserved,
+    },
     /// A prefill endpoint reads its prompt.
     Prefill {
         /// The send.
@@ -161,6 +169,8 @@
     pub tried: Vec<EndpointKey>,
     /// Room that a decode endpoint keeps for it, by its name there.
     pub hold: Option<(EndpointKey, Box<str>)>,
+    /// Where the leader counts its prompt.
+    pub assigned: Option<Assigned>,
     /// Where a run broke off; that endpoint is asked to go on.
     pub broke_at: Option<EndpointKey>,
     /// Whether any send may have run.
@@ -173,7 +183,7 @@
     pub passed: Passed,
     /// Events of the present run.
     pub cutter: EventCutter,
-    /// When the request for room is given up.
+    /// When the request for room, or the question to the leader, is given up.
     pub hold_due: Timestamp,
     /// When it looks at the time next.
     pub timer: Timestamp,
@@ -209,7 +219,7 @@
     /// Returns the send that is under way.
     pub fn attempt(&mut self) -> Option<&mut Attempt> {
         match &mut self.stage {
-            Stage::Waiting | Stage::Hold { .. } => None,
+            Stage::Waiting | Stage::Hold { .. } | Stage::Assign { .. } => None,
             Stage::Prefill { attempt, .. } | Stage::Run { attempt, .. } => Some(attempt),
         }
     }
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -199,9 +199,24 @@
         if let Some(endpoint) = self.fleet.get_mut(decode.endpoint) {
             endpoint.accepted();
         }
+        if !self.ask_assignment(now, caller, decode) {
+            self.read_prompt(now, caller, decode, None);
+        }
+    }
+
+    /// Has the prompt of a call with room read: at a named endpoint, or where the gateway thinks
+    /// best.
+    pub(super) fn read_prompt(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        decode: Reserved,
+        named: Option<EndpointKey>,
+    ) {
         let draw = self.draw();
         let Some(shape) = self.shape(caller) else { return };
-        let prefill = self.pick_prefill(now, caller, &shape, decode.endpoint, draw);
+        let own = || self.pick_prefill(now, caller, &shape, decode.endpoint, draw);
+        let prefill = named.or_else(own);
         if let Some(prefill) = prefill
             && self.start_prefill(now, caller, prefill, decode)
         {
@@ -321,6 +336,7 @@
 
     /// Goes on with a call whose prompt was read.
     pub(super) fn prefilled(&mut self, now: Timestamp, caller: CallerId, export: Export) {
+        self.prompt_ended(caller);
         let Some(call) = self.calls.get_mut(&caller) else { return };
         let stage = std::mem::replace(&mut call.stage, Stage::Waiting);
         let Stage::Prefill { attempt, decode } = stage else { return };
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -323,6 +323,12 @@
         self.endpoints.get(key)
     }
 
+    /// Returns the key of an endpoint by its name, if it takes work.
+    pub fn named(&self, name: &str) -> Option<EndpointKey> {
+        let key = *self.names.get(name)?;
+        self.endpoints.get(key).filter(|e| e.takes_work).map(|_| key)
+    }
+
     /// Returns an endpoint to change it.
     pub fn get_mut(&mut self, key: EndpointKey) -> Option<&mut Endpoint> {
         self.endpoints.get_mut(key)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! agents. What it must know of their protocol comes through [`protocol::CallProtocol`].
 
 mod answer;
+mod assign;
 pub mod budget;
 mod call;
 mod engine;
@@ -80,6 +81,10 @@
     timers: BTreeSet<(Timestamp, CallerId)>,
     queues: BTreeMap<Box<str>, Queue<CallerId>>,
     budgets: BTreeMap<Box<str>, Budget>,
+    /// Questions to control's leader who reads a prompt.
+    assigning: BTreeMap<ExchangeId, CallerId>,
+    /// Until when the leader is not asked, since it did not answer.
+    leader_silent: Timestamp,
     /// How long the callers of each route wait.
     patience: BTreeMap<Box<str>, Patience>,
     rng: Pcg64Mcg,
@@ -115,6 +120,8 @@
             timers: BTreeSet::new(),
             queues: BTreeMap::new(),
             budgets: BTreeMap::new(),
+            assigning: BTreeMap::new(),
+            leader_silent: Timestamp::default(),
             patience: BTreeMap::new(),
             rng,
             next_tidy: Timestamp::default(),
@@ -232,6 +239,7 @@
             prefills: 0,
             tried: Vec::new(),
             hold: None,
+            assigned: None,
             broke_at: None,
             may_have_run: false,
             failed: None,
@@ -408,15 +416,18 @@
     fn step(&mut self, now: Timestamp, input: Input<HttpInput>) -> Outputs {
         match input {
             Input::Local(input) => self.local(now, input),
-            Input::Reply { exchange, envelope } => {
-                if let Reply::Control(ControlReply::Beat(_)) = &envelope.body {
+            Input::Reply { exchange, envelope } => match &envelope.body {
+                Reply::Control(ControlReply::Beat(_)) => {
                     self.follower.reply(now, exchange, &envelope.body);
                     self.take_news(now);
                     self.freed = true;
                 }
-            }
+                Reply::Control(reply) => self.control_replied(now, exchange, reply),
+                _ => {}
+            },
             Input::Closed { exchange, .. } => {
                 self.follower.closed(exchange);
+                self.control_closed(now, exchange);
             }
             Input::Request { .. } | Input::Abandoned { .. } => {}
             Input::Wake => self.wake(now),
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -9,6 +9,7 @@
 use crate::entry::health::Verdict;
 use crate::h1::HttpEffect;
 use crate::model::Timestamp;
+use crate::role::Output;
 
 /// How long a connection to an endpoint may take to stand.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(300);
@@ -62,7 +63,7 @@
 pub fn next_timer(call: &Call) -> Timestamp {
     let attempt = match &call.stage {
         Stage::Waiting => None,
-        Stage::Hold { .. } => Some(call.hold_due),
+        Stage::Hold { .. } | Stage::Assign { .. } => Some(call.hold_due),
         Stage::Prefill { attempt, .. } => Some(attempt.since + limit(attempt, PREFILL_TIMEOUT)),
         Stage::Run { attempt, .. } => run_limit(call, attempt),
     };
@@ -106,6 +107,10 @@
             self.hold_lost(now, caller, false);
             return;
         }
+        if let Stage::Assign { .. } = call.stage {
+            self.assignment_overdue(now, caller);
+            return;
+        }
         let Some(attempt) = call.attempt() else { return };
         let (peer, connected) = (attempt.peer, attempt.connected);
         self.hang_up(peer);
@@ -133,6 +138,7 @@
 
     /// Ends whatever runs for a call and frees what it holds.
     pub(super) fn stop_work(&mut self, now: Timestamp, caller: CallerId) {
+        self.prompt_ended(caller);
         let Some(call) = self.calls.get_mut(&caller) else { return };
         let service = call.service.clone();
         match std::mem::replace(&mut call.stage, Stage::Waiting) {
@@ -145,6 +151,11 @@
                 self.release(now, decode.endpoint, decode.usage);
                 self.hang_up(peer);
             }
+            Stage::Assign { exchange, decode } => {
+                self.assigning.remove(&exchange);
+                self.outputs.push(Output::Reset { exchange });
+                self.release(now, decode.endpoint, decode.usage);
+            }
             Stage::Prefill { attempt, decode } => {
                 self.release(now, decode.endpoint, decode.usage);
                 self.release_attempt(now, &attempt);
@@ -218,10 +229,11 @@
 
     /// Takes the failure of the send that is under way; its connection is closed or parked.
     pub(super) fn attempt_failed(&mut self, now: Timestamp, caller: CallerId, failure: Failure) {
+        self.prompt_ended(caller);
         let Some(call) = self.calls.get_mut(&caller) else { return };
         let stage = std::mem::replace(&mut call.stage, Stage::Waiting);
         let (attempt, prefill, handoff) = match stage {
-            Stage::Waiting | Stage::Hold { .. } => return,
+            Stage::Waiting | Stage::Hold { .. } | Stage::Assign { .. } => return,
             Stage::Prefill { attempt, decode } => (attempt, Some(decode), None),
             Stage::Run { attempt, handoff } => (attempt, None, handoff),
         };
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -8,6 +8,7 @@
 use crate::control::config::{Change, Config, Revised, SCHEMA};
 use crate::control::orders::rollout::Rollout;
 use crate::control::orders::{Desired, Marked, OrderReport};
+use crate::control::prompts::PromptTicket;
 use crate::control::quarantine::{Fingerprint, Suspect};
 use crate::control::replica::ReplicaMessage;
 use crate::control::routing::{RoutingNews, RoutingSeen};
@@ -211,6 +212,15 @@
     Announce(Box<EndpointState>),
     /// Say whether the member leads, and what the leader decides by.
     Lead,
+    /// Choose the endpoint that reads a prompt; only the leader does.
+    AssignPrompt(PromptTicket),
+    /// A prompt is read no more.
+    PromptEnded {
+        /// The endpoint that read it.
+        endpoint: Box<str>,
+        /// Its tokens.
+        tokens: u32,
+    },
     /// Put a command into the log.
     Propose(Command),
     /// Say whether the entry process of this start is alive.
@@ -282,8 +292,13 @@
 pub enum ControlReply {
     /// To a heartbeat.
     Beat(Beat),
-    /// The endpoint is in the registry.
+    /// The endpoint is in the registry, or the end of a prompt is noted.
     Announced,
+    /// Who reads a prompt.
+    PromptAssigned {
+        /// The endpoint, if any may.
+        endpoint: Option<Box<str>>,
+    },
     /// Who leads.
     Lead {
         /// The leader, if it is known.
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -373,6 +373,11 @@
         self.routing.gateways(now)
     }
 
+    /// Returns the leader of control, as far as it is known.
+    pub fn leader(&self) -> Option<SocketAddr> {
+        self.routing.leader()
+    }
+
     fn find(&mut self, exchange: ExchangeId) -> Option<&mut Member> {
         self.members.iter_mut().find(|m| m.open.is_some_and(|(e, _)| e == exchange))
     }
--- a/src/registry/routing_view.rs
+++ b/src/registry/routing_view.rs
@@ -1,6 +1,7 @@
 //! What a process that routes by the routing document has heard of it.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::control::replica::LogIndex;
@@ -20,6 +21,8 @@
     document: Option<Document>,
     /// The last deregistered start of each endpoint.
     deregistered: BTreeMap<Box<str>, BootId>,
+    /// The leader that a member last told of.
+    leader: Option<SocketAddr>,
     /// Counts of gateways that members told, by their times.
     counts: BTreeMap<Timestamp, u32>,
 }
@@ -39,6 +42,7 @@
             self.document = Some(document.clone());
         }
         self.count(now, news.gateways);
+        self.leader = news.leader.or(self.leader);
         for (index, deregistration) in &news.deregistered {
             self.seen.deregistration = LogIndex(self.seen.deregistration.0.max(index.0));
             let boot = self.deregistered.entry(deregistration.endpoint.clone()).or_default();
@@ -52,6 +56,11 @@
         self.document.take()
     }
 
+    /// Returns the leader of control, as far as it is known.
+    pub fn leader(&self) -> Option<SocketAddr> {
+        self.leader
+    }
+
     /// Returns whether this start of an endpoint has deregistered.
     pub fn is_deregistered(&self, endpoint: &EndpointState) -> bool {
         self.deregistered.get(&endpoint.name).is_some_and(|boot| endpoint.boot <= *boot)
--- a/tests/gateway_fixture/mod.rs
+++ b/tests/gateway_fixture/mod.rs
@@ -196,6 +196,10 @@
     deregistered: Vec<(LogIndex, Deregistration)>,
     heartbeats: Vec<(ExchangeId, u64, LogIndex)>,
     gateways: u32,
+    /// The leader that control tells of, which then chooses who reads prompts.
+    pub leader: Option<SocketAddr>,
+    /// Questions to the leader, and prompts that it was told to have ended.
+    pub asked: Vec<(ExchangeId, ControlRequest)>,
 }
 
 impl Fixture {
@@ -234,6 +238,8 @@
             deregistered: Vec::new(),
             heartbeats: Vec::new(),
             gateways: 2,
+            leader: None,
+            asked: Vec::new(),
         }
     }
 
@@ -313,6 +319,7 @@
                     document,
                     deregistered: deregistered.collect(),
                     gateways: self.gateways,
+                    leader: self.leader,
                 })),
             };
             let body = Reply::Control(ControlReply::Beat(beat));
@@ -337,6 +344,8 @@
         if let LinkRequest::Control(ControlRequest::Heartbeat(heartbeat)) = request {
             let seen = heartbeat.routing.unwrap();
             self.heartbeats.push((exchange, seen.version, seen.deregistration));
+        } else if let LinkRequest::Control(request) = request {
+            self.asked.push((exchange, request));
         }
     }
 
--- /dev/null
+++ b/tests/prompts.rs
@@ -0,0 +1,171 @@
+//! Prompts of many gateways at busy prefill endpoints: the leader spreads them by what all read.
+
+mod gateway_fixture;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use dotterelpin::control::prompts::{PromptCandidate, PromptTicket, Prompts};
+use dotterelpin::h1::{CallerId, HttpInput};
+use dotterelpin::link::message::{ControlReply, ControlRequest, Envelope, Reply};
+use dotterelpin::model::{ExchangeId, Timestamp};
+use dotterelpin::role::Input;
+use gateway_fixture::{Fixture, Sent};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const ENDPOINTS: usize = 9;
+/// Prompt tokens that an endpoint reads in a millisecond.
+const RATE: f64 = 33.0;
+
+fn ticket(tokens: u32) -> PromptTicket {
+    let candidate = |at| PromptCandidate { endpoint: format!("f{at}").into(), near: true };
+    PromptTicket { tokens, candidates: (0..ENDPOINTS).map(candidate).collect() }
+}
+
+/// Replays prompts that come at 70 % of what the endpoints read, which share their time among
+/// their prompts; returns the mean time to read one in milliseconds.
+fn replay(
+    mut choose: impl FnMut(Timestamp, &PromptTicket) -> usize,
+    over: impl Fn(usize, u32),
+) -> f64 {
+    let mut rng = Pcg64Mcg::seed_from_u64(9);
+    let mut reading: Vec<Vec<(u32, f64, u64)>> = vec![Vec::new(); ENDPOINTS];
+    let (mut total, mut count, mut next) = (0.0, 0.0, 0.0);
+    for milli in 0..20_000u64 {
+        let now = Timestamp::from_micros((milli + 1) * 1_000);
+        while next <= milli as f64 {
+            let tokens = 500 + (rng.next_u64() % 5_000) as u32;
+            let at = choose(now, &ticket(tokens));
+            reading[at].push((tokens, f64::from(tokens), milli));
+            let unit = (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
+            next += -(1.0 - unit).ln() * 3_000.0 / (RATE * ENDPOINTS as f64 * 0.7);
+        }
+        for (at, all) in reading.iter_mut().enumerate() {
+            let share = RATE / all.len().max(1) as f64;
+            all.iter_mut().for_each(|(_, left, _)| *left -= share);
+            all.iter().filter(|(_, left, _)| *left <= 0.0).for_each(|(tokens, _, since)| {
+                over(at, *tokens);
+                total += (milli - since) as f64;
+                count += 1.0;
+            });
+            all.retain(|(_, left, _)| *left > 0.0);
+        }
+    }
+    total / count
+}
+
+#[test]
+fn prompts_of_all_gateways_are_read_sooner_than_by_chance() {
+    let mut rng = Pcg64Mcg::seed_from_u64(3);
+    let chance = replay(|_, _| rng.next_u64() as usize % ENDPOINTS, |_, _| {});
+    let prompts = std::cell::RefCell::new(Prompts::default());
+    let choose = |now, ticket: &PromptTicket| {
+        let name = prompts.borrow_mut().assign(now, ticket).unwrap();
+        name[1..].parse().unwrap()
+    };
+    let led = replay(choose, |at, tokens| prompts.borrow_mut().ended(&format!("f{at}"), tokens));
+    assert!(led < 0.6 * chance, "led {led:.0} ms, by chance {chance:.0} ms");
+}
+
+#[test]
+fn prompt_whose_end_is_not_told_counts_for_a_while_only() {
+    let mut prompts = Prompts::default();
+    let now = Timestamp::from_micros(1_000_000);
+    let mut counts: BTreeMap<Box<str>, u32> = BTreeMap::new();
+    for _ in 0..ENDPOINTS {
+        *counts.entry(prompts.assign(now, &ticket(3_000)).unwrap()).or_default() += 1;
+    }
+    assert_eq!(counts.len(), ENDPOINTS, "{counts:?}");
+    let two = PromptTicket { candidates: ticket(1).candidates[..2].to_vec(), tokens: 9_000 };
+    let busy = prompts.assign(now, &two).unwrap();
+    let other = prompts.assign(now, &two).unwrap();
+    assert_ne!(busy, other);
+    prompts.ended(&other, 9_000);
+    assert_eq!(prompts.assign(now, &two), Some(other));
+    let later = now + Duration::from_secs(3);
+    let alike: Vec<_> = (0..2).filter_map(|_| prompts.assign(later, &two)).collect();
+    assert_ne!(alike[0], alike[1], "nothing counts any more");
+    assert_eq!(prompts.assign(now, &PromptTicket { tokens: 1, candidates: vec![] }), None);
+}
+
+/// A gateway that knows a leader, with a call whose room was granted.
+fn asking() -> (Fixture, ExchangeId) {
+    let mut f = Fixture::ready();
+    f.leader = Some(SocketAddr::from(([127, 0, 0, 1], 9_001)));
+    f.pass(1_000);
+    f.draft(1, "/draft/a", "3000,100");
+    let hold = f.take();
+    f.answer(&hold, 200, &[], "hold h1");
+    assert!(!f.has_sent(), "the leader is asked first");
+    let (exchange, request) = f.asked.pop().unwrap();
+    let ticket = assert_matches!(request, ControlRequest::AssignPrompt(ticket) => ticket);
+    assert_eq!(ticket.tokens, 3_000);
+    assert_eq!(ticket.candidates.len(), 2);
+    (f, exchange)
+}
+
+fn reply(f: &mut Fixture, exchange: ExchangeId, reply: ControlReply) {
+    let envelope = Envelope { revised: Default::default(), body: Reply::Control(reply) };
+    f.step(Input::Reply { exchange, envelope });
+}
+
+fn prefill_at(f: &mut Fixture, name: Option<&str>) -> Sent {
+    let sent = f.take();
+    assert_eq!(sent.field("Stage"), Some("prefill"));
+    if name.is_some() {
+        assert_eq!(sent.field("Endpoint"), name);
+    }
+    sent
+}
+
+#[test]
+fn prompt_goes_where_the_leader_says_and_its_end_is_told() {
+    for endpoint in ["f1", "f2"] {
+        let (mut f, exchange) = asking();
+        reply(&mut f, exchange, ControlReply::PromptAssigned { endpoint: Some(endpoint.into()) });
+        let prefill = prefill_at(&mut f, Some(endpoint));
+        assert!(f.asked.is_empty());
+        f.answer(&prefill, 200, &[], "export e1");
+        let (_, ended) = f.asked.pop().unwrap();
+        assert_eq!(ended, ControlRequest::PromptEnded { endpoint: endpoint.into(), tokens: 3_000 });
+        assert_eq!(f.take().field("Hold"), Some("h1"));
+    }
+}
+
+#[test]
+fn gateway_chooses_by_itself_when_the_leader_is_silent_gone_or_another() {
+    let (mut f, _) = asking();
+    f.pass(30);
+    prefill_at(&mut f, None);
+    // The leader is not asked again at once.
+    f.draft(2, "/draft/a", "3000,100");
+    let hold = f.take();
+    f.answer(&hold, 200, &[], "hold h2");
+    prefill_at(&mut f, None);
+
+    let (mut f, exchange) = asking();
+    reply(&mut f, exchange, ControlReply::NotLeader { leader: None });
+    prefill_at(&mut f, None);
+
+    let (mut f, exchange) = asking();
+    f.step(Input::Closed { exchange, failure: None });
+    prefill_at(&mut f, None);
+
+    let (mut f, exchange) = asking();
+    reply(&mut f, exchange, ControlReply::PromptAssigned { endpoint: Some("gone".into()) });
+    prefill_at(&mut f, None);
+}
+
+#[test]
+fn caller_that_leaves_while_the_leader_is_asked_leaves_nothing_behind() {
+    let (mut f, exchange) = asking();
+    f.step(Input::Local(HttpInput::CallerGone { caller: CallerId(1) }));
+    assert_eq!(&*f.take().head.target, "/hold/h1");
+    reply(&mut f, exchange, ControlReply::PromptAssigned { endpoint: Some("f1".into()) });
+    f.pass(2_000);
+    assert!(!f.has_sent());
+    assert!(!f.got.contains_key(&1));
+}
