Let the leader of control name decode endpoints with room

Cause: on the grown sites decode memory is full for 25 s.

The leader counts the calls that run anywhere, by prompt and half of the longest answer, names the endpoint with the least load that has room, or says that there is none; gateways tell it when a run is over, refused or silent. The endpoint's own lease stays, and has the last word. Without an answer within 25 ms a gateway goes by its own view, as before. Soft state, gone with the leader; an end that is not told lapses after 20 s.

Admission moves out of engine.rs into admit.rs, both counts into control/dispatch.

--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -216,6 +216,7 @@
             | ControlReply::Owner { .. }
             | ControlReply::Lead { .. }
             | ControlReply::PromptAssigned { .. }
+            | ControlReply::RoomAssigned { .. }
             | ControlReply::Status(_) => {
                 log::error!("step=api error=\"another reply than asked for\"");
                 self.again(now, caller, true);
--- a/src/control/prompts.rs
+++ b/src/control/dispatch/prompts.rs
@@ -11,6 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::Candidate;
 use crate::model::Timestamp;
 
 /// How long a prompt counts whose end is not told.
@@ -18,22 +19,13 @@
 /// Tokens that an endpoint in another failure domain must have less.
 const FAR_PENALTY_TOKENS: u64 = 2_000;
 
-/// An endpoint that may read a prompt.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PromptCandidate {
-    /// Its name.
-    pub endpoint: Box<str>,
-    /// Whether it is in the failure domain of the endpoint that runs the call afterwards.
-    pub near: bool,
-}
-
 /// A question which endpoint shall read a prompt.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromptTicket {
     /// Tokens of the prompt.
     pub tokens: u32,
     /// The endpoints that may.
-    pub candidates: Vec<PromptCandidate>,
+    pub candidates: Vec<Candidate>,
 }
 
 /// A prompt that an endpoint reads.
@@ -46,11 +38,12 @@
 /// The prompts that are being read.
 ///
 /// ```
-/// use dotterelpin::control::prompts::{PromptCandidate, PromptTicket, Prompts};
+/// use dotterelpin::control::dispatch::Candidate;
+/// use dotterelpin::control::dispatch::prompts::{PromptTicket, Prompts};
 /// use dotterelpin::model::Timestamp;
 ///
 /// let now = Timestamp::from_micros(1);
-/// let candidate = |name: &str| PromptCandidate { endpoint: name.into(), near: true };
+/// let candidate = |name: &str| Candidate { endpoint: name.into(), near: true };
 /// let ticket = PromptTicket { tokens: 3_000, candidates: vec![candidate("a"), candidate("b")] };
 /// let mut prompts = Prompts::default();
 /// assert_eq!(prompts.assign(now, &ticket).as_deref(), Some("a"));
@@ -70,7 +63,7 @@
     /// Returns the endpoint that shall read a prompt, and counts it there.
     pub fn assign(&mut self, now: Timestamp, ticket: &PromptTicket) -> Option<Box<str>> {
         self.forget(now);
-        let cost = |c: &&PromptCandidate| {
+        let cost = |c: &&Candidate| {
             let far = if c.near { 0 } else { FAR_PENALTY_TOKENS };
             let last = self.last.get(&c.endpoint).copied().unwrap_or_default();
             (self.backlog(&c.endpoint) + far, last)
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -5,9 +5,9 @@
 mod commit;
 pub mod config;
 pub mod disk;
+pub mod dispatch;
 pub mod orders;
 mod peers;
-pub mod prompts;
 pub mod quarantine;
 pub mod replica;
 pub mod routing;
@@ -18,8 +18,9 @@
 use std::time::Duration;
 
 use config::{Change, Revised, schema_of};
+use dispatch::prompts::Prompts;
+use dispatch::rooms::Rooms;
 use peers::Peers;
-use prompts::Prompts;
 use replica::{Entry, LogIndex, Replica, ReplicaInput, ReplicaSettings, Snapshot, Stored, WriteId};
 use state::{Applied, ChangeReply, Command, State};
 
@@ -98,6 +99,7 @@
     registry: Registry,
     peers: Peers,
     prompts: Prompts,
+    rooms: Rooms,
     waiting: BTreeMap<LogIndex, Waiting>,
     failed: bool,
     stopping: Option<Timestamp>,
@@ -121,6 +123,7 @@
             state,
             peers: Peers::default(),
             prompts: Prompts::default(),
+            rooms: Rooms::default(),
             waiting: BTreeMap::new(),
             failed: false,
             stopping: None,
@@ -163,6 +166,19 @@
                 let leadership = self.leadership(now).map(Box::new);
                 vec![self.reply(inbound, ControlReply::Lead { leader, leadership })]
             }
+            ControlRequest::AssignRoom(ticket) => {
+                let reply = if self.replica.is_leader() {
+                    let endpoint = self.rooms.assign(now, &ticket);
+                    ControlReply::RoomAssigned { endpoint }
+                } else {
+                    ControlReply::NotLeader { leader: self.replica.leader() }
+                };
+                vec![self.reply(inbound, reply)]
+            }
+            ControlRequest::RunEnded { run, end } => {
+                self.rooms.ended(now, run, end);
+                vec![self.reply(inbound, ControlReply::Announced)]
+            }
             ControlRequest::AssignPrompt(ticket) => {
                 let reply = if self.replica.is_leader() {
                     let endpoint = self.prompts.assign(now, &ticket);
--- /dev/null
+++ b/src/gateway/admit.rs
@@ -0,0 +1,110 @@
+//! How calls are let in: they start, wait in the queue of their service, or are refused at once.
+
+use std::time::Duration;
+
+use super::queue::{Queue, Rank, Waiting};
+use super::{CallerId, DRAIN_INTERVAL, Gateway};
+use crate::model::Timestamp;
+
+/// How long a stream that broke off may wait for room; callers give up soon after.
+const RESUME_WAIT: Duration = Duration::from_millis(2_500);
+
+impl Gateway {
+    /// Starts a new call, lets it wait, or refuses it at once if it would wait in vain.
+    pub(super) fn offer(&mut self, now: Timestamp, caller: CallerId) {
+        let Some(call) = self.calls.get(&caller) else { return };
+        let Some(route) = call.route() else { return };
+        let rank = call.rank();
+        let until = Queue::<CallerId>::until(now, rank, route.target, call.left(now)).min(call.due);
+        self.admit(now, rank, Waiting { key: caller, in_time: until, until });
+    }
+
+    /// Starts a new call if none waits before it and there is room, or lets it wait if it is
+    /// expected to start; refuses it at once otherwise.
+    pub(super) fn admit(&mut self, now: Timestamp, rank: Rank, waiting: Waiting<CallerId>) {
+        let caller = waiting.key;
+        let Some(call) = self.calls.get(&caller) else { return };
+        let service = call.service.clone();
+        let id = call.info.id.clone();
+        let first = self.queues.entry(service.clone()).or_default().ahead(rank) == 0;
+        if first && self.start(now, caller) {
+            self.queues.entry(service).or_default().started(now);
+            return;
+        }
+        let queue = self.queues.entry(service).or_default();
+        if queue.is_worthwhile(now, rank, &waiting) {
+            queue.push(rank, waiting);
+            return;
+        }
+        log::info!(
+            "step=admit id={id} outcome=refused late={} queue={} wait_ms={}",
+            rank.late,
+            queue.len(),
+            queue.estimate(now, rank).map_or(-1, |w| w.as_millis() as i64),
+        );
+        let refusal = self.no_room(now, caller);
+        self.conclude(now, caller, refusal);
+    }
+
+    /// Refuses the calls that have waited too long.
+    pub(super) fn expire_queues(&mut self, now: Timestamp) {
+        let expired: Vec<CallerId> =
+            self.queues.values_mut().flat_map(|q| q.expired(now)).collect();
+        for caller in expired {
+            let refusal = self.no_room(now, caller);
+            self.conclude(now, caller, refusal);
+        }
+    }
+
+    /// Starts waiting calls while there is room.
+    pub(super) fn drain_queues(&mut self, now: Timestamp) {
+        self.freed = false;
+        self.next_drain = now + DRAIN_INTERVAL;
+        let services: Vec<Box<str>> =
+            self.queues.iter().filter(|(_, q)| !q.is_empty()).map(|(s, _)| s.clone()).collect();
+        for service in services {
+            if let Some(queue) = self.queues.get_mut(&service) {
+                queue.demote(now);
+            }
+            while let Some(caller) = self.queues.get(&service).and_then(Queue::first) {
+                if !self.start(now, caller) {
+                    break;
+                }
+                if let Some(queue) = self.queues.get_mut(&service) {
+                    queue.remove(caller);
+                    queue.started(now);
+                }
+                self.schedule(caller);
+            }
+        }
+    }
+
+    /// Starts a call if there seems to be room for it; returns whether.
+    fn start(&mut self, now: Timestamp, caller: CallerId) -> bool {
+        if self.is_engine_call(caller) {
+            self.start_engine(now, caller)
+        } else {
+            self.send_plain(now, caller)
+        }
+    }
+
+    /// Starts a call elsewhere, or puts it before those that came after it.
+    pub(super) fn wait_again(&mut self, now: Timestamp, caller: CallerId) {
+        if self.start_engine(now, caller) {
+            return;
+        }
+        let Some(call) = self.calls.get(&caller) else { return };
+        let Some(route) = call.route() else { return };
+        let rank = call.rank();
+        let until = match call.passed.last {
+            Some(last) => last + RESUME_WAIT,
+            None => {
+                let left = call.due - call.arrived;
+                Queue::<CallerId>::until(call.arrived, rank, route.target, left)
+            }
+        };
+        let until = until.min(call.due);
+        let queue = self.queues.entry(call.service.clone()).or_default();
+        queue.push_front(rank, Waiting { key: caller, in_time: until, until });
+    }
+}
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -9,6 +9,7 @@
 use super::protocol::RefusalInfo;
 use super::queue::Queue;
 use super::{CallerId, Gateway, PeerId};
+use crate::control::dispatch::rooms::RunEnd;
 use crate::entry::health::Verdict;
 use crate::h1::{AnswerHead, HttpEffect, Request, write};
 use crate::model::Timestamp;
@@ -129,6 +130,7 @@
     }
 
     pub(super) fn remove(&mut self, caller: CallerId) -> Option<Call> {
+        self.run_ended(caller, RunEnd::Over);
         let call = self.calls.remove(&caller)?;
         self.timers.remove(&(call.timer, caller));
         Some(call)
--- a/src/gateway/assign.rs
+++ b/src/gateway/assign.rs
@@ -1,13 +1,16 @@
-//! Asking control's leader which prefill endpoint reads a prompt; without its answer in time the
-//! gateway chooses by what it knows itself.
+//! Asking control's leader which decode endpoint has room for a call, and which prefill endpoint
+//! reads its prompt; without the answer in time the gateway chooses by what it knows itself.
 
 use std::time::Duration;
 
 use super::call::{Reserved, Stage};
+use super::engine::spare_tokens;
 use super::fleet::EndpointKey;
 use super::{CallerId, Gateway};
 use crate::control::config::Revised;
-use crate::control::prompts::{PromptCandidate, PromptTicket};
+use crate::control::dispatch::Candidate;
+use crate::control::dispatch::prompts::PromptTicket;
+use crate::control::dispatch::rooms::{RoomTicket, RunEnd, RunId};
 use crate::link;
 use crate::link::message::{ControlReply, ControlRequest, Envelope};
 use crate::model::{ExchangeId, Timestamp};
@@ -17,8 +20,10 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(25);
 /// How long the leader is not asked after an answer did not come.
 const SILENT_PAUSE: Duration = Duration::from_millis(400);
+/// How long the leader is not asked for room again after it knew none.
+const NO_ROOM_PAUSE: Duration = Duration::from_millis(40);
 /// The most endpoints that one question names.
-const MOST_CANDIDATES: usize = 16;
+const MOST_CANDIDATES: usize = 64;
 
 /// A prompt that the leader counts at an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -61,13 +66,73 @@
         let loads = self.fleet.prefill_loads(now, &call.service, &shape, domain, &call.tried);
         let named = loads.filter(|l| l.slots_used < l.slots).filter_map(|l| {
             let endpoint = self.fleet.get(l.key)?.name.clone();
-            Some(PromptCandidate { endpoint, near: l.near })
+            Some(Candidate { endpoint, near: l.near })
         });
-        let candidates: Vec<PromptCandidate> = named.take(MOST_CANDIDATES).collect();
+        let candidates: Vec<Candidate> = named.take(MOST_CANDIDATES).collect();
         let tokens = call.info.work.as_ref()?.prompt;
         (candidates.len() > 1).then_some(PromptTicket { tokens, candidates })
     }
 
+    /// Asks the leader for room; returns whether it was asked, or `None` if nobody leads.
+    pub(super) fn ask_room(&mut self, now: Timestamp, caller: CallerId) -> Option<bool> {
+        let leader = self.follower.leader().filter(|_| now >= self.leader_silent)?;
+        let call = self.calls.get(&caller)?;
+        let key = (call.service.clone(), call.rank().late);
+        if self.no_room.get(&key).is_some_and(|until| now < *until) {
+            return Some(false);
+        }
+        let run = RunId(self.settings.follower.boot.0.rotate_left(24) ^ (self.exchanges + 1));
+        let ticket = self.room_ticket(now, caller, run)?;
+        let exchange = self.ask_control(leader, ControlRequest::AssignRoom(Box::new(ticket)));
+        self.assigning.insert(exchange, caller);
+        let call = self.calls.get_mut(&caller)?;
+        call.run = Some(run);
+        call.hold_due = now + ANSWER_TIMEOUT;
+        call.stage = Stage::Room { exchange };
+        Some(true)
+    }
+
+    fn room_ticket(&self, now: Timestamp, caller: CallerId, run: RunId) -> Option<RoomTicket> {
+        let call = self.calls.get(&caller)?;
+        let shape = self.shape(caller)?;
+        let loads = self.fleet.decode_loads(now, &call.service, &shape, &call.tried);
+        let named = loads.filter_map(|l| {
+            let endpoint = self.fleet.get(l.key)?.name.clone();
+            Some(Candidate { endpoint, near: l.near })
+        });
+        let candidates = named.take(MOST_CANDIDATES).collect();
+        let tokens = call.info.work.as_ref()?.mean_tokens();
+        let spare = spare_tokens(call, &shape);
+        let (memory, slots) = (shape.tokens, shape.slots);
+        Some(RoomTicket { run, tokens, spare, memory, slots, candidates })
+    }
+
+    /// Takes the leader's answer to a question for room.
+    fn room_assigned(&mut self, now: Timestamp, caller: CallerId, endpoint: Option<&str>) {
+        let Some(call) = self.calls.get_mut(&caller) else { return };
+        call.stage = Stage::Waiting;
+        let key = (call.service.clone(), call.rank().late);
+        let Some(endpoint) = endpoint else {
+            call.run = None;
+            self.no_room.insert(key, now + NO_ROOM_PAUSE);
+            self.wait_again(now, caller);
+            return;
+        };
+        let named = self.fleet.named(endpoint);
+        if !named.is_some_and(|at| self.hold_at(now, caller, at)) {
+            self.run_ended(caller, RunEnd::Refused);
+            self.wait_again(now, caller);
+        }
+    }
+
+    /// Tells the leader that a call takes no room any more.
+    pub(super) fn run_ended(&mut self, caller: CallerId, end: RunEnd) {
+        let run = self.calls.get_mut(&caller).and_then(|c| c.run.take());
+        if let (Some(run), Some(leader)) = (run, self.follower.leader()) {
+            self.ask_control(leader, ControlRequest::RunEnded { run, end });
+        }
+    }
+
     fn ask_control(&mut self, peer: std::net::SocketAddr, request: ControlRequest) -> ExchangeId {
         self.exchanges += 1;
         let exchange = ExchangeId(self.exchanges);
@@ -85,34 +150,57 @@
         reply: &ControlReply,
     ) {
         let Some(caller) = self.assigning.remove(&exchange) else { return };
-        let endpoint = match reply {
-            ControlReply::PromptAssigned { endpoint } => endpoint.as_ref(),
-            _ => None,
-        };
-        let tokens = |g: &Gateway| {
-            let call = g.calls.get(&caller)?;
-            let waits = matches!(&call.stage, Stage::Assign { exchange: e, .. } if *e == exchange);
-            call.info.work.as_ref().filter(|_| waits).map(|w| w.prompt)
-        };
-        // The call may have ended meanwhile; the leader forgets its prompt by itself.
-        let Some(tokens) = tokens(self) else { return };
-        if endpoint.is_none() {
+        let answered = matches!(
+            reply,
+            ControlReply::PromptAssigned { .. } | ControlReply::RoomAssigned { .. }
+        );
+        if !answered {
             self.leader_silent = now + SILENT_PAUSE;
         }
-        let assigned = endpoint.map(|e| Assigned { endpoint: e.clone(), tokens });
-        self.assigned(now, caller, assigned);
+        // The call may have ended meanwhile; the leader forgets it by itself.
+        let Some(call) = self.calls.get(&caller) else { return };
+        match (&call.stage, reply) {
+            (Stage::Room { .. }, ControlReply::RoomAssigned { endpoint }) => {
+                self.room_assigned(now, caller, endpoint.as_deref());
+            }
+            (Stage::Room { .. }, _) => self.start_alone(now, caller),
+            (Stage::Assign { .. }, ControlReply::PromptAssigned { endpoint: Some(endpoint) }) => {
+                let tokens = call.info.work.as_ref().map_or(0, |w| w.prompt);
+                let assigned = Assigned { endpoint: endpoint.clone(), tokens };
+                self.assigned(now, caller, Some(assigned));
+            }
+            (Stage::Assign { .. }, _) => self.assigned(now, caller, None),
+            _ => {}
+        }
         self.schedule(caller);
     }
 
+    /// Finds room for a call without the leader.
+    fn start_alone(&mut self, now: Timestamp, caller: CallerId) {
+        self.run_ended(caller, RunEnd::Over);
+        if let Some(call) = self.calls.get_mut(&caller) {
+            call.stage = Stage::Waiting;
+        }
+        self.wait_again(now, caller);
+    }
+
     /// Goes on with a call whose question to the leader had no answer in time, or is lost.
     pub(super) fn assignment_overdue(&mut self, now: Timestamp, caller: CallerId) {
         let Some(call) = self.calls.get(&caller) else { return };
-        let Stage::Assign { exchange, .. } = call.stage else { return };
-        log::info!("step=assign id={} outcome=silent", call.info.id);
+        let (exchange, for_room) = match call.stage {
+            Stage::Room { exchange } => (exchange, true),
+            Stage::Assign { exchange, .. } => (exchange, false),
+            _ => return,
+        };
+        log::info!("step=assign id={} for_room={for_room} outcome=silent", call.info.id);
         self.assigning.remove(&exchange);
         self.outputs.push(Output::Reset { exchange });
         self.leader_silent = now + SILENT_PAUSE;
-        self.assigned(now, caller, None);
+        if for_room {
+            self.start_alone(now, caller);
+        } else {
+            self.assigned(now, caller, None);
+        }
     }
 
     /// Takes the end of an exchange that was no heartbeat.
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -8,6 +8,7 @@
 use super::fleet::{EndpointKey, Usage};
 use super::protocol::{AnswerInfo, CallInfo, Export};
 use super::queue::Rank;
+use crate::control::dispatch::rooms::RunId;
 use crate::h1::{AnswerHead, PeerId, Request};
 use crate::model::{ExchangeId, Timestamp};
 use crate::routes::{Route, RouteKey, RouteTable};
@@ -76,6 +77,11 @@
         /// The room.
         decode: Reserved,
     },
+    /// Control's leader is asked which endpoint has room for it.
+    Room {
+        /// The question.
+        exchange: ExchangeId,
+    },
     /// Control's leader is asked which endpoint reads its prompt.
     Assign {
         /// The question.
@@ -169,6 +175,8 @@
     pub tried: Vec<EndpointKey>,
     /// Room that a decode endpoint keeps for it, by its name there.
     pub hold: Option<(EndpointKey, Box<str>)>,
+    /// The run by which the leader counts its room.
+    pub run: Option<RunId>,
     /// Where the leader counts its prompt.
     pub assigned: Option<Assigned>,
     /// Where a run broke off; that endpoint is asked to go on.
@@ -219,7 +227,7 @@
     /// Returns the send that is under way.
     pub fn attempt(&mut self) -> Option<&mut Attempt> {
         match &mut self.stage {
-            Stage::Waiting | Stage::Hold { .. } | Stage::Assign { .. } => None,
+            Stage::Waiting | Stage::Room { .. } | Stage::Hold { .. } | Stage::Assign { .. } => None,
             Stage::Prefill { attempt, .. } | Stage::Run { attempt, .. } => Some(attempt),
         }
     }
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use super::answer;
-use super::call::{Attempt, FailedSend, Handoff, Reserved, Stage};
+use super::call::{Attempt, Call, FailedSend, Handoff, Reserved, Stage};
 use super::fleet::{EndpointKey, Job, Usage};
 use super::place::{place_decode, place_prefill};
 use super::protocol::{Export, SendKind, SideRequest};
-use super::queue::{Queue, Rank, Waiting};
-use super::{CallerId, DRAIN_INTERVAL, Gateway};
+use super::{CallerId, Gateway};
+use crate::control::dispatch::rooms::RunEnd;
 use crate::entry::health::Verdict;
 use crate::model::{EndpointKind, Timestamp};
 use crate::routes::EngineShape;
@@ -17,8 +17,6 @@
 const MOST_BACKLOG_TOKENS: u32 = 12_000;
 /// How long an engine keeps room for a call, and protects it after its start.
 const HOLD_LIFE: Duration = Duration::from_millis(2_000);
-/// How long a stream that broke off may wait for room; callers give up soon after.
-const RESUME_WAIT: Duration = Duration::from_millis(2_500);
 /// How long a request for room may take.
 const HOLD_TIMEOUT: Duration = Duration::from_millis(250);
 /// The part of an engine's memory that calls leave free if they have missed their target, in
@@ -34,107 +32,49 @@
         call.info.work.is_some() && self.shape(caller).is_some()
     }
 
-    fn shape(&self, caller: CallerId) -> Option<EngineShape> {
+    pub(super) fn shape(&self, caller: CallerId) -> Option<EngineShape> {
         let call = self.calls.get(&caller)?;
         call.table.service(&call.service)?.engine
     }
 
-    /// Starts a new call, lets it wait, or refuses it at once if it would wait in vain.
-    pub(super) fn offer(&mut self, now: Timestamp, caller: CallerId) {
-        let Some(call) = self.calls.get(&caller) else { return };
-        let Some(route) = call.route() else { return };
-        let rank = call.rank();
-        let until = Queue::<CallerId>::until(now, rank, route.target, call.left(now)).min(call.due);
-        self.admit(now, rank, Waiting { key: caller, in_time: until, until });
-    }
-
-    /// Starts a new call if none waits before it and there is room, or lets it wait if it is
-    /// expected to start; refuses it at once otherwise.
-    pub(super) fn admit(&mut self, now: Timestamp, rank: Rank, waiting: Waiting<CallerId>) {
-        let caller = waiting.key;
-        let Some(call) = self.calls.get(&caller) else { return };
-        let service = call.service.clone();
-        let id = call.info.id.clone();
-        let first = self.queues.entry(service.clone()).or_default().ahead(rank) == 0;
-        if first && self.start(now, caller) {
-            self.queues.entry(service).or_default().started(now);
-            return;
-        }
-        let queue = self.queues.entry(service).or_default();
-        if queue.is_worthwhile(now, rank, &waiting) {
-            queue.push(rank, waiting);
-            return;
-        }
-        log::info!(
-            "step=admit id={id} outcome=refused late={} queue={} wait_ms={}",
-            rank.late,
-            queue.len(),
-            queue.estimate(now, rank).map_or(-1, |w| w.as_millis() as i64),
-        );
-        let refusal = self.no_room(now, caller);
-        self.conclude(now, caller, refusal);
-    }
-
-    /// Refuses the calls that have waited too long.
-    pub(super) fn expire_queues(&mut self, now: Timestamp) {
-        let expired: Vec<CallerId> =
-            self.queues.values_mut().flat_map(|q| q.expired(now)).collect();
-        for caller in expired {
-            let refusal = self.no_room(now, caller);
-            self.conclude(now, caller, refusal);
+    /// Finds room for a call and asks for it; returns whether there may be any.
+    pub(super) fn start_engine(&mut self, now: Timestamp, caller: CallerId) -> bool {
+        match self.ask_room(now, caller) {
+            Some(asked) => asked,
+            None => self.start_by_own_view(now, caller),
         }
     }
 
-    /// Starts waiting calls while there is room.
-    pub(super) fn drain_queues(&mut self, now: Timestamp) {
-        self.freed = false;
-        self.next_drain = now + DRAIN_INTERVAL;
-        let services: Vec<Box<str>> =
-            self.queues.iter().filter(|(_, q)| !q.is_empty()).map(|(s, _)| s.clone()).collect();
-        for service in services {
-            if let Some(queue) = self.queues.get_mut(&service) {
-                queue.demote(now);
-            }
-            while let Some(caller) = self.queues.get(&service).and_then(Queue::first) {
-                if !self.start(now, caller) {
-                    break;
-                }
-                if let Some(queue) = self.queues.get_mut(&service) {
-                    queue.remove(caller);
-                    queue.started(now);
-                }
-                self.schedule(caller);
-            }
-        }
-    }
-
-    /// Starts a call if there seems to be room for it; returns whether.
-    fn start(&mut self, now: Timestamp, caller: CallerId) -> bool {
-        if self.is_engine_call(caller) {
-            self.start_engine(now, caller)
-        } else {
-            self.send_plain(now, caller)
-        }
-    }
-
-    /// Finds room for a call and asks for it; returns whether there seems to be any.
-    fn start_engine(&mut self, now: Timestamp, caller: CallerId) -> bool {
+    /// Finds room for a call by what the gateway knows itself.
+    fn start_by_own_view(&mut self, now: Timestamp, caller: CallerId) -> bool {
         let draw = self.draw();
         let Some(shape) = self.shape(caller) else { return false };
         let Some(call) = self.calls.get(&caller) else { return false };
         let Some(work) = &call.info.work else { return false };
-        let spare = if call.rank().late { shape.tokens * LATE_SPARE_PERCENT / 100 } else { 0 };
-        let need = work.mean_tokens();
-        let free = work.free_tokens().min(shape.tokens);
+        let need = work.mean_tokens() + spare_tokens(call, &shape);
         let loads = self.fleet.decode_loads(now, &call.service, &shape, &call.tried);
-        let Some(endpoint) = place_decode(loads, need + spare, draw) else { return false };
+        let Some(endpoint) = place_decode(loads, need, draw) else { return false };
         if self.pick_prefill(now, caller, &shape, endpoint, draw).is_none()
             && self.has_prefill(now, caller)
         {
             return false;
         }
-        let usage = Usage { slots: 1, tokens: need };
-        let request = SideRequest::Hold { tokens: free, life: HOLD_LIFE };
+        self.hold_at(now, caller, endpoint)
+    }
+
+    /// Asks an endpoint to keep room for a call.
+    pub(super) fn hold_at(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        endpoint: EndpointKey,
+    ) -> bool {
+        let Some(shape) = self.shape(caller) else { return false };
+        let work = self.calls.get(&caller).and_then(|c| c.info.work.as_ref());
+        let Some(work) = work else { return false };
+        let usage = Usage { slots: 1, tokens: work.mean_tokens() };
+        let tokens = work.free_tokens().min(shape.tokens);
+        let request = SideRequest::Hold { tokens, life: HOLD_LIFE };
         let Some(peer) = self.ask(now, endpoint, Job::Hold(caller), &request) else { return false };
         if let Some(target) = self.fleet.get_mut(endpoint) {
             target.began(now, usage);
@@ -188,6 +128,7 @@
             );
         }
         let Some(hold) = hold else {
+            self.run_ended(caller, RunEnd::Refused);
             self.release(now, decode.endpoint, decode.usage);
             if let Some(endpoint) = self.fleet.get_mut(decode.endpoint) {
                 endpoint.full(now);
@@ -235,6 +176,7 @@
         let Stage::Hold { decode, .. } = std::mem::replace(&mut call.stage, Stage::Waiting) else {
             return;
         };
+        self.run_ended(caller, RunEnd::Silent);
         self.release(now, decode.endpoint, decode.usage);
         if let Some(endpoint) = self.fleet.get_mut(decode.endpoint) {
             let verdict = if connected { Verdict::Failed } else { Verdict::Silent };
@@ -244,26 +186,6 @@
         self.wait_again(now, caller);
     }
 
-    /// Starts a call elsewhere, or puts it before those that came after it.
-    fn wait_again(&mut self, now: Timestamp, caller: CallerId) {
-        if self.start_engine(now, caller) {
-            return;
-        }
-        let Some(call) = self.calls.get(&caller) else { return };
-        let Some(route) = call.route() else { return };
-        let rank = call.rank();
-        let until = match call.passed.last {
-            Some(last) => last + RESUME_WAIT,
-            None => {
-                let left = call.due - call.arrived;
-                Queue::<CallerId>::until(call.arrived, rank, route.target, left)
-            }
-        };
-        let until = until.min(call.due);
-        let queue = self.queues.entry(call.service.clone()).or_default();
-        queue.push_front(rank, Waiting { key: caller, in_time: until, until });
-    }
-
     /// Returns whether any prefill endpoint works.
     fn has_prefill(&self, now: Timestamp, caller: CallerId) -> bool {
         let Some(call) = self.calls.get(&caller) else { return false };
@@ -411,3 +333,8 @@
         self.run_on(now, caller, decode, usage, kind, Some(handoff))
     }
 }
+
+/// Returns the tokens that a call must leave free at an engine.
+pub(super) fn spare_tokens(call: &Call, shape: &EngineShape) -> u32 {
+    if call.rank().late { shape.tokens * LATE_SPARE_PERCENT / 100 } else { 0 }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 //! Unlike the entry, it doesn't know what calls and answers say, and it reaches endpoints without
 //! agents. What it must know of their protocol comes through [`protocol::CallProtocol`].
 
+mod admit;
 mod answer;
 mod assign;
 pub mod budget;
@@ -83,6 +84,8 @@
     budgets: BTreeMap<Box<str>, Budget>,
     /// Questions to control's leader who reads a prompt.
     assigning: BTreeMap<ExchangeId, CallerId>,
+    /// Until when the leader is not asked for room in a service, by whether the call is late.
+    no_room: BTreeMap<(Box<str>, bool), Timestamp>,
     /// Until when the leader is not asked, since it did not answer.
     leader_silent: Timestamp,
     /// How long the callers of each route wait.
@@ -121,6 +124,7 @@
             queues: BTreeMap::new(),
             budgets: BTreeMap::new(),
             assigning: BTreeMap::new(),
+            no_room: BTreeMap::new(),
             leader_silent: Timestamp::default(),
             patience: BTreeMap::new(),
             rng,
@@ -239,6 +243,7 @@
             prefills: 0,
             tried: Vec::new(),
             hold: None,
+            run: None,
             assigned: None,
             broke_at: None,
             may_have_run: false,
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -6,6 +6,7 @@
 use super::call::{Attempt, Call, FailedAnswer, FailedSend, Handoff, Stage};
 use super::fleet::{EndpointKey, Job};
 use super::{CallerId, Gateway, PeerId};
+use crate::control::dispatch::rooms::RunEnd;
 use crate::entry::health::Verdict;
 use crate::h1::HttpEffect;
 use crate::model::Timestamp;
@@ -63,7 +64,7 @@
 pub fn next_timer(call: &Call) -> Timestamp {
     let attempt = match &call.stage {
         Stage::Waiting => None,
-        Stage::Hold { .. } | Stage::Assign { .. } => Some(call.hold_due),
+        Stage::Room { .. } | Stage::Hold { .. } | Stage::Assign { .. } => Some(call.hold_due),
         Stage::Prefill { attempt, .. } => Some(attempt.since + limit(attempt, PREFILL_TIMEOUT)),
         Stage::Run { attempt, .. } => run_limit(call, attempt),
     };
@@ -107,7 +108,7 @@
             self.hold_lost(now, caller, false);
             return;
         }
-        if let Stage::Assign { .. } = call.stage {
+        if let Stage::Room { .. } | Stage::Assign { .. } = call.stage {
             self.assignment_overdue(now, caller);
             return;
         }
@@ -151,6 +152,10 @@
                 self.release(now, decode.endpoint, decode.usage);
                 self.hang_up(peer);
             }
+            Stage::Room { exchange } => {
+                self.assigning.remove(&exchange);
+                self.outputs.push(Output::Reset { exchange });
+            }
             Stage::Assign { exchange, decode } => {
                 self.assigning.remove(&exchange);
                 self.outputs.push(Output::Reset { exchange });
@@ -230,10 +235,13 @@
     /// Takes the failure of the send that is under way; its connection is closed or parked.
     pub(super) fn attempt_failed(&mut self, now: Timestamp, caller: CallerId, failure: Failure) {
         self.prompt_ended(caller);
+        self.run_ended(caller, RunEnd::Over);
         let Some(call) = self.calls.get_mut(&caller) else { return };
         let stage = std::mem::replace(&mut call.stage, Stage::Waiting);
         let (attempt, prefill, handoff) = match stage {
-            Stage::Waiting | Stage::Hold { .. } | Stage::Assign { .. } => return,
+            Stage::Waiting | Stage::Room { .. } | Stage::Hold { .. } | Stage::Assign { .. } => {
+                return;
+            }
             Stage::Prefill { attempt, decode } => (attempt, Some(decode), None),
             Stage::Run { attempt, handoff } => (attempt, None, handoff),
         };
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -6,9 +6,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::control::config::{Change, Config, Revised, SCHEMA};
+use crate::control::dispatch::prompts::PromptTicket;
+use crate::control::dispatch::rooms::{RoomTicket, RunEnd, RunId};
 use crate::control::orders::rollout::Rollout;
 use crate::control::orders::{Desired, Marked, OrderReport};
-use crate::control::prompts::PromptTicket;
 use crate::control::quarantine::{Fingerprint, Suspect};
 use crate::control::replica::ReplicaMessage;
 use crate::control::routing::{RoutingNews, RoutingSeen};
@@ -212,6 +213,15 @@
     Announce(Box<EndpointState>),
     /// Say whether the member leads, and what the leader decides by.
     Lead,
+    /// Choose the endpoint that runs a call; only the leader does.
+    AssignRoom(Box<RoomTicket>),
+    /// A run is over, or came not about.
+    RunEnded {
+        /// The run.
+        run: RunId,
+        /// How it ended.
+        end: RunEnd,
+    },
     /// Choose the endpoint that reads a prompt; only the leader does.
     AssignPrompt(PromptTicket),
     /// A prompt is read no more.
@@ -294,6 +304,11 @@
     Beat(Beat),
     /// The endpoint is in the registry, or the end of a prompt is noted.
     Announced,
+    /// Who runs a call.
+    RoomAssigned {
+        /// The endpoint, if any has room.
+        endpoint: Option<Box<str>>,
+    },
     /// Who reads a prompt.
     PromptAssigned {
         /// The endpoint, if any may.
--- a/tests/prompts.rs
+++ b/tests/prompts.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
-use dotterelpin::control::prompts::{PromptCandidate, PromptTicket, Prompts};
+use dotterelpin::control::dispatch::Candidate;
+use dotterelpin::control::dispatch::prompts::{PromptTicket, Prompts};
 use dotterelpin::h1::{CallerId, HttpInput};
 use dotterelpin::link::message::{ControlReply, ControlRequest, Envelope, Reply};
 use dotterelpin::model::{ExchangeId, Timestamp};
@@ -21,7 +22,7 @@
 const RATE: f64 = 33.0;
 
 fn ticket(tokens: u32) -> PromptTicket {
-    let candidate = |at| PromptCandidate { endpoint: format!("f{at}").into(), near: true };
+    let candidate = |at| Candidate { endpoint: format!("f{at}").into(), near: true };
     PromptTicket { tokens, candidates: (0..ENDPOINTS).map(candidate).collect() }
 }
 
@@ -97,6 +98,8 @@
     f.leader = Some(SocketAddr::from(([127, 0, 0, 1], 9_001)));
     f.pass(1_000);
     f.draft(1, "/draft/a", "3000,100");
+    let room = f.asked.pop().unwrap().0;
+    reply(&mut f, room, ControlReply::RoomAssigned { endpoint: Some("d1".into()) });
     let hold = f.take();
     f.answer(&hold, 200, &[], "hold h1");
     assert!(!f.has_sent(), "the leader is asked first");
--- /dev/null
+++ b/tests/rooms.rs
@@ -0,0 +1,164 @@
+//! Decode memory that is full for many seconds: the leader knows what runs anywhere.
+
+mod gateway_fixture;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use dotterelpin::control::dispatch::Candidate;
+use dotterelpin::control::dispatch::rooms::{RoomTicket, Rooms, RunEnd, RunId};
+use dotterelpin::h1::{CallerId, HttpInput};
+use dotterelpin::link::message::{ControlReply, ControlRequest, Envelope, Reply};
+use dotterelpin::model::{ExchangeId, Timestamp};
+use dotterelpin::role::Input;
+use gateway_fixture::Fixture;
+
+const MEMORY: u32 = 30_000;
+
+fn now() -> Timestamp {
+    Timestamp::from_micros(1_000_000)
+}
+
+fn ticket(run: u64, tokens: u32, spare: u32) -> RoomTicket {
+    let candidate = |at| Candidate { endpoint: format!("d{at}").into(), near: at < 2 };
+    let candidates = (0..3).map(candidate).collect();
+    RoomTicket { run: RunId(run), tokens, spare, memory: MEMORY, slots: 12, candidates }
+}
+
+#[test]
+fn calls_of_all_gateways_fill_the_endpoints_evenly_and_no_further() {
+    let mut rooms = Rooms::default();
+    let mut counts = [0; 3];
+    for run in 0.. {
+        let Some(endpoint) = rooms.assign(now(), &ticket(run, 4_000, 0)) else { break };
+        counts[endpoint[1..].parse::<usize>().unwrap()] += 1;
+    }
+    assert_eq!(counts, [7, 7, 7], "28,000 of 30,000 tokens each");
+    rooms.ended(now(), RunId(3), RunEnd::Over);
+    assert_eq!(rooms.assign(now(), &ticket(100, 4_000, 4_500)), None, "a late call leaves more");
+    assert!(rooms.assign(now(), &ticket(101, 4_000, 0)).is_some());
+    assert_eq!(rooms.assign(now(), &ticket(102, 4_000, 0)), None);
+}
+
+#[test]
+fn slots_count_too_and_a_large_call_runs_alone() {
+    let mut rooms = Rooms::default();
+    let count = (0..).take_while(|r| rooms.assign(now(), &ticket(*r, 10, 0)).is_some()).count();
+    assert_eq!(count, 36);
+    let mut rooms = Rooms::default();
+    assert!(rooms.assign(now(), &ticket(1, 29_900, 0)).is_some(), "larger than what is filled");
+    assert_eq!(Rooms::default().assign(now(), &ticket(1, 30_100, 0)), None);
+}
+
+#[test]
+fn endpoint_that_refused_or_fell_silent_gets_nothing_for_a_while() {
+    let mut rooms = Rooms::default();
+    for (run, end, pause) in [(1, RunEnd::Refused, 100), (2, RunEnd::Silent, 1_000)] {
+        let first = rooms.assign(now(), &ticket(run, 4_000, 0)).unwrap();
+        rooms.ended(now(), RunId(run), end);
+        let others = (10..13).map(|r| rooms.assign(now(), &ticket(run * 100 + r, 1, 0)).unwrap());
+        assert!(others.into_iter().all(|e| e != first), "{end:?}");
+        let later = now() + Duration::from_millis(pause);
+        let run = 1_000 + run;
+        assert_eq!(rooms.assign(later, &ticket(run, 4_000, 0)), Some(first));
+        rooms = Rooms::default();
+    }
+}
+
+#[test]
+fn run_whose_end_is_not_told_counts_for_a_while_only() {
+    let mut rooms = Rooms::default();
+    (0..3).for_each(|run| assert!(rooms.assign(now(), &ticket(run, 28_000, 0)).is_some()));
+    let at = |millis| now() + Duration::from_millis(millis);
+    assert_eq!(rooms.assign(at(19_000), &ticket(9, 28_000, 0)), None);
+    assert!(rooms.assign(at(20_000), &ticket(9, 28_000, 0)).is_some());
+}
+
+/// A gateway that knows a leader.
+fn led() -> Fixture {
+    let mut f = Fixture::ready();
+    f.leader = Some(SocketAddr::from(([127, 0, 0, 1], 9_001)));
+    f.pass(1_000);
+    f
+}
+
+fn asked(f: &mut Fixture) -> (ExchangeId, RunId) {
+    let (exchange, request) = f.asked.pop().expect("the leader is asked");
+    let ticket = assert_matches!(request, ControlRequest::AssignRoom(ticket) => ticket);
+    (exchange, ticket.run)
+}
+
+fn assign(f: &mut Fixture, exchange: ExchangeId, endpoint: Option<&str>) {
+    let reply = ControlReply::RoomAssigned { endpoint: endpoint.map(Into::into) };
+    let envelope = Envelope { revised: Default::default(), body: Reply::Control(reply) };
+    f.step(Input::Reply { exchange, envelope });
+}
+
+#[test]
+fn call_asks_for_room_where_the_leader_says_and_tells_how_it_went() {
+    for (endpoint, status, end) in
+        [("d1", 503, RunEnd::Refused), ("d2", 503, RunEnd::Refused), ("d2", 0, RunEnd::Silent)]
+    {
+        let mut f = led();
+        f.draft(1, "/draft/a", "3000,100");
+        assert!(!f.has_sent());
+        let (exchange, run) = asked(&mut f);
+        assign(&mut f, exchange, Some(endpoint));
+        let hold = f.take();
+        assert_eq!(&*hold.head.target, "/hold");
+        match status {
+            0 => f.pass(260),
+            _ => f.answer(&hold, status, &[], ""),
+        }
+        let ended = f.asked.iter().any(|(_, r)| *r == ControlRequest::RunEnded { run, end });
+        assert!(ended, "{:?}", f.asked);
+        let again = f.asked.iter().any(|(_, r)| matches!(r, ControlRequest::AssignRoom(_)));
+        assert!(again, "it asks for room elsewhere");
+    }
+}
+
+#[test]
+fn call_waits_while_there_is_no_room_and_is_refused_in_time() {
+    let mut f = led();
+    f.draft(1, "/draft/a", "3000,100");
+    let (mut questions, mut waited) = (0, 0);
+    while !f.got.contains_key(&1) {
+        while let Some((exchange, _)) = f.asked.pop() {
+            assign(&mut f, exchange, None);
+            questions += 1;
+        }
+        assert!(!f.has_sent(), "no endpoint is asked in vain");
+        f.pass(10);
+        waited += 10;
+    }
+    assert!((500..=600).contains(&waited), "{waited} ms of a target of 900");
+    assert!((4..=14).contains(&questions), "{questions} questions");
+    let got = &f.got[&1];
+    assert_eq!(got.status, 503);
+    assert!(got.fields.has("Retry-After"));
+}
+
+#[test]
+fn silent_leader_holds_up_no_call() {
+    let mut f = led();
+    f.draft(1, "/draft/a", "3000,100");
+    let (_, run) = asked(&mut f);
+    f.pass(30);
+    assert_eq!(&*f.take().head.target, "/hold");
+    let ended = ControlRequest::RunEnded { run, end: RunEnd::Over };
+    assert!(f.asked.iter().any(|(_, r)| *r == ended), "its answer may still be on its way");
+}
+
+#[test]
+fn end_of_a_call_is_told_once() {
+    let mut f = led();
+    f.draft(1, "/draft/a", "3000,100");
+    let (exchange, run) = asked(&mut f);
+    assign(&mut f, exchange, Some("d1"));
+    f.step(Input::Local(HttpInput::CallerGone { caller: CallerId(1) }));
+    let ended = ControlRequest::RunEnded { run, end: RunEnd::Over };
+    assert_eq!(f.asked.iter().filter(|(_, r)| *r == ended).count(), 1);
+    f.pass(5_000);
+    assert_eq!(f.asked.iter().filter(|(_, r)| *r == ended).count(), 1);
+}
