Find a live process by its start

Cause: Registry::is_alive walked the starts from (start, null key), and slotmap's null key is the largest, so it found none of them: every owner of a claim was told to be gone. A claim's settlement still asked the endpoint's agent, so nothing ran twice; a live owner's claim was settled too early.

live_process_is_found_by_its_start fails before (left: false) and passes now.

--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -163,8 +163,9 @@
 
     /// Returns whether a start of a process is alive.
     pub fn is_alive(&self, now: Timestamp, boot: BootId) -> bool {
-        let from = (boot, ProcessKey::default());
-        let same = self.boots.range(from..).take_while(|(b, _)| *b == boot);
+        // The null key is the largest of all.
+        let last = (boot, ProcessKey::default());
+        let same = self.boots.range(..=last).rev().take_while(|(b, _)| *b == boot);
         let alive =
             |key: ProcessKey| self.records.get(key).is_some_and(|r| now - r.seen < HEARTBEAT_LEASE);
         same.into_iter().any(|(_, key)| alive(*key))
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -498,3 +498,21 @@
     let moved = after.keys().filter(|n| !before.contains_key(*n)).count();
     assert!(moved <= 1, "one endpoint left and {moved} were picked anew");
 }
+
+/// Who asks whether an owner is alive must not be told that a live one is gone.
+#[test]
+fn live_process_is_found_by_its_start() {
+    use dotterelpin::registry::Registry;
+
+    let now = Timestamp::from_micros(1_000_000);
+    let mut registry = Registry::new(BootId(1));
+    for boot in [3, 7, 9] {
+        let agent = endpoint(&format!("a{boot}"), "brno-a", boot);
+        registry.announce(now, agent, Default::default());
+    }
+    for (boot, alive) in [(3, true), (5, false), (7, true), (9, true), (10, false)] {
+        assert_eq!(registry.is_alive(now, BootId(boot)), alive, "{boot}");
+    }
+    let later = now + HEARTBEAT_LEASE;
+    assert!(!registry.is_alive(later, BootId(7)));
+}
