Count no runs of gateways that are gone, nor any whose end came first

Runs name the start of their gateway and go with it (the registry's lease, 3 s); the end of a run that is not known yet is remembered for 5 s and cancels it; a run lapses after 10 s. The gateway logs what the leader said (step=room, step=assign).

--- a/src/control/dispatch/rooms.rs
+++ b/src/control/dispatch/rooms.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Candidate;
-use crate::model::Timestamp;
+use crate::model::{BootId, Timestamp};
 
 /// The part of an endpoint's memory that calls fill, in percent; the rest covers answers that grow
 /// longer than estimated.
@@ -24,7 +24,13 @@
 /// How long an endpoint that did not answer gets no call.
 const SILENT_PAUSE: Duration = Duration::from_millis(1_000);
 /// How long a run counts whose end is not told.
-const RUN_LIFE: Duration = Duration::from_millis(20_000);
+const RUN_LIFE: Duration = Duration::from_millis(10_000);
+/// How long the end of a run is remembered that came before its question: messages may overtake
+/// each other, and a gateway gives up a question that is not answered in time.
+const EARLY_END_LIFE: Duration = Duration::from_millis(5_000);
+
+/// The time between two looks for gateways that are gone.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(200);
 
 /// The number of a run, unique among all gateways.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -35,6 +41,8 @@
 pub struct RoomTicket {
     /// The run.
     pub run: RunId,
+    /// The start of the gateway that the call is at.
+    pub owner: BootId,
     /// Tokens of KV cache that it is counted with.
     pub tokens: u32,
     /// Tokens that it must leave free.
@@ -61,6 +69,7 @@
 #[derive(Debug)]
 struct Run {
     endpoint: Box<str>,
+    owner: BootId,
     tokens: u32,
     since: Timestamp,
 }
@@ -70,12 +79,12 @@
 /// ```
 /// use dotterelpin::control::dispatch::Candidate;
 /// use dotterelpin::control::dispatch::rooms::{RoomTicket, Rooms, RunEnd, RunId};
-/// use dotterelpin::model::Timestamp;
+/// use dotterelpin::model::{BootId, Timestamp};
 ///
 /// let now = Timestamp::from_micros(1);
 /// let candidates = vec![Candidate { endpoint: "d1".into(), near: true }];
 /// let ticket = |run| RoomTicket {
-///     run: RunId(run), tokens: 6_000, spare: 0, memory: 10_000, slots: 8,
+///     run: RunId(run), owner: BootId(1), tokens: 6_000, spare: 0, memory: 10_000, slots: 8,
 ///     candidates: candidates.clone(),
 /// };
 /// let mut rooms = Rooms::default();
@@ -89,12 +98,19 @@
     runs: BTreeMap<RunId, Run>,
     /// Until when endpoints get no call.
     paused: BTreeMap<Box<str>, Timestamp>,
+    /// Runs whose ends came before their questions, and when.
+    early: BTreeMap<RunId, Timestamp>,
+    /// When runs of gateways that are gone are looked for next.
+    next_sweep: Timestamp,
 }
 
 impl Rooms {
     /// Returns the endpoint that shall run a call, and counts the call there.
     pub fn assign(&mut self, now: Timestamp, ticket: &RoomTicket) -> Option<Box<str>> {
         self.forget(now);
+        if self.early.remove(&ticket.run).is_some() {
+            return None;
+        }
         let loads = self.loads();
         let load = |name: &str| loads.get(name).copied().unwrap_or_default();
         let fits = |c: &&Candidate| {
@@ -112,14 +128,18 @@
         };
         let chosen = ticket.candidates.iter().filter(fits).min_by_key(cost)?;
         let endpoint = chosen.endpoint.clone();
-        let run = Run { endpoint: endpoint.clone(), tokens: ticket.tokens, since: now };
+        let (owner, tokens) = (ticket.owner, ticket.tokens);
+        let run = Run { endpoint: endpoint.clone(), owner, tokens, since: now };
         self.runs.insert(ticket.run, run);
         Some(endpoint)
     }
 
     /// Takes note that a run is over, or came not about.
     pub fn ended(&mut self, now: Timestamp, run: RunId, end: RunEnd) {
-        let Some(run) = self.runs.remove(&run) else { return };
+        let Some(run) = self.runs.remove(&run) else {
+            self.early.insert(run, now);
+            return;
+        };
         let pause = match end {
             RunEnd::Over => return,
             RunEnd::Refused => REFUSED_PAUSE,
@@ -128,6 +148,15 @@
         self.paused.insert(run.endpoint, now + pause);
     }
 
+    /// Forgets the runs of gateways that are gone: nobody tells their ends.
+    pub fn retain_owners(&mut self, now: Timestamp, is_alive: impl Fn(BootId) -> bool) {
+        if now < self.next_sweep {
+            return;
+        }
+        self.next_sweep = now + SWEEP_INTERVAL;
+        self.runs.retain(|_, run| is_alive(run.owner));
+    }
+
     /// Returns how many runs each endpoint has, and their tokens.
     fn loads(&self) -> BTreeMap<&str, (u32, u64)> {
         let mut loads: BTreeMap<&str, (u32, u64)> = BTreeMap::new();
@@ -142,5 +171,6 @@
     fn forget(&mut self, now: Timestamp) {
         self.runs.retain(|_, run| now - run.since < RUN_LIFE);
         self.paused.retain(|_, until| now < *until);
+        self.early.retain(|_, at| now - *at < EARLY_END_LIFE);
     }
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -168,6 +168,8 @@
             }
             ControlRequest::AssignRoom(ticket) => {
                 let reply = if self.replica.is_leader() {
+                    let registry = &self.registry;
+                    self.rooms.retain_owners(now, |boot| registry.is_alive(now, boot));
                     let endpoint = self.rooms.assign(now, &ticket);
                     ControlReply::RoomAssigned { endpoint }
                 } else {
--- a/src/gateway/assign.rs
+++ b/src/gateway/assign.rs
@@ -36,7 +36,7 @@
 
 impl Gateway {
     /// Asks the leader who reads the prompt of a call; returns whether it was asked.
-    pub(super) fn ask_assignment(
+    pub(super) fn ask_prompt(
         &mut self,
         now: Timestamp,
         caller: CallerId,
@@ -47,9 +47,9 @@
         };
         let Some(ticket) = self.prompt_ticket(now, caller, decode.endpoint) else { return false };
         let exchange = self.ask_control(leader, ControlRequest::AssignPrompt(ticket));
-        self.assigning.insert(exchange, caller);
+        self.questions.insert(exchange, caller);
         let Some(call) = self.calls.get_mut(&caller) else { return false };
-        call.hold_due = now + ANSWER_TIMEOUT;
+        call.reply_due = now + ANSWER_TIMEOUT;
         call.stage = Stage::Assign { exchange, decode };
         true
     }
@@ -84,10 +84,10 @@
         let run = RunId(self.settings.follower.boot.0.rotate_left(24) ^ (self.exchanges + 1));
         let ticket = self.room_ticket(now, caller, run)?;
         let exchange = self.ask_control(leader, ControlRequest::AssignRoom(Box::new(ticket)));
-        self.assigning.insert(exchange, caller);
+        self.questions.insert(exchange, caller);
         let call = self.calls.get_mut(&caller)?;
         call.run = Some(run);
-        call.hold_due = now + ANSWER_TIMEOUT;
+        call.reply_due = now + ANSWER_TIMEOUT;
         call.stage = Stage::Room { exchange };
         Some(true)
     }
@@ -104,7 +104,8 @@
         let tokens = call.info.work.as_ref()?.mean_tokens();
         let spare = spare_tokens(call, &shape);
         let (memory, slots) = (shape.tokens, shape.slots);
-        Some(RoomTicket { run, tokens, spare, memory, slots, candidates })
+        let owner = self.settings.follower.boot;
+        Some(RoomTicket { run, owner, tokens, spare, memory, slots, candidates })
     }
 
     /// Takes the leader's answer to a question for room.
@@ -112,6 +113,13 @@
         let Some(call) = self.calls.get_mut(&caller) else { return };
         call.stage = Stage::Waiting;
         let key = (call.service.clone(), call.rank().late);
+        log::info!(
+            "step=room id={} outcome={} late={} waited_ms={}",
+            call.info.id,
+            endpoint.unwrap_or("none"),
+            call.late,
+            (now - call.arrived).as_millis(),
+        );
         let Some(endpoint) = endpoint else {
             call.run = None;
             self.no_room.insert(key, now + NO_ROOM_PAUSE);
@@ -149,7 +157,7 @@
         exchange: ExchangeId,
         reply: &ControlReply,
     ) {
-        let Some(caller) = self.assigning.remove(&exchange) else { return };
+        let Some(caller) = self.questions.remove(&exchange) else { return };
         let answered = matches!(
             reply,
             ControlReply::PromptAssigned { .. } | ControlReply::RoomAssigned { .. }
@@ -185,7 +193,7 @@
     }
 
     /// Goes on with a call whose question to the leader had no answer in time, or is lost.
-    pub(super) fn assignment_overdue(&mut self, now: Timestamp, caller: CallerId) {
+    pub(super) fn question_overdue(&mut self, now: Timestamp, caller: CallerId) {
         let Some(call) = self.calls.get(&caller) else { return };
         let (exchange, for_room) = match call.stage {
             Stage::Room { exchange } => (exchange, true),
@@ -193,7 +201,7 @@
             _ => return,
         };
         log::info!("step=assign id={} for_room={for_room} outcome=silent", call.info.id);
-        self.assigning.remove(&exchange);
+        self.questions.remove(&exchange);
         self.outputs.push(Output::Reset { exchange });
         self.leader_silent = now + SILENT_PAUSE;
         if for_room {
@@ -205,8 +213,8 @@
 
     /// Takes the end of an exchange that was no heartbeat.
     pub(super) fn control_closed(&mut self, now: Timestamp, exchange: ExchangeId) {
-        if let Some(caller) = self.assigning.get(&exchange).copied() {
-            self.assignment_overdue(now, caller);
+        if let Some(caller) = self.questions.get(&exchange).copied() {
+            self.question_overdue(now, caller);
             self.schedule(caller);
         }
     }
@@ -216,6 +224,8 @@
         let Some(call) = self.calls.get_mut(&caller) else { return };
         let Stage::Assign { decode, .. } = call.stage else { return };
         call.stage = Stage::Waiting;
+        let endpoint = assigned.as_ref().map_or("own-choice", |a| &a.endpoint);
+        log::info!("step=assign id={} outcome={endpoint}", call.info.id);
         let named = assigned.as_ref().and_then(|a| self.fleet.named(&a.endpoint));
         call.assigned = assigned;
         self.read_prompt(now, caller, decode, named);
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -192,7 +192,7 @@
     /// Events of the present run.
     pub cutter: EventCutter,
     /// When the request for room, or the question to the leader, is given up.
-    pub hold_due: Timestamp,
+    pub reply_due: Timestamp,
     /// When it looks at the time next.
     pub timer: Timestamp,
 }
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -80,7 +80,7 @@
             target.began(now, usage);
         }
         let Some(call) = self.calls.get_mut(&caller) else { return false };
-        call.hold_due = now + HOLD_TIMEOUT;
+        call.reply_due = now + HOLD_TIMEOUT;
         call.stage = Stage::Hold { peer, decode: Reserved { endpoint, usage } };
         true
     }
@@ -140,7 +140,7 @@
         if let Some(endpoint) = self.fleet.get_mut(decode.endpoint) {
             endpoint.accepted();
         }
-        if !self.ask_assignment(now, caller, decode) {
+        if !self.ask_prompt(now, caller, decode) {
             self.read_prompt(now, caller, decode, None);
         }
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -83,7 +83,7 @@
     queues: BTreeMap<Box<str>, Queue<CallerId>>,
     budgets: BTreeMap<Box<str>, Budget>,
     /// Questions to control's leader who reads a prompt.
-    assigning: BTreeMap<ExchangeId, CallerId>,
+    questions: BTreeMap<ExchangeId, CallerId>,
     /// Until when the leader is not asked for room in a service, by whether the call is late.
     no_room: BTreeMap<(Box<str>, bool), Timestamp>,
     /// Until when the leader is not asked, since it did not answer.
@@ -123,7 +123,7 @@
             timers: BTreeSet::new(),
             queues: BTreeMap::new(),
             budgets: BTreeMap::new(),
-            assigning: BTreeMap::new(),
+            questions: BTreeMap::new(),
             no_room: BTreeMap::new(),
             leader_silent: Timestamp::default(),
             patience: BTreeMap::new(),
@@ -250,7 +250,7 @@
             failed: None,
             stage: Stage::Waiting,
             cutter: events::EventCutter::default(),
-            hold_due: Timestamp::MAX,
+            reply_due: Timestamp::MAX,
             timer: Timestamp::MAX,
         };
         let terms = self.settings.budget;
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -64,7 +64,7 @@
 pub fn next_timer(call: &Call) -> Timestamp {
     let attempt = match &call.stage {
         Stage::Waiting => None,
-        Stage::Room { .. } | Stage::Hold { .. } | Stage::Assign { .. } => Some(call.hold_due),
+        Stage::Room { .. } | Stage::Hold { .. } | Stage::Assign { .. } => Some(call.reply_due),
         Stage::Prefill { attempt, .. } => Some(attempt.since + limit(attempt, PREFILL_TIMEOUT)),
         Stage::Run { attempt, .. } => run_limit(call, attempt),
     };
@@ -109,7 +109,7 @@
             return;
         }
         if let Stage::Room { .. } | Stage::Assign { .. } = call.stage {
-            self.assignment_overdue(now, caller);
+            self.question_overdue(now, caller);
             return;
         }
         let Some(attempt) = call.attempt() else { return };
@@ -153,11 +153,11 @@
                 self.hang_up(peer);
             }
             Stage::Room { exchange } => {
-                self.assigning.remove(&exchange);
+                self.questions.remove(&exchange);
                 self.outputs.push(Output::Reset { exchange });
             }
             Stage::Assign { exchange, decode } => {
-                self.assigning.remove(&exchange);
+                self.questions.remove(&exchange);
                 self.outputs.push(Output::Reset { exchange });
                 self.release(now, decode.endpoint, decode.usage);
             }
