--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -54,7 +54,7 @@
 pub struct Queue<K> {
     /// Waiting calls by rank, in the order of their arrival.
     ranks: BTreeMap<Rank, VecDeque<Waiting<K>>>,
-    /// When calls were started lately.
+    /// When calls were let go lately.
     starts: VecDeque<Timestamp>,
 }
 
@@ -127,7 +127,7 @@
         self.ranks.values().find_map(|q| q.front()).map(|w| w.key)
     }
 
-    /// Notes that a call has started.
+    /// Notes that a call was let go, also if the room that it asks for is refused and it returns.
     pub fn started(&mut self, now: Timestamp) {
         self.starts.push_back(now);
         self.forget(now);
