--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -150,6 +150,11 @@
         Output::Reply { inbound, envelope, last: true }
     }
 
+    /// Says that another member leads, and which.
+    fn not_leader(&self, inbound: InboundId) -> Output<DiskEffect> {
+        self.reply(inbound, ControlReply::NotLeader { leader: self.replica.leader() })
+    }
+
     fn request(&mut self, now: Timestamp, inbound: InboundId, request: ControlRequest) -> Outputs {
         match request {
             ControlRequest::Heartbeat(heartbeat) => {
@@ -167,28 +172,24 @@
                 vec![self.reply(inbound, ControlReply::Lead { leader, leadership })]
             }
             ControlRequest::AssignRoom(ticket) => {
-                let reply = if self.replica.is_leader() {
-                    let registry = &self.registry;
-                    self.rooms.retain_owners(now, |boot| registry.is_alive(now, boot));
-                    let endpoint = self.rooms.assign(now, &ticket);
-                    ControlReply::RoomAssigned { endpoint }
-                } else {
-                    ControlReply::NotLeader { leader: self.replica.leader() }
-                };
-                vec![self.reply(inbound, reply)]
+                if !self.replica.is_leader() {
+                    return vec![self.not_leader(inbound)];
+                }
+                let registry = &self.registry;
+                self.rooms.retain_owners(now, |boot| registry.is_alive(now, boot));
+                let endpoint = self.rooms.assign(now, &ticket);
+                vec![self.reply(inbound, ControlReply::RoomAssigned { endpoint })]
             }
             ControlRequest::RunEnded { run, end } => {
                 self.rooms.ended(now, run, end);
                 vec![self.reply(inbound, ControlReply::Announced)]
             }
             ControlRequest::AssignPrompt(ticket) => {
-                let reply = if self.replica.is_leader() {
-                    let endpoint = self.prompts.assign(now, &ticket);
-                    ControlReply::PromptAssigned { endpoint }
-                } else {
-                    ControlReply::NotLeader { leader: self.replica.leader() }
-                };
-                vec![self.reply(inbound, reply)]
+                if !self.replica.is_leader() {
+                    return vec![self.not_leader(inbound)];
+                }
+                let endpoint = self.prompts.assign(now, &ticket);
+                vec![self.reply(inbound, ControlReply::PromptAssigned { endpoint })]
             }
             ControlRequest::PromptEnded { endpoint, tokens } => {
                 self.prompts.ended(&endpoint, tokens);
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::call::Call;
 use super::queue::{Queue, Rank, Waiting};
 use super::{CallerId, DRAIN_INTERVAL, Gateway};
 use crate::model::Timestamp;
@@ -13,10 +14,9 @@
     /// Starts a new call, lets it wait, or refuses it at once if it would wait in vain.
     pub(super) fn offer(&mut self, now: Timestamp, caller: CallerId) {
         let Some(call) = self.calls.get(&caller) else { return };
-        let Some(route) = call.route() else { return };
+        let Some(waiting) = waiting(caller, call) else { return };
         let rank = call.rank();
-        let until = Queue::<CallerId>::until(now, rank, route.target, call.left(now)).min(call.due);
-        self.admit(now, rank, Waiting { key: caller, in_time: until, until });
+        self.admit(now, rank, waiting);
     }
 
     /// Starts a new call if none waits before it and there is room, or lets it wait if it is
@@ -94,17 +94,24 @@
             return;
         }
         let Some(call) = self.calls.get(&caller) else { return };
-        let Some(route) = call.route() else { return };
+        let Some(waiting) = waiting(caller, call) else { return };
         let rank = call.rank();
-        let until = match call.passed.last {
-            Some(last) => last + RESUME_WAIT,
-            None => {
-                let left = call.due - call.arrived;
-                Queue::<CallerId>::until(call.arrived, rank, route.target, left)
-            }
-        };
-        let until = until.min(call.due);
         let queue = self.queues.entry(call.service.clone()).or_default();
-        queue.push_front(rank, Waiting { key: caller, in_time: until, until });
+        queue.push_front(rank, waiting);
     }
 }
+
+/// Returns how long a call to a model may wait for room; one that goes on in the middle waits since
+/// its last event.
+fn waiting(key: CallerId, call: &Call) -> Option<Waiting<CallerId>> {
+    let target = call.route()?.target;
+    let until = match call.passed.last {
+        Some(last) => last + RESUME_WAIT,
+        None => {
+            let patience = call.due - call.arrived;
+            Queue::<CallerId>::until(call.arrived, call.rank(), target, patience)
+        }
+    };
+    let until = until.min(call.due);
+    Some(Waiting { key, in_time: until, until })
+}
--- a/src/gateway/assign.rs
+++ b/src/gateway/assign.rs
@@ -1,6 +1,7 @@
 //! Asking control's leader which decode endpoint has room for a call, and which prefill endpoint
 //! reads its prompt; without the answer in time the gateway chooses by what it knows itself.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::call::{Reserved, Stage};
@@ -42,15 +43,13 @@
         caller: CallerId,
         decode: Reserved,
     ) -> bool {
-        let Some(leader) = self.follower.leader().filter(|_| now >= self.leader_silent) else {
-            return false;
-        };
+        let Some(leader) = self.leader(now) else { return false };
         let Some(ticket) = self.prompt_ticket(now, caller, decode.endpoint) else { return false };
-        let exchange = self.ask_control(leader, ControlRequest::AssignPrompt(ticket));
-        self.questions.insert(exchange, caller);
-        let Some(call) = self.calls.get_mut(&caller) else { return false };
-        call.reply_due = now + ANSWER_TIMEOUT;
-        call.stage = Stage::Assign { exchange, decode };
+        let request = ControlRequest::AssignPrompt(ticket);
+        self.ask_leader(now, caller, leader, request, |exchange| Stage::Assign {
+            exchange,
+            decode,
+        });
         true
     }
 
@@ -61,21 +60,18 @@
         decode: EndpointKey,
     ) -> Option<PromptTicket> {
         let call = self.calls.get(&caller)?;
-        let shape = call.table.service(&call.service)?.engine?;
+        let shape = self.shape(caller)?;
         let domain = &self.fleet.get(decode)?.domain;
         let loads = self.fleet.prefill_loads(now, &call.service, &shape, domain, &call.tried);
-        let named = loads.filter(|l| l.slots_used < l.slots).filter_map(|l| {
-            let endpoint = self.fleet.get(l.key)?.name.clone();
-            Some(Candidate { endpoint, near: l.near })
-        });
-        let candidates: Vec<Candidate> = named.take(MOST_CANDIDATES).collect();
+        let free = loads.filter(|l| l.slots_used < l.slots);
+        let candidates = self.candidates(free.map(|l| (l.key, l.near)));
         let tokens = call.info.work.as_ref()?.prompt;
         (candidates.len() > 1).then_some(PromptTicket { tokens, candidates })
     }
 
     /// Asks the leader for room; returns whether it was asked, or `None` if nobody leads.
     pub(super) fn ask_room(&mut self, now: Timestamp, caller: CallerId) -> Option<bool> {
-        let leader = self.follower.leader().filter(|_| now >= self.leader_silent)?;
+        let leader = self.leader(now)?;
         let call = self.calls.get(&caller)?;
         let key = (call.service.clone(), call.rank().late);
         if self.no_room.get(&key).is_some_and(|until| now < *until) {
@@ -83,12 +79,9 @@
         }
         let run = RunId(self.settings.follower.boot.0.rotate_left(24) ^ (self.exchanges + 1));
         let ticket = self.room_ticket(now, caller, run)?;
-        let exchange = self.ask_control(leader, ControlRequest::AssignRoom(Box::new(ticket)));
-        self.questions.insert(exchange, caller);
-        let call = self.calls.get_mut(&caller)?;
-        call.run = Some(run);
-        call.reply_due = now + ANSWER_TIMEOUT;
-        call.stage = Stage::Room { exchange };
+        let request = ControlRequest::AssignRoom(Box::new(ticket));
+        self.ask_leader(now, caller, leader, request, |exchange| Stage::Room { exchange });
+        self.calls.get_mut(&caller)?.run = Some(run);
         Some(true)
     }
 
@@ -96,11 +89,7 @@
         let call = self.calls.get(&caller)?;
         let shape = self.shape(caller)?;
         let loads = self.fleet.decode_loads(now, &call.service, &shape, &call.tried);
-        let named = loads.filter_map(|l| {
-            let endpoint = self.fleet.get(l.key)?.name.clone();
-            Some(Candidate { endpoint, near: l.near })
-        });
-        let candidates = named.take(MOST_CANDIDATES).collect();
+        let candidates = self.candidates(loads.map(|l| (l.key, l.near)));
         let tokens = call.info.work.as_ref()?.mean_tokens();
         let spare = spare_tokens(call, &shape);
         let (memory, slots) = (shape.tokens, shape.slots);
@@ -108,6 +97,42 @@
         Some(RoomTicket { run, owner, tokens, spare, memory, slots, candidates })
     }
 
+    /// Returns the leader, unless it has not answered lately.
+    fn leader(&self, now: Timestamp) -> Option<SocketAddr> {
+        self.follower.leader().filter(|_| now >= self.leader_silent)
+    }
+
+    fn candidates(&self, open: impl Iterator<Item = (EndpointKey, bool)>) -> Vec<Candidate> {
+        let named = open.filter_map(|(key, near)| {
+            let endpoint = self.fleet.get(key)?.name.clone();
+            Some(Candidate { endpoint, near })
+        });
+        named.take(MOST_CANDIDATES).collect()
+    }
+
+    /// Asks the leader about a call, which waits for the answer in a stage.
+    fn ask_leader(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        leader: SocketAddr,
+        request: ControlRequest,
+        stage: impl FnOnce(ExchangeId) -> Stage,
+    ) {
+        let exchange = self.ask_control(leader, request);
+        self.questions.insert(exchange, caller);
+        if let Some(call) = self.calls.get_mut(&caller) {
+            call.reply_due = now + ANSWER_TIMEOUT;
+            call.stage = stage(exchange);
+        }
+    }
+
+    /// Gives up a question to the leader.
+    pub(super) fn drop_question(&mut self, exchange: ExchangeId) {
+        self.questions.remove(&exchange);
+        self.outputs.push(Output::Reset { exchange });
+    }
+
     /// Takes the leader's answer to a question for room.
     fn room_assigned(&mut self, now: Timestamp, caller: CallerId, endpoint: Option<&str>) {
         let Some(call) = self.calls.get_mut(&caller) else { return };
@@ -141,7 +166,7 @@
         }
     }
 
-    fn ask_control(&mut self, peer: std::net::SocketAddr, request: ControlRequest) -> ExchangeId {
+    fn ask_control(&mut self, peer: SocketAddr, request: ControlRequest) -> ExchangeId {
         self.exchanges += 1;
         let exchange = ExchangeId(self.exchanges);
         let body = link::Request::Control(request);
@@ -201,8 +226,7 @@
             _ => return,
         };
         log::info!("step=assign id={} for_room={for_room} outcome=silent", call.info.id);
-        self.questions.remove(&exchange);
-        self.outputs.push(Output::Reset { exchange });
+        self.drop_question(exchange);
         self.leader_silent = now + SILENT_PAUSE;
         if for_room {
             self.start_alone(now, caller);
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -10,7 +10,6 @@
 use crate::entry::health::Verdict;
 use crate::h1::HttpEffect;
 use crate::model::Timestamp;
-use crate::role::Output;
 
 /// How long a connection to an endpoint may take to stand.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(300);
@@ -152,13 +151,9 @@
                 self.release(now, decode.endpoint, decode.usage);
                 self.hang_up(peer);
             }
-            Stage::Room { exchange } => {
-                self.questions.remove(&exchange);
-                self.outputs.push(Output::Reset { exchange });
-            }
+            Stage::Room { exchange } => self.drop_question(exchange),
             Stage::Assign { exchange, decode } => {
-                self.questions.remove(&exchange);
-                self.outputs.push(Output::Reset { exchange });
+                self.drop_question(exchange);
                 self.release(now, decode.endpoint, decode.usage);
             }
             Stage::Prefill { attempt, decode } => {
