Log and count each charge of the retry budget

Before: only a refused charge was logged, with the count of gateways. An operator could not see how much of the budget a gateway had spent, nor by which numbers it decided, so that retries beyond the budget could not be told from charges that a restarted gateway had forgotten. Now: step=budget for each decision, outcome charged, spent or free (not charged, as the attempt before did not reach its endpoint), with cost, calls, retries, allowed, gateways and up_ms; gateway_retry_charges_total counts the same. Budget::balance returns these numbers, and Budget::spend decides by it; the cost is a parameter and is 1. What is decided does not change. Tests: gateway_lines, each_charge_..., retry_of_an_attempt_that_reached_..., balance_is_what_...

--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -34,6 +34,34 @@
     retries: u32,
 }
 
+/// The numbers by which a charge of a [`Budget`] is decided.
+///
+/// ```
+/// use dotterelpin::gateway::budget::Balance;
+///
+/// let balance = Balance { calls: 10, retries: 2, allowed: 3.2, gateways: 4 };
+/// assert!(balance.covers(1));
+/// assert!(!balance.covers(2));
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Balance {
+    /// Calls of this gateway in the window.
+    pub calls: u32,
+    /// Retries that were charged to this gateway in the window.
+    pub retries: u32,
+    /// How many retries this gateway may have in the window.
+    pub allowed: f64,
+    /// How many gateways share the fixed part of the budget.
+    pub gateways: u32,
+}
+
+impl Balance {
+    /// Returns whether a charge of `cost` retries is within the budget.
+    pub fn covers(&self, cost: u32) -> bool {
+        f64::from(self.retries) + f64::from(cost) <= self.allowed
+    }
+}
+
 /// The calls and retries of one gateway to one service, within the window.
 ///
 /// ```
@@ -46,8 +74,9 @@
 /// let now = Timestamp::from_micros(1);
 /// let mut budget = Budget::default();
 /// // Each of four gateways may spend a quarter of the fixed part, less a margin.
-/// let spent = (0..20).filter(|_| budget.spend(now, &terms, 4)).count();
+/// let spent = (0..20).filter(|_| budget.spend(now, &terms, 4, 1)).count();
 /// assert_eq!(spent, 2);
+/// assert_eq!(budget.balance(now, &terms, 4).retries, 2);
 /// ```
 #[derive(Debug, Default)]
 pub struct Budget {
@@ -60,21 +89,27 @@
         self.bucket(now, terms).calls += 1;
     }
 
-    /// Counts a retry and returns `true` if it is within the budget, which `gateways` gateways
-    /// share.
-    pub fn spend(&mut self, now: Timestamp, terms: &BudgetTerms, gateways: u32) -> bool {
+    /// Charges `cost` retries and returns `true` if that is within the budget, which `gateways`
+    /// gateways share; otherwise it charges nothing.
+    pub fn spend(&mut self, now: Timestamp, terms: &BudgetTerms, gateways: u32, cost: u32) -> bool {
         self.bucket(now, terms);
-        let calls: u32 = self.buckets.iter().map(|s| s.calls).sum();
-        let retries: u32 = self.buckets.iter().map(|s| s.retries).sum();
-        let fixed = terms.extra / f64::from(gateways.max(1));
-        let allowed = (f64::from(calls) * terms.ratio + fixed) * SPENT_PERCENT / 100.0;
-        if f64::from(retries) + 1.0 > allowed {
+        if !self.balance(now, terms, gateways).covers(cost) {
             return false;
         }
-        self.bucket(now, terms).retries += 1;
+        self.bucket(now, terms).retries += cost;
         true
     }
 
+    /// Returns the numbers by which the next charge is decided.
+    pub fn balance(&self, now: Timestamp, terms: &BudgetTerms, gateways: u32) -> Balance {
+        let recent = || self.buckets.iter().filter(|s| now < s.from + terms.window);
+        let calls: u32 = recent().map(|s| s.calls).sum();
+        let retries: u32 = recent().map(|s| s.retries).sum();
+        let fixed = terms.extra / f64::from(gateways.max(1));
+        let allowed = (f64::from(calls) * terms.ratio + fixed) * SPENT_PERCENT / 100.0;
+        Balance { calls, retries, allowed, gateways }
+    }
+
     /// Returns the bucket of the present time and removes the buckets outside the window.
     fn bucket(&mut self, now: Timestamp, terms: &BudgetTerms) -> &mut Bucket {
         let length = terms.window / BUCKETS;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -99,6 +99,8 @@
     next_report: Timestamp,
     /// When each service with engines received its last call.
     last_called: BTreeMap<Box<str>, Timestamp>,
+    /// When the first input was handled.
+    started: Option<Timestamp>,
     /// When the shutdown was requested.
     stopping: Option<Timestamp>,
     /// Whether idle connections of callers were closed for the shutdown; new calls are then refused
@@ -137,6 +139,7 @@
             next_start: Timestamp::default(),
             next_report: Timestamp::default(),
             last_called: BTreeMap::new(),
+            started: None,
             stopping: None,
             closed_idle: false,
             capacity_freed: false,
@@ -152,6 +155,11 @@
         self.rng.next_u64()
     }
 
+    /// Returns how long this gateway has been running.
+    fn uptime(&self, now: Timestamp) -> Duration {
+        self.started.map_or(Duration::ZERO, |since| now - since)
+    }
+
     /// Returns whether the readiness page reports this gateway as ready for calls.
     fn is_ready(&self) -> bool {
         self.stopping.is_none() && self.has_table() && !self.fleet.is_empty()
@@ -425,6 +433,7 @@
     type Effect = HttpEffect;
 
     fn step(&mut self, now: Timestamp, input: Input<HttpInput>) -> Outputs {
+        self.started.get_or_insert(now);
         match input {
             Input::Local(input) => self.handle_local(now, input),
             Input::Reply { exchange, envelope } => match &envelope.body {
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -10,6 +10,8 @@
 use crate::entry::health::Verdict;
 use crate::h1::HttpEffect;
 use crate::model::Timestamp;
+use crate::report::observation::{ChargeOutcome, Observation};
+use crate::role::Output;
 
 /// How long it may take to connect to an endpoint.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(300);
@@ -24,6 +26,8 @@
 const ANSWER_TARGETS: u32 = 2;
 /// The minimum time before its deadline at which a call is still retried.
 const MIN_RETRY_TIME: Duration = Duration::from_millis(30);
+/// How many retries a retry is counted as in the retry budget.
+const RETRY_COST: u32 = 1;
 
 /// Why an attempt has failed.
 #[derive(Debug)]
@@ -328,17 +332,39 @@
         if !allowed || call.sends >= route.attempts || call.remaining(now) < MIN_RETRY_TIME {
             return false;
         }
-        if unbudgeted {
-            return true;
-        }
+        self.charge_retry(now, caller, unbudgeted)
+    }
+
+    /// Counts a retry against the retry budget unless it is `unbudgeted`, and reports that with the
+    /// numbers that decided. Returns `false` if the budget is spent.
+    fn charge_retry(&mut self, now: Timestamp, caller: CallerId, unbudgeted: bool) -> bool {
+        let Some(call) = self.calls.get(&caller) else { return false };
+        let service = call.service.clone();
         let gateways = self.follower.gateways(now);
         let terms = self.settings.budget;
-        let budget = self.budgets.entry(call.service.clone()).or_default();
-        let spent = budget.spend(now, &terms, gateways);
-        if !spent {
-            log::info!("step=budget id={} outcome=spent gateways={gateways}", call.info.id);
-        }
-        spent
+        let budget = self.budgets.entry(service.clone()).or_default();
+        let before = budget.balance(now, &terms, gateways);
+        let outcome = if unbudgeted {
+            ChargeOutcome::Free
+        } else if budget.spend(now, &terms, gateways, RETRY_COST) {
+            ChargeOutcome::Charged
+        } else {
+            ChargeOutcome::Spent
+        };
+        log::info!(
+            "step=budget id={} service={service} outcome={} cost={RETRY_COST} calls={} retries={} \
+             allowed={:.1} gateways={} up_ms={}",
+            call.info.id,
+            outcome.as_str(),
+            before.calls,
+            before.retries,
+            before.allowed,
+            before.gateways,
+            self.uptime(now).as_millis(),
+        );
+        let charge = Observation::Charge { service, outcome, cost: RETRY_COST };
+        self.outputs.push(Output::Observe(charge));
+        outcome != ChargeOutcome::Spent
     }
 
     fn retry(
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -10,13 +10,14 @@
     IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
-use super::observation::{CallEnd, CallSummary, GatewayEnd, Observation};
+use super::observation::{CallEnd, CallSummary, ChargeOutcome, GatewayEnd, Observation};
 use crate::link::message::{AgentRequest, ControlRequest, Request};
 use crate::model::{InboundId, Revision};
 
-/// The maximum number of tenants, and of routes, with labels of their own; all others share one.
+/// The maximum number of tenants, of routes, and of services with labels of their own; all others
+/// share one.
 const MAX_LABELS: usize = 200;
-/// The label that all further tenants or routes share.
+/// The label that all further tenants, routes or services share.
 const OTHER_LABELS: &str = "other";
 /// Upper bounds of histogram buckets in seconds, from 0.1 ms to 2 min.
 const SECONDS: [f64; 16] = [
@@ -42,6 +43,7 @@
     registry: Registry,
     tenants: Mutex<BTreeSet<Box<str>>>,
     routes: Mutex<BTreeSet<Box<str>>>,
+    services: Mutex<BTreeSet<Box<str>>>,
     open: Mutex<BTreeMap<InboundId, OpenExchange>>,
     calls: IntCounterVec,
     in_time: IntCounterVec,
@@ -62,6 +64,7 @@
     answers: IntCounterVec,
     first_answer: HistogramVec,
     answer_time: HistogramVec,
+    charges: IntCounterVec,
 }
 
 impl Metrics {
@@ -125,9 +128,16 @@
                 "From arrival to the end of a gateway's call",
                 &["route"],
             )?,
+            charges: make.counters(
+                "gateway_retry_charges_total",
+                "Retries of a gateway by what the retry budget decided: charged; spent: refused; \
+                 free: not charged, as the attempt before did not reach its endpoint",
+                &["service", "outcome"],
+            )?,
             steps: make.seconds("step_seconds", "Time of one step of a role", &["role"])?,
             tenants: Mutex::default(),
             routes: Mutex::default(),
+            services: Mutex::default(),
             open: Mutex::default(),
             registry,
         })
@@ -141,6 +151,9 @@
                 self.refusals.with_label_values(&[reason.as_str()]).inc();
             }
             Observation::Gateway(end) => self.gateway_call(&end),
+            Observation::Charge { service, outcome, cost } => {
+                self.charge(&service, outcome, cost);
+            }
             Observation::LeaseLapsed => self.lapsed.inc(),
             Observation::Registry { processes, endpoints } => {
                 self.processes.set(processes as i64);
@@ -159,6 +172,12 @@
         self.answer_time.with_label_values(&[&*route]).observe(end.total.as_secs_f64());
     }
 
+    fn charge(&self, service: &str, outcome: ChargeOutcome, cost: u32) {
+        let service = self.label(&self.services, service);
+        let labels = [&*service, outcome.as_str()];
+        self.charges.with_label_values(&labels).inc_by(cost.into());
+    }
+
     fn call(&self, call: &CallSummary) {
         let tenant = self.label(&self.tenants, &call.tenant);
         let labels = [&*tenant, call.class.as_str()];
@@ -184,8 +203,8 @@
         self.wasted.inc_by(call.wasted.into());
     }
 
-    /// Returns the label of a tenant or route: its name for the first `MAX_LABELS`, else the shared
-    /// label.
+    /// Returns the label of a tenant, route or service: its name for the first `MAX_LABELS`, else
+    /// the shared label.
     fn label(&self, known: &Mutex<BTreeSet<Box<str>>>, name: &str) -> Box<str> {
         let mut known = known.lock().unwrap_or_else(PoisonError::into_inner);
         if !known.contains(name) {
--- a/src/report/observation.rs
+++ b/src/report/observation.rs
@@ -17,6 +17,15 @@
     Refused(RefusalReason),
     /// A call of a gateway has ended.
     Gateway(Box<GatewayEnd>),
+    /// A gateway has decided whether a retry is within the retry budget.
+    Charge {
+        /// The name of the service whose budget it is.
+        service: Box<str>,
+        /// What was decided.
+        outcome: ChargeOutcome,
+        /// How many retries it is counted as.
+        cost: u32,
+    },
     /// The lease of a reservation at an agent has expired.
     LeaseLapsed,
     /// The contents of a control member's registry.
@@ -28,6 +37,34 @@
     },
 }
 
+/// What a gateway has decided about a retry and the retry budget.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ChargeOutcome {
+    /// It is within the budget and was charged.
+    Charged,
+    /// The budget is spent; the call is not retried.
+    Spent,
+    /// It is not charged, because the failed attempt did not reach its endpoint.
+    Free,
+}
+
+impl ChargeOutcome {
+    /// Returns the name in metrics and logs.
+    ///
+    /// ```
+    /// use dotterelpin::report::observation::ChargeOutcome;
+    ///
+    /// assert_eq!(ChargeOutcome::Spent.as_str(), "spent");
+    /// ```
+    pub fn as_str(self) -> &'static str {
+        match self {
+            ChargeOutcome::Charged => "charged",
+            ChargeOutcome::Spent => "spent",
+            ChargeOutcome::Free => "free",
+        }
+    }
+}
+
 /// The outcome and timing of a gateway's call.
 #[derive(Debug, Clone, PartialEq)]
 pub struct GatewayEnd {
--- a/tests/gateway_fixture/mod.rs
+++ b/tests/gateway_fixture/mod.rs
@@ -25,6 +25,7 @@
     BootId, Capacity, EndpointKind, EndpointState, ExchangeId, Fence, Load, Revision, Timestamp,
 };
 use dotterelpin::registry::FollowerSettings;
+use dotterelpin::report::observation::Observation;
 use dotterelpin::role::{Input, Output, Role};
 use dotterelpin::routes::{
     EngineShape, RawRoute, RawService, RawTable, Repeat, RouteTable, TableError,
@@ -182,6 +183,8 @@
     pub sent: Vec<Sent>,
     /// Connections to endpoints that the gateway closed.
     pub hung_up: Vec<PeerId>,
+    /// What the gateway has reported for its metrics, oldest first.
+    pub observed: Vec<Observation>,
     /// The answer of each caller.
     pub answers: BTreeMap<u64, CallerAnswer>,
     /// Whether the role has stopped.
@@ -230,6 +233,7 @@
             gateway: Gateway::new(settings, Box::new(protocol)),
             sent: Vec::new(),
             hung_up: Vec::new(),
+            observed: Vec::new(),
             answers: BTreeMap::new(),
             stopped: false,
             closed_idle: false,
@@ -337,6 +341,7 @@
             match output {
                 Output::Open { exchange, envelope, .. } => self.on_open(exchange, envelope.body),
                 Output::Effect(effect) => self.apply_effect(effect),
+                Output::Observe(observation) => self.observed.push(observation),
                 Output::Stopped => self.stopped = true,
                 _ => {}
             }
--- /dev/null
+++ b/tests/gateway_lines.rs
@@ -0,0 +1,151 @@
+//! The lines and counters by which an operator tells why a gateway retried a call too often or
+//! broke a stream off.
+
+mod gateway_fixture;
+
+use std::cell::RefCell;
+use std::sync::Once;
+use std::time::Duration;
+
+use dotterelpin::gateway::budget::{Budget, BudgetTerms};
+use dotterelpin::model::Timestamp;
+use dotterelpin::report::metrics::Metrics;
+use gateway_fixture::{Fixture, PLAIN};
+
+thread_local! {
+    /// The lines that this thread has logged; a fixture steps its gateway on the test's thread.
+    static LINES: RefCell<Vec<String>> = const { RefCell::new(Vec::new()) };
+}
+
+struct ThreadLog;
+
+impl log::Log for ThreadLog {
+    fn enabled(&self, metadata: &log::Metadata<'_>) -> bool {
+        metadata.level() <= log::Level::Info
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        if self.enabled(record.metadata()) {
+            LINES.with_borrow_mut(|lines| lines.push(record.args().to_string()));
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+/// Returns the usual fixture, with the lines of this thread recorded from now on.
+fn logged() -> Fixture {
+    static INSTALL: Once = Once::new();
+    INSTALL.call_once(|| {
+        log::set_logger(&ThreadLog).unwrap();
+        log::set_max_level(log::LevelFilter::Info);
+    });
+    let fixture = Fixture::ready();
+    LINES.with_borrow_mut(Vec::clear);
+    fixture
+}
+
+/// Returns the lines of a step that this thread has logged since the start of its fixture.
+fn lines(step: &str) -> Vec<String> {
+    let start = format!("step={step} ");
+    let of_step = |l: &&String| l.starts_with(&start);
+    LINES.with_borrow(|lines| lines.iter().filter(of_step).cloned().collect())
+}
+
+/// Returns the only line of a step.
+fn line(step: &str) -> String {
+    let found = lines(step);
+    assert_eq!(found.len(), 1, "expected one line step={step}, found {found:?}");
+    found[0].clone()
+}
+
+/// Returns the value of a field without quotes.
+fn value<'a>(line: &'a str, key: &str) -> &'a str {
+    let start = format!(" {key}=");
+    let (_, rest) = line.split_once(&start).unwrap_or_else(|| panic!("no {key} in: {line}"));
+    match rest.strip_prefix('"') {
+        Some(quoted) => quoted.split('"').next().unwrap(),
+        None => rest.split(' ').next().unwrap(),
+    }
+}
+
+/// Returns the value of a counter of the gateway; 0 if it was never counted.
+fn counter(f: &Fixture, series: &str) -> u64 {
+    let metrics = Metrics::new().unwrap();
+    f.observed.iter().for_each(|o| metrics.observe(o.clone()));
+    let text = metrics.text().unwrap();
+    let start = format!("dotterelpin_{series} ");
+    text.lines().find_map(|l| l.strip_prefix(&start)).map_or(0, |count| count.parse().unwrap())
+}
+
+fn charges(f: &Fixture, service: &str, outcome: &str) -> u64 {
+    let labels = format!("outcome=\"{outcome}\",service=\"{service}\"");
+    counter(f, &format!("gateway_retry_charges_total{{{labels}}}"))
+}
+
+#[test]
+fn each_charge_of_the_retry_budget_is_logged_with_the_numbers_that_decided() {
+    let mut f = logged();
+    for caller in 0..20 {
+        f.call(caller, "/look/a", &[]);
+        let first = f.take_sent();
+        f.answer(&first, 500, &[], "no");
+        if f.has_sent() {
+            let second = f.take_sent();
+            f.answer(&second, 500, &[], "no");
+        }
+    }
+    let lines = lines("budget");
+    assert_eq!(lines.len(), 20);
+    for (at, line) in lines.iter().enumerate() {
+        let number = |key| value(line, key).parse::<f64>().unwrap();
+        let covered = number("retries") + number("cost") <= number("allowed");
+        let expected = if covered { "charged" } else { "spent" };
+        assert_eq!(value(line, "outcome"), expected, "{line}");
+        assert_eq!(value(line, "service"), PLAIN);
+        assert_eq!((number("cost"), number("calls")), (1.0, at as f64 + 1.0), "{line}");
+        // The fixture reports two gateways, and calls arrive 1 s after its start.
+        assert_eq!((number("gateways"), number("up_ms")), (2.0, 1_000.0), "{line}");
+    }
+    let charged = lines.iter().filter(|l| l.contains("outcome=charged")).count() as u64;
+    assert!((8..=12).contains(&charged), "expected both outcomes, {charged} of 20 were charged");
+    assert_eq!(charges(&f, PLAIN, "charged"), charged);
+    assert_eq!(charges(&f, PLAIN, "spent"), 20 - charged);
+}
+
+#[test]
+fn retry_of_an_attempt_that_reached_no_endpoint_is_logged_as_free() {
+    let mut f = logged();
+    f.connects = false;
+    f.call(1, "/look/a", &[]);
+    let first = f.take_sent();
+    f.connects = true;
+    f.fail_connection(&first, false);
+    let line = line("budget");
+    assert_eq!((value(&line, "outcome"), value(&line, "retries")), ("free", "0"));
+    assert_eq!((charges(&f, PLAIN, "free"), charges(&f, PLAIN, "charged")), (1, 0));
+}
+
+#[test]
+fn balance_is_what_the_next_charge_is_decided_by() {
+    let terms = BudgetTerms { ratio: 0.2, extra: 10.0, window: Duration::from_secs(10) };
+    let mut budget = Budget::default();
+    let mut charged = 0;
+    for millis in 0..30_000u64 {
+        let now = Timestamp::from_micros(1_000_000 + millis * 1_000);
+        if millis % 7 == 0 {
+            budget.called(now, &terms);
+        }
+        if millis % 11 == 0 {
+            let cost = (millis % 3) as u32;
+            let before = budget.balance(now, &terms, 3);
+            let covered = before.covers(cost);
+            assert_eq!(budget.spend(now, &terms, 3, cost), covered, "at {millis} ms: {before:?}");
+            let spent = if covered { cost } else { 0 };
+            charged += spent;
+            let after = budget.balance(now, &terms, 3);
+            assert_eq!((after.retries, after.calls), (before.retries + spent, before.calls));
+        }
+    }
+    assert!(charged > 0);
+}
