Count the requests of calls that a gateway sends to endpoints

Before: nothing counted what was sent. Whether one charge of the retry budget stood for one arrival at an endpoint or for two (a new prefill and the run after it) could not be seen. Now: gateway_sends_total by service and kind, first or repeat. Repeats beyond the charges and the free retries are sends that nobody charged for. Tests: gateway_lines, ..._are_first_sends, ..._two_repeats_for_one_charge, prefill_that_is_sent_again_..., run_that_is_sent_again_..., repeated_send_to_a_plain_service_is_a_repeat.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -11,6 +11,7 @@
 use crate::control::dispatch::rooms::RunId;
 use crate::h1::{AnswerHead, PeerId, Request};
 use crate::model::{ExchangeId, Timestamp};
+use crate::report::observation::SendOrder;
 use crate::routes::{Route, RouteKey, RouteTable};
 
 /// One attempt to run a call, or its prefill, at an endpoint.
@@ -167,6 +168,10 @@
     pub caller_deadline: Timestamp,
     /// How many attempts count against the maximum of the route.
     pub sends: u32,
+    /// Whether any request of it was sent to an endpoint.
+    pub sent: bool,
+    /// Whether its next request to an endpoint is the run that follows its first answered prefill.
+    pub first_run: bool,
     /// Whether a prefill of the call has succeeded.
     pub exported: bool,
     /// How many prefills were sent.
@@ -213,6 +218,14 @@
         self.route().is_some_and(|r| r.repeat.is_stream())
     }
 
+    /// Records that a request of it is sent to an endpoint; returns whether that repeats an earlier
+    /// one.
+    pub fn record_send(&mut self) -> SendOrder {
+        let again = std::mem::replace(&mut self.sent, true);
+        let first_run = std::mem::take(&mut self.first_run);
+        if again && !first_run { SendOrder::Repeat } else { SendOrder::First }
+    }
+
     /// Returns its rank in the queue; an interrupted stream is never late.
     pub fn rank(&self) -> Rank {
         let priority = self.route().map_or(u8::MAX, |r| r.priority);
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -277,6 +277,7 @@
         let Stage::Prefill { attempt, decode } = stage else { return };
         // The first successful prefill does not count as an attempt; further ones do.
         call.sends += u32::from(call.exported);
+        call.first_run = !call.exported;
         call.exported = true;
         self.release_attempt(now, &attempt);
         let Some(source) = self.fleet.get_mut(attempt.endpoint) else { return };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -39,6 +39,7 @@
 use crate::link::message::{ControlReply, Reply};
 use crate::model::{ExchangeId, Timestamp};
 use crate::registry::{Follower, FollowerSettings};
+use crate::report::observation::Observation;
 use crate::role::{Input, Output, Role};
 use crate::routes::{Route, RouteTable};
 
@@ -252,6 +253,8 @@
             arrived: now,
             late,
             sends: 0,
+            sent: false,
+            first_run: false,
             exported: false,
             prefills: 0,
             tried: Vec::new(),
@@ -321,9 +324,18 @@
             self.effect(HttpEffect::Dial { peer, address });
         }
         self.effect(HttpEffect::Send { peer, bytes });
+        self.count_send(caller);
         Some(peer)
     }
 
+    /// Counts a request of a call that was sent to an endpoint.
+    fn count_send(&mut self, caller: CallerId) {
+        let Some(call) = self.calls.get_mut(&caller) else { return };
+        let service = call.service.clone();
+        let order = call.record_send();
+        self.outputs.push(Output::Observe(Observation::Send { service, order }));
+    }
+
     /// Sets the timer of a call to its next deadline.
     fn schedule(&mut self, caller: CallerId) {
         let Some(call) = self.calls.get_mut(&caller) else { return };
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -10,7 +10,7 @@
     IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
-use super::observation::{CallEnd, CallSummary, ChargeOutcome, GatewayEnd, Observation};
+use super::observation::{CallEnd, CallSummary, ChargeOutcome, GatewayEnd, Observation, SendOrder};
 use crate::link::message::{AgentRequest, ControlRequest, Request};
 use crate::model::{InboundId, Revision};
 
@@ -64,6 +64,7 @@
     answers: IntCounterVec,
     first_answer: HistogramVec,
     answer_time: HistogramVec,
+    sends: IntCounterVec,
     charges: IntCounterVec,
 }
 
@@ -128,6 +129,12 @@
                 "From arrival to the end of a gateway's call",
                 &["route"],
             )?,
+            sends: make.counters(
+                "gateway_sends_total",
+                "Requests of calls that a gateway sent to endpoints: first: the first one of a call \
+                 and the run after its first answered prefill; repeat: all others",
+                &["service", "kind"],
+            )?,
             charges: make.counters(
                 "gateway_retry_charges_total",
                 "Retries of a gateway by what the retry budget decided: charged; spent: refused; \
@@ -151,6 +158,7 @@
                 self.refusals.with_label_values(&[reason.as_str()]).inc();
             }
             Observation::Gateway(end) => self.gateway_call(&end),
+            Observation::Send { service, order } => self.send(&service, order),
             Observation::Charge { service, outcome, cost } => {
                 self.charge(&service, outcome, cost);
             }
@@ -172,6 +180,11 @@
         self.answer_time.with_label_values(&[&*route]).observe(end.total.as_secs_f64());
     }
 
+    fn send(&self, service: &str, order: SendOrder) {
+        let service = self.label(&self.services, service);
+        self.sends.with_label_values(&[&*service, order.as_str()]).inc();
+    }
+
     fn charge(&self, service: &str, outcome: ChargeOutcome, cost: u32) {
         let service = self.label(&self.services, service);
         let labels = [&*service, outcome.as_str()];
--- a/src/report/observation.rs
+++ b/src/report/observation.rs
@@ -17,6 +17,14 @@
     Refused(RefusalReason),
     /// A call of a gateway has ended.
     Gateway(Box<GatewayEnd>),
+    /// A gateway has sent a request to an endpoint as part of a call: a prefill, a run or a call to
+    /// a plain service.
+    Send {
+        /// The name of the call's service.
+        service: Box<str>,
+        /// Whether the call needed it anyway or repeats something.
+        order: SendOrder,
+    },
     /// A gateway has decided whether a retry is within the retry budget.
     Charge {
         /// The name of the service whose budget it is.
@@ -37,6 +45,31 @@
     },
 }
 
+/// Whether a request of a call to an endpoint repeats an earlier one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendOrder {
+    /// It is the first one of its call, or the run that follows its first answered prefill.
+    First,
+    /// It is any other one: a prefill or a run that is sent again.
+    Repeat,
+}
+
+impl SendOrder {
+    /// Returns the name in metrics.
+    ///
+    /// ```
+    /// use dotterelpin::report::observation::SendOrder;
+    ///
+    /// assert_eq!(SendOrder::Repeat.as_str(), "repeat");
+    /// ```
+    pub fn as_str(self) -> &'static str {
+        match self {
+            SendOrder::First => "first",
+            SendOrder::Repeat => "repeat",
+        }
+    }
+}
+
 /// What a gateway has decided about a retry and the retry budget.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ChargeOutcome {
--- a/tests/gateway_lines.rs
+++ b/tests/gateway_lines.rs
@@ -10,7 +10,7 @@
 use dotterelpin::gateway::budget::{Budget, BudgetTerms};
 use dotterelpin::model::Timestamp;
 use dotterelpin::report::metrics::Metrics;
-use gateway_fixture::{Fixture, PLAIN};
+use gateway_fixture::{Fixture, MODEL, PLAIN};
 
 thread_local! {
     /// The lines that this thread has logged; a fixture steps its gateway on the test's thread.
@@ -83,6 +83,10 @@
     counter(f, &format!("gateway_retry_charges_total{{{labels}}}"))
 }
 
+fn sends(f: &Fixture, service: &str, kind: &str) -> u64 {
+    counter(f, &format!("gateway_sends_total{{kind=\"{kind}\",service=\"{service}\"}}"))
+}
+
 #[test]
 fn each_charge_of_the_retry_budget_is_logged_with_the_numbers_that_decided() {
     let mut f = logged();
@@ -149,3 +153,68 @@
     }
     assert!(charged > 0);
 }
+
+#[test]
+fn prefill_and_run_of_an_undisturbed_call_are_first_sends() {
+    let mut f = logged();
+    f.model_call(1, "/remind/a", "3000,100");
+    let run = f.answer_prefill();
+    f.head(&run, 200, &[]);
+    f.data(&run, b"id: 1\ndata: a\n\n");
+    f.end(&run);
+    f.call(2, "/look/a", &[]);
+    let plain = f.take_sent();
+    f.answer(&plain, 200, &[], "ok");
+    assert_eq!((sends(&f, MODEL, "first"), sends(&f, MODEL, "repeat")), (2, 0));
+    assert_eq!((sends(&f, PLAIN, "first"), sends(&f, PLAIN, "repeat")), (1, 0));
+}
+
+#[test]
+fn run_that_is_repeated_after_a_new_prefill_is_two_repeats_for_one_charge() {
+    let mut f = logged();
+    f.model_call(1, "/remind/a", "3000,100");
+    let run = f.answer_prefill();
+    f.head(&run, 200, &[]);
+    f.data(&run, b"id: 1\ndata: a\n\n");
+    f.advance(1_300);
+    f.answer_prefill();
+    assert_eq!((sends(&f, MODEL, "first"), sends(&f, MODEL, "repeat")), (2, 2));
+    assert_eq!(charges(&f, MODEL, "charged"), 1);
+}
+
+#[test]
+fn prefill_that_is_sent_again_is_a_repeat_and_the_first_run_after_it_is_not() {
+    let mut f = logged();
+    f.model_call(1, "/remind/a", "3000,100");
+    let hold = f.take_sent();
+    f.answer(&hold, 200, &[], "hold h1");
+    let prefill = f.take_sent();
+    f.answer(&prefill, 503, &[("Not-Run", "1")], "full");
+    let freed = f.take_sent();
+    assert_eq!(&*freed.head.target, "/hold/h1");
+    f.answer_prefill();
+    assert_eq!((sends(&f, MODEL, "first"), sends(&f, MODEL, "repeat")), (2, 1));
+    assert_eq!(charges(&f, MODEL, "charged"), 1);
+}
+
+#[test]
+fn run_that_is_sent_again_with_the_same_export_is_a_repeat() {
+    let mut f = logged();
+    f.model_call(1, "/remind/a", "3000,100");
+    let run = f.answer_prefill();
+    f.answer(&run, 503, &[("Not-Run", "1")], "full");
+    let second = f.take_sent();
+    assert_eq!(run.field("Source"), second.field("Source"), "expected the same export");
+    assert_eq!((sends(&f, MODEL, "first"), sends(&f, MODEL, "repeat")), (2, 1));
+    assert_eq!(charges(&f, MODEL, "charged"), 1);
+}
+
+#[test]
+fn repeated_send_to_a_plain_service_is_a_repeat() {
+    let mut f = logged();
+    f.call(1, "/look/a", &[]);
+    let first = f.take_sent();
+    f.answer(&first, 500, &[], "no");
+    assert!(f.has_sent());
+    assert_eq!((sends(&f, PLAIN, "first"), sends(&f, PLAIN, "repeat")), (1, 1));
+}
