Name a misdirected request in step=attempt

Before: a 421, by which an endpoint says that another instance or stage is at the address, was logged as outcome=refused like a lack of capacity, so that an outdated listing could not be told from full endpoints. Now: it is outcome=misdirected. What is decided does not change.

--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -28,7 +28,9 @@
 const MAX_SIDE_BYTES: usize = 1 << 20;
 /// Statuses that promise that a call has not run. An endpoint's answer with one of them is not
 /// passed on; the caller gets the gateway's own refusal.
-const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+const NOT_RUN_STATUSES: [u16; 4] = [408, MISDIRECTED, 429, 503];
+/// The status of an endpoint that is another instance, or in another stage, than the intended one.
+const MISDIRECTED: u16 = 421;
 
 fn refusal(status: u16, text: &str, retry_after: Option<Duration>) -> RefusalInfo {
     RefusalInfo { status, text: text.into(), retry_after }
@@ -333,8 +335,9 @@
         let Some((head, info)) = attempt.head.take() else { return };
         let content = std::mem::take(&mut attempt.content);
         let good = (200..300).contains(&head.status);
-        if info.not_run || head.status == 421 {
-            self.attempt_failed(now, caller, Failure::Refused);
+        let misdirected = head.status == MISDIRECTED;
+        if info.not_run || misdirected {
+            self.attempt_failed(now, caller, Failure::Refused { misdirected });
         } else if in_prefill {
             let export = good.then(|| self.protocol.read_export(&content)).flatten();
             match export {
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -35,7 +35,11 @@
     /// No byte of it reached the endpoint.
     NotStarted,
     /// The endpoint promises that it has not run the call.
-    Refused,
+    Refused {
+        /// Whether the answer was 421: at its address is another instance, or one in another stage,
+        /// than the intended one.
+        misdirected: bool,
+    },
     /// The endpoint may have run it, but sent no usable answer.
     Broken,
     /// The endpoint did not answer in time and may still run it.
@@ -48,7 +52,8 @@
     fn name(&self) -> &'static str {
         match self {
             Failure::NotStarted => "not-started",
-            Failure::Refused => "refused",
+            Failure::Refused { misdirected: true } => "misdirected",
+            Failure::Refused { misdirected: false } => "refused",
             Failure::Broken => "broken",
             Failure::Silent => "silent",
             Failure::Answered(_) => "failed",
@@ -57,7 +62,7 @@
 
     fn verdict(&self) -> Option<Verdict> {
         match self {
-            Failure::Refused => None,
+            Failure::Refused { .. } => None,
             Failure::NotStarted | Failure::Silent => Some(Verdict::Silent),
             Failure::Broken | Failure::Answered(_) => Some(Verdict::Failed),
         }
@@ -258,7 +263,7 @@
                 let ended = call.broke_at.take_if(|at| *at == attempt.endpoint).is_some();
                 call.sends = call.sends.saturating_sub(1 + u32::from(ended));
             }
-            (Failure::NotStarted, true) | (Failure::Refused, false) => {}
+            (Failure::NotStarted, true) | (Failure::Refused { .. }, false) => {}
             (_, true) => call.sends += 1,
             (Failure::Silent, false) if call.info.work.is_some() => {
                 // An engine that stops answering during a run is unreachable or has stopped; the
@@ -281,7 +286,7 @@
         let failed = FailedAttempt {
             endpoint: attempt.endpoint,
             in_prefill,
-            not_run: matches!(failure, Failure::Refused | Failure::NotStarted),
+            not_run: matches!(failure, Failure::Refused { .. } | Failure::NotStarted),
             broke_off,
         };
         let (name, sends) = (failure.name(), call.sends);
--- a/tests/gateway_lines.rs
+++ b/tests/gateway_lines.rs
@@ -218,3 +218,20 @@
     assert!(f.has_sent());
     assert_eq!((sends(&f, PLAIN, "first"), sends(&f, PLAIN, "repeat")), (1, 1));
 }
+
+#[test]
+fn misdirected_request_is_told_from_a_refusal_for_lack_of_capacity() {
+    for (status, extra, expected) in [
+        (421, &[][..], "misdirected"),
+        (421, &[("Not-Run", "1")][..], "misdirected"),
+        (503, &[("Not-Run", "1")][..], "refused"),
+    ] {
+        let mut f = logged();
+        f.call(1, "/look/a", &[]);
+        let first = f.take_sent();
+        f.answer(&first, status, extra, "no");
+        let line = line("attempt");
+        assert_eq!((value(&line, "outcome"), value(&line, "stage")), (expected, "run"), "{line}");
+        assert!(f.has_sent(), "expected the same retry after either answer");
+    }
+}
