Log what is known when silence ends an attempt

Before: step=attempt outcome=silent gave the age of the attempt only. Whether its engine had just sent events, whether the connection was an old one, and whether the call went on had to be guessed from the lines around it. Now: one line step=silence for each attempt that times out, with ms since it was sent, event_ms since its last event, connection reused, new or pending, and next=retry or ended; it stands before the step=end line.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -27,6 +27,8 @@
     pub since: Timestamp,
     /// Whether the connection is established.
     pub connected: bool,
+    /// Whether the connection was established before it was sent.
+    pub reused: bool,
     /// The head of the answer, once it is received.
     pub head: Option<(AnswerHead, AnswerInfo)>,
     /// The content received so far, of an answer that is not streamed to the caller.
@@ -34,7 +36,8 @@
 }
 
 impl Attempt {
-    /// Creates an attempt that has no answer yet.
+    /// Creates an attempt that has no answer yet; `connected` is whether its connection was
+    /// established before.
     pub fn new(
         peer: PeerId,
         endpoint: EndpointKey,
@@ -42,7 +45,16 @@
         since: Timestamp,
         connected: bool,
     ) -> Attempt {
-        Attempt { peer, endpoint, usage, since, connected, head: None, content: Vec::new() }
+        Attempt {
+            peer,
+            endpoint,
+            usage,
+            since,
+            connected,
+            reused: connected,
+            head: None,
+            content: Vec::new(),
+        }
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 pub mod protocol;
 pub mod queue;
 mod reports;
+mod silence;
 pub mod window;
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -5,6 +5,7 @@
 use super::answer;
 use super::call::{Attempt, Call, CompleteAnswer, FailedAttempt, Handoff, Stage};
 use super::fleet::{EndpointKey, Job};
+use super::silence::{AfterSilence, Silence};
 use super::{CallerId, Gateway, PeerId};
 use crate::control::dispatch::rooms::RunEnd;
 use crate::entry::health::Verdict;
@@ -124,11 +125,12 @@
             self.leader_timed_out(now, caller);
             return;
         }
+        let silence = Silence::of(now, call);
         let Some(attempt) = call.attempt() else { return };
         let (peer, connected) = (attempt.peer, attempt.connected);
         self.hang_up(peer);
         let failure = if connected { Failure::Silent } else { Failure::NotStarted };
-        self.attempt_failed(now, caller, failure);
+        self.end_attempt(now, caller, failure, silence);
     }
 
     /// Ends a call that has reached its deadline.
@@ -244,6 +246,17 @@
     /// Handles the failure of a call's present attempt, whose connection is already closed or idle:
     /// retries the call, or ends it with a refusal.
     pub(super) fn attempt_failed(&mut self, now: Timestamp, caller: CallerId, failure: Failure) {
+        self.end_attempt(now, caller, failure, None);
+    }
+
+    /// Like [`Gateway::attempt_failed`]; `silence` is given if the attempt timed out.
+    fn end_attempt(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        failure: Failure,
+        silence: Option<Silence>,
+    ) {
         self.report_prefill_end(caller);
         self.report_run_end(caller, RunEnd::Over);
         let Some(call) = self.calls.get_mut(&caller) else { return };
@@ -317,7 +330,13 @@
             call.failed = Some(failed);
         }
         let unused = handoff.clone().filter(|_| failed.not_run);
-        if self.may_retry(now, caller, unbudgeted) && self.retry(now, caller, &failed, handoff) {
+        let goes_on =
+            self.may_retry(now, caller, unbudgeted) && self.retry(now, caller, &failed, handoff);
+        if let Some(silence) = silence {
+            let next = if goes_on { AfterSilence::Retry } else { AfterSilence::Ended };
+            silence.log(&id, &endpoint_name, next);
+        }
+        if goes_on {
             return;
         }
         if let Some(unused) = unused {
--- a/tests/gateway_lines.rs
+++ b/tests/gateway_lines.rs
@@ -235,3 +235,60 @@
         assert!(f.has_sent(), "expected the same retry after either answer");
     }
 }
+
+#[test]
+fn silence_that_ends_an_attempt_is_logged_once_with_its_age_and_what_follows() {
+    let mut f = logged();
+    f.model_call(1, "/remind/a", "3000,100");
+    let run = f.answer_prefill();
+    f.head(&run, 200, &[]);
+    f.advance(500);
+    f.data(&run, b"id: 1\ndata: a\n\n");
+    f.advance(1_300);
+    f.answer_prefill();
+    let first = line("silence");
+    let numbers = ["ms", "event_ms"].map(|key| value(&first, key));
+    assert_eq!(numbers, ["1700", "1200"], "{first}");
+    assert_eq!((value(&first, "stage"), value(&first, "next")), ("run", "retry"), "{first}");
+    assert_eq!(value(&first, "id"), "call-1", "{first}");
+    f.advance(14_000);
+    assert!(f.answers[&1].aborted);
+    assert_eq!(lines("silence").len(), 1, "expected no line for an attempt that may not time out");
+}
+
+#[test]
+fn silence_before_any_event_has_no_event_age() {
+    let mut f = logged();
+    f.model_call(1, "/remind/a", "3000,100");
+    f.answer_prefill();
+    f.advance(2_100);
+    let line = line("silence");
+    assert_eq!((value(&line, "ms"), value(&line, "event_ms")), ("2000", "-1"), "{line}");
+}
+
+#[test]
+fn silence_names_the_connection_and_the_end_of_the_call() {
+    let mut f = logged();
+    f.deregister("p2");
+    f.advance(600);
+    LINES.with_borrow_mut(Vec::clear);
+    for (caller, expected) in [(1, "new"), (3, "reused")] {
+        f.call(caller, "/look/a", &[]);
+        f.advance(210);
+        let found = line("silence");
+        assert_eq!((value(&found, "connection"), value(&found, "next")), (expected, "ended"));
+        assert_eq!((value(&found, "endpoint"), value(&found, "ms")), ("p1", "200"));
+        f.sent.clear();
+        f.advance(5_000);
+        f.call(caller + 1, "/look/a", &[]);
+        let sent = f.take_sent();
+        f.answer(&sent, 200, &[], "ok");
+        LINES.with_borrow_mut(Vec::clear);
+    }
+    f.connects = false;
+    f.advance(5_000);
+    f.call(5, "/look/a", &[]);
+    f.advance(310);
+    let found = line("silence");
+    assert_eq!((value(&found, "connection"), value(&found, "ms")), ("pending", "300"), "{found}");
+}
