Say in step=end why a call got no whole answer

Before: a stream that was broken off ended in outcome=broken-off, whatever kept it from being resumed: its route, its attempts, the retry budget, no endpoint at that moment, or a wait in vain. Now: why="..." on the step=end line of each call without a whole answer, from a typed EndReason. The checks before a retry are the same ones in the same order; they return the reason instead of false.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -4,6 +4,7 @@
 
 use super::call::Call;
 use super::queue::{Queue, Rank, Waiting};
+use super::reason::EndReason;
 use super::{CallerId, Gateway, START_INTERVAL};
 use crate::model::Timestamp;
 
@@ -44,7 +45,7 @@
             queue.estimate(now, rank).map_or(-1, |w| w.as_millis() as i64),
         );
         let refusal = self.capacity_refusal(now, caller);
-        self.conclude(now, caller, refusal);
+        self.conclude(now, caller, refusal, EndReason::NotAdmitted);
     }
 
     /// Refuses the calls whose time in the queue has expired.
@@ -53,7 +54,7 @@
             self.queues.values_mut().flat_map(|q| q.remove_expired(now)).collect();
         for caller in expired {
             let refusal = self.capacity_refusal(now, caller);
-            self.conclude(now, caller, refusal);
+            self.conclude(now, caller, refusal, EndReason::WaitExpired);
         }
     }
 
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -8,6 +8,7 @@
 use super::outcome::Failure;
 use super::protocol::RefusalInfo;
 use super::queue::Queue;
+use super::reason::EndReason;
 use super::{CallerId, Gateway, PeerId};
 use crate::control::dispatch::rooms::RunEnd;
 use crate::entry::health::Verdict;
@@ -99,13 +100,19 @@
     }
 
     /// Ends a call that gets no complete answer: aborts a stream that has begun, else sends the
-    /// last failure of an endpoint or the given refusal.
-    pub(super) fn conclude(&mut self, now: Timestamp, caller: CallerId, info: RefusalInfo) {
+    /// last failure of an endpoint or the given refusal. `why` is logged.
+    pub(super) fn conclude(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        info: RefusalInfo,
+        why: EndReason,
+    ) {
         self.release_hold(now, caller);
         let Some(mut call) = self.remove(caller) else { return };
         if call.delivered.head {
             self.effect(HttpEffect::Abort { caller });
-            self.log_end(now, &call, "broken-off", 0);
+            self.log_end(now, &call, "broken-off", 0, Some(why));
             return;
         }
         if let Some(failed) = call.failed.take()
@@ -113,14 +120,14 @@
         {
             let status = failed.head.status;
             self.send_complete(caller, &call, &failed);
-            self.log_end(now, &call, "endpoint-failed", status);
+            self.log_end(now, &call, "endpoint-failed", status, Some(why));
             return;
         }
         let keep = self.keeps_alive(&call.request);
         let bytes = self.protocol.write_refusal(Some(&call.info.id), &info, keep);
         self.effect(HttpEffect::Reply { caller, bytes });
         self.effect(HttpEffect::Finish { caller, keep });
-        self.log_end(now, &call, &info.text, info.status);
+        self.log_end(now, &call, &info.text, info.status, Some(why));
     }
 
     pub(super) fn capacity_refusal(&mut self, now: Timestamp, caller: CallerId) -> RefusalInfo {
@@ -140,13 +147,21 @@
         Some(call)
     }
 
-    fn log_end(&mut self, now: Timestamp, call: &Call, outcome: &str, status: u16) {
+    /// Logs and counts the end of a call; `why` is given if there was no complete answer.
+    fn log_end(
+        &mut self,
+        now: Timestamp,
+        call: &Call,
+        outcome: &str,
+        status: u16,
+        why: Option<EndReason>,
+    ) {
         let total = now - call.arrived;
         let first = call.delivered.first.map(|at| at - call.arrived);
         let route = call.route().map_or("", |r| &r.name);
         log::info!(
             "step=end id={} route={route} service={} outcome=\"{outcome}\" status={status} ms={} \
-             first_ms={} gap_ms={} events={} sends={} prefills={} table={}",
+             first_ms={} gap_ms={} events={} sends={} prefills={} table={}{}",
             call.info.id,
             call.service,
             total.as_millis(),
@@ -156,6 +171,7 @@
             call.sends,
             call.prefills,
             call.table.version(),
+            why.map_or_else(String::new, |why| format!(" why=\"{}\"", why.text())),
         );
         let end = GatewayEnd { route: route.into(), status, first, total };
         self.outputs.push(Output::Observe(Observation::Gateway(Box::new(end))));
@@ -359,7 +375,7 @@
         self.attempt_succeeded(now, &mut call);
         call.delivered.first = Some(now);
         self.send_complete(caller, &call, &answer);
-        self.log_end(now, &call, "answered", answer.head.status);
+        self.log_end(now, &call, "answered", answer.head.status, None);
     }
 
     /// Releases the capacity of a call's last attempt and records its success.
@@ -389,7 +405,7 @@
         write::last_chunk(&mut bytes);
         self.effect(HttpEffect::Reply { caller, bytes });
         self.effect(HttpEffect::Finish { caller, keep });
-        self.log_end(now, &call, "answered", 200);
+        self.log_end(now, &call, "answered", 200, None);
     }
 }
 
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -8,6 +8,7 @@
 use super::fleet::{EndpointKey, Job, Usage};
 use super::place::{place_decode, place_prefill};
 use super::protocol::{Export, SendKind, SideRequest};
+use super::reason::EndReason;
 use super::{CallerId, Gateway};
 use crate::control::dispatch::rooms::RunEnd;
 use crate::entry::health::Verdict;
@@ -177,7 +178,7 @@
         self.release(now, decode.endpoint, decode.usage);
         let (endpoint, usage) = (decode.endpoint, decode.usage);
         if !self.run_on(now, caller, endpoint, usage, SendKind::Whole, None) {
-            self.conclude(now, caller, answer::no_endpoint());
+            self.conclude(now, caller, answer::no_endpoint(), EndReason::NoEndpoint);
         }
     }
 
@@ -289,7 +290,7 @@
         let kind = SendKind::From { source: address, handle: export.handle.clone() };
         let from = Some(Handoff { source: attempt.endpoint, export, made: now });
         if !self.run_on(now, caller, decode.endpoint, decode.usage, kind, from) {
-            self.conclude(now, caller, answer::no_endpoint());
+            self.conclude(now, caller, answer::no_endpoint(), EndReason::NoEndpoint);
         }
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod plain;
 pub mod protocol;
 pub mod queue;
+mod reason;
 mod reports;
 mod silence;
 pub mod window;
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -5,6 +5,7 @@
 use super::answer;
 use super::call::{Attempt, Call, CompleteAnswer, FailedAttempt, Handoff, Stage};
 use super::fleet::{EndpointKey, Job};
+use super::reason::EndReason;
 use super::silence::{AfterSilence, Silence};
 use super::{CallerId, Gateway, PeerId};
 use crate::control::dispatch::rooms::RunEnd;
@@ -141,7 +142,7 @@
         let ran = call.may_have_run;
         self.stop_work(now, caller);
         let refusal = if ran { answer::timed_out() } else { answer::out_of_time() };
-        self.conclude(now, caller, refusal);
+        self.conclude(now, caller, refusal, EndReason::Deadline);
     }
 
     /// Closes a connection to an endpoint.
@@ -330,33 +331,54 @@
             call.failed = Some(failed);
         }
         let unused = handoff.clone().filter(|_| failed.not_run);
-        let goes_on =
-            self.may_retry(now, caller, unbudgeted) && self.retry(now, caller, &failed, handoff);
+        let retried = self.try_retry(now, caller, unbudgeted, &failed, handoff);
         if let Some(silence) = silence {
-            let next = if goes_on { AfterSilence::Retry } else { AfterSilence::Ended };
+            let next = if retried.is_ok() { AfterSilence::Retry } else { AfterSilence::Ended };
             silence.log(&id, &endpoint_name, next);
         }
-        if goes_on {
-            return;
-        }
+        let Err(why) = retried else { return };
         if let Some(unused) = unused {
             self.free_export(now, unused.source, &unused.export.handle);
         }
         let ran = self.calls.get(&caller).is_some_and(|c| c.may_have_run);
         let refusal = if ran { answer::failed() } else { self.capacity_refusal(now, caller) };
-        self.conclude(now, caller, refusal);
+        self.conclude(now, caller, refusal, why);
     }
 
-    /// Returns whether a call may be retried, and counts that against the retry budget unless the
-    /// retry is `unbudgeted`.
-    fn may_retry(&mut self, now: Timestamp, caller: CallerId, unbudgeted: bool) -> bool {
-        let Some(call) = self.calls.get(&caller) else { return false };
-        let Some(route) = call.route() else { return false };
-        let allowed = !call.may_have_run || route.repeat.is_repeatable();
-        if !allowed || call.sends >= route.attempts || call.remaining(now) < MIN_RETRY_TIME {
-            return false;
+    /// Retries a call after a failed attempt if that is allowed, and counts that against the retry
+    /// budget unless the retry is `unbudgeted`. Returns why the call ends if it is not retried.
+    fn try_retry(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        unbudgeted: bool,
+        failed: &FailedAttempt,
+        handoff: Option<Handoff>,
+    ) -> Result<(), EndReason> {
+        self.check_retry(now, caller)?;
+        if !self.charge_retry(now, caller, unbudgeted) {
+            return Err(EndReason::BudgetSpent);
+        }
+        if !self.retry(now, caller, failed, handoff) {
+            return Err(EndReason::NoCapacity);
+        }
+        Ok(())
+    }
+
+    /// Returns why a call may not be retried, whatever the retry budget.
+    fn check_retry(&self, now: Timestamp, caller: CallerId) -> Result<(), EndReason> {
+        let call = self.calls.get(&caller).ok_or(EndReason::NotRepeatable)?;
+        let route = call.route().ok_or(EndReason::NotRepeatable)?;
+        if call.may_have_run && !route.repeat.is_repeatable() {
+            return Err(EndReason::NotRepeatable);
+        }
+        if call.sends >= route.attempts {
+            return Err(EndReason::AttemptsSpent);
+        }
+        if call.remaining(now) < MIN_RETRY_TIME {
+            return Err(EndReason::NoTime);
         }
-        self.charge_retry(now, caller, unbudgeted)
+        Ok(())
     }
 
     /// Counts a retry against the retry budget unless it is `unbudgeted`, and reports that with the
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -5,6 +5,7 @@
 use super::fleet::Usage;
 use super::protocol::SendKind;
 use super::queue::Waiting;
+use super::reason::EndReason;
 use super::{CallerId, Gateway};
 use crate::model::Timestamp;
 
@@ -23,7 +24,7 @@
         let rank = call.rank();
         let service = call.service.clone();
         if self.fleet.pool(&service).all(|(_, e)| !e.accepts_work) {
-            self.conclude(now, caller, answer::no_endpoint());
+            self.conclude(now, caller, answer::no_endpoint(), EndReason::NoEndpoint);
             return;
         }
         let waiting = waiting(now, caller, call);
--- a/tests/gateway_fixture/mod.rs
+++ b/tests/gateway_fixture/mod.rs
@@ -211,6 +211,12 @@
     /// Creates a gateway that has no routing table and no endpoints yet; `tables` can be published
     /// later.
     pub fn without_table(tables: Vec<RawTable>) -> Fixture {
+        let budget = BudgetTerms { ratio: 0.2, extra: 20.0, window: Duration::from_secs(10) };
+        Fixture::with_budget(tables, budget)
+    }
+
+    /// Like [`Fixture::without_table`], with the terms of the retry budget.
+    fn with_budget(tables: Vec<RawTable>, budget: BudgetTerms) -> Fixture {
         let follower = FollowerSettings {
             name: "gateway-1".into(),
             role: "gateway".into(),
@@ -220,7 +226,6 @@
             endpoints: true,
             routes: true,
         };
-        let budget = BudgetTerms { ratio: 0.2, extra: 20.0, window: Duration::from_secs(10) };
         let settings = GatewaySettings { follower, budget, grace: Duration::from_secs(8) };
         let protocol = HeaderProtocol {
             names: NAMES,
@@ -253,7 +258,19 @@
     /// Creates a gateway that has the usual table and endpoints: plain ones `p1` and `p2`, prefill
     /// ones `f1` and `f2`, decode ones `d1` and `d2`.
     pub fn ready() -> Fixture {
-        let mut f = Fixture::without_table(vec![table()]);
+        let f = Fixture::without_table(vec![table()]);
+        f.made_ready()
+    }
+
+    /// Like [`Fixture::ready`], for a gateway whose retry budget allows no retry.
+    pub fn ready_without_budget() -> Fixture {
+        let budget = BudgetTerms { ratio: 0.0, extra: 0.0, window: Duration::from_secs(10) };
+        Fixture::with_budget(vec![table()], budget).made_ready()
+    }
+
+    /// Publishes the first table and announces the usual endpoints.
+    pub fn made_ready(self) -> Fixture {
+        let mut f = self;
         f.publish(0, 1);
         for name in ["p1", "p2"] {
             f.announce(endpoint(name, EndpointKind::Service, PLAIN));
--- a/tests/gateway_lines.rs
+++ b/tests/gateway_lines.rs
@@ -10,7 +10,7 @@
 use dotterelpin::gateway::budget::{Budget, BudgetTerms};
 use dotterelpin::model::Timestamp;
 use dotterelpin::report::metrics::Metrics;
-use gateway_fixture::{Fixture, MODEL, PLAIN};
+use gateway_fixture::{Fixture, MODEL, PLAIN, Sent, table};
 
 thread_local! {
     /// The lines that this thread has logged; a fixture steps its gateway on the test's thread.
@@ -35,12 +35,17 @@
 
 /// Returns the usual fixture, with the lines of this thread recorded from now on.
 fn logged() -> Fixture {
+    recorded(Fixture::ready)
+}
+
+/// Returns a new fixture, with the lines of this thread recorded from then on.
+fn recorded(create: fn() -> Fixture) -> Fixture {
     static INSTALL: Once = Once::new();
     INSTALL.call_once(|| {
         log::set_logger(&ThreadLog).unwrap();
         log::set_max_level(log::LevelFilter::Info);
     });
-    let fixture = Fixture::ready();
+    let fixture = create();
     LINES.with_borrow_mut(Vec::clear);
     fixture
 }
@@ -292,3 +297,110 @@
     let found = line("silence");
     assert_eq!((value(&found, "connection"), value(&found, "ms")), ("pending", "300"), "{found}");
 }
+
+/// Starts a call of caller 1 whose stream has delivered one event; returns its run.
+fn started_stream(mut f: Fixture, path: &str) -> (Fixture, Sent) {
+    f.model_call(1, path, "3000,100");
+    let run = f.answer_prefill();
+    f.head(&run, 200, &[]);
+    f.data(&run, b"id: 1\ndata: a\n\n");
+    (f, run)
+}
+
+/// Returns why the stream of caller 1 was broken off.
+fn why_broken_off(f: &Fixture) -> String {
+    assert!(f.answers[&1].aborted);
+    let ends = lines("end");
+    let end = ends.iter().find(|l| value(l, "id") == "call-1").unwrap();
+    assert_eq!(value(end, "outcome"), "broken-off", "{end}");
+    value(end, "why").into()
+}
+
+#[test]
+fn stream_that_is_broken_off_says_that_its_route_allows_no_repeat() {
+    let (mut f, run) = started_stream(logged(), "/draft/a");
+    f.fail_connection(&run, true);
+    assert_eq!(why_broken_off(&f), "no repeat allowed");
+}
+
+#[test]
+fn stream_that_is_broken_off_says_that_its_attempts_are_spent() {
+    let (mut f, run) = started_stream(logged(), "/remind/a");
+    f.fail_connection(&run, true);
+    let second = f.take_sent();
+    f.fail_connection(&second, true);
+    assert_eq!(why_broken_off(&f), "attempts spent");
+}
+
+#[test]
+fn stream_that_is_broken_off_says_that_the_retry_budget_is_spent() {
+    let (mut f, run) = started_stream(recorded(Fixture::ready_without_budget), "/remind/a");
+    f.fail_connection(&run, true);
+    assert_eq!(why_broken_off(&f), "retry budget spent");
+}
+
+#[test]
+fn stream_whose_silent_attempt_ends_it_has_the_silence_line_before_its_end() {
+    let (mut f, _) = started_stream(recorded(Fixture::ready_without_budget), "/remind/a");
+    f.advance(1_300);
+    assert_eq!(why_broken_off(&f), "retry budget spent");
+    assert_eq!(value(&line("silence"), "next"), "ended");
+    let last = LINES.with_borrow(|all| all.last().cloned().unwrap());
+    assert!(last.starts_with("step=end "), "{last}");
+}
+
+#[test]
+fn stream_that_is_broken_off_says_that_no_endpoint_can_take_its_last_attempt() {
+    let with_three_attempts = || {
+        let mut table = table();
+        let route = table.routes.iter_mut().find(|r| &*r.name == "remind").unwrap();
+        route.attempts = 3;
+        Fixture::without_table(vec![table]).made_ready()
+    };
+    let (mut f, run) = started_stream(recorded(with_three_attempts), "/remind/a");
+    f.fail_connection(&run, true);
+    let second = f.take_sent();
+    for name in ["d1", "d2"] {
+        f.deregister(name);
+    }
+    f.advance(600);
+    f.fail_connection(&second, true);
+    assert_eq!(why_broken_off(&f), "no endpoint for a retry");
+}
+
+#[test]
+fn stream_that_is_broken_off_says_that_no_capacity_came_in_time() {
+    let (mut f, run) = started_stream(logged(), "/remind/a");
+    f.fail_connection(&run, true);
+    let same = f.take_sent();
+    for name in ["d1", "d2"] {
+        f.deregister(name);
+    }
+    f.advance(600);
+    f.fail_connection(&same, false);
+    f.advance(3_000);
+    assert_eq!(why_broken_off(&f), "no capacity in time");
+}
+
+#[test]
+fn stream_that_is_broken_off_says_that_its_deadline_has_passed() {
+    let (mut f, _) = started_stream(logged(), "/draft/a");
+    f.advance(14_000);
+    assert_eq!(why_broken_off(&f), "deadline");
+}
+
+#[test]
+fn refused_call_says_why_and_an_answered_one_does_not() {
+    let mut f = logged();
+    f.call(1, "/pay/a", &[]);
+    let sent = f.take_sent();
+    f.fail_connection(&sent, true);
+    assert_eq!(value(&line("end"), "why"), "no repeat allowed");
+    LINES.with_borrow_mut(Vec::clear);
+    f.call(2, "/pay/a", &[]);
+    let sent = f.take_sent();
+    f.answer(&sent, 200, &[], "ok");
+    let end = line("end");
+    assert_eq!(value(&end, "outcome"), "answered");
+    assert!(!end.contains(" why="), "{end}");
+}
