Test that services past the limit share a label in metrics

Before: only the bound on tenants' labels was tested. Now: an operator can rely on at most 201 series for each kind of send and each outcome of a charge, and on a charge being counted by its cost. Test: metrics, services_past_the_limit_share_a_label.

--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -1,11 +1,13 @@
-//! Metrics: tenants past the limit of labels share one label, so that the number of series is
+//! Metrics: tenants and services past the limit of labels share one, so that the number of series is
 //! bounded.
 
 use std::time::Duration;
 
 use dotterelpin::model::Class;
 use dotterelpin::report::metrics::Metrics;
-use dotterelpin::report::observation::{CallEnd, CallSummary, Observation};
+use dotterelpin::report::observation::{
+    CallEnd, CallSummary, ChargeOutcome, Observation, SendOrder,
+};
 
 #[test]
 fn tenants_past_the_limit_share_a_label() {
@@ -30,3 +32,24 @@
     let other = "dotterelpin_calls_total{class=\"batch\",end=\"answered\",tenant=\"other\"} 800";
     assert!(text.contains(other), "{text}");
 }
+
+#[test]
+fn services_past_the_limit_share_a_label() {
+    let metrics = Metrics::new().unwrap();
+    for index in 0..1_000 {
+        let service: Box<str> = format!("service-{index}").into();
+        let order = SendOrder::Repeat;
+        metrics.observe(Observation::Send { service: service.clone(), order });
+        let outcome = ChargeOutcome::Charged;
+        metrics.observe(Observation::Charge { service, outcome, cost: 2 });
+    }
+    let text = metrics.text().unwrap();
+    let series = |name: &str| text.lines().filter(|l| l.starts_with(name)).count();
+    assert_eq!(series("dotterelpin_gateway_sends_total{"), 201);
+    assert_eq!(series("dotterelpin_gateway_retry_charges_total{"), 201);
+    let sends = "dotterelpin_gateway_sends_total{kind=\"repeat\",service=\"other\"} 800";
+    assert!(text.contains(sends), "{text}");
+    let labels = "outcome=\"charged\",service=\"other\"";
+    let charges = format!("dotterelpin_gateway_retry_charges_total{{{labels}}} 1600");
+    assert!(text.contains(&charges), "expected the sum of the costs: {text}");
+}
