Test that silence counts no event of an earlier attempt

Before: a mutation that took the last event of any attempt passed the tests. Now: event_ms=-1 on a step=silence line is sure to mean that this attempt had no event.

--- a/tests/gateway_lines.rs
+++ b/tests/gateway_lines.rs
@@ -271,6 +271,19 @@
     assert_eq!((value(&line, "ms"), value(&line, "event_ms")), ("2000", "-1"), "{line}");
 }
 
+#[test]
+fn silence_after_events_of_an_earlier_attempt_has_no_event_age() {
+    let (mut f, _) = started_stream(logged(), "/remind/a");
+    f.advance(1_300);
+    let hold = f.take_sent();
+    f.answer(&hold, 200, &[], "hold h1");
+    assert_eq!(f.take_sent().field("Stage"), Some("prefill"));
+    f.advance(1_600);
+    let found = lines("silence");
+    let stages: Vec<_> = found.iter().map(|l| (value(l, "stage"), value(l, "event_ms"))).collect();
+    assert_eq!(stages, [("run", "1200"), ("prefill", "-1")], "{found:?}");
+}
+
 #[test]
 fn silence_names_the_connection_and_the_end_of_the_call() {
     let mut f = logged();
