--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -8,6 +8,7 @@
 use super::outcome::Failure;
 use super::protocol::RefusalInfo;
 use super::queue::Queue;
+use super::reason::EndReason;
 use super::{CallerId, Gateway, PeerId};
 use crate::control::dispatch::rooms::RunEnd;
 use crate::entry::health::Verdict;
@@ -28,7 +29,9 @@
 const MAX_SIDE_BYTES: usize = 1 << 20;
 /// Statuses that promise that a call has not run. An endpoint's answer with one of them is not
 /// passed on; the caller gets the gateway's own refusal.
-const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+const NOT_RUN_STATUSES: [u16; 4] = [408, MISDIRECTED, 429, 503];
+/// The status of an endpoint that is another instance, or in another stage, than the intended one.
+const MISDIRECTED: u16 = 421;
 
 fn refusal(status: u16, text: &str, retry_after: Option<Duration>) -> RefusalInfo {
     RefusalInfo { status, text: text.into(), retry_after }
@@ -97,13 +100,19 @@
     }
 
     /// Ends a call that gets no complete answer: aborts a stream that has begun, else sends the
-    /// last failure of an endpoint or the given refusal.
-    pub(super) fn conclude(&mut self, now: Timestamp, caller: CallerId, info: RefusalInfo) {
+    /// last failure of an endpoint or the given refusal. `why` is logged.
+    pub(super) fn conclude(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        info: RefusalInfo,
+        why: EndReason,
+    ) {
         self.release_hold(now, caller);
         let Some(mut call) = self.remove(caller) else { return };
         if call.delivered.head {
             self.effect(HttpEffect::Abort { caller });
-            self.log_end(now, &call, "broken-off", 0);
+            self.log_end(now, &call, "broken-off", 0, Some(why));
             return;
         }
         if let Some(failed) = call.failed.take()
@@ -111,14 +120,14 @@
         {
             let status = failed.head.status;
             self.send_complete(caller, &call, &failed);
-            self.log_end(now, &call, "endpoint-failed", status);
+            self.log_end(now, &call, "endpoint-failed", status, Some(why));
             return;
         }
         let keep = self.keeps_alive(&call.request);
         let bytes = self.protocol.write_refusal(Some(&call.info.id), &info, keep);
         self.effect(HttpEffect::Reply { caller, bytes });
         self.effect(HttpEffect::Finish { caller, keep });
-        self.log_end(now, &call, &info.text, info.status);
+        self.log_end(now, &call, &info.text, info.status, Some(why));
     }
 
     pub(super) fn capacity_refusal(&mut self, now: Timestamp, caller: CallerId) -> RefusalInfo {
@@ -138,13 +147,21 @@
         Some(call)
     }
 
-    fn log_end(&mut self, now: Timestamp, call: &Call, outcome: &str, status: u16) {
+    /// Logs and counts the end of a call; `why` is given if there was no complete answer.
+    fn log_end(
+        &mut self,
+        now: Timestamp,
+        call: &Call,
+        outcome: &str,
+        status: u16,
+        why: Option<EndReason>,
+    ) {
         let total = now - call.arrived;
         let first = call.delivered.first.map(|at| at - call.arrived);
         let route = call.route().map_or("", |r| &r.name);
         log::info!(
             "step=end id={} route={route} service={} outcome=\"{outcome}\" status={status} ms={} \
-             first_ms={} gap_ms={} events={} sends={} prefills={} table={}",
+             first_ms={} gap_ms={} events={} sends={} prefills={} table={}{}",
             call.info.id,
             call.service,
             total.as_millis(),
@@ -154,6 +171,7 @@
             call.sends,
             call.prefills,
             call.table.version(),
+            why.map_or_else(String::new, |why| format!(" why=\"{}\"", why.text())),
         );
         let end = GatewayEnd { route: route.into(), status, first, total };
         self.outputs.push(Output::Observe(Observation::Gateway(Box::new(end))));
@@ -333,8 +351,9 @@
         let Some((head, info)) = attempt.head.take() else { return };
         let content = std::mem::take(&mut attempt.content);
         let good = (200..300).contains(&head.status);
-        if info.not_run || head.status == 421 {
-            self.attempt_failed(now, caller, Failure::Refused);
+        let misdirected = head.status == MISDIRECTED;
+        if info.not_run || misdirected {
+            self.attempt_failed(now, caller, Failure::Refused { misdirected });
         } else if in_prefill {
             let export = good.then(|| self.protocol.read_export(&content)).flatten();
             match export {
@@ -356,7 +375,7 @@
         self.attempt_succeeded(now, &mut call);
         call.delivered.first = Some(now);
         self.send_complete(caller, &call, &answer);
-        self.log_end(now, &call, "answered", answer.head.status);
+        self.log_end(now, &call, "answered", answer.head.status, None);
     }
 
     /// Releases the capacity of a call's last attempt and records its success.
@@ -386,7 +405,7 @@
         write::last_chunk(&mut bytes);
         self.effect(HttpEffect::Reply { caller, bytes });
         self.effect(HttpEffect::Finish { caller, keep });
-        self.log_end(now, &call, "answered", 200);
+        self.log_end(now, &call, "answered", 200, None);
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,7 +18,9 @@
 mod plain;
 pub mod protocol;
 pub mod queue;
+mod reason;
 mod reports;
+mod silence;
 pub mod window;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -39,6 +41,7 @@
 use crate::link::message::{ControlReply, Reply};
 use crate::model::{ExchangeId, Timestamp};
 use crate::registry::{Follower, FollowerSettings};
+use crate::report::observation::Observation;
 use crate::role::{Input, Output, Role};
 use crate::routes::{Route, RouteTable};
 
@@ -99,6 +102,8 @@
     next_report: Timestamp,
     /// When each service with engines received its last call.
     last_called: BTreeMap<Box<str>, Timestamp>,
+    /// When the first input was handled.
+    started: Option<Timestamp>,
     /// When the shutdown was requested.
     stopping: Option<Timestamp>,
     /// Whether idle connections of callers were closed for the shutdown; new calls are then refused
@@ -137,6 +142,7 @@
             next_start: Timestamp::default(),
             next_report: Timestamp::default(),
             last_called: BTreeMap::new(),
+            started: None,
             stopping: None,
             closed_idle: false,
             capacity_freed: false,
@@ -152,6 +158,11 @@
         self.rng.next_u64()
     }
 
+    /// Returns how long this gateway has been running.
+    fn uptime(&self, now: Timestamp) -> Duration {
+        self.started.map_or(Duration::ZERO, |since| now - since)
+    }
+
     /// Returns whether the readiness page reports this gateway as ready for calls.
     fn is_ready(&self) -> bool {
         self.stopping.is_none() && self.has_table() && !self.fleet.is_empty()
@@ -244,6 +255,8 @@
             arrived: now,
             late,
             sends: 0,
+            sent: false,
+            first_run: false,
             exported: false,
             prefills: 0,
             tried: Vec::new(),
@@ -313,9 +326,18 @@
             self.effect(HttpEffect::Dial { peer, address });
         }
         self.effect(HttpEffect::Send { peer, bytes });
+        self.count_send(caller);
         Some(peer)
     }
 
+    /// Counts a request of a call that was sent to an endpoint.
+    fn count_send(&mut self, caller: CallerId) {
+        let Some(call) = self.calls.get_mut(&caller) else { return };
+        let service = call.service.clone();
+        let order = call.record_send();
+        self.outputs.push(Output::Observe(Observation::Send { service, order }));
+    }
+
     /// Sets the timer of a call to its next deadline.
     fn schedule(&mut self, caller: CallerId) {
         let Some(call) = self.calls.get_mut(&caller) else { return };
@@ -425,6 +447,7 @@
     type Effect = HttpEffect;
 
     fn step(&mut self, now: Timestamp, input: Input<HttpInput>) -> Outputs {
+        self.started.get_or_insert(now);
         match input {
             Input::Local(input) => self.handle_local(now, input),
             Input::Reply { exchange, envelope } => match &envelope.body {
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -5,11 +5,15 @@
 use super::answer;
 use super::call::{Attempt, Call, CompleteAnswer, FailedAttempt, Handoff, Stage};
 use super::fleet::{EndpointKey, Job};
+use super::reason::EndReason;
+use super::silence::{AfterSilence, Silence};
 use super::{CallerId, Gateway, PeerId};
 use crate::control::dispatch::rooms::RunEnd;
 use crate::entry::health::Verdict;
 use crate::h1::HttpEffect;
 use crate::model::Timestamp;
+use crate::report::observation::{ChargeOutcome, Observation};
+use crate::role::Output;
 
 /// How long it may take to connect to an endpoint.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(300);
@@ -24,6 +28,8 @@
 const ANSWER_TARGETS: u32 = 2;
 /// The minimum time before its deadline at which a call is still retried.
 const MIN_RETRY_TIME: Duration = Duration::from_millis(30);
+/// How many retries a retry is counted as in the retry budget.
+const RETRY_COST: u32 = 1;
 
 /// Why an attempt has failed.
 #[derive(Debug)]
@@ -31,7 +37,11 @@
     /// No byte of it reached the endpoint.
     NotStarted,
     /// The endpoint promises that it has not run the call.
-    Refused,
+    Refused {
+        /// Whether the answer was 421: at its address is another instance, or one in another stage,
+        /// than the intended one.
+        misdirected: bool,
+    },
     /// The endpoint may have run it, but sent no usable answer.
     Broken,
     /// The endpoint did not answer in time and may still run it.
@@ -44,7 +54,8 @@
     fn name(&self) -> &'static str {
         match self {
             Failure::NotStarted => "not-started",
-            Failure::Refused => "refused",
+            Failure::Refused { misdirected: true } => "misdirected",
+            Failure::Refused { misdirected: false } => "refused",
             Failure::Broken => "broken",
             Failure::Silent => "silent",
             Failure::Answered(_) => "failed",
@@ -53,7 +64,7 @@
 
     fn verdict(&self) -> Option<Verdict> {
         match self {
-            Failure::Refused => None,
+            Failure::Refused { .. } => None,
             Failure::NotStarted | Failure::Silent => Some(Verdict::Silent),
             Failure::Broken | Failure::Answered(_) => Some(Verdict::Failed),
         }
@@ -115,11 +126,12 @@
             self.leader_timed_out(now, caller);
             return;
         }
+        let silence = Silence::of(now, call);
         let Some(attempt) = call.attempt() else { return };
         let (peer, connected) = (attempt.peer, attempt.connected);
         self.hang_up(peer);
         let failure = if connected { Failure::Silent } else { Failure::NotStarted };
-        self.attempt_failed(now, caller, failure);
+        self.end_attempt(now, caller, failure, silence);
     }
 
     /// Ends a call that has reached its deadline.
@@ -130,7 +142,7 @@
         let ran = call.may_have_run;
         self.stop_work(now, caller);
         let refusal = if ran { answer::timed_out() } else { answer::out_of_time() };
-        self.conclude(now, caller, refusal);
+        self.conclude(now, caller, refusal, EndReason::Deadline);
     }
 
     /// Closes a connection to an endpoint.
@@ -235,6 +247,17 @@
     /// Handles the failure of a call's present attempt, whose connection is already closed or idle:
     /// retries the call, or ends it with a refusal.
     pub(super) fn attempt_failed(&mut self, now: Timestamp, caller: CallerId, failure: Failure) {
+        self.end_attempt(now, caller, failure, None);
+    }
+
+    /// Like [`Gateway::attempt_failed`]; `silence` is given if the attempt timed out.
+    fn end_attempt(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        failure: Failure,
+        silence: Option<Silence>,
+    ) {
         self.report_prefill_end(caller);
         self.report_run_end(caller, RunEnd::Over);
         let Some(call) = self.calls.get_mut(&caller) else { return };
@@ -254,7 +277,7 @@
                 let ended = call.broke_at.take_if(|at| *at == attempt.endpoint).is_some();
                 call.sends = call.sends.saturating_sub(1 + u32::from(ended));
             }
-            (Failure::NotStarted, true) | (Failure::Refused, false) => {}
+            (Failure::NotStarted, true) | (Failure::Refused { .. }, false) => {}
             (_, true) => call.sends += 1,
             (Failure::Silent, false) if call.info.work.is_some() => {
                 // An engine that stops answering during a run is unreachable or has stopped; the
@@ -277,7 +300,7 @@
         let failed = FailedAttempt {
             endpoint: attempt.endpoint,
             in_prefill,
-            not_run: matches!(failure, Failure::Refused | Failure::NotStarted),
+            not_run: matches!(failure, Failure::Refused { .. } | Failure::NotStarted),
             broke_off,
         };
         let (name, sends) = (failure.name(), call.sends);
@@ -308,37 +331,86 @@
             call.failed = Some(failed);
         }
         let unused = handoff.clone().filter(|_| failed.not_run);
-        if self.may_retry(now, caller, unbudgeted) && self.retry(now, caller, &failed, handoff) {
-            return;
+        let retried = self.try_retry(now, caller, unbudgeted, &failed, handoff);
+        if let Some(silence) = silence {
+            let next = if retried.is_ok() { AfterSilence::Retry } else { AfterSilence::Ended };
+            silence.log(&id, &endpoint_name, next);
         }
+        let Err(why) = retried else { return };
         if let Some(unused) = unused {
             self.free_export(now, unused.source, &unused.export.handle);
         }
         let ran = self.calls.get(&caller).is_some_and(|c| c.may_have_run);
         let refusal = if ran { answer::failed() } else { self.capacity_refusal(now, caller) };
-        self.conclude(now, caller, refusal);
+        self.conclude(now, caller, refusal, why);
     }
 
-    /// Returns whether a call may be retried, and counts that against the retry budget unless the
-    /// retry is `unbudgeted`.
-    fn may_retry(&mut self, now: Timestamp, caller: CallerId, unbudgeted: bool) -> bool {
-        let Some(call) = self.calls.get(&caller) else { return false };
-        let Some(route) = call.route() else { return false };
-        let allowed = !call.may_have_run || route.repeat.is_repeatable();
-        if !allowed || call.sends >= route.attempts || call.remaining(now) < MIN_RETRY_TIME {
-            return false;
+    /// Retries a call after a failed attempt if that is allowed, and counts that against the retry
+    /// budget unless the retry is `unbudgeted`. Returns why the call ends if it is not retried.
+    fn try_retry(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        unbudgeted: bool,
+        failed: &FailedAttempt,
+        handoff: Option<Handoff>,
+    ) -> Result<(), EndReason> {
+        self.check_retry(now, caller)?;
+        if !self.charge_retry(now, caller, unbudgeted) {
+            return Err(EndReason::BudgetSpent);
+        }
+        if !self.retry(now, caller, failed, handoff) {
+            return Err(EndReason::NoCapacity);
         }
-        if unbudgeted {
-            return true;
+        Ok(())
+    }
+
+    /// Returns why a call may not be retried, whatever the retry budget.
+    fn check_retry(&self, now: Timestamp, caller: CallerId) -> Result<(), EndReason> {
+        let call = self.calls.get(&caller).ok_or(EndReason::NotRepeatable)?;
+        let route = call.route().ok_or(EndReason::NotRepeatable)?;
+        if call.may_have_run && !route.repeat.is_repeatable() {
+            return Err(EndReason::NotRepeatable);
+        }
+        if call.sends >= route.attempts {
+            return Err(EndReason::AttemptsSpent);
+        }
+        if call.remaining(now) < MIN_RETRY_TIME {
+            return Err(EndReason::NoTime);
         }
+        Ok(())
+    }
+
+    /// Counts a retry against the retry budget unless it is `unbudgeted`, and reports that with the
+    /// numbers that decided. Returns `false` if the budget is spent.
+    fn charge_retry(&mut self, now: Timestamp, caller: CallerId, unbudgeted: bool) -> bool {
+        let Some(call) = self.calls.get(&caller) else { return false };
+        let service = call.service.clone();
         let gateways = self.follower.gateways(now);
         let terms = self.settings.budget;
-        let budget = self.budgets.entry(call.service.clone()).or_default();
-        let spent = budget.spend(now, &terms, gateways);
-        if !spent {
-            log::info!("step=budget id={} outcome=spent gateways={gateways}", call.info.id);
-        }
-        spent
+        let budget = self.budgets.entry(service.clone()).or_default();
+        let before = budget.balance(now, &terms, gateways);
+        let outcome = if unbudgeted {
+            ChargeOutcome::Free
+        } else if budget.spend(now, &terms, gateways, RETRY_COST) {
+            ChargeOutcome::Charged
+        } else {
+            ChargeOutcome::Spent
+        };
+        log::info!(
+            "step=budget id={} service={service} outcome={} cost={RETRY_COST} calls={} retries={} \
+             allowed={:.1} gateways={} up_ms={}",
+            call.info.id,
+            outcome.as_str(),
+            before.calls,
+            before.retries,
+            before.allowed,
+            before.gateways,
+            self.uptime(now).as_millis(),
+        );
+        let charge = Observation::Charge { service, outcome, cost: RETRY_COST };
+        self.outputs.push(Output::Observe(charge));
+        outcome != ChargeOutcome::Spent
     }
 
     fn retry(
--- a/tests/gateway_fixture/mod.rs
+++ b/tests/gateway_fixture/mod.rs
@@ -25,6 +25,7 @@
     BootId, Capacity, EndpointKind, EndpointState, ExchangeId, Fence, Load, Revision, Timestamp,
 };
 use dotterelpin::registry::FollowerSettings;
+use dotterelpin::report::observation::Observation;
 use dotterelpin::role::{Input, Output, Role};
 use dotterelpin::routes::{
     EngineShape, RawRoute, RawService, RawTable, Repeat, RouteTable, TableError,
@@ -182,6 +183,8 @@
     pub sent: Vec<Sent>,
     /// Connections to endpoints that the gateway closed.
     pub hung_up: Vec<PeerId>,
+    /// What the gateway has reported for its metrics, oldest first.
+    pub observed: Vec<Observation>,
     /// The answer of each caller.
     pub answers: BTreeMap<u64, CallerAnswer>,
     /// Whether the role has stopped.
@@ -208,6 +211,12 @@
     /// Creates a gateway that has no routing table and no endpoints yet; `tables` can be published
     /// later.
     pub fn without_table(tables: Vec<RawTable>) -> Fixture {
+        let budget = BudgetTerms { ratio: 0.2, extra: 20.0, window: Duration::from_secs(10) };
+        Fixture::with_budget(tables, budget)
+    }
+
+    /// Like [`Fixture::without_table`], with the terms of the retry budget.
+    fn with_budget(tables: Vec<RawTable>, budget: BudgetTerms) -> Fixture {
         let follower = FollowerSettings {
             name: "gateway-1".into(),
             role: "gateway".into(),
@@ -217,7 +226,6 @@
             endpoints: true,
             routes: true,
         };
-        let budget = BudgetTerms { ratio: 0.2, extra: 20.0, window: Duration::from_secs(10) };
         let settings = GatewaySettings { follower, budget, grace: Duration::from_secs(8) };
         let protocol = HeaderProtocol {
             names: NAMES,
@@ -230,6 +238,7 @@
             gateway: Gateway::new(settings, Box::new(protocol)),
             sent: Vec::new(),
             hung_up: Vec::new(),
+            observed: Vec::new(),
             answers: BTreeMap::new(),
             stopped: false,
             closed_idle: false,
@@ -249,7 +258,19 @@
     /// Creates a gateway that has the usual table and endpoints: plain ones `p1` and `p2`, prefill
     /// ones `f1` and `f2`, decode ones `d1` and `d2`.
     pub fn ready() -> Fixture {
-        let mut f = Fixture::without_table(vec![table()]);
+        let f = Fixture::without_table(vec![table()]);
+        f.made_ready()
+    }
+
+    /// Like [`Fixture::ready`], for a gateway whose retry budget allows no retry.
+    pub fn ready_without_budget() -> Fixture {
+        let budget = BudgetTerms { ratio: 0.0, extra: 0.0, window: Duration::from_secs(10) };
+        Fixture::with_budget(vec![table()], budget).made_ready()
+    }
+
+    /// Publishes the first table and announces the usual endpoints.
+    pub fn made_ready(self) -> Fixture {
+        let mut f = self;
         f.publish(0, 1);
         for name in ["p1", "p2"] {
             f.announce(endpoint(name, EndpointKind::Service, PLAIN));
@@ -337,6 +358,7 @@
             match output {
                 Output::Open { exchange, envelope, .. } => self.on_open(exchange, envelope.body),
                 Output::Effect(effect) => self.apply_effect(effect),
+                Output::Observe(observation) => self.observed.push(observation),
                 Output::Stopped => self.stopped = true,
                 _ => {}
             }
--- /dev/null
+++ b/tests/gateway_lines.rs
@@ -0,0 +1,419 @@
+//! The lines and counters by which an operator tells why a gateway retried a call too often or
+//! broke a stream off.
+
+mod gateway_fixture;
+
+use std::cell::RefCell;
+use std::sync::Once;
+use std::time::Duration;
+
+use dotterelpin::gateway::budget::{Budget, BudgetTerms};
+use dotterelpin::model::Timestamp;
+use dotterelpin::report::metrics::Metrics;
+use gateway_fixture::{Fixture, MODEL, PLAIN, Sent, table};
+
+thread_local! {
+    /// The lines that this thread has logged; a fixture steps its gateway on the test's thread.
+    static LINES: RefCell<Vec<String>> = const { RefCell::new(Vec::new()) };
+}
+
+struct ThreadLog;
+
+impl log::Log for ThreadLog {
+    fn enabled(&self, metadata: &log::Metadata<'_>) -> bool {
+        metadata.level() <= log::Level::Info
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        if self.enabled(record.metadata()) {
+            LINES.with_borrow_mut(|lines| lines.push(record.args().to_string()));
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+/// Returns the usual fixture, with the lines of this thread recorded from now on.
+fn logged() -> Fixture {
+    recorded(Fixture::ready)
+}
+
+/// Returns a new fixture, with the lines of this thread recorded from then on.
+fn recorded(create: fn() -> Fixture) -> Fixture {
+    static INSTALL: Once = Once::new();
+    INSTALL.call_once(|| {
+        log::set_logger(&ThreadLog).unwrap();
+        log::set_max_level(log::LevelFilter::Info);
+    });
+    let fixture = create();
+    LINES.with_borrow_mut(Vec::clear);
+    fixture
+}
+
+/// Returns the lines of a step that this thread has logged since the start of its fixture.
+fn lines(step: &str) -> Vec<String> {
+    let start = format!("step={step} ");
+    let of_step = |l: &&String| l.starts_with(&start);
+    LINES.with_borrow(|lines| lines.iter().filter(of_step).cloned().collect())
+}
+
+/// Returns the only line of a step.
+fn line(step: &str) -> String {
+    let found = lines(step);
+    assert_eq!(found.len(), 1, "expected one line step={step}, found {found:?}");
+    found[0].clone()
+}
+
+/// Returns the value of a field without quotes.
+fn value<'a>(line: &'a str, key: &str) -> &'a str {
+    let start = format!(" {key}=");
+    let (_, rest) = line.split_once(&start).unwrap_or_else(|| panic!("no {key} in: {line}"));
+    match rest.strip_prefix('"') {
+        Some(quoted) => quoted.split('"').next().unwrap(),
+        None => rest.split(' ').next().unwrap(),
+    }
+}
+
+/// Returns the value of a counter of the gateway; 0 if it was never counted.
+fn counter(f: &Fixture, series: &str) -> u64 {
+    let metrics = Metrics::new().unwrap();
+    f.observed.iter().for_each(|o| metrics.observe(o.clone()));
+    let text = metrics.text().unwrap();
+    let start = format!("dotterelpin_{series} ");
+    text.lines().find_map(|l| l.strip_prefix(&start)).map_or(0, |count| count.parse().unwrap())
+}
+
+fn charges(f: &Fixture, service: &str, outcome: &str) -> u64 {
+    let labels = format!("outcome=\"{outcome}\",service=\"{service}\"");
+    counter(f, &format!("gateway_retry_charges_total{{{labels}}}"))
+}
+
+fn sends(f: &Fixture, service: &str, kind: &str) -> u64 {
+    counter(f, &format!("gateway_sends_total{{kind=\"{kind}\",service=\"{service}\"}}"))
+}
+
+#[test]
+fn each_charge_of_the_retry_budget_is_logged_with_the_numbers_that_decided() {
+    let mut f = logged();
+    for caller in 0..20 {
+        f.call(caller, "/look/a", &[]);
+        let first = f.take_sent();
+        f.answer(&first, 500, &[], "no");
+        if f.has_sent() {
+            let second = f.take_sent();
+            f.answer(&second, 500, &[], "no");
+        }
+    }
+    let lines = lines("budget");
+    assert_eq!(lines.len(), 20);
+    for (at, line) in lines.iter().enumerate() {
+        let number = |key| value(line, key).parse::<f64>().unwrap();
+        let covered = number("retries") + number("cost") <= number("allowed");
+        let expected = if covered { "charged" } else { "spent" };
+        assert_eq!(value(line, "outcome"), expected, "{line}");
+        assert_eq!(value(line, "service"), PLAIN);
+        assert_eq!((number("cost"), number("calls")), (1.0, at as f64 + 1.0), "{line}");
+        // The fixture reports two gateways, and calls arrive 1 s after its start.
+        assert_eq!((number("gateways"), number("up_ms")), (2.0, 1_000.0), "{line}");
+    }
+    let charged = lines.iter().filter(|l| l.contains("outcome=charged")).count() as u64;
+    assert!((8..=12).contains(&charged), "expected both outcomes, {charged} of 20 were charged");
+    assert_eq!(charges(&f, PLAIN, "charged"), charged);
+    assert_eq!(charges(&f, PLAIN, "spent"), 20 - charged);
+}
+
+#[test]
+fn retry_of_an_attempt_that_reached_no_endpoint_is_logged_as_free() {
+    let mut f = logged();
+    f.connects = false;
+    f.call(1, "/look/a", &[]);
+    let first = f.take_sent();
+    f.connects = true;
+    f.fail_connection(&first, false);
+    let line = line("budget");
+    assert_eq!((value(&line, "outcome"), value(&line, "retries")), ("free", "0"));
+    assert_eq!((charges(&f, PLAIN, "free"), charges(&f, PLAIN, "charged")), (1, 0));
+}
+
+#[test]
+fn balance_is_what_the_next_charge_is_decided_by() {
+    let terms = BudgetTerms { ratio: 0.2, extra: 10.0, window: Duration::from_secs(10) };
+    let mut budget = Budget::default();
+    let mut charged = 0;
+    for millis in 0..30_000u64 {
+        let now = Timestamp::from_micros(1_000_000 + millis * 1_000);
+        if millis % 7 == 0 {
+            budget.called(now, &terms);
+        }
+        if millis % 11 == 0 {
+            let cost = (millis % 3) as u32;
+            let before = budget.balance(now, &terms, 3);
+            let covered = before.covers(cost);
+            assert_eq!(budget.spend(now, &terms, 3, cost), covered, "at {millis} ms: {before:?}");
+            let spent = if covered { cost } else { 0 };
+            charged += spent;
+            let after = budget.balance(now, &terms, 3);
+            assert_eq!((after.retries, after.calls), (before.retries + spent, before.calls));
+        }
+    }
+    assert!(charged > 0);
+}
+
+#[test]
+fn prefill_and_run_of_an_undisturbed_call_are_first_sends() {
+    let mut f = logged();
+    f.model_call(1, "/remind/a", "3000,100");
+    let run = f.answer_prefill();
+    f.head(&run, 200, &[]);
+    f.data(&run, b"id: 1\ndata: a\n\n");
+    f.end(&run);
+    f.call(2, "/look/a", &[]);
+    let plain = f.take_sent();
+    f.answer(&plain, 200, &[], "ok");
+    assert_eq!((sends(&f, MODEL, "first"), sends(&f, MODEL, "repeat")), (2, 0));
+    assert_eq!((sends(&f, PLAIN, "first"), sends(&f, PLAIN, "repeat")), (1, 0));
+}
+
+#[test]
+fn run_that_is_repeated_after_a_new_prefill_is_two_repeats_for_one_charge() {
+    let mut f = logged();
+    f.model_call(1, "/remind/a", "3000,100");
+    let run = f.answer_prefill();
+    f.head(&run, 200, &[]);
+    f.data(&run, b"id: 1\ndata: a\n\n");
+    f.advance(1_300);
+    f.answer_prefill();
+    assert_eq!((sends(&f, MODEL, "first"), sends(&f, MODEL, "repeat")), (2, 2));
+    assert_eq!(charges(&f, MODEL, "charged"), 1);
+}
+
+#[test]
+fn prefill_that_is_sent_again_is_a_repeat_and_the_first_run_after_it_is_not() {
+    let mut f = logged();
+    f.model_call(1, "/remind/a", "3000,100");
+    let hold = f.take_sent();
+    f.answer(&hold, 200, &[], "hold h1");
+    let prefill = f.take_sent();
+    f.answer(&prefill, 503, &[("Not-Run", "1")], "full");
+    let freed = f.take_sent();
+    assert_eq!(&*freed.head.target, "/hold/h1");
+    f.answer_prefill();
+    assert_eq!((sends(&f, MODEL, "first"), sends(&f, MODEL, "repeat")), (2, 1));
+    assert_eq!(charges(&f, MODEL, "charged"), 1);
+}
+
+#[test]
+fn run_that_is_sent_again_with_the_same_export_is_a_repeat() {
+    let mut f = logged();
+    f.model_call(1, "/remind/a", "3000,100");
+    let run = f.answer_prefill();
+    f.answer(&run, 503, &[("Not-Run", "1")], "full");
+    let second = f.take_sent();
+    assert_eq!(run.field("Source"), second.field("Source"), "expected the same export");
+    assert_eq!((sends(&f, MODEL, "first"), sends(&f, MODEL, "repeat")), (2, 1));
+    assert_eq!(charges(&f, MODEL, "charged"), 1);
+}
+
+#[test]
+fn repeated_send_to_a_plain_service_is_a_repeat() {
+    let mut f = logged();
+    f.call(1, "/look/a", &[]);
+    let first = f.take_sent();
+    f.answer(&first, 500, &[], "no");
+    assert!(f.has_sent());
+    assert_eq!((sends(&f, PLAIN, "first"), sends(&f, PLAIN, "repeat")), (1, 1));
+}
+
+#[test]
+fn misdirected_request_is_told_from_a_refusal_for_lack_of_capacity() {
+    for (status, extra, expected) in [
+        (421, &[][..], "misdirected"),
+        (421, &[("Not-Run", "1")][..], "misdirected"),
+        (503, &[("Not-Run", "1")][..], "refused"),
+    ] {
+        let mut f = logged();
+        f.call(1, "/look/a", &[]);
+        let first = f.take_sent();
+        f.answer(&first, status, extra, "no");
+        let line = line("attempt");
+        assert_eq!((value(&line, "outcome"), value(&line, "stage")), (expected, "run"), "{line}");
+        assert!(f.has_sent(), "expected the same retry after either answer");
+    }
+}
+
+#[test]
+fn silence_that_ends_an_attempt_is_logged_once_with_its_age_and_what_follows() {
+    let mut f = logged();
+    f.model_call(1, "/remind/a", "3000,100");
+    let run = f.answer_prefill();
+    f.head(&run, 200, &[]);
+    f.advance(500);
+    f.data(&run, b"id: 1\ndata: a\n\n");
+    f.advance(1_300);
+    f.answer_prefill();
+    let first = line("silence");
+    let numbers = ["ms", "event_ms"].map(|key| value(&first, key));
+    assert_eq!(numbers, ["1700", "1200"], "{first}");
+    assert_eq!((value(&first, "stage"), value(&first, "next")), ("run", "retry"), "{first}");
+    assert_eq!(value(&first, "id"), "call-1", "{first}");
+    f.advance(14_000);
+    assert!(f.answers[&1].aborted);
+    assert_eq!(lines("silence").len(), 1, "expected no line for an attempt that may not time out");
+}
+
+#[test]
+fn silence_before_any_event_has_no_event_age() {
+    let mut f = logged();
+    f.model_call(1, "/remind/a", "3000,100");
+    f.answer_prefill();
+    f.advance(2_100);
+    let line = line("silence");
+    assert_eq!((value(&line, "ms"), value(&line, "event_ms")), ("2000", "-1"), "{line}");
+}
+
+#[test]
+fn silence_after_events_of_an_earlier_attempt_has_no_event_age() {
+    let (mut f, _) = started_stream(logged(), "/remind/a");
+    f.advance(1_300);
+    let hold = f.take_sent();
+    f.answer(&hold, 200, &[], "hold h1");
+    assert_eq!(f.take_sent().field("Stage"), Some("prefill"));
+    f.advance(1_600);
+    let found = lines("silence");
+    let stages: Vec<_> = found.iter().map(|l| (value(l, "stage"), value(l, "event_ms"))).collect();
+    assert_eq!(stages, [("run", "1200"), ("prefill", "-1")], "{found:?}");
+}
+
+#[test]
+fn silence_names_the_connection_and_the_end_of_the_call() {
+    let mut f = logged();
+    f.deregister("p2");
+    f.advance(600);
+    LINES.with_borrow_mut(Vec::clear);
+    for (caller, expected) in [(1, "new"), (3, "reused")] {
+        f.call(caller, "/look/a", &[]);
+        f.advance(210);
+        let found = line("silence");
+        assert_eq!((value(&found, "connection"), value(&found, "next")), (expected, "ended"));
+        assert_eq!((value(&found, "endpoint"), value(&found, "ms")), ("p1", "200"));
+        f.sent.clear();
+        f.advance(5_000);
+        f.call(caller + 1, "/look/a", &[]);
+        let sent = f.take_sent();
+        f.answer(&sent, 200, &[], "ok");
+        LINES.with_borrow_mut(Vec::clear);
+    }
+    f.connects = false;
+    f.advance(5_000);
+    f.call(5, "/look/a", &[]);
+    f.advance(310);
+    let found = line("silence");
+    assert_eq!((value(&found, "connection"), value(&found, "ms")), ("pending", "300"), "{found}");
+}
+
+/// Starts a call of caller 1 whose stream has delivered one event; returns its run.
+fn started_stream(mut f: Fixture, path: &str) -> (Fixture, Sent) {
+    f.model_call(1, path, "3000,100");
+    let run = f.answer_prefill();
+    f.head(&run, 200, &[]);
+    f.data(&run, b"id: 1\ndata: a\n\n");
+    (f, run)
+}
+
+/// Returns why the stream of caller 1 was broken off.
+fn why_broken_off(f: &Fixture) -> String {
+    assert!(f.answers[&1].aborted);
+    let ends = lines("end");
+    let end = ends.iter().find(|l| value(l, "id") == "call-1").unwrap();
+    assert_eq!(value(end, "outcome"), "broken-off", "{end}");
+    value(end, "why").into()
+}
+
+#[test]
+fn stream_that_is_broken_off_says_that_its_route_allows_no_repeat() {
+    let (mut f, run) = started_stream(logged(), "/draft/a");
+    f.fail_connection(&run, true);
+    assert_eq!(why_broken_off(&f), "no repeat allowed");
+}
+
+#[test]
+fn stream_that_is_broken_off_says_that_its_attempts_are_spent() {
+    let (mut f, run) = started_stream(logged(), "/remind/a");
+    f.fail_connection(&run, true);
+    let second = f.take_sent();
+    f.fail_connection(&second, true);
+    assert_eq!(why_broken_off(&f), "attempts spent");
+}
+
+#[test]
+fn stream_that_is_broken_off_says_that_the_retry_budget_is_spent() {
+    let (mut f, run) = started_stream(recorded(Fixture::ready_without_budget), "/remind/a");
+    f.fail_connection(&run, true);
+    assert_eq!(why_broken_off(&f), "retry budget spent");
+}
+
+#[test]
+fn stream_whose_silent_attempt_ends_it_has_the_silence_line_before_its_end() {
+    let (mut f, _) = started_stream(recorded(Fixture::ready_without_budget), "/remind/a");
+    f.advance(1_300);
+    assert_eq!(why_broken_off(&f), "retry budget spent");
+    assert_eq!(value(&line("silence"), "next"), "ended");
+    let last = LINES.with_borrow(|all| all.last().cloned().unwrap());
+    assert!(last.starts_with("step=end "), "{last}");
+}
+
+#[test]
+fn stream_that_is_broken_off_says_that_no_endpoint_can_take_its_last_attempt() {
+    let with_three_attempts = || {
+        let mut table = table();
+        let route = table.routes.iter_mut().find(|r| &*r.name == "remind").unwrap();
+        route.attempts = 3;
+        Fixture::without_table(vec![table]).made_ready()
+    };
+    let (mut f, run) = started_stream(recorded(with_three_attempts), "/remind/a");
+    f.fail_connection(&run, true);
+    let second = f.take_sent();
+    for name in ["d1", "d2"] {
+        f.deregister(name);
+    }
+    f.advance(600);
+    f.fail_connection(&second, true);
+    assert_eq!(why_broken_off(&f), "no endpoint for a retry");
+}
+
+#[test]
+fn stream_that_is_broken_off_says_that_no_capacity_came_in_time() {
+    let (mut f, run) = started_stream(logged(), "/remind/a");
+    f.fail_connection(&run, true);
+    let same = f.take_sent();
+    for name in ["d1", "d2"] {
+        f.deregister(name);
+    }
+    f.advance(600);
+    f.fail_connection(&same, false);
+    f.advance(3_000);
+    assert_eq!(why_broken_off(&f), "no capacity in time");
+}
+
+#[test]
+fn stream_that_is_broken_off_says_that_its_deadline_has_passed() {
+    let (mut f, _) = started_stream(logged(), "/draft/a");
+    f.advance(14_000);
+    assert_eq!(why_broken_off(&f), "deadline");
+}
+
+#[test]
+fn refused_call_says_why_and_an_answered_one_does_not() {
+    let mut f = logged();
+    f.call(1, "/pay/a", &[]);
+    let sent = f.take_sent();
+    f.fail_connection(&sent, true);
+    assert_eq!(value(&line("end"), "why"), "no repeat allowed");
+    LINES.with_borrow_mut(Vec::clear);
+    f.call(2, "/pay/a", &[]);
+    let sent = f.take_sent();
+    f.answer(&sent, 200, &[], "ok");
+    let end = line("end");
+    assert_eq!(value(&end, "outcome"), "answered");
+    assert!(!end.contains(" why="), "{end}");
+}
