Check the retry budget of a gateway while endpoints fall silent

The fixture can start a gateway at a given time and keep the connections to single addresses pending.

--- a/tests/gateway_fixture/mod.rs
+++ b/tests/gateway_fixture/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code)]
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -37,6 +37,9 @@
 /// The name of the service for calls to models.
 pub const MODEL: &str = "drafts";
 
+/// How many gateways control reports.
+pub const GATEWAYS: u32 = 2;
+
 const NAMES: FieldNames = FieldNames {
     id: "Call-Id",
     timeout: "Patience-Ms",
@@ -135,6 +138,11 @@
     }
 }
 
+/// Returns the retry budget that all gateways share.
+pub fn budget_terms() -> BudgetTerms {
+    BudgetTerms { ratio: 0.2, extra: 20.0, window: Duration::from_secs(10) }
+}
+
 /// The answer that a caller has received so far.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct CallerAnswer {
@@ -190,6 +198,10 @@
     pub closed_idle: bool,
     /// Whether dialled connections are established at once; otherwise they stay pending.
     pub connects: bool,
+    /// Addresses at which dialled connections stay pending, whatever `connects` says.
+    pub unreachable: BTreeSet<SocketAddr>,
+    /// Dialled connections that are pending, oldest first.
+    pub pending: Vec<PeerId>,
     readers: BTreeMap<u64, Reader>,
     dialled: BTreeMap<PeerId, SocketAddr>,
     endpoints: Vec<EndpointState>,
@@ -208,16 +220,21 @@
     /// Creates a gateway that has no routing table and no endpoints yet; `tables` can be published
     /// later.
     pub fn without_table(tables: Vec<RawTable>) -> Fixture {
+        Fixture::started(tables, BootId(7), Timestamp::from_micros(1_000_000_000))
+    }
+
+    /// Creates a start of the gateway at a given time, without a routing table and endpoints.
+    pub fn started(tables: Vec<RawTable>, boot: BootId, now: Timestamp) -> Fixture {
         let follower = FollowerSettings {
             name: "gateway-1".into(),
             role: "gateway".into(),
             domain: "a".into(),
-            boot: BootId(7),
+            boot,
             members: vec![member()],
             endpoints: true,
             routes: true,
         };
-        let budget = BudgetTerms { ratio: 0.2, extra: 20.0, window: Duration::from_secs(10) };
+        let budget = budget_terms();
         let settings = GatewaySettings { follower, budget, grace: Duration::from_secs(8) };
         let protocol = HeaderProtocol {
             names: NAMES,
@@ -226,7 +243,7 @@
             ready_path: "/ready",
         };
         Fixture {
-            now: Timestamp::from_micros(1_000_000_000),
+            now,
             gateway: Gateway::new(settings, Box::new(protocol)),
             sent: Vec::new(),
             hung_up: Vec::new(),
@@ -234,13 +251,15 @@
             stopped: false,
             closed_idle: false,
             connects: true,
+            unreachable: BTreeSet::new(),
+            pending: Vec::new(),
             readers: BTreeMap::new(),
             dialled: BTreeMap::new(),
             endpoints: Vec::new(),
             documents: Vec::new(),
             deregistered: Vec::new(),
             heartbeats: Vec::new(),
-            gateways: 2,
+            gateways: GATEWAYS,
             leader: None,
             leader_requests: Vec::new(),
         }
@@ -356,8 +375,10 @@
         match effect {
             HttpEffect::Dial { peer, address } => {
                 self.dialled.insert(peer, address);
-                if self.connects {
+                if self.connects && !self.unreachable.contains(&address) {
                     self.step(Input::Local(HttpInput::Connected { peer }));
+                } else {
+                    self.pending.push(peer);
                 }
             }
             HttpEffect::Send { peer, bytes } => {
@@ -373,7 +394,10 @@
                 }
                 self.sent.push(Sent { peer, address, head, content });
             }
-            HttpEffect::HangUp { peer } => self.hung_up.push(peer),
+            HttpEffect::HangUp { peer } => {
+                self.pending.retain(|p| *p != peer);
+                self.hung_up.push(peer);
+            }
             HttpEffect::Reply { caller, bytes } => self.on_reply(caller, &bytes),
             HttpEffect::Finish { caller, keep } => {
                 let answer = self.answers.entry(caller.0).or_default();
