Check that a restarted gateway does not spend its budget twice

A gateway that starts anew before the same endpoints may not spend the fixed part again within one window.

--- a/tests/silent_endpoints.rs
+++ b/tests/silent_endpoints.rs
@@ -206,3 +206,60 @@
     w.assert_within_budget(MODEL);
     w.assert_within_budget(PLAIN);
 }
+
+/// Spends the retry budget of the service of models: so many short streams break at once that not
+/// all of them can be sent again.
+fn spend_budget(w: &mut World) {
+    let callers: Vec<u64> = (0..18).map(|_| w.stream("/remind/a", MODEL, 6)).collect();
+    w.run(250);
+    let before = w.extra_arrivals(MODEL).len();
+    let broken = callers.iter().filter(|c| w.break_run(**c).is_some()).count();
+    let again = w.extra_arrivals(MODEL).len() - before;
+    assert!(broken > again, "expected a spent budget, but all {broken} were sent again");
+    w.run(800);
+}
+
+/// Fails if a gateway that starts anew spends again what its earlier start has spent.
+#[test]
+fn restarted_gateway_spends_its_part_of_the_budget_twice() {
+    let mut w = world(2);
+    spend_budget(&mut w);
+    w.assert_within_budget(MODEL);
+    w.restart_gateway(8);
+    spend_budget(&mut w);
+    w.assert_within_budget(MODEL);
+}
+
+/// Fails if a gateway that starts anew while endpoints are silent spends its part again.
+#[test]
+fn gateway_restarted_during_a_silence_spends_its_part_of_the_budget_twice() {
+    let mut w = world(2);
+    for boot in [8, 9, 10] {
+        w.silence("p1", Silence::Mute, SILENCE_MS);
+        w.silence("p2", Silence::Mute, SILENCE_MS);
+        for _ in 0..30 {
+            w.plain_call("/look/a", PLAIN);
+        }
+        w.run(1_500);
+        if boot == 8 {
+            w.assert_within_budget(PLAIN);
+        }
+        w.restart_gateway(boot);
+    }
+    w.assert_within_budget(PLAIN);
+}
+
+/// Fails if a start of the gateway beside silences makes arrivals exceed the budget.
+#[test]
+fn retries_exceed_the_budget_while_endpoints_are_silent_beside_a_start_of_the_gateway() {
+    let mut w = world(2);
+    let mut silent = silences(&["d1", "p1"], Silence::Dark);
+    traffic(&mut w, 20, |w, number| {
+        silent(w, number);
+        if number == 65 {
+            w.restart_gateway(8);
+        }
+    });
+    w.assert_within_budget(MODEL);
+    w.assert_within_budget(PLAIN);
+}
