Check that a 421 closes the listed start of an endpoint

An endpoint whose address another process has taken over answers 421. The tests send one call after the other, with the list unchanged, and fail if the same listed start answers 421 twice. A newer heartbeat has to reopen the endpoint, which passes.

--- a/tests/silent_endpoints.rs
+++ b/tests/silent_endpoints.rs
@@ -263,3 +263,63 @@
     w.assert_within_budget(MODEL);
     w.assert_within_budget(PLAIN);
 }
+
+/// Sends calls one after the other, 200 ms apart, while another process is at an endpoint's
+/// address; returns how many 421 answers the endpoint's name got.
+fn misdirected(w: &mut World, name: &str, path: &str, service: &str) -> usize {
+    w.replace(name, "other");
+    w.run(100);
+    for _ in 0..25 {
+        if service == MODEL {
+            w.stream(path, service, 1);
+        } else {
+            w.plain_call(path, service);
+        }
+        w.run(200);
+    }
+    count_421(w, name)
+}
+
+fn count_421(w: &World, name: &str) -> usize {
+    w.arrivals.iter().filter(|a| &*a.target == name && a.rejected == Some(421)).count()
+}
+
+/// Fails if calls are sent to a listed start of a plain endpoint after it has answered 421.
+#[test]
+fn plain_endpoint_that_answered_421_gets_further_calls() {
+    let mut w = world(2);
+    let count = misdirected(&mut w, "p1", "/look/a", PLAIN);
+    assert!(count <= 1, "expected at most one 421 of p1, found {count} in 5 s");
+}
+
+/// Fails if calls are sent to a listed start of a decode endpoint after it has answered 421.
+#[test]
+fn decode_endpoint_that_answered_421_gets_further_calls() {
+    let mut w = world(2);
+    let count = misdirected(&mut w, "d1", "/remind/a", MODEL);
+    assert!(count <= 1, "expected at most one 421 of d1, found {count} in 5 s");
+}
+
+/// Fails if prompts are sent to a listed start of a prefill endpoint after it has answered 421.
+#[test]
+fn prefill_endpoint_that_answered_421_gets_further_prompts() {
+    let mut w = world(2);
+    let count = misdirected(&mut w, "f1", "/remind/a", MODEL);
+    assert!(count <= 1, "expected at most one 421 of f1, found {count} in 5 s");
+}
+
+/// Fails if an endpoint that has answered 421 gets no calls after a newer heartbeat of it: its
+/// stage may have been the reason.
+#[test]
+fn endpoint_that_answered_421_stays_closed_after_a_newer_heartbeat() {
+    let mut w = world(2);
+    misdirected(&mut w, "p1", "/look/a", PLAIN);
+    let known = count_421(&w, "p1");
+    w.heartbeat("p1", |_| {});
+    w.run(1_500);
+    for _ in 0..20 {
+        w.plain_call("/look/a", PLAIN);
+        w.run(200);
+    }
+    assert!(count_421(&w, "p1") > known, "expected calls at p1 after its newer heartbeat");
+}
