Check that streams outlive the silence of their endpoint

A stream whose endpoint falls silent for 1.3 s and goes on has to reach its caller whole, also with the budget spent, without capacity elsewhere and with other endpoints silent (L1). A broken stream that has an attempt left has to wait for capacity (L2). Callers see their streams aborted.

--- a/tests/silent_endpoints.rs
+++ b/tests/silent_endpoints.rs
@@ -323,3 +323,153 @@
     }
     assert!(count_421(&w, "p1") > known, "expected calls at p1 after its newer heartbeat");
 }
+
+/// Starts a stream and returns its caller and its endpoint.
+fn running_stream(w: &mut World, events: u64) -> (u64, Box<str>) {
+    let caller = w.stream("/remind/a", MODEL, events);
+    w.run(400);
+    let at = w.runs_at(caller).expect("the stream runs after 400 ms");
+    (caller, at)
+}
+
+/// Makes endpoints silent and asserts that a stream that runs now goes on to its end.
+///
+/// `prepare` returns the world, the caller of the stream and the endpoints that fall silent.
+fn assert_goes_on(prepare: impl Fn() -> (World, u64, Vec<Box<str>>)) {
+    let cut_off = KINDS.into_iter().filter_map(|kind| {
+        let (mut w, caller, names) = prepare();
+        names.iter().for_each(|name| w.silence(name, kind, SILENCE_MS));
+        w.run(9_000);
+        let whole = w.is_whole(caller, LONG);
+        (!whole).then(|| format!("{kind:?}: {}", w.answer_of(caller)))
+    });
+    let cut_off: Vec<String> = cut_off.collect();
+    assert!(
+        cut_off.is_empty(),
+        "expected all {LONG} events of a stream whose endpoint went on after {SILENCE_MS} ms, \
+         found {cut_off:?}"
+    );
+}
+
+/// Fails if a stream whose endpoint is silent is cut off because the budget is spent.
+#[test]
+fn stream_of_a_silent_endpoint_is_cut_off_with_the_budget_spent() {
+    assert_goes_on(|| {
+        let mut w = world(2);
+        let (caller, at) = running_stream(&mut w, LONG);
+        spend_budget(&mut w);
+        (w, caller, vec![at])
+    });
+}
+
+/// Fails if a stream whose endpoint is silent is cut off because no other one has capacity.
+#[test]
+fn stream_of_a_silent_endpoint_is_cut_off_without_capacity_elsewhere() {
+    assert_goes_on(|| {
+        let mut w = world(2);
+        let (caller, at) = running_stream(&mut w, LONG);
+        DECODE.iter().for_each(|name| w.fill(name, true));
+        (w, caller, vec![at])
+    });
+}
+
+/// Fails if a stream whose endpoint is silent is cut off because there is no other one.
+#[test]
+fn stream_of_the_only_endpoint_is_cut_off_when_it_is_silent() {
+    assert_goes_on(|| {
+        let mut w = World::new(table_with(2), &[("d1", DECODE_KIND, MODEL)]);
+        let (caller, at) = running_stream(&mut w, LONG);
+        (w, caller, vec![at])
+    });
+}
+
+/// Fails if a stream is cut off while three endpoints are silent at once.
+#[test]
+fn stream_is_cut_off_while_three_endpoints_are_silent() {
+    assert_goes_on(|| {
+        let mut w = world(2);
+        let (caller, _) = running_stream(&mut w, LONG);
+        (w, caller, DECODE.map(Into::into).into())
+    });
+}
+
+/// Fails if a stream is cut off while three endpoints are silent at once and the budget is spent.
+#[test]
+fn stream_is_cut_off_while_three_endpoints_are_silent_with_the_budget_spent() {
+    assert_goes_on(|| {
+        let mut w = world(2);
+        let (caller, _) = running_stream(&mut w, LONG);
+        spend_budget(&mut w);
+        (w, caller, DECODE.map(Into::into).into())
+    });
+}
+
+/// Fails if a stream that may not be resumed is ended during a silence.
+#[test]
+fn stream_that_may_not_be_resumed_is_cut_off_by_a_silence() {
+    assert_goes_on(|| {
+        let mut w = world(2);
+        let caller = w.stream("/draft/a", MODEL, LONG);
+        w.run(400);
+        (w, caller, DECODE.map(Into::into).into())
+    });
+}
+
+/// Fails if one of many streams is cut off while all endpoints, prefill ones too, are silent.
+#[test]
+fn streams_are_cut_off_while_all_endpoints_are_silent() {
+    let mut w = world(2);
+    let callers: Vec<u64> = (0..12).map(|_| w.stream("/remind/a", MODEL, LONG)).collect();
+    w.run(500);
+    callers.iter().for_each(|c| assert!(w.runs_at(*c).is_some(), "call {c} runs after 500 ms"));
+    for name in DECODE.iter().chain(&["f1", "f2"]) {
+        w.silence(name, Silence::Dark, SILENCE_MS);
+    }
+    w.run(9_000);
+    let cut: Vec<u64> = callers.into_iter().filter(|c| !w.is_whole(*c, LONG)).collect();
+    assert!(cut.is_empty(), "expected 12 whole streams, but {} were cut off: {cut:?}", cut.len());
+}
+
+/// Fails if a stream that broke twice and has one attempt left is cut off because no endpoint has
+/// capacity at that moment.
+#[test]
+fn broken_stream_with_one_attempt_left_is_cut_off_without_capacity() {
+    let mut w = world(3);
+    let (caller, at) = running_stream(&mut w, LONG);
+    DECODE.iter().for_each(|name| w.fill(name, *name != &*at));
+    // Other calls find the other endpoints full, so that these get no work for a short time.
+    for _ in 0..6 {
+        w.stream("/remind/a", MODEL, 1);
+    }
+    w.run(20);
+    assert!(w.break_run(caller).is_some());
+    assert_eq!(w.runs_at(caller).as_deref(), Some(&*at), "it is resumed where it broke");
+    assert!(w.break_run(caller).is_some());
+    w.run(500);
+    DECODE.iter().for_each(|name| w.fill(name, false));
+    w.run(9_000);
+    assert!(
+        w.is_whole(caller, LONG),
+        "expected a broken stream to wait 500 ms for capacity, found {}",
+        w.answer_of(caller),
+    );
+}
+
+/// Fails if a broken stream is cut off because its endpoint rejects its resumption, which is no
+/// run and leaves it one attempt.
+#[test]
+fn broken_stream_is_cut_off_when_its_endpoint_rejects_it() {
+    let mut w = world(2);
+    let (caller, at) = running_stream(&mut w, LONG);
+    DECODE.iter().for_each(|name| w.fill(name, true));
+    assert_eq!(w.break_run(caller), Some(at));
+    w.run(500);
+    DECODE.iter().for_each(|name| w.fill(name, false));
+    w.run(9_000);
+    let runs = w.runs(caller).len();
+    assert!(
+        w.is_whole(caller, LONG),
+        "expected a stream with {runs} of 2 attempts to wait 500 ms for capacity, found {}",
+        w.answer_of(caller),
+    );
+}
