Check attempts, single runs and drains while endpoints are silent

Silent endpoints go on, so their runs count towards the attempts of the route: without a prefill endpoint, a call of 2 attempts runs at 4 endpoints.

--- a/tests/silent_endpoints.rs
+++ b/tests/silent_endpoints.rs
@@ -473,3 +473,120 @@
         w.answer_of(caller),
     );
 }
+
+/// Makes each endpoint at which a stream runs silent in turn, four times; returns the count of
+/// endpoints that accepted its run.
+fn silent_in_turn(w: &mut World, kind: Silence) -> usize {
+    let (caller, _) = running_stream(w, 200);
+    for _ in 0..4 {
+        if let Some(at) = w.runs_at(caller) {
+            w.silence(&at, kind, SILENCE_MS);
+        }
+        w.run(2_500);
+    }
+    let mut names: Vec<&str> = w.runs(caller).iter().map(|a| &*a.target).collect();
+    names.sort_unstable();
+    names.dedup();
+    names.len()
+}
+
+/// Fails if a call runs at more sound endpoints than its route's maximum of attempts, as they are
+/// silent in turn.
+#[test]
+fn call_runs_at_more_silent_endpoints_than_its_attempts() {
+    for kind in KINDS {
+        let mut w = world(2);
+        let count = silent_in_turn(&mut w, kind);
+        assert!(count <= 2, "expected runs at no more than 2 endpoints, found {count} ({kind:?})");
+    }
+}
+
+/// Fails if a call runs at more sound endpoints than its route's maximum of attempts where each run
+/// includes its prefill.
+#[test]
+fn call_without_prefill_endpoint_runs_at_more_silent_endpoints_than_its_attempts() {
+    for kind in KINDS {
+        let engines = ["d1", "d2", "d3", "d4"].map(|name| (name, DECODE_KIND, MODEL));
+        let mut w = World::new(table_with(2), &engines);
+        let count = silent_in_turn(&mut w, kind);
+        assert!(count <= 2, "expected runs at no more than 2 endpoints, found {count} ({kind:?})");
+    }
+}
+
+/// Fails if a call that may run once is ended or sent again while its endpoint is silent.
+#[test]
+fn call_that_may_run_once_is_given_up_during_a_silence() {
+    for kind in KINDS {
+        let mut w = world(2);
+        let caller = w.plain_call("/pay/a", PLAIN);
+        PLAINS.iter().for_each(|name| w.silence(name, kind, 1_000));
+        w.run(2_000);
+        assert!(w.f.answers.get(&caller).is_some_and(|a| a.complete && a.content == b"ok"));
+        assert_eq!(w.runs(caller).len(), 1, "{kind:?}");
+    }
+}
+
+/// Fails if a call that arrives while all endpoints are silent, and may run once, runs twice, or if
+/// it isn't told truly whether it has run.
+#[test]
+fn call_that_arrives_during_a_silence_and_may_run_once_runs_twice() {
+    for kind in KINDS {
+        let mut w = world(2);
+        PLAINS.iter().for_each(|name| w.silence(name, kind, 1_000));
+        let caller = w.plain_call("/pay/a", PLAIN);
+        w.run(4_000);
+        let runs = w.runs(caller).len();
+        assert!(runs <= 1, "expected one run at most, found {runs} ({kind:?})");
+        let answer = &w.f.answers[&caller];
+        assert!(runs == 1 || answer.status == 503, "{kind:?}: {}", w.answer_of(caller));
+        assert!(runs == 0 || answer.content == b"ok", "{kind:?}: {}", w.answer_of(caller));
+    }
+}
+
+/// Fails if an idempotent call to a silent endpoint stays without its answer.
+#[test]
+fn idempotent_call_is_lost_during_a_silence() {
+    for kind in KINDS {
+        let mut w = world(2);
+        let caller = w.plain_call("/look/a", PLAIN);
+        PLAINS.iter().for_each(|name| w.silence(name, kind, 1_000));
+        w.run(3_000);
+        assert!(w.f.answers.get(&caller).is_some_and(|a| a.complete && a.content == b"ok"));
+        w.assert_within_budget(PLAIN);
+    }
+}
+
+fn work_at(w: &World, name: &str) -> usize {
+    w.arrivals.iter().filter(|a| &*a.target == name).count()
+}
+
+/// Fails if endpoints that are draining get new work while others are silent.
+#[test]
+fn draining_endpoint_gets_work_while_others_are_silent() {
+    for kind in KINDS {
+        let mut w = world(2);
+        traffic(&mut w, 2, |_, _| {});
+        for name in ["d1", "f1", "p1"] {
+            w.heartbeat(name, |e| e.draining = true);
+        }
+        w.run(1_500);
+        let before = ["d1", "f1", "p1"].map(|name| work_at(&w, name));
+        traffic(&mut w, 10, silences(&["d2", "d3", "f2", "p2", "p3"], kind));
+        let after = ["d1", "f1", "p1"].map(|name| work_at(&w, name));
+        assert_eq!(before, after, "expected no new work at draining endpoints ({kind:?})");
+    }
+}
+
+/// Fails if a stream that breaks at a draining endpoint is sent there again.
+#[test]
+fn broken_stream_is_sent_again_to_its_draining_endpoint() {
+    let mut w = world(2);
+    let (caller, at) = running_stream(&mut w, LONG);
+    w.heartbeat(&at, |e| e.draining = true);
+    w.run(1_500);
+    let before = work_at(&w, &at);
+    assert_eq!(w.break_run(caller).as_ref(), Some(&at));
+    w.run(500);
+    let sent = work_at(&w, &at) - before;
+    assert_eq!(sent, 0, "expected no new work at {at} 1.5 s after it was listed as draining");
+}
