Charge the retry budget for each request that a retry sends

Callers' services got up to a fifth more arrivals beyond the first of each call than the budget allows, while engines fell silent or crashed beside a release. A retry was charged once, when it was decided; a run that is repeated after a new prefill reaches endpoints twice.

A call now has a credit of requests: its first one, and the run that follows its first answered prefill. The credit is spent where requests leave the gateway, so no path can send more than was charged. If the budget does not cover a new prefill and its run, the call runs completely at a decode endpoint, which is one request.

The plan of a retry moves to its own module. The test that recorded one charge for two repeats expects two.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::assign::Assigned;
+use super::credit::Credit;
 use super::events::EventSplitter;
 use super::fleet::{EndpointKey, Usage};
 use super::protocol::{AnswerInfo, CallInfo, Export};
@@ -180,6 +181,9 @@
     pub caller_deadline: Timestamp,
     /// How many attempts count against the maximum of the route.
     pub sends: u32,
+    /// The requests to endpoints that may be sent for it without a further charge to the retry
+    /// budget.
+    pub credit: Credit,
     /// Whether any request of it was sent to an endpoint.
     pub sent: bool,
     /// Whether its next request to an endpoint is the run that follows its first answered prefill.
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use super::answer;
-use super::call::{Attempt, Call, FailedAttempt, Handoff, Reservation, Stage};
+use super::call::{Attempt, Call, Handoff, Reservation, Stage};
 use super::fleet::{EndpointKey, Job, Usage};
 use super::place::{place_decode, place_prefill};
-use super::protocol::{Export, SendKind, SideRequest};
+use super::protocol::{Export, ModelWork, SendKind, SideRequest};
 use super::reason::EndReason;
 use super::{CallerId, Gateway};
 use crate::control::dispatch::rooms::RunEnd;
@@ -25,9 +25,6 @@
 /// The percentage of an engine's memory that late calls leave free for calls that can still meet
 /// their target.
 const LATE_SPARE_PERCENT: u32 = 15;
-/// The percentage of its retention period within which an export is still handed to another decode
-/// endpoint.
-const HANDOFF_PERCENT: u32 = 60;
 
 impl Gateway {
     /// Returns whether a call asks for a model and its service has engines.
@@ -279,6 +276,7 @@
         // The first successful prefill does not count as an attempt; further ones do.
         call.sends += u32::from(call.exported);
         call.first_run = !call.exported;
+        call.credit.add(u32::from(!call.exported));
         call.exported = true;
         self.release_attempt(now, &attempt);
         let Some(source) = self.fleet.get_mut(attempt.endpoint) else { return };
@@ -294,61 +292,49 @@
         }
     }
 
-    /// Retries a call after a failed attempt; returns whether it goes on.
-    ///
-    /// An export that has not been used yet is handed to another decode endpoint. A run whose
-    /// connection broke resumes at the same endpoint, which has the prompt in its KV cache and
-    /// needs no new prefill. Otherwise the call gets a new prefill if the failed attempt was a
-    /// prefill or the route allows two more attempts; if not, it runs completely on a decode
-    /// endpoint.
-    pub(super) fn retry_engine(
+    /// Resumes an interrupted run at the endpoint that ran it; returns whether it was sent.
+    pub(super) fn resume_at(
         &mut self,
         now: Timestamp,
         caller: CallerId,
-        failed: &FailedAttempt,
-        handoff: Option<Handoff>,
+        endpoint: EndpointKey,
     ) -> bool {
-        let draw = self.draw();
-        let Some(shape) = self.shape(caller) else { return false };
-        let Some(call) = self.calls.get(&caller) else { return false };
-        let Some(work) = &call.info.work else { return false };
-        let usage = Usage { slots: 1, tokens: work.mean_tokens() };
-        let attempts = call.route().map_or(0, |r| r.attempts);
-        let fresh = shape.retention * HANDOFF_PERCENT / 100;
-        let alive = handoff.filter(|h| failed.not_run && now - h.made < fresh);
-        if let Some(handoff) = alive {
-            return self.hand_off(now, caller, usage, &shape, handoff);
-        }
-        if failed.broke_off {
-            return self.run_on(now, caller, failed.endpoint, usage, SendKind::Whole, None);
-        }
-        if failed.in_prefill || call.sends + 2 <= attempts {
-            self.start_or_requeue(now, caller);
-            return true;
-        }
-        let loads = self.fleet.decode_loads(now, &call.service, &shape, &call.tried);
-        let Some(decode) = place_decode(loads, usage.tokens, draw) else { return false };
+        let usage = self.run_usage(caller);
+        self.run_on(now, caller, endpoint, usage, SendKind::Whole, None)
+    }
+
+    /// Runs a complete call on a decode endpoint with capacity; returns whether it was sent.
+    pub(super) fn run_elsewhere(&mut self, now: Timestamp, caller: CallerId) -> bool {
+        let usage = self.run_usage(caller);
+        let Some(decode) = self.pick_decode(now, caller) else { return false };
         self.run_on(now, caller, decode, usage, SendKind::Whole, None)
     }
 
     /// Runs a call on another decode endpoint from an export that is still available.
-    fn hand_off(
-        &mut self,
-        now: Timestamp,
-        caller: CallerId,
-        usage: Usage,
-        shape: &EngineShape,
-        handoff: Handoff,
-    ) -> bool {
-        let draw = self.draw();
-        let Some(call) = self.calls.get(&caller) else { return false };
-        let loads = self.fleet.decode_loads(now, &call.service, shape, &call.tried);
-        let Some(decode) = place_decode(loads, usage.tokens, draw) else { return false };
+    pub(super) fn hand_off(&mut self, now: Timestamp, caller: CallerId, handoff: Handoff) -> bool {
+        let usage = self.run_usage(caller);
+        let Some(decode) = self.pick_decode(now, caller) else { return false };
         let Some(source) = self.fleet.get(handoff.source) else { return false };
         let handle = handoff.export.handle.clone();
         let kind = SendKind::From { source: source.address, handle };
         self.run_on(now, caller, decode, usage, kind, Some(handoff))
     }
+
+    /// Returns the capacity that the run of a call is counted with.
+    fn run_usage(&self, caller: CallerId) -> Usage {
+        let work = self.calls.get(&caller).and_then(|c| c.info.work.as_ref());
+        Usage { slots: 1, tokens: work.map_or(0, ModelWork::mean_tokens) }
+    }
+
+    /// Returns a decode endpoint with capacity at which a call was not tried yet.
+    fn pick_decode(&mut self, now: Timestamp, caller: CallerId) -> Option<EndpointKey> {
+        let draw = self.draw();
+        let shape = self.shape(caller)?;
+        let call = self.calls.get(&caller)?;
+        let tokens = call.info.work.as_ref()?.mean_tokens();
+        let loads = self.fleet.decode_loads(now, &call.service, &shape, &call.tried);
+        place_decode(loads, tokens, draw)
+    }
 }
 
 /// Returns the tokens of KV cache that a call must leave free at an engine.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod assign;
 pub mod budget;
 mod call;
+pub mod credit;
 mod engine;
 pub mod events;
 mod fleet;
@@ -20,6 +21,7 @@
 pub mod queue;
 mod reason;
 mod reports;
+mod retry;
 mod silence;
 pub mod window;
 
@@ -32,6 +34,7 @@
 
 use budget::{Budget, BudgetTerms};
 use call::{Call, Delivered, Stage};
+use credit::Credit;
 use fleet::{EndpointKey, Fleet, Job};
 use lateness::UsualTimeout;
 use protocol::{CallProtocol, SendInfo, TableFormat};
@@ -255,6 +258,7 @@
             arrived: now,
             late,
             sends: 0,
+            credit: Credit::default(),
             sent: false,
             first_run: false,
             exported: false,
@@ -292,7 +296,7 @@
     }
 
     /// Sends a call to an endpoint over an idle connection, or over a new one if none can be
-    /// reused.
+    /// reused. Sends nothing if the call has no credit for another request.
     fn send(
         &mut self,
         now: Timestamp,
@@ -300,9 +304,13 @@
         endpoint: EndpointKey,
         kind: protocol::SendKind,
     ) -> Option<PeerId> {
-        let call = self.calls.get(&caller)?;
         let target = self.fleet.get(endpoint)?;
         let address = target.address;
+        let call = self.calls.get_mut(&caller)?;
+        if !call.credit.spend() {
+            log::error!("step=send id={} error=\"the request was not charged\"", call.info.id);
+            return None;
+        }
         let info = SendInfo {
             remaining: call.remaining(now),
             endpoint: &target.name,
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::answer;
-use super::call::{Attempt, Call, CompleteAnswer, FailedAttempt, Handoff, Stage};
+use super::call::{Attempt, Call, CompleteAnswer, FailedAttempt, Stage};
 use super::fleet::{EndpointKey, Job};
 use super::reason::EndReason;
 use super::silence::{AfterSilence, Silence};
@@ -12,8 +12,6 @@
 use crate::entry::health::Verdict;
 use crate::h1::HttpEffect;
 use crate::model::Timestamp;
-use crate::report::observation::{ChargeOutcome, Observation};
-use crate::role::Output;
 
 /// How long it may take to connect to an endpoint.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(300);
@@ -26,10 +24,6 @@
 /// How long an answer may take if the call can be repeated at another endpoint, in multiples of the
 /// route's latency target.
 const ANSWER_TARGETS: u32 = 2;
-/// The minimum time before its deadline at which a call is still retried.
-const MIN_RETRY_TIME: Duration = Duration::from_millis(30);
-/// How many retries a retry is counted as in the retry budget.
-const RETRY_COST: u32 = 1;
 
 /// Why an attempt has failed.
 #[derive(Debug)]
@@ -287,6 +281,10 @@
             }
             (_, false) => call.may_have_run = true,
         }
+        if matches!(failure, Failure::NotStarted) {
+            // The request reached no endpoint; the next one takes its place.
+            call.credit.add(1);
+        }
         let broke_off = matches!(failure, Failure::Broken)
             && call.info.work.is_some()
             && !in_prefill
@@ -324,14 +322,13 @@
             (now - attempt.since).as_millis(),
         );
         self.release_hold(now, caller);
-        let unbudgeted = matches!(failure, Failure::NotStarted);
         if let Failure::Answered(failed) = failure
             && let Some(call) = self.calls.get_mut(&caller)
         {
             call.failed = Some(failed);
         }
         let unused = handoff.clone().filter(|_| failed.not_run);
-        let retried = self.try_retry(now, caller, unbudgeted, &failed, handoff);
+        let retried = self.try_retry(now, caller, &failed, handoff);
         if let Some(silence) = silence {
             let next = if retried.is_ok() { AfterSilence::Retry } else { AfterSilence::Ended };
             silence.log(&id, &endpoint_name, next);
@@ -344,88 +341,4 @@
         let refusal = if ran { answer::failed() } else { self.capacity_refusal(now, caller) };
         self.conclude(now, caller, refusal, why);
     }
-
-    /// Retries a call after a failed attempt if that is allowed, and counts that against the retry
-    /// budget unless the retry is `unbudgeted`. Returns why the call ends if it is not retried.
-    fn try_retry(
-        &mut self,
-        now: Timestamp,
-        caller: CallerId,
-        unbudgeted: bool,
-        failed: &FailedAttempt,
-        handoff: Option<Handoff>,
-    ) -> Result<(), EndReason> {
-        self.check_retry(now, caller)?;
-        if !self.charge_retry(now, caller, unbudgeted) {
-            return Err(EndReason::BudgetSpent);
-        }
-        if !self.retry(now, caller, failed, handoff) {
-            return Err(EndReason::NoCapacity);
-        }
-        Ok(())
-    }
-
-    /// Returns why a call may not be retried, whatever the retry budget.
-    fn check_retry(&self, now: Timestamp, caller: CallerId) -> Result<(), EndReason> {
-        let call = self.calls.get(&caller).ok_or(EndReason::NotRepeatable)?;
-        let route = call.route().ok_or(EndReason::NotRepeatable)?;
-        if call.may_have_run && !route.repeat.is_repeatable() {
-            return Err(EndReason::NotRepeatable);
-        }
-        if call.sends >= route.attempts {
-            return Err(EndReason::AttemptsSpent);
-        }
-        if call.remaining(now) < MIN_RETRY_TIME {
-            return Err(EndReason::NoTime);
-        }
-        Ok(())
-    }
-
-    /// Counts a retry against the retry budget unless it is `unbudgeted`, and reports that with the
-    /// numbers that decided. Returns `false` if the budget is spent.
-    fn charge_retry(&mut self, now: Timestamp, caller: CallerId, unbudgeted: bool) -> bool {
-        let Some(call) = self.calls.get(&caller) else { return false };
-        let service = call.service.clone();
-        let gateways = self.follower.gateways(now);
-        let terms = self.settings.budget;
-        let budget = self.budgets.entry(service.clone()).or_default();
-        let before = budget.balance(now, &terms, gateways);
-        let outcome = if unbudgeted {
-            ChargeOutcome::Free
-        } else if budget.spend(now, &terms, gateways, RETRY_COST) {
-            ChargeOutcome::Charged
-        } else {
-            ChargeOutcome::Spent
-        };
-        log::info!(
-            "step=budget id={} service={service} outcome={} cost={RETRY_COST} calls={} retries={} \
-             allowed={:.1} gateways={} up_ms={}",
-            call.info.id,
-            outcome.as_str(),
-            before.calls,
-            before.retries,
-            before.allowed,
-            before.gateways,
-            self.uptime(now).as_millis(),
-        );
-        let charge = Observation::Charge { service, outcome, cost: RETRY_COST };
-        self.outputs.push(Output::Observe(charge));
-        outcome != ChargeOutcome::Spent
-    }
-
-    fn retry(
-        &mut self,
-        now: Timestamp,
-        caller: CallerId,
-        failed: &FailedAttempt,
-        handoff: Option<Handoff>,
-    ) -> bool {
-        let Some(call) = self.calls.get_mut(&caller) else { return false };
-        call.splitter = super::events::EventSplitter::default();
-        if self.is_engine_call(caller) {
-            self.retry_engine(now, caller, failed, handoff)
-        } else {
-            self.retry_plain(now, caller)
-        }
-    }
 }
--- /dev/null
+++ b/src/gateway/retry.rs
@@ -0,0 +1,168 @@
+//! Retries: how a call goes on after a failed attempt, and what that costs.
+
+use std::time::Duration;
+
+use super::call::{FailedAttempt, Handoff};
+use super::events::EventSplitter;
+use super::reason::EndReason;
+use super::{CallerId, Gateway};
+use crate::model::Timestamp;
+use crate::report::observation::{ChargeOutcome, Observation};
+use crate::role::Output;
+
+/// The minimum time before its deadline at which a call is still retried.
+const MIN_RETRY_TIME: Duration = Duration::from_millis(30);
+/// The percentage of its retention period within which an export is still handed to another decode
+/// endpoint.
+const HANDOFF_PERCENT: u32 = 60;
+
+/// How a call goes on after a failed attempt.
+#[derive(Debug)]
+enum Retry {
+    /// Another endpoint of its plain service runs it.
+    Plain,
+    /// Another decode endpoint runs it from the export of its prefill.
+    HandOff(Handoff),
+    /// The same endpoint resumes it; the prompt is in its KV cache.
+    Resume,
+    /// It gets a new prefill and a decode endpoint.
+    Prefill,
+    /// A decode endpoint runs it completely.
+    Whole,
+}
+
+impl Retry {
+    /// Returns how many requests to endpoints it needs credit for. The run after a call's first
+    /// answered prefill is credited with the answer.
+    fn requests(&self, exported: bool) -> u32 {
+        match self {
+            Retry::Prefill if exported => 2,
+            Retry::Plain | Retry::HandOff(_) | Retry::Resume | Retry::Prefill | Retry::Whole => 1,
+        }
+    }
+}
+
+impl Gateway {
+    /// Retries a call after a failed attempt, if its route, its time and the retry budget allow
+    /// that. Returns why the call ends if it is not retried.
+    pub(super) fn try_retry(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        failed: &FailedAttempt,
+        handoff: Option<Handoff>,
+    ) -> Result<(), EndReason> {
+        let sends = self.calls.get(&caller).map_or(0, |c| c.sends);
+        let planned = self.plan_retry(now, caller, failed, handoff, sends)?;
+        let retry = self.charge_retry(now, caller, planned).ok_or(EndReason::BudgetSpent)?;
+        if let Some(call) = self.calls.get_mut(&caller) {
+            call.splitter = EventSplitter::default();
+        }
+        if !self.start_retry(now, caller, failed, retry) {
+            return Err(EndReason::NoCapacity);
+        }
+        Ok(())
+    }
+
+    /// Returns how a call of so many counted attempts goes on, or why it must not.
+    fn plan_retry(
+        &self,
+        now: Timestamp,
+        caller: CallerId,
+        failed: &FailedAttempt,
+        handoff: Option<Handoff>,
+        sends: u32,
+    ) -> Result<Retry, EndReason> {
+        let call = self.calls.get(&caller).ok_or(EndReason::NotRepeatable)?;
+        let route = call.route().ok_or(EndReason::NotRepeatable)?;
+        if call.may_have_run && !route.repeat.is_repeatable() {
+            return Err(EndReason::NotRepeatable);
+        }
+        if sends >= route.attempts {
+            return Err(EndReason::AttemptsSpent);
+        }
+        if call.remaining(now) < MIN_RETRY_TIME {
+            return Err(EndReason::NoTime);
+        }
+        let Some(shape) = self.shape(caller).filter(|_| self.is_engine_call(caller)) else {
+            return Ok(Retry::Plain);
+        };
+        let fresh = shape.retention * HANDOFF_PERCENT / 100;
+        let alive = handoff.filter(|h| failed.not_run && now - h.made < fresh);
+        if let Some(handoff) = alive {
+            return Ok(Retry::HandOff(handoff));
+        }
+        if failed.broke_off {
+            return Ok(Retry::Resume);
+        }
+        let has_attempts = failed.in_prefill || sends + 2 <= route.attempts;
+        Ok(if has_attempts { Retry::Prefill } else { Retry::Whole })
+    }
+
+    /// Charges a retry to the budget. Returns what the budget covers: the retry, or a complete run
+    /// in place of one with a new prefill, or `None`.
+    fn charge_retry(&mut self, now: Timestamp, caller: CallerId, retry: Retry) -> Option<Retry> {
+        let exported = self.calls.get(&caller)?.exported;
+        if self.charge_requests(now, caller, retry.requests(exported)) {
+            return Some(retry);
+        }
+        let cheaper = matches!(retry, Retry::Prefill) && exported;
+        let whole = cheaper && self.charge_requests(now, caller, Retry::Whole.requests(exported));
+        whole.then_some(Retry::Whole)
+    }
+
+    /// Charges the requests that a call has no credit for, and reports that with the numbers that
+    /// decided. Returns `false` if the budget does not cover them.
+    fn charge_requests(&mut self, now: Timestamp, caller: CallerId, requests: u32) -> bool {
+        let gateways = self.follower.gateways(now);
+        let terms = self.settings.budget;
+        let up = self.uptime(now);
+        let Some(call) = self.calls.get_mut(&caller) else { return false };
+        let service = call.service.clone();
+        let missing = call.credit.missing(requests);
+        let cost = if missing == 0 { requests } else { missing };
+        let budget = self.budgets.entry(service.clone()).or_default();
+        let before = budget.balance(now, &terms, gateways);
+        let outcome = if missing == 0 {
+            ChargeOutcome::Free
+        } else if budget.spend(now, &terms, gateways, cost) {
+            call.credit.add(cost);
+            ChargeOutcome::Charged
+        } else {
+            ChargeOutcome::Spent
+        };
+        log::info!(
+            "step=budget id={} service={service} outcome={} cost={cost} calls={} retries={} \
+             allowed={:.1} gateways={} up_ms={}",
+            call.info.id,
+            outcome.as_str(),
+            before.calls,
+            before.retries,
+            before.allowed,
+            before.gateways,
+            up.as_millis(),
+        );
+        self.outputs.push(Output::Observe(Observation::Charge { service, outcome, cost }));
+        outcome != ChargeOutcome::Spent
+    }
+
+    /// Starts a retry that is charged; returns `false` if there is no endpoint for it.
+    fn start_retry(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        failed: &FailedAttempt,
+        retry: Retry,
+    ) -> bool {
+        match retry {
+            Retry::Plain => self.retry_plain(now, caller),
+            Retry::HandOff(handoff) => self.hand_off(now, caller, handoff),
+            Retry::Resume => self.resume_at(now, caller, failed.endpoint),
+            Retry::Prefill => {
+                self.start_or_requeue(now, caller);
+                true
+            }
+            Retry::Whole => self.run_elsewhere(now, caller),
+        }
+    }
+}
--- a/tests/gateway_lines.rs
+++ b/tests/gateway_lines.rs
@@ -175,7 +175,7 @@
 }
 
 #[test]
-fn run_that_is_repeated_after_a_new_prefill_is_two_repeats_for_one_charge() {
+fn run_that_is_repeated_after_a_new_prefill_is_two_repeats_and_two_charges() {
     let mut f = logged();
     f.model_call(1, "/remind/a", "3000,100");
     let run = f.answer_prefill();
@@ -184,7 +184,7 @@
     f.advance(1_300);
     f.answer_prefill();
     assert_eq!((sends(&f, MODEL, "first"), sends(&f, MODEL, "repeat")), (2, 2));
-    assert_eq!(charges(&f, MODEL, "charged"), 1);
+    assert_eq!(charges(&f, MODEL, "charged"), 2);
 }
 
 #[test]
