Leave out the fixed part of the retry budget for a window after a start

After gateways were killed and restarted between two silences, a service got up to 46 arrivals more than the budget allows within 10 s: each new start spent its part of the fixed number again, not knowing what the earlier one had spent.

A start has no part of the fixed number for one window; retries by the ratio of its own calls remain. The fixture of ready gateways waits for a window, so that other tests have their budget.

--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -71,19 +71,28 @@
 ///
 /// let window = Duration::from_secs(10);
 /// let terms = BudgetTerms { ratio: 0.2, extra: 10.0, window };
-/// let now = Timestamp::from_micros(1);
-/// let mut budget = Budget::default();
+/// let started = Timestamp::from_micros(1);
+/// let mut budget = Budget::new(started);
+/// // An earlier start of the gateway may have spent the fixed part in this window.
+/// assert!(!budget.spend(started, &terms, 4, 1));
+/// let now = started + window;
 /// // Each of four gateways may spend a quarter of the fixed part, less a margin.
 /// let spent = (0..20).filter(|_| budget.spend(now, &terms, 4, 1)).count();
 /// assert_eq!(spent, 2);
 /// assert_eq!(budget.balance(now, &terms, 4).retries, 2);
 /// ```
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Budget {
+    started: Timestamp,
     buckets: VecDeque<Bucket>,
 }
 
 impl Budget {
+    /// Creates the budget of a gateway that was started at a time.
+    pub fn new(started: Timestamp) -> Budget {
+        Budget { started, buckets: VecDeque::new() }
+    }
+
     /// Counts a call, which increases the budget.
     pub fn called(&mut self, now: Timestamp, terms: &BudgetTerms) {
         self.bucket(now, terms).calls += 1;
@@ -105,11 +114,20 @@
         let recent = || self.buckets.iter().filter(|s| now < s.from + terms.window);
         let calls: u32 = recent().map(|s| s.calls).sum();
         let retries: u32 = recent().map(|s| s.retries).sum();
-        let fixed = terms.extra / f64::from(gateways.max(1));
+        let fixed = self.fixed_part(now, terms, gateways);
         let allowed = (f64::from(calls) * terms.ratio + fixed) * SPENT_PERCENT / 100.0;
         Balance { calls, retries, allowed, gateways }
     }
 
+    /// Returns this gateway's part of the fixed number. It is zero within a window from the start
+    /// of the process, whose earlier start may have spent the part already.
+    fn fixed_part(&self, now: Timestamp, terms: &BudgetTerms, gateways: u32) -> f64 {
+        if now < self.started + terms.window {
+            return 0.0;
+        }
+        terms.extra / f64::from(gateways.max(1))
+    }
+
     /// Returns the bucket of the present time and removes the buckets outside the window.
     fn bucket(&mut self, now: Timestamp, terms: &BudgetTerms) -> &mut Bucket {
         let length = terms.window / BUCKETS;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -276,7 +276,9 @@
             timer: Timestamp::MAX,
         };
         let terms = self.settings.budget;
-        self.budgets.entry(service.clone()).or_default().called(now, &terms);
+        let started = self.started.unwrap_or(now);
+        let budget = self.budgets.entry(service.clone());
+        budget.or_insert_with(|| Budget::new(started)).called(now, &terms);
         self.calls.insert(caller, call);
         if self.is_engine_call(caller) {
             self.last_called.insert(service, now);
--- a/src/gateway/retry.rs
+++ b/src/gateway/retry.rs
@@ -165,7 +165,8 @@
         let service = call.service.clone();
         let missing = call.credit.missing(requests);
         let cost = if missing == 0 { requests } else { missing };
-        let budget = self.budgets.entry(service.clone()).or_default();
+        // The budget exists since the arrival of the call.
+        let Some(budget) = self.budgets.get_mut(&service) else { return false };
         let before = budget.balance(now, &terms, gateways);
         let outcome = if missing == 0 {
             ChargeOutcome::Free
--- a/tests/gateway_fixture/mod.rs
+++ b/tests/gateway_fixture/mod.rs
@@ -283,7 +283,8 @@
     }
 
     /// Creates a gateway that has the usual table and endpoints: plain ones `p1` and `p2`, prefill
-    /// ones `f1` and `f2`, decode ones `d1` and `d2`.
+    /// ones `f1` and `f2`, decode ones `d1` and `d2`. It has run for longer than the window of the
+    /// retry budget.
     pub fn ready() -> Fixture {
         let f = Fixture::without_table(vec![table()]);
         f.made_ready()
@@ -308,7 +309,7 @@
         for name in ["d1", "d2"] {
             f.announce(endpoint(name, EndpointKind::Decode, MODEL));
         }
-        f.advance(1_000);
+        f.advance(11_000);
         assert!(f.is_ready());
         f
     }
--- a/tests/gateway_lines.rs
+++ b/tests/gateway_lines.rs
@@ -113,8 +113,8 @@
         assert_eq!(value(line, "outcome"), expected, "{line}");
         assert_eq!(value(line, "service"), PLAIN);
         assert_eq!((number("cost"), number("calls")), (1.0, at as f64 + 1.0), "{line}");
-        // The fixture reports two gateways, and calls arrive 1 s after its start.
-        assert_eq!((number("gateways"), number("up_ms")), (2.0, 1_000.0), "{line}");
+        // The fixture reports two gateways, and calls arrive 11 s after its start.
+        assert_eq!((number("gateways"), number("up_ms")), (2.0, 11_000.0), "{line}");
     }
     let charged = lines.iter().filter(|l| l.contains("outcome=charged")).count() as u64;
     assert!((8..=12).contains(&charged), "expected both outcomes, {charged} of 20 were charged");
@@ -138,7 +138,7 @@
 #[test]
 fn balance_is_what_the_next_charge_is_decided_by() {
     let terms = BudgetTerms { ratio: 0.2, extra: 10.0, window: Duration::from_secs(10) };
-    let mut budget = Budget::default();
+    let mut budget = Budget::new(Timestamp::from_micros(1));
     let mut charged = 0;
     for millis in 0..30_000u64 {
         let now = Timestamp::from_micros(1_000_000 + millis * 1_000);
