Count a retry until the whole of its bucket has left the window

In a window that began just after a bucket's first retry, retries at the end of that bucket were no longer counted: the budget forgot them up to half a second early.

Retries are now counted until the last one of their bucket is older than the window; calls, which increase the budget, leave with the first. The new test failed before: a ninth retry within 10 s was granted where eight are allowed.

--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -111,9 +111,10 @@
 
     /// Returns the numbers by which the next charge is decided.
     pub fn balance(&self, now: Timestamp, terms: &BudgetTerms, gateways: u32) -> Balance {
-        let recent = || self.buckets.iter().filter(|s| now < s.from + terms.window);
-        let calls: u32 = recent().map(|s| s.calls).sum();
-        let retries: u32 = recent().map(|s| s.retries).sum();
+        let within = |span: Duration| self.buckets.iter().filter(move |s| now < s.from + span);
+        let calls: u32 = within(terms.window).map(|s| s.calls).sum();
+        // The last retry of a bucket leaves the window a bucket's length after the first.
+        let retries: u32 = within(terms.window + terms.window / BUCKETS).map(|s| s.retries).sum();
         let fixed = self.fixed_part(now, terms, gateways);
         let allowed = (f64::from(calls) * terms.ratio + fixed) * SPENT_PERCENT / 100.0;
         Balance { calls, retries, allowed, gateways }
@@ -131,7 +132,7 @@
     /// Returns the bucket of the present time and removes the buckets outside the window.
     fn bucket(&mut self, now: Timestamp, terms: &BudgetTerms) -> &mut Bucket {
         let length = terms.window / BUCKETS;
-        while self.buckets.front().is_some_and(|s| s.from + terms.window <= now) {
+        while self.buckets.front().is_some_and(|s| s.from + terms.window + length <= now) {
             self.buckets.pop_front();
         }
         let current = self.buckets.back().is_some_and(|s| now < s.from + length);
--- a/tests/gateway_lines.rs
+++ b/tests/gateway_lines.rs
@@ -159,6 +159,17 @@
     assert!(charged > 0);
 }
 
+#[test]
+fn retries_at_the_end_of_a_bucket_leave_the_window_too_early() {
+    let terms = BudgetTerms { ratio: 0.0, extra: 10.0, window: Duration::from_secs(10) };
+    let at = |millis: u64| Timestamp::from_micros(1) + Duration::from_millis(20_000 + millis);
+    let mut budget = Budget::new(Timestamp::from_micros(1));
+    assert!(budget.spend(at(0), &terms, 1, 1));
+    assert!(budget.spend(at(499), &terms, 1, 7), "the bucket that began at 0");
+    assert!(!budget.spend(at(10_100), &terms, 1, 1), "eight retries within the last 10 s");
+    assert!(budget.spend(at(10_500), &terms, 1, 8));
+}
+
 #[test]
 fn prefill_and_run_of_an_undisturbed_call_are_first_sends() {
     let mut f = logged();
