Let an interrupted stream with one attempt left wait for capacity

A resumable stream that broke off while all decode endpoints were full was cut off at once if its route left one attempt: only streams that get a new prefill were queued. It now requests a reservation and waits in the queue like the others, for a complete run at the endpoint that grants it. If no decode endpoint is left at all, it ends at once.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -5,6 +5,7 @@
 use super::call::Call;
 use super::queue::{Queue, Rank, Waiting};
 use super::reason::EndReason;
+use super::retry::is_retried;
 use super::{CallerId, Gateway, START_INTERVAL};
 use crate::model::Timestamp;
 
@@ -111,7 +112,9 @@
         Some(last) => last + RESUME_WAIT,
         None => {
             let timeout = call.deadline - call.arrived;
-            Queue::<CallerId>::wait_until(call.arrived, call.rank(), target, timeout)
+            let wait = Queue::<CallerId>::wait_until(call.arrived, call.rank(), target, timeout);
+            let resume = call.arrived + RESUME_WAIT;
+            if is_retried(call) { wait.max(resume) } else { wait }
         }
     };
     let until = until.min(call.deadline);
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -188,6 +188,9 @@
     /// The requests to endpoints that may be sent for it without a further charge to the retry
     /// budget.
     pub credit: Credit,
+    /// Whether it runs at its decode endpoint without a prefill endpoint, since no attempt is left
+    /// for both, or no credit.
+    pub skips_prefill: bool,
     /// Whether any request of it was sent to an endpoint.
     pub sent: bool,
     /// Whether its next request to an endpoint is the run that follows its first answered prefill.
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -58,7 +58,8 @@
         let need = work.mean_tokens() + spare_tokens(call, &shape);
         let loads = self.fleet.decode_loads(now, &call.service, &shape, &call.tried);
         let Some(endpoint) = place_decode(loads, need, draw) else { return false };
-        if self.pick_prefill(now, caller, &shape, endpoint, draw).is_none()
+        if !call.skips_prefill
+            && self.pick_prefill(now, caller, &shape, endpoint, draw).is_none()
             && self.has_prefill(now, caller)
         {
             return false;
@@ -145,10 +146,13 @@
             return;
         };
         call.hold = Some((decode.endpoint, hold));
+        let skips_prefill = call.skips_prefill;
         if let Some(endpoint) = self.fleet.get_mut(decode.endpoint) {
             endpoint.accepted();
         }
-        if !self.request_prefill(now, caller, decode) {
+        if skips_prefill {
+            self.run_whole(now, caller, decode);
+        } else if !self.request_prefill(now, caller, decode) {
             self.run_prefill(now, caller, decode, None);
         }
     }
@@ -172,6 +176,12 @@
         {
             return;
         }
+        self.run_whole(now, caller, decode);
+    }
+
+    /// Runs a complete call on the decode endpoint that has granted its reservation.
+    fn run_whole(&mut self, now: Timestamp, caller: CallerId, decode: Reservation) {
+        // The reserved usage is counted again for the attempt by `run_on`.
         self.release(now, decode.endpoint, decode.usage);
         let (endpoint, usage) = (decode.endpoint, decode.usage);
         if !self.run_on(now, caller, endpoint, usage, SendKind::Whole, None) {
@@ -303,13 +313,6 @@
         self.run_on(now, caller, endpoint, usage, SendKind::Whole, None)
     }
 
-    /// Runs a complete call on a decode endpoint with capacity; returns whether it was sent.
-    pub(super) fn run_elsewhere(&mut self, now: Timestamp, caller: CallerId) -> bool {
-        let usage = self.run_usage(caller);
-        let Some(decode) = self.pick_decode(now, caller) else { return false };
-        self.run_on(now, caller, decode, usage, SendKind::Whole, None)
-    }
-
     /// Runs a call on another decode endpoint from an export that is still available.
     pub(super) fn hand_off(&mut self, now: Timestamp, caller: CallerId, handoff: Handoff) -> bool {
         let usage = self.run_usage(caller);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -259,6 +259,7 @@
             late,
             sends: 0,
             credit: Credit::default(),
+            skips_prefill: false,
             sent: false,
             first_run: false,
             exported: false,
--- a/src/gateway/retry.rs
+++ b/src/gateway/retry.rs
@@ -5,12 +5,12 @@
 
 use std::time::Duration;
 
-use super::call::{FailedAttempt, Handoff, Stage};
+use super::call::{Call, FailedAttempt, Handoff, Stage};
 use super::events::EventSplitter;
-use super::fleet::EndpointKey;
+use super::fleet::{Endpoint, EndpointKey};
 use super::reason::EndReason;
 use super::{CallerId, Gateway};
-use crate::model::Timestamp;
+use crate::model::{EndpointKind, Timestamp};
 use crate::report::observation::{ChargeOutcome, Observation};
 use crate::role::Output;
 
@@ -201,13 +201,41 @@
     ) -> bool {
         match retry {
             Retry::Plain => self.retry_plain(now, caller),
-            Retry::HandOff(handoff) => self.hand_off(now, caller, handoff),
+            Retry::HandOff(handoff) => {
+                if self.hand_off(now, caller, handoff.clone()) {
+                    return true;
+                }
+                let waits = self.wait_for_run(now, caller);
+                if waits {
+                    self.free_export(now, handoff.source, &handoff.export.handle);
+                }
+                waits
+            }
             Retry::Resume => self.resume_at(now, caller, failed.endpoint),
             Retry::Prefill => {
                 self.start_or_requeue(now, caller);
                 true
             }
-            Retry::Whole => self.run_elsewhere(now, caller),
+            Retry::Whole => self.wait_for_run(now, caller),
         }
     }
+
+    /// Starts or queues a call that runs at its decode endpoint without a prefill elsewhere; returns
+    /// `false` if no decode endpoint is left for it.
+    fn wait_for_run(&mut self, now: Timestamp, caller: CallerId) -> bool {
+        let Some(call) = self.calls.get_mut(&caller) else { return false };
+        let open = |e: &Endpoint| e.kind == EndpointKind::Decode && e.accepts_work;
+        let left = |(key, e): (EndpointKey, &Endpoint)| open(e) && !call.tried.contains(&key);
+        if !self.fleet.pool(&call.service).any(left) {
+            return false;
+        }
+        call.skips_prefill = true;
+        self.start_or_requeue(now, caller);
+        true
+    }
+}
+
+/// Returns whether an attempt of a call has failed, so that it waits for another one.
+pub(super) fn is_retried(call: &Call) -> bool {
+    call.broke_at.is_some() || !call.tried.is_empty()
 }
