Close a listed start of an endpoint once an answer has disproved it

While engines crashed and came back at their addresses under new names, each gateway sent call after call to the old name, and each answer of 421 cost a retry of the shared budget: up to five by one gateway to one start.

A 421 now closes that start for the gateway until a newer state of it is listed (its stage may have been the reason), and a later start listed at the same address closes the earlier ones. A 421 is no attempt, as nothing ran. A restart under the same name and address is treated as a new endpoint.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -11,7 +11,8 @@
 use super::window::Window;
 use crate::entry::health::Health;
 use crate::h1::{CallerId, PeerId};
-use crate::model::{EndpointKind, EndpointState, Timestamp};
+use crate::model::{BootId, EndpointKind, EndpointState, Timestamp};
+use crate::registry::view::version;
 use crate::routes::EngineShape;
 
 /// The assumed age of an engine's report when it is received.
@@ -100,8 +101,12 @@
     pub pool: Box<str>,
     /// How many requests it runs at once.
     pub slots: u32,
-    /// Whether it is listed and not draining.
+    /// Whether it is listed, not draining, and not known to be gone from its address.
     pub accepts_work: bool,
+    /// The start of the endpoint and the number of its listed state within that.
+    listed: (BootId, u64),
+    /// The listed state that an answer at its address has disproved.
+    disproved: Option<(BootId, u64)>,
     /// Its health as judged by the outcome of requests of this gateway.
     pub health: Health,
     /// The capacity that this gateway has in use there.
@@ -129,6 +134,8 @@
             pool: state.pool.clone(),
             slots: state.capacity.slots,
             accepts_work: !state.draining,
+            listed: version(state),
+            disproved: None,
             health: Health::default(),
             usage: Usage::default(),
             window: Window::new(state.capacity.slots),
@@ -159,6 +166,22 @@
         self.window.refused();
     }
 
+    /// Records that another endpoint, or an engine in another stage, answers at its address. It gets
+    /// no work until a newer state of it is listed.
+    pub fn misdirected(&mut self, now: Timestamp) {
+        self.refused(now);
+        self.disproved = Some(self.listed);
+        self.accepts_work = false;
+    }
+
+    /// Applies a newer listed state of the same start.
+    fn relist(&mut self, state: &EndpointState) {
+        self.kind = state.kind;
+        self.slots = state.capacity.slots;
+        self.listed = version(state);
+        self.accepts_work = !state.draining && self.disproved.is_none_or(|d| d < self.listed);
+    }
+
     /// Records that it accepted a call, which resets the backoff.
     pub fn accepted(&mut self) {
         self.refusals = 0;
@@ -258,15 +281,14 @@
             match self.names.get(&state.name) {
                 Some(key) => {
                     let Some(known) = self.endpoints.get_mut(*key) else { continue };
-                    if known.address != state.address || known.pool != state.pool {
+                    let restarted = known.listed.0 != state.boot;
+                    if restarted || known.address != state.address || known.pool != state.pool {
                         // The endpoint was restarted, or replaced by another under its name.
                         let fresh = Endpoint::new(state, &self.domain);
                         *known = Endpoint { usage: known.usage, ..fresh };
                         continue;
                     }
-                    known.kind = state.kind;
-                    known.slots = state.capacity.slots;
-                    known.accepts_work = !state.draining;
+                    known.relist(state);
                 }
                 None => {
                     let key = self.endpoints.insert(Endpoint::new(state, &self.domain));
@@ -281,11 +303,25 @@
                 endpoint.accepts_work = false;
             }
         }
+        self.close_superseded();
         let unused = self.remove_unlisted(listed);
         self.rebuild_pools();
         unused
     }
 
+    /// Closes endpoints at whose address a later start is listed, under their name or another.
+    fn close_superseded(&mut self) {
+        let mut newest: BTreeMap<SocketAddr, BootId> = BTreeMap::new();
+        for endpoint in self.endpoints.values() {
+            let boot = newest.entry(endpoint.address).or_default();
+            *boot = (*boot).max(endpoint.listed.0);
+        }
+        for endpoint in self.endpoints.values_mut() {
+            let last = newest.get(&endpoint.address);
+            endpoint.accepts_work &= last.is_none_or(|boot| *boot <= endpoint.listed.0);
+        }
+    }
+
     /// Removes endpoints that are not listed and have no connection in use; returns their idle
     /// connections.
     fn remove_unlisted(&mut self, listed: &BTreeMap<Box<str>, EndpointState>) -> Vec<PeerId> {
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -287,7 +287,7 @@
         };
         let in_prefill = prefill.is_some();
         match (&failure, in_prefill) {
-            (Failure::NotStarted, false) => {
+            (Failure::NotStarted | Failure::Refused { misdirected: true }, false) => {
                 // This attempt does not count. If it was to resume an interrupted run at the same
                 // endpoint, that endpoint is down and the interrupted run does not count either.
                 let ended = call.broke_at.take_if(|at| *at == attempt.endpoint).is_some();
@@ -333,9 +333,10 @@
         let mut endpoint_name: Box<str> = "".into();
         if let Some(endpoint) = self.fleet.get_mut(attempt.endpoint) {
             endpoint_name = endpoint.name.clone();
-            match verdict {
-                Some(verdict) => endpoint.health.judge(now, verdict),
-                None => endpoint.refused(now),
+            match (&failure, verdict) {
+                (Failure::Refused { misdirected: true }, _) => endpoint.misdirected(now),
+                (_, Some(verdict)) => endpoint.health.judge(now, verdict),
+                (_, None) => endpoint.refused(now),
             }
         }
         log::info!(
