Do not resume a broken stream at an endpoint that is draining

A stream whose connection broke was sent again to its endpoint 1.5 s after that was listed as draining.

--- a/src/gateway/retry.rs
+++ b/src/gateway/retry.rs
@@ -136,7 +136,8 @@
         if let Some(handoff) = alive {
             return Ok(Retry::HandOff(handoff));
         }
-        if failed.broke_off {
+        let accepts = self.fleet.get(failed.endpoint).is_some_and(|e| e.accepts_work);
+        if failed.broke_off && accepts {
             return Ok(Retry::Resume);
         }
         let has_attempts = failed.in_prefill || sends + 2 <= route.attempts;
