Do not refuse a call that may have run as not run

A repeatable call whose first attempt may have begun and which then waited in vain for another endpoint was refused with 503, which promises that it has not run. Refusals after a wait did not look at what the call had done before. The end of every call now turns such a refusal into 502.

--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -100,7 +100,8 @@
     }
 
     /// Ends a call that gets no complete answer: aborts a stream that has begun, else sends the
-    /// last failure of an endpoint or the given refusal. `why` is logged.
+    /// last failure of an endpoint or the given refusal. A call that may have run is not refused as
+    /// not run. `why` is logged.
     pub(super) fn conclude(
         &mut self,
         now: Timestamp,
@@ -123,6 +124,8 @@
             self.log_end(now, &call, "endpoint-failed", status, Some(why));
             return;
         }
+        let untrue = call.may_have_run && NOT_RUN_STATUSES.contains(&info.status);
+        let info = if untrue { failed() } else { info };
         let keep = self.keeps_alive(&call.request);
         let bytes = self.protocol.write_refusal(Some(&call.info.id), &info, keep);
         self.effect(HttpEffect::Reply { caller, bytes });
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -341,6 +341,20 @@
     assert!(f.answers[&1].aborted);
 }
 
+#[test]
+fn call_that_may_have_run_and_waits_in_vain_is_refused_as_not_run() {
+    let mut f = Fixture::ready();
+    f.model_call(1, "/remind/a", "3000,100");
+    let run = f.answer_prefill();
+    f.fail_connection(&run, true);
+    let same = f.take_sent();
+    f.fail_connection(&same, false);
+    let hold = f.take_sent();
+    f.answer(&hold, 503, &[], "full");
+    f.advance(4_000);
+    assert_eq!(f.answers[&1].status, 502, "the first run may have begun");
+}
+
 #[test]
 fn callers_refused_in_a_burst_get_long_and_spread_retry_after_times() {
     let mut f = Fixture::ready();
