--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::assign::Assigned;
+use super::credit::Credit;
 use super::events::EventSplitter;
 use super::fleet::{EndpointKey, Usage};
 use super::protocol::{AnswerInfo, CallInfo, Export};
@@ -33,6 +34,9 @@
     pub head: Option<(AnswerHead, AnswerInfo)>,
     /// The content received so far, of an answer that is not streamed to the caller.
     pub content: Vec<u8>,
+    /// Until when its silence is tolerated although it exceeds the timeout, because no other attempt
+    /// could follow.
+    pub kept_until: Timestamp,
 }
 
 impl Attempt {
@@ -54,6 +58,7 @@
             reused: connected,
             head: None,
             content: Vec::new(),
+            kept_until: since,
         }
     }
 }
@@ -178,8 +183,15 @@
     pub deadline: Timestamp,
     /// When the caller stops waiting for the answer.
     pub caller_deadline: Timestamp,
-    /// How many attempts count against the maximum of the route.
+    /// How many attempts count against the maximum of the route: the endpoints that may have run it
+    /// and may still do so, and prefills but for the first answered one.
     pub sends: u32,
+    /// The requests to endpoints that may be sent for it without a further charge to the retry
+    /// budget.
+    pub credit: Credit,
+    /// Whether it runs at its decode endpoint without a prefill endpoint, since no attempt is left
+    /// for both, or no credit.
+    pub skips_prefill: bool,
     /// Whether any request of it was sent to an endpoint.
     pub sent: bool,
     /// Whether its next request to an endpoint is the run that follows its first answered prefill.
