Accept a commit's reply on an earlier send of the command

Seen: with each sync of the control member's disk delayed by 600, 700 or 1,200 ms, every call with a key was refused with no-quorum, although control committed each claim and an entry waits 2 s for one. At 300 ms calls were answered.

Cause: an entry sends a command again after 500 ms without a reply, and cancelled the exchange of the earlier send. Control replies on the exchange that proposed the record, so that a commit longer than 500 ms had nobody left to reply to. The send after it waits for the next sync and is cancelled in turn.

Now the exchanges of earlier sends of a command stay open until one of them is answered or the command is given up. Their replies count as those of the newest send: the commands are equal and idempotent, and the agent still refuses an attempt that was settled meanwhile. The replaced connection stays until its exchanges end. A redirect or loss on an earlier one changes nothing. Requests that are no commands are cancelled as before, since their answer should be fresh.

--- a/src/entry/run/claiming.rs
+++ b/src/entry/run/claiming.rs
@@ -35,7 +35,7 @@
 
     pub(super) fn closed(&mut self, shared: &mut Shared, now: Timestamp, exchange: ExchangeId) {
         if self.proposal.is(exchange) {
-            self.proposal.closed(shared, now);
+            self.proposal.closed(shared, now, exchange);
         }
     }
 
@@ -58,7 +58,7 @@
 
     pub(super) fn closed(&mut self, shared: &mut Shared, now: Timestamp, exchange: ExchangeId) {
         if self.proposal.is(exchange) {
-            self.proposal.closed(shared, now);
+            self.proposal.closed(shared, now, exchange);
         }
     }
 
@@ -130,11 +130,13 @@
         match &mut self.stage {
             Stage::Claiming(claiming) if claiming.proposal.is(exchange) => match reply {
                 ControlReply::NotLeader { leader } | ControlReply::Interrupted { leader } => {
-                    claiming.proposal.redirect(shared, now, leader);
+                    claiming.proposal.redirect(shared, now, exchange, leader);
                     Vec::new()
                 }
                 ControlReply::Applied(Applied::Claim(reply)) => {
-                    self.claim_reply(shared, now, reply)
+                    let mut outputs = claiming.proposal.answered(shared, exchange);
+                    outputs.extend(self.claim_reply(shared, now, reply));
+                    outputs
                 }
                 _ => {
                     let detail = "control did not take the claim";
@@ -143,7 +145,7 @@
             },
             Stage::OwnerCheck(check) if check.proposal.is(exchange) => match reply {
                 ControlReply::NotLeader { leader } | ControlReply::Interrupted { leader } => {
-                    check.proposal.redirect(shared, now, leader);
+                    check.proposal.redirect(shared, now, exchange, leader);
                     Vec::new()
                 }
                 ControlReply::Owner { alive: false } => {
--- a/src/entry/run/proposal.rs
+++ b/src/entry/run/proposal.rs
@@ -13,12 +13,16 @@
 /// The delay before a request is resent after a member refused it or its connection was lost.
 const RESEND_INTERVAL: Duration = Duration::from_millis(25);
 
-/// A request to control and its current exchange.
+/// A request to control and its exchanges.
 #[derive(Debug)]
 pub(super) struct Proposal {
     call: CallId,
     request: ControlRequest,
+    /// The exchange of the newest send.
     open: Option<(ExchangeId, SocketAddr)>,
+    /// The exchanges of earlier sends of a command, which are left open: a commit may outlast
+    /// [`ANSWER_TIMEOUT`], and its reply comes on the exchange that proposed it.
+    earlier: Vec<ExchangeId>,
     /// When the request was sent for the first time.
     pub(super) since: Timestamp,
     resend_at: Timestamp,
@@ -32,14 +36,15 @@
         call: CallId,
         request: ControlRequest,
     ) -> (Proposal, Outputs) {
-        let mut proposal = Proposal { call, request, open: None, since: now, resend_at: now };
+        let (open, earlier) = (None, Vec::new());
+        let mut proposal = Proposal { call, request, open, earlier, since: now, resend_at: now };
         let outputs = proposal.send(shared, now);
         (proposal, outputs)
     }
 
     /// Returns whether the request is open on this exchange.
     pub(super) fn is(&self, exchange: ExchangeId) -> bool {
-        self.open.is_some_and(|(e, _)| e == exchange)
+        self.open.is_some_and(|(e, _)| e == exchange) || self.earlier.contains(&exchange)
     }
 
     /// Returns when the request is resent if there is no answer.
@@ -55,14 +60,22 @@
         let mut outputs = Vec::new();
         if let Some((exchange, peer)) = self.open.take() {
             shared.proposer.advance_past(peer);
-            outputs.extend([shared.reset(exchange), Output::Redial { peer }]);
+            if matches!(self.request, ControlRequest::Propose(_)) {
+                self.earlier.push(exchange);
+            } else {
+                outputs.push(shared.reset(exchange));
+            }
+            outputs.push(Output::Redial { peer });
         }
         outputs.extend(self.send(shared, now));
         outputs
     }
 
-    /// Handles the loss of the exchange.
-    pub(super) fn closed(&mut self, shared: &mut Shared, now: Timestamp) {
+    /// Handles the loss of an exchange.
+    pub(super) fn closed(&mut self, shared: &mut Shared, now: Timestamp, exchange: ExchangeId) {
+        if self.take_earlier(exchange) {
+            return;
+        }
         if let Some((_, peer)) = self.open.take() {
             shared.proposer.advance_past(peer);
         }
@@ -70,12 +83,19 @@
     }
 
     /// Handles the answer of a member that is not the leader, and schedules the resend.
+    ///
+    /// Such an answer to an earlier send changes nothing, since a newer send is open or scheduled.
     pub(super) fn redirect(
         &mut self,
         shared: &mut Shared,
         now: Timestamp,
+        exchange: ExchangeId,
         leader: Option<SocketAddr>,
     ) {
+        if self.take_earlier(exchange) {
+            shared.remove_exchange(exchange);
+            return;
+        }
         if let Some((exchange, peer)) = self.open.take() {
             shared.remove_exchange(exchange);
             shared.proposer.redirect(peer, leader);
@@ -85,7 +105,23 @@
 
     /// Cancels the request; control may still apply it if it was sent.
     pub(super) fn cancel(&mut self, shared: &mut Shared) -> Outputs {
-        self.open.take().map(|(exchange, _)| shared.reset(exchange)).into_iter().collect()
+        let open = self.open.take().map(|(exchange, _)| exchange);
+        let all = self.earlier.drain(..).chain(open);
+        all.map(|exchange| shared.reset(exchange)).collect()
+    }
+
+    /// Handles the answer on one exchange: cancels the others.
+    pub(super) fn answered(&mut self, shared: &mut Shared, exchange: ExchangeId) -> Outputs {
+        if !self.take_earlier(exchange) {
+            self.open = None;
+        }
+        self.cancel(shared)
+    }
+
+    /// Removes an exchange from those of earlier sends; returns whether it was one of them.
+    fn take_earlier(&mut self, exchange: ExchangeId) -> bool {
+        let position = self.earlier.iter().position(|e| *e == exchange);
+        position.map(|at| self.earlier.swap_remove(at)).is_some()
     }
 
     fn send(&mut self, shared: &mut Shared, now: Timestamp) -> Outputs {
--- a/src/entry/run/recording.rs
+++ b/src/entry/run/recording.rs
@@ -31,7 +31,7 @@
 
     pub(super) fn closed(&mut self, shared: &mut Shared, now: Timestamp, exchange: ExchangeId) {
         if self.proposal.is(exchange) {
-            self.proposal.closed(shared, now);
+            self.proposal.closed(shared, now, exchange);
         }
     }
 }
@@ -133,13 +133,14 @@
             return Vec::new();
         }
         if let ControlReply::NotLeader { leader } | ControlReply::Interrupted { leader } = reply {
-            recording.proposal.redirect(shared, now, leader);
+            recording.proposal.redirect(shared, now, exchange, leader);
             return Vec::new();
         }
+        let mut outputs = recording.proposal.answered(shared, exchange);
         let later = std::mem::take(&mut recording.later);
         let finish = recording.finish.take();
         let closed = ControlReply::Applied(Applied::Claim(ClaimReply::Closed));
-        let mut outputs = self.send_recorded(finish, reply == closed);
+        outputs.extend(self.send_recorded(finish, reply == closed));
         outputs.extend(self.record(shared, now, later));
         outputs
     }
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -461,6 +461,33 @@
     .unwrap()
 }
 
+/// A commit may take longer than an entry waits for a member before it sends the claim again, if it
+/// takes less than the entry waits for the claim as a whole.
+#[test]
+fn claim_is_granted_although_each_commit_outlasts_a_resend() {
+    for commit_ms in [400, 600, 900, 1_500] {
+        let mut test = Test::new(Variant::RoundRobin);
+        let id = test.call(0, Some("key-0"), "key-0".into(), DEADLINE_MS).unwrap();
+        // Without a quorum `deliver` passes on messages only, so that commits are made here.
+        test.world.quorum = false;
+        for elapsed_ms in (100..=1_900).step_by(100) {
+            while test.world.deliver(0) {}
+            test.world.advance(Duration::from_millis(100));
+            while test.world.deliver(0) {}
+            if elapsed_ms % commit_ms == 0 {
+                test.world.quorum = true;
+                test.world.deliver(0);
+                test.world.quorum = false;
+                while test.world.deliver(0) {}
+            }
+            test.collect();
+        }
+        let work = test.work.iter().filter(|w| w.content == "key-0").count();
+        assert_eq!(work, 1, "{commit_ms} ms: the call did not reach its endpoint once");
+        assert!(!test.ended.contains_key(&id), "{commit_ms} ms: the call has ended");
+    }
+}
+
 #[test]
 fn tap_is_answered_after_its_entry_was_killed() {
     let (mut fleet, service) = slow_service();
