Carry the software version of an endpoint from its registration to all processes

Nothing knew the version, so nothing could tell whether an endpoint may continue a stream. Announcements and heartbeats may name it, the registry carries it with the endpoint's state. No decision uses it yet.

--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -39,6 +39,7 @@
         draining: false,
         sequence: 0,
         fence: Fence(0),
+        software: "".into(),
     }
 }
 
--- a/benches/policy/world.rs
+++ b/benches/policy/world.rs
@@ -335,6 +335,7 @@
             fenced: true,
             artifact: None,
             boot: BootId(u64::from(n.engine.epoch)),
+            software: "".into(),
         };
         self.step_agent(node, Input::Local(EngineInput::Announced(announcement)));
     }
--- a/benches/registry.rs
+++ b/benches/registry.rs
@@ -92,6 +92,7 @@
         load: Load { slots: 17, pieces: 48, prompt_tokens: 9_000, prefill_rate: 20_000 },
         draining: false,
         fence: Fence(123_456),
+        software: "".into(),
     });
     Process { follower: Follower::new(settings), state, cost: Cost::default() }
 }
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -121,6 +121,7 @@
             load: self.load(),
             draining: self.is_draining(),
             fence: self.orders.report().fence,
+            software: endpoint.software.clone(),
         })
     }
 
--- a/src/model/endpoint.rs
+++ b/src/model/endpoint.rs
@@ -71,6 +71,9 @@
     /// A number that changes with each start of the endpoint.
     #[serde(default)]
     pub boot: BootId,
+    /// The version of its software, empty if it reports none.
+    #[serde(default)]
+    pub software: Box<str>,
 }
 
 impl Announcement {
@@ -153,4 +156,7 @@
     pub draining: bool,
     /// The fencing number of the last order that was carried out.
     pub fence: Fence,
+    /// The version of its software, empty if it reports none. A stream that one version has begun
+    /// can only be continued by the same version.
+    pub software: Box<str>,
 }
--- a/tests/api.rs
+++ b/tests/api.rs
@@ -63,6 +63,7 @@
         load: Load::default(),
         draining,
         fence: Fence(0),
+        software: "".into(),
     }
 }
 
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -123,6 +123,7 @@
             fenced: false,
             artifact: None,
             boot: BootId(0),
+            software: "".into(),
         };
         Test {
             world: World::new(variant, ENTRIES, vec![announcement; AGENTS]),
--- a/tests/gateway_fixture/mod.rs
+++ b/tests/gateway_fixture/mod.rs
@@ -591,6 +591,7 @@
         load: Load::default(),
         draining: false,
         fence: Fence(0),
+        software: "".into(),
     }
 }
 
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -326,6 +326,7 @@
         fenced: false,
         artifact: None,
         boot: BootId(1),
+        software: "".into(),
     };
     let mut agent = Agent::new(settings.clone());
     let now = Timestamp::from_micros(1_000_000);
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -306,6 +306,7 @@
             load: Load { slots: endpoint.slots, ..Load::default() },
             draining: endpoint.orders.is_draining(),
             fence: report.fence,
+            software: "".into(),
         };
         let boot = endpoint.boot;
         let receiver = &mut self.members[member];
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -51,6 +51,7 @@
         draining: false,
         sequence: 0,
         fence: Fence(0),
+        software: "".into(),
     }
 }
 
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -150,6 +150,7 @@
         load: Load::default(),
         draining: false,
         fence: Fence(0),
+        software: "".into(),
     }
 }
 
--- a/tests/stages.rs
+++ b/tests/stages.rs
@@ -21,6 +21,7 @@
         load: Load::default(),
         draining: false,
         fence: Fence(0),
+        software: "".into(),
     }
 }
 
--- a/tests/world/engine.rs
+++ b/tests/world/engine.rs
@@ -25,6 +25,7 @@
         fenced: false,
         artifact: None,
         boot: BootId(1),
+        software: "".into(),
     }
 }
 
