Free an export when the run that was to fetch it breaks unanswered

An engine kept the KV cache of a prompt for its whole retention time, because only refused runs freed it. It is now freed unless the call is retried with it.

--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -344,16 +344,18 @@
         {
             call.failed = Some(failed);
         }
-        let unused = handoff.clone().filter(|_| failed.not_run);
+        let unused = handoff.clone().filter(|_| failed.not_run || attempt.head.is_none());
         let retried = self.try_retry(now, caller, &failed, handoff);
         if let Some(silence) = silence {
             let next = if retried.is_ok() { AfterSilence::Retry } else { AfterSilence::Ended };
             silence.log(&id, &endpoint_name, next);
         }
-        let Err(why) = retried else { return };
-        if let Some(unused) = unused {
+        // A retry after an attempt that has not run may use the export.
+        let reused = failed.not_run && retried.is_ok();
+        if let Some(unused) = unused.filter(|_| !reused) {
             self.free_export(now, unused.source, &unused.export.handle);
         }
+        let Err(why) = retried else { return };
         let ran = self.calls.get(&caller).is_some_and(|c| c.may_have_run);
         let refusal = if ran { answer::failed() } else { self.capacity_refusal(now, caller) };
         self.conclude(now, caller, refusal, why);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -404,6 +404,15 @@
     );
 }
 
+#[test]
+fn export_is_kept_when_its_run_breaks_before_it_is_answered() {
+    let mut f = Fixture::ready();
+    f.model_call(1, "/draft/a", "3000,100");
+    let run = f.answer_prefill();
+    f.fail_connection(&run, true);
+    assert_eq!(&*f.take_sent().head.target, "/export/e1", "expected the export to be freed");
+}
+
 #[test]
 fn export_is_used_at_another_endpoint_if_the_first_is_unreachable() {
     let mut f = Fixture::ready();
