Hand an export on if its decode endpoint leaves during the prefill

A caller was refused with 503, and the prefill endpoint kept the KV cache, when the reserved decode endpoint left the list while the prompt was prefilled: no other endpoint was tried and the export not freed. It now goes to another decode endpoint, or is freed.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -297,8 +297,14 @@
         // The reserved usage is counted again for the attempt by `run_on`.
         self.release(now, decode.endpoint, decode.usage);
         let kind = SendKind::From { source: address, handle: export.handle.clone() };
-        let from = Some(Handoff { source: attempt.endpoint, export, made: now });
-        if !self.run_on(now, caller, decode.endpoint, decode.usage, kind, from) {
+        let from = Handoff { source: attempt.endpoint, export, made: now };
+        let (endpoint, usage) = (decode.endpoint, decode.usage);
+        if self.run_on(now, caller, endpoint, usage, kind, Some(from.clone())) {
+            return;
+        }
+        // The decode endpoint has left the list meanwhile.
+        if !self.hand_off(now, caller, from.clone()) {
+            self.free_export(now, from.source, &from.export.handle);
             self.conclude(now, caller, answer::no_endpoint(), EndReason::NoEndpoint);
         }
     }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -7,7 +7,7 @@
 use dotterelpin::h1::{CallerId, HttpInput};
 use dotterelpin::model::EndpointKind;
 use dotterelpin::role::Input;
-use gateway_fixture::{Fixture, PLAIN, endpoint, table};
+use gateway_fixture::{Fixture, MODEL, PLAIN, endpoint, table};
 
 #[test]
 fn calls_before_the_first_table_are_refused_as_not_run() {
@@ -413,6 +413,24 @@
     assert_eq!(&*f.take_sent().head.target, "/export/e1", "expected the export to be freed");
 }
 
+#[test]
+fn export_is_lost_when_its_decode_endpoint_leaves_during_the_prefill() {
+    let mut f = Fixture::ready();
+    f.model_call(1, "/draft/a", "3000,100");
+    let hold = f.take_sent();
+    f.answer(&hold, 200, &[], "hold h1");
+    let prefill = f.take_sent();
+    let reserved = ["d1", "d2"].map(|n| endpoint(n, EndpointKind::Decode, MODEL));
+    let gone = reserved.iter().find(|e| e.address == hold.address).unwrap();
+    f.deregister(&gone.name);
+    // The idle connection of the reservation is closed, and the endpoint removed.
+    f.advance(1_000);
+    f.answer(&prefill, 200, &[], "export e1");
+    let run = f.take_sent();
+    assert_ne!(run.address, hold.address);
+    assert!(run.field("Source").is_some_and(|s| s.ends_with("/e1")), "{:?}", run.field("Source"));
+}
+
 #[test]
 fn export_is_used_at_another_endpoint_if_the_first_is_unreachable() {
     let mut f = Fixture::ready();
