Give the stand-in endpoints a software version

Endpoints of several software versions may serve side by side. The stand-in world now records at which version each event of a stream was made that reached its caller, and from which version a run fetches its KV cache. Its callers can take a stream up again after its last event; its endpoints can start anew under their names with another version, leave the list, and refuse runs although they have granted the reservation. Answers outlast a start of the gateway, as callers keep what they have.

--- a/tests/gateway_fixture/mod.rs
+++ b/tests/gateway_fixture/mod.rs
@@ -326,6 +326,11 @@
         self.endpoints.push(endpoint);
     }
 
+    /// Takes an endpoint from the registry of control.
+    pub fn withdraw(&mut self, name: &str) {
+        self.endpoints.retain(|e| &*e.name != name);
+    }
+
     /// Commits the deregistration of an endpoint; the next heartbeat delivers it.
     pub fn deregister(&mut self, name: &str) {
         let boot = self.endpoints.iter().find(|e| &*e.name == name).unwrap().boot;
--- a/tests/stand_in/mod.rs
+++ b/tests/stand_in/mod.rs
@@ -1,5 +1,6 @@
 //! Endpoints that act by themselves before a gateway role, in simulated time, and count what
-//! reaches them: they fall silent and go on, crash, restart under another name, and fill up.
+//! reaches them: they fall silent and go on, crash, restart under another name or software version,
+//! and fill up.
 
 #![allow(dead_code)]
 
@@ -7,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use dotterelpin::h1::{HttpInput, PeerId};
+use dotterelpin::h1::{CallerId, HttpInput, PeerId};
 use dotterelpin::model::{BootId, EndpointKind, EndpointState, Timestamp};
 use dotterelpin::role::Input;
 use dotterelpin::routes::RawTable;
@@ -58,6 +59,10 @@
     pub target: Box<str>,
     /// What it asks for.
     pub kind: Kind,
+    /// The software version that ran at the endpoint.
+    pub software: Box<str>,
+    /// The software version that ran where its KV cache is to be fetched; `None` if it fetches none.
+    pub source: Option<Box<str>>,
     /// The status with which the endpoint turned it away; `None` if it accepted it.
     pub rejected: Option<u16>,
 }
@@ -66,9 +71,11 @@
 struct StandIn {
     name: Box<str>,
     service: Box<str>,
+    software: Box<str>,
     silent_until: Timestamp,
     down_until: Timestamp,
     full: bool,
+    refuses_runs: bool,
 }
 
 #[derive(Debug)]
@@ -103,13 +110,23 @@
     calls: Vec<(Timestamp, Box<str>)>,
     next_call: u64,
     next_handle: u64,
+    /// The stream of each call that takes one up again, named by the call that began it.
+    origins: BTreeMap<u64, u64>,
+    /// How many events a caller had before each call that takes a stream up again.
+    had: BTreeMap<u64, u64>,
+    /// The software versions whose events callers received, by stream.
+    versions: BTreeMap<u64, BTreeSet<Box<str>>>,
 }
 
 impl World {
     /// Creates a gateway that is ready, before the given endpoints.
     pub fn new(table: RawTable, endpoints: &[(&str, EndpointKind, &str)]) -> World {
-        let listed: Vec<EndpointState> =
-            endpoints.iter().map(|(name, kind, pool)| endpoint(name, *kind, pool)).collect();
+        let of = |(name, kind, pool): &(&str, EndpointKind, &str)| endpoint(name, *kind, pool);
+        World::before(table, endpoints.iter().map(of).collect())
+    }
+
+    /// Creates a gateway that is ready, before endpoints in the given states.
+    pub fn before(table: RawTable, listed: Vec<EndpointState>) -> World {
         let stand_ins = listed.iter().map(|e| (e.address, StandIn::of(e))).collect();
         let tables = vec![table];
         let mut world = World {
@@ -126,6 +143,9 @@
             calls: Vec::new(),
             next_call: 0,
             next_handle: 0,
+            origins: BTreeMap::new(),
+            had: BTreeMap::new(),
+            versions: BTreeMap::new(),
         };
         world.start_gateway();
         // The budget of a gateway that has just started may be smaller.
@@ -144,7 +164,10 @@
 
     /// Ends the gateway at once and starts it anew; its connections are lost.
     pub fn restart_gateway(&mut self, boot: u64) {
+        let mut answers = std::mem::take(&mut self.f.answers);
+        answers.values_mut().filter(|a| !a.complete).for_each(|a| a.aborted = true);
         self.f = Fixture::started(self.tables.clone(), budget_terms(), BootId(boot), self.f.now);
+        self.f.answers = answers;
         self.work.clear();
         self.peers.clear();
         self.half_open.clear();
@@ -163,6 +186,90 @@
         self.counted(service, |f, caller| f.model_call(caller, path, &tokens))
     }
 
+    /// Takes a stream up again after its last event, as its caller: ends the call that runs, if any,
+    /// and sends a new one, which names the call that brought the first event of the stream.
+    pub fn take_up(&mut self, caller: u64, path: &str, service: &str, events: u64) -> u64 {
+        let origin = self.origin(caller);
+        let (had, patience) = (self.had_events(caller), "9000");
+        self.leave(caller);
+        let (resumes, had_text) = (format!("call-{origin}"), had.to_string());
+        let extra = [("Resumes", &*resumes), ("Last-Event-Id", &*had_text)];
+        let next = self.resumption(path, service, events, &extra, patience);
+        self.origins.insert(next, origin);
+        self.had.insert(next, had);
+        next
+    }
+
+    /// Sends a call to a model with these fields added.
+    pub fn resumption(
+        &mut self,
+        path: &str,
+        service: &str,
+        events: u64,
+        extra: &[(&str, &str)],
+        patience: &str,
+    ) -> u64 {
+        let tokens = format!("300,{events}");
+        let own = [("Model", "m"), ("Tokens", &*tokens), ("Patience-Ms", patience)];
+        let fields = [&own[..], extra].concat();
+        self.counted(service, |f, caller| f.call(caller, path, &fields))
+    }
+
+    /// Ends a call as its caller, which closes its connection.
+    pub fn leave(&mut self, caller: u64) {
+        let over = self.f.answers.get(&caller).is_some_and(|a| a.complete || a.aborted);
+        if !over {
+            self.f.step(Input::Local(HttpInput::CallerGone { caller: CallerId(caller) }));
+            self.receive();
+        }
+    }
+
+    /// Returns the call that brought the first event of a call's stream.
+    pub fn origin(&self, caller: u64) -> u64 {
+        self.origins.get(&caller).copied().unwrap_or(caller)
+    }
+
+    /// Returns how many events of its stream a caller has.
+    pub fn had_events(&self, caller: u64) -> u64 {
+        self.had.get(&caller).copied().unwrap_or(0) + self.new_events(caller)
+    }
+
+    /// Returns how many events a call has brought.
+    pub fn new_events(&self, caller: u64) -> u64 {
+        let content = self.f.answers.get(&caller).map_or(&[][..], |a| &a.content);
+        String::from_utf8_lossy(content).matches("id: ").count() as u64
+    }
+
+    /// Returns whether a call got the rest of its stream of so many events, each once and in order.
+    pub fn is_rest(&self, caller: u64, events: u64) -> bool {
+        let had = self.had.get(&caller).copied().unwrap_or(0);
+        let expected: String = (had + 1..=events).map(event_text).collect();
+        let answer = self.f.answers.get(&caller);
+        answer.is_some_and(|a| a.complete && a.status == 200 && a.content == expected.as_bytes())
+    }
+
+    /// Describes the streams that hold events of several software versions.
+    pub fn mixed_streams(&self) -> Vec<String> {
+        let mixed = self.versions.iter().filter(|(_, versions)| versions.len() > 1);
+        mixed.map(|(stream, versions)| format!("stream {stream}: {versions:?}")).collect()
+    }
+
+    /// Returns how many streams have events.
+    pub fn begun_streams(&self) -> usize {
+        self.versions.len()
+    }
+
+    /// Returns the software version that began the stream of a call.
+    pub fn version_of(&self, caller: u64) -> Option<Box<str>> {
+        self.versions.get(&self.origin(caller))?.first().cloned()
+    }
+
+    /// Returns the runs whose KV cache came from another software version.
+    pub fn mixed_exports(&self) -> Vec<&Arrival> {
+        let of_other = |a: &&Arrival| a.source.as_ref().is_some_and(|s| *s != a.software);
+        self.arrivals.iter().filter(of_other).collect()
+    }
+
     fn counted(&mut self, service: &str, call: impl FnOnce(&mut Fixture, u64)) -> u64 {
         self.next_call += 1;
         self.calls.push((self.f.now, service.into()));
@@ -196,6 +303,37 @@
         self.stand_in(name).full = full;
     }
 
+    /// Makes an endpoint turn away runs although it grants reservations, or accept them again.
+    pub fn refuse_runs(&mut self, name: &str, refuses: bool) {
+        self.stand_in(name).refuses_runs = refuses;
+    }
+
+    /// Starts an endpoint anew under its name and at its address with another software version.
+    /// This is not listed yet.
+    pub fn upgrade(&mut self, name: &str, software: &str, millis: u64) {
+        self.stand_in(name).software = software.into();
+        self.crash(name, millis);
+    }
+
+    /// Lists a newer start of an endpoint with its present software version.
+    pub fn list_upgrade(&mut self, name: &str) {
+        let software = self.stand_in(name).software.clone();
+        let state = self.listed.iter_mut().find(|e| &*e.name == name).unwrap();
+        state.boot = BootId(state.boot.0 + 1);
+        state.sequence = 1;
+        state.software = software;
+        let state = state.clone();
+        self.f.announce(state);
+    }
+
+    /// Ends an endpoint for good and takes it from the list.
+    pub fn remove(&mut self, name: &str) {
+        self.crash(name, 3_600_000);
+        self.f.deregister(name);
+        self.f.withdraw(name);
+        self.listed.retain(|e| &*e.name != name);
+    }
+
     /// Resets all connections of an endpoint, which accepts none for so long.
     pub fn crash(&mut self, name: &str, millis: u64) {
         let address = self.address(name);
@@ -219,8 +357,10 @@
     pub fn list_replacement(&mut self, old: &str, new: &str) {
         let at = self.listed.iter().position(|e| &*e.name == old).unwrap();
         self.f.deregister(old);
+        let software = self.stand_in(new).software.clone();
         let state = &mut self.listed[at];
         state.name = new.into();
+        state.software = software;
         state.boot = BootId(state.boot.0 + 1);
         self.f.announce(self.listed[at].clone());
     }
@@ -409,6 +549,8 @@
         }
         self.peers.insert(sent.peer, sent.address);
         let rejected = stand_in.rejection(&sent);
+        let source = sent.field("Source").and_then(|s| s.split_once('/')?.0.parse().ok());
+        let source: Option<SocketAddr> = source;
         if let Some(kind) = kind(&sent) {
             self.arrivals.push(Arrival {
                 at: now,
@@ -416,6 +558,8 @@
                 service: stand_in.service.clone(),
                 target: sent.field("Endpoint").unwrap_or(&stand_in.name).into(),
                 kind,
+                software: stand_in.software.clone(),
+                source: source.map(|at| self.stand_ins[&at].software.clone()),
                 rejected,
             });
         }
@@ -470,12 +614,24 @@
             self.f.end(&sent);
             return None;
         }
-        self.f.data(&sent, event_text(work.event).as_bytes());
+        self.send_event(&sent, work.event);
         work.at = self.f.now + EVENT_TIME;
         let closed = self.f.hung_up.contains(&sent.peer);
         (!closed).then_some(work)
     }
 
+    /// Sends an event, and notes its software version if it reached a caller.
+    fn send_event(&mut self, sent: &Sent, event: u64) {
+        let id = sent.field("Call-Id").and_then(|id| id.strip_prefix("call-")?.parse().ok());
+        let caller = id.unwrap_or_default();
+        let before = self.new_events(caller);
+        self.f.data(sent, event_text(event).as_bytes());
+        if self.new_events(caller) > before {
+            let software = self.stand_ins[&sent.address].software.clone();
+            self.versions.entry(self.origin(caller)).or_default().insert(software);
+        }
+    }
+
     fn content(&mut self, sent: &Sent) -> String {
         self.next_handle += 1;
         match kind(sent) {
@@ -491,9 +647,11 @@
         StandIn {
             name: state.name.clone(),
             service: state.pool.clone(),
+            software: state.software.clone(),
             silent_until: Timestamp::default(),
             down_until: Timestamp::default(),
             full: false,
+            refuses_runs: false,
         }
     }
 
@@ -502,6 +660,7 @@
         match kind(sent)? {
             _ if other => Some(421),
             _ if self.full => Some(503),
+            Kind::Run if self.refuses_runs => Some(503),
             _ => None,
         }
     }
