Keep the origins of streams at the control members

A stream may go on only at the software version that began it, and its caller may resume it at any gateway, which did not see it begin. They also know the only version of a service if just one was heard of for 30 s without a gap; a member that has started, or that was suspended or cut off, does not claim that. No gateway sends these requests yet. The new variants are at the ends of the enums, so the encoding of the others is as before.

--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -223,6 +223,8 @@
             | ControlReply::Lead { .. }
             | ControlReply::PromptAssigned { .. }
             | ControlReply::RoomAssigned { .. }
+            | ControlReply::OriginsRecorded
+            | ControlReply::OriginFound { .. }
             | ControlReply::Status(_) => {
                 log::error!("step=api error=\"unexpected kind of reply from a control member\"");
                 self.retry(now, caller, true);
--- a/src/control/answers.rs
+++ b/src/control/answers.rs
@@ -23,6 +23,9 @@
         };
         let suspects = self.suspects(heartbeat.suspects);
         let routing = heartbeat.routing.map(|seen| Box::new(self.routing_update(seen)));
+        if let Some(endpoint) = &heartbeat.endpoint {
+            self.list_version(now, endpoint);
+        }
         self.registry.heartbeat(now, heartbeat);
         let endpoints =
             if follows { self.registry.endpoint_update(now, seen, &wants) } else { None };
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -7,6 +7,7 @@
 pub mod disk;
 pub mod dispatch;
 pub mod orders;
+pub mod origins;
 mod peers;
 pub mod quarantine;
 pub mod replica;
@@ -20,6 +21,7 @@
 use config::{Change, Revised, schema_of};
 use dispatch::prompts::Prompts;
 use dispatch::rooms::Rooms;
+use origins::Origins;
 use peers::Peers;
 use replica::{Entry, LogIndex, Replica, ReplicaInput, ReplicaSettings, Snapshot, Stored, WriteId};
 use state::{Applied, ChangeReply, Command, State};
@@ -101,6 +103,7 @@
     peers: Peers,
     prompts: Prompts,
     rooms: Rooms,
+    origins: Origins,
     proposals: BTreeMap<LogIndex, Proposal>,
     failed: bool,
     stopping: Option<Timestamp>,
@@ -125,6 +128,7 @@
             peers: Peers::default(),
             prompts: Prompts::default(),
             rooms: Rooms::default(),
+            origins: Origins::default(),
             proposals: BTreeMap::new(),
             failed: false,
             stopping: None,
@@ -164,6 +168,7 @@
             }
             ControlRequest::Propose(command) => self.propose(now, inbound, command.stamped(now)),
             ControlRequest::Announce(endpoint) => {
+                self.list_version(now, &endpoint);
                 self.registry.announce(now, *endpoint, self.revised);
                 vec![self.reply(inbound, ControlReply::Announced)]
             }
@@ -204,6 +209,11 @@
                 let status = Box::new(self.status(now));
                 vec![self.reply(inbound, ControlReply::Status(status))]
             }
+            ControlRequest::RecordOrigins(origins) => self.record_origins(now, inbound, origins),
+            ControlRequest::FindOrigin { call, service } => {
+                let found = self.find_origin(now, call.as_deref(), &service);
+                vec![self.reply(inbound, found)]
+            }
         }
     }
 
--- /dev/null
+++ b/src/control/origins/requests.rs
@@ -0,0 +1,52 @@
+//! Replies of a member to gateways that record or request the origins of streams.
+
+use super::Origin;
+use crate::control::{Control, Outputs};
+use crate::link::message::ControlReply;
+use crate::model::{EndpointState, InboundId, Timestamp};
+use crate::report::observation::Observation;
+use crate::role::Output;
+
+impl Control {
+    /// Adds the software version of an endpoint to the history of its service.
+    pub(in crate::control) fn list_version(&mut self, now: Timestamp, endpoint: &EndpointState) {
+        self.origins.listed(now, &endpoint.pool, &endpoint.software);
+    }
+
+    pub(in crate::control) fn record_origins(
+        &mut self,
+        now: Timestamp,
+        inbound: InboundId,
+        origins: Vec<Origin>,
+    ) -> Outputs {
+        let recorded = self.origins.record(now, origins);
+        let observation = Observation::Origins { recorded, held: self.origins.count() };
+        vec![Output::Observe(observation), self.reply(inbound, ControlReply::OriginsRecorded)]
+    }
+
+    /// Returns what this member knows of the origin of a stream. An origin of another service is
+    /// not returned.
+    pub(in crate::control) fn find_origin(
+        &self,
+        now: Timestamp,
+        call: Option<&str>,
+        service: &str,
+    ) -> ControlReply {
+        let origin = call.and_then(|c| self.origins.find(now, c));
+        let software = origin.filter(|o| *o.service == *service).map(|o| o.software.clone());
+        let only = self.origins.only(now, service);
+        let outcome = match (&software, &only) {
+            (Some(_), _) => "found",
+            (None, Some(_)) => "only",
+            (None, None) => "unknown",
+        };
+        let age = call.filter(|_| software.is_some()).and_then(|c| self.origins.age(now, c));
+        log::info!(
+            "step=origin call={} service={service} outcome={outcome} software={} age_ms={}",
+            call.unwrap_or("-"),
+            software.as_ref().or(only.as_ref()).map_or("-", |s| s),
+            age.map_or_else(|| "-".into(), |a| a.as_millis().to_string()),
+        );
+        ControlReply::OriginFound { software, only }
+    }
+}
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -10,6 +10,7 @@
 use crate::control::dispatch::rooms::{RoomRequest, RunEnd, RunId};
 use crate::control::orders::rollout::Rollout;
 use crate::control::orders::{Desired, OrderReport, OrderUpdate};
+use crate::control::origins::Origin;
 use crate::control::quarantine::{Fingerprint, Suspect};
 use crate::control::replica::ReplicaMessage;
 use crate::control::routing::{RoutingSeen, RoutingUpdate};
@@ -238,6 +239,17 @@
     Owner(BootId),
     /// Requests the member's view of the fleet, for operators.
     Status,
+    /// Records the origins of streams at the member; the first record of a call is kept, so the
+    /// request may be sent again.
+    RecordOrigins(Vec<Origin>),
+    /// Requests the software version at which a stream may go on; every member answers from what it
+    /// knows itself.
+    FindOrigin {
+        /// The id of the call that brought the stream's first event, if the caller names it.
+        call: Option<Box<str>>,
+        /// The name of the service.
+        service: Box<str>,
+    },
 }
 
 /// The state that a process reports to each control member at intervals.
@@ -341,6 +353,17 @@
     },
     /// The member's view of the fleet.
     Status(Box<Status>),
+    /// The origins are recorded at this member.
+    OriginsRecorded,
+    /// The answer to a request for the origin of a stream.
+    OriginFound {
+        /// The software version that began the stream, if the member knows it.
+        software: Option<Box<str>>,
+        /// The software version of all endpoints of the service within
+        /// [`ORIGIN_TTL`](crate::control::origins::ORIGIN_TTL), if the member knows that there was
+        /// only one.
+        only: Option<Box<str>>,
+    },
 }
 
 /// The state that the decisions of the log's leader are based on.
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -58,6 +58,8 @@
     revision: IntGaugeVec,
     processes: IntGauge,
     endpoints: IntGauge,
+    recorded: IntCounter,
+    origins: IntGauge,
     exchanges: HistogramVec,
     open_by_age: IntGaugeVec,
     steps: HistogramVec,
@@ -104,6 +106,8 @@
             revision: make.gauges("config_revision", "Configuration in force", &["role"])?,
             processes: make.gauge("processes", "Live processes that this control member hears")?,
             endpoints: make.gauge("endpoints", "Live endpoints that this control member hears")?,
+            recorded: make.counter("origins_recorded_total", "Origins of streams recorded")?,
+            origins: make.gauge("origins", "Origins of streams that this control member keeps")?,
             exchanges: make.seconds(
                 "exchange_seconds",
                 "From a peer's request to the last reply; kind propose is the time of a commit",
@@ -167,6 +171,10 @@
                 self.processes.set(processes as i64);
                 self.endpoints.set(endpoints as i64);
             }
+            Observation::Origins { recorded, held } => {
+                self.recorded.inc_by(recorded as u64);
+                self.origins.set(held as i64);
+            }
         }
     }
 
--- a/src/report/observation.rs
+++ b/src/report/observation.rs
@@ -43,6 +43,13 @@
         /// The number of live endpoints.
         endpoints: usize,
     },
+    /// A control member has received origins of streams.
+    Origins {
+        /// The number of new ones among them.
+        recorded: usize,
+        /// The number that the member keeps now.
+        held: usize,
+    },
 }
 
 /// Whether a request of a call to an endpoint repeats an earlier one.
--- /dev/null
+++ b/tests/origins.rs
@@ -0,0 +1,280 @@
+//! Control members know which software version began which stream, and which versions the endpoints
+//! of a service have reported lately; they lose both with their process.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dotterelpin::control::config::Revised;
+use dotterelpin::control::origins::{MAX_ORIGINS, ORIGIN_TTL, Origin, Origins};
+use dotterelpin::control::replica::{MemberId, ReplicaSettings, Stored};
+use dotterelpin::control::{Control, ControlSettings, DiskEffect, DiskInput};
+use dotterelpin::link::message::{
+    ControlReply, ControlRequest, Envelope, Heartbeat, ProcessState, Reply, Request,
+};
+use dotterelpin::model::{
+    BootId, Capacity, EndpointKind, EndpointState, Fence, InboundId, Load, Timestamp,
+};
+use dotterelpin::report::observation::Observation;
+use dotterelpin::role::{Input, Output, Role};
+
+const SERVICE: &str = "cs-summary";
+
+fn second(count: u64) -> Timestamp {
+    Timestamp::from_micros(count * 1_000_000)
+}
+
+fn origin(call: &str, software: &str) -> Origin {
+    Origin { call: call.into(), service: SERVICE.into(), software: software.into() }
+}
+
+/// Lists one version at each second of a range, its end included.
+fn list(origins: &mut Origins, from: u64, to: u64, software: &str) {
+    (from..=to).for_each(|n| origins.listed(second(n), SERVICE, software));
+}
+
+fn only(origins: &Origins, at: u64) -> Option<Box<str>> {
+    origins.only(second(at), SERVICE)
+}
+
+#[test]
+fn first_record_of_a_call_is_kept_whoever_sends_it_again() {
+    let mut origins = Origins::default();
+    let first = vec![origin("a", "v1"), origin("a", "v2"), origin("b", "v2")];
+    assert_eq!(origins.record(second(1), first), 2);
+    assert_eq!(origins.record(second(20), vec![origin("a", "v2"), origin("b", "v2")]), 0);
+    assert_eq!(origins.find(second(20), "a"), Some(&origin("a", "v1")));
+    assert_eq!(origins.find(second(20), "b"), Some(&origin("b", "v2")));
+    assert_eq!(origins.find(second(20), "c"), None);
+    assert_eq!(origins.age(second(20), "a"), Some(Duration::from_secs(19)));
+}
+
+#[test]
+fn origin_expires_after_its_first_record_and_may_then_be_recorded_anew() {
+    let mut origins = Origins::default();
+    origins.record(second(1), vec![origin("a", "v1")]);
+    origins.record(second(25), vec![origin("a", "v1"), origin("b", "v2")]);
+    let last = Timestamp::from_micros((second(1) + ORIGIN_TTL).as_micros() - 1);
+    assert_eq!(origins.find(last, "a"), Some(&origin("a", "v1")));
+    assert_eq!(origins.find(second(1) + ORIGIN_TTL, "a"), None);
+    assert_eq!(origins.age(second(1) + ORIGIN_TTL, "a"), None);
+    assert_eq!(origins.find(second(31), "b"), Some(&origin("b", "v2")));
+    assert_eq!(origins.record(second(31), vec![origin("a", "v3")]), 1);
+    assert_eq!(origins.find(second(31), "a"), Some(&origin("a", "v3")));
+    assert_eq!(origins.count(), 2);
+    origins.record(second(61), Vec::new());
+    assert_eq!(origins.count(), 0, "expected no expired origin in memory");
+}
+
+#[test]
+fn number_of_origins_is_bounded_and_the_oldest_ones_are_removed_first() {
+    let mut origins = Origins::default();
+    let numbered = |n: usize| origin(&format!("c-{n}"), "v1");
+    let recorded = origins.record(second(1), (0..MAX_ORIGINS + 10).map(numbered).collect());
+    assert_eq!((recorded, origins.count()), (MAX_ORIGINS + 10, MAX_ORIGINS));
+    assert_eq!(origins.find(second(1), "c-9"), None);
+    assert_eq!(origins.find(second(1), "c-10"), Some(&numbered(10)));
+    // A call that is known already removes no other one.
+    assert_eq!(origins.record(second(2), vec![numbered(10)]), 0);
+    assert_eq!(origins.find(second(2), "c-10"), Some(&numbered(10)));
+    assert_eq!(origins.record(second(2), vec![numbered(9)]), 1);
+    assert_eq!(origins.find(second(2), "c-10"), None);
+    assert_eq!(origins.count(), MAX_ORIGINS);
+}
+
+#[test]
+fn only_version_is_known_once_the_member_has_listened_for_the_whole_ttl() {
+    let mut origins = Origins::default();
+    assert_eq!(only(&origins, 100), None);
+    list(&mut origins, 1, 30, "v1");
+    assert_eq!(only(&origins, 30), None);
+    list(&mut origins, 31, 31, "v1");
+    assert_eq!(only(&origins, 31).as_deref(), Some("v1"));
+    assert_eq!(origins.only(second(31), "other"), None);
+    origins.listed(second(31), "other", "v7");
+    assert_eq!(only(&origins, 31).as_deref(), Some("v1"));
+    assert_eq!(origins.only(second(31), "other").as_deref(), Some("v7"));
+}
+
+#[test]
+fn none_of_two_versions_is_the_only_one_until_the_ttl_of_the_first_has_passed() {
+    let mut origins = Origins::default();
+    list(&mut origins, 1, 40, "v1");
+    assert_eq!(only(&origins, 40).as_deref(), Some("v1"));
+    list(&mut origins, 40, 69, "v2");
+    assert_eq!(only(&origins, 40), None);
+    assert_eq!(only(&origins, 69), None);
+    list(&mut origins, 70, 70, "v2");
+    assert_eq!(only(&origins, 70).as_deref(), Some("v2"));
+    // An endpoint that reports no version has another one than all others.
+    list(&mut origins, 71, 71, "");
+    assert_eq!(only(&origins, 71), None);
+}
+
+#[test]
+fn endpoints_without_versions_count_as_one_version() {
+    let mut origins = Origins::default();
+    list(&mut origins, 1, 31, "");
+    assert_eq!(only(&origins, 31).as_deref(), Some(""));
+}
+
+/// A member that was suspended or cut off hears the versions again one after the other.
+#[test]
+fn interruption_of_all_listings_begins_a_new_history() {
+    let mut origins = Origins::default();
+    list(&mut origins, 1, 40, "v1");
+    list(&mut origins, 43, 43, "v1");
+    assert_eq!(only(&origins, 46).as_deref(), Some("v1"));
+    assert_eq!(only(&origins, 47), None, "expected no answer while nothing is heard");
+    list(&mut origins, 90, 119, "v2");
+    assert_eq!(only(&origins, 90), None);
+    assert_eq!(only(&origins, 119), None);
+    list(&mut origins, 120, 120, "v2");
+    assert_eq!(only(&origins, 120).as_deref(), Some("v2"));
+}
+
+fn address(member: u8) -> SocketAddr {
+    ([10, 0, 0, member], 7000).into()
+}
+
+fn endpoint(name: &str, software: &str) -> EndpointState {
+    EndpointState {
+        name: name.into(),
+        address: address(100),
+        domain: "brno-a".into(),
+        boot: BootId(7),
+        sequence: 0,
+        kind: EndpointKind::Decode,
+        pool: SERVICE.into(),
+        url: "http://10.0.0.100:7000".into(),
+        capacity: Capacity { slots: 8, pieces: 60, piece_tokens: 500 },
+        load: Load::default(),
+        draining: false,
+        fence: Fence(0),
+        software: software.into(),
+    }
+}
+
+/// One control member; its disk syncs at once.
+struct Member {
+    control: Control,
+    now: Timestamp,
+    recorded: usize,
+}
+
+impl Member {
+    /// Starts a member of a group of this size. Alone it leads; the others of a group are silent.
+    fn start(size: u8, now: Timestamp) -> Member {
+        let members = (0..size).map(address).collect();
+        let settings = ControlSettings {
+            name: "control-0".into(),
+            domain: "brno-a".into(),
+            boot: BootId(now.as_micros()),
+            replica: ReplicaSettings::new(address(0), members, 1),
+        };
+        let control = Control::new(settings, Stored::new(MemberId(1))).unwrap();
+        let mut member = Member { control, now, recorded: 0 };
+        member.step(Input::Wake);
+        assert_eq!(member.control.replica().is_leader(), size == 1);
+        member
+    }
+
+    fn step(&mut self, input: Input<DiskInput>) -> Vec<ControlReply> {
+        let mut replies = Vec::new();
+        for output in self.control.step(self.now, input) {
+            match output {
+                Output::Effect(DiskEffect::Append { id, .. } | DiskEffect::Replace { id, .. }) => {
+                    replies.extend(self.step(Input::Local(DiskInput::Synced(id))));
+                }
+                Output::Reply { envelope, .. } => {
+                    if let Reply::Control(reply) = envelope.body {
+                        replies.push(reply);
+                    }
+                }
+                Output::Observe(Observation::Origins { recorded, .. }) => self.recorded += recorded,
+                _ => {}
+            }
+        }
+        replies
+    }
+
+    fn request(&mut self, request: ControlRequest) -> ControlReply {
+        let envelope = Envelope { revised: Revised::default(), body: Request::Control(request) };
+        self.step(Input::Request { inbound: InboundId(1), envelope }).remove(0)
+    }
+
+    fn record(&mut self, call: &str, software: &str) {
+        let request = ControlRequest::RecordOrigins(vec![origin(call, software)]);
+        assert_eq!(self.request(request), ControlReply::OriginsRecorded);
+    }
+
+    /// Returns the version that began the stream of a call, and the only version of the service.
+    fn find(&mut self, call: Option<&str>) -> (Option<Box<str>>, Option<Box<str>>) {
+        let call = call.map(Into::into);
+        match self.request(ControlRequest::FindOrigin { call, service: SERVICE.into() }) {
+            ControlReply::OriginFound { software, only } => (software, only),
+            other => panic!("expected the answer to FindOrigin, found {other:?}"),
+        }
+    }
+
+    fn heartbeat(&mut self, endpoint: EndpointState) {
+        let process = ProcessState {
+            name: endpoint.name.clone(),
+            role: "agent".into(),
+            domain: endpoint.domain.clone(),
+            boot: endpoint.boot,
+            revised: Revised::default(),
+        };
+        let heartbeat = Box::new(Heartbeat::of_endpoint(process, endpoint));
+        self.request(ControlRequest::Heartbeat(heartbeat));
+    }
+
+    /// Passes a second at a time; at each one an endpoint announces itself.
+    fn announce_until(&mut self, until: Timestamp, software: &str) {
+        while self.now < until {
+            self.now = self.now + Duration::from_secs(1);
+            self.step(Input::Wake);
+            self.request(ControlRequest::Announce(Box::new(endpoint("d1", software))));
+        }
+    }
+}
+
+#[test]
+fn member_that_does_not_lead_answers_from_its_records_and_loses_them_with_its_process() {
+    let mut member = Member::start(3, second(1));
+    assert_eq!(member.find(Some("a")), (None, None));
+    member.record("a", "v1");
+    member.record("a", "v2");
+    assert_eq!(member.recorded, 1);
+    assert_eq!(member.find(Some("a")), (Some("v1".into()), None));
+    assert_eq!(member.find(Some("b")), (None, None));
+    assert_eq!(member.find(None), (None, None));
+    let mut member = Member::start(3, second(2));
+    assert_eq!(member.find(Some("a")), (None, None));
+    member.record("a", "v1");
+    assert_eq!(member.find(Some("a")), (Some("v1".into()), None));
+}
+
+#[test]
+fn origin_of_another_service_is_not_an_answer() {
+    let mut member = Member::start(1, second(1));
+    let foreign = Origin { service: "other".into(), ..origin("a", "v1") };
+    member.request(ControlRequest::RecordOrigins(vec![foreign]));
+    assert_eq!(member.find(Some("a")), (None, None));
+}
+
+#[test]
+fn leader_names_the_only_version_from_announcements_and_heartbeats_of_endpoints() {
+    let mut member = Member::start(1, second(1));
+    member.announce_until(second(31), "v1");
+    assert_eq!(member.find(None), (None, None), "the first announcement is 29 s old");
+    member.announce_until(second(32), "v1");
+    assert_eq!(member.find(None), (None, Some("v1".into())));
+    member.record("a", "v0");
+    assert_eq!(member.find(Some("a")), (Some("v0".into()), Some("v1".into())));
+    member.heartbeat(endpoint("d2", "v2"));
+    assert_eq!(member.find(None), (None, None));
+    member.announce_until(second(61), "v1");
+    assert_eq!(member.find(None), (None, None));
+    member.announce_until(second(62), "v1");
+    assert_eq!(member.find(None), (None, Some("v1".into())));
+}
