Let followers list the members and those that have started anew

Soft state that a process sends to each control member has to be sent again to a member that has lost it with its process. The boot in the replies to heartbeats tells that; the first reply of a member counts as a start, too, since nothing can have been sent to it before.

--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -61,6 +61,10 @@
     proof: Option<(Proof, Timestamp)>,
     view: View,
     suspects: u64,
+    /// The boot of the member in its last reply.
+    boot: Option<BootId>,
+    /// Whether that boot is new since the restarted members were last taken.
+    restarted: bool,
 }
 
 impl Member {
@@ -75,9 +79,17 @@
             proof: None,
             view: View::default(),
             suspects: 0,
+            boot: None,
+            restarted: false,
         }
     }
 
+    /// Records the boot that the member states in a reply.
+    fn note_boot(&mut self, boot: BootId) {
+        let known = self.boot.replace(boot);
+        self.restarted |= known != Some(boot);
+    }
+
     /// Applies the member's update of endpoints; returns whether anything but loads changed.
     fn apply_endpoints(&mut self, beat: &Beat) -> bool {
         let Some(endpoints) = &beat.endpoints else {
@@ -287,6 +299,7 @@
         let Some(member) = self.find(exchange) else { return false };
         let Some((_, sent)) = member.open.take() else { return false };
         let Reply::Control(ControlReply::Beat(beat)) = reply else { return true };
+        member.note_boot(beat.seen.epoch);
         member.proof = beat.proof.clone().map(|proof| (proof, sent));
         let changed = member.apply_endpoints(beat);
         if member.view.digest() == beat.seen.digest {
@@ -382,6 +395,43 @@
         self.routing.gateways(now)
     }
 
+    /// Returns the addresses of all members that this process follows: those in the settings and
+    /// all voters.
+    ///
+    /// ```
+    /// use dotterelpin::model::BootId;
+    /// use dotterelpin::registry::{Follower, FollowerSettings};
+    ///
+    /// let member = "127.0.0.1:7000".parse().unwrap();
+    /// let follower = Follower::new(FollowerSettings {
+    ///     name: "gateway-0".into(), role: "gateway".into(), domain: "brno-a".into(),
+    ///     boot: BootId(1), members: vec![member], endpoints: true, routes: true,
+    /// });
+    /// assert_eq!(follower.members().collect::<Vec<_>>(), [member]);
+    /// ```
+    pub fn members(&self) -> impl Iterator<Item = SocketAddr> {
+        self.members.iter().map(|m| m.address)
+    }
+
+    /// Returns the members whose boot in a reply has differed from the one before since the last
+    /// call, so that their soft state is empty; the first reply of a member counts, too.
+    ///
+    /// ```
+    /// use dotterelpin::model::BootId;
+    /// use dotterelpin::registry::{Follower, FollowerSettings};
+    ///
+    /// let mut follower = Follower::new(FollowerSettings {
+    ///     name: "gateway-0".into(), role: "gateway".into(), domain: "brno-a".into(),
+    ///     boot: BootId(1), members: vec!["127.0.0.1:7000".parse().unwrap()], endpoints: true,
+    ///     routes: true,
+    /// });
+    /// assert!(follower.take_restarted().is_empty(), "no member has replied yet");
+    /// ```
+    pub fn take_restarted(&mut self) -> Vec<SocketAddr> {
+        let take = |m: &mut Member| std::mem::take(&mut m.restarted).then_some(m.address);
+        self.members.iter_mut().filter_map(take).collect()
+    }
+
     /// Returns the last known leader of control.
     pub fn leader(&self) -> Option<SocketAddr> {
         self.routing.leader()
--- a/tests/follower.rs
+++ b/tests/follower.rs
@@ -79,13 +79,25 @@
     }
 
     fn answer(&mut self, now: Timestamp, member: u8, proof: Option<Proof>, update: Option<Update>) {
+        self.answer_as(now, member, BootId(0), proof, update);
+    }
+
+    /// Answers the heartbeat to a member that runs under this boot.
+    fn answer_as(
+        &mut self,
+        now: Timestamp,
+        member: u8,
+        epoch: BootId,
+        proof: Option<Proof>,
+        update: Option<Update>,
+    ) {
         let found = self.open.iter().find(|(_, peer, _)| *peer == address(member));
         let (exchange, _, _) = found.expect("a heartbeat is open");
         let beat = Beat {
             member: format!("control-{member}").into(),
             proof,
             config: update,
-            seen: Seen::default(),
+            seen: Seen { epoch, ..Seen::default() },
             endpoints: None,
             orders: None,
             suspects: None,
@@ -105,6 +117,41 @@
     })
 }
 
+#[test]
+fn member_that_has_started_anew_is_returned_once() {
+    let mut f = Fixture::new();
+    assert_eq!(f.follower.take_restarted(), []);
+    f.wake(seconds(1));
+    f.answer_as(seconds(1), 0, BootId(5), None, None);
+    f.answer_as(seconds(1), 2, BootId(6), None, None);
+    assert_eq!(f.follower.take_restarted(), [address(0), address(2)]);
+    assert_eq!(f.follower.take_restarted(), []);
+    f.wake(seconds(2));
+    f.answer_as(seconds(2), 0, BootId(5), None, None);
+    f.answer_as(seconds(2), 2, BootId(9), None, None);
+    f.wake(seconds(3));
+    f.answer_as(seconds(3), 2, BootId(9), None, None);
+    assert_eq!(f.follower.take_restarted(), [address(2)]);
+    f.wake(seconds(4));
+    f.answer_as(seconds(4), 1, BootId(5), None, None);
+    assert_eq!(f.follower.take_restarted(), [address(1)]);
+}
+
+#[test]
+fn members_are_those_of_the_settings_and_all_voters() {
+    let mut f = Fixture::new();
+    let members = |f: &Fixture| f.follower.members().collect::<Vec<_>>();
+    assert_eq!(members(&f), [0, 1, 2].map(address));
+    f.wake(seconds(1));
+    f.answer(seconds(1), 0, proof(0, 0, 3, &[0, 1, 3]), None);
+    assert_eq!(members(&f), [0, 1, 2, 3].map(address));
+    f.wake(seconds(2));
+    f.answer_as(seconds(2), 3, BootId(4), None, None);
+    assert!(f.follower.take_restarted().contains(&address(3)));
+    f.answer(seconds(2), 0, proof(0, 0, 4, &[0, 1]), None);
+    assert_eq!(members(&f), [0, 1, 2].map(address));
+}
+
 #[test]
 fn majority_of_voters_confirms_for_three_seconds() {
     let mut f = Fixture::new();
