--- a/src/control/origins/requests.rs
+++ b/src/control/origins/requests.rs
@@ -1,6 +1,6 @@
 //! Replies of a member to gateways that record or request the origins of streams.
 
-use super::Origin;
+use super::{ORIGIN_TTL, Origin};
 use crate::control::{Control, Outputs};
 use crate::link::message::ControlReply;
 use crate::model::{EndpointState, InboundId, Timestamp};
@@ -34,7 +34,7 @@
     ) -> ControlReply {
         let origin = call.and_then(|c| self.origins.find(now, c));
         let software = origin.filter(|o| *o.service == *service).map(|o| o.software.clone());
-        let only = self.origins.only(now, service);
+        let only = self.only_version(now, service);
         let outcome = match (&software, &only) {
             (Some(_), _) => "found",
             (None, Some(_)) => "only",
@@ -49,4 +49,14 @@
         );
         ControlReply::OriginFound { software, only }
     }
+
+    /// Returns the only version of a service if this member has led for [`ORIGIN_TTL`]: endpoints
+    /// without agents announce themselves to one member, which informs only the leader besides.
+    fn only_version(&self, now: Timestamp, service: &str) -> Option<Box<str>> {
+        let (_, since) = self.replica.leads_since()?;
+        if now - since < ORIGIN_TTL {
+            return None;
+        }
+        self.origins.only(now, service)
+    }
 }
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -360,8 +360,8 @@
         /// The software version that began the stream, if the member knows it.
         software: Option<Box<str>>,
         /// The software version of all endpoints of the service within
-        /// [`ORIGIN_TTL`](crate::control::origins::ORIGIN_TTL), if the member knows that there was
-        /// only one.
+        /// [`ORIGIN_TTL`](crate::control::origins::ORIGIN_TTL), if there was only one and the member
+        /// has led for as long, since only the leader hears of all endpoints.
         only: Option<Box<str>>,
     },
 }
--- a/tests/origins.rs
+++ b/tests/origins.rs
@@ -278,3 +278,15 @@
     member.announce_until(second(62), "v1");
     assert_eq!(member.find(None), (None, Some("v1".into())));
 }
+
+/// An endpoint without an agent announces itself to one member, which passes that on to the leader
+/// only. So any other member may hear of just one of two versions.
+#[test]
+fn member_that_does_not_lead_names_no_only_version() {
+    let mut member = Member::start(3, second(1));
+    member.announce_until(second(60), "v1");
+    assert!(!member.control.replica().is_leader());
+    assert_eq!(member.find(None), (None, None));
+    member.record("a", "v2");
+    assert_eq!(member.find(Some("a")), (Some("v2".into()), None));
+}
