Let a stream go on only at the software version that began it

Streams held events of two software versions of a service: a stream that its caller resumed, or that a gateway continued within one answer, went to any endpoint, and a prefill's KV cache to any decode endpoint.

A call keeps the version of the endpoint that brought its first event, and all choices after that (own ones, those offered to control's leader, its replies) are limited to that version. A prefill runs at the version of the decode endpoint, or the decode endpoint runs the whole call. After a broken connection a service with several versions does not resume at the same endpoint, which may have been restarted as another version. Gateways record which version began which stream at all control members within 50 ms and tell members that start anew; a call that resumes a stream asks them. It is refused with 503 and the reason if the origin is not known and the service has had several versions for as long as a stream lasts, or at once if no endpoint of the version is left.

Resumed streams count as in time and start before new calls, and those that wait for their version do not hold up the calls behind them, so that they go on at least as often as new ones begin.

--- a/src/control/origins/mod.rs
+++ b/src/control/origins/mod.rs
@@ -80,6 +80,11 @@
         recorded
     }
 
+    /// Returns the origins that were recorded within [`ORIGIN_TTL`], oldest first.
+    pub fn all(&self, now: Timestamp) -> Vec<Origin> {
+        self.order.iter().filter_map(|call| self.find(now, call).cloned()).collect()
+    }
+
     /// Returns the origin of the stream that a call began, if it was recorded within
     /// [`ORIGIN_TTL`].
     pub fn find(&self, now: Timestamp, call: &str) -> Option<&Origin> {
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::answer;
 use super::call::Call;
 use super::queue::{Queue, Rank, Waiting};
 use super::reason::EndReason;
@@ -29,12 +30,18 @@
         let Some(call) = self.calls.get(&caller) else { return };
         let service = call.service.clone();
         let id = call.info.id.clone();
-        let first = self.queues.entry(service.clone()).or_default().ahead(rank) == 0;
+        // An interrupted stream goes before new calls, as in the queue.
+        let resumed = call.is_resumption();
+        let first = resumed || self.queues.entry(service.clone()).or_default().ahead(rank) == 0;
         if first && self.start(now, caller) {
             self.queues.entry(service).or_default().started(now);
             return;
         }
         let queue = self.queues.entry(service).or_default();
+        if resumed {
+            queue.push_front(rank, waiting);
+            return;
+        }
         if queue.is_worthwhile(now, rank, &waiting) {
             queue.push(rank, waiting);
             return;
@@ -69,15 +76,29 @@
             if let Some(queue) = self.queues.get_mut(&service) {
                 queue.demote(now);
             }
-            while let Some(caller) = self.queues.get(&service).and_then(Queue::first) {
-                if !self.start(now, caller) {
-                    break;
+            self.start_queue(now, &service);
+        }
+    }
+
+    /// Starts the queued calls of a service in their order while there is capacity. Calls that must
+    /// run at one software version do not hold up those behind them.
+    fn start_queue(&mut self, now: Timestamp, service: &str) {
+        let queued = self.queues.get(service).map(Queue::in_order).unwrap_or_default();
+        for caller in queued {
+            let bound = self.calls.get(&caller).is_some_and(|c| c.software.is_some());
+            if bound && !self.has_version(caller) {
+                if let Some(queue) = self.queues.get_mut(service) {
+                    queue.remove(caller);
                 }
-                if let Some(queue) = self.queues.get_mut(&service) {
+                self.conclude(now, caller, answer::no_version(), EndReason::NoEndpoint);
+            } else if self.start(now, caller) {
+                if let Some(queue) = self.queues.get_mut(service) {
                     queue.remove(caller);
                     queue.started(now);
                 }
                 self.schedule(caller);
+            } else if !bound {
+                return;
             }
         }
     }
@@ -114,9 +135,9 @@
             let timeout = call.deadline - call.arrived;
             let wait = Queue::<CallerId>::wait_until(call.arrived, call.rank(), target, timeout);
             let resume = call.arrived + RESUME_WAIT;
-            if is_retried(call) { wait.max(resume) } else { wait }
+            if is_retried(call) || call.is_resumption() { wait.max(resume) } else { wait }
         }
     };
     let until = until.min(call.deadline);
-    Some(Waiting { key, in_time: until, until })
+    Some(Waiting { key, in_time: until, until, bound: call.software.is_some() })
 }
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -57,6 +57,16 @@
     refusal(503, "not run: no endpoint takes it now", Some(CAPACITY_RETRY_AFTER))
 }
 
+pub(super) fn no_version() -> RefusalInfo {
+    let text = "not run: no endpoint of the software version that began the stream takes it now";
+    refusal(503, text, Some(CAPACITY_RETRY_AFTER))
+}
+
+pub(super) fn unknown_origin() -> RefusalInfo {
+    let text = "not run: it is not known which software version began the stream";
+    refusal(503, text, Some(CAPACITY_RETRY_AFTER))
+}
+
 pub(super) fn busy(retry_after: Duration) -> RefusalInfo {
     refusal(503, "not run: all endpoints are busy", Some(retry_after))
 }
@@ -278,6 +288,10 @@
     /// Delivers events to the caller, each once and in order; skips those that it already has.
     fn deliver_events(&mut self, now: Timestamp, caller: CallerId, events: Vec<Event>) {
         let Some(call) = self.calls.get_mut(&caller) else { return };
+        let begins = call.software.is_none() && !events.is_empty();
+        if begins {
+            call.software = call.attempt().map(|a| a.software.clone());
+        }
         let mut out = Vec::new();
         if !call.delivered.head
             && let Some((head, _)) = call.attempt().and_then(|a| a.head.as_ref())
@@ -302,6 +316,9 @@
         if call.delivered.head && !out.is_empty() {
             self.effect(HttpEffect::Reply { caller, bytes: out });
         }
+        if begins {
+            self.record_origin(now, caller);
+        }
     }
 
     /// Handles the end of an endpoint's answer.
--- a/src/gateway/assign.rs
+++ b/src/gateway/assign.rs
@@ -5,10 +5,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::call::{Reservation, Stage};
+use super::call::{Call, Reservation, Stage};
 use super::engine::spare_tokens;
-use super::fleet::EndpointKey;
-use super::{CallerId, Gateway};
+use super::fleet::{Choice, EndpointKey};
+use super::{BackoffKey, CallerId, Gateway};
 use crate::control::config::Revised;
 use crate::control::dispatch::Candidate;
 use crate::control::dispatch::prompts::PromptRequest;
@@ -64,8 +64,9 @@
     ) -> Option<PromptRequest> {
         let call = self.calls.get(&caller)?;
         let shape = self.shape(caller)?;
-        let domain = &self.fleet.get(decode)?.domain;
-        let loads = self.fleet.prefill_loads(now, &call.service, &shape, domain, &call.tried);
+        let decode = self.fleet.get(decode)?;
+        let choice = Choice { software: Some(&decode.software), ..call.choice() };
+        let loads = self.fleet.prefill_loads(now, choice, &shape, &decode.domain);
         let free = loads.filter(|l| l.slots_used < l.slots);
         let candidates = self.candidates(free.map(|l| (l.key, l.local)));
         let tokens = call.info.work.as_ref()?.prompt;
@@ -77,12 +78,15 @@
     pub(super) fn request_capacity(&mut self, now: Timestamp, caller: CallerId) -> Option<bool> {
         let leader = self.leader(now)?;
         let call = self.calls.get(&caller)?;
-        let key = (call.service.clone(), call.rank().late);
+        let key = backoff_key(call);
         if self.capacity_backoff.get(&key).is_some_and(|until| now < *until) {
             return Some(false);
         }
         let run = RunId(self.settings.follower.boot.0.rotate_left(24) ^ (self.exchanges + 1));
         let room = self.room_request(now, caller, run)?;
+        if room.candidates.is_empty() {
+            return Some(false);
+        }
         let request = ControlRequest::AssignRoom(Box::new(room));
         self.send_to_leader(now, caller, leader, request, |exchange| Stage::Room { exchange });
         self.calls.get_mut(&caller)?.run = Some(run);
@@ -92,7 +96,7 @@
     fn room_request(&self, now: Timestamp, caller: CallerId, run: RunId) -> Option<RoomRequest> {
         let call = self.calls.get(&caller)?;
         let shape = self.shape(caller)?;
-        let loads = self.fleet.decode_loads(now, &call.service, &shape, &call.tried);
+        let loads = self.fleet.decode_loads(now, call.choice(), &shape);
         let candidates = self.candidates(loads.map(|l| (l.key, l.local)));
         let tokens = call.info.work.as_ref()?.mean_tokens();
         let spare = spare_tokens(call, &shape);
@@ -137,11 +141,16 @@
         self.outputs.push(Output::Reset { exchange });
     }
 
+    /// Abandons open requests to control members.
+    pub(super) fn abandon_requests(&mut self, exchanges: &[ExchangeId]) {
+        exchanges.iter().for_each(|exchange| self.abandon_request(*exchange));
+    }
+
     /// Handles the leader's answer to a request for capacity; `endpoint` is the assigned endpoint.
     fn room_assigned(&mut self, now: Timestamp, caller: CallerId, endpoint: Option<&str>) {
         let Some(call) = self.calls.get_mut(&caller) else { return };
         call.stage = Stage::Waiting;
-        let key = (call.service.clone(), call.rank().late);
+        let key = backoff_key(call);
         log::info!(
             "step=room id={} outcome={} late={} waited_ms={}",
             call.info.id,
@@ -155,7 +164,11 @@
             self.start_or_requeue(now, caller);
             return;
         };
-        let named = self.fleet.named(endpoint);
+        let choice = call.choice();
+        let allowed = |key: &EndpointKey| {
+            self.fleet.get(*key).is_some_and(|endpoint| choice.allows(*key, endpoint))
+        };
+        let named = self.fleet.named(endpoint).filter(allowed);
         if !named.is_some_and(|at| self.hold_at(now, caller, at)) {
             self.report_run_end(caller, RunEnd::Refused);
             self.start_or_requeue(now, caller);
@@ -170,7 +183,11 @@
         }
     }
 
-    fn send_to_control(&mut self, peer: SocketAddr, request: ControlRequest) -> ExchangeId {
+    pub(super) fn send_to_control(
+        &mut self,
+        peer: SocketAddr,
+        request: ControlRequest,
+    ) -> ExchangeId {
         self.exchanges += 1;
         let exchange = ExchangeId(self.exchanges);
         let body = link::Request::Control(request);
@@ -187,6 +204,11 @@
         reply: &ControlReply,
     ) {
         let Some(caller) = self.leader_requests.remove(&exchange) else { return };
+        if let ControlReply::OriginFound { software, only } = reply {
+            self.origin_answered(now, caller, exchange, software.clone(), only.clone());
+            self.schedule(caller);
+            return;
+        }
         let answered = matches!(
             reply,
             ControlReply::PromptAssigned { .. } | ControlReply::RoomAssigned { .. }
@@ -242,7 +264,13 @@
     /// Handles the end of an exchange with control, except those of heartbeats.
     pub(super) fn control_closed(&mut self, now: Timestamp, exchange: ExchangeId) {
         if let Some(caller) = self.leader_requests.get(&exchange).copied() {
-            self.leader_timed_out(now, caller);
+            let call = self.calls.get(&caller);
+            if call.is_some_and(|c| matches!(c.stage, Stage::Origin(_))) {
+                self.leader_requests.remove(&exchange);
+                self.origin_closed(now, caller, exchange);
+            } else {
+                self.leader_timed_out(now, caller);
+            }
             self.schedule(caller);
         }
     }
@@ -255,7 +283,9 @@
         call.stage = Stage::Waiting;
         let endpoint = assigned.as_ref().map_or("own-choice", |a| &a.endpoint);
         log::info!("step=assign id={} outcome={endpoint}", call.info.id);
-        let named = assigned.as_ref().and_then(|a| self.fleet.named(&a.endpoint));
+        let software = self.fleet.get(decode.endpoint).map(|e| &e.software);
+        let fits = |key: &EndpointKey| self.fleet.get(*key).map(|e| &e.software) == software;
+        let named = assigned.as_ref().and_then(|a| self.fleet.named(&a.endpoint)).filter(fits);
         call.assigned = assigned;
         self.run_prefill(now, caller, decode, named);
     }
@@ -268,3 +298,8 @@
         self.send_to_control(leader, ControlRequest::PromptEnded { endpoint, tokens });
     }
 }
+
+/// Returns for which calls the leader is not asked again after it found no capacity for a call.
+fn backoff_key(call: &Call) -> BackoffKey {
+    (call.service.clone(), call.rank().late, call.software.clone())
+}
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -6,7 +6,7 @@
 use super::assign::Assigned;
 use super::credit::Credit;
 use super::events::EventSplitter;
-use super::fleet::{EndpointKey, Usage};
+use super::fleet::{Choice, EndpointKey, Usage};
 use super::protocol::{AnswerInfo, CallInfo, Export};
 use super::queue::Rank;
 use crate::control::dispatch::rooms::RunId;
@@ -30,6 +30,8 @@
     pub connected: bool,
     /// Whether the connection was established before it was sent.
     pub reused: bool,
+    /// The software version of the endpoint when it was sent.
+    pub software: Box<str>,
     /// The head of the answer, once it is received.
     pub head: Option<(AnswerHead, AnswerInfo)>,
     /// The content received so far, of an answer that is not streamed to the caller.
@@ -48,6 +50,7 @@
         usage: Usage,
         since: Timestamp,
         connected: bool,
+        software: Box<str>,
     ) -> Attempt {
         Attempt {
             peer,
@@ -56,6 +59,7 @@
             since,
             connected,
             reused: connected,
+            software,
             head: None,
             content: Vec::new(),
             kept_until: since,
@@ -88,6 +92,8 @@
 pub enum Stage {
     /// It waits for capacity.
     Waiting,
+    /// It resumes a stream, and control members are asked which software version has begun that.
+    Origin(OriginRequest),
     /// A reservation request to a decode endpoint is open.
     Hold {
         /// The connection that carries the request.
@@ -123,6 +129,16 @@
     },
 }
 
+/// Open requests for the software version that has begun a stream.
+#[derive(Debug, Default)]
+pub struct OriginRequest {
+    /// The exchanges with control members that have not answered yet.
+    pub open: Vec<ExchangeId>,
+    /// The only version that the service has had for longer than a stream lasts, by each member
+    /// that has answered and knows one.
+    pub only: Vec<Box<str>>,
+}
+
 /// The part of the answer that was delivered to the caller.
 #[derive(Debug, Default)]
 pub struct Delivered {
@@ -202,6 +218,8 @@
     pub prefills: u32,
     /// Endpoints at which an attempt failed; they get no further one.
     pub tried: Vec<EndpointKey>,
+    /// The software version that has begun its stream; only endpoints of that version continue it.
+    pub software: Option<Box<str>>,
     /// The decode endpoint that has granted a reservation, and the name of the reservation there.
     pub hold: Option<(EndpointKey, Box<str>)>,
     /// The run under which the leader counts its capacity.
@@ -250,6 +268,17 @@
         if again && !first_run { SendOrder::Repeat } else { SendOrder::First }
     }
 
+    /// Returns whether it resumes a stream of which its caller has events already.
+    pub fn is_resumption(&self) -> bool {
+        self.info.after.is_some() && self.is_stream()
+    }
+
+    /// Returns the endpoints among which one is chosen for it.
+    pub fn choice(&self) -> Choice<'_> {
+        let software = self.software.as_deref();
+        Choice { service: &self.service, tried: &self.tried, software }
+    }
+
     /// Returns its rank in the queue; an interrupted stream is never late.
     pub fn rank(&self) -> Rank {
         let priority = self.route().map_or(u8::MAX, |r| r.priority);
@@ -264,7 +293,11 @@
     /// Returns the attempt that is in progress, if any.
     pub fn attempt(&mut self) -> Option<&mut Attempt> {
         match &mut self.stage {
-            Stage::Waiting | Stage::Room { .. } | Stage::Hold { .. } | Stage::Assign { .. } => None,
+            Stage::Waiting
+            | Stage::Origin(_)
+            | Stage::Room { .. }
+            | Stage::Hold { .. }
+            | Stage::Assign { .. } => None,
             Stage::Prefill { attempt, .. } | Stage::Run { attempt, .. } => Some(attempt),
         }
     }
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -5,7 +5,7 @@
 
 use super::answer;
 use super::call::{Attempt, Call, Handoff, Reservation, Stage};
-use super::fleet::{EndpointKey, Job, Usage};
+use super::fleet::{Choice, Endpoint, EndpointKey, Job, Usage};
 use super::place::{place_decode, place_prefill};
 use super::protocol::{Export, ModelWork, SendKind, SideRequest};
 use super::reason::EndReason;
@@ -56,11 +56,11 @@
         let Some(call) = self.calls.get(&caller) else { return false };
         let Some(work) = &call.info.work else { return false };
         let need = work.mean_tokens() + spare_tokens(call, &shape);
-        let loads = self.fleet.decode_loads(now, &call.service, &shape, &call.tried);
+        let loads = self.fleet.decode_loads(now, call.choice(), &shape);
         let Some(endpoint) = place_decode(loads, need, draw) else { return false };
         if !call.skips_prefill
             && self.pick_prefill(now, caller, &shape, endpoint, draw).is_none()
-            && self.has_prefill(now, caller)
+            && self.has_prefill(now, caller, endpoint)
         {
             return false;
         }
@@ -93,7 +93,8 @@
         true
     }
 
-    /// Picks a prefill endpoint for a call that will run on the given decode endpoint.
+    /// Picks a prefill endpoint for a call that will run on the given decode endpoint, of the same
+    /// software version: KV cache is not moved between versions.
     fn pick_prefill(
         &self,
         now: Timestamp,
@@ -103,8 +104,9 @@
         draw: u64,
     ) -> Option<EndpointKey> {
         let call = self.calls.get(&caller)?;
-        let domain = &self.fleet.get(decode)?.domain;
-        let loads = self.fleet.prefill_loads(now, &call.service, shape, domain, &call.tried);
+        let decode = self.fleet.get(decode)?;
+        let choice = Choice { software: Some(&decode.software), ..call.choice() };
+        let loads = self.fleet.prefill_loads(now, choice, shape, &decode.domain);
         place_prefill(loads, MAX_BACKLOG_TOKENS, draw)
     }
 
@@ -205,11 +207,14 @@
         self.start_or_requeue(now, caller);
     }
 
-    /// Returns whether any prefill endpoint of the call's service is open for work.
-    fn has_prefill(&self, now: Timestamp, caller: CallerId) -> bool {
+    /// Returns whether any prefill endpoint of the call's service, and of the software version of a
+    /// decode endpoint, is open for work.
+    fn has_prefill(&self, now: Timestamp, caller: CallerId, decode: EndpointKey) -> bool {
         let Some(call) = self.calls.get(&caller) else { return false };
+        let Some(decode) = self.fleet.get(decode) else { return false };
+        let open = |e: &Endpoint| e.kind == EndpointKind::Prefill && e.is_open(now);
         let mut pool = self.fleet.pool(&call.service);
-        pool.any(|(_, e)| e.kind == EndpointKind::Prefill && e.is_open(now))
+        pool.any(|(_, e)| open(e) && e.software == decode.software)
     }
 
     fn start_prefill(
@@ -262,10 +267,11 @@
     ) -> Option<Attempt> {
         if let (Some(call), Some(target)) = (self.calls.get(&caller), self.fleet.get(endpoint)) {
             log::info!(
-                "step={} id={} endpoint={} own_tokens={} own_slots={} sends={} after={}",
+                "step={} id={} endpoint={} software={} own_tokens={} own_slots={} sends={} after={}",
                 kind.name(),
                 call.info.id,
                 target.name,
+                target.software,
                 target.usage.tokens,
                 target.usage.slots,
                 call.sends + 1,
@@ -274,8 +280,9 @@
         }
         let peer = self.send(now, caller, endpoint, kind)?;
         let connected = self.fleet.conn(peer).is_some_and(|c| c.connected);
-        self.fleet.get_mut(endpoint)?.add_usage(now, usage);
-        Some(Attempt::new(peer, endpoint, usage, now, connected))
+        let target = self.fleet.get_mut(endpoint)?;
+        target.add_usage(now, usage);
+        Some(Attempt::new(peer, endpoint, usage, now, connected, target.software.clone()))
     }
 
     /// Runs a call on its decode endpoint after its prefill has finished.
@@ -323,7 +330,9 @@
     /// Runs a call on another decode endpoint from an export that is still available.
     pub(super) fn hand_off(&mut self, now: Timestamp, caller: CallerId, handoff: Handoff) -> bool {
         let usage = self.run_usage(caller);
-        let Some(decode) = self.pick_decode(now, caller) else { return false };
+        let Some(source) = self.fleet.get(handoff.source) else { return false };
+        let software = source.software.clone();
+        let Some(decode) = self.pick_decode(now, caller, Some(&software)) else { return false };
         let Some(source) = self.fleet.get(handoff.source) else { return false };
         let handle = handoff.export.handle.clone();
         let kind = SendKind::From { source: source.address, handle };
@@ -336,13 +345,21 @@
         Usage { slots: 1, tokens: work.map_or(0, ModelWork::mean_tokens) }
     }
 
-    /// Returns a decode endpoint with capacity at which a call was not tried yet.
-    pub(super) fn pick_decode(&mut self, now: Timestamp, caller: CallerId) -> Option<EndpointKey> {
+    /// Returns a decode endpoint with capacity at which a call was not tried yet, of the given
+    /// software version or any that the call allows.
+    pub(super) fn pick_decode(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        software: Option<&str>,
+    ) -> Option<EndpointKey> {
         let draw = self.draw();
         let shape = self.shape(caller)?;
         let call = self.calls.get(&caller)?;
         let tokens = call.info.work.as_ref()?.mean_tokens();
-        let loads = self.fleet.decode_loads(now, &call.service, &shape, &call.tried);
+        let choice = call.choice();
+        let choice = Choice { software: software.or(choice.software), ..choice };
+        let loads = self.fleet.decode_loads(now, choice, &shape);
         place_decode(loads, tokens, draw)
     }
 }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -107,6 +107,8 @@
     listed: (BootId, u64),
     /// The listed state that an answer at its address has disproved.
     disproved: Option<(BootId, u64)>,
+    /// The version of its software.
+    pub software: Box<str>,
     /// Its health as judged by the outcome of requests of this gateway.
     pub health: Health,
     /// The capacity that this gateway has in use there.
@@ -136,6 +138,7 @@
             accepts_work: !state.draining,
             listed: version(state),
             disproved: None,
+            software: state.software.clone(),
             health: Health::default(),
             usage: Usage::default(),
             window: Window::new(state.capacity.slots),
@@ -248,6 +251,25 @@
     }
 }
 
+/// The endpoints among which one is chosen for a call.
+#[derive(Debug, Clone, Copy)]
+pub struct Choice<'a> {
+    /// The service of the call.
+    pub service: &'a str,
+    /// Endpoints at which an attempt has failed; they get no further one.
+    pub tried: &'a [EndpointKey],
+    /// The software version that the endpoint must have, if not any.
+    pub software: Option<&'a str>,
+}
+
+impl Choice<'_> {
+    /// Returns whether an endpoint may be chosen, whatever its load.
+    pub fn allows(&self, key: EndpointKey, endpoint: &Endpoint) -> bool {
+        let fits = self.software.is_none_or(|software| *software == *endpoint.software);
+        fits && endpoint.accepts_work && !self.tried.contains(&key)
+    }
+}
+
 /// All endpoints that a gateway knows and its connections to them.
 #[derive(Debug)]
 pub struct Fleet {
@@ -387,15 +409,9 @@
     ///
     /// Returns `None` while all healthy endpoints have as many calls as their windows allow; the
     /// call waits then.
-    pub fn pick_plain(
-        &self,
-        now: Timestamp,
-        service: &str,
-        tried: &[EndpointKey],
-        draw: u64,
-    ) -> Option<EndpointKey> {
+    pub fn pick_plain(&self, now: Timestamp, choice: Choice<'_>, draw: u64) -> Option<EndpointKey> {
         let open: Vec<(EndpointKey, &Endpoint)> =
-            self.pool(service).filter(|(k, e)| !tried.contains(k) && e.accepts_work).collect();
+            self.pool(choice.service).filter(|(k, e)| choice.allows(*k, e)).collect();
         // If none is healthy, trying one that may be down is better than refusing the call.
         let any_healthy = open.iter().any(|(_, e)| e.health.is_available(now));
         let has_capacity = |e: &Endpoint| e.is_open(now) && e.window.has_capacity(e.usage.slots);
@@ -408,46 +424,61 @@
         usable.enumerate().min_by_key(|(at, (_, e))| cost(*at, e)).map(|(_, (key, _))| *key)
     }
 
+    /// Returns whether a service has a decode endpoint that may be chosen, whatever its load.
+    pub fn has_decode(&self, choice: Choice<'_>) -> bool {
+        let mut pool = self.pool(choice.service);
+        pool.any(|(k, e)| e.kind == EndpointKind::Decode && choice.allows(k, e))
+    }
+
+    /// Returns whether the listed endpoints of a service have different software versions.
+    pub fn is_mixed(&self, service: &str) -> bool {
+        let mut versions = self.pool(service).map(|(_, e)| &e.software);
+        let first = versions.next();
+        versions.any(|software| Some(software) != first)
+    }
+
     /// Returns the loads of the decode endpoints of a service that may get a call.
-    pub fn decode_loads(
-        &self,
+    pub fn decode_loads<'a>(
+        &'a self,
         now: Timestamp,
-        service: &str,
+        choice: Choice<'a>,
         shape: &EngineShape,
-        tried: &[EndpointKey],
-    ) -> impl Iterator<Item = DecodeLoad<EndpointKey>> {
+    ) -> impl Iterator<Item = DecodeLoad<EndpointKey>> + use<'a> {
+        let (slots, tokens) = (shape.slots, shape.tokens);
         let of_kind = move |e: &Endpoint| e.kind == EndpointKind::Decode && e.is_open(now);
-        let open = self.pool(service).filter(move |(k, e)| of_kind(e) && !tried.contains(k));
+        let open = self.pool(choice.service);
+        let open = open.filter(move |(k, e)| of_kind(e) && choice.allows(*k, e));
         open.map(move |(key, e)| {
             let used = e.all_usage(now);
             DecodeLoad {
                 key,
                 local: e.local,
                 slots_used: used.slots,
-                slots: shape.slots,
+                slots,
                 tokens_used: used.tokens,
-                tokens: shape.tokens,
+                tokens,
             }
         })
     }
 
     /// Returns the loads of the prefill endpoints of a service that may get a prompt; `domain` is
     /// the failure domain of the decode endpoint.
-    pub fn prefill_loads(
-        &self,
+    pub fn prefill_loads<'a>(
+        &'a self,
         now: Timestamp,
-        service: &str,
+        choice: Choice<'a>,
         shape: &EngineShape,
-        domain: &str,
-        tried: &[EndpointKey],
-    ) -> impl Iterator<Item = PrefillLoad<EndpointKey>> {
+        domain: &'a str,
+    ) -> impl Iterator<Item = PrefillLoad<EndpointKey>> + use<'a> {
+        let slots = shape.slots;
         let of_kind = move |e: &Endpoint| e.kind == EndpointKind::Prefill && e.is_open(now);
-        let open = self.pool(service).filter(move |(k, e)| of_kind(e) && !tried.contains(k));
+        let open = self.pool(choice.service);
+        let open = open.filter(move |(k, e)| of_kind(e) && choice.allows(*k, e));
         open.map(move |(key, e)| PrefillLoad {
             key,
             local: *e.domain == *domain,
             slots_used: e.usage.slots,
-            slots: shape.slots,
+            slots,
             backlog: e.usage.tokens,
         })
     }
--- a/src/gateway/header_protocol.rs
+++ b/src/gateway/header_protocol.rs
@@ -26,6 +26,8 @@
     pub tokens: &'static str,
     /// The number of the last event that the caller has.
     pub after: &'static str,
+    /// The id of the call that brought the first event of the stream that is resumed.
+    pub resumes: &'static str,
     /// The stage that an attempt is for.
     pub stage: &'static str,
     /// The address and handle of exported KV cache.
@@ -111,7 +113,8 @@
             Some(text) => Some(text.parse().map_err(|_| CallError::BadEvent)?),
             None => None,
         };
-        Ok(CallInfo { id: id.into(), timeout, work, after })
+        let resumes = head.fields.text(names.resumes).filter(|id| !id.is_empty()).map(Into::into);
+        Ok(CallInfo { id: id.into(), timeout, work, after, resumes })
     }
 
     fn write_call(&self, request: &Request, send: &SendInfo<'_>) -> Vec<u8> {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,8 +21,10 @@
 pub mod queue;
 mod reason;
 mod reports;
+mod resume;
 mod retry;
 mod silence;
+pub mod versions;
 pub mod window;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -39,7 +41,9 @@
 use lateness::UsualTimeout;
 use protocol::{CallProtocol, SendInfo, TableFormat};
 use queue::Queue;
+use versions::Versions;
 
+use crate::control::origins::{Origin, Origins};
 use crate::h1::{CallerId, HttpEffect, HttpInput, PeerId, Purpose, Request};
 use crate::link::message::{ControlReply, Reply};
 use crate::model::{ExchangeId, Timestamp};
@@ -71,6 +75,8 @@
 }
 
 type Outputs = Vec<Output<HttpEffect>>;
+/// A service, whether the call is late, and the software version that it must have.
+type BackoffKey = (Box<str>, bool, Option<Box<str>>);
 
 /// The gateway role.
 pub struct Gateway {
@@ -89,11 +95,18 @@
     timers: BTreeSet<(Timestamp, CallerId)>,
     queues: BTreeMap<Box<str>, Queue<CallerId>>,
     budgets: BTreeMap<Box<str>, Budget>,
-    /// Open requests to control's leader about a call's capacity or prefill endpoint.
+    /// The software versions of each service.
+    versions: Versions,
+    /// Which software versions began the streams that this gateway has delivered.
+    origins: Origins,
+    /// Origins that were not sent to control yet.
+    unsent_origins: Vec<Origin>,
+    /// When `unsent_origins` are sent.
+    next_record: Timestamp,
+    /// Open requests to control members about a call's capacity, prefill endpoint or origin.
     leader_requests: BTreeMap<ExchangeId, CallerId>,
-    /// Until when the leader is not asked for capacity in a service, by service and by whether the
-    /// call is late.
-    capacity_backoff: BTreeMap<(Box<str>, bool), Timestamp>,
+    /// Until when the leader is not asked for capacity.
+    capacity_backoff: BTreeMap<BackoffKey, Timestamp>,
     /// Until when no request is sent to the leader, because it did not answer the last one.
     leader_backoff: Timestamp,
     /// The usual caller timeout of each route.
@@ -136,6 +149,10 @@
             timers: BTreeSet::new(),
             queues: BTreeMap::new(),
             budgets: BTreeMap::new(),
+            versions: Versions::default(),
+            origins: Origins::default(),
+            unsent_origins: Vec::new(),
+            next_record: Timestamp::default(),
             leader_requests: BTreeMap::new(),
             capacity_backoff: BTreeMap::new(),
             leader_backoff: Timestamp::default(),
@@ -245,7 +262,8 @@
         let service: Box<str> = route.service(draw).unwrap_or_default().into();
         let timeout = info.timeout.unwrap_or(route.timeout);
         let usual = self.usual_timeouts.entry(route.name.clone()).or_default();
-        let late = usual.is_late(now, timeout, route.target);
+        // The caller of an interrupted stream has waited already.
+        let late = usual.is_late(now, timeout, route.target) && info.after.is_none();
         let call = Call {
             deadline: now + timeout.min(route.timeout),
             caller_deadline: now + timeout,
@@ -265,6 +283,7 @@
             exported: false,
             prefills: 0,
             tried: Vec::new(),
+            software: None,
             hold: None,
             run: None,
             assigned: None,
@@ -283,11 +302,22 @@
         self.calls.insert(caller, call);
         if self.is_engine_call(caller) {
             self.last_called.insert(service, now);
+        }
+        if self.calls.get(&caller).is_some_and(Call::is_resumption) {
+            self.admit_resumption(now, caller);
+        } else {
+            self.admit_call(now, caller);
+        }
+        self.schedule(caller);
+    }
+
+    /// Starts or queues a new call, or refuses it at once.
+    fn admit_call(&mut self, now: Timestamp, caller: CallerId) {
+        if self.is_engine_call(caller) {
             self.admit_engine_call(now, caller);
         } else {
             self.admit_plain_call(now, caller);
         }
-        self.schedule(caller);
     }
 
     /// Returns whether a new call would end before this gateway has to stop.
@@ -372,6 +402,7 @@
             self.on_timer(now, caller);
             self.schedule(caller);
         }
+        self.send_origins(now);
         self.expire_queues(now);
         self.start_queued(now);
         if now >= self.next_cleanup {
@@ -410,6 +441,7 @@
                 self.listed = (listed.len(), open);
                 log::info!("step=endpoints listed={} open={open}", listed.len());
             }
+            self.versions.listed(now, listed.values().map(|e| (&*e.pool, &*e.software)));
             for peer in self.fleet.update(&listed) {
                 self.effect(HttpEffect::HangUp { peer });
             }
@@ -497,8 +529,9 @@
         });
         let waiting = self.queues.values().any(|q| !q.is_empty());
         let start = waiting.then_some(self.next_start);
+        let record = (!self.unsent_origins.is_empty()).then_some(self.next_record);
         let cleanup = Some(self.next_cleanup.min(self.next_report));
-        [call, queue, start, shutdown, cleanup, self.follower.next_wake()]
+        [call, queue, start, record, shutdown, cleanup, self.follower.next_wake()]
             .into_iter()
             .flatten()
             .min()
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -72,7 +72,9 @@
 pub fn next_timer(call: &Call) -> Timestamp {
     let attempt = match &call.stage {
         Stage::Waiting => None,
-        Stage::Room { .. } | Stage::Hold { .. } | Stage::Assign { .. } => Some(call.reply_deadline),
+        Stage::Origin(_) | Stage::Room { .. } | Stage::Hold { .. } | Stage::Assign { .. } => {
+            Some(call.reply_deadline)
+        }
         Stage::Prefill { attempt, .. } => {
             let limit = attempt.since + time_limit(attempt, PREFILL_TIMEOUT);
             Some(limit.max(attempt.kept_until))
@@ -124,6 +126,10 @@
             self.leader_timed_out(now, caller);
             return;
         }
+        if let Stage::Origin(_) = call.stage {
+            self.origin_timed_out(now, caller);
+            return;
+        }
         let silence = Silence::of(now, call);
         let Some(attempt) = call.attempt() else { return };
         let (peer, connected) = (attempt.peer, attempt.connected);
@@ -183,6 +189,7 @@
                 self.release(now, decode.endpoint, decode.usage);
                 self.hang_up(peer);
             }
+            Stage::Origin(request) => self.abandon_requests(&request.open),
             Stage::Room { exchange } => self.abandon_request(exchange),
             Stage::Assign { exchange, decode } => {
                 self.abandon_request(exchange);
@@ -279,7 +286,11 @@
         let Some(call) = self.calls.get_mut(&caller) else { return };
         let stage = std::mem::replace(&mut call.stage, Stage::Waiting);
         let (attempt, prefill, handoff) = match stage {
-            Stage::Waiting | Stage::Room { .. } | Stage::Hold { .. } | Stage::Assign { .. } => {
+            Stage::Waiting
+            | Stage::Origin(_)
+            | Stage::Room { .. }
+            | Stage::Hold { .. }
+            | Stage::Assign { .. } => {
                 return;
             }
             Stage::Prefill { attempt, decode } => (attempt, Some(decode), None),
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -52,7 +52,7 @@
     pub(super) fn pick_other(&mut self, now: Timestamp, caller: CallerId) -> Option<EndpointKey> {
         let draw = self.draw();
         let call = self.calls.get(&caller)?;
-        self.fleet.pick_plain(now, &call.service, &call.tried, draw)
+        self.fleet.pick_plain(now, call.choice(), draw)
     }
 
     /// Sends a call to an endpoint at which it was not tried yet; returns whether it was sent.
@@ -71,12 +71,12 @@
         }
         let Some(peer) = self.send(now, caller, endpoint, SendKind::Whole) else { return false };
         let connected = self.fleet.conn(peer).is_some_and(|c| c.connected);
-        if let Some(target) = self.fleet.get_mut(endpoint) {
-            target.add_usage(now, ONE_CALL);
-        }
+        let Some(target) = self.fleet.get_mut(endpoint) else { return false };
+        target.add_usage(now, ONE_CALL);
+        let software = target.software.clone();
         let Some(call) = self.calls.get_mut(&caller) else { return false };
         call.sends += 1;
-        let attempt = Attempt::new(peer, endpoint, ONE_CALL, now, connected);
+        let attempt = Attempt::new(peer, endpoint, ONE_CALL, now, connected, software);
         call.stage = Stage::Run { attempt, handoff: None };
         true
     }
@@ -87,5 +87,6 @@
     let target = call.route().map(|r| r.target).unwrap_or_default();
     let until = now + call.remaining(now) * PLAIN_WAIT_PERCENT / 100;
     let in_time = call.arrived + target * IN_TIME_PERCENT / 100;
-    Waiting { key, in_time: in_time.min(until), until }
+    let bound = call.software.is_some();
+    Waiting { key, in_time: in_time.min(until), until, bound }
 }
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -22,6 +22,8 @@
     pub work: Option<ModelWork>,
     /// The number of the last event that the caller has, if it resumes a stream.
     pub after: Option<u64>,
+    /// The id of the call that brought the first event of the stream, if it resumes one.
+    pub resumes: Option<Box<str>>,
 }
 
 /// The work that a call requests from a model.
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -49,6 +49,8 @@
     pub in_time: Timestamp,
     /// The latest start; after that it is refused.
     pub until: Timestamp,
+    /// Whether it can only start at some of the endpoints; it does not hold up the calls behind it.
+    pub bound: bool,
 }
 
 /// The calls that wait for one service.
@@ -79,7 +81,7 @@
 
     /// Returns how many queued calls would start before a new call of a rank.
     pub fn ahead(&self, rank: Rank) -> usize {
-        self.ranks.range(..=rank).map(|(_, q)| q.len()).sum()
+        self.ranks.range(..=rank).flat_map(|(_, q)| q).filter(|w| !w.bound).count()
     }
 
     /// Returns until when a call may wait: a part of its latency target, or of the time `left` to
@@ -136,6 +138,11 @@
         self.ranks.values().find_map(|q| q.front()).map(|w| w.key)
     }
 
+    /// Returns the queued calls in the order in which they start.
+    pub fn in_order(&self) -> Vec<K> {
+        self.ranks.values().flatten().map(|w| w.key).collect()
+    }
+
     /// Records that a call was started, even if its reservation is refused and it is queued again.
     pub fn started(&mut self, now: Timestamp) {
         self.starts.push_back(now);
--- a/src/gateway/reason.rs
+++ b/src/gateway/reason.rs
@@ -19,6 +19,8 @@
     WaitExpired,
     /// It was not expected to start in time.
     NotAdmitted,
+    /// It resumes a stream of which it is not known which software version began it.
+    UnknownOrigin,
     /// The endpoint that was chosen for it is gone, or its service has none.
     NoEndpoint,
 }
@@ -35,6 +37,7 @@
             EndReason::NoCapacity => "no endpoint for a retry",
             EndReason::WaitExpired => "no capacity in time",
             EndReason::NotAdmitted => "not expected to start in time",
+            EndReason::UnknownOrigin => "unknown origin",
             EndReason::NoEndpoint => "no endpoint",
         }
     }
--- /dev/null
+++ b/src/gateway/resume.rs
@@ -0,0 +1,211 @@
+//! Streams that a caller resumes with another call, at this gateway or at another one.
+//!
+//! What two software versions of an endpoint write does not fit together, so a stream goes on only
+//! at the version that began it. Gateways tell all control members which version began which
+//! stream, and ask them about a stream that they do not know. A stream of unknown origin is refused
+//! unless its service has had only one version for longer than a stream lasts.
+
+use std::time::Duration;
+
+use super::answer;
+use super::call::{OriginRequest, Stage};
+use super::reason::EndReason;
+use super::{CallerId, Gateway};
+use crate::control::origins::Origin;
+use crate::link::message::ControlRequest;
+use crate::model::{ExchangeId, Timestamp};
+
+/// How long the origins of streams are collected before they are sent to control.
+const RECORD_INTERVAL: Duration = Duration::from_millis(50);
+/// How long control members have to name the origin of a stream.
+const FIND_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// How the software version that began a stream is known.
+#[derive(Debug, Clone, Copy)]
+enum Source {
+    /// This gateway delivered the first event.
+    Own,
+    /// A control member has a record.
+    Recorded,
+    /// The service has had no other version for long.
+    OnlyVersion,
+}
+
+impl Source {
+    fn name(self) -> &'static str {
+        match self {
+            Source::Own => "own",
+            Source::Recorded => "recorded",
+            Source::OnlyVersion => "only-version",
+        }
+    }
+}
+
+impl Gateway {
+    /// Records which software version began the stream of a call, when its first event is delivered.
+    pub(super) fn record_origin(&mut self, now: Timestamp, caller: CallerId) {
+        let Some(call) = self.calls.get(&caller) else { return };
+        let Some(software) = call.software.clone().filter(|_| call.is_repeatable()) else { return };
+        let (id, service) = (call.info.id.clone(), call.service.clone());
+        let origin = Origin { call: id, service, software };
+        self.origins.record(now, vec![origin.clone()]);
+        if self.unsent_origins.is_empty() {
+            self.next_record = now + RECORD_INTERVAL;
+        }
+        self.unsent_origins.push(origin);
+    }
+
+    /// Sends the collected origins to all control members, and all of them to members that have
+    /// started anew.
+    pub(super) fn send_origins(&mut self, now: Timestamp) {
+        for member in self.follower.take_restarted() {
+            let known = self.origins.all(now);
+            if !known.is_empty() {
+                self.send_to_control(member, ControlRequest::RecordOrigins(known));
+            }
+        }
+        if self.unsent_origins.is_empty() || now < self.next_record {
+            return;
+        }
+        let origins = std::mem::take(&mut self.unsent_origins);
+        let members: Vec<_> = self.follower.members().collect();
+        for member in members {
+            self.send_to_control(member, ControlRequest::RecordOrigins(origins.clone()));
+        }
+    }
+
+    /// Admits a call that resumes a stream once the software version that began it is known.
+    pub(super) fn admit_resumption(&mut self, now: Timestamp, caller: CallerId) {
+        let Some(call) = self.calls.get(&caller) else { return };
+        let resumes = call.info.resumes.clone();
+        let own = resumes.as_ref().and_then(|id| self.origins.find(now, id));
+        if let Some(software) = own.map(|origin| origin.software.clone()) {
+            self.origin_known(now, caller, software, Source::Own);
+            return;
+        }
+        if resumes.is_none() {
+            self.conclude_unnamed(now, caller);
+            return;
+        }
+        let service = call.service.clone();
+        let members: Vec<_> = self.follower.members().collect();
+        let request = ControlRequest::FindOrigin { call: resumes, service };
+        let open: Vec<ExchangeId> =
+            members.into_iter().map(|m| self.send_to_control(m, request.clone())).collect();
+        for exchange in &open {
+            self.leader_requests.insert(*exchange, caller);
+        }
+        let Some(call) = self.calls.get_mut(&caller) else { return };
+        call.reply_deadline = now + FIND_TIMEOUT;
+        call.stage = Stage::Origin(OriginRequest { open, only: Vec::new() });
+        self.conclude_search(now, caller);
+    }
+
+    /// Handles a control member's answer about the origin of a stream.
+    pub(super) fn origin_answered(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        exchange: ExchangeId,
+        software: Option<Box<str>>,
+        only: Option<Box<str>>,
+    ) {
+        let Some(call) = self.calls.get_mut(&caller) else { return };
+        let Stage::Origin(request) = &mut call.stage else { return };
+        request.open.retain(|e| *e != exchange);
+        request.only.extend(only);
+        match software {
+            Some(software) => self.origin_known(now, caller, software, Source::Recorded),
+            None => self.conclude_search(now, caller),
+        }
+    }
+
+    /// Handles the end of an exchange about the origin of a stream.
+    pub(super) fn origin_closed(&mut self, now: Timestamp, caller: CallerId, exchange: ExchangeId) {
+        self.origin_answered(now, caller, exchange, None, None);
+    }
+
+    /// Ends the search for the origin of a stream at its time limit.
+    pub(super) fn origin_timed_out(&mut self, now: Timestamp, caller: CallerId) {
+        let Some(call) = self.calls.get_mut(&caller) else { return };
+        let Stage::Origin(request) = &mut call.stage else { return };
+        let open = std::mem::take(&mut request.open);
+        self.abandon_requests(&open);
+        self.conclude_search(now, caller);
+    }
+
+    /// Admits a call that does not name the stream that it resumes, unless its service has several
+    /// versions.
+    fn conclude_unnamed(&mut self, now: Timestamp, caller: CallerId) {
+        let only = self.only_version(now, caller);
+        self.conclude_unknown(now, caller, only);
+    }
+
+    /// Admits or refuses a call whose stream is of unknown origin, once no answer is outstanding.
+    fn conclude_search(&mut self, now: Timestamp, caller: CallerId) {
+        let Some(call) = self.calls.get(&caller) else { return };
+        let Stage::Origin(request) = &call.stage else { return };
+        if !request.open.is_empty() {
+            return;
+        }
+        let lasting = call.route().map_or(Duration::MAX, |r| r.timeout);
+        let first = request.only.first().cloned();
+        let agreed = first.filter(|only| request.only.iter().all(|other| other == only));
+        // The list of a gateway that is cut off from control may be out of date.
+        let complete =
+            self.versions.covers(now, lasting) && self.follower.is_document_confirmed(now);
+        let own = self.only_version(now, caller).filter(|_| complete);
+        self.conclude_unknown(now, caller, agreed.or(own));
+    }
+
+    /// Returns the only version that a call's service has had for longer than a stream lasts.
+    fn only_version(&self, now: Timestamp, caller: CallerId) -> Option<Box<str>> {
+        let call = self.calls.get(&caller)?;
+        let lasting = call.route()?.timeout;
+        self.versions.only(now, &call.service, lasting).map(Into::into)
+    }
+
+    fn conclude_unknown(&mut self, now: Timestamp, caller: CallerId, only: Option<Box<str>>) {
+        if let Some(software) = only {
+            self.origin_known(now, caller, software, Source::OnlyVersion);
+            return;
+        }
+        if let Some(call) = self.calls.get(&caller) {
+            log::info!("step=origin id={} outcome=unknown", call.info.id);
+        }
+        self.conclude(now, caller, answer::unknown_origin(), EndReason::UnknownOrigin);
+    }
+
+    /// Admits a call that resumes a stream, or refuses it at once if no endpoint can continue it.
+    fn origin_known(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        software: Box<str>,
+        source: Source,
+    ) {
+        let Some(call) = self.calls.get_mut(&caller) else { return };
+        let stage = std::mem::replace(&mut call.stage, Stage::Waiting);
+        call.software = Some(software.clone());
+        log::info!("step=origin id={} outcome={} software={software}", call.info.id, source.name());
+        if let Stage::Origin(request) = stage {
+            self.abandon_requests(&request.open);
+        }
+        if !self.has_version(caller) {
+            self.conclude(now, caller, answer::no_version(), EndReason::NoEndpoint);
+            return;
+        }
+        self.admit_call(now, caller);
+    }
+
+    /// Returns whether any endpoint of a call's service has the software version that it must have.
+    pub(super) fn has_version(&self, caller: CallerId) -> bool {
+        let Some(call) = self.calls.get(&caller) else { return false };
+        let choice = call.choice();
+        if self.is_engine_call(caller) {
+            return self.fleet.has_decode(choice);
+        }
+        let mut pool = self.fleet.pool(&call.service);
+        pool.any(|(key, endpoint)| choice.allows(key, endpoint))
+    }
+}
--- a/src/gateway/retry.rs
+++ b/src/gateway/retry.rs
@@ -7,10 +7,10 @@
 
 use super::call::{Call, FailedAttempt, Handoff, Stage};
 use super::events::EventSplitter;
-use super::fleet::{Endpoint, EndpointKey};
+use super::fleet::EndpointKey;
 use super::reason::EndReason;
 use super::{CallerId, Gateway};
-use crate::model::{EndpointKind, Timestamp};
+use crate::model::Timestamp;
 use crate::report::observation::{ChargeOutcome, Observation};
 use crate::role::Output;
 
@@ -74,7 +74,11 @@
         let (endpoint, in_prefill) = match &call.stage {
             Stage::Prefill { attempt, .. } => (attempt.endpoint, true),
             Stage::Run { attempt, .. } => (attempt.endpoint, false),
-            Stage::Waiting | Stage::Room { .. } | Stage::Hold { .. } | Stage::Assign { .. } => {
+            Stage::Waiting
+            | Stage::Origin(_)
+            | Stage::Room { .. }
+            | Stage::Hold { .. }
+            | Stage::Assign { .. } => {
                 return false;
             }
         };
@@ -89,7 +93,7 @@
         let Some(call) = self.calls.get_mut(&caller) else { return false };
         call.tried.push(present);
         let found = match self.is_engine_call(caller) {
-            true => self.pick_decode(now, caller),
+            true => self.pick_decode(now, caller, None),
             false => self.pick_other(now, caller),
         };
         if let Some(call) = self.calls.get_mut(&caller) {
@@ -138,7 +142,9 @@
         }
         let accepts = self.fleet.get(failed.endpoint).is_some_and(|e| e.accepts_work);
         if failed.broke_off && accepts {
-            return Ok(Retry::Resume);
+            // The endpoint may have been restarted with another software version.
+            let mixed = self.fleet.is_mixed(&call.service);
+            return Ok(if mixed { Retry::Whole } else { Retry::Resume });
         }
         let has_attempts = failed.in_prefill || sends + 2 <= route.attempts;
         Ok(if has_attempts { Retry::Prefill } else { Retry::Whole })
@@ -214,8 +220,14 @@
             }
             Retry::Resume => self.resume_at(now, caller, failed.endpoint),
             Retry::Prefill => {
-                self.start_or_requeue(now, caller);
-                true
+                let call = self.calls.get(&caller);
+                // Other versions don't count; endpoints of its own one may all have left.
+                let gone = call
+                    .is_some_and(|c| c.software.is_some() && !self.fleet.has_decode(c.choice()));
+                if !gone {
+                    self.start_or_requeue(now, caller);
+                }
+                !gone
             }
             Retry::Whole => self.wait_for_run(now, caller),
         }
@@ -225,9 +237,7 @@
     /// `false` if no decode endpoint is left for it.
     fn wait_for_run(&mut self, now: Timestamp, caller: CallerId) -> bool {
         let Some(call) = self.calls.get_mut(&caller) else { return false };
-        let open = |e: &Endpoint| e.kind == EndpointKind::Decode && e.accepts_work;
-        let left = |(key, e): (EndpointKey, &Endpoint)| open(e) && !call.tried.contains(&key);
-        if !self.fleet.pool(&call.service).any(left) {
+        if !self.fleet.has_decode(call.choice()) {
             return false;
         }
         call.skips_prefill = true;
--- a/src/gateway/silence.rs
+++ b/src/gateway/silence.rs
@@ -71,7 +71,11 @@
         let (stage, attempt) = match &call.stage {
             Stage::Prefill { attempt, .. } => ("prefill", attempt),
             Stage::Run { attempt, .. } => ("run", attempt),
-            Stage::Waiting | Stage::Room { .. } | Stage::Hold { .. } | Stage::Assign { .. } => {
+            Stage::Waiting
+            | Stage::Origin(_)
+            | Stage::Room { .. }
+            | Stage::Hold { .. }
+            | Stage::Assign { .. } => {
                 return None;
             }
         };
--- a/tests/gateway_fixture/mod.rs
+++ b/tests/gateway_fixture/mod.rs
@@ -47,6 +47,7 @@
     model: "Model",
     tokens: "Tokens",
     after: "Last-Event-Id",
+    resumes: "Resumes",
     stage: "Stage",
     source: "Source",
     endpoint: "Endpoint",
