Count a retry in the window in which it is sent

Services got more retries than their budget: a retry of a plain call may wait for an endpoint with capacity for half of the time that it has left, 7 s of 14 s, but it counted from the moment it was decided. Its charge left the window while its arrival was still in it. In the other direction, charges of retries that were never sent, as their callers left or their wait ended, kept others from being sent.

A retry is now reserved when it is decided, counts until it is sent or its call ends, and then counts in the window of its sending. So what counts in a window is what was sent in it, whatever path a call takes.

--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -147,6 +147,9 @@
         self.report_run_end(caller, RunEnd::Over);
         let call = self.calls.remove(&caller)?;
         self.timers.remove(&(call.timer, caller));
+        if let Some(budget) = self.budgets.get_mut(&call.service) {
+            budget.release(call.credit.unsent());
+        }
         Some(call)
     }
 
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -4,6 +4,9 @@
 //! already failing. So in any window, a service gets at most a share of its calls as retries, plus
 //! a fixed number from all gateways together. Each gateway spends the share of its own calls and
 //! its part of the fixed number.
+//!
+//! A retry may wait for capacity for seconds before it is sent, and what counts is when it arrives.
+//! So it is reserved when it is decided, and counts in the window in which it is sent.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -47,7 +50,7 @@
 pub struct Balance {
     /// Calls of this gateway in the window.
     pub calls: u32,
-    /// Retries that were charged to this gateway in the window.
+    /// Retries that this gateway has sent in the window, and those that are reserved.
     pub retries: u32,
     /// How many retries this gateway may have in the window.
     pub allowed: f64,
@@ -85,12 +88,14 @@
 pub struct Budget {
     started: Timestamp,
     buckets: VecDeque<Bucket>,
+    /// Retries that were charged and not sent yet.
+    reserved: u32,
 }
 
 impl Budget {
     /// Creates the budget of a gateway that was started at a time.
     pub fn new(started: Timestamp) -> Budget {
-        Budget { started, buckets: VecDeque::new() }
+        Budget { started, buckets: VecDeque::new(), reserved: 0 }
     }
 
     /// Counts a call, which increases the budget.
@@ -98,15 +103,41 @@
         self.bucket(now, terms).calls += 1;
     }
 
-    /// Charges `cost` retries and returns `true` if that is within the budget, which `gateways`
-    /// gateways share; otherwise it charges nothing.
+    /// Charges `cost` retries that are sent now and returns `true` if that is within the budget,
+    /// which `gateways` gateways share; otherwise it charges nothing.
     pub fn spend(&mut self, now: Timestamp, terms: &BudgetTerms, gateways: u32, cost: u32) -> bool {
-        self.bucket(now, terms);
-        if !self.balance(now, terms, gateways).covers(cost) {
-            return false;
+        let covered = self.reserve(now, terms, gateways, cost);
+        if covered {
+            (0..cost).for_each(|_| self.sent(now, terms));
+        }
+        covered
+    }
+
+    /// Like [`Budget::spend`], for retries that are sent later: each counts until it is sent or
+    /// released.
+    pub fn reserve(
+        &mut self,
+        now: Timestamp,
+        terms: &BudgetTerms,
+        gateways: u32,
+        cost: u32,
+    ) -> bool {
+        let covered = self.balance(now, terms, gateways).covers(cost);
+        if covered {
+            self.reserved += cost;
         }
-        self.bucket(now, terms).retries += cost;
-        true
+        covered
+    }
+
+    /// Counts a reserved retry in the present window, as it is sent now.
+    pub fn sent(&mut self, now: Timestamp, terms: &BudgetTerms) {
+        self.reserved = self.reserved.saturating_sub(1);
+        self.bucket(now, terms).retries += 1;
+    }
+
+    /// Returns reserved retries that will not be sent.
+    pub fn release(&mut self, retries: u32) {
+        self.reserved = self.reserved.saturating_sub(retries);
     }
 
     /// Returns the numbers by which the next charge is decided.
@@ -114,7 +145,8 @@
         let within = |span: Duration| self.buckets.iter().filter(move |s| now < s.from + span);
         let calls: u32 = within(terms.window).map(|s| s.calls).sum();
         // The last retry of a bucket leaves the window a bucket's length after the first.
-        let retries: u32 = within(terms.window + terms.window / BUCKETS).map(|s| s.retries).sum();
+        let sent: u32 = within(terms.window + terms.window / BUCKETS).map(|s| s.retries).sum();
+        let retries = sent + self.reserved;
         let fixed = self.fixed_part(now, terms, gateways);
         let allowed = (f64::from(calls) * terms.ratio + fixed) * SPENT_PERCENT / 100.0;
         Balance { calls, retries, allowed, gateways }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -34,7 +34,7 @@
 
 use budget::{Budget, BudgetTerms};
 use call::{Call, Delivered, Stage};
-use credit::Credit;
+use credit::{Credit, Payment};
 use fleet::{EndpointKey, Fleet, Job};
 use lateness::UsualTimeout;
 use protocol::{CallProtocol, SendInfo, TableFormat};
@@ -310,9 +310,14 @@
         let target = self.fleet.get(endpoint)?;
         let address = target.address;
         let call = self.calls.get_mut(&caller)?;
-        if !call.credit.spend() {
+        let Some(payment) = call.credit.spend() else {
             log::error!("step=send id={} error=\"the request was not charged\"", call.info.id);
             return None;
+        };
+        if let Some(budget) = self.budgets.get_mut(&call.service)
+            && payment == Payment::Charged
+        {
+            budget.sent(now, &self.settings.budget);
         }
         let info = SendInfo {
             remaining: call.remaining(now),
--- a/src/gateway/retry.rs
+++ b/src/gateway/retry.rs
@@ -171,8 +171,8 @@
         let before = budget.balance(now, &terms, gateways);
         let outcome = if missing == 0 {
             ChargeOutcome::Free
-        } else if budget.spend(now, &terms, gateways, cost) {
-            call.credit.add(cost);
+        } else if budget.reserve(now, &terms, gateways, cost) {
+            call.credit.charge(cost);
             ChargeOutcome::Charged
         } else {
             ChargeOutcome::Spent
--- a/tests/silent_endpoints.rs
+++ b/tests/silent_endpoints.rs
@@ -594,3 +594,55 @@
     let sent = work_at(&w, &at) - before;
     assert_eq!(sent, 0, "expected no new work at {at} 1.5 s after it was listed as draining");
 }
+
+/// Fails if retries that were charged early, and waited for capacity, exceed the budget together
+/// with those that are charged when the early charges have left the window.
+#[test]
+fn retries_that_waited_for_capacity_exceed_the_budget_when_they_are_sent() {
+    let plain = ["p1", "p2"].map(|name| (name, EndpointKind::Service, PLAIN));
+    let mut w = World::new(table_with(3), &plain);
+    w.silence("p2", Silence::Mute, 6_500);
+    (0..24).for_each(|_| _ = w.plain_call("/pay/a", PLAIN));
+    w.run(100);
+    break_looks(&mut w, 24);
+    // The charges leave the window now; the retries that waited were sent 4 s ago.
+    w.run(10_700);
+    break_looks(&mut w, 24);
+    w.run(1_000);
+    assert!(w.extra_arrivals(PLAIN).len() > 8, "expected retries after both breaks");
+    w.assert_within_budget(PLAIN);
+}
+
+/// Sends so many calls and breaks those that run at once.
+fn break_looks(w: &mut World, count: usize) {
+    let callers: Vec<u64> = (0..count).map(|_| w.plain_call("/look/a", PLAIN)).collect();
+    let broken = callers.into_iter().filter(|c| w.break_run(*c).is_some()).count();
+    assert!(broken >= 12, "expected 12 runs to break, found {broken}");
+}
+
+/// Fails if charges of calls that end before their retry is sent reduce the budget of others.
+#[test]
+fn retries_that_were_never_sent_use_up_the_budget() {
+    let plain = ["p1", "p2"].map(|name| (name, EndpointKind::Service, PLAIN));
+    let mut w = World::new(table_with(3), &plain);
+    w.silence("p2", Silence::Mute, 1_500);
+    (0..24).for_each(|_| _ = w.plain_call("/pay/a", PLAIN));
+    w.run(100);
+    for _ in 0..2 {
+        let callers: Vec<u64> = (0..12).map(|_| w.plain_call("/look/a", PLAIN)).collect();
+        callers.iter().for_each(|c| _ = w.break_run(*c));
+        callers.iter().for_each(|c| w.leave(*c));
+        // The endpoint accepts calls again once one has been answered.
+        w.run(700);
+        w.plain_call("/pay/a", PLAIN);
+        w.run(100);
+    }
+    w.run(2_500);
+    assert_eq!(w.extra_arrivals(PLAIN).len(), 0, "expected that no retry was sent");
+    let callers = [(); 3].map(|()| w.plain_call("/look/a", PLAIN));
+    callers.iter().for_each(|c| assert!(w.break_run(*c).is_some()));
+    w.run(100);
+    let answered = |c: &u64| w.f.answers.get(c).is_some_and(|a| a.complete && a.content == b"ok");
+    let count = callers.iter().filter(|c| answered(c)).count();
+    assert_eq!(count, 3, "expected three retries within the budget");
+}
--- a/tests/stand_in/mod.rs
+++ b/tests/stand_in/mod.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use dotterelpin::h1::{HttpInput, PeerId};
+use dotterelpin::h1::{CallerId, HttpInput, PeerId};
 use dotterelpin::model::{BootId, EndpointKind, EndpointState, Timestamp};
 use dotterelpin::role::Input;
 use dotterelpin::routes::RawTable;
@@ -171,6 +171,13 @@
         self.next_call
     }
 
+    /// Closes the connection of a caller.
+    pub fn leave(&mut self, caller: u64) {
+        let caller = CallerId(caller);
+        self.f.step(Input::Local(HttpInput::CallerGone { caller }));
+        self.receive();
+    }
+
     /// Lets the simulated time pass.
     pub fn run(&mut self, millis: u64) {
         for _ in 0..millis / STEP_MS {
