Close a listed state for a 421 only if the answer concerns that state

A sound endpoint could stay closed at a gateway for good after a 421, with streams refused or prefills run on decode endpoints instead. First, the 421 to a request that was sent before a newer state was listed closed that newer state. Second, an engine that was in another stage than listed stayed closed when its new stage was listed: the number of a state counts accepted orders, so a change of stage is listed under the number at which the 421 came.

A 421 now disproves the listed state only if its request was sent since that state was listed, and a state of another kind reopens the endpoint, too. The two new tests in gateway failed before (no request to the engine; a complete run instead of a prefill) and pass now; the tests that a disproved state gets no further calls still pass.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -105,8 +105,12 @@
     pub accepts_work: bool,
     /// The start of the endpoint and the number of its listed state within that.
     listed: (BootId, u64),
+    /// The listed kind; a report or a change of the stage may precede the next number.
+    listed_kind: EndpointKind,
+    /// When the present listed state was received.
+    listed_since: Timestamp,
     /// The listed state that an answer at its address has disproved.
-    disproved: Option<(BootId, u64)>,
+    disproved: Option<((BootId, u64), EndpointKind)>,
     /// Its health as judged by the outcome of requests of this gateway.
     pub health: Health,
     /// The capacity that this gateway has in use there.
@@ -124,7 +128,7 @@
 }
 
 impl Endpoint {
-    fn new(state: &EndpointState, domain: &str) -> Endpoint {
+    fn new(now: Timestamp, state: &EndpointState, domain: &str) -> Endpoint {
         Endpoint {
             name: state.name.clone(),
             address: state.address,
@@ -135,6 +139,8 @@
             slots: state.capacity.slots,
             accepts_work: !state.draining,
             listed: version(state),
+            listed_kind: state.kind,
+            listed_since: now,
             disproved: None,
             health: Health::default(),
             usage: Usage::default(),
@@ -166,20 +172,30 @@
         self.window.refused();
     }
 
-    /// Records that another endpoint, or an engine in another stage, answers at its address. It gets
-    /// no work until a newer state of it is listed.
-    pub fn misdirected(&mut self, now: Timestamp) {
+    /// Records that another endpoint, or an engine in another stage, answers at its address, to a
+    /// request that was sent at a given time. It gets no work until another state of it is listed,
+    /// unless that has happened since.
+    pub fn misdirected(&mut self, now: Timestamp, sent: Timestamp) {
         self.refused(now);
-        self.disproved = Some(self.listed);
+        if sent < self.listed_since {
+            return;
+        }
+        self.disproved = Some((self.listed, self.listed_kind));
         self.accepts_work = false;
     }
 
-    /// Applies a newer listed state of the same start.
-    fn relist(&mut self, state: &EndpointState) {
-        self.kind = state.kind;
+    /// Applies a listed state of the same start.
+    fn relist(&mut self, now: Timestamp, state: &EndpointState) {
+        let (listed, kind) = (version(state), state.kind);
+        if (listed, kind) != (self.listed, self.listed_kind) {
+            self.listed_since = now;
+        }
+        self.kind = kind;
         self.slots = state.capacity.slots;
-        self.listed = version(state);
-        self.accepts_work = !state.draining && self.disproved.is_none_or(|d| d < self.listed);
+        self.listed = listed;
+        self.listed_kind = kind;
+        let newer = |(at, of)| at < listed || at == listed && of != kind;
+        self.accepts_work = !state.draining && self.disproved.is_none_or(newer);
     }
 
     /// Records that it accepted a call, which resets the backoff.
@@ -276,7 +292,11 @@
     /// the caller closes.
     ///
     /// An endpoint that is no longer listed gets no new work; calls that run there continue.
-    pub fn update(&mut self, listed: &BTreeMap<Box<str>, EndpointState>) -> Vec<PeerId> {
+    pub fn update(
+        &mut self,
+        now: Timestamp,
+        listed: &BTreeMap<Box<str>, EndpointState>,
+    ) -> Vec<PeerId> {
         for state in listed.values() {
             match self.names.get(&state.name) {
                 Some(key) => {
@@ -284,14 +304,14 @@
                     let restarted = known.listed.0 != state.boot;
                     if restarted || known.address != state.address || known.pool != state.pool {
                         // The endpoint was restarted, or replaced by another under its name.
-                        let fresh = Endpoint::new(state, &self.domain);
+                        let fresh = Endpoint::new(now, state, &self.domain);
                         *known = Endpoint { usage: known.usage, ..fresh };
                         continue;
                     }
-                    known.relist(state);
+                    known.relist(now, state);
                 }
                 None => {
-                    let key = self.endpoints.insert(Endpoint::new(state, &self.domain));
+                    let key = self.endpoints.insert(Endpoint::new(now, state, &self.domain));
                     self.names.insert(state.name.clone(), key);
                 }
             }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -415,7 +415,7 @@
                 self.listed = (listed.len(), open);
                 log::info!("step=endpoints listed={} open={open}", listed.len());
             }
-            for peer in self.fleet.update(&listed) {
+            for peer in self.fleet.update(now, &listed) {
                 self.effect(HttpEffect::HangUp { peer });
             }
         }
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -328,7 +328,9 @@
         if let Some(endpoint) = self.fleet.get_mut(attempt.endpoint) {
             endpoint_name = endpoint.name.clone();
             match (&failure, verdict) {
-                (Failure::Refused { misdirected: true }, _) => endpoint.misdirected(now),
+                (Failure::Refused { misdirected: true }, _) => {
+                    endpoint.misdirected(now, attempt.since);
+                }
                 (_, Some(verdict)) => endpoint.health.judge(now, verdict),
                 (_, None) => endpoint.refused(now),
             }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -5,9 +5,9 @@
 mod gateway_fixture;
 
 use dotterelpin::h1::{CallerId, HttpInput};
-use dotterelpin::model::EndpointKind;
+use dotterelpin::model::{EndpointKind, EndpointState};
 use dotterelpin::role::Input;
-use gateway_fixture::{Fixture, PLAIN, endpoint, table};
+use gateway_fixture::{Fixture, MODEL, PLAIN, endpoint, table};
 
 #[test]
 fn calls_before_the_first_table_are_refused_as_not_run() {
@@ -494,3 +494,62 @@
     f.advance(50);
     assert!(f.stopped);
 }
+
+/// Fails if an answer to a request that was sent before a newer state of its endpoint was listed
+/// closes that newer state.
+#[test]
+fn late_misdirected_answer_does_not_close_a_state_that_was_listed_meanwhile() {
+    let mut f = Fixture::ready();
+    announce_draining(&mut f, &["f2"]);
+    f.advance(600);
+    f.model_call(1, "/remind/a", "300,10");
+    let hold = f.take_sent();
+    f.answer(&hold, 200, &[], "hold h1");
+    let prefill = f.take_sent();
+    let listed = endpoint("f1", EndpointKind::Prefill, MODEL);
+    f.announce(EndpointState { sequence: 2, ..listed.clone() });
+    f.advance(600);
+    f.answer(&prefill, 421, &[("Not-Run", "1")], "");
+    f.step(Input::Local(HttpInput::CallerGone { caller: CallerId(1) }));
+    f.advance(600);
+    f.sent.clear();
+    f.model_call(2, "/remind/a", "300,10");
+    let hold = f.take_sent();
+    f.answer(&hold, 200, &[], "hold h2");
+    let next = f.take_sent();
+    assert_eq!((next.address, next.field("Stage")), (listed.address, Some("prefill")));
+}
+
+/// Fails if an engine that answered 421 in another stage stays closed after that stage is listed:
+/// its number of orders may be the same.
+#[test]
+fn engine_that_answered_misdirected_gets_calls_in_its_newly_listed_stage() {
+    let mut f = Fixture::ready();
+    announce_draining(&mut f, &["f2"]);
+    f.advance(600);
+    f.model_call(1, "/remind/a", "300,10");
+    let hold = f.take_sent();
+    f.answer(&hold, 200, &[], "hold h1");
+    let prefill = f.take_sent();
+    f.answer(&prefill, 421, &[("Not-Run", "1")], "");
+    f.step(Input::Local(HttpInput::CallerGone { caller: CallerId(1) }));
+    announce_draining(&mut f, &["d1", "d2"]);
+    let listed = endpoint("f1", EndpointKind::Decode, MODEL);
+    f.announce(listed.clone());
+    f.advance(600);
+    f.sent.clear();
+    f.model_call(2, "/remind/a", "300,10");
+    assert_eq!(f.take_sent().address, listed.address, "expected a reservation at the engine");
+}
+
+/// Lists endpoints of the usual kinds as draining.
+fn announce_draining(f: &mut Fixture, names: &[&str]) {
+    for name in names {
+        let kind = match name.starts_with('f') {
+            true => EndpointKind::Prefill,
+            false => EndpointKind::Decode,
+        };
+        let state = endpoint(name, kind, MODEL);
+        f.announce(EndpointState { draining: true, ..state });
+    }
+}
