Give up a silent prompt when its call has its own place reserved

A stream whose prompt was at a silent prefill endpoint got no other one while the decode endpoints were full: a silent attempt is kept unless a decode endpoint has capacity, and the capacity that the call itself had reserved counted as taken.

The place that a call has reserved for its run now counts as capacity for it. The new test, with one decode endpoint of which the call holds the last slot, found the last prefill still at the silent endpoint 2.5 s later; now it is sent to the other one and the run follows.

--- a/src/gateway/retry.rs
+++ b/src/gateway/retry.rs
@@ -84,9 +84,15 @@
         self.has_place(now, caller, endpoint) && self.is_affordable(now, caller, &planned)
     }
 
-    /// Returns whether an endpoint other than the present one has capacity for a call.
+    /// Returns whether an endpoint other than the present one has capacity for a call. During a
+    /// prefill that is also the one at which the call has reserved its place.
     fn has_place(&mut self, now: Timestamp, caller: CallerId, present: EndpointKey) -> bool {
         let Some(call) = self.calls.get_mut(&caller) else { return false };
+        if let Stage::Prefill { decode, .. } = &call.stage
+            && self.fleet.get(decode.endpoint).is_some_and(|e| e.is_open(now))
+        {
+            return true;
+        }
         call.tried.push(present);
         let found = match self.is_engine_call(caller) {
             true => self.pick_decode(now, caller),
--- a/tests/silent_endpoints.rs
+++ b/tests/silent_endpoints.rs
@@ -8,7 +8,7 @@
 use dotterelpin::model::EndpointKind;
 use dotterelpin::routes::{RawRoute, RawTable, Repeat};
 use gateway_fixture::{MODEL, PLAIN, route, table};
-use stand_in::{Silence, World};
+use stand_in::{Kind, Silence, World};
 
 /// How long a silence lasts, in milliseconds.
 const SILENCE_MS: u64 = 1_300;
@@ -646,3 +646,24 @@
     let count = callers.iter().filter(|c| answered(c)).count();
     assert_eq!(count, 3, "expected three retries within the budget");
 }
+
+/// Fails if a prompt at a silent prefill endpoint gets no other one because the decode endpoints
+/// are full, although the call itself has reserved its place there.
+#[test]
+fn prompt_of_a_silent_prefill_endpoint_waits_for_capacity_that_its_call_has() {
+    let prefill = ["f1", "f2"].map(|name| (name, PREFILL_KIND, MODEL));
+    let engines = [&prefill[..], &[("d1", DECODE_KIND, MODEL)]].concat();
+    let mut w = World::new(table_with(2), &engines);
+    (0..11).for_each(|_| _ = w.stream("/remind/a", MODEL, 200));
+    w.run(500);
+    w.heartbeat("f2", |e| e.draining = true);
+    w.run(1_000);
+    w.silence("f1", Silence::Mute, 9_000);
+    let caller = w.stream("/remind/a", MODEL, LONG);
+    w.run(50);
+    w.heartbeat("f2", |e| e.draining = false);
+    w.run(2_500);
+    let newest = w.arrivals.iter().rfind(|a| a.kind == Kind::Prefill);
+    assert_eq!(newest.map(|a| &*a.target), Some("f2"), "expected a prefill at f2");
+    assert_eq!(w.runs_at(caller).as_deref(), Some("d1"));
+}
