Do not count a misdirected prompt against a call's attempts

A stream that broke was cut off with one endpoint tried if its prompt had met a 421 before: the 421 of a run was not counted as an attempt, but that of a prompt was, so a route of two attempts left none for the resumption. Nothing has run at an endpoint that is gone, so neither counts now; the charge of the retry budget stays. In the new test, 2 of 4 streams were cut off; now all four are whole.

--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -293,7 +293,8 @@
                 call.broke_at.take_if(|at| *at == attempt.endpoint);
                 call.sends = call.sends.saturating_sub(1);
             }
-            (Failure::NotStarted, true) | (Failure::Refused { .. }, false) => {}
+            (Failure::NotStarted | Failure::Refused { misdirected: true }, true)
+            | (Failure::Refused { .. }, false) => {}
             (_, true) => call.sends += 1,
             (_, false) => call.may_have_run = true,
         }
--- a/tests/silent_endpoints.rs
+++ b/tests/silent_endpoints.rs
@@ -667,3 +667,19 @@
     assert_eq!(newest.map(|a| &*a.target), Some("f2"), "expected a prefill at f2");
     assert_eq!(w.runs_at(caller).as_deref(), Some("d1"));
 }
+
+/// Fails if a stream that broke is cut off because its prompt was first sent to a prefill endpoint
+/// that is gone, whose 421 leaves it both attempts.
+#[test]
+fn broken_stream_is_cut_off_when_its_prompt_was_misdirected() {
+    let mut w = world(2);
+    w.replace("f1", "other");
+    w.run(100);
+    let callers: Vec<u64> = (0..4).map(|_| w.stream("/remind/a", MODEL, LONG)).collect();
+    w.run(500);
+    assert!(count_421(&w, "f1") > 0, "expected a prompt at f1");
+    callers.iter().for_each(|c| assert!(w.break_run(*c).is_some(), "call {c} runs"));
+    w.run(9_000);
+    let cut: Vec<u64> = callers.into_iter().filter(|c| !w.is_whole(*c, LONG)).collect();
+    assert!(cut.is_empty(), "expected whole streams, but these were cut off: {cut:?}");
+}
