Report no process as dead for a lease after a member's start

A control member that has just started knows no heartbeats yet, but it answered at once that the owner of a claim is dead. An entry then takes the claim over while the owner's generation runs: the prompt runs again, and the first caller's stream ends as stale. A leader that has just started also dropped the runs of gateways that it had not heard of yet. The list of endpoints had the necessary rule already: for the length of a lease, nothing is concluded from missing heartbeats.

The same rule now holds for the question about an owner and for the runs of gateways; the claim itself still expires. The new test failed before (dead before the first heartbeat) and passes now, as do registry, rooms and at_most_once with their usual numbers of cases. The consequences for callers are read from the code, not measured.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -177,7 +177,7 @@
                     return vec![self.not_leader(inbound)];
                 }
                 let registry = &self.registry;
-                self.rooms.retain_owners(now, |boot| registry.is_alive(now, boot));
+                self.rooms.retain_owners(now, |boot| registry.may_be_alive(now, boot));
                 let endpoint = self.rooms.assign(now, &request);
                 vec![self.reply(inbound, ControlReply::RoomAssigned { endpoint })]
             }
@@ -197,7 +197,7 @@
                 vec![self.reply(inbound, ControlReply::Announced)]
             }
             ControlRequest::Owner(boot) => {
-                let alive = self.registry.is_alive(now, boot);
+                let alive = self.registry.may_be_alive(now, boot);
                 vec![self.reply(inbound, ControlReply::Owner { alive })]
             }
             ControlRequest::Status => {
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -175,6 +175,18 @@
         same.into_iter().any(|(_, key)| alive(*key))
     }
 
+    /// Returns whether the process with this boot is alive as far as this member can know: one that
+    /// has just started has not received heartbeats of all processes yet, so for the length of a
+    /// lease it counts no process as dead.
+    pub fn may_be_alive(&self, now: Timestamp, boot: BootId) -> bool {
+        !self.is_warm(now) || self.is_alive(now, boot)
+    }
+
+    /// Returns whether this member has received heartbeats for the length of a lease.
+    fn is_warm(&self, now: Timestamp) -> bool {
+        self.started.is_some_and(|at| now >= at + HEARTBEAT_LEASE)
+    }
+
     /// Returns the state that a follower has seen once it has applied the reply to its heartbeat.
     pub fn seen(&self) -> Seen {
         Seen { epoch: self.epoch, version: self.changes.version(), digest: self.view.digest() }
@@ -193,7 +205,7 @@
         if seen.digest == self.view.digest() {
             return None;
         }
-        let warm = self.started.is_some_and(|at| now >= at + HEARTBEAT_LEASE);
+        let warm = self.is_warm(now);
         let fresh = seen == Seen::default();
         let own = seen.epoch == self.epoch;
         if !warm && !own && !fresh {
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -9,7 +9,7 @@
 
 use dotterelpin::control::replica::{MemberId, ReplicaSettings, Stored};
 use dotterelpin::control::{Control, ControlSettings};
-use dotterelpin::link::message::{Envelope, Reply, Request};
+use dotterelpin::link::message::{ControlReply, ControlRequest, Envelope, Reply, Request};
 use dotterelpin::model::{
     BootId, Capacity, EndpointKind, EndpointState, ExchangeId, Fence, InboundId, Load, Timestamp,
 };
@@ -534,3 +534,43 @@
     let later = now + HEARTBEAT_LEASE;
     assert!(!registry.is_alive(later, BootId(7)));
 }
+
+/// Fails if a member that has just started, and has not received the heartbeats of all processes
+/// yet, reports one of them as dead: the claims of its calls would be taken over while these run.
+#[test]
+fn member_that_has_just_started_reports_a_live_owner_as_dead() {
+    let mut world = World::new();
+    let mut member = world.new_member(0);
+    let start = world.now;
+    let owner = BootId(9);
+    let known = |member: &mut Control, now| {
+        let endpoint = Box::new(endpoint("a5", "brno-a", 5));
+        ask(member, now, ControlRequest::Announce(endpoint));
+    };
+    let is_alive = |member: &mut Control, now| match ask(member, now, ControlRequest::Owner(owner))
+    {
+        ControlReply::Owner { alive } => alive,
+        other => panic!("expected whether the owner is alive, found {other:?}"),
+    };
+    assert!(is_alive(&mut member, start), "before the first heartbeat");
+    known(&mut member, start);
+    assert!(is_alive(&mut member, start + HEARTBEAT_LEASE / 2), "half a lease later");
+    let later = start + HEARTBEAT_LEASE;
+    known(&mut member, later);
+    assert!(!is_alive(&mut member, later), "all live processes are known by now");
+}
+
+/// Returns a member's reply to a request.
+fn ask(member: &mut Control, now: Timestamp, request: ControlRequest) -> ControlReply {
+    let body = Request::Control(request);
+    let envelope = Envelope { revised: Default::default(), body };
+    let outputs = member.step(now, Input::Request { inbound: InboundId(1), envelope });
+    let reply = outputs.into_iter().find_map(|output| match output {
+        Output::Reply { envelope, .. } => Some(envelope.body),
+        _ => None,
+    });
+    match reply {
+        Some(Reply::Control(reply)) => reply,
+        other => panic!("expected a reply of control, found {other:?}"),
+    }
+}
