Test that calls do not wait behind a retry that no endpoint can take

Calls to a plain service wait, or are refused, while an endpoint has capacity: the queue stops at its first call, and a retried call there that has tried the only endpoint with capacity waits for another one, up to half of its remaining time.

--- a/tests/silent_endpoints.rs
+++ b/tests/silent_endpoints.rs
@@ -683,3 +683,20 @@
     let cut: Vec<u64> = callers.into_iter().filter(|c| !w.is_whole(*c, LONG)).collect();
     assert!(cut.is_empty(), "expected whole streams, but these were cut off: {cut:?}");
 }
+
+/// Fails if calls wait behind a retried one that has tried the only endpoint with capacity.
+#[test]
+fn calls_wait_behind_a_retry_that_has_tried_the_endpoint_with_capacity() {
+    let plain = ["p1", "p2"].map(|name| (name, EndpointKind::Service, PLAIN));
+    let mut w = World::new(table_with(3), &plain);
+    w.silence("p2", Silence::Mute, 6_500);
+    (0..24).for_each(|_| _ = w.plain_call("/pay/a", PLAIN));
+    w.run(100);
+    let retried = [(); 2].map(|()| w.plain_call("/look/a", PLAIN));
+    retried.iter().for_each(|c| assert_eq!(w.break_run(*c).as_deref(), Some("p1")));
+    let callers: Vec<u64> = (0..4).map(|_| w.plain_call("/pay/a", PLAIN)).collect();
+    w.run(500);
+    let answered = |c: &u64| w.f.answers.get(c).is_some_and(|a| a.content == b"ok");
+    let count = callers.iter().filter(|c| answered(c)).count();
+    assert_eq!(count, 4, "expected answers of p1, which has capacity, within 500 ms");
+}
