Test that the API accepts the reply of a slow commit

The API gives up a command's exchange after 350 ms of silence and sends the command again, so the reply to a commit that takes longer is not accepted, and an operator may get 503 for a change that is in force. The test fails: no reply to the caller after the commit's reply at 400 ms.

--- a/tests/api.rs
+++ b/tests/api.rs
@@ -196,6 +196,18 @@
     assert!(f.replies[0].1.starts_with("Unavailable"), "{:?}", f.replies);
 }
 
+/// Fails if the reply to a command that took longer to commit than a member may take to answer is
+/// not accepted, since the command was sent again meanwhile.
+#[test]
+fn reply_of_a_slow_commit_is_accepted_after_the_command_was_sent_again() {
+    let mut f = Fixture::new();
+    f.call(1, "/publish/7");
+    let (first, ..) = f.take_request();
+    f.advance(400);
+    f.reply(first, ControlReply::Applied(Applied::Done));
+    assert_eq!(f.replies, [(1, "Done".to_string())]);
+}
+
 #[test]
 fn broken_exchange_is_retried() {
     let mut f = Fixture::new();
