--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -304,7 +304,8 @@
                 call.broke_at.take_if(|at| *at == attempt.endpoint);
                 call.sends = call.sends.saturating_sub(1);
             }
-            (Failure::NotStarted, true) | (Failure::Refused { .. }, false) => {}
+            (Failure::NotStarted | Failure::Refused { misdirected: true }, true)
+            | (Failure::Refused { .. }, false) => {}
             (_, true) => call.sends += 1,
             (_, false) => call.may_have_run = true,
         }
@@ -339,7 +340,9 @@
         if let Some(endpoint) = self.fleet.get_mut(attempt.endpoint) {
             endpoint_name = endpoint.name.clone();
             match (&failure, verdict) {
-                (Failure::Refused { misdirected: true }, _) => endpoint.misdirected(now),
+                (Failure::Refused { misdirected: true }, _) => {
+                    endpoint.misdirected(now, attempt.since);
+                }
                 (_, Some(verdict)) => endpoint.health.judge(now, verdict),
                 (_, None) => endpoint.refused(now),
             }
--- a/tests/silent_endpoints.rs
+++ b/tests/silent_endpoints.rs
@@ -8,7 +8,7 @@
 use dotterelpin::model::EndpointKind;
 use dotterelpin::routes::{RawRoute, RawTable, Repeat};
 use gateway_fixture::{MODEL, PLAIN, route, table};
-use stand_in::{Silence, World};
+use stand_in::{Kind, Silence, World};
 
 /// How long a silence lasts, in milliseconds.
 const SILENCE_MS: u64 = 1_300;
@@ -594,3 +594,109 @@
     let sent = work_at(&w, &at) - before;
     assert_eq!(sent, 0, "expected no new work at {at} 1.5 s after it was listed as draining");
 }
+
+/// Fails if retries that were charged early, and waited for capacity, exceed the budget together
+/// with those that are charged when the early charges have left the window.
+#[test]
+fn retries_that_waited_for_capacity_exceed_the_budget_when_they_are_sent() {
+    let plain = ["p1", "p2"].map(|name| (name, EndpointKind::Service, PLAIN));
+    let mut w = World::new(table_with(3), &plain);
+    w.silence("p2", Silence::Mute, 6_500);
+    (0..24).for_each(|_| _ = w.plain_call("/pay/a", PLAIN));
+    w.run(100);
+    break_looks(&mut w, 24);
+    // The charges leave the window now; the retries that waited were sent 4 s ago.
+    w.run(10_700);
+    break_looks(&mut w, 24);
+    w.run(1_000);
+    assert!(w.extra_arrivals(PLAIN).len() > 8, "expected retries after both breaks");
+    w.assert_within_budget(PLAIN);
+}
+
+/// Sends so many calls and breaks those that run at once.
+fn break_looks(w: &mut World, count: usize) {
+    let callers: Vec<u64> = (0..count).map(|_| w.plain_call("/look/a", PLAIN)).collect();
+    let broken = callers.into_iter().filter(|c| w.break_run(*c).is_some()).count();
+    assert!(broken >= 12, "expected 12 runs to break, found {broken}");
+}
+
+/// Fails if charges of calls that end before their retry is sent reduce the budget of others.
+#[test]
+fn retries_that_were_never_sent_use_up_the_budget() {
+    let plain = ["p1", "p2"].map(|name| (name, EndpointKind::Service, PLAIN));
+    let mut w = World::new(table_with(3), &plain);
+    w.silence("p2", Silence::Mute, 1_500);
+    (0..24).for_each(|_| _ = w.plain_call("/pay/a", PLAIN));
+    w.run(100);
+    for _ in 0..2 {
+        let callers: Vec<u64> = (0..12).map(|_| w.plain_call("/look/a", PLAIN)).collect();
+        callers.iter().for_each(|c| _ = w.break_run(*c));
+        callers.iter().for_each(|c| w.leave(*c));
+        // The endpoint accepts calls again once one has been answered.
+        w.run(700);
+        w.plain_call("/pay/a", PLAIN);
+        w.run(100);
+    }
+    w.run(2_500);
+    assert_eq!(w.extra_arrivals(PLAIN).len(), 0, "expected that no retry was sent");
+    let callers = [(); 3].map(|()| w.plain_call("/look/a", PLAIN));
+    callers.iter().for_each(|c| assert!(w.break_run(*c).is_some()));
+    w.run(100);
+    let answered = |c: &u64| w.f.answers.get(c).is_some_and(|a| a.complete && a.content == b"ok");
+    let count = callers.iter().filter(|c| answered(c)).count();
+    assert_eq!(count, 3, "expected three retries within the budget");
+}
+
+/// Fails if a prompt at a silent prefill endpoint gets no other one because the decode endpoints
+/// are full, although the call itself has reserved its place there.
+#[test]
+fn prompt_of_a_silent_prefill_endpoint_waits_for_capacity_that_its_call_has() {
+    let prefill = ["f1", "f2"].map(|name| (name, PREFILL_KIND, MODEL));
+    let engines = [&prefill[..], &[("d1", DECODE_KIND, MODEL)]].concat();
+    let mut w = World::new(table_with(2), &engines);
+    (0..11).for_each(|_| _ = w.stream("/remind/a", MODEL, 200));
+    w.run(500);
+    w.heartbeat("f2", |e| e.draining = true);
+    w.run(1_000);
+    w.silence("f1", Silence::Mute, 9_000);
+    let caller = w.stream("/remind/a", MODEL, LONG);
+    w.run(50);
+    w.heartbeat("f2", |e| e.draining = false);
+    w.run(2_500);
+    let newest = w.arrivals.iter().rfind(|a| a.kind == Kind::Prefill);
+    assert_eq!(newest.map(|a| &*a.target), Some("f2"), "expected a prefill at f2");
+    assert_eq!(w.runs_at(caller).as_deref(), Some("d1"));
+}
+
+/// Fails if a stream that broke is cut off because its prompt was first sent to a prefill endpoint
+/// that is gone, whose 421 leaves it both attempts.
+#[test]
+fn broken_stream_is_cut_off_when_its_prompt_was_misdirected() {
+    let mut w = world(2);
+    w.replace("f1", "other");
+    w.run(100);
+    let callers: Vec<u64> = (0..4).map(|_| w.stream("/remind/a", MODEL, LONG)).collect();
+    w.run(500);
+    assert!(count_421(&w, "f1") > 0, "expected a prompt at f1");
+    callers.iter().for_each(|c| assert!(w.break_run(*c).is_some(), "call {c} runs"));
+    w.run(9_000);
+    let cut: Vec<u64> = callers.into_iter().filter(|c| !w.is_whole(*c, LONG)).collect();
+    assert!(cut.is_empty(), "expected whole streams, but these were cut off: {cut:?}");
+}
+
+/// Fails if calls wait behind a retried one that has tried the only endpoint with capacity.
+#[test]
+fn calls_wait_behind_a_retry_that_has_tried_the_endpoint_with_capacity() {
+    let plain = ["p1", "p2"].map(|name| (name, EndpointKind::Service, PLAIN));
+    let mut w = World::new(table_with(3), &plain);
+    w.silence("p2", Silence::Mute, 6_500);
+    (0..24).for_each(|_| _ = w.plain_call("/pay/a", PLAIN));
+    w.run(100);
+    let retried = [(); 2].map(|()| w.plain_call("/look/a", PLAIN));
+    retried.iter().for_each(|c| assert_eq!(w.break_run(*c).as_deref(), Some("p1")));
+    let callers: Vec<u64> = (0..4).map(|_| w.plain_call("/pay/a", PLAIN)).collect();
+    w.run(500);
+    let answered = |c: &u64| w.f.answers.get(c).is_some_and(|a| a.content == b"ok");
+    let count = callers.iter().filter(|c| answered(c)).count();
+    assert_eq!(count, 4, "expected answers of p1, which has capacity, within 500 ms");
+}
