Do not hold up plain calls behind a retry that no endpoint can take

Calls to a plain service waited or were refused although an endpoint had capacity: the queue stopped at a retried call that had tried that endpoint. Such a call no longer counts as ahead of others and is passed over, like one that waits for its software version.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -80,13 +80,16 @@
         }
     }
 
-    /// Starts the queued calls of a service in their order while there is capacity. Calls that must
-    /// run at one software version do not hold up those behind them.
+    /// Starts the queued calls of a service in their order while there is capacity. Calls that can
+    /// start only at some endpoints do not hold up those behind them.
     fn start_queue(&mut self, now: Timestamp, service: &str) {
         let queued = self.queues.get(service).map(Queue::in_order).unwrap_or_default();
         for caller in queued {
-            let bound = self.calls.get(&caller).is_some_and(|c| c.software.is_some());
-            if bound && !self.has_version(caller) {
+            let call = self.calls.get(&caller);
+            let versioned = call.is_some_and(|c| c.software.is_some());
+            // A retried plain call has tried endpoints that may have capacity for others.
+            let retried = call.is_some_and(|c| c.info.work.is_none() && !c.tried.is_empty());
+            if versioned && !self.has_version(caller) {
                 if let Some(queue) = self.queues.get_mut(service) {
                     queue.remove(caller);
                 }
@@ -97,7 +100,7 @@
                     queue.started(now);
                 }
                 self.schedule(caller);
-            } else if !bound {
+            } else if !versioned && !retried {
                 return;
             }
         }
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -87,6 +87,6 @@
     let target = call.route().map(|r| r.target).unwrap_or_default();
     let until = now + call.remaining(now) * PLAIN_WAIT_PERCENT / 100;
     let in_time = call.arrived + target * IN_TIME_PERCENT / 100;
-    let bound = call.software.is_some();
+    let bound = call.software.is_some() || !call.tried.is_empty();
     Waiting { key, in_time: in_time.min(until), until, bound }
 }
--- a/tests/stand_in/mod.rs
+++ b/tests/stand_in/mod.rs
@@ -278,13 +278,6 @@
         self.next_call
     }
 
-    /// Closes the connection of a caller.
-    pub fn leave(&mut self, caller: u64) {
-        let caller = CallerId(caller);
-        self.f.step(Input::Local(HttpInput::CallerGone { caller }));
-        self.receive();
-    }
-
     /// Lets the simulated time pass.
     pub fn run(&mut self, millis: u64) {
         for _ in 0..millis / STEP_MS {
