Let the fixture's control have several members

A gateway tells all control members what it knows of streams and asks all of them. The fixture can name more members, of which only the first answers heartbeats, and tells to which member each request went.

--- a/tests/gateway_fixture/mod.rs
+++ b/tests/gateway_fixture/mod.rs
@@ -218,6 +218,10 @@
     /// The leader that control reports, from which the gateway requests decode endpoints with
     /// capacity and prefill endpoints; without one, the gateway chooses them itself.
     pub leader: Option<SocketAddr>,
+    /// The members of control besides the first one, which alone answers heartbeats.
+    pub more_members: Vec<SocketAddr>,
+    /// The control member to which each request was sent that isn't a heartbeat.
+    pub members_of: BTreeMap<ExchangeId, SocketAddr>,
     /// Requests to the leader, and reports to it of ended prompts and runs, oldest first.
     pub leader_requests: Vec<(ExchangeId, ControlRequest)>,
 }
@@ -278,6 +282,8 @@
             heartbeats: Vec::new(),
             gateways: GATEWAYS,
             leader: None,
+            more_members: Vec::new(),
+            members_of: BTreeMap::new(),
             leader_requests: Vec::new(),
         }
     }
@@ -365,7 +371,7 @@
                     highest: Revision(0),
                     document: newest.map_or(0, |d| d.version),
                     epoch: 1,
-                    voters: vec![member()],
+                    voters: self.voters(),
                 }),
                 config: None,
                 seen: Seen::default(),
@@ -385,11 +391,17 @@
         }
     }
 
+    fn voters(&self) -> Vec<SocketAddr> {
+        std::iter::once(member()).chain(self.more_members.iter().copied()).collect()
+    }
+
     /// Steps the role with an input and applies its outputs.
     pub fn step(&mut self, input: Input<HttpInput>) {
         for output in self.gateway.step(self.now, input) {
             match output {
-                Output::Open { exchange, envelope, .. } => self.on_open(exchange, envelope.body),
+                Output::Open { exchange, peer, envelope } => {
+                    self.on_open(exchange, peer, envelope.body);
+                }
                 Output::Effect(effect) => self.apply_effect(effect),
                 Output::Observe(observation) => self.observed.push(observation),
                 Output::Stopped => self.stopped = true,
@@ -398,11 +410,15 @@
         }
     }
 
-    fn on_open(&mut self, exchange: ExchangeId, request: LinkRequest) {
+    fn on_open(&mut self, exchange: ExchangeId, peer: SocketAddr, request: LinkRequest) {
         if let LinkRequest::Control(ControlRequest::Heartbeat(heartbeat)) = request {
+            if peer != member() {
+                return;
+            }
             let seen = heartbeat.routing.unwrap();
             self.heartbeats.push((exchange, seen.version, seen.deregistration));
         } else if let LinkRequest::Control(request) = request {
+            self.members_of.insert(exchange, peer);
             self.leader_requests.push((exchange, request));
         }
     }
