Test that plain streams keep to their software version, too

A service without engines may stream as well. Callers would see a stream of two versions when they take it up again or when it breaks.

--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -13,7 +13,7 @@
 use dotterelpin::model::{EndpointKind, EndpointState, ExchangeId};
 use dotterelpin::role::Input;
 use dotterelpin::routes::{RawRoute, RawTable, Repeat};
-use gateway_fixture::{Fixture, MODEL, Sent, endpoint, route, table};
+use gateway_fixture::{Fixture, MODEL, PLAIN, Sent, endpoint, route, table};
 use stand_in::{Silence, World};
 
 /// The path of streams that may be taken up again.
@@ -36,6 +36,50 @@
 const PREFILL: EndpointKind = EndpointKind::Prefill;
 const DECODE: EndpointKind = EndpointKind::Decode;
 
+/// Returns a world with two plain endpoints of each of two versions, which stream, too.
+fn plain_world() -> World {
+    let mut all = table_with(ATTEMPTS);
+    all.routes.push(route("/news/", PLAIN, Repeat::ResumableStream, ATTEMPTS));
+    let of = |(name, software): (&str, &str)| {
+        let state = endpoint(name, EndpointKind::Service, PLAIN);
+        EndpointState { software: software.into(), ..state }
+    };
+    let plain = [("p1", "v1"), ("p2", "v1"), ("p3", "v2"), ("p4", "v2")].map(of);
+    World::before(all, plain.into())
+}
+
+/// Starts streams of the plain service, which all have events when this returns.
+fn begin_plain(w: &mut World, count: u64) -> Vec<u64> {
+    let callers: Vec<u64> = (0..count).map(|_| w.stream("/news/a", PLAIN, LONG)).collect();
+    w.run(900);
+    let begun = callers.iter().filter(|c| w.new_events(**c) > 0).count();
+    assert_eq!(begun, callers.len(), "the first: {}", w.answer_of(callers[0]));
+    callers
+}
+
+/// Fails if a stream of a plain service that is taken up again goes to another version.
+#[test]
+fn plain_stream_taken_up_goes_to_another_version() {
+    in_worlds(plain_world, |w| {
+        let callers = begin_plain(w, STREAMS);
+        let again: Vec<u64> =
+            callers.iter().map(|c| w.take_up(*c, "/news/a", PLAIN, LONG)).collect();
+        w.run(9_000);
+        again
+    });
+}
+
+/// Fails if a broken stream of a plain service goes on at another version.
+#[test]
+fn broken_plain_stream_goes_on_at_another_version() {
+    in_worlds(plain_world, |w| {
+        let callers = begin_plain(w, RETRIED);
+        callers.iter().for_each(|c| assert!(w.break_run(*c).is_some(), "call {c} runs"));
+        w.run(9_000);
+        callers
+    });
+}
+
 /// Returns an endpoint of the service of models with a software version.
 fn engine(name: &str, kind: EndpointKind, software: &str) -> EndpointState {
     EndpointState { software: software.into(), ..endpoint(name, kind, MODEL) }
