--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -13,7 +13,7 @@
 use dotterelpin::model::{EndpointKind, EndpointState, ExchangeId};
 use dotterelpin::role::Input;
 use dotterelpin::routes::{RawRoute, RawTable, Repeat};
-use gateway_fixture::{Fixture, MODEL, Sent, endpoint, route, table};
+use gateway_fixture::{Fixture, MODEL, PLAIN, Sent, endpoint, route, table};
 use stand_in::{Silence, World};
 
 /// The path of streams that may be taken up again.
@@ -34,6 +34,50 @@
 const PREFILL: EndpointKind = EndpointKind::Prefill;
 const DECODE: EndpointKind = EndpointKind::Decode;
 
+/// Returns a world with two plain endpoints of each of two versions, which stream, too.
+fn plain_world() -> World {
+    let mut all = table_with(ATTEMPTS);
+    all.routes.push(route("/news/", PLAIN, Repeat::ResumableStream, ATTEMPTS));
+    let of = |(name, software): (&str, &str)| {
+        let state = endpoint(name, EndpointKind::Service, PLAIN);
+        EndpointState { software: software.into(), ..state }
+    };
+    let plain = [("p1", "v1"), ("p2", "v1"), ("p3", "v2"), ("p4", "v2")].map(of);
+    World::before(all, plain.into())
+}
+
+/// Starts streams of the plain service, which all have events when this returns.
+fn begin_plain(w: &mut World, count: u64) -> Vec<u64> {
+    let callers: Vec<u64> = (0..count).map(|_| w.stream("/news/a", PLAIN, LONG)).collect();
+    w.run(900);
+    let begun = callers.iter().filter(|c| w.new_events(**c) > 0).count();
+    assert_eq!(begun, callers.len(), "the first: {}", w.answer_of(callers[0]));
+    callers
+}
+
+/// Fails if a stream of a plain service that is taken up again goes to another version.
+#[test]
+fn plain_stream_taken_up_goes_to_another_version() {
+    in_worlds(plain_world, |w| {
+        let callers = begin_plain(w, STREAMS);
+        let again: Vec<u64> =
+            callers.iter().map(|c| w.take_up(*c, "/news/a", PLAIN, LONG)).collect();
+        w.run(9_000);
+        again
+    });
+}
+
+/// Fails if a broken stream of a plain service goes on at another version.
+#[test]
+fn broken_plain_stream_goes_on_at_another_version() {
+    in_worlds(plain_world, |w| {
+        let callers = begin_plain(w, RETRIED);
+        callers.iter().for_each(|c| assert!(w.break_run(*c).is_some(), "call {c} runs"));
+        w.run(9_000);
+        callers
+    });
+}
+
 /// Returns an endpoint of the service of models with a software version.
 fn engine(name: &str, kind: EndpointKind, software: &str) -> EndpointState {
     EndpointState { software: software.into(), ..endpoint(name, kind, MODEL) }
@@ -430,16 +474,23 @@
 /// another version before this is listed.
 #[test]
 fn broken_stream_goes_on_at_its_endpoint_that_started_with_another_version() {
-    in_worlds(world_without_prefill, |w| {
-        begin(w, RETRIED);
-        w.upgrade("d1", "v2", 0);
-        w.upgrade("d3", "v3", 0);
-        w.run(1_000);
-        w.list_upgrade("d1");
-        w.list_upgrade("d3");
-        w.run(9_000);
-        Vec::new()
-    });
+    for count in [1, RETRIED] {
+        for make in [world, world_without_prefill] {
+            in_worlds(make, |w| upgrade_unnoticed(w, count));
+        }
+    }
+}
+
+/// Starts an endpoint anew with another version under its name while streams run there; this is
+/// listed a second later.
+fn upgrade_unnoticed(w: &mut World, count: u64) -> Vec<u64> {
+    let callers = begin(w, count);
+    let name = w.runs_at(callers[0]).expect("the first stream runs");
+    w.upgrade(&name, "v3", 0);
+    w.run(1_000);
+    w.list_upgrade(&name);
+    w.run(9_000);
+    Vec::new()
 }
 
 /// Fails if a stream goes on at the address of its endpoint, where another one with another version
@@ -550,8 +601,9 @@
     w.run(350);
     assert_sound(&w, &[]);
     assert_eq!(w.new_events(blocked), 0, "expected {blocked} to wait: {}", w.answer_of(blocked));
-    let waits: Vec<u64> = new.into_iter().filter(|c| w.new_events(*c) == 0).collect();
-    assert!(waits.is_empty(), "expected new calls to start at v2, but {waits:?} wait");
+    let idle = new.into_iter().filter(|c| w.new_events(*c) == 0);
+    let idle: Vec<String> = idle.map(|c| format!("call {c}: {}", w.answer_of(c))).collect();
+    assert!(idle.is_empty(), "expected new calls to start at v2, found {idle:?}");
 }
 
 /// Fails if a stream that is taken up again is not started before newer calls that wait, once its
