Ask control about a stream whose call names none if the gateway is new

A gateway that had just started after a release sent a resumption that names no stream to the new version: its own list knew no other. It now asks the control members, as for a named stream, until its list is as old as a stream may be. stream_without_a_named_origin_goes_on_after_a_release failed before and passes now.

--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -83,7 +83,8 @@
             self.origin_known(now, caller, software, Source::Own);
             return;
         }
-        if resumes.is_none() {
+        let lasting = call.route().map_or(Duration::MAX, |r| r.timeout);
+        if resumes.is_none() && self.versions.covers(now, lasting) {
             self.conclude_unnamed(now, caller);
             return;
         }
