Send nothing new to an endpoint that says it leaves

Callers lost time and attempts at endpoints that were about to stop: an endpoint states in its answers that it leaves, but the gateway read that nowhere and went on sending until a heartbeat with the drain reached it through control.

The protocol reads the field (`FieldNames::leaving`, a value other than empty and 0) from the head of each answer: whole, streamed, refused, failed, of a prefill, and of side requests. The fact belongs to the start of the endpoint for which the connection was opened, so an answer of an earlier start closes no later one. Newer listed states, another address and a time without a listing keep it; another start drops it. Such an endpoint gets no first try, retry, prefill, resumption, reservation or report request; a reservation that it has granted and not begun is given up and the run goes elsewhere, from the same export if its prefill is done. Requests that free an export or a reservation are still sent. If no endpoint of a service is left, calls that wait and new ones are refused at once with a retry time, and no retry is charged. A line step=leaving and gateway_leaving_total tell of each start.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -84,7 +84,15 @@
     /// run at one software version do not hold up those behind them.
     fn start_queue(&mut self, now: Timestamp, service: &str) {
         let queued = self.queues.get(service).map(Queue::in_order).unwrap_or_default();
+        let words = self.fleet.has_words(service);
         for caller in queued {
+            if words && let Some(refusal) = self.unwelcome(caller) {
+                if let Some(queue) = self.queues.get_mut(service) {
+                    queue.remove(caller);
+                }
+                self.conclude(now, caller, refusal, EndReason::NoEndpoint);
+                continue;
+            }
             let bound = self.calls.get(&caller).is_some_and(|c| c.software.is_some());
             if bound && !self.has_version(caller) {
                 if let Some(queue) = self.queues.get_mut(service) {
@@ -112,8 +120,13 @@
         }
     }
 
-    /// Tries again to start a call to a model, or puts it back at the front of its queue.
+    /// Tries again to start a call to a model, or puts it back at the front of its queue; refuses it
+    /// if no endpoint is left for it.
     pub(super) fn start_or_requeue(&mut self, now: Timestamp, caller: CallerId) {
+        if let Some(refusal) = self.unwelcome(caller) {
+            self.conclude(now, caller, refusal, EndReason::NoEndpoint);
+            return;
+        }
         if self.start_engine(now, caller) {
             return;
         }
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -207,7 +207,9 @@
     }
 
     /// Handles the head of an endpoint's answer.
-    pub(super) fn answered(&mut self, peer: PeerId, head: AnswerHead) {
+    pub(super) fn answered(&mut self, now: Timestamp, peer: PeerId, head: AnswerHead) {
+        let info = self.protocol.read_answer(&head);
+        self.heed(now, peer, &info);
         let Some(conn) = self.fleet.conn(peer) else { return };
         if let Some(timeout) = idle_timeout(&head) {
             conn.idle_timeout = timeout;
@@ -227,7 +229,6 @@
                 return;
             }
         };
-        let info = self.protocol.read_answer(&head);
         let Some(call) = self.calls.get_mut(&caller) else { return };
         let other = info.id.as_deref().is_some_and(|id| *id != *call.info.id);
         let unnamed = info.id.is_none() && (200..300).contains(&head.status);
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -152,7 +152,9 @@
         if let Some(endpoint) = self.fleet.get_mut(decode.endpoint) {
             endpoint.accepted();
         }
-        if skips_prefill {
+        if !self.is_welcome(decode.endpoint) {
+            self.replace_decode(now, caller, decode);
+        } else if skips_prefill {
             self.run_whole(now, caller, decode);
         } else if !self.request_prefill(now, caller, decode) {
             self.run_prefill(now, caller, decode, None);
@@ -169,6 +171,10 @@
         decode: Reservation,
         named: Option<EndpointKey>,
     ) {
+        if !self.is_welcome(decode.endpoint) {
+            self.replace_decode(now, caller, decode);
+            return;
+        }
         let draw = self.draw();
         let Some(shape) = self.shape(caller) else { return };
         let own = || self.pick_prefill(now, caller, &shape, decode.endpoint, draw);
@@ -181,6 +187,16 @@
         self.run_whole(now, caller, decode);
     }
 
+    /// Gives up a reservation at a decode endpoint that wants no new request, and starts the call
+    /// elsewhere.
+    fn replace_decode(&mut self, now: Timestamp, caller: CallerId, decode: Reservation) {
+        self.report_prefill_end(caller);
+        self.report_run_end(caller, RunEnd::Refused);
+        self.release(now, decode.endpoint, decode.usage);
+        self.release_hold(now, caller);
+        self.start_or_requeue(now, caller);
+    }
+
     /// Runs a complete call on the decode endpoint that has granted its reservation.
     fn run_whole(&mut self, now: Timestamp, caller: CallerId, decode: Reservation) {
         // The reserved usage is counted again for the attempt by `run_on`.
@@ -309,9 +325,14 @@
         if self.run_on(now, caller, endpoint, usage, kind, Some(from.clone())) {
             return;
         }
-        // The decode endpoint has left the list meanwhile.
-        if !self.hand_off(now, caller, from.clone()) {
-            self.free_export(now, from.source, &from.export.handle);
+        // The decode endpoint has left the list meanwhile, or says that it leaves.
+        self.report_run_end(caller, RunEnd::Refused);
+        self.release_hold(now, caller);
+        if self.hand_off(now, caller, from.clone()) {
+            return;
+        }
+        self.free_export(now, from.source, &from.export.handle);
+        if !self.wait_for_run(now, caller) {
             self.conclude(now, caller, answer::no_endpoint(), EndReason::NoEndpoint);
         }
     }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -9,6 +9,7 @@
 use super::place::{DecodeLoad, PrefillLoad};
 use super::protocol::EngineReport;
 use super::window::Window;
+use super::words::Words;
 use crate::entry::health::Health;
 use crate::h1::{CallerId, PeerId};
 use crate::model::{BootId, EndpointKind, EndpointState, Timestamp};
@@ -31,6 +32,8 @@
 const FULL_BACKOFF: Duration = Duration::from_millis(150);
 /// The upper bound of the doubled `FULL_BACKOFF`.
 const MAX_FULL_BACKOFF: Duration = Duration::from_millis(1_200);
+/// The maximum number of endpoints that are no longer listed of which is kept what they have said.
+const MAX_UNLISTED: usize = 256;
 /// The placement penalty of a plain endpoint in another failure domain, in running calls.
 const REMOTE_CALLS: u32 = 1;
 
@@ -63,11 +66,26 @@
     Free,
 }
 
+impl Job {
+    /// Returns the name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Job::Idle => "idle",
+            Job::Call(_) => "call",
+            Job::Hold(_) => "hold",
+            Job::Report => "report",
+            Job::Free => "free",
+        }
+    }
+}
+
 /// A connection to an endpoint.
 #[derive(Debug)]
 pub struct Conn {
     /// The endpoint that it leads to.
     pub endpoint: EndpointKey,
+    /// The start of the endpoint for which it was opened.
+    boot: BootId,
     /// Its present use.
     pub job: Job,
     /// When the present use began.
@@ -101,12 +119,14 @@
     pub pool: Box<str>,
     /// How many requests it runs at once.
     pub slots: u32,
-    /// Whether it is listed, not draining, and not known to be gone from its address.
+    /// Whether it is listed, not draining, not leaving, and not known to be gone from its address.
     pub accepts_work: bool,
     /// The start of the endpoint and the number of its listed state within that.
     listed: (BootId, u64),
     /// The listed state that an answer at its address has disproved.
     disproved: Option<(BootId, u64)>,
+    /// What it has said in its answers; kept while newer states of the same start are listed.
+    pub words: Words,
     /// The version of its software.
     pub software: Box<str>,
     /// Its health as judged by the outcome of requests of this gateway.
@@ -138,6 +158,7 @@
             accepts_work: !state.draining,
             listed: version(state),
             disproved: None,
+            words: Words::default(),
             software: state.software.clone(),
             health: Health::default(),
             usage: Usage::default(),
@@ -182,7 +203,14 @@
         self.kind = state.kind;
         self.slots = state.capacity.slots;
         self.listed = version(state);
-        self.accepts_work = !state.draining && self.disproved.is_none_or(|d| d < self.listed);
+        let present = self.disproved.is_none_or(|d| d < self.listed);
+        self.accepts_work = !state.draining && present && !self.words.leaving;
+    }
+
+    /// Adopts what its start has said before.
+    fn adopt(&mut self, words: Words) {
+        self.words = words;
+        self.accepts_work &= !words.leaving;
     }
 
     /// Records that it accepted a call, which resets the backoff.
@@ -278,6 +306,8 @@
     names: BTreeMap<Box<str>, EndpointKey>,
     pools: BTreeMap<Box<str>, Vec<EndpointKey>>,
     conns: BTreeMap<PeerId, Conn>,
+    /// What starts of endpoints that are no longer listed have said, oldest first.
+    unlisted: VecDeque<(Box<str>, BootId, Words)>,
     last_peer: u64,
 }
 
@@ -290,6 +320,7 @@
             names: BTreeMap::new(),
             pools: BTreeMap::new(),
             conns: BTreeMap::new(),
+            unlisted: VecDeque::new(),
             last_peer: 0,
         }
     }
@@ -307,13 +338,19 @@
                     if restarted || known.address != state.address || known.pool != state.pool {
                         // The endpoint was restarted, or replaced by another under its name.
                         let fresh = Endpoint::new(state, &self.domain);
+                        let words = known.words;
                         *known = Endpoint { usage: known.usage, ..fresh };
+                        if !restarted {
+                            known.adopt(words);
+                        }
                         continue;
                     }
                     known.relist(state);
                 }
                 None => {
-                    let key = self.endpoints.insert(Endpoint::new(state, &self.domain));
+                    let mut endpoint = Endpoint::new(state, &self.domain);
+                    endpoint.adopt(self.said_before(state));
+                    let key = self.endpoints.insert(endpoint);
                     self.names.insert(state.name.clone(), key);
                 }
             }
@@ -331,6 +368,26 @@
         unused
     }
 
+    /// Returns what the start of a listed endpoint said before it was not listed for a time.
+    fn said_before(&self, state: &EndpointState) -> Words {
+        let same = |(name, boot, _): &&(Box<str>, BootId, Words)| {
+            *name == state.name && *boot == state.boot
+        };
+        self.unlisted.iter().rev().find(same).map(|(_, _, words)| *words).unwrap_or_default()
+    }
+
+    /// Keeps what an endpoint has said that is no longer listed.
+    fn keep_words(&mut self, endpoint: &Endpoint) {
+        if endpoint.words == Words::default() {
+            return;
+        }
+        let (boot, _) = endpoint.listed;
+        self.unlisted.push_back((endpoint.name.clone(), boot, endpoint.words));
+        if self.unlisted.len() > MAX_UNLISTED {
+            self.unlisted.pop_front();
+        }
+    }
+
     /// Closes endpoints at whose address a later start is listed, under their name or another.
     fn close_superseded(&mut self) {
         let mut newest: BTreeMap<SocketAddr, BootId> = BTreeMap::new();
@@ -357,6 +414,7 @@
         let mut unused = Vec::new();
         for key in keys {
             if let Some(endpoint) = self.endpoints.remove(key) {
+                self.keep_words(&endpoint);
                 unused.extend(endpoint.idle);
             }
         }
@@ -430,6 +488,40 @@
         pool.any(|(k, e)| e.kind == EndpointKind::Decode && choice.allows(k, e))
     }
 
+    /// Records that the endpoint of a connection has said that it leaves, and returns it if that is
+    /// new. An answer of an earlier start says nothing about the present one.
+    pub fn leaves(&mut self, peer: PeerId) -> Option<&Endpoint> {
+        let conn = self.conns.get(&peer)?;
+        let endpoint = self.endpoints.get_mut(conn.endpoint)?;
+        if endpoint.listed.0 != conn.boot || endpoint.words.leaving {
+            return None;
+        }
+        endpoint.words.leaving = true;
+        endpoint.accepts_work = false;
+        Some(endpoint)
+    }
+
+    /// Returns whether any endpoint of a service has said something against new requests.
+    pub fn has_words(&self, service: &str) -> bool {
+        self.pool(service).any(|(_, e)| e.words != Words::default())
+    }
+
+    /// Returns whether no endpoint of a kind, or of any, may be chosen, and one of them has said
+    /// that it leaves.
+    pub fn has_left(&self, choice: Choice<'_>, kind: Option<EndpointKind>) -> bool {
+        let mut leaving = false;
+        for (key, endpoint) in self.pool(choice.service) {
+            if kind.is_some_and(|kind| endpoint.kind != kind) {
+                continue;
+            }
+            if choice.allows(key, endpoint) {
+                return false;
+            }
+            leaving |= endpoint.words.leaving;
+        }
+        leaving
+    }
+
     /// Returns whether the listed endpoints of a service have different software versions.
     pub fn is_mixed(&self, service: &str) -> bool {
         let mut versions = self.pool(service).map(|(_, e)| &e.software);
@@ -515,8 +607,10 @@
     pub fn open(&mut self, now: Timestamp, endpoint: EndpointKey, job: Job) -> PeerId {
         self.last_peer += 1;
         let peer = PeerId(self.last_peer);
+        let boot = self.endpoints.get(endpoint).map_or_else(BootId::default, |e| e.listed.0);
         let conn = Conn {
             endpoint,
+            boot,
             job,
             since: now,
             connected: false,
--- a/src/gateway/header_protocol.rs
+++ b/src/gateway/header_protocol.rs
@@ -40,6 +40,8 @@
     pub not_run: &'static str,
     /// The signature of the endpoint.
     pub signature: &'static str,
+    /// Present in an answer, with a value other than `0`, if the endpoint leaves.
+    pub leaving: &'static str,
     /// Fields that are dropped from callers' requests, in addition to those that the gateway sets.
     pub reserved: &'static [&'static str],
 }
@@ -156,6 +158,7 @@
             not_run: head.fields.has(names.not_run),
             signed: head.fields.has(names.signature),
             encoded: head.fields.has("content-encoding"),
+            leaving: head.fields.all(names.leaving).any(is_set),
         }
     }
 
@@ -198,6 +201,11 @@
     }
 }
 
+/// Returns whether the value of a field that is a flag says yes.
+fn is_set(value: &[u8]) -> bool {
+    !matches!(value.trim_ascii(), b"" | b"0")
+}
+
 fn millis(text: &str) -> Option<Duration> {
     let millis: f64 = text.parse().ok()?;
     Duration::try_from_secs_f64(millis / 1_000.0).ok()
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod silence;
 pub mod versions;
 pub mod window;
+mod words;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -41,6 +42,7 @@
 use lateness::UsualTimeout;
 use protocol::{CallProtocol, SendInfo, TableFormat};
 use queue::Queue;
+use reason::EndReason;
 use versions::Versions;
 
 use crate::control::origins::{Origin, Origins};
@@ -202,7 +204,7 @@
             }
             HttpInput::CallerGone { caller } => self.caller_gone(now, caller),
             HttpInput::Connected { peer } => self.connected(peer),
-            HttpInput::Answer { peer, head } => self.answered(peer, head),
+            HttpInput::Answer { peer, head } => self.answered(now, peer, head),
             HttpInput::Data { peer, bytes } => self.data(now, peer, bytes),
             HttpInput::End { peer, reusable } => self.ended(now, peer, reusable),
             HttpInput::Lost { peer, sent, error } => self.lost(now, peer, sent, &error),
@@ -313,6 +315,10 @@
 
     /// Starts or queues a new call, or refuses it at once.
     fn admit_call(&mut self, now: Timestamp, caller: CallerId) {
+        if let Some(refusal) = self.unwelcome(caller) {
+            self.conclude(now, caller, refusal, EndReason::NoEndpoint);
+            return;
+        }
         if self.is_engine_call(caller) {
             self.admit_engine_call(now, caller);
         } else {
@@ -329,7 +335,7 @@
     }
 
     /// Sends a call to an endpoint over an idle connection, or over a new one if none can be
-    /// reused. Sends nothing if the call has no credit for another request.
+    /// reused. Sends nothing if the endpoint leaves or the call has no credit for another request.
     fn send(
         &mut self,
         now: Timestamp,
@@ -337,7 +343,7 @@
         endpoint: EndpointKey,
         kind: protocol::SendKind,
     ) -> Option<PeerId> {
-        let target = self.fleet.get(endpoint)?;
+        let target = self.fleet.get(endpoint).filter(|e| !e.words.leaving)?;
         let address = target.address;
         let call = self.calls.get_mut(&caller)?;
         if !call.credit.spend() {
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -167,6 +167,8 @@
     pub signed: bool,
     /// Whether the content has an encoding, which endpoints do not apply themselves.
     pub encoded: bool,
+    /// Whether the endpoint says that it leaves.
+    pub leaving: bool,
 }
 
 /// The load that an engine reports.
--- a/src/gateway/reports.rs
+++ b/src/gateway/reports.rs
@@ -45,7 +45,8 @@
         self.send_side_request(now, endpoint, Job::Free, &SideRequest::Drop { hold });
     }
 
-    /// Sends a side request to an engine and returns the connection that carries it.
+    /// Sends a side request to an engine and returns the connection that carries it. One that
+    /// leaves is only asked to release what it keeps.
     pub(super) fn send_side_request(
         &mut self,
         now: Timestamp,
@@ -53,7 +54,11 @@
         job: Job,
         request: &SideRequest,
     ) -> Option<PeerId> {
-        let address = self.fleet.get(endpoint)?.address;
+        let target = self.fleet.get(endpoint)?;
+        if job != Job::Free && target.words.leaving {
+            return None;
+        }
+        let address = target.address;
         let bytes = self.protocol.write_side(address, request);
         let peer = match self.fleet.reuse(now, endpoint, job, false) {
             Some(peer) => peer,
--- a/src/gateway/retry.rs
+++ b/src/gateway/retry.rs
@@ -132,6 +132,9 @@
         if call.remaining(now) < MIN_RETRY_TIME {
             return Err(EndReason::NoTime);
         }
+        if self.unwelcome(caller).is_some() {
+            return Err(EndReason::NoEndpoint);
+        }
         let Some(shape) = self.shape(caller).filter(|_| self.is_engine_call(caller)) else {
             return Ok(Retry::Plain);
         };
@@ -235,7 +238,7 @@
 
     /// Starts or queues a call that runs at its decode endpoint without a prefill elsewhere; returns
     /// `false` if no decode endpoint is left for it.
-    fn wait_for_run(&mut self, now: Timestamp, caller: CallerId) -> bool {
+    pub(super) fn wait_for_run(&mut self, now: Timestamp, caller: CallerId) -> bool {
         let Some(call) = self.calls.get_mut(&caller) else { return false };
         if !self.fleet.has_decode(call.choice()) {
             return false;
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -68,6 +68,7 @@
     answer_time: HistogramVec,
     sends: IntCounterVec,
     charges: IntCounterVec,
+    leaving: IntCounterVec,
 }
 
 impl Metrics {
@@ -145,6 +146,11 @@
                  free: not charged, as the attempt before did not reach its endpoint",
                 &["service", "outcome"],
             )?,
+            leaving: make.counters(
+                "gateway_leaving_total",
+                "Starts of endpoints that have said in an answer to a gateway that they leave",
+                &["service"],
+            )?,
             steps: make.seconds("step_seconds", "Time of one step of a role", &["role"])?,
             tenants: Mutex::default(),
             routes: Mutex::default(),
@@ -166,6 +172,10 @@
             Observation::Charge { service, outcome, cost } => {
                 self.charge(&service, outcome, cost);
             }
+            Observation::Leaving { service } => {
+                let service = self.label(&self.services, &service);
+                self.leaving.with_label_values(&[&*service]).inc();
+            }
             Observation::LeaseLapsed => self.lapsed.inc(),
             Observation::Registry { processes, endpoints } => {
                 self.processes.set(processes as i64);
--- a/src/report/observation.rs
+++ b/src/report/observation.rs
@@ -34,6 +34,11 @@
         /// How many retries it is counted as.
         cost: u32,
     },
+    /// An endpoint has said to a gateway that it leaves.
+    Leaving {
+        /// The name of its service.
+        service: Box<str>,
+    },
     /// The lease of a reservation at an agent has expired.
     LeaseLapsed,
     /// The contents of a control member's registry.
--- /dev/null
+++ b/tests/endpoint_words.rs
@@ -0,0 +1,339 @@
+//! What endpoints say in their answers governs at once what a gateway sends them.
+
+mod gateway_fixture;
+
+use std::net::SocketAddr;
+
+use dotterelpin::model::{BootId, EndpointKind};
+use gateway_fixture::{Fixture, MODEL, PLAIN, Sent, endpoint};
+
+/// The header field of an endpoint that leaves.
+const LEAVES: (&str, &str) = ("Leaving", "1");
+
+fn address(name: &str) -> SocketAddr {
+    endpoint(name, EndpointKind::Service, PLAIN).address
+}
+
+/// Sends a plain call and answers it; returns the address that it reached.
+fn plain(f: &mut Fixture, caller: u64) -> SocketAddr {
+    f.call(caller, "/look/a", &[]);
+    let sent = f.take_sent();
+    f.answer(&sent, 200, &[], "ok");
+    sent.address
+}
+
+/// Sends plain calls that stay open together; returns the addresses that they reached.
+fn spread(f: &mut Fixture, first: u64) -> Vec<SocketAddr> {
+    let sent: Vec<Sent> = (first..first + 6)
+        .map(|caller| {
+            f.call(caller, "/look/a", &[]);
+            f.take_sent()
+        })
+        .collect();
+    sent.iter().for_each(|sent| f.answer(sent, 200, &[], "ok"));
+    sent.iter().map(|sent| sent.address).collect()
+}
+
+/// Runs streams that stay open together; returns the addresses that any request of them reached.
+fn streams(f: &mut Fixture, first: u64, count: u64) -> Vec<SocketAddr> {
+    let mut reached = Vec::new();
+    for caller in first..first + count {
+        f.model_call(caller, "/remind/a", "1000,100");
+        while f.has_sent() {
+            let sent = f.take_sent();
+            reached.push(sent.address);
+            answer_step(f, &sent);
+        }
+    }
+    reached
+}
+
+/// Grants a reservation, answers a prefill, or begins a stream.
+fn answer_step(f: &mut Fixture, sent: &Sent) {
+    if &*sent.head.target == "/hold" {
+        f.answer(sent, 200, &[], "hold h");
+    } else if sent.field("Stage").is_some() {
+        f.answer(sent, 200, &[], "export e");
+    } else {
+        f.head(sent, 200, &[]);
+        f.data(sent, b"id: 1\ndata: a\n\n");
+    }
+}
+
+/// Makes the plain endpoint with a name say that it leaves, in the answer to a call.
+fn say_leaving(f: &mut Fixture, name: &str, first: u64) {
+    let sent: Vec<Sent> = (first..first + 2)
+        .map(|caller| {
+            f.call(caller, "/look/a", &[]);
+            f.take_sent()
+        })
+        .collect();
+    for sent in sent {
+        let fields = if sent.address == address(name) { &[LEAVES][..] } else { &[] };
+        f.answer(&sent, 200, fields, "ok");
+    }
+}
+
+/// Refuses the reservations of two streams everywhere, so that they wait.
+fn queue_two_streams(f: &mut Fixture) {
+    for caller in [21, 22] {
+        f.model_call(caller, "/remind/a", "1000,100");
+    }
+    while f.has_sent() {
+        let hold = f.take_sent();
+        assert_eq!(&*hold.head.target, "/hold");
+        f.answer(&hold, 503, &[], "full");
+    }
+}
+
+#[test]
+fn head_of_a_stream_keeps_waiting_and_new_calls_from_a_leaving_endpoint() {
+    let mut f = Fixture::ready();
+    f.model_call(1, "/remind/a", "3000,100");
+    let run = f.answer_prefill();
+    queue_two_streams(&mut f);
+    f.head(&run, 200, &[LEAVES]);
+    f.data(&run, b"id: 1\ndata: a\n\n");
+    f.advance(200);
+    let waited = std::mem::take(&mut f.sent);
+    let holds: Vec<&Sent> = waited.iter().filter(|s| &*s.head.target == "/hold").collect();
+    assert_eq!(holds.len(), 2, "expected both waiting calls to be placed");
+    let reached = streams(&mut f, 31, 8);
+    assert!(holds.iter().all(|hold| hold.address != run.address));
+    assert!(!reached.contains(&run.address), "{reached:?}");
+    f.data(&run, b"id: 2\ndata: b\n\n");
+    f.end(&run);
+    assert!(f.answers[&1].complete, "expected what runs there to end there");
+}
+
+#[test]
+fn refusal_keeps_retries_and_new_calls_from_a_leaving_endpoint() {
+    let mut f = Fixture::ready();
+    f.call(1, "/look/a", &[]);
+    let first = f.take_sent();
+    f.answer(&first, 503, &[("Not-Run", "1"), LEAVES], "leaving");
+    let second = f.take_sent();
+    assert_ne!(first.address, second.address);
+    f.answer(&second, 200, &[], "ok");
+    f.advance(300);
+    let reached = spread(&mut f, 2);
+    assert!(!reached.contains(&first.address), "{reached:?}");
+    f.call(9, "/look/a", &[]);
+    let failed = f.take_sent();
+    f.answer(&failed, 500, &[], "no");
+    assert!(!f.has_sent(), "expected no retry at a leaving endpoint");
+    assert_eq!(f.answers[&9].status, 500);
+}
+
+#[test]
+fn failure_is_read_for_the_leaving_field_too() {
+    let mut f = Fixture::ready();
+    f.call(1, "/look/a", &[]);
+    let first = f.take_sent();
+    f.answer(&first, 500, &[LEAVES], "no");
+    let second = f.take_sent();
+    f.answer(&second, 200, &[], "ok");
+    let reached = spread(&mut f, 2);
+    assert!(!reached.contains(&first.address), "{reached:?}");
+}
+
+#[test]
+fn prefill_endpoint_that_leaves_gets_no_further_prefill_and_the_decode_goes_on() {
+    let mut f = Fixture::ready();
+    f.model_call(1, "/remind/a", "1000,100");
+    let hold = f.take_sent();
+    f.answer(&hold, 200, &[], "hold h1");
+    let prefill = f.take_sent();
+    f.answer(&prefill, 200, &[LEAVES], "export e1");
+    let run = f.take_sent();
+    assert_eq!(run.address, hold.address);
+    assert_eq!(run.field("Source"), Some(format!("{}/e1", prefill.address).as_str()));
+    let reached = streams(&mut f, 2, 6);
+    assert!(!reached.contains(&prefill.address), "{reached:?}");
+    f.head(&run, 200, &[]);
+    f.data(&run, b"id: 1\ndata: a\n\n");
+    f.end(&run);
+    assert!(f.answers[&1].complete);
+}
+
+#[test]
+fn reservation_granted_by_a_leaving_endpoint_is_not_used() {
+    let mut f = Fixture::ready();
+    f.model_call(1, "/remind/a", "1000,100");
+    let hold = f.take_sent();
+    f.answer(&hold, 200, &[LEAVES], "hold h1");
+    let dropped = f.take_sent();
+    assert_eq!((&*dropped.head.target, dropped.address), ("/hold/h1", hold.address));
+    let second = f.take_sent();
+    assert_eq!(&*second.head.target, "/hold");
+    assert_ne!(second.address, hold.address);
+}
+
+#[test]
+fn decode_endpoint_that_leaves_during_the_prefill_does_not_get_the_run() {
+    let mut f = Fixture::ready();
+    f.model_call(1, "/remind/a", "1000,100");
+    let run = f.answer_prefill();
+    let mut held = Vec::new();
+    for caller in 2..4 {
+        f.model_call(caller, "/remind/a", "1000,100");
+        let hold = f.take_sent();
+        f.answer(&hold, 200, &[], "hold h2");
+        held.push((hold, f.take_sent()));
+    }
+    let (_, prefill) = held.into_iter().find(|(hold, _)| hold.address == run.address).unwrap();
+    f.head(&run, 200, &[LEAVES]);
+    f.data(&run, b"id: 1\ndata: a\n\n");
+    f.answer(&prefill, 200, &[], "export e2");
+    let moved: Vec<Sent> = std::mem::take(&mut f.sent);
+    let source = format!("{}/e2", prefill.address);
+    let second = moved.iter().find(|s| s.field("Source") == Some(&source)).unwrap();
+    assert_ne!(second.address, run.address);
+}
+
+#[test]
+fn broken_stream_is_not_resumed_at_a_leaving_endpoint() {
+    let mut f = Fixture::ready();
+    f.model_call(1, "/remind/a", "1000,100");
+    let run = f.answer_prefill();
+    f.head(&run, 200, &[LEAVES]);
+    f.data(&run, b"id: 1\ndata: a\n\n");
+    f.fail_connection(&run, true);
+    let next = f.take_sent();
+    assert_eq!(&*next.head.target, "/hold");
+    assert_ne!(next.address, run.address);
+}
+
+#[test]
+fn answer_to_a_report_request_says_that_an_endpoint_leaves() {
+    let mut f = Fixture::ready();
+    f.model_call(1, "/remind/a", "1000,100");
+    let run = f.answer_prefill();
+    f.advance(1_100);
+    let asked = |s: &&Sent| &*s.head.target == "/report" && s.address == run.address;
+    let report = f.sent.iter().find(asked).cloned().unwrap();
+    f.answer(&report, 200, &[LEAVES], "busy");
+    let reached = streams(&mut f, 2, 8);
+    assert!(!reached.contains(&run.address), "{reached:?}");
+    f.sent.clear();
+    f.advance(1_900);
+    assert!(f.sent.iter().all(|s| s.address != run.address), "expected no further report request");
+}
+
+#[test]
+fn newer_heartbeat_of_the_same_start_does_not_reopen_a_leaving_endpoint() {
+    let mut f = Fixture::ready();
+    say_leaving(&mut f, "p1", 1);
+    let mut newer = endpoint("p1", EndpointKind::Service, PLAIN);
+    newer.sequence = 9;
+    f.announce(newer.clone());
+    f.advance(1_000);
+    assert!(!spread(&mut f, 11).contains(&address("p1")));
+    // Neither does another address of that start, or a time without a listing.
+    newer.address.set_port(9_901);
+    newer.sequence = 10;
+    f.announce(newer.clone());
+    f.advance(1_000);
+    assert!(!spread(&mut f, 21).contains(&newer.address));
+    f.withdraw("p1");
+    f.advance(5_000);
+    f.announce(newer.clone());
+    f.advance(1_000);
+    assert!(!spread(&mut f, 31).contains(&newer.address));
+}
+
+#[test]
+fn new_start_at_the_old_name_or_address_gets_calls() {
+    let mut f = Fixture::ready();
+    say_leaving(&mut f, "p1", 1);
+    assert!(!spread(&mut f, 11).contains(&address("p1")));
+    let mut next = endpoint("p1", EndpointKind::Service, PLAIN);
+    next.boot = BootId(2);
+    f.announce(next);
+    f.advance(1_000);
+    assert!(spread(&mut f, 21).contains(&address("p1")), "expected calls at the new start");
+    say_leaving(&mut f, "p1", 31);
+    assert!(!spread(&mut f, 41).contains(&address("p1")));
+    let mut other = endpoint("p9", EndpointKind::Service, PLAIN);
+    (other.address, other.boot) = (address("p1"), BootId(3));
+    f.announce(other);
+    f.advance(1_000);
+    assert!(spread(&mut f, 51).contains(&address("p1")), "expected calls at the new name");
+}
+
+#[test]
+fn answer_of_the_old_start_does_not_close_the_new_one() {
+    let mut f = Fixture::ready();
+    f.model_call(1, "/remind/a", "1000,100");
+    let run = f.answer_prefill();
+    for name in ["d1", "d2"] {
+        let mut next = endpoint(name, EndpointKind::Decode, MODEL);
+        next.boot = BootId(2);
+        f.announce(next);
+    }
+    f.advance(1_000);
+    f.head(&run, 200, &[LEAVES]);
+    f.data(&run, b"id: 1\ndata: a\n\n");
+    let reached = streams(&mut f, 11, 4);
+    assert!(reached.contains(&run.address), "expected streams at the new start");
+}
+
+#[test]
+fn calls_are_refused_at_once_when_all_plain_endpoints_leave() {
+    let mut f = Fixture::ready();
+    say_leaving(&mut f, "p1", 1);
+    let last = plain(&mut f, 3);
+    assert_eq!(last, address("p2"));
+    say_leaving(&mut f, "p2", 4);
+    f.call(9, "/pay/a", &[]);
+    assert!(!f.has_sent());
+    assert_eq!(f.answers[&9].status, 503);
+    assert!(f.answers[&9].fields.has("Retry-After"));
+}
+
+#[test]
+fn waiting_streams_are_refused_at_once_when_all_decode_endpoints_leave() {
+    let mut f = Fixture::ready();
+    let mut runs = Vec::new();
+    for caller in 1..3 {
+        f.model_call(caller, "/remind/a", "1000,100");
+        runs.push(f.answer_prefill());
+    }
+    assert_ne!(runs[0].address, runs[1].address);
+    queue_two_streams(&mut f);
+    for run in &runs {
+        f.head(run, 200, &[LEAVES]);
+        f.data(run, b"id: 1\ndata: a\n\n");
+    }
+    f.advance(0);
+    for caller in [21, 22] {
+        assert_eq!(f.answers.get(&caller).map_or(0, |a| a.status), 503, "caller {caller}");
+        assert!(f.answers[&caller].fields.has("Retry-After"));
+    }
+    f.model_call(30, "/remind/a", "1000,100");
+    assert!(!f.has_sent());
+    assert_eq!(f.answers[&30].status, 503);
+    assert!(f.answers[&30].fields.has("Retry-After"));
+    f.end(&runs[0]);
+    assert!(f.answers[&1].complete);
+}
+
+#[test]
+fn leaving_field_without_a_value_or_with_zero_says_nothing() {
+    for (value, leaves) in [("0", false), ("", false), (" ", false), ("1", true), ("yes", true)] {
+        let mut f = Fixture::ready();
+        f.call(1, "/look/a", &[]);
+        let sent = f.take_sent();
+        f.answer(&sent, 200, &[("Leaving", value)], "ok");
+        assert_eq!(!spread(&mut f, 2).contains(&sent.address), leaves, "{value:?}");
+    }
+}
+
+#[test]
+fn one_of_two_leaving_fields_is_enough() {
+    let mut f = Fixture::ready();
+    f.call(1, "/look/a", &[]);
+    let sent = f.take_sent();
+    f.answer(&sent, 200, &[("Leaving", "0"), LEAVES], "ok");
+    assert!(!spread(&mut f, 2).contains(&sent.address));
+}
--- a/tests/gateway_fixture/mod.rs
+++ b/tests/gateway_fixture/mod.rs
@@ -54,6 +54,7 @@
     hold: "Hold",
     not_run: "Not-Run",
     signature: "Signature",
+    leaving: "Leaving",
     reserved: &["Urgency"],
 };
 
--- a/tests/gateway_lines.rs
+++ b/tests/gateway_lines.rs
@@ -332,6 +332,29 @@
     assert_eq!((value(&found, "connection"), value(&found, "ms")), ("pending", "300"), "{found}");
 }
 
+#[test]
+fn leaving_endpoint_is_logged_and_counted_once() {
+    let mut f = logged();
+    for caller in [1, 2] {
+        f.call(caller, "/look/a", &[]);
+    }
+    let (first, second) = (f.take_sent(), f.take_sent());
+    f.answer(&first, 200, &[("Leaving", "1")], "ok");
+    let found = line("leaving");
+    assert_eq!((value(&found, "id"), value(&found, "source")), ("call-1", "call"), "{found}");
+    assert_eq!(Some(value(&found, "endpoint")), first.field("Endpoint"));
+    f.answer(&second, 200, &[], "ok");
+    f.call(3, "/look/a", &[]);
+    let third = f.take_sent();
+    f.answer(&third, 200, &[], "ok");
+    assert_eq!(lines("leaving").len(), 1);
+    let metrics = Metrics::new().unwrap();
+    f.observed.drain(..).for_each(|observation| metrics.observe(observation));
+    let text = metrics.text().unwrap();
+    let counter = format!("dotterelpin_gateway_leaving_total{{service=\"{PLAIN}\"}} 1");
+    assert!(text.contains(&counter), "{text}");
+}
+
 /// Starts a call of caller 1 whose stream has delivered one event; returns its run.
 fn started_stream(mut f: Fixture, path: &str) -> (Fixture, Sent) {
     f.model_call(1, path, "3000,100");
