Keep requests from an endpoint for the Retry-After of its 503

Callers and endpoints paid for requests that an endpoint had asked not to get: a 503 closed it for 150 ms, whatever time its Retry-After named, and while all endpoints of a service refused, calls went round them and were charged as retries.

The protocol reads Retry-After of a 503 (AnswerInfo::rest) on each answer, also of reservations, reports and prefills: seconds, also fractional, the longest of several; negative, empty and unreadable values are ignored. The endpoint is then closed for this gateway for that time, at most 60 s (MAX_REST), plus up to a tenth by chance, never less. It gets no first try, retry, prefill, resumption, reservation, report or release (exports and reservations expire there by themselves). A later 503 with a value replaces the time; other answers do not change it. It goes with the start of the endpoint, as the fact that one leaves does, and is kept beside the backoff for a lack of capacity. While all endpoints for a call are closed it is refused at once with the time until the first reopens, before any charge of the retry budget. A line step=rest and gateway_rests_total tell of each change.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -84,13 +84,13 @@
     /// run at one software version do not hold up those behind them.
     fn start_queue(&mut self, now: Timestamp, service: &str) {
         let queued = self.queues.get(service).map(Queue::in_order).unwrap_or_default();
-        let words = self.fleet.has_words(service);
+        let words = self.fleet.has_words(now, service);
         for caller in queued {
-            if words && let Some(refusal) = self.unwelcome(caller) {
+            if words && let Some((refusal, why)) = self.unwelcome(now, caller) {
                 if let Some(queue) = self.queues.get_mut(service) {
                     queue.remove(caller);
                 }
-                self.conclude(now, caller, refusal, EndReason::NoEndpoint);
+                self.conclude(now, caller, refusal, why);
                 continue;
             }
             let bound = self.calls.get(&caller).is_some_and(|c| c.software.is_some());
@@ -123,8 +123,8 @@
     /// Tries again to start a call to a model, or puts it back at the front of its queue; refuses it
     /// if no endpoint is left for it.
     pub(super) fn start_or_requeue(&mut self, now: Timestamp, caller: CallerId) {
-        if let Some(refusal) = self.unwelcome(caller) {
-            self.conclude(now, caller, refusal, EndReason::NoEndpoint);
+        if let Some((refusal, why)) = self.unwelcome(now, caller) {
+            self.conclude(now, caller, refusal, why);
             return;
         }
         if self.start_engine(now, caller) {
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -57,6 +57,10 @@
     refusal(503, "not run: no endpoint takes it now", Some(CAPACITY_RETRY_AFTER))
 }
 
+pub(super) fn resting(retry_after: Duration) -> RefusalInfo {
+    refusal(503, "not run: all endpoints have asked for rest", Some(retry_after))
+}
+
 pub(super) fn no_version() -> RefusalInfo {
     let text = "not run: no endpoint of the software version that began the stream takes it now";
     refusal(503, text, Some(CAPACITY_RETRY_AFTER))
--- a/src/gateway/assign.rs
+++ b/src/gateway/assign.rs
@@ -168,7 +168,7 @@
         let allowed = |key: &EndpointKey| {
             self.fleet.get(*key).is_some_and(|endpoint| choice.allows(*key, endpoint))
         };
-        let named = self.fleet.named(endpoint).filter(allowed);
+        let named = self.fleet.named(now, endpoint).filter(allowed);
         if !named.is_some_and(|at| self.hold_at(now, caller, at)) {
             self.report_run_end(caller, RunEnd::Refused);
             self.start_or_requeue(now, caller);
@@ -285,7 +285,7 @@
         log::info!("step=assign id={} outcome={endpoint}", call.info.id);
         let software = self.fleet.get(decode.endpoint).map(|e| &e.software);
         let fits = |key: &EndpointKey| self.fleet.get(*key).map(|e| &e.software) == software;
-        let named = assigned.as_ref().and_then(|a| self.fleet.named(&a.endpoint)).filter(fits);
+        let named = assigned.as_ref().and_then(|a| self.fleet.named(now, &a.endpoint)).filter(fits);
         call.assigned = assigned;
         self.run_prefill(now, caller, decode, named);
     }
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -152,7 +152,7 @@
         if let Some(endpoint) = self.fleet.get_mut(decode.endpoint) {
             endpoint.accepted();
         }
-        if !self.is_welcome(decode.endpoint) {
+        if !self.is_welcome(now, decode.endpoint) {
             self.replace_decode(now, caller, decode);
         } else if skips_prefill {
             self.run_whole(now, caller, decode);
@@ -171,7 +171,7 @@
         decode: Reservation,
         named: Option<EndpointKey>,
     ) {
-        if !self.is_welcome(decode.endpoint) {
+        if !self.is_welcome(now, decode.endpoint) {
             self.replace_decode(now, caller, decode);
             return;
         }
@@ -325,7 +325,7 @@
         if self.run_on(now, caller, endpoint, usage, kind, Some(from.clone())) {
             return;
         }
-        // The decode endpoint has left the list meanwhile, or says that it leaves.
+        // The decode endpoint has left the list meanwhile, or wants no new request.
         self.report_run_end(caller, RunEnd::Refused);
         self.release_hold(now, caller);
         if self.hand_off(now, caller, from.clone()) {
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -9,7 +9,7 @@
 use super::place::{DecodeLoad, PrefillLoad};
 use super::protocol::EngineReport;
 use super::window::Window;
-use super::words::Words;
+use super::words::{Closed, Words};
 use crate::entry::health::Health;
 use crate::h1::{CallerId, PeerId};
 use crate::model::{BootId, EndpointKind, EndpointState, Timestamp};
@@ -173,7 +173,12 @@
 
     /// Returns whether new work may be sent there now.
     pub fn is_open(&self, now: Timestamp) -> bool {
-        self.accepts_work && self.full_until <= now && self.health.is_available(now)
+        self.takes_work(now) && self.full_until <= now && self.health.is_available(now)
+    }
+
+    /// Returns whether work may be sent there now, whatever its load and health.
+    pub fn takes_work(&self, now: Timestamp) -> bool {
+        self.accepts_work && !self.words.is_resting(now)
     }
 
     /// Sends it no work for a short time because it lacked capacity.
@@ -441,10 +446,10 @@
         self.endpoints.get(key)
     }
 
-    /// Returns the key of the endpoint with a name, if that endpoint accepts work.
-    pub fn named(&self, name: &str) -> Option<EndpointKey> {
+    /// Returns the key of the endpoint with a name, if work may be sent there now.
+    pub fn named(&self, now: Timestamp, name: &str) -> Option<EndpointKey> {
         let key = *self.names.get(name)?;
-        self.endpoints.get(key).filter(|e| e.accepts_work).map(|_| key)
+        self.endpoints.get(key).filter(|e| e.takes_work(now)).map(|_| key)
     }
 
     /// Returns the endpoint with a key for changes, or `None` once it is removed.
@@ -468,8 +473,9 @@
     /// Returns `None` while all healthy endpoints have as many calls as their windows allow; the
     /// call waits then.
     pub fn pick_plain(&self, now: Timestamp, choice: Choice<'_>, draw: u64) -> Option<EndpointKey> {
+        let allowed = |k, e: &Endpoint| choice.allows(k, e) && e.takes_work(now);
         let open: Vec<(EndpointKey, &Endpoint)> =
-            self.pool(choice.service).filter(|(k, e)| choice.allows(*k, e)).collect();
+            self.pool(choice.service).filter(|(k, e)| allowed(*k, e)).collect();
         // If none is healthy, trying one that may be down is better than refusing the call.
         let any_healthy = open.iter().any(|(_, e)| e.health.is_available(now));
         let has_capacity = |e: &Endpoint| e.is_open(now) && e.window.has_capacity(e.usage.slots);
@@ -501,25 +507,53 @@
         Some(endpoint)
     }
 
+    /// Records that the endpoint of a connection has asked for rest, and returns it if that is a
+    /// change. An answer of an earlier start says nothing about the present one.
+    pub fn rests(
+        &mut self,
+        now: Timestamp,
+        peer: PeerId,
+        rest: Duration,
+        draw: u64,
+    ) -> Option<&Endpoint> {
+        let conn = self.conns.get(&peer)?;
+        let endpoint = self.endpoints.get_mut(conn.endpoint)?;
+        let present = endpoint.listed.0 == conn.boot;
+        (present && endpoint.words.asked_for_rest(now, rest, draw)).then_some(endpoint)
+    }
+
     /// Returns whether any endpoint of a service has said something against new requests.
-    pub fn has_words(&self, service: &str) -> bool {
-        self.pool(service).any(|(_, e)| e.words != Words::default())
+    pub fn has_words(&self, now: Timestamp, service: &str) -> bool {
+        self.pool(service).any(|(_, e)| !e.words.is_welcome(now))
     }
 
-    /// Returns whether no endpoint of a kind, or of any, may be chosen, and one of them has said
-    /// that it leaves.
-    pub fn has_left(&self, choice: Choice<'_>, kind: Option<EndpointKind>) -> bool {
+    /// Returns why no endpoint of a kind, or of any, may be chosen because of what they have said;
+    /// `None` if one may be chosen, or if they have said nothing.
+    pub fn closed(
+        &self,
+        now: Timestamp,
+        choice: Choice<'_>,
+        kind: Option<EndpointKind>,
+    ) -> Option<Closed> {
         let mut leaving = false;
+        let mut reopens: Option<Timestamp> = None;
         for (key, endpoint) in self.pool(choice.service) {
             if kind.is_some_and(|kind| endpoint.kind != kind) {
                 continue;
             }
-            if choice.allows(key, endpoint) {
-                return false;
+            if choice.allows(key, endpoint) && endpoint.takes_work(now) {
+                return None;
             }
             leaving |= endpoint.words.leaving;
+            if endpoint.accepts_work && endpoint.words.is_resting(now) {
+                let until = endpoint.words.closed_until;
+                reopens = Some(reopens.map_or(until, |first| first.min(until)));
+            }
+        }
+        match reopens {
+            Some(until) => Some(Closed::Resting(until)),
+            None => leaving.then_some(Closed::Leaving),
         }
-        leaving
     }
 
     /// Returns whether the listed endpoints of a service have different software versions.
--- a/src/gateway/header_protocol.rs
+++ b/src/gateway/header_protocol.rs
@@ -8,10 +8,16 @@
     AnswerInfo, CallError, CallInfo, CallProtocol, EngineReport, Export, ModelWork, RefusalInfo,
     SendInfo, SendKind, SideRequest, TableFormat,
 };
-use crate::h1::{AnswerHead, Request, RequestHead, write};
+use crate::h1::{AnswerHead, Fields, Request, RequestHead, write};
 
 /// The maximum length of a call's id in bytes.
 const MAX_ID_BYTES: usize = 256;
+/// The status with which an endpoint turns a request away.
+const BUSY: u16 = 503;
+/// The field that says when to retry.
+const RETRY_AFTER: &str = "Retry-After";
+/// The maximum of seconds that is read from a field; longer times are read as this one.
+const MAX_SECONDS: f64 = 1e9;
 
 /// The names of the protocol's header fields.
 #[derive(Debug, Clone, Copy)]
@@ -159,6 +165,7 @@
             signed: head.fields.has(names.signature),
             encoded: head.fields.has("content-encoding"),
             leaving: head.fields.all(names.leaving).any(is_set),
+            rest: (head.status == BUSY).then(|| read_rest(&head.fields)).flatten(),
         }
     }
 
@@ -194,13 +201,26 @@
             extra.push((self.names.id, id.to_string()));
         }
         if let Some(after) = refusal.retry_after {
-            extra.push(("Retry-After", format!("{:.3}", after.as_secs_f64())));
+            extra.push((RETRY_AFTER, format!("{:.3}", after.as_secs_f64())));
         }
         let body = format!("{}\n", refusal.text);
         write::answer(refusal.status, &extra, "text/plain", body.as_bytes(), keep)
     }
 }
 
+/// Returns the longest time in the fields that say when to retry; `None` if none has a number of
+/// seconds, which may be fractional.
+fn read_rest(fields: &Fields) -> Option<Duration> {
+    let values = fields.all(RETRY_AFTER).flat_map(|value| value.split(|b| *b == b','));
+    values.filter_map(seconds).max()
+}
+
+fn seconds(value: &[u8]) -> Option<Duration> {
+    let seconds: f64 = std::str::from_utf8(value).ok()?.trim().parse().ok()?;
+    let finite = seconds.is_finite().then(|| seconds.min(MAX_SECONDS))?;
+    Duration::try_from_secs_f64(finite).ok()
+}
+
 /// Returns whether the value of a field that is a flag says yes.
 fn is_set(value: &[u8]) -> bool {
     !matches!(value.trim_ascii(), b"" | b"0")
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -42,7 +42,6 @@
 use lateness::UsualTimeout;
 use protocol::{CallProtocol, SendInfo, TableFormat};
 use queue::Queue;
-use reason::EndReason;
 use versions::Versions;
 
 use crate::control::origins::{Origin, Origins};
@@ -315,8 +314,8 @@
 
     /// Starts or queues a new call, or refuses it at once.
     fn admit_call(&mut self, now: Timestamp, caller: CallerId) {
-        if let Some(refusal) = self.unwelcome(caller) {
-            self.conclude(now, caller, refusal, EndReason::NoEndpoint);
+        if let Some((refusal, why)) = self.unwelcome(now, caller) {
+            self.conclude(now, caller, refusal, why);
             return;
         }
         if self.is_engine_call(caller) {
@@ -335,7 +334,7 @@
     }
 
     /// Sends a call to an endpoint over an idle connection, or over a new one if none can be
-    /// reused. Sends nothing if the endpoint leaves or the call has no credit for another request.
+    /// reused. Sends nothing if the endpoint wants no new request or the call has no credit for another request.
     fn send(
         &mut self,
         now: Timestamp,
@@ -343,7 +342,7 @@
         endpoint: EndpointKey,
         kind: protocol::SendKind,
     ) -> Option<PeerId> {
-        let target = self.fleet.get(endpoint).filter(|e| !e.words.leaving)?;
+        let target = self.fleet.get(endpoint).filter(|e| e.words.is_welcome(now))?;
         let address = target.address;
         let call = self.calls.get_mut(&caller)?;
         if !call.credit.spend() {
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -39,7 +39,7 @@
         }
         let Some(call) = self.calls.get(&caller) else { return false };
         let mut others = self.fleet.pool(&call.service).filter(|(k, _)| !call.tried.contains(k));
-        if !others.any(|(_, e)| e.accepts_work) {
+        if !others.any(|(_, e)| e.takes_work(now)) {
             return false;
         }
         let waiting = waiting(now, caller, call);
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -169,6 +169,8 @@
     pub encoded: bool,
     /// Whether the endpoint says that it leaves.
     pub leaving: bool,
+    /// For how long the endpoint wants no request, if it has refused this one and says so.
+    pub rest: Option<Duration>,
 }
 
 /// The load that an engine reports.
--- a/src/gateway/reason.rs
+++ b/src/gateway/reason.rs
@@ -21,6 +21,8 @@
     NotAdmitted,
     /// It resumes a stream of which it is not known which software version began it.
     UnknownOrigin,
+    /// All endpoints for it have asked for rest.
+    Resting,
     /// The endpoint that was chosen for it is gone, or its service has none.
     NoEndpoint,
 }
@@ -38,6 +40,7 @@
             EndReason::WaitExpired => "no capacity in time",
             EndReason::NotAdmitted => "not expected to start in time",
             EndReason::UnknownOrigin => "unknown origin",
+            EndReason::Resting => "all endpoints rest",
             EndReason::NoEndpoint => "no endpoint",
         }
     }
--- a/src/gateway/reports.rs
+++ b/src/gateway/reports.rs
@@ -23,7 +23,7 @@
         self.last_called.retain(|_, at| now - *at < CALLED_WINDOW);
         let engines = self.fleet.engines();
         let polled =
-            engines.filter(|(_, e)| e.accepts_work && self.last_called.contains_key(&e.pool));
+            engines.filter(|(_, e)| e.takes_work(now) && self.last_called.contains_key(&e.pool));
         let polled: Vec<EndpointKey> = polled.map(|(key, _)| key).collect();
         for endpoint in polled {
             self.send_side_request(now, endpoint, Job::Report, &SideRequest::Report);
@@ -46,7 +46,8 @@
     }
 
     /// Sends a side request to an engine and returns the connection that carries it. One that
-    /// leaves is only asked to release what it keeps.
+    /// leaves is only asked to release what it keeps; one that rests is asked for nothing, since
+    /// exports and reservations expire there by themselves.
     pub(super) fn send_side_request(
         &mut self,
         now: Timestamp,
@@ -55,7 +56,8 @@
         request: &SideRequest,
     ) -> Option<PeerId> {
         let target = self.fleet.get(endpoint)?;
-        if job != Job::Free && target.words.leaving {
+        let refuses = target.words.leaving && job != Job::Free;
+        if refuses || target.words.is_resting(now) {
             return None;
         }
         let address = target.address;
--- a/src/gateway/retry.rs
+++ b/src/gateway/retry.rs
@@ -132,8 +132,8 @@
         if call.remaining(now) < MIN_RETRY_TIME {
             return Err(EndReason::NoTime);
         }
-        if self.unwelcome(caller).is_some() {
-            return Err(EndReason::NoEndpoint);
+        if let Some((_, why)) = self.unwelcome(now, caller) {
+            return Err(why);
         }
         let Some(shape) = self.shape(caller).filter(|_| self.is_engine_call(caller)) else {
             return Ok(Retry::Plain);
@@ -143,7 +143,7 @@
         if let Some(handoff) = alive {
             return Ok(Retry::HandOff(handoff));
         }
-        let accepts = self.fleet.get(failed.endpoint).is_some_and(|e| e.accepts_work);
+        let accepts = self.fleet.get(failed.endpoint).is_some_and(|e| e.takes_work(now));
         if failed.broke_off && accepts {
             // The endpoint may have been restarted with another software version.
             let mixed = self.fleet.is_mixed(&call.service);
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -69,6 +69,7 @@
     sends: IntCounterVec,
     charges: IntCounterVec,
     leaving: IntCounterVec,
+    rests: IntCounterVec,
 }
 
 impl Metrics {
@@ -151,6 +152,11 @@
                 "Starts of endpoints that have said in an answer to a gateway that they leave",
                 &["service"],
             )?,
+            rests: make.counters(
+                "gateway_rests_total",
+                "Rest times that endpoints have asked a gateway for, each change counted once",
+                &["service"],
+            )?,
             steps: make.seconds("step_seconds", "Time of one step of a role", &["role"])?,
             tenants: Mutex::default(),
             routes: Mutex::default(),
@@ -176,6 +182,10 @@
                 let service = self.label(&self.services, &service);
                 self.leaving.with_label_values(&[&*service]).inc();
             }
+            Observation::Rest { service } => {
+                let service = self.label(&self.services, &service);
+                self.rests.with_label_values(&[&*service]).inc();
+            }
             Observation::LeaseLapsed => self.lapsed.inc(),
             Observation::Registry { processes, endpoints } => {
                 self.processes.set(processes as i64);
--- a/src/report/observation.rs
+++ b/src/report/observation.rs
@@ -39,6 +39,11 @@
         /// The name of its service.
         service: Box<str>,
     },
+    /// An endpoint has asked a gateway for rest.
+    Rest {
+        /// The name of its service.
+        service: Box<str>,
+    },
     /// The lease of a reservation at an agent has expired.
     LeaseLapsed,
     /// The contents of a control member's registry.
--- a/tests/gateway_lines.rs
+++ b/tests/gateway_lines.rs
@@ -355,6 +355,37 @@
     assert!(text.contains(&counter), "{text}");
 }
 
+#[test]
+fn rest_time_is_logged_and_counted_with_each_change() {
+    let mut f = logged();
+    for caller in 1..5 {
+        f.call(caller, "/pay/a", &[]);
+    }
+    let open: Vec<Sent> = (0..4).map(|_| f.take_sent()).collect();
+    let there: Vec<&Sent> = open.iter().filter(|s| s.address == open[0].address).collect();
+    let refuse = |f: &mut Fixture, sent: &Sent, seconds: &str| {
+        f.answer(sent, 503, &[("Not-Run", "1"), ("Retry-After", seconds)], "rest");
+    };
+    refuse(&mut f, there[0], "2");
+    let found = line("rest");
+    assert_eq!((value(&found, "id"), value(&found, "source")), ("call-1", "call"), "{found}");
+    assert_eq!(value(&found, "ms"), "2000", "{found}");
+    let closed: u64 = value(&found, "closed_ms").parse().unwrap();
+    assert!((2_000..=2_200).contains(&closed), "{found}");
+    refuse(&mut f, there[1], "2");
+    assert_eq!(lines("rest").len(), 1);
+    for sent in open.iter().filter(|s| s.address != open[0].address) {
+        refuse(&mut f, sent, "30");
+    }
+    f.call(9, "/pay/a", &[]);
+    assert_eq!(value(lines("end").last().unwrap(), "why"), "all endpoints rest");
+    let metrics = Metrics::new().unwrap();
+    f.observed.drain(..).for_each(|observation| metrics.observe(observation));
+    let text = metrics.text().unwrap();
+    let counter = format!("dotterelpin_gateway_rests_total{{service=\"{PLAIN}\"}} 2");
+    assert!(text.contains(&counter), "{text}");
+}
+
 /// Starts a call of caller 1 whose stream has delivered one event; returns its run.
 fn started_stream(mut f: Fixture, path: &str) -> (Fixture, Sent) {
     f.model_call(1, path, "3000,100");
