--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -57,6 +57,10 @@
     refusal(503, "not run: no endpoint takes it now", Some(CAPACITY_RETRY_AFTER))
 }
 
+pub(super) fn resting(retry_after: Duration) -> RefusalInfo {
+    refusal(503, "not run: all endpoints have asked for rest", Some(retry_after))
+}
+
 pub(super) fn no_version() -> RefusalInfo {
     let text = "not run: no endpoint of the software version that began the stream takes it now";
     refusal(503, text, Some(CAPACITY_RETRY_AFTER))
@@ -210,7 +214,9 @@
     }
 
     /// Handles the head of an endpoint's answer.
-    pub(super) fn answered(&mut self, peer: PeerId, head: AnswerHead) {
+    pub(super) fn answered(&mut self, now: Timestamp, peer: PeerId, head: AnswerHead) {
+        let info = self.protocol.read_answer(&head);
+        self.heed(now, peer, &info);
         let Some(conn) = self.fleet.conn(peer) else { return };
         if let Some(timeout) = idle_timeout(&head) {
             conn.idle_timeout = timeout;
@@ -230,7 +236,6 @@
                 return;
             }
         };
-        let info = self.protocol.read_answer(&head);
         let Some(call) = self.calls.get_mut(&caller) else { return };
         let other = info.id.as_deref().is_some_and(|id| *id != *call.info.id);
         let unnamed = info.id.is_none() && (200..300).contains(&head.status);
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -9,6 +9,7 @@
 use super::place::{DecodeLoad, PrefillLoad};
 use super::protocol::EngineReport;
 use super::window::Window;
+use super::words::{Closed, Words};
 use crate::entry::health::Health;
 use crate::h1::{CallerId, PeerId};
 use crate::model::{BootId, EndpointKind, EndpointState, Timestamp};
@@ -31,6 +32,8 @@
 const FULL_BACKOFF: Duration = Duration::from_millis(150);
 /// The upper bound of the doubled `FULL_BACKOFF`.
 const MAX_FULL_BACKOFF: Duration = Duration::from_millis(1_200);
+/// The maximum number of endpoints that are no longer listed of which is kept what they have said.
+const MAX_UNLISTED: usize = 256;
 /// The placement penalty of a plain endpoint in another failure domain, in running calls.
 const REMOTE_CALLS: u32 = 1;
 
@@ -63,11 +66,26 @@
     Free,
 }
 
+impl Job {
+    /// Returns the name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Job::Idle => "idle",
+            Job::Call(_) => "call",
+            Job::Hold(_) => "hold",
+            Job::Report => "report",
+            Job::Free => "free",
+        }
+    }
+}
+
 /// A connection to an endpoint.
 #[derive(Debug)]
 pub struct Conn {
     /// The endpoint that it leads to.
     pub endpoint: EndpointKey,
+    /// The start of the endpoint for which it was opened.
+    boot: BootId,
     /// Its present use.
     pub job: Job,
     /// When the present use began.
@@ -101,7 +119,7 @@
     pub pool: Box<str>,
     /// How many requests it runs at once.
     pub slots: u32,
-    /// Whether it is listed, not draining, and not known to be gone from its address.
+    /// Whether it is listed, not draining, not leaving, and not known to be gone from its address.
     pub accepts_work: bool,
     /// The start of the endpoint and the number of its listed state within that.
     listed: (BootId, u64),
@@ -111,6 +129,8 @@
     listed_since: Timestamp,
     /// The listed state that an answer at its address has disproved.
     disproved: Option<((BootId, u64), EndpointKind)>,
+    /// What it has said in its answers; kept while newer states of the same start are listed.
+    pub words: Words,
     /// The version of its software.
     pub software: Box<str>,
     /// Its health as judged by the outcome of requests of this gateway.
@@ -144,6 +164,7 @@
             listed_kind: state.kind,
             listed_since: now,
             disproved: None,
+            words: Words::default(),
             software: state.software.clone(),
             health: Health::default(),
             usage: Usage::default(),
@@ -158,7 +179,12 @@
 
     /// Returns whether new work may be sent there now.
     pub fn is_open(&self, now: Timestamp) -> bool {
-        self.accepts_work && self.full_until <= now && self.health.is_available(now)
+        self.takes_work(now) && self.full_until <= now && self.health.is_available(now)
+    }
+
+    /// Returns whether work may be sent there now, whatever its load and health.
+    pub fn takes_work(&self, now: Timestamp) -> bool {
+        self.accepts_work && !self.words.is_resting(now)
     }
 
     /// Sends it no work for a short time because it lacked capacity.
@@ -198,7 +224,14 @@
         self.listed = listed;
         self.listed_kind = kind;
         let newer = |(at, of)| at < listed || at == listed && of != kind;
-        self.accepts_work = !state.draining && self.disproved.is_none_or(newer);
+        let present = self.disproved.is_none_or(newer);
+        self.accepts_work = !state.draining && present && !self.words.leaving;
+    }
+
+    /// Adopts what its start has said before.
+    fn adopt(&mut self, words: Words) {
+        self.words = words;
+        self.accepts_work &= !words.leaving;
     }
 
     /// Records that it accepted a call, which resets the backoff.
@@ -294,6 +327,8 @@
     names: BTreeMap<Box<str>, EndpointKey>,
     pools: BTreeMap<Box<str>, Vec<EndpointKey>>,
     conns: BTreeMap<PeerId, Conn>,
+    /// What starts of endpoints that are no longer listed have said, oldest first.
+    unlisted: VecDeque<(Box<str>, BootId, Words)>,
     last_peer: u64,
 }
 
@@ -306,6 +341,7 @@
             names: BTreeMap::new(),
             pools: BTreeMap::new(),
             conns: BTreeMap::new(),
+            unlisted: VecDeque::new(),
             last_peer: 0,
         }
     }
@@ -327,13 +363,19 @@
                     if restarted || known.address != state.address || known.pool != state.pool {
                         // The endpoint was restarted, or replaced by another under its name.
                         let fresh = Endpoint::new(now, state, &self.domain);
+                        let words = known.words;
                         *known = Endpoint { usage: known.usage, ..fresh };
+                        if !restarted {
+                            known.adopt(words);
+                        }
                         continue;
                     }
                     known.relist(now, state);
                 }
                 None => {
-                    let key = self.endpoints.insert(Endpoint::new(now, state, &self.domain));
+                    let mut endpoint = Endpoint::new(now, state, &self.domain);
+                    endpoint.adopt(self.said_before(state));
+                    let key = self.endpoints.insert(endpoint);
                     self.names.insert(state.name.clone(), key);
                 }
             }
@@ -351,6 +393,26 @@
         unused
     }
 
+    /// Returns what the start of a listed endpoint said before it was not listed for a time.
+    fn said_before(&self, state: &EndpointState) -> Words {
+        let same = |(name, boot, _): &&(Box<str>, BootId, Words)| {
+            *name == state.name && *boot == state.boot
+        };
+        self.unlisted.iter().rev().find(same).map(|(_, _, words)| *words).unwrap_or_default()
+    }
+
+    /// Keeps what an endpoint has said that is no longer listed.
+    fn keep_words(&mut self, endpoint: &Endpoint) {
+        if endpoint.words == Words::default() {
+            return;
+        }
+        let (boot, _) = endpoint.listed;
+        self.unlisted.push_back((endpoint.name.clone(), boot, endpoint.words));
+        if self.unlisted.len() > MAX_UNLISTED {
+            self.unlisted.pop_front();
+        }
+    }
+
     /// Closes endpoints at whose address a later start is listed, under their name or another.
     fn close_superseded(&mut self) {
         let mut newest: BTreeMap<SocketAddr, BootId> = BTreeMap::new();
@@ -377,6 +439,7 @@
         let mut unused = Vec::new();
         for key in keys {
             if let Some(endpoint) = self.endpoints.remove(key) {
+                self.keep_words(&endpoint);
                 unused.extend(endpoint.idle);
             }
         }
@@ -403,10 +466,10 @@
         self.endpoints.get(key)
     }
 
-    /// Returns the key of the endpoint with a name, if that endpoint accepts work.
-    pub fn named(&self, name: &str) -> Option<EndpointKey> {
+    /// Returns the key of the endpoint with a name, if work may be sent there now.
+    pub fn named(&self, now: Timestamp, name: &str) -> Option<EndpointKey> {
         let key = *self.names.get(name)?;
-        self.endpoints.get(key).filter(|e| e.accepts_work).map(|_| key)
+        self.endpoints.get(key).filter(|e| e.takes_work(now)).map(|_| key)
     }
 
     /// Returns the endpoint with a key for changes, or `None` once it is removed.
@@ -430,8 +493,9 @@
     /// Returns `None` while all healthy endpoints have as many calls as their windows allow; the
     /// call waits then.
     pub fn pick_plain(&self, now: Timestamp, choice: Choice<'_>, draw: u64) -> Option<EndpointKey> {
+        let allowed = |k, e: &Endpoint| choice.allows(k, e) && e.takes_work(now);
         let open: Vec<(EndpointKey, &Endpoint)> =
-            self.pool(choice.service).filter(|(k, e)| choice.allows(*k, e)).collect();
+            self.pool(choice.service).filter(|(k, e)| allowed(*k, e)).collect();
         // If none is healthy, trying one that may be down is better than refusing the call.
         let any_healthy = open.iter().any(|(_, e)| e.health.is_available(now));
         let has_capacity = |e: &Endpoint| e.is_open(now) && e.window.has_capacity(e.usage.slots);
@@ -450,6 +514,68 @@
         pool.any(|(k, e)| e.kind == EndpointKind::Decode && choice.allows(k, e))
     }
 
+    /// Records that the endpoint of a connection has said that it leaves, and returns it if that is
+    /// new. An answer of an earlier start says nothing about the present one.
+    pub fn leaves(&mut self, peer: PeerId) -> Option<&Endpoint> {
+        let conn = self.conns.get(&peer)?;
+        let endpoint = self.endpoints.get_mut(conn.endpoint)?;
+        if endpoint.listed.0 != conn.boot || endpoint.words.leaving {
+            return None;
+        }
+        endpoint.words.leaving = true;
+        endpoint.accepts_work = false;
+        Some(endpoint)
+    }
+
+    /// Records that the endpoint of a connection has asked for rest, and returns it if that is a
+    /// change. An answer of an earlier start says nothing about the present one.
+    pub fn rests(
+        &mut self,
+        now: Timestamp,
+        peer: PeerId,
+        rest: Duration,
+        draw: u64,
+    ) -> Option<&Endpoint> {
+        let conn = self.conns.get(&peer)?;
+        let endpoint = self.endpoints.get_mut(conn.endpoint)?;
+        let present = endpoint.listed.0 == conn.boot;
+        (present && endpoint.words.asked_for_rest(now, rest, draw)).then_some(endpoint)
+    }
+
+    /// Returns whether any endpoint of a service has said something against new requests.
+    pub fn has_words(&self, now: Timestamp, service: &str) -> bool {
+        self.pool(service).any(|(_, e)| !e.words.is_welcome(now))
+    }
+
+    /// Returns why no endpoint of a kind, or of any, may be chosen because of what they have said;
+    /// `None` if one may be chosen, or if they have said nothing.
+    pub fn closed(
+        &self,
+        now: Timestamp,
+        choice: Choice<'_>,
+        kind: Option<EndpointKind>,
+    ) -> Option<Closed> {
+        let mut leaving = false;
+        let mut reopens: Option<Timestamp> = None;
+        for (key, endpoint) in self.pool(choice.service) {
+            if kind.is_some_and(|kind| endpoint.kind != kind) {
+                continue;
+            }
+            if choice.allows(key, endpoint) && endpoint.takes_work(now) {
+                return None;
+            }
+            leaving |= endpoint.words.leaving;
+            if endpoint.accepts_work && endpoint.words.is_resting(now) {
+                let until = endpoint.words.closed_until;
+                reopens = Some(reopens.map_or(until, |first| first.min(until)));
+            }
+        }
+        match reopens {
+            Some(until) => Some(Closed::Resting(until)),
+            None => leaving.then_some(Closed::Leaving),
+        }
+    }
+
     /// Returns whether the listed endpoints of a service have different software versions.
     pub fn is_mixed(&self, service: &str) -> bool {
         let mut versions = self.pool(service).map(|(_, e)| &e.software);
@@ -535,8 +661,10 @@
     pub fn open(&mut self, now: Timestamp, endpoint: EndpointKey, job: Job) -> PeerId {
         self.last_peer += 1;
         let peer = PeerId(self.last_peer);
+        let boot = self.endpoints.get(endpoint).map_or_else(BootId::default, |e| e.listed.0);
         let conn = Conn {
             endpoint,
+            boot,
             job,
             since: now,
             connected: false,
--- a/src/gateway/header_protocol.rs
+++ b/src/gateway/header_protocol.rs
@@ -8,10 +8,16 @@
     AnswerInfo, CallError, CallInfo, CallProtocol, EngineReport, Export, ModelWork, RefusalInfo,
     SendInfo, SendKind, SideRequest, TableFormat,
 };
-use crate::h1::{AnswerHead, Request, RequestHead, write};
+use crate::h1::{AnswerHead, Fields, Request, RequestHead, write};
 
 /// The maximum length of a call's id in bytes.
 const MAX_ID_BYTES: usize = 256;
+/// The status with which an endpoint turns a request away.
+const BUSY: u16 = 503;
+/// The field that says when to retry.
+const RETRY_AFTER: &str = "Retry-After";
+/// The maximum of seconds that is read from a field; longer times are read as this one.
+const MAX_SECONDS: f64 = 1e9;
 
 /// The names of the protocol's header fields.
 #[derive(Debug, Clone, Copy)]
@@ -40,6 +46,8 @@
     pub not_run: &'static str,
     /// The signature of the endpoint.
     pub signature: &'static str,
+    /// Present in an answer, with a value other than `0`, if the endpoint leaves.
+    pub leaving: &'static str,
     /// Fields that are dropped from callers' requests, in addition to those that the gateway sets.
     pub reserved: &'static [&'static str],
 }
@@ -156,6 +164,8 @@
             not_run: head.fields.has(names.not_run),
             signed: head.fields.has(names.signature),
             encoded: head.fields.has("content-encoding"),
+            leaving: head.fields.all(names.leaving).any(is_set),
+            rest: (head.status == BUSY).then(|| read_rest(&head.fields)).flatten(),
         }
     }
 
@@ -191,13 +201,31 @@
             extra.push((self.names.id, id.to_string()));
         }
         if let Some(after) = refusal.retry_after {
-            extra.push(("Retry-After", format!("{:.3}", after.as_secs_f64())));
+            extra.push((RETRY_AFTER, format!("{:.3}", after.as_secs_f64())));
         }
         let body = format!("{}\n", refusal.text);
         write::answer(refusal.status, &extra, "text/plain", body.as_bytes(), keep)
     }
 }
 
+/// Returns the longest time in the fields that say when to retry; `None` if none has a number of
+/// seconds, which may be fractional.
+fn read_rest(fields: &Fields) -> Option<Duration> {
+    let values = fields.all(RETRY_AFTER).flat_map(|value| value.split(|b| *b == b','));
+    values.filter_map(seconds).max()
+}
+
+fn seconds(value: &[u8]) -> Option<Duration> {
+    let seconds: f64 = std::str::from_utf8(value).ok()?.trim().parse().ok()?;
+    let finite = seconds.is_finite().then(|| seconds.min(MAX_SECONDS))?;
+    Duration::try_from_secs_f64(finite).ok()
+}
+
+/// Returns whether the value of a field that is a flag says yes.
+fn is_set(value: &[u8]) -> bool {
+    !matches!(value.trim_ascii(), b"" | b"0")
+}
+
 fn millis(text: &str) -> Option<Duration> {
     let millis: f64 = text.parse().ok()?;
     Duration::try_from_secs_f64(millis / 1_000.0).ok()
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -167,6 +167,10 @@
     pub signed: bool,
     /// Whether the content has an encoding, which endpoints do not apply themselves.
     pub encoded: bool,
+    /// Whether the endpoint says that it leaves.
+    pub leaving: bool,
+    /// For how long the endpoint wants no request, if it has refused this one and says so.
+    pub rest: Option<Duration>,
 }
 
 /// The load that an engine reports.
--- a/src/gateway/reports.rs
+++ b/src/gateway/reports.rs
@@ -23,7 +23,7 @@
         self.last_called.retain(|_, at| now - *at < CALLED_WINDOW);
         let engines = self.fleet.engines();
         let polled =
-            engines.filter(|(_, e)| e.accepts_work && self.last_called.contains_key(&e.pool));
+            engines.filter(|(_, e)| e.takes_work(now) && self.last_called.contains_key(&e.pool));
         let polled: Vec<EndpointKey> = polled.map(|(key, _)| key).collect();
         for endpoint in polled {
             self.send_side_request(now, endpoint, Job::Report, &SideRequest::Report);
@@ -45,7 +45,9 @@
         self.send_side_request(now, endpoint, Job::Free, &SideRequest::Drop { hold });
     }
 
-    /// Sends a side request to an engine and returns the connection that carries it.
+    /// Sends a side request to an engine and returns the connection that carries it. One that
+    /// leaves is only asked to release what it keeps; one that rests is asked for nothing, since
+    /// exports and reservations expire there by themselves.
     pub(super) fn send_side_request(
         &mut self,
         now: Timestamp,
@@ -53,7 +55,12 @@
         job: Job,
         request: &SideRequest,
     ) -> Option<PeerId> {
-        let address = self.fleet.get(endpoint)?.address;
+        let target = self.fleet.get(endpoint)?;
+        let refuses = target.words.leaving && job != Job::Free;
+        if refuses || target.words.is_resting(now) {
+            return None;
+        }
+        let address = target.address;
         let bytes = self.protocol.write_side(address, request);
         let peer = match self.fleet.reuse(now, endpoint, job, false) {
             Some(peer) => peer,
--- a/src/gateway/retry.rs
+++ b/src/gateway/retry.rs
@@ -138,6 +138,9 @@
         if call.remaining(now) < MIN_RETRY_TIME {
             return Err(EndReason::NoTime);
         }
+        if let Some((_, why)) = self.unwelcome(now, caller) {
+            return Err(why);
+        }
         let Some(shape) = self.shape(caller).filter(|_| self.is_engine_call(caller)) else {
             return Ok(Retry::Plain);
         };
@@ -146,7 +149,7 @@
         if let Some(handoff) = alive {
             return Ok(Retry::HandOff(handoff));
         }
-        let accepts = self.fleet.get(failed.endpoint).is_some_and(|e| e.accepts_work);
+        let accepts = self.fleet.get(failed.endpoint).is_some_and(|e| e.takes_work(now));
         if failed.broke_off && accepts {
             // The endpoint may have been restarted with another software version.
             let mixed = self.fleet.is_mixed(&call.service);
@@ -241,7 +244,7 @@
 
     /// Starts or queues a call that runs at its decode endpoint without a prefill elsewhere; returns
     /// `false` if no decode endpoint is left for it.
-    fn wait_for_run(&mut self, now: Timestamp, caller: CallerId) -> bool {
+    pub(super) fn wait_for_run(&mut self, now: Timestamp, caller: CallerId) -> bool {
         let Some(call) = self.calls.get_mut(&caller) else { return false };
         if !self.fleet.has_decode(call.choice()) {
             return false;
