Keep a call of an entry at one software version

What callers would see: in a fleet of two versions, an answer that began at one version and went on at another after its decode endpoint had died, and answers computed by one version from the KV cache of the other.

Cause: the entry knew the version of each endpoint but passed no limit to the placement, so every later choice was free.

The change: Need has one typed limit, Software. A decode endpoint must have the version of the first token or else that of the usable KV cache; a prefill endpoint that of the reserved decode endpoint. A call that is free takes a version that has endpoints of both kinds. If endpoints take work but none of the version that began the answer, the call is refused at once as no-endpoint, ran "maybe", without a backoff. A call of which nothing is delivered drops KV cache whose version has no decode endpoint left and begins anew.

Why it works: all endpoints of a run are chosen through this limit. With one version or none the limit is not looked at, and a test compares the choices with and without it. An endpoint that changes its version without a new start of its agent counts as a new one.

--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -8,7 +8,7 @@
 
 use dotterelpin::control::config::Config;
 use dotterelpin::entry::admit::{Admission, Limits, Queue, Ticket};
-use dotterelpin::entry::place::{Fleet, Need, Variant};
+use dotterelpin::entry::place::{Fleet, Need, Software, Variant};
 use dotterelpin::model::{
     BootId, Call, CallId, CallKind, Capacity, Class, EndpointKind, EndpointState, Fence, Load,
     Timestamp,
@@ -77,6 +77,7 @@
                 tokens: 3_000,
                 avoid: Some("d1"),
                 prefix: Some(u64::from(round % 100)),
+                software: Software::Only(""),
             };
             black_box(placement.choose(now(), &need, &fleet));
         }
--- a/src/entry/place/fleet.rs
+++ b/src/entry/place/fleet.rs
@@ -1,15 +1,16 @@
 //! An entry's view of the endpoints: announced state, its own work in flight, and the load that
 //! agents report.
 
-use std::collections::BTreeMap;
+use std::borrow::Cow;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use slotmap::{SlotMap, new_key_type};
 
-use super::Need;
 use super::estimate::Estimate;
 use super::flight::{Flight, Stage};
+use super::{Need, Software};
 use crate::entry::health::{Health, Verdict};
 use crate::link::message::{AgentReply, AgentRequest, Reply, Request};
 use crate::model::{
@@ -112,6 +113,8 @@
     prefill: Vec<EndpointKey>,
     decode: Vec<EndpointKey>,
     service: Vec<EndpointKey>,
+    /// The number of endpoints of each software version.
+    versions: BTreeMap<Box<str>, usize>,
     /// Calls that have requested decode capacity and whose prefill is not placed yet.
     starting: usize,
     /// The usual time between tokens, in microseconds.
@@ -135,6 +138,14 @@
         }
     }
 
+    fn remove_version(&mut self, software: &str) {
+        let Some(count) = self.versions.get_mut(software) else { return };
+        *count -= 1;
+        if *count == 0 {
+            self.versions.remove(software);
+        }
+    }
+
     fn keys_mut(&mut self, kind: EndpointKind) -> &mut Vec<EndpointKey> {
         match kind {
             EndpointKind::Prefill => &mut self.prefill,
@@ -182,11 +193,55 @@
 
     /// Returns the endpoints that are eligible for an attempt, regardless of their load.
     pub fn fitting(&self, need: &Need<'_>) -> impl Iterator<Item = (EndpointKey, &Tracked)> {
-        let keys = self.keys(need.kind, need.pool).iter();
-        let all = keys.filter_map(|key| Some((*key, self.endpoints.get(*key)?)));
+        let keys = self.of_software(need).into_owned().into_iter();
+        let all = keys.filter_map(|key| Some((key, self.endpoints.get(key)?)));
         all.filter(|(_, e)| self.fits(need, e))
     }
 
+    /// Returns the endpoints of the software versions that an attempt may use, whether or not they
+    /// are eligible in other respects.
+    pub fn of_software(&self, need: &Need<'_>) -> Cow<'_, [EndpointKey]> {
+        let Some(versions) = self.allowed_versions(need) else {
+            return Cow::Borrowed(self.keys(need.kind, need.pool));
+        };
+        let all = self.tracked(need.kind, need.pool);
+        let allowed = all.filter(|(_, e)| versions.contains(&*e.state.software));
+        Cow::Owned(allowed.map(|(key, _)| key).collect())
+    }
+
+    /// Returns the software versions that an attempt may use; `None` if it may use all.
+    fn allowed_versions<'a>(&'a self, need: &Need<'a>) -> Option<BTreeSet<&'a str>> {
+        let versions = &self.pools.get(need.pool)?.versions;
+        let is_mixed = versions.len() > 1;
+        match need.software {
+            Software::Any => None,
+            Software::Only(software) if !is_mixed && versions.contains_key(software) => None,
+            Software::With(_) if !is_mixed => None,
+            Software::Only(software) => Some(BTreeSet::from([software])),
+            Software::With(kind) => {
+                let partners = self.tracked(kind, need.pool).filter(|(_, e)| self.fits(need, e));
+                let versions: BTreeSet<_> = partners.map(|(_, e)| &*e.state.software).collect();
+                Some(versions).filter(|v| !v.is_empty())
+            }
+        }
+    }
+
+    /// Returns whether other endpoints of a pool and kind take work, but none of a software version.
+    pub fn lacks(&self, kind: EndpointKind, pool: &str, software: &str) -> bool {
+        let open = self.tracked(kind, pool).filter(|(_, e)| !e.state.draining);
+        let versions: BTreeSet<_> = open.map(|(_, e)| &*e.state.software).collect();
+        !versions.is_empty() && !versions.contains(software)
+    }
+
+    fn tracked(
+        &self,
+        kind: EndpointKind,
+        pool: &str,
+    ) -> impl Iterator<Item = (EndpointKey, &Tracked)> {
+        let keys = self.keys(kind, pool).iter();
+        keys.filter_map(|key| Some((*key, self.endpoints.get(*key)?)))
+    }
+
     /// Returns how many calls of a pool have requested decode capacity and not started a prefill
     /// yet.
     pub fn starting(&self, pool: &str) -> usize {
@@ -264,10 +319,13 @@
     fn insert(&mut self, state: EndpointState) {
         let (name, pool) = (state.name.clone(), state.pool.clone());
         let (kind, address) = (state.kind, state.address);
+        let software = state.software.clone();
         let key = self.endpoints.insert(Tracked::new(state));
         self.names.insert(name, key);
         self.addresses.insert(address, key);
-        self.pools.entry(pool).or_default().keys_mut(kind).push(key);
+        let pool = self.pools.entry(pool).or_default();
+        pool.keys_mut(kind).push(key);
+        *pool.versions.entry(software).or_default() += 1;
     }
 
     fn remove_endpoint(&mut self, key: EndpointKey) {
@@ -277,6 +335,7 @@
         self.addresses.remove(&state.address);
         if let Some(pool) = self.pools.get_mut(&state.pool) {
             pool.keys_mut(state.kind).retain(|k| *k != key);
+            pool.remove_version(&state.software);
         }
     }
 
@@ -464,7 +523,8 @@
     }
 }
 
-/// Returns whether two announcements are of the same boot, address, kind and pool.
+/// Returns whether two announcements are of the same boot, address, kind, pool and software.
 fn same_instance(a: &EndpointState, b: &EndpointState) -> bool {
-    (a.boot, a.address, a.kind, &a.pool) == (b.boot, b.address, b.kind, &b.pool)
+    let same_place = (a.boot, a.address, a.kind) == (b.boot, b.address, b.kind);
+    same_place && (&a.pool, &a.software) == (&b.pool, &b.software)
 }
--- a/src/entry/place/in_flight.rs
+++ b/src/entry/place/in_flight.rs
@@ -126,8 +126,8 @@
 
 impl Placement for InFlight {
     fn choose(&mut self, now: Timestamp, need: &Need<'_>, fleet: &Fleet) -> Option<EndpointKey> {
-        let keys = fleet.keys(need.kind, need.pool);
-        let sample = self.sample(keys);
+        let keys = fleet.of_software(need);
+        let sample = self.sample(&keys);
         self.cheapest(now, need, fleet, &sample)
     }
 
--- a/src/entry/place/mod.rs
+++ b/src/entry/place/mod.rs
@@ -18,6 +18,20 @@
 
 use crate::model::{EndpointKind, Timestamp};
 
+/// The software versions among which an attempt chooses its endpoint.
+///
+/// What two versions write, and their KV cache, does not fit together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Software<'a> {
+    /// All versions.
+    Any,
+    /// Versions of which an endpoint of this kind takes work too, to exchange KV cache with; all
+    /// versions if there is no such endpoint at all.
+    With(EndpointKind),
+    /// One version: the one that began the answer or made the KV cache.
+    Only(&'a str),
+}
+
 /// The requirements of an attempt on its endpoint.
 #[derive(Debug, Clone, Copy)]
 pub struct Need<'a> {
@@ -33,6 +47,8 @@
     pub avoid: Option<&'a str>,
     /// The hash of the start of the prompt; `None` unless a prefill endpoint is chosen.
     pub prefix: Option<u64>,
+    /// The software versions that the endpoint may have.
+    pub software: Software<'a>,
 }
 
 /// How an entry handles calls, apart from the choice of endpoints.
--- a/src/entry/run/failure.rs
+++ b/src/entry/run/failure.rs
@@ -121,6 +121,11 @@
         let mut outputs = self.reset_exchanges(shared);
         let allowed = self.call.repeatable || self.attempts.own_ran() == Ran::No;
         let attempt = self.attempts.last();
+        if self.lacks_version(shared, now) {
+            let detail = "no endpoint of the software version that began the answer is left";
+            outputs.extend(self.refuse(shared, now, RefusalReason::NoEndpoint, detail));
+            return outputs;
+        }
         let allowed = self.responder.is_some() && allowed && attempt < self.max_attempts(shared);
         // A refusal by an endpoint costs nothing, so only failures use the budget.
         let free = reason != RefusalReason::EndpointFailed;
--- a/src/entry/run/mod.rs
+++ b/src/entry/run/mod.rs
@@ -17,7 +17,7 @@
 use settling::Settling;
 
 use super::claim::claim_key;
-use super::place::Need;
+use super::place::{Need, Software};
 use super::{Outputs, Shared};
 use crate::control::claims::ClaimKey;
 use crate::link::message::{AgentReply, Export, Reply};
@@ -71,6 +71,8 @@
 #[derive(Debug)]
 struct Exported {
     export: Export,
+    /// The software version of the prefill endpoint.
+    software: Box<str>,
     at: Timestamp,
     /// Number of tokens delivered to the caller when the prefill ended.
     delivered: usize,
@@ -101,6 +103,9 @@
     /// The prefill endpoint of the current attempt.
     source: Option<EndpointState>,
     claim: Option<Owned>,
+    /// The software version of the endpoint that brought the first token; only endpoints of that
+    /// version continue the answer.
+    software: Option<Box<str>>,
     /// The tokens delivered so far.
     delivered: Vec<Box<str>>,
     /// Whether `CallerEffect::Begin` was sent.
@@ -134,6 +139,7 @@
             endpoint: None,
             source: None,
             claim: None,
+            software: None,
             delivered: Vec::new(),
             begun: false,
             last_activity: now,
@@ -190,6 +196,7 @@
         shared: &mut Shared,
         now: Timestamp,
         kind: EndpointKind,
+        software: Software<'_>,
     ) -> Option<EndpointState> {
         let (tokens, prefix) = match (&self.call.kind, kind) {
             (CallKind::Model { prompt, .. }, EndpointKind::Prefill) => {
@@ -208,6 +215,7 @@
             tokens,
             avoid: avoid.as_deref(),
             prefix,
+            software,
         };
         shared.place(now, &need)
     }
--- a/src/entry/run/model.rs
+++ b/src/entry/run/model.rs
@@ -2,11 +2,14 @@
 
 use std::time::Duration;
 
+use super::super::place::Software;
 use super::super::{CallerEffect, Outputs, Shared};
 use super::{Exported, RESERVE_LEASE, Run, Stage};
 use crate::link::message::{AgentRequest, Export, Request};
 use crate::model::call::prompt_tokens;
-use crate::model::{CallKind, Class, EndpointKind, ExchangeId, Ran, RefusalReason, Timestamp};
+use crate::model::{
+    CallKind, Class, EndpointKind, EndpointState, ExchangeId, Ran, RefusalReason, Timestamp,
+};
 use crate::role::Output;
 
 /// The finish reason of a generation that reached the maximum number of tokens.
@@ -32,7 +35,7 @@
     pub(super) fn reserve(&mut self, shared: &mut Shared, now: Timestamp) -> Outputs {
         let CallKind::Model { prompt, max_tokens, .. } = &self.call.kind else { return Vec::new() };
         let tokens = prompt_tokens(prompt) + max_tokens;
-        let Some(endpoint) = self.place(shared, now, EndpointKind::Decode) else {
+        let Some(endpoint) = self.place_decode(shared, now) else {
             let detail = "no decode endpoint is free";
             return self.refuse(shared, now, RefusalReason::NoEndpoint, detail);
         };
@@ -48,6 +51,51 @@
         vec![open]
     }
 
+    /// Chooses a decode endpoint of the software version that the call is bound to: that of its
+    /// tokens or, before the first one, that of its usable KV cache.
+    ///
+    /// Without either, it must be a version that can prefill too.
+    fn place_decode(&mut self, shared: &mut Shared, now: Timestamp) -> Option<EndpointState> {
+        let exported = self.usable_export(shared, now).map(|e| e.software.clone());
+        let bound = self.software.clone().or(exported);
+        if let Some(software) = bound {
+            let placed = self.place(shared, now, EndpointKind::Decode, Software::Only(&software));
+            let lacking = placed.is_none() && self.software.is_none();
+            if !lacking || !shared.fleet.lacks(EndpointKind::Decode, &self.call.pool, &software) {
+                return placed;
+            }
+            // Nothing is delivered, so the call may begin anew at another version.
+            self.export = None;
+        }
+        self.place(shared, now, EndpointKind::Decode, Software::With(EndpointKind::Prefill))
+    }
+
+    /// Chooses a prefill endpoint of the software version of the reserved decode endpoint, or else
+    /// of the tokens delivered.
+    fn place_prefill(
+        &mut self,
+        shared: &mut Shared,
+        now: Timestamp,
+        reserved: bool,
+    ) -> Option<EndpointState> {
+        let decode = self.endpoint.as_ref().filter(|_| reserved).map(|e| e.software.clone());
+        let software = decode.or_else(|| self.software.clone());
+        let limit = match &software {
+            Some(software) => Software::Only(software),
+            None => Software::With(EndpointKind::Decode),
+        };
+        self.place(shared, now, EndpointKind::Prefill, limit)
+    }
+
+    /// Returns whether endpoints take work, but none of the software version that began the answer,
+    /// so that no other attempt can continue it.
+    pub(super) fn lacks_version(&self, shared: &Shared, now: Timestamp) -> bool {
+        let Some(software) = &self.software else { return false };
+        let lacks = |kind| shared.fleet.lacks(kind, &self.call.pool, software);
+        let needs_prefill = self.usable_export(shared, now).is_none();
+        lacks(EndpointKind::Decode) || (needs_prefill && lacks(EndpointKind::Prefill))
+    }
+
     /// Continues the attempt once decode capacity is reserved.
     pub(super) fn reserved(
         &mut self,
@@ -65,7 +113,9 @@
     /// Records the export of a prefill, which means that part of the request has run.
     pub(super) fn exported(&mut self, now: Timestamp, export: Export) {
         self.attempts.started();
-        self.export = Some(Exported { export, at: now, delivered: self.delivered.len(), uses: 0 });
+        let software = self.source.as_ref().map(|e| e.software.clone()).unwrap_or_default();
+        let delivered = self.delivered.len();
+        self.export = Some(Exported { export, software, at: now, delivered, uses: 0 });
     }
 
     /// Returns the KV cache export if it is recent and covers all delivered tokens.
@@ -85,7 +135,7 @@
     ) -> Outputs {
         let CallKind::Model { prompt, .. } = &self.call.kind else { return Vec::new() };
         let prompt = prompt.clone();
-        let Some(endpoint) = self.place(shared, now, EndpointKind::Prefill) else {
+        let Some(endpoint) = self.place_prefill(shared, now, decode.is_some()) else {
             let detail = "no prefill endpoint is free";
             return self.refuse(shared, now, RefusalReason::NoEndpoint, detail);
         };
@@ -177,6 +227,9 @@
         if fresh.is_empty() {
             return Vec::new();
         }
+        if self.software.is_none() {
+            self.software = self.endpoint.as_ref().map(|e| e.software.clone());
+        }
         self.delivered.extend(fresh.iter().cloned());
         if self.responder.is_none() {
             return Vec::new();
--- a/src/entry/run/service.rs
+++ b/src/entry/run/service.rs
@@ -1,6 +1,7 @@
 //! Calls to plain services; a call that has a key and may not be repeated claims the key first.
 
 use super::super::claim::claim_key;
+use super::super::place::Software;
 use super::super::{Outputs, Shared};
 use super::{Run, Stage};
 use crate::control::claims::{Outcome, Target};
@@ -39,7 +40,8 @@
     }
 
     fn place_service(&mut self, shared: &mut Shared, now: Timestamp) -> bool {
-        let Some(endpoint) = self.place(shared, now, EndpointKind::Service) else { return false };
+        let placed = self.place(shared, now, EndpointKind::Service, Software::Any);
+        let Some(endpoint) = placed else { return false };
         self.endpoint = Some(endpoint);
         true
     }
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -7,7 +7,7 @@
 
 use dotterelpin::control::config::Revised;
 use dotterelpin::entry::health::Verdict;
-use dotterelpin::entry::place::{Fleet, InFlight, Need, Placement, Variant};
+use dotterelpin::entry::place::{Fleet, InFlight, Need, Placement, Software, Variant};
 use dotterelpin::entry::retry::{INITIAL_SAVED, MAX_SAVED, RetryBudgets};
 use dotterelpin::link::message::{AgentReply, AgentRequest, Envelope, Export, Reply, Request};
 use dotterelpin::model::{
@@ -61,7 +61,8 @@
 }
 
 fn need(kind: EndpointKind) -> Need<'static> {
-    Need { kind, pool: "model", tried: &[], tokens: 1_000, avoid: None, prefix: None }
+    let (avoid, prefix, software) = (None, None, Software::Any);
+    Need { kind, pool: "model", tried: &[], tokens: 1_000, avoid, prefix, software }
 }
 
 fn envelope<T>(body: T) -> Envelope<T> {
@@ -248,6 +249,80 @@
     assert_eq!(fleet.failed_domain(CallId(5)), None);
 }
 
+/// Announces one endpoint of each kind at version v2 among many at v1.
+fn two_versions(count: usize) -> BTreeMap<Box<str>, EndpointState> {
+    let state = |index: usize| {
+        let last = index == count - 1 || index == 2 * count - 1;
+        EndpointState {
+            name: format!("e{index}").into(),
+            kind: if index < count { EndpointKind::Prefill } else { EndpointKind::Decode },
+            software: if last { "v2" } else { "v1" }.into(),
+            ..endpoint(index, 1)
+        }
+    };
+    (0..2 * count).map(state).map(|e| (e.name.clone(), e)).collect()
+}
+
+/// A version of which one endpoint of many is left is found, also in a pool that is sampled.
+#[test]
+fn placement_finds_the_endpoint_of_a_version() {
+    for (variant, count) in Variant::ALL.into_iter().flat_map(|v| [(v, 4), (v, 200)]) {
+        let mut fleet = Fleet::new(true);
+        fleet.update(&two_versions(count));
+        let mut placement = variant.placement(1);
+        for kind in [EndpointKind::Prefill, EndpointKind::Decode] {
+            let need = Need { software: Software::Only("v2"), ..need(kind) };
+            let chosen = placement.choose(at(0), &need, &fleet);
+            let software = chosen.and_then(|k| fleet.get(k)).map(|e| &*e.state.software);
+            assert_eq!(software, Some("v2"), "{variant} of {count}");
+            let need = Need { software: Software::Only("v3"), ..need };
+            assert_eq!(placement.choose(at(0), &need, &fleet), None, "{variant} of {count}");
+        }
+    }
+}
+
+/// Decode endpoints of versions that cannot prefill are passed over, unless none can.
+#[test]
+fn placement_takes_versions_with_both_kinds() {
+    for variant in Variant::ALL {
+        let mut endpoints = two_versions(4);
+        let need = need(EndpointKind::Decode);
+        let need = Need { software: Software::With(EndpointKind::Prefill), ..need };
+        let choose = |endpoints: &BTreeMap<_, _>| {
+            let mut fleet = Fleet::new(true);
+            fleet.update(endpoints);
+            let chosen = variant.placement(1).choose(at(0), &need, &fleet);
+            chosen.and_then(|k| fleet.get(k)).map(|e| e.state.software.clone())
+        };
+        // The prefill endpoints of v1 drain.
+        for name in ["e0", "e1", "e2"] {
+            endpoints.get_mut(name).unwrap().draining = true;
+        }
+        assert_eq!(choose(&endpoints), Some("v2".into()), "{variant}");
+        endpoints.get_mut("e3").unwrap().draining = true;
+        assert!(choose(&endpoints).is_some(), "{variant}");
+    }
+}
+
+/// Without versions, the limits change no choice.
+#[test]
+fn placement_is_the_same_with_one_version() {
+    for (variant, count) in Variant::ALL.into_iter().flat_map(|v| [(v, 4), (v, 200)]) {
+        let mut endpoints = two_versions(count);
+        endpoints.values_mut().for_each(|e| e.software = "".into());
+        let mut fleet = Fleet::new(true);
+        fleet.update(&endpoints);
+        let limits = [Software::Any, Software::With(EndpointKind::Prefill), Software::Only("")];
+        let choices = limits.map(|software| {
+            let mut placement = variant.placement(1);
+            let need = Need { software, ..need(EndpointKind::Decode) };
+            (0..20).map(|_| placement.choose(at(0), &need, &fleet)).collect::<Vec<_>>()
+        });
+        assert_eq!(choices[0], choices[1], "{variant} of {count}");
+        assert_eq!(choices[0], choices[2], "{variant} of {count}");
+    }
+}
+
 /// Retries stay within the initial budget plus a percentage of calls, in whatever order calls and
 /// retries come.
 #[test]
--- a/tests/whole_answer.rs
+++ b/tests/whole_answer.rs
@@ -13,7 +13,7 @@
 use dotterelpin::entry::check::RawCall;
 use dotterelpin::entry::place::Variant;
 use dotterelpin::entry::{CallerEffect, Terminal};
-use dotterelpin::model::{BootId, CallId, EndpointKind, Ran};
+use dotterelpin::model::{Announcement, BootId, CallId, EndpointKind, Ran, RefusalReason};
 use proptest::collection::vec;
 use proptest::prelude::{Just, Strategy, any, prop_oneof};
 use world::engine::{Engines, STOP_TOKENS, announcement, token};
@@ -21,6 +21,8 @@
 
 const ENTRIES: usize = 2;
 const ENDPOINTS: usize = 5;
+/// The software versions of a fleet in which two serve side by side.
+const VERSIONS: [&str; 2] = ["v1", "v2"];
 const PROMPTS: [&str; 4] = ["rivers", "castles", "birds stop", "coal"];
 
 #[derive(Debug, Clone)]
@@ -85,37 +87,40 @@
     prompt: &'static str,
     tokens: u32,
     key: Option<String>,
+    /// The software versions of the endpoints.
+    versions: &'static [&'static str],
     text: String,
     parts: u32,
     outcome: Option<Terminal>,
 }
 
 impl Caller {
-    /// Returns the number of tokens and the text of the complete answer.
-    fn expected(&self) -> (u32, String) {
+    /// Returns the number of tokens and the text of the complete answer of a software version.
+    fn expected(&self, software: &str) -> (u32, String) {
         let stops = self.prompt.ends_with("stop");
         let count = if stops { self.tokens.min(STOP_TOKENS) } else { self.tokens };
-        (count, (0..count).map(|o| token(self.prompt, o)).collect())
+        (count, (0..count).map(|o| token(self.prompt, software, o)).collect())
+    }
+
+    /// Returns whether the text so far is the start of the answer of one software version.
+    fn is_one_answer(&self) -> bool {
+        self.versions.iter().any(|v| self.expected(v).1.starts_with(&self.text))
     }
 
     fn receive_tokens(&mut self, tokens: Vec<Box<str>>) {
         assert!(self.outcome.is_none(), "tokens after the outcome of {self:?}");
         self.text.push_str(&tokens.concat());
         self.parts += 1;
-        assert!(
-            self.expected().1.starts_with(&self.text),
-            "received tokens that the answer does not have: {self:?}"
-        );
+        assert!(self.is_one_answer(), "received tokens that the answer does not have: {self:?}");
     }
 
     fn receive_outcome(&mut self, outcome: Terminal) {
         assert!(self.outcome.is_none(), "two outcomes: {self:?}");
         match &outcome {
             Terminal::Generated { tokens, .. } => {
-                let (count, text) = self.expected();
-                assert_eq!(
-                    (*tokens, &self.text),
-                    (count, &text),
+                let complete = (*tokens, self.text.clone());
+                assert!(
+                    self.versions.iter().any(|v| self.expected(v) == complete),
                     "incomplete, but ended like a complete answer: {self:?}"
                 );
             }
@@ -138,6 +143,7 @@
     world: World,
     engines: Engines,
     callers: BTreeMap<(BootId, CallId), Caller>,
+    versions: &'static [&'static str],
     disconnected: Vec<(BootId, CallId)>,
     /// The number of calls of each key that were answered by an engine, not from the key's record.
     generated: BTreeMap<String, u32>,
@@ -147,10 +153,28 @@
     fn new(variant: Variant) -> Test {
         let decode = std::iter::repeat_n(EndpointKind::Decode, ENDPOINTS - 2);
         let kinds = std::iter::repeat_n(EndpointKind::Prefill, 2).chain(decode);
+        Test::with(variant, kinds.map(announcement).collect(), &[""])
+    }
+
+    /// Creates a fleet of endpoints of some software versions.
+    fn of_versions(variant: Variant, endpoints: &[(EndpointKind, &str)]) -> Test {
+        let announced = |(kind, software): &(EndpointKind, &str)| Announcement {
+            software: (*software).into(),
+            ..announcement(*kind)
+        };
+        Test::with(variant, endpoints.iter().map(announced).collect(), &VERSIONS)
+    }
+
+    fn with(
+        variant: Variant,
+        announcements: Vec<Announcement>,
+        versions: &'static [&'static str],
+    ) -> Test {
         Test {
-            world: World::new(variant, ENTRIES, kinds.map(announcement).collect()),
+            world: World::new(variant, ENTRIES, announcements),
             engines: Engines::default(),
             callers: BTreeMap::new(),
+            versions,
             disconnected: Vec::new(),
             generated: BTreeMap::new(),
         }
@@ -167,8 +191,8 @@
             headers,
             content: body.to_string().into_bytes(),
         };
-        let text = String::new();
-        let caller = Caller { prompt, tokens, key, text, parts: 0, outcome: None };
+        let (versions, text) = (self.versions, String::new());
+        let caller = Caller { prompt, tokens, key, versions, text, parts: 0, outcome: None };
         if let Some(id) = self.world.call(entry, raw) {
             self.callers.insert(id, caller);
         }
@@ -300,6 +324,136 @@
         .unwrap();
 }
 
+/// Steps of 500 ms after which an endpoint that sends no heartbeats is no longer listed.
+const UNLIST_STEPS: u32 = 10;
+/// Two prefill and three decode endpoints of two software versions.
+const MIXED: [(EndpointKind, &str); ENDPOINTS] = [
+    (EndpointKind::Prefill, "v1"),
+    (EndpointKind::Prefill, "v2"),
+    (EndpointKind::Decode, "v1"),
+    (EndpointKind::Decode, "v2"),
+    (EndpointKind::Decode, "v1"),
+];
+
+/// What two software versions write, and their KV cache, does not fit together.
+#[test]
+fn answers_of_a_fleet_with_two_versions_are_of_one_version() {
+    runner(4, 300)
+        .run(&(variant(), vec(op(), 0..300)), |(variant, ops)| {
+            let mut test = Test::of_versions(variant, &MIXED);
+            for op in &ops {
+                test.apply(op);
+            }
+            test.world.heal();
+            test.run_for(Duration::from_secs(12));
+            test.check_outcomes();
+            Ok(())
+        })
+        .unwrap();
+}
+
+/// Runs the engines until a caller has received tokens; returns the decode endpoint that sent them.
+fn receive_tokens(test: &mut Test) -> usize {
+    test.settle();
+    test.call(0, PROMPTS[0], 60, None);
+    while test.callers.values().all(|c| c.parts < 3) {
+        test.settle();
+        test.engines.advance_job(&mut test.world, 0);
+    }
+    test.settle();
+    test.engines.jobs[0].endpoint
+}
+
+/// Keeps a decode endpoint from control until it is no longer listed; its stream goes on meanwhile.
+fn unlist(test: &mut Test, decode: usize) {
+    test.world.isolated.insert(Node::Agent(decode));
+    for _ in 0..UNLIST_STEPS {
+        test.world.advance(Duration::from_millis(500));
+        test.settle();
+        test.engines.advance_job(&mut test.world, 0);
+        test.settle();
+    }
+}
+
+/// Kills the agent of a decode endpoint; no time passes.
+fn kill_decode(test: &mut Test, decode: usize) {
+    test.world.kill(Node::Agent(decode));
+    test.engines.agent_killed(decode);
+    test.engines.jobs.clear();
+    test.settle();
+}
+
+/// A stream whose endpoint died goes on at the other endpoint of its version.
+#[test]
+fn stream_goes_on_at_its_version() {
+    let decode = |software| (EndpointKind::Decode, software);
+    for variant in Variant::ALL {
+        let endpoints =
+            [MIXED[0], MIXED[1], decode("v1"), decode("v2"), decode("v1"), decode("v2")];
+        let mut test = Test::of_versions(variant, &endpoints);
+        let decode = receive_tokens(&mut test);
+        kill_decode(&mut test, decode);
+        test.run_for(Duration::from_secs(5));
+        let caller = test.callers.values().next().unwrap();
+        let complete = matches!(caller.outcome, Some(Terminal::Generated { .. }));
+        assert!(complete, "{variant}: {caller:?}");
+    }
+}
+
+/// A stream of whose version no decode endpoint is left ends at once, and does not claim that it
+/// has not run.
+#[test]
+fn stream_ends_at_once_if_no_endpoint_of_its_version_is_left() {
+    for variant in Variant::ALL {
+        let mut test = Test::of_versions(variant, &MIXED[..4]);
+        let decode = receive_tokens(&mut test);
+        unlist(&mut test, decode);
+        let open = test.callers.values().all(|c| c.outcome.is_none());
+        assert!(open, "{variant}: the stream has ended too early: {:?}", test.callers);
+        kill_decode(&mut test, decode);
+        let caller = test.callers.values().next().unwrap();
+        let Some(Terminal::Refused(refusal)) = &caller.outcome else {
+            panic!("{variant}: not refused at once: {caller:?}");
+        };
+        assert_eq!(refusal.ran, Ran::Maybe, "{variant}: {refusal}");
+        assert_eq!(refusal.reason, RefusalReason::NoEndpoint, "{variant}: {refusal}");
+    }
+}
+
+/// The same if the endpoint that died is still listed: the stream never goes on at the other
+/// version.
+#[test]
+fn stream_ends_at_its_version_if_its_only_endpoint_does_not_come_back() {
+    for variant in Variant::ALL {
+        let mut test = Test::of_versions(variant, &MIXED[..4]);
+        let decode = receive_tokens(&mut test);
+        kill_decode(&mut test, decode);
+        test.run_for(Duration::from_secs(5));
+        let caller = test.callers.values().next().unwrap();
+        let Some(Terminal::Refused(refusal)) = &caller.outcome else {
+            panic!("{variant}: not refused: {caller:?}");
+        };
+        assert_eq!(refusal.ran, Ran::Maybe, "{variant}: {refusal}");
+    }
+}
+
+/// Decode endpoints of a version without prefill endpoints get no calls, and all calls are
+/// answered.
+#[test]
+fn calls_run_at_the_version_that_has_prefill_endpoints() {
+    for variant in Variant::ALL {
+        let mut test = Test::of_versions(variant, &MIXED[1..]);
+        test.settle();
+        for prompt in PROMPTS {
+            test.call(0, prompt, 12, None);
+            test.run_for(Duration::from_secs(2));
+        }
+        let open = |c: &&Caller| !matches!(c.outcome, Some(Terminal::Generated { .. }));
+        let missing: Vec<_> = test.callers.values().filter(open).collect();
+        assert!(missing.is_empty(), "{variant}: {missing:?}");
+    }
+}
+
 /// Both entries generate an answer for one key, since the first is isolated from control but alive;
 /// only one of the calls may get a complete answer.
 #[test]
--- a/tests/world/engine.rs
+++ b/tests/world/engine.rs
@@ -29,15 +29,21 @@
     }
 }
 
-/// Returns the token at an offset of the answer to a prompt.
-pub fn token(prompt: &str, offset: u32) -> Box<str> {
-    format!("{prompt}.{offset} ").into()
+/// Returns the token at an offset of the answer that a software version gives to a prompt.
+pub fn token(prompt: &str, software: &str, offset: u32) -> Box<str> {
+    format!("{prompt}{software}.{offset} ").into()
+}
+
+/// Returns which software the tokens show: that of the endpoint, with that of the KV cache if it is
+/// another one.
+fn shown_software(endpoint: &str, cache: &str) -> Box<str> {
+    if endpoint == cache { endpoint.into() } else { format!("{endpoint}+{cache}").into() }
 }
 
 /// Work that an agent has sent to its engine, started or not.
 #[derive(Debug)]
 pub struct Job {
-    endpoint: usize,
+    pub endpoint: usize,
     agent: BootId,
     request: RequestId,
     work: Work,
@@ -51,6 +57,8 @@
     connected: bool,
     /// The prompt, once the KV cache is imported.
     prompt: Option<Box<str>>,
+    /// The software that its tokens show, once the KV cache is imported.
+    software: Box<str>,
     /// The offset of the next token.
     offset: u32,
     /// The number of prefix tokens in the imported KV cache.
@@ -75,13 +83,23 @@
     List,
 }
 
+/// KV cache that an engine has exported.
+#[derive(Debug, Clone)]
+struct Cache {
+    prompt: Box<str>,
+    /// The software of the engine.
+    software: Box<str>,
+    /// The number of prefix tokens.
+    length: u32,
+    expiry: Timestamp,
+}
+
 /// All engines of a fuzz test.
 #[derive(Default)]
 pub struct Engines {
     pub jobs: Vec<Job>,
     requests: Vec<(usize, BootId, EngineRequest)>,
-    /// Exports by name, with their prompt, prefix tokens and expiry.
-    exports: BTreeMap<Box<str>, (Box<str>, u32, Timestamp)>,
+    exports: BTreeMap<Box<str>, Cache>,
     /// Replies that have not been delivered to their agent.
     replies: Vec<(usize, BootId, EngineInput)>,
     last_part: Option<Part>,
@@ -105,6 +123,7 @@
                         after_cancel: false,
                         connected: true,
                         prompt: None,
+                        software: "".into(),
                         offset: 0,
                         length: 0,
                     });
@@ -156,7 +175,9 @@
         let Work::Prefill { prompt, prefix, .. } = job.work else { return };
         let name: Box<str> = format!("{}-{}", job.endpoint, job.request).into();
         let length = prefix.len() as u32;
-        self.exports.insert(name.clone(), (prompt, length, world.now + EXPORT_TTL));
+        let software = world.software(job.endpoint).into();
+        let cache = Cache { prompt, software, length, expiry: world.now + EXPORT_TTL };
+        self.exports.insert(name.clone(), cache);
         let export = Export { url: "http://127.0.0.1:9".into(), name, tokens: length };
         if job.connected {
             let request = job.request;
@@ -169,12 +190,13 @@
         let Work::Decode { export, from, until } = &job.work else { return };
         let (from, until) = (*from, *until);
         let Some(prompt) = job.prompt.clone() else {
-            let found = self.exports.get(&export.name).filter(|e| e.2 > world.now);
+            let found = self.exports.get(&export.name).filter(|e| e.expiry > world.now);
             match found {
-                Some((prompt, length, _)) => {
-                    job.prompt = Some(prompt.clone());
+                Some(cache) => {
+                    job.prompt = Some(cache.prompt.clone());
+                    job.software = shown_software(world.software(job.endpoint), &cache.software);
                     job.offset = from;
-                    job.length = *length;
+                    job.length = cache.length;
                 }
                 None => self.fail(world, index, Ran::Maybe),
             }
@@ -190,7 +212,7 @@
             let end = last.min(offset + 1 + offset % 2);
             job.offset = end;
             // An engine continues from the end of the KV cache that it has imported.
-            let text = |o: u32| token(&prompt, job.length + o - from);
+            let text = |o: u32| token(&prompt, &job.software, job.length + o - from);
             let tokens: Vec<_> = (offset..end).map(text).collect();
             self.last_part =
                 Some(Part { endpoint, agent, request, offset, tokens: tokens.clone() });
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -198,6 +198,11 @@
         self.announcements[agent].kind
     }
 
+    /// Returns the software version of an agent's endpoint.
+    pub fn software(&self, agent: usize) -> &str {
+        &self.announcements[agent].software
+    }
+
     pub fn kill(&mut self, node: Node) {
         if !self.is_alive(node) {
             return;
