Refuse work meant for another software version at the agent

What callers would see: an engine restarts at another version under its agent; for up to a heartbeat the entry still lists the old version, tries the same endpoint again, and the answer goes on at the new version.

Cause: the entry's limit is by the announced version, which is out of date right after a restart, and nothing at the agent checked it.

Evidence, before the change: received tokens that the answer does not have: text: "riversv1.0 ... riversv1.6 riversv2+v1.7 riversv2+v1.8 "

The change: requests to reserve and to prefill name the version that they are meant for.

Why it works: the agent learns of the new start before any work reaches the engine after it, and refuses the reservations that were made before. Without versions both sides are empty and equal. The two messages have one field more, so entries and agents must be of builds that both have it.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -164,10 +164,17 @@
 
     fn request(&mut self, now: Timestamp, inbound: InboundId, request: AgentRequest) -> Outputs {
         match request {
-            AgentRequest::Reserve { request, class: _, tokens, lease } => {
+            AgentRequest::Reserve { ref software, .. }
+            | AgentRequest::Prefill { ref software, .. }
+                if self.has_other_software(software) =>
+            {
+                let detail = "the endpoint has another software version";
+                self.refuse(inbound, RefusalReason::Stale, detail)
+            }
+            AgentRequest::Reserve { request, tokens, lease, .. } => {
                 self.reserve(now, inbound, request, tokens, lease)
             }
-            AgentRequest::Prefill { request, class, prompt, prefix, within } => {
+            AgentRequest::Prefill { request, class, prompt, prefix, within, .. } => {
                 let work = Work::Prefill { class, prompt, prefix };
                 let due = within.map(|span| now + span);
                 self.prefill(now, inbound, Prefill { request, class, due, work })
@@ -187,6 +194,11 @@
         }
     }
 
+    /// Returns whether the endpoint has another software version than a request is meant for.
+    fn has_other_software(&self, software: &str) -> bool {
+        self.endpoint.as_ref().is_some_and(|e| *e.software != *software)
+    }
+
     /// Sends the endpoint the order that is due.
     fn next_order(&mut self, now: Timestamp) -> Outputs {
         if self.endpoint.is_none() {
--- a/src/entry/run/model.rs
+++ b/src/entry/run/model.rs
@@ -43,6 +43,7 @@
             request: self.request_id(shared),
             class: self.call.class,
             tokens,
+            software: endpoint.software.clone(),
             lease: RESERVE_LEASE,
         };
         let (decode, open) = shared.open(self.id, endpoint.address, Request::Agent(reserve));
@@ -142,6 +143,7 @@
         let prefill = AgentRequest::Prefill {
             request: self.request_id(shared),
             class: self.call.class,
+            software: endpoint.software.clone(),
             prompt,
             prefix: self.delivered.clone(),
             within: self.prefill_within(shared, now),
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -61,6 +61,8 @@
         class: Class,
         /// The tokens of the prompt plus the most tokens that the answer may have.
         tokens: u32,
+        /// The software version of the endpoint that the request is meant for.
+        software: Box<str>,
         /// How long the reservation lasts without a [`AgentRequest::Decode`].
         lease: Duration,
     },
@@ -70,6 +72,8 @@
         request: RequestId,
         /// The class of the call.
         class: Class,
+        /// The software version of the endpoint that the request is meant for.
+        software: Box<str>,
         /// The text of the prompt.
         prompt: Box<str>,
         /// Generated tokens that were already delivered to the caller.
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -349,6 +349,7 @@
             request,
             class: Class::Batch,
             tokens: 100,
+            software: "".into(),
             lease,
         });
         let envelope = Envelope { revised: Default::default(), body };
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -73,9 +73,22 @@
     let request = RequestId { owner: BootId(1), call: CallId(call), attempt: 1 };
     let class = Class::Interactive;
     let body = if target < PER_KIND {
-        AgentRequest::Prefill { request, class, prompt: "p".into(), prefix: vec![], within: None }
+        AgentRequest::Prefill {
+            request,
+            class,
+            software: "".into(),
+            prompt: "p".into(),
+            prefix: vec![],
+            within: None,
+        }
     } else {
-        AgentRequest::Reserve { request, class, tokens: 900, lease: Duration::from_secs(1) }
+        AgentRequest::Reserve {
+            request,
+            class,
+            software: "".into(),
+            tokens: 900,
+            lease: Duration::from_secs(1),
+        }
     };
     let (peer, exchange) = (address(target), ExchangeId(exchange));
     Output::Open { exchange, peer, envelope: envelope(Request::Agent(body)) }
--- a/tests/whole_answer.rs
+++ b/tests/whole_answer.rs
@@ -437,6 +437,26 @@
     }
 }
 
+/// An engine restarts at another version before its entry knows, and the call tries it again.
+#[test]
+fn stream_does_not_go_on_at_an_engine_that_restarted_at_another_version() {
+    for variant in Variant::ALL {
+        for endpoints in [&MIXED[..4], &[MIXED[0], MIXED[2]]] {
+            let mut test = Test::of_versions(variant, endpoints);
+            let decode = receive_tokens(&mut test);
+            let other = if test.world.software(decode) == "v1" { "v2" } else { "v1" };
+            test.engines.crash(&mut test.world, decode, false);
+            test.world.upgrade(decode, other);
+            test.run_for(Duration::from_secs(5));
+            let caller = test.callers.values().next().unwrap();
+            let Some(Terminal::Refused(refusal)) = &caller.outcome else {
+                panic!("{variant}: not refused: {caller:?}");
+            };
+            assert_eq!(refusal.ran, Ran::Maybe, "{variant}: {refusal}");
+        }
+    }
+}
+
 /// Decode endpoints of a version without prefill endpoints get no calls, and all calls are
 /// answered.
 #[test]
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -268,6 +268,12 @@
         self.engine_input(agent, self.agents[agent].0, EngineInput::Announced(announcement));
     }
 
+    /// Announces a restart of an endpoint at another software version to its agent.
+    pub fn upgrade(&mut self, agent: usize, software: &str) {
+        self.announcements[agent].software = software.into();
+        self.announce_restart(agent);
+    }
+
     /// Delivers a caller's request to an entry; returns `None` if the entry is not alive.
     pub fn call(&mut self, entry: usize, raw: RawCall) -> Option<(BootId, CallId)> {
         if !self.is_alive(Node::Entry(entry)) {
