Accept the reply of a slow commit at the API, too

The API gave up a command's exchange after 350 ms and sent the command again, so the reply of a commit that took longer was lost, and an operator could get 503 for a change that is in force. Earlier sends of a command now stay open until one is answered or the call ends; refusals and losses on them change nothing.

--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -71,11 +71,22 @@
     since: Timestamp,
     /// The open exchange, its member, and when it was opened.
     open: Option<(ExchangeId, SocketAddr, Timestamp)>,
+    /// The exchanges of earlier sends of a command, which are left open: a commit may outlast
+    /// [`MEMBER_TIMEOUT`], and its reply comes on the exchange that proposed it.
+    earlier: BTreeSet<ExchangeId>,
     /// When the request is sent again, if no exchange is open.
     next: Timestamp,
     tries: usize,
 }
 
+impl Pending {
+    /// Returns all exchanges on which a reply may still come.
+    fn exchanges(&self) -> BTreeSet<ExchangeId> {
+        let open = self.open.map(|(exchange, _, _)| exchange);
+        self.earlier.iter().copied().chain(open).collect()
+    }
+}
+
 /// The API role.
 pub struct Api {
     settings: ApiSettings,
@@ -153,8 +164,9 @@
                 (Work::Commit(Command::Deregister(Deregistration { endpoint, boot })), None)
             }
         };
+        let (open, earlier) = (None, BTreeSet::new());
         let pending =
-            Pending { work, follow_up, close, since: now, open: None, next: now, tries: 0 };
+            Pending { work, follow_up, close, since: now, open, earlier, next: now, tries: 0 };
         self.pending.insert(caller, pending);
         self.send_request(now, caller);
     }
@@ -211,9 +223,12 @@
             return;
         }
         let Some(caller) = self.by_exchange.remove(&exchange) else { return };
+        let earlier = self.take_earlier(caller, exchange);
         match reply {
             ControlReply::Announced => self.finish(caller, &ApiReply::Done),
-            ControlReply::Applied(applied) => self.applied(now, caller, applied),
+            ControlReply::Applied(applied) => self.applied(now, caller, applied, earlier),
+            // A newer send is open or scheduled.
+            ControlReply::NotLeader { .. } | ControlReply::Interrupted { .. } if earlier => {}
             ControlReply::NotLeader { leader } | ControlReply::Interrupted { leader } => {
                 self.leader = leader;
                 self.retry(now, caller, leader.is_none());
@@ -232,10 +247,14 @@
         }
     }
 
-    fn applied(&mut self, now: Timestamp, caller: CallerId, applied: Applied) {
+    fn applied(&mut self, now: Timestamp, caller: CallerId, applied: Applied, earlier: bool) {
         let Some(pending) = self.pending.get_mut(&caller) else { return };
-        if let Some((_, peer, _)) = pending.open.take() {
-            self.leader = Some(peer);
+        let open = pending.open.take();
+        let mut others = std::mem::take(&mut pending.earlier);
+        match open {
+            Some((exchange, _, _)) if earlier => _ = others.insert(exchange),
+            Some((_, peer, _)) => self.leader = Some(peer),
+            None => {}
         }
         if let Work::Commit(Command::Deregister(deregistration)) = &pending.work {
             let key = (deregistration.endpoint.clone(), deregistration.boot);
@@ -243,9 +262,11 @@
         }
         if let Some(endpoint) = pending.follow_up.take() {
             pending.work = Work::Announce(endpoint);
+            self.abandon(others);
             self.send_request(now, caller);
             return;
         }
+        self.abandon(others);
         let reply = match applied {
             Applied::Document(Some(document)) => ApiReply::Document(document),
             Applied::Document(None) => ApiReply::NoDocument,
@@ -277,8 +298,12 @@
         match pending.open {
             Some((exchange, peer, since)) if now >= since + MEMBER_TIMEOUT => {
                 pending.open = None;
-                self.by_exchange.remove(&exchange);
-                self.outputs.push(Output::Reset { exchange });
+                if matches!(pending.work, Work::Commit(_)) {
+                    pending.earlier.insert(exchange);
+                } else {
+                    self.by_exchange.remove(&exchange);
+                    self.outputs.push(Output::Reset { exchange });
+                }
                 self.outputs.push(Output::Redial { peer });
                 self.leader = self.leader.filter(|l| *l != peer);
                 self.send_request(now, caller);
@@ -290,14 +315,25 @@
 
     fn finish(&mut self, caller: CallerId, reply: &ApiReply) {
         let Some(pending) = self.pending.remove(&caller) else { return };
-        if let Some((exchange, _, _)) = pending.open
-            && self.by_exchange.remove(&exchange).is_some()
-        {
-            self.outputs.push(Output::Reset { exchange });
-        }
+        self.abandon(pending.exchanges());
         self.reply(caller, reply, pending.close);
     }
 
+    /// Resets the exchanges that are still open.
+    fn abandon(&mut self, exchanges: BTreeSet<ExchangeId>) {
+        for exchange in exchanges {
+            if self.by_exchange.remove(&exchange).is_some() {
+                self.outputs.push(Output::Reset { exchange });
+            }
+        }
+    }
+
+    /// Removes an exchange from those of earlier sends of a call; returns whether it was one.
+    fn take_earlier(&mut self, caller: CallerId, exchange: ExchangeId) -> bool {
+        let pending = self.pending.get_mut(&caller);
+        pending.is_some_and(|p| p.earlier.remove(&exchange))
+    }
+
     fn reply(&mut self, caller: CallerId, reply: &ApiReply, close: bool) {
         if let ApiReply::Invalid(why) = reply {
             log::warn!("step=api outcome=invalid why=\"{why}\"");
@@ -330,10 +366,9 @@
             }
             Input::Local(HttpInput::CallerGone { caller }) => {
                 // The command is not withdrawn: it may be committed already.
-                if let Some(pending) = self.pending.remove(&caller)
-                    && let Some((exchange, _, _)) = pending.open
-                {
-                    self.by_exchange.remove(&exchange);
+                if let Some(pending) = self.pending.remove(&caller) {
+                    let exchanges = pending.exchanges();
+                    self.by_exchange.retain(|exchange, _| !exchanges.contains(exchange));
                 }
             }
             Input::Local(input) => self.order_input(now, input),
@@ -349,6 +384,7 @@
                 }
                 if failure.is_some()
                     && let Some(caller) = self.by_exchange.remove(&exchange)
+                    && !self.take_earlier(caller, exchange)
                 {
                     self.leader = None;
                     self.retry(now, caller, true);
