--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod budget;
 mod call;
 pub mod credit;
+mod endpoint;
 mod engine;
 pub mod events;
 mod fleet;
