Name what endpoints say of themselves as notices and backoff

words, heed, rest and unwelcome told a newcomer little: the module holds notices, a Retry-After requests a backoff, and a call without an endpoint gets a closed refusal. The log step is backoff, the counter gateway_backoffs_total.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -84,9 +84,9 @@
     /// start only at some endpoints do not hold up those behind them.
     fn start_queue(&mut self, now: Timestamp, service: &str) {
         let queued = self.queues.get(service).map(Queue::in_order).unwrap_or_default();
-        let words = self.fleet.has_words(now, service);
+        let notices = self.fleet.has_notices(now, service);
         for caller in queued {
-            if words && let Some((refusal, why)) = self.unwelcome(now, caller) {
+            if notices && let Some((refusal, why)) = self.closed_refusal(now, caller) {
                 if let Some(queue) = self.queues.get_mut(service) {
                     queue.remove(caller);
                 }
@@ -126,7 +126,7 @@
     /// Tries again to start a call to a model, or puts it back at the front of its queue; refuses it
     /// if no endpoint is left for it.
     pub(super) fn start_or_requeue(&mut self, now: Timestamp, caller: CallerId) {
-        if let Some((refusal, why)) = self.unwelcome(now, caller) {
+        if let Some((refusal, why)) = self.closed_refusal(now, caller) {
             self.conclude(now, caller, refusal, why);
             return;
         }
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -57,8 +57,8 @@
     refusal(503, "not run: no endpoint takes it now", Some(CAPACITY_RETRY_AFTER))
 }
 
-pub(super) fn resting(retry_after: Duration) -> RefusalInfo {
-    refusal(503, "not run: all endpoints have asked for rest", Some(retry_after))
+pub(super) fn backing_off(retry_after: Duration) -> RefusalInfo {
+    refusal(503, "not run: all endpoints have requested a backoff", Some(retry_after))
 }
 
 pub(super) fn no_version() -> RefusalInfo {
@@ -216,7 +216,7 @@
     /// Handles the head of an endpoint's answer.
     pub(super) fn answered(&mut self, now: Timestamp, peer: PeerId, head: AnswerHead) {
         let info = self.protocol.read_answer(&head);
-        self.heed(now, peer, &info);
+        self.apply_notices(now, peer, &info);
         let Some(conn) = self.fleet.conn(peer) else { return };
         if let Some(timeout) = idle_timeout(&head) {
             conn.idle_timeout = timeout;
--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::notices::Notices;
 use super::protocol::EngineReport;
 use super::window::Window;
-use super::words::Words;
 use crate::entry::health::Health;
 use crate::h1::PeerId;
 use crate::model::{BootId, EndpointKind, EndpointState, Timestamp};
@@ -59,7 +59,7 @@
     /// The listed state that an answer at its address has disproved.
     disproved: Option<((BootId, u64), EndpointKind)>,
     /// What it has said in its answers; kept while newer states of the same start are listed.
-    pub words: Words,
+    pub notices: Notices,
     /// The version of its software.
     pub software: Box<str>,
     /// Its health as judged by the outcome of requests of this gateway.
@@ -93,7 +93,7 @@
             listed_kind: state.kind,
             listed_since: now,
             disproved: None,
-            words: Words::default(),
+            notices: Notices::default(),
             software: state.software.clone(),
             health: Health::default(),
             usage: Usage::default(),
@@ -113,7 +113,7 @@
 
     /// Returns whether work may be sent there now, whatever its load and health.
     pub fn takes_work(&self, now: Timestamp) -> bool {
-        self.accepts_work && !self.words.is_resting(now)
+        self.accepts_work && !self.notices.is_backing_off(now)
     }
 
     /// Sends it no work for a short time because it lacked capacity.
@@ -154,13 +154,13 @@
         self.listed_kind = kind;
         let newer = |(at, of)| at < listed || at == listed && of != kind;
         let present = self.disproved.is_none_or(newer);
-        self.accepts_work = !state.draining && present && !self.words.leaving;
+        self.accepts_work = !state.draining && present && !self.notices.leaving;
     }
 
     /// Adopts what its start has said before.
-    pub(super) fn adopt(&mut self, words: Words) {
-        self.words = words;
-        self.accepts_work &= !words.leaving;
+    pub(super) fn adopt(&mut self, notices: Notices) {
+        self.notices = notices;
+        self.accepts_work &= !notices.leaving;
     }
 
     /// Records that it accepted a call, which resets the backoff.
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -7,8 +7,8 @@
 use slotmap::{SlotMap, new_key_type};
 
 pub use super::endpoint::{Endpoint, Usage};
+use super::notices::{Closed, Notices};
 use super::place::{DecodeLoad, PrefillLoad};
-use super::words::{Closed, Words};
 use crate::h1::{CallerId, PeerId};
 use crate::model::{BootId, EndpointKind, EndpointState, Timestamp};
 use crate::routes::EngineShape;
@@ -109,7 +109,7 @@
     pools: BTreeMap<Box<str>, Vec<EndpointKey>>,
     conns: BTreeMap<PeerId, Conn>,
     /// What starts of endpoints that are no longer listed have said, oldest first.
-    unlisted: VecDeque<(Box<str>, BootId, Words)>,
+    unlisted: VecDeque<(Box<str>, BootId, Notices)>,
     last_peer: u64,
 }
 
@@ -143,11 +143,11 @@
                     let restarted = known.listed.0 != state.boot;
                     if restarted || known.address != state.address || known.pool != state.pool {
                         // The endpoint was restarted, or replaced by another under its name.
-                        let (words, usage) = (known.words, known.usage);
+                        let (notices, usage) = (known.notices, known.usage);
                         *known = Endpoint::new(now, state, &self.domain);
                         known.usage = usage;
                         if !restarted {
-                            known.adopt(words);
+                            known.adopt(notices);
                         }
                         continue;
                     }
@@ -155,7 +155,7 @@
                 }
                 None => {
                     let mut endpoint = Endpoint::new(now, state, &self.domain);
-                    endpoint.adopt(self.said_before(state));
+                    endpoint.adopt(self.earlier_notices(state));
                     let key = self.endpoints.insert(endpoint);
                     self.names.insert(state.name.clone(), key);
                 }
@@ -175,20 +175,20 @@
     }
 
     /// Returns what the start of a listed endpoint said before it was not listed for a time.
-    fn said_before(&self, state: &EndpointState) -> Words {
-        let same = |(name, boot, _): &&(Box<str>, BootId, Words)| {
+    fn earlier_notices(&self, state: &EndpointState) -> Notices {
+        let same = |(name, boot, _): &&(Box<str>, BootId, Notices)| {
             *name == state.name && *boot == state.boot
         };
-        self.unlisted.iter().rev().find(same).map(|(_, _, words)| *words).unwrap_or_default()
+        self.unlisted.iter().rev().find(same).map(|(_, _, notices)| *notices).unwrap_or_default()
     }
 
     /// Keeps what an endpoint has said that is no longer listed.
-    fn keep_words(&mut self, endpoint: &Endpoint) {
-        if endpoint.words == Words::default() {
+    fn keep_notices(&mut self, endpoint: &Endpoint) {
+        if endpoint.notices == Notices::default() {
             return;
         }
         let (boot, _) = endpoint.listed;
-        self.unlisted.push_back((endpoint.name.clone(), boot, endpoint.words));
+        self.unlisted.push_back((endpoint.name.clone(), boot, endpoint.notices));
         if self.unlisted.len() > MAX_UNLISTED {
             self.unlisted.pop_front();
         }
@@ -220,7 +220,7 @@
         let mut unused = Vec::new();
         for key in keys {
             if let Some(endpoint) = self.endpoints.remove(key) {
-                self.keep_words(&endpoint);
+                self.keep_notices(&endpoint);
                 unused.extend(endpoint.idle);
             }
         }
@@ -300,32 +300,32 @@
     pub fn leaves(&mut self, peer: PeerId) -> Option<&Endpoint> {
         let conn = self.conns.get(&peer)?;
         let endpoint = self.endpoints.get_mut(conn.endpoint)?;
-        if endpoint.listed.0 != conn.boot || endpoint.words.leaving {
+        if endpoint.listed.0 != conn.boot || endpoint.notices.leaving {
             return None;
         }
-        endpoint.words.leaving = true;
+        endpoint.notices.leaving = true;
         endpoint.accepts_work = false;
         Some(endpoint)
     }
 
-    /// Records that the endpoint of a connection has asked for rest, and returns it if that is a
+    /// Records that the endpoint of a connection has requested a backoff, and returns it if that is a
     /// change. An answer of an earlier start says nothing about the present one.
-    pub fn rests(
+    pub fn backs_off(
         &mut self,
         now: Timestamp,
         peer: PeerId,
-        rest: Duration,
+        backoff: Duration,
         draw: u64,
     ) -> Option<&Endpoint> {
         let conn = self.conns.get(&peer)?;
         let endpoint = self.endpoints.get_mut(conn.endpoint)?;
         let present = endpoint.listed.0 == conn.boot;
-        (present && endpoint.words.asked_for_rest(now, rest, draw)).then_some(endpoint)
+        (present && endpoint.notices.requested_backoff(now, backoff, draw)).then_some(endpoint)
     }
 
     /// Returns whether any endpoint of a service has said something against new requests.
-    pub fn has_words(&self, now: Timestamp, service: &str) -> bool {
-        self.pool(service).any(|(_, e)| !e.words.is_welcome(now))
+    pub fn has_notices(&self, now: Timestamp, service: &str) -> bool {
+        self.pool(service).any(|(_, e)| !e.notices.accepts_requests(now))
     }
 
     /// Returns why no endpoint of a kind, or of any, may be chosen because of what they have said;
@@ -345,14 +345,14 @@
             if choice.allows(key, endpoint) && endpoint.takes_work(now) {
                 return None;
             }
-            leaving |= endpoint.words.leaving;
-            if endpoint.accepts_work && endpoint.words.is_resting(now) {
-                let until = endpoint.words.closed_until;
+            leaving |= endpoint.notices.leaving;
+            if endpoint.accepts_work && endpoint.notices.is_backing_off(now) {
+                let until = endpoint.notices.closed_until;
                 reopens = Some(reopens.map_or(until, |first| first.min(until)));
             }
         }
         match reopens {
-            Some(until) => Some(Closed::Resting(until)),
+            Some(until) => Some(Closed::BackingOff(until)),
             None => leaving.then_some(Closed::Leaving),
         }
     }
--- a/src/gateway/header_protocol.rs
+++ b/src/gateway/header_protocol.rs
@@ -165,7 +165,7 @@
             signed: head.fields.has(names.signature),
             encoded: head.fields.has("content-encoding"),
             leaving: head.fields.all(names.leaving).any(is_set),
-            rest: (head.status == BUSY).then(|| read_rest(&head.fields)).flatten(),
+            backoff: (head.status == BUSY).then(|| read_backoff(&head.fields)).flatten(),
         }
     }
 
@@ -210,7 +210,7 @@
 
 /// Returns the longest time in the fields that say when to retry; `None` if none has a number of
 /// seconds, which may be fractional.
-fn read_rest(fields: &Fields) -> Option<Duration> {
+fn read_backoff(fields: &Fields) -> Option<Duration> {
     let values = fields.all(RETRY_AFTER).flat_map(|value| value.split(|b| *b == b','));
     values.filter_map(seconds).max()
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod fleet;
 pub mod header_protocol;
 pub mod lateness;
+mod notices;
 mod outcome;
 pub mod place;
 mod plain;
@@ -27,7 +28,6 @@
 mod silence;
 pub mod versions;
 pub mod window;
-mod words;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -315,7 +315,7 @@
 
     /// Starts or queues a new call, or refuses it at once.
     fn admit_call(&mut self, now: Timestamp, caller: CallerId) {
-        if let Some((refusal, why)) = self.unwelcome(now, caller) {
+        if let Some((refusal, why)) = self.closed_refusal(now, caller) {
             self.conclude(now, caller, refusal, why);
             return;
         }
@@ -343,7 +343,7 @@
         endpoint: EndpointKey,
         kind: protocol::SendKind,
     ) -> Option<PeerId> {
-        let target = self.fleet.get(endpoint).filter(|e| e.words.is_welcome(now))?;
+        let target = self.fleet.get(endpoint).filter(|e| e.notices.accepts_requests(now))?;
         let address = target.address;
         let call = self.calls.get_mut(&caller)?;
         let Some(payment) = call.credit.spend() else {
--- a/src/gateway/words.rs
+++ b/src/gateway/notices.rs
@@ -13,43 +13,43 @@
 use crate::role::Output;
 
 /// The maximum time for which a refusal closes an endpoint.
-const MAX_REST: Duration = Duration::from_secs(60);
-/// The percentage of a rest time over which the gateways that got it are spread when they return.
+const MAX_BACKOFF: Duration = Duration::from_secs(60);
+/// The percentage of a backoff over which the gateways that got it are spread when they return.
 const REOPEN_SPREAD_PERCENT: u32 = 10;
 
 /// What one start of an endpoint has said in its answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Words {
+pub struct Notices {
     /// Whether it leaves: it gets no new request, whatever is listed, and ends what it runs.
     pub leaving: bool,
-    /// The rest time that it has asked for last, within `MAX_REST`.
-    rest: Duration,
-    /// Until when it gets no request because it has asked for rest.
+    /// The backoff that it has asked for last, within `MAX_BACKOFF`.
+    backoff: Duration,
+    /// Until when it gets no request because it has requested a backoff.
     pub closed_until: Timestamp,
 }
 
-impl Words {
-    /// Records a rest time that it has asked for, and returns whether that is a change. The `draw`
-    /// decides how long after that time it is reopened. A shorter rest does not end an earlier one
+impl Notices {
+    /// Records a backoff that it has asked for, and returns whether that is a change. The `draw`
+    /// decides how long after that time it is reopened. A shorter backoff does not end an earlier one
     /// sooner.
-    pub fn asked_for_rest(&mut self, now: Timestamp, rest: Duration, draw: u64) -> bool {
-        let rest = rest.min(MAX_REST);
-        let changed = !self.is_resting(now) || self.rest != rest;
-        let spread = rest * REOPEN_SPREAD_PERCENT / 100;
+    pub fn requested_backoff(&mut self, now: Timestamp, backoff: Duration, draw: u64) -> bool {
+        let backoff = backoff.min(MAX_BACKOFF);
+        let changed = !self.is_backing_off(now) || self.backoff != backoff;
+        let spread = backoff * REOPEN_SPREAD_PERCENT / 100;
         let late = draw % (spread.as_micros() as u64 + 1);
-        self.rest = rest;
-        self.closed_until = self.closed_until.max(now + rest + Duration::from_micros(late));
+        self.backoff = backoff;
+        self.closed_until = self.closed_until.max(now + backoff + Duration::from_micros(late));
         changed
     }
 
-    /// Returns whether it gets no request now because it has asked for rest.
-    pub fn is_resting(&self, now: Timestamp) -> bool {
+    /// Returns whether it gets no request now because it has requested a backoff.
+    pub fn is_backing_off(&self, now: Timestamp) -> bool {
         now < self.closed_until
     }
 
     /// Returns whether it has said nothing against new requests now.
-    pub fn is_welcome(&self, now: Timestamp) -> bool {
-        !self.leaving && !self.is_resting(now)
+    pub fn accepts_requests(&self, now: Timestamp) -> bool {
+        !self.leaving && !self.is_backing_off(now)
     }
 }
 
@@ -58,25 +58,25 @@
 pub enum Closed {
     /// Those that could take it leave.
     Leaving,
-    /// Those that could take it rest, the first of them until the given time.
-    Resting(Timestamp),
+    /// Those that could take it back off, the first of them until the given time.
+    BackingOff(Timestamp),
 }
 
 /// The refusal of a call for which no endpoint is left, and the reason for logs.
-type Unwelcome = (RefusalInfo, EndReason);
+type ClosedRefusal = (RefusalInfo, EndReason);
 
 impl Gateway {
     /// Applies what the head of an answer says about further requests to its endpoint.
-    pub(super) fn heed(&mut self, now: Timestamp, peer: PeerId, info: &AnswerInfo) {
+    pub(super) fn apply_notices(&mut self, now: Timestamp, peer: PeerId, info: &AnswerInfo) {
         if info.leaving {
-            self.heed_leaving(now, peer);
+            self.notice_leaving(now, peer);
         }
-        if let Some(rest) = info.rest {
-            self.heed_rest(now, peer, rest);
+        if let Some(backoff) = info.backoff {
+            self.notice_backoff(now, peer, backoff);
         }
     }
 
-    fn heed_leaving(&mut self, now: Timestamp, peer: PeerId) {
+    fn notice_leaving(&mut self, now: Timestamp, peer: PeerId) {
         let Some(conn) = self.fleet.conn(peer) else { return };
         let (job, age) = (conn.job, now - conn.since);
         let Some(endpoint) = self.fleet.leaves(peer) else { return };
@@ -92,21 +92,21 @@
         self.capacity_freed = true;
     }
 
-    fn heed_rest(&mut self, now: Timestamp, peer: PeerId, rest: Duration) {
+    fn notice_backoff(&mut self, now: Timestamp, peer: PeerId, backoff: Duration) {
         let draw = self.draw();
         let Some(conn) = self.fleet.conn(peer) else { return };
         let job = conn.job;
-        let Some(endpoint) = self.fleet.rests(now, peer, rest, draw) else { return };
+        let Some(endpoint) = self.fleet.backs_off(now, peer, backoff, draw) else { return };
         let (name, service) = (endpoint.name.clone(), endpoint.pool.clone());
-        let closed = endpoint.words.closed_until - now;
+        let closed = endpoint.notices.closed_until - now;
         log::info!(
-            "step=rest endpoint={name} id={} source={} ms={} closed_ms={}",
+            "step=backoff endpoint={name} id={} source={} ms={} closed_ms={}",
             self.job_id(job),
             job.name(),
-            rest.as_millis(),
+            backoff.as_millis(),
             closed.as_millis(),
         );
-        self.outputs.push(Output::Observe(Observation::Rest { service }));
+        self.outputs.push(Output::Observe(Observation::Backoff { service }));
         self.capacity_freed = true;
     }
 
@@ -121,19 +121,19 @@
     }
 
     /// Returns whether an endpoint has said nothing against new requests now.
-    pub(super) fn is_welcome(&self, now: Timestamp, endpoint: EndpointKey) -> bool {
-        self.fleet.get(endpoint).is_some_and(|e| e.words.is_welcome(now))
+    pub(super) fn accepts_requests(&self, now: Timestamp, endpoint: EndpointKey) -> bool {
+        self.fleet.get(endpoint).is_some_and(|e| e.notices.accepts_requests(now))
     }
 
     /// Returns the refusal of a call for which no endpoint is left because of what they have said;
     /// `None` while one may still take it.
-    pub(super) fn unwelcome(&self, now: Timestamp, caller: CallerId) -> Option<Unwelcome> {
+    pub(super) fn closed_refusal(&self, now: Timestamp, caller: CallerId) -> Option<ClosedRefusal> {
         let call = self.calls.get(&caller)?;
         let kind = self.is_engine_call(caller).then_some(EndpointKind::Decode);
         let closed = self.fleet.closed(now, call.choice(), kind)?;
         Some(match closed {
             Closed::Leaving => (answer::no_endpoint(), EndReason::NoEndpoint),
-            Closed::Resting(until) => (answer::resting(until - now), EndReason::Resting),
+            Closed::BackingOff(until) => (answer::backing_off(until - now), EndReason::BackingOff),
         })
     }
 }
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -372,7 +372,7 @@
         let Err(why) = retried else { return };
         let ran = self.calls.get(&caller).is_some_and(|c| c.may_have_run);
         let refusal = if ran { answer::failed() } else { self.capacity_refusal(now, caller) };
-        let refusal = self.unwelcome(now, caller).map_or(refusal, |(refusal, _)| refusal);
+        let refusal = self.closed_refusal(now, caller).map_or(refusal, |(refusal, _)| refusal);
         self.conclude(now, caller, refusal, why);
     }
 }
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -170,7 +170,7 @@
     /// Whether the endpoint says that it leaves.
     pub leaving: bool,
     /// For how long the endpoint wants no request, if it has refused this one and says so.
-    pub rest: Option<Duration>,
+    pub backoff: Option<Duration>,
 }
 
 /// The load that an engine reports.
--- a/src/gateway/reason.rs
+++ b/src/gateway/reason.rs
@@ -21,8 +21,8 @@
     NotAdmitted,
     /// It resumes a stream of which it is not known which software version began it.
     UnknownOrigin,
-    /// All endpoints for it have asked for rest.
-    Resting,
+    /// All endpoints for it have requested a backoff.
+    BackingOff,
     /// The endpoint that was chosen for it is gone, or its service has none.
     NoEndpoint,
 }
@@ -40,7 +40,7 @@
             EndReason::WaitExpired => "no capacity in time",
             EndReason::NotAdmitted => "not expected to start in time",
             EndReason::UnknownOrigin => "unknown origin",
-            EndReason::Resting => "all endpoints rest",
+            EndReason::BackingOff => "all endpoints back off",
             EndReason::NoEndpoint => "no endpoint",
         }
     }
--- a/src/gateway/reports.rs
+++ b/src/gateway/reports.rs
@@ -46,7 +46,7 @@
     }
 
     /// Sends a side request to an engine and returns the connection that carries it. One that
-    /// leaves is only asked to release what it keeps; one that rests is asked for nothing, since
+    /// leaves is only asked to release what it keeps; one that backs_off is asked for nothing, since
     /// exports and reservations expire there by themselves.
     pub(super) fn send_side_request(
         &mut self,
@@ -56,8 +56,8 @@
         request: &SideRequest,
     ) -> Option<PeerId> {
         let target = self.fleet.get(endpoint)?;
-        let refuses = target.words.leaving && job != Job::Free;
-        if refuses || target.words.is_resting(now) {
+        let refuses = target.notices.leaving && job != Job::Free;
+        if refuses || target.notices.is_backing_off(now) {
             return None;
         }
         let address = target.address;
--- a/src/gateway/retry.rs
+++ b/src/gateway/retry.rs
@@ -138,7 +138,7 @@
         if call.remaining(now) < MIN_RETRY_TIME {
             return Err(EndReason::NoTime);
         }
-        if let Some((_, why)) = self.unwelcome(now, caller) {
+        if let Some((_, why)) = self.closed_refusal(now, caller) {
             return Err(why);
         }
         let Some(shape) = self.shape(caller).filter(|_| self.is_engine_call(caller)) else {
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -69,7 +69,7 @@
     sends: IntCounterVec,
     charges: IntCounterVec,
     leaving: IntCounterVec,
-    rests: IntCounterVec,
+    backoffs: IntCounterVec,
 }
 
 impl Metrics {
@@ -152,9 +152,9 @@
                 "Starts of endpoints that have said in an answer to a gateway that they leave",
                 &["service"],
             )?,
-            rests: make.counters(
-                "gateway_rests_total",
-                "Rest times that endpoints have asked a gateway for, each change counted once",
+            backoffs: make.counters(
+                "gateway_backoffs_total",
+                "Backoff times that endpoints have asked a gateway for, each change counted once",
                 &["service"],
             )?,
             steps: make.seconds("step_seconds", "Time of one step of a role", &["role"])?,
@@ -182,9 +182,9 @@
                 let service = self.label(&self.services, &service);
                 self.leaving.with_label_values(&[&*service]).inc();
             }
-            Observation::Rest { service } => {
+            Observation::Backoff { service } => {
                 let service = self.label(&self.services, &service);
-                self.rests.with_label_values(&[&*service]).inc();
+                self.backoffs.with_label_values(&[&*service]).inc();
             }
             Observation::LeaseLapsed => self.lapsed.inc(),
             Observation::Registry { processes, endpoints } => {
--- a/src/report/observation.rs
+++ b/src/report/observation.rs
@@ -39,8 +39,8 @@
         /// The name of its service.
         service: Box<str>,
     },
-    /// An endpoint has asked a gateway for rest.
-    Rest {
+    /// An endpoint has requested a backoff of a gateway.
+    Backoff {
         /// The name of its service.
         service: Box<str>,
     },
--- a/tests/endpoint_words.rs
+++ b/tests/endpoint_notices.rs
@@ -13,8 +13,8 @@
 
 /// The header field of an endpoint that leaves.
 const LEAVES: (&str, &str) = ("Leaving", "1");
-/// For how long an endpoint that asks for rest refuses.
-const REST: Duration = Duration::from_secs(2);
+/// For how long an endpoint that requests a backoff refuses.
+const BACKOFF: Duration = Duration::from_secs(2);
 
 fn address(name: &str) -> SocketAddr {
     endpoint(name, EndpointKind::Service, PLAIN).address
@@ -344,12 +344,12 @@
     assert!(!spread(&mut f, 2).contains(&sent.address));
 }
 
-/// A refusal that asks for rest, in seconds.
-fn rest(seconds: &str) -> [(&str, &str); 2] {
+/// A refusal that requests a backoff, in seconds.
+fn backoff(seconds: &str) -> [(&str, &str); 2] {
     [("Not-Run", "1"), ("Retry-After", seconds)]
 }
 
-/// Sends 100 plain calls a second for some time and answers them, with 503 and 2 s of rest at the
+/// Sends 100 plain calls a second for some time and answers them, with 503 and a backoff of 2 s at the
 /// addresses in `refusing`; returns the milliseconds since the first refusal and the address of each
 /// arrival.
 fn hundred_a_second(f: &mut Fixture, refusing: &[SocketAddr]) -> Vec<(u64, SocketAddr)> {
@@ -360,9 +360,9 @@
         while f.has_sent() {
             let sent = f.take_sent();
             arrivals.push(((f.now - begin).as_millis() as u64, sent.address));
-            let refuses = refusing.contains(&sent.address) && f.now - begin < REST;
+            let refuses = refusing.contains(&sent.address) && f.now - begin < BACKOFF;
             match refuses {
-                true => f.answer(&sent, 503, &rest("2"), "rest"),
+                true => f.answer(&sent, 503, &backoff("2"), "rest"),
                 false => f.answer(&sent, 200, &[], "ok"),
             }
         }
@@ -383,22 +383,22 @@
     answer.fields.text("Retry-After").unwrap().parse().unwrap()
 }
 
-/// Makes both plain endpoints refuse a call with a rest time.
+/// Makes both plain endpoints refuse a call with a backoff.
 fn close_both(f: &mut Fixture, caller: u64, seconds: &str) {
     f.call(caller, "/look/a", &[]);
     for _ in 0..2 {
         let sent = f.take_sent();
-        f.answer(&sent, 503, &rest(seconds), "rest");
+        f.answer(&sent, 503, &backoff(seconds), "rest");
     }
 }
 
 #[test]
-fn endpoint_that_asks_for_rest_gets_no_request_until_it_is_over() {
+fn endpoint_that_requests_a_backoff_gets_no_request_until_it_is_over() {
     let mut f = Fixture::ready();
     let p1 = address("p1");
     let arrivals = hundred_a_second(&mut f, &[p1]);
-    let (resting, later) = (count(&arrivals, p1, 500, 2_000), count(&arrivals, p1, 2_300, 3_000));
-    assert_eq!(resting, 0, "expected no request while it rests");
+    let (early, later) = (count(&arrivals, p1, 500, 2_000), count(&arrivals, p1, 2_300, 3_000));
+    assert_eq!(early, 0, "expected no request during the backoff");
     assert!(later > 20, "expected requests after that, found {later}");
     let served = |f: &Fixture| (1_000..1_300).filter(|c| f.answers[c].status == 200).count();
     assert!(served(&f) >= 299, "expected the other endpoint to serve, found {}", served(&f));
@@ -410,7 +410,7 @@
     let (p1, p2) = (address("p1"), address("p2"));
     let arrivals = hundred_a_second(&mut f, &[p1, p2]);
     for at in [p1, p2] {
-        assert_eq!(count(&arrivals, at, 500, 2_000), 0, "expected no request while it rests");
+        assert_eq!(count(&arrivals, at, 500, 2_000), 0, "expected no request during the backoff");
         assert!(count(&arrivals, at, 2_300, 3_000) > 20, "expected requests after that");
     }
     let left = retry_after(&f, 1_100);
@@ -422,17 +422,17 @@
 }
 
 #[test]
-fn no_retry_is_charged_when_the_last_endpoint_asks_for_rest() {
+fn no_retry_is_charged_when_the_last_endpoint_requests_a_backoff() {
     let mut f = Fixture::ready();
     for caller in [1, 2] {
         f.call(caller, "/look/a", &[]);
     }
     let (first, second) = (f.take_sent(), f.take_sent());
     assert_ne!(first.address, second.address);
-    f.answer(&first, 503, &rest("2"), "rest");
+    f.answer(&first, 503, &backoff("2"), "rest");
     let retried = f.take_sent();
     f.observed.clear();
-    f.answer(&second, 503, &rest("3"), "rest");
+    f.answer(&second, 503, &backoff("3"), "rest");
     f.answer(&retried, 500, &[], "no");
     let charged = |o: &Observation| matches!(o, Observation::Charge { .. });
     assert!(!f.observed.iter().any(charged), "{:?}", f.observed);
@@ -460,7 +460,7 @@
 }
 
 #[test]
-fn rest_time_is_read_as_a_bounded_number_of_seconds() {
+fn backoff_is_read_as_a_bounded_number_of_seconds() {
     for ignored in ["0", "-1", "", "abc", "NaN", "inf", "Fri, 04 Dec 2026 09:00:00 GMT"] {
         let closed = closed_for(&[("Retry-After", ignored)]);
         assert_eq!(closed, 150, "{ignored:?}");
@@ -474,7 +474,7 @@
 }
 
 #[test]
-fn longest_of_several_rest_times_counts() {
+fn longest_of_several_backoffs_counts() {
     let cases = [["1", "3"], ["3", "1"], ["abc", "3"], ["3", "-1"], ["1, 3", "2"]];
     for [first, second] in cases {
         let closed = closed_for(&[("Retry-After", first), ("Retry-After", second)]);
@@ -483,7 +483,7 @@
 }
 
 #[test]
-fn rest_time_counts_with_503_only() {
+fn backoff_counts_with_503_only() {
     let mut f = Fixture::ready();
     for (caller, status) in [(1, 200), (2, 500), (3, 429), (4, 404)] {
         f.call(caller, "/pay/a", &[]);
@@ -496,7 +496,7 @@
 }
 
 #[test]
-fn longer_rest_time_replaces_the_first_and_a_shorter_one_or_none_does_not() {
+fn longer_backoff_replaces_the_first_and_a_shorter_one_or_none_does_not() {
     for (second, expected) in [(Some("1"), 2_000), (Some("4"), 4_000), (None, 2_000)] {
         let mut f = Fixture::ready();
         let open: Vec<Sent> = (1..5)
@@ -506,9 +506,9 @@
             })
             .collect();
         let there: Vec<&Sent> = open.iter().filter(|s| s.address == address("p1")).collect();
-        f.answer(there[0], 503, &rest("2"), "rest");
+        f.answer(there[0], 503, &backoff("2"), "rest");
         match second {
-            Some(seconds) => f.answer(there[1], 503, &rest(seconds), "rest"),
+            Some(seconds) => f.answer(there[1], 503, &backoff(seconds), "rest"),
             None => f.answer(there[1], 200, &[], "ok"),
         }
         let others = open.iter().filter(|s| s.address != address("p1"));
@@ -521,7 +521,7 @@
 }
 
 #[test]
-fn gateways_reopen_a_resting_endpoint_at_different_times() {
+fn gateways_reopen_a_backing_off_endpoint_at_different_times() {
     let mut ends = std::collections::BTreeSet::new();
     for boot in 1..9 {
         let now = dotterelpin::model::Timestamp::from_micros(1_000_000_000);
@@ -572,11 +572,11 @@
         reached.extend(f.sent.drain(..).map(|s| s.address));
     }
     assert!(!reached.is_empty());
-    assert!(!reached.contains(&hold.address), "expected no request while it rests");
+    assert!(!reached.contains(&hold.address), "expected no request during the backoff");
 }
 
 #[test]
-fn resting_prefill_endpoint_gets_no_prefill_and_no_free() {
+fn backing_off_prefill_endpoint_gets_no_prefill_and_no_free() {
     let mut f = Fixture::ready();
     f.model_call(1, "/remind/a", "1000,100");
     let run = f.answer_prefill();
@@ -591,8 +591,8 @@
         })
         .collect();
     let there = other.iter().find(|s| s.address == prefill).unwrap();
-    f.answer(there, 503, &rest("3"), "rest");
-    // The caller of the first stream leaves: its export is not freed while the endpoint rests.
+    f.answer(there, 503, &backoff("3"), "rest");
+    // The caller of the first stream leaves: its export is not freed during the backoff.
     f.step(Input::Local(HttpInput::CallerGone { caller: CallerId(1) }));
     assert!(f.hung_up.contains(&run.peer));
     assert!(f.sent.iter().all(|sent| sent.address != prefill));
@@ -601,7 +601,7 @@
 }
 
 #[test]
-fn broken_stream_is_not_resumed_at_a_resting_endpoint() {
+fn broken_stream_is_not_resumed_at_a_backing_off_endpoint() {
     let mut f = Fixture::ready();
     f.model_call(1, "/remind/a", "1000,100");
     let run = f.answer_prefill();
--- a/tests/gateway_lines.rs
+++ b/tests/gateway_lines.rs
@@ -367,22 +367,22 @@
         f.answer(sent, 503, &[("Not-Run", "1"), ("Retry-After", seconds)], "rest");
     };
     refuse(&mut f, there[0], "2");
-    let found = line("rest");
+    let found = line("backoff");
     assert_eq!((value(&found, "id"), value(&found, "source")), ("call-1", "call"), "{found}");
     assert_eq!(value(&found, "ms"), "2000", "{found}");
     let closed: u64 = value(&found, "closed_ms").parse().unwrap();
     assert!((2_000..=2_200).contains(&closed), "{found}");
     refuse(&mut f, there[1], "2");
-    assert_eq!(lines("rest").len(), 1);
+    assert_eq!(lines("backoff").len(), 1);
     for sent in open.iter().filter(|s| s.address != open[0].address) {
         refuse(&mut f, sent, "30");
     }
     f.call(9, "/pay/a", &[]);
-    assert_eq!(value(lines("end").last().unwrap(), "why"), "all endpoints rest");
+    assert_eq!(value(lines("end").last().unwrap(), "why"), "all endpoints back off");
     let metrics = Metrics::new().unwrap();
     f.observed.drain(..).for_each(|observation| metrics.observe(observation));
     let text = metrics.text().unwrap();
-    let counter = format!("dotterelpin_gateway_rests_total{{service=\"{PLAIN}\"}} 2");
+    let counter = format!("dotterelpin_gateway_backoffs_total{{service=\"{PLAIN}\"}} 2");
     assert!(text.contains(&counter), "{text}");
 }
 
