Refuse a call whose prefill is silent if no other can follow

A call in its prefill has not run, so a truthful refusal at once serves its caller better; only runs are kept. The new test failed before (no answer after 1.6 s) and passes now.

--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -133,7 +133,9 @@
         let silence = Silence::of(now, call);
         let Some(attempt) = call.attempt() else { return };
         let (peer, connected) = (attempt.peer, attempt.connected);
-        if connected && !self.can_replace(now, caller) {
+        // A call that has not run is better refused at once than kept at a silent prefill endpoint.
+        let in_run = matches!(call.stage, Stage::Run { .. });
+        if connected && in_run && !self.can_replace(now, caller) {
             self.keep_silent(now, caller);
             return;
         }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -404,6 +404,18 @@
     );
 }
 
+#[test]
+fn call_with_a_silent_prefill_is_held_to_its_deadline_when_none_can_follow() {
+    let mut f = Fixture::ready_without_budget();
+    f.model_call(1, "/remind/a", "3000,100");
+    let hold = f.take_sent();
+    f.answer(&hold, 200, &[], "hold h1");
+    assert_eq!(f.take_sent().field("Stage"), Some("prefill"));
+    f.advance(1_600);
+    assert_eq!(f.answers.get(&1).map(|a| a.status), Some(503), "expected a refusal as not run");
+    assert!(f.answers[&1].fields.has("Retry-After"));
+}
+
 #[test]
 fn export_is_kept_when_its_run_breaks_before_it_is_answered() {
     let mut f = Fixture::ready();
