Send origins of streams to control only while a service has several versions

Gateways now keep origins to themselves until a second version is listed, send the known ones then, and go on until one version has been alone for as long as an origin is kept.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -101,6 +101,8 @@
     versions: Versions,
     /// Which software versions began the streams that this gateway has delivered.
     origins: Origins,
+    /// The services whose origins are sent to control.
+    shared_services: BTreeSet<Box<str>>,
     /// Origins that were not sent to control yet.
     unsent_origins: Vec<Origin>,
     /// When `unsent_origins` are sent.
@@ -153,6 +155,7 @@
             budgets: BTreeMap::new(),
             versions: Versions::default(),
             origins: Origins::default(),
+            shared_services: BTreeSet::new(),
             unsent_origins: Vec::new(),
             next_record: Timestamp::default(),
             leader_requests: BTreeMap::new(),
@@ -453,6 +456,7 @@
                 log::info!("step=endpoints listed={} open={open}", listed.len());
             }
             self.versions.listed(now, listed.values().map(|e| (&*e.pool, &*e.software)));
+            self.update_shared(now);
             for peer in self.fleet.update(now, &listed) {
                 self.effect(HttpEffect::HangUp { peer });
             }
--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -1,8 +1,8 @@
 //! Streams that a caller resumes with another call, at this gateway or at another one.
 //!
 //! What two software versions of an endpoint write does not fit together, so a stream goes on only
-//! at the version that began it. Gateways tell all control members which version began which
-//! stream, and ask them about a stream that they do not know. A stream of unknown origin is refused
+//! at the version that began it. While a service has several versions, gateways tell all control
+//! members which version began which stream, and ask them about a stream that they do not know. A stream of unknown origin is refused
 //! unless its service has had only one version for longer than a stream lasts.
 
 use std::time::Duration;
@@ -11,7 +11,7 @@
 use super::call::{OriginRequest, Stage};
 use super::reason::EndReason;
 use super::{CallerId, Gateway};
-use crate::control::origins::Origin;
+use crate::control::origins::{ORIGIN_TTL, Origin};
 use crate::link::message::ControlRequest;
 use crate::model::{ExchangeId, Timestamp};
 
@@ -49,17 +49,33 @@
         let (id, service) = (call.info.id.clone(), call.service.clone());
         let origin = Origin { call: id, service, software };
         self.origins.record(now, vec![origin.clone()]);
+        if !self.shared_services.contains(&origin.service) {
+            return;
+        }
         if self.unsent_origins.is_empty() {
             self.next_record = now + RECORD_INTERVAL;
         }
         self.unsent_origins.push(origin);
     }
 
+    /// Determines the services whose origins are sent to control: those that have had several
+    /// versions lately. With one version a stream may go on anywhere, so nothing has to be known.
+    pub(super) fn update_shared(&mut self, now: Timestamp) {
+        let mixed = self.versions.mixed(now, ORIGIN_TTL);
+        let known = self.origins.all(now);
+        let new = |origin: &Origin| {
+            mixed.contains(&origin.service) && !self.shared_services.contains(&origin.service)
+        };
+        self.unsent_origins.extend(known.into_iter().filter(new));
+        self.shared_services = mixed;
+    }
+
     /// Sends the collected origins to all control members, and all of them to members that have
     /// started anew.
     pub(super) fn send_origins(&mut self, now: Timestamp) {
         for member in self.follower.take_restarted() {
-            let known = self.origins.all(now);
+            let mut known = self.origins.all(now);
+            known.retain(|origin| self.shared_services.contains(&origin.service));
             if !known.is_empty() {
                 self.send_to_control(member, ControlRequest::RecordOrigins(known));
             }
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -66,6 +66,16 @@
         first.filter(|_| all.len() == 1)
     }
 
+    /// Returns the services that have had several versions within `span`.
+    pub fn mixed(&self, now: Timestamp, span: Duration) -> BTreeSet<Box<str>> {
+        let left = self.left.iter().filter(|(_, at)| now - **at < span).map(|(version, _)| version);
+        let all: BTreeSet<&Version> = self.current.iter().chain(left).collect();
+        let mut services: BTreeMap<&str, usize> = BTreeMap::new();
+        all.iter().for_each(|(service, _)| *services.entry(service).or_default() += 1);
+        let several = services.into_iter().filter(|(_, count)| *count > 1);
+        several.map(|(service, _)| service.into()).collect()
+    }
+
     /// Returns whether versions have been listed for at least `span`.
     pub fn covers(&self, now: Timestamp, span: Duration) -> bool {
         self.since.is_some_and(|since| now - since >= span)
