Log and count the crashes of endpoints that a gateway sees

When an endpoint crashed, a gateway logged each broken run by itself, without the start of the endpoint, how long the run had been writing and what the calls had in common, so the hypotheses of the incident could not be told apart.

A start that goes on sending has not crashed. Nothing decides by this yet.

Two tests of the lines and counters: they pass; nothing logged this before.

--- a/src/control/quarantine/mod.rs
+++ b/src/control/quarantine/mod.rs
@@ -1,50 +1,24 @@
 //! Quarantine: refuses contents that were in flight when endpoints crashed.
 
+mod cause;
+mod crash;
+
 use std::collections::BTreeMap;
-use std::fmt;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use sha2::{Digest, Sha256};
+
+pub use cause::{Cause, Fingerprint};
+pub use crash::{BrokenRun, Crash, SURVIVAL_TIME, Start};
 
 use crate::model::Timestamp;
 
 /// The number of crashes after which a content is refused.
 const CRASHES_TO_QUARANTINE: usize = 2;
 
-/// Identifies the content of a request to a pool, independent of the sender and the request id.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Fingerprint([u8; 16]);
-
-impl Fingerprint {
-    /// Returns the fingerprint of a content for a pool.
-    ///
-    /// ```
-    /// use dotterelpin::control::quarantine::Fingerprint;
-    ///
-    /// let one = Fingerprint::of("cs-summary", b"apples");
-    /// assert_eq!(one, Fingerprint::of("cs-summary", b"apples"));
-    /// assert_ne!(one, Fingerprint::of("cs-summary", b"pears"));
-    /// ```
-    pub fn of(pool: &str, content: &[u8]) -> Fingerprint {
-        let mut hasher = Sha256::new();
-        hasher.update((pool.len() as u64).to_le_bytes());
-        hasher.update(pool);
-        hasher.update(content);
-        let digest = hasher.finalize();
-        Fingerprint(digest.first_chunk().copied().unwrap_or_default())
-    }
-}
-
-impl fmt::Display for Fingerprint {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.iter().try_for_each(|b| write!(f, "{b:02x}"))
-    }
-}
-
 /// A crash of an endpoint, as its agent observed it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Crash {
+pub struct ContentCrash {
     /// The name of the endpoint.
     pub endpoint: Box<str>,
     /// The time by the agent's clock; together with the endpoint it identifies the crash.
@@ -84,7 +58,7 @@
 
     /// Records a crash. The contents in flight become suspects; those that were in flight at
     /// another crash before are quarantined.
-    pub fn crash(&mut self, crash: &Crash) {
+    pub fn crash(&mut self, crash: &ContentCrash) {
         let mark = (crash.endpoint.clone(), crash.at);
         for fingerprint in &crash.in_flight {
             let fresh = || Suspect { crashes: Vec::new(), until: None };
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -9,7 +9,7 @@
 use super::config::{Change, Changes, Config, Setting};
 use super::orders::rollout::{RolloutCommand, StepCommand};
 use super::orders::{OrderCommand, OrderReply, Orders};
-use super::quarantine::{Crash, Fingerprint, Quarantine};
+use super::quarantine::{ContentCrash, Fingerprint, Quarantine};
 use super::replica::{LogIndex, Members};
 use super::routing::{Deregistration, Document, Routing};
 use crate::model::{Fence, RequestId, Revision, Timestamp};
@@ -68,7 +68,7 @@
     /// Deregister an endpoint that shuts down.
     Deregister(Deregistration),
     /// Record the crash of an endpoint, as its agent observed it.
-    Crash(Crash),
+    Crash(ContentCrash),
     /// Remove a suspect content, because it has finished or an operator clears it.
     Clear {
         /// The fingerprint of the content.
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -217,6 +217,7 @@
     pub(super) fn answered(&mut self, now: Timestamp, peer: PeerId, head: AnswerHead) {
         let info = self.protocol.read_answer(&head);
         self.apply_notices(now, peer, &info);
+        self.endpoint_heard(now, peer);
         let Some(conn) = self.fleet.conn(peer) else { return };
         if let Some(timeout) = idle_timeout(&head) {
             conn.idle_timeout = timeout;
@@ -254,6 +255,7 @@
 
     /// Handles a part of the content of an endpoint's answer.
     pub(super) fn data(&mut self, now: Timestamp, peer: PeerId, bytes: Vec<u8>) {
+        self.endpoint_heard(now, peer);
         let Some(conn) = self.fleet.conn(peer) else { return };
         if conn.stray {
             return;
@@ -296,6 +298,9 @@
     /// Delivers events to the caller, each once and in order; skips those that it already has.
     fn deliver_events(&mut self, now: Timestamp, caller: CallerId, events: Vec<Event>) {
         let Some(call) = self.calls.get_mut(&caller) else { return };
+        if let Some(attempt) = call.attempt().filter(|_| !events.is_empty()) {
+            attempt.first_event.get_or_insert(now);
+        }
         let begins = call.software.is_none() && !events.is_empty();
         if begins {
             call.software = call.attempt().map(|a| a.software.clone());
@@ -340,6 +345,7 @@
         }
         let (job, endpoint, status) = (conn.job, conn.endpoint, conn.status);
         let content = std::mem::take(&mut conn.content);
+        let start = self.fleet.start_at(peer);
         let closes = self.closes(job);
         if closes || !reusable || !self.fleet.park(now, peer, None) {
             self.hang_up(peer);
@@ -353,6 +359,9 @@
                 self.schedule(caller);
             }
             Job::Call(caller) => {
+                if let Some(start) = start.filter(|_| !reusable && self.is_cut_short(caller)) {
+                    self.run_broke(now, caller, start);
+                }
                 self.call_answered(now, caller);
                 self.schedule(caller);
             }
@@ -367,6 +376,12 @@
         head.is_none_or(|(head, _)| head.fields.has_token("connection", "close"))
     }
 
+    /// Returns whether a call's stream has ended before an event was complete, or before any event.
+    fn is_cut_short(&mut self, caller: CallerId) -> bool {
+        let Some(call) = self.calls.get_mut(&caller) else { return false };
+        streams(call) && (call.splitter.has_partial() || !call.delivered.head)
+    }
+
     /// Handles the complete answer to an attempt.
     fn call_answered(&mut self, now: Timestamp, caller: CallerId) {
         let Some(call) = self.calls.get_mut(&caller) else { return };
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -36,6 +36,8 @@
     pub head: Option<(AnswerHead, AnswerInfo)>,
     /// The content received so far, of an answer that is not streamed to the caller.
     pub content: Vec<u8>,
+    /// When its first event was received.
+    pub first_event: Option<Timestamp>,
     /// Until when its silence is tolerated although it exceeds the timeout, because no other attempt
     /// could follow.
     pub kept_until: Timestamp,
@@ -62,6 +64,7 @@
             software,
             head: None,
             content: Vec::new(),
+            first_event: None,
             kept_until: since,
         }
     }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -9,6 +9,7 @@
 pub use super::endpoint::{Endpoint, Usage};
 use super::notices::{Closed, Notices};
 use super::place::{DecodeLoad, PrefillLoad};
+use crate::control::quarantine::Start;
 use crate::h1::{CallerId, PeerId};
 use crate::model::{BootId, EndpointKind, EndpointState, Timestamp};
 use crate::routes::EngineShape;
@@ -415,6 +416,13 @@
         self.conns.get_mut(&peer)
     }
 
+    /// Returns the start of the endpoint for which a connection was opened.
+    pub fn start_at(&self, peer: PeerId) -> Option<Start> {
+        let conn = self.conns.get(&peer)?;
+        let endpoint = self.endpoints.get(conn.endpoint)?;
+        Some(Start { endpoint: endpoint.name.clone(), boot: conn.boot })
+    }
+
     /// Assigns a job to the most recently used idle connection to an endpoint, if it has not been
     /// idle too long; `once` is set for a call that must not be repeated.
     pub fn reuse(
--- a/src/gateway/header_protocol.rs
+++ b/src/gateway/header_protocol.rs
@@ -18,6 +18,9 @@
 const RETRY_AFTER: &str = "Retry-After";
 /// The maximum of seconds that is read from a field; longer times are read as this one.
 const MAX_SECONDS: f64 = 1e9;
+/// The maximum number of parts of a prompt that are read; a longer prompt has more, which are
+/// ignored.
+const MAX_PARTS: usize = 32;
 
 /// The names of the protocol's header fields.
 #[derive(Debug, Clone, Copy)]
@@ -30,6 +33,9 @@
     pub model: &'static str,
     /// Tokens of the prompt and the maximum tokens of the answer, separated by a comma.
     pub tokens: &'static str,
+    /// The parts of the prompt as `ID:TOKENS`, separated by commas; the last one belongs to the call
+    /// or its session.
+    pub parts: &'static str,
     /// The number of the last event that the caller has.
     pub after: &'static str,
     /// The id of the call that brought the first event of the stream that is resumed.
@@ -122,7 +128,8 @@
             None => None,
         };
         let resumes = head.fields.text(names.resumes).filter(|id| !id.is_empty()).map(Into::into);
-        Ok(CallInfo { id: id.into(), timeout, work, after, resumes })
+        let parts = head.fields.text(names.parts).map(read_parts).unwrap_or_default();
+        Ok(CallInfo { id: id.into(), timeout, work, parts, after, resumes })
     }
 
     fn write_call(&self, request: &Request, send: &SendInfo<'_>) -> Vec<u8> {
@@ -231,6 +238,14 @@
     Duration::try_from_secs_f64(millis / 1_000.0).ok()
 }
 
+/// Returns the ids of all parts of a prompt but the last one. The tokens of a part are not checked.
+fn read_parts(text: &str) -> Vec<Box<str>> {
+    let Some((shared, _own)) = text.rsplit_once(',') else { return Vec::new() };
+    let id = |part: &str| part.split(':').next().unwrap_or_default().trim().to_ascii_lowercase();
+    let ids = shared.split(',').map(id).filter(|id| !id.is_empty());
+    ids.take(MAX_PARTS).map(String::into_boxed_str).collect()
+}
+
 fn read_work(model: &str, tokens: &str) -> Option<ModelWork> {
     let (prompt, output) = tokens.split_once(',')?;
     let (prompt, output) = (prompt.trim().parse().ok()?, output.trim().parse().ok()?);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod assign;
 pub mod budget;
 mod call;
+mod crashes;
 pub mod credit;
 mod endpoint;
 mod engine;
@@ -38,6 +39,7 @@
 
 use budget::{Budget, BudgetTerms};
 use call::{Call, Delivered, Stage};
+use crashes::Crashes;
 use credit::{Credit, Payment};
 use fleet::{EndpointKey, Fleet, Job};
 use lateness::UsualTimeout;
@@ -113,6 +115,8 @@
     capacity_backoff: BTreeMap<BackoffKey, Timestamp>,
     /// Until when no request is sent to the leader, because it did not answer the last one.
     leader_backoff: Timestamp,
+    /// Endpoints that may have crashed a moment ago.
+    crashes: Crashes,
     /// The usual caller timeout of each route.
     usual_timeouts: BTreeMap<Box<str>, UsualTimeout>,
     rng: Pcg64Mcg,
@@ -161,6 +165,7 @@
             leader_requests: BTreeMap::new(),
             capacity_backoff: BTreeMap::new(),
             leader_backoff: Timestamp::default(),
+            crashes: Crashes::default(),
             usual_timeouts: BTreeMap::new(),
             rng,
             next_cleanup: Timestamp::default(),
@@ -417,6 +422,7 @@
             self.schedule(caller);
         }
         self.send_origins(now);
+        self.report_crashes(now);
         self.expire_queues(now);
         self.start_queued(now);
         if now >= self.next_cleanup {
@@ -546,7 +552,8 @@
         let start = waiting.then_some(self.next_start);
         let record = (!self.unsent_origins.is_empty()).then_some(self.next_record);
         let cleanup = Some(self.next_cleanup.min(self.next_report));
-        [call, queue, start, record, shutdown, cleanup, self.follower.next_wake()]
+        let crash = self.crashes.next_due();
+        [call, queue, start, record, crash, shutdown, cleanup, self.follower.next_wake()]
             .into_iter()
             .flatten()
             .min()
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -244,6 +244,7 @@
     /// Handles the loss of a connection to an endpoint; `sent` is whether the request may have
     /// reached it.
     pub(super) fn lost(&mut self, now: Timestamp, peer: PeerId, sent: bool, error: &str) {
+        let start = self.fleet.start_at(peer);
         let Some(conn) = self.fleet.close(peer) else { return };
         match conn.job {
             Job::Idle => {}
@@ -254,6 +255,9 @@
             }
             Job::Call(caller) => {
                 log::debug!("step=lost peer={} sent={sent} error=\"{error}\"", peer.0);
+                if let Some(start) = start.filter(|_| sent) {
+                    self.run_broke(now, caller, start);
+                }
                 let failure = if sent { Failure::Broken } else { Failure::NotStarted };
                 self.attempt_failed(now, caller, failure);
                 self.schedule(caller);
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -20,6 +20,8 @@
     pub timeout: Option<Duration>,
     /// The requested work of a call to a model; `None` for other calls.
     pub work: Option<ModelWork>,
+    /// The ids of the parts of its prompt that other calls may share, in the order of the prompt.
+    pub parts: Vec<Box<str>>,
     /// The number of the last event that the caller has, if it resumes a stream.
     pub after: Option<u64>,
     /// The id of the call that brought the first event of the stream, if it resumes one.
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -70,6 +70,8 @@
     charges: IntCounterVec,
     leaving: IntCounterVec,
     backoffs: IntCounterVec,
+    crashes: IntCounterVec,
+    broken_runs: IntCounterVec,
 }
 
 impl Metrics {
@@ -162,6 +164,16 @@
             routes: Mutex::default(),
             services: Mutex::default(),
             open: Mutex::default(),
+            crashes: make.counters(
+                "gateway_crashes_total",
+                "Endpoints that crashed under runs of a gateway",
+                &["service"],
+            )?,
+            broken_runs: make.counters(
+                "gateway_crashed_runs_total",
+                "Runs of a gateway that ended with their endpoint",
+                &["service"],
+            )?,
             registry,
         })
     }
@@ -186,6 +198,11 @@
                 let service = self.label(&self.services, &service);
                 self.backoffs.with_label_values(&[&*service]).inc();
             }
+            Observation::Crash { service, runs } => {
+                let service = self.label(&self.services, &service);
+                self.crashes.with_label_values(&[&*service]).inc();
+                self.broken_runs.with_label_values(&[&*service]).inc_by(runs as u64);
+            }
             Observation::LeaseLapsed => self.lapsed.inc(),
             Observation::Registry { processes, endpoints } => {
                 self.processes.set(processes as i64);
--- a/src/report/observation.rs
+++ b/src/report/observation.rs
@@ -44,6 +44,13 @@
         /// The name of its service.
         service: Box<str>,
     },
+    /// A gateway has seen an endpoint crash under its runs.
+    Crash {
+        /// The name of its service.
+        service: Box<str>,
+        /// How many runs of the gateway ended with it.
+        runs: usize,
+    },
     /// The lease of a reservation at an agent has expired.
     LeaseLapsed,
     /// The contents of a control member's registry.
--- a/tests/gateway_fixture/mod.rs
+++ b/tests/gateway_fixture/mod.rs
@@ -46,6 +46,7 @@
     timeout: "Patience-Ms",
     model: "Model",
     tokens: "Tokens",
+    parts: "Parts",
     after: "Last-Event-Id",
     resumes: "Resumes",
     stage: "Stage",
--- a/tests/gateway_lines.rs
+++ b/tests/gateway_lines.rs
@@ -509,3 +509,49 @@
     assert_eq!(value(&end, "outcome"), "answered");
     assert!(!end.contains(" why="), "{end}");
 }
+
+/// Returns a fixture in which two calls with a common part run at the same endpoint, and their runs.
+fn two_runs() -> (Fixture, Vec<Sent>) {
+    let mut f = logged();
+    f.withdraw("d2");
+    f.advance(600);
+    let fields = |parts| [("Model", "m"), ("Tokens", "300,40"), ("Parts", parts)];
+    f.call(1, "/draft/a", &fields("aa:200,bb:100,01:10"));
+    let first = f.answer_prefill();
+    f.call(2, "/draft/a", &fields("aa:200,cc:100,02:10"));
+    let second = f.answer_prefill();
+    (f, vec![first, second])
+}
+
+#[test]
+fn crash_names_the_runs_it_took_and_their_parts() {
+    let (mut f, runs) = two_runs();
+    f.head(&runs[0], 200, &[]);
+    f.data(&runs[0], b"id: 1\ndata: a\n\n");
+    f.advance(900);
+    runs.iter().for_each(|run| f.fail_connection(run, true));
+    f.advance(500);
+    let broken = lines("broken-run");
+    assert_eq!(broken.len(), 2, "{broken:?}");
+    assert!(broken[0].contains("id=call-1") && broken[0].contains("wrote_ms=900"), "{broken:?}");
+    assert!(broken[1].contains("id=call-2") && broken[1].contains("wrote_ms=0"), "{broken:?}");
+    let parts: Vec<usize> = broken.iter().map(|l| l.matches("part-").count()).collect();
+    assert_eq!(parts, [2, 2], "the last part belongs to the call: {broken:?}");
+    let crashes = lines("crash");
+    assert_eq!(crashes.len(), 1, "{crashes:?}");
+    assert!(crashes[0].contains("endpoint=d1/1") && crashes[0].contains("runs=2"), "{crashes:?}");
+    assert_eq!(counter(&f, "gateway_crashes_total{service=\"drafts\"}"), 1);
+    assert_eq!(counter(&f, "gateway_crashed_runs_total{service=\"drafts\"}"), 2);
+}
+
+#[test]
+fn run_that_breaks_alone_is_no_crash() {
+    let (mut f, runs) = two_runs();
+    f.head(&runs[1], 200, &[]);
+    f.fail_connection(&runs[0], true);
+    f.advance(100);
+    f.data(&runs[1], b"id: 1\ndata: a\n\n");
+    f.advance(500);
+    assert_eq!(lines("broken-run").len(), 1);
+    assert!(lines("crash").is_empty(), "{:?}", lines("crash"));
+}
