--- a/tests/gateway_fixture/mod.rs
+++ b/tests/gateway_fixture/mod.rs
@@ -100,6 +100,16 @@
     }
 }
 
+/// Returns the protocol that all fixtures speak; the text of a document is the index of a table.
+pub fn protocol(tables: Vec<RawTable>) -> HeaderProtocol {
+    HeaderProtocol {
+        names: NAMES,
+        engines: Box::new(PlainEngines),
+        tables: Arc::new(NumberedTables(tables)),
+        ready_path: "/ready",
+    }
+}
+
 /// Returns a route for a path prefix, with a timeout of 14 s and a latency target of 900 ms.
 pub fn route(prefix: &str, service: &str, repeat: Repeat, attempts: u64) -> RawRoute {
     RawRoute {
@@ -258,12 +268,7 @@
             routes: true,
         };
         let settings = GatewaySettings { follower, budget, grace: Duration::from_secs(8) };
-        let protocol = HeaderProtocol {
-            names: NAMES,
-            engines: Box::new(PlainEngines),
-            tables: Arc::new(NumberedTables(tables)),
-            ready_path: "/ready",
-        };
+        let protocol = protocol(tables);
         Fixture {
             now,
             gateway: Gateway::new(settings, Box::new(protocol)),
@@ -619,7 +624,8 @@
     }
 }
 
-fn fields(list: &[(&str, &str)]) -> Fields {
+/// Returns header fields with these names and values.
+pub fn fields(list: &[(&str, &str)]) -> Fields {
     let field = |(name, value): &(&str, &str)| Field {
         name: (*name).into(),
         value: value.as_bytes().into(),
@@ -627,7 +633,8 @@
     Fields(list.iter().map(field).collect())
 }
 
-fn request(method: &str, target: &str, list: &[(&str, &str)], body: &[u8]) -> Request {
+/// Returns a complete request.
+pub fn request(method: &str, target: &str, list: &[(&str, &str)], body: &[u8]) -> Request {
     let head = RequestHead {
         method: method.into(),
         target: target.into(),
