--- a/benches/policy/world.rs
+++ b/benches/policy/world.rs
@@ -535,7 +535,7 @@
                     seen: Seen::default(),
                     endpoints,
                     orders: Some(OrderUpdate { mark: Fence(0), desired: None }),
-                    suspects: None,
+                    quarantine: None,
                     routing: None,
                 };
                 (ControlReply::Beat(beat), 0)
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -238,6 +238,8 @@
             | ControlReply::Lead { .. }
             | ControlReply::PromptAssigned { .. }
             | ControlReply::RoomAssigned { .. }
+            | ControlReply::EvidenceRecorded
+            | ControlReply::ProbeGranted { .. }
             | ControlReply::OriginsRecorded
             | ControlReply::OriginFound { .. }
             | ControlReply::Status(_) => {
--- a/src/cli/tool/quarantine.rs
+++ b/src/cli/tool/quarantine.rs
@@ -1,4 +1,4 @@
-//! Contents suspected of crashing endpoints.
+//! What is in quarantine because it crashed endpoints.
 
 use argh::FromArgs;
 use eyre::eyre;
@@ -6,15 +6,15 @@
 
 use super::client::Client;
 use super::{Failure, ToolError};
-use crate::control::quarantine::{Fingerprint, Suspect};
+use crate::control::quarantine::{Cause, Entry, Stage};
 use crate::control::state::Command;
 use crate::model::Timestamp;
 
-/// Shows contents under suspicion, or clears one.
+/// Shows what is in quarantine, or clears one cause.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "quarantine")]
 pub struct QuarantineArgs {
-    /// fingerprint of the content to clear, so that it may run again
+    /// cause to clear, such as part-5c1e..., so that calls with it run again
     #[argh(option)]
     pub clear: Option<String>,
 }
@@ -23,33 +23,38 @@
 pub fn run(client: &Client, args: &QuarantineArgs, json: bool) -> Result<(), ToolError> {
     let status = client.status()?;
     let Some(wanted) = &args.clear else {
-        for (fingerprint, suspect) in &status.suspects {
-            print(fingerprint, suspect, json);
+        for (cause, entry) in &status.quarantine {
+            print(*cause, entry, json);
         }
         return Ok(());
     };
-    let found = status.suspects.iter().find(|(f, _)| f.to_string() == *wanted);
-    let Some((fingerprint, _)) = found else {
-        let error = eyre!("no content under suspicion has the fingerprint {wanted}");
-        let error = ToolError::new(Failure::Refused, error);
-        return Err(error.hint("`dotterelpin quarantine` lists them"));
+    let found = status.quarantine.iter().find(|(cause, _)| cause.to_string() == *wanted);
+    let Some((cause, _)) = found else {
+        let error = ToolError::new(Failure::Refused, eyre!("{wanted} is not in quarantine"));
+        return Err(error.hint("`dotterelpin quarantine` lists what is"));
     };
-    client.propose(Command::Clear { fingerprint: *fingerprint })?;
-    println!("cleared: {fingerprint}");
+    client.propose(Command::Clear { cause: *cause })?;
+    println!("cleared: {cause}");
     Ok(())
 }
 
-fn print(fingerprint: &Fingerprint, suspect: &Suspect, json: bool) {
+fn print(cause: Cause, entry: &Entry, json: bool) {
     let now = Timestamp::from_system();
-    let left = suspect.until.filter(|u| *u > now).map(|u| (u - now).as_secs());
-    let endpoints: Vec<&str> = suspect.crashes.iter().map(|(e, _)| &**e).collect();
+    let left = match entry.stage {
+        Stage::Refused { until } => Some((until - now).as_secs()),
+        Stage::Probation => None,
+    };
+    let crashes: Vec<String> = entry.crashes.iter().map(ToString::to_string).collect();
     if json {
         let line = json!({
-            "fingerprint": fingerprint.to_string(), "endpoints": endpoints, "refused_s": left,
+            "cause": cause.to_string(),
+            "verdicts": entry.verdicts,
+            "crashes": crashes,
+            "refused_s": left,
         });
         println!("{line}");
         return;
     }
-    let state = left.map_or("suspect".to_string(), |s| format!("refused for {s} s more"));
-    println!("content {fingerprint} {state}, crashed {}", endpoints.join(", "));
+    let state = left.map_or("gets single probes".into(), |s| format!("refused for {s} s more"));
+    println!("{cause} {state}, condemned {} times, crashed {}", entry.verdicts, crashes.join(", "));
 }
--- a/src/cli/tool/status.rs
+++ b/src/cli/tool/status.rs
@@ -44,8 +44,7 @@
             rollout.number, command.pool, command.artifact, command.floor, command.parallel
         );
     }
-    let refused = status.suspects.iter().filter(|(_, s)| s.until.is_some()).count();
-    println!("contents under suspicion {} refused {refused}", status.suspects.len());
+    println!("causes in quarantine {}", status.quarantine.len());
     Ok(())
 }
 
@@ -68,7 +67,7 @@
         "endpoints": status.endpoints,
         "orders": status.orders,
         "rollouts": status.rollouts,
-        "suspects": status.suspects.len(),
+        "quarantine": status.quarantine.len(),
     })
 }
 
--- a/src/control/answers.rs
+++ b/src/control/answers.rs
@@ -4,11 +4,12 @@
 
 use super::config::highest;
 use super::orders::{OrderReport, OrderUpdate};
+use super::quarantine::QuarantineUpdate;
 use super::routing::{self, RoutingSeen, RoutingUpdate};
 use super::{Control, orders};
 use crate::cli::settings::RoleName;
 use crate::link::message::{
-    Beat, Heartbeat, Leadership, OrderStatus, ProcessState, Proof, Status, Suspects, Update,
+    Beat, Heartbeat, Leadership, OrderStatus, ProcessState, Proof, Status, Update,
 };
 use crate::model::{EndpointState, Fence, Revision, Timestamp};
 
@@ -21,7 +22,7 @@
             Some(endpoint) => self.order_update(endpoint, heartbeat.report.as_ref()),
             None => None,
         };
-        let suspects = self.suspects(heartbeat.suspects);
+        let quarantine = self.quarantine_update(heartbeat.quarantine);
         let routing = heartbeat.routing.map(|seen| Box::new(self.routing_update(seen)));
         if let Some(endpoint) = &heartbeat.endpoint {
             self.list_version(now, endpoint);
@@ -36,7 +37,7 @@
             seen: self.registry.seen(),
             endpoints,
             orders,
-            suspects,
+            quarantine,
             routing,
         }
     }
@@ -94,11 +95,12 @@
         Some(OrderUpdate { mark: mark.max(desired.fence), desired: (!known).then_some(desired) })
     }
 
-    pub(super) fn suspects(&self, seen: u64) -> Option<Suspects> {
+    /// Returns the causes in quarantine, if this member knows a newer list than the given version.
+    fn quarantine_update(&self, seen: u64) -> Option<QuarantineUpdate> {
         let quarantine = &self.state.quarantine;
-        let list = || quarantine.suspects().iter().map(|(f, s)| (*f, s.clone())).collect();
-        (seen != quarantine.version())
-            .then(|| Suspects { version: quarantine.version(), list: list() })
+        let version = quarantine.version();
+        let entries = || quarantine.entries().iter().map(|(c, e)| (*c, e.clone())).collect();
+        (version > seen).then(|| QuarantineUpdate { version, entries: entries() })
     }
 
     /// Returns what this member's log proves about the configuration, the routing document and the
@@ -137,7 +139,7 @@
             endpoints: self.registry.endpoints(),
             orders: self.registry.reports().map(|(e, r)| self.order_status(e, r)).collect(),
             rollouts: self.state.orders.rollouts().flat_map(|(_, r)| r.to_vec()).collect(),
-            suspects: self.suspects(0).map_or_else(Vec::new, |s| s.list),
+            quarantine: self.quarantine_update(0).unwrap_or_default().entries,
         }
     }
 
--- a/src/control/commit.rs
+++ b/src/control/commit.rs
@@ -147,6 +147,12 @@
                 deregistration.boot
             );
         }
+        Command::Condemn { verdict, .. } => {
+            let crashes = verdict.crashes.len();
+            log::warn!("step=condemn cause={} crashes={crashes}", verdict.cause);
+        }
+        Command::AllowProbes { cause } => log::info!("step=allow-probes cause={cause}"),
+        Command::Clear { cause } => log::info!("step=clear cause={cause}"),
         _ => {}
     }
     if let (Command::Change(change), Applied::Changed(reply)) = (command, applied) {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -23,6 +23,7 @@
 use dispatch::rooms::Rooms;
 use origins::Origins;
 use peers::Peers;
+use quarantine::Bench;
 use replica::{Entry, LogIndex, Replica, ReplicaInput, ReplicaSettings, Snapshot, Stored, WriteId};
 use state::{Applied, ChangeReply, Command, State};
 
@@ -104,6 +105,7 @@
     prompts: Prompts,
     rooms: Rooms,
     origins: Origins,
+    bench: Bench,
     proposals: BTreeMap<LogIndex, Proposal>,
     failed: bool,
     stopping: Option<Timestamp>,
@@ -129,6 +131,7 @@
             prompts: Prompts::default(),
             rooms: Rooms::default(),
             origins: Origins::default(),
+            bench: Bench::default(),
             proposals: BTreeMap::new(),
             failed: false,
             stopping: None,
@@ -169,6 +172,7 @@
             ControlRequest::Propose(command) => self.propose(now, inbound, command.stamped(now)),
             ControlRequest::Announce(endpoint) => {
                 self.list_version(now, &endpoint);
+                self.endpoint_alive(now, &endpoint);
                 self.registry.announce(now, *endpoint, self.revised);
                 vec![self.reply(inbound, ControlReply::Announced)]
             }
@@ -209,6 +213,11 @@
                 let status = Box::new(self.status(now));
                 vec![self.reply(inbound, ControlReply::Status(status))]
             }
+            ControlRequest::ReportEvidence(list) => self.record_evidence(now, inbound, list),
+            ControlRequest::RequestProbe(cause) => {
+                let granted = self.grant_probe(now, cause);
+                vec![self.reply(inbound, ControlReply::ProbeGranted { cause, granted })]
+            }
             ControlRequest::RecordOrigins(origins) => self.record_origins(now, inbound, origins),
             ControlRequest::FindOrigin { call, service } => {
                 let found = self.find_origin(now, call.as_deref(), &service);
@@ -302,7 +311,10 @@
                 let (processes, endpoints) = self.registry.counts();
                 let mut outputs = self.replica_step(now, ReplicaInput::Wake);
                 outputs.extend(self.plan(now));
+                outputs.extend(self.judge(now));
                 outputs.push(Output::Observe(Observation::Registry { processes, endpoints }));
+                let causes = self.state.quarantine.entries().len();
+                outputs.push(Output::Observe(Observation::Quarantine { causes }));
                 outputs
             }
             Input::Shutdown => {
--- /dev/null
+++ b/src/control/quarantine/blame.rs
@@ -0,0 +1,279 @@
+//! Finds the cause that crashes of endpoints have in common.
+//!
+//! A crash takes a whole batch of runs with it, of which one is guilty, and each process sees only
+//! its own part of the batch. So all processes report their broken runs, and those of one start of
+//! an endpoint are put together. A cause is suspected of a crash if it was in a run that had just
+//! begun; one whose run goes on for [`SURVIVAL_TIME`](super::SURVIVAL_TIME), anywhere, is cleared of
+//! all crashes so far. Endpoints crash for other reasons, too: each cause must explain more crashes
+//! the more crashes there are that it does not explain.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::cause::Cause;
+use super::crash::{Crash, Start};
+use super::tally::Tally;
+use crate::model::Timestamp;
+
+/// How many crashes a part must explain if another part explains all of them as well.
+const TIED_CRASHES: usize = 5;
+/// How long a run that went on counts as shortly before.
+const KNOWN_TTL: Duration = Duration::from_secs(60);
+/// The maximum number of causes that are known to have gone on.
+const MAX_KNOWN: usize = 4_096;
+/// How many parts that explain about equally many crashes do so by chance.
+const CROWD: usize = 4;
+/// By how many crashes they may differ.
+const CROWD_MARGIN: usize = 2;
+/// How long a crash is kept as evidence.
+const EVIDENCE_TTL: Duration = Duration::from_secs(600);
+/// The maximum number of crashes that are kept; the oldest ones are dropped first.
+const MAX_CRASHES: usize = 256;
+/// The maximum number of runs that are kept of one crash.
+const MAX_RUNS: usize = 128;
+/// How many announcements after a crash show that the start goes on; a few may have been delayed.
+const ALIVE_ANNOUNCEMENTS: u32 = 3;
+/// What an endpoint says of itself so soon after a crash may have been delayed on its way.
+const STALE_TIME: Duration = Duration::from_millis(500);
+
+/// The end of one start of an endpoint, as far as known.
+#[derive(Debug)]
+struct Recorded {
+    start: Start,
+    at: Timestamp,
+    /// The causes of each run that had just begun.
+    runs: Vec<Vec<Cause>>,
+    /// Causes that were cleared since.
+    cleared: BTreeSet<Cause>,
+    /// How often the start has announced itself after the crash, and the last sequence number.
+    heard: (u32, u64),
+}
+
+impl Recorded {
+    /// Returns the condemned causes among its runs.
+    fn guilty(&self, condemned: &BTreeSet<Cause>) -> impl Iterator<Item = &Cause> {
+        self.runs.iter().flatten().filter(|cause| condemned.contains(cause))
+    }
+
+    fn is_explained(&self, condemned: &BTreeSet<Cause>) -> bool {
+        self.guilty(condemned).next().is_some()
+    }
+}
+
+/// A cause that has crashed endpoints, with the starts that ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Verdict {
+    /// The cause.
+    pub cause: Cause,
+    /// The starts of endpoints that it crashed.
+    pub crashes: Vec<Start>,
+}
+
+/// The crashes of endpoints, and the causes that are suspected of each.
+///
+/// ```
+/// use std::collections::BTreeSet;
+/// use std::time::Duration;
+/// use dotterelpin::control::quarantine::{Blame, BrokenRun, Cause, Crash, Fingerprint, Start};
+/// use dotterelpin::model::{BootId, Timestamp};
+///
+/// let part = Cause::Part(Fingerprint::of("cs-summary", b"5c1e07a2"));
+/// let second = |n: u64| Timestamp::from_micros(n * 1_000_000);
+/// let mut blame = Blame::default();
+/// for boot in 0..4 {
+///     assert_eq!(blame.verdict(second(boot), &BTreeSet::new()), None);
+///     let start = Start { endpoint: "decode-1".into(), boot: BootId(boot) };
+///     let run = BrokenRun { causes: vec![part], wrote: Duration::ZERO };
+///     blame.crashed(second(boot), &Crash { start, runs: vec![run], known: vec![] });
+/// }
+/// assert_eq!(blame.verdict(second(3), &BTreeSet::new()).unwrap().cause, part);
+/// ```
+#[derive(Debug, Default)]
+pub struct Blame {
+    crashes: VecDeque<Recorded>,
+    /// The parts whose runs have gone on, and when.
+    known: BTreeMap<Cause, Timestamp>,
+}
+
+impl Blame {
+    /// Records the part of a crash that one process has seen.
+    pub fn crashed(&mut self, now: Timestamp, crash: &Crash) {
+        self.expire(now);
+        let at = self.position(now, &crash.start);
+        let survivors = crash.runs.iter().filter(|r| r.has_survived());
+        let survivors: Vec<Cause> = survivors.flat_map(|r| r.causes.iter().copied()).collect();
+        self.learn(now, &crash.known);
+        let Some(recorded) = self.crashes.get_mut(at) else { return };
+        for run in crash.runs.iter().filter(|r| !r.has_survived()) {
+            let cleared = &recorded.cleared;
+            let suspected = run.causes.iter().filter(|c| !cleared.contains(c)).copied();
+            let causes: Vec<Cause> = suspected.collect();
+            if recorded.runs.len() < MAX_RUNS && !recorded.runs.contains(&causes) {
+                recorded.runs.push(causes);
+            }
+        }
+        self.survived(now, &survivors);
+    }
+
+    /// Clears causes whose runs have gone on of all crashes so far.
+    pub fn survived(&mut self, now: Timestamp, causes: &[Cause]) {
+        self.learn(now, causes);
+        for crash in &mut self.crashes {
+            for run in &mut crash.runs {
+                run.retain(|cause| !causes.contains(cause));
+            }
+            crash.runs.retain(|run| !run.is_empty());
+            crash.cleared.extend(causes);
+        }
+    }
+
+    /// Records that a start of an endpoint has announced itself, with a sequence number that increases.
+    /// Once it has done so often enough after a crash, it has not crashed.
+    pub fn heard(&mut self, now: Timestamp, start: &Start, sequence: u64) {
+        let Some(at) = self.crashes.iter().position(|c| c.start == *start) else { return };
+        let Some(crash) = self.crashes.get_mut(at) else { return };
+        if now < crash.at + STALE_TIME {
+            return;
+        }
+        let (count, last) = crash.heard;
+        if count == 0 || sequence > last {
+            crash.heard = (count + 1, sequence);
+        }
+        if crash.heard.0 >= ALIVE_ANNOUNCEMENTS {
+            self.crashes.remove(at);
+        }
+    }
+
+    /// Returns the number of crashes that are kept.
+    pub fn count(&self) -> usize {
+        self.crashes.len()
+    }
+
+    /// Returns the cause to be condemned next, if the crashes that none of the condemned causes
+    /// explains suffice for one.
+    pub fn verdict(&self, now: Timestamp, condemned: &BTreeSet<Cause>) -> Option<Verdict> {
+        let tallies = self.tallies(now, condemned);
+        let crashes = self.crashes.iter().enumerate().filter(|(_, c)| !c.is_explained(condemned));
+        let unexplained = crashes.map(|(at, c)| (at, c.at)).collect();
+        let suffices = |cause: &Cause, tally: &Tally| {
+            !condemned.contains(cause) && tally.suffices(now, *cause, &unexplained)
+        };
+        let mut suspects: Vec<(&Cause, &Tally)> =
+            tallies.iter().filter(|(cause, tally)| suffices(cause, tally)).collect();
+        suspects.sort_by_key(|(cause, tally)| tally.rank(**cause));
+        let decided = |(cause, tally): &&(&Cause, &Tally)| {
+            matches!(cause, Cause::Content(_))
+                || !is_crowded(&tallies, tally)
+                    && (tally.unexplained.len() >= TIED_CRASHES
+                        || !has_rival(&tallies, **cause, tally))
+        };
+        let (cause, _) = suspects.iter().find(decided)?;
+        let explains = |c: &&Recorded| c.runs.iter().any(|run| run.contains(cause));
+        let crashes = self.crashes.iter().filter(explains).map(|c| c.start.clone());
+        Some(Verdict { cause: **cause, crashes: crashes.collect() })
+    }
+
+    /// Returns the position of a crash, which is added if it is new.
+    fn position(&mut self, now: Timestamp, start: &Start) -> usize {
+        if let Some(at) = self.crashes.iter().position(|c| c.start == *start) {
+            return at;
+        }
+        let (runs, cleared) = (Vec::new(), BTreeSet::new());
+        let start = start.clone();
+        self.crashes.push_back(Recorded { start, at: now, runs, cleared, heard: (0, 0) });
+        if self.crashes.len() > MAX_CRASHES {
+            self.crashes.pop_front();
+        }
+        self.crashes.len() - 1
+    }
+
+    fn expire(&mut self, now: Timestamp) {
+        self.crashes.retain(|c| now - c.at < EVIDENCE_TTL);
+    }
+
+    /// Records parts whose runs have gone on.
+    fn learn(&mut self, now: Timestamp, causes: &[Cause]) {
+        let parts = causes.iter().filter(|c| matches!(c, Cause::Part(_)));
+        self.known.extend(parts.map(|part| (*part, now)));
+        if self.known.len() > MAX_KNOWN {
+            self.known.retain(|_, at| now - *at < KNOWN_TTL);
+        }
+        while self.known.len() > MAX_KNOWN {
+            self.known.pop_first();
+        }
+    }
+
+    /// Returns whether later parts of its runs explain most of the crashes that a cause explains, each
+    /// of them several crashes.
+    fn is_covered(&self, tallies: &BTreeMap<Cause, Tally>, cause: Cause, tally: &Tally) -> bool {
+        let repeats = |c: &Cause| {
+            matches!(c, Cause::Part(_)) && tallies.get(c).is_some_and(|t| t.unexplained.len() > 1)
+        };
+        let covers = |run: &Vec<Cause>| {
+            let after = run.iter().skip_while(|c| **c != cause).skip(1);
+            after.into_iter().any(repeats)
+        };
+        let crashes = tally.unexplained.iter().filter_map(|at| self.crashes.get(*at));
+        let covered = crashes.filter(|crash| crash.runs.iter().any(covers)).count();
+        covered * 2 > tally.unexplained.len()
+    }
+
+    fn tallies(&self, now: Timestamp, condemned: &BTreeSet<Cause>) -> BTreeMap<Cause, Tally> {
+        let mut tallies: BTreeMap<Cause, Tally> = BTreeMap::new();
+        for (at, crash) in self.crashes.iter().enumerate() {
+            let explained = crash.is_explained(condemned);
+            let by_part = crash.guilty(condemned).any(|c| matches!(c, Cause::Part(_)));
+            let causes: BTreeSet<Cause> = crash.runs.iter().flatten().copied().collect();
+            for cause in causes {
+                let known = self.known.get(&cause).is_some_and(|at| now - *at < KNOWN_TTL);
+                let fresh = || Tally { first: crash.at, sound: known, ..Tally::default() };
+                let tally = tallies.entry(cause).or_insert_with(fresh);
+                tally.all += 1;
+                tally.by_content += usize::from(!by_part);
+                if !explained {
+                    tally.unexplained.insert(at);
+                }
+            }
+            for run in &crash.runs {
+                for (place, cause) in run.iter().enumerate() {
+                    let tally = tallies.entry(*cause).or_default();
+                    tally.runs += 1;
+                    tally.contents.extend(run.iter().filter(|c| matches!(c, Cause::Content(_))));
+                    tally.place = tally.place.max(place);
+                }
+            }
+        }
+        let likely = |(cause, tally): (&Cause, &Tally)| {
+            let sound = tally.is_shared() || self.is_covered(&tallies, *cause, tally);
+            sound.then_some(*cause)
+        };
+        let sound: Vec<Cause> = tallies.iter().filter_map(likely).collect();
+        for cause in sound {
+            if let Some(tally) = tallies.get_mut(&cause) {
+                tally.sound = true;
+            }
+        }
+        tallies
+    }
+}
+
+/// Returns whether so many parts explain about as many crashes as one does that all of them may do so
+/// by chance, as when each endpoint crashes soon after its start.
+fn is_crowded(tallies: &BTreeMap<Cause, Tally>, tally: &Tally) -> bool {
+    let close =
+        |t: &Tally| !t.sound && t.unexplained.len() + CROWD_MARGIN >= tally.unexplained.len();
+    let parts = tallies.iter().filter(|(cause, _)| matches!(cause, Cause::Part(_)));
+    parts.filter(|(_, t)| close(t)).count() >= CROWD
+}
+
+/// Returns whether another part that may be guilty explains all that a cause explains.
+fn has_rival(tallies: &BTreeMap<Cause, Tally>, cause: Cause, tally: &Tally) -> bool {
+    tallies.iter().any(|(other, t)| {
+        *other != cause
+            && matches!(other, Cause::Part(_))
+            && !t.sound
+            && t.unexplained.is_superset(&tally.unexplained)
+    })
+}
--- a/src/control/quarantine/crash.rs
+++ b/src/control/quarantine/crash.rs
@@ -10,7 +10,7 @@
 
 /// How long a run has to write its answer to show that its causes don't crash endpoints: those that
 /// do crash an endpoint as soon as it begins to write.
-pub const SURVIVAL_TIME: Duration = Duration::from_millis(500);
+pub const SURVIVAL_TIME: Duration = Duration::from_millis(250);
 
 /// One start of an endpoint, which ends once at most.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -59,4 +59,6 @@
     pub start: Start,
     /// The runs that ended with it.
     pub runs: Vec<BrokenRun>,
+    /// Parts among their causes whose runs have gone on shortly before.
+    pub known: Vec<Cause>,
 }
--- a/src/control/quarantine/mod.rs
+++ b/src/control/quarantine/mod.rs
@@ -1,83 +1,141 @@
-//! Quarantine: refuses contents that were in flight when endpoints crashed.
+//! Quarantine: refuses calls that hold what has crashed endpoints.
+//!
+//! Processes report the runs that ended with their endpoints, and runs that went on, to all control
+//! members. Each member keeps that evidence as soft state in a [`Blame`]; the leader commits a verdict
+//! to the log, so that it outlasts restarts and new leaders, and heartbeats bring it to all processes.
+//! After [`Setting::QuarantineDuration`](super::config::Setting::QuarantineDuration) a condemned
+//! cause gets single probes until one of them clears it or condemns it again.
 
+mod blame;
 mod cause;
 mod crash;
+mod tally;
+mod verdicts;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+pub use blame::{Blame, Verdict};
 pub use cause::{Cause, Fingerprint};
 pub use crash::{BrokenRun, Crash, SURVIVAL_TIME, Start};
+pub(super) use verdicts::Bench;
 
 use crate::model::Timestamp;
 
-/// The number of crashes after which a content is refused.
-const CRASHES_TO_QUARANTINE: usize = 2;
+/// The maximum number of causes in quarantine; the oldest one makes room for a new one.
+const MAX_ENTRIES: usize = 1_024;
+/// The maximum number of crashes that are kept of one cause, for operators.
+const MAX_CRASHES: usize = 16;
+/// The maximum of the factor by which each further verdict extends the duration.
+const MAX_FACTOR: u32 = 16;
 
-/// A crash of an endpoint, as its agent observed it.
+/// What a process has seen that speaks for or against a cause.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ContentCrash {
-    /// The name of the endpoint.
-    pub endpoint: Box<str>,
-    /// The time by the agent's clock; together with the endpoint it identifies the crash.
-    pub at: Timestamp,
-    /// The fingerprints of the contents that were in flight.
-    pub in_flight: Vec<Fingerprint>,
-    /// How long a content is refused that was in flight at two crashes.
-    pub duration: Duration,
+pub enum Evidence {
+    /// An endpoint has crashed under runs of the process.
+    Crashed(Crash),
+    /// Runs with these causes went on.
+    Survived(Vec<Cause>),
 }
 
-/// A content that was in flight at one or more crashes.
+/// How calls with a condemned cause are treated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Stage {
+    /// All are refused, until this time by the leader's clock.
+    Refused {
+        /// The end of the stage.
+        until: Timestamp,
+    },
+    /// The leader allows one at a time, as a probe.
+    Probation,
+}
+
+/// A cause in quarantine.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Suspect {
-    /// The endpoints that crashed while it was in flight, and when.
-    pub crashes: Vec<(Box<str>, Timestamp)>,
-    /// When the quarantine ends; `None` while the content is not quarantined.
-    pub until: Option<Timestamp>,
+pub struct Entry {
+    /// When it was condemned last, by the leader's clock.
+    pub since: Timestamp,
+    /// How often it was condemned.
+    pub verdicts: u32,
+    /// The last starts of endpoints that it has crashed.
+    pub crashes: Vec<Start>,
+    /// How calls with it are treated.
+    pub stage: Stage,
 }
 
-/// All suspect contents.
+/// All causes in quarantine, which every replica derives from the log.
+///
+/// ```
+/// use std::time::Duration;
+/// use dotterelpin::control::quarantine::{Cause, Fingerprint, Quarantine, Stage, Verdict};
+/// use dotterelpin::model::Timestamp;
+///
+/// let cause = Cause::Part(Fingerprint::of("cs-summary", b"5c1e07a2"));
+/// let mut quarantine = Quarantine::default();
+/// let verdict = Verdict { cause, crashes: vec![] };
+/// quarantine.condemn(Timestamp::from_micros(1), &verdict, Duration::from_secs(60));
+/// quarantine.allow_probes(cause);
+/// assert_eq!(quarantine.entries()[&cause].stage, Stage::Probation);
+/// quarantine.clear(cause);
+/// assert!(quarantine.entries().is_empty());
+/// ```
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Quarantine {
-    suspects: BTreeMap<Fingerprint, Suspect>,
+    entries: BTreeMap<Cause, Entry>,
     version: u64,
 }
 
 impl Quarantine {
-    /// Returns all suspect contents by their fingerprint.
-    pub fn suspects(&self) -> &BTreeMap<Fingerprint, Suspect> {
-        &self.suspects
+    /// Returns the causes in quarantine.
+    pub fn entries(&self) -> &BTreeMap<Cause, Entry> {
+        &self.entries
     }
 
-    /// Returns a number that increases with every change of the suspects.
+    /// Returns a number that increases with each change, equally at all members.
     pub fn version(&self) -> u64 {
         self.version
     }
 
-    /// Records a crash. The contents in flight become suspects; those that were in flight at
-    /// another crash before are quarantined.
-    pub fn crash(&mut self, crash: &ContentCrash) {
-        let mark = (crash.endpoint.clone(), crash.at);
-        for fingerprint in &crash.in_flight {
-            let fresh = || Suspect { crashes: Vec::new(), until: None };
-            let suspect = self.suspects.entry(*fingerprint).or_insert_with(fresh);
-            if suspect.crashes.contains(&mark) {
-                continue;
-            }
-            suspect.crashes.push(mark.clone());
-            if suspect.crashes.len() >= CRASHES_TO_QUARANTINE {
-                suspect.until = Some(crash.at + crash.duration);
-            }
+    /// Condemns a cause for a duration, which doubles with each further verdict on it.
+    pub fn condemn(&mut self, now: Timestamp, verdict: &Verdict, duration: Duration) {
+        let earlier = self.entries.get(&verdict.cause);
+        let verdicts = earlier.map_or(1, |e| e.verdicts.saturating_add(1));
+        let factor = 2u32.saturating_pow(verdicts - 1).min(MAX_FACTOR);
+        let stage = Stage::Refused { until: now + duration * factor };
+        let known = earlier.map_or(&[][..], |e| &e.crashes);
+        let mut crashes: Vec<Start> = known.iter().chain(&verdict.crashes).cloned().collect();
+        crashes.drain(..crashes.len().saturating_sub(MAX_CRASHES));
+        self.entries.insert(verdict.cause, Entry { since: now, verdicts, crashes, stage });
+        if self.entries.len() > MAX_ENTRIES {
+            let oldest = self.entries.iter().min_by_key(|(_, e)| e.since).map(|(cause, _)| *cause);
+            oldest.and_then(|cause| self.entries.remove(&cause));
+        }
+        self.version += 1;
+    }
+
+    /// Allows probes of a cause.
+    pub fn allow_probes(&mut self, cause: Cause) {
+        if let Some(entry) = self.entries.get_mut(&cause) {
+            entry.stage = Stage::Probation;
             self.version += 1;
         }
     }
 
-    /// Removes a content from the suspects, because it has finished or an operator clears it.
-    pub fn clear(&mut self, fingerprint: Fingerprint) {
-        if self.suspects.remove(&fingerprint).is_some() {
+    /// Ends the quarantine of a cause, because a run with it went on or an operator clears it.
+    pub fn clear(&mut self, cause: Cause) {
+        if self.entries.remove(&cause).is_some() {
             self.version += 1;
         }
     }
 }
+
+/// The causes in quarantine, as a member sends them to a process.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct QuarantineUpdate {
+    /// The version of the list.
+    pub version: u64,
+    /// The causes.
+    pub entries: Vec<(Cause, Entry)>,
+}
--- /dev/null
+++ b/src/control/quarantine/verdicts.rs
@@ -0,0 +1,156 @@
+//! The leader's part in the quarantine: it judges by the evidence and grants probes.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::{Blame, Cause, Crash, Evidence, Quarantine, Stage, Start, Verdict};
+use crate::control::state::Command;
+use crate::control::{Control, Outputs};
+use crate::link::message::ControlReply;
+use crate::model::{EndpointState, InboundId, Timestamp};
+
+/// How long after new evidence the leader goes on judging by it: a part is condemned at the earliest
+/// some time after its first crash.
+const JUDGE_TIME: Duration = Duration::from_millis(4_000);
+/// How long a probe may take; then another one may be granted.
+const PROBE_TTL: Duration = Duration::from_millis(20_000);
+
+/// The evidence of one member, and the probes that it has granted as the leader.
+#[derive(Debug, Default)]
+pub struct Bench {
+    blame: Blame,
+    judge_until: Timestamp,
+    /// When the last probe of each cause was granted.
+    probes: BTreeMap<Cause, Timestamp>,
+}
+
+impl Bench {
+    fn record(&mut self, now: Timestamp, evidence: &Evidence) {
+        match evidence {
+            Evidence::Crashed(crash) => {
+                self.blame.crashed(now, crash);
+                self.judge_until = now + JUDGE_TIME;
+            }
+            Evidence::Survived(causes) => self.blame.survived(now, causes),
+        }
+    }
+
+    /// Returns the causes of a crash whose probe may have caused it.
+    fn failed_probes(&self, now: Timestamp, crash: &Crash) -> Vec<Cause> {
+        let runs = crash.runs.iter().filter(|r| !r.has_survived());
+        let causes: BTreeSet<Cause> = runs.flat_map(|r| r.causes.iter().copied()).collect();
+        causes.into_iter().filter(|cause| self.is_probed(now, *cause)).collect()
+    }
+
+    fn is_probed(&self, now: Timestamp, cause: Cause) -> bool {
+        self.probes.get(&cause).is_some_and(|at| now - *at < PROBE_TTL)
+    }
+}
+
+impl Control {
+    /// Records what a process has seen, and judges by it if this member leads.
+    pub(in crate::control) fn record_evidence(
+        &mut self,
+        now: Timestamp,
+        inbound: InboundId,
+        list: Vec<Evidence>,
+    ) -> Outputs {
+        let mut outputs = vec![self.reply(inbound, ControlReply::EvidenceRecorded)];
+        for evidence in list {
+            log::debug!("step=evidence evidence={evidence:?}");
+            self.bench.record(now, &evidence);
+            outputs.extend(self.conclude_probes(now, &evidence));
+        }
+        outputs.extend(self.judge(now));
+        outputs
+    }
+
+    /// Records that a start of an endpoint announces itself.
+    pub(in crate::control) fn endpoint_alive(&mut self, now: Timestamp, endpoint: &EndpointState) {
+        if self.bench.blame.count() > 0 {
+            let start = Start { endpoint: endpoint.name.clone(), boot: endpoint.boot };
+            self.bench.blame.heard(now, &start, endpoint.sequence);
+        }
+    }
+
+    /// Proposes what the evidence says about causes that are in quarantine already.
+    fn conclude_probes(&mut self, now: Timestamp, evidence: &Evidence) -> Outputs {
+        let commands: Vec<Command> = match evidence {
+            Evidence::Survived(causes) => {
+                let held =
+                    causes.iter().filter(|c| self.state.quarantine.entries().contains_key(c));
+                held.map(|cause| Command::Clear { cause: *cause }).collect()
+            }
+            Evidence::Crashed(crash) => {
+                let failed = self.bench.failed_probes(now, crash);
+                let verdict = |cause| Verdict { cause, crashes: vec![crash.start.clone()] };
+                failed
+                    .into_iter()
+                    .map(|c| Command::Condemn { verdict: verdict(c), at: now })
+                    .collect()
+            }
+        };
+        commands.into_iter().flat_map(|command| self.propose_own(now, command)).collect()
+    }
+
+    /// As the leader, condemns causes by the evidence, and allows probes of those whose time is over.
+    pub(in crate::control) fn judge(&mut self, now: Timestamp) -> Outputs {
+        if self.failed || !self.replica.is_leader() || self.stopping.is_some() {
+            return Vec::new();
+        }
+        let mut outputs = Vec::new();
+        if now < self.bench.judge_until {
+            let mut condemned = self.condemned();
+            while let Some(verdict) = self.bench.blame.verdict(now, &condemned) {
+                condemned.insert(verdict.cause);
+                let at = now;
+                outputs.extend(self.propose_own(now, Command::Condemn { verdict, at }));
+            }
+        }
+        for cause in due_releases(&self.state.quarantine, now) {
+            outputs.extend(self.propose_own(now, Command::AllowProbes { cause }));
+        }
+        outputs
+    }
+
+    /// Returns all causes that are condemned, also those whose verdict is not committed yet.
+    fn condemned(&self) -> BTreeSet<Cause> {
+        let pending = self.replica.unapplied().filter_map(|r| match &r.command {
+            Command::Condemn { verdict, .. } => Some(verdict.cause),
+            _ => None,
+        });
+        self.state.quarantine.entries().keys().copied().chain(pending).collect()
+    }
+
+    /// Proposes a command of this member's own as the leader, unless the same is pending.
+    fn propose_own(&mut self, now: Timestamp, command: Command) -> Outputs {
+        if !self.replica.is_leader() || self.replica.unapplied().any(|r| r.command == command) {
+            return Vec::new();
+        }
+        match self.replica.propose(now, command) {
+            Ok((_, actions)) => self.execute(actions),
+            Err(_) => Vec::new(),
+        }
+    }
+
+    /// Returns whether a process may send one call with a cause in probation, as a probe.
+    pub(in crate::control) fn grant_probe(&mut self, now: Timestamp, cause: Cause) -> bool {
+        let entry = self.state.quarantine.entries().get(&cause);
+        let on_probation = entry.is_some_and(|e| e.stage == Stage::Probation);
+        // An earlier leader may have granted one.
+        let settled = self.replica.leads_since().is_some_and(|(_, since)| now >= since + PROBE_TTL);
+        let granted = on_probation && settled && !self.bench.is_probed(now, cause);
+        if granted {
+            self.bench.probes.insert(cause, now);
+        }
+        log::info!("step=probe cause={cause} granted={granted}");
+        granted
+    }
+}
+
+/// Returns the refused causes whose time is over.
+fn due_releases(quarantine: &Quarantine, now: Timestamp) -> Vec<Cause> {
+    let due = |stage: Stage| matches!(stage, Stage::Refused { until } if until <= now);
+    let entries = quarantine.entries().iter().filter(|(_, e)| due(e.stage));
+    entries.map(|(cause, _)| *cause).collect()
+}
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -9,7 +9,7 @@
 use super::config::{Change, Changes, Config, Setting};
 use super::orders::rollout::{RolloutCommand, StepCommand};
 use super::orders::{OrderCommand, OrderReply, Orders};
-use super::quarantine::{ContentCrash, Fingerprint, Quarantine};
+use super::quarantine::{Cause, Quarantine, Verdict};
 use super::replica::{LogIndex, Members};
 use super::routing::{Deregistration, Document, Routing};
 use crate::model::{Fence, RequestId, Revision, Timestamp};
@@ -67,12 +67,22 @@
     ReadDocument,
     /// Deregister an endpoint that shuts down.
     Deregister(Deregistration),
-    /// Record the crash of an endpoint, as its agent observed it.
-    Crash(ContentCrash),
-    /// Remove a suspect content, because it has finished or an operator clears it.
+    /// Put a cause into quarantine; only the leader proposes it.
+    Condemn {
+        /// The cause and what it has crashed.
+        verdict: Verdict,
+        /// The time by the leader's clock.
+        at: Timestamp,
+    },
+    /// Allow probes of a cause in quarantine; only the leader proposes it.
+    AllowProbes {
+        /// The cause.
+        cause: Cause,
+    },
+    /// End the quarantine of a cause, because a run with it went on or an operator clears it.
     Clear {
-        /// The fingerprint of the content.
-        fingerprint: Fingerprint,
+        /// The cause.
+        cause: Cause,
     },
 }
 
@@ -131,7 +141,7 @@
     pub claims: Claims,
     /// The orders to endpoints, and the rollouts.
     pub orders: Orders,
-    /// The suspect contents.
+    /// What has crashed endpoints.
     pub quarantine: Quarantine,
     /// The routing document and the deregistered endpoints.
     pub routing: Routing,
@@ -182,12 +192,17 @@
                 self.routing.deregister(index, deregistration);
                 Applied::Done
             }
-            Command::Crash(crash) => {
-                self.quarantine.crash(crash);
+            Command::Condemn { verdict, at } => {
+                let seconds = self.config.default_value(Setting::QuarantineDuration);
+                self.quarantine.condemn(*at, verdict, Duration::from_secs(seconds));
+                Applied::Done
+            }
+            Command::AllowProbes { cause } => {
+                self.quarantine.allow_probes(*cause);
                 Applied::Done
             }
-            Command::Clear { fingerprint } => {
-                self.quarantine.clear(*fingerprint);
+            Command::Clear { cause } => {
+                self.quarantine.clear(*cause);
                 Applied::Done
             }
         }
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -23,6 +23,8 @@
 const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// The retry time for callers whose service had no endpoint for them.
 const CAPACITY_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// The retry time for callers whose calls hold what has crashed endpoints.
+const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
 /// The maximum size of an answer that is buffered until it is complete.
 const MAX_CONTENT_BYTES: usize = 8 << 20;
 /// The maximum size of an answer to a side request.
@@ -71,6 +73,10 @@
     refusal(503, text, Some(CAPACITY_RETRY_AFTER))
 }
 
+pub(super) fn quarantined() -> RefusalInfo {
+    refusal(503, "not run: calls like this one crash endpoints", Some(QUARANTINE_RETRY_AFTER))
+}
+
 pub(super) fn busy(retry_after: Duration) -> RefusalInfo {
     refusal(503, "not run: all endpoints are busy", Some(retry_after))
 }
@@ -332,6 +338,7 @@
         if begins {
             self.record_origin(now, caller);
         }
+        self.note_survival(now, caller);
     }
 
     /// Handles the end of an endpoint's answer.
@@ -416,6 +423,7 @@
     fn finish_complete(&mut self, now: Timestamp, caller: CallerId, answer: CompleteAnswer) {
         let Some(mut call) = self.remove(caller) else { return };
         self.attempt_succeeded(now, &mut call);
+        self.report_survival(now, &self.survivors(&call));
         call.delivered.first = Some(now);
         self.send_complete(caller, &call, &answer);
         self.log_end(now, &call, "answered", answer.head.status, None);
@@ -443,6 +451,7 @@
         }
         let Some(mut call) = self.remove(caller) else { return };
         self.attempt_succeeded(now, &mut call);
+        self.report_survival(now, &self.survivors(&call));
         let keep = self.keeps_alive(&call.request);
         let mut bytes = Vec::new();
         write::last_chunk(&mut bytes);
--- a/src/gateway/assign.rs
+++ b/src/gateway/assign.rs
@@ -190,10 +190,20 @@
     ) -> ExchangeId {
         self.exchanges += 1;
         let exchange = ExchangeId(self.exchanges);
+        self.open_to_control(exchange, peer, request);
+        exchange
+    }
+
+    /// Sends a request to a control member on a new exchange.
+    pub(super) fn open_to_control(
+        &mut self,
+        exchange: ExchangeId,
+        peer: SocketAddr,
+        request: ControlRequest,
+    ) {
         let body = link::Request::Control(request);
         let envelope = Envelope { revised: Revised::default(), body };
         self.outputs.push(Output::Open { exchange, peer, envelope });
-        exchange
     }
 
     /// Handles a reply of control, except replies to heartbeats.
@@ -203,6 +213,13 @@
         exchange: ExchangeId,
         reply: &ControlReply,
     ) {
+        if self.outbox.acknowledged(exchange) {
+            return;
+        }
+        if let ControlReply::ProbeGranted { granted, .. } = reply {
+            self.probe_answered(now, exchange, *granted);
+            return;
+        }
         let Some(caller) = self.leader_requests.remove(&exchange) else { return };
         if let ControlReply::OriginFound { software, only } = reply {
             self.origin_answered(now, caller, exchange, software.clone(), only.clone());
@@ -263,6 +280,9 @@
 
     /// Handles the end of an exchange with control, except those of heartbeats.
     pub(super) fn control_closed(&mut self, now: Timestamp, exchange: ExchangeId) {
+        if self.outbox.failed(now, exchange) || self.probe_answered(now, exchange, false) {
+            return;
+        }
         if let Some(caller) = self.leader_requests.get(&exchange).copied() {
             let call = self.calls.get(&caller);
             if call.is_some_and(|c| matches!(c.stage, Stage::Origin(_))) {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -38,6 +38,8 @@
     pub content: Vec<u8>,
     /// When its first event was received.
     pub first_event: Option<Timestamp>,
+    /// Whether it is recorded that it goes on.
+    pub survived: bool,
     /// Until when its silence is tolerated although it exceeds the timeout, because no other attempt
     /// could follow.
     pub kept_until: Timestamp,
@@ -65,6 +67,7 @@
             head: None,
             content: Vec::new(),
             first_event: None,
+            survived: false,
             kept_until: since,
         }
     }
@@ -211,6 +214,8 @@
     /// Whether it runs at its decode endpoint without a prefill endpoint, since no attempt is left
     /// for both, or no credit.
     pub skips_prefill: bool,
+    /// Whether it is a probe of what is in quarantine.
+    pub probe: bool,
     /// Whether any request of it was sent to an endpoint.
     pub sent: bool,
     /// Whether its next request to an endpoint is the run that follows its first answered prefill.
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -26,6 +26,8 @@
     since: Timestamp,
     service: Box<str>,
     runs: Vec<BrokenRun>,
+    /// Whether the start has sent something since its last run broke.
+    heard: bool,
 }
 
 /// The starts of endpoints that may have crashed a moment ago.
@@ -37,19 +39,21 @@
 impl Crashes {
     /// Records a run that broke because its connection ended.
     pub fn broke(&mut self, now: Timestamp, start: Start, service: &str, run: BrokenRun) {
-        let new = || Broken { since: now, service: service.into(), runs: Vec::new() };
+        let (runs, heard) = (Vec::new(), false);
+        let new = || Broken { since: now, service: service.into(), runs, heard };
         let broken = self.open.entry(start).or_insert_with(new);
+        // What was heard before was still on its way when the endpoint crashed.
+        broken.heard = false;
         if broken.runs.len() < MAX_RUNS {
             broken.runs.push(run);
         }
     }
 
-    /// Records that a start of an endpoint has sent something: if that was after its runs broke, it
-    /// has not crashed.
+    /// Records that a start of an endpoint has sent something: if that was after its last run broke,
+    /// it has not crashed.
     pub fn heard(&mut self, now: Timestamp, start: &Start) {
-        let broken = self.open.get(start);
-        if broken.is_some_and(|b| now > b.since + DELIVERY_TIME) {
-            self.open.remove(start);
+        if let Some(broken) = self.open.get_mut(start) {
+            broken.heard |= now > broken.since + DELIVERY_TIME;
         }
     }
 
@@ -62,8 +66,9 @@
     /// endpoint.
     pub fn take_due(&mut self, now: Timestamp) -> Vec<(Box<str>, Crash)> {
         let due = |_: &Start, b: &mut Broken| b.since + COLLECT_TIME <= now;
-        let due = self.open.extract_if(.., due);
-        due.map(|(start, b)| (b.service, Crash { start, runs: b.runs })).collect()
+        let due = self.open.extract_if(.., due).filter(|(_, b)| !b.heard);
+        due.map(|(start, b)| (b.service, Crash { start, runs: b.runs, known: Vec::new() }))
+            .collect()
     }
 
     /// Returns when the next crash is collected completely.
@@ -72,14 +77,19 @@
     }
 }
 
-/// Returns the possible causes of a crash that a call brings with it.
+/// Returns the possible causes of a crash that a call brings with it, the most specific one last.
 pub(super) fn causes(call: &Call) -> Vec<Cause> {
-    let part = |id: &Box<str>| Cause::Part(Fingerprint::of(&call.service, id.as_bytes()));
-    let mut causes: Vec<Cause> = call.info.parts.iter().map(part).collect();
+    let mut causes = part_causes(call);
     causes.push(Cause::Content(content_print(call)));
     causes
 }
 
+/// Returns the parts of its prompt among the possible causes that a call brings with it.
+pub(super) fn part_causes(call: &Call) -> Vec<Cause> {
+    let part = |id: &str| Cause::Part(Fingerprint::of(&call.service, id.as_bytes()));
+    call.info.parts.iter().map(|id| part(id)).collect()
+}
+
 /// Returns the fingerprint of what a call asks for, which is the same when its caller sends it again.
 fn content_print(call: &Call) -> Fingerprint {
     let head = &call.request.head;
@@ -133,6 +143,7 @@
             );
             let runs = crash.runs.len();
             self.outputs.push(Output::Observe(Observation::Crash { service, runs }));
+            self.crash_seen(now, crash);
         }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,10 +17,12 @@
 pub mod header_protocol;
 pub mod lateness;
 mod notices;
+pub mod outbox;
 mod outcome;
 pub mod place;
 mod plain;
 pub mod protocol;
+mod quarantine;
 pub mod queue;
 mod reason;
 mod reports;
@@ -43,7 +45,9 @@
 use credit::{Credit, Payment};
 use fleet::{EndpointKey, Fleet, Job};
 use lateness::UsualTimeout;
+use outbox::Outbox;
 use protocol::{CallProtocol, SendInfo, TableFormat};
+use quarantine::Condemned;
 use queue::Queue;
 use versions::Versions;
 
@@ -117,6 +121,10 @@
     leader_backoff: Timestamp,
     /// Endpoints that may have crashed a moment ago.
     crashes: Crashes,
+    /// What is refused because it crashes endpoints.
+    condemned: Condemned,
+    /// Evidence about crashes for control.
+    outbox: Outbox,
     /// The usual caller timeout of each route.
     usual_timeouts: BTreeMap<Box<str>, UsualTimeout>,
     rng: Pcg64Mcg,
@@ -166,6 +174,8 @@
             capacity_backoff: BTreeMap::new(),
             leader_backoff: Timestamp::default(),
             crashes: Crashes::default(),
+            condemned: Condemned::default(),
+            outbox: Outbox::default(),
             usual_timeouts: BTreeMap::new(),
             rng,
             next_cleanup: Timestamp::default(),
@@ -288,6 +298,7 @@
             sends: 0,
             credit: Credit::default(),
             skips_prefill: false,
+            probe: false,
             sent: false,
             first_run: false,
             exported: false,
@@ -305,11 +316,14 @@
             reply_deadline: Timestamp::MAX,
             timer: Timestamp::MAX,
         };
+        self.calls.insert(caller, call);
+        if self.refuse_condemned(now, caller) {
+            return;
+        }
         let terms = self.settings.budget;
         let started = self.started.unwrap_or(now);
         let budget = self.budgets.entry(service.clone());
         budget.or_insert_with(|| Budget::new(started)).called(now, &terms);
-        self.calls.insert(caller, call);
         if self.is_engine_call(caller) {
             self.last_called.insert(service, now);
         }
@@ -423,6 +437,8 @@
         }
         self.send_origins(now);
         self.report_crashes(now);
+        self.send_evidence(now);
+        self.judge_alone(now);
         self.expire_queues(now);
         self.start_queued(now);
         if now >= self.next_cleanup {
@@ -435,6 +451,7 @@
 
     fn clean_up(&mut self, now: Timestamp) {
         self.next_cleanup = now + CLEANUP_INTERVAL;
+        self.condemned.expire(now);
         for peer in self.fleet.close_stale(now) {
             self.effect(HttpEffect::HangUp { peer });
         }
@@ -518,6 +535,7 @@
                 Reply::Control(ControlReply::Beat(_)) => {
                     self.follower.reply(now, exchange, &envelope.body);
                     self.apply_updates(now);
+                    self.apply_quarantine(now);
                     self.capacity_freed = true;
                 }
                 Reply::Control(reply) => self.control_replied(now, exchange, reply),
@@ -553,7 +571,9 @@
         let record = (!self.unsent_origins.is_empty()).then_some(self.next_record);
         let cleanup = Some(self.next_cleanup.min(self.next_report));
         let crash = self.crashes.next_due();
-        [call, queue, start, record, crash, shutdown, cleanup, self.follower.next_wake()]
+        let evidence = self.outbox.next_wake();
+        let control = self.follower.next_wake();
+        [call, queue, start, record, crash, evidence, shutdown, cleanup, control]
             .into_iter()
             .flatten()
             .min()
--- a/src/gateway/reason.rs
+++ b/src/gateway/reason.rs
@@ -23,6 +23,8 @@
     UnknownOrigin,
     /// All endpoints for it have requested a backoff.
     BackingOff,
+    /// It holds what has crashed endpoints.
+    Quarantined,
     /// The endpoint that was chosen for it is gone, or its service has none.
     NoEndpoint,
 }
@@ -41,6 +43,7 @@
             EndReason::NotAdmitted => "not expected to start in time",
             EndReason::UnknownOrigin => "unknown origin",
             EndReason::BackingOff => "all endpoints back off",
+            EndReason::Quarantined => "quarantined",
             EndReason::NoEndpoint => "no endpoint",
         }
     }
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -11,7 +11,7 @@
 use crate::control::orders::rollout::Rollout;
 use crate::control::orders::{Desired, OrderReport, OrderUpdate};
 use crate::control::origins::Origin;
-use crate::control::quarantine::{Fingerprint, Suspect};
+use crate::control::quarantine::{Cause, Entry, Evidence, QuarantineUpdate};
 use crate::control::replica::ReplicaMessage;
 use crate::control::routing::{RoutingSeen, RoutingUpdate};
 use crate::control::state::{Applied, Command};
@@ -243,6 +243,11 @@
     Owner(BootId),
     /// Requests the member's view of the fleet, for operators.
     Status,
+    /// Records at the member what the sender has seen of crashes of endpoints; the same may be sent
+    /// again.
+    ReportEvidence(Vec<Evidence>),
+    /// Requests permission to send one call with a cause in probation; only the leader gives it.
+    RequestProbe(Cause),
     /// Records the origins of streams at the member; the first record of a call is kept, so the
     /// request may be sent again.
     RecordOrigins(Vec<Origin>),
@@ -271,8 +276,8 @@
     pub full_buckets: Vec<u8>,
     /// The progress of the endpoint's orders, if the sender is an agent.
     pub report: Option<OrderReport>,
-    /// The version of the receiving member's list of suspected contents that the sender has.
-    pub suspects: u64,
+    /// The version of the list of causes in quarantine that the sender has.
+    pub quarantine: u64,
     /// The newest version of the set of settings that the sender understands.
     pub schema: u32,
     /// Whether the sender requests the full configuration because changes could not be applied.
@@ -291,7 +296,7 @@
             seen: Seen::default(),
             full_buckets: Vec::new(),
             report: None,
-            suspects: 0,
+            quarantine: 0,
             schema: SCHEMA,
             full_config: false,
             routing: None,
@@ -357,6 +362,15 @@
     },
     /// The member's view of the fleet.
     Status(Box<Status>),
+    /// The evidence is recorded at this member.
+    EvidenceRecorded,
+    /// The answer to a request for a probe.
+    ProbeGranted {
+        /// The cause.
+        cause: Cause,
+        /// Whether the sender may send one call with it.
+        granted: bool,
+    },
     /// The origins are recorded at this member.
     OriginsRecorded,
     /// The answer to a request for the origin of a stream.
@@ -398,8 +412,8 @@
     pub endpoints: Option<Endpoints>,
     /// The orders for the endpoint that the heartbeat named, if any.
     pub orders: Option<OrderUpdate>,
-    /// The suspected contents, if they changed since the version in the heartbeat.
-    pub suspects: Option<Suspects>,
+    /// The causes in quarantine, if they changed since the version in the heartbeat.
+    pub quarantine: Option<QuarantineUpdate>,
     /// The routing updates since the version in the heartbeat, if it named one.
     pub routing: Option<Box<RoutingUpdate>>,
 }
@@ -452,15 +466,6 @@
     pub digest: u64,
 }
 
-/// The contents suspected of crashing endpoints, with the version of the list at one member.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Suspects {
-    /// The version of the list.
-    pub version: u64,
-    /// The fingerprint of each content and the crashes attributed to it.
-    pub list: Vec<(Fingerprint, Suspect)>,
-}
-
 /// What the log of a member with a vote proves about the configuration.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Proof {
@@ -495,8 +500,8 @@
     pub orders: Vec<OrderStatus>,
     /// The rollouts of each pool, oldest first; the last one is in effect.
     pub rollouts: Vec<Rollout>,
-    /// The suspected contents; those with an `until` time are refused until then.
-    pub suspects: Vec<(Fingerprint, Suspect)>,
+    /// The causes in quarantine.
+    pub quarantine: Vec<(Cause, Entry)>,
 }
 
 /// The progress of the orders for one endpoint.
--- a/src/link/permit.rs
+++ b/src/link/permit.rs
@@ -34,8 +34,7 @@
 fn may_propose(peer: PeerKind, command: &Command) -> bool {
     match command {
         Command::Change(_) | Command::Order(_) | Command::Rollout(_) => peer == PeerKind::Operator,
-        // An agent clears a content that ran to its end; an operator may clear any content.
-        Command::Clear { .. } => true,
+        Command::Clear { .. } => peer == PeerKind::Operator,
         _ => peer == PeerKind::Process,
     }
 }
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -9,6 +9,7 @@
 use super::view::{self, View};
 use crate::control::config::{Change, Config, Revised, SCHEMA, Setting};
 use crate::control::orders::OrderReport;
+use crate::control::quarantine::QuarantineUpdate;
 use crate::control::routing::Document;
 use crate::link::message::{
     Beat, ControlReply, ControlRequest, Envelope, Heartbeat, ProcessState, Proof, Reply, Request,
@@ -60,7 +61,6 @@
     /// The last proof, and when its heartbeat was sent.
     proof: Option<(Proof, Timestamp)>,
     view: View,
-    suspects: u64,
     /// The boot of the member in its last reply.
     boot: Option<BootId>,
     /// Whether that boot is new since the restarted members were last taken.
@@ -78,7 +78,6 @@
             synced: None,
             proof: None,
             view: View::default(),
-            suspects: 0,
             boot: None,
             restarted: false,
         }
@@ -124,6 +123,10 @@
     /// Whether each member's list of endpoints is in use.
     trusted: Vec<bool>,
     routing: RoutingView,
+    /// The newest list of causes in quarantine that any member has sent.
+    quarantine: QuarantineUpdate,
+    /// Whether that list is new since it was last taken.
+    new_quarantine: bool,
 }
 
 impl Follower {
@@ -143,6 +146,8 @@
             changed: false,
             trusted: Vec::new(),
             routing: RoutingView::default(),
+            quarantine: QuarantineUpdate::default(),
+            new_quarantine: false,
         }
     }
 
@@ -279,7 +284,7 @@
                 seen: member.seen,
                 full_buckets: member.full_buckets.clone(),
                 report: report.cloned(),
-                suspects: member.suspects,
+                quarantine: self.quarantine.version,
                 schema: SCHEMA,
                 full_config: self.needs_full,
                 routing: self.settings.routes.then(|| self.routing.seen()),
@@ -307,6 +312,12 @@
         }
         self.changed |= changed;
         self.changed |= beat.routing.as_ref().is_some_and(|update| self.routing.apply(now, update));
+        if let Some(update) =
+            beat.quarantine.as_ref().filter(|u| u.version > self.quarantine.version)
+        {
+            self.quarantine = update.clone();
+            self.new_quarantine = true;
+        }
         self.follow_voters();
         self.apply_config(now, beat);
         self.was_confirmed |= self.is_confirmed(now);
@@ -384,6 +395,11 @@
         self.routing.new_document()
     }
 
+    /// Returns the causes in quarantine if a newer list was received since the last call.
+    pub fn new_quarantine(&mut self) -> Option<&QuarantineUpdate> {
+        std::mem::take(&mut self.new_quarantine).then_some(&self.quarantine)
+    }
+
     /// Returns whether a majority of members has confirmed, within `CONFIRMATION_LEASE`, that no
     /// routing document newer than the own one is in force.
     pub fn is_document_confirmed(&self, now: Timestamp) -> bool {
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -72,6 +72,8 @@
     backoffs: IntCounterVec,
     crashes: IntCounterVec,
     broken_runs: IntCounterVec,
+    quarantine: IntGauge,
+    quarantined: IntCounterVec,
 }
 
 impl Metrics {
@@ -174,6 +176,12 @@
                 "Runs of a gateway that ended with their endpoint",
                 &["service"],
             )?,
+            quarantine: make.gauge("quarantine", "Causes in quarantine at this control member")?,
+            quarantined: make.counters(
+                "gateway_quarantined_total",
+                "Calls that a gateway refused or ended because they hold what crashed endpoints",
+                &["service"],
+            )?,
             registry,
         })
     }
@@ -208,6 +216,11 @@
                 self.processes.set(processes as i64);
                 self.endpoints.set(endpoints as i64);
             }
+            Observation::Quarantine { causes } => self.quarantine.set(causes as i64),
+            Observation::Quarantined { service } => {
+                let service = self.label(&self.services, &service);
+                self.quarantined.with_label_values(&[&*service]).inc();
+            }
             Observation::Origins { recorded, held } => {
                 self.recorded.inc_by(recorded as u64);
                 self.origins.set(held as i64);
--- a/src/report/observation.rs
+++ b/src/report/observation.rs
@@ -60,6 +60,16 @@
         /// The number of live endpoints.
         endpoints: usize,
     },
+    /// The contents of a control member's quarantine.
+    Quarantine {
+        /// The number of causes in it.
+        causes: usize,
+    },
+    /// A gateway has refused or ended a call because of what it holds.
+    Quarantined {
+        /// The name of the call's service.
+        service: Box<str>,
+    },
     /// A control member has received origins of streams.
     Origins {
         /// The number of new ones among them.
--- a/tests/follower.rs
+++ b/tests/follower.rs
@@ -100,7 +100,7 @@
             seen: Seen { epoch, ..Seen::default() },
             endpoints: None,
             orders: None,
-            suspects: None,
+            quarantine: None,
             routing: None,
         };
         self.follower.reply(now, *exchange, &Reply::Control(ControlReply::Beat(beat)));
--- a/tests/gateway_fixture/mod.rs
+++ b/tests/gateway_fixture/mod.rs
@@ -385,7 +385,7 @@
                 seen: Seen::default(),
                 endpoints: Some(Endpoints::All(self.endpoints.clone())),
                 orders: None,
-                suspects: None,
+                quarantine: None,
                 routing: Some(Box::new(RoutingUpdate {
                     document,
                     deregistered: deregistered.collect(),
--- a/tests/gateway_lines.rs
+++ b/tests/gateway_lines.rs
@@ -555,3 +555,16 @@
     assert_eq!(lines("broken-run").len(), 1);
     assert!(lines("crash").is_empty(), "{:?}", lines("crash"));
 }
+
+#[test]
+fn answer_that_was_on_its_way_when_the_endpoint_crashed_does_not_hide_the_crash() {
+    let (mut f, runs) = two_runs();
+    f.head(&runs[1], 200, &[]);
+    f.fail_connection(&runs[0], true);
+    f.advance(80);
+    f.data(&runs[1], b"id: 1\ndata: a\n\n");
+    f.fail_connection(&runs[1], true);
+    f.advance(500);
+    assert_eq!(lines("crash").len(), 1);
+    assert!(line("crash").contains("runs=2"), "{}", line("crash"));
+}
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -373,7 +373,7 @@
             seen: Seen::default(),
             endpoints: None,
             orders: Some(OrderUpdate { mark: Fence(mark), desired }),
-            suspects: None,
+            quarantine: None,
             routing: None,
         };
         let body = Reply::Control(ControlReply::Beat(beat));
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -473,7 +473,7 @@
             seen: Seen::default(),
             full_buckets: Vec::new(),
             report: None,
-            suspects: 0,
+            quarantine: 0,
             schema: 1,
             routing: None,
             full_config: false,
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -604,7 +604,7 @@
                     self.endpoints.values().map(|(e, _)| e.clone()).collect(),
                 )),
                 orders: Some(OrderUpdate { mark: Fence(0), desired: None }),
-                suspects: None,
+                quarantine: None,
                 routing: None,
             };
             let body = Reply::Control(ControlReply::Beat(beat));
