Give each connection a bounded turn and bounded memory

Cause: a connection was read until it would block and all inputs were kept until the role got the first; interim heads were read by recursion without a bound; a growing head was searched from its start with each piece. Class: one peer decides how much the process does or keeps.

A connection gets four reads of 16 KiB a turn, callers too; pieces of content that arrive together are one input; 16 interim heads are the most; the search goes on where it stopped. A caller may leave 12 MiB unread, and all callers together 32 MiB of requests and unread answers; beyond that the connection is closed, or a request that is still being read refused.

--- a/src/h1/caller.rs
+++ b/src/h1/caller.rs
@@ -2,7 +2,7 @@
 
 use super::head::{Request, RequestHead};
 use super::reader::{Part, ReadError, Reader};
-use super::socket::{READ_BYTES, Socket, SocketRead};
+use super::socket::{READ_BYTES, READS_PER_TURN, Socket, SocketRead};
 use super::{LINGER_TIMEOUT, MAX_LINGER_BYTES, Purpose, write};
 use crate::model::Timestamp;
 use crate::routes::CallerLimits;
@@ -29,6 +29,8 @@
 pub enum CallerRead {
     /// No complete request is available yet.
     Wait,
+    /// The same, but the socket may have more bytes.
+    More,
     /// A complete request was received.
     Request(Request),
     /// The connection is closed or broken.
@@ -43,7 +45,7 @@
     pub state: CallerState,
     reader: Reader,
     partial: Option<(RequestHead, Vec<u8>)>,
-    /// Whether reading stopped at [`MAX_PIPELINED_BYTES`], so that the socket may have more bytes.
+    /// Whether reading stopped before the socket was empty.
     unread: bool,
     /// Whether to shut down the writing side once everything is written.
     closing: bool,
@@ -72,10 +74,11 @@
         }
     }
 
-    /// Reads the available bytes of the socket.
+    /// Reads available bytes of the socket, as many as one connection may have read at a time.
     pub fn read(&mut self, now: Timestamp, limits: &CallerLimits) -> CallerRead {
+        self.unread = false;
         let mut buffer = [0; READ_BYTES];
-        loop {
+        for _ in 0..READS_PER_TURN {
             if self.state == CallerState::Answering && self.reader.buffered() > MAX_PIPELINED_BYTES
             {
                 self.unread = true;
@@ -99,6 +102,23 @@
                 Ok(SocketRead::Closed) | Err(_) => return CallerRead::Closed,
             }
         }
+        self.unread = true;
+        match self.parse(now, limits) {
+            CallerRead::Wait => CallerRead::More,
+            read => read,
+        }
+    }
+
+    /// Returns the number of bytes that are kept for the caller in memory: of its request and of
+    /// answers that it has not read.
+    pub fn held(&self) -> usize {
+        let body = self.partial.as_ref().map_or(0, |(_, body)| body.len());
+        body + self.reader.buffered() + self.socket.pending()
+    }
+
+    /// Refuses the request that is being read, because too many bytes are kept for all callers.
+    pub fn refuse_large(&mut self, now: Timestamp) {
+        self.answer_and_close(now, 503, "not run: too many large requests at once");
     }
 
     /// Parses the buffered bytes, up to the next complete request.
@@ -176,10 +196,13 @@
         }
     }
 
-    /// Continues reading after an answer, since the next request may have been received already.
+    /// Continues reading: after an answer, since the next request may have been received already, or
+    /// after the turn of the other connections.
     pub fn resume(&mut self, now: Timestamp, limits: &CallerLimits) -> CallerRead {
-        self.reader.limit(limits.head_bytes, limits.body_bytes);
-        if std::mem::take(&mut self.unread) {
+        if matches!(self.state, CallerState::Idle(_)) {
+            self.reader.limit(limits.head_bytes, limits.body_bytes);
+        }
+        if self.unread {
             return self.read(now, limits);
         }
         self.parse(now, limits)
--- a/src/h1/driver.rs
+++ b/src/h1/driver.rs
@@ -29,8 +29,16 @@
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
 /// The most events that one poll returns.
 const MAX_EVENTS: usize = 256;
+/// How many turns are read of what an endpoint sent before it closed its connection.
+const MAX_LAST_TURNS: usize = 128;
 /// The most inputs from other threads that are handled before the sockets are.
 const MAX_INPUTS_PER_POLL: usize = 256;
+/// The most bytes that are kept for one caller that does not read its answer.
+const MAX_UNREAD_BYTES: usize = 12 << 20;
+/// The most bytes that are kept for all callers, of requests and of answers that they don't read.
+const MAX_HELD_BYTES: usize = 32 << 20;
+/// Callers for which fewer bytes are kept are not held to the bound for all.
+const LARGE_BYTES: usize = 256 << 10;
 const WAKER: Token = Token(0);
 /// Tokens below this one belong to the waker and the listeners.
 const FIRST_CONNECTION: u64 = 8;
@@ -127,6 +135,7 @@
             peers: BTreeMap::new(),
             dirty: BTreeSet::new(),
             resumed: Vec::new(),
+            unread: BTreeSet::new(),
             deferred: Vec::new(),
             broken: Vec::new(),
             has_backlog: false,
@@ -162,6 +171,8 @@
     dirty: BTreeSet<ConnectionId>,
     /// Callers whose next request may have been received already.
     resumed: Vec<CallerId>,
+    /// Endpoints' connections whose sockets may have more bytes.
+    unread: BTreeSet<PeerId>,
     /// Inputs that resulted from effects while the role was stepped.
     deferred: Vec<Input<HttpInput>>,
     /// Connections on which a write failed.
@@ -215,6 +226,7 @@
         if self.role.next_wake().is_some_and(|at| at <= now) {
             running &= self.step(now, Input::Wake);
         }
+        running &= self.resume_peers(now);
         running &= self.resume_callers(now);
         running &= self.step_deferred(now);
         self.expire(now);
@@ -223,7 +235,8 @@
     }
 
     fn poll_timeout(&self, now: Timestamp) -> Duration {
-        let busy = !self.resumed.is_empty() || !self.deferred.is_empty() || self.has_backlog;
+        let unread = !self.resumed.is_empty() || !self.unread.is_empty();
+        let busy = unread || !self.deferred.is_empty() || self.has_backlog;
         if busy || !self.broken.is_empty() {
             return Duration::ZERO;
         }
@@ -289,6 +302,11 @@
         self.dirty.insert(ConnectionId::Caller(id));
         match read {
             CallerRead::Wait => true,
+            CallerRead::More => {
+                self.resumed.push(id);
+                self.bound_request(now, id);
+                true
+            }
             CallerRead::Request(request) => self.handle_request(now, id, request),
             CallerRead::Closed => self.caller_closed(now, id),
         }
@@ -335,13 +353,57 @@
             if peer.socket.pending() > 0 {
                 self.dirty.insert(ConnectionId::Peer(id));
             }
-            if ready.readable {
-                peer.read(&mut inputs);
+            if ready.readable && peer.read(&mut inputs) {
+                self.unread.insert(id);
             }
         }
         self.step_peer(now, id, inputs)
     }
 
+    /// Reads on from endpoints that had more bytes than they may send in one turn.
+    fn resume_peers(&mut self, now: Timestamp) -> bool {
+        for id in std::mem::take(&mut self.unread) {
+            let Some(peer) = self.peers.get_mut(&id) else { continue };
+            let mut inputs = Vec::new();
+            if peer.read(&mut inputs) {
+                self.unread.insert(id);
+            }
+            if !self.step_peer(now, id, inputs) {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Refuses the request that a caller is sending if too many bytes are kept for all callers.
+    fn bound_request(&mut self, now: Timestamp, id: CallerId) {
+        let large = self.callers.get(&id).is_some_and(|c| c.held() > LARGE_BYTES);
+        if large && self.held_bytes() > MAX_HELD_BYTES {
+            log::warn!("step=read outcome=refused error=\"too many large requests at once\"");
+            if let Some(caller) = self.callers.get_mut(&id) {
+                caller.refuse_large(now);
+            }
+        }
+    }
+
+    /// Closes the connection of a caller that leaves too many bytes of its answer unread.
+    fn bound_answer(&mut self, id: CallerId) {
+        let unread = self.callers.get(&id).map_or(0, |c| c.socket.pending());
+        let too_many =
+            unread > MAX_UNREAD_BYTES || unread > LARGE_BYTES && self.held_bytes() > MAX_HELD_BYTES;
+        if too_many {
+            log::warn!("step=write outcome=closed unread={unread}");
+            if let Some(caller) = self.callers.get_mut(&id) {
+                caller.socket.clear();
+            }
+            self.broken.push(ConnectionId::Caller(id));
+        }
+    }
+
+    fn held_bytes(&self) -> usize {
+        self.callers.values().map(Caller::held).sum()
+    }
+
     /// Steps the role with the inputs of a peer until the role closes the connection or it is lost.
     fn step_peer(&mut self, now: Timestamp, id: PeerId, inputs: Vec<HttpInput>) -> bool {
         for input in inputs {
@@ -384,7 +446,10 @@
                 // The endpoint may have sent an answer before it closed the connection.
                 let Some(peer) = self.peers.get_mut(&id) else { return true };
                 let mut inputs = Vec::new();
-                peer.read(&mut inputs);
+                let mut turns = 0;
+                while peer.read(&mut inputs) && turns < MAX_LAST_TURNS {
+                    turns += 1;
+                }
                 if !inputs.iter().any(|i| matches!(i, HttpInput::Lost { .. })) {
                     inputs.push(peer.lost("a write failed"));
                 }
@@ -447,6 +512,7 @@
                 if let Some(open) = self.callers.get_mut(&caller) {
                     open.socket.out.extend_from_slice(&bytes);
                     self.dirty.insert(ConnectionId::Caller(caller));
+                    self.bound_answer(caller);
                 }
             }
             HttpEffect::Finish { caller, keep } => {
--- a/src/h1/peer.rs
+++ b/src/h1/peer.rs
@@ -1,7 +1,7 @@
 //! A connection to an endpoint.
 
 use super::reader::{Part, ReadError, Reader};
-use super::socket::{READ_BYTES, Socket, SocketRead};
+use super::socket::{READ_BYTES, READS_PER_TURN, Socket, SocketRead};
 use super::{HttpInput, MAX_ANSWER_HEAD_BYTES, PeerId};
 
 /// A connection to an endpoint, which carries one request at a time.
@@ -46,29 +46,31 @@
         Ok(self.connected)
     }
 
-    /// Reads all available bytes and adds the resulting inputs for the role.
-    pub fn read(&mut self, inputs: &mut Vec<HttpInput>) {
+    /// Reads available bytes, as many as one connection may have read at a time, and adds the
+    /// resulting inputs for the role. Returns whether the socket may have more.
+    pub fn read(&mut self, inputs: &mut Vec<HttpInput>) -> bool {
         let mut buffer = [0; READ_BYTES];
-        loop {
+        for _ in 0..READS_PER_TURN {
             match self.socket.read(&mut buffer) {
                 Ok(SocketRead::Bytes(count)) => {
                     self.reader.feed(buffer.get(..count).unwrap_or_default());
                     if let Err(error) = self.parse(inputs) {
                         inputs.push(self.lost(&error.to_string()));
-                        return;
+                        return false;
                     }
                 }
-                Ok(SocketRead::Blocked) => return,
+                Ok(SocketRead::Blocked) => return false,
                 Ok(SocketRead::Closed) => {
                     self.closed(inputs);
-                    return;
+                    return false;
                 }
                 Err(error) => {
                     inputs.push(self.lost(&error.to_string()));
-                    return;
+                    return false;
                 }
             }
         }
+        true
     }
 
     fn parse(&mut self, inputs: &mut Vec<HttpInput>) -> Result<(), ReadError> {
@@ -76,7 +78,10 @@
         while let Some(part) = self.reader.next_part()? {
             match part {
                 Part::Answer(head) => inputs.push(HttpInput::Answer { peer, head }),
-                Part::Data(bytes) => inputs.push(HttpInput::Data { peer, bytes }),
+                Part::Data(more) => match inputs.last_mut() {
+                    Some(HttpInput::Data { bytes, .. }) => bytes.extend(more),
+                    _ => inputs.push(HttpInput::Data { peer, bytes: more }),
+                },
                 Part::End { closes } => self.complete(closes, inputs),
                 Part::Request(_) => return Err(ReadError::Malformed("not an answer")),
             }
--- a/src/h1/reader.rs
+++ b/src/h1/reader.rs
@@ -10,6 +10,8 @@
 const MAX_CHUNK_LINE: usize = 256;
 /// The most bytes of the trailer after the last chunk.
 const MAX_TRAILER_BYTES: usize = 8 << 10;
+/// The most interim answers before an answer.
+const MAX_INTERIM: u32 = 16;
 const NEW_LINE: &[u8] = b"\r\n";
 
 /// A parsed part of a message.
@@ -74,6 +76,15 @@
     UntilClose,
 }
 
+/// How far an incomplete head was searched for its end, so that no byte is searched twice.
+#[derive(Debug, Clone, Copy, Default)]
+struct HeadSearch {
+    /// The number of bytes that were searched.
+    at: usize,
+    /// Where the present line begins.
+    line: usize,
+}
+
 /// Reads the messages of one connection.
 ///
 /// ```
@@ -98,6 +109,9 @@
     body_read: u64,
     /// Whether the next answer has no content regardless of its head.
     bodiless: bool,
+    search: HeadSearch,
+    /// The number of interim answers since the last answer.
+    interim: u32,
 }
 
 impl Reader {
@@ -121,6 +135,8 @@
             body_bytes,
             body_read: 0,
             bodiless: false,
+            search: HeadSearch::default(),
+            interim: 0,
         }
     }
 
@@ -276,62 +292,77 @@
         size.map(Some).ok_or(ReadError::Malformed("the length of a chunk is no number"))
     }
 
+    /// Returns the head of the next message, after any interim answers.
     fn head(&mut self) -> Result<Option<Part>, ReadError> {
+        loop {
+            let Some((part, framing)) = self.any_head()? else { return Ok(None) };
+            if matches!(&part, Part::Answer(head) if head.status < 200) {
+                self.interim += 1;
+                if self.interim > MAX_INTERIM {
+                    return Err(ReadError::Malformed("too many interim answers"));
+                }
+                continue;
+            }
+            if matches!(framing, State::Length(l) if l > self.body_bytes) {
+                return Err(ReadError::BodyTooLong);
+            }
+            self.interim = 0;
+            self.body_read = 0;
+            self.state = framing;
+            return Ok(Some(part));
+        }
+    }
+
+    /// Consumes and returns the next head with the framing of its content.
+    fn any_head(&mut self) -> Result<Option<(Part, State)>, ReadError> {
         if self.side == Side::Requests {
             self.skip_blank_lines();
         }
+        let mut search = self.search;
         let rest = self.rest();
-        let Some(length) = head_length(rest)? else {
-            return if rest.len() > self.head_bytes {
-                Err(ReadError::HeadTooLong)
-            } else {
-                Ok(None)
-            };
+        let found = head_length(rest, &mut search)?;
+        let Some(length) = found else {
+            let too_long = rest.len() > self.head_bytes;
+            self.search = search;
+            return if too_long { Err(ReadError::HeadTooLong) } else { Ok(None) };
         };
         if length > self.head_bytes {
             return Err(ReadError::HeadTooLong);
         }
         let bytes = rest.get(..length).unwrap_or_default();
-        let (part, framing) = match self.side {
+        let head = match self.side {
             Side::Requests => parse_request(bytes)?,
             Side::Answers => parse_answer(bytes, self.bodiless)?,
         };
         self.consumed += length;
-        let interim = matches!(&part, Part::Answer(head) if head.status < 200);
-        if interim {
-            return self.head();
-        }
-        if matches!(framing, State::Length(l) if l > self.body_bytes) {
-            return Err(ReadError::BodyTooLong);
-        }
-        self.body_read = 0;
-        self.state = framing;
-        Ok(Some(part))
+        self.search = HeadSearch::default();
+        Ok(Some(head))
     }
 
     /// Skips empty lines, which some callers send between requests.
     fn skip_blank_lines(&mut self) {
         while self.rest().starts_with(NEW_LINE) {
             self.consumed += NEW_LINE.len();
+            self.search = HeadSearch::default();
         }
     }
 }
 
 /// Returns the length of the head including its blank line, or None if it is incomplete.
-fn head_length(bytes: &[u8]) -> Result<Option<usize>, ReadError> {
-    let mut previous = 0;
-    for (at, byte) in bytes.iter().enumerate() {
+fn head_length(bytes: &[u8], search: &mut HeadSearch) -> Result<Option<usize>, ReadError> {
+    for (at, byte) in bytes.iter().enumerate().skip(search.at) {
         if *byte != b'\n' {
             continue;
         }
         if at == 0 || bytes.get(at - 1) != Some(&b'\r') {
             return Err(ReadError::Malformed("a line ends without a carriage return"));
         }
-        if at - previous == 1 && previous > 0 {
+        if at - search.line == 1 && search.line > 0 {
             return Ok(Some(at + 1));
         }
-        previous = at + 1;
+        search.line = at + 1;
     }
+    search.at = bytes.len();
     Ok(None)
 }
 
--- a/src/h1/socket.rs
+++ b/src/h1/socket.rs
@@ -7,6 +7,9 @@
 /// The size of the buffer for one read, in bytes.
 pub const READ_BYTES: usize = 16 << 10;
 
+/// The most reads of one connection until the others have their turn.
+pub const READS_PER_TURN: usize = 4;
+
 /// A TCP stream with its write buffer.
 #[derive(Debug)]
 pub struct Socket {
@@ -61,9 +64,14 @@
                 Err(e) => return Err(e),
             }
         }
+        self.clear();
+        Ok(())
+    }
+
+    /// Drops the bytes that are not yet written.
+    pub fn clear(&mut self) {
         self.out = Vec::new();
         self.written = 0;
-        Ok(())
     }
 
     /// Returns the number of bytes that are not yet written.
