Search each byte of a stream once, and keep blank lines with their event

Callers: one endpoint that sent an event without end held up a gateway, 5 s for 1 MB in a debug build; a stream with a blank line after its last event was taken for broken off.

The splitter keeps where it stopped; blank lines belong to the next event, or to the end of the stream.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -12,7 +12,8 @@
     pub bytes: Vec<u8>,
 }
 
-/// Splits a stream of bytes into complete events, so that callers never receive a part of one.
+/// Splits a stream of bytes into complete events, so that callers never receive a part of one. Blank
+/// lines before an event belong to it.
 ///
 /// ```
 /// use dotterelpin::gateway::events::EventSplitter;
@@ -26,6 +27,12 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: Vec<u8>,
+    /// The number of bytes that were searched for the end of an event.
+    searched: usize,
+    /// Where the present line begins.
+    line: usize,
+    /// Whether any line of the present event has text.
+    has_text: bool,
 }
 
 /// The error of an event that exceeds the maximum size.
@@ -37,11 +44,15 @@
     pub fn feed(&mut self, bytes: &[u8]) -> Result<Vec<Event>, EventTooLong> {
         self.buffer.extend_from_slice(bytes);
         let mut events = Vec::new();
-        while let Some(end) = event_end(&self.buffer) {
-            let rest = self.buffer.split_off(end);
-            let bytes = std::mem::replace(&mut self.buffer, rest);
+        let mut begin = 0;
+        while let Some(end) = self.event_end() {
+            let bytes = self.buffer.get(begin..end).unwrap_or_default().to_vec();
             events.push(Event { id: event_id(&bytes), bytes });
+            begin = end;
         }
+        self.buffer.drain(..begin);
+        self.searched -= begin;
+        self.line -= begin;
         if self.buffer.len() > MAX_EVENT_BYTES {
             return Err(EventTooLong);
         }
@@ -50,25 +61,38 @@
 
     /// Returns whether the received bytes end within an event.
     pub fn has_partial(&self) -> bool {
-        !self.buffer.is_empty()
+        self.has_text || self.line < self.buffer.len()
     }
-}
 
-/// Returns the index after the first blank line that ends an event.
-fn event_end(bytes: &[u8]) -> Option<usize> {
-    let mut line = 0;
-    for (at, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let text = bytes.get(line..at).unwrap_or_default();
-        let blank = text.is_empty() || text == b"\r";
-        if blank && at > 0 {
-            return Some(at + 1);
+    /// Returns the number of bytes that are kept.
+    pub fn held(&self) -> usize {
+        self.buffer.len()
+    }
+
+    /// Removes and returns the bytes after the last event, which are blank lines if the stream is
+    /// complete.
+    pub fn take_rest(&mut self) -> Vec<u8> {
+        std::mem::take(self).buffer
+    }
+
+    /// Returns the index after the next blank line that ends an event, and goes on after it.
+    fn event_end(&mut self) -> Option<usize> {
+        while let Some(byte) = self.buffer.get(self.searched) {
+            let at = self.searched;
+            self.searched += 1;
+            if *byte != b'\n' {
+                continue;
+            }
+            let text = self.buffer.get(self.line..at).unwrap_or_default();
+            let is_blank = text.is_empty() || text == b"\r";
+            self.line = at + 1;
+            if is_blank && std::mem::take(&mut self.has_text) {
+                return Some(at + 1);
+            }
+            self.has_text |= !is_blank;
         }
-        line = at + 1;
+        None
     }
-    None
 }
 
 fn event_id(bytes: &[u8]) -> Option<u64> {
