Bound what a gateway keeps of all answers together

Twelve calls with large answers took 84 MB at once where a machine may have 110 MB, and an answer that named another call was read for ever.

Cause: the bound was 8 MB for each call, with none over all, and discarded content was not counted. A gateway now keeps 24 MB of incomplete answers and events of all calls; a large one beyond that fails like a broken answer. A discarded answer may have 256 KiB.

--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -27,6 +27,12 @@
 const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
 /// The maximum size of an answer that is buffered until it is complete.
 const MAX_CONTENT_BYTES: usize = 8 << 20;
+/// The maximum size of all such answers and of all incomplete events together.
+const MAX_ALL_CONTENT_BYTES: usize = 24 << 20;
+/// Answers that are smaller are not held to the maximum of all.
+const LARGE_CONTENT_BYTES: usize = 256 << 10;
+/// The maximum size of an answer that belongs to another request and is discarded.
+const MAX_STRAY_BYTES: usize = 256 << 10;
 /// The maximum size of an answer to a side request.
 const MAX_SIDE_BYTES: usize = 1 << 20;
 /// Statuses that promise that a call has not run. An endpoint's answer with one of them is not
@@ -250,6 +256,7 @@
             log::warn!("step=answer id={} error=\"answer does not name this call\"", call.info.id);
             if let Some(conn) = self.fleet.conn(peer) {
                 conn.stray = true;
+                conn.stray_bytes = 0;
             }
             return;
         }
@@ -264,6 +271,11 @@
         self.endpoint_heard(now, peer);
         let Some(conn) = self.fleet.conn(peer) else { return };
         if conn.stray {
+            conn.stray_bytes += bytes.len();
+            if conn.stray_bytes > MAX_STRAY_BYTES {
+                self.lost(now, peer, true, "a stray answer is larger than 256 KiB");
+                self.effect(HttpEffect::HangUp { peer });
+            }
             return;
         }
         let Job::Call(caller) = conn.job else {
@@ -280,20 +292,39 @@
             return;
         }
         let Some(attempt) = call.attempt() else { return };
-        if attempt.content.len() + bytes.len() > MAX_CONTENT_BYTES {
+        let size = attempt.content.len() + bytes.len();
+        if size > MAX_CONTENT_BYTES || self.is_out_of_memory(size) {
+            log::warn!(
+                "step=content peer={} error=\"the answer is too large\" bytes={size}",
+                peer.0
+            );
             self.hang_up(peer);
             self.attempt_failed(now, caller, Failure::Broken);
             self.schedule(caller);
             return;
         }
-        attempt.content.extend_from_slice(&bytes);
+        let attempt = self.calls.get_mut(&caller).and_then(Call::attempt);
+        if let Some(attempt) = attempt {
+            attempt.content.extend_from_slice(&bytes);
+        }
+    }
+
+    /// Returns whether an answer of a size exceeds what is kept of all answers together.
+    fn is_out_of_memory(&self, size: usize) -> bool {
+        if size <= LARGE_CONTENT_BYTES {
+            return false;
+        }
+        let held: usize = self.calls.values().map(Call::held).sum();
+        held > MAX_ALL_CONTENT_BYTES
     }
 
     fn stream_data(&mut self, now: Timestamp, caller: CallerId, peer: PeerId, bytes: &[u8]) {
         let Some(call) = self.calls.get_mut(&caller) else { return };
-        match call.splitter.feed(bytes) {
-            Ok(events) => self.deliver_events(now, caller, events),
-            Err(_) => {
+        let fed = call.splitter.feed(bytes);
+        let held = call.splitter.held();
+        match fed {
+            Ok(events) if !self.is_out_of_memory(held) => self.deliver_events(now, caller, events),
+            _ => {
                 self.hang_up(peer);
                 self.attempt_failed(now, caller, Failure::Broken);
             }
@@ -454,6 +485,10 @@
         self.report_survival(now, &self.survivors(&call));
         let keep = self.keeps_alive(&call.request);
         let mut bytes = Vec::new();
+        let rest = call.splitter.take_rest();
+        if !rest.is_empty() {
+            write::chunk(&mut bytes, &rest);
+        }
         write::last_chunk(&mut bytes);
         self.effect(HttpEffect::Reply { caller, bytes });
         self.effect(HttpEffect::Finish { caller, keep });
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -298,6 +298,15 @@
         self.deadline - now
     }
 
+    /// Returns the number of bytes that are kept of its answer.
+    pub fn held(&self) -> usize {
+        let content = match &self.stage {
+            Stage::Prefill { attempt, .. } | Stage::Run { attempt, .. } => attempt.content.len(),
+            _ => 0,
+        };
+        content + self.splitter.held()
+    }
+
     /// Returns the attempt that is in progress, if any.
     pub fn attempt(&mut self) -> Option<&mut Attempt> {
         match &mut self.stage {
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -74,6 +74,8 @@
     pub connected: bool,
     /// Whether the answer that is being received belongs to another request and is discarded.
     pub stray: bool,
+    /// The bytes of it that were discarded.
+    pub stray_bytes: usize,
     /// How long it may stay idle, by the endpoint's `Keep-Alive` field if it sends one.
     pub idle_timeout: Duration,
     /// The status of the last answer to a side request; 0 if there was none.
@@ -458,6 +460,7 @@
             since: now,
             connected: false,
             stray: false,
+            stray_bytes: 0,
             idle_timeout: IDLE_REUSE,
             status: 0,
             content: Vec::new(),
