Count an announcement as a sign of life only if it is newer than the crash

Suspected, not shown: crashes were withdrawn because delayed announcements of the dead start were taken for new ones, and a part that is in several runs of each crash was taken for one that all calls share.

A part in several runs counts as likely sound only until any run has gone on. Control logs each report and each withdrawal.

--- a/src/control/quarantine/blame.rs
+++ b/src/control/quarantine/blame.rs
@@ -129,6 +129,14 @@
         }
     }
 
+    /// Records the last sequence number that a start of an endpoint had announced itself with when its
+    /// crash was reported. What comes with a lower number was sent before.
+    pub fn announced_before(&mut self, start: &Start, sequence: u64) {
+        if let Some(crash) = self.crashes.iter_mut().find(|c| c.start == *start) {
+            crash.heard.1 = crash.heard.1.max(sequence);
+        }
+    }
+
     /// Records that a start of an endpoint has announced itself, with a sequence number that increases.
     /// Once it has done so often enough after a crash, it has not crashed.
     pub fn heard(&mut self, now: Timestamp, start: &Start, sequence: u64) {
@@ -138,10 +146,11 @@
             return;
         }
         let (count, last) = crash.heard;
-        if count == 0 || sequence > last {
+        if sequence > last {
             crash.heard = (count + 1, sequence);
         }
         if crash.heard.0 >= ALIVE_ANNOUNCEMENTS {
+            log::info!("step=withdraw-crash endpoint={start} sequence={sequence}");
             self.crashes.remove(at);
         }
     }
@@ -246,7 +255,8 @@
             }
         }
         let likely = |(cause, tally): (&Cause, &Tally)| {
-            let sound = tally.is_shared() || self.is_covered(&tallies, *cause, tally);
+            let shared = self.known.is_empty() && tally.is_shared();
+            let sound = shared || self.is_covered(&tallies, *cause, tally);
             sound.then_some(*cause)
         };
         let sound: Vec<Cause> = tallies.iter().filter_map(likely).collect();
--- a/src/control/quarantine/tally.rs
+++ b/src/control/quarantine/tally.rs
@@ -50,8 +50,8 @@
     /// When the first of its crashes was recorded.
     pub first: Timestamp,
     /// Whether it is likely to be sound: runs with it have gone on shortly before, several runs of
-    /// each crash hold it, as those of a part that all calls share, or later parts of its runs
-    /// explain most of its crashes, too.
+    /// each crash hold it while no run has gone on yet, as those of a part that all calls share, or
+    /// later parts of its runs explain most of its crashes, too.
     pub sound: bool,
 }
 
--- a/src/control/quarantine/verdicts.rs
+++ b/src/control/quarantine/verdicts.rs
@@ -57,14 +57,23 @@
     ) -> Outputs {
         let mut outputs = vec![self.reply(inbound, ControlReply::EvidenceRecorded)];
         for evidence in list {
-            log::debug!("step=evidence evidence={evidence:?}");
+            log_evidence(&evidence, self.bench.blame.count());
             self.bench.record(now, &evidence);
+            self.note_announced(&evidence);
             outputs.extend(self.conclude_probes(now, &evidence));
         }
         outputs.extend(self.judge(now));
         outputs
     }
 
+    /// Records with a new crash what its endpoint has announced so far.
+    fn note_announced(&mut self, evidence: &Evidence) {
+        let Evidence::Crashed(crash) = evidence else { return };
+        if let Some(sequence) = self.registry.sequence(&crash.start) {
+            self.bench.blame.announced_before(&crash.start, sequence);
+        }
+    }
+
     /// Records that a start of an endpoint announces itself.
     pub(in crate::control) fn endpoint_alive(&mut self, now: Timestamp, endpoint: &EndpointState) {
         if self.bench.blame.count() > 0 {
@@ -148,6 +157,19 @@
     }
 }
 
+fn log_evidence(evidence: &Evidence, crashes: usize) {
+    match evidence {
+        Evidence::Crashed(crash) => log::info!(
+            "step=evidence endpoint={} runs={} young={} known={} crashes={crashes}",
+            crash.start,
+            crash.runs.len(),
+            crash.runs.iter().filter(|r| !r.has_survived()).count(),
+            crash.known.len(),
+        ),
+        Evidence::Survived(causes) => log::debug!("step=evidence survived={causes:?}"),
+    }
+}
+
 /// Returns the refused causes whose time is over.
 fn due_releases(quarantine: &Quarantine, now: Timestamp) -> Vec<Cause> {
     let due = |stage: Stage| matches!(stage, Stage::Refused { until } if until <= now);
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -17,6 +17,7 @@
 
 use crate::control::config::Revised;
 use crate::control::orders::OrderReport;
+use crate::control::quarantine::Start;
 use crate::link::message::{Endpoints, Heartbeat, ProcessState, Seen};
 use crate::model::{BootId, EndpointState, Timestamp};
 use view::View;
@@ -238,6 +239,13 @@
         self.view.iter().cloned().collect()
     }
 
+    /// Returns the sequence number of the last state that a start of an endpoint has announced, if it
+    /// is listed.
+    pub fn sequence(&self, start: &Start) -> Option<u64> {
+        let state = self.view.get(&start.endpoint).filter(|e| e.boot == start.boot);
+        state.map(|e| e.sequence)
+    }
+
     /// Returns the live endpoints with the reports of their agents on orders.
     pub fn reports(&self) -> impl Iterator<Item = (&EndpointState, &OrderReport)> {
         self.view.iter().filter_map(|e| {
--- a/tests/blame.rs
+++ b/tests/blame.rs
@@ -113,7 +113,9 @@
         blame.crashed(at(0), &crash(boot, runs));
     }
     assert_eq!(verdict(&blame), Some(part("bad")));
-    for (millis, sequence) in [(900, 5), (1_000, 5), (2_100, 6), (2_200, 4)] {
+    blame.announced_before(&start(1), 4);
+    let delayed = [(600, 2), (700, 3), (800, 4)];
+    for (millis, sequence) in delayed.into_iter().chain([(900, 5), (1_000, 5), (2_100, 6)]) {
         blame.heard(at(millis), &start(1), sequence);
         assert_eq!(verdict(&blame), Some(part("bad")), "some may have been delayed or repeated");
     }
