Do not take a guilty part for sound because sound parts follow it

A part is taken for likely sound if later parts of its runs explain its crashes, too; parts whose runs had gone on counted among these, so that a guilty part between two sound ones needed eight crashes instead of four.

Parts that are known to go on no longer count. The test of it failed before (no verdict after four crashes) and passes.

--- a/src/control/quarantine/blame.rs
+++ b/src/control/quarantine/blame.rs
@@ -218,7 +218,8 @@
     /// of them several crashes.
     fn is_covered(&self, tallies: &BTreeMap<Cause, Tally>, cause: Cause, tally: &Tally) -> bool {
         let repeats = |c: &Cause| {
-            matches!(c, Cause::Part(_)) && tallies.get(c).is_some_and(|t| t.unexplained.len() > 1)
+            let suspected = |t: &Tally| t.unexplained.len() > 1 && !t.sound;
+            matches!(c, Cause::Part(_)) && tallies.get(c).is_some_and(suspected)
         };
         let covers = |run: &Vec<Cause>| {
             let after = run.iter().skip_while(|c| **c != cause).skip(1);
--- a/tests/blame.rs
+++ b/tests/blame.rs
@@ -72,6 +72,17 @@
     assert_eq!(verdict(&blame), Some(part("bad")));
 }
 
+#[test]
+fn sound_parts_after_the_guilty_one_do_not_cover_it() {
+    let mut blame = Blame::default();
+    blame.survived(at(0), &[part("all"), part("x")]);
+    for boot in 0..4 {
+        let guilty = run(&[part("all"), part("bad"), part("x"), content(boot)], 0);
+        blame.crashed(at(boot * 50), &crash(boot, vec![guilty]));
+    }
+    assert_eq!(verdict(&blame), Some(part("bad")));
+}
+
 #[test]
 fn first_part_is_condemned_if_it_is_the_guilty_one() {
     let mut blame = Blame::default();
