Log and count the limits that endpoints name

The logs could not show at which gateway the limit of an endpoint was known, nor how many gateways share it. A gateway now reads the limit and logs step=limit with each change; a counter shows the same. Nothing decides by it yet. The test of the line and the counter failed before and passes.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -9,6 +9,7 @@
 pub use super::endpoint::{Endpoint, Usage};
 use super::notices::{Closed, Notices};
 use super::place::{DecodeLoad, PrefillLoad};
+use super::protocol::LimitNotice;
 use crate::control::quarantine::Start;
 use crate::h1::{CallerId, PeerId};
 use crate::model::{BootId, EndpointKind, EndpointState, Timestamp};
@@ -326,6 +327,21 @@
         (present && endpoint.notices.requested_backoff(now, backoff, draw)).then_some(endpoint)
     }
 
+    /// Records what an answer of the endpoint of a connection says about how many requests it takes,
+    /// and returns the endpoint if that is a change. An answer of an earlier start says nothing about
+    /// the present one.
+    pub fn limited(
+        &mut self,
+        peer: PeerId,
+        notice: LimitNotice,
+        to_call: bool,
+    ) -> Option<&Endpoint> {
+        let conn = self.conns.get(&peer)?;
+        let endpoint = self.endpoints.get_mut(conn.endpoint)?;
+        let present = endpoint.listed.0 == conn.boot;
+        (present && endpoint.notices.limit.noticed(notice, to_call)).then_some(endpoint)
+    }
+
     /// Returns whether any endpoint of a service has said something against new requests.
     pub fn has_notices(&self, now: Timestamp, service: &str) -> bool {
         self.pool(service).any(|(_, e)| !e.notices.accepts_requests(now))
--- a/src/gateway/header_protocol.rs
+++ b/src/gateway/header_protocol.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use super::protocol::{
-    AnswerInfo, CallError, CallInfo, CallProtocol, EngineReport, Export, ModelWork, RefusalInfo,
-    SendInfo, SendKind, SideRequest, TableFormat,
+    AnswerInfo, CallError, CallInfo, CallProtocol, EngineReport, Export, LimitNotice, ModelWork,
+    RefusalInfo, RequestRate, SendInfo, SendKind, SideRequest, TableFormat,
 };
 use crate::h1::{AnswerHead, Fields, Request, RequestHead, write};
 
@@ -54,6 +54,9 @@
     pub signature: &'static str,
     /// Present in an answer, with a value other than `0`, if the endpoint leaves.
     pub leaving: &'static str,
+    /// The requests per second that the endpoint takes from all gateways together, in an answer; a
+    /// decimal number.
+    pub limit: &'static str,
     /// Fields that are dropped from callers' requests, in addition to those that the gateway sets.
     pub reserved: &'static [&'static str],
 }
@@ -172,6 +175,7 @@
             signed: head.fields.has(names.signature),
             encoded: head.fields.has("content-encoding"),
             leaving: head.fields.all(names.leaving).any(is_set),
+            limit: read_limit(&head.fields, names.limit),
             backoff: (head.status == BUSY).then(|| read_backoff(&head.fields)).flatten(),
         }
     }
@@ -222,6 +226,19 @@
     values.filter_map(seconds).max()
 }
 
+/// Returns the lowest of the limits in the fields with a name.
+fn read_limit(fields: &Fields, name: &str) -> LimitNotice {
+    let rate = |value: &[u8]| -> Option<u32> {
+        let rate: f64 = std::str::from_utf8(value).ok()?.trim().parse().ok()?;
+        (rate.is_finite() && rate >= 0.0).then(|| (rate * 1_000.0).min(f64::from(u32::MAX)) as u32)
+    };
+    match fields.all(name).map(rate).min() {
+        None => LimitNotice::Absent,
+        Some(None) => LimitNotice::Unreadable,
+        Some(Some(rate)) => LimitNotice::Rate(RequestRate(rate)),
+    }
+}
+
 fn seconds(value: &[u8]) -> Option<Duration> {
     let seconds: f64 = std::str::from_utf8(value).ok()?.trim().parse().ok()?;
     let finite = seconds.is_finite().then(|| seconds.min(MAX_SECONDS))?;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod fleet;
 pub mod header_protocol;
 pub mod lateness;
+mod limit;
 mod notices;
 pub mod outbox;
 mod outcome;
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -5,6 +5,7 @@
 
 use super::answer;
 use super::fleet::{EndpointKey, Job};
+use super::limit::Limit;
 use super::protocol::{AnswerInfo, RefusalInfo};
 use super::reason::EndReason;
 use super::{CallerId, Gateway, PeerId};
@@ -26,6 +27,8 @@
     backoff: Duration,
     /// Until when it gets no request because it has requested a backoff.
     pub closed_until: Timestamp,
+    /// How many requests it takes from all gateways together.
+    pub limit: Limit,
 }
 
 impl Notices {
@@ -74,6 +77,26 @@
         if let Some(backoff) = info.backoff {
             self.notice_backoff(now, peer, backoff);
         }
+        self.notice_limit(now, peer, info);
+    }
+
+    fn notice_limit(&mut self, now: Timestamp, peer: PeerId, info: &AnswerInfo) {
+        let Some(conn) = self.fleet.conn(peer) else { return };
+        let (job, age) = (conn.job, now - conn.since);
+        let to_call =
+            matches!(job, Job::Call(_)) && self.job_id(job) == info.id.as_deref().unwrap_or("-");
+        let Some(endpoint) = self.fleet.limited(peer, info.limit, to_call) else { return };
+        let (name, service) = (endpoint.name.clone(), endpoint.pool.clone());
+        let rate = endpoint.notices.limit.rate().map_or(-1.0, |r| f64::from(r.0) / 1_000.0);
+        let gateways = self.follower.gateways(now);
+        log::info!(
+            "step=limit endpoint={name} id={} source={} rate={rate} gateways={gateways} age_ms={}",
+            self.job_id(job),
+            job.name(),
+            age.as_millis(),
+        );
+        self.outputs.push(Output::Observe(Observation::Limit { service }));
+        self.capacity_freed = true;
     }
 
     fn notice_leaving(&mut self, now: Timestamp, peer: PeerId) {
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -83,6 +83,21 @@
     }
 }
 
+/// What an answer says about how many requests its endpoint takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LimitNotice {
+    /// Nothing: it takes as many as it can.
+    Absent,
+    /// Something that can't be read.
+    Unreadable,
+    /// So many requests from all gateways together.
+    Rate(RequestRate),
+}
+
+/// A number of requests per second, in thousandths.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequestRate(pub u32);
+
 /// KV cache that a prefill endpoint holds for a decode endpoint to fetch.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Export {
@@ -173,6 +188,8 @@
     pub leaving: bool,
     /// For how long the endpoint wants no request, if it has refused this one and says so.
     pub backoff: Option<Duration>,
+    /// What it says about how many requests the endpoint takes.
+    pub limit: LimitNotice,
 }
 
 /// The load that an engine reports.
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -70,6 +70,7 @@
     charges: IntCounterVec,
     leaving: IntCounterVec,
     backoffs: IntCounterVec,
+    limits: IntCounterVec,
     crashes: IntCounterVec,
     broken_runs: IntCounterVec,
     quarantine: IntGauge,
@@ -166,6 +167,11 @@
             routes: Mutex::default(),
             services: Mutex::default(),
             open: Mutex::default(),
+            limits: make.counters(
+                "gateway_limits_total",
+                "Changes of the limits that endpoints named to a gateway",
+                &["service"],
+            )?,
             crashes: make.counters(
                 "gateway_crashes_total",
                 "Endpoints that crashed under runs of a gateway",
@@ -206,6 +212,10 @@
                 let service = self.label(&self.services, &service);
                 self.backoffs.with_label_values(&[&*service]).inc();
             }
+            Observation::Limit { service } => {
+                let service = self.label(&self.services, &service);
+                self.limits.with_label_values(&[&*service]).inc();
+            }
             Observation::Crash { service, runs } => {
                 let service = self.label(&self.services, &service);
                 self.crashes.with_label_values(&[&*service]).inc();
--- a/src/report/observation.rs
+++ b/src/report/observation.rs
@@ -44,6 +44,11 @@
         /// The name of its service.
         service: Box<str>,
     },
+    /// An endpoint has changed the number of requests that it takes, in an answer to a gateway.
+    Limit {
+        /// The name of its service.
+        service: Box<str>,
+    },
     /// A gateway has seen an endpoint crash under its runs.
     Crash {
         /// The name of its service.
--- a/tests/gateway_fixture/mod.rs
+++ b/tests/gateway_fixture/mod.rs
@@ -56,6 +56,7 @@
     not_run: "Not-Run",
     signature: "Signature",
     leaving: "Leaving",
+    limit: "Limit",
     reserved: &["Urgency"],
 };
 
--- a/tests/gateway_lines.rs
+++ b/tests/gateway_lines.rs
@@ -568,3 +568,21 @@
     assert_eq!(lines("crash").len(), 1);
     assert!(line("crash").contains("runs=2"), "{}", line("crash"));
 }
+
+#[test]
+fn limit_that_an_endpoint_names_is_logged_and_counted_with_each_change() {
+    let mut f = logged();
+    f.withdraw("p2");
+    f.advance(600);
+    for (caller, fields) in [(1, &[("Limit", "4.5")][..]), (2, &[("Limit", "4.5")]), (3, &[])] {
+        f.call(caller, "/look/a", &[]);
+        let sent = f.take_sent();
+        f.answer(&sent, 200, fields, "ok");
+        f.advance(10_000);
+    }
+    let limits = lines("limit");
+    assert_eq!(limits.len(), 2, "{limits:?}");
+    assert_eq!(value(&limits[0], "rate"), "4.5");
+    assert_eq!(value(&limits[1], "rate"), "-1");
+    assert_eq!(counter(&f, "gateway_limits_total{service=\"portal\"}"), 2);
+}
