Bound the events that an agent reads from its engine

An engine that sent an event without end took 1.4 GB at its agent within four seconds. Cause: a stream was read line by line without a bound, the class of fault that the gateway had. An event may have 1 MiB; beyond that the stream has failed and its connection is closed.

--- a/src/agent/engine/http.rs
+++ b/src/agent/engine/http.rs
@@ -1,6 +1,6 @@
 //! The HTTP client of the endpoint, with one thread for each request.
 
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -27,6 +27,8 @@
 const ANSWER_GRACE: Duration = Duration::from_secs(60);
 /// The largest answer of a plain service in bytes.
 const MAX_ANSWER_BYTES: u64 = 2 << 20;
+/// The largest event of a decode stream in bytes.
+const MAX_EVENT_BYTES: u64 = 1 << 20;
 /// The size of the buffer in each direction of a connection to the endpoint.
 const BUFFER_BYTES: usize = 8 << 10;
 /// The size of the buffer in each direction of a connection for a stream of tokens.
@@ -168,11 +170,9 @@
 
     fn decode(&self, request: RequestId, body: &serde_json::Value) -> Result<(), Failure> {
         let response = self.post_with(&self.streams, "/v1/decode", body)?;
-        let lines =
-            BufReader::with_capacity(STREAM_BUFFER_BYTES, response.into_body().into_reader())
-                .lines();
-        for line in lines {
-            let line = line.wrap_err("read decode stream").map_err(|e| (Ran::Maybe, e))?;
+        let body = response.into_body().into_reader();
+        let mut reader = BufReader::with_capacity(STREAM_BUFFER_BYTES, body);
+        while let Some(line) = next_line(&mut reader).map_err(|e| (Ran::Maybe, e))? {
             let Some(data) = line.strip_prefix("data: ") else { continue };
             let event = serde_json::from_str(data)
                 .wrap_err("parse decode event")
@@ -301,6 +301,18 @@
     }
 }
 
+/// Returns the next line of a stream without its end, or `None` at the end of the stream.
+fn next_line(reader: &mut impl BufRead) -> eyre::Result<Option<String>> {
+    let mut line = String::new();
+    let mut bounded = reader.take(MAX_EVENT_BYTES);
+    bounded.read_line(&mut line).wrap_err("read decode stream")?;
+    if bounded.limit() == 0 && !line.ends_with('\n') {
+        return Err(eyre!("an event has more than {MAX_EVENT_BYTES} bytes"));
+    }
+    let text = line.strip_suffix('\n').map(|l| l.strip_suffix('\r').unwrap_or(l));
+    Ok(if line.is_empty() { None } else { Some(text.unwrap_or(&line).into()) })
+}
+
 /// Returns the error with whether the request may have run, which it can't have without an
 /// established connection.
 fn classify_error(error: ureq::Error) -> Failure {
