Split what a gateway refuses from how it refuses it

The list, the own verdicts and the probes are a plain state in condemned.rs; the gateway's part stays in quarantine.rs. The fingerprint of a content now holds the host, and contents are read only if one is condemned.

--- /dev/null
+++ b/src/gateway/condemned.rs
@@ -0,0 +1,178 @@
+//! What a gateway refuses because it crashes endpoints: control's list, and its own verdicts for the
+//! time in which control is out of reach.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::control::quarantine::{Blame, Cause, Crash, QuarantineUpdate, Stage};
+use crate::model::{ExchangeId, Timestamp};
+
+/// How long a gateway refuses by its own verdict, while control is out of reach.
+const OWN_VERDICT_TTL: Duration = Duration::from_secs(120);
+/// How long after a crash a gateway reports runs that go on with the causes that it has reported.
+const WATCH_TIME: Duration = Duration::from_secs(60);
+/// The minimum time between two reports that runs with a cause go on.
+const SURVIVAL_INTERVAL: Duration = Duration::from_millis(250);
+/// How long after a refused request for a probe the next one is sent.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// How long a granted probe may wait for a call that uses it.
+const PERMIT_TTL: Duration = Duration::from_secs(5);
+/// The maximum number of causes that are watched or known to have gone on.
+const MAX_CAUSES: usize = 4_096;
+
+/// A cause that was in a run when an endpoint crashed.
+#[derive(Debug, Clone, Copy)]
+struct Watch {
+    until: Timestamp,
+    /// When it is reported next that a run with it goes on.
+    next_report: Timestamp,
+}
+
+/// The causes that this gateway refuses, and what it has seen itself.
+#[derive(Debug, Default)]
+pub struct Condemned {
+    listed: BTreeMap<Cause, Stage>,
+    /// Its own verdicts, and until when they hold.
+    own: BTreeMap<Cause, Timestamp>,
+    /// Causes of which the leader has allowed a probe, and until when.
+    permits: BTreeMap<Cause, Timestamp>,
+    /// When the leader is asked next for a probe of a cause.
+    next_probe: BTreeMap<Cause, Timestamp>,
+    /// Open requests for probes.
+    requests: BTreeMap<ExchangeId, Cause>,
+    watched: BTreeMap<Cause, Watch>,
+    /// Parts with which a run has gone on lately.
+    known: BTreeMap<Cause, Timestamp>,
+    blame: Blame,
+}
+
+impl Condemned {
+    /// Applies control's list.
+    pub fn list(&mut self, update: &QuarantineUpdate) {
+        self.listed = update.entries.iter().map(|(cause, e)| (*cause, e.stage)).collect();
+        self.permits.retain(|cause, _| self.listed.contains_key(cause));
+        self.next_probe.retain(|cause, _| self.listed.contains_key(cause));
+    }
+
+    /// Returns whether any cause is condemned, or was in a run when an endpoint crashed.
+    pub fn has_suspects(&self) -> bool {
+        !self.is_empty() || !self.watched.is_empty()
+    }
+
+    /// Returns whether any cause is condemned.
+    pub fn is_empty(&self) -> bool {
+        self.listed.is_empty() && self.own.is_empty()
+    }
+
+    /// Returns whether any complete content is condemned.
+    pub fn has_contents(&self) -> bool {
+        let mut all = self.listed.keys().chain(self.own.keys());
+        all.any(|cause| matches!(cause, Cause::Content(_)))
+    }
+
+    /// Returns the first of some causes that is condemned; own verdicts count while control is out of
+    /// reach.
+    pub fn find(&self, now: Timestamp, causes: &[Cause], alone: bool) -> Option<Cause> {
+        let own = |c: &Cause| alone && self.own.get(c).is_some_and(|until| now < *until);
+        causes.iter().copied().find(|c| self.listed.contains_key(c) || own(c))
+    }
+
+    /// Uses a granted probe for a call with this cause; returns whether there was one.
+    pub fn use_permit(&mut self, now: Timestamp, cause: Cause) -> bool {
+        self.permits.remove(&cause).is_some_and(|until| now < until)
+    }
+
+    /// Returns whether the leader is to be asked for a probe of a cause now.
+    pub fn wants_probe(&mut self, now: Timestamp, cause: Cause) -> bool {
+        let next = self.next_probe.get(&cause).copied().unwrap_or_default();
+        let wanted = self.listed.get(&cause) == Some(&Stage::Probation) && now >= next;
+        if wanted {
+            self.next_probe.insert(cause, now + PROBE_INTERVAL);
+        }
+        wanted
+    }
+
+    /// Records that the leader is asked for a probe of a cause.
+    pub fn probe_requested(&mut self, exchange: ExchangeId, cause: Cause) {
+        self.requests.insert(exchange, cause);
+    }
+
+    /// Records the leader's answer to a request for a probe; returns whether the exchange was one.
+    pub fn probe_answered(&mut self, now: Timestamp, exchange: ExchangeId, granted: bool) -> bool {
+        let Some(cause) = self.requests.remove(&exchange) else { return false };
+        if granted {
+            self.permits.insert(cause, now + PERMIT_TTL);
+        }
+        true
+    }
+
+    /// Records a crash that this gateway has seen; returns it with the parts that are known to go on.
+    pub fn crashed(&mut self, now: Timestamp, mut crash: Crash) -> Crash {
+        let causes: BTreeSet<Cause> = crash.runs.iter().flat_map(|r| &r.causes).copied().collect();
+        let known = |c: &&Cause| self.known.get(c).is_some_and(|at| now - *at < WATCH_TIME);
+        crash.known = causes.iter().filter(known).copied().collect();
+        for cause in causes {
+            let watch = Watch { until: now + WATCH_TIME, next_report: now };
+            self.watched.entry(cause).or_insert(watch).until = watch.until;
+        }
+        bound(&mut self.watched, |w| now < w.until);
+        self.blame.crashed(now, &crash);
+        crash
+    }
+
+    /// Records that a run with these causes goes on; returns those of which that is to be reported.
+    pub fn survived(&mut self, now: Timestamp, causes: &[Cause]) -> Vec<Cause> {
+        let parts = causes.iter().filter(|c| matches!(c, Cause::Part(_)));
+        self.known.extend(parts.map(|part| (*part, now)));
+        bound(&mut self.known, |at| now - *at < WATCH_TIME);
+        self.blame.survived(now, causes);
+        self.own.retain(|cause, _| !causes.contains(cause));
+        let mut reported = Vec::new();
+        for cause in causes {
+            let listed = self.listed.contains_key(cause);
+            let watch = self.watched.get_mut(cause).filter(|w| now < w.until);
+            let due = watch.is_some_and(|w| {
+                let due = now >= w.next_report;
+                w.next_report = if due { now + SURVIVAL_INTERVAL } else { w.next_report };
+                due
+            });
+            if due || listed {
+                reported.push(*cause);
+            }
+        }
+        reported
+    }
+
+    /// Removes causes that are watched no longer.
+    pub fn expire(&mut self, now: Timestamp) {
+        self.watched.retain(|_, w| now < w.until);
+    }
+
+    /// Judges by what this gateway has seen itself; returns whether there is a new verdict.
+    pub fn judge(&mut self, now: Timestamp) -> bool {
+        self.own.retain(|_, until| now < *until);
+        let mut condemned: BTreeSet<Cause> =
+            self.listed.keys().chain(self.own.keys()).copied().collect();
+        let before = self.own.len();
+        while let Some(verdict) = self.blame.verdict(now, &condemned) {
+            log::warn!(
+                "step=own-verdict cause={} crashes={}",
+                verdict.cause,
+                verdict.crashes.len()
+            );
+            condemned.insert(verdict.cause);
+            self.own.insert(verdict.cause, now + OWN_VERDICT_TTL);
+        }
+        self.own.len() > before
+    }
+}
+
+/// Removes what is out of date from a map that has grown to its bound, or the lowest keys.
+fn bound<V>(map: &mut BTreeMap<Cause, V>, is_current: impl Fn(&V) -> bool) {
+    if map.len() > MAX_CAUSES {
+        map.retain(|_, value| is_current(value));
+    }
+    while map.len() > MAX_CAUSES {
+        map.pop_first();
+    }
+}
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -93,9 +93,11 @@
 /// Returns the fingerprint of what a call asks for, which is the same when its caller sends it again.
 fn content_print(call: &Call) -> Fingerprint {
     let head = &call.request.head;
+    let host = head.fields.text("host").unwrap_or_default();
     let work = call.info.work.as_ref().map_or("", |w| &w.model);
     let parts = call.info.parts.join(",");
-    let pieces: [&[u8]; 5] = [
+    let pieces: [&[u8]; 6] = [
+        host.as_bytes(),
         head.method.as_bytes(),
         head.target.as_bytes(),
         work.as_bytes(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod assign;
 pub mod budget;
 mod call;
+mod condemned;
 mod crashes;
 pub mod credit;
 mod endpoint;
@@ -42,13 +43,13 @@
 
 use budget::{Budget, BudgetTerms};
 use call::{Call, Delivered, Stage};
+use condemned::Condemned;
 use crashes::Crashes;
 use credit::{Credit, Payment};
 use fleet::{EndpointKey, Fleet, Job};
 use lateness::UsualTimeout;
 use outbox::Outbox;
 use protocol::{CallProtocol, SendInfo, TableFormat};
-use quarantine::Condemned;
 use queue::Queue;
 use versions::Versions;
 
