Drop the evidence against a cause with its quarantine

An operator who cleared a cause saw it condemned again by the next report: the crashes that had condemned it were still held against it.

A cause that leaves the quarantine is now cleared of all crashes so far, at all members and gateways.

--- a/src/control/commit.rs
+++ b/src/control/commit.rs
@@ -34,6 +34,9 @@
                         self.revised = self.state.config.revised();
                     }
                     log_change(&record.command, &applied);
+                    if let Command::Clear { cause } = &record.command {
+                        self.bench.cleared(*cause);
+                    }
                     outputs.extend(self.applied(record.index, record.term, applied));
                 }
                 Action::Restore(snapshot) => outputs.extend(self.restore(&snapshot)),
--- a/src/control/quarantine/blame.rs
+++ b/src/control/quarantine/blame.rs
@@ -120,6 +120,11 @@
     /// Clears causes whose runs have gone on of all crashes so far.
     pub fn survived(&mut self, now: Timestamp, causes: &[Cause]) {
         self.learn(now, causes);
+        self.forget(causes);
+    }
+
+    /// Clears causes of all crashes so far, because they are out of quarantine.
+    pub fn forget(&mut self, causes: &[Cause]) {
         for crash in &mut self.crashes {
             for run in &mut crash.runs {
                 run.retain(|cause| !causes.contains(cause));
--- a/src/control/quarantine/verdicts.rs
+++ b/src/control/quarantine/verdicts.rs
@@ -42,6 +42,12 @@
         causes.into_iter().filter(|cause| self.is_probed(now, *cause)).collect()
     }
 
+    /// Drops the evidence against a cause that is out of quarantine; it would be condemned again.
+    pub(in crate::control) fn cleared(&mut self, cause: Cause) {
+        self.blame.forget(&[cause]);
+        self.probes.remove(&cause);
+    }
+
     fn is_probed(&self, now: Timestamp, cause: Cause) -> bool {
         self.probes.get(&cause).is_some_and(|at| now - *at < PROBE_TTL)
     }
--- a/src/gateway/condemned.rs
+++ b/src/gateway/condemned.rs
@@ -49,7 +49,12 @@
 impl Condemned {
     /// Applies control's list.
     pub fn list(&mut self, update: &QuarantineUpdate) {
-        self.listed = update.entries.iter().map(|(cause, e)| (*cause, e.stage)).collect();
+        let listed = update.entries.iter().map(|(cause, e)| (*cause, e.stage)).collect();
+        let before = std::mem::replace(&mut self.listed, listed);
+        let cleared = before.into_keys().filter(|cause| !self.listed.contains_key(cause));
+        let cleared: Vec<Cause> = cleared.collect();
+        self.blame.forget(&cleared);
+        self.own.retain(|cause, _| !cleared.contains(cause));
         self.permits.retain(|cause, _| self.listed.contains_key(cause));
         self.next_probe.retain(|cause, _| self.listed.contains_key(cause));
     }
--- a/tests/prompt_parts.rs
+++ b/tests/prompt_parts.rs
@@ -5,7 +5,10 @@
 
 use std::time::Duration;
 
-use dotterelpin::model::{EndpointKind, Timestamp};
+use dotterelpin::control::config::{Change, Edit};
+use dotterelpin::control::quarantine::Cause;
+use dotterelpin::control::state::Command;
+use dotterelpin::model::{EndpointKind, Revision, Timestamp};
 use fleet_world::{Endpoint, Kind, Node, World};
 use gateway_fixture::{MODEL, PLAIN, table};
 
@@ -226,3 +229,66 @@
     let begun = load.begun(&w, earlier(last, 3_000), last);
     assert!(begun > 80, "{begun} % of sound calls begin after the crashes");
 }
+
+/// Returns a fleet in which a part was condemned for two seconds, and the load on it.
+fn condemned_for_two_seconds() -> (World, Load) {
+    let mut w = fleet(3);
+    // A leader that has just begun grants no probe, since an earlier one may have.
+    w.run(12_000);
+    let edit = Edit::Set { name: "quarantine.seconds".into(), value: "2".into() };
+    let (id, author) = ("short".into(), "op".into());
+    w.propose(&Command::Change(Change { id, base: Revision(0), author, edit }));
+    let mut load = Load::new(3, 150, &["bad"]);
+    w.guilty_parts.insert("bad".into());
+    load.run(&mut w, 3_000);
+    assert!(is_condemned(&w), "the part is condemned");
+    (w, load)
+}
+
+fn is_condemned(w: &World) -> bool {
+    let leader = w.leader().unwrap();
+    let entries = w.member(leader).unwrap().state().quarantine.entries();
+    entries.keys().any(|cause| matches!(cause, Cause::Part(_)))
+}
+
+#[test]
+fn part_that_crashes_endpoints_no_longer_is_refused_for_ever() {
+    let (mut w, mut load) = condemned_for_two_seconds();
+    w.guilty_parts.clear();
+    load.run(&mut w, 20_000);
+    assert!(!is_condemned(&w), "a probe that went on has cleared the part");
+    let since = w.now;
+    load.run(&mut w, 2_000);
+    assert!(late(&w, "bad", since) > 10, "{} requests with the part", late(&w, "bad", since));
+}
+
+#[test]
+fn probes_of_a_part_that_still_crashes_endpoints_come_in_a_rush() {
+    let (mut w, mut load) = condemned_for_two_seconds();
+    let since = w.now;
+    load.run(&mut w, 40_000);
+    assert!(is_condemned(&w));
+    let crashes: Vec<Timestamp> =
+        w.crashes.iter().map(|(at, _)| *at).filter(|at| *at > since).collect();
+    assert!((1..=5).contains(&crashes.len()), "{} probes in 40 s", crashes.len());
+    let close = crashes.windows(2).filter(|pair| pair[1] - pair[0] < Duration::from_secs(2));
+    assert_eq!(close.count(), 0, "{crashes:?}");
+}
+
+#[test]
+fn part_that_an_operator_clears_is_condemned_again_by_the_old_crashes() {
+    let mut w = fleet(3);
+    let mut load = Load::new(3, 150, &["bad"]);
+    w.guilty_parts.insert("bad".into());
+    load.run(&mut w, 4_000);
+    let leader = w.leader().unwrap();
+    let entries = w.member(leader).unwrap().state().quarantine.entries();
+    let causes: Vec<Cause> = entries.keys().copied().collect();
+    assert!(!causes.is_empty());
+    w.guilty_parts.clear();
+    causes.into_iter().for_each(|cause| w.propose(&Command::Clear { cause }));
+    w.run(1_000);
+    let since = w.now;
+    load.run(&mut w, 2_000);
+    assert!(late(&w, "bad", since) > 10, "{} requests with the part", late(&w, "bad", since));
+}
