Move what bounds memory and what tests share to modules of their own

The driver of sockets is a folder with its bounds apart; the content of answers that are being received has left answer.rs; three test programs shared a link and a measure of memory as copies.

--- a/src/control/quarantine/blame.rs
+++ b/src/control/quarantine/blame.rs
@@ -110,7 +110,8 @@
             let cleared = &recorded.cleared;
             let suspected = run.causes.iter().filter(|c| !cleared.contains(c)).copied();
             let causes: Vec<Cause> = suspected.collect();
-            if recorded.runs.len() < MAX_RUNS && !recorded.runs.contains(&causes) {
+            let is_new = !causes.is_empty() && !recorded.runs.contains(&causes);
+            if is_new && recorded.runs.len() < MAX_RUNS {
                 recorded.runs.push(causes);
             }
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod budget;
 mod call;
 mod condemned;
+mod content;
 mod crashes;
 pub mod credit;
 mod endpoint;
--- a/src/h1/driver.rs
+++ b/src/h1/driver/mod.rs
@@ -1,5 +1,7 @@
 //! The thread that polls the sockets of one role and steps the role.
 
+mod bounds;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -33,12 +35,6 @@
 const MAX_LAST_TURNS: usize = 128;
 /// The most inputs from other threads that are handled before the sockets are.
 const MAX_INPUTS_PER_POLL: usize = 256;
-/// The most bytes that are kept for one caller that does not read its answer.
-const MAX_UNREAD_BYTES: usize = 12 << 20;
-/// The most bytes that are kept for all callers, of requests and of answers that they don't read.
-const MAX_HELD_BYTES: usize = 32 << 20;
-/// Callers for which fewer bytes are kept are not held to the bound for all.
-const LARGE_BYTES: usize = 256 << 10;
 const WAKER: Token = Token(0);
 /// Tokens below this one belong to the waker and the listeners.
 const FIRST_CONNECTION: u64 = 8;
@@ -375,35 +371,6 @@
         true
     }
 
-    /// Refuses the request that a caller is sending if too many bytes are kept for all callers.
-    fn bound_request(&mut self, now: Timestamp, id: CallerId) {
-        let large = self.callers.get(&id).is_some_and(|c| c.held() > LARGE_BYTES);
-        if large && self.held_bytes() > MAX_HELD_BYTES {
-            log::warn!("step=read outcome=refused error=\"too many large requests at once\"");
-            if let Some(caller) = self.callers.get_mut(&id) {
-                caller.refuse_large(now);
-            }
-        }
-    }
-
-    /// Closes the connection of a caller that leaves too many bytes of its answer unread.
-    fn bound_answer(&mut self, id: CallerId) {
-        let unread = self.callers.get(&id).map_or(0, |c| c.socket.pending());
-        let too_many =
-            unread > MAX_UNREAD_BYTES || unread > LARGE_BYTES && self.held_bytes() > MAX_HELD_BYTES;
-        if too_many {
-            log::warn!("step=write outcome=closed unread={unread}");
-            if let Some(caller) = self.callers.get_mut(&id) {
-                caller.socket.clear();
-            }
-            self.broken.push(ConnectionId::Caller(id));
-        }
-    }
-
-    fn held_bytes(&self) -> usize {
-        self.callers.values().map(Caller::held).sum()
-    }
-
     /// Steps the role with the inputs of a peer until the role closes the connection or it is lost.
     fn step_peer(&mut self, now: Timestamp, id: PeerId, inputs: Vec<HttpInput>) -> bool {
         for input in inputs {
--- a/tests/agent_endless.rs
+++ b/tests/agent_endless.rs
@@ -1,5 +1,7 @@
 //! An engine that sends an event without end to its agent.
 
+mod loopback;
+
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::mpsc::{Sender, channel};
@@ -7,12 +9,11 @@
 use std::time::{Duration, Instant};
 
 use dotterelpin::agent::engine::{EngineEffect, EngineInput, HttpEngine, Work};
-use dotterelpin::link::Link;
 use dotterelpin::link::message::Export;
-use dotterelpin::link::tls::{Identity, make_keys};
 use dotterelpin::model::{BootId, CallId, Ran, RequestId, Timestamp};
 use dotterelpin::report::metrics::Metrics;
 use dotterelpin::role::{Driver, Input, Output, Role};
+use loopback::{link, memory};
 
 /// How long the engine sends, if nobody closes the connection.
 const SEND_TIME: Duration = Duration::from_secs(4);
@@ -49,12 +50,6 @@
     }
 }
 
-fn memory() -> u64 {
-    let status = std::fs::read_to_string("/proc/self/status").unwrap();
-    let line = status.lines().find(|l| l.starts_with("VmRSS:")).unwrap();
-    line.split_whitespace().nth(1).unwrap().parse::<u64>().unwrap() * 1_024
-}
-
 /// Starts an engine that answers with an event without end.
 fn engine() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -74,18 +69,13 @@
 
 #[test]
 fn event_without_end_takes_all_memory_of_the_agent() {
-    let folder = std::env::temp_dir().join(format!("dotterelpin-agent-{}", std::process::id()));
-    make_keys(&folder).unwrap();
-    let identity = Identity::load(&folder).unwrap();
-    std::fs::remove_dir_all(&folder).unwrap();
-    let link = Link::bind("127.0.0.1:0".parse().unwrap(), identity).unwrap();
     let url = Arc::new(Mutex::new(Some(format!("http://{}", engine()).into())));
     let driver = Driver::new();
     let handle = driver.handle();
     let http = HttpEngine::new(url, handle.clone());
     let (ended, outcome) = channel();
     let metrics = Arc::new(Metrics::new().unwrap());
-    driver.start("agent", Starter { ended }, link.handle(), http, metrics).unwrap();
+    driver.start("agent", Starter { ended }, link(), http, metrics).unwrap();
     let before = memory();
     handle.send(Input::Shutdown);
     let begin = Instant::now();
--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -1,6 +1,8 @@
 //! Bytes without end, from endpoints and to callers that don't read: they take neither the memory of
 //! the process nor the time of the other connections.
 
+mod loopback;
+
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -10,11 +12,10 @@
 use dotterelpin::h1::{
     HttpDriver, HttpEffect, HttpHandle, HttpInput, Listener, PeerId, Purpose, Reader,
 };
-use dotterelpin::link::tls::{Identity, make_keys};
-use dotterelpin::link::{Link, LinkHandle};
 use dotterelpin::model::Timestamp;
 use dotterelpin::report::metrics::Metrics;
 use dotterelpin::role::{Input, Output, Role};
+use loopback::{link, memory};
 
 /// How long an endpoint sends, and how often the role gets another input meanwhile.
 const SEND_TIME: Duration = Duration::from_millis(3_000);
@@ -94,21 +95,6 @@
     }
 }
 
-/// Returns the link that all drivers of this test program share; no role here uses it.
-fn link() -> LinkHandle {
-    static LINK: Mutex<Option<Arc<Link>>> = Mutex::new(None);
-    let mut link = LINK.lock().unwrap();
-    let created = link.get_or_insert_with(|| {
-        let name = format!("dotterelpin-endless-{}", std::process::id());
-        let folder = std::env::temp_dir().join(name);
-        make_keys(&folder).unwrap();
-        let identity = Identity::load(&folder).unwrap();
-        std::fs::remove_dir_all(&folder).unwrap();
-        Arc::new(Link::bind("127.0.0.1:0".parse().unwrap(), identity).unwrap())
-    });
-    created.handle()
-}
-
 fn start<R>(role: R) -> (HttpHandle, SocketAddr)
 where
     R: Role<Local = HttpInput, Effect = HttpEffect> + Send + 'static,
@@ -121,13 +107,6 @@
     (handle, address)
 }
 
-/// Returns the resident memory of this process in bytes.
-fn memory() -> u64 {
-    let status = std::fs::read_to_string("/proc/self/status").unwrap();
-    let line = status.lines().find(|l| l.starts_with("VmRSS:")).unwrap();
-    line.split_whitespace().nth(1).unwrap().parse::<u64>().unwrap() * 1_024
-}
-
 /// Starts an endpoint that answers one request with a head and then a piece without end.
 fn endpoint(head: &'static [u8], piece: &'static [u8]) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/tests/h1_sockets.rs
+++ b/tests/h1_sockets.rs
@@ -1,21 +1,22 @@
 //! The HTTP server over real sockets: pipelined, invalid, oversized and slow requests, and callers
 //! that disconnect.
 
+mod loopback;
+
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use dotterelpin::h1::{
     CallerId, HttpDriver, HttpEffect, HttpHandle, HttpInput, Listener, Purpose, write,
 };
-use dotterelpin::link::tls::{Identity, make_keys};
-use dotterelpin::link::{Link, LinkHandle};
 use dotterelpin::model::Timestamp;
 use dotterelpin::report::metrics::Metrics;
 use dotterelpin::role::{Input, Output, Role};
 use dotterelpin::routes::CallerLimits;
+use loopback::link;
 
 /// Answers each request with its target and the length of its content, except `/hang`.
 struct Echo {
@@ -73,21 +74,6 @@
     }
 }
 
-/// Returns the link that all servers of this test program share; no role here uses it.
-fn link() -> LinkHandle {
-    static LINK: Mutex<Option<Arc<Link>>> = Mutex::new(None);
-    let mut link = LINK.lock().unwrap();
-    let created = link.get_or_insert_with(|| {
-        let folder =
-            std::env::temp_dir().join(format!("dotterelpin-h1-sockets-{}", std::process::id()));
-        make_keys(&folder).unwrap();
-        let identity = Identity::load(&folder).unwrap();
-        std::fs::remove_dir_all(&folder).unwrap();
-        Arc::new(Link::bind("127.0.0.1:0".parse().unwrap(), identity).unwrap())
-    });
-    created.handle()
-}
-
 fn start() -> Server {
     let (sender, events) = channel();
     let address = "127.0.0.1:0".parse().unwrap();
