--- a/src/cli/tool/quarantine.rs
+++ b/src/cli/tool/quarantine.rs
@@ -42,7 +42,7 @@
     let now = Timestamp::from_system();
     let left = match entry.stage {
         Stage::Refused { until } => Some((until - now).as_secs()),
-        Stage::Probation => None,
+        Stage::Probing => None,
     };
     let crashes: Vec<String> = entry.crashes.iter().map(ToString::to_string).collect();
     if json {
@@ -56,5 +56,5 @@
         return;
     }
     let state = left.map_or("gets single probes".into(), |s| format!("refused for {s} s more"));
-    println!("{cause} {state}, condemned {} times, crashed {}", entry.verdicts, crashes.join(", "));
+    println!("{cause} {state}, blocked {} times, crashed {}", entry.verdicts, crashes.join(", "));
 }
--- a/src/control/commit.rs
+++ b/src/control/commit.rs
@@ -35,7 +35,7 @@
                     }
                     log_change(&record.command, &applied);
                     if let Command::Clear { cause } = &record.command {
-                        self.bench.cleared(*cause);
+                        self.detector.cleared(*cause);
                     }
                     outputs.extend(self.applied(record.index, record.term, applied));
                 }
@@ -150,9 +150,9 @@
                 deregistration.boot
             );
         }
-        Command::Condemn { verdict, .. } => {
+        Command::Block { verdict, .. } => {
             let crashes = verdict.crashes.len();
-            log::warn!("step=condemn cause={} crashes={crashes}", verdict.cause);
+            log::warn!("step=block cause={} crashes={crashes}", verdict.cause);
         }
         Command::AllowProbes { cause } => log::info!("step=allow-probes cause={cause}"),
         Command::Clear { cause } => log::info!("step=clear cause={cause}"),
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -23,7 +23,7 @@
 use dispatch::rooms::Rooms;
 use origins::Origins;
 use peers::Peers;
-use quarantine::Bench;
+use quarantine::Detector;
 use replica::{Entry, LogIndex, Replica, ReplicaInput, ReplicaSettings, Snapshot, Stored, WriteId};
 use state::{Applied, ChangeReply, Command, State};
 
@@ -105,7 +105,7 @@
     prompts: Prompts,
     rooms: Rooms,
     origins: Origins,
-    bench: Bench,
+    detector: Detector,
     proposals: BTreeMap<LogIndex, Proposal>,
     failed: bool,
     stopping: Option<Timestamp>,
@@ -131,7 +131,7 @@
             prompts: Prompts::default(),
             rooms: Rooms::default(),
             origins: Origins::default(),
-            bench: Bench::default(),
+            detector: Detector::default(),
             proposals: BTreeMap::new(),
             failed: false,
             stopping: None,
--- a/src/control/quarantine/blame.rs
+++ b/src/control/quarantine/blame.rs
@@ -1,6 +1,6 @@
 //! Finds the cause that crashes of endpoints have in common.
 //!
-//! A crash takes a whole batch of runs with it, of which one is guilty, and each process sees only
+//! A crash takes a whole batch of runs with it, of which one is faulty, and each process sees only
 //! its own part of the batch. So all processes report their broken runs, and those of one start of
 //! an endpoint are put together. A cause is suspected of a crash if it was in a run that had just
 //! begun; one whose run goes on for [`SURVIVAL_TIME`](super::SURVIVAL_TIME), anywhere, is cleared of
@@ -52,13 +52,13 @@
 }
 
 impl Recorded {
-    /// Returns the condemned causes among its runs.
-    fn guilty(&self, condemned: &BTreeSet<Cause>) -> impl Iterator<Item = &Cause> {
-        self.runs.iter().flatten().filter(|cause| condemned.contains(cause))
+    /// Returns the blocked causes among its runs.
+    fn faulty(&self, blocked: &BTreeSet<Cause>) -> impl Iterator<Item = &Cause> {
+        self.runs.iter().flatten().filter(|cause| blocked.contains(cause))
     }
 
-    fn is_explained(&self, condemned: &BTreeSet<Cause>) -> bool {
-        self.guilty(condemned).next().is_some()
+    fn is_explained(&self, blocked: &BTreeSet<Cause>) -> bool {
+        self.faulty(blocked).next().is_some()
     }
 }
 
@@ -166,14 +166,14 @@
         self.crashes.len()
     }
 
-    /// Returns the cause to be condemned next, if the crashes that none of the condemned causes
+    /// Returns the cause to be blocked next, if the crashes that none of the blocked causes
     /// explains suffice for one.
-    pub fn verdict(&self, now: Timestamp, condemned: &BTreeSet<Cause>) -> Option<Verdict> {
-        let tallies = self.tallies(now, condemned);
-        let crashes = self.crashes.iter().enumerate().filter(|(_, c)| !c.is_explained(condemned));
+    pub fn verdict(&self, now: Timestamp, blocked: &BTreeSet<Cause>) -> Option<Verdict> {
+        let tallies = self.tallies(now, blocked);
+        let crashes = self.crashes.iter().enumerate().filter(|(_, c)| !c.is_explained(blocked));
         let unexplained = crashes.map(|(at, c)| (at, c.at)).collect();
         let suffices = |cause: &Cause, tally: &Tally| {
-            !condemned.contains(cause) && tally.suffices(now, *cause, &unexplained)
+            !blocked.contains(cause) && tally.suffices(now, *cause, &unexplained)
         };
         let mut suspects: Vec<(&Cause, &Tally)> =
             tallies.iter().filter(|(cause, tally)| suffices(cause, tally)).collect();
@@ -236,11 +236,11 @@
         covered * 2 > tally.unexplained.len()
     }
 
-    fn tallies(&self, now: Timestamp, condemned: &BTreeSet<Cause>) -> BTreeMap<Cause, Tally> {
+    fn tallies(&self, now: Timestamp, blocked: &BTreeSet<Cause>) -> BTreeMap<Cause, Tally> {
         let mut tallies: BTreeMap<Cause, Tally> = BTreeMap::new();
         for (at, crash) in self.crashes.iter().enumerate() {
-            let explained = crash.is_explained(condemned);
-            let by_part = crash.guilty(condemned).any(|c| matches!(c, Cause::Part(_)));
+            let explained = crash.is_explained(blocked);
+            let by_part = crash.faulty(blocked).any(|c| matches!(c, Cause::Part(_)));
             let causes: BTreeSet<Cause> = crash.runs.iter().flatten().copied().collect();
             for cause in causes {
                 let known = self.known.get(&cause).is_some_and(|at| now - *at < KNOWN_TTL);
@@ -285,7 +285,7 @@
     parts.filter(|(_, t)| close(t)).count() >= CROWD
 }
 
-/// Returns whether another part that may be guilty explains all that a cause explains.
+/// Returns whether another part that may be faulty explains all that a cause explains.
 fn has_rival(tallies: &BTreeMap<Cause, Tally>, cause: Cause, tally: &Tally) -> bool {
     tallies.iter().any(|(other, t)| {
         *other != cause
--- a/src/control/quarantine/mod.rs
+++ b/src/control/quarantine/mod.rs
@@ -3,8 +3,8 @@
 //! Processes report the runs that ended with their endpoints, and runs that went on, to all control
 //! members. Each member keeps that evidence as soft state in a [`Blame`]; the leader commits a verdict
 //! to the log, so that it outlasts restarts and new leaders, and heartbeats bring it to all processes.
-//! After [`Setting::QuarantineDuration`](super::config::Setting::QuarantineDuration) a condemned
-//! cause gets single probes until one of them clears it or condemns it again.
+//! After [`Setting::QuarantineDuration`](super::config::Setting::QuarantineDuration) a blocked
+//! cause gets single probes until one of them clears it or blocks it again.
 
 mod blame;
 mod cause;
@@ -20,7 +20,7 @@
 pub use blame::{Blame, Verdict};
 pub use cause::{Cause, Fingerprint};
 pub use crash::{BrokenRun, Crash, SURVIVAL_TIME, Start};
-pub(super) use verdicts::Bench;
+pub(super) use verdicts::Detector;
 
 use crate::model::Timestamp;
 
@@ -40,7 +40,7 @@
     Survived(Vec<Cause>),
 }
 
-/// How calls with a condemned cause are treated.
+/// How calls with a blocked cause are treated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Stage {
     /// All are refused, until this time by the leader's clock.
@@ -49,15 +49,15 @@
         until: Timestamp,
     },
     /// The leader allows one at a time, as a probe.
-    Probation,
+    Probing,
 }
 
 /// A cause in quarantine.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
-    /// When it was condemned last, by the leader's clock.
+    /// When it was blocked last, by the leader's clock.
     pub since: Timestamp,
-    /// How often it was condemned.
+    /// How often it was blocked.
     pub verdicts: u32,
     /// The last starts of endpoints that it has crashed.
     pub crashes: Vec<Start>,
@@ -75,9 +75,9 @@
 /// let cause = Cause::Part(Fingerprint::of("cs-summary", b"5c1e07a2"));
 /// let mut quarantine = Quarantine::default();
 /// let verdict = Verdict { cause, crashes: vec![] };
-/// quarantine.condemn(Timestamp::from_micros(1), &verdict, Duration::from_secs(60));
+/// quarantine.block(Timestamp::from_micros(1), &verdict, Duration::from_secs(60));
 /// quarantine.allow_probes(cause);
-/// assert_eq!(quarantine.entries()[&cause].stage, Stage::Probation);
+/// assert_eq!(quarantine.entries()[&cause].stage, Stage::Probing);
 /// quarantine.clear(cause);
 /// assert!(quarantine.entries().is_empty());
 /// ```
@@ -98,8 +98,8 @@
         self.version
     }
 
-    /// Condemns a cause for a duration, which doubles with each further verdict on it.
-    pub fn condemn(&mut self, now: Timestamp, verdict: &Verdict, duration: Duration) {
+    /// Blocks a cause for a duration, which doubles with each further verdict on it.
+    pub fn block(&mut self, now: Timestamp, verdict: &Verdict, duration: Duration) {
         let earlier = self.entries.get(&verdict.cause);
         let verdicts = earlier.map_or(1, |e| e.verdicts.saturating_add(1));
         let factor = 2u32.saturating_pow(verdicts - 1).min(MAX_FACTOR);
@@ -118,7 +118,7 @@
     /// Allows probes of a cause.
     pub fn allow_probes(&mut self, cause: Cause) {
         if let Some(entry) = self.entries.get_mut(&cause) {
-            entry.stage = Stage::Probation;
+            entry.stage = Stage::Probing;
             self.version += 1;
         }
     }
--- a/src/control/quarantine/tally.rs
+++ b/src/control/quarantine/tally.rs
@@ -1,4 +1,4 @@
-//! What one cause explains of the crashes of endpoints, and whether that suffices to condemn it.
+//! What one cause explains of the crashes of endpoints, and whether that suffices to block it.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
@@ -17,10 +17,10 @@
 const SHARED_RUNS: usize = 15;
 /// How many different contents must hold a part that does not explain most of the crashes.
 const VARIED_CONTENTS: usize = 3;
-/// How long after its first crash a part is condemned at the earliest: by then a sound one that many
+/// How long after its first crash a part is blocked at the earliest: by then a sound one that many
 /// calls share has had runs that went on.
 const MIN_SUSPICION: Duration = Duration::from_millis(1_200);
-/// The same for a part that is likely to be sound: what is guilty instead is condemned before.
+/// The same for a part that is likely to be sound: what is faulty instead is blocked before.
 const SOUND_SUSPICION: Duration = Duration::from_millis(2_000);
 /// How many crashes that a cause does not explain raise what it must explain by one.
 const OTHERS_FOR_ONE: usize = 6;
@@ -29,17 +29,17 @@
 /// The maximum by which crashes for other reasons raise what a cause must explain.
 const MAX_RAISE: usize = 4;
 
-/// The order of causes among those that suffice; the lowest is condemned first.
+/// The order of causes among those that suffice; the lowest is blocked first.
 pub(super) type Rank = (bool, usize, bool, Reverse<usize>, Reverse<usize>, Cause);
 
 /// What a cause explains.
 #[derive(Debug, Default)]
 pub(super) struct Tally {
-    /// The positions of the crashes that no condemned cause explains.
+    /// The positions of the crashes that no blocked cause explains.
     pub unexplained: BTreeSet<usize>,
     /// The number of all crashes.
     pub all: usize,
-    /// The number of crashes that no condemned part explains; a condemned content may.
+    /// The number of crashes that no blocked part explains; a blocked content may.
     pub by_content: usize,
     /// The number of runs in which it was.
     pub runs: usize,
@@ -106,7 +106,7 @@
         self.runs * 10 / self.all.max(1)
     }
 
-    /// Returns the order in which causes are condemned: first those that are not likely to
+    /// Returns the order in which causes are blocked: first those that are not likely to
     /// be sound, then those in the fewest runs of each crash, since one run causes a crash, then the
     /// more specific ones.
     pub fn rank(&self, cause: Cause) -> Rank {
--- a/src/control/quarantine/verdicts.rs
+++ b/src/control/quarantine/verdicts.rs
@@ -9,7 +9,7 @@
 use crate::link::message::ControlReply;
 use crate::model::{EndpointState, InboundId, Timestamp};
 
-/// How long after new evidence the leader goes on judging by it: a part is condemned at the earliest
+/// How long after new evidence the leader goes on judging by it: a part is blocked at the earliest
 /// some time after its first crash.
 const JUDGE_TIME: Duration = Duration::from_millis(4_000);
 /// How long a probe may take; then another one may be granted.
@@ -17,14 +17,14 @@
 
 /// The evidence of one member, and the probes that it has granted as the leader.
 #[derive(Debug, Default)]
-pub struct Bench {
+pub struct Detector {
     blame: Blame,
     judge_until: Timestamp,
     /// When the last probe of each cause was granted.
     probes: BTreeMap<Cause, Timestamp>,
 }
 
-impl Bench {
+impl Detector {
     fn record(&mut self, now: Timestamp, evidence: &Evidence) {
         match evidence {
             Evidence::Crashed(crash) => {
@@ -42,7 +42,7 @@
         causes.into_iter().filter(|cause| self.is_probed(now, *cause)).collect()
     }
 
-    /// Drops the evidence against a cause that is out of quarantine; it would be condemned again.
+    /// Drops the evidence against a cause that is out of quarantine; it would be blocked again.
     pub(in crate::control) fn cleared(&mut self, cause: Cause) {
         self.blame.forget(&[cause]);
         self.probes.remove(&cause);
@@ -63,8 +63,8 @@
     ) -> Outputs {
         let mut outputs = vec![self.reply(inbound, ControlReply::EvidenceRecorded)];
         for evidence in list {
-            log_evidence(&evidence, self.bench.blame.count());
-            self.bench.record(now, &evidence);
+            log_evidence(&evidence, self.detector.blame.count());
+            self.detector.record(now, &evidence);
             self.note_announced(&evidence);
             outputs.extend(self.conclude_probes(now, &evidence));
         }
@@ -76,15 +76,15 @@
     fn note_announced(&mut self, evidence: &Evidence) {
         let Evidence::Crashed(crash) = evidence else { return };
         if let Some(sequence) = self.registry.sequence(&crash.start) {
-            self.bench.blame.announced_before(&crash.start, sequence);
+            self.detector.blame.announced_before(&crash.start, sequence);
         }
     }
 
     /// Records that a start of an endpoint announces itself.
     pub(in crate::control) fn endpoint_alive(&mut self, now: Timestamp, endpoint: &EndpointState) {
-        if self.bench.blame.count() > 0 {
+        if self.detector.blame.count() > 0 {
             let start = Start { endpoint: endpoint.name.clone(), boot: endpoint.boot };
-            self.bench.blame.heard(now, &start, endpoint.sequence);
+            self.detector.blame.heard(now, &start, endpoint.sequence);
         }
     }
 
@@ -97,29 +97,29 @@
                 held.map(|cause| Command::Clear { cause: *cause }).collect()
             }
             Evidence::Crashed(crash) => {
-                let failed = self.bench.failed_probes(now, crash);
+                let failed = self.detector.failed_probes(now, crash);
                 let verdict = |cause| Verdict { cause, crashes: vec![crash.start.clone()] };
                 failed
                     .into_iter()
-                    .map(|c| Command::Condemn { verdict: verdict(c), at: now })
+                    .map(|c| Command::Block { verdict: verdict(c), at: now })
                     .collect()
             }
         };
         commands.into_iter().flat_map(|command| self.propose_own(now, command)).collect()
     }
 
-    /// As the leader, condemns causes by the evidence, and allows probes of those whose time is over.
+    /// As the leader, blocks causes by the evidence, and allows probes of those whose time is over.
     pub(in crate::control) fn judge(&mut self, now: Timestamp) -> Outputs {
         if self.failed || !self.replica.is_leader() || self.stopping.is_some() {
             return Vec::new();
         }
         let mut outputs = Vec::new();
-        if now < self.bench.judge_until {
-            let mut condemned = self.condemned();
-            while let Some(verdict) = self.bench.blame.verdict(now, &condemned) {
-                condemned.insert(verdict.cause);
+        if now < self.detector.judge_until {
+            let mut blocked = self.blocked();
+            while let Some(verdict) = self.detector.blame.verdict(now, &blocked) {
+                blocked.insert(verdict.cause);
                 let at = now;
-                outputs.extend(self.propose_own(now, Command::Condemn { verdict, at }));
+                outputs.extend(self.propose_own(now, Command::Block { verdict, at }));
             }
         }
         for cause in due_releases(&self.state.quarantine, now) {
@@ -128,10 +128,10 @@
         outputs
     }
 
-    /// Returns all causes that are condemned, also those whose verdict is not committed yet.
-    fn condemned(&self) -> BTreeSet<Cause> {
+    /// Returns all causes that are blocked, also those whose verdict is not committed yet.
+    fn blocked(&self) -> BTreeSet<Cause> {
         let pending = self.replica.unapplied().filter_map(|r| match &r.command {
-            Command::Condemn { verdict, .. } => Some(verdict.cause),
+            Command::Block { verdict, .. } => Some(verdict.cause),
             _ => None,
         });
         self.state.quarantine.entries().keys().copied().chain(pending).collect()
@@ -148,15 +148,15 @@
         }
     }
 
-    /// Returns whether a process may send one call with a cause in probation, as a probe.
+    /// Returns whether a process may send one call with a cause that is being probed, as a probe.
     pub(in crate::control) fn grant_probe(&mut self, now: Timestamp, cause: Cause) -> bool {
         let entry = self.state.quarantine.entries().get(&cause);
-        let on_probation = entry.is_some_and(|e| e.stage == Stage::Probation);
+        let is_probing = entry.is_some_and(|e| e.stage == Stage::Probing);
         // An earlier leader may have granted one.
         let settled = self.replica.leads_since().is_some_and(|(_, since)| now >= since + PROBE_TTL);
-        let granted = on_probation && settled && !self.bench.is_probed(now, cause);
+        let granted = is_probing && settled && !self.detector.is_probed(now, cause);
         if granted {
-            self.bench.probes.insert(cause, now);
+            self.detector.probes.insert(cause, now);
         }
         log::info!("step=probe cause={cause} granted={granted}");
         granted
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -68,7 +68,7 @@
     /// Deregister an endpoint that shuts down.
     Deregister(Deregistration),
     /// Put a cause into quarantine; only the leader proposes it.
-    Condemn {
+    Block {
         /// The cause and what it has crashed.
         verdict: Verdict,
         /// The time by the leader's clock.
@@ -192,9 +192,9 @@
                 self.routing.deregister(index, deregistration);
                 Applied::Done
             }
-            Command::Condemn { verdict, at } => {
+            Command::Block { verdict, at } => {
                 let seconds = self.config.default_value(Setting::QuarantineDuration);
-                self.quarantine.condemn(*at, verdict, Duration::from_secs(seconds));
+                self.quarantine.block(*at, verdict, Duration::from_secs(seconds));
                 Applied::Done
             }
             Command::AllowProbes { cause } => {
--- a/src/gateway/condemned.rs
+++ b/src/gateway/blocked.rs
@@ -30,7 +30,7 @@
 
 /// The causes that this gateway refuses, and what it has seen itself.
 #[derive(Debug, Default)]
-pub struct Condemned {
+pub struct Blocked {
     listed: BTreeMap<Cause, Stage>,
     /// Its own verdicts, and until when they hold.
     own: BTreeMap<Cause, Timestamp>,
@@ -46,7 +46,7 @@
     blame: Blame,
 }
 
-impl Condemned {
+impl Blocked {
     /// Applies control's list.
     pub fn list(&mut self, update: &QuarantineUpdate) {
         let listed = update.entries.iter().map(|(cause, e)| (*cause, e.stage)).collect();
@@ -59,23 +59,23 @@
         self.next_probe.retain(|cause, _| self.listed.contains_key(cause));
     }
 
-    /// Returns whether any cause is condemned, or was in a run when an endpoint crashed.
+    /// Returns whether any cause is blocked, or was in a run when an endpoint crashed.
     pub fn has_suspects(&self) -> bool {
         !self.is_empty() || !self.watched.is_empty()
     }
 
-    /// Returns whether any cause is condemned.
+    /// Returns whether any cause is blocked.
     pub fn is_empty(&self) -> bool {
         self.listed.is_empty() && self.own.is_empty()
     }
 
-    /// Returns whether any complete content is condemned.
+    /// Returns whether any complete content is blocked.
     pub fn has_contents(&self) -> bool {
         let mut all = self.listed.keys().chain(self.own.keys());
         all.any(|cause| matches!(cause, Cause::Content(_)))
     }
 
-    /// Returns the first of some causes that is condemned; own verdicts count while control is out of
+    /// Returns the first of some causes that is blocked; own verdicts count while control is out of
     /// reach.
     pub fn find(&self, now: Timestamp, causes: &[Cause], alone: bool) -> Option<Cause> {
         let own = |c: &Cause| alone && self.own.get(c).is_some_and(|until| now < *until);
@@ -90,7 +90,7 @@
     /// Returns whether the leader is to be asked for a probe of a cause now.
     pub fn wants_probe(&mut self, now: Timestamp, cause: Cause) -> bool {
         let next = self.next_probe.get(&cause).copied().unwrap_or_default();
-        let wanted = self.listed.get(&cause) == Some(&Stage::Probation) && now >= next;
+        let wanted = self.listed.get(&cause) == Some(&Stage::Probing) && now >= next;
         if wanted {
             self.next_probe.insert(cause, now + PROBE_INTERVAL);
         }
@@ -156,16 +156,16 @@
     /// Judges by what this gateway has seen itself; returns whether there is a new verdict.
     pub fn judge(&mut self, now: Timestamp) -> bool {
         self.own.retain(|_, until| now < *until);
-        let mut condemned: BTreeSet<Cause> =
+        let mut blocked: BTreeSet<Cause> =
             self.listed.keys().chain(self.own.keys()).copied().collect();
         let before = self.own.len();
-        while let Some(verdict) = self.blame.verdict(now, &condemned) {
+        while let Some(verdict) = self.blame.verdict(now, &blocked) {
             log::warn!(
                 "step=own-verdict cause={} crashes={}",
                 verdict.cause,
                 verdict.crashes.len()
             );
-            condemned.insert(verdict.cause);
+            blocked.insert(verdict.cause);
             self.own.insert(verdict.cause, now + OWN_VERDICT_TTL);
         }
         self.own.len() > before
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,9 +6,9 @@
 mod admit;
 mod answer;
 mod assign;
+mod blocked;
 pub mod budget;
 mod call;
-mod condemned;
 mod content;
 mod crashes;
 pub mod credit;
@@ -42,9 +42,9 @@
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use blocked::Blocked;
 use budget::{Budget, BudgetTerms};
 use call::{Call, Delivered, Stage};
-use condemned::Condemned;
 use crashes::Crashes;
 use credit::{Credit, Payment};
 use fleet::{EndpointKey, Fleet, Job};
@@ -125,7 +125,7 @@
     /// Endpoints that may have crashed a moment ago.
     crashes: Crashes,
     /// What is refused because it crashes endpoints.
-    condemned: Condemned,
+    blocked: Blocked,
     /// Evidence about crashes for control.
     outbox: Outbox,
     /// The usual caller timeout of each route.
@@ -177,7 +177,7 @@
             capacity_backoff: BTreeMap::new(),
             leader_backoff: Timestamp::default(),
             crashes: Crashes::default(),
-            condemned: Condemned::default(),
+            blocked: Blocked::default(),
             outbox: Outbox::default(),
             usual_timeouts: BTreeMap::new(),
             rng,
@@ -320,7 +320,7 @@
             timer: Timestamp::MAX,
         };
         self.calls.insert(caller, call);
-        if self.refuse_condemned(now, caller) {
+        if self.refuse_blocked(now, caller) {
             return;
         }
         let terms = self.settings.budget;
@@ -464,7 +464,7 @@
 
     fn clean_up(&mut self, now: Timestamp) {
         self.next_cleanup = now + CLEANUP_INTERVAL;
-        self.condemned.expire(now);
+        self.blocked.expire(now);
         for peer in self.fleet.close_stale(now) {
             self.effect(HttpEffect::HangUp { peer });
         }
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -17,13 +17,13 @@
         let Some(update) = self.follower.new_quarantine() else { return };
         let (version, causes) = (update.version, update.entries.len());
         log::info!("step=quarantine version={version} causes={causes}");
-        self.condemned.list(update);
-        self.end_condemned(now);
+        self.blocked.list(update);
+        self.end_blocked(now);
     }
 
-    /// Ends the calls that hold what is condemned: those that have not begun to run, and those whose
+    /// Ends the calls that hold what is blocked: those that have not begun to run, and those whose
     /// run has sent nothing yet.
-    fn end_condemned(&mut self, now: Timestamp) {
+    fn end_blocked(&mut self, now: Timestamp) {
         let begun = |call: &Call| match &call.stage {
             Stage::Run { attempt, .. } => attempt.first_event.is_some(),
             _ => false,
@@ -31,50 +31,50 @@
         let waiting = self.calls.iter().filter(|(_, call)| !begun(call) && !call.probe);
         let callers: Vec<CallerId> = waiting.map(|(caller, _)| *caller).collect();
         for caller in callers {
-            let Some(cause) = self.condemned_cause(now, caller) else { continue };
+            let Some(cause) = self.blocked_cause(now, caller) else { continue };
             let Some(call) = self.calls.get_mut(&caller) else { continue };
             call.may_have_run |= matches!(call.stage, Stage::Run { .. });
             self.stop_work(now, caller);
-            self.end_as_condemned(now, caller, cause);
+            self.end_as_blocked(now, caller, cause);
         }
     }
 
-    /// Returns what a call holds that is condemned.
-    pub(super) fn condemned_cause(&self, now: Timestamp, caller: CallerId) -> Option<Cause> {
-        if self.condemned.is_empty() {
+    /// Returns what a call holds that is blocked.
+    pub(super) fn blocked_cause(&self, now: Timestamp, caller: CallerId) -> Option<Cause> {
+        if self.blocked.is_empty() {
             return None;
         }
         let call = self.calls.get(&caller)?;
         let alone = !self.follower.is_document_confirmed(now);
-        let held = if self.condemned.has_contents() { causes(call) } else { part_causes(call) };
-        self.condemned.find(now, &held, alone)
+        let held = if self.blocked.has_contents() { causes(call) } else { part_causes(call) };
+        self.blocked.find(now, &held, alone)
     }
 
-    /// Refuses a new call that holds what is condemned, unless the leader allows it as a probe;
+    /// Refuses a new call that holds what is blocked, unless the leader allows it as a probe;
     /// returns whether the call has ended.
-    pub(super) fn refuse_condemned(&mut self, now: Timestamp, caller: CallerId) -> bool {
-        let Some(cause) = self.condemned_cause(now, caller) else { return false };
-        if self.condemned.use_permit(now, cause) {
+    pub(super) fn refuse_blocked(&mut self, now: Timestamp, caller: CallerId) -> bool {
+        let Some(cause) = self.blocked_cause(now, caller) else { return false };
+        if self.blocked.use_permit(now, cause) {
             log::info!("step=probe cause={cause} outcome=sent");
             if let Some(call) = self.calls.get_mut(&caller) {
                 call.probe = true;
             }
             return false;
         }
-        if self.condemned.wants_probe(now, cause)
+        if self.blocked.wants_probe(now, cause)
             && let Some(leader) = self.follower.leader()
         {
             let exchange = self.send_to_control(leader, ControlRequest::RequestProbe(cause));
-            self.condemned.probe_requested(exchange, cause);
+            self.blocked.probe_requested(exchange, cause);
         }
-        self.end_as_condemned(now, caller, cause);
+        self.end_as_blocked(now, caller, cause);
         true
     }
 
-    fn end_as_condemned(&mut self, now: Timestamp, caller: CallerId, cause: Cause) {
+    fn end_as_blocked(&mut self, now: Timestamp, caller: CallerId, cause: Cause) {
         let Some(call) = self.calls.get(&caller) else { return };
         let service = call.service.clone();
-        log::info!("step=condemned id={} cause={cause}", call.info.id);
+        log::info!("step=blocked id={} cause={cause}", call.info.id);
         self.outputs.push(Output::Observe(Observation::Quarantined { service }));
         self.conclude(now, caller, answer::quarantined(), EndReason::Quarantined);
     }
@@ -86,12 +86,12 @@
         exchange: ExchangeId,
         granted: bool,
     ) -> bool {
-        self.condemned.probe_answered(now, exchange, granted)
+        self.blocked.probe_answered(now, exchange, granted)
     }
 
     /// Records a crash of an endpoint, tells control, and judges by it while control is out of reach.
     pub(super) fn crash_seen(&mut self, now: Timestamp, crash: Crash) {
-        let crash = self.condemned.crashed(now, crash);
+        let crash = self.blocked.crashed(now, crash);
         self.outbox.push(now, Evidence::Crashed(crash));
         self.send_evidence(now);
     }
@@ -99,8 +99,8 @@
     /// Judges by what this gateway has seen itself while control is out of reach.
     pub(super) fn judge_alone(&mut self, now: Timestamp) {
         let alone = !self.follower.is_document_confirmed(now);
-        if alone && self.condemned.judge(now) {
-            self.end_condemned(now);
+        if alone && self.blocked.judge(now) {
+            self.end_blocked(now);
         }
     }
 
@@ -121,12 +121,12 @@
     /// Returns the causes of a call whose run has gone on; its content only where that matters, since
     /// to read all of it takes time.
     pub(super) fn survivors(&self, call: &Call) -> Vec<Cause> {
-        if self.condemned.has_suspects() { causes(call) } else { part_causes(call) }
+        if self.blocked.has_suspects() { causes(call) } else { part_causes(call) }
     }
 
     /// Records that calls with these causes don't crash endpoints.
     pub(super) fn report_survival(&mut self, now: Timestamp, causes: &[Cause]) {
-        let reported = self.condemned.survived(now, causes);
+        let reported = self.blocked.survived(now, causes);
         if !reported.is_empty() {
             self.outbox.push(now, Evidence::Survived(reported));
             self.send_evidence(now);
--- a/src/gateway/retry.rs
+++ b/src/gateway/retry.rs
@@ -128,7 +128,7 @@
         sends: u32,
     ) -> Result<Retry, EndReason> {
         let call = self.calls.get(&caller).ok_or(EndReason::NotRepeatable)?;
-        if self.condemned_cause(now, caller).is_some() {
+        if self.blocked_cause(now, caller).is_some() {
             return Err(EndReason::Quarantined);
         }
         let route = call.route().ok_or(EndReason::NotRepeatable)?;
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -246,7 +246,7 @@
     /// Records at the member what the sender has seen of crashes of endpoints; the same may be sent
     /// again.
     ReportEvidence(Vec<Evidence>),
-    /// Requests permission to send one call with a cause in probation; only the leader gives it.
+    /// Requests permission to send one call with a cause that is being probed; only the leader gives it.
     RequestProbe(Cause),
     /// Records the origins of streams at the member; the first record of a call is kept, so the
     /// request may be sent again.
--- a/tests/blame.rs
+++ b/tests/blame.rs
@@ -1,5 +1,5 @@
 //! Which cause crashes have in common: examples, and a seeded fuzz against an oracle that knows the
-//! guilty causes.
+//! faulty causes.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -11,14 +11,14 @@
 
 /// The number of seeds of the fuzz without `DOTTERELPIN_FUZZ_SEEDS`.
 const SEEDS: u64 = 120;
-/// The crash of a guilty part after which it has to be stopped.
+/// The crash of a faulty part after which it has to be stopped.
 const PART_CRASHES: usize = 5;
-/// The same for a guilty content.
+/// The same for a faulty content.
 const CONTENT_CRASHES: usize = 3;
-/// How long after that crash guilty runs are not counted yet, in milliseconds; gateways have the rest
+/// How long after that crash faulty runs are not counted yet, in milliseconds; gateways have the rest
 /// of the allowed 3,000 for the verdict to reach them.
 const SETTLING_MS: u64 = 2_000;
-/// How many guilty runs may begin later.
+/// How many faulty runs may begin later.
 const MAX_LATE: usize = 3;
 
 fn part(id: &str) -> Cause {
@@ -54,51 +54,51 @@
 fn first_part_that_all_prompts_share_is_not_blamed_for_another_one() {
     let mut blame = Blame::default();
     for boot in 0..4 {
-        let guilty = run(&[part("all"), part("bad"), content(boot)], 0);
+        let faulty = run(&[part("all"), part("bad"), content(boot)], 0);
         let old = run(&[part("all"), part("s"), content(100 + boot)], 900);
-        blame.crashed(at(boot * 50), &crash(boot, vec![guilty, old]));
+        blame.crashed(at(boot * 50), &crash(boot, vec![faulty, old]));
     }
     assert_eq!(verdict(&blame), Some(part("bad")));
 }
 
 #[test]
-fn part_that_came_with_the_guilty_one_each_time_is_not_condemned_for_it() {
+fn part_that_came_with_the_faulty_one_each_time_is_not_blocked_for_it() {
     let mut blame = Blame::default();
     for boot in 0..4 {
         assert_eq!(verdict(&blame), None, "after {boot} crashes");
-        let guilty = run(&[part("all"), part("bad"), content(boot)], 0);
-        blame.crashed(at(boot * 50), &crash(boot, vec![guilty]));
+        let faulty = run(&[part("all"), part("bad"), content(boot)], 0);
+        blame.crashed(at(boot * 50), &crash(boot, vec![faulty]));
     }
     assert_eq!(verdict(&blame), Some(part("bad")));
 }
 
 #[test]
-fn sound_parts_after_the_guilty_one_do_not_cover_it() {
+fn sound_parts_after_the_faulty_one_do_not_cover_it() {
     let mut blame = Blame::default();
     blame.survived(at(0), &[part("all"), part("x")]);
     for boot in 0..4 {
-        let guilty = run(&[part("all"), part("bad"), part("x"), content(boot)], 0);
-        blame.crashed(at(boot * 50), &crash(boot, vec![guilty]));
+        let faulty = run(&[part("all"), part("bad"), part("x"), content(boot)], 0);
+        blame.crashed(at(boot * 50), &crash(boot, vec![faulty]));
     }
     assert_eq!(verdict(&blame), Some(part("bad")));
 }
 
 #[test]
-fn first_part_is_condemned_if_it_is_the_guilty_one() {
+fn first_part_is_blocked_if_it_is_the_faulty_one() {
     let mut blame = Blame::default();
     for boot in 0..4 {
-        let guilty = run(&[part("bad"), part(&format!("s{boot}")), content(boot)], 0);
-        blame.crashed(at(boot * 50), &crash(boot, vec![guilty]));
+        let faulty = run(&[part("bad"), part(&format!("s{boot}")), content(boot)], 0);
+        blame.crashed(at(boot * 50), &crash(boot, vec![faulty]));
     }
     assert_eq!(verdict(&blame), Some(part("bad")));
 }
 
 #[test]
-fn bystander_that_was_in_each_crash_is_cleared_by_a_run_that_goes_on() {
+fn part_that_was_in_each_crash_is_cleared_by_a_run_that_goes_on() {
     let mut blame = Blame::default();
     for boot in 0..6 {
-        let bystander = run(&[part("all"), part("s"), content(7)], 0);
-        blame.crashed(at(boot * 50), &crash(boot, vec![bystander]));
+        let sound = run(&[part("all"), part("s"), content(7)], 0);
+        blame.crashed(at(boot * 50), &crash(boot, vec![sound]));
         blame.survived(at(boot * 50), &[part("all"), part("s"), content(7)]);
         assert_eq!(verdict(&blame), None);
     }
@@ -135,19 +135,19 @@
 }
 
 #[test]
-fn part_is_condemned_though_its_first_requests_were_sent_again_and_again() {
+fn part_is_blocked_though_its_first_requests_were_sent_again_and_again() {
     let mut blame = Blame::default();
-    let mut condemned = BTreeSet::new();
+    let mut blocked = BTreeSet::new();
     for boot in 0..5 {
-        // The first three crashes are of one content, which is condemned first.
+        // The first three crashes are of one content, which is blocked first.
         let id = if boot < 3 { 0 } else { boot };
         let runs = vec![run(&[part("all"), part("bad"), content(id)], 0)];
         blame.crashed(at(boot * 100), &crash(boot, runs));
         blame.survived(at(boot * 50), &[part("all")]);
-        condemned.extend(blame.verdict(at(5_000), &condemned).map(|v| v.cause));
+        blocked.extend(blame.verdict(at(5_000), &blocked).map(|v| v.cause));
     }
-    assert!(condemned.contains(&part("bad")), "{condemned:?}");
-    assert!(!condemned.contains(&part("all")));
+    assert!(blocked.contains(&part("bad")), "{blocked:?}");
+    assert!(!blocked.contains(&part("all")));
 }
 
 #[test]
@@ -162,7 +162,7 @@
     assert_eq!(blame.count(), 1, "the others have expired");
 }
 
-/// A sound or guilty run of the fuzz.
+/// A sound or faulty run of the fuzz.
 #[derive(Debug, Clone)]
 struct Live {
     causes: Vec<Cause>,
@@ -171,19 +171,19 @@
     gateway: u64,
 }
 
-/// A random load on random endpoints, with guilty causes known to the oracle.
+/// A random load on random endpoints, with faulty causes known to the oracle.
 struct Fuzz {
     rng: Pcg64Mcg,
     now: u64,
     live: Vec<Live>,
     boots: Vec<u64>,
     up_at: Vec<u64>,
-    guilty: BTreeSet<Cause>,
+    faulty: BTreeSet<Cause>,
     blame: Blame,
-    condemned: BTreeSet<Cause>,
-    /// When each guilty cause has crashed endpoints.
+    blocked: BTreeSet<Cause>,
+    /// When each faulty cause has crashed endpoints.
     caused: BTreeMap<Cause, Vec<u64>>,
-    /// How many runs of each guilty cause began too late.
+    /// How many runs of each faulty cause began too late.
     late: BTreeMap<Cause, usize>,
     next: u64,
 }
@@ -194,7 +194,7 @@
     }
 
     fn begin(&mut self, causes: Vec<Cause>) {
-        if causes.iter().any(|c| self.condemned.contains(c)) {
+        if causes.iter().any(|c| self.blocked.contains(c)) {
             return;
         }
         let up: Vec<usize> = (0..self.boots.len()).filter(|e| self.up_at[*e] <= self.now).collect();
@@ -203,7 +203,7 @@
         }
         let endpoint = up[self.below(up.len() as u64) as usize];
         let gateway = self.below(5);
-        for cause in causes.iter().filter(|c| self.guilty.contains(c)) {
+        for cause in causes.iter().filter(|c| self.faulty.contains(c)) {
             let crashes = match cause {
                 Cause::Part(_) => PART_CRASHES,
                 Cause::Content(_) => CONTENT_CRASHES,
@@ -235,18 +235,18 @@
     }
 
     fn judge(&mut self) {
-        while let Some(verdict) = self.blame.verdict(at(self.now), &self.condemned) {
-            self.condemned.insert(verdict.cause);
+        while let Some(verdict) = self.blame.verdict(at(self.now), &self.blocked) {
+            self.blocked.insert(verdict.cause);
         }
     }
 
     fn step(&mut self) {
         self.now += 10;
-        let due = |l: &&Live, guilty: &BTreeSet<Cause>, now: u64| {
-            now - l.began >= 50 && l.causes.iter().any(|c| guilty.contains(c))
+        let due = |l: &&Live, faulty: &BTreeSet<Cause>, now: u64| {
+            now - l.began >= 50 && l.causes.iter().any(|c| faulty.contains(c))
         };
-        while let Some(bad) = self.live.iter().find(|l| due(l, &self.guilty, self.now)).cloned() {
-            for cause in bad.causes.iter().filter(|c| self.guilty.contains(c)) {
+        while let Some(bad) = self.live.iter().find(|l| due(l, &self.faulty, self.now)).cloned() {
+            for cause in bad.causes.iter().filter(|c| self.faulty.contains(c)) {
                 self.caused.entry(*cause).or_default().push(self.now);
             }
             self.crash(bad.endpoint);
@@ -265,13 +265,13 @@
 /// Plays one seed and returns what went wrong.
 fn fuzz(seed: u64) -> Vec<String> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
-    let guilty_parts = rng.next_u64() % 3;
+    let faulty_parts = rng.next_u64() % 3;
     let background = rng.next_u64() % 3;
     let gap = 40 + rng.next_u64() % 400;
-    let mut guilty: BTreeSet<Cause> = (0..guilty_parts).map(|n| part(&format!("bad{n}"))).collect();
+    let mut faulty: BTreeSet<Cause> = (0..faulty_parts).map(|n| part(&format!("bad{n}"))).collect();
     let poison = rng.next_u64() % 2 == 0;
     if poison {
-        guilty.insert(content(u64::MAX));
+        faulty.insert(content(u64::MAX));
     }
     let mut f = Fuzz {
         rng,
@@ -279,9 +279,9 @@
         live: Vec::new(),
         boots: (0..12).collect(),
         up_at: vec![0; 12],
-        guilty,
+        faulty,
         blame: Blame::default(),
-        condemned: BTreeSet::new(),
+        blocked: BTreeSet::new(),
         caused: BTreeMap::new(),
         late: BTreeMap::new(),
         next: 0,
@@ -293,8 +293,8 @@
         if tick % 6 == 0 {
             f.begin(vec![part("all"), part(&format!("s{shared}")), content(id)]);
         }
-        if guilty_parts > 0 && tick % (gap / 10) == 0 {
-            let which = f.below(guilty_parts);
+        if faulty_parts > 0 && tick % (gap / 10) == 0 {
+            let which = f.below(faulty_parts);
             let again = f.below(8);
             let id = if again == 0 { id.saturating_sub(7) } else { id };
             f.begin(vec![part("all"), part(&format!("bad{which}")), content(1_000_000 + id)]);
@@ -310,15 +310,15 @@
         }
     }
     let mut problems = Vec::new();
-    for cause in &f.condemned {
-        let holds_guilty = f.guilty.contains(cause) || matches!(cause, Cause::Content(_));
-        if !holds_guilty {
-            problems.push(format!("seed {seed}: innocent {cause} condemned"));
+    for cause in &f.blocked {
+        let holds_faulty = f.faulty.contains(cause) || matches!(cause, Cause::Content(_));
+        if !holds_faulty {
+            problems.push(format!("seed {seed}: sound {cause} blocked"));
         }
     }
     let sound: Vec<Cause> = (0..=f.next).map(content).collect();
-    for cause in f.condemned.iter().filter(|c| sound.contains(c)) {
-        problems.push(format!("seed {seed}: sound {cause} condemned"));
+    for cause in f.blocked.iter().filter(|c| sound.contains(c)) {
+        problems.push(format!("seed {seed}: sound {cause} blocked"));
     }
     for (cause, count) in f.late.iter().filter(|(_, count)| **count > MAX_LATE) {
         problems.push(format!("seed {seed}: {count} runs with {cause} began too late"));
@@ -327,7 +327,7 @@
 }
 
 #[test]
-fn fuzz_condemns_the_guilty_in_time_and_no_innocent() {
+fn fuzz_blocks_the_faulty_in_time_and_no_sound_one() {
     let seeds = std::env::var("DOTTERELPIN_FUZZ_SEEDS").ok().and_then(|n| n.parse().ok());
     let problems: Vec<String> = (0..seeds.unwrap_or(SEEDS)).flat_map(fuzz).collect();
     assert!(problems.is_empty(), "{} problems:\n{}", problems.len(), problems.join("\n"));
--- a/tests/fleet_world/endpoint.rs
+++ b/tests/fleet_world/endpoint.rs
@@ -17,7 +17,7 @@
 const PLAIN_TIME: Duration = Duration::from_millis(15);
 /// The time to the first event of a stream, and between two events.
 const EVENT_TIME: Duration = Duration::from_millis(50);
-/// How long a guilty run works before its endpoint crashes.
+/// How long a faulty run works before its endpoint crashes.
 const CRASH_TIME: Duration = Duration::from_millis(40);
 /// How long an endpoint is down after a crash.
 const DOWN_TIME: Duration = Duration::from_millis(2_500);
@@ -158,9 +158,9 @@
         };
         let parts = text("Parts");
         let shared: Vec<&str> = parts.split(',').map(|p| p.split(':').next().unwrap()).collect();
-        let guilty = shared.iter().rev().skip(1).any(|p| self.guilty_parts.contains(*p))
-            || self.guilty_bodies.contains(&body);
-        let crashes = guilty && matches!(kind, Kind::Run | Kind::Plain);
+        let faulty = shared.iter().rev().skip(1).any(|p| self.faulty_parts.contains(*p))
+            || self.faulty_bodies.contains(&body);
+        let crashes = faulty && matches!(kind, Kind::Run | Kind::Plain);
         let delay = match kind {
             _ if crashes => CRASH_TIME,
             Kind::Side => Duration::from_millis(2),
--- a/tests/fleet_world/mod.rs
+++ b/tests/fleet_world/mod.rs
@@ -1,6 +1,6 @@
 //! Several gateways, a group of control members and endpoints on one simulated clock, in one thread.
 //!
-//! The roles are the real ones. Endpoints crash when they begin to write an answer on a guilty part
+//! The roles are the real ones. Endpoints crash when they begin to write an answer on a faulty part
 //! or content, come back under another name, and may name a limit. Processes are killed, frozen,
 //! started and cut off.
 
@@ -110,10 +110,10 @@
     /// What each caller received.
     pub answers: BTreeMap<u64, Answer>,
     /// Parts of prompts that crash each endpoint that begins to write an answer on them.
-    pub guilty_parts: BTreeSet<String>,
+    pub faulty_parts: BTreeSet<String>,
     /// Bodies that crash each endpoint that begins to answer them.
-    pub guilty_bodies: BTreeSet<Vec<u8>>,
-    /// When endpoints crashed, each with the calls whose runs were guilty.
+    pub faulty_bodies: BTreeSet<Vec<u8>>,
+    /// When endpoints crashed, each with the calls whose runs were faulty.
     pub crashes: Vec<(Timestamp, Vec<u64>)>,
     table: RawTable,
     budget: BudgetTerms,
@@ -154,8 +154,8 @@
             endpoints,
             arrivals: Vec::new(),
             answers: BTreeMap::new(),
-            guilty_parts: BTreeSet::new(),
-            guilty_bodies: BTreeSet::new(),
+            faulty_parts: BTreeSet::new(),
+            faulty_bodies: BTreeSet::new(),
             crashes: Vec::new(),
             table,
             budget: BudgetTerms { ratio: 0.2, extra: 58.0, window: Duration::from_secs(10) },
--- a/tests/prompt_parts.rs
+++ b/tests/prompt_parts.rs
@@ -42,22 +42,22 @@
     World::new(gateways, 3, table(), endpoints(8))
 }
 
-/// The load of a test: sound calls, and guilty ones among them.
+/// The load of a test: sound calls, and faulty ones among them.
 struct Load {
     gateways: usize,
     /// The time between two sound calls.
     sound_ms: u64,
-    /// The time between two guilty calls; 0 for none.
-    guilty_ms: u64,
-    /// The parts of guilty calls before their own one.
-    guilty: &'static [&'static str],
+    /// The time between two faulty calls; 0 for none.
+    faulty_ms: u64,
+    /// The parts of faulty calls before their own one.
+    faulty: &'static [&'static str],
     sent: Vec<(u64, Timestamp)>,
     count: u64,
 }
 
 impl Load {
-    fn new(gateways: usize, guilty_ms: u64, guilty: &'static [&'static str]) -> Load {
-        Load { gateways, sound_ms: 80, guilty_ms, guilty, sent: Vec::new(), count: 0 }
+    fn new(gateways: usize, faulty_ms: u64, faulty: &'static [&'static str]) -> Load {
+        Load { gateways, sound_ms: 80, faulty_ms, faulty, sent: Vec::new(), count: 0 }
     }
 
     /// Applies the load for so long.
@@ -69,9 +69,9 @@
                 let call = w.stream(self.count as usize % self.gateways, PATH, &parts, EVENTS);
                 self.sent.push((call, w.now));
             }
-            if self.guilty_ms > 0 && at % self.guilty_ms == 0 {
+            if self.faulty_ms > 0 && at % self.faulty_ms == 0 {
                 self.count += 1;
-                let part = self.guilty[self.count as usize % self.guilty.len()];
+                let part = self.faulty[self.count as usize % self.faulty.len()];
                 let parts = format!("aa:200,{part}:100,{:x}:9", self.count);
                 w.stream(self.count as usize % self.gateways, PATH, &parts, EVENTS);
             }
@@ -128,7 +128,7 @@
 fn requests_with_a_part_that_crashes_endpoints_go_on_at_all_gateways() {
     let mut w = fleet(5);
     let mut load = Load::new(5, 150, &["bad"]);
-    w.guilty_parts.insert("bad".into());
+    w.faulty_parts.insert("bad".into());
     load.run(&mut w, 15_000);
     assert_stopped(&w, "bad", PART_CRASHES);
 }
@@ -139,8 +139,8 @@
     let mut load = Load::new(5, 0, &["bad"]);
     load.run(&mut w, 5_000);
     let calm = w.now;
-    load.guilty_ms = 150;
-    w.guilty_parts.insert("bad".into());
+    load.faulty_ms = 150;
+    w.faulty_parts.insert("bad".into());
     load.run(&mut w, 16_000);
     let fifth = nth_crash(&w, "bad", PART_CRASHES);
     let before = load.begun(&w, earlier(calm, 5_000), calm);
@@ -152,7 +152,7 @@
 fn two_parts_that_crash_endpoints_at_once_are_not_told_apart() {
     let mut w = fleet(5);
     let mut load = Load::new(5, 100, &["bad", "bed"]);
-    w.guilty_parts.extend(["bad".to_string(), "bed".to_string()]);
+    w.faulty_parts.extend(["bad".to_string(), "bed".to_string()]);
     load.run(&mut w, 18_000);
     assert_stopped(&w, "bad", PART_CRASHES);
     assert_stopped(&w, "bed", PART_CRASHES);
@@ -162,7 +162,7 @@
 fn request_that_crashes_endpoints_is_run_again_when_its_caller_sends_it_again() {
     let mut w = fleet(5);
     let mut load = Load::new(5, 0, &["bad"]);
-    w.guilty_bodies.insert(b"poison".to_vec());
+    w.faulty_bodies.insert(b"poison".to_vec());
     for round in 0..12 {
         w.stream_of(round % 5, PATH, "aa:200,77:100,12:9", EVENTS, b"poison");
         load.run(&mut w, 1_000);
@@ -174,7 +174,7 @@
 fn gateway_that_starts_sends_requests_with_a_part_that_crashed_endpoints() {
     let mut w = fleet(3);
     let mut load = Load::new(3, 150, &["bad"]);
-    w.guilty_parts.insert("bad".into());
+    w.faulty_parts.insert("bad".into());
     load.run(&mut w, 8_000);
     for gateway in 0..3 {
         w.start_gateway(gateway);
@@ -187,7 +187,7 @@
 fn new_leader_forgets_which_part_crashed_endpoints() {
     let mut w = fleet(3);
     let mut load = Load::new(3, 150, &["bad"]);
-    w.guilty_parts.insert("bad".into());
+    w.faulty_parts.insert("bad".into());
     load.run(&mut w, 400);
     let leader = w.leader().unwrap();
     w.kill_member(leader);
@@ -204,7 +204,7 @@
 fn gateway_out_of_touch_forgets_the_crashes_that_it_saw() {
     let mut w = fleet(2);
     let mut load = Load::new(1, 150, &["bad"]);
-    w.guilty_parts.insert("bad".into());
+    w.faulty_parts.insert("bad".into());
     w.cut_off(Node::Gateway(0), true);
     load.run(&mut w, 16_000);
     assert_stopped(&w, "bad", PART_CRASHES);
@@ -224,14 +224,14 @@
     load.run(&mut w, 9_000);
     let refused = |a: &&fleet_world::Answer| a.content.starts_with(b"not run: calls like this");
     let refused = w.answers.values().filter(refused).count();
-    assert_eq!(refused, 0, "sound calls refused as guilty");
+    assert_eq!(refused, 0, "sound calls refused as faulty");
     let last = earlier(w.now, 3_000);
     let begun = load.begun(&w, earlier(last, 3_000), last);
     assert!(begun > 80, "{begun} % of sound calls begin after the crashes");
 }
 
-/// Returns a fleet in which a part was condemned for two seconds, and the load on it.
-fn condemned_for_two_seconds() -> (World, Load) {
+/// Returns a fleet in which a part was blocked for two seconds, and the load on it.
+fn blocked_for_two_seconds() -> (World, Load) {
     let mut w = fleet(3);
     // A leader that has just begun grants no probe, since an earlier one may have.
     w.run(12_000);
@@ -239,13 +239,13 @@
     let (id, author) = ("short".into(), "op".into());
     w.propose(&Command::Change(Change { id, base: Revision(0), author, edit }));
     let mut load = Load::new(3, 150, &["bad"]);
-    w.guilty_parts.insert("bad".into());
+    w.faulty_parts.insert("bad".into());
     load.run(&mut w, 3_000);
-    assert!(is_condemned(&w), "the part is condemned");
+    assert!(is_blocked(&w), "the part is blocked");
     (w, load)
 }
 
-fn is_condemned(w: &World) -> bool {
+fn is_blocked(w: &World) -> bool {
     let leader = w.leader().unwrap();
     let entries = w.member(leader).unwrap().state().quarantine.entries();
     entries.keys().any(|cause| matches!(cause, Cause::Part(_)))
@@ -253,10 +253,10 @@
 
 #[test]
 fn part_that_crashes_endpoints_no_longer_is_refused_for_ever() {
-    let (mut w, mut load) = condemned_for_two_seconds();
-    w.guilty_parts.clear();
+    let (mut w, mut load) = blocked_for_two_seconds();
+    w.faulty_parts.clear();
     load.run(&mut w, 20_000);
-    assert!(!is_condemned(&w), "a probe that went on has cleared the part");
+    assert!(!is_blocked(&w), "a probe that went on has cleared the part");
     let since = w.now;
     load.run(&mut w, 2_000);
     assert!(late(&w, "bad", since) > 10, "{} requests with the part", late(&w, "bad", since));
@@ -264,10 +264,10 @@
 
 #[test]
 fn probes_of_a_part_that_still_crashes_endpoints_come_in_a_rush() {
-    let (mut w, mut load) = condemned_for_two_seconds();
+    let (mut w, mut load) = blocked_for_two_seconds();
     let since = w.now;
     load.run(&mut w, 40_000);
-    assert!(is_condemned(&w));
+    assert!(is_blocked(&w));
     let crashes: Vec<Timestamp> =
         w.crashes.iter().map(|(at, _)| *at).filter(|at| *at > since).collect();
     assert!((1..=5).contains(&crashes.len()), "{} probes in 40 s", crashes.len());
@@ -276,16 +276,16 @@
 }
 
 #[test]
-fn part_that_an_operator_clears_is_condemned_again_by_the_old_crashes() {
+fn part_that_an_operator_clears_is_blocked_again_by_the_old_crashes() {
     let mut w = fleet(3);
     let mut load = Load::new(3, 150, &["bad"]);
-    w.guilty_parts.insert("bad".into());
+    w.faulty_parts.insert("bad".into());
     load.run(&mut w, 4_000);
     let leader = w.leader().unwrap();
     let entries = w.member(leader).unwrap().state().quarantine.entries();
     let causes: Vec<Cause> = entries.keys().copied().collect();
     assert!(!causes.is_empty());
-    w.guilty_parts.clear();
+    w.faulty_parts.clear();
     causes.into_iter().for_each(|cause| w.propose(&Command::Clear { cause }));
     w.run(1_000);
     let since = w.now;
