Play random fleets with a faulty prompt part

A seeded fuzz over whole fleets: 2 to 29 gateways, 4 to 17 decode endpoints, any rate of sound and faulty calls, crashes 10 to 260 ms after a run begins and 1 to 5 s down.

--- a/tests/fleet_world/endpoint.rs
+++ b/tests/fleet_world/endpoint.rs
@@ -15,12 +15,27 @@
 const PREFILL_TIME: Duration = Duration::from_millis(30);
 /// How long an answer to a plain call takes.
 const PLAIN_TIME: Duration = Duration::from_millis(15);
-/// The time to the first event of a stream, and between two events.
-const EVENT_TIME: Duration = Duration::from_millis(50);
-/// How long a faulty run works before its endpoint crashes.
-const CRASH_TIME: Duration = Duration::from_millis(40);
-/// How long an endpoint is down after a crash.
-const DOWN_TIME: Duration = Duration::from_millis(2_500);
+
+/// How long endpoints take.
+#[derive(Debug, Clone, Copy)]
+pub struct Timing {
+    /// The time to the first event of a stream, and between two events.
+    pub event: Duration,
+    /// How long a faulty run works before its endpoint crashes.
+    pub crash: Duration,
+    /// How long an endpoint is down after a crash.
+    pub down: Duration,
+}
+
+impl Default for Timing {
+    fn default() -> Timing {
+        Timing {
+            event: Duration::from_millis(50),
+            crash: Duration::from_millis(40),
+            down: Duration::from_millis(2_500),
+        }
+    }
+}
 
 /// What a request of a call asks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -100,6 +115,8 @@
     at: Timestamp,
     event: u64,
     crashes: bool,
+    /// When a faulty run crashes its endpoint.
+    crash_at: Timestamp,
 }
 
 impl Work {
@@ -162,14 +179,17 @@
             || self.faulty_bodies.contains(&body);
         let crashes = faulty && matches!(kind, Kind::Run | Kind::Plain);
         let delay = match kind {
-            _ if crashes => CRASH_TIME,
+            _ if crashes && kind == Kind::Plain => PLAIN_TIME,
             Kind::Side => Duration::from_millis(2),
             Kind::Prefill => PREFILL_TIME,
-            Kind::Run => EVENT_TIME,
+            Kind::Run if crashes => self.timing.crash.min(self.timing.event),
+            Kind::Run => self.timing.event,
             Kind::Plain => PLAIN_TIME,
         };
         let (endpoint, at) = (connection.endpoint, self.now + DELAY + delay);
-        let work = Work { gateway, peer, endpoint, head, body, kind, at, event: 0, crashes };
+        let crash_at = if kind == Kind::Plain { at } else { self.now + DELAY + self.timing.crash };
+        let event = 0;
+        let work = Work { gateway, peer, endpoint, head, body, kind, at, event, crashes, crash_at };
         self.arrivals.push(Arrival {
             at: self.now,
             gateway,
@@ -188,7 +208,7 @@
         self.deliver_inputs();
         while let Some(index) = self.work.iter().position(|w| w.at <= self.now) {
             let work = self.work.remove(index);
-            if work.crashes {
+            if work.crashes && self.now >= work.crash_at {
                 let calls = vec![work.call()];
                 self.crash_with(work.endpoint, calls);
             } else {
@@ -271,7 +291,10 @@
             self.later(gateway, HttpInput::End { peer, reusable: true });
             return;
         }
-        work.at = self.now + EVENT_TIME;
+        work.at = self.now + self.timing.event;
+        if work.crashes {
+            work.at = work.at.min(work.crash_at);
+        }
         self.work.push(work);
     }
 
@@ -289,7 +312,7 @@
         self.crashes.push((self.now, calls));
         self.last_boot += 1;
         let endpoint = &mut self.endpoints[at];
-        endpoint.down_until = self.now + DOWN_TIME;
+        endpoint.down_until = self.now + self.timing.down;
         endpoint.next_announce = endpoint.down_until;
         endpoint.state.boot = BootId(self.last_boot);
         endpoint.state.name = format!("{}-{}", endpoint.base, self.last_boot).into();
--- a/tests/fleet_world/mod.rs
+++ b/tests/fleet_world/mod.rs
@@ -27,7 +27,7 @@
 use dotterelpin::routes::RawTable;
 
 use crate::gateway_fixture::{HOST, protocol, request};
-pub use endpoint::{Arrival, Endpoint, Kind};
+pub use endpoint::{Arrival, Endpoint, Kind, Timing};
 use endpoint::{Connection, Work};
 
 /// The step of the simulated time.
@@ -115,6 +115,8 @@
     pub faulty_bodies: BTreeSet<Vec<u8>>,
     /// When endpoints crashed, each with the calls whose runs were faulty.
     pub crashes: Vec<(Timestamp, Vec<u64>)>,
+    /// How long endpoints take.
+    pub timing: Timing,
     table: RawTable,
     budget: BudgetTerms,
     gateways: Vec<GatewayNode>,
@@ -157,6 +159,7 @@
             faulty_parts: BTreeSet::new(),
             faulty_bodies: BTreeSet::new(),
             crashes: Vec::new(),
+            timing: Timing::default(),
             table,
             budget: BudgetTerms { ratio: 0.2, extra: 58.0, window: Duration::from_secs(10) },
             gateways: Vec::new(),
--- a/tests/prompt_parts.rs
+++ b/tests/prompt_parts.rs
@@ -9,8 +9,10 @@
 use dotterelpin::control::quarantine::Cause;
 use dotterelpin::control::state::Command;
 use dotterelpin::model::{EndpointKind, Revision, Timestamp};
-use fleet_world::{Endpoint, Kind, Node, World};
+use fleet_world::{Endpoint, Kind, Node, Timing, World};
 use gateway_fixture::{MODEL, PLAIN, table};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 
 /// The crash after which the limit of further requests begins to count, for a part of a prompt.
 const PART_CRASHES: usize = 5;
@@ -292,3 +294,58 @@
     load.run(&mut w, 2_000);
     assert!(late(&w, "bad", since) > 10, "{} requests with the part", late(&w, "bad", since));
 }
+
+/// The number of seeds of the fuzz without `DOTTERELPIN_FUZZ_SEEDS`.
+const SEEDS: u64 = 8;
+
+/// Plays a random fleet under a random load with a faulty part; returns what went wrong.
+fn fuzz(seed: u64) -> Vec<String> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut below = |bound: u64| rng.next_u64() % bound;
+    let gateways = 2 + below(28) as usize;
+    let decode = 4 + below(14);
+    let mut all = endpoints(0);
+    let names: Vec<String> = (0..decode).map(|n| format!("d{n}")).collect();
+    all.extend(names.iter().map(|name| Endpoint::new(name, EndpointKind::Decode, MODEL)));
+    let mut w = World::new(gateways, 3, table(), all);
+    w.timing = Timing {
+        event: Duration::from_millis(30 + below(60)),
+        crash: Duration::from_millis(10 + below(250)),
+        down: Duration::from_millis(1_000 + below(4_000)),
+    };
+    let mut load = Load::new(gateways, 0, &["bad"]);
+    load.sound_ms = 40 + below(100);
+    load.run(&mut w, 5_000);
+    let calm = w.now;
+    load.faulty_ms = 60 + below(700);
+    w.faulty_parts.insert("bad".into());
+    load.run(&mut w, 16_000);
+    let under = w.crashes.iter().filter(|(_, calls)| !calls.is_empty()).count();
+    let mut problems = Vec::new();
+    if under >= PART_CRASHES {
+        let fifth = nth_crash(&w, "bad", PART_CRASHES);
+        let late = late(&w, "bad", fifth + SETTLING);
+        if late > MAX_LATE {
+            problems.push(format!("seed {seed}: {late} requests too late, {under} crashes"));
+        }
+        let before = load.begun(&w, earlier(calm, 4_000), calm);
+        let after = load.begun(&w, fifth + SETTLING * 2, earlier(w.now, 2_000));
+        if after * 2 < before {
+            problems.push(format!("seed {seed}: {after} % begin, {before} % before"));
+        }
+    }
+    let leader = w.leader().unwrap();
+    let blocked = w.member(leader).unwrap().state().quarantine.entries();
+    let parts = blocked.keys().filter(|cause| matches!(cause, Cause::Part(_))).count();
+    if parts > 1 {
+        problems.push(format!("seed {seed}: {parts} parts are blocked, one is faulty"));
+    }
+    problems
+}
+
+#[test]
+fn fuzz_of_fleets_stops_the_faulty_part_in_time_and_no_sound_one() {
+    let seeds = std::env::var("DOTTERELPIN_FUZZ_SEEDS").ok().and_then(|n| n.parse().ok());
+    let problems: Vec<String> = (0..seeds.unwrap_or(SEEDS)).flat_map(fuzz).collect();
+    assert!(problems.is_empty(), "{} problems:\n{}", problems.len(), problems.join("\n"));
+}
