Log the calls that a stopping gateway has open, and lose no log line of a burst

What callers saw: answers cut in the middle and connections that ended without any answer around SIGTERM, and no log line about them.

Now `step=open-call` tells for each open call at the signal, and again before the end of the grace period, when it came, what it waits for and where; `step=end` lines say for how long the process has been shutting down; `step=connections` tells the state of callers' connections at the end. Writes hold whole lines and at most 4 KiB.

Evidence: the new test of log lines loses lines on the old writer, which writes 2,000 lines in two writes. No decision changes.

--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -93,6 +93,7 @@
     /// Refuses a request that is not admitted as a call.
     pub(super) fn refuse_request(
         &mut self,
+        now: Timestamp,
         caller: CallerId,
         request: &Request,
         id: Option<&str>,
@@ -100,11 +101,12 @@
     ) {
         let keep = self.keeps_alive(request);
         log::info!(
-            "step=end id={} outcome=refused status={} why=\"{}\" table={}",
+            "step=end id={} outcome=refused status={} why=\"{}\" table={}{}",
             id.unwrap_or("-"),
             info.status,
             info.text,
             self.table.version(),
+            self.stopping_text(now),
         );
         let bytes = self.protocol.write_refusal(id, &info, keep);
         self.effect(HttpEffect::Reply { caller, bytes });
@@ -169,6 +171,12 @@
         Some(call)
     }
 
+    /// Returns the field that says, in logs, how long the gateway has been shutting down.
+    pub(super) fn stopping_text(&self, now: Timestamp) -> String {
+        let text = |since| format!(" stopping_ms={}", (now - since).as_millis());
+        self.stopping.map(text).unwrap_or_default()
+    }
+
     /// Logs and counts the end of a call; `why` is given if there was no complete answer.
     fn log_end(
         &mut self,
@@ -183,7 +191,7 @@
         let route = call.route().map_or("", |r| &r.name);
         log::info!(
             "step=end id={} route={route} service={} outcome=\"{outcome}\" status={status} ms={} \
-             first_ms={} gap_ms={} events={} sends={} prefills={} table={}{}",
+             first_ms={} gap_ms={} events={} sends={} prefills={} table={}{}{}",
             call.info.id,
             call.service,
             total.as_millis(),
@@ -194,6 +202,7 @@
             call.prefills,
             call.table.version(),
             why.map_or_else(String::new, |why| format!(" why=\"{}\"", why.text())),
+            self.stopping_text(now),
         );
         let end = GatewayEnd { route: route.into(), status, first, total };
         self.outputs.push(Output::Observe(Observation::Gateway(Box::new(end))));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 pub mod lateness;
 pub mod limit;
 mod notices;
+mod open_calls;
 pub mod outbox;
 mod outcome;
 pub mod place;
@@ -49,6 +50,7 @@
 use credit::{Credit, Payment};
 use fleet::{EndpointKey, Fleet, Job};
 use lateness::UsualTimeout;
+use open_calls::Listing;
 use outbox::Outbox;
 use protocol::{CallProtocol, SendInfo, TableFormat};
 use queue::Queue;
@@ -144,6 +146,8 @@
     /// Whether idle connections of callers were closed for the shutdown; new calls are then refused
     /// unless they end in time.
     closed_idle: bool,
+    /// Whether the calls that are open near the end of the grace period were logged.
+    listed_open: bool,
     /// Whether capacity was freed since waiting calls were last tried.
     capacity_freed: bool,
     outputs: Outputs,
@@ -188,6 +192,7 @@
             started: None,
             stopping: None,
             closed_idle: false,
+            listed_open: false,
             capacity_freed: false,
             outputs: Vec::new(),
         }
@@ -261,25 +266,25 @@
         let info = match self.protocol.read_call(&request.head) {
             Ok(info) => info,
             Err(error) => {
-                self.refuse_request(caller, &request, None, answer::bad_request(error.text()));
+                self.refuse_request(now, caller, &request, None, answer::bad_request(error.text()));
                 return;
             }
         };
         if !self.has_table() {
             let refusal = answer::no_table();
-            self.refuse_request(caller, &request, Some(&info.id), refusal);
+            self.refuse_request(now, caller, &request, Some(&info.id), refusal);
             return;
         }
         let host = request.head.fields.text("host").unwrap_or_default();
         let Some(key) = self.table.find(host, request.head.path()) else {
-            self.refuse_request(caller, &request, Some(&info.id), answer::no_route());
+            self.refuse_request(now, caller, &request, Some(&info.id), answer::no_route());
             return;
         };
         let draw = self.draw();
         let table = self.table.clone();
         let Some(route) = table.get(key) else { return };
         if self.closed_idle && !self.can_finish(now, route) {
-            self.refuse_request(caller, &request, Some(&info.id), answer::shutting_down());
+            self.refuse_request(now, caller, &request, Some(&info.id), answer::shutting_down());
             return;
         }
         let service: Box<str> = route.service(draw).unwrap_or_default().into();
@@ -528,6 +533,10 @@
             self.closed_idle = true;
             self.effect(HttpEffect::CloseIdle);
         }
+        if now + GRACE_MARGIN >= since + self.settings.grace && !self.listed_open {
+            self.listed_open = true;
+            self.log_open_calls(now, since, Listing::GraceEnd);
+        }
         let over = now >= since + self.settings.grace;
         if noticed && self.calls.is_empty() || over {
             log::info!("step=leave open_calls={}", self.calls.len());
@@ -561,8 +570,10 @@
             Input::Request { .. } | Input::Abandoned { .. } => {}
             Input::Wake => self.wake(now),
             Input::Shutdown => {
-                log::info!("step=shutdown open_calls={}", self.calls.len());
-                self.stopping.get_or_insert(now);
+                let grace_ms = self.settings.grace.as_millis();
+                log::info!("step=shutdown open_calls={} grace_ms={grace_ms}", self.calls.len());
+                let since = *self.stopping.get_or_insert(now);
+                self.log_open_calls(now, since, Listing::Signal);
             }
         }
         if self.capacity_freed {
@@ -577,7 +588,12 @@
         let queue = self.queues.values().filter_map(Queue::next_expiry).min();
         let shutdown = self.stopping.map(|since| {
             let notice = since + SHUTDOWN_NOTICE;
-            if self.closed_idle { since + self.settings.grace } else { notice }
+            let end = since + self.settings.grace;
+            match (self.closed_idle, self.listed_open) {
+                (false, _) => notice,
+                (true, false) => since + self.settings.grace.saturating_sub(GRACE_MARGIN),
+                (true, true) => end,
+            }
         });
         let waiting = self.queues.values().any(|q| !q.is_empty());
         let start = waiting.then_some(self.next_start);
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -233,11 +233,12 @@
         self.stop_work(now, caller);
         let Some(call) = self.remove(caller) else { return };
         log::info!(
-            "step=end id={} route={} outcome=caller-gone ms={} events={}",
+            "step=end id={} route={} outcome=caller-gone ms={} events={}{}",
             call.info.id,
             call.route().map_or("", |r| &r.name),
             (now - call.arrived).as_millis(),
             call.delivered.events,
+            self.stopping_text(now),
         );
     }
 
--- a/src/h1/driver/mod.rs
+++ b/src/h1/driver/mod.rs
@@ -189,6 +189,21 @@
         let mut events = Events::with_capacity(MAX_EVENTS);
         while self.run_once(&mut events) {}
         self.flush_all();
+        self.log_connections();
+    }
+
+    /// Logs the state of the callers' connections at the end of the role.
+    fn log_connections(&self) {
+        let count =
+            |of: fn(&CallerState) -> bool| self.callers.values().filter(|c| of(&c.state)).count();
+        let unwritten: usize = self.callers.values().map(|c| c.socket.pending()).sum();
+        log::info!(
+            "step=connections idle={} reading={} answering={} lingering={} unwritten_bytes={unwritten}",
+            count(|s| matches!(s, CallerState::Idle(_))),
+            count(|s| matches!(s, CallerState::Reading(_))),
+            count(|s| matches!(s, CallerState::Answering)),
+            count(|s| matches!(s, CallerState::Lingering { .. })),
+        );
     }
 
     /// Polls once and handles all events; returns whether the role is still running.
--- a/src/report/lines.rs
+++ b/src/report/lines.rs
@@ -20,6 +20,8 @@
 const WINDOW: Duration = Duration::from_secs(1);
 /// The size in bytes at which a batch of lines is written.
 const MAX_BATCH_BYTES: usize = 64 << 10;
+/// The most bytes of one write; some readers of standard output keep no more than 8 KiB of one.
+const MAX_WRITE_BYTES: usize = 4 << 10;
 /// How long lines are collected before they are written in one batch.
 const GATHER_TIME: Duration = Duration::from_millis(20);
 
@@ -201,9 +203,33 @@
             next = (batch.len() < MAX_BATCH_BYTES).then(|| lines.try_recv().ok()).flatten();
         }
         // A failed write ends the thread silently, because there is no other place to report it.
-        if output.write_all(&batch).and_then(|()| output.flush()).is_err() || stopping {
+        if write_batch(&batch, &mut output).is_err() || stopping {
             return;
         }
         batch.clear();
     }
 }
+
+/// Writes a batch in writes of whole lines, each of at most [`MAX_WRITE_BYTES`] unless one line is
+/// longer.
+fn write_batch(batch: &[u8], output: &mut impl Write) -> std::io::Result<()> {
+    let mut rest = batch;
+    while !rest.is_empty() {
+        let (part, next) = rest.split_at(whole_lines(rest));
+        output.write_all(part)?;
+        output.flush()?;
+        rest = next;
+    }
+    Ok(())
+}
+
+/// Returns how many bytes of a batch the next write takes: whole lines, as many as fit.
+fn whole_lines(batch: &[u8]) -> usize {
+    let line_end = |byte: &u8| *byte == b'\n';
+    let Some((first, rest)) = batch.split_at_checked(MAX_WRITE_BYTES) else { return batch.len() };
+    match first.iter().rposition(line_end) {
+        Some(last) => last + 1,
+        // The first line alone is longer than a write should be.
+        None => rest.iter().position(line_end).map_or(batch.len(), |at| first.len() + at + 1),
+    }
+}
--- a/tests/log_lines.rs
+++ b/tests/log_lines.rs
@@ -70,6 +70,33 @@
     assert_eq!(gate.text(), expected);
 }
 
+/// An output that keeps the first 8 KiB of each write and loses the rest, as some readers do.
+#[derive(Clone, Default)]
+struct ShortReader(Arc<Mutex<Vec<u8>>>);
+
+impl Write for ShortReader {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().unwrap().extend(bytes.iter().take(8 << 10));
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Fails if a burst of lines goes out in one write, of which some readers keep only the start.
+#[test]
+fn lines_of_a_burst_are_lost_by_a_reader_of_short_writes() {
+    let output = ShortReader::default();
+    let writer = LineWriter::start_to(plain, output.clone()).unwrap();
+    (0..2_000).for_each(|n| line(&writer, "a", n));
+    writer.shutdown();
+    let text = String::from_utf8(output.0.lock().unwrap().clone()).unwrap();
+    let expected: String = (0..2_000).map(|n| format!("line {n}\n")).collect();
+    assert_eq!(text, expected);
+}
+
 #[test]
 fn stalled_output_blocks_no_logger_and_lost_lines_are_counted() {
     let gate = Gate::default();
