Describe shutdown as phases, and carry the time of the signal to the roles

Each role decides by itself when it takes work and when it ends: the gateway with four conditions in three functions, entry, agent, control and API each with another rule. `shutdown` holds one description for all: accept, drain, refuse, end, each decided with the present time as an argument. `Input::Shutdown` says when the process was signalled; a role that is told late no longer counts its grace period from then on. `HttpEffect::CloseAll` is what a role asks of its connections at its end.

No role uses the phases yet, so no decision changes but the start of the period. Tests that send the signal now say when it came.

--- a/benches/replica.rs
+++ b/benches/replica.rs
@@ -291,7 +291,7 @@
 impl Drop for Subscribers {
     fn drop(&mut self) {
         for handle in &self.0 {
-            handle.send(Input::Shutdown);
+            handle.send(Input::Shutdown { since: Timestamp::from_steady() });
         }
     }
 }
@@ -328,7 +328,7 @@
                     ExchangeId(*last)
                 })
             }
-            Input::Shutdown => vec![Output::Stopped],
+            Input::Shutdown { .. } => vec![Output::Stopped],
             _ => Vec::new(),
         }
     }
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -305,7 +305,7 @@
             }
             Input::Local(input) => self.engine(now, input),
             Input::Wake => self.wake(now),
-            Input::Shutdown => self.stop(now),
+            Input::Shutdown { .. } => self.stop(now),
         };
         if self.has_stopped(now) {
             outputs.push(Output::Stopped);
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -405,8 +405,8 @@
                 self.request_leader(now);
                 self.expire_orders(now);
             }
-            Input::Shutdown => {
-                self.stopping.get_or_insert(now);
+            Input::Shutdown { since } => {
+                self.stopping.get_or_insert(since);
             }
         }
         if self.stopping.is_some_and(|at| now >= at + SHUTDOWN_NOTICE) && self.pending.is_empty() {
--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -1,7 +1,7 @@
 //! Starts the roles of a process, and shuts them down gracefully.
 
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 
 use eyre::{WrapErr, eyre};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -33,6 +33,8 @@
 const EXIT_AT_ONCE: i32 = 1;
 
 type Thread = std::thread::JoinHandle<()>;
+/// When the process was signalled to shut down.
+type Signalled = Arc<OnceLock<Timestamp>>;
 
 /// The drivers of the roles that this process runs.
 #[derive(Default)]
@@ -70,7 +72,8 @@
     };
     let ready = Arc::new(AtomicBool::new(true));
     let metrics = Arc::new(Metrics::new()?);
-    watch_signals(&drivers, ready.clone())?;
+    let signalled = Signalled::default();
+    watch_signals(&drivers, ready.clone(), signalled.clone())?;
     let control = drivers.control.as_ref().map(Driver::handle);
     let url = Arc::new(Mutex::new(None));
     if let Some(address) = settings.pages.filter(|_| drivers.gateway.is_none()) {
@@ -163,7 +166,8 @@
     }
     if let (Some(thread), Some(control)) = (control_thread, control) {
         if has_traffic {
-            control.send(Input::Shutdown);
+            let since = *signalled.get_or_init(Timestamp::from_steady);
+            control.send(Input::Shutdown { since });
         }
         join(thread)?;
     }
@@ -223,7 +227,11 @@
     }))
 }
 
-fn watch_signals(drivers: &Drivers, ready: Arc<AtomicBool>) -> eyre::Result<()> {
+fn watch_signals(
+    drivers: &Drivers,
+    ready: Arc<AtomicBool>,
+    signalled: Signalled,
+) -> eyre::Result<()> {
     let entry = drivers.entry.as_ref().map(Driver::handle);
     let agent = drivers.agent.as_ref().map(Driver::handle);
     // Control is stopped last, since the other roles of this process need it until they have
@@ -244,16 +252,17 @@
                 log::warn!("step=shutdown signal={signal}: exiting at once");
                 std::process::exit(EXIT_AT_ONCE);
             }
+            let since = *signalled.get_or_init(Timestamp::from_steady);
             log::info!("step=shutdown signal={signal}");
             if let Some(handle) = &entry {
-                handle.send(Input::Shutdown);
+                handle.send(Input::Shutdown { since });
             }
             if let Some(handle) = &agent {
-                handle.send(Input::Shutdown);
+                handle.send(Input::Shutdown { since });
             }
-            http.iter().for_each(|h| h.send(Input::Shutdown));
+            http.iter().for_each(|h| h.send(Input::Shutdown { since }));
             if let Some(handle) = &control {
-                handle.send(Input::Shutdown);
+                handle.send(Input::Shutdown { since });
             }
         }
     };
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -317,8 +317,8 @@
                 outputs.push(Output::Observe(Observation::Quarantine { causes }));
                 outputs
             }
-            Input::Shutdown => {
-                self.stopping.get_or_insert(now);
+            Input::Shutdown { since } => {
+                self.stopping.get_or_insert(since);
                 Vec::new()
             }
         };
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -289,8 +289,8 @@
                 }
             }
             Input::Wake => self.wake(now),
-            Input::Shutdown => {
-                self.stopping.get_or_insert(now);
+            Input::Shutdown { since } => {
+                self.stopping.get_or_insert(since);
                 Vec::new()
             }
             Input::Request { .. } | Input::Abandoned { .. } => Vec::new(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -569,10 +569,10 @@
             }
             Input::Request { .. } | Input::Abandoned { .. } => {}
             Input::Wake => self.wake(now),
-            Input::Shutdown => {
+            Input::Shutdown { since } => {
                 let grace_ms = self.settings.grace.as_millis();
                 log::info!("step=shutdown open_calls={} grace_ms={grace_ms}", self.calls.len());
-                let since = *self.stopping.get_or_insert(now);
+                let since = *self.stopping.get_or_insert(since);
                 self.log_open_calls(now, since, Listing::Signal);
             }
         }
--- a/src/h1/driver/mod.rs
+++ b/src/h1/driver/mod.rs
@@ -513,6 +513,7 @@
                 }
             }
             HttpEffect::Limit(limits) => self.limits = limits,
+            HttpEffect::CloseAll { .. } => {}
             HttpEffect::CloseIdle => {
                 self.callers.retain(|_, c| !matches!(c.state, CallerState::Idle(_)));
             }
--- a/src/h1/mod.rs
+++ b/src/h1/mod.rs
@@ -14,6 +14,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::model::Timestamp;
 use crate::routes::CallerLimits;
 
 pub use driver::{HttpDriver, HttpHandle, Listener};
@@ -139,6 +140,13 @@
     Limit(CallerLimits),
     /// Close the connections of callers that have no request in progress.
     CloseIdle,
+    /// Accept no more connections of callers, and close those that are open as soon as nothing is
+    /// unread or unwritten on them. The role returns this before [`crate::role::Output::Stopped`]
+    /// and refuses the requests that still come.
+    CloseAll {
+        /// When the remaining connections are closed whatever is unwritten on them.
+        until: Timestamp,
+    },
 }
 
 /// How long a connection is kept open after its last answer so that the caller can read it.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod report;
 pub mod role;
 pub mod routes;
+pub mod shutdown;
--- a/src/role/mod.rs
+++ b/src/role/mod.rs
@@ -72,7 +72,10 @@
     /// The deadline of [`Role::next_wake`] has been reached, or the driver was idle for long.
     Wake,
     /// Refuse new work, finish the work in flight and then report [`Output::Stopped`].
-    Shutdown,
+    Shutdown {
+        /// When the process was signalled.
+        since: Timestamp,
+    },
 }
 
 /// An output that is not for the link.
--- a/tests/agent_endless.rs
+++ b/tests/agent_endless.rs
@@ -31,7 +31,7 @@
 
     fn step(&mut self, _now: Timestamp, input: Input<EngineInput>) -> Vec<Output<EngineEffect>> {
         match input {
-            Input::Shutdown => {
+            Input::Shutdown { .. } => {
                 let request = RequestId { owner: BootId(1), call: CallId(1), attempt: 1 };
                 let export = Export { url: "".into(), name: "e".into(), tokens: 1 };
                 let work = Work::Decode { export, from: 0, until: 9 };
@@ -77,7 +77,7 @@
     let metrics = Arc::new(Metrics::new().unwrap());
     driver.start("agent", Starter { ended }, link(), http, metrics).unwrap();
     let before = memory();
-    handle.send(Input::Shutdown);
+    handle.send(Input::Shutdown { since: Timestamp::from_steady() });
     let begin = Instant::now();
     let (mut most, mut end) = (before, None);
     while end.is_none() && begin.elapsed() < SEND_TIME + Duration::from_secs(4) {
--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -49,7 +49,7 @@
                 self.handled.send(Instant::now()).unwrap();
                 Vec::new()
             }
-            Input::Shutdown => vec![Output::Stopped],
+            Input::Shutdown { .. } => vec![Output::Stopped],
             _ => Vec::new(),
         }
     }
@@ -85,7 +85,7 @@
                 self.gone.send(()).unwrap();
                 Vec::new()
             }
-            Input::Shutdown => vec![Output::Stopped],
+            Input::Shutdown { .. } => vec![Output::Stopped],
             _ => Vec::new(),
         }
     }
@@ -142,7 +142,7 @@
         most = most.max(memory());
         std::thread::sleep(INPUT_INTERVAL.saturating_sub(sent.elapsed()));
     }
-    handle.send(Input::Shutdown);
+    handle.send(Input::Shutdown { since: Timestamp::from_steady() });
     let growth = most - before;
     assert!(in_time >= MIN_INPUTS, "{in_time} of 30 other inputs were handled in time");
     assert!(growth < MAX_GROWTH, "the memory grew by {growth} bytes");
@@ -189,7 +189,7 @@
         most = most.max(memory());
     }
     let dropped = is_gone.try_recv().is_ok();
-    handle.send(Input::Shutdown);
+    handle.send(Input::Shutdown { since: Timestamp::from_steady() });
     let growth = most - before;
     assert!(growth < MAX_GROWTH, "the memory grew by {growth} bytes");
     assert!(dropped, "the caller's connection is still open");
--- a/tests/fleet_world/mod.rs
+++ b/tests/fleet_world/mod.rs
@@ -617,7 +617,7 @@
                 answer.ended = Some(self.now);
                 self.gateways[at].readers.remove(&caller.0);
             }
-            HttpEffect::Limit(_) | HttpEffect::CloseIdle => {}
+            HttpEffect::Limit(_) | HttpEffect::CloseIdle | HttpEffect::CloseAll { .. } => {}
         }
     }
 
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -502,7 +502,7 @@
     let mut f = Fixture::ready();
     f.model_call(1, "/draft/a", "3000,100");
     let run = f.answer_prefill();
-    f.step(Input::Shutdown);
+    f.shut_down();
     assert!(!f.is_ready());
     f.advance(1_000);
     f.call(2, "/look/a", &[]);
--- a/tests/gateway_fixture/mod.rs
+++ b/tests/gateway_fixture/mod.rs
@@ -353,6 +353,11 @@
         self.deregistered.push((index, Deregistration { endpoint: name.into(), boot }));
     }
 
+    /// Signals the process to shut down.
+    pub fn shut_down(&mut self) {
+        self.step(Input::Shutdown { since: self.now });
+    }
+
     /// Advances the simulated time; fires due timers and answers heartbeats.
     pub fn advance(&mut self, millis: u64) {
         let until = self.now + Duration::from_millis(millis);
@@ -481,6 +486,7 @@
             }
             HttpEffect::Limit(_) => {}
             HttpEffect::CloseIdle => self.closed_idle = true,
+            HttpEffect::CloseAll { .. } => {}
         }
     }
 
--- a/tests/h1_sockets.rs
+++ b/tests/h1_sockets.rs
@@ -46,7 +46,7 @@
                 self.events.send("disconnected".into()).unwrap();
                 Vec::new()
             }
-            Input::Shutdown => vec![Output::Stopped],
+            Input::Shutdown { .. } => vec![Output::Stopped],
             Input::Wake => vec![Output::Effect(HttpEffect::Limit(CallerLimits {
                 head_bytes: 2_000,
                 body_bytes: 100_000,
@@ -70,7 +70,7 @@
 
 impl Drop for Server {
     fn drop(&mut self) {
-        self.handle.send(Input::Shutdown);
+        self.handle.send(Input::Shutdown { since: Timestamp::from_steady() });
     }
 }
 
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -280,7 +280,7 @@
         Input::Request { inbound: InboundId(inbound), envelope }
     };
     let accepted = control.step(now, propose(1));
-    let stopping = control.step(now, Input::Shutdown);
+    let stopping = control.step(now, Input::Shutdown { since: now });
     assert!(stopping.is_empty(), "stopped before its command was on disk: {stopping:?}");
     let refused = control.step(now, propose(2));
     assert_matches!(&refused[..], [Output::Reply { envelope, .. }]
