--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -29,10 +29,13 @@
 mod quarantine;
 pub mod queue;
 mod reason;
+mod receive;
 mod reports;
 mod resume;
 mod retry;
+mod send;
 mod silence;
+mod updates;
 pub mod versions;
 pub mod window;
 
@@ -45,14 +48,13 @@
 
 use blocked::Blocked;
 use budget::{Budget, BudgetTerms};
-use call::{Call, Delivered, Stage};
+use call::Call;
 use crashes::Crashes;
-use credit::{Credit, Payment};
-use fleet::{EndpointKey, Fleet, Job};
+use fleet::{Fleet, Job};
 use lateness::UsualTimeout;
 use open_calls::Listing;
 use outbox::Outbox;
-use protocol::{CallProtocol, SendInfo, TableFormat};
+use protocol::{CallProtocol, TableFormat};
 use queue::Queue;
 use versions::Versions;
 
@@ -61,9 +63,8 @@
 use crate::link::message::{ControlReply, Reply};
 use crate::model::{ExchangeId, Timestamp};
 use crate::registry::{Follower, FollowerSettings};
-use crate::report::observation::Observation;
 use crate::role::{Input, Output, Role};
-use crate::routes::{Route, RouteTable};
+use crate::routes::RouteTable;
 
 /// How long a gateway that is shutting down still accepts every call: the load balancer needs that
 /// time to notice that the gateway is no longer ready.
@@ -261,175 +262,6 @@
         self.schedule(caller);
     }
 
-    /// Routes a new request and admits it as a call, or refuses it.
-    fn request_received(&mut self, now: Timestamp, caller: CallerId, request: Request) {
-        let info = match self.protocol.read_call(&request.head) {
-            Ok(info) => info,
-            Err(error) => {
-                self.refuse_request(now, caller, &request, None, answer::bad_request(error.text()));
-                return;
-            }
-        };
-        if !self.has_table() {
-            let refusal = answer::no_table();
-            self.refuse_request(now, caller, &request, Some(&info.id), refusal);
-            return;
-        }
-        let host = request.head.fields.text("host").unwrap_or_default();
-        let Some(key) = self.table.find(host, request.head.path()) else {
-            self.refuse_request(now, caller, &request, Some(&info.id), answer::no_route());
-            return;
-        };
-        let draw = self.draw();
-        let table = self.table.clone();
-        let Some(route) = table.get(key) else { return };
-        if self.closed_idle && !self.can_finish(now, route) {
-            self.refuse_request(now, caller, &request, Some(&info.id), answer::shutting_down());
-            return;
-        }
-        let service: Box<str> = route.service(draw).unwrap_or_default().into();
-        let timeout = info.timeout.unwrap_or(route.timeout);
-        let usual = self.usual_timeouts.entry(route.name.clone()).or_default();
-        // The caller of an interrupted stream has waited already.
-        let late = usual.is_late(now, timeout, route.target) && info.after.is_none();
-        let call = Call {
-            deadline: now + timeout.min(route.timeout),
-            caller_deadline: now + timeout,
-            delivered: Delivered { event: info.after, ..Delivered::default() },
-            request,
-            info,
-            table: table.clone(),
-            route: key,
-            service: service.clone(),
-            arrived: now,
-            late,
-            sends: 0,
-            credit: Credit::default(),
-            skips_prefill: false,
-            probe: false,
-            sent: false,
-            first_run: false,
-            exported: false,
-            prefills: 0,
-            tried: Vec::new(),
-            software: None,
-            hold: None,
-            run: None,
-            assigned: None,
-            broke_at: None,
-            may_have_run: false,
-            failed: None,
-            stage: Stage::Waiting,
-            splitter: events::EventSplitter::default(),
-            reply_deadline: Timestamp::MAX,
-            timer: Timestamp::MAX,
-        };
-        self.calls.insert(caller, call);
-        if self.refuse_blocked(now, caller) {
-            return;
-        }
-        let terms = self.settings.budget;
-        let started = self.started.unwrap_or(now);
-        let budget = self.budgets.entry(service.clone());
-        budget.or_insert_with(|| Budget::new(started)).called(now, &terms);
-        if self.is_engine_call(caller) {
-            self.last_called.insert(service, now);
-        }
-        if self.calls.get(&caller).is_some_and(Call::is_resumption) {
-            self.admit_resumption(now, caller);
-        } else {
-            self.admit_call(now, caller);
-        }
-        self.schedule(caller);
-    }
-
-    /// Starts or queues a new call, or refuses it at once.
-    fn admit_call(&mut self, now: Timestamp, caller: CallerId) {
-        if let Some((refusal, why)) = self.closed_refusal(now, caller) {
-            self.conclude(now, caller, refusal, why);
-            return;
-        }
-        if self.is_engine_call(caller) {
-            self.admit_engine_call(now, caller);
-        } else {
-            self.admit_plain_call(now, caller);
-        }
-    }
-
-    /// Returns whether a new call would end before this gateway has to stop.
-    fn can_finish(&self, now: Timestamp, route: &Route) -> bool {
-        let Some(since) = self.stopping else { return true };
-        // The duration of a stream is unknown.
-        let latest = now + route.timeout + GRACE_MARGIN;
-        !route.repeat.is_stream() && latest <= since + self.settings.grace
-    }
-
-    /// Sends a call to an endpoint over an idle connection, or over a new one if none can be
-    /// reused. Sends nothing if the endpoint wants no new request or the call has no credit for another request.
-    fn send(
-        &mut self,
-        now: Timestamp,
-        caller: CallerId,
-        endpoint: EndpointKey,
-        kind: protocol::SendKind,
-    ) -> Option<PeerId> {
-        let call = self.calls.get_mut(&caller)?;
-        let reserved = call.hold.as_ref().is_some_and(|(at, _)| *at == endpoint);
-        // A reservation has paid for the run that follows it.
-        let paid = reserved && kind != protocol::SendKind::Prefill;
-        let accepts = |e: &&fleet::Endpoint| match paid {
-            true => e.notices.keeps_reservations(now),
-            false => e.notices.accepts_requests(now),
-        };
-        let target = self.fleet.get(endpoint).filter(accepts)?;
-        let address = target.address;
-        let Some(payment) = call.credit.spend() else {
-            log::error!("step=send id={} error=\"the request was not charged\"", call.info.id);
-            return None;
-        };
-        if let Some(budget) = self.budgets.get_mut(&call.service)
-            && payment == Payment::Charged
-        {
-            budget.sent(now, &self.settings.budget);
-        }
-        let info = SendInfo {
-            remaining: call.remaining(now),
-            endpoint: &target.name,
-            after: call.delivered.event,
-            hold: match &call.hold {
-                Some((at, hold)) if *at == endpoint && kind != protocol::SendKind::Prefill => {
-                    Some(&**hold)
-                }
-                _ => None,
-            },
-            kind,
-        };
-        let bytes = self.protocol.write_call(&call.request, &info);
-        let once = !call.is_repeatable();
-        let job = Job::Call(caller);
-        let (peer, fresh) = match self.fleet.reuse(now, endpoint, job, once) {
-            Some(peer) => (peer, false),
-            None => (self.fleet.open(now, endpoint, job), true),
-        };
-        if fresh {
-            self.effect(HttpEffect::Dial { peer, address });
-        }
-        self.effect(HttpEffect::Send { peer, bytes });
-        if !paid && let Some(target) = self.fleet.get_mut(endpoint) {
-            target.notices.limit.spend(now, 1);
-        }
-        self.count_send(caller);
-        Some(peer)
-    }
-
-    /// Counts a request of a call that was sent to an endpoint.
-    fn count_send(&mut self, caller: CallerId) {
-        let Some(call) = self.calls.get_mut(&caller) else { return };
-        let service = call.service.clone();
-        let order = call.record_send();
-        self.outputs.push(Output::Observe(Observation::Send { service, order }));
-    }
-
     /// Sets the timer of a call to its next deadline.
     fn schedule(&mut self, caller: CallerId) {
         let Some(call) = self.calls.get_mut(&caller) else { return };
@@ -476,56 +308,6 @@
         self.end_overdue_jobs(now);
     }
 
-    /// Sends the heartbeats to control that are due.
-    fn follow(&mut self, now: Timestamp) {
-        let exchanges = &mut self.exchanges;
-        let mut next = || {
-            *exchanges += 1;
-            ExchangeId(*exchanges)
-        };
-        let outputs = self.follower.wake(now, None, None, &mut next);
-        self.outputs.extend(outputs);
-        self.apply_updates(now);
-    }
-
-    /// Applies the endpoint list and the routing table that the follower has received.
-    fn apply_updates(&mut self, now: Timestamp) {
-        if let Some(listed) = self.follower.changed_endpoints(now) {
-            let open = listed.values().filter(|e| !e.draining).count();
-            if (listed.len(), open) != self.listed {
-                self.listed = (listed.len(), open);
-                log::info!("step=endpoints listed={} open={open}", listed.len());
-            }
-            self.versions.listed(now, listed.values().map(|e| (&*e.pool, &*e.software)));
-            self.update_shared(now);
-            for peer in self.fleet.update(now, &listed) {
-                self.effect(HttpEffect::HangUp { peer });
-            }
-        }
-        if let Some(document) = self.follower.new_document() {
-            match self.tables.read_table(&document.text) {
-                Ok(table) => self.apply_table(table),
-                Err(error) => {
-                    log::error!("step=table version={} error=\"{error}\"", document.version);
-                }
-            }
-        }
-        if !self.confirmed && self.table.version() > 0 && self.follower.is_document_confirmed(now) {
-            self.confirmed = true;
-            log::info!("step=confirm version={}", self.table.version());
-        }
-    }
-
-    fn apply_table(&mut self, table: RouteTable) {
-        if table.version() <= self.table.version() {
-            return;
-        }
-        log::info!("step=table version={} before={}", table.version(), self.table.version());
-        self.effect(HttpEffect::Limit(*table.limits()));
-        self.usual_timeouts.retain(|name, _| table.routes().any(|r| r.name == *name));
-        self.table = Arc::new(table);
-    }
-
     fn check_shutdown(&mut self, now: Timestamp) {
         let Some(since) = self.stopping else { return };
         let noticed = now >= since + SHUTDOWN_NOTICE;
--- /dev/null
+++ b/src/gateway/receive.rs
@@ -0,0 +1,115 @@
+//! Requests as they are read from callers: they become calls, or are refused.
+
+use super::budget::Budget;
+use super::call::{Call, Delivered, Stage};
+use super::credit::Credit;
+use super::events::EventSplitter;
+use super::{CallerId, GRACE_MARGIN, Gateway, answer};
+use crate::h1::Request;
+use crate::model::Timestamp;
+use crate::routes::Route;
+
+impl Gateway {
+    /// Routes a new request and admits it as a call, or refuses it.
+    pub(super) fn request_received(&mut self, now: Timestamp, caller: CallerId, request: Request) {
+        let info = match self.protocol.read_call(&request.head) {
+            Ok(info) => info,
+            Err(error) => {
+                self.refuse_request(now, caller, &request, None, answer::bad_request(error.text()));
+                return;
+            }
+        };
+        if !self.has_table() {
+            let refusal = answer::no_table();
+            self.refuse_request(now, caller, &request, Some(&info.id), refusal);
+            return;
+        }
+        let host = request.head.fields.text("host").unwrap_or_default();
+        let Some(key) = self.table.find(host, request.head.path()) else {
+            self.refuse_request(now, caller, &request, Some(&info.id), answer::no_route());
+            return;
+        };
+        let draw = self.draw();
+        let table = self.table.clone();
+        let Some(route) = table.get(key) else { return };
+        if self.closed_idle && !self.can_finish(now, route) {
+            self.refuse_request(now, caller, &request, Some(&info.id), answer::shutting_down());
+            return;
+        }
+        let service: Box<str> = route.service(draw).unwrap_or_default().into();
+        let timeout = info.timeout.unwrap_or(route.timeout);
+        let usual = self.usual_timeouts.entry(route.name.clone()).or_default();
+        // The caller of an interrupted stream has waited already.
+        let late = usual.is_late(now, timeout, route.target) && info.after.is_none();
+        let call = Call {
+            deadline: now + timeout.min(route.timeout),
+            caller_deadline: now + timeout,
+            delivered: Delivered { event: info.after, ..Delivered::default() },
+            request,
+            info,
+            table: table.clone(),
+            route: key,
+            service: service.clone(),
+            arrived: now,
+            late,
+            sends: 0,
+            credit: Credit::default(),
+            skips_prefill: false,
+            probe: false,
+            sent: false,
+            first_run: false,
+            exported: false,
+            prefills: 0,
+            tried: Vec::new(),
+            software: None,
+            hold: None,
+            run: None,
+            assigned: None,
+            broke_at: None,
+            may_have_run: false,
+            failed: None,
+            stage: Stage::Waiting,
+            splitter: EventSplitter::default(),
+            reply_deadline: Timestamp::MAX,
+            timer: Timestamp::MAX,
+        };
+        self.calls.insert(caller, call);
+        if self.refuse_blocked(now, caller) {
+            return;
+        }
+        let terms = self.settings.budget;
+        let started = self.started.unwrap_or(now);
+        let budget = self.budgets.entry(service.clone());
+        budget.or_insert_with(|| Budget::new(started)).called(now, &terms);
+        if self.is_engine_call(caller) {
+            self.last_called.insert(service, now);
+        }
+        if self.calls.get(&caller).is_some_and(Call::is_resumption) {
+            self.admit_resumption(now, caller);
+        } else {
+            self.admit_call(now, caller);
+        }
+        self.schedule(caller);
+    }
+
+    /// Starts or queues a new call, or refuses it at once.
+    pub(super) fn admit_call(&mut self, now: Timestamp, caller: CallerId) {
+        if let Some((refusal, why)) = self.closed_refusal(now, caller) {
+            self.conclude(now, caller, refusal, why);
+            return;
+        }
+        if self.is_engine_call(caller) {
+            self.admit_engine_call(now, caller);
+        } else {
+            self.admit_plain_call(now, caller);
+        }
+    }
+
+    /// Returns whether a new call would end before this gateway has to stop.
+    pub(super) fn can_finish(&self, now: Timestamp, route: &Route) -> bool {
+        let Some(since) = self.stopping else { return true };
+        // The duration of a stream is unknown.
+        let latest = now + route.timeout + GRACE_MARGIN;
+        !route.repeat.is_stream() && latest <= since + self.settings.grace
+    }
+}
