End the calls that a stopping gateway has open before it is killed

What callers saw: connections that ended without any answer at the end of the grace period, and calls that were taken after the process had decided to end.

Cause: open calls were waited for until since + grace, the moment of SIGKILL, and got no answer then. A role that had reported its end went on handling the rest of a poll, sent what it read there to endpoints and reported its end again. Whether idle connections had been closed, which is recorded after an input is handled, decided whether a stream is accepted; after a stall a stream was accepted 2.7 s after the signal.

The gateway uses the phases of crate::shutdown. At their end each open call gets its final answer in one step and its work is stopped; then connections are closed and the end is reported, once. After that requests are refused, and nothing else is handled. A new call is accepted while it can end in time; for a stream that is the time within which nine of ten of the route's last 128 complete streams ended, or the route's timeout without any. Queued calls that can't end are refused at the signal.

--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -114,7 +114,7 @@
     }
 
     fn keeps_alive(&self, request: &Request) -> bool {
-        !request.head.wants_close() && self.stopping.is_none()
+        !request.head.wants_close() && !self.shutdown.is_requested()
     }
 
     /// Ends a call that gets no complete answer: aborts a stream that has begun, else sends the
@@ -174,7 +174,7 @@
     /// Returns the field that says, in logs, how long the gateway has been shutting down.
     pub(super) fn stopping_text(&self, now: Timestamp) -> String {
         let text = |since| format!(" stopping_ms={}", (now - since).as_millis());
-        self.stopping.map(text).unwrap_or_default()
+        self.shutdown.since().map(text).unwrap_or_default()
     }
 
     /// Logs and counts the end of a call; `why` is given if there was no complete answer.
@@ -416,6 +416,7 @@
         let Some(mut call) = self.remove(caller) else { return };
         self.attempt_succeeded(now, &mut call);
         self.report_survival(now, &self.survivors(&call));
+        self.record_stream(now, &call);
         let keep = self.keeps_alive(&call.request);
         let mut bytes = Vec::new();
         let rest = call.splitter.take_rest();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -35,6 +35,8 @@
 mod retry;
 mod send;
 mod silence;
+mod stopping;
+pub mod stream_times;
 mod updates;
 pub mod versions;
 pub mod window;
@@ -52,10 +54,10 @@
 use crashes::Crashes;
 use fleet::{Fleet, Job};
 use lateness::UsualTimeout;
-use open_calls::Listing;
 use outbox::Outbox;
 use protocol::{CallProtocol, TableFormat};
 use queue::Queue;
+use stream_times::StreamTimes;
 use versions::Versions;
 
 use crate::control::origins::{Origin, Origins};
@@ -65,12 +67,8 @@
 use crate::registry::{Follower, FollowerSettings};
 use crate::role::{Input, Output, Role};
 use crate::routes::RouteTable;
+use crate::shutdown::{Phase, Shutdown};
 
-/// How long a gateway that is shutting down still accepts every call: the load balancer needs that
-/// time to notice that the gateway is no longer ready.
-const SHUTDOWN_NOTICE: Duration = Duration::from_millis(2_600);
-/// How long before the end of its grace period a gateway must have finished its calls.
-const GRACE_MARGIN: Duration = Duration::from_millis(500);
 /// The interval between attempts to start waiting calls: endpoints that were full may have capacity
 /// again.
 const START_INTERVAL: Duration = Duration::from_millis(100);
@@ -142,13 +140,9 @@
     last_called: BTreeMap<Box<str>, Timestamp>,
     /// When the first input was handled.
     started: Option<Timestamp>,
-    /// When the shutdown was requested.
-    stopping: Option<Timestamp>,
-    /// Whether idle connections of callers were closed for the shutdown; new calls are then refused
-    /// unless they end in time.
-    closed_idle: bool,
-    /// Whether the calls that are open near the end of the grace period were logged.
-    listed_open: bool,
+    /// How long the streams of each route have lasted.
+    stream_times: BTreeMap<Box<str>, StreamTimes>,
+    shutdown: Shutdown,
     /// Whether capacity was freed since waiting calls were last tried.
     capacity_freed: bool,
     outputs: Outputs,
@@ -158,6 +152,7 @@
     /// Creates the role, which refuses calls until it has a routing table.
     pub fn new(settings: GatewaySettings, protocol: Box<dyn CallProtocol>) -> Gateway {
         let follower = Follower::new(settings.follower.clone());
+        let shutdown = Shutdown::new(stopping::terms(settings.grace));
         let rng = Pcg64Mcg::seed_from_u64(settings.follower.boot.0);
         Gateway {
             tables: protocol.tables(),
@@ -191,9 +186,8 @@
             next_report: Timestamp::default(),
             last_called: BTreeMap::new(),
             started: None,
-            stopping: None,
-            closed_idle: false,
-            listed_open: false,
+            stream_times: BTreeMap::new(),
+            shutdown,
             capacity_freed: false,
             outputs: Vec::new(),
         }
@@ -214,7 +208,7 @@
 
     /// Returns whether the readiness page reports this gateway as ready for calls.
     fn is_ready(&self) -> bool {
-        self.stopping.is_none() && self.has_table() && !self.fleet.is_empty()
+        !self.shutdown.is_requested() && self.has_table() && !self.fleet.is_empty()
     }
 
     fn has_table(&self) -> bool {
@@ -307,24 +301,6 @@
         }
         self.end_overdue_jobs(now);
     }
-
-    fn check_shutdown(&mut self, now: Timestamp) {
-        let Some(since) = self.stopping else { return };
-        let noticed = now >= since + SHUTDOWN_NOTICE;
-        if noticed && !self.closed_idle {
-            self.closed_idle = true;
-            self.effect(HttpEffect::CloseIdle);
-        }
-        if now + GRACE_MARGIN >= since + self.settings.grace && !self.listed_open {
-            self.listed_open = true;
-            self.log_open_calls(now, since, Listing::GraceEnd);
-        }
-        let over = now >= since + self.settings.grace;
-        if noticed && self.calls.is_empty() || over {
-            log::info!("step=leave open_calls={}", self.calls.len());
-            self.outputs.push(Output::Stopped);
-        }
-    }
 }
 
 impl Role for Gateway {
@@ -332,6 +308,10 @@
     type Effect = HttpEffect;
 
     fn step(&mut self, now: Timestamp, input: Input<HttpInput>) -> Outputs {
+        if self.shutdown.phase() == Phase::End {
+            self.step_after_end(now, input);
+            return std::mem::take(&mut self.outputs);
+        }
         self.started.get_or_insert(now);
         match input {
             Input::Local(input) => self.handle_local(now, input),
@@ -351,32 +331,22 @@
             }
             Input::Request { .. } | Input::Abandoned { .. } => {}
             Input::Wake => self.wake(now),
-            Input::Shutdown { since } => {
-                let grace_ms = self.settings.grace.as_millis();
-                log::info!("step=shutdown open_calls={} grace_ms={grace_ms}", self.calls.len());
-                let since = *self.stopping.get_or_insert(since);
-                self.log_open_calls(now, since, Listing::Signal);
-            }
+            Input::Shutdown { since } => self.shutdown_requested(now, since),
         }
         if self.capacity_freed {
             self.start_queued(now);
         }
-        self.check_shutdown(now);
+        self.advance_shutdown(now);
         std::mem::take(&mut self.outputs)
     }
 
     fn next_wake(&self) -> Option<Timestamp> {
+        if self.shutdown.phase() == Phase::End {
+            return None;
+        }
         let call = self.timers.first().map(|(at, _)| *at);
         let queue = self.queues.values().filter_map(Queue::next_expiry).min();
-        let shutdown = self.stopping.map(|since| {
-            let notice = since + SHUTDOWN_NOTICE;
-            let end = since + self.settings.grace;
-            match (self.closed_idle, self.listed_open) {
-                (false, _) => notice,
-                (true, false) => since + self.settings.grace.saturating_sub(GRACE_MARGIN),
-                (true, true) => end,
-            }
-        });
+        let shutdown = self.shutdown.next_wake();
         let waiting = self.queues.values().any(|q| !q.is_empty());
         let start = waiting.then_some(self.next_start);
         let record = (!self.unsent_origins.is_empty()).then_some(self.next_record);
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -160,15 +160,20 @@
 
     /// Ends a call that has reached its deadline.
     fn deadline_expired(&mut self, now: Timestamp, caller: CallerId) {
-        let Some(call) = self.calls.get_mut(&caller) else { return };
-        let started = matches!(&call.stage, Stage::Run { .. });
-        call.may_have_run |= started;
-        let ran = call.may_have_run;
-        self.stop_work(now, caller);
+        let ran = self.stop_call(now, caller);
         let refusal = if ran { answer::timed_out() } else { answer::out_of_time() };
         self.conclude(now, caller, refusal, EndReason::Deadline);
     }
 
+    /// Stops all work for a call that gets its final answer now; returns whether it may have run.
+    pub(super) fn stop_call(&mut self, now: Timestamp, caller: CallerId) -> bool {
+        let Some(call) = self.calls.get_mut(&caller) else { return false };
+        call.may_have_run |= matches!(&call.stage, Stage::Run { .. });
+        let ran = call.may_have_run;
+        self.stop_work(now, caller);
+        ran
+    }
+
     /// Closes a connection to an endpoint.
     pub(super) fn hang_up(&mut self, peer: PeerId) {
         if self.fleet.close(peer).is_some() {
--- a/src/gateway/reason.rs
+++ b/src/gateway/reason.rs
@@ -27,6 +27,8 @@
     Quarantined,
     /// The endpoint that was chosen for it is gone, or its service has none.
     NoEndpoint,
+    /// It can't end before this process does.
+    ShuttingDown,
 }
 
 impl EndReason {
@@ -45,6 +47,7 @@
             EndReason::BackingOff => "all endpoints back off",
             EndReason::Quarantined => "quarantined",
             EndReason::NoEndpoint => "no endpoint",
+            EndReason::ShuttingDown => "shutting down",
         }
     }
 }
--- a/src/gateway/receive.rs
+++ b/src/gateway/receive.rs
@@ -4,10 +4,9 @@
 use super::call::{Call, Delivered, Stage};
 use super::credit::Credit;
 use super::events::EventSplitter;
-use super::{CallerId, GRACE_MARGIN, Gateway, answer};
+use super::{CallerId, Gateway, answer};
 use crate::h1::Request;
 use crate::model::Timestamp;
-use crate::routes::Route;
 
 impl Gateway {
     /// Routes a new request and admits it as a call, or refuses it.
@@ -32,12 +31,12 @@
         let draw = self.draw();
         let table = self.table.clone();
         let Some(route) = table.get(key) else { return };
-        if self.closed_idle && !self.can_finish(now, route) {
+        let timeout = info.timeout.unwrap_or(route.timeout);
+        if !self.admits_new(now, route, timeout) {
             self.refuse_request(now, caller, &request, Some(&info.id), answer::shutting_down());
             return;
         }
         let service: Box<str> = route.service(draw).unwrap_or_default().into();
-        let timeout = info.timeout.unwrap_or(route.timeout);
         let usual = self.usual_timeouts.entry(route.name.clone()).or_default();
         // The caller of an interrupted stream has waited already.
         let late = usual.is_late(now, timeout, route.target) && info.after.is_none();
@@ -104,12 +103,4 @@
             self.admit_plain_call(now, caller);
         }
     }
-
-    /// Returns whether a new call would end before this gateway has to stop.
-    pub(super) fn can_finish(&self, now: Timestamp, route: &Route) -> bool {
-        let Some(since) = self.stopping else { return true };
-        // The duration of a stream is unknown.
-        let latest = now + route.timeout + GRACE_MARGIN;
-        !route.repeat.is_stream() && latest <= since + self.settings.grace
-    }
 }
--- a/src/gateway/updates.rs
+++ b/src/gateway/updates.rs
@@ -55,6 +55,7 @@
         log::info!("step=table version={} before={}", table.version(), self.table.version());
         self.effect(HttpEffect::Limit(*table.limits()));
         self.usual_timeouts.retain(|name, _| table.routes().any(|r| r.name == *name));
+        self.stream_times.retain(|name, _| table.routes().any(|r| r.name == *name));
         self.table = Arc::new(table);
     }
 }
--- a/tests/gateway_fixture/mod.rs
+++ b/tests/gateway_fixture/mod.rs
@@ -211,6 +211,10 @@
     pub answers: BTreeMap<u64, CallerAnswer>,
     /// Whether the role has stopped.
     pub stopped: bool,
+    /// How often the role has reported that it has stopped.
+    pub stops: u32,
+    /// Until when connections stay open, for each time that the gateway closed all of them.
+    pub closed_all: Vec<Timestamp>,
     /// Whether the gateway closed the idle connections of its callers.
     pub closed_idle: bool,
     /// Whether dialled connections are established at once; otherwise they stay pending.
@@ -278,6 +282,8 @@
             observed: Vec::new(),
             answers: BTreeMap::new(),
             stopped: false,
+            stops: 0,
+            closed_all: Vec::new(),
             closed_idle: false,
             connects: true,
             answers_reports: false,
@@ -358,6 +364,18 @@
         self.step(Input::Shutdown { since: self.now });
     }
 
+    /// Signals the process to shut down; the role handles the signal some milliseconds late.
+    pub fn shut_down_late(&mut self, millis: u64) {
+        let since = self.now;
+        self.now = self.now + Duration::from_millis(millis);
+        self.step(Input::Shutdown { since });
+    }
+
+    /// Lets time pass in which the role handles nothing.
+    pub fn stall(&mut self, millis: u64) {
+        self.now = self.now + Duration::from_millis(millis);
+    }
+
     /// Advances the simulated time; fires due timers and answers heartbeats.
     pub fn advance(&mut self, millis: u64) {
         let until = self.now + Duration::from_millis(millis);
@@ -418,7 +436,10 @@
                 }
                 Output::Effect(effect) => self.apply_effect(effect),
                 Output::Observe(observation) => self.observed.push(observation),
-                Output::Stopped => self.stopped = true,
+                Output::Stopped => {
+                    self.stopped = true;
+                    self.stops += 1;
+                }
                 _ => {}
             }
         }
@@ -486,7 +507,10 @@
             }
             HttpEffect::Limit(_) => {}
             HttpEffect::CloseIdle => self.closed_idle = true,
-            HttpEffect::CloseAll { .. } => {}
+            HttpEffect::CloseAll { until } => {
+                assert!(!self.stopped, "expected the connections to be closed before the end");
+                self.closed_all.push(until);
+            }
         }
     }
 
