Begin no attempt in shutdown that can't end in time

What callers saw: a stream that began to run 3.9 s after the signal and was cut 8 s after it; plain calls were sent up to 7.07 s after it.

Cause: whether a call can still end was asked when it came. One that waited, whose reservation or prefill was open, that was retried or whose stream was continued began its next attempt whatever time was left.

Evidence, on the code before: five new tests in tests/gateway_shutdown.rs fail: a prefill after a reservation, a run after a prefill, a retry and a continued stream that can't end are sent, and a waiting stream is kept when too little time is left.

Each attempt now asks the same question as the admission: the time that remains of the call, or of a stream what remains by the streams of its route that lasted longer than it has. What can't end is refused at once, with the reservation and the export freed; a begun stream is broken off, so that its caller goes on elsewhere.

--- a/src/gateway/assign.rs
+++ b/src/gateway/assign.rs
@@ -148,6 +148,7 @@
 
     /// Handles the leader's answer to a request for capacity; `endpoint` is the assigned endpoint.
     fn room_assigned(&mut self, now: Timestamp, caller: CallerId, endpoint: Option<&str>) {
+        let in_time = self.can_end(now, caller);
         let Some(call) = self.calls.get_mut(&caller) else { return };
         call.stage = Stage::Waiting;
         let key = backoff_key(call);
@@ -168,7 +169,7 @@
         let allowed = |key: &EndpointKey| {
             self.fleet.get(*key).is_some_and(|endpoint| choice.allows(*key, endpoint))
         };
-        let named = self.fleet.named(now, endpoint).filter(allowed);
+        let named = self.fleet.named(now, endpoint).filter(|at| in_time && allowed(at));
         if !named.is_some_and(|at| self.hold_at(now, caller, at)) {
             self.report_run_end(caller, RunEnd::Refused);
             self.start_or_requeue(now, caller);
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -152,7 +152,7 @@
         if let Some(endpoint) = self.fleet.get_mut(decode.endpoint) {
             endpoint.accepted();
         }
-        if !self.keeps_reservations(now, decode.endpoint) {
+        if !self.keeps_reservations(now, decode.endpoint) || !self.can_end(now, caller) {
             self.replace_decode(now, caller, decode);
         } else if skips_prefill {
             self.run_whole(now, caller, decode);
@@ -171,7 +171,7 @@
         decode: Reservation,
         named: Option<EndpointKey>,
     ) {
-        if !self.keeps_reservations(now, decode.endpoint) {
+        if !self.keeps_reservations(now, decode.endpoint) || !self.can_end(now, caller) {
             self.replace_decode(now, caller, decode);
             return;
         }
@@ -188,7 +188,7 @@
     }
 
     /// Gives up a reservation at a decode endpoint that wants no new request, and starts the call
-    /// elsewhere.
+    /// elsewhere; refuses a call that can't end in time.
     fn replace_decode(&mut self, now: Timestamp, caller: CallerId, decode: Reservation) {
         self.report_prefill_end(caller);
         self.report_run_end(caller, RunEnd::Refused);
@@ -304,6 +304,7 @@
     /// Runs a call on its decode endpoint after its prefill has finished.
     pub(super) fn prefilled(&mut self, now: Timestamp, caller: CallerId, export: Export) {
         self.report_prefill_end(caller);
+        let in_time = self.can_end(now, caller);
         let Some(call) = self.calls.get_mut(&caller) else { return };
         let stage = std::mem::replace(&mut call.stage, Stage::Waiting);
         let Stage::Prefill { attempt, decode } = stage else { return };
@@ -322,17 +323,19 @@
         let kind = SendKind::From { source: address, handle: export.handle.clone() };
         let from = Handoff { source: attempt.endpoint, export, made: now };
         let (endpoint, usage) = (decode.endpoint, decode.usage);
-        if self.run_on(now, caller, endpoint, usage, kind, Some(from.clone())) {
+        if in_time && self.run_on(now, caller, endpoint, usage, kind, Some(from.clone())) {
             return;
         }
         // The decode endpoint has left the list meanwhile, or wants no new request.
         self.report_run_end(caller, RunEnd::Refused);
         self.release_hold(now, caller);
-        if self.hand_off(now, caller, from.clone()) {
+        if in_time && self.hand_off(now, caller, from.clone()) {
             return;
         }
         self.free_export(now, from.source, &from.export.handle);
-        if !self.wait_for_run(now, caller) {
+        if !in_time {
+            self.conclude(now, caller, answer::shutting_down(), EndReason::ShuttingDown);
+        } else if !self.wait_for_run(now, caller) {
             self.conclude(now, caller, answer::no_endpoint(), EndReason::NoEndpoint);
         }
     }
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -160,10 +160,13 @@
         self.fleet.get(endpoint).is_some_and(|e| e.notices.keeps_reservations(now))
     }
 
-    /// Returns the refusal of a call for which no endpoint is left because of what they have said;
-    /// `None` while one may still take it.
+    /// Returns the refusal of a call that can't end before this gateway does, or for which no endpoint
+    /// is left because of what they have said; `None` while one may still take it.
     pub(super) fn closed_refusal(&self, now: Timestamp, caller: CallerId) -> Option<ClosedRefusal> {
         let call = self.calls.get(&caller)?;
+        if !self.can_end(now, caller) {
+            return Some((answer::shutting_down(), EndReason::ShuttingDown));
+        }
         let kind = self.is_engine_call(caller).then_some(EndpointKind::Decode);
         let closed = self.fleet.closed(now, call.choice(), kind)?;
         Some(match closed {
--- a/src/gateway/stopping.rs
+++ b/src/gateway/stopping.rs
@@ -38,12 +38,18 @@
 
     /// Returns whether a new call ends before this gateway does.
     pub(super) fn admits_new(&self, now: Timestamp, route: &Route, timeout: Duration) -> bool {
+        if !self.shutdown.is_requested() {
+            return true;
+        }
         let limit = timeout.min(route.timeout);
         self.shutdown.admits(now, self.longest(route, Duration::ZERO, limit))
     }
 
     /// Returns whether the next attempt at a call ends before this gateway does.
     pub(super) fn can_end(&self, now: Timestamp, caller: CallerId) -> bool {
+        if !self.shutdown.is_requested() {
+            return true;
+        }
         let Some(call) = self.calls.get(&caller) else { return false };
         let Some(route) = call.route() else { return false };
         let longest = self.longest(route, progress(now, call), call.remaining(now));
--- a/tests/gateway_shutdown.rs
+++ b/tests/gateway_shutdown.rs
@@ -126,6 +126,86 @@
     assert!(refused(&f, 91), "expected a refusal at once: streams may take 14 s");
 }
 
+/// Fails if a waiting call is kept although it can't end any more.
+#[test]
+fn queued_calls_are_refused_as_soon_as_they_can_not_end() {
+    let mut f = Fixture::ready();
+    for caller in 100..110 {
+        complete_stream(&mut f, caller, "/draft/a", 7_400);
+    }
+    queue_stream(&mut f, 91);
+    f.shut_down();
+    assert!(!f.answers.contains_key(&91));
+    f.advance(250);
+    assert!(refused(&f, 91), "expected a refusal: 7.4 s are left no more");
+}
+
+/// Fails if a prefill is started for a stream that can't end any more.
+#[test]
+fn granted_reservation_is_dropped_if_the_stream_can_not_end() {
+    let mut f = Fixture::ready();
+    f.model_call(1, "/draft/a", "300,10");
+    let hold = f.take_sent();
+    f.shut_down();
+    f.answer(&hold, 200, &[], "hold h1");
+    assert!(refused(&f, 1));
+    assert_eq!(&*f.take_sent().head.target, "/hold/h1", "expected the reservation to be dropped");
+    assert!(!f.has_sent());
+}
+
+/// Fails if a stream runs after its prefill although it can't end any more.
+#[test]
+fn prefilled_stream_does_not_run_if_it_can_not_end() {
+    let mut f = Fixture::ready();
+    f.model_call(1, "/draft/a", "300,10");
+    let hold = f.take_sent();
+    f.answer(&hold, 200, &[], "hold h1");
+    let prefill = f.take_sent();
+    f.shut_down();
+    f.answer(&prefill, 200, &[], "export e1");
+    assert!(refused(&f, 1));
+    let mut targets = [f.take_sent(), f.take_sent()].map(|s| s.head.target.to_string());
+    targets.sort();
+    assert_eq!(targets, ["/export/e1", "/hold/h1"], "expected engine memory to be freed");
+    assert!(!f.has_sent());
+}
+
+/// Fails if a plain call is retried although the retry can't end in time.
+#[test]
+fn broken_plain_call_is_not_retried_if_it_can_not_end() {
+    let mut slow = table();
+    slow.routes[1].timeout_ms = 14_000.0;
+    let mut f = Fixture::without_table(vec![slow]).made_ready();
+    f.call(1, "/look/a", &[]);
+    let sent = f.take_sent();
+    f.shut_down();
+    f.fail_connection(&sent, true);
+    assert!(!f.has_sent(), "expected no retry");
+    assert_eq!(f.answers[&1].status, 502, "it may have run");
+}
+
+/// Fails if a broken stream is continued although it can't end in time.
+#[test]
+fn broken_stream_is_continued_only_if_it_can_end() {
+    for (millis, continues) in [(2_000, true), (6_000, false)] {
+        let mut f = ready_with_short_streams();
+        for caller in 300..320 {
+            complete_stream(&mut f, caller, "/remind/a", 2_500);
+        }
+        f.model_call(1, "/remind/a", "300,10");
+        let run = f.answer_prefill();
+        f.shut_down();
+        f.head(&run, 200, &[]);
+        for event in 0..millis / 1_000 {
+            f.data(&run, format!("id: {event}\ndata: a\n\n").as_bytes());
+            f.advance(1_000);
+        }
+        f.fail_connection(&run, true);
+        assert_eq!(f.has_sent(), continues, "broken {millis} ms after the signal");
+        assert_eq!(f.answers[&1].aborted, !continues);
+    }
+}
+
 /// Fails if a stream is accepted after a stall, since the gateway has not noticed the time yet.
 #[test]
 fn stream_after_a_late_signal_and_a_stall_is_refused() {
