Give up a silent attempt only once the leader has capacity for another one

Cause: a running attempt that is silent for 1.8 s is hung up as soon as another endpoint seems to have a place by what this gateway knows itself. The retry then asks control's leader, which knows the runs of all gateways and finds none; the call waits for the 0.7 s that are left of its wait and is broken off, though its endpoint, which had only set it aside for want of memory, would have gone on.

Evidence: step=silence next=retry, step=room outcome=none, step=end broken-off why="no capacity in time" in each of the calls that broke the rule. On the code before, three of the four new tests in tests/rooms.rs fail: the attempt is hung up before the leader is asked, and for an answer of none.

Now the leader is asked while the attempt goes on. It is given up when the leader has capacity, and without an answer within 25 ms as before; without capacity it goes on, and the question is asked again after 100 ms.

--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -163,6 +163,7 @@
 
     pub(super) fn remove(&mut self, caller: CallerId) -> Option<Call> {
         self.report_run_end(caller, RunEnd::Over);
+        self.forget_vacancy(caller);
         let call = self.calls.remove(&caller)?;
         self.timers.remove(&(call.timer, caller));
         if let Some(budget) = self.budgets.get_mut(&call.service) {
--- a/src/gateway/assign.rs
+++ b/src/gateway/assign.rs
@@ -19,11 +19,11 @@
 use crate::role::Output;
 
 /// How long the gateway waits for the leader's answer.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(25);
+pub(super) const ANSWER_TIMEOUT: Duration = Duration::from_millis(25);
 /// How long no request is sent to the leader after it did not answer one.
-const SILENT_BACKOFF: Duration = Duration::from_millis(400);
+pub(super) const SILENT_BACKOFF: Duration = Duration::from_millis(400);
 /// How long the leader is not asked again for capacity in a service after it found none.
-const NO_CAPACITY_BACKOFF: Duration = Duration::from_millis(40);
+pub(super) const NO_CAPACITY_BACKOFF: Duration = Duration::from_millis(40);
 /// The maximum number of endpoints in one request.
 const MAX_CANDIDATES: usize = 64;
 
@@ -82,7 +82,7 @@
         if self.capacity_backoff.get(&key).is_some_and(|until| now < *until) {
             return Some(false);
         }
-        let run = RunId(self.settings.follower.boot.0.rotate_left(24) ^ (self.exchanges + 1));
+        let run = self.next_run();
         let room = self.room_request(now, caller, run)?;
         if room.candidates.is_empty() {
             return Some(false);
@@ -93,7 +93,17 @@
         Some(true)
     }
 
-    fn room_request(&self, now: Timestamp, caller: CallerId, run: RunId) -> Option<RoomRequest> {
+    /// Returns the name of the run for which the next exchange asks.
+    pub(super) fn next_run(&self) -> RunId {
+        RunId(self.settings.follower.boot.0.rotate_left(24) ^ (self.exchanges + 1))
+    }
+
+    pub(super) fn room_request(
+        &self,
+        now: Timestamp,
+        caller: CallerId,
+        run: RunId,
+    ) -> Option<RoomRequest> {
         let call = self.calls.get(&caller)?;
         let shape = self.shape(caller)?;
         let loads = self.fleet.decode_loads(now, call.choice(), &shape);
@@ -106,7 +116,7 @@
     }
 
     /// Returns the leader's address, unless a recent request to it timed out.
-    fn leader(&self, now: Timestamp) -> Option<SocketAddr> {
+    pub(super) fn leader(&self, now: Timestamp) -> Option<SocketAddr> {
         self.follower.leader().filter(|_| now >= self.leader_backoff)
     }
 
@@ -227,6 +237,12 @@
             self.schedule(caller);
             return;
         }
+        if let ControlReply::RoomAssigned { endpoint } = reply
+            && self.vacancy_answered(now, caller, exchange, endpoint.as_deref())
+        {
+            self.schedule(caller);
+            return;
+        }
         let answered = matches!(
             reply,
             ControlReply::PromptAssigned { .. } | ControlReply::RoomAssigned { .. }
@@ -321,6 +337,6 @@
 }
 
 /// Returns for which calls the leader is not asked again after it found no capacity for a call.
-fn backoff_key(call: &Call) -> BackoffKey {
+pub(super) fn backoff_key(call: &Call) -> BackoffKey {
     (call.service.clone(), call.rank().late, call.software.clone())
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -9,6 +9,7 @@
 use super::fleet::{Choice, EndpointKey, Usage};
 use super::protocol::{AnswerInfo, CallInfo, Export};
 use super::queue::Rank;
+use super::vacancy::Vacancy;
 use crate::control::dispatch::rooms::RunId;
 use crate::h1::{AnswerHead, PeerId, Request};
 use crate::model::{ExchangeId, Timestamp};
@@ -234,6 +235,8 @@
     pub run: Option<RunId>,
     /// The prefill that the leader counts for it.
     pub assigned: Option<Assigned>,
+    /// Whether there is capacity for another attempt while the present one is silent.
+    pub vacancy: Vacancy,
     /// The engine at which a run was interrupted for the first time; the run resumes there.
     pub broke_at: Option<EndpointKey>,
     /// Whether any attempt may have run.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -38,6 +38,7 @@
 mod stopping;
 pub mod stream_times;
 mod updates;
+mod vacancy;
 pub mod versions;
 pub mod window;
 
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -23,7 +23,7 @@
 /// than a second.
 const NEXT_EVENT_TIMEOUT: Duration = Duration::from_millis(1_800);
 /// How long the silence of an attempt is tolerated at a time while no other attempt could follow.
-const SILENCE_RECHECK: Duration = Duration::from_millis(100);
+pub(super) const SILENCE_RECHECK: Duration = Duration::from_millis(100);
 /// How long an answer may take if the call can be repeated at another endpoint, in multiples of the
 /// route's latency target.
 const ANSWER_TARGETS: u32 = 2;
@@ -139,6 +139,9 @@
             self.keep_silent(now, caller);
             return;
         }
+        if connected && in_run && !self.has_vacancy(now, caller) {
+            return;
+        }
         self.hang_up(peer);
         let failure = if connected { Failure::Silent } else { Failure::NotStarted };
         self.end_attempt(now, caller, failure, silence);
--- a/src/gateway/receive.rs
+++ b/src/gateway/receive.rs
@@ -4,6 +4,7 @@
 use super::call::{Call, Delivered, Stage};
 use super::credit::Credit;
 use super::events::EventSplitter;
+use super::vacancy::Vacancy;
 use super::{CallerId, Gateway, answer};
 use crate::h1::Request;
 use crate::model::Timestamp;
@@ -64,6 +65,7 @@
             hold: None,
             run: None,
             assigned: None,
+            vacancy: Vacancy::default(),
             broke_at: None,
             may_have_run: false,
             failed: None,
--- a/tests/rooms.rs
+++ b/tests/rooms.rs
@@ -13,7 +13,7 @@
 use dotterelpin::link::message::{ControlReply, ControlRequest, Envelope, Reply};
 use dotterelpin::model::{BootId, ExchangeId, Timestamp};
 use dotterelpin::role::Input;
-use gateway_fixture::Fixture;
+use gateway_fixture::{Fixture, Sent};
 
 const KV_TOKENS: u32 = 30_000;
 
@@ -206,3 +206,79 @@
     f.advance(5_000);
     assert_eq!(f.leader_requests.iter().filter(|(_, r)| *r == ended).count(), 1);
 }
+
+/// Returns a gateway with a leader, and a stream that it runs and that has had one event.
+fn running_stream() -> (Fixture, Sent) {
+    let mut f = Fixture::ready();
+    f.model_call(1, "/remind/a", "3000,100");
+    let run = f.answer_prefill();
+    f.head(&run, 200, &[]);
+    f.leader = Some(SocketAddr::from(([127, 0, 0, 1], 9_001)));
+    f.advance(1_000);
+    f.data(&run, b"id: 1\ndata: a\n\n");
+    (f, run)
+}
+
+/// Fails if a silent stream is given up for capacity that the leader does not have.
+#[test]
+fn silent_stream_is_cut_off_although_the_leader_has_no_capacity() {
+    let (mut f, run) = running_stream();
+    for _ in 0..400 {
+        f.advance(10);
+        while let Some((exchange, request)) = f.leader_requests.pop() {
+            if matches!(request, ControlRequest::AssignRoom(_)) {
+                assign(&mut f, exchange, None);
+            }
+        }
+        assert!(!f.hung_up.contains(&run.peer), "the attempt was given up without another");
+    }
+    f.data(&run, b"id: 2\ndata: b\n\n");
+    f.end(&run);
+    assert!(f.answers[&1].complete);
+}
+
+#[test]
+fn silent_stream_goes_on_elsewhere_once_the_leader_has_capacity() {
+    let (mut f, run) = running_stream();
+    f.advance(1_810);
+    assert!(!f.hung_up.contains(&run.peer), "expected the attempt to go on until the answer");
+    let (exchange, asked) = take_request(&mut f);
+    assign(&mut f, exchange, Some("d2"));
+    f.advance(1);
+    assert!(f.hung_up.contains(&run.peer));
+    let ended = ControlRequest::RunEnded { run: asked, end: RunEnd::Over };
+    assert!(f.leader_requests.iter().any(|(_, r)| *r == ended), "{:?}", f.leader_requests);
+    let (exchange, _) = take_last_room(&mut f);
+    assign(&mut f, exchange, Some("d2"));
+    assert_eq!(&*f.take_sent().head.target, "/hold");
+}
+
+#[test]
+fn answer_of_the_leader_does_not_end_a_stream_that_has_gone_on() {
+    let (mut f, run) = running_stream();
+    f.advance(1_810);
+    let (exchange, _) = take_request(&mut f);
+    f.data(&run, b"id: 2\ndata: b\n\n");
+    assign(&mut f, exchange, Some("d2"));
+    f.advance(1_000);
+    assert!(!f.hung_up.contains(&run.peer));
+    f.end(&run);
+    assert!(f.answers[&1].complete);
+}
+
+#[test]
+fn silent_leader_holds_up_no_other_attempt_at_a_silent_stream() {
+    let (mut f, run) = running_stream();
+    f.advance(1_900);
+    assert!(f.hung_up.contains(&run.peer));
+    assert_eq!(&*f.take_sent().head.target, "/hold");
+}
+
+/// Takes the last request for capacity, whatever was sent to the leader after it.
+fn take_last_room(f: &mut Fixture) -> (ExchangeId, RunId) {
+    let is_room = |(_, r): &(_, ControlRequest)| matches!(r, ControlRequest::AssignRoom(_));
+    let at = f.leader_requests.iter().rposition(is_room).expect("expected a request for capacity");
+    let (exchange, request) = f.leader_requests.remove(at);
+    let room = assert_matches!(request, ControlRequest::AssignRoom(room) => room);
+    (exchange, room.run)
+}
