--- a/src/gateway/stopping.rs
+++ b/src/gateway/stopping.rs
@@ -70,7 +70,7 @@
     pub(super) fn record_stream(&mut self, now: Timestamp, call: &Call) {
         let Some(route) = call.route().filter(|_| !call.is_resumption()) else { return };
         let times = self.stream_times.entry(route.name.clone());
-        times.or_insert_with(StreamTimes::default).ended(now - call.arrived);
+        times.or_default().ended(now - call.arrived);
     }
 
     /// Refuses the queued calls that can't end before this gateway does.
