--- a/tests/gateway_fixture/mod.rs
+++ b/tests/gateway_fixture/mod.rs
@@ -182,6 +182,8 @@
     pub peer: PeerId,
     /// The address of the endpoint.
     pub address: SocketAddr,
+    /// When it was sent.
+    pub at: Timestamp,
     /// The request line and the header fields.
     pub head: RequestHead,
     /// The body without its framing.
@@ -213,6 +215,8 @@
     pub stopped: bool,
     /// How often the role has reported that it has stopped.
     pub stops: u32,
+    /// How many exchanges, connections and requests were opened after the role had stopped.
+    pub late_sends: u32,
     /// Until when connections stay open, for each time that the gateway closed all of them.
     pub closed_all: Vec<Timestamp>,
     /// Whether the gateway closed the idle connections of its callers.
@@ -283,6 +287,7 @@
             answers: BTreeMap::new(),
             stopped: false,
             stops: 0,
+            late_sends: 0,
             closed_all: Vec::new(),
             closed_idle: false,
             connects: true,
@@ -430,6 +435,12 @@
     /// Steps the role with an input and applies its outputs.
     pub fn step(&mut self, input: Input<HttpInput>) {
         for output in self.gateway.step(self.now, input) {
+            let opens = matches!(
+                output,
+                Output::Open { .. }
+                    | Output::Effect(HttpEffect::Dial { .. } | HttpEffect::Send { .. })
+            );
+            self.late_sends += u32::from(self.stopped && opens);
             match output {
                 Output::Open { exchange, peer, envelope } => {
                     self.on_open(exchange, peer, envelope.body);
@@ -479,7 +490,7 @@
                 while let Ok(Some(Part::Data(data))) = reader.next_part() {
                     content.extend(data);
                 }
-                let sent = Sent { peer, address, head, content };
+                let sent = Sent { peer, address, at: self.now, head, content };
                 if self.answers_reports && &*sent.head.target == "/report" {
                     self.answer(&sent, 200, &[], "busy");
                     return;
