--- /dev/null
+++ b/src/h1/driver/accept.rs
@@ -0,0 +1,41 @@
+//! Accepts the connections of callers.
+
+use mio::Interest;
+use mio::net::TcpStream;
+
+use super::{Server, caller_token};
+use crate::h1::caller::Caller;
+use crate::h1::socket::Socket;
+use crate::h1::{CallerId, HttpEffect, HttpInput, Purpose};
+use crate::model::Timestamp;
+use crate::role::Role;
+
+impl<R: Role<Local = HttpInput, Effect = HttpEffect>> Server<R> {
+    pub(super) fn accept(&mut self, now: Timestamp, index: usize) {
+        loop {
+            let Some((listener, purpose)) = self.listeners.get(index) else { return };
+            let purpose = *purpose;
+            match listener.accept() {
+                Ok((stream, _)) => self.add_caller(now, stream, purpose),
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
+                Err(error) => {
+                    log::error!("step=accept error=\"{error}\"");
+                    return;
+                }
+            }
+        }
+    }
+
+    pub(super) fn add_caller(&mut self, now: Timestamp, mut stream: TcpStream, purpose: Purpose) {
+        let id = CallerId(self.next_caller);
+        self.next_caller += 1;
+        let token = caller_token(id);
+        if let Err(error) = self.poll.registry().register(&mut stream, token, Interest::READABLE) {
+            log::error!("step=register error=\"{error}\"");
+            return;
+        }
+        let caller = Caller::new(now, Socket::new(stream), purpose, &self.limits);
+        self.callers.insert(id, caller);
+    }
+}
--- /dev/null
+++ b/src/h1/driver/callers.rs
@@ -0,0 +1,113 @@
+//! Reads requests on callers' connections, hands them to the role and writes its answers.
+
+use mio::Interest;
+
+use super::{ConnectionId, EXPIRY_INTERVAL, Ready, Server, caller_token};
+use crate::h1::caller::{Caller, CallerRead, CallerState};
+use crate::h1::{CallerId, HttpEffect, HttpInput, Purpose, Request, write};
+use crate::model::Timestamp;
+use crate::role::{Input, Role};
+
+impl<R: Role<Local = HttpInput, Effect = HttpEffect>> Server<R> {
+    pub(super) fn caller_ready(&mut self, now: Timestamp, id: CallerId, ready: &Ready<'_>) -> bool {
+        if ready.event.is_writable() {
+            self.dirty.insert(ConnectionId::Caller(id));
+        }
+        if !ready.readable {
+            return true;
+        }
+        let Some(caller) = self.callers.get_mut(&id) else { return true };
+        let read = caller.read(now, &self.limits);
+        self.caller_read(now, id, read)
+    }
+
+    pub(super) fn caller_read(&mut self, now: Timestamp, id: CallerId, read: CallerRead) -> bool {
+        self.dirty.insert(ConnectionId::Caller(id));
+        match read {
+            CallerRead::Wait => true,
+            CallerRead::More => {
+                self.resumed.push(id);
+                self.bound_request(now, id);
+                true
+            }
+            CallerRead::Request(request) => self.handle_request(now, id, request),
+            CallerRead::Closed => self.caller_closed(now, id),
+        }
+    }
+
+    pub(super) fn handle_request(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        request: Request,
+    ) -> bool {
+        let Some(purpose) = self.callers.get(&caller).map(|c| c.purpose) else { return true };
+        if purpose == Purpose::Pages && request.head.path() == "/metrics" {
+            let bytes = match self.metrics.text() {
+                Ok(text) => write::answer(200, &[], "text/plain", text.as_bytes(), true),
+                Err(e) => write::answer(500, &[], "text/plain", format!("{e:#}").as_bytes(), true),
+            };
+            self.apply(now, HttpEffect::Reply { caller, bytes });
+            self.apply(now, HttpEffect::Finish { caller, keep: true });
+            return true;
+        }
+        self.step(now, Input::Local(HttpInput::Request { caller, purpose, request }))
+    }
+
+    pub(super) fn caller_closed(&mut self, now: Timestamp, id: CallerId) -> bool {
+        let Some(caller) = self.callers.remove(&id) else { return true };
+        if caller.state != CallerState::Answering {
+            return true;
+        }
+        self.step(now, Input::Local(HttpInput::CallerGone { caller: id }))
+    }
+
+    pub(super) fn resume_callers(&mut self, now: Timestamp) -> bool {
+        for id in std::mem::take(&mut self.resumed) {
+            let Some(caller) = self.callers.get_mut(&id) else { continue };
+            let read = caller.resume(now, &self.limits);
+            if !self.caller_read(now, id, read) {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Handles the timeouts of callers' connections.
+    pub(super) fn expire(&mut self, now: Timestamp) {
+        if now < self.next_expiry {
+            return;
+        }
+        self.next_expiry = now + EXPIRY_INTERVAL;
+        let limits = self.limits;
+        let due = |c: &Caller| c.deadline(&limits).is_some_and(|at| at <= now);
+        let expired: Vec<CallerId> =
+            self.callers.iter().filter(|(_, c)| due(c)).map(|(id, _)| *id).collect();
+        for id in expired {
+            let Some(caller) = self.callers.get_mut(&id) else { continue };
+            if caller.expire(now) {
+                self.callers.remove(&id);
+            } else {
+                self.dirty.insert(ConnectionId::Caller(id));
+            }
+        }
+    }
+
+    pub(super) fn flush_caller(&mut self, id: CallerId) {
+        let Some(caller) = self.callers.get_mut(&id) else { return };
+        if caller.flush() {
+            self.broken.push(ConnectionId::Caller(id));
+            return;
+        }
+        let Some(caller) = self.callers.get_mut(&id) else { return };
+        if caller.socket.pending() > 0 {
+            let interest = Interest::READABLE | Interest::WRITABLE;
+            let token = caller_token(id);
+            if let Err(error) =
+                self.poll.registry().reregister(&mut caller.socket.stream, token, interest)
+            {
+                log::error!("step=register error=\"{error}\"");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/h1/driver/effects.rs
@@ -0,0 +1,53 @@
+//! Applies the effects that the role returns.
+
+use super::{ConnectionId, Server};
+use crate::h1::caller::CallerState;
+use crate::h1::{HttpEffect, HttpInput};
+use crate::model::Timestamp;
+use crate::role::Role;
+
+impl<R: Role<Local = HttpInput, Effect = HttpEffect>> Server<R> {
+    pub(super) fn apply(&mut self, now: Timestamp, effect: HttpEffect) {
+        match effect {
+            HttpEffect::Dial { peer, address } => self.dial(peer, address),
+            HttpEffect::Send { peer, bytes } => {
+                if let Some(open) = self.peers.get_mut(&peer) {
+                    open.send(&bytes);
+                    if open.is_connected() {
+                        self.dirty.insert(ConnectionId::Peer(peer));
+                    }
+                }
+            }
+            HttpEffect::HangUp { peer } => {
+                self.peers.remove(&peer);
+            }
+            HttpEffect::Reply { caller, bytes } => {
+                if let Some(open) = self.callers.get_mut(&caller) {
+                    open.socket.out.extend_from_slice(&bytes);
+                    self.dirty.insert(ConnectionId::Caller(caller));
+                    self.bound_answer(caller);
+                }
+            }
+            HttpEffect::Finish { caller, keep } => {
+                if let Some(open) = self.callers.get_mut(&caller) {
+                    open.finish(now, keep);
+                    if keep {
+                        self.resumed.push(caller);
+                    }
+                    self.dirty.insert(ConnectionId::Caller(caller));
+                }
+            }
+            HttpEffect::Abort { caller } => {
+                if let Some(mut open) = self.callers.remove(&caller) {
+                    // The parts that are already written may still reach the caller.
+                    open.flush();
+                }
+            }
+            HttpEffect::Limit(limits) => self.limits = limits,
+            HttpEffect::CloseAll { .. } => {}
+            HttpEffect::CloseIdle => {
+                self.callers.retain(|_, c| !matches!(c.state, CallerState::Idle(_)));
+            }
+        }
+    }
+}
--- a/src/h1/driver/mod.rs
+++ b/src/h1/driver/mod.rs
@@ -1,6 +1,10 @@
 //! The thread that polls the sockets of one role and steps the role.
 
+mod accept;
 mod bounds;
+mod callers;
+mod effects;
+mod peers;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -10,13 +14,12 @@
 use std::time::Duration;
 
 use eyre::WrapErr;
-use mio::net::{TcpListener, TcpStream};
+use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Token, Waker};
 
-use super::caller::{Caller, CallerRead, CallerState};
+use super::caller::{Caller, CallerState};
 use super::peer::Peer;
-use super::socket::Socket;
-use super::{CallerId, HttpEffect, HttpInput, PeerId, Purpose, write};
+use super::{CallerId, HttpEffect, HttpInput, PeerId, Purpose};
 use crate::link::{LinkEvent, LinkHandle, Sink};
 use crate::model::Timestamp;
 use crate::report::metrics::Metrics;
@@ -269,150 +272,6 @@
         true
     }
 
-    fn accept(&mut self, now: Timestamp, index: usize) {
-        loop {
-            let Some((listener, purpose)) = self.listeners.get(index) else { return };
-            let purpose = *purpose;
-            match listener.accept() {
-                Ok((stream, _)) => self.add_caller(now, stream, purpose),
-                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return,
-                Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
-                Err(error) => {
-                    log::error!("step=accept error=\"{error}\"");
-                    return;
-                }
-            }
-        }
-    }
-
-    fn add_caller(&mut self, now: Timestamp, mut stream: TcpStream, purpose: Purpose) {
-        let id = CallerId(self.next_caller);
-        self.next_caller += 1;
-        let token = caller_token(id);
-        if let Err(error) = self.poll.registry().register(&mut stream, token, Interest::READABLE) {
-            log::error!("step=register error=\"{error}\"");
-            return;
-        }
-        let caller = Caller::new(now, Socket::new(stream), purpose, &self.limits);
-        self.callers.insert(id, caller);
-    }
-
-    fn caller_ready(&mut self, now: Timestamp, id: CallerId, ready: &Ready<'_>) -> bool {
-        if ready.event.is_writable() {
-            self.dirty.insert(ConnectionId::Caller(id));
-        }
-        if !ready.readable {
-            return true;
-        }
-        let Some(caller) = self.callers.get_mut(&id) else { return true };
-        let read = caller.read(now, &self.limits);
-        self.caller_read(now, id, read)
-    }
-
-    fn caller_read(&mut self, now: Timestamp, id: CallerId, read: CallerRead) -> bool {
-        self.dirty.insert(ConnectionId::Caller(id));
-        match read {
-            CallerRead::Wait => true,
-            CallerRead::More => {
-                self.resumed.push(id);
-                self.bound_request(now, id);
-                true
-            }
-            CallerRead::Request(request) => self.handle_request(now, id, request),
-            CallerRead::Closed => self.caller_closed(now, id),
-        }
-    }
-
-    fn handle_request(
-        &mut self,
-        now: Timestamp,
-        caller: CallerId,
-        request: super::Request,
-    ) -> bool {
-        let Some(purpose) = self.callers.get(&caller).map(|c| c.purpose) else { return true };
-        if purpose == Purpose::Pages && request.head.path() == "/metrics" {
-            let bytes = match self.metrics.text() {
-                Ok(text) => write::answer(200, &[], "text/plain", text.as_bytes(), true),
-                Err(e) => write::answer(500, &[], "text/plain", format!("{e:#}").as_bytes(), true),
-            };
-            self.apply(now, HttpEffect::Reply { caller, bytes });
-            self.apply(now, HttpEffect::Finish { caller, keep: true });
-            return true;
-        }
-        self.step(now, Input::Local(HttpInput::Request { caller, purpose, request }))
-    }
-
-    fn caller_closed(&mut self, now: Timestamp, id: CallerId) -> bool {
-        let Some(caller) = self.callers.remove(&id) else { return true };
-        if caller.state != CallerState::Answering {
-            return true;
-        }
-        self.step(now, Input::Local(HttpInput::CallerGone { caller: id }))
-    }
-
-    fn peer_ready(&mut self, now: Timestamp, id: PeerId, ready: &Ready<'_>) -> bool {
-        let Some(peer) = self.peers.get_mut(&id) else { return true };
-        let mut inputs = Vec::new();
-        if !peer.is_connected() {
-            match peer.check_connected() {
-                Ok(true) => inputs.push(HttpInput::Connected { peer: id }),
-                Ok(false) => {}
-                Err(error) => inputs.push(peer.lost(&error.to_string())),
-            }
-        }
-        if peer.is_connected() {
-            if peer.socket.pending() > 0 {
-                self.dirty.insert(ConnectionId::Peer(id));
-            }
-            if ready.readable && peer.read(&mut inputs) {
-                self.unread.insert(id);
-            }
-        }
-        self.step_peer(now, id, inputs)
-    }
-
-    /// Reads on from endpoints that had more bytes than they may send in one turn.
-    fn resume_peers(&mut self, now: Timestamp) -> bool {
-        for id in std::mem::take(&mut self.unread) {
-            let Some(peer) = self.peers.get_mut(&id) else { continue };
-            let mut inputs = Vec::new();
-            if peer.read(&mut inputs) {
-                self.unread.insert(id);
-            }
-            if !self.step_peer(now, id, inputs) {
-                return false;
-            }
-        }
-        true
-    }
-
-    /// Steps the role with the inputs of a peer until the role closes the connection or it is lost.
-    fn step_peer(&mut self, now: Timestamp, id: PeerId, inputs: Vec<HttpInput>) -> bool {
-        for input in inputs {
-            if !self.peers.contains_key(&id) {
-                return true;
-            }
-            if matches!(input, HttpInput::Lost { .. }) {
-                self.peers.remove(&id);
-            }
-            if !self.step(now, Input::Local(input)) {
-                return false;
-            }
-        }
-        true
-    }
-
-    fn resume_callers(&mut self, now: Timestamp) -> bool {
-        for id in std::mem::take(&mut self.resumed) {
-            let Some(caller) = self.callers.get_mut(&id) else { continue };
-            let read = caller.resume(now, &self.limits);
-            if !self.caller_read(now, id, read) {
-                return false;
-            }
-        }
-        true
-    }
-
     /// Steps the role with the deferred inputs.
     fn step_deferred(&mut self, now: Timestamp) -> bool {
         let inputs = std::mem::take(&mut self.deferred);
@@ -440,26 +299,6 @@
         })
     }
 
-    /// Handles the timeouts of callers' connections.
-    fn expire(&mut self, now: Timestamp) {
-        if now < self.next_expiry {
-            return;
-        }
-        self.next_expiry = now + EXPIRY_INTERVAL;
-        let limits = self.limits;
-        let due = |c: &Caller| c.deadline(&limits).is_some_and(|at| at <= now);
-        let expired: Vec<CallerId> =
-            self.callers.iter().filter(|(_, c)| due(c)).map(|(id, _)| *id).collect();
-        for id in expired {
-            let Some(caller) = self.callers.get_mut(&id) else { continue };
-            if caller.expire(now) {
-                self.callers.remove(&id);
-            } else {
-                self.dirty.insert(ConnectionId::Caller(id));
-            }
-        }
-    }
-
     /// Steps the role and applies its outputs; returns whether the role is still running.
     fn step(&mut self, now: Timestamp, input: Input<HttpInput>) -> bool {
         let outputs = self.role.step(now, input);
@@ -476,70 +315,6 @@
         running
     }
 
-    fn apply(&mut self, now: Timestamp, effect: HttpEffect) {
-        match effect {
-            HttpEffect::Dial { peer, address } => self.dial(peer, address),
-            HttpEffect::Send { peer, bytes } => {
-                if let Some(open) = self.peers.get_mut(&peer) {
-                    open.send(&bytes);
-                    if open.is_connected() {
-                        self.dirty.insert(ConnectionId::Peer(peer));
-                    }
-                }
-            }
-            HttpEffect::HangUp { peer } => {
-                self.peers.remove(&peer);
-            }
-            HttpEffect::Reply { caller, bytes } => {
-                if let Some(open) = self.callers.get_mut(&caller) {
-                    open.socket.out.extend_from_slice(&bytes);
-                    self.dirty.insert(ConnectionId::Caller(caller));
-                    self.bound_answer(caller);
-                }
-            }
-            HttpEffect::Finish { caller, keep } => {
-                if let Some(open) = self.callers.get_mut(&caller) {
-                    open.finish(now, keep);
-                    if keep {
-                        self.resumed.push(caller);
-                    }
-                    self.dirty.insert(ConnectionId::Caller(caller));
-                }
-            }
-            HttpEffect::Abort { caller } => {
-                if let Some(mut open) = self.callers.remove(&caller) {
-                    // The parts that are already written may still reach the caller.
-                    open.flush();
-                }
-            }
-            HttpEffect::Limit(limits) => self.limits = limits,
-            HttpEffect::CloseAll { .. } => {}
-            HttpEffect::CloseIdle => {
-                self.callers.retain(|_, c| !matches!(c.state, CallerState::Idle(_)));
-            }
-        }
-    }
-
-    fn dial(&mut self, peer: PeerId, address: SocketAddr) {
-        let opened = TcpStream::connect(address).and_then(|mut stream| {
-            let interest = Interest::READABLE | Interest::WRITABLE;
-            self.poll.registry().register(&mut stream, peer_token(peer), interest)?;
-            Ok(stream)
-        });
-        match opened {
-            Ok(stream) => {
-                self.peers.insert(peer, Peer::new(peer, Socket::new(stream)));
-            }
-            Err(error) => {
-                // Reported like any other failed connection attempt.
-                log::warn!("step=dial peer={address} error=\"{error}\"");
-                let error = error.to_string().into();
-                let lost = HttpInput::Lost { peer, sent: false, error };
-                self.deferred.push(Input::Local(lost));
-            }
-        }
-    }
-
     fn flush_all(&mut self) {
         for dirty in std::mem::take(&mut self.dirty) {
             match dirty {
@@ -548,31 +323,6 @@
             }
         }
     }
-
-    fn flush_caller(&mut self, id: CallerId) {
-        let Some(caller) = self.callers.get_mut(&id) else { return };
-        if caller.flush() {
-            self.broken.push(ConnectionId::Caller(id));
-            return;
-        }
-        let Some(caller) = self.callers.get_mut(&id) else { return };
-        if caller.socket.pending() > 0 {
-            let interest = Interest::READABLE | Interest::WRITABLE;
-            let token = caller_token(id);
-            if let Err(error) =
-                self.poll.registry().reregister(&mut caller.socket.stream, token, interest)
-            {
-                log::error!("step=register error=\"{error}\"");
-            }
-        }
-    }
-
-    fn flush_peer(&mut self, id: PeerId) {
-        let Some(peer) = self.peers.get_mut(&id) else { return };
-        if peer.is_connected() && peer.socket.flush().is_err() {
-            self.broken.push(ConnectionId::Peer(id));
-        }
-    }
 }
 
 /// The readiness that a poll reported for one connection.
