Let a connection linger from the last byte that is written, not from the answer

A caller that asked for the close and read a large answer slowly got it cut: the second for which a connection lingers began when the answer was complete in memory, so whatever was unwritten a second later was dropped, with the process in the best of health.

The linger now begins with the last write. A connection with unwritten bytes of a finished answer times out by idle_timeout since the last progress, so a caller that never reads is still dropped, and the bounds on memory are as before.

--- a/src/h1/caller.rs
+++ b/src/h1/caller.rs
@@ -49,6 +49,8 @@
     unread: bool,
     /// Whether to shut down the writing side once everything is written.
     closing: bool,
+    /// When bytes of an answer were last written, or its end was queued.
+    progress: Timestamp,
 }
 
 impl Caller {
@@ -61,12 +63,17 @@
             partial: None,
             unread: false,
             closing: false,
+            progress: now,
         }
     }
 
     /// Returns when the connection times out; None while a request is being answered.
     pub fn deadline(&self, limits: &CallerLimits) -> Option<Timestamp> {
+        let unwritten = self.socket.pending() > 0;
         match self.state {
+            CallerState::Idle(_) | CallerState::Lingering { .. } if unwritten => {
+                Some(self.progress + limits.idle_timeout)
+            }
             CallerState::Idle(since) => Some(since + limits.idle_timeout),
             CallerState::Reading(since) => Some(since + limits.head_timeout),
             CallerState::Answering => None,
@@ -187,6 +194,7 @@
 
     /// Handles the end of an answer; without `keep` the connection is closed.
     pub fn finish(&mut self, now: Timestamp, keep: bool) {
+        self.progress = now;
         if keep {
             self.state = CallerState::Idle(now);
         } else {
@@ -221,12 +229,19 @@
     }
 
     /// Writes the buffered bytes; returns whether the connection is broken.
-    pub fn flush(&mut self) -> bool {
+    pub fn flush(&mut self, now: Timestamp) -> bool {
+        let before = self.socket.pending();
         if self.socket.flush().is_err() {
             return true;
         }
+        if self.socket.pending() < before {
+            self.progress = now;
+        }
         if self.closing && self.socket.pending() == 0 {
             self.closing = false;
+            if let CallerState::Lingering { until, .. } = &mut self.state {
+                *until = now + LINGER_TIMEOUT;
+            }
             return self.socket.stream.shutdown(std::net::Shutdown::Write).is_err();
         }
         false
--- a/src/h1/driver/callers.rs
+++ b/src/h1/driver/callers.rs
@@ -93,9 +93,9 @@
         }
     }
 
-    pub(super) fn flush_caller(&mut self, id: CallerId) {
+    pub(super) fn flush_caller(&mut self, now: Timestamp, id: CallerId) {
         let Some(caller) = self.callers.get_mut(&id) else { return };
-        if caller.flush() {
+        if caller.flush(now) {
             self.broken.push(ConnectionId::Caller(id));
             return;
         }
--- a/src/h1/driver/effects.rs
+++ b/src/h1/driver/effects.rs
@@ -40,7 +40,7 @@
             HttpEffect::Abort { caller } => {
                 if let Some(mut open) = self.callers.remove(&caller) {
                     // The parts that are already written may still reach the caller.
-                    open.flush();
+                    open.flush(now);
                 }
             }
             HttpEffect::Limit(limits) => self.limits = limits,
--- a/src/h1/driver/mod.rs
+++ b/src/h1/driver/mod.rs
@@ -191,7 +191,7 @@
     fn run(mut self) {
         let mut events = Events::with_capacity(MAX_EVENTS);
         while self.run_once(&mut events) {}
-        self.flush_all();
+        self.flush_all(Timestamp::from_steady());
         self.log_connections();
     }
 
@@ -244,7 +244,7 @@
         running &= self.resume_callers(now);
         running &= self.step_deferred(now);
         self.expire(now);
-        self.flush_all();
+        self.flush_all(now);
         running && self.report_broken(now)
     }
 
@@ -315,10 +315,10 @@
         running
     }
 
-    fn flush_all(&mut self) {
+    fn flush_all(&mut self, now: Timestamp) {
         for dirty in std::mem::take(&mut self.dirty) {
             match dirty {
-                ConnectionId::Caller(id) => self.flush_caller(id),
+                ConnectionId::Caller(id) => self.flush_caller(now, id),
                 ConnectionId::Peer(id) => self.flush_peer(id),
             }
         }
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod stopper;
+
 use std::sync::{Arc, Mutex};
 
 use dotterelpin::link::tls::{Identity, make_keys};
