Give the connections of a role that stops an ending of their own

What callers saw: around the shutdown of a process answers were cut in the middle, and requests ended in a reset without any answer.

The role saw "late gone" after its end, and an endpoint was dialled after it.

The driver now goes into an ending when the role stops. It accepts what waits, closes the listeners, reads what has arrived, hands complete requests to the role, which refuses them, and answers partial ones with 503; it closes each connection once nothing is unread or unwritten on it, with a shutdown of the writing side and a linger, so no reset destroys an answer. It is over when all connections are closed, at the latest at the time that CloseAll gives, and a second after the stop without one. Inputs other than requests are not stepped any more, and endpoints are neither dialled nor sent to.

CloseIdle closes connections by the same rule (h1/closing.rs): it reads first, and waits for unwritten bytes. A connection is kept for 200 ms after its last answer or its accept, as a request may be on its way.

--- a/src/h1/caller.rs
+++ b/src/h1/caller.rs
@@ -1,5 +1,6 @@
 //! A caller's connection, which serves one request at a time.
 
+use super::closing::Open;
 use super::head::{Request, RequestHead};
 use super::reader::{Part, ReadError, Reader};
 use super::socket::{READ_BYTES, READS_PER_TURN, Socket, SocketRead};
@@ -128,6 +129,18 @@
         self.answer_and_close(now, 503, "not run: too many large requests at once");
     }
 
+    /// Refuses the request that is being read, because the role has stopped.
+    pub fn refuse_stopped(&mut self, now: Timestamp) {
+        self.answer_and_close(now, 503, "not run: this process shuts down");
+    }
+
+    /// Returns what is open on the connection.
+    pub fn open(&self) -> Open {
+        let idle = matches!(self.state, CallerState::Idle(_));
+        let unread = self.unread || idle && self.reader.buffered() > 0;
+        Open { state: self.state, unread, unwritten: self.socket.pending() }
+    }
+
     /// Parses the buffered bytes, up to the next complete request.
     fn parse(&mut self, now: Timestamp, limits: &CallerLimits) -> CallerRead {
         if matches!(self.state, CallerState::Answering | CallerState::Lingering { .. }) {
--- a/src/h1/driver/accept.rs
+++ b/src/h1/driver/accept.rs
@@ -11,8 +11,9 @@
 use crate::role::Role;
 
 impl<R: Role<Local = HttpInput, Effect = HttpEffect>> Server<R> {
-    pub(super) fn accept(&mut self, now: Timestamp, index: usize) {
-        loop {
+    /// Accepts the waiting connections of a listener, but no more than `most`.
+    pub(super) fn accept(&mut self, now: Timestamp, index: usize, most: usize) {
+        for _ in 0..most {
             let Some((listener, purpose)) = self.listeners.get(index) else { return };
             let purpose = *purpose;
             match listener.accept() {
--- a/src/h1/driver/callers.rs
+++ b/src/h1/driver/callers.rs
@@ -2,46 +2,44 @@
 
 use mio::Interest;
 
-use super::{ConnectionId, EXPIRY_INTERVAL, Ready, Server, caller_token};
+use super::{ConnectionId, ENDING_INTERVAL, EXPIRY_INTERVAL, Ready, Server, caller_token};
 use crate::h1::caller::{Caller, CallerRead, CallerState};
 use crate::h1::{CallerId, HttpEffect, HttpInput, Purpose, Request, write};
 use crate::model::Timestamp;
 use crate::role::{Input, Role};
 
 impl<R: Role<Local = HttpInput, Effect = HttpEffect>> Server<R> {
-    pub(super) fn caller_ready(&mut self, now: Timestamp, id: CallerId, ready: &Ready<'_>) -> bool {
+    pub(super) fn caller_ready(&mut self, now: Timestamp, id: CallerId, ready: &Ready<'_>) {
         if ready.event.is_writable() {
             self.dirty.insert(ConnectionId::Caller(id));
         }
-        if !ready.readable {
-            return true;
+        if ready.readable {
+            self.read_caller(now, id);
         }
-        let Some(caller) = self.callers.get_mut(&id) else { return true };
+    }
+
+    /// Reads what has arrived from a caller, as much as it may send in one turn.
+    pub(super) fn read_caller(&mut self, now: Timestamp, id: CallerId) {
+        let Some(caller) = self.callers.get_mut(&id) else { return };
         let read = caller.read(now, &self.limits);
-        self.caller_read(now, id, read)
+        self.caller_read(now, id, read);
     }
 
-    pub(super) fn caller_read(&mut self, now: Timestamp, id: CallerId, read: CallerRead) -> bool {
+    fn caller_read(&mut self, now: Timestamp, id: CallerId, read: CallerRead) {
         self.dirty.insert(ConnectionId::Caller(id));
         match read {
-            CallerRead::Wait => true,
+            CallerRead::Wait => {}
             CallerRead::More => {
                 self.resumed.push(id);
                 self.bound_request(now, id);
-                true
             }
             CallerRead::Request(request) => self.handle_request(now, id, request),
             CallerRead::Closed => self.caller_closed(now, id),
         }
     }
 
-    pub(super) fn handle_request(
-        &mut self,
-        now: Timestamp,
-        caller: CallerId,
-        request: Request,
-    ) -> bool {
-        let Some(purpose) = self.callers.get(&caller).map(|c| c.purpose) else { return true };
+    fn handle_request(&mut self, now: Timestamp, caller: CallerId, request: Request) {
+        let Some(purpose) = self.callers.get(&caller).map(|c| c.purpose) else { return };
         if purpose == Purpose::Pages && request.head.path() == "/metrics" {
             let bytes = match self.metrics.text() {
                 Ok(text) => write::answer(200, &[], "text/plain", text.as_bytes(), true),
@@ -49,28 +47,24 @@
             };
             self.apply(now, HttpEffect::Reply { caller, bytes });
             self.apply(now, HttpEffect::Finish { caller, keep: true });
-            return true;
+            return;
         }
-        self.step(now, Input::Local(HttpInput::Request { caller, purpose, request }))
+        self.step(now, Input::Local(HttpInput::Request { caller, purpose, request }));
     }
 
-    pub(super) fn caller_closed(&mut self, now: Timestamp, id: CallerId) -> bool {
-        let Some(caller) = self.callers.remove(&id) else { return true };
-        if caller.state != CallerState::Answering {
-            return true;
+    pub(super) fn caller_closed(&mut self, now: Timestamp, id: CallerId) {
+        let Some(caller) = self.callers.remove(&id) else { return };
+        if caller.state == CallerState::Answering {
+            self.step(now, Input::Local(HttpInput::CallerGone { caller: id }));
         }
-        self.step(now, Input::Local(HttpInput::CallerGone { caller: id }))
     }
 
-    pub(super) fn resume_callers(&mut self, now: Timestamp) -> bool {
+    pub(super) fn resume_callers(&mut self, now: Timestamp) {
         for id in std::mem::take(&mut self.resumed) {
             let Some(caller) = self.callers.get_mut(&id) else { continue };
             let read = caller.resume(now, &self.limits);
-            if !self.caller_read(now, id, read) {
-                return false;
-            }
+            self.caller_read(now, id, read);
         }
-        true
     }
 
     /// Handles the timeouts of callers' connections.
@@ -78,7 +72,8 @@
         if now < self.next_expiry {
             return;
         }
-        self.next_expiry = now + EXPIRY_INTERVAL;
+        let interval = if self.ending.is_some() { ENDING_INTERVAL } else { EXPIRY_INTERVAL };
+        self.next_expiry = now + interval;
         let limits = self.limits;
         let due = |c: &Caller| c.deadline(&limits).is_some_and(|at| at <= now);
         let expired: Vec<CallerId> =
--- a/src/h1/driver/effects.rs
+++ b/src/h1/driver/effects.rs
@@ -1,14 +1,19 @@
 //! Applies the effects that the role returns.
 
 use super::{ConnectionId, Server};
-use crate::h1::caller::CallerState;
-use crate::h1::{HttpEffect, HttpInput};
+use crate::h1::{HttpEffect, HttpInput, PeerId};
 use crate::model::Timestamp;
 use crate::role::Role;
 
 impl<R: Role<Local = HttpInput, Effect = HttpEffect>> Server<R> {
     pub(super) fn apply(&mut self, now: Timestamp, effect: HttpEffect) {
         match effect {
+            HttpEffect::Dial { peer: PeerId(peer), .. }
+            | HttpEffect::Send { peer: PeerId(peer), .. }
+                if self.ending.is_some() =>
+            {
+                log::error!("step=send peer={peer} outcome=dropped error=\"the role has stopped\"");
+            }
             HttpEffect::Dial { peer, address } => self.dial(peer, address),
             HttpEffect::Send { peer, bytes } => {
                 if let Some(open) = self.peers.get_mut(&peer) {
@@ -44,10 +49,8 @@
                 }
             }
             HttpEffect::Limit(limits) => self.limits = limits,
-            HttpEffect::CloseAll { .. } => {}
-            HttpEffect::CloseIdle => {
-                self.callers.retain(|_, c| !matches!(c.state, CallerState::Idle(_)));
-            }
+            HttpEffect::CloseAll { until } => _ = self.close_at.get_or_insert(until),
+            HttpEffect::CloseIdle => self.close_idle(),
         }
     }
 }
--- a/src/h1/driver/mod.rs
+++ b/src/h1/driver/mod.rs
@@ -4,6 +4,7 @@
 mod bounds;
 mod callers;
 mod effects;
+mod ending;
 mod peers;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -17,7 +18,8 @@
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Token, Waker};
 
-use super::caller::{Caller, CallerState};
+use self::ending::Ending;
+use super::caller::Caller;
 use super::peer::Peer;
 use super::{CallerId, HttpEffect, HttpInput, PeerId, Purpose};
 use crate::link::{LinkEvent, LinkHandle, Sink};
@@ -32,10 +34,10 @@
 const MIN_WAIT: Duration = Duration::from_millis(1);
 /// How often the thread checks for connections that have timed out.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
+/// The same once the role has stopped.
+const ENDING_INTERVAL: Duration = Duration::from_millis(50);
 /// The most events that one poll returns.
 const MAX_EVENTS: usize = 256;
-/// How many turns are read of what an endpoint sent before it closed its connection.
-const MAX_LAST_TURNS: usize = 128;
 /// The most inputs from other threads that are handled before the sockets are.
 const MAX_INPUTS_PER_POLL: usize = 256;
 const WAKER: Token = Token(0);
@@ -141,6 +143,9 @@
             limits: CallerLimits::default(),
             next_caller: 0,
             next_expiry: Timestamp::default(),
+            leaving: BTreeSet::new(),
+            close_at: None,
+            ending: None,
             role,
             link,
             owner,
@@ -181,6 +186,12 @@
     limits: CallerLimits,
     next_caller: u64,
     next_expiry: Timestamp,
+    /// Callers whose connections are closed as soon as nothing is open on them.
+    leaving: BTreeSet<CallerId>,
+    /// When all connections are closed at the latest, if the role said so.
+    close_at: Option<Timestamp>,
+    /// Set once the role has stopped.
+    ending: Option<Ending>,
     role: R,
     link: LinkHandle,
     owner: u64,
@@ -191,25 +202,10 @@
     fn run(mut self) {
         let mut events = Events::with_capacity(MAX_EVENTS);
         while self.run_once(&mut events) {}
-        self.flush_all(Timestamp::from_steady());
-        self.log_connections();
+        self.log_ending(Timestamp::from_steady());
     }
 
-    /// Logs the state of the callers' connections at the end of the role.
-    fn log_connections(&self) {
-        let count =
-            |of: fn(&CallerState) -> bool| self.callers.values().filter(|c| of(&c.state)).count();
-        let unwritten: usize = self.callers.values().map(|c| c.socket.pending()).sum();
-        log::info!(
-            "step=connections idle={} reading={} answering={} lingering={} unwritten_bytes={unwritten}",
-            count(|s| matches!(s, CallerState::Idle(_))),
-            count(|s| matches!(s, CallerState::Reading(_))),
-            count(|s| matches!(s, CallerState::Answering)),
-            count(|s| matches!(s, CallerState::Lingering { .. })),
-        );
-    }
-
-    /// Polls once and handles all events; returns whether the role is still running.
+    /// Polls once and handles all events; returns whether the thread goes on.
     fn run_once(&mut self, events: &mut Events) -> bool {
         let now = Timestamp::from_steady();
         if let Err(error) = self.poll.poll(events, Some(self.poll_timeout(now)))
@@ -218,7 +214,7 @@
             log::error!("step=poll error=\"{error}\"");
         }
         let now = Timestamp::from_steady();
-        let mut running = self.step_queued(now);
+        self.step_queued(now);
         for event in events.iter() {
             let token = event.token();
             if token == WAKER {
@@ -226,26 +222,28 @@
             }
             let number = token.0 as u64;
             if number < FIRST_CONNECTION {
-                self.accept(now, token.0 - 1);
+                self.accept(now, token.0 - 1, usize::MAX);
                 continue;
             }
             let id = (number - FIRST_CONNECTION) / 2;
             let ready = Ready { readable: event.is_readable() || event.is_read_closed(), event };
-            running &= if number % 2 == FIRST_CONNECTION % 2 {
-                self.caller_ready(now, CallerId(id), &ready)
+            if number % 2 == FIRST_CONNECTION % 2 {
+                self.caller_ready(now, CallerId(id), &ready);
             } else {
-                self.peer_ready(now, PeerId(id), &ready)
-            };
+                self.peer_ready(now, PeerId(id), &ready);
+            }
         }
         if self.role.next_wake().is_some_and(|at| at <= now) {
-            running &= self.step(now, Input::Wake);
+            self.step(now, Input::Wake);
         }
-        running &= self.resume_peers(now);
-        running &= self.resume_callers(now);
-        running &= self.step_deferred(now);
+        self.resume_peers(now);
+        self.resume_callers(now);
+        self.step_deferred(now);
         self.expire(now);
         self.flush_all(now);
-        running && self.report_broken(now)
+        self.report_broken(now);
+        // The turn may have taken long, and connections that are accepted now are new.
+        self.end_turn(Timestamp::from_steady())
     }
 
     fn poll_timeout(&self, now: Timestamp) -> Duration {
@@ -254,65 +252,63 @@
         if busy || !self.broken.is_empty() {
             return Duration::ZERO;
         }
-        let role = self.role.next_wake().map_or(MAX_WAIT, |at| at - now);
-        let expiry = if self.callers.is_empty() { MAX_WAIT } else { self.next_expiry - now };
-        role.min(expiry).clamp(MIN_WAIT, MAX_WAIT)
+        let due = match &self.ending {
+            Some(ending) => Some(ending.until()),
+            None => self.role.next_wake(),
+        };
+        let expiry = (!self.callers.is_empty()).then_some(self.next_expiry);
+        let next = [due, expiry, self.next_close()].into_iter().flatten().min();
+        next.map_or(MAX_WAIT, |at| at - now).clamp(MIN_WAIT, MAX_WAIT)
     }
 
     /// Steps the role with inputs queued by other threads.
-    fn step_queued(&mut self, now: Timestamp) -> bool {
+    fn step_queued(&mut self, now: Timestamp) {
         self.has_backlog = false;
         for _ in 0..MAX_INPUTS_PER_POLL {
-            let Ok(input) = self.queue.try_recv() else { return true };
-            if !self.step(now, input) {
-                return false;
-            }
+            let Ok(input) = self.queue.try_recv() else { return };
+            self.step(now, input);
         }
         self.has_backlog = true;
-        true
     }
 
     /// Steps the role with the deferred inputs.
-    fn step_deferred(&mut self, now: Timestamp) -> bool {
-        let inputs = std::mem::take(&mut self.deferred);
-        inputs.into_iter().all(|input| self.step(now, input))
+    fn step_deferred(&mut self, now: Timestamp) {
+        for input in std::mem::take(&mut self.deferred) {
+            self.step(now, input);
+        }
     }
 
     /// Reports connections on which a write failed to the role.
-    fn report_broken(&mut self, now: Timestamp) -> bool {
-        let broken = std::mem::take(&mut self.broken);
-        broken.into_iter().all(|connection| match connection {
-            ConnectionId::Caller(id) => self.caller_closed(now, id),
-            ConnectionId::Peer(id) => {
-                // The endpoint may have sent an answer before it closed the connection.
-                let Some(peer) = self.peers.get_mut(&id) else { return true };
-                let mut inputs = Vec::new();
-                let mut turns = 0;
-                while peer.read(&mut inputs) && turns < MAX_LAST_TURNS {
-                    turns += 1;
-                }
-                if !inputs.iter().any(|i| matches!(i, HttpInput::Lost { .. })) {
-                    inputs.push(peer.lost("a write failed"));
-                }
-                self.step_peer(now, id, inputs)
+    fn report_broken(&mut self, now: Timestamp) {
+        for connection in std::mem::take(&mut self.broken) {
+            match connection {
+                ConnectionId::Caller(id) => self.caller_closed(now, id),
+                ConnectionId::Peer(id) => self.peer_broken(now, id),
             }
-        })
+        }
     }
 
-    /// Steps the role and applies its outputs; returns whether the role is still running.
-    fn step(&mut self, now: Timestamp, input: Input<HttpInput>) -> bool {
+    /// Steps the role and applies its outputs. A role that has stopped gets only requests of
+    /// callers, which it refuses.
+    fn step(&mut self, now: Timestamp, input: Input<HttpInput>) {
+        if let Some(ending) = &mut self.ending {
+            if !matches!(input, Input::Local(HttpInput::Request { .. })) {
+                return;
+            }
+            ending.refused += 1;
+        }
         let outputs = self.role.step(now, input);
         let owner = self.owner;
-        let mut running = true;
         for output in outputs {
             match output.for_link(owner) {
                 Ok(action) => self.link.act(action),
                 Err(LocalOutput::Observe(observation)) => self.metrics.observe(observation),
                 Err(LocalOutput::Effect(effect)) => self.apply(now, effect),
-                Err(LocalOutput::Stopped) => running = false,
+                Err(LocalOutput::Stopped) => {
+                    self.ending.get_or_insert(Ending::new(now));
+                }
             }
         }
-        running
     }
 
     fn flush_all(&mut self, now: Timestamp) {
--- a/src/h1/driver/peers.rs
+++ b/src/h1/driver/peers.rs
@@ -12,9 +12,12 @@
 use crate::model::Timestamp;
 use crate::role::{Input, Role};
 
+/// How many turns are read of what an endpoint sent before it closed its connection.
+const MAX_LAST_TURNS: usize = 128;
+
 impl<R: Role<Local = HttpInput, Effect = HttpEffect>> Server<R> {
-    pub(super) fn peer_ready(&mut self, now: Timestamp, id: PeerId, ready: &Ready<'_>) -> bool {
-        let Some(peer) = self.peers.get_mut(&id) else { return true };
+    pub(super) fn peer_ready(&mut self, now: Timestamp, id: PeerId, ready: &Ready<'_>) {
+        let Some(peer) = self.peers.get_mut(&id) else { return };
         let mut inputs = Vec::new();
         if !peer.is_connected() {
             match peer.check_connected() {
@@ -31,38 +34,47 @@
                 self.unread.insert(id);
             }
         }
-        self.step_peer(now, id, inputs)
+        self.step_peer(now, id, inputs);
     }
 
     /// Reads on from endpoints that had more bytes than they may send in one turn.
-    pub(super) fn resume_peers(&mut self, now: Timestamp) -> bool {
+    pub(super) fn resume_peers(&mut self, now: Timestamp) {
         for id in std::mem::take(&mut self.unread) {
             let Some(peer) = self.peers.get_mut(&id) else { continue };
             let mut inputs = Vec::new();
             if peer.read(&mut inputs) {
                 self.unread.insert(id);
             }
-            if !self.step_peer(now, id, inputs) {
-                return false;
-            }
+            self.step_peer(now, id, inputs);
         }
-        true
     }
 
     /// Steps the role with the inputs of a peer until the role closes the connection or it is lost.
-    pub(super) fn step_peer(&mut self, now: Timestamp, id: PeerId, inputs: Vec<HttpInput>) -> bool {
+    pub(super) fn step_peer(&mut self, now: Timestamp, id: PeerId, inputs: Vec<HttpInput>) {
         for input in inputs {
             if !self.peers.contains_key(&id) {
-                return true;
+                return;
             }
             if matches!(input, HttpInput::Lost { .. }) {
                 self.peers.remove(&id);
             }
-            if !self.step(now, Input::Local(input)) {
-                return false;
-            }
+            self.step(now, Input::Local(input));
+        }
+    }
+
+    /// Reports a connection on which a write failed to the role.
+    pub(super) fn peer_broken(&mut self, now: Timestamp, id: PeerId) {
+        // The endpoint may have sent an answer before it closed the connection.
+        let Some(peer) = self.peers.get_mut(&id) else { return };
+        let mut inputs = Vec::new();
+        let mut turns = 0;
+        while peer.read(&mut inputs) && turns < MAX_LAST_TURNS {
+            turns += 1;
+        }
+        if !inputs.iter().any(|i| matches!(i, HttpInput::Lost { .. })) {
+            inputs.push(peer.lost("a write failed"));
         }
-        true
+        self.step_peer(now, id, inputs);
     }
 
     pub(super) fn dial(&mut self, peer: PeerId, address: SocketAddr) {
--- a/src/h1/mod.rs
+++ b/src/h1/mod.rs
@@ -4,6 +4,7 @@
 //! requests of callers and answers of endpoints part by part, and returns what to write.
 
 mod caller;
+mod closing;
 mod driver;
 mod head;
 mod peer;
