Fuzz the end of the driver over real sockets

Seeded callers pipeline, send in pieces, read slowly or never and come late, against a stop at a random moment, idle connections closed before it and a busy role.

--- a/tests/loopback/stopper.rs
+++ b/tests/loopback/stopper.rs
@@ -69,7 +69,8 @@
             _ if self.stopped && self.terms.mute => return Vec::new(),
             _ => {}
         }
-        let size = target.strip_prefix("/size/").and_then(|s| s.parse().ok()).unwrap_or(2);
+        let size = request.head.path().strip_prefix("/size/").and_then(|s| s.parse().ok());
+        let size = size.unwrap_or(2);
         let keep = !request.head.wants_close() && !self.stopped;
         let bytes = match self.stopped {
             true => write::answer(503, &[], "text/plain", b"not run\n", keep),
@@ -141,9 +142,14 @@
         Server { address, events: received, handle, thread }
     }
 
-    /// Keeps the role busy for [`BUSY_TIME`], and returns once it is.
-    pub fn keep_busy(&self) {
+    /// Makes the role busy for [`BUSY_TIME`].
+    pub fn start_busy(&self) {
         self.handle.send(Input::Local(HttpInput::Reload));
+    }
+
+    /// The same, and returns once it is.
+    pub fn keep_busy(&self) {
+        self.start_busy();
         self.wait_for("busy");
     }
 
