--- a/tests/h1_shutdown.rs
+++ b/tests/h1_shutdown.rs
@@ -3,8 +3,8 @@
 
 mod loopback;
 
-use std::io::Write;
-use std::net::TcpListener;
+use std::io::{ErrorKind, Write};
+use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 use loopback::stopper::{BUSY_TIME, Pace, Server, Terms, connect, exchange, get, read_all, send};
@@ -79,6 +79,21 @@
     }
 }
 
+#[test]
+fn request_that_is_read_when_idle_connections_are_closed_may_be_answered_later() {
+    let server = Server::start(limited());
+    let mut caller = connect(server.address);
+    exchange(&mut caller, &get(10));
+    std::thread::sleep(BUSY_TIME);
+    server.keep_busy();
+    server.close_idle();
+    send(&mut caller, "GET /later HTTP/1.1\r\n\r\n");
+    server.wait_for("/later");
+    std::thread::sleep(BUSY_TIME);
+    server.start_busy();
+    assert_eq!(read_all(&mut caller, Pace::default()).statuses().unwrap(), [200]);
+}
+
 #[test]
 fn idle_connection_is_closed_and_a_busy_one_is_not() {
     let server = Server::start(limited());
@@ -113,6 +128,37 @@
     assert_eq!(events.iter().filter(|e| *e == "late /size/20").count(), 5, "{events:?}");
 }
 
+#[test]
+fn request_that_lies_unread_is_refused_though_no_time_is_left() {
+    let server = Server::start(Terms { limit: Some(Duration::ZERO), ..Terms::default() });
+    let mut kept = connect(server.address);
+    exchange(&mut kept, &get(10));
+    server.keep_busy();
+    server.stop();
+    let mut new = connect(server.address);
+    for caller in [&mut kept, &mut new] {
+        send(caller, &get(20));
+    }
+    for mut caller in [kept, new] {
+        assert_eq!(read_all(&mut caller, Pace::default()).statuses().unwrap(), [503]);
+    }
+    server.ended_within(SLACK).unwrap();
+}
+
+#[test]
+fn connection_that_comes_after_the_end_has_begun_is_not_accepted() {
+    let server = Server::start(limited());
+    let mut caller = connect(server.address);
+    send(&mut caller, &get(LARGE));
+    server.wait_for(&format!("/size/{LARGE}"));
+    server.stop();
+    server.wait_for("shutdown");
+    std::thread::sleep(SHORT);
+    let refused = TcpStream::connect(server.address).map_err(|e| e.kind());
+    assert_eq!(refused.err(), Some(ErrorKind::ConnectionRefused));
+    assert_eq!(read_all(&mut caller, slow()).statuses().unwrap(), [200]);
+}
+
 #[test]
 fn pipelined_requests_across_the_stop_are_answered_or_refused() {
     let server = Server::start(limited());
--- a/tests/loopback/stopper.rs
+++ b/tests/loopback/stopper.rs
@@ -33,10 +33,12 @@
     pub endpoint: Option<SocketAddr>,
 }
 
-/// Answers `/size/N` with N bytes, `/hang` never, and refuses once it has stopped.
+/// Answers `/size/N` with N bytes, `/later` after the next [`HttpInput::Reload`], `/hang` never, and
+/// refuses once it has stopped.
 pub struct Stopper {
     terms: Terms,
     stopped: bool,
+    later: Option<CallerId>,
     events: Sender<String>,
 }
 
@@ -57,6 +59,10 @@
         let peer = PeerId(1);
         match (target, self.terms.endpoint) {
             ("/hang", _) => return Vec::new(),
+            ("/later", _) => {
+                self.later = Some(caller);
+                return Vec::new();
+            }
             ("/stop", _) => return self.stop(now),
             ("/dial", Some(address)) => {
                 let bytes = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n".to_vec();
@@ -72,17 +78,21 @@
         let size = request.head.path().strip_prefix("/size/").and_then(|s| s.parse().ok());
         let size = size.unwrap_or(2);
         let keep = !request.head.wants_close() && !self.stopped;
-        let bytes = match self.stopped {
-            true => write::answer(503, &[], "text/plain", b"not run\n", keep),
-            false => write::answer(200, &[], "text/plain", &vec![b'x'; size], keep),
-        };
-        vec![
-            Output::Effect(HttpEffect::Reply { caller, bytes }),
-            Output::Effect(HttpEffect::Finish { caller, keep }),
-        ]
+        match self.stopped {
+            true => reply(caller, 503, b"not run\n", keep),
+            false => reply(caller, 200, &vec![b'x'; size], keep),
+        }
     }
 }
 
+fn reply(caller: CallerId, status: u16, body: &[u8], keep: bool) -> Vec<Output<HttpEffect>> {
+    let bytes = write::answer(status, &[], "text/plain", body, keep);
+    vec![
+        Output::Effect(HttpEffect::Reply { caller, bytes }),
+        Output::Effect(HttpEffect::Finish { caller, keep }),
+    ]
+}
+
 impl Role for Stopper {
     type Local = HttpInput;
     type Effect = HttpEffect;
@@ -102,7 +112,7 @@
             Input::Local(HttpInput::Reload) => {
                 tell("busy");
                 std::thread::sleep(BUSY_TIME);
-                Vec::new()
+                self.later.take().map_or_else(Vec::new, |c| reply(c, 200, b"hi", true))
             }
             Input::Wake => vec![Output::Effect(HttpEffect::CloseIdle)],
             Input::Shutdown { .. } => {
@@ -137,7 +147,7 @@
         let address = driver.local_addr(Purpose::Calls).unwrap();
         let handle = driver.handle();
         let metrics = Arc::new(Metrics::new().unwrap());
-        let role = Stopper { terms, stopped: false, events };
+        let role = Stopper { terms, stopped: false, later: None, events };
         let thread = driver.start("stopper", role, link(), metrics).unwrap();
         Server { address, events: received, handle, thread }
     }
