--- a/tests/h1_shutdown.rs
+++ b/tests/h1_shutdown.rs
@@ -4,7 +4,7 @@
 mod loopback;
 
 use std::io::{ErrorKind, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 use loopback::stopper::{BUSY_TIME, Pace, Server, Terms, connect, exchange, get, read_all, send};
@@ -59,6 +59,25 @@
     assert_eq!(read_all(&mut caller, pace).statuses().unwrap(), [200]);
 }
 
+#[test]
+fn last_answer_arrives_whole_at_a_slow_caller_that_sends_on() {
+    let server = Server::start(limited());
+    let mut caller = connect(server.address);
+    send(&mut caller, &format!("GET /size/{LARGE} HTTP/1.1\r\nConnection: close\r\n\r\n"));
+    server.wait_for(&format!("/size/{LARGE}"));
+    server.stop();
+    let mut writer = caller.try_clone().unwrap();
+    std::thread::spawn(move || {
+        while writer.write_all(b"a").is_ok() {
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    });
+    let pace = Pace { delay: Duration::from_millis(1_500), ..slow() };
+    let received = read_all(&mut caller, pace);
+    _ = caller.shutdown(Shutdown::Both);
+    assert_eq!(received.statuses().unwrap(), [200]);
+}
+
 #[test]
 fn request_that_lies_unread_when_idle_connections_are_closed_is_served() {
     let server = Server::start(limited());
@@ -94,6 +113,33 @@
     assert_eq!(read_all(&mut caller, Pace::default()).statuses().unwrap(), [200]);
 }
 
+#[test]
+fn request_that_lies_half_unread_when_idle_connections_are_closed_is_served() {
+    let server = Server::start(limited());
+    let mut caller = connect(server.address);
+    exchange(&mut caller, &get(10));
+    std::thread::sleep(BUSY_TIME);
+    server.keep_busy();
+    server.close_idle();
+    send(&mut caller, "POST /size/20 HTTP/1.1\r\nContent-Length: 2\r\n\r\nh");
+    std::thread::sleep(BUSY_TIME * 2);
+    send(&mut caller, "i");
+    assert_eq!(read_all(&mut caller, Pace::default()).statuses().unwrap(), [200]);
+}
+
+#[test]
+fn request_of_a_slow_reader_after_idle_connections_are_closed_is_served() {
+    let server = Server::start(limited());
+    let mut caller = connect(server.address);
+    send(&mut caller, &get(LARGE));
+    server.wait_for(&format!("/size/{LARGE}"));
+    std::thread::sleep(BUSY_TIME);
+    server.close_idle();
+    std::thread::sleep(BUSY_TIME);
+    send(&mut caller, &get(20));
+    assert_eq!(read_all(&mut caller, slow()).statuses().unwrap(), [200, 200]);
+}
+
 #[test]
 fn idle_connection_is_closed_and_a_busy_one_is_not() {
     let server = Server::start(limited());
@@ -159,6 +205,21 @@
     assert_eq!(read_all(&mut caller, slow()).statuses().unwrap(), [200]);
 }
 
+#[test]
+fn large_request_that_lies_unread_when_the_role_ends_is_refused_by_the_role() {
+    let server = Server::start(limited());
+    let mut caller = connect(server.address);
+    let post = |size| format!("POST /size/1 HTTP/1.1\r\nContent-Length: {size}\r\n\r\n");
+    // A large request before it lets the socket hold the next one whole.
+    exchange(&mut caller, &(post(4_000_000) + &"a".repeat(4_000_000)));
+    server.keep_busy();
+    server.stop();
+    send(&mut caller, &(post(150_000) + &"a".repeat(150_000)));
+    assert_eq!(read_all(&mut caller, Pace::default()).statuses().unwrap(), [503]);
+    drop(caller);
+    assert_eq!(server.ended_within(SLACK).unwrap(), ["shutdown", "late /size/1"]);
+}
+
 #[test]
 fn pipelined_requests_across_the_stop_are_answered_or_refused() {
     let server = Server::start(limited());
