--- a/src/h1/caller.rs
+++ b/src/h1/caller.rs
@@ -1,5 +1,6 @@
 //! A caller's connection, which serves one request at a time.
 
+use super::closing::Open;
 use super::head::{Request, RequestHead};
 use super::reader::{Part, ReadError, Reader};
 use super::socket::{READ_BYTES, READS_PER_TURN, Socket, SocketRead};
@@ -49,6 +50,8 @@
     unread: bool,
     /// Whether to shut down the writing side once everything is written.
     closing: bool,
+    /// When bytes of an answer were last written, or its end was queued.
+    progress: Timestamp,
 }
 
 impl Caller {
@@ -61,12 +64,17 @@
             partial: None,
             unread: false,
             closing: false,
+            progress: now,
         }
     }
 
     /// Returns when the connection times out; None while a request is being answered.
     pub fn deadline(&self, limits: &CallerLimits) -> Option<Timestamp> {
+        let unwritten = self.socket.pending() > 0;
         match self.state {
+            CallerState::Idle(_) | CallerState::Lingering { .. } if unwritten => {
+                Some(self.progress + limits.idle_timeout)
+            }
             CallerState::Idle(since) => Some(since + limits.idle_timeout),
             CallerState::Reading(since) => Some(since + limits.head_timeout),
             CallerState::Answering => None,
@@ -121,6 +129,18 @@
         self.answer_and_close(now, 503, "not run: too many large requests at once");
     }
 
+    /// Refuses the request that is being read, because the role has stopped.
+    pub fn refuse_stopped(&mut self, now: Timestamp) {
+        self.answer_and_close(now, 503, "not run: this process shuts down");
+    }
+
+    /// Returns what is open on the connection.
+    pub fn open(&self) -> Open {
+        let idle = matches!(self.state, CallerState::Idle(_));
+        let unread = self.unread || idle && self.reader.buffered() > 0;
+        Open { state: self.state, unread, unwritten: self.socket.pending() }
+    }
+
     /// Parses the buffered bytes, up to the next complete request.
     fn parse(&mut self, now: Timestamp, limits: &CallerLimits) -> CallerRead {
         if matches!(self.state, CallerState::Answering | CallerState::Lingering { .. }) {
@@ -187,6 +207,7 @@
 
     /// Handles the end of an answer; without `keep` the connection is closed.
     pub fn finish(&mut self, now: Timestamp, keep: bool) {
+        self.progress = now;
         if keep {
             self.state = CallerState::Idle(now);
         } else {
@@ -221,12 +242,19 @@
     }
 
     /// Writes the buffered bytes; returns whether the connection is broken.
-    pub fn flush(&mut self) -> bool {
+    pub fn flush(&mut self, now: Timestamp) -> bool {
+        let before = self.socket.pending();
         if self.socket.flush().is_err() {
             return true;
         }
+        if self.socket.pending() < before {
+            self.progress = now;
+        }
         if self.closing && self.socket.pending() == 0 {
             self.closing = false;
+            if let CallerState::Lingering { until, .. } = &mut self.state {
+                *until = now + LINGER_TIMEOUT;
+            }
             return self.socket.stream.shutdown(std::net::Shutdown::Write).is_err();
         }
         false
--- a/src/h1/driver/mod.rs
+++ b/src/h1/driver/mod.rs
@@ -1,6 +1,11 @@
 //! The thread that polls the sockets of one role and steps the role.
 
+mod accept;
 mod bounds;
+mod callers;
+mod effects;
+mod ending;
+mod peers;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -10,13 +15,13 @@
 use std::time::Duration;
 
 use eyre::WrapErr;
-use mio::net::{TcpListener, TcpStream};
+use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Token, Waker};
 
-use super::caller::{Caller, CallerRead, CallerState};
+use self::ending::Ending;
+use super::caller::Caller;
 use super::peer::Peer;
-use super::socket::Socket;
-use super::{CallerId, HttpEffect, HttpInput, PeerId, Purpose, write};
+use super::{CallerId, HttpEffect, HttpInput, PeerId, Purpose};
 use crate::link::{LinkEvent, LinkHandle, Sink};
 use crate::model::Timestamp;
 use crate::report::metrics::Metrics;
@@ -29,10 +34,10 @@
 const MIN_WAIT: Duration = Duration::from_millis(1);
 /// How often the thread checks for connections that have timed out.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
+/// The same once the role has stopped.
+const ENDING_INTERVAL: Duration = Duration::from_millis(50);
 /// The most events that one poll returns.
 const MAX_EVENTS: usize = 256;
-/// How many turns are read of what an endpoint sent before it closed its connection.
-const MAX_LAST_TURNS: usize = 128;
 /// The most inputs from other threads that are handled before the sockets are.
 const MAX_INPUTS_PER_POLL: usize = 256;
 const WAKER: Token = Token(0);
@@ -138,6 +143,9 @@
             limits: CallerLimits::default(),
             next_caller: 0,
             next_expiry: Timestamp::default(),
+            leaving: BTreeSet::new(),
+            close_at: None,
+            ending: None,
             role,
             link,
             owner,
@@ -178,6 +186,12 @@
     limits: CallerLimits,
     next_caller: u64,
     next_expiry: Timestamp,
+    /// Callers whose connections are closed as soon as nothing is open on them.
+    leaving: BTreeSet<CallerId>,
+    /// When all connections are closed at the latest, if the role said so.
+    close_at: Option<Timestamp>,
+    /// Set once the role has stopped.
+    ending: Option<Ending>,
     role: R,
     link: LinkHandle,
     owner: u64,
@@ -188,25 +202,10 @@
     fn run(mut self) {
         let mut events = Events::with_capacity(MAX_EVENTS);
         while self.run_once(&mut events) {}
-        self.flush_all();
-        self.log_connections();
+        self.log_ending(Timestamp::from_steady());
     }
 
-    /// Logs the state of the callers' connections at the end of the role.
-    fn log_connections(&self) {
-        let count =
-            |of: fn(&CallerState) -> bool| self.callers.values().filter(|c| of(&c.state)).count();
-        let unwritten: usize = self.callers.values().map(|c| c.socket.pending()).sum();
-        log::info!(
-            "step=connections idle={} reading={} answering={} lingering={} unwritten_bytes={unwritten}",
-            count(|s| matches!(s, CallerState::Idle(_))),
-            count(|s| matches!(s, CallerState::Reading(_))),
-            count(|s| matches!(s, CallerState::Answering)),
-            count(|s| matches!(s, CallerState::Lingering { .. })),
-        );
-    }
-
-    /// Polls once and handles all events; returns whether the role is still running.
+    /// Polls once and handles all events; returns whether the thread goes on.
     fn run_once(&mut self, events: &mut Events) -> bool {
         let now = Timestamp::from_steady();
         if let Err(error) = self.poll.poll(events, Some(self.poll_timeout(now)))
@@ -215,7 +214,7 @@
             log::error!("step=poll error=\"{error}\"");
         }
         let now = Timestamp::from_steady();
-        let mut running = self.step_queued(now);
+        self.step_queued(now);
         for event in events.iter() {
             let token = event.token();
             if token == WAKER {
@@ -223,26 +222,28 @@
             }
             let number = token.0 as u64;
             if number < FIRST_CONNECTION {
-                self.accept(now, token.0 - 1);
+                self.accept(now, token.0 - 1, usize::MAX);
                 continue;
             }
             let id = (number - FIRST_CONNECTION) / 2;
             let ready = Ready { readable: event.is_readable() || event.is_read_closed(), event };
-            running &= if number % 2 == FIRST_CONNECTION % 2 {
-                self.caller_ready(now, CallerId(id), &ready)
+            if number % 2 == FIRST_CONNECTION % 2 {
+                self.caller_ready(now, CallerId(id), &ready);
             } else {
-                self.peer_ready(now, PeerId(id), &ready)
-            };
+                self.peer_ready(now, PeerId(id), &ready);
+            }
         }
         if self.role.next_wake().is_some_and(|at| at <= now) {
-            running &= self.step(now, Input::Wake);
+            self.step(now, Input::Wake);
         }
-        running &= self.resume_peers(now);
-        running &= self.resume_callers(now);
-        running &= self.step_deferred(now);
+        self.resume_peers(now);
+        self.resume_callers(now);
+        self.step_deferred(now);
         self.expire(now);
-        self.flush_all();
-        running && self.report_broken(now)
+        self.flush_all(now);
+        self.report_broken(now);
+        // The turn may have taken long, and connections that are accepted now are new.
+        self.end_turn(Timestamp::from_steady())
     }
 
     fn poll_timeout(&self, now: Timestamp) -> Duration {
@@ -251,328 +252,73 @@
         if busy || !self.broken.is_empty() {
             return Duration::ZERO;
         }
-        let role = self.role.next_wake().map_or(MAX_WAIT, |at| at - now);
-        let expiry = if self.callers.is_empty() { MAX_WAIT } else { self.next_expiry - now };
-        role.min(expiry).clamp(MIN_WAIT, MAX_WAIT)
+        let due = match &self.ending {
+            Some(ending) => Some(ending.until()),
+            None => self.role.next_wake(),
+        };
+        let expiry = (!self.callers.is_empty()).then_some(self.next_expiry);
+        let next = [due, expiry, self.next_close()].into_iter().flatten().min();
+        next.map_or(MAX_WAIT, |at| at - now).clamp(MIN_WAIT, MAX_WAIT)
     }
 
     /// Steps the role with inputs queued by other threads.
-    fn step_queued(&mut self, now: Timestamp) -> bool {
+    fn step_queued(&mut self, now: Timestamp) {
         self.has_backlog = false;
         for _ in 0..MAX_INPUTS_PER_POLL {
-            let Ok(input) = self.queue.try_recv() else { return true };
-            if !self.step(now, input) {
-                return false;
-            }
+            let Ok(input) = self.queue.try_recv() else { return };
+            self.step(now, input);
         }
         self.has_backlog = true;
-        true
-    }
-
-    fn accept(&mut self, now: Timestamp, index: usize) {
-        loop {
-            let Some((listener, purpose)) = self.listeners.get(index) else { return };
-            let purpose = *purpose;
-            match listener.accept() {
-                Ok((stream, _)) => self.add_caller(now, stream, purpose),
-                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return,
-                Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
-                Err(error) => {
-                    log::error!("step=accept error=\"{error}\"");
-                    return;
-                }
-            }
-        }
-    }
-
-    fn add_caller(&mut self, now: Timestamp, mut stream: TcpStream, purpose: Purpose) {
-        let id = CallerId(self.next_caller);
-        self.next_caller += 1;
-        let token = caller_token(id);
-        if let Err(error) = self.poll.registry().register(&mut stream, token, Interest::READABLE) {
-            log::error!("step=register error=\"{error}\"");
-            return;
-        }
-        let caller = Caller::new(now, Socket::new(stream), purpose, &self.limits);
-        self.callers.insert(id, caller);
-    }
-
-    fn caller_ready(&mut self, now: Timestamp, id: CallerId, ready: &Ready<'_>) -> bool {
-        if ready.event.is_writable() {
-            self.dirty.insert(ConnectionId::Caller(id));
-        }
-        if !ready.readable {
-            return true;
-        }
-        let Some(caller) = self.callers.get_mut(&id) else { return true };
-        let read = caller.read(now, &self.limits);
-        self.caller_read(now, id, read)
-    }
-
-    fn caller_read(&mut self, now: Timestamp, id: CallerId, read: CallerRead) -> bool {
-        self.dirty.insert(ConnectionId::Caller(id));
-        match read {
-            CallerRead::Wait => true,
-            CallerRead::More => {
-                self.resumed.push(id);
-                self.bound_request(now, id);
-                true
-            }
-            CallerRead::Request(request) => self.handle_request(now, id, request),
-            CallerRead::Closed => self.caller_closed(now, id),
-        }
-    }
-
-    fn handle_request(
-        &mut self,
-        now: Timestamp,
-        caller: CallerId,
-        request: super::Request,
-    ) -> bool {
-        let Some(purpose) = self.callers.get(&caller).map(|c| c.purpose) else { return true };
-        if purpose == Purpose::Pages && request.head.path() == "/metrics" {
-            let bytes = match self.metrics.text() {
-                Ok(text) => write::answer(200, &[], "text/plain", text.as_bytes(), true),
-                Err(e) => write::answer(500, &[], "text/plain", format!("{e:#}").as_bytes(), true),
-            };
-            self.apply(now, HttpEffect::Reply { caller, bytes });
-            self.apply(now, HttpEffect::Finish { caller, keep: true });
-            return true;
-        }
-        self.step(now, Input::Local(HttpInput::Request { caller, purpose, request }))
-    }
-
-    fn caller_closed(&mut self, now: Timestamp, id: CallerId) -> bool {
-        let Some(caller) = self.callers.remove(&id) else { return true };
-        if caller.state != CallerState::Answering {
-            return true;
-        }
-        self.step(now, Input::Local(HttpInput::CallerGone { caller: id }))
-    }
-
-    fn peer_ready(&mut self, now: Timestamp, id: PeerId, ready: &Ready<'_>) -> bool {
-        let Some(peer) = self.peers.get_mut(&id) else { return true };
-        let mut inputs = Vec::new();
-        if !peer.is_connected() {
-            match peer.check_connected() {
-                Ok(true) => inputs.push(HttpInput::Connected { peer: id }),
-                Ok(false) => {}
-                Err(error) => inputs.push(peer.lost(&error.to_string())),
-            }
-        }
-        if peer.is_connected() {
-            if peer.socket.pending() > 0 {
-                self.dirty.insert(ConnectionId::Peer(id));
-            }
-            if ready.readable && peer.read(&mut inputs) {
-                self.unread.insert(id);
-            }
-        }
-        self.step_peer(now, id, inputs)
-    }
-
-    /// Reads on from endpoints that had more bytes than they may send in one turn.
-    fn resume_peers(&mut self, now: Timestamp) -> bool {
-        for id in std::mem::take(&mut self.unread) {
-            let Some(peer) = self.peers.get_mut(&id) else { continue };
-            let mut inputs = Vec::new();
-            if peer.read(&mut inputs) {
-                self.unread.insert(id);
-            }
-            if !self.step_peer(now, id, inputs) {
-                return false;
-            }
-        }
-        true
-    }
-
-    /// Steps the role with the inputs of a peer until the role closes the connection or it is lost.
-    fn step_peer(&mut self, now: Timestamp, id: PeerId, inputs: Vec<HttpInput>) -> bool {
-        for input in inputs {
-            if !self.peers.contains_key(&id) {
-                return true;
-            }
-            if matches!(input, HttpInput::Lost { .. }) {
-                self.peers.remove(&id);
-            }
-            if !self.step(now, Input::Local(input)) {
-                return false;
-            }
-        }
-        true
-    }
-
-    fn resume_callers(&mut self, now: Timestamp) -> bool {
-        for id in std::mem::take(&mut self.resumed) {
-            let Some(caller) = self.callers.get_mut(&id) else { continue };
-            let read = caller.resume(now, &self.limits);
-            if !self.caller_read(now, id, read) {
-                return false;
-            }
-        }
-        true
     }
 
     /// Steps the role with the deferred inputs.
-    fn step_deferred(&mut self, now: Timestamp) -> bool {
-        let inputs = std::mem::take(&mut self.deferred);
-        inputs.into_iter().all(|input| self.step(now, input))
+    fn step_deferred(&mut self, now: Timestamp) {
+        for input in std::mem::take(&mut self.deferred) {
+            self.step(now, input);
+        }
     }
 
     /// Reports connections on which a write failed to the role.
-    fn report_broken(&mut self, now: Timestamp) -> bool {
-        let broken = std::mem::take(&mut self.broken);
-        broken.into_iter().all(|connection| match connection {
-            ConnectionId::Caller(id) => self.caller_closed(now, id),
-            ConnectionId::Peer(id) => {
-                // The endpoint may have sent an answer before it closed the connection.
-                let Some(peer) = self.peers.get_mut(&id) else { return true };
-                let mut inputs = Vec::new();
-                let mut turns = 0;
-                while peer.read(&mut inputs) && turns < MAX_LAST_TURNS {
-                    turns += 1;
-                }
-                if !inputs.iter().any(|i| matches!(i, HttpInput::Lost { .. })) {
-                    inputs.push(peer.lost("a write failed"));
-                }
-                self.step_peer(now, id, inputs)
+    fn report_broken(&mut self, now: Timestamp) {
+        for connection in std::mem::take(&mut self.broken) {
+            match connection {
+                ConnectionId::Caller(id) => self.caller_closed(now, id),
+                ConnectionId::Peer(id) => self.peer_broken(now, id),
             }
-        })
+        }
     }
 
-    /// Handles the timeouts of callers' connections.
-    fn expire(&mut self, now: Timestamp) {
-        if now < self.next_expiry {
-            return;
-        }
-        self.next_expiry = now + EXPIRY_INTERVAL;
-        let limits = self.limits;
-        let due = |c: &Caller| c.deadline(&limits).is_some_and(|at| at <= now);
-        let expired: Vec<CallerId> =
-            self.callers.iter().filter(|(_, c)| due(c)).map(|(id, _)| *id).collect();
-        for id in expired {
-            let Some(caller) = self.callers.get_mut(&id) else { continue };
-            if caller.expire(now) {
-                self.callers.remove(&id);
-            } else {
-                self.dirty.insert(ConnectionId::Caller(id));
+    /// Steps the role and applies its outputs. A role that has stopped gets only requests of
+    /// callers, which it refuses.
+    fn step(&mut self, now: Timestamp, input: Input<HttpInput>) {
+        if let Some(ending) = &mut self.ending {
+            if !matches!(input, Input::Local(HttpInput::Request { .. })) {
+                return;
             }
+            ending.refused += 1;
         }
-    }
-
-    /// Steps the role and applies its outputs; returns whether the role is still running.
-    fn step(&mut self, now: Timestamp, input: Input<HttpInput>) -> bool {
         let outputs = self.role.step(now, input);
         let owner = self.owner;
-        let mut running = true;
         for output in outputs {
             match output.for_link(owner) {
                 Ok(action) => self.link.act(action),
                 Err(LocalOutput::Observe(observation)) => self.metrics.observe(observation),
                 Err(LocalOutput::Effect(effect)) => self.apply(now, effect),
-                Err(LocalOutput::Stopped) => running = false,
-            }
-        }
-        running
-    }
-
-    fn apply(&mut self, now: Timestamp, effect: HttpEffect) {
-        match effect {
-            HttpEffect::Dial { peer, address } => self.dial(peer, address),
-            HttpEffect::Send { peer, bytes } => {
-                if let Some(open) = self.peers.get_mut(&peer) {
-                    open.send(&bytes);
-                    if open.is_connected() {
-                        self.dirty.insert(ConnectionId::Peer(peer));
-                    }
+                Err(LocalOutput::Stopped) => {
+                    self.ending.get_or_insert(Ending::new(now));
                 }
             }
-            HttpEffect::HangUp { peer } => {
-                self.peers.remove(&peer);
-            }
-            HttpEffect::Reply { caller, bytes } => {
-                if let Some(open) = self.callers.get_mut(&caller) {
-                    open.socket.out.extend_from_slice(&bytes);
-                    self.dirty.insert(ConnectionId::Caller(caller));
-                    self.bound_answer(caller);
-                }
-            }
-            HttpEffect::Finish { caller, keep } => {
-                if let Some(open) = self.callers.get_mut(&caller) {
-                    open.finish(now, keep);
-                    if keep {
-                        self.resumed.push(caller);
-                    }
-                    self.dirty.insert(ConnectionId::Caller(caller));
-                }
-            }
-            HttpEffect::Abort { caller } => {
-                if let Some(mut open) = self.callers.remove(&caller) {
-                    // The parts that are already written may still reach the caller.
-                    open.flush();
-                }
-            }
-            HttpEffect::Limit(limits) => self.limits = limits,
-            HttpEffect::CloseAll { .. } => {}
-            HttpEffect::CloseIdle => {
-                self.callers.retain(|_, c| !matches!(c.state, CallerState::Idle(_)));
-            }
-        }
-    }
-
-    fn dial(&mut self, peer: PeerId, address: SocketAddr) {
-        let opened = TcpStream::connect(address).and_then(|mut stream| {
-            let interest = Interest::READABLE | Interest::WRITABLE;
-            self.poll.registry().register(&mut stream, peer_token(peer), interest)?;
-            Ok(stream)
-        });
-        match opened {
-            Ok(stream) => {
-                self.peers.insert(peer, Peer::new(peer, Socket::new(stream)));
-            }
-            Err(error) => {
-                // Reported like any other failed connection attempt.
-                log::warn!("step=dial peer={address} error=\"{error}\"");
-                let error = error.to_string().into();
-                let lost = HttpInput::Lost { peer, sent: false, error };
-                self.deferred.push(Input::Local(lost));
-            }
         }
     }
 
-    fn flush_all(&mut self) {
+    fn flush_all(&mut self, now: Timestamp) {
         for dirty in std::mem::take(&mut self.dirty) {
             match dirty {
-                ConnectionId::Caller(id) => self.flush_caller(id),
+                ConnectionId::Caller(id) => self.flush_caller(now, id),
                 ConnectionId::Peer(id) => self.flush_peer(id),
             }
         }
     }
-
-    fn flush_caller(&mut self, id: CallerId) {
-        let Some(caller) = self.callers.get_mut(&id) else { return };
-        if caller.flush() {
-            self.broken.push(ConnectionId::Caller(id));
-            return;
-        }
-        let Some(caller) = self.callers.get_mut(&id) else { return };
-        if caller.socket.pending() > 0 {
-            let interest = Interest::READABLE | Interest::WRITABLE;
-            let token = caller_token(id);
-            if let Err(error) =
-                self.poll.registry().reregister(&mut caller.socket.stream, token, interest)
-            {
-                log::error!("step=register error=\"{error}\"");
-            }
-        }
-    }
-
-    fn flush_peer(&mut self, id: PeerId) {
-        let Some(peer) = self.peers.get_mut(&id) else { return };
-        if peer.is_connected() && peer.socket.flush().is_err() {
-            self.broken.push(ConnectionId::Peer(id));
-        }
-    }
 }
 
 /// The readiness that a poll reported for one connection.
