--- a/src/gateway/stopping.rs
+++ b/src/gateway/stopping.rs
@@ -6,7 +6,6 @@
 use super::call::{Call, Stage};
 use super::open_calls::Listing;
 use super::reason::EndReason;
-use super::stream_times::StreamTimes;
 use super::{CallerId, Gateway, answer};
 use crate::h1::{HttpEffect, HttpInput, Purpose, Request};
 use crate::model::Timestamp;
