Test that silence is no reason to end a call that can't be tried again in shutdown

A mutation that is easily made: the question whether another attempt can follow a silent one has to ask as well whether it can still end. It does, by plan_retry and closed_refusal. Both tests passed on the code as it was; they guard it.

--- a/tests/gateway_shutdown.rs
+++ b/tests/gateway_shutdown.rs
@@ -309,3 +309,34 @@
     f.advance(2_700);
     assert_eq!(f.stops, 1);
 }
+
+/// Fails if a silent stream is broken off in shutdown for another attempt that can't end in time.
+#[test]
+fn silent_stream_is_not_given_up_for_an_attempt_that_can_not_end() {
+    let mut f = Fixture::ready();
+    f.model_call(1, "/remind/a", "300,10");
+    let run = f.answer_prefill();
+    f.head(&run, 200, &[]);
+    f.data(&run, EVENT);
+    f.shut_down();
+    f.advance(3_000);
+    assert!(!f.hung_up.contains(&run.peer), "the stream was given up without another attempt");
+    f.data(&run, b"id: 2\ndata: b\n\n");
+    f.end(&run);
+    assert!(f.answers[&1].complete);
+}
+
+/// Fails if a slow plain call is given up in shutdown for another attempt that can't end in time.
+#[test]
+fn slow_plain_call_is_not_given_up_for_an_attempt_that_can_not_end() {
+    let mut slow = table();
+    slow.routes[1].timeout_ms = 14_000.0;
+    let mut f = Fixture::without_table(vec![slow]).made_ready();
+    f.call(1, "/look/a", &[]);
+    let sent = f.take_sent();
+    f.shut_down();
+    f.advance(1_000);
+    assert!(!f.answers.contains_key(&1), "the call was given up without another attempt");
+    f.answer(&sent, 200, &[], "ok");
+    assert_eq!(f.answers[&1].status, 200);
+}
