Write what a role sends to endpoints in its last step before the thread ends

What endpoints saw: memory held for calls that had ended at a gateway that stopped. The release of a reservation or an export that is sent in the step that ends the role was dropped, whatever was left of the grace period; most often when the last call of a gateway ends.

Cause: the ending cleared all connections to endpoints at once.

Evidence: request_that_is_sent_in_the_step_of_the_end_reaches_its_endpoint failed before: the endpoint accepted the connection and got 0 bytes.

--- a/src/h1/driver/ending.rs
+++ b/src/h1/driver/ending.rs
@@ -32,6 +32,11 @@
     pub(super) fn until(&self) -> Timestamp {
         self.until.unwrap_or(self.since)
     }
+
+    /// Returns until when requests to endpoints are written.
+    pub(super) fn peers_until(&self) -> Timestamp {
+        self.until().min(self.since + LINGER_TIMEOUT)
+    }
 }
 
 impl<R: Role<Local = HttpInput, Effect = HttpEffect>> Server<R> {
@@ -48,9 +53,11 @@
         self.close_leaving(now);
         self.flush_all(now);
         self.report_broken(now);
+        self.close_peers(now);
         let Some(ending) = &self.ending else { return true };
+        let is_open = !self.callers.is_empty() || !self.peers.is_empty();
         // An ending that has just resulted from a broken connection begins with the next turn.
-        ending.until.is_none_or(|until| now < until && !self.callers.is_empty())
+        ending.until.is_none_or(|until| now < until && is_open)
     }
 
     /// Returns when one of the connections that are to be closed can be closed.
@@ -68,7 +75,6 @@
         ending.until = Some(self.close_at.unwrap_or(now + LINGER_TIMEOUT));
         self.next_expiry = now;
         self.flush_all(now);
-        self.peers.clear();
         for index in 0..self.listeners.len() {
             self.accept(now, index, MAX_LAST_ACCEPTS);
         }
@@ -79,6 +85,13 @@
         }
     }
 
+    /// Closes the connections to endpoints once all requests on them are written.
+    fn close_peers(&mut self, now: Timestamp) {
+        let Some(ending) = self.ending.as_ref().filter(|e| e.until.is_some()) else { return };
+        let in_time = now < ending.peers_until();
+        self.peers.retain(|_, peer| in_time && peer.socket.pending() > 0);
+    }
+
     fn close_leaving(&mut self, now: Timestamp) {
         for id in self.leaving.clone() {
             if self.can_close(now, id) {
--- a/src/h1/driver/mod.rs
+++ b/src/h1/driver/mod.rs
@@ -253,6 +253,7 @@
             return Duration::ZERO;
         }
         let due = match &self.ending {
+            Some(ending) if !self.peers.is_empty() => Some(ending.peers_until()),
             Some(ending) => Some(ending.until()),
             None => self.role.next_wake(),
         };
--- a/tests/h1_shutdown.rs
+++ b/tests/h1_shutdown.rs
@@ -3,7 +3,7 @@
 
 mod loopback;
 
-use std::io::{ErrorKind, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
@@ -410,3 +410,32 @@
     assert_eq!(events, ["/stop", "late /dial"]);
     assert!(endpoint.accept().is_err(), "an endpoint was dialled after the end");
 }
+
+/// Fails if what a role sends to an endpoint in the step of its end is dropped.
+#[test]
+fn request_that_is_sent_in_the_step_of_the_end_reaches_its_endpoint() {
+    let endpoint = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = endpoint.local_addr().unwrap();
+    let server = Server::start(Terms { endpoint: Some(address), ..limited() });
+    let mut caller = connect(server.address);
+    send(&mut caller, "GET /dial-and-stop HTTP/1.1\r\n\r\n");
+    server.wait_for("/dial-and-stop");
+    let (mut dialled, _) = endpoint.accept().unwrap();
+    dialled.set_read_timeout(Some(BUSY_TIME)).unwrap();
+    let mut bytes = [0; 64];
+    let count = dialled.read(&mut bytes).unwrap_or_default();
+    assert!(bytes[..count].starts_with(b"GET /a "), "got {count} bytes");
+}
+
+#[test]
+fn endpoint_that_reads_nothing_holds_up_the_end_for_a_second_at_most() {
+    let endpoint = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = endpoint.local_addr().unwrap();
+    let terms = Terms { endpoint: Some(address), last_bytes: LARGE, ..limited() };
+    let server = Server::start(terms);
+    let mut caller = connect(server.address);
+    send(&mut caller, "GET /dial-and-stop HTTP/1.1\r\n\r\n");
+    server.wait_for("/dial-and-stop");
+    drop(caller);
+    server.ended_within(Duration::from_secs(1) + SLACK).unwrap();
+}
--- a/tests/loopback/stopper.rs
+++ b/tests/loopback/stopper.rs
@@ -29,8 +29,10 @@
     pub limit: Option<Duration>,
     /// Whether requests after the stop get no answer.
     pub mute: bool,
-    /// Where `/dial` sends a request.
+    /// Where `/dial` and `/dial-and-stop` send a request.
     pub endpoint: Option<SocketAddr>,
+    /// The size of the body that `/dial-and-stop` sends.
+    pub last_bytes: usize,
 }
 
 /// Answers `/size/N` with N bytes, `/later` after the next [`HttpInput::Reload`], `/hang` never, and
@@ -64,13 +66,11 @@
                 return Vec::new();
             }
             ("/stop", _) => return self.stop(now),
-            ("/dial", Some(address)) => {
-                let bytes = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n".to_vec();
-                let dial = HttpEffect::Dial { peer, address };
-                return vec![
-                    Output::Effect(dial),
-                    Output::Effect(HttpEffect::Send { peer, bytes }),
-                ];
+            ("/dial", Some(address)) => return dial(peer, address, 0),
+            ("/dial-and-stop", Some(address)) => {
+                let mut outputs = dial(peer, address, self.terms.last_bytes);
+                outputs.extend(self.stop(now));
+                return outputs;
             }
             _ if self.stopped && self.terms.mute => return Vec::new(),
             _ => {}
@@ -85,6 +85,17 @@
     }
 }
 
+/// Sends a request with a body of so many bytes over a new connection.
+fn dial(peer: PeerId, address: SocketAddr, size: usize) -> Vec<Output<HttpEffect>> {
+    let head = format!("GET /a HTTP/1.1\r\nContent-Length: {size}\r\n\r\n");
+    let mut bytes = head.into_bytes();
+    bytes.resize(bytes.len() + size, b'x');
+    vec![
+        Output::Effect(HttpEffect::Dial { peer, address }),
+        Output::Effect(HttpEffect::Send { peer, bytes }),
+    ]
+}
+
 fn reply(caller: CallerId, status: u16, body: &[u8], keep: bool) -> Vec<Output<HttpEffect>> {
     let bytes = write::answer(status, &[], "text/plain", body, keep);
     vec![
