Ask for capacity again once a silent stream has gone on

What callers saw: a running stream that is hung up after 1.8 s of silence for capacity that the leader had found in an earlier silence, or because it had not answered a question of then.

Cause: what the leader said, or that it had not answered yet, was kept with the call until the next silence.

Evidence: silent_stream_is_cut_off_for_capacity_that_was_found_long_ago and silent_stream_is_cut_off_for_a_question_that_was_open_long_ago failed before ("the leader was not asked again").

Now an answer, or a missing one, counts only if the attempt has brought no event since the question; else the leader is asked again.

--- a/src/gateway/vacancy.rs
+++ b/src/gateway/vacancy.rs
@@ -2,7 +2,7 @@
 //! capacity: an attempt that may go on is worth more than a place in a queue.
 
 use super::assign::{ANSWER_TIMEOUT, NO_CAPACITY_BACKOFF, SILENT_BACKOFF, backoff_key};
-use super::call::Stage;
+use super::call::{Call, Stage};
 use super::outcome::{SILENCE_RECHECK, next_timer};
 use super::{CallerId, Gateway};
 use crate::control::dispatch::rooms::{RunEnd, RunId};
@@ -21,9 +21,14 @@
         exchange: ExchangeId,
         /// The run that the leader counts if it finds capacity.
         run: RunId,
+        /// When it was asked.
+        at: Timestamp,
     },
     /// It had capacity a moment ago.
-    Found,
+    Found {
+        /// When it was asked.
+        at: Timestamp,
+    },
 }
 
 impl Gateway {
@@ -32,16 +37,19 @@
     pub(super) fn has_vacancy(&mut self, now: Timestamp, caller: CallerId) -> bool {
         let Some(call) = self.calls.get(&caller) else { return true };
         match call.vacancy {
-            Vacancy::Found => {
+            Vacancy::Found { at } if is_silent_since(call, at) => {
                 self.forget_vacancy(caller);
                 true
             }
-            Vacancy::Asked { .. } => {
+            Vacancy::Asked { at, .. } if is_silent_since(call, at) => {
                 self.forget_vacancy(caller);
                 self.leader_backoff = now + SILENT_BACKOFF;
                 true
             }
-            Vacancy::Unknown => !self.ask_vacancy(now, caller),
+            _ => {
+                self.forget_vacancy(caller);
+                !self.ask_vacancy(now, caller)
+            }
         }
     }
 
@@ -67,7 +75,7 @@
         let exchange = self.send_to_control(leader, ControlRequest::AssignRoom(Box::new(room)));
         self.leader_requests.insert(exchange, caller);
         if let Some(call) = self.calls.get_mut(&caller) {
-            call.vacancy = Vacancy::Asked { exchange, run };
+            call.vacancy = Vacancy::Asked { exchange, run, at: now };
         }
         self.keep_until(caller, now + ANSWER_TIMEOUT);
         true
@@ -82,7 +90,7 @@
         endpoint: Option<&str>,
     ) -> bool {
         let Some(call) = self.calls.get_mut(&caller) else { return false };
-        let Vacancy::Asked { exchange: asked, run } = call.vacancy else { return false };
+        let Vacancy::Asked { exchange: asked, run, at } = call.vacancy else { return false };
         if asked != exchange {
             return false;
         }
@@ -101,7 +109,7 @@
             && matches!(call.stage, Stage::Run { .. })
             && next_timer(call) <= now
         {
-            call.vacancy = Vacancy::Found;
+            call.vacancy = Vacancy::Found { at };
         }
         true
     }
@@ -109,7 +117,7 @@
     /// Withdraws the question for capacity of a call, if one is open.
     pub(super) fn forget_vacancy(&mut self, caller: CallerId) {
         let Some(call) = self.calls.get_mut(&caller) else { return };
-        if let Vacancy::Asked { exchange, run } = std::mem::take(&mut call.vacancy) {
+        if let Vacancy::Asked { exchange, run, .. } = std::mem::take(&mut call.vacancy) {
             self.abandon_request(exchange);
             self.end_run(run);
         }
@@ -129,3 +137,9 @@
         }
     }
 }
+
+/// Returns whether a call's present attempt has brought no event since a time.
+fn is_silent_since(call: &Call, at: Timestamp) -> bool {
+    let Stage::Run { attempt, .. } = &call.stage else { return false };
+    attempt.since < at && call.delivered.last.is_none_or(|last| last < at)
+}
--- a/tests/rooms.rs
+++ b/tests/rooms.rs
@@ -274,6 +274,31 @@
     assert_eq!(&*f.take_sent().head.target, "/hold");
 }
 
+/// Fails if capacity that the leader had before the last event ends a stream that is silent again.
+#[test]
+fn silent_stream_is_cut_off_for_capacity_that_was_found_long_ago() {
+    let (mut f, run) = running_stream();
+    f.advance(1_810);
+    let (exchange, _) = take_request(&mut f);
+    assign(&mut f, exchange, Some("d2"));
+    f.data(&run, b"id: 2\ndata: b\n\n");
+    f.advance(1_810);
+    assert!(!f.hung_up.contains(&run.peer), "the leader was not asked again");
+    take_last_room(&mut f);
+}
+
+/// Fails if a question that was left open before the last event counts as a leader that is silent.
+#[test]
+fn silent_stream_is_cut_off_for_a_question_that_was_open_long_ago() {
+    let (mut f, run) = running_stream();
+    f.advance(1_810);
+    let (asked, _) = take_request(&mut f);
+    f.data(&run, b"id: 2\ndata: b\n\n");
+    f.advance(1_810);
+    assert!(!f.hung_up.contains(&run.peer), "the leader was not asked again");
+    assert_ne!(take_last_room(&mut f).0, asked);
+}
+
 /// Takes the last request for capacity, whatever was sent to the leader after it.
 fn take_last_room(f: &mut Fixture) -> (ExchangeId, RunId) {
     let is_room = |(_, r): &(_, ControlRequest)| matches!(r, ControlRequest::AssignRoom(_));
