Go on where the leader has capacity for a silent stream, instead of asking twice

What callers saw: a running stream that is hung up after 1.8 s of silence although the leader had capacity when it was asked, and is broken off with "no capacity in time".

Cause: when the leader found capacity for a silent stream, the gateway reported that run as over, hung up and asked for capacity again.

Evidence: silent_stream_is_cut_off_since_the_capacity_found_for_it_goes_to_ another_call failed before (nothing is sent after the hang-up).

Now the leader goes on counting the run that it has found, and the next attempt requests its reservation there at once. A run that is not used is reported as over. silent_stream_goes_on_elsewhere_once_the_leader_has_capacity expected the second question; instead it now expects the reservation at the endpoint that the leader named, no other request to the leader, and the end of the run to be reported once when its caller leaves.

--- a/src/gateway/assign.rs
+++ b/src/gateway/assign.rs
@@ -158,7 +158,6 @@
 
     /// Handles the leader's answer to a request for capacity; `endpoint` is the assigned endpoint.
     fn room_assigned(&mut self, now: Timestamp, caller: CallerId, endpoint: Option<&str>) {
-        let in_time = self.can_end(now, caller);
         let Some(call) = self.calls.get_mut(&caller) else { return };
         call.stage = Stage::Waiting;
         let key = backoff_key(call);
@@ -175,11 +174,25 @@
             self.start_or_requeue(now, caller);
             return;
         };
+        let named = self.fleet.named(now, endpoint);
+        self.hold_assigned(now, caller, named);
+    }
+
+    /// Requests a reservation at the endpoint that the leader has assigned, or starts the call
+    /// again if that one is not allowed.
+    pub(super) fn hold_assigned(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        endpoint: Option<EndpointKey>,
+    ) {
+        let in_time = self.can_end(now, caller);
+        let Some(call) = self.calls.get(&caller) else { return };
         let choice = call.choice();
         let allowed = |key: &EndpointKey| {
             self.fleet.get(*key).is_some_and(|endpoint| choice.allows(*key, endpoint))
         };
-        let named = self.fleet.named(now, endpoint).filter(|at| in_time && allowed(at));
+        let named = endpoint.filter(|at| in_time && allowed(at));
         if !named.is_some_and(|at| self.hold_at(now, caller, at)) {
             self.report_run_end(caller, RunEnd::Refused);
             self.start_or_requeue(now, caller);
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -41,6 +41,9 @@
     /// Requests capacity for a call, from the leader if there is one; returns whether a request was
     /// sent.
     pub(super) fn start_engine(&mut self, now: Timestamp, caller: CallerId) -> bool {
+        if self.use_vacancy(now, caller) {
+            return true;
+        }
         match self.request_capacity(now, caller) {
             Some(sent) => sent,
             None => self.start_by_known_loads(now, caller),
--- a/src/gateway/vacancy.rs
+++ b/src/gateway/vacancy.rs
@@ -3,6 +3,7 @@
 
 use super::assign::{ANSWER_TIMEOUT, NO_CAPACITY_BACKOFF, SILENT_BACKOFF, backoff_key};
 use super::call::{Call, Stage};
+use super::fleet::EndpointKey;
 use super::outcome::{SILENCE_RECHECK, next_timer};
 use super::{CallerId, Gateway};
 use crate::control::dispatch::rooms::{RunEnd, RunId};
@@ -24,8 +25,12 @@
         /// When it was asked.
         at: Timestamp,
     },
-    /// It had capacity a moment ago.
+    /// It has capacity, and counts a run there.
     Found {
+        /// The run that the leader counts.
+        run: RunId,
+        /// Where it has capacity.
+        endpoint: EndpointKey,
         /// When it was asked.
         at: Timestamp,
     },
@@ -37,10 +42,7 @@
     pub(super) fn has_vacancy(&mut self, now: Timestamp, caller: CallerId) -> bool {
         let Some(call) = self.calls.get(&caller) else { return true };
         match call.vacancy {
-            Vacancy::Found { at } if is_silent_since(call, at) => {
-                self.forget_vacancy(caller);
-                true
-            }
+            Vacancy::Found { at, .. } if is_silent_since(call, at) => true,
             Vacancy::Asked { at, .. } if is_silent_since(call, at) => {
                 self.forget_vacancy(caller);
                 self.leader_backoff = now + SILENT_BACKOFF;
@@ -97,29 +99,46 @@
         let id = &call.info.id;
         log::info!("step=vacancy id={id} outcome={}", endpoint.unwrap_or("none"));
         call.vacancy = Vacancy::Unknown;
-        if endpoint.is_none() {
+        let Some(endpoint) = endpoint else {
             let key = backoff_key(call);
             self.capacity_backoff.insert(key, now + NO_CAPACITY_BACKOFF);
             self.keep_until(caller, now + SILENCE_RECHECK);
             return true;
-        }
-        self.end_run(run);
+        };
         self.keep_until(caller, now);
-        if let Some(call) = self.calls.get_mut(&caller)
+        let named = self.fleet.named(now, endpoint);
+        if let (Some(endpoint), Some(call)) = (named, self.calls.get_mut(&caller))
             && matches!(call.stage, Stage::Run { .. })
             && next_timer(call) <= now
         {
-            call.vacancy = Vacancy::Found { at };
+            call.vacancy = Vacancy::Found { run, endpoint, at };
+        } else {
+            self.end_run(run);
         }
         true
     }
 
-    /// Withdraws the question for capacity of a call, if one is open.
+    /// Starts the next attempt at a call where the leader has capacity for it; returns whether it
+    /// has found any.
+    pub(super) fn use_vacancy(&mut self, now: Timestamp, caller: CallerId) -> bool {
+        let Some(call) = self.calls.get_mut(&caller) else { return false };
+        let Vacancy::Found { run, endpoint, .. } = call.vacancy else { return false };
+        call.vacancy = Vacancy::Unknown;
+        call.run = Some(run);
+        self.hold_assigned(now, caller, Some(endpoint));
+        true
+    }
+
+    /// Withdraws the question for capacity of a call, and gives up what the leader has found.
     pub(super) fn forget_vacancy(&mut self, caller: CallerId) {
         let Some(call) = self.calls.get_mut(&caller) else { return };
-        if let Vacancy::Asked { exchange, run, .. } = std::mem::take(&mut call.vacancy) {
-            self.abandon_request(exchange);
-            self.end_run(run);
+        match std::mem::take(&mut call.vacancy) {
+            Vacancy::Unknown => {}
+            Vacancy::Asked { exchange, run, .. } => {
+                self.abandon_request(exchange);
+                self.end_run(run);
+            }
+            Vacancy::Found { run, .. } => self.end_run(run),
         }
     }
 
--- a/tests/rooms.rs
+++ b/tests/rooms.rs
@@ -11,9 +11,9 @@
 use dotterelpin::control::dispatch::rooms::{RoomRequest, Rooms, RunEnd, RunId};
 use dotterelpin::h1::{CallerId, HttpInput};
 use dotterelpin::link::message::{ControlReply, ControlRequest, Envelope, Reply};
-use dotterelpin::model::{BootId, ExchangeId, Timestamp};
+use dotterelpin::model::{BootId, EndpointKind, ExchangeId, Timestamp};
 use dotterelpin::role::Input;
-use gateway_fixture::{Fixture, Sent};
+use gateway_fixture::{Fixture, MODEL, Sent, endpoint};
 
 const KV_TOKENS: u32 = 30_000;
 
@@ -246,11 +246,12 @@
     assign(&mut f, exchange, Some("d2"));
     f.advance(1);
     assert!(f.hung_up.contains(&run.peer));
+    let (hold, d2) = (f.take_sent(), endpoint("d2", EndpointKind::Decode, MODEL));
+    assert_eq!((&*hold.head.target, hold.address), ("/hold", d2.address));
+    assert!(f.leader_requests.is_empty(), "the leader counts the run: {:?}", f.leader_requests);
+    f.step(Input::Local(HttpInput::CallerGone { caller: CallerId(1) }));
     let ended = ControlRequest::RunEnded { run: asked, end: RunEnd::Over };
-    assert!(f.leader_requests.iter().any(|(_, r)| *r == ended), "{:?}", f.leader_requests);
-    let (exchange, _) = take_last_room(&mut f);
-    assign(&mut f, exchange, Some("d2"));
-    assert_eq!(&*f.take_sent().head.target, "/hold");
+    assert_eq!(f.leader_requests.iter().filter(|(_, r)| *r == ended).count(), 1);
 }
 
 #[test]
@@ -299,6 +300,25 @@
     assert_ne!(take_last_room(&mut f).0, asked);
 }
 
+/// Fails if a silent stream is given up for capacity that the leader gives to another call.
+#[test]
+fn silent_stream_is_cut_off_since_the_capacity_found_for_it_goes_to_another_call() {
+    let (mut f, run) = running_stream();
+    f.advance(1_810);
+    let (exchange, _) = take_request(&mut f);
+    assign(&mut f, exchange, Some("d2"));
+    f.advance(1);
+    assert!(f.hung_up.contains(&run.peer));
+    while let Some((exchange, request)) = f.leader_requests.pop() {
+        if matches!(request, ControlRequest::AssignRoom(_)) {
+            assign(&mut f, exchange, None);
+        }
+    }
+    f.advance(1);
+    assert!(f.has_sent(), "expected a reservation where the leader had capacity");
+    assert_eq!(&*f.take_sent().head.target, "/hold");
+}
+
 /// Takes the last request for capacity, whatever was sent to the leader after it.
 fn take_last_room(f: &mut Fixture) -> (ExchangeId, RunId) {
     let is_room = |(_, r): &(_, ControlRequest)| matches!(r, ControlRequest::AssignRoom(_));
