--- a/src/gateway/vacancy.rs
+++ b/src/gateway/vacancy.rs
@@ -2,7 +2,8 @@
 //! capacity: an attempt that may go on is worth more than a place in a queue.
 
 use super::assign::{ANSWER_TIMEOUT, NO_CAPACITY_BACKOFF, SILENT_BACKOFF, backoff_key};
-use super::call::Stage;
+use super::call::{Call, Stage};
+use super::fleet::EndpointKey;
 use super::outcome::{SILENCE_RECHECK, next_timer};
 use super::{CallerId, Gateway};
 use crate::control::dispatch::rooms::{RunEnd, RunId};
@@ -21,9 +22,18 @@
         exchange: ExchangeId,
         /// The run that the leader counts if it finds capacity.
         run: RunId,
+        /// When it was asked.
+        at: Timestamp,
+    },
+    /// It has capacity, and counts a run there.
+    Found {
+        /// The run that the leader counts.
+        run: RunId,
+        /// Where it has capacity.
+        endpoint: EndpointKey,
+        /// When it was asked.
+        at: Timestamp,
     },
-    /// It had capacity a moment ago.
-    Found,
 }
 
 impl Gateway {
@@ -32,16 +42,16 @@
     pub(super) fn has_vacancy(&mut self, now: Timestamp, caller: CallerId) -> bool {
         let Some(call) = self.calls.get(&caller) else { return true };
         match call.vacancy {
-            Vacancy::Found => {
+            Vacancy::Found { at, .. } if is_silent_since(call, at) => true,
+            Vacancy::Asked { at, .. } if is_silent_since(call, at) => {
                 self.forget_vacancy(caller);
+                self.leader_backoff = now + SILENT_BACKOFF;
                 true
             }
-            Vacancy::Asked { .. } => {
+            _ => {
                 self.forget_vacancy(caller);
-                self.leader_backoff = now + SILENT_BACKOFF;
-                true
+                !self.ask_vacancy(now, caller)
             }
-            Vacancy::Unknown => !self.ask_vacancy(now, caller),
         }
     }
 
@@ -67,7 +77,7 @@
         let exchange = self.send_to_control(leader, ControlRequest::AssignRoom(Box::new(room)));
         self.leader_requests.insert(exchange, caller);
         if let Some(call) = self.calls.get_mut(&caller) {
-            call.vacancy = Vacancy::Asked { exchange, run };
+            call.vacancy = Vacancy::Asked { exchange, run, at: now };
         }
         self.keep_until(caller, now + ANSWER_TIMEOUT);
         true
@@ -82,36 +92,53 @@
         endpoint: Option<&str>,
     ) -> bool {
         let Some(call) = self.calls.get_mut(&caller) else { return false };
-        let Vacancy::Asked { exchange: asked, run } = call.vacancy else { return false };
+        let Vacancy::Asked { exchange: asked, run, at } = call.vacancy else { return false };
         if asked != exchange {
             return false;
         }
         let id = &call.info.id;
         log::info!("step=vacancy id={id} outcome={}", endpoint.unwrap_or("none"));
         call.vacancy = Vacancy::Unknown;
-        if endpoint.is_none() {
+        let Some(endpoint) = endpoint else {
             let key = backoff_key(call);
             self.capacity_backoff.insert(key, now + NO_CAPACITY_BACKOFF);
             self.keep_until(caller, now + SILENCE_RECHECK);
             return true;
-        }
-        self.end_run(run);
+        };
         self.keep_until(caller, now);
-        if let Some(call) = self.calls.get_mut(&caller)
+        let named = self.fleet.named(now, endpoint);
+        if let (Some(endpoint), Some(call)) = (named, self.calls.get_mut(&caller))
             && matches!(call.stage, Stage::Run { .. })
             && next_timer(call) <= now
         {
-            call.vacancy = Vacancy::Found;
+            call.vacancy = Vacancy::Found { run, endpoint, at };
+        } else {
+            self.end_run(run);
         }
         true
     }
 
-    /// Withdraws the question for capacity of a call, if one is open.
+    /// Starts the next attempt at a call where the leader has capacity for it; returns whether it
+    /// has found any.
+    pub(super) fn use_vacancy(&mut self, now: Timestamp, caller: CallerId) -> bool {
+        let Some(call) = self.calls.get_mut(&caller) else { return false };
+        let Vacancy::Found { run, endpoint, .. } = call.vacancy else { return false };
+        call.vacancy = Vacancy::Unknown;
+        call.run = Some(run);
+        self.hold_assigned(now, caller, Some(endpoint));
+        true
+    }
+
+    /// Withdraws the question for capacity of a call, and gives up what the leader has found.
     pub(super) fn forget_vacancy(&mut self, caller: CallerId) {
         let Some(call) = self.calls.get_mut(&caller) else { return };
-        if let Vacancy::Asked { exchange, run } = std::mem::take(&mut call.vacancy) {
-            self.abandon_request(exchange);
-            self.end_run(run);
+        match std::mem::take(&mut call.vacancy) {
+            Vacancy::Unknown => {}
+            Vacancy::Asked { exchange, run, .. } => {
+                self.abandon_request(exchange);
+                self.end_run(run);
+            }
+            Vacancy::Found { run, .. } => self.end_run(run),
         }
     }
 
@@ -129,3 +156,9 @@
         }
     }
 }
+
+/// Returns whether a call's present attempt has brought no event since a time.
+fn is_silent_since(call: &Call, at: Timestamp) -> bool {
+    let Stage::Run { attempt, .. } = &call.stage else { return false };
+    attempt.since < at && call.delivered.last.is_none_or(|last| last < at)
+}
