--- a/src/h1/caller.rs
+++ b/src/h1/caller.rs
@@ -25,6 +25,18 @@
     Lingering { until: Timestamp, left: usize },
 }
 
+impl CallerState {
+    /// Returns the name of the state in logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            CallerState::Idle(_) => "idle",
+            CallerState::Reading(_) => "reading",
+            CallerState::Answering => "answering",
+            CallerState::Lingering { .. } => "lingering",
+        }
+    }
+}
+
 /// The result of reading from a caller's connection.
 #[derive(Debug)]
 pub enum CallerRead {
--- a/src/h1/driver/ending.rs
+++ b/src/h1/driver/ending.rs
@@ -118,16 +118,15 @@
     /// Logs how the ending went, and the connections that were cut.
     pub(super) fn log_ending(&self, now: Timestamp) {
         let Some(ending) = &self.ending else { return };
-        let count =
-            |of: fn(&CallerState) -> bool| self.callers.values().filter(|c| of(&c.state)).count();
+        let count = |name| self.callers.values().filter(|c| c.state.name() == name).count();
         let unwritten: usize = self.callers.values().map(|c| c.socket.pending()).sum();
         log::info!(
             "step=connections idle={} reading={} answering={} lingering={} \
              unwritten_bytes={unwritten} refused={} took_ms={}",
-            count(|s| matches!(s, CallerState::Idle(_))),
-            count(|s| matches!(s, CallerState::Reading(_))),
-            count(|s| matches!(s, CallerState::Answering)),
-            count(|s| matches!(s, CallerState::Lingering { .. })),
+            count("idle"),
+            count("reading"),
+            count("answering"),
+            count("lingering"),
             ending.refused,
             (now - ending.since).as_millis(),
         );
@@ -135,7 +134,8 @@
         for (CallerId(id), caller) in cut.take(MAX_CUT_LINES) {
             let Open { state, unread, unwritten } = caller.open();
             log::warn!(
-                "step=cut connection={id} state=\"{state:?}\" unread={unread} unwritten={unwritten}"
+                "step=cut connection={id} state={} unread={unread} unwritten={unwritten}",
+                state.name()
             );
         }
     }
