Give up a silent attempt only once its next one has a reservation

Cause: the leader finds capacity by what gateways report; the endpoint itself refuses the reservation when its memory is full (log: step=vacancy outcome=i-31b174c273, step=hold outcome=refused, step=end broken-off 22 ms later). The attempt was hung up before it was known that another can run.

Now the reservation is requested while the silent attempt goes on, at the endpoint that the leader names or, while the leader is silent, by the own loads; the attempt is given up only when it is granted, and the next one runs with it. A refused or unanswered reservation is reported to the leader and asked for again after 100 ms; a granted one is dropped at once if the stream has gone on or its caller has left. Without any leader nothing changes.

Evidence: the tests of rooms for a refused and an unanswered reservation, for a silent leader with full endpoints and for reservations left behind fail on the code before.

--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -128,7 +128,7 @@
         why: EndReason,
     ) {
         self.release_hold(now, caller);
-        let Some(mut call) = self.remove(caller) else { return };
+        let Some(mut call) = self.remove(now, caller) else { return };
         if call.delivered.head {
             self.effect(HttpEffect::Abort { caller });
             self.log_end(now, &call, "broken-off", 0, Some(why));
@@ -161,9 +161,9 @@
         }
     }
 
-    pub(super) fn remove(&mut self, caller: CallerId) -> Option<Call> {
+    pub(super) fn remove(&mut self, now: Timestamp, caller: CallerId) -> Option<Call> {
         self.report_run_end(caller, RunEnd::Over);
-        self.forget_vacancy(caller);
+        self.forget_vacancy(now, caller);
         let call = self.calls.remove(&caller)?;
         self.timers.remove(&(call.timer, caller));
         if let Some(budget) = self.budgets.get_mut(&call.service) {
@@ -386,7 +386,7 @@
     }
 
     fn finish_complete(&mut self, now: Timestamp, caller: CallerId, answer: CompleteAnswer) {
-        let Some(mut call) = self.remove(caller) else { return };
+        let Some(mut call) = self.remove(now, caller) else { return };
         self.attempt_succeeded(now, &mut call);
         self.report_survival(now, &self.survivors(&call));
         call.delivered.first = Some(now);
@@ -414,7 +414,7 @@
             self.attempt_failed(now, caller, Failure::Broken);
             return;
         }
-        let Some(mut call) = self.remove(caller) else { return };
+        let Some(mut call) = self.remove(now, caller) else { return };
         self.attempt_succeeded(now, &mut call);
         self.report_survival(now, &self.survivors(&call));
         self.record_stream(now, &call);
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -9,7 +9,7 @@
 use super::place::{place_decode, place_prefill};
 use super::protocol::{Export, ModelWork, SendKind, SideRequest};
 use super::reason::EndReason;
-use super::{CallerId, Gateway};
+use super::{CallerId, Gateway, PeerId};
 use crate::control::dispatch::rooms::RunEnd;
 use crate::entry::health::Verdict;
 use crate::model::{EndpointKind, Timestamp};
@@ -21,7 +21,7 @@
 /// How long an engine keeps a reservation, and protects the call after its start.
 const HOLD_TTL: Duration = Duration::from_millis(2_000);
 /// How long a reservation request may take.
-const HOLD_TIMEOUT: Duration = Duration::from_millis(250);
+pub(super) const HOLD_TIMEOUT: Duration = Duration::from_millis(250);
 /// The percentage of an engine's memory that late calls leave free for calls that can still meet
 /// their target.
 const LATE_SPARE_PERCENT: u32 = 15;
@@ -78,22 +78,31 @@
         caller: CallerId,
         endpoint: EndpointKey,
     ) -> bool {
-        let Some(shape) = self.shape(caller) else { return false };
-        let work = self.calls.get(&caller).and_then(|c| c.info.work.as_ref());
-        let Some(work) = work else { return false };
+        let Some((peer, decode)) = self.request_hold(now, caller, endpoint) else { return false };
+        let Some(call) = self.calls.get_mut(&caller) else { return false };
+        call.reply_deadline = now + HOLD_TIMEOUT;
+        call.stage = Stage::Hold { peer, decode };
+        true
+    }
+
+    /// Sends a reservation request for a call and counts the capacity; returns the connection that
+    /// carries it, or `None` if the endpoint takes no request now.
+    pub(super) fn request_hold(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        endpoint: EndpointKey,
+    ) -> Option<(PeerId, Reservation)> {
+        let shape = self.shape(caller)?;
+        let work = self.calls.get(&caller)?.info.work.as_ref()?;
         let usage = Usage { slots: 1, tokens: work.mean_tokens() };
         let tokens = work.min_free_tokens().min(shape.tokens);
         let request = SideRequest::Hold { tokens, ttl: HOLD_TTL };
-        let Some(peer) = self.send_side_request(now, endpoint, Job::Hold(caller), &request) else {
-            return false;
-        };
+        let peer = self.send_side_request(now, endpoint, Job::Hold(caller), &request)?;
         if let Some(target) = self.fleet.get_mut(endpoint) {
             target.add_usage(now, usage);
         }
-        let Some(call) = self.calls.get_mut(&caller) else { return false };
-        call.reply_deadline = now + HOLD_TIMEOUT;
-        call.stage = Stage::Hold { peer, decode: Reservation { endpoint, usage } };
-        true
+        Some((peer, Reservation { endpoint, usage }))
     }
 
     /// Picks a prefill endpoint for a call that will run on the given decode endpoint, of the same
@@ -121,35 +130,66 @@
         caller: CallerId,
         hold: Option<Box<str>>,
     ) {
+        if self.spare_answered(now, caller, hold.as_ref()) {
+            return;
+        }
         let Some(call) = self.calls.get_mut(&caller) else { return };
         let stage = std::mem::replace(&mut call.stage, Stage::Waiting);
         let Stage::Hold { decode, .. } = stage else { return };
-        let deadline = call.deadline;
-        let id = call.info.id.clone();
-        let (late, output) = (call.late, call.info.work.as_ref().map_or(0, |w| w.output));
-        if let Some(endpoint) = self.fleet.get(decode.endpoint) {
-            let used = endpoint.all_usage(now);
-            log::info!(
-                "step=hold id={id} endpoint={} outcome={} late={late} tokens={} output={output} \
-                 used_tokens={} used_slots={} report_age_ms={} left_ms={}",
-                endpoint.name,
-                if hold.is_some() { "granted" } else { "refused" },
-                decode.usage.tokens,
-                used.tokens,
-                used.slots,
-                endpoint.report_age(now),
-                (deadline - now).as_millis(),
-            );
-        }
+        self.log_hold(now, caller, &decode, hold.is_some());
         let Some(hold) = hold else {
             self.report_run_end(caller, RunEnd::Refused);
-            self.release(now, decode.endpoint, decode.usage);
-            if let Some(endpoint) = self.fleet.get_mut(decode.endpoint) {
-                endpoint.mark_full(now);
-            }
+            self.hold_refused(now, &decode);
             self.start_or_requeue(now, caller);
             return;
         };
+        self.hold_granted(now, caller, decode, hold);
+    }
+
+    /// Logs the answer to a reservation request.
+    pub(super) fn log_hold(
+        &self,
+        now: Timestamp,
+        caller: CallerId,
+        decode: &Reservation,
+        granted: bool,
+    ) {
+        let Some(call) = self.calls.get(&caller) else { return };
+        let Some(endpoint) = self.fleet.get(decode.endpoint) else { return };
+        let used = endpoint.all_usage(now);
+        log::info!(
+            "step=hold id={} endpoint={} outcome={} late={} tokens={} output={} \
+             used_tokens={} used_slots={} report_age_ms={} left_ms={}",
+            call.info.id,
+            endpoint.name,
+            if granted { "granted" } else { "refused" },
+            call.late,
+            decode.usage.tokens,
+            call.info.work.as_ref().map_or(0, |w| w.output),
+            used.tokens,
+            used.slots,
+            endpoint.report_age(now),
+            call.remaining(now).as_millis(),
+        );
+    }
+
+    /// Releases the capacity counted for a reservation that its endpoint has refused.
+    pub(super) fn hold_refused(&mut self, now: Timestamp, decode: &Reservation) {
+        self.release(now, decode.endpoint, decode.usage);
+        if let Some(endpoint) = self.fleet.get_mut(decode.endpoint) {
+            endpoint.mark_full(now);
+        }
+    }
+
+    /// Goes on with a call whose reservation is granted.
+    pub(super) fn hold_granted(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        decode: Reservation,
+        hold: Box<str>,
+    ) {
+        let Some(call) = self.calls.get_mut(&caller) else { return };
         call.hold = Some((decode.endpoint, hold));
         let skips_prefill = call.skips_prefill;
         if let Some(endpoint) = self.fleet.get_mut(decode.endpoint) {
@@ -212,18 +252,25 @@
 
     /// Handles a reservation request that timed out or lost its connection.
     pub(super) fn hold_lost(&mut self, now: Timestamp, caller: CallerId, connected: bool) {
+        if self.spare_lost(now, caller, connected) {
+            return;
+        }
         let Some(call) = self.calls.get_mut(&caller) else { return };
         let Stage::Hold { decode, .. } = std::mem::replace(&mut call.stage, Stage::Waiting) else {
             return;
         };
         self.report_run_end(caller, RunEnd::Silent);
-        self.release(now, decode.endpoint, decode.usage);
+        self.hold_failed(now, &decode, connected);
+        self.start_or_requeue(now, caller);
+    }
+
+    /// Releases the capacity counted for a reservation whose request got no answer.
+    pub(super) fn hold_failed(&mut self, now: Timestamp, decode: &Reservation, connected: bool) {
         if let Some(endpoint) = self.fleet.get_mut(decode.endpoint) {
             let verdict = if connected { Verdict::Failed } else { Verdict::Silent };
             endpoint.health.judge(now, verdict);
-            endpoint.mark_full(now);
         }
-        self.start_or_requeue(now, caller);
+        self.hold_refused(now, decode);
     }
 
     /// Returns whether any prefill endpoint of the call's service, and of the software version of a
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -136,6 +136,7 @@
         // A call that has not run is better refused at once than kept at a silent prefill endpoint.
         let in_run = matches!(call.stage, Stage::Run { .. });
         if connected && in_run && !self.can_replace(now, caller) {
+            self.forget_vacancy(now, caller);
             self.keep_silent(now, caller);
             return;
         }
@@ -239,7 +240,7 @@
 
     pub(super) fn caller_gone(&mut self, now: Timestamp, caller: CallerId) {
         self.stop_work(now, caller);
-        let Some(call) = self.remove(caller) else { return };
+        let Some(call) = self.remove(now, caller) else { return };
         log::info!(
             "step=end id={} route={} outcome=caller-gone ms={} events={}{}",
             call.info.id,
@@ -296,6 +297,9 @@
         failure: Failure,
         silence: Option<Silence>,
     ) {
+        if !matches!(failure, Failure::Silent) {
+            self.forget_vacancy(now, caller);
+        }
         self.report_prefill_end(caller);
         self.report_run_end(caller, RunEnd::Over);
         let Some(call) = self.calls.get_mut(&caller) else { return };
--- a/src/gateway/retry.rs
+++ b/src/gateway/retry.rs
@@ -9,6 +9,7 @@
 use super::events::EventSplitter;
 use super::fleet::EndpointKey;
 use super::reason::EndReason;
+use super::vacancy::Vacancy;
 use super::{CallerId, Gateway};
 use crate::model::Timestamp;
 use crate::report::observation::{ChargeOutcome, Observation};
@@ -92,6 +93,9 @@
     /// prefill that is also the one at which the call has reserved its place.
     fn has_place(&mut self, now: Timestamp, caller: CallerId, present: EndpointKey) -> bool {
         let Some(call) = self.calls.get_mut(&caller) else { return false };
+        if matches!(call.vacancy, Vacancy::Reserving { .. } | Vacancy::Reserved { .. }) {
+            return true;
+        }
         if let Stage::Prefill { decode, .. } = &call.stage
             && self.fleet.get(decode.endpoint).is_some_and(|e| e.is_open(now))
         {
--- a/tests/rooms.rs
+++ b/tests/rooms.rs
@@ -238,22 +238,76 @@
 }
 
 #[test]
-fn silent_stream_goes_on_elsewhere_once_the_leader_has_capacity() {
+fn silent_stream_goes_on_elsewhere_once_it_has_a_reservation_there() {
     let (mut f, run) = running_stream();
     f.advance(1_810);
     assert!(!f.hung_up.contains(&run.peer), "expected the attempt to go on until the answer");
     let (exchange, asked) = take_request(&mut f);
     assign(&mut f, exchange, Some("d2"));
-    f.advance(1);
-    assert!(f.hung_up.contains(&run.peer));
     let (hold, d2) = (f.take_sent(), endpoint("d2", EndpointKind::Decode, MODEL));
     assert_eq!((&*hold.head.target, hold.address), ("/hold", d2.address));
+    f.advance(10);
+    assert!(!f.hung_up.contains(&run.peer), "expected the attempt to go on until the answer");
+    f.answer(&hold, 200, &[], "hold h2");
+    f.advance(1);
+    assert!(f.hung_up.contains(&run.peer));
+    let second = f.take_sent();
+    assert_eq!((second.address, second.field("Hold")), (d2.address, Some("h2")));
+    assert_eq!(second.field("Last-Event-Id"), Some("1"));
     assert!(f.leader_requests.is_empty(), "the leader counts the run: {:?}", f.leader_requests);
     f.step(Input::Local(HttpInput::CallerGone { caller: CallerId(1) }));
     let ended = ControlRequest::RunEnded { run: asked, end: RunEnd::Over };
     assert_eq!(f.leader_requests.iter().filter(|(_, r)| *r == ended).count(), 1);
 }
 
+/// Fails if a silent stream is given up for capacity that its endpoint then refuses.
+#[test]
+fn silent_stream_is_cut_off_although_its_next_endpoint_refuses_the_reservation() {
+    for answers in [true, false] {
+        let (mut f, run) = running_stream();
+        f.advance(1_810);
+        let (exchange, asked) = take_request(&mut f);
+        assign(&mut f, exchange, Some("d2"));
+        let hold = f.take_sent();
+        if answers {
+            f.answer(&hold, 503, &[], "");
+        } else {
+            f.advance(260);
+        }
+        let end = if answers { RunEnd::Refused } else { RunEnd::Silent };
+        let ended = ControlRequest::RunEnded { run: asked, end };
+        assert!(f.leader_requests.iter().any(|(_, r)| *r == ended), "{:?}", f.leader_requests);
+        f.advance(90);
+        assert!(!f.hung_up.contains(&run.peer), "the attempt was given up without another");
+        f.data(&run, b"id: 2\ndata: b\n\n");
+        f.end(&run);
+        assert!(f.answers[&1].complete);
+    }
+}
+
+/// Fails if memory reserved for another attempt is held once the stream has gone on, or has lost
+/// its caller.
+#[test]
+fn reservation_for_another_attempt_is_left_behind_by_its_stream() {
+    for gone in [true, false] {
+        let (mut f, run) = running_stream();
+        f.advance(1_810);
+        let (exchange, asked) = take_request(&mut f);
+        assign(&mut f, exchange, Some("d2"));
+        let hold = f.take_sent();
+        if gone {
+            f.step(Input::Local(HttpInput::CallerGone { caller: CallerId(1) }));
+            assert!(f.hung_up.contains(&hold.peer), "expected the request to be withdrawn");
+        } else {
+            f.data(&run, b"id: 2\ndata: b\n\n");
+            f.answer(&hold, 200, &[], "hold h2");
+            assert_eq!(&*f.take_sent().head.target, "/hold/h2");
+        }
+        let ended = ControlRequest::RunEnded { run: asked, end: RunEnd::Over };
+        assert!(f.leader_requests.iter().any(|(_, r)| *r == ended), "{:?}", f.leader_requests);
+    }
+}
+
 #[test]
 fn answer_of_the_leader_does_not_end_a_stream_that_has_gone_on() {
     let (mut f, run) = running_stream();
@@ -271,8 +325,30 @@
 fn silent_leader_holds_up_no_other_attempt_at_a_silent_stream() {
     let (mut f, run) = running_stream();
     f.advance(1_900);
+    let hold = f.take_sent();
+    assert_eq!(&*hold.head.target, "/hold");
+    assert!(!f.hung_up.contains(&run.peer), "expected the attempt to go on until the answer");
+    f.answer(&hold, 200, &[], "hold h2");
+    f.advance(1);
     assert!(f.hung_up.contains(&run.peer));
-    assert_eq!(&*f.take_sent().head.target, "/hold");
+    assert_eq!(f.take_sent().field("Hold"), Some("h2"));
+}
+
+/// Fails if a silent stream is given up, while the leader is silent too, for a place that is taken.
+#[test]
+fn silent_stream_is_cut_off_beside_a_silent_leader() {
+    let (mut f, run) = running_stream();
+    for _ in 0..10 {
+        f.advance(200);
+        while f.has_sent() {
+            let hold = f.take_sent();
+            f.answer(&hold, 503, &[], "");
+        }
+        assert!(!f.hung_up.contains(&run.peer), "the attempt was given up without another");
+    }
+    f.data(&run, b"id: 2\ndata: b\n\n");
+    f.end(&run);
+    assert!(f.answers[&1].complete);
 }
 
 /// Fails if capacity that the leader had before the last event ends a stream that is silent again.
@@ -307,16 +383,14 @@
     f.advance(1_810);
     let (exchange, _) = take_request(&mut f);
     assign(&mut f, exchange, Some("d2"));
+    let hold = f.take_sent();
+    assert_eq!(&*hold.head.target, "/hold");
+    f.answer(&hold, 200, &[], "hold h2");
     f.advance(1);
     assert!(f.hung_up.contains(&run.peer));
-    while let Some((exchange, request)) = f.leader_requests.pop() {
-        if matches!(request, ControlRequest::AssignRoom(_)) {
-            assign(&mut f, exchange, None);
-        }
-    }
-    f.advance(1);
-    assert!(f.has_sent(), "expected a reservation where the leader had capacity");
-    assert_eq!(&*f.take_sent().head.target, "/hold");
+    let asked = f.leader_requests.iter().any(|(_, r)| matches!(r, ControlRequest::AssignRoom(_)));
+    assert!(!asked, "the leader may have given the capacity to another call meanwhile");
+    assert_eq!(f.take_sent().field("Hold"), Some("h2"));
 }
 
 /// Takes the last request for capacity, whatever was sent to the leader after it.
