Test the last moments of a stopping gateway

Five more tests, found by removing conditions that no test missed: idle connections are closed once; a resumption that can't end is refused before control is asked; a stream whose prefill is done runs while the rest of it fits; capacity or a prefill endpoint that the leader assigns too late is not used.

--- a/src/gateway/stopping.rs
+++ b/src/gateway/stopping.rs
@@ -6,7 +6,6 @@
 use super::call::{Call, Stage};
 use super::open_calls::Listing;
 use super::reason::EndReason;
-use super::stream_times::StreamTimes;
 use super::{CallerId, Gateway, answer};
 use crate::h1::{HttpEffect, HttpInput, Purpose, Request};
 use crate::model::Timestamp;
@@ -70,7 +69,7 @@
     pub(super) fn record_stream(&mut self, now: Timestamp, call: &Call) {
         let Some(route) = call.route().filter(|_| !call.is_resumption()) else { return };
         let times = self.stream_times.entry(route.name.clone());
-        times.or_insert_with(StreamTimes::default).ended(now - call.arrived);
+        times.or_default().ended(now - call.arrived);
     }
 
     /// Refuses the queued calls that can't end before this gateway does.
--- a/tests/gateway_fixture/mod.rs
+++ b/tests/gateway_fixture/mod.rs
@@ -221,6 +221,8 @@
     pub closed_all: Vec<Timestamp>,
     /// Whether the gateway closed the idle connections of its callers.
     pub closed_idle: bool,
+    /// How often it did so.
+    pub idle_closes: u32,
     /// Whether dialled connections are established at once; otherwise they stay pending.
     pub connects: bool,
     /// Whether report requests are answered at once, with a content that is no report; otherwise
@@ -290,6 +292,7 @@
             late_sends: 0,
             closed_all: Vec::new(),
             closed_idle: false,
+            idle_closes: 0,
             connects: true,
             answers_reports: false,
             unreachable: BTreeSet::new(),
@@ -517,7 +520,10 @@
                 self.readers.remove(&caller.0);
             }
             HttpEffect::Limit(_) => {}
-            HttpEffect::CloseIdle => self.closed_idle = true,
+            HttpEffect::CloseIdle => {
+                self.closed_idle = true;
+                self.idle_closes += 1;
+            }
             HttpEffect::CloseAll { until } => {
                 assert!(!self.stopped, "expected the connections to be closed before the end");
                 self.closed_all.push(until);
--- a/tests/gateway_shutdown.rs
+++ b/tests/gateway_shutdown.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use dotterelpin::h1::{CallerId, HttpInput};
+use dotterelpin::link::message::{ControlReply, ControlRequest, Envelope, Reply};
 use dotterelpin::model::EndpointKind;
 use dotterelpin::role::{Input, Role};
 use gateway_fixture::{Fixture, PLAIN, endpoint, table};
@@ -309,3 +310,88 @@
     f.advance(2_700);
     assert_eq!(f.stops, 1);
 }
+
+#[test]
+fn idle_connections_are_closed_once_after_the_notice() {
+    let mut f = Fixture::ready();
+    f.model_call(1, "/draft/a", "300,10");
+    f.answer_prefill();
+    f.shut_down();
+    f.advance(2_500);
+    assert_eq!(f.idle_closes, 0);
+    f.advance(1_000);
+    assert_eq!(f.idle_closes, 1);
+}
+
+/// Fails if control is asked about a stream that can't go on here in time.
+#[test]
+fn resumption_that_can_not_end_is_refused_before_control_is_asked() {
+    let mut f = Fixture::ready();
+    f.shut_down();
+    f.call(1, "/remind/a", &[("Model", "m"), ("Tokens", "300,10"), ("Last-Event-Id", "3")]);
+    assert!(refused(&f, 1) && f.leader_requests.is_empty());
+}
+
+/// Fails if the time that a prefill has taken is counted once more when its run begins.
+#[test]
+fn prefilled_stream_runs_while_the_rest_of_it_can_end() {
+    let mut f = ready_with_short_streams();
+    f.model_call(2, "/draft/a", "300,10");
+    f.answer_prefill();
+    f.shut_down();
+    f.advance(REFUSE_MS - 1_050);
+    f.model_call(1, "/draft/a", "300,10");
+    let hold = f.take_sent();
+    f.answer(&hold, 200, &[], "hold h1");
+    let prefill = f.take_sent();
+    f.advance(400);
+    f.answer(&prefill, 200, &[], "export e1");
+    assert_eq!(f.take_sent().field("Hold"), Some("h1"), "expected its run");
+}
+
+/// Answers the last request to the leader, some milliseconds later.
+fn reply_late(f: &mut Fixture, millis: u64, reply: ControlReply) {
+    let asks = |r: &ControlRequest| {
+        matches!(r, ControlRequest::AssignRoom(_) | ControlRequest::AssignPrompt(_))
+    };
+    let (exchange, _) = f.leader_requests.iter().rfind(|(_, r)| asks(r)).unwrap();
+    let exchange = *exchange;
+    let envelope = Envelope { revised: Default::default(), body: Reply::Control(reply) };
+    f.stall(millis);
+    f.step(Input::Reply { exchange, envelope });
+}
+
+/// Returns a stopping gateway that has asked the leader for capacity for a stream that can just end.
+fn ask_leader_at_the_last_moment() -> Fixture {
+    let mut f = ready_with_short_streams();
+    f.leader = Some("127.0.0.1:9001".parse().unwrap());
+    f.model_call(2, "/draft/a", "300,10");
+    f.answer_prefill();
+    f.advance(600);
+    f.shut_down();
+    f.advance(REFUSE_MS - 1_010);
+    f.model_call(1, "/draft/a", "300,10");
+    assert!(!f.has_sent() && !f.answers.contains_key(&1), "expected a request to the leader");
+    f
+}
+
+/// Fails if a reservation is requested after the leader's answer for a stream that can't end.
+#[test]
+fn capacity_that_is_assigned_too_late_is_not_used() {
+    let mut f = ask_leader_at_the_last_moment();
+    reply_late(&mut f, 15, ControlReply::RoomAssigned { endpoint: Some("d1".into()) });
+    assert!(refused(&f, 1) && !f.has_sent());
+}
+
+/// Fails if a prefill begins after the leader's answer for a stream that can't end.
+#[test]
+fn prefill_that_is_assigned_too_late_does_not_begin() {
+    let mut f = ask_leader_at_the_last_moment();
+    reply_late(&mut f, 1, ControlReply::RoomAssigned { endpoint: Some("d1".into()) });
+    let hold = f.take_sent();
+    f.answer(&hold, 200, &[], "hold h7");
+    reply_late(&mut f, 15, ControlReply::PromptAssigned { endpoint: Some("f1".into()) });
+    assert!(refused(&f, 1));
+    assert_eq!(&*f.take_sent().head.target, "/hold/h7");
+    assert!(!f.has_sent());
+}
