--- a/tests/stops_world/mod.rs
+++ b/tests/stops_world/mod.rs
@@ -128,7 +128,7 @@
         let start = Timestamp::from_micros(1_000_000_000);
         let mut f = Fixture::started(vec![raw], budget_terms(), BootId(seed + 1), start);
         f.answers_reports = true;
-        if seed % 10 > 0 {
+        if !seed.is_multiple_of(10) {
             f = f.made_ready();
         }
         World {
@@ -150,13 +150,13 @@
 
     /// Plays a stop and returns what the oracle found.
     pub fn play(mut self) -> Vec<String> {
-        if self.seed % 3 == 0 {
+        if self.seed.is_multiple_of(3) {
             self.f.leader = Some("127.0.0.1:9001".parse().unwrap());
         }
         let before = self.draw(200) + 10;
         let rate = 10 + self.draw(50);
         for tick in 0..before {
-            if self.seed % 10 == 0 && tick == before / 2 {
+            if self.seed.is_multiple_of(10) && tick == before / 2 {
                 self.f.publish(0, 1);
             }
             self.tick(rate);
@@ -292,7 +292,7 @@
                 self.free(target.rsplit('/').next().unwrap());
             }
             if let Some(hold) = sent.field("Hold") {
-                self.free(&hold.to_string());
+                self.free(hold);
             }
             if let Some(source) = sent.field("Source") {
                 let handle = source.rsplit('/').next().unwrap().to_string();
