Take no stream after the signal that may outlast the process

Cause: a stream was taken if nine of ten of the last streams would have ended in time. Shortly after the start the last streams are few and short, and with many the tenth one is cut.

The estimate remains for streams that were taken before the signal.

--- a/src/gateway/stopping.rs
+++ b/src/gateway/stopping.rs
@@ -35,22 +35,32 @@
         self.refuse_hopeless(now);
     }
 
-    /// Returns whether a new call ends before this gateway does.
+    /// Returns whether a new call surely gets a whole answer from this gateway. A plain call does
+    /// also if it is ended with the others that are open; it is taken as long as callers are still
+    /// sent here.
     pub(super) fn admits_new(&self, now: Timestamp, route: &Route, timeout: Duration) -> bool {
-        if !self.shutdown.is_requested() {
-            return true;
-        }
         let limit = timeout.min(route.timeout);
-        self.shutdown.admits(now, self.longest(route, Duration::ZERO, limit))
+        let plain = !route.repeat.is_stream() && !self.is_noticed_at(now);
+        let longest = if plain { Duration::ZERO } else { limit };
+        self.shutdown.admits(now, longest)
     }
 
-    /// Returns whether the next attempt at a call ends before this gateway does.
+    /// Returns whether others have had the time to notice the shutdown.
+    fn is_noticed_at(&self, now: Timestamp) -> bool {
+        self.shutdown.notice_time().is_some_and(|at| now >= at)
+    }
+
+    /// Returns whether the next attempt at a call that was taken is expected to end before this
+    /// gateway does.
     pub(super) fn can_end(&self, now: Timestamp, caller: CallerId) -> bool {
         if !self.shutdown.is_requested() {
             return true;
         }
         let Some(call) = self.calls.get(&caller) else { return false };
         let Some(route) = call.route() else { return false };
+        if !call.sent && !call.is_stream() && !self.is_noticed_at(now) {
+            return self.shutdown.admits(now, Duration::ZERO);
+        }
         let longest = self.longest(route, progress(now, call), call.remaining(now));
         self.shutdown.admits(now, longest)
     }
--- a/tests/stops_world/mod.rs
+++ b/tests/stops_world/mod.rs
@@ -21,6 +21,8 @@
 const TICK_MS: u64 = 20;
 /// When a gateway with a grace period of 8 s ends its open calls, after the signal.
 const REFUSE: Duration = Duration::from_millis(7_500);
+/// How long after the signal callers may still be sent to the gateway.
+const NOTICE: Duration = Duration::from_millis(2_600);
 /// How long an engine keeps a reservation.
 const HOLD_TTL: Duration = Duration::from_secs(2);
 /// How long an engine keeps an export.
