Free the KV cache of a prefill whose call ends before its answer

What callers saw: nothing at once; prefill endpoints had less and less room. An engine whose answer to a prefill came after its call had ended kept the KV cache for the whole retention period.

Cause: only the answer to a prefill names the handle of its export. At a timeout, a deadline, or when the caller left, the gateway closed the connection, so that an answer that was on its way, or waited at a silent engine, was lost, and nobody could free what it named.

Now such a connection is kept, counted against the endpoint's capacity, and the export that a late answer names is freed at once. The endpoint is asked for a report: if it answers that, or anything else, it is sound, and the prefill is cancelled 200 ms later, so it does not work on for a caller that left. A silent one is given up when an export made by the end of the call has expired. A prefill younger than 10 ms has no export yet and is cancelled at once, as before. A gateway that shuts down waits for these answers and for releases, within its grace period.

--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -6,7 +6,7 @@
 use super::events::Event;
 use super::fleet::Job;
 use super::outcome::Failure;
-use super::protocol::RefusalInfo;
+use super::protocol::{AnswerInfo, RefusalInfo};
 use super::queue::Queue;
 use super::reason::EndReason;
 use super::{CallerId, Gateway, PeerId};
@@ -239,6 +239,10 @@
                 conn.status = head.status;
                 return;
             }
+            Job::Late => {
+                self.late_answered(peer, &head, &info);
+                return;
+            }
             Job::Idle => {
                 log::warn!(
                     "step=answer peer={} error=\"unexpected answer on an idle connection\"",
@@ -249,9 +253,7 @@
             }
         };
         let Some(call) = self.calls.get_mut(&caller) else { return };
-        let other = info.id.as_deref().is_some_and(|id| *id != *call.info.id);
-        let unnamed = info.id.is_none() && (200..300).contains(&head.status);
-        if other || unnamed {
+        if is_stray(&head, &info, &call.info.id) {
             log::warn!("step=answer id={} error=\"answer does not name this call\"", call.info.id);
             if let Some(conn) = self.fleet.conn(peer) {
                 conn.stray = true;
@@ -324,6 +326,7 @@
         match job {
             Job::Idle => {}
             Job::Report | Job::Free => self.job_ended(now, job, endpoint, &content),
+            Job::Late => self.late_ended(now, peer, status, &content),
             Job::Hold(caller) => {
                 let hold = (status == 200).then(|| self.protocol.read_hold(&content)).flatten();
                 self.hold_answered(now, caller, hold);
@@ -429,6 +432,13 @@
     }
 }
 
+/// Returns whether an answer belongs to another call than the one with an id.
+pub(super) fn is_stray(head: &AnswerHead, info: &AnswerInfo, id: &str) -> bool {
+    let other = info.id.as_deref().is_some_and(|named| named != id);
+    let unnamed = info.id.is_none() && (200..300).contains(&head.status);
+    other || unnamed
+}
+
 /// Returns whether the answer that is being received is streamed to the caller event by event.
 pub(super) fn streams(call: &mut Call) -> bool {
     let stream = call.is_stream() && matches!(call.stage, Stage::Run { .. });
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -45,6 +45,8 @@
     Report,
     /// A request that frees an export or drops a reservation.
     Free,
+    /// A prefill whose call has ended.
+    Late,
 }
 
 impl Job {
@@ -56,6 +58,7 @@
             Job::Hold(_) => "hold",
             Job::Report => "report",
             Job::Free => "free",
+            Job::Late => "late",
         }
     }
 }
@@ -442,6 +445,16 @@
         })
     }
 
+    /// Returns how many connections have a job.
+    pub fn jobs(&self, job: Job) -> usize {
+        self.conns.values().filter(|c| c.job == job).count()
+    }
+
+    /// Returns whether a connection to an endpoint has a job.
+    pub fn has_job(&self, endpoint: EndpointKey, job: Job) -> bool {
+        self.conns.values().any(|c| c.endpoint == endpoint && c.job == job)
+    }
+
     /// Returns a connection for changes, or `None` once it is closed.
     pub fn conn(&mut self, peer: PeerId) -> Option<&mut Conn> {
         self.conns.get_mut(&peer)
--- /dev/null
+++ b/src/gateway/late_exports.rs
@@ -0,0 +1,166 @@
+//! Prefills whose calls have ended: their connections are kept until it is known what became of
+//! the KV cache.
+//!
+//! Only the answer to a prefill names the handle of its export. If the call ends before, the answer
+//! may be on its way, or wait at an endpoint that is silent. The export that such an answer names is
+//! freed at once. An endpoint that answers anything else is sound; it has little time left for the
+//! prefill, whose connection is then closed, which cancels it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::answer::is_stray;
+use super::call::Stage;
+use super::fleet::{EndpointKey, Job, Usage};
+use super::protocol::{AnswerInfo, SideRequest};
+use super::{CallerId, Gateway, PeerId};
+use crate::h1::{AnswerHead, HttpEffect};
+use crate::model::Timestamp;
+
+/// How long an endpoint that is not silent may take to answer a prefill whose call has ended.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// How long it takes at least until an export is made: an endpoint notices before that its
+/// connection is closed.
+const MIN_PREFILL_TIME: Duration = Duration::from_millis(10);
+
+/// A prefill whose call has ended.
+#[derive(Debug)]
+struct LateExport {
+    /// The id of the call.
+    id: Box<str>,
+    endpoint: EndpointKey,
+    /// The capacity that it still uses at the endpoint.
+    usage: Usage,
+    /// When its call ended.
+    since: Timestamp,
+    /// When the endpoint would drop an export that it had made by `since`.
+    until: Timestamp,
+    /// When the endpoint first answered anything after `since`.
+    heard: Option<Timestamp>,
+}
+
+impl LateExport {
+    /// Returns when its connection is closed.
+    fn due(&self) -> Timestamp {
+        self.heard.map_or(self.until, |at| self.until.min(at + ANSWER_TIMEOUT))
+    }
+}
+
+/// The prefills whose calls have ended, by their connections.
+#[derive(Debug, Default)]
+pub(super) struct LateExports {
+    open: BTreeMap<PeerId, LateExport>,
+}
+
+impl LateExports {
+    /// Returns when the next connection is closed.
+    pub fn next_due(&self) -> Option<Timestamp> {
+        self.open.values().map(LateExport::due).min()
+    }
+
+    /// Records that an endpoint has answered something.
+    pub fn heard(&mut self, now: Timestamp, endpoint: EndpointKey) {
+        for late in self.open.values_mut().filter(|l| l.endpoint == endpoint) {
+            late.heard.get_or_insert(now);
+        }
+    }
+}
+
+impl Gateway {
+    /// Keeps the connection of a call's prefill for its answer, as the call ends or goes on without
+    /// it; returns `false` if the call has no prefill whose endpoint may have made an export.
+    pub(super) fn keep_prefill(&mut self, now: Timestamp, caller: CallerId) -> bool {
+        let Some(shape) = self.shape(caller) else { return false };
+        let Some(call) = self.calls.get_mut(&caller) else { return false };
+        let Stage::Prefill { attempt, .. } = &mut call.stage else { return false };
+        if now - attempt.since < MIN_PREFILL_TIME {
+            return false;
+        }
+        let (peer, endpoint, usage) = (attempt.peer, attempt.endpoint, attempt.usage);
+        let Some(conn) = self.fleet.conn(peer).filter(|c| c.connected) else { return false };
+        conn.job = Job::Late;
+        conn.status = attempt.head.as_ref().map_or(0, |(head, _)| head.status);
+        conn.content = std::mem::take(&mut attempt.content);
+        let id = call.info.id.clone();
+        let until = now + shape.retention;
+        let late = LateExport { id, endpoint, usage, since: now, until, heard: None };
+        self.late_exports.open.insert(peer, late);
+        if let Some(target) = self.fleet.get_mut(endpoint) {
+            target.add_usage(now, usage);
+        }
+        if !self.is_asked(now, endpoint) {
+            // It can't be told whether the endpoint is silent.
+            self.late_exports.heard(now, endpoint);
+        }
+        true
+    }
+
+    /// Requests a report from an endpoint, unless one is open, to learn whether it is silent;
+    /// returns whether one is open.
+    fn is_asked(&mut self, now: Timestamp, endpoint: EndpointKey) -> bool {
+        if self.fleet.has_job(endpoint, Job::Report) {
+            return true;
+        }
+        let target = self.fleet.get(endpoint);
+        // An endpoint that names a limit is left the requests that callers wait for.
+        let asked = target.is_some_and(|e| e.notices.limit.rate().is_none());
+        let request = SideRequest::Report;
+        asked && self.send_side_request(now, endpoint, Job::Report, &request).is_some()
+    }
+
+    /// Handles the head of the answer to a prefill whose call has ended.
+    pub(super) fn late_answered(&mut self, peer: PeerId, head: &AnswerHead, info: &AnswerInfo) {
+        let Some(late) = self.late_exports.open.get(&peer) else { return };
+        let Some(conn) = self.fleet.conn(peer) else { return };
+        conn.status = head.status;
+        conn.stray = is_stray(head, info, &late.id);
+        conn.stray_bytes = 0;
+    }
+
+    /// Frees the export that the answer to a prefill names whose call has ended.
+    pub(super) fn late_ended(&mut self, now: Timestamp, peer: PeerId, status: u16, content: &[u8]) {
+        let Some(late) = self.end_late(now, peer) else { return };
+        let good = (200..300).contains(&status);
+        let export = good.then(|| self.protocol.read_export(content)).flatten();
+        log::info!(
+            "step=late-export id={} outcome={} ms={}",
+            late.id,
+            if export.is_some() { "freed" } else { "none" },
+            (now - late.since).as_millis(),
+        );
+        if let Some(export) = export {
+            self.free_export(now, late.endpoint, &export.handle);
+        }
+    }
+
+    /// Handles the loss of the connection of a prefill whose call has ended.
+    pub(super) fn late_lost(&mut self, now: Timestamp, peer: PeerId) {
+        if let Some(late) = self.end_late(now, peer) {
+            let ms = (now - late.since).as_millis();
+            log::info!("step=late-export id={} outcome=lost ms={ms}", late.id);
+        }
+    }
+
+    /// Closes the connections that are due.
+    pub(super) fn close_late(&mut self, now: Timestamp) {
+        let due = self.late_exports.open.iter().filter(|(_, l)| l.due() <= now);
+        let due: Vec<PeerId> = due.map(|(peer, _)| *peer).collect();
+        for peer in due {
+            self.fleet.close(peer);
+            self.effect(HttpEffect::HangUp { peer });
+            self.late_lost(now, peer);
+        }
+    }
+
+    fn end_late(&mut self, now: Timestamp, peer: PeerId) -> Option<LateExport> {
+        let late = self.late_exports.open.remove(&peer)?;
+        self.release(now, late.endpoint, late.usage);
+        Some(late)
+    }
+
+    /// Returns how many exports and reservations of calls that have ended may be left at endpoints.
+    pub(super) fn open_releases(&self) -> usize {
+        self.late_exports.open.len() + self.fleet.jobs(Job::Free)
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod events;
 mod fleet;
 pub mod header_protocol;
+mod late_exports;
 pub mod lateness;
 pub mod limit;
 mod notices;
@@ -49,6 +50,7 @@
 use crashes::Crashes;
 use credit::{Credit, Payment};
 use fleet::{EndpointKey, Fleet, Job};
+use late_exports::LateExports;
 use lateness::UsualTimeout;
 use open_calls::Listing;
 use outbox::Outbox;
@@ -102,6 +104,8 @@
     /// Whether control has confirmed, since the start, that the routing table is the newest one.
     confirmed: bool,
     fleet: Fleet,
+    /// Prefills whose calls have ended.
+    late_exports: LateExports,
     /// How many endpoints were listed, and how many of them were not draining, at the last change.
     listed: (usize, usize),
     calls: BTreeMap<CallerId, Call>,
@@ -166,6 +170,7 @@
             table: Arc::default(),
             confirmed: false,
             fleet: Fleet::new(&settings.follower.domain),
+            late_exports: LateExports::default(),
             settings,
             listed: (0, 0),
             calls: BTreeMap::new(),
@@ -457,6 +462,7 @@
         self.report_crashes(now);
         self.send_evidence(now);
         self.judge_alone(now);
+        self.close_late(now);
         self.expire_queues(now);
         self.start_queued(now);
         if now >= self.next_cleanup {
@@ -538,7 +544,8 @@
             self.log_open_calls(now, since, Listing::GraceEnd);
         }
         let over = now >= since + self.settings.grace;
-        if noticed && self.calls.is_empty() || over {
+        let idle = self.calls.is_empty() && self.open_releases() == 0;
+        if noticed && idle || over {
             log::info!("step=leave open_calls={}", self.calls.len());
             self.outputs.push(Output::Stopped);
         }
@@ -602,7 +609,8 @@
         let crash = self.crashes.next_due();
         let evidence = self.outbox.next_wake();
         let control = self.follower.next_wake();
-        [call, queue, start, record, crash, evidence, shutdown, cleanup, control]
+        let late = self.late_exports.next_due();
+        [late, call, queue, start, record, crash, evidence, shutdown, cleanup, control]
             .into_iter()
             .flatten()
             .min()
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -151,7 +151,7 @@
             Job::Call(caller) | Job::Hold(caller) => {
                 self.calls.get(&caller).map_or("-", |call| &call.info.id)
             }
-            Job::Idle | Job::Report | Job::Free => "-",
+            Job::Idle | Job::Report | Job::Free | Job::Late => "-",
         }
     }
 
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -139,7 +139,9 @@
             self.keep_silent(now, caller);
             return;
         }
-        self.hang_up(peer);
+        if !self.keep_prefill(now, caller) {
+            self.hang_up(peer);
+        }
         let failure = if connected { Failure::Silent } else { Failure::NotStarted };
         self.end_attempt(now, caller, failure, silence);
     }
@@ -179,6 +181,7 @@
     /// Stops all work for a call and releases its capacity, connections and reservations.
     pub(super) fn stop_work(&mut self, now: Timestamp, caller: CallerId) {
         self.report_prefill_end(caller);
+        let kept = self.keep_prefill(now, caller);
         let Some(call) = self.calls.get_mut(&caller) else { return };
         let service = call.service.clone();
         match std::mem::replace(&mut call.stage, Stage::Waiting) {
@@ -200,7 +203,9 @@
             Stage::Prefill { attempt, decode } => {
                 self.release(now, decode.endpoint, decode.usage);
                 self.release_attempt(now, &attempt);
-                self.hang_up(attempt.peer);
+                if !kept {
+                    self.hang_up(attempt.peer);
+                }
             }
             Stage::Run { attempt, handoff } => {
                 self.release_attempt(now, &attempt);
@@ -250,6 +255,7 @@
         match conn.job {
             Job::Idle => {}
             Job::Report | Job::Free => self.job_failed(now, conn.endpoint, conn.connected),
+            Job::Late => self.late_lost(now, peer),
             Job::Hold(caller) => {
                 self.hold_lost(now, caller, conn.connected);
                 self.schedule(caller);
--- /dev/null
+++ b/tests/late_exports.rs
@@ -0,0 +1,155 @@
+//! A call may end before the answer to its prefill names the handle of the KV cache. The endpoint
+//! keeps no memory for it all the same.
+
+mod gateway_fixture;
+
+use std::time::Duration;
+
+use dotterelpin::h1::{CallerId, HttpInput};
+use dotterelpin::role::Input;
+use gateway_fixture::{Fixture, Sent, table};
+
+/// How long an endpoint keeps an export, in the usual table.
+const RETENTION_MS: u64 = 500;
+/// How long a prefill takes.
+const PREFILL_MS: u64 = 20;
+/// How soon an endpoint must not work any more for a caller that has left.
+const GONE_MS: u64 = 500;
+
+/// Starts a model call and returns its prefill, which the endpoint has read some time ago.
+fn start_prefill(f: &mut Fixture, caller: u64, patience: &str) -> Sent {
+    let extra = [("Model", "m"), ("Tokens", "3000,100"), ("Patience-Ms", patience)];
+    f.call(caller, "/draft/a", &extra);
+    let hold = f.take_sent();
+    f.answer(&hold, 200, &[], "hold h1");
+    let prefill = f.take_sent();
+    assert_eq!(prefill.field("Stage"), Some("prefill"));
+    f.advance(PREFILL_MS);
+    prefill
+}
+
+fn leave(f: &mut Fixture, caller: u64) {
+    f.step(Input::Local(HttpInput::CallerGone { caller: CallerId(caller) }));
+}
+
+/// Returns the targets of the requests that free something, with their addresses.
+fn freed(f: &mut Fixture) -> Vec<(String, String)> {
+    let sent = std::mem::take(&mut f.sent);
+    let freed = sent.iter().filter(|s| &*s.head.method == "DELETE");
+    freed.map(|s| (s.address.to_string(), s.head.target.to_string())).collect()
+}
+
+/// Expects that the late answer to a prefill makes the gateway free the export that it names.
+fn expect_freed(f: &mut Fixture, prefill: &Sent) {
+    f.answer(prefill, 200, &[], "export e1");
+    let export = (prefill.address.to_string(), "/export/e1".to_string());
+    let freed = freed(f);
+    assert!(freed.contains(&export), "expected the export to be freed, found {freed:?}");
+}
+
+/// Returns whether a request for a report is open at the endpoint of a request, and its answer.
+fn report(f: &Fixture, at: &Sent) -> Option<Sent> {
+    let report = |s: &&Sent| &*s.head.target == "/report" && s.address == at.address;
+    f.sent.iter().rfind(report).cloned()
+}
+
+#[test]
+fn export_of_a_prefill_that_timed_out_is_freed_when_its_answer_comes() {
+    let mut f = Fixture::ready_without_budget();
+    let prefill = start_prefill(&mut f, 1, "14000");
+    f.advance(1_600);
+    assert_eq!(f.answers.get(&1).map(|a| a.status), Some(503));
+    expect_freed(&mut f, &prefill);
+}
+
+#[test]
+fn export_of_a_caller_that_has_left_is_freed_when_its_answer_comes() {
+    let mut f = Fixture::ready();
+    let prefill = start_prefill(&mut f, 1, "14000");
+    leave(&mut f, 1);
+    f.advance(RETENTION_MS - 10);
+    expect_freed(&mut f, &prefill);
+}
+
+#[test]
+fn export_of_a_call_at_its_deadline_is_freed_when_its_answer_comes() {
+    let mut f = Fixture::ready();
+    let prefill = start_prefill(&mut f, 1, "300");
+    f.advance(310);
+    assert!(f.answers.contains_key(&1));
+    expect_freed(&mut f, &prefill);
+}
+
+#[test]
+fn export_is_freed_when_the_call_ends_within_the_answer_to_its_prefill() {
+    let mut f = Fixture::ready();
+    let prefill = start_prefill(&mut f, 1, "14000");
+    f.head(&prefill, 200, &[]);
+    f.data(&prefill, b"export ");
+    leave(&mut f, 1);
+    f.data(&prefill, b"e1");
+    f.end(&prefill);
+    let freed = freed(&mut f);
+    assert!(freed.iter().any(|(_, target)| target == "/export/e1"), "{freed:?}");
+}
+
+#[test]
+fn prefill_of_a_caller_that_has_left_is_cancelled_at_a_sound_endpoint() {
+    let mut f = Fixture::ready();
+    let prefill = start_prefill(&mut f, 1, "14000");
+    leave(&mut f, 1);
+    let report = report(&f, &prefill).expect("expected the endpoint to be asked for a report");
+    f.answer(&report, 200, &[], "busy");
+    f.advance(GONE_MS / 2);
+    assert!(f.hung_up.contains(&prefill.peer), "expected the prefill to be cancelled");
+}
+
+#[test]
+fn prefill_at_a_silent_endpoint_is_closed_once_an_export_would_have_expired() {
+    let mut f = Fixture::ready();
+    let prefill = start_prefill(&mut f, 1, "14000");
+    leave(&mut f, 1);
+    f.advance(RETENTION_MS - 10);
+    assert!(!f.hung_up.contains(&prefill.peer));
+    f.advance(20);
+    assert!(f.hung_up.contains(&prefill.peer));
+}
+
+#[test]
+fn late_answer_to_another_call_frees_nothing() {
+    let mut f = Fixture::ready();
+    let prefill = start_prefill(&mut f, 1, "14000");
+    leave(&mut f, 1);
+    f.answer(&prefill, 200, &[("Call-Id", "call-9")], "export e9");
+    let freed = freed(&mut f);
+    assert!(freed.iter().all(|(_, target)| !target.starts_with("/export")), "{freed:?}");
+    expect_freed(&mut f, &prefill);
+}
+
+#[test]
+fn stopping_gateway_frees_the_export_of_a_call_that_has_ended() {
+    let mut all = table();
+    let engines = all.services.iter_mut().filter_map(|s| s.engine.as_mut());
+    engines.for_each(|e| e.retention = Duration::from_secs(60));
+    let mut f = Fixture::without_table(vec![all]).made_ready();
+    f.shut_down();
+    let prefill = start_prefill(&mut f, 1, "1500");
+    f.advance(4_000);
+    assert!(!f.stopped, "expected the gateway to wait for the late answer");
+    expect_freed(&mut f, &prefill);
+    assert!(!f.stopped, "expected the gateway to wait until the export is freed");
+    f.advance(1_500);
+    assert!(f.stopped);
+}
+
+#[test]
+fn gateway_does_not_wait_for_a_late_answer_beyond_its_grace_period() {
+    let mut f = Fixture::ready();
+    f.shut_down();
+    start_prefill(&mut f, 1, "14000");
+    f.advance(1_000);
+    leave(&mut f, 1);
+    f.now = f.now + Duration::from_secs(7);
+    f.step(Input::Wake);
+    assert!(f.stopped);
+}
