--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -130,7 +130,7 @@
         caller: CallerId,
         hold: Option<Box<str>>,
     ) {
-        if self.spare_answered(now, caller, hold.as_ref()) {
+        if self.spare_answered(now, caller, hold.as_deref()) {
             return;
         }
         let Some(call) = self.calls.get_mut(&caller) else { return };
--- a/src/gateway/stopping.rs
+++ b/src/gateway/stopping.rs
@@ -100,12 +100,14 @@
     /// Enters the phase of the shutdown that is due.
     pub(super) fn advance_shutdown(&mut self, now: Timestamp) {
         let before = self.shutdown.is_noticed();
-        let mut phase = self.shutdown.advance(now, self.calls.len());
+        let open = self.calls.len() + self.open_releases();
+        let mut phase = self.shutdown.advance(now, open);
         if self.shutdown.is_noticed() && !before {
             self.effect(HttpEffect::CloseIdle);
         }
         if phase == Phase::Refuse {
             self.end_calls(now);
+            self.close_all_late(now);
             phase = self.shutdown.advance(now, self.calls.len());
         }
         if phase == Phase::End {
--- a/src/gateway/vacancy.rs
+++ b/src/gateway/vacancy.rs
@@ -202,7 +202,7 @@
         &mut self,
         now: Timestamp,
         caller: CallerId,
-        hold: Option<&Box<str>>,
+        hold: Option<&str>,
     ) -> bool {
         let Some(spare) = self.take_requested(caller) else { return false };
         self.log_hold(now, caller, &spare.decode, hold.is_some());
@@ -216,7 +216,7 @@
             endpoint.accepted();
         }
         if let Some(call) = self.calls.get_mut(&caller) {
-            call.vacancy = Vacancy::Reserved { spare, hold: hold.clone() };
+            call.vacancy = Vacancy::Reserved { spare, hold: hold.into() };
         }
         self.keep_until(caller, now);
         if self.calls.get(&caller).is_some_and(|c| next_timer(c) > now) {
