Give all roles the grace period

What was seen: only gateways know when their process is killed; entry, agent, control and API wait for sums of their own, or for ever.

`--grace` now holds for each process and reaches each role's settings: 8 s by default with the role gateway or api, 65 s otherwise, longer than the default deadline of a call (60 s), so that calls end by their own deadlines. Values outside of 1 to 3600 s are refused; the test of settings names the error. The deployment passes its grace period to control and API, too.

No role uses it yet, so no decision changes. The simulated fleet of the tests can now signal a role, notes when it stops, and can change the configuration.

--- a/benches/policy/world.rs
+++ b/benches/policy/world.rs
@@ -35,6 +35,8 @@
 const COMMIT_TIME: u64 = 3_000;
 /// Entries that place calls independently of each other.
 const ENTRIES: usize = 2;
+/// How long after the signal an entry or agent is killed.
+const GRACE: std::time::Duration = std::time::Duration::from_secs(65);
 /// Requests that a plain service runs at once.
 const SERVICE_SLOTS: u32 = 50;
 /// How long a crashed engine takes to restart, in microseconds.
@@ -232,7 +234,7 @@
         let entry = |i: usize| {
             let domain = user.domains[i % user.domains.len()];
             let follower = follower(&format!("entry-{i}"), "entry", domain, i as u64 + 1);
-            (make(EntrySettings { follower }, tenants.clone()), u64::MAX)
+            (make(EntrySettings { follower, grace: GRACE }, tenants.clone()), u64::MAX)
         };
         let kinds = [
             (EndpointKind::Prefill, user.prefill),
@@ -315,7 +317,11 @@
         n.engine.alive = true;
         let boot = 1_000 + node as u64 * 1_000 + u64::from(n.generation);
         let follower = follower(&format!("agent-{node}"), "agent", domain, boot);
-        n.agent = Some(Agent::new(AgentSettings { follower, address: address(1_000 + node) }));
+        n.agent = Some(Agent::new(AgentSettings {
+            follower,
+            address: address(1_000 + node),
+            grace: GRACE,
+        }));
         n.wake_at = u64::MAX;
         self.announce(node);
     }
--- a/benches/registry.rs
+++ b/benches/registry.rs
@@ -61,6 +61,7 @@
         domain: DOMAINS[member].into(),
         boot: BootId(member as u64 + 1),
         replica,
+        grace: Duration::from_secs(8),
     };
     let stored = Stored::new(MemberId(member as u64 + 1));
     Control::new(settings, stored).expect("control starts from an empty store")
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -48,6 +48,8 @@
     pub follower: FollowerSettings,
     /// The address at which it accepts exchanges.
     pub address: SocketAddr,
+    /// How long after the signal the process is killed.
+    pub grace: Duration,
 }
 
 /// The state machine of the agent role.
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -50,6 +50,8 @@
     pub name: Box<str>,
     /// How many engines of a pool are prefill endpoints.
     pub stages: StageTerms,
+    /// How long after the signal the process is killed.
+    pub grace: Duration,
 }
 
 /// The request to control that a caller waits for.
--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -95,6 +95,7 @@
             domain: settings.domain.clone(),
             boot,
             replica: ReplicaSettings::new(settings.advertise, members, boot.0),
+            grace: settings.grace,
         };
         let control = Control::new(control_settings, stored)?;
         control_thread =
@@ -109,6 +110,7 @@
             members: settings.members.clone(),
             name: settings.name.clone(),
             stages: settings.stages,
+            grace: settings.grace,
         };
         let api = Api::new(api_settings, protocol);
         traffic_threads.push(driver.start("api", api, handle.clone(), metrics.clone())?);
@@ -128,7 +130,9 @@
     if let Some(driver) = drivers.agent {
         let engine = HttpEngine::new(url, driver.handle());
         let follower = follower(&settings, boot, "agent");
-        let agent = Agent::new(AgentSettings { follower, address: settings.advertise });
+        let agent_settings =
+            AgentSettings { follower, address: settings.advertise, grace: settings.grace };
+        let agent = Agent::new(agent_settings);
         traffic_threads.push(driver.start(
             "agent",
             agent,
@@ -144,7 +148,8 @@
         let listen = settings.callers.ok_or_else(|| eyre!("--callers is missing"))?;
         let (callers, server) = accept::start(listen, settings.bounds, driver.handle())?;
         caller_server = Some(server);
-        let entry_settings = EntrySettings { follower: follower(&settings, boot, "entry") };
+        let entry_settings =
+            EntrySettings { follower: follower(&settings, boot, "entry"), grace: settings.grace };
         let entry = Entry::new(entry_settings, tenants, settings.placement.placement(boot.0));
         traffic_threads.push(driver.start(
             "entry",
--- a/src/cli/settings.rs
+++ b/src/cli/settings.rs
@@ -30,8 +30,12 @@
 const DEFAULT_RETRY_EXTRA: f64 = 10.0;
 /// The default window of the retry budget.
 const DEFAULT_RETRY_WINDOW: Duration = Duration::from_secs(10);
-/// The default time within which a gateway shuts down.
+/// The default grace period of a process with a gateway or an API.
 const DEFAULT_GRACE: Duration = Duration::from_secs(8);
+/// The default grace period of other processes, longer than the default deadline of a call.
+const DEFAULT_LONG_GRACE: Duration = Duration::from_secs(65);
+/// The bounds of the grace period.
+const GRACE_BOUNDS: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(3_600));
 /// The largest share of engines for prefill, in percent.
 const MAX_PREFILL_SHARE: f64 = 90.0;
 const LOG_LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
@@ -151,7 +155,8 @@
     /// additional engines of a pool used for prefill, as spares for crashes; 0 if not given
     #[argh(option)]
     pub prefill_spare: Option<String>,
-    /// seconds within which a gateway shuts down; 8 if not given
+    /// seconds after SIGTERM within which the process ends; 8 if not given with role gateway or
+    /// api, otherwise 65
     #[argh(option)]
     pub grace: Option<String>,
     /// log level: error, warn, info, debug or trace; info if not given
@@ -292,7 +297,7 @@
     pub budget: BudgetTerms,
     /// The share of a pool's engines used for prefill and the number of spares, for an API.
     pub stages: StageTerms,
-    /// The time within which a gateway shuts down.
+    /// How long after SIGTERM the process is killed; it ends by itself before.
     pub grace: Duration,
     /// The TCP address for health, readiness, metrics and announcements.
     pub pages: Option<SocketAddr>,
@@ -362,7 +367,7 @@
             check.error(&format!("prefill-share: at most {MAX_PREFILL_SHARE} percent"));
         }
         let prefill_spare = check.decimal("prefill-spare", &args.prefill_spare, 0.0);
-        let grace = check.seconds("grace", &args.grace, DEFAULT_GRACE);
+        let grace = check_grace(&mut check, &roles, &args);
         check.required_for(RoleName::Entry, &roles, "tenants", &args.tenants);
         if roles.contains(&RoleName::Api) && !roles.contains(&RoleName::Control) {
             check.error("roles: api needs control in the same process");
@@ -445,6 +450,18 @@
     roles
 }
 
+fn check_grace(check: &mut Checker, roles: &BTreeSet<RoleName>, args: &DaemonArgs) -> Duration {
+    let is_short = roles.contains(&RoleName::Gateway) || roles.contains(&RoleName::Api);
+    let default = if is_short { DEFAULT_GRACE } else { DEFAULT_LONG_GRACE };
+    let grace = check.seconds("grace", &args.grace, default);
+    let (min, max) = GRACE_BOUNDS;
+    if !grace.is_zero() && !(min..=max).contains(&grace) {
+        let given = args.grace.as_deref().unwrap_or_default();
+        check.invalid("grace", given, &format!("{} to {} seconds", min.as_secs(), max.as_secs()));
+    }
+    grace
+}
+
 /// Checks that other processes can reach this one.
 fn check_reachable(check: &mut Checker, listen: Option<SocketAddr>, advertise: Option<SocketAddr>) {
     if let Some(address) = advertise.filter(|a| a.ip().is_unspecified()) {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -85,6 +85,8 @@
     pub boot: BootId,
     /// The settings of its replica of the log.
     pub replica: ReplicaSettings,
+    /// How long after the signal the process is killed.
+    pub grace: Duration,
 }
 
 /// A proposal whose caller waits until its record is committed.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -48,6 +48,8 @@
 pub struct EntrySettings {
     /// The identity of the process and the control members that it follows.
     pub follower: FollowerSettings,
+    /// How long after the signal the process is killed.
+    pub grace: Duration,
 }
 
 type Outputs = Vec<Output<CallerEffect>>;
--- a/tests/api.rs
+++ b/tests/api.rs
@@ -22,6 +22,9 @@
 };
 use dotterelpin::role::{Input, LinkFailure, Output, Role};
 
+/// How long after the signal the process is killed.
+const GRACE: Duration = Duration::from_secs(8);
+
 /// A protocol that reads calls from request targets and writes replies as debug text.
 struct Plain;
 
@@ -86,6 +89,7 @@
             members: (0..3).map(member).collect(),
             name: "control-0".into(),
             stages: StageTerms { share: 27, spare: 0 },
+            grace: GRACE,
         };
         Fixture {
             now: Timestamp::from_micros(1_000_000_000),
--- a/tests/fleet_world/mod.rs
+++ b/tests/fleet_world/mod.rs
@@ -303,6 +303,7 @@
             domain: "a".into(),
             boot: BootId(boot),
             replica,
+            grace: Duration::from_secs(8),
         };
         let node = &mut self.members[at];
         if node.entries.is_empty() && node.snapshot.is_none() {
--- a/tests/follower.rs
+++ b/tests/follower.rs
@@ -274,6 +274,7 @@
             domain: "brno-a".into(),
             boot: BootId(1),
             replica: ReplicaSettings::new(address(0), vec![address(0)], 1),
+            grace: Duration::from_secs(8),
         };
         let control = Control::new(settings, Stored::new(MemberId(1))).unwrap();
         let mut lone = LoneMember { control, now: seconds(1) };
--- a/tests/group/mod.rs
+++ b/tests/group/mod.rs
@@ -339,6 +339,7 @@
             domain: "brno-a".into(),
             boot: BootId(boot_id),
             replica,
+            grace: Duration::from_secs(8),
         };
         let stored = self.nodes[at].disk.load(MemberId(boot_id)).map_err(|e| self.problem(e))?;
         let control = Control::new(settings, stored).map_err(|e| self.problem(e.to_string()))?;
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -254,8 +254,14 @@
 
     let address = "127.0.0.1:1".parse().unwrap();
     let replica = ReplicaSettings::new(address, vec![address], 1);
-    let settings =
-        ControlSettings { name: "c".into(), domain: "brno-a".into(), boot: BootId(1), replica };
+    let grace = Duration::from_secs(8);
+    let settings = ControlSettings {
+        name: "c".into(),
+        domain: "brno-a".into(),
+        boot: BootId(1),
+        replica,
+        grace,
+    };
     let mut control = Control::new(settings, Stored::new(MemberId(1))).unwrap();
     let mut now = Timestamp::from_micros(1);
     let writes = |outputs: &[Output<DiskEffect>]| {
@@ -317,7 +323,8 @@
         routes: false,
         endpoints: false,
     };
-    let settings = AgentSettings { follower, address: ([10, 0, 1, 1], 7000).into() };
+    let address = ([10, 0, 1, 1], 7000).into();
+    let settings = AgentSettings { follower, address, grace: Duration::from_secs(8) };
     let announcement = Announcement {
         url: "http://10.0.1.1:8000".into(),
         kind: EndpointKind::Decode,
--- a/tests/origins.rs
+++ b/tests/origins.rs
@@ -170,6 +170,7 @@
             domain: "brno-a".into(),
             boot: BootId(now.as_micros()),
             replica: ReplicaSettings::new(address(0), members, 1),
+            grace: Duration::from_secs(8),
         };
         let control = Control::new(settings, Stored::new(MemberId(1))).unwrap();
         let mut member = Member { control, now, recorded: 0 };
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -191,6 +191,7 @@
             domain: "brno-a".into(),
             boot: BootId(self.next_id()),
             replica: ReplicaSettings::new(address(member), all, member as u64),
+            grace: Duration::from_secs(8),
         };
         Control::new(settings, Stored::new(MemberId(member as u64 + 1))).unwrap()
     }
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -71,6 +71,9 @@
         (&[("max-calls", "0")], &["--max-calls: \"0\"", "1 to 1000000"]),
         (&[("max-calls", "many")], &["--max-calls: \"many\""]),
         (&[("max-connections", "-1")], &["--max-connections: \"-1\""]),
+        (&[("grace", "0")], &["--grace: \"0\"", "more than 0 seconds"]),
+        (&[("grace", "0.5")], &["--grace: \"0.5\"", "1 to 3600 seconds"]),
+        (&[("grace", "3601")], &["--grace: \"3601\"", "1 to 3600 seconds"]),
         (&[("log", "loud")], &["--log: \"loud\"", "error, warn, info, debug, trace"]),
         (&[("log-format", "xml")], &["--log-format: \"xml\"", "text, json"]),
     ];
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -11,6 +11,7 @@
 
 use dotterelpin::agent::engine::{EngineEffect, EngineInput};
 use dotterelpin::agent::{Agent, AgentSettings};
+use dotterelpin::control::config::{Change, Edit};
 use dotterelpin::control::orders::OrderUpdate;
 use dotterelpin::control::replica::LogIndex;
 use dotterelpin::control::state::{Command, State};
@@ -18,11 +19,12 @@
 use dotterelpin::entry::place::Variant;
 use dotterelpin::entry::{CallerEffect, CallerInput, Entry, EntrySettings};
 use dotterelpin::link::message::{
-    Beat, ControlReply, ControlRequest, Endpoints, Envelope, Heartbeat, Proof, Reply, Request, Seen,
+    Beat, ControlReply, ControlRequest, Endpoints, Envelope, Heartbeat, Proof, Reply, Request,
+    Seen, Update,
 };
 use dotterelpin::model::{
     Announcement, BootId, CallId, EndpointKind, EndpointState, ExchangeId, Fence, InboundId,
-    Revision, Timestamp,
+    Timestamp,
 };
 use dotterelpin::registry::{FollowerSettings, HEARTBEAT_LEASE};
 use dotterelpin::role::{Input, LinkFailure, Output, Role};
@@ -31,6 +33,8 @@
 
 const CONTROL_PORT: u16 = 1;
 const AGENT_PORT: u16 = 1_000;
+/// How long after the signal a role that stops is killed.
+pub const GRACE: Duration = Duration::from_secs(8);
 /// The maximum number of timer wakes at one point in time; a role that needs more is in a loop.
 const MAX_WAKES: usize = 1_000;
 
@@ -129,6 +133,8 @@
     pub caller_effects: Vec<(BootId, CallerEffect)>,
     /// The first request that an agent received on each exchange, with the agent's index.
     pub first_requests: Vec<(usize, Envelope<Request>)>,
+    /// When each role that was told to shut down stopped by itself.
+    pub stopped: BTreeMap<BootId, Timestamp>,
 }
 
 impl World {
@@ -152,6 +158,7 @@
             engine_effects: VecDeque::new(),
             caller_effects: Vec::new(),
             first_requests: Vec::new(),
+            stopped: BTreeMap::new(),
         };
         world.restart_all();
         world.advance(Duration::from_millis(1_200));
@@ -224,6 +231,23 @@
         }
     }
 
+    /// Signals a role to shut down, as if the signal had come at a time.
+    pub fn shut_down(&mut self, node: Node, since: Timestamp) {
+        match node {
+            Node::Entry(i) => self.step_entry(i, Input::Shutdown { since }),
+            Node::Agent(i) => self.step_agent(i, Input::Shutdown { since }),
+        }
+    }
+
+    /// Sets a default of the configuration, which processes receive with their next heartbeats.
+    pub fn configure(&mut self, setting: &str, value: &str) {
+        let edit = Edit::Set { name: setting.into(), value: value.into() };
+        let base = self.state.config.revision;
+        let change = Change { id: setting.into(), base, author: "test".into(), edit };
+        self.log_index += 1;
+        self.state.apply(LogIndex(self.log_index), &Command::Change(change));
+    }
+
     /// Starts a role with a new boot, unless it is alive.
     pub fn restart(&mut self, node: Node) {
         if self.is_alive(node) {
@@ -247,13 +271,17 @@
             Node::Entry(i) => {
                 let tenants: Tenants =
                     format!("tabulka {}", credential_hash("secret")).parse().unwrap();
-                let entry =
-                    Entry::new(EntrySettings { follower }, tenants, self.variant.placement(boot.0));
+                let entry = Entry::new(
+                    EntrySettings { follower, grace: GRACE },
+                    tenants,
+                    self.variant.placement(boot.0),
+                );
                 self.entries[i] = (boot, Some(entry));
             }
             Node::Agent(i) => {
                 let address = address(AGENT_PORT + i as u16);
-                self.agents[i] = (boot, Some(Agent::new(AgentSettings { follower, address })));
+                self.agents[i] =
+                    (boot, Some(Agent::new(AgentSettings { follower, address, grace: GRACE })));
                 let announcement = self.announcements[i].clone();
                 self.engine_input(i, boot, EngineInput::Announced(announcement));
             }
@@ -495,6 +523,7 @@
                 self.caller_effects.push((boot, effect));
             }
         }
+        self.end_stopped(Node::Entry(entry));
         self.answer_heartbeats();
     }
 
@@ -507,9 +536,17 @@
                 self.engine_effects.push_back((agent, boot, effect));
             }
         }
+        self.end_stopped(Node::Agent(agent));
         self.answer_heartbeats();
     }
 
+    /// Ends the process of a role that has stopped; what it has sent is still delivered.
+    fn end_stopped(&mut self, node: Node) {
+        if self.stopped.contains_key(&self.boot(node)) {
+            self.kill(node);
+        }
+    }
+
     fn handle_output<E>(&mut self, from: (Node, BootId), output: Output<E>) -> Option<E> {
         match output {
             Output::Effect(effect) => return Some(effect),
@@ -535,7 +572,10 @@
                     }
                 }
             }
-            Output::Redial { .. } | Output::Observe(_) | Output::Stopped => {}
+            Output::Stopped => {
+                self.stopped.insert(from.1, self.now);
+            }
+            Output::Redial { .. } | Output::Observe(_) => {}
         }
         None
     }
@@ -589,16 +629,17 @@
             }
             let now = self.now;
             self.endpoints.retain(|_, (_, at)| now - *at < HEARTBEAT_LEASE);
+            let newer = heartbeat.process.revised.revision < self.state.config.revision;
             let beat = Beat {
                 member: "control-0".into(),
                 proof: Some(Proof {
                     member: address(CONTROL_PORT),
-                    highest: Revision(0),
+                    highest: self.state.config.revision,
                     document: 0,
                     epoch: 0,
                     voters: vec![address(CONTROL_PORT)],
                 }),
-                config: None,
+                config: newer.then(|| Update::Whole(self.state.config.clone())),
                 seen: Seen::default(),
                 endpoints: Some(Endpoints::All(
                     self.endpoints.values().map(|(e, _)| e.clone()).collect(),
