Reply to all proposals before a control member ends

What callers saw: a member that is stopped while a proposal does not commit ends after 2 s without a reply; the time began when control handled the signal, after the other roles of its process, so SIGKILL could come first.

Cause: control waited by a rule of its own, and ended with proposals open.

Evidence: the new test of a proposal that does not commit saw `[Observe, Observe, Stopped]`, no reply, 2 s after the signal.

Control now uses the phases of `shutdown`, counted from the signal. Proposals that are open when the grace period is nearly over get `Interrupted`: their outcome is unknown, they may still be committed, and proposers resend them, which is idempotent. The test plays a member that is told at once, after 3 s, and after 7.6 of 8 s. `step=open-proposal` and `step=end-proposal` tell what was open at the signal and how it ended.

--- a/src/control/commit.rs
+++ b/src/control/commit.rs
@@ -57,6 +57,7 @@
 
     pub(super) fn applied(&mut self, index: LogIndex, term: u64, applied: Applied) -> Outputs {
         let Some(proposal) = self.proposals.remove(&index) else { return Vec::new() };
+        self.log_end(index, "applied");
         let reply = if proposal.term == term {
             ControlReply::Applied(applied)
         } else {
@@ -84,6 +85,7 @@
     pub(super) fn interrupt(&mut self) -> Outputs {
         let leader = self.replica.leader();
         let proposals = std::mem::take(&mut self.proposals);
+        proposals.keys().for_each(|index| self.log_end(*index, "interrupted"));
         let reply = |p: Proposal| self.reply(p.inbound, ControlReply::Interrupted { leader });
         proposals.into_values().map(reply).collect()
     }
@@ -120,7 +122,7 @@
     /// Proposes the next steps of the rollouts, once all earlier steps are applied.
     pub(super) fn plan(&mut self, now: Timestamp) -> Outputs {
         let idle = self.failed || !self.replica.is_leader() || now < self.next_plan;
-        if idle || self.stopping.is_some() {
+        if idle || self.shutdown.is_requested() {
             return Vec::new();
         }
         self.next_plan = now + PLAN_INTERVAL;
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -12,6 +12,7 @@
 pub mod quarantine;
 pub mod replica;
 pub mod routing;
+mod shutting_down;
 pub mod state;
 
 use std::collections::BTreeMap;
@@ -32,13 +33,12 @@
 use crate::registry::Registry;
 use crate::report::observation::Observation;
 use crate::role::{Input, Output, Role};
+use crate::shutdown::{Shutdown, ShutdownTerms};
 
 /// The maximum encoded size of a command; larger ones are refused so that each record fits into
 /// one message.
 const MAX_COMMAND_BYTES: usize = 1 << 20;
 
-/// How long a member that shuts down waits for the commit of pending proposals.
-const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// How often a leader plans the next steps of the rollouts.
 const PLAN_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -94,6 +94,7 @@
 struct Proposal {
     inbound: InboundId,
     term: u64,
+    since: Timestamp,
 }
 
 /// The state of the control role.
@@ -110,7 +111,7 @@
     detector: Detector,
     proposals: BTreeMap<LogIndex, Proposal>,
     failed: bool,
-    stopping: Option<Timestamp>,
+    shutdown: Shutdown,
     next_plan: Timestamp,
 }
 
@@ -126,6 +127,10 @@
         Ok(Control {
             replica: Replica::new(settings.replica.clone(), stored),
             registry: Registry::new(settings.boot),
+            shutdown: Shutdown::new(ShutdownTerms {
+                notice: Duration::ZERO,
+                grace: settings.grace,
+            }),
             settings,
             revised: state.config.revised(),
             state,
@@ -136,7 +141,6 @@
             detector: Detector::default(),
             proposals: BTreeMap::new(),
             failed: false,
-            stopping: None,
             next_plan: Timestamp::default(),
         })
     }
@@ -229,7 +233,7 @@
     }
 
     fn propose(&mut self, now: Timestamp, inbound: InboundId, command: Command) -> Outputs {
-        if self.stopping.is_some() {
+        if self.shutdown.is_requested() {
             return vec![self.reply(inbound, ControlReply::NotLeader { leader: None })];
         }
         if let Some(why) = self.refusal(&command) {
@@ -238,7 +242,7 @@
         }
         match self.replica.propose(now, command) {
             Ok((position, actions)) => {
-                let proposal = Proposal { inbound, term: position.term };
+                let proposal = Proposal { inbound, term: position.term, since: now };
                 self.proposals.insert(position.index, proposal);
                 self.execute(actions)
             }
@@ -273,12 +277,6 @@
         let name = change.edit.setting();
         Some(format!("setting {name} is not understood by {}", old.join(", ")).into())
     }
-
-    /// Returns whether a shutdown was requested and all proposals are answered or timed out.
-    fn has_stopped(&self, now: Timestamp) -> bool {
-        let Some(since) = self.stopping else { return false };
-        self.proposals.is_empty() || now >= since + SHUTDOWN_TIMEOUT
-    }
 }
 
 impl Role for Control {
@@ -320,19 +318,17 @@
                 outputs
             }
             Input::Shutdown { since } => {
-                self.stopping.get_or_insert(since);
+                self.request_shutdown(now, since);
                 Vec::new()
             }
         };
-        if self.has_stopped(now) {
-            outputs.push(Output::Stopped);
-        }
+        outputs.extend(self.advance_shutdown(now));
         outputs
     }
 
     fn next_wake(&self) -> Option<Timestamp> {
         let replica = (!self.failed).then(|| self.replica.next_wake());
-        let shutdown = self.stopping.map(|since| since + SHUTDOWN_TIMEOUT);
+        let shutdown = self.shutdown.next_wake();
         let plans = self.replica.is_leader() && self.state.orders.rollouts().next().is_some();
         let plan = plans.then_some(self.next_plan);
         [shutdown, plan, replica, self.registry.next_expiry()].into_iter().flatten().min()
--- a/src/control/quarantine/verdicts.rs
+++ b/src/control/quarantine/verdicts.rs
@@ -110,7 +110,7 @@
 
     /// As the leader, blocks causes by the evidence, and allows probes of those whose time is over.
     pub(in crate::control) fn judge(&mut self, now: Timestamp) -> Outputs {
-        if self.failed || !self.replica.is_leader() || self.stopping.is_some() {
+        if self.failed || !self.replica.is_leader() || self.shutdown.is_requested() {
             return Vec::new();
         }
         let mut outputs = Vec::new();
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -298,6 +298,56 @@
     assert_matches!(&outputs[..], [.., Output::Reply { .. }, Output::Stopped]);
 }
 
+/// Fails if a control member ends without a reply to a proposal that has not been committed, or says
+/// that it was refused.
+#[test]
+fn proposal_that_does_not_commit_gets_no_reply_when_its_member_ends() {
+    use assert_matches::assert_matches;
+    use dotterelpin::control::replica::{MemberId, ReplicaSettings, Stored};
+    use dotterelpin::control::state::Command;
+    use dotterelpin::control::{Control, ControlSettings, DiskEffect, DiskInput};
+    use dotterelpin::link::message::{ControlReply, ControlRequest, Envelope, Reply, Request};
+    use dotterelpin::model::{BootId, InboundId, Timestamp};
+    use dotterelpin::role::{Input, Output, Role};
+
+    let grace = Duration::from_secs(8);
+    let address = "127.0.0.1:1".parse().unwrap();
+    let replica = ReplicaSettings::new(address, vec![address], 1);
+    let settings = ControlSettings {
+        name: "c".into(),
+        domain: "brno-a".into(),
+        boot: BootId(1),
+        replica,
+        grace,
+    };
+    // The process was signalled so long ago when control is told, since other roles go first.
+    for told_after in [0, 3_000, 7_600] {
+        let mut control = Control::new(settings.clone(), Stored::new(MemberId(1))).unwrap();
+        let mut now = Timestamp::from_micros(60_000_000);
+        while !control.replica().is_leader() {
+            now = now + Duration::from_millis(100);
+            for output in control.step(now, Input::Wake) {
+                let Output::Effect(DiskEffect::Append { id, .. }) = output else { continue };
+                control.step(now, Input::Local(DiskInput::Synced(id)));
+            }
+        }
+        let body = Request::Control(ControlRequest::Propose(Command::Noop));
+        let envelope = Envelope { revised: Default::default(), body };
+        control.step(now, Input::Request { inbound: InboundId(1), envelope });
+        let since = Timestamp::from_micros(now.as_micros() - told_after * 1_000);
+        let mut outputs = control.step(now, Input::Shutdown { since });
+        let due = since + (grace - grace / 16);
+        while !outputs.iter().any(|o| matches!(o, Output::Stopped)) {
+            assert!(now < due, "not stopped {:?} after the signal", now - since);
+            now = control.next_wake().unwrap().max(now + Duration::from_millis(1)).min(due);
+            outputs = control.step(now, Input::Wake);
+        }
+        assert_matches!(&outputs[..], [.., Output::Reply { envelope, .. }, Output::Stopped]
+            if matches!(envelope.body, Reply::Control(ControlReply::Interrupted { .. })));
+        assert!(now == due.max(since + Duration::from_millis(told_after)), "too early");
+    }
+}
+
 #[test]
 fn agent_refuses_work_until_its_orders_are_known_and_while_draining() {
     use dotterelpin::agent::engine::EngineInput;
