Let an API end within its grace period, and propose nothing after its end

What callers saw: an API took requests and proposed commands after it had stopped, waited for a commit longer than the grace period when it heard of the signal late, and left orders to engines half written.

Cause: it ended when no call was pending, whatever the grace period, asked for no step less than once after that (its deadline stayed in the past), and did not count orders as open work.

It now uses the phases of `shutdown`: a request is taken only if its answer is due before the grace period is nearly over, open commits are answered then as unavailable (they may be committed), orders are awaited or given up. It asks once for its connections to be closed, then reports its end once; what still comes is refused and proposes nothing. Its log lines say for each open call and order what it waited for.

--- a/src/api/controller.rs
+++ b/src/api/controller.rs
@@ -24,9 +24,9 @@
 /// An order whose answer has not been received yet.
 #[derive(Debug)]
 pub(super) struct Order {
-    order: StageOrder,
+    pub(super) order: StageOrder,
     term: u64,
-    since: Timestamp,
+    pub(super) since: Timestamp,
     status: u16,
 }
 
@@ -49,7 +49,7 @@
     /// leader's orders can still take effect.
     pub(super) fn send_due_orders(&mut self, now: Timestamp, leadership: Option<Box<Leadership>>) {
         let Some(lead) = leadership else { return };
-        let idle = self.settings.stages.share == 0 || self.stopping.is_some();
+        let idle = self.settings.stages.share == 0 || self.shutdown.is_requested();
         if idle || lead.succeeds && lead.age < TAKEOVER_DELAY || self.superseded >= lead.term {
             return;
         }
@@ -120,9 +120,12 @@
         let late = |o: &Order| now - o.since > ORDER_TIMEOUT;
         let peers: Vec<PeerId> =
             self.orders.iter().filter(|(_, o)| late(o)).map(|(peer, _)| *peer).collect();
-        for peer in peers {
-            self.outputs.push(Output::Effect(HttpEffect::HangUp { peer }));
-            self.order_ended(now, peer);
-        }
+        peers.into_iter().for_each(|peer| self.give_up_order(now, peer));
+    }
+
+    /// Closes the connection of an order, whose answer is awaited no longer.
+    pub(super) fn give_up_order(&mut self, now: Timestamp, peer: PeerId) {
+        self.outputs.push(Output::Effect(HttpEffect::HangUp { peer }));
+        self.order_ended(now, peer);
     }
 }
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -7,6 +7,7 @@
 
 mod controller;
 pub mod protocol;
+mod shutting_down;
 pub mod stages;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -25,6 +26,7 @@
 use crate::link::message::{ControlReply, ControlRequest, Envelope, Reply};
 use crate::model::{BootId, EndpointState, ExchangeId, Timestamp};
 use crate::role::{Input, Output, Role};
+use crate::shutdown::{Phase, Shutdown, ShutdownTerms};
 
 /// How long a control member may take to answer before the request is sent to another one.
 const MEMBER_TIMEOUT: Duration = Duration::from_millis(350);
@@ -34,7 +36,7 @@
 const RETRY_DELAY: Duration = Duration::from_millis(40);
 /// The retry time for callers when there is no leader.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
-/// How long an API that is shutting down still answers new calls.
+/// How long an API that shuts down takes requests at least.
 const SHUTDOWN_NOTICE: Duration = Duration::from_millis(500);
 
 type Outputs = Vec<Output<HttpEffect>>;
@@ -109,13 +111,14 @@
     next_leader_request: Timestamp,
     /// The last term in which an engine rejected an order because it had seen a newer fence.
     superseded: u64,
-    stopping: Option<Timestamp>,
+    shutdown: Shutdown,
     outputs: Outputs,
 }
 
 impl Api {
     /// Creates the role.
     pub fn new(settings: ApiSettings, protocol: Box<dyn ApiProtocol>) -> Api {
+        let terms = ShutdownTerms { notice: SHUTDOWN_NOTICE, grace: settings.grace };
         Api {
             settings,
             protocol,
@@ -130,13 +133,18 @@
             leader_request: None,
             next_leader_request: Timestamp::default(),
             superseded: 0,
-            stopping: None,
+            shutdown: Shutdown::new(terms),
             outputs: Vec::new(),
         }
     }
 
     fn request_received(&mut self, now: Timestamp, caller: CallerId, request: &Request) {
         let close = request.head.wants_close();
+        if !self.shutdown.admits(now, CALL_TIMEOUT) {
+            log::info!("step=refuse call={} outcome=unavailable proposed=false", caller.0);
+            self.reply(caller, &ApiReply::Unavailable(RETRY_AFTER), true);
+            return;
+        }
         let call = match self.protocol.read(request) {
             Ok(call) => call,
             Err(reply) => {
@@ -319,6 +327,7 @@
 
     fn finish(&mut self, caller: CallerId, reply: &ApiReply) {
         let Some(pending) = self.pending.remove(&caller) else { return };
+        self.log_end(caller, reply);
         self.abandon(pending.exchanges());
         self.reply(caller, reply, pending.close);
     }
@@ -342,7 +351,7 @@
         if let ApiReply::Invalid(why) = reply {
             log::warn!("step=api outcome=invalid why=\"{why}\"");
         }
-        let keep = !close && self.stopping.is_none();
+        let keep = !close && !self.shutdown.is_requested();
         let bytes = self.protocol.write(reply, keep);
         self.outputs.push(Output::Effect(HttpEffect::Reply { caller, bytes }));
         self.outputs.push(Output::Effect(HttpEffect::Finish { caller, keep }));
@@ -404,22 +413,22 @@
                 for caller in due {
                     self.on_timer(now, caller);
                 }
-                self.request_leader(now);
-                self.expire_orders(now);
-            }
-            Input::Shutdown { since } => {
-                self.stopping.get_or_insert(since);
+                if self.shutdown.phase() < Phase::End {
+                    self.request_leader(now);
+                    self.expire_orders(now);
+                }
             }
+            Input::Shutdown { since } => self.request_shutdown(now, since),
         }
-        if self.stopping.is_some_and(|at| now >= at + SHUTDOWN_NOTICE) && self.pending.is_empty() {
-            self.outputs.push(Output::Stopped);
-        }
+        self.advance_shutdown(now);
         std::mem::take(&mut self.outputs)
     }
 
     fn next_wake(&self) -> Option<Timestamp> {
         let pending = self.pending.values().map(Api::due).min();
-        let leave = self.stopping.map(|at| at + SHUTDOWN_NOTICE);
-        pending.into_iter().chain(leave).chain([self.next_leader_request]).min()
+        let running = self.shutdown.phase() < Phase::End;
+        let leader = running.then_some(self.next_leader_request);
+        let rest = [leader, self.shutdown.next_wake()];
+        pending.into_iter().chain(rest.into_iter().flatten()).min()
     }
 }
--- a/tests/api.rs
+++ b/tests/api.rs
@@ -80,6 +80,11 @@
     open: Vec<(ExchangeId, SocketAddr, ControlRequest)>,
     replies: Vec<(u64, String)>,
     orders: Vec<(PeerId, String)>,
+    hang_ups: Vec<PeerId>,
+    /// When all connections are to be closed, each time that this was asked for.
+    closes: Vec<Timestamp>,
+    /// When the role stopped, each time that it said so.
+    stops: Vec<Timestamp>,
 }
 
 impl Fixture {
@@ -97,6 +102,9 @@
             open: Vec::new(),
             replies: Vec::new(),
             orders: Vec::new(),
+            hang_ups: Vec::new(),
+            closes: Vec::new(),
+            stops: Vec::new(),
         }
     }
 
@@ -114,6 +122,12 @@
                 Output::Effect(HttpEffect::Send { peer, bytes }) => {
                     self.orders.push((peer, String::from_utf8(bytes).unwrap()));
                 }
+                Output::Effect(HttpEffect::HangUp { peer }) => self.hang_ups.push(peer),
+                Output::Effect(HttpEffect::CloseAll { until }) => {
+                    assert!(self.stops.is_empty(), "connections are closed after the end");
+                    self.closes.push(until);
+                }
+                Output::Stopped => self.stops.push(self.now),
                 _ => {}
             }
         }
@@ -133,7 +147,7 @@
 
     fn advance(&mut self, millis: u64) {
         let until = self.now + Duration::from_millis(millis);
-        while let Some(at) = self.api.next_wake().filter(|at| *at <= until) {
+        while let Some(at) = self.api.next_wake().filter(|at| *at <= until && self.now <= until) {
             self.now = self.now.max(at);
             self.step(Input::Wake);
             self.now = self.now + Duration::from_millis(1);
@@ -316,3 +330,103 @@
     }
     assert!(!f.orders.is_empty());
 }
+
+/// Fails if a commit that is open at the end of the grace period is waited for until the process is
+/// killed, or is answered as refused although it may be committed.
+#[test]
+fn open_commit_at_the_end_of_the_grace_period_gets_no_answer() {
+    let mut f = Fixture::new();
+    let since = f.now;
+    f.step(Input::Shutdown { since });
+    for call in 0..12 {
+        f.call(call, "/publish/7");
+        f.advance(600);
+    }
+    f.advance(300);
+    assert_eq!(f.replies.len(), 12, "{:?}", f.replies);
+    assert!(f.replies.iter().all(|(_, r)| r.starts_with("Unavailable")), "{:?}", f.replies);
+    f.advance(200);
+    assert_eq!(f.stops.len(), 1, "the API has not stopped");
+    assert!(f.stops[0] <= since + Duration::from_millis(7_510), "stopped at {:?}", f.stops);
+    assert_eq!(f.closes, [since + Duration::from_millis(7_750)]);
+}
+
+/// Fails if an API that was told late of the signal waits for a commit beyond its grace period.
+#[test]
+fn commit_outlasts_the_grace_period_when_the_signal_is_handled_late() {
+    let mut f = Fixture::new();
+    f.call(1, "/publish/7");
+    f.advance(100);
+    let since = Timestamp::from_micros(f.now.as_micros() - 7_200_000);
+    f.step(Input::Shutdown { since });
+    assert!(f.replies.is_empty());
+    f.advance(310);
+    assert!(f.replies.len() == 1 && f.replies[0].1.starts_with("Unavailable"), "{:?}", f.replies);
+    assert_eq!(f.stops.len(), 1);
+}
+
+/// Fails if a request that comes when the API has ended, or too late to be committed, is proposed.
+#[test]
+fn request_after_the_end_of_an_api_is_proposed() {
+    let mut f = Fixture::new();
+    f.step(Input::Shutdown { since: f.now });
+    f.advance(600);
+    assert_eq!((f.stops.len(), f.closes.len()), (1, 1));
+    f.open.clear();
+    f.call(1, "/publish/7");
+    f.call(2, "/beat/ready");
+    f.advance(600);
+    assert!(f.open.is_empty(), "{:?}", f.open);
+    assert_eq!(f.replies.len(), 2, "{:?}", f.replies);
+    assert!(f.replies.iter().all(|(_, r)| r.starts_with("Unavailable")), "{:?}", f.replies);
+    assert_eq!((f.stops.len(), f.closes.len()), (1, 1), "the end was reported twice");
+}
+
+/// Fails if a request whose commit can't be awaited within the grace period is proposed.
+#[test]
+fn request_that_comes_too_late_to_be_committed_is_proposed() {
+    let mut f = Fixture::new();
+    f.call(1, "/publish/6");
+    let since = Timestamp::from_micros(f.now.as_micros() - 6_700_000);
+    f.step(Input::Shutdown { since });
+    f.open.clear();
+    f.call(2, "/publish/7");
+    assert!(f.open.is_empty(), "{:?}", f.open);
+    assert!(f.replies.len() == 1 && f.replies[0].1.starts_with("Unavailable"), "{:?}", f.replies);
+}
+
+/// Fails if an API ends while it writes an order to an engine or waits for its answer, although time
+/// is left; or if it waits beyond its grace period.
+#[test]
+fn order_is_cut_off_when_its_api_ends() {
+    for (answered, late) in [(true, false), (false, false), (false, true)] {
+        let engines = |n| EndpointState { name: format!("e{n}").into(), ..endpoint(false) };
+        let mut f = Fixture::new();
+        for age in (0..3_000).step_by(500) {
+            f.advance(500);
+            f.reply_lead(age, false, 2, (0..6).map(engines).collect());
+            if !f.orders.is_empty() {
+                break;
+            }
+        }
+        let orders = f.orders.len();
+        assert_ne!(orders, 0);
+        let spent = Duration::from_millis(if late { 7_400 } else { 0 });
+        let since =
+            Timestamp::from_micros((f.now - Timestamp::default() - spent).as_micros() as u64);
+        f.step(Input::Shutdown { since });
+        if !late {
+            f.advance(1_000);
+            assert!(f.stops.is_empty(), "stopped while an order has no answer");
+        }
+        if answered {
+            for peer in f.orders.iter().map(|(peer, _)| *peer).collect::<Vec<_>>() {
+                f.step(Input::Local(HttpInput::End { peer, reusable: true }));
+            }
+            assert_eq!(f.stops.len(), 1);
+        }
+        f.advance(if late { 150 } else { 1_200 });
+        assert_eq!(f.stops.len(), 1, "answered: {answered}, late: {late}");
+        assert_eq!(f.hang_ups.len(), orders, "answered: {answered}, late: {late}");
+    }
+}
