Let an agent end its work within its grace period

What callers saw: an agent with work that outlasts the grace period is killed. Entries see a broken exchange instead of a reply, the engine goes on and keeps its memory, and a queued prefill counts as one that may have run.

Cause: the agent waited for its ledger to become empty, without end; it gave the engine 5 s for cancels, counted from the signal, so that a cancel that was sent later than that was not waited for at all.

When the grace period is nearly over, reservations and queued prefills are refused as not run, work at the engine as work that may have run, and the engine gets a cancel for each. The agent waits for the confirmations until connections are closed, 5 s at most from when nothing else is open. Log lines tell for each allocation when it came, what it waited for and how it ended.

--- a/src/agent/ledger.rs
+++ b/src/agent/ledger.rs
@@ -54,6 +54,8 @@
     pub phase: Phase,
     /// Whether the work may run only once, so that its outcome is recorded.
     pub once: bool,
+    /// When the capacity was allocated.
+    pub since: Timestamp,
 }
 
 /// All allocations at one endpoint.
@@ -231,6 +233,16 @@
         self.allocations.is_empty()
     }
 
+    /// Returns all allocations.
+    pub fn allocations(&self) -> impl Iterator<Item = &Allocation> + '_ {
+        self.allocations.values()
+    }
+
+    /// Returns how many allocations wait for the confirmation of a cancel.
+    pub fn cancelling(&self) -> usize {
+        self.allocations.values().filter(|a| matches!(a.phase, Phase::Cancelling { .. })).count()
+    }
+
     /// Returns whether each remaining allocation waits for the confirmation of a cancel.
     pub fn only_cancelling(&self) -> bool {
         self.allocations.values().all(|a| matches!(a.phase, Phase::Cancelling { .. }))
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -7,6 +7,7 @@
 pub mod orders;
 pub mod queue;
 pub mod settle;
+mod shutting_down;
 mod work;
 
 use std::collections::BTreeMap;
@@ -28,6 +29,7 @@
 use crate::registry::{Follower, FollowerSettings};
 use crate::report::observation::Observation;
 use crate::role::{Input, Output, Role};
+use crate::shutdown::{Shutdown, ShutdownTerms};
 
 /// The interval of keep-alive replies on exchanges whose work waits or runs.
 const ALIVE_INTERVAL: Duration = Duration::from_millis(250);
@@ -63,7 +65,7 @@
     /// The times at which imports without a first token count as stalled.
     imports: BTreeMap<RequestId, Timestamp>,
     orders: Orders,
-    stopping: Option<Timestamp>,
+    shutdown: Shutdown,
     /// The state of the endpoint that was last reported, without its load.
     reported: Option<EndpointState>,
     sequence: u64,
@@ -71,8 +73,8 @@
     next_alive: Timestamp,
     /// When the engine is next asked for the list of its running work.
     next_list: Timestamp,
-    /// When the shutdown stops waiting for cancels to be confirmed.
-    stop_deadline: Timestamp,
+    /// Since when a shutdown waits for nothing but confirmations of cancels.
+    cancels_since: Option<Timestamp>,
 }
 
 type Outputs = Vec<Output<EngineEffect>>;
@@ -80,6 +82,8 @@
 impl Agent {
     /// Creates the role; it refuses all work until its endpoint announces itself.
     pub fn new(settings: AgentSettings) -> Agent {
+        let terms = ShutdownTerms { notice: SHUTDOWN_NOTICE, grace: settings.grace };
+        let shutdown = Shutdown::new(terms);
         Agent {
             follower: Follower::new(settings.follower.clone()),
             orders: Orders::new(!settings.follower.members.is_empty()),
@@ -89,13 +93,13 @@
             settlements: Settlements::default(),
             prefills: PrefillQueue::default(),
             imports: BTreeMap::new(),
-            stopping: None,
+            shutdown,
             reported: None,
             sequence: 0,
             last_exchange: 0,
             next_alive: Timestamp::default(),
             next_list: Timestamp::default(),
-            stop_deadline: Timestamp::MAX,
+            cancels_since: None,
         }
     }
 
@@ -261,23 +265,7 @@
     }
 
     fn is_draining(&self) -> bool {
-        self.orders.is_draining() || self.stopping.is_some()
-    }
-
-    fn stop(&mut self, now: Timestamp) -> Outputs {
-        self.stopping.get_or_insert(now);
-        self.stop_deadline = self.stop_deadline.min(now + CANCEL_TIMEOUT);
-        self.follower.expedite(now);
-        self.heartbeats(now)
-    }
-
-    /// Returns whether the shutdown is complete: entries had time to receive the draining state,
-    /// and no allocation remains whose work an entry waits for or whose outcome it may query later.
-    /// Unconfirmed cancels count until `stop_deadline`.
-    fn has_stopped(&self, now: Timestamp) -> bool {
-        let notice_over = self.stopping.is_some_and(|since| now >= since + SHUTDOWN_NOTICE);
-        let timed_out = now >= self.stop_deadline && self.ledger.only_cancelling();
-        notice_over && (self.ledger.is_empty() || timed_out)
+        self.orders.is_draining() || self.shutdown.is_requested()
     }
 }
 
@@ -286,6 +274,7 @@
     type Effect = EngineEffect;
 
     fn step(&mut self, now: Timestamp, input: Input<EngineInput>) -> Outputs {
+        let open = self.open_requests();
         let mut outputs = match input {
             Input::Request { inbound, envelope } => {
                 self.follower.observe(now, envelope.revised);
@@ -307,11 +296,10 @@
             }
             Input::Local(input) => self.engine(now, input),
             Input::Wake => self.wake(now),
-            Input::Shutdown { .. } => self.stop(now),
+            Input::Shutdown { since } => self.request_shutdown(now, since),
         };
-        if self.has_stopped(now) {
-            outputs.push(Output::Stopped);
-        }
+        outputs.extend(self.advance_shutdown(now));
+        self.log_ends(now, open);
         outputs
     }
 
@@ -320,10 +308,9 @@
         let alive = (!empty).then_some(self.next_alive);
         let list = self.cancellable().then_some(self.next_list);
         let order = self.endpoint.as_ref().and(self.orders.next_wake());
-        let notice = self.stopping.filter(|_| empty).map(|since| since + SHUTDOWN_NOTICE);
         let import = self.imports.values().min().copied();
         let work = [import, self.prefills.next_wake(), self.ledger.next_wake()];
-        let rest = [alive, list, order, notice, self.follower.next_wake()];
+        let rest = [alive, list, order, self.next_shutdown_wake(), self.follower.next_wake()];
         work.into_iter().chain(rest).flatten().min()
     }
 }
--- a/src/agent/queue.rs
+++ b/src/agent/queue.rs
@@ -101,6 +101,11 @@
         false
     }
 
+    /// Returns whether a prefill is queued and so has not reached the engine.
+    pub fn is_waiting(&self, request: RequestId) -> bool {
+        self.waiting.keys().any(|(_, _, r)| *r == request)
+    }
+
     /// Removes a prefill that the engine has completed and updates the rate.
     pub fn done(&mut self, now: Timestamp, request: RequestId) {
         let Some(tokens) = self.started.remove(&request) else { return };
--- a/src/agent/work.rs
+++ b/src/agent/work.rs
@@ -81,7 +81,8 @@
     ) -> Outputs {
         let pieces = self.pieces(tokens);
         let phase = Phase::Reserved { until: now + lease };
-        match self.allocate(Allocation { request, inbound, pieces, phase, once: false }) {
+        match self.allocate(Allocation { request, inbound, pieces, phase, once: false, since: now })
+        {
             Ok(()) => {
                 vec![self.load_reply(inbound), self.reply(inbound, AgentReply::Reserved, false)]
             }
@@ -102,7 +103,7 @@
         };
         let pieces = self.pieces(tokens);
         let allocation =
-            Allocation { request, inbound, pieces, phase: Phase::Running, once: false };
+            Allocation { request, inbound, pieces, phase: Phase::Running, once: false, since: now };
         if let Err((reason, detail)) = self.allocate(allocation) {
             return self.refuse(inbound, reason, detail);
         }
@@ -215,7 +216,8 @@
             return Err((RefusalReason::Deadline, "the deadline has passed"));
         }
         let (request, once) = (call.request, !call.repeatable);
-        self.allocate(Allocation { request, inbound, pieces: 1, phase: Phase::Running, once })
+        let phase = Phase::Running;
+        self.allocate(Allocation { request, inbound, pieces: 1, phase, once, since: now })
     }
 
     fn refuse_repeated(&self, inbound: InboundId) -> Outputs {
