Let an entry answer all calls within its grace period

What callers saw: an entry whose run outlasts the grace period is killed; its caller gets no answer, and the engine keeps memory until control forgets the entry. The same holds for a call that waits for capacity.

Cause: the entry waited for its runs without end, and after them fixed sums for the callers' connections (2 s and 5 s) and the link (3 s), none of which knew when the process is killed.

When the grace period is nearly over, calls that wait are refused as not run and runs as their attempts say; their exchanges are reset, claims that can be released are. The callers' server and the link get what is left of the grace period; their former times remain as upper bounds, and the last connections are counted in `step=connections`. `step=open-call` and `step=end` tell for each call when it came, what it waited for and how it ended.

--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -2,6 +2,7 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+use std::time::Duration;
 
 use eyre::{WrapErr, eyre};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -28,6 +29,7 @@
 use crate::report::metrics::Metrics;
 use crate::report::pages::Pages;
 use crate::role::{Driver, Input};
+use crate::shutdown::{Shutdown, ShutdownTerms};
 
 /// The exit code of a process that exits at once because of a SIGINT during its shutdown.
 const EXIT_AT_ONCE: i32 = 1;
@@ -161,13 +163,15 @@
     }
     link.start(route)?;
     log::info!("step=start name={} domain={} boot={boot}", settings.name, settings.domain);
+    let grace = settings.grace;
     let has_control = control_thread.is_some();
     let has_traffic = !traffic_threads.is_empty();
     for thread in traffic_threads {
         join(thread)?;
     }
     if let Some(server) = caller_server {
-        server.finish();
+        let close = shutdown(&signalled, grace).close_time();
+        server.finish(left_until(close));
     }
     if let (Some(thread), Some(control)) = (control_thread, control) {
         if has_traffic {
@@ -176,11 +180,22 @@
         }
         join(thread)?;
     }
-    handle.shutdown(!has_control);
+    handle.shutdown(!has_control, left_until(shutdown(&signalled, grace).exit_time()));
     log::info!("step=stop name={}", settings.name);
     Ok(())
 }
 
+/// Returns the shutdown of the process, which begins now if it was not signalled.
+fn shutdown(signalled: &Signalled, grace: Duration) -> Shutdown {
+    let mut shutdown = Shutdown::new(ShutdownTerms { notice: Duration::ZERO, grace });
+    shutdown.request(*signalled.get_or_init(Timestamp::from_steady));
+    shutdown
+}
+
+fn left_until(at: Option<Timestamp>) -> Duration {
+    at.map(|at| at - Timestamp::from_steady()).unwrap_or_default()
+}
+
 fn join(thread: Thread) -> eyre::Result<()> {
     thread.join().map_err(|_| eyre!("the thread of a role has panicked"))
 }
--- a/src/entry/accept/mod.rs
+++ b/src/entry/accept/mod.rs
@@ -68,19 +68,20 @@
 /// answer is written.
 pub struct CallerServer {
     calls: Calls,
-    stop: watch::Sender<bool>,
+    /// When connections are closed whatever is unwritten on them, once the role has stopped.
+    stop: watch::Sender<Option<Instant>>,
     thread: std::thread::JoinHandle<()>,
 }
 
 impl CallerServer {
     /// Refuses the calls that the role never processed, and waits until the last answers are
-    /// written.
+    /// written, `left` at most.
     ///
     /// The threads that write answers end with the process, so it must not exit before this
     /// returns.
-    pub fn finish(self) {
+    pub fn finish(self, left: Duration) {
         lock(&self.calls).close();
-        let _ = self.stop.send(true);
+        let _ = self.stop.send(Some(Instant::now() + left));
         if self.thread.join().is_err() {
             log::error!("step=callers error=\"the accept thread has panicked\"");
         }
@@ -114,7 +115,7 @@
         bounds,
         role: role.clone(),
     };
-    let (stop, stopped) = watch::channel(false);
+    let (stop, stopped) = watch::channel(None);
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(THREADS)
         .thread_name("callers")
@@ -134,7 +135,7 @@
 async fn accept(
     listener: std::net::TcpListener,
     shared: Shared,
-    mut stopped: watch::Receiver<bool>,
+    mut stopped: watch::Receiver<Option<Instant>>,
 ) -> eyre::Result<()> {
     let listener = TcpListener::from_std(listener).wrap_err("register the listener")?;
     // Each connection has a clone of the sender; the receiver ends once all are closed.
@@ -145,7 +146,8 @@
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = stopped.changed(), if drain_deadline.is_none() => {
-                drain_deadline = Some(Instant::now() + DRAIN_TIMEOUT);
+                let drained = Instant::now() + DRAIN_TIMEOUT;
+                drain_deadline = Some(close_deadline(&stopped).min(drained));
                 continue;
             }
             () = tokio::time::sleep(DRAIN_IDLE), if drain_deadline.is_some() => break,
@@ -175,19 +177,28 @@
         });
     }
     drop((listener, running));
-    if tokio::time::timeout(FLUSH_TIMEOUT, all_closed.recv()).await.is_err() {
+    let left = close_deadline(&stopped).saturating_duration_since(Instant::now());
+    let left = left.min(FLUSH_TIMEOUT);
+    if tokio::time::timeout(left, all_closed.recv()).await.is_err() {
         log::warn!(
-            "step=shutdown error=\"some last answers were not read within {FLUSH_TIMEOUT:?}\""
+            "step=connections open={} unwritten={} error=\"not closed within {left:?}\"",
+            connections.load(Ordering::SeqCst),
+            shared.open.load(Ordering::SeqCst),
         );
     }
     Ok(())
 }
 
+/// Returns when connections are closed whatever is unwritten on them.
+fn close_deadline(stopped: &watch::Receiver<Option<Instant>>) -> Instant {
+    stopped.borrow().unwrap_or_else(|| Instant::now() + FLUSH_TIMEOUT)
+}
+
 /// Serves the requests of one connection, one after the other.
 async fn serve_connection(
     stream: TcpStream,
     shared: Shared,
-    stopped: watch::Receiver<bool>,
+    stopped: watch::Receiver<Option<Instant>>,
 ) -> eyre::Result<()> {
     stream.set_nodelay(true).wrap_err("set TCP_NODELAY")?;
     let service = service_fn(move |request| {
@@ -210,8 +221,8 @@
 
 /// Waits for the stop and then for [`DRAIN_IDLE`], so that a request that has just arrived is still
 /// read.
-async fn after_stop(mut stopped: watch::Receiver<bool>) {
-    let _ = stopped.wait_for(|s| *s).await;
+async fn after_stop(mut stopped: watch::Receiver<Option<Instant>>) {
+    let _ = stopped.wait_for(Option::is_some).await;
     tokio::time::sleep(DRAIN_IDLE).await;
 }
 
--- a/src/entry/admit/mod.rs
+++ b/src/entry/admit/mod.rs
@@ -160,6 +160,11 @@
         self.queues.values().filter_map(Queue::next_wake).min()
     }
 
+    /// Returns the calls that are waiting.
+    pub fn waiting(&self) -> Vec<CallId> {
+        self.queues.values().flat_map(Queue::calls).collect()
+    }
+
     /// Returns whether no calls are waiting.
     pub fn is_empty(&self) -> bool {
         self.queues.values().all(Queue::is_empty)
--- a/src/entry/admit/queue.rs
+++ b/src/entry/admit/queue.rs
@@ -212,6 +212,11 @@
         self.tokens
     }
 
+    /// Returns the waiting calls.
+    pub fn calls(&self) -> impl Iterator<Item = CallId> + '_ {
+        self.tickets.keys().copied()
+    }
+
     /// Returns the number of waiting calls.
     pub fn len(&self) -> usize {
         self.tickets.len()
--- a/src/entry/meter.rs
+++ b/src/entry/meter.rs
@@ -61,6 +61,11 @@
         self.calls.insert(id, metered);
     }
 
+    /// Returns when a call arrived, unless it has ended.
+    pub(crate) fn arrival(&self, id: CallId) -> Option<Timestamp> {
+        self.calls.get(&id).map(|call| call.arrived)
+    }
+
     /// Records the start of the first attempt.
     pub(crate) fn started(&mut self, now: Timestamp, id: CallId) {
         if let Some(call) = self.calls.get_mut(&id) {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -14,6 +14,7 @@
 pub mod retry;
 mod run;
 mod shared;
+mod shutting_down;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -32,6 +33,7 @@
 use crate::model::{Call, CallId, CallKind, ExchangeId, Refusal, RefusalReason, Timestamp};
 use crate::registry::FollowerSettings;
 use crate::role::{Input, Output, Role};
+use crate::shutdown::{Phase, Shutdown, ShutdownTerms};
 
 /// The retry delay of calls that are refused during shutdown or without a confirmed
 /// configuration.
@@ -59,6 +61,8 @@
     run: Run,
     timer: Timestamp,
     tenant: Box<str>,
+    /// When the call arrived.
+    arrived: Timestamp,
 }
 
 /// The entry role.
@@ -70,8 +74,7 @@
     timers: BTreeSet<(Timestamp, CallId)>,
     limits: Limits,
     meter: Meter,
-    /// When the shutdown began; `None` before it.
-    stopping: Option<Timestamp>,
+    shutdown: Shutdown,
     /// Since when an entry that shuts down has had no calls.
     idle_since: Option<Timestamp>,
 }
@@ -83,6 +86,7 @@
         tenants: Tenants,
         placement: Box<dyn Placement + Send>,
     ) -> Entry {
+        let terms = ShutdownTerms { notice: SHUTDOWN_NOTICE, grace: settings.grace };
         let shared = Shared::new(settings, placement);
         Entry {
             shared,
@@ -91,7 +95,7 @@
             timers: BTreeSet::new(),
             limits: Limits::default(),
             meter: Meter::default(),
-            stopping: None,
+            shutdown: Shutdown::new(terms),
             idle_since: None,
         }
     }
@@ -131,8 +135,9 @@
             self.ended(call, &tenant);
         } else {
             let timer = run.next_wake();
+            let arrived = self.meter.arrival(call).unwrap_or(now);
             self.timers.insert((timer, call));
-            self.runs.insert(call, Scheduled { run, timer, tenant });
+            self.runs.insert(call, Scheduled { run, timer, tenant, arrived });
         }
         outputs
     }
@@ -171,7 +176,7 @@
     }
 
     fn admit(&mut self, now: Timestamp, raw: RawCall) -> Result<crate::model::Call, Refusal> {
-        if self.stopping.is_some() {
+        if self.shutdown.is_requested() {
             let detail = "this entry is shutting down";
             return Err(Refusal::not_run(RefusalReason::Draining, RETRY_AFTER, detail));
         }
@@ -226,24 +231,6 @@
         })
     }
 
-    /// Returns whether the entry has no calls left and the shutdown notice has passed.
-    fn has_stopped(&mut self, now: Timestamp) -> bool {
-        let idle = self.runs.is_empty() && self.shared.admission.is_empty();
-        if self.stopping.is_some() && idle {
-            self.idle_since.get_or_insert(now);
-        }
-        self.stop_time().is_some_and(|at| at <= now)
-    }
-
-    /// Returns when an entry that shuts down stops; `None` while it still has calls.
-    fn stop_time(&self) -> Option<Timestamp> {
-        let noticed = self.stopping? + SHUTDOWN_NOTICE;
-        let idle_since = self.idle_since?;
-        let cleanup_end =
-            if self.shared.owners.is_empty() { idle_since } else { idle_since + CLEANUP_TIMEOUT };
-        Some(noticed.max(cleanup_end))
-    }
-
     fn wake(&mut self, now: Timestamp) -> Outputs {
         let mut outputs = self.heartbeats(now);
         let due: Vec<CallId> =
@@ -292,7 +279,7 @@
             }
             Input::Wake => self.wake(now),
             Input::Shutdown { since } => {
-                self.stopping.get_or_insert(since);
+                self.request_shutdown(now, since);
                 Vec::new()
             }
             Input::Request { .. } | Input::Abandoned { .. } => Vec::new(),
@@ -301,8 +288,11 @@
         if may_start {
             outputs.extend(self.start_queued(now));
         }
+        let before = self.shutdown.phase();
+        outputs.extend(self.advance_shutdown(now));
+        self.log_ends(now, &outputs);
         self.meter.observe(now, &mut outputs, &self.shared.owners);
-        if self.has_stopped(now) {
+        if before < Phase::End && self.shutdown.phase() == Phase::End {
             outputs.push(Output::Stopped);
         }
         outputs
@@ -311,7 +301,7 @@
     fn next_wake(&self) -> Option<Timestamp> {
         let runs = self.timers.first().map(|(at, _)| *at);
         let queue = self.shared.admission.next_wake();
-        let rest = [self.stop_time(), self.shared.follower.next_wake()];
+        let rest = [self.next_shutdown_wake(), self.shared.follower.next_wake()];
         [runs, queue].into_iter().chain(rest).flatten().min()
     }
 }
--- a/src/entry/run/failure.rs
+++ b/src/entry/run/failure.rs
@@ -182,6 +182,34 @@
         outputs
     }
 
+    /// Answers the caller, because the process is about to end, and closes the exchanges and the
+    /// claim.
+    ///
+    /// The commands of a run that records its outcome stay on their way.
+    pub(crate) fn shut_down(&mut self, shared: &mut Shared, now: Timestamp) -> Outputs {
+        let reason = RefusalReason::Draining;
+        if matches!(self.stage, Stage::Recording(_)) {
+            return self
+                .send_refusal(reason, "the entry shut down before the answer was committed");
+        }
+        self.refuse(shared, now, reason, "the entry shut down before the call had ended")
+    }
+
+    /// Returns what the run waits for, as it is logged.
+    pub(crate) fn waits_for(&self) -> &'static str {
+        match &self.stage {
+            Stage::Claiming(_) => "claim",
+            Stage::OwnerCheck(_) => "owner",
+            Stage::Settling(_) => "settle",
+            Stage::Serving { .. } | Stage::Decoding { .. } => "run",
+            Stage::Reserving { .. } => "reservation",
+            Stage::Waiting { .. } => "retry",
+            Stage::Exporting { .. } | Stage::Prefilling { .. } => "prefill",
+            Stage::Recording(_) => "commit",
+            Stage::Done => "-",
+        }
+    }
+
     /// Returns whether the outcome of another call's attempt with this key is not known yet.
     pub(super) fn awaits_other_outcome(&self) -> bool {
         match &self.stage {
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -103,6 +103,8 @@
         /// Whether requests without a reply were never started; the close code reports this to
         /// peers.
         unstarted: bool,
+        /// How long that may take.
+        left: std::time::Duration,
         /// Receives a message once the connections are closed.
         done: std::sync::mpsc::Sender<()>,
     },
--- a/src/link/shell.rs
+++ b/src/link/shell.rs
@@ -9,6 +9,7 @@
 use eyre::WrapErr;
 use quinn::{Endpoint, TransportConfig, VarInt};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::time::Instant;
 
 use super::dialer::Dialer;
 use super::exchange::{self, Outgoing, QueuedReply};
@@ -31,6 +32,8 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a shutdown waits until the peers have acknowledged the close.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
+/// The part of the time for a shutdown that is kept for the close: one in so many.
+const CLOSE_SHARE: u32 = 5;
 /// How often a shutdown checks whether replies or requests are still in flight.
 const FLUSH_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// References to [`LinkLoop::pending`] when no reply is in flight: those of the link's loop and of
@@ -85,14 +88,16 @@
         owner
     }
 
-    /// Waits until the last replies have arrived, then closes all connections.
+    /// Waits until the last replies have arrived, then closes all connections; takes no longer than
+    /// `left`.
     ///
     /// The roles must have stopped. `unstarted` means that requests without a reply were never
     /// started.
-    pub fn shutdown(&self, unstarted: bool) {
+    pub fn shutdown(&self, unstarted: bool, left: Duration) {
+        let left = left.min(FLUSH_TIMEOUT + REQUEST_TIMEOUT + CLOSE_TIMEOUT);
         let (done, closed) = std::sync::mpsc::channel();
-        self.act(LinkAction::Shutdown { unstarted, done });
-        let _ = closed.recv_timeout(FLUSH_TIMEOUT + REQUEST_TIMEOUT + CLOSE_TIMEOUT);
+        self.act(LinkAction::Shutdown { unstarted, left, done });
+        let _ = closed.recv_timeout(left);
     }
 
     /// Queues one action; it is ignored once the thread has ended.
@@ -188,8 +193,9 @@
             action = link.queue.recv() => {
                 match action {
                     None => break,
-                    Some(LinkAction::Shutdown { unstarted, done }) => {
-                        tokio::spawn(state.clone().shutdown(endpoint.clone(), unstarted, done));
+                    Some(LinkAction::Shutdown { unstarted, left, done }) => {
+                        let state = state.clone();
+                        tokio::spawn(state.shutdown(endpoint.clone(), unstarted, left, done));
                     }
                     Some(action) => state.act(action),
                 }
@@ -247,22 +253,27 @@
         }
     }
 
-    /// Closes all connections once no reply is in flight.
+    /// Closes all connections once no reply is in flight; the close gets a fifth of the time `left`
+    /// at least.
     async fn shutdown(
         self,
         endpoint: Endpoint,
         unstarted: bool,
+        left: Duration,
         done: std::sync::mpsc::Sender<()>,
     ) {
+        let close_at = Instant::now() + (left - (left / CLOSE_SHARE).min(CLOSE_TIMEOUT));
         let replies = async {
             while Arc::strong_count(&self.pending) > IDLE_PENDING_REFS {
                 tokio::time::sleep(FLUSH_POLL_INTERVAL).await;
             }
         };
-        let flushed = tokio::time::timeout(FLUSH_TIMEOUT, replies).await.is_ok();
+        let until = close_at.min(Instant::now() + FLUSH_TIMEOUT);
+        let flushed = tokio::time::timeout_at(until, replies).await.is_ok();
         if !flushed {
             log::warn!(
-                "step=leave error=\"some last replies were not acknowledged in {FLUSH_TIMEOUT:?}\""
+                "step=leave error=\"{} last replies were not acknowledged in time\"",
+                Arc::strong_count(&self.pending).saturating_sub(IDLE_PENDING_REFS),
             );
         }
         let requests = async {
@@ -270,7 +281,8 @@
                 tokio::time::sleep(FLUSH_POLL_INTERVAL).await;
             }
         };
-        let _ = tokio::time::timeout(REQUEST_TIMEOUT, requests).await;
+        let until = close_at.min(Instant::now() + REQUEST_TIMEOUT);
+        let _ = tokio::time::timeout_at(until, requests).await;
         let code = if unstarted && flushed { exchange::UNSTARTED } else { VarInt::from_u32(0) };
         endpoint.close(code, b"leaving");
         self.dialer.close();
--- a/src/shutdown/mod.rs
+++ b/src/shutdown/mod.rs
@@ -14,6 +14,9 @@
 /// The part of the grace period, at its end, in which connections are closed already: one in so
 /// many.
 const CLOSE_SHARE: u32 = 32;
+/// The part of the grace period, at its end, that is left to the exit of the process: one in so
+/// many.
+const EXIT_SHARE: u32 = 64;
 
 /// How long the shutdown of a role takes.
 #[derive(Debug, Clone, Copy)]
@@ -141,6 +144,13 @@
         self.since.map(|since| since + (grace - grace / CLOSE_SHARE))
     }
 
+    /// Returns when the connections to other processes are closed and the process exits, once the
+    /// shutdown is requested.
+    pub fn exit_time(&self) -> Option<Timestamp> {
+        let grace = self.terms.grace;
+        self.since.map(|since| since + (grace - grace / EXIT_SHARE))
+    }
+
     /// Returns when [`Shutdown::advance`] is due although nothing else happens.
     pub fn next_wake(&self) -> Option<Timestamp> {
         match self.phase {
