Play stops among calls, breaks and restarts in simulated time

A call at an entry that ends by itself has one outcome, "not run" is true, and each role ends before it is killed.

--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -61,6 +61,11 @@
     Kill(Node),
     Restart(Node),
     AdvanceTime(u64),
+    /// Signals a role that was to be told so many milliseconds before.
+    Stop {
+        node: Node,
+        late: u64,
+    },
 }
 
 fn node() -> impl Strategy<Value = Node> {
@@ -194,6 +199,10 @@
             Op::Quorum(quorum) => self.world.quorum = quorum,
             Op::Kill(node) => self.world.kill(node),
             Op::Restart(node) => self.world.restart(node),
+            Op::Stop { node, late } => {
+                let since = self.world.now.as_micros() - late * 1_000;
+                self.world.shut_down(node, Timestamp::from_micros(since));
+            }
             Op::AdvanceTime(ms) => self.world.advance(Duration::from_millis(ms)),
         }
         self.collect();
@@ -368,6 +377,40 @@
         .unwrap();
 }
 
+/// Steps among which roles stop.
+fn op_with_stops() -> impl Strategy<Value = Op> {
+    let late = prop_oneof![2 => Just(0), 1 => Just(2_000), 1 => Just(7_000)];
+    prop_oneof![
+        40 => op(),
+        1 => (node(), late).prop_map(|(node, late)| Op::Stop { node, late }),
+        2 => prop_oneof![Just(3_000), Just(7_000)].prop_map(Op::AdvanceTime),
+    ]
+}
+
+/// Fails if a call of a role that stops ends without an outcome, runs twice, or is refused as not
+/// run although it ran; or if the role does not end by itself.
+#[test]
+fn call_at_a_role_that_stops_gets_no_outcome_or_an_untrue_one() {
+    runner(24, 400)
+        .run(&(variant(), vec(op_with_stops(), 0..300)), |(variant, ops)| {
+            let mut test = Test::new(variant);
+            for op in &ops {
+                test.apply(op);
+            }
+            test.run_to_end();
+            test.world.check_stops();
+            let lost = |c: &OwnedCallId| {
+                let stopped = test.world.stopped.contains_key(&c.0);
+                stopped && !test.ended.contains_key(c) && !test.disconnected.contains(c)
+            };
+            let lost: Vec<_> = test.calls.keys().filter(|c| lost(c)).collect();
+            assert!(lost.is_empty(), "calls without an outcome at entries that ended: {lost:?}");
+            test.finish();
+            Ok(())
+        })
+        .unwrap();
+}
+
 #[test]
 fn claims_are_retained_by_the_timestamps_of_the_commands() {
     let retention = Duration::from_secs(60);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -133,6 +133,8 @@
     pub caller_effects: Vec<(BootId, CallerEffect)>,
     /// The first request that an agent received on each exchange, with the agent's index.
     pub first_requests: Vec<(usize, Envelope<Request>)>,
+    /// When each role was first signalled to shut down.
+    pub signalled: BTreeMap<BootId, Timestamp>,
     /// When each role that was told to shut down stopped by itself.
     pub stopped: BTreeMap<BootId, Timestamp>,
 }
@@ -158,6 +160,7 @@
             engine_effects: VecDeque::new(),
             caller_effects: Vec::new(),
             first_requests: Vec::new(),
+            signalled: BTreeMap::new(),
             stopped: BTreeMap::new(),
         };
         world.restart_all();
@@ -233,12 +236,27 @@
 
     /// Signals a role to shut down, as if the signal had come at a time.
     pub fn shut_down(&mut self, node: Node, since: Timestamp) {
+        if self.is_alive(node) {
+            self.signalled.entry(self.boot(node)).or_insert(since);
+        }
         match node {
             Node::Entry(i) => self.step_entry(i, Input::Shutdown { since }),
             Node::Agent(i) => self.step_agent(i, Input::Shutdown { since }),
         }
     }
 
+    /// Checks that each role that was signalled has ended by itself before it is killed.
+    pub fn check_stops(&self) {
+        for (boot, since) in &self.signalled {
+            let killed = *since + GRACE;
+            let end = self.stopped.get(boot).copied();
+            let ran = self.entries.iter().any(|(b, e)| b == boot && e.is_some())
+                || self.agents.iter().any(|(b, a)| b == boot && a.is_some());
+            assert!(!ran || self.now < killed, "{boot} still runs {:?}", self.now - *since);
+            assert!(end.is_none_or(|at| at < killed), "{boot} ended after it was killed");
+        }
+    }
+
     /// Sets a default of the configuration, which processes receive with their next heartbeats.
     pub fn configure(&mut self, setting: &str, value: &str) {
         let edit = Edit::Set { name: setting.into(), value: value.into() };
