--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -232,6 +232,23 @@
         Ok(self.entries.len() - 1)
     }
 
+    /// Replaces the only control member by a process that is an entry as well, and returns the
+    /// entry's index.
+    pub fn entry_in_control(&mut self, extra: &[&str]) -> eyre::Result<usize> {
+        self.controls.clear();
+        let (callers, pages) = (free_tcp()?, free_tcp()?);
+        let name = "entry-control";
+        let mut args = self.common_args("entry,control", name, "brno-a", self.members[0]);
+        args.extend(["--data".into(), self.path("data-0")]);
+        args.extend(["--callers".into(), callers.to_string()]);
+        args.extend(["--pages".into(), pages.to_string()]);
+        args.extend(["--tenants".into(), self.path("tenants")]);
+        args.extend(extra.iter().map(|a| (*a).to_string()));
+        let process = Process::start(&program("dotterelpind"), &args, name, &self.folder)?;
+        self.entries.push(EntryProcess { process, url: format!("http://{callers}"), pages });
+        Ok(self.entries.len() - 1)
+    }
+
     /// Starts a stand-in engine of a kind with its agent and returns the index of the endpoint.
     pub fn engine(&mut self, kind: &str, domain: &str, extra: &[&str]) -> eyre::Result<usize> {
         let mut args = vec!["--kind".to_string(), kind.to_string()];
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -488,3 +488,86 @@
         }
     }
 }
+
+/// Fails if a process whose callers read slowly, or whose runs outlast its grace period, does not
+/// answer the others and end before it is killed.
+#[test]
+fn run_or_slow_reader_keeps_an_entry_until_it_is_killed() {
+    let mut fleet = Fleet::new(1).unwrap();
+    fleet.entry_with("brno-a", &["--grace", "3"]).unwrap();
+    fleet.engine("prefill", "brno-a", &[]).unwrap();
+    fleet.engine("decode", "brno-a", SLOW).unwrap();
+    fleet.wait_ready().unwrap();
+    let url = fleet.entries[0].url.clone();
+    // This caller reads nothing.
+    let _unread = open_stream(&url, "Lesson plan 1", TOKENS).unwrap();
+    let mut stream = open_stream(&url, "Lesson plan 2", TOKENS).unwrap();
+    assert!(stream.next_event().unwrap().is_some());
+    fleet.entries[0].process.signal("-TERM").unwrap();
+    let begin = std::time::Instant::now();
+    let mut last = String::new();
+    while let Some(event) = stream.next_event().unwrap() {
+        last = event;
+    }
+    assert!(last.contains("\"ran\":\"maybe\""), "the last event is {last}");
+    assert_eq!(fleet.entries[0].process.exit_within(EXIT_TIMEOUT), Some(0));
+    assert!(begin.elapsed() < Duration::from_secs(3), "it took {:?}", begin.elapsed());
+    let log = fleet.entries[0].process.log();
+    assert!(log.contains("step=stop"), "the last log lines are missing: {log}");
+    assert_eq!(log.matches("at=grace-end").count(), 2, "{log}");
+    wait_for(Duration::from_secs(2), || {
+        let status: serde_json::Value =
+            serde_json::from_str(&fleet.tool_text(&["--json", "status"])?)?;
+        let endpoints = status["endpoints"].as_array().cloned().unwrap_or_default();
+        let held = endpoints.iter().filter(|e| e["load"]["slots"].as_u64() != Some(0)).count();
+        eyre::ensure!(held == 0, "an engine keeps memory: {status}");
+        Ok(())
+    })
+    .unwrap();
+}
+
+/// Fails if control, which stops after the entry of its process, does not fit into the same grace
+/// period.
+#[test]
+fn control_outlasts_the_grace_period_after_the_entry_of_its_process() {
+    let mut fleet = Fleet::new(1).unwrap();
+    let entry = fleet.entry_in_control(&["--grace", "3"]).unwrap();
+    let service = fleet.service("brno-a", &["--work-ms", "9000"]).unwrap();
+    fleet.wait_ready().unwrap();
+    let url = fleet.entries[entry].url.clone();
+    let caller = std::thread::spawn(move || {
+        call(&url, "POST", TAP, &[("idempotency-key", "tap-1")], "pupil-7")
+    });
+    wait_for(Duration::from_secs(10), || {
+        let counts = fleet.endpoints[service].counts()?;
+        eyre::ensure!(counts["pupil-7"] == 1, "counts: {counts}");
+        Ok(())
+    })
+    .unwrap();
+    fleet.entries[entry].process.signal("-TERM").unwrap();
+    let begin = std::time::Instant::now();
+    std::thread::sleep(Duration::from_millis(500));
+    fleet.entries[entry].process.signal("-TERM").unwrap();
+    assert_eq!(fleet.entries[entry].process.exit_within(EXIT_TIMEOUT), Some(0));
+    assert!(begin.elapsed() < Duration::from_secs(3), "it took {:?}", begin.elapsed());
+    let answer = caller.join().unwrap().expect("the call was cut off");
+    assert_eq!((answer.status, answer.ran.as_deref()), (503, Some("maybe")), "{answer:?}");
+}
+
+/// Fails if a process that is signalled a second after its start, before it knows a configuration,
+/// does not end, or cuts off a call.
+#[test]
+fn entry_that_has_just_started_ignores_the_signal() {
+    let mut fleet = Fleet::new(1).unwrap();
+    fleet.controls[0].kill();
+    fleet.entry_with("brno-a", &["--grace", "3"]).unwrap();
+    std::thread::sleep(Duration::from_secs(1));
+    let answer = fleet.call(0, "GET", TIMETABLE, &[], "").unwrap();
+    assert_eq!((answer.status, answer.ran.as_deref()), (503, Some("no")), "{answer:?}");
+    fleet.entries[0].process.signal("-TERM").unwrap();
+    let begin = std::time::Instant::now();
+    let answer = fleet.call(0, "GET", TIMETABLE, &[], "").unwrap();
+    assert_eq!((answer.status, answer.ran.as_deref()), (503, Some("no")), "{answer:?}");
+    assert_eq!(fleet.entries[0].process.exit_within(EXIT_TIMEOUT), Some(0));
+    assert!(begin.elapsed() < Duration::from_secs(3), "it took {:?}", begin.elapsed());
+}
