Answer a caller that is still sending when its entry ends

What callers saw: a caller that sends its content slowly got no answer from an entry that ended; the connection was closed (the new test read "" before).

Cause: the content was awaited for up to 10 s, whatever was left of the grace period, and the connection was dropped at its end.

Content that is not complete when the role has stopped can't be served any more: the call is refused as not run (or maybe, with an idempotency key).

--- a/src/entry/accept/mod.rs
+++ b/src/entry/accept/mod.rs
@@ -201,9 +201,10 @@
     stopped: watch::Receiver<Option<Instant>>,
 ) -> eyre::Result<()> {
     stream.set_nodelay(true).wrap_err("set TCP_NODELAY")?;
+    let ended = stopped.clone();
     let service = service_fn(move |request| {
-        let shared = shared.clone();
-        async move { Ok::<_, Infallible>(serve(request, shared).await) }
+        let (shared, ended) = (shared.clone(), ended.clone());
+        async move { Ok::<_, Infallible>(serve(request, shared, ended).await) }
     });
     let mut builder = http1::Builder::new();
     builder
@@ -228,7 +229,11 @@
 
 /// Serves one request; returns once its outcome is known, or once its answer is to be written in
 /// parts.
-async fn serve(request: Request<Incoming>, shared: Shared) -> Response<AnswerBody> {
+async fn serve(
+    request: Request<Incoming>,
+    shared: Shared,
+    stopped: watch::Receiver<Option<Instant>>,
+) -> Response<AnswerBody> {
     let idempotent = is_idempotent(request.method().as_str());
     let key_open = !idempotent && request.headers().contains_key("idempotency-key");
     let Some(call) = shared.open() else {
@@ -237,7 +242,11 @@
         return answer::refused(&refusal.with_open_key(key_open));
     };
     let has_encoding = request.headers().contains_key(TRANSFER_ENCODING);
-    let raw = match read_call(request).await {
+    let read = tokio::select! {
+        read = read_call(request) => read,
+        () = after_stop(stopped) => Err(refused_unread(key_open)),
+    };
+    let raw = match read {
         Ok(raw) => raw,
         Err(refusal) => {
             let id = call.id();
@@ -268,6 +277,12 @@
     }
 }
 
+/// Returns the refusal of a call whose content was not received before the role had stopped.
+fn refused_unread(key_open: bool) -> Refusal {
+    let detail = "this entry has shut down";
+    Refusal::not_run(RefusalReason::Draining, RETRY_AFTER, detail).with_open_key(key_open)
+}
+
 /// Adds to a refusal at shutdown that an earlier call with the same key may have run.
 fn with_key_state(outcome: Terminal, key_open: bool) -> Terminal {
     match outcome {
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -571,3 +571,26 @@
     assert_eq!(fleet.entries[0].process.exit_within(EXIT_TIMEOUT), Some(0));
     assert!(begin.elapsed() < Duration::from_secs(3), "it took {:?}", begin.elapsed());
 }
+
+/// Fails if a caller that sends its content slowly gets no answer when the entry ends.
+#[test]
+fn caller_that_sends_slowly_gets_no_answer_from_an_entry_that_ends() {
+    use std::io::{Read, Write};
+
+    let mut fleet = Fleet::new(1).unwrap();
+    fleet.entry_with("brno-a", &["--grace", "3"]).unwrap();
+    fleet.service("brno-a", &[]).unwrap();
+    fleet.wait_ready().unwrap();
+    let address = fleet.entries[0].url.trim_start_matches("http://").to_string();
+    let mut stream = std::net::TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(EXIT_TIMEOUT)).unwrap();
+    let head = format!("POST {TAP} HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\n");
+    stream.write_all(head.as_bytes()).unwrap();
+    stream.write_all(b"pupil").unwrap();
+    std::thread::sleep(Duration::from_millis(200));
+    fleet.entries[0].process.signal("-TERM").unwrap();
+    let mut answer = String::new();
+    let _ = stream.read_to_string(&mut answer);
+    assert!(answer.starts_with("HTTP/1.1 503") && answer.contains("\"ran\":\"no\""), "{answer:?}");
+    assert_eq!(fleet.entries[0].process.exit_within(EXIT_TIMEOUT), Some(0));
+}
