Stop an entry whose caller reads nothing

A caller that pipelines 40 requests for answers of 1 MiB and reads none of them holds its connection up. The test sees the entry end with 0 within its grace period of 3 s and log one open connection.

--- a/examples/stand_in_service.rs
+++ b/examples/stand_in_service.rs
@@ -13,6 +13,9 @@
 /// How often the announcement is repeated, so that a restarted agent receives it.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The size of the answer to `/handout`.
+const HANDOUT_BYTES: usize = 1 << 20;
+
 /// A stand-in for a plain service.
 #[derive(Debug, Clone, FromArgs)]
 struct Args {
@@ -58,6 +61,7 @@
             (200, json!({ "run": count }))
         }
         (Method::Get, "/timetable" | "/status") => (200, json!({ "lessons": ["math", "music"] })),
+        (Method::Get, "/handout") => (200, json!("x".repeat(HANDOUT_BYTES))),
         (Method::Get, "/admin/counts") => (200, json!(lock().runs)),
         (Method::Post, "/admin/fault") => {
             let body: Value = serde_json::from_str(&content).unwrap_or(Value::Null);
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -594,3 +594,30 @@
     assert!(answer.starts_with("HTTP/1.1 503") && answer.contains("\"ran\":\"no\""), "{answer:?}");
     assert_eq!(fleet.entries[0].process.exit_within(EXIT_TIMEOUT), Some(0));
 }
+
+/// Fails if a caller that does not read its answers keeps an entry running until it is killed.
+#[test]
+fn caller_that_reads_nothing_keeps_an_entry_until_it_is_killed() {
+    use std::io::Write;
+
+    let mut fleet = Fleet::new(1).unwrap();
+    fleet.entry_with("brno-a", &["--grace", "3"]).unwrap();
+    fleet.service("brno-a", &[]).unwrap();
+    fleet.wait_ready().unwrap();
+    let handout = fleet.call(0, "GET", "/services/classroom/handout", &[], "").unwrap();
+    assert!(handout.body.len() > 1 << 20, "{} {}", handout.status, handout.body.len());
+    let address = fleet.entries[0].url.trim_start_matches("http://").to_string();
+    let mut stream = std::net::TcpStream::connect(address).unwrap();
+    let request = format!(
+        "GET /services/classroom/handout HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {}\r\n\r\n",
+        common::CREDENTIAL
+    );
+    stream.write_all(request.repeat(40).as_bytes()).unwrap();
+    std::thread::sleep(Duration::from_secs(3));
+    fleet.entries[0].process.signal("-TERM").unwrap();
+    let begin = std::time::Instant::now();
+    assert_eq!(fleet.entries[0].process.exit_within(EXIT_TIMEOUT), Some(0));
+    assert!(begin.elapsed() < Duration::from_secs(3), "it took {:?}", begin.elapsed());
+    fleet.entries[0].process.expect_log("step=connections open=1");
+    fleet.entries[0].process.expect_log("step=stop");
+}
