--- a/src/entry/accept/mod.rs
+++ b/src/entry/accept/mod.rs
@@ -68,19 +68,20 @@
 /// answer is written.
 pub struct CallerServer {
     calls: Calls,
-    stop: watch::Sender<bool>,
+    /// When connections are closed whatever is unwritten on them, once the role has stopped.
+    stop: watch::Sender<Option<Instant>>,
     thread: std::thread::JoinHandle<()>,
 }
 
 impl CallerServer {
     /// Refuses the calls that the role never processed, and waits until the last answers are
-    /// written.
+    /// written, `left` at most.
     ///
     /// The threads that write answers end with the process, so it must not exit before this
     /// returns.
-    pub fn finish(self) {
+    pub fn finish(self, left: Duration) {
         lock(&self.calls).close();
-        let _ = self.stop.send(true);
+        let _ = self.stop.send(Some(Instant::now() + left));
         if self.thread.join().is_err() {
             log::error!("step=callers error=\"the accept thread has panicked\"");
         }
@@ -114,7 +115,7 @@
         bounds,
         role: role.clone(),
     };
-    let (stop, stopped) = watch::channel(false);
+    let (stop, stopped) = watch::channel(None);
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(THREADS)
         .thread_name("callers")
@@ -134,7 +135,7 @@
 async fn accept(
     listener: std::net::TcpListener,
     shared: Shared,
-    mut stopped: watch::Receiver<bool>,
+    mut stopped: watch::Receiver<Option<Instant>>,
 ) -> eyre::Result<()> {
     let listener = TcpListener::from_std(listener).wrap_err("register the listener")?;
     // Each connection has a clone of the sender; the receiver ends once all are closed.
@@ -145,7 +146,8 @@
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = stopped.changed(), if drain_deadline.is_none() => {
-                drain_deadline = Some(Instant::now() + DRAIN_TIMEOUT);
+                let drained = Instant::now() + DRAIN_TIMEOUT;
+                drain_deadline = Some(close_deadline(&stopped).min(drained));
                 continue;
             }
             () = tokio::time::sleep(DRAIN_IDLE), if drain_deadline.is_some() => break,
@@ -175,24 +177,34 @@
         });
     }
     drop((listener, running));
-    if tokio::time::timeout(FLUSH_TIMEOUT, all_closed.recv()).await.is_err() {
+    let left = close_deadline(&stopped).saturating_duration_since(Instant::now());
+    let left = left.min(FLUSH_TIMEOUT);
+    if tokio::time::timeout(left, all_closed.recv()).await.is_err() {
         log::warn!(
-            "step=shutdown error=\"some last answers were not read within {FLUSH_TIMEOUT:?}\""
+            "step=connections open={} unwritten={} error=\"not closed within {left:?}\"",
+            connections.load(Ordering::SeqCst),
+            shared.open.load(Ordering::SeqCst),
         );
     }
     Ok(())
 }
 
+/// Returns when connections are closed whatever is unwritten on them.
+fn close_deadline(stopped: &watch::Receiver<Option<Instant>>) -> Instant {
+    stopped.borrow().unwrap_or_else(|| Instant::now() + FLUSH_TIMEOUT)
+}
+
 /// Serves the requests of one connection, one after the other.
 async fn serve_connection(
     stream: TcpStream,
     shared: Shared,
-    stopped: watch::Receiver<bool>,
+    stopped: watch::Receiver<Option<Instant>>,
 ) -> eyre::Result<()> {
     stream.set_nodelay(true).wrap_err("set TCP_NODELAY")?;
+    let ended = stopped.clone();
     let service = service_fn(move |request| {
-        let shared = shared.clone();
-        async move { Ok::<_, Infallible>(serve(request, shared).await) }
+        let (shared, ended) = (shared.clone(), ended.clone());
+        async move { Ok::<_, Infallible>(serve(request, shared, ended).await) }
     });
     let mut builder = http1::Builder::new();
     builder
@@ -210,14 +222,18 @@
 
 /// Waits for the stop and then for [`DRAIN_IDLE`], so that a request that has just arrived is still
 /// read.
-async fn after_stop(mut stopped: watch::Receiver<bool>) {
-    let _ = stopped.wait_for(|s| *s).await;
+async fn after_stop(mut stopped: watch::Receiver<Option<Instant>>) {
+    let _ = stopped.wait_for(Option::is_some).await;
     tokio::time::sleep(DRAIN_IDLE).await;
 }
 
 /// Serves one request; returns once its outcome is known, or once its answer is to be written in
 /// parts.
-async fn serve(request: Request<Incoming>, shared: Shared) -> Response<AnswerBody> {
+async fn serve(
+    request: Request<Incoming>,
+    shared: Shared,
+    stopped: watch::Receiver<Option<Instant>>,
+) -> Response<AnswerBody> {
     let idempotent = is_idempotent(request.method().as_str());
     let key_open = !idempotent && request.headers().contains_key("idempotency-key");
     let Some(call) = shared.open() else {
@@ -226,7 +242,11 @@
         return answer::refused(&refusal.with_open_key(key_open));
     };
     let has_encoding = request.headers().contains_key(TRANSFER_ENCODING);
-    let raw = match read_call(request).await {
+    let read = tokio::select! {
+        read = read_call(request) => read,
+        () = after_stop(stopped) => Err(refused_unread(key_open)),
+    };
+    let raw = match read {
         Ok(raw) => raw,
         Err(refusal) => {
             let id = call.id();
@@ -257,6 +277,12 @@
     }
 }
 
+/// Returns the refusal of a call whose content was not received before the role had stopped.
+fn refused_unread(key_open: bool) -> Refusal {
+    let detail = "this entry has shut down";
+    Refusal::not_run(RefusalReason::Draining, RETRY_AFTER, detail).with_open_key(key_open)
+}
+
 /// Adds to a refusal at shutdown that an earlier call with the same key may have run.
 fn with_key_state(outcome: Terminal, key_open: bool) -> Terminal {
     match outcome {
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -254,8 +254,14 @@
 
     let address = "127.0.0.1:1".parse().unwrap();
     let replica = ReplicaSettings::new(address, vec![address], 1);
-    let settings =
-        ControlSettings { name: "c".into(), domain: "brno-a".into(), boot: BootId(1), replica };
+    let grace = Duration::from_secs(8);
+    let settings = ControlSettings {
+        name: "c".into(),
+        domain: "brno-a".into(),
+        boot: BootId(1),
+        replica,
+        grace,
+    };
     let mut control = Control::new(settings, Stored::new(MemberId(1))).unwrap();
     let mut now = Timestamp::from_micros(1);
     let writes = |outputs: &[Output<DiskEffect>]| {
@@ -292,6 +298,56 @@
     assert_matches!(&outputs[..], [.., Output::Reply { .. }, Output::Stopped]);
 }
 
+/// Fails if a control member ends without a reply to a proposal that has not been committed, or says
+/// that it was refused.
+#[test]
+fn proposal_that_does_not_commit_gets_no_reply_when_its_member_ends() {
+    use assert_matches::assert_matches;
+    use dotterelpin::control::replica::{MemberId, ReplicaSettings, Stored};
+    use dotterelpin::control::state::Command;
+    use dotterelpin::control::{Control, ControlSettings, DiskEffect, DiskInput};
+    use dotterelpin::link::message::{ControlReply, ControlRequest, Envelope, Reply, Request};
+    use dotterelpin::model::{BootId, InboundId, Timestamp};
+    use dotterelpin::role::{Input, Output, Role};
+
+    let grace = Duration::from_secs(8);
+    let address = "127.0.0.1:1".parse().unwrap();
+    let replica = ReplicaSettings::new(address, vec![address], 1);
+    let settings = ControlSettings {
+        name: "c".into(),
+        domain: "brno-a".into(),
+        boot: BootId(1),
+        replica,
+        grace,
+    };
+    // The process was signalled so long ago when control is told, since other roles go first.
+    for told_after in [0, 3_000, 7_600] {
+        let mut control = Control::new(settings.clone(), Stored::new(MemberId(1))).unwrap();
+        let mut now = Timestamp::from_micros(60_000_000);
+        while !control.replica().is_leader() {
+            now = now + Duration::from_millis(100);
+            for output in control.step(now, Input::Wake) {
+                let Output::Effect(DiskEffect::Append { id, .. }) = output else { continue };
+                control.step(now, Input::Local(DiskInput::Synced(id)));
+            }
+        }
+        let body = Request::Control(ControlRequest::Propose(Command::Noop));
+        let envelope = Envelope { revised: Default::default(), body };
+        control.step(now, Input::Request { inbound: InboundId(1), envelope });
+        let since = Timestamp::from_micros(now.as_micros() - told_after * 1_000);
+        let mut outputs = control.step(now, Input::Shutdown { since });
+        let due = since + (grace - grace / 16);
+        while !outputs.iter().any(|o| matches!(o, Output::Stopped)) {
+            assert!(now < due, "not stopped {:?} after the signal", now - since);
+            now = control.next_wake().unwrap().max(now + Duration::from_millis(1)).min(due);
+            outputs = control.step(now, Input::Wake);
+        }
+        assert_matches!(&outputs[..], [.., Output::Reply { envelope, .. }, Output::Stopped]
+            if matches!(envelope.body, Reply::Control(ControlReply::Interrupted { .. })));
+        assert!(now == due.max(since + Duration::from_millis(told_after)), "too early");
+    }
+}
+
 #[test]
 fn agent_refuses_work_until_its_orders_are_known_and_while_draining() {
     use dotterelpin::agent::engine::EngineInput;
@@ -317,7 +373,8 @@
         routes: false,
         endpoints: false,
     };
-    let settings = AgentSettings { follower, address: ([10, 0, 1, 1], 7000).into() };
+    let address = ([10, 0, 1, 1], 7000).into();
+    let settings = AgentSettings { follower, address, grace: Duration::from_secs(8) };
     let announcement = Announcement {
         url: "http://10.0.1.1:8000".into(),
         kind: EndpointKind::Decode,
@@ -431,3 +488,136 @@
         }
     }
 }
+
+/// Fails if a process whose callers read slowly, or whose runs outlast its grace period, does not
+/// answer the others and end before it is killed.
+#[test]
+fn run_or_slow_reader_keeps_an_entry_until_it_is_killed() {
+    let mut fleet = Fleet::new(1).unwrap();
+    fleet.entry_with("brno-a", &["--grace", "3"]).unwrap();
+    fleet.engine("prefill", "brno-a", &[]).unwrap();
+    fleet.engine("decode", "brno-a", SLOW).unwrap();
+    fleet.wait_ready().unwrap();
+    let url = fleet.entries[0].url.clone();
+    // This caller reads nothing.
+    let _unread = open_stream(&url, "Lesson plan 1", TOKENS).unwrap();
+    let mut stream = open_stream(&url, "Lesson plan 2", TOKENS).unwrap();
+    assert!(stream.next_event().unwrap().is_some());
+    fleet.entries[0].process.signal("-TERM").unwrap();
+    let begin = std::time::Instant::now();
+    let mut last = String::new();
+    while let Some(event) = stream.next_event().unwrap() {
+        last = event;
+    }
+    assert!(last.contains("\"ran\":\"maybe\""), "the last event is {last}");
+    assert_eq!(fleet.entries[0].process.exit_within(EXIT_TIMEOUT), Some(0));
+    assert!(begin.elapsed() < Duration::from_secs(3), "it took {:?}", begin.elapsed());
+    let log = fleet.entries[0].process.log();
+    assert!(log.contains("step=stop"), "the last log lines are missing: {log}");
+    assert_eq!(log.matches("at=grace-end").count(), 2, "{log}");
+    wait_for(Duration::from_secs(2), || {
+        let status: serde_json::Value =
+            serde_json::from_str(&fleet.tool_text(&["--json", "status"])?)?;
+        let endpoints = status["endpoints"].as_array().cloned().unwrap_or_default();
+        let held = endpoints.iter().filter(|e| e["load"]["slots"].as_u64() != Some(0)).count();
+        eyre::ensure!(held == 0, "an engine keeps memory: {status}");
+        Ok(())
+    })
+    .unwrap();
+}
+
+/// Fails if control, which stops after the entry of its process, does not fit into the same grace
+/// period.
+#[test]
+fn control_outlasts_the_grace_period_after_the_entry_of_its_process() {
+    let mut fleet = Fleet::new(1).unwrap();
+    let entry = fleet.entry_in_control(&["--grace", "3"]).unwrap();
+    let service = fleet.service("brno-a", &["--work-ms", "9000"]).unwrap();
+    fleet.wait_ready().unwrap();
+    let url = fleet.entries[entry].url.clone();
+    let caller = std::thread::spawn(move || {
+        call(&url, "POST", TAP, &[("idempotency-key", "tap-1")], "pupil-7")
+    });
+    wait_for(Duration::from_secs(10), || {
+        let counts = fleet.endpoints[service].counts()?;
+        eyre::ensure!(counts["pupil-7"] == 1, "counts: {counts}");
+        Ok(())
+    })
+    .unwrap();
+    fleet.entries[entry].process.signal("-TERM").unwrap();
+    let begin = std::time::Instant::now();
+    std::thread::sleep(Duration::from_millis(500));
+    fleet.entries[entry].process.signal("-TERM").unwrap();
+    assert_eq!(fleet.entries[entry].process.exit_within(EXIT_TIMEOUT), Some(0));
+    assert!(begin.elapsed() < Duration::from_secs(3), "it took {:?}", begin.elapsed());
+    let answer = caller.join().unwrap().expect("the call was cut off");
+    assert_eq!((answer.status, answer.ran.as_deref()), (503, Some("maybe")), "{answer:?}");
+}
+
+/// Fails if a process that is signalled a second after its start, before it knows a configuration,
+/// does not end, or cuts off a call.
+#[test]
+fn entry_that_has_just_started_ignores_the_signal() {
+    let mut fleet = Fleet::new(1).unwrap();
+    fleet.controls[0].kill();
+    fleet.entry_with("brno-a", &["--grace", "3"]).unwrap();
+    std::thread::sleep(Duration::from_secs(1));
+    let answer = fleet.call(0, "GET", TIMETABLE, &[], "").unwrap();
+    assert_eq!((answer.status, answer.ran.as_deref()), (503, Some("no")), "{answer:?}");
+    fleet.entries[0].process.signal("-TERM").unwrap();
+    let begin = std::time::Instant::now();
+    let answer = fleet.call(0, "GET", TIMETABLE, &[], "").unwrap();
+    assert_eq!((answer.status, answer.ran.as_deref()), (503, Some("no")), "{answer:?}");
+    assert_eq!(fleet.entries[0].process.exit_within(EXIT_TIMEOUT), Some(0));
+    assert!(begin.elapsed() < Duration::from_secs(3), "it took {:?}", begin.elapsed());
+}
+
+/// Fails if a caller that sends its content slowly gets no answer when the entry ends.
+#[test]
+fn caller_that_sends_slowly_gets_no_answer_from_an_entry_that_ends() {
+    use std::io::{Read, Write};
+
+    let mut fleet = Fleet::new(1).unwrap();
+    fleet.entry_with("brno-a", &["--grace", "3"]).unwrap();
+    fleet.service("brno-a", &[]).unwrap();
+    fleet.wait_ready().unwrap();
+    let address = fleet.entries[0].url.trim_start_matches("http://").to_string();
+    let mut stream = std::net::TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(EXIT_TIMEOUT)).unwrap();
+    let head = format!("POST {TAP} HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\n");
+    stream.write_all(head.as_bytes()).unwrap();
+    stream.write_all(b"pupil").unwrap();
+    std::thread::sleep(Duration::from_millis(200));
+    fleet.entries[0].process.signal("-TERM").unwrap();
+    let mut answer = String::new();
+    let _ = stream.read_to_string(&mut answer);
+    assert!(answer.starts_with("HTTP/1.1 503") && answer.contains("\"ran\":\"no\""), "{answer:?}");
+    assert_eq!(fleet.entries[0].process.exit_within(EXIT_TIMEOUT), Some(0));
+}
+
+/// Fails if a caller that does not read its answers keeps an entry running until it is killed.
+#[test]
+fn caller_that_reads_nothing_keeps_an_entry_until_it_is_killed() {
+    use std::io::Write;
+
+    let mut fleet = Fleet::new(1).unwrap();
+    fleet.entry_with("brno-a", &["--grace", "3"]).unwrap();
+    fleet.service("brno-a", &[]).unwrap();
+    fleet.wait_ready().unwrap();
+    let handout = fleet.call(0, "GET", "/services/classroom/handout", &[], "").unwrap();
+    assert!(handout.body.len() > 1 << 20, "{} {}", handout.status, handout.body.len());
+    let address = fleet.entries[0].url.trim_start_matches("http://").to_string();
+    let mut stream = std::net::TcpStream::connect(address).unwrap();
+    let request = format!(
+        "GET /services/classroom/handout HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {}\r\n\r\n",
+        common::CREDENTIAL
+    );
+    stream.write_all(request.repeat(40).as_bytes()).unwrap();
+    std::thread::sleep(Duration::from_secs(3));
+    fleet.entries[0].process.signal("-TERM").unwrap();
+    let begin = std::time::Instant::now();
+    assert_eq!(fleet.entries[0].process.exit_within(EXIT_TIMEOUT), Some(0));
+    assert!(begin.elapsed() < Duration::from_secs(3), "it took {:?}", begin.elapsed());
+    fleet.entries[0].process.expect_log("step=connections open=1");
+    fleet.entries[0].process.expect_log("step=stop");
+}
