--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -4,12 +4,11 @@
 
 use super::call::{Call, CompleteAnswer, Stage};
 use super::events::Event;
-use super::fleet::Job;
 use super::outcome::Failure;
-use super::protocol::{AnswerInfo, RefusalInfo};
+use super::protocol::RefusalInfo;
 use super::queue::Queue;
 use super::reason::EndReason;
-use super::{CallerId, Gateway, PeerId};
+use super::{CallerId, Gateway};
 use crate::control::dispatch::rooms::RunEnd;
 use crate::entry::health::Verdict;
 use crate::h1::{AnswerHead, HttpEffect, Request, write};
@@ -29,7 +28,7 @@
 /// passed on; the caller gets the gateway's own refusal.
 const NOT_RUN_STATUSES: [u16; 4] = [408, MISDIRECTED, 429, 503];
 /// The status of an endpoint that is another instance, or in another stage, than the intended one.
-const MISDIRECTED: u16 = 421;
+pub(super) const MISDIRECTED: u16 = 421;
 
 fn refusal(status: u16, text: &str, retry_after: Option<Duration>) -> RefusalInfo {
     RefusalInfo { status, text: text.into(), retry_after }
@@ -225,49 +224,6 @@
         self.effect(HttpEffect::Finish { caller, keep });
     }
 
-    /// Handles the head of an endpoint's answer.
-    pub(super) fn answered(&mut self, now: Timestamp, peer: PeerId, head: AnswerHead) {
-        let info = self.protocol.read_answer(&head);
-        self.apply_notices(now, peer, &info);
-        self.endpoint_heard(now, peer);
-        let Some(conn) = self.fleet.conn(peer) else { return };
-        if let Some(timeout) = idle_timeout(&head) {
-            conn.idle_timeout = timeout;
-        }
-        let caller = match conn.job {
-            Job::Call(caller) => caller,
-            Job::Hold(_) | Job::Report | Job::Free => {
-                conn.status = head.status;
-                return;
-            }
-            Job::Late => {
-                self.late_answered(peer, &head, &info);
-                return;
-            }
-            Job::Idle => {
-                log::warn!(
-                    "step=answer peer={} error=\"unexpected answer on an idle connection\"",
-                    peer.0
-                );
-                self.hang_up(peer);
-                return;
-            }
-        };
-        let Some(call) = self.calls.get_mut(&caller) else { return };
-        if is_stray(&head, &info, &call.info.id) {
-            log::warn!("step=answer id={} error=\"answer does not name this call\"", call.info.id);
-            if let Some(conn) = self.fleet.conn(peer) {
-                conn.stray = true;
-                conn.stray_bytes = 0;
-            }
-            return;
-        }
-        if let Some(attempt) = call.attempt() {
-            attempt.head = Some((head, info));
-        }
-        self.schedule(caller);
-    }
-
     /// Delivers events to the caller, each once and in order; skips those that it already has.
     pub(super) fn deliver_events(&mut self, now: Timestamp, caller: CallerId, events: Vec<Event>) {
         let Some(call) = self.calls.get_mut(&caller) else { return };
@@ -308,87 +264,12 @@
         self.note_survival(now, caller);
     }
 
-    /// Handles the end of an endpoint's answer.
-    pub(super) fn ended(&mut self, now: Timestamp, peer: PeerId, reusable: bool) {
-        let Some(conn) = self.fleet.conn(peer) else { return };
-        if std::mem::take(&mut conn.stray) {
-            if !reusable {
-                self.lost(now, peer, true, "connection closed after a stray answer");
-            }
-            return;
-        }
-        let (job, endpoint, status) = (conn.job, conn.endpoint, conn.status);
-        let content = std::mem::take(&mut conn.content);
-        let start = self.fleet.start_at(peer);
-        let closes = self.closes(job);
-        if closes || !reusable || !self.fleet.park(now, peer, None) {
-            self.hang_up(peer);
-        }
-        match job {
-            Job::Idle => {}
-            Job::Report | Job::Free => self.job_ended(now, job, endpoint, &content),
-            Job::Late => self.late_ended(now, peer, status, &content),
-            Job::Hold(caller) => {
-                let hold = (status == 200).then(|| self.protocol.read_hold(&content)).flatten();
-                self.hold_answered(now, caller, hold);
-                self.schedule(caller);
-            }
-            Job::Call(caller) => {
-                if let Some(start) = start.filter(|_| !reusable && self.is_cut_short(caller)) {
-                    self.run_broke(now, caller, start);
-                }
-                self.call_answered(now, caller);
-                self.schedule(caller);
-            }
-        }
-    }
-
-    /// Returns whether the endpoint closes the connection after the answer to a call.
-    fn closes(&mut self, job: Job) -> bool {
-        let Job::Call(caller) = job else { return false };
-        let attempt = self.calls.get_mut(&caller).and_then(Call::attempt);
-        let head = attempt.and_then(|a| a.head.as_ref());
-        head.is_none_or(|(head, _)| head.fields.has_token("connection", "close"))
-    }
-
-    /// Returns whether a call's stream has ended before an event was complete, or before any event.
-    fn is_cut_short(&mut self, caller: CallerId) -> bool {
-        let Some(call) = self.calls.get_mut(&caller) else { return false };
-        streams(call) && (call.splitter.has_partial() || !call.delivered.head)
-    }
-
-    /// Handles the complete answer to an attempt.
-    fn call_answered(&mut self, now: Timestamp, caller: CallerId) {
-        let Some(call) = self.calls.get_mut(&caller) else { return };
-        if streams(call) {
-            self.stream_ended(now, caller);
-            return;
-        }
-        let in_prefill = matches!(call.stage, Stage::Prefill { .. });
-        let Some(attempt) = call.attempt() else { return };
-        let Some((head, info)) = attempt.head.take() else { return };
-        let content = std::mem::take(&mut attempt.content);
-        let good = (200..300).contains(&head.status);
-        let misdirected = head.status == MISDIRECTED;
-        if info.not_run || misdirected {
-            self.attempt_failed(now, caller, Failure::Refused { misdirected });
-        } else if in_prefill {
-            let export = good.then(|| self.protocol.read_export(&content)).flatten();
-            match export {
-                Some(export) => self.prefilled(now, caller, export),
-                None => self.attempt_failed(now, caller, Failure::Broken),
-            }
-        } else if good && (!info.signed || info.encoded) {
-            self.attempt_failed(now, caller, Failure::Broken);
-        } else if head.status >= 500 {
-            let failed = CompleteAnswer { head, content };
-            self.attempt_failed(now, caller, Failure::Answered(failed));
-        } else {
-            self.finish_complete(now, caller, CompleteAnswer { head, content });
-        }
-    }
-
-    fn finish_complete(&mut self, now: Timestamp, caller: CallerId, answer: CompleteAnswer) {
+    pub(super) fn finish_complete(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        answer: CompleteAnswer,
+    ) {
         let Some(mut call) = self.remove(now, caller) else { return };
         self.attempt_succeeded(now, &mut call);
         self.report_survival(now, &self.survivors(&call));
@@ -411,7 +292,7 @@
         }
     }
 
-    fn stream_ended(&mut self, now: Timestamp, caller: CallerId) {
+    pub(super) fn stream_ended(&mut self, now: Timestamp, caller: CallerId) {
         let Some(call) = self.calls.get(&caller) else { return };
         if call.splitter.has_partial() || !call.delivered.head {
             self.attempt_failed(now, caller, Failure::Broken);
@@ -434,31 +315,9 @@
     }
 }
 
-/// Returns whether an answer belongs to another call than the one with an id.
-pub(super) fn is_stray(head: &AnswerHead, info: &AnswerInfo, id: &str) -> bool {
-    let other = info.id.as_deref().is_some_and(|named| named != id);
-    let unnamed = info.id.is_none() && (200..300).contains(&head.status);
-    other || unnamed
-}
-
-/// Returns whether the answer that is being received is streamed to the caller event by event.
-pub(super) fn streams(call: &mut Call) -> bool {
-    let stream = call.is_stream() && matches!(call.stage, Stage::Run { .. });
-    let head = call.attempt().and_then(|a| a.head.as_ref());
-    let good = |info: &super::protocol::AnswerInfo| info.signed && !info.encoded && !info.not_run;
-    stream && head.is_some_and(|(head, info)| head.status == 200 && good(info))
-}
-
 fn write_stream_head(out: &mut Vec<u8>, head: &AnswerHead) {
     write::status_line(out, head.status);
     write::end_to_end(out, &head.fields, |_| false);
     write::field(out, "Transfer-Encoding", b"chunked");
     write::end_head(out);
 }
-
-/// Returns the idle timeout in the endpoint's `Keep-Alive` field, if there is one.
-fn idle_timeout(head: &AnswerHead) -> Option<Duration> {
-    let text = head.fields.text("keep-alive")?;
-    let value = text.split(',').find_map(|p| p.trim().strip_prefix("timeout="))?;
-    value.trim().parse().ok().map(Duration::from_secs)
-}
--- a/src/gateway/content.rs
+++ b/src/gateway/content.rs
@@ -1,7 +1,7 @@
 //! The content of endpoints' answers while it is received, and bounds of what is kept of it.
 
-use super::answer::streams;
 use super::call::Call;
+use super::endpoint_answer::streams;
 use super::fleet::Job;
 use super::outcome::Failure;
 use super::{CallerId, Gateway, PeerId};
--- a/src/gateway/late_exports.rs
+++ b/src/gateway/late_exports.rs
@@ -9,8 +9,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::answer::is_stray;
 use super::call::Stage;
+use super::endpoint_answer::is_stray;
 use super::fleet::{EndpointKey, Job, Usage};
 use super::protocol::{AnswerInfo, SideRequest};
 use super::{CallerId, Gateway, PeerId};
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod crashes;
 pub mod credit;
 mod endpoint;
+mod endpoint_answer;
 mod engine;
 pub mod events;
 mod fleet;
