--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -6,6 +6,7 @@
 //! deregistration.
 
 mod controller;
+mod inputs;
 pub mod protocol;
 mod shutting_down;
 pub mod stages;
@@ -21,12 +22,12 @@
 use crate::control::config::Revised;
 use crate::control::routing::Deregistration;
 use crate::control::state::{Applied, Command};
-use crate::h1::{CallerId, HttpEffect, HttpInput, PeerId, Request};
+use crate::h1::{CallerId, HttpEffect, PeerId, Request};
 use crate::link;
-use crate::link::message::{ControlReply, ControlRequest, Envelope, Reply};
+use crate::link::message::{ControlReply, ControlRequest, Envelope};
 use crate::model::{BootId, EndpointState, ExchangeId, Timestamp};
-use crate::role::{Input, Output, Role};
-use crate::shutdown::{Phase, Shutdown, ShutdownTerms};
+use crate::role::Output;
+use crate::shutdown::{Shutdown, ShutdownTerms};
 
 /// How long a control member may take to answer before the request is sent to another one.
 const MEMBER_TIMEOUT: Duration = Duration::from_millis(350);
@@ -367,68 +368,3 @@
 fn boot_at(now: Timestamp) -> BootId {
     BootId(now.as_micros() / 1_000)
 }
-
-impl Role for Api {
-    type Local = HttpInput;
-    type Effect = HttpEffect;
-
-    fn step(&mut self, now: Timestamp, input: Input<HttpInput>) -> Outputs {
-        match input {
-            Input::Local(HttpInput::Request { caller, request, .. }) => {
-                self.request_received(now, caller, &request);
-            }
-            Input::Local(HttpInput::CallerGone { caller }) => {
-                // The command is not withdrawn: it may be committed already.
-                if let Some(pending) = self.pending.remove(&caller) {
-                    let exchanges = pending.exchanges();
-                    self.by_exchange.retain(|exchange, _| !exchanges.contains(exchange));
-                }
-            }
-            Input::Local(input) => self.order_input(now, input),
-            Input::Request { .. } | Input::Abandoned { .. } => {}
-            Input::Reply { exchange, envelope } => {
-                if let Reply::Control(reply) = envelope.body {
-                    self.reply_received(now, exchange, reply);
-                }
-            }
-            Input::Closed { exchange, failure } => {
-                if self.leader_request == Some(exchange) {
-                    self.leader_request = None;
-                }
-                if failure.is_some()
-                    && let Some(caller) = self.by_exchange.remove(&exchange)
-                    && !self.take_earlier(caller, exchange)
-                {
-                    self.leader = None;
-                    self.retry(now, caller, true);
-                }
-            }
-            Input::Wake => {
-                let due: Vec<CallerId> = self
-                    .pending
-                    .iter()
-                    .filter(|(_, p)| Api::due(p) <= now)
-                    .map(|(caller, _)| *caller)
-                    .collect();
-                for caller in due {
-                    self.on_timer(now, caller);
-                }
-                if self.shutdown.phase() < Phase::End {
-                    self.request_leader(now);
-                    self.expire_orders(now);
-                }
-            }
-            Input::Shutdown { since } => self.request_shutdown(now, since),
-        }
-        self.advance_shutdown(now);
-        std::mem::take(&mut self.outputs)
-    }
-
-    fn next_wake(&self) -> Option<Timestamp> {
-        let pending = self.pending.values().map(Api::due).min();
-        let running = self.shutdown.phase() < Phase::End;
-        let leader = running.then_some(self.next_leader_request);
-        let rest = [leader, self.shutdown.next_wake()];
-        pending.into_iter().chain(rest.into_iter().flatten()).min()
-    }
-}
