--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,5 +1,6 @@
 //! The command lines of the daemon and the tool, and the checked settings of the daemon.
 
+mod args;
 pub mod checker;
 pub mod daemon;
 pub mod settings;
