Log the writes of a control member that take long

Writes of half a second or more, with their sync, are logged now (step=slow-write). No decision changes.

--- a/src/control/disk.rs
+++ b/src/control/disk.rs
@@ -8,7 +8,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use eyre::{WrapErr, ensure, eyre};
 use serde::Serialize;
@@ -27,6 +27,8 @@
 /// The size of a header: magic, sequence number, length, checksum of the content, checksum of the
 /// header.
 const HEADER_BYTES: usize = 4 + 8 + 4 + 4 + 4;
+/// The duration from which a write, with its sync, is logged as slow.
+const SLOW_WRITE: Duration = Duration::from_millis(500);
 /// The maximum number of queued writes that are merged into a batch and synced together.
 const MAX_BATCH: usize = 1_024;
 /// The time between two attempts to write to a full disk.
@@ -288,7 +290,13 @@
     mut write: impl FnMut(&mut Files) -> eyre::Result<()>,
 ) -> eyre::Result<()> {
     loop {
-        match write(files) {
+        let since = Instant::now();
+        let written = write(files);
+        if since.elapsed() >= SLOW_WRITE {
+            let ms = since.elapsed().as_millis();
+            log::warn!("step=slow-write ms={ms}");
+        }
+        match written {
             Err(error) if is_disk_full(&error) => {
                 role.local(DiskInput::Stalled(format!("{error:#}").into()));
                 files.truncate_tail()?;
