Drop the reservations of calls that have ended

Endpoints held a reservation for nobody for 2 s: a caller left, a call reached its deadline, a reservation request took more than 250 ms, or a stream went on without its second attempt, while the request for the reservation was open. The gateway closed the connection, and with it the answer that alone names the reservation; an endpoint that granted it meanwhile kept the memory until the reservation expired.

The connection now stays open as that of a late prefill does, for the 2 s for which the endpoint would keep the reservation. A reservation that the answer names is dropped at once; the drop was paid for by the request, so it also passes a limit that an endpoint names. An endpoint that backs off is sent nothing. The capacity stays counted until the answer, and a gateway that stops waits for it, at most for its grace period. That an endpoint answers something else doesn't shorten the wait, unlike for prefills: a sound endpoint answers a reservation request at once, so there is nothing to cancel.

A request that is given up in the very step that has sent it is still closed, as one on a connection that is not established.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -128,7 +128,7 @@
     /// Records that an endpoint has sent something on a connection.
     pub(super) fn endpoint_heard(&mut self, now: Timestamp, peer: PeerId) {
         if let Some(conn) = self.fleet.conn(peer) {
-            self.late_exports.heard(now, conn.endpoint);
+            self.late_answers.heard(now, conn.endpoint);
         }
         if self.crashes.is_empty() {
             return;
--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -179,6 +179,11 @@
     /// Counts work that this gateway has started there.
     pub fn add_usage(&mut self, now: Timestamp, work: Usage) {
         self.health.began(now);
+        self.keep_usage(now, work);
+    }
+
+    /// Counts work that goes on there after its call has ended.
+    pub fn keep_usage(&mut self, now: Timestamp, work: Usage) {
         self.usage.slots += work.slots;
         self.usage.tokens += work.tokens;
         self.record_usage(now);
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -19,7 +19,7 @@
 /// another prompt there.
 const MAX_BACKLOG_TOKENS: u32 = 12_000;
 /// How long an engine keeps a reservation, and protects the call after its start.
-const HOLD_TTL: Duration = Duration::from_millis(2_000);
+pub(super) const HOLD_TTL: Duration = Duration::from_millis(2_000);
 /// How long a reservation request may take.
 pub(super) const HOLD_TIMEOUT: Duration = Duration::from_millis(250);
 /// The percentage of an engine's memory that late calls leave free for calls that can still meet
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -45,7 +45,7 @@
     Report,
     /// A request that frees an export or drops a reservation.
     Free,
-    /// A prefill whose call has ended.
+    /// A prefill, or a reservation request, whose call has ended or goes on without it.
     Late,
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,7 +17,7 @@
 pub mod events;
 mod fleet;
 pub mod header_protocol;
-mod late_exports;
+mod late_answers;
 pub mod lateness;
 pub mod limit;
 mod notices;
@@ -55,7 +55,7 @@
 use call::Call;
 use crashes::Crashes;
 use fleet::{Fleet, Job};
-use late_exports::LateExports;
+use late_answers::LateAnswers;
 use lateness::UsualTimeout;
 use outbox::Outbox;
 use protocol::{CallProtocol, TableFormat};
@@ -105,7 +105,7 @@
     confirmed: bool,
     fleet: Fleet,
     /// Prefills whose calls have ended.
-    late_exports: LateExports,
+    late_answers: LateAnswers,
     /// How many endpoints were listed, and how many of them were not draining, at the last change.
     listed: (usize, usize),
     calls: BTreeMap<CallerId, Call>,
@@ -167,7 +167,7 @@
             table: Arc::default(),
             confirmed: false,
             fleet: Fleet::new(&settings.follower.domain),
-            late_exports: LateExports::default(),
+            late_answers: LateAnswers::default(),
             settings,
             listed: (0, 0),
             calls: BTreeMap::new(),
@@ -361,7 +361,7 @@
         let crash = self.crashes.next_due();
         let evidence = self.outbox.next_wake();
         let control = self.follower.next_wake();
-        let late = self.late_exports.next_due();
+        let late = self.late_answers.next_due();
         [late, call, queue, start, record, crash, evidence, shutdown, cleanup, control]
             .into_iter()
             .flatten()
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -117,8 +117,8 @@
         if next_timer(call) > now {
             return;
         }
-        if let Stage::Hold { peer, .. } = call.stage {
-            self.hang_up(peer);
+        if let Stage::Hold { peer, decode } = call.stage {
+            self.give_up_hold(now, caller, peer, &decode);
             self.hold_lost(now, caller, false);
             return;
         }
@@ -200,8 +200,8 @@
                 }
             }
             Stage::Hold { peer, decode } => {
+                self.give_up_hold(now, caller, peer, &decode);
                 self.release(now, decode.endpoint, decode.usage);
-                self.hang_up(peer);
             }
             Stage::Origin(request) => self.abandon_requests(&request.open),
             Stage::Room { exchange } => self.abandon_request(exchange),
--- a/src/gateway/vacancy.rs
+++ b/src/gateway/vacancy.rs
@@ -67,7 +67,7 @@
                 false
             }
             Vacancy::Reserving { peer, spare } if is_silent_since(call, spare.at) => {
-                self.hang_up(peer);
+                self.give_up_hold(now, caller, peer, &spare.decode);
                 self.spare_lost(now, caller, false);
                 false
             }
@@ -270,7 +270,7 @@
                 self.end_run(Some(run), RunEnd::Over);
             }
             Vacancy::Reserving { peer, spare } => {
-                self.hang_up(peer);
+                self.give_up_hold(now, caller, peer, &spare.decode);
                 self.release(now, spare.decode.endpoint, spare.decode.usage);
                 self.end_run(spare.run, RunEnd::Over);
             }
--- a/tests/late_exports.rs
+++ b/tests/late_exports.rs
@@ -1,5 +1,6 @@
-//! A call may end before the answer to its prefill names the handle of the KV cache. The endpoint
-//! keeps no memory for it all the same.
+//! A call may end before the answer to its prefill names the handle of the KV cache, or before the
+//! answer to its reservation request names the reservation. The endpoint keeps no memory for it all
+//! the same.
 
 mod gateway_fixture;
 
@@ -13,6 +14,8 @@
 const RETENTION_MS: u64 = 500;
 /// How long a prefill takes.
 const PREFILL_MS: u64 = 20;
+/// How long an endpoint keeps a reservation.
+const HOLD_MS: u64 = 2_000;
 /// How soon an endpoint must not work any more for a caller that has left.
 const GONE_MS: u64 = 500;
 
@@ -153,3 +156,156 @@
     f.step(Input::Wake);
     assert!(f.stopped);
 }
+
+/// Starts a model call and returns its reservation request, which the endpoint has read some time
+/// ago.
+fn request_hold(f: &mut Fixture, caller: u64, patience: &str) -> Sent {
+    let extra = [("Model", "m"), ("Tokens", "3000,100"), ("Patience-Ms", patience)];
+    f.call(caller, "/draft/a", &extra);
+    f.advance(PREFILL_MS);
+    let hold = f.take_sent();
+    assert_eq!(&*hold.head.target, "/hold");
+    hold
+}
+
+/// Starts a stream that falls silent, and returns its run and the reservation request for its next
+/// attempt.
+fn request_spare(f: &mut Fixture) -> (Sent, Sent) {
+    f.leader = Some("127.0.0.1:9001".parse().unwrap());
+    f.advance(1_000);
+    f.model_call(1, "/remind/a", "3000,100");
+    f.advance(30);
+    let run = f.answer_prefill();
+    f.head(&run, 200, &[]);
+    f.data(&run, b"id: 1\ndata: a\n\n");
+    f.advance(1_850);
+    let hold = f.take_sent();
+    assert_eq!(&*hold.head.target, "/hold");
+    (run, hold)
+}
+
+/// Expects that the late answer to a reservation request makes the gateway drop the reservation
+/// that it names, once.
+fn expect_dropped(f: &mut Fixture, hold: &Sent) {
+    freed(f);
+    f.answer(hold, 200, &[], "hold h9");
+    let dropped = (hold.address.to_string(), "/hold/h9".to_string());
+    assert_eq!(freed(f), [dropped], "expected the reservation to be dropped");
+}
+
+#[test]
+fn reservation_of_a_caller_that_has_left_is_dropped_when_its_answer_comes() {
+    let mut f = Fixture::ready();
+    let hold = request_hold(&mut f, 1, "14000");
+    leave(&mut f, 1);
+    f.advance(HOLD_MS - 10);
+    expect_dropped(&mut f, &hold);
+}
+
+#[test]
+fn reservation_is_dropped_when_the_caller_leaves_within_the_answer_that_names_it() {
+    let mut f = Fixture::ready();
+    let hold = request_hold(&mut f, 1, "14000");
+    f.head(&hold, 200, &[]);
+    f.data(&hold, b"hold ");
+    leave(&mut f, 1);
+    freed(&mut f);
+    f.data(&hold, b"h9");
+    f.end(&hold);
+    assert_eq!(freed(&mut f), [(hold.address.to_string(), "/hold/h9".to_string())]);
+}
+
+#[test]
+fn reservation_of_a_call_at_its_deadline_is_dropped_when_its_answer_comes() {
+    let mut f = Fixture::ready();
+    let hold = request_hold(&mut f, 1, "200");
+    f.advance(210);
+    assert!(f.answers.contains_key(&1));
+    expect_dropped(&mut f, &hold);
+}
+
+#[test]
+fn reservation_whose_request_timed_out_is_dropped_when_its_answer_comes() {
+    let mut f = Fixture::ready();
+    let hold = request_hold(&mut f, 1, "14000");
+    f.advance(300);
+    let second = f.take_sent();
+    assert_eq!(&*second.head.target, "/hold");
+    expect_dropped(&mut f, &hold);
+    f.answer(&second, 200, &[], "hold h2");
+    assert_eq!(f.take_sent().field("Stage"), Some("prefill"));
+}
+
+#[test]
+fn reservation_for_another_attempt_is_dropped_when_its_stream_ends_before_its_answer() {
+    let mut f = Fixture::ready();
+    let (run, hold) = request_spare(&mut f);
+    f.data(&run, b"id: 2\ndata: b\n\n");
+    f.end(&run);
+    assert!(f.answers[&1].complete);
+    expect_dropped(&mut f, &hold);
+}
+
+#[test]
+fn reservation_for_another_attempt_is_dropped_when_its_caller_leaves_before_its_answer() {
+    let mut f = Fixture::ready();
+    let (_, hold) = request_spare(&mut f);
+    leave(&mut f, 1);
+    expect_dropped(&mut f, &hold);
+}
+
+#[test]
+fn reservation_for_another_attempt_is_dropped_when_its_request_timed_out() {
+    let mut f = Fixture::ready();
+    let (run, hold) = request_spare(&mut f);
+    f.advance(300);
+    f.data(&run, b"id: 2\ndata: b\n\n");
+    expect_dropped(&mut f, &hold);
+    f.end(&run);
+    assert!(f.answers[&1].complete);
+}
+
+#[test]
+fn reservation_request_at_a_silent_endpoint_is_closed_once_a_reservation_would_have_expired() {
+    let mut f = Fixture::ready();
+    let hold = request_hold(&mut f, 1, "14000");
+    leave(&mut f, 1);
+    f.advance(HOLD_MS - 10);
+    assert!(!f.hung_up.contains(&hold.peer));
+    f.advance(20);
+    assert!(f.hung_up.contains(&hold.peer));
+}
+
+#[test]
+fn late_refusal_of_a_reservation_drops_nothing() {
+    let mut f = Fixture::ready();
+    let hold = request_hold(&mut f, 1, "14000");
+    leave(&mut f, 1);
+    f.answer(&hold, 503, &[], "");
+    assert_eq!(freed(&mut f), []);
+    assert!(!f.hung_up.contains(&hold.peer));
+}
+
+#[test]
+fn nothing_is_sent_to_an_endpoint_that_backs_off_when_it_grants_a_reservation_late() {
+    let mut f = Fixture::ready();
+    let hold = request_hold(&mut f, 1, "14000");
+    leave(&mut f, 1);
+    f.answer(&hold, 503, &[("Retry-After", "5")], "");
+    assert!(!f.has_sent());
+}
+
+#[test]
+fn stopping_gateway_drops_the_reservation_of_a_call_that_has_ended() {
+    let mut f = Fixture::ready();
+    f.shut_down();
+    f.advance(2_500);
+    let hold = request_hold(&mut f, 1, "1500");
+    leave(&mut f, 1);
+    f.advance(1_000);
+    assert!(!f.stopped, "expected the gateway to wait for the late answer");
+    expect_dropped(&mut f, &hold);
+    assert!(!f.stopped, "expected the gateway to wait until the reservation is dropped");
+    f.advance(1_500);
+    assert!(f.stopped);
+}
