Test late reservations against limits, backoffs and capacity

The test of an endpoint that backs off refused the reservation instead of granting it late; it now grants it after another answer has requested the backoff, and expects that nothing is sent. New tests: the drop passes the limit that the endpoint names, the capacity is given to nobody until the answer, and another answer of the endpoint doesn't end the wait.

--- a/tests/late_exports.rs
+++ b/tests/late_exports.rs
@@ -286,15 +286,60 @@
     assert!(!f.hung_up.contains(&hold.peer));
 }
 
+/// Returns a gateway with one decode endpoint.
+fn with_one_decode() -> Fixture {
+    let mut f = Fixture::ready();
+    f.withdraw("d2");
+    f.advance(1_000);
+    f
+}
+
 #[test]
 fn nothing_is_sent_to_an_endpoint_that_backs_off_when_it_grants_a_reservation_late() {
-    let mut f = Fixture::ready();
+    let mut f = with_one_decode();
     let hold = request_hold(&mut f, 1, "14000");
+    let other = request_hold(&mut f, 2, "14000");
     leave(&mut f, 1);
-    f.answer(&hold, 503, &[("Retry-After", "5")], "");
+    f.answer(&other, 503, &[("Retry-After", "5")], "");
+    f.answer(&hold, 200, &[], "hold h9");
     assert!(!f.has_sent());
 }
 
+#[test]
+fn reservation_of_an_endpoint_that_falls_silent_after_another_answer_is_dropped() {
+    let mut f = with_one_decode();
+    let hold = request_hold(&mut f, 1, "14000");
+    let other = request_hold(&mut f, 2, "14000");
+    leave(&mut f, 1);
+    f.answer(&other, 503, &[], "");
+    f.advance(1_300);
+    expect_dropped(&mut f, &hold);
+}
+
+#[test]
+fn late_reservation_is_dropped_beyond_the_limit_that_its_endpoint_names() {
+    let mut f = with_one_decode();
+    let hold = request_hold(&mut f, 1, "14000");
+    leave(&mut f, 1);
+    f.answer(&hold, 200, &[("Limit", "0.1")], "hold h9");
+    assert_eq!(&*f.take_sent().head.target, "/hold/h9");
+}
+
+#[test]
+fn capacity_that_may_be_reserved_for_a_caller_that_has_left_is_given_to_nobody() {
+    let mut f = with_one_decode();
+    f.model_call(1, "/draft/a", "20000,100");
+    f.advance(PREFILL_MS);
+    let hold = f.take_sent();
+    leave(&mut f, 1);
+    f.model_call(2, "/draft/a", "20000,100");
+    f.advance(PREFILL_MS);
+    assert!(!f.has_sent(), "expected the call to wait for the capacity");
+    f.answer(&hold, 503, &[], "");
+    f.advance(100);
+    assert_eq!(&*f.take_sent().head.target, "/hold");
+}
+
 #[test]
 fn stopping_gateway_drops_the_reservation_of_a_call_that_has_ended() {
     let mut f = Fixture::ready();
