--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -1,15 +1,13 @@
 //! Calls to models: they reserve capacity at a decode endpoint, run their prefill at a prefill
 //! endpoint, and then run at the decode endpoint from the exported KV cache.
 
-use std::time::Duration;
-
 use super::answer;
 use super::call::{Attempt, Call, Handoff, Reservation, Stage};
-use super::fleet::{Choice, Endpoint, EndpointKey, Job, Usage};
+use super::fleet::{Choice, Endpoint, EndpointKey, Usage};
 use super::place::{place_decode, place_prefill};
-use super::protocol::{Export, ModelWork, SendKind, SideRequest};
+use super::protocol::{Export, ModelWork, SendKind};
 use super::reason::EndReason;
-use super::{CallerId, Gateway, PeerId};
+use super::{CallerId, Gateway};
 use crate::control::dispatch::rooms::RunEnd;
 use crate::entry::health::Verdict;
 use crate::model::{EndpointKind, Timestamp};
@@ -18,10 +16,6 @@
 /// The maximum of prompt tokens that one gateway has open at a prefill endpoint before it sends
 /// another prompt there.
 const MAX_BACKLOG_TOKENS: u32 = 12_000;
-/// How long an engine keeps a reservation, and protects the call after its start.
-pub(super) const HOLD_TTL: Duration = Duration::from_millis(2_000);
-/// How long a reservation request may take.
-pub(super) const HOLD_TIMEOUT: Duration = Duration::from_millis(250);
 /// The percentage of an engine's memory that late calls leave free for calls that can still meet
 /// their target.
 const LATE_SPARE_PERCENT: u32 = 15;
@@ -70,41 +64,6 @@
         self.hold_at(now, caller, endpoint)
     }
 
-    /// Requests a reservation for a call at a decode endpoint; returns whether the request was
-    /// sent.
-    pub(super) fn hold_at(
-        &mut self,
-        now: Timestamp,
-        caller: CallerId,
-        endpoint: EndpointKey,
-    ) -> bool {
-        let Some((peer, decode)) = self.request_hold(now, caller, endpoint) else { return false };
-        let Some(call) = self.calls.get_mut(&caller) else { return false };
-        call.reply_deadline = now + HOLD_TIMEOUT;
-        call.stage = Stage::Hold { peer, decode };
-        true
-    }
-
-    /// Sends a reservation request for a call and counts the capacity; returns the connection that
-    /// carries it, or `None` if the endpoint takes no request now.
-    pub(super) fn request_hold(
-        &mut self,
-        now: Timestamp,
-        caller: CallerId,
-        endpoint: EndpointKey,
-    ) -> Option<(PeerId, Reservation)> {
-        let shape = self.shape(caller)?;
-        let work = self.calls.get(&caller)?.info.work.as_ref()?;
-        let usage = Usage { slots: 1, tokens: work.mean_tokens() };
-        let tokens = work.min_free_tokens().min(shape.tokens);
-        let request = SideRequest::Hold { tokens, ttl: HOLD_TTL };
-        let peer = self.send_side_request(now, endpoint, Job::Hold(caller), &request)?;
-        if let Some(target) = self.fleet.get_mut(endpoint) {
-            target.add_usage(now, usage);
-        }
-        Some((peer, Reservation { endpoint, usage }))
-    }
-
     /// Picks a prefill endpoint for a call that will run on the given decode endpoint, of the same
     /// software version: KV cache is not moved between versions.
     fn pick_prefill(
@@ -122,65 +81,6 @@
         place_prefill(loads, MAX_BACKLOG_TOKENS, draw)
     }
 
-    /// Handles the answer to a reservation request; `hold` is the name of the reservation if it was
-    /// granted.
-    pub(super) fn hold_answered(
-        &mut self,
-        now: Timestamp,
-        caller: CallerId,
-        hold: Option<Box<str>>,
-    ) {
-        if self.spare_answered(now, caller, hold.as_deref()) {
-            return;
-        }
-        let Some(call) = self.calls.get_mut(&caller) else { return };
-        let stage = std::mem::replace(&mut call.stage, Stage::Waiting);
-        let Stage::Hold { decode, .. } = stage else { return };
-        self.log_hold(now, caller, &decode, hold.is_some());
-        let Some(hold) = hold else {
-            self.report_run_end(caller, RunEnd::Refused);
-            self.hold_refused(now, &decode);
-            self.start_or_requeue(now, caller);
-            return;
-        };
-        self.hold_granted(now, caller, decode, hold);
-    }
-
-    /// Logs the answer to a reservation request.
-    pub(super) fn log_hold(
-        &self,
-        now: Timestamp,
-        caller: CallerId,
-        decode: &Reservation,
-        granted: bool,
-    ) {
-        let Some(call) = self.calls.get(&caller) else { return };
-        let Some(endpoint) = self.fleet.get(decode.endpoint) else { return };
-        let used = endpoint.all_usage(now);
-        log::info!(
-            "step=hold id={} endpoint={} outcome={} late={} tokens={} output={} \
-             used_tokens={} used_slots={} report_age_ms={} left_ms={}",
-            call.info.id,
-            endpoint.name,
-            if granted { "granted" } else { "refused" },
-            call.late,
-            decode.usage.tokens,
-            call.info.work.as_ref().map_or(0, |w| w.output),
-            used.tokens,
-            used.slots,
-            endpoint.report_age(now),
-            call.remaining(now).as_millis(),
-        );
-    }
-
-    /// Releases the capacity counted for a reservation that its endpoint has refused.
-    pub(super) fn hold_refused(&mut self, now: Timestamp, decode: &Reservation) {
-        self.release(now, decode.endpoint, decode.usage);
-        if let Some(endpoint) = self.fleet.get_mut(decode.endpoint) {
-            endpoint.mark_full(now);
-        }
-    }
-
     /// Goes on with a call whose reservation is granted.
     pub(super) fn hold_granted(
         &mut self,
@@ -250,29 +150,6 @@
         }
     }
 
-    /// Handles a reservation request that timed out or lost its connection.
-    pub(super) fn hold_lost(&mut self, now: Timestamp, caller: CallerId, connected: bool) {
-        if self.spare_lost(now, caller, connected) {
-            return;
-        }
-        let Some(call) = self.calls.get_mut(&caller) else { return };
-        let Stage::Hold { decode, .. } = std::mem::replace(&mut call.stage, Stage::Waiting) else {
-            return;
-        };
-        self.report_run_end(caller, RunEnd::Silent);
-        self.hold_failed(now, &decode, connected);
-        self.start_or_requeue(now, caller);
-    }
-
-    /// Releases the capacity counted for a reservation whose request got no answer.
-    pub(super) fn hold_failed(&mut self, now: Timestamp, decode: &Reservation, connected: bool) {
-        if let Some(endpoint) = self.fleet.get_mut(decode.endpoint) {
-            let verdict = if connected { Verdict::Failed } else { Verdict::Silent };
-            endpoint.health.judge(now, verdict);
-        }
-        self.hold_refused(now, decode);
-    }
-
     /// Returns whether any prefill endpoint of the call's service, and of the software version of a
     /// decode endpoint, is open for work.
     fn has_prefill(&self, now: Timestamp, caller: CallerId, decode: EndpointKey) -> bool {
--- a/src/gateway/late_answers.rs
+++ b/src/gateway/late_answers.rs
@@ -12,9 +12,9 @@
 
 use super::answer::is_stray;
 use super::call::{Reservation, Stage};
-use super::engine::HOLD_TTL;
 use super::fleet::{EndpointKey, Job, Usage};
 use super::protocol::{AnswerInfo, SideRequest};
+use super::reserve::HOLD_TTL;
 use super::{CallerId, Gateway, PeerId};
 use crate::h1::{AnswerHead, HttpEffect};
 use crate::model::Timestamp;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 mod reason;
 mod receive;
 mod reports;
+mod reserve;
 mod resume;
 mod retry;
 mod send;
