--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -39,6 +39,7 @@
 mod silence;
 mod stopping;
 pub mod stream_times;
+mod timers;
 mod updates;
 mod vacancy;
 pub mod versions;
@@ -266,7 +267,7 @@
     /// Sets the timer of a call to its next deadline.
     fn schedule(&mut self, caller: CallerId) {
         let Some(call) = self.calls.get_mut(&caller) else { return };
-        let at = outcome::next_timer(call);
+        let at = timers::next_timer(call);
         if call.timer != at {
             self.timers.remove(&(call.timer, caller));
             call.timer = at;
--- a/src/gateway/vacancy.rs
+++ b/src/gateway/vacancy.rs
@@ -4,8 +4,8 @@
 use super::assign::{ANSWER_TIMEOUT, NO_CAPACITY_BACKOFF, SILENT_BACKOFF, backoff_key};
 use super::call::{Call, Reservation, Stage};
 use super::fleet::EndpointKey;
-use super::outcome::{SILENCE_RECHECK, next_timer};
 use super::reserve::HOLD_TIMEOUT;
+use super::timers::{SILENCE_RECHECK, next_timer};
 use super::{CallerId, Gateway, PeerId};
 use crate::control::dispatch::rooms::{RunEnd, RunId};
 use crate::link::message::ControlRequest;
