--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,7 +18,7 @@
 pub mod events;
 mod fleet;
 pub mod header_protocol;
-mod late_exports;
+mod late_answers;
 pub mod lateness;
 pub mod limit;
 mod notices;
@@ -33,12 +33,14 @@
 mod reason;
 mod receive;
 mod reports;
+mod reserve;
 mod resume;
 mod retry;
 mod send;
 mod silence;
 mod stopping;
 pub mod stream_times;
+mod timers;
 mod updates;
 mod vacancy;
 pub mod versions;
@@ -56,7 +58,7 @@
 use call::Call;
 use crashes::Crashes;
 use fleet::{Fleet, Job};
-use late_exports::LateExports;
+use late_answers::LateAnswers;
 use lateness::UsualTimeout;
 use outbox::Outbox;
 use protocol::{CallProtocol, TableFormat};
@@ -106,7 +108,7 @@
     confirmed: bool,
     fleet: Fleet,
     /// Prefills whose calls have ended.
-    late_exports: LateExports,
+    late_answers: LateAnswers,
     /// How many endpoints were listed, and how many of them were not draining, at the last change.
     listed: (usize, usize),
     calls: BTreeMap<CallerId, Call>,
@@ -168,7 +170,7 @@
             table: Arc::default(),
             confirmed: false,
             fleet: Fleet::new(&settings.follower.domain),
-            late_exports: LateExports::default(),
+            late_answers: LateAnswers::default(),
             settings,
             listed: (0, 0),
             calls: BTreeMap::new(),
@@ -266,7 +268,7 @@
     /// Sets the timer of a call to its next deadline.
     fn schedule(&mut self, caller: CallerId) {
         let Some(call) = self.calls.get_mut(&caller) else { return };
-        let at = outcome::next_timer(call);
+        let at = timers::next_timer(call);
         if call.timer != at {
             self.timers.remove(&(call.timer, caller));
             call.timer = at;
@@ -362,7 +364,7 @@
         let crash = self.crashes.next_due();
         let evidence = self.outbox.next_wake();
         let control = self.follower.next_wake();
-        let late = self.late_exports.next_due();
+        let late = self.late_answers.next_due();
         [late, call, queue, start, record, crash, evidence, shutdown, cleanup, control]
             .into_iter()
             .flatten()
--- a/src/gateway/vacancy.rs
+++ b/src/gateway/vacancy.rs
@@ -3,9 +3,9 @@
 
 use super::assign::{ANSWER_TIMEOUT, NO_CAPACITY_BACKOFF, SILENT_BACKOFF, backoff_key};
 use super::call::{Call, Reservation, Stage};
-use super::engine::HOLD_TIMEOUT;
 use super::fleet::EndpointKey;
-use super::outcome::{SILENCE_RECHECK, next_timer};
+use super::reserve::HOLD_TIMEOUT;
+use super::timers::{SILENCE_RECHECK, next_timer};
 use super::{CallerId, Gateway, PeerId};
 use crate::control::dispatch::rooms::{RunEnd, RunId};
 use crate::link::message::ControlRequest;
@@ -67,7 +67,7 @@
                 false
             }
             Vacancy::Reserving { peer, spare } if is_silent_since(call, spare.at) => {
-                self.hang_up(peer);
+                self.give_up_hold(now, caller, peer, &spare.decode);
                 self.spare_lost(now, caller, false);
                 false
             }
@@ -270,7 +270,7 @@
                 self.end_run(Some(run), RunEnd::Over);
             }
             Vacancy::Reserving { peer, spare } => {
-                self.hang_up(peer);
+                self.give_up_hold(now, caller, peer, &spare.decode);
                 self.release(now, spare.decode.endpoint, spare.decode.usage);
                 self.end_run(spare.run, RunEnd::Over);
             }
