--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -70,7 +70,7 @@
     pub(super) fn start_queued(&mut self, now: Timestamp) {
         self.capacity_freed = false;
         self.next_start = now + START_INTERVAL;
-        self.refuse_hopeless(now);
+        self.refuse_queued(now);
         let services: Vec<Box<str>> =
             self.queues.iter().filter(|(_, q)| !q.is_empty()).map(|(s, _)| s.clone()).collect();
         for service in services {
--- a/src/gateway/stopping.rs
+++ b/src/gateway/stopping.rs
@@ -32,7 +32,7 @@
         let grace_ms = self.settings.grace.as_millis();
         log::info!("step=shutdown open_calls={} grace_ms={grace_ms}", self.calls.len());
         self.log_open_calls(now, since, Listing::Signal);
-        self.refuse_hopeless(now);
+        self.refuse_queued(now);
     }
 
     /// Returns whether a new call surely gets a whole answer from this gateway. A plain call does
@@ -83,7 +83,7 @@
     }
 
     /// Refuses the queued calls that can't end before this gateway does.
-    pub(super) fn refuse_hopeless(&mut self, now: Timestamp) {
+    pub(super) fn refuse_queued(&mut self, now: Timestamp) {
         if !self.shutdown.is_requested() {
             return;
         }
