Let the leader learn from refusals which decode endpoints are full

Its count misses runs that began under another leader or that a gateway placed itself, and answers that grew; a refusal only closed the endpoint for 100 ms. Each decision also walked all runs, so the leader answered in over 25 ms in bursts.

Change: a second refusal within a second makes the endpoint count as full; the part that no counted run explains fades over the time of a run, and a counted run that ends makes room at once. Loads are kept beside the runs.

--- a/src/control/dispatch/rooms.rs
+++ b/src/control/dispatch/rooms.rs
@@ -22,6 +22,10 @@
 const REMOTE_PENALTY_LOAD: u64 = 60;
 /// How long an endpoint that refused a call is assigned no other one.
 const REFUSED_COOLDOWN: Duration = Duration::from_millis(100);
+/// How soon after a refusal another one shows that the endpoint is full, whatever its count says.
+const REFUSED_AGAIN: Duration = Duration::from_millis(1_000);
+/// How long KV cache in use that no counted run explains takes to be freed.
+const UNCOUNTED_TTL: Duration = Duration::from_millis(2_500);
 /// How long an endpoint that did not answer is assigned no call.
 const SILENT_COOLDOWN: Duration = Duration::from_millis(1_000);
 /// How long a run counts if its end is not reported.
@@ -29,7 +33,6 @@
 /// How long the end of a run is kept if it arrives before the request for the run: messages may
 /// overtake each other, and a gateway abandons a request that is not answered in time.
 const EARLY_END_RETENTION: Duration = Duration::from_millis(5_000);
-
 /// How often runs of disconnected gateways are removed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -56,6 +59,18 @@
     pub candidates: Vec<Candidate>,
 }
 
+/// A run that the leader did not assign itself: it began under another leader, or while the gateway
+/// chose without one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownRun {
+    /// The number of the run.
+    pub run: RunId,
+    /// The decode endpoint that runs it, or is to run it.
+    pub endpoint: Box<str>,
+    /// The KV cache that the call is counted with, in tokens.
+    pub tokens: u32,
+}
+
 /// How a run ended, or why it did not start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RunEnd {
@@ -75,6 +90,56 @@
     since: Timestamp,
 }
 
+/// What is known of the capacity of one endpoint.
+#[derive(Debug, Default)]
+struct Load {
+    /// The count of its runs.
+    runs: u32,
+    /// The sum of their tokens.
+    tokens: u64,
+    /// The KV cache in use that no counted run explains, in tokens, at `learned`.
+    uncounted: u64,
+    learned: Timestamp,
+    /// When it last refused a call.
+    refused: Timestamp,
+    /// The end of its cooldown.
+    paused: Timestamp,
+    /// The size of its KV cache, in tokens.
+    memory: u32,
+}
+
+impl Load {
+    /// Returns the tokens of KV cache that are in use.
+    fn used(&self, now: Timestamp) -> u64 {
+        let left = UNCOUNTED_TTL.saturating_sub(now - self.learned).as_millis() as u64;
+        self.tokens + self.uncounted * left / UNCOUNTED_TTL.as_millis() as u64
+    }
+
+    /// Records a refusal. After the second one in a short time the endpoint counts as full: there
+    /// are runs that the leader doesn't count, or answers have become longer than estimated.
+    fn refuse(&mut self, now: Timestamp) {
+        let again = self.refused > Timestamp::default() && now - self.refused < REFUSED_AGAIN;
+        self.refused = now;
+        self.paused = now + REFUSED_COOLDOWN;
+        if again {
+            self.uncounted = capacity(self.memory).saturating_sub(self.tokens);
+            self.learned = now;
+        }
+    }
+
+    /// Returns whether nothing is known of it that matters any more.
+    fn is_forgotten(&self, now: Timestamp) -> bool {
+        self.runs == 0 && self.used(now) == 0 && self.paused <= now && {
+            now - self.refused >= REFUSED_AGAIN
+        }
+    }
+}
+
+/// Returns how many tokens of a KV cache are assigned to calls.
+fn capacity(memory: u32) -> u64 {
+    u64::from(memory) * FILL_PERCENT / 100
+}
+
 /// The runs that the leader has assigned to decode endpoints, and the endpoints in cooldown.
 ///
 /// ```
@@ -97,10 +162,13 @@
 #[derive(Debug, Default)]
 pub struct Rooms {
     runs: BTreeMap<RunId, Run>,
-    /// The end of the cooldown of each endpoint that is assigned no calls.
-    paused: BTreeMap<Box<str>, Timestamp>,
+    /// The load of each endpoint; kept beside the runs, since a decision that walked all runs would
+    /// slow down with the fleet.
+    loads: BTreeMap<Box<str>, Load>,
     /// The runs whose ends arrived before their requests, and when.
     early_ends: BTreeMap<RunId, Timestamp>,
+    /// When expired state is removed next.
+    next_expiry: Timestamp,
     /// When runs of disconnected gateways are removed next.
     next_sweep: Timestamp,
 }
@@ -112,42 +180,76 @@
         if self.early_ends.remove(&request.run).is_some() {
             return None;
         }
-        let loads = self.loads();
-        let load = |name: &str| loads.get(name).copied().unwrap_or_default();
+        let endpoint = self.least_loaded(now, request)?;
+        let run = KnownRun { run: request.run, endpoint: endpoint.clone(), tokens: request.tokens };
+        self.insert(now, request.owner, &run);
+        if let Some(load) = self.loads.get_mut(&endpoint) {
+            load.memory = request.memory;
+        }
+        Some(endpoint)
+    }
+
+    /// Returns the least loaded candidate that has capacity for a call.
+    fn least_loaded(&self, now: Timestamp, request: &RoomRequest) -> Option<Box<str>> {
+        let idle = Load::default();
+        let load = |c: &Candidate| self.loads.get(&c.endpoint).unwrap_or(&idle);
         let fits = |c: &&Candidate| {
-            let (runs, used) = load(&c.endpoint);
-            let capacity = u64::from(request.memory) * FILL_PERCENT / 100;
-            let alone = runs == 0 && request.tokens <= request.memory;
+            let load = load(c);
+            let used = load.used(now);
+            let alone = used == 0 && request.tokens <= request.memory;
             let needs = used + u64::from(request.tokens) + u64::from(request.spare);
-            runs < request.slots
-                && (needs <= capacity || alone)
-                && !self.paused.contains_key(&c.endpoint)
+            let has_slot = load.runs < request.slots;
+            has_slot && load.paused <= now && (alone || needs <= capacity(request.memory))
         };
         let cost = |c: &&Candidate| {
-            let part = load(&c.endpoint).1 * 1_000 / u64::from(request.memory.max(1));
+            let part = load(c).used(now) * 1_000 / u64::from(request.memory.max(1));
             if c.local { part } else { part + REMOTE_PENALTY_LOAD }
         };
         let chosen = request.candidates.iter().filter(fits).min_by_key(cost)?;
-        let endpoint = chosen.endpoint.clone();
-        let (owner, tokens) = (request.owner, request.tokens);
-        let run = Run { endpoint: endpoint.clone(), owner, tokens, since: now };
-        self.runs.insert(request.run, run);
-        Some(endpoint)
+        Some(chosen.endpoint.clone())
+    }
+
+    /// Counts runs that this leader did not assign; those that it knows, or that have ended, are
+    /// left as they are.
+    ///
+    /// ```
+    /// use dotterelpin::control::dispatch::rooms::{KnownRun, Rooms, RunEnd, RunId};
+    /// use dotterelpin::model::{BootId, Timestamp};
+    ///
+    /// let now = Timestamp::from_micros(1);
+    /// let run = KnownRun { run: RunId(7), endpoint: "d1".into(), tokens: 6_000 };
+    /// let mut rooms = Rooms::default();
+    /// rooms.count(now, BootId(1), std::slice::from_ref(&run));
+    /// assert_eq!(rooms.used(now, "d1"), 6_000);
+    /// rooms.ended(now, RunId(7), RunEnd::Over);
+    /// assert_eq!(rooms.used(now, "d1"), 0);
+    /// ```
+    pub fn count(&mut self, now: Timestamp, owner: BootId, runs: &[KnownRun]) {
+        for run in runs {
+            if self.early_ends.remove(&run.run).is_none() && !self.runs.contains_key(&run.run) {
+                self.insert(now, owner, run);
+            }
+        }
+    }
+
+    /// Returns how many tokens of KV cache are assumed to be in use at an endpoint.
+    pub fn used(&self, now: Timestamp, endpoint: &str) -> u64 {
+        self.loads.get(endpoint).map_or(0, |load| load.used(now))
     }
 
     /// Records that a run has ended or did not start; unless it ended normally, its endpoint is
     /// assigned no call for a while.
     pub fn ended(&mut self, now: Timestamp, run: RunId, end: RunEnd) {
-        let Some(run) = self.runs.remove(&run) else {
+        let Some(run) = self.remove(run) else {
             self.early_ends.insert(run, now);
             return;
         };
-        let cooldown = match end {
-            RunEnd::Over => return,
-            RunEnd::Refused => REFUSED_COOLDOWN,
-            RunEnd::Silent => SILENT_COOLDOWN,
-        };
-        self.paused.insert(run.endpoint, now + cooldown);
+        let Some(load) = self.loads.get_mut(&run.endpoint) else { return };
+        match end {
+            RunEnd::Over => {}
+            RunEnd::Refused => load.refuse(now),
+            RunEnd::Silent => load.paused = now + SILENT_COOLDOWN,
+        }
     }
 
     /// Removes the runs of disconnected gateways, since their ends are not reported any more.
@@ -156,23 +258,41 @@
             return;
         }
         self.next_sweep = now + SWEEP_INTERVAL;
-        self.runs.retain(|_, run| is_alive(run.owner));
+        self.remove_runs(|run| !is_alive(run.owner));
+    }
+
+    fn insert(&mut self, now: Timestamp, owner: BootId, known: &KnownRun) {
+        let (endpoint, tokens) = (known.endpoint.clone(), known.tokens);
+        let load = self.loads.entry(endpoint.clone()).or_default();
+        load.runs += 1;
+        load.tokens += u64::from(tokens);
+        self.runs.insert(known.run, Run { endpoint, owner, tokens, since: now });
     }
 
-    /// Returns the number of runs at each endpoint and the sum of their tokens.
-    fn loads(&self) -> BTreeMap<&str, (u32, u64)> {
-        let mut loads: BTreeMap<&str, (u32, u64)> = BTreeMap::new();
-        for run in self.runs.values() {
-            let load = loads.entry(&run.endpoint).or_default();
-            load.0 += 1;
-            load.1 += u64::from(run.tokens);
+    fn remove(&mut self, run: RunId) -> Option<Run> {
+        let run = self.runs.remove(&run)?;
+        if let Some(load) = self.loads.get_mut(&run.endpoint) {
+            load.runs -= 1;
+            load.tokens -= u64::from(run.tokens);
+        }
+        Some(run)
+    }
+
+    fn remove_runs(&mut self, ended: impl Fn(&Run) -> bool) {
+        let ended: Vec<RunId> =
+            self.runs.iter().filter(|(_, run)| ended(run)).map(|(id, _)| *id).collect();
+        for run in ended {
+            self.remove(run);
         }
-        loads
     }
 
     fn expire(&mut self, now: Timestamp) {
-        self.runs.retain(|_, run| now - run.since < RUN_TTL);
-        self.paused.retain(|_, until| now < *until);
+        if now < self.next_expiry {
+            return;
+        }
+        self.next_expiry = now + SWEEP_INTERVAL;
+        self.remove_runs(|run| now - run.since >= RUN_TTL);
+        self.loads.retain(|_, load| !load.is_forgotten(now));
         self.early_ends.retain(|_, at| now - *at < EARLY_END_RETENTION);
     }
 }
--- /dev/null
+++ b/tests/leader_counts.rs
@@ -0,0 +1,174 @@
+//! Decode memory stays full for many seconds while the leader does not know all runs: it has just
+//! been elected, or gateways have chosen endpoints themselves. Calls must not be sent from one full
+//! endpoint to the next, and the leader must learn what it doesn't count.
+
+use std::collections::BTreeMap;
+
+use dotterelpin::control::dispatch::Candidate;
+use dotterelpin::control::dispatch::rooms::{KnownRun, RoomRequest, Rooms, RunEnd, RunId};
+use dotterelpin::model::{BootId, Timestamp};
+
+/// The load pattern: engines of which each is full, and calls that arrive as fast as runs end.
+const ENGINES: u64 = 110;
+const KV_TOKENS: u32 = 26_500;
+const SLOTS: u32 = 12;
+const RUN_TOKENS: u32 = 4_300;
+const RUN_MS: u64 = 3_500;
+const CALLS_PER_SECOND: u64 = 180;
+/// How long a gateway waits before it asks again: after a refusal, and if there is no capacity.
+const REFUSED_MS: u64 = 5;
+const NO_CAPACITY_MS: u64 = 100;
+
+/// Engines with the runs that they really have, by the time at which each ends.
+struct Engines {
+    runs: BTreeMap<Box<str>, Vec<(u64, Option<RunId>)>>,
+}
+
+impl Engines {
+    /// Returns engines full of runs that the leader has not assigned.
+    fn full() -> Engines {
+        let most = u64::from(KV_TOKENS / RUN_TOKENS);
+        let runs = |at: u64| -> Vec<(u64, Option<RunId>)> {
+            (0..most).map(|n| (RUN_MS * (n + 1) / most - at % 50, None)).collect()
+        };
+        Engines { runs: (0..ENGINES).map(|at| (name(at), runs(at))).collect() }
+    }
+
+    /// Starts a run if there is memory for it.
+    fn start(&mut self, millis: u64, endpoint: &str, run: RunId) -> bool {
+        let runs = self.runs.get_mut(endpoint).unwrap();
+        let fits = (runs.len() as u32 + 1) * RUN_TOKENS <= KV_TOKENS;
+        if fits {
+            runs.push((millis + RUN_MS, Some(run)));
+        }
+        fits
+    }
+
+    /// Removes the runs that have ended, and returns those that the leader counts.
+    fn end(&mut self, millis: u64) -> Vec<RunId> {
+        let mut ended = Vec::new();
+        for runs in self.runs.values_mut() {
+            ended.extend(runs.iter().filter(|(at, _)| *at <= millis).filter_map(|(_, run)| *run));
+            runs.retain(|(at, _)| *at > millis);
+        }
+        ended
+    }
+}
+
+fn name(at: u64) -> Box<str> {
+    format!("engine-{at:03}").into()
+}
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_micros(1_000_000 + millis * 1_000)
+}
+
+fn room_request(run: u64) -> RoomRequest {
+    let candidate = |at| Candidate { endpoint: name(at), local: at % 5 == run % 5 };
+    RoomRequest {
+        run: RunId(run),
+        owner: BootId(1),
+        tokens: RUN_TOKENS,
+        spare: 0,
+        memory: KV_TOKENS,
+        slots: SLOTS,
+        candidates: (0..ENGINES).map(candidate).collect(),
+    }
+}
+
+/// Sends calls for some seconds to full engines whose runs the leader does not know; returns how
+/// many reservations the engines granted and refused.
+fn replay(seconds: u64) -> (u64, u64) {
+    let mut engines = Engines::full();
+    let mut rooms = Rooms::default();
+    let mut waiting: Vec<u64> = Vec::new();
+    let (mut runs, mut arrived, mut granted, mut refused) = (0, 0, 0, 0);
+    for millis in 0..seconds * 1_000 {
+        for run in engines.end(millis) {
+            rooms.ended(at(millis), run, RunEnd::Over);
+        }
+        while arrived < millis * CALLS_PER_SECOND / 1_000 {
+            arrived += 1;
+            waiting.push(millis);
+        }
+        let due: Vec<u64> = waiting.iter().copied().filter(|next| *next <= millis).collect();
+        waiting.retain(|next| *next > millis);
+        for _ in due {
+            runs += 1;
+            let Some(endpoint) = rooms.assign(at(millis), &room_request(runs)) else {
+                waiting.push(millis + NO_CAPACITY_MS);
+                continue;
+            };
+            if engines.start(millis, &endpoint, RunId(runs)) {
+                granted += 1;
+            } else {
+                refused += 1;
+                rooms.ended(at(millis), RunId(runs), RunEnd::Refused);
+                waiting.push(millis + REFUSED_MS);
+            }
+        }
+    }
+    (granted, refused)
+}
+
+#[test]
+fn new_leader_learns_from_refusals_which_endpoints_are_full() {
+    let (granted, refused) = replay(7);
+    assert!(granted >= 1_000, "expected the engines to stay in use, found {granted} runs");
+    assert!(
+        refused <= granted / 2,
+        "expected at most one refusal for two runs, found {refused} for {granted}"
+    );
+}
+
+/// Fails if calls are kept from an endpoint for long after its unknown runs have ended.
+#[test]
+fn endpoint_that_was_full_is_used_again_once_it_has_capacity() {
+    let mut rooms = Rooms::default();
+    let alone = |run| RoomRequest {
+        candidates: room_request(0).candidates[..1].to_vec(),
+        ..room_request(run)
+    };
+    for run in 1..=2 {
+        let now = at(run * 200);
+        assert_eq!(rooms.assign(now, &alone(run)), Some(name(0)));
+        rooms.ended(now, RunId(run), RunEnd::Refused);
+    }
+    assert_eq!(rooms.assign(at(520), &alone(3)), None, "expected the endpoint to count as full");
+    let accepted = (521..).find(|millis| rooms.assign(at(*millis), &alone(4)).is_some());
+    let waited = accepted.unwrap() - 400;
+    assert!(waited <= 700, "expected a call after the time of one run of six, found {waited} ms");
+}
+
+/// Fails if the end of a run that the leader counts does not make room at an endpoint that was full.
+#[test]
+fn end_of_a_counted_run_makes_room_at_once() {
+    let mut rooms = Rooms::default();
+    let alone = |run| RoomRequest {
+        candidates: room_request(0).candidates[..1].to_vec(),
+        ..room_request(run)
+    };
+    (1..=4).for_each(|run| assert!(rooms.assign(at(0), &alone(run)).is_some()));
+    for run in 5..=6 {
+        let now = at((run - 4) * 200);
+        assert!(rooms.assign(now, &alone(run)).is_some());
+        rooms.ended(now, RunId(run), RunEnd::Refused);
+    }
+    assert_eq!(rooms.assign(at(520), &alone(8)), None);
+    rooms.ended(at(520), RunId(1), RunEnd::Over);
+    assert_eq!(rooms.assign(at(520), &alone(9)), Some(name(0)));
+}
+
+#[test]
+fn reported_runs_are_counted_once_and_not_after_their_end() {
+    let mut rooms = Rooms::default();
+    let known = |run| KnownRun { run: RunId(run), endpoint: name(0), tokens: RUN_TOKENS };
+    let all: Vec<KnownRun> = (1..=4).map(known).collect();
+    rooms.ended(at(0), RunId(4), RunEnd::Over);
+    rooms.count(at(0), BootId(1), &all);
+    rooms.count(at(1), BootId(1), &all[..2]);
+    assert_eq!(rooms.used(at(1), &name(0)), u64::from(3 * RUN_TOKENS));
+    rooms.retain_owners(at(1_000), |owner| owner != BootId(1));
+    assert_eq!(rooms.used(at(1_000), &name(0)), 0);
+}
+
