Tell control's leader of runs that it does not count

All gateways paused for the same 400 ms then, and met the leader again at once: the timeouts came in waves of 0.5 s. Each waiting call asked for itself.

Change: gateways report their runs to a new leader, and those that they placed themselves within 0.5 s, under numbers with which their ends are reported; a report that is lost is repeated. The end of the pause is spread over 300 ms. While capacity is short, one waiting call asks for all.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -200,6 +200,13 @@
                 self.rooms.ended(now, run, end);
                 vec![self.reply(inbound, ControlReply::Announced)]
             }
+            ControlRequest::CountRuns { owner, runs } => {
+                if !self.replica.is_leader() {
+                    return vec![self.not_leader(inbound)];
+                }
+                self.rooms.count(now, owner, &runs);
+                vec![self.reply(inbound, ControlReply::Announced)]
+            }
             ControlRequest::AssignPrompt(request) => {
                 if !self.replica.is_leader() {
                     return vec![self.not_leader(inbound)];
--- a/src/gateway/assign.rs
+++ b/src/gateway/assign.rs
@@ -20,8 +20,11 @@
 
 /// How long the gateway waits for the leader's answer.
 pub(super) const ANSWER_TIMEOUT: Duration = Duration::from_millis(25);
-/// How long no request is sent to the leader after it did not answer one.
-pub(super) const SILENT_BACKOFF: Duration = Duration::from_millis(400);
+/// How long no request is sent to the leader, at least, after it did not answer one.
+const SILENT_BACKOFF: Duration = Duration::from_millis(400);
+/// Over how long the ends of such pauses are spread: a leader that is slow under load would meet the
+/// requests of all gateways at once otherwise, and be too slow again.
+const BACKOFF_SPREAD_MS: u64 = 300;
 /// How long the leader is not asked again for capacity in a service after it found none.
 pub(super) const NO_CAPACITY_BACKOFF: Duration = Duration::from_millis(40);
 /// The maximum number of endpoints in one request.
@@ -79,7 +82,7 @@
         let leader = self.leader(now)?;
         let call = self.calls.get(&caller)?;
         let key = backoff_key(call);
-        if self.capacity_backoff.get(&key).is_some_and(|until| now < *until) {
+        if self.is_capacity_short(now, &key) {
             return Some(false);
         }
         let run = self.next_run();
@@ -93,6 +96,21 @@
         Some(true)
     }
 
+    /// Returns whether the leader is not asked for capacity now, because it had none at the last
+    /// request. After the pause, one call asks for all that wait.
+    pub(super) fn is_capacity_short(&self, now: Timestamp, key: &BackoffKey) -> bool {
+        let Some(until) = self.capacity_backoff.get(key) else { return false };
+        let asks =
+            |call: &Call| matches!(call.stage, Stage::Room { .. }) && backoff_key(call) == *key;
+        now < *until || self.calls.values().any(asks)
+    }
+
+    /// Sends no request to the leader for a while, since it did not answer one.
+    pub(super) fn back_off_leader(&mut self, now: Timestamp) {
+        let spread = Duration::from_millis(self.draw() % BACKOFF_SPREAD_MS);
+        self.leader_backoff = now + SILENT_BACKOFF + spread;
+    }
+
     /// Returns the name of the run for which the next exchange asks.
     pub(super) fn next_run(&self) -> RunId {
         RunId(self.settings.follower.boot.0.rotate_left(24) ^ (self.exchanges + 1))
@@ -174,6 +192,8 @@
             self.start_or_requeue(now, caller);
             return;
         };
+        self.capacity_backoff.remove(&key);
+        self.capacity_freed = true;
         let named = self.fleet.named(now, endpoint);
         self.hold_assigned(now, caller, named);
     }
@@ -240,6 +260,10 @@
         if self.outbox.acknowledged(exchange) {
             return;
         }
+        let accepted = !matches!(reply, ControlReply::NotLeader { .. });
+        if self.runs_reported(exchange, accepted) {
+            return;
+        }
         if let ControlReply::ProbeGranted { granted, .. } = reply {
             self.probe_answered(now, exchange, *granted);
             return;
@@ -261,7 +285,7 @@
             ControlReply::PromptAssigned { .. } | ControlReply::RoomAssigned { .. }
         );
         if !answered {
-            self.leader_backoff = now + SILENT_BACKOFF;
+            self.back_off_leader(now);
         }
         // The call may have ended meanwhile; the leader expires its assignment by itself.
         let Some(call) = self.calls.get(&caller) else { return };
@@ -300,7 +324,7 @@
         };
         log::info!("step=assign id={} for_room={for_room} outcome=silent", call.info.id);
         self.abandon_request(exchange);
-        self.leader_backoff = now + SILENT_BACKOFF;
+        self.back_off_leader(now);
         if for_room {
             self.restart_without_leader(now, caller);
         } else {
@@ -310,7 +334,10 @@
 
     /// Handles the end of an exchange with control, except those of heartbeats.
     pub(super) fn control_closed(&mut self, now: Timestamp, exchange: ExchangeId) {
-        if self.outbox.failed(now, exchange) || self.probe_answered(now, exchange, false) {
+        if self.runs_reported(exchange, false) || self.outbox.failed(now, exchange) {
+            return;
+        }
+        if self.probe_answered(now, exchange, false) {
             return;
         }
         if let Some(caller) = self.leader_requests.get(&exchange).copied() {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 pub mod queue;
 mod reason;
 mod receive;
+mod recount;
 mod reports;
 mod reserve;
 mod resume;
@@ -63,6 +64,7 @@
 use outbox::Outbox;
 use protocol::{CallProtocol, TableFormat};
 use queue::Queue;
+use recount::Recount;
 use stream_times::StreamTimes;
 use versions::Versions;
 
@@ -127,7 +129,9 @@
     next_record: Timestamp,
     /// Open requests to control members about a call's capacity, prefill endpoint or origin.
     leader_requests: BTreeMap<ExchangeId, CallerId>,
-    /// Until when the leader is not asked for capacity.
+    /// Which leader knows the runs of this gateway.
+    recount: Recount,
+    /// Until when the leader is not asked for capacity, by what it had none for at the last request.
     capacity_backoff: BTreeMap<BackoffKey, Timestamp>,
     /// Until when no request is sent to the leader, because it did not answer the last one.
     leader_backoff: Timestamp,
@@ -183,6 +187,7 @@
             unsent_origins: Vec::new(),
             next_record: Timestamp::default(),
             leader_requests: BTreeMap::new(),
+            recount: Recount::default(),
             capacity_backoff: BTreeMap::new(),
             leader_backoff: Timestamp::default(),
             crashes: Crashes::default(),
@@ -306,6 +311,7 @@
     fn clean_up(&mut self, now: Timestamp) {
         self.next_cleanup = now + CLEANUP_INTERVAL;
         self.blocked.expire(now);
+        self.report_runs(now);
         for peer in self.fleet.close_stale(now) {
             self.effect(HttpEffect::HangUp { peer });
         }
--- a/src/gateway/vacancy.rs
+++ b/src/gateway/vacancy.rs
@@ -1,7 +1,7 @@
 //! Before a silent attempt at a model call is given up, its next one gets a reservation: an attempt
 //! that may go on is worth more than a place in a queue.
 
-use super::assign::{ANSWER_TIMEOUT, NO_CAPACITY_BACKOFF, SILENT_BACKOFF, backoff_key};
+use super::assign::{ANSWER_TIMEOUT, NO_CAPACITY_BACKOFF, backoff_key};
 use super::call::{Call, Reservation, Stage};
 use super::fleet::EndpointKey;
 use super::reserve::HOLD_TIMEOUT;
@@ -62,7 +62,7 @@
             Vacancy::Reserved { spare, .. } if is_silent_since(call, spare.at) => true,
             Vacancy::Asked { at, .. } if is_silent_since(call, at) => {
                 self.forget_vacancy(now, caller);
-                self.leader_backoff = now + SILENT_BACKOFF;
+                self.back_off_leader(now);
                 self.reserve_own(now, caller);
                 false
             }
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -7,7 +7,7 @@
 
 use crate::control::config::{Change, Config, Revised, SCHEMA};
 use crate::control::dispatch::prompts::PromptRequest;
-use crate::control::dispatch::rooms::{RoomRequest, RunEnd, RunId};
+use crate::control::dispatch::rooms::{KnownRun, RoomRequest, RunEnd, RunId};
 use crate::control::orders::rollout::Rollout;
 use crate::control::orders::{Desired, OrderReport, OrderUpdate};
 use crate::control::origins::Origin;
@@ -228,6 +228,13 @@
         /// How it ended.
         end: RunEnd,
     },
+    /// Reports runs that the leader may not count; the same may be sent again.
+    CountRuns {
+        /// Identifies the start of the gateway that owns the calls.
+        owner: BootId,
+        /// The runs.
+        runs: Vec<KnownRun>,
+    },
     /// Requests an endpoint to run a prefill; only the leader chooses one.
     AssignPrompt(PromptRequest),
     /// Reports that a prefill has ended.
--- a/tests/leader_counts.rs
+++ b/tests/leader_counts.rs
@@ -2,11 +2,17 @@
 //! been elected, or gateways have chosen endpoints themselves. Calls must not be sent from one full
 //! endpoint to the next, and the leader must learn what it doesn't count.
 
+mod gateway_fixture;
+
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use dotterelpin::control::dispatch::Candidate;
 use dotterelpin::control::dispatch::rooms::{KnownRun, RoomRequest, Rooms, RunEnd, RunId};
-use dotterelpin::model::{BootId, Timestamp};
+use dotterelpin::link::message::{ControlReply, ControlRequest, Envelope, Reply};
+use dotterelpin::model::{BootId, ExchangeId, Timestamp};
+use dotterelpin::role::{Input, LinkFailure};
+use gateway_fixture::{Fixture, Sent};
 
 /// The load pattern: engines of which each is full, and calls that arrive as fast as runs end.
 const ENGINES: u64 = 110;
@@ -172,3 +178,103 @@
     assert_eq!(rooms.used(at(1_000), &name(0)), 0);
 }
 
+fn leader(at: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 9_000 + at))
+}
+
+/// Takes the open requests to the leader and returns the reports of runs.
+fn take_reports(f: &mut Fixture) -> Vec<(ExchangeId, Vec<KnownRun>)> {
+    let reports = std::mem::take(&mut f.leader_requests).into_iter();
+    let runs = |(exchange, request)| match request {
+        ControlRequest::CountRuns { runs, .. } => Some((exchange, runs)),
+        _ => None,
+    };
+    reports.filter_map(runs).collect()
+}
+
+/// Returns a gateway without a leader that has a stream running, which it has placed itself.
+fn with_own_run() -> (Fixture, Sent) {
+    let mut f = Fixture::ready();
+    f.model_call(1, "/remind/a", "3000,100");
+    let run = f.answer_prefill();
+    f.head(&run, 200, &[]);
+    f.data(&run, b"id: 1\ndata: a\n\n");
+    assert!(take_reports(&mut f).is_empty(), "there is no leader yet");
+    (f, run)
+}
+
+#[test]
+fn run_that_a_gateway_placed_itself_is_reported_with_its_end() {
+    let (mut f, run) = with_own_run();
+    f.leader = Some(leader(1));
+    f.advance(1_100);
+    let reports = take_reports(&mut f);
+    let [(_, runs)] = &reports[..] else { panic!("expected one report, found {reports:?}") };
+    let [known] = &runs[..] else { panic!("expected one run, found {runs:?}") };
+    assert_eq!((&*known.endpoint, known.tokens), ("d1", 3_050));
+    f.end(&run);
+    let ended = ControlRequest::RunEnded { run: known.run, end: RunEnd::Over };
+    assert_eq!(f.leader_requests.iter().filter(|(_, r)| *r == ended).count(), 1);
+    f.leader_requests.clear();
+    f.advance(3_000);
+    assert!(take_reports(&mut f).is_empty(), "nothing runs any more");
+}
+
+#[test]
+fn new_leader_is_told_of_all_runs_under_their_numbers() {
+    let (mut f, run) = with_own_run();
+    f.leader = Some(leader(1));
+    f.advance(1_100);
+    let first = take_reports(&mut f).remove(0).1;
+    f.leader = Some(leader(2));
+    f.data(&run, b"id: 2\ndata: b\n\n");
+    f.advance(1_100);
+    let (exchange, second) = take_reports(&mut f).remove(0);
+    assert_eq!((f.members_of[&exchange], second), (leader(2), first));
+}
+
+/// Fails if a report that is lost, or that reaches a member that does not lead, is not repeated.
+#[test]
+fn report_that_was_not_accepted_is_sent_again() {
+    for lost in [true, false] {
+        let (mut f, _run) = with_own_run();
+        f.leader = Some(leader(1));
+        f.advance(1_100);
+        let (exchange, runs) = take_reports(&mut f).remove(0);
+        if lost {
+            f.step(Input::Closed { exchange, failure: Some(LinkFailure::Broken) });
+        } else {
+            let reply = ControlReply::NotLeader { leader: None };
+            let envelope = Envelope { revised: Default::default(), body: Reply::Control(reply) };
+            f.step(Input::Reply { exchange, envelope });
+        }
+        f.advance(600);
+        assert_eq!(take_reports(&mut f).remove(0).1, runs, "lost: {lost}");
+    }
+}
+
+/// Many calls wait at one gateway while all endpoints are full: one request to the leader stands for
+/// all of them, since it gets the same answer.
+#[test]
+fn gateway_asks_for_one_waiting_call_at_a_time_while_capacity_is_short() {
+    let mut f = Fixture::ready();
+    f.leader = Some(leader(1));
+    f.advance(1_000);
+    let mut asked = 0;
+    for caller in 1..=8 {
+        f.model_call(caller, "/draft/a", "3000,100");
+    }
+    for _ in 0..40 {
+        f.advance(10);
+        let rooms = std::mem::take(&mut f.leader_requests);
+        let rooms: Vec<_> =
+            rooms.into_iter().filter(|(_, r)| matches!(r, ControlRequest::AssignRoom(_))).collect();
+        asked += rooms.len();
+        for (exchange, _) in rooms {
+            let reply = ControlReply::RoomAssigned { endpoint: None };
+            let envelope = Envelope { revised: Default::default(), body: Reply::Control(reply) };
+            f.step(Input::Reply { exchange, envelope });
+        }
+    }
+    assert!(asked <= 8 + 12, "expected at most one request each 40 ms after the first 8: {asked}");
+}
