Keep the requests of a gateway's first second until it can route them

Callers return at once, also to gateways that aren't ready, since no others are there. 784 requests are refused between 35.0 and 36.0 s because control has no leader and gateways no confirmed table yet; a caller that is refused has spent its only retry.

Change: for a second after its start, a gateway keeps requests (256 at most, 4 MiB) until it has a confirmed table and an endpoint, then routes them with the time of their arrival. After that second they are refused at once.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod content;
 mod crashes;
 pub mod credit;
+mod early;
 mod endpoint;
 mod endpoint_answer;
 mod engine;
@@ -58,6 +59,7 @@
 use budget::{Budget, BudgetTerms};
 use call::Call;
 use crashes::Crashes;
+use early::EarlyRequests;
 use fleet::{Fleet, Job};
 use late_answers::LateAnswers;
 use lateness::UsualTimeout;
@@ -114,6 +116,8 @@
     /// How many endpoints were listed, and how many of them were not draining, at the last change.
     listed: (usize, usize),
     calls: BTreeMap<CallerId, Call>,
+    /// Requests that wait for the first routing table.
+    early: EarlyRequests,
     timers: BTreeSet<(Timestamp, CallerId)>,
     queues: BTreeMap<Box<str>, Queue<CallerId>>,
     budgets: BTreeMap<Box<str>, Budget>,
@@ -178,6 +182,7 @@
             settings,
             listed: (0, 0),
             calls: BTreeMap::new(),
+            early: EarlyRequests::default(),
             timers: BTreeSet::new(),
             queues: BTreeMap::new(),
             budgets: BTreeMap::new(),
@@ -349,6 +354,7 @@
             Input::Wake => self.wake(now),
             Input::Shutdown { since } => self.shutdown_requested(now, since),
         }
+        self.admit_early(now);
         if self.capacity_freed {
             self.start_queued(now);
         }
@@ -371,7 +377,8 @@
         let evidence = self.outbox.next_wake();
         let control = self.follower.next_wake();
         let late = self.late_answers.next_due();
-        [late, call, queue, start, record, crash, evidence, shutdown, cleanup, control]
+        let early = self.early.next_expiry();
+        [early, late, call, queue, start, record, crash, evidence, shutdown, cleanup, control]
             .into_iter()
             .flatten()
             .min()
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -124,6 +124,9 @@
     }
 
     pub(super) fn caller_gone(&mut self, now: Timestamp, caller: CallerId) {
+        if self.early_gone(caller) {
+            return;
+        }
         self.stop_work(now, caller);
         let Some(call) = self.remove(now, caller) else { return };
         log::info!(
--- a/src/gateway/receive.rs
+++ b/src/gateway/receive.rs
@@ -10,8 +10,22 @@
 use crate::model::Timestamp;
 
 impl Gateway {
-    /// Routes a new request and admits it as a call, or refuses it.
+    /// Handles a new request; one that comes before there is a routing table may be kept.
     pub(super) fn request_received(&mut self, now: Timestamp, caller: CallerId, request: Request) {
+        match self.protocol.read_call(&request.head) {
+            Ok(info) if !self.can_route() => self.keep_early(now, caller, request, &info),
+            _ => self.route_request(now, now, caller, request),
+        }
+    }
+
+    /// Routes a request and admits it as a call, or refuses it.
+    pub(super) fn route_request(
+        &mut self,
+        now: Timestamp,
+        arrived: Timestamp,
+        caller: CallerId,
+        request: Request,
+    ) {
         let info = match self.protocol.read_call(&request.head) {
             Ok(info) => info,
             Err(error) => {
@@ -33,7 +47,8 @@
         let table = self.table.clone();
         let Some(route) = table.get(key) else { return };
         let timeout = info.timeout.unwrap_or(route.timeout);
-        if !self.admits_new(now, route, timeout) {
+        let waited = now - arrived;
+        if !self.admits_new(now, route, timeout.saturating_sub(waited)) {
             self.refuse_request(now, caller, &request, Some(&info.id), answer::shutting_down());
             return;
         }
@@ -42,15 +57,15 @@
         // The caller of an interrupted stream has waited already.
         let late = usual.is_late(now, timeout, route.target) && info.after.is_none();
         let call = Call {
-            deadline: now + timeout.min(route.timeout),
-            caller_deadline: now + timeout,
+            deadline: arrived + timeout.min(route.timeout),
+            caller_deadline: arrived + timeout,
             delivered: Delivered { event: info.after, ..Delivered::default() },
             request,
             info,
             table: table.clone(),
             route: key,
             service: service.clone(),
-            arrived: now,
+            arrived,
             late,
             sends: 0,
             credit: Credit::default(),
