Keep the software versions of each service in the replicated log

Change: the leader records the versions that streams of a service may have begun at, as soon as it hears of one, and removes one only after it has not heard of it for 30 s. A log of an earlier release has no record: then 30 s of listening are needed, as before.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -108,6 +108,8 @@
     prompts: Prompts,
     rooms: Rooms,
     origins: Origins,
+    /// When the recorded versions are compared next with what was heard.
+    next_review: Timestamp,
     detector: Detector,
     proposals: BTreeMap<LogIndex, Proposal>,
     failed: bool,
@@ -138,6 +140,7 @@
             prompts: Prompts::default(),
             rooms: Rooms::default(),
             origins: Origins::default(),
+            next_review: Timestamp::default(),
             detector: Detector::default(),
             proposals: BTreeMap::new(),
             failed: false,
@@ -172,15 +175,21 @@
     fn request(&mut self, now: Timestamp, inbound: InboundId, request: ControlRequest) -> Outputs {
         match request {
             ControlRequest::Heartbeat(heartbeat) => {
+                let service = heartbeat.endpoint.as_ref().map(|e| e.pool.clone());
                 let beat = self.heartbeat(now, *heartbeat);
-                vec![self.reply(inbound, ControlReply::Beat(beat))]
+                let mut outputs = vec![self.reply(inbound, ControlReply::Beat(beat))];
+                outputs.extend(service.into_iter().flat_map(|s| self.record_versions(now, &s)));
+                outputs
             }
             ControlRequest::Propose(command) => self.propose(now, inbound, command.stamped(now)),
             ControlRequest::Announce(endpoint) => {
                 self.list_version(now, &endpoint);
                 self.endpoint_alive(now, &endpoint);
+                let service = endpoint.pool.clone();
                 self.registry.announce(now, *endpoint, self.revised);
-                vec![self.reply(inbound, ControlReply::Announced)]
+                let mut outputs = vec![self.reply(inbound, ControlReply::Announced)];
+                outputs.extend(self.record_versions(now, &service));
+                outputs
             }
             ControlRequest::Lead => {
                 let leader = self.replica.leader();
@@ -319,6 +328,7 @@
                 let mut outputs = self.replica_step(now, ReplicaInput::Wake);
                 outputs.extend(self.plan(now));
                 outputs.extend(self.judge(now));
+                outputs.extend(self.review_versions(now));
                 outputs.push(Output::Observe(Observation::Registry { processes, endpoints }));
                 let causes = self.state.quarantine.entries().len();
                 outputs.push(Output::Observe(Observation::Quarantine { causes }));
--- a/src/control/origins/mod.rs
+++ b/src/control/origins/mod.rs
@@ -2,8 +2,10 @@
 //!
 //! A stream may go on only at an endpoint of the version that began it, but its caller may resume
 //! it at any gateway. So gateways send the origins of their streams to all control members, and ask
-//! them for an origin that they don't know. The state is soft: a member loses it with its process.
+//! them for an origin that they don't know. The origins are soft state: a member loses them with its
+//! process. Which versions a service has is in the replicated log.
 
+mod recorded;
 mod requests;
 mod versions;
 
@@ -13,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::model::Timestamp;
+pub use recorded::{RecordedVersions, VersionSet};
 use versions::Versions;
 
 /// How long an origin is kept after it was recorded, and a software version after it was listed.
@@ -127,6 +130,21 @@
         self.versions.only(now, service)
     }
 
+    /// Returns the versions that endpoints of a service have reported within [`ORIGIN_TTL`].
+    pub(super) fn heard(&self, now: Timestamp, service: &str) -> VersionSet {
+        self.versions.heard(now, service)
+    }
+
+    /// Returns the services of which any endpoint has reported a version.
+    pub(super) fn services(&self) -> Vec<Box<str>> {
+        self.versions.services()
+    }
+
+    /// Returns whether reports have been received for [`ORIGIN_TTL`] without interruption.
+    pub(super) fn is_complete(&self, now: Timestamp) -> bool {
+        self.versions.is_complete(now)
+    }
+
     fn entry(&self, now: Timestamp, call: &str) -> Option<&Entry> {
         self.entries.get(call).filter(|e| now - e.at < ORIGIN_TTL)
     }
--- a/src/control/origins/requests.rs
+++ b/src/control/origins/requests.rs
@@ -50,13 +50,12 @@
         ControlReply::OriginFound { software, only }
     }
 
-    /// Returns the only version of a service if this member has led for [`ORIGIN_TTL`]: endpoints
-    /// without agents announce themselves to one member, which informs only the leader besides.
+    /// Returns the only version of a service that streams can have begun at, if this member leads:
+    /// endpoints without agents announce themselves to one member, which informs only the leader
+    /// besides. A member that has led for [`ORIGIN_TTL`] knows that itself, others by the record.
     fn only_version(&self, now: Timestamp, service: &str) -> Option<Box<str>> {
         let (_, since) = self.replica.leads_since()?;
-        if now - since < ORIGIN_TTL {
-            return None;
-        }
-        self.origins.only(now, service)
+        let heard = self.origins.only(now, service).filter(|_| now - since >= ORIGIN_TTL);
+        heard.or_else(|| self.only_recorded(now, service))
     }
 }
--- a/src/control/origins/versions.rs
+++ b/src/control/origins/versions.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::ORIGIN_TTL;
+use super::{ORIGIN_TTL, VersionSet};
 use crate::model::Timestamp;
 
 /// How long a member may receive no report of any endpoint until its history counts as interrupted:
@@ -44,13 +44,25 @@
         if !self.is_complete(now) {
             return None;
         }
-        let versions = self.services.get(service)?.iter();
-        let mut recent = versions.filter(|(_, at)| now - **at < ORIGIN_TTL);
-        let (software, _) = recent.next()?;
-        recent.next().is_none().then(|| software.clone())
+        let recent = self.heard(now, service);
+        let software = recent.first()?;
+        (recent.len() == 1).then(|| software.clone())
     }
 
-    fn is_complete(&self, now: Timestamp) -> bool {
+    /// Returns the versions that a service's endpoints have reported within [`ORIGIN_TTL`].
+    pub(super) fn heard(&self, now: Timestamp, service: &str) -> VersionSet {
+        let versions = self.services.get(service).into_iter().flatten();
+        let recent = versions.filter(|(_, at)| now - **at < ORIGIN_TTL);
+        recent.map(|(software, _)| software.clone()).collect()
+    }
+
+    /// Returns the services with any version.
+    pub(super) fn services(&self) -> Vec<Box<str>> {
+        self.services.keys().cloned().collect()
+    }
+
+    /// Returns whether reports have been received for [`ORIGIN_TTL`] without interruption.
+    pub(super) fn is_complete(&self, now: Timestamp) -> bool {
         self.span.is_some_and(|s| now - s.since >= ORIGIN_TTL && now - s.last <= MAX_GAP)
     }
 
--- a/src/control/quarantine/verdicts.rs
+++ b/src/control/quarantine/verdicts.rs
@@ -138,7 +138,7 @@
     }
 
     /// Proposes a command of this member's own as the leader, unless the same is pending.
-    fn propose_own(&mut self, now: Timestamp, command: Command) -> Outputs {
+    pub(in crate::control) fn propose_own(&mut self, now: Timestamp, command: Command) -> Outputs {
         if !self.replica.is_leader() || self.replica.unapplied().any(|r| r.command == command) {
             return Vec::new();
         }
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -9,6 +9,7 @@
 use super::config::{Change, Changes, Config, Setting};
 use super::orders::rollout::{RolloutCommand, StepCommand};
 use super::orders::{OrderCommand, OrderReply, Orders};
+use super::origins::{RecordedVersions, VersionSet};
 use super::quarantine::{Cause, Quarantine, Verdict};
 use super::replica::{LogIndex, Members};
 use super::routing::{Deregistration, Document, Routing};
@@ -84,6 +85,14 @@
         /// The cause.
         cause: Cause,
     },
+    /// Record the software versions that streams of a service may have begun at; only the leader
+    /// proposes it.
+    RecordVersions {
+        /// The name of the service.
+        service: Box<str>,
+        /// All its versions.
+        versions: VersionSet,
+    },
 }
 
 impl Command {
@@ -145,6 +154,8 @@
     pub quarantine: Quarantine,
     /// The routing document and the deregistered endpoints.
     pub routing: Routing,
+    /// The software versions of the services.
+    pub versions: RecordedVersions,
 }
 
 impl State {
@@ -155,7 +166,10 @@
 
     /// Decodes the state of a snapshot.
     pub fn decode(bytes: &[u8]) -> eyre::Result<State> {
-        postcard::from_bytes(bytes).wrap_err("decode state")
+        let decoded = postcard::from_bytes(bytes);
+        // Snapshots of earlier releases end before the versions; an empty map is one zero byte.
+        let without_versions = || postcard::from_bytes(&[bytes, &[0]].concat());
+        decoded.or_else(|_| without_versions()).wrap_err("decode state")
     }
 
     /// Applies the command at an index of the log. The result depends only on the state, the index
@@ -205,6 +219,10 @@
                 self.quarantine.clear(*cause);
                 Applied::Done
             }
+            Command::RecordVersions { service, versions } => {
+                self.versions.set(service, versions.clone());
+                Applied::Done
+            }
         }
     }
 
