Give a listed endpoint a window of the gateway's part of its slots

Change: a window begins with twice the gateway's part of the slots, at least one call. Where few gateways share an endpoint, it begins as before.

Test: endpoint_that_was_just_listed_gets_one_call_of_each_of_many_gateways.

--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -79,7 +79,12 @@
 }
 
 impl Endpoint {
-    pub(super) fn new(now: Timestamp, state: &EndpointState, domain: &str) -> Endpoint {
+    pub(super) fn new(
+        now: Timestamp,
+        state: &EndpointState,
+        domain: &str,
+        gateways: u32,
+    ) -> Endpoint {
         Endpoint {
             name: state.name.clone(),
             address: state.address,
@@ -97,7 +102,7 @@
             software: state.software.clone(),
             health: Health::default(),
             usage: Usage::default(),
-            window: Window::new(state.capacity.slots),
+            window: Window::shared(state.capacity.slots, gateways),
             full_until: Timestamp::default(),
             refusals: 0,
             report: None,
--- a/src/gateway/fleet/mod.rs
+++ b/src/gateway/fleet/mod.rs
@@ -86,11 +86,13 @@
     /// Applies a new list of endpoints and returns the idle connections of removed endpoints, which
     /// the caller closes.
     ///
-    /// An endpoint that is no longer listed gets no new work; calls that run there continue.
+    /// An endpoint that is no longer listed gets no new work; calls that run there continue. So many
+    /// `gateways` share the slots of endpoints.
     pub fn update(
         &mut self,
         now: Timestamp,
         listed: &BTreeMap<Box<str>, EndpointState>,
+        gateways: u32,
     ) -> Vec<PeerId> {
         for state in listed.values() {
             match self.names.get(&state.name) {
@@ -100,7 +102,7 @@
                     if restarted || known.address != state.address || known.pool != state.pool {
                         // The endpoint was restarted, or replaced by another under its name.
                         let (notices, usage) = (known.notices, known.usage);
-                        *known = Endpoint::new(now, state, &self.domain);
+                        *known = Endpoint::new(now, state, &self.domain, gateways);
                         known.usage = usage;
                         if !restarted {
                             known.adopt(notices);
@@ -110,7 +112,7 @@
                     known.relist(now, state);
                 }
                 None => {
-                    let mut endpoint = Endpoint::new(now, state, &self.domain);
+                    let mut endpoint = Endpoint::new(now, state, &self.domain, gateways);
                     endpoint.adopt(self.earlier_notices(state));
                     let key = self.endpoints.insert(endpoint);
                     self.names.insert(state.name.clone(), key);
--- a/src/gateway/updates.rs
+++ b/src/gateway/updates.rs
@@ -30,7 +30,8 @@
             }
             self.versions.listed(now, listed.values().map(|e| (&*e.pool, &*e.software)));
             self.update_shared(now);
-            for peer in self.fleet.update(now, &listed) {
+            let gateways = self.follower.gateways(now);
+            for peer in self.fleet.update(now, &listed, gateways) {
                 self.effect(HttpEffect::HangUp { peer });
             }
         }
--- a/src/gateway/window.rs
+++ b/src/gateway/window.rs
@@ -18,6 +18,8 @@
 const GROWTH: f64 = 0.5;
 /// The minimum size of a window, in calls.
 const MIN_SIZE: f64 = 1.0;
+/// The initial size of a window, in multiples of the gateway's part of the slots.
+const INITIAL_PARTS: f64 = 2.0;
 /// The maximum size of a window, in multiples of the endpoint's slots.
 const MAX_SLOT_MULTIPLE: f64 = 4.0;
 
@@ -47,6 +49,21 @@
         Window { size: slots, max_size: slots * MAX_SLOT_MULTIPLE }
     }
 
+    /// Creates the window of an endpoint that was just listed and whose slots so many gateways share:
+    /// while endpoints come back one after the other, each of them gets the calls of all.
+    ///
+    /// ```
+    /// use dotterelpin::gateway::window::Window;
+    ///
+    /// assert!(!Window::shared(6, 100).has_capacity(1));
+    /// assert_eq!(Window::shared(6, 2), Window::new(6));
+    /// ```
+    pub fn shared(slots: u32, gateways: u32) -> Window {
+        let window = Window::new(slots);
+        let part = window.size * INITIAL_PARTS / f64::from(gateways.max(1));
+        Window { size: part.clamp(MIN_SIZE, window.size), ..window }
+    }
+
     /// Returns whether another call may be sent while `open` calls are in progress.
     pub fn has_capacity(&self, open: u32) -> bool {
         f64::from(open) + 1.0 <= self.size
--- a/tests/gateway_fixture/mod.rs
+++ b/tests/gateway_fixture/mod.rs
@@ -238,7 +238,8 @@
     documents: Vec<Document>,
     deregistered: Vec<(LogIndex, Deregistration)>,
     heartbeats: Vec<(ExchangeId, u64, LogIndex)>,
-    gateways: u32,
+    /// How many gateways control reports.
+    pub gateways: u32,
     /// The leader that control reports, from which the gateway requests decode endpoints with
     /// capacity and prefill endpoints; without one, the gateway chooses them itself.
     pub leader: Option<SocketAddr>,
--- a/tests/plain_burst.rs
+++ b/tests/plain_burst.rs
@@ -112,3 +112,18 @@
     );
     assert!(latencies.len() >= 400, "expected at least 400 answers, found {}", latencies.len());
 }
+
+/// All endpoints come back one after the other, and a hundred gateways send their callers' calls to
+/// the first of them: each may have a part of its slots only.
+#[test]
+fn endpoint_that_was_just_listed_gets_one_call_of_each_of_many_gateways() {
+    let mut f = Fixture::without_table(vec![gateway_fixture::table()]);
+    f.gateways = 100;
+    let mut f = f.made_ready();
+    (1..=6).for_each(|caller| f.call(caller, "/pay/a", &[("Patience-Ms", "600")]));
+    let first = f.take_sent();
+    f.take_sent();
+    assert!(!f.has_sent(), "expected one open call at each of the two endpoints");
+    f.answer(&first, 200, &[], "paid");
+    assert_eq!(f.take_sent().address, first.address, "expected the next call at the free endpoint");
+}
