Assign no prompt to prefill endpoints that are busy for their target

Change: an endpoint with 16,000 tokens of prompts gets no further one. If all have as many, the call runs whole at the decode endpoint that has reserved capacity for it.

Tests: tests/prompts.rs, two new ones.

--- a/src/control/dispatch/prompts.rs
+++ b/src/control/dispatch/prompts.rs
@@ -16,6 +16,9 @@
 
 /// How long a prompt counts if its end is not reported.
 const PROMPT_TTL: Duration = Duration::from_millis(2_000);
+/// The backlog of an endpoint, in tokens, from which it is assigned no further prompt: more would
+/// take as long as a call's target there, or be refused by the endpoint.
+const MAX_BACKLOG_TOKENS: u64 = 16_000;
 /// An endpoint in another failure domain is chosen only if it has at least this many tokens fewer.
 const REMOTE_PENALTY_TOKENS: u64 = 2_000;
 
@@ -60,8 +63,8 @@
 }
 
 impl Prompts {
-    /// Returns the endpoint that is to prefill a prompt, and counts the prompt there; `None` if the
-    /// request names no candidate.
+    /// Returns the endpoint that is to prefill a prompt, and counts the prompt there; `None` if all
+    /// candidates have as many prompts as they can prefill in time.
     pub fn assign(&mut self, now: Timestamp, request: &PromptRequest) -> Option<Box<str>> {
         self.expire(now);
         let cost = |c: &&Candidate| {
@@ -69,7 +72,8 @@
             let last = self.last.get(&c.endpoint).copied().unwrap_or_default();
             (self.backlog(&c.endpoint) + penalty, last)
         };
-        let chosen = request.candidates.iter().min_by_key(cost)?.endpoint.clone();
+        let open = |c: &&Candidate| self.backlog(&c.endpoint) < MAX_BACKLOG_TOKENS;
+        let chosen = request.candidates.iter().filter(open).min_by_key(cost)?.endpoint.clone();
         let prefill = Prefill { tokens: request.tokens, since: now };
         self.running.entry(chosen.clone()).or_default().push(prefill);
         self.last.insert(chosen.clone(), now);
--- a/src/gateway/assign.rs
+++ b/src/gateway/assign.rs
@@ -299,6 +299,9 @@
                 let assigned = Assigned { endpoint: endpoint.clone(), tokens };
                 self.prompt_assigned(now, caller, Some(assigned));
             }
+            (Stage::Assign { .. }, ControlReply::PromptAssigned { endpoint: None }) => {
+                self.prompt_refused(now, caller);
+            }
             (Stage::Assign { .. }, _) => self.prompt_assigned(now, caller, None),
             _ => {}
         }
@@ -367,6 +370,16 @@
         self.run_prefill(now, caller, decode, named);
     }
 
+    /// Runs a call at its decode endpoint without a prefill elsewhere, since all prefill endpoints are
+    /// busy: the decode endpoint has reserved capacity for it.
+    fn prompt_refused(&mut self, now: Timestamp, caller: CallerId) {
+        let Some(call) = self.calls.get_mut(&caller) else { return };
+        let Stage::Assign { decode, .. } = call.stage else { return };
+        call.stage = Stage::Waiting;
+        log::info!("step=assign id={} outcome=busy", call.info.id);
+        self.run_unprepared(now, caller, decode);
+    }
+
     /// Reports to the leader that the prefill of a call has ended.
     pub(super) fn report_prefill_end(&mut self, caller: CallerId) {
         let Some(call) = self.calls.get_mut(&caller) else { return };
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -140,6 +140,16 @@
         self.start_or_requeue(now, caller);
     }
 
+    /// Runs a call without a prefill on the decode endpoint that has granted its reservation, unless
+    /// that one wants no new request by now.
+    pub(super) fn run_unprepared(&mut self, now: Timestamp, caller: CallerId, decode: Reservation) {
+        if !self.keeps_reservations(now, decode.endpoint) || !self.can_end(now, caller) {
+            self.replace_decode(now, caller, decode);
+        } else {
+            self.run_whole(now, caller, decode);
+        }
+    }
+
     /// Runs a complete call on the decode endpoint that has granted its reservation.
     fn run_whole(&mut self, now: Timestamp, caller: CallerId, decode: Reservation) {
         // The reserved usage is counted again for the attempt by `run_on`.
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -340,7 +340,7 @@
     },
     /// The endpoint chosen to run a prefill.
     PromptAssigned {
-        /// The endpoint, or None if none may run it.
+        /// The endpoint, or None if all are busy.
         endpoint: Option<Box<str>>,
     },
     /// The answer to a request for the leader.
--- a/tests/prompts.rs
+++ b/tests/prompts.rs
@@ -147,6 +147,35 @@
     }
 }
 
+/// Hundreds of callers resume their streams at one moment: more prompts than the prefill endpoints
+/// can take. An endpoint with a full queue refuses, and each refusal costs a part of the retry budget.
+#[test]
+fn prompts_beyond_what_the_endpoints_prefill_in_time_are_not_assigned() {
+    let mut prompts = Prompts::default();
+    let now = Timestamp::from_micros(1_000_000);
+    let mut backlogs: BTreeMap<Box<str>, u32> = BTreeMap::new();
+    let assigned = (0..500).filter_map(|_| prompts.assign(now, &request(4_000)));
+    assigned.for_each(|endpoint| *backlogs.entry(endpoint).or_default() += 4_000);
+    assert_eq!(backlogs.len(), ENDPOINTS);
+    let longest = f64::from(*backlogs.values().max().unwrap()) / RATE;
+    assert!(longest <= 900.0, "expected at most 900 ms of prompts, found {longest:.0} ms");
+    prompts.ended("f3", 4_000);
+    assert_eq!(prompts.assign(now, &request(4_000)).as_deref(), Some("f3"));
+    assert_eq!(prompts.assign(now, &request(4_000)), None);
+}
+
+#[test]
+fn call_runs_whole_where_it_has_a_reservation_if_all_prefill_endpoints_are_busy() {
+    let (mut f, exchange) = request_prompt();
+    reply(&mut f, exchange, ControlReply::PromptAssigned { endpoint: None });
+    let run = f.take_sent();
+    assert_eq!((run.field("Stage"), run.field("Hold")), (None, Some("h1")));
+    f.head(&run, 200, &[]);
+    f.data(&run, b"id: 1\ndata: a\n\n");
+    f.end(&run);
+    assert!(f.answers[&1].complete && f.leader_requests.len() == 1, "one end of the run");
+}
+
 #[test]
 fn gateway_chooses_by_itself_when_the_leader_assigns_no_usable_endpoint() {
     let (mut f, _) = request_prompt();
