Request a member's whole list once its changes do not lead to it

Cause: a member that restarts sends no removals for the length of a lease, and its followers note its new epoch without its list. Afterwards it answers with what has changed since; endpoints announce themselves with a new number every 1.2 s, so there always are changes, and the digests that would show the difference are never compared. The list of such a member never matches again: after 10 s it isn't trusted, and endpoints that announce themselves to this member alone are dropped for good once it leads. What had died during the restart stayed listed.

Change: a follower whose list differs after it has applied changes requests the whole list.

--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -91,14 +91,16 @@
 
     /// Applies the member's update of endpoints; returns whether anything but loads changed.
     fn apply_endpoints(&mut self, beat: &Beat) -> bool {
-        let Some(endpoints) = &beat.endpoints else {
-            self.seen = Seen { digest: self.view.digest(), ..beat.seen };
-            return false;
-        };
         let before = self.view.digest();
-        self.full_buckets = self.view.apply(endpoints);
-        if self.full_buckets.is_empty() {
-            self.seen = Seen { digest: self.view.digest(), ..beat.seen };
+        if let Some(endpoints) = &beat.endpoints {
+            self.full_buckets = self.view.apply(endpoints);
+        }
+        if self.view.digest() == beat.seen.digest {
+            self.seen = beat.seen;
+        } else if self.full_buckets.is_empty() && beat.endpoints.is_some() {
+            // Changes alone don't lead to the member's list, as after its restart: the whole list is
+            // requested.
+            self.seen = Seen::default();
         }
         self.view.digest() != before
     }
