--- a/src/gateway/early.rs
+++ b/src/gateway/early.rs
@@ -12,8 +12,11 @@
 use crate::h1::Request;
 use crate::model::Timestamp;
 
-/// How long after its start a gateway keeps requests; after that, control is out of reach.
-const TABLE_WAIT: Duration = Duration::from_millis(1_000);
+/// How long after its start a gateway keeps the requests that arrive; after that, control seems to be
+/// out of reach.
+const ARRIVAL_WINDOW: Duration = Duration::from_millis(1_000);
+/// How long after its start a gateway routes the requests that it has kept.
+const TABLE_WAIT: Duration = Duration::from_millis(2_000);
 /// The maximum number of requests that are kept.
 const MAX_REQUESTS: usize = 256;
 /// The maximum size of their contents, in bytes.
@@ -80,9 +83,10 @@
         request: Request,
         info: &CallInfo,
     ) {
-        let wait_end = self.started.unwrap_or(now) + TABLE_WAIT;
-        let stopping = self.shutdown.is_requested();
-        if stopping || now >= wait_end || !self.early.has_room_for(&request) {
+        let started = self.started.unwrap_or(now);
+        let wait_end = started + TABLE_WAIT;
+        let refused = self.shutdown.is_requested() || now >= started + ARRIVAL_WINDOW;
+        if refused || !self.early.has_room_for(&request) {
             self.route_request(now, now, caller, request);
             return;
         }
