--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -95,14 +95,16 @@
         if let Some(endpoints) = &beat.endpoints {
             self.full_buckets = self.view.apply(endpoints);
         }
-        if self.view.digest() == beat.seen.digest {
+        let digest = self.view.digest();
+        if digest == beat.seen.digest {
             self.seen = beat.seen;
-        } else if self.full_buckets.is_empty() && beat.endpoints.is_some() {
-            // Changes alone don't lead to the member's list, as after its restart: the whole list is
-            // requested.
-            self.seen = Seen::default();
+        } else if self.full_buckets.is_empty() {
+            // Changes alone don't lead to the list of a member that has restarted: until they match
+            // once, the whole list is requested.
+            let same_start = self.seen.epoch == beat.seen.epoch;
+            self.seen = if same_start { Seen { digest, ..beat.seen } } else { Seen::default() };
         }
-        self.view.digest() != before
+        digest != before
     }
 }
 
