Report all runs again to a leader that has restarted

Cause: a leader that is killed and leads again at its address has lost its counts, but gateways take it for the leader that knows their runs.

Change: a reply with a new boot of the leader makes the gateway report all runs. Also a condition in rooms.rs without a block in it.

Test: restarted_leader_is_told_of_all_runs_again fails before.

--- a/src/control/dispatch/rooms.rs
+++ b/src/control/dispatch/rooms.rs
@@ -129,9 +129,8 @@
 
     /// Returns whether nothing is known of it that matters any more.
     fn is_forgotten(&self, now: Timestamp) -> bool {
-        self.runs == 0 && self.used(now) == 0 && self.paused <= now && {
-            now - self.refused >= REFUSED_AGAIN
-        }
+        let is_idle = self.runs == 0 && self.used(now) == 0;
+        is_idle && self.paused <= now && now - self.refused >= REFUSED_AGAIN
     }
 }
 
--- a/src/gateway/recount.rs
+++ b/src/gateway/recount.rs
@@ -22,6 +22,13 @@
     open: Option<ExchangeId>,
 }
 
+impl Recount {
+    /// Records that a member has lost its counts with its process.
+    pub fn restarted(&mut self, member: SocketAddr) {
+        self.leader = self.leader.filter(|leader| *leader != member);
+    }
+}
+
 impl Gateway {
     /// Reports the runs that the leader does not count: all of them to a new leader.
     pub(super) fn report_runs(&mut self, now: Timestamp) {
--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -75,6 +75,7 @@
     pub(super) fn send_origins(&mut self, now: Timestamp) {
         for member in self.follower.take_restarted() {
             self.outbox.restarted(member);
+            self.recount.restarted(member);
             let mut known = self.origins.all(now);
             known.retain(|origin| self.shared_services.contains(&origin.service));
             if !known.is_empty() {
--- a/tests/gateway_fixture/mod.rs
+++ b/tests/gateway_fixture/mod.rs
@@ -243,6 +243,8 @@
     /// The leader that control reports, from which the gateway requests decode endpoints with
     /// capacity and prefill endpoints; without one, the gateway chooses them itself.
     pub leader: Option<SocketAddr>,
+    /// The boot of the member that answers heartbeats.
+    pub epoch: BootId,
     /// The members of control besides the first one, which alone answers heartbeats.
     pub more_members: Vec<SocketAddr>,
     /// The control member to which each request was sent that isn't a heartbeat.
@@ -306,6 +308,7 @@
             heartbeats: Vec::new(),
             gateways: GATEWAYS,
             leader: None,
+            epoch: BootId(0),
             more_members: Vec::new(),
             members_of: BTreeMap::new(),
             leader_requests: Vec::new(),
@@ -415,7 +418,7 @@
                     voters: self.voters(),
                 }),
                 config: None,
-                seen: Seen::default(),
+                seen: Seen { epoch: self.epoch, ..Seen::default() },
                 endpoints: Some(Endpoints::All(self.endpoints.clone())),
                 orders: None,
                 quarantine: None,
@@ -648,7 +651,8 @@
     }
 }
 
-fn member() -> SocketAddr {
+/// Returns the address of the member that answers heartbeats.
+pub fn member() -> SocketAddr {
     "127.0.0.1:9000".parse().unwrap()
 }
 
--- a/tests/leader_counts.rs
+++ b/tests/leader_counts.rs
@@ -233,6 +233,22 @@
     assert_eq!((f.members_of[&exchange], second), (leader(2), first));
 }
 
+/// A leader that restarts, and leads again at its address, has lost its counts.
+#[test]
+fn restarted_leader_is_told_of_all_runs_again() {
+    let (mut f, run) = with_own_run();
+    f.leader = Some(gateway_fixture::member());
+    f.advance(1_100);
+    let first = take_reports(&mut f).remove(0).1;
+    f.data(&run, b"id: 2\ndata: b\n\n");
+    f.advance(1_100);
+    assert!(take_reports(&mut f).is_empty(), "it knows all runs");
+    f.data(&run, b"id: 3\ndata: c\n\n");
+    f.epoch = BootId(5);
+    f.advance(1_100);
+    assert_eq!(take_reports(&mut f).remove(0).1, first);
+}
+
 /// Fails if a report that is lost, or that reaches a member that does not lead, is not repeated.
 #[test]
 fn report_that_was_not_accepted_is_sent_again() {
