Compare digests with a member that has restarted, in place of whole lists

On its restart all gateways would request whole lists each half second until they match, which is what a member in that state can bear least.

Change: a follower keeps what it has seen of the earlier start, so that the member answers with digests once it has heard all endpoints, and with the buckets that differ.

Test: tests/restarted_member.rs passes with this form, too.

--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -96,13 +96,11 @@
             self.full_buckets = self.view.apply(endpoints);
         }
         let digest = self.view.digest();
-        if digest == beat.seen.digest {
-            self.seen = beat.seen;
-        } else if self.full_buckets.is_empty() {
-            // Changes alone don't lead to the list of a member that has restarted: until they match
-            // once, the whole list is requested.
-            let same_start = self.seen.epoch == beat.seen.epoch;
-            self.seen = if same_start { Seen { digest, ..beat.seen } } else { Seen::default() };
+        // Changes alone don't lead to the list of a member that has restarted: until the lists have
+        // matched once, they are compared by their digests.
+        let same_start = self.seen.epoch == beat.seen.epoch;
+        if digest == beat.seen.digest || same_start && self.full_buckets.is_empty() {
+            self.seen = Seen { digest, ..beat.seen };
         }
         digest != before
     }
