Log what speaks against causes that are not blocked

No decision changes: `suffices` now takes what is needed from a function that the log line uses, too.

--- a/src/control/quarantine/blame.rs
+++ b/src/control/quarantine/blame.rs
@@ -67,6 +67,19 @@
     pub crashes: Vec<Start>,
 }
 
+/// How much speaks against a cause that has been in several crashes and is not blocked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Standing {
+    /// The cause.
+    pub cause: Cause,
+    /// The number of crashes that it was in since a run with it went on.
+    pub crashes: usize,
+    /// The number of these that no blocked cause explains.
+    pub unexplained: usize,
+    /// How many of them it must explain to be blocked.
+    pub needed: usize,
+}
+
 /// The crashes of endpoints, and the causes that are suspected of each.
 ///
 /// ```
@@ -166,8 +179,7 @@
     /// explains suffice for one.
     pub fn verdict(&self, now: Timestamp, blocked: &BTreeSet<Cause>) -> Option<Verdict> {
         let tallies = self.tallies(now, blocked);
-        let crashes = self.crashes.iter().enumerate().filter(|(_, c)| !c.is_explained(blocked));
-        let unexplained = crashes.map(|(at, c)| (at, c.at)).collect();
+        let unexplained = self.unexplained(blocked);
         let suffices = |cause: &Cause, tally: &Tally| {
             !blocked.contains(cause) && tally.suffices(now, *cause, &unexplained)
         };
@@ -185,6 +197,32 @@
         Some(Verdict { cause: **cause, crashes: crashes.collect() })
     }
 
+    /// Returns the causes that were in `least` crashes or more since a run with them went on, and that
+    /// are not blocked.
+    pub fn standings(
+        &self,
+        now: Timestamp,
+        blocked: &BTreeSet<Cause>,
+        least: usize,
+    ) -> Vec<Standing> {
+        let tallies = self.tallies(now, blocked);
+        let unexplained = self.unexplained(blocked);
+        let open = tallies.iter().filter(|(c, t)| t.all >= least && !blocked.contains(c));
+        let standing = |(cause, tally): (&Cause, &Tally)| Standing {
+            cause: *cause,
+            crashes: tally.all,
+            unexplained: tally.unexplained.len(),
+            needed: tally.needed(*cause, &unexplained),
+        };
+        open.map(standing).collect()
+    }
+
+    /// Returns the positions and times of the crashes that no blocked cause explains.
+    fn unexplained(&self, blocked: &BTreeSet<Cause>) -> BTreeMap<usize, Timestamp> {
+        let crashes = self.crashes.iter().enumerate().filter(|(_, c)| !c.is_explained(blocked));
+        crashes.map(|(at, c)| (at, c.at)).collect()
+    }
+
     /// Returns the position of a crash, which is added if it is new.
     fn position(&mut self, now: Timestamp, start: &Start) -> usize {
         if let Some(at) = self.crashes.iter().position(|c| c.start == *start) {
--- a/src/control/quarantine/mod.rs
+++ b/src/control/quarantine/mod.rs
@@ -17,7 +17,7 @@
 
 use serde::{Deserialize, Serialize};
 
-pub use blame::{Blame, Verdict};
+pub use blame::{Blame, Standing, Verdict};
 pub use cause::{Cause, Fingerprint};
 pub use crash::{BrokenRun, Crash, SURVIVAL_TIME, Start};
 pub(super) use verdicts::Detector;
--- a/src/control/quarantine/tally.rs
+++ b/src/control/quarantine/tally.rs
@@ -65,9 +65,9 @@
         crashes: &BTreeMap<usize, Timestamp>,
     ) -> bool {
         let unexplained = self.unexplained.len();
-        let raise = (self.others(crashes) / OTHERS_FOR_ONE).min(MAX_RAISE);
+        let needed = self.needed(cause, crashes);
         if matches!(cause, Cause::Content(_)) {
-            return unexplained >= CONTENT_CRASHES + raise;
+            return unexplained >= needed;
         }
         let wait = if self.sound { SOUND_SUSPICION } else { MIN_SUSPICION };
         if now < self.first + wait {
@@ -79,11 +79,20 @@
         if !is_varied && others * 3 > unexplained {
             return false;
         }
-        let doubt = if self.sound { SOUND_CRASHES } else { 0 };
-        let needed = PART_CRASHES + raise + doubt;
         unexplained >= needed || unexplained >= 2 && self.by_content > needed
     }
 
+    /// Returns how many crashes a cause must explain, given the times of those that no blocked cause
+    /// explains.
+    pub fn needed(&self, cause: Cause, crashes: &BTreeMap<usize, Timestamp>) -> usize {
+        let raise = (self.others(crashes) / OTHERS_FOR_ONE).min(MAX_RAISE);
+        match cause {
+            Cause::Content(_) => CONTENT_CRASHES + raise,
+            Cause::Part(_) if self.sound => PART_CRASHES + raise + SOUND_CRASHES,
+            Cause::Part(_) => PART_CRASHES + raise,
+        }
+    }
+
     /// Returns how many of the crashes during its own ones, or shortly before the last of these,
     /// nothing explains.
     fn others(&self, crashes: &BTreeMap<usize, Timestamp>) -> usize {
--- a/src/control/quarantine/verdicts.rs
+++ b/src/control/quarantine/verdicts.rs
@@ -12,6 +12,8 @@
 /// How long after new evidence the leader goes on judging by it: a part is blocked at the earliest
 /// some time after its first crash.
 const JUDGE_TIME: Duration = Duration::from_millis(4_000);
+/// How many crashes a cause must have been in for it to be logged that it is not blocked.
+const LOGGED_CRASHES: usize = 3;
 /// How long a probe may take; then another one may be granted.
 const PROBE_TTL: Duration = Duration::from_millis(20_000);
 
@@ -22,6 +24,8 @@
     judge_until: Timestamp,
     /// When the last probe of each cause was granted.
     probes: BTreeMap<Cause, Timestamp>,
+    /// How many crashes each cause was in when it was last logged that it is not blocked.
+    logged: BTreeMap<Cause, usize>,
 }
 
 impl Detector {
@@ -48,6 +52,22 @@
         self.probes.remove(&cause);
     }
 
+    /// Logs which causes were in several crashes and are not blocked, once for each crash.
+    fn log_unblocked(&mut self, now: Timestamp, blocked: &BTreeSet<Cause>) {
+        let standings = self.blame.standings(now, blocked, LOGGED_CRASHES);
+        let new = standings.iter().filter(|s| self.logged.get(&s.cause) != Some(&s.crashes));
+        for standing in new {
+            log::info!(
+                "step=unblocked cause={} crashes={} unexplained={} needed={}",
+                standing.cause,
+                standing.crashes,
+                standing.unexplained,
+                standing.needed,
+            );
+        }
+        self.logged = standings.iter().map(|s| (s.cause, s.crashes)).collect();
+    }
+
     fn is_probed(&self, now: Timestamp, cause: Cause) -> bool {
         self.probes.get(&cause).is_some_and(|at| now - *at < PROBE_TTL)
     }
@@ -121,6 +141,7 @@
                 let at = now;
                 outputs.extend(self.propose_own(now, Command::Block { verdict, at }));
             }
+            self.detector.log_unblocked(now, &blocked);
         }
         for cause in due_releases(&self.state.quarantine, now) {
             outputs.extend(self.propose_own(now, Command::AllowProbes { cause }));
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -66,7 +66,7 @@
     /// endpoint.
     pub fn take_due(&mut self, now: Timestamp) -> Vec<(Box<str>, Crash)> {
         let due = |_: &Start, b: &mut Broken| b.since + COLLECT_TIME <= now;
-        let due = self.open.extract_if(.., due).filter(|(_, b)| !b.heard);
+        let due = self.open.extract_if(.., due).filter(|(start, b)| !was_heard(start, b));
         due.map(|(start, b)| (b.service, Crash { start, runs: b.runs, known: Vec::new() }))
             .collect()
     }
@@ -77,6 +77,14 @@
     }
 }
 
+/// Returns whether a start has sent something since its last run broke, which is logged.
+fn was_heard(start: &Start, broken: &Broken) -> bool {
+    if broken.heard {
+        log::info!("step=crash endpoint={start} runs={} outcome=heard-again", broken.runs.len());
+    }
+    broken.heard
+}
+
 /// Returns the possible causes of a crash that a call brings with it, the most specific one last.
 pub(super) fn causes(call: &Call) -> Vec<Cause> {
     let mut causes = part_causes(call);
