Show that contents which crash the same endpoints are not stopped in time

What callers saw: both plain services of a site refused, wave after wave, while requests that had crashed three endpoints reached more of them.

The simulated endpoints now count a crash for each faulty run that ended with it, not only for the run that caused it, and a faulty plain call takes as long as a faulty stream.

--- a/tests/fleet_world/endpoint.rs
+++ b/tests/fleet_world/endpoint.rs
@@ -65,6 +65,8 @@
     pub endpoint: usize,
     /// The parts of the call's prompt.
     pub parts: String,
+    /// The path.
+    pub path: String,
     /// The body.
     pub body: Vec<u8>,
 }
@@ -176,10 +178,11 @@
         let parts = text("Parts");
         let shared: Vec<&str> = parts.split(',').map(|p| p.split(':').next().unwrap()).collect();
         let faulty = shared.iter().rev().skip(1).any(|p| self.faulty_parts.contains(*p))
-            || self.faulty_bodies.contains(&body);
+            || self.faulty_bodies.contains(&body)
+            || self.faulty_paths.contains(&*head.target);
         let crashes = faulty && matches!(kind, Kind::Run | Kind::Plain);
         let delay = match kind {
-            _ if crashes && kind == Kind::Plain => PLAIN_TIME,
+            Kind::Plain if crashes => self.timing.crash,
             Kind::Side => Duration::from_millis(2),
             Kind::Prefill => PREFILL_TIME,
             Kind::Run if crashes => self.timing.crash.min(self.timing.event),
@@ -187,7 +190,7 @@
             Kind::Plain => PLAIN_TIME,
         };
         let (endpoint, at) = (connection.endpoint, self.now + DELAY + delay);
-        let crash_at = if kind == Kind::Plain { at } else { self.now + DELAY + self.timing.crash };
+        let crash_at = self.now + DELAY + self.timing.crash;
         let event = 0;
         let work = Work { gateway, peer, endpoint, head, body, kind, at, event, crashes, crash_at };
         self.arrivals.push(Arrival {
@@ -197,6 +200,7 @@
             kind,
             endpoint,
             parts,
+            path: work.head.target.to_string(),
             body: work.body.clone(),
         });
         self.work.push(work);
@@ -209,7 +213,8 @@
         while let Some(index) = self.work.iter().position(|w| w.at <= self.now) {
             let work = self.work.remove(index);
             if work.crashes && self.now >= work.crash_at {
-                let calls = vec![work.call()];
+                let others = self.work.iter().filter(|w| w.endpoint == work.endpoint && w.crashes);
+                let calls = others.map(Work::call).chain([work.call()]).collect();
                 self.crash_with(work.endpoint, calls);
             } else {
                 self.answer_work(work);
--- a/tests/fleet_world/mod.rs
+++ b/tests/fleet_world/mod.rs
@@ -113,7 +113,9 @@
     pub faulty_parts: BTreeSet<String>,
     /// Bodies that crash each endpoint that begins to answer them.
     pub faulty_bodies: BTreeSet<Vec<u8>>,
-    /// When endpoints crashed, each with the calls whose runs were faulty.
+    /// Paths of plain calls that crash each endpoint that runs them.
+    pub faulty_paths: BTreeSet<String>,
+    /// When endpoints crashed, each with the calls whose runs there were faulty.
     pub crashes: Vec<(Timestamp, Vec<u64>)>,
     /// How long endpoints take.
     pub timing: Timing,
@@ -158,6 +160,7 @@
             answers: BTreeMap::new(),
             faulty_parts: BTreeSet::new(),
             faulty_bodies: BTreeSet::new(),
+            faulty_paths: BTreeSet::new(),
             crashes: Vec::new(),
             timing: Timing::default(),
             table,
@@ -382,6 +385,11 @@
         self.call(gateway, "GET", path, &[], b"")
     }
 
+    /// Sends a call with a body to a plain service at a gateway and returns its number.
+    pub fn post(&mut self, gateway: usize, path: &str, body: &[u8]) -> u64 {
+        self.call(gateway, "POST", path, &[], body)
+    }
+
     fn call(
         &mut self,
         gateway: usize,
--- a/tests/prompt_parts.rs
+++ b/tests/prompt_parts.rs
@@ -97,14 +97,18 @@
     Timestamp::from_micros(at.as_micros() - millis * 1_000)
 }
 
-/// Returns when the endpoints have crashed under a part or a content for the given time.
-fn nth_crash(w: &World, text: &str, count: usize) -> Timestamp {
+/// Returns when the endpoints have crashed under a part or a content.
+fn crashes(w: &World, text: &str) -> Vec<Timestamp> {
     let under = |calls: &[u64]| {
         let of = |a: &&fleet_world::Arrival| calls.contains(&a.call);
         w.arrivals.iter().filter(of).any(|a| holds(a, text))
     };
-    let crashes: Vec<Timestamp> =
-        w.crashes.iter().filter(|(_, calls)| under(calls)).map(|(at, _)| *at).collect();
+    w.crashes.iter().filter(|(_, calls)| under(calls)).map(|(at, _)| *at).collect()
+}
+
+/// Returns when the endpoints have crashed under a part or a content for the given time.
+fn nth_crash(w: &World, text: &str, count: usize) -> Timestamp {
+    let crashes = crashes(w, text);
     assert!(crashes.len() >= count, "{} crashes under {text}", crashes.len());
     crashes[count - 1]
 }
@@ -160,6 +164,25 @@
     assert_stopped(&w, "bed", PART_CRASHES);
 }
 
+#[test]
+fn several_parts_that_crash_endpoints_at_once_are_stopped_one_after_the_other() {
+    const PARTS: [&str; 8] = ["bad", "bed", "bid", "cad", "ced", "cid", "dad", "did"];
+    for (parts, decode, faulty_ms) in [(5, 4, 60), (5, 4, 400), (8, 8, 60), (8, 4, 150)] {
+        let parts = &PARTS[..parts];
+        let mut w = World::new(5, 3, table(), endpoints(decode));
+        let mut load = Load::new(5, 0, parts);
+        load.run(&mut w, 5_000);
+        load.faulty_ms = faulty_ms;
+        w.faulty_parts.extend(parts.iter().map(|part| part.to_string()));
+        load.run(&mut w, 24_000);
+        for part in parts {
+            if crashes(&w, part).len() >= PART_CRASHES {
+                assert_stopped(&w, part, PART_CRASHES);
+            }
+        }
+    }
+}
+
 #[test]
 fn request_that_crashes_endpoints_is_run_again_when_its_caller_sends_it_again() {
     let mut w = fleet(5);
