Let suspects of crashes run as single probes, whatever else explains these

What callers saw: requests that had crashed three endpoints reached more of them, four endpoints of a service at a time, and sound calls of the service were refused for seconds, again and again.

Cause: a crash that holds a blocked cause counted as explained for all others. Of several contents that crash the same endpoints the first one that was blocked took the evidence against the rest; each of these had to crash three more endpoints that no other explains (and up to four more beside frequent crashes). The class: one cause is assumed for each event, and what is not convicted counts as innocent.

Evidence: `unblocked cause=.. crashes=5 unexplained=0 needed=3` in the log of a play with three contents.

Fix: a cause that was in as many crashes as a verdict needs since a run with it last went on is a suspect, whatever explains them. The leader commits that, and gateways refuse suspects but for probes that the leader grants: one at a time of all causes together, so that a crash speaks against one only, and none for five seconds after one has failed. A probe clears the cause or blocks it. So the count of the rule itself stops a content; what the judgement is still needed for is to block the plain cases without another crash. Runs with a suspect that go on already are left alone, since they may clear it. A leader grants probes of what it has listed itself at once; for older entries it waits until those of an earlier leader are over, as before.

--- a/src/cli/tool/quarantine.rs
+++ b/src/cli/tool/quarantine.rs
@@ -42,7 +42,7 @@
     let now = Timestamp::from_system();
     let left = match entry.stage {
         Stage::Refused { until } => Some((until - now).as_secs()),
-        Stage::Probing => None,
+        Stage::Probing | Stage::Suspected => None,
     };
     let crashes: Vec<String> = entry.crashes.iter().map(ToString::to_string).collect();
     if json {
--- a/src/control/commit.rs
+++ b/src/control/commit.rs
@@ -156,6 +156,10 @@
             let crashes = verdict.crashes.len();
             log::warn!("step=block cause={} crashes={crashes}", verdict.cause);
         }
+        Command::Suspect { verdict, .. } => {
+            let crashes = verdict.crashes.len();
+            log::warn!("step=suspect cause={} crashes={crashes}", verdict.cause);
+        }
         Command::AllowProbes { cause } => log::info!("step=allow-probes cause={cause}"),
         Command::Clear { cause } => log::info!("step=clear cause={cause}"),
         _ => {}
--- a/src/control/quarantine/blame.rs
+++ b/src/control/quarantine/blame.rs
@@ -192,9 +192,43 @@
                 || !has_rival(&tallies, **cause, tally)
         };
         let (cause, _) = suspects.iter().find(decided)?;
-        let explains = |c: &&Recorded| c.runs.iter().any(|run| run.contains(cause));
-        let crashes = self.crashes.iter().filter(explains).map(|c| c.start.clone());
-        Some(Verdict { cause: **cause, crashes: crashes.collect() })
+        Some(self.verdict_on(**cause))
+    }
+
+    /// Returns the causes that were in enough crashes to be faulty, whatever else explains these, and
+    /// that are not blocked. A crash may have several causes at once.
+    ///
+    /// ```
+    /// use std::collections::BTreeSet;
+    /// use std::time::Duration;
+    /// use dotterelpin::control::quarantine::{Blame, BrokenRun, Cause, Crash, Fingerprint, Start};
+    /// use dotterelpin::model::{BootId, Timestamp};
+    ///
+    /// let content = |text: &str| Cause::Content(Fingerprint::of("portal", text.as_bytes()));
+    /// let run = |text| BrokenRun { causes: vec![content(text)], wrote: Duration::ZERO };
+    /// let now = Timestamp::from_micros(1);
+    /// let mut blame = Blame::default();
+    /// for boot in 0..3 {
+    ///     let start = Start { endpoint: "portal-1".into(), boot: BootId(boot) };
+    ///     let runs = vec![run("one"), run("other")];
+    ///     blame.crashed(now, &Crash { start, runs, known: vec![] });
+    /// }
+    /// let blocked = BTreeSet::from([blame.verdict(now, &BTreeSet::new()).unwrap().cause]);
+    /// assert_eq!(blame.verdict(now, &blocked), None, "the blocked one explains all crashes");
+    /// assert_eq!(blame.suspects(now, &blocked).len(), 1);
+    /// ```
+    pub fn suspects(&self, now: Timestamp, blocked: &BTreeSet<Cause>) -> Vec<Verdict> {
+        let tallies = self.tallies(now, blocked);
+        let suspected = |(cause, tally): &(&Cause, &Tally)| {
+            !blocked.contains(cause) && tally.is_suspect(now, **cause)
+        };
+        tallies.iter().filter(suspected).map(|(cause, _)| self.verdict_on(*cause)).collect()
+    }
+
+    fn verdict_on(&self, cause: Cause) -> Verdict {
+        let held = |c: &&Recorded| c.runs.iter().any(|run| run.contains(&cause));
+        let crashes = self.crashes.iter().filter(held).map(|c| c.start.clone());
+        Verdict { cause, crashes: crashes.collect() }
     }
 
     /// Returns the causes that were in `least` crashes or more since a run with them went on, and that
--- a/src/control/quarantine/mod.rs
+++ b/src/control/quarantine/mod.rs
@@ -3,6 +3,8 @@
 //! Processes report the runs that ended with their endpoints, and runs that went on, to all control
 //! members. Each member keeps that evidence as soft state in a [`Blame`]; the leader commits a verdict
 //! to the log, so that it outlasts restarts and new leaders, and heartbeats bring it to all processes.
+//! A crash may have several causes at once, so what is not convicted is not innocent: a cause that was
+//! in as many crashes is a suspect, and gets single probes until one of them shows what it is.
 //! After [`Setting::QuarantineDuration`](super::config::Setting::QuarantineDuration) a blocked
 //! cause gets single probes until one of them clears it or blocks it again.
 
@@ -24,7 +26,8 @@
 
 use crate::model::Timestamp;
 
-/// The maximum number of causes in quarantine; the oldest one makes room for a new one.
+/// The maximum number of causes in quarantine; the oldest suspect, or the oldest one, makes room for a
+/// new one.
 const MAX_ENTRIES: usize = 1_024;
 /// The maximum number of crashes that are kept of one cause, for operators.
 const MAX_CRASHES: usize = 16;
@@ -50,6 +53,16 @@
     },
     /// The leader allows one at a time, as a probe.
     Probing,
+    /// The same, for a cause that was never blocked: it was in enough crashes to be faulty, which other
+    /// causes may explain as well.
+    Suspected,
+}
+
+impl Stage {
+    /// Returns whether the leader may allow a probe.
+    pub fn allows_probes(self) -> bool {
+        matches!(self, Stage::Probing | Stage::Suspected)
+    }
 }
 
 /// A cause in quarantine.
@@ -57,7 +70,7 @@
 pub struct Entry {
     /// When it was blocked last, by the leader's clock.
     pub since: Timestamp,
-    /// How often it was blocked.
+    /// How often it was blocked; 0 for a suspect.
     pub verdicts: u32,
     /// The last starts of endpoints that it has crashed.
     pub crashes: Vec<Start>,
@@ -107,10 +120,37 @@
         let known = earlier.map_or(&[][..], |e| &e.crashes);
         let mut crashes: Vec<Start> = known.iter().chain(&verdict.crashes).cloned().collect();
         crashes.drain(..crashes.len().saturating_sub(MAX_CRASHES));
-        self.entries.insert(verdict.cause, Entry { since: now, verdicts, crashes, stage });
+        self.insert(verdict.cause, Entry { since: now, verdicts, crashes, stage });
+    }
+
+    /// Allows only probes of a cause that may crash endpoints, unless it is in quarantine already.
+    ///
+    /// ```
+    /// use dotterelpin::control::quarantine::{Cause, Fingerprint, Quarantine, Stage, Verdict};
+    /// use dotterelpin::model::Timestamp;
+    ///
+    /// let cause = Cause::Content(Fingerprint::of("portal", b"apples"));
+    /// let mut quarantine = Quarantine::default();
+    /// quarantine.suspect(Timestamp::from_micros(1), &Verdict { cause, crashes: vec![] });
+    /// assert_eq!(quarantine.entries()[&cause].stage, Stage::Suspected);
+    /// assert!(Stage::Suspected.allows_probes());
+    /// ```
+    pub fn suspect(&mut self, now: Timestamp, verdict: &Verdict) {
+        if self.entries.contains_key(&verdict.cause) {
+            return;
+        }
+        let mut crashes = verdict.crashes.clone();
+        crashes.drain(..crashes.len().saturating_sub(MAX_CRASHES));
+        let entry = Entry { since: now, verdicts: 0, crashes, stage: Stage::Suspected };
+        self.insert(verdict.cause, entry);
+    }
+
+    fn insert(&mut self, cause: Cause, entry: Entry) {
+        self.entries.insert(cause, entry);
         if self.entries.len() > MAX_ENTRIES {
-            let oldest = self.entries.iter().min_by_key(|(_, e)| e.since).map(|(cause, _)| *cause);
-            oldest.and_then(|cause| self.entries.remove(&cause));
+            let rank = |e: &Entry| (e.stage != Stage::Suspected, e.since);
+            let first = self.entries.iter().min_by_key(|(_, e)| rank(e)).map(|(cause, _)| *cause);
+            first.and_then(|cause| self.entries.remove(&cause));
         }
         self.version += 1;
     }
--- a/src/control/quarantine/tally.rs
+++ b/src/control/quarantine/tally.rs
@@ -82,6 +82,17 @@
         unexplained >= needed || unexplained >= 2 && self.by_content > needed
     }
 
+    /// Returns whether a cause was in enough crashes to be faulty, whether or not others explain them.
+    pub fn is_suspect(&self, now: Timestamp, cause: Cause) -> bool {
+        match cause {
+            Cause::Content(_) => self.all >= CONTENT_CRASHES,
+            Cause::Part(_) => {
+                let waited = now >= self.first + MIN_SUSPICION;
+                self.all >= PART_CRASHES && waited && !self.sound
+            }
+        }
+    }
+
     /// Returns how many crashes a cause must explain, given the times of those that no blocked cause
     /// explains.
     pub fn needed(&self, cause: Cause, crashes: &BTreeMap<usize, Timestamp>) -> usize {
--- a/src/control/quarantine/verdicts.rs
+++ b/src/control/quarantine/verdicts.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::{Blame, Cause, Crash, Evidence, Quarantine, Stage, Start, Verdict};
+use super::{Blame, Cause, Crash, Entry, Evidence, Stage, Start, Verdict};
 use crate::control::state::Command;
 use crate::control::{Control, Outputs};
 use crate::link::message::ControlReply;
@@ -14,8 +14,13 @@
 const JUDGE_TIME: Duration = Duration::from_millis(4_000);
 /// How many crashes a cause must have been in for it to be logged that it is not blocked.
 const LOGGED_CRASHES: usize = 3;
-/// How long a probe may take; then another one may be granted.
+/// How long a probe may take; then another one of the same cause may be granted.
 const PROBE_TTL: Duration = Duration::from_millis(20_000);
+/// How long a probe of one cause excludes those of all others, unless its outcome is known before: if
+/// two ran at the same endpoint, a crash would speak against both.
+const PROBE_ALONE: Duration = Duration::from_millis(5_000);
+/// How long no probe is granted after one has crashed its endpoint, which comes back meanwhile.
+const FAILED_PROBE_PAUSE: Duration = Duration::from_millis(5_000);
 
 /// The evidence of one member, and the probes that it has granted as the leader.
 #[derive(Debug, Default)]
@@ -24,6 +29,8 @@
     judge_until: Timestamp,
     /// When the last probe of each cause was granted.
     probes: BTreeMap<Cause, Timestamp>,
+    /// Until when no probe is granted.
+    paused_until: Timestamp,
     /// How many crashes each cause was in when it was last logged that it is not blocked.
     logged: BTreeMap<Cause, usize>,
 }
@@ -71,6 +78,18 @@
     fn is_probed(&self, now: Timestamp, cause: Cause) -> bool {
         self.probes.get(&cause).is_some_and(|at| now - *at < PROBE_TTL)
     }
+
+    /// Returns whether a probe of a cause may be granted beside those that were granted before.
+    fn may_probe(&self, now: Timestamp, cause: Cause) -> bool {
+        let alone = self.probes.values().all(|at| now - *at >= PROBE_ALONE);
+        alone && now >= self.paused_until && !self.is_probed(now, cause)
+    }
+
+    /// Records that a probe has crashed its endpoint.
+    fn probe_failed(&mut self, now: Timestamp, cause: Cause) {
+        self.probes.remove(&cause);
+        self.paused_until = now + FAILED_PROBE_PAUSE;
+    }
 }
 
 impl Control {
@@ -118,6 +137,7 @@
             }
             Evidence::Crashed(crash) => {
                 let failed = self.detector.failed_probes(now, crash);
+                failed.iter().for_each(|cause| self.detector.probe_failed(now, *cause));
                 let verdict = |cause| Verdict { cause, crashes: vec![crash.start.clone()] };
                 failed
                     .into_iter()
@@ -135,27 +155,64 @@
         }
         let mut outputs = Vec::new();
         if now < self.detector.judge_until {
-            let mut blocked = self.blocked();
-            while let Some(verdict) = self.detector.blame.verdict(now, &blocked) {
-                blocked.insert(verdict.cause);
-                let at = now;
-                outputs.extend(self.propose_own(now, Command::Block { verdict, at }));
-            }
-            self.detector.log_unblocked(now, &blocked);
+            outputs.extend(self.block_guilty(now));
+            outputs.extend(self.list_suspects(now));
+            let held = self.held(|_| true);
+            self.detector.log_unblocked(now, &held);
         }
-        for cause in due_releases(&self.state.quarantine, now) {
-            outputs.extend(self.propose_own(now, Command::AllowProbes { cause }));
+        for command in self.due_changes(now) {
+            outputs.extend(self.propose_own(now, command));
         }
         outputs
     }
 
-    /// Returns all causes that are blocked, also those whose verdict is not committed yet.
-    fn blocked(&self) -> BTreeSet<Cause> {
+    /// Returns the changes of the quarantine whose time has come: probes of refused causes, and the end
+    /// of suspects of which no more was seen.
+    fn due_changes(&self, now: Timestamp) -> Vec<Command> {
+        let suspect_ttl = self.state.quarantine_duration();
+        let change = |(cause, entry): (&Cause, &Entry)| match entry.stage {
+            Stage::Refused { until } if until <= now => {
+                Some(Command::AllowProbes { cause: *cause })
+            }
+            Stage::Suspected if entry.since + suspect_ttl <= now => {
+                Some(Command::Clear { cause: *cause })
+            }
+            _ => None,
+        };
+        self.state.quarantine.entries().iter().filter_map(change).collect()
+    }
+
+    /// Blocks the causes that the evidence convicts.
+    fn block_guilty(&mut self, now: Timestamp) -> Outputs {
+        let mut outputs = Vec::new();
+        // A suspect explains nothing yet.
+        let mut blocked = self.held(|stage| stage != Stage::Suspected);
+        while let Some(verdict) = self.detector.blame.verdict(now, &blocked) {
+            blocked.insert(verdict.cause);
+            outputs.extend(self.propose_own(now, Command::Block { verdict, at: now }));
+        }
+        outputs
+    }
+
+    /// Allows only probes of the causes that the evidence incriminates beside others.
+    fn list_suspects(&mut self, now: Timestamp) -> Outputs {
+        let held = self.held(|_| true);
+        let suspects = self.detector.blame.suspects(now, &held);
+        let commands = suspects.into_iter().map(|verdict| Command::Suspect { verdict, at: now });
+        let commands: Vec<Command> = commands.collect();
+        commands.into_iter().flat_map(|command| self.propose_own(now, command)).collect()
+    }
+
+    /// Returns all causes in quarantine in a stage that `counts`, and those whose verdict is not
+    /// committed yet.
+    fn held(&self, counts: impl Fn(Stage) -> bool) -> BTreeSet<Cause> {
         let pending = self.replica.unapplied().filter_map(|r| match &r.command {
             Command::Block { verdict, .. } => Some(verdict.cause),
+            Command::Suspect { verdict, .. } => counts(Stage::Suspected).then_some(verdict.cause),
             _ => None,
         });
-        self.state.quarantine.entries().keys().copied().chain(pending).collect()
+        let entries = self.state.quarantine.entries().iter().filter(|(_, e)| counts(e.stage));
+        entries.map(|(cause, _)| *cause).chain(pending).collect()
     }
 
     /// Proposes a command of this member's own as the leader, unless the same is pending.
@@ -172,16 +229,22 @@
     /// Returns whether a process may send one call with a cause that is being probed, as a probe.
     pub(in crate::control) fn grant_probe(&mut self, now: Timestamp, cause: Cause) -> bool {
         let entry = self.state.quarantine.entries().get(&cause);
-        let is_probing = entry.is_some_and(|e| e.stage == Stage::Probing);
-        // An earlier leader may have granted one.
-        let settled = self.replica.leads_since().is_some_and(|(_, since)| now >= since + PROBE_TTL);
-        let granted = is_probing && settled && !self.detector.is_probed(now, cause);
+        let is_open = entry.is_some_and(|e| e.stage.allows_probes());
+        let granted =
+            is_open && self.knows_probes(now, cause) && self.detector.may_probe(now, cause);
         if granted {
             self.detector.probes.insert(cause, now);
         }
         log::info!("step=probe cause={cause} granted={granted}");
         granted
     }
+
+    /// Returns whether no earlier leader can have granted a probe of a cause that is still open.
+    fn knows_probes(&self, now: Timestamp, cause: Cause) -> bool {
+        let Some((_, led)) = self.replica.leads_since() else { return false };
+        let entry = self.state.quarantine.entries().get(&cause);
+        now >= led + PROBE_TTL || entry.is_some_and(|e| e.since >= led)
+    }
 }
 
 fn log_evidence(evidence: &Evidence, crashes: usize) {
@@ -196,10 +259,3 @@
         Evidence::Survived(causes) => log::debug!("step=evidence survived={causes:?}"),
     }
 }
-
-/// Returns the refused causes whose time is over.
-fn due_releases(quarantine: &Quarantine, now: Timestamp) -> Vec<Cause> {
-    let due = |stage: Stage| matches!(stage, Stage::Refused { until } if until <= now);
-    let entries = quarantine.entries().iter().filter(|(_, e)| due(e.stage));
-    entries.map(|(cause, _)| *cause).collect()
-}
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -93,6 +93,13 @@
         /// All its versions.
         versions: VersionSet,
     },
+    /// Allow only probes of a cause that may crash endpoints; only the leader proposes it.
+    Suspect {
+        /// The cause and the crashes that it was in.
+        verdict: Verdict,
+        /// The time by the leader's clock.
+        at: Timestamp,
+    },
 }
 
 impl Command {
@@ -207,8 +214,11 @@
                 Applied::Done
             }
             Command::Block { verdict, at } => {
-                let seconds = self.config.default_value(Setting::QuarantineDuration);
-                self.quarantine.block(*at, verdict, Duration::from_secs(seconds));
+                self.quarantine.block(*at, verdict, self.quarantine_duration());
+                Applied::Done
+            }
+            Command::Suspect { verdict, at } => {
+                self.quarantine.suspect(*at, verdict);
                 Applied::Done
             }
             Command::AllowProbes { cause } => {
@@ -226,6 +236,11 @@
         }
     }
 
+    /// Returns how long a cause is refused after its first verdict.
+    pub(super) fn quarantine_duration(&self) -> Duration {
+        Duration::from_secs(self.config.default_value(Setting::QuarantineDuration))
+    }
+
     fn retention(&self) -> Duration {
         Duration::from_millis(self.config.default_value(Setting::ClaimRetention))
     }
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -24,6 +24,8 @@
 const CAPACITY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// The retry time for callers whose calls hold what has crashed endpoints.
 const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
+/// The same for what is only suspected: a probe shows soon whether it is sound.
+const SUSPECT_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Statuses that promise that a call has not run. An endpoint's answer with one of them is not
 /// passed on; the caller gets the gateway's own refusal.
 const NOT_RUN_STATUSES: [u16; 4] = [408, MISDIRECTED, 429, 503];
@@ -72,6 +74,11 @@
     refusal(503, "not run: calls like this one crash endpoints", Some(QUARANTINE_RETRY_AFTER))
 }
 
+pub(super) fn suspected() -> RefusalInfo {
+    let text = "not run: calls like this one may crash endpoints";
+    refusal(503, text, Some(SUSPECT_RETRY_AFTER))
+}
+
 pub(super) fn busy(retry_after: Duration) -> RefusalInfo {
     refusal(503, "not run: all endpoints are busy", Some(retry_after))
 }
--- a/src/gateway/blocked.rs
+++ b/src/gateway/blocked.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use crate::control::quarantine::{Blame, Cause, Crash, QuarantineUpdate, Stage};
+use crate::control::quarantine::{Blame, Cause, Crash, QuarantineUpdate, Stage, Verdict};
 use crate::model::{ExchangeId, Timestamp};
 
 /// How long a gateway refuses by its own verdict, while control is out of reach.
@@ -28,12 +28,20 @@
     next_report: Timestamp,
 }
 
+/// A verdict of this gateway, for the time in which control is out of reach.
+#[derive(Debug, Clone, Copy)]
+struct OwnVerdict {
+    until: Timestamp,
+    /// Whether the cause is only suspected; then it explains no crash.
+    suspected: bool,
+}
+
 /// The causes that this gateway refuses, and what it has seen itself.
 #[derive(Debug, Default)]
 pub struct Blocked {
     listed: BTreeMap<Cause, Stage>,
-    /// Its own verdicts, and until when they hold.
-    own: BTreeMap<Cause, Timestamp>,
+    /// Its own verdicts.
+    own: BTreeMap<Cause, OwnVerdict>,
     /// Causes of which the leader has allowed a probe, and until when.
     permits: BTreeMap<Cause, Timestamp>,
     /// When the leader is asked next for a probe of a cause.
@@ -78,7 +86,7 @@
     /// Returns the first of some causes that is blocked; own verdicts count while control is out of
     /// reach.
     pub fn find(&self, now: Timestamp, causes: &[Cause], alone: bool) -> Option<Cause> {
-        let own = |c: &Cause| alone && self.own.get(c).is_some_and(|until| now < *until);
+        let own = |c: &Cause| alone && self.own.get(c).is_some_and(|own| now < own.until);
         causes.iter().copied().find(|c| self.listed.contains_key(c) || own(c))
     }
 
@@ -90,7 +98,8 @@
     /// Returns whether the leader is to be asked for a probe of a cause now.
     pub fn wants_probe(&mut self, now: Timestamp, cause: Cause) -> bool {
         let next = self.next_probe.get(&cause).copied().unwrap_or_default();
-        let wanted = self.listed.get(&cause) == Some(&Stage::Probing) && now >= next;
+        let allowed = self.listed.get(&cause).is_some_and(|stage| stage.allows_probes());
+        let wanted = allowed && now >= next;
         if wanted {
             self.next_probe.insert(cause, now + PROBE_INTERVAL);
         }
@@ -153,23 +162,40 @@
         self.watched.retain(|_, w| now < w.until);
     }
 
+    /// Returns whether calls with a cause are refused only because it is suspected.
+    pub fn is_suspected(&self, cause: Cause) -> bool {
+        match self.listed.get(&cause) {
+            Some(stage) => *stage == Stage::Suspected,
+            None => self.own.get(&cause).is_some_and(|own| own.suspected),
+        }
+    }
+
     /// Judges by what this gateway has seen itself; returns whether there is a new verdict.
     pub fn judge(&mut self, now: Timestamp) -> bool {
-        self.own.retain(|_, until| now < *until);
-        let mut blocked: BTreeSet<Cause> =
-            self.listed.keys().chain(self.own.keys()).copied().collect();
+        self.own.retain(|_, own| now < own.until);
         let before = self.own.len();
+        let mut blocked = self.held(false);
         while let Some(verdict) = self.blame.verdict(now, &blocked) {
-            log::warn!(
-                "step=own-verdict cause={} crashes={}",
-                verdict.cause,
-                verdict.crashes.len()
-            );
             blocked.insert(verdict.cause);
-            self.own.insert(verdict.cause, now + OWN_VERDICT_TTL);
+            self.decide(now, &verdict, false);
+        }
+        for verdict in self.blame.suspects(now, &self.held(true)) {
+            self.decide(now, &verdict, true);
         }
         self.own.len() > before
     }
+
+    fn decide(&mut self, now: Timestamp, verdict: &Verdict, suspected: bool) {
+        let (cause, crashes) = (verdict.cause, verdict.crashes.len());
+        log::warn!("step=own-verdict cause={cause} crashes={crashes} suspected={suspected}");
+        self.own.insert(cause, OwnVerdict { until: now + OWN_VERDICT_TTL, suspected });
+    }
+
+    /// Returns the causes that are refused; suspects only if they are asked for.
+    fn held(&self, suspects: bool) -> BTreeSet<Cause> {
+        let all = self.listed.keys().chain(self.own.keys()).copied();
+        all.filter(|cause| suspects || !self.is_suspected(*cause)).collect()
+    }
 }
 
 /// Removes what is out of date from a map that has grown to its bound, or the lowest keys.
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -22,7 +22,7 @@
     }
 
     /// Ends the calls that hold what is blocked: those that have not begun to run, and those whose
-    /// run has sent nothing yet.
+    /// run has sent nothing yet. A run with a suspect goes on; it shows whether that is faulty.
     fn end_blocked(&mut self, now: Timestamp) {
         let begun = |call: &Call| match &call.stage {
             Stage::Run { attempt, .. } => attempt.first_event.is_some(),
@@ -33,7 +33,11 @@
         for caller in callers {
             let Some(cause) = self.blocked_cause(now, caller) else { continue };
             let Some(call) = self.calls.get_mut(&caller) else { continue };
-            call.may_have_run |= matches!(call.stage, Stage::Run { .. });
+            let runs = matches!(call.stage, Stage::Run { .. });
+            if runs && self.blocked.is_suspected(cause) {
+                continue;
+            }
+            call.may_have_run |= runs;
             self.stop_work(now, caller);
             self.end_as_blocked(now, caller, cause);
         }
@@ -76,7 +80,11 @@
         let service = call.service.clone();
         log::info!("step=blocked id={} cause={cause}", call.info.id);
         self.outputs.push(Output::Observe(Observation::Quarantined { service }));
-        self.conclude(now, caller, answer::quarantined(), EndReason::Quarantined);
+        let refusal = match self.blocked.is_suspected(cause) {
+            true => answer::suspected(),
+            false => answer::quarantined(),
+        };
+        self.conclude(now, caller, refusal, EndReason::Quarantined);
     }
 
     /// Records the leader's answer to a request for a probe; returns whether the exchange was one.
--- a/tests/blame.rs
+++ b/tests/blame.rs
@@ -172,6 +172,25 @@
     assert!(!blocked.contains(&part("all")));
 }
 
+#[test]
+fn content_that_was_in_the_crashes_of_another_one_is_taken_for_sound() {
+    let mut blame = Blame::default();
+    for boot in 0..3 {
+        let runs =
+            vec![run(&[content(1)], 0), run(&[content(2)], 0), run(&[content(10 + boot)], 0)];
+        blame.crashed(at(boot * 50), &crash(boot, runs));
+    }
+    let first = blame.verdict(at(200), &BTreeSet::new()).map(|v| v.cause);
+    let blocked: BTreeSet<Cause> = first.into_iter().collect();
+    assert_eq!(blame.verdict(at(200), &blocked), None, "the first one explains all crashes");
+    let suspects: Vec<Cause> =
+        blame.suspects(at(200), &blocked).into_iter().map(|v| v.cause).collect();
+    let other = [content(1), content(2)].into_iter().find(|cause| !blocked.contains(cause));
+    assert_eq!(suspects, other.into_iter().collect::<Vec<_>>());
+    blame.survived(at(300), &suspects);
+    assert!(blame.suspects(at(300), &blocked).is_empty(), "a run of it went on");
+}
+
 #[test]
 fn evidence_is_bounded() {
     let mut blame = Blame::default();
