Take no content for faulty that many callers send and that went on before

What callers saw: look-ups of one path that all callers send were refused for an hour after three or more endpoints had crashed at one moment for another reason, such as a loss of power; no run could clear them.

Cause: the quarantine knew of parts of prompts that their runs had gone on shortly before, but of contents only once an endpoint had crashed under them. A content that many callers send is in each crash of its service.

Fix: gateways remember the contents of up to 4 KiB that were answered within the last minute, and say so when they report a crash. Such a content is never blocked without a probe, and is suspected from six crashes on. The memory is one type for gateways and members (`Known`); it stood twice before.

--- a/src/control/quarantine/blame.rs
+++ b/src/control/quarantine/blame.rs
@@ -14,15 +14,12 @@
 
 use super::cause::Cause;
 use super::crash::{Crash, Start};
+use super::known::Known;
 use super::tally::Tally;
 use crate::model::Timestamp;
 
 /// How many crashes a part must explain if another part explains all of them as well.
 const TIED_CRASHES: usize = 5;
-/// How long a run that went on counts as shortly before.
-const KNOWN_TTL: Duration = Duration::from_secs(60);
-/// The maximum number of causes that are known to have gone on.
-const MAX_KNOWN: usize = 4_096;
 /// How long a crash is kept as evidence.
 const EVIDENCE_TTL: Duration = Duration::from_secs(600);
 /// The maximum number of crashes that are kept; the oldest ones are dropped first.
@@ -102,8 +99,8 @@
 #[derive(Debug, Default)]
 pub struct Blame {
     crashes: VecDeque<Recorded>,
-    /// The parts whose runs have gone on, and when.
-    known: BTreeMap<Cause, Timestamp>,
+    /// The causes whose runs have gone on lately.
+    known: Known,
 }
 
 impl Blame {
@@ -113,7 +110,7 @@
         let at = self.position(now, &crash.start);
         let survivors = crash.runs.iter().filter(|r| r.has_survived());
         let survivors: Vec<Cause> = survivors.flat_map(|r| r.causes.iter().copied()).collect();
-        self.learn(now, &crash.known);
+        self.known.learn(now, &crash.known);
         let Some(recorded) = self.crashes.get_mut(at) else { return };
         for run in crash.runs.iter().filter(|r| !r.has_survived()) {
             let cleared = &recorded.cleared;
@@ -129,7 +126,7 @@
 
     /// Clears causes whose runs have gone on of all crashes so far.
     pub fn survived(&mut self, now: Timestamp, causes: &[Cause]) {
-        self.learn(now, causes);
+        self.known.learn(now, causes);
         self.forget(causes);
     }
 
@@ -275,18 +272,6 @@
         self.crashes.retain(|c| now - c.at < EVIDENCE_TTL);
     }
 
-    /// Records parts whose runs have gone on.
-    fn learn(&mut self, now: Timestamp, causes: &[Cause]) {
-        let parts = causes.iter().filter(|c| matches!(c, Cause::Part(_)));
-        self.known.extend(parts.map(|part| (*part, now)));
-        if self.known.len() > MAX_KNOWN {
-            self.known.retain(|_, at| now - *at < KNOWN_TTL);
-        }
-        while self.known.len() > MAX_KNOWN {
-            self.known.pop_first();
-        }
-    }
-
     /// Returns whether later parts of its runs explain most of the crashes that a cause explains, each
     /// of them several crashes.
     fn is_covered(&self, tallies: &BTreeMap<Cause, Tally>, cause: Cause, tally: &Tally) -> bool {
@@ -310,8 +295,8 @@
             let by_part = crash.faulty(blocked).any(|c| matches!(c, Cause::Part(_)));
             let causes: BTreeSet<Cause> = crash.runs.iter().flatten().copied().collect();
             for cause in causes {
-                let known = self.known.get(&cause).is_some_and(|at| now - *at < KNOWN_TTL);
-                let fresh = || Tally { first: crash.at, sound: known, ..Tally::default() };
+                let known = self.known.contains(now, cause);
+                let fresh = || Tally { first: crash.at, known, sound: known, ..Tally::default() };
                 let tally = tallies.entry(cause).or_insert_with(fresh);
                 tally.all += 1;
                 tally.by_content += usize::from(!by_part);
@@ -329,7 +314,7 @@
             }
         }
         let likely = |(cause, tally): (&Cause, &Tally)| {
-            let shared = self.known.is_empty() && tally.is_shared();
+            let shared = !self.known.has_parts() && tally.is_shared();
             let sound = shared || self.is_covered(&tallies, *cause, tally);
             sound.then_some(*cause)
         };
--- a/src/control/quarantine/crash.rs
+++ b/src/control/quarantine/crash.rs
@@ -59,6 +59,6 @@
     pub start: Start,
     /// The runs that ended with it.
     pub runs: Vec<BrokenRun>,
-    /// Parts among their causes whose runs have gone on shortly before.
+    /// Those of their causes whose runs have gone on shortly before.
     pub known: Vec<Cause>,
 }
--- a/src/control/quarantine/mod.rs
+++ b/src/control/quarantine/mod.rs
@@ -11,6 +11,7 @@
 mod blame;
 mod cause;
 mod crash;
+mod known;
 mod tally;
 mod verdicts;
 
@@ -22,6 +23,7 @@
 pub use blame::{Blame, Standing, Verdict};
 pub use cause::{Cause, Fingerprint};
 pub use crash::{BrokenRun, Crash, SURVIVAL_TIME, Start};
+pub use known::Known;
 pub(super) use verdicts::Detector;
 
 use crate::model::Timestamp;
--- a/src/control/quarantine/tally.rs
+++ b/src/control/quarantine/tally.rs
@@ -9,6 +9,9 @@
 
 /// How many crashes a complete content must explain. To be wrong refuses that content alone.
 const CONTENT_CRASHES: usize = 3;
+/// In how many crashes a content must be to be suspected although runs with it have gone on shortly
+/// before the first of them.
+const KNOWN_CONTENT_CRASHES: usize = 6;
 /// How many crashes a part of a prompt must explain.
 const PART_CRASHES: usize = 4;
 /// How many more crashes a part must explain that is likely to be sound.
@@ -49,6 +52,8 @@
     pub place: usize,
     /// When the first of its crashes was recorded.
     pub first: Timestamp,
+    /// Whether runs with it have gone on shortly before.
+    pub known: bool,
     /// Whether it is likely to be sound: runs with it have gone on shortly before, several runs of
     /// each crash hold it while no run has gone on yet, as those of a part that all calls share, or
     /// later parts of its runs explain most of its crashes, too.
@@ -67,7 +72,8 @@
         let unexplained = self.unexplained.len();
         let needed = self.needed(cause, crashes);
         if matches!(cause, Cause::Content(_)) {
-            return unexplained >= needed;
+            // A content that many callers send is in each crash of its service, whatever the reason.
+            return unexplained >= needed && !self.known;
         }
         let wait = if self.sound { SOUND_SUSPICION } else { MIN_SUSPICION };
         if now < self.first + wait {
@@ -85,6 +91,7 @@
     /// Returns whether a cause was in enough crashes to be faulty, whether or not others explain them.
     pub fn is_suspect(&self, now: Timestamp, cause: Cause) -> bool {
         match cause {
+            Cause::Content(_) if self.known => self.all >= KNOWN_CONTENT_CRASHES,
             Cause::Content(_) => self.all >= CONTENT_CRASHES,
             Cause::Part(_) => {
                 let waited = now >= self.first + MIN_SUSPICION;
--- a/src/gateway/blocked.rs
+++ b/src/gateway/blocked.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use crate::control::quarantine::{Blame, Cause, Crash, QuarantineUpdate, Stage, Verdict};
+use crate::control::quarantine::{Blame, Cause, Crash, Known, QuarantineUpdate, Stage, Verdict};
 use crate::model::{ExchangeId, Timestamp};
 
 /// How long a gateway refuses by its own verdict, while control is out of reach.
@@ -17,7 +17,7 @@
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// How long a granted probe may wait for a call that uses it.
 const PERMIT_TTL: Duration = Duration::from_secs(5);
-/// The maximum number of causes that are watched or known to have gone on.
+/// The maximum number of causes that are watched.
 const MAX_CAUSES: usize = 4_096;
 
 /// A cause that was in a run when an endpoint crashed.
@@ -49,8 +49,8 @@
     /// Open requests for probes.
     requests: BTreeMap<ExchangeId, Cause>,
     watched: BTreeMap<Cause, Watch>,
-    /// Parts with which a run has gone on lately.
-    known: BTreeMap<Cause, Timestamp>,
+    /// Causes with which a run has gone on lately.
+    known: Known,
     blame: Blame,
 }
 
@@ -120,25 +120,23 @@
         true
     }
 
-    /// Records a crash that this gateway has seen; returns it with the parts that are known to go on.
+    /// Records a crash that this gateway has seen; returns it with the causes that are known to go on.
     pub fn crashed(&mut self, now: Timestamp, mut crash: Crash) -> Crash {
         let causes: BTreeSet<Cause> = crash.runs.iter().flat_map(|r| &r.causes).copied().collect();
-        let known = |c: &&Cause| self.known.get(c).is_some_and(|at| now - *at < WATCH_TIME);
-        crash.known = causes.iter().filter(known).copied().collect();
+        let known = causes.iter().copied().filter(|cause| self.known.contains(now, *cause));
+        crash.known = known.collect();
         for cause in causes {
             let watch = Watch { until: now + WATCH_TIME, next_report: now };
             self.watched.entry(cause).or_insert(watch).until = watch.until;
         }
-        bound(&mut self.watched, |w| now < w.until);
+        self.bound_watched(now);
         self.blame.crashed(now, &crash);
         crash
     }
 
     /// Records that a run with these causes goes on; returns those of which that is to be reported.
     pub fn survived(&mut self, now: Timestamp, causes: &[Cause]) -> Vec<Cause> {
-        let parts = causes.iter().filter(|c| matches!(c, Cause::Part(_)));
-        self.known.extend(parts.map(|part| (*part, now)));
-        bound(&mut self.known, |at| now - *at < WATCH_TIME);
+        self.known.learn(now, causes);
         self.blame.survived(now, causes);
         self.own.retain(|cause, _| !causes.contains(cause));
         let mut reported = Vec::new();
@@ -157,6 +155,16 @@
         reported
     }
 
+    /// Removes watches that are out of date once there are too many, and then the lowest causes.
+    fn bound_watched(&mut self, now: Timestamp) {
+        if self.watched.len() > MAX_CAUSES {
+            self.expire(now);
+        }
+        while self.watched.len() > MAX_CAUSES {
+            self.watched.pop_first();
+        }
+    }
+
     /// Removes causes that are watched no longer.
     pub fn expire(&mut self, now: Timestamp) {
         self.watched.retain(|_, w| now < w.until);
@@ -197,13 +205,3 @@
         all.filter(|cause| suspects || !self.is_suspected(*cause)).collect()
     }
 }
-
-/// Removes what is out of date from a map that has grown to its bound, or the lowest keys.
-fn bound<V>(map: &mut BTreeMap<Cause, V>, is_current: impl Fn(&V) -> bool) {
-    if map.len() > MAX_CAUSES {
-        map.retain(|_, value| is_current(value));
-    }
-    while map.len() > MAX_CAUSES {
-        map.pop_first();
-    }
-}
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -11,6 +11,9 @@
 use crate::report::observation::Observation;
 use crate::role::Output;
 
+/// The maximum size of a content that is known to go on before an endpoint has crashed under it.
+const MAX_KNOWN_BYTES: usize = 4_096;
+
 impl Gateway {
     /// Applies control's list of causes in quarantine, and ends the calls that it concerns.
     pub(super) fn apply_quarantine(&mut self, now: Timestamp) {
@@ -126,10 +129,11 @@
         self.report_survival(now, &causes);
     }
 
-    /// Returns the causes of a call whose run has gone on; its content only where that matters, since
-    /// to read all of it takes time.
+    /// Returns the causes of a call whose run has gone on; a large content only where that matters,
+    /// since to read all of it takes time.
     pub(super) fn survivors(&self, call: &Call) -> Vec<Cause> {
-        if self.blocked.has_suspects() { causes(call) } else { part_causes(call) }
+        let is_small = call.request.body.len() <= MAX_KNOWN_BYTES;
+        if is_small || self.blocked.has_suspects() { causes(call) } else { part_causes(call) }
     }
 
     /// Records that calls with these causes don't crash endpoints.
