Let a call with a suspect wait until the leader allows it as a probe

What callers saw: the first sound call after a crash whose content was under suspicion was refused, although the leader allowed a probe 2 ms later; the probe then waited for another call at the same gateway, often in vain, and kept all other causes from being probed for five seconds.

Fix: the call for which the leader is asked waits for the answer, for 25 ms at most, and runs as the probe. If it is refused, or if the answer is late, its caller gets the refusal that it got at once before.

Test: sound_call_with_a_suspect_is_refused_although_it_may_run_as_a_probe gets 503 and 503 on the code before, 200 and 503 (the blocked one) now.

--- a/src/gateway/blocked.rs
+++ b/src/gateway/blocked.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::control::quarantine::{Blame, Cause, Crash, Known, QuarantineUpdate, Stage, Verdict};
+use crate::h1::CallerId;
 use crate::model::{ExchangeId, Timestamp};
 
 /// How long a gateway refuses by its own verdict, while control is out of reach.
@@ -28,6 +29,15 @@
     next_report: Timestamp,
 }
 
+/// A request to the leader for a probe.
+#[derive(Debug, Clone, Copy)]
+pub struct ProbeRequest {
+    /// The cause that is probed.
+    pub cause: Cause,
+    /// The caller whose call waits for the answer.
+    pub caller: CallerId,
+}
+
 /// A verdict of this gateway, for the time in which control is out of reach.
 #[derive(Debug, Clone, Copy)]
 struct OwnVerdict {
@@ -47,7 +57,7 @@
     /// When the leader is asked next for a probe of a cause.
     next_probe: BTreeMap<Cause, Timestamp>,
     /// Open requests for probes.
-    requests: BTreeMap<ExchangeId, Cause>,
+    requests: BTreeMap<ExchangeId, ProbeRequest>,
     watched: BTreeMap<Cause, Watch>,
     /// Causes with which a run has gone on lately.
     known: Known,
@@ -106,18 +116,19 @@
         wanted
     }
 
-    /// Records that the leader is asked for a probe of a cause.
-    pub fn probe_requested(&mut self, exchange: ExchangeId, cause: Cause) {
-        self.requests.insert(exchange, cause);
+    /// Records that the leader is asked for a probe.
+    pub fn probe_requested(&mut self, exchange: ExchangeId, request: ProbeRequest) {
+        self.requests.insert(exchange, request);
     }
 
-    /// Records the leader's answer to a request for a probe; returns whether the exchange was one.
-    pub fn probe_answered(&mut self, now: Timestamp, exchange: ExchangeId, granted: bool) -> bool {
-        let Some(cause) = self.requests.remove(&exchange) else { return false };
-        if granted {
-            self.permits.insert(cause, now + PERMIT_TTL);
-        }
-        true
+    /// Removes the request for a probe on an exchange that was answered or has ended.
+    pub fn take_request(&mut self, exchange: ExchangeId) -> Option<ProbeRequest> {
+        self.requests.remove(&exchange)
+    }
+
+    /// Keeps a granted probe whose call has ended for the next call with its cause.
+    pub fn permit(&mut self, now: Timestamp, cause: Cause) {
+        self.permits.insert(cause, now + PERMIT_TTL);
     }
 
     /// Records a crash that this gateway has seen; returns it with the causes that are known to go on.
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -99,6 +99,8 @@
 pub enum Stage {
     /// It waits for capacity.
     Waiting,
+    /// It holds a suspect, and the leader is asked whether it may run as a probe.
+    Probe,
     /// It resumes a stream, and control members are asked which software version has begun that.
     Origin(OriginRequest),
     /// A reservation request to a decode endpoint is open.
@@ -314,6 +316,7 @@
     pub fn attempt(&mut self) -> Option<&mut Attempt> {
         match &mut self.stage {
             Stage::Waiting
+            | Stage::Probe
             | Stage::Origin(_)
             | Stage::Room { .. }
             | Stage::Hold { .. }
--- a/src/gateway/open_calls.rs
+++ b/src/gateway/open_calls.rs
@@ -51,6 +51,7 @@
 fn waits_for(call: &Call) -> &'static str {
     match &call.stage {
         Stage::Waiting => "queue",
+        Stage::Probe => "probe",
         Stage::Origin(_) => "origin",
         Stage::Hold { .. } => "reservation",
         Stage::Room { .. } => "room",
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -83,6 +83,8 @@
                 self.give_up_hold(now, caller, peer, &decode);
                 self.release(now, decode.endpoint, decode.usage);
             }
+            // What the leader grants after that is kept for the next call.
+            Stage::Probe => {}
             Stage::Origin(request) => self.abandon_requests(&request.open),
             Stage::Room { exchange } => self.abandon_request(exchange),
             Stage::Assign { exchange, decode } => {
@@ -195,6 +197,7 @@
         let stage = std::mem::replace(&mut call.stage, Stage::Waiting);
         let (attempt, prefill, handoff) = match stage {
             Stage::Waiting
+            | Stage::Probe
             | Stage::Origin(_)
             | Stage::Room { .. }
             | Stage::Hold { .. }
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -1,6 +1,8 @@
 //! Calls that hold what has crashed endpoints: they are refused at once, before they cost anything.
 
 use super::answer;
+use super::assign::ANSWER_TIMEOUT;
+use super::blocked::ProbeRequest;
 use super::call::{Call, Stage};
 use super::crashes::{causes, part_causes};
 use super::reason::EndReason;
@@ -57,27 +59,52 @@
         self.blocked.find(now, &held, alone)
     }
 
-    /// Refuses a new call that holds what is blocked, unless the leader allows it as a probe;
-    /// returns whether the call has ended.
-    pub(super) fn refuse_blocked(&mut self, now: Timestamp, caller: CallerId) -> bool {
+    /// Refuses a new call that holds what is blocked, or lets it wait for the leader's answer whether
+    /// it may run as a probe; returns `false` if it may be admitted now.
+    pub(super) fn hold_blocked(&mut self, now: Timestamp, caller: CallerId) -> bool {
         let Some(cause) = self.blocked_cause(now, caller) else { return false };
         if self.blocked.use_permit(now, cause) {
-            log::info!("step=probe cause={cause} outcome=sent");
-            if let Some(call) = self.calls.get_mut(&caller) {
-                call.probe = true;
-            }
+            self.mark_probe(caller, cause);
             return false;
         }
         if self.blocked.wants_probe(now, cause)
             && let Some(leader) = self.follower.leader()
         {
             let exchange = self.send_to_control(leader, ControlRequest::RequestProbe(cause));
-            self.blocked.probe_requested(exchange, cause);
+            self.blocked.probe_requested(exchange, ProbeRequest { cause, caller });
+            if let Some(call) = self.calls.get_mut(&caller) {
+                call.stage = Stage::Probe;
+                call.reply_deadline = now + ANSWER_TIMEOUT;
+            }
+            self.schedule(caller);
+            return true;
         }
         self.end_as_blocked(now, caller, cause);
         true
     }
 
+    fn mark_probe(&mut self, caller: CallerId, cause: Cause) {
+        let Some(call) = self.calls.get_mut(&caller) else { return };
+        call.probe = true;
+        log::info!("step=probe id={} cause={cause} outcome=sent", call.info.id);
+    }
+
+    /// Refuses a call that the leader does not allow as a probe, or not in time.
+    pub(super) fn probe_refused(&mut self, now: Timestamp, caller: CallerId) {
+        match self.blocked_cause(now, caller) {
+            Some(cause) => self.end_as_blocked(now, caller, cause),
+            // It was cleared meanwhile.
+            None => self.admit_held(now, caller),
+        }
+    }
+
+    fn admit_held(&mut self, now: Timestamp, caller: CallerId) {
+        if let Some(call) = self.calls.get_mut(&caller) {
+            call.stage = Stage::Waiting;
+        }
+        self.admit_counted(now, caller);
+    }
+
     fn end_as_blocked(&mut self, now: Timestamp, caller: CallerId, cause: Cause) {
         let Some(call) = self.calls.get(&caller) else { return };
         let service = call.service.clone();
@@ -90,14 +117,26 @@
         self.conclude(now, caller, refusal, EndReason::Quarantined);
     }
 
-    /// Records the leader's answer to a request for a probe; returns whether the exchange was one.
+    /// Handles the leader's answer to a request for a probe; returns whether the exchange was one.
     pub(super) fn probe_answered(
         &mut self,
         now: Timestamp,
         exchange: ExchangeId,
         granted: bool,
     ) -> bool {
-        self.blocked.probe_answered(now, exchange, granted)
+        let Some(request) = self.blocked.take_request(exchange) else { return false };
+        let ProbeRequest { cause, caller } = request;
+        let waits = self.calls.get(&caller).is_some_and(|c| matches!(c.stage, Stage::Probe));
+        match (waits, granted) {
+            (true, true) => {
+                self.mark_probe(caller, cause);
+                self.admit_held(now, caller);
+            }
+            (true, false) => self.probe_refused(now, caller),
+            (false, true) => self.blocked.permit(now, cause),
+            (false, false) => {}
+        }
+        true
     }
 
     /// Records a crash of an endpoint, tells control, and judges by it while control is out of reach.
--- a/src/gateway/receive.rs
+++ b/src/gateway/receive.rs
@@ -64,7 +64,7 @@
             info,
             table: table.clone(),
             route: key,
-            service: service.clone(),
+            service,
             arrived,
             late,
             sends: 0,
@@ -90,9 +90,14 @@
             timer: Timestamp::MAX,
         };
         self.calls.insert(caller, call);
-        if self.refuse_blocked(now, caller) {
-            return;
+        if !self.hold_blocked(now, caller) {
+            self.admit_counted(now, caller);
         }
+    }
+
+    /// Counts a call for the retry budget and admits it.
+    pub(super) fn admit_counted(&mut self, now: Timestamp, caller: CallerId) {
+        let Some(service) = self.calls.get(&caller).map(|c| c.service.clone()) else { return };
         let terms = self.settings.budget;
         let started = self.started.unwrap_or(now);
         let budget = self.budgets.entry(service.clone());
--- a/src/gateway/retry.rs
+++ b/src/gateway/retry.rs
@@ -76,6 +76,7 @@
             Stage::Prefill { attempt, .. } => (attempt.endpoint, true),
             Stage::Run { attempt, .. } => (attempt.endpoint, false),
             Stage::Waiting
+            | Stage::Probe
             | Stage::Origin(_)
             | Stage::Room { .. }
             | Stage::Hold { .. }
--- a/src/gateway/silence.rs
+++ b/src/gateway/silence.rs
@@ -72,6 +72,7 @@
             Stage::Prefill { attempt, .. } => ("prefill", attempt),
             Stage::Run { attempt, .. } => ("run", attempt),
             Stage::Waiting
+            | Stage::Probe
             | Stage::Origin(_)
             | Stage::Room { .. }
             | Stage::Hold { .. }
--- a/src/gateway/timers.rs
+++ b/src/gateway/timers.rs
@@ -29,9 +29,11 @@
 pub fn next_timer(call: &Call) -> Timestamp {
     let attempt = match &call.stage {
         Stage::Waiting => None,
-        Stage::Origin(_) | Stage::Room { .. } | Stage::Hold { .. } | Stage::Assign { .. } => {
-            Some(call.reply_deadline)
-        }
+        Stage::Probe
+        | Stage::Origin(_)
+        | Stage::Room { .. }
+        | Stage::Hold { .. }
+        | Stage::Assign { .. } => Some(call.reply_deadline),
         Stage::Prefill { attempt, .. } => {
             let limit = attempt.since + time_limit(attempt, PREFILL_TIMEOUT);
             Some(limit.max(attempt.kept_until))
@@ -83,6 +85,10 @@
             self.leader_timed_out(now, caller);
             return;
         }
+        if let Stage::Probe = call.stage {
+            self.probe_refused(now, caller);
+            return;
+        }
         if let Stage::Origin(_) = call.stage {
             self.origin_timed_out(now, caller);
             return;
--- a/tests/crashing_contents.rs
+++ b/tests/crashing_contents.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use dotterelpin::control::quarantine::Stage;
 use dotterelpin::model::{EndpointKind, Timestamp};
 use dotterelpin::routes::{RawRoute, RawTable, Repeat};
 use fleet_world::{Answer, Arrival, Endpoint, Kind, Timing, World};
@@ -184,6 +185,12 @@
         self.w.faulty_paths.iter().filter_map(|path| Some((&**path, late(path)?))).collect()
     }
 
+    fn is_suspected(&self) -> bool {
+        let leader = self.w.leader().unwrap();
+        let entries = self.w.member(leader).unwrap().state().quarantine.entries();
+        entries.values().any(|entry| entry.stage == Stage::Suspected)
+    }
+
     fn assert_stopped(&self) {
         let late = self.late();
         assert!(
@@ -231,6 +238,27 @@
     assert!(refused == 0, "{refused} of {sound} sound calls are refused");
 }
 
+#[test]
+fn sound_call_with_a_suspect_is_refused_although_it_may_run_as_a_probe() {
+    let mut play = Play::new(1, Load { endpoints: 1, ..LOAD_WITHOUT_FAULTY });
+    play.run(3_000);
+    let paths = ["/look/one", "/look/other"];
+    for _ in 0..3 {
+        paths.map(|path| play.w.plain(0, path));
+        play.w.run(6);
+        play.w.crash(0);
+        play.w.run(5_000);
+    }
+    assert!(play.is_suspected(), "both were in three crashes, and one of them is blocked");
+    let calls = paths.map(|path| play.w.plain(1, path));
+    play.w.run(100);
+    let mut statuses = calls.map(|call| play.w.answers[&call].status);
+    statuses.sort();
+    assert_eq!(statuses, [200, 503]);
+    play.w.run(1_000);
+    assert!(!play.is_suspected(), "the probe has cleared it");
+}
+
 /// Plays a random load with faulty contents; returns what went wrong.
 fn fuzz(seed: u64) -> Vec<String> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
