Hold a crash against runs that were given up shortly before it

What callers saw: endpoints crashed one after the other under a content whose callers left before the crash, and nothing stopped it.

Cause: a gateway that closes the connection of a run, because its caller has left, its deadline has passed or it was silent for too long, forgets the run. Not every endpoint ends a run whose connection is closed.

Fix: a gateway keeps the runs that it has given up for 500 ms, and adds them to the crash of their endpoint. Where no run is left whose connection breaks, the end of an idle connection to that endpoint tells the crash. An endpoint that goes on announces itself, which withdraws such a crash as before.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -1,12 +1,13 @@
 //! Crashes of endpoints: runs at the same start of an endpoint that break together.
 //!
 //! A crash breaks all runs at an endpoint at once, of which this gateway sees its own. A run that
-//! breaks alone, while others at the same start go on, was not broken by a crash.
+//! breaks alone, while others at the same start go on, was not broken by a crash. Runs that were given up
+//! shortly before count, too: not every endpoint ends a run when its connection closes.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::call::{Call, Stage};
+use super::call::{Attempt, Call, Stage};
 use super::{CallerId, Gateway, PeerId};
 use crate::control::quarantine::{BrokenRun, Cause, Crash, Fingerprint, Start};
 use crate::model::Timestamp;
@@ -17,8 +18,12 @@
 const COLLECT_TIME: Duration = Duration::from_millis(150);
 /// What an endpoint sends so soon after a run broke may have been sent before it crashed.
 const DELIVERY_TIME: Duration = Duration::from_millis(50);
+/// How long after a run was given up it may still crash its endpoint.
+const GIVEN_UP_TIME: Duration = Duration::from_millis(500);
 /// The maximum number of broken runs that are kept of one crash.
 const MAX_RUNS: usize = 256;
+/// The maximum number of runs that were given up and are kept.
+const MAX_GIVEN_UP: usize = 256;
 
 /// The broken runs at one start of an endpoint.
 #[derive(Debug)]
@@ -30,18 +35,62 @@
     heard: bool,
 }
 
+/// A run whose connection this gateway has closed before its end.
+#[derive(Debug)]
+struct GivenUp {
+    at: Timestamp,
+    start: Start,
+    service: Box<str>,
+    run: BrokenRun,
+}
+
 /// The starts of endpoints that may have crashed a moment ago.
 #[derive(Debug, Default)]
 pub struct Crashes {
     open: BTreeMap<Start, Broken>,
+    /// The runs that were given up lately, oldest first.
+    given_up: Vec<GivenUp>,
 }
 
 impl Crashes {
+    /// Records a run that was given up, because its caller has left or it was silent for too long.
+    pub fn gave_up(&mut self, now: Timestamp, start: Start, service: &str, run: BrokenRun) {
+        self.forget_given_up(now);
+        if self.given_up.len() < MAX_GIVEN_UP {
+            self.given_up.push(GivenUp { at: now, start, service: service.into(), run });
+        }
+    }
+
+    /// Records that a connection to a start of an endpoint has ended that carried no run. Where a run
+    /// was given up shortly before, that may be a crash.
+    pub fn lost_other(&mut self, now: Timestamp, start: &Start) {
+        if self.open.contains_key(start) {
+            return;
+        }
+        self.forget_given_up(now);
+        let first = self.given_up.iter().find(|g| g.start == *start);
+        let Some(service) = first.map(|g| g.service.clone()) else { return };
+        self.open(now, start.clone(), &service);
+    }
+
+    fn forget_given_up(&mut self, now: Timestamp) {
+        self.given_up.retain(|g| now - g.at < GIVEN_UP_TIME);
+    }
+
+    /// Returns the broken runs at a start, which are those that were given up there if none has broken
+    /// yet.
+    fn open(&mut self, now: Timestamp, start: Start, service: &str) -> &mut Broken {
+        self.forget_given_up(now);
+        let given_up = &mut self.given_up;
+        self.open.entry(start.clone()).or_insert_with(|| {
+            let runs = given_up.extract_if(.., |g| g.start == start).map(|g| g.run).collect();
+            Broken { since: now, service: service.into(), runs, heard: false }
+        })
+    }
+
     /// Records a run that broke because its connection ended.
     pub fn broke(&mut self, now: Timestamp, start: Start, service: &str, run: BrokenRun) {
-        let (runs, heard) = (Vec::new(), false);
-        let new = || Broken { since: now, service: service.into(), runs, heard };
-        let broken = self.open.entry(start).or_insert_with(new);
+        let broken = self.open(now, start, service);
         // What was heard before was still on its way when the endpoint crashed.
         broken.heard = false;
         if broken.runs.len() < MAX_RUNS {
@@ -121,16 +170,24 @@
     pub(super) fn run_broke(&mut self, now: Timestamp, caller: CallerId, start: Start) {
         let Some(call) = self.calls.get(&caller) else { return };
         let Stage::Run { attempt, .. } = &call.stage else { return };
-        let wrote = attempt.first_event.map_or(Duration::ZERO, |at| now - at);
-        let causes = causes(call);
+        let run = broken_run(now, call, attempt);
         log::info!(
             "step=broken-run id={} endpoint={start} wrote_ms={} ms={} causes={}",
             call.info.id,
-            wrote.as_millis(),
+            run.wrote.as_millis(),
             (now - attempt.since).as_millis(),
-            names(&causes),
+            names(&run.causes),
         );
-        self.crashes.broke(now, start, &call.service, BrokenRun { causes, wrote });
+        self.crashes.broke(now, start, &call.service, run);
+    }
+
+    /// Records that the connection of a call's run is closed before the end of the answer.
+    pub(super) fn run_given_up(&mut self, now: Timestamp, caller: CallerId) {
+        let Some(call) = self.calls.get(&caller) else { return };
+        let Stage::Run { attempt, .. } = &call.stage else { return };
+        let Some(start) = self.fleet.start_at(attempt.peer) else { return };
+        let run = broken_run(now, call, attempt);
+        self.crashes.gave_up(now, start, &call.service, run);
     }
 
     /// Records that an endpoint has sent something on a connection.
@@ -161,6 +218,12 @@
     }
 }
 
+/// Returns the present run of a call as one that ends now.
+fn broken_run(now: Timestamp, call: &Call, attempt: &Attempt) -> BrokenRun {
+    let wrote = attempt.first_event.map_or(Duration::ZERO, |at| now - at);
+    BrokenRun { causes: causes(call), wrote }
+}
+
 fn names(causes: &[Cause]) -> String {
     let names: Vec<String> = causes.iter().map(Cause::to_string).collect();
     names.join(",")
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -70,6 +70,7 @@
     /// Stops all work for a call and releases its capacity, connections and reservations.
     pub(super) fn stop_work(&mut self, now: Timestamp, caller: CallerId) {
         self.report_prefill_end(caller);
+        self.run_given_up(now, caller);
         let kept = self.keep_prefill(now, caller);
         let Some(call) = self.calls.get_mut(&caller) else { return };
         let service = call.service.clone();
@@ -146,6 +147,9 @@
     pub(super) fn lost(&mut self, now: Timestamp, peer: PeerId, sent: bool, error: &str) {
         let start = self.fleet.start_at(peer);
         let Some(conn) = self.fleet.close(peer) else { return };
+        if let Some(start) = start.as_ref().filter(|_| !matches!(conn.job, Job::Call(_))) {
+            self.crashes.lost_other(now, start);
+        }
         match conn.job {
             Job::Idle => {}
             Job::Report | Job::Free => self.job_failed(now, conn.endpoint, conn.connected),
--- a/src/gateway/timers.rs
+++ b/src/gateway/timers.rs
@@ -106,6 +106,7 @@
         if connected && in_run && !self.has_vacancy(now, caller) {
             return;
         }
+        self.run_given_up(now, caller);
         if !self.keep_prefill(now, caller) {
             self.hang_up(peer);
         }
--- a/tests/crashing_contents.rs
+++ b/tests/crashing_contents.rs
@@ -264,6 +264,22 @@
     assert!(!play.is_suspected(), "the probes have cleared both");
 }
 
+#[test]
+fn content_whose_callers_leave_before_its_endpoint_crashes_is_never_suspected() {
+    let mut play = Play::new(1, LOAD_WITHOUT_FAULTY);
+    play.w.faulty_paths.insert(faulty(0));
+    play.w.finishes = true;
+    for round in 0..15 {
+        for gateway in 0..2 {
+            let call = play.w.plain((round + gateway) % 5, &faulty(0));
+            play.run(20);
+            play.w.leave(call);
+        }
+        play.run(2_000);
+    }
+    play.assert_stopped();
+}
+
 /// Plays a random load with faulty contents; returns what went wrong.
 fn fuzz(seed: u64) -> Vec<String> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
--- a/tests/fleet_world/endpoint.rs
+++ b/tests/fleet_world/endpoint.rs
@@ -206,6 +206,13 @@
         self.work.push(work);
     }
 
+    /// Ends the work whose connection a gateway has closed; faulty runs may go on.
+    pub(super) fn hung_up(&mut self, gateway: usize, peer: PeerId) {
+        let finishes = self.finishes;
+        let ends = |w: &Work| (w.gateway, w.peer) == (gateway, peer) && !(finishes && w.crashes);
+        self.work.retain(|w| !ends(w));
+    }
+
     /// Lets all endpoints act.
     pub(super) fn act(&mut self) {
         self.announce_all();
--- a/tests/fleet_world/mod.rs
+++ b/tests/fleet_world/mod.rs
@@ -119,6 +119,8 @@
     pub crashes: Vec<(Timestamp, Vec<u64>)>,
     /// How long endpoints take.
     pub timing: Timing,
+    /// Whether endpoints go on with faulty runs whose connection is closed.
+    pub finishes: bool,
     table: RawTable,
     budget: BudgetTerms,
     gateways: Vec<GatewayNode>,
@@ -163,6 +165,7 @@
             faulty_paths: BTreeSet::new(),
             crashes: Vec::new(),
             timing: Timing::default(),
+            finishes: false,
             table,
             budget: BudgetTerms { ratio: 0.2, extra: 58.0, window: Duration::from_secs(10) },
             gateways: Vec::new(),
@@ -353,6 +356,13 @@
         self.answers.remove(&caller).is_some_and(|a| a.status == 200)
     }
 
+    /// Lets the caller of a call leave.
+    pub fn leave(&mut self, call: u64) {
+        let Some(gateway) = self.homes.get(&call).copied() else { return };
+        let caller = CallerId(call);
+        self.step_gateway(gateway, Input::Local(HttpInput::CallerGone { caller }));
+    }
+
     fn next_call(&mut self, gateway: usize) -> u64 {
         self.last_call += 1;
         self.homes.insert(self.last_call, gateway);
@@ -614,7 +624,7 @@
             HttpEffect::Send { peer, bytes } => self.receive(at, peer, &bytes),
             HttpEffect::HangUp { peer } => {
                 self.connections.remove(&(at, peer));
-                self.work.retain(|w| (w.gateway, w.peer) != (at, peer));
+                self.hung_up(at, peer);
             }
             HttpEffect::Reply { caller, bytes } => self.caller_received(at, caller.0, &bytes),
             HttpEffect::Finish { caller, .. } => {
