Take an endpoint whose connections end one after the other for crashed

What callers saw: a crash counted against nobody, so that what had caused it reached one more endpoint.

Cause: a gateway that reads something from an endpoint more than 50 ms after a run broke there takes that for a sign of life and drops the crash. A gateway that is busy reads an answer that late although it was sent before the crash, and only a further run that broke withdrew that sign.

Fix: the end of any connection to the endpoint withdraws the sign of life. An endpoint that only closes an idle connection announces itself further, which withdraws the crash at control as before.

Test: crash_is_not_reported_if_an_answer_was_still_on_its_way finds no crash on the code before, one now.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -64,7 +64,9 @@
     /// Records that a connection to a start of an endpoint has ended that carried no run. Where a run
     /// was given up shortly before, that may be a crash.
     pub fn lost_other(&mut self, now: Timestamp, start: &Start) {
-        if self.open.contains_key(start) {
+        if let Some(broken) = self.open.get_mut(start) {
+            // What was heard before was still on its way, as in `broke`.
+            broken.heard = false;
             return;
         }
         self.forget_given_up(now);
--- a/tests/crashing_contents.rs
+++ b/tests/crashing_contents.rs
@@ -8,9 +8,10 @@
 
 use dotterelpin::control::quarantine::Stage;
 use dotterelpin::model::{EndpointKind, Timestamp};
+use dotterelpin::report::observation::Observation;
 use dotterelpin::routes::{RawRoute, RawTable, Repeat};
 use fleet_world::{Answer, Arrival, Endpoint, Kind, Timing, World};
-use gateway_fixture::{PLAIN, route, table};
+use gateway_fixture::{Fixture, PLAIN, route, table};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -280,6 +281,22 @@
     play.assert_stopped();
 }
 
+#[test]
+fn crash_is_not_reported_if_an_answer_was_still_on_its_way() {
+    let mut f = Fixture::ready();
+    (1..=4).for_each(|caller| f.call(caller, "/look/1", &[]));
+    let broken = f.take_sent();
+    let rest = std::mem::take(&mut f.sent);
+    let late = rest.iter().find(|sent| sent.address == broken.address).unwrap();
+    f.fail_connection(&broken, true);
+    f.stall(60);
+    f.answer(late, 200, &[], "ok");
+    f.fail_connection(late, true);
+    f.advance(300);
+    let crashes = f.observed.iter().filter(|o| matches!(o, Observation::Crash { .. }));
+    assert_eq!(crashes.count(), 1);
+}
+
 /// Plays a random load with faulty contents; returns what went wrong.
 fn fuzz(seed: u64) -> Vec<String> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
