--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -131,7 +131,7 @@
 /// Returns whether a start has sent something since its last run broke, which is logged.
 fn was_heard(start: &Start, broken: &Broken) -> bool {
     if broken.heard {
-        log::info!("step=crash endpoint={start} runs={} outcome=heard-again", broken.runs.len());
+        log::info!("step=no-crash endpoint={start} runs={}", broken.runs.len());
     }
     broken.heard
 }
