Suspect a content that crashed endpoints of one service at all services

What callers saw: a request that had crashed endpoints of one service crashed those of the next one that its route led to, by its weights or by a later configuration, as if nothing were known of it.

Cause: a content was known by its service, host, method, target, model, parts and body. With the service in the key its crashes are counted anew at each service, though its callers send one and the same request.

Fix: a call's content is a cause twice, for any service and for its service, from the general to the specific. The specific one is blamed first and blocked first, so that a content that one service runs well is refused at the other one only: a run that goes on clears the general cause. At a service that it has not crashed yet it is a suspect, which runs as a probe. The causes of a call have a module of their own now.

--- a/src/control/quarantine/blame.rs
+++ b/src/control/quarantine/blame.rs
@@ -308,7 +308,8 @@
                 for (place, cause) in run.iter().enumerate() {
                     let tally = tallies.entry(*cause).or_default();
                     tally.runs += 1;
-                    tally.contents.extend(run.iter().filter(|c| matches!(c, Cause::Content(_))));
+                    // The most specific content is the last one.
+                    tally.contents.extend(run.last().filter(|c| matches!(c, Cause::Content(_))));
                     tally.place = tally.place.max(place);
                 }
             }
--- a/src/control/quarantine/cause.rs
+++ b/src/control/quarantine/cause.rs
@@ -37,6 +37,17 @@
         let digest = hasher.finalize();
         Fingerprint(digest.first_chunk().copied().unwrap_or_default())
     }
+
+    /// Returns its bytes, such as for the fingerprint of something that contains what it stands for.
+    ///
+    /// ```
+    /// use dotterelpin::control::quarantine::Fingerprint;
+    ///
+    /// assert_eq!(Fingerprint::of("cs-summary", b"apples").as_bytes().len(), 16);
+    /// ```
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
 }
 
 impl fmt::Display for Fingerprint {
--- a/src/gateway/blocked.rs
+++ b/src/gateway/blocked.rs
@@ -93,11 +93,15 @@
         all.any(|cause| matches!(cause, Cause::Content(_)))
     }
 
-    /// Returns the first of some causes that is blocked; own verdicts count while control is out of
-    /// reach.
+    /// Returns the one of some causes, of which the most specific one is the last, by which their call
+    /// is refused: one of which no probe may run, or else the most specific one that is blocked. Own
+    /// verdicts count while control is out of reach.
     pub fn find(&self, now: Timestamp, causes: &[Cause], alone: bool) -> Option<Cause> {
         let own = |c: &Cause| alone && self.own.get(c).is_some_and(|own| now < own.until);
-        causes.iter().copied().find(|c| self.listed.contains_key(c) || own(c))
+        let blocked = |c: &&Cause| self.listed.contains_key(c) || own(c);
+        let refused = |c: &&Cause| self.listed.get(c).is_none_or(|stage| !stage.allows_probes());
+        let held = || causes.iter().rev().filter(blocked);
+        held().find(refused).or_else(|| held().next()).copied()
     }
 
     /// Uses a granted probe for a call with this cause; returns whether there was one.
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 
 use super::call::{Attempt, Call, Stage};
+use super::causes::{causes, names};
 use super::{CallerId, Gateway, PeerId};
-use crate::control::quarantine::{BrokenRun, Cause, Crash, Fingerprint, Start};
+use crate::control::quarantine::{BrokenRun, Crash, Start};
 use crate::model::Timestamp;
 use crate::report::observation::Observation;
 use crate::role::Output;
@@ -136,36 +137,6 @@
     broken.heard
 }
 
-/// Returns the possible causes of a crash that a call brings with it, the most specific one last.
-pub(super) fn causes(call: &Call) -> Vec<Cause> {
-    let mut causes = part_causes(call);
-    causes.push(Cause::Content(content_print(call)));
-    causes
-}
-
-/// Returns the parts of its prompt among the possible causes that a call brings with it.
-pub(super) fn part_causes(call: &Call) -> Vec<Cause> {
-    let part = |id: &str| Cause::Part(Fingerprint::of(&call.service, id.as_bytes()));
-    call.info.parts.iter().map(|id| part(id)).collect()
-}
-
-/// Returns the fingerprint of what a call asks for, which is the same when its caller sends it again.
-fn content_print(call: &Call) -> Fingerprint {
-    let head = &call.request.head;
-    let host = head.fields.text("host").unwrap_or_default();
-    let work = call.info.work.as_ref().map_or("", |w| &w.model);
-    let parts = call.info.parts.join(",");
-    let pieces: [&[u8]; 6] = [
-        host.as_bytes(),
-        head.method.as_bytes(),
-        head.target.as_bytes(),
-        work.as_bytes(),
-        parts.as_bytes(),
-        &call.request.body,
-    ];
-    Fingerprint::of_pieces(&call.service, &pieces)
-}
-
 impl Gateway {
     /// Records that the connection to a start of an endpoint has ended in the middle of a call, if
     /// the call was running there.
@@ -225,8 +196,3 @@
     let wrote = attempt.first_event.map_or(Duration::ZERO, |at| now - at);
     BrokenRun { causes: causes(call), wrote }
 }
-
-fn names(causes: &[Cause]) -> String {
-    let names: Vec<String> = causes.iter().map(Cause::to_string).collect();
-    names.join(",")
-}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod blocked;
 pub mod budget;
 mod call;
+mod causes;
 mod content;
 mod crashes;
 pub mod credit;
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -4,7 +4,7 @@
 use super::assign::ANSWER_TIMEOUT;
 use super::blocked::ProbeRequest;
 use super::call::{Call, Stage};
-use super::crashes::{causes, part_causes};
+use super::causes::{causes, part_causes};
 use super::reason::EndReason;
 use super::{CallerId, Gateway};
 use crate::control::quarantine::{Cause, Crash, Evidence, SURVIVAL_TIME};
--- a/tests/crashing_contents.rs
+++ b/tests/crashing_contents.rs
@@ -9,7 +9,7 @@
 use dotterelpin::control::quarantine::Stage;
 use dotterelpin::model::{EndpointKind, Timestamp};
 use dotterelpin::report::observation::Observation;
-use dotterelpin::routes::{RawRoute, RawTable, Repeat};
+use dotterelpin::routes::{RawRoute, RawService, RawTable, Repeat};
 use fleet_world::{Answer, Arrival, Endpoint, Kind, Timing, World};
 use gateway_fixture::{Fixture, PLAIN, route, table};
 use rand_core::{RngCore, SeedableRng};
@@ -30,7 +30,10 @@
 #[derive(Debug, Clone, Copy)]
 struct Load {
     gateways: u64,
+    /// The endpoints of each service.
     endpoints: u64,
+    /// Among how many services the look-ups are split.
+    services: usize,
     /// How many contents are faulty.
     contents: u64,
     /// The time between two bursts, in milliseconds.
@@ -48,6 +51,7 @@
 const LOAD: Load = Load {
     gateways: 5,
     endpoints: 4,
+    services: 1,
     contents: 1,
     gap: 3_700,
     burst: 400,
@@ -71,13 +75,21 @@
     next_other: Timestamp,
 }
 
-fn routes(attempts: u64) -> RawTable {
+const SERVICES: [&str; 3] = [PLAIN, "portal-2", "portal-3"];
+
+/// Returns a table whose look-ups have so many attempts, and are split among so many services.
+fn routes(attempts: u64, services: usize) -> RawTable {
     let mut table = table();
+    let names = &SERVICES[..services];
     table.routes[1] = RawRoute {
         timeout_ms: 600.0,
         target_ms: 100.0,
+        split: names.iter().map(|name| ((*name).into(), 1.0)).collect(),
         ..route("/look/", PLAIN, Repeat::Idempotent, attempts)
     };
+    let more = names.iter().skip(1);
+    let more = more.map(|name| RawService { name: (*name).into(), ..RawService::example() });
+    table.services.extend(more);
     table
 }
 
@@ -85,22 +97,32 @@
     format!("/look/faulty-{content}")
 }
 
+/// Returns whether a request has a target, or its path if that has no query.
+fn is_of(arrival: &Arrival, target: &str) -> bool {
+    let path = arrival.target.split('?').next();
+    arrival.kind == Kind::Plain && (arrival.target == target || path == Some(target))
+}
+
 fn is_refused(answer: &Answer) -> bool {
     answer.content.starts_with(b"not run: calls like this")
 }
 
 impl Play {
     fn new(seed: u64, load: Load) -> Play {
-        let names: Vec<String> = (0..load.endpoints).map(|n| format!("p{n}")).collect();
-        let of = |name: &String| Endpoint::new(name, EndpointKind::Service, PLAIN);
-        let endpoints = names.iter().map(of).collect();
-        let mut w = World::new(load.gateways as usize, 3, routes(load.attempts), endpoints);
+        let names = SERVICES[..load.services].iter().flat_map(|service| {
+            (0..load.endpoints).map(move |n| (format!("{service}-{n}"), *service))
+        });
+        let of =
+            |(name, service): (String, &str)| Endpoint::new(&name, EndpointKind::Service, service);
+        let endpoints = names.map(of).collect();
+        let table = routes(load.attempts, load.services);
+        let mut w = World::new(load.gateways as usize, 3, table, endpoints);
         w.timing = Timing {
             crash: Duration::from_millis(45),
             down: Duration::from_millis(3_000),
             ..Timing::default()
         };
-        w.faulty_paths.extend((0..load.contents).map(faulty));
+        w.faulty_targets.extend((0..load.contents).map(faulty));
         let next = w.now + Duration::from_millis(1_000);
         let rng = Pcg64Mcg::seed_from_u64(seed);
         let (sound, due) = (Vec::new(), Vec::new());
@@ -154,7 +176,7 @@
     fn crash_others(&mut self) {
         if self.load.others > 0 && self.w.now >= self.next_other {
             self.next_other = self.w.now + Duration::from_millis(self.load.others);
-            let endpoint = self.below(self.load.endpoints) as usize;
+            let endpoint = self.below(self.w.endpoints.len() as u64) as usize;
             self.w.crash(endpoint);
         }
     }
@@ -168,9 +190,9 @@
         }
     }
 
-    /// Returns when endpoints crashed under a content.
-    fn crashes(&self, path: &str) -> Vec<Timestamp> {
-        let of = |a: &&Arrival| *a.path == *path;
+    /// Returns when endpoints crashed under a faulty target.
+    fn crashes(&self, target: &str) -> Vec<Timestamp> {
+        let of = |a: &&Arrival| is_of(a, target);
         let calls: BTreeSet<u64> = self.w.arrivals.iter().filter(of).map(|a| a.call).collect();
         let under = |all: &[u64]| all.iter().any(|call| calls.contains(call));
         self.w.crashes.iter().filter(|(_, all)| under(all)).map(|(at, _)| *at).collect()
@@ -178,12 +200,12 @@
 
     /// Returns how many requests with each faulty content reached endpoints too late.
     fn late(&self) -> BTreeMap<&str, usize> {
-        let late = |path: &String| {
-            let settled = *self.crashes(path).get(CRASHES - 1)? + SETTLING;
-            let is_late = |a: &&Arrival| a.kind == Kind::Plain && a.path == *path && a.at > settled;
+        let late = |target: &String| {
+            let settled = *self.crashes(target).get(CRASHES - 1)? + SETTLING;
+            let is_late = |a: &&Arrival| is_of(a, target) && a.at > settled;
             Some(self.w.arrivals.iter().filter(is_late).count())
         };
-        self.w.faulty_paths.iter().filter_map(|path| Some((&**path, late(path)?))).collect()
+        self.w.faulty_targets.iter().filter_map(|t| Some((&**t, late(t)?))).collect()
     }
 
     fn is_suspected(&self) -> bool {
@@ -221,6 +243,16 @@
     }
 }
 
+#[test]
+fn content_that_crashes_endpoints_of_one_service_goes_on_at_the_next_one() {
+    for attempts in [1, 2] {
+        let load = Load { services: 3, attempts, gap: 2_000, sends: 2, ..LOAD };
+        let mut play = Play::new(1, load);
+        play.run(40_000);
+        play.assert_stopped();
+    }
+}
+
 #[test]
 fn common_content_is_refused_after_all_endpoints_crashed_for_another_reason() {
     let mut play = Play::new(1, LOAD_WITHOUT_FAULTY);
@@ -268,7 +300,7 @@
 #[test]
 fn content_whose_callers_leave_before_its_endpoint_crashes_is_never_suspected() {
     let mut play = Play::new(1, LOAD_WITHOUT_FAULTY);
-    play.w.faulty_paths.insert(faulty(0));
+    play.w.faulty_targets.insert(faulty(0));
     play.w.finishes = true;
     for round in 0..15 {
         for gateway in 0..2 {
@@ -305,6 +337,7 @@
     let load = Load {
         gateways: 2 + below(10),
         endpoints: 3 + below(8),
+        services: 1,
         contents: 1 + below(8),
         gap: 500 + below(6_000),
         burst: 1 + below(1_000),
--- a/tests/fleet_world/endpoint.rs
+++ b/tests/fleet_world/endpoint.rs
@@ -65,8 +65,8 @@
     pub endpoint: usize,
     /// The parts of the call's prompt.
     pub parts: String,
-    /// The path.
-    pub path: String,
+    /// The path and the query.
+    pub target: String,
     /// The body.
     pub body: Vec<u8>,
 }
@@ -179,7 +179,8 @@
         let shared: Vec<&str> = parts.split(',').map(|p| p.split(':').next().unwrap()).collect();
         let faulty = shared.iter().rev().skip(1).any(|p| self.faulty_parts.contains(*p))
             || self.faulty_bodies.contains(&body)
-            || self.faulty_paths.contains(&*head.target);
+            || self.faulty_targets.contains(&*head.target)
+            || self.faulty_targets.contains(head.path());
         let crashes = faulty && matches!(kind, Kind::Run | Kind::Plain);
         let delay = match kind {
             Kind::Plain if crashes => self.timing.crash,
@@ -200,7 +201,7 @@
             kind,
             endpoint,
             parts,
-            path: work.head.target.to_string(),
+            target: work.head.target.to_string(),
             body: work.body.clone(),
         });
         self.work.push(work);
--- a/tests/fleet_world/mod.rs
+++ b/tests/fleet_world/mod.rs
@@ -113,8 +113,9 @@
     pub faulty_parts: BTreeSet<String>,
     /// Bodies that crash each endpoint that begins to answer them.
     pub faulty_bodies: BTreeSet<Vec<u8>>,
-    /// Paths of plain calls that crash each endpoint that runs them.
-    pub faulty_paths: BTreeSet<String>,
+    /// Targets of plain calls that crash each endpoint that runs them; without a query, all that have
+    /// the path.
+    pub faulty_targets: BTreeSet<String>,
     /// When endpoints crashed, each with the calls whose runs there were faulty.
     pub crashes: Vec<(Timestamp, Vec<u64>)>,
     /// How long endpoints take.
@@ -162,7 +163,7 @@
             answers: BTreeMap::new(),
             faulty_parts: BTreeSet::new(),
             faulty_bodies: BTreeSet::new(),
-            faulty_paths: BTreeSet::new(),
+            faulty_targets: BTreeSet::new(),
             crashes: Vec::new(),
             timing: Timing::default(),
             finishes: false,
