Suspect the path of calls that crash endpoints with each query

What callers saw: calls of one path crashed one endpoint after the other, since each had another query.

Cause: the query is part of a content's key. What comes again is named by its path, caller and body; each query was another content with a count of its own.

Fix: a call with a query brings one more, still more general cause: its content without the query. It is the last one to be blamed.

--- a/src/gateway/causes.rs
+++ b/src/gateway/causes.rs
@@ -1,6 +1,7 @@
 //! What a call holds that may crash its endpoint.
 //!
-//! A caller may send a content again under a route that leads to another service by now. So a content is a cause in several forms, from the general to the specific: those that
+//! A caller may send a content again under a route that leads to another service by now, or with
+//! another query. So a content is a cause in several forms, from the general to the specific: those that
 //! are sound are cleared by calls that go on, and the most specific one that is left is blamed.
 
 use super::call::Call;
@@ -26,11 +27,14 @@
 }
 
 /// Returns the fingerprints of what a call asks for, which are the same when its caller sends it again:
-/// for any service, and for its service.
+/// without its query, for any service, and for its service.
 fn contents(call: &Call) -> impl Iterator<Item = Fingerprint> {
     let head = &call.request.head;
+    let has_query = head.path().len() < head.target.len();
     let body = Fingerprint::of("", &call.request.body);
-    ["", &*call.service].map(|service| content(call, service, &head.target, &body)).into_iter()
+    let without_query = has_query.then(|| content(call, "", head.path(), &body));
+    let whole = ["", &*call.service].map(|service| content(call, service, &head.target, &body));
+    without_query.into_iter().chain(whole)
 }
 
 /// Returns the fingerprint of a call's content with a target; an empty service stands for all.
--- a/tests/crashing_contents.rs
+++ b/tests/crashing_contents.rs
@@ -253,6 +253,43 @@
     }
 }
 
+#[test]
+fn path_that_crashes_endpoints_goes_on_with_other_queries() {
+    let mut play = Play::new(1, LOAD_WITHOUT_FAULTY);
+    play.w.faulty_targets.insert(faulty(0));
+    for page in 0..30 {
+        let gateway = play.gateway();
+        play.w.plain(gateway, &format!("{}?page={page}", faulty(0)));
+        play.run(1_000);
+    }
+    play.assert_stopped();
+}
+
+#[test]
+fn sound_queries_of_a_path_are_refused_with_the_one_that_crashes_endpoints() {
+    let mut play = Play::new(1, LOAD_WITHOUT_FAULTY);
+    play.w.faulty_targets.insert("/look/all?q=faulty".into());
+    for round in 0..200 {
+        let gateway = play.gateway();
+        if round % 4 == 0 {
+            play.w.plain(gateway, "/look/all?q=faulty");
+        }
+        let call = play.w.plain(gateway, &format!("/look/all?q={round}"));
+        play.sound.push((call, play.w.now));
+        play.run(100);
+    }
+    play.assert_stopped();
+    let since = play.w.now;
+    for round in 0..40 {
+        let gateway = play.gateway();
+        let call = play.w.plain(gateway, &format!("/look/all?q=sound-{round}"));
+        play.sound.push((call, play.w.now));
+        play.run(100);
+    }
+    let (refused, sound) = play.refused(since);
+    assert!(refused == 0, "{refused} of {sound} sound calls are refused");
+}
+
 #[test]
 fn common_content_is_refused_after_all_endpoints_crashed_for_another_reason() {
     let mut play = Play::new(1, LOAD_WITHOUT_FAULTY);
