Judge by the evidence of before once a member is elected

What callers saw: after control had been without a leader for some seconds, what had crashed endpoints in that time was sent to the next ones.

Cause: every member keeps the evidence, but a leader judged for four seconds after new evidence only. If no leader was elected in that time, nobody ever judged by it, and gateways drop their own verdicts once they reach control.

Fix: a leader judges for four seconds after its election, too.

--- a/src/control/quarantine/verdicts.rs
+++ b/src/control/quarantine/verdicts.rs
@@ -9,8 +9,8 @@
 use crate::link::message::ControlReply;
 use crate::model::{EndpointState, InboundId, Timestamp};
 
-/// How long after new evidence the leader goes on judging by it: a part is blocked at the earliest
-/// some time after its first crash.
+/// How long after new evidence, or its election, the leader goes on judging: a part is blocked at the
+/// earliest some time after its first crash.
 const JUDGE_TIME: Duration = Duration::from_millis(4_000);
 /// How many crashes a cause must have been in for it to be logged that it is not blocked.
 const LOGGED_CRASHES: usize = 3;
@@ -154,7 +154,8 @@
             return Vec::new();
         }
         let mut outputs = Vec::new();
-        if now < self.detector.judge_until {
+        let elected = self.replica.leads_since().is_some_and(|(_, led)| now < led + JUDGE_TIME);
+        if elected || now < self.detector.judge_until {
             outputs.extend(self.block_guilty(now));
             outputs.extend(self.list_suspects(now));
             let held = self.held(|_| true);
--- a/tests/crashing_contents.rs
+++ b/tests/crashing_contents.rs
@@ -10,7 +10,7 @@
 use dotterelpin::model::{EndpointKind, Timestamp};
 use dotterelpin::report::observation::Observation;
 use dotterelpin::routes::{RawRoute, RawService, RawTable, Repeat};
-use fleet_world::{Answer, Arrival, Endpoint, Kind, Timing, World};
+use fleet_world::{Answer, Arrival, Endpoint, Kind, Node, Timing, World};
 use gateway_fixture::{Fixture, PLAIN, route, table};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -253,6 +253,28 @@
     }
 }
 
+#[test]
+fn leader_that_had_the_evidence_before_its_election_never_judges_by_it() {
+    let mut play = Play::new(1, LOAD_WITHOUT_FAULTY);
+    play.w.faulty_targets.insert(faulty(0));
+    play.run(3_000);
+    (0..2).for_each(|member| play.w.cut_off(Node::Member(member), true));
+    play.run(2_000);
+    for gateway in 0..4 {
+        play.w.plain(gateway, &faulty(0));
+    }
+    play.run(6_000);
+    (0..2).for_each(|member| play.w.cut_off(Node::Member(member), false));
+    play.run(5_000);
+    for gateway in 0..5 {
+        (0..2).for_each(|_| {
+            play.w.plain(gateway, &faulty(0));
+        });
+    }
+    play.run(2_000);
+    play.assert_stopped();
+}
+
 #[test]
 fn path_that_crashes_endpoints_goes_on_with_other_queries() {
     let mut play = Play::new(1, LOAD_WITHOUT_FAULTY);
