Send processes the stages of quarantined causes only, and show suspects

A member sent each process the starts of endpoints that every cause has crashed, up to 16 names for each, with each change of the list; processes read the stage only, and suspects make the list longer. Operators still get the starts with the status. `dotterelpin quarantine` says which causes are only suspected, in its JSON as `suspected`. No decision changes.

--- a/src/cli/tool/quarantine.rs
+++ b/src/cli/tool/quarantine.rs
@@ -51,10 +51,15 @@
             "verdicts": entry.verdicts,
             "crashes": crashes,
             "refused_s": left,
+            "suspected": entry.stage == Stage::Suspected,
         });
         println!("{line}");
         return;
     }
-    let state = left.map_or("gets single probes".into(), |s| format!("refused for {s} s more"));
+    let state = match (left, entry.stage) {
+        (Some(seconds), _) => format!("refused for {seconds} s more"),
+        (None, Stage::Suspected) => "suspected, gets single probes".into(),
+        (None, _) => "gets single probes".into(),
+    };
     println!("{cause} {state}, blocked {} times, crashed {}", entry.verdicts, crashes.join(", "));
 }
--- a/src/control/answers.rs
+++ b/src/control/answers.rs
@@ -99,8 +99,8 @@
     fn quarantine_update(&self, seen: u64) -> Option<QuarantineUpdate> {
         let quarantine = &self.state.quarantine;
         let version = quarantine.version();
-        let entries = || quarantine.entries().iter().map(|(c, e)| (*c, e.clone())).collect();
-        (version > seen).then(|| QuarantineUpdate { version, entries: entries() })
+        let stages = || quarantine.entries().iter().map(|(cause, e)| (*cause, e.stage)).collect();
+        (version > seen).then(|| QuarantineUpdate { version, stages: stages() })
     }
 
     /// Returns what this member's log proves about the configuration, the routing document and the
@@ -130,6 +130,7 @@
         };
         let mut processes = self.registry.processes(now);
         processes.push((own, Duration::ZERO));
+        let quarantine = self.state.quarantine.entries().iter();
         Status {
             member: self.settings.name.clone(),
             leader: self.replica.leader().map(|a| a.to_string().into()),
@@ -139,7 +140,7 @@
             endpoints: self.registry.endpoints(),
             orders: self.registry.reports().map(|(e, r)| self.order_status(e, r)).collect(),
             rollouts: self.state.orders.rollouts().flat_map(|(_, r)| r.to_vec()).collect(),
-            quarantine: self.quarantine_update(0).unwrap_or_default().entries,
+            quarantine: quarantine.map(|(cause, entry)| (*cause, entry.clone())).collect(),
         }
     }
 
--- a/src/control/quarantine/mod.rs
+++ b/src/control/quarantine/mod.rs
@@ -178,6 +178,6 @@
 pub struct QuarantineUpdate {
     /// The version of the list.
     pub version: u64,
-    /// The causes.
-    pub entries: Vec<(Cause, Entry)>,
+    /// The causes, and how calls with them are treated.
+    pub stages: Vec<(Cause, Stage)>,
 }
--- a/src/gateway/blocked.rs
+++ b/src/gateway/blocked.rs
@@ -67,7 +67,7 @@
 impl Blocked {
     /// Applies control's list.
     pub fn list(&mut self, update: &QuarantineUpdate) {
-        let listed = update.entries.iter().map(|(cause, e)| (*cause, e.stage)).collect();
+        let listed = update.stages.iter().copied().collect();
         let before = std::mem::replace(&mut self.listed, listed);
         let cleared = before.into_keys().filter(|cause| !self.listed.contains_key(cause));
         let cleared: Vec<Cause> = cleared.collect();
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -20,7 +20,7 @@
     /// Applies control's list of causes in quarantine, and ends the calls that it concerns.
     pub(super) fn apply_quarantine(&mut self, now: Timestamp) {
         let Some(update) = self.follower.new_quarantine() else { return };
-        let (version, causes) = (update.version, update.entries.len());
+        let (version, causes) = (update.version, update.stages.len());
         log::info!("step=quarantine version={version} causes={causes}");
         self.blocked.list(update);
         self.end_blocked(now);
