Remember once when a cause went on, in place of with each crash

Found while reading: each call that went on added its causes to a set of every crash of the last ten minutes, so that late reports of that crash would not speak against them. A gateway does that for all its calls since (before, for a minute after a crash): at 100 calls a second 120,000 entries a crash, for up to 256 crashes, in processes of 88 MB.

The time at which a cause went on last is known already (`Known`, bounded). A late report is compared with that; only causes that an operator or a verdict takes out of quarantine are kept with the crashes. What a report says to have gone on before the crash counts as known at the crash, not after it.

Test: late_report_of_a_crash_speaks_against_what_has_gone_on_since holds before and after. The 38 tests of the quarantine pass.

--- a/src/control/quarantine/blame.rs
+++ b/src/control/quarantine/blame.rs
@@ -38,7 +38,7 @@
     at: Timestamp,
     /// The causes of each run that had just begun.
     runs: Vec<Vec<Cause>>,
-    /// Causes that were cleared since.
+    /// Causes that were taken out of quarantine since.
     cleared: BTreeSet<Cause>,
     /// How often the start has announced itself after the crash, and the last sequence number.
     heard: (u32, u64),
@@ -110,12 +110,13 @@
         let at = self.position(now, &crash.start);
         let survivors = crash.runs.iter().filter(|r| r.has_survived());
         let survivors: Vec<Cause> = survivors.flat_map(|r| r.causes.iter().copied()).collect();
-        self.known.learn(now, &crash.known);
         let Some(recorded) = self.crashes.get_mut(at) else { return };
+        self.known.learn(recorded.at, &crash.known);
         for run in crash.runs.iter().filter(|r| !r.has_survived()) {
-            let cleared = &recorded.cleared;
-            let suspected = run.causes.iter().filter(|c| !cleared.contains(c)).copied();
-            let causes: Vec<Cause> = suspected.collect();
+            // The report may be late: what has gone on since the crash has not caused it.
+            let cleared =
+                |c: &Cause| recorded.cleared.contains(c) || self.known.has_gone_on(*c, recorded.at);
+            let causes: Vec<Cause> = run.causes.iter().filter(|c| !cleared(c)).copied().collect();
             let is_new = !causes.is_empty() && !recorded.runs.contains(&causes);
             if is_new && recorded.runs.len() < MAX_RUNS {
                 recorded.runs.push(causes);
@@ -127,17 +128,21 @@
     /// Clears causes whose runs have gone on of all crashes so far.
     pub fn survived(&mut self, now: Timestamp, causes: &[Cause]) {
         self.known.learn(now, causes);
-        self.forget(causes);
+        self.clear(causes);
     }
 
     /// Clears causes of all crashes so far, because they are out of quarantine.
     pub fn forget(&mut self, causes: &[Cause]) {
+        self.clear(causes);
+        self.crashes.iter_mut().for_each(|crash| crash.cleared.extend(causes));
+    }
+
+    fn clear(&mut self, causes: &[Cause]) {
         for crash in &mut self.crashes {
             for run in &mut crash.runs {
                 run.retain(|cause| !causes.contains(cause));
             }
             crash.runs.retain(|run| !run.is_empty());
-            crash.cleared.extend(causes);
         }
     }
 
--- a/src/control/quarantine/known.rs
+++ b/src/control/quarantine/known.rs
@@ -30,9 +30,12 @@
 }
 
 impl Known {
-    /// Records that runs with these causes go on.
+    /// Records that runs with these causes go on, or have gone on at an earlier time.
     pub fn learn(&mut self, now: Timestamp, causes: &[Cause]) {
-        self.seen.extend(causes.iter().map(|cause| (*cause, now)));
+        for cause in causes {
+            let at = self.seen.entry(*cause).or_insert(now);
+            *at = now.max(*at);
+        }
         let mut horizon = KNOWN_TTL;
         while self.seen.len() > MAX_KNOWN {
             self.seen.retain(|_, at| now - *at < horizon);
@@ -45,6 +48,11 @@
         self.seen.get(&cause).is_some_and(|at| now - *at < KNOWN_TTL)
     }
 
+    /// Returns whether a run with a cause has gone on after a time, as far as is known.
+    pub fn has_gone_on(&self, cause: Cause, after: Timestamp) -> bool {
+        self.seen.get(&cause).is_some_and(|at| *at > after)
+    }
+
     /// Returns whether any part of a prompt was seen.
     pub fn has_parts(&self) -> bool {
         self.seen.keys().next().is_some_and(|cause| matches!(cause, Cause::Part(_)))
--- a/tests/blame.rs
+++ b/tests/blame.rs
@@ -207,6 +207,21 @@
     assert!(!suspected(true, 5) && suspected(true, 6));
 }
 
+#[test]
+fn late_report_of_a_crash_speaks_against_what_has_gone_on_since() {
+    let mut blame = Blame::default();
+    for boot in 0..3 {
+        blame.crashed(at(0), &crash(boot, vec![run(&[content(9)], 0)]));
+    }
+    blame.survived(at(100), &[content(1)]);
+    for boot in 0..3 {
+        blame.crashed(at(300), &crash(boot, vec![run(&[content(1), content(2)], 0)]));
+    }
+    let suspects = blame.suspects(at(300), &BTreeSet::new());
+    let suspects: BTreeSet<Cause> = suspects.into_iter().map(|v| v.cause).collect();
+    assert_eq!(suspects, BTreeSet::from([content(2), content(9)]));
+}
+
 #[test]
 fn evidence_is_bounded() {
     let mut blame = Blame::default();
