Report callers that left before their request was read

What callers and operators saw: a process that is busy reads a request whose caller has given up meanwhile, and runs it to its end: an endpoint works, holds its memory, and may be asked again, for nobody.

Cause: a read that does not fill its buffer is taken to have emptied the socket, so that one more system call for each request is spared; the poll tells of anything that comes later. What had come before, the end of the caller's side, is told with the request itself and not again. While the request is answered nothing is read, so that the end is never seen.

Fix: if the poll says that the caller has closed its side, the socket is read to its end. A request that came whole is still served, since its caller may have closed one side only; what is answered at once is written before the end is reported to the role, and so is a refusal.

--- a/src/h1/caller.rs
+++ b/src/h1/caller.rs
@@ -58,6 +58,8 @@
     pub state: CallerState,
     reader: Reader,
     partial: Option<(RequestHead, Vec<u8>)>,
+    /// Whether the caller has closed its side of the connection.
+    pub ended: bool,
     /// Whether reading stopped before the socket was empty.
     unread: bool,
     /// Whether to shut down the writing side once everything is written.
@@ -74,6 +76,7 @@
             state: CallerState::Idle(now),
             reader: Reader::requests(limits.head_bytes, limits.body_bytes),
             partial: None,
+            ended: false,
             unread: false,
             closing: false,
             progress: now,
@@ -113,13 +116,15 @@
                         continue;
                     }
                     self.reader.feed(bytes);
-                    if count < buffer.len() && self.state != CallerState::Answering {
+                    let more = self.ended || count == buffer.len();
+                    if !more && self.state != CallerState::Answering {
                         // A short read emptied the socket; the poll reports when more bytes arrive.
                         return self.parse(now, limits);
                     }
                 }
                 Ok(SocketRead::Blocked) => return self.parse(now, limits),
-                Ok(SocketRead::Closed) | Err(_) => return CallerRead::Closed,
+                Ok(SocketRead::Closed) => return self.parse_last(now, limits),
+                Err(_) => return CallerRead::Closed,
             }
         }
         self.unread = true;
@@ -153,6 +158,17 @@
         Open { state: self.state, unread, unwritten: self.socket.pending() }
     }
 
+    /// Parses what a caller has sent before it closed its side: a request that is complete is served
+    /// before the end is reported, since its caller may still read.
+    fn parse_last(&mut self, now: Timestamp, limits: &CallerLimits) -> CallerRead {
+        match self.parse(now, limits) {
+            CallerRead::Request(request) => CallerRead::Request(request),
+            // A refusal is written first.
+            CallerRead::Wait if self.closing => CallerRead::Wait,
+            CallerRead::Wait | CallerRead::More | CallerRead::Closed => CallerRead::Closed,
+        }
+    }
+
     /// Parses the buffered bytes, up to the next complete request.
     fn parse(&mut self, now: Timestamp, limits: &CallerLimits) -> CallerRead {
         if matches!(self.state, CallerState::Answering | CallerState::Lingering { .. }) {
--- a/src/h1/driver/callers.rs
+++ b/src/h1/driver/callers.rs
@@ -13,11 +13,24 @@
         if ready.event.is_writable() {
             self.dirty.insert(ConnectionId::Caller(id));
         }
+        if ready.event.is_read_closed()
+            && let Some(caller) = self.callers.get_mut(&id)
+        {
+            caller.ended = true;
+        }
         if ready.readable {
             self.read_caller(now, id);
         }
     }
 
+    /// Reads on from callers that have closed their side, after what was answered at once is written:
+    /// the poll does not report that end again.
+    pub(super) fn read_ended(&mut self, now: Timestamp) {
+        for id in std::mem::take(&mut self.ended) {
+            self.read_caller(now, id);
+        }
+    }
+
     /// Reads what has arrived from a caller, as much as it may send in one turn.
     pub(super) fn read_caller(&mut self, now: Timestamp, id: CallerId) {
         let Some(caller) = self.callers.get_mut(&id) else { return };
@@ -33,7 +46,12 @@
                 self.resumed.push(id);
                 self.bound_request(now, id);
             }
-            CallerRead::Request(request) => self.handle_request(now, id, request),
+            CallerRead::Request(request) => {
+                if self.callers.get(&id).is_some_and(|caller| caller.ended) {
+                    self.ended.push(id);
+                }
+                self.handle_request(now, id, request);
+            }
             CallerRead::Closed => self.caller_closed(now, id),
         }
     }
--- a/src/h1/driver/mod.rs
+++ b/src/h1/driver/mod.rs
@@ -136,6 +136,7 @@
             peers: BTreeMap::new(),
             dirty: BTreeSet::new(),
             resumed: Vec::new(),
+            ended: Vec::new(),
             unread: BTreeSet::new(),
             deferred: Vec::new(),
             broken: Vec::new(),
@@ -175,6 +176,8 @@
     dirty: BTreeSet<ConnectionId>,
     /// Callers whose next request may have been received already.
     resumed: Vec<CallerId>,
+    /// Callers that closed their side with a request that was not served before.
+    ended: Vec<CallerId>,
     /// Endpoints' connections whose sockets may have more bytes.
     unread: BTreeSet<PeerId>,
     /// Inputs that resulted from effects while the role was stepped.
@@ -242,12 +245,13 @@
         self.expire(now);
         self.flush_all(now);
         self.report_broken(now);
+        self.read_ended(now);
         // The turn may have taken long, and connections that are accepted now are new.
         self.end_turn(Timestamp::from_steady())
     }
 
     fn poll_timeout(&self, now: Timestamp) -> Duration {
-        let unread = !self.resumed.is_empty() || !self.unread.is_empty();
+        let unread = !self.resumed.is_empty() || !self.ended.is_empty() || !self.unread.is_empty();
         let busy = unread || !self.deferred.is_empty() || self.has_backlog;
         if busy || !self.broken.is_empty() {
             return Duration::ZERO;
--- a/tests/h1_sockets.rs
+++ b/tests/h1_sockets.rs
@@ -18,7 +18,7 @@
 use dotterelpin::routes::CallerLimits;
 use loopback::link;
 
-/// Answers each request with its target and the length of its content, except `/hang`.
+/// Answers each request with its target and the length of its content, `/busy` late and `/hang` never.
 struct Echo {
     events: Sender<String>,
 }
@@ -31,8 +31,10 @@
         match input {
             Input::Local(HttpInput::Request { caller, request, .. }) => {
                 self.events.send(request.head.target.to_string()).unwrap();
-                if &*request.head.target == "/hang" {
-                    return Vec::new();
+                match &*request.head.target {
+                    "/hang" => return Vec::new(),
+                    "/busy" => std::thread::sleep(Duration::from_millis(200)),
+                    _ => {}
                 }
                 let text = format!("{} {}", request.head.target, request.body.len());
                 let keep = !request.head.wants_close();
@@ -160,6 +162,34 @@
     }
 }
 
+#[test]
+fn caller_that_left_before_its_request_was_read_is_never_reported() {
+    let server = start();
+    let mut busy = connect(&server);
+    busy.write_all(b"GET /busy HTTP/1.1\r\n\r\n").unwrap();
+    assert_eq!(server.events.recv_timeout(Duration::from_secs(5)).unwrap(), "/busy");
+    let mut gone = connect(&server);
+    gone.write_all(b"GET /hang HTTP/1.1\r\n\r\n").unwrap();
+    drop(gone);
+    let events: Vec<String> =
+        std::iter::from_fn(|| server.events.recv_timeout(Duration::from_secs(1)).ok()).collect();
+    assert!(events.is_empty() || events == ["/hang", "disconnected"], "{events:?}");
+}
+
+#[test]
+fn refusal_of_a_caller_that_has_closed_its_side_is_dropped() {
+    let server = start();
+    let mut busy = connect(&server);
+    busy.write_all(b"GET /busy HTTP/1.1\r\n\r\n").unwrap();
+    assert_eq!(server.events.recv_timeout(Duration::from_secs(5)).unwrap(), "/busy");
+    let mut stream = connect(&server);
+    stream.write_all(b"GET /a b c HTTP/1.1\r\n\r\n").unwrap();
+    stream.shutdown(Shutdown::Write).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 400 "), "{answer}");
+}
+
 #[test]
 fn expect_header_is_answered_with_100_continue() {
     let server = start();
