Close idle connections of callers when no descriptor is left for new ones

Cause: nothing released connections before they had been idle for 15 s. And a listener that could not be emptied was not tried again before another connection came, since the poll tells of new ones only.

Fix: if a connection can't be accepted, the 32 connections of callers that have been idle for longest, 200 ms at least, are closed. What has arrived on them is read before, as for connections that are closed in a shutdown. Connections that still wait are tried again every 50 ms.

Not mended: connections to endpoints that can't be opened for the same reason still count against the endpoint.

--- a/src/h1/driver/accept.rs
+++ b/src/h1/driver/accept.rs
@@ -18,11 +18,20 @@
             let purpose = *purpose;
             match listener.accept() {
                 Ok((stream, _)) => self.add_caller(now, stream, purpose),
-                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {
+                    self.unaccepted.remove(&index);
+                    return;
+                }
                 Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == std::io::ErrorKind::ConnectionAborted => {
+                    log::debug!("step=accept error=\"{error}\"");
+                }
                 Err(error) => {
-                    log::error!("step=accept error=\"{error}\"");
-                    return;
+                    // What waits is not reported again before another connection comes.
+                    self.unaccepted.insert(index);
+                    if !self.make_room(now, &error) {
+                        return;
+                    }
                 }
             }
         }
--- a/src/h1/driver/ending.rs
+++ b/src/h1/driver/ending.rs
@@ -106,7 +106,7 @@
         self.leaving.retain(|id| callers.get(id).is_some_and(|c| !closed(c)));
     }
 
-    fn can_close(&self, now: Timestamp, id: CallerId) -> bool {
+    pub(super) fn can_close(&self, now: Timestamp, id: CallerId) -> bool {
         match self.callers.get(&id).map(|c| c.open().verdict()) {
             Some(Verdict::CloseAt(at)) => at <= now,
             Some(Verdict::Partial) => self.ending.is_some(),
--- a/src/h1/driver/mod.rs
+++ b/src/h1/driver/mod.rs
@@ -6,6 +6,7 @@
 mod effects;
 mod ending;
 mod peers;
+mod room;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -36,6 +37,8 @@
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
 /// The same once the role has stopped.
 const ENDING_INTERVAL: Duration = Duration::from_millis(50);
+/// How often the thread tries again to accept connections that no descriptor was left for.
+const ACCEPT_INTERVAL: Duration = Duration::from_millis(50);
 /// The most events that one poll returns.
 const MAX_EVENTS: usize = 256;
 /// The most inputs from other threads that are handled before the sockets are.
@@ -143,6 +146,8 @@
             has_backlog: false,
             limits: CallerLimits::default(),
             next_caller: 0,
+            unaccepted: BTreeSet::new(),
+            next_room_line: Timestamp::default(),
             next_expiry: Timestamp::default(),
             leaving: BTreeSet::new(),
             close_at: None,
@@ -188,6 +193,10 @@
     has_backlog: bool,
     limits: CallerLimits,
     next_caller: u64,
+    /// The listeners at which connections wait that no descriptor was left for.
+    unaccepted: BTreeSet<usize>,
+    /// When it is logged again that no connection can be closed for new ones.
+    next_room_line: Timestamp,
     next_expiry: Timestamp,
     /// Callers whose connections are closed as soon as nothing is open on them.
     leaving: BTreeSet<CallerId>,
@@ -246,6 +255,7 @@
         self.flush_all(now);
         self.report_broken(now);
         self.read_ended(now);
+        self.accept_waiting(now);
         // The turn may have taken long, and connections that are accepted now are new.
         self.end_turn(Timestamp::from_steady())
     }
@@ -262,7 +272,8 @@
             None => self.role.next_wake(),
         };
         let expiry = (!self.callers.is_empty()).then_some(self.next_expiry);
-        let next = [due, expiry, self.next_close()].into_iter().flatten().min();
+        let accept = (!self.unaccepted.is_empty()).then_some(now + ACCEPT_INTERVAL);
+        let next = [due, expiry, accept, self.next_close()].into_iter().flatten().min();
         next.map_or(MAX_WAIT, |at| at - now).clamp(MIN_WAIT, MAX_WAIT)
     }
 
