Convict no probe by a late report of a crash before it

What callers saw, had it happened: sound calls with a content that was under suspicion refused for an hour, although none of them had crashed anything.

Cause: any report of a crash that names a cause whose probe is open convicts it. Gateways report one crash one after the other, and those that were out of reach much later; a probe of a suspect is granted within milliseconds of the first report.

Fix: a crash speaks against a probe only if it was first reported 150 ms after the probe was granted, or later: for so long gateways collect broken runs.

Test: late_report_of_an_earlier_crash_convicts_the_probe_of_a_suspect finds the suspect refused on the code before; it also sees that a crash after the probe still convicts.

--- a/src/control/quarantine/blame.rs
+++ b/src/control/quarantine/blame.rs
@@ -172,6 +172,11 @@
         }
     }
 
+    /// Returns when the crash of a start was first reported.
+    pub(super) fn reported_at(&self, start: &Start) -> Option<Timestamp> {
+        self.crashes.iter().find(|c| c.start == *start).map(|c| c.at)
+    }
+
     /// Returns the number of crashes that are kept.
     pub fn count(&self) -> usize {
         self.crashes.len()
--- a/src/control/quarantine/verdicts.rs
+++ b/src/control/quarantine/verdicts.rs
@@ -19,6 +19,8 @@
 /// How long a probe of one cause excludes those of all others, unless its outcome is known before: if
 /// two ran at the same endpoint, a crash would speak against both.
 const PROBE_ALONE: Duration = Duration::from_millis(5_000);
+/// How long after a crash it is reported at the earliest, as gateways collect the runs that break.
+const REPORT_TIME: Duration = Duration::from_millis(150);
 /// How long no probe is granted after one has crashed its endpoint, which comes back meanwhile.
 const FAILED_PROBE_PAUSE: Duration = Duration::from_millis(5_000);
 
@@ -46,11 +48,15 @@
         }
     }
 
-    /// Returns the causes of a crash whose probe may have caused it.
+    /// Returns the causes of a crash whose probe may have caused it: one that was granted before, so
+    /// that the report of an earlier crash does not speak against it.
     fn failed_probes(&self, now: Timestamp, crash: &Crash) -> Vec<Cause> {
+        let Some(reported) = self.blame.reported_at(&crash.start) else { return Vec::new() };
         let runs = crash.runs.iter().filter(|r| !r.has_survived());
         let causes: BTreeSet<Cause> = runs.flat_map(|r| r.causes.iter().copied()).collect();
-        causes.into_iter().filter(|cause| self.is_probed(now, *cause)).collect()
+        let is_probe =
+            |granted: &Timestamp| now - *granted < PROBE_TTL && reported >= *granted + REPORT_TIME;
+        causes.into_iter().filter(|c| self.probes.get(c).is_some_and(is_probe)).collect()
     }
 
     /// Drops the evidence against a cause that is out of quarantine; it would be blocked again.
--- a/tests/crashing_contents.rs
+++ b/tests/crashing_contents.rs
@@ -6,8 +6,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use dotterelpin::control::quarantine::Stage;
-use dotterelpin::model::{EndpointKind, Timestamp};
+use dotterelpin::control::quarantine::{
+    BrokenRun, Cause, Crash, Evidence, Fingerprint, Stage, Start,
+};
+use dotterelpin::link::message::ControlRequest;
+use dotterelpin::model::{BootId, EndpointKind, Timestamp};
 use dotterelpin::report::observation::Observation;
 use dotterelpin::routes::{RawRoute, RawService, RawTable, Repeat};
 use fleet_world::{Answer, Arrival, Endpoint, Kind, Node, Timing, World};
@@ -275,6 +278,33 @@
     play.assert_stopped();
 }
 
+#[test]
+fn late_report_of_an_earlier_crash_convicts_the_probe_of_a_suspect() {
+    let mut play = Play::new(1, LOAD_WITHOUT_FAULTY);
+    let leader = play.w.leader().unwrap();
+    let cause = Cause::Content(Fingerprint::of(PLAIN, b"sound"));
+    let crash = |boot: u64| {
+        let start = Start { endpoint: "gone".into(), boot: BootId(boot) };
+        let run = BrokenRun { causes: vec![cause], wrote: Duration::ZERO };
+        let crash = Crash { start, runs: vec![run], known: vec![] };
+        ControlRequest::ReportEvidence(vec![Evidence::Crashed(crash)])
+    };
+    let stage =
+        |play: &Play| play.w.member(leader).unwrap().state().quarantine.entries()[&cause].stage;
+    play.w.request_outside(leader, crash(1));
+    play.w.request_outside(leader, crash(2));
+    play.w.run(500);
+    assert_eq!(stage(&play), Stage::Suspected);
+    play.w.request_outside(leader, ControlRequest::RequestProbe(cause));
+    play.w.run(300);
+    play.w.request_outside(leader, crash(2));
+    play.w.run(500);
+    assert_eq!(stage(&play), Stage::Suspected, "another gateway reports the second crash late");
+    play.w.request_outside(leader, crash(3));
+    play.w.run(500);
+    assert!(matches!(stage(&play), Stage::Refused { .. }), "the probe has crashed its endpoint");
+}
+
 #[test]
 fn path_that_crashes_endpoints_goes_on_with_other_queries() {
     let mut play = Play::new(1, LOAD_WITHOUT_FAULTY);
--- a/tests/fleet_world/mod.rs
+++ b/tests/fleet_world/mod.rs
@@ -212,7 +212,8 @@
         self.run(500);
     }
 
-    fn request_outside(&mut self, member: usize, body: ControlRequest) {
+    /// Sends a request to a member as a process that reads no reply.
+    pub fn request_outside(&mut self, member: usize, body: ControlRequest) {
         let body = Envelope { revised: Default::default(), body: Request::Control(body) };
         let exchange = ExchangeId(self.packets);
         let from = Node::Outside;
