--- a/src/control/quarantine/blame.rs
+++ b/src/control/quarantine/blame.rs
@@ -298,12 +298,27 @@
         covered * 2 > tally.unexplained.len()
     }
 
+    /// Returns the causes that were in several crashes. Of the many others nothing is decided.
+    fn repeated(&self) -> BTreeSet<Cause> {
+        let crashes = self.crashes.iter().enumerate();
+        let held =
+            crashes.flat_map(|(at, c)| c.runs.iter().flatten().map(move |cause| (*cause, at)));
+        let mut held: Vec<(Cause, usize)> = held.collect();
+        held.sort_unstable();
+        held.dedup();
+        let same = |a: &(Cause, usize), b: &(Cause, usize)| a.0 == b.0;
+        let several = held.chunk_by(same).filter(|crashes| crashes.len() > 1);
+        several.filter_map(|crashes| crashes.first()).map(|(cause, _)| *cause).collect()
+    }
+
     fn tallies(&self, now: Timestamp, blocked: &BTreeSet<Cause>) -> BTreeMap<Cause, Tally> {
+        let repeated = self.repeated();
         let mut tallies: BTreeMap<Cause, Tally> = BTreeMap::new();
         for (at, crash) in self.crashes.iter().enumerate() {
             let explained = crash.is_explained(blocked);
             let by_part = crash.faulty(blocked).any(|c| matches!(c, Cause::Part(_)));
-            let causes: BTreeSet<Cause> = crash.runs.iter().flatten().copied().collect();
+            let causes = crash.runs.iter().flatten().filter(|c| repeated.contains(c));
+            let causes: BTreeSet<Cause> = causes.copied().collect();
             for cause in causes {
                 let known = self.known.contains(now, cause);
                 let fresh = || Tally { first: crash.at, known, sound: known, ..Tally::default() };
@@ -316,7 +331,7 @@
             }
             for run in &crash.runs {
                 for (place, cause) in run.iter().enumerate() {
-                    let tally = tallies.entry(*cause).or_default();
+                    let Some(tally) = tallies.get_mut(cause) else { continue };
                     tally.runs += 1;
                     // The most specific content is the last one.
                     tally.contents.extend(run.last().filter(|c| matches!(c, Cause::Content(_))));
--- a/src/control/quarantine/verdicts.rs
+++ b/src/control/quarantine/verdicts.rs
@@ -12,6 +12,8 @@
 /// How long after new evidence, or its election, the leader goes on judging: a part is blocked at the
 /// earliest some time after its first crash.
 const JUDGE_TIME: Duration = Duration::from_millis(4_000);
+/// How often the leader judges at most; many gateways report one crash.
+const JUDGE_INTERVAL: Duration = Duration::from_millis(50);
 /// How many crashes a cause must have been in for it to be logged that it is not blocked.
 const LOGGED_CRASHES: usize = 3;
 /// How long a probe may take; then another one of the same cause may be granted.
@@ -29,6 +31,7 @@
 pub struct Detector {
     blame: Blame,
     judge_until: Timestamp,
+    next_judgement: Timestamp,
     /// When the last probe of each cause was granted.
     probes: BTreeMap<Cause, Timestamp>,
     /// Until when no probe is granted.
@@ -161,7 +164,9 @@
         }
         let mut outputs = Vec::new();
         let elected = self.replica.leads_since().is_some_and(|(_, led)| now < led + JUDGE_TIME);
-        if elected || now < self.detector.judge_until {
+        let wanted = elected || now < self.detector.judge_until;
+        if wanted && now >= self.detector.next_judgement {
+            self.detector.next_judgement = now + JUDGE_INTERVAL;
             outputs.extend(self.block_guilty(now));
             outputs.extend(self.list_suspects(now));
             let held = self.held(|_| true);
