--- a/review/stand_in/fleet.rs
+++ b/review/stand_in/fleet.rs
@@ -134,6 +134,20 @@
         (self.edges[number % self.edges.len()].address, self.port + 2).into()
     }
 
+    /// Starts the processes of `edge` machines again that have ended by themselves, and returns their
+    /// names.
+    pub fn restart_ended(&mut self) -> Result<Vec<String>, String> {
+        let mut names = Vec::new();
+        for machine in &mut self.edges {
+            let Some(process) = &mut machine.process else { continue };
+            if matches!(process.child.try_wait(), Ok(Some(_))) {
+                names.push(machine.name.clone());
+                machine.start(&self.folder)?;
+            }
+        }
+        Ok(names)
+    }
+
     /// Sends a configuration until it is acknowledged.
     pub fn configure(&self, record: &Record, text: &str) -> Result<(), String> {
         let mut turn = 0;
--- a/review/stand_in/main.rs
+++ b/review/stand_in/main.rs
@@ -5,6 +5,7 @@
 //! held, and with 2 if the case could not run. With `TROUBLE=0` the disruption is left out.
 
 mod client;
+mod crash;
 mod fleet;
 mod http;
 mod order;
@@ -39,6 +40,7 @@
     };
     record.line(&format!("case {case}, trouble {trouble}"));
     let played = match case.as_str() {
+        "crash" => crash::play(&record, trouble),
         "order" => order::play(&record, trouble),
         "unasked" => unasked::play(&record, trouble),
         "twice" => twice::play(&record, trouble),
