--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -155,6 +155,7 @@
         }
         self.kind = kind;
         self.slots = state.capacity.slots;
+        self.software = state.software.clone();
         self.listed = listed;
         self.listed_kind = kind;
         let newer = |(at, of)| at < listed || at == listed && of != kind;
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -7,6 +7,7 @@
 pub mod subset;
 pub mod view;
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -79,7 +80,8 @@
     }
 
     /// Applies a heartbeat; one of an earlier boot of the process is ignored, and so is an
-    /// endpoint state that is older than the known one.
+    /// endpoint state that is older than the known one. Of two states with the same number, the
+    /// first one holds, except for its load, whose changes are not numbered.
     pub fn heartbeat(&mut self, now: Timestamp, heartbeat: Heartbeat) {
         self.started.get_or_insert(now);
         let state = heartbeat.process;
@@ -105,10 +107,15 @@
         record.last_heartbeat = now;
         record.schema = heartbeat.schema;
         record.state = state;
-        let Some(endpoint) = heartbeat.endpoint else { return };
-        let known = self.view.get(&endpoint.name);
-        if known.is_some_and(|e| view::version(e) > view::version(&endpoint)) {
-            return;
+        let Some(mut endpoint) = heartbeat.endpoint else { return };
+        if let Some(known) = self.view.get(&endpoint.name) {
+            match view::version(known).cmp(&view::version(&endpoint)) {
+                Ordering::Greater => return,
+                Ordering::Equal => {
+                    endpoint = EndpointState { load: endpoint.load, ..known.clone() }
+                }
+                Ordering::Less => {}
+            }
         }
         record.report = heartbeat.report.unwrap_or_default();
         self.agents.insert(endpoint.name.clone(), key);
