Take the votes of members that are gone for good

After a series of replaced control members, callers were served nothing and acknowledged configuration could not be read back: 4 of 7 voters were machines that had been taken away, so the sound ones were no majority.

Votes were taken from silent voters of an even group only, whatever the losses that the group must bear, and after 3 s. A group of seven that had lost two kept both, though five voters bear as much. A machine without a vote that went away again kept its entry unless another one asked for its address, and seven entries of any kind kept all later machines out.

Now a leader removes gone voters, one change after the other, whenever the group bears more losses without them (an even number with one gone, an odd number with two), down to a majority that is on more disks than may be lost at once. A machine that has caught up takes the place of a gone voter if the number is odd, whether or not the settings list its address. Machines without a vote are dropped after 5 s of silence, and no longer count against the limit of voters.

--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -32,6 +32,9 @@
     /// addresses of all control members, separated by commas
     #[argh(option)]
     pub members: Option<String>,
+    /// control members that may be lost at once; a minority of --members if not given or 0
+    #[argh(option)]
+    pub losses: Option<String>,
     /// folder of the fleet key
     #[argh(option)]
     pub keys: Option<String>,
@@ -144,7 +147,7 @@
     }
 
     /// Returns the settings with their names in the file and, in upper case, in the environment.
-    fn fields(&mut self) -> [(&'static str, &mut Option<String>); 25] {
+    fn fields(&mut self) -> [(&'static str, &mut Option<String>); 26] {
         [
             ("roles", &mut self.roles),
             (SETTINGS_FILE, &mut self.settings),
@@ -154,6 +157,7 @@
             ("advertise", &mut self.advertise),
             ("members", &mut self.members),
             ("members_port", &mut self.members_port),
+            ("losses", &mut self.losses),
             ("keys", &mut self.keys),
             ("data", &mut self.data),
             ("callers", &mut self.callers),
--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -92,11 +92,13 @@
         let (stored, files) = disk::open(folder, MemberId(boot.0))?;
         let disk = Disk::start(files, driver.handle())?;
         let members = settings.members.clone();
+        let mut replica = ReplicaSettings::new(settings.advertise, members, boot.0);
+        replica.losses = settings.losses.unwrap_or(replica.losses);
         let control_settings = ControlSettings {
             name: settings.name.clone(),
             domain: settings.domain.clone(),
             boot,
-            replica: ReplicaSettings::new(settings.advertise, members, boot.0),
+            replica,
             grace: settings.grace,
         };
         let control = Control::new(control_settings, stored)?;
--- a/src/cli/settings.rs
+++ b/src/cli/settings.rs
@@ -23,6 +23,8 @@
 const MAX_OPEN: usize = 1_000_000;
 /// The most control members.
 const MAX_MEMBERS: usize = 7;
+/// The most control members that may be lost at once.
+const MAX_LOSSES: usize = 3;
 /// The default ratio of retries to calls, over all gateways.
 const DEFAULT_RETRY_RATIO: f64 = 0.1;
 /// The default number of additional retries of all gateways in each window.
@@ -95,6 +97,8 @@
     pub advertise: SocketAddr,
     /// The addresses of all control members.
     pub members: Vec<SocketAddr>,
+    /// The number of control members that may be lost at once, if it is given.
+    pub losses: Option<usize>,
     /// The folder of the fleet key.
     pub keys: PathBuf,
     /// The data folder; required for control.
@@ -166,6 +170,7 @@
         let advertise = check.address("advertise", &args.advertise);
         check_reachable(&mut check, listen, advertise);
         let members = check_members(&mut check, &args);
+        let losses = check_losses(&mut check, &args);
         let keys = check.path("keys", &args.keys);
         check.required_for(RoleName::Control, &roles, "data", &args.data);
         let caller_role =
@@ -228,6 +233,7 @@
             listen,
             advertise: advertise.unwrap_or(listen),
             members,
+            losses,
             keys,
             data: args.data.map(PathBuf::from),
             callers,
@@ -290,6 +296,16 @@
     }
 }
 
+/// Returns how many control members may be lost at once; 0 and an empty text name no number.
+fn check_losses(check: &mut Checker, args: &DaemonArgs) -> Option<usize> {
+    let text = args.losses.as_deref().map(str::trim).filter(|t| !t.is_empty())?;
+    let count = text.parse().ok().filter(|c| *c <= MAX_LOSSES);
+    if count.is_none() {
+        check.invalid("losses", text, &format!("a number from 0 to {MAX_LOSSES}"));
+    }
+    count.filter(|c| *c > 0)
+}
+
 fn check_members(check: &mut Checker, args: &DaemonArgs) -> Vec<SocketAddr> {
     let text = check.text("members", &args.members);
     let parts = text.split(',').filter(|_| !text.is_empty());
--- a/src/control/replica/action.rs
+++ b/src/control/replica/action.rs
@@ -13,6 +13,8 @@
     pub address: SocketAddr,
     /// The addresses of the configured members, including this one.
     pub members: Vec<SocketAddr>,
+    /// The number of members that may be lost at once: what is committed is on more disks.
+    pub losses: usize,
     /// The seed of its random timeouts.
     pub seed: u64,
     /// The number of records, beyond the kept ones, after which the log is compacted into a
@@ -23,9 +25,11 @@
 }
 
 impl ReplicaSettings {
-    /// Creates the settings of a member in production.
+    /// Creates the settings of a member in production, of which a minority of the configured
+    /// members may be lost at once.
     pub fn new(address: SocketAddr, members: Vec<SocketAddr>, seed: u64) -> ReplicaSettings {
-        ReplicaSettings { address, members, seed, compact_after: 8_192, kept: 2_048 }
+        let losses = (members.len().saturating_sub(1) / 2).max(1);
+        ReplicaSettings { address, members, losses, seed, compact_after: 8_192, kept: 2_048 }
     }
 }
 
--- /dev/null
+++ b/src/control/replica/joining.rs
@@ -0,0 +1,131 @@
+//! How a machine without a vote requests one, and how the first members found the group.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::members::{MemberId, Members};
+use super::message::{ReplicaBody, ReplicaMessage};
+use super::{Action, Replica};
+use crate::control::state::Command;
+use crate::model::{InboundId, Timestamp};
+
+/// How long a request to join remains valid after the last hello of the member.
+const JOIN_TTL: Duration = Duration::from_millis(2_000);
+
+/// The state of members that request to join.
+#[derive(Debug, Default)]
+pub struct Joining {
+    /// The last hello from each address, with its member and time; used by the leader.
+    pub(super) requests: BTreeMap<SocketAddr, (MemberId, Timestamp)>,
+    /// The members that replied that they belong to no group; used by a member without a group.
+    blank: BTreeMap<SocketAddr, MemberId>,
+    /// The addresses that have not replied to the last hello yet.
+    unanswered: BTreeSet<SocketAddr>,
+}
+
+impl Joining {
+    /// Drops the requests that are no longer valid.
+    pub(super) fn expire(&mut self, now: Timestamp) {
+        self.requests.retain(|_, (_, at)| now - *at < JOIN_TTL);
+    }
+
+    /// Returns when a member last requested to join, if that request is still valid.
+    pub(super) fn requested(&self, id: MemberId) -> Option<Timestamp> {
+        self.requests.values().find(|(other, _)| *other == id).map(|(_, at)| *at)
+    }
+}
+
+impl Replica {
+    /// Returns whether this replica has no vote and should request one.
+    pub(super) fn wants_to_join(&self) -> bool {
+        let removed = self.removed.is_some_and(|epoch| epoch >= self.members.epoch);
+        removed || !self.members.is_voter(self.id)
+    }
+
+    /// Returns whether the committed list of members lacks a member that requests votes.
+    pub(super) fn has_removed(&self, id: MemberId) -> bool {
+        self.committed_members().is_some_and(|m| m.epoch > 0 && !m.all.contains_key(&id))
+    }
+
+    /// Records that the group has removed this member, which then requests to join again.
+    pub(super) fn on_removal(&mut self, now: Timestamp, peer: SocketAddr, epoch: u64) {
+        let known = self.members.epoch.max(self.removed.map_or(0, |e| e + 1));
+        if epoch < known {
+            return;
+        }
+        ::log::warn!("step=removed peer={peer} epoch={epoch} own_epoch={}", self.members.epoch);
+        self.removed = Some(epoch);
+        self.follow(now, None);
+    }
+
+    /// Sends a hello to all other members, since this replica has no vote.
+    pub(super) fn send_hello(&mut self, now: Timestamp) {
+        self.reset_deadline(now);
+        // Replies to earlier hellos no longer count.
+        self.joining.blank.clear();
+        if self.try_found(now) {
+            return;
+        }
+        let own = self.settings.address;
+        let known = self.members.all.values().map(|m| m.address);
+        let addresses: BTreeSet<_> = self.settings.members.iter().copied().chain(known).collect();
+        let others: BTreeSet<_> = addresses.into_iter().filter(|a| *a != own).collect();
+        for peer in std::mem::replace(&mut self.joining.unanswered, others.clone()) {
+            self.redial(now, peer, now);
+        }
+        for to in others {
+            let message = self.message(MemberId(0), ReplicaBody::Hello { joinable: true });
+            self.actions.push(Action::Request { to, message });
+        }
+    }
+
+    pub(super) fn hello(
+        &mut self,
+        now: Timestamp,
+        via: InboundId,
+        message: &ReplicaMessage,
+        joinable: bool,
+    ) {
+        if joinable && (message.group.is_none() || message.group == self.group) {
+            self.joining.requests.insert(message.address, (message.from, now));
+        }
+        let blank = self.group.is_none();
+        self.answer(via, message.from, ReplicaBody::Welcome { blank });
+    }
+
+    pub(super) fn welcome(&mut self, now: Timestamp, peer: SocketAddr, id: MemberId, blank: bool) {
+        self.joining.unanswered.remove(&peer);
+        if self.group.is_some() {
+            return;
+        }
+        if blank {
+            self.joining.blank.insert(peer, id);
+            self.try_found(now);
+        } else {
+            self.joining.blank.remove(&peer);
+        }
+    }
+
+    /// Founds the group, if this member has the lowest address and all others belong to no group.
+    fn try_found(&mut self, now: Timestamp) -> bool {
+        let addresses: BTreeSet<_> = self.settings.members.iter().copied().collect();
+        let own = self.settings.address;
+        let others = || addresses.iter().filter(|a| **a != own);
+        let complete = others().all(|a| self.joining.blank.contains_key(a));
+        if self.group.is_some() || addresses.first() != Some(&own) || !complete {
+            return false;
+        }
+        let mut members = Members::default().with(self.id, own, true);
+        for (address, id) in std::mem::take(&mut self.joining.blank) {
+            members = members.with(id, address, true);
+        }
+        ::log::info!("step=found members={members:?}");
+        self.group = Some(self.id.0);
+        self.write(vec![super::Entry::Group(self.id.0)]);
+        self.adopt_term(now, 1);
+        self.append_own(Command::Members(members));
+        self.start_election(now);
+        true
+    }
+}
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -5,7 +5,9 @@
 
 mod action;
 mod append;
+mod changes;
 mod election;
+mod joining;
 mod log;
 mod members;
 mod message;
@@ -26,8 +28,9 @@
 
 pub use action::{Action, ReplicaInput, ReplicaSettings};
 use append::Progress;
+use joining::Joining;
 use log::Log;
-use members::{Joining, Votes};
+use members::Votes;
 pub use members::{Member, MemberId, Members};
 pub use message::{ReplicaBody, ReplicaMessage};
 pub use record::{LogIndex, Position, Record, WriteId};
--- /dev/null
+++ b/tests/replaced_members.rs
@@ -0,0 +1,186 @@
+//! A list of the members of control neither keeps those that are gone for good nor keeps out new
+//! ones, however machines are replaced one after the other.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dotterelpin::control::replica::{
+    Action, LogIndex, Member, MemberId, Members, Record, Replica, ReplicaBody, ReplicaInput,
+    ReplicaMessage, ReplicaSettings, Stored, WriteId,
+};
+use dotterelpin::control::state::Command;
+use dotterelpin::model::{InboundId, Timestamp};
+
+fn address(member: u64) -> SocketAddr {
+    ([10, 0, 0, member as u8], 7000).into()
+}
+
+fn members(voters: impl IntoIterator<Item = u64>) -> Members {
+    let voter = |id| (MemberId(id), Member { address: address(id), voter: true });
+    Members { epoch: 3, all: voters.into_iter().map(voter).collect() }
+}
+
+/// Member 1 of a group; the test plays its peers and its disk.
+struct Group {
+    replica: Replica,
+    now: Timestamp,
+    written: u64,
+    /// The actions since they were last taken.
+    actions: Vec<Action>,
+}
+
+impl Group {
+    /// Creates a member whose log lists the voters and whose settings name the seeds.
+    fn new(voters: impl IntoIterator<Item = u64>, seeds: &[u64]) -> Group {
+        let command = Command::Members(members(voters));
+        let records = vec![
+            Record { index: LogIndex(1), term: 1, command },
+            Record { index: LogIndex(2), term: 2, command: Command::Noop },
+        ];
+        let stored = Stored { group: Some(9), term: 2, records, ..Stored::new(MemberId(1)) };
+        Group::start(stored, seeds)
+    }
+
+    fn start(stored: Stored, seeds: &[u64]) -> Group {
+        let seeds = seeds.iter().map(|s| address(*s)).collect();
+        let replica = Replica::new(ReplicaSettings::new(address(1), seeds, 1), stored);
+        let now = Timestamp::from_micros(1_000_000);
+        let mut group = Group { replica, now, written: 0, actions: Vec::new() };
+        group.step(ReplicaInput::Wake);
+        group
+    }
+
+    /// Creates a group of the voters 1 to `count` that member 1 leads, with all others alive.
+    fn leader(count: u64) -> Group {
+        Group::leader_with(count, &[1, 2, 3])
+    }
+
+    fn leader_with(count: u64, seeds: &[u64]) -> Group {
+        let mut group = Group::new(1..=count, seeds);
+        group.now = group.now + Duration::from_secs(1);
+        group.step(ReplicaInput::Wake);
+        let peers: Vec<u64> = (2..=count).collect();
+        for peer in &peers {
+            group.reply(*peer, 2, ReplicaBody::PreVoted { next: 3, granted: true });
+        }
+        group.sync();
+        for peer in &peers {
+            group.reply(*peer, 3, ReplicaBody::Voted { granted: true });
+        }
+        assert!(group.replica.is_leader());
+        group.run(200, &peers);
+        group
+    }
+
+    fn step(&mut self, input: ReplicaInput) {
+        let actions = self.replica.step(self.now, input);
+        for action in &actions {
+            if let Action::Write { id, .. } | Action::Replace { id, .. } = action {
+                self.written = id.0;
+            }
+        }
+        self.actions.extend(actions);
+    }
+
+    fn sync(&mut self) {
+        self.step(ReplicaInput::Synced(WriteId(self.written)));
+    }
+
+    fn message(&self, member: u64, at: u64, body: ReplicaBody) -> ReplicaMessage {
+        let (from, to, address) = (MemberId(member), MemberId(1), address(at));
+        ReplicaMessage { group: Some(9), from, address, to, term: self.replica.term(), body }
+    }
+
+    fn reply(&mut self, member: u64, term: u64, body: ReplicaBody) {
+        let message = ReplicaMessage { term, ..self.message(member, member, body) };
+        self.step(ReplicaInput::Reply { peer: address(member), message });
+    }
+
+    /// A machine with an empty disk asks to join.
+    fn hello(&mut self, member: u64) {
+        let body = ReplicaBody::Hello { joinable: true };
+        let message = ReplicaMessage { group: None, ..self.message(member, member, body) };
+        self.step(ReplicaInput::Request { via: InboundId(member), message });
+    }
+
+    /// Lets time pass in which the given members answer the leader, and the others don't.
+    fn run(&mut self, millis: u64, alive: &[u64]) {
+        for _ in 0..millis / 50 {
+            self.now = self.now + Duration::from_millis(50);
+            self.sync();
+            let alive: BTreeSet<u64> = alive.iter().copied().collect();
+            let listed: BTreeSet<u64> =
+                self.replica.members().all.keys().map(|id| id.0).filter(|id| *id != 1).collect();
+            for member in alive.intersection(&listed) {
+                let (end, sent) = (self.replica.last().index, self.now);
+                let (term, matched) = (self.replica.term(), true);
+                self.reply(*member, term, ReplicaBody::Appended { matched, end, sent });
+            }
+            self.step(ReplicaInput::Wake);
+        }
+    }
+
+    fn voters(&self) -> Vec<u64> {
+        self.replica.members().voters().map(|(id, _)| id.0).collect()
+    }
+}
+
+/// Each new machine got its vote while the old one still had its own, and an odd number of voters
+/// kept those that were gone, until one more loss ended the group.
+#[test]
+fn planned_replacements_keep_no_gone_voter() {
+    let mut group = Group::leader(5);
+    for (new, alive) in [(6, vec![2, 3, 4, 5, 6]), (7, vec![2, 3, 4, 5, 6, 7])] {
+        group.hello(new);
+        group.run(500, &alive);
+    }
+    assert_eq!(group.voters(), [1, 2, 3, 4, 5, 6, 7]);
+    group.run(3_000, &[4, 5, 6, 7]);
+    assert_eq!(group.voters(), [1, 4, 5, 6, 7], "two of seven were gone");
+    group.hello(8);
+    group.run(3_000, &[5, 6, 7, 8]);
+    assert_eq!(group.voters(), [1, 5, 6, 7, 8]);
+}
+
+/// Without a replacement, voters that are gone lose their votes as long as the group then bears
+/// more losses, and not beyond.
+#[test]
+fn gone_voters_of_an_odd_group_lose_their_votes_together() {
+    let mut group = Group::leader(5);
+    group.run(5_000, &[2, 3, 4]);
+    assert_eq!(group.voters(), [1, 2, 3, 4, 5], "without voter 5, no more losses are borne");
+    group.run(5_000, &[2, 3]);
+    assert_eq!(group.voters(), [1, 2, 3]);
+    group.run(5_000, &[2]);
+    assert_eq!(group.voters(), [1, 2, 3], "two voters bear no loss");
+}
+
+/// Of three voters each majority is on two disks only, so five stay if two disks may be lost.
+#[test]
+fn gone_voters_stay_if_what_is_committed_needs_their_number() {
+    let seeds: Vec<u64> = (1..=5).collect();
+    let mut group = Group::leader_with(5, &seeds);
+    group.run(5_000, &[2, 3]);
+    assert_eq!(group.voters(), [1, 2, 3, 4, 5]);
+    group.hello(6);
+    group.run(1_000, &[2, 3, 6]);
+    assert_eq!(group.voters().len(), 5, "the new one takes the place of one of them");
+    assert!(group.voters().contains(&6));
+}
+
+/// New machines that were gone again before they had a vote took the places of others.
+#[test]
+fn a_gone_learner_keeps_out_no_other() {
+    let mut group = Group::leader(3);
+    for gone in [7, 8, 9, 10] {
+        group.hello(gone);
+        group.run(100, &[2, 3]);
+    }
+    group.hello(11);
+    group.run(1_000, &[2, 3, 11]);
+    assert_eq!(group.voters(), [1, 2, 3, 11]);
+    group.run(6_000, &[2, 3, 11]);
+    let listed: Vec<u64> = group.replica.members().all.keys().map(|id| id.0).collect();
+    assert_eq!(listed, [1, 2, 3, 11], "learners that are gone are dropped");
+}
