Let a new member find the leader through any member

A machine that replaced a lost one never followed the group, and its address stayed without a vote: the next losses then ended the group, though fewer were lost than it must bear.

It is given three addresses, which may be of followers and of machines that are gone. A follower keeps a request to join to itself, only the leader adds members, and the reply named nobody else.

Now the reply to a hello lists the committed members, with the epoch of the list, and the leader. A machine without a vote sends its hello at once to those that it did not know, and to all of them until it is admitted. One that has learned of a group founds no other. Whom it asks is logged (step=hello) whenever that changes.

tests/replaced_members.rs, with replicas on a network in memory: a_new_member_whose_seeds_are_followers_joins and a_new_member_of_which_one_seed_is_left_joins failed before (no vote after 2 and 3 s) and pass now.

--- a/src/control/replica/joining.rs
+++ b/src/control/replica/joining.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::members::{MemberId, Members};
-use super::message::{ReplicaBody, ReplicaMessage};
+use super::message::{Contacts, ReplicaBody, ReplicaMessage};
 use super::{Action, Replica};
 use crate::control::state::Command;
 use crate::model::{InboundId, Timestamp};
@@ -22,6 +22,10 @@
     blank: BTreeMap<SocketAddr, MemberId>,
     /// The addresses that have not replied to the last hello yet.
     unanswered: BTreeSet<SocketAddr>,
+    /// The addresses that the last hello went to.
+    greeted: BTreeSet<SocketAddr>,
+    /// The newest list of the members of the group that was received.
+    contacts: Contacts,
 }
 
 impl Joining {
@@ -67,14 +71,30 @@
         if self.try_found(now) {
             return;
         }
-        let own = self.settings.address;
-        let known = self.members.all.values().map(|m| m.address);
-        let addresses: BTreeSet<_> = self.settings.members.iter().copied().chain(known).collect();
-        let others: BTreeSet<_> = addresses.into_iter().filter(|a| *a != own).collect();
-        for peer in std::mem::replace(&mut self.joining.unanswered, others.clone()) {
+        let others = self.greetable();
+        for peer in std::mem::take(&mut self.joining.unanswered) {
             self.redial(now, peer, now);
         }
-        for to in others {
+        if others != self.joining.greeted {
+            let to: Vec<_> = others.iter().map(SocketAddr::to_string).collect();
+            ::log::info!("step=hello to={}", to.join(","));
+        }
+        self.joining.unanswered = others.clone();
+        self.joining.greeted = others.clone();
+        self.greet(others);
+    }
+
+    /// Returns the addresses of all machines that may be members: those in the settings, in the own
+    /// list and in the newest list that was received.
+    fn greetable(&self) -> BTreeSet<SocketAddr> {
+        let known = self.members.all.values().map(|m| m.address);
+        let known = known.chain(self.joining.contacts.addresses());
+        let all = self.settings.members.iter().copied().chain(known);
+        all.filter(|a| *a != self.settings.address).collect()
+    }
+
+    fn greet(&mut self, addresses: BTreeSet<SocketAddr>) {
+        for to in addresses {
             let message = self.message(MemberId(0), ReplicaBody::Hello { joinable: true });
             self.actions.push(Action::Request { to, message });
         }
@@ -91,19 +111,52 @@
             self.joining.requests.insert(message.address, (message.from, now));
         }
         let blank = self.group.is_none();
-        self.answer(via, message.from, ReplicaBody::Welcome { blank });
+        let contacts = self.contacts();
+        self.answer(via, message.from, ReplicaBody::Welcome { blank, contacts });
+    }
+
+    fn contacts(&self) -> Contacts {
+        let leader = self.leader();
+        let Some(list) = self.committed_members() else {
+            return Contacts { leader, ..Contacts::default() };
+        };
+        let members = list.all.iter().map(|(id, m)| (*id, m.address)).collect();
+        Contacts { epoch: list.epoch, members, leader }
     }
 
-    pub(super) fn welcome(&mut self, now: Timestamp, peer: SocketAddr, id: MemberId, blank: bool) {
+    /// Processes the reply to a hello: only the leader admits a new member, and those that were
+    /// asked may all be others.
+    pub(super) fn welcome(&mut self, now: Timestamp, peer: SocketAddr, message: ReplicaMessage) {
+        let ReplicaBody::Welcome { blank, contacts } = message.body else { return };
         self.joining.unanswered.remove(&peer);
-        if self.group.is_some() {
+        if self.group.is_none() && blank {
+            self.joining.blank.insert(peer, message.from);
+            self.try_found(now);
             return;
         }
-        if blank {
-            self.joining.blank.insert(peer, id);
-            self.try_found(now);
+        self.joining.blank.remove(&peer);
+        if self.group.is_some() && self.group != message.group {
+            return;
+        }
+        self.learn_contacts(contacts);
+    }
+
+    fn learn_contacts(&mut self, contacts: Contacts) {
+        if contacts.epoch >= self.joining.contacts.epoch {
+            self.joining.contacts = contacts;
         } else {
-            self.joining.blank.remove(&peer);
+            self.joining.contacts.leader = contacts.leader.or(self.joining.contacts.leader);
+        }
+        if !self.wants_to_join() {
+            return;
+        }
+        let new: BTreeSet<_> =
+            self.greetable().difference(&self.joining.greeted).copied().collect();
+        if !new.is_empty() {
+            let to: Vec<_> = new.iter().map(SocketAddr::to_string).collect();
+            ::log::info!("step=hello to={} epoch={}", to.join(","), self.joining.contacts.epoch);
+            self.joining.greeted.extend(&new);
+            self.greet(new);
         }
     }
 
@@ -113,7 +166,8 @@
         let own = self.settings.address;
         let others = || addresses.iter().filter(|a| **a != own);
         let complete = others().all(|a| self.joining.blank.contains_key(a));
-        if self.group.is_some() || addresses.first() != Some(&own) || !complete {
+        let grouped = self.group.is_some() || self.joining.contacts.epoch > 0;
+        if grouped || addresses.first() != Some(&own) || !complete {
             return false;
         }
         let mut members = Members::default().with(self.id, own, true);
--- a/src/control/replica/message.rs
+++ b/src/control/replica/message.rs
@@ -1,5 +1,6 @@
 //! The messages between replicas.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -25,6 +26,32 @@
     pub body: ReplicaBody,
 }
 
+/// The members of a group as one of them knows them, for a machine that looks for the leader.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Contacts {
+    /// The epoch of the committed list of members; 0 if none is known.
+    pub epoch: u64,
+    /// The members in that list.
+    pub members: BTreeMap<MemberId, SocketAddr>,
+    /// The leader, if it is known.
+    pub leader: Option<SocketAddr>,
+}
+
+impl Contacts {
+    /// Returns the addresses of the members and of the leader.
+    ///
+    /// ```
+    /// use dotterelpin::control::replica::Contacts;
+    ///
+    /// let leader = Some("10.0.0.1:7000".parse().unwrap());
+    /// let contacts = Contacts { leader, ..Contacts::default() };
+    /// assert_eq!(contacts.addresses().collect::<Vec<_>>(), leader.as_slice());
+    /// ```
+    pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        self.members.values().copied().chain(self.leader)
+    }
+}
+
 /// The content of a message.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ReplicaBody {
@@ -37,6 +64,8 @@
     Welcome {
         /// Whether the replying member belongs to no group yet.
         blank: bool,
+        /// Whom else of the group the receiver can ask.
+        contacts: Contacts,
     },
     /// Request: whether the receiver would vote for the sender.
     PreVote {
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -32,7 +32,7 @@
 use log::Log;
 use members::Votes;
 pub use members::{Member, MemberId, Members};
-pub use message::{ReplicaBody, ReplicaMessage};
+pub use message::{Contacts, ReplicaBody, ReplicaMessage};
 pub use record::{LogIndex, Position, Record, WriteId};
 use snapshot::IncomingSnapshot;
 pub use snapshot::Snapshot;
@@ -394,8 +394,8 @@
 
     fn reply(&mut self, now: Timestamp, peer: SocketAddr, message: ReplicaMessage) {
         self.links.entry(peer).or_default().heard = now;
-        if let ReplicaBody::Welcome { blank } = message.body {
-            self.welcome(now, peer, message.from, blank);
+        if matches!(message.body, ReplicaBody::Welcome { .. }) {
+            self.welcome(now, peer, message);
             return;
         }
         if message.to != self.id || !self.same_group(&message) {
--- a/tests/replaced_members.rs
+++ b/tests/replaced_members.rs
@@ -1,8 +1,9 @@
 //! A list of the members of control neither keeps those that are gone for good nor keeps out new
 //! ones, however machines are replaced one after the other.
 
+mod replica_net;
+
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use dotterelpin::control::replica::{
@@ -12,9 +13,7 @@
 use dotterelpin::control::state::Command;
 use dotterelpin::model::{InboundId, Timestamp};
 
-fn address(member: u64) -> SocketAddr {
-    ([10, 0, 0, member as u8], 7000).into()
-}
+use replica_net::{Net, address};
 
 fn members(voters: impl IntoIterator<Item = u64>) -> Members {
     let voter = |id| (MemberId(id), Member { address: address(id), voter: true });
@@ -184,3 +183,37 @@
     let listed: Vec<u64> = group.replica.members().all.keys().map(|id| id.0).collect();
     assert_eq!(listed, [1, 2, 3, 11], "learners that are gone are dropped");
 }
+
+/// A machine reached only followers, which kept its request to themselves.
+#[test]
+fn a_new_member_whose_seeds_are_followers_joins() {
+    let mut net = Net::founded(1..=5);
+    let leader = net.leader().unwrap();
+    let followers: Vec<u64> = (1..=5).filter(|m| *m != leader).collect();
+    net.start(6, &followers[..3]);
+    net.run(2_000);
+    assert_eq!(net.voters(), (1..=6).collect());
+}
+
+/// Of the seeds of the last machine, all but one had been replaced, too.
+#[test]
+fn a_new_member_of_which_one_seed_is_left_joins() {
+    let mut net = Net::founded(1..=3);
+    for (new, gone) in [(4, 1), (5, 2)] {
+        net.stop(gone);
+        net.start(new, &[1, 2, 3]);
+        net.run(6_000);
+    }
+    assert_eq!(net.voters(), [3, 4, 5].into());
+    // The last seed is no leader.
+    if net.leader() == Some(3) {
+        net.stop(3);
+        net.run(1_500);
+        net.start(3, &[1, 2, 3]);
+        net.run(1_500);
+    }
+    assert!(net.leader().is_some_and(|l| l != 3));
+    net.start(6, &[1, 2, 3]);
+    net.run(3_000);
+    assert_eq!(net.voters(), [3, 4, 5, 6].into());
+}
