Compact the log of control by its bytes, too

Callers saw no acknowledgement of any configuration, and no read of it, once some 350 changes of 385 KB had filled the disks of all control members.

The log now counts the encoded size of its records as they come and go.

Only applied records count, since others can't be compacted.

Evidence: large_documents_do_not_fill_the_disk failed before: 46,204,140 bytes of files after 120 changes of 385,000 bytes, on one real disk.

--- a/src/control/replica/action.rs
+++ b/src/control/replica/action.rs
@@ -15,17 +15,22 @@
     pub members: Vec<SocketAddr>,
     /// The seed of its random timeouts.
     pub seed: u64,
-    /// The number of records, beyond the kept ones, after which the log is compacted into a
-    /// snapshot.
+    /// The number of records after a snapshot from which the log is compacted into the next one.
     pub compact_after: usize,
+    /// The encoded bytes of the records after a snapshot from which the log is compacted, too.
+    pub compact_bytes: usize,
     /// The number of records before a snapshot that are kept for members that lag a little.
     pub kept: usize,
+    /// The encoded bytes that these records may have at most.
+    pub kept_bytes: usize,
 }
 
 impl ReplicaSettings {
     /// Creates the settings of a member in production.
     pub fn new(address: SocketAddr, members: Vec<SocketAddr>, seed: u64) -> ReplicaSettings {
-        ReplicaSettings { address, members, seed, compact_after: 8_192, kept: 2_048 }
+        let (compact_after, compact_bytes) = (8_192, 4 << 20);
+        let (kept, kept_bytes) = (2_048, 1 << 20);
+        ReplicaSettings { address, members, seed, compact_after, compact_bytes, kept, kept_bytes }
     }
 }
 
--- a/src/control/replica/snapshot.rs
+++ b/src/control/replica/snapshot.rs
@@ -7,12 +7,15 @@
 
 use super::members::{MemberId, Members};
 use super::message::ReplicaBody;
-use super::{Action, Entry, LogIndex, Position, Replica, WriteId};
+use super::{Action, Entry, LogIndex, Position, Replica, ReplicaSettings, WriteId};
 use crate::control::state::Command;
 use crate::model::Timestamp;
 
 /// The maximum number of bytes of a snapshot in one message.
 const CHUNK_BYTES: usize = 256 << 10;
+/// The assumed size in bytes of a usual record, by which the size of a state is compared with a
+/// number of records.
+const RECORD_BYTES: usize = 256;
 
 /// The replicated state at a position of the log.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -35,12 +38,18 @@
 impl Replica {
     /// Returns whether the log has grown so long that it should be compacted.
     pub fn wants_snapshot(&self) -> bool {
-        let size = self.log.snapshot().map_or(0, |s| s.state.len());
-        let records = self.log.len().saturating_sub(self.settings.kept);
-        let made = self.log.snapshot().map_or(LogIndex(0), |s| s.position.index);
+        let made = self.log.made();
+        if self.applied <= made || self.log.get(self.applied).is_none() {
+            return false;
+        }
         // A larger state is written less often.
-        let due = self.settings.compact_after.max(size / 256);
-        records > due && self.applied > made && self.log.get(self.applied).is_some()
+        let size = self.log.snapshot().map_or(0, |s| s.state.len());
+        let records = (self.applied.0 - made.0) as usize;
+        if records > self.settings.compact_after.max(size / RECORD_BYTES) {
+            return true;
+        }
+        let due = self.settings.compact_bytes.max(size);
+        self.log.fresh() > due && self.log.fresh() - self.log.bytes_after(self.applied) > due
     }
 
     /// Compacts the log into a snapshot of the encoded state as of [`Replica::applied`].
@@ -50,7 +59,9 @@
         };
         let members = self.members_at(position.index);
         let snapshot = Arc::new(Snapshot { position, members, state });
-        self.log.compact(snapshot.clone(), self.settings.kept);
+        let ReplicaSettings { kept, kept_bytes, .. } = self.settings;
+        let until = self.log.tail_start(position.index, kept, kept_bytes);
+        self.log.compact(snapshot.clone(), until);
         self.replace(snapshot);
         std::mem::take(&mut self.actions)
     }
--- /dev/null
+++ b/tests/log_size.rs
@@ -0,0 +1,149 @@
+//! The log and the files of a control member stay small whatever the size of its records, and a
+//! start needs little more memory than the records.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use dotterelpin::control::replica::{MemberId, ReplicaSettings};
+use dotterelpin::control::routing::Document;
+use dotterelpin::control::state::{Applied, Command};
+use dotterelpin::control::{Control, ControlSettings, DiskEffect, DiskInput, disk};
+use dotterelpin::link::message::{ControlReply, ControlRequest, Envelope, Reply, Request};
+use dotterelpin::model::{BootId, InboundId, Timestamp};
+use dotterelpin::role::{Input, Output, Role};
+
+const OWNER: MemberId = MemberId(7);
+/// A tenth of the disk of a control member.
+const MAX_FILE_BYTES: u64 = (128 << 20) / 10;
+
+/// A temporary folder that is removed when it is dropped.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Folder {
+        let unique = format!("dotterelpin-log-size-{}-{name}", std::process::id());
+        let path = std::env::temp_dir().join(unique);
+        let _ = std::fs::remove_dir_all(&path);
+        Folder(path)
+    }
+
+    /// Returns the bytes of all files.
+    fn bytes(&self) -> u64 {
+        let files = std::fs::read_dir(&self.0).unwrap();
+        files.map(|f| f.unwrap().metadata().unwrap().len()).sum()
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// The only member of a group, on a real disk.
+struct Member {
+    control: Control,
+    files: disk::Files,
+    now: Timestamp,
+    /// The largest size of the folder so far.
+    largest: u64,
+    applied: usize,
+}
+
+impl Member {
+    fn start(folder: &Folder) -> Member {
+        let (stored, files) = disk::open(&folder.0, OWNER).unwrap();
+        let control = Control::new(settings(), stored).unwrap();
+        let now = Timestamp::from_micros(1_000_000);
+        let mut member = Member { control, files, now, largest: 0, applied: 0 };
+        for _ in 0..50 {
+            member.now = member.now + Duration::from_millis(100);
+            member.step(folder, Input::Wake);
+        }
+        assert!(member.control.replica().is_leader());
+        member
+    }
+
+    fn step(&mut self, folder: &Folder, input: Input<DiskInput>) {
+        let mut inputs = VecDeque::from([input]);
+        while let Some(input) = inputs.pop_front() {
+            for output in self.control.step(self.now, input) {
+                match output {
+                    Output::Effect(DiskEffect::Append { id, entries }) => {
+                        self.files.append(&entries).unwrap();
+                        inputs.push_back(Input::Local(DiskInput::Synced(id)));
+                    }
+                    Output::Effect(DiskEffect::Replace { id, snapshot, entries }) => {
+                        let before = folder.bytes();
+                        self.files.replace(&snapshot, &entries).unwrap();
+                        // The new files are written beside the old ones.
+                        self.largest = self.largest.max(before + folder.bytes());
+                        inputs.push_back(Input::Local(DiskInput::Synced(id)));
+                    }
+                    Output::Reply { envelope, .. } => {
+                        let published = matches!(
+                            envelope.body,
+                            Reply::Control(ControlReply::Applied(Applied::Published(_)))
+                        );
+                        self.applied += usize::from(published);
+                    }
+                    _ => {}
+                }
+            }
+        }
+        self.largest = self.largest.max(folder.bytes());
+    }
+
+    fn publish(&mut self, folder: &Folder, version: u64, bytes: usize) {
+        let text = vec![b'r'; bytes].into();
+        let command = Command::Publish(Document { version, text });
+        let body = Request::Control(ControlRequest::Propose(command));
+        let envelope = Envelope { revised: Default::default(), body };
+        self.now = self.now + Duration::from_millis(1);
+        self.step(folder, Input::Request { inbound: InboundId(version), envelope });
+    }
+}
+
+fn settings() -> ControlSettings {
+    let address: SocketAddr = ([10, 0, 0, 1], 7000).into();
+    ControlSettings {
+        name: "control-0".into(),
+        domain: "brno-a".into(),
+        boot: BootId(1),
+        replica: ReplicaSettings::new(address, vec![address], 1),
+        grace: Duration::from_secs(8),
+    }
+}
+
+#[test]
+fn large_documents_do_not_fill_the_disk() {
+    for (name, bytes, count) in [("385-kb", 385_000, 120), ("1-mb", 1_040_000, 50)] {
+        let folder = Folder::new(name);
+        let mut member = Member::start(&folder);
+        for version in 1..=count {
+            member.publish(&folder, version, bytes);
+        }
+        assert_eq!(member.applied, count as usize);
+        let largest = member.largest;
+        assert!(largest <= MAX_FILE_BYTES, "{count} changes of {bytes} bytes: {largest} bytes");
+        drop(member);
+        let member = Member::start(&folder);
+        let document = member.control.state().routing.document().cloned().unwrap();
+        assert_eq!((document.version, document.text.len()), (count, bytes));
+    }
+}
+
+/// A snapshot of a large state is not written again for each small step of the log.
+#[test]
+fn small_records_are_not_compacted_one_by_one() {
+    let folder = Folder::new("small");
+    let mut member = Member::start(&folder);
+    member.publish(&folder, 1, 1_000_000);
+    for version in 2..=1_000 {
+        member.publish(&folder, version, 1_000);
+    }
+    assert!(member.control.replica().snapshot().is_none(), "2 MB of records are no reason");
+    assert_eq!(member.applied, 1_000);
+}
