--- a/src/control/replica/action.rs
+++ b/src/control/replica/action.rs
@@ -17,11 +17,14 @@
     pub losses: usize,
     /// The seed of its random timeouts.
     pub seed: u64,
-    /// The number of records, beyond the kept ones, after which the log is compacted into a
-    /// snapshot.
+    /// The number of records after a snapshot from which the log is compacted into the next one.
     pub compact_after: usize,
+    /// The encoded bytes of the records after a snapshot from which the log is compacted, too.
+    pub compact_bytes: usize,
     /// The number of records before a snapshot that are kept for members that lag a little.
     pub kept: usize,
+    /// The encoded bytes that these records may have at most.
+    pub kept_bytes: usize,
 }
 
 impl ReplicaSettings {
@@ -29,7 +32,16 @@
     /// members may be lost at once.
     pub fn new(address: SocketAddr, members: Vec<SocketAddr>, seed: u64) -> ReplicaSettings {
         let losses = (members.len().saturating_sub(1) / 2).max(1);
-        ReplicaSettings { address, members, losses, seed, compact_after: 8_192, kept: 2_048 }
+        ReplicaSettings {
+            address,
+            members,
+            losses,
+            seed,
+            compact_after: 8_192,
+            compact_bytes: 4 << 20,
+            kept: 2_048,
+            kept_bytes: 1 << 20,
+        }
     }
 }
 
