Bound the numbers that are read from outside

Callers saw: a request whose deadline is 1e21 ms ended the gateway's process. All requests of other callers that it had passed on were cut without an answer.

Cause: a number that fits into a Duration was taken as it is, and a multiple of it does not fit: `UsualTimeout::is_late` multiplies the caller timeout by 20, which panics. The same class of fault elsewhere: a target or a retention period in a routing table (multiplied by up to 200 in timers, queues, windows and retries), tokens of a call and counts in an engine's report (sums that wrap around), and a time that does not fit into a Timestamp, which was truncated and so taken for a short one.

Fix: each of these numbers is bounded where it is decoded, so that nothing behind that has to check it. Larger ones count as the bound: 24 hours for caller timeouts and for the times of a table, 10 million tokens for a call, an export or a report, a million requests for a report, 100 million tokens for an engine's memory. Deadlines that are no number of milliseconds (negative, infinite, NaN) are refused with 400 as before; finite ones above 1.8e22 ms, which were refused, count as the bound. Adding to a Timestamp saturates.

--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -189,8 +189,8 @@
 
     /// Counts work that goes on there after its call has ended.
     pub fn keep_usage(&mut self, now: Timestamp, work: Usage) {
-        self.usage.slots += work.slots;
-        self.usage.tokens += work.tokens;
+        self.usage.slots = self.usage.slots.saturating_add(work.slots);
+        self.usage.tokens = self.usage.tokens.saturating_add(work.tokens);
         self.record_usage(now);
     }
 
@@ -229,12 +229,12 @@
             at.as_micros().saturating_sub(REPORT_LAG.as_micros() as u64),
         ));
         let foreign = Usage {
-            slots: (report.running + report.waiting).saturating_sub(then.slots),
+            slots: report.running.saturating_add(report.waiting).saturating_sub(then.slots),
             tokens: report.used.saturating_sub(then.tokens),
         };
         Usage {
-            slots: self.usage.slots + foreign.slots,
-            tokens: self.usage.tokens + foreign.tokens,
+            slots: self.usage.slots.saturating_add(foreign.slots),
+            tokens: self.usage.tokens.saturating_add(foreign.tokens),
         }
     }
 }
--- a/src/gateway/fleet/mod.rs
+++ b/src/gateway/fleet/mod.rs
@@ -242,7 +242,7 @@
         let count = open.len().max(1) as u64;
         let cost = |at: usize, e: &Endpoint| {
             let remote = if e.local { 0 } else { REMOTE_CALLS };
-            (e.usage.slots + remote, (at as u64 + draw) % count)
+            (e.usage.slots + remote, draw.wrapping_add(at as u64) % count)
         };
         usable.enumerate().min_by_key(|(at, (_, e))| cost(*at, e)).map(|(_, (key, _))| *key)
     }
--- a/src/gateway/header_protocol.rs
+++ b/src/gateway/header_protocol.rs
@@ -18,6 +18,13 @@
 const RETRY_AFTER: &str = "Retry-After";
 /// The maximum of seconds that is read from a field; longer times are read as this one.
 const MAX_SECONDS: f64 = 1e9;
+/// The maximum caller timeout that is read from a field; longer ones are read as this one.
+const MAX_TIMEOUT: Duration = Duration::from_hours(24);
+/// The maximum number of tokens that is read for a prompt, an answer, an export or a KV cache; larger
+/// numbers are read as this one.
+const MAX_TOKENS: u32 = 10_000_000;
+/// The maximum number of requests that is read from a report; larger numbers are read as this one.
+const MAX_REQUESTS: u32 = 1_000_000;
 /// The maximum number of parts of a prompt that are read; a longer prompt has more, which are
 /// ignored.
 const MAX_PARTS: usize = 32;
@@ -181,7 +188,8 @@
     }
 
     fn read_export(&self, content: &[u8]) -> Option<Export> {
-        self.engines.read_export(content)
+        let export = self.engines.read_export(content)?;
+        Some(Export { tokens: export.tokens.min(MAX_TOKENS), ..export })
     }
 
     fn write_side(&self, host: SocketAddr, request: &SideRequest) -> Vec<u8> {
@@ -203,7 +211,14 @@
     }
 
     fn read_report(&self, content: &[u8]) -> Option<EngineReport> {
-        self.engines.read_report(content)
+        let report = self.engines.read_report(content)?;
+        Some(EngineReport {
+            kind: report.kind,
+            running: report.running.min(MAX_REQUESTS),
+            waiting: report.waiting.min(MAX_REQUESTS),
+            used: report.used.min(MAX_TOKENS),
+            total: report.total.min(MAX_TOKENS),
+        })
     }
 
     fn write_refusal(&self, id: Option<&str>, refusal: &RefusalInfo, keep: bool) -> Vec<u8> {
@@ -252,7 +267,8 @@
 
 fn millis(text: &str) -> Option<Duration> {
     let millis: f64 = text.parse().ok()?;
-    Duration::try_from_secs_f64(millis / 1_000.0).ok()
+    let seconds = millis.is_finite().then_some(millis / 1_000.0)?;
+    Duration::try_from_secs_f64(seconds.min(MAX_TIMEOUT.as_secs_f64())).ok()
 }
 
 /// Returns the ids of all parts of a prompt but the last one. The tokens of a part are not checked.
@@ -265,6 +281,6 @@
 
 fn read_work(model: &str, tokens: &str) -> Option<ModelWork> {
     let (prompt, output) = tokens.split_once(',')?;
-    let (prompt, output) = (prompt.trim().parse().ok()?, output.trim().parse().ok()?);
-    Some(ModelWork { model: model.into(), prompt, output })
+    let tokens = |text: &str| Some(text.trim().parse::<u32>().ok()?.min(MAX_TOKENS));
+    Some(ModelWork { model: model.into(), prompt: tokens(prompt)?, output: tokens(output)? })
 }
--- a/src/model/time.rs
+++ b/src/model/time.rs
@@ -54,7 +54,8 @@
     type Output = Timestamp;
 
     fn add(self, span: Duration) -> Timestamp {
-        Timestamp(self.0.saturating_add(span.as_micros() as u64))
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Timestamp(self.0.saturating_add(micros))
     }
 }
 
--- a/src/routes/check.rs
+++ b/src/routes/check.rs
@@ -176,7 +176,7 @@
             let checked = Service {
                 health: service.health.into(),
                 connections: u32::try_from(service.connections).unwrap_or(u32::MAX),
-                engine: service.engine,
+                engine: service.engine.map(checked_engine),
             };
             if services.insert(name.clone(), checked).is_some() {
                 return Err(TableError::DuplicateService { service: name });
@@ -194,7 +194,13 @@
                 return Err(TableError::DuplicateRoute { route: name });
             }
         }
-        Ok(RouteTable { version: raw.version, routes, services, limits: raw.limits, hosts })
+        Ok(RouteTable {
+            version: raw.version,
+            routes,
+            services,
+            limits: checked_limits(raw.limits),
+            hosts,
+        })
     }
 }
 
@@ -239,6 +245,28 @@
     (scaled.is_finite() && (0.0..=f64::from(u32::MAX)).contains(&scaled)).then_some(scaled as u32)
 }
 
+/// The maximum time that a table may set; longer ones count as this one.
+const MAX_TIME: Duration = Duration::from_hours(24);
+/// The maximum size of an engine's KV cache in tokens; larger ones count as this one.
+const MAX_ENGINE_TOKENS: u32 = 100_000_000;
+
+fn checked_engine(raw: EngineShape) -> EngineShape {
+    EngineShape {
+        slots: raw.slots,
+        tokens: raw.tokens.min(MAX_ENGINE_TOKENS),
+        retention: raw.retention.min(MAX_TIME),
+    }
+}
+
+fn checked_limits(raw: CallerLimits) -> CallerLimits {
+    CallerLimits {
+        head_timeout: raw.head_timeout.min(MAX_TIME),
+        idle_timeout: raw.idle_timeout.min(MAX_TIME),
+        ..raw
+    }
+}
+
 fn millis(value: f64) -> Option<Duration> {
-    Duration::try_from_secs_f64(value / 1_000.0).ok()
+    let time = Duration::try_from_secs_f64(value / 1_000.0).ok()?;
+    Some(time.min(MAX_TIME))
 }
