Refuse names from endpoints that are no tokens

Callers saw: a request ran with an empty content. An endpoint's handle that ends with line ends was written into the head of the run's request as it is, which ended the head there.

Cause: the names of exports and reservations come out of JSON contents, where any character may stand, and were never checked before they went into a field or a path.

Fix: a name that is empty, longer than 256 bytes, or holds anything but letters, digits and -._~ makes the answer a malformed one, like one without a name. The call goes on elsewhere as after any broken prefill or refused reservation; what the endpoint keeps under that name expires there.

--- a/src/gateway/header_protocol.rs
+++ b/src/gateway/header_protocol.rs
@@ -10,7 +10,7 @@
 };
 use crate::h1::{AnswerHead, Fields, Request, RequestHead, write};
 
-/// The maximum length of a call's id in bytes.
+/// The maximum length in bytes of a call's id, and of a name that an endpoint hands out.
 const MAX_ID_BYTES: usize = 256;
 /// The status with which an endpoint turns a request away.
 const BUSY: u16 = 503;
@@ -188,7 +188,7 @@
     }
 
     fn read_export(&self, content: &[u8]) -> Option<Export> {
-        let export = self.engines.read_export(content)?;
+        let export = self.engines.read_export(content).filter(|e| is_token(&e.handle))?;
         Some(Export { tokens: export.tokens.min(MAX_TOKENS), ..export })
     }
 
@@ -207,7 +207,7 @@
     }
 
     fn read_hold(&self, content: &[u8]) -> Option<Box<str>> {
-        self.engines.read_hold(content)
+        self.engines.read_hold(content).filter(|hold| is_token(hold))
     }
 
     fn read_report(&self, content: &[u8]) -> Option<EngineReport> {
@@ -260,6 +260,12 @@
     Duration::try_from_secs_f64(finite).ok()
 }
 
+/// Returns whether a name that an endpoint hands out can stand in a field or a path as it is.
+fn is_token(name: &str) -> bool {
+    let sound = |b: u8| b.is_ascii_alphanumeric() || b"-._~".contains(&b);
+    (1..=MAX_ID_BYTES).contains(&name.len()) && name.bytes().all(sound)
+}
+
 /// Returns whether the value of a field that is a flag says yes.
 fn is_set(value: &[u8]) -> bool {
     !matches!(value.trim_ascii(), b"" | b"0")
