Discard answers that belong to no request, and close their connections

Callers saw: a request that may run once ran twice, or was refused as not run though it ran. A second copy of the 503 to a reservation came in front of the answer to a run on the same connection, and the run was sent to a second endpoint.

Cause: which request an answer belongs to was decided by its place on the connection. Of the nameless answers to a call only those with a 2xx were discarded, and answers to reservations, reports and releases, which name nothing, were never checked. Other forms of the same fault: the copy of a call's answer taken for a granted reservation; the copy of one reservation's answer taken for that to the next, which then uses another call's reservation; the right answer given up because it was read together with a stray one before it ("connection closed after a stray answer"); a stray answer without a length, whose end was reported as that of an answer and never as that of the connection.

Two side requests never follow each other on a connection, since a copy could not be told apart; calls take connections that have carried one first, so that reservations still find others.

--- a/src/gateway/fleet/conns.rs
+++ b/src/gateway/fleet/conns.rs
@@ -61,6 +61,11 @@
     pub connected: bool,
     /// Whether the answer that is being received belongs to another request and is discarded.
     pub stray: bool,
+    /// Whether any answer on it belonged to another request; it is not reused then.
+    pub spoilt: bool,
+    /// Whether the last answer on it named no call: if a copy of it came in front of the answer to a
+    /// side request, which names none either, nothing would tell them apart.
+    pub unnamed: bool,
     /// The bytes of it that were discarded.
     pub stray_bytes: usize,
     /// How long it may stay idle, by the endpoint's `Keep-Alive` field if it sends one.
@@ -71,6 +76,15 @@
     pub content: Vec<u8>,
 }
 
+impl Conn {
+    /// Discards the answer that is being received, since it belongs to another request.
+    pub fn discard(&mut self) {
+        self.stray = true;
+        self.stray_bytes = 0;
+        self.spoilt = true;
+    }
+}
+
 impl Fleet {
     /// Returns how many connections have a job.
     pub fn jobs(&self, job: Job) -> usize {
@@ -94,8 +108,9 @@
         Some(Start { endpoint: endpoint.name.clone(), boot: conn.boot })
     }
 
-    /// Assigns a job to the most recently used idle connection to an endpoint, if it has not been
-    /// idle too long; `once` is set for a call that must not be repeated.
+    /// Assigns a job to the most recently used idle connection to an endpoint that suits it and has not
+    /// been idle too long; `once` is set for a call that must not be repeated. A side request does not
+    /// follow another one; so a call takes a connection that has carried one, if it can.
     pub fn reuse(
         &mut self,
         now: Timestamp,
@@ -105,12 +120,16 @@
     ) -> Option<PeerId> {
         let max_idle = if once { IDLE_REUSE_ONCE } else { IDLE_REUSE };
         let endpoint = self.endpoints.get_mut(key)?;
-        let peer = *endpoint.idle.last()?;
+        let usable = |peer: &PeerId, unnamed: bool| {
+            self.conns.get(peer).is_some_and(|c| {
+                c.unnamed == unnamed && now - c.since <= max_idle.min(c.idle_timeout)
+            })
+        };
+        let last = |unnamed: bool| endpoint.idle.iter().rposition(|peer| usable(peer, unnamed));
+        let is_call = matches!(job, Job::Call(_));
+        let at = is_call.then(|| last(true)).flatten().or_else(|| last(false))?;
+        let peer = endpoint.idle.remove(at);
         let conn = self.conns.get_mut(&peer)?;
-        if now - conn.since > max_idle.min(conn.idle_timeout) {
-            return None;
-        }
-        endpoint.idle.pop();
         conn.job = job;
         conn.since = now;
         conn.stray = false;
@@ -129,6 +148,8 @@
             since: now,
             connected: false,
             stray: false,
+            spoilt: false,
+            unnamed: false,
             stray_bytes: 0,
             idle_timeout: IDLE_REUSE,
             status: 0,
@@ -138,11 +159,13 @@
         peer
     }
 
-    /// Keeps a connection for reuse if its endpoint still accepts work; returns whether it is kept.
+    /// Keeps a connection for reuse if its endpoint still accepts work and no stray answer came on it;
+    /// returns whether it is kept.
     pub fn park(&mut self, now: Timestamp, peer: PeerId, timeout: Option<Duration>) -> bool {
-        let Some(conn) = self.conns.get_mut(&peer) else { return false };
+        let Some(conn) = self.conns.get_mut(&peer).filter(|c| !c.spoilt) else { return false };
         let endpoint = self.endpoints.get_mut(conn.endpoint).filter(|e| e.accepts_work);
         let Some(endpoint) = endpoint else { return false };
+        conn.unnamed = !matches!(conn.job, Job::Call(_));
         conn.job = Job::Idle;
         conn.since = now;
         conn.content = Vec::new();
