--- a/src/gateway/header_protocol.rs
+++ b/src/gateway/header_protocol.rs
@@ -10,7 +10,7 @@
 };
 use crate::h1::{AnswerHead, Fields, Request, RequestHead, write};
 
-/// The maximum length of a call's id in bytes.
+/// The maximum length in bytes of a call's id, and of a name that an endpoint hands out.
 const MAX_ID_BYTES: usize = 256;
 /// The status with which an endpoint turns a request away.
 const BUSY: u16 = 503;
@@ -18,6 +18,13 @@
 const RETRY_AFTER: &str = "Retry-After";
 /// The maximum of seconds that is read from a field; longer times are read as this one.
 const MAX_SECONDS: f64 = 1e9;
+/// The maximum caller timeout that is read from a field; longer ones are read as this one.
+const MAX_TIMEOUT: Duration = Duration::from_hours(24);
+/// The maximum number of tokens that is read for a prompt, an answer, an export or a KV cache; larger
+/// numbers are read as this one.
+const MAX_TOKENS: u32 = 10_000_000;
+/// The maximum number of requests that is read from a report; larger numbers are read as this one.
+const MAX_REQUESTS: u32 = 1_000_000;
 /// The maximum number of parts of a prompt that are read; a longer prompt has more, which are
 /// ignored.
 const MAX_PARTS: usize = 32;
@@ -181,7 +188,8 @@
     }
 
     fn read_export(&self, content: &[u8]) -> Option<Export> {
-        self.engines.read_export(content)
+        let export = self.engines.read_export(content).filter(|e| is_token(&e.handle))?;
+        Some(Export { tokens: export.tokens.min(MAX_TOKENS), ..export })
     }
 
     fn write_side(&self, host: SocketAddr, request: &SideRequest) -> Vec<u8> {
@@ -199,11 +207,18 @@
     }
 
     fn read_hold(&self, content: &[u8]) -> Option<Box<str>> {
-        self.engines.read_hold(content)
+        self.engines.read_hold(content).filter(|hold| is_token(hold))
     }
 
     fn read_report(&self, content: &[u8]) -> Option<EngineReport> {
-        self.engines.read_report(content)
+        let report = self.engines.read_report(content)?;
+        Some(EngineReport {
+            kind: report.kind,
+            running: report.running.min(MAX_REQUESTS),
+            waiting: report.waiting.min(MAX_REQUESTS),
+            used: report.used.min(MAX_TOKENS),
+            total: report.total.min(MAX_TOKENS),
+        })
     }
 
     fn write_refusal(&self, id: Option<&str>, refusal: &RefusalInfo, keep: bool) -> Vec<u8> {
@@ -245,6 +260,12 @@
     Duration::try_from_secs_f64(finite).ok()
 }
 
+/// Returns whether a name that an endpoint hands out can stand in a field or a path as it is.
+fn is_token(name: &str) -> bool {
+    let sound = |b: u8| b.is_ascii_alphanumeric() || b"-._~".contains(&b);
+    (1..=MAX_ID_BYTES).contains(&name.len()) && name.bytes().all(sound)
+}
+
 /// Returns whether the value of a field that is a flag says yes.
 fn is_set(value: &[u8]) -> bool {
     !matches!(value.trim_ascii(), b"" | b"0")
@@ -252,7 +273,8 @@
 
 fn millis(text: &str) -> Option<Duration> {
     let millis: f64 = text.parse().ok()?;
-    Duration::try_from_secs_f64(millis / 1_000.0).ok()
+    let seconds = millis.is_finite().then_some(millis / 1_000.0)?;
+    Duration::try_from_secs_f64(seconds.min(MAX_TIMEOUT.as_secs_f64())).ok()
 }
 
 /// Returns the ids of all parts of a prompt but the last one. The tokens of a part are not checked.
@@ -265,6 +287,6 @@
 
 fn read_work(model: &str, tokens: &str) -> Option<ModelWork> {
     let (prompt, output) = tokens.split_once(',')?;
-    let (prompt, output) = (prompt.trim().parse().ok()?, output.trim().parse().ok()?);
-    Some(ModelWork { model: model.into(), prompt, output })
+    let tokens = |text: &str| Some(text.trim().parse::<u32>().ok()?.min(MAX_TOKENS));
+    Some(ModelWork { model: model.into(), prompt: tokens(prompt)?, output: tokens(output)? })
 }
