Check the version again before a prepared call runs

A stream that its caller took up again held events of two software versions: the decode endpoint that had granted its reservation started anew in place, with another version, while the prefill was running.

Cause: the version limits the choice of an endpoint, but not the run that follows a reservation, a prefill or a hand-over of KV cache. An endpoint that is listed with a new start keeps its place in the gateway's list, so the run went to the new version; KV cache of the old one went along.

Now a call runs at an endpoint only if that has the version of its stream, and of the prefill endpoint, at that moment. If not, the reservation is given up and the call starts again elsewhere.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -95,7 +95,7 @@
         if let Some(endpoint) = self.fleet.get_mut(decode.endpoint) {
             endpoint.accepted();
         }
-        if !self.keeps_reservations(now, decode.endpoint) || !self.can_end(now, caller) {
+        if !self.may_run(now, caller, decode.endpoint) || !self.can_end(now, caller) {
             self.replace_decode(now, caller, decode);
         } else if skips_prefill {
             self.run_whole(now, caller, decode);
@@ -114,7 +114,7 @@
         decode: Reservation,
         named: Option<EndpointKey>,
     ) {
-        if !self.keeps_reservations(now, decode.endpoint) || !self.can_end(now, caller) {
+        if !self.may_run(now, caller, decode.endpoint) || !self.can_end(now, caller) {
             self.replace_decode(now, caller, decode);
             return;
         }
@@ -130,8 +130,24 @@
         self.run_whole(now, caller, decode);
     }
 
-    /// Gives up a reservation at a decode endpoint that wants no new request, and starts the call
-    /// elsewhere; refuses a call that can't end in time.
+    /// Returns whether a call may still run at a decode endpoint that has granted its reservation:
+    /// that one keeps reservations, and has not been listed with another version since.
+    fn may_run(&self, now: Timestamp, caller: CallerId, endpoint: EndpointKey) -> bool {
+        self.keeps_reservations(now, endpoint) && self.fits_version(caller, endpoint)
+    }
+
+    /// Returns whether an endpoint has the software version that began a call's stream, if any.
+    fn fits_version(&self, caller: CallerId, endpoint: EndpointKey) -> bool {
+        let software = self.calls.get(&caller).and_then(|c| c.software.as_deref());
+        software.is_none_or(|software| self.has_software(endpoint, software))
+    }
+
+    fn has_software(&self, endpoint: EndpointKey, software: &str) -> bool {
+        self.fleet.get(endpoint).is_some_and(|e| *e.software == *software)
+    }
+
+    /// Gives up a reservation at a decode endpoint that wants no new request, or has another version
+    /// by now, and starts the call elsewhere; refuses a call that can't end in time.
     fn replace_decode(&mut self, now: Timestamp, caller: CallerId, decode: Reservation) {
         self.report_prefill_end(caller);
         self.report_run_end(caller, RunEnd::Refused);
@@ -143,7 +159,7 @@
     /// Runs a call without a prefill on the decode endpoint that has granted its reservation, unless
     /// that one wants no new request by now.
     pub(super) fn run_unprepared(&mut self, now: Timestamp, caller: CallerId, decode: Reservation) {
-        if !self.keeps_reservations(now, decode.endpoint) || !self.can_end(now, caller) {
+        if !self.may_run(now, caller, decode.endpoint) || !self.can_end(now, caller) {
             self.replace_decode(now, caller, decode);
         } else {
             self.run_whole(now, caller, decode);
@@ -198,6 +214,11 @@
         kind: SendKind,
         handoff: Option<Handoff>,
     ) -> bool {
+        let source = handoff.as_ref().and_then(|h| self.fleet.get(h.source));
+        let moves = source.is_some_and(|from| !self.has_software(endpoint, &from.software));
+        if moves || !self.fits_version(caller, endpoint) {
+            return false;
+        }
         let Some(attempt) = self.send_attempt(now, caller, endpoint, usage, kind) else {
             return false;
         };
--- /dev/null
+++ b/tests/versions_restarted.rs
@@ -0,0 +1,85 @@
+//! Endpoints that start anew in place with another software version, under their names and at their
+//! addresses, while calls that are bound to their former version are on their way.
+
+mod gateway_fixture;
+mod stand_in;
+
+use dotterelpin::model::{EndpointKind, EndpointState};
+use dotterelpin::routes::{RawRoute, RawTable, Repeat};
+use gateway_fixture::{MODEL, endpoint, route, table};
+use stand_in::{Silence, World};
+
+/// The path of streams that may be taken up again.
+const PATH: &str = "/remind/a";
+/// How many events a stream has.
+const LONG: u64 = 40;
+/// How many streams a test runs at once.
+const STREAMS: u64 = 12;
+
+fn streams() -> RawTable {
+    let mut all = table();
+    let streams = all.routes.iter_mut().filter(|r| r.repeat == Repeat::ResumableStream);
+    streams.for_each(|r| *r = RawRoute { ..route("/remind/", MODEL, r.repeat, 3) });
+    all
+}
+
+fn world() -> World {
+    let of = |(name, software): (&str, &str)| {
+        let state = endpoint(name, EndpointKind::Decode, MODEL);
+        EndpointState { software: software.into(), ..state }
+    };
+    let real = [("d1", "v1"), ("d2", "v1"), ("d3", "v2"), ("d4", "v2")];
+    World::before(streams(), real.map(of).into())
+}
+
+/// Fails if streams that broke off with their endpoint, and are taken up at once, go to it after it has
+/// started anew with another version, which is not listed yet.
+#[test]
+fn broken_stream_taken_up_goes_to_its_endpoint_that_started_with_another_version() {
+    for (down, wait) in [(50, 100), (50, 400), (300, 400)] {
+        let mut w = world();
+        let callers: Vec<u64> = (0..STREAMS).map(|_| w.stream(PATH, MODEL, LONG)).collect();
+        w.run(900);
+        w.upgrade("d1", "v2", down);
+        w.run(wait);
+        callers.iter().for_each(|c| _ = w.take_up(*c, PATH, MODEL, LONG));
+        w.run(500);
+        w.list_upgrade("d1");
+        w.run(9_000);
+        assert_eq!(w.mixed_streams(), Vec::<String>::new(), "down {down} ms, wait {wait} ms");
+    }
+}
+
+/// The names of prefill endpoints with their versions.
+const PREFILLS: [(&str, &str); 2] = [("f1", "v1"), ("f3", "v2")];
+
+/// Returns the world with a prefill endpoint of each version.
+fn world_with_prefills() -> World {
+    let of = |(name, software): (&str, &str)| {
+        let kind = if name.starts_with('f') { EndpointKind::Prefill } else { EndpointKind::Decode };
+        EndpointState { software: software.into(), ..endpoint(name, kind, MODEL) }
+    };
+    let decode = [("d1", "v1"), ("d2", "v1"), ("d3", "v2"), ("d4", "v2")];
+    World::before(streams(), PREFILLS.into_iter().chain(decode).map(of).collect())
+}
+
+/// Fails if a stream that is taken up runs at an endpoint that was listed with another version while
+/// the prefill was running.
+#[test]
+fn stream_runs_at_an_endpoint_that_was_listed_with_another_version_during_the_prefill() {
+    let mut w = world_with_prefills();
+    let callers: Vec<u64> = (0..STREAMS).map(|_| w.stream(PATH, MODEL, LONG)).collect();
+    w.run(900);
+    callers.iter().for_each(|c| w.leave(*c));
+    PREFILLS.iter().for_each(|(name, _)| w.silence(name, Silence::Mute, 700));
+    callers.iter().for_each(|c| _ = w.take_up(*c, PATH, MODEL, LONG));
+    w.run(20);
+    for name in ["d1", "d2"] {
+        w.upgrade(name, "v2", 20);
+        w.list_upgrade(name);
+    }
+    w.run(9_000);
+    assert_eq!(w.mixed_streams(), Vec::<String>::new());
+    let exports: Vec<_> = w.mixed_exports().into_iter().map(|a| format!("{a:?}")).collect();
+    assert_eq!(exports, Vec::<String>::new());
+}
