Take the vote of a member that shuts down before its process ends

A planned replacement starts the new control member first and stops the old one a second later. The stopped one said nothing, so its vote counted until it had been silent for seconds, and the loss of further members in that time, which the group must bear, left no majority. A leader that was stopped just fell silent, and its successor was elected 0.4 to 0.7 s later at best.

Now a member that shuts down, once its proposals have their replies, steps down if it leads and gives notice to all members every 200 ms. The leader counts it as gone while the notices come and until it has been silent long enough to count as gone anyway; an answer to a message sent 600 ms after the last notice shows that it has started again. A follower of the one that leaves starts its election within 150 ms. If the group has a spare voter or a new machine without a vote, the process waits until its vote is taken, for 1.5 s at most. With as many voters as are needed nothing waits.

tests/replaced_members.rs: a_voter_that_leaves_is_removed_before_its_process_ends, a_leader_that_leaves_is_succeeded_at_once and a_voter_that_started_again_is_not_taken_for_one_that_leaves guard it; they need the new calls, so they did not compile before.

--- a/src/control/replica/changes.rs
+++ b/src/control/replica/changes.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::append::Progress;
 use super::members::{MemberId, Members};
 use super::{LEADER_LEASE, Replica, Role};
 use crate::control::state::Command;
@@ -32,6 +33,7 @@
     /// Appends the next change of the members, if one is due and the previous one is committed.
     pub(super) fn change_members(&mut self, now: Timestamp) {
         self.joining.expire(now);
+        self.expire_notices(now);
         let settled = self.log.members_index() <= self.commit;
         if !settled || self.log.term_at(self.commit) != Some(self.term) {
             return;
@@ -62,12 +64,14 @@
 
     /// Returns how long a member has not replied to the leader.
     fn silence(&self, now: Timestamp, id: MemberId) -> Duration {
-        let Role::Leader { progress, since } = &self.role else { return Duration::ZERO };
-        if id == self.id {
-            return Duration::ZERO;
-        }
-        let acked = progress.get(&id).map_or(*since, |p| p.acked().max(*since));
-        now - acked
+        let Role::Leader { since, .. } = &self.role else { return Duration::ZERO };
+        if id == self.id { Duration::ZERO } else { now - self.last_reply(id).max(*since) }
+    }
+
+    /// Returns when the newest message was sent that a member has answered to this leader.
+    fn last_reply(&self, id: MemberId) -> Timestamp {
+        let Role::Leader { progress, .. } = &self.role else { return Timestamp::default() };
+        progress.get(&id).map(Progress::acked).unwrap_or_default()
     }
 
     /// Returns the voters that are gone, the one that has been silent longest first.
@@ -79,7 +83,7 @@
     }
 
     fn is_gone(&self, now: Timestamp, id: MemberId) -> bool {
-        self.silence(now, id) > VOTER_TIMEOUT
+        self.silence(now, id) > VOTER_TIMEOUT || self.is_leaving(now, id, self.last_reply(id))
     }
 
     /// Returns a gone voter without which the group bears more losses, now or once another one is
@@ -121,7 +125,7 @@
 
     fn has_caught_up(&self, now: Timestamp, id: MemberId) -> bool {
         let Role::Leader { progress, since } = &self.role else { return false };
-        let replied = |p: &super::append::Progress| {
+        let replied = |p: &Progress| {
             p.acked() > *since && now - p.acked() < LEADER_LEASE && p.matched() >= self.commit
         };
         progress.get(&id).is_some_and(replied)
--- a/src/control/replica/election.rs
+++ b/src/control/replica/election.rs
@@ -23,6 +23,10 @@
             self.send_due(now);
             return;
         }
+        if self.leave.is_some() {
+            self.give_notice(now);
+            return;
+        }
         if self.deadline.is_none_or(|d| now < d) || self.stalled {
             if self.stalled && self.deadline.is_some_and(|d| now >= d) {
                 self.reset_deadline(now);
--- a/src/control/replica/message.rs
+++ b/src/control/replica/message.rs
@@ -135,9 +135,11 @@
     },
     /// Reply: the term of the request is older than that of the replying member.
     Outdated,
-    /// Reply to a pre-vote: the requesting member is no longer in the group.
+    /// Reply to a pre-vote or a notice: the requesting member is no longer in the group.
     Removed {
         /// The epoch of a committed list of members without it.
         epoch: u64,
     },
+    /// Notice: the process of the sender shuts down, and the sender leads no more.
+    Leaving,
 }
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -8,6 +8,7 @@
 mod changes;
 mod election;
 mod joining;
+mod leaving;
 mod log;
 mod members;
 mod message;
@@ -29,6 +30,7 @@
 pub use action::{Action, ReplicaInput, ReplicaSettings};
 use append::Progress;
 use joining::Joining;
+use leaving::Leave;
 use log::Log;
 use members::Votes;
 pub use members::{Member, MemberId, Members};
@@ -103,6 +105,10 @@
     /// The epoch of a committed list of members without this replica, as reported by another
     /// member.
     removed: Option<u64>,
+    /// Set once this member begins to leave.
+    leave: Option<Leave>,
+    /// When each member that leaves last gave notice of it.
+    leaving: BTreeMap<MemberId, Timestamp>,
     /// When each address last replied, and when it was last redialled.
     links: BTreeMap<SocketAddr, LinkTimes>,
     incoming: IncomingSnapshot,
@@ -139,6 +145,8 @@
             deadline: None,
             joining: Joining::default(),
             removed: None,
+            leave: None,
+            leaving: BTreeMap::new(),
             links: BTreeMap::new(),
             incoming: IncomingSnapshot::default(),
             outgoing: None,
@@ -186,7 +194,7 @@
             Role::Leader { progress, .. } => {
                 progress.values().map(Progress::next_wake).min().unwrap_or(Timestamp::MAX)
             }
-            _ => deadline,
+            _ => self.leave.as_ref().map_or(deadline, Leave::next_wake),
         }
     }
 
@@ -357,8 +365,12 @@
     }
 
     fn reset_deadline(&mut self, now: Timestamp) {
-        let spread = self.rng.next_u64() % (ELECTION_JITTER.as_micros() as u64);
-        self.deadline = Some(now + ELECTION_TIMEOUT + Duration::from_micros(spread));
+        self.deadline = Some(now + ELECTION_TIMEOUT + self.random(ELECTION_JITTER));
+    }
+
+    /// Returns a random time below a limit.
+    fn random(&mut self, limit: Duration) -> Duration {
+        Duration::from_micros(self.rng.next_u64() % (limit.as_micros() as u64))
     }
 
     fn request(&mut self, now: Timestamp, via: InboundId, message: ReplicaMessage) {
@@ -379,6 +391,7 @@
                 let granted = self.would_vote(now, next, last);
                 self.answer(via, from, ReplicaBody::PreVoted { next, granted });
             }
+            ReplicaBody::Leaving => self.on_notice(now, via, &message),
             ReplicaBody::Vote { last } => self.vote_for(now, via, from, message.term, last),
             ReplicaBody::Append { .. } | ReplicaBody::Chunk { .. } => {
                 if message.term < self.term {
--- a/src/control/shutting_down.rs
+++ b/src/control/shutting_down.rs
@@ -1,4 +1,5 @@
-//! The shutdown of a control member: open proposals get a reply before it ends.
+//! The shutdown of a control member: open proposals get a reply, and its vote is taken if the group
+//! has a spare one, before it ends.
 
 use super::replica::LogIndex;
 use super::{Control, Outputs};
@@ -25,16 +26,37 @@
             return Vec::new();
         }
         let mut outputs = Vec::new();
-        if self.shutdown.advance(now, self.proposals.len()) == Phase::Refuse {
+        if self.proposals.is_empty() {
+            outputs.extend(self.leave(now));
+        }
+        if self.shutdown.advance(now, self.open_work(now)) == Phase::Refuse {
             self.log_proposals(now, since, "grace-end");
-            outputs = self.interrupt();
+            outputs.extend(self.interrupt());
+            outputs.extend(self.leave(now));
         }
-        if self.shutdown.advance(now, self.proposals.len()) == Phase::End {
+        if self.shutdown.advance(now, self.open_work(now)) == Phase::End {
             outputs.push(Output::Stopped);
         }
         outputs
     }
 
+    /// Lets the replica hand over and give notice that it leaves.
+    fn leave(&mut self, now: Timestamp) -> Outputs {
+        if self.failed {
+            return Vec::new();
+        }
+        let actions = self.replica.leave(now);
+        self.execute(actions)
+    }
+
+    /// Returns how much must end before this member does: its proposals, and its vote if the group
+    /// is about to take it.
+    fn open_work(&self, now: Timestamp) -> usize {
+        let ends = self.shutdown.phase() >= Phase::Refuse;
+        let votes = !ends && !self.failed && !self.replica.has_left(now);
+        self.proposals.len() + usize::from(votes)
+    }
+
     fn log_proposals(&self, now: Timestamp, since: Timestamp, at: &str) {
         for (index, proposal) in &self.proposals {
             log::info!(
--- a/tests/replaced_members.rs
+++ b/tests/replaced_members.rs
@@ -217,3 +217,48 @@
     net.run(3_000);
     assert_eq!(net.voters(), [3, 4, 5, 6].into());
 }
+
+/// A process that shut down said nothing, so its vote counted until it had been silent for seconds,
+/// while the next machines could already be lost.
+#[test]
+fn a_voter_that_leaves_is_removed_before_its_process_ends() {
+    let mut net = Net::founded(1..=3);
+    for (old, new) in [(1, 4), (2, 5), (3, 6), (4, 7), (5, 8)] {
+        net.start(new, &[1, 2, 3, old, new - 1]);
+        net.run(1_000);
+        assert!(net.voters().contains(&new));
+        let led = net.leader() == Some(old);
+        let millis = net.leave(old);
+        assert!(millis < 1_000, "machine {old} needed {millis} ms; it led: {led}");
+        net.run(300);
+        let voters = net.voters();
+        assert!(voters.len() == 3 && !voters.contains(&old), "{old} left, {voters:?} vote");
+    }
+}
+
+#[test]
+fn a_leader_that_leaves_is_succeeded_at_once() {
+    let mut net = Net::founded(1..=3);
+    let leader = net.leader().unwrap();
+    assert_eq!(net.leave(leader), 0, "three voters keep the vote of one that may return");
+    net.run(250);
+    assert!(net.leader().is_some_and(|l| l != leader), "no leader 250 ms later");
+    net.start(leader, &[1, 2, 3]);
+    net.run(1_000);
+    assert_eq!(net.voters(), [1, 2, 3].into());
+}
+
+/// A member that has started again is none that leaves, though its last notice was just before.
+#[test]
+fn a_voter_that_started_again_is_not_taken_for_one_that_leaves() {
+    let mut net = Net::founded(1..=3);
+    let leader = net.leader().unwrap();
+    let other = (1..=3).find(|m| *m != leader).unwrap();
+    assert_eq!(net.leave(other), 0);
+    net.run(100);
+    net.start(other, &[1, 2, 3]);
+    net.run(1_000);
+    net.start(4, &[1, 2, 3]);
+    net.run(1_000);
+    assert_eq!(net.voters(), [1, 2, 3, 4].into());
+}
--- a/tests/replica_net/mod.rs
+++ b/tests/replica_net/mod.rs
@@ -71,6 +71,21 @@
         self.nodes.remove(&machine);
     }
 
+    /// Shuts the process of a machine down; returns for how many milliseconds it lasts.
+    pub fn leave(&mut self, machine: u64) -> u64 {
+        let now = self.now;
+        let Some(node) = self.nodes.get_mut(&machine) else { return 0 };
+        let actions = node.leave(now);
+        self.execute(machine, actions);
+        let mut millis = 0;
+        while !self.nodes[&machine].has_left(self.now) {
+            self.run(10);
+            millis += 10;
+        }
+        self.stop(machine);
+        millis
+    }
+
     pub fn leader(&self) -> Option<u64> {
         let leaders = self.nodes.iter().filter(|(_, r)| r.is_leader());
         leaders.max_by_key(|(_, r)| r.term()).map(|(machine, _)| *machine)
