Remove incomplete files from the disk of control

Such a file is now removed when its write fails, and when the folder is opened. It was never read: only the rename makes it valid.

Evidence: no_incomplete_file_stays_on_the_disk failed before ("files of a killed process are left") and holds now; tests/disk.rs passes unchanged.

--- a/src/control/disk.rs
+++ b/src/control/disk.rs
@@ -137,6 +137,7 @@
     std::fs::create_dir_all(folder).wrap_err_with(|| format!("create {}", folder.display()))?;
     let path = folder.join(JOURNAL);
     let snapshot = read_snapshot(&folder.join(SNAPSHOT))?;
+    remove_partial(folder)?;
     let mut journal = OpenOptions::new()
         .create(true)
         .truncate(false)
@@ -165,6 +166,20 @@
     Ok((stored, files))
 }
 
+/// Removes the files that a killed process has not completed.
+fn remove_partial(folder: &Path) -> eyre::Result<()> {
+    for name in [JOURNAL, SNAPSHOT] {
+        let path = folder.join(name).with_extension(PARTIAL);
+        match std::fs::remove_file(&path) {
+            Err(error) if error.kind() != std::io::ErrorKind::NotFound => {
+                return Err(error).wrap_err_with(|| format!("remove {}", path.display()));
+            }
+            _ => {}
+        }
+    }
+    Ok(())
+}
+
 fn read_snapshot(path: &Path) -> eyre::Result<Option<Arc<Snapshot>>> {
     let bytes = match std::fs::read(path) {
         Ok(bytes) => bytes,
@@ -196,14 +211,23 @@
         Ok(())
     }
 
-    /// Writes a file under a temporary name, syncs it, then renames it.
+    /// Writes a file under a temporary name, syncs it, then renames it. If that fails, the file is
+    /// removed, since it could fill the disk.
     fn write_atomically(&self, name: &str, bytes: &[u8]) -> eyre::Result<File> {
         let partial = self.folder.join(name).with_extension(PARTIAL);
+        let written = self.write_and_rename(name, &partial, bytes);
+        if written.is_err() {
+            let _ = std::fs::remove_file(&partial);
+        }
+        written
+    }
+
+    fn write_and_rename(&self, name: &str, partial: &Path, bytes: &[u8]) -> eyre::Result<File> {
         let step = |what: &str| format!("{what} {}", partial.display());
-        let mut file = File::create(&partial).wrap_err_with(|| step("create"))?;
+        let mut file = File::create(partial).wrap_err_with(|| step("create"))?;
         file.write_all(bytes).wrap_err_with(|| step("write"))?;
         file.sync_all().wrap_err_with(|| step("sync"))?;
-        std::fs::rename(&partial, self.folder.join(name)).wrap_err_with(|| step("rename"))?;
+        std::fs::rename(partial, self.folder.join(name)).wrap_err_with(|| step("rename"))?;
         self.sync_folder()?;
         Ok(file)
     }
--- a/tests/log_size.rs
+++ b/tests/log_size.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use dotterelpin::control::replica::{MemberId, ReplicaSettings};
+use dotterelpin::control::replica::{Entry, MemberId, ReplicaSettings, Snapshot};
 use dotterelpin::control::routing::Document;
 use dotterelpin::control::state::{Applied, Command};
 use dotterelpin::control::{Control, ControlSettings, DiskEffect, DiskInput, disk};
@@ -147,3 +147,25 @@
     assert!(member.control.replica().snapshot().is_none(), "2 MB of records are no reason");
     assert_eq!(member.applied, 1_000);
 }
+
+/// A file that was left behind, or that could not be completed, fills the disk.
+#[test]
+fn no_incomplete_file_stays_on_the_disk() {
+    let folder = Folder::new("partial");
+    drop(disk::open(&folder.0, OWNER).unwrap());
+    let left = ["journal.partial", "snapshot.partial"].map(|name| folder.0.join(name));
+    for path in &left {
+        std::fs::write(path, vec![0; 1_000]).unwrap();
+    }
+    let (_, mut files) = disk::open(&folder.0, OWNER).unwrap();
+    assert!(left.iter().all(|path| !path.exists()), "files of a killed process are left");
+    // A folder in the place of the snapshot lets the replacement fail.
+    std::fs::create_dir(folder.0.join("snapshot")).unwrap();
+    let snapshot = Snapshot {
+        position: Default::default(),
+        members: Default::default(),
+        state: vec![1; 1_000],
+    };
+    assert!(files.replace(&snapshot, &[Entry::Owner(OWNER)]).is_err());
+    assert!(left.iter().all(|path| !path.exists()), "the file of a failed write is left");
+}
