--- a/src/control/routing/mod.rs
+++ b/src/control/routing/mod.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
@@ -13,6 +14,8 @@
 use super::state::Command;
 use crate::model::BootId;
 
+mod text;
+
 /// The maximum number of deregistrations that are kept; older ones have long expired in all
 /// processes.
 const MAX_DEREGISTRATIONS: usize = 4_096;
@@ -22,8 +25,9 @@
 pub struct Document {
     /// The version, which the operator sets; the document with the highest one is in force.
     pub version: u64,
-    /// The text, exactly as the operator sent it.
-    pub text: Box<[u8]>,
+    /// The text, exactly as the operator sent it; shared, since log and state hold it, too.
+    #[serde(with = "text")]
+    pub text: Arc<[u8]>,
 }
 
 /// The deregistration of an endpoint, which receives no new work from then on.
