--- a/src/control/disk.rs
+++ b/src/control/disk.rs
@@ -1,32 +1,23 @@
-//! The journal and the snapshot: checksummed batches, synced before any acknowledgement.
-//!
-//! A batch is written only after the previous one was synced. So an unreadable batch is a torn tail
-//! if no complete batch follows it, and damage otherwise.
+//! The files of the journal and the snapshot, which are synced before any acknowledgement.
 
 use std::fs::{File, OpenOptions};
-use std::io::{Read, Seek, SeekFrom, Write};
+use std::io::{BufReader, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::{Duration, Instant};
 
-use eyre::{WrapErr, ensure, eyre};
-use serde::Serialize;
-use serde::de::DeserializeOwned;
+use eyre::{WrapErr, ensure};
 
+pub use super::batch::{Journal, decode, decode_snapshot, encode};
 use super::replica::{Entry, MemberId, Snapshot, Stored};
-use super::{DiskEffect, DiskInput};
+use super::{DiskEffect, DiskInput, batch};
 use crate::role::{Adapter, DriverHandle};
 
 const JOURNAL: &str = "journal";
 const SNAPSHOT: &str = "snapshot";
 /// The extension of a file that is still being written.
 const PARTIAL: &str = "partial";
-/// The first bytes of each batch.
-const MAGIC: [u8; 4] = *b"dtrp";
-/// The size of a header: magic, sequence number, length, checksum of the content, checksum of the
-/// header.
-const HEADER_BYTES: usize = 4 + 8 + 4 + 4 + 4;
 /// The duration from which a write, with its sync, is logged as slow.
 const SLOW_WRITE: Duration = Duration::from_millis(500);
 /// The maximum number of queued writes that are merged into a batch and synced together.
@@ -34,96 +25,6 @@
 /// The time between two attempts to write to a full disk.
 const RETRY_INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// Encodes one batch with its header.
-pub fn encode<T: Serialize>(sequence: u64, content: &T) -> eyre::Result<Vec<u8>> {
-    let body = postcard::to_stdvec(content).wrap_err("encode batch")?;
-    let length = u32::try_from(body.len()).wrap_err("encode batch length")?;
-    let mut bytes = MAGIC.to_vec();
-    bytes.extend_from_slice(&sequence.to_le_bytes());
-    bytes.extend_from_slice(&length.to_le_bytes());
-    bytes.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
-    let check = crc32fast::hash(&bytes);
-    bytes.extend_from_slice(&check.to_le_bytes());
-    bytes.extend_from_slice(&body);
-    Ok(bytes)
-}
-
-/// A batch found in a file.
-struct Batch<'a> {
-    sequence: u64,
-    body: &'a [u8],
-    end: usize,
-}
-
-/// Reads the batch at a byte offset, if it is complete and its checksums match.
-fn batch_at(bytes: &[u8], at: usize) -> Option<Batch<'_>> {
-    let header: &[u8; HEADER_BYTES] = bytes.get(at..)?.first_chunk()?;
-    let number =
-        |from: usize| header[from..].first_chunk::<4>().map_or(0, |b| u32::from_le_bytes(*b));
-    let checked = header.starts_with(&MAGIC) && number(20) == crc32fast::hash(&header[..20]);
-    if !checked {
-        return None;
-    }
-    let start = at + HEADER_BYTES;
-    let end = start.checked_add(number(12) as usize)?;
-    let body = bytes.get(start..end)?;
-    let sequence = u64::from_le_bytes(*header[4..].first_chunk()?);
-    (number(16) == crc32fast::hash(body)).then_some(Batch { sequence, body, end })
-}
-
-/// The decoded content of a journal.
-#[derive(Debug)]
-pub struct Journal {
-    /// The entries of all complete batches.
-    pub entries: Vec<Entry>,
-    /// The sequence number of the next batch.
-    pub sequence: u64,
-    /// The length of all complete batches in bytes; what follows is a torn tail.
-    pub length: usize,
-}
-
-/// Decodes a journal; fails if a damaged batch is followed by a complete one.
-pub fn decode(bytes: &[u8]) -> eyre::Result<Journal> {
-    let mut journal = Journal { entries: Vec::new(), sequence: 0, length: 0 };
-    while let Some(batch) = batch_at(bytes, journal.length) {
-        let at = journal.length;
-        let wanted = journal.sequence;
-        ensure!(
-            batch.sequence == wanted,
-            "byte {at}: found batch {}, expected {wanted}",
-            batch.sequence
-        );
-        let entries: Vec<Entry> = decode_body(batch.body).wrap_err_with(|| format!("byte {at}"))?;
-        journal.entries.extend(entries);
-        journal.sequence += 1;
-        journal.length = batch.end;
-    }
-    let follows = |at: &usize| batch_at(bytes, *at).is_some_and(|b| b.sequence > journal.sequence);
-    if let Some(at) = (journal.length..bytes.len()).find(follows) {
-        return Err(eyre!(
-            "byte {}: the batch is damaged, and a complete one follows at byte {at}",
-            journal.length
-        ));
-    }
-    Ok(journal)
-}
-
-fn decode_body<T: DeserializeOwned>(body: &[u8]) -> eyre::Result<T> {
-    postcard::from_bytes(body).map_err(|e| eyre!("cannot decode the content: {e}"))
-}
-
-/// Decodes the content of a snapshot file, which is one batch.
-pub fn decode_snapshot(bytes: &[u8]) -> eyre::Result<Snapshot> {
-    let batch = batch_at(bytes, 0)
-        .ok_or_else(|| eyre!("byte 0: the batch is incomplete or a checksum does not match"))?;
-    ensure!(
-        batch.end == bytes.len(),
-        "byte {}: unexpected bytes after the end of the snapshot",
-        batch.end
-    );
-    decode_body(batch.body)
-}
-
 /// The open files of a data folder.
 pub struct Files {
     folder: PathBuf,
@@ -138,19 +39,19 @@
     let path = folder.join(JOURNAL);
     let snapshot = read_snapshot(&folder.join(SNAPSHOT))?;
     remove_partial(folder)?;
-    let mut journal = OpenOptions::new()
+    let journal = OpenOptions::new()
         .create(true)
         .truncate(false)
         .read(true)
         .write(true)
         .open(&path)
         .wrap_err_with(|| format!("open {}", path.display()))?;
-    let mut bytes = Vec::new();
-    journal.read_to_end(&mut bytes).wrap_err_with(|| format!("read {}", path.display()))?;
+    let size = journal.metadata().wrap_err_with(|| format!("read {}", path.display()))?.len();
     let damaged = || format!("{} is damaged", path.display());
-    let mut found = decode(&bytes).wrap_err_with(damaged)?;
-    if found.length < bytes.len() {
-        log::warn!("step=open-journal cut={} bytes of a torn batch", bytes.len() - found.length);
+    let mut found = batch::read(BufReader::new(&journal), size as usize).wrap_err_with(damaged)?;
+    let cut = size - found.length as u64;
+    if cut > 0 {
+        log::warn!("step=open-journal cut={cut} bytes of a torn batch");
     }
     let folder = folder.to_path_buf();
     let mut files =
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control role: the replicated log, the state derived from it, and the registry.
 
 mod answers;
+mod batch;
 pub mod claims;
 mod commit;
 pub mod config;
--- a/tests/log_size.rs
+++ b/tests/log_size.rs
@@ -3,10 +3,10 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use dotterelpin::control::replica::{Entry, MemberId, ReplicaSettings, Snapshot};
+use dotterelpin::control::replica::{Entry, LogIndex, MemberId, Record, ReplicaSettings, Snapshot};
 use dotterelpin::control::routing::Document;
 use dotterelpin::control::state::{Applied, Command};
 use dotterelpin::control::{Control, ControlSettings, DiskEffect, DiskInput, disk};
@@ -18,6 +18,16 @@
 /// A tenth of the disk of a control member.
 const MAX_FILE_BYTES: u64 = (128 << 20) / 10;
 
+/// The folder that a child process of a test starts on.
+const FOLDER_VARIABLE: &str = "DOTTERELPIN_TEST_FOLDER";
+
+/// Returns a figure of this process's memory in bytes, by its name in `/proc/self/status`.
+fn memory(name: &str) -> usize {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap();
+    let line = status.lines().find_map(|l| l.strip_prefix(name)).unwrap();
+    line.trim_start_matches(':').trim().trim_end_matches(" kB").parse::<usize>().unwrap() << 10
+}
+
 /// A temporary folder that is removed when it is dropped.
 struct Folder(PathBuf);
 
@@ -148,6 +158,47 @@
     assert_eq!(member.applied, 1_000);
 }
 
+/// Writes a journal of an earlier release, which was not compacted by its bytes.
+fn long_journal(folder: &Folder, bytes: usize, count: u64) {
+    let (_, mut files) = disk::open(&folder.0, OWNER).unwrap();
+    for index in 1..=count {
+        let document = Document { version: index, text: vec![b'r'; bytes].into() };
+        let command = Command::Publish(document);
+        let record = Record { index: LogIndex(index), term: 1, command };
+        files.append(&[Entry::Append(record)]).unwrap();
+    }
+}
+
+/// The size and the number of the records of a long journal.
+const LONG: (usize, u64) = (385_000, 60);
+
+/// Starts on a folder in this process and reports the memory that this needs at most.
+fn start_and_report(folder: &Path) {
+    let before = memory("VmRSS");
+    let (stored, _files) = disk::open(folder, OWNER).unwrap();
+    assert_eq!(stored.records.len(), LONG.1 as usize);
+    println!("needed={}", memory("VmHWM") - before);
+}
+
+#[test]
+fn a_start_needs_little_more_memory_than_the_records() {
+    if let Some(folder) = std::env::var_os(FOLDER_VARIABLE) {
+        start_and_report(Path::new(&folder));
+        return;
+    }
+    let folder = Folder::new("start");
+    long_journal(&folder, LONG.0, LONG.1);
+    // The peak of a process of its own, since other tests run in this one.
+    let mut child = std::process::Command::new(std::env::current_exe().unwrap());
+    child.args(["--exact", "a_start_needs_little_more_memory_than_the_records", "--nocapture"]);
+    let output = child.env(FOLDER_VARIABLE, &folder.0).output().unwrap();
+    let text = String::from_utf8(output.stdout).unwrap();
+    let needed = text.lines().find_map(|l| l.split_once("needed=")).map(|(_, n)| n);
+    let needed: usize = needed.unwrap_or_else(|| panic!("no report in {text}")).parse().unwrap();
+    let records = LONG.0 * LONG.1 as usize;
+    assert!(needed <= records + records / 5, "{needed} bytes for {records} of records");
+}
+
 /// A file that was left behind, or that could not be completed, fills the disk.
 #[test]
 fn no_incomplete_file_stays_on_the_disk() {
