Give a member that catches up the time that its bytes take

Once records were large, a control member that had lost its disk took 24 s and more until it had its vote back; a second disk lost 5 s after the first then ended the group for good.

Cause: the leader sent up to four messages of 1 MiB and gave up on an answer after 300 ms, whatever was under way: it forgot the messages in flight, sent the same records again and dialled a new connection, while the member still received the first ones.

Now an answer may take 300 ms and the time that the bytes in flight need at 1 MiB per second, counted from the last answer; messages of records have 256 KiB (or one record), and at most 512 KiB are unanswered before another is sent. An answer counts for the messages up to its index only, no longer for all that were sent at the same moment. What the leader knows of a member's progress has a module of its own.

--- a/src/control/replica/append.rs
+++ b/src/control/replica/append.rs
@@ -1,91 +1,15 @@
 //! Replication: a leader sends its records to the others and commits those that a majority has
 //! synced.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 use super::members::MemberId;
 use super::message::ReplicaBody;
-use super::{
-    ANSWER_TIMEOUT, Action, Entry, LEADER_HEARTBEAT, LogIndex, Position, Record, Replica, Role,
-};
+use super::progress::Progress;
+use super::{Action, Entry, LogIndex, Position, Record, Replica, Role};
 use crate::control::state::Command;
 use crate::model::{InboundId, Timestamp};
 
-/// The maximum number of unanswered messages with records to a member.
-const MAX_IN_FLIGHT: usize = 4;
-
-/// The progress of replication to another member, kept by the leader.
-#[derive(Debug)]
-pub struct Progress {
-    address: SocketAddr,
-    /// The first record that was not sent yet.
-    next: LogIndex,
-    matched: LogIndex,
-    /// Whether the leader still searches for the last matching record, one message at a time.
-    probing: bool,
-    /// The times at which the unanswered messages were sent, oldest first.
-    pending: VecDeque<Timestamp>,
-    /// When the newest answered message was sent.
-    acked: Timestamp,
-    last_sent: Timestamp,
-    /// The position of the snapshot being sent and the number of bytes received; `None` if none is.
-    pub(super) snapshot: Option<(Position, u64)>,
-}
-
-impl Progress {
-    fn new(address: SocketAddr, next: LogIndex) -> Progress {
-        Progress {
-            address,
-            next,
-            matched: LogIndex(0),
-            probing: true,
-            pending: VecDeque::new(),
-            acked: Timestamp::default(),
-            last_sent: Timestamp::default(),
-            snapshot: None,
-        }
-    }
-
-    /// Returns the index up to which records are known to be synced at the member.
-    pub fn matched(&self) -> LogIndex {
-        self.matched
-    }
-
-    /// Returns when the newest answered message was sent.
-    pub fn acked(&self) -> Timestamp {
-        self.acked
-    }
-
-    /// Returns the time of the next heartbeat or answer timeout.
-    pub fn next_wake(&self) -> Timestamp {
-        let heartbeat = self.last_sent + LEADER_HEARTBEAT;
-        match self.pending.front() {
-            Some(at) if !self.is_open() => *at + ANSWER_TIMEOUT,
-            Some(at) => (*at + ANSWER_TIMEOUT).min(heartbeat),
-            None => heartbeat,
-        }
-    }
-
-    /// Returns whether the number of unanswered messages allows another one.
-    fn is_open(&self) -> bool {
-        let window = if self.probing || self.snapshot.is_some() { 1 } else { MAX_IN_FLIGHT };
-        self.pending.len() < window
-    }
-
-    /// Restarts replication after the last record known to match.
-    fn restart(&mut self) {
-        self.pending.clear();
-        self.probing = true;
-        self.next = self.matched.next();
-    }
-
-    fn sent(&mut self, now: Timestamp) {
-        self.pending.push_back(now);
-        self.last_sent = now;
-    }
-}
-
 impl Replica {
     /// Appends a command to the log in this replica's term.
     pub(super) fn append_own(&mut self, command: Command) -> Position {
@@ -117,14 +41,12 @@
         for (id, address) in self.others() {
             let Role::Leader { progress, .. } = &mut self.role else { return };
             let Some(state) = progress.get_mut(&id) else { continue };
-            let oldest = state.pending.front().copied();
-            if let Some(sent) = oldest.filter(|at| now - *at >= ANSWER_TIMEOUT) {
+            if let Some(sent) = state.overdue(now) {
                 state.restart();
                 self.redial(now, address, sent);
             }
             let Some(state) = self.progress_of(id) else { continue };
-            let quiet = now - state.last_sent >= LEADER_HEARTBEAT;
-            if quiet && state.is_open() {
+            if state.wants_heartbeat(now) {
                 self.send_next(now, id, address);
             }
         }
@@ -150,7 +72,7 @@
         loop {
             let Role::Leader { progress, .. } = &self.role else { return };
             let Some(state) = progress.get(&id) else { return };
-            let has_updates = state.next <= last || state.pending.is_empty() && state.probing;
+            let has_updates = state.next <= last || state.is_idle() && state.probing;
             if !state.is_open() || !has_updates {
                 return;
             }
@@ -170,21 +92,14 @@
             return;
         };
         let previous = Position { term, index: before };
-        let records = if state.probing { Vec::new() } else { self.log.batch(before) };
+        let (records, bytes) = if state.probing { (Vec::new(), 0) } else { self.log.batch(before) };
         state.next = LogIndex(state.next.0 + records.len() as u64);
-        state.sent(now);
+        state.sent(now, LogIndex(before.0 + records.len() as u64), bytes);
         let body = ReplicaBody::Append { previous, records, commit, sent: now };
         let message = self.message(id, body);
         self.actions.push(Action::Request { to, message });
     }
 
-    pub(super) fn sent_to(&mut self, now: Timestamp, id: MemberId) {
-        let Role::Leader { progress, .. } = &mut self.role else { return };
-        if let Some(state) = progress.get_mut(&id) {
-            state.sent(now);
-        }
-    }
-
     pub(super) fn progress_of(&mut self, id: MemberId) -> Option<&mut Progress> {
         let Role::Leader { progress, .. } = &mut self.role else { return None };
         progress.get_mut(&id)
@@ -197,10 +112,11 @@
         let (ReplicaBody::Appended { sent, .. } | ReplicaBody::Received { sent, .. }) = body else {
             return;
         };
-        state.acked = state.acked.max(sent);
-        while state.pending.front().is_some_and(|at| *at <= sent) {
-            state.pending.pop_front();
-        }
+        let covered = match body {
+            ReplicaBody::Appended { matched: true, end, .. } => Some(end),
+            _ => None,
+        };
+        state.answered(now, sent, covered);
         match body {
             ReplicaBody::Appended { matched: true, end, .. } => {
                 state.matched = state.matched.max(end);
@@ -208,9 +124,7 @@
                 state.probing = false;
             }
             ReplicaBody::Appended { matched: false, end, .. } if end < state.next => {
-                state.next = end.next().max(state.matched.next());
-                state.probing = true;
-                state.pending.clear();
+                state.probe(end.next().max(state.matched.next()));
             }
             ReplicaBody::Received { position, offset, .. } => {
                 self.on_chunk_received(from, position, offset);
--- a/src/control/replica/election.rs
+++ b/src/control/replica/election.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 
-use super::append::Progress;
 use super::members::{MemberId, Votes};
 use super::message::ReplicaBody;
+use super::progress::Progress;
 use super::{Action, ELECTION_TIMEOUT, Entry, LEADER_LEASE, Position, Replica, Role};
 use crate::control::state::Command;
 use crate::model::{InboundId, Timestamp};
--- a/src/control/replica/log.rs
+++ b/src/control/replica/log.rs
@@ -11,7 +11,7 @@
 use crate::control::state::Command;
 
 /// The maximum number of bytes of records in one message, unless a single record is larger.
-const MAX_MESSAGE_BYTES: usize = 1 << 20;
+const MAX_MESSAGE_BYTES: usize = 256 << 10;
 /// The maximum number of records in one message.
 const MAX_MESSAGE_RECORDS: usize = 1_024;
 
@@ -107,18 +107,18 @@
         self.records.iter().skip(skip)
     }
 
-    /// Returns the records after an index that fit into one message.
-    pub fn batch(&self, index: LogIndex) -> Vec<Record> {
+    /// Returns the records after an index that fit into one message, and their encoded size.
+    pub fn batch(&self, index: LogIndex) -> (Vec<Record>, usize) {
         let mut bytes = 0;
         let mut batch = Vec::new();
         for held in self.held_after(index).take(MAX_MESSAGE_RECORDS) {
-            bytes += held.bytes;
-            if bytes > MAX_MESSAGE_BYTES && !batch.is_empty() {
+            if bytes + held.bytes > MAX_MESSAGE_BYTES && !batch.is_empty() {
                 break;
             }
+            bytes += held.bytes;
             batch.push(held.record.clone());
         }
-        batch
+        (batch, bytes)
     }
 
     /// Appends a record.
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -9,6 +9,7 @@
 mod log;
 mod members;
 mod message;
+mod progress;
 mod record;
 mod snapshot;
 mod stored;
@@ -25,11 +26,11 @@
 use crate::model::{InboundId, Timestamp};
 
 pub use action::{Action, ReplicaInput, ReplicaSettings};
-use append::Progress;
 use log::Log;
 use members::{Joining, Votes};
 pub use members::{Member, MemberId, Members};
 pub use message::{ReplicaBody, ReplicaMessage};
+use progress::Progress;
 pub use record::{LogIndex, Position, Record, WriteId};
 use snapshot::IncomingSnapshot;
 pub use snapshot::Snapshot;
@@ -43,7 +44,7 @@
 pub const ELECTION_JITTER: Duration = Duration::from_millis(300);
 /// How long a leader leads without answers from a majority before it steps down.
 pub const LEADER_LEASE: Duration = Duration::from_millis(800);
-/// How long an answer may take before a new connection is dialled.
+/// How long an answer to a message without records may take before a new connection is dialled.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// The role of a replica in its term.
--- a/src/control/replica/snapshot.rs
+++ b/src/control/replica/snapshot.rs
@@ -7,7 +7,7 @@
 
 use super::members::{MemberId, Members};
 use super::message::ReplicaBody;
-use super::{Action, Entry, LogIndex, Position, Replica, ReplicaSettings, WriteId};
+use super::{Action, Entry, LogIndex, Position, Replica, ReplicaSettings, Role, WriteId};
 use crate::control::state::Command;
 use crate::model::Timestamp;
 
@@ -90,18 +90,18 @@
 
     /// Sends the next chunk of the snapshot.
     pub(super) fn send_chunk(&mut self, now: Timestamp, id: MemberId, to: SocketAddr) {
-        let Some(snapshot) = self.log.snapshot().cloned() else { return };
-        let Ok(encoded) = self.encoded(&snapshot) else { return };
+        let Some((position, encoded)) = self.outgoing_snapshot() else { return };
         let Some(state) = self.progress_of(id) else { return };
         let offset = match state.snapshot {
-            Some((position, offset)) if position == snapshot.position => offset,
+            Some((sent, offset)) if sent == position => offset,
             _ => 0,
         };
-        state.snapshot = Some((snapshot.position, offset));
+        state.snapshot = Some((position, offset));
         let from = (offset as usize).min(encoded.len());
         let until = (from + CHUNK_BYTES).min(encoded.len());
+        state.sent(now, position.index, until - from);
         let body = ReplicaBody::Chunk {
-            position: snapshot.position,
+            position,
             offset,
             total: encoded.len() as u64,
             bytes: encoded[from..until].to_vec(),
@@ -109,18 +109,26 @@
         };
         let message = self.message(id, body);
         self.actions.push(Action::Request { to, message });
-        self.sent_to(now, id);
     }
 
-    /// Returns the encoded snapshot, which is cached for its other chunks.
-    fn encoded(&mut self, snapshot: &Snapshot) -> Result<Arc<[u8]>, postcard::Error> {
-        let made = self.outgoing.as_ref().filter(|(position, _)| *position == snapshot.position);
-        if let Some((_, bytes)) = made {
-            return Ok(bytes.clone());
+    /// Returns the snapshot to send, encoded: the one that is being sent, as long as the log
+    /// continues it, else the newest one. A transfer would never end if each newer snapshot began
+    /// it anew.
+    fn outgoing_snapshot(&mut self) -> Option<(Position, Arc<[u8]>)> {
+        let current = self.outgoing.as_ref().map(|(position, _)| *position);
+        if current.is_none_or(|p| !self.is_sending(p) || !self.log.holds(p)) {
+            let snapshot = self.log.snapshot()?.clone();
+            if current != Some(snapshot.position) {
+                let bytes = postcard::to_stdvec(&*snapshot).ok()?;
+                self.outgoing = Some((snapshot.position, bytes.into()));
+            }
         }
-        let bytes: Arc<[u8]> = postcard::to_stdvec(snapshot)?.into();
-        self.outgoing = Some((snapshot.position, bytes.clone()));
-        Ok(bytes)
+        self.outgoing.clone()
+    }
+
+    fn is_sending(&self, position: Position) -> bool {
+        let Role::Leader { progress, .. } = &self.role else { return false };
+        progress.values().any(|p| p.snapshot.is_some_and(|(sent, _)| sent == position))
     }
 
     /// Processes a member's reply to a chunk.
@@ -135,6 +143,9 @@
         }
         if offset >= total {
             Replica::snapshot_done(state, position.index);
+            if !self.is_sending(position) {
+                self.outgoing = None;
+            }
         } else {
             state.snapshot = Some((position, offset));
         }
