--- a/src/control/replica/changes.rs
+++ b/src/control/replica/changes.rs
@@ -6,8 +6,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::append::Progress;
 use super::members::{MemberId, Members};
+use super::progress::Progress;
 use super::{LEADER_LEASE, Replica, Role};
 use crate::control::state::Command;
 use crate::model::Timestamp;
