Found no second group from machines that lost their disks

A machine whose disk was lost and whose seeds were itself and two machines that belonged to no group yet took all of them for the first ones, and founded a group of its own beside the one that held the configuration.

Whether the system starts for the first time was never asked. Now it is the setting `bootstrap` (true if not given): a group is founded only if most of the configured members say that they may found it, by the one of these with the lowest address. A member notes on its disk that it may, so it still can when it starts again before the group exists.

tests/replaced_members.rs: with bootstrap true for all machines, as it was before, a_second_group_is_not_founded_by_members_that_lost_their_disks fails (two leaders); it passes now. a_member_that_starts_again_before_the_group_is_founded_still_founds_it guards the note on the disk.

--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -35,6 +35,10 @@
     /// control members that may be lost at once; a minority of --members if not given or 0
     #[argh(option)]
     pub losses: Option<String>,
+    /// whether the control members have never run before, so that they found their group: true or
+    /// false; true if not given
+    #[argh(option)]
+    pub bootstrap: Option<String>,
     /// folder of the fleet key
     #[argh(option)]
     pub keys: Option<String>,
@@ -147,7 +151,7 @@
     }
 
     /// Returns the settings with their names in the file and, in upper case, in the environment.
-    fn fields(&mut self) -> [(&'static str, &mut Option<String>); 26] {
+    fn fields(&mut self) -> [(&'static str, &mut Option<String>); 27] {
         [
             ("roles", &mut self.roles),
             (SETTINGS_FILE, &mut self.settings),
@@ -158,6 +162,7 @@
             ("members", &mut self.members),
             ("members_port", &mut self.members_port),
             ("losses", &mut self.losses),
+            ("bootstrap", &mut self.bootstrap),
             ("keys", &mut self.keys),
             ("data", &mut self.data),
             ("callers", &mut self.callers),
--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -94,6 +94,7 @@
         let members = settings.members.clone();
         let mut replica = ReplicaSettings::new(settings.advertise, members, boot.0);
         replica.losses = settings.losses.unwrap_or(replica.losses);
+        replica.founds = settings.bootstrap;
         let control_settings = ControlSettings {
             name: settings.name.clone(),
             domain: settings.domain.clone(),
--- a/src/cli/settings.rs
+++ b/src/cli/settings.rs
@@ -99,6 +99,8 @@
     pub members: Vec<SocketAddr>,
     /// The number of control members that may be lost at once, if it is given.
     pub losses: Option<usize>,
+    /// Whether the control members may found their group.
+    pub bootstrap: bool,
     /// The folder of the fleet key.
     pub keys: PathBuf,
     /// The data folder; required for control.
@@ -171,6 +173,8 @@
         check_reachable(&mut check, listen, advertise);
         let members = check_members(&mut check, &args);
         let losses = check_losses(&mut check, &args);
+        let bootstrap = args.bootstrap.clone().filter(|t| !t.trim().is_empty());
+        let bootstrap = check.choice("bootstrap", &bootstrap, "true", &["true", "false"]);
         let keys = check.path("keys", &args.keys);
         check.required_for(RoleName::Control, &roles, "data", &args.data);
         let caller_role =
@@ -234,6 +238,7 @@
             advertise: advertise.unwrap_or(listen),
             members,
             losses,
+            bootstrap: bootstrap == "true",
             keys,
             data: args.data.map(PathBuf::from),
             callers,
--- a/src/control/replica/action.rs
+++ b/src/control/replica/action.rs
@@ -15,6 +15,8 @@
     pub members: Vec<SocketAddr>,
     /// The number of members that may be lost at once: what is committed is on more disks.
     pub losses: usize,
+    /// Whether the members have never run before, so that they found their group.
+    pub founds: bool,
     /// The seed of its random timeouts.
     pub seed: u64,
     /// The number of records, beyond the kept ones, after which the log is compacted into a
@@ -29,7 +31,8 @@
     /// members may be lost at once.
     pub fn new(address: SocketAddr, members: Vec<SocketAddr>, seed: u64) -> ReplicaSettings {
         let losses = (members.len().saturating_sub(1) / 2).max(1);
-        ReplicaSettings { address, members, losses, seed, compact_after: 8_192, kept: 2_048 }
+        let (founds, compact_after, kept) = (true, 8_192, 2_048);
+        ReplicaSettings { address, members, losses, founds, seed, compact_after, kept }
     }
 }
 
--- a/src/control/replica/joining.rs
+++ b/src/control/replica/joining.rs
@@ -18,8 +18,9 @@
 pub struct Joining {
     /// The last hello from each address, with its member and time; used by the leader.
     pub(super) requests: BTreeMap<SocketAddr, (MemberId, Timestamp)>,
-    /// The members that replied that they belong to no group; used by a member without a group.
-    blank: BTreeMap<SocketAddr, MemberId>,
+    /// The members that replied that they belong to no group, and whether they may found one; used
+    /// by a member without a group.
+    blank: BTreeMap<SocketAddr, (MemberId, bool)>,
     /// The addresses that have not replied to the last hello yet.
     unanswered: BTreeSet<SocketAddr>,
     /// The addresses that the last hello went to.
@@ -112,7 +113,8 @@
         }
         let blank = self.group.is_none();
         let contacts = self.contacts();
-        self.answer(via, message.from, ReplicaBody::Welcome { blank, contacts });
+        let founds = self.founds;
+        self.answer(via, message.from, ReplicaBody::Welcome { blank, founds, contacts });
     }
 
     fn contacts(&self) -> Contacts {
@@ -127,10 +129,10 @@
     /// Processes the reply to a hello: only the leader admits a new member, and those that were
     /// asked may all be others.
     pub(super) fn welcome(&mut self, now: Timestamp, peer: SocketAddr, message: ReplicaMessage) {
-        let ReplicaBody::Welcome { blank, contacts } = message.body else { return };
+        let ReplicaBody::Welcome { blank, founds, contacts } = message.body else { return };
         self.joining.unanswered.remove(&peer);
         if self.group.is_none() && blank {
-            self.joining.blank.insert(peer, message.from);
+            self.joining.blank.insert(peer, (message.from, founds));
             self.try_found(now);
             return;
         }
@@ -160,18 +162,34 @@
         }
     }
 
-    /// Founds the group, if this member has the lowest address and all others belong to no group.
+    /// Notes on the disk of a member without a group that it may found one: when it starts again,
+    /// its settings don't tell, since the group may exist by then.
+    pub(super) fn note_founding(&mut self) {
+        if self.settings.founds && !self.founds && self.group.is_none() {
+            self.founds = true;
+            self.write(vec![super::Entry::Founds]);
+        }
+    }
+
+    /// Founds the group, if no configured member belongs to one, most of them may found it and this
+    /// is the one of those with the lowest address. Members with empty disks alone found none: they
+    /// may have lost those of a group that exists.
     fn try_found(&mut self, now: Timestamp) -> bool {
         let addresses: BTreeSet<_> = self.settings.members.iter().copied().collect();
         let own = self.settings.address;
-        let others = || addresses.iter().filter(|a| **a != own);
-        let complete = others().all(|a| self.joining.blank.contains_key(a));
+        let blank = |a: &SocketAddr| *a == own || self.joining.blank.contains_key(a);
+        let may_found = |a: &SocketAddr| match self.joining.blank.get(a) {
+            _ if *a == own => self.founds,
+            member => member.is_some_and(|(_, founds)| *founds),
+        };
+        let founders: Vec<_> = addresses.iter().filter(|a| may_found(a)).collect();
         let grouped = self.group.is_some() || self.joining.contacts.epoch > 0;
-        if grouped || addresses.first() != Some(&own) || !complete {
+        let complete = addresses.iter().all(blank) && founders.len() * 2 > addresses.len();
+        if grouped || !complete || founders.first() != Some(&&own) {
             return false;
         }
         let mut members = Members::default().with(self.id, own, true);
-        for (address, id) in std::mem::take(&mut self.joining.blank) {
+        for (address, (id, _)) in std::mem::take(&mut self.joining.blank) {
             members = members.with(id, address, true);
         }
         ::log::info!("step=found members={members:?}");
--- a/src/control/replica/message.rs
+++ b/src/control/replica/message.rs
@@ -64,6 +64,8 @@
     Welcome {
         /// Whether the replying member belongs to no group yet.
         blank: bool,
+        /// Whether the replying member may found the group.
+        founds: bool,
         /// Whom else of the group the receiver can ask.
         contacts: Contacts,
     },
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -101,6 +101,8 @@
     /// When a replica that does not lead starts a pre-vote or sends a hello; `None` before the
     /// first input.
     deadline: Option<Timestamp>,
+    /// Whether this member may found the group, as its disk says.
+    founds: bool,
     joining: Joining,
     /// The epoch of a committed list of members without this replica, as reported by another
     /// member.
@@ -143,6 +145,7 @@
             deferred: VecDeque::new(),
             stalled: false,
             deadline: None,
+            founds: stored.founds,
             joining: Joining::default(),
             removed: None,
             leave: None,
@@ -359,6 +362,7 @@
     /// without a vote or the only voter.
     fn begin(&mut self, now: Timestamp) {
         self.reset_deadline(now);
+        self.note_founding();
         if self.wants_to_join() || self.members.voters().count() == 1 {
             self.deadline = Some(now);
         }
--- a/src/control/replica/stored.rs
+++ b/src/control/replica/stored.rs
@@ -29,6 +29,8 @@
     Truncate(LogIndex),
     /// Append a record.
     Append(Record),
+    /// The member was started among members that had never run before.
+    Founds,
 }
 
 /// The content of the journal and the snapshot on disk.
@@ -38,6 +40,8 @@
     pub id: MemberId,
     /// The group that the member belongs to, if any.
     pub group: Option<u64>,
+    /// Whether the member was first started among members that had never run before.
+    pub founds: bool,
     /// The current term.
     pub term: u64,
     /// The member that got the vote in that term, if any.
@@ -56,6 +60,7 @@
         Stored {
             id,
             group: None,
+            founds: false,
             term: 0,
             vote: None,
             snapshot: None,
@@ -82,6 +87,7 @@
         match entry {
             Entry::Owner(id) => ensure!(id == self.id, "the journal names more than one owner"),
             Entry::Group(group) => self.group = Some(group),
+            Entry::Founds => self.founds = true,
             Entry::Vote { term, candidate } => {
                 ensure!(term >= self.term, "term {term} follows the higher term {}", self.term);
                 (self.term, self.vote) = (term, candidate);
--- a/tests/replaced_members.rs
+++ b/tests/replaced_members.rs
@@ -262,3 +262,37 @@
     net.run(1_000);
     assert_eq!(net.voters(), [1, 2, 3, 4].into());
 }
+
+/// Machines with empty disks that were each other's seeds took themselves for the first ones.
+#[test]
+fn a_second_group_is_not_founded_by_members_that_lost_their_disks() {
+    let mut net = Net::founded(1..=5);
+    let leader = net.leader().unwrap();
+    let lost: Vec<u64> = (1..=5).filter(|m| *m != leader).take(2).collect();
+    let seeds = [lost[0], lost[1], 6];
+    for machine in &lost {
+        net.stop(*machine);
+        net.disks.remove(machine);
+    }
+    for machine in seeds {
+        net.start(machine, &seeds);
+    }
+    net.run(5_000);
+    let leaders = net.nodes.values().filter(|r| r.is_leader()).count();
+    assert_eq!(leaders, 1, "the three machines have founded a group");
+}
+
+/// A member that was killed before its group was founded was then told that it is not the first.
+#[test]
+fn a_member_that_starts_again_before_the_group_is_founded_still_founds_it() {
+    let mut net = Net::empty();
+    for machine in 1..=2 {
+        net.start_with(machine, &[1, 2, 3], true);
+    }
+    net.run(1_000);
+    net.stop(1);
+    net.start(1, &[1, 2, 3]);
+    net.start_with(3, &[1, 2, 3], true);
+    net.run(3_000);
+    assert_eq!(net.voters(), [1, 2, 3].into());
+}
--- a/tests/replica_net/mod.rs
+++ b/tests/replica_net/mod.rs
@@ -38,15 +38,19 @@
 }
 
 impl Net {
+    /// Creates a network without machines.
+    pub fn empty() -> Net {
+        let now = Timestamp::from_micros(1_000_000);
+        let (nodes, disks, queue) = (BTreeMap::new(), BTreeMap::new(), VecDeque::new());
+        Net { now, nodes, disks, queue, last_via: 0, vias: BTreeMap::new(), last_id: 0 }
+    }
+
     /// Starts machines with empty disks that are each other's seeds, and waits for their group.
     pub fn founded(machines: impl IntoIterator<Item = u64>) -> Net {
         let machines: Vec<u64> = machines.into_iter().collect();
-        let now = Timestamp::from_micros(1_000_000);
-        let (nodes, disks, queue) = (BTreeMap::new(), BTreeMap::new(), VecDeque::new());
-        let mut net =
-            Net { now, nodes, disks, queue, last_via: 0, vias: BTreeMap::new(), last_id: 0 };
+        let mut net = Net::empty();
         for machine in &machines {
-            net.start(*machine, &machines);
+            net.start_with(*machine, &machines, true);
         }
         net.run(3_000);
         assert_eq!(net.voters(), machines.iter().copied().collect());
@@ -55,13 +59,18 @@
 
     /// Starts the process of a machine, from its disk if it has one.
     pub fn start(&mut self, machine: u64, seeds: &[u64]) {
+        self.start_with(machine, seeds, false);
+    }
+
+    /// Starts the process of a machine, which may be one of the first.
+    pub fn start_with(&mut self, machine: u64, seeds: &[u64], founds: bool) {
         self.last_id += 1;
         let fresh = MemberId(self.last_id * 1_000 + machine);
         let entries = self.disks.entry(machine).or_insert_with(|| vec![Entry::Owner(fresh)]);
         let stored = Stored::replay(None, entries.clone()).unwrap();
         let seeds = seeds.iter().map(|s| address(*s)).collect();
         let mut settings = ReplicaSettings::new(address(machine), seeds, machine * 7 + 1);
-        settings.losses = 1;
+        (settings.losses, settings.founds) = (1, founds);
         self.nodes.insert(machine, Replica::new(settings, stored));
         self.step(machine, ReplicaInput::Wake);
     }
