Let a member rejoin whose fellow members were all replaced

A member that was away while the others were replaced one after the other asked only those for votes when it came back, for ever: they are gone, and only one of the members that it knows could have told it that it was removed.

Now, when a round of pre-votes fails, it also asks its seeds for the present list. A newer committed list of its group without it counts as its removal, and it joins anew.

tests/replaced_members.rs: a_returning_voter_whose_members_were_all_replaced_joins_anew failed before (not a voter after 4 s) and passes now.

--- a/src/control/replica/election.rs
+++ b/src/control/replica/election.rs
@@ -71,8 +71,12 @@
 
     /// Requests pre-votes from the other voters.
     fn start_pre_vote(&mut self, now: Timestamp) {
+        let fails = matches!(self.role, Role::PreCandidate(_));
         self.redial_silent(now);
         self.reset_deadline(now);
+        if fails {
+            self.ask_for_members();
+        }
         let own = [self.id].into();
         self.role = Role::PreCandidate(Votes { granted: own, answered: [self.id].into() });
         let body = ReplicaBody::PreVote { next: self.term + 1, last: self.log.last() };
--- a/src/control/replica/joining.rs
+++ b/src/control/replica/joining.rs
@@ -82,7 +82,15 @@
         }
         self.joining.unanswered = others.clone();
         self.joining.greeted = others.clone();
-        self.greet(others);
+        self.greet(others, true);
+    }
+
+    /// Asks all machines that may be members for the present list, since the voters that this
+    /// replica knows may all have been replaced.
+    pub(super) fn ask_for_members(&mut self) {
+        let voters: BTreeSet<_> = self.members.voters().map(|(_, address)| address).collect();
+        let others = self.greetable();
+        self.greet(others.difference(&voters).copied().collect(), false);
     }
 
     /// Returns the addresses of all machines that may be members: those in the settings, in the own
@@ -94,9 +102,9 @@
         all.filter(|a| *a != self.settings.address).collect()
     }
 
-    fn greet(&mut self, addresses: BTreeSet<SocketAddr>) {
+    fn greet(&mut self, addresses: BTreeSet<SocketAddr>, joinable: bool) {
         for to in addresses {
-            let message = self.message(MemberId(0), ReplicaBody::Hello { joinable: true });
+            let message = self.message(MemberId(0), ReplicaBody::Hello { joinable });
             self.actions.push(Action::Request { to, message });
         }
     }
@@ -140,6 +148,10 @@
         if self.group.is_some() && self.group != message.group {
             return;
         }
+        let lacks_own = contacts.epoch > 0 && !contacts.members.contains_key(&self.id);
+        if self.group.is_some() && lacks_own && contacts.epoch > self.members.epoch {
+            self.on_removal(now, peer, contacts.epoch);
+        }
         self.learn_contacts(contacts);
     }
 
@@ -158,7 +170,7 @@
             let to: Vec<_> = new.iter().map(SocketAddr::to_string).collect();
             ::log::info!("step=hello to={} epoch={}", to.join(","), self.joining.contacts.epoch);
             self.joining.greeted.extend(&new);
-            self.greet(new);
+            self.greet(new, true);
         }
     }
 
--- a/tests/replaced_members.rs
+++ b/tests/replaced_members.rs
@@ -296,3 +296,20 @@
     net.run(3_000);
     assert_eq!(net.voters(), [1, 2, 3].into());
 }
+
+/// A member that was away while all others were replaced asked only those that were gone for votes.
+#[test]
+fn a_returning_voter_whose_members_were_all_replaced_joins_anew() {
+    let mut net = Net::founded(1..=3);
+    net.stop(3);
+    for (old, new) in [(0, 4), (1, 5), (2, 6)] {
+        net.start(new, &[1, 2, 3]);
+        net.run(4_000);
+        net.leave(old);
+        net.run(1_000);
+    }
+    assert_eq!(net.voters(), [4, 5, 6].into());
+    net.start(3, &[6, 4]);
+    net.run(4_000);
+    assert_eq!(net.voters(), [3, 4, 5, 6].into());
+}
