Forget what a replaced control member did not acknowledge

A gateway whose evidence about crashes was not acknowledged by a control member that was then replaced woke up without a pause, for as long as it kept the evidence (two minutes): what that member lacked was due at once, and nothing was sent to it, since the gateway follows it no longer.

Only what the present members have is kept.

tests/replaced_members.rs: reports_to_a_member_that_is_gone_wake_nobody failed before (due at 1.2 s, in the past) and passes now.

--- a/src/gateway/outbox.rs
+++ b/src/gateway/outbox.rs
@@ -3,7 +3,7 @@
 //! Every member may become the leader, so each of them gets all evidence. What a member has not
 //! acknowledged is sent again, and so is all that is kept once a member starts anew.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -93,6 +93,8 @@
     ) -> Vec<Sending> {
         self.reports.retain(|r| now - r.at < KEEP_TIME);
         let mut due = Vec::new();
+        let members: BTreeSet<SocketAddr> = members.into_iter().collect();
+        self.members.retain(|member, _| members.contains(member));
         for member in members {
             let progress = self.members.entry(member).or_default();
             if progress.open.is_some() || now < progress.next {
--- a/tests/replaced_members.rs
+++ b/tests/replaced_members.rs
@@ -6,12 +6,14 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use dotterelpin::control::quarantine::Evidence;
 use dotterelpin::control::replica::{
     Action, LogIndex, Member, MemberId, Members, Record, Replica, ReplicaBody, ReplicaInput,
     ReplicaMessage, ReplicaSettings, Stored, WriteId,
 };
 use dotterelpin::control::state::Command;
-use dotterelpin::model::{InboundId, Timestamp};
+use dotterelpin::gateway::outbox::Outbox;
+use dotterelpin::model::{ExchangeId, InboundId, Timestamp};
 
 use replica_net::{Net, address};
 
@@ -313,3 +315,22 @@
     net.run(4_000);
     assert_eq!(net.voters(), [3, 4, 5, 6].into());
 }
+
+/// What a member that is gone had not acknowledged was due again at once, for ever.
+#[test]
+fn reports_to_a_member_that_is_gone_wake_nobody() {
+    let (lives, gone) = (address(1), address(2));
+    let now = Timestamp::from_micros(1_000_000);
+    let mut last = 0;
+    let mut next = || {
+        last += 1;
+        ExchangeId(last)
+    };
+    let mut outbox = Outbox::default();
+    outbox.push(now, Evidence::Survived(Vec::new()));
+    assert_eq!(outbox.take_due(now, [lives, gone], &mut next).len(), 2);
+    assert!(outbox.acknowledged(ExchangeId(1)) && outbox.failed(now, ExchangeId(2)));
+    let later = now + Duration::from_secs(1);
+    assert!(outbox.take_due(later, [lives], &mut next).is_empty());
+    assert_eq!(outbox.next_wake(), None);
+}
