Count the voters, not the seeds, when lists of endpoints are trusted

A process uses the lists of endpoints of the members that are in sync if these are a majority, else all lists that it has. It divided by all members that it follows, and the settings name some that were replaced: with three such seeds and three sound voters there was never a majority, so what the replaced ones had listed last was used again.

Now the majority is one of the voters by the newest list that is known, and without a majority only the lists of voters are used.

tests/follower.rs: lists_of_members_that_were_replaced_are_not_used failed before (the endpoint stayed in use) and passes now.

--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -107,10 +107,10 @@
             return;
         }
         let service = call.service.clone();
-        let members: Vec<_> = self.follower.members().collect();
         let request = ControlRequest::FindOrigin { call: resumes, service };
+        let voters = self.follower.voters();
         let open: Vec<ExchangeId> =
-            members.into_iter().map(|m| self.send_to_control(m, request.clone())).collect();
+            voters.into_iter().map(|m| self.send_to_control(m, request.clone())).collect();
         for exchange in &open {
             self.leader_requests.insert(*exchange, caller);
         }
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -243,13 +243,40 @@
     }
 
     /// Returns for each member whether its list is used: only lists that were in sync within
-    /// `TRUST_LEASE` if these are a majority, else all lists, because unreachable control must not
-    /// cause endpoints that still work to be removed.
+    /// `TRUST_LEASE` if these are of most voters, else those of all voters, because unreachable
+    /// control must not cause endpoints that still work to be removed.
     fn trusted(&self, now: Timestamp) -> Vec<bool> {
         let fresh = |m: &Member| m.synced.is_some_and(|at| now - at < TRUST_LEASE);
-        let fresh: Vec<bool> = self.members.iter().map(fresh).collect();
-        let majority = fresh.iter().filter(|f| **f).count() * 2 > fresh.len();
-        if majority { fresh } else { vec![true; self.members.len()] }
+        let voters = self.voters();
+        let votes = |m: &&Member| voters.contains(&m.address);
+        let agreeing = self.members.iter().filter(votes).filter(|m| fresh(m)).count();
+        let majority = agreeing * 2 > voters.len();
+        let used = |m: &Member| fresh(m) || !majority && voters.contains(&m.address);
+        self.members.iter().map(used).collect()
+    }
+
+    /// Returns the addresses of the members with a vote according to the newest list that is known,
+    /// or those of all members if there is none yet: the settings may name some that are gone.
+    ///
+    /// ```
+    /// use dotterelpin::model::BootId;
+    /// use dotterelpin::registry::{Follower, FollowerSettings};
+    ///
+    /// let member = "127.0.0.1:7000".parse().unwrap();
+    /// let follower = Follower::new(FollowerSettings {
+    ///     name: "gateway-0".into(), role: "gateway".into(), domain: "brno-a".into(),
+    ///     boot: BootId(1), members: vec![member], endpoints: true, routes: true,
+    /// });
+    /// assert_eq!(follower.voters(), [member]);
+    /// ```
+    pub fn voters(&self) -> Vec<SocketAddr> {
+        let newest = self.newest_proof().map(|proof| proof.voters.clone());
+        newest.unwrap_or_else(|| self.members().collect())
+    }
+
+    fn newest_proof(&self) -> Option<&Proof> {
+        let proofs = self.members.iter().filter_map(|m| m.proof.as_ref());
+        proofs.map(|(proof, _)| proof).max_by_key(|p| p.epoch)
     }
 
     fn trusted_views(&self) -> impl Iterator<Item = &View> {
@@ -379,8 +406,7 @@
     /// Adds the voters that the settings don't list, and removes members that are neither
     /// listed nor voters.
     fn follow_voters(&mut self) {
-        let proofs = self.members.iter().filter_map(|m| m.proof.as_ref());
-        let Some((newest, _)) = proofs.max_by_key(|(p, _)| p.epoch) else { return };
+        let Some(newest) = self.newest_proof() else { return };
         let voters = newest.voters.clone();
         let named = &self.settings.members;
         self.members.retain(|m| named.contains(&m.address) || voters.contains(&m.address));
--- a/tests/follower.rs
+++ b/tests/follower.rs
@@ -10,9 +10,14 @@
 use dotterelpin::control::state::{Applied, ChangeReply, Command, State};
 use dotterelpin::control::{Control, ControlSettings, DiskEffect, DiskInput};
 use dotterelpin::link::message::{
-    Beat, ControlReply, ControlRequest, Envelope, Heartbeat, Proof, Reply, Request, Seen, Update,
+    Beat, ControlReply, ControlRequest, Endpoints, Envelope, Heartbeat, Proof, Reply, Request,
+    Seen, Update,
 };
-use dotterelpin::model::{BootId, ExchangeId, InboundId, Revision, Timestamp};
+use dotterelpin::model::{
+    BootId, Capacity, EndpointKind, EndpointState, ExchangeId, Fence, InboundId, Load, Revision,
+    Timestamp,
+};
+use dotterelpin::registry::view::View;
 use dotterelpin::registry::{Follower, FollowerSettings};
 use dotterelpin::role::{Input, Output, Role};
 
@@ -91,22 +96,48 @@
         proof: Option<Proof>,
         update: Option<Update>,
     ) {
+        let seen = Seen { epoch, ..Seen::default() };
+        self.answer_with(now, member, Beat { proof, config: update, seen, ..empty_beat() });
+    }
+
+    fn answer_with(&mut self, now: Timestamp, member: u8, beat: Beat) {
         let found = self.open.iter().find(|(_, peer, _)| *peer == address(member));
         let (exchange, _, _) = found.expect("a heartbeat is open");
-        let beat = Beat {
-            member: format!("control-{member}").into(),
-            proof,
-            config: update,
-            seen: Seen { epoch, ..Seen::default() },
-            endpoints: None,
-            orders: None,
-            quarantine: None,
-            routing: None,
-        };
         self.follower.reply(now, *exchange, &Reply::Control(ControlReply::Beat(beat)));
     }
 }
 
+fn empty_beat() -> Beat {
+    Beat {
+        member: "control".into(),
+        proof: None,
+        config: None,
+        seen: Seen::default(),
+        endpoints: None,
+        orders: None,
+        quarantine: None,
+        routing: None,
+    }
+}
+
+fn endpoint(name: &str) -> EndpointState {
+    EndpointState {
+        name: name.into(),
+        address: address(100),
+        domain: "brno-a".into(),
+        boot: BootId(1),
+        sequence: 1,
+        kind: EndpointKind::Decode,
+        pool: "cs-summary".into(),
+        url: "http://10.0.1.1:8000".into(),
+        capacity: Capacity { slots: 20, pieces: 60, piece_tokens: 2000 },
+        load: Load::default(),
+        draining: false,
+        fence: Fence(0),
+        software: "".into(),
+    }
+}
+
 fn proof(member: u8, highest: u64, epoch: u64, voters: &[u8]) -> Option<Proof> {
     Some(Proof {
         member: address(member),
@@ -152,6 +183,33 @@
     assert_eq!(members(&f), [0, 1, 2].map(address));
 }
 
+/// The settings named three members that were replaced later: they count as silent for ever, so the
+/// lists that they once sent were used again.
+#[test]
+fn lists_of_members_that_were_replaced_are_not_used() {
+    let mut f = Fixture::new();
+    let mut list = View::default();
+    list.set(&endpoint("gone-endpoint"));
+    let seen = Seen { digest: list.digest(), ..Seen::default() };
+    let all = Endpoints::All(vec![endpoint("gone-endpoint")]);
+    f.wake(seconds(1));
+    for member in 0..3 {
+        let proof = proof(member, 0, 3, &[0, 1, 2, 3, 4, 5]);
+        let endpoints = Some(all.clone());
+        f.answer_with(seconds(1), member, Beat { proof, seen, endpoints, ..empty_beat() });
+    }
+    assert_eq!(f.follower.changed_endpoints(seconds(1)).map(|e| e.len()), Some(1));
+    for second in 2..20 {
+        f.wake(seconds(second));
+        for member in 3..6 {
+            f.answer(seconds(second), member, proof(member, 0, 6, &[3, 4, 5]), None);
+        }
+    }
+    assert!(f.follower.is_confirmed(seconds(19)));
+    assert_eq!(f.follower.changed_endpoints(seconds(19)).map(|e| e.len()), Some(0));
+    assert_eq!(f.follower.voters(), [3, 4, 5].map(address));
+}
+
 #[test]
 fn majority_of_voters_confirms_for_three_seconds() {
     let mut f = Fixture::new();
