Ask the own control member before those of the settings who leads

An operator's change was answered with 503 although the group had a leader: an API whose last known leader was gone asked the members of its settings next, each for 350 ms of the 900 ms that it has. On a machine that was added later these are others, and may all have been replaced.

Now it asks the control member of its own process first, which answers at once and knows the leader as soon as there is one, then the others.

tests/api.rs: call_is_sent_to_the_own_member_before_those_of_the_settings failed before (a member of the settings was asked) and passes now. The fixture there takes the members as an argument; other tests are unchanged.

--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -207,9 +207,10 @@
                 (own, request)
             }
             Work::Commit(command) => {
-                let members = &self.settings.members;
-                let turn = pending.tries.saturating_sub(1);
-                let next = members.get(turn % members.len().max(1)).copied().unwrap_or(own);
+                // The members in the settings may all be gone; the own one finds the leader.
+                let others = self.settings.members.iter().copied().filter(|m| *m != own);
+                let members: Vec<_> = std::iter::once(own).chain(others).collect();
+                let next = members[pending.tries.saturating_sub(1) % members.len()];
                 let first = leader.unwrap_or(own);
                 let peer = if pending.tries == 0 { first } else { leader.unwrap_or(next) };
                 (peer, ControlRequest::Propose(command.clone()))
--- a/tests/api.rs
+++ b/tests/api.rs
@@ -89,9 +89,13 @@
 
 impl Fixture {
     fn new() -> Fixture {
+        Fixture::with_members(0..3)
+    }
+
+    fn with_members(members: std::ops::Range<u16>) -> Fixture {
         let settings = ApiSettings {
             own: member(0),
-            members: (0..3).map(member).collect(),
+            members: members.map(member).collect(),
             name: "control-0".into(),
             stages: StageTerms { share: 27, spare: 0 },
             grace: GRACE,
@@ -215,6 +219,21 @@
     assert!(f.replies[0].1.starts_with("Unavailable"), "{:?}", f.replies);
 }
 
+/// The settings of a machine that was added later name members that are gone by now, each of which
+/// took the time that the member of its own process needs to tell who leads.
+#[test]
+fn call_is_sent_to_the_own_member_before_those_of_the_settings() {
+    let mut f = Fixture::with_members(5..8);
+    f.step(Input::Wake);
+    let at = f.open.iter().position(|(_, _, r)| matches!(r, ControlRequest::Lead));
+    let (exchange, ..) = f.open.remove(at.expect("a request for the leader"));
+    f.reply(exchange, ControlReply::Lead { leader: Some(member(1)), leadership: None });
+    f.call(1, "/publish/7");
+    assert_eq!(f.take_request().1, member(1));
+    f.advance(360);
+    assert_eq!(f.take_request().1, member(0));
+}
+
 /// Fails if the reply to a command that took longer to commit than a member may take to answer is
 /// not accepted, since the command was sent again meanwhile.
 #[test]
