--- a/src/control/replica/action.rs
+++ b/src/control/replica/action.rs
@@ -15,6 +15,8 @@
     pub members: Vec<SocketAddr>,
     /// The number of members that may be lost at once: what is committed is on more disks.
     pub losses: usize,
+    /// Whether the members have never run before, so that they found their group.
+    pub founds: bool,
     /// The seed of its random timeouts.
     pub seed: u64,
     /// The number of records after a snapshot from which the log is compacted into the next one.
@@ -36,6 +38,7 @@
             address,
             members,
             losses,
+            founds: true,
             seed,
             compact_after: 8_192,
             compact_bytes: 4 << 20,
--- a/tests/replaced_members.rs
+++ b/tests/replaced_members.rs
@@ -6,12 +6,14 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use dotterelpin::control::quarantine::Evidence;
 use dotterelpin::control::replica::{
     Action, LogIndex, Member, MemberId, Members, Record, Replica, ReplicaBody, ReplicaInput,
     ReplicaMessage, ReplicaSettings, Stored, WriteId,
 };
 use dotterelpin::control::state::Command;
-use dotterelpin::model::{InboundId, Timestamp};
+use dotterelpin::gateway::outbox::Outbox;
+use dotterelpin::model::{ExchangeId, InboundId, Timestamp};
 
 use replica_net::{Net, address};
 
@@ -262,3 +264,73 @@
     net.run(1_000);
     assert_eq!(net.voters(), [1, 2, 3, 4].into());
 }
+
+/// Machines with empty disks that were each other's seeds took themselves for the first ones.
+#[test]
+fn a_second_group_is_not_founded_by_members_that_lost_their_disks() {
+    let mut net = Net::founded(1..=5);
+    let leader = net.leader().unwrap();
+    let lost: Vec<u64> = (1..=5).filter(|m| *m != leader).take(2).collect();
+    let seeds = [lost[0], lost[1], 6];
+    for machine in &lost {
+        net.stop(*machine);
+        net.disks.remove(machine);
+    }
+    for machine in seeds {
+        net.start(machine, &seeds);
+    }
+    net.run(5_000);
+    let leaders = net.nodes.values().filter(|r| r.is_leader()).count();
+    assert_eq!(leaders, 1, "the three machines have founded a group");
+}
+
+/// A member that was killed before its group was founded was then told that it is not the first.
+#[test]
+fn a_member_that_starts_again_before_the_group_is_founded_still_founds_it() {
+    let mut net = Net::empty();
+    for machine in 1..=2 {
+        net.start_with(machine, &[1, 2, 3], true);
+    }
+    net.run(1_000);
+    net.stop(1);
+    net.start(1, &[1, 2, 3]);
+    net.start_with(3, &[1, 2, 3], true);
+    net.run(3_000);
+    assert_eq!(net.voters(), [1, 2, 3].into());
+}
+
+/// A member that was away while all others were replaced asked only those that were gone for votes.
+#[test]
+fn a_returning_voter_whose_members_were_all_replaced_joins_anew() {
+    let mut net = Net::founded(1..=3);
+    net.stop(3);
+    for (old, new) in [(0, 4), (1, 5), (2, 6)] {
+        net.start(new, &[1, 2, 3]);
+        net.run(4_000);
+        net.leave(old);
+        net.run(1_000);
+    }
+    assert_eq!(net.voters(), [4, 5, 6].into());
+    net.start(3, &[6, 4]);
+    net.run(4_000);
+    assert_eq!(net.voters(), [3, 4, 5, 6].into());
+}
+
+/// What a member that is gone had not acknowledged was due again at once, for ever.
+#[test]
+fn reports_to_a_member_that_is_gone_wake_nobody() {
+    let (lives, gone) = (address(1), address(2));
+    let now = Timestamp::from_micros(1_000_000);
+    let mut last = 0;
+    let mut next = || {
+        last += 1;
+        ExchangeId(last)
+    };
+    let mut outbox = Outbox::default();
+    outbox.push(now, Evidence::Survived(Vec::new()));
+    assert_eq!(outbox.take_due(now, [lives, gone], &mut next).len(), 2);
+    assert!(outbox.acknowledged(ExchangeId(1)) && outbox.failed(now, ExchangeId(2)));
+    let later = now + Duration::from_secs(1);
+    assert!(outbox.take_due(later, [lives], &mut next).is_empty());
+    assert_eq!(outbox.next_wake(), None);
+}
