Give a wiped member its vote beside a learner without a place

The vote of a lost disk stayed in the group though its member had come back and caught up, so the next losses could end the group.

The leader looked at the first caught-up member without a vote only. If seven voters left no place for that one, nothing was done for those behind it, not even the swap of a lost member and the new one at the same address.

Now each of them is looked at until one can be promoted.

tests/replaced_members.rs: a_learner_without_a_place_keeps_no_lost_vote failed before (the old vote was still there after 1.5 s) and passes now.

--- a/src/control/replica/changes.rs
+++ b/src/control/replica/changes.rs
@@ -98,9 +98,13 @@
     /// removal of a voter whose place it takes, and then its own addition.
     fn promotion(&self, now: Timestamp) -> Option<Change> {
         let learners = self.members.all.iter().filter(|(_, m)| !m.voter);
-        let (id, address) = learners
-            .map(|(id, m)| (*id, m.address))
-            .find(|(id, _)| self.has_caught_up(now, *id))?;
+        let mut ready =
+            learners.map(|(id, m)| (*id, m.address)).filter(|(id, _)| self.has_caught_up(now, *id));
+        // One for which there is no place must not keep another from its own.
+        ready.find_map(|(id, address)| self.promotion_of(now, id, address))
+    }
+
+    fn promotion_of(&self, now: Timestamp, id: MemberId, address: SocketAddr) -> Option<Change> {
         // The old member at its address has lost its disk.
         if let Some(old) = self.members.at(address, true).filter(|old| *old != self.id) {
             return Some(self.removal("disk-lost", old));
--- a/tests/replaced_members.rs
+++ b/tests/replaced_members.rs
@@ -217,3 +217,20 @@
     net.run(3_000);
     assert_eq!(net.voters(), [3, 4, 5, 6].into());
 }
+
+/// A new machine for which seven voters left no place kept the vote of a lost disk in the group.
+#[test]
+fn a_learner_without_a_place_keeps_no_lost_vote() {
+    let mut net = Net::founded(1..=7);
+    net.start(8, &[1, 2, 3]);
+    net.run(1_000);
+    assert!(!net.votes(8), "a group has seven voters at the most");
+    let wiped = (1..=7).find(|m| net.leader() != Some(*m)).unwrap();
+    net.wipe(wiped, &[1, 2, 3]);
+    net.run(1_500);
+    let living: BTreeSet<_> = net.nodes.values().map(Replica::id).collect();
+    let leader = &net.nodes[&net.leader().unwrap()];
+    let voters: BTreeSet<_> = leader.members().voters().map(|(id, _)| id).collect();
+    assert!(voters.is_subset(&living), "the lost vote waits until its member counts as gone");
+    assert_eq!(voters.len(), 7);
+}
