Let a wiped member learn the group from messages to its former self

A machine that lost its disk never got a vote again if it was told of itself and of two machines that were gone for good.

It asked only those for a vote. The group still sent messages to its address, for the number that it had before, but these were dropped unread.

Now a machine without a vote notes the sender of such a message and sends it a hello at once.

tests/replaced_members.rs: a_wiped_member_whose_other_seeds_are_gone_joins failed before (no vote after 1.5 s) and passes now.

--- a/src/control/replica/joining.rs
+++ b/src/control/replica/joining.rs
@@ -26,6 +26,8 @@
     greeted: BTreeSet<SocketAddr>,
     /// The newest list of the members of the group that was received.
     contacts: Contacts,
+    /// The last member that sent a message to the former member at this address.
+    met: Option<SocketAddr>,
 }
 
 impl Joining {
@@ -88,7 +90,7 @@
     /// list and in the newest list that was received.
     fn greetable(&self) -> BTreeSet<SocketAddr> {
         let known = self.members.all.values().map(|m| m.address);
-        let known = known.chain(self.joining.contacts.addresses());
+        let known = known.chain(self.joining.contacts.addresses()).chain(self.joining.met);
         let all = self.settings.members.iter().copied().chain(known);
         all.filter(|a| *a != self.settings.address).collect()
     }
@@ -147,6 +149,21 @@
         } else {
             self.joining.contacts.leader = contacts.leader.or(self.joining.contacts.leader);
         }
+        self.greet_new();
+    }
+
+    /// Records who sent a message that is for a former member at this address: all machines that
+    /// the settings name may be gone.
+    pub(super) fn meet(&mut self, message: &ReplicaMessage) {
+        let known = self.group.is_none() || self.group == message.group;
+        if message.group.is_some() && known && self.wants_to_join() {
+            self.joining.met = Some(message.address);
+            self.greet_new();
+        }
+    }
+
+    /// Sends a hello to those that the last one did not go to, if this replica has no vote.
+    fn greet_new(&mut self) {
         if !self.wants_to_join() {
             return;
         }
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -366,7 +366,11 @@
             self.hello(now, via, &message, joinable);
             return;
         }
-        if message.to != self.id || !self.same_group(&message) {
+        if message.to != self.id {
+            self.meet(&message);
+            return;
+        }
+        if !self.same_group(&message) {
             return;
         }
         let from = message.from;
--- a/tests/replaced_members.rs
+++ b/tests/replaced_members.rs
@@ -218,6 +218,16 @@
     assert_eq!(net.voters(), [3, 4, 5, 6].into());
 }
 
+/// Its disk was lost, and the other machines that it was told of were gone for good.
+#[test]
+fn a_wiped_member_whose_other_seeds_are_gone_joins() {
+    let mut net = Net::founded(1..=5);
+    let wiped = (1..=5).find(|m| net.leader() != Some(*m)).unwrap();
+    net.wipe(wiped, &[wiped, 20, 21]);
+    net.run(1_500);
+    assert!(net.votes(wiped), "nobody that it asked for a vote has replied");
+}
+
 /// A new machine for which seven voters left no place kept the vote of a lost disk in the group.
 #[test]
 fn a_learner_without_a_place_keeps_no_lost_vote() {
--- a/tests/replica_net/mod.rs
+++ b/tests/replica_net/mod.rs
@@ -71,6 +71,19 @@
         self.nodes.remove(&machine);
     }
 
+    /// Kills a machine and starts it with an empty disk.
+    pub fn wipe(&mut self, machine: u64, seeds: &[u64]) {
+        self.stop(machine);
+        self.disks.remove(&machine);
+        self.start(machine, seeds);
+    }
+
+    /// Returns whether the leader counts the vote of the replica that runs on a machine.
+    pub fn votes(&self, machine: u64) -> bool {
+        let leader = self.leader().and_then(|l| self.nodes.get(&l));
+        leader.is_some_and(|l| l.members().is_voter(self.nodes[&machine].id()))
+    }
+
     pub fn leader(&self) -> Option<u64> {
         let leaders = self.nodes.iter().filter(|(_, r)| r.is_leader());
         leaders.max_by_key(|(_, r)| r.term()).map(|(machine, _)| *machine)
