--- a/src/control/replica/joining.rs
+++ b/src/control/replica/joining.rs
@@ -18,8 +18,9 @@
 pub struct Joining {
     /// The last hello from each address, with its member and time; used by the leader.
     pub(super) requests: BTreeMap<SocketAddr, (MemberId, Timestamp)>,
-    /// The members that replied that they belong to no group; used by a member without a group.
-    blank: BTreeMap<SocketAddr, MemberId>,
+    /// The members that replied that they belong to no group, and whether they may found one; used
+    /// by a member without a group.
+    blank: BTreeMap<SocketAddr, (MemberId, bool)>,
     /// The addresses that have not replied to the last hello yet.
     unanswered: BTreeSet<SocketAddr>,
     /// The addresses that the last hello went to.
@@ -83,7 +84,15 @@
         }
         self.joining.unanswered = others.clone();
         self.joining.greeted = others.clone();
-        self.greet(others);
+        self.greet(others, true);
+    }
+
+    /// Asks all machines that may be members for the present list, since the voters that this
+    /// replica knows may all have been replaced.
+    pub(super) fn ask_for_members(&mut self) {
+        let voters: BTreeSet<_> = self.members.voters().map(|(_, address)| address).collect();
+        let others = self.greetable();
+        self.greet(others.difference(&voters).copied().collect(), false);
     }
 
     /// Returns the addresses of all machines that may be members: those in the settings, in the own
@@ -95,9 +104,9 @@
         all.filter(|a| *a != self.settings.address).collect()
     }
 
-    fn greet(&mut self, addresses: BTreeSet<SocketAddr>) {
+    fn greet(&mut self, addresses: BTreeSet<SocketAddr>, joinable: bool) {
         for to in addresses {
-            let message = self.message(MemberId(0), ReplicaBody::Hello { joinable: true });
+            let message = self.message(MemberId(0), ReplicaBody::Hello { joinable });
             self.actions.push(Action::Request { to, message });
         }
     }
@@ -114,7 +123,8 @@
         }
         let blank = self.group.is_none();
         let contacts = self.contacts();
-        self.answer(via, message.from, ReplicaBody::Welcome { blank, contacts });
+        let founds = self.founds;
+        self.answer(via, message.from, ReplicaBody::Welcome { blank, founds, contacts });
     }
 
     fn contacts(&self) -> Contacts {
@@ -129,10 +139,10 @@
     /// Processes the reply to a hello: only the leader admits a new member, and those that were
     /// asked may all be others.
     pub(super) fn welcome(&mut self, now: Timestamp, peer: SocketAddr, message: ReplicaMessage) {
-        let ReplicaBody::Welcome { blank, contacts } = message.body else { return };
+        let ReplicaBody::Welcome { blank, founds, contacts } = message.body else { return };
         self.joining.unanswered.remove(&peer);
         if self.group.is_none() && blank {
-            self.joining.blank.insert(peer, message.from);
+            self.joining.blank.insert(peer, (message.from, founds));
             self.try_found(now);
             return;
         }
@@ -140,6 +150,10 @@
         if self.group.is_some() && self.group != message.group {
             return;
         }
+        let lacks_own = contacts.epoch > 0 && !contacts.members.contains_key(&self.id);
+        if self.group.is_some() && lacks_own && contacts.epoch > self.members.epoch {
+            self.on_removal(now, peer, contacts.epoch);
+        }
         self.learn_contacts(contacts);
     }
 
@@ -173,22 +187,38 @@
             let to: Vec<_> = new.iter().map(SocketAddr::to_string).collect();
             ::log::info!("step=hello to={} epoch={}", to.join(","), self.joining.contacts.epoch);
             self.joining.greeted.extend(&new);
-            self.greet(new);
+            self.greet(new, true);
         }
     }
 
-    /// Founds the group, if this member has the lowest address and all others belong to no group.
+    /// Notes on the disk of a member without a group that it may found one: when it starts again,
+    /// its settings don't tell, since the group may exist by then.
+    pub(super) fn note_founding(&mut self) {
+        if self.settings.founds && !self.founds && self.group.is_none() {
+            self.founds = true;
+            self.write(vec![super::Entry::Founds]);
+        }
+    }
+
+    /// Founds the group, if no configured member belongs to one, most of them may found it and this
+    /// is the one of those with the lowest address. Members with empty disks alone found none: they
+    /// may have lost those of a group that exists.
     fn try_found(&mut self, now: Timestamp) -> bool {
         let addresses: BTreeSet<_> = self.settings.members.iter().copied().collect();
         let own = self.settings.address;
-        let others = || addresses.iter().filter(|a| **a != own);
-        let complete = others().all(|a| self.joining.blank.contains_key(a));
+        let blank = |a: &SocketAddr| *a == own || self.joining.blank.contains_key(a);
+        let may_found = |a: &SocketAddr| match self.joining.blank.get(a) {
+            _ if *a == own => self.founds,
+            member => member.is_some_and(|(_, founds)| *founds),
+        };
+        let founders: Vec<_> = addresses.iter().filter(|a| may_found(a)).collect();
         let grouped = self.group.is_some() || self.joining.contacts.epoch > 0;
-        if grouped || addresses.first() != Some(&own) || !complete {
+        let complete = addresses.iter().all(blank) && founders.len() * 2 > addresses.len();
+        if grouped || !complete || founders.first() != Some(&&own) {
             return false;
         }
         let mut members = Members::default().with(self.id, own, true);
-        for (address, id) in std::mem::take(&mut self.joining.blank) {
+        for (address, (id, _)) in std::mem::take(&mut self.joining.blank) {
             members = members.with(id, address, true);
         }
         ::log::info!("step=found members={members:?}");
