Let the notice of a member that leaves reach all others

Two machines that were replaced at once kept their votes after their processes had ended, so the group could not bear the losses that it must.

A member that leaves gave its notices on the exchanges that it had. A follower seldom sends to the others, so such an exchange may lead to an earlier start of the other process, and nothing noticed that the notices were lost.

Now a notice is answered, and the connection to a member that has not replied lately is dialled anew before a notice.

--- a/src/control/replica/leaving.rs
+++ b/src/control/replica/leaving.rs
@@ -5,7 +5,7 @@
 
 use super::members::MemberId;
 use super::message::{ReplicaBody, ReplicaMessage};
-use super::{Action, ELECTION_JITTER, Replica, Role};
+use super::{ANSWER_TIMEOUT, Action, ELECTION_JITTER, Replica, Role};
 use crate::model::{InboundId, Timestamp};
 
 /// The time between two notices of a member that leaves.
@@ -75,6 +75,11 @@
         let all = self.members.all.iter().filter(|(id, _)| **id != self.id);
         let others: Vec<_> = all.map(|(id, m)| (*id, m.address)).collect();
         for (id, to) in others {
+            // A follower talks to the others rarely, so it may not know that a connection is lost.
+            let heard = self.links.get(&to).map(|l| l.heard).unwrap_or_default();
+            if now - heard >= ANSWER_TIMEOUT {
+                self.redial(now, to, now);
+            }
             let message = self.message(id, ReplicaBody::Leaving);
             self.actions.push(Action::Request { to, message });
         }
@@ -92,6 +97,7 @@
         if self.leaving.insert(from, now).is_none() {
             ::log::info!("step=leaving member={} id={}", message.address, from.0);
         }
+        self.answer(via, from, ReplicaBody::Noticed);
         let led =
             matches!(self.role, Role::Follower { leader: Some(l), .. } if l == message.address);
         if led {
--- a/src/control/replica/message.rs
+++ b/src/control/replica/message.rs
@@ -144,4 +144,6 @@
     },
     /// Notice: the process of the sender shuts down, and the sender leads no more.
     Leaving,
+    /// Reply: the notice was received.
+    Noticed,
 }
