Give a ready member the place of a voter that is silent for a second

When leaders were lost one after the other, votes of machines that were gone for good stayed until the sound voters were no majority, though new machines stood ready to take their places.

A voter counts as gone after 2 s of silence, and each new leader counts anew, since it can't know how long another has been silent.

Now a voter must be silent for 1 s only if a member that has caught up takes its place: a member that is removed by mistake joins again as the next one. Without a successor the limit stays.

--- a/src/control/replica/changes.rs
+++ b/src/control/replica/changes.rs
@@ -14,6 +14,8 @@
 
 /// How long a voter must be silent to count as gone.
 const VOTER_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// How long a voter must be silent before a member that has caught up takes its place.
+const SUCCESSION_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// How long a member without a vote may be silent before it is removed.
 const LEARNER_TIMEOUT: Duration = Duration::from_millis(5_000);
 /// The maximum number of voters, unless the losses to bear at once need more.
@@ -74,23 +76,24 @@
         progress.get(&id).map(Progress::acked).unwrap_or_default()
     }
 
-    /// Returns the voters that are gone, the one that has been silent longest first.
-    fn gone_voters(&self, now: Timestamp) -> Vec<MemberId> {
+    /// Returns the voters that are leaving or silent for longer than a limit, the one that has been
+    /// silent longest first.
+    fn gone_voters(&self, now: Timestamp, limit: Duration) -> Vec<MemberId> {
         let voters = self.members.voters().map(|(id, _)| id);
-        let mut gone: Vec<_> = voters.filter(|id| self.is_gone(now, *id)).collect();
+        let mut gone: Vec<_> = voters.filter(|id| self.is_gone(now, *id, limit)).collect();
         gone.sort_by_key(|id| std::cmp::Reverse(self.silence(now, *id)));
         gone
     }
 
-    fn is_gone(&self, now: Timestamp, id: MemberId) -> bool {
-        self.silence(now, id) > VOTER_TIMEOUT || self.is_leaving(now, id, self.last_reply(id))
+    fn is_gone(&self, now: Timestamp, id: MemberId, limit: Duration) -> bool {
+        self.silence(now, id) > limit || self.is_leaving(now, id, self.last_reply(id))
     }
 
     /// Returns a gone voter without which the group bears more losses, now or once another one is
     /// removed, too. What is committed must be on more disks than may be lost at once, so that
     /// many voters remain of which a majority is that large.
     fn spare_voter(&self, now: Timestamp) -> Option<MemberId> {
-        let gone = self.gone_voters(now);
+        let gone = self.gone_voters(now, VOTER_TIMEOUT);
         let count = self.members.voters().count();
         // An even number of voters bears no more losses than the odd number below it.
         let needed = if count.is_multiple_of(2) { 1 } else { 2 };
@@ -115,7 +118,8 @@
         }
         let count = self.members.voters().count();
         let odd = !count.is_multiple_of(2);
-        if let Some(gone) = self.gone_voters(now).first().filter(|_| odd) {
+        let gone = self.gone_voters(now, SUCCESSION_TIMEOUT);
+        if let Some(gone) = gone.first().filter(|_| odd) {
             return Some(self.removal("replaced", *gone));
         }
         let most = MAX_VOTERS.max(2 * self.settings.losses + 1);
