--- a/tests/replica_net/mod.rs
+++ b/tests/replica_net/mod.rs
@@ -80,6 +80,19 @@
         self.nodes.remove(&machine);
     }
 
+    /// Kills a machine and starts it with an empty disk.
+    pub fn wipe(&mut self, machine: u64, seeds: &[u64]) {
+        self.stop(machine);
+        self.disks.remove(&machine);
+        self.start(machine, seeds);
+    }
+
+    /// Returns whether the leader counts the vote of the replica that runs on a machine.
+    pub fn votes(&self, machine: u64) -> bool {
+        let leader = self.leader().and_then(|l| self.nodes.get(&l));
+        leader.is_some_and(|l| l.members().is_voter(self.nodes[&machine].id()))
+    }
+
     /// Shuts the process of a machine down; returns for how many milliseconds it lasts.
     pub fn leave(&mut self, machine: u64) -> u64 {
         let now = self.now;
