Show how a replica leaves

Replica::leave and Replica::has_left were the only new public functions without a runnable example. The example runs as a documentation test.

--- a/src/control/replica/leaving.rs
+++ b/src/control/replica/leaving.rs
@@ -34,6 +34,19 @@
 impl Replica {
     /// Begins to leave, since the process shuts down: a leader steps down, and all members are
     /// told. This replica starts no election any more.
+    ///
+    /// ```
+    /// use dotterelpin::control::replica::{MemberId, Replica, ReplicaSettings, Stored};
+    /// use dotterelpin::model::Timestamp;
+    ///
+    /// let address = "127.0.0.1:7000".parse().unwrap();
+    /// let settings = ReplicaSettings::new(address, vec![address], 1);
+    /// let mut replica = Replica::new(settings, Stored::new(MemberId(1)));
+    /// let now = Timestamp::from_micros(1);
+    /// assert!(!replica.has_left(now), "it was not asked to leave");
+    /// replica.leave(now);
+    /// assert!(replica.has_left(now), "it has no vote that could be awaited");
+    /// ```
     pub fn leave(&mut self, now: Timestamp) -> Vec<Action> {
         if self.leave.is_some() {
             return Vec::new();
