--- a/tests/replaced_members.rs
+++ b/tests/replaced_members.rs
@@ -220,6 +220,33 @@
     assert_eq!(net.voters(), [3, 4, 5, 6].into());
 }
 
+/// Its disk was lost, and the other machines that it was told of were gone for good.
+#[test]
+fn a_wiped_member_whose_other_seeds_are_gone_joins() {
+    let mut net = Net::founded(1..=5);
+    let wiped = (1..=5).find(|m| net.leader() != Some(*m)).unwrap();
+    net.wipe(wiped, &[wiped, 20, 21]);
+    net.run(1_500);
+    assert!(net.votes(wiped), "nobody that it asked for a vote has replied");
+}
+
+/// A new machine for which seven voters left no place kept the vote of a lost disk in the group.
+#[test]
+fn a_learner_without_a_place_keeps_no_lost_vote() {
+    let mut net = Net::founded(1..=7);
+    net.start(8, &[1, 2, 3]);
+    net.run(1_000);
+    assert!(!net.votes(8), "a group has seven voters at the most");
+    let wiped = (1..=7).find(|m| net.leader() != Some(*m)).unwrap();
+    net.wipe(wiped, &[1, 2, 3]);
+    net.run(1_500);
+    let living: BTreeSet<_> = net.nodes.values().map(Replica::id).collect();
+    let leader = &net.nodes[&net.leader().unwrap()];
+    let voters: BTreeSet<_> = leader.members().voters().map(|(id, _)| id).collect();
+    assert!(voters.is_subset(&living), "the lost vote waits until its member counts as gone");
+    assert_eq!(voters.len(), 7);
+}
+
 /// A process that shut down said nothing, so its vote counted until it had been silent for seconds,
 /// while the next machines could already be lost.
 #[test]
