Simulate control while its machines are replaced in series

Control lost its quorum for good after machines had been replaced, wiped and stopped one after the other, never more at once than it must bear. No test played such a series: the simulation of a group knew neither new addresses nor machines that go for good.

tests/replacements.rs makes schedules from seeds: planned and unplanned replacements, wiped, restarted, killed, cut and paused machines, splits and losses of power, with stale seeds, addresses that are used again, late followers and operators that propose changes all along. A machine counts as lost until 4 s after it is back or new. After each quiet spell, all sound machines must vote and no gone one, there is one leader, changes are accepted within 4 s, known by all and synced by a majority, followers are confirmed and follow all voters, and the next losses must leave a quorum. Always, nothing accepted is lost or reverted, and a term has one leader. Failures print the schedule, shrunk, with its trace.

The disk, the network and the oracle of tests/group are now in tests/simulated, and both simulations use them. The checks are the same, except that a member's configuration is compared only when it has applied something since the last comparison.

--- a/tests/group/mod.rs
+++ b/tests/group/mod.rs
@@ -1,26 +1,26 @@
 //! Simulates a group of control members with followers and operators under faults, in one thread
 //! and on a simulated clock, and checks that nothing that was accepted is lost or reverted.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use dotterelpin::control::config::{Change, Edit};
-use dotterelpin::control::replica::{Entry, LogIndex, MemberId, ReplicaSettings, Stored};
-use dotterelpin::control::state::{Applied, ChangeReply, Command};
-use dotterelpin::control::{Control, ControlSettings, DiskEffect, DiskInput, disk};
+use dotterelpin::control::replica::ReplicaSettings;
+use dotterelpin::control::state::{Applied, Command};
+use dotterelpin::control::{Control, ControlSettings, DiskInput};
 use dotterelpin::link::message::{ControlReply, ControlRequest, Envelope, Reply, Request};
-use dotterelpin::model::{BootId, ExchangeId, InboundId, Revision, Timestamp};
+use dotterelpin::model::{BootId, ExchangeId, Revision, Timestamp};
 use dotterelpin::registry::{Follower, FollowerSettings};
 use dotterelpin::role::{Input, LinkFailure, Output, Role};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use crate::simulated::{Exchange, FakeDisk, Host, Network, Oracle, Packet};
+
 const FOLLOWERS: usize = 2;
 /// The sender index of exchanges that an operator opens.
 const OPERATOR: usize = usize::MAX;
-/// A confirmed follower may lack only changes that were applied within this time.
-const MAX_CONFIRMED_LAG: Duration = Duration::from_millis(3_000);
 /// The time after the last fault within which the newest revision must come into force everywhere.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(8);
 
@@ -75,136 +75,24 @@
     pub steps: Vec<(u64, Fault)>,
 }
 
-/// A disk that keeps only synced bytes over a crash.
+/// A control member and its repair.
 #[derive(Default)]
-struct FakeDisk {
-    journal: Vec<u8>,
-    sequence: u64,
-    snapshot: Option<Vec<u8>>,
-    pending: VecDeque<DiskEffect>,
-    full: bool,
-}
-
-impl FakeDisk {
-    /// Syncs the next pending effect, merged with up to `max_appends - 1` appends that follow it.
-    fn sync(&mut self, max_appends: usize) -> Option<DiskInput> {
-        if self.full && !self.pending.is_empty() {
-            return Some(DiskInput::Stalled("no space".into()));
-        }
-        match self.pending.pop_front()? {
-            DiskEffect::Append { mut id, mut entries } => {
-                for _ in 1..max_appends {
-                    let Some(DiskEffect::Append { .. }) = self.pending.front() else { break };
-                    let Some(DiskEffect::Append { id: next, entries: rest }) =
-                        self.pending.pop_front()
-                    else {
-                        break;
-                    };
-                    id = next;
-                    entries.extend(rest);
-                }
-                self.journal.extend(disk::encode(self.sequence, &entries).unwrap());
-                self.sequence += 1;
-                Some(DiskInput::Synced(id))
-            }
-            DiskEffect::Replace { id, snapshot, entries } => {
-                self.snapshot = Some(disk::encode(0, &*snapshot).unwrap());
-                self.journal = disk::encode(0, &entries).unwrap();
-                self.sequence = 1;
-                Some(DiskInput::Synced(id))
-            }
-        }
-    }
-
-    /// Drops all pending effects, except that the first one may have been written in part.
-    fn crash(&mut self, rng: &mut Pcg64Mcg) {
-        match self.pending.pop_front() {
-            Some(DiskEffect::Append { entries, .. }) => {
-                let mut torn = disk::encode(self.sequence, &entries).unwrap();
-                torn.truncate(below(rng, torn.len()));
-                if let Some(byte) = torn.last_mut().filter(|_| below(rng, 2) == 0) {
-                    *byte ^= 1;
-                }
-                self.journal.extend(torn);
-            }
-            Some(DiskEffect::Replace { snapshot, .. }) if below(rng, 2) == 0 => {
-                self.snapshot = Some(disk::encode(0, &*snapshot).unwrap());
-            }
-            _ => {}
-        }
-        self.pending.clear();
-    }
-
-    /// Replays the disk; an empty one gets `fresh` as its owner.
-    fn load(&mut self, fresh: MemberId) -> Result<Stored, String> {
-        let journal = disk::decode(&self.journal).map_err(|e| format!("{e:#}"))?;
-        self.journal.truncate(journal.length);
-        self.sequence = journal.sequence;
-        let mut entries = journal.entries;
-        if entries.is_empty() {
-            entries.push(Entry::Owner(fresh));
-            self.journal = disk::encode(0, &entries).unwrap();
-            self.sequence = 1;
-        }
-        let snapshot = self.snapshot.as_ref().map(|b| disk::decode_snapshot(b).unwrap().into());
-        Stored::replay(snapshot, entries).map_err(|e| format!("{e:#}"))
-    }
-}
-
-/// A control member and its disk.
 struct Node {
-    /// The running member; None if it was killed.
-    control: Option<Control>,
-    disk: FakeDisk,
-    /// The number of starts so far.
-    boot: u64,
-    /// The exchanges opened at this boot, by the id under which the member knows them.
-    inbound: BTreeMap<InboundId, Exchange>,
-    inbound_ids: BTreeMap<Exchange, InboundId>,
-    paused_until: Timestamp,
+    host: Host,
     /// Whether its disk was lost and the new member has no committed vote yet.
     repairing: bool,
-    /// When the running sync ends.
-    sync_due: Option<Timestamp>,
-    /// The last record that was compared with the oracle.
-    checked: LogIndex,
-}
-
-/// An exchange, with the boots of both ends and the connection that carries it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct Exchange {
-    from: usize,
-    boot: u64,
-    id: ExchangeId,
-    to: usize,
-    to_boot: u64,
-    connection: u64,
-}
-
-#[derive(Clone)]
-enum Packet {
-    Request(Exchange, Envelope<Request>),
-    Reply(Exchange, Envelope<Reply>),
-    Closed(Exchange, LinkFailure),
 }
 
 /// The simulated group, its network and its clock.
 pub struct World {
     now: Timestamp,
     rng: Pcg64Mcg,
-    noise: u32,
     sync: usize,
     last_leader: usize,
     nodes: Vec<Node>,
     /// The followers, each with the id of its last exchange.
     followers: Vec<(Follower, u64)>,
-    /// The packets under way by the time of their delivery and a unique number.
-    queue: BTreeMap<(Timestamp, u64), Packet>,
-    packet_count: u64,
-    open: BTreeMap<(usize, u64, ExchangeId), Exchange>,
-    /// The number of redials from one node to another.
-    connections: BTreeMap<(usize, usize), u64>,
-    muted: BTreeSet<(usize, usize, u64)>,
+    network: Network,
     cuts: BTreeSet<(usize, usize)>,
     /// The changes that an operator proposed, by the exchange of each proposal.
     proposals: BTreeMap<ExchangeId, Change>,
@@ -217,28 +105,6 @@
     trace: Vec<String>,
 }
 
-/// What replies and states have shown so far, which later ones must not contradict.
-#[derive(Default)]
-struct Oracle {
-    /// The id of the change that was accepted as each revision.
-    accepted: BTreeMap<Revision, Box<str>>,
-    /// The revision as which each change was accepted.
-    by_id: BTreeMap<Box<str>, Revision>,
-    /// The leader of each term.
-    leaders: BTreeMap<u64, MemberId>,
-    /// The term and command of each applied record.
-    records: BTreeMap<LogIndex, (u64, Command)>,
-    /// The hash of each revision, and when a member first applied it.
-    contents: BTreeMap<Revision, (u64, Timestamp)>,
-    /// The last revision of each follower.
-    follower_revisions: Vec<Revision>,
-}
-
-/// Returns a random number below `bound`, or 0 if `bound` is 0.
-fn below(rng: &mut Pcg64Mcg, bound: usize) -> usize {
-    (rng.next_u64() % (bound.max(1) as u64)) as usize
-}
-
 fn address(node: usize) -> SocketAddr {
     ([10, 0, 0, 1 + node as u8], 7000).into()
 }
@@ -281,38 +147,20 @@
         let mut world = World {
             now: Timestamp::from_micros(1_000_000),
             rng: Pcg64Mcg::seed_from_u64(scenario.seed),
-            noise: scenario.noise,
             sync: scenario.sync,
             last_leader: 0,
             nodes: Vec::new(),
             followers: (0..FOLLOWERS).map(follower).collect(),
-            queue: BTreeMap::new(),
-            packet_count: 0,
-            open: BTreeMap::new(),
-            connections: BTreeMap::new(),
-            muted: BTreeSet::new(),
+            network: Network::new(scenario.noise),
             cuts: BTreeSet::new(),
             proposals: BTreeMap::new(),
             proposed: Vec::new(),
             last_id: 0,
-            oracle: Oracle {
-                follower_revisions: vec![Revision(0); FOLLOWERS],
-                ..Oracle::default()
-            },
+            oracle: Oracle::default(),
             trace: Vec::new(),
         };
         for _ in 0..scenario.nodes {
-            world.nodes.push(Node {
-                control: None,
-                disk: FakeDisk::default(),
-                boot: 0,
-                inbound: BTreeMap::new(),
-                inbound_ids: BTreeMap::new(),
-                paused_until: Timestamp::default(),
-                repairing: false,
-                sync_due: None,
-                checked: LogIndex(0),
-            });
+            world.nodes.push(Node::default());
         }
         for node in 0..scenario.nodes {
             world.start(node)?;
@@ -326,7 +174,7 @@
     }
 
     fn start(&mut self, at: usize) -> Result<(), String> {
-        if self.nodes[at].control.is_some() {
+        if self.nodes[at].host.control.is_some() {
             return Ok(());
         }
         self.last_id += 1;
@@ -341,30 +189,18 @@
             replica,
             grace: Duration::from_secs(8),
         };
-        let stored = self.nodes[at].disk.load(MemberId(boot_id)).map_err(|e| self.problem(e))?;
-        let control = Control::new(settings, stored).map_err(|e| self.problem(e.to_string()))?;
-        let node = &mut self.nodes[at];
-        node.control = Some(control);
-        node.boot += 1;
-        node.checked = LogIndex(0);
-        Ok(())
+        self.nodes[at].host.start(settings).map_err(|e| self.problem(e))
     }
 
     fn kill(&mut self, at: usize) {
-        let node = &mut self.nodes[at];
-        if node.control.take().is_some() {
-            node.disk.crash(&mut self.rng);
-            node.inbound.clear();
-            node.inbound_ids.clear();
-            node.sync_due = None;
-        }
+        self.nodes[at].host.crash(&mut self.rng);
     }
 
     fn leader(&self) -> Option<usize> {
-        let leads = |n: &Node| n.control.as_ref().is_some_and(|c| c.replica().is_leader());
+        let leads = |n: &Node| n.host.control.as_ref().is_some_and(|c| c.replica().is_leader());
         (0..self.nodes.len())
             .filter(|at| leads(&self.nodes[*at]))
-            .max_by_key(|at| self.nodes[*at].control.as_ref().map(|c| c.replica().term()))
+            .max_by_key(|at| self.nodes[*at].host.control.as_ref().map(|c| c.replica().term()))
     }
 
     /// Returns the index of the node `offset` places after the leader, or after the last leader if
@@ -375,9 +211,9 @@
 
     fn inject(&mut self, fault: &Fault) -> Result<(), String> {
         match *fault {
-            Fault::Change(at) => self.propose_change(self.node_at(at), self.newest()),
+            Fault::Change(at) => self.propose_change(self.node_at(at), self.oracle.newest()),
             Fault::Race(at) => {
-                let base = self.newest();
+                let base = self.oracle.newest();
                 self.propose_change(self.node_at(0), base);
                 self.propose_change(self.node_at(at), base);
                 self.propose_change(self.node_at(0), base);
@@ -388,7 +224,7 @@
                 }
             }
             Fault::Burst(count) => {
-                let base = self.newest();
+                let base = self.oracle.newest();
                 for offset in 0..count as u64 {
                     self.propose_change(self.node_at(0), Revision(base.0 + offset));
                 }
@@ -407,7 +243,7 @@
             Fault::LoseDisk(at) => self.lose_disk(self.node_at(at))?,
             Fault::Full { at, full } => {
                 let at = self.node_at(at);
-                self.nodes[at].disk.full = full;
+                self.nodes[at].host.disk.full = full;
             }
             Fault::Cut { from, to } => {
                 self.cuts.insert((self.node_at(from), self.node_at(to)));
@@ -421,12 +257,11 @@
             Fault::Heal => self.cuts.clear(),
             Fault::Mute { from, to } => {
                 let (from, to) = (self.node_at(from), self.node_at(to));
-                let connection = self.connections.get(&(from, to)).copied().unwrap_or(0);
-                self.muted.insert((from, to, connection));
+                self.network.mute(from, to);
             }
             Fault::Pause { at, millis } => {
                 let at = self.node_at(at);
-                self.nodes[at].paused_until = self.now + Duration::from_millis(millis);
+                self.nodes[at].host.paused_until = self.now + Duration::from_millis(millis);
             }
         }
         Ok(())
@@ -447,7 +282,7 @@
             return Ok(());
         }
         self.kill(at);
-        self.nodes[at].disk = FakeDisk::default();
+        self.nodes[at].host.disk = FakeDisk::default();
         self.nodes[at].repairing = true;
         self.start(at)
     }
@@ -455,9 +290,9 @@
     /// Ends the repair of each member that has a vote in a committed list of members.
     fn update_repairs(&mut self) {
         for at in 0..self.nodes.len() {
-            let Some(control) = &self.nodes[at].control else { continue };
+            let Some(control) = &self.nodes[at].host.control else { continue };
             let id = control.replica().id();
-            let controls = self.nodes.iter().filter_map(|n| n.control.as_ref());
+            let controls = self.nodes.iter().filter_map(|n| n.host.control.as_ref());
             let settled =
                 |c: &Control| c.replica().committed_members().is_some_and(|m| m.is_voter(id));
             if controls.into_iter().any(settled) {
@@ -466,11 +301,6 @@
         }
     }
 
-    /// Returns the newest revision for which an operator received an acceptance.
-    fn newest(&self) -> Revision {
-        self.oracle.accepted.keys().max().copied().unwrap_or_default()
-    }
-
     /// Proposes a new change at a member.
     fn propose_change(&mut self, at: usize, base: Revision) {
         self.last_id += 1;
@@ -504,49 +334,35 @@
         envelope: Envelope<Request>,
     ) {
         let Some(to) = (0..self.nodes.len()).find(|n| address(*n) == peer) else { return };
-        let connection = self.connections.get(&(from, to)).copied().unwrap_or(0);
-        let to_boot = self.nodes[to].boot;
+        let connection = self.network.connection(from, to);
+        let to_boot = self.nodes[to].host.boot;
         let exchange = Exchange { from, boot, id, to, to_boot, connection };
-        if self.nodes[to].control.is_none() {
+        if self.nodes[to].host.control.is_none() {
             self.send(Packet::Closed(exchange, LinkFailure::NotSent));
             return;
         }
-        self.open.insert((from, boot, id), exchange);
+        self.network.open(exchange);
         self.send(Packet::Request(exchange, envelope));
     }
 
-    /// Queues a packet for delivery; noise may lose, duplicate or delay it.
     fn send(&mut self, packet: Packet) {
-        let copies = match self.rng.next_u32() % 100 {
-            roll if roll < self.noise => 0,
-            roll if roll < self.noise * 3 / 2 => 2,
-            _ => 1,
-        };
-        for _ in 0..copies {
-            let delayed = self.rng.next_u32() % 100 < self.noise / 2;
-            let micros = if delayed { 400_000 } else { 3_000 };
-            let due = self.now + Duration::from_micros(300 + below(&mut self.rng, micros) as u64);
-            self.packet_count += 1;
-            self.queue.insert((due, self.packet_count), packet.clone());
-        }
+        self.network.send(self.now, &mut self.rng, packet);
     }
 
-    /// Returns whether no cut or muted connection drops a packet of the exchange.
-    fn passes(&self, exchange: &Exchange, is_reply: bool) -> bool {
-        let Exchange { from, to, connection, .. } = *exchange;
+    /// Returns whether no cut or muted connection drops a packet.
+    fn passes(&self, packet: &Packet) -> bool {
+        let (exchange, is_reply) = packet.route();
+        let Exchange { from, to, .. } = exchange;
         let cut = if is_reply { (to, from) } else { (from, to) };
-        !self.cuts.contains(&cut) && !self.muted.contains(&(from, to, connection))
+        !self.cuts.contains(&cut) && !self.network.is_muted(&exchange)
     }
 
     /// Advances the clock by `duration` and handles everything that becomes due.
     fn advance(&mut self, duration: Duration) -> Result<(), String> {
         let until = self.now + duration;
         loop {
-            let packet = self.queue.keys().next().map(|(due, _)| *due);
-            let wakes = self.nodes.iter().filter_map(|n| {
-                let wake = n.control.as_ref()?.next_wake()?.max(n.paused_until);
-                Some(n.sync_due.map_or(wake, |s| s.max(n.paused_until).min(wake)))
-            });
+            let packet = self.network.next_due();
+            let wakes = self.nodes.iter().filter_map(|n| n.host.next_due());
             let follower = self.followers.iter().filter_map(|(f, _)| f.next_wake());
             let next = wakes.chain(follower).chain(packet).min().unwrap_or(until);
             if next > until {
@@ -559,24 +375,20 @@
     }
 
     fn handle_due(&mut self) -> Result<(), String> {
-        while let Some(entry) = self.queue.first_entry().filter(|e| e.key().0 <= self.now) {
-            let packet = entry.remove();
+        while let Some(packet) = self.network.take_due(self.now) {
             self.deliver(packet)?;
         }
         for at in 0..self.nodes.len() {
-            if self.nodes[at].paused_until > self.now {
+            if self.nodes[at].host.paused_until > self.now {
                 continue;
             }
-            if self.nodes[at].sync_due.is_some_and(|due| due <= self.now) {
-                let max_appends = 1 + below(&mut self.rng, 4);
-                self.nodes[at].sync_due = None;
-                if let Some(input) = self.nodes[at].disk.sync(max_appends) {
+            if self.nodes[at].host.sync_is_over(self.now) {
+                if let Some(input) = self.nodes[at].host.end_sync(&mut self.rng) {
                     self.step(at, Input::Local(input))?;
                 }
                 self.schedule_sync(at);
             }
-            let wake = self.nodes[at].control.as_ref().and_then(|c| c.next_wake());
-            if wake.is_some_and(|due| due <= self.now) {
+            if self.nodes[at].host.must_wake(self.now) {
                 self.step(at, Input::Wake)?;
             }
         }
@@ -595,46 +407,29 @@
         Ok(())
     }
 
-    /// Starts a sync, if none is running and effects are pending.
     fn schedule_sync(&mut self, at: usize) {
-        let idle = self.nodes[at].sync_due.is_none();
-        if idle && !self.nodes[at].disk.pending.is_empty() {
-            let max_micros = if self.nodes[at].disk.full { 1_000_000 } else { self.sync };
-            let duration = Duration::from_micros(100 + below(&mut self.rng, max_micros) as u64);
-            self.nodes[at].sync_due = Some(self.now + duration);
-        }
+        self.nodes[at].host.schedule_sync(self.now, &mut self.rng, self.sync);
     }
 
     fn deliver(&mut self, packet: Packet) -> Result<(), String> {
-        let (exchange, is_reply) = match &packet {
-            Packet::Request(e, _) => (*e, false),
-            Packet::Reply(e, _) | Packet::Closed(e, _) => (*e, true),
-        };
-        if !self.passes(&exchange, is_reply) {
+        if !self.passes(&packet) {
             return Ok(());
         }
-        let target = if is_reply { exchange.from } else { exchange.to };
-        if self.nodes.get(target).is_some_and(|n| n.paused_until > self.now) {
-            self.packet_count += 1;
-            self.queue.insert((self.nodes[target].paused_until, self.packet_count), packet);
+        let target = self.nodes.get(packet.target()).map(|n| n.host.paused_until);
+        if let Some(until) = target.filter(|until| *until > self.now) {
+            self.network.put(until, packet);
             return Ok(());
         }
         match packet {
-            Packet::Request(e, envelope) => {
-                let node = &mut self.nodes[e.to];
-                if node.control.is_none() || node.boot != e.to_boot {
-                    return Ok(());
-                }
-                let fresh = InboundId(node.inbound_ids.len() as u64 + 1);
-                let inbound = *node.inbound_ids.entry(e).or_insert(fresh);
-                node.inbound.insert(inbound, e);
-                self.step(e.to, Input::Request { inbound, envelope })
-            }
+            Packet::Request(e, envelope) => match self.nodes[e.to].host.accept(e) {
+                Some(inbound) => self.step(e.to, Input::Request { inbound, envelope }),
+                None => Ok(()),
+            },
             Packet::Reply(e, envelope) => self.deliver_reply(e, envelope),
             Packet::Closed(e, failure) => {
                 let failure = Some(failure);
                 if e.from < self.nodes.len() {
-                    if self.nodes[e.from].boot != e.boot {
+                    if self.nodes[e.from].host.boot != e.boot {
                         return Ok(());
                     }
                     return self.step(e.from, Input::Closed { exchange: e.id, failure });
@@ -654,8 +449,9 @@
             return self.check_reply(e.id, envelope.body);
         }
         if e.from < self.nodes.len() {
-            let alive = self.nodes[e.from].control.is_some() && self.nodes[e.from].boot == e.boot;
-            if !alive || !self.open.contains_key(&(e.from, e.boot, e.id)) {
+            let host = &self.nodes[e.from].host;
+            let alive = host.control.is_some() && host.boot == e.boot;
+            if !alive || self.network.opened(e.from, e.boot, e.id).is_none() {
                 return Ok(());
             }
             return self.step(e.from, Input::Reply { exchange: e.id, envelope });
@@ -664,55 +460,29 @@
         let follower = &mut self.followers[index].0;
         follower.observe(self.now, envelope.revised);
         follower.reply(self.now, e.id, &envelope.body);
-        self.check_follower(index)
+        let follower = &self.followers[index].0;
+        let checked = self.oracle.check_follower(self.now, index, follower);
+        checked.map_err(|e| self.problem(e))
     }
 
     /// Checks a reply to an operator against the replies so far.
     fn check_reply(&mut self, id: ExchangeId, reply: Reply) -> Result<(), String> {
-        let Some(change) = self.proposals.get(&id).cloned() else { return Ok(()) };
+        let Some(change) = self.proposals.get(&id) else { return Ok(()) };
         let Reply::Control(ControlReply::Applied(Applied::Changed(reply))) = reply else {
             return Ok(());
         };
-        match reply {
-            ChangeReply::Accepted(revision) => {
-                let first =
-                    self.oracle.accepted.entry(revision).or_insert(change.id.clone()).clone();
-                check!(
-                    self,
-                    first == change.id,
-                    "{revision} was accepted for two changes: {first} and {}",
-                    change.id
-                );
-                let known = *self.oracle.by_id.entry(change.id.clone()).or_insert(revision);
-                check!(
-                    self,
-                    known == revision,
-                    "change {} was accepted as {known} and as {revision}",
-                    change.id
-                );
-                check!(
-                    self,
-                    revision.0 == change.base.0 + 1,
-                    "{change:?} was accepted as {revision}, not on its base"
-                );
-            }
-            ChangeReply::Conflict { .. } | ChangeReply::Refused(_) => {
-                let won = self.oracle.by_id.contains_key(&change.id);
-                check!(self, !won, "change {} was accepted before and is refused now", change.id);
-            }
-        }
-        Ok(())
+        self.oracle.check_reply(change, &reply).map_err(|e| self.problem(e))
     }
 
     /// Passes an input to a member, executes its outputs and checks its state.
     fn step(&mut self, at: usize, input: Input<DiskInput>) -> Result<(), String> {
-        let boot = self.nodes[at].boot;
-        let Some(control) = &mut self.nodes[at].control else { return Ok(()) };
+        let boot = self.nodes[at].host.boot;
+        let Some(control) = &mut self.nodes[at].host.control else { return Ok(()) };
         for output in control.step(self.now, input) {
             match output {
-                Output::Effect(effect) => self.nodes[at].disk.pending.push_back(effect),
+                Output::Effect(effect) => self.nodes[at].host.disk.pending.push_back(effect),
                 Output::Reply { inbound, envelope, .. } => {
-                    if let Some(exchange) = self.nodes[at].inbound.get(&inbound).copied() {
+                    if let Some(exchange) = self.nodes[at].host.exchange(inbound) {
                         self.send(Packet::Reply(exchange, envelope));
                     }
                 }
@@ -731,17 +501,17 @@
                 self.open(from, boot, exchange, peer, envelope);
             }
             Output::Send { exchange, envelope } => {
-                if let Some(exchange) = self.open.get(&(from, boot, exchange)).copied() {
+                if let Some(exchange) = self.network.opened(from, boot, exchange) {
                     self.send(Packet::Request(exchange, envelope));
                 }
             }
             Output::Reset { exchange } => {
-                self.open.remove(&(from, boot, exchange));
+                self.network.reset(from, boot, exchange);
             }
             Output::Redial { peer } => {
                 let to = (0..self.nodes.len()).find(|n| address(*n) == peer);
                 if let Some(to) = to {
-                    *self.connections.entry((from, to)).or_default() += 1;
+                    self.network.redial(from, to);
                 }
             }
             _ => {}
@@ -749,64 +519,13 @@
     }
 
     fn check_node(&mut self, at: usize) -> Result<(), String> {
-        let Some(control) = &self.nodes[at].control else { return Ok(()) };
-        let replica = control.replica();
-        if replica.is_leader() {
+        let host = &mut self.nodes[at].host;
+        let Some(control) = &host.control else { return Ok(()) };
+        if control.replica().is_leader() {
             self.last_leader = at;
-            let first = *self.oracle.leaders.entry(replica.term()).or_insert(replica.id());
-            let term = replica.term();
-            check!(
-                self,
-                first == replica.id(),
-                "term {term} has a second leader besides {first:?}"
-            );
-        }
-        let revised = control.state().config.revised();
-        let seen = (revised.hash, self.now);
-        let first = self.oracle.contents.entry(revised.revision).or_insert(seen).0;
-        check!(self, first == revised.hash, "{} has two different contents", revised.revision);
-        let applied = replica.applied();
-        for index in self.nodes[at].checked.0 + 1..=applied.0 {
-            let Some(record) = replica.record(LogIndex(index)) else { continue };
-            let known = self.oracle.records.entry(LogIndex(index));
-            let known = known.or_insert_with(|| (record.term, record.command.clone()));
-            let same = known.0 == record.term && known.1 == record.command;
-            check!(self, same, "record {index} at member {at} differs from that of another member");
         }
-        self.nodes[at].checked = applied;
-        Ok(())
-    }
-
-    fn check_follower(&mut self, index: usize) -> Result<(), String> {
-        let follower = &self.followers[index].0;
-        let revised = follower.revised();
-        let before =
-            std::mem::replace(&mut self.oracle.follower_revisions[index], revised.revision);
-        check!(
-            self,
-            before <= revised.revision,
-            "follower {index} went back from {before} to {revised}"
-        );
-        if let Some((hash, _)) = self.oracle.contents.get(&revised.revision) {
-            check!(
-                self,
-                *hash == revised.hash,
-                "follower {index} has other content than the members in {revised}"
-            );
-        }
-        let follower = &self.followers[index].0;
-        if follower.is_confirmed(self.now) {
-            let newer = self.oracle.contents.range(Revision(revised.revision.0 + 1)..).next();
-            if let Some((revision, (_, at))) = newer {
-                let fresh = self.now - *at <= MAX_CONFIRMED_LAG;
-                check!(
-                    self,
-                    fresh,
-                    "follower {index} confirms {revised} too long after {revision} was applied"
-                );
-            }
-        }
-        Ok(())
+        let checked = self.oracle.check_control(self.now, control, &mut host.checked);
+        checked.map_err(|e| self.problem(e))
     }
 
     /// Ends all faults, except that muted connections stay muted until they are dialled again, and
@@ -814,10 +533,10 @@
     /// in force everywhere.
     fn settle(&mut self) -> Result<(), String> {
         self.cuts.clear();
-        self.noise = 0;
+        self.network.noise = 0;
         for at in 0..self.nodes.len() {
-            self.nodes[at].disk.full = false;
-            self.nodes[at].paused_until = self.now;
+            self.nodes[at].host.disk.full = false;
+            self.nodes[at].host.paused_until = self.now;
             self.start(at)?;
         }
         let until = self.now + SETTLE_TIMEOUT;
@@ -828,7 +547,7 @@
                 // The reply to an accepted change may have been lost, so the base is taken from the
                 // leader rather than from the replies.
                 let at = self.leader().unwrap_or(0);
-                let control = self.nodes[at].control.as_ref();
+                let control = self.nodes[at].host.control.as_ref();
                 let base = control.map(|c| c.state().config.revision).unwrap_or_default();
                 self.propose_change(at, base);
                 last = self.proposed.last().map(|c| c.id.clone());
@@ -836,27 +555,19 @@
                 last = self.proposed.last().map(|c| c.id.clone());
             }
         }
-        let newest = self.newest();
+        let newest = self.oracle.newest();
         check!(
             self,
             last.is_some_and(|id| self.oracle.by_id.contains_key(&id)),
             "the last change was not accepted after the end of all faults"
         );
         for node in &self.nodes {
-            let Some(control) = &node.control else { continue };
-            let state = control.state();
+            let Some(control) = &node.host.control else { continue };
             let replica = control.replica();
             let known = replica.members();
-            let (id, at) = (replica.id(), state.config.revision);
+            let (id, at) = (replica.id(), control.state().config.revision);
             check!(self, at >= newest, "{id:?} is at {at}, expected {newest} or newer; {known:?}");
-            for (revision, id) in &self.oracle.accepted {
-                let found = state.changes.accepted(id);
-                check!(
-                    self,
-                    found == Some(*revision),
-                    "change {id} is recorded as {found:?}, not {revision}"
-                );
-            }
+            self.oracle.check_accepted(control, newest).map_err(|e| self.problem(e))?;
             let replica = control.replica();
             let voter = replica.members().is_voter(replica.id());
             check!(
--- /dev/null
+++ b/tests/replacements.rs
@@ -0,0 +1,182 @@
+//! Control bears the next loss after each series of replaced, wiped, stopped and killed machines.
+//!
+//! REPLACEMENT_SEEDS=FROM..TO runs these seeds instead of the usual ones, and reports all failures.
+
+mod replacements_world;
+mod simulated;
+
+use std::collections::BTreeMap;
+use std::ops::Range;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use replacements_world::Step::{
+    Cut, Kill, Mute, Planned, PowerLoss, Quiet, Restart, Unplanned, Wipe,
+};
+use replacements_world::Victim::{Any, Leader, Lost, Oldest};
+use replacements_world::{Failure, Schedule, Shape, Step, run};
+
+/// The number of seeds of each deployment, unless the environment sets another range.
+const SEEDS: u64 = 50;
+/// The number of deployments, over which the seeds are divided.
+const SHAPES: u64 = 4;
+/// The number of threads that run the seeds of the environment.
+const THREADS: usize = 3;
+
+/// Removes steps as long as the same check still fails.
+fn shrink(mut schedule: Schedule, mut failure: Failure) -> (Schedule, Failure) {
+    let mut at = 0;
+    while at < schedule.steps.len() {
+        let mut less = schedule.clone();
+        less.steps.remove(at);
+        match run(&less) {
+            Err(same) if same.check == failure.check => (schedule, failure) = (less, same),
+            _ => at += 1,
+        }
+    }
+    (schedule, failure)
+}
+
+/// Runs seeds of the environment in threads, and prints the failures by their check.
+fn run_range(range: Range<u64>) {
+    let next = AtomicU64::new(range.start);
+    let failed = Mutex::new(BTreeMap::<&str, Vec<u64>>::new());
+    let work = || {
+        loop {
+            let seed = next.fetch_add(1, Ordering::Relaxed);
+            if seed >= range.end {
+                return;
+            }
+            let schedule = Schedule::new(seed);
+            let Err(failure) = run(&schedule) else { continue };
+            println!("seed {seed}: {}: {}", failure.check, failure.text);
+            let first = {
+                let mut failed = failed.lock().unwrap();
+                let seeds = failed.entry(failure.check).or_default();
+                seeds.push(seed);
+                seeds.len() <= 2
+            };
+            if first {
+                let (schedule, failure) = shrink(schedule, failure);
+                println!("shrunk from seed {seed}: {schedule:?}\n{failure}\n");
+            }
+        }
+    };
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(work);
+        }
+    });
+    let failed = failed.into_inner().unwrap();
+    let count: usize = failed.values().map(Vec::len).sum();
+    for (check, seeds) in &failed {
+        println!("{check}: {} seeds, such as {:?}", seeds.len(), &seeds[..seeds.len().min(20)]);
+    }
+    assert_eq!(count, 0, "of {} seeds, {count} failed", range.end - range.start);
+}
+
+/// Runs the usual seeds of one deployment.
+fn run_shape(shape: u64) {
+    if std::env::var_os("REPLACEMENT_SEEDS").is_some() {
+        return;
+    }
+    for seed in (0..SEEDS).map(|n| n * SHAPES + shape) {
+        let schedule = Schedule::new(seed);
+        run(&schedule).unwrap_or_else(|failure| panic!("{failure}\n{schedule:?}"));
+    }
+}
+
+#[test]
+fn three_machines_bear_one_loss_after_the_other() {
+    run_shape(0);
+}
+
+#[test]
+fn five_machines_bear_two_losses_at_once() {
+    run_shape(1);
+}
+
+#[test]
+fn seven_machines_bear_three_losses_at_once() {
+    run_shape(2);
+}
+
+#[test]
+fn five_machines_bear_one_loss_after_the_other() {
+    run_shape(3);
+}
+
+/// Runs steps of which at least one check failed once.
+fn run_steps(shape: Shape, seed: u64, steps: &[(u64, Step)]) {
+    let schedule = Schedule { shape, seed, steps: steps.to_vec() };
+    run(&schedule).unwrap_or_else(|failure| panic!("{failure}"));
+}
+
+/// A follower's notices went to an earlier start of a member, which took the leadership.
+#[test]
+fn voters_that_leave_tell_a_leader_that_had_started_again() {
+    let steps = [
+        (2963, Unplanned { victim: Any(664), down: 549, reuse: false }),
+        (0, Wipe { victim: Leader, down: 403 }),
+        (0, Mute { from: 633, to: 794 }),
+        (223, Wipe { victim: Oldest, down: 929 }),
+        (0, Kill { victim: Any(375), down: 200 }),
+        (0, Restart { victim: Oldest, down: 722 }),
+        (0, Quiet),
+        (61, Planned { victim: Leader, overlap: 933, reuse: true }),
+        (41, Planned { victim: Leader, overlap: 906, reuse: false }),
+        (0, Quiet),
+    ];
+    run_steps(Shape { machines: 5, losses: 2 }, 153, &steps);
+}
+
+/// Each new leader counted the silence of the gone voters anew, and was lost before they were out.
+#[test]
+fn leaders_lost_one_after_the_other_keep_no_gone_voters() {
+    let steps = [
+        (208, Cut { victim: Any(519), millis: 2189 }),
+        (791, Cut { victim: Leader, millis: 3072 }),
+        (65, Restart { victim: Oldest, down: 402 }),
+        (1264, Wipe { victim: Leader, down: 660 }),
+        (3, Planned { victim: Oldest, overlap: 1040, reuse: true }),
+        (0, PowerLoss { down: 954 }),
+        (0, Quiet),
+        (80, Unplanned { victim: Leader, down: 842, reuse: false }),
+        (63, Unplanned { victim: Any(658), down: 391, reuse: false }),
+        (2394, Unplanned { victim: Oldest, down: 455, reuse: true }),
+        (0, Unplanned { victim: Oldest, down: 312, reuse: true }),
+        (678, Cut { victim: Leader, millis: 640 }),
+        (0, Quiet),
+    ];
+    run_steps(Shape { machines: 7, losses: 3 }, 78, &steps);
+}
+
+/// The seeds of a wiped machine were itself and two that were blank, too, so they founded a group.
+#[test]
+fn wiped_and_new_machines_found_no_second_group() {
+    let steps = [
+        (490, Wipe { victim: Lost(3), down: 902 }),
+        (0, Planned { victim: Any(648), overlap: 962, reuse: false }),
+        (0, Wipe { victim: Oldest, down: 678 }),
+        (2322, Kill { victim: Lost(1), down: 847 }),
+        (0, Quiet),
+    ];
+    run_steps(Shape { machines: 5, losses: 1 }, 83, &steps);
+}
+
+/// Five machines were replaced as planned, and the gone ones became the majority of seven voters.
+#[test]
+fn planned_replacements_in_series_keep_a_majority_of_living_voters() {
+    let planned = |victim| Planned { victim, overlap: 1_000, reuse: false };
+    let steps = [Oldest, Leader, Oldest, Any(1), Oldest].map(|victim| (50, planned(victim)));
+    let steps: Vec<_> = steps.into_iter().chain([(0, Quiet)]).collect();
+    run_steps(Shape { machines: 5, losses: 2 }, 1, &steps);
+    run_steps(Shape { machines: 5, losses: 1 }, 1, &steps);
+}
+
+#[test]
+fn seeds_of_the_environment() {
+    let Ok(text) = std::env::var("REPLACEMENT_SEEDS") else { return };
+    let (from, to) = text.split_once("..").expect("expected FROM..TO");
+    run_range(from.parse().unwrap()..to.parse().unwrap());
+}
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -3,6 +3,7 @@
 //! DOTTERELPIN_FUZZ_CASES sets the number of cases of each fuzz test.
 
 mod group;
+mod simulated;
 
 use std::net::SocketAddr;
 use std::time::Duration;
