--- a/src/control/disk.rs
+++ b/src/control/disk.rs
@@ -10,7 +10,8 @@
 use eyre::{WrapErr, ensure};
 
 pub use super::batch::{Journal, decode, decode_snapshot, encode};
-use super::replica::{Entry, MemberId, Snapshot, Stored};
+use super::replica::{Entry, MemberId, Snapshot, Stored, WriteId};
+pub use super::writes::Writes;
 use super::{DiskEffect, DiskInput, batch};
 use crate::role::{Adapter, DriverHandle};
 
@@ -20,8 +21,6 @@
 const PARTIAL: &str = "partial";
 /// The duration from which a write, with its sync, is logged as slow.
 const SLOW_WRITE: Duration = Duration::from_millis(500);
-/// The maximum number of queued writes that are merged into a batch and synced together.
-const MAX_BATCH: usize = 1_024;
 /// The time between two attempts to write to a full disk.
 const RETRY_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -92,6 +91,16 @@
 }
 
 impl Files {
+    /// Executes one write and syncs it; returns its number.
+    pub fn execute(&mut self, write: &DiskEffect) -> eyre::Result<WriteId> {
+        match write {
+            DiskEffect::Append { id, entries } => self.append(entries).map(|()| *id),
+            DiskEffect::Replace { id, snapshot, entries } => {
+                self.replace(snapshot, entries).map(|()| *id)
+            }
+        }
+    }
+
     /// Appends one batch and syncs it.
     pub fn append(&mut self, entries: &[Entry]) -> eyre::Result<()> {
         let bytes = encode(self.sequence, &entries)?;
@@ -172,62 +181,37 @@
     }
 }
 
-/// Executes the requested writes; merges queued appends into one batch with one sync.
+/// Executes the requested writes; as long as the disk is full, they are retried. Any other error is
+/// final.
 fn execute_all(
     mut files: Files,
     effects: &Receiver<DiskEffect>,
     role: &DriverHandle<DiskInput>,
 ) -> eyre::Result<()> {
-    let mut next = None;
-    while let Some(effect) = next.take().or_else(|| effects.recv().ok()) {
-        let last = match effect {
-            DiskEffect::Append { id, mut entries } => {
-                let mut last = id;
-                for more in effects.try_iter().take(MAX_BATCH) {
-                    match more {
-                        DiskEffect::Append { id, entries: rest } => {
-                            last = id;
-                            entries.extend(rest);
-                        }
-                        replace => {
-                            next = Some(replace);
-                            break;
-                        }
-                    }
-                }
-                write_with_retry(&mut files, role, |f| f.append(&entries))?;
-                last
-            }
-            DiskEffect::Replace { id, snapshot, entries } => {
-                write_with_retry(&mut files, role, |f| f.replace(&snapshot, &entries))?;
-                id
-            }
-        };
-        role.local(DiskInput::Synced(last));
-    }
-    Ok(())
-}
-
-/// Retries a write as long as the disk is full; any other error is final.
-fn write_with_retry(
-    files: &mut Files,
-    role: &DriverHandle<DiskInput>,
-    mut write: impl FnMut(&mut Files) -> eyre::Result<()>,
-) -> eyre::Result<()> {
+    let mut writes = Writes::default();
     loop {
+        effects.try_iter().for_each(|e| writes.push(e));
+        let Some(write) = writes.take_next() else {
+            let Ok(effect) = effects.recv() else { return Ok(()) };
+            writes.push(effect);
+            continue;
+        };
         let since = Instant::now();
-        let written = write(files);
+        let written = files.execute(&write);
         if since.elapsed() >= SLOW_WRITE {
             let ms = since.elapsed().as_millis();
             log::warn!("step=slow-write ms={ms}");
         }
         match written {
+            Ok(id) => role.local(DiskInput::Synced(id)),
             Err(error) if is_disk_full(&error) => {
                 role.local(DiskInput::Stalled(format!("{error:#}").into()));
                 files.truncate_tail()?;
                 std::thread::sleep(RETRY_INTERVAL);
+                effects.try_iter().for_each(|e| writes.push(e));
+                writes.put_back(write);
             }
-            done => return done,
+            Err(error) => return Err(error),
         }
     }
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -15,6 +15,7 @@
 pub mod routing;
 mod shutting_down;
 pub mod state;
+mod writes;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/tests/log_size.rs
+++ b/tests/log_size.rs
@@ -6,7 +6,9 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use dotterelpin::control::replica::{Entry, LogIndex, MemberId, Record, ReplicaSettings, Snapshot};
+use dotterelpin::control::replica::{
+    Entry, LogIndex, MemberId, Members, Position, Record, ReplicaSettings, Snapshot, WriteId,
+};
 use dotterelpin::control::routing::Document;
 use dotterelpin::control::state::{Applied, Command};
 use dotterelpin::control::{Control, ControlSettings, DiskEffect, DiskInput, disk};
@@ -158,6 +160,55 @@
     assert_eq!(member.applied, 1_000);
 }
 
+fn append(id: u64, index: u64) -> DiskEffect {
+    let record = Record { index: LogIndex(index), term: 1, command: Command::Noop };
+    DiskEffect::Append { id: WriteId(id), entries: vec![Entry::Append(record)] }
+}
+
+fn replace(id: u64, last: u64) -> DiskEffect {
+    let position = Position { term: 1, index: LogIndex(last) };
+    let snapshot = Snapshot { position, members: Members::default(), state: vec![1, 2, 3] }.into();
+    let vote = Entry::Vote { term: 1, candidate: Some(OWNER) };
+    let entries = vec![Entry::Owner(OWNER), vote, Entry::Base(position)];
+    DiskEffect::Replace { id: WriteId(id), snapshot, entries }
+}
+
+/// Writes that waited for a full disk were kept in memory without a bound, and the same append was
+/// tried for ever in front of the new journal that includes it.
+#[test]
+fn a_full_disk_frees_itself_by_a_snapshot() {
+    let folder = Folder::new("full");
+    let (_, mut files) = disk::open(&folder.0, OWNER).unwrap();
+    let mut writes = disk::Writes::default();
+    let early = [append(1, 1), append(2, 2), replace(3, 2), append(4, 3), replace(5, 3)];
+    early.into_iter().for_each(|w| writes.push(w));
+    writes.push(append(6, 4));
+    writes.push(append(7, 5));
+    // The disk has no space for the first two appends, which are merged.
+    let write = writes.take_next().unwrap();
+    writes.put_back(write);
+    let ids: Vec<u64> = std::iter::from_fn(|| writes.take_next())
+        .map(|write| files.execute(&write).unwrap().0)
+        .collect();
+    assert_eq!(ids, [5, 7], "the newest journal, then the appends after it");
+    let (stored, _) = disk::open(&folder.0, OWNER).unwrap();
+    assert_eq!(stored.snapshot.map(|s| s.position.index.0), Some(3));
+    assert_eq!(stored.records.iter().map(|r| r.index.0).collect::<Vec<_>>(), [4, 5]);
+}
+
+/// Without a new journal, a write that found no space keeps its place.
+#[test]
+fn appends_that_found_no_space_are_written_in_order() {
+    let mut writes = disk::Writes::default();
+    writes.push(append(1, 1));
+    let write = writes.take_next().unwrap();
+    writes.push(append(2, 2));
+    writes.put_back(write);
+    let Some(DiskEffect::Append { id, entries }) = writes.take_next() else { panic!("no append") };
+    assert_eq!((id, entries.len()), (WriteId(2), 2));
+    assert!(writes.take_next().is_none());
+}
+
 /// Writes a journal of an earlier release, which was not compacted by its bytes.
 fn long_journal(folder: &Folder, bytes: usize, count: u64) {
     let (_, mut files) = disk::open(&folder.0, OWNER).unwrap();
