Don't take a list from before a cut for the only version

Callers got streams of two software versions: begun at a version that had just been released, and taken up at a gateway that had been cut off from control for less than three seconds.

Cause: a gateway to which no control member names the origin of a stream goes by its own list of versions, if the replies of a majority from the last 3 s confirm its routing document. Other gateways may know and use a new version meanwhile, so the list that long ago is no proof for a stream that began since.

Now the gateway asks for the lists at once when it looks for an origin, and its own list counts only if a majority of the voters has brought it up to date after that. It waits for this no longer than for the origin. What control names as the only version counts as before.

Tests: streams of a new version taken up at a gateway that is cut off were continued at the old one before, none is now; the same with a gateway that was frozen passed before, too. Endpoints of the simulated fleet can announce themselves to one member and the leader, as in deployments, and write their version into their events.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -141,6 +141,8 @@
 /// Open requests for the software version that has begun a stream.
 #[derive(Debug, Default)]
 pub struct OriginRequest {
+    /// When control members were asked.
+    pub asked: Timestamp,
     /// The exchanges with control members that have not answered yet.
     pub open: Vec<ExchangeId>,
     /// The only version that the service has had for longer than a stream lasts, by each member
--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -107,6 +107,11 @@
             return;
         }
         let service = call.service.clone();
+        if self.versions.covers(now, lasting) {
+            // The gateway's own list of versions counts only in its state after this.
+            self.follower.expedite(now);
+            self.follow(now);
+        }
         let members: Vec<_> = self.follower.members().collect();
         let request = ControlRequest::FindOrigin { call: resumes, service };
         let open: Vec<ExchangeId> =
@@ -116,7 +121,7 @@
         }
         let Some(call) = self.calls.get_mut(&caller) else { return };
         call.reply_deadline = now + FIND_TIMEOUT;
-        call.stage = Stage::Origin(OriginRequest { open, only: Vec::new() });
+        call.stage = Stage::Origin(OriginRequest { asked: now, open, only: Vec::new() });
         self.conclude_search(now, caller);
     }
 
@@ -170,10 +175,13 @@
         let lasting = call.route().map_or(Duration::MAX, |r| r.timeout);
         let first = request.only.first().cloned();
         let agreed = first.filter(|only| request.only.iter().all(|other| other == only));
-        // The list of a gateway that is cut off from control may be out of date.
-        let complete =
-            self.versions.covers(now, lasting) && self.follower.is_document_confirmed(now);
-        let own = self.only_version(now, caller).filter(|_| complete);
+        // A version may be new since the gateway's own list was last in sync with control's.
+        let covers = self.versions.covers(now, lasting);
+        let in_sync = self.follower.is_synced_since(request.asked);
+        if agreed.is_none() && covers && !in_sync && now < call.reply_deadline {
+            return;
+        }
+        let own = self.only_version(now, caller).filter(|_| covers && in_sync);
         self.conclude_unknown(now, caller, agreed.or(own));
     }
 
--- a/tests/fleet_world/endpoint.rs
+++ b/tests/fleet_world/endpoint.rs
@@ -1,5 +1,6 @@
 //! The endpoints of a simulated fleet.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -251,13 +252,35 @@
                 continue;
             }
             endpoint.next_announce = self.now + ANNOUNCE_INTERVAL;
+            endpoint.state.sequence += 1;
             let state = Box::new(endpoint.state.clone());
-            for member in 0..self.members.len() {
+            for member in self.heard_by(at) {
                 self.request_outside(member, ControlRequest::Announce(state.clone()));
             }
         }
     }
 
+    /// Returns the members that hear an endpoint: all, or, where each announces itself to one, that one
+    /// and the leader that it knows.
+    fn heard_by(&self, at: usize) -> BTreeSet<usize> {
+        let all = 0..self.members.len();
+        if !self.one_member {
+            return all.collect();
+        }
+        let up = |member: &usize| {
+            let node = &self.members[*member];
+            node.role.is_some() && node.frozen_until <= self.now
+        };
+        let Some(home) = all.map(|n| (at + n) % self.members.len()).find(up) else {
+            return BTreeSet::new();
+        };
+        let leader = self.members[home].role.as_ref().and_then(|m| m.replica().leader());
+        let leader = leader.and_then(|leader| {
+            (0..self.members.len()).find(|n| super::member_address(*n) == leader)
+        });
+        [home].into_iter().chain(leader).collect()
+    }
+
     fn answer_work(&mut self, work: Work) {
         let peer = work.peer;
         if work.kind == Kind::Run {
@@ -298,7 +321,9 @@
         }
         work.event += 1;
         let (gateway, peer) = (work.gateway, work.peer);
-        let bytes = format!("id: {}\ndata: x\n\n", work.event).into_bytes();
+        let software = &self.endpoints[work.endpoint].state.software;
+        let said = if software.is_empty() { "x" } else { software };
+        let bytes = format!("id: {}\ndata: {said}\n\n", work.event).into_bytes();
         self.later(gateway, HttpInput::Data { peer, bytes });
         if work.event >= work.events() {
             self.later(gateway, HttpInput::End { peer, reusable: true });
--- a/tests/fleet_world/mod.rs
+++ b/tests/fleet_world/mod.rs
@@ -122,6 +122,8 @@
     pub timing: Timing,
     /// Whether endpoints go on with faulty runs whose connection is closed.
     pub finishes: bool,
+    /// Whether each endpoint announces itself to one member, instead of all.
+    pub one_member: bool,
     table: RawTable,
     budget: BudgetTerms,
     gateways: Vec<GatewayNode>,
@@ -167,6 +169,7 @@
             crashes: Vec::new(),
             timing: Timing::default(),
             finishes: false,
+            one_member: false,
             table,
             budget: BudgetTerms { ratio: 0.2, extra: 58.0, window: Duration::from_secs(10) },
             gateways: Vec::new(),
@@ -392,6 +395,26 @@
         self.call(gateway, "POST", path, &fields, body)
     }
 
+    /// Takes a stream up again, after so many events, as the caller of the call that began it.
+    pub fn take_up(
+        &mut self,
+        gateway: usize,
+        path: &str,
+        origin: u64,
+        had: u64,
+        events: u64,
+    ) -> u64 {
+        let (tokens, resumes) = (format!("300,{events}"), format!("call-{origin}"));
+        let had = had.to_string();
+        let fields = [
+            ("Model", "m"),
+            ("Tokens", &*tokens),
+            ("Resumes", &*resumes),
+            ("Last-Event-Id", &*had),
+        ];
+        self.call(gateway, "POST", path, &fields, b"")
+    }
+
     /// Sends a call to a plain service at a gateway and returns its number.
     pub fn plain(&mut self, gateway: usize, path: &str) -> u64 {
         self.call(gateway, "GET", path, &[], b"")
--- /dev/null
+++ b/tests/versions_fleet.rs
@@ -0,0 +1,193 @@
+//! Streams that are taken up again at other gateways while processes are killed, frozen and cut off,
+//! and endpoints of a second software version start.
+//!
+//! DOTTERELPIN_FUZZ_CASES sets the number of cases of the fuzz test.
+
+mod fleet_world;
+mod gateway_fixture;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use dotterelpin::model::{BootId, EndpointKind};
+use dotterelpin::routes::{RawRoute, RawTable, Repeat};
+use fleet_world::{Endpoint, Node, World};
+use gateway_fixture::{MODEL, route, table};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// The path of streams that may be taken up again.
+const PATH: &str = "/remind/a";
+/// How many events a stream has.
+const EVENTS: u64 = 30;
+const GATEWAYS: usize = 3;
+const MEMBERS: usize = 3;
+/// How long a case of the fuzz test lasts, in milliseconds.
+const CASE_MS: u64 = 15_000;
+/// The number of cases, unless the environment sets another.
+const CASES: u64 = 6;
+
+fn streams() -> RawTable {
+    let mut all = table();
+    let streams = all.routes.iter_mut().filter(|r| r.repeat == Repeat::ResumableStream);
+    streams.for_each(|r| *r = RawRoute { ..route("/remind/", MODEL, r.repeat, 3) });
+    all
+}
+
+fn engine(name: &str, software: &str, born: u64) -> Endpoint {
+    let mut endpoint = Endpoint::new(name, EndpointKind::Decode, MODEL);
+    endpoint.state.software = software.into();
+    endpoint.state.boot = BootId(born);
+    endpoint
+}
+
+/// Returns a fleet whose endpoints have one version, for longer than a stream lasts.
+fn world() -> World {
+    let first = ["d1", "d2", "d3"].map(|name| engine(name, "v1", 1));
+    let mut w = World::new(GATEWAYS, MEMBERS, streams(), first.into());
+    w.run(4_000);
+    w
+}
+
+fn release(w: &mut World) {
+    w.endpoints.push(engine("d4", "v2", 50));
+    w.endpoints.push(engine("d5", "v2", 50));
+}
+
+/// Returns the versions that wrote the events of a call, in order.
+fn events(w: &World, call: u64) -> Vec<String> {
+    let content = w.answers.get(&call).map_or(&[][..], |a| &a.content);
+    let text = String::from_utf8_lossy(content);
+    text.split("\n\n").filter_map(|e| e.split("data: ").nth(1)).map(Into::into).collect()
+}
+
+/// A stream with the calls that have brought it.
+struct Stream {
+    calls: Vec<u64>,
+    /// When it is taken up again.
+    next: u64,
+}
+
+impl Stream {
+    fn begin(w: &mut World, gateway: usize, next: u64) -> Stream {
+        Stream { calls: vec![w.stream(gateway, PATH, "1:1", EVENTS)], next }
+    }
+
+    fn events(&self, w: &World) -> Vec<String> {
+        self.calls.iter().flat_map(|call| events(w, *call)).collect()
+    }
+
+    fn versions(&self, w: &World) -> BTreeSet<String> {
+        self.events(w).into_iter().collect()
+    }
+
+    /// Takes the stream up at a gateway, unless it has no event or all; returns whether it did.
+    fn take_up(&mut self, w: &mut World, gateway: usize) -> bool {
+        let had = self.events(w).len() as u64;
+        let first = self.calls.iter().find(|call| !events(w, **call).is_empty());
+        let (Some(origin), true) = (first.copied(), had < EVENTS) else { return false };
+        self.calls.iter().for_each(|call| w.leave(*call));
+        self.calls.push(w.take_up(gateway, PATH, origin, had, EVENTS));
+        true
+    }
+}
+
+fn mixed(w: &World, all: &[Stream]) -> Vec<String> {
+    let mixed = all.iter().filter(|stream| stream.versions(w).len() > 1);
+    mixed.map(|stream| format!("{:?}: {:?}", stream.calls, stream.events(w))).collect()
+}
+
+/// Takes up streams of a second version at a gateway that has not heard of that version yet.
+fn take_up_at_one_that_lags(disturb: impl Fn(&mut World)) {
+    let mut w = world();
+    disturb(&mut w);
+    release(&mut w);
+    w.run(700);
+    let mut all: Vec<Stream> = (0..24).map(|_| Stream::begin(&mut w, 0, 0)).collect();
+    w.run(600);
+    let of_new = all.iter().filter(|s| s.versions(&w).contains("v2")).count();
+    assert!(of_new > 4, "expected more than 4 streams of the new version, found {of_new}");
+    all.iter_mut().for_each(|stream| _ = stream.take_up(&mut w, 1));
+    w.run(5_000);
+    assert_eq!(mixed(&w, &all), Vec::<String>::new());
+}
+
+/// Fails if a gateway that has just been cut off from control takes the version that it knows for
+/// the only one.
+#[test]
+fn gateway_that_is_cut_off_joins_streams_of_a_version_that_it_does_not_know() {
+    take_up_at_one_that_lags(|w| w.cut_off(Node::Gateway(1), true));
+}
+
+/// Fails if a gateway that was frozen for a while takes the version that it knows for the only one.
+#[test]
+fn gateway_that_was_frozen_joins_streams_of_a_version_that_it_does_not_know() {
+    take_up_at_one_that_lags(|w| w.freeze(Node::Gateway(1), 1_299));
+}
+
+/// What a case of the fuzz test has seen: streams with events, those taken up, and the mixed ones.
+fn play(seed: u64) -> (usize, usize, Vec<String>) {
+    let mut random = Pcg64Mcg::seed_from_u64(seed);
+    let mut draw = move |below: u64| u64::from(random.next_u32()) % below;
+    let mut w = world();
+    w.one_member = draw(3) > 0;
+    let released = 1_000 + draw(5_000);
+    let mut all: Vec<Stream> = Vec::new();
+    let mut down: BTreeMap<Node, u64> = BTreeMap::new();
+    for clock in (0..CASE_MS).step_by(50) {
+        w.run(50);
+        if clock >= released && w.endpoints.len() == 3 {
+            release(&mut w);
+        }
+        for node in down.extract_if(.., |_, until| *until <= clock).map(|(node, _)| node) {
+            match node {
+                Node::Gateway(at) => w.start_gateway(at),
+                Node::Member(at) => w.start_member(at),
+                Node::Outside => {}
+            }
+        }
+        let (at, until) = (draw(3) as usize, clock + 100 + draw(3_000));
+        let member_down = down.keys().any(|node| matches!(node, Node::Member(_)));
+        match draw(60) {
+            0 | 1 if !down.contains_key(&Node::Gateway(at)) => {
+                w.kill_gateway(at);
+                down.insert(Node::Gateway(at), until);
+            }
+            2 if !member_down => {
+                w.kill_member(at);
+                down.insert(Node::Member(at), until);
+            }
+            3 => w.freeze(Node::Gateway(at), until - clock),
+            4 => w.freeze(Node::Member(at), until - clock),
+            5 => w.cut_off(Node::Gateway(at), true),
+            6 => (0..GATEWAYS).for_each(|at| w.cut_off(Node::Gateway(at), false)),
+            7 => w.reset_connections(at),
+            8 => w.crash(at),
+            _ => {}
+        }
+        let at = draw(3) as usize;
+        if !down.contains_key(&Node::Gateway(at)) {
+            all.push(Stream::begin(&mut w, at, clock + 200 + draw(1_200)));
+        }
+        for stream in all.iter_mut().filter(|s| s.next <= clock && s.calls.len() < 4) {
+            let at = draw(3) as usize;
+            let up = !down.contains_key(&Node::Gateway(at));
+            let again = !up || stream.take_up(&mut w, at);
+            stream.next = if again { clock + 200 + draw(1_200) } else { u64::MAX };
+        }
+    }
+    let begun = all.iter().filter(|s| !s.events(&w).is_empty()).count();
+    let resumed = |s: &&Stream| s.calls[1..].iter().any(|call| !events(&w, *call).is_empty());
+    (begun, all.iter().filter(resumed).count(), mixed(&w, &all))
+}
+
+/// Fails if a stream holds events of two versions after any of these faults.
+#[test]
+fn streams_hold_events_of_two_versions_when_processes_fail() {
+    let cases = std::env::var("DOTTERELPIN_FUZZ_CASES").ok().and_then(|n| n.parse().ok());
+    for seed in 1..=cases.unwrap_or(CASES) {
+        let (begun, resumed, mixed) = play(seed);
+        println!("seed {seed}: {begun} streams, {resumed} resumed, {} mixed", mixed.len());
+        assert!(begun > 40 && resumed > 10, "seed {seed}: {begun} streams, {resumed} resumed");
+        assert_eq!(mixed, Vec::<String>::new(), "seed {seed}");
+    }
+}
