Take the newest proof from one place

The check whether lists are in sync since a time searched the newest proof again; it uses the function that finds it.

--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -437,8 +437,7 @@
     /// Returns whether the lists of endpoints are up to date with those that a majority of the voters
     /// had at a time, or later.
     pub fn is_synced_since(&self, since: Timestamp) -> bool {
-        let proofs = self.members.iter().filter_map(|m| m.proof.as_ref());
-        let Some((newest, _)) = proofs.max_by_key(|(p, _)| p.epoch) else { return false };
+        let Some(newest) = self.newest_proof() else { return false };
         let synced = |m: &Member| m.synced.is_some_and(|at| at >= since);
         let of_voter =
             |voter: &&SocketAddr| self.members.iter().any(|m| m.address == **voter && synced(m));
