Discard answers that don't name their request, and close their connections

Callers saw: a request that may run once ran twice, or was refused as not run though it ran. A second copy of the 503 to a reservation came in front of the answer to a run on the same connection, and the run was sent to a second endpoint.

Cause: which request an answer belongs to was decided by its place on the connection. Of the nameless answers to a call only those with a 2xx were discarded, and an answer to a reservation, a report or a release was never checked. Also, the right answer was given up when it was read together with a stray one before it, and the end of a connection was not reported after an answer without a length.

Fix, by what an answer names: the answer to a call has to name it, whatever its status; one to a side request has to name none. Anything else is discarded, its notices too (but that the endpoint leaves, which stays true), the right answer is awaited, and the connection is closed after that. A nameless answer is never believed: endpoints repeat the id that they were sent. If the connection ends after it, the call counts as one that may have run.

Open: the copy of the answer to one side request in front of the answer to another one on the same connection can't be told apart by a name.

--- a/src/gateway/endpoint_answer.rs
+++ b/src/gateway/endpoint_answer.rs
@@ -15,53 +15,70 @@
     /// Handles the head of an endpoint's answer.
     pub(super) fn answered(&mut self, now: Timestamp, peer: PeerId, head: AnswerHead) {
         let info = self.protocol.read_answer(&head);
-        self.apply_notices(now, peer, &info);
         self.endpoint_heard(now, peer);
+        if self.is_stray(peer, &info) {
+            self.discard(now, peer, &head, &info);
+            return;
+        }
+        self.apply_notices(now, peer, &info);
         let Some(conn) = self.fleet.conn(peer) else { return };
         if let Some(timeout) = idle_timeout(&head) {
             conn.idle_timeout = timeout;
         }
-        let caller = match conn.job {
-            Job::Call(caller) => caller,
-            Job::Hold(_) | Job::Report | Job::Free => {
-                conn.status = head.status;
-                return;
-            }
-            Job::Late => {
-                self.late_answered(peer, &head, &info);
-                return;
+        match conn.job {
+            Job::Call(caller) => {
+                let Some(call) = self.calls.get_mut(&caller) else { return };
+                if let Some(attempt) = call.attempt() {
+                    attempt.head = Some((head, info));
+                }
+                self.schedule(caller);
             }
+            Job::Hold(_) | Job::Report | Job::Free | Job::Late => conn.status = head.status,
             Job::Idle => {
                 log::warn!(
                     "step=answer peer={} error=\"unexpected answer on an idle connection\"",
                     peer.0
                 );
                 self.hang_up(peer);
-                return;
-            }
-        };
-        let Some(call) = self.calls.get_mut(&caller) else { return };
-        if is_stray(&head, &info, &call.info.id) {
-            log::warn!("step=answer id={} error=\"answer does not name this call\"", call.info.id);
-            if let Some(conn) = self.fleet.conn(peer) {
-                conn.stray = true;
-                conn.stray_bytes = 0;
             }
-            return;
         }
-        if let Some(attempt) = call.attempt() {
-            attempt.head = Some((head, info));
+    }
+
+    /// Returns whether an answer belongs to another request than the one that its connection carries:
+    /// answers to calls name them, those to side requests name none.
+    fn is_stray(&mut self, peer: PeerId, info: &AnswerInfo) -> bool {
+        let Some(conn) = self.fleet.conn(peer) else { return false };
+        let id = match conn.job {
+            Job::Idle => return false,
+            Job::Call(caller) => self.calls.get(&caller).map(|call| &*call.info.id),
+            Job::Late => self.late_answers.call_id(peer),
+            Job::Hold(_) | Job::Report | Job::Free => None,
+        };
+        info.id.as_deref() != id
+    }
+
+    /// Discards an answer that belongs to another request; all that it may say of its endpoint is that
+    /// this leaves.
+    fn discard(&mut self, now: Timestamp, peer: PeerId, head: &AnswerHead, info: &AnswerInfo) {
+        if info.leaving {
+            self.notice_leaving(now, peer);
         }
-        self.schedule(caller);
+        let Some(conn) = self.fleet.conn(peer) else { return };
+        log::warn!(
+            "step=stray peer={} job={} status={} names={}",
+            peer.0,
+            conn.job.name(),
+            head.status,
+            info.id.as_deref().unwrap_or("-"),
+        );
+        conn.discard();
     }
 
     /// Handles the end of an endpoint's answer.
     pub(super) fn ended(&mut self, now: Timestamp, peer: PeerId, reusable: bool) {
         let Some(conn) = self.fleet.conn(peer) else { return };
         if std::mem::take(&mut conn.stray) {
-            if !reusable {
-                self.lost(now, peer, true, "connection closed after a stray answer");
-            }
+            // The right answer may have come already, or the loss of the connection is reported next.
             return;
         }
         let (job, endpoint, status) = (conn.job, conn.endpoint, conn.status);
@@ -136,13 +153,6 @@
     }
 }
 
-/// Returns whether an answer belongs to another call than the one with an id.
-pub(super) fn is_stray(head: &AnswerHead, info: &AnswerInfo, id: &str) -> bool {
-    let other = info.id.as_deref().is_some_and(|named| named != id);
-    let unnamed = info.id.is_none() && (200..300).contains(&head.status);
-    other || unnamed
-}
-
 /// Returns whether the answer that is being received is streamed to the caller event by event.
 pub(super) fn streams(call: &mut Call) -> bool {
     let stream = call.is_stream() && matches!(call.stage, Stage::Run { .. });
--- a/src/gateway/fleet/conns.rs
+++ b/src/gateway/fleet/conns.rs
@@ -61,6 +61,8 @@
     pub connected: bool,
     /// Whether the answer that is being received belongs to another request and is discarded.
     pub stray: bool,
+    /// Whether any answer on it belonged to another request; it is not reused then.
+    pub spoilt: bool,
     /// The bytes of it that were discarded.
     pub stray_bytes: usize,
     /// How long it may stay idle, by the endpoint's `Keep-Alive` field if it sends one.
@@ -71,6 +73,15 @@
     pub content: Vec<u8>,
 }
 
+impl Conn {
+    /// Discards the answer that is being received, since it belongs to another request.
+    pub fn discard(&mut self) {
+        self.stray = true;
+        self.stray_bytes = 0;
+        self.spoilt = true;
+    }
+}
+
 impl Fleet {
     /// Returns how many connections have a job.
     pub fn jobs(&self, job: Job) -> usize {
@@ -129,6 +140,7 @@
             since: now,
             connected: false,
             stray: false,
+            spoilt: false,
             stray_bytes: 0,
             idle_timeout: IDLE_REUSE,
             status: 0,
@@ -138,9 +150,10 @@
         peer
     }
 
-    /// Keeps a connection for reuse if its endpoint still accepts work; returns whether it is kept.
+    /// Keeps a connection for reuse if its endpoint still accepts work and no stray answer came on it;
+    /// returns whether it is kept.
     pub fn park(&mut self, now: Timestamp, peer: PeerId, timeout: Option<Duration>) -> bool {
-        let Some(conn) = self.conns.get_mut(&peer) else { return false };
+        let Some(conn) = self.conns.get_mut(&peer).filter(|c| !c.spoilt) else { return false };
         let endpoint = self.endpoints.get_mut(conn.endpoint).filter(|e| e.accepts_work);
         let Some(endpoint) = endpoint else { return false };
         conn.job = Job::Idle;
--- a/src/gateway/late_answers.rs
+++ b/src/gateway/late_answers.rs
@@ -11,12 +11,11 @@
 use std::time::Duration;
 
 use super::call::{Reservation, Stage};
-use super::endpoint_answer::is_stray;
 use super::fleet::{EndpointKey, Job, Usage};
-use super::protocol::{AnswerInfo, SideRequest};
+use super::protocol::SideRequest;
 use super::reserve::HOLD_TTL;
 use super::{CallerId, Gateway, PeerId};
-use crate::h1::{AnswerHead, HttpEffect};
+use crate::h1::HttpEffect;
 use crate::model::Timestamp;
 
 /// How long an endpoint that is not silent may take to answer a prefill whose call has ended.
@@ -81,6 +80,13 @@
         self.open.values().map(LateAnswer::due).min()
     }
 
+    /// Returns the id of the call that the answer on a connection has to name; `None` for one that
+    /// names none.
+    pub fn call_id(&self, peer: PeerId) -> Option<&str> {
+        let late = self.open.get(&peer).filter(|l| l.named == Named::Export)?;
+        Some(&late.id)
+    }
+
     /// Records that an endpoint has answered something.
     pub fn heard(&mut self, now: Timestamp, endpoint: EndpointKey) {
         let prefill = |l: &&mut LateAnswer| l.endpoint == endpoint && l.named == Named::Export;
@@ -172,15 +178,6 @@
         asked && self.send_side_request(now, endpoint, Job::Report, &request).is_some()
     }
 
-    /// Handles the head of the answer to a request whose call has ended.
-    pub(super) fn late_answered(&mut self, peer: PeerId, head: &AnswerHead, info: &AnswerInfo) {
-        let Some(late) = self.late_answers.open.get(&peer) else { return };
-        let Some(conn) = self.fleet.conn(peer) else { return };
-        conn.status = head.status;
-        conn.stray = late.named == Named::Export && is_stray(head, info, &late.id);
-        conn.stray_bytes = 0;
-    }
-
     /// Frees the export, or drops the reservation, that the answer to a request names whose call has
     /// ended.
     pub(super) fn late_ended(&mut self, now: Timestamp, peer: PeerId, status: u16, content: &[u8]) {
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -111,7 +111,7 @@
         self.capacity_freed = true;
     }
 
-    fn notice_leaving(&mut self, now: Timestamp, peer: PeerId) {
+    pub(super) fn notice_leaving(&mut self, now: Timestamp, peer: PeerId) {
         let Some(conn) = self.fleet.conn(peer) else { return };
         let (job, age) = (conn.job, now - conn.since);
         let Some(endpoint) = self.fleet.leaves(peer) else { return };
--- a/src/h1/peer.rs
+++ b/src/h1/peer.rs
@@ -98,7 +98,11 @@
 
     fn closed(&mut self, inputs: &mut Vec<HttpInput>) {
         match self.reader.end() {
-            Ok(Some(Part::End { .. })) => self.complete(true, inputs),
+            Ok(Some(Part::End { .. })) => {
+                self.complete(true, inputs);
+                // Unless this was the answer, its reader waits for another one.
+                inputs.push(self.lost("closed by the endpoint after an answer"));
+            }
             Ok(_) if self.busy => {
                 inputs.push(self.lost("closed by the endpoint before the answer"))
             }
