Pass on no promise of an endpoint that it doesn't prove

Callers saw: a request that may run once was answered 408 or 429, which promise that it has not run, though an endpoint had run it.

Cause: of the statuses that are promises only 503 was kept back if the endpoint did not say that it had not run the call.

Fix: an answer with any of these statuses and without that field counts as a failure of an endpoint that may have run the call, like its 500; the caller gets 502, and a call that may be repeated runs elsewhere.

--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -28,7 +28,7 @@
 const SUSPECT_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Statuses that promise that a call has not run. An endpoint's answer with one of them is not
 /// passed on; the caller gets the gateway's own refusal.
-const NOT_RUN_STATUSES: [u16; 4] = [408, MISDIRECTED, 429, 503];
+pub(super) const NOT_RUN_STATUSES: [u16; 4] = [408, MISDIRECTED, 429, 503];
 /// The status of an endpoint that is another instance, or in another stage, than the intended one.
 pub(super) const MISDIRECTED: u16 = 421;
 
--- a/src/gateway/endpoint_answer.rs
+++ b/src/gateway/endpoint_answer.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::answer::MISDIRECTED;
+use super::answer::{MISDIRECTED, NOT_RUN_STATUSES};
 use super::call::{Call, CompleteAnswer, Stage};
 use super::fleet::Job;
 use super::outcome::Failure;
@@ -144,7 +144,7 @@
             }
         } else if good && (!info.signed || info.encoded) {
             self.attempt_failed(now, caller, Failure::Broken);
-        } else if head.status >= 500 {
+        } else if head.status >= 500 || NOT_RUN_STATUSES.contains(&head.status) {
             let failed = CompleteAnswer { head, content };
             self.attempt_failed(now, caller, Failure::Answered(failed));
         } else {
