--- a/src/gateway/fleet/conns.rs
+++ b/src/gateway/fleet/conns.rs
@@ -63,9 +63,6 @@
     pub stray: bool,
     /// Whether any answer on it belonged to another request; it is not reused then.
     pub spoilt: bool,
-    /// Whether the last answer on it named no call: if a copy of it came in front of the answer to a
-    /// side request, which names none either, nothing would tell them apart.
-    pub unnamed: bool,
     /// The bytes of it that were discarded.
     pub stray_bytes: usize,
     /// How long it may stay idle, by the endpoint's `Keep-Alive` field if it sends one.
@@ -108,9 +105,8 @@
         Some(Start { endpoint: endpoint.name.clone(), boot: conn.boot })
     }
 
-    /// Assigns a job to the most recently used idle connection to an endpoint that suits it and has not
-    /// been idle too long; `once` is set for a call that must not be repeated. A side request does not
-    /// follow another one; so a call takes a connection that has carried one, if it can.
+    /// Assigns a job to the most recently used idle connection to an endpoint, if it has not been
+    /// idle too long; `once` is set for a call that must not be repeated.
     pub fn reuse(
         &mut self,
         now: Timestamp,
@@ -120,16 +116,12 @@
     ) -> Option<PeerId> {
         let max_idle = if once { IDLE_REUSE_ONCE } else { IDLE_REUSE };
         let endpoint = self.endpoints.get_mut(key)?;
-        let usable = |peer: &PeerId, unnamed: bool| {
-            self.conns.get(peer).is_some_and(|c| {
-                c.unnamed == unnamed && now - c.since <= max_idle.min(c.idle_timeout)
-            })
-        };
-        let last = |unnamed: bool| endpoint.idle.iter().rposition(|peer| usable(peer, unnamed));
-        let is_call = matches!(job, Job::Call(_));
-        let at = is_call.then(|| last(true)).flatten().or_else(|| last(false))?;
-        let peer = endpoint.idle.remove(at);
+        let peer = *endpoint.idle.last()?;
         let conn = self.conns.get_mut(&peer)?;
+        if now - conn.since > max_idle.min(conn.idle_timeout) {
+            return None;
+        }
+        endpoint.idle.pop();
         conn.job = job;
         conn.since = now;
         conn.stray = false;
@@ -149,7 +141,6 @@
             connected: false,
             stray: false,
             spoilt: false,
-            unnamed: false,
             stray_bytes: 0,
             idle_timeout: IDLE_REUSE,
             status: 0,
@@ -165,7 +156,6 @@
         let Some(conn) = self.conns.get_mut(&peer).filter(|c| !c.spoilt) else { return false };
         let endpoint = self.endpoints.get_mut(conn.endpoint).filter(|e| e.accepts_work);
         let Some(endpoint) = endpoint else { return false };
-        conn.unnamed = !matches!(conn.job, Job::Call(_));
         conn.job = Job::Idle;
         conn.since = now;
         conn.content = Vec::new();
