End at once when the group takes no vote of a member that leaves

A member of an odd group with more voters than needed (5 voters, one loss to bear) waited 1.5 s at its end for a removal that the leader never makes: without one gone voter an odd group bears no more losses. It waits now only where the leader removes it, in an even group, or where a machine is about to take its place. Found by reading; callers saw nothing but a slower stop.

--- a/src/control/replica/leaving.rs
+++ b/src/control/replica/leaving.rs
@@ -73,10 +73,10 @@
     }
 
     /// Returns whether the group may take the vote of this member without waiting for its return:
-    /// it has more voters than it needs, or a machine to take the place of this one.
+    /// it bears as many losses without it, or has a machine to take its place.
     fn awaits_removal(&self) -> bool {
         let voters = self.members.voters().count();
-        let spare = voters > 2 * self.settings.losses + 1;
+        let spare = voters.is_multiple_of(2) && voters > 2 * self.settings.losses + 1;
         let succeeded = self.members.all.values().any(|m| !m.voter);
         !self.wants_to_join() && (spare || succeeded)
     }
