Add no voter to an odd group while one of its voters is silent

A group of three ended though one machine at a time was lost: a machine was lost for good, its successor got a vote within the second in which the lost one did not yet count as gone, and the successor was lost, too. Two of four voters were left, which is no majority.

An odd group needs a larger majority with one more voter. Now the new one waits until all voters have answered within 200 ms, or until the silent one counts as gone, whose place it then takes.

--- a/src/control/replica/changes.rs
+++ b/src/control/replica/changes.rs
@@ -16,6 +16,8 @@
 const VOTER_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// How long a voter must be silent before a member that has caught up takes its place.
 const SUCCESSION_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How long any voter may be silent when an odd group gets one more.
+const MAX_SILENCE: Duration = Duration::from_millis(200);
 /// How long a member without a vote may be silent before it is removed.
 const LEARNER_TIMEOUT: Duration = Duration::from_millis(5_000);
 /// The maximum number of voters, unless the losses to bear at once need more.
@@ -122,6 +124,12 @@
         if let Some(gone) = gone.first().filter(|_| odd) {
             return Some(self.removal("replaced", *gone));
         }
+        // With one more voter, an odd group needs a larger majority. It would not have that if a
+        // silent one and then the new one were lost.
+        let silent = |(id, _)| self.silence(now, id) > MAX_SILENCE;
+        if odd && self.members.voters().any(silent) {
+            return None;
+        }
         let most = MAX_VOTERS.max(2 * self.settings.losses + 1);
         (count < most).then(|| Change {
             reason: "voter",
--- a/tests/replacements.rs
+++ b/tests/replacements.rs
@@ -151,6 +151,26 @@
     run_steps(Shape { machines: 7, losses: 3 }, 78, &steps);
 }
 
+/// A new machine was added to the votes of a lost one, and lost itself: two of four voters lived.
+#[test]
+fn new_machine_lost_before_the_vote_of_the_old_one_is_out_ends_no_group() {
+    let shape = Shape { machines: 3, losses: 1 };
+    let steps = [
+        (83, Unplanned { victim: Any(106), down: 290, reuse: false }),
+        (828, Wipe { victim: Lost(1), down: 537 }),
+        (0, Quiet),
+    ];
+    run_steps(shape, 1160, &steps);
+    let steps = [
+        (0, Unplanned { victim: Oldest, down: 923, reuse: false }),
+        (54, Unplanned { victim: Lost(0), down: 218, reuse: false }),
+        (2352, Unplanned { victim: Any(404), down: 689, reuse: false }),
+        (324, Wipe { victim: Oldest, down: 537 }),
+        (0, Quiet),
+    ];
+    run_steps(shape, 1072, &steps);
+}
+
 /// The seeds of a wiped machine were itself and two that were blank, too, so they founded a group.
 #[test]
 fn wiped_and_new_machines_found_no_second_group() {
--- a/tests/replacements_world/mod.rs
+++ b/tests/replacements_world/mod.rs
@@ -32,7 +32,7 @@
 const OPERATOR: usize = usize::MAX;
 /// The index of the first follower in exchanges.
 const FIRST_FOLLOWER: usize = 1_000_000;
-/// The number of followers that run at once.
+/// The number of followers that run.
 const FOLLOWERS: usize = 3;
 /// The maximum random durations of a disk sync, in microseconds.
 const SYNCS: [usize; 3] = [1_000, 8_000, 40_000];
@@ -225,7 +225,8 @@
                 if let Some(input) = self.machines.all[at].host.end_sync(&mut self.rng) {
                     self.step(at, Input::Local(input))?;
                 }
-                self.schedule_sync(at);
+                let host = &mut self.machines.all[at].host;
+                host.schedule_sync(self.now, &mut self.rng, self.sync);
             }
             if self.machines.all[at].host.must_wake(self.now) {
                 self.step(at, Input::Wake)?;
@@ -252,10 +253,6 @@
         }
     }
 
-    fn schedule_sync(&mut self, at: usize) {
-        self.machines.all[at].host.schedule_sync(self.now, &mut self.rng, self.sync);
-    }
-
     fn passes(&self, exchange: &Exchange) -> bool {
         let Exchange { from, to, .. } = *exchange;
         if self.network.is_muted(exchange) {
@@ -313,12 +310,10 @@
             return self.step(e.from, Input::Reply { exchange: e.id, envelope });
         }
         let now = self.now;
-        let Some(process) = self.process(e.from) else { return Ok(()) };
+        let process = self.processes.iter_mut().find(|p| p.index == e.from);
+        let Some(process) = process else { return Ok(()) };
         process.follower.observe(now, envelope.revised);
         process.follower.reply(now, e.id, &envelope.body);
-        let Some(process) = self.processes.iter().find(|p| p.index == e.from) else {
-            return Ok(());
-        };
         let checked = self.oracle.check_follower(now, e.from, &process.follower);
         checked.map_err(|text| self.problem("safety", text))
     }
@@ -343,7 +338,7 @@
                 other => self.execute(at, boot, other),
             }
         }
-        self.schedule_sync(at);
+        self.machines.all[at].host.schedule_sync(self.now, &mut self.rng, self.sync);
         self.check_member(at)?;
         if stopped {
             self.end(at);
--- a/tests/replacements_world/steps.rs
+++ b/tests/replacements_world/steps.rs
@@ -239,7 +239,7 @@
             self.recovers_until = self.now + Duration::from_millis(millis) + RECOVERY;
         }
         for machine in &mut self.machines.all {
-            machine.half = self.rng.next_u32() % 2 == 0;
+            machine.half = self.rng.next_u32().is_multiple_of(2);
         }
         self.later(millis, Event::Heal);
     }
