Let no list of voters that was never committed hide the next one

A leader that is lost may have told processes a list of members that was never committed. The next leader's list has the same number. A process kept the one that stood last among its members, so if the lost leader was the last of its seeds, its list held until the next change: the process did not follow a voter that only the committed list names, and with one more voter away it took no calls, though a majority answered.

Of two lists with the same number the one that more members have holds now, or else the one that came later.

--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -274,9 +274,13 @@
         newest.unwrap_or_else(|| self.members().collect())
     }
 
+    /// Returns the proof with the newest list of voters. Of two lists with the same number one was
+    /// never committed: the one that fewer members have, or the one that was received earlier.
     fn newest_proof(&self) -> Option<&Proof> {
-        let proofs = self.members.iter().filter_map(|m| m.proof.as_ref());
-        proofs.map(|(proof, _)| proof).max_by_key(|p| p.epoch)
+        let proofs = || self.members.iter().filter_map(|m| m.proof.as_ref());
+        let holders = |voters: &[SocketAddr]| proofs().filter(|(p, _)| p.voters == voters).count();
+        let newest = proofs().max_by_key(|(p, at)| (p.epoch, holders(&p.voters), *at));
+        newest.map(|(proof, _)| proof)
     }
 
     fn trusted_views(&self) -> impl Iterator<Item = &View> {
--- a/tests/follower.rs
+++ b/tests/follower.rs
@@ -210,6 +210,30 @@
     assert_eq!(f.follower.voters(), [3, 4, 5].map(address));
 }
 
+/// A leader had a list of its own when it was lost, which was never committed; the next list has the
+/// same number, and the one that is gone hid it.
+#[test]
+fn a_list_of_voters_that_was_never_committed_hides_no_voter() {
+    let mut f = Fixture::new();
+    f.wake(seconds(1));
+    for member in 0..2 {
+        f.answer(seconds(1), member, proof(member, 0, 3, &[0, 1, 2, 3]), None);
+    }
+    f.answer(seconds(1), 2, proof(2, 0, 4, &[0, 1, 2]), None);
+    for second in 2..20 {
+        f.wake(seconds(second));
+        // Member 0 is lost, too, later.
+        for member in if second < 10 { vec![0, 1] } else { vec![1] } {
+            f.answer(seconds(second), member, proof(member, 0, 4, &[0, 1, 3]), None);
+        }
+        if f.open.iter().any(|(_, peer, _)| *peer == address(3)) {
+            f.answer(seconds(second), 3, proof(3, 0, 4, &[0, 1, 3]), None);
+        }
+    }
+    assert_eq!(f.follower.voters(), [0, 1, 3].map(address));
+    assert!(f.follower.is_confirmed(seconds(19)));
+}
+
 #[test]
 fn majority_of_voters_confirms_for_three_seconds() {
     let mut f = Fixture::new();
