Count a voter that has not answered a new leader as silent

A new leader added a fourth voter within 140 ms of its election, though the leader before it was lost: its count of silence began with the election. The next loss then ended the group of three.

Before an odd group gets one more voter, each voter must now have answered this leader within 200 ms.

--- a/src/control/replica/changes.rs
+++ b/src/control/replica/changes.rs
@@ -126,7 +126,7 @@
         }
         // With one more voter, an odd group needs a larger majority. It would not have that if a
         // silent one and then the new one were lost.
-        let silent = |(id, _)| self.silence(now, id) > MAX_SILENCE;
+        let silent = |(id, _)| id != self.id && now - self.last_reply(id) > MAX_SILENCE;
         if odd && self.members.voters().any(silent) {
             return None;
         }
