Give a new member its vote while records are committed faster than it answers

A member without a vote counted as caught up only if an answer found that it had synced everything committed by then. A member that is a little slower than the fastest majority (its disk, its distance) never had, as long as records were committed faster than it answered: the machine ran, answered and stayed without a vote.

It has caught up if it has synced all that was committed when the message was sent that it answered. This is forgotten whenever replication to it restarts, so an answer to a message given up proves nothing.

tests/replaced_members.rs: a_new_member_slower_than_the_majority_gets_its_vote_under_writes failed before (voters 1, 2, 3 after 10 s of writes) and passes now; so do the other tests of replaced_members, replica, catch_up, log_size and restarted_member.

--- a/src/control/replica/append.rs
+++ b/src/control/replica/append.rs
@@ -94,7 +94,7 @@
         let previous = Position { term, index: before };
         let (records, bytes) = if state.probing { (Vec::new(), 0) } else { self.log.batch(before) };
         state.next = LogIndex(state.next.0 + records.len() as u64);
-        state.sent(now, LogIndex(before.0 + records.len() as u64), bytes);
+        state.sent(now, LogIndex(before.0 + records.len() as u64), commit, bytes);
         let body = ReplicaBody::Append { previous, records, commit, sent: now };
         let message = self.message(id, body);
         self.actions.push(Action::Request { to, message });
--- a/src/control/replica/changes.rs
+++ b/src/control/replica/changes.rs
@@ -125,9 +125,8 @@
 
     fn has_caught_up(&self, now: Timestamp, id: MemberId) -> bool {
         let Role::Leader { progress, since } = &self.role else { return false };
-        let replied = |p: &Progress| {
-            p.acked() > *since && now - p.acked() < LEADER_LEASE && p.matched() >= self.commit
-        };
+        let replied =
+            |p: &Progress| p.acked() > *since && now - p.acked() < LEADER_LEASE && p.is_level();
         progress.get(&id).is_some_and(replied)
     }
 
--- a/src/control/replica/progress.rs
+++ b/src/control/replica/progress.rs
@@ -21,6 +21,8 @@
     at: Timestamp,
     /// The index of the last record in it, or of the one before it if it has none.
     end: LogIndex,
+    /// What was committed then.
+    commit: LogIndex,
     bytes: usize,
 }
 
@@ -31,6 +33,9 @@
     /// The first record that was not sent yet.
     pub(super) next: LogIndex,
     pub(super) matched: LogIndex,
+    /// What was committed when the newest answered message was sent; `None` while replication
+    /// restarts.
+    goal: Option<LogIndex>,
     /// Whether the leader still searches for the last matching record, one message at a time.
     pub(super) probing: bool,
     /// The unanswered messages, oldest first.
@@ -50,6 +55,7 @@
             address,
             next,
             matched: LogIndex(0),
+            goal: None,
             probing: true,
             pending: VecDeque::new(),
             acked: Timestamp::default(),
@@ -64,6 +70,12 @@
         self.matched
     }
 
+    /// Returns whether the member has synced all that was committed when the newest message was sent
+    /// that it answered. What is committed later is on its way, however fast more is committed.
+    pub(super) fn is_level(&self) -> bool {
+        self.snapshot.is_none() && self.goal.is_some_and(|goal| self.matched >= goal)
+    }
+
     /// Returns when the newest answered message was sent.
     pub fn acked(&self) -> Timestamp {
         self.acked
@@ -121,13 +133,14 @@
     /// Searches for the last matching record, beginning before an index.
     pub(super) fn probe(&mut self, next: LogIndex) {
         self.pending.clear();
+        self.goal = None;
         self.probing = true;
         self.next = next;
     }
 
-    /// Records that a message was sent: the index of its last record and its size.
-    pub(super) fn sent(&mut self, now: Timestamp, end: LogIndex, bytes: usize) {
-        self.pending.push_back(Sent { at: now, end, bytes });
+    /// Records that a message was sent: the index of its last record, what is committed, and its size.
+    pub(super) fn sent(&mut self, now: Timestamp, end: LogIndex, commit: LogIndex, bytes: usize) {
+        self.pending.push_back(Sent { at: now, end, commit, bytes });
         self.last_sent = now;
     }
 
@@ -138,7 +151,7 @@
         self.acked = self.acked.max(sent);
         let covers = |s: &Sent| s.at < sent || s.at == sent && end.is_none_or(|e| s.end <= e);
         while self.pending.front().is_some_and(covers) {
-            self.pending.pop_front();
+            self.goal = self.pending.pop_front().map(|s| s.commit);
         }
     }
 }
--- a/src/control/replica/snapshot.rs
+++ b/src/control/replica/snapshot.rs
@@ -91,6 +91,7 @@
     /// Sends the next chunk of the snapshot.
     pub(super) fn send_chunk(&mut self, now: Timestamp, id: MemberId, to: SocketAddr) {
         let Some((position, encoded)) = self.outgoing_snapshot() else { return };
+        let commit = self.commit;
         let Some(state) = self.progress_of(id) else { return };
         let offset = match state.snapshot {
             Some((sent, offset)) if sent == position => offset,
@@ -99,7 +100,7 @@
         state.snapshot = Some((position, offset));
         let from = (offset as usize).min(encoded.len());
         let until = (from + CHUNK_BYTES).min(encoded.len());
-        state.sent(now, position.index, until - from);
+        state.sent(now, position.index, commit, until - from);
         let body = ReplicaBody::Chunk {
             position,
             offset,
--- a/tests/replaced_members.rs
+++ b/tests/replaced_members.rs
@@ -334,3 +334,27 @@
     assert!(outbox.take_due(later, [lives], &mut next).is_empty());
     assert_eq!(outbox.next_wake(), None);
 }
+
+/// A new member whose answers come a little later than those of a majority had never caught up as
+/// long as each answer found newer records committed.
+#[test]
+fn a_new_member_slower_than_the_majority_gets_its_vote_under_writes() {
+    let mut group = Group::leader(3);
+    group.hello(7);
+    group.run(200, &[2, 3]);
+    for _ in 0..200 {
+        let behind = group.replica.last().index;
+        let actions = group.replica.propose(group.now, Command::Noop).unwrap().1;
+        for action in &actions {
+            if let Action::Write { id, .. } = action {
+                group.written = id.0;
+            }
+        }
+        group.run(50, &[2, 3]);
+        if group.replica.members().all.contains_key(&MemberId(7)) {
+            let (term, sent, matched) = (group.replica.term(), group.now, true);
+            group.reply(7, term, ReplicaBody::Appended { matched, end: behind, sent });
+        }
+    }
+    assert!(group.voters().contains(&7), "10 s of writes, one record behind: {:?}", group.voters());
+}
