--- a/tests/versions_restarted.rs
+++ b/tests/versions_restarted.rs
@@ -50,6 +50,25 @@
     }
 }
 
+/// Fails if streams of v1 that are taken up within half a second go to an endpoint of v1 that has
+/// started anew with v2, which is not listed yet.
+#[test]
+fn stream_taken_up_goes_to_an_endpoint_that_started_with_another_version_unnoticed() {
+    for (down, wait) in [(50, 100), (50, 400), (300, 400)] {
+        let mut w = world();
+        let callers: Vec<u64> = (0..STREAMS).map(|_| w.stream(PATH, MODEL, LONG)).collect();
+        w.run(900);
+        callers.iter().for_each(|c| w.leave(*c));
+        w.upgrade("d1", "v2", down);
+        w.run(wait);
+        callers.iter().for_each(|c| _ = w.take_up(*c, PATH, MODEL, LONG));
+        w.run(500);
+        w.list_upgrade("d1");
+        w.run(9_000);
+        assert_eq!(w.mixed_streams(), Vec::<String>::new(), "down {down} ms, wait {wait} ms");
+    }
+}
+
 /// The names of prefill endpoints with their versions.
 const PREFILLS: [(&str, &str); 2] = [("f1", "v1"), ("f3", "v2")];
 
