Let the silent voter of two tests answer before the group gets a fourth one

member_at_a_new_address_joins_and_replaces_a_silent_voter and silent_voter_of_an_even_group_loses_its_vote failed since an odd group gets no further voter while one of its voters is silent: their member 2 had never answered, and they asked for the fourth voter at once. That was the very order of events that ends a group of three when the new voter is lost, too. Now member 2 answers first; all assertions stay, and two are added: the fourth voter does not come before that answer, and does come after it.

--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -368,6 +368,9 @@
     single.appended(3, 4);
     single.now = single.now + Duration::from_millis(50);
     single.appended(7, 4);
+    assert_eq!(voters(&single), [1, 2, 3], "an odd group gets no voter while one is silent");
+    single.appended(2, 4);
+    single.appended(7, 4);
     assert_eq!(
         voters(&single),
         [1, 2, 3, 7],
@@ -405,7 +408,10 @@
     single.sync();
     single.appended(3, 4);
     single.now = single.now + Duration::from_millis(50);
+    single.appended(2, 4);
     single.appended(7, 4);
+    let count = single.replica.members().voters().count();
+    assert_eq!(count, 4, "member 2 has answered, so the group gets a fourth voter");
     single.sync();
     for _ in 0..70 {
         single.now = single.now + Duration::from_millis(100);
