Take an empty id in an answer for none

Since answers that don't name their request are discarded, such an answer to a reservation counted as that of another request. An empty id names no call.

--- a/src/gateway/header_protocol.rs
+++ b/src/gateway/header_protocol.rs
@@ -177,7 +177,8 @@
     fn read_answer(&self, head: &AnswerHead) -> AnswerInfo {
         let names = &self.names;
         AnswerInfo {
-            id: head.fields.text(names.id).map(Into::into),
+            // An endpoint may echo the missing id of a side request as an empty one.
+            id: head.fields.text(names.id).filter(|id| !id.is_empty()).map(Into::into),
             not_run: head.fields.has(names.not_run),
             signed: head.fields.has(names.signature),
             encoded: head.fields.has("content-encoding"),
--- a/tests/stray_answers.rs
+++ b/tests/stray_answers.rs
@@ -129,3 +129,14 @@
     }
     assert!(copies > 0, "no reservation was asked for on the connection of an earlier call");
 }
+
+// An endpoint echoes the missing id of side requests as an empty field.
+#[test]
+fn empty_id_makes_the_answer_to_a_reservation_stray() {
+    let mut f = Fixture::ready();
+    f.model_call(1, "/draft/a", "3000,100");
+    let hold = f.take_sent();
+    f.answer(&hold, 200, &[("Call-Id", "")], "hold h1");
+    let prefill = f.take_sent();
+    assert!(prefill.field("Stage").is_some(), "the reservation was not taken");
+}
