Confirm a routing table for less time than a change may take

Callers could see 404 from a gateway that had just lost control for a route that was acknowledged more than 2 s before: a change has to be in force by then.

A confirmation of the routing table now lasts 1.8 s from the sending of the heartbeats. A table that these proofs don't show was acknowledged after they were asked for, so the 2 s of that table end after the lease. Two lost heartbeats in a row leave a table confirmed. The lease is computed in a file of its own, which says until when a table is confirmed.

The lease of 3 s stays where it is right: for the configuration of entries, which is to be in force everywhere within seconds, and for the question whether control is in reach, by which a gateway judges crashes alone. That question no longer depends on which document the members know: a document that is on its way had made a gateway judge alone for a moment.

--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -54,7 +54,7 @@
             return None;
         }
         let call = self.calls.get(&caller)?;
-        let alone = !self.follower.is_document_confirmed(now);
+        let alone = !self.follower.hears_majority(now);
         let held = if self.blocked.has_contents() { causes(call) } else { part_causes(call) };
         self.blocked.find(now, &held, alone)
     }
@@ -148,7 +148,7 @@
 
     /// Judges by what this gateway has seen itself while control is out of reach.
     pub(super) fn judge_alone(&mut self, now: Timestamp) {
-        let alone = !self.follower.is_document_confirmed(now);
+        let alone = !self.follower.hears_majority(now);
         if alone && self.blocked.judge(now) {
             self.end_blocked(now);
         }
--- a/src/gateway/updates.rs
+++ b/src/gateway/updates.rs
@@ -52,7 +52,7 @@
     /// Returns whether control confirms that the routing table is the newest one. Otherwise a newer
     /// one may allow what this one doesn't.
     pub(super) fn is_certain(&self, now: Timestamp) -> bool {
-        self.table.version() > 0 && self.follower.is_document_confirmed(now)
+        self.table.version() > 0 && self.follower.document_confirmed_until(now).is_some()
     }
 
     pub(super) fn apply_table(&mut self, table: RouteTable) {
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::document_proof;
 use super::routing_view::RoutingView;
 use super::subset;
 use super::view::{self, View};
@@ -432,10 +433,17 @@
         std::mem::take(&mut self.new_quarantine).then_some(&self.quarantine)
     }
 
-    /// Returns whether a majority of members has confirmed, within `CONFIRMATION_LEASE`, that no
-    /// routing document newer than the own one is in force.
-    pub fn is_document_confirmed(&self, now: Timestamp) -> bool {
-        self.majority_agrees(now, |proof| proof.document <= self.routing.seen().version)
+    /// Returns until when a majority of members confirms that no routing document newer than the own
+    /// one is in force; `None` if it doesn't at present.
+    pub fn document_confirmed_until(&self, now: Timestamp) -> Option<Timestamp> {
+        let proofs = self.members.iter().filter_map(|m| m.proof.as_ref());
+        let proofs = proofs.map(|(proof, sent)| (proof, *sent));
+        document_proof::confirmed_until(proofs, now, self.routing.seen().version)
+    }
+
+    /// Returns whether a majority of members has replied within `CONFIRMATION_LEASE`.
+    pub fn hears_majority(&self, now: Timestamp) -> bool {
+        self.majority_agrees(now, |_| true)
     }
 
     /// Returns whether the lists of endpoints are up to date with those that a majority of the voters
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -2,6 +2,7 @@
 //! with which each process reports to it.
 
 mod changes;
+pub mod document_proof;
 mod follower;
 mod routing_view;
 pub mod subset;
--- a/tests/unconfirmed_tables.rs
+++ b/tests/unconfirmed_tables.rs
@@ -6,6 +6,9 @@
 use dotterelpin::routes::{RawTable, Repeat};
 use gateway_fixture::{Fixture, PLAIN, route, table};
 
+/// The time, in milliseconds, after which an acknowledged table is in force for new requests.
+const APPLY_MS: u64 = 2_000;
+
 fn second_table() -> RawTable {
     let mut table = table();
     table.version = 2;
@@ -31,6 +34,18 @@
     assert!(retry_after <= 1.0, "{retry_after}");
 }
 
+/// The confirmation of a table lasted 3 s, longer than a change may take: a gateway that had just lost
+/// control answered 404 for a route that was to be in force already.
+#[test]
+fn confirmation_of_a_table_lasts_no_longer_than_a_change_may_take() {
+    let mut f = Fixture::without_table(vec![table(), second_table()]).made_ready();
+    // The last confirmation is of the moment at which control goes silent, or before.
+    f.control_silent = true;
+    f.publish(1, 2);
+    f.advance(APPLY_MS);
+    assert_eq!(status(&mut f, 1, "/added/a"), 503);
+}
+
 #[test]
 fn known_route_is_served_while_control_is_out_of_reach() {
     let mut f = Fixture::ready();
