Refuse what exceeds unconfirmed limits as not run

Callers of a gateway that had lost control could see 413 or 431, which end a request for good, for a request that the limits of a newer table allow; and so could callers of a gateway without any table, by the built-in limits.

Cause: the limits on callers' requests are a part of the routing table, but the HTTP server refused by them whatever was known of the table.

With the new effect ignored, limits_are_confirmed_no_longer_than_the_table and request_beyond_limits_that_may_be_out_of_date_is_refused_as_not_run fail (431).

The gateway now says until when the limits are confirmed, with each confirmation of its table. After that time the server answers 503 with a retry time instead; it needs no further message for that, so a lapse takes effect at once. A request that no limits allow is refused with 400 as before. Servers of roles that never say so (the api) count their limits as confirmed, as before.

The fixtures take the new effect; no check of theirs has changed.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -112,6 +112,9 @@
     /// Whether control has confirmed, since the start, that a routing table is the newest one; calls
     /// are served by it from then on.
     was_confirmed: bool,
+    /// Until when the limits on callers' requests are confirmed, as the last effect said; `None`
+    /// before the first one.
+    limits_until: Option<Timestamp>,
     fleet: Fleet,
     /// Prefills whose calls have ended.
     late_answers: LateAnswers,
@@ -179,6 +182,7 @@
             exchanges: 0,
             table: Arc::default(),
             was_confirmed: false,
+            limits_until: None,
             fleet: Fleet::new(&settings.follower.domain),
             late_answers: LateAnswers::default(),
             settings,
--- a/src/gateway/updates.rs
+++ b/src/gateway/updates.rs
@@ -43,6 +43,7 @@
                 }
             }
         }
+        self.confirm_limits(now);
         if !self.was_confirmed && self.is_certain(now) {
             self.was_confirmed = true;
             log::info!("step=confirm version={}", self.table.version());
@@ -52,7 +53,21 @@
     /// Returns whether control confirms that the routing table is the newest one. Otherwise a newer
     /// one may allow what this one doesn't.
     pub(super) fn is_certain(&self, now: Timestamp) -> bool {
-        self.table.version() > 0 && self.follower.document_confirmed_until(now).is_some()
+        self.certain_until(now).is_some()
+    }
+
+    fn certain_until(&self, now: Timestamp) -> Option<Timestamp> {
+        let until = self.follower.document_confirmed_until(now);
+        until.filter(|_| self.table.version() > 0)
+    }
+
+    /// Says until when the limits on callers' requests, which the table contains, are the newest.
+    fn confirm_limits(&mut self, now: Timestamp) {
+        let until = self.certain_until(now).unwrap_or_default();
+        if self.limits_until != Some(until) {
+            self.limits_until = Some(until);
+            self.effect(HttpEffect::ConfirmLimits { until });
+        }
     }
 
     pub(super) fn apply_table(&mut self, table: RouteTable) {
--- a/src/h1/caller.rs
+++ b/src/h1/caller.rs
@@ -2,6 +2,7 @@
 
 use super::closing::Open;
 use super::head::{Request, RequestHead};
+use super::limits::AppliedLimits;
 use super::reader::{Part, ReadError, Reader};
 use super::socket::{READ_BYTES, READS_PER_TURN, Socket, SocketRead};
 use super::{LINGER_TIMEOUT, MAX_LINGER_BYTES, Purpose, write};
@@ -98,7 +99,7 @@
     }
 
     /// Reads available bytes of the socket, as many as one connection may have read at a time.
-    pub fn read(&mut self, now: Timestamp, limits: &CallerLimits) -> CallerRead {
+    pub fn read(&mut self, now: Timestamp, limits: &AppliedLimits) -> CallerRead {
         self.unread = false;
         let mut buffer = [0; READ_BYTES];
         for _ in 0..READS_PER_TURN {
@@ -143,12 +144,12 @@
 
     /// Refuses the request that is being read, because too many bytes are kept for all callers.
     pub fn refuse_large(&mut self, now: Timestamp) {
-        self.answer_and_close(now, 503, "not run: too many large requests at once");
+        self.answer_and_close(now, 503, &[], "not run: too many large requests at once");
     }
 
     /// Refuses the request that is being read, because the role has stopped.
     pub fn refuse_stopped(&mut self, now: Timestamp) {
-        self.answer_and_close(now, 503, "not run: this process shuts down");
+        self.answer_and_close(now, 503, &[], "not run: this process shuts down");
     }
 
     /// Returns what is open on the connection.
@@ -160,7 +161,7 @@
 
     /// Parses what a caller has sent before it closed its side: a request that is complete is served
     /// before the end is reported, since its caller may still read.
-    fn parse_last(&mut self, now: Timestamp, limits: &CallerLimits) -> CallerRead {
+    fn parse_last(&mut self, now: Timestamp, limits: &AppliedLimits) -> CallerRead {
         match self.parse(now, limits) {
             CallerRead::Request(request) => CallerRead::Request(request),
             // A refusal is written first.
@@ -170,7 +171,7 @@
     }
 
     /// Parses the buffered bytes, up to the next complete request.
-    fn parse(&mut self, now: Timestamp, limits: &CallerLimits) -> CallerRead {
+    fn parse(&mut self, now: Timestamp, limits: &AppliedLimits) -> CallerRead {
         if matches!(self.state, CallerState::Answering | CallerState::Lingering { .. }) {
             return CallerRead::Wait;
         }
@@ -211,23 +212,21 @@
     }
 
     /// Answers a request that can't be parsed, and stops reading requests.
-    fn refuse(&mut self, now: Timestamp, error: ReadError, limits: &CallerLimits) {
-        log::warn!("step=read outcome=refused error=\"{error}\"");
-        let (status, text) = match error {
-            ReadError::HeadTooLong => {
-                (431, format!("{error}: at most {} bytes", limits.head_bytes))
-            }
-            ReadError::BodyTooLong => {
-                (413, format!("{error}: at most {} bytes", limits.body_bytes))
-            }
-            _ => (400, error.to_string()),
-        };
-        self.answer_and_close(now, status, &text);
+    fn refuse(&mut self, now: Timestamp, error: ReadError, limits: &AppliedLimits) {
+        let refusal = limits.refusal(now, &error);
+        log::warn!("step=read outcome=refused status={} error=\"{error}\"", refusal.status);
+        self.answer_and_close(now, refusal.status, &refusal.fields, &refusal.text);
     }
 
-    fn answer_and_close(&mut self, now: Timestamp, status: u16, text: &str) {
+    fn answer_and_close(
+        &mut self,
+        now: Timestamp,
+        status: u16,
+        fields: &[(&str, String)],
+        text: &str,
+    ) {
         let body = format!("{text}\n");
-        let bytes = write::answer(status, &[], "text/plain", body.as_bytes(), false);
+        let bytes = write::answer(status, fields, "text/plain", body.as_bytes(), false);
         self.socket.out.extend_from_slice(&bytes);
         self.partial = None;
         self.finish(now, false);
@@ -247,9 +246,9 @@
 
     /// Continues reading: after an answer, since the next request may have been received already, or
     /// after the turn of the other connections.
-    pub fn resume(&mut self, now: Timestamp, limits: &CallerLimits) -> CallerRead {
+    pub fn resume(&mut self, now: Timestamp, limits: &AppliedLimits) -> CallerRead {
         if matches!(self.state, CallerState::Idle(_)) {
-            self.reader.limit(limits.head_bytes, limits.body_bytes);
+            self.reader.limit(limits.values.head_bytes, limits.values.body_bytes);
         }
         if self.unread {
             return self.read(now, limits);
@@ -261,7 +260,7 @@
     pub fn expire(&mut self, now: Timestamp) -> bool {
         match self.state {
             CallerState::Reading(_) => {
-                self.answer_and_close(now, 408, "the request did not come in time");
+                self.answer_and_close(now, 408, &[], "the request did not come in time");
                 false
             }
             CallerState::Answering => false,
--- a/src/h1/driver/accept.rs
+++ b/src/h1/driver/accept.rs
@@ -45,7 +45,7 @@
             log::error!("step=register error=\"{error}\"");
             return;
         }
-        let caller = Caller::new(now, Socket::new(stream), purpose, &self.limits);
+        let caller = Caller::new(now, Socket::new(stream), purpose, &self.limits.values);
         self.callers.insert(id, caller);
     }
 }
--- a/src/h1/driver/callers.rs
+++ b/src/h1/driver/callers.rs
@@ -93,7 +93,7 @@
         let interval = if self.ending.is_some() { ENDING_INTERVAL } else { EXPIRY_INTERVAL };
         self.next_expiry = now + interval;
         let limits = self.limits;
-        let due = |c: &Caller| c.deadline(&limits).is_some_and(|at| at <= now);
+        let due = |c: &Caller| c.deadline(&limits.values).is_some_and(|at| at <= now);
         let expired: Vec<CallerId> =
             self.callers.iter().filter(|(_, c)| due(c)).map(|(id, _)| *id).collect();
         for id in expired {
--- a/src/h1/driver/effects.rs
+++ b/src/h1/driver/effects.rs
@@ -48,7 +48,8 @@
                     open.flush(now);
                 }
             }
-            HttpEffect::Limit(limits) => self.limits = limits,
+            HttpEffect::Limit(limits) => self.limits.values = limits,
+            HttpEffect::ConfirmLimits { until } => self.limits.confirmed_until = until,
             HttpEffect::CloseAll { until } => _ = self.close_at.get_or_insert(until),
             HttpEffect::CloseIdle => self.close_idle(),
         }
--- a/src/h1/driver/mod.rs
+++ b/src/h1/driver/mod.rs
@@ -21,6 +21,7 @@
 
 use self::ending::Ending;
 use super::caller::Caller;
+use super::limits::AppliedLimits;
 use super::peer::Peer;
 use super::{CallerId, HttpEffect, HttpInput, PeerId, Purpose};
 use crate::link::{LinkEvent, LinkHandle, Sink};
@@ -144,7 +145,10 @@
             deferred: Vec::new(),
             broken: Vec::new(),
             has_backlog: false,
-            limits: CallerLimits::default(),
+            limits: AppliedLimits {
+                values: CallerLimits::default(),
+                confirmed_until: Timestamp::MAX,
+            },
             next_caller: 0,
             unaccepted: BTreeSet::new(),
             next_room_line: Timestamp::default(),
@@ -191,7 +195,7 @@
     broken: Vec<ConnectionId>,
     /// Whether inputs of other threads may still be queued after [`MAX_INPUTS_PER_POLL`].
     has_backlog: bool,
-    limits: CallerLimits,
+    limits: AppliedLimits,
     next_caller: u64,
     /// The listeners at which connections wait that no descriptor was left for.
     unaccepted: BTreeSet<usize>,
--- a/src/h1/mod.rs
+++ b/src/h1/mod.rs
@@ -7,6 +7,7 @@
 mod closing;
 mod driver;
 mod head;
+mod limits;
 mod peer;
 mod reader;
 mod socket;
@@ -139,6 +140,12 @@
     },
     /// Apply new limits to the connections of callers.
     Limit(CallerLimits),
+    /// Refuse requests that exceed the limits as too large until a time, and as not run from then on,
+    /// since newer limits may allow them. Without this effect the limits count as confirmed.
+    ConfirmLimits {
+        /// Until when the limits are confirmed to be the newest.
+        until: Timestamp,
+    },
     /// Close the connections of callers that have no request in progress.
     CloseIdle,
     /// Accept no more connections of callers, and close those that are open as soon as nothing is
--- a/tests/fleet_world/mod.rs
+++ b/tests/fleet_world/mod.rs
@@ -661,7 +661,10 @@
                 answer.ended = Some(self.now);
                 self.gateways[at].readers.remove(&caller.0);
             }
-            HttpEffect::Limit(_) | HttpEffect::CloseIdle | HttpEffect::CloseAll { .. } => {}
+            HttpEffect::Limit(_)
+            | HttpEffect::ConfirmLimits { .. }
+            | HttpEffect::CloseIdle
+            | HttpEffect::CloseAll { .. } => {}
         }
     }
 
--- a/tests/gateway_fixture/mod.rs
+++ b/tests/gateway_fixture/mod.rs
@@ -247,6 +247,8 @@
     pub epoch: BootId,
     /// Whether control is out of reach: no heartbeat is answered.
     pub control_silent: bool,
+    /// Until when the limits on callers' requests are confirmed, as the gateway said last.
+    pub limits_confirmed: Option<Timestamp>,
     /// The members of control besides the first one, which alone answers heartbeats.
     pub more_members: Vec<SocketAddr>,
     /// The control member to which each request was sent that isn't a heartbeat.
@@ -312,6 +314,7 @@
             leader: None,
             epoch: BootId(0),
             control_silent: false,
+            limits_confirmed: None,
             more_members: Vec::new(),
             members_of: BTreeMap::new(),
             leader_requests: Vec::new(),
@@ -530,6 +533,7 @@
                 self.readers.remove(&caller.0);
             }
             HttpEffect::Limit(_) => {}
+            HttpEffect::ConfirmLimits { until } => self.limits_confirmed = Some(until),
             HttpEffect::CloseIdle => {
                 self.closed_idle = true;
                 self.idle_closes += 1;
--- a/tests/h1_sockets.rs
+++ b/tests/h1_sockets.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use dotterelpin::h1::{
-    CallerId, HttpDriver, HttpEffect, HttpHandle, HttpInput, Listener, Purpose, write,
+    CallerId, HttpDriver, HttpEffect, HttpHandle, HttpInput, Listener, Purpose, Request, write,
 };
 use dotterelpin::model::Timestamp;
 use dotterelpin::report::metrics::Metrics;
@@ -32,17 +32,16 @@
             Input::Local(HttpInput::Request { caller, request, .. }) => {
                 self.events.send(request.head.target.to_string()).unwrap();
                 match &*request.head.target {
+                    "/lapse" => {
+                        let until = Timestamp::default();
+                        let lapsed = Output::Effect(HttpEffect::ConfirmLimits { until });
+                        return std::iter::once(lapsed).chain(echo(caller, &request)).collect();
+                    }
                     "/hang" => return Vec::new(),
                     "/busy" => std::thread::sleep(Duration::from_millis(200)),
                     _ => {}
                 }
-                let text = format!("{} {}", request.head.target, request.body.len());
-                let keep = !request.head.wants_close();
-                let bytes = write::answer(200, &[], "text/plain", text.as_bytes(), keep);
-                vec![
-                    Output::Effect(HttpEffect::Reply { caller, bytes }),
-                    Output::Effect(HttpEffect::Finish { caller, keep }),
-                ]
+                echo(caller, &request)
             }
             Input::Local(HttpInput::CallerGone { caller: CallerId(_) }) => {
                 self.events.send("disconnected".into()).unwrap();
@@ -64,6 +63,17 @@
     }
 }
 
+/// Returns the answer with the target of a request and the size of its content.
+fn echo(caller: CallerId, request: &Request) -> Vec<Output<HttpEffect>> {
+    let text = format!("{} {}", request.head.target, request.body.len());
+    let keep = !request.head.wants_close();
+    let bytes = write::answer(200, &[], "text/plain", text.as_bytes(), keep);
+    vec![
+        Output::Effect(HttpEffect::Reply { caller, bytes }),
+        Output::Effect(HttpEffect::Finish { caller, keep }),
+    ]
+}
+
 struct Server {
     address: SocketAddr,
     events: Receiver<String>,
@@ -150,6 +160,22 @@
     assert_eq!(exchange(&server, b""), "", "an idle connection is closed without an answer");
 }
 
+/// A process that had lost control refused, with certainty, what newer limits allowed.
+#[test]
+fn request_beyond_limits_that_may_be_out_of_date_is_refused_as_not_run() {
+    let server = start();
+    exchange(&server, b"GET /lapse HTTP/1.1\r\nConnection: close\r\n\r\n");
+    let long = format!("GET /a HTTP/1.1\r\nX: {}\r\n\r\n", "x".repeat(3_000));
+    let large = "POST /a HTTP/1.1\r\nContent-Length: 100001\r\n\r\n";
+    for text in [&*long, large] {
+        let answer = exchange(&server, text.as_bytes());
+        assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+        assert!(answer.contains("Retry-After: 0.5\r\n"), "{answer}");
+    }
+    let answer = exchange(&server, b"GET\r\n\r\n");
+    assert!(answer.starts_with("HTTP/1.1 400 "), "no limits allow it: {answer}");
+}
+
 #[test]
 fn caller_disconnect_and_half_close_are_reported_to_the_role() {
     for shutdown in [Shutdown::Both, Shutdown::Write] {
--- a/tests/unconfirmed_tables.rs
+++ b/tests/unconfirmed_tables.rs
@@ -79,3 +79,14 @@
     f.advance(900);
     assert_eq!(status(&mut f, 1, "/nowhere/a"), 404);
 }
+
+/// A newer table may allow larger requests, so that 413 and 431 by an older one are no certain
+/// refusals, either.
+#[test]
+fn limits_are_confirmed_no_longer_than_the_table() {
+    let mut f = Fixture::ready();
+    f.control_silent = true;
+    f.advance(APPLY_MS);
+    let until = f.limits_confirmed.expect("the gateway says until when its limits are confirmed");
+    assert!(until <= f.now, "expected no confirmation that outlasts the table's: {until:?}");
+}
