Read a request on an idle connection by the present limits

A caller that keeps connections could see 431 or 413 for a request that the limits in force allow, once for each connection that was idle while a table with higher limits came into force; and a lower limit came into force a request late.

Cause: the reader of a connection took over new limits after an answer only, so that an idle connection kept those of its last answer, or of its start.

A connection now takes over the limits whenever it is read and no request has begun on it.

The limits of the fixture in h1_sockets are a constant now.

--- a/src/h1/caller.rs
+++ b/src/h1/caller.rs
@@ -101,6 +101,7 @@
     /// Reads available bytes of the socket, as many as one connection may have read at a time.
     pub fn read(&mut self, now: Timestamp, limits: &AppliedLimits) -> CallerRead {
         self.unread = false;
+        self.take_limits(limits);
         let mut buffer = [0; READ_BYTES];
         for _ in 0..READS_PER_TURN {
             if self.state == CallerState::Answering && self.reader.buffered() > MAX_PIPELINED_BYTES
@@ -247,15 +248,20 @@
     /// Continues reading: after an answer, since the next request may have been received already, or
     /// after the turn of the other connections.
     pub fn resume(&mut self, now: Timestamp, limits: &AppliedLimits) -> CallerRead {
-        if matches!(self.state, CallerState::Idle(_)) {
-            self.reader.limit(limits.values.head_bytes, limits.values.body_bytes);
-        }
+        self.take_limits(limits);
         if self.unread {
             return self.read(now, limits);
         }
         self.parse(now, limits)
     }
 
+    /// Applies the present limits to the next request, unless one is being read.
+    fn take_limits(&mut self, limits: &AppliedLimits) {
+        if matches!(self.state, CallerState::Idle(_)) {
+            self.reader.limit(limits.values.head_bytes, limits.values.body_bytes);
+        }
+    }
+
     /// Handles a timeout; returns whether the connection is to be dropped at once.
     pub fn expire(&mut self, now: Timestamp) -> bool {
         match self.state {
--- a/tests/h1_sockets.rs
+++ b/tests/h1_sockets.rs
@@ -18,6 +18,13 @@
 use dotterelpin::routes::CallerLimits;
 use loopback::link;
 
+const LIMITS: CallerLimits = CallerLimits {
+    head_bytes: 2_000,
+    body_bytes: 100_000,
+    head_timeout: Duration::from_millis(300),
+    idle_timeout: Duration::from_millis(900),
+};
+
 /// Answers each request with its target and the length of its content, `/busy` late and `/hang` never.
 struct Echo {
     events: Sender<String>,
@@ -32,6 +39,11 @@
             Input::Local(HttpInput::Request { caller, request, .. }) => {
                 self.events.send(request.head.target.to_string()).unwrap();
                 match &*request.head.target {
+                    "/raise" => {
+                        let limits = CallerLimits { head_bytes: 8_000, ..LIMITS };
+                        let raised = Output::Effect(HttpEffect::Limit(limits));
+                        return std::iter::once(raised).chain(echo(caller, &request)).collect();
+                    }
                     "/lapse" => {
                         let until = Timestamp::default();
                         let lapsed = Output::Effect(HttpEffect::ConfirmLimits { until });
@@ -48,12 +60,7 @@
                 Vec::new()
             }
             Input::Shutdown { .. } => vec![Output::Stopped],
-            Input::Wake => vec![Output::Effect(HttpEffect::Limit(CallerLimits {
-                head_bytes: 2_000,
-                body_bytes: 100_000,
-                head_timeout: Duration::from_millis(300),
-                idle_timeout: Duration::from_millis(900),
-            }))],
+            Input::Wake => vec![Output::Effect(HttpEffect::Limit(LIMITS))],
             _ => Vec::new(),
         }
     }
@@ -160,6 +167,21 @@
     assert_eq!(exchange(&server, b""), "", "an idle connection is closed without an answer");
 }
 
+/// A connection kept the limits of its last answer: a request on one that was idle while the limits
+/// were raised was refused with 431.
+#[test]
+fn request_on_a_connection_that_was_idle_is_read_by_the_present_limits() {
+    let server = start();
+    let mut idle = connect(&server);
+    std::thread::sleep(Duration::from_millis(50));
+    exchange(&server, b"GET /raise HTTP/1.1\r\nConnection: close\r\n\r\n");
+    let long = format!("GET /a HTTP/1.1\r\nConnection: close\r\nX: {}\r\n\r\n", "x".repeat(3_000));
+    idle.write_all(long.as_bytes()).unwrap();
+    let mut answer = String::new();
+    idle.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+}
+
 /// A process that had lost control refused, with certainty, what newer limits allowed.
 #[test]
 fn request_beyond_limits_that_may_be_out_of_date_is_refused_as_not_run() {
