Don't count a routing document that can't be read as in force

Callers saw 404 for routes of the newest table from a gateway that couldn't read it, and went on to see it until the next table: the gateway never asked again.

The gateway now tells the follower which version is in force, or that it can't read one. Proofs are compared with the version in force. The unreadable document is asked for again every 10 s, from one member at a time in turn, since it may have megabytes; it is logged once for each version.

The fixture counts the documents that it sends.

--- a/src/gateway/updates.rs
+++ b/src/gateway/updates.rs
@@ -37,10 +37,14 @@
         }
         if let Some(document) = self.follower.new_document() {
             match self.tables.read_table(&document.text) {
-                Ok(table) => self.apply_table(table),
-                Err(error) => {
+                Ok(table) => {
+                    self.apply_table(table);
+                    self.follower.document_in_force(self.table.version());
+                }
+                Err(error) if self.follower.document_refused(now, document.version) => {
                     log::error!("step=table version={} error=\"{error}\"", document.version);
                 }
+                Err(_) => {}
             }
         }
         self.confirm_limits(now);
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -299,7 +299,9 @@
     ) -> Vec<Output<E>> {
         let mut outputs = Vec::new();
         let process = self.process();
-        for member in &mut self.members {
+        let routes = self.settings.routes;
+        let members = self.members.len();
+        for (index, member) in self.members.iter_mut().enumerate() {
             if let Some((exchange, sent)) = member.open {
                 if now - sent < HEARTBEAT_TIMEOUT {
                     continue;
@@ -321,7 +323,7 @@
                 quarantine: self.quarantine.version,
                 schema: SCHEMA,
                 full_config: self.needs_full,
-                routing: self.settings.routes.then(|| self.routing.seen()),
+                routing: routes.then(|| self.routing.stated(now, index, members)),
             };
             let exchange = next();
             member.open = Some((exchange, now));
@@ -428,17 +430,28 @@
         self.routing.new_document()
     }
 
+    /// Records that the process routes by the document with a version.
+    pub fn document_in_force(&mut self, version: u64) {
+        self.routing.put_in_force(version);
+    }
+
+    /// Records that the process can't read the document with a version, so that it is asked for
+    /// again; returns whether this is new.
+    pub fn document_refused(&mut self, now: Timestamp, version: u64) -> bool {
+        self.routing.refuse(now, version)
+    }
+
     /// Returns the causes in quarantine if a newer list was received since the last call.
     pub fn new_quarantine(&mut self) -> Option<&QuarantineUpdate> {
         std::mem::take(&mut self.new_quarantine).then_some(&self.quarantine)
     }
 
-    /// Returns until when a majority of members confirms that no routing document newer than the own
-    /// one is in force; `None` if it doesn't at present.
+    /// Returns until when a majority of members confirms that no routing document is newer than the
+    /// one by which the process routes; `None` if it doesn't at present.
     pub fn document_confirmed_until(&self, now: Timestamp) -> Option<Timestamp> {
         let proofs = self.members.iter().filter_map(|m| m.proof.as_ref());
         let proofs = proofs.map(|(proof, sent)| (proof, *sent));
-        document_proof::confirmed_until(proofs, now, self.routing.seen().version)
+        document_proof::confirmed_until(proofs, now, self.routing.in_force())
     }
 
     /// Returns whether a majority of members has replied within `CONFIRMATION_LEASE`.
--- a/src/registry/routing_view.rs
+++ b/src/registry/routing_view.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::reread::Reread;
 use crate::control::replica::LogIndex;
 use crate::control::routing::{Document, RoutingSeen, RoutingUpdate};
 use crate::model::{BootId, EndpointState, Timestamp};
@@ -18,7 +19,12 @@
 /// The routing document, deregistered endpoints and the count of gateways.
 #[derive(Debug, Default)]
 pub struct RoutingView {
+    /// The versions that were received.
     seen: RoutingSeen,
+    /// The version of the document by which the process routes.
+    in_force: u64,
+    /// The further requests for the last document, if it couldn't be read.
+    reread: Option<Reread>,
     document: Option<Document>,
     /// The latest deregistered boot of each endpoint.
     deregistered: BTreeMap<Box<str>, BootId>,
@@ -29,15 +35,47 @@
 }
 
 impl RoutingView {
-    /// Returns the versions that were received, for heartbeats.
-    pub fn seen(&self) -> RoutingSeen {
-        self.seen
+    /// Returns the versions that the heartbeat to a member states, by its index among all of them:
+    /// those that were received, or that of the document in force to get a newer one again that
+    /// couldn't be read.
+    pub fn stated(&mut self, now: Timestamp, member: usize, members: usize) -> RoutingSeen {
+        let asks = self.reread.as_mut().is_some_and(|r| r.asks(now, member, members));
+        let version = if asks { self.in_force } else { self.seen.version };
+        RoutingSeen { version, ..self.seen }
+    }
+
+    /// Returns the version of the document by which the process routes; 0 without one.
+    pub fn in_force(&self) -> u64 {
+        self.in_force
+    }
+
+    /// Records that the process routes by the document with a version.
+    pub fn put_in_force(&mut self, version: u64) {
+        self.in_force = version;
+        self.reread = None;
+    }
+
+    /// Records that the document with a version can't be read, so that it is asked for again;
+    /// returns whether this is new.
+    pub fn refuse(&mut self, now: Timestamp, version: u64) -> bool {
+        let known = self.reread.as_ref().is_some_and(|r| r.version() == version);
+        if !known {
+            self.reread = Some(Reread::new(now, version));
+        }
+        !known
+    }
+
+    /// Returns whether a document is to be read: it is newer than all others, or it couldn't be read
+    /// before.
+    fn wants(&self, document: &Document) -> bool {
+        let again = self.reread.as_ref().is_some_and(|r| r.version() == document.version);
+        again || document.version > self.seen.version
     }
 
     /// Applies a member's update; returns whether it contains any deregistration.
     pub fn apply(&mut self, now: Timestamp, update: &RoutingUpdate) -> bool {
         if let Some(document) = &update.document
-            && document.version > self.seen.version
+            && self.wants(document)
         {
             self.seen.version = document.version;
             self.document = Some(document.clone());
--- a/tests/gateway_fixture/mod.rs
+++ b/tests/gateway_fixture/mod.rs
@@ -247,6 +247,8 @@
     pub epoch: BootId,
     /// Whether control is out of reach: no heartbeat is answered.
     pub control_silent: bool,
+    /// How many routing documents were sent in replies to heartbeats.
+    pub sent_documents: u32,
     /// Until when the limits on callers' requests are confirmed, as the gateway said last.
     pub limits_confirmed: Option<Timestamp>,
     /// The members of control besides the first one, which alone answers heartbeats.
@@ -314,6 +316,7 @@
             leader: None,
             epoch: BootId(0),
             control_silent: false,
+            sent_documents: 0,
             limits_confirmed: None,
             more_members: Vec::new(),
             members_of: BTreeMap::new(),
@@ -415,6 +418,7 @@
         for (exchange, version, deregistration) in std::mem::take(&mut self.heartbeats) {
             let newest = self.documents.iter().max_by_key(|d| d.version);
             let document = newest.filter(|d| d.version > version).cloned();
+            self.sent_documents += u32::from(document.is_some());
             let deregistered =
                 self.deregistered.iter().filter(|(i, _)| *i > deregistration).cloned();
             let beat = Beat {
