--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -306,7 +306,9 @@
         self.note_majority(now);
         let mut outputs = Vec::new();
         let process = self.process();
-        for member in &mut self.members {
+        let routes = self.settings.routes;
+        let members = self.members.len();
+        for (index, member) in self.members.iter_mut().enumerate() {
             if let Some((exchange, sent)) = member.open {
                 if now - sent < HEARTBEAT_TIMEOUT {
                     continue;
@@ -328,7 +330,7 @@
                 quarantine: self.quarantine.version,
                 schema: SCHEMA,
                 full_config: self.needs_full,
-                routing: self.settings.routes.then(|| self.routing.seen()),
+                routing: routes.then(|| self.routing.stated(now, index, members)),
             };
             let exchange = next();
             member.open = Some((exchange, now));
@@ -450,7 +452,7 @@
     }
 
     fn note_majority(&mut self, now: Timestamp) {
-        let version = self.routing.seen().version;
+        let version = self.routing.in_force();
         let confirmed = self.agreed_at(|proof| proof.document <= version);
         self.document_confirmed = self.document_confirmed.max(confirmed);
         let proven = self.agreed_at(|_| true);
@@ -463,7 +465,7 @@
         let proofs = self.members.iter().filter_map(|m| m.proof.as_ref());
         let recent = proofs.filter(|(_, at)| Some(*at) >= proven && proven.is_some());
         Known {
-            document: self.routing.seen().version,
+            document: self.routing.in_force(),
             revised: self.revised,
             epoch: self.newest_proof().map_or(0, |proof| proof.epoch),
             asked: self.members().collect(),
@@ -482,17 +484,28 @@
         self.routing.new_document()
     }
 
+    /// Records that the process routes by the document with a version.
+    pub fn document_in_force(&mut self, version: u64) {
+        self.routing.put_in_force(version);
+    }
+
+    /// Records that the process can't read the document with a version, so that it is asked for
+    /// again; returns whether this is new.
+    pub fn document_refused(&mut self, now: Timestamp, version: u64) -> bool {
+        self.routing.refuse(now, version)
+    }
+
     /// Returns the causes in quarantine if a newer list was received since the last call.
     pub fn new_quarantine(&mut self) -> Option<&QuarantineUpdate> {
         std::mem::take(&mut self.new_quarantine).then_some(&self.quarantine)
     }
 
-    /// Returns until when a majority of members confirms that no routing document newer than the own
-    /// one is in force; `None` if it doesn't at present.
+    /// Returns until when a majority of members confirms that no routing document is newer than the
+    /// one by which the process routes; `None` if it doesn't at present.
     pub fn document_confirmed_until(&self, now: Timestamp) -> Option<Timestamp> {
         let proofs = self.members.iter().filter_map(|m| m.proof.as_ref());
         let proofs = proofs.map(|(proof, sent)| (proof, *sent));
-        document_proof::confirmed_until(proofs, now, self.routing.seen().version)
+        document_proof::confirmed_until(proofs, now, self.routing.in_force())
     }
 
     /// Returns whether a majority of members has replied within `CONFIRMATION_LEASE`.
--- a/src/registry/majority.rs
+++ b/src/registry/majority.rs
@@ -15,7 +15,7 @@
 /// What a process knows of control while it asks for it.
 #[derive(Debug, Clone)]
 pub struct Known {
-    /// The version of the last routing document that was received; 0 if there was none.
+    /// The version of the routing document in force; 0 if there is none.
     pub document: u64,
     /// The revision and hash of the configuration in force.
     pub revised: Revised,
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -5,6 +5,7 @@
 pub mod document_proof;
 mod follower;
 pub mod majority;
+mod reread;
 mod routing_view;
 pub mod subset;
 pub mod view;
--- a/tests/h1_sockets.rs
+++ b/tests/h1_sockets.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use dotterelpin::h1::{
-    CallerId, HttpDriver, HttpEffect, HttpHandle, HttpInput, Listener, Purpose, write,
+    CallerId, HttpDriver, HttpEffect, HttpHandle, HttpInput, Listener, Purpose, Request, write,
 };
 use dotterelpin::model::Timestamp;
 use dotterelpin::report::metrics::Metrics;
@@ -18,6 +18,13 @@
 use dotterelpin::routes::CallerLimits;
 use loopback::link;
 
+const LIMITS: CallerLimits = CallerLimits {
+    head_bytes: 2_000,
+    body_bytes: 100_000,
+    head_timeout: Duration::from_millis(300),
+    idle_timeout: Duration::from_millis(900),
+};
+
 /// Answers each request with its target and the length of its content, `/busy` late and `/hang` never.
 struct Echo {
     events: Sender<String>,
@@ -32,29 +39,28 @@
             Input::Local(HttpInput::Request { caller, request, .. }) => {
                 self.events.send(request.head.target.to_string()).unwrap();
                 match &*request.head.target {
+                    "/raise" => {
+                        let limits = CallerLimits { head_bytes: 8_000, ..LIMITS };
+                        let raised = Output::Effect(HttpEffect::Limit(limits));
+                        return std::iter::once(raised).chain(echo(caller, &request)).collect();
+                    }
+                    "/lapse" => {
+                        let until = Timestamp::default();
+                        let lapsed = Output::Effect(HttpEffect::ConfirmLimits { until });
+                        return std::iter::once(lapsed).chain(echo(caller, &request)).collect();
+                    }
                     "/hang" => return Vec::new(),
                     "/busy" => std::thread::sleep(Duration::from_millis(200)),
                     _ => {}
                 }
-                let text = format!("{} {}", request.head.target, request.body.len());
-                let keep = !request.head.wants_close();
-                let bytes = write::answer(200, &[], "text/plain", text.as_bytes(), keep);
-                vec![
-                    Output::Effect(HttpEffect::Reply { caller, bytes }),
-                    Output::Effect(HttpEffect::Finish { caller, keep }),
-                ]
+                echo(caller, &request)
             }
             Input::Local(HttpInput::CallerGone { caller: CallerId(_) }) => {
                 self.events.send("disconnected".into()).unwrap();
                 Vec::new()
             }
             Input::Shutdown { .. } => vec![Output::Stopped],
-            Input::Wake => vec![Output::Effect(HttpEffect::Limit(CallerLimits {
-                head_bytes: 2_000,
-                body_bytes: 100_000,
-                head_timeout: Duration::from_millis(300),
-                idle_timeout: Duration::from_millis(900),
-            }))],
+            Input::Wake => vec![Output::Effect(HttpEffect::Limit(LIMITS))],
             _ => Vec::new(),
         }
     }
@@ -64,6 +70,17 @@
     }
 }
 
+/// Returns the answer with the target of a request and the size of its content.
+fn echo(caller: CallerId, request: &Request) -> Vec<Output<HttpEffect>> {
+    let text = format!("{} {}", request.head.target, request.body.len());
+    let keep = !request.head.wants_close();
+    let bytes = write::answer(200, &[], "text/plain", text.as_bytes(), keep);
+    vec![
+        Output::Effect(HttpEffect::Reply { caller, bytes }),
+        Output::Effect(HttpEffect::Finish { caller, keep }),
+    ]
+}
+
 struct Server {
     address: SocketAddr,
     events: Receiver<String>,
@@ -150,6 +167,37 @@
     assert_eq!(exchange(&server, b""), "", "an idle connection is closed without an answer");
 }
 
+/// A connection kept the limits of its last answer: a request on one that was idle while the limits
+/// were raised was refused with 431.
+#[test]
+fn request_on_a_connection_that_was_idle_is_read_by_the_present_limits() {
+    let server = start();
+    let mut idle = connect(&server);
+    std::thread::sleep(Duration::from_millis(50));
+    exchange(&server, b"GET /raise HTTP/1.1\r\nConnection: close\r\n\r\n");
+    let long = format!("GET /a HTTP/1.1\r\nConnection: close\r\nX: {}\r\n\r\n", "x".repeat(3_000));
+    idle.write_all(long.as_bytes()).unwrap();
+    let mut answer = String::new();
+    idle.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+}
+
+/// A process that had lost control refused, with certainty, what newer limits allowed.
+#[test]
+fn request_beyond_limits_that_may_be_out_of_date_is_refused_as_not_run() {
+    let server = start();
+    exchange(&server, b"GET /lapse HTTP/1.1\r\nConnection: close\r\n\r\n");
+    let long = format!("GET /a HTTP/1.1\r\nX: {}\r\n\r\n", "x".repeat(3_000));
+    let large = "POST /a HTTP/1.1\r\nContent-Length: 100001\r\n\r\n";
+    for text in [&*long, large] {
+        let answer = exchange(&server, text.as_bytes());
+        assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+        assert!(answer.contains("Retry-After: 0.5\r\n"), "{answer}");
+    }
+    let answer = exchange(&server, b"GET\r\n\r\n");
+    assert!(answer.starts_with("HTTP/1.1 400 "), "no limits allow it: {answer}");
+}
+
 #[test]
 fn caller_disconnect_and_half_close_are_reported_to_the_role() {
     for shutdown in [Shutdown::Both, Shutdown::Write] {
