--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -37,6 +37,8 @@
 
 /// The status of a request whose host and path no route of the table names.
 const NO_ROUTE: u16 = 404;
+/// The text of a refusal by a routing table that a newer one may have replaced.
+const UNCONFIRMED: &str = "not run: no route by a routing table that may be out of date";
 
 fn refusal(status: u16, text: &str, retry_after: Option<Duration>) -> RefusalInfo {
     RefusalInfo { status, text: text.into(), retry_after }
@@ -59,8 +61,7 @@
 }
 
 pub(super) fn unconfirmed() -> RefusalInfo {
-    let text = "not run: no route by a routing table that may be out of date";
-    refusal(503, text, Some(UNCONFIRMED_RETRY_AFTER))
+    refusal(503, UNCONFIRMED, Some(UNCONFIRMED_RETRY_AFTER))
 }
 
 pub(super) fn no_endpoint() -> RefusalInfo {
@@ -123,7 +124,7 @@
             info.status,
             info.text,
             self.table.version(),
-            self.confirmation_text(now, info.status),
+            self.confirmation_text(now, &info),
             self.stopping_text(now),
         );
         let bytes = self.protocol.write_refusal(id, &info, keep);
@@ -133,8 +134,8 @@
 
     /// Returns the age of the table's confirmation, in milliseconds, for the log line of a call that
     /// has no route; nothing for others.
-    fn confirmation_text(&self, now: Timestamp, status: u16) -> String {
-        if status != NO_ROUTE {
+    fn confirmation_text(&self, now: Timestamp, info: &RefusalInfo) -> String {
+        if info.status != NO_ROUTE && *info.text != *UNCONFIRMED {
             return String::new();
         }
         let age = self.follower.confirmation_age(now).map(|age| age.as_millis().to_string());
--- a/tests/control_lines.rs
+++ b/tests/control_lines.rs
@@ -94,6 +94,7 @@
     f.advance(2_500);
     f.call(2, "/no-such-route", &[]);
     let stale = lines("end").pop().unwrap();
+    assert_eq!((number(&stale, "status"), number(&stale, "table")), (503, 1));
     assert!((2_000..=4_000).contains(&number(&stale, "confirmed_ms")), "{stale}");
 }
 
