Show that settings that change are not read again

The platform writes a new settings file with the present members and mostly sends SIGHUP; the process logs it and reads nothing.

The gateway that is stepped 2 s after its settings have named the members that serve still refuses by table 1, confirmed 22 s ago, where version 2 is in force.

The input by which a role is told of new members exists with this; no role acts on it and nothing sends it yet.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -323,6 +323,7 @@
                 Some(peer) => self.replica_step(now, ReplicaInput::Lost { peer }),
                 None => Vec::new(),
             },
+            Input::Members { .. } => Vec::new(),
             Input::Local(input) => self.disk(now, input),
             Input::Wake => {
                 self.registry.expire(now);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -282,7 +282,7 @@
                 self.request_shutdown(now, since);
                 Vec::new()
             }
-            Input::Request { .. } | Input::Abandoned { .. } => Vec::new(),
+            Input::Request { .. } | Input::Abandoned { .. } | Input::Members { .. } => Vec::new(),
         };
         self.record_outputs(now, &outputs);
         if may_start {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -351,7 +351,7 @@
                 self.follower.closed(exchange);
                 self.control_closed(now, exchange);
             }
-            Input::Request { .. } | Input::Abandoned { .. } => {}
+            Input::Request { .. } | Input::Abandoned { .. } | Input::Members { .. } => {}
             Input::Wake => self.wake(now),
             Input::Shutdown { since } => self.shutdown_requested(now, since),
         }
--- a/src/role/mod.rs
+++ b/src/role/mod.rs
@@ -69,6 +69,11 @@
     },
     /// A local input, from a caller, an engine or a disk.
     Local(L),
+    /// The settings of this process name other control members than before.
+    Members {
+        /// The addresses, where control may be found; none of them has a vote for that.
+        addresses: Vec<SocketAddr>,
+    },
     /// The deadline of [`Role::next_wake`] has been reached, or the driver was idle for long.
     Wake,
     /// Refuse new work, finish the work in flight and then report [`Output::Stopped`].
--- /dev/null
+++ b/tests/replaced_contacts.rs
@@ -0,0 +1,193 @@
+//! A gateway finds control again when its settings name other members, whatever became of those that
+//! it knew.
+
+mod gateway_fixture;
+mod recorded_lines;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dotterelpin::control::routing::{Document, RoutingUpdate};
+use dotterelpin::gateway::{Gateway, GatewaySettings};
+use dotterelpin::h1::{CallerId, HttpInput, Purpose};
+use dotterelpin::link::message::{
+    Beat, ControlReply, ControlRequest, Endpoints, Envelope, Proof, Reply, Request, Seen,
+};
+use dotterelpin::model::{BootId, EndpointKind, EndpointState, ExchangeId, Revision, Timestamp};
+use dotterelpin::registry::FollowerSettings;
+use dotterelpin::role::{Input, Output, Role};
+use gateway_fixture::{PLAIN, budget_terms, endpoint, protocol, request, table};
+use recorded_lines::{line, lines, number, record, value};
+
+/// The time within which a process that can reach control finds it, in milliseconds.
+const FIND_MS: u64 = 2_000;
+/// The time that a step of the simulation takes, in milliseconds.
+const TICK_MS: u64 = 20;
+
+fn address(member: u8) -> SocketAddr {
+    ([10, 0, 0, member], 7000).into()
+}
+
+/// What a member of control answers.
+#[derive(Clone)]
+struct Answer {
+    epoch: u64,
+    voters: Vec<u8>,
+    version: u64,
+}
+
+/// A gateway, and the members of control that it can reach.
+struct World {
+    gateway: Gateway,
+    now: Timestamp,
+    members: BTreeMap<SocketAddr, Answer>,
+    open: Vec<(ExchangeId, SocketAddr, u64)>,
+    /// How often each member was asked.
+    asked: BTreeMap<SocketAddr, usize>,
+    last_caller: u64,
+}
+
+impl World {
+    /// Creates a gateway whose settings name members, with a table of version 1 and endpoints.
+    fn new(seeds: &[u8]) -> World {
+        let follower = FollowerSettings {
+            name: "gateway-1".into(),
+            role: "gateway".into(),
+            domain: "a".into(),
+            boot: BootId(7),
+            members: seeds.iter().copied().map(address).collect(),
+            endpoints: true,
+            routes: true,
+        };
+        let settings =
+            GatewaySettings { follower, budget: budget_terms(), grace: Duration::from_secs(8) };
+        let mut newer = table();
+        newer.version = 2;
+        World {
+            gateway: Gateway::new(settings, Box::new(protocol(vec![table(), newer]))),
+            now: Timestamp::from_micros(1_000_000_000),
+            members: BTreeMap::new(),
+            open: Vec::new(),
+            asked: BTreeMap::new(),
+            last_caller: 0,
+        }
+    }
+
+    /// Lets these members, and no others, answer with a list of voters and a table.
+    fn serve(&mut self, members: &[u8], epoch: u64, voters: &[u8], version: u64) {
+        let answer = Answer { epoch, voters: voters.to_vec(), version };
+        self.members = members.iter().map(|m| (address(*m), answer.clone())).collect();
+    }
+
+    fn name(&mut self, seeds: &[u8]) {
+        let addresses = seeds.iter().copied().map(address).collect();
+        self.step(Input::Members { addresses });
+    }
+
+    fn step(&mut self, input: Input<HttpInput>) {
+        for output in self.gateway.step(self.now, input) {
+            let Output::Open { exchange, peer, envelope } = output else { continue };
+            let Request::Control(ControlRequest::Heartbeat(beat)) = envelope.body else { continue };
+            *self.asked.entry(peer).or_default() += 1;
+            let version = beat.routing.map_or(0, |seen| seen.version);
+            self.open.push((exchange, peer, version));
+        }
+    }
+
+    fn run(&mut self, millis: u64) {
+        for _ in 0..millis / TICK_MS {
+            self.now = self.now + Duration::from_millis(TICK_MS);
+            if self.gateway.next_wake().is_some_and(|at| at <= self.now) {
+                self.step(Input::Wake);
+            }
+            for (exchange, peer, seen) in std::mem::take(&mut self.open) {
+                let Some(answer) = self.members.get(&peer).cloned() else { continue };
+                let body = Reply::Control(ControlReply::Beat(beat(peer, &answer, seen)));
+                let envelope = Envelope { revised: Default::default(), body };
+                self.step(Input::Reply { exchange, envelope });
+            }
+        }
+    }
+
+    /// Returns the line of a call that no route is for.
+    fn refusal(&mut self) -> String {
+        self.last_caller += 1;
+        let id = format!("call-{}", self.last_caller);
+        let fields = [("Host", "h"), ("Call-Id", &*id), ("Patience-Ms", "14000")];
+        let request = request("POST", "/no-such-route", &fields, b"body");
+        let (caller, purpose) = (CallerId(self.last_caller), Purpose::Calls);
+        self.step(Input::Local(HttpInput::Request { caller, purpose, request }));
+        lines("end").pop().unwrap()
+    }
+
+    /// Asserts that a majority has just confirmed a table.
+    fn assert_confirmed(&mut self, version: u64) {
+        let line = self.refusal();
+        assert_eq!((number(&line, "status"), number(&line, "table")), (404, version), "{line}");
+        assert!(number(&line, "confirmed_ms") < FIND_MS, "{line}");
+    }
+}
+
+fn beat(member: SocketAddr, answer: &Answer, seen: u64) -> Beat {
+    let text = (answer.version - 1).to_string().into_bytes().into();
+    let document = Document { version: answer.version, text };
+    let endpoints: Vec<EndpointState> = vec![endpoint("p1", EndpointKind::Service, PLAIN)];
+    Beat {
+        member: "control".into(),
+        proof: Some(Proof {
+            member,
+            highest: Revision(0),
+            document: answer.version,
+            epoch: answer.epoch,
+            voters: answer.voters.iter().copied().map(address).collect(),
+        }),
+        config: None,
+        seen: Seen::default(),
+        endpoints: Some(Endpoints::All(endpoints)),
+        orders: None,
+        quarantine: None,
+        routing: Some(Box::new(RoutingUpdate {
+            document: (answer.version > seen).then_some(document),
+            deregistered: Vec::new(),
+            gateways: 1,
+            leader: None,
+        })),
+    }
+}
+
+/// A gateway that knows members 1 to 3, while members 4 to 6 have taken their places.
+fn cut_off() -> World {
+    record();
+    let mut world = World::new(&[1, 2, 3]);
+    world.serve(&[1, 2, 3], 3, &[1, 2, 3], 1);
+    world.run(2_000);
+    world.assert_confirmed(1);
+    world.serve(&[4, 5, 6], 9, &[4, 5, 6], 2);
+    world.run(20_000);
+    assert_eq!(lines("control-lost").len(), 1);
+    world
+}
+
+#[test]
+fn gateway_whose_members_were_all_replaced_ignores_its_new_settings() {
+    let mut world = cut_off();
+    world.name(&[4, 5, 6]);
+    world.run(FIND_MS);
+    world.assert_confirmed(2);
+    let found = line("control-found");
+    assert_eq!(number(&found, "epoch"), 9);
+    assert!(number(&found, "unproven_ms") >= 20_000, "{found}");
+    let change = line("follow");
+    assert_eq!(value(&change, "reason"), "settings");
+    assert_eq!(value(&change, "added").split(',').count(), 3, "{change}");
+}
+
+/// One contact is enough: it names the others.
+#[test]
+fn gateway_with_one_new_contact_finds_no_majority() {
+    let mut world = cut_off();
+    world.name(&[2, 3, 5]);
+    world.run(FIND_MS);
+    world.assert_confirmed(2);
+}
