Read settings that change again, and ask the members that they name

The platform had written these into the settings file and sent SIGHUP; the process logged it and read nothing.

The daemon now reads the file at each SIGHUP, and once a second without one, compares it with what it read last, and checks it as at the start. New members go to all roles as Input::Members; a file that is not valid changes nothing, and other settings are named as needing a restart. A follower asks the members that are named and the voters that it knows by proof; an address that is neither is dropped. A named member has no vote: only lists of voters, by their epoch, decide what a majority is, so a stale address takes nothing from a process that follows one. A replica asks the named members for its group, and founds a group with the members of its first settings only: blank members of other addresses no longer count among those of a new group. The api role sends to the named members while it knows no leader. The file is read by the shell, always and not only without a majority: that needs no state shared with a role, and is the reading of one small file a second.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -294,7 +294,10 @@
                 self.follower.closed(exchange);
                 Vec::new()
             }
-            Input::Members { .. } => Vec::new(),
+            Input::Members { addresses } => {
+                self.follower.name_members(addresses);
+                Vec::new()
+            }
             Input::Local(input) => self.engine(now, input),
             Input::Wake => self.wake(now),
             Input::Shutdown { since } => self.request_shutdown(now, since),
--- a/src/api/inputs.rs
+++ b/src/api/inputs.rs
@@ -24,7 +24,8 @@
                 }
             }
             Input::Local(input) => self.order_input(now, input),
-            Input::Request { .. } | Input::Abandoned { .. } | Input::Members { .. } => {}
+            Input::Members { addresses } => self.settings.members = addresses,
+            Input::Request { .. } | Input::Abandoned { .. } => {}
             Input::Reply { exchange, envelope } => {
                 if let Reply::Control(reply) = envelope.body {
                     self.reply_received(now, exchange, reply);
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -150,6 +150,21 @@
         if errors.is_empty() { Ok(self) } else { Err(SettingsError(errors)) }
     }
 
+    /// Returns the names, as in the file, of the settings that differ in other arguments.
+    ///
+    /// ```
+    /// use dotterelpin::cli::settings::DaemonArgs;
+    ///
+    /// let args = DaemonArgs { log: Some("warn".into()), ..DaemonArgs::default() };
+    /// assert_eq!(DaemonArgs::default().changed_to(&args), ["log"]);
+    /// ```
+    pub fn changed_to(&self, other: &DaemonArgs) -> Vec<&'static str> {
+        let (mut before, mut after) = (self.clone(), other.clone());
+        let pairs = before.fields().into_iter().zip(after.fields());
+        let differs = pairs.filter(|((_, before), (_, after))| before != after);
+        differs.map(|((name, _), _)| name).collect()
+    }
+
     /// Returns the settings with their names in the file and, in upper case, in the environment.
     fn fields(&mut self) -> [(&'static str, &mut Option<String>); 27] {
         [
--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -1,6 +1,7 @@
 //! Starts the roles of a process, and shuts them down gracefully.
 
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Sender, channel};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -8,6 +9,8 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
+use super::handles::Handles;
+use super::reload::{self, Reloader};
 use super::settings::{RoleName, Settings};
 use crate::agent::engine::{EngineInput, HttpEngine};
 use crate::agent::{Agent, AgentSettings};
@@ -21,7 +24,7 @@
 use crate::entry::{CallerInput, Entry, EntrySettings};
 use crate::gateway::protocol::CallProtocol;
 use crate::gateway::{Gateway, GatewaySettings};
-use crate::h1::{HttpDriver, HttpHandle, HttpInput, Listener, Purpose};
+use crate::h1::{HttpDriver, Listener, Purpose};
 use crate::link::tls::Identity;
 use crate::link::{Link, Request, Route, Sink};
 use crate::model::{BootId, Timestamp};
@@ -40,12 +43,12 @@
 
 /// The drivers of the roles that this process runs.
 #[derive(Default)]
-struct Drivers {
-    entry: Option<Driver<CallerInput>>,
-    agent: Option<Driver<EngineInput>>,
-    control: Option<Driver<DiskInput>>,
-    gateway: Option<HttpDriver>,
-    api: Option<HttpDriver>,
+pub(super) struct Drivers {
+    pub(super) entry: Option<Driver<CallerInput>>,
+    pub(super) agent: Option<Driver<EngineInput>>,
+    pub(super) control: Option<Driver<DiskInput>>,
+    pub(super) gateway: Option<HttpDriver>,
+    pub(super) api: Option<HttpDriver>,
 }
 
 /// The protocols of the gateway and API roles, which the program supplies.
@@ -56,8 +59,12 @@
     pub api: Box<dyn ApiProtocol>,
 }
 
-/// Runs the roles until they have stopped.
-pub fn run(settings: Settings, protocols: Option<Protocols>) -> eyre::Result<()> {
+/// Runs the roles until they have stopped; `reloader` reads the settings again meanwhile.
+pub fn run(
+    settings: Settings,
+    reloader: Option<Reloader>,
+    protocols: Option<Protocols>,
+) -> eyre::Result<()> {
     let boot = BootId::from_start(Timestamp::from_steady(), &settings.name);
     let identity = Identity::load(&settings.keys)?;
     let link = Link::bind(settings.listen, identity)?;
@@ -75,7 +82,9 @@
     let ready = Arc::new(AtomicBool::new(true));
     let metrics = Arc::new(Metrics::new()?);
     let signalled = Signalled::default();
-    watch_signals(&drivers, ready.clone(), signalled.clone())?;
+    let handles = Handles::new(&drivers);
+    let (reloads, signals) = channel();
+    watch_signals(handles.clone(), reloads, ready.clone(), signalled.clone())?;
     let control = drivers.control.as_ref().map(Driver::handle);
     let url = Arc::new(Mutex::new(None));
     if let Some(address) = settings.pages.filter(|_| drivers.gateway.is_none()) {
@@ -165,6 +174,9 @@
         )?);
     }
     link.start(route)?;
+    if let Some(reloader) = reloader {
+        reload::start(reloader, signals, move |members| handles.name_members(&members))?;
+    }
     log::info!("step=start name={} domain={} boot={boot}", settings.name, settings.domain);
     let grace = settings.grace;
     let has_control = control_thread.is_some();
@@ -250,24 +262,20 @@
     }))
 }
 
+/// Starts the thread that handles signals; it tells `reloads` of each SIGHUP.
 fn watch_signals(
-    drivers: &Drivers,
+    handles: Handles,
+    reloads: Sender<()>,
     ready: Arc<AtomicBool>,
     signalled: Signalled,
 ) -> eyre::Result<()> {
-    let entry = drivers.entry.as_ref().map(Driver::handle);
-    let agent = drivers.agent.as_ref().map(Driver::handle);
-    // Control is stopped last, since the other roles of this process need it until they have
-    // stopped; it receives the signal only if there are none.
-    let http: Vec<HttpHandle> =
-        drivers.gateway.iter().chain(&drivers.api).map(HttpDriver::handle).collect();
-    let control_only = entry.is_none() && agent.is_none() && http.is_empty();
-    let control = drivers.control.as_ref().map(Driver::handle).filter(|_| control_only);
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).wrap_err("watch for signals")?;
     let watch = move || {
         for signal in signals.forever() {
             if signal == SIGHUP {
-                http.iter().for_each(|h| h.send(Input::Local(HttpInput::Reload)));
+                handles.reload();
+                // Without a settings file nothing reads it again.
+                let _ = reloads.send(());
                 continue;
             }
             let stopping = !ready.swap(false, Ordering::SeqCst);
@@ -277,16 +285,7 @@
             }
             let since = *signalled.get_or_init(Timestamp::from_steady);
             log::info!("step=shutdown signal={signal}");
-            if let Some(handle) = &entry {
-                handle.send(Input::Shutdown { since });
-            }
-            if let Some(handle) = &agent {
-                handle.send(Input::Shutdown { since });
-            }
-            http.iter().for_each(|h| h.send(Input::Shutdown { since }));
-            if let Some(handle) = &control {
-                handle.send(Input::Shutdown { since });
-            }
+            handles.shut_down(since);
         }
     };
     std::thread::Builder::new()
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -3,6 +3,9 @@
 mod args;
 pub mod checker;
 pub mod daemon;
+mod handles;
+pub mod reload;
 pub mod settings;
+pub mod source;
 pub mod start;
 pub mod tool;
--- a/src/cli/start.rs
+++ b/src/cli/start.rs
@@ -1,12 +1,13 @@
 //! The main function of daemons: parses the command line, checks the settings and runs the roles.
 
-use std::path::Path;
 use std::process::ExitCode;
 
 use argh::FromArgs;
 
 use super::daemon::{self, Protocols};
+use super::reload::Reloader;
 use super::settings::{DaemonArgs, Settings, SettingsError};
+use super::source::Source;
 use crate::report::start_log;
 
 /// The exit code for invalid settings.
@@ -27,15 +28,16 @@
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
-    let settings = match check_settings(args) {
-        Ok(settings) => settings,
+    let source = Source::new(args);
+    let (settings, reloader) = match read_settings(source) {
+        Ok(read) => read,
         Err(error) => {
             eprintln!("{error}");
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
     let log = start_log(&settings.log, settings.format);
-    match log.and_then(|_log| daemon::run(settings, protocols())) {
+    match log.and_then(|_log| daemon::run(settings, reloader, protocols())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("error: {error:#}");
@@ -44,17 +46,10 @@
     }
 }
 
-/// Completes the flags from the environment and then from the settings file, and checks all
-/// settings. Flags take precedence over the environment, which takes precedence over the file.
-fn check_settings(args: DaemonArgs) -> Result<Settings, SettingsError> {
-    let mut args = args.with_environment(|name| std::env::var(name).ok());
-    if let Some(path) = args.settings.clone() {
-        args = args.with_file(&read(Path::new(&path))?)?;
-    }
-    Settings::try_from(args).and_then(|s| s.check_files().map(|()| s))
-}
-
-fn read(path: &Path) -> Result<String, SettingsError> {
-    let unreadable = |e: std::io::Error| format!("--settings: {}: {e}", path.display());
-    std::fs::read_to_string(path).map_err(|e| SettingsError(vec![unreadable(e)]))
+/// Reads and checks all settings; what reads them again is returned with them, if there is a file.
+fn read_settings(source: Source) -> Result<(Settings, Option<Reloader>), SettingsError> {
+    let text = source.read()?;
+    let settings = source.check(&text)?;
+    let reloader = source.path().is_some().then(|| Reloader::new(source.clone(), text));
+    Ok((settings, reloader.transpose()?))
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -323,7 +323,9 @@
                 Some(peer) => self.replica_step(now, ReplicaInput::Lost { peer }),
                 None => Vec::new(),
             },
-            Input::Members { .. } => Vec::new(),
+            Input::Members { addresses } => {
+                self.replica_step(now, ReplicaInput::Members(addresses))
+            }
             Input::Local(input) => self.disk(now, input),
             Input::Wake => {
                 self.registry.expire(now);
--- a/src/control/replica/action.rs
+++ b/src/control/replica/action.rs
@@ -70,6 +70,9 @@
         /// The address of the member.
         peer: SocketAddr,
     },
+    /// The settings name these members, at which the group may be found; they found none and have
+    /// no vote for that.
+    Members(Vec<SocketAddr>),
     /// All writes up to and including this one are synced.
     Synced(WriteId),
     /// The disk accepts no writes for now.
--- a/src/control/replica/joining.rs
+++ b/src/control/replica/joining.rs
@@ -25,6 +25,8 @@
     unanswered: BTreeSet<SocketAddr>,
     /// The addresses that the last hello went to.
     greeted: BTreeSet<SocketAddr>,
+    /// The members that the settings have named since the start, if they have changed.
+    named: Option<Vec<SocketAddr>>,
     /// The newest list of the members of the group that was received.
     contacts: Contacts,
     /// The last member that sent a message to the former member at this address.
@@ -100,10 +102,28 @@
     fn greetable(&self) -> BTreeSet<SocketAddr> {
         let known = self.members.all.values().map(|m| m.address);
         let known = known.chain(self.joining.contacts.addresses()).chain(self.joining.met);
-        let all = self.settings.members.iter().copied().chain(known);
+        let all = self.named().into_iter().chain(known);
         all.filter(|a| *a != self.settings.address).collect()
     }
 
+    /// Returns the addresses in the settings. Those of the start count, too, until there is a group:
+    /// they alone may found it.
+    fn named(&self) -> Vec<SocketAddr> {
+        let founders = self.settings.members.iter().copied();
+        match &self.joining.named {
+            Some(named) if self.group.is_some() => named.clone(),
+            Some(named) => founders.chain(named.iter().copied()).collect(),
+            None => founders.collect(),
+        }
+    }
+
+    /// Takes the members that the settings name from now on as contacts, and greets new ones at once
+    /// if this replica has no vote.
+    pub(super) fn name_members(&mut self, addresses: Vec<SocketAddr>) {
+        self.joining.named = Some(addresses);
+        self.greet_new();
+    }
+
     fn greet(&mut self, addresses: BTreeSet<SocketAddr>, joinable: bool) {
         for to in addresses {
             let message = self.message(MemberId(0), ReplicaBody::Hello { joinable });
@@ -218,7 +238,8 @@
             return false;
         }
         let mut members = Members::default().with(self.id, own, true);
-        for (address, (id, _)) in std::mem::take(&mut self.joining.blank) {
+        let blank = std::mem::take(&mut self.joining.blank);
+        for (address, (id, _)) in blank.into_iter().filter(|(a, _)| addresses.contains(a)) {
             members = members.with(id, address, true);
         }
         ::log::info!("step=found members={members:?}");
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -167,6 +167,7 @@
             ReplicaInput::Request { via, message } => self.request(now, via, message),
             ReplicaInput::Reply { peer, message } => self.reply(now, peer, message),
             ReplicaInput::Lost { peer } => self.lost(peer),
+            ReplicaInput::Members(addresses) => self.name_members(addresses),
             ReplicaInput::Synced(write) => self.on_synced(now, write),
             ReplicaInput::Stalled => self.stall(now),
             ReplicaInput::Wake => {}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -223,6 +223,14 @@
         outputs
     }
 
+    /// Applies the list of endpoints if it has changed.
+    fn update_endpoints(&mut self, now: Timestamp) {
+        if let Some(endpoints) = self.shared.follower.changed_endpoints(now) {
+            self.shared.endpoints = endpoints;
+            self.shared.fleet.update(&self.shared.endpoints);
+        }
+    }
+
     fn heartbeats(&mut self, now: Timestamp) -> Outputs {
         let last = &mut self.shared.last_exchange;
         self.shared.follower.wake(now, None, None, &mut || {
@@ -255,10 +263,7 @@
                 self.shared.follower.observe(now, envelope.revised);
                 self.shared.fleet.record_reply(now, exchange, &envelope.body);
                 if self.shared.follower.reply(now, exchange, &envelope.body) {
-                    if let Some(endpoints) = self.shared.follower.changed_endpoints(now) {
-                        self.shared.endpoints = endpoints;
-                        self.shared.fleet.update(&self.shared.endpoints);
-                    }
+                    self.update_endpoints(now);
                     Vec::new()
                 } else if let Some(call) = self.shared.owners.get(&exchange).copied() {
                     let body = envelope.body;
@@ -282,7 +287,12 @@
                 self.request_shutdown(now, since);
                 Vec::new()
             }
-            Input::Request { .. } | Input::Abandoned { .. } | Input::Members { .. } => Vec::new(),
+            Input::Members { addresses } => {
+                self.shared.follower.name_members(addresses);
+                self.update_endpoints(now);
+                Vec::new()
+            }
+            Input::Request { .. } | Input::Abandoned { .. } => Vec::new(),
         };
         self.record_outputs(now, &outputs);
         if may_start {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -351,7 +351,11 @@
                 self.follower.closed(exchange);
                 self.control_closed(now, exchange);
             }
-            Input::Request { .. } | Input::Abandoned { .. } | Input::Members { .. } => {}
+            Input::Members { addresses } => {
+                self.follower.name_members(addresses);
+                self.apply_updates(now);
+            }
+            Input::Request { .. } | Input::Abandoned { .. } => {}
             Input::Wake => self.wake(now),
             Input::Shutdown { since } => self.shutdown_requested(now, since),
         }
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -423,16 +423,43 @@
     fn follow_voters(&mut self) {
         let Some(newest) = self.newest_proof() else { return };
         let (epoch, voters) = (newest.epoch, newest.voters.clone());
+        self.follow(Reason::Voters { epoch }, voters);
+    }
+
+    /// Takes the members that the settings name from now on. The newest list of voters that is
+    /// known stays in force: a member that is only named has no vote.
+    ///
+    /// ```
+    /// use dotterelpin::model::BootId;
+    /// use dotterelpin::registry::{Follower, FollowerSettings};
+    ///
+    /// let member = |port| std::net::SocketAddr::from(([127, 0, 0, 1], port));
+    /// let mut follower = Follower::new(FollowerSettings {
+    ///     name: "gateway-0".into(), role: "gateway".into(), domain: "brno-a".into(),
+    ///     boot: BootId(1), members: vec![member(7000)], endpoints: true, routes: true,
+    /// });
+    /// follower.name_members(vec![member(7001)]);
+    /// assert_eq!(follower.members().collect::<Vec<_>>(), [member(7001)]);
+    /// ```
+    pub fn name_members(&mut self, addresses: Vec<SocketAddr>) {
+        let voters = self.newest_proof().map(|proof| proof.voters.clone());
+        self.settings.members = addresses;
+        self.follow(Reason::Settings, voters.unwrap_or_default());
+    }
+
+    /// Asks the voters and the members that the settings name, and no others.
+    fn follow(&mut self, reason: Reason, voters: Vec<SocketAddr>) {
         let before: Vec<SocketAddr> = self.members().collect();
         let named = &self.settings.members;
         self.members.retain(|m| named.contains(&m.address) || voters.contains(&m.address));
-        for voter in voters {
-            if self.members.iter().all(|m| m.address != voter) {
-                self.members.push(Member::new(voter));
+        for address in voters.into_iter().chain(self.settings.members.iter().copied()) {
+            if self.members.iter().all(|m| m.address != address) {
+                self.members.push(Member::new(address));
             }
         }
         let after: Vec<SocketAddr> = self.members().collect();
-        majority::log_change(Reason::Voters { epoch }, &before, &after);
+        self.changed |= before != after;
+        majority::log_change(reason, &before, &after);
     }
 
     /// Returns the time up to which a majority of the newest list of voters has given proofs for
--- a/src/registry/majority.rs
+++ b/src/registry/majority.rs
@@ -117,6 +117,8 @@
 /// Why the members that a process asks have changed.
 #[derive(Debug, Clone, Copy)]
 pub enum Reason {
+    /// The settings name other members than before.
+    Settings,
     /// A list of voters with this epoch was received.
     Voters {
         /// The epoch of the list.
@@ -127,6 +129,7 @@
 impl fmt::Display for Reason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Reason::Settings => f.write_str("settings"),
             Reason::Voters { epoch } => write!(f, "voters epoch={epoch}"),
         }
     }
--- a/tests/api.rs
+++ b/tests/api.rs
@@ -449,3 +449,14 @@
         assert_eq!(f.hang_ups.len(), orders, "answered: {answered}, late: {late}");
     }
 }
+
+/// The members in the settings had all been replaced, and the platform named the new ones.
+#[test]
+fn announcement_goes_to_no_member_that_only_new_settings_name() {
+    let mut f = Fixture::new();
+    f.step(Input::Members { addresses: vec![member(0), member(5), member(6)] });
+    f.call(1, "/beat/up");
+    let sent = f.open.iter().filter(|(_, _, r)| matches!(r, ControlRequest::Announce(_)));
+    let peers: BTreeSet<SocketAddr> = sent.map(|(_, peer, _)| *peer).collect();
+    assert_eq!(peers, [0, 5, 6].map(member).into());
+}
--- a/tests/replaced_contacts.rs
+++ b/tests/replaced_contacts.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use dotterelpin::agent::{Agent, AgentSettings};
 use dotterelpin::control::routing::{Document, RoutingUpdate};
 use dotterelpin::gateway::{Gateway, GatewaySettings};
 use dotterelpin::h1::{CallerId, HttpInput, Purpose};
@@ -29,6 +30,12 @@
     ([10, 0, 0, member], 7000).into()
 }
 
+/// Returns addresses as they are logged.
+fn named(members: &[u8]) -> String {
+    let addresses = members.iter().map(|m| address(*m).to_string());
+    addresses.collect::<Vec<_>>().join(",")
+}
+
 /// What a member of control answers.
 #[derive(Clone)]
 struct Answer {
@@ -178,9 +185,13 @@
     let found = line("control-found");
     assert_eq!(number(&found, "epoch"), 9);
     assert!(number(&found, "unproven_ms") >= 20_000, "{found}");
-    let change = line("follow");
-    assert_eq!(value(&change, "reason"), "settings");
-    assert_eq!(value(&change, "added").split(',').count(), 3, "{change}");
+    let changes = lines("follow");
+    assert_eq!(changes.len(), 2, "{changes:?}");
+    assert_eq!(value(&changes[0], "reason"), "settings");
+    assert_eq!(value(&changes[0], "added"), named(&[4, 5, 6]));
+    assert_eq!(value(&changes[0], "dropped"), "-", "they still have votes, as far as is known");
+    assert!(changes[1].contains("reason=voters epoch=9 added=-"), "{}", changes[1]);
+    assert_eq!(value(&changes[1], "dropped"), named(&[1, 2, 3]));
 }
 
 /// One contact is enough: it names the others.
@@ -191,3 +202,82 @@
     world.run(FIND_MS);
     world.assert_confirmed(2);
 }
+
+/// Settings that name members which are gone, or which were removed and know an old list only.
+#[test]
+fn stale_contacts_take_its_majority_from_a_gateway() {
+    record();
+    let mut world = World::new(&[1, 2, 3]);
+    world.serve(&[1, 2, 3], 9, &[1, 2, 3], 2);
+    world.run(2_000);
+    let old = Answer { epoch: 5, voters: vec![7, 8, 9], version: 1 };
+    world.members.insert(address(8), old);
+    world.name(&[7, 8]);
+    for _ in 0..20 {
+        world.run(500);
+        world.assert_confirmed(2);
+    }
+    assert_eq!(lines("control-lost").len(), 0);
+    assert_eq!(
+        lines("follow").len(),
+        1,
+        "the voters are asked on, and the old list isn't followed"
+    );
+}
+
+#[test]
+fn address_that_only_old_settings_name_is_asked_for_ever() {
+    record();
+    let mut world = World::new(&[1, 2, 3, 4]);
+    world.serve(&[1, 2, 3], 9, &[1, 2, 3], 1);
+    world.run(2_000);
+    assert!(world.asked[&address(4)] >= 2);
+    world.name(&[1, 5]);
+    world.run(1_000);
+    let asked = world.asked.clone();
+    world.run(5_000);
+    assert_eq!(world.asked[&address(4)], asked[&address(4)], "member 4 is named no more");
+    for member in [1, 2, 3, 5] {
+        let asked_now = world.asked[&address(member)];
+        assert!(asked_now > asked[&address(member)] + 5, "member {member} is asked on");
+    }
+    world.assert_confirmed(1);
+}
+
+/// Endpoints and table stay in use while all new contacts are silent.
+#[test]
+fn gateway_forgets_its_table_when_its_settings_change() {
+    record();
+    let mut world = World::new(&[1, 2, 3]);
+    world.serve(&[1, 2, 3], 9, &[1, 2, 3], 1);
+    world.run(2_000);
+    world.serve(&[], 9, &[], 1);
+    world.name(&[5, 6]);
+    world.run(1_000);
+    assert_eq!(lines("endpoints").len(), 1, "the list of endpoints stays as it was");
+    assert_eq!(number(&world.refusal(), "table"), 1);
+}
+
+#[test]
+fn agent_ignores_new_settings() {
+    let follower = FollowerSettings {
+        name: "decode-1".into(),
+        role: "agent".into(),
+        domain: "a".into(),
+        boot: BootId(7),
+        members: vec![address(1)],
+        endpoints: false,
+        routes: false,
+    };
+    let settings = AgentSettings { follower, address: address(9), grace: Duration::from_secs(8) };
+    let mut agent = Agent::new(settings);
+    let now = Timestamp::from_micros(1_000_000_000);
+    agent.step(now, Input::Members { addresses: vec![address(4), address(5)] });
+    let outputs = agent.step(now, Input::Wake);
+    let peer = |o: &Output<_>| match o {
+        Output::Open { peer, .. } => Some(*peer),
+        _ => None,
+    };
+    let peers: Vec<SocketAddr> = outputs.iter().filter_map(peer).collect();
+    assert_eq!(peers, [4, 5].map(address));
+}
--- a/tests/replica_net/mod.rs
+++ b/tests/replica_net/mod.rs
@@ -1,6 +1,8 @@
 //! Replicas that reach each other through a network in memory, on a simulated clock. All messages
 //! arrive, and all writes are synced at once, unless a machine is down.
 
+#![allow(dead_code)]
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
