--- a/src/api/inputs.rs
+++ b/src/api/inputs.rs
@@ -24,6 +24,7 @@
                 }
             }
             Input::Local(input) => self.order_input(now, input),
+            Input::Members { addresses } => self.settings.members = addresses,
             Input::Request { .. } | Input::Abandoned { .. } => {}
             Input::Reply { exchange, envelope } => {
                 if let Reply::Control(reply) = envelope.body {
