Show that a follower whose members were all replaced finds no others

A follower knows the members in its settings and the voters that they name. If all of them are replaced at new addresses while it is cut off, paused or down, it asks the gone ones for ever, although it reaches the new ones. The tests cut off, pause and restart followers in the simulation of replaced machines, and require that each one is confirmed within two seconds of the time from which it can reach sound members, and again every two seconds.

--- a/tests/replacements.rs
+++ b/tests/replacements.rs
@@ -1,7 +1,10 @@
 //! Control bears the next loss after each series of replaced, wiped, stopped and killed machines.
 //!
-//! REPLACEMENT_SEEDS=FROM..TO runs these seeds instead of the usual ones, and reports all failures.
+//! REPLACEMENT_SEEDS=FROM..TO runs these seeds instead of the usual ones, and reports all failures;
+//! with REPLACEMENT_FOLLOWERS=1, with followers that are cut off, paused and restarted meanwhile.
 
+// This binary uses a part of the simulation.
+#[allow(dead_code, unused_imports)]
 mod replacements_world;
 mod simulated;
 
@@ -14,7 +17,7 @@
     Cut, Kill, Mute, Planned, PowerLoss, Quiet, Restart, Unplanned, Wipe,
 };
 use replacements_world::Victim::{Any, Leader, Lost, Oldest};
-use replacements_world::{Failure, Schedule, Shape, Step, run};
+use replacements_world::{Failure, Outsiders, Schedule, Shape, Step, run, run_with};
 
 /// The number of seeds of each deployment, unless the environment sets another range.
 const SEEDS: u64 = 50;
@@ -23,13 +26,22 @@
 /// The number of threads that run the seeds of the environment.
 const THREADS: usize = 3;
 
+/// Runs the schedule of a seed, with followers to which random faults happen if the environment
+/// asks for it.
+fn run_seeded(schedule: &Schedule) -> Result<(), Failure> {
+    match std::env::var_os("REPLACEMENT_FOLLOWERS") {
+        Some(_) => run_with(schedule, Outsiders::random(schedule.seed)),
+        None => run(schedule),
+    }
+}
+
 /// Removes steps as long as the same check still fails.
 fn shrink(mut schedule: Schedule, mut failure: Failure) -> (Schedule, Failure) {
     let mut at = 0;
     while at < schedule.steps.len() {
         let mut less = schedule.clone();
         less.steps.remove(at);
-        match run(&less) {
+        match run_seeded(&less) {
             Err(same) if same.check == failure.check => (schedule, failure) = (less, same),
             _ => at += 1,
         }
@@ -48,7 +60,7 @@
                 return;
             }
             let schedule = Schedule::new(seed);
-            let Err(failure) = run(&schedule) else { continue };
+            let Err(failure) = run_seeded(&schedule) else { continue };
             println!("seed {seed}: {}: {}", failure.check, failure.text);
             let first = {
                 let mut failed = failed.lock().unwrap();
@@ -106,6 +118,19 @@
     run_shape(3);
 }
 
+/// Within two seconds of the time from which a follower can reach sound members, it is confirmed.
+#[test]
+fn followers_cut_off_paused_and_restarted_meanwhile_find_control() {
+    if std::env::var_os("REPLACEMENT_SEEDS").is_some() {
+        return;
+    }
+    for seed in 0..SEEDS {
+        let schedule = Schedule::new(seed);
+        let outcome = run_with(&schedule, Outsiders::random(seed));
+        outcome.unwrap_or_else(|failure| panic!("seed {seed}: {failure}\n{schedule:?}"));
+    }
+}
+
 /// Runs steps of which at least one check failed once.
 fn run_steps(shape: Shape, seed: u64, steps: &[(u64, Step)]) {
     let schedule = Schedule { shape, seed, steps: steps.to_vec() };
--- a/tests/replacements_world/mod.rs
+++ b/tests/replacements_world/mod.rs
@@ -2,6 +2,7 @@
 //! in series, and checks that the group always bears the next loss.
 
 mod checks;
+mod followers;
 mod machines;
 mod operators;
 mod schedule;
@@ -21,6 +22,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::simulated::{Exchange, Network, Oracle, Packet, below};
+pub use followers::{Fate, Outsiders};
 use machines::Machines;
 use operators::Operators;
 pub use schedule::{Schedule, Shape, Step, Victim};
@@ -76,6 +78,7 @@
     machines: Machines,
     processes: Vec<Process>,
     process_count: usize,
+    outsiders: Outsiders,
     network: Network,
     operators: Operators,
     oracle: Oracle,
@@ -100,7 +103,12 @@
 
 /// Runs a schedule.
 pub fn run(schedule: &Schedule) -> Result<(), Failure> {
-    let mut world = World::new(schedule);
+    run_with(schedule, Outsiders::none())
+}
+
+/// Runs a schedule with outsiders.
+pub fn run_with(schedule: &Schedule, outsiders: Outsiders) -> Result<(), Failure> {
+    let mut world = World { outsiders, ..World::new(schedule) };
     world.run(&schedule.steps).map_err(|text| {
         let (check, text) = world.failure.take().unwrap_or(("safety", text));
         Failure { check, text, trace: std::mem::take(&mut world.trace) }
@@ -122,6 +130,7 @@
             machines: Machines::default(),
             processes: Vec::new(),
             process_count: 0,
+            outsiders: Outsiders::none(),
             network: Network::new(noise),
             operators: Operators::default(),
             oracle: Oracle::default(),
@@ -142,6 +151,7 @@
     fn run(&mut self, steps: &[(u64, Step)]) -> Result<(), String> {
         self.found();
         self.follow();
+        self.admit_outsiders();
         for (gap, step) in steps {
             self.advance(Duration::from_millis(*gap))?;
             let until = self.now + STEP_TIMEOUT;
@@ -197,7 +207,8 @@
             let hosts = self.machines.all.iter().filter_map(|m| m.host.next_due());
             let followers = self.processes.iter().filter_map(|p| p.follower.next_wake());
             let event = self.events.keys().next().map(|(due, _)| *due);
-            let others = [self.network.next_due(), event, self.operators.next_due()];
+            let network = self.network.next_due();
+            let others = [network, event, self.operators.next_due(), self.outsiders.next_due()];
             let next = hosts.chain(followers).chain(others.into_iter().flatten()).min();
             let next = next.unwrap_or(until);
             if next > until {
@@ -235,7 +246,9 @@
         for at in 0..self.processes.len() {
             self.wake_process(at);
         }
+        self.wake_outsiders();
         self.operate()?;
+        self.check_outsiders()?;
         self.check_progress()
     }
 
@@ -255,6 +268,10 @@
 
     fn passes(&self, exchange: &Exchange) -> bool {
         let Exchange { from, to, .. } = *exchange;
+        if let Some(at) = self.outsiders.number(from).or_else(|| self.outsiders.number(to)) {
+            let machine = if from < self.machines.all.len() { from } else { to };
+            return self.outsiders.is_connected(at) && !self.machines.all[machine].cut;
+        }
         if self.network.is_muted(exchange) {
             false
         } else if from < self.machines.all.len() {
@@ -269,6 +286,9 @@
         if !self.passes(&exchange) {
             return Ok(());
         }
+        if let Some(at) = self.outsiders.number(packet.target()) {
+            return self.deliver_to_outsider(at, packet);
+        }
         let paused = self.machines.all.get(packet.target()).map(|m| m.host.paused_until);
         if let Some(until) = paused.filter(|until| *until > self.now) {
             self.network.put(until, packet);
@@ -347,7 +367,10 @@
     }
 
     fn send(&mut self, packet: Packet) {
-        self.network.send(self.now, &mut self.rng, packet);
+        let (Exchange { from, to, .. }, _) = packet.route();
+        let outside = [from, to].into_iter().any(|i| self.outsiders.number(i).is_some());
+        let rng = if outside { self.outsiders.rng() } else { &mut self.rng };
+        self.network.send(self.now, rng, packet);
     }
 
     /// Executes an output that concerns the network.
@@ -363,7 +386,7 @@
             }
             Output::Reset { exchange } => self.network.reset(from, boot, exchange),
             Output::Redial { peer } => {
-                if let Some(to) = self.machines.find(peer) {
+                if let Some(to) = self.machines.find(peer).or_else(|| self.outsiders.find(peer)) {
                     self.network.redial(from, to);
                 }
             }
@@ -379,6 +402,12 @@
         peer: SocketAddr,
         envelope: Envelope<Request>,
     ) {
+        if let Some(to) = self.outsiders.find(peer) {
+            let to_boot = self.outsiders.number(to).map_or(0, |at| self.outsiders.starts(at));
+            let connection = self.network.connection(from, to);
+            let exchange = Exchange { from, boot, id, to, to_boot, connection };
+            return self.open_to_outsider(exchange, envelope);
+        }
         // A dial of an address that no machine has gets no answer.
         let Some(to) = self.machines.find(peer) else { return };
         let connection = self.network.connection(from, to);
--- a/tests/replacements_world/schedule.rs
+++ b/tests/replacements_world/schedule.rs
@@ -3,6 +3,7 @@
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+use super::followers::Fate;
 use crate::simulated::below;
 
 /// The size of a deployment.
@@ -64,6 +65,8 @@
     Follow,
     /// An operator proposes a change of so many kilobytes.
     Large { kilobytes: usize },
+    /// Something happens to the outsider with this number.
+    Outsider(usize, Fate),
     /// Waits until no machine is lost, then checks the group.
     Quiet,
 }
--- a/tests/replacements_world/steps.rs
+++ b/tests/replacements_world/steps.rs
@@ -8,6 +8,7 @@
 use dotterelpin::role::Input;
 use rand_core::RngCore;
 
+use super::followers::Fate;
 use super::machines::{CATCH_UP, Slot};
 use super::schedule::{Step, Victim};
 use super::{GRACE, World};
@@ -31,6 +32,8 @@
     Rejoin(usize),
     /// The split is over.
     Heal,
+    /// Something happens to the outsider with this number.
+    Outsider(usize, Fate),
 }
 
 impl World {
@@ -58,7 +61,7 @@
         let one_more = lost.len() < self.shape.losses;
         let no_more = lost.len() <= self.shape.losses;
         match step {
-            Step::Follow | Step::Large { .. } | Step::Mute { .. } => true,
+            Step::Follow | Step::Large { .. } | Step::Mute { .. } | Step::Outsider(..) => true,
             Step::Split { .. } => !self.is_split,
             Step::PowerLoss { .. } => !self.is_beyond,
             Step::PowerAndDisks { .. } | Step::Quiet => lost.is_empty() && self.is_settled(),
@@ -183,6 +186,7 @@
             }
             Step::Follow => self.follow(),
             Step::Large { kilobytes } => self.propose_large(kilobytes),
+            Step::Outsider(at, fate) => self.befall(at, fate),
             Step::Quiet => self.check_quiet()?,
         }
         Ok(())
@@ -283,6 +287,10 @@
                 self.heal();
                 Ok(())
             }
+            Event::Outsider(at, fate) => {
+                self.befall(at, fate);
+                Ok(())
+            }
         }
     }
 
