Lead processes that lost control to its present members

A follower whose members had all been replaced at new addresses while it was cut off, paused or down stayed without control for good, although it reached all the new ones: it asked the members of its settings and of the newest list that it had, and no member called it.

A heartbeat now names the address at which its process can be called. The leader keeps these addresses in the log (`Command::RecordProcesses`, at the end of the enum; a new last field of the state), so that new members have them with their catch-up: changes only, at most 256 in a proposal, one proposal each 500 ms, at most 4,096 processes, and one that isn't heard for ten minutes of the leader's time, or whose address another process of its role has, is removed. Each member with a vote sends a notice of the voters to a recorded process that it hasn't heard for 1.2 s: once a second, at most 32 open at once, given up after 400 ms, each on a new connection; the members begin at different processes. The follower asks the members that the newest notice names, at once. A notice proves nothing: who votes, and what is confirmed, is decided by the proofs in replies as before; a notice with an epoch below a proof or below an earlier notice is ignored, and its addresses are dropped with the first proof of this epoch or a higher one. The notice names the role that it is for, so that each role of a process with several ones gets its own. Only processes may send it, and a list of more than 15 voters isn't read.

The replicated log of this release can't be read by an earlier one once a process is recorded, as with each new command.

--- a/benches/policy/world.rs
+++ b/benches/policy/world.rs
@@ -477,7 +477,7 @@
                     self.exchanges.insert((entry, exchange), inbound);
                     self.send(node, Input::Request { inbound, envelope });
                 }
-                Request::Replica(_) => {}
+                Request::Replica(_) | Request::Notice(_) => {}
             },
             Output::Send { exchange, envelope } => {
                 let Some(&inbound) = self.exchanges.get(&(entry, exchange)) else { return };
@@ -766,6 +766,7 @@
         role: role.into(),
         domain: domain.into(),
         boot: BootId(boot),
+        address: None,
         members: vec![address(1)],
         routes: false,
         endpoints: role == "entry",
--- a/benches/registry.rs
+++ b/benches/registry.rs
@@ -76,6 +76,7 @@
         role: if agent { "agent".into() } else { "entry".into() },
         domain: domain.into(),
         boot,
+        address: None,
         members: (0..MEMBERS).map(address).collect(),
         routes: false,
         endpoints: !agent,
--- a/benches/replica.rs
+++ b/benches/replica.rs
@@ -351,6 +351,7 @@
             role: "agent".into(),
             domain: "brno-a".into(),
             boot: BootId(index as u64),
+            address: None,
             members: members.to_vec(),
             routes: false,
             endpoints: false,
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -280,6 +280,11 @@
                 self.follower.observe(now, envelope.revised);
                 match envelope.body {
                     Request::Agent(request) => self.request(now, inbound, request),
+                    Request::Notice(notice) => {
+                        self.follower.noticed(now, &notice);
+                        let envelope = self.follower.envelope(Reply::Noticed);
+                        vec![Output::Reply { inbound, envelope, last: true }]
+                    }
                     Request::Control(_) | Request::Replica(_) => Vec::new(),
                 }
             }
--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -33,6 +33,10 @@
 
 /// The exit code of a process that exits at once because of a SIGINT during its shutdown.
 const EXIT_AT_ONCE: i32 = 1;
+/// The roles under which processes follow control.
+const AGENT: &str = RoleName::Agent.as_str();
+const ENTRY: &str = RoleName::Entry.as_str();
+const GATEWAY: &str = RoleName::Gateway.as_str();
 
 type Thread = std::thread::JoinHandle<()>;
 /// When the process was signalled to shut down.
@@ -125,7 +129,7 @@
             eyre!("role gateway is not supported by this program: it supplies no protocol")
         })?;
         let gateway_settings = GatewaySettings {
-            follower: follower(&settings, boot, RoleName::Gateway.as_str()),
+            follower: follower(&settings, boot, GATEWAY),
             budget: settings.budget,
             grace: settings.grace,
         };
@@ -134,7 +138,7 @@
     }
     if let Some(driver) = drivers.agent {
         let engine = HttpEngine::new(url, driver.handle());
-        let follower = follower(&settings, boot, "agent");
+        let follower = follower(&settings, boot, AGENT);
         let agent_settings =
             AgentSettings { follower, address: settings.advertise, grace: settings.grace };
         let agent = Agent::new(agent_settings);
@@ -154,7 +158,7 @@
         let (callers, server) = accept::start(listen, settings.bounds, driver.handle())?;
         caller_server = Some(server);
         let entry_settings =
-            EntrySettings { follower: follower(&settings, boot, "entry"), grace: settings.grace };
+            EntrySettings { follower: follower(&settings, boot, ENTRY), grace: settings.grace };
         let entry = Entry::new(entry_settings, tenants, settings.placement.placement(boot.0));
         traffic_threads.push(driver.start(
             "entry",
@@ -224,17 +228,29 @@
         role: role.into(),
         domain: settings.domain.clone(),
         boot,
+        address: Some(settings.advertise),
         members: settings.members.clone(),
-        endpoints: role == "entry" || role == RoleName::Gateway.as_str(),
-        routes: role == RoleName::Gateway.as_str(),
+        endpoints: role == ENTRY || role == GATEWAY,
+        routes: role == GATEWAY,
     }
 }
 
 fn route(drivers: &Drivers) -> Route {
     let agent = drivers.agent.as_ref().map(|d| Arc::new(d.handle()) as Arc<dyn Sink>);
     let control = drivers.control.as_ref().map(|d| Arc::new(d.handle()) as Arc<dyn Sink>);
+    let entry = drivers.entry.as_ref().map(|d| Arc::new(d.handle()) as Arc<dyn Sink>);
+    let gateway = drivers.gateway.as_ref().map(|d| Arc::new(d.handle()) as Arc<dyn Sink>);
     Arc::new(move |request| match request {
         Request::Agent(_) => agent.clone(),
+        Request::Notice(notice) => {
+            let named = match notice.role() {
+                GATEWAY => gateway.clone(),
+                ENTRY => entry.clone(),
+                AGENT => agent.clone(),
+                _ => None,
+            };
+            named.or_else(|| control.clone())
+        }
         Request::Control(_) | Request::Replica(_) => control.clone(),
     })
 }
--- a/src/cli/settings.rs
+++ b/src/cli/settings.rs
@@ -62,7 +62,7 @@
         [RoleName::Entry, RoleName::Agent, RoleName::Control, RoleName::Gateway, RoleName::Api];
 
     /// Returns the name of the role in settings.
-    pub fn as_str(self) -> &'static str {
+    pub const fn as_str(self) -> &'static str {
         match self {
             RoleName::Entry => "entry",
             RoleName::Agent => "agent",
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -10,6 +10,7 @@
 pub mod orders;
 pub mod origins;
 mod peers;
+pub mod processes;
 pub mod quarantine;
 pub mod replica;
 pub mod routing;
@@ -26,6 +27,7 @@
 use dispatch::rooms::Rooms;
 use origins::Origins;
 use peers::Peers;
+use processes::Processes;
 use quarantine::Detector;
 use replica::{Entry, LogIndex, Replica, ReplicaInput, ReplicaSettings, Snapshot, Stored, WriteId};
 use state::{Applied, ChangeReply, Command, State};
@@ -112,6 +114,7 @@
     origins: Origins,
     /// When the recorded versions are compared next with what was heard.
     next_review: Timestamp,
+    processes: Processes,
     detector: Detector,
     proposals: BTreeMap<LogIndex, Proposal>,
     failed: bool,
@@ -143,6 +146,7 @@
             rooms: Rooms::default(),
             origins: Origins::default(),
             next_review: Timestamp::default(),
+            processes: Processes::default(),
             detector: Detector::default(),
             proposals: BTreeMap::new(),
             failed: false,
@@ -308,6 +312,11 @@
                 Request::Replica(message) => {
                     self.replica_step(now, ReplicaInput::Request { via: inbound, message })
                 }
+                // The process of this member was another one, or has no such role any more.
+                Request::Notice(_) => {
+                    let envelope = self.envelope(Reply::Noticed);
+                    vec![Output::Reply { inbound, envelope, last: true }]
+                }
                 Request::Agent(_) => Vec::new(),
             },
             Input::Abandoned { inbound } => {
@@ -315,13 +324,19 @@
                 Vec::new()
             }
             Input::Reply { exchange, envelope } => {
-                let Some(peer) = self.peers.peer(exchange) else { return Vec::new() };
+                let Some(peer) = self.peers.peer(exchange) else {
+                    self.notice_closed(exchange);
+                    return Vec::new();
+                };
                 let Reply::Replica(message) = envelope.body else { return Vec::new() };
                 self.replica_step(now, ReplicaInput::Reply { peer, message })
             }
             Input::Closed { exchange, .. } => match self.peers.closed(exchange) {
                 Some(peer) => self.replica_step(now, ReplicaInput::Lost { peer }),
-                None => Vec::new(),
+                None => {
+                    self.notice_closed(exchange);
+                    Vec::new()
+                }
             },
             Input::Local(input) => self.disk(now, input),
             Input::Wake => {
@@ -331,6 +346,7 @@
                 outputs.extend(self.plan(now));
                 outputs.extend(self.judge(now));
                 outputs.extend(self.review_versions(now));
+                outputs.extend(self.review_processes(now));
                 outputs.push(Output::Observe(Observation::Registry { processes, endpoints }));
                 let causes = self.state.quarantine.entries().len();
                 outputs.push(Output::Observe(Observation::Quarantine { causes }));
@@ -350,6 +366,8 @@
         let shutdown = self.shutdown.next_wake();
         let plans = self.replica.is_leader() && self.state.orders.rollouts().next().is_some();
         let plan = plans.then_some(self.next_plan);
-        [shutdown, plan, replica, self.registry.next_expiry()].into_iter().flatten().min()
+        let review = (!self.failed).then(|| self.next_process_review()).flatten();
+        let expiry = self.registry.next_expiry();
+        [shutdown, plan, replica, expiry, review].into_iter().flatten().min()
     }
 }
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -22,12 +22,17 @@
         if let Some(exchange) = self.exchanges.get(&to).copied() {
             return Output::Send { exchange, envelope };
         }
-        self.last += 1;
-        let exchange = ExchangeId(self.last);
+        let exchange = self.next_exchange();
         self.exchanges.insert(to, exchange);
         Output::Open { exchange, peer: to, envelope }
     }
 
+    /// Returns the number of the next exchange that this member opens.
+    pub fn next_exchange(&mut self) -> ExchangeId {
+        self.last += 1;
+        ExchangeId(self.last)
+    }
+
     /// Resets the exchange with a member whose answer is overdue, and requests a new connection for
     /// the next one.
     pub fn redial(&mut self, peer: SocketAddr) -> Vec<Output<DiskEffect>> {
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -10,6 +10,7 @@
 use super::orders::rollout::{RolloutCommand, StepCommand};
 use super::orders::{OrderCommand, OrderReply, Orders};
 use super::origins::{RecordedVersions, VersionSet};
+use super::processes::{AddressChanges, RecordedProcesses};
 use super::quarantine::{Cause, Quarantine, Verdict};
 use super::replica::{LogIndex, Members};
 use super::routing::{Deregistration, Document, Routing};
@@ -100,6 +101,11 @@
         /// The time by the leader's clock.
         at: Timestamp,
     },
+    /// Record at which addresses processes can be called; only the leader proposes it.
+    RecordProcesses {
+        /// The processes that have changed.
+        changes: AddressChanges,
+    },
 }
 
 impl Command {
@@ -163,6 +169,8 @@
     pub routing: Routing,
     /// The software versions of the services.
     pub versions: RecordedVersions,
+    /// The addresses of the processes that follow control.
+    pub processes: RecordedProcesses,
 }
 
 impl State {
@@ -174,9 +182,12 @@
     /// Decodes the state of a snapshot.
     pub fn decode(bytes: &[u8]) -> eyre::Result<State> {
         let decoded = postcard::from_bytes(bytes);
-        // Snapshots of earlier releases end before the versions; an empty map is one zero byte.
-        let without_versions = || postcard::from_bytes(&[bytes, &[0]].concat());
-        decoded.or_else(|_| without_versions()).wrap_err("decode state")
+        // Snapshots of earlier releases end before the processes, or before the versions and the
+        // processes; an empty map is one zero byte.
+        let without_processes = || postcard::from_bytes(&[bytes, &[0]].concat());
+        let without_versions = || postcard::from_bytes(&[bytes, &[0, 0]].concat());
+        let decoded = decoded.or_else(|_| without_processes()).or_else(|_| without_versions());
+        decoded.wrap_err("decode state")
     }
 
     /// Applies the command at an index of the log. The result depends only on the state, the index
@@ -233,6 +244,10 @@
                 self.versions.set(service, versions.clone());
                 Applied::Done
             }
+            Command::RecordProcesses { changes } => {
+                self.processes.apply(changes);
+                Applied::Done
+            }
         }
     }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -29,8 +29,10 @@
 use shared::Shared;
 
 use crate::control::config::Setting;
-use crate::link::message::{AgentReply, Reply};
-use crate::model::{Call, CallId, CallKind, ExchangeId, Refusal, RefusalReason, Timestamp};
+use crate::link::message::{AgentReply, Reply, Request};
+use crate::model::{
+    Call, CallId, CallKind, ExchangeId, InboundId, Refusal, RefusalReason, Timestamp,
+};
 use crate::registry::FollowerSettings;
 use crate::role::{Input, Output, Role};
 use crate::shutdown::{Phase, Shutdown, ShutdownTerms};
@@ -223,6 +225,14 @@
         outputs
     }
 
+    /// Takes a notice of control, the only request that an entry is sent.
+    fn requested(&mut self, now: Timestamp, inbound: InboundId, request: &Request) -> Outputs {
+        let Request::Notice(notice) = request else { return Vec::new() };
+        self.shared.follower.noticed(now, notice);
+        let envelope = self.shared.follower.envelope(Reply::Noticed);
+        vec![Output::Reply { inbound, envelope, last: true }]
+    }
+
     fn heartbeats(&mut self, now: Timestamp) -> Outputs {
         let last = &mut self.shared.last_exchange;
         self.shared.follower.wake(now, None, None, &mut || {
@@ -282,7 +292,8 @@
                 self.request_shutdown(now, since);
                 Vec::new()
             }
-            Input::Request { .. } | Input::Abandoned { .. } => Vec::new(),
+            Input::Request { inbound, envelope } => self.requested(now, inbound, &envelope.body),
+            Input::Abandoned { .. } => Vec::new(),
         };
         self.record_outputs(now, &outputs);
         if may_start {
--- a/src/entry/run/mod.rs
+++ b/src/entry/run/mod.rs
@@ -231,7 +231,7 @@
         match reply {
             Reply::Control(reply) => self.control_reply(shared, now, exchange, reply),
             Reply::Agent(reply) => self.agent_reply(shared, now, exchange, reply),
-            Reply::Replica(_) => Vec::new(),
+            Reply::Replica(_) | Reply::Noticed => Vec::new(),
         }
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -351,7 +351,8 @@
                 self.follower.closed(exchange);
                 self.control_closed(now, exchange);
             }
-            Input::Request { .. } | Input::Abandoned { .. } => {}
+            Input::Request { inbound, envelope } => self.requested(now, inbound, &envelope.body),
+            Input::Abandoned { .. } => {}
             Input::Wake => self.wake(now),
             Input::Shutdown { since } => self.shutdown_requested(now, since),
         }
--- a/src/gateway/updates.rs
+++ b/src/gateway/updates.rs
@@ -4,7 +4,9 @@
 
 use super::Gateway;
 use crate::h1::HttpEffect;
-use crate::model::{ExchangeId, Timestamp};
+use crate::link::message::{Reply, Request};
+use crate::model::{ExchangeId, InboundId, Timestamp};
+use crate::role::Output;
 use crate::routes::RouteTable;
 
 impl Gateway {
@@ -20,6 +22,14 @@
         self.apply_updates(now);
     }
 
+    /// Takes a notice of control, the only request that a gateway is sent over the link.
+    pub(super) fn requested(&mut self, now: Timestamp, inbound: InboundId, request: &Request) {
+        let Request::Notice(notice) = request else { return };
+        self.follower.noticed(now, notice);
+        let envelope = self.follower.envelope(Reply::Noticed);
+        self.outputs.push(Output::Reply { inbound, envelope, last: true });
+    }
+
     /// Applies the endpoint list and the routing table that the follower has received.
     pub(super) fn apply_updates(&mut self, now: Timestamp) {
         if let Some(listed) = self.follower.changed_endpoints(now) {
--- a/src/link/message/heartbeat.rs
+++ b/src/link/message/heartbeat.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
 use crate::control::config::{Change, Config, Revised, SCHEMA};
 use crate::control::orders::{OrderReport, OrderUpdate};
@@ -33,6 +33,15 @@
     pub full_config: bool,
     /// The version of the routing state that the sender has, if it uses the routing document.
     pub routing: Option<RoutingSeen>,
+    /// The address at which the sender can be called, if it can; processes of earlier releases send
+    /// none.
+    #[serde(deserialize_with = "if_sent")]
+    pub address: Option<SocketAddr>,
+}
+
+/// Reads a field at the end of a message, which processes of earlier releases don't send.
+fn if_sent<'de, D: Deserializer<'de>, T: Deserialize<'de>>(raw: D) -> Result<Option<T>, D::Error> {
+    Ok(Option::deserialize(raw).unwrap_or_default())
 }
 
 impl Heartbeat {
@@ -49,6 +58,7 @@
             schema: SCHEMA,
             full_config: false,
             routing: None,
+            address: None,
         }
     }
 }
--- a/src/link/message/mod.rs
+++ b/src/link/message/mod.rs
@@ -3,6 +3,7 @@
 mod agent;
 mod control;
 mod heartbeat;
+mod notice;
 mod status;
 
 use serde::{Deserialize, Serialize};
@@ -10,6 +11,7 @@
 pub use agent::{AgentReply, AgentRequest, Answer, Export, Order, Settled};
 pub use control::{ControlReply, ControlRequest, Leadership};
 pub use heartbeat::{Beat, Endpoints, Heartbeat, ProcessState, Proof, Seen, Update};
+pub use notice::{ControlNotice, MAX_VOTERS, WrongVoters};
 pub use status::{OrderStatus, Status};
 
 use crate::control::config::Revised;
@@ -33,6 +35,8 @@
     Control(ControlRequest),
     /// Between control members.
     Replica(ReplicaMessage),
+    /// From a control member to a process that it doesn't hear.
+    Notice(ControlNotice),
 }
 
 /// A reply on an exchange.
@@ -44,4 +48,6 @@
     Control(ControlReply),
     /// Between control members.
     Replica(ReplicaMessage),
+    /// The answer to a notice.
+    Noticed,
 }
--- a/src/link/permit.rs
+++ b/src/link/permit.rs
@@ -24,7 +24,7 @@
 /// ```
 pub fn is_allowed(peer: PeerKind, request: &Request) -> bool {
     match request {
-        Request::Agent(_) | Request::Replica(_) => peer == PeerKind::Process,
+        Request::Agent(_) | Request::Replica(_) | Request::Notice(_) => peer == PeerKind::Process,
         Request::Control(ControlRequest::Status) => peer == PeerKind::Operator,
         Request::Control(ControlRequest::Propose(command)) => may_propose(peer, command),
         Request::Control(_) => peer == PeerKind::Process,
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::contacts::Contacts;
 use super::routing_view::RoutingView;
 use super::subset;
 use super::view::{self, View};
@@ -12,8 +13,8 @@
 use crate::control::quarantine::QuarantineUpdate;
 use crate::control::routing::Document;
 use crate::link::message::{
-    Beat, ControlReply, ControlRequest, Envelope, Heartbeat, ProcessState, Proof, Reply, Request,
-    Seen, Update,
+    Beat, ControlNotice, ControlReply, ControlRequest, Envelope, Heartbeat, ProcessState, Proof,
+    Reply, Request, Seen, Update,
 };
 use crate::model::{BootId, EndpointState, ExchangeId, Timestamp};
 use crate::role::Output;
@@ -39,6 +40,8 @@
     pub domain: Box<str>,
     /// The boot, which identifies this start of the process.
     pub boot: BootId,
+    /// The address at which members can call the process, if they can.
+    pub address: Option<SocketAddr>,
     /// The addresses of the control members in the settings.
     pub members: Vec<SocketAddr>,
     /// Whether the process follows the list of endpoints.
@@ -111,6 +114,8 @@
 pub struct Follower {
     settings: FollowerSettings,
     members: Vec<Member>,
+    /// The members that a notice has named.
+    contacts: Contacts,
     config: Config,
     revised: Revised,
     /// Whether changes could not be applied, so that the full configuration is needed.
@@ -140,6 +145,7 @@
         Follower {
             settings,
             members,
+            contacts: Contacts::default(),
             config,
             revised,
             needs_full: false,
@@ -265,7 +271,7 @@
     /// let member = "127.0.0.1:7000".parse().unwrap();
     /// let follower = Follower::new(FollowerSettings {
     ///     name: "gateway-0".into(), role: "gateway".into(), domain: "brno-a".into(),
-    ///     boot: BootId(1), members: vec![member], endpoints: true, routes: true,
+    ///     boot: BootId(1), address: None, members: vec![member], endpoints: true, routes: true,
     /// });
     /// assert_eq!(follower.voters(), [member]);
     /// ```
@@ -321,6 +327,7 @@
                 schema: SCHEMA,
                 full_config: self.needs_full,
                 routing: self.settings.routes.then(|| self.routing.seen()),
+                address: self.settings.address,
             };
             let exchange = next();
             member.open = Some((exchange, now));
@@ -407,17 +414,37 @@
         }
     }
 
-    /// Adds the voters that the settings don't list, and removes members that are neither
-    /// listed nor voters.
+    /// Adds the voters that the settings don't list and those that a notice has named, and removes
+    /// members that are neither of these nor listed.
     fn follow_voters(&mut self) {
-        let Some(newest) = self.newest_proof() else { return };
-        let voters = newest.voters.clone();
+        let mut followed = Vec::new();
+        if let Some(newest) = self.newest_proof() {
+            let epoch = newest.epoch;
+            followed = newest.voters.clone();
+            self.contacts.supersede(epoch);
+        }
+        followed.extend_from_slice(self.contacts.addresses());
         let named = &self.settings.members;
-        self.members.retain(|m| named.contains(&m.address) || voters.contains(&m.address));
-        for voter in voters {
-            if self.members.iter().all(|m| m.address != voter) {
-                log::info!("step=follow member={voter}");
-                self.members.push(Member::new(voter));
+        self.members.retain(|m| named.contains(&m.address) || followed.contains(&m.address));
+        for address in followed {
+            if self.members.iter().all(|m| m.address != address) {
+                log::info!("step=follow member={address}");
+                self.members.push(Member::new(address));
+            }
+        }
+    }
+
+    /// Takes a member's notice of who votes, unless a newer list is known: heartbeats to these
+    /// members become due at once, and only what they prove in their replies counts.
+    pub fn noticed(&mut self, now: Timestamp, notice: &ControlNotice) {
+        let proven = self.newest_proof().map_or(0, |proof| proof.epoch);
+        if notice.epoch() < proven || !self.contacts.take(notice) {
+            return;
+        }
+        self.follow_voters();
+        for member in &mut self.members {
+            if notice.voters().contains(&member.address) {
+                member.due = member.due.min(now);
             }
         }
     }
@@ -463,7 +490,7 @@
     /// let member = "127.0.0.1:7000".parse().unwrap();
     /// let follower = Follower::new(FollowerSettings {
     ///     name: "gateway-0".into(), role: "gateway".into(), domain: "brno-a".into(),
-    ///     boot: BootId(1), members: vec![member], endpoints: true, routes: true,
+    ///     boot: BootId(1), address: None, members: vec![member], endpoints: true, routes: true,
     /// });
     /// assert_eq!(follower.members().collect::<Vec<_>>(), [member]);
     /// ```
@@ -480,8 +507,8 @@
     ///
     /// let mut follower = Follower::new(FollowerSettings {
     ///     name: "gateway-0".into(), role: "gateway".into(), domain: "brno-a".into(),
-    ///     boot: BootId(1), members: vec!["127.0.0.1:7000".parse().unwrap()], endpoints: true,
-    ///     routes: true,
+    ///     boot: BootId(1), address: None, members: vec!["127.0.0.1:7000".parse().unwrap()],
+    ///     endpoints: true, routes: true,
     /// });
     /// assert!(follower.take_restarted().is_empty(), "no member has replied yet");
     /// ```
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -2,6 +2,7 @@
 //! with which each process reports to it.
 
 mod changes;
+mod contacts;
 mod follower;
 mod routing_view;
 pub mod subset;
@@ -9,6 +10,7 @@
 
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use slotmap::{SlotMap, new_key_type};
@@ -37,6 +39,8 @@
 #[derive(Debug)]
 struct Record {
     state: ProcessState,
+    /// The address at which it can be called, if it can.
+    address: Option<SocketAddr>,
     last_heartbeat: Timestamp,
     report: OrderReport,
     /// The newest schema of settings that it supports.
@@ -91,10 +95,13 @@
             Some(key) if self.records.get(*key).is_some_and(|r| r.state.boot > boot) => return,
             Some(key) => *key,
             None => {
-                let report = OrderReport::default();
-                let record =
-                    Record { state: state.clone(), last_heartbeat: now, report, schema: 0 };
-                let key = self.records.insert(record);
+                let key = self.records.insert(Record {
+                    state: state.clone(),
+                    address: None,
+                    last_heartbeat: now,
+                    report: OrderReport::default(),
+                    schema: 0,
+                });
                 self.names.insert(name, key);
                 key
             }
@@ -106,6 +113,7 @@
         self.boots.insert((boot, key));
         record.last_heartbeat = now;
         record.schema = heartbeat.schema;
+        record.address = heartbeat.address;
         record.state = state;
         let Some(mut endpoint) = heartbeat.endpoint else { return };
         if let Some(known) = self.view.get(&endpoint.name) {
@@ -261,6 +269,19 @@
         })
     }
 
+    /// Returns whether any live process can be called.
+    pub fn has_addresses(&self) -> bool {
+        self.records.values().any(|r| r.address.is_some())
+    }
+
+    /// Returns the live processes with the addresses at which they can be called, and the times of
+    /// their last heartbeats.
+    pub fn addresses(
+        &self,
+    ) -> impl Iterator<Item = (&ProcessState, Option<SocketAddr>, Timestamp)> {
+        self.records.values().map(|r| (&r.state, r.address, r.last_heartbeat))
+    }
+
     /// Returns the live processes with the ages of their last heartbeats.
     pub fn processes(&self, now: Timestamp) -> Vec<(ProcessState, Duration)> {
         self.records.values().map(|r| (r.state.clone(), now - r.last_heartbeat)).collect()
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -354,6 +354,7 @@
         Request::Control(ControlRequest::Propose(_)) => "propose",
         Request::Control(_) => "control",
         Request::Replica(_) => "replica",
+        Request::Notice(_) => "notice",
     }
 }
 
--- a/tests/fleet_world/mod.rs
+++ b/tests/fleet_world/mod.rs
@@ -256,6 +256,7 @@
             role: "gateway".into(),
             domain: "a".into(),
             boot: BootId(self.last_boot),
+            address: None,
             members: (0..self.members.len()).map(member_address).collect(),
             endpoints: true,
             routes: true,
--- a/tests/follower.rs
+++ b/tests/follower.rs
@@ -49,6 +49,7 @@
         role: "entry".into(),
         domain: "brno-a".into(),
         boot: BootId(1),
+        address: None,
         members: (0..MEMBERS).map(address).collect(),
         routes: false,
         endpoints: false,
--- a/tests/gateway_fixture/mod.rs
+++ b/tests/gateway_fixture/mod.rs
@@ -277,6 +277,7 @@
             role: "gateway".into(),
             domain: "a".into(),
             boot,
+            address: None,
             members: vec![member()],
             endpoints: true,
             routes: true,
--- a/tests/grace_period.rs
+++ b/tests/grace_period.rs
@@ -236,6 +236,7 @@
         role: "agent".into(),
         domain: "brno-a".into(),
         boot: BootId(7),
+        address: None,
         members: Vec::new(),
         routes: false,
         endpoints: false,
--- a/tests/group/mod.rs
+++ b/tests/group/mod.rs
@@ -138,6 +138,7 @@
                 role: "entry".into(),
                 domain: "brno-a".into(),
                 boot: BootId(index as u64),
+                address: None,
                 members: members.clone(),
                 routes: false,
                 endpoints: false,
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -369,6 +369,7 @@
         role: "agent".into(),
         domain: "brno-a".into(),
         boot: BootId(7),
+        address: None,
         members: members.clone(),
         routes: false,
         endpoints: false,
--- a/tests/origins.rs
+++ b/tests/origins.rs
@@ -397,8 +397,8 @@
 fn snapshot_of_an_earlier_release_has_no_versions() {
     let mut state = State::default();
     let encoded = state.encode().unwrap();
-    assert_eq!(State::decode(&encoded[..encoded.len() - 1]).unwrap(), state);
+    assert_eq!(State::decode(&encoded[..encoded.len() - 2]).unwrap(), state);
     state.versions.set(SERVICE, ["v1".into()].into());
     assert_eq!(State::decode(&state.encode().unwrap()).unwrap(), state);
-    assert!(State::decode(&encoded[..encoded.len() - 2]).is_err());
+    assert!(State::decode(&encoded[..encoded.len() - 3]).is_err());
 }
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -205,6 +205,7 @@
             role: if agent { "agent".into() } else { "entry".into() },
             domain: "brno-a".into(),
             boot: BootId(boot),
+            address: None,
             members: (0..MEMBERS).map(address).collect(),
             routes: false,
             endpoints: !agent,
@@ -478,6 +479,7 @@
             schema: 1,
             routing: None,
             full_config: false,
+            address: None,
         }
     };
     let now = Timestamp::from_micros(1);
--- a/tests/replacements_world/followers.rs
+++ b/tests/replacements_world/followers.rs
@@ -148,6 +148,7 @@
                 role: "gateway".into(),
                 domain: "brno-a".into(),
                 boot: BootId(0),
+                address: Some(address),
                 members,
                 routes: true,
                 endpoints: true,
@@ -281,6 +282,11 @@
             Packet::Closed(e, _) => {
                 follower.closed(e.id);
             }
+            Packet::Request(e, Envelope { body: Request::Notice(notice), .. }) => {
+                follower.noticed(now, &notice);
+                let envelope = follower.envelope(Reply::Noticed);
+                self.send(Packet::Reply(e, envelope));
+            }
             Packet::Request(..) => {}
         }
         Ok(())
--- a/tests/replacements_world/mod.rs
+++ b/tests/replacements_world/mod.rs
@@ -189,6 +189,7 @@
             role: "entry".into(),
             domain: "brno-a".into(),
             boot: BootId(index as u64),
+            address: None,
             members,
             routes: false,
             endpoints: false,
--- a/tests/restarted_member.rs
+++ b/tests/restarted_member.rs
@@ -66,6 +66,7 @@
             role: "gateway".into(),
             domain: "brno-a".into(),
             boot: BootId(7),
+            address: None,
             members: (0..MEMBERS).map(address).collect(),
             endpoints: true,
             routes: false,
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -281,6 +281,7 @@
             role: role.into(),
             domain: "brno-a".into(),
             boot,
+            address: None,
             members: vec![address(CONTROL_PORT)],
             routes: false,
             endpoints: role == "entry",
