--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -360,7 +360,8 @@
                 self.follower.name_members(addresses);
                 self.apply_updates(now);
             }
-            Input::Request { .. } | Input::Abandoned { .. } => {}
+            Input::Request { inbound, envelope } => self.requested(now, inbound, &envelope.body),
+            Input::Abandoned { .. } => {}
             Input::Wake => self.wake(now),
             Input::Shutdown { since } => self.shutdown_requested(now, since),
         }
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::contacts::Contacts;
 use super::document_proof;
 use super::majority::{self, Known, Majority, Reason};
 use super::routing_view::RoutingView;
@@ -14,8 +15,8 @@
 use crate::control::quarantine::QuarantineUpdate;
 use crate::control::routing::Document;
 use crate::link::message::{
-    Beat, ControlReply, ControlRequest, Envelope, Heartbeat, ProcessState, Proof, Reply, Request,
-    Seen, Update,
+    Beat, ControlNotice, ControlReply, ControlRequest, Envelope, Heartbeat, ProcessState, Proof,
+    Reply, Request, Seen, Update,
 };
 use crate::model::{BootId, EndpointState, ExchangeId, Timestamp};
 use crate::role::Output;
@@ -41,6 +42,8 @@
     pub domain: Box<str>,
     /// The boot, which identifies this start of the process.
     pub boot: BootId,
+    /// The address at which members can call the process, if they can.
+    pub address: Option<SocketAddr>,
     /// The addresses of the control members in the settings.
     pub members: Vec<SocketAddr>,
     /// Whether the process follows the list of endpoints.
@@ -113,6 +116,8 @@
 pub struct Follower {
     settings: FollowerSettings,
     members: Vec<Member>,
+    /// The members that a notice has named.
+    contacts: Contacts,
     config: Config,
     revised: Revised,
     /// Whether changes could not be applied, so that the full configuration is needed.
@@ -145,6 +150,7 @@
         Follower {
             settings,
             members,
+            contacts: Contacts::default(),
             config,
             revised,
             needs_full: false,
@@ -272,7 +278,7 @@
     /// let member = "127.0.0.1:7000".parse().unwrap();
     /// let follower = Follower::new(FollowerSettings {
     ///     name: "gateway-0".into(), role: "gateway".into(), domain: "brno-a".into(),
-    ///     boot: BootId(1), members: vec![member], endpoints: true, routes: true,
+    ///     boot: BootId(1), address: None, members: vec![member], endpoints: true, routes: true,
     /// });
     /// assert_eq!(follower.voters(), [member]);
     /// ```
@@ -331,6 +337,7 @@
                 schema: SCHEMA,
                 full_config: self.needs_full,
                 routing: routes.then(|| self.routing.stated(now, index, members)),
+                address: self.settings.address,
             };
             let exchange = next();
             member.open = Some((exchange, now));
@@ -421,12 +428,12 @@
         }
     }
 
-    /// Adds the voters that the settings don't list, and removes members that are neither
-    /// listed nor voters.
+    /// Asks the voters of the newest list that is proved, once it has come.
     fn follow_voters(&mut self) {
         let Some(newest) = self.newest_proof() else { return };
-        let (epoch, voters) = (newest.epoch, newest.voters.clone());
-        self.follow(Reason::Voters { epoch }, voters);
+        let epoch = newest.epoch;
+        self.contacts.supersede(epoch);
+        self.follow(Reason::Voters { epoch });
     }
 
     /// Takes the members that the settings name from now on. The newest list of voters that is
@@ -439,23 +446,40 @@
     /// let member = |port| std::net::SocketAddr::from(([127, 0, 0, 1], port));
     /// let mut follower = Follower::new(FollowerSettings {
     ///     name: "gateway-0".into(), role: "gateway".into(), domain: "brno-a".into(),
-    ///     boot: BootId(1), members: vec![member(7000)], endpoints: true, routes: true,
+    ///     boot: BootId(1), address: None, members: vec![member(7000)], endpoints: true,
+    ///     routes: true,
     /// });
     /// follower.name_members(vec![member(7001)]);
     /// assert_eq!(follower.members().collect::<Vec<_>>(), [member(7001)]);
     /// ```
     pub fn name_members(&mut self, addresses: Vec<SocketAddr>) {
-        let voters = self.newest_proof().map(|proof| proof.voters.clone());
         self.settings.members = addresses;
-        self.follow(Reason::Settings, voters.unwrap_or_default());
+        self.follow(Reason::Settings);
+    }
+
+    /// Takes a member's notice of who votes, unless a newer list is known: heartbeats to these
+    /// members become due at once, and only what they prove in their replies counts.
+    pub fn noticed(&mut self, now: Timestamp, notice: &ControlNotice) {
+        let proven = self.newest_proof().map_or(0, |proof| proof.epoch);
+        if notice.epoch() < proven || !self.contacts.take(notice) {
+            return;
+        }
+        self.follow(Reason::Notice { epoch: notice.epoch() });
+        for member in &mut self.members {
+            if notice.voters().contains(&member.address) {
+                member.due = member.due.min(now);
+            }
+        }
     }
 
-    /// Asks the voters and the members that the settings name, and no others.
-    fn follow(&mut self, reason: Reason, voters: Vec<SocketAddr>) {
+    /// Asks the voters, the members that a notice has named and those in the settings, and no others.
+    fn follow(&mut self, reason: Reason) {
         let before: Vec<SocketAddr> = self.members().collect();
-        let named = &self.settings.members;
-        self.members.retain(|m| named.contains(&m.address) || voters.contains(&m.address));
-        for address in voters.into_iter().chain(self.settings.members.iter().copied()) {
+        let mut followed = self.newest_proof().map(|p| p.voters.clone()).unwrap_or_default();
+        followed.extend_from_slice(self.contacts.addresses());
+        followed.extend_from_slice(&self.settings.members);
+        self.members.retain(|m| followed.contains(&m.address));
+        for address in followed {
             if self.members.iter().all(|m| m.address != address) {
                 self.members.push(Member::new(address));
             }
@@ -565,7 +589,7 @@
     /// let member = "127.0.0.1:7000".parse().unwrap();
     /// let follower = Follower::new(FollowerSettings {
     ///     name: "gateway-0".into(), role: "gateway".into(), domain: "brno-a".into(),
-    ///     boot: BootId(1), members: vec![member], endpoints: true, routes: true,
+    ///     boot: BootId(1), address: None, members: vec![member], endpoints: true, routes: true,
     /// });
     /// assert_eq!(follower.members().collect::<Vec<_>>(), [member]);
     /// ```
@@ -582,8 +606,8 @@
     ///
     /// let mut follower = Follower::new(FollowerSettings {
     ///     name: "gateway-0".into(), role: "gateway".into(), domain: "brno-a".into(),
-    ///     boot: BootId(1), members: vec!["127.0.0.1:7000".parse().unwrap()], endpoints: true,
-    ///     routes: true,
+    ///     boot: BootId(1), address: None, members: vec!["127.0.0.1:7000".parse().unwrap()],
+    ///     endpoints: true, routes: true,
     /// });
     /// assert!(follower.take_restarted().is_empty(), "no member has replied yet");
     /// ```
--- a/src/registry/majority.rs
+++ b/src/registry/majority.rs
@@ -124,6 +124,11 @@
         /// The epoch of the list.
         epoch: u64,
     },
+    /// A member sent a notice of the voters with this epoch.
+    Notice {
+        /// The epoch of the list.
+        epoch: u64,
+    },
 }
 
 impl fmt::Display for Reason {
@@ -131,6 +136,7 @@
         match self {
             Reason::Settings => f.write_str("settings"),
             Reason::Voters { epoch } => write!(f, "voters epoch={epoch}"),
+            Reason::Notice { epoch } => write!(f, "notice epoch={epoch}"),
         }
     }
 }
--- a/tests/unreadable_documents.rs
+++ b/tests/unreadable_documents.rs
@@ -43,6 +43,7 @@
         role: "gateway".into(),
         domain: "a".into(),
         boot: BootId(1),
+        address: None,
         members: vec!["127.0.0.1:7000".parse().unwrap()],
         endpoints: true,
         routes: true,
