Accept replies to heartbeats that later ones have overtaken

Callers of a gateway whose replies from control took more than 400 ms got 503 for ever, or were routed by an old table: no table, configuration or confirmation arrived any more, although control was in reach.

Evidence: before this change, with members that take 600 ms for each reply, table_arrives_though_each_reply_takes_longer_than_a_heartbeat_is_waited_for got no table in 2 s, and large_document_arrives_over_a_slow_link_in_few_copies (6 s for a document, 0.1 s for other replies) none in 6.5 s.

An overdue heartbeat now stays open beside the next one, which goes out on a new connection as before, since the old one may be silent for good. Its reply counts: in full if no later heartbeat was answered before, else only for the document, which can't be out of date. No more than two open heartbeats to a member ask for the document, four stay open beside the newest, and each for as long as the copies take at 1 MiB/s (8 s), doubled up to 64 s while the member answers others in time. After a silence the document is asked for at once. New connections are requested less often when nothing is answered for long, because the link closes the oldest of those it replaced, which may carry the document.

A dial may take 700 ms, longer than a heartbeat is waited for. That was no livelock for replies within 400 ms: heartbeats share a dial in progress and a redial leaves it alone. For slower replies it was one, and it is solved by this.

--- a/src/control/routing/mod.rs
+++ b/src/control/routing/mod.rs
@@ -109,6 +109,13 @@
     pub deregistration: LogIndex,
 }
 
+impl RoutingSeen {
+    /// Returns the same state for a heartbeat that asks for no document, however new it is.
+    pub fn without_document(self) -> RoutingSeen {
+        RoutingSeen { version: u64::MAX, ..self }
+    }
+}
+
 /// The changes of routing that a gateway has not received yet.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct RoutingUpdate {
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -15,6 +15,7 @@
 use crate::model::{ExchangeId, InboundId};
 use crate::role::LinkFailure;
 
+pub use frame::MAX_FRAME_BYTES;
 pub use message::{Envelope, Reply, Request};
 pub use shell::{Link, LinkHandle, Route};
 
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::document_proof;
+use super::open_heartbeats::OpenHeartbeats;
 use super::routing_view::RoutingView;
 use super::subset;
 use super::view::{self, View};
@@ -21,8 +22,6 @@
 
 /// The time between heartbeats to one member.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
-/// How long a heartbeat may remain unanswered before a new connection is dialled.
-const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long the replies of a majority prove that the configuration is the newest.
 const CONFIRMATION_LEASE: Duration = Duration::from_millis(3_000);
 /// How long a member's list of endpoints is used after it was last in sync. If no majority of
@@ -52,7 +51,9 @@
 #[derive(Debug)]
 struct Member {
     address: SocketAddr,
-    open: Option<(ExchangeId, Timestamp)>,
+    open: OpenHeartbeats,
+    /// When the newest heartbeat was sent that was answered.
+    answered: Option<Timestamp>,
     due: Timestamp,
     seen: Seen,
     /// The buckets to request in full, because their digests differ from the member's.
@@ -72,7 +73,8 @@
     fn new(address: SocketAddr) -> Member {
         Member {
             address,
-            open: None,
+            open: OpenHeartbeats::default(),
+            answered: None,
             due: Timestamp::default(),
             seen: Seen::default(),
             full_buckets: Vec::new(),
@@ -302,17 +304,18 @@
         let routes = self.settings.routes;
         let members = self.members.len();
         for (index, member) in self.members.iter_mut().enumerate() {
-            if let Some((exchange, sent)) = member.open {
-                if now - sent < HEARTBEAT_TIMEOUT {
-                    continue;
-                }
-                outputs.push(Output::Reset { exchange });
-                outputs.push(Output::Redial { peer: member.address });
-                member.open = None;
-            }
-            if now < member.due {
+            let redial = member.open.take_overdue(now);
+            outputs.extend(redial.then_some(Output::Redial { peer: member.address }));
+            let given_up = member.open.give_up(now).into_iter();
+            outputs.extend(given_up.map(|exchange| Output::Reset { exchange }));
+            if now < member.due || !member.open.is_idle() {
                 continue;
             }
+            let asks = member.open.may_ask();
+            let routing = routes.then(|| match asks {
+                true => self.routing.stated(now, index, members),
+                false => self.routing.seen().without_document(),
+            });
             let heartbeat = Heartbeat {
                 process: process.clone(),
                 endpoint: endpoint.cloned(),
@@ -323,10 +326,10 @@
                 quarantine: self.quarantine.version,
                 schema: SCHEMA,
                 full_config: self.needs_full,
-                routing: routes.then(|| self.routing.stated(now, index, members)),
+                routing,
             };
             let exchange = next();
-            member.open = Some((exchange, now));
+            member.open.sent(now, exchange, asks);
             member.due = now + HEARTBEAT_INTERVAL;
             let body = Request::Control(ControlRequest::Heartbeat(Box::new(heartbeat)));
             let envelope = Envelope { revised: self.revised, body };
@@ -335,11 +338,21 @@
         outputs
     }
 
-    /// Applies a reply to a heartbeat; returns whether the exchange was a heartbeat.
+    /// Applies a reply to a heartbeat; returns whether the exchange was a heartbeat that no later one
+    /// has overtaken, so that the reply tells something new.
     pub fn reply(&mut self, now: Timestamp, exchange: ExchangeId, reply: &Reply) -> bool {
         let Some(member) = self.find(exchange) else { return false };
-        let Some((_, sent)) = member.open.take() else { return false };
+        let Some(answered) = member.open.answered(exchange) else { return false };
+        let sent = answered.sent;
+        if answered.asks_again {
+            member.due = member.due.min(now);
+        }
         let Reply::Control(ControlReply::Beat(beat)) = reply else { return true };
+        if member.answered.is_some_and(|newer| newer > sent) {
+            self.apply_overtaken(beat);
+            return false;
+        }
+        member.answered = Some(sent);
         member.note_boot(beat.seen.epoch);
         member.proof = beat.proof.clone().map(|proof| (proof, sent));
         let changed = member.apply_endpoints(beat);
@@ -360,16 +373,23 @@
         true
     }
 
+    /// Applies what can't be out of date in a reply to a heartbeat that a later one has overtaken.
+    fn apply_overtaken(&mut self, beat: &Beat) {
+        if let Some(document) = beat.routing.as_ref().and_then(|update| update.document.as_ref()) {
+            self.routing.receive(document);
+        }
+    }
+
     /// Records the end of a heartbeat's exchange; returns whether the exchange was a heartbeat.
     pub fn closed(&mut self, exchange: ExchangeId) -> bool {
         let Some(member) = self.find(exchange) else { return false };
-        member.open = None;
+        member.open.closed(exchange);
         true
     }
 
     /// Returns when the next heartbeat is due or times out.
     pub fn next_wake(&self) -> Option<Timestamp> {
-        let due = |m: &Member| m.open.map_or(m.due, |(_, sent)| sent + HEARTBEAT_TIMEOUT);
+        let due = |m: &Member| m.open.next_wake().unwrap_or(m.due);
         self.members.iter().map(due).min()
     }
 
@@ -517,7 +537,7 @@
     }
 
     fn find(&mut self, exchange: ExchangeId) -> Option<&mut Member> {
-        self.members.iter_mut().find(|m| m.open.is_some_and(|(e, _)| e == exchange))
+        self.members.iter_mut().find(|m| m.open.contains(exchange))
     }
 
     fn process(&self) -> ProcessState {
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -4,6 +4,7 @@
 mod changes;
 pub mod document_proof;
 mod follower;
+mod open_heartbeats;
 mod reread;
 mod routing_view;
 pub mod subset;
--- a/src/registry/routing_view.rs
+++ b/src/registry/routing_view.rs
@@ -35,6 +35,11 @@
 }
 
 impl RoutingView {
+    /// Returns the versions that were received.
+    pub fn seen(&self) -> RoutingSeen {
+        self.seen
+    }
+
     /// Returns the versions that the heartbeat to a member states, by its index among all of them:
     /// those that were received, or that of the document in force to get a newer one again that
     /// couldn't be read.
@@ -74,11 +79,8 @@
 
     /// Applies a member's update; returns whether it contains any deregistration.
     pub fn apply(&mut self, now: Timestamp, update: &RoutingUpdate) -> bool {
-        if let Some(document) = &update.document
-            && self.wants(document)
-        {
-            self.seen.version = document.version;
-            self.document = Some(document.clone());
+        if let Some(document) = &update.document {
+            self.receive(document);
         }
         self.record_count(now, update.gateways);
         self.leader = update.leader.or(self.leader);
@@ -90,6 +92,14 @@
         !update.deregistered.is_empty()
     }
 
+    /// Keeps a document if it is to be read.
+    pub fn receive(&mut self, document: &Document) {
+        if self.wants(document) {
+            self.seen.version = document.version;
+            self.document = Some(document.clone());
+        }
+    }
+
     /// Returns the document if a newer one was received since the last call.
     pub fn new_document(&mut self) -> Option<Document> {
         self.document.take()
