--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -6,6 +6,7 @@
 pub mod document_proof;
 mod follower;
 pub mod majority;
+mod open_heartbeats;
 mod reread;
 mod routing_view;
 pub mod subset;
