Keep a gateway's part of endpoints' limits while control is out of reach

Callers of a gateway that had heard no control for 30 s got 503 for services whose endpoints name a limit of requests per second, although the endpoints were idle.

Cause: counts of gateways are used for 30 s. After that the gateway divided limits by 1,000, which is meant for one that has never heard a count, so an endpoint with a limit of 4 got one request in five minutes. What was confirmed once was here not believed for too long, but replaced by something worse.

The last known count is kept for the limits of endpoints. The retry budget, which all gateways together must not exceed, still shrinks to the small part after 30 s. While others count without the gateways that are cut off, an endpoint may be asked for up to 0.8 x (1 + the share of gateways cut off) of its limit.

--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -95,7 +95,7 @@
         let (job, age) = (conn.job, now - conn.since);
         let to_call =
             matches!(job, Job::Call(_)) && self.job_id(job) == info.id.as_deref().unwrap_or("-");
-        let gateways = self.follower.gateways(now);
+        let gateways = self.follower.sharers(now);
         let draw = if info.limit == LimitNotice::Absent { 0 } else { self.draw() };
         let said = Said { notice: info.limit, to_call };
         let Some(endpoint) = self.fleet.limited(now, peer, &said, gateways, draw) else { return };
--- a/src/gateway/updates.rs
+++ b/src/gateway/updates.rs
@@ -30,7 +30,7 @@
             }
             self.versions.listed(now, listed.values().map(|e| (&*e.pool, &*e.software)));
             self.update_shared(now);
-            let gateways = self.follower.gateways(now);
+            let gateways = self.follower.sharers(now);
             for peer in self.fleet.update(now, &listed, gateways) {
                 self.effect(HttpEffect::HangUp { peer });
             }
--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -489,7 +489,14 @@
         newest.voters.iter().filter(of_voter).count() * 2 > newest.voters.len()
     }
 
-    /// Returns the number of gateways among which limits of the fleet are divided.
+    /// Returns the number of gateways among which limits of endpoints are divided, also while control
+    /// is out of reach.
+    pub fn sharers(&self, now: Timestamp) -> u32 {
+        self.routing.sharers(now)
+    }
+
+    /// Returns the number of gateways among which limits of the fleet are divided; large if no member
+    /// has reported it lately, so that only a small part is used.
     pub fn gateways(&self, now: Timestamp) -> u32 {
         self.routing.gateways(now)
     }
--- a/src/registry/routing_view.rs
+++ b/src/registry/routing_view.rs
@@ -32,6 +32,8 @@
     leader: Option<SocketAddr>,
     /// Counts of gateways that members reported, by time of receipt.
     counts: BTreeMap<Timestamp, u32>,
+    /// The largest recent count when one was received last.
+    last_count: Option<u32>,
 }
 
 impl RoutingView {
@@ -117,13 +119,24 @@
 
     /// Returns the largest count of gateways received within `COUNT_TTL`, or `UNKNOWN_COUNT`.
     pub fn gateways(&self, now: Timestamp) -> u32 {
+        self.recent_count(now).unwrap_or(UNKNOWN_COUNT)
+    }
+
+    /// Returns the same, or the last known count if there is no recent one: whoever shares with this
+    /// gateway is not known to have become more.
+    pub fn sharers(&self, now: Timestamp) -> u32 {
+        self.recent_count(now).or(self.last_count).unwrap_or(UNKNOWN_COUNT)
+    }
+
+    fn recent_count(&self, now: Timestamp) -> Option<u32> {
         let recent = self.counts.iter().filter(|(at, _)| now - **at < COUNT_TTL);
-        recent.map(|(_, count)| *count).max().filter(|c| *c > 0).unwrap_or(UNKNOWN_COUNT)
+        recent.map(|(_, count)| *count).max().filter(|c| *c > 0)
     }
 
     /// Records a count and removes expired counts and those that it makes redundant.
     fn record_count(&mut self, now: Timestamp, count: u32) {
         self.counts.retain(|at, old| now - *at < COUNT_TTL && *old > count);
         self.counts.insert(now, count);
+        self.last_count = self.recent_count(now).or(self.last_count);
     }
 }
