Found the group with the addresses of the first start alone

Callers saw: no configuration is ever acknowledged or read when power is lost several times while control is founded.

Cause: a member decides who founds the group by the addresses in its settings, and later starts get others (three of the operator's list).

A member now notes on its disk, in the same write as that it may found, the addresses of that start. All that are started first are told the same ones. So there is one founder, the voters of the first list are these addresses alone, and what that group commits is on most of them. A member without a group asks the founders, too, as later settings may name none of them.

--- a/src/control/replica/joining.rs
+++ b/src/control/replica/joining.rs
@@ -16,6 +16,10 @@
 /// The state of members that request to join.
 #[derive(Debug, Default)]
 pub struct Joining {
+    /// The addresses that found the group, as this member was told at its first start; empty if
+    /// it was told none. All that were started then know the same ones, while later settings
+    /// differ: if each counted its own, two groups could be founded, or none.
+    founders: BTreeSet<SocketAddr>,
     /// The last hello from each address, with its member and time; used by the leader.
     pub(super) requests: BTreeMap<SocketAddr, (MemberId, Timestamp)>,
     /// The members that replied that they belong to no group, and whether they may found one; used
@@ -32,6 +36,11 @@
 }
 
 impl Joining {
+    /// Creates the state of a member whose disk names these founders.
+    pub(super) fn new(founders: BTreeSet<SocketAddr>) -> Joining {
+        Joining { founders, ..Joining::default() }
+    }
+
     /// Drops the requests that are no longer valid.
     pub(super) fn expire(&mut self, now: Timestamp) {
         self.requests.retain(|_, (_, at)| now - *at < JOIN_TTL);
@@ -96,9 +105,11 @@
     }
 
     /// Returns the addresses of all machines that may be members: those in the settings, in the own
-    /// list and in the newest list that was received.
+    /// list, in the newest list that was received and, until this replica belongs to a group, the
+    /// founders.
     fn greetable(&self) -> BTreeSet<SocketAddr> {
-        let known = self.members.all.values().map(|m| m.address);
+        let founders = self.joining.founders.iter().copied().filter(|_| self.group.is_none());
+        let known = self.members.all.values().map(|m| m.address).chain(founders);
         let known = known.chain(self.joining.contacts.addresses()).chain(self.joining.met);
         let all = self.settings.members.iter().copied().chain(known);
         all.filter(|a| *a != self.settings.address).collect()
@@ -191,20 +202,30 @@
         }
     }
 
-    /// Notes on the disk of a member without a group that it may found one: when it starts again,
-    /// its settings don't tell, since the group may exist by then.
+    /// Notes on the disk of a member without a group that it may found one, and with whom: when it
+    /// starts again, its settings don't tell, since the group may exist by then.
     pub(super) fn note_founding(&mut self) {
         if self.settings.founds && !self.founds && self.group.is_none() {
+            let founders: BTreeSet<_> = self.settings.members.iter().copied().collect();
             self.founds = true;
-            self.write(vec![super::Entry::Founds]);
+            self.joining.founders = founders.clone();
+            self.write(vec![super::Entry::Founds, super::Entry::Founders(founders)]);
+        }
+    }
+
+    /// Returns the addresses of the members that found the group.
+    fn founders(&self) -> BTreeSet<SocketAddr> {
+        if self.joining.founders.is_empty() {
+            return self.settings.members.iter().copied().collect();
         }
+        self.joining.founders.clone()
     }
 
-    /// Founds the group, if no configured member belongs to one, most of them may found it and this
-    /// is the one of those with the lowest address. Members with empty disks alone found none: they
-    /// may have lost those of a group that exists.
+    /// Founds the group, if no founder belongs to one, most of them say that they may found it and
+    /// this is the one of those with the lowest address. Members with empty disks alone found none:
+    /// they may have lost those of a group that exists.
     fn try_found(&mut self, now: Timestamp) -> bool {
-        let addresses: BTreeSet<_> = self.settings.members.iter().copied().collect();
+        let addresses = self.founders();
         let own = self.settings.address;
         let blank = |a: &SocketAddr| *a == own || self.joining.blank.contains_key(a);
         let may_found = |a: &SocketAddr| match self.joining.blank.get(a) {
@@ -218,7 +239,8 @@
             return false;
         }
         let mut members = Members::default().with(self.id, own, true);
-        for (address, (id, _)) in std::mem::take(&mut self.joining.blank) {
+        let blank = std::mem::take(&mut self.joining.blank);
+        for (address, (id, _)) in blank.into_iter().filter(|(a, _)| addresses.contains(a)) {
             members = members.with(id, address, true);
         }
         ::log::info!("step=found members={members:?}");
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -147,7 +147,7 @@
             stalled: false,
             deadline: None,
             founds: stored.founds,
-            joining: Joining::default(),
+            joining: Joining::new(stored.founders),
             removed: None,
             leave: None,
             leaving: BTreeMap::new(),
--- a/src/control/replica/stored.rs
+++ b/src/control/replica/stored.rs
@@ -1,5 +1,7 @@
 //! The state that a replica restores from its disk.
 
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use eyre::{ensure, eyre};
@@ -31,6 +33,8 @@
     Append(Record),
     /// The member was started among members that had never run before.
     Founds,
+    /// The addresses that the member was told then: those of the members that found the group.
+    Founders(BTreeSet<SocketAddr>),
 }
 
 /// The content of the journal and the snapshot on disk.
@@ -42,6 +46,8 @@
     pub group: Option<u64>,
     /// Whether the member was first started among members that had never run before.
     pub founds: bool,
+    /// The addresses that the member was told at that start; empty if they are not known.
+    pub founders: BTreeSet<SocketAddr>,
     /// The current term.
     pub term: u64,
     /// The member that got the vote in that term, if any.
@@ -61,6 +67,7 @@
             id,
             group: None,
             founds: false,
+            founders: BTreeSet::new(),
             term: 0,
             vote: None,
             snapshot: None,
@@ -88,6 +95,7 @@
             Entry::Owner(id) => ensure!(id == self.id, "the journal names more than one owner"),
             Entry::Group(group) => self.group = Some(group),
             Entry::Founds => self.founds = true,
+            Entry::Founders(founders) => self.founders = founders,
             Entry::Vote { term, candidate } => {
                 ensure!(term >= self.term, "term {term} follows the higher term {}", self.term);
                 (self.term, self.vote) = (term, candidate);
--- a/tests/replacements.rs
+++ b/tests/replacements.rs
@@ -194,6 +194,22 @@
     run_steps(Shape { machines: 5, losses: 1 }, 1, &steps);
 }
 
+/// Members that were started again counted other founders, so each one waited for another.
+#[test]
+fn members_with_other_addresses_than_at_their_first_start_found_the_group() {
+    let losses = [(78, 645), (408, 946), (0, 483)];
+    let losses = losses.map(|(gap, down)| (gap, PowerLoss { down }));
+    let steps: Vec<_> = losses.into_iter().chain([(0, Quiet)]).collect();
+    run_steps(Shape { machines: 5, losses: 1 }, 3143, &steps);
+    kept_seed(3143);
+}
+
+/// Runs the whole schedule of a seed that failed once.
+fn kept_seed(seed: u64) {
+    let schedule = Schedule::new(seed);
+    run(&schedule).unwrap_or_else(|failure| panic!("{failure}\n{schedule:?}"));
+}
+
 #[test]
 fn seeds_of_the_environment() {
     let Ok(text) = std::env::var("REPLACEMENT_SEEDS") else { return };
