--- a/tests/replacements_world/mod.rs
+++ b/tests/replacements_world/mod.rs
@@ -25,7 +25,7 @@
 pub use followers::{Fate, Outsiders};
 use machines::Machines;
 use operators::Operators;
-pub use schedule::{Schedule, Shape, Step, Victim};
+pub use schedule::{SHAPES, Schedule, Shape, Step, Victim};
 use steps::Event;
 
 /// How long after SIGTERM a process is killed.
