--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,25 +2,22 @@
 
 #![allow(dead_code, missing_docs)]
 
+pub mod address;
 pub mod relay;
 
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
+use address::free_address;
 use dotterelpin::entry::check::credential_hash;
 use eyre::{WrapErr, bail, eyre};
 use serde_json::Value;
 
 /// Credential of the tenant `tabulka`, which every test fleet accepts.
 pub const CREDENTIAL: &str = "tabulka-secret";
-/// The first port that [`free_address`] returns.
-const FIRST_PORT: u16 = 10_000;
-/// The end (exclusive) of the test ports, below the ports of outgoing connections.
-const END_PORT: u16 = 32_000;
 /// How long a log line may take to reach the file on a busy machine.
 const LOG_TIMEOUT: Duration = Duration::from_secs(10);
 const POLL: Duration = Duration::from_millis(20);
@@ -480,18 +477,6 @@
     }
 }
 
-/// Returns a loopback address that nothing else uses.
-///
-/// The IP address is derived from the id of this process, and the ports are below those of outgoing
-/// connections, so that nothing else can bind the address before the test does.
-fn free_address() -> eyre::Result<SocketAddr> {
-    static NEXT_PORT: AtomicU16 = AtomicU16::new(FIRST_PORT);
-    let port = NEXT_PORT.fetch_add(1, Ordering::SeqCst);
-    eyre::ensure!(port < END_PORT, "no test port is left below {END_PORT}");
-    let [_, high, middle, low] = std::process::id().to_be_bytes();
-    Ok(SocketAddr::from(([127, high | 64, middle, low], port)))
-}
-
 pub fn free_udp() -> eyre::Result<SocketAddr> {
     free_address()
 }
