Show that a gateway that doesn't hear the leader forgets its endpoints

Since such a gateway finds new members by its settings, it hears two of three voters, both without the vote of the leader, to whom endpoints' heartbeats go: at 13.5 s it logs step=endpoints listed=0, as two empty lists in sync count as those of a majority. Before, it heard no majority and kept the old lists.

--- a/tests/replaced_contacts.rs
+++ b/tests/replaced_contacts.rs
@@ -17,6 +17,7 @@
 };
 use dotterelpin::model::{BootId, EndpointKind, EndpointState, ExchangeId, Revision, Timestamp};
 use dotterelpin::registry::FollowerSettings;
+use dotterelpin::registry::view::View;
 use dotterelpin::role::{Input, Output, Role};
 use gateway_fixture::{PLAIN, budget_terms, endpoint, protocol, request, table};
 use recorded_lines::{line, lines, number, record, value};
@@ -42,6 +43,8 @@
     epoch: u64,
     voters: Vec<u8>,
     version: u64,
+    leader: Option<u8>,
+    endpoints: Vec<EndpointState>,
 }
 
 /// A gateway, and the members of control that it can reach.
@@ -83,7 +86,8 @@
 
     /// Lets these members, and no others, answer with a list of voters and a table.
     fn serve(&mut self, members: &[u8], epoch: u64, voters: &[u8], version: u64) {
-        let answer = Answer { epoch, voters: voters.to_vec(), version };
+        let endpoints = vec![endpoint("p1", EndpointKind::Service, PLAIN)];
+        let answer = Answer { epoch, voters: voters.to_vec(), version, leader: None, endpoints };
         self.members = members.iter().map(|m| (address(*m), answer.clone())).collect();
     }
 
@@ -139,7 +143,10 @@
 fn beat(member: SocketAddr, answer: &Answer, seen: u64) -> Beat {
     let text = (answer.version - 1).to_string().into_bytes().into();
     let document = Document { version: answer.version, text };
-    let endpoints: Vec<EndpointState> = vec![endpoint("p1", EndpointKind::Service, PLAIN)];
+    let mut list = View::default();
+    for endpoint in &answer.endpoints {
+        list.set(endpoint);
+    }
     Beat {
         member: "control".into(),
         proof: Some(Proof {
@@ -150,15 +157,15 @@
             voters: answer.voters.iter().copied().map(address).collect(),
         }),
         config: None,
-        seen: Seen::default(),
-        endpoints: Some(Endpoints::All(endpoints)),
+        seen: Seen { digest: list.digest(), ..Seen::default() },
+        endpoints: Some(Endpoints::All(answer.endpoints.clone())),
         orders: None,
         quarantine: None,
         routing: Some(Box::new(RoutingUpdate {
             document: (answer.version > seen).then_some(document),
             deregistered: Vec::new(),
             gateways: 1,
-            leader: None,
+            leader: answer.leader.map(address),
         })),
     }
 }
@@ -210,7 +217,8 @@
     let mut world = World::new(&[1, 2, 3]);
     world.serve(&[1, 2, 3], 9, &[1, 2, 3], 2);
     world.run(2_000);
-    let old = Answer { epoch: 5, voters: vec![7, 8, 9], version: 1 };
+    let current = world.members[&address(1)].clone();
+    let old = Answer { epoch: 5, voters: vec![7, 8, 9], version: 1, ..current };
     world.members.insert(address(8), old);
     world.name(&[7, 8]);
     for _ in 0..20 {
@@ -258,6 +266,29 @@
     assert_eq!(number(&world.refusal(), "table"), 1);
 }
 
+/// Endpoints announce themselves to the leader; lists of new members are empty until they lead.
+#[test]
+fn gateway_cut_off_from_the_leader_forgets_its_endpoints() {
+    record();
+    let mut world = World::new(&[1, 2, 3]);
+    world.serve(&[1, 2, 3], 3, &[1, 2, 3], 1);
+    world.members.values_mut().for_each(|m| m.leader = Some(1));
+    world.run(2_000);
+    assert_eq!(lines("endpoints").len(), 1);
+    world.serve(&[4, 5], 9, &[1, 4, 5], 1);
+    for member in world.members.values_mut() {
+        (member.leader, member.endpoints) = (Some(1), Vec::new());
+    }
+    world.name(&[1, 4, 5]);
+    world.run(20_000);
+    world.assert_confirmed(1);
+    assert_eq!(lines("endpoints").len(), 1, "{:?}", lines("endpoints"));
+    // The next leader knows which endpoints there are.
+    world.members.values_mut().for_each(|m| m.leader = Some(4));
+    world.run(1_000);
+    assert!(lines("endpoints")[1].contains("listed=0"), "{:?}", lines("endpoints"));
+}
+
 #[test]
 fn agent_ignores_new_settings() {
     let follower = FollowerSettings {
