Keep the lists of endpoints while the leader isn't heard

Endpoints' heartbeats go to the member that takes them and to the leader; a new member may have none.

A majority of fresh lists replaces those of other voters only if the leader's list is among them, as far as the leader is known and asked. Otherwise the lists of all voters are used, as for a process that hears no majority. Endpoints that have deregistered are left out as before, since that is in the log.

Evidence: gateway_cut_off_from_the_leader_forgets_its_endpoints failed and passes; the rest of replaced_contacts.rs, follower.rs, registry.rs, early_requests.rs, leader_counts.rs and rooms.rs pass.

--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -249,14 +249,16 @@
     }
 
     /// Returns for each member whether its list is used: only lists that were in sync within
-    /// `TRUST_LEASE` if these are of most voters, else those of all voters, because unreachable
-    /// control must not cause endpoints that still work to be removed.
+    /// `TRUST_LEASE` if these are of most voters and of the leader, if it is known, else those of all
+    /// voters, because unreachable control must not cause endpoints that still work to be removed.
     fn trusted(&self, now: Timestamp) -> Vec<bool> {
         let fresh = |m: &Member| m.synced.is_some_and(|at| now - at < TRUST_LEASE);
         let voters = self.voters();
         let votes = |m: &&Member| voters.contains(&m.address);
         let agreeing = self.members.iter().filter(votes).filter(|m| fresh(m)).count();
-        let majority = agreeing * 2 > voters.len();
+        // Endpoints may be known to the leader alone: the others' lists don't replace its own.
+        let leader = self.members.iter().find(|m| Some(m.address) == self.leader());
+        let majority = agreeing * 2 > voters.len() && leader.is_none_or(fresh);
         let used = |m: &Member| fresh(m) || !majority && voters.contains(&m.address);
         self.members.iter().map(used).collect()
     }
