Call each of 300 silent processes within two seconds

With 300 recorded processes silent, 299 of them for good, a follower that was cut off was found too late: a member had at most 32 notices open, each for 400 ms, so that it came back to one process after 3.75 s only, and the members don't begin far enough apart to make up for it.

--- a/src/control/processes/notices.rs
+++ b/src/control/processes/notices.rs
@@ -17,7 +17,7 @@
 /// How long a notice may remain unanswered before the next one uses a new connection.
 const NOTICE_TIMEOUT: Duration = Duration::from_millis(400);
 /// The maximum number of notices of one member that are open at once.
-const MAX_OPEN: usize = 32;
+const MAX_OPEN: usize = 80;
 
 /// A notice that was sent a short time ago.
 #[derive(Debug)]
--- a/tests/lost_control.rs
+++ b/tests/lost_control.rs
@@ -41,3 +41,12 @@
 fn follower_that_starts_again_with_settings_of_which_all_members_are_gone_finds_others() {
     run_around_replacements(1, &[(0, Outsider(0, Fate::Kill))], &[(0, Outsider(0, Fate::Start))]);
 }
+
+#[test]
+fn one_of_three_hundred_followers_that_were_cut_off_is_found_among_those_that_are_gone() {
+    for one in [0, 299] {
+        let fate = |at| if at == one { Fate::Cut } else { Fate::Pause(120_000) };
+        let fates: Vec<_> = (0..300).map(|at| (0, Outsider(at, fate(at)))).collect();
+        run_around_replacements(300, &fates, &[(0, Outsider(one, Fate::Join))]);
+    }
+}
