Register signals before the settings are read

Cause: the handlers of signals were registered once the settings, the keys and the sockets were there; until then SIGHUP has its default effect. The platform sends it whenever the file has changed, which may be at any moment.

They are registered first now, and handled once the roles run. signal_before_the_settings_are_read_ends_the_process (the settings file is a pipe, so that the signal comes while it is read) failed before and passes. What remains are the moments between exec and main.

--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -63,11 +63,19 @@
     pub api: Box<dyn ApiProtocol>,
 }
 
+/// Registers the signals that a daemon handles; they are kept until [`run`] handles them.
+///
+/// Fails if the operating system refuses a handler.
+pub fn signals() -> eyre::Result<Signals> {
+    Signals::new([SIGTERM, SIGINT, SIGHUP]).wrap_err("watch for signals")
+}
+
 /// Runs the roles until they have stopped; `reloader` reads the settings again meanwhile.
 pub fn run(
     settings: Settings,
     reloader: Option<Reloader>,
     protocols: Option<Protocols>,
+    signals: Signals,
 ) -> eyre::Result<()> {
     let boot = BootId::from_start(Timestamp::from_steady(), &settings.name);
     let identity = Identity::load(&settings.keys)?;
@@ -87,8 +95,8 @@
     let metrics = Arc::new(Metrics::new()?);
     let signalled = Signalled::default();
     let handles = Handles::new(&drivers);
-    let (reloads, signals) = channel();
-    watch_signals(handles.clone(), reloads, ready.clone(), signalled.clone())?;
+    let (reloads, reload_signals) = channel();
+    watch_signals(signals, handles.clone(), reloads, ready.clone(), signalled.clone())?;
     let control = drivers.control.as_ref().map(Driver::handle);
     let url = Arc::new(Mutex::new(None));
     if let Some(address) = settings.pages.filter(|_| drivers.gateway.is_none()) {
@@ -179,7 +187,7 @@
     }
     link.start(route)?;
     if let Some(reloader) = reloader {
-        reload::start(reloader, signals, move |members| handles.name_members(&members))?;
+        reload::start(reloader, reload_signals, move |members| handles.name_members(&members))?;
     }
     log::info!("step=start name={} domain={} boot={boot}", settings.name, settings.domain);
     let grace = settings.grace;
@@ -280,12 +288,12 @@
 
 /// Starts the thread that handles signals; it tells `reloads` of each SIGHUP.
 fn watch_signals(
+    mut signals: Signals,
     handles: Handles,
     reloads: Sender<()>,
     ready: Arc<AtomicBool>,
     signalled: Signalled,
 ) -> eyre::Result<()> {
-    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).wrap_err("watch for signals")?;
     let watch = move || {
         for signal in signals.forever() {
             if signal == SIGHUP {
--- a/tests/settings_reloaded.rs
+++ b/tests/settings_reloaded.rs
@@ -5,7 +5,8 @@
 
 use std::fmt::Write;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
+use std::process::Command;
 use std::time::Duration;
 
 use common::{Answer, Fleet, Process, call, free_tcp, free_udp, program, wait_for};
@@ -27,6 +28,14 @@
 impl Entry {
     /// Starts an entry whose file names a member that doesn't exist.
     fn new() -> Entry {
+        let entry = Entry::start(|file, text| std::fs::write(file, text).unwrap());
+        entry.process.expect_log("step=control-lost");
+        entry
+    }
+
+    /// Starts an entry after its file was made by `make` from a text that names a member that
+    /// doesn't exist.
+    fn start(make: impl FnOnce(&Path, &str)) -> Entry {
         let fleet = Fleet::new(1).unwrap();
         let (callers, listen) = (free_tcp().unwrap(), free_udp().unwrap());
         let path = |name: &str| fleet.folder.join(name).display().to_string();
@@ -42,13 +51,11 @@
         ];
         fields.iter().for_each(|(name, value)| writeln!(text, "{name} = '{value}'").unwrap());
         let file = fleet.folder.join("entry.toml");
-        std::fs::write(&file, with_member(&text, free_udp().unwrap())).unwrap();
+        make(&file, &with_member(&text, free_udp().unwrap()));
         let flags = ["--settings".into(), file.display().to_string()];
         let process =
             Process::start(&program("dotterelpind"), &flags, "entry-0", &fleet.folder).unwrap();
-        let entry = Entry { fleet, process, url: format!("http://{callers}"), file, text };
-        entry.process.expect_log("step=control-lost");
-        entry
+        Entry { fleet, process, url: format!("http://{callers}"), file, text }
     }
 
     /// Returns the content of a file that names the member of the fleet.
@@ -121,3 +128,21 @@
     entry.process.expect_log("at_restart=domain");
     entry.expect_control();
 }
+
+/// The file is a pipe, so that the process waits for its settings when the signal arrives.
+#[test]
+fn signal_before_the_settings_are_read_ends_the_process() {
+    let make = |file: &Path, _: &str| {
+        assert!(Command::new("mkfifo").arg(file).status().unwrap().success());
+    };
+    let entry = Entry::start(make);
+    // The pipe opens once the process reads it.
+    let mut pipe = std::fs::File::options().write(true).open(&entry.file).unwrap();
+    entry.process.signal("-HUP").unwrap();
+    std::io::Write::write_all(&mut pipe, entry.newer().as_bytes()).unwrap();
+    std::fs::remove_file(&entry.file).unwrap();
+    entry.write(&entry.newer());
+    drop(pipe);
+    entry.process.expect_log("step=settings outcome=same signal=true");
+    entry.expect_control();
+}
