--- a/tests/replaced_contacts.rs
+++ b/tests/replaced_contacts.rs
@@ -19,7 +19,7 @@
 use dotterelpin::registry::FollowerSettings;
 use dotterelpin::registry::view::View;
 use dotterelpin::role::{Input, Output, Role};
-use gateway_fixture::{PLAIN, budget_terms, endpoint, protocol, request, table};
+use gateway_fixture::{Fixture, PLAIN, budget_terms, endpoint, protocol, request, table};
 use recorded_lines::{line, lines, number, record, value};
 
 /// The time within which a process that can reach control finds it, in milliseconds.
@@ -312,3 +312,21 @@
     let peers: Vec<SocketAddr> = outputs.iter().filter_map(peer).collect();
     assert_eq!(peers, [4, 5].map(address));
 }
+
+#[test]
+fn call_in_progress_is_lost_when_the_settings_change() {
+    let mut f = Fixture::ready();
+    f.call(1, "/pay/a", &[]);
+    let sent = f.take_sent();
+    let hung_up = f.hung_up.len();
+    f.step(Input::Local(HttpInput::Reload));
+    f.step(Input::Members { addresses: vec![address(4)] });
+    f.advance(300);
+    assert_eq!(f.hung_up.len(), hung_up);
+    assert!(!f.closed_idle && f.closed_all.is_empty());
+    f.answer(&sent, 200, &[], "paid");
+    assert_eq!(f.answers[&1].status, 200);
+    assert!(f.is_ready());
+    f.call(2, "/pay/b", &[]);
+    assert!(f.has_sent(), "endpoints are listed as before");
+}
