--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -436,6 +436,22 @@
 
     /// Takes a member's notice of who votes, unless a newer list is known: heartbeats to these
     /// members become due at once, and only what they prove in their replies counts.
+    ///
+    /// ```
+    /// use dotterelpin::link::message::ControlNotice;
+    /// use dotterelpin::model::{BootId, Timestamp};
+    /// use dotterelpin::registry::{Follower, FollowerSettings};
+    ///
+    /// let [gone, new] = ["127.0.0.1:7000", "127.0.0.1:7001"].map(|a| a.parse().unwrap());
+    /// let mut follower = Follower::new(FollowerSettings {
+    ///     name: "gateway-0".into(), role: "gateway".into(), domain: "brno-a".into(),
+    ///     boot: BootId(1), address: "127.0.0.1:8000".parse().ok(), members: vec![gone],
+    ///     endpoints: true, routes: true,
+    /// });
+    /// let notice = ControlNotice::new("gateway".into(), 4, vec![new]).unwrap();
+    /// follower.noticed(Timestamp::from_micros(1), &notice);
+    /// assert_eq!(follower.members().collect::<Vec<_>>(), [gone, new]);
+    /// ```
     pub fn noticed(&mut self, now: Timestamp, notice: &ControlNotice) {
         let proven = self.newest_proof().map_or(0, |proof| proof.epoch);
         if notice.epoch() < proven || !self.contacts.take(notice) {
