Check refused settings again until the files that they name can be read

Callers saw: a process whose settings named new control members before the file of keys or tenants that they also name was written ignored these members for good, with and without further signals, since the text of its settings stayed the same.

Cause: the text counted as read although it had been refused, and the files that it names were not looked at again.

A text that was refused is checked again at each reading. It is logged as invalid when it was refused first and when the reason changes, so that a file that stays missing doesn't fill the log.

--- a/src/cli/reload.rs
+++ b/src/cli/reload.rs
@@ -57,6 +57,8 @@
     source: Source,
     /// The last content that was read; `None` if the file could not be read.
     text: Option<String>,
+    /// Why that content was refused, if it was.
+    refused: Option<SettingsError>,
     /// The last valid settings.
     args: DaemonArgs,
     members: Vec<SocketAddr>,
@@ -69,17 +71,24 @@
     pub fn new(source: Source, text: String) -> Result<Reloader, SettingsError> {
         let args = source.args(&text)?;
         let members = source.check(&text)?.members;
-        Ok(Reloader { source, text: Some(text), args, members })
+        Ok(Reloader { source, text: Some(text), refused: None, args, members })
     }
 
-    /// Reads the file, and checks it as at the start if it has changed.
+    /// Reads the file, and checks it as at the start if it has changed, or if it was refused: a file
+    /// that it names may be readable by now.
     pub fn read(&mut self) -> Reading {
         let read = self.source.read();
-        if read.as_ref().ok() == self.text.as_ref() {
+        let is_same = read.as_ref().ok() == self.text.as_ref();
+        if is_same && self.refused.is_none() {
             return Reading::Same;
         }
         self.text = read.as_ref().ok().cloned();
-        read.and_then(|text| self.apply(&text)).unwrap_or_else(Reading::Invalid)
+        let before = self.refused.take();
+        read.and_then(|text| self.apply(&text)).unwrap_or_else(|error| {
+            let is_known = is_same && before.as_ref() == Some(&error);
+            self.refused = Some(error.clone());
+            if is_known { Reading::Same } else { Reading::Invalid(error) }
+        })
     }
 
     fn apply(&mut self, text: &str) -> Result<Reading, SettingsError> {
--- a/src/cli/settings.rs
+++ b/src/cli/settings.rs
@@ -130,7 +130,7 @@
 }
 
 /// All errors found in the settings, one line each.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SettingsError(pub Vec<String>);
 
 impl fmt::Display for SettingsError {
