Keep the newest list of voters while those who proved it have no vote

Callers saw nothing yet: this was found by reading. A follower that knew the present list of voters went back to an older one, asked only whom that names, and took notices with lower epochs again.

Cause: a reply without a proof, as of a member that was removed or whose disk accepts no writes for now, dropped the last proof of that member. Once all voters had replied so, an old list was the newest: that of a removed member which the settings still name.

The last proof of a member is kept until it gives another one. It counts as confirmation for no longer than before, since that is counted from its own heartbeat; it is as if the reply without a proof had been lost.

Evidence: tests/older_list.rs failed before (asked: members 7 to 9 instead of 1 to 3) and passes, with a list of epoch 5 beside one of epoch 9 and a notice of epoch 6. follower, registry, notices, replaced_contacts, unconfirmed_tables, lost_control, slow_replies and replacements pass.

--- a/src/registry/follower.rs
+++ b/src/registry/follower.rs
@@ -373,7 +373,10 @@
         }
         member.answered = Some(sent);
         member.note_boot(beat.seen.epoch);
-        member.proof = beat.proof.clone().map(|proof| (proof, sent));
+        // Without a vote it proves nothing new, but what it proved before was true then.
+        if let Some(proof) = &beat.proof {
+            member.proof = Some((proof.clone(), sent));
+        }
         let changed = member.apply_endpoints(beat);
         if member.view.digest() == beat.seen.digest {
             member.synced = Some(sent);
