Forget a process whose address another one has in another role

Callers saw nothing; each member with a vote called a sound machine once a second, on a new connection each time, for up to ten minutes after a process of another role had taken the address of one that is gone.

Cause: a recorded process is dropped when another one has its address, but only one of the same role counted.

A process of another name at the address counts now, whatever its role. The roles of one process share its name, so that a role which is silent beside another one of the same process keeps its notices.

Evidence: tests/reused_address.rs: 10 notices in 10 s to an agent at the address of a gateway that is gone failed before, and it is forgotten now; the role of a process of which another role is heard stays recorded. tests/notices.rs and tests/lost_control.rs pass.

--- a/src/control/processes/mod.rs
+++ b/src/control/processes/mod.rs
@@ -8,7 +8,7 @@
 mod notices;
 mod recorded;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -108,10 +108,11 @@
         let moved = live.iter().filter(differs).filter(|(p, _)| !new(p));
         let added = live.iter().filter(differs).filter(|(p, _)| new(p)).take(free);
         let current = moved.chain(added).map(|(process, address)| (process.clone(), *address));
-        let used: BTreeSet<(&str, SocketAddr)> =
-            live.iter().filter_map(|(p, a)| Some((&*p.role, (*a)?))).collect();
-        // Another process has taken its place.
-        let taken = |p: &ProcessName, a: SocketAddr| used.contains(&(&*p.role, a));
+        let used: BTreeMap<SocketAddr, &str> =
+            live.iter().filter_map(|(p, a)| Some(((*a)?, &*p.name))).collect();
+        // Another process has taken its place; the roles of one process share its name.
+        let taken =
+            |p: &ProcessName, a: SocketAddr| used.get(&a).is_some_and(|name| **name != *p.name);
         let is_old = |p: &ProcessName| {
             let heard = self.processes.heard.get(p).copied().unwrap_or(now);
             now - heard.max(since) >= FORGET_AFTER
