--- a/tests/other_group.rs
+++ b/tests/other_group.rs
@@ -24,7 +24,13 @@
     open.collect()
 }
 
-fn prove(follower: &mut Follower, now: Timestamp, exchange: ExchangeId, at: u8, list: (u64, &[u8])) {
+fn prove(
+    follower: &mut Follower,
+    now: Timestamp,
+    exchange: ExchangeId,
+    at: u8,
+    list: (u64, &[u8]),
+) {
     let voters = list.1.iter().map(|v| member(*v)).collect();
     let (highest, epoch) = (Revision(0), list.0);
     let beat = Beat {
