Let the founder replace a founder that was lost before the group

Callers saw: control never has a leader when one of the machines that are started first is lost for good before the group is founded, although all settings name another one in its place and the others are started again. The note of the founders was never replaced; before it, later settings decided.

The member that founds the group with the noted founders may replace them by the members that its settings name, once those that these leave out have been silent for 4 s, and while most of the noted ones stay. No other member founds a group with the old note: it needs an answer of each noted founder that it has no group, and of those that stay, within the losses to bear, one belongs to the new group.

What remains: the first of the founders itself is lost before the group.

--- a/src/control/replica/joining.rs
+++ b/src/control/replica/joining.rs
@@ -12,6 +12,8 @@
 
 /// How long a request to join remains valid after the last hello of the member.
 const JOIN_TTL: Duration = Duration::from_millis(2_000);
+/// How long a founder that the settings no longer name must be silent until it is replaced.
+const FOUNDER_TIMEOUT: Duration = Duration::from_millis(4_000);
 /// The term of the record with which the group is founded.
 const FIRST_TERM: u64 = 1;
 
@@ -37,6 +39,8 @@
     contacts: Contacts,
     /// The last member that sent a message to the former member at this address.
     met: Option<SocketAddr>,
+    /// When the first hello was sent.
+    first_hello: Option<Timestamp>,
 }
 
 impl Joining {
@@ -82,6 +86,7 @@
     /// Sends a hello to all other members, since this replica has no vote.
     pub(super) fn send_hello(&mut self, now: Timestamp) {
         self.reset_deadline(now);
+        self.renew_founders(now);
         // Replies to earlier hellos no longer count.
         self.joining.blank.clear();
         if self.try_found(now) {
@@ -235,6 +240,32 @@
         }
     }
 
+    /// Replaces the noted founders by the members that the settings name now, once those that these
+    /// leave out have been silent for [`FOUNDER_TIMEOUT`]: they may have been lost before there was a
+    /// group. Only the one that founds the group with the noted ones does so, and only while most of
+    /// these stay: whoever belongs to the group keeps the others from founding another one.
+    fn renew_founders(&mut self, now: Timestamp) {
+        let own = self.settings.address;
+        let since = *self.joining.first_hello.get_or_insert(now);
+        let noted = &self.joining.founders;
+        let named = self.joining.named.as_ref().unwrap_or(&self.settings.members);
+        let named: BTreeSet<_> = named.iter().copied().collect();
+        let is_free = self.founds && self.group.is_none() && self.joining.contacts.epoch == 0;
+        let decides = noted.first() == Some(&own) && named.contains(&own);
+        let overlap = noted.intersection(&named).count();
+        if !is_free || !decides || named == *noted || overlap * 2 <= noted.len() {
+            return;
+        }
+        let is_gone = |a: &SocketAddr| !self.joining.blank.contains_key(a);
+        if now - since < FOUNDER_TIMEOUT || !noted.difference(&named).all(is_gone) {
+            return;
+        }
+        let to: Vec<_> = named.iter().map(SocketAddr::to_string).collect();
+        ::log::info!("step=founders to={}", to.join(","));
+        self.joining.founders = named.clone();
+        self.write(vec![Entry::Founders(named)]);
+    }
+
     /// Returns the addresses of the members that found the group.
     fn founders(&self) -> BTreeSet<SocketAddr> {
         if self.joining.founders.is_empty() {
