Identify the client accounts of requests at gateways

Cause: routing tables with client accounts were accepted, but their keys were not read. The key reached the endpoints, requests with unknown or withdrawn keys ran, and no account was named.

Change: routing tables hold client accounts. A gateway refuses a request whose key no account holds with 401, or with 503 while a newer table may have added it. It names the account to endpoints on each request, whatever the caller sent, and passes no key on. The priority of an account goes before that of its route. A key of two accounts makes a table invalid.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit/mod.rs
@@ -1,5 +1,7 @@
 //! Admission of calls: they start, wait in the queue of their service, or are refused at once.
 
+mod accounts;
+
 use std::time::Duration;
 
 use super::answer;
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -35,6 +35,8 @@
 /// The status of an endpoint that is another instance, or in another stage, than the intended one.
 pub(super) const MISDIRECTED: u16 = 421;
 
+/// The status of a request whose key no client account holds.
+const UNKNOWN_KEY: u16 = 401;
 /// The status of a request whose host and path no route of the table names.
 const NO_ROUTE: u16 = 404;
 /// The text of a refusal by a routing table that a newer one may have replaced.
@@ -64,6 +66,15 @@
     refusal(503, UNCONFIRMED, Some(UNCONFIRMED_RETRY_AFTER))
 }
 
+pub(super) fn unknown_key() -> RefusalInfo {
+    refusal(UNKNOWN_KEY, "no client account has this key", None)
+}
+
+pub(super) fn unconfirmed_key() -> RefusalInfo {
+    let text = "not run: no client account has this key by a routing table that may be out of date";
+    refusal(503, text, Some(UNCONFIRMED_RETRY_AFTER))
+}
+
 pub(super) fn no_endpoint() -> RefusalInfo {
     refusal(503, "not run: no endpoint takes it now", Some(CAPACITY_RETRY_AFTER))
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -14,6 +14,7 @@
 use crate::h1::{AnswerHead, PeerId, Request};
 use crate::model::{ExchangeId, Timestamp};
 use crate::report::observation::SendOrder;
+use crate::routes::accounts::{Account, AccountKey};
 use crate::routes::{Route, RouteKey, RouteTable};
 
 /// One attempt to run a call, or its prefill, at an endpoint.
@@ -200,6 +201,8 @@
     pub table: Arc<RouteTable>,
     /// The key of its route in that table.
     pub route: RouteKey,
+    /// The client account that it belongs to, in that table.
+    pub account: Option<AccountKey>,
     /// The name of the service that was chosen for it.
     pub service: Box<str>,
     /// When it was received.
@@ -265,6 +268,11 @@
         self.table.get(self.route)
     }
 
+    /// Returns the client account that it belongs to.
+    pub fn account(&self) -> Option<&Account> {
+        self.table.accounts().get(self.account?)
+    }
+
     /// Returns whether it may run again after it may have run.
     pub fn is_repeatable(&self) -> bool {
         self.route().is_some_and(|r| r.repeat.is_repeatable())
@@ -296,7 +304,9 @@
 
     /// Returns its rank in the queue; an interrupted stream is never late.
     pub fn rank(&self) -> Rank {
-        let priority = self.route().map_or(u8::MAX, |r| r.priority);
+        let of_account = self.account().and_then(|account| account.priority);
+        let of_route = || self.route().map_or(u8::MAX, |route| route.priority);
+        let priority = of_account.unwrap_or_else(of_route);
         Rank { priority, late: self.late && self.delivered.last.is_none() }
     }
 
--- a/src/gateway/header_protocol.rs
+++ b/src/gateway/header_protocol.rs
@@ -55,6 +55,10 @@
     pub endpoint: &'static str,
     /// The name of the reservation that an attempt uses.
     pub hold: &'static str,
+    /// The key of the client account, in requests of callers; it is not passed on.
+    pub key: &'static str,
+    /// The name of the client account, in requests to endpoints.
+    pub account: &'static str,
     /// Present in an answer if the endpoint has not run the call.
     pub not_run: &'static str,
     /// The signature of the endpoint.
@@ -103,8 +107,16 @@
     /// or it is reserved.
     fn is_own(&self, name: &str) -> bool {
         let names = &self.names;
-        let own =
-            [names.timeout, names.stage, names.source, names.endpoint, names.after, names.hold];
+        let own = [
+            names.timeout,
+            names.stage,
+            names.source,
+            names.endpoint,
+            names.after,
+            names.hold,
+            names.key,
+            names.account,
+        ];
         let mut all = own.iter().chain(names.reserved);
         all.any(|n| n.eq_ignore_ascii_case(name))
     }
@@ -119,6 +131,12 @@
         head.path() == self.ready_path
     }
 
+    fn key<'a>(&self, head: &'a RequestHead) -> Option<&'a [u8]> {
+        let mut keys = head.fields.all(self.names.key).map(<[u8]>::trim_ascii);
+        let key = keys.next()?;
+        keys.next().is_none().then_some(key)
+    }
+
     fn read_call(&self, head: &RequestHead) -> Result<CallInfo, CallError> {
         let names = &self.names;
         let id = head.fields.text(names.id).filter(|id| (1..=MAX_ID_BYTES).contains(&id.len()));
@@ -156,6 +174,9 @@
         if let Some(hold) = send.hold {
             write::field(&mut out, names.hold, hold.as_bytes());
         }
+        if let Some(account) = send.account {
+            write::field(&mut out, names.account, account.as_bytes());
+        }
         match &send.kind {
             SendKind::Whole => {}
             SendKind::Prefill => {
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -147,6 +147,8 @@
     pub after: Option<u64>,
     /// The name of the reservation that the attempt uses.
     pub hold: Option<&'a str>,
+    /// The name of the client account that the call belongs to.
+    pub account: Option<&'a str>,
 }
 
 /// A small request to an engine that carries no call.
@@ -234,6 +236,9 @@
     /// Returns whether a request to the pages' address asks for the readiness of the process.
     fn is_readiness(&self, head: &RequestHead) -> bool;
 
+    /// Returns the key of the client account; `None` unless the request has exactly one.
+    fn key<'a>(&self, head: &'a RequestHead) -> Option<&'a [u8]>;
+
     /// Reads the facts of a call from the head of its request.
     fn read_call(&self, head: &RequestHead) -> Result<CallInfo, CallError>;
 
--- a/src/gateway/receive.rs
+++ b/src/gateway/receive.rs
@@ -48,6 +48,13 @@
         let draw = self.draw();
         let table = self.table.clone();
         let Some(route) = table.get(key) else { return };
+        let account = match self.identify(now, &request.head, route) {
+            Ok(account) => account,
+            Err(refusal) => {
+                self.refuse_request(now, caller, &request, Some(&info.id), refusal);
+                return;
+            }
+        };
         let timeout = info.timeout.unwrap_or(route.timeout);
         let waited = now - arrived;
         if !self.admits_new(now, route, timeout.saturating_sub(waited)) {
@@ -66,6 +73,7 @@
             info,
             table: table.clone(),
             route: key,
+            account,
             service,
             arrived,
             late,
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -54,6 +54,7 @@
                 }
                 _ => None,
             },
+            account: call.account().map(|account| &*account.name),
             kind,
         };
         let bytes = self.protocol.write_call(&call.request, &info);
--- a/src/routes/check.rs
+++ b/src/routes/check.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use super::accounts::{Accounts, RawAccount};
 use super::{CallerLimits, EngineShape, Repeat, Route, RouteKey, RouteTable, Service};
 
 /// A route before validation.
@@ -29,6 +30,8 @@
     pub split: Vec<(String, f64)>,
     /// The largest number of endpoints that a call may be sent to.
     pub attempts: u64,
+    /// Whether its calls need no key of a client account.
+    pub public: bool,
 }
 
 impl RawRoute {
@@ -45,6 +48,7 @@
             priority: 1,
             split: vec![("portal".into(), 1.0)],
             attempts: 2,
+            public: false,
         }
     }
 }
@@ -85,6 +89,8 @@
     pub services: Vec<RawService>,
     /// The limits on callers' requests.
     pub limits: CallerLimits,
+    /// The client accounts; without any, requests need no key.
+    pub accounts: Vec<RawAccount>,
 }
 
 impl RawTable {
@@ -95,6 +101,7 @@
             routes: vec![RawRoute::example()],
             services: vec![RawService::example()],
             limits: CallerLimits::default(),
+            accounts: Vec::new(),
         }
     }
 }
@@ -136,6 +143,16 @@
         /// The name of both services.
         service: Box<str>,
     },
+    /// The name of a client account is empty or can't stand in a header field.
+    BadAccount {
+        /// The position of the client account in the table, from 0.
+        index: u32,
+    },
+    /// A key belongs to two client accounts.
+    SharedKey {
+        /// The name of the second client account.
+        account: Box<str>,
+    },
 }
 
 impl fmt::Display for TableError {
@@ -160,6 +177,12 @@
             TableError::DuplicateService { service } => {
                 write!(f, "service {service}: it stands twice")
             }
+            TableError::BadAccount { index } => {
+                write!(f, "client account number {index}: the name is empty or not allowed")
+            }
+            TableError::SharedKey { account } => {
+                write!(f, "client account {account}: another one has the same key")
+            }
         }
     }
 }
@@ -199,6 +222,7 @@
             routes,
             services,
             limits: checked_limits(raw.limits),
+            accounts: Accounts::try_from(raw.accounts)?,
             hosts,
         })
     }
@@ -234,6 +258,7 @@
         priority: u8::try_from(raw.priority).unwrap_or(u8::MAX),
         split,
         attempts: u32::try_from(raw.attempts).unwrap_or(u32::MAX).max(1),
+        public: raw.public,
     })
 }
 
--- a/src/routes/mod.rs
+++ b/src/routes/mod.rs
@@ -2,11 +2,13 @@
 //!
 //! Operators always send a complete table with a version; the highest version is in force.
 
+pub mod accounts;
 mod check;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use accounts::Accounts;
 pub use check::{RawRoute, RawService, RawTable, TableError};
 
 /// The index of a route in its table.
@@ -58,6 +60,8 @@
     pub split: Vec<(Box<str>, u32)>,
     /// The largest number of endpoints that a call may be sent to.
     pub attempts: u32,
+    /// Whether its calls need no key of a client account.
+    pub public: bool,
 }
 
 impl Route {
@@ -130,6 +134,7 @@
     routes: Vec<Route>,
     services: BTreeMap<Box<str>, Service>,
     limits: CallerLimits,
+    accounts: Accounts,
     /// The routes by host and path prefix.
     hosts: BTreeMap<Box<str>, BTreeMap<Box<str>, RouteKey>>,
 }
@@ -145,6 +150,11 @@
         &self.limits
     }
 
+    /// Returns the client accounts.
+    pub fn accounts(&self) -> &Accounts {
+        &self.accounts
+    }
+
     /// Returns the routes in the order of the table.
     pub fn routes(&self) -> impl Iterator<Item = &Route> {
         self.routes.iter()
--- a/tests/gateway_fixture/mod.rs
+++ b/tests/gateway_fixture/mod.rs
@@ -53,6 +53,8 @@
     source: "Source",
     endpoint: "Endpoint",
     hold: "Hold",
+    key: "Key",
+    account: "Account",
     not_run: "Not-Run",
     signature: "Signature",
     leaving: "Leaving",
