Compare the priority of client accounts before that of routes

Cause: an account's priority replaced that of the route, so the kinds of calls of one account, and of all accounts with the same priority, had one rank.

Change: the rank of a call names the priority of its account first, then that of its route.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -304,10 +304,9 @@
 
     /// Returns its rank in the queue; an interrupted stream is never late.
     pub fn rank(&self) -> Rank {
-        let of_account = self.account().and_then(|account| account.priority);
-        let of_route = || self.route().map_or(u8::MAX, |route| route.priority);
-        let priority = of_account.unwrap_or_else(of_route);
-        Rank { priority, late: self.late && self.delivered.last.is_none() }
+        let priority = self.route().map_or(u8::MAX, |route| route.priority);
+        let account = self.account().and_then(|account| account.priority).unwrap_or(priority);
+        Rank { account, priority, late: self.late && self.delivered.last.is_none() }
     }
 
     /// Returns the time until its deadline.
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -34,6 +34,9 @@
 /// The rank of a queued call; lower ranks start first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
+    /// The priority of its client account; 0 is the most urgent. That of its route if the account
+    /// has none.
+    pub account: u8,
     /// The priority of its route; 0 is the most urgent.
     pub priority: u8,
     /// Whether it has missed its latency target.
--- a/src/routes/accounts.rs
+++ b/src/routes/accounts.rs
@@ -41,7 +41,8 @@
 pub struct Account {
     /// The name under which endpoints and operators know it.
     pub name: Box<str>,
-    /// The priority of its calls, if it goes before that of their routes; 0 is the most urgent.
+    /// The priority of its calls, which is compared before that of their routes; 0 is the most
+    /// urgent.
     pub priority: Option<u8>,
     /// Its quota, if it has one.
     pub quota: Option<Quota>,
@@ -54,7 +55,7 @@
     pub name: String,
     /// The keys of its callers.
     pub keys: Vec<String>,
-    /// The priority of its calls, if it goes before that of their routes.
+    /// The priority of its calls, which is compared before that of their routes.
     pub priority: Option<u64>,
     /// Units per second; 0 for no quota.
     pub rate: f64,
--- a/tests/late_calls.rs
+++ b/tests/late_calls.rs
@@ -16,7 +16,7 @@
 const TARGET: Duration = Duration::from_millis(900);
 
 fn rank(late: bool) -> Rank {
-    Rank { priority: 1, late }
+    Rank { account: 1, priority: 1, late }
 }
 
 /// Sends a call and answers its reservation and prefill, so that its decode starts.
--- a/tests/plain_burst.rs
+++ b/tests/plain_burst.rs
@@ -42,7 +42,7 @@
 fn call_that_has_missed_its_target_waits_behind_one_that_has_not() {
     let now = Timestamp::from_micros(1_000_000);
     let at = |millis| now + Duration::from_millis(millis);
-    let rank = Rank { priority: 2, late: false };
+    let rank = Rank { account: 2, priority: 2, late: false };
     let mut queue = Queue::default();
     queue.push(rank, Waiting { key: 1, in_time: at(50), until: at(600), bound: false });
     queue.push(rank, Waiting { key: 2, in_time: at(90), until: at(600), bound: false });
