Give freed capacity to waiting calls of all gateways by rank

Cause: a gateway that got no decode capacity asked the leader again after 40 ms, and whoever asked first got what was freed. The back-off was shared by all ranks of a service, so a cheap call delayed an urgent one. Urgent calls were served as seldom as cheap ones.

Change: a request for capacity names the call with its rank, client account and remaining wait.

--- a/src/control/dispatch/rooms.rs
+++ b/src/control/dispatch/rooms.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Candidate;
+use super::waiting::{NoRoom, Promised, Waiting, WaitingCall};
 use crate::model::{BootId, Timestamp};
 
 /// The share of an endpoint's KV cache that is assigned to calls, in percent; the rest covers
@@ -57,6 +58,8 @@
     pub slots: u32,
     /// The endpoints to choose from.
     pub candidates: Vec<Candidate>,
+    /// The call, for the order among calls that wait.
+    pub call: WaitingCall,
 }
 
 /// A run that the leader did not assign itself: it began under another leader, or while the gateway
@@ -150,7 +153,7 @@
 /// let candidates = vec![Candidate { endpoint: "d1".into(), local: true }];
 /// let request = |run| RoomRequest {
 ///     run: RunId(run), owner: BootId(1), tokens: 6_000, spare: 0, memory: 10_000, slots: 8,
-///     candidates: candidates.clone(),
+///     candidates: candidates.clone(), call: Default::default(),
 /// };
 /// let mut rooms = Rooms::default();
 /// assert_eq!(rooms.assign(now, &request(1)).as_deref(), Some("d1"));
@@ -170,38 +173,55 @@
     next_expiry: Timestamp,
     /// When runs of disconnected gateways are removed next.
     next_sweep: Timestamp,
+    /// The requests that got no capacity.
+    waiting: Waiting,
 }
 
 impl Rooms {
     /// Returns the endpoint that is to run a call, if any has capacity, and counts the call there.
     pub fn assign(&mut self, now: Timestamp, request: &RoomRequest) -> Option<Box<str>> {
+        self.decide(now, request).ok()
+    }
+
+    /// Returns the endpoint that is to run a call and counts the call there, or why it gets none.
+    pub fn decide(&mut self, now: Timestamp, request: &RoomRequest) -> Result<Box<str>, NoRoom> {
         self.expire(now);
         if self.early_ends.remove(&request.run).is_some() {
-            return None;
+            return Err(NoRoom::Ended);
         }
-        let endpoint = self.least_loaded(now, request)?;
+        let mut waiting = std::mem::take(&mut self.waiting);
+        let found = waiting.decide(now, request, |r, p| self.least_loaded(now, r, p));
+        self.waiting = waiting;
+        let endpoint = found?;
         let run = KnownRun { run: request.run, endpoint: endpoint.clone(), tokens: request.tokens };
         self.insert(now, request.owner, &run);
         if let Some(load) = self.loads.get_mut(&endpoint) {
             load.memory = request.memory;
         }
-        Some(endpoint)
+        Ok(endpoint)
     }
 
-    /// Returns the least loaded candidate that has capacity for a call.
-    fn least_loaded(&self, now: Timestamp, request: &RoomRequest) -> Option<Box<str>> {
+    /// Returns the least loaded candidate that has capacity for a call beside what is promised.
+    fn least_loaded(
+        &self,
+        now: Timestamp,
+        request: &RoomRequest,
+        promised: &Promised,
+    ) -> Option<Box<str>> {
         let idle = Load::default();
         let load = |c: &Candidate| self.loads.get(&c.endpoint).unwrap_or(&idle);
         let fits = |c: &&Candidate| {
             let load = load(c);
-            let used = load.used(now);
+            let (runs, tokens) = promised.at(&c.endpoint);
+            let used = load.used(now) + tokens;
             let alone = used == 0 && request.tokens <= request.memory;
             let needs = used + u64::from(request.tokens) + u64::from(request.spare);
-            let has_slot = load.runs < request.slots;
+            let has_slot = load.runs + runs < request.slots;
             has_slot && load.paused <= now && (alone || needs <= capacity(request.memory))
         };
         let cost = |c: &&Candidate| {
-            let part = load(c).used(now) * 1_000 / u64::from(request.memory.max(1));
+            let used = load(c).used(now) + promised.at(&c.endpoint).1;
+            let part = used * 1_000 / u64::from(request.memory.max(1));
             if c.local { part } else { part + REMOTE_PENALTY_LOAD }
         };
         let chosen = request.candidates.iter().filter(fits).min_by_key(cost)?;
@@ -258,6 +278,7 @@
         }
         self.next_sweep = now + SWEEP_INTERVAL;
         self.remove_runs(|run| !is_alive(run.owner));
+        self.waiting.retain_owners(now, is_alive);
     }
 
     fn insert(&mut self, now: Timestamp, owner: BootId, known: &KnownRun) {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -25,6 +25,7 @@
 use config::{Change, Revised, schema_of};
 use dispatch::prompts::Prompts;
 use dispatch::rooms::Rooms;
+use dispatch::waiting::NoRoom;
 use origins::Origins;
 use peers::Peers;
 use processes::Processes;
@@ -208,8 +209,12 @@
                 }
                 let registry = &self.registry;
                 self.rooms.retain_owners(now, |boot| registry.may_be_alive(now, boot));
-                let endpoint = self.rooms.assign(now, &request);
-                vec![self.reply(inbound, ControlReply::RoomAssigned { endpoint })]
+                let (endpoint, ahead) = match self.rooms.decide(now, &request) {
+                    Ok(endpoint) => (Some(endpoint), 0),
+                    Err(NoRoom::Behind(ahead)) => (None, ahead),
+                    Err(NoRoom::Full | NoRoom::Ended) => (None, 0),
+                };
+                vec![self.reply(inbound, ControlReply::RoomAssigned { endpoint, ahead })]
             }
             ControlRequest::RunEnded { run, end } => {
                 self.rooms.ended(now, run, end);
--- a/src/gateway/admit/mod.rs
+++ b/src/gateway/admit/mod.rs
@@ -1,9 +1,12 @@
 //! Admission of calls: they start, wait in the queue of their service, or are refused at once.
 
 mod accounts;
+mod asking;
 
 use std::time::Duration;
 
+pub(super) use asking::{backoff_key, waiting_call};
+
 use super::answer;
 use super::call::Call;
 use super::queue::{Queue, Rank, Waiting};
@@ -147,7 +150,14 @@
 /// Returns the queue entry of a call to a model. The wait is counted from the arrival of the call,
 /// or from the last event that was delivered if a stream is to be resumed.
 fn waiting(key: CallerId, call: &Call) -> Option<Waiting<CallerId>> {
-    let target = call.route()?.target;
+    call.route()?;
+    let until = wait_end(call);
+    Some(Waiting { key, in_time: until, until, bound: call.software.is_some() })
+}
+
+/// Returns until when a call to a model may wait for capacity.
+pub(super) fn wait_end(call: &Call) -> Timestamp {
+    let target = call.route().map(|route| route.target).unwrap_or_default();
     let until = match call.delivered.last {
         Some(last) => last + RESUME_WAIT,
         None => {
@@ -157,6 +167,5 @@
             if is_retried(call) || call.is_resumption() { wait.max(resume) } else { wait }
         }
     };
-    let until = until.min(call.deadline);
-    Some(Waiting { key, in_time: until, until, bound: call.software.is_some() })
+    until.min(call.deadline)
 }
--- a/src/gateway/assign.rs
+++ b/src/gateway/assign.rs
@@ -5,10 +5,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::call::{Call, Reservation, Stage};
+use super::admit::{backoff_key, waiting_call};
+use super::call::{Reservation, Stage};
 use super::engine::spare_tokens;
 use super::fleet::{Choice, EndpointKey};
-use super::{BackoffKey, CallerId, Gateway};
+use super::{CallerId, Gateway};
 use crate::control::config::Revised;
 use crate::control::dispatch::Candidate;
 use crate::control::dispatch::prompts::PromptRequest;
@@ -25,8 +26,6 @@
 /// Over how long the ends of such pauses are spread: a leader that is slow under load would meet the
 /// requests of all gateways at once otherwise, and be too slow again.
 const BACKOFF_SPREAD_MS: u64 = 300;
-/// How long the leader is not asked again for capacity in a service after it found none.
-pub(super) const NO_CAPACITY_BACKOFF: Duration = Duration::from_millis(40);
 /// The maximum number of endpoints in one request.
 const MAX_CANDIDATES: usize = 64;
 
@@ -96,15 +95,6 @@
         Some(true)
     }
 
-    /// Returns whether the leader is not asked for capacity now, because it had none at the last
-    /// request. After the pause, one call asks for all that wait.
-    pub(super) fn is_capacity_short(&self, now: Timestamp, key: &BackoffKey) -> bool {
-        let Some(until) = self.capacity_backoff.get(key) else { return false };
-        let asks =
-            |call: &Call| matches!(call.stage, Stage::Room { .. }) && backoff_key(call) == *key;
-        now < *until || self.calls.values().any(asks)
-    }
-
     /// Sends no request to the leader for a while, since it did not answer one.
     pub(super) fn back_off_leader(&mut self, now: Timestamp) {
         let spread = Duration::from_millis(self.draw() % BACKOFF_SPREAD_MS);
@@ -130,7 +120,8 @@
         let spare = spare_tokens(call, &shape);
         let (memory, slots) = (shape.tokens, shape.slots);
         let owner = self.settings.follower.boot;
-        Some(RoomRequest { run, owner, tokens, spare, memory, slots, candidates })
+        let call = waiting_call(now, caller, call);
+        Some(RoomRequest { run, owner, tokens, spare, memory, slots, candidates, call })
     }
 
     /// Returns the leader's address, unless a recent request to it timed out.
@@ -175,20 +166,29 @@
     }
 
     /// Handles the leader's answer to a request for capacity; `endpoint` is the assigned endpoint.
-    fn room_assigned(&mut self, now: Timestamp, caller: CallerId, endpoint: Option<&str>) {
+    fn room_assigned(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        endpoint: Option<&str>,
+        ahead: u32,
+    ) {
         let Some(call) = self.calls.get_mut(&caller) else { return };
         call.stage = Stage::Waiting;
         let key = backoff_key(call);
         log::info!(
-            "step=room id={} outcome={} late={} waited_ms={}",
+            "step=room id={} outcome={}{} priority={}/{} late={} waited_ms={}",
             call.info.id,
             endpoint.unwrap_or("none"),
+            no_room_text(endpoint.is_some(), ahead),
+            call.rank().account,
+            call.rank().priority,
             call.late,
             (now - call.arrived).as_millis(),
         );
         let Some(endpoint) = endpoint else {
             call.run = None;
-            self.capacity_backoff.insert(key, now + NO_CAPACITY_BACKOFF);
+            self.back_off_capacity(now, key);
             self.start_or_requeue(now, caller);
             return;
         };
@@ -274,7 +274,7 @@
             self.schedule(caller);
             return;
         }
-        if let ControlReply::RoomAssigned { endpoint } = reply
+        if let ControlReply::RoomAssigned { endpoint, .. } = reply
             && self.vacancy_answered(now, caller, exchange, endpoint.as_deref())
         {
             self.schedule(caller);
@@ -290,8 +290,8 @@
         // The call may have ended meanwhile; the leader expires its assignment by itself.
         let Some(call) = self.calls.get(&caller) else { return };
         match (&call.stage, reply) {
-            (Stage::Room { .. }, ControlReply::RoomAssigned { endpoint }) => {
-                self.room_assigned(now, caller, endpoint.as_deref());
+            (Stage::Room { .. }, ControlReply::RoomAssigned { endpoint, ahead }) => {
+                self.room_assigned(now, caller, endpoint.as_deref(), *ahead);
             }
             (Stage::Room { .. }, _) => self.restart_without_leader(now, caller),
             (Stage::Assign { .. }, ControlReply::PromptAssigned { endpoint: Some(endpoint) }) => {
@@ -389,7 +389,11 @@
     }
 }
 
-/// Returns for which calls the leader is not asked again after it found no capacity for a call.
-pub(super) fn backoff_key(call: &Call) -> BackoffKey {
-    (call.service.clone(), call.rank().late, call.software.clone())
+/// Returns the field that says, in logs, why a call got no capacity.
+fn no_room_text(assigned: bool, ahead: u32) -> String {
+    match (assigned, ahead) {
+        (true, _) => String::new(),
+        (false, 0) => " why=full".to_string(),
+        (false, ahead) => format!(" why=behind ahead={ahead}"),
+    }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -75,7 +75,7 @@
 use crate::control::origins::{Origin, Origins};
 use crate::h1::{CallerId, HttpEffect, HttpInput, PeerId, Purpose, Request};
 use crate::link::message::{ControlReply, Reply};
-use crate::model::{ExchangeId, Timestamp};
+use crate::model::{ExchangeId, Rank, Timestamp};
 use crate::registry::{Follower, FollowerSettings};
 use crate::role::{Input, Output, Role};
 use crate::routes::RouteTable;
@@ -99,8 +99,8 @@
 }
 
 type Outputs = Vec<Output<HttpEffect>>;
-/// A service, whether the call is late, and the software version that it must have.
-type BackoffKey = (Box<str>, bool, Option<Box<str>>);
+/// A service, the rank of the call, and the software version that it must have.
+type BackoffKey = (Box<str>, Rank, Option<Box<str>>);
 
 /// The gateway role.
 pub struct Gateway {
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -10,6 +10,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
+pub use crate::model::Rank;
 use crate::model::Timestamp;
 
 /// The window over which starts are counted to estimate their rate.
@@ -31,18 +32,6 @@
 /// The minimum number of starts in the window from which a rate is estimated.
 const MIN_STARTS: usize = 4;
 
-/// The rank of a queued call; lower ranks start first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Rank {
-    /// The priority of its client account; 0 is the most urgent. That of its route if the account
-    /// has none.
-    pub account: u8,
-    /// The priority of its route; 0 is the most urgent.
-    pub priority: u8,
-    /// Whether it has missed its latency target.
-    pub late: bool,
-}
-
 /// A queued call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Waiting<K> {
--- a/src/gateway/vacancy.rs
+++ b/src/gateway/vacancy.rs
@@ -1,7 +1,8 @@
 //! Before a silent attempt at a model call is given up, its next one gets a reservation: an attempt
 //! that may go on is worth more than a place in a queue.
 
-use super::assign::{ANSWER_TIMEOUT, NO_CAPACITY_BACKOFF, backoff_key};
+use super::admit::backoff_key;
+use super::assign::ANSWER_TIMEOUT;
 use super::call::{Call, Reservation, Stage};
 use super::fleet::EndpointKey;
 use super::reserve::HOLD_TIMEOUT;
@@ -130,7 +131,7 @@
         call.vacancy = Vacancy::Unknown;
         let Some(endpoint) = endpoint else {
             let key = backoff_key(call);
-            self.capacity_backoff.insert(key, now + NO_CAPACITY_BACKOFF);
+            self.back_off_capacity(now, key);
             self.keep_until(caller, now + SILENCE_RECHECK);
             return true;
         };
--- a/src/link/message/control.rs
+++ b/src/link/message/control.rs
@@ -84,6 +84,8 @@
     RoomAssigned {
         /// The endpoint, or None if none has capacity.
         endpoint: Option<Box<str>>,
+        /// How many calls before this one need the capacity that it would take; 0 if there is none.
+        ahead: u32,
     },
     /// The endpoint chosen to run a prefill.
     PromptAssigned {
--- /dev/null
+++ b/src/model/turns.rs
@@ -0,0 +1,85 @@
+//! Turns of client accounts whose calls wait for the same capacity: deficit round robin.
+//!
+//! Made for one account that sends many times its usual load: it must not take the capacity that
+//! the other accounts use. The deficit is kept as a count of what an account has used, in proportion
+//! to its weight. An account whose count is in an earlier round goes first; accounts in the same
+//! round are equal, and their calls are ordered by other means. A count that needs no round to be
+//! walked costs the same with thousands of accounts.
+
+use std::collections::BTreeMap;
+
+/// The unit in which use is counted, as a part of what a weight of 1 entitles to in one round.
+const ROUND: u64 = 1 << 20;
+
+/// What accounts have used of the capacity that they share.
+///
+/// ```
+/// use dotterelpin::model::Turns;
+///
+/// // In each round an account of weight 2 may use 200 tokens, and one of weight 1 may use 100.
+/// let mut turns = Turns::new(100);
+/// turns.join("large");
+/// turns.join("small");
+/// turns.charge("large", 2, 100);
+/// turns.charge("small", 1, 100);
+/// assert!(turns.round("large") < turns.round("small"));
+/// turns.charge("large", 2, 100);
+/// assert_eq!(turns.round("large"), turns.round("small"));
+/// ```
+#[derive(Debug)]
+pub struct Turns<K> {
+    /// The units that a weight of 1 entitles to in one round.
+    quantum: u64,
+    /// The use of each account, in parts of `ROUND`.
+    used: BTreeMap<K, u64>,
+    /// The largest use of an account at the time one of its calls was started.
+    reached: u64,
+}
+
+impl<K: Ord> Turns<K> {
+    /// Creates turns in which a weight of 1 entitles to so many units in each round.
+    pub fn new(quantum: u64) -> Turns<K> {
+        Turns { quantum: quantum.max(1), used: BTreeMap::new(), reached: 0 }
+    }
+
+    /// Returns the round in which an account has its next turn.
+    pub fn round<Q: Ord + ?Sized>(&self, account: &Q) -> u64
+    where
+        K: std::borrow::Borrow<Q>,
+    {
+        self.used.get(account).copied().unwrap_or(self.reached) / ROUND
+    }
+
+    /// Records that an account without waiting calls has one again. Time without calls gains it
+    /// no advantage over those that have waited.
+    pub fn join(&mut self, account: K) {
+        let used = self.used.entry(account).or_default();
+        *used = (*used).max(self.reached);
+    }
+
+    /// Records that a call of an account was started.
+    pub fn charge(&mut self, account: K, weight: u64, units: u64) {
+        let used = self.used.entry(account).or_insert(self.reached);
+        self.reached = self.reached.max(*used);
+        let part = u128::from(units) * u128::from(ROUND)
+            / (u128::from(self.quantum) * u128::from(weight.max(1)));
+        *used = used.saturating_add(u64::try_from(part).unwrap_or(u64::MAX));
+    }
+
+    /// Forgets an account without waiting calls, if it is not ahead of the others: it is equal to a
+    /// new one then.
+    pub fn leave<Q: Ord + ?Sized>(&mut self, account: &Q)
+    where
+        K: std::borrow::Borrow<Q>,
+    {
+        if self.used.get(account).is_some_and(|used| *used <= self.reached) {
+            self.used.remove(account);
+        }
+    }
+
+    /// Forgets the accounts that are not ahead of the others and of which none waits.
+    pub fn retain(&mut self, mut waits: impl FnMut(&K) -> bool) {
+        let reached = self.reached;
+        self.used.retain(|account, used| *used > reached || waits(account));
+    }
+}
--- a/src/routes/accounts.rs
+++ b/src/routes/accounts.rs
@@ -48,6 +48,34 @@
     pub quota: Option<Quota>,
 }
 
+/// The tokens a second of an account without a quota, for its share of scarce capacity: between the
+/// quotas that are usual.
+pub const DEFAULT_WEIGHT: u32 = 100_000;
+/// The tokens of a usual request, for quotas that count requests.
+const USUAL_TOKENS: u64 = 3_200;
+
+impl Account {
+    /// Returns the tokens a second that the account is entitled to, which weigh its share of scarce
+    /// capacity.
+    ///
+    /// ```
+    /// use dotterelpin::routes::accounts::{Account, DEFAULT_WEIGHT, Quota, QuotaUnit};
+    ///
+    /// let quota = |unit| Some(Quota { rate: 50_000_000, burst: 0, unit });
+    /// let account = |quota| Account { name: "a".into(), priority: None, quota };
+    /// assert_eq!(account(quota(QuotaUnit::Tokens { default: 200 })).weight(), 50_000);
+    /// assert_eq!(account(None).weight(), DEFAULT_WEIGHT);
+    /// ```
+    pub fn weight(&self) -> u32 {
+        let Some(quota) = self.quota else { return DEFAULT_WEIGHT };
+        let tokens = match quota.unit {
+            QuotaUnit::Requests => quota.rate.saturating_mul(USUAL_TOKENS) / 1_000,
+            QuotaUnit::Tokens { .. } => quota.rate / 1_000,
+        };
+        u32::try_from(tokens).unwrap_or(u32::MAX).max(1)
+    }
+}
+
 /// A client account before validation.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RawAccount {
--- a/tests/gateway_shutdown.rs
+++ b/tests/gateway_shutdown.rs
@@ -426,7 +426,7 @@
 #[test]
 fn capacity_that_is_assigned_too_late_is_not_used() {
     let mut f = ask_leader_at_the_last_moment();
-    reply_late(&mut f, 15, ControlReply::RoomAssigned { endpoint: Some("d1".into()) });
+    reply_late(&mut f, 15, ControlReply::RoomAssigned { endpoint: Some("d1".into()), ahead: 0 });
     assert!(refused(&f, 1) && !f.has_sent());
 }
 
@@ -434,7 +434,7 @@
 #[test]
 fn prefill_that_is_assigned_too_late_does_not_begin() {
     let mut f = ask_leader_at_the_last_moment();
-    reply_late(&mut f, 1, ControlReply::RoomAssigned { endpoint: Some("d1".into()) });
+    reply_late(&mut f, 1, ControlReply::RoomAssigned { endpoint: Some("d1".into()), ahead: 0 });
     let hold = f.take_sent();
     f.answer(&hold, 200, &[], "hold h7");
     reply_late(&mut f, 15, ControlReply::PromptAssigned { endpoint: Some("f1".into()) });
--- a/tests/leader_counts.rs
+++ b/tests/leader_counts.rs
@@ -79,6 +79,7 @@
         memory: KV_TOKENS,
         slots: SLOTS,
         candidates: (0..ENGINES).map(candidate).collect(),
+        call: Default::default(),
     }
 }
 
@@ -287,7 +288,7 @@
             rooms.into_iter().filter(|(_, r)| matches!(r, ControlRequest::AssignRoom(_))).collect();
         asked += rooms.len();
         for (exchange, _) in rooms {
-            let reply = ControlReply::RoomAssigned { endpoint: None };
+            let reply = ControlReply::RoomAssigned { endpoint: None, ahead: 0 };
             let envelope = Envelope { revised: Default::default(), body: Reply::Control(reply) };
             f.step(Input::Reply { exchange, envelope });
         }
--- a/tests/prompts.rs
+++ b/tests/prompts.rs
@@ -108,7 +108,7 @@
     f.advance(1_000);
     f.model_call(1, "/draft/a", "3000,100");
     let capacity = f.leader_requests.pop().unwrap().0;
-    reply(&mut f, capacity, ControlReply::RoomAssigned { endpoint: Some("d1".into()) });
+    reply(&mut f, capacity, ControlReply::RoomAssigned { endpoint: Some("d1".into()), ahead: 0 });
     let hold = f.take_sent();
     f.answer(&hold, 200, &[], "hold h1");
     assert!(!f.has_sent(), "expected no prefill before the reply of the leader");
--- a/tests/rooms.rs
+++ b/tests/rooms.rs
@@ -25,7 +25,16 @@
     let candidate = |at| Candidate { endpoint: format!("d{at}").into(), local: at < 2 };
     let candidates = (0..3).map(candidate).collect();
     let (run, owner) = (RunId(run), BootId(run % 2));
-    RoomRequest { run, owner, tokens, spare, memory: KV_TOKENS, slots: 12, candidates }
+    RoomRequest {
+        run,
+        owner,
+        tokens,
+        spare,
+        memory: KV_TOKENS,
+        slots: 12,
+        candidates,
+        call: Default::default(),
+    }
 }
 
 #[test]
@@ -123,7 +132,7 @@
 }
 
 fn assign(f: &mut Fixture, exchange: ExchangeId, endpoint: Option<&str>) {
-    let reply = ControlReply::RoomAssigned { endpoint: endpoint.map(Into::into) };
+    let reply = ControlReply::RoomAssigned { endpoint: endpoint.map(Into::into), ahead: 0 };
     let envelope = Envelope { revised: Default::default(), body: Reply::Control(reply) };
     f.step(Input::Reply { exchange, envelope });
 }
--- a/tests/stops_world/mod.rs
+++ b/tests/stops_world/mod.rs
@@ -269,7 +269,7 @@
             };
             let reply = match request {
                 ControlRequest::AssignRoom(r) => {
-                    ControlReply::RoomAssigned { endpoint: pick(&r.candidates) }
+                    ControlReply::RoomAssigned { endpoint: pick(&r.candidates), ahead: 0 }
                 }
                 ControlRequest::AssignPrompt(r) => {
                     ControlReply::PromptAssigned { endpoint: pick(&r.candidates) }
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -666,7 +666,7 @@
 fn assign_room(f: &mut Fixture, endpoint: &str) -> BTreeSet<Box<str>> {
     let (exchange, request) = take_request(f, |r| matches!(r, ControlRequest::AssignRoom(_)));
     let room = assert_matches!(request, ControlRequest::AssignRoom(room) => room);
-    reply(f, exchange, ControlReply::RoomAssigned { endpoint: Some(endpoint.into()) });
+    reply(f, exchange, ControlReply::RoomAssigned { endpoint: Some(endpoint.into()), ahead: 0 });
     if f.has_sent() {
         let hold = f.take_sent();
         f.answer(&hold, 200, &[], "hold h1");
@@ -738,7 +738,7 @@
 fn leader_assigns_a_resumed_stream_to_another_version() {
     let mut f = resumed_with_leader();
     let (exchange, _) = take_request(&mut f, |r| matches!(r, ControlRequest::AssignRoom(_)));
-    reply(&mut f, exchange, ControlReply::RoomAssigned { endpoint: Some("d1".into()) });
+    reply(&mut f, exchange, ControlReply::RoomAssigned { endpoint: Some("d1".into()), ahead: 0 });
     let d1 = endpoint("d1", DECODE, MODEL).address;
     let there: Vec<&Sent> = f.sent.iter().filter(|s| s.address == d1).collect();
     assert!(there.is_empty(), "expected nothing at d1, which is of another version: {there:?}");
