Share the fair turns of accounts between entry and control

Cause: the queue of an entry and the claims at the leader of control both need turns that are fair among client accounts.

Change: the entry's queue counts with model::Turns. Turns weighted by the rates of quotas start again once nobody waits.

--- a/src/control/dispatch/waiting.rs
+++ b/src/control/dispatch/waiting.rs
@@ -9,7 +9,7 @@
 //! A claim is soft state: it ends some time after the gateway last asked for the call, so a gateway
 //! that freezes keeps capacity from others only that long. A new leader starts without claims.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -39,10 +39,6 @@
 const SHARE_WINDOW: Duration = Duration::from_millis(2_000);
 /// The percentage of the assigned tokens that each kind gets while it waits, whatever its rank.
 const FLOOR_PERCENT: u64 = 5;
-/// The tokens that an account gets in one round, in seconds of its rate as a fraction: a usual call
-/// of 3,200 tokens is one round of an account with a rate of 100,000 a second.
-const ROUNDS_PER_SECOND: u64 = 32;
-
 /// The call for which capacity is requested, as far as the order of calls depends on it.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct WaitingCall {
@@ -123,7 +119,7 @@
     fn default() -> Line {
         Line {
             claims: BTreeMap::new(),
-            turns: Turns::new(1),
+            turns: Turns::of_rates(),
             demand: BTreeMap::new(),
             assigned: VecDeque::new(),
         }
@@ -243,8 +239,11 @@
     fn keep(&mut self, now: Timestamp, request: &RoomRequest, arrived: Timestamp) {
         let until = now + CLAIM_TTL.min(request.call.patience);
         let account = &request.call.account;
-        let waits = self.claims.values().any(|c| c.request.call.account == *account);
-        if !waits {
+        if self.claims.is_empty() {
+            // Nobody waits: all accounts are equal again.
+            self.turns = Turns::of_rates();
+        }
+        if !self.claims.values().any(|c| c.request.call.account == *account) {
             self.turns.join(account.clone());
         }
         let is_known = self.claims.contains_key(&key(request));
@@ -257,10 +256,12 @@
     fn serve(&mut self, now: Timestamp, request: &RoomRequest) {
         self.claims.remove(&key(request));
         let call = &request.call;
-        let tokens = u64::from(request.tokens) * ROUNDS_PER_SECOND;
-        self.turns.charge(call.account.clone(), call.weight.into(), tokens);
-        let claims = &self.claims;
-        self.turns.retain(|name| claims.values().any(|c| c.request.call.account == *name));
+        if !self.claims.is_empty() {
+            self.turns.charge(call.account.clone(), call.weight.into(), request.tokens.into());
+            let waiting = self.claims.values().map(|c| &*c.request.call.account);
+            let waiting: BTreeSet<&str> = waiting.collect();
+            self.turns.retain(|name| waiting.contains(&**name));
+        }
         self.assigned.push_back((now, call.rank.kind(), request.tokens));
     }
 }
--- a/src/entry/admit/queue.rs
+++ b/src/entry/admit/queue.rs
@@ -6,7 +6,7 @@
 
 use slotmap::{SlotMap, new_key_type};
 
-use crate::model::{Call, CallId, Class, Timestamp};
+use crate::model::{Call, CallId, Class, Timestamp, Turns};
 
 /// The maximum number of calls that wait in one pool.
 pub const MAX_QUEUED: usize = 4_096;
@@ -44,57 +44,59 @@
 /// Sort key of tenants with waiting calls: served quanta, then the latest start of the first call.
 type Rank = (u64, Timestamp, TenantKey);
 
-/// The calls of one tenant in one class.
-#[derive(Debug, Default)]
-struct Tenant {
-    calls: BTreeSet<(Timestamp, CallId)>,
-    /// Tokens of its started calls; raised to the lane's count when it starts waiting again, so
-    /// that an idle tenant gains no advantage.
-    served_tokens: u64,
-}
-
-impl Tenant {
-    fn rank(&self, key: TenantKey) -> Option<Rank> {
-        let (last, _) = self.calls.first()?;
-        Some((self.served_tokens / QUANTUM, *last, key))
-    }
-}
+/// The waiting calls of one tenant in one class.
+type Calls = BTreeSet<(Timestamp, CallId)>;
 
 /// The calls of one class.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Lane {
     names: BTreeMap<Box<str>, TenantKey>,
-    tenants: SlotMap<TenantKey, Tenant>,
+    tenants: SlotMap<TenantKey, Calls>,
     order: BTreeSet<Rank>,
-    /// The largest count of a tenant at the time one of its calls was started.
-    served_tokens: u64,
+    /// The turns of tenants, by the tokens of their started calls.
+    turns: Turns<TenantKey>,
+}
+
+impl Default for Lane {
+    fn default() -> Lane {
+        Lane {
+            names: BTreeMap::new(),
+            tenants: SlotMap::default(),
+            order: BTreeSet::new(),
+            turns: Turns::new(QUANTUM),
+        }
+    }
 }
 
 impl Lane {
+    fn rank(&self, key: TenantKey) -> Option<Rank> {
+        let (last, _) = self.tenants.get(key)?.first()?;
+        Some((self.turns.round(&key), *last, key))
+    }
+
     fn push(&mut self, ticket: &Ticket) {
         let key = self.key(&ticket.call.tenant);
-        let Some(tenant) = self.tenants.get_mut(key) else { return };
-        let before = tenant.rank(key);
+        let before = self.rank(key);
         if before.is_none() {
-            tenant.served_tokens = tenant.served_tokens.max(self.served_tokens);
+            self.turns.join(key);
         }
-        tenant.calls.insert(ticket.key());
-        let after = tenant.rank(key);
-        self.reorder(before, after);
+        if let Some(calls) = self.tenants.get_mut(key) {
+            calls.insert(ticket.key());
+        }
+        self.reorder(before, self.rank(key));
     }
 
     fn remove(&mut self, ticket: &Ticket, served: bool) {
         let Some(&key) = self.names.get(&ticket.call.tenant) else { return };
-        let Some(tenant) = self.tenants.get_mut(key) else { return };
-        let before = tenant.rank(key);
-        tenant.calls.remove(&ticket.key());
+        let before = self.rank(key);
+        if let Some(calls) = self.tenants.get_mut(key) {
+            calls.remove(&ticket.key());
+        }
         if served {
-            self.served_tokens = self.served_tokens.max(tenant.served_tokens);
-            tenant.served_tokens += u64::from(ticket.tokens);
+            self.turns.charge(key, 1, u64::from(ticket.tokens));
         }
-        let after = tenant.rank(key);
-        // A tenant that is not ahead of the others is equal to a new one.
-        if after.is_none() && tenant.served_tokens <= self.served_tokens {
+        let after = self.rank(key);
+        if after.is_none() && self.turns.leave(&key) {
             self.tenants.remove(key);
             self.names.remove(&ticket.call.tenant);
         }
@@ -105,7 +107,7 @@
         if let Some(key) = self.names.get(name) {
             return *key;
         }
-        let key = self.tenants.insert(Tenant::default());
+        let key = self.tenants.insert(Calls::new());
         self.names.insert(name.into(), key);
         key
     }
@@ -122,13 +124,13 @@
 
     fn first(&self) -> Option<(Timestamp, CallId)> {
         let (_, _, key) = self.order.first()?;
-        self.tenants.get(*key)?.calls.first().copied()
+        self.tenants.get(*key)?.first().copied()
     }
 
     /// Returns the last call of the last tenant in order.
     fn last_in_order(&self) -> Option<(Timestamp, CallId)> {
         let (_, _, key) = self.order.last()?;
-        self.tenants.get(*key)?.calls.last().copied()
+        self.tenants.get(*key)?.last().copied()
     }
 }
 
