Hold client accounts to their quotas over all gateways

Cause: quotas of client accounts were read from routing tables but had no effect.

Change: the leader of control keeps a token bucket for each account in use and grants credit to gateways; a gateway pays calls from credit that it has taken in advance, or lets them wait for one exchange with the leader, for 90 ms at most. Calls over the quota get 429 with the time at which the bucket has room for them. Without a leader for 1.5 s, each gateway uses its part of the limit by itself. Credit of calls that have not run is returned. Lines step=quota, the counter gateway_quota_total, the account in step=end, and the accounts in use in the status.

--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -250,6 +250,7 @@
             | ControlReply::Lead { .. }
             | ControlReply::PromptAssigned { .. }
             | ControlReply::RoomAssigned { .. }
+            | ControlReply::CreditsGranted(_)
             | ControlReply::EvidenceRecorded
             | ControlReply::ProbeGranted { .. }
             | ControlReply::OriginsRecorded
--- a/src/cli/tool/status.rs
+++ b/src/cli/tool/status.rs
@@ -45,6 +45,18 @@
         );
     }
     println!("causes in quarantine {}", status.quarantine.len());
+    for account in &status.accounts {
+        let units = |thousandths: u64| thousandths / 1_000;
+        println!(
+            "account {} rate {} bucket {} level {} held {} gateways {}",
+            account.account,
+            units(account.limit.rate),
+            units(account.limit.size),
+            account.level / 1_000,
+            units(account.held),
+            account.gateways
+        );
+    }
     Ok(())
 }
 
@@ -68,6 +80,7 @@
         "orders": status.orders,
         "rollouts": status.rollouts,
         "quarantine": status.quarantine.len(),
+        "accounts": status.accounts,
     })
 }
 
--- a/src/control/answers.rs
+++ b/src/control/answers.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::config::highest;
+use super::dispatch::credits::{CreditsReply, CreditsRequest, Leading};
 use super::orders::{OrderReport, OrderUpdate};
 use super::quarantine::QuarantineUpdate;
 use super::routing::{self, RoutingSeen, RoutingUpdate};
@@ -27,6 +28,9 @@
         if let Some(endpoint) = &heartbeat.endpoint {
             self.list_version(now, endpoint);
         }
+        if *heartbeat.process.role == *RoleName::Gateway.as_str() {
+            self.credits.heard(now, &heartbeat.process.name);
+        }
         self.registry.heartbeat(now, heartbeat);
         let endpoints =
             if follows { self.registry.endpoint_update(now, seen, &wants) } else { None };
@@ -53,6 +57,18 @@
         Some(Leadership { term, age: now - since, succeeds, endpoints })
     }
 
+    /// Grants credit of client accounts to a gateway, if this member leads surely.
+    pub(super) fn grant_credits(
+        &mut self,
+        now: Timestamp,
+        request: &CreditsRequest,
+    ) -> Option<CreditsReply> {
+        let (term, since) = self.replica.leads_since().filter(|_| !self.failed)?;
+        // A member that was frozen may not have noticed yet that another one leads.
+        let leads = self.replica.holds_lease(now);
+        leads.then(|| self.credits.grant(now, Leading { term, since }, request))
+    }
+
     fn routing_update(&self, seen: RoutingSeen) -> RoutingUpdate {
         let state = &self.state.routing;
         let newer = state.document().filter(|d| d.version > seen.version);
@@ -141,6 +157,7 @@
             orders: self.registry.reports().map(|(e, r)| self.order_status(e, r)).collect(),
             rollouts: self.state.orders.rollouts().flat_map(|(_, r)| r.to_vec()).collect(),
             quarantine: quarantine.map(|(cause, entry)| (*cause, entry.clone())).collect(),
+            accounts: if self.replica.is_leader() { self.credits.in_use() } else { Vec::new() },
         }
     }
 
--- /dev/null
+++ b/src/control/dispatch/credits.rs
@@ -0,0 +1,376 @@
+//! Credit that the leader grants to gateways for requests of client accounts with a quota.
+//!
+//! Made for accounts whose callers use any number of gateways unevenly: one bucket for each account
+//! at the leader, so that the limit holds over all gateways and is usable at one of them. Gateways
+//! hold credit in advance for a short time. The level of a bucket and the credit that gateways hold
+//! never exceed the size of the bucket together, so in each window of W seconds gateways use at most
+//! `rate` x W + `size`.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+pub use super::bucket::AccountLimit;
+use super::bucket::{TokenBucket, signed, unsigned};
+use crate::model::{BootId, Timestamp};
+
+/// How long a gateway may use credit after it has sent the request for it.
+pub const CREDIT_TTL: Duration = Duration::from_millis(1_000);
+/// How long credit for a waiting call may be unused: a gateway drops later replies.
+pub const PAID_TTL: Duration = Duration::from_millis(250);
+/// How long the previous leader may still have granted credit after this one began to lead: the lease
+/// of a leader less the shortest time without one before an election, and the way of an answer.
+const OVERLAP: Duration = Duration::from_millis(500);
+/// How long credit of the previous leader may still be held after this one began to lead.
+const SETTLE_TIME: Duration = Duration::from_millis(1_600);
+/// After which time without a heartbeat a gateway may use its part of the limits by itself soon.
+const HEARD_TIME: Duration = Duration::from_millis(1_200);
+/// How long the part of a gateway that is not heard is kept for it.
+const KEPT_TIME: Duration = Duration::from_secs(10);
+/// How long an account without requests is remembered.
+const RETENTION: Duration = Duration::from_secs(60);
+/// The part of a bucket that gateways may hold in advance, all together.
+const AHEAD_DIVISOR: u64 = 2;
+/// The part of a bucket that credit in advance leaves for calls that wait.
+const RESERVE_DIVISOR: u64 = 4;
+
+/// A gateway's request for credit.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CreditsRequest {
+    /// Identifies the start of the gateway.
+    pub owner: BootId,
+    /// The number of the request among those of the gateway; an older one is not answered.
+    pub number: u64,
+    /// The accounts that it is for.
+    pub accounts: Vec<AccountRequest>,
+}
+
+/// A request for credit of one account, in thousandths of a unit.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct AccountRequest {
+    /// The name of the account.
+    pub account: Box<str>,
+    /// The limit by the routing table of the gateway.
+    pub limit: AccountLimit,
+    /// The credit that the gateway still holds.
+    pub held: u64,
+    /// The costs of the calls that wait.
+    pub needed: Vec<u64>,
+    /// The credit wanted in advance.
+    pub ahead: u64,
+    /// The credit of calls that have not run.
+    pub returned: u64,
+    /// The stamp of the reply that granted the returned credit.
+    pub stamp: Timestamp,
+    /// What the gateway has used above its part of the limit while there was no leader.
+    pub debt: u64,
+}
+
+/// The credit that is granted to a gateway.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct CreditsReply {
+    /// When it was granted, by the clock of the leader.
+    pub stamp: Timestamp,
+    /// The grants, in the order of the accounts of the request.
+    pub grants: Vec<AccountGrant>,
+}
+
+/// The credit of one account that is granted to a gateway.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AccountGrant {
+    /// The name of the account.
+    pub account: Box<str>,
+    /// Whether each call that waits has got its credit.
+    pub paid: Vec<bool>,
+    /// The credit granted in advance.
+    pub ahead: u64,
+    /// The level of the bucket after that.
+    pub level: i64,
+}
+
+/// The use of an account as operators see it, in thousandths of a unit.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AccountUse {
+    /// The name of the account.
+    pub account: Box<str>,
+    /// Its limit.
+    pub limit: AccountLimit,
+    /// The level of its bucket.
+    pub level: i64,
+    /// The credit that gateways hold.
+    pub held: u64,
+    /// The number of gateways that hold some.
+    pub gateways: u32,
+}
+
+/// Since when a member leads.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Leading {
+    /// Its term.
+    pub term: u64,
+    /// When the term began.
+    pub since: Timestamp,
+}
+
+/// Credit that a gateway may hold.
+#[derive(Debug, Clone, Copy, Default)]
+struct Holding {
+    ahead: u64,
+    ahead_until: Timestamp,
+    /// Credit of calls that were waiting, until it has surely been used.
+    paid: u64,
+    paid_until: Timestamp,
+}
+
+impl Holding {
+    fn expire(&mut self, now: Timestamp) {
+        if self.ahead_until <= now {
+            self.ahead = 0;
+        }
+        if self.paid_until <= now {
+            self.paid = 0;
+        }
+    }
+
+    fn total(&self) -> u64 {
+        self.ahead + self.paid
+    }
+}
+
+/// The bucket of an account and the credit of it that gateways hold.
+#[derive(Debug)]
+struct Account {
+    limit: AccountLimit,
+    bucket: TokenBucket,
+    holdings: BTreeMap<BootId, Holding>,
+    /// The highest sums of level and held credit since a time, by time, falling.
+    peaks: VecDeque<(Timestamp, i64)>,
+    used: Timestamp,
+}
+
+impl Account {
+    fn new(leading: Leading, limit: AccountLimit) -> Account {
+        let overlap = u128::from(limit.rate) * OVERLAP.as_millis() / 1_000;
+        let level = -i64::try_from(overlap).unwrap_or(i64::MAX);
+        let bucket = TokenBucket::new(leading.since, level);
+        let holdings = BTreeMap::new();
+        Account { limit, bucket, holdings, peaks: VecDeque::new(), used: leading.since }
+    }
+
+    fn held(&self) -> u64 {
+        self.holdings.values().map(Holding::total).sum()
+    }
+
+    fn sum(&self) -> i64 {
+        self.bucket.level.saturating_add(signed(self.held()))
+    }
+
+    /// Returns the highest level beside the held credit. Credit of the previous leader may be held
+    /// for a while.
+    fn cap(&self, now: Timestamp, leading: Leading) -> i64 {
+        let settles = now < leading.since + SETTLE_TIME;
+        let unknown = if settles { self.limit.size / AHEAD_DIVISOR } else { 0 };
+        signed(self.limit.size - unknown).saturating_sub(signed(self.held()))
+    }
+
+    /// Refills the bucket with a rate, and removes credit that can't be used any more.
+    fn refresh(&mut self, now: Timestamp, leading: Leading, rate: u64) {
+        self.bucket.refill(now, rate, self.cap(now, leading));
+        let sum = self.sum();
+        while self.peaks.back().is_some_and(|(_, peak)| *peak <= sum) {
+            self.peaks.pop_back();
+        }
+        self.peaks.push_back((now, sum));
+        while self.peaks.front().is_some_and(|(at, _)| now - *at > CREDIT_TTL) {
+            self.peaks.pop_front();
+        }
+        self.holdings.retain(|_, holding| {
+            holding.expire(now);
+            holding.total() > 0
+        });
+    }
+
+    /// Returns how much of the credit that was granted at a time may be granted again: what a bucket
+    /// that had never granted it would have kept, since a full bucket loses what is added.
+    fn returnable(&self, now: Timestamp, stamp: Timestamp, amount: u64) -> u64 {
+        if now - stamp > CREDIT_TTL {
+            return 0;
+        }
+        let since = self.peaks.iter().filter(|(at, _)| *at > stamp && *at < now);
+        let peak = since.map(|(_, sum)| *sum).fold(self.sum(), i64::max);
+        amount.min(unsigned(signed(self.limit.size).saturating_sub(peak)))
+    }
+
+    fn grant(
+        &mut self,
+        now: Timestamp,
+        leading: Leading,
+        owner: BootId,
+        request: &AccountRequest,
+    ) -> AccountGrant {
+        self.used = now;
+        if request.limit.version > self.limit.version {
+            self.limit = request.limit;
+        }
+        let mut own =
+            Holding { ahead: request.held, ahead_until: now + CREDIT_TTL, ..<_>::default() };
+        self.holdings.insert(owner, own);
+        self.bucket.level = self.bucket.level.min(self.cap(now, leading));
+        if request.stamp >= leading.since {
+            let returned = self.returnable(now, request.stamp, request.returned);
+            self.bucket.level += signed(returned);
+        }
+        self.bucket.take(request.debt);
+        let paid: Vec<bool> = request.needed.iter().map(|cost| self.pay(*cost, &mut own)).collect();
+        own.paid_until = now + PAID_TTL;
+        let ahead = request.ahead.min(self.spare());
+        self.bucket.take(ahead);
+        own.ahead += ahead;
+        self.holdings.insert(owner, own);
+        AccountGrant { account: request.account.clone(), paid, ahead, level: self.bucket.level }
+    }
+
+    fn pay(&mut self, cost: u64, own: &mut Holding) -> bool {
+        let covered = signed(cost) <= self.bucket.level;
+        if covered {
+            self.bucket.take(cost);
+            own.paid += cost;
+        }
+        covered
+    }
+
+    /// Returns how much may be granted in advance.
+    fn spare(&self) -> u64 {
+        let size = self.limit.size;
+        let level = unsigned(self.bucket.level.saturating_sub(signed(size / RESERVE_DIVISOR)));
+        let ahead = self.holdings.values().map(|holding| holding.ahead).sum();
+        level.min((size / AHEAD_DIVISOR).saturating_sub(ahead))
+    }
+}
+
+/// The credit of all accounts with a quota; soft state of the leader.
+///
+/// ```
+/// use std::time::Duration;
+/// use dotterelpin::control::dispatch::credits::{
+///     AccountLimit, AccountRequest, Credits, CreditsRequest, Leading,
+/// };
+/// use dotterelpin::model::{BootId, Timestamp};
+///
+/// let leading = Leading { term: 1, since: Timestamp::from_micros(1) };
+/// let now = leading.since + Duration::from_secs(10);
+/// let limit = AccountLimit { version: 1, rate: 1_000, size: 2_000 };
+/// let needed = vec![1_500, 700, 300];
+/// let account = AccountRequest { account: "city".into(), limit, needed, ..<_>::default() };
+/// let request = CreditsRequest { owner: BootId(1), number: 1, accounts: vec![account] };
+/// let reply = Credits::default().grant(now, leading, &request);
+/// assert_eq!(reply.grants[0].paid, [true, false, true]);
+/// ```
+#[derive(Debug, Default)]
+pub struct Credits {
+    leading: Leading,
+    accounts: BTreeMap<Box<str>, Account>,
+    /// When each gateway was heard last.
+    gateways: BTreeMap<Box<str>, Timestamp>,
+    /// The last request of each gateway, and when it was received.
+    numbers: BTreeMap<BootId, (u64, Timestamp)>,
+    /// When state that is no longer needed is removed next.
+    next_expiry: Timestamp,
+}
+
+impl Credits {
+    /// Records a heartbeat of a gateway.
+    pub fn heard(&mut self, now: Timestamp, gateway: &str) {
+        match self.gateways.get_mut(gateway) {
+            Some(at) => *at = now,
+            None => {
+                self.gateways.insert(gateway.into(), now);
+            }
+        }
+    }
+
+    /// Grants credit; nothing for a request that was overtaken by a later one.
+    pub fn grant(
+        &mut self,
+        now: Timestamp,
+        leading: Leading,
+        request: &CreditsRequest,
+    ) -> CreditsReply {
+        if self.leading != leading {
+            self.leading = leading;
+            self.accounts.clear();
+        }
+        self.expire(now);
+        let last = self.numbers.entry(request.owner).or_default();
+        if request.number <= last.0 {
+            return CreditsReply { stamp: now, grants: Vec::new() };
+        }
+        *last = (request.number, now);
+        let part = self.heard_part(now);
+        let grants =
+            request.accounts.iter().map(|r| self.grant_account(now, part, request.owner, r));
+        CreditsReply { stamp: now, grants: grants.collect() }
+    }
+
+    fn grant_account(
+        &mut self,
+        now: Timestamp,
+        (heard, all): (u64, u64),
+        owner: BootId,
+        request: &AccountRequest,
+    ) -> AccountGrant {
+        let leading = self.leading;
+        if !self.accounts.contains_key(&request.account) {
+            let account = Account::new(leading, request.limit);
+            self.accounts.insert(request.account.clone(), account);
+        }
+        let Some(account) = self.accounts.get_mut(&request.account) else {
+            let (account, paid) = (request.account.clone(), Vec::new());
+            return AccountGrant { account, paid, ahead: 0, level: 0 };
+        };
+        let rate = u128::from(account.limit.rate) * u128::from(heard) / u128::from(all);
+        account.refresh(now, leading, u64::try_from(rate).unwrap_or(u64::MAX));
+        account.grant(now, leading, owner, request)
+    }
+
+    /// Returns how many of the known gateways are heard, and how many are known. Those that are not
+    /// heard may use their parts of the limits by themselves.
+    fn heard_part(&self, now: Timestamp) -> (u64, u64) {
+        let heard = self.gateways.values().filter(|at| now - **at < HEARD_TIME).count() as u64;
+        match self.gateways.len() as u64 {
+            0 => (1, 1),
+            all => (heard.max(1), all),
+        }
+    }
+
+    fn expire(&mut self, now: Timestamp) {
+        if now < self.next_expiry {
+            return;
+        }
+        self.next_expiry = now + CREDIT_TTL;
+        self.gateways.retain(|_, at| now - *at < KEPT_TIME);
+        self.numbers.retain(|_, (_, at)| now - *at < RETENTION);
+        let leading = self.leading;
+        self.accounts.retain(|_, account| {
+            if now - account.used < RETENTION {
+                return true;
+            }
+            // A bucket that is made anew may be full, so only full ones are removed.
+            account.refresh(now, leading, account.limit.rate);
+            account.bucket.level < account.cap(now, leading)
+        });
+    }
+
+    /// Returns the accounts in use, for operators.
+    pub fn in_use(&self) -> Vec<AccountUse> {
+        let entry = |(name, account): (&str, &Account)| AccountUse {
+            account: name.into(),
+            limit: account.limit,
+            level: account.bucket.level,
+            held: account.held(),
+            gateways: account.holdings.len() as u32,
+        };
+        self.accounts.iter().map(|(name, account)| entry((name, account))).collect()
+    }
+}
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -3,6 +3,8 @@
 //! In the names of this module and of its messages, "room" is free capacity at a decode endpoint,
 //! and "prompt" is a prefill at a prefill endpoint.
 
+pub mod bucket;
+pub mod credits;
 pub mod prompts;
 pub mod rooms;
 
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -23,6 +23,7 @@
 use std::time::Duration;
 
 use config::{Change, Revised, schema_of};
+use dispatch::credits::Credits;
 use dispatch::prompts::Prompts;
 use dispatch::rooms::Rooms;
 use origins::Origins;
@@ -111,6 +112,7 @@
     peers: Peers,
     prompts: Prompts,
     rooms: Rooms,
+    credits: Credits,
     origins: Origins,
     /// When the recorded versions are compared next with what was heard.
     next_review: Timestamp,
@@ -144,6 +146,7 @@
             peers: Peers::default(),
             prompts: Prompts::default(),
             rooms: Rooms::default(),
+            credits: Credits::default(),
             origins: Origins::default(),
             next_review: Timestamp::default(),
             processes: Processes::default(),
@@ -222,6 +225,10 @@
                 self.rooms.count(now, owner, &runs);
                 vec![self.reply(inbound, ControlReply::Announced)]
             }
+            ControlRequest::Credits(request) => match self.grant_credits(now, &request) {
+                Some(reply) => vec![self.reply(inbound, ControlReply::CreditsGranted(reply))],
+                None => vec![self.not_leader(inbound)],
+            },
             ControlRequest::AssignPrompt(request) => {
                 if !self.replica.is_leader() {
                     return vec![self.not_leader(inbound)];
--- a/src/control/replica/election.rs
+++ b/src/control/replica/election.rs
@@ -211,6 +211,12 @@
         self.send_all(now);
     }
 
+    /// Returns whether this replica leads and no other one can have replaced it unnoticed for longer
+    /// than its lease lasts.
+    pub fn holds_lease(&self, now: Timestamp) -> bool {
+        self.is_leader() && !self.lease_is_lost(now)
+    }
+
     /// Returns whether fewer voters than a majority have replied within the lease.
     fn lease_is_lost(&self, now: Timestamp) -> bool {
         let Role::Leader { progress, since } = &self.role else { return false };
--- /dev/null
+++ b/src/gateway/admit/local.rs
@@ -0,0 +1,258 @@
+//! The credit of one client account at a gateway.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::demand::Demand;
+use super::quota::{Charge, Decision, is_paid};
+use crate::control::dispatch::bucket::{AccountLimit, TokenBucket, signed, time_to_room, unsigned};
+use crate::control::dispatch::credits::{AccountGrant, AccountRequest, CREDIT_TTL};
+use crate::model::Timestamp;
+
+/// How long before it expires credit is renewed.
+const RENEW_TIME: Duration = Duration::from_millis(300);
+/// The maximum number of waiting calls of an account in one request.
+const MAX_CALLS: usize = 256;
+
+/// A call that waits for credit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Wait<K> {
+    /// Identifies the call.
+    pub key: K,
+    /// What it costs.
+    pub cost: u64,
+}
+
+/// The credit of one account, and the calls that wait for it.
+#[derive(Debug)]
+pub struct Local<K> {
+    /// The limit by the newest table.
+    pub limit: AccountLimit,
+    /// How much is needed soon.
+    pub demand: Demand,
+    /// The calls that wait.
+    pub waiting: VecDeque<Wait<K>>,
+    /// The credit taken in advance.
+    credit: u64,
+    /// When the request for it was sent.
+    sent: Timestamp,
+    /// The stamp of the last reply of the leader.
+    stamp: Timestamp,
+    /// Credit of calls that have not run.
+    returned: u64,
+    /// The oldest stamp of that credit.
+    returned_stamp: Timestamp,
+    /// The bucket that the gateway uses by itself without a leader.
+    alone: Option<TokenBucket>,
+    /// The level that the leader has told last, and what was promised to refused callers since.
+    room: TokenBucket,
+}
+
+impl<K: Copy + PartialEq> Local<K> {
+    /// Creates an account without credit.
+    pub fn new(limit: AccountLimit) -> Local<K> {
+        Local {
+            limit,
+            demand: Demand::default(),
+            waiting: VecDeque::new(),
+            credit: 0,
+            sent: Timestamp::default(),
+            stamp: Timestamp::default(),
+            returned: 0,
+            returned_stamp: Timestamp::MAX,
+            alone: None,
+            room: TokenBucket::new(Timestamp::default(), 0),
+        }
+    }
+
+    /// Applies a newer limit; a lower one cuts the credit in proportion.
+    pub fn set_limit(&mut self, limit: AccountLimit) {
+        if limit.version <= self.limit.version {
+            return;
+        }
+        let before = std::mem::replace(&mut self.limit, limit);
+        if limit.size < before.size {
+            let part = |amount: u64| {
+                let part = u128::from(amount) * u128::from(limit.size) / u128::from(before.size);
+                u64::try_from(part).unwrap_or(amount)
+            };
+            self.credit = part(self.credit);
+            self.returned = part(self.returned);
+        }
+    }
+
+    fn expire(&mut self, now: Timestamp) {
+        if self.sent + CREDIT_TTL <= now {
+            self.credit = 0;
+        }
+    }
+
+    /// Returns the credit, and for how long it may be used.
+    pub fn held(&self, now: Timestamp) -> (u64, Duration) {
+        let left = self.sent + CREDIT_TTL - now;
+        (if left.is_zero() { 0 } else { self.credit }, left)
+    }
+
+    /// Takes credit that was granted in advance.
+    pub fn spend(&mut self, now: Timestamp, cost: u64) -> Option<Charge> {
+        self.expire(now);
+        if self.credit < cost {
+            return None;
+        }
+        self.credit -= cost;
+        Some(Charge { amount: cost, stamp: Some(self.stamp) })
+    }
+
+    /// Takes credit of the gateway's own part of the limit, which it uses since a time. The level may
+    /// go below zero by one request, since a part may be smaller than a request.
+    pub fn spend_alone(
+        &mut self,
+        now: Timestamp,
+        since: Option<Timestamp>,
+        gateways: u32,
+        cost: u64,
+    ) -> Decision {
+        let part = self.limit.part(gateways);
+        let bucket = self.alone.get_or_insert(TokenBucket::new(since.unwrap_or(now), 0));
+        bucket.refill(now, part.rate, signed(part.size));
+        if bucket.level <= 0 {
+            return Decision::Refused(time_to_room(bucket.level, cost, part.rate));
+        }
+        bucket.take(cost);
+        Decision::Paid(Charge { amount: cost, stamp: None })
+    }
+
+    /// Returns whether credit is to be taken in advance.
+    pub fn is_low(&mut self, now: Timestamp, gateways: u32) -> bool {
+        self.expire(now);
+        self.credit < self.demand.wanted(now, &self.limit, gateways).div_ceil(2)
+    }
+
+    /// Returns whether credit is to be taken in advance, or to be returned.
+    pub fn has_business(&mut self, now: Timestamp, gateways: u32) -> bool {
+        self.returned > 0 || self.is_low(now, gateways)
+    }
+
+    /// Returns the request for this account, if it needs anything.
+    pub fn request(&mut self, now: Timestamp, name: &str, gateways: u32) -> Option<AccountRequest> {
+        self.expire(now);
+        let wanted = self.demand.wanted(now, &self.limit, gateways);
+        let low = self.credit < wanted.div_ceil(2);
+        let renews = wanted > 0 && self.credit > 0 && now + RENEW_TIME >= self.sent + CREDIT_TTL;
+        let debt = self.alone.map_or(0, |bucket| unsigned(bucket.level.saturating_neg()));
+        if self.waiting.is_empty() && !low && !renews && self.returned == 0 && debt == 0 {
+            return None;
+        }
+        let stamp = std::mem::replace(&mut self.returned_stamp, Timestamp::MAX);
+        Some(AccountRequest {
+            account: name.into(),
+            limit: self.limit,
+            held: self.credit,
+            needed: self.waiting.iter().take(MAX_CALLS).map(|wait| wait.cost).collect(),
+            ahead: wanted.saturating_sub(self.credit),
+            returned: std::mem::take(&mut self.returned),
+            stamp,
+            debt,
+        })
+    }
+
+    /// Returns the waiting calls that the next request names.
+    pub fn first_waiting(&self) -> Vec<Wait<K>> {
+        self.waiting.iter().take(MAX_CALLS).copied().collect()
+    }
+
+    /// Applies a grant; `named` are the calls that the request named.
+    pub fn granted(
+        &mut self,
+        now: Timestamp,
+        sent: Timestamp,
+        stamp: Timestamp,
+        grant: &AccountGrant,
+        named: &[Wait<K>],
+    ) -> Vec<(K, Decision)> {
+        self.expire(now);
+        self.alone = None;
+        self.credit += grant.ahead;
+        self.sent = sent;
+        self.stamp = stamp;
+        self.room = TokenBucket::new(now, grant.level);
+        let mut decided = Vec::new();
+        for (index, wait) in named.iter().enumerate() {
+            let paid = is_paid(grant, index);
+            let charge = Charge { amount: wait.cost, stamp: Some(stamp) };
+            let waits = self.waiting.contains(wait);
+            self.forget(wait.key);
+            match (waits, paid) {
+                (true, true) => decided.push((wait.key, Decision::Paid(charge))),
+                (true, false) => {
+                    let after = self.time_to_room(now, wait.cost);
+                    decided.push((wait.key, Decision::Refused(after)));
+                }
+                (false, true) => {
+                    self.give_back(charge);
+                }
+                (false, false) => {}
+            }
+        }
+        decided
+    }
+
+    /// Returns after which time the bucket has room for a refused call, after those that were
+    /// refused before.
+    pub fn time_to_room(&mut self, now: Timestamp, cost: u64) -> Duration {
+        self.room.refill(now, self.limit.rate, signed(self.limit.size));
+        let after = time_to_room(self.room.level, cost, self.limit.rate);
+        self.room.take(cost);
+        after
+    }
+
+    /// Returns the level that the leader has told last, less what was promised since.
+    pub fn level(&self) -> i64 {
+        self.room.level
+    }
+
+    /// Forgets a call that waits.
+    pub fn forget(&mut self, key: K) {
+        self.waiting.retain(|wait| wait.key != key);
+    }
+
+    /// Takes back the credit of a call that has not run; returns whether it goes to the leader.
+    pub fn give_back(&mut self, charge: Charge) -> bool {
+        match (charge.stamp, &mut self.alone) {
+            // The leader takes back none that was granted so long ago.
+            (Some(stamp), _) if self.stamp - stamp > CREDIT_TTL => false,
+            (Some(stamp), _) => {
+                self.returned += charge.amount;
+                self.returned_stamp = self.returned_stamp.min(stamp);
+                true
+            }
+            (None, Some(bucket)) => {
+                bucket.level = bucket.level.saturating_add(signed(charge.amount));
+                false
+            }
+            (None, None) => false,
+        }
+    }
+
+    /// Returns when the credit is to be renewed, unless none is wanted.
+    pub fn renewal(&mut self, now: Timestamp, gateways: u32) -> Option<Timestamp> {
+        let wanted = self.credit > 0 && self.demand.wanted(now, &self.limit, gateways) > 0;
+        wanted.then_some(self.sent + (CREDIT_TTL - RENEW_TIME))
+    }
+
+    /// Forgets the gateway's own part of the limit; what was used above it is kept for the leader.
+    pub fn end_alone(&mut self) {
+        self.alone = self.alone.filter(|bucket| bucket.level < 0);
+    }
+
+    /// Returns whether nothing is known of it that matters any more.
+    pub fn is_idle(&mut self, now: Timestamp, gateways: u32) -> bool {
+        self.expire(now);
+        let quiet = self.demand.wanted(now, &self.limit, gateways) == 0;
+        quiet
+            && self.credit == 0
+            && self.waiting.is_empty()
+            && self.returned == 0
+            && self.alone.is_none()
+    }
+}
--- a/src/gateway/admit/mod.rs
+++ b/src/gateway/admit/mod.rs
@@ -1,6 +1,11 @@
 //! Admission of calls: they start, wait in the queue of their service, or are refused at once.
 
 mod accounts;
+pub(super) mod charge;
+pub mod demand;
+mod lines;
+mod local;
+pub mod quota;
 
 use std::time::Duration;
 
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -29,6 +29,9 @@
 const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
 /// The same for what is only suspected: a probe shows soon whether it is sound.
 const SUSPECT_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// The retry time for requests that are larger than the quota of their client account: only a new
+/// routing table can allow them.
+const LARGE_RETRY_AFTER: Duration = Duration::from_secs(60);
 /// Statuses that promise that a call has not run. An endpoint's answer with one of them is not
 /// passed on; the caller gets the gateway's own refusal.
 pub(super) const NOT_RUN_STATUSES: [u16; 4] = [408, MISDIRECTED, 429, 503];
@@ -106,6 +109,15 @@
     refusal(503, "not run: all endpoints are busy", Some(retry_after))
 }
 
+pub(super) fn over_quota(retry_after: Duration) -> RefusalInfo {
+    refusal(429, "not run: the quota of the client account is used up", Some(retry_after))
+}
+
+pub(super) fn over_burst() -> RefusalInfo {
+    let text = "not run: the quota of the client account never allows a request as large as this";
+    refusal(429, text, Some(LARGE_RETRY_AFTER))
+}
+
 pub(super) fn out_of_time() -> RefusalInfo {
     refusal(503, "not run: it could not start in time", Some(CAPACITY_RETRY_AFTER))
 }
@@ -184,6 +196,9 @@
         }
         let untrue = call.may_have_run && NOT_RUN_STATUSES.contains(&info.status);
         let info = if untrue { failed() } else { info };
+        if NOT_RUN_STATUSES.contains(&info.status) {
+            self.give_back_credit(now, &call);
+        }
         let keep = self.keeps_alive(&call.request);
         let bytes = self.protocol.write_refusal(Some(&call.info.id), &info, keep);
         self.effect(HttpEffect::Reply { caller, bytes });
@@ -232,7 +247,7 @@
         let route = call.route().map_or("", |r| &r.name);
         log::info!(
             "step=end id={} route={route} service={} outcome=\"{outcome}\" status={status} ms={} \
-             first_ms={} gap_ms={} events={} sends={} prefills={} table={}{}{}",
+             first_ms={} gap_ms={} events={} sends={} prefills={} table={}{}{}{}",
             call.info.id,
             call.service,
             total.as_millis(),
@@ -243,6 +258,7 @@
             call.prefills,
             call.table.version(),
             why.map_or_else(String::new, |why| format!(" why=\"{}\"", why.text())),
+            call.account().map_or_else(String::new, |a| format!(" account=\"{}\"", a.name)),
             self.stopping_text(now),
         );
         let end = GatewayEnd { route: route.into(), status, first, total };
--- a/src/gateway/assign.rs
+++ b/src/gateway/assign.rs
@@ -257,7 +257,7 @@
         exchange: ExchangeId,
         reply: &ControlReply,
     ) {
-        if self.outbox.acknowledged(exchange) {
+        if self.outbox.acknowledged(exchange) || self.credit_answered(now, exchange, Some(reply)) {
             return;
         }
         let accepted = !matches!(reply, ControlReply::NotLeader { .. });
@@ -340,6 +340,9 @@
         if self.runs_reported(exchange, false) || self.outbox.failed(now, exchange) {
             return;
         }
+        if self.credit_answered(now, exchange, None) {
+            return;
+        }
         if self.probe_answered(now, exchange, false) {
             return;
         }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::admit::quota::Charge;
 use super::assign::Assigned;
 use super::credit::Credit;
 use super::events::EventSplitter;
@@ -102,6 +103,8 @@
     Waiting,
     /// It holds a suspect, and the leader is asked whether it may run as a probe.
     Probe,
+    /// Its client account has too little credit here, and the leader is asked for more.
+    Credit,
     /// It resumes a stream, and control members are asked which software version has begun that.
     Origin(OriginRequest),
     /// A reservation request to a decode endpoint is open.
@@ -203,6 +206,8 @@
     pub route: RouteKey,
     /// The client account that it belongs to, in that table.
     pub account: Option<AccountKey>,
+    /// The credit of that account that it has used.
+    pub charge: Option<Charge>,
     /// The name of the service that was chosen for it.
     pub service: Box<str>,
     /// When it was received.
@@ -328,6 +333,7 @@
         match &mut self.stage {
             Stage::Waiting
             | Stage::Probe
+            | Stage::Credit
             | Stage::Origin(_)
             | Stage::Room { .. }
             | Stage::Hold { .. }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,7 +3,7 @@
 //! Unlike the entry, it does not interpret the contents of calls and answers, and it connects to
 //! endpoints directly, without agents. All protocol details are behind [`protocol::CallProtocol`].
 
-mod admit;
+pub mod admit;
 mod answer;
 mod assign;
 mod blocked;
@@ -57,6 +57,7 @@
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use admit::charge::Charging;
 use blocked::Blocked;
 use budget::{Budget, BudgetTerms};
 use call::Call;
@@ -145,6 +146,8 @@
     capacity_backoff: BTreeMap<BackoffKey, Timestamp>,
     /// Until when no request is sent to the leader, because it did not answer the last one.
     leader_backoff: Timestamp,
+    /// The credit of client accounts with a quota.
+    charging: Charging,
     /// Endpoints that may have crashed a moment ago.
     crashes: Crashes,
     /// What is refused because it crashes endpoints.
@@ -175,7 +178,8 @@
     pub fn new(settings: GatewaySettings, protocol: Box<dyn CallProtocol>) -> Gateway {
         let follower = Follower::new(settings.follower.clone());
         let shutdown = Shutdown::new(stopping::terms(settings.grace));
-        let rng = Pcg64Mcg::seed_from_u64(settings.follower.boot.0);
+        let boot = settings.follower.boot;
+        let rng = Pcg64Mcg::seed_from_u64(boot.0);
         Gateway {
             tables: protocol.tables(),
             protocol,
@@ -202,6 +206,7 @@
             recount: Recount::default(),
             capacity_backoff: BTreeMap::new(),
             leader_backoff: Timestamp::default(),
+            charging: Charging::new(boot),
             crashes: Crashes::default(),
             blocked: Blocked::default(),
             outbox: Outbox::default(),
@@ -282,17 +287,6 @@
         self.schedule(caller);
     }
 
-    /// Sets the timer of a call to its next deadline.
-    fn schedule(&mut self, caller: CallerId) {
-        let Some(call) = self.calls.get_mut(&caller) else { return };
-        let at = timers::next_timer(call);
-        if call.timer != at {
-            self.timers.remove(&(call.timer, caller));
-            call.timer = at;
-            self.timers.insert((at, caller));
-        }
-    }
-
     fn wake(&mut self, now: Timestamp) {
         self.follow(now);
         while let Some((at, caller)) = self.timers.first().copied()
@@ -305,6 +299,7 @@
             self.on_timer(now, caller);
             self.schedule(caller);
         }
+        self.advance_quotas(now);
         self.send_origins(now);
         self.report_crashes(now);
         self.send_evidence(now);
@@ -367,6 +362,7 @@
             Input::Shutdown { since } => self.shutdown_requested(now, since),
         }
         self.admit_early(now);
+        self.request_credit(now);
         if self.capacity_freed {
             self.start_queued(now);
         }
@@ -390,9 +386,13 @@
         let control = self.follower.next_wake();
         let late = self.late_answers.next_due();
         let early = self.early.next_expiry();
-        [early, late, call, queue, start, record, crash, evidence, shutdown, cleanup, control]
-            .into_iter()
-            .flatten()
-            .min()
+        let credit = self.charging.quotas.next_wake();
+        [
+            credit, early, late, call, queue, start, record, crash, evidence, shutdown, cleanup,
+            control,
+        ]
+        .into_iter()
+        .flatten()
+        .min()
     }
 }
--- a/src/gateway/open_calls.rs
+++ b/src/gateway/open_calls.rs
@@ -52,6 +52,7 @@
     match &call.stage {
         Stage::Waiting => "queue",
         Stage::Probe => "probe",
+        Stage::Credit => "credit",
         Stage::Origin(_) => "origin",
         Stage::Hold { .. } => "reservation",
         Stage::Room { .. } => "room",
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -86,6 +86,7 @@
             }
             // What the leader grants after that is kept for the next call.
             Stage::Probe => {}
+            Stage::Credit => self.forget_wait(caller),
             Stage::Origin(request) => self.abandon_requests(&request.open),
             Stage::Room { exchange } => self.abandon_request(exchange),
             Stage::Assign { exchange, decode } => {
@@ -132,6 +133,9 @@
         }
         self.stop_work(now, caller);
         let Some(call) = self.remove(now, caller) else { return };
+        if !call.sent {
+            self.give_back_credit(now, &call);
+        }
         log::info!(
             "step=end id={} route={} outcome=caller-gone ms={} events={}{}",
             call.info.id,
@@ -202,6 +206,7 @@
         let (attempt, prefill, handoff) = match stage {
             Stage::Waiting
             | Stage::Probe
+            | Stage::Credit
             | Stage::Origin(_)
             | Stage::Room { .. }
             | Stage::Hold { .. }
--- a/src/gateway/reason.rs
+++ b/src/gateway/reason.rs
@@ -27,6 +27,8 @@
     Quarantined,
     /// The endpoint that was chosen for it is gone, or its service has none.
     NoEndpoint,
+    /// The quota of its client account is used up, or never allows it.
+    OverQuota,
     /// It can't end before this process does.
     ShuttingDown,
 }
@@ -47,6 +49,7 @@
             EndReason::BackingOff => "all endpoints back off",
             EndReason::Quarantined => "quarantined",
             EndReason::NoEndpoint => "no endpoint",
+            EndReason::OverQuota => "over the quota",
             EndReason::ShuttingDown => "shutting down",
         }
     }
--- a/src/gateway/receive.rs
+++ b/src/gateway/receive.rs
@@ -74,6 +74,7 @@
             table: table.clone(),
             route: key,
             account,
+            charge: None,
             service,
             arrived,
             late,
@@ -105,8 +106,16 @@
         }
     }
 
-    /// Counts a call for the retry budget and admits it.
+    /// Takes the credit for a call, counts it for the retry budget, and admits it; a call of an
+    /// account with too little credit waits or is refused.
     pub(super) fn admit_counted(&mut self, now: Timestamp, caller: CallerId) {
+        if self.take_credit(now, caller) {
+            self.admit_paid(now, caller);
+        }
+    }
+
+    /// Counts a call for the retry budget and admits it.
+    pub(super) fn admit_paid(&mut self, now: Timestamp, caller: CallerId) {
         let Some(service) = self.calls.get(&caller).map(|c| c.service.clone()) else { return };
         let terms = self.settings.budget;
         let started = self.started.unwrap_or(now);
--- a/src/gateway/recount.rs
+++ b/src/gateway/recount.rs
@@ -86,7 +86,9 @@
 fn decode(call: &Call) -> Option<(EndpointKey, Usage)> {
     call.info.work.as_ref()?;
     match &call.stage {
-        Stage::Waiting | Stage::Probe | Stage::Origin(_) | Stage::Room { .. } => None,
+        Stage::Waiting | Stage::Probe | Stage::Credit | Stage::Origin(_) | Stage::Room { .. } => {
+            None
+        }
         Stage::Hold { decode, .. }
         | Stage::Assign { decode, .. }
         | Stage::Prefill { decode, .. } => Some((decode.endpoint, decode.usage)),
--- a/src/gateway/retry.rs
+++ b/src/gateway/retry.rs
@@ -77,6 +77,7 @@
             Stage::Run { attempt, .. } => (attempt.endpoint, false),
             Stage::Waiting
             | Stage::Probe
+            | Stage::Credit
             | Stage::Origin(_)
             | Stage::Room { .. }
             | Stage::Hold { .. }
--- a/src/gateway/silence.rs
+++ b/src/gateway/silence.rs
@@ -73,6 +73,7 @@
             Stage::Run { attempt, .. } => ("run", attempt),
             Stage::Waiting
             | Stage::Probe
+            | Stage::Credit
             | Stage::Origin(_)
             | Stage::Room { .. }
             | Stage::Hold { .. }
--- a/src/gateway/stopping.rs
+++ b/src/gateway/stopping.rs
@@ -82,12 +82,13 @@
         times.or_default().ended(now - call.arrived);
     }
 
-    /// Refuses the queued calls that can't end before this gateway does.
+    /// Refuses the queued calls, and those that wait for credit, that can't end before this gateway does.
     pub(super) fn refuse_queued(&mut self, now: Timestamp) {
         if !self.shutdown.is_requested() {
             return;
         }
-        let queued = self.calls.iter().filter(|(_, c)| matches!(c.stage, Stage::Waiting));
+        let queued =
+            self.calls.iter().filter(|(_, c)| matches!(c.stage, Stage::Waiting | Stage::Credit));
         let queued: Vec<CallerId> = queued.map(|(caller, _)| *caller).collect();
         for caller in queued {
             if !self.can_end(now, caller) {
--- a/src/gateway/timers.rs
+++ b/src/gateway/timers.rs
@@ -30,6 +30,7 @@
     let attempt = match &call.stage {
         Stage::Waiting => None,
         Stage::Probe
+        | Stage::Credit
         | Stage::Origin(_)
         | Stage::Room { .. }
         | Stage::Hold { .. }
@@ -65,6 +66,17 @@
 }
 
 impl Gateway {
+    /// Sets the timer of a call to its next deadline.
+    pub(super) fn schedule(&mut self, caller: CallerId) {
+        let Some(call) = self.calls.get_mut(&caller) else { return };
+        let at = next_timer(call);
+        if call.timer != at {
+            self.timers.remove(&(call.timer, caller));
+            call.timer = at;
+            self.timers.insert((at, caller));
+        }
+    }
+
     /// Handles the timer of a call: ends the call at its deadline, or its open request or attempt
     /// when that times out.
     pub(super) fn on_timer(&mut self, now: Timestamp, caller: CallerId) {
@@ -89,6 +101,10 @@
             self.probe_refused(now, caller);
             return;
         }
+        if let Stage::Credit = call.stage {
+            self.credit_timed_out(now, caller);
+            return;
+        }
         if let Stage::Origin(_) = call.stage {
             self.origin_timed_out(now, caller);
             return;
--- a/src/gateway/updates.rs
+++ b/src/gateway/updates.rs
@@ -93,5 +93,6 @@
         self.usual_timeouts.retain(|name, _| table.routes().any(|r| r.name == *name));
         self.stream_times.retain(|name, _| table.routes().any(|r| r.name == *name));
         self.table = Arc::new(table);
+        self.apply_quotas();
     }
 }
--- a/src/link/message/control.rs
+++ b/src/link/message/control.rs
@@ -7,6 +7,7 @@
 
 use super::heartbeat::{Beat, Heartbeat};
 use super::status::Status;
+use crate::control::dispatch::credits::{CreditsReply, CreditsRequest};
 use crate::control::dispatch::prompts::PromptRequest;
 use crate::control::dispatch::rooms::{KnownRun, RoomRequest, RunEnd, RunId};
 use crate::control::origins::Origin;
@@ -40,6 +41,8 @@
         /// The runs.
         runs: Vec<KnownRun>,
     },
+    /// Requests credit for client accounts with a quota; only the leader grants it.
+    Credits(Box<CreditsRequest>),
     /// Requests an endpoint to run a prefill; only the leader chooses one.
     AssignPrompt(PromptRequest),
     /// Reports that a prefill has ended.
@@ -85,6 +88,8 @@
         /// The endpoint, or None if none has capacity.
         endpoint: Option<Box<str>>,
     },
+    /// The credit granted for client accounts.
+    CreditsGranted(CreditsReply),
     /// The endpoint chosen to run a prefill.
     PromptAssigned {
         /// The endpoint, or None if all are busy.
--- a/src/link/message/status.rs
+++ b/src/link/message/status.rs
@@ -6,6 +6,7 @@
 
 use super::heartbeat::ProcessState;
 use crate::control::config::{Change, Config};
+use crate::control::dispatch::credits::AccountUse;
 use crate::control::orders::rollout::Rollout;
 use crate::control::orders::{Desired, OrderReport};
 use crate::control::quarantine::{Cause, Entry};
@@ -32,6 +33,8 @@
     pub rollouts: Vec<Rollout>,
     /// The causes in quarantine.
     pub quarantine: Vec<(Cause, Entry)>,
+    /// The client accounts whose quotas are in use, if the member leads.
+    pub accounts: Vec<AccountUse>,
 }
 
 /// The progress of the orders for one endpoint.
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -18,6 +18,9 @@
 /// The maximum number of tenants, of routes, and of services with labels of their own; all others
 /// share one.
 const MAX_LABELS: usize = 200;
+/// The maximum number of client accounts with labels of their own. Each has a series for each of the
+/// five outcomes of a quota, so that with the shared label there are at most 200.
+const MAX_ACCOUNTS: usize = 39;
 /// The label that all further tenants, routes or services share.
 const OTHER_LABELS: &str = "other";
 /// The age classes of open exchanges, with their labels and upper bounds.
@@ -40,6 +43,7 @@
     tenants: Mutex<BTreeSet<Box<str>>>,
     routes: Mutex<BTreeSet<Box<str>>>,
     services: Mutex<BTreeSet<Box<str>>>,
+    accounts: Mutex<BTreeSet<Box<str>>>,
     open: Mutex<BTreeMap<InboundId, OpenExchange>>,
     calls: IntCounterVec,
     in_time: IntCounterVec,
@@ -73,6 +77,7 @@
     broken_runs: IntCounterVec,
     quarantine: IntGauge,
     quarantined: IntCounterVec,
+    quotas: IntCounterVec,
 }
 
 impl Metrics {
@@ -172,6 +177,7 @@
             tenants: Mutex::default(),
             routes: Mutex::default(),
             services: Mutex::default(),
+            accounts: Mutex::default(),
             open: Mutex::default(),
             limits: make.counters(
                 "gateway_limits_total",
@@ -194,6 +200,11 @@
                 "Calls that a gateway refused or ended because they hold what crashed endpoints",
                 &["service"],
             )?,
+            quotas: make.counters(
+                "gateway_quota_total",
+                "Calls of client accounts with a quota by what a gateway decided",
+                &["account", "outcome"],
+            )?,
             registry,
         })
     }
@@ -241,6 +252,10 @@
                 let service = self.label(&self.services, &service);
                 self.quarantined.with_label_values(&[&*service]).inc();
             }
+            Observation::Quota { account, outcome } => {
+                let account = bounded_label(&self.accounts, &account, MAX_ACCOUNTS);
+                self.quotas.with_label_values(&[&*account, outcome.as_str()]).inc();
+            }
             Observation::Origins { recorded, held } => {
                 self.recorded.inc_by(recorded as u64);
                 self.origins.set(held as i64);
@@ -294,17 +309,9 @@
         self.wasted.inc_by(call.wasted.into());
     }
 
-    /// Returns the label of a tenant, route or service: its name for the first `MAX_LABELS`, else
-    /// the shared label.
+    /// Returns the label of a tenant, route or service.
     fn label(&self, known: &Mutex<BTreeSet<Box<str>>>, name: &str) -> Box<str> {
-        let mut known = known.lock().unwrap_or_else(PoisonError::into_inner);
-        if !known.contains(name) {
-            if known.len() >= MAX_LABELS {
-                return OTHER_LABELS.into();
-            }
-            known.insert(name.into());
-        }
-        name.into()
+        bounded_label(known, name, MAX_LABELS)
     }
 
     /// Records a peer's request, which opens an exchange or continues an open one.
@@ -352,6 +359,18 @@
     }
 }
 
+/// Returns the label of a name: the name itself for the first `max`, else the shared label.
+fn bounded_label(known: &Mutex<BTreeSet<Box<str>>>, name: &str, max: usize) -> Box<str> {
+    let mut known = known.lock().unwrap_or_else(PoisonError::into_inner);
+    if !known.contains(name) {
+        if known.len() >= max {
+            return OTHER_LABELS.into();
+        }
+        known.insert(name.into());
+    }
+    name.into()
+}
+
 /// Returns the label `kind` of an exchange with this first request.
 fn kind(request: &Request) -> &'static str {
     match request {
--- a/src/report/observation.rs
+++ b/src/report/observation.rs
@@ -82,6 +82,13 @@
         /// The name of the call's service.
         service: Box<str>,
     },
+    /// A gateway has decided whether a call of a client account is within the account's quota.
+    Quota {
+        /// The name of the account.
+        account: Box<str>,
+        /// What was decided.
+        outcome: QuotaOutcome,
+    },
     /// A control member has received origins of streams.
     Origins {
         /// The number of new ones among them.
@@ -144,6 +151,40 @@
     }
 }
 
+/// What a gateway has decided about a call and the quota of its client account.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QuotaOutcome {
+    /// It was paid from credit taken in advance.
+    Local,
+    /// The leader granted its credit while it waited.
+    Granted,
+    /// There was no leader; it was paid from the gateway's part of the limit.
+    Alone,
+    /// The quota was used up.
+    Refused,
+    /// It costs more than the account may ever use at once.
+    TooLarge,
+}
+
+impl QuotaOutcome {
+    /// Returns the name in metrics and logs.
+    ///
+    /// ```
+    /// use dotterelpin::report::observation::QuotaOutcome;
+    ///
+    /// assert_eq!(QuotaOutcome::Local.as_str(), "local");
+    /// ```
+    pub fn as_str(self) -> &'static str {
+        match self {
+            QuotaOutcome::Local => "local",
+            QuotaOutcome::Granted => "granted",
+            QuotaOutcome::Alone => "alone",
+            QuotaOutcome::Refused => "refused",
+            QuotaOutcome::TooLarge => "too-large",
+        }
+    }
+}
+
 /// The outcome and timing of a gateway's call.
 #[derive(Debug, Clone, PartialEq)]
 pub struct GatewayEnd {
--- a/src/routes/accounts.rs
+++ b/src/routes/accounts.rs
@@ -96,6 +96,8 @@
 pub struct Accounts {
     list: Vec<Account>,
     keys: BTreeMap<KeyDigest, AccountKey>,
+    /// The indices of the accounts by their names.
+    names: BTreeMap<Box<str>, u32>,
 }
 
 impl Accounts {
@@ -114,6 +116,12 @@
         self.list.get(key.0 as usize)
     }
 
+    /// Returns the client account with a name; the first one, if several have it.
+    pub fn named(&self, name: &str) -> Option<&Account> {
+        let index = self.names.get(name)?;
+        self.list.get(*index as usize)
+    }
+
     /// Returns all client accounts with their indices, in the order of the table.
     pub fn iter(&self) -> impl Iterator<Item = (AccountKey, &Account)> {
         self.list.iter().enumerate().map(|(index, account)| (AccountKey(index as u32), account))
@@ -137,6 +145,7 @@
                     return Err(TableError::SharedKey { account: name });
                 }
             }
+            accounts.names.entry(name.clone()).or_insert(index.0);
             accounts.list.push(Account {
                 name,
                 priority: account.priority.map(|p| u8::try_from(p).unwrap_or(u8::MAX)),
