--- a/src/gateway/admit/mod.rs
+++ b/src/gateway/admit/mod.rs
@@ -2,6 +2,11 @@
 
 mod accounts;
 mod asking;
+pub(super) mod charge;
+pub mod demand;
+mod lines;
+mod local;
+pub mod quota;
 
 use std::time::Duration;
 
