Place calls by the speed that a gateway learns of endpoints

Cause: placement compared loads alone. A quarter of the engines runs at 0.55 of the usual speed and the others at 1.2, so equal loads took up to 2.2 times as long at some of them.

Change: a gateway measures prefills, the events of runs and answers to plain calls, and keeps two medians for each endpoint: one of the last five samples within a second and one over half a minute. Placement divides the work at an endpoint by its speed, rounded to steps of a quarter of the usual one, so that endpoints of about the same speed stay tied. An endpoint without an estimate beside others with one counts as 0.8 of the usual speed. Where nothing is learned, the choice is as before.

--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -271,6 +271,8 @@
         if let Some(attempt) = call.attempt().filter(|_| !events.is_empty()) {
             attempt.first_event.get_or_insert(now);
         }
+        self.learn_step_time(now, caller, events.len());
+        let Some(call) = self.calls.get_mut(&caller) else { return };
         let begins = call.software.is_none() && !events.is_empty();
         if begins {
             call.software = call.attempt().map(|a| a.software.clone());
@@ -312,6 +314,9 @@
         answer: CompleteAnswer,
     ) {
         let Some(mut call) = self.remove(now, caller) else { return };
+        if (200..300).contains(&answer.head.status) {
+            self.learn_service_time(now, &mut call);
+        }
         self.attempt_succeeded(now, &mut call);
         self.report_survival(now, &self.survivors(&call));
         call.delivered.first = Some(now);
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -7,6 +7,7 @@
 use super::credit::Credit;
 use super::events::EventSplitter;
 use super::fleet::{Choice, EndpointKey, Usage};
+use super::place::pace::Pace;
 use super::protocol::{AnswerInfo, CallInfo, Export};
 use super::queue::Rank;
 use super::vacancy::Vacancy;
@@ -40,6 +41,10 @@
     pub content: Vec<u8>,
     /// When its first event was received.
     pub first_event: Option<Timestamp>,
+    /// Tokens of other prompts that its prefill waits for.
+    pub ahead: u32,
+    /// Measures the speed of its endpoint by its events.
+    pub pace: Pace,
     /// Whether it is recorded that it goes on.
     pub survived: bool,
     /// Until when its silence is tolerated although it exceeds the timeout, because no other attempt
@@ -69,6 +74,8 @@
             head: None,
             content: Vec::new(),
             first_event: None,
+            ahead: 0,
+            pace: Pace::default(),
             survived: false,
             kept_until: since,
         }
--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::notices::Notices;
+use super::place::speed::{Estimate, Speed, WorkRate};
 use super::protocol::EngineReport;
 use super::window::Window;
 use crate::entry::health::Health;
@@ -73,6 +74,8 @@
     /// Refusals for lack of capacity since it last accepted a call.
     refusals: u32,
     report: Option<(Timestamp, EngineReport)>,
+    /// How fast it does the work of its kind, as learned by this gateway.
+    speed: (EndpointKind, Speed),
     /// The recent values of `usage`, oldest first, each with the time at which it began to apply.
     history: VecDeque<(Timestamp, Usage)>,
     pub(super) idle: Vec<PeerId>,
@@ -106,6 +109,7 @@
             full_until: Timestamp::default(),
             refusals: 0,
             report: None,
+            speed: (state.kind, Speed::default()),
             history: VecDeque::new(),
             idle: Vec::new(),
         }
@@ -182,6 +186,28 @@
         self.report = Some((now, report));
     }
 
+    /// Records that it has done an amount of work in a time. Work of different kinds is not
+    /// compared, so a change of its stage forgets the speed.
+    pub fn learn(&mut self, now: Timestamp, work: u64, took: Duration) {
+        if self.speed.0 != self.kind {
+            self.speed = (self.kind, Speed::default());
+        }
+        if let Some(rate) = WorkRate::of(work, took) {
+            self.speed.1.record(now, rate);
+        }
+    }
+
+    /// Returns the learned speed of the work of its present kind.
+    pub fn estimate(&self, now: Timestamp) -> Option<Estimate> {
+        let (kind, speed) = &self.speed;
+        if *kind == self.kind { speed.estimate(now) } else { None }
+    }
+
+    /// Returns the learned rate of the work of its present kind.
+    pub fn rate(&self, now: Timestamp) -> Option<WorkRate> {
+        self.estimate(now).map(|estimate| estimate.rate)
+    }
+
     /// Counts work that this gateway has started there.
     pub fn add_usage(&mut self, now: Timestamp, work: Usage) {
         self.health.began(now);
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -78,7 +78,8 @@
         let decode = self.fleet.get(decode)?;
         let choice = Choice { software: Some(&decode.software), ..call.choice() };
         let loads = self.fleet.prefill_loads(now, choice, shape, &decode.domain);
-        place_prefill(loads, MAX_BACKLOG_TOKENS, draw)
+        let prompt = call.info.work.as_ref().map_or(0, |w| w.prompt);
+        place_prefill(loads, prompt, MAX_BACKLOG_TOKENS, draw)
     }
 
     /// Goes on with a call whose reservation is granted.
@@ -198,9 +199,11 @@
         let work = self.calls.get(&caller).and_then(|c| c.info.work.as_ref());
         let prompt = work.map_or(0, |w| w.prompt);
         let usage = Usage { slots: 1, tokens: prompt };
+        let own = self.fleet.get(endpoint).map_or(0, |e| e.usage.tokens);
         let attempt = self.send_attempt(now, caller, endpoint, usage, SendKind::Prefill);
-        let Some(attempt) = attempt else { return false };
+        let Some(mut attempt) = attempt else { return false };
         let Some(call) = self.calls.get_mut(&caller) else { return false };
+        attempt.ahead = own;
         call.prefills += 1;
         call.stage = Stage::Prefill { attempt, decode };
         true
@@ -274,6 +277,7 @@
         call.credit.add(u32::from(!call.exported));
         call.exported = true;
         self.release_attempt(now, &attempt);
+        self.learn_prefill_time(now, &attempt);
         let Some(source) = self.fleet.get_mut(attempt.endpoint) else { return };
         source.health.judge(now, Verdict::Worked);
         source.accepted();
--- a/src/gateway/fleet/mod.rs
+++ b/src/gateway/fleet/mod.rs
@@ -12,7 +12,8 @@
 
 pub use super::endpoint::{Endpoint, Usage};
 use super::notices::{Closed, Notices};
-use super::place::{DecodeLoad, PrefillLoad};
+use super::place::speed::percents;
+use super::place::{DecodeLoad, PrefillLoad, plain_cost};
 use super::protocol::LimitNotice;
 use crate::h1::PeerId;
 use crate::model::{BootId, EndpointKind, EndpointState, Timestamp};
@@ -20,8 +21,6 @@
 
 /// The maximum number of endpoints that are no longer listed of which is kept what they have said.
 const MAX_UNLISTED: usize = 256;
-/// The placement penalty of a plain endpoint in another failure domain, in running calls.
-const REMOTE_CALLS: u32 = 1;
 
 new_key_type! {
     /// The key of an endpoint in a [`Fleet`].
@@ -227,7 +226,8 @@
         self.endpoints.iter().filter(|(_, e)| e.kind != EndpointKind::Service)
     }
 
-    /// Returns the endpoint of a plain service with the fewest calls; `draw` breaks ties.
+    /// Returns the endpoint of a plain service that is expected to answer first, by its calls and
+    /// its learned service time; `draw` breaks ties.
     ///
     /// Returns `None` while all healthy endpoints have as many calls as their windows allow; the
     /// call waits then.
@@ -239,12 +239,16 @@
         let any_healthy = open.iter().any(|(_, e)| e.health.is_available(now));
         let has_capacity = |e: &Endpoint| e.is_open(now) && e.window.has_capacity(e.usage.slots);
         let usable = open.iter().filter(|(_, e)| !any_healthy || has_capacity(e));
+        let usable: Vec<&(EndpointKey, &Endpoint)> = usable.collect();
+        let speeds = percents(&usable.iter().map(|(_, e)| e.rate(now)).collect::<Vec<_>>());
         let count = open.len().max(1) as u64;
-        let cost = |at: usize, e: &Endpoint| {
-            let remote = if e.local { 0 } else { REMOTE_CALLS };
-            (e.usage.slots + remote, draw.wrapping_add(at as u64) % count)
+        let cost = |at: usize, e: &Endpoint, percent: u32| {
+            let time = plain_cost(e.usage.slots, e.local, percent);
+            (time, draw.wrapping_add(at as u64) % count)
         };
-        usable.enumerate().min_by_key(|(at, (_, e))| cost(*at, e)).map(|(_, (key, _))| *key)
+        let costs = usable.iter().zip(speeds).enumerate();
+        let least = costs.min_by_key(|(at, ((_, e), percent))| cost(*at, e, *percent));
+        least.map(|(_, ((key, _), _))| *key)
     }
 
     /// Returns whether a service has a decode endpoint that may be chosen, whatever its load.
@@ -361,6 +365,7 @@
                 slots,
                 tokens_used: used.tokens,
                 tokens,
+                rate: e.rate(now),
             }
         })
     }
@@ -384,6 +389,7 @@
             slots_used: e.usage.slots,
             slots,
             backlog: e.usage.tokens,
+            rate: e.rate(now),
         })
     }
 }
--- /dev/null
+++ b/src/gateway/learn.rs
@@ -0,0 +1,44 @@
+//! What a gateway learns of the speed of endpoints.
+
+use super::call::{Attempt, Call};
+use super::place::step_under_load;
+use super::{CallerId, Gateway};
+use crate::model::Timestamp;
+
+/// One call of a plain service, as an amount of work in thousandths.
+const ONE_CALL: u64 = 1_000;
+
+impl Gateway {
+    /// Learns the speed of the endpoint of a plain call that is answered. Answers with an error are
+    /// quicker than others and say nothing of it.
+    pub(super) fn learn_service_time(&mut self, now: Timestamp, call: &mut Call) {
+        let is_plain = call.info.work.is_none();
+        let Some(attempt) = call.attempt().filter(|_| is_plain) else { return };
+        if let Some(endpoint) = self.fleet.get_mut(attempt.endpoint) {
+            endpoint.learn(now, ONE_CALL, now - attempt.since);
+        }
+    }
+
+    /// Learns the speed of the decode endpoint that has sent events of a call.
+    pub(super) fn learn_step_time(&mut self, now: Timestamp, caller: CallerId, events: usize) {
+        let Some(shape) = self.shape(caller) else { return };
+        let Some(call) = self.calls.get_mut(&caller).filter(|c| c.info.work.is_some()) else {
+            return;
+        };
+        let Some(attempt) = call.attempt() else { return };
+        let (key, measured) = (attempt.endpoint, attempt.pace.received(now, events as u32));
+        let (Some(measured), Some(endpoint)) = (measured, self.fleet.get_mut(key)) else { return };
+        let used = endpoint.all_usage(now);
+        let step = step_under_load(used.slots, shape.slots, used.tokens, shape.tokens);
+        endpoint.learn(now, u64::from(measured.events) * step, measured.took);
+    }
+
+    /// Learns the speed of a prefill endpoint from a prefill that has succeeded: it has prefilled
+    /// the prompts ahead in the same time.
+    pub(super) fn learn_prefill_time(&mut self, now: Timestamp, attempt: &Attempt) {
+        let work = u64::from(attempt.usage.tokens) + u64::from(attempt.ahead);
+        if let Some(endpoint) = self.fleet.get_mut(attempt.endpoint) {
+            endpoint.learn(now, work, now - attempt.since);
+        }
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 pub mod header_protocol;
 mod late_answers;
 pub mod lateness;
+mod learn;
 pub mod limit;
 mod notices;
 mod open_calls;
--- a/tests/placement_spread.rs
+++ b/tests/placement_spread.rs
@@ -8,11 +8,19 @@
 use rand_pcg::Pcg64Mcg;
 
 fn prefill(key: usize, local: bool, backlog: u32) -> PrefillLoad<usize> {
-    PrefillLoad { key, local, slots_used: 0, slots: 12, backlog }
+    PrefillLoad { key, local, slots_used: 0, slots: 12, backlog, rate: None }
 }
 
 fn decode(key: usize, tokens_used: u32) -> DecodeLoad<usize> {
-    DecodeLoad { key, local: true, slots_used: 1, slots: 12, tokens_used, tokens: 30_000 }
+    DecodeLoad {
+        key,
+        local: true,
+        slots_used: 1,
+        slots: 12,
+        tokens_used,
+        tokens: 30_000,
+        rate: None,
+    }
 }
 
 #[test]
@@ -21,7 +29,7 @@
     let mut counts: BTreeMap<usize, u32> = BTreeMap::new();
     for _gateway in 0..1_000 {
         let loads = (0..10).map(|key| prefill(key, key < 5, 0));
-        let key = place_prefill(loads, 12_000, rng.next_u64()).unwrap();
+        let key = place_prefill(loads, 1_000, 12_000, rng.next_u64()).unwrap();
         *counts.entry(key).or_default() += 1;
     }
     assert_eq!(counts.len(), 5, "expected only the five local endpoints: {counts:?}");
@@ -34,11 +42,11 @@
 #[test]
 fn prompts_prefer_a_slightly_larger_local_backlog_and_go_nowhere_if_all_are_too_large() {
     let loads = [prefill(0, true, 9_000), prefill(1, true, 3_000), prefill(2, false, 0)];
-    assert_eq!(place_prefill(loads.iter().copied(), 12_000, 5), Some(1));
+    assert_eq!(place_prefill(loads.iter().copied(), 1_000, 12_000, 5), Some(1));
     let loads = [prefill(0, true, 9_000), prefill(1, true, 8_000), prefill(2, false, 0)];
-    assert_eq!(place_prefill(loads.iter().copied(), 12_000, 5), Some(2));
+    assert_eq!(place_prefill(loads.iter().copied(), 1_000, 12_000, 5), Some(2));
     let loads = [prefill(0, true, 13_000), prefill(1, true, 14_000)];
-    assert_eq!(place_prefill(loads.iter().copied(), 12_000, 5), None);
+    assert_eq!(place_prefill(loads.iter().copied(), 1_000, 12_000, 5), None);
 }
 
 #[test]
