Assign prompts and runs by the speeds that all gateways have learned

Cause: the leader assigns most calls to models, and compared backlogs and used memory alone. A single gateway has few answers of each of 50 engines, so it sees a slow period of 0.6 s late or never.

Change: a gateway names, with each candidate, what it has measured there since it last named it. It tells the gateway how many tokens are ahead of a prompt, so that a prefill that waited doesn't look slow.

--- a/src/control/dispatch/prompts.rs
+++ b/src/control/dispatch/prompts.rs
@@ -3,15 +3,16 @@
 //! This matters while prefill endpoints are busy most of the time. Each gateway knows only its own
 //! prompts; if each chose on its own, prompts would share some endpoints while others were idle,
 //! and the capacity reserved for them at decode endpoints would be unused meanwhile. So the leader
-//! counts the tokens of all running prefills and assigns each prompt to the endpoint with the
-//! fewest. The count is soft state: a new leader starts with an empty one.
+//! counts the tokens of all running prefills and assigns each prompt to the endpoint that is
+//! expected to finish it first, by its tokens and its learned speed. The count is soft state: a new leader starts with an empty one.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use super::Candidate;
+use super::{Candidate, candidate_percents};
+use crate::gateway::place::speed::{USUAL_PERCENT, expected_time};
 use crate::model::Timestamp;
 
 /// How long a prompt counts if its end is not reported.
@@ -46,7 +47,7 @@
 /// use dotterelpin::model::Timestamp;
 ///
 /// let now = Timestamp::from_micros(1);
-/// let candidate = |name: &str| Candidate { endpoint: name.into(), local: true };
+/// let candidate = |name: &str| Candidate { endpoint: name.into(), local: true, speed: None };
 /// let request = PromptRequest { tokens: 3_000, candidates: vec![candidate("a"), candidate("b")] };
 /// let mut prompts = Prompts::default();
 /// assert_eq!(prompts.assign(now, &request).as_deref(), Some("a"));
@@ -67,13 +68,21 @@
     /// candidates have as many prompts as they can prefill in time.
     pub fn assign(&mut self, now: Timestamp, request: &PromptRequest) -> Option<Box<str>> {
         self.expire(now);
-        let cost = |c: &&Candidate| {
-            let penalty = if c.local { 0 } else { REMOTE_PENALTY_TOKENS };
+        let percents = candidate_percents(&request.candidates);
+        let cost = |(c, percent): &(&Candidate, u32)| {
+            let remote = if c.local { 0 } else { REMOTE_PENALTY_TOKENS };
             let last = self.last.get(&c.endpoint).copied().unwrap_or_default();
-            (self.backlog(&c.endpoint) + penalty, last)
+            let work = self.backlog(&c.endpoint) + u64::from(request.tokens);
+            (expected_time(work, *percent) + expected_time(remote, USUAL_PERCENT), last)
         };
-        let open = |c: &&Candidate| self.backlog(&c.endpoint) < MAX_BACKLOG_TOKENS;
-        let chosen = request.candidates.iter().filter(open).min_by_key(cost)?.endpoint.clone();
+        let open = |(c, percent): &(&Candidate, u32)| {
+            let backlog = self.backlog(&c.endpoint);
+            // The bound is a time at a slow endpoint and a number of tokens at a fast one.
+            backlog * 100 < MAX_BACKLOG_TOKENS * u64::from((*percent).min(USUAL_PERCENT))
+        };
+        let candidates = request.candidates.iter().zip(percents);
+        let (chosen, _) = candidates.filter(open).min_by_key(cost)?;
+        let chosen = chosen.endpoint.clone();
         let prefill = Prefill { tokens: request.tokens, since: now };
         self.running.entry(chosen.clone()).or_default().push(prefill);
         self.last.insert(chosen.clone(), now);
@@ -88,6 +97,13 @@
         }
     }
 
+    /// Returns the tokens of other prompts that count at an endpoint to which a prompt of so many
+    /// tokens was assigned.
+    pub fn ahead(&self, endpoint: &str, tokens: u32) -> u32 {
+        let ahead = self.backlog(endpoint).saturating_sub(tokens.into());
+        u32::try_from(ahead).unwrap_or(u32::MAX)
+    }
+
     fn backlog(&self, endpoint: &str) -> u64 {
         let prefills = self.running.get(endpoint).map_or(&[][..], Vec::as_slice);
         prefills.iter().map(|r| u64::from(r.tokens)).sum()
--- a/src/control/dispatch/rooms.rs
+++ b/src/control/dispatch/rooms.rs
@@ -11,7 +11,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::Candidate;
+use super::{Candidate, candidate_percents};
+use crate::gateway::place::IDLE_STEP;
+use crate::gateway::place::speed::{USUAL_PERCENT, expected_time};
 use crate::model::{BootId, Timestamp};
 
 /// The share of an endpoint's KV cache that is assigned to calls, in percent; the rest covers
@@ -147,7 +149,7 @@
 /// use dotterelpin::model::{BootId, Timestamp};
 ///
 /// let now = Timestamp::from_micros(1);
-/// let candidates = vec![Candidate { endpoint: "d1".into(), local: true }];
+/// let candidates = vec![Candidate { endpoint: "d1".into(), local: true, speed: None }];
 /// let request = |run| RoomRequest {
 ///     run: RunId(run), owner: BootId(1), tokens: 6_000, spare: 0, memory: 10_000, slots: 8,
 ///     candidates: candidates.clone(),
@@ -192,7 +194,7 @@
     fn least_loaded(&self, now: Timestamp, request: &RoomRequest) -> Option<Box<str>> {
         let idle = Load::default();
         let load = |c: &Candidate| self.loads.get(&c.endpoint).unwrap_or(&idle);
-        let fits = |c: &&Candidate| {
+        let fits = |c: &Candidate| {
             let load = load(c);
             let used = load.used(now);
             let alone = used == 0 && request.tokens <= request.memory;
@@ -200,11 +202,13 @@
             let has_slot = load.runs < request.slots;
             has_slot && load.paused <= now && (alone || needs <= capacity(request.memory))
         };
-        let cost = |c: &&Candidate| {
+        let cost = |(c, percent): &(&Candidate, u32)| {
             let part = load(c).used(now) * 1_000 / u64::from(request.memory.max(1));
-            if c.local { part } else { part + REMOTE_PENALTY_LOAD }
+            let remote = if c.local { 0 } else { REMOTE_PENALTY_LOAD };
+            expected_time(IDLE_STEP + part, *percent) + expected_time(remote, USUAL_PERCENT)
         };
-        let chosen = request.candidates.iter().filter(fits).min_by_key(cost)?;
+        let candidates = request.candidates.iter().zip(candidate_percents(&request.candidates));
+        let (chosen, _) = candidates.filter(|(c, _)| fits(c)).min_by_key(cost)?;
         Some(chosen.endpoint.clone())
     }
 
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -25,6 +25,7 @@
 use config::{Change, Revised, schema_of};
 use dispatch::prompts::Prompts;
 use dispatch::rooms::Rooms;
+use dispatch::speeds::Speeds;
 use origins::Origins;
 use peers::Peers;
 use processes::Processes;
@@ -111,6 +112,10 @@
     peers: Peers,
     prompts: Prompts,
     rooms: Rooms,
+    /// The speeds of prefill endpoints.
+    prompt_speeds: Speeds,
+    /// The speeds of decode endpoints.
+    step_speeds: Speeds,
     origins: Origins,
     /// When the recorded versions are compared next with what was heard.
     next_review: Timestamp,
@@ -144,6 +149,8 @@
             peers: Peers::default(),
             prompts: Prompts::default(),
             rooms: Rooms::default(),
+            prompt_speeds: Speeds::default(),
+            step_speeds: Speeds::default(),
             origins: Origins::default(),
             next_review: Timestamp::default(),
             processes: Processes::default(),
@@ -202,12 +209,13 @@
                 let leadership = self.leadership(now).map(Box::new);
                 vec![self.reply(inbound, ControlReply::Lead { leader, leadership })]
             }
-            ControlRequest::AssignRoom(request) => {
+            ControlRequest::AssignRoom(mut request) => {
                 if !self.replica.is_leader() {
                     return vec![self.not_leader(inbound)];
                 }
                 let registry = &self.registry;
                 self.rooms.retain_owners(now, |boot| registry.may_be_alive(now, boot));
+                self.step_speeds.merge(now, &mut request.candidates);
                 let endpoint = self.rooms.assign(now, &request);
                 vec![self.reply(inbound, ControlReply::RoomAssigned { endpoint })]
             }
@@ -222,12 +230,14 @@
                 self.rooms.count(now, owner, &runs);
                 vec![self.reply(inbound, ControlReply::Announced)]
             }
-            ControlRequest::AssignPrompt(request) => {
+            ControlRequest::AssignPrompt(mut request) => {
                 if !self.replica.is_leader() {
                     return vec![self.not_leader(inbound)];
                 }
+                self.prompt_speeds.merge(now, &mut request.candidates);
                 let endpoint = self.prompts.assign(now, &request);
-                vec![self.reply(inbound, ControlReply::PromptAssigned { endpoint })]
+                let ahead = endpoint.as_ref().map_or(0, |e| self.prompts.ahead(e, request.tokens));
+                vec![self.reply(inbound, ControlReply::PromptAssigned { endpoint, ahead })]
             }
             ControlRequest::PromptEnded { endpoint, tokens } => {
                 self.prompts.ended(&endpoint, tokens);
--- a/src/gateway/assign.rs
+++ b/src/gateway/assign.rs
@@ -10,7 +10,6 @@
 use super::fleet::{Choice, EndpointKey};
 use super::{BackoffKey, CallerId, Gateway};
 use crate::control::config::Revised;
-use crate::control::dispatch::Candidate;
 use crate::control::dispatch::prompts::PromptRequest;
 use crate::control::dispatch::rooms::{RoomRequest, RunEnd, RunId};
 use crate::link;
@@ -27,8 +26,6 @@
 const BACKOFF_SPREAD_MS: u64 = 300;
 /// How long the leader is not asked again for capacity in a service after it found none.
 pub(super) const NO_CAPACITY_BACKOFF: Duration = Duration::from_millis(40);
-/// The maximum number of endpoints in one request.
-const MAX_CANDIDATES: usize = 64;
 
 /// A prefill that the leader has assigned to an endpoint and counts there.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -37,6 +34,8 @@
     pub endpoint: Box<str>,
     /// Tokens of the prompt.
     pub tokens: u32,
+    /// Tokens of other prompts that the leader counts there.
+    pub ahead: u32,
 }
 
 impl Gateway {
@@ -60,7 +59,7 @@
     /// Returns the request for a prefill endpoint, or `None` if there are fewer than two to choose
     /// from.
     fn prompt_request(
-        &self,
+        &mut self,
         now: Timestamp,
         caller: CallerId,
         decode: EndpointKey,
@@ -71,8 +70,9 @@
         let choice = Choice { software: Some(&decode.software), ..call.choice() };
         let loads = self.fleet.prefill_loads(now, choice, &shape, &decode.domain);
         let free = loads.filter(|l| l.slots_used < l.slots);
-        let candidates = self.candidates(free.map(|l| (l.key, l.local)));
+        let free: Vec<_> = free.map(|l| (l.key, l.local)).collect();
         let tokens = call.info.work.as_ref()?.prompt;
+        let candidates = self.candidates(now, &free);
         (candidates.len() > 1).then_some(PromptRequest { tokens, candidates })
     }
 
@@ -117,7 +117,7 @@
     }
 
     pub(super) fn room_request(
-        &self,
+        &mut self,
         now: Timestamp,
         caller: CallerId,
         run: RunId,
@@ -125,9 +125,10 @@
         let call = self.calls.get(&caller)?;
         let shape = self.shape(caller)?;
         let loads = self.fleet.decode_loads(now, call.choice(), &shape);
-        let candidates = self.candidates(loads.map(|l| (l.key, l.local)));
+        let open: Vec<_> = loads.map(|l| (l.key, l.local)).collect();
         let tokens = call.info.work.as_ref()?.mean_tokens();
         let spare = spare_tokens(call, &shape);
+        let candidates = self.candidates(now, &open);
         let (memory, slots) = (shape.tokens, shape.slots);
         let owner = self.settings.follower.boot;
         Some(RoomRequest { run, owner, tokens, spare, memory, slots, candidates })
@@ -138,14 +139,6 @@
         self.follower.leader().filter(|_| now >= self.leader_backoff)
     }
 
-    fn candidates(&self, open: impl Iterator<Item = (EndpointKey, bool)>) -> Vec<Candidate> {
-        let named = open.filter_map(|(key, local)| {
-            let endpoint = self.fleet.get(key)?.name.clone();
-            Some(Candidate { endpoint, local })
-        });
-        named.take(MAX_CANDIDATES).collect()
-    }
-
     /// Sends a request to the leader and sets the stage in which the call waits for the answer.
     fn send_to_leader(
         &mut self,
@@ -294,12 +287,15 @@
                 self.room_assigned(now, caller, endpoint.as_deref());
             }
             (Stage::Room { .. }, _) => self.restart_without_leader(now, caller),
-            (Stage::Assign { .. }, ControlReply::PromptAssigned { endpoint: Some(endpoint) }) => {
+            (
+                Stage::Assign { .. },
+                ControlReply::PromptAssigned { endpoint: Some(endpoint), ahead },
+            ) => {
                 let tokens = call.info.work.as_ref().map_or(0, |w| w.prompt);
-                let assigned = Assigned { endpoint: endpoint.clone(), tokens };
+                let assigned = Assigned { endpoint: endpoint.clone(), tokens, ahead: *ahead };
                 self.prompt_assigned(now, caller, Some(assigned));
             }
-            (Stage::Assign { .. }, ControlReply::PromptAssigned { endpoint: None }) => {
+            (Stage::Assign { .. }, ControlReply::PromptAssigned { endpoint: None, .. }) => {
                 self.prompt_refused(now, caller);
             }
             (Stage::Assign { .. }, _) => self.prompt_assigned(now, caller, None),
@@ -383,7 +379,7 @@
     /// Reports to the leader that the prefill of a call has ended.
     pub(super) fn report_prefill_end(&mut self, caller: CallerId) {
         let Some(call) = self.calls.get_mut(&caller) else { return };
-        let Some(Assigned { endpoint, tokens }) = call.assigned.take() else { return };
+        let Some(Assigned { endpoint, tokens, .. }) = call.assigned.take() else { return };
         let Some(leader) = self.follower.leader() else { return };
         self.send_to_control(leader, ControlRequest::PromptEnded { endpoint, tokens });
     }
--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::notices::Notices;
-use super::place::speed::{Estimate, Speed, WorkRate};
+use super::place::speed::{Estimate, Speed, SpeedSample, WorkRate};
 use super::protocol::EngineReport;
 use super::window::Window;
 use crate::entry::health::Health;
@@ -208,6 +208,12 @@
         self.estimate(now).map(|estimate| estimate.rate)
     }
 
+    /// Returns what this gateway has learned of its speed and not told the leader yet.
+    pub fn take_news(&mut self, now: Timestamp) -> Option<SpeedSample> {
+        let (kind, speed) = &mut self.speed;
+        if *kind == self.kind { speed.take_news(now) } else { None }
+    }
+
     /// Counts work that this gateway has started there.
     pub fn add_usage(&mut self, now: Timestamp, work: Usage) {
         self.health.began(now);
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -203,7 +203,7 @@
         let attempt = self.send_attempt(now, caller, endpoint, usage, SendKind::Prefill);
         let Some(mut attempt) = attempt else { return false };
         let Some(call) = self.calls.get_mut(&caller) else { return false };
-        attempt.ahead = own;
+        attempt.ahead = call.assigned.as_ref().map_or(own, |a| a.ahead);
         call.prefills += 1;
         call.stage = Stage::Prefill { attempt, decode };
         true
--- a/src/gateway/learn.rs
+++ b/src/gateway/learn.rs
@@ -1,10 +1,14 @@
-//! What a gateway learns of the speed of endpoints.
+//! What a gateway learns of the speed of endpoints, and what it tells the leader of that.
 
 use super::call::{Attempt, Call};
+use super::fleet::EndpointKey;
 use super::place::step_under_load;
 use super::{CallerId, Gateway};
+use crate::control::dispatch::Candidate;
 use crate::model::Timestamp;
 
+/// The maximum number of endpoints in one request to the leader.
+const MAX_CANDIDATES: usize = 64;
 /// One call of a plain service, as an amount of work in thousandths.
 const ONE_CALL: u64 = 1_000;
 
@@ -41,4 +45,19 @@
             endpoint.learn(now, work, now - attempt.since);
         }
     }
+
+    /// Returns the endpoints as they are named to the leader, with what was learned of their speed
+    /// since they were last named.
+    pub(super) fn candidates(
+        &mut self,
+        now: Timestamp,
+        open: &[(EndpointKey, bool)],
+    ) -> Vec<Candidate> {
+        let named = open.iter().filter_map(|(key, local)| {
+            let endpoint = self.fleet.get_mut(*key)?;
+            let (name, speed) = (endpoint.name.clone(), endpoint.take_news(now));
+            Some(Candidate { endpoint: name, local: *local, speed })
+        });
+        named.take(MAX_CANDIDATES).collect()
+    }
 }
--- a/src/gateway/place/speed.rs
+++ b/src/gateway/place/speed.rs
@@ -8,6 +8,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::model::Timestamp;
 
 /// How many of the last samples show the present speed. Their median changes with the third sample
@@ -36,7 +38,7 @@
 pub const USUAL_PERCENT: u32 = 100;
 
 /// Work for each second: prompt tokens, thousandths of a decode step, or thousandths of a call.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
 pub struct WorkRate(pub u32);
 
 impl WorkRate {
@@ -57,6 +59,15 @@
     }
 }
 
+/// A measured rate that a gateway names to the leader.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SpeedSample {
+    /// The rate.
+    pub rate: WorkRate,
+    /// Its age in milliseconds when it was sent.
+    pub age: u16,
+}
+
 /// The estimated speed of an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Estimate {
@@ -88,6 +99,8 @@
     recent: VecDeque<(Timestamp, WorkRate)>,
     /// Samples at intervals, oldest first.
     usual: VecDeque<(Timestamp, WorkRate)>,
+    /// When the last sample was named to the leader.
+    named: Timestamp,
 }
 
 impl Speed {
@@ -112,6 +125,16 @@
         }
         estimate(within(&self.recent, now, USUAL_TTL), now - *last)
     }
+
+    /// Returns the last sample if the leader wasn't told of it yet; it then counts as told.
+    pub fn take_news(&mut self, now: Timestamp) -> Option<SpeedSample> {
+        let (at, _) = *self.recent.back().filter(|(at, _)| *at > self.named)?;
+        let age = u16::try_from((now - at).as_millis()).ok()?;
+        self.named = at;
+        // The median of the recent samples, since a sample alone may be an outlier.
+        let mut recent = within(&self.recent, at, RECENT_TTL);
+        Some(SpeedSample { rate: median(&mut recent)?, age })
+    }
 }
 
 fn push(kept: &mut VecDeque<(Timestamp, WorkRate)>, max: usize, at: Timestamp, rate: WorkRate) {
--- a/src/link/message/control.rs
+++ b/src/link/message/control.rs
@@ -89,6 +89,8 @@
     PromptAssigned {
         /// The endpoint, or None if all are busy.
         endpoint: Option<Box<str>>,
+        /// Tokens of other prompts that it has to prefill, too.
+        ahead: u32,
     },
     /// The answer to a request for the leader.
     Lead {
--- a/tests/gateway_shutdown.rs
+++ b/tests/gateway_shutdown.rs
@@ -437,7 +437,7 @@
     reply_late(&mut f, 1, ControlReply::RoomAssigned { endpoint: Some("d1".into()) });
     let hold = f.take_sent();
     f.answer(&hold, 200, &[], "hold h7");
-    reply_late(&mut f, 15, ControlReply::PromptAssigned { endpoint: Some("f1".into()) });
+    reply_late(&mut f, 15, ControlReply::PromptAssigned { endpoint: Some("f1".into()), ahead: 0 });
     assert!(refused(&f, 1));
     assert_eq!(&*f.take_sent().head.target, "/hold/h7");
     assert!(!f.has_sent());
--- a/tests/prompts.rs
+++ b/tests/prompts.rs
@@ -23,7 +23,7 @@
 const RATE: f64 = 33.0;
 
 fn request(tokens: u32) -> PromptRequest {
-    let candidate = |at| Candidate { endpoint: format!("f{at}").into(), local: true };
+    let candidate = |at| Candidate { endpoint: format!("f{at}").into(), local: true, speed: None };
     PromptRequest { tokens, candidates: (0..ENDPOINTS).map(candidate).collect() }
 }
 
@@ -137,7 +137,11 @@
 fn prompt_is_sent_where_the_leader_assigned_it_and_its_end_is_reported() {
     for endpoint in ["f1", "f2"] {
         let (mut f, exchange) = request_prompt();
-        reply(&mut f, exchange, ControlReply::PromptAssigned { endpoint: Some(endpoint.into()) });
+        reply(
+            &mut f,
+            exchange,
+            ControlReply::PromptAssigned { endpoint: Some(endpoint.into()), ahead: 0 },
+        );
         let prefill = prefill_at(&mut f, Some(endpoint));
         assert!(f.leader_requests.is_empty());
         f.answer(&prefill, 200, &[], "export e1");
@@ -167,7 +171,7 @@
 #[test]
 fn call_runs_whole_where_it_has_a_reservation_if_all_prefill_endpoints_are_busy() {
     let (mut f, exchange) = request_prompt();
-    reply(&mut f, exchange, ControlReply::PromptAssigned { endpoint: None });
+    reply(&mut f, exchange, ControlReply::PromptAssigned { endpoint: None, ahead: 0 });
     let run = f.take_sent();
     assert_eq!((run.field("Stage"), run.field("Hold")), (None, Some("h1")));
     f.head(&run, 200, &[]);
@@ -196,7 +200,11 @@
     prefill_at(&mut f, None);
 
     let (mut f, exchange) = request_prompt();
-    reply(&mut f, exchange, ControlReply::PromptAssigned { endpoint: Some("gone".into()) });
+    reply(
+        &mut f,
+        exchange,
+        ControlReply::PromptAssigned { endpoint: Some("gone".into()), ahead: 0 },
+    );
     prefill_at(&mut f, None);
 }
 
@@ -205,7 +213,7 @@
     let (mut f, exchange) = request_prompt();
     f.step(Input::Local(HttpInput::CallerGone { caller: CallerId(1) }));
     assert_eq!(&*f.take_sent().head.target, "/hold/h1");
-    reply(&mut f, exchange, ControlReply::PromptAssigned { endpoint: Some("f1".into()) });
+    reply(&mut f, exchange, ControlReply::PromptAssigned { endpoint: Some("f1".into()), ahead: 0 });
     f.advance(2_000);
     assert!(!f.has_sent());
     assert!(!f.answers.contains_key(&1));
--- a/tests/stops_world/mod.rs
+++ b/tests/stops_world/mod.rs
@@ -272,7 +272,7 @@
                     ControlReply::RoomAssigned { endpoint: pick(&r.candidates) }
                 }
                 ControlRequest::AssignPrompt(r) => {
-                    ControlReply::PromptAssigned { endpoint: pick(&r.candidates) }
+                    ControlReply::PromptAssigned { endpoint: pick(&r.candidates), ahead: 0 }
                 }
                 ControlRequest::FindOrigin { .. } => {
                     ControlReply::OriginFound { software: None, only: Some("".into()) }
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -688,7 +688,7 @@
 fn assign_prompt(f: &mut Fixture, endpoint: &str) -> BTreeSet<Box<str>> {
     let (exchange, request) = take_request(f, |r| matches!(r, ControlRequest::AssignPrompt(_)));
     let prompt = assert_matches!(request, ControlRequest::AssignPrompt(prompt) => prompt);
-    reply(f, exchange, ControlReply::PromptAssigned { endpoint: Some(endpoint.into()) });
+    reply(f, exchange, ControlReply::PromptAssigned { endpoint: Some(endpoint.into()), ahead: 0 });
     let prefill = f.take_sent();
     f.answer(&prefill, 200, &[], "export e1");
     prompt.candidates.into_iter().map(|c| c.endpoint).collect()
