Merge placement by learned speed

The leader counts what is promised to calls before a request in the load that it divides by speed. Tests of rooms, prompts, waiting calls, gateways and stops pass on the merged code.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -26,6 +26,7 @@
 use dispatch::credits::Credits;
 use dispatch::prompts::Prompts;
 use dispatch::rooms::Rooms;
+use dispatch::speeds::Speeds;
 use dispatch::waiting::NoRoom;
 use origins::Origins;
 use peers::Peers;
@@ -114,6 +115,10 @@
     prompts: Prompts,
     rooms: Rooms,
     credits: Credits,
+    /// The speeds of prefill endpoints.
+    prompt_speeds: Speeds,
+    /// The speeds of decode endpoints.
+    step_speeds: Speeds,
     origins: Origins,
     /// When the recorded versions are compared next with what was heard.
     next_review: Timestamp,
@@ -148,6 +153,8 @@
             prompts: Prompts::default(),
             rooms: Rooms::default(),
             credits: Credits::default(),
+            prompt_speeds: Speeds::default(),
+            step_speeds: Speeds::default(),
             origins: Origins::default(),
             next_review: Timestamp::default(),
             processes: Processes::default(),
@@ -206,12 +213,13 @@
                 let leadership = self.leadership(now).map(Box::new);
                 vec![self.reply(inbound, ControlReply::Lead { leader, leadership })]
             }
-            ControlRequest::AssignRoom(request) => {
+            ControlRequest::AssignRoom(mut request) => {
                 if !self.replica.is_leader() {
                     return vec![self.not_leader(inbound)];
                 }
                 let registry = &self.registry;
                 self.rooms.retain_owners(now, |boot| registry.may_be_alive(now, boot));
+                self.step_speeds.merge(now, &mut request.candidates);
                 let (endpoint, ahead) = match self.rooms.decide(now, &request) {
                     Ok(endpoint) => (Some(endpoint), 0),
                     Err(NoRoom::Behind(ahead)) => (None, ahead),
@@ -234,12 +242,14 @@
                 Some(reply) => vec![self.reply(inbound, ControlReply::CreditsGranted(reply))],
                 None => vec![self.not_leader(inbound)],
             },
-            ControlRequest::AssignPrompt(request) => {
+            ControlRequest::AssignPrompt(mut request) => {
                 if !self.replica.is_leader() {
                     return vec![self.not_leader(inbound)];
                 }
+                self.prompt_speeds.merge(now, &mut request.candidates);
                 let endpoint = self.prompts.assign(now, &request);
-                vec![self.reply(inbound, ControlReply::PromptAssigned { endpoint })]
+                let ahead = endpoint.as_ref().map_or(0, |e| self.prompts.ahead(e, request.tokens));
+                vec![self.reply(inbound, ControlReply::PromptAssigned { endpoint, ahead })]
             }
             ControlRequest::PromptEnded { endpoint, tokens } => {
                 self.prompts.ended(&endpoint, tokens);
--- a/tests/waiting_calls.rs
+++ b/tests/waiting_calls.rs
@@ -26,7 +26,7 @@
 }
 
 fn request(run: u64, endpoints: u64, call: WaitingCall) -> RoomRequest {
-    let candidate = |at| Candidate { endpoint: format!("d{at}").into(), local: true };
+    let candidate = |at| Candidate { endpoint: format!("d{at}").into(), local: true, speed: None };
     RoomRequest {
         run: RunId(run),
         owner: BootId(call.number % GATEWAYS),
