--- a/src/control/dispatch/bucket.rs
+++ b/src/control/dispatch/bucket.rs
@@ -41,6 +41,24 @@
         AccountLimit { version, rate: quota.rate.max(1), size }
     }
 
+    /// Returns what is left of credit that was granted by this limit after a newer one.
+    ///
+    /// ```
+    /// use dotterelpin::control::dispatch::bucket::AccountLimit;
+    ///
+    /// let before = AccountLimit { version: 1, rate: 1_000, size: 1_000 };
+    /// let after = AccountLimit { version: 2, rate: 250, size: 250 };
+    /// assert_eq!(before.cut(&after, 400), 100);
+    /// assert_eq!(after.cut(&before, 100), 100);
+    /// ```
+    pub fn cut(&self, newer: &AccountLimit, amount: u64) -> u64 {
+        if newer.size >= self.size {
+            return amount;
+        }
+        let part = u128::from(amount) * u128::from(newer.size) / u128::from(self.size);
+        u64::try_from(part).unwrap_or(amount)
+    }
+
     /// Returns the part of the limit that one of so many gateways uses by itself.
     pub fn part(&self, gateways: u32) -> AccountLimit {
         let gateways = u64::from(gateways.max(1));
--- a/src/gateway/admit/charge.rs
+++ b/src/gateway/admit/charge.rs
@@ -17,6 +17,9 @@
 use crate::role::Output;
 use crate::routes::RouteTable;
 
+/// How long the leader is silent before another member is asked who leads: a single answer may be
+/// late because a process stood still.
+const SILENT_TIME: Duration = Duration::from_millis(150);
 /// The shortest retry time of a caller over its quota.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// The part of its retry time, in percent, by which the retry of a caller is put off at random.
@@ -187,9 +190,11 @@
 
     /// Ends the exchange about credit that is overdue, and sends the next one.
     pub(in crate::gateway) fn advance_quotas(&mut self, now: Timestamp) {
-        if let Some(exchange) = self.charging.quotas.overdue(now) {
-            self.outputs.push(Output::Reset { exchange });
-            self.credit_answered(now, exchange, None);
+        let contact = self.contact(now);
+        if let Some((decided, dropped)) = self.charging.quotas.expire(now, contact) {
+            self.outputs.extend(dropped.map(|exchange| Output::Reset { exchange }));
+            self.change_creditor(now, None);
+            self.apply_decisions(now, decided);
         }
         self.request_credit(now);
     }
@@ -232,11 +237,10 @@
                 self.charging.quotas.granted(now, contact, exchange, reply)
             }
             _ => {
-                let decided = self.charging.quotas.failed(now, contact, exchange);
-                if decided.is_some() {
-                    self.change_creditor(reply);
+                if self.charging.quotas.is_open(exchange) {
+                    self.change_creditor(now, reply);
                 }
-                decided
+                self.charging.quotas.failed(now, contact, exchange)
             }
         };
         let Some(decided) = decided else { return false };
@@ -245,12 +249,15 @@
     }
 
     /// Chooses the member that is asked for credit next: the leader that a member names, or another
-    /// member.
-    fn change_creditor(&mut self, reply: Option<&ControlReply>) {
+    /// member if the leader has been silent for some time.
+    fn change_creditor(&mut self, now: Timestamp, reply: Option<&ControlReply>) {
         let asked = self.charging.creditor.or(self.follower.leader());
+        let silent = self.charging.quotas.silence(now) >= SILENT_TIME;
         self.charging.creditor = match reply {
             Some(ControlReply::NotLeader { leader: Some(leader) }) => Some(*leader),
-            _ => self.next_member(asked),
+            Some(ControlReply::NotLeader { leader: None }) => self.next_member(asked),
+            _ if silent => self.next_member(asked),
+            _ => asked,
         };
     }
 
--- a/src/gateway/admit/local.rs
+++ b/src/gateway/admit/local.rs
@@ -23,6 +23,15 @@
     pub cost: u64,
 }
 
+/// What a request asks for one account.
+#[derive(Debug)]
+pub struct Asked<K> {
+    /// The limit that it states.
+    pub limit: AccountLimit,
+    /// The calls that it names.
+    pub calls: Vec<Wait<K>>,
+}
+
 /// The credit of one account, and the calls that wait for it.
 #[derive(Debug)]
 pub struct Local<K> {
@@ -71,14 +80,8 @@
             return;
         }
         let before = std::mem::replace(&mut self.limit, limit);
-        if limit.size < before.size {
-            let part = |amount: u64| {
-                let part = u128::from(amount) * u128::from(limit.size) / u128::from(before.size);
-                u64::try_from(part).unwrap_or(amount)
-            };
-            self.credit = part(self.credit);
-            self.returned = part(self.returned);
-        }
+        self.credit = before.cut(&limit, self.credit);
+        self.returned = before.cut(&limit, self.returned);
     }
 
     fn expire(&mut self, now: Timestamp) {
@@ -156,28 +159,36 @@
         })
     }
 
-    /// Returns the waiting calls that the next request names.
-    pub fn first_waiting(&self) -> Vec<Wait<K>> {
-        self.waiting.iter().take(MAX_CALLS).copied().collect()
+    /// Returns what the next request asks for.
+    pub fn asked(&self) -> Asked<K> {
+        let calls = self.waiting.iter().take(MAX_CALLS).copied().collect();
+        Asked { limit: self.limit, calls }
+    }
+
+    /// Takes back what a grant gives that came too late to be used.
+    pub fn return_late(&mut self, stamp: Timestamp, grant: &AccountGrant, asked: &Asked<K>) {
+        let paid = asked.calls.iter().enumerate().filter(|(index, _)| is_paid(grant, *index));
+        let paid: u64 = paid.map(|(_, wait)| wait.cost).sum();
+        self.give_back(Charge { amount: paid + grant.ahead, stamp: Some(stamp) });
     }
 
-    /// Applies a grant; `named` are the calls that the request named.
+    /// Applies a grant of the leader with a stamp, for a request that was sent at a time.
     pub fn granted(
         &mut self,
         now: Timestamp,
         sent: Timestamp,
         stamp: Timestamp,
         grant: &AccountGrant,
-        named: &[Wait<K>],
+        asked: &Asked<K>,
     ) -> Vec<(K, Decision)> {
         self.expire(now);
         self.alone = None;
-        self.credit += grant.ahead;
+        self.credit += asked.limit.cut(&self.limit, grant.ahead);
         self.sent = sent;
         self.stamp = stamp;
         self.room = TokenBucket::new(now, grant.level);
         let mut decided = Vec::new();
-        for (index, wait) in named.iter().enumerate() {
+        for (index, wait) in asked.calls.iter().enumerate() {
             let paid = is_paid(grant, index);
             let charge = Charge { amount: wait.cost, stamp: Some(stamp) };
             let waits = self.waiting.contains(wait);
--- a/src/gateway/admit/quota.rs
+++ b/src/gateway/admit/quota.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::local::{Local, Wait};
+use super::local::{Asked, Local, Wait};
 use crate::control::dispatch::bucket::AccountLimit;
 use crate::control::dispatch::credits::{AccountGrant, CreditsReply, CreditsRequest, PAID_TTL};
 use crate::model::{BootId, ExchangeId, Timestamp};
@@ -64,8 +64,8 @@
 struct Open<K> {
     exchange: Option<ExchangeId>,
     sent: Timestamp,
-    /// The calls that it names, by account.
-    calls: BTreeMap<Box<str>, Vec<Wait<K>>>,
+    /// What it asks for, by account.
+    asked: BTreeMap<Box<str>, Asked<K>>,
 }
 
 /// The credit of the client accounts with a quota at a gateway; `K` identifies calls.
@@ -93,6 +93,8 @@
     owner: BootId,
     accounts: BTreeMap<Box<str>, Local<K>>,
     open: Option<Open<K>>,
+    /// The last request that was not answered in time.
+    late: Option<Open<K>>,
     /// The number of the last request.
     number: u64,
     last_sent: Timestamp,
@@ -110,6 +112,7 @@
             owner,
             accounts: BTreeMap::new(),
             open: None,
+            late: None,
             number: 0,
             last_sent: Timestamp::default(),
             ask_at: Timestamp::MAX,
@@ -186,11 +189,11 @@
             return None;
         }
         self.ask_at = Timestamp::MAX;
-        let mut calls = BTreeMap::new();
+        let mut asked = BTreeMap::new();
         let mut accounts = Vec::new();
         for (name, local) in &mut self.accounts {
             let Some(request) = local.request(now, name, contact.gateways) else { continue };
-            calls.insert(name.clone(), local.first_waiting());
+            asked.insert(name.clone(), local.asked());
             accounts.push(request);
         }
         self.accounts.retain(|_, local| !local.is_idle(now, contact.gateways));
@@ -200,7 +203,7 @@
         }
         self.number += 1;
         self.last_sent = now;
-        self.open = Some(Open { exchange: None, sent: now, calls });
+        self.open = Some(Open { exchange: None, sent: now, asked });
         Some(CreditsRequest { owner: self.owner, number: self.number, accounts })
     }
 
@@ -226,9 +229,14 @@
         exchange: ExchangeId,
         reply: &CreditsReply,
     ) -> Option<Vec<(K, Decision)>> {
+        if let Some(late) = self.late.take_if(|late| late.exchange == Some(exchange)) {
+            self.return_late(now, &late, reply);
+            return Some(Vec::new());
+        }
         let open = self.open.take_if(|open| open.exchange == Some(exchange))?;
         if now - open.sent >= PAID_TTL {
-            // The credit may have been counted as used already.
+            // The leader may count the credit as used already.
+            self.return_late(now, &open, reply);
             return Some(self.unanswered(now, contact, open.sent));
         }
         self.silent = None;
@@ -238,8 +246,8 @@
         let mut decided = Vec::new();
         for grant in &reply.grants {
             let Some(local) = self.accounts.get_mut(&grant.account) else { continue };
-            let named = open.calls.get(&grant.account).map_or(&[][..], |calls| calls);
-            decided.extend(local.granted(now, open.sent, reply.stamp, grant, named));
+            let Some(asked) = open.asked.get(&grant.account) else { continue };
+            decided.extend(local.granted(now, open.sent, reply.stamp, grant, asked));
         }
         let waits = self.accounts.values().any(|local| !local.waiting.is_empty());
         let gateways = contact.gateways;
@@ -251,6 +259,30 @@
         Some(decided)
     }
 
+    /// Returns the credit of a reply that came too late to be used.
+    fn return_late(&mut self, now: Timestamp, late: &Open<K>, reply: &CreditsReply) {
+        for grant in &reply.grants {
+            let Some(local) = self.accounts.get_mut(&grant.account) else { continue };
+            let Some(asked) = late.asked.get(&grant.account) else { continue };
+            local.return_late(reply.stamp, grant, asked);
+        }
+        self.ask(now, false);
+    }
+
+    /// Handles that the leader has not answered the open request in time; its credit is returned if
+    /// the answer comes yet. Returns what is decided for the calls that waited, and the exchange that
+    /// is no longer listened to.
+    pub fn expire(
+        &mut self,
+        now: Timestamp,
+        contact: Contact,
+    ) -> Option<(Vec<(K, Decision)>, Option<ExchangeId>)> {
+        let open = self.open.take_if(|open| open.sent + EXCHANGE_TIMEOUT <= now)?;
+        let sent = open.sent;
+        let dropped = self.late.replace(open).and_then(|late| late.exchange);
+        Some((self.unanswered(now, contact, sent), dropped))
+    }
+
     /// Handles the end of an exchange without a reply of the leader; returns what is decided for the
     /// calls that waited, or `None` if the exchange is not the open one.
     pub fn failed(
@@ -259,6 +291,9 @@
         contact: Contact,
         exchange: ExchangeId,
     ) -> Option<Vec<(K, Decision)>> {
+        if self.late.take_if(|late| late.exchange == Some(exchange)).is_some() {
+            return Some(Vec::new());
+        }
         let open = self.open.take_if(|open| open.exchange == Some(exchange))?;
         Some(self.unanswered(now, contact, open.sent))
     }
@@ -297,12 +332,6 @@
         decided
     }
 
-    /// Returns the open exchange if the leader has not answered in time.
-    pub fn overdue(&self, now: Timestamp) -> Option<ExchangeId> {
-        let open = self.open.as_ref().filter(|open| open.sent + EXCHANGE_TIMEOUT <= now)?;
-        open.exchange
-    }
-
     /// Refuses a call that has waited for too long; returns after which time there may be room for
     /// it.
     pub fn give_up(&mut self, now: Timestamp, account: &str, key: K) -> Duration {
@@ -337,6 +366,16 @@
         self.accounts.get(account).map_or(0, Local::level)
     }
 
+    /// Returns whether the exchange is the open one.
+    pub fn is_open(&self, exchange: ExchangeId) -> bool {
+        self.open.as_ref().is_some_and(|open| open.exchange == Some(exchange))
+    }
+
+    /// Returns for how long requests have not been answered.
+    pub fn silence(&self, now: Timestamp) -> Duration {
+        self.silent.map_or(Duration::ZERO, |since| now - since)
+    }
+
     /// Returns the time since the last reply of the leader.
     pub fn reply_age(&self, now: Timestamp) -> Option<Duration> {
         (self.last_reply > Timestamp::default()).then(|| now - self.last_reply)
