Make quotas usable at one gateway, and cheap for rare plain calls

Cause: credit that was returned with a request to a member that does not lead was lost. Each account of a gateway renewed its credit by requests of its own: 18 accounts with 190 plain calls per second over 31 gateways needed 11,095 requests for 3,619 calls, 2,728 of which were paid at once.

Change: a gateway keeps what a request was to return if a member answers that it does not lead; it renews the credit of all accounts together, and keeps it for 10 s after a call.

--- a/src/gateway/admit/charge.rs
+++ b/src/gateway/admit/charge.rs
@@ -240,7 +240,8 @@
                 if self.charging.quotas.is_open(exchange) {
                     self.change_creditor(now, reply);
                 }
-                self.charging.quotas.failed(now, contact, exchange)
+                let unread = matches!(reply, Some(ControlReply::NotLeader { .. }));
+                self.charging.quotas.failed(now, contact, exchange, unread)
             }
         };
         let Some(decided) = decided else { return false };
--- a/src/gateway/admit/demand.rs
+++ b/src/gateway/admit/demand.rs
@@ -9,7 +9,7 @@
 const SLOT: Duration = Duration::from_millis(250);
 /// How long credit is kept for an account without requests: rare plain calls come some seconds apart
 /// at each gateway.
-const IDLE_TIME: Duration = Duration::from_secs(5);
+const IDLE_TIME: Duration = Duration::from_secs(10);
 /// How many usual requests are covered in advance for an account with few of them.
 const USUAL_REQUESTS: u64 = 2;
 /// The part of a bucket that the gateways keep for accounts with few requests, all together.
--- a/src/gateway/admit/local.rs
+++ b/src/gateway/admit/local.rs
@@ -11,6 +11,9 @@
 
 /// How long before it expires credit is renewed.
 const RENEW_TIME: Duration = Duration::from_millis(300);
+/// After which age it is renewed with a request that is sent anyway, so that the accounts of a gateway
+/// don't each have requests of their own.
+const JOIN_AGE: Duration = Duration::from_millis(300);
 /// The maximum number of waiting calls of an account in one request.
 const MAX_CALLS: usize = 256;
 
@@ -30,6 +33,10 @@
     pub limit: AccountLimit,
     /// The calls that it names.
     pub calls: Vec<Wait<K>>,
+    /// The credit that it returns.
+    returned: u64,
+    /// The oldest stamp of that credit.
+    stamp: Timestamp,
 }
 
 /// The credit of one account, and the calls that wait for it.
@@ -137,32 +144,43 @@
     }
 
     /// Returns the request for this account, if it needs anything.
-    pub fn request(&mut self, now: Timestamp, name: &str, gateways: u32) -> Option<AccountRequest> {
+    pub fn request(
+        &mut self,
+        now: Timestamp,
+        name: &str,
+        gateways: u32,
+    ) -> Option<(AccountRequest, Asked<K>)> {
         self.expire(now);
         let wanted = self.demand.wanted(now, &self.limit, gateways);
         let low = self.credit < wanted.div_ceil(2);
-        let renews = wanted > 0 && self.credit > 0 && now + RENEW_TIME >= self.sent + CREDIT_TTL;
+        let renews = wanted > 0 && self.credit > 0 && now - self.sent >= JOIN_AGE;
         let debt = self.alone.map_or(0, |bucket| unsigned(bucket.level.saturating_neg()));
         if self.waiting.is_empty() && !low && !renews && self.returned == 0 && debt == 0 {
             return None;
         }
-        let stamp = std::mem::replace(&mut self.returned_stamp, Timestamp::MAX);
-        Some(AccountRequest {
+        let asked = Asked {
+            limit: self.limit,
+            calls: self.waiting.iter().take(MAX_CALLS).copied().collect(),
+            returned: std::mem::take(&mut self.returned),
+            stamp: std::mem::replace(&mut self.returned_stamp, Timestamp::MAX),
+        };
+        let request = AccountRequest {
             account: name.into(),
             limit: self.limit,
             held: self.credit,
-            needed: self.waiting.iter().take(MAX_CALLS).map(|wait| wait.cost).collect(),
+            needed: asked.calls.iter().map(|wait| wait.cost).collect(),
             ahead: wanted.saturating_sub(self.credit),
-            returned: std::mem::take(&mut self.returned),
-            stamp,
+            returned: asked.returned,
+            stamp: asked.stamp,
             debt,
-        })
+        };
+        Some((request, asked))
     }
 
-    /// Returns what the next request asks for.
-    pub fn asked(&self) -> Asked<K> {
-        let calls = self.waiting.iter().take(MAX_CALLS).copied().collect();
-        Asked { limit: self.limit, calls }
+    /// Takes back the credit that a request was to return, since it reached no leader.
+    pub fn keep_returned(&mut self, asked: &Asked<K>) {
+        self.returned += asked.limit.cut(&self.limit, asked.returned);
+        self.returned_stamp = self.returned_stamp.min(asked.stamp);
     }
 
     /// Takes back what a grant gives that came too late to be used.
--- a/src/gateway/admit/quota.rs
+++ b/src/gateway/admit/quota.rs
@@ -192,8 +192,10 @@
         let mut asked = BTreeMap::new();
         let mut accounts = Vec::new();
         for (name, local) in &mut self.accounts {
-            let Some(request) = local.request(now, name, contact.gateways) else { continue };
-            asked.insert(name.clone(), local.asked());
+            let Some((request, part)) = local.request(now, name, contact.gateways) else {
+                continue;
+            };
+            asked.insert(name.clone(), part);
             accounts.push(request);
         }
         self.accounts.retain(|_, local| !local.is_idle(now, contact.gateways));
@@ -283,19 +285,29 @@
         Some((self.unanswered(now, contact, sent), dropped))
     }
 
-    /// Handles the end of an exchange without a reply of the leader; returns what is decided for the
-    /// calls that waited, or `None` if the exchange is not the open one.
+    /// Handles the end of an exchange without a reply of the leader, which may have read the request
+    /// unless a member that does not lead has answered. Returns what is decided for the calls that
+    /// waited, or `None` if the exchange is not the open one.
     pub fn failed(
         &mut self,
         now: Timestamp,
         contact: Contact,
         exchange: ExchangeId,
+        unread: bool,
     ) -> Option<Vec<(K, Decision)>> {
-        if self.late.take_if(|late| late.exchange == Some(exchange)).is_some() {
-            return Some(Vec::new());
+        let late = self.late.take_if(|late| late.exchange == Some(exchange));
+        let open = self.open.take_if(|open| open.exchange == Some(exchange));
+        if let Some(ended) = late.as_ref().or(open.as_ref()).filter(|_| unread) {
+            for (name, asked) in &ended.asked {
+                if let Some(local) = self.accounts.get_mut(name) {
+                    local.keep_returned(asked);
+                }
+            }
+        }
+        match open {
+            Some(open) => Some(self.unanswered(now, contact, open.sent)),
+            None => late.map(|_| Vec::new()),
         }
-        let open = self.open.take_if(|open| open.exchange == Some(exchange))?;
-        Some(self.unanswered(now, contact, open.sent))
     }
 
     /// Handles that no member is known to which a request could be sent.
