--- a/src/gateway/admit/local.rs
+++ b/src/gateway/admit/local.rs
@@ -11,6 +11,9 @@
 
 /// How long before it expires credit is renewed.
 const RENEW_TIME: Duration = Duration::from_millis(300);
+/// After which age it is renewed with a request that is sent anyway, so that the accounts of a gateway
+/// don't each have requests of their own.
+const JOIN_AGE: Duration = Duration::from_millis(300);
 /// The maximum number of waiting calls of an account in one request.
 const MAX_CALLS: usize = 256;
 
@@ -23,6 +26,19 @@
     pub cost: u64,
 }
 
+/// What a request asks for one account.
+#[derive(Debug)]
+pub struct Asked<K> {
+    /// The limit that it states.
+    pub limit: AccountLimit,
+    /// The calls that it names.
+    pub calls: Vec<Wait<K>>,
+    /// The credit that it returns.
+    returned: u64,
+    /// The oldest stamp of that credit.
+    stamp: Timestamp,
+}
+
 /// The credit of one account, and the calls that wait for it.
 #[derive(Debug)]
 pub struct Local<K> {
@@ -71,14 +87,8 @@
             return;
         }
         let before = std::mem::replace(&mut self.limit, limit);
-        if limit.size < before.size {
-            let part = |amount: u64| {
-                let part = u128::from(amount) * u128::from(limit.size) / u128::from(before.size);
-                u64::try_from(part).unwrap_or(amount)
-            };
-            self.credit = part(self.credit);
-            self.returned = part(self.returned);
-        }
+        self.credit = before.cut(&limit, self.credit);
+        self.returned = before.cut(&limit, self.returned);
     }
 
     fn expire(&mut self, now: Timestamp) {
@@ -134,50 +144,69 @@
     }
 
     /// Returns the request for this account, if it needs anything.
-    pub fn request(&mut self, now: Timestamp, name: &str, gateways: u32) -> Option<AccountRequest> {
+    pub fn request(
+        &mut self,
+        now: Timestamp,
+        name: &str,
+        gateways: u32,
+    ) -> Option<(AccountRequest, Asked<K>)> {
         self.expire(now);
         let wanted = self.demand.wanted(now, &self.limit, gateways);
         let low = self.credit < wanted.div_ceil(2);
-        let renews = wanted > 0 && self.credit > 0 && now + RENEW_TIME >= self.sent + CREDIT_TTL;
+        let renews = wanted > 0 && self.credit > 0 && now - self.sent >= JOIN_AGE;
         let debt = self.alone.map_or(0, |bucket| unsigned(bucket.level.saturating_neg()));
         if self.waiting.is_empty() && !low && !renews && self.returned == 0 && debt == 0 {
             return None;
         }
-        let stamp = std::mem::replace(&mut self.returned_stamp, Timestamp::MAX);
-        Some(AccountRequest {
+        let asked = Asked {
+            limit: self.limit,
+            calls: self.waiting.iter().take(MAX_CALLS).copied().collect(),
+            returned: std::mem::take(&mut self.returned),
+            stamp: std::mem::replace(&mut self.returned_stamp, Timestamp::MAX),
+        };
+        let request = AccountRequest {
             account: name.into(),
             limit: self.limit,
             held: self.credit,
-            needed: self.waiting.iter().take(MAX_CALLS).map(|wait| wait.cost).collect(),
+            needed: asked.calls.iter().map(|wait| wait.cost).collect(),
             ahead: wanted.saturating_sub(self.credit),
-            returned: std::mem::take(&mut self.returned),
-            stamp,
+            returned: asked.returned,
+            stamp: asked.stamp,
             debt,
-        })
+        };
+        Some((request, asked))
+    }
+
+    /// Takes back the credit that a request was to return, since it reached no leader.
+    pub fn keep_returned(&mut self, asked: &Asked<K>) {
+        self.returned += asked.limit.cut(&self.limit, asked.returned);
+        self.returned_stamp = self.returned_stamp.min(asked.stamp);
     }
 
-    /// Returns the waiting calls that the next request names.
-    pub fn first_waiting(&self) -> Vec<Wait<K>> {
-        self.waiting.iter().take(MAX_CALLS).copied().collect()
+    /// Takes back what a grant gives that came too late to be used.
+    pub fn return_late(&mut self, stamp: Timestamp, grant: &AccountGrant, asked: &Asked<K>) {
+        let paid = asked.calls.iter().enumerate().filter(|(index, _)| is_paid(grant, *index));
+        let paid: u64 = paid.map(|(_, wait)| wait.cost).sum();
+        self.give_back(Charge { amount: paid + grant.ahead, stamp: Some(stamp) });
     }
 
-    /// Applies a grant; `named` are the calls that the request named.
+    /// Applies a grant of the leader with a stamp, for a request that was sent at a time.
     pub fn granted(
         &mut self,
         now: Timestamp,
         sent: Timestamp,
         stamp: Timestamp,
         grant: &AccountGrant,
-        named: &[Wait<K>],
+        asked: &Asked<K>,
     ) -> Vec<(K, Decision)> {
         self.expire(now);
         self.alone = None;
-        self.credit += grant.ahead;
+        self.credit += asked.limit.cut(&self.limit, grant.ahead);
         self.sent = sent;
         self.stamp = stamp;
         self.room = TokenBucket::new(now, grant.level);
         let mut decided = Vec::new();
-        for (index, wait) in named.iter().enumerate() {
+        for (index, wait) in asked.calls.iter().enumerate() {
             let paid = is_paid(grant, index);
             let charge = Charge { amount: wait.cost, stamp: Some(stamp) };
             let waits = self.waiting.contains(wait);
