Let client accounts take turns in the queue of a gateway

Cause: calls of one rank started in the order of their arrival, and a new call was refused by how many were queued before it. One account at twelve times its usual load filled the queue and had the others refused.

Change: within a rank, accounts take turns by estimated tokens, weighted by the rate of their quota; the expected wait of a new call counts the calls that start before it by these turns. The queue moves to gateway/admit. Without accounts the order is as before.

--- a/src/gateway/admit/asking.rs
+++ b/src/gateway/admit/asking.rs
@@ -4,10 +4,9 @@
 
 use super::super::call::{Call, Stage};
 use super::super::{BackoffKey, CallerId, Gateway};
-use super::wait_end;
+use super::{share, wait_end};
 use crate::control::dispatch::waiting::WaitingCall;
 use crate::model::Timestamp;
-use crate::routes::accounts::{Account, DEFAULT_WEIGHT};
 
 /// How long the leader is not asked again for capacity in a service after it found none.
 const NO_CAPACITY_BACKOFF: Duration = Duration::from_millis(40);
@@ -47,15 +46,15 @@
     caller: CallerId,
     call: &Call,
 ) -> WaitingCall {
-    let account = call.account();
+    let share = share(call);
     // The leader keeps no claim for a call that runs already and looks for another endpoint.
     let waits = matches!(call.stage, Stage::Waiting | Stage::Room { .. });
     WaitingCall {
         number: caller.0,
         service: call.service.clone(),
         rank: call.rank(),
-        account: account.map(|a| a.name.clone()).unwrap_or_default(),
-        weight: account.map_or(DEFAULT_WEIGHT, Account::weight),
+        account: share.account,
+        weight: share.weight,
         waited: now - call.arrived,
         patience: if waits { wait_end(call) - now } else { Duration::ZERO },
     }
--- a/src/gateway/admit/mod.rs
+++ b/src/gateway/admit/mod.rs
@@ -2,6 +2,8 @@
 
 mod accounts;
 mod asking;
+pub mod queue;
+pub mod turns;
 
 use std::time::Duration;
 
@@ -9,12 +11,16 @@
 
 use super::answer;
 use super::call::Call;
-use super::queue::{Queue, Rank, Waiting};
 use super::reason::EndReason;
 use super::retry::is_retried;
 use super::{CallerId, Gateway, START_INTERVAL};
 use crate::model::Timestamp;
+use crate::routes::accounts::{Account, DEFAULT_WEIGHT};
+use queue::{Queue, Rank, Waiting};
+use turns::Share;
 
+/// The tokens that a call to a plain service counts for in the turns of client accounts.
+const PLAIN_TOKENS: u32 = 200;
 /// How long an interrupted stream may wait for capacity; callers time out soon after.
 const RESUME_WAIT: Duration = Duration::from_millis(2_500);
 
@@ -37,9 +43,10 @@
         let id = call.info.id.clone();
         // An interrupted stream goes before new calls, as in the queue.
         let resumed = call.is_resumption();
-        let first = resumed || self.queues.entry(service.clone()).or_default().ahead(rank) == 0;
+        let first = resumed
+            || self.queues.entry(service.clone()).or_default().ahead(rank, &waiting.share) == 0;
         if first && self.start(now, caller) {
-            self.queues.entry(service).or_default().started(now);
+            self.queues.entry(service).or_default().started(now, &waiting.share);
             return;
         }
         let queue = self.queues.entry(service).or_default();
@@ -55,7 +62,7 @@
             "step=admit id={id} outcome=refused late={} queue={} wait_ms={}",
             rank.late,
             queue.len(),
-            queue.estimate(now, rank).map_or(-1, |w| w.as_millis() as i64),
+            queue.estimate(now, rank, &waiting.share).map_or(-1, |w| w.as_millis() as i64),
         );
         let refusal = self.capacity_refusal(now, caller);
         self.conclude(now, caller, refusal, EndReason::NotAdmitted);
@@ -110,8 +117,8 @@
                 self.conclude(now, caller, answer::no_version(), EndReason::NoEndpoint);
             } else if self.start(now, caller) {
                 if let Some(queue) = self.queues.get_mut(service) {
-                    queue.remove(caller);
-                    queue.started(now);
+                    let share = queue.remove(caller).unwrap_or_default();
+                    queue.started(now, &share);
                 }
                 self.schedule(caller);
             } else if !versioned && !retried {
@@ -143,7 +150,7 @@
         let Some(waiting) = waiting(caller, call) else { return };
         let rank = call.rank();
         let queue = self.queues.entry(call.service.clone()).or_default();
-        queue.push_front(rank, waiting);
+        queue.requeue(rank, waiting);
     }
 }
 
@@ -152,7 +159,8 @@
 fn waiting(key: CallerId, call: &Call) -> Option<Waiting<CallerId>> {
     call.route()?;
     let until = wait_end(call);
-    Some(Waiting { key, in_time: until, until, bound: call.software.is_some() })
+    let share = share(call);
+    Some(Waiting { key, in_time: until, until, bound: call.software.is_some(), share })
 }
 
 /// Returns until when a call to a model may wait for capacity.
@@ -169,3 +177,13 @@
     };
     until.min(call.deadline)
 }
+
+/// Returns what a call counts for in the turns of its client account.
+pub(super) fn share(call: &Call) -> Share {
+    let account = call.account();
+    Share {
+        account: account.map(|a| a.name.clone()).unwrap_or_default(),
+        weight: account.map_or(DEFAULT_WEIGHT, Account::weight),
+        tokens: call.info.work.as_ref().map_or(PLAIN_TOKENS, |work| work.mean_tokens()),
+    }
+}
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
+use super::admit::queue::Queue;
 use super::call::{Call, CompleteAnswer, Stage};
 use super::events::Event;
 use super::outcome::Failure;
 use super::protocol::RefusalInfo;
-use super::queue::Queue;
 use super::reason::EndReason;
 use super::{CallerId, Gateway};
 use crate::control::dispatch::rooms::RunEnd;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,7 +3,7 @@
 //! Unlike the entry, it does not interpret the contents of calls and answers, and it connects to
 //! endpoints directly, without agents. All protocol details are behind [`protocol::CallProtocol`].
 
-mod admit;
+pub mod admit;
 mod answer;
 mod assign;
 mod blocked;
@@ -32,7 +32,6 @@
 mod proof;
 pub mod protocol;
 mod quarantine;
-pub mod queue;
 mod reason;
 mod receive;
 mod recount;
@@ -57,6 +56,7 @@
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use admit::queue::Queue;
 use blocked::Blocked;
 use budget::{Budget, BudgetTerms};
 use call::Call;
@@ -67,7 +67,6 @@
 use lateness::UsualTimeout;
 use outbox::Outbox;
 use protocol::{CallProtocol, TableFormat};
-use queue::Queue;
 use recount::Recount;
 use stream_times::StreamTimes;
 use versions::Versions;
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -1,10 +1,11 @@
 //! Calls to plain services, which run at one endpoint without prefill and decode stages.
 
+use super::admit::queue::Waiting;
+use super::admit::share;
 use super::answer;
 use super::call::{Attempt, Call, Stage};
 use super::fleet::{EndpointKey, Usage};
 use super::protocol::SendKind;
-use super::queue::Waiting;
 use super::reason::EndReason;
 use super::{CallerId, Gateway};
 use crate::model::Timestamp;
@@ -44,7 +45,7 @@
         }
         let waiting = waiting(now, caller, call);
         let (rank, service) = (call.rank(), call.service.clone());
-        self.queues.entry(service).or_default().push_front(rank, waiting);
+        self.queues.entry(service).or_default().requeue(rank, waiting);
         true
     }
 
@@ -88,5 +89,5 @@
     let until = now + call.remaining(now) * PLAIN_WAIT_PERCENT / 100;
     let in_time = call.arrived + target * IN_TIME_PERCENT / 100;
     let bound = call.software.is_some() || !call.tried.is_empty();
-    Waiting { key, in_time: in_time.min(until), until, bound }
+    Waiting { key, in_time: in_time.min(until), until, bound, share: share(call) }
 }
--- a/tests/late_calls.rs
+++ b/tests/late_calls.rs
@@ -5,8 +5,9 @@
 
 use std::time::Duration;
 
+use dotterelpin::gateway::admit::queue::{Queue, Rank, Waiting};
+use dotterelpin::gateway::admit::turns::Share;
 use dotterelpin::gateway::lateness::UsualTimeout;
-use dotterelpin::gateway::queue::{Queue, Rank, Waiting};
 use dotterelpin::h1::{CallerId, HttpInput};
 use dotterelpin::model::Timestamp;
 use dotterelpin::role::Input;
@@ -49,10 +50,13 @@
     let mut queue = Queue::default();
     for (key, late) in [(1, true), (2, false), (3, true), (4, false)] {
         let until = Queue::<u32>::wait_until(now, rank(late), TARGET, Duration::from_secs(9));
-        queue.push(rank(late), Waiting { key, in_time: until, until, bound: false });
+        queue.push(
+            rank(late),
+            Waiting { key, in_time: until, until, bound: false, share: Share::default() },
+        );
     }
-    assert_eq!(queue.ahead(rank(false)), 2);
-    assert_eq!(queue.ahead(rank(true)), 4);
+    assert_eq!(queue.ahead(rank(false), &Share::default()), 2);
+    assert_eq!(queue.ahead(rank(true), &Share::default()), 4);
     let order: Vec<u32> = std::iter::from_fn(|| {
         let key = queue.first()?;
         queue.remove(key);
--- a/tests/plain_burst.rs
+++ b/tests/plain_burst.rs
@@ -6,7 +6,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use dotterelpin::gateway::queue::{Queue, Rank, Waiting};
+use dotterelpin::gateway::admit::queue::{Queue, Rank, Waiting};
+use dotterelpin::gateway::admit::turns::Share;
 use dotterelpin::gateway::window::Window;
 use dotterelpin::model::Timestamp;
 use gateway_fixture::{Fixture, Sent};
@@ -44,8 +45,14 @@
     let at = |millis| now + Duration::from_millis(millis);
     let rank = Rank { account: 2, priority: 2, late: false };
     let mut queue = Queue::default();
-    queue.push(rank, Waiting { key: 1, in_time: at(50), until: at(600), bound: false });
-    queue.push(rank, Waiting { key: 2, in_time: at(90), until: at(600), bound: false });
+    queue.push(
+        rank,
+        Waiting { key: 1, in_time: at(50), until: at(600), bound: false, share: Share::default() },
+    );
+    queue.push(
+        rank,
+        Waiting { key: 2, in_time: at(90), until: at(600), bound: false, share: Share::default() },
+    );
     queue.demote(at(60));
     assert_eq!(queue.first(), Some(2));
     queue.demote(at(100));
