--- a/tests/speed.rs
+++ b/tests/speed.rs
@@ -12,6 +12,7 @@
 use dotterelpin::control::dispatch::prompts::{PromptRequest, Prompts};
 use dotterelpin::control::dispatch::rooms::{RoomRequest, Rooms, RunId};
 use dotterelpin::control::dispatch::speeds::Speeds;
+use dotterelpin::control::dispatch::waiting::WaitingCall;
 use dotterelpin::gateway::place::speed::{Speed, SpeedSample, WorkRate, percents};
 use dotterelpin::gateway::place::{DecodeLoad, PrefillLoad, place_decode, place_prefill};
 use dotterelpin::link::message::{ControlReply, ControlRequest, Envelope, Reply};
@@ -306,6 +307,7 @@
                 memory: 30_000,
                 slots: 12,
                 candidates: candidates(known),
+                call: WaitingCall::default(),
             };
             counts[rooms.assign(at(0), &request).unwrap()[1..].parse::<usize>().unwrap()] += 1;
         }
@@ -354,7 +356,7 @@
 fn run_call(f: &mut Fixture, caller: u64, ahead: u32) -> Option<SpeedSample> {
     f.model_call(caller, "/draft/a", "3000,100");
     let capacity = f.leader_requests.pop().unwrap().0;
-    reply(f, capacity, ControlReply::RoomAssigned { endpoint: Some("d1".into()) });
+    reply(f, capacity, ControlReply::RoomAssigned { endpoint: Some("d1".into()), ahead: 0 });
     let hold = f.take_sent();
     f.answer(&hold, 200, &[], "hold h1");
     let (exchange, request) = f.leader_requests.pop().unwrap();
