--- a/src/gateway/admit/local.rs
+++ b/src/gateway/admit/local.rs
@@ -3,8 +3,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use super::decision::{Charge, Decision, is_paid};
 use super::demand::Demand;
-use super::quota::{Charge, Decision, is_paid};
 use crate::control::dispatch::bucket::{AccountLimit, TokenBucket, signed, time_to_room, unsigned};
 use crate::control::dispatch::credits::{AccountGrant, AccountRequest, CREDIT_TTL};
 use crate::model::Timestamp;
--- a/src/gateway/admit/mod.rs
+++ b/src/gateway/admit/mod.rs
@@ -2,6 +2,7 @@
 
 mod accounts;
 pub(super) mod charge;
+mod decision;
 pub mod demand;
 mod lines;
 mod local;
--- a/src/gateway/admit/quota.rs
+++ b/src/gateway/admit/quota.rs
@@ -7,9 +7,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+pub use super::decision::{Charge, Contact, Decision};
 use super::local::{Asked, Local, Wait};
 use crate::control::dispatch::bucket::AccountLimit;
-use crate::control::dispatch::credits::{AccountGrant, CreditsReply, CreditsRequest, PAID_TTL};
+use crate::control::dispatch::credits::{CreditsReply, CreditsRequest, PAID_TTL};
 use crate::model::{BootId, ExchangeId, Timestamp};
 
 /// How long the leader may take to answer; a gateway with a twentieth of a core stands still for up
@@ -27,38 +28,6 @@
 /// an election.
 pub const ELECTION_WAIT: Duration = Duration::from_millis(1_500);
 
-/// The credit that a call has used.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Charge {
-    /// The amount.
-    pub amount: u64,
-    /// The stamp of the leader's reply that granted it; `None` for the gateway's own part of the
-    /// limit.
-    pub stamp: Option<Timestamp>,
-}
-
-/// What is decided for a call of an account with a quota.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Decision {
-    /// It may be admitted.
-    Paid(Charge),
-    /// It waits for credit.
-    Waits,
-    /// The quota is used up; there is room for it after this time.
-    Refused(Duration),
-    /// It costs more than the account may ever use at once.
-    TooLarge,
-}
-
-/// What a gateway knows of control.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Contact {
-    /// Whether a majority of control's voters was heard lately.
-    pub majority: bool,
-    /// The number of gateways.
-    pub gateways: u32,
-}
-
 /// An open request for credit.
 #[derive(Debug)]
 struct Open<K> {
@@ -401,8 +370,3 @@
         }
     }
 }
-
-/// Returns the decision on a call by a grant; `index` is its place among those of the request.
-pub(super) fn is_paid(grant: &AccountGrant, index: usize) -> bool {
-    grant.paid.get(index).copied().unwrap_or(false)
-}
