--- a/src/link/message/control.rs
+++ b/src/link/message/control.rs
@@ -41,8 +41,6 @@
         /// The runs.
         runs: Vec<KnownRun>,
     },
-    /// Requests credit for client accounts with a quota; only the leader grants it.
-    Credits(Box<CreditsRequest>),
     /// Requests an endpoint to run a prefill; only the leader chooses one.
     AssignPrompt(PromptRequest),
     /// Reports that a prefill has ended.
@@ -74,6 +72,8 @@
         /// The name of the service.
         service: Box<str>,
     },
+    /// Requests credit for client accounts with a quota; only the leader grants it.
+    Credits(Box<CreditsRequest>),
 }
 
 /// A reply from a control member.
@@ -88,8 +88,6 @@
         /// The endpoint, or None if none has capacity.
         endpoint: Option<Box<str>>,
     },
-    /// The credit granted for client accounts.
-    CreditsGranted(CreditsReply),
     /// The endpoint chosen to run a prefill.
     PromptAssigned {
         /// The endpoint, or None if all are busy.
@@ -141,6 +139,8 @@
         /// has led for as long, since only the leader hears of all endpoints.
         only: Option<Box<str>>,
     },
+    /// The credit granted for client accounts.
+    CreditsGranted(CreditsReply),
 }
 
 /// The state that the decisions of the log's leader are based on.
