--- a/src/gateway/admit/mod.rs
+++ b/src/gateway/admit/mod.rs
@@ -3,6 +3,7 @@
 mod accounts;
 mod asking;
 pub(super) mod charge;
+mod decision;
 pub mod demand;
 mod lines;
 mod local;
