Serve callers that come back after a refusal

Cause: a refused caller was told a random time, and its return ranked behind all calls in time and had to leave 15 % of an engine free. In a burst that outlasted the retry time every second return was refused again.

Change: the late calls of a kind go first at the leader while they have less than 45 % of what is assigned to it, and leave nothing free then. A gateway promises each return a moment that is free of other promises, at the rate of its starts. Calls of a rank no longer hold up other ranks at a gateway while the leader orders them.

--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod prompts;
 pub mod rooms;
+pub mod shares;
 pub mod waiting;
 
 use serde::{Deserialize, Serialize};
--- a/src/control/dispatch/waiting.rs
+++ b/src/control/dispatch/waiting.rs
@@ -9,12 +9,14 @@
 //! A claim is soft state: it ends some time after the gateway last asked for the call, so a gateway
 //! that freezes keeps capacity from others only that long. A new leader starts without claims.
 
+use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use super::rooms::RoomRequest;
+use super::shares::{Assigned, Shares};
 use crate::model::{BootId, Rank, Timestamp, Turns};
 
 /// How long a claim lasts after its gateway has asked: gateways ask again within 100 ms, and an
@@ -35,10 +37,6 @@
 /// for the most urgent kind in as long; the reserve covers only the demand beyond that. A large
 /// fleet frees capacity so often that a claim is enough, and a reserve would be idle.
 const FREED_PERCENT: u64 = 50;
-/// The window over which the shares of kinds are measured.
-const SHARE_WINDOW: Duration = Duration::from_millis(2_000);
-/// The percentage of the assigned tokens that each kind gets while it waits, whatever its rank.
-const FLOOR_PERCENT: u64 = 5;
 /// The call for which capacity is requested, as far as the order of calls depends on it.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct WaitingCall {
@@ -111,8 +109,7 @@
     claims: BTreeMap<(BootId, u64), Claim>,
     turns: Turns<Box<str>>,
     demand: BTreeMap<(u8, u8), Demand>,
-    /// What was assigned within `SHARE_WINDOW`: when, to which kind, and how many tokens.
-    assigned: VecDeque<(Timestamp, (u8, u8), u32)>,
+    assigned: Assigned,
 }
 
 impl Default for Line {
@@ -121,28 +118,13 @@
             claims: BTreeMap::new(),
             turns: Turns::of_rates(),
             demand: BTreeMap::new(),
-            assigned: VecDeque::new(),
+            assigned: Assigned::default(),
         }
     }
 }
 
 /// See [`Line::place`].
-type Place = (bool, Rank, u64, u64);
-
-/// What each kind of call has of the tokens that were assigned lately.
-#[derive(Debug, Default)]
-struct Shares {
-    kinds: BTreeMap<(u8, u8), u64>,
-    total: u64,
-}
-
-impl Shares {
-    /// Returns whether a kind has its floor; one that has less goes before all others.
-    fn has_floor(&self, kind: (u8, u8)) -> bool {
-        let tokens = self.kinds.get(&kind).copied().unwrap_or_default();
-        tokens * 100 >= self.total * FLOOR_PERCENT
-    }
-}
+type Place = (bool, (u8, u8), bool, u64, u64);
 
 impl Line {
     /// Removes claims, demand and shares that are over.
@@ -154,9 +136,7 @@
             }
         }
         self.demand.retain(|_, demand| !demand.calls.is_empty());
-        while self.assigned.front().is_some_and(|(at, ..)| now - *at >= SHARE_WINDOW) {
-            self.assigned.pop_front();
-        }
+        self.assigned.expire(now);
     }
 
     fn is_empty(&self) -> bool {
@@ -178,21 +158,14 @@
         }
     }
 
-    /// Returns what each kind has of the tokens that were assigned lately.
-    fn shares(&self) -> Shares {
-        let mut shares = Shares::default();
-        for (_, kind, tokens) in &self.assigned {
-            *shares.kinds.entry(*kind).or_default() += u64::from(*tokens);
-            shares.total += u64::from(*tokens);
-        }
-        shares
-    }
-
-    /// Returns the place of a call in the order: whether its kind has its floor, its rank, the round
-    /// of its account, and its arrival in steps.
+    /// Returns the place of a call in the order: whether its kind has its floor, its kind, whether
+    /// it is after the late calls or those in time, the round of its account, and its arrival in
+    /// steps.
     fn place(&self, shares: &Shares, call: &WaitingCall, arrived: Timestamp) -> Place {
         let step = arrived.as_micros() / ARRIVAL_STEP.as_micros() as u64;
-        (shares.has_floor(call.rank.kind()), call.rank, self.turns.round(&call.account), step)
+        let kind = call.rank.kind();
+        let last = call.rank.late == shares.has_late_share(kind);
+        (shares.has_floor(kind), kind, last, self.turns.round(&call.account), step)
     }
 
     /// Returns what goes before a request, in order: the reserve of the most urgent kind, and the
@@ -203,7 +176,7 @@
         arrived: Timestamp,
         reserve: Option<&'a (RoomRequest, usize)>,
     ) -> Vec<&'a RoomRequest> {
-        let shares = self.shares();
+        let shares = self.assigned.shares();
         let own = self.place(&shares, &request.call, arrived);
         let others = self.claims.iter().filter(|(id, _)| **id != key(request));
         let mut claims: Vec<(Place, &RoomRequest)> = others
@@ -226,8 +199,7 @@
         let sum: u64 = demand.calls.iter().map(|(_, tokens)| u64::from(*tokens)).sum();
         let span = RESERVE_SPAN.as_millis() as u64;
         let expected = (sum * span).div_ceil(DEMAND_WINDOW.as_millis() as u64);
-        let recent = self.assigned.iter().rev().take_while(|(at, ..)| now - *at < RESERVE_SPAN);
-        let freed: u64 = recent.map(|(.., tokens)| u64::from(*tokens)).sum();
+        let freed = self.assigned.since(now, RESERVE_SPAN);
         let needed = expected.saturating_sub(freed * FREED_PERCENT / 100);
         let tokens = (sum / count.max(1)).max(1);
         let size = u32::try_from(tokens).unwrap_or(u32::MAX);
@@ -262,7 +234,7 @@
             let waiting: BTreeSet<&str> = waiting.collect();
             self.turns.retain(|name| waiting.contains(&**name));
         }
-        self.assigned.push_back((now, call.rank.kind(), request.tokens));
+        self.assigned.record(now, call.rank, request.tokens);
     }
 }
 
@@ -313,8 +285,8 @@
         place: impl Fn(&RoomRequest, &Promised) -> Option<Box<str>>,
     ) -> Result<Box<str>, NoRoom> {
         let arrived = arrival(now, request.call.waited);
+        let request = &*self.with_claim(now, request);
         let line = self.lines.entry(request.call.service.clone()).or_default();
-        line.expire(now);
         line.record_demand(now, request);
         let reserve = line.reserve(now, request.call.rank.kind());
         let found =
@@ -326,6 +298,18 @@
         found
     }
 
+    /// Returns a request as it is decided: a late call whose kind owes late calls their share leaves
+    /// no capacity free for calls in time.
+    fn with_claim<'a>(&mut self, now: Timestamp, request: &'a RoomRequest) -> Cow<'a, RoomRequest> {
+        let line = self.lines.entry(request.call.service.clone()).or_default();
+        line.expire(now);
+        let rank = request.call.rank;
+        if !rank.late || request.spare == 0 || line.assigned.shares().has_late_share(rank.kind()) {
+            return Cow::Borrowed(request);
+        }
+        Cow::Owned(RoomRequest { spare: 0, ..request.clone() })
+    }
+
     /// Removes the claims of disconnected gateways, and services without calls.
     pub fn retain_owners(&mut self, now: Timestamp, is_alive: impl Fn(BootId) -> bool) {
         for line in self.lines.values_mut() {
--- a/src/gateway/admit/mod.rs
+++ b/src/gateway/admit/mod.rs
@@ -3,6 +3,7 @@
 mod accounts;
 mod asking;
 pub mod queue;
+pub mod returns;
 pub mod turns;
 
 use std::time::Duration;
@@ -94,11 +95,18 @@
     }
 
     /// Starts the queued calls of a service in their order while there is capacity. Calls that can
-    /// start only at some endpoints do not hold up those behind them.
+    /// start only at some endpoints do not hold up those behind them. Nor does a call hold up those
+    /// of other ranks at the leader, which orders the ranks: it can't keep their shares otherwise.
     fn start_queue(&mut self, now: Timestamp, service: &str) {
         let queued = self.queues.get(service).map(Queue::in_order).unwrap_or_default();
         let notices = self.fleet.has_notices(now, service);
+        let by_leader = self.leader(now).is_some();
+        let mut full = Vec::new();
         for caller in queued {
+            let rank = self.calls.get(&caller).map(Call::rank);
+            if full.contains(&rank) {
+                continue;
+            }
             if notices && let Some((refusal, why)) = self.closed_refusal(now, caller) {
                 if let Some(queue) = self.queues.get_mut(service) {
                     queue.remove(caller);
@@ -122,7 +130,10 @@
                 }
                 self.schedule(caller);
             } else if !versioned && !retried {
-                return;
+                if !by_leader || !self.is_engine_call(caller) {
+                    return;
+                }
+                full.push(rank);
             }
         }
     }
--- a/src/gateway/admit/queue.rs
+++ b/src/gateway/admit/queue.rs
@@ -11,6 +11,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
+use super::returns::Returns;
 use super::turns::{Lane, Share};
 pub use crate::model::Rank;
 use crate::model::{Timestamp, Turns};
@@ -23,14 +24,6 @@
 const LATE_WAIT: Duration = Duration::from_millis(2_500);
 /// The percentage of its caller timeout that a late call may wait.
 const LATE_WAIT_PERCENT: u32 = 30;
-/// The maximum retry time that a refused caller is given.
-const MAX_RETRY_AFTER: Duration = Duration::from_millis(5_000);
-/// The retry time in percent of the caller's remaining time; callers respect at most a third of
-/// that time.
-const RETRY_AFTER_PERCENT: u32 = 32;
-/// The percentage of the retry time over which the retries of callers that were refused together
-/// are spread.
-const RETRY_SPREAD_PERCENT: u32 = 30;
 /// The minimum number of starts in the window from which a rate is estimated.
 const MIN_STARTS: usize = 4;
 
@@ -58,11 +51,18 @@
     turns: Turns<Box<str>>,
     /// When calls were started within the last `RATE_WINDOW`.
     starts: VecDeque<Timestamp>,
+    /// When refused callers were told to come back.
+    returns: Returns,
 }
 
 impl<K> Default for Queue<K> {
     fn default() -> Queue<K> {
-        Queue { ranks: BTreeMap::new(), turns: Turns::of_rates(), starts: VecDeque::new() }
+        Queue {
+            ranks: BTreeMap::new(),
+            turns: Turns::of_rates(),
+            starts: VecDeque::new(),
+            returns: Returns::default(),
+        }
     }
 }
 
@@ -207,16 +207,10 @@
     }
 
     /// Returns after which time a refused caller with so much time `left` should retry.
-    ///
-    /// A burst lasts longer than the queue: a caller that retries as soon as the queue is expected
-    /// to move is refused by the same burst and has no further retry. So the retry time is as late
-    /// as callers respect, less a part that depends on `draw`: retries at the same time would be a
-    /// burst themselves.
-    pub fn retry_after(left: Duration, draw: u64) -> Duration {
-        let max_wait = (left * RETRY_AFTER_PERCENT / 100).min(MAX_RETRY_AFTER);
-        let spread = max_wait * RETRY_SPREAD_PERCENT / 100;
-        let early = draw.checked_rem(spread.as_millis() as u64 + 1).unwrap_or_default();
-        max_wait.saturating_sub(Duration::from_millis(early))
+    pub fn retry_after(&mut self, now: Timestamp, left: Duration, draw: u64) -> Duration {
+        self.expire_starts(now);
+        let rate = self.starts.len() as f64 / RATE_WINDOW.as_secs_f64();
+        self.returns.promise(now, left, rate, draw)
     }
 
     fn expire_starts(&mut self, now: Timestamp) {
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use super::admit::queue::Queue;
 use super::call::{Call, CompleteAnswer, Stage};
 use super::events::Event;
 use super::outcome::Failure;
@@ -194,11 +193,9 @@
     pub(super) fn capacity_refusal(&mut self, now: Timestamp, caller: CallerId) -> RefusalInfo {
         let draw = self.draw();
         let Some(call) = self.calls.get(&caller) else { return no_endpoint() };
-        if self.queues.contains_key(&call.service) {
-            busy(Queue::<CallerId>::retry_after(call.caller_deadline - now, draw))
-        } else {
-            no_endpoint()
-        }
+        let left = call.caller_deadline - now;
+        let queue = self.queues.get_mut(&call.service);
+        queue.map_or_else(no_endpoint, |queue| busy(queue.retry_after(now, left, draw)))
     }
 
     pub(super) fn remove(&mut self, now: Timestamp, caller: CallerId) -> Option<Call> {
