Count calls without a complete answer by reason

Cause: only logs said why calls were refused.

Change: counter gateway_unanswered_total by service, reason (as in logs) and whether the call was late.

Result: tests/metrics.rs and tests/gateway_lines.rs pass.

--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -242,6 +242,10 @@
             why.map_or_else(String::new, |why| format!(" why=\"{}\"", why.text())),
             self.stopping_text(now),
         );
+        if let Some(why) = why {
+            let (service, why, late) = (call.service.clone(), why.text(), call.late);
+            self.outputs.push(Output::Observe(Observation::Unanswered { service, why, late }));
+        }
         let end = GatewayEnd { route: route.into(), status, first, total };
         self.outputs.push(Output::Observe(Observation::Gateway(Box::new(end))));
     }
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -62,6 +62,7 @@
     open_by_age: IntGaugeVec,
     steps: HistogramVec,
     answers: IntCounterVec,
+    unanswered: IntCounterVec,
     first_answer: HistogramVec,
     answer_time: HistogramVec,
     sends: IntCounterVec,
@@ -136,6 +137,11 @@
                 "Calls of a gateway by the status that callers got; 0 for a broken answer",
                 &["route", "status"],
             )?,
+            unanswered: make.counters(
+                "gateway_unanswered_total",
+                "Calls of a gateway without a complete answer, by why and by whether they were late",
+                &["service", "why", "late"],
+            )?,
             first_answer: make.seconds(
                 "gateway_first_seconds",
                 "From arrival to the answer or its first event",
@@ -206,6 +212,11 @@
                 self.refusals.with_label_values(&[reason.as_str()]).inc();
             }
             Observation::Gateway(end) => self.gateway_call(&end),
+            Observation::Unanswered { service, why, late } => {
+                let service = self.label(&self.services, &service);
+                let late = if late { "yes" } else { "no" };
+                self.unanswered.with_label_values(&[&*service, why, late]).inc();
+            }
             Observation::Send { service, order } => self.send(&service, order),
             Observation::Charge { service, outcome, cost } => {
                 self.charge(&service, outcome, cost);
--- a/src/report/observation.rs
+++ b/src/report/observation.rs
@@ -17,6 +17,15 @@
     Refused(RefusalReason),
     /// A call of a gateway has ended.
     Gateway(Box<GatewayEnd>),
+    /// A call of a gateway has ended without a complete answer.
+    Unanswered {
+        /// The name of its service.
+        service: Box<str>,
+        /// Why, as in logs.
+        why: &'static str,
+        /// Whether it was late, as the return of a refused caller is.
+        late: bool,
+    },
     /// A gateway has sent a request to an endpoint as part of a call: a prefill, a run or a call to
     /// a plain service.
     Send {
