Don't count requests of urgent calls as starts

Cause: an urgent call asks for capacity up to 100 times a second while it waits, and each request counted as a start. The gateway expected a rate of starts that it did not have, and queued calls that were refused later.

Change: an urgent call that is queued again does not count.

Result: tests/fair_turns.rs passes with the new case.

--- a/src/gateway/admit/queue.rs
+++ b/src/gateway/admit/queue.rs
@@ -136,9 +136,14 @@
         self.ranks.entry(rank).or_default().push_front(waiting);
     }
 
-    /// Queues a call that was recorded as started before the others, and takes back its charge.
+    /// Queues a call that was recorded as started before the others, and takes back its charge. An
+    /// urgent call doesn't count as started, since it asks for capacity up to 100 times a second: the
+    /// rate of starts would be that of its requests.
     pub fn requeue(&mut self, rank: Rank, waiting: Waiting<K>) {
         waiting.share.refund(&mut self.turns);
+        if rank.is_urgent() {
+            self.starts.pop_back();
+        }
         self.push_front(rank, waiting);
     }
 
--- a/tests/fair_turns.rs
+++ b/tests/fair_turns.rs
@@ -125,3 +125,21 @@
     }
     assert_eq!(queue.first(), Some(1));
 }
+
+/// Fails if an urgent call that asks often makes a gateway expect many starts, so that it queues
+/// calls that will be refused.
+#[test]
+fn requests_of_an_urgent_call_do_not_count_as_starts() {
+    let mut queue = Queue::default();
+    let urgent = Rank { account: 0, priority: 0, late: false };
+    for millis in 0..200 {
+        let waiting = waiting(1, 0, Share::default());
+        queue.started(at(10 * millis), &waiting.share);
+        queue.requeue(urgent, waiting);
+        queue.remove(1);
+    }
+    for key in 2..=5 {
+        queue.push(RANK, waiting(key, 0, Share::default()));
+    }
+    assert_eq!(queue.estimate(at(2_000), RANK, &Share::default()), None);
+}
