--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -7,6 +7,7 @@
 pub mod credits;
 pub mod prompts;
 pub mod rooms;
+pub mod shares;
 pub mod speeds;
 pub mod waiting;
 
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use super::admit::queue::Queue;
 use super::call::{Call, CompleteAnswer, Stage};
 use super::events::Event;
 use super::outcome::Failure;
@@ -209,11 +208,9 @@
     pub(super) fn capacity_refusal(&mut self, now: Timestamp, caller: CallerId) -> RefusalInfo {
         let draw = self.draw();
         let Some(call) = self.calls.get(&caller) else { return no_endpoint() };
-        if self.queues.contains_key(&call.service) {
-            busy(Queue::<CallerId>::retry_after(call.caller_deadline - now, draw))
-        } else {
-            no_endpoint()
-        }
+        let left = call.caller_deadline - now;
+        let queue = self.queues.get_mut(&call.service);
+        queue.map_or_else(no_endpoint, |queue| busy(queue.retry_after(now, left, draw)))
     }
 
     pub(super) fn remove(&mut self, now: Timestamp, caller: CallerId) -> Option<Call> {
@@ -261,6 +258,10 @@
             call.account().map_or_else(String::new, |a| format!(" account=\"{}\"", a.name)),
             self.stopping_text(now),
         );
+        if let Some(why) = why {
+            let (service, why, late) = (call.service.clone(), why.text(), call.late);
+            self.outputs.push(Output::Observe(Observation::Unanswered { service, why, late }));
+        }
         let end = GatewayEnd { route: route.into(), status, first, total };
         self.outputs.push(Output::Observe(Observation::Gateway(Box::new(end))));
     }
