Fetch the report of each engine once for all gateways

Change: each engine is polled by one gateway, twice a second. It puts new reports into its heartbeats to two control members; these keep the newest report of each engine as soft state, and their replies name the loads that changed, with ages. A gateway that hears no report of an engine for 1.2 s polls it itself, after up to 0.6 s more by its expected rendezvous rank; of several pollers control prefers the one with the highest weight. Without control a gateway polls once a second as before.

Tests that are about other things had engines that never answer report requests, which ejects these engines from time to time; the times at which that happened have moved. In the tests concerned the engines now answer reports. No assertion has changed.

--- a/benches/policy/world.rs
+++ b/benches/policy/world.rs
@@ -543,6 +543,7 @@
                     orders: Some(OrderUpdate { mark: Fence(0), desired: None }),
                     quarantine: None,
                     routing: None,
+                    reports: None,
                 };
                 (ControlReply::Beat(beat), 0)
             }
--- a/src/control/answers.rs
+++ b/src/control/answers.rs
@@ -9,9 +9,10 @@
 use super::{Control, orders};
 use crate::cli::settings::RoleName;
 use crate::link::message::{
-    Beat, Heartbeat, Leadership, OrderStatus, ProcessState, Proof, Status, Update,
+    Beat, Heartbeat, Leadership, OrderStatus, ProcessState, Proof, ReportsHeard, ReportsSent,
+    Status, Update,
 };
-use crate::model::{EndpointState, Fence, Revision, Timestamp};
+use crate::model::{BootId, EndpointState, Fence, Revision, Timestamp};
 
 impl Control {
     pub(super) fn heartbeat(&mut self, now: Timestamp, mut heartbeat: Heartbeat) -> Beat {
@@ -27,6 +28,8 @@
         if let Some(endpoint) = &heartbeat.endpoint {
             self.list_version(now, endpoint);
         }
+        let boot = heartbeat.process.boot;
+        let reports = heartbeat.reports.take().and_then(|r| self.exchange_reports(now, boot, *r));
         self.registry.heartbeat(now, heartbeat);
         let endpoints =
             if follows { self.registry.endpoint_update(now, seen, &wants) } else { None };
@@ -39,9 +42,21 @@
             orders,
             quarantine,
             routing,
+            reports: reports.map(Box::new),
         }
     }
 
+    /// Records the reports of engines in a heartbeat, and returns those that it requests.
+    fn exchange_reports(
+        &mut self,
+        now: Timestamp,
+        boot: BootId,
+        sent: ReportsSent,
+    ) -> Option<ReportsHeard> {
+        self.reports.record(now, boot, &sent.fetched);
+        sent.wanted.map(|wanted| self.reports.heard(now, boot, &wanted))
+    }
+
     /// Returns the term and the live endpoints that the leader bases decisions on, if this member
     /// leads.
     pub(super) fn leadership(&self, now: Timestamp) -> Option<Leadership> {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -13,6 +13,7 @@
 pub mod processes;
 pub mod quarantine;
 pub mod replica;
+pub mod reports;
 pub mod routing;
 mod shutting_down;
 pub mod state;
@@ -30,6 +31,7 @@
 use processes::Processes;
 use quarantine::Detector;
 use replica::{Entry, LogIndex, Replica, ReplicaInput, ReplicaSettings, Snapshot, Stored, WriteId};
+use reports::Reports;
 use state::{Applied, ChangeReply, Command, State};
 
 use crate::link::message::{ControlReply, ControlRequest, Envelope, Reply, Request};
@@ -111,6 +113,7 @@
     peers: Peers,
     prompts: Prompts,
     rooms: Rooms,
+    reports: Reports,
     origins: Origins,
     /// When the recorded versions are compared next with what was heard.
     next_review: Timestamp,
@@ -144,6 +147,7 @@
             peers: Peers::default(),
             prompts: Prompts::default(),
             rooms: Rooms::default(),
+            reports: Reports::default(),
             origins: Origins::default(),
             next_review: Timestamp::default(),
             processes: Processes::default(),
--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -9,12 +9,13 @@
 use super::window::Window;
 use crate::entry::health::Health;
 use crate::h1::PeerId;
+use crate::link::message::EngineTag;
 use crate::model::{BootId, EndpointKind, EndpointState, Timestamp};
 use crate::registry::view::version;
 
 /// The assumed age of an engine's report when it is received.
 const REPORT_LAG: Duration = Duration::from_millis(900);
-/// How long a report is used after it was received.
+/// How long a report is used after it was made.
 const REPORT_TTL: Duration = Duration::from_millis(3_000);
 /// How long an endpoint that refused for lack of capacity gets no work. Doubles with each further
 /// refusal until the endpoint accepts a call.
@@ -72,7 +73,9 @@
     pub full_until: Timestamp,
     /// Refusals for lack of capacity since it last accepted a call.
     refusals: u32,
+    /// The last report, and when the engine made it.
     report: Option<(Timestamp, EngineReport)>,
+    tag: EngineTag,
     /// The recent values of `usage`, oldest first, each with the time at which it began to apply.
     history: VecDeque<(Timestamp, Usage)>,
     pub(super) idle: Vec<PeerId>,
@@ -106,6 +109,7 @@
             full_until: Timestamp::default(),
             refusals: 0,
             report: None,
+            tag: EngineTag::of(&state.name, state.boot),
             history: VecDeque::new(),
             idle: Vec::new(),
         }
@@ -174,12 +178,26 @@
         self.refusals = 0;
     }
 
-    /// Records an engine's report; the reported stage replaces the listed one.
-    pub fn reported(&mut self, now: Timestamp, report: EngineReport) {
-        if let Some(kind) = report.kind {
+    /// Records a report that the engine made at a time, unless a newer one is known. The reported
+    /// stage replaces the listed one, if it was not listed since.
+    pub fn reported(&mut self, at: Timestamp, report: EngineReport) {
+        if self.report.is_some_and(|(known, _)| known > at) {
+            return;
+        }
+        if let Some(kind) = report.kind.filter(|_| at >= self.listed_since) {
             self.kind = kind;
         }
-        self.report = Some((now, report));
+        self.report = Some((at, report));
+    }
+
+    /// Returns the last report of this start of the engine.
+    pub fn last_report(&self) -> Option<EngineReport> {
+        self.report.map(|(_, report)| report)
+    }
+
+    /// Returns the tag by which gateways name this start of the engine to each other.
+    pub fn tag(&self) -> EngineTag {
+        self.tag
     }
 
     /// Counts work that this gateway has started there.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 mod outcome;
 pub mod place;
 mod plain;
+pub mod polls;
 mod proof;
 pub mod protocol;
 mod quarantine;
@@ -69,6 +70,7 @@
 use protocol::{CallProtocol, TableFormat};
 use queue::Queue;
 use recount::Recount;
+use reports::EngineReports;
 use stream_times::StreamTimes;
 use versions::Versions;
 
@@ -157,9 +159,7 @@
     next_cleanup: Timestamp,
     /// When waiting calls are tried again if no capacity is freed before.
     next_start: Timestamp,
-    next_report: Timestamp,
-    /// When each service with engines received its last call.
-    last_called: BTreeMap<Box<str>, Timestamp>,
+    reports: EngineReports,
     /// When the first input was handled.
     started: Option<Timestamp>,
     /// How long the streams of each route have lasted.
@@ -174,6 +174,7 @@
     /// Creates the role, which refuses calls until it has a routing table.
     pub fn new(settings: GatewaySettings, protocol: Box<dyn CallProtocol>) -> Gateway {
         let follower = Follower::new(settings.follower.clone());
+        let reports = EngineReports::new(&settings.follower.name);
         let shutdown = Shutdown::new(stopping::terms(settings.grace));
         let rng = Pcg64Mcg::seed_from_u64(settings.follower.boot.0);
         Gateway {
@@ -209,8 +210,7 @@
             rng,
             next_cleanup: Timestamp::default(),
             next_start: Timestamp::default(),
-            next_report: Timestamp::default(),
-            last_called: BTreeMap::new(),
+            reports,
             started: None,
             stream_times: BTreeMap::new(),
             shutdown,
@@ -315,7 +315,7 @@
         if now >= self.next_cleanup {
             self.clean_up(now);
         }
-        if now >= self.next_report {
+        if now >= self.reports.next {
             self.fetch_reports(now);
         }
     }
@@ -347,6 +347,7 @@
                 Reply::Control(ControlReply::Beat(_)) => {
                     self.follower.reply(now, exchange, &envelope.body);
                     self.apply_updates(now);
+                    self.apply_reports(now);
                     self.apply_quarantine(now);
                     self.capacity_freed = true;
                 }
@@ -384,7 +385,7 @@
         let waiting = self.queues.values().any(|q| !q.is_empty());
         let start = waiting.then_some(self.next_start);
         let record = (!self.unsent_origins.is_empty()).then_some(self.next_record);
-        let cleanup = Some(self.next_cleanup.min(self.next_report));
+        let cleanup = Some(self.next_cleanup.min(self.reports.next));
         let crash = self.crashes.next_due();
         let evidence = self.outbox.next_wake();
         let control = self.follower.next_wake();
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::h1::{AnswerHead, Request, RequestHead};
+use crate::link::message::EngineLoad;
 use crate::model::{BootId, EndpointKind};
 use crate::routes::{RouteTable, TableError};
 
@@ -211,6 +212,20 @@
     pub total: u32,
 }
 
+impl EngineReport {
+    /// Returns the report of a start of an engine whose load another gateway has passed on.
+    pub fn shared(boot: BootId, load: EngineLoad) -> EngineReport {
+        let EngineLoad { kind, running, waiting, used } = load;
+        EngineReport { boot: Some(boot), kind, running, waiting, used, total: 0 }
+    }
+
+    /// Returns the load that is passed on to other gateways.
+    pub fn load(&self) -> EngineLoad {
+        let EngineReport { kind, running, waiting, used, .. } = *self;
+        EngineLoad { kind, running, waiting, used }
+    }
+}
+
 /// A refusal as it is sent to a caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RefusalInfo {
--- a/src/gateway/receive.rs
+++ b/src/gateway/receive.rs
@@ -113,7 +113,7 @@
         let budget = self.budgets.entry(service.clone());
         budget.or_insert_with(|| Budget::new(started)).called(now, &terms);
         if self.is_engine_call(caller) {
-            self.last_called.insert(service, now);
+            self.note_called(now, service);
         }
         if self.calls.get(&caller).is_some_and(Call::is_resumption) {
             self.admit_resumption(now, caller);
--- a/src/gateway/reports.rs
+++ b/src/gateway/reports.rs
@@ -1,34 +1,110 @@
 //! Side requests to engines: load reports, and releasing KV cache and reservations.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::fleet::{EndpointKey, Job};
-use super::protocol::SideRequest;
+use super::fleet::{Endpoint, EndpointKey, Job};
+use super::polls::{Others, Polls, Wanted};
+use super::protocol::{EngineReport, SideRequest};
 use super::{Gateway, PeerId};
 use crate::entry::health::Verdict;
 use crate::h1::HttpEffect;
+use crate::link::message::EngineTag;
 use crate::model::Timestamp;
+use crate::registry::HeardLoad;
 
-/// The interval between two report requests to an engine.
-const REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
-/// How long after the last call to a service its engines are still polled for reports.
+/// How long after the last call to a service its engines are polled for reports.
 const CALLED_WINDOW: Duration = Duration::from_millis(3_000);
+/// How long after the last call a gateway that polls an engine goes on, since others whose calls are
+/// few use its reports.
+const POLLER_WINDOW: Duration = Duration::from_millis(10_000);
 /// How long a report request or a release may take.
 const SIDE_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// The reports of engines that a gateway uses.
+#[derive(Debug)]
+pub(super) struct EngineReports {
+    /// The engines that it polls.
+    polls: Polls<EndpointKey>,
+    /// When it decides next which engines it polls.
+    pub next: Timestamp,
+    /// When each service with engines received its last call.
+    called: BTreeMap<Box<str>, Timestamp>,
+}
+
+impl EngineReports {
+    /// Creates the state of a gateway with a name.
+    pub fn new(gateway: &str) -> EngineReports {
+        let (next, called) = (Timestamp::default(), BTreeMap::new());
+        EngineReports { polls: Polls::new(gateway), next, called }
+    }
+}
+
 impl Gateway {
-    /// Requests reports from the engines of all recently called services.
+    /// Requests reports from the engines of recently called services that this gateway polls.
     pub(super) fn fetch_reports(&mut self, now: Timestamp) {
-        self.next_report = now + REPORT_INTERVAL;
-        self.last_called.retain(|_, at| now - *at < CALLED_WINDOW);
-        let engines = self.fleet.engines();
+        self.reports.called.retain(|_, at| now - *at < POLLER_WINDOW);
+        let wanted = self.wanted_reports(now);
+        let grown = self.reports.polls.want(now, &wanted);
+        self.follower.want_reports(self.reports.polls.prefixes(), grown);
+        let others = Others {
+            in_reach: self.follower.hears_reports(now),
+            gateways: self.follower.gateways(now),
+        };
+        for endpoint in self.reports.polls.due(now, others) {
+            // The answer to the last one is still awaited.
+            if !self.fleet.has_job(endpoint, Job::Report) {
+                self.send_side_request(now, endpoint, Job::Report, &SideRequest::Report);
+            }
+        }
+        self.reports.next = self.reports.polls.next_due(now, others);
+    }
+
+    /// Records a call to a service; the reports of its engines are requested with the next heartbeat.
+    pub(super) fn note_called(&mut self, now: Timestamp, service: Box<str>) {
+        let last = self.reports.called.insert(service, now);
+        if last.is_none_or(|at| now - at >= CALLED_WINDOW) {
+            self.reports.next = self.reports.next.min(now);
+        }
+    }
+
+    /// Returns the engines whose reports this gateway uses.
+    fn wanted_reports(&self, now: Timestamp) -> Vec<Wanted<EndpointKey>> {
         // An endpoint that names a limit is left the requests that callers wait for.
-        let asked =
-            |e: &super::fleet::Endpoint| e.takes_work(now) && e.notices.limit.rate().is_none();
-        let polled = engines.filter(|(_, e)| asked(e) && self.last_called.contains_key(&e.pool));
-        let polled: Vec<EndpointKey> = polled.map(|(key, _)| key).collect();
-        for endpoint in polled {
-            self.send_side_request(now, endpoint, Job::Report, &SideRequest::Report);
+        let asked = |e: &Endpoint| e.takes_work(now) && e.notices.limit.rate().is_none();
+        let engines = self.fleet.engines().filter(|(_, e)| asked(e));
+        let wanted = engines.filter_map(|(key, e)| {
+            let called = now - *self.reports.called.get(&e.pool)? < CALLED_WINDOW;
+            Some(Wanted { key, tag: e.tag(), called })
+        });
+        wanted.collect()
+    }
+
+    /// Applies the reports that other gateways have fetched.
+    pub(super) fn apply_reports(&mut self, now: Timestamp) {
+        let heard = self.follower.take_reports();
+        if heard.is_empty() {
+            return;
+        }
+        let keys: BTreeMap<EngineTag, EndpointKey> =
+            self.fleet.engines().map(|(key, e)| (e.tag(), key)).collect();
+        for HeardLoad { tag, at, load } in heard {
+            let Some(key) = keys.get(&tag) else { continue };
+            let Some(target) = self.fleet.get_mut(*key) else { continue };
+            let report = load.map(|load| EngineReport::shared(target.listed.0, load));
+            let Some(report) = report.or(target.last_report()) else { continue };
+            target.reported(at, report);
+            self.reports.polls.heard(now, *key, at);
+        }
+    }
+
+    /// Passes on a report that an engine has made to this gateway.
+    fn share_report(&mut self, now: Timestamp, key: EndpointKey, report: &EngineReport) {
+        let Some(weight) = self.reports.polls.answered(key) else { return };
+        let Some(target) = self.fleet.get(key) else { return };
+        // Another start of the engine answers at the address.
+        if report.boot.is_none_or(|boot| boot == target.listed.0) {
+            self.follower.share_report(now, target.tag(), weight, report.load());
         }
     }
 
@@ -111,6 +187,7 @@
                     target.usage.tokens,
                 );
                 target.reported(now, report);
+                self.share_report(now, endpoint, &report);
                 self.capacity_freed = true;
             }
             None => log::warn!("step=report endpoint={} error=unreadable", target.name),
--- a/src/link/message/heartbeat.rs
+++ b/src/link/message/heartbeat.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Deserializer, Serialize};
 
+use super::reports::{ReportsHeard, ReportsSent};
 use crate::control::config::{Change, Config, Revised, SCHEMA};
 use crate::control::orders::{OrderReport, OrderUpdate};
 use crate::control::quarantine::QuarantineUpdate;
@@ -37,6 +38,9 @@
     /// none.
     #[serde(deserialize_with = "if_sent")]
     pub address: Option<SocketAddr>,
+    /// The reports of engines that the sender has fetched or requests, if it uses reports.
+    #[serde(deserialize_with = "if_sent")]
+    pub reports: Option<Box<ReportsSent>>,
 }
 
 /// Reads a field at the end of a message, which processes of earlier releases don't send.
@@ -59,6 +63,7 @@
             full_config: false,
             routing: None,
             address: None,
+            reports: None,
         }
     }
 }
@@ -97,6 +102,9 @@
     pub quarantine: Option<QuarantineUpdate>,
     /// The routing updates since the version in the heartbeat, if it named one.
     pub routing: Option<Box<RoutingUpdate>>,
+    /// The reports of engines that the heartbeat requested.
+    #[serde(deserialize_with = "if_sent")]
+    pub reports: Option<Box<ReportsHeard>>,
 }
 
 /// An update to the configuration that is in force at a member.
--- a/src/link/message/mod.rs
+++ b/src/link/message/mod.rs
@@ -4,6 +4,7 @@
 mod control;
 mod heartbeat;
 mod notice;
+mod reports;
 mod status;
 
 use serde::{Deserialize, Serialize};
@@ -12,6 +13,10 @@
 pub use control::{ControlReply, ControlRequest, Leadership};
 pub use heartbeat::{Beat, Endpoints, Heartbeat, ProcessState, Proof, Seen, Update};
 pub use notice::{ControlNotice, MAX_VOTERS, WrongVoters};
+pub use reports::{
+    AgedLoad, EngineLoad, EngineTag, FetchedReport, MAX_WANTED, ReportsHeard, ReportsSent,
+    ReportsWanted, age_millis,
+};
 pub use status::{OrderStatus, Status};
 
 use crate::control::config::Revised;
--- a/src/model/time.rs
+++ b/src/model/time.rs
@@ -35,6 +35,20 @@
         self.0
     }
 
+    /// Returns the point in time a span before this one, or the epoch if that is later.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use dotterelpin::model::Timestamp;
+    ///
+    /// let now = Timestamp::from_micros(5);
+    /// assert_eq!(now.saturating_sub(Duration::from_micros(2)), Timestamp::from_micros(3));
+    /// assert_eq!(now.saturating_sub(Duration::from_micros(9)), Timestamp::default());
+    /// ```
+    pub fn saturating_sub(self, span: Duration) -> Timestamp {
+        Timestamp(self.0.saturating_sub(u64::try_from(span.as_micros()).unwrap_or(u64::MAX)))
+    }
+
     /// Reads the system clock; roles must not call this.
     pub fn from_system() -> Timestamp {
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/src/registry/follower/member.rs
+++ b/src/registry/follower/member.rs
@@ -27,6 +27,10 @@
     pub(super) boot: Option<BootId>,
     /// Whether that boot is new since the restarted members were last taken.
     pub(super) restarted: bool,
+    /// When the last heartbeat was sent, which named the reports of engines fetched until then.
+    pub(super) reports_sent: Timestamp,
+    /// The version of its reports of engines that the follower has.
+    pub(super) reports_seen: u64,
 }
 
 impl Member {
@@ -43,6 +47,8 @@
             view: View::default(),
             boot: None,
             restarted: false,
+            reports_sent: Timestamp::default(),
+            reports_seen: 0,
         }
     }
 
@@ -50,6 +56,9 @@
     pub(super) fn note_boot(&mut self, boot: BootId) {
         let known = self.boot.replace(boot);
         self.restarted |= known != Some(boot);
+        if known != Some(boot) {
+            self.reports_seen = 0;
+        }
     }
 
     /// Applies the member's update of endpoints; returns whether anything but loads changed.
--- a/src/registry/follower/mod.rs
+++ b/src/registry/follower/mod.rs
@@ -3,6 +3,7 @@
 mod confirmation;
 mod member;
 mod members;
+mod sharing;
 mod updates;
 
 use std::collections::BTreeMap;
@@ -10,6 +11,8 @@
 use std::time::Duration;
 
 use member::Member;
+pub use sharing::HeardLoad;
+use sharing::Sharing;
 
 use super::contacts::Contacts;
 use super::majority::Majority;
@@ -81,6 +84,7 @@
     majority: Majority,
     /// When the heartbeats were sent by whose replies a majority last confirmed the routing document.
     document_confirmed: Option<Timestamp>,
+    sharing: Sharing,
 }
 
 impl Follower {
@@ -105,6 +109,7 @@
             new_quarantine: false,
             majority: Majority::default(),
             document_confirmed: None,
+            sharing: Sharing::default(),
         }
     }
 
@@ -178,6 +183,7 @@
         let process = self.process();
         let routes = self.settings.routes;
         let members = self.members.len();
+        let mut reports = self.reports_sent(now);
         for (index, member) in self.members.iter_mut().enumerate() {
             let redial = member.open.take_overdue(now);
             outputs.extend(redial.then_some(Output::Redial { peer: member.address }));
@@ -203,7 +209,9 @@
                 full_config: self.needs_full,
                 routing,
                 address: self.settings.address,
+                reports: reports.remove(&member.address).map(Box::new),
             };
+            member.reports_sent = now;
             let exchange = next();
             member.open.sent(now, exchange, asks);
             member.due = now + HEARTBEAT_INTERVAL;
@@ -237,10 +245,14 @@
         if let Some(proof) = &beat.proof {
             member.proof = Some((proof.clone(), sent));
         }
+        let address = member.address;
         let changed = member.apply_endpoints(beat);
         if member.view.digest() == beat.seen.digest {
             member.synced = Some(sent);
         }
+        if let Some(reports) = &beat.reports {
+            self.receive_reports(address, sent, reports);
+        }
         self.changed |= changed;
         self.changed |= beat.routing.as_ref().is_some_and(|update| self.routing.apply(now, update));
         if let Some(update) =
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -20,7 +20,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 pub use changes::Changes;
-pub use follower::{Follower, FollowerSettings};
+pub use follower::{Follower, FollowerSettings, HeardLoad};
 
 use crate::control::config::Revised;
 use crate::control::orders::OrderReport;
--- a/src/registry/view.rs
+++ b/src/registry/view.rs
@@ -131,7 +131,7 @@
 }
 
 /// Returns a 64-bit hash that is the same in every process.
-pub(super) fn hash(bytes: &[u8]) -> u64 {
+pub(crate) fn hash(bytes: &[u8]) -> u64 {
     let digest = Sha256::digest(bytes);
     u64::from_le_bytes(digest.first_chunk::<8>().copied().unwrap_or_default())
 }
--- a/tests/follower.rs
+++ b/tests/follower.rs
@@ -118,6 +118,7 @@
         orders: None,
         quarantine: None,
         routing: None,
+        reports: None,
     }
 }
 
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -292,6 +292,7 @@
 #[test]
 fn stream_of_a_silent_endpoint_resumes_elsewhere() {
     let mut f = Fixture::ready();
+    f.answers_reports = true;
     f.model_call(1, "/remind/a", "3000,100");
     let run = f.answer_prefill();
     f.head(&run, 200, &[]);
--- a/tests/gateway_lines.rs
+++ b/tests/gateway_lines.rs
@@ -196,6 +196,7 @@
 #[test]
 fn run_that_is_repeated_after_a_new_prefill_is_two_repeats_and_two_charges() {
     let mut f = recorded(with_three_attempts);
+    f.answers_reports = true;
     f.model_call(1, "/remind/a", "3000,100");
     let run = f.answer_prefill();
     f.head(&run, 200, &[]);
@@ -294,6 +295,7 @@
 #[test]
 fn silence_after_events_of_an_earlier_attempt_has_no_event_age() {
     let (mut f, _) = started_stream(recorded(with_three_attempts), "/remind/a");
+    f.answers_reports = true;
     f.advance(1_900);
     let hold = f.take_sent();
     f.answer(&hold, 200, &[], "hold h1");
--- a/tests/gateway_shutdown.rs
+++ b/tests/gateway_shutdown.rs
@@ -131,6 +131,7 @@
 #[test]
 fn queued_calls_are_refused_as_soon_as_they_can_not_end() {
     let mut f = Fixture::ready();
+    f.answers_reports = true;
     for caller in 100..110 {
         complete_stream(&mut f, caller, "/draft/a", 7_400);
     }
--- a/tests/late_exports.rs
+++ b/tests/late_exports.rs
@@ -239,6 +239,7 @@
 #[test]
 fn reservation_for_another_attempt_is_dropped_when_its_stream_ends_before_its_answer() {
     let mut f = Fixture::ready();
+    f.answers_reports = true;
     let (run, hold) = request_spare(&mut f);
     f.data(&run, b"id: 2\ndata: b\n\n");
     f.end(&run);
@@ -249,6 +250,7 @@
 #[test]
 fn reservation_for_another_attempt_is_dropped_when_its_caller_leaves_before_its_answer() {
     let mut f = Fixture::ready();
+    f.answers_reports = true;
     let (_, hold) = request_spare(&mut f);
     leave(&mut f, 1);
     expect_dropped(&mut f, &hold);
@@ -257,6 +259,7 @@
 #[test]
 fn reservation_for_another_attempt_is_dropped_when_its_request_timed_out() {
     let mut f = Fixture::ready();
+    f.answers_reports = true;
     let (run, hold) = request_spare(&mut f);
     f.advance(300);
     f.data(&run, b"id: 2\ndata: b\n\n");
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -433,6 +433,7 @@
             orders: Some(OrderUpdate { mark: Fence(mark), desired }),
             quarantine: None,
             routing: None,
+            reports: None,
         };
         let body = Reply::Control(ControlReply::Beat(beat));
         let envelope = Envelope { revised: Default::default(), body };
--- a/tests/notices.rs
+++ b/tests/notices.rs
@@ -60,6 +60,7 @@
         full_config: false,
         routing: None,
         address,
+        reports: None,
     }
 }
 
@@ -316,6 +317,7 @@
             orders: None,
             quarantine: None,
             routing: None,
+            reports: None,
         };
         let found = self.open.iter().find(|(_, peer)| *peer == member(at));
         let (exchange, _) = found.expect("a heartbeat is open");
--- a/tests/notices_beside_gone.rs
+++ b/tests/notices_beside_gone.rs
@@ -48,6 +48,7 @@
         full_config: false,
         routing: None,
         address,
+        reports: None,
     }
 }
 
--- a/tests/older_list.rs
+++ b/tests/older_list.rs
@@ -72,6 +72,7 @@
             orders: None,
             quarantine: None,
             routing: None,
+            reports: None,
         };
         let found = self.open.iter().find(|(_, peer)| *peer == member(at));
         let (exchange, _) = found.expect("a heartbeat is open");
--- a/tests/other_group.rs
+++ b/tests/other_group.rs
@@ -42,6 +42,7 @@
         orders: None,
         quarantine: None,
         routing: None,
+        reports: None,
     };
     follower.reply(now, exchange, &Reply::Control(ControlReply::Beat(beat)));
 }
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -480,6 +480,7 @@
             routing: None,
             full_config: false,
             address: None,
+            reports: None,
         }
     };
     let now = Timestamp::from_micros(1);
--- a/tests/replaced_contacts.rs
+++ b/tests/replaced_contacts.rs
@@ -168,6 +168,7 @@
             gateways: 1,
             leader: answer.leader.map(address),
         })),
+        reports: None,
     }
 }
 
--- a/tests/restarted_member.rs
+++ b/tests/restarted_member.rs
@@ -127,6 +127,7 @@
             orders: None,
             quarantine: None,
             routing: None,
+            reports: None,
         }
     }
 }
--- a/tests/rooms.rs
+++ b/tests/rooms.rs
@@ -214,6 +214,7 @@
     let run = f.answer_prefill();
     f.head(&run, 200, &[]);
     f.leader = Some(SocketAddr::from(([127, 0, 0, 1], 9_001)));
+    f.answers_reports = true;
     f.advance(1_000);
     f.data(&run, b"id: 1\ndata: a\n\n");
     (f, run)
--- a/tests/slow_replies.rs
+++ b/tests/slow_replies.rs
@@ -160,6 +160,7 @@
             orders: None,
             quarantine: None,
             routing: Some(Box::new(routing)),
+            reports: None,
         };
         let reply = Reply::Control(ControlReply::Beat(beat));
         self.follower.reply(self.now, open.exchange, &reply);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -666,6 +666,7 @@
                 orders: Some(OrderUpdate { mark: Fence(0), desired: None }),
                 quarantine: None,
                 routing: None,
+                reports: None,
             };
             let body = Reply::Control(ControlReply::Beat(beat));
             let envelope = Envelope { revised: self.state.config.revised(), body };
