Merge reports of engines for all gateways

Both sides added state to control members and endpoints; retry times over a quota use the longest time that callers respect.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -13,6 +13,7 @@
 pub mod processes;
 pub mod quarantine;
 pub mod replica;
+pub mod reports;
 pub mod routing;
 mod shutting_down;
 pub mod state;
@@ -33,6 +34,7 @@
 use processes::Processes;
 use quarantine::Detector;
 use replica::{Entry, LogIndex, Replica, ReplicaInput, ReplicaSettings, Snapshot, Stored, WriteId};
+use reports::Reports;
 use state::{Applied, ChangeReply, Command, State};
 
 use crate::link::message::{ControlReply, ControlRequest, Envelope, Reply, Request};
@@ -119,6 +121,7 @@
     prompt_speeds: Speeds,
     /// The speeds of decode endpoints.
     step_speeds: Speeds,
+    reports: Reports,
     origins: Origins,
     /// When the recorded versions are compared next with what was heard.
     next_review: Timestamp,
@@ -155,6 +158,7 @@
             credits: Credits::default(),
             prompt_speeds: Speeds::default(),
             step_speeds: Speeds::default(),
+            reports: Reports::default(),
             origins: Origins::default(),
             next_review: Timestamp::default(),
             processes: Processes::default(),
--- a/src/gateway/admit/charge.rs
+++ b/src/gateway/admit/charge.rs
@@ -6,8 +6,8 @@
 use super::super::{Gateway, answer};
 use super::lines::QuotaLines;
 use super::quota::{CREDIT_WAIT, Contact, Decision, Quotas};
+use super::returns::spread_return;
 use crate::control::dispatch::bucket::{AccountLimit, cost};
-use crate::gateway::admit::queue::Queue;
 use crate::gateway::call::{Call, Stage};
 use crate::gateway::reason::EndReason;
 use crate::h1::CallerId;
@@ -114,7 +114,7 @@
     fn refuse_over_quota(&mut self, now: Timestamp, caller: CallerId, after: Duration) {
         let draw = self.draw();
         let Some(call) = self.calls.get(&caller) else { return };
-        let latest = Queue::<CallerId>::retry_after(call.caller_deadline - now, draw);
+        let latest = spread_return(call.caller_deadline - now, draw);
         let early = after.max(MIN_RETRY_AFTER);
         let spread = early.as_millis() as u64 * SPREAD_PERCENT / 100;
         let after = (early + Duration::from_millis(draw % (spread + 1))).min(latest);
--- a/src/gateway/admit/returns.rs
+++ b/src/gateway/admit/returns.rs
@@ -50,7 +50,7 @@
     /// its return; `rate` is the number of starts a second.
     pub fn promise(&mut self, now: Timestamp, left: Duration, rate: f64, draw: u64) -> Duration {
         self.promised = self.promised.split_off(&now);
-        let latest = (left * RETRY_AFTER_PERCENT / 100).min(MAX_RETRY_AFTER);
+        let latest = latest_return(left);
         let step = latest * RETRY_SPREAD_PERCENT / 100 / MOMENTS;
         let early = draw.checked_rem(step.as_millis() as u64 + 1).unwrap_or_default();
         let late_rate = rate * LATE_PERCENT as f64 / 100.0;
@@ -73,3 +73,25 @@
         before.into_iter().chain(after).min().unwrap_or(Duration::MAX)
     }
 }
+
+/// Returns the longest retry time that a caller with so much time `left` respects.
+fn latest_return(left: Duration) -> Duration {
+    (left * RETRY_AFTER_PERCENT / 100).min(MAX_RETRY_AFTER)
+}
+
+/// Returns a retry time near the longest one that a caller with so much time `left` respects, spread
+/// by `draw`.
+///
+/// ```
+/// use std::time::Duration;
+/// use dotterelpin::gateway::admit::returns::spread_return;
+///
+/// assert_eq!(spread_return(Duration::from_secs(10), 0), Duration::from_millis(3_200));
+/// assert_eq!(spread_return(Duration::from_secs(10), 960), Duration::from_millis(2_240));
+/// ```
+pub fn spread_return(left: Duration, draw: u64) -> Duration {
+    let latest = latest_return(left);
+    let spread = latest * RETRY_SPREAD_PERCENT / 100;
+    let early = draw.checked_rem(spread.as_millis() as u64 + 1).unwrap_or_default();
+    latest.saturating_sub(Duration::from_millis(early))
+}
--- a/tests/return_times.rs
+++ b/tests/return_times.rs
@@ -166,7 +166,7 @@
             memory: KV_TOKENS,
             slots: 12,
             candidates: (0..ENDPOINTS)
-                .map(|at| Candidate { endpoint: format!("d{at}").into(), local: true })
+                .map(|at| Candidate { endpoint: format!("d{at}").into(), local: true, speed: None })
                 .collect(),
             call: WaitingCall {
                 number,
