--- a/tests/gateway_lines.rs
+++ b/tests/gateway_lines.rs
@@ -8,8 +8,10 @@
 use std::time::Duration;
 
 use dotterelpin::gateway::budget::{Budget, BudgetTerms};
+use dotterelpin::link::message::{ControlReply, ControlRequest, Envelope, Reply};
 use dotterelpin::model::Timestamp;
 use dotterelpin::report::metrics::Metrics;
+use dotterelpin::role::Input;
 use gateway_fixture::{Fixture, MODEL, PLAIN, Sent, table};
 
 thread_local! {
@@ -508,6 +510,30 @@
     let end = line("end");
     assert_eq!(value(&end, "outcome"), "answered");
     assert!(!end.contains(" why="), "{end}");
+    let labels = "late=\"no\",service=\"SERVICE\",why=\"no repeat allowed\"";
+    let labels = labels.replace("SERVICE", PLAIN);
+    assert_eq!(counter(&f, &format!("gateway_unanswered_total{{{labels}}}")), 1);
+}
+
+/// Fails if the log of a call that got no capacity doesn't tell a full fleet from calls before it.
+#[test]
+fn request_for_capacity_says_why_it_got_none() {
+    let mut f = logged();
+    f.leader = Some("127.0.0.1:9001".parse().unwrap());
+    f.advance(1_000);
+    f.call(1, "/draft/a", &[("Model", "m"), ("Tokens", "300,40")]);
+    for (ahead, why) in [(0, "full"), (3, "behind")] {
+        LINES.with_borrow_mut(Vec::clear);
+        let is_room = |(_, r): &(_, ControlRequest)| matches!(r, ControlRequest::AssignRoom(_));
+        let at = f.leader_requests.iter().position(is_room).expect("no request for capacity");
+        let (exchange, _) = f.leader_requests.remove(at);
+        let body = Reply::Control(ControlReply::RoomAssigned { endpoint: None, ahead });
+        f.step(Input::Reply { exchange, envelope: Envelope { revised: Default::default(), body } });
+        let room = line("room");
+        assert_eq!((value(&room, "outcome"), value(&room, "why")), ("none", why), "{room}");
+        assert_eq!(room.contains(" ahead=3"), ahead == 3, "{room}");
+        f.advance(100);
+    }
 }
 
 /// Returns a fixture in which two calls with a common part run at the same endpoint, and their runs.
