Share one floor among worse kinds of calls

Cause: each kind had a floor of its own of 5 % of the capacity. Ten kinds of few calls each went before the most urgent kind all the time.

Change: the floor is that of a kind and all worse ones together.

--- a/src/control/dispatch/shares.rs
+++ b/src/control/dispatch/shares.rs
@@ -10,7 +10,7 @@
 
 /// The window over which shares are measured.
 const SHARE_WINDOW: Duration = Duration::from_millis(2_000);
-/// The percentage of the assigned tokens that each kind gets while it waits, whatever its rank.
+/// The percentage of the assigned tokens that a kind and all worse ones get together while they wait.
 const FLOOR_PERCENT: u64 = 5;
 /// The percentage of the tokens assigned to a kind that its late calls get while they wait. They were
 /// refused once, and in a burst of 6 s every second one would be refused again: in a replay of such
@@ -86,9 +86,11 @@
 }
 
 impl Shares {
-    /// Returns whether a kind has its floor; one that has less goes before all others.
+    /// Returns whether a kind has its floor, together with all worse ones; one that has less goes
+    /// before all others. If each kind had a floor of its own, many kinds of few calls would take
+    /// most of the capacity before the best one.
     pub fn has_floor(&self, kind: (u8, u8)) -> bool {
-        let tokens = self.kinds.get(&kind).copied().unwrap_or_default();
+        let tokens: u64 = self.kinds.range(kind..).map(|(_, tokens)| tokens).sum();
         tokens * 100 >= self.total * FLOOR_PERCENT
     }
 
--- a/tests/waiting_calls.rs
+++ b/tests/waiting_calls.rs
@@ -228,6 +228,18 @@
     assert!((0.045..0.10).contains(&share), "expected a share of some 0.05: {tallies:?}");
 }
 
+/// Fails if many kinds of few calls take the capacity of the best kind by their floors.
+#[test]
+fn kinds_of_few_calls_share_one_floor() {
+    let kind = |priority, rate| (Rank { account: priority, priority, late: false }, rate, 1_200);
+    let mut kinds = vec![(URGENT, 45, 480)];
+    kinds.extend((1..=10).map(|priority| kind(priority, 3)));
+    let mut world = World::new(1, true);
+    world.run(40, &kinds);
+    let urgent = world.tallies[&URGENT];
+    assert!(urgent.share() >= 0.85, "expected nearly all at 1.02 of the capacity: {urgent:?}");
+}
+
 #[test]
 fn freed_capacity_goes_to_the_better_rank_however_late_it_asks() {
     let mut rooms = full();
