Don't count requests of running calls as demand

Cause: a silent stream asks each 100 ms for another endpoint and keeps no claim, so each request counted as a new call of its kind, and the reserve grew with it.

Change: requests without a claim are no demand.

--- a/src/control/dispatch/waiting.rs
+++ b/src/control/dispatch/waiting.rs
@@ -143,9 +143,10 @@
         self.claims.is_empty() && self.demand.is_empty() && self.assigned.is_empty()
     }
 
-    /// Counts the first request for a call as demand of its kind.
+    /// Counts the first request for a call as demand of its kind. Further ones are told by its claim;
+    /// a call that keeps none runs already.
     fn record_demand(&mut self, now: Timestamp, request: &RoomRequest) {
-        if self.claims.contains_key(&key(request)) {
+        if self.claims.contains_key(&key(request)) || request.call.patience.is_zero() {
             return;
         }
         let needed = request.tokens.saturating_add(request.spare);
--- a/tests/waiting_calls.rs
+++ b/tests/waiting_calls.rs
@@ -228,6 +228,21 @@
     assert!((0.045..0.10).contains(&share), "expected a share of some 0.05: {tallies:?}");
 }
 
+/// Fails if a stream that runs, and asks each 100 ms for another endpoint while it is silent, counts
+/// as demand of its kind.
+#[test]
+fn requests_of_a_running_call_are_no_demand() {
+    let mut rooms = Rooms::default();
+    let running = WaitingCall { patience: ms(0), ..call(100, URGENT, 0) };
+    for run in 100..200 {
+        assert!(rooms.decide(at(run), &request(run, 1, running.clone())).is_ok());
+        rooms.ended(at(run), RunId(run), RunEnd::Over);
+    }
+    let cheap = |run| request(run, 1, call(run, CHEAP, 0));
+    let served = (1..=7).filter(|run| rooms.decide(at(3_000), &cheap(*run)).is_ok()).count();
+    assert_eq!(served, 7, "capacity is kept for a kind without demand");
+}
+
 /// Fails if many kinds of few calls take the capacity of the best kind by their floors.
 #[test]
 fn kinds_of_few_calls_share_one_floor() {
