Use the gateway's part of a quota only after requests that were not answered

Cause: a gateway counted silence of the leader from one request that was not answered in time, also if it had asked nothing since. A gateway that had stood still took its silence for that of the leader. Two returns of credit could count the same room of a bucket.

Change: silence is that of several requests with 0.6 s between them at most; while there is one, a gateway asks again also for nothing. Returned credit uses up the room that it was checked by. Refused callers are promised room after one another. Credit that was not granted in advance is asked for again after 0.2 s.

--- a/src/control/dispatch/credits.rs
+++ b/src/control/dispatch/credits.rs
@@ -191,15 +191,19 @@
         });
     }
 
-    /// Returns how much of the credit that was granted at a time may be granted again: what a bucket
-    /// that had never granted it would have kept, since a full bucket loses what is added.
-    fn returnable(&self, now: Timestamp, stamp: Timestamp, amount: u64) -> u64 {
-        if now - stamp > CREDIT_TTL {
-            return 0;
+    /// Takes back credit that was granted at a time: what a bucket that had never granted it would
+    /// have kept, since a full bucket loses what is added.
+    fn take_back(&mut self, now: Timestamp, stamp: Timestamp, amount: u64) {
+        if amount == 0 || now - stamp > CREDIT_TTL {
+            return;
         }
-        let since = self.peaks.iter().filter(|(at, _)| *at > stamp && *at < now);
-        let peak = since.map(|(_, sum)| *sum).fold(self.sum(), i64::max);
-        amount.min(unsigned(signed(self.limit.size).saturating_sub(peak)))
+        let sum = self.sum();
+        let since = |(at, _): &&mut (Timestamp, i64)| *at > stamp && *at < now;
+        let peak = self.peaks.iter_mut().filter(since).map(|(_, sum)| *sum).fold(sum, i64::max);
+        let kept = amount.min(unsigned(signed(self.limit.size).saturating_sub(peak)));
+        // The same room is not there for the next credit that is returned.
+        self.peaks.iter_mut().filter(since).for_each(|(_, sum)| *sum += signed(kept));
+        self.bucket.level += signed(kept);
     }
 
     fn grant(
@@ -218,8 +222,7 @@
         self.holdings.insert(owner, own);
         self.bucket.level = self.bucket.level.min(self.cap(now, leading));
         if request.stamp >= leading.since {
-            let returned = self.returnable(now, request.stamp, request.returned);
-            self.bucket.level += signed(returned);
+            self.take_back(now, request.stamp, request.returned);
         }
         self.bucket.take(request.debt);
         let paid: Vec<bool> = request.needed.iter().map(|cost| self.pay(*cost, &mut own)).collect();
--- a/src/gateway/admit/charge.rs
+++ b/src/gateway/admit/charge.rs
@@ -190,6 +190,9 @@
 
     /// Ends the exchange about credit that is overdue, and sends the next one.
     pub(in crate::gateway) fn advance_quotas(&mut self, now: Timestamp) {
+        if self.charging.quotas.next_wake().is_none_or(|at| at > now) {
+            return;
+        }
         let contact = self.contact(now);
         if let Some((decided, dropped)) = self.charging.quotas.expire(now, contact) {
             self.outputs.extend(dropped.map(|exchange| Output::Reset { exchange }));
--- a/src/gateway/admit/local.rs
+++ b/src/gateway/admit/local.rs
@@ -14,6 +14,9 @@
 /// After which age it is renewed with a request that is sent anyway, so that the accounts of a gateway
 /// don't each have requests of their own.
 const JOIN_AGE: Duration = Duration::from_millis(300);
+/// The longest time after which a refused caller is promised room: those of a long overload would be
+/// sent away for longer than it lasts.
+const MAX_PROMISE: Duration = Duration::from_secs(5);
 /// The maximum number of waiting calls of an account in one request.
 const MAX_CALLS: usize = 256;
 
@@ -60,8 +63,10 @@
     returned_stamp: Timestamp,
     /// The bucket that the gateway uses by itself without a leader.
     alone: Option<TokenBucket>,
-    /// The level that the leader has told last, and what was promised to refused callers since.
+    /// The level that the leader has told last.
     room: TokenBucket,
+    /// Until when room was promised to refused callers.
+    promised: Timestamp,
 }
 
 impl<K: Copy + PartialEq> Local<K> {
@@ -78,6 +83,7 @@
             returned_stamp: Timestamp::MAX,
             alone: None,
             room: TokenBucket::new(Timestamp::default(), 0),
+            promised: Timestamp::default(),
         }
     }
 
@@ -138,9 +144,9 @@
         self.credit < self.demand.wanted(now, &self.limit, gateways).div_ceil(2)
     }
 
-    /// Returns whether credit is to be taken in advance, or to be returned.
-    pub fn has_business(&mut self, now: Timestamp, gateways: u32) -> bool {
-        self.returned > 0 || self.is_low(now, gateways)
+    /// Returns whether credit is to be returned.
+    pub fn returns(&self) -> bool {
+        self.returned > 0
     }
 
     /// Returns the request for this account, if it needs anything.
@@ -154,7 +160,7 @@
         let wanted = self.demand.wanted(now, &self.limit, gateways);
         let low = self.credit < wanted.div_ceil(2);
         let renews = wanted > 0 && self.credit > 0 && now - self.sent >= JOIN_AGE;
-        let debt = self.alone.map_or(0, |bucket| unsigned(bucket.level.saturating_neg()));
+        let debt = self.debt(now, gateways);
         if self.waiting.is_empty() && !low && !renews && self.returned == 0 && debt == 0 {
             return None;
         }
@@ -177,6 +183,14 @@
         Some((request, asked))
     }
 
+    /// Returns what was used above the gateway's own part of the limit and not made up for since.
+    fn debt(&mut self, now: Timestamp, gateways: u32) -> u64 {
+        let part = self.limit.part(gateways);
+        let Some(bucket) = &mut self.alone else { return 0 };
+        bucket.refill(now, part.rate, signed(part.size));
+        unsigned(bucket.level.saturating_neg())
+    }
+
     /// Takes back the credit that a request was to return, since it reached no leader.
     pub fn keep_returned(&mut self, asked: &Asked<K>) {
         self.returned += asked.limit.cut(&self.limit, asked.returned);
@@ -229,13 +243,15 @@
     /// Returns after which time the bucket has room for a refused call, after those that were
     /// refused before.
     pub fn time_to_room(&mut self, now: Timestamp, cost: u64) -> Duration {
-        self.room.refill(now, self.limit.rate, signed(self.limit.size));
-        let after = time_to_room(self.room.level, cost, self.limit.rate);
-        self.room.take(cost);
-        after
+        let rate = self.limit.rate;
+        self.room.refill(now, rate, signed(self.limit.size));
+        let room = now + time_to_room(self.room.level, cost, rate);
+        let at = room.max(self.promised).min(now + MAX_PROMISE);
+        self.promised = at + time_to_room(0, cost, rate);
+        at - now
     }
 
-    /// Returns the level that the leader has told last, less what was promised since.
+    /// Returns the level that the leader has told last, with what the rate has added since.
     pub fn level(&self) -> i64 {
         self.room.level
     }
--- a/src/gateway/admit/quota.rs
+++ b/src/gateway/admit/quota.rs
@@ -20,10 +20,14 @@
 pub const CREDIT_WAIT: Duration = Duration::from_millis(90);
 /// The time between two requests that are only for credit in advance.
 const AHEAD_INTERVAL: Duration = Duration::from_millis(50);
+/// The same after the leader had too little to grant in advance.
+const DENIED_INTERVAL: Duration = Duration::from_millis(200);
 /// How long no request is sent after one that was not answered.
 const SILENT_BACKOFF: Duration = Duration::from_millis(20);
 /// The same while there is no leader.
 const ALONE_BACKOFF: Duration = Duration::from_millis(250);
+/// The longest time between two unanswered requests that show one silence.
+const NOTICE_TIME: Duration = Duration::from_millis(600);
 /// How long there is no leader before a gateway uses its part of the limits by itself; longer than
 /// an election.
 pub const ELECTION_WAIT: Duration = Duration::from_millis(1_500);
@@ -69,8 +73,8 @@
     last_sent: Timestamp,
     /// When the next request is due.
     ask_at: Timestamp,
-    /// Since when no request has been answered.
-    silent: Option<Timestamp>,
+    /// Since when no request has been answered, and when that was noticed last.
+    silent: Option<(Timestamp, Timestamp)>,
     last_reply: Timestamp,
 }
 
@@ -137,7 +141,7 @@
     /// Sets when the next request is due; at once if a call waits for it.
     fn ask(&mut self, now: Timestamp, waits: bool) {
         let spacing = match self.silent {
-            Some(since) if now - since >= ELECTION_WAIT => ALONE_BACKOFF,
+            Some((since, _)) if now - since >= ELECTION_WAIT => ALONE_BACKOFF,
             Some(_) => SILENT_BACKOFF,
             None if waits => Duration::ZERO,
             None => AHEAD_INTERVAL,
@@ -147,9 +151,11 @@
 
     /// Returns since when this gateway uses its part of the limits by itself, if it does.
     pub fn alone_since(&self, now: Timestamp, contact: Contact) -> Option<Timestamp> {
-        let silent = self.silent.map(|since| since + ELECTION_WAIT).filter(|at| *at <= now);
-        let lost = !contact.majority && now - self.last_reply >= ELECTION_WAIT;
-        silent.or(lost.then_some(now))
+        let (since, noticed) = self.silent.filter(|(_, noticed)| now - *noticed < NOTICE_TIME)?;
+        if since + ELECTION_WAIT <= now {
+            return Some(since + ELECTION_WAIT);
+        }
+        (!contact.majority).then_some(noticed)
     }
 
     /// Returns the request that is to be sent to the leader now, if any.
@@ -168,7 +174,11 @@
             accounts.push(request);
         }
         self.accounts.retain(|_, local| !local.is_idle(now, contact.gateways));
-        if accounts.is_empty() {
+        if self.accounts.is_empty() {
+            self.silent = None;
+        }
+        // Without any, the request asks whether there is a leader again.
+        if accounts.is_empty() && self.silent.is_none() {
             self.renew(now, contact.gateways);
             return None;
         }
@@ -208,7 +218,7 @@
         if now - open.sent >= PAID_TTL {
             // The leader may count the credit as used already.
             self.return_late(now, &open, reply);
-            return Some(self.unanswered(now, contact, open.sent));
+            return Some(self.unanswered(now, contact));
         }
         self.silent = None;
         self.accounts.values_mut().for_each(Local::end_alone);
@@ -221,11 +231,14 @@
             decided.extend(local.granted(now, open.sent, reply.stamp, grant, asked));
         }
         let waits = self.accounts.values().any(|local| !local.waiting.is_empty());
-        let gateways = contact.gateways;
-        let more = self.accounts.values_mut().any(|local| local.has_business(now, gateways));
-        if waits || more {
+        let returns = self.accounts.values().any(Local::returns);
+        if waits || returns {
             self.ask(now, waits);
         }
+        let low = |local: &mut Local<K>| local.is_low(now, contact.gateways);
+        if self.accounts.values_mut().any(low) {
+            self.ask_at = self.ask_at.min(now + DENIED_INTERVAL);
+        }
         self.renew(now, contact.gateways);
         Some(decided)
     }
@@ -249,9 +262,8 @@
         contact: Contact,
     ) -> Option<(Vec<(K, Decision)>, Option<ExchangeId>)> {
         let open = self.open.take_if(|open| open.sent + EXCHANGE_TIMEOUT <= now)?;
-        let sent = open.sent;
         let dropped = self.late.replace(open).and_then(|late| late.exchange);
-        Some((self.unanswered(now, contact, sent), dropped))
+        Some((self.unanswered(now, contact), dropped))
     }
 
     /// Handles the end of an exchange without a reply of the leader, which may have read the request
@@ -274,7 +286,7 @@
             }
         }
         match open {
-            Some(open) => Some(self.unanswered(now, contact, open.sent)),
+            Some(_) => Some(self.unanswered(now, contact)),
             None => late.map(|_| Vec::new()),
         }
     }
@@ -283,7 +295,7 @@
     pub fn unreachable(&mut self, now: Timestamp, contact: Contact) -> Vec<(K, Decision)> {
         self.last_sent = now;
         self.ask_at = Timestamp::MAX;
-        self.unanswered(now, contact, now)
+        self.unanswered(now, contact)
     }
 
     /// Returns whether a request is to be sent now.
@@ -291,13 +303,11 @@
         self.open.is_none() && now >= self.ask_at
     }
 
-    fn unanswered(
-        &mut self,
-        now: Timestamp,
-        contact: Contact,
-        sent: Timestamp,
-    ) -> Vec<(K, Decision)> {
-        self.silent.get_or_insert(sent);
+    fn unanswered(&mut self, now: Timestamp, contact: Contact) -> Vec<(K, Decision)> {
+        // After a longer time this process stood still, which says nothing about the leader.
+        let known = self.silent.filter(|(_, noticed)| now - *noticed < NOTICE_TIME);
+        let since = known.map_or(now, |(since, _)| since);
+        self.silent = Some((since, now));
         self.ask(now, true);
         let alone = self.alone_since(now, contact);
         if alone.is_none() {
@@ -354,7 +364,7 @@
 
     /// Returns for how long requests have not been answered.
     pub fn silence(&self, now: Timestamp) -> Duration {
-        self.silent.map_or(Duration::ZERO, |since| now - since)
+        self.silent.map_or(Duration::ZERO, |(since, _)| now - since)
     }
 
     /// Returns the time since the last reply of the leader.
