--- a/src/control/dispatch/credits.rs
+++ b/src/control/dispatch/credits.rs
@@ -17,8 +17,9 @@
 
 /// How long a gateway may use credit after it has sent the request for it.
 pub const CREDIT_TTL: Duration = Duration::from_millis(1_000);
-/// How long credit for a waiting call may be unused: a gateway drops later replies.
-pub const PAID_TTL: Duration = Duration::from_millis(250);
+/// How long credit for a waiting call may be unused: a gateway doesn't use that of later replies. A
+/// bucket that was full is not refilled before, so it is short.
+pub const PAID_TTL: Duration = Duration::from_millis(100);
 /// How long the previous leader may still have granted credit after this one began to lead: the lease
 /// of a leader less the shortest time without one before an election, and the way of an answer.
 const OVERLAP: Duration = Duration::from_millis(500);
@@ -136,6 +137,11 @@
     fn total(&self) -> u64 {
         self.ahead + self.paid
     }
+
+    /// Returns both kinds of credit with the times until which they may be used.
+    fn parts(&self) -> [(Timestamp, u64); 2] {
+        [(self.ahead_until, self.ahead), (self.paid_until, self.paid)]
+    }
 }
 
 /// The bucket of an account and the credit of it that gateways hold.
@@ -166,31 +172,45 @@
         self.bucket.level.saturating_add(signed(self.held()))
     }
 
-    /// Returns the highest level beside the held credit. Credit of the previous leader may be held
-    /// for a while.
-    fn cap(&self, now: Timestamp, leading: Leading) -> i64 {
+    /// Returns the highest level beside held credit. Credit of the previous leader may be held for a
+    /// while.
+    fn cap(&self, now: Timestamp, leading: Leading, held: u64) -> i64 {
         let settles = now < leading.since + SETTLE_TIME;
         let unknown = if settles { self.limit.size / AHEAD_DIVISOR } else { 0 };
-        signed(self.limit.size - unknown).saturating_sub(signed(self.held()))
+        signed(self.limit.size - unknown).saturating_sub(signed(held))
     }
 
-    /// Refills the bucket with a rate, and removes credit that can't be used any more.
+    /// Refills the bucket with a rate, and removes credit that can't be used any more; from the time
+    /// of its expiry on, the bucket has room for as much.
     fn refresh(&mut self, now: Timestamp, leading: Leading, rate: u64) {
-        self.bucket.refill(now, rate, self.cap(now, leading));
-        let sum = self.sum();
-        while self.peaks.back().is_some_and(|(_, peak)| *peak <= sum) {
-            self.peaks.pop_back();
-        }
-        self.peaks.push_back((now, sum));
-        while self.peaks.front().is_some_and(|(at, _)| now - *at > CREDIT_TTL) {
-            self.peaks.pop_front();
+        let mut held = self.held();
+        let parts = self.holdings.values().flat_map(Holding::parts);
+        let mut ended: Vec<(Timestamp, u64)> = parts.filter(|(until, _)| *until <= now).collect();
+        ended.sort_unstable();
+        for (at, amount) in ended {
+            self.refill(at, leading, rate, held);
+            held -= amount;
         }
+        self.refill(now, leading, rate, held);
         self.holdings.retain(|_, holding| {
             holding.expire(now);
             holding.total() > 0
         });
     }
 
+    /// Refills the bucket up to a time until which so much credit is held.
+    fn refill(&mut self, at: Timestamp, leading: Leading, rate: u64, held: u64) {
+        self.bucket.refill(at, rate, self.cap(at, leading, held));
+        let sum = self.bucket.level.saturating_add(signed(held));
+        while self.peaks.back().is_some_and(|(_, peak)| *peak <= sum) {
+            self.peaks.pop_back();
+        }
+        self.peaks.push_back((at, sum));
+        while self.peaks.front().is_some_and(|(first, _)| at - *first > CREDIT_TTL) {
+            self.peaks.pop_front();
+        }
+    }
+
     /// Takes back credit that was granted at a time: what a bucket that had never granted it would
     /// have kept, since a full bucket loses what is added.
     fn take_back(&mut self, now: Timestamp, stamp: Timestamp, amount: u64) {
@@ -220,7 +240,7 @@
         let mut own =
             Holding { ahead: request.held, ahead_until: now + CREDIT_TTL, ..<_>::default() };
         self.holdings.insert(owner, own);
-        self.bucket.level = self.bucket.level.min(self.cap(now, leading));
+        self.bucket.level = self.bucket.level.min(self.cap(now, leading, self.held()));
         if request.stamp >= leading.since {
             self.take_back(now, request.stamp, request.returned);
         }
@@ -361,7 +381,7 @@
             }
             // A bucket that is made anew may be full, so only full ones are removed.
             account.refresh(now, leading, account.limit.rate);
-            account.bucket.level < account.cap(now, leading)
+            account.bucket.level < account.cap(now, leading, account.held())
         });
     }
 
--- a/tests/client_quotas.rs
+++ b/tests/client_quotas.rs
@@ -2,6 +2,9 @@
 //! the gateway asks of control's leader.
 
 mod gateway_fixture;
+// Other tests use the rest of it.
+#[allow(dead_code)]
+mod recorded_lines;
 
 use std::net::SocketAddr;
 
@@ -296,3 +299,24 @@
     q.f.advance(5_000);
     assert_eq!(q.take_request(), None, "credit was renewed for an account that is not in use");
 }
+
+/// An account over its quota must not fill the log, and its refusals must be found by the id.
+#[test]
+fn refusals_are_logged_once_a_second_for_each_account() {
+    recorded_lines::record();
+    let mut q = Quotas::new();
+    for caller in 0..200 {
+        q.model_call(caller, "3000,800");
+        q.grant();
+        q.f.advance(10);
+    }
+    let lines = recorded_lines::lines("quota");
+    assert!((2..=4).contains(&lines.len()), "{lines:?}");
+    let dropped = lines.iter().map(|line| recorded_lines::value(line, "dropped"));
+    let dropped: u64 = dropped.map(|text| text.parse::<u64>().unwrap()).sum();
+    assert!(dropped > 50, "{lines:?}");
+    let ends = recorded_lines::lines("end");
+    let refused = ends.iter().filter(|line| line.contains(" why=\"over the quota\""));
+    let named = refused.filter(|line| line.contains(" account=\"city\""));
+    assert!(named.count() > 100, "the lines of the calls don't name the account");
+}
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -6,7 +6,7 @@
 use dotterelpin::model::Class;
 use dotterelpin::report::metrics::Metrics;
 use dotterelpin::report::observation::{
-    CallEnd, CallSummary, ChargeOutcome, Observation, SendOrder,
+    CallEnd, CallSummary, ChargeOutcome, Observation, QuotaOutcome, SendOrder,
 };
 
 #[test]
@@ -53,3 +53,24 @@
     let charges = format!("dotterelpin_gateway_retry_charges_total{{{labels}}} 1600");
     assert!(text.contains(&charges), "expected the sum of the costs: {text}");
 }
+
+#[test]
+fn accounts_have_at_most_200_series() {
+    let metrics = Metrics::new().unwrap();
+    let outcomes = [
+        QuotaOutcome::Local,
+        QuotaOutcome::Granted,
+        QuotaOutcome::Alone,
+        QuotaOutcome::Refused,
+        QuotaOutcome::TooLarge,
+    ];
+    for index in 0..1_000 {
+        for outcome in outcomes {
+            let account = format!("account-{index}").into();
+            metrics.observe(Observation::Quota { account, outcome });
+        }
+    }
+    let text = metrics.text().unwrap();
+    let series = text.lines().filter(|l| l.starts_with("dotterelpin_gateway_quota_total{"));
+    assert_eq!(series.count(), 200);
+}
