--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -91,6 +91,12 @@
     /// api, otherwise 65
     #[argh(option)]
     pub grace: Option<String>,
+    /// memory of the process's machine in MB, of which callers may take up a part; 256 if not given
+    #[argh(option)]
+    pub memory_mb: Option<String>,
+    /// descriptors that the process may have open; 65536 if not given
+    #[argh(option)]
+    pub max_fds: Option<String>,
     /// log level: error, warn, info, debug or trace; info if not given
     #[argh(option)]
     pub log: Option<String>,
@@ -166,7 +172,7 @@
     }
 
     /// Returns the settings with their names in the file and, in upper case, in the environment.
-    fn fields(&mut self) -> [(&'static str, &mut Option<String>); 27] {
+    fn fields(&mut self) -> [(&'static str, &mut Option<String>); 29] {
         [
             ("roles", &mut self.roles),
             (SETTINGS_FILE, &mut self.settings),
@@ -193,6 +199,8 @@
             ("prefill_spare", &mut self.prefill_spare),
             ("grace", &mut self.grace),
             ("pages", &mut self.pages),
+            ("memory_mb", &mut self.memory_mb),
+            ("max_fds", &mut self.max_fds),
             ("log", &mut self.log),
             ("log_format", &mut self.log_format),
         ]
--- a/src/cli/settings.rs
+++ b/src/cli/settings.rs
@@ -21,6 +21,10 @@
 const DEFAULT_CONNECTIONS: usize = 16_384;
 /// The largest limit of calls or connections that a setting may have.
 const MAX_OPEN: usize = 1_000_000;
+/// The default memory of a process's machine, in MB.
+const DEFAULT_MEMORY_MB: usize = 256;
+/// The default limit of open descriptors.
+const DEFAULT_FDS: usize = 65_536;
 /// The most control members.
 const MAX_MEMBERS: usize = 7;
 /// The most control members that may be lost at once.
@@ -123,6 +127,10 @@
     pub grace: Duration,
     /// The TCP address for health, readiness, metrics and announcements.
     pub pages: Option<SocketAddr>,
+    /// The memory of the process's machine, in MB.
+    pub memory: usize,
+    /// The number of descriptors that the process may have open.
+    pub max_fds: usize,
     /// The log level, such as `info`.
     pub log: Box<str>,
     /// The format of log lines.
@@ -224,6 +232,8 @@
         let variants = Variant::ALL.map(Variant::as_str);
         let default = Variant::default().as_str();
         let placement = check.choice("placement", &args.placement, default, &variants);
+        let memory = check.count("memory-mb", &args.memory_mb, DEFAULT_MEMORY_MB, MAX_OPEN);
+        let max_fds = check.count("max-fds", &args.max_fds, DEFAULT_FDS, MAX_OPEN);
         let log = check.choice("log", &args.log, "info", &LOG_LEVELS);
         let format = check.choice("log-format", &args.log_format, "text", &["text", "json"]);
         let format = if format == "json" { LogFormat::Json } else { LogFormat::Text };
@@ -250,6 +260,8 @@
             stages: StageTerms { share: prefill_share as u32, spare: prefill_spare as u32 },
             grace,
             pages,
+            memory,
+            max_fds,
             log: log.into(),
             format,
         })
