Bound the memory that callers of a process take up by one budget

Cause: a bound of 32 MiB existed for callers with over 256 KiB only, and was summed at each read; the buffers of readers and the fields of heads were not counted. Change: bytes that are allocated for callers are a running count, shared by the listeners of a process. Above an eighth of memory_mb large bodies are not read on; above a quarter unfinished requests with the least progress are refused with 503. Bodies have to progress in each window of the head timeout. Pipelined requests wait for unread answers. Connections are bounded from max_fds.

--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -24,6 +24,7 @@
 use crate::entry::{CallerInput, Entry, EntrySettings};
 use crate::gateway::protocol::CallProtocol;
 use crate::gateway::{Gateway, GatewaySettings};
+use crate::h1::budget::Budget;
 use crate::h1::{HttpDriver, Listener, Purpose};
 use crate::link::tls::Identity;
 use crate::link::{Link, Request, Route, Sink};
@@ -80,12 +81,13 @@
     let boot = BootId::from_start(Timestamp::from_steady(), &settings.name);
     let identity = Identity::load(&settings.keys)?;
     let link = Link::bind(settings.listen, identity)?;
+    let budget = Arc::new(Budget::new(settings.memory << 20, settings.max_fds));
     let drivers = Drivers {
         entry: settings.roles.contains(&RoleName::Entry).then(Driver::new),
         agent: settings.roles.contains(&RoleName::Agent).then(Driver::new),
         control: settings.roles.contains(&RoleName::Control).then(Driver::new),
-        gateway: bind_gateway(&settings)?,
-        api: bind_api(&settings)?,
+        gateway: bind_gateway(&settings)?.map(|d| d.with_budget(budget.clone())),
+        api: bind_api(&settings)?.map(|d| d.with_budget(budget.clone())),
     };
     let (calls, api) = match protocols {
         Some(protocols) => (Some(protocols.calls), Some(protocols.api)),
--- a/src/h1/caller.rs
+++ b/src/h1/caller.rs
@@ -1,16 +1,23 @@
 //! A caller's connection, which serves one request at a time.
 
+use super::budget::{Candidate, Charge, Level, Progress, TINY_BYTES, reads_on};
 use super::closing::Open;
 use super::head::{Request, RequestHead};
 use super::limits::AppliedLimits;
 use super::reader::{Part, ReadError, Reader};
 use super::socket::{READ_BYTES, READS_PER_TURN, Socket, SocketRead};
-use super::{LINGER_TIMEOUT, MAX_LINGER_BYTES, Purpose, write};
+use super::{CallerId, LINGER_TIMEOUT, MAX_LINGER_BYTES, Purpose, write};
 use crate::model::Timestamp;
 use crate::routes::CallerLimits;
 
 /// The most bytes of pipelined requests that are buffered while one is answered.
-const MAX_PIPELINED_BYTES: usize = 64 << 10;
+const MAX_PIPELINED_BYTES: usize = 16 << 10;
+/// The same while large bodies are not read on.
+const MAX_FULL_PIPELINED_BYTES: usize = 2 << 10;
+/// The next request of a connection is not read while so many bytes of answers are unread.
+const MAX_UNREAD_ANSWERS: usize = 16 << 10;
+/// What a connection without any request takes up, in bytes.
+const CONNECTION_BYTES: usize = 1 << 10;
 
 /// The state of a caller's connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,6 +45,17 @@
     }
 }
 
+/// The memory that is left for reading.
+#[derive(Debug, Clone, Copy)]
+pub struct Room {
+    /// How much of the memory is in use.
+    pub level: Level,
+    /// The bytes that are held for all callers of the process.
+    pub held: usize,
+    /// Whether this caller is the first of those that are not read on.
+    pub first: bool,
+}
+
 /// The result of reading from a caller's connection.
 #[derive(Debug)]
 pub enum CallerRead {
@@ -45,12 +63,23 @@
     Wait,
     /// The same, but the socket may have more bytes.
     More,
+    /// The request is not read on for lack of memory.
+    Paused,
     /// A complete request was received.
     Request(Request),
     /// The connection is closed or broken.
     Closed,
 }
 
+/// A request whose head has been read.
+#[derive(Debug)]
+struct Partial {
+    head: RequestHead,
+    /// The memory of the head in bytes.
+    memory: usize,
+    body: Vec<u8>,
+}
+
 /// A caller's connection with its parser and the request that is being read.
 #[derive(Debug)]
 pub struct Caller {
@@ -58,7 +87,12 @@
     pub purpose: Purpose,
     pub state: CallerState,
     reader: Reader,
-    partial: Option<(RequestHead, Vec<u8>)>,
+    partial: Option<Partial>,
+    /// The progress of the request that is being read.
+    reading: Progress,
+    /// The memory of the request that the role has, in bytes.
+    handed: usize,
+    charge: Charge,
     /// Whether the caller has closed its side of the connection.
     pub ended: bool,
     /// Whether reading stopped before the socket was empty.
@@ -70,13 +104,23 @@
 }
 
 impl Caller {
-    pub fn new(now: Timestamp, socket: Socket, purpose: Purpose, limits: &CallerLimits) -> Caller {
+    pub fn new(
+        now: Timestamp,
+        socket: Socket,
+        purpose: Purpose,
+        limits: &CallerLimits,
+        mut charge: Charge,
+    ) -> Caller {
+        charge.set(CONNECTION_BYTES);
         Caller {
             socket,
             purpose,
             state: CallerState::Idle(now),
             reader: Reader::requests(limits.head_bytes, limits.body_bytes),
             partial: None,
+            reading: Progress::new(now),
+            handed: 0,
+            charge,
             ended: false,
             unread: false,
             closing: false,
@@ -92,24 +136,30 @@
                 Some(self.progress + limits.idle_timeout)
             }
             CallerState::Idle(since) => Some(since + limits.idle_timeout),
+            CallerState::Reading(_) if self.partial.is_some() => {
+                Some(self.reading.deadline(limits))
+            }
             CallerState::Reading(since) => Some(since + limits.head_timeout),
+            // The caller has stopped to read its answer.
+            CallerState::Answering if unwritten => Some(self.progress + limits.idle_timeout),
             CallerState::Answering => None,
             CallerState::Lingering { until, .. } => Some(until),
         }
     }
 
     /// Reads available bytes of the socket, as many as one connection may have read at a time.
-    pub fn read(&mut self, now: Timestamp, limits: &AppliedLimits) -> CallerRead {
+    pub fn read(&mut self, now: Timestamp, limits: &AppliedLimits, room: Room) -> CallerRead {
         self.unread = false;
         self.take_limits(limits);
         let mut buffer = [0; READ_BYTES];
         for _ in 0..READS_PER_TURN {
-            if self.state == CallerState::Answering && self.reader.buffered() > MAX_PIPELINED_BYTES
-            {
+            let most = self.readable(room).min(READ_BYTES);
+            if most == 0 {
                 self.unread = true;
-                return CallerRead::Wait;
+                return self.pause(now);
             }
-            match self.socket.read(&mut buffer) {
+            let buffer = buffer.get_mut(..most).unwrap_or_default();
+            match self.socket.read(buffer) {
                 Ok(SocketRead::Bytes(count)) => {
                     let bytes = buffer.get(..count).unwrap_or_default();
                     if let CallerState::Lingering { until, left } = self.state {
@@ -118,29 +168,116 @@
                         continue;
                     }
                     self.reader.feed(bytes);
-                    let more = self.ended || count == buffer.len();
-                    if !more && self.state != CallerState::Answering {
-                        // A short read emptied the socket; the poll reports when more bytes arrive.
-                        return self.parse(now, limits);
+                    self.reading.receive(now, count);
+                    // A short read emptied the socket; the poll reports when more bytes arrive.
+                    let more = self.ended || count == most;
+                    if self.state == CallerState::Answering {
+                        continue;
+                    }
+                    match self.parse(now, limits) {
+                        CallerRead::Wait if more => {}
+                        read => {
+                            self.unread |= more;
+                            return read;
+                        }
                     }
                 }
-                Ok(SocketRead::Blocked) => return self.parse(now, limits),
+                Ok(SocketRead::Blocked) => {
+                    self.reading.resume(now);
+                    return self.parse(now, limits);
+                }
                 Ok(SocketRead::Closed) => return self.parse_last(now, limits),
                 Err(_) => return CallerRead::Closed,
             }
         }
         self.unread = true;
-        match self.parse(now, limits) {
-            CallerRead::Wait => CallerRead::More,
-            read => read,
+        CallerRead::More
+    }
+
+    /// Returns how many bytes may be read.
+    ///
+    /// Load: large bodies, and pipelined requests whose answers are not read.
+    fn readable(&self, room: Room) -> usize {
+        let is_calm = room.level == Level::Calm;
+        match self.state {
+            CallerState::Lingering { .. } => READ_BYTES,
+            CallerState::Answering => {
+                let most = if is_calm { MAX_PIPELINED_BYTES } else { MAX_FULL_PIPELINED_BYTES };
+                most.saturating_sub(self.reader.buffered())
+            }
+            CallerState::Idle(_) if self.socket.pending() > MAX_UNREAD_ANSWERS => 0,
+            CallerState::Reading(_) if self.partial.is_some() => {
+                let reads_on = room.first || reads_on(room.level, self.request_bytes(), room.held);
+                if reads_on { READ_BYTES } else { 0 }
+            }
+            CallerState::Idle(_) | CallerState::Reading(_) if is_calm => READ_BYTES,
+            CallerState::Idle(_) | CallerState::Reading(_) => TINY_BYTES,
+        }
+    }
+
+    /// Notes that nothing more is read for now.
+    fn pause(&mut self, now: Timestamp) -> CallerRead {
+        if !matches!(self.state, CallerState::Reading(_)) {
+            return CallerRead::Wait;
         }
+        self.reading.pause(now);
+        CallerRead::Paused
     }
 
-    /// Returns the number of bytes that are kept for the caller in memory: of its request and of
-    /// answers that it has not read.
-    pub fn held(&self) -> usize {
-        let body = self.partial.as_ref().map_or(0, |(_, body)| body.len());
-        body + self.reader.buffered() + self.socket.pending()
+    /// Returns the memory of the request that is being read.
+    fn request_bytes(&self) -> usize {
+        let partial = self.partial.as_ref().map_or(0, |p| p.memory + p.body.capacity());
+        partial + self.reader.capacity()
+    }
+
+    /// Counts the memory that is held for the caller: its request, also while the role has it, and
+    /// the answers that it has not read.
+    pub fn charge(&mut self) {
+        let bytes = self.request_bytes() + self.handed + self.socket.capacity();
+        self.charge.set(CONNECTION_BYTES + bytes);
+    }
+
+    /// Returns the request or the answers that may be given up to free memory: an unfinished request,
+    /// or answers that are not read although they are complete.
+    pub fn candidate(&self, now: Timestamp, id: CallerId) -> Option<Candidate> {
+        let held = self.charge.bytes();
+        let (stalled, rate) = match self.state {
+            CallerState::Reading(_) => (self.reading.stalled(now), self.reading.rate(now)),
+            CallerState::Idle(_) | CallerState::Lingering { .. } if self.socket.pending() > 0 => {
+                (now - self.progress, 0)
+            }
+            _ => return None,
+        };
+        (held > CONNECTION_BYTES).then_some(Candidate { id, held, stalled, rate })
+    }
+
+    /// Returns the memory of the request that the role has.
+    pub fn handed(&self) -> usize {
+        self.handed
+    }
+
+    /// Returns whether the request is not read on for lack of memory.
+    pub fn is_paused(&self) -> bool {
+        matches!(self.state, CallerState::Reading(_)) && self.reading.is_paused()
+    }
+
+    /// Returns when bytes of the request were last received.
+    pub fn touched(&self) -> Timestamp {
+        self.reading.touched()
+    }
+
+    /// Returns whether reading stopped for unread answers that have been read meanwhile.
+    pub fn can_resume(&self) -> bool {
+        let is_idle = matches!(self.state, CallerState::Idle(_));
+        self.unread && is_idle && self.socket.pending() <= MAX_UNREAD_ANSWERS
+    }
+
+    /// Queues a part of an answer.
+    pub fn reply(&mut self, now: Timestamp, bytes: Vec<u8>) {
+        if self.socket.pending() == 0 {
+            self.progress = now;
+        }
+        self.socket.queue(bytes);
     }
 
     /// Refuses the request that is being read, because too many bytes are kept for all callers.
@@ -167,7 +304,7 @@
             CallerRead::Request(request) => CallerRead::Request(request),
             // A refusal is written first.
             CallerRead::Wait if self.closing => CallerRead::Wait,
-            CallerRead::Wait | CallerRead::More | CallerRead::Closed => CallerRead::Closed,
+            _ => CallerRead::Closed,
         }
     }
 
@@ -176,31 +313,46 @@
         if matches!(self.state, CallerState::Answering | CallerState::Lingering { .. }) {
             return CallerRead::Wait;
         }
+        let is_idle = matches!(self.state, CallerState::Idle(_));
+        if is_idle && self.socket.pending() > MAX_UNREAD_ANSWERS {
+            self.unread = true;
+            return CallerRead::Wait;
+        }
         loop {
             match self.reader.next_part() {
                 Ok(None) => {
+                    self.reader.shrink();
                     let idle = self.reader.is_idle() && self.partial.is_none();
                     if !idle && matches!(self.state, CallerState::Idle(_)) {
                         self.state = CallerState::Reading(now);
+                        self.begin(now);
                     }
                     return CallerRead::Wait;
                 }
                 Ok(Some(Part::Request(head))) => {
                     if head.fields.has_token("expect", "100-continue") {
-                        self.socket.out.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+                        self.socket.queue(b"HTTP/1.1 100 Continue\r\n\r\n".to_vec());
+                    }
+                    if matches!(self.state, CallerState::Idle(_)) {
+                        self.begin(now);
                     }
                     self.state = CallerState::Reading(now);
-                    self.partial = Some((head, Vec::new()));
+                    let memory = head.fields.memory();
+                    self.partial = Some(Partial { head, memory, body: Vec::new() });
                 }
                 Ok(Some(Part::Data(data))) => {
-                    if let Some((_, body)) = &mut self.partial {
-                        body.extend_from_slice(&data);
+                    let expected = self.reader.expected();
+                    if let Some(partial) = &mut self.partial {
+                        extend(&mut partial.body, &data, expected);
                     }
                 }
                 Ok(Some(Part::End { .. })) => {
-                    let Some((head, body)) = self.partial.take() else { return CallerRead::Wait };
+                    let Some(Partial { head, memory, body }) = self.partial.take() else {
+                        return CallerRead::Wait;
+                    };
                     self.state = CallerState::Answering;
                     self.reader.shrink();
+                    self.handed = memory + body.len();
                     return CallerRead::Request(Request { head: head.into(), body: body.into() });
                 }
                 Ok(Some(Part::Answer(_))) => return CallerRead::Closed,
@@ -212,6 +364,12 @@
         }
     }
 
+    /// Begins to count the progress of a request whose first bytes were just received.
+    fn begin(&mut self, now: Timestamp) {
+        self.reading = Progress::new(now);
+        self.reading.receive(now, self.reader.buffered());
+    }
+
     /// Answers a request that can't be parsed, and stops reading requests.
     fn refuse(&mut self, now: Timestamp, error: ReadError, limits: &AppliedLimits) {
         let refusal = limits.refusal(now, &error);
@@ -228,14 +386,16 @@
     ) {
         let body = format!("{text}\n");
         let bytes = write::answer(status, fields, "text/plain", body.as_bytes(), false);
-        self.socket.out.extend_from_slice(&bytes);
+        self.socket.queue(bytes);
         self.partial = None;
+        self.reader.discard();
         self.finish(now, false);
     }
 
     /// Handles the end of an answer; without `keep` the connection is closed.
     pub fn finish(&mut self, now: Timestamp, keep: bool) {
         self.progress = now;
+        self.handed = 0;
         if keep {
             self.state = CallerState::Idle(now);
         } else {
@@ -247,12 +407,12 @@
 
     /// Continues reading: after an answer, since the next request may have been received already, or
     /// after the turn of the other connections.
-    pub fn resume(&mut self, now: Timestamp, limits: &AppliedLimits) -> CallerRead {
+    pub fn resume(&mut self, now: Timestamp, limits: &AppliedLimits, room: Room) -> CallerRead {
         self.take_limits(limits);
-        if self.unread {
-            return self.read(now, limits);
+        match self.parse(now, limits) {
+            CallerRead::Wait if self.unread => self.read(now, limits, room),
+            read => read,
         }
-        self.parse(now, limits)
     }
 
     /// Applies the present limits to the next request, unless one is being read.
@@ -265,12 +425,18 @@
     /// Handles a timeout; returns whether the connection is to be dropped at once.
     pub fn expire(&mut self, now: Timestamp) -> bool {
         match self.state {
+            CallerState::Reading(_) if self.partial.is_some() && self.reading.next_window(now) => {
+                false
+            }
+            CallerState::Reading(_) if self.reading.is_paused() => {
+                self.refuse_large(now);
+                false
+            }
             CallerState::Reading(_) => {
                 self.answer_and_close(now, 408, &[], "the request did not come in time");
                 false
             }
-            CallerState::Answering => false,
-            CallerState::Idle(_) | CallerState::Lingering { .. } => true,
+            CallerState::Answering | CallerState::Idle(_) | CallerState::Lingering { .. } => true,
         }
     }
 
@@ -293,3 +459,14 @@
         false
     }
 }
+
+/// Appends to a body. Its capacity grows by a half at least, but not beyond the expected length.
+fn extend(body: &mut Vec<u8>, data: &[u8], expected: Option<usize>) {
+    let needed = body.len() + data.len();
+    if needed > body.capacity() {
+        let whole = needed.saturating_add(expected.unwrap_or(usize::MAX));
+        let target = whole.min(needed.max(body.capacity() * 3 / 2));
+        body.reserve_exact(target - body.len());
+    }
+    body.extend_from_slice(data);
+}
--- a/src/h1/driver/accept.rs
+++ b/src/h1/driver/accept.rs
@@ -4,6 +4,7 @@
 use mio::net::TcpStream;
 
 use super::{Server, caller_token};
+use crate::h1::budget::Charge;
 use crate::h1::caller::Caller;
 use crate::h1::socket::Socket;
 use crate::h1::{CallerId, HttpEffect, HttpInput, Purpose};
@@ -14,8 +15,13 @@
     /// Accepts the waiting connections of a listener, but no more than `most`.
     pub(super) fn accept(&mut self, now: Timestamp, index: usize, most: usize) {
         for _ in 0..most {
-            let Some((listener, purpose)) = self.listeners.get(index) else { return };
+            let Some((_, purpose)) = self.listeners.get(index) else { return };
             let purpose = *purpose;
+            if !self.budget.has_place(purpose.into()) && !self.make_place(now, purpose) {
+                self.unaccepted.insert(index);
+                return;
+            }
+            let Some((listener, _)) = self.listeners.get(index) else { return };
             match listener.accept() {
                 Ok((stream, _)) => self.add_caller(now, stream, purpose),
                 Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {
@@ -45,7 +51,8 @@
             log::error!("step=register error=\"{error}\"");
             return;
         }
-        let caller = Caller::new(now, Socket::new(stream), purpose, &self.limits.values);
+        let charge = Charge::new(&self.budget, purpose.into());
+        let caller = Caller::new(now, Socket::new(stream), purpose, &self.limits.values, charge);
         self.callers.insert(id, caller);
     }
 }
--- a/src/h1/driver/callers.rs
+++ b/src/h1/driver/callers.rs
@@ -6,6 +6,7 @@
 use crate::h1::caller::{Caller, CallerRead, CallerState};
 use crate::h1::{CallerId, HttpEffect, HttpInput, Purpose, Request, write};
 use crate::model::Timestamp;
+use crate::report::metrics::ClientLimit;
 use crate::role::{Input, Role};
 
 impl<R: Role<Local = HttpInput, Effect = HttpEffect>> Server<R> {
@@ -33,27 +34,34 @@
 
     /// Reads what has arrived from a caller, as much as it may send in one turn.
     pub(super) fn read_caller(&mut self, now: Timestamp, id: CallerId) {
+        let room = self.room(id);
         let Some(caller) = self.callers.get_mut(&id) else { return };
-        let read = caller.read(now, &self.limits);
+        let read = caller.read(now, &self.limits, room);
         self.caller_read(now, id, read);
     }
 
     fn caller_read(&mut self, now: Timestamp, id: CallerId, read: CallerRead) {
         self.dirty.insert(ConnectionId::Caller(id));
+        self.charge(id);
         match read {
             CallerRead::Wait => {}
-            CallerRead::More => {
-                self.resumed.push(id);
-                self.bound_request(now, id);
+            CallerRead::More => self.resumed.push(id),
+            CallerRead::Paused => {
+                if self.paused.insert(id) {
+                    self.metrics.client_limit(ClientLimit::Paused);
+                }
             }
             CallerRead::Request(request) => {
                 if self.callers.get(&id).is_some_and(|caller| caller.ended) {
                     self.ended.push(id);
                 }
-                self.handle_request(now, id, request);
+                if self.may_hand(now, id) {
+                    self.handle_request(now, id, request);
+                }
             }
             CallerRead::Closed => self.caller_closed(now, id),
         }
+        self.free_memory(now);
     }
 
     fn handle_request(&mut self, now: Timestamp, caller: CallerId, request: Request) {
@@ -79,8 +87,9 @@
 
     pub(super) fn resume_callers(&mut self, now: Timestamp) {
         for id in std::mem::take(&mut self.resumed) {
+            let room = self.room(id);
             let Some(caller) = self.callers.get_mut(&id) else { continue };
-            let read = caller.resume(now, &self.limits);
+            let read = caller.resume(now, &self.limits, room);
             self.caller_read(now, id, read);
         }
     }
@@ -92,15 +101,19 @@
         }
         let interval = if self.ending.is_some() { ENDING_INTERVAL } else { EXPIRY_INTERVAL };
         self.next_expiry = now + interval;
+        self.metrics.client_memory(self.budget.held(), self.budget.accepted());
         let limits = self.limits;
         let due = |c: &Caller| c.deadline(&limits.values).is_some_and(|at| at <= now);
         let expired: Vec<CallerId> =
             self.callers.iter().filter(|(_, c)| due(c)).map(|(id, _)| *id).collect();
         for id in expired {
             let Some(caller) = self.callers.get_mut(&id) else { continue };
+            let state = caller.state;
             if caller.expire(now) {
-                self.callers.remove(&id);
-            } else {
+                self.caller_closed(now, id);
+            } else if caller.state != state {
+                self.metrics.client_limit(ClientLimit::Slow);
+                caller.charge();
                 self.dirty.insert(ConnectionId::Caller(id));
             }
         }
@@ -113,6 +126,10 @@
             return;
         }
         let Some(caller) = self.callers.get_mut(&id) else { return };
+        caller.charge();
+        if caller.can_resume() {
+            self.resumed.push(id);
+        }
         if caller.socket.pending() > 0 {
             let interest = Interest::READABLE | Interest::WRITABLE;
             let token = caller_token(id);
--- a/src/h1/driver/effects.rs
+++ b/src/h1/driver/effects.rs
@@ -17,7 +17,7 @@
             HttpEffect::Dial { peer, address } => self.dial(peer, address),
             HttpEffect::Send { peer, bytes } => {
                 if let Some(open) = self.peers.get_mut(&peer) {
-                    open.send(&bytes);
+                    open.send(bytes);
                     if open.is_connected() {
                         self.dirty.insert(ConnectionId::Peer(peer));
                     }
@@ -28,7 +28,7 @@
             }
             HttpEffect::Reply { caller, bytes } => {
                 if let Some(open) = self.callers.get_mut(&caller) {
-                    open.socket.out.extend_from_slice(&bytes);
+                    open.reply(now, bytes);
                     self.dirty.insert(ConnectionId::Caller(caller));
                     self.bound_answer(caller);
                 }
--- a/src/h1/driver/mod.rs
+++ b/src/h1/driver/mod.rs
@@ -20,6 +20,7 @@
 use mio::{Events, Interest, Poll, Token, Waker};
 
 use self::ending::Ending;
+use super::budget::{Budget, Level};
 use super::caller::Caller;
 use super::limits::AppliedLimits;
 use super::peer::Peer;
@@ -87,6 +88,7 @@
     queue: Receiver<Input<HttpInput>>,
     handle: HttpHandle,
     listeners: Vec<(TcpListener, Purpose)>,
+    budget: Arc<Budget>,
 }
 
 impl HttpDriver {
@@ -106,7 +108,13 @@
             bound.push((listener, *purpose));
         }
         let handle = HttpHandle { queue: sender, waker };
-        Ok(HttpDriver { poll, queue, handle, listeners: bound })
+        let budget = Arc::default();
+        Ok(HttpDriver { poll, queue, handle, listeners: bound, budget })
+    }
+
+    /// Uses a budget that other drivers of the process share.
+    pub fn with_budget(self, budget: Arc<Budget>) -> HttpDriver {
+        HttpDriver { budget, ..self }
     }
 
     /// Returns a handle that queues inputs for the role.
@@ -142,6 +150,10 @@
             resumed: Vec::new(),
             ended: Vec::new(),
             unread: BTreeSet::new(),
+            budget: self.budget,
+            paused: BTreeSet::new(),
+            foremost: None,
+            next_refused_line: Timestamp::default(),
             deferred: Vec::new(),
             broken: Vec::new(),
             has_backlog: false,
@@ -152,6 +164,7 @@
             next_caller: 0,
             unaccepted: BTreeSet::new(),
             next_room_line: Timestamp::default(),
+            next_place: Timestamp::default(),
             next_expiry: Timestamp::default(),
             leaving: BTreeSet::new(),
             close_at: None,
@@ -189,6 +202,13 @@
     ended: Vec<CallerId>,
     /// Endpoints' connections whose sockets may have more bytes.
     unread: BTreeSet<PeerId>,
+    budget: Arc<Budget>,
+    /// Callers whose large bodies are not read on.
+    paused: BTreeSet<CallerId>,
+    /// The one of them that is read on, and since when it is.
+    foremost: Option<(CallerId, Timestamp)>,
+    /// When it is logged again that requests are refused for lack of memory.
+    next_refused_line: Timestamp,
     /// Inputs that resulted from effects while the role was stepped.
     deferred: Vec<Input<HttpInput>>,
     /// Connections on which a write failed.
@@ -201,6 +221,8 @@
     unaccepted: BTreeSet<usize>,
     /// When it is logged again that no connection can be closed for new ones.
     next_room_line: Timestamp,
+    /// When connections that can be closed for new ones are searched again.
+    next_place: Timestamp,
     next_expiry: Timestamp,
     /// Callers whose connections are closed as soon as nothing is open on them.
     leaving: BTreeSet<CallerId>,
@@ -254,6 +276,7 @@
         }
         self.resume_peers(now);
         self.resume_callers(now);
+        self.resume_paused(now);
         self.step_deferred(now);
         self.expire(now);
         self.flush_all(now);
@@ -266,6 +289,7 @@
 
     fn poll_timeout(&self, now: Timestamp) -> Duration {
         let unread = !self.resumed.is_empty() || !self.ended.is_empty() || !self.unread.is_empty();
+        let unread = unread || !self.paused.is_empty() && self.budget.level() == Level::Calm;
         let busy = unread || !self.deferred.is_empty() || self.has_backlog;
         if busy || !self.broken.is_empty() {
             return Duration::ZERO;
@@ -276,7 +300,8 @@
             None => self.role.next_wake(),
         };
         let expiry = (!self.callers.is_empty()).then_some(self.next_expiry);
-        let accept = (!self.unaccepted.is_empty()).then_some(now + ACCEPT_INTERVAL);
+        let waits = !self.unaccepted.is_empty() || !self.paused.is_empty();
+        let accept = waits.then_some(now + ACCEPT_INTERVAL);
         let next = [due, expiry, accept, self.next_close()].into_iter().flatten().min();
         next.map_or(MAX_WAIT, |at| at - now).clamp(MIN_WAIT, MAX_WAIT)
     }
--- a/src/h1/driver/peers.rs
+++ b/src/h1/driver/peers.rs
@@ -6,6 +6,7 @@
 use mio::net::TcpStream;
 
 use super::{ConnectionId, Ready, Server, peer_token};
+use crate::h1::budget::{Charge, Holder};
 use crate::h1::peer::Peer;
 use crate::h1::socket::Socket;
 use crate::h1::{HttpEffect, HttpInput, PeerId};
@@ -85,7 +86,8 @@
         });
         match opened {
             Ok(stream) => {
-                self.peers.insert(peer, Peer::new(peer, Socket::new(stream)));
+                let charge = Charge::new(&self.budget, Holder::Endpoint);
+                self.peers.insert(peer, Peer::new(peer, Socket::new(stream), charge));
             }
             Err(error) => {
                 // Reported like any other failed connection attempt.
@@ -102,5 +104,6 @@
         if peer.is_connected() && peer.socket.flush().is_err() {
             self.broken.push(ConnectionId::Peer(id));
         }
+        peer.charge();
     }
 }
--- a/src/h1/driver/room.rs
+++ b/src/h1/driver/room.rs
@@ -6,10 +6,12 @@
 
 use std::time::Duration;
 
-use super::Server;
+use super::{ACCEPT_INTERVAL, Server};
+use crate::h1::budget::{Candidate, victims};
 use crate::h1::caller::{Caller, CallerState};
-use crate::h1::{CallerId, HttpEffect, HttpInput};
+use crate::h1::{CallerId, HttpEffect, HttpInput, Purpose};
 use crate::model::Timestamp;
+use crate::report::metrics::ClientLimit;
 use crate::role::Role;
 
 /// How many idle connections are closed at a time.
@@ -21,8 +23,64 @@
     /// Closes callers' connections that have been idle for longest, because of an error of the system;
     /// returns whether there are any.
     pub(super) fn make_room(&mut self, now: Timestamp, error: &std::io::Error) -> bool {
+        let closed = self.close_longest_idle(now, |_| true);
+        if closed > 0 || now >= self.next_room_line {
+            self.next_room_line = now + LOG_INTERVAL;
+            let callers = self.callers.len();
+            log::error!("step=make-room error=\"{error}\" closed={closed} callers={callers}");
+        }
+        closed > 0
+    }
+
+    /// Closes connections of one purpose because as many are open as there may be: the ones that have
+    /// been idle for longest, else those whose requests make the least progress; returns whether there
+    /// are any.
+    pub(super) fn make_place(&mut self, now: Timestamp, purpose: Purpose) -> bool {
+        if now < self.next_place {
+            return false;
+        }
+        let mut closed = self.close_longest_idle(now, |c| c.purpose == purpose);
+        if closed == 0 {
+            let with_purpose = self.callers.iter().filter(|(_, c)| c.purpose == purpose);
+            let candidates = with_purpose.filter_map(|(id, c)| c.candidate(now, *id));
+            // Each counts as one, since a descriptor is needed and not memory.
+            let candidates = candidates.map(|c| Candidate { held: 1, ..c }).collect();
+            for id in victims(candidates, CLOSED_AT_ONCE) {
+                self.refuse_now(now, id);
+                closed += 1;
+            }
+        }
+        if closed == 0 {
+            // All connections are searched, which must not happen for each one that waits.
+            self.next_place = now + ACCEPT_INTERVAL;
+        }
+        for _ in 0..closed {
+            self.metrics.client_limit(ClientLimit::Connections);
+        }
+        if now >= self.next_room_line {
+            self.next_room_line = now + LOG_INTERVAL;
+            let callers = self.callers.len();
+            log::warn!("step=make-place closed={closed} callers={callers}");
+        }
+        closed > 0
+    }
+
+    /// Refuses the request that a caller sends, and closes its connection at once.
+    fn refuse_now(&mut self, now: Timestamp, id: CallerId) {
+        self.give_up(now, id);
+        if let Some(mut caller) = self.callers.remove(&id) {
+            caller.flush(now);
+        }
+    }
+
+    /// Closes connections that have been idle for longest; returns how many.
+    fn close_longest_idle(
+        &mut self,
+        now: Timestamp,
+        is_eligible: impl Fn(&Caller) -> bool,
+    ) -> usize {
         let idle = |(id, caller): (&CallerId, &Caller)| match caller.state {
-            CallerState::Idle(since) => Some((since, *id)),
+            CallerState::Idle(since) if is_eligible(caller) => Some((since, *id)),
             _ => None,
         };
         let mut idle: Vec<(Timestamp, CallerId)> = self.callers.iter().filter_map(idle).collect();
@@ -34,12 +92,7 @@
             }
             closed += usize::from(self.close_unused(now, id));
         }
-        if closed > 0 || now >= self.next_room_line {
-            self.next_room_line = now + LOG_INTERVAL;
-            let callers = self.callers.len();
-            log::error!("step=make-room error=\"{error}\" closed={closed} callers={callers}");
-        }
-        closed > 0
+        closed
     }
 
     /// Closes a connection unless something has arrived on it or is unwritten; returns whether it is
--- a/src/h1/head.rs
+++ b/src/h1/head.rs
@@ -28,6 +28,12 @@
         self.0.iter().filter(named).map(|f| &*f.value)
     }
 
+    /// Returns the memory of the fields in bytes, with that of the allocator for each.
+    pub fn memory(&self) -> usize {
+        let field = |f: &Field| allocated(f.name.len()) + allocated(f.value.len());
+        self.0.capacity() * size_of::<Field>() + self.0.iter().map(field).sum::<usize>()
+    }
+
     /// Returns whether a field with a name is present.
     pub fn has(&self, name: &str) -> bool {
         self.0.iter().any(|f| f.name.eq_ignore_ascii_case(name))
@@ -49,6 +55,11 @@
     }
 }
 
+/// Returns how much memory an allocation takes up at least, as usual allocators round it.
+fn allocated(bytes: usize) -> usize {
+    (bytes + 8).next_multiple_of(16).max(32)
+}
+
 /// The head of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RequestHead {
--- a/src/h1/mod.rs
+++ b/src/h1/mod.rs
@@ -3,6 +3,7 @@
 //! Heads are parsed by `httparse`, and sockets are polled with `mio`. A role receives complete
 //! requests of callers and answers of endpoints part by part, and returns what to write.
 
+pub mod budget;
 mod caller;
 mod closing;
 mod driver;
--- a/src/h1/peer.rs
+++ b/src/h1/peer.rs
@@ -1,5 +1,6 @@
 //! A connection to an endpoint.
 
+use super::budget::Charge;
 use super::reader::{Part, ReadError, Reader};
 use super::socket::{READ_BYTES, READS_PER_TURN, Socket, SocketRead};
 use super::{HttpInput, MAX_ANSWER_HEAD_BYTES, PeerId};
@@ -13,20 +14,27 @@
     connected: bool,
     /// Whether the answer to a request is not complete yet.
     busy: bool,
+    charge: Charge,
 }
 
 impl Peer {
-    pub fn new(id: PeerId, socket: Socket) -> Peer {
+    pub fn new(id: PeerId, socket: Socket, charge: Charge) -> Peer {
         let reader = Reader::answers(MAX_ANSWER_HEAD_BYTES);
-        Peer { socket, id, reader, connected: false, busy: false }
+        Peer { socket, id, reader, connected: false, busy: false, charge }
     }
 
     /// Queues a request.
-    pub fn send(&mut self, bytes: &[u8]) {
+    pub fn send(&mut self, bytes: Vec<u8>) {
         self.reader.expect_bodiless(bytes.starts_with(b"HEAD "));
         self.busy = true;
         self.socket.sent = false;
-        self.socket.out.extend_from_slice(bytes);
+        self.socket.queue(bytes);
+        self.charge();
+    }
+
+    /// Counts the memory that is held for the connection.
+    pub fn charge(&mut self) {
+        self.charge.set(self.reader.capacity() + self.socket.capacity());
     }
 
     /// Returns whether the connection is established.
--- a/src/h1/reader.rs
+++ b/src/h1/reader.rs
@@ -153,13 +153,28 @@
 
     /// Appends bytes that were received on the connection.
     pub fn feed(&mut self, bytes: &[u8]) {
-        if self.consumed > 0 {
+        // Parsed bytes are dropped once they are half of the buffer, so that many small requests in
+        // one buffer don't move the rest each time.
+        if self.consumed > 0 && self.consumed * 2 >= self.buffer.len() {
             self.buffer.drain(..self.consumed);
             self.consumed = 0;
         }
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Returns the memory of the buffer in bytes.
+    pub fn capacity(&self) -> usize {
+        self.buffer.capacity()
+    }
+
+    /// Returns how much of the content is still to come, if the head says its length.
+    pub fn expected(&self) -> Option<usize> {
+        match self.state {
+            State::Length(left) => usize::try_from(left).ok(),
+            _ => None,
+        }
+    }
+
     /// Returns whether no message has begun and the buffer is empty.
     pub fn is_idle(&self) -> bool {
         self.state == State::Head && self.rest().is_empty()
@@ -172,12 +187,18 @@
 
     /// Frees the memory of the buffer if all its bytes are parsed.
     pub fn shrink(&mut self) {
-        if self.rest().is_empty() {
+        if self.rest().is_empty() && self.buffer.capacity() > 0 {
             self.buffer = Vec::new();
             self.consumed = 0;
         }
     }
 
+    /// Drops all bytes that are not parsed yet.
+    pub fn discard(&mut self) {
+        self.buffer = Vec::new();
+        self.consumed = 0;
+    }
+
     /// Handles the end of the connection, which completes a message without a length.
     pub fn end(&mut self) -> Result<Option<Part>, ReadError> {
         match self.state {
--- a/src/h1/socket.rs
+++ b/src/h1/socket.rs
@@ -68,6 +68,26 @@
         Ok(())
     }
 
+    /// Queues bytes; they are not copied if nothing else is queued.
+    pub fn queue(&mut self, bytes: Vec<u8>) {
+        if self.out.is_empty() {
+            self.out = bytes;
+            return;
+        }
+        // The written part is dropped once it is half of the buffer, or a peer that always leaves
+        // something unread would make the buffer grow for as long as an answer goes on.
+        if self.written * 2 >= self.out.len() {
+            self.out.drain(..self.written);
+            self.written = 0;
+        }
+        self.out.extend_from_slice(&bytes);
+    }
+
+    /// Returns the memory of the buffer in bytes.
+    pub fn capacity(&self) -> usize {
+        self.out.capacity()
+    }
+
     /// Drops the bytes that are not yet written.
     pub fn clear(&mut self) {
         self.out = Vec::new();
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -34,6 +34,36 @@
     since: Instant,
 }
 
+/// A limit on what clients of a process may take up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ClientLimit {
+    /// A large body was not read on for a time.
+    Paused,
+    /// A request was refused, or unread answers were given up, to free memory.
+    Memory,
+    /// A caller left too much of one answer unread.
+    Unread,
+    /// A request came in too slowly.
+    Slow,
+    /// A connection was closed to make room for another one.
+    Connections,
+    /// A handshake of another process was not begun or had to repeat its address.
+    Handshakes,
+}
+
+impl ClientLimit {
+    fn as_str(self) -> &'static str {
+        match self {
+            ClientLimit::Paused => "paused",
+            ClientLimit::Memory => "memory",
+            ClientLimit::Unread => "unread",
+            ClientLimit::Slow => "slow",
+            ClientLimit::Connections => "connections",
+            ClientLimit::Handshakes => "handshakes",
+        }
+    }
+}
+
 /// All metrics of a process.
 pub struct Metrics {
     registry: Registry,
@@ -73,6 +103,9 @@
     broken_runs: IntCounterVec,
     quarantine: IntGauge,
     quarantined: IntCounterVec,
+    client_limits: IntCounterVec,
+    client_bytes: IntGauge,
+    client_connections: IntGauge,
 }
 
 impl Metrics {
@@ -194,6 +227,14 @@
                 "Calls that a gateway refused or ended because they hold what crashed endpoints",
                 &["service"],
             )?,
+            client_limits: make.counters(
+                "client_limits_total",
+                "How often a limit on what clients take up had an effect",
+                &["limit"],
+            )?,
+            client_bytes: make.gauge("client_bytes", "Memory that is held for clients")?,
+            client_connections: make
+                .gauge("client_connections", "Connections that clients have open")?,
             registry,
         })
     }
@@ -248,6 +289,17 @@
         }
     }
 
+    /// Counts an effect of a limit on what clients take up.
+    pub fn client_limit(&self, limit: ClientLimit) {
+        self.client_limits.with_label_values(&[limit.as_str()]).inc();
+    }
+
+    /// Records how much memory is held for clients, and how many connections they have open.
+    pub fn client_memory(&self, bytes: usize, connections: usize) {
+        self.client_bytes.set(bytes as i64);
+        self.client_connections.set(connections as i64);
+    }
+
     fn gateway_call(&self, end: &GatewayEnd) {
         let route = self.label(&self.routes, &end.route);
         let status = end.status.to_string();
