--- a/src/h1/caller.rs
+++ b/src/h1/caller.rs
@@ -15,7 +15,9 @@
 /// The same while large bodies are not read on.
 const MAX_FULL_PIPELINED_BYTES: usize = 2 << 10;
 /// The next request of a connection is not read while so many bytes of answers are unread.
-const MAX_UNREAD_ANSWERS: usize = 16 << 10;
+const MAX_UNREAD_ANSWERS: usize = 12 << 20;
+/// The same while large bodies are not read on.
+const MAX_FULL_UNREAD_ANSWERS: usize = 16 << 10;
 /// What a connection without any request takes up, in bytes.
 const CONNECTION_BYTES: usize = 1 << 10;
 
@@ -174,19 +176,20 @@
                     if self.state == CallerState::Answering {
                         continue;
                     }
-                    match self.parse(now, limits) {
+                    match self.parse(now, limits, room) {
                         CallerRead::Wait if more => {}
                         read => {
-                            self.unread |= more;
+                            // The end of the caller's side is read once its answer is written.
+                            self.unread |= more && !self.ended;
                             return read;
                         }
                     }
                 }
                 Ok(SocketRead::Blocked) => {
                     self.reading.resume(now);
-                    return self.parse(now, limits);
+                    return self.parse(now, limits, room);
                 }
-                Ok(SocketRead::Closed) => return self.parse_last(now, limits),
+                Ok(SocketRead::Closed) => return self.parse_last(now, limits, room),
                 Err(_) => return CallerRead::Closed,
             }
         }
@@ -205,7 +208,7 @@
                 let most = if is_calm { MAX_PIPELINED_BYTES } else { MAX_FULL_PIPELINED_BYTES };
                 most.saturating_sub(self.reader.buffered())
             }
-            CallerState::Idle(_) if self.socket.pending() > MAX_UNREAD_ANSWERS => 0,
+            CallerState::Idle(_) if self.is_unread(room) => 0,
             CallerState::Reading(_) if self.partial.is_some() => {
                 let reads_on = room.first || reads_on(room.level, self.request_bytes(), room.held);
                 if reads_on { READ_BYTES } else { 0 }
@@ -215,6 +218,13 @@
         }
     }
 
+    /// Returns whether too many bytes of answers are unread for a further request.
+    fn is_unread(&self, room: Room) -> bool {
+        let is_calm = room.level == Level::Calm;
+        let most = if is_calm { MAX_UNREAD_ANSWERS } else { MAX_FULL_UNREAD_ANSWERS };
+        self.socket.pending() > most
+    }
+
     /// Notes that nothing more is read for now.
     fn pause(&mut self, now: Timestamp) -> CallerRead {
         if !matches!(self.state, CallerState::Reading(_)) {
@@ -269,7 +279,7 @@
     /// Returns whether reading stopped for unread answers that have been read meanwhile.
     pub fn can_resume(&self) -> bool {
         let is_idle = matches!(self.state, CallerState::Idle(_));
-        self.unread && is_idle && self.socket.pending() <= MAX_UNREAD_ANSWERS
+        self.unread && is_idle && self.socket.pending() <= MAX_FULL_UNREAD_ANSWERS
     }
 
     /// Queues a part of an answer.
@@ -299,8 +309,8 @@
 
     /// Parses what a caller has sent before it closed its side: a request that is complete is served
     /// before the end is reported, since its caller may still read.
-    fn parse_last(&mut self, now: Timestamp, limits: &AppliedLimits) -> CallerRead {
-        match self.parse(now, limits) {
+    fn parse_last(&mut self, now: Timestamp, limits: &AppliedLimits, room: Room) -> CallerRead {
+        match self.parse(now, limits, room) {
             CallerRead::Request(request) => CallerRead::Request(request),
             // A refusal is written first.
             CallerRead::Wait if self.closing => CallerRead::Wait,
@@ -309,12 +319,12 @@
     }
 
     /// Parses the buffered bytes, up to the next complete request.
-    fn parse(&mut self, now: Timestamp, limits: &AppliedLimits) -> CallerRead {
+    fn parse(&mut self, now: Timestamp, limits: &AppliedLimits, room: Room) -> CallerRead {
         if matches!(self.state, CallerState::Answering | CallerState::Lingering { .. }) {
             return CallerRead::Wait;
         }
         let is_idle = matches!(self.state, CallerState::Idle(_));
-        if is_idle && self.socket.pending() > MAX_UNREAD_ANSWERS {
+        if is_idle && self.is_unread(room) {
             self.unread = true;
             return CallerRead::Wait;
         }
@@ -409,7 +419,7 @@
     /// after the turn of the other connections.
     pub fn resume(&mut self, now: Timestamp, limits: &AppliedLimits, room: Room) -> CallerRead {
         self.take_limits(limits);
-        match self.parse(now, limits) {
+        match self.parse(now, limits, room) {
             CallerRead::Wait if self.unread => self.read(now, limits, room),
             read => read,
         }
