Count the contents that a gateway keeps, and don't copy queued answers

Cause: the bound of 24 MiB for contents of answers was apart from the memory of callers and summed over all calls at each part; unread bytes were one buffer that was copied as it grew and never shrank while a caller left something unread. Change: contents are part of the budget; their size is known from the head of the answer, so one that is too large is given up at once. Queued bytes are kept in segments.

--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -152,7 +152,7 @@
             budget: settings.budget,
             grace: settings.grace,
         };
-        let gateway = Gateway::new(gateway_settings, protocol);
+        let gateway = Gateway::new(gateway_settings, protocol).with_memory(budget.clone());
         traffic_threads.push(driver.start("gateway", gateway, handle.clone(), metrics.clone())?);
     }
     if let Some(driver) = drivers.agent {
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -118,6 +118,9 @@
     refusal(502, "it may have run: no whole answer came", None)
 }
 
+/// Contents above this size are handed on without a copy, since there may be many at once.
+const LARGE_CONTENT_BYTES: usize = 16 << 10;
+
 impl Gateway {
     /// Refuses a request that is not admitted as a call.
     pub(super) fn refuse_request(
@@ -178,7 +181,7 @@
             && !NOT_RUN_STATUSES.contains(&failed.head.status)
         {
             let status = failed.head.status;
-            self.send_complete(caller, &call, &failed);
+            self.send_complete(caller, &call, failed);
             self.log_end(now, &call, "endpoint-failed", status, Some(why));
             return;
         }
@@ -250,9 +253,11 @@
     }
 
     /// Sends a complete answer of an endpoint to the caller.
-    fn send_complete(&mut self, caller: CallerId, call: &Call, answer: &CompleteAnswer) {
+    fn send_complete(&mut self, caller: CallerId, call: &Call, answer: CompleteAnswer) {
         let keep = self.keeps_alive(&call.request);
-        let mut bytes = Vec::with_capacity(512 + answer.content.len());
+        let is_large = answer.content.len() > LARGE_CONTENT_BYTES;
+        let copied = if is_large { 0 } else { answer.content.len() };
+        let mut bytes = Vec::with_capacity(512 + copied);
         write::status_line(&mut bytes, answer.head.status);
         write::end_to_end(&mut bytes, &answer.head.fields, |_| false);
         if !keep {
@@ -260,8 +265,13 @@
         }
         write::number(&mut bytes, "Content-Length", answer.content.len() as u64);
         write::end_head(&mut bytes);
-        bytes.extend_from_slice(&answer.content);
-        self.effect(HttpEffect::Reply { caller, bytes });
+        if is_large {
+            self.effect(HttpEffect::Reply { caller, bytes });
+            self.effect(HttpEffect::Reply { caller, bytes: answer.content });
+        } else {
+            bytes.extend_from_slice(&answer.content);
+            self.effect(HttpEffect::Reply { caller, bytes });
+        }
         self.effect(HttpEffect::Finish { caller, keep });
     }
 
@@ -315,8 +325,9 @@
         self.attempt_succeeded(now, &mut call);
         self.report_survival(now, &self.survivors(&call));
         call.delivered.first = Some(now);
-        self.send_complete(caller, &call, &answer);
-        self.log_end(now, &call, "answered", answer.head.status, None);
+        let status = answer.head.status;
+        self.send_complete(caller, &call, answer);
+        self.log_end(now, &call, "answered", status, None);
     }
 
     /// Releases the capacity of a call's last attempt and records its success.
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -11,6 +11,7 @@
 use super::queue::Rank;
 use super::vacancy::Vacancy;
 use crate::control::dispatch::rooms::RunId;
+use crate::h1::budget::Charge;
 use crate::h1::{AnswerHead, PeerId, Request};
 use crate::model::{ExchangeId, Timestamp};
 use crate::report::observation::SendOrder;
@@ -38,6 +39,8 @@
     pub head: Option<(AnswerHead, AnswerInfo)>,
     /// The content received so far, of an answer that is not streamed to the caller.
     pub content: Vec<u8>,
+    /// The memory of the content.
+    pub charge: Option<Charge>,
     /// When its first event was received.
     pub first_event: Option<Timestamp>,
     /// Whether it is recorded that it goes on.
@@ -68,6 +71,7 @@
             software,
             head: None,
             content: Vec::new(),
+            charge: None,
             first_event: None,
             survived: false,
             kept_until: since,
@@ -256,6 +260,8 @@
     pub delivered: Delivered,
     /// Splits the answer of the present attempt into events.
     pub splitter: EventSplitter,
+    /// The memory of the splitter.
+    pub charge: Option<Charge>,
     /// When the open request for capacity, a reservation or a prefill endpoint times out.
     pub reply_deadline: Timestamp,
     /// When its timer fires next.
@@ -314,15 +320,6 @@
         self.deadline - now
     }
 
-    /// Returns the number of bytes that are kept of its answer.
-    pub fn held(&self) -> usize {
-        let content = match &self.stage {
-            Stage::Prefill { attempt, .. } | Stage::Run { attempt, .. } => attempt.content.len(),
-            _ => 0,
-        };
-        content + self.splitter.held()
-    }
-
     /// Returns the attempt that is in progress, if any.
     pub fn attempt(&mut self) -> Option<&mut Attempt> {
         match &mut self.stage {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -122,6 +122,7 @@
     /// How many endpoints were listed, and how many of them were not draining, at the last change.
     listed: (usize, usize),
     calls: BTreeMap<CallerId, Call>,
+    memory: Arc<crate::h1::budget::Budget>,
     /// Requests that wait for the first routing table.
     early: EarlyRequests,
     timers: BTreeSet<(Timestamp, CallerId)>,
@@ -189,6 +190,7 @@
             settings,
             listed: (0, 0),
             calls: BTreeMap::new(),
+            memory: Arc::default(),
             early: EarlyRequests::default(),
             timers: BTreeSet::new(),
             queues: BTreeMap::new(),
--- a/src/gateway/receive.rs
+++ b/src/gateway/receive.rs
@@ -96,6 +96,7 @@
             failed: None,
             stage: Stage::Waiting,
             splitter: EventSplitter::default(),
+            charge: None,
             reply_deadline: Timestamp::MAX,
             timer: Timestamp::MAX,
         };
--- a/src/gateway/retry.rs
+++ b/src/gateway/retry.rs
@@ -62,6 +62,7 @@
         let retry = self.charge_retry(now, caller, planned).ok_or(EndReason::BudgetSpent)?;
         if let Some(call) = self.calls.get_mut(&caller) {
             call.splitter = EventSplitter::default();
+            call.charge = None;
         }
         if !self.start_retry(now, caller, failed, retry) {
             return Err(EndReason::NoCapacity);
--- a/src/h1/budget/decide.rs
+++ b/src/h1/budget/decide.rs
@@ -10,6 +10,8 @@
 pub const SMALL_BYTES: usize = 16 << 10;
 /// The same above the higher threshold, where every request that a role gets adds to the bytes held.
 pub const TINY_BYTES: usize = 4 << 10;
+/// Answers of endpoints with more bytes than this are given up first.
+const LARGE_ANSWER_BYTES: usize = 256 << 10;
 /// A request without new bytes for this time counts as stalled.
 pub const STALL_TIME: Duration = Duration::from_millis(500);
 /// The part of the memory at which large bodies are no longer read on: one in so many.
@@ -103,6 +105,27 @@
     level < Level::Over || own <= TINY_BYTES || own.saturating_mul(2) >= held
 }
 
+/// Returns whether the content of an endpoint's answer is kept until it is complete.
+///
+/// Load: callers that all ask for the largest answers. Large ones are given up above the lower
+/// threshold already, since the answer is copied when it is sent on.
+///
+/// ```
+/// use dotterelpin::h1::budget::{Level, keeps_answer};
+///
+/// assert!(keeps_answer(Level::Full, 100 << 10, 8 << 20));
+/// assert!(!keeps_answer(Level::Full, 1 << 20, 8 << 20));
+/// assert!(!keeps_answer(Level::Over, 100 << 10, 8 << 20));
+/// ```
+pub fn keeps_answer(level: Level, own: usize, held: usize) -> bool {
+    let most = match level {
+        Level::Calm => return true,
+        Level::Full => LARGE_ANSWER_BYTES,
+        Level::Over => SMALL_BYTES,
+    };
+    own <= most || own.saturating_mul(2) >= held
+}
+
 /// An unfinished request, or an answer that its caller doesn't read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Candidate {
--- a/src/h1/budget/mod.rs
+++ b/src/h1/budget/mod.rs
@@ -11,7 +11,7 @@
 
 pub use decide::{
     Candidate, Level, Places, SMALL_BYTES, TINY_BYTES, Thresholds, is_handed, is_turn_over,
-    reads_on, victims,
+    keeps_answer, reads_on, victims,
 };
 pub use progress::Progress;
 
@@ -31,6 +31,8 @@
     Pages,
     /// A connection to an endpoint.
     Endpoint,
+    /// The content of an endpoint's answer that a role keeps.
+    Content,
 }
 
 impl From<Purpose> for Holder {
@@ -51,6 +53,7 @@
     calls: AtomicUsize,
     pages: AtomicUsize,
     endpoints: AtomicUsize,
+    contents: AtomicUsize,
 }
 
 impl Default for Budget {
@@ -70,6 +73,7 @@
             calls: AtomicUsize::new(0),
             pages: AtomicUsize::new(0),
             endpoints: AtomicUsize::new(0),
+            contents: AtomicUsize::new(0),
         }
     }
 
@@ -116,7 +120,7 @@
                 calls < self.places.calls && all - pages + self.places.pages < self.places.all
             }
             Holder::Pages => pages < self.places.pages,
-            Holder::Endpoint => true,
+            Holder::Endpoint | Holder::Content => true,
         }
     }
 
@@ -125,6 +129,7 @@
             Holder::Calls => &self.calls,
             Holder::Pages => &self.pages,
             Holder::Endpoint => &self.endpoints,
+            Holder::Content => &self.contents,
         }
     }
 }
@@ -166,3 +171,20 @@
         self.budget.count(self.holder).fetch_sub(1, Ordering::Relaxed);
     }
 }
+
+/// Appends to a content. Its capacity grows by a half at least, but not beyond the expected length.
+///
+/// ```
+/// let mut content = vec![0; 1_000];
+/// dotterelpin::h1::budget::grow(&mut content, &[1; 10], Some(90));
+/// assert_eq!((content.len(), content.capacity()), (1_010, 1_100));
+/// ```
+pub fn grow(content: &mut Vec<u8>, data: &[u8], expected: Option<usize>) {
+    let needed = content.len() + data.len();
+    if needed > content.capacity() {
+        let whole = needed.saturating_add(expected.unwrap_or(usize::MAX));
+        let target = whole.min(needed.max(content.capacity() * 3 / 2));
+        content.reserve_exact(target - content.len());
+    }
+    content.extend_from_slice(data);
+}
--- a/src/h1/caller.rs
+++ b/src/h1/caller.rs
@@ -1,6 +1,6 @@
 //! A caller's connection, which serves one request at a time.
 
-use super::budget::{Candidate, Charge, Level, Progress, TINY_BYTES, reads_on};
+use super::budget::{Candidate, Charge, Level, Progress, TINY_BYTES, grow, reads_on};
 use super::closing::Open;
 use super::head::{Request, RequestHead};
 use super::limits::AppliedLimits;
@@ -353,7 +353,7 @@
                 Ok(Some(Part::Data(data))) => {
                     let expected = self.reader.expected();
                     if let Some(partial) = &mut self.partial {
-                        extend(&mut partial.body, &data, expected);
+                        grow(&mut partial.body, &data, expected);
                     }
                 }
                 Ok(Some(Part::End { .. })) => {
@@ -469,14 +469,3 @@
         false
     }
 }
-
-/// Appends to a body. Its capacity grows by a half at least, but not beyond the expected length.
-fn extend(body: &mut Vec<u8>, data: &[u8], expected: Option<usize>) {
-    let needed = body.len() + data.len();
-    if needed > body.capacity() {
-        let whole = needed.saturating_add(expected.unwrap_or(usize::MAX));
-        let target = whole.min(needed.max(body.capacity() * 3 / 2));
-        body.reserve_exact(target - body.len());
-    }
-    body.extend_from_slice(data);
-}
--- a/src/h1/driver/bounds.rs
+++ b/src/h1/driver/bounds.rs
@@ -10,8 +10,9 @@
 use crate::report::metrics::ClientLimit;
 use crate::role::Role;
 
-/// The most bytes that are kept for one caller that does not read its answer.
-const MAX_UNREAD_BYTES: usize = 12 << 20;
+/// The most bytes that are kept for one caller that does not read its answer: more than the largest
+/// answer that a gateway keeps until it is complete.
+const MAX_UNREAD_BYTES: usize = 9 << 20;
 /// Answers with fewer unread bytes are not given up while the role writes them.
 const LARGE_BYTES: usize = 256 << 10;
 /// How many callers are read on at a time once memory is free again.
@@ -134,9 +135,8 @@
         let Some(caller) = self.callers.get_mut(&id) else { return };
         caller.charge();
         let unread = caller.socket.pending();
-        let refuse = self.budget.thresholds().refuse;
         let is_over = self.budget.level() == Level::Over;
-        if unread > MAX_UNREAD_BYTES.min(refuse / 2) || unread > LARGE_BYTES && is_over {
+        if unread > MAX_UNREAD_BYTES || unread > LARGE_BYTES && is_over {
             log::warn!("step=write outcome=closed unread={unread}");
             caller.socket.clear();
             caller.charge();
--- a/src/h1/socket.rs
+++ b/src/h1/socket.rs
@@ -1,5 +1,6 @@
 //! A non-blocking socket with a buffer of bytes to be written.
 
+use std::collections::VecDeque;
 use std::io::{self, ErrorKind, Read, Write};
 
 use mio::net::TcpStream;
@@ -7,6 +8,9 @@
 /// The size of the buffer for one read, in bytes.
 pub const READ_BYTES: usize = 16 << 10;
 
+/// Parts up to this size in bytes are written together.
+const SEGMENT_BYTES: usize = 16 << 10;
+
 /// The most reads of one connection until the others have their turn.
 pub const READS_PER_TURN: usize = 4;
 
@@ -14,9 +18,14 @@
 #[derive(Debug)]
 pub struct Socket {
     pub stream: TcpStream,
-    pub out: Vec<u8>,
-    /// The number of bytes of `out` that are already written.
+    /// Bytes to be written, in segments: one long buffer would be copied each time it grows.
+    out: VecDeque<Vec<u8>>,
+    /// The number of bytes of the first segment that are already written.
     written: usize,
+    /// The number of bytes that are not yet written.
+    pending: usize,
+    /// The memory of the segments in bytes.
+    capacity: usize,
     /// Whether any byte of the current request was written, for connections to endpoints.
     pub sent: bool,
 }
@@ -34,7 +43,7 @@
         if let Err(error) = stream.set_nodelay(true) {
             log::debug!("step=nodelay error=\"{error}\"");
         }
-        Socket { stream, out: Vec::new(), written: 0, sent: false }
+        Socket { stream, out: VecDeque::new(), written: 0, pending: 0, capacity: 0, sent: false }
     }
 
     /// Reads once into a buffer; an interrupted read is repeated.
@@ -50,14 +59,16 @@
         }
     }
 
-    /// Writes as much of the buffer as the socket accepts.
+    /// Writes as much of the queued bytes as the socket accepts.
     pub fn flush(&mut self) -> io::Result<()> {
-        while self.pending() > 0 {
-            match self.stream.write(&self.out[self.written..]) {
+        while let Some(first) = self.out.front() {
+            match self.stream.write(first.get(self.written..).unwrap_or_default()) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(count) => {
                     self.written += count;
+                    self.pending -= count;
                     self.sent = true;
+                    self.drop_written();
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
@@ -68,34 +79,41 @@
         Ok(())
     }
 
-    /// Queues bytes; they are not copied if nothing else is queued.
-    pub fn queue(&mut self, bytes: Vec<u8>) {
-        if self.out.is_empty() {
-            self.out = bytes;
-            return;
-        }
-        // The written part is dropped once it is half of the buffer, or a peer that always leaves
-        // something unread would make the buffer grow for as long as an answer goes on.
-        if self.written * 2 >= self.out.len() {
-            self.out.drain(..self.written);
+    /// Drops the first segment if it is written.
+    fn drop_written(&mut self) {
+        if self.out.front().is_some_and(|first| first.len() == self.written) {
             self.written = 0;
+            let first = self.out.pop_front();
+            self.capacity -= first.map_or(0, |f| f.capacity());
+        }
+    }
+
+    /// Queues bytes; small parts share a segment.
+    pub fn queue(&mut self, bytes: Vec<u8>) {
+        self.pending += bytes.len();
+        if let Some(last) = self.out.back_mut().filter(|l| l.len() + bytes.len() <= SEGMENT_BYTES) {
+            self.capacity -= last.capacity();
+            last.extend_from_slice(&bytes);
+            self.capacity += last.capacity();
+        } else if !bytes.is_empty() {
+            self.capacity += bytes.capacity();
+            self.out.push_back(bytes);
         }
-        self.out.extend_from_slice(&bytes);
     }
 
-    /// Returns the memory of the buffer in bytes.
+    /// Returns the memory of the queued bytes.
     pub fn capacity(&self) -> usize {
-        self.out.capacity()
+        self.capacity
     }
 
     /// Drops the bytes that are not yet written.
     pub fn clear(&mut self) {
-        self.out = Vec::new();
-        self.written = 0;
+        self.out = VecDeque::new();
+        (self.written, self.pending, self.capacity) = (0, 0, 0);
     }
 
     /// Returns the number of bytes that are not yet written.
     pub fn pending(&self) -> usize {
-        self.out.len() - self.written
+        self.pending
     }
 }
