Serve the pages of all processes from the budget, and bound bodies at an entry

Cause: the pages of a process without a gateway had a server of their own with a thread, two descriptors and buffers for each connection; an entry read 16,384 bodies of 2 MiB at once. Change: the pages are a role on the driver of sockets; an entry reads bodies within the budget and accepts no connection beyond it.

--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -103,8 +103,8 @@
     let url = Arc::new(Mutex::new(None));
     if let Some(address) = settings.pages.filter(|_| drivers.gateway.is_none()) {
         let announce = announcer(&drivers, url.clone());
-        let pages = Pages { ready, announce, metrics: metrics.clone() };
-        pages.start(address)?;
+        let pages = Pages { ready, announce };
+        pages.start(address, budget.clone(), link.handle(), metrics.clone())?;
     }
     let handle = link.handle();
     let route = route(&drivers);
@@ -174,7 +174,7 @@
         let path = settings.tenants.as_deref().ok_or_else(|| eyre!("--tenants is missing"))?;
         let tenants = Tenants::load(path)?;
         let listen = settings.callers.ok_or_else(|| eyre!("--callers is missing"))?;
-        let (callers, server) = accept::start(listen, settings.bounds, driver.handle())?;
+        let (callers, server) = accept::start(listen, settings.bounds, driver.handle(), &budget)?;
         caller_server = Some(server);
         let entry_settings =
             EntrySettings { follower: follower(&settings, boot, ENTRY), grace: settings.grace };
--- a/src/entry/accept/mod.rs
+++ b/src/entry/accept/mod.rs
@@ -30,6 +30,7 @@
 use super::answer::{self, AnswerBody};
 use super::check::is_idempotent;
 use super::{CallerEffect, CallerInput, Terminal};
+use crate::h1::budget::{Budget, Charge, Holder, Level};
 use crate::model::{CallId, Refusal, RefusalReason};
 use crate::role::DriverHandle;
 
@@ -48,6 +49,8 @@
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// The shutdown continues once no new connection has been accepted for this time.
 const DRAIN_IDLE: Duration = Duration::from_millis(50);
+/// The memory of a connection: its task, and buffers that hyper keeps for reading and writing.
+const CONNECTION_BYTES: usize = 24 << 10;
 /// The delay after a failed accept, such as for lack of file descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 /// The maximum number of effects buffered for a slow caller before its call is cancelled.
@@ -96,6 +99,7 @@
     open: Arc<AtomicUsize>,
     bounds: CallerBounds,
     role: DriverHandle<CallerInput>,
+    budget: Arc<Budget>,
 }
 
 /// Binds the listen address and starts to serve callers.
@@ -103,6 +107,7 @@
     listen: SocketAddr,
     bounds: CallerBounds,
     role: DriverHandle<CallerInput>,
+    budget: &Arc<Budget>,
 ) -> eyre::Result<(Callers, CallerServer)> {
     let listener = std::net::TcpListener::bind(listen)
         .and_then(|l| l.set_nonblocking(true).map(|()| l))
@@ -114,6 +119,7 @@
         open: Arc::default(),
         bounds,
         role: role.clone(),
+        budget: budget.clone(),
     };
     let (stop, stopped) = watch::channel(None);
     let runtime = tokio::runtime::Builder::new_multi_thread()
@@ -167,13 +173,19 @@
             log::warn!("step=accept peer={peer} error=\"too many connections\"");
             continue;
         }
+        if shared.budget.level() == Level::Over || !shared.budget.has_place(Holder::Calls) {
+            log::debug!("step=accept peer={peer} error=\"no memory or descriptor is left\"");
+            continue;
+        }
+        let mut charge = Charge::new(&shared.budget, Holder::Calls);
+        charge.set(CONNECTION_BYTES);
         let counted = Counted::new(&connections);
         let (shared, stopped, running) = (shared.clone(), stopped.clone(), running.clone());
         tokio::spawn(async move {
             if let Err(error) = serve_connection(stream, shared, stopped).await {
                 log::debug!("step=converse peer={peer} error=\"{error}\"");
             }
-            drop((counted, running));
+            drop((counted, charge, running));
         });
     }
     drop((listener, running));
@@ -243,7 +255,7 @@
     };
     let has_encoding = request.headers().contains_key(TRANSFER_ENCODING);
     let read = tokio::select! {
-        read = read_call(request) => read,
+        read = read_call(request, &shared.budget) => read,
         () = after_stop(stopped) => Err(refused_unread(key_open)),
     };
     let raw = match read {
--- a/src/entry/accept/read.rs
+++ b/src/entry/accept/read.rs
@@ -1,6 +1,7 @@
 //! Reads a request, with limits on its size and time.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use http_body_util::{BodyExt, Limited};
@@ -9,17 +10,24 @@
 use hyper::header::TRANSFER_ENCODING;
 
 use super::super::check::RawCall;
+use super::RETRY_AFTER;
+use crate::h1::budget::{Budget, Charge, Holder, Level, grow, reads_on};
 use crate::model::{Refusal, RefusalReason};
 
 /// The maximum size of a request's content in bytes.
 const MAX_CONTENT_BYTES: usize = 2 << 20;
 /// How long a caller may take to send a request's content.
 const CONTENT_TIMEOUT: Duration = Duration::from_secs(10);
+/// How often it is checked whether a large content can be read on.
+const PAUSE_INTERVAL: Duration = Duration::from_millis(20);
 /// Headers that may appear only once, since several values would be ambiguous.
 const SINGLE_HEADERS: [&str; 4] =
     ["authorization", "idempotency-key", "x-dotterelpin-class", "x-dotterelpin-deadline-ms"];
 
-pub(super) async fn read_call(request: Request<Incoming>) -> Result<RawCall, Refusal> {
+pub(super) async fn read_call(
+    request: Request<Incoming>,
+    budget: &Arc<Budget>,
+) -> Result<RawCall, Refusal> {
     let (head, body) = request.into_parts();
     if head.headers.contains_key(TRANSFER_ENCODING) {
         // hyper drops a content-length next to a transfer-encoding, so a request with both can't be
@@ -41,23 +49,44 @@
         method: head.method.as_str().into(),
         path: path.into(),
         headers,
-        content: read_content(body).await?,
+        content: read_content(body, budget).await?,
     })
 }
 
-pub(super) async fn read_content(body: Incoming) -> Result<Vec<u8>, Refusal> {
-    let reading = Limited::new(body, MAX_CONTENT_BYTES).collect();
-    let read = tokio::time::timeout(CONTENT_TIMEOUT, reading).await.map_err(|_| {
+async fn read_content(body: Incoming, budget: &Arc<Budget>) -> Result<Vec<u8>, Refusal> {
+    let reading = collect(body, budget);
+    tokio::time::timeout(CONTENT_TIMEOUT, reading).await.map_err(|_| {
         let detail = format!("the content did not come within {CONTENT_TIMEOUT:?}");
         refuse(RefusalReason::SlowCaller, detail)
-    })?;
-    match read {
-        Ok(content) => Ok(content.to_bytes().into()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            let detail = format!("the content has over {MAX_CONTENT_BYTES} bytes");
-            Err(refuse(RefusalReason::TooLarge, detail))
+    })?
+}
+
+/// Reads a content as far as the budget of the process allows it.
+async fn collect(body: Incoming, budget: &Arc<Budget>) -> Result<Vec<u8>, Refusal> {
+    let mut reading = Limited::new(body, MAX_CONTENT_BYTES);
+    let mut charge = Charge::new(budget, Holder::Content);
+    let mut content = Vec::new();
+    loop {
+        while !reads_on(budget.level(), charge.bytes(), budget.held()) {
+            if budget.level() == Level::Over {
+                let detail = "too many large requests at once";
+                return Err(Refusal::not_run(RefusalReason::Full, RETRY_AFTER, detail));
+            }
+            tokio::time::sleep(PAUSE_INTERVAL).await;
+        }
+        let Some(frame) = reading.frame().await else { return Ok(content) };
+        match frame {
+            Ok(frame) => {
+                let data = frame.into_data().unwrap_or_default();
+                grow(&mut content, &data, None);
+                charge.set(content.capacity());
+            }
+            Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+                let detail = format!("the content has over {MAX_CONTENT_BYTES} bytes");
+                return Err(refuse(RefusalReason::TooLarge, detail));
+            }
+            Err(error) => return Err(refuse(RefusalReason::BadCall, format!("content: {error}"))),
         }
-        Err(error) => Err(refuse(RefusalReason::BadCall, format!("content: {error}"))),
     }
 }
 
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -29,7 +29,7 @@
     // Libraries are limited to warnings, because they also log the causes of errors that this
     // program logs itself.
     let writer = LineWriter::start(line)?;
-    Logger::try_with_str(format!("warn, dotterelpin={level}, dotterelpind={level}, rouille=error"))
+    Logger::try_with_str(format!("warn, dotterelpin={level}, dotterelpind={level}"))
         .wrap_err("parse log level")?
         .log_to_writer(Box::new(writer))
         .start()
