Bound the handshakes that peers have in progress

Cause: each handshake that a stranger begins at the UDP port took up some 50 kB until its timeout, up to 8,192 at once. Change: from 32 in progress on, a peer has to prove its address first; from 256 on, handshakes get no answer.

--- a/src/h1/driver/callers.rs
+++ b/src/h1/driver/callers.rs
@@ -101,6 +101,7 @@
         }
         let interval = if self.ending.is_some() { ENDING_INTERVAL } else { EXPIRY_INTERVAL };
         self.next_expiry = now + interval;
+        self.metrics.deferred_handshakes(self.link.deferred_handshakes());
         self.metrics.client_memory(self.budget.held(), self.budget.accepted());
         let limits = self.limits;
         let due = |c: &Caller| c.deadline(&limits.values).is_some_and(|at| at <= now);
--- a/src/link/inbound.rs
+++ b/src/link/inbound.rs
@@ -29,6 +29,44 @@
 /// The reset code of an exchange whose request the peer's certificate does not allow.
 pub const FORBIDDEN: VarInt = VarInt::from_u32(5);
 
+/// The most handshakes in progress at which the next one is begun with any address.
+const MAX_UNPROVEN: usize = 32;
+/// The most handshakes in progress; all processes of a large site may begin at once.
+const MAX_HANDSHAKES: usize = 256;
+
+/// What happens to a handshake that a peer begins.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// It goes on.
+    Begin,
+    /// The peer has to prove first that it receives at its address; no memory is held until then.
+    Validate,
+    /// It gets no answer; the peer sends it again.
+    Ignore,
+}
+
+/// Decides on a handshake by the number of those in progress, and whether the peer has proved its
+/// address.
+///
+/// Load: strangers that begin handshakes and never go on, most with addresses of others; each
+/// handshake takes up some 50 kB until its timeout.
+///
+/// ```
+/// use dotterelpin::link::{Admission, admit};
+///
+/// assert_eq!(admit(0, false), Admission::Begin);
+/// assert_eq!(admit(40, false), Admission::Validate);
+/// assert_eq!(admit(40, true), Admission::Begin);
+/// assert_eq!(admit(400, true), Admission::Ignore);
+/// ```
+pub fn admit(pending: usize, proven: bool) -> Admission {
+    match pending {
+        _ if pending >= MAX_HANDSHAKES => Admission::Ignore,
+        _ if pending >= MAX_UNPROVEN && !proven => Admission::Validate,
+        _ => Admission::Begin,
+    }
+}
+
 /// A reply that is to be written to an exchange that a peer opened.
 pub use exchange::QueuedReply;
 
@@ -44,14 +82,26 @@
 pub struct Inbound {
     open: Arc<Mutex<BTreeMap<InboundId, OpenExchange>>>,
     connections: Arc<AtomicUsize>,
+    /// The number of handshakes in progress.
+    handshakes: Arc<AtomicUsize>,
+    /// How many handshakes were not begun at once.
+    deferred: Arc<AtomicU64>,
     last: Arc<AtomicU64>,
     route: Route,
 }
 
 impl Inbound {
-    /// Creates an empty table that dispatches requests by `route`.
-    pub fn new(route: Route) -> Inbound {
-        Inbound { open: Arc::default(), connections: Arc::default(), last: Arc::default(), route }
+    /// Creates an empty table that dispatches requests by `route`, and counts handshakes that are not
+    /// begun at once.
+    pub fn new(route: Route, deferred: Arc<AtomicU64>) -> Inbound {
+        Inbound {
+            open: Arc::default(),
+            connections: Arc::default(),
+            handshakes: Arc::default(),
+            deferred,
+            last: Arc::default(),
+            route,
+        }
     }
 
     /// Queues a reply; the exchange of a peer that reads too slowly is cancelled.
@@ -79,8 +129,27 @@
             incoming.refuse();
             return;
         }
+        let pending = self.handshakes.load(Ordering::SeqCst);
+        match admit(pending, incoming.remote_address_validated()) {
+            Admission::Begin => {}
+            Admission::Validate => {
+                self.deferred.fetch_add(1, Ordering::Relaxed);
+                if let Err(error) = incoming.retry() {
+                    log::debug!("step=accept peer={peer} error=\"{error}\"");
+                }
+                return;
+            }
+            Admission::Ignore => {
+                self.deferred.fetch_add(1, Ordering::Relaxed);
+                incoming.ignore();
+                return;
+            }
+        }
         self.connections.fetch_add(1, Ordering::SeqCst);
-        match incoming.await {
+        self.handshakes.fetch_add(1, Ordering::SeqCst);
+        let shaken = incoming.await;
+        self.handshakes.fetch_sub(1, Ordering::SeqCst);
+        match shaken {
             Ok(connection) => self.serve(peer, connection).await,
             Err(error) => log::warn!("step=accept peer={peer} error=\"{error}\""),
         }
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -16,6 +16,7 @@
 use crate::role::LinkFailure;
 
 pub use frame::MAX_FRAME_BYTES;
+pub use inbound::{Admission, admit};
 pub use message::{Envelope, Reply, Request};
 pub use shell::{Link, LinkHandle, Route};
 
--- a/src/link/shell.rs
+++ b/src/link/shell.rs
@@ -78,6 +78,7 @@
     queue: UnboundedSender<LinkAction>,
     owners: Owners,
     next_owner: Arc<AtomicU64>,
+    deferred: Arc<AtomicU64>,
 }
 
 impl LinkHandle {
@@ -100,6 +101,11 @@
         let _ = closed.recv_timeout(left);
     }
 
+    /// Returns how many handshakes of peers were not begun at once.
+    pub fn deferred_handshakes(&self) -> u64 {
+        self.deferred.load(Ordering::Relaxed)
+    }
+
     /// Queues one action; it is ignored once the thread has ended.
     pub fn act(&self, action: LinkAction) {
         let _ = self.queue.send(action);
@@ -124,6 +130,7 @@
             queue: sender,
             owners: Owners::default(),
             next_owner: Arc::new(AtomicU64::new(0)),
+            deferred: Arc::default(),
         };
         Ok(Link { socket, identity, queue, handle })
     }
@@ -178,7 +185,7 @@
         Endpoint::new(quinn::EndpointConfig::default(), Some(server), link.socket, runtime)
             .wrap_err("open QUIC endpoint")?;
     let state = LinkLoop {
-        inbound: Inbound::new(route),
+        inbound: Inbound::new(route, link.handle.deferred.clone()),
         dialer: Dialer::new(client, local),
         opened: OpenExchanges::default(),
         owners: link.handle.owners.clone(),
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -47,8 +47,6 @@
     Slow,
     /// A connection was closed to make room for another one.
     Connections,
-    /// A handshake of another process was not begun or had to repeat its address.
-    Handshakes,
 }
 
 impl ClientLimit {
@@ -59,7 +57,6 @@
             ClientLimit::Unread => "unread",
             ClientLimit::Slow => "slow",
             ClientLimit::Connections => "connections",
-            ClientLimit::Handshakes => "handshakes",
         }
     }
 }
@@ -106,6 +103,7 @@
     client_limits: IntCounterVec,
     client_bytes: IntGauge,
     client_connections: IntGauge,
+    handshakes: IntGauge,
 }
 
 impl Metrics {
@@ -235,6 +233,10 @@
             client_bytes: make.gauge("client_bytes", "Memory that is held for clients")?,
             client_connections: make
                 .gauge("client_connections", "Connections that clients have open")?,
+            handshakes: make.gauge(
+                "link_handshakes_deferred",
+                "Handshakes of peers that were not begun at once, since the start",
+            )?,
             registry,
         })
     }
@@ -294,6 +296,11 @@
         self.client_limits.with_label_values(&[limit.as_str()]).inc();
     }
 
+    /// Records how many handshakes of peers were not begun at once.
+    pub fn deferred_handshakes(&self, count: u64) {
+        self.handshakes.set(count as i64);
+    }
+
     /// Records how much memory is held for clients, and how many connections they have open.
     pub fn client_memory(&self, bytes: usize, connections: usize) {
         self.client_bytes.set(bytes as i64);
