--- a/src/h1/driver/bounds.rs
+++ b/src/h1/driver/bounds.rs
@@ -7,7 +7,7 @@
 use crate::h1::caller::{CallerState, Room};
 use crate::h1::{CallerId, HttpEffect, HttpInput};
 use crate::model::Timestamp;
-use crate::report::metrics::ClientLimit;
+use crate::report::clients::ClientLimit;
 use crate::role::Role;
 
 /// The most bytes that are kept for one caller that does not read its answer: more than the largest
@@ -48,7 +48,7 @@
         let victims = victims(candidates, excess);
         self.log_refused(now, victims.len());
         for id in victims {
-            self.metrics.client_limit(ClientLimit::Memory);
+            self.metrics.clients.limit(ClientLimit::Memory);
             self.give_up(now, id);
         }
     }
@@ -86,7 +86,7 @@
         caller.refuse_large(now);
         caller.charge();
         self.dirty.insert(ConnectionId::Caller(id));
-        self.metrics.client_limit(ClientLimit::Memory);
+        self.metrics.clients.limit(ClientLimit::Memory);
         self.log_refused(now, 1);
         false
     }
@@ -140,7 +140,7 @@
             log::warn!("step=write outcome=closed unread={unread}");
             caller.socket.clear();
             caller.charge();
-            self.metrics.client_limit(ClientLimit::Unread);
+            self.metrics.clients.limit(ClientLimit::Unread);
             self.broken.push(ConnectionId::Caller(id));
         }
     }
--- a/src/h1/driver/callers.rs
+++ b/src/h1/driver/callers.rs
@@ -6,7 +6,7 @@
 use crate::h1::caller::{Caller, CallerRead, CallerState};
 use crate::h1::{CallerId, HttpEffect, HttpInput, Purpose, Request, write};
 use crate::model::Timestamp;
-use crate::report::metrics::ClientLimit;
+use crate::report::clients::ClientLimit;
 use crate::role::{Input, Role};
 
 impl<R: Role<Local = HttpInput, Effect = HttpEffect>> Server<R> {
@@ -48,7 +48,7 @@
             CallerRead::More => self.resumed.push(id),
             CallerRead::Paused => {
                 if self.paused.insert(id) {
-                    self.metrics.client_limit(ClientLimit::Paused);
+                    self.metrics.clients.limit(ClientLimit::Paused);
                 }
             }
             CallerRead::Request(request) => {
@@ -101,8 +101,8 @@
         }
         let interval = if self.ending.is_some() { ENDING_INTERVAL } else { EXPIRY_INTERVAL };
         self.next_expiry = now + interval;
-        self.metrics.deferred_handshakes(self.link.deferred_handshakes());
-        self.metrics.client_memory(self.budget.held(), self.budget.accepted());
+        self.metrics.clients.deferred_handshakes(self.link.deferred_handshakes());
+        self.metrics.clients.held(self.budget.held(), self.budget.accepted());
         let limits = self.limits;
         let due = |c: &Caller| c.deadline(&limits.values).is_some_and(|at| at <= now);
         let expired: Vec<CallerId> =
@@ -113,7 +113,7 @@
             if caller.expire(now) {
                 self.caller_closed(now, id);
             } else if caller.state != state {
-                self.metrics.client_limit(ClientLimit::Slow);
+                self.metrics.clients.limit(ClientLimit::Slow);
                 caller.charge();
                 self.dirty.insert(ConnectionId::Caller(id));
             }
--- a/src/h1/driver/room.rs
+++ b/src/h1/driver/room.rs
@@ -11,7 +11,7 @@
 use crate::h1::caller::{Caller, CallerState};
 use crate::h1::{CallerId, HttpEffect, HttpInput, Purpose};
 use crate::model::Timestamp;
-use crate::report::metrics::ClientLimit;
+use crate::report::clients::ClientLimit;
 use crate::role::Role;
 
 /// How many idle connections are closed at a time.
@@ -55,7 +55,7 @@
             self.next_place = now + ACCEPT_INTERVAL;
         }
         for _ in 0..closed {
-            self.metrics.client_limit(ClientLimit::Connections);
+            self.metrics.clients.limit(ClientLimit::Connections);
         }
         if now >= self.next_room_line {
             self.next_room_line = now + LOG_INTERVAL;
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -10,6 +10,7 @@
     Registry, TextEncoder,
 };
 
+use super::clients::ClientMetrics;
 use super::factory::Factory;
 use super::observation::{CallEnd, CallSummary, ChargeOutcome, GatewayEnd, Observation, SendOrder};
 use crate::link::message::{AgentRequest, ControlRequest, Request};
@@ -34,33 +35,6 @@
     since: Instant,
 }
 
-/// A limit on what clients of a process may take up.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ClientLimit {
-    /// A large body was not read on for a time.
-    Paused,
-    /// A request was refused, or unread answers were given up, to free memory.
-    Memory,
-    /// A caller left too much of one answer unread.
-    Unread,
-    /// A request came in too slowly.
-    Slow,
-    /// A connection was closed to make room for another one.
-    Connections,
-}
-
-impl ClientLimit {
-    fn as_str(self) -> &'static str {
-        match self {
-            ClientLimit::Paused => "paused",
-            ClientLimit::Memory => "memory",
-            ClientLimit::Unread => "unread",
-            ClientLimit::Slow => "slow",
-            ClientLimit::Connections => "connections",
-        }
-    }
-}
-
 /// All metrics of a process.
 pub struct Metrics {
     registry: Registry,
@@ -100,10 +74,8 @@
     broken_runs: IntCounterVec,
     quarantine: IntGauge,
     quarantined: IntCounterVec,
-    client_limits: IntCounterVec,
-    client_bytes: IntGauge,
-    client_connections: IntGauge,
-    handshakes: IntGauge,
+    /// What clients take up.
+    pub clients: ClientMetrics,
 }
 
 impl Metrics {
@@ -225,18 +197,7 @@
                 "Calls that a gateway refused or ended because they hold what crashed endpoints",
                 &["service"],
             )?,
-            client_limits: make.counters(
-                "client_limits_total",
-                "How often a limit on what clients take up had an effect",
-                &["limit"],
-            )?,
-            client_bytes: make.gauge("client_bytes", "Memory that is held for clients")?,
-            client_connections: make
-                .gauge("client_connections", "Connections that clients have open")?,
-            handshakes: make.gauge(
-                "link_handshakes_deferred",
-                "Handshakes of peers that were not begun at once, since the start",
-            )?,
+            clients: ClientMetrics::new(&make)?,
             registry,
         })
     }
@@ -291,22 +252,6 @@
         }
     }
 
-    /// Counts an effect of a limit on what clients take up.
-    pub fn client_limit(&self, limit: ClientLimit) {
-        self.client_limits.with_label_values(&[limit.as_str()]).inc();
-    }
-
-    /// Records how many handshakes of peers were not begun at once.
-    pub fn deferred_handshakes(&self, count: u64) {
-        self.handshakes.set(count as i64);
-    }
-
-    /// Records how much memory is held for clients, and how many connections they have open.
-    pub fn client_memory(&self, bytes: usize, connections: usize) {
-        self.client_bytes.set(bytes as i64);
-        self.client_connections.set(connections as i64);
-    }
-
     fn gateway_call(&self, end: &GatewayEnd) {
         let route = self.label(&self.routes, &end.route);
         let status = end.status.to_string();
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -1,5 +1,6 @@
 //! Logs, metrics and the HTTP pages of a process.
 
+pub mod clients;
 mod factory;
 pub mod lines;
 pub mod metrics;
