--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -24,6 +24,7 @@
 use crate::entry::{CallerInput, Entry, EntrySettings};
 use crate::gateway::protocol::CallProtocol;
 use crate::gateway::{Gateway, GatewaySettings};
+use crate::h1::budget::Budget;
 use crate::h1::{HttpDriver, Listener, Purpose};
 use crate::link::tls::Identity;
 use crate::link::{Link, Request, Route, Sink};
@@ -80,12 +81,13 @@
     let boot = BootId::from_start(Timestamp::from_steady(), &settings.name);
     let identity = Identity::load(&settings.keys)?;
     let link = Link::bind(settings.listen, identity)?;
+    let budget = Arc::new(Budget::new(settings.memory << 20, settings.max_fds));
     let drivers = Drivers {
         entry: settings.roles.contains(&RoleName::Entry).then(Driver::new),
         agent: settings.roles.contains(&RoleName::Agent).then(Driver::new),
         control: settings.roles.contains(&RoleName::Control).then(Driver::new),
-        gateway: bind_gateway(&settings)?,
-        api: bind_api(&settings)?,
+        gateway: bind_gateway(&settings)?.map(|d| d.with_budget(budget.clone())),
+        api: bind_api(&settings)?.map(|d| d.with_budget(budget.clone())),
     };
     let (calls, api) = match protocols {
         Some(protocols) => (Some(protocols.calls), Some(protocols.api)),
@@ -101,8 +103,8 @@
     let url = Arc::new(Mutex::new(None));
     if let Some(address) = settings.pages.filter(|_| drivers.gateway.is_none()) {
         let announce = announcer(&drivers, url.clone());
-        let pages = Pages { ready, announce, metrics: metrics.clone() };
-        pages.start(address)?;
+        let pages = Pages { ready, announce };
+        pages.start(address, budget.clone(), link.handle(), metrics.clone())?;
     }
     let handle = link.handle();
     let route = route(&drivers);
@@ -150,7 +152,7 @@
             budget: settings.budget,
             grace: settings.grace,
         };
-        let gateway = Gateway::new(gateway_settings, protocol);
+        let gateway = Gateway::new(gateway_settings, protocol).with_memory(budget.clone());
         traffic_threads.push(driver.start("gateway", gateway, handle.clone(), metrics.clone())?);
     }
     if let Some(driver) = drivers.agent {
@@ -172,7 +174,7 @@
         let path = settings.tenants.as_deref().ok_or_else(|| eyre!("--tenants is missing"))?;
         let tenants = Tenants::load(path)?;
         let listen = settings.callers.ok_or_else(|| eyre!("--callers is missing"))?;
-        let (callers, server) = accept::start(listen, settings.bounds, driver.handle())?;
+        let (callers, server) = accept::start(listen, settings.bounds, driver.handle(), &budget)?;
         caller_server = Some(server);
         let entry_settings =
             EntrySettings { follower: follower(&settings, boot, ENTRY), grace: settings.grace };
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -12,6 +12,7 @@
 use super::protocol::{AnswerInfo, CallInfo, Export};
 use super::vacancy::Vacancy;
 use crate::control::dispatch::rooms::RunId;
+use crate::h1::budget::Charge;
 use crate::h1::{AnswerHead, PeerId, Request};
 use crate::model::{ExchangeId, Rank, Timestamp};
 use crate::report::observation::SendOrder;
@@ -39,6 +40,8 @@
     pub head: Option<(AnswerHead, AnswerInfo)>,
     /// The content received so far, of an answer that is not streamed to the caller.
     pub content: Vec<u8>,
+    /// The memory of the content.
+    pub charge: Option<Charge>,
     /// When its first event was received.
     pub first_event: Option<Timestamp>,
     /// Tokens of other prompts that its prefill waits for.
@@ -73,6 +76,7 @@
             software,
             head: None,
             content: Vec::new(),
+            charge: None,
             first_event: None,
             ahead: 0,
             pace: Pace::default(),
@@ -267,6 +271,8 @@
     pub delivered: Delivered,
     /// Splits the answer of the present attempt into events.
     pub splitter: EventSplitter,
+    /// The memory of the splitter.
+    pub charge: Option<Charge>,
     /// When the open request for capacity, a reservation or a prefill endpoint times out.
     pub reply_deadline: Timestamp,
     /// When its timer fires next.
@@ -325,15 +331,6 @@
         self.deadline - now
     }
 
-    /// Returns the number of bytes that are kept of its answer.
-    pub fn held(&self) -> usize {
-        let content = match &self.stage {
-            Stage::Prefill { attempt, .. } | Stage::Run { attempt, .. } => attempt.content.len(),
-            _ => 0,
-        };
-        content + self.splitter.held()
-    }
-
     /// Returns the attempt that is in progress, if any.
     pub fn attempt(&mut self) -> Option<&mut Attempt> {
         match &mut self.stage {
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -10,6 +10,7 @@
     Registry, TextEncoder,
 };
 
+use super::clients::ClientMetrics;
 use super::factory::Factory;
 use super::observation::{CallEnd, CallSummary, ChargeOutcome, GatewayEnd, Observation, SendOrder};
 use crate::link::message::{AgentRequest, ControlRequest, Request};
@@ -79,6 +80,8 @@
     quarantine: IntGauge,
     quarantined: IntCounterVec,
     quotas: IntCounterVec,
+    /// What clients take up.
+    pub clients: ClientMetrics,
 }
 
 impl Metrics {
@@ -211,6 +214,7 @@
                 "Calls of client accounts with a quota by what a gateway decided",
                 &["account", "outcome"],
             )?,
+            clients: ClientMetrics::new(&make)?,
             registry,
         })
     }
