Decide by time which work leaves its failure domain

Cause: fixed amounts (one call, 2,000 or 4,000 tokens, 60 thousandths of a load) kept work in its domain, whatever the time here and there.

Change: one pure module compares the expected times here and there and the crossing: its latency and the price of bytes, or today's fixed amounts while no price is set. The leader and a gateway alone choose the least sum for prompts and runs; a run counts the wait for a prefill in its domain, so that both go to one domain. For plain calls each gateway moves a share of them in steps until the marginal times are equal. While nothing is learned, placement is as before.

--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -81,6 +81,13 @@
     /// window of the retry budget in seconds; 10 if not given
     #[argh(option)]
     pub retry_window: Option<String>,
+    /// latency between two failure domains in milliseconds, one way; 1 if not given
+    #[argh(option)]
+    pub domain_latency: Option<String>,
+    /// price of a megabyte sent to another failure domain, as microseconds that a call may take
+    /// longer for it; if not given, a crossing costs fixed amounts of work
+    #[argh(option)]
+    pub domain_price: Option<String>,
     /// share of a pool's engines used for prefill, in percent; 0, the default, changes none
     #[argh(option)]
     pub prefill_share: Option<String>,
@@ -166,7 +173,7 @@
     }
 
     /// Returns the settings with their names in the file and, in upper case, in the environment.
-    fn fields(&mut self) -> [(&'static str, &mut Option<String>); 27] {
+    fn fields(&mut self) -> [(&'static str, &mut Option<String>); 29] {
         [
             ("roles", &mut self.roles),
             (SETTINGS_FILE, &mut self.settings),
@@ -189,6 +196,8 @@
             ("retry_ratio", &mut self.retry_ratio),
             ("retry_extra", &mut self.retry_extra),
             ("retry_window", &mut self.retry_window),
+            ("domain_latency", &mut self.domain_latency),
+            ("domain_price", &mut self.domain_price),
             ("prefill_share", &mut self.prefill_share),
             ("prefill_spare", &mut self.prefill_spare),
             ("grace", &mut self.grace),
--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -148,6 +148,7 @@
         let gateway_settings = GatewaySettings {
             follower: follower(&settings, boot, GATEWAY),
             budget: settings.budget,
+            domains: settings.domains,
             grace: settings.grace,
         };
         let gateway = Gateway::new(gateway_settings, protocol);
--- a/src/cli/settings.rs
+++ b/src/cli/settings.rs
@@ -13,6 +13,7 @@
 use crate::entry::accept::CallerBounds;
 use crate::entry::place::Variant;
 use crate::gateway::budget::BudgetTerms;
+use crate::gateway::place::locality::{DEFAULT_LATENCY, DomainTerms};
 use crate::report::LogFormat;
 
 /// The default limit of open calls at an entry.
@@ -117,6 +118,8 @@
     pub api: Option<SocketAddr>,
     /// The terms of the retry budget shared by all gateways.
     pub budget: BudgetTerms,
+    /// What it costs a gateway's calls to leave its failure domain.
+    pub domains: DomainTerms,
     /// The share of a pool's engines used for prefill and the number of spares, for an API.
     pub stages: StageTerms,
     /// How long after SIGTERM the process is killed; it ends by itself before.
@@ -187,6 +190,7 @@
             extra: check.decimal("retry-extra", &args.retry_extra, DEFAULT_RETRY_EXTRA),
             window: check.seconds("retry-window", &args.retry_window, DEFAULT_RETRY_WINDOW),
         };
+        let domains = check_domains(&mut check, &args);
         let prefill_share = check.decimal("prefill-share", &args.prefill_share, 0.0);
         if prefill_share > MAX_PREFILL_SHARE {
             check.error(&format!("prefill-share: at most {MAX_PREFILL_SHARE} percent"));
@@ -247,6 +251,7 @@
             placement: placement.parse().unwrap_or_default(),
             api,
             budget,
+            domains,
             stages: StageTerms { share: prefill_share as u32, spare: prefill_spare as u32 },
             grace,
             pages,
@@ -277,6 +282,17 @@
     roles
 }
 
+fn check_domains(check: &mut Checker, args: &DaemonArgs) -> DomainTerms {
+    let default = DEFAULT_LATENCY.as_secs_f64() * 1_000.0;
+    let latency = check.decimal("domain-latency", &args.domain_latency, default);
+    let price = check.decimal("domain-price", &args.domain_price, 0.0);
+    let given = args.domain_price.is_some();
+    DomainTerms {
+        latency: Duration::from_secs_f64(latency / 1_000.0),
+        megabyte: given.then(|| Duration::from_secs_f64(price / 1_000_000.0)),
+    }
+}
+
 fn check_grace(check: &mut Checker, roles: &BTreeSet<RoleName>, args: &DaemonArgs) -> Duration {
     let is_short = roles.contains(&RoleName::Gateway) || roles.contains(&RoleName::Api);
     let default = if is_short { DEFAULT_GRACE } else { DEFAULT_LONG_GRACE };
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -3,13 +3,17 @@
 //! In the names of this module and of its messages, "room" is free capacity at a decode endpoint,
 //! and "prompt" is a prefill at a prefill endpoint.
 
+pub mod pairs;
 pub mod prompts;
 pub mod rooms;
 pub mod speeds;
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::place::speed::{SpeedSample, percents};
+use crate::gateway::place::locality::Times;
+use crate::gateway::place::speed::{SpeedSample, WorkRate};
 
 /// An endpoint that a call or a prompt may be assigned to.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -21,9 +25,36 @@
     /// What the gateway has learned of its speed since it last named it; at the leader, the estimate
     /// from the samples of all gateways.
     pub speed: Option<SpeedSample>,
+    /// What a crossing to it costs if it is in another domain, in microseconds; `None` while no price
+    /// is set.
+    pub crossing: Option<u32>,
+    /// How long a prompt is expected to take in its domain before it can run there, in microseconds;
+    /// set by the leader.
+    #[serde(skip)]
+    pub wait: u32,
+}
+
+impl Candidate {
+    /// Creates a candidate of which only its name and whether it is preferred are known.
+    ///
+    /// ```
+    /// use dotterelpin::control::dispatch::Candidate;
+    ///
+    /// assert_eq!(Candidate::new("f1", true).speed, None);
+    /// ```
+    pub fn new(endpoint: &str, local: bool) -> Candidate {
+        Candidate { endpoint: endpoint.into(), local, speed: None, crossing: None, wait: 0 }
+    }
+
+    /// Returns the expected time until an amount of work is finished at it.
+    fn cost(&self, index: usize, times: &Times, work: u64) -> u64 {
+        let micros = |time: u32| Duration::from_micros(time.into());
+        let (crossing, wait) = (self.crossing.map(micros), micros(self.wait));
+        times.named_cost(index, work, self.local, crossing, wait)
+    }
 }
 
-/// Returns the speeds of candidates in percent of their usual speed.
-pub(crate) fn candidate_percents(candidates: &[Candidate]) -> Vec<u32> {
-    percents(&candidates.iter().map(|c| c.speed.map(|s| s.rate)).collect::<Vec<_>>())
+/// Returns the learned rates of candidates.
+fn rates(candidates: &[Candidate]) -> Vec<Option<WorkRate>> {
+    candidates.iter().map(|c| c.speed.map(|s| s.rate)).collect()
 }
--- a/src/control/dispatch/prompts.rs
+++ b/src/control/dispatch/prompts.rs
@@ -11,8 +11,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Candidate, candidate_percents};
-use crate::gateway::place::speed::{USUAL_PERCENT, expected_time};
+use super::{Candidate, rates};
+use crate::gateway::place::locality::{DomainTerms, Times, Work};
+use crate::gateway::place::speed::USUAL_PERCENT;
 use crate::model::Timestamp;
 
 /// How long a prompt counts if its end is not reported.
@@ -20,8 +21,6 @@
 /// The backlog of an endpoint, in tokens, from which it is assigned no further prompt: more would
 /// take as long as a call's target there, or be refused by the endpoint.
 const MAX_BACKLOG_TOKENS: u64 = 16_000;
-/// An endpoint in another failure domain is chosen only if it has at least this many tokens fewer.
-const REMOTE_PENALTY_TOKENS: u64 = 2_000;
 
 /// A request to assign a prompt to an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -47,7 +46,7 @@
 /// use dotterelpin::model::Timestamp;
 ///
 /// let now = Timestamp::from_micros(1);
-/// let candidate = |name: &str| Candidate { endpoint: name.into(), local: true, speed: None };
+/// let candidate = |name: &str| Candidate::new(name, true);
 /// let request = PromptRequest { tokens: 3_000, candidates: vec![candidate("a"), candidate("b")] };
 /// let mut prompts = Prompts::default();
 /// assert_eq!(prompts.assign(now, &request).as_deref(), Some("a"));
@@ -68,20 +67,20 @@
     /// candidates have as many prompts as they can prefill in time.
     pub fn assign(&mut self, now: Timestamp, request: &PromptRequest) -> Option<Box<str>> {
         self.expire(now);
-        let percents = candidate_percents(&request.candidates);
-        let cost = |(c, percent): &(&Candidate, u32)| {
-            let remote = if c.local { 0 } else { REMOTE_PENALTY_TOKENS };
+        let times =
+            Times::new(Work::CountedPrompt, DomainTerms::default(), &rates(&request.candidates));
+        let cost = |(at, c): &(usize, &Candidate)| {
             let last = self.last.get(&c.endpoint).copied().unwrap_or_default();
             let work = self.backlog(&c.endpoint) + u64::from(request.tokens);
-            (expected_time(work, *percent) + expected_time(remote, USUAL_PERCENT), last)
+            (c.cost(*at, &times, work), last)
         };
-        let open = |(c, percent): &(&Candidate, u32)| {
+        let open = |(at, c): &(usize, &Candidate)| {
             let backlog = self.backlog(&c.endpoint);
             // The bound is a time at a slow endpoint and a number of tokens at a fast one.
-            backlog * 100 < MAX_BACKLOG_TOKENS * u64::from((*percent).min(USUAL_PERCENT))
+            backlog * 100 < MAX_BACKLOG_TOKENS * u64::from(times.percent(*at).min(USUAL_PERCENT))
         };
-        let candidates = request.candidates.iter().zip(percents);
-        let (chosen, _) = candidates.filter(open).min_by_key(cost)?;
+        let candidates = request.candidates.iter().enumerate();
+        let (_, chosen) = candidates.filter(open).min_by_key(cost)?;
         let chosen = chosen.endpoint.clone();
         let prefill = Prefill { tokens: request.tokens, since: now };
         self.running.entry(chosen.clone()).or_default().push(prefill);
@@ -104,7 +103,8 @@
         u32::try_from(ahead).unwrap_or(u32::MAX)
     }
 
-    fn backlog(&self, endpoint: &str) -> u64 {
+    /// Returns the tokens of the prompts that count at an endpoint.
+    pub fn backlog(&self, endpoint: &str) -> u64 {
         let prefills = self.running.get(endpoint).map_or(&[][..], Vec::as_slice);
         prefills.iter().map(|r| u64::from(r.tokens)).sum()
     }
--- a/src/control/dispatch/rooms.rs
+++ b/src/control/dispatch/rooms.rs
@@ -11,17 +11,14 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Candidate, candidate_percents};
+use super::{Candidate, rates};
 use crate::gateway::place::IDLE_STEP;
-use crate::gateway::place::speed::{USUAL_PERCENT, expected_time};
+use crate::gateway::place::locality::{DomainTerms, Times, Work};
 use crate::model::{BootId, Timestamp};
 
 /// The share of an endpoint's KV cache that is assigned to calls, in percent; the rest covers
 /// answers that become longer than estimated.
 const FILL_PERCENT: u64 = 97;
-/// An endpoint in another failure domain is chosen only if its load, in thousandths of its KV
-/// cache, is lower by at least this much.
-const REMOTE_PENALTY_LOAD: u64 = 60;
 /// How long an endpoint that refused a call is assigned no other one.
 const REFUSED_COOLDOWN: Duration = Duration::from_millis(100);
 /// How soon after a refusal another one shows that the endpoint is full, whatever its count says.
@@ -149,7 +146,7 @@
 /// use dotterelpin::model::{BootId, Timestamp};
 ///
 /// let now = Timestamp::from_micros(1);
-/// let candidates = vec![Candidate { endpoint: "d1".into(), local: true, speed: None }];
+/// let candidates = vec![Candidate::new("d1", true)];
 /// let request = |run| RoomRequest {
 ///     run: RunId(run), owner: BootId(1), tokens: 6_000, spare: 0, memory: 10_000, slots: 8,
 ///     candidates: candidates.clone(),
@@ -202,13 +199,13 @@
             let has_slot = load.runs < request.slots;
             has_slot && load.paused <= now && (alone || needs <= capacity(request.memory))
         };
-        let cost = |(c, percent): &(&Candidate, u32)| {
+        let times = Times::new(Work::Run, DomainTerms::default(), &rates(&request.candidates));
+        let cost = |(at, c): &(usize, &Candidate)| {
             let part = load(c).used(now) * 1_000 / u64::from(request.memory.max(1));
-            let remote = if c.local { 0 } else { REMOTE_PENALTY_LOAD };
-            expected_time(IDLE_STEP + part, *percent) + expected_time(remote, USUAL_PERCENT)
+            c.cost(*at, &times, IDLE_STEP + part)
         };
-        let candidates = request.candidates.iter().zip(candidate_percents(&request.candidates));
-        let (chosen, _) = candidates.filter(|(c, _)| fits(c)).min_by_key(cost)?;
+        let candidates = request.candidates.iter().enumerate();
+        let (_, chosen) = candidates.filter(|(_, c)| fits(c)).min_by_key(cost)?;
         Some(chosen.endpoint.clone())
     }
 
--- a/src/control/dispatch/speeds.rs
+++ b/src/control/dispatch/speeds.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use super::Candidate;
-use crate::gateway::place::speed::{Speed, SpeedSample};
+use crate::gateway::place::speed::{Speed, SpeedSample, WorkRate};
 use crate::model::Timestamp;
 
 /// The maximum number of endpoints with a known speed; further ones count as unknown.
@@ -27,7 +27,7 @@
 /// use dotterelpin::model::Timestamp;
 ///
 /// let now = Timestamp::from_micros(1_000_000);
-/// let named = |speed| vec![Candidate { endpoint: "f1".into(), local: true, speed }];
+/// let named = |speed| vec![Candidate { speed, ..Candidate::new("f1", true) }];
 /// let sample = Some(SpeedSample { rate: WorkRate(30_000), age: 5 });
 /// let mut speeds = Speeds::default();
 /// (0..2).for_each(|_| speeds.merge(now, &mut named(sample)));
@@ -59,6 +59,12 @@
         }
     }
 
+    /// Returns the estimated rate of an endpoint.
+    pub fn rate(&self, now: Timestamp, endpoint: &str) -> Option<WorkRate> {
+        let (_, speed) = self.known.get(endpoint)?;
+        speed.estimate(now).map(|estimate| estimate.rate)
+    }
+
     fn learn(&mut self, now: Timestamp, endpoint: &str, sample: SpeedSample) {
         let age = Duration::from_millis(sample.age.into()).as_micros() as u64;
         let at = Timestamp::from_micros(now.as_micros().saturating_sub(age));
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -23,6 +23,7 @@
 use std::time::Duration;
 
 use config::{Change, Revised, schema_of};
+use dispatch::pairs::Pairs;
 use dispatch::prompts::Prompts;
 use dispatch::rooms::Rooms;
 use dispatch::speeds::Speeds;
@@ -112,6 +113,7 @@
     peers: Peers,
     prompts: Prompts,
     rooms: Rooms,
+    pairs: Pairs,
     /// The speeds of prefill endpoints.
     prompt_speeds: Speeds,
     /// The speeds of decode endpoints.
@@ -149,6 +151,7 @@
             peers: Peers::default(),
             prompts: Prompts::default(),
             rooms: Rooms::default(),
+            pairs: Pairs::default(),
             prompt_speeds: Speeds::default(),
             step_speeds: Speeds::default(),
             origins: Origins::default(),
@@ -216,6 +219,9 @@
                 let registry = &self.registry;
                 self.rooms.retain_owners(now, |boot| registry.may_be_alive(now, boot));
                 self.step_speeds.merge(now, &mut request.candidates);
+                self.pairs.refresh(now, || self.registry.endpoints());
+                let (prompts, speeds) = (&self.prompts, &self.prompt_speeds);
+                self.pairs.set_waits(now, &mut request.candidates, prompts, speeds);
                 let endpoint = self.rooms.assign(now, &request);
                 vec![self.reply(inbound, ControlReply::RoomAssigned { endpoint })]
             }
--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::notices::Notices;
+use super::place::PlainLoad;
 use super::place::speed::{Estimate, Speed, SpeedSample, WorkRate};
 use super::protocol::EngineReport;
 use super::window::Window;
@@ -208,6 +209,12 @@
         self.estimate(now).map(|estimate| estimate.rate)
     }
 
+    /// Returns its load as an endpoint of a plain service.
+    pub fn plain_load<K>(&self, now: Timestamp, key: K) -> PlainLoad<K> {
+        let (calls, rate) = (self.usage.slots, self.rate(now));
+        PlainLoad { key, local: self.local, calls, rate }
+    }
+
     /// Returns what this gateway has learned of its speed and not told the leader yet.
     pub fn take_news(&mut self, now: Timestamp) -> Option<SpeedSample> {
         let (kind, speed) = &mut self.speed;
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -54,7 +54,9 @@
         let Some(work) = &call.info.work else { return false };
         let need = work.mean_tokens() + spare_tokens(call, &shape);
         let loads = self.fleet.decode_loads(now, call.choice(), &shape);
-        let Some(endpoint) = place_decode(loads, need, draw) else { return false };
+        let Some(endpoint) = place_decode(loads, self.settings.domains, need, draw) else {
+            return false;
+        };
         if !call.skips_prefill
             && self.pick_prefill(now, caller, &shape, endpoint, draw).is_none()
             && self.has_prefill(now, caller, endpoint)
@@ -79,7 +81,7 @@
         let choice = Choice { software: Some(&decode.software), ..call.choice() };
         let loads = self.fleet.prefill_loads(now, choice, shape, &decode.domain);
         let prompt = call.info.work.as_ref().map_or(0, |w| w.prompt);
-        place_prefill(loads, prompt, MAX_BACKLOG_TOKENS, draw)
+        place_prefill(loads, self.settings.domains, prompt, MAX_BACKLOG_TOKENS, draw)
     }
 
     /// Goes on with a call whose reservation is granted.
@@ -348,7 +350,7 @@
         let choice = call.choice();
         let choice = Choice { software: software.or(choice.software), ..choice };
         let loads = self.fleet.decode_loads(now, choice, &shape);
-        place_decode(loads, tokens, draw)
+        place_decode(loads, self.settings.domains, tokens, draw)
     }
 }
 
--- a/src/gateway/fleet/mod.rs
+++ b/src/gateway/fleet/mod.rs
@@ -12,8 +12,8 @@
 
 pub use super::endpoint::{Endpoint, Usage};
 use super::notices::{Closed, Notices};
-use super::place::speed::percents;
-use super::place::{DecodeLoad, PrefillLoad, plain_cost};
+use super::place::locality::DomainTerms;
+use super::place::{DecodeLoad, PlainLoad, PrefillLoad, place_plain};
 use super::protocol::LimitNotice;
 use crate::h1::PeerId;
 use crate::model::{BootId, EndpointKind, EndpointState, Timestamp};
@@ -227,11 +227,19 @@
     }
 
     /// Returns the endpoint of a plain service that is expected to answer first, by its calls and
-    /// its learned service time; `draw` breaks ties.
+    /// its learned service time; `draw` breaks ties. `leaves` is whether the call leaves the domain, if
+    /// that is decided.
     ///
     /// Returns `None` while all healthy endpoints have as many calls as their windows allow; the
     /// call waits then.
-    pub fn pick_plain(&self, now: Timestamp, choice: Choice<'_>, draw: u64) -> Option<EndpointKey> {
+    pub fn pick_plain(
+        &self,
+        now: Timestamp,
+        choice: Choice<'_>,
+        terms: DomainTerms,
+        leaves: Option<bool>,
+        draw: u64,
+    ) -> Option<EndpointKey> {
         let allowed = |k, e: &Endpoint| choice.allows(k, e) && e.takes_work(now);
         let open: Vec<(EndpointKey, &Endpoint)> =
             self.pool(choice.service).filter(|(k, e)| allowed(*k, e)).collect();
@@ -239,16 +247,9 @@
         let any_healthy = open.iter().any(|(_, e)| e.health.is_available(now));
         let has_capacity = |e: &Endpoint| e.is_open(now) && e.window.has_capacity(e.usage.slots);
         let usable = open.iter().filter(|(_, e)| !any_healthy || has_capacity(e));
-        let usable: Vec<&(EndpointKey, &Endpoint)> = usable.collect();
-        let speeds = percents(&usable.iter().map(|(_, e)| e.rate(now)).collect::<Vec<_>>());
-        let count = open.len().max(1) as u64;
-        let cost = |at: usize, e: &Endpoint, percent: u32| {
-            let time = plain_cost(e.usage.slots, e.local, percent);
-            (time, draw.wrapping_add(at as u64) % count)
-        };
-        let costs = usable.iter().zip(speeds).enumerate();
-        let least = costs.min_by_key(|(at, ((_, e), percent))| cost(*at, e, *percent));
-        least.map(|(_, ((key, _), _))| *key)
+        let load = |(key, e): &(EndpointKey, &Endpoint)| e.plain_load(now, *key);
+        let loads: Vec<PlainLoad<EndpointKey>> = usable.map(load).collect();
+        place_plain(&loads, terms, leaves, open.len(), draw)
     }
 
     /// Returns whether a service has a decode endpoint that may be chosen, whatever its load.
--- a/src/gateway/learn.rs
+++ b/src/gateway/learn.rs
@@ -2,6 +2,7 @@
 
 use super::call::{Attempt, Call};
 use super::fleet::EndpointKey;
+use super::place::locality::named_crossing;
 use super::place::step_under_load;
 use super::{CallerId, Gateway};
 use crate::control::dispatch::Candidate;
@@ -18,8 +19,11 @@
     pub(super) fn learn_service_time(&mut self, now: Timestamp, call: &mut Call) {
         let is_plain = call.info.work.is_none();
         let Some(attempt) = call.attempt().filter(|_| is_plain) else { return };
+        let took = now - attempt.since;
         if let Some(endpoint) = self.fleet.get_mut(attempt.endpoint) {
-            endpoint.learn(now, ONE_CALL, now - attempt.since);
+            endpoint.learn(now, ONE_CALL, took);
+            let spill = self.spills.entry(endpoint.pool.clone()).or_default();
+            spill.answered(now, endpoint.local, took);
         }
     }
 
@@ -53,10 +57,13 @@
         now: Timestamp,
         open: &[(EndpointKey, bool)],
     ) -> Vec<Candidate> {
+        let crossing = named_crossing(self.settings.domains);
+        let crossing = crossing.map(|time| u32::try_from(time.as_micros()).unwrap_or(u32::MAX));
         let named = open.iter().filter_map(|(key, local)| {
             let endpoint = self.fleet.get_mut(*key)?;
             let (name, speed) = (endpoint.name.clone(), endpoint.take_news(now));
-            Some(Candidate { endpoint: name, local: *local, speed })
+            let crossing = crossing.filter(|_| !local);
+            Some(Candidate { speed, crossing, ..Candidate::new(&name, *local) })
         });
         named.take(MAX_CANDIDATES).collect()
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 mod open_calls;
 pub mod outbox;
 mod outcome;
+mod pages;
 pub mod place;
 mod plain;
 mod proof;
@@ -67,6 +68,7 @@
 use late_answers::LateAnswers;
 use lateness::UsualTimeout;
 use outbox::Outbox;
+use place::locality::{DomainTerms, Spill};
 use protocol::{CallProtocol, TableFormat};
 use queue::Queue;
 use recount::Recount;
@@ -74,7 +76,7 @@
 use versions::Versions;
 
 use crate::control::origins::{Origin, Origins};
-use crate::h1::{CallerId, HttpEffect, HttpInput, PeerId, Purpose, Request};
+use crate::h1::{CallerId, HttpEffect, HttpInput, PeerId, Purpose};
 use crate::link::message::{ControlReply, Reply};
 use crate::model::{ExchangeId, Timestamp};
 use crate::registry::{Follower, FollowerSettings};
@@ -95,6 +97,8 @@
     pub follower: FollowerSettings,
     /// The retry budget that all gateways share.
     pub budget: BudgetTerms,
+    /// What it costs to leave the failure domain.
+    pub domains: DomainTerms,
     /// How long a shutdown may take, from the request to the end of the process.
     pub grace: Duration,
 }
@@ -128,6 +132,8 @@
     timers: BTreeSet<(Timestamp, CallerId)>,
     queues: BTreeMap<Box<str>, Queue<CallerId>>,
     budgets: BTreeMap<Box<str>, Budget>,
+    /// The share of the calls of each plain service that leaves the failure domain.
+    spills: BTreeMap<Box<str>, Spill>,
     /// The software versions of each service.
     versions: Versions,
     /// Which software versions began the streams that this gateway has delivered.
@@ -194,6 +200,7 @@
             timers: BTreeSet::new(),
             queues: BTreeMap::new(),
             budgets: BTreeMap::new(),
+            spills: BTreeMap::new(),
             versions: Versions::default(),
             origins: Origins::default(),
             shared_services: BTreeSet::new(),
@@ -260,19 +267,6 @@
         }
     }
 
-    fn page(&mut self, caller: CallerId, request: &Request) {
-        let ready = self.is_ready();
-        let (status, text) = match self.protocol.is_readiness(&request.head) {
-            true if ready => (200, "ready\n"),
-            true => (503, "not ready\n"),
-            false => (404, "no such page\n"),
-        };
-        let keep = !request.head.wants_close();
-        let bytes = crate::h1::write::answer(status, &[], "text/plain", text.as_bytes(), keep);
-        self.effect(HttpEffect::Reply { caller, bytes });
-        self.effect(HttpEffect::Finish { caller, keep });
-    }
-
     fn connected(&mut self, peer: PeerId) {
         let Some(conn) = self.fleet.conn(peer) else { return };
         conn.connected = true;
--- a/src/gateway/place/mod.rs
+++ b/src/gateway/place/mod.rs
@@ -7,27 +7,21 @@
 //! transferred between them. Of those with capacity, the one with the least expected time by its
 //! learned speed is chosen; where no speeds are learned, the least loaded one.
 
+pub mod locality;
 pub mod pace;
 pub mod speed;
 
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use speed::{USUAL_PERCENT, WorkRate, expected_time, percents};
+use locality::{DomainTerms, Times, Work};
+use speed::WorkRate;
 
 /// The percentage of an engine's memory that placements fill; the rest covers answers that grow
 /// longer than estimated and the allocation of memory in blocks.
 const FILL_PERCENT: u64 = 97;
 /// How many endpoints with capacity are drawn and compared.
 const PICKS: u32 = 2;
-/// How many calls a plain endpoint in another failure domain must have less for it to be preferred.
-const REMOTE_CALLS: u64 = 1;
-/// By how many tokens the backlog of a prefill endpoint in another failure domain must be smaller
-/// for it to be preferred.
-const REMOTE_PENALTY_TOKENS: u64 = 4_000;
-/// By how many thousandths the load of a decode endpoint in another failure domain must be smaller
-/// for it to be preferred.
-const REMOTE_PENALTY_LOAD: u64 = 60;
 /// The step time of an idle decode endpoint in thousandths; each thousandth of load adds one. So a
 /// full endpoint counts as twice as slow as an idle one.
 pub const IDLE_STEP: u64 = 1_000;
@@ -51,6 +45,19 @@
     pub rate: Option<WorkRate>,
 }
 
+/// The load of an endpoint of a plain service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PlainLoad<K> {
+    /// The endpoint.
+    pub key: K,
+    /// Whether it is in the gateway's failure domain.
+    pub local: bool,
+    /// Calls of this gateway that it runs.
+    pub calls: u32,
+    /// Its learned rate of calls.
+    pub rate: Option<WorkRate>,
+}
+
 /// The load of a prefill endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PrefillLoad<K> {
@@ -90,31 +97,45 @@
     pub fn step(&self) -> u64 {
         step_under_load(self.slots_used, self.slots, self.tokens_used, self.tokens)
     }
-
-    fn cost(&self, percent: u32) -> u64 {
-        let remote = if self.local { 0 } else { REMOTE_PENALTY_LOAD };
-        expected_time(self.step(), percent) + expected_time(remote, USUAL_PERCENT)
-    }
 }
 
-/// Returns the expected time of another call at an endpoint of a plain service that runs so many
-/// calls of this gateway: these and the new one, at its speed in percent of the usual one.
+/// Returns the endpoint of a plain service that is expected to answer another call first: by its
+/// calls of this gateway and the new one, and its learned speed. `leaves` restricts the choice to
+/// endpoints of other domains, or to those of this one, as long as there are any; else the crossing
+/// counts. Of equal ones that is chosen which comes first after `draw` among `count`.
 ///
 /// ```
-/// use dotterelpin::gateway::place::plain_cost;
+/// use dotterelpin::gateway::place::locality::DomainTerms;
+/// use dotterelpin::gateway::place::{PlainLoad, place_plain};
 ///
-/// assert_eq!(plain_cost(2, false, 100), plain_cost(3, true, 100));
-/// assert!(plain_cost(0, true, 51) > plain_cost(0, true, 100));
+/// let load = |key, local, calls| PlainLoad { key, local, calls, rate: None };
+/// let loads = [load(1, true, 2), load(2, false, 0)];
+/// let place = |leaves| place_plain(&loads, DomainTerms::default(), leaves, 2, 0);
+/// assert_eq!([place(None), place(Some(true)), place(Some(false))], [Some(2), Some(2), Some(1)]);
 /// ```
-pub fn plain_cost(calls: u32, local: bool, percent: u32) -> u64 {
-    let remote = if local { 0 } else { REMOTE_CALLS };
-    expected_time(u64::from(calls) + 1, percent) + expected_time(remote, USUAL_PERCENT)
+pub fn place_plain<K: Copy>(
+    loads: &[PlainLoad<K>],
+    terms: DomainTerms,
+    leaves: Option<bool>,
+    count: usize,
+    draw: u64,
+) -> Option<K> {
+    let times = Times::new(Work::Call, terms, &loads.iter().map(|l| l.rate).collect::<Vec<_>>());
+    let chosen = leaves.filter(|leaves| loads.iter().any(|l| l.local != *leaves));
+    let allowed = |l: &PlainLoad<K>| chosen.is_none_or(|leaves| l.local != leaves);
+    let cost = |(at, l): &(usize, &PlainLoad<K>)| {
+        let turn = draw.wrapping_add(*at as u64) % count.max(1) as u64;
+        (times.cost(*at, u64::from(l.calls) + 1, l.local || chosen.is_some()), turn)
+    };
+    let usable = loads.iter().enumerate().filter(|(_, l)| allowed(l));
+    usable.min_by_key(cost).map(|(_, l)| l.key)
 }
 
 /// Returns a decode endpoint with capacity: the one with the shortest expected step of a few that
 /// `draw` picks, so that gateways with the same reports don't all choose the same endpoint.
 ///
 /// ```
+/// use dotterelpin::gateway::place::locality::DomainTerms;
 /// use dotterelpin::gateway::place::{DecodeLoad, place_decode};
 ///
 /// let load = |key, tokens_used| DecodeLoad {
@@ -122,23 +143,26 @@
 /// };
 /// let loads = [load(1, 20_000), load(2, 9_000), load(3, 29_000)];
 /// // Number 3 has no capacity; of the others, two are drawn and compared.
-/// assert!(matches!(place_decode(loads.iter().copied(), 3_000, 7), Some(1 | 2)));
-/// assert_eq!(place_decode(loads.iter().copied(), 25_000, 7), None);
+/// let place = |need| place_decode(loads.iter().copied(), DomainTerms::default(), need, 7);
+/// assert!(matches!(place(3_000), Some(1 | 2)));
+/// assert_eq!(place(25_000), None);
 /// ```
 pub fn place_decode<K: Copy + Ord>(
     loads: impl Iterator<Item = DecodeLoad<K>>,
+    terms: DomainTerms,
     need: u32,
     draw: u64,
 ) -> Option<K> {
     let fitting: Vec<DecodeLoad<K>> = loads.filter(|l| l.fits(need)).collect();
-    let percents = percents(&fitting.iter().map(|l| l.rate).collect::<Vec<_>>());
+    let times = Times::new(Work::Run, terms, &fitting.iter().map(|l| l.rate).collect::<Vec<_>>());
     let count = fitting.len() as u64;
     let mut rng = Pcg64Mcg::seed_from_u64(draw);
     let picks = (0..PICKS).filter_map(|_| {
         let number = rng.next_u64().checked_rem(count)? as usize;
-        Some((fitting.get(number)?, percents.get(number)?))
+        Some((number, fitting.get(number)?))
     });
-    picks.min_by_key(|(l, percent)| (l.cost(**percent), l.key)).map(|(l, _)| l.key)
+    let cost = |(at, l): &(usize, &DecodeLoad<K>)| (times.cost(*at, l.step(), l.local), l.key);
+    picks.min_by_key(cost).map(|(_, l)| l.key)
 }
 
 /// Returns the prefill endpoint that is expected to finish a prompt of so many tokens first, of
@@ -148,19 +172,19 @@
 /// all gateways would send their prompts to the same endpoint.
 pub fn place_prefill<K: Copy + Ord>(
     loads: impl Iterator<Item = PrefillLoad<K>>,
+    terms: DomainTerms,
     tokens: u32,
     max_backlog: u32,
     draw: u64,
 ) -> Option<K> {
     let fits = |l: &PrefillLoad<K>| l.slots_used < l.slots && l.backlog <= max_backlog;
     let fitting: Vec<PrefillLoad<K>> = loads.filter(fits).collect();
-    let percents = percents(&fitting.iter().map(|l| l.rate).collect::<Vec<_>>());
-    let cost = |(l, percent): (&PrefillLoad<K>, &u32)| {
-        let remote = if l.local { 0 } else { REMOTE_PENALTY_TOKENS };
-        let work = u64::from(l.backlog) + u64::from(tokens);
-        expected_time(work, *percent) + expected_time(remote, USUAL_PERCENT)
+    let rates: Vec<Option<WorkRate>> = fitting.iter().map(|l| l.rate).collect();
+    let times = Times::new(Work::OwnPrompt, terms, &rates);
+    let cost = |(at, l): (usize, &PrefillLoad<K>)| {
+        times.cost(at, u64::from(l.backlog) + u64::from(tokens), l.local)
     };
-    let costs: Vec<u64> = fitting.iter().zip(&percents).map(cost).collect();
+    let costs: Vec<u64> = fitting.iter().enumerate().map(cost).collect();
     let least = *costs.iter().min()?;
     let tied = fitting.iter().zip(&costs).filter(|(_, cost)| **cost == least);
     let tied: Vec<K> = tied.map(|(l, _)| l.key).collect();
--- a/src/gateway/place/speed.rs
+++ b/src/gateway/place/speed.rs
@@ -166,6 +166,12 @@
     Some(Estimate { rate, age, spread })
 }
 
+/// Returns the usual rate of endpoints, or `None` if fewer than two rates are known.
+pub fn usual_rate(rates: &[Option<WorkRate>]) -> Option<WorkRate> {
+    let mut known: Vec<WorkRate> = rates.iter().filter_map(|r| *r).collect();
+    if known.len() < MIN_SAMPLES { None } else { median(&mut known) }
+}
+
 /// Returns the speed of each endpoint of a choice, in percent of their usual speed, which is the
 /// upper median of those that are known. Speeds are rounded to steps of a quarter: endpoints of
 /// nearly the same speed stay tied, so that gateways with the same knowledge don't all choose the
@@ -180,9 +186,7 @@
 /// assert_eq!(percents(&[rate(1_000), rate(1_000_000), rate(1_000)]), [100, 195, 100]);
 /// ```
 pub fn percents(rates: &[Option<WorkRate>]) -> Vec<u32> {
-    let mut known: Vec<WorkRate> = rates.iter().filter_map(|r| *r).collect();
-    let usual = if known.len() < MIN_SAMPLES { None } else { median(&mut known) };
-    let Some(usual) = usual else { return vec![USUAL_PERCENT; rates.len()] };
+    let Some(usual) = usual_rate(rates) else { return vec![USUAL_PERCENT; rates.len()] };
     let percent = |rate: &Option<WorkRate>| {
         let Some(rate) = rate else { return UNKNOWN_PERCENT };
         let exact = u64::from(rate.0) * 100 / u64::from(usual.0.max(1));
@@ -191,9 +195,3 @@
     };
     rates.iter().map(percent).collect()
 }
-
-/// Returns how long an amount of work takes at a speed, in ten thousandths of the time at the usual
-/// speed for one unit of it.
-pub fn expected_time(work: u64, percent: u32) -> u64 {
-    work.saturating_mul(1_000_000) / u64::from(percent.max(1))
-}
--- a/tests/fleet_world/mod.rs
+++ b/tests/fleet_world/mod.rs
@@ -262,7 +262,12 @@
             routes: true,
         };
         let budget = self.budget;
-        let settings = GatewaySettings { follower, budget, grace: Duration::from_secs(8) };
+        let settings = GatewaySettings {
+            follower,
+            budget,
+            domains: Default::default(),
+            grace: Duration::from_secs(8),
+        };
         let role = Gateway::new(settings, Box::new(protocol(vec![self.table.clone()])));
         let node = &mut self.gateways[at];
         (node.role, node.boot) = (Some(role), self.last_boot);
--- a/tests/gateway_fixture/mod.rs
+++ b/tests/gateway_fixture/mod.rs
@@ -291,7 +291,12 @@
             endpoints: true,
             routes: true,
         };
-        let settings = GatewaySettings { follower, budget, grace: Duration::from_secs(8) };
+        let settings = GatewaySettings {
+            follower,
+            budget,
+            domains: Default::default(),
+            grace: Duration::from_secs(8),
+        };
         let protocol = protocol(tables);
         Fixture {
             now,
--- a/tests/leader_counts.rs
+++ b/tests/leader_counts.rs
@@ -70,7 +70,7 @@
 }
 
 fn room_request(run: u64) -> RoomRequest {
-    let candidate = |at| Candidate { endpoint: name(at), local: at % 5 == run % 5, speed: None };
+    let candidate = |at| Candidate::new(&name(at), at % 5 == run % 5);
     RoomRequest {
         run: RunId(run),
         owner: BootId(1),
--- a/tests/notices.rs
+++ b/tests/notices.rs
@@ -402,6 +402,9 @@
     assert_eq!(heartbeats_after_a_notice(entry), addresses(&[4, 5, 6]));
     let (follower, budget) = (settings("gateway"), gateway_fixture::budget_terms());
     let protocol = Box::new(gateway_fixture::protocol(Vec::new()));
-    let gateway = Gateway::new(GatewaySettings { follower, budget, grace: GRACE }, protocol);
+    let gateway = Gateway::new(
+        GatewaySettings { follower, budget, domains: Default::default(), grace: GRACE },
+        protocol,
+    );
     assert_eq!(heartbeats_after_a_notice(gateway), addresses(&[4, 5, 6]));
 }
--- a/tests/prompts.rs
+++ b/tests/prompts.rs
@@ -23,7 +23,7 @@
 const RATE: f64 = 33.0;
 
 fn request(tokens: u32) -> PromptRequest {
-    let candidate = |at| Candidate { endpoint: format!("f{at}").into(), local: true, speed: None };
+    let candidate = |at| Candidate::new(&format!("f{at}"), true);
     PromptRequest { tokens, candidates: (0..ENDPOINTS).map(candidate).collect() }
 }
 
--- a/tests/replaced_contacts.rs
+++ b/tests/replaced_contacts.rs
@@ -71,8 +71,12 @@
             endpoints: true,
             routes: true,
         };
-        let settings =
-            GatewaySettings { follower, budget: budget_terms(), grace: Duration::from_secs(8) };
+        let settings = GatewaySettings {
+            follower,
+            budget: budget_terms(),
+            domains: Default::default(),
+            grace: Duration::from_secs(8),
+        };
         let mut newer = table();
         newer.version = 2;
         World {
--- a/tests/rooms.rs
+++ b/tests/rooms.rs
@@ -22,8 +22,7 @@
 }
 
 fn request(run: u64, tokens: u32, spare: u32) -> RoomRequest {
-    let candidate =
-        |at| Candidate { endpoint: format!("d{at}").into(), local: at < 2, speed: None };
+    let candidate = |at| Candidate::new(&format!("d{at}"), at < 2);
     let candidates = (0..3).map(candidate).collect();
     let (run, owner) = (RunId(run), BootId(run % 2));
     RoomRequest { run, owner, tokens, spare, memory: KV_TOKENS, slots: 12, candidates }
--- a/tests/speed.rs
+++ b/tests/speed.rs
@@ -12,6 +12,7 @@
 use dotterelpin::control::dispatch::prompts::{PromptRequest, Prompts};
 use dotterelpin::control::dispatch::rooms::{RoomRequest, Rooms, RunId};
 use dotterelpin::control::dispatch::speeds::Speeds;
+use dotterelpin::gateway::place::locality::DomainTerms;
 use dotterelpin::gateway::place::speed::{Speed, SpeedSample, WorkRate, percents};
 use dotterelpin::gateway::place::{DecodeLoad, PrefillLoad, place_decode, place_prefill};
 use dotterelpin::link::message::{ControlReply, ControlRequest, Envelope, Reply};
@@ -87,7 +88,7 @@
         let (draw, tokens) = (u64::from(below(1_000)), below(9_000));
         let expected = tied[draw as usize % tied.len()];
         assert_eq!(
-            place_prefill(prefills.iter().copied(), tokens, 12_000, draw),
+            place_prefill(prefills.iter().copied(), DomainTerms::default(), tokens, 12_000, draw),
             Some(expected),
             "{prefills:?}"
         );
@@ -106,8 +107,11 @@
             let load = (l.tokens_used * 1_000 / l.tokens).max(l.slots_used * 1_000 / l.slots);
             load + if l.local { 0 } else { 60 }
         };
-        let placed = place_decode(decodes.iter().copied(), 100, draw).unwrap();
-        let other = (0..50).map(|d| place_decode(decodes.iter().copied(), 100, d).unwrap());
+        let placed =
+            place_decode(decodes.iter().copied(), DomainTerms::default(), 100, draw).unwrap();
+        let other = (0..50).map(|d| {
+            place_decode(decodes.iter().copied(), DomainTerms::default(), 100, d).unwrap()
+        });
         let best = decodes.iter().min_by_key(|l| (load(l), l.key)).unwrap().key;
         assert!(other.into_iter().any(|key| key == best), "{decodes:?}, {placed}");
     }
@@ -133,7 +137,7 @@
             load(3, 0, None),
             load(4, 0, Some(14_000)),
         ];
-        place_prefill(loads.into_iter(), 3_000, 12_000, 1).unwrap()
+        place_prefill(loads.into_iter(), DomainTerms::default(), 3_000, 12_000, 1).unwrap()
     };
     assert!(matches!(place(0), 1 | 2));
     assert_eq!(place(3_000), 3, "expected the unknown one before a slow one");
@@ -147,7 +151,7 @@
         for n in 0..400u64 {
             let rate = if n % 4 == 1 { 30_000 * factor.0 / factor.1 } else { 30_000 };
             let speed = Some(SpeedSample { rate: WorkRate(rate), age: 10 });
-            let mut named = vec![Candidate { endpoint: "f1".into(), local: true, speed }];
+            let mut named = vec![Candidate { speed, ..Candidate::new("f1", true) }];
             speeds.merge(at(n * 40), &mut named);
             let known = named[0].speed.map(|s| s.rate.0);
             assert!(n < 3 || known == Some(30_000), "sample {n}: {known:?}");
@@ -160,8 +164,7 @@
 fn speeds_at_the_leader_are_bounded_and_expire() {
     let mut speeds = Speeds::default();
     let speed = Some(SpeedSample { rate: WorkRate(30_000), age: 10 });
-    let named =
-        |n: u64, speed| vec![Candidate { endpoint: format!("f{n}").into(), local: true, speed }];
+    let named = |n: u64, speed| vec![Candidate { speed, ..Candidate::new(&format!("f{n}"), true) }];
     for n in 0..5_000 {
         (0..2).for_each(|_| speeds.merge(at(0), &mut named(n, speed)));
     }
@@ -230,9 +233,8 @@
             let tokens = 500 + (rng.next_u64() % 5_000) as u32;
             let gateway = rng.next_u64() as usize % GATEWAYS;
             let candidate = |n: usize| Candidate {
-                endpoint: format!("f{n}").into(),
-                local: true,
                 speed: gateways[gateway][n].take_news(now).filter(|_| learns),
+                ..Candidate::new(&format!("f{n}"), true)
             };
             let mut request =
                 PromptRequest { tokens, candidates: (0..ENGINES).map(candidate).collect() };
@@ -287,10 +289,9 @@
 fn runs_are_assigned_by_the_expected_step_time() {
     let rates = [550, 1_200, 1_200, 1_200];
     let candidates = |known: bool| {
-        let candidate = |(n, rate): (usize, &u32)| Candidate {
-            endpoint: format!("d{n}").into(),
-            local: true,
-            speed: known.then_some(SpeedSample { rate: WorkRate(*rate), age: 1 }),
+        let candidate = |(n, rate): (usize, &u32)| {
+            let speed = known.then_some(SpeedSample { rate: WorkRate(*rate), age: 1 });
+            Candidate { speed, ..Candidate::new(&format!("d{n}"), true) }
         };
         rates.iter().enumerate().map(candidate).collect::<Vec<_>>()
     };
