Count sends by failure domain and log slow endpoints

Cause: operators could see neither how many requests leave a failure domain nor why an endpoint gets less work than others.

Change: gateway_domain_sends_total counts requests of calls to endpoints by service and domain (own, other). Each 10 s a gateway logs up to 8 endpoints that run at 64 % of the usual speed of their service and kind or less (step=slow).

--- a/src/gateway/fleet/mod.rs
+++ b/src/gateway/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! The endpoints that a gateway knows, their load, and its connections to them.
 
 mod conns;
+mod slow;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
--- a/src/gateway/learn.rs
+++ b/src/gateway/learn.rs
@@ -1,5 +1,7 @@
 //! What a gateway learns of the speed of endpoints, and what it tells the leader of that.
 
+use std::time::Duration;
+
 use super::call::{Attempt, Call};
 use super::fleet::EndpointKey;
 use super::place::locality::named_crossing;
@@ -13,7 +15,31 @@
 /// One call of a plain service, as an amount of work in thousandths.
 const ONE_CALL: u64 = 1_000;
 
+/// How often slow endpoints are logged.
+const SLOW_INTERVAL: Duration = Duration::from_secs(10);
+/// The maximum number of slow endpoints in the log each time.
+const MAX_SLOW: usize = 8;
+/// The percentage of the usual speed up to which an endpoint is logged as slow.
+const SLOW_PERCENT: u32 = 64;
+
 impl Gateway {
+    /// Logs the slowest endpoints from time to time.
+    pub(super) fn log_slow(&mut self, now: Timestamp) {
+        if now < self.next_slow_log {
+            return;
+        }
+        self.next_slow_log = now + SLOW_INTERVAL;
+        for (percent, endpoint, estimate) in self.fleet.slow(now, SLOW_PERCENT, MAX_SLOW) {
+            log::info!(
+                "step=slow endpoint={} service={} percent={percent} age_ms={} spread={}",
+                endpoint.name,
+                endpoint.pool,
+                estimate.age.as_millis(),
+                estimate.spread,
+            );
+        }
+    }
+
     /// Learns the speed of the endpoint of a plain call that is answered. Answers with an error are
     /// quicker than others and say nothing of it.
     pub(super) fn learn_service_time(&mut self, now: Timestamp, call: &mut Call) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -165,6 +165,7 @@
     /// When waiting calls are tried again if no capacity is freed before.
     next_start: Timestamp,
     next_report: Timestamp,
+    next_slow_log: Timestamp,
     /// When each service with engines received its last call.
     last_called: BTreeMap<Box<str>, Timestamp>,
     /// When the first input was handled.
@@ -218,6 +219,7 @@
             next_cleanup: Timestamp::default(),
             next_start: Timestamp::default(),
             next_report: Timestamp::default(),
+            next_slow_log: Timestamp::default(),
             last_called: BTreeMap::new(),
             started: None,
             stream_times: BTreeMap::new(),
@@ -318,6 +320,7 @@
     fn clean_up(&mut self, now: Timestamp) {
         self.next_cleanup = now + CLEANUP_INTERVAL;
         self.blocked.expire(now);
+        self.log_slow(now);
         self.report_runs(now);
         for peer in self.fleet.close_stale(now) {
             self.effect(HttpEffect::HangUp { peer });
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -76,9 +76,18 @@
             target.notices.limit.spend(now, 1);
         }
         self.count_send(caller);
+        self.count_crossing(caller, endpoint);
         Some(peer)
     }
 
+    /// Counts whether a request of a call was sent to an endpoint of this failure domain.
+    fn count_crossing(&mut self, caller: CallerId, endpoint: EndpointKey) {
+        let Some(call) = self.calls.get(&caller) else { return };
+        let Some(local) = self.fleet.get(endpoint).map(|e| e.local) else { return };
+        let service = call.service.clone();
+        self.outputs.push(Output::Observe(Observation::Crossing { service, local }));
+    }
+
     /// Counts a request of a call that was sent to an endpoint.
     pub(super) fn count_send(&mut self, caller: CallerId) {
         let Some(call) = self.calls.get_mut(&caller) else { return };
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -65,6 +65,7 @@
     first_answer: HistogramVec,
     answer_time: HistogramVec,
     sends: IntCounterVec,
+    crossings: IntCounterVec,
     charges: IntCounterVec,
     leaving: IntCounterVec,
     backoffs: IntCounterVec,
@@ -152,6 +153,11 @@
                  and the run after its first answered prefill; repeat: all others",
                 &["service", "kind"],
             )?,
+            crossings: make.counters(
+                "gateway_domain_sends_total",
+                "Requests of calls that a gateway sent to endpoints by failure domain: own or other",
+                &["service", "domain"],
+            )?,
             charges: make.counters(
                 "gateway_retry_charges_total",
                 "Retries of a gateway by what the retry budget decided: charged; spent: refused; \
@@ -207,6 +213,11 @@
             }
             Observation::Gateway(end) => self.gateway_call(&end),
             Observation::Send { service, order } => self.send(&service, order),
+            Observation::Crossing { service, local } => {
+                let service = self.label(&self.services, &service);
+                let domain = if local { "own" } else { "other" };
+                self.crossings.with_label_values(&[&*service, domain]).inc();
+            }
             Observation::Charge { service, outcome, cost } => {
                 self.charge(&service, outcome, cost);
             }
--- a/src/report/observation.rs
+++ b/src/report/observation.rs
@@ -25,6 +25,13 @@
         /// Whether the call needed it anyway or repeats something.
         order: SendOrder,
     },
+    /// A gateway has sent a request of a call to an endpoint, within its failure domain or outside.
+    Crossing {
+        /// The name of the call's service.
+        service: Box<str>,
+        /// Whether the endpoint is in the gateway's domain.
+        local: bool,
+    },
     /// A gateway has decided whether a retry is within the retry budget.
     Charge {
         /// The name of the service whose budget it is.
--- a/tests/domains.rs
+++ b/tests/domains.rs
@@ -1,6 +1,8 @@
-//! Calls to models across failure domains: prompts, KV cache and runs go to one domain as a pair.
+//! Calls to models across failure domains: prompts, KV cache and runs go to one domain as a pair, and
+//! operators see what crosses.
 
 mod gateway_fixture;
+mod recorded_lines;
 
 use dotterelpin::control::dispatch::Candidate;
 use dotterelpin::control::dispatch::pairs::Pairs;
@@ -9,7 +11,8 @@
 use dotterelpin::control::dispatch::speeds::Speeds;
 use dotterelpin::gateway::place::speed::{SpeedSample, WorkRate};
 use dotterelpin::model::{BootId, EndpointKind, EndpointState, Timestamp};
-use gateway_fixture::{MODEL, endpoint};
+use dotterelpin::report::observation::Observation;
+use gateway_fixture::{Fixture, MODEL, endpoint};
 
 fn now() -> Timestamp {
     Timestamp::from_micros(100_000_000)
@@ -85,3 +88,42 @@
     assert_eq!(&*assign(Some(200_000), 3_000), "near", "expected 200 ms to outweigh 91 ms");
     assert_eq!(&*assign(Some(5_000), 500), "far", "expected 15 ms to outweigh 5 ms");
 }
+
+/// Operators compare these counts with the traffic between domains.
+#[test]
+fn sends_are_counted_by_failure_domain() {
+    let mut f = Fixture::ready();
+    let other = endpoint("p3", EndpointKind::Service, gateway_fixture::PLAIN);
+    f.announce(EndpointState { domain: "b".into(), ..other });
+    f.advance(1_000);
+    f.observed.clear();
+    for caller in 0..9 {
+        f.call(caller, "/look/a", &[("Patience-Ms", "600")]);
+    }
+    let count = |own: bool| {
+        let crossing =
+            |o: &&Observation| matches!(o, Observation::Crossing { local, .. } if *local == own);
+        f.observed.iter().filter(crossing).count()
+    };
+    assert_eq!((count(true), count(false)), (7, 2), "expected one call less outside");
+}
+
+/// Without the line, nobody sees why an endpoint gets less work than others. It must not flood the log.
+#[test]
+fn slow_endpoints_are_logged_once_in_ten_seconds() {
+    recorded_lines::record();
+    let mut f = Fixture::ready();
+    for n in 0..1_500u64 {
+        f.call(n, "/look/a", &[("Patience-Ms", "600")]);
+        let sent = f.take_sent();
+        let slow = sent.field("Endpoint") == Some("p1");
+        f.advance(if slow { 60 } else { 20 });
+        f.answer(&sent, 200, &[], "found");
+    }
+    let lines = recorded_lines::lines("slow");
+    assert!((2..=5).contains(&lines.len()), "expected a line in 10 s: {lines:?}");
+    for line in lines {
+        assert_eq!(recorded_lines::value(&line, "endpoint"), "p1");
+        assert!(recorded_lines::number(&line, "percent") <= 41, "{line}");
+    }
+}
