--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -150,6 +150,7 @@
         let gateway_settings = GatewaySettings {
             follower: follower(&settings, boot, GATEWAY),
             budget: settings.budget,
+            domains: settings.domains,
             grace: settings.grace,
         };
         let gateway = Gateway::new(gateway_settings, protocol).with_memory(budget.clone());
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -25,6 +25,7 @@
 
 use config::{Change, Revised, schema_of};
 use dispatch::credits::Credits;
+use dispatch::pairs::Pairs;
 use dispatch::prompts::Prompts;
 use dispatch::rooms::Rooms;
 use dispatch::speeds::Speeds;
@@ -117,6 +118,7 @@
     prompts: Prompts,
     rooms: Rooms,
     credits: Credits,
+    pairs: Pairs,
     /// The speeds of prefill endpoints.
     prompt_speeds: Speeds,
     /// The speeds of decode endpoints.
@@ -156,6 +158,7 @@
             prompts: Prompts::default(),
             rooms: Rooms::default(),
             credits: Credits::default(),
+            pairs: Pairs::default(),
             prompt_speeds: Speeds::default(),
             step_speeds: Speeds::default(),
             reports: Reports::default(),
@@ -224,6 +227,9 @@
                 let registry = &self.registry;
                 self.rooms.retain_owners(now, |boot| registry.may_be_alive(now, boot));
                 self.step_speeds.merge(now, &mut request.candidates);
+                self.pairs.refresh(now, || self.registry.endpoints());
+                let (prompts, speeds) = (&self.prompts, &self.prompt_speeds);
+                self.pairs.set_waits(now, &mut request.candidates, prompts, speeds);
                 let (endpoint, ahead) = match self.rooms.decide(now, &request) {
                     Ok(endpoint) => (Some(endpoint), 0),
                     Err(NoRoom::Behind(ahead)) => (None, ahead),
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -12,7 +12,7 @@
 use super::protocol::{AnswerInfo, CallInfo, Export};
 use super::vacancy::Vacancy;
 use crate::control::dispatch::rooms::RunId;
-use crate::h1::budget::Charge;
+use crate::h1::budget;
 use crate::h1::{AnswerHead, PeerId, Request};
 use crate::model::{ExchangeId, Rank, Timestamp};
 use crate::report::observation::SendOrder;
@@ -41,7 +41,7 @@
     /// The content received so far, of an answer that is not streamed to the caller.
     pub content: Vec<u8>,
     /// The memory of the content.
-    pub charge: Option<Charge>,
+    pub memory: Option<budget::Charge>,
     /// When its first event was received.
     pub first_event: Option<Timestamp>,
     /// Tokens of other prompts that its prefill waits for.
@@ -76,7 +76,7 @@
             software,
             head: None,
             content: Vec::new(),
-            charge: None,
+            memory: None,
             first_event: None,
             ahead: 0,
             pace: Pace::default(),
@@ -272,7 +272,7 @@
     /// Splits the answer of the present attempt into events.
     pub splitter: EventSplitter,
     /// The memory of the splitter.
-    pub charge: Option<Charge>,
+    pub memory: Option<budget::Charge>,
     /// When the open request for capacity, a reservation or a prefill endpoint times out.
     pub reply_deadline: Timestamp,
     /// When its timer fires next.
--- a/src/gateway/content.rs
+++ b/src/gateway/content.rs
@@ -54,7 +54,7 @@
         let length: Option<usize> = length.and_then(|l| l.parse().ok());
         let received = attempt.content.len() + bytes.len();
         let size = length.unwrap_or(received).max(received);
-        let counted = attempt.charge.as_ref().map_or(0, Charge::bytes);
+        let counted = attempt.memory.as_ref().map_or(0, Charge::bytes);
         if size > MAX_CONTENT_BYTES || self.is_out_of_memory(size, counted) {
             log::warn!(
                 "step=content peer={} error=\"the answer is too large\" bytes={size}",
@@ -72,7 +72,7 @@
                 attempt.content.reserve_exact(size);
             }
             grow(&mut attempt.content, &bytes, None);
-            charge(memory, &mut attempt.charge, attempt.content.capacity());
+            charge(memory, &mut attempt.memory, attempt.content.capacity());
         }
     }
 
@@ -86,7 +86,7 @@
         let Some(call) = self.calls.get_mut(&caller) else { return };
         let fed = call.splitter.feed(bytes);
         let held = call.splitter.held();
-        charge(&self.memory, &mut call.charge, held);
+        charge(&self.memory, &mut call.memory, held);
         match fed {
             Ok(events) if !self.is_out_of_memory(held, held) => {
                 self.deliver_events(now, caller, events)
--- a/src/gateway/learn.rs
+++ b/src/gateway/learn.rs
@@ -1,7 +1,10 @@
 //! What a gateway learns of the speed of endpoints, and what it tells the leader of that.
 
+use std::time::Duration;
+
 use super::call::{Attempt, Call};
 use super::fleet::EndpointKey;
+use super::place::locality::named_crossing;
 use super::place::step_under_load;
 use super::{CallerId, Gateway};
 use crate::control::dispatch::Candidate;
@@ -12,14 +15,41 @@
 /// One call of a plain service, as an amount of work in thousandths.
 const ONE_CALL: u64 = 1_000;
 
+/// How often slow endpoints are logged.
+const SLOW_INTERVAL: Duration = Duration::from_secs(10);
+/// The maximum number of slow endpoints in the log each time.
+const MAX_SLOW: usize = 8;
+/// The percentage of the usual speed up to which an endpoint is logged as slow.
+const SLOW_PERCENT: u32 = 64;
+
 impl Gateway {
+    /// Logs the slowest endpoints from time to time.
+    pub(super) fn log_slow(&mut self, now: Timestamp) {
+        if now < self.next_slow_log {
+            return;
+        }
+        self.next_slow_log = now + SLOW_INTERVAL;
+        for (percent, endpoint, estimate) in self.fleet.slow(now, SLOW_PERCENT, MAX_SLOW) {
+            log::info!(
+                "step=slow endpoint={} service={} percent={percent} age_ms={} spread={}",
+                endpoint.name,
+                endpoint.pool,
+                estimate.age.as_millis(),
+                estimate.spread,
+            );
+        }
+    }
+
     /// Learns the speed of the endpoint of a plain call that is answered. Answers with an error are
     /// quicker than others and say nothing of it.
     pub(super) fn learn_service_time(&mut self, now: Timestamp, call: &mut Call) {
         let is_plain = call.info.work.is_none();
         let Some(attempt) = call.attempt().filter(|_| is_plain) else { return };
+        let took = now - attempt.since;
         if let Some(endpoint) = self.fleet.get_mut(attempt.endpoint) {
-            endpoint.learn(now, ONE_CALL, now - attempt.since);
+            endpoint.learn(now, ONE_CALL, took);
+            let spill = self.spills.entry(endpoint.pool.clone()).or_default();
+            spill.answered(now, endpoint.local, took);
         }
     }
 
@@ -53,10 +83,13 @@
         now: Timestamp,
         open: &[(EndpointKey, bool)],
     ) -> Vec<Candidate> {
+        let crossing = named_crossing(self.settings.domains);
+        let crossing = crossing.map(|time| u32::try_from(time.as_micros()).unwrap_or(u32::MAX));
         let named = open.iter().filter_map(|(key, local)| {
             let endpoint = self.fleet.get_mut(*key)?;
             let (name, speed) = (endpoint.name.clone(), endpoint.take_news(now));
-            Some(Candidate { endpoint: name, local: *local, speed })
+            let crossing = crossing.filter(|_| !local);
+            Some(Candidate { speed, crossing, ..Candidate::new(&name, *local) })
         });
         named.take(MAX_CANDIDATES).collect()
     }
