Count the prompt tokens that engines process without use

Change: prompt_tokens_wasted_total{cause} on the metrics page, counted at a gateway once for each engine whose work was given up: caller-gone, crash, resumed-elsewhere, expired-handle, no-decode-capacity, silent, failed, deadline, shutting-down, quarantined. A prefill that is cancelled before it can have run doesn't count.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -169,7 +169,7 @@
 }
 
 /// A complete answer of an endpoint.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct CompleteAnswer {
     /// Status and header fields.
     pub head: AnswerHead,
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -11,6 +11,7 @@
 use crate::control::dispatch::rooms::RunEnd;
 use crate::entry::health::Verdict;
 use crate::model::{EndpointKind, Timestamp};
+use crate::report::observation::WasteCause;
 use crate::routes::EngineShape;
 
 /// The maximum of prompt tokens that one gateway has open at a prefill endpoint before it sends
@@ -293,6 +294,8 @@
             return;
         }
         self.free_export(now, from.source, &from.export.handle);
+        let cause = if in_time { WasteCause::NoDecodeCapacity } else { WasteCause::ShuttingDown };
+        self.waste_prompt(caller, cause);
         if !in_time {
             self.conclude(now, caller, answer::shutting_down(), EndReason::ShuttingDown);
         } else if !self.wait_for_run(now, caller) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -49,6 +49,7 @@
 mod updates;
 mod vacancy;
 pub mod versions;
+mod waste;
 pub mod window;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -386,8 +387,7 @@
         let start = waiting.then_some(self.next_start);
         let record = (!self.unsent_origins.is_empty()).then_some(self.next_record);
         let cleanup = Some(self.next_cleanup.min(self.reports.next));
-        let crash = self.crashes.next_due();
-        let evidence = self.outbox.next_wake();
+        let (crash, evidence) = (self.crashes.next_due(), self.outbox.next_wake());
         let control = self.follower.next_wake();
         let late = self.late_answers.next_due();
         let early = self.early.next_expiry();
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -4,11 +4,13 @@
 use super::call::{Attempt, CompleteAnswer, FailedAttempt, Stage};
 use super::fleet::{EndpointKey, Job};
 use super::silence::{AfterSilence, Silence};
+use super::waste::Spent;
 use super::{CallerId, Gateway, PeerId};
 use crate::control::dispatch::rooms::RunEnd;
 use crate::entry::health::Verdict;
 use crate::h1::HttpEffect;
 use crate::model::Timestamp;
+use crate::report::observation::WasteCause;
 
 /// Why an attempt has failed.
 #[derive(Debug)]
@@ -52,11 +54,16 @@
 
 impl Gateway {
     /// Stops all work for a call that gets its final answer now; returns whether it may have run.
-    pub(super) fn stop_call(&mut self, now: Timestamp, caller: CallerId) -> bool {
+    pub(super) fn stop_call(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        cause: WasteCause,
+    ) -> bool {
         let Some(call) = self.calls.get_mut(&caller) else { return false };
         call.may_have_run |= matches!(&call.stage, Stage::Run { .. });
         let ran = call.may_have_run;
-        self.stop_work(now, caller);
+        self.stop_work(now, caller, cause);
         ran
     }
 
@@ -67,11 +74,13 @@
         }
     }
 
-    /// Stops all work for a call and releases its capacity, connections and reservations.
-    pub(super) fn stop_work(&mut self, now: Timestamp, caller: CallerId) {
+    /// Stops all work for a call and releases its capacity, connections and reservations. What its
+    /// engine has processed is counted as wasted for the given cause.
+    pub(super) fn stop_work(&mut self, now: Timestamp, caller: CallerId, cause: WasteCause) {
         self.report_prefill_end(caller);
         self.run_given_up(now, caller);
         let kept = self.keep_prefill(now, caller);
+        self.waste_stopped(caller, kept, cause);
         let Some(call) = self.calls.get_mut(&caller) else { return };
         let service = call.service.clone();
         match std::mem::replace(&mut call.stage, Stage::Waiting) {
@@ -130,7 +139,7 @@
         if self.early_gone(caller) {
             return;
         }
-        self.stop_work(now, caller);
+        self.stop_work(now, caller, WasteCause::CallerGone);
         let Some(call) = self.remove(now, caller) else { return };
         log::info!(
             "step=end id={} route={} outcome=caller-gone ms={} events={}{}",
@@ -268,13 +277,17 @@
             (now - attempt.since).as_millis(),
         );
         self.release_hold(now, caller);
-        if let Failure::Answered(failed) = failure
+        if let Failure::Answered(failed) = &failure
             && let Some(call) = self.calls.get_mut(&caller)
         {
-            call.failed = Some(failed);
+            call.failed = Some(failed.clone());
         }
         let unused = handoff.clone().filter(|_| failed.not_run || attempt.head.is_none());
-        let retried = self.try_retry(now, caller, &failed, handoff);
+        let retried = self.try_retry(now, caller, &failed, handoff.clone());
+        let (endpoint, retried_now) = (attempt.endpoint, retried.is_ok());
+        let handoff = handoff.as_ref();
+        let spent = Spent { endpoint, in_prefill, retried: retried_now, handoff };
+        self.waste_attempt(now, caller, &failure, &spent);
         if let Some(silence) = silence {
             let next = if retried.is_ok() { AfterSilence::Retry } else { AfterSilence::Ended };
             silence.log(&id, &endpoint_name, next);
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -10,7 +10,7 @@
 use crate::control::quarantine::{Cause, Crash, Evidence, SURVIVAL_TIME};
 use crate::link::message::ControlRequest;
 use crate::model::{ExchangeId, Timestamp};
-use crate::report::observation::Observation;
+use crate::report::observation::{Observation, WasteCause};
 use crate::role::Output;
 
 /// The maximum size of a content that is known to go on before an endpoint has crashed under it.
@@ -43,7 +43,7 @@
                 continue;
             }
             call.may_have_run |= runs;
-            self.stop_work(now, caller);
+            self.stop_work(now, caller, WasteCause::Quarantined);
             self.end_as_blocked(now, caller, cause);
         }
     }
--- a/src/gateway/stopping.rs
+++ b/src/gateway/stopping.rs
@@ -9,6 +9,7 @@
 use super::{CallerId, Gateway, answer};
 use crate::h1::{HttpEffect, HttpInput, Purpose, Request};
 use crate::model::Timestamp;
+use crate::report::observation::WasteCause;
 use crate::role::{Input, Output};
 use crate::routes::Route;
 use crate::shutdown::{Phase, ShutdownTerms};
@@ -91,7 +92,7 @@
         let queued: Vec<CallerId> = queued.map(|(caller, _)| *caller).collect();
         for caller in queued {
             if !self.can_end(now, caller) {
-                self.stop_work(now, caller);
+                self.stop_work(now, caller, WasteCause::ShuttingDown);
                 self.conclude(now, caller, answer::shutting_down(), EndReason::ShuttingDown);
             }
         }
@@ -122,7 +123,7 @@
         }
         let open: Vec<CallerId> = self.calls.keys().copied().collect();
         for caller in open {
-            let ran = self.stop_call(now, caller);
+            let ran = self.stop_call(now, caller, WasteCause::ShuttingDown);
             let refusal = if ran { answer::failed() } else { answer::shutting_down() };
             self.conclude(now, caller, refusal, EndReason::ShuttingDown);
         }
--- a/src/gateway/timers.rs
+++ b/src/gateway/timers.rs
@@ -9,6 +9,7 @@
 use super::silence::{AfterSilence, Silence};
 use super::{CallerId, Gateway};
 use crate::model::Timestamp;
+use crate::report::observation::WasteCause;
 
 /// How long it may take to connect to an endpoint.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(300);
@@ -130,7 +131,7 @@
 
     /// Ends a call that has reached its deadline.
     fn deadline_expired(&mut self, now: Timestamp, caller: CallerId) {
-        let ran = self.stop_call(now, caller);
+        let ran = self.stop_call(now, caller, WasteCause::Deadline);
         let refusal = if ran { answer::timed_out() } else { answer::out_of_time() };
         self.conclude(now, caller, refusal, EndReason::Deadline);
     }
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -73,6 +73,7 @@
     broken_runs: IntCounterVec,
     quarantine: IntGauge,
     quarantined: IntCounterVec,
+    wasted_tokens: IntCounterVec,
 }
 
 impl Metrics {
@@ -194,6 +195,11 @@
                 "Calls that a gateway refused or ended because they hold what crashed endpoints",
                 &["service"],
             )?,
+            wasted_tokens: make.counters(
+                "prompt_tokens_wasted_total",
+                "Prompt tokens that engines processed for a gateway without use",
+                &["cause"],
+            )?,
             registry,
         })
     }
@@ -241,6 +247,9 @@
                 let service = self.label(&self.services, &service);
                 self.quarantined.with_label_values(&[&*service]).inc();
             }
+            Observation::PromptWasted { cause, tokens } => {
+                self.wasted_tokens.with_label_values(&[cause.as_str()]).inc_by(tokens.into());
+            }
             Observation::Origins { recorded, held } => {
                 self.recorded.inc_by(recorded as u64);
                 self.origins.set(held as i64);
--- a/src/report/observation.rs
+++ b/src/report/observation.rs
@@ -77,6 +77,13 @@
         /// The number of causes in it.
         causes: usize,
     },
+    /// An engine has processed the prompt of a call for a gateway without use.
+    PromptWasted {
+        /// Why it was of no use.
+        cause: WasteCause,
+        /// The tokens of the prompt.
+        tokens: u32,
+    },
     /// A gateway has refused or ended a call because of what it holds.
     Quarantined {
         /// The name of the call's service.
@@ -116,6 +123,55 @@
     }
 }
 
+/// Why an engine has processed a prompt without use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WasteCause {
+    /// The caller has left.
+    CallerGone,
+    /// The connection broke, and the call ended or began again.
+    Crash,
+    /// The export was refused after the time for which its engine keeps it.
+    ExpiredHandle,
+    /// No decode endpoint took the export.
+    NoDecodeCapacity,
+    /// The connection broke within a stream, which went on at another engine.
+    ResumedElsewhere,
+    /// The engine didn't answer, or not go on, in time.
+    Silent,
+    /// The engine answered with an error.
+    Failed,
+    /// The call reached its deadline.
+    Deadline,
+    /// The gateway shut down.
+    ShuttingDown,
+    /// The call has content that crashes engines.
+    Quarantined,
+}
+
+impl WasteCause {
+    /// Returns the name in metrics.
+    ///
+    /// ```
+    /// use dotterelpin::report::observation::WasteCause;
+    ///
+    /// assert_eq!(WasteCause::CallerGone.as_str(), "caller-gone");
+    /// ```
+    pub fn as_str(self) -> &'static str {
+        match self {
+            WasteCause::CallerGone => "caller-gone",
+            WasteCause::Crash => "crash",
+            WasteCause::ExpiredHandle => "expired-handle",
+            WasteCause::NoDecodeCapacity => "no-decode-capacity",
+            WasteCause::ResumedElsewhere => "resumed-elsewhere",
+            WasteCause::Silent => "silent",
+            WasteCause::Failed => "failed",
+            WasteCause::Deadline => "deadline",
+            WasteCause::ShuttingDown => "shutting-down",
+            WasteCause::Quarantined => "quarantined",
+        }
+    }
+}
+
 /// What a gateway has decided about a retry and the retry budget.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ChargeOutcome {
