Don't retry streams that can't end before their deadline

Cause: a stream that broke off was retried as long as 30 ms were left, so engines processed its prompt again for an answer that could not be complete.

A begun stream needs only the rest of its answer.

--- a/src/gateway/retry.rs
+++ b/src/gateway/retry.rs
@@ -143,7 +143,7 @@
         if sends >= route.attempts {
             return Err(EndReason::AttemptsSpent);
         }
-        if call.remaining(now) < MIN_RETRY_TIME {
+        if call.remaining(now) < MIN_RETRY_TIME || !self.may_end_in_time(now, call) {
             return Err(EndReason::NoTime);
         }
         if let Some((_, why)) = self.closed_refusal(now, caller) {
--- a/src/gateway/stopping.rs
+++ b/src/gateway/stopping.rs
@@ -76,6 +76,19 @@
         times.and_then(|t| t.rest(progress)).map_or(limit, |rest| rest.min(limit))
     }
 
+    /// Returns whether a further attempt at a stream may end before the call's deadline, by how long
+    /// the last streams of its route took. Otherwise it would only use an engine.
+    pub(super) fn may_end_in_time(&self, now: Timestamp, call: &Call) -> bool {
+        let times = call.route().and_then(|route| self.stream_times.get(&route.name));
+        let lasted = match call.delivered.first {
+            // What the caller has of the stream is not written again.
+            Some(_) => now - call.arrived,
+            None => Duration::ZERO,
+        };
+        let least = times.filter(|_| call.is_stream()).and_then(|t| t.least_rest(lasted));
+        least.is_none_or(|least| least <= call.remaining(now))
+    }
+
     /// Remembers how long a complete stream has lasted; one that resumes another is only a part.
     pub(super) fn record_stream(&mut self, now: Timestamp, call: &Call) {
         let Some(route) = call.route().filter(|_| !call.is_resumption()) else { return };
--- a/tests/wasted_prompts.rs
+++ b/tests/wasted_prompts.rs
@@ -1,4 +1,5 @@
-//! Prompt tokens that engines process without use are counted by cause.
+//! Prompt tokens that engines process without use are counted by cause, and those are not processed
+//! that can be of no use.
 
 mod gateway_fixture;
 
@@ -125,3 +126,71 @@
     f.advance(14_000);
     assert_eq!(wasted(&mut f), [(WasteCause::Deadline, 3_000)]);
 }
+
+/// Completes streams that last so long, from their arrival.
+fn complete_streams(f: &mut Fixture, path: &str, millis: u64) {
+    for caller in 100..120 {
+        f.model_call(caller, path, "300,10");
+        let run = f.answer_prefill();
+        f.head(&run, 200, &[]);
+        for event in 0..millis / 500 {
+            f.data(&run, format!("id: {event}\ndata: a\n\n").as_bytes());
+            f.advance(500);
+        }
+        f.end(&run);
+        assert!(f.answers[&caller].complete);
+    }
+}
+
+/// Starts a stream with a caller timeout that breaks off after some time, with or without an event.
+fn break_off(f: &mut Fixture, patience: &str, begun: bool, millis: u64) {
+    let fields = [("Model", "m"), ("Tokens", "3000,100"), ("Patience-Ms", patience)];
+    f.call(1, "/remind/a", &fields);
+    let run = f.answer_prefill();
+    if begun {
+        f.head(&run, 200, &[LEAVES]);
+        f.data(&run, b"id: 1\ndata: a\n\n");
+    }
+    f.advance(millis);
+    f.fail_connection(&run, true);
+}
+
+/// Returns whether a further attempt was begun, beside the release of an export.
+fn is_retried(f: &Fixture) -> bool {
+    f.sent.iter().any(|s| &*s.head.method == "POST")
+}
+
+// Guards against a retry whose answer can't be complete at the deadline: engines process the
+// prompt again for nothing.
+#[test]
+fn call_that_can_not_end_in_time_is_not_retried() {
+    for begun in [false, true] {
+        let mut f = ready();
+        complete_streams(&mut f, "/remind/a", 2_000);
+        break_off(&mut f, "2500", begun, 1_000);
+        // A begun stream has a second of its two left, one that has not begun has all of them.
+        assert_eq!(is_retried(&f), begun);
+        if !begun {
+            assert_eq!(f.answers[&1].status, 502);
+        }
+    }
+}
+
+// Guards against giving up a stream that can end in time.
+#[test]
+fn call_that_can_end_in_time_is_retried() {
+    let mut f = ready();
+    complete_streams(&mut f, "/remind/a", 2_000);
+    break_off(&mut f, "5000", false, 1_000);
+    assert!(is_retried(&f));
+}
+
+// Guards against a retry of a begun stream of which too much is missing.
+#[test]
+fn stream_that_broke_off_early_is_not_retried_late() {
+    let mut f = ready();
+    complete_streams(&mut f, "/remind/a", 4_000);
+    break_off(&mut f, "3000", true, 500);
+    assert!(!is_retried(&f));
+    assert!(f.answers[&1].aborted);
+}
