Neither begin nor finish prefills that can't be of use

Cause: a prefill was begun although less time was left for its call than any prefill of that size has taken, and the prefill of an ended call ran on for up to 200 ms or until its answer, although it could not have ended yet.

Change: a gateway learns the fastest prefill that it has seen, in tokens a second. A call whose prompt would take longer than is left until its deadline is refused after its reservation, which is dropped. A prefill whose call ends in less than half of that time is cancelled at once; later its answer is awaited as before, so that the export can be freed.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -98,6 +98,8 @@
         }
         if !self.may_run(now, caller, decode.endpoint) || !self.can_end(now, caller) {
             self.replace_decode(now, caller, decode);
+        } else if !self.has_prefill_time(now, caller) {
+            self.end_without_prefill(now, caller, &decode);
         } else if skips_prefill {
             self.run_whole(now, caller, decode);
         } else if !self.request_prefill(now, caller, decode) {
@@ -274,6 +276,8 @@
         call.first_run = !call.exported;
         call.credit.add(u32::from(!call.exported));
         call.exported = true;
+        let prompt = call.info.work.as_ref().map_or(0, |w| w.prompt);
+        self.late_answers.pace.answered(prompt, now - attempt.since);
         self.release_attempt(now, &attempt);
         let Some(source) = self.fleet.get_mut(attempt.endpoint) else { return };
         source.health.judge(now, Verdict::Worked);
--- a/src/gateway/late_answers.rs
+++ b/src/gateway/late_answers.rs
@@ -14,6 +14,7 @@
 use super::fleet::{EndpointKey, Job, Usage};
 use super::protocol::SideRequest;
 use super::reserve::HOLD_TTL;
+use super::waste::PrefillPace;
 use super::{CallerId, Gateway, PeerId};
 use crate::h1::HttpEffect;
 use crate::model::Timestamp;
@@ -25,6 +26,10 @@
 /// connection is closed.
 const MIN_PREFILL_TIME: Duration = Duration::from_millis(10);
 
+/// A prefill is taken to be unfinished for the time of the fastest one, divided by this: another one
+/// may be faster.
+const PACE_MARGIN: u32 = 2;
+
 /// What the answer to a request names.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Named {
@@ -71,6 +76,8 @@
 /// The requests whose calls have ended, by their connections.
 #[derive(Debug, Default)]
 pub(super) struct LateAnswers {
+    /// How fast prefills are answered at most.
+    pub pace: PrefillPace,
     open: BTreeMap<PeerId, LateAnswer>,
 }
 
@@ -102,8 +109,10 @@
     pub(super) fn keep_prefill(&mut self, now: Timestamp, caller: CallerId) -> bool {
         let Some(shape) = self.shape(caller) else { return false };
         let Some(call) = self.calls.get_mut(&caller) else { return false };
+        let prompt = call.info.work.as_ref().map_or(0, |w| w.prompt);
         let Stage::Prefill { attempt, .. } = &mut call.stage else { return false };
-        if now - attempt.since < MIN_PREFILL_TIME {
+        let least = self.late_answers.pace.least(prompt) / PACE_MARGIN;
+        if now - attempt.since < least.max(MIN_PREFILL_TIME) {
             return false;
         }
         let (peer, endpoint, usage) = (attempt.peer, attempt.endpoint, attempt.usage);
--- a/src/gateway/waste.rs
+++ b/src/gateway/waste.rs
@@ -1,16 +1,49 @@
-//! Prompt tokens that engines have processed without use for a complete answer.
+//! Prompt tokens that engines have processed without use for a complete answer, and prefills that
+//! can't be of use.
 //!
 //! A prompt counts once for each engine that processed it and whose work was given up: a prefill
 //! whose export no run has used, or a run that the call didn't end with.
 
-use super::call::{Handoff, Stage};
+use std::time::Duration;
+
+use super::answer;
+use super::call::{Handoff, Reservation, Stage};
 use super::fleet::EndpointKey;
 use super::outcome::Failure;
+use super::reason::EndReason;
 use super::{CallerId, Gateway};
+use crate::control::dispatch::rooms::RunEnd;
 use crate::model::Timestamp;
 use crate::report::observation::{Observation, WasteCause};
 use crate::role::Output;
 
+/// The minimum prompt from which the pace of prefills is learned; shorter ones take a fixed time
+/// mostly.
+const MIN_PROMPT_TOKENS: u32 = 500;
+
+/// The fastest prefill that a gateway has seen: no other one is expected to be faster.
+#[derive(Debug, Default)]
+pub(super) struct PrefillPace {
+    /// In tokens a second; 0 if none was seen.
+    fastest: u64,
+}
+
+impl PrefillPace {
+    /// Records that a prefill was answered.
+    pub fn answered(&mut self, prompt: u32, took: Duration) {
+        if prompt >= MIN_PROMPT_TOKENS {
+            let micros = u64::try_from(took.as_micros()).unwrap_or(u64::MAX).max(1);
+            self.fastest = self.fastest.max(u64::from(prompt) * 1_000_000 / micros);
+        }
+    }
+
+    /// Returns the time that the prefill of a prompt takes at least.
+    pub fn least(&self, prompt: u32) -> Duration {
+        let micros = (u64::from(prompt) * 1_000_000).checked_div(self.fastest);
+        Duration::from_micros(micros.unwrap_or(0))
+    }
+}
+
 /// An attempt at a call that has failed, after it was decided how the call goes on.
 #[derive(Debug)]
 pub(super) struct Spent<'a> {
@@ -45,6 +78,25 @@
         }
     }
 
+    /// Returns whether the prompt of a call can be processed before the call's deadline.
+    pub(super) fn has_prefill_time(&self, now: Timestamp, caller: CallerId) -> bool {
+        let Some(call) = self.calls.get(&caller) else { return false };
+        let prompt = call.info.work.as_ref().map_or(0, |w| w.prompt);
+        self.late_answers.pace.least(prompt) < call.remaining(now)
+    }
+
+    /// Gives back the reservation of a call whose prompt can't be processed in time, and ends the call.
+    pub(super) fn end_without_prefill(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        decode: &Reservation,
+    ) {
+        self.report_run_end(caller, RunEnd::Refused);
+        self.release(now, decode.endpoint, decode.usage);
+        self.conclude(now, caller, answer::out_of_time(), EndReason::Deadline);
+    }
+
     /// Counts the prompt of a call after a failed attempt.
     pub(super) fn waste_attempt(
         &mut self,
--- a/tests/wasted_prompts.rs
+++ b/tests/wasted_prompts.rs
@@ -194,3 +194,61 @@
     assert!(!is_retried(&f));
     assert!(f.answers[&1].aborted);
 }
+
+/// Completes a call whose prefill of 3,000 tokens takes 300 ms: the gateway has seen no faster one.
+fn learn_pace(f: &mut Fixture) {
+    f.model_call(90, "/draft/a", "3000,100");
+    let hold = f.take_sent();
+    f.answer(&hold, 200, &[], "hold h1");
+    let prefill = f.take_sent();
+    f.advance(300);
+    f.answer(&prefill, 200, &[], "export e1");
+    let run = f.take_sent();
+    f.answer(&run, 200, &[], "id: 1\ndata: a\n\n");
+    assert!(f.answers[&90].complete);
+}
+
+// Guards against a prefill that goes on after its caller has left, although its answer can't be on
+// its way.
+#[test]
+fn prefill_that_can_not_have_ended_is_cancelled_when_its_caller_leaves() {
+    let mut f = ready();
+    learn_pace(&mut f);
+    let prefill = prefill(&mut f, "/draft/a");
+    leave(&mut f);
+    assert!(f.hung_up.contains(&prefill.peer));
+    assert_eq!(wasted(&mut f), []);
+}
+
+// Guards against exports that stay behind: the answer may be on its way.
+#[test]
+fn prefill_that_may_have_ended_is_kept_until_its_answer() {
+    let mut f = ready();
+    learn_pace(&mut f);
+    let prefill = prefill(&mut f, "/draft/a");
+    f.advance(60);
+    leave(&mut f);
+    assert!(!f.hung_up.contains(&prefill.peer));
+    f.answer(&prefill, 200, &[], "export e1");
+    let freed = f.sent.iter().any(|s| &*s.head.target == "/export/e1");
+    assert!(freed, "expected the export to be freed");
+}
+
+// Guards against a prefill that can't end before the call's deadline.
+#[test]
+fn prefill_that_can_not_end_in_time_is_not_begun() {
+    for (patience, begun) in [("290", false), ("400", true)] {
+        let mut f = ready();
+        learn_pace(&mut f);
+        let fields = [("Model", "m"), ("Tokens", "3000,100"), ("Patience-Ms", patience)];
+        f.call(1, "/draft/a", &fields);
+        let hold = f.take_sent();
+        f.answer(&hold, 200, &[], "hold h2");
+        let next = f.take_sent();
+        assert_eq!(next.field("Stage").is_some(), begun, "{patience} ms");
+        if !begun {
+            assert_eq!(&*next.head.target, "/hold/h2", "expected the reservation to be dropped");
+            assert_eq!(f.answers[&1].status, 503);
+        }
+    }
+}
