Let no decode endpoint process a prompt that can't end in time

Cause: a call without a prefill endpoint ran completely at its decode endpoint however little time it had left. Prompts are processed there at half the speed and slow down all other runs.

Change: such a run begins only if twice the time of the fastest prefill seen is left until the call's deadline; otherwise the call is refused and its reservation dropped.

Result: a test in tests/wasted_prompts.rs. Tests gateway, gateway_shutdown, late_exports, prompts, rooms, silent_endpoints, stops_fuzz and versions pass.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -171,8 +171,13 @@
         }
     }
 
-    /// Runs a complete call on the decode endpoint that has granted its reservation.
+    /// Runs a complete call on the decode endpoint that has granted its reservation, unless that
+    /// can't process the prompt in time.
     fn run_whole(&mut self, now: Timestamp, caller: CallerId, decode: Reservation) {
+        if !self.has_whole_time(now, caller) {
+            self.end_without_prefill(now, caller, &decode);
+            return;
+        }
         // The reserved usage is counted again for the attempt by `run_on`.
         self.release(now, decode.endpoint, decode.usage);
         let (endpoint, usage) = (decode.endpoint, decode.usage);
--- a/src/gateway/waste.rs
+++ b/src/gateway/waste.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use super::answer;
-use super::call::{Handoff, Reservation, Stage};
+use super::call::{Call, Handoff, Reservation, Stage};
 use super::fleet::EndpointKey;
 use super::outcome::Failure;
 use super::reason::EndReason;
@@ -21,6 +21,9 @@
 /// mostly.
 const MIN_PROMPT_TOKENS: u32 = 500;
 
+/// How many times longer a decode endpoint takes to process a prompt than a prefill endpoint.
+const DECODE_SLOWDOWN: u32 = 2;
+
 /// The fastest prefill that a gateway has seen: no other one is expected to be faster.
 #[derive(Debug, Default)]
 pub(super) struct PrefillPace {
@@ -78,11 +81,21 @@
         }
     }
 
-    /// Returns whether the prompt of a call can be processed before the call's deadline.
+    /// Returns whether a prefill endpoint can process the prompt of a call before the call's deadline.
     pub(super) fn has_prefill_time(&self, now: Timestamp, caller: CallerId) -> bool {
         let Some(call) = self.calls.get(&caller) else { return false };
-        let prompt = call.info.work.as_ref().map_or(0, |w| w.prompt);
-        self.late_answers.pace.least(prompt) < call.remaining(now)
+        self.least_prefill(call) < call.remaining(now)
+    }
+
+    /// Returns whether a decode endpoint can process the prompt of a call, beside the runs that it
+    /// slows down by that, before the call's deadline.
+    pub(super) fn has_whole_time(&self, now: Timestamp, caller: CallerId) -> bool {
+        let Some(call) = self.calls.get(&caller) else { return false };
+        self.least_prefill(call) * DECODE_SLOWDOWN < call.remaining(now)
+    }
+
+    fn least_prefill(&self, call: &Call) -> Duration {
+        self.late_answers.pace.least(call.info.work.as_ref().map_or(0, |w| w.prompt))
     }
 
     /// Gives back the reservation of a call whose prompt can't be processed in time, and ends the call.
--- a/tests/wasted_prompts.rs
+++ b/tests/wasted_prompts.rs
@@ -252,3 +252,25 @@
         }
     }
 }
+
+// Guards against a run that slows down all others at its decode endpoint and can't end in time.
+#[test]
+fn decode_endpoint_does_not_process_a_prompt_that_can_not_end_in_time() {
+    for (patience, begun) in [("550", false), ("700", true)] {
+        let mut f = ready();
+        learn_pace(&mut f);
+        f.withdraw("f1");
+        f.withdraw("f2");
+        f.advance(600);
+        let fields = [("Model", "m"), ("Tokens", "3000,100"), ("Patience-Ms", patience)];
+        f.call(1, "/draft/a", &fields);
+        let hold = f.take_sent();
+        f.answer(&hold, 200, &[], "hold h2");
+        let next = f.take_sent();
+        assert_eq!(next.field("Hold"), begun.then_some("h2"), "{patience} ms");
+        if !begun {
+            assert_eq!(&*next.head.target, "/hold/h2", "expected the reservation to be dropped");
+            assert_eq!(f.answers[&1].status, 503);
+        }
+    }
+}
