--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -11,6 +11,7 @@
 use crate::control::dispatch::rooms::RunEnd;
 use crate::entry::health::Verdict;
 use crate::model::{EndpointKind, Timestamp};
+use crate::report::observation::WasteCause;
 use crate::routes::EngineShape;
 
 /// The maximum of prompt tokens that one gateway has open at a prefill endpoint before it sends
@@ -100,6 +101,8 @@
         }
         if !self.may_run(now, caller, decode.endpoint) || !self.can_end(now, caller) {
             self.replace_decode(now, caller, decode);
+        } else if !self.has_prefill_time(now, caller) {
+            self.end_without_prefill(now, caller, &decode);
         } else if skips_prefill {
             self.run_whole(now, caller, decode);
         } else if !self.request_prefill(now, caller, decode) {
@@ -171,8 +174,13 @@
         }
     }
 
-    /// Runs a complete call on the decode endpoint that has granted its reservation.
+    /// Runs a complete call on the decode endpoint that has granted its reservation, unless that
+    /// can't process the prompt in time.
     fn run_whole(&mut self, now: Timestamp, caller: CallerId, decode: Reservation) {
+        if !self.has_whole_time(now, caller) {
+            self.end_without_prefill(now, caller, &decode);
+            return;
+        }
         // The reserved usage is counted again for the attempt by `run_on`.
         self.release(now, decode.endpoint, decode.usage);
         let (endpoint, usage) = (decode.endpoint, decode.usage);
@@ -278,6 +286,8 @@
         call.first_run = !call.exported;
         call.credit.add(u32::from(!call.exported));
         call.exported = true;
+        let prompt = call.info.work.as_ref().map_or(0, |w| w.prompt);
+        self.late_answers.pace.answered(prompt, now - attempt.since);
         self.release_attempt(now, &attempt);
         self.learn_prefill_time(now, &attempt);
         let Some(source) = self.fleet.get_mut(attempt.endpoint) else { return };
@@ -299,6 +309,8 @@
             return;
         }
         self.free_export(now, from.source, &from.export.handle);
+        let cause = if in_time { WasteCause::NoDecodeCapacity } else { WasteCause::ShuttingDown };
+        self.waste_prompt(caller, cause);
         if !in_time {
             self.conclude(now, caller, answer::shutting_down(), EndReason::ShuttingDown);
         } else if !self.wait_for_run(now, caller) {
--- a/src/gateway/stopping.rs
+++ b/src/gateway/stopping.rs
@@ -9,6 +9,7 @@
 use super::{CallerId, Gateway, answer};
 use crate::h1::{HttpEffect, HttpInput, Purpose, Request};
 use crate::model::Timestamp;
+use crate::report::observation::WasteCause;
 use crate::role::{Input, Output};
 use crate::routes::Route;
 use crate::shutdown::{Phase, ShutdownTerms};
@@ -75,6 +76,19 @@
         times.and_then(|t| t.rest(progress)).map_or(limit, |rest| rest.min(limit))
     }
 
+    /// Returns whether a further attempt at a stream may end before the call's deadline, by how long
+    /// the last streams of its route took. Otherwise it would only use an engine.
+    pub(super) fn may_end_in_time(&self, now: Timestamp, call: &Call) -> bool {
+        let times = call.route().and_then(|route| self.stream_times.get(&route.name));
+        let lasted = match call.delivered.first {
+            // What the caller has of the stream is not written again.
+            Some(_) => now - call.arrived,
+            None => Duration::ZERO,
+        };
+        let least = times.filter(|_| call.is_stream()).and_then(|t| t.least_rest(lasted));
+        least.is_none_or(|least| least <= call.remaining(now))
+    }
+
     /// Remembers how long a complete stream has lasted; one that resumes another is only a part.
     pub(super) fn record_stream(&mut self, now: Timestamp, call: &Call) {
         let Some(route) = call.route().filter(|_| !call.is_resumption()) else { return };
@@ -92,7 +106,7 @@
         let queued: Vec<CallerId> = queued.map(|(caller, _)| *caller).collect();
         for caller in queued {
             if !self.can_end(now, caller) {
-                self.stop_work(now, caller);
+                self.stop_work(now, caller, WasteCause::ShuttingDown);
                 self.conclude(now, caller, answer::shutting_down(), EndReason::ShuttingDown);
             }
         }
@@ -123,7 +137,7 @@
         }
         let open: Vec<CallerId> = self.calls.keys().copied().collect();
         for caller in open {
-            let ran = self.stop_call(now, caller);
+            let ran = self.stop_call(now, caller, WasteCause::ShuttingDown);
             let refusal = if ran { answer::failed() } else { answer::shutting_down() };
             self.conclude(now, caller, refusal, EndReason::ShuttingDown);
         }
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -83,6 +83,7 @@
     quotas: IntCounterVec,
     /// What clients take up.
     pub clients: ClientMetrics,
+    wasted_tokens: IntCounterVec,
 }
 
 impl Metrics {
@@ -221,6 +222,11 @@
                 &["account", "outcome"],
             )?,
             clients: ClientMetrics::new(&make)?,
+            wasted_tokens: make.counters(
+                "prompt_tokens_wasted_total",
+                "Prompt tokens that engines processed for a gateway without use",
+                &["cause"],
+            )?,
             registry,
         })
     }
@@ -282,6 +288,9 @@
                 let account = bounded_label(&self.accounts, &account, MAX_ACCOUNTS);
                 self.quotas.with_label_values(&[&*account, outcome.as_str()]).inc();
             }
+            Observation::PromptWasted { cause, tokens } => {
+                self.wasted_tokens.with_label_values(&[cause.as_str()]).inc_by(tokens.into());
+            }
             Observation::Origins { recorded, held } => {
                 self.recorded.inc_by(recorded as u64);
                 self.origins.set(held as i64);
--- a/tests/return_times.rs
+++ b/tests/return_times.rs
@@ -165,9 +165,7 @@
             spare: if call.late { KV_TOKENS * 15 / 100 } else { 0 },
             memory: KV_TOKENS,
             slots: 12,
-            candidates: (0..ENDPOINTS)
-                .map(|at| Candidate { endpoint: format!("d{at}").into(), local: true, speed: None })
-                .collect(),
+            candidates: (0..ENDPOINTS).map(|at| Candidate::new(&format!("d{at}"), true)).collect(),
             call: WaitingCall {
                 number,
                 service: "s".into(),
