--- a/src/h1/driver/bounds.rs
+++ b/src/h1/driver/bounds.rs
@@ -10,9 +10,8 @@
 use crate::report::clients::ClientLimit;
 use crate::role::Role;
 
-/// The most bytes that are kept for one caller that does not read its answer: more than the largest
-/// answer that a gateway keeps until it is complete.
-const MAX_UNREAD_BYTES: usize = 9 << 20;
+/// The most bytes that are kept for one caller that does not read its answer.
+const MAX_UNREAD_BYTES: usize = 12 << 20;
 /// Answers with fewer unread bytes are not given up while the role writes them.
 const LARGE_BYTES: usize = 256 << 10;
 /// How many callers are read on at a time once memory is free again.
