Draw one random number for the choice of a plain endpoint

Cause: the share that leaves a failure domain took a draw of its own for each plain call, which changed the sequence of draws of gateways without a share.

Change: both decisions use one draw. Recorded lines may be unused in tests that include them.

--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -51,12 +51,12 @@
 
     /// Returns an endpoint with capacity at which a call was not tried yet.
     pub(super) fn pick_other(&mut self, now: Timestamp, caller: CallerId) -> Option<EndpointKey> {
-        let (draw, spill_draw) = (self.draw(), self.draw());
+        let draw = self.draw();
         let call = self.calls.get(&caller)?;
         let (terms, choice) = (self.settings.domains, call.choice());
         // A retry may go anywhere: the endpoints that remain are compared by the crossing.
         let spill = self.spills.get_mut(choice.service).filter(|_| choice.tried.is_empty());
-        let leaves = spill.and_then(|spill| spill.leaves(now, terms, spill_draw));
+        let leaves = spill.and_then(|spill| spill.leaves(now, terms, draw));
         self.fleet.pick_plain(now, choice, terms, leaves, draw)
     }
 
--- a/tests/client_quotas.rs
+++ b/tests/client_quotas.rs
@@ -3,7 +3,6 @@
 
 mod gateway_fixture;
 // Other tests use the rest of it.
-#[allow(dead_code)]
 mod recorded_lines;
 
 use std::net::SocketAddr;
--- a/tests/recorded_lines/mod.rs
+++ b/tests/recorded_lines/mod.rs
@@ -1,5 +1,7 @@
 //! Records the log lines of the test's thread, on which roles are stepped.
 
+#![allow(dead_code)]
+
 use std::cell::RefCell;
 use std::sync::Once;
 
