Count endpoints without an estimate as of the usual speed

Cause: an endpoint without an estimate counted as 0.8 of the usual speed. At low load, with one call at a time, it got none, so nothing was learned of it: an endpoint that had answered 421 stayed unused after its newer heartbeat.

Change: it counts as of the usual speed and gets its equal part of the work.

--- a/src/gateway/place/speed.rs
+++ b/src/gateway/place/speed.rs
@@ -31,10 +31,8 @@
 /// How far an endpoint counts as slower or faster than usual, in percent. A report that is wrong by
 /// four times moves a placement no further.
 const PERCENTS: [u32; 9] = [33, 41, 51, 64, 80, 100, 125, 156, 195];
-/// The percentage of the usual speed of an endpoint without an estimate beside others with one: it
-/// gets work only after those of the usual speed.
-const UNKNOWN_PERCENT: u32 = 80;
-/// The speed of all endpoints while nothing is learned.
+/// The speed of an endpoint without an estimate: it gets as much work as those of the usual speed, and
+/// is measured by that. With 80 %, one that came back got no call at all at low load.
 pub const USUAL_PERCENT: u32 = 100;
 
 /// Work for each second: prompt tokens, thousandths of a decode step, or thousandths of a call.
@@ -182,13 +180,13 @@
 ///
 /// let rate = |rate| Some(WorkRate(rate));
 /// assert_eq!(percents(&[rate(1_200), None]), [100, 100]);
-/// assert_eq!(percents(&[rate(1_200), rate(550), None, rate(1_210)]), [100, 41, 80, 100]);
+/// assert_eq!(percents(&[rate(1_200), rate(550), None, rate(1_210)]), [100, 41, 100, 100]);
 /// assert_eq!(percents(&[rate(1_000), rate(1_000_000), rate(1_000)]), [100, 195, 100]);
 /// ```
 pub fn percents(rates: &[Option<WorkRate>]) -> Vec<u32> {
     let Some(usual) = usual_rate(rates) else { return vec![USUAL_PERCENT; rates.len()] };
     let percent = |rate: &Option<WorkRate>| {
-        let Some(rate) = rate else { return UNKNOWN_PERCENT };
+        let Some(rate) = rate else { return USUAL_PERCENT };
         let exact = u64::from(rate.0) * 100 / u64::from(usual.0.max(1));
         let distance = |step: &&u32| u64::from(**step).abs_diff(exact);
         PERCENTS.iter().min_by_key(distance).copied().unwrap_or(USUAL_PERCENT)
