Let calls wait longer for credit while the leader does not answer

Cause: while control elected a leader, calls of accounts with a quota were refused after 90 ms with a short retry time, so their callers met the same election with their only retry.

Change: a call waits for up to half of its latency target, and a caller that is refused for silence is told to come back after the time of an election.

--- a/src/gateway/admit/charge.rs
+++ b/src/gateway/admit/charge.rs
@@ -5,7 +5,7 @@
 
 use super::super::{Gateway, answer};
 use super::lines::QuotaLines;
-use super::quota::{CREDIT_WAIT, Contact, Decision, Quotas};
+use super::quota::{CREDIT_WAIT, Contact, Decision, ELECTION_WAIT, Quotas};
 use super::returns::spread_return;
 use crate::control::dispatch::bucket::{AccountLimit, cost};
 use crate::gateway::call::{Call, Stage};
@@ -20,6 +20,9 @@
 /// How long the leader is silent before another member is asked who leads: a single answer may be
 /// late because a process stood still.
 const SILENT_TIME: Duration = Duration::from_millis(150);
+/// The part of its latency target, in percent, that a call may wait for a leader that does not answer:
+/// one that is refused while control elects a leader meets the same election when it comes back.
+const SILENT_WAIT_PERCENT: u32 = 50;
 /// The shortest retry time of a caller over its quota.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// The part of its retry time, in percent, by which the retry of a caller is put off at random.
@@ -54,7 +57,7 @@
             && let Some(call) = self.calls.get_mut(&caller)
         {
             call.stage = Stage::Credit;
-            call.reply_deadline = now + CREDIT_WAIT;
+            call.reply_deadline = now + credit_wait(call);
             self.schedule(caller);
             return false;
         }
@@ -165,7 +168,8 @@
         let account = self.calls.get(&caller).and_then(Call::account);
         let Some(name) = account.map(|account| account.name.clone()) else { return };
         let after = self.charging.quotas.give_up(now, &name, caller);
-        self.apply_decision(now, caller, Decision::Refused(after));
+        // The leader did not answer, so there may be none for as long as an election takes.
+        self.apply_decision(now, caller, Decision::Refused(after.max(ELECTION_WAIT)));
     }
 
     /// Forgets that a call waits for credit.
@@ -281,3 +285,9 @@
     let quota = table.accounts().named(name)?.quota.as_ref()?;
     Some(AccountLimit::new(table.version(), quota))
 }
+
+/// Returns how long a call may wait for credit. The leader answers much sooner, unless there is none.
+fn credit_wait(call: &Call) -> Duration {
+    let target = call.route().map(|route| route.target).unwrap_or_default();
+    CREDIT_WAIT.max(target * SILENT_WAIT_PERCENT / 100)
+}
