--- a/src/h1/driver/callers.rs
+++ b/src/h1/driver/callers.rs
@@ -67,12 +67,13 @@
     fn handle_request(&mut self, now: Timestamp, caller: CallerId, request: Request) {
         let Some(purpose) = self.callers.get(&caller).map(|c| c.purpose) else { return };
         if purpose == Purpose::Pages && request.head.path() == "/metrics" {
+            let keep = !request.head.wants_close();
             let bytes = match self.metrics.text() {
-                Ok(text) => write::answer(200, &[], "text/plain", text.as_bytes(), true),
-                Err(e) => write::answer(500, &[], "text/plain", format!("{e:#}").as_bytes(), true),
+                Ok(text) => write::answer(200, &[], "text/plain", text.as_bytes(), keep),
+                Err(e) => write::answer(500, &[], "text/plain", format!("{e:#}").as_bytes(), keep),
             };
             self.apply(now, HttpEffect::Reply { caller, bytes });
-            self.apply(now, HttpEffect::Finish { caller, keep: true });
+            self.apply(now, HttpEffect::Finish { caller, keep });
             return;
         }
         self.step(now, Input::Local(HttpInput::Request { caller, purpose, request }));
--- a/src/report/pages.rs
+++ b/src/report/pages.rs
@@ -97,9 +97,6 @@
 }
 
 fn read_announcement(body: &[u8]) -> Result<Announcement, String> {
-    if body.is_empty() {
-        return Err("it has no body".into());
-    }
     if body.len() > MAX_ANNOUNCEMENT_BYTES {
         return Err(format!("it has over {MAX_ANNOUNCEMENT_BYTES} bytes"));
     }
