Put reports and learned speeds into folders of the gateway

Cause: the polls of reports and what a gateway learns were flat files beside forty others.

Change: they are in gateway/reports and gateway/place. Comments say VM as the rest of the code does.

--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -98,7 +98,7 @@
     /// api, otherwise 65
     #[argh(option)]
     pub grace: Option<String>,
-    /// memory of the process's machine in MB, of which callers may take up a part; 256 if not given
+    /// memory of the process's VM in MB, of which callers may take up a part; 256 if not given
     #[argh(option)]
     pub memory_mb: Option<String>,
     /// descriptors that the process may have open; 65536 if not given
--- a/src/cli/settings.rs
+++ b/src/cli/settings.rs
@@ -22,7 +22,7 @@
 const DEFAULT_CONNECTIONS: usize = 16_384;
 /// The largest limit of calls or connections that a setting may have.
 const MAX_OPEN: usize = 1_000_000;
-/// The default memory of a process's machine, in MB.
+/// The default memory of a process's VM, in MB.
 const DEFAULT_MEMORY_MB: usize = 256;
 /// The default limit of open descriptors.
 const DEFAULT_FDS: usize = 65_536;
@@ -130,7 +130,7 @@
     pub grace: Duration,
     /// The TCP address for health, readiness, metrics and announcements.
     pub pages: Option<SocketAddr>,
-    /// The memory of the process's machine, in MB.
+    /// The memory of the process's VM, in MB.
     pub memory: usize,
     /// The number of descriptors that the process may have open.
     pub max_fds: usize,
--- a/src/gateway/learn.rs
+++ b/src/gateway/place/learn.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use super::call::{Attempt, Call};
-use super::fleet::EndpointKey;
-use super::place::locality::named_crossing;
-use super::place::step_under_load;
-use super::{CallerId, Gateway};
 use crate::control::dispatch::Candidate;
+use crate::gateway::call::{Attempt, Call};
+use crate::gateway::fleet::EndpointKey;
+use crate::gateway::place::locality::named_crossing;
+use crate::gateway::place::step_under_load;
+use crate::gateway::{CallerId, Gateway};
 use crate::model::Timestamp;
 
 /// The maximum number of endpoints in one request to the leader.
@@ -24,7 +24,7 @@
 
 impl Gateway {
     /// Logs the slowest endpoints from time to time.
-    pub(super) fn log_slow(&mut self, now: Timestamp) {
+    pub(in crate::gateway) fn log_slow(&mut self, now: Timestamp) {
         if now < self.next_slow_log {
             return;
         }
@@ -42,7 +42,7 @@
 
     /// Learns the speed of the endpoint of a plain call that is answered. Answers with an error are
     /// quicker than others and say nothing of it.
-    pub(super) fn learn_service_time(&mut self, now: Timestamp, call: &mut Call) {
+    pub(in crate::gateway) fn learn_service_time(&mut self, now: Timestamp, call: &mut Call) {
         let is_plain = call.info.work.is_none();
         let Some(attempt) = call.attempt().filter(|_| is_plain) else { return };
         let took = now - attempt.since;
@@ -54,7 +54,12 @@
     }
 
     /// Learns the speed of the decode endpoint that has sent events of a call.
-    pub(super) fn learn_step_time(&mut self, now: Timestamp, caller: CallerId, events: usize) {
+    pub(in crate::gateway) fn learn_step_time(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        events: usize,
+    ) {
         let Some(shape) = self.shape(caller) else { return };
         let Some(call) = self.calls.get_mut(&caller).filter(|c| c.info.work.is_some()) else {
             return;
@@ -69,7 +74,7 @@
 
     /// Learns the speed of a prefill endpoint from a prefill that has succeeded: it has prefilled
     /// the prompts ahead in the same time.
-    pub(super) fn learn_prefill_time(&mut self, now: Timestamp, attempt: &Attempt) {
+    pub(in crate::gateway) fn learn_prefill_time(&mut self, now: Timestamp, attempt: &Attempt) {
         let work = u64::from(attempt.usage.tokens) + u64::from(attempt.ahead);
         if let Some(endpoint) = self.fleet.get_mut(attempt.endpoint) {
             endpoint.learn(now, work, now - attempt.since);
@@ -78,7 +83,7 @@
 
     /// Returns the endpoints as they are named to the leader, with what was learned of their speed
     /// since they were last named.
-    pub(super) fn candidates(
+    pub(in crate::gateway) fn candidates(
         &mut self,
         now: Timestamp,
         open: &[(EndpointKey, bool)],
--- a/src/gateway/place/mod.rs
+++ b/src/gateway/place/mod.rs
@@ -7,6 +7,7 @@
 //! transferred between them. Of those with capacity, the one with the least expected time by its
 //! learned speed is chosen; where no speeds are learned, the least loaded one.
 
+mod learn;
 pub mod locality;
 pub mod pace;
 pub mod speed;
--- a/src/gateway/place/speed.rs
+++ b/src/gateway/place/speed.rs
@@ -32,7 +32,7 @@
 /// four times moves a placement no further.
 const PERCENTS: [u32; 9] = [33, 41, 51, 64, 80, 100, 125, 156, 195];
 /// The speed of an endpoint without an estimate: it gets as much work as those of the usual speed, and
-/// is measured by that. With 80 %, one that came back got no call at all at low load.
+/// is learned from that. If it counted as slower, one that comes back would get no call at low load.
 pub const USUAL_PERCENT: u32 = 100;
 
 /// Work for each second: prompt tokens, thousandths of a decode step, or thousandths of a call.
--- a/src/gateway/reports.rs
+++ b/src/gateway/reports/mod.rs
@@ -1,17 +1,19 @@
 //! Side requests to engines: load reports, and releasing KV cache and reservations.
 
+pub mod polls;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::fleet::{Endpoint, EndpointKey, Job};
-use super::polls::{Others, Polls, Wanted};
-use super::protocol::{EngineReport, SideRequest};
-use super::{Gateway, PeerId};
 use crate::entry::health::Verdict;
+use crate::gateway::fleet::{Endpoint, EndpointKey, Job};
+use crate::gateway::protocol::{EngineReport, SideRequest};
+use crate::gateway::{Gateway, PeerId};
 use crate::h1::HttpEffect;
 use crate::link::message::EngineTag;
 use crate::model::Timestamp;
 use crate::registry::HeardLoad;
+use polls::{Others, Polls, Wanted};
 
 /// How long after the last call to a service its engines are polled for reports.
 const CALLED_WINDOW: Duration = Duration::from_millis(3_000);
@@ -23,7 +25,7 @@
 
 /// The reports of engines that a gateway uses.
 #[derive(Debug)]
-pub(super) struct EngineReports {
+pub(in crate::gateway) struct EngineReports {
     /// The engines that it polls.
     polls: Polls<EndpointKey>,
     /// When it decides next which engines it polls.
@@ -42,7 +44,7 @@
 
 impl Gateway {
     /// Requests reports from the engines of recently called services that this gateway polls.
-    pub(super) fn fetch_reports(&mut self, now: Timestamp) {
+    pub(in crate::gateway) fn fetch_reports(&mut self, now: Timestamp) {
         self.reports.called.retain(|_, at| now - *at < POLLER_WINDOW);
         let wanted = self.wanted_reports(now);
         let grown = self.reports.polls.want(now, &wanted);
@@ -61,7 +63,7 @@
     }
 
     /// Records a call to a service; the reports of its engines are requested with the next heartbeat.
-    pub(super) fn note_called(&mut self, now: Timestamp, service: Box<str>) {
+    pub(in crate::gateway) fn note_called(&mut self, now: Timestamp, service: Box<str>) {
         let last = self.reports.called.insert(service, now);
         if last.is_none_or(|at| now - at >= CALLED_WINDOW) {
             self.reports.next = self.reports.next.min(now);
@@ -81,7 +83,7 @@
     }
 
     /// Applies the reports that other gateways have fetched.
-    pub(super) fn apply_reports(&mut self, now: Timestamp) {
+    pub(in crate::gateway) fn apply_reports(&mut self, now: Timestamp) {
         let heard = self.follower.take_reports();
         if heard.is_empty() {
             return;
@@ -109,7 +111,12 @@
     }
 
     /// Frees an export that no decode endpoint will fetch.
-    pub(super) fn free_export(&mut self, now: Timestamp, endpoint: EndpointKey, handle: &str) {
+    pub(in crate::gateway) fn free_export(
+        &mut self,
+        now: Timestamp,
+        endpoint: EndpointKey,
+        handle: &str,
+    ) {
         self.send_side_request(
             now,
             endpoint,
@@ -119,14 +126,19 @@
     }
 
     /// Sends a request to drop a reservation at an engine.
-    pub(super) fn send_hold_drop(&mut self, now: Timestamp, endpoint: EndpointKey, hold: Box<str>) {
+    pub(in crate::gateway) fn send_hold_drop(
+        &mut self,
+        now: Timestamp,
+        endpoint: EndpointKey,
+        hold: Box<str>,
+    ) {
         self.send_side_request(now, endpoint, Job::Free, &SideRequest::Drop { hold });
     }
 
     /// Sends a side request to an engine and returns the connection that carries it. One that
     /// leaves is only asked to release what it keeps; one that backs off is asked for nothing, since
     /// exports and reservations expire there by themselves.
-    pub(super) fn send_side_request(
+    pub(in crate::gateway) fn send_side_request(
         &mut self,
         now: Timestamp,
         endpoint: EndpointKey,
@@ -161,7 +173,7 @@
     }
 
     /// Handles the complete answer to a report request or a release.
-    pub(super) fn job_ended(
+    pub(in crate::gateway) fn job_ended(
         &mut self,
         now: Timestamp,
         job: Job,
@@ -195,7 +207,12 @@
     }
 
     /// Handles the loss of the connection of a report request or a release.
-    pub(super) fn job_failed(&mut self, now: Timestamp, endpoint: EndpointKey, connected: bool) {
+    pub(in crate::gateway) fn job_failed(
+        &mut self,
+        now: Timestamp,
+        endpoint: EndpointKey,
+        connected: bool,
+    ) {
         if let Some(endpoint) = self.fleet.get_mut(endpoint)
             && !connected
         {
@@ -205,7 +222,7 @@
     }
 
     /// Closes the connections of report requests and releases that have timed out.
-    pub(super) fn end_overdue_jobs(&mut self, now: Timestamp) {
+    pub(in crate::gateway) fn end_overdue_jobs(&mut self, now: Timestamp) {
         for (peer, endpoint) in self.fleet.close_overdue_jobs(now, SIDE_TIMEOUT) {
             self.effect(HttpEffect::HangUp { peer });
             self.job_failed(now, endpoint, false);
--- a/src/gateway/polls.rs
+++ b/src/gateway/reports/polls.rs
@@ -86,7 +86,7 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use dotterelpin::gateway::polls::{Others, Polls, Wanted};
+    /// use dotterelpin::gateway::reports::polls::{Others, Polls, Wanted};
     /// use dotterelpin::link::message::EngineTag;
     /// use dotterelpin::model::{BootId, Timestamp};
     ///
--- a/src/h1/budget/decide.rs
+++ b/src/h1/budget/decide.rs
@@ -43,7 +43,7 @@
 }
 
 impl Thresholds {
-    /// Returns the thresholds of a process on a machine with so much memory.
+    /// Returns the thresholds of a process on a VM with so much memory.
     ///
     /// ```
     /// use dotterelpin::h1::budget::Thresholds;
--- a/src/h1/budget/mod.rs
+++ b/src/h1/budget/mod.rs
@@ -17,7 +17,7 @@
 
 use super::Purpose;
 
-/// The memory of a machine whose size is not given, in bytes.
+/// The memory of a VM whose size is not given, in bytes.
 const DEFAULT_MEMORY: usize = 256 << 20;
 /// The limit of descriptors where none is given.
 const DEFAULT_FDS: usize = 65_536;
@@ -63,7 +63,7 @@
 }
 
 impl Budget {
-    /// Returns the budget of a process on a machine with `memory` bytes, which may have `max_fds`
+    /// Returns the budget of a process on a VM with `memory` bytes, which may have `max_fds`
     /// descriptors open.
     pub fn new(memory: usize, max_fds: usize) -> Budget {
         Budget {
--- a/tests/engine_reports.rs
+++ b/tests/engine_reports.rs
@@ -8,7 +8,7 @@
 
 use dotterelpin::control::reports::Reports;
 use dotterelpin::control::routing::RoutingUpdate;
-use dotterelpin::gateway::polls::{Others, Polls, Wanted};
+use dotterelpin::gateway::reports::polls::{Others, Polls, Wanted};
 use dotterelpin::link::Request;
 use dotterelpin::link::message::{
     AgedLoad, Beat, ControlReply, ControlRequest, EngineLoad, EngineTag, FetchedReport, Heartbeat,
