Ask again for urgent calls whatever else wakes a gateway, and mend findings of a review

Cause: each wake put off the next start of waiting calls by 100 ms, also if an urgent call was to ask again after 10 ms. A review of the whole change found: reports beyond the first 1,024 were never sent in a reply that was cut; a debt was stated twice if the reply came late; the rate of a request counted the time in which it was not read; lines of quotas and pauses by software version were kept for ever.

Change: the next start is no later than the end of an urgent pause; reports are sent by version, the oldest first; a late reply pays the debt that it charged; pauses don't count; what is over is removed.

--- a/src/control/reports.rs
+++ b/src/control/reports.rs
@@ -120,17 +120,20 @@
         let ranges = prefixes.map(|prefix| EngineTag::range(*prefix));
         let named = ranges.flat_map(|(first, last)| self.entries.range(first..=last));
         let newer = |e: &Entry| e.from != to && e.version > wanted.seen && now - e.at < REPORT_TTL;
-        let mut newer = named.filter(|(_, e)| newer(e));
-        for (tag, entry) in newer.by_ref().take(MAX_WANTED) {
+        let mut newer: Vec<_> = named.filter(|(_, e)| newer(e)).collect();
+        newer.sort_unstable_by_key(|(_, e)| e.version);
+        // The newest versions beyond the maximum are sent with the next replies.
+        let is_cut = newer.len() > MAX_WANTED;
+        newer.truncate(MAX_WANTED);
+        let last = newer.last().map(|(_, e)| e.version).filter(|_| is_cut);
+        for (tag, entry) in newer {
             let age = age_millis(now - entry.at);
             match entry.changed > wanted.seen {
                 true => changed.push(AgedLoad { tag: *tag, age, load: entry.load }),
                 false => same.push((*tag, age)),
             }
         }
-        // The rest is sent with the next reply.
-        let seen = if newer.next().is_none() { self.version } else { wanted.seen };
-        ReportsHeard { seen, changed, same }
+        ReportsHeard { seen: last.unwrap_or(self.version), changed, same }
     }
 
     /// Returns the number of engines of which a report is kept.
--- a/src/gateway/admit/asking.rs
+++ b/src/gateway/admit/asking.rs
@@ -24,6 +24,18 @@
         now < *until || self.calls.values().any(asks)
     }
 
+    /// Returns when the next pause of an urgent kind of call is over.
+    pub(in crate::gateway) fn next_urgent(&self, now: Timestamp) -> Timestamp {
+        let urgent = self.capacity_backoff.iter().filter(|((_, rank, _), _)| rank.is_urgent());
+        let ends = urgent.map(|(_, until)| *until).filter(|until| *until > now);
+        ends.min().unwrap_or(Timestamp::MAX)
+    }
+
+    /// Removes the pauses that are over, since their keys name software versions that come and go.
+    pub(in crate::gateway) fn forget_backoffs(&mut self, now: Timestamp) {
+        self.capacity_backoff.retain(|_, until| now < *until);
+    }
+
     /// Sends no request for capacity for some time, for calls of a key of which one got none.
     pub(in crate::gateway) fn back_off_capacity(&mut self, now: Timestamp, key: BackoffKey) {
         let (_, rank, _) = &key;
--- a/src/gateway/admit/lines.rs
+++ b/src/gateway/admit/lines.rs
@@ -7,6 +7,8 @@
 
 /// The time between two lines of one account with one outcome.
 const INTERVAL: Duration = Duration::from_secs(1);
+/// How long the number of dropped lines is kept for the next line.
+const RETENTION: Duration = Duration::from_secs(60);
 /// The maximum number of accounts and outcomes that are followed; the lines of further ones are
 /// dropped.
 const MAX_ENTRIES: usize = 4_096;
@@ -25,7 +27,9 @@
     pub fn admit(&mut self, now: Timestamp, account: &str, outcome: &'static str) -> Option<u64> {
         if now >= self.next_expiry {
             self.next_expiry = now + INTERVAL;
-            self.last.retain(|_, (at, dropped)| now - *at < INTERVAL || *dropped > 0);
+            self.last.retain(|_, (at, dropped)| {
+                now - *at < if *dropped > 0 { RETENTION } else { INTERVAL }
+            });
         }
         let key = (account.into(), outcome);
         if let Some((at, dropped)) = self.last.get_mut(&key) {
--- a/src/gateway/admit/local.rs
+++ b/src/gateway/admit/local.rs
@@ -40,6 +40,8 @@
     returned: u64,
     /// The oldest stamp of that credit.
     stamp: Timestamp,
+    /// The debt that it states.
+    debt: u64,
 }
 
 /// The credit of one account, and the calls that wait for it.
@@ -169,6 +171,7 @@
             calls: self.waiting.iter().take(MAX_CALLS).copied().collect(),
             returned: std::mem::take(&mut self.returned),
             stamp: std::mem::replace(&mut self.returned_stamp, Timestamp::MAX),
+            debt,
         };
         let request = AccountRequest {
             account: name.into(),
@@ -202,6 +205,10 @@
         let paid = asked.calls.iter().enumerate().filter(|(index, _)| is_paid(grant, *index));
         let paid: u64 = paid.map(|(_, wait)| wait.cost).sum();
         self.give_back(Charge { amount: paid + grant.ahead, stamp: Some(stamp) });
+        // The leader has charged the debt with this grant.
+        if let Some(bucket) = &mut self.alone {
+            bucket.level = bucket.level.saturating_add(signed(asked.debt));
+        }
     }
 
     /// Applies a grant of the leader with a stamp, for a request that was sent at a time.
--- a/src/gateway/admit/mod.rs
+++ b/src/gateway/admit/mod.rs
@@ -88,7 +88,7 @@
     /// Starts queued calls while there is capacity.
     pub(super) fn start_queued(&mut self, now: Timestamp) {
         self.capacity_freed = false;
-        self.next_start = now + START_INTERVAL;
+        self.next_start = self.next_urgent(now).min(now + START_INTERVAL);
         self.refuse_queued(now);
         let services: Vec<Box<str>> =
             self.queues.iter().filter(|(_, q)| !q.is_empty()).map(|(s, _)| s.clone()).collect();
--- a/src/gateway/admit/quota.rs
+++ b/src/gateway/admit/quota.rs
@@ -13,8 +13,7 @@
 use crate::control::dispatch::credits::{CreditsReply, CreditsRequest, PAID_TTL};
 use crate::model::{BootId, ExchangeId, Timestamp};
 
-/// How long the leader may take to answer; a gateway with a twentieth of a core stands still for up
-/// to 90 ms, in which an answer can't be received.
+/// How long the leader may take to answer.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(60);
 /// How long a call waits for credit.
 pub const CREDIT_WAIT: Duration = Duration::from_millis(90);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -315,6 +315,7 @@
     fn clean_up(&mut self, now: Timestamp) {
         self.next_cleanup = now + CLEANUP_INTERVAL;
         self.blocked.expire(now);
+        self.forget_backoffs(now);
         self.log_slow(now);
         self.report_runs(now);
         for peer in self.fleet.close_stale(now) {
--- a/src/gateway/place/locality.rs
+++ b/src/gateway/place/locality.rs
@@ -190,8 +190,8 @@
     terms.megabyte.map(|_| Duration::from_nanos(crossing(Work::Run, terms, 0)))
 }
 
-/// Over which time the answers of a side are averaged, in seconds. With 0.2 s a step of load was
-/// overshot by more than a tenth.
+/// The time over which the answers of a side are averaged, in seconds. With a longer one the share
+/// overshoots after a step of load.
 const SMOOTHING: f64 = 0.1;
 /// In which time a measured delay counts for a third, in seconds: a gateway that sends all its calls
 /// away learns nothing of its own domain.
--- a/src/h1/budget/progress.rs
+++ b/src/h1/budget/progress.rs
@@ -61,7 +61,8 @@
 
     /// Notes that the request is read on; the time in which it was not read doesn't count.
     pub fn resume(&mut self, now: Timestamp) {
-        if self.paused.take().is_some() {
+        if let Some(since) = self.paused.take() {
+            self.started = self.started + (now - since);
             self.touched = now;
             self.window = now;
         }
