Use the constructor of candidates in the example of waiting calls

Cause: the example named two of the fields of a candidate; the merge with learned speeds added three, and its doc test was the only failure of a run of all checks.

Change: it uses Candidate::new, as the other examples do.

--- a/src/control/dispatch/waiting.rs
+++ b/src/control/dispatch/waiting.rs
@@ -255,7 +255,7 @@
 /// let now = Timestamp::from_micros(1);
 /// let request = |number, priority| RoomRequest {
 ///     run: RunId(number), owner: BootId(1), tokens: 6_000, spare: 0, memory: 10_000, slots: 8,
-///     candidates: vec![Candidate { endpoint: "d1".into(), local: true }],
+///     candidates: vec![Candidate::new("d1", true)],
 ///     call: WaitingCall {
 ///         number, rank: Rank { account: priority, priority, late: false },
 ///         patience: Duration::from_millis(500), ..WaitingCall::default()
