--- a/review/stand_in_2/fleet.rs
+++ b/review/stand_in_2/fleet.rs
@@ -261,6 +261,13 @@
         }
     }
 
+    /// Sends a signal such as `-STOP`.
+    pub fn signal(&self, signal: &str) {
+        if let Some(child) = &self.child {
+            let _ = Command::new("kill").args([signal, &child.id().to_string()]).status();
+        }
+    }
+
     /// SIGKILL without a wait for the end.
     pub fn strike(&mut self) {
         if let Some(child) = &mut self.child {
--- a/review/stand_in_2/origins.rs
+++ b/review/stand_in_2/origins.rs
@@ -1,6 +1,6 @@
-//! A gateway is killed as a release begins: its streams are taken up at another gateway.
+//! A gateway is dark while a release begins: its streams are taken up at another gateway.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::client::{self, Stream};
 use crate::engines::{Engine, Work, config, frontends};
@@ -12,6 +12,10 @@
 const WORK: Work = Work { events: 60, gap_ms: 100 };
 const STREAMS: usize = 18;
 const NEW: usize = 8;
+/// How long the gateway is dark, as the sheet says for node_kill with power.
+const DARK: Duration = Duration::from_millis(3_500);
+/// How long after the loss of power the release begins.
+const RELEASE: Duration = Duration::from_millis(1_000);
 
 pub fn run(record: &Record, trouble: bool) -> i32 {
     let mut fleet = Fleet::new("origins", NET, 3, 2);
@@ -52,6 +56,12 @@
         })
         .collect();
     std::thread::sleep(Duration::from_millis(1_500));
+    if trouble {
+        record.line("edge-1 loses power: it is dark for 3.5 s");
+        fleet.edge[0].signal("-STOP");
+    }
+    let dark = Instant::now();
+    std::thread::sleep(RELEASE);
     record.line("the release begins: runner i-5 with version v2 starts and reports");
     let mut new = Engine::new(fleet, NET, 5, "decode", "v2", WORK);
     let from = new.logged();
@@ -59,10 +69,11 @@
     if !new.wait_for("heartbeat 1 acknowledged", from, Duration::from_secs(3)) {
         return UNABLE;
     }
+    std::thread::sleep(DARK.saturating_sub(dark.elapsed()));
     if trouble {
-        std::thread::sleep(Duration::from_millis(10));
         fleet.edge[0].kill();
-        record.line("edge-1 is killed; clients take their streams up at edge-2");
+        record.line("edge-1 starts again; clients take their streams up at edge-2");
+        fleet.edge[0].start();
     }
     let later: Vec<_> = (0..NEW)
         .map(|n| {
@@ -70,10 +81,6 @@
             open(100 + n, 1)
         })
         .collect();
-    if trouble {
-        std::thread::sleep(Duration::from_millis(500));
-        fleet.edge[0].start();
-    }
     let played: Vec<Stream> = begun.into_iter().filter_map(|t| t.join().ok()).collect();
     let later: Vec<Stream> = later.into_iter().filter_map(|t| t.join().ok()).collect();
     played.iter().chain(&later).for_each(|s| s.log(record));
