Show streams that go on at another version of their runner after a freeze

A gateway resumes a broken run at the same endpoint without a proof of its start while its list names one version.

--- a/review/stand_in_2/main.rs
+++ b/review/stand_in_2/main.rs
@@ -4,6 +4,7 @@
 mod client;
 mod engines;
 mod fleet;
+mod frozen;
 mod http;
 mod install;
 mod origins;
@@ -28,6 +29,7 @@
     let record = Record::new(path);
     let code = match case.as_str() {
         "origins" => origins::run(&record, trouble),
+        "frozen" => frozen::run(&record, trouble),
         "reborn" => reborn::run(&record, trouble),
         "install" => install::run(&record, trouble),
         _ => UNABLE,
