--- a/review/stand_in_2/main.rs
+++ b/review/stand_in_2/main.rs
@@ -4,6 +4,7 @@
 mod client;
 mod engines;
 mod fleet;
+mod founding;
 mod frozen;
 mod http;
 mod install;
@@ -30,6 +31,7 @@
     let code = match case.as_str() {
         "origins" => origins::run(&record, trouble),
         "frozen" => frozen::run(&record, trouble),
+        "founding" => founding::run(&record, trouble),
         "reborn" => reborn::run(&record, trouble),
         "install" => install::run(&record, trouble),
         _ => UNABLE,
