--- a/review/stand_in_3/src/main.rs
+++ b/review/stand_in_3/src/main.rs
@@ -11,6 +11,7 @@
 mod http;
 mod record;
 mod runner;
+mod soak;
 mod versions;
 
 use std::path::PathBuf;
@@ -29,6 +30,7 @@
         "versions" => versions::run(&repository, &record, trouble),
         "stop" => early_stop::run(&repository, &record, trouble),
         "fields" => fields::run(&repository, &record, trouble),
+        "soak" => soak::run(&repository, &record, trouble),
         "endless" => endless::run(&repository, &record, trouble),
         "head" => head_case::run(&repository, &record, trouble),
         _ => Err(format!("no case {case}")),
--- a/review/stand_in_3/src/runner.rs
+++ b/review/stand_in_3/src/runner.rs
@@ -243,6 +243,7 @@
 
     fn plain(&self, out: &mut TcpStream, head: &Head, attempt: &str) -> std::io::Result<()> {
         let Kind { id, pace, .. } = &self.kind;
+        self.record.ran(attempt);
         self.record.line(&format!("run id={attempt} at {id} {}", head.first));
         std::thread::sleep(*pace);
         let body = format!("answer to {attempt} of {id}\n");
@@ -255,6 +256,7 @@
     fn stream(&self, out: &mut TcpStream, head: &Head, attempt: &str) -> std::io::Result<()> {
         let Kind { id, version, events, pace, .. } = &self.kind;
         let after: u64 = head.get("last-event-id").and_then(|a| a.parse().ok()).unwrap_or(0);
+        self.record.ran(attempt);
         self.record.line(&format!(
             "run id={attempt} at {id} version={version} born={} after={after}",
             self.born
