--- a/review/stand_in_4/cases.rs
+++ b/review/stand_in_4/cases.rs
@@ -40,7 +40,14 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |t| t != "0");
     record.note(&format!("case {case} trouble={trouble}"));
     let played = match case {
-        "upgrade" => upgrade(&record, trouble),
+        "upgrade" => {
+            let plan = Upgrade { first: 1_000, cold: 3_000, runs: 3_000, down: 1_500, crashes: 1 };
+            upgrade(&record, trouble, &plan)
+        }
+        "flap" => {
+            let plan = Upgrade { first: 150, cold: 0, runs: 900, down: 500, crashes: 4 };
+            upgrade(&record, trouble, &plan)
+        }
         "founder" => founder(&record, trouble),
         "outage" => outage(&record, trouble),
         _ => Err(format!("there is no case {case}")),
@@ -270,9 +277,21 @@
     }
 }
 
+/// How a runner that has started again in place with another software version behaves.
+struct Upgrade {
+    /// How long its first events take while it is cold, in milliseconds, and for how long it is.
+    first: u64,
+    cold: u64,
+    /// How long it runs until it crashes again, in milliseconds, and for how long it is down then.
+    runs: u64,
+    down: u64,
+    /// How often it crashes again.
+    crashes: u64,
+}
+
 /// Runners are upgraded in place, one after the other: each crashes, is back at once under its id with
-/// another software version, crashes once more and is back again.
-fn upgrade(record: &Record, trouble: bool) -> Result<bool, String> {
+/// another software version, crashes again and is back again.
+fn upgrade(record: &Record, trouble: bool, plan: &Upgrade) -> Result<bool, String> {
     const GATEWAYS: usize = 5;
     const DECODES: usize = 4;
     let fleet = Fleet::start(3, GATEWAYS, ATLAS)?;
@@ -288,7 +307,7 @@
             slots: 12,
             apis: apis.clone(),
             cold: 0,
-            first: (1_000, 150),
+            first: (plan.first, 150),
             gap: 60,
             events: 45,
             late: 0,
@@ -331,15 +350,17 @@
             runner.crash(record);
             std::thread::sleep(Duration::from_millis(400));
             runner.settings.version = "v2".into();
-            runner.settings.cold = 3_000;
+            runner.settings.cold = plan.cold;
             runner.settings.late = 1_000;
             runner.start(record)?;
-            std::thread::sleep(Duration::from_millis(3_000));
-            runner.crash(record);
-            std::thread::sleep(Duration::from_millis(1_500));
-            runner.start(record)?;
+            for _ in 0..plan.crashes {
+                std::thread::sleep(Duration::from_millis(plan.runs));
+                runner.crash(record);
+                std::thread::sleep(Duration::from_millis(plan.down));
+                runner.start(record)?;
+            }
         } else {
-            std::thread::sleep(Duration::from_millis(4_900));
+            std::thread::sleep(Duration::from_millis(400 + plan.crashes * (plan.runs + plan.down)));
         }
         std::thread::sleep(Duration::from_millis(6_000));
     }
