Keep the origins of streams on control's disks

Cause: which version began a stream was kept only in the memory of the gateway that passed it on and of the control members. One kill ends all of these. The replicated log has the versions of a service, which helps with one version alone.

A kill leaves what was written, a loss of power what was synced (at most 100 ms before). A member that becomes aware of a second version writes what it heard before; with one version nothing is written. A full or stalled disk loses origins only.

What a member read from its disk may have been corrected while it was down. So its answer says what it rests on: a gateway takes a restored version only once the other members have answered or their time is over, and not against a correction or a contradiction. Corrections are kept in whatever order disk, gateways and heartbeats bring them; before, one that came ahead of its record was dropped. The refusal's log line names for how long each member asked has recorded origins.

--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -1,5 +1,6 @@
 //! Starts the roles of a process, and shuts them down gracefully.
 
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Sender, channel};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
@@ -16,6 +17,7 @@
 use crate::agent::{Agent, AgentSettings};
 use crate::api::protocol::ApiProtocol;
 use crate::api::{Api, ApiSettings};
+use crate::control::disk::origins::{OriginFiles, OriginWriter};
 use crate::control::disk::{self, Disk, NewMember};
 use crate::control::replica::{MemberId, ReplicaSettings};
 use crate::control::{Control, ControlSettings, DiskInput};
@@ -130,6 +132,7 @@
             grace: settings.grace,
         };
         let control = Control::new(control_settings, stored).wrap_err(UNUSABLE_DATA)?;
+        let control = with_saved_origins(control, folder);
         control_thread =
             Some(driver.start("control", control, handle.clone(), disk, metrics.clone())?);
     }
@@ -219,6 +222,22 @@
     Ok(())
 }
 
+/// Lets control keep the origins of streams in its data folder. It runs without them, too.
+fn with_saved_origins(control: Control, folder: &Path) -> Control {
+    let opened = OriginFiles::open(folder)
+        .and_then(|(restored, files)| Ok((restored, OriginWriter::start(files)?)));
+    match opened {
+        Ok((restored, writer)) => {
+            log::info!("step=open-origins restored={}", restored.len());
+            control.with_origin_log(Timestamp::from_steady(), restored, Box::new(writer))
+        }
+        Err(error) => {
+            log::error!("step=open-origins error={error:#}; origins are kept in memory alone");
+            control
+        }
+    }
+}
+
 /// Returns the shutdown of the process, which begins now if it was not signalled.
 fn shutdown(signalled: &Signalled, grace: Duration) -> Shutdown {
     let mut shutdown = Shutdown::new(ShutdownTerms { notice: Duration::ZERO, grace });
--- a/src/control/commit.rs
+++ b/src/control/commit.rs
@@ -95,7 +95,12 @@
             return Vec::new();
         }
         let actions = self.replica.step(now, input);
-        self.execute(actions)
+        let changes_versions = actions.iter().any(changes_versions);
+        let outputs = self.execute(actions);
+        if changes_versions {
+            self.review_recorded(now);
+        }
+        outputs
     }
 
     pub(super) fn disk(&mut self, now: Timestamp, input: DiskInput) -> Outputs {
@@ -140,6 +145,15 @@
     }
 }
 
+/// Returns whether an action may change the recorded versions of a service.
+fn changes_versions(action: &Action) -> bool {
+    match action {
+        Action::Apply(record) => matches!(record.command, Command::RecordVersions { .. }),
+        Action::Restore(_) => true,
+        _ => false,
+    }
+}
+
 fn log_change(command: &Command, applied: &Applied) {
     match command {
         Command::Publish(document) => {
--- a/src/control/disk/mod.rs
+++ b/src/control/disk/mod.rs
@@ -2,6 +2,7 @@
 
 mod batch;
 mod folder;
+pub mod origins;
 mod writer;
 mod writes;
 
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -30,7 +30,7 @@
 use dispatch::rooms::Rooms;
 use dispatch::speeds::Speeds;
 use dispatch::waiting::NoRoom;
-use origins::Origins;
+use origins::{OriginLog, Origins};
 use peers::Peers;
 use processes::Processes;
 use quarantine::Detector;
@@ -125,6 +125,8 @@
     step_speeds: Speeds,
     reports: Reports,
     origins: Origins,
+    /// Where origins are kept beyond the process, if anywhere.
+    origin_log: Option<Box<dyn OriginLog>>,
     /// When the recorded versions are compared next with what was heard.
     next_review: Timestamp,
     processes: Processes,
@@ -165,6 +167,7 @@
             step_speeds: Speeds::default(),
             reports: Reports::default(),
             origins: Origins::default(),
+            origin_log: None,
             next_review: Timestamp::default(),
             processes: Processes::default(),
             detector: Detector::default(),
--- a/src/control/origins/recorded.rs
+++ b/src/control/origins/recorded.rs
@@ -49,6 +49,17 @@
         self.services.get(service).cloned().unwrap_or_default()
     }
 
+    /// Returns the number of versions of a service.
+    ///
+    /// ```
+    /// use dotterelpin::control::origins::RecordedVersions;
+    ///
+    /// assert_eq!(RecordedVersions::default().count("cs-summary"), 0);
+    /// ```
+    pub fn count(&self, service: &str) -> usize {
+        self.services.get(service).map_or(0, VersionSet::len)
+    }
+
     /// Replaces the versions of a service; without versions it is forgotten.
     pub fn set(&mut self, service: &str, versions: VersionSet) {
         if versions.is_empty() {
@@ -63,7 +74,7 @@
         self.services.is_empty()
     }
 
-    fn services(&self) -> impl Iterator<Item = &Box<str>> {
+    pub(super) fn services(&self) -> impl Iterator<Item = &Box<str>> {
         self.services.keys()
     }
 }
--- a/src/control/origins/requests.rs
+++ b/src/control/origins/requests.rs
@@ -1,10 +1,11 @@
 //! Replies of a member to gateways that record or request the origins of streams.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::{Correction, ORIGIN_TTL, Origin};
+use super::{Correction, ORIGIN_TTL, Origin, OriginRecord};
 use crate::control::{Control, DiskEffect, Outputs};
-use crate::link::message::ControlReply;
+use crate::link::message::{ControlReply, OriginBasis};
 use crate::model::{EndpointState, InboundId, Timestamp};
 use crate::report::observation::Observation;
 use crate::role::Output;
@@ -13,6 +14,7 @@
     /// Adds the software version of an endpoint to the history of its service.
     pub(in crate::control) fn list_version(&mut self, now: Timestamp, endpoint: &EndpointState) {
         self.origins.listed(now, &endpoint.pool, &endpoint.software);
+        self.review_saving(now, &endpoint.pool);
     }
 
     pub(in crate::control) fn record_origins(
@@ -21,6 +23,9 @@
         inbound: InboundId,
         origins: Vec<Origin>,
     ) -> Outputs {
+        // Gateways send origins apart from heartbeats only while a service has several versions.
+        let services: BTreeSet<Box<str>> = origins.iter().map(|o| o.service.clone()).collect();
+        services.iter().for_each(|service| self.save_service(now, service));
         let observed = self.note_origins(now, origins);
         vec![observed, self.reply(inbound, ControlReply::OriginsRecorded)]
     }
@@ -31,7 +36,11 @@
         now: Timestamp,
         origins: Vec<Origin>,
     ) -> Output<DiskEffect> {
+        let services: BTreeSet<Box<str>> = origins.iter().map(|o| o.service.clone()).collect();
+        let calls: Vec<Box<str>> = origins.iter().map(|o| o.call.clone()).collect();
         let recorded = self.origins.record(now, origins);
+        services.iter().for_each(|service| self.review_saving(now, service));
+        self.save_origins(now, &calls);
         Output::Observe(Observation::Origins { recorded, held: self.origins.count() })
     }
 
@@ -43,8 +52,10 @@
     ) {
         for correction in corrections {
             let software = correction.software.as_deref().unwrap_or("-");
-            log::info!("step=correct-origin call={} software={software}", correction.call);
-            self.origins.correct(now, correction);
+            if self.origins.correct(now, correction) {
+                log::info!("step=correct-origin call={} software={software}", correction.call);
+                self.save(vec![OriginRecord::Correction(correction.clone())]);
+            }
         }
     }
 
@@ -79,7 +90,10 @@
             self.origins.heard(now, service),
             millis(leads),
         );
-        ControlReply::OriginFound { software, only }
+        let evidence = call.and_then(|c| self.origins.evidence(now, c));
+        let known_for = self.origins.known_for(now);
+        let basis = Some(OriginBasis { evidence, known_for });
+        ControlReply::OriginFound { software, only, basis }
     }
 
     /// Returns the only version of a service that streams can have begun at, if this member leads:
--- a/src/control/origins/versions.rs
+++ b/src/control/origins/versions.rs
@@ -56,6 +56,12 @@
         recent.map(|(software, _)| software.clone()).collect()
     }
 
+    /// Returns how many versions a service's endpoints have reported within [`ORIGIN_TTL`].
+    pub(super) fn count(&self, now: Timestamp, service: &str) -> usize {
+        let versions = self.services.get(service).into_iter().flatten();
+        versions.filter(|(_, at)| now - **at < ORIGIN_TTL).count()
+    }
+
     /// Returns the services with any version.
     pub(super) fn services(&self) -> Vec<Box<str>> {
         self.services.keys().cloned().collect()
--- a/src/gateway/assign.rs
+++ b/src/gateway/assign.rs
@@ -9,6 +9,7 @@
 use super::call::{Reservation, Stage};
 use super::engine::spare_tokens;
 use super::fleet::{Choice, EndpointKey};
+use super::resume::OriginAnswer;
 use super::{CallerId, Gateway};
 use crate::control::config::Revised;
 use crate::control::dispatch::prompts::PromptRequest;
@@ -262,8 +263,10 @@
             return;
         }
         let Some(caller) = self.leader_requests.remove(&exchange) else { return };
-        if let ControlReply::OriginFound { software, only } = reply {
-            self.origin_answered(now, caller, exchange, software.clone(), only.clone());
+        if let ControlReply::OriginFound { software, only, basis } = reply {
+            let answer =
+                OriginAnswer { software: software.clone(), only: only.clone(), basis: *basis };
+            self.origin_answered(now, caller, exchange, answer);
             self.schedule(caller);
             return;
         }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -1,5 +1,7 @@
 //! The state of one call.
 
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -162,6 +164,23 @@
     /// The only version that the service has had for longer than a stream lasts, by each member
     /// that has answered and knows one.
     pub only: Vec<Box<str>>,
+    /// The versions that members have read from their disks, which may have been corrected since.
+    pub restored: BTreeSet<Box<str>>,
+    /// Whether a member knows that nobody can know the version.
+    pub is_unknowable: bool,
+    /// The members that were asked.
+    pub asked_members: Vec<AskedMember>,
+}
+
+/// A control member that was asked for the origin of a stream.
+#[derive(Debug, Clone, Copy)]
+pub struct AskedMember {
+    /// Its address.
+    pub address: SocketAddr,
+    /// The exchange of the request.
+    pub exchange: ExchangeId,
+    /// For how long it has recorded origins, once it has said so.
+    pub known_for: Option<Duration>,
 }
 
 /// The part of the answer that was delivered to the caller.
--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -2,17 +2,20 @@
 //!
 //! What two software versions of an endpoint write does not fit together, so a stream goes on only
 //! at the version that began it. While a service has several versions, gateways tell all control
-//! members which version began which stream, and ask them about a stream that they do not know. A stream of unknown origin is refused
-//! unless its service has had only one version for longer than a stream lasts.
+//! members which version began which stream, and ask them about a stream that they do not know. What a
+//! member has read from its disk may have been corrected since, so it counts only once the other
+//! members have answered or the time for that is over. A stream of unknown origin is refused unless its
+//! service has had only one version for longer than a stream lasts.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::answer;
-use super::call::{OriginRequest, Stage};
+use super::call::{AskedMember, OriginRequest, Stage};
 use super::reason::EndReason;
 use super::{CallerId, Gateway};
-use crate::control::origins::{ORIGIN_TTL, Origin};
-use crate::link::message::ControlRequest;
+use crate::control::origins::{Evidence, ORIGIN_TTL, Origin};
+use crate::link::message::{ControlRequest, OriginBasis};
 use crate::model::{ExchangeId, Timestamp};
 
 /// How long the origins of streams are collected before they are sent to control.
@@ -27,6 +30,8 @@
     Own,
     /// A control member has a record.
     Recorded,
+    /// Control members have read it from their disks, and none knows better.
+    Restored,
     /// The service has had no other version for long.
     OnlyVersion,
 }
@@ -36,11 +41,60 @@
         match self {
             Source::Own => "own",
             Source::Recorded => "recorded",
+            Source::Restored => "restored",
             Source::OnlyVersion => "only-version",
         }
     }
 }
 
+/// What a control member answers about the origin of a stream.
+#[derive(Debug, Default)]
+pub(super) struct OriginAnswer {
+    /// The version that began the stream, if the member knows it.
+    pub(super) software: Option<Box<str>>,
+    /// The only version that the service has had for longer than a stream lasts, if the member knows
+    /// one.
+    pub(super) only: Option<Box<str>>,
+    /// What the answer rests on; members of earlier releases don't say.
+    pub(super) basis: Option<OriginBasis>,
+}
+
+impl OriginRequest {
+    fn new(now: Timestamp, asked_members: Vec<AskedMember>) -> OriginRequest {
+        OriginRequest {
+            asked: now,
+            open: asked_members.iter().map(|m| m.exchange).collect(),
+            only: Vec::new(),
+            restored: BTreeSet::new(),
+            is_unknowable: false,
+            asked_members,
+        }
+    }
+
+    /// Returns the version that members have read from their disks, unless they contradict each other
+    /// or another member knows that it is wrong.
+    fn restored_version(&self) -> Option<Box<str>> {
+        let is_certain = self.restored.len() == 1 && !self.is_unknowable;
+        self.restored.first().filter(|_| is_certain).cloned()
+    }
+
+    /// Returns the members that were asked, for logs, each with for how many milliseconds it has
+    /// recorded origins.
+    fn describe_members(&self) -> String {
+        let known = |m: &AskedMember| m.known_for.map(|d| d.as_millis().to_string());
+        let text = |m: &AskedMember| {
+            format!("{}:{}", m.address, known(m).unwrap_or_else(|| "no-answer".into()))
+        };
+        self.asked_members.iter().map(text).collect::<Vec<_>>().join(",")
+    }
+}
+
+impl OriginAnswer {
+    fn evidence(&self) -> Option<Evidence> {
+        self.basis.and_then(|basis| basis.evidence)
+    }
+}
+
 impl Gateway {
     /// Records which software version began the stream of a call, when its first event is delivered.
     pub(super) fn record_origin(&mut self, now: Timestamp, caller: CallerId) {
@@ -116,14 +170,15 @@
         }
         let request = ControlRequest::FindOrigin { call: resumes, service };
         let voters = self.follower.voters();
-        let open: Vec<ExchangeId> =
-            voters.into_iter().map(|m| self.send_to_control(m, request.clone())).collect();
-        for exchange in &open {
-            self.leader_requests.insert(*exchange, caller);
+        let mut asked_members = Vec::new();
+        for address in voters {
+            let exchange = self.send_to_control(address, request.clone());
+            self.leader_requests.insert(exchange, caller);
+            asked_members.push(AskedMember { address, exchange, known_for: None });
         }
         let Some(call) = self.calls.get_mut(&caller) else { return };
         call.reply_deadline = now + FIND_TIMEOUT;
-        call.stage = Stage::Origin(OriginRequest { asked: now, open, only: Vec::new() });
+        call.stage = Stage::Origin(OriginRequest::new(now, asked_members));
         self.conclude_search(now, caller);
     }
 
@@ -133,14 +188,22 @@
         now: Timestamp,
         caller: CallerId,
         exchange: ExchangeId,
-        software: Option<Box<str>>,
-        only: Option<Box<str>>,
+        answer: OriginAnswer,
     ) {
         let Some(call) = self.calls.get_mut(&caller) else { return };
         let Stage::Origin(request) = &mut call.stage else { return };
         request.open.retain(|e| *e != exchange);
-        request.only.extend(only);
-        match software {
+        let known_for = answer.basis.map(|basis| basis.known_for);
+        let member = request.asked_members.iter_mut().find(|m| m.exchange == exchange);
+        member.into_iter().for_each(|m| m.known_for = known_for);
+        let evidence = answer.evidence();
+        request.only.extend(answer.only);
+        request.is_unknowable |= evidence == Some(Evidence::Unknowable);
+        match answer.software {
+            Some(software) if evidence == Some(Evidence::Restored) => {
+                request.restored.insert(software);
+                self.conclude_search(now, caller);
+            }
             Some(software) => self.origin_known(now, caller, software, Source::Recorded),
             None => self.conclude_search(now, caller),
         }
@@ -148,7 +211,7 @@
 
     /// Handles the end of an exchange about the origin of a stream.
     pub(super) fn origin_closed(&mut self, now: Timestamp, caller: CallerId, exchange: ExchangeId) {
-        self.origin_answered(now, caller, exchange, None, None);
+        self.origin_answered(now, caller, exchange, OriginAnswer::default());
     }
 
     /// Ends the search for the origin of a stream at its time limit.
@@ -174,6 +237,10 @@
         if !request.open.is_empty() {
             return;
         }
+        if let Some(software) = request.restored_version() {
+            self.origin_known(now, caller, software, Source::Restored);
+            return;
+        }
         let lasting = call.route().map_or(Duration::MAX, |r| r.timeout);
         let first = request.only.first().cloned();
         let agreed = first.filter(|only| request.only.iter().all(|other| other == only));
@@ -204,24 +271,26 @@
     }
 
     /// Logs what the refusal of a stream of unknown origin rests on: the versions that may have begun
-    /// it, the members of control that were asked, and the age of the list of endpoints.
+    /// it, the members of control that were asked, with for how long each has recorded origins, and the
+    /// age of the list of endpoints.
     fn log_unknown(&self, now: Timestamp, caller: CallerId) {
         let Some(call) = self.calls.get(&caller) else { return };
-        let asked = match &call.stage {
-            Stage::Origin(request) => (now - request.asked).as_millis(),
-            _ => 0,
+        let request = match &call.stage {
+            Stage::Origin(request) => Some(request),
+            _ => None,
         };
+        let asked = request.map_or(0, |r| (now - r.asked).as_millis());
+        let members = request.map_or_else(|| "-".into(), OriginRequest::describe_members);
         let lasting = call.route().map_or(Duration::MAX, |r| r.timeout);
         let span = lasting.max(ORIGIN_TTL);
         let synced = self.follower.synced_at().map(|at| (now - at).as_millis());
         log::info!(
-            "step=origin id={} outcome=unknown resumes={} service={} versions={} members={} \
-             asked_ms={asked} synced_ms={}",
+            "step=origin id={} outcome=unknown resumes={} service={} versions={} \
+             members={members} asked_ms={asked} synced_ms={}",
             call.info.id,
             call.info.resumes.as_deref().unwrap_or("-"),
             call.service,
             self.versions.describe(now, &call.service, span),
-            self.follower.voters().len(),
             synced.map_or_else(|| "-".into(), |ms| ms.to_string()),
         );
     }
--- a/src/link/message/control.rs
+++ b/src/link/message/control.rs
@@ -5,12 +5,12 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::heartbeat::{Beat, Heartbeat};
+use super::heartbeat::{Beat, Heartbeat, if_sent};
 use super::status::Status;
 use crate::control::dispatch::credits::{CreditsReply, CreditsRequest};
 use crate::control::dispatch::prompts::PromptRequest;
 use crate::control::dispatch::rooms::{KnownRun, RoomRequest, RunEnd, RunId};
-use crate::control::origins::Origin;
+use crate::control::origins::{self, Origin};
 use crate::control::quarantine::{Cause, Evidence};
 use crate::control::state::{Applied, Command};
 use crate::model::{BootId, EndpointState};
@@ -142,11 +142,23 @@
         /// [`ORIGIN_TTL`](crate::control::origins::ORIGIN_TTL), if there was only one and the member
         /// has led for as long, since only the leader hears of all endpoints.
         only: Option<Box<str>>,
+        /// What the answer rests on; members of earlier releases don't say.
+        #[serde(deserialize_with = "if_sent")]
+        basis: Option<OriginBasis>,
     },
     /// The credit granted for client accounts.
     CreditsGranted(CreditsReply),
 }
 
+/// What a member's answer about the origin of a stream rests on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginBasis {
+    /// What the member's record of the origin rests on, if it has one.
+    pub evidence: Option<origins::Evidence>,
+    /// For how long its process has recorded origins.
+    pub known_for: Duration,
+}
+
 /// The state that the decisions of the log's leader are based on.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Leadership {
--- a/src/link/message/heartbeat.rs
+++ b/src/link/message/heartbeat.rs
@@ -51,7 +51,9 @@
 }
 
 /// Reads a field at the end of a message, which processes of earlier releases don't send.
-fn if_sent<'de, D: Deserializer<'de>, T: Deserialize<'de>>(raw: D) -> Result<Option<T>, D::Error> {
+pub(super) fn if_sent<'de, D: Deserializer<'de>, T: Deserialize<'de>>(
+    raw: D,
+) -> Result<Option<T>, D::Error> {
     Ok(Option::deserialize(raw).unwrap_or_default())
 }
 
--- a/src/link/message/mod.rs
+++ b/src/link/message/mod.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use agent::{AgentReply, AgentRequest, Answer, Export, Order, Settled};
-pub use control::{ControlReply, ControlRequest, Leadership};
+pub use control::{ControlReply, ControlRequest, Leadership, OriginBasis};
 pub use heartbeat::{Beat, Endpoints, Heartbeat, ProcessState, Proof, Seen, Update};
 pub use notice::{ControlNotice, MAX_VOTERS, WrongVoters};
 pub use reports::{
--- a/tests/crashing_folder/mod.rs
+++ b/tests/crashing_folder/mod.rs
@@ -3,6 +3,8 @@
 //! An operation that is not synced survives a kill of the process. A loss of power keeps any part
 //! of these operations and loses the others.
 
+#![allow(dead_code)]
+
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::ops::Range;
--- a/tests/fleet_world/mod.rs
+++ b/tests/fleet_world/mod.rs
@@ -10,9 +10,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use dotterelpin::control::origins::{OriginLog, OriginRecord};
 use dotterelpin::control::replica::{Entry, MemberId, ReplicaSettings, Snapshot, Stored};
 use dotterelpin::control::routing::Document;
 use dotterelpin::control::state::Command;
@@ -36,6 +37,8 @@
 const DELAY: Duration = Duration::from_millis(1);
 /// How long a sync of a member's disk takes.
 const SYNC_TIME: Duration = Duration::from_millis(2);
+/// How often a member syncs the origins that it has written.
+const ORIGIN_SYNC_INTERVAL: Duration = Duration::from_millis(100);
 /// How often an endpoint announces itself.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(1_200);
 
@@ -84,11 +87,29 @@
     boot: u64,
     entries: Vec<Entry>,
     snapshot: Option<Arc<Snapshot>>,
+    origins: Arc<Mutex<SavedOrigins>>,
     inbound: BTreeMap<InboundId, (Node, u64, ExchangeId)>,
     last_inbound: u64,
     frozen_until: Timestamp,
 }
 
+/// The origins on a member's disk, oldest first.
+#[derive(Default)]
+struct SavedOrigins {
+    records: Vec<OriginRecord>,
+    /// How many of them a loss of power leaves.
+    synced: usize,
+}
+
+/// Writes origins to the disk of a member, where a kill leaves them.
+struct OriginDisk(Arc<Mutex<SavedOrigins>>);
+
+impl OriginLog for OriginDisk {
+    fn append(&mut self, records: Vec<OriginRecord>) {
+        self.0.lock().unwrap().records.extend(records);
+    }
+}
+
 /// A message or packet on its way; numbers after a node are its boot.
 #[derive(Clone)]
 enum Packet {
@@ -130,6 +151,7 @@
     members: Vec<MemberNode>,
     queue: BTreeMap<(Timestamp, u64), Packet>,
     packets: u64,
+    next_origin_sync: Timestamp,
     /// The member at the other end of each exchange, by who opened it and in which boot.
     exchanges: BTreeMap<(Node, u64, ExchangeId), usize>,
     cuts: BTreeSet<(Node, Node)>,
@@ -176,6 +198,7 @@
             members: Vec::new(),
             queue: BTreeMap::new(),
             packets: 0,
+            next_origin_sync: Timestamp::default(),
             exchanges: BTreeMap::new(),
             cuts: BTreeSet::new(),
             connections: BTreeMap::new(),
@@ -191,9 +214,17 @@
             let (snapshot, inbound) = fresh();
             let frozen_until = Timestamp::default();
             let (role, boot, entries, last_inbound) = (None, 0, Vec::new(), 0);
-            let node =
-                MemberNode { role, boot, entries, snapshot, inbound, last_inbound, frozen_until };
-            world.members.push(node);
+            let origins = Arc::default();
+            world.members.push(MemberNode {
+                role,
+                boot,
+                entries,
+                snapshot,
+                origins,
+                inbound,
+                last_inbound,
+                frozen_until,
+            });
         }
         (0..members).for_each(|member| world.start_member(member));
         world.run(2_000);
@@ -327,7 +358,10 @@
             node.entries.push(Entry::Owner(MemberId(boot)));
         }
         let stored = Stored::replay(node.snapshot.clone(), node.entries.clone()).unwrap();
-        node.role = Some(Control::new(settings, stored).unwrap());
+        let restored = node.origins.lock().unwrap().records.clone();
+        let log = Box::new(OriginDisk(node.origins.clone()));
+        let role = Control::new(settings, stored).unwrap();
+        node.role = Some(role.with_origin_log(self.now, restored, log));
         node.boot = boot;
         node.inbound.clear();
     }
@@ -344,6 +378,24 @@
         }
     }
 
+    /// Lets a member lose power: it keeps only the origins that it has synced.
+    pub fn lose_power(&mut self, at: usize) {
+        self.kill_member(at);
+        let mut saved = self.members[at].origins.lock().unwrap();
+        let synced = saved.synced;
+        saved.records.truncate(synced);
+    }
+
+    /// Removes the origins from the disk of a member.
+    pub fn lose_origins(&mut self, at: usize) {
+        *self.members[at].origins.lock().unwrap() = SavedOrigins::default();
+    }
+
+    /// Returns how many records of origins a member has written to its disk.
+    pub fn saved_origins(&self, at: usize) -> usize {
+        self.members[at].origins.lock().unwrap().records.len()
+    }
+
     /// Returns the state of a running member.
     pub fn member(&self, at: usize) -> Option<&Control> {
         self.members[at].role.as_ref()
@@ -456,12 +508,24 @@
         let until = self.now + Duration::from_millis(millis);
         while self.now < until {
             self.now = self.now + STEP;
+            self.sync_origins();
             self.deliver();
             self.act();
             self.wake();
         }
     }
 
+    fn sync_origins(&mut self) {
+        if self.now < self.next_origin_sync {
+            return;
+        }
+        self.next_origin_sync = self.now + ORIGIN_SYNC_INTERVAL;
+        for member in &self.members {
+            let mut saved = member.origins.lock().unwrap();
+            saved.synced = saved.records.len();
+        }
+    }
+
     fn wake(&mut self) {
         let now = self.now;
         for at in 0..self.gateways.len() {
--- a/tests/origins.rs
+++ b/tests/origins.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use dotterelpin::control::config::Revised;
-use dotterelpin::control::origins::{MAX_ORIGINS, ORIGIN_TTL, Origin, Origins};
+use dotterelpin::control::origins::{
+    Correction, Evidence, MAX_ORIGINS, ORIGIN_TTL, Origin, OriginRecord, Origins,
+};
 use dotterelpin::control::replica::{Entry, MemberId, ReplicaSettings, Snapshot, Stored};
 use dotterelpin::control::state::State;
 use dotterelpin::control::{Control, ControlSettings, DiskEffect, DiskInput};
@@ -83,6 +85,92 @@
     assert_eq!(origins.count(), MAX_ORIGINS);
 }
 
+/// What a member may get to know of one stream, in any order.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    /// Its disk, which has the origin alone.
+    Disk,
+    /// Its disk, which has the origin and the correction.
+    CorrectedDisk,
+    /// A gateway's record from before the correction.
+    Record,
+    /// A gateway's correction.
+    Correction,
+}
+
+/// Returns all orders of some steps.
+fn orders(steps: &[Step]) -> Vec<Vec<Step>> {
+    if steps.is_empty() {
+        return vec![Vec::new()];
+    }
+    let mut all = Vec::new();
+    for at in 0..steps.len() {
+        let mut rest = steps.to_vec();
+        let first = rest.remove(at);
+        all.extend(orders(&rest).into_iter().map(|order| [vec![first], order].concat()));
+    }
+    all
+}
+
+/// Fails if an older record brings back a version that was corrected, in any order of what comes from
+/// the disk, from gateways and with heartbeats.
+#[test]
+fn corrected_origin_comes_back_with_an_older_record() {
+    for corrected in [Some("v2"), None] {
+        let correction = Correction { call: "a".into(), software: corrected.map(Into::into) };
+        let steps = [Step::Disk, Step::CorrectedDisk, Step::Record, Step::Correction];
+        for order in orders(&steps) {
+            let mut origins = Origins::default();
+            for (at, step) in order.iter().enumerate() {
+                let now = second(1 + at as u64);
+                let old = OriginRecord::Origin(origin("a", "v1"));
+                match step {
+                    Step::Disk => origins.restore(now, vec![old]),
+                    Step::CorrectedDisk => {
+                        let correction = OriginRecord::Correction(correction.clone());
+                        origins.restore(now, vec![correction, old]);
+                    }
+                    Step::Record => _ = origins.record(now, vec![origin("a", "v1")]),
+                    Step::Correction => _ = origins.correct(now, &correction),
+                }
+                let begun = order[..=at].iter().any(|s| !matches!(s, Step::Disk | Step::Record));
+                if begun {
+                    let found = origins.find(now, "a").map(|o| &*o.software);
+                    let is_alone = order[..=at].iter().all(|s| matches!(s, Step::Correction));
+                    let known = corrected.filter(|_| !is_alone);
+                    assert_eq!(found, known, "{order:?} until {at}");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn contradicting_corrections_leave_a_version_known() {
+    let correction = |v: &str| Correction { call: "a".into(), software: Some(v.into()) };
+    let mut origins = Origins::default();
+    origins.record(second(1), vec![origin("a", "v1")]);
+    assert!(origins.correct(second(1), &correction("v2")));
+    assert!(!origins.correct(second(1), &correction("v2")));
+    assert!(origins.correct(second(1), &correction("v3")));
+    assert_eq!(origins.evidence(second(1), "a"), Some(Evidence::Unknowable));
+    assert!(!origins.correct(second(1), &correction("v2")));
+    assert_eq!(origins.find(second(1), "a"), None);
+}
+
+/// A gateway that runs on knows better than the disk, which may lack its correction.
+#[test]
+fn record_of_a_gateway_replaces_one_of_the_disk() {
+    let mut origins = Origins::default();
+    origins.restore(second(1), vec![OriginRecord::Origin(origin("a", "v1"))]);
+    assert_eq!(origins.evidence(second(1), "a"), Some(Evidence::Restored));
+    origins.record(second(2), vec![origin("a", "v2")]);
+    assert_eq!(origins.evidence(second(2), "a"), Some(Evidence::Sent));
+    assert_eq!(origins.find(second(2), "a"), Some(&origin("a", "v2")));
+    let unsaved = [OriginRecord::Origin(origin("a", "v2"))];
+    assert_eq!(origins.save_service(second(2), SERVICE), unsaved);
+}
+
 #[test]
 fn only_version_is_known_once_the_member_has_listened_for_the_whole_ttl() {
     let mut origins = Origins::default();
@@ -253,7 +341,7 @@
     fn find(&mut self, call: Option<&str>) -> (Option<Box<str>>, Option<Box<str>>) {
         let call = call.map(Into::into);
         match self.request(ControlRequest::FindOrigin { call, service: SERVICE.into() }) {
-            ControlReply::OriginFound { software, only } => (software, only),
+            ControlReply::OriginFound { software, only, .. } => (software, only),
             other => panic!("expected the answer to FindOrigin, found {other:?}"),
         }
     }
--- a/tests/stops_world/mod.rs
+++ b/tests/stops_world/mod.rs
@@ -275,7 +275,7 @@
                     ControlReply::PromptAssigned { endpoint: pick(&r.candidates), ahead: 0 }
                 }
                 ControlRequest::FindOrigin { .. } => {
-                    ControlReply::OriginFound { software: None, only: Some("".into()) }
+                    ControlReply::OriginFound { software: None, only: Some("".into()), basis: None }
                 }
                 _ => continue,
             };
--- a/tests/versions_fleet.rs
+++ b/tests/versions_fleet.rs
@@ -5,97 +5,20 @@
 
 mod fleet_world;
 mod gateway_fixture;
+mod resumed_streams;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
-use dotterelpin::model::{BootId, EndpointKind};
-use dotterelpin::routes::{RawRoute, RawTable, Repeat};
-use fleet_world::{Endpoint, Node, World};
-use gateway_fixture::{MODEL, route, table};
+use fleet_world::{Node, World};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use resumed_streams::{GATEWAYS, Stream, engine, events, mixed, release, world};
 
-/// The path of streams that may be taken up again.
-const PATH: &str = "/remind/a";
-/// How many events a stream has.
-const EVENTS: u64 = 30;
-const GATEWAYS: usize = 3;
-const MEMBERS: usize = 3;
 /// How long a case of the fuzz test lasts, in milliseconds.
 const CASE_MS: u64 = 15_000;
 /// The number of cases, unless the environment sets another.
 const CASES: u64 = 6;
 
-fn streams() -> RawTable {
-    let mut all = table();
-    let streams = all.routes.iter_mut().filter(|r| r.repeat == Repeat::ResumableStream);
-    streams.for_each(|r| *r = RawRoute { ..route("/remind/", MODEL, r.repeat, 3) });
-    all
-}
-
-fn engine(name: &str, software: &str, born: u64) -> Endpoint {
-    let mut endpoint = Endpoint::new(name, EndpointKind::Decode, MODEL);
-    endpoint.state.software = software.into();
-    endpoint.state.boot = BootId(born);
-    endpoint
-}
-
-/// Returns a fleet whose endpoints have one version, for longer than a stream lasts.
-fn world() -> World {
-    let first = ["d1", "d2", "d3"].map(|name| engine(name, "v1", 1));
-    let mut w = World::new(GATEWAYS, MEMBERS, streams(), first.into());
-    w.run(4_000);
-    w
-}
-
-fn release(w: &mut World) {
-    w.endpoints.push(engine("d4", "v2", 50));
-    w.endpoints.push(engine("d5", "v2", 50));
-}
-
-/// Returns the versions that wrote the events of a call, in order.
-fn events(w: &World, call: u64) -> Vec<String> {
-    let content = w.answers.get(&call).map_or(&[][..], |a| &a.content);
-    let text = String::from_utf8_lossy(content);
-    text.split("\n\n").filter_map(|e| e.split("data: ").nth(1)).map(Into::into).collect()
-}
-
-/// A stream with the calls that have brought it.
-struct Stream {
-    calls: Vec<u64>,
-    /// When it is taken up again.
-    next: u64,
-}
-
-impl Stream {
-    fn begin(w: &mut World, gateway: usize, next: u64) -> Stream {
-        Stream { calls: vec![w.stream(gateway, PATH, "1:1", EVENTS)], next }
-    }
-
-    fn events(&self, w: &World) -> Vec<String> {
-        self.calls.iter().flat_map(|call| events(w, *call)).collect()
-    }
-
-    fn versions(&self, w: &World) -> BTreeSet<String> {
-        self.events(w).into_iter().collect()
-    }
-
-    /// Takes the stream up at a gateway, unless it has no event or all; returns whether it did.
-    fn take_up(&mut self, w: &mut World, gateway: usize) -> bool {
-        let had = self.events(w).len() as u64;
-        let first = self.calls.iter().find(|call| !events(w, **call).is_empty());
-        let (Some(origin), true) = (first.copied(), had < EVENTS) else { return false };
-        self.calls.iter().for_each(|call| w.leave(*call));
-        self.calls.push(w.take_up(gateway, PATH, origin, had, EVENTS));
-        true
-    }
-}
-
-fn mixed(w: &World, all: &[Stream]) -> Vec<String> {
-    let mixed = all.iter().filter(|stream| stream.versions(w).len() > 1);
-    mixed.map(|stream| format!("{:?}: {:?}", stream.calls, stream.events(w))).collect()
-}
-
 /// Takes up streams of a second version at a gateway that has not heard of that version yet.
 fn take_up_at_one_that_lags(disturb: impl Fn(&mut World)) {
     let mut w = world();
--- a/tests/versions_shared.rs
+++ b/tests/versions_shared.rs
@@ -6,10 +6,11 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use assert_matches::assert_matches;
-use dotterelpin::control::origins::Origin;
-use dotterelpin::link::message::{ControlReply, ControlRequest, Envelope, Reply};
+use dotterelpin::control::origins::{Evidence, Origin};
+use dotterelpin::link::message::{ControlReply, ControlRequest, Envelope, OriginBasis, Reply};
 use dotterelpin::model::{EndpointKind, EndpointState, ExchangeId};
 use dotterelpin::role::Input;
 use gateway_fixture::{MODEL, endpoint, table};
@@ -105,8 +106,20 @@
 }
 
 fn answer(w: &mut World, exchange: ExchangeId, software: Option<&str>, only: Option<&str>) {
+    answer_with(w, exchange, software, only, None);
+}
+
+fn answer_with(
+    w: &mut World,
+    exchange: ExchangeId,
+    software: Option<&str>,
+    only: Option<&str>,
+    evidence: Option<Evidence>,
+) {
     let (software, only) = (software.map(Into::into), only.map(Into::into));
-    let body = Reply::Control(ControlReply::OriginFound { software, only });
+    let known_for = Duration::from_secs(1);
+    let basis = evidence.map(|_| OriginBasis { evidence, known_for });
+    let body = Reply::Control(ControlReply::OriginFound { software, only, basis });
     let envelope = Envelope { revised: Default::default(), body };
     w.f.step(Input::Reply { exchange, envelope });
 }
@@ -241,6 +254,46 @@
     assert_goes_on(&mut w, again);
 }
 
+/// Fails if a version that a member has read from its disk counts before the others have answered, of
+/// which one knows a correction.
+#[test]
+fn version_on_a_disk_goes_before_a_correction() {
+    let restored = Some(Evidence::Restored);
+    let (mut w, again) = unknown_stream();
+    let open = searches(&mut w);
+    answer_with(&mut w, open[0].exchange, Some("v2"), None, restored);
+    w.run(20);
+    assert_eq!(w.runs(again).len(), 0, "expected no run, found {}", w.answer_of(again));
+    answer_with(&mut w, open[1].exchange, Some("v1"), None, Some(Evidence::Corrected));
+    assert_goes_on(&mut w, again);
+
+    for contradiction in [(None, Some(Evidence::Unknowable)), (Some("v1"), restored)] {
+        let (mut w, again) = unknown_stream();
+        let open = searches(&mut w);
+        answer_with(&mut w, open[0].exchange, Some("v2"), None, restored);
+        answer_with(&mut w, open[1].exchange, contradiction.0, None, contradiction.1);
+        answer(&mut w, open[2].exchange, None, None);
+        w.run(20);
+        assert_refused(&w, again);
+    }
+}
+
+/// Fails if a stream whose version is on the disks of members waits for longer than they have to answer,
+/// or is refused.
+#[test]
+fn stream_that_only_disks_know_is_refused() {
+    for silent in [0, 1] {
+        let (mut w, again) = unknown_stream();
+        let open = searches(&mut w);
+        for search in open.iter().skip(silent) {
+            answer_with(&mut w, search.exchange, Some("v1"), None, Some(Evidence::Restored));
+        }
+        w.run(700);
+        assert!(w.new_events(again) > 0, "{silent} silent members: {}", w.answer_of(again));
+        assert_goes_on(&mut w, again);
+    }
+}
+
 /// Fails if a stream that no member knows goes on while two versions serve.
 #[test]
 fn stream_of_unknown_origin_goes_on_while_two_versions_serve() {
