Correct the version of attempts in flight when a newer start is listed

Cause: an attempt has the version that its endpoint was listed with when it was sent, and its stream is noted with that at the first event. A list that names a newer start corrected only streams that had begun. An attempt whose first event came later kept the former version, and was resumed there after the crash.

Fix: attempts without a first event are corrected by the same list and under the same conditions as streams that run: an old start has ended when a newer one is listed, so a connection that is still open leads to the newer one.

--- a/src/gateway/unproven.rs
+++ b/src/gateway/unproven.rs
@@ -2,8 +2,8 @@
 //!
 //! An endpoint may start again in place with another version, and get streams before the list names its
 //! new start. They are noted with the former version until then. An old start has ended when a newer one
-//! is listed, so a stream that still runs over a connection to its address is of the newer one; of those
-//! that broke off before, nobody can tell.
+//! is listed, so a stream that still runs, or an attempt that still waits for its first event, over a
+//! connection to its address is of the newer one; of those that broke off before, nobody can tell.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -47,6 +47,7 @@
         if restarted.is_empty() {
             return;
         }
+        self.correct_attempts(now, restarted);
         let doubtful = |stream: &mut Unproven| {
             restarted.contains(&stream.endpoint) && now - stream.opened < UNLISTED_TIME
         };
@@ -56,6 +57,31 @@
         }
     }
 
+    /// Corrects the versions of the attempts that were sent before a newer start of their endpoint was
+    /// listed, and whose streams have not begun.
+    fn correct_attempts(&mut self, now: Timestamp, restarted: &BTreeSet<EndpointKey>) {
+        for call in self.calls.values_mut().filter(|call| call.software.is_none()) {
+            let Stage::Run { attempt, .. } = &mut call.stage else { continue };
+            let opened = self.fleet.unproven_since(attempt.peer);
+            let is_doubtful = opened.is_some_and(|at| now - at < UNLISTED_TIME);
+            if !is_doubtful || !restarted.contains(&attempt.endpoint) {
+                continue;
+            }
+            let Some(endpoint) = self.fleet.get(attempt.endpoint) else { continue };
+            if attempt.software == endpoint.software {
+                continue;
+            }
+            log::warn!(
+                "step=correct-attempt id={} endpoint={} noted={} listed={}",
+                call.info.id,
+                endpoint.name,
+                attempt.software,
+                endpoint.software,
+            );
+            attempt.software = endpoint.software.clone();
+        }
+    }
+
     fn correct_version(&mut self, now: Timestamp, stream: Unproven) {
         let Some(endpoint) = self.fleet.get(stream.endpoint) else { return };
         let software = endpoint.software.clone();
--- a/tests/versions_restarted.rs
+++ b/tests/versions_restarted.rs
@@ -167,6 +167,30 @@
     }
 }
 
+/// Guards against a version that is noted when an attempt is sent, for a stream whose first event comes
+/// after the list names the newer start: nothing corrected it then.
+#[test]
+fn streams_sent_before_a_start_is_listed_and_begun_after_it_go_on_at_the_former_version() {
+    for (listed_after, crash_after) in [(100, 1_000), (300, 1_100), (300, 1_500), (500, 1_200)] {
+        let mut w = world_of_one_version();
+        w.upgrade("d1", "v2", 0);
+        w.run(20);
+        let callers: Vec<u64> = (0..STREAMS).map(|_| w.stream(PATH, MODEL, LONG)).collect();
+        w.run(10);
+        // The gateway hears of the newer start while all streams of that wait for their first event.
+        w.silence("d1", Silence::Mute, listed_after + 700);
+        w.run(listed_after);
+        w.list_upgrade("d1");
+        w.run(crash_after);
+        let begun = callers.iter().filter(|c| w.version_of(**c).as_deref() == Some("v2")).count();
+        assert!(begun > 0, "expected streams of the newer start");
+        w.crash("d1", 1_000);
+        w.run(9_000);
+        let told = format!("listed after {listed_after} ms, crashed {crash_after} ms later");
+        assert_eq!(w.mixed_streams(), Vec::<String>::new(), "{told}");
+    }
+}
+
 /// Guards against the wrong origin of such a stream at control, by which another gateway lets it go on
 /// at the former version.
 #[test]
