Move what gateways know of origins into a folder

The files resume, versions, unproven and proof of the flat folder src/gateway move to src/gateway/origins. What is told to control (record.rs) and the search for an unknown origin (search.rs) were one file of 350 lines; the types of an open search come along from call.rs. No change of behaviour.

--- a/src/gateway/assign.rs
+++ b/src/gateway/assign.rs
@@ -9,7 +9,7 @@
 use super::call::{Reservation, Stage};
 use super::engine::spare_tokens;
 use super::fleet::{Choice, EndpointKey};
-use super::resume::OriginAnswer;
+use super::origins::OriginAnswer;
 use super::{CallerId, Gateway};
 use crate::control::config::Revised;
 use crate::control::dispatch::prompts::PromptRequest;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -1,7 +1,5 @@
 //! The state of one call.
 
-use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,6 +8,7 @@
 use super::credit::Credit;
 use super::events::EventSplitter;
 use super::fleet::{Choice, EndpointKey, Usage};
+use super::origins::OriginRequest;
 use super::place::pace::Pace;
 use super::protocol::{AnswerInfo, CallInfo, Export};
 use super::vacancy::Vacancy;
@@ -154,35 +153,6 @@
     },
 }
 
-/// Open requests for the software version that has begun a stream.
-#[derive(Debug, Default)]
-pub struct OriginRequest {
-    /// When control members were asked.
-    pub asked: Timestamp,
-    /// The exchanges with control members that have not answered yet.
-    pub open: Vec<ExchangeId>,
-    /// The only version that the service has had for longer than a stream lasts, by each member
-    /// that has answered and knows one.
-    pub only: Vec<Box<str>>,
-    /// The versions that members have read from their disks, which may have been corrected since.
-    pub restored: BTreeSet<Box<str>>,
-    /// Whether a member knows that nobody can know the version.
-    pub is_unknowable: bool,
-    /// The members that were asked.
-    pub asked_members: Vec<AskedMember>,
-}
-
-/// A control member that was asked for the origin of a stream.
-#[derive(Debug, Clone, Copy)]
-pub struct AskedMember {
-    /// Its address.
-    pub address: SocketAddr,
-    /// The exchange of the request.
-    pub exchange: ExchangeId,
-    /// For how long it has recorded origins, once it has said so.
-    pub known_for: Option<Duration>,
-}
-
 /// The part of the answer that was delivered to the caller.
 #[derive(Debug, Default)]
 pub struct Delivered {
--- a/src/gateway/proof.rs
+++ b/src/gateway/origins/proof.rs
@@ -5,10 +5,10 @@
 //! former one for a while. Its report names its start. A connection leads to the same start for as
 //! long as it is open, so the report, the reservation and the run go over one connection.
 
-use super::fleet::{EndpointKey, Job};
-use super::protocol::SideRequest;
-use super::reserve::HOLD_TTL;
-use super::{CallerId, Gateway, PeerId};
+use crate::gateway::fleet::{EndpointKey, Job};
+use crate::gateway::protocol::SideRequest;
+use crate::gateway::reserve::HOLD_TTL;
+use crate::gateway::{CallerId, Gateway, PeerId};
 use crate::h1::HttpEffect;
 use crate::model::{BootId, Timestamp};
 
@@ -16,9 +16,9 @@
     /// Returns whether a call may run at an engine only over a connection that is known to lead to
     /// its listed start: its stream has begun, in this call or in the one that it takes up. The list
     /// may name one version only because the gateway stood still or could not reach control.
-    pub(super) fn needs_proof(&self, caller: CallerId, endpoint: EndpointKey) -> bool {
-        let bound = |c: &super::call::Call| c.software.is_some();
-        let known = |e: &super::fleet::Endpoint| e.listed.0 != BootId::default();
+    pub(in crate::gateway) fn needs_proof(&self, caller: CallerId, endpoint: EndpointKey) -> bool {
+        let bound = |c: &crate::gateway::call::Call| c.software.is_some();
+        let known = |e: &crate::gateway::fleet::Endpoint| e.listed.0 != BootId::default();
         self.is_engine_call(caller)
             && self.calls.get(&caller).is_some_and(bound)
             && self.fleet.get(endpoint).is_some_and(known)
@@ -27,7 +27,7 @@
     /// Handles a report that was requested before a reservation: requests the reservation over the
     /// same connection, unless the engine has started again. Returns whether that was sent. An
     /// engine that does not name its start is taken for the listed one.
-    pub(super) fn start_named(&mut self, now: Timestamp, peer: PeerId) -> bool {
+    pub(in crate::gateway) fn start_named(&mut self, now: Timestamp, peer: PeerId) -> bool {
         let Some(conn) = self.fleet.conn(peer) else { return false };
         let Job::Hold(caller) = conn.job else { return false };
         let endpoint = conn.endpoint;
--- a/src/gateway/resume.rs
+++ b/src/gateway/origins/search.rs
@@ -1,25 +1,20 @@
-//! Streams that a caller resumes with another call, at this gateway or at another one.
+//! The search for the version that began a stream, which its caller takes up with another call.
 //!
-//! What two software versions of an endpoint write does not fit together, so a stream goes on only
-//! at the version that began it. While a service has several versions, gateways tell all control
-//! members which version began which stream, and ask them about a stream that they do not know. What a
-//! member has read from its disk may have been corrected since, so it counts only once the other
-//! members have answered or the time for that is over. A stream of unknown origin is refused unless its
-//! service has had only one version for longer than a stream lasts.
+//! What a control member has read from its disk may have been corrected since, so it counts only once the
+//! other members have answered or the time for that is over.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::answer;
-use super::call::{AskedMember, OriginRequest, Stage};
-use super::reason::EndReason;
-use super::{CallerId, Gateway};
-use crate::control::origins::{Evidence, ORIGIN_TTL, Origin};
+use crate::control::origins::{Evidence, ORIGIN_TTL};
+use crate::gateway::answer;
+use crate::gateway::call::Stage;
+use crate::gateway::reason::EndReason;
+use crate::gateway::{CallerId, Gateway};
 use crate::link::message::{ControlRequest, OriginBasis};
 use crate::model::{ExchangeId, Timestamp};
 
-/// How long the origins of streams are collected before they are sent to control.
-const RECORD_INTERVAL: Duration = Duration::from_millis(50);
 /// How long control members have to name the origin of a stream.
 const FIND_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -47,16 +42,45 @@
     }
 }
 
+/// Open requests for the software version that has begun a stream.
+#[derive(Debug, Default)]
+pub(in crate::gateway) struct OriginRequest {
+    /// When control members were asked.
+    asked: Timestamp,
+    /// The exchanges with control members that have not answered yet.
+    pub(in crate::gateway) open: Vec<ExchangeId>,
+    /// The only version that the service has had for longer than a stream lasts, by each member
+    /// that has answered and knows one.
+    only: Vec<Box<str>>,
+    /// The versions that members have read from their disks, which may have been corrected since.
+    restored: BTreeSet<Box<str>>,
+    /// Whether a member knows that nobody can know the version.
+    is_unknowable: bool,
+    /// The members that were asked.
+    asked_members: Vec<AskedMember>,
+}
+
+/// A control member that was asked for the origin of a stream.
+#[derive(Debug, Clone, Copy)]
+struct AskedMember {
+    /// Its address.
+    address: SocketAddr,
+    /// The exchange of the request.
+    exchange: ExchangeId,
+    /// For how long it has recorded origins, once it has said so.
+    known_for: Option<Duration>,
+}
+
 /// What a control member answers about the origin of a stream.
 #[derive(Debug, Default)]
-pub(super) struct OriginAnswer {
+pub(in crate::gateway) struct OriginAnswer {
     /// The version that began the stream, if the member knows it.
-    pub(super) software: Option<Box<str>>,
+    pub(in crate::gateway) software: Option<Box<str>>,
     /// The only version that the service has had for longer than a stream lasts, if the member knows
     /// one.
-    pub(super) only: Option<Box<str>>,
+    pub(in crate::gateway) only: Option<Box<str>>,
     /// What the answer rests on; members of earlier releases don't say.
-    pub(super) basis: Option<OriginBasis>,
+    pub(in crate::gateway) basis: Option<OriginBasis>,
 }
 
 impl OriginRequest {
@@ -64,10 +88,8 @@
         OriginRequest {
             asked: now,
             open: asked_members.iter().map(|m| m.exchange).collect(),
-            only: Vec::new(),
-            restored: BTreeSet::new(),
-            is_unknowable: false,
             asked_members,
+            ..OriginRequest::default()
         }
     }
 
@@ -96,60 +118,8 @@
 }
 
 impl Gateway {
-    /// Records which software version began the stream of a call, when its first event is delivered.
-    pub(super) fn record_origin(&mut self, now: Timestamp, caller: CallerId) {
-        let Some(call) = self.calls.get(&caller) else { return };
-        let Some(software) = call.software.clone().filter(|_| call.is_repeatable()) else { return };
-        let (id, service) = (call.info.id.clone(), call.service.clone());
-        let origin = Origin { call: id, service, software };
-        self.origins.record(now, vec![origin.clone()]);
-        self.follower.share_origin(now, origin.clone());
-        self.note_unproven(now, caller, origin.clone());
-        if !self.shared_services.contains(&origin.service) {
-            return;
-        }
-        if self.unsent_origins.is_empty() {
-            self.next_record = now + RECORD_INTERVAL;
-        }
-        self.unsent_origins.push(origin);
-    }
-
-    /// Determines the services whose origins are sent to control: those that have had several
-    /// versions lately. With one version a stream may go on anywhere, so nothing has to be known.
-    pub(super) fn update_shared(&mut self, now: Timestamp) {
-        let mixed = self.versions.mixed(now, ORIGIN_TTL);
-        let known = self.origins.all(now);
-        let new = |origin: &Origin| {
-            mixed.contains(&origin.service) && !self.shared_services.contains(&origin.service)
-        };
-        self.unsent_origins.extend(known.into_iter().filter(new));
-        self.shared_services = mixed;
-    }
-
-    /// Sends the collected origins to all control members, and all of them to members that have
-    /// started anew.
-    pub(super) fn send_origins(&mut self, now: Timestamp) {
-        for member in self.follower.take_restarted() {
-            self.outbox.restarted(member);
-            self.recount.restarted(member);
-            let mut known = self.origins.all(now);
-            known.retain(|origin| self.shared_services.contains(&origin.service));
-            if !known.is_empty() {
-                self.send_to_control(member, ControlRequest::RecordOrigins(known));
-            }
-        }
-        if self.unsent_origins.is_empty() || now < self.next_record {
-            return;
-        }
-        let origins = std::mem::take(&mut self.unsent_origins);
-        let members: Vec<_> = self.follower.members().collect();
-        for member in members {
-            self.send_to_control(member, ControlRequest::RecordOrigins(origins.clone()));
-        }
-    }
-
     /// Admits a call that resumes a stream once the software version that began it is known.
-    pub(super) fn admit_resumption(&mut self, now: Timestamp, caller: CallerId) {
+    pub(in crate::gateway) fn admit_resumption(&mut self, now: Timestamp, caller: CallerId) {
         let Some(call) = self.calls.get(&caller) else { return };
         let resumes = call.info.resumes.clone();
         let own = resumes.as_ref().and_then(|id| self.origins.find(now, id));
@@ -183,7 +153,7 @@
     }
 
     /// Handles a control member's answer about the origin of a stream.
-    pub(super) fn origin_answered(
+    pub(in crate::gateway) fn origin_answered(
         &mut self,
         now: Timestamp,
         caller: CallerId,
@@ -210,12 +180,17 @@
     }
 
     /// Handles the end of an exchange about the origin of a stream.
-    pub(super) fn origin_closed(&mut self, now: Timestamp, caller: CallerId, exchange: ExchangeId) {
+    pub(in crate::gateway) fn origin_closed(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        exchange: ExchangeId,
+    ) {
         self.origin_answered(now, caller, exchange, OriginAnswer::default());
     }
 
     /// Ends the search for the origin of a stream at its time limit.
-    pub(super) fn origin_timed_out(&mut self, now: Timestamp, caller: CallerId) {
+    pub(in crate::gateway) fn origin_timed_out(&mut self, now: Timestamp, caller: CallerId) {
         let Some(call) = self.calls.get_mut(&caller) else { return };
         let Stage::Origin(request) = &mut call.stage else { return };
         let open = std::mem::take(&mut request.open);
@@ -318,7 +293,7 @@
     }
 
     /// Returns whether any endpoint of a call's service has the software version that it must have.
-    pub(super) fn has_version(&self, caller: CallerId) -> bool {
+    pub(in crate::gateway) fn has_version(&self, caller: CallerId) -> bool {
         let Some(call) = self.calls.get(&caller) else { return false };
         let choice = call.choice();
         if self.is_engine_call(caller) {
--- a/src/gateway/unproven.rs
+++ b/src/gateway/origins/unproven.rs
@@ -8,12 +8,12 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::answer;
-use super::call::{Call, Stage};
-use super::fleet::EndpointKey;
-use super::reason::EndReason;
-use super::{CallerId, Gateway, PeerId};
 use crate::control::origins::{Correction, Origin};
+use crate::gateway::answer;
+use crate::gateway::call::{Call, Stage};
+use crate::gateway::fleet::EndpointKey;
+use crate::gateway::reason::EndReason;
+use crate::gateway::{CallerId, Gateway, PeerId};
 use crate::model::Timestamp;
 use crate::report::observation::WasteCause;
 
@@ -22,7 +22,7 @@
 
 /// A stream that began over a connection whose start no answer has named.
 #[derive(Debug)]
-pub(super) struct Unproven {
+pub(in crate::gateway) struct Unproven {
     caller: CallerId,
     origin: Origin,
     endpoint: EndpointKey,
@@ -33,7 +33,12 @@
 
 impl Gateway {
     /// Keeps a stream that has just begun until it is certain that its start is the listed one.
-    pub(super) fn note_unproven(&mut self, now: Timestamp, caller: CallerId, origin: Origin) {
+    pub(in crate::gateway) fn note_unproven(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        origin: Origin,
+    ) {
         self.unproven.retain(|stream| now - stream.opened < UNLISTED_TIME);
         let attempt = self.calls.get_mut(&caller).and_then(Call::attempt);
         let Some((peer, endpoint)) = attempt.map(|a| (a.peer, a.endpoint)) else { return };
@@ -43,7 +48,11 @@
 
     /// Corrects the versions of the streams that endpoints may have begun whose newer starts have just
     /// been listed.
-    pub(super) fn correct_versions(&mut self, now: Timestamp, restarted: &BTreeSet<EndpointKey>) {
+    pub(in crate::gateway) fn correct_versions(
+        &mut self,
+        now: Timestamp,
+        restarted: &BTreeSet<EndpointKey>,
+    ) {
         if restarted.is_empty() {
             return;
         }
--- a/src/gateway/versions.rs
+++ b/src/gateway/origins/versions.rs
@@ -16,7 +16,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use dotterelpin::gateway::versions::Versions;
+/// use dotterelpin::gateway::origins::versions::Versions;
 /// use dotterelpin::model::Timestamp;
 ///
 /// let second = |n: u64| Timestamp::from_micros(n * 1_000_000);
@@ -76,7 +76,7 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use dotterelpin::gateway::versions::Versions;
+    /// use dotterelpin::gateway::origins::versions::Versions;
     /// use dotterelpin::model::Timestamp;
     ///
     /// let second = |n: u64| Timestamp::from_micros(n * 1_000_000);
