--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -521,11 +521,11 @@
     fleet.controls[0].restart().unwrap();
     wait_for_artifact(&fleet, "model:cs-summary@2");
     let _ = stop.send(());
-    for result in load.join().unwrap() {
+    for (number, result) in load.join().unwrap().into_iter().enumerate() {
         let streamed = result.unwrap();
         assert!(
             streamed.done && streamed.error.is_none(),
-            "a call failed during the rollouts: {streamed:?}"
+            "call {number} failed during the rollouts: {streamed:?}"
         );
     }
     for endpoint in 0..fleet.endpoints.len() {
