--- a/src/control/origins/saved.rs
+++ b/src/control/origins/saved.rs
@@ -49,9 +49,9 @@
     /// assert!(origins.save_service(now, "cs-summary").is_empty());
     /// ```
     pub fn save_service(&mut self, now: Timestamp, service: &str) -> Vec<OriginRecord> {
-        let is_saving = self.is_saving(now, service);
-        self.saving.insert(service.into(), now + SAVING_TTL);
-        if is_saving { Vec::new() } else { self.unsaved(now, |of| *of == *service) }
+        self.saving.retain(|_, until| now < *until);
+        let is_new = self.saving.insert(service.into(), now + SAVING_TTL).is_none();
+        if is_new { self.unsaved(now, service) } else { Vec::new() }
     }
 
     /// Returns the records of some calls that are not saved yet and belong to services whose origins
@@ -69,15 +69,12 @@
         records
     }
 
-    fn unsaved(&mut self, now: Timestamp, of: impl Fn(&str) -> bool) -> Vec<OriginRecord> {
-        let unsaved = self.entries.iter().filter(|(_, e)| !e.is_saved && of(&e.origin.service));
+    fn unsaved(&mut self, now: Timestamp, service: &str) -> Vec<OriginRecord> {
+        let entries = self.entries.iter();
+        let unsaved = entries.filter(|(_, e)| !e.is_saved && *e.origin.service == *service);
         let calls: Vec<Box<str>> = unsaved.map(|(call, _)| call.clone()).collect();
         self.unsaved_of(now, &calls)
     }
-
-    fn is_saving(&self, now: Timestamp, service: &str) -> bool {
-        self.saving.get(service).is_some_and(|until| now < *until)
-    }
 }
 
 impl Control {
--- a/tests/versions_after_kills.rs
+++ b/tests/versions_after_kills.rs
@@ -158,26 +158,31 @@
 /// kill of all that know them.
 #[test]
 fn streams_go_on_whichever_version_comes_or_leaves_beside_the_kill() {
-    type Change = (&'static str, u64, fn(&mut World));
-    // Milliseconds before the kill; a member hears of an endpoint within 1,200 ms.
-    let changes: [Change; 4] = [
-        ("the second version is listed", 1_900, release),
-        ("a third version is listed", 1_900, |w| w.endpoints.push(engine("d6", "v3", 60))),
-        ("a third version is listed", 300, |w| w.endpoints.push(engine("d6", "v3", 60))),
-        ("an endpoint of the old version leaves", 100, |w| {
+    /// What changes in a fleet, how many milliseconds before the kill, and how.
+    type Change = (&'static str, fn() -> World, &'static [u64], fn(&mut World));
+    let changes: [Change; 3] = [
+        ("the second version is listed", world, &[1_900, 1_250, 900, 600, 300, 100], release),
+        ("a third version is listed", world_of_two_versions, &[1_900, 300, 100], |w| {
+            w.endpoints.push(engine("d6", "v3", 60));
+        }),
+        ("an endpoint of the old version leaves", world_of_two_versions, &[100], |w| {
             w.endpoints[0].down_until = w.now + std::time::Duration::from_secs(1_000);
         }),
     ];
-    for (at, (what, before, change)) in changes.into_iter().enumerate() {
-        let mut w = if at == 0 { world() } else { world_of_two_versions() };
-        w.timing.event = std::time::Duration::from_millis(300);
-        let mut all = carry(&mut w);
-        change(&mut w);
-        w.run(before);
-        disrupt(&mut w, &Disruption::at_once(Loss::Kill));
-        w.run(PAUSE_MS);
-        let (on, new) = take_up(&mut w, &mut all);
-        assert!(on >= new && new > 0, "{what}: {on} streams go on, {new} begin");
+    for (what, fleet, times, change) in changes {
+        for (before, one_member) in times.iter().flat_map(|t| [(*t, false), (*t, true)]) {
+            let mut w = fleet();
+            w.one_member = one_member;
+            w.timing.event = std::time::Duration::from_millis(300);
+            let mut all = carry(&mut w);
+            change(&mut w);
+            w.run(before);
+            disrupt(&mut w, &Disruption::at_once(Loss::Kill));
+            w.run(PAUSE_MS);
+            let (on, new) = take_up(&mut w, &mut all);
+            let told = format!("{what} {before} ms before, to one member: {one_member}");
+            assert!(on >= new && new > 0, "{told}: {on} streams go on, {new} begin");
+        }
     }
 }
 
