Split the loop that writes origins, and read their answers in one place

The thread of origins logs the changes of its disk in a function of its own, and the reply of a control member about an origin is read where it is used. No change of behaviour.

--- a/src/control/disk/origins/writer.rs
+++ b/src/control/disk/origins/writer.rs
@@ -102,25 +102,30 @@
             log::warn!("step=save-origins lost={} the disk is too slow", taken.lost);
         }
         let now = Timestamp::from_steady();
-        let is_due = taken.is_closed || now - synced >= SYNC_INTERVAL;
         let mut written = files.append(now, &taken.records);
+        let is_due = taken.is_closed || now - synced >= SYNC_INTERVAL;
         if is_due && !files.is_synced() {
             written = written.and(files.sync());
             synced = Timestamp::from_steady();
         }
-        if let Err(error) = &written
-            && !is_failing
-        {
-            log::error!(
-                "step=save-origins error={error:#}; origins are lost until a write succeeds"
-            );
-        }
-        if written.is_ok() && is_failing && !taken.records.is_empty() {
-            log::info!("step=save-origins the disk takes origins again");
+        // A failure lasts until records were written again.
+        if written.is_err() || !taken.records.is_empty() {
+            log_change(&written, is_failing);
+            is_failing = written.is_err();
         }
-        is_failing = written.is_err() || is_failing && taken.records.is_empty();
         if taken.is_closed {
             return;
         }
     }
 }
+
+/// Logs that the disk takes origins no more, or again.
+fn log_change(written: &eyre::Result<()>, was_failing: bool) {
+    match written {
+        Err(error) if !was_failing => log::error!(
+            "step=save-origins error={error:#}; origins are lost until a write succeeds"
+        ),
+        Ok(()) if was_failing => log::info!("step=save-origins the disk takes origins again"),
+        _ => {}
+    }
+}
--- a/src/gateway/assign.rs
+++ b/src/gateway/assign.rs
@@ -263,9 +263,7 @@
             return;
         }
         let Some(caller) = self.leader_requests.remove(&exchange) else { return };
-        if let ControlReply::OriginFound { software, only, basis } = reply {
-            let answer =
-                OriginAnswer { software: software.clone(), only: only.clone(), basis: *basis };
+        if let Some(answer) = OriginAnswer::read(reply) {
             self.origin_answered(now, caller, exchange, answer);
             self.schedule(caller);
             return;
--- a/src/gateway/origins/search.rs
+++ b/src/gateway/origins/search.rs
@@ -12,7 +12,7 @@
 use crate::gateway::call::Stage;
 use crate::gateway::reason::EndReason;
 use crate::gateway::{CallerId, Gateway};
-use crate::link::message::{ControlRequest, OriginBasis};
+use crate::link::message::{ControlReply, ControlRequest, OriginBasis};
 use crate::model::{ExchangeId, Timestamp};
 
 /// How long control members have to name the origin of a stream.
@@ -75,12 +75,12 @@
 #[derive(Debug, Default)]
 pub(in crate::gateway) struct OriginAnswer {
     /// The version that began the stream, if the member knows it.
-    pub(in crate::gateway) software: Option<Box<str>>,
+    software: Option<Box<str>>,
     /// The only version that the service has had for longer than a stream lasts, if the member knows
     /// one.
-    pub(in crate::gateway) only: Option<Box<str>>,
+    only: Option<Box<str>>,
     /// What the answer rests on; members of earlier releases don't say.
-    pub(in crate::gateway) basis: Option<OriginBasis>,
+    basis: Option<OriginBasis>,
 }
 
 impl OriginRequest {
@@ -112,6 +112,13 @@
 }
 
 impl OriginAnswer {
+    /// Returns the answer in a reply of a control member, if the reply is one.
+    pub(in crate::gateway) fn read(reply: &ControlReply) -> Option<OriginAnswer> {
+        let ControlReply::OriginFound { software, only, basis } = reply else { return None };
+        let (software, only) = (software.clone(), only.clone());
+        Some(OriginAnswer { software, only, basis: *basis })
+    }
+
     fn evidence(&self) -> Option<Evidence> {
         self.basis.and_then(|basis| basis.evidence)
     }
