--- a/tests/resumed_streams/mod.rs
+++ b/tests/resumed_streams/mod.rs
@@ -14,7 +14,9 @@
 pub const PATH: &str = "/remind/a";
 /// How many events a stream has.
 pub const EVENTS: u64 = 30;
+/// How many gateways the fleet has.
 pub const GATEWAYS: usize = 3;
+/// How many control members the fleet has.
 pub const MEMBERS: usize = 3;
 
 fn streams() -> RawTable {
@@ -24,6 +26,7 @@
     all
 }
 
+/// Returns an engine that decodes, of a software version and with the boot of its start.
 pub fn engine(name: &str, software: &str, born: u64) -> Endpoint {
     let mut endpoint = Endpoint::new(name, EndpointKind::Decode, MODEL);
     endpoint.state.software = software.into();
@@ -39,6 +42,7 @@
     w
 }
 
+/// Starts two endpoints of a second version.
 pub fn release(w: &mut World) {
     w.endpoints.push(engine("d4", "v2", 50));
     w.endpoints.push(engine("d5", "v2", 50));
@@ -53,20 +57,24 @@
 
 /// A stream with the calls that have brought it.
 pub struct Stream {
+    /// The calls, oldest first.
     pub calls: Vec<u64>,
     /// When it is taken up again.
     pub next: u64,
 }
 
 impl Stream {
+    /// Begins a stream at a gateway.
     pub fn begin(w: &mut World, gateway: usize, next: u64) -> Stream {
         Stream { calls: vec![w.stream(gateway, PATH, "1:1", EVENTS)], next }
     }
 
+    /// Returns the versions that wrote its events, in order.
     pub fn events(&self, w: &World) -> Vec<String> {
         self.calls.iter().flat_map(|call| events(w, *call)).collect()
     }
 
+    /// Returns the versions that wrote any of its events.
     pub fn versions(&self, w: &World) -> BTreeSet<String> {
         self.events(w).into_iter().collect()
     }
@@ -82,6 +90,7 @@
     }
 }
 
+/// Returns the streams that hold events of several versions, for messages.
 pub fn mixed(w: &World, all: &[Stream]) -> Vec<String> {
     let mixed = all.iter().filter(|stream| stream.versions(w).len() > 1);
     mixed.map(|stream| format!("{:?}: {:?}", stream.calls, stream.events(w))).collect()
