Kill all that know of crashes at once, at each crash

A row of docs/design/state-in-memory.md had no test: evidence on crashes lives in the memory of gateways and members. With all of them killed after each of the first six crashes under a part, at most three requests with it arrive later than 3 s after the fifth crash, as the other tests ask. It holds without a change.

--- a/tests/prompt_parts.rs
+++ b/tests/prompt_parts.rs
@@ -208,6 +208,26 @@
     assert_stopped(&w, "bad", PART_CRASHES);
 }
 
+/// Guards against evidence that all processes which know it lose at once, at each crash.
+#[test]
+fn all_processes_killed_at_once_forget_which_part_crashed_endpoints_for_good() {
+    for known in 1..=PART_CRASHES + 1 {
+        let mut w = fleet(3);
+        let mut load = Load::new(3, 150, &["bad"]);
+        w.faulty_parts.insert("bad".into());
+        while crashes(&w, "bad").len() < known {
+            load.run(&mut w, 10);
+        }
+        (0..3).for_each(|at| w.kill_member(at));
+        (0..3).for_each(|at| w.kill_gateway(at));
+        w.run(800);
+        (0..3).for_each(|at| w.start_member(at));
+        (0..3).for_each(|at| w.start_gateway(at));
+        load.run(&mut w, 15_000);
+        assert_stopped(&w, "bad", PART_CRASHES);
+    }
+}
+
 #[test]
 fn new_leader_forgets_which_part_crashed_endpoints() {
     let mut w = fleet(3);
